--- a/src/include/rattandyke/result.h
+++ b/src/include/rattandyke/result.h
@@ -69,13 +69,11 @@
 
 /// Every code with its text, in rising order of number. Source of
 /// docs/ERRORS.md.
-std::span<const CodeInfo>
-AllCodes();
+std::span<const CodeInfo> AllCodes();
 
 /// @param aCode a member of Code.
 /// @return its row; the row of Ok for a number that is not in the table.
-const CodeInfo&
-Describe(Code aCode);
+const CodeInfo& Describe(Code aCode);
 
 /// A failed call: the code for programs, the message for people.
 struct Error
--- a/src/librattandyke/records/records.h
+++ b/src/librattandyke/records/records.h
@@ -57,8 +57,11 @@
   ValueSource customer{ ValueSource::Kind::Header, 0, "Customer" };
   /// Hash ranges its keys are divided into; fixed once the record exists.
   uint32_t slots = 256;
-  std::set<std::string> idempotentMethods{ "GET", "HEAD", "PUT",
-                                           "DELETE", "OPTIONS" };
+  std::set<std::string> idempotentMethods{ "GET",
+                                           "HEAD",
+                                           "PUT",
+                                           "DELETE",
+                                           "OPTIONS" };
   /// How long an Idempotency-Key is remembered after its request ended.
   std::chrono::seconds retention{ 600 };
   std::chrono::milliseconds defaultDeadline{ 10000 };
@@ -89,21 +92,17 @@
 
 /// @param aRecord a record of kind "service".
 /// @return its typed form, or Code::InvalidRecord naming the field.
-Result<ServiceRecord>
-ParseService(const wire::Record& aRecord);
+Result<ServiceRecord> ParseService(const wire::Record& aRecord);
 
 /// @param aRecord a record of kind "limit".
-Result<LimitRecord>
-ParseLimit(const wire::Record& aRecord);
+Result<LimitRecord> ParseLimit(const wire::Record& aRecord);
 
 /// Whether this version of the product understands the record's kind and
 /// schema version. A record it does not understand is stored and shown whole,
 /// and has no effect.
-bool
-IsUnderstood(const wire::Record& aRecord);
+bool IsUnderstood(const wire::Record& aRecord);
 
 /// Checks a record as submitted. An unknown newer schema version passes.
-Result<void>
-Validate(const wire::Record& aRecord);
+Result<void> Validate(const wire::Record& aRecord);
 
 } // namespace rattandyke::records
--- a/src/librattandyke/routing/routing_table.h
+++ b/src/librattandyke/routing/routing_table.h
@@ -12,8 +12,7 @@
 
 /// @return the slot of a key in a service of aSlots slots: the high part of
 /// its 64-bit xxHash, so that neighbouring keys spread.
-Slot
-SlotOf(std::string_view aKey, uint32_t aSlots);
+Slot SlotOf(std::string_view aKey, uint32_t aSlots);
 
 /// Everything about an upstream that a request needs.
 struct UpstreamView
