--- a/src/librattandyke/net/peer_transport.h
+++ b/src/librattandyke/net/peer_transport.h
@@ -22,8 +22,22 @@
   std::string peersPublicKey;
 };
 
+/// What a transport has done since it started.
+struct TransportCounters
+{
+  /// Handed to a connection; says nothing about arrival.
+  uint64_t sent = 0;
+  uint64_t received = 0;
+  /// Not sent: peer unknown, gone or slow, or the message too large.
+  uint64_t dropped = 0;
+  /// Received and thrown away: not a single-part envelope with a sender.
+  uint64_t malformed = 0;
+};
+
 /// Sends and receives envelopes. Datagram-like: a send never blocks, and a
-/// message to a host that is slow or gone is dropped. One background thread
+/// message to a host that is slow or gone is dropped; so are messages sent
+/// before the connection to a new peer stands. Messages to the own name are
+/// delivered without a socket. One background thread
 /// owns the sockets; Send is thread-safe; the receiver is called on that
 /// thread and should only post to an executor.
 class PeerTransport
@@ -41,10 +55,18 @@
                 Receiver aReceiver);
   ~PeerTransport();
 
-  /// Binds and starts the thread. @return Code::AddressInUse if taken.
+  /// Binds and starts the thread. @return Code::AddressInUse if taken,
+  /// Code::InvalidSettings for unusable keys, or none beyond loopback.
   Result<void> Start();
+  /// Joins the thread; what is queued is dropped. Not from the receiver.
   void Stop();
 
+  /// @return where it listens: the port chosen by the kernel if 0 was asked.
+  /// Valid after Start.
+  Endpoint Listening() const;
+
+  TransportCounters Counters() const;
+
   /// Makes a host reachable by Send, or changes its address.
   void SetPeer(const HostName& aName, const Endpoint& aAddress);
 
