--- a/src/include/rattandyke/result.h
+++ b/src/include/rattandyke/result.h
@@ -23,6 +23,7 @@
   DeadlineExceeded = 105,
   IdempotencyKeyReused = 106,
   CallerGone = 107,
+  AnswerNotKept = 108,
   NoOwner = 201,
   Overloaded = 202,
   UpstreamUnreachable = 203,
--- /dev/null
+++ b/src/librattandyke/entry/retry_budget.h
@@ -0,0 +1,42 @@
+/// Bound on the share of a service's traffic that may be retries.
+#pragma once
+
+#include <mutex>
+
+#include <rattandyke/types.h>
+
+namespace rattandyke::entry {
+
+/// Token bucket fed by first sendings: each adds `share`, each retry takes 1.
+/// Without it, retries multiply the load on upstreams that already fail, and a
+/// short fault becomes a lasting one. Since tokens come from traffic and not
+/// from time, at most `share` of the sendings of any stretch, plus the burst,
+/// are retries. One object a service and host; thread-safe (a leaf lock).
+class RetryBudget
+{
+public:
+  struct Settings
+  {
+    /// Retries for each first sending.
+    double share = 0.1;
+    /// Most tokens kept: retries that may follow each other after a quiet time.
+    double burst = 10;
+    /// Tokens at the start.
+    double initial = 2;
+  };
+
+  explicit RetryBudget(Settings aSettings);
+
+  /// A request was sent for the first time.
+  void OnFirstSend();
+
+  /// @return whether one retry may be made; if so it is taken.
+  bool TryTake();
+
+private:
+  const Settings mSettings;
+  mutable std::mutex mMutex;
+  double mTokens;
+};
+
+} // namespace rattandyke::entry
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -196,6 +196,7 @@
   , /*decltype(_impl_.idempotency_key_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.request_digest_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.retention_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.attempt_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct ClaimCallDefaultTypeInternal {
   PROTOBUF_CONSTEXPR ClaimCallDefaultTypeInternal()
@@ -275,6 +276,7 @@
   , /*decltype(_impl_.customer_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.idempotency_key_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.claim_)*/uint64_t{0u}
+  , /*decltype(_impl_.attempt_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct ReleaseClaimCallDefaultTypeInternal {
   PROTOBUF_CONSTEXPR ReleaseClaimCallDefaultTypeInternal()
@@ -552,6 +554,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimCall, _impl_.idempotency_key_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimCall, _impl_.request_digest_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimCall, _impl_.retention_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimCall, _impl_.attempt_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StoredAnswer, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -601,6 +604,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaimCall, _impl_.customer_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaimCall, _impl_.idempotency_key_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaimCall, _impl_.claim_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaimCall, _impl_.attempt_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::BanCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -693,19 +697,19 @@
   { 100, -1, -1, sizeof(::rattandyke::wire::CallReply)},
   { 115, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
   { 125, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
-  { 136, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
-  { 146, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
-  { 154, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
-  { 163, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
-  { 175, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
-  { 185, -1, -1, sizeof(::rattandyke::wire::BanCall)},
-  { 192, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
-  { 202, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
-  { 211, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
-  { 220, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
-  { 232, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
-  { 241, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 251, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 137, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
+  { 147, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
+  { 155, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
+  { 164, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
+  { 176, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
+  { 187, -1, -1, sizeof(::rattandyke::wire::BanCall)},
+  { 194, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
+  { 204, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
+  { 213, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
+  { 222, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
+  { 234, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
+  { 243, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 253, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -787,56 +791,57 @@
   "body\"}\n\020SubmitRecordCall\022\'\n\006record\030\001 \001(\013"
   "2\027.rattandyke.wire.Record\022\031\n\021expected_re"
   "vision\030\002 \001(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007dr"
-  "y_run\030\004 \001(\010\"u\n\tClaimCall\022\017\n\007service\030\001 \001("
-  "\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key\030\003"
-  " \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\024\n\014retentio"
-  "n_ms\030\005 \001(\004\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001"
-  "(\r\022.\n\007headers\030\002 \003(\0132\035.rattandyke.wire.St"
-  "oredHeader\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped"
-  "\030\004 \001(\010\"+\n\014StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005"
-  "value\030\002 \001(\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001"
-  "(\0162\035.rattandyke.wire.ClaimOutcome\022\r\n\005cla"
-  "im\030\002 \001(\004\022-\n\006answer\030\003 \001(\0132\035.rattandyke.wi"
-  "re.StoredAnswer\"\236\001\n\021CompleteClaimCall\022\017\n"
-  "\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idem"
-  "potency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answ"
-  "er\030\005 \001(\0132\035.rattandyke.wire.StoredAnswer\022"
-  "\017\n\007unknown\030\006 \001(\010\"]\n\020ReleaseClaimCall\022\017\n\007"
-  "service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idemp"
-  "otency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\",\n\007BanCa"
-  "ll\022!\n\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\"_\n"
-  "\017CrashReportCall\022\017\n\007service\030\001 \001(\t\022\020\n\010ups"
-  "tream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\024\n\014fing"
-  "erprints\030\004 \003(\t\"E\n\021DrainUpstreamCall\022\017\n\007s"
-  "ervice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030"
-  "\003 \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007serv"
-  "ice\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007"
-  "service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010custo"
-  "mer\030\003 \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030"
-  "\005 \001(\010\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n"
-  "\007request\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry"
-  "_after_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add"
-  "_identity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add"
-  "_address\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\""
-  "\240\002\n\010Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_sessi"
-  "on\030\002 \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke"
-  ".wire.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001"
-  "(\0132\037.rattandyke.wire.HeartbeatReplyH\000\0224\n"
-  "\014call_request\030\014 \001(\0132\034.rattandyke.wire.Ca"
-  "llRequestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattan"
-  "dyke.wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014"
-  "H\000B\006\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUT"
-  "COME_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRAN"
-  "TED\020\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAI"
-  "M_OUTCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOW"
-  "N\020\004\022\032\n\026CLAIM_OUTCOME_MISMATCH\020\005b\006proto3"
+  "y_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 \001"
+  "(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key\030"
+  "\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\024\n\014retenti"
+  "on_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredAn"
+  "swer\022\016\n\006status\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035."
+  "rattandyke.wire.StoredHeader\022\014\n\004body\030\003 \001"
+  "(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014StoredHeader"
+  "\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimRe"
+  "ply\022.\n\007outcome\030\001 \001(\0162\035.rattandyke.wire.C"
+  "laimOutcome\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 \001"
+  "(\0132\035.rattandyke.wire.StoredAnswer\"\236\001\n\021Co"
+  "mpleteClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
+  "omer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005c"
+  "laim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035.rattandyke."
+  "wire.StoredAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020Re"
+  "leaseClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010custo"
+  "mer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005cl"
+  "aim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!\n"
+  "\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\"_\n\017Cras"
+  "hReportCall\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream"
+  "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\024\n\014fingerpri"
+  "nts\030\004 \003(\t\"E\n\021DrainUpstreamCall\022\017\n\007servic"
+  "e\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010"
+  "\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030\002"
+  " \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007servi"
+  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030\003"
+  " \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001(\010"
+  "\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007requ"
+  "est\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_afte"
+  "r_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_iden"
+  "tity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_addr"
+  "ess\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010E"
+  "nvelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 "
+  "\001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wire"
+  ".HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037."
+  "rattandyke.wire.HeartbeatReplyH\000\0224\n\014call"
+  "_request\030\014 \001(\0132\034.rattandyke.wire.CallReq"
+  "uestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke."
+  "wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006\n"
+  "\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_"
+  "UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001"
+  "\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUT"
+  "COME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032"
+  "\n\026CLAIM_OUTCOME_MISMATCH\020\005b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 3799, descriptor_table_protodef_peer_2eproto,
+    false, false, 3834, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
     &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 23,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
@@ -5058,6 +5063,7 @@
     , decltype(_impl_.idempotency_key_){}
     , decltype(_impl_.request_digest_){}
     , decltype(_impl_.retention_ms_){}
+    , decltype(_impl_.attempt_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -5093,7 +5099,9 @@
     _this->_impl_.request_digest_.Set(from._internal_request_digest(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.retention_ms_ = from._impl_.retention_ms_;
+  ::memcpy(&_impl_.retention_ms_, &from._impl_.retention_ms_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.attempt_) -
+    reinterpret_cast<char*>(&_impl_.retention_ms_)) + sizeof(_impl_.attempt_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ClaimCall)
 }
 
@@ -5107,6 +5115,7 @@
     , decltype(_impl_.idempotency_key_){}
     , decltype(_impl_.request_digest_){}
     , decltype(_impl_.retention_ms_){uint64_t{0u}}
+    , decltype(_impl_.attempt_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
@@ -5158,7 +5167,9 @@
   _impl_.customer_.ClearToEmpty();
   _impl_.idempotency_key_.ClearToEmpty();
   _impl_.request_digest_.ClearToEmpty();
-  _impl_.retention_ms_ = uint64_t{0u};
+  ::memset(&_impl_.retention_ms_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.attempt_) -
+      reinterpret_cast<char*>(&_impl_.retention_ms_)) + sizeof(_impl_.attempt_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -5215,6 +5226,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 attempt = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.attempt_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -5286,6 +5305,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_retention_ms(), target);
   }
 
+  // uint64 attempt = 6;
+  if (this->_internal_attempt() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(6, this->_internal_attempt(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -5335,6 +5360,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_retention_ms());
   }
 
+  // uint64 attempt = 6;
+  if (this->_internal_attempt() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_attempt());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -5368,6 +5398,9 @@
   if (from._internal_retention_ms() != 0) {
     _this->_internal_set_retention_ms(from._internal_retention_ms());
   }
+  if (from._internal_attempt() != 0) {
+    _this->_internal_set_attempt(from._internal_attempt());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -5403,7 +5436,12 @@
       &_impl_.request_digest_, lhs_arena,
       &other->_impl_.request_digest_, rhs_arena
   );
-  swap(_impl_.retention_ms_, other->_impl_.retention_ms_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ClaimCall, _impl_.attempt_)
+      + sizeof(ClaimCall::_impl_.attempt_)
+      - PROTOBUF_FIELD_OFFSET(ClaimCall, _impl_.retention_ms_)>(
+          reinterpret_cast<char*>(&_impl_.retention_ms_),
+          reinterpret_cast<char*>(&other->_impl_.retention_ms_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata ClaimCall::GetMetadata() const {
@@ -6636,6 +6674,7 @@
     , decltype(_impl_.customer_){}
     , decltype(_impl_.idempotency_key_){}
     , decltype(_impl_.claim_){}
+    , decltype(_impl_.attempt_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -6663,7 +6702,9 @@
     _this->_impl_.idempotency_key_.Set(from._internal_idempotency_key(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.claim_ = from._impl_.claim_;
+  ::memcpy(&_impl_.claim_, &from._impl_.claim_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.attempt_) -
+    reinterpret_cast<char*>(&_impl_.claim_)) + sizeof(_impl_.attempt_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ReleaseClaimCall)
 }
 
@@ -6676,6 +6717,7 @@
     , decltype(_impl_.customer_){}
     , decltype(_impl_.idempotency_key_){}
     , decltype(_impl_.claim_){uint64_t{0u}}
+    , decltype(_impl_.attempt_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
@@ -6721,7 +6763,9 @@
   _impl_.service_.ClearToEmpty();
   _impl_.customer_.ClearToEmpty();
   _impl_.idempotency_key_.ClearToEmpty();
-  _impl_.claim_ = uint64_t{0u};
+  ::memset(&_impl_.claim_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.attempt_) -
+      reinterpret_cast<char*>(&_impl_.claim_)) + sizeof(_impl_.attempt_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -6769,6 +6813,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 attempt = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.attempt_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6834,6 +6886,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_claim(), target);
   }
 
+  // uint64 attempt = 5;
+  if (this->_internal_attempt() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_attempt(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6876,6 +6934,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_claim());
   }
 
+  // uint64 attempt = 5;
+  if (this->_internal_attempt() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_attempt());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -6906,6 +6969,9 @@
   if (from._internal_claim() != 0) {
     _this->_internal_set_claim(from._internal_claim());
   }
+  if (from._internal_attempt() != 0) {
+    _this->_internal_set_attempt(from._internal_attempt());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -6937,7 +7003,12 @@
       &_impl_.idempotency_key_, lhs_arena,
       &other->_impl_.idempotency_key_, rhs_arena
   );
-  swap(_impl_.claim_, other->_impl_.claim_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ReleaseClaimCall, _impl_.attempt_)
+      + sizeof(ReleaseClaimCall::_impl_.attempt_)
+      - PROTOBUF_FIELD_OFFSET(ReleaseClaimCall, _impl_.claim_)>(
+          reinterpret_cast<char*>(&_impl_.claim_),
+          reinterpret_cast<char*>(&other->_impl_.claim_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata ReleaseClaimCall::GetMetadata() const {
