--- a/src/librattandyke/routing/routing_table.h
+++ b/src/librattandyke/routing/routing_table.h
@@ -27,6 +27,8 @@
   wire::UpstreamState state = wire::UPSTREAM_STATE_ACTIVE;
   /// Host that keeps its lease.
   HostName home;
+  /// Rises each time it is registered anew after its lease was over.
+  TableVersion registered;
   WallTime started{};
 };
 
@@ -78,7 +80,8 @@
                            std::string_view aFingerprint,
                            WallTime aNow) const;
 
-  /// Slots and hot keys that an upstream owns now, for its grants.
+  /// Slots and hot keys that an upstream owns now, for its grants. A hot key
+  /// that lies in one of its slots but is not its own is listed with fence 0.
   std::vector<wire::SlotOwner> GrantsOf(std::string_view aService,
                                         std::string_view aUpstream) const;
 
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -32,6 +32,7 @@
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.peer_address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.admin_address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.upstream_address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.session_)*/uint64_t{0u}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
   , /*decltype(_impl_.table_version_)*/uint64_t{0u}
@@ -55,6 +56,7 @@
   , /*decltype(_impl_.grants_version_)*/uint64_t{0u}
   , /*decltype(_impl_.lapsed_)*/false
   , /*decltype(_impl_.draining_)*/false
+  , /*decltype(_impl_.announced_ms_ago_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamReportDefaultTypeInternal {
   PROTOBUF_CONSTEXPR UpstreamReportDefaultTypeInternal()
@@ -119,6 +121,7 @@
 PROTOBUF_CONSTEXPR HeartbeatReply::HeartbeatReply(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.live_hosts_)*/{}
+  , /*decltype(_impl_.upstream_addresses_)*/{}
   , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.leader_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.update_)*/nullptr
@@ -439,6 +442,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.leaving_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.entry_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.log_identity_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.upstream_address_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -449,6 +453,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _impl_.grants_version_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _impl_.lapsed_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _impl_.draining_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _impl_.announced_ms_ago_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamEvidence, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -498,6 +503,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.update_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.live_hosts_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.keeper_version_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.upstream_addresses_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -688,28 +694,28 @@
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::rattandyke::wire::Heartbeat)},
-  { 21, -1, -1, sizeof(::rattandyke::wire::UpstreamReport)},
-  { 31, -1, -1, sizeof(::rattandyke::wire::UpstreamEvidence)},
-  { 44, -1, -1, sizeof(::rattandyke::wire::KeyLoad)},
-  { 54, -1, -1, sizeof(::rattandyke::wire::SlotLoad)},
-  { 64, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
-  { 80, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
-  { 100, -1, -1, sizeof(::rattandyke::wire::CallReply)},
-  { 115, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
-  { 125, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
-  { 137, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
-  { 147, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
-  { 155, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
-  { 164, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
-  { 176, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
-  { 187, -1, -1, sizeof(::rattandyke::wire::BanCall)},
-  { 194, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
-  { 204, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
-  { 213, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
-  { 222, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
-  { 234, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
-  { 243, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 253, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 22, -1, -1, sizeof(::rattandyke::wire::UpstreamReport)},
+  { 33, -1, -1, sizeof(::rattandyke::wire::UpstreamEvidence)},
+  { 46, -1, -1, sizeof(::rattandyke::wire::KeyLoad)},
+  { 56, -1, -1, sizeof(::rattandyke::wire::SlotLoad)},
+  { 66, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
+  { 83, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
+  { 103, -1, -1, sizeof(::rattandyke::wire::CallReply)},
+  { 118, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
+  { 128, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
+  { 140, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
+  { 150, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
+  { 158, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
+  { 167, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
+  { 179, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
+  { 190, -1, -1, sizeof(::rattandyke::wire::BanCall)},
+  { 197, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
+  { 207, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
+  { 216, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
+  { 225, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
+  { 237, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
+  { 246, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 256, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -740,7 +746,7 @@
 
 const char descriptor_table_protodef_peer_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\npeer.proto\022\017rattandyke.wire\032\013table.pro"
-  "to\"\251\003\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\017\n\007sessio"
+  "to\"\303\003\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\017\n\007sessio"
   "n\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n\013data_centre"
   "\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t\022\025\n\radmin_ad"
   "dress\030\006 \001(\t\022\025\n\rtable_version\030\007 \001(\004\022\030\n\020qu"
@@ -750,98 +756,100 @@
   "dence\022*\n\010hot_keys\030\013 \003(\0132\030.rattandyke.wir"
   "e.KeyLoad\022-\n\nslot_loads\030\014 \003(\0132\031.rattandy"
   "ke.wire.SlotLoad\022\017\n\007leaving\030\r \001(\010\022\r\n\005ent"
-  "ry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001(\004\"x\n\016Upstre"
-  "amReport\022,\n\tannounced\030\001 \001(\0132\031.rattandyke"
-  ".wire.Upstream\022\026\n\016grants_version\030\002 \001(\004\022\016"
-  "\n\006lapsed\030\003 \001(\010\022\020\n\010draining\030\004 \001(\010\"\224\001\n\020Ups"
-  "treamEvidence\022\017\n\007service\030\001 \001(\t\022\020\n\010upstre"
-  "am\030\002 \001(\t\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006failed\030\004 "
-  "\001(\r\022\023\n\013unreachable\030\005 \001(\r\022\014\n\004shed\030\006 \001(\r\022\027"
-  "\n\017mean_latency_us\030\007 \001(\r\"N\n\007KeyLoad\022\017\n\007se"
-  "rvice\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n\010requests\030\003 \001"
-  "(\r\022\023\n\013interval_ms\030\004 \001(\r\"P\n\010SlotLoad\022\017\n\007s"
-  "ervice\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\020\n\010requests\030\003"
-  " \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"\334\001\n\016HeartbeatR"
-  "eply\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\020\n\010s"
-  "equence\030\003 \001(\004\022\014\n\004term\030\004 \001(\004\022\016\n\006leader\030\005 "
-  "\001(\t\022\017\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030\007 \001(\r\022,"
-  "\n\006update\030\010 \001(\0132\034.rattandyke.wire.TableUp"
-  "date\022\022\n\nlive_hosts\030\t \003(\t\022\026\n\016keeper_versi"
-  "on\030\n \001(\004\"\327\004\n\013CallRequest\022\n\n\002id\030\001 \001(\004\022\014\n\004"
-  "host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n\rsubmit_re"
-  "cord\030\n \001(\0132!.rattandyke.wire.SubmitRecor"
-  "dCallH\000\022+\n\005claim\030\013 \001(\0132\032.rattandyke.wire"
-  ".ClaimCallH\000\022<\n\016complete_claim\030\014 \001(\0132\".r"
-  "attandyke.wire.CompleteClaimCallH\000\022:\n\rre"
-  "lease_claim\030\r \001(\0132!.rattandyke.wire.Rele"
-  "aseClaimCallH\000\022\'\n\003ban\030\016 \001(\0132\030.rattandyke"
-  ".wire.BanCallH\000\022<\n\016drain_upstream\030\017 \001(\0132"
-  "\".rattandyke.wire.DrainUpstreamCallH\000\022+\n"
-  "\005query\030\020 \001(\0132\032.rattandyke.wire.QueryCall"
-  "H\000\022-\n\006credit\030\021 \001(\0132\033.rattandyke.wire.Cre"
-  "ditCallH\000\0228\n\014crash_report\030\022 \001(\0132 .rattan"
-  "dyke.wire.CrashReportCallH\000\0225\n\nmembershi"
-  "p\030\023 \001(\0132\037.rattandyke.wire.MembershipCall"
-  "H\000B\006\n\004body\"\347\001\n\tCallReply\022\n\n\002id\030\001 \001(\004\022\014\n\004"
-  "code\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\022\016\n\006leader\030\004 "
-  "\001(\t\022)\n\006record\030\n \001(\0132\027.rattandyke.wire.Re"
-  "cordH\000\022,\n\005claim\030\013 \001(\0132\033.rattandyke.wire."
-  "ClaimReplyH\000\022\016\n\004json\030\014 \001(\tH\000\022.\n\006credit\030\r"
-  " \001(\0132\034.rattandyke.wire.CreditReplyH\000B\006\n\004"
-  "body\"}\n\020SubmitRecordCall\022\'\n\006record\030\001 \001(\013"
-  "2\027.rattandyke.wire.Record\022\031\n\021expected_re"
-  "vision\030\002 \001(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007dr"
-  "y_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 \001"
-  "(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key\030"
-  "\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\024\n\014retenti"
-  "on_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredAn"
-  "swer\022\016\n\006status\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035."
-  "rattandyke.wire.StoredHeader\022\014\n\004body\030\003 \001"
-  "(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014StoredHeader"
-  "\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimRe"
-  "ply\022.\n\007outcome\030\001 \001(\0162\035.rattandyke.wire.C"
-  "laimOutcome\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 \001"
-  "(\0132\035.rattandyke.wire.StoredAnswer\"\236\001\n\021Co"
-  "mpleteClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
+  "ry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001(\004\022\030\n\020upstre"
+  "am_address\030\020 \001(\t\"\222\001\n\016UpstreamReport\022,\n\ta"
+  "nnounced\030\001 \001(\0132\031.rattandyke.wire.Upstrea"
+  "m\022\026\n\016grants_version\030\002 \001(\004\022\016\n\006lapsed\030\003 \001("
+  "\010\022\020\n\010draining\030\004 \001(\010\022\030\n\020announced_ms_ago\030"
+  "\005 \001(\r\"\224\001\n\020UpstreamEvidence\022\017\n\007service\030\001 "
+  "\001(\t\022\020\n\010upstream\030\002 \001(\t\022\021\n\tsucceeded\030\003 \001(\r"
+  "\022\016\n\006failed\030\004 \001(\r\022\023\n\013unreachable\030\005 \001(\r\022\014\n"
+  "\004shed\030\006 \001(\r\022\027\n\017mean_latency_us\030\007 \001(\r\"N\n\007"
+  "KeyLoad\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n"
+  "\010requests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"P\n\010"
+  "SlotLoad\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022"
+  "\020\n\010requests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"\370"
+  "\001\n\016HeartbeatReply\022\014\n\004host\030\001 \001(\t\022\017\n\007sessi"
+  "on\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004term\030\004 \001(\004"
+  "\022\016\n\006leader\030\005 \001(\t\022\017\n\007granted\030\006 \001(\010\022\020\n\010lea"
+  "se_ms\030\007 \001(\r\022,\n\006update\030\010 \001(\0132\034.rattandyke"
+  ".wire.TableUpdate\022\022\n\nlive_hosts\030\t \003(\t\022\026\n"
+  "\016keeper_version\030\n \001(\004\022\032\n\022upstream_addres"
+  "ses\030\013 \003(\t\"\327\004\n\013CallRequest\022\n\n\002id\030\001 \001(\004\022\014\n"
+  "\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n\rsubmit_r"
+  "ecord\030\n \001(\0132!.rattandyke.wire.SubmitReco"
+  "rdCallH\000\022+\n\005claim\030\013 \001(\0132\032.rattandyke.wir"
+  "e.ClaimCallH\000\022<\n\016complete_claim\030\014 \001(\0132\"."
+  "rattandyke.wire.CompleteClaimCallH\000\022:\n\rr"
+  "elease_claim\030\r \001(\0132!.rattandyke.wire.Rel"
+  "easeClaimCallH\000\022\'\n\003ban\030\016 \001(\0132\030.rattandyk"
+  "e.wire.BanCallH\000\022<\n\016drain_upstream\030\017 \001(\013"
+  "2\".rattandyke.wire.DrainUpstreamCallH\000\022+"
+  "\n\005query\030\020 \001(\0132\032.rattandyke.wire.QueryCal"
+  "lH\000\022-\n\006credit\030\021 \001(\0132\033.rattandyke.wire.Cr"
+  "editCallH\000\0228\n\014crash_report\030\022 \001(\0132 .ratta"
+  "ndyke.wire.CrashReportCallH\000\0225\n\nmembersh"
+  "ip\030\023 \001(\0132\037.rattandyke.wire.MembershipCal"
+  "lH\000B\006\n\004body\"\347\001\n\tCallReply\022\n\n\002id\030\001 \001(\004\022\014\n"
+  "\004code\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\022\016\n\006leader\030\004"
+  " \001(\t\022)\n\006record\030\n \001(\0132\027.rattandyke.wire.R"
+  "ecordH\000\022,\n\005claim\030\013 \001(\0132\033.rattandyke.wire"
+  ".ClaimReplyH\000\022\016\n\004json\030\014 \001(\tH\000\022.\n\006credit\030"
+  "\r \001(\0132\034.rattandyke.wire.CreditReplyH\000B\006\n"
+  "\004body\"}\n\020SubmitRecordCall\022\'\n\006record\030\001 \001("
+  "\0132\027.rattandyke.wire.Record\022\031\n\021expected_r"
+  "evision\030\002 \001(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007d"
+  "ry_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 "
+  "\001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key"
+  "\030\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\024\n\014retent"
+  "ion_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredA"
+  "nswer\022\016\n\006status\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035"
+  ".rattandyke.wire.StoredHeader\022\014\n\004body\030\003 "
+  "\001(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014StoredHeade"
+  "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimR"
+  "eply\022.\n\007outcome\030\001 \001(\0162\035.rattandyke.wire."
+  "ClaimOutcome\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 "
+  "\001(\0132\035.rattandyke.wire.StoredAnswer\"\236\001\n\021C"
+  "ompleteClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cus"
+  "tomer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005"
+  "claim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035.rattandyke"
+  ".wire.StoredAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020R"
+  "eleaseClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
   "omer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005c"
-  "laim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035.rattandyke."
-  "wire.StoredAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020Re"
-  "leaseClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010custo"
-  "mer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005cl"
-  "aim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!\n"
-  "\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\"_\n\017Cras"
-  "hReportCall\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream"
-  "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\024\n\014fingerpri"
-  "nts\030\004 \003(\t\"E\n\021DrainUpstreamCall\022\017\n\007servic"
-  "e\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010"
-  "\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030\002"
-  " \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007servi"
-  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030\003"
-  " \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001(\010"
-  "\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007requ"
-  "est\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_afte"
-  "r_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_iden"
-  "tity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_addr"
-  "ess\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010E"
-  "nvelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 "
-  "\001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wire"
-  ".HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037."
-  "rattandyke.wire.HeartbeatReplyH\000\0224\n\014call"
-  "_request\030\014 \001(\0132\034.rattandyke.wire.CallReq"
-  "uestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke."
-  "wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006\n"
-  "\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_"
-  "UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001"
-  "\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUT"
-  "COME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032"
-  "\n\026CLAIM_OUTCOME_MISMATCH\020\005b\006proto3"
+  "laim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!"
+  "\n\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\"_\n\017Cra"
+  "shReportCall\022\017\n\007service\030\001 \001(\t\022\020\n\010upstrea"
+  "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\024\n\014fingerpr"
+  "ints\030\004 \003(\t\"E\n\021DrainUpstreamCall\022\017\n\007servi"
+  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001("
+  "\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030"
+  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007serv"
+  "ice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030"
+  "\003 \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001("
+  "\010\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007req"
+  "uest\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_aft"
+  "er_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_ide"
+  "ntity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_add"
+  "ress\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010"
+  "Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002"
+  " \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wir"
+  "e.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037"
+  ".rattandyke.wire.HeartbeatReplyH\000\0224\n\014cal"
+  "l_request\030\014 \001(\0132\034.rattandyke.wire.CallRe"
+  "questH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke"
+  ".wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006"
+  "\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME"
+  "_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020"
+  "\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OU"
+  "TCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022"
+  "\032\n\026CLAIM_OUTCOME_MISMATCH\020\005b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 3834, descriptor_table_protodef_peer_2eproto,
+    false, false, 3915, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
     &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 23,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
@@ -899,6 +907,7 @@
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.peer_address_){}
     , decltype(_impl_.admin_address_){}
+    , decltype(_impl_.upstream_address_){}
     , decltype(_impl_.session_){}
     , decltype(_impl_.sequence_){}
     , decltype(_impl_.table_version_){}
@@ -941,6 +950,14 @@
     _this->_impl_.admin_address_.Set(from._internal_admin_address(), 
       _this->GetArenaForAllocation());
   }
+  _impl_.upstream_address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_upstream_address().empty()) {
+    _this->_impl_.upstream_address_.Set(from._internal_upstream_address(), 
+      _this->GetArenaForAllocation());
+  }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.entry_) -
     reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.entry_));
@@ -960,6 +977,7 @@
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.peer_address_){}
     , decltype(_impl_.admin_address_){}
+    , decltype(_impl_.upstream_address_){}
     , decltype(_impl_.session_){uint64_t{0u}}
     , decltype(_impl_.sequence_){uint64_t{0u}}
     , decltype(_impl_.table_version_){uint64_t{0u}}
@@ -985,6 +1003,10 @@
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.admin_address_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.upstream_address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
 Heartbeat::~Heartbeat() {
@@ -1006,6 +1028,7 @@
   _impl_.data_centre_.Destroy();
   _impl_.peer_address_.Destroy();
   _impl_.admin_address_.Destroy();
+  _impl_.upstream_address_.Destroy();
 }
 
 void Heartbeat::SetCachedSize(int size) const {
@@ -1026,6 +1049,7 @@
   _impl_.data_centre_.ClearToEmpty();
   _impl_.peer_address_.ClearToEmpty();
   _impl_.admin_address_.ClearToEmpty();
+  _impl_.upstream_address_.ClearToEmpty();
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.entry_) -
       reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.entry_));
@@ -1186,6 +1210,16 @@
         } else
           goto handle_unusual;
         continue;
+      // string upstream_address = 16;
+      case 16:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 130)) {
+          auto str = _internal_mutable_upstream_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.upstream_address"));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1329,6 +1363,16 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(15, this->_internal_log_identity(), target);
   }
 
+  // string upstream_address = 16;
+  if (!this->_internal_upstream_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_upstream_address().data(), static_cast<int>(this->_internal_upstream_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.Heartbeat.upstream_address");
+    target = stream->WriteStringMaybeAliased(
+        16, this->_internal_upstream_address(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1401,6 +1445,13 @@
         this->_internal_admin_address());
   }
 
+  // string upstream_address = 16;
+  if (!this->_internal_upstream_address().empty()) {
+    total_size += 2 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_upstream_address());
+  }
+
   // uint64 session = 2;
   if (this->_internal_session() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
@@ -1470,6 +1521,9 @@
   if (!from._internal_admin_address().empty()) {
     _this->_internal_set_admin_address(from._internal_admin_address());
   }
+  if (!from._internal_upstream_address().empty()) {
+    _this->_internal_set_upstream_address(from._internal_upstream_address());
+  }
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
@@ -1530,6 +1584,10 @@
       &_impl_.admin_address_, lhs_arena,
       &other->_impl_.admin_address_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.upstream_address_, lhs_arena,
+      &other->_impl_.upstream_address_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(Heartbeat, _impl_.entry_)
       + sizeof(Heartbeat::_impl_.entry_)
@@ -1575,6 +1633,7 @@
     , decltype(_impl_.grants_version_){}
     , decltype(_impl_.lapsed_){}
     , decltype(_impl_.draining_){}
+    , decltype(_impl_.announced_ms_ago_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -1582,8 +1641,8 @@
     _this->_impl_.announced_ = new ::rattandyke::wire::Upstream(*from._impl_.announced_);
   }
   ::memcpy(&_impl_.grants_version_, &from._impl_.grants_version_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.draining_) -
-    reinterpret_cast<char*>(&_impl_.grants_version_)) + sizeof(_impl_.draining_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.announced_ms_ago_) -
+    reinterpret_cast<char*>(&_impl_.grants_version_)) + sizeof(_impl_.announced_ms_ago_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamReport)
 }
 
@@ -1596,6 +1655,7 @@
     , decltype(_impl_.grants_version_){uint64_t{0u}}
     , decltype(_impl_.lapsed_){false}
     , decltype(_impl_.draining_){false}
+    , decltype(_impl_.announced_ms_ago_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -1629,8 +1689,8 @@
   }
   _impl_.announced_ = nullptr;
   ::memset(&_impl_.grants_version_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.draining_) -
-      reinterpret_cast<char*>(&_impl_.grants_version_)) + sizeof(_impl_.draining_));
+      reinterpret_cast<char*>(&_impl_.announced_ms_ago_) -
+      reinterpret_cast<char*>(&_impl_.grants_version_)) + sizeof(_impl_.announced_ms_ago_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -1672,6 +1732,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 announced_ms_ago = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.announced_ms_ago_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1726,6 +1794,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_draining(), target);
   }
 
+  // uint32 announced_ms_ago = 5;
+  if (this->_internal_announced_ms_ago() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_announced_ms_ago(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1764,6 +1838,11 @@
     total_size += 1 + 1;
   }
 
+  // uint32 announced_ms_ago = 5;
+  if (this->_internal_announced_ms_ago() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_announced_ms_ago());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -1795,6 +1874,9 @@
   if (from._internal_draining() != 0) {
     _this->_internal_set_draining(from._internal_draining());
   }
+  if (from._internal_announced_ms_ago() != 0) {
+    _this->_internal_set_announced_ms_ago(from._internal_announced_ms_ago());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -1813,8 +1895,8 @@
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(UpstreamReport, _impl_.draining_)
-      + sizeof(UpstreamReport::_impl_.draining_)
+      PROTOBUF_FIELD_OFFSET(UpstreamReport, _impl_.announced_ms_ago_)
+      + sizeof(UpstreamReport::_impl_.announced_ms_ago_)
       - PROTOBUF_FIELD_OFFSET(UpstreamReport, _impl_.announced_)>(
           reinterpret_cast<char*>(&_impl_.announced_),
           reinterpret_cast<char*>(&other->_impl_.announced_));
@@ -2839,6 +2921,7 @@
   HeartbeatReply* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.live_hosts_){from._impl_.live_hosts_}
+    , decltype(_impl_.upstream_addresses_){from._impl_.upstream_addresses_}
     , decltype(_impl_.host_){}
     , decltype(_impl_.leader_){}
     , decltype(_impl_.update_){nullptr}
@@ -2882,6 +2965,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.live_hosts_){arena}
+    , decltype(_impl_.upstream_addresses_){arena}
     , decltype(_impl_.host_){}
     , decltype(_impl_.leader_){}
     , decltype(_impl_.update_){nullptr}
@@ -2915,6 +2999,7 @@
 inline void HeartbeatReply::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.live_hosts_.~RepeatedPtrField();
+  _impl_.upstream_addresses_.~RepeatedPtrField();
   _impl_.host_.Destroy();
   _impl_.leader_.Destroy();
   if (this != internal_default_instance()) delete _impl_.update_;
@@ -2931,6 +3016,7 @@
   (void) cached_has_bits;
 
   _impl_.live_hosts_.Clear();
+  _impl_.upstream_addresses_.Clear();
   _impl_.host_.ClearToEmpty();
   _impl_.leader_.ClearToEmpty();
   if (GetArenaForAllocation() == nullptr && _impl_.update_ != nullptr) {
@@ -3040,6 +3126,21 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated string upstream_addresses = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_upstream_addresses();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HeartbeatReply.upstream_addresses"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<90>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3142,6 +3243,16 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_keeper_version(), target);
   }
 
+  // repeated string upstream_addresses = 11;
+  for (int i = 0, n = this->_internal_upstream_addresses_size(); i < n; i++) {
+    const auto& s = this->_internal_upstream_addresses(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HeartbeatReply.upstream_addresses");
+    target = stream->WriteString(11, s, target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3166,6 +3277,14 @@
       _impl_.live_hosts_.Get(i));
   }
 
+  // repeated string upstream_addresses = 11;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.upstream_addresses_.size());
+  for (int i = 0, n = _impl_.upstream_addresses_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.upstream_addresses_.Get(i));
+  }
+
   // string host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
@@ -3236,6 +3355,7 @@
   (void) cached_has_bits;
 
   _this->_impl_.live_hosts_.MergeFrom(from._impl_.live_hosts_);
+  _this->_impl_.upstream_addresses_.MergeFrom(from._impl_.upstream_addresses_);
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
@@ -3284,6 +3404,7 @@
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.live_hosts_.InternalSwap(&other->_impl_.live_hosts_);
+  _impl_.upstream_addresses_.InternalSwap(&other->_impl_.upstream_addresses_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.host_, lhs_arena,
       &other->_impl_.host_, rhs_arena
