--- a/src/librattandyke/metrics/prometheus.cpp
+++ b/src/librattandyke/metrics/prometheus.cpp
@@ -115,15 +115,15 @@
   aPage.Head("requests_total", "counter", "Answered requests, by outcome.");
   for (const ServiceFigures& service : aSnapshot.services) {
     for (const CustomerFigures& customer : service.customers) {
-      const auto line = [&](std::string_view aOutcome, uint64_t aCount) {
+      const auto line = [&](entry::Outcome aOutcome, uint64_t aCount) {
         aPage.Count({ { "service", service.service },
                       { "customer", customer.customer },
-                      { "outcome", aOutcome } },
+                      { "outcome", entry::NameOf(aOutcome) } },
                     aCount);
       };
-      line("not-run", customer.notRun);
-      line("ran", customer.ran);
-      line("unknown", customer.unknown);
+      line(entry::Outcome::NotRun, customer.notRun);
+      line(entry::Outcome::Ran, customer.ran);
+      line(entry::Outcome::Unknown, customer.unknown);
     }
   }
 }
--- a/src/librattandyke/metrics/recorder.cpp
+++ b/src/librattandyke/metrics/recorder.cpp
@@ -126,9 +126,11 @@
   for (const auto& [name, series] : aSeries.customers) {
     CustomerFigures& figures =
       FiguresOf(aInto.customers, &CustomerFigures::customer, name);
-    figures.notRun += series.outcomes[static_cast<size_t>(Outcome::NotRun)];
-    figures.ran += series.outcomes[static_cast<size_t>(Outcome::Ran)];
-    figures.unknown += series.outcomes[static_cast<size_t>(Outcome::Unknown)];
+    figures.notRun +=
+      series.outcomes[static_cast<size_t>(entry::Outcome::NotRun)];
+    figures.ran += series.outcomes[static_cast<size_t>(entry::Outcome::Ran)];
+    figures.unknown +=
+      series.outcomes[static_cast<size_t>(entry::Outcome::Unknown)];
     series.latency.AddTo(figures.latency);
     series.queueTime.AddTo(figures.queueTime);
   }
--- a/src/librattandyke/metrics/recorder.h
+++ b/src/librattandyke/metrics/recorder.h
@@ -14,15 +14,9 @@
 #include <rattandyke/result.h>
 #include <rattandyke/types.h>
 
-namespace rattandyke::metrics {
+#include "entry/outcome.h"
 
-/// What an entry can say of a request, as in the Rattandyke-Outcome header.
-enum class Outcome
-{
-  NotRun,
-  Ran,
-  Unknown
-};
+namespace rattandyke::metrics {
 
 /// Largest numbers of labels of their own.
 struct LabelLimits
@@ -39,7 +33,7 @@
   /// Customer class: the customer's name if a limit record names it, otherwise
   /// a name that many share, such as "unlisted".
   std::string_view customer;
-  Outcome outcome = Outcome::Ran;
+  entry::Outcome outcome = entry::Outcome::Ran;
   /// Ok if an upstream answered; otherwise why rattandyke answered itself.
   Code code = Code::Ok;
   /// HTTP status that the caller got; 0 if the caller was gone.
