Settings table, its pages, and the frame of the commands

One table in code holds every setting with unit, range, default and meaning; it parses the file, gives the defaults and makes docs/SETTINGS.md. The reader is our own, since Boost.PropertyTree tells no lines and lets repeated keys pass. Commands register themselves, one TCLAP command line each; an unknown command or flag exits with 2. docs/ERRORS.md comes from AllCodes(); a test fails when a page is stale.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,9 @@
 capacity: build
 	@$(BUILD)/bin/rattandyke-capacity
 
+pages: build
+	@$(BUILD)/bin/rattandyke pages docs
+
 test-asan:
 	@$(MAKE) test BUILD=build-asan CMAKE_FLAGS=-DRATTANDYKE_SANITIZE=address,undefined
 
--- /dev/null
+++ b/src/librattandyke/config/settings.h
@@ -0,0 +1,153 @@
+/// Settings of one host, read from an INI file. docs/SETTINGS.md is made from
+/// the same table (table.h).
+#pragma once
+
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <rattandyke/result.h>
+#include <rattandyke/types.h>
+
+#include "log/log.h"
+
+namespace rattandyke::config {
+
+using Millis = std::chrono::milliseconds;
+
+struct HostSettings
+{
+  HostName name;
+  DataCentre dataCentre;
+  bool entry = false;
+  bool control = false;
+  std::filesystem::path dataFolder;
+};
+
+struct ListenSettings
+{
+  Endpoint callers;
+  Endpoint upstreams;
+  Endpoint admin;
+  Endpoint peers;
+};
+
+/// A host of the deployment and where its peers reach it.
+struct PeerHost
+{
+  HostName name;
+  Endpoint address;
+};
+
+struct LimitSettings
+{
+  uint64_t workers = 0;
+  uint64_t headerBytes = 0;
+  uint64_t bodyBytes = 0;
+  uint64_t adminBodyBytes = 0;
+  uint64_t connections = 0;
+  uint64_t connectionsPerPeer = 0;
+  Millis readTimeout{};
+  Millis writeTimeout{};
+  Millis idleTimeout{};
+  Millis connectTimeout{};
+  Millis callTimeout{};
+  Millis shutdownGrace{};
+};
+
+/// Times of leases; docs/DESIGN.md tells how they bound a move.
+struct LeaseSettings
+{
+  Millis heartbeat{};
+  Millis hostLease{};
+  Millis upstreamLease{};
+  Millis announceEvery{};
+  Millis announceHold{};
+};
+
+struct ControlSettings
+{
+  /// Names of the hosts that vote in the replicated log.
+  std::vector<HostName> hosts;
+  Millis electionTimeout{};
+  Millis leaderHeartbeat{};
+  uint64_t snapshotEntries = 0;
+};
+
+struct LogSettings
+{
+  log::Severity level = log::Severity::Info;
+  log::Format format = log::Format::Text;
+  std::string file;
+  uint64_t fileBytes = 0;
+  uint64_t linesPerSecond = 0;
+};
+
+/// What a bearer of an operator's token may do.
+enum class TokenRole
+{
+  ReadOnly,
+  ReadWrite
+};
+
+/// An operator's token, known by its SHA-256 only.
+struct OperatorToken
+{
+  std::string name;
+  TokenRole role = TokenRole::ReadOnly;
+  /// Lower-case hex.
+  std::string sha256;
+};
+
+struct CurveSettings
+{
+  std::string publicKey;
+  std::string secretKey;
+  std::string peersPublicKey;
+};
+
+struct Settings
+{
+  HostSettings host;
+  ListenSettings listen;
+  /// All hosts of the deployment but this one.
+  std::vector<PeerHost> peers;
+  ControlSettings control;
+  LimitSettings limits;
+  LeaseSettings leases;
+  LogSettings log;
+  std::vector<OperatorToken> tokens;
+  CurveSettings curve;
+
+  /// @return the options for log::Configure.
+  log::Options LogOptions() const;
+};
+
+/// @return the settings of a single host with both roles on loopback.
+Settings DefaultSettings();
+
+/// @param aText contents of an INI file.
+/// @param aFile its name, for the messages.
+/// @return the settings, or Code::InvalidSettings with one line for each
+/// problem: file, line, section and key, what was read, what is allowed.
+Result<Settings> ParseSettings(std::string_view aText,
+                               const std::string& aFile);
+
+/// Reads aFile; a relative data folder or log file in it is relative to the
+/// working directory.
+Result<Settings> LoadSettings(const std::filesystem::path& aFile);
+
+/// @param aText "IP:PORT" or "[IPV6]:PORT".
+/// @return nothing if it is not an address by number.
+std::optional<Endpoint> ParseEndpoint(std::string_view aText);
+
+/// @return "IP:PORT", with brackets around IPv6.
+std::string ToText(const Endpoint& aEndpoint);
+
+/// @return whether the address is of the loopback network.
+bool IsLoopback(const Endpoint& aEndpoint);
+
+} // namespace rattandyke::config
--- /dev/null
+++ b/src/librattandyke/config/table.cpp
@@ -0,0 +1,391 @@
+#include "config/table.h"
+
+namespace rattandyke::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t kKiB = 1024;
+constexpr uint64_t kMiB = 1024 * kKiB;
+constexpr uint64_t kGiB = 1024 * kMiB;
+
+/// A row's field as a function, since a pointer to member cannot reach into a
+/// nested struct.
+#define FIELD(path)                                                            \
+  [](Settings & aSettings) -> auto&                                            \
+  {                                                                            \
+    return aSettings.path;                                                     \
+  }
+
+std::vector<Setting>
+HostRows()
+{
+  return {
+    { "host",
+      "name",
+      "",
+      "host-1",
+      Reload::Restart,
+      "Name of this host, unique in the deployment.",
+      NameKind{ FIELD(host.name.value) } },
+    { "host",
+      "data_centre",
+      "",
+      "local",
+      Reload::Restart,
+      "Data centre that the host stands in.",
+      NameKind{ FIELD(host.dataCentre.value) } },
+    { "host",
+      "roles",
+      "",
+      "entry, control",
+      Reload::Restart,
+      "What the host does: entry takes callers' requests, control votes in "
+      "the replicated log.",
+      ChoicesKind{
+        { "entry", "control" },
+        [](Settings& aSettings, const std::vector<size_t>& aChoices) {
+          aSettings.host.entry = false;
+          aSettings.host.control = false;
+          for (const size_t choice : aChoices) {
+            (choice == 0 ? aSettings.host.entry : aSettings.host.control) =
+              true;
+          }
+        } } },
+    { "host",
+      "data_folder",
+      "",
+      "./rattandyke-data",
+      Reload::Restart,
+      "Folder of the replicated log and of what the host keeps. One process "
+      "at a time may use it.",
+      PathKind{ [](Settings& aSettings, std::string aPath) {
+        aSettings.host.dataFolder = std::move(aPath);
+      } } },
+  };
+}
+
+std::vector<Setting>
+ListenRows()
+{
+  return {
+    { "listen",
+      "callers",
+      "",
+      "127.0.0.1:7000",
+      Reload::Restart,
+      "Where callers' requests arrive. Port 0 takes a free one; "
+      "DATA_FOLDER/ports.json tells which.",
+      AddressKind{ FIELD(listen.callers) } },
+    { "listen",
+      "upstreams",
+      "",
+      "127.0.0.1:7001",
+      Reload::Restart,
+      "Where upstreams announce themselves.",
+      AddressKind{ FIELD(listen.upstreams) } },
+    { "listen",
+      "admin",
+      "",
+      "127.0.0.1:7002",
+      Reload::Restart,
+      "Where operators' calls arrive. Beyond loopback it needs [tokens].",
+      AddressKind{ FIELD(listen.admin) } },
+    { "listen",
+      "peers",
+      "",
+      "127.0.0.1:7003",
+      Reload::Restart,
+      "Where other hosts reach this one. Beyond loopback it needs [curve].",
+      AddressKind{ FIELD(listen.peers) } },
+    { "hosts",
+      "NAME",
+      "",
+      "",
+      Reload::Restart,
+      "One line for each other host: its name and its peers address. A line "
+      "for this host is allowed and ignored.",
+      HostsKind{} },
+    { "control",
+      "hosts",
+      "",
+      "",
+      Reload::Restart,
+      "Names of the control hosts. Empty: this host alone, if [hosts] names "
+      "no other.",
+      NamesKind{ FIELD(control.hosts) } },
+    { "control",
+      "election_timeout",
+      "ms",
+      "300",
+      Reload::Restart,
+      "How long a control host waits for its leader before it stands for "
+      "election; drawn at random from this to its double.",
+      DurationKind{ FIELD(control.electionTimeout), 20ms, 60s } },
+    { "control",
+      "leader_heartbeat",
+      "ms",
+      "50",
+      Reload::Restart,
+      "Time between the leader's messages to an idle follower.",
+      DurationKind{ FIELD(control.leaderHeartbeat), 5ms, 20s } },
+    { "control",
+      "snapshot_entries",
+      "entries",
+      "10000",
+      Reload::Restart,
+      "Log entries after which a snapshot is written and older ones go.",
+      CountKind{ FIELD(control.snapshotEntries), 100, 10'000'000 } },
+  };
+}
+
+std::vector<Setting>
+LimitRows()
+{
+  return {
+    { "limits",
+      "workers",
+      "threads",
+      "2",
+      Reload::Restart,
+      "Threads that serve callers.",
+      CountKind{ FIELD(limits.workers), 1, 64 } },
+    { "limits",
+      "header_bytes",
+      "bytes",
+      "16384",
+      Reload::Restart,
+      "Largest header of a request or answer.",
+      CountKind{ FIELD(limits.headerBytes), kKiB, kMiB } },
+    { "limits",
+      "body_bytes",
+      "bytes",
+      "67108864",
+      Reload::Restart,
+      "Largest body of a caller's request.",
+      CountKind{ FIELD(limits.bodyBytes), kKiB, 4 * kGiB } },
+    { "limits",
+      "admin_body_bytes",
+      "bytes",
+      "1048576",
+      Reload::Restart,
+      "Largest body of an operator's call or an announcement.",
+      CountKind{ FIELD(limits.adminBodyBytes), kKiB, 64 * kMiB } },
+    { "limits",
+      "connections",
+      "connections",
+      "4096",
+      Reload::Restart,
+      "Open connections of a listener; more are closed at once.",
+      CountKind{ FIELD(limits.connections), 1, 1'000'000 } },
+    { "limits",
+      "connections_per_peer",
+      "connections",
+      "1024",
+      Reload::Restart,
+      "Open connections from one IP address to a listener.",
+      CountKind{ FIELD(limits.connectionsPerPeer), 1, 1'000'000 } },
+    { "limits",
+      "read_timeout",
+      "ms",
+      "10000",
+      Reload::Restart,
+      "Longest time for a header, or between two parts of a body.",
+      DurationKind{ FIELD(limits.readTimeout), 100ms, 10min } },
+    { "limits",
+      "write_timeout",
+      "ms",
+      "10000",
+      Reload::Restart,
+      "Longest time for the peer to take a part of an answer.",
+      DurationKind{ FIELD(limits.writeTimeout), 100ms, 10min } },
+    { "limits",
+      "idle_timeout",
+      "ms",
+      "60000",
+      Reload::Restart,
+      "How long a connection without a request is kept.",
+      DurationKind{ FIELD(limits.idleTimeout), 100ms, 60min } },
+    { "limits",
+      "connect_timeout",
+      "ms",
+      "500",
+      Reload::Restart,
+      "Longest time for a connection to an upstream.",
+      DurationKind{ FIELD(limits.connectTimeout), 10ms, 60s } },
+    { "limits",
+      "call_timeout",
+      "ms",
+      "5000",
+      Reload::Restart,
+      "Longest time for a call to the leader.",
+      DurationKind{ FIELD(limits.callTimeout), 100ms, 60s } },
+    { "limits",
+      "shutdown_grace",
+      "ms",
+      "30000",
+      Reload::AtOnce,
+      "How long a graceful shutdown waits for requests in flight.",
+      DurationKind{ FIELD(limits.shutdownGrace), 0ms, 60min } },
+  };
+}
+
+std::vector<Setting>
+LeaseRows()
+{
+  return {
+    { "leases",
+      "heartbeat",
+      "ms",
+      "100",
+      Reload::Restart,
+      "Time between a host's heartbeats to the leader.",
+      DurationKind{ FIELD(leases.heartbeat), 10ms, 10s } },
+    { "leases",
+      "host_lease",
+      "ms",
+      "800",
+      Reload::Restart,
+      "How long a host may route without an answered heartbeat. The same on "
+      "all hosts.",
+      DurationKind{ FIELD(leases.hostLease), 50ms, 60s } },
+    { "leases",
+      "upstream_lease",
+      "ms",
+      "800",
+      Reload::Restart,
+      "How long an upstream may work without an answered announcement. The "
+      "same on all hosts.",
+      DurationKind{ FIELD(leases.upstreamLease), 50ms, 60s } },
+    { "leases",
+      "announce_every",
+      "ms",
+      "200",
+      Reload::Restart,
+      "Longest time between an upstream's announcements, told to it.",
+      DurationKind{ FIELD(leases.announceEvery), 10ms, 20s } },
+    { "leases",
+      "announce_hold",
+      "ms",
+      "100",
+      Reload::Restart,
+      "Longest time that the answer to an announcement waits for news.",
+      DurationKind{ FIELD(leases.announceHold), 0ms, 20s } },
+  };
+}
+
+std::vector<Setting>
+LogRows()
+{
+  return {
+    { "log",
+      "level",
+      "",
+      "info",
+      Reload::AtOnce,
+      "Least severity that is written.",
+      ChoiceKind{ { "debug", "info", "warning", "error" },
+                  [](Settings& aSettings, size_t aChoice) {
+                    aSettings.log.level = static_cast<log::Severity>(aChoice);
+                  } } },
+    { "log",
+      "format",
+      "",
+      "text",
+      Reload::AtOnce,
+      "Form of a line.",
+      ChoiceKind{ { "text", "json" },
+                  [](Settings& aSettings, size_t aChoice) {
+                    aSettings.log.format = static_cast<log::Format>(aChoice);
+                  } } },
+    { "log",
+      "file",
+      "",
+      "",
+      Reload::AtOnce,
+      "Log file; empty: standard error.",
+      PathKind{ [](Settings& aSettings, std::string aPath) {
+                 aSettings.log.file = std::move(aPath);
+               },
+                true } },
+    { "log",
+      "file_bytes",
+      "bytes",
+      "16777216",
+      Reload::AtOnce,
+      "Size at which the file is rotated; three old ones are kept.",
+      CountKind{ FIELD(log.fileBytes), 64 * kKiB, 4 * kGiB } },
+    { "log",
+      "lines_per_second",
+      "lines",
+      "200",
+      Reload::AtOnce,
+      "Lines a second of each part; more are counted, not written.",
+      CountKind{ FIELD(log.linesPerSecond), 1, 1'000'000 } },
+  };
+}
+
+std::vector<Setting>
+SecretRows()
+{
+  return {
+    { "tokens",
+      "NAME",
+      "",
+      "",
+      Reload::AtOnce,
+      "One line for each operator's token: who has it, what it allows, and "
+      "the token's SHA-256 in hex. None: every call from loopback is allowed.",
+      TokensKind{} },
+    { "curve",
+      "public_key",
+      "",
+      "",
+      Reload::Restart,
+      "This host's public key, made by `rattandyke keys new`.",
+      CurveKeyKind{ FIELD(curve.publicKey) } },
+    { "curve",
+      "secret_key",
+      "",
+      "",
+      Reload::Restart,
+      "This host's secret key. Keep the file readable by its owner only.",
+      CurveKeyKind{ FIELD(curve.secretKey) } },
+    { "curve",
+      "peers_public_key",
+      "",
+      "",
+      Reload::Restart,
+      "Public key that the other hosts present.",
+      CurveKeyKind{ FIELD(curve.peersPublicKey) } },
+  };
+}
+
+#undef FIELD
+
+std::vector<Setting>
+MakeTable()
+{
+  std::vector<Setting> table;
+  for (auto rows : { HostRows(),
+                     ListenRows(),
+                     LimitRows(),
+                     LeaseRows(),
+                     LogRows(),
+                     SecretRows() }) {
+    table.insert(table.end(), rows.begin(), rows.end());
+  }
+  return table;
+}
+
+} // namespace
+
+std::span<const Setting>
+AllSettings()
+{
+  static const std::vector<Setting> sTable = MakeTable();
+  return sTable;
+}
+
+} // namespace rattandyke::config
