--- a/src/librattandyke/routing/routing_table.h
+++ b/src/librattandyke/routing/routing_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -42,6 +43,22 @@
   bool hotKey = false;
 };
 
+/// An upstream by the two names that make it unique in a deployment.
+struct UpstreamId
+{
+  ServiceName service;
+  UpstreamName name;
+  auto operator<=>(const UpstreamId&) const = default;
+};
+
+/// Whose grants an update changed, so that nobody has to compare whole tables.
+struct TouchedUpstreams
+{
+  /// A complete table came: anyone's may have changed.
+  bool all = false;
+  std::set<UpstreamId> some;
+};
+
 /// An immutable table at one version. Shared between threads by
 /// std::shared_ptr<const RoutingTable>; every method is thread-safe and does
 /// not allocate.
@@ -53,9 +70,12 @@
 
   /// @param aUpdate a complete table, or the changes after this version.
   /// @return the newer table, or null if aUpdate does not follow on this
-  /// version or is older: a table never goes back.
+  /// version or is older: a table never goes back. Costs memory and time by
+  /// what changed, not by the size of the table.
+  /// @param aTouched if not null, whose grants changed is added to it.
   std::shared_ptr<const RoutingTable> Apply(
-    const wire::TableUpdate& aUpdate) const;
+    const wire::TableUpdate& aUpdate,
+    TouchedUpstreams* aTouched = nullptr) const;
 
   TableVersion Version() const;
 
@@ -85,6 +105,12 @@
   std::vector<wire::SlotOwner> GrantsOf(std::string_view aService,
                                         std::string_view aUpstream) const;
 
+  /// @return GrantsOf for each of several upstreams, in their order, at the
+  /// cost of one.
+  std::vector<std::vector<wire::SlotOwner>> GrantsOf(
+    std::string_view aService,
+    const std::vector<UpstreamName>& aUpstreams) const;
+
   /// For listings: all parts, sorted by name.
   std::vector<const records::ServiceRecord*> Services() const;
   std::vector<const UpstreamView*> Upstreams() const;
