Add the open-loop load driver

Latency counts from the intended start, answers are verified by the identity, length and checksum in their body, and a request is sent again through another entry only where that cannot run it twice by the product's own word: reads, writes with an Idempotency-Key, and whatever was answered not-run. So a wrong not-run shows as a double run in the upstreams' records.

--- /dev/null
+++ b/src/load/driver.cpp
@@ -0,0 +1,231 @@
+#include "load/driver.h"
+
+#include <algorithm>
+
+#include "load/plan.h"
+
+namespace rattandyke::load {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kFirstPause = 20ms;
+constexpr Duration kLongestPause = 200ms;
+
+Instant
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+/// A request under way. Shared with its sendings, some of which may end after
+/// the request's caller was answered.
+struct Request
+{
+  Request(asio::any_io_executor aExecutor, Plan aPlan, Instant aIntended)
+    : changed(std::move(aExecutor))
+  {
+    finished.plan = std::move(aPlan);
+    finished.intended = aIntended;
+  }
+
+  Finished finished;
+  /// Cancelled when a sending ends.
+  asio::steady_timer changed;
+  size_t outstanding = 0;
+  AttemptResult last = AttemptResult::Unsent;
+  bool answered = false;
+};
+
+/// Whether sending a request again cannot run it twice.
+bool
+IsSafeToResend(const Plan& aPlan)
+{
+  return !aPlan.write || !aPlan.idempotencyKey.empty();
+}
+
+} // namespace
+
+struct Driver::Impl
+{
+  asio::io_context& context;
+  const LoadConfig& config;
+  Connections connections;
+  std::string runName;
+  Instant start;
+  Results& results;
+  Random random;
+  size_t underWay = 0;
+  uint64_t started = 0;
+  size_t nextEntry = 0;
+
+  Impl(asio::io_context& aContext,
+       const LoadConfig& aConfig,
+       std::vector<Endpoint> aEntries,
+       std::string aRunName,
+       Instant aStart,
+       Results& aResults)
+    : context(aContext)
+    , config(aConfig)
+    , connections(aContext.get_executor(), std::move(aEntries))
+    , runName(std::move(aRunName))
+    , start(aStart)
+    , results(aResults)
+    , random(aConfig.seed)
+  {
+  }
+
+  asio::awaitable<void> SendAttempt(std::shared_ptr<Request> aRequest,
+                                    uint32_t aNumber,
+                                    size_t aEntry)
+  {
+    const auto attempt = co_await SendOnce(
+      connections, aRequest->finished.plan, aNumber, aEntry, config.timeout);
+    aRequest->finished.attempts.push_back(attempt);
+    aRequest->last = attempt.result;
+    aRequest->answered =
+      aRequest->answered || attempt.result == AttemptResult::Answered;
+    --aRequest->outstanding;
+    aRequest->changed.cancel();
+  }
+
+  /// Waits until a sending ends, or until an answer is late if the request may
+  /// be sent again beside it.
+  asio::awaitable<void> WaitForSending(Request& aRequest)
+  {
+    const size_t before = aRequest.finished.attempts.size();
+    const bool mayBeLate =
+      config.late.count() > 0 && IsSafeToResend(aRequest.finished.plan);
+    aRequest.changed.expires_at(mayBeLate ? Now() + config.late
+                                          : Instant::max());
+    while (aRequest.finished.attempts.size() == before) {
+      const auto [error] = co_await aRequest.changed.async_wait(kNoThrow);
+      if (!error) {
+        co_return;
+      }
+    }
+  }
+
+  asio::awaitable<void> WaitForAll(Request& aRequest)
+  {
+    while (aRequest.outstanding > 0) {
+      aRequest.changed.expires_at(Instant::max());
+      co_await aRequest.changed.async_wait(kNoThrow);
+    }
+  }
+
+  /// @return whether the caller may and would send the request again.
+  bool SendsAgain(const Request& aRequest) const
+  {
+    const bool inTime = Now() - aRequest.finished.intended < config.patience;
+    if (aRequest.answered || !inTime) {
+      return false;
+    }
+    const bool provenNotRun =
+      aRequest.outstanding == 0 && (aRequest.last == AttemptResult::NotRun ||
+                                    aRequest.last == AttemptResult::Unsent);
+    return provenNotRun || IsSafeToResend(aRequest.finished.plan);
+  }
+
+  Duration DrawPause(uint32_t aNumber)
+  {
+    constexpr uint32_t kMostDoublings = 4;
+    const Duration full = std::min(
+      kLongestPause, kFirstPause * (1U << std::min(aNumber, kMostDoublings)));
+    return full / 2 + Duration(std::uniform_int_distribution<Duration::rep>(
+                        0, (full / 2).count())(random));
+  }
+
+  asio::awaitable<void> Pause(uint32_t aNumber)
+  {
+    asio::steady_timer timer(context, DrawPause(aNumber));
+    co_await timer.async_wait(kNoThrow);
+  }
+
+  asio::awaitable<void> Carry(std::shared_ptr<Request> aRequest)
+  {
+    const size_t first = nextEntry++;
+    uint32_t number = 0;
+    do {
+      if (number > 0) {
+        co_await Pause(number - 1);
+        if (aRequest->answered) {
+          break;
+        }
+      }
+      const size_t entry = (first + number) % connections.Entries();
+      ++aRequest->outstanding;
+      asio::co_spawn(
+        context, SendAttempt(aRequest, number, entry), asio::detached);
+      co_await WaitForSending(*aRequest);
+      ++number;
+    } while (SendsAgain(*aRequest));
+    co_await WaitForAll(*aRequest);
+    results.Add(aRequest->finished);
+    --underWay;
+  }
+
+  void Begin(Plan aPlan)
+  {
+    const Instant intended = start + aPlan.intended;
+    auto request = std::make_shared<Request>(
+      context.get_executor(), std::move(aPlan), intended);
+    if (underWay >= config.maxOutstanding) {
+      request->finished.skipped = true;
+      results.Add(request->finished);
+      return;
+    }
+    ++underWay;
+    asio::co_spawn(context, Carry(std::move(request)), asio::detached);
+  }
+
+  asio::awaitable<void> RunCustomer(size_t aCustomer)
+  {
+    Planner planner(config, aCustomer, runName);
+    asio::steady_timer timer(context);
+    while (started < config.maxRequests) {
+      Plan plan = planner.Next();
+      if (plan.intended >= config.duration) {
+        break;
+      }
+      timer.expires_at(start + plan.intended);
+      co_await timer.async_wait(kNoThrow);
+      ++started;
+      Begin(std::move(plan));
+    }
+  }
+};
+
+Driver::Driver(asio::io_context& aContext,
+               const LoadConfig& aConfig,
+               std::vector<Endpoint> aEntries,
+               std::string aRunName,
+               Instant aStart,
+               Results& aResults)
+  : mImpl(std::make_unique<Impl>(aContext,
+                                 aConfig,
+                                 std::move(aEntries),
+                                 std::move(aRunName),
+                                 aStart,
+                                 aResults))
+{
+}
+
+Driver::~Driver() = default;
+
+void
+Driver::Start()
+{
+  for (size_t index = 0; index < mImpl->config.customers.size(); ++index) {
+    asio::co_spawn(mImpl->context, mImpl->RunCustomer(index), asio::detached);
+  }
+}
+
+size_t
+Driver::UnderWay() const
+{
+  return mImpl->underWay;
+}
+
+} // namespace rattandyke::load
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,144 @@
+// Open-loop load driver: sends the requests of several customers to the entry
+// hosts and verifies each answer. Not a part of the product.
+#include <fstream>
+#include <iostream>
+
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include "load/driver.h"
+#include "upstream/options.h"
+
+namespace rattandyke::load {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kUsageExitCode = 2;
+constexpr auto kProgressEvery = 1s;
+
+struct Options
+{
+  LoadConfig config;
+  std::vector<Endpoint> entries;
+  std::string runName;
+  std::string summaryFile;
+  std::string requestsFile;
+};
+
+template<typename T>
+T
+Accept(Result<T> aResult, const std::string& aArgument)
+{
+  if (!aResult) {
+    throw TCLAP::ArgException(aResult.error().message, aArgument);
+  }
+  return std::move(*aResult);
+}
+
+/// Load is for the machine's own test bench, never for somebody's network.
+Endpoint
+AcceptLoopback(const std::string& aText)
+{
+  auto endpoint = Accept(upstream::ParseEndpoint(aText), "entry");
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (error || !address.is_loopback()) {
+    throw TCLAP::ArgException("'" + aText + "' is not a loopback address.",
+                              "entry");
+  }
+  return endpoint;
+}
+
+Options
+ParseOptions(int aCount, char** aArguments)
+{
+  TCLAP::CmdLine command(
+    "Open-loop load driver of rattandyke.", ' ', RATTANDYKE_VERSION);
+  TCLAP::ValueArg<std::string> config(
+    "", "config", "what to send", true, "", "FILE", command);
+  TCLAP::MultiArg<std::string> entries(
+    "", "entry", "an entry host's address", true, "IP:PORT", command);
+  TCLAP::ValueArg<std::string> name("",
+                                    "name",
+                                    "begins the requests' ids",
+                                    false,
+                                    "run" + std::to_string(::getpid()),
+                                    "NAME",
+                                    command);
+  TCLAP::ValueArg<std::string> summary(
+    "", "summary", "JSON file with the figures", false, "", "FILE", command);
+  TCLAP::ValueArg<std::string> requests(
+    "", "requests", "JSON lines, one a sending", false, "", "FILE", command);
+  command.setExceptionHandling(false);
+  try {
+    command.parse(aCount, aArguments);
+    Options options;
+    options.config = Accept(ReadLoadConfig(config.getValue()), "config");
+    for (const std::string& entry : entries) {
+      options.entries.push_back(AcceptLoopback(entry));
+    }
+    options.runName = name.getValue();
+    options.summaryFile = summary.getValue();
+    options.requestsFile = requests.getValue();
+    return options;
+  } catch (const TCLAP::ExitException& exit) {
+    std::exit(exit.getExitStatus());
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "rattandyke-load: " << error.argId() << ": " << error.error()
+              << '\n';
+    std::exit(kUsageExitCode);
+  }
+}
+
+/// Prints a line a second until all requests are done.
+asio::awaitable<void>
+ShowProgress(asio::io_context& aContext,
+             const LoadConfig& aConfig,
+             Instant aStart,
+             const Driver& aDriver,
+             const Results& aResults)
+{
+  asio::steady_timer timer(aContext);
+  Instant now = aStart;
+  while (now < aStart + aConfig.duration || aDriver.UnderWay() > 0) {
+    now += kProgressEvery;
+    timer.expires_at(now);
+    co_await timer.async_wait(kNoThrow);
+    std::cout << aResults.ProgressLine(now, aDriver.UnderWay()) << std::endl;
+  }
+}
+
+void
+Run(const Options& aOptions)
+{
+  asio::io_context context(1);
+  const Instant start = std::chrono::steady_clock::now();
+  Results results(start, aOptions.requestsFile);
+  Driver driver(context,
+                aOptions.config,
+                aOptions.entries,
+                aOptions.runName,
+                start,
+                results);
+  driver.Start();
+  asio::co_spawn(context,
+                 ShowProgress(context, aOptions.config, start, driver, results),
+                 asio::detached);
+  context.run();
+  std::cout << '\n' << results.Table();
+  if (!aOptions.summaryFile.empty()) {
+    std::ofstream(aOptions.summaryFile)
+      << boost::json::serialize(results.Summary()) << '\n';
+  }
+}
+
+} // namespace
+} // namespace rattandyke::load
+
+int
+main(int aCount, char** aArguments)
+{
+  rattandyke::load::Run(rattandyke::load::ParseOptions(aCount, aArguments));
+  return 0;
+}
