Operators' API: routes, tokens, pages, and its HTTP server

Operators read and write through any host; AdminApi turns a call into one to the leader and is free of sockets, AdminServer bounds sizes, times and the number of connections.

--- /dev/null
+++ b/src/librattandyke/admin/server.cpp
@@ -0,0 +1,330 @@
+#include "admin/server.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "log/log.h"
+
+namespace rattandyke::admin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
+using HttpRequest = http::request<http::string_body>;
+using HttpAnswer = http::response<http::string_body>;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+std::string_view
+View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::string
+BearerToken(const HttpRequest& aRequest)
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value = View(aRequest[http::field::authorization]);
+  return value.starts_with(kScheme) ? std::string(value.substr(kScheme.size()))
+                                    : std::string();
+}
+
+std::optional<std::string>
+IfMatch(const HttpRequest& aRequest)
+{
+  const auto found = aRequest.find(http::field::if_match);
+  if (found == aRequest.end()) {
+    return std::nullopt;
+  }
+  std::string_view value = View(found->value());
+  if (value.size() >= 2 && value.front() == '"' && value.back() == '"') {
+    value = value.substr(1, value.size() - 2);
+  }
+  return std::string(value);
+}
+
+Result<ApiRequest>
+ToApi(const HttpRequest& aRequest, bool aFromLoopback)
+{
+  ApiRequest request;
+  request.method = aRequest.method_string();
+  request.token = BearerToken(aRequest);
+  request.ifMatch = IfMatch(aRequest);
+  request.submissionId = aRequest["Submission-Id"];
+  request.body = aRequest.body();
+  request.fromLoopback = aFromLoopback;
+  if (!DecodeTarget(View(aRequest.target()), request)) {
+    return Fail(Code::MalformedRequest, "The request target is malformed.");
+  }
+  return request;
+}
+
+HttpAnswer
+ToHttp(ApiAnswer aAnswer, unsigned aVersion, bool aKeepAlive)
+{
+  HttpAnswer answer(http::int_to_status(aAnswer.status), aVersion);
+  answer.set(http::field::server, "rattandyke");
+  answer.set(http::field::content_type, aAnswer.contentType);
+  answer.set(http::field::cache_control, "no-store");
+  answer.body() = std::move(aAnswer.body);
+  answer.keep_alive(aKeepAlive);
+  answer.prepare_payload();
+  return answer;
+}
+
+Error
+ReadError(const ErrorCode& aError)
+{
+  if (aError == http::error::body_limit ||
+      aError == http::error::header_limit) {
+    return { Code::RequestTooLarge, "The header or body is too large." };
+  }
+  return { Code::MalformedRequest, "The request is not HTTP/1.1." };
+}
+
+/// Counts connections in all and by address. Thread-safe.
+class ConnectionCount
+{
+public:
+  ConnectionCount(uint64_t aMost, uint64_t aMostPerPeer)
+    : mMost(aMost)
+    , mMostPerPeer(aMostPerPeer)
+  {
+  }
+
+  bool Enter(const asio::ip::address& aPeer)
+  {
+    const std::lock_guard lock(mMutex);
+    uint64_t& ofPeer = mOfPeer[aPeer];
+    if (mAll >= mMost || ofPeer >= mMostPerPeer) {
+      return false;
+    }
+    ++mAll;
+    ++ofPeer;
+    return true;
+  }
+
+  void Leave(const asio::ip::address& aPeer)
+  {
+    const std::lock_guard lock(mMutex);
+    --mAll;
+    const auto found = mOfPeer.find(aPeer);
+    if (--found->second == 0) {
+      mOfPeer.erase(found);
+    }
+  }
+
+private:
+  std::mutex mMutex;
+  const uint64_t mMost;
+  const uint64_t mMostPerPeer;
+  uint64_t mAll = 0;
+  std::map<asio::ip::address, uint64_t> mOfPeer;
+};
+
+} // namespace
+
+struct AdminServer::Impl : std::enable_shared_from_this<AdminServer::Impl>
+{
+  Impl(asio::any_io_executor aExecutor, Options aOptions, AdminApi& aApi)
+    : executor(std::move(aExecutor))
+    , options(std::move(aOptions))
+    , api(aApi)
+    , acceptor(asio::make_strand(executor))
+    , pause(acceptor.get_executor())
+    , count(options.connections, options.connectionsPerPeer)
+  {
+  }
+
+  /// Waits for the API's answer on the connection's own strand.
+  asio::awaitable<ApiAnswer> Ask(ApiRequest aRequest)
+  {
+    const auto strand = co_await asio::this_coro::executor;
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
+                                            void(ApiAnswer)>(
+      [this, strand](auto aHandler, ApiRequest aCall) {
+        // std::function needs something that can be copied.
+        auto handler =
+          std::make_shared<decltype(aHandler)>(std::move(aHandler));
+        api.Handle(std::move(aCall), [handler, strand](ApiAnswer aAnswer) {
+          asio::post(strand, [handler, answer = std::move(aAnswer)]() mutable {
+            (*handler)(std::move(answer));
+          });
+        });
+      },
+      asio::use_awaitable,
+      std::move(aRequest));
+  }
+
+  asio::awaitable<bool> Write(beast::tcp_stream& aStream, HttpAnswer aAnswer)
+  {
+    aStream.expires_after(options.writeTimeout);
+    const bool keepAlive = aAnswer.keep_alive();
+    const auto [error, size] =
+      co_await http::async_write(aStream, aAnswer, kAwait);
+    co_return !error && keepAlive;
+  }
+
+  asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream,
+                                 beast::flat_buffer& aBuffer,
+                                 bool aFromLoopback)
+  {
+    Parser parser;
+    parser.header_limit(static_cast<uint32_t>(options.headerBytes));
+    parser.body_limit(options.bodyBytes);
+    aStream.expires_after(options.idleTimeout);
+    if (aBuffer.size() == 0) {
+      const auto [error, size] =
+        co_await aStream.async_read_some(aBuffer.prepare(1024), kAwait);
+      if (error) {
+        co_return false;
+      }
+      aBuffer.commit(size);
+    }
+    aStream.expires_after(options.readTimeout);
+    const auto [error, size] =
+      co_await http::async_read(aStream, aBuffer, parser, kAwait);
+    if (error == http::error::end_of_stream || error == beast::error::timeout) {
+      co_return false;
+    }
+    if (error) {
+      co_return co_await Write(
+        aStream, ToHttp(ErrorAnswer(ReadError(error)), 11, false));
+    }
+    const HttpRequest& request = parser.get();
+    const bool keepAlive = request.keep_alive() && !stopping;
+    const unsigned version = request.version();
+    Result<ApiRequest> call = ToApi(request, aFromLoopback);
+    aStream.expires_never();
+    ApiAnswer answer;
+    if (call) {
+      answer = co_await Ask(std::move(*call));
+    } else {
+      answer = ErrorAnswer(call.error());
+    }
+    co_return co_await Write(aStream,
+                             ToHttp(std::move(answer), version, keepAlive));
+  }
+
+  asio::awaitable<void> Serve(Tcp::socket aSocket, asio::ip::address aPeer)
+  {
+    const auto self = shared_from_this();
+    beast::tcp_stream stream(std::move(aSocket));
+    beast::flat_buffer buffer(options.headerBytes + options.bodyBytes);
+    const bool fromLoopback = aPeer.is_loopback();
+    while (co_await ServeOne(stream, buffer, fromLoopback)) {
+    }
+    ErrorCode ignored;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    count.Leave(aPeer);
+  }
+
+  void Accept()
+  {
+    const auto self = shared_from_this();
+    acceptor.async_accept(asio::make_strand(executor),
+                          [self](const ErrorCode& aError, Tcp::socket aSocket) {
+                            self->Accepted(aError, std::move(aSocket));
+                          });
+  }
+
+  void Accepted(const ErrorCode& aError, Tcp::socket aSocket)
+  {
+    if (stopping || aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (aError) {
+      return AcceptLater();
+    }
+    ErrorCode error;
+    const auto peer = aSocket.remote_endpoint(error);
+    if (!error && count.Enter(peer.address())) {
+      const auto strand = aSocket.get_executor();
+      asio::co_spawn(
+        strand, Serve(std::move(aSocket), peer.address()), asio::detached);
+    }
+    Accept();
+  }
+
+  // Safeguard: without free file descriptors every accept fails at once, and
+  // trying again without a pause would take a whole core.
+  void AcceptLater()
+  {
+    pause.expires_after(std::chrono::milliseconds(100));
+    pause.async_wait([self = shared_from_this()](const ErrorCode& aError) {
+      if (!aError) {
+        self->Accept();
+      }
+    });
+  }
+
+  asio::any_io_executor executor;
+  Options options;
+  AdminApi& api;
+  Tcp::acceptor acceptor;
+  asio::steady_timer pause;
+  ConnectionCount count;
+  std::atomic<bool> stopping{ false };
+};
+
+AdminServer::AdminServer(asio::any_io_executor aExecutor,
+                         Options aOptions,
+                         AdminApi& aApi)
+  : mImpl(
+      std::make_shared<Impl>(std::move(aExecutor), std::move(aOptions), aApi))
+{
+}
+
+AdminServer::~AdminServer() = default;
+
+Result<Endpoint>
+AdminServer::Start()
+{
+  const Endpoint& listen = mImpl->options.listen;
+  ErrorCode error;
+  const auto address = asio::ip::make_address(listen.address, error);
+  const Tcp::endpoint endpoint(address, listen.port);
+  Tcp::acceptor& acceptor = mImpl->acceptor;
+  if (!error) {
+    acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(Code::AddressInUse,
+                "admin " + config::ToText(listen) + ": " + error.message());
+  }
+  mImpl->Accept();
+  return Endpoint{ listen.address, acceptor.local_endpoint().port() };
+}
+
+void
+AdminServer::Stop()
+{
+  mImpl->stopping = true;
+  asio::post(mImpl->acceptor.get_executor(), [impl = mImpl] {
+    ErrorCode ignored;
+    impl->acceptor.close(ignored);
+    impl->pause.cancel();
+  });
+}
+
+} // namespace rattandyke::admin
