--- /dev/null
+++ b/src/librattandyke/consensus/replica.h
@@ -0,0 +1,237 @@
+/// Decisions of one replica of the log.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/clock.h"
+#include "consensus/configuration.h"
+#include "consensus/memory_log.h"
+#include "consensus/replica_events.h"
+#include "consensus/types.h"
+
+namespace rattandyke::consensus {
+
+/// A replicated log after Raft: one leader a term, elected by a majority whose
+/// logs it is at least as new as. Does no I/O. Not thread-safe.
+///
+/// A message that promises something durable (a vote, an acknowledgement of
+/// entries) is held back until the Synced event that covers it; the leader's
+/// own disk counts for a majority only from then on, too.
+class Replica
+{
+public:
+  /// @param aSelf identity of the data folder.
+  /// @param aSeed of the random election timeouts.
+  Replica(HostIdentity aSelf,
+          HostName aName,
+          ReplicaOptions aOptions,
+          Restored aRestored,
+          uint64_t aSeed,
+          Instant aNow);
+
+  /// @return what to do, in this order.
+  std::vector<Effect> Step(const Event& aEvent, Instant aNow);
+
+  /// @return when the next Tick is due.
+  Instant NextDeadline() const;
+
+  Role CurrentRole() const { return mRole; }
+  Term CurrentTerm() const { return Term{ mTerm }; }
+  /// Whether LeadershipGained was the last word on leadership.
+  bool IsReadyLeader() const { return mReady; }
+  std::optional<HostName> Leader() const { return mLeaderName; }
+  HostIdentity Identity() const { return HostIdentity{ mSelf }; }
+  LogIndex CommitIndex() const { return LogIndex{ mCommit }; }
+  LogIndex AppliedIndex() const { return LogIndex{ mApplied }; }
+  const MemoryLog& Log() const { return mLog; }
+  const wire::Configuration& Members() const { return mHistory.Current(); }
+  /// Whether this replica has neither log nor group.
+  bool IsEmpty() const;
+
+  /// @return newest instant at which a message was sent that a majority has
+  /// answered; aNow for a group of one; nothing unless this is the leader.
+  std::optional<Instant> QuorumContact(Instant aNow) const;
+
+  GroupStatus Status(Instant aNow) const;
+
+private:
+  /// What the leader knows of another member.
+  struct Progress
+  {
+    enum class Mode
+    {
+      Probe,     // one append at a time until the logs are known to meet
+      Replicate, // appends are sent ahead of their answers
+      Snapshot   // needs entries that are no longer held
+    };
+    Mode mode = Mode::Probe;
+    uint64_t match = 0;
+    uint64_t next = 1;
+    /// Last index of each append sent and not answered.
+    std::deque<uint64_t> inFlight;
+    bool probeSent = false;
+    Instant heardAt{};
+    /// Newest sending time of ours that it has answered.
+    std::optional<Instant> answered;
+    std::optional<Snapshot> snapshot;
+    uint64_t snapshotOffset = 0;
+    Instant chunkSentAt{};
+  };
+
+  struct Transfer
+  {
+    uint64_t target = 0;
+    Instant deadline{};
+    bool asked = false;
+  };
+
+  struct Deferred
+  {
+    Ticket ticket;
+    Send send;
+  };
+
+  struct PendingSync
+  {
+    Ticket ticket;
+    uint64_t lastIndex = 0;
+  };
+
+  // Events (replica.cpp).
+  void On(const Tick&);
+  void On(const MessageReceived& aEvent);
+  void On(const Propose& aEvent);
+  void On(const ChangeMembership& aEvent);
+  void On(const Synced& aEvent);
+  void On(const SnapshotTaken& aEvent);
+  void On(const TransferLeadership&);
+  void On(const StorageChanged& aEvent);
+  void On(const FoundGroup& aEvent);
+
+  // Messages.
+  void OnMessage(const wire::ConsensusMessage& aMessage);
+  bool ObserveTerm(const wire::ConsensusMessage& aMessage);
+  void RefuseOldTerm(const wire::ConsensusMessage& aMessage);
+  void Dispatch(const wire::ConsensusMessage& aMessage);
+
+  // Elections (replica_election.cpp).
+  void OnElectionTimeout();
+  void StartPreVote();
+  void StartElection(bool aTransfer);
+  void RequestVotes(bool aPreVote, bool aTransfer);
+  void OnVoteRequest(const wire::ConsensusMessage& aMessage);
+  void OnVoteReply(const wire::ConsensusMessage& aMessage);
+  void BecomeFollower(uint64_t aTerm);
+  void BecomeLeader();
+  void FollowLeader(const wire::ConsensusMessage& aMessage);
+  bool HeardLeaderRecently() const;
+  bool IsUpToDate(const wire::VoteRequest& aRequest) const;
+  void CheckQuorum();
+  void ResetElectionTimer();
+  void FailProposals();
+  void EndTransfer();
+  size_t VotesCounted() const;
+
+  // Leader (replica_leader.cpp).
+  void BroadcastHeartbeats();
+  void SendHeartbeat(const wire::GroupMember& aMember, Progress& aProgress);
+  void Replicate();
+  void ReplicateTo(const wire::GroupMember& aMember, Progress& aProgress);
+  bool MaySend(const Progress& aProgress) const;
+  void SendEntries(const wire::GroupMember& aMember, Progress& aProgress);
+  void SendChunk(const wire::GroupMember& aMember, Progress& aProgress);
+  void OnAppendReply(const wire::ConsensusMessage& aMessage);
+  void OnSnapshotReply(const wire::ConsensusMessage& aMessage);
+  void NoteAnswer(Progress& aProgress, uint64_t aSentAt);
+  void OnRejected(Progress& aProgress, uint64_t aHint);
+  void OnAccepted(Progress& aProgress, uint64_t aMatch);
+  void AdvanceLeaderCommit();
+  void SyncProgressWithMembers();
+  void StartSnapshot(const wire::GroupMember& aMember, Progress& aProgress);
+  Progress* ProgressOf(uint64_t aIdentity);
+  void ContinueTransfer();
+  uint64_t AppendOwn(wire::EntryKind aKind, std::string aPayload);
+  Result<wire::Configuration> Changed(const AddLearner& aChange) const;
+  Result<wire::Configuration> Changed(const PromoteLearner& aChange) const;
+  Result<wire::Configuration> Changed(const RemoveMember& aChange) const;
+
+  // Follower (replica_follower.cpp).
+  void OnAppendRequest(const wire::ConsensusMessage& aMessage);
+  void AppendFromLeader(const wire::AppendRequest& aRequest);
+  void ReplyToAppend(const wire::ConsensusMessage& aMessage,
+                     uint64_t aLastNew,
+                     bool aAppended);
+  void RejectAppend(const wire::ConsensusMessage& aMessage, uint64_t aHint);
+  uint64_t ConflictHint(const wire::AppendRequest& aRequest) const;
+  void OnSnapshotChunk(const wire::ConsensusMessage& aMessage);
+  void InstallSnapshot(const wire::ConsensusMessage& aMessage);
+  void OnElectNow(const wire::ConsensusMessage& aMessage);
+
+  // Log and disk (replica.cpp).
+  void AppendToLog(wire::LogEntry aEntry);
+  void TruncateLog(uint64_t aFrom);
+  void AdvanceCommit(uint64_t aCommit);
+  void ApplyCommitted();
+  void ApplyEntry(const wire::LogEntry& aEntry);
+  void PersistHardState();
+  void FlushPersist();
+  void EmitAfterSync();
+  void SendNow(Send aSend);
+  void SendWhenDurable(Send aSend);
+  wire::ConsensusMessage NewMessage(uint64_t aTo) const;
+  Send ReplyTo(const wire::ConsensusMessage& aMessage,
+               wire::ConsensusMessage aReply) const;
+
+  const uint64_t mSelf;
+  const HostName mName;
+  const ReplicaOptions mOptions;
+  Random mRandom;
+
+  // Durable.
+  uint64_t mTerm = 0;
+  uint64_t mVote = 0;
+  MemoryLog mLog;
+  ConfigurationHistory mHistory;
+  std::optional<Snapshot> mSnapshot;
+
+  // Disk.
+  Persist mPending;
+  bool mHasPending = false;
+  Ticket mLastTicket;
+  Ticket mSyncedTicket;
+  Ticket mHardStateTicket;
+  uint64_t mSyncedIndex = 0;
+  std::deque<PendingSync> mPendingSyncs;
+  std::deque<Deferred> mDeferred;
+  bool mWritable = true;
+
+  // Volatile.
+  Role mRole = Role::Follower;
+  Instant mNow;
+  uint64_t mCommit = 0;
+  uint64_t mApplied = 0;
+  std::optional<HostName> mLeaderName;
+  std::optional<Instant> mHeardLeaderAt;
+  Instant mElectionDue{};
+  std::set<uint64_t> mVotes;
+  std::optional<Snapshot> mIncoming;
+  std::string mIncomingData;
+  bool mSnapshotAsked = false;
+
+  // Leader.
+  std::map<uint64_t, Progress> mProgress;
+  std::map<uint64_t, ProposalId> mProposals;
+  uint64_t mTermStart = 0;
+  bool mReady = false;
+  Instant mLeaderSince{};
+  Instant mHeartbeatDue{};
+  std::optional<Transfer> mTransfer;
+
+  std::vector<Effect> mEffects;
+};
+
+} // namespace rattandyke::consensus
--- /dev/null
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -0,0 +1,231 @@
+#include "consensus/replica.h"
+
+#include <algorithm>
+
+namespace rattandyke::consensus {
+
+void
+Replica::ResetElectionTimer()
+{
+  std::uniform_int_distribution<Duration::rep> wait(
+    mOptions.electionTimeoutMin.count(), mOptions.electionTimeoutMax.count());
+  mElectionDue = mNow + Duration{ wait(mRandom) };
+}
+
+void
+Replica::OnElectionTimeout()
+{
+  ResetElectionTimer();
+  if (mWritable && IsVoter(Members(), mSelf)) {
+    StartPreVote();
+  }
+}
+
+void
+Replica::StartPreVote()
+{
+  // A host that was cut off would otherwise come back with a high term and
+  // depose a working leader: it asks first whether it could win, which changes
+  // no term.
+  mRole = Role::PreCandidate;
+  mLeaderName.reset();
+  mVotes = { mSelf };
+  if (VotesCounted() >= Majority(Members())) {
+    StartElection(false);
+    return;
+  }
+  RequestVotes(true, false);
+}
+
+void
+Replica::StartElection(bool aTransfer)
+{
+  mRole = Role::Candidate;
+  mLeaderName.reset();
+  ++mTerm;
+  mVote = mSelf;
+  mVotes.clear();
+  PersistHardState();
+  ResetElectionTimer();
+  // Its own vote counts like any other only once it is on the disk.
+  wire::ConsensusMessage own = NewMessage(mSelf);
+  own.mutable_vote_reply()->set_granted(true);
+  SendWhenDurable({ mName, std::move(own) });
+  RequestVotes(false, aTransfer);
+}
+
+void
+Replica::RequestVotes(bool aPreVote, bool aTransfer)
+{
+  for (const wire::GroupMember& member : Members().members()) {
+    if (!member.voter() || member.identity() == mSelf) {
+      continue;
+    }
+    wire::ConsensusMessage message = NewMessage(member.identity());
+    message.set_term(aPreVote ? mTerm + 1 : mTerm);
+    wire::VoteRequest* request = message.mutable_vote_request();
+    request->set_pre_vote(aPreVote);
+    request->set_transfer(aTransfer);
+    request->set_last_index(mLog.LastIndex());
+    request->set_last_term(mLog.LastTerm());
+    SendWhenDurable({ HostName{ member.name() }, std::move(message) });
+  }
+}
+
+void
+Replica::OnVoteRequest(const wire::ConsensusMessage& aMessage)
+{
+  const wire::VoteRequest& request = aMessage.vote_request();
+  wire::ConsensusMessage reply = NewMessage(aMessage.from());
+  reply.mutable_vote_reply()->set_pre_vote(request.pre_vote());
+  if (request.pre_vote()) {
+    const bool granted =
+      aMessage.term() > mTerm && !HeardLeaderRecently() && IsUpToDate(request);
+    reply.mutable_vote_reply()->set_granted(granted);
+    reply.set_term(granted ? aMessage.term() : mTerm);
+    SendNow(ReplyTo(aMessage, std::move(reply)));
+    return;
+  }
+  const bool free = mVote == 0 || mVote == aMessage.from();
+  const bool granted = free && IsUpToDate(request);
+  if (granted && mVote == 0) {
+    mVote = aMessage.from();
+    PersistHardState();
+  }
+  if (granted) {
+    ResetElectionTimer();
+  }
+  reply.mutable_vote_reply()->set_granted(granted);
+  SendWhenDurable(ReplyTo(aMessage, std::move(reply)));
+}
+
+void
+Replica::OnVoteReply(const wire::ConsensusMessage& aMessage)
+{
+  const wire::VoteReply& reply = aMessage.vote_reply();
+  const Role expected = reply.pre_vote() ? Role::PreCandidate : Role::Candidate;
+  const uint64_t term = reply.pre_vote() ? mTerm + 1 : mTerm;
+  if (mRole != expected || !reply.granted() || aMessage.term() != term) {
+    return;
+  }
+  mVotes.insert(aMessage.from());
+  if (VotesCounted() < Majority(Members())) {
+    return;
+  }
+  if (reply.pre_vote()) {
+    StartElection(false);
+  } else {
+    BecomeLeader();
+  }
+}
+
+size_t
+Replica::VotesCounted() const
+{
+  return std::count_if(mVotes.begin(), mVotes.end(), [&](uint64_t identity) {
+    return IsVoter(Members(), identity);
+  });
+}
+
+void
+Replica::BecomeFollower(uint64_t aTerm)
+{
+  if (aTerm > mTerm) {
+    mTerm = aTerm;
+    mVote = 0;
+    PersistHardState();
+  }
+  if (mRole == Role::Follower) {
+    return;
+  }
+  const bool led = mRole == Role::Leader;
+  mRole = Role::Follower;
+  mLeaderName.reset();
+  mVotes.clear();
+  ResetElectionTimer();
+  if (led) {
+    FailProposals();
+    EndTransfer();
+    mProgress.clear();
+  }
+  if (std::exchange(mReady, false)) {
+    mEffects.push_back(LeadershipLost{});
+  }
+}
+
+void
+Replica::BecomeLeader()
+{
+  mRole = Role::Leader;
+  mLeaderName = mName;
+  mLeaderSince = mNow;
+  mVotes.clear();
+  SyncProgressWithMembers();
+  // Entries of earlier terms are committed only together with one of its own;
+  // counting their copies alone can lose them to a later leader.
+  mTermStart = AppendOwn(wire::ENTRY_KIND_NO_OP, {});
+  BroadcastHeartbeats();
+}
+
+void
+Replica::FollowLeader(const wire::ConsensusMessage& aMessage)
+{
+  BecomeFollower(mTerm);
+  mLeaderName = HostName{ aMessage.from_name() };
+  mHeardLeaderAt = mNow;
+  ResetElectionTimer();
+}
+
+bool
+Replica::HeardLeaderRecently() const
+{
+  if (mRole == Role::Leader) {
+    return true;
+  }
+  return mHeardLeaderAt && mNow - *mHeardLeaderAt < mOptions.electionTimeoutMin;
+}
+
+bool
+Replica::IsUpToDate(const wire::VoteRequest& aRequest) const
+{
+  if (aRequest.last_term() != mLog.LastTerm()) {
+    return aRequest.last_term() > mLog.LastTerm();
+  }
+  return aRequest.last_index() >= mLog.LastIndex();
+}
+
+void
+Replica::CheckQuorum()
+{
+  if (mRole != Role::Leader) {
+    return;
+  }
+  // A leader cut off from the majority would go on refusing elections to those
+  // who still hear it, and keep callers waiting for commits that can't come.
+  const Instant contact =
+    std::max(QuorumContact(mNow).value_or(mLeaderSince), mLeaderSince);
+  if (mNow - contact > mOptions.electionTimeoutMax) {
+    BecomeFollower(mTerm);
+  }
+}
+
+void
+Replica::FailProposals()
+{
+  for (const auto& [index, id] : mProposals) {
+    mEffects.push_back(ProposalFailed{
+      id, { Code::ProposalDropped, "Leadership changed before the commit." } });
+  }
+  mProposals.clear();
+}
+
+void
+Replica::EndTransfer()
+{
+  if (mTransfer) {
+    mTransfer.reset();
+    mEffects.push_back(TransferEnded{});
+  }
+}
+
+} // namespace rattandyke::consensus
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -62,6 +62,8 @@
   /// Answered within the longest election timeout; false unless this host
   /// leads.
   bool active = false;
+  /// When it last answered the leader.
+  Instant heardAt{};
 };
 
 /// One host's view of the group, for operators.
