Join replica and disk in the consensus driver

Cause: the control part needs a log that runs. Change: Driver, its disk thread with group commit, Founding (first start) and Repair (a host that lost its disk replaces its old identity). Conclusion: driver tests with one and three hosts pass: restart, loss of the leader, lost disk, second process, hand-over.

--- /dev/null
+++ b/src/librattandyke/consensus/driver.cpp
@@ -0,0 +1,459 @@
+#include "consensus/driver.h"
+
+#include <deque>
+#include <map>
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "consensus/disk_thread.h"
+#include "consensus/founding.h"
+#include "consensus/repair.h"
+#include "consensus/replica.h"
+
+namespace rattandyke::consensus {
+
+namespace {
+
+uint64_t
+RandomIdentity()
+{
+  std::random_device source;
+  const uint64_t high = source();
+  const uint64_t drawn = (high << 32) | source();
+  return drawn == 0 ? 1 : drawn;
+}
+
+} // namespace
+
+struct Driver::Impl : std::enable_shared_from_this<Driver::Impl>
+{
+  Impl(boost::asio::any_io_executor aExecutor,
+       Options aOptions,
+       Callbacks aCallbacks,
+       const Clock& aClock,
+       uint64_t aSeed)
+    : mExecutor(std::move(aExecutor))
+    , mOptions(std::move(aOptions))
+    , mCallbacks(std::move(aCallbacks))
+    , mClock(aClock)
+    , mSeed(aSeed)
+    , mTimer(mExecutor)
+    , mRepair({ mOptions.controlHosts, mOptions.replica.replaceAfter })
+  {
+  }
+
+  Result<void> Start()
+  {
+    auto store = storage::LogStore::Open(
+      storage::MakeFileSystem(), mOptions.dataFolder, {}, RandomIdentity());
+    if (!store) {
+      return tl::unexpected(store.error());
+    }
+    const HostIdentity identity = (*store)->Identity();
+    Restored restored = (*store)->TakeRestored();
+    if (restored.snapshot) {
+      mCallbacks.loadSnapshot(*restored.snapshot->data);
+    }
+    mReplica.emplace(identity,
+                     mOptions.name,
+                     mOptions.replica,
+                     std::move(restored),
+                     mSeed ^ identity.value,
+                     mClock.Now());
+    mFounding.emplace(Founding::Options{
+      mOptions.name, identity, mOptions.controlHosts, kHelloInterval });
+    mDisk = std::make_unique<DiskThread>(std::move(*store), DiskCallbacks());
+    mRunning = true;
+    OnTimer();
+    return {};
+  }
+
+  /// Runs a member function later on the executor, unless stopped by then.
+  template<typename Call>
+  void Post(Call aCall)
+  {
+    boost::asio::post(mExecutor, [weak = weak_from_this(), aCall] {
+      const auto self = weak.lock();
+      if (self && self->mRunning) {
+        aCall(*self);
+      }
+    });
+  }
+
+  DiskThread::Callbacks DiskCallbacks()
+  {
+    DiskThread::Callbacks callbacks;
+    callbacks.synced = [this](Ticket ticket) {
+      Post([ticket](Impl& self) { self.Step(Synced{ ticket }); });
+    };
+    callbacks.changed = [this](std::optional<Error> error) {
+      Post([error](Impl& self) { self.OnDiskChanged(error); });
+    };
+    return callbacks;
+  }
+
+  void OnDiskChanged(const std::optional<Error>& aError)
+  {
+    mDiskError = aError;
+    Step(StorageChanged{ !aError });
+  }
+
+  void Stop()
+  {
+    mRunning = false;
+    mTimer.cancel();
+    mDisk.reset();
+    const auto waiting = std::exchange(mWaiting, {});
+    for (const auto& [id, done] : waiting) {
+      done(Fail(Code::ProposalDropped, "The host shuts down."));
+    }
+    for (const auto& done : std::exchange(mTransferDone, {})) {
+      done();
+    }
+  }
+
+  void ArmTimer()
+  {
+    if (!mRunning) {
+      return;
+    }
+    const Instant due =
+      std::min(mReplica->NextDeadline(), mFounding->NextDeadline());
+    if (due == mArmedFor) {
+      return;
+    }
+    mArmedFor = due;
+    mTimer.expires_at(due);
+    mTimer.async_wait([weak = weak_from_this()](auto error) {
+      const auto self = weak.lock();
+      if (self && self->mRunning && !error) {
+        self->OnTimer();
+      }
+    });
+  }
+
+  void OnTimer()
+  {
+    mArmedFor.reset();
+    StepFounding(Founding::Tick{});
+    Step(Tick{});
+    KeepMembership();
+    ArmTimer();
+  }
+
+  void KeepMembership()
+  {
+    if (!mReplica->IsReadyLeader()) {
+      return;
+    }
+    const Instant now = mClock.Now();
+    if (auto change = mRepair.Decide(mReplica->Status(now), now)) {
+      Change(std::move(*change), [](Result<LogIndex>) {});
+    }
+  }
+
+  void Receive(const HostName& aFrom, std::string_view aBytes)
+  {
+    wire::ConsensusMessage message;
+    if (!message.ParseFromArray(aBytes.data(),
+                                static_cast<int>(aBytes.size()))) {
+      return;
+    }
+    if (message.has_hello()) {
+      OnHello(aFrom, message);
+      return;
+    }
+    Step(MessageReceived{ std::move(message) });
+  }
+
+  void OnHello(const HostName& aFrom, const wire::ConsensusMessage& aMessage)
+  {
+    const HostIdentity identity{ aMessage.from() };
+    if (aMessage.hello().answers() == 0) {
+      mRepair.HeardNewcomer(aFrom, identity, mClock.Now());
+    }
+    StepFounding(Founding::HelloReceived{ aFrom, identity, aMessage.hello() });
+  }
+
+  void StepFounding(const Founding::Event& aEvent)
+  {
+    const Founding::Own own{ mReplica->IsEmpty(), mReplica->Members() };
+    for (const auto& effect : mFounding->Step(aEvent, own, mClock.Now())) {
+      std::visit([this](const auto& item) { On(item); }, effect);
+    }
+  }
+
+  void On(const Founding::SendHello& aEffect)
+  {
+    wire::ConsensusMessage message;
+    message.set_from(mReplica->Identity().value);
+    message.set_from_name(mOptions.name.value);
+    *message.mutable_hello() = aEffect.hello;
+    mCallbacks.send(aEffect.to, message.SerializeAsString());
+  }
+
+  void On(const Founding::Found& aEffect)
+  {
+    Step(FoundGroup{ aEffect.configuration });
+  }
+
+  /// Steps the replica. A callback may lead back here; its event waits until
+  /// the effects of the one before are done.
+  void Step(Event aEvent)
+  {
+    mEvents.push_back(std::move(aEvent));
+    if (mStepping) {
+      return;
+    }
+    mStepping = true;
+    while (!mEvents.empty() && mRunning) {
+      const Event event = std::move(mEvents.front());
+      mEvents.pop_front();
+      for (Effect& effect : mReplica->Step(event, mClock.Now())) {
+        // A callback may have stopped the driver.
+        if (mRunning) {
+          std::visit([this](auto& item) { On(item); }, effect);
+        }
+      }
+    }
+    mStepping = false;
+    ArmTimer();
+  }
+
+  void On(Send& aEffect)
+  {
+    mCallbacks.send(aEffect.to, aEffect.message.SerializeAsString());
+  }
+
+  void On(Persist& aEffect)
+  {
+    if (mDisk) {
+      mDisk->Add(std::move(aEffect));
+    }
+  }
+
+  void On(Apply& aEffect) { mCallbacks.apply(aEffect.index, aEffect.payload); }
+
+  void On(LoadSnapshot& aEffect) { mCallbacks.loadSnapshot(*aEffect.data); }
+
+  void On(TakeSnapshot& aEffect)
+  {
+    auto data = std::make_shared<const std::string>(mCallbacks.makeSnapshot());
+    Step(SnapshotTaken{ aEffect.index, std::move(data) });
+  }
+
+  void On(ProposalDone& aEffect) { Finish(aEffect.id, aEffect.index); }
+
+  void On(ProposalFailed& aEffect)
+  {
+    Finish(aEffect.id, tl::unexpected(aEffect.error));
+  }
+
+  void On(LeadershipGained& aEffect)
+  {
+    mCallbacks.leadership(aEffect.term.value);
+  }
+
+  void On(LeadershipLost&) { mCallbacks.leadership(std::nullopt); }
+
+  void On(TransferEnded&)
+  {
+    for (const auto& done : std::exchange(mTransferDone, {})) {
+      done();
+    }
+  }
+
+  ProposalId AddWaiting(ProposeDone aDone)
+  {
+    const ProposalId id{ ++mLastProposal };
+    mWaiting.emplace(id, std::move(aDone));
+    return id;
+  }
+
+  void Finish(ProposalId aId, Result<LogIndex> aResult)
+  {
+    const auto found = mWaiting.find(aId);
+    if (found == mWaiting.end()) {
+      return;
+    }
+    const ProposeDone done = std::move(found->second);
+    mWaiting.erase(found);
+    done(std::move(aResult));
+  }
+
+  void Propose(std::string aPayload, ProposeDone aDone)
+  {
+    if (!mRunning) {
+      aDone(Fail(Code::NotLeader, "The host does not run."));
+      return;
+    }
+    if (mDiskError) {
+      aDone(tl::unexpected(*mDiskError));
+      return;
+    }
+    mBatch.push_back({ AddWaiting(std::move(aDone)), std::move(aPayload) });
+    if (mBatch.size() == 1) {
+      Post([](Impl& self) {
+        self.Step(consensus::Propose{ std::exchange(self.mBatch, {}) });
+      });
+    }
+  }
+
+  void Change(MembershipChange aChange, ProposeDone aDone)
+  {
+    Step(ChangeMembership{ AddWaiting(std::move(aDone)), std::move(aChange) });
+  }
+
+  static constexpr Duration kHelloInterval = std::chrono::milliseconds{ 200 };
+
+  const boost::asio::any_io_executor mExecutor;
+  const Options mOptions;
+  const Callbacks mCallbacks;
+  const Clock& mClock;
+  const uint64_t mSeed;
+  boost::asio::steady_timer mTimer;
+  std::optional<Instant> mArmedFor;
+  Repair mRepair;
+  std::optional<Replica> mReplica;
+  std::optional<Founding> mFounding;
+  std::unique_ptr<DiskThread> mDisk;
+  std::optional<Error> mDiskError;
+  std::deque<Event> mEvents;
+  bool mStepping = false;
+  bool mRunning = false;
+  uint64_t mLastProposal = 0;
+  std::map<ProposalId, ProposeDone> mWaiting;
+  std::vector<Proposal> mBatch;
+  std::vector<std::function<void()>> mTransferDone;
+};
+
+Driver::Driver(boost::asio::any_io_executor aExecutor,
+               Options aOptions,
+               Callbacks aCallbacks,
+               const Clock& aClock,
+               uint64_t aSeed)
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+                                 std::move(aOptions),
+                                 std::move(aCallbacks),
+                                 aClock,
+                                 aSeed))
+{
+}
+
+Driver::~Driver()
+{
+  Stop();
+}
+
+Result<void>
+Driver::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Driver::Stop()
+{
+  mImpl->Stop();
+}
+
+void
+Driver::Receive(const HostName& aFrom, std::string_view aBytes)
+{
+  if (mImpl->mRunning) {
+    mImpl->Receive(aFrom, aBytes);
+  }
+}
+
+void
+Driver::Propose(std::string aPayload, ProposeDone aDone)
+{
+  mImpl->Propose(std::move(aPayload), std::move(aDone));
+}
+
+bool
+Driver::IsLeader() const
+{
+  return mImpl->mRunning && mImpl->mReplica->IsReadyLeader();
+}
+
+std::optional<HostName>
+Driver::LeaderHint() const
+{
+  return mImpl->mReplica ? mImpl->mReplica->Leader() : std::nullopt;
+}
+
+HostIdentity
+Driver::Identity() const
+{
+  return mImpl->mReplica ? mImpl->mReplica->Identity() : HostIdentity{};
+}
+
+std::optional<Instant>
+Driver::QuorumContact() const
+{
+  if (!mImpl->mRunning) {
+    return std::nullopt;
+  }
+  return mImpl->mReplica->QuorumContact(mImpl->mClock.Now());
+}
+
+void
+Driver::TransferLeadership(std::function<void()> aDone)
+{
+  if (!mImpl->mRunning) {
+    aDone();
+    return;
+  }
+  mImpl->mTransferDone.push_back(std::move(aDone));
+  mImpl->Step(consensus::TransferLeadership{});
+}
+
+GroupStatus
+Driver::Status() const
+{
+  if (!mImpl->mReplica) {
+    return {};
+  }
+  GroupStatus status = mImpl->mReplica->Status(mImpl->mClock.Now());
+  status.syncs = mImpl->mDisk ? mImpl->mDisk->Syncs() : 0;
+  if (mImpl->mDiskError) {
+    status.storageError = mImpl->mDiskError->message;
+  }
+  return status;
+}
+
+namespace {
+
+Driver::ProposeDone
+WithoutIndex(Driver::Done aDone)
+{
+  return [done = std::move(aDone)](Result<LogIndex> result) {
+    done(result.map([](LogIndex) {}));
+  };
+}
+
+} // namespace
+
+void
+Driver::AddLearner(const Member& aMember, HostIdentity aIdentity, Done aDone)
+{
+  mImpl->Change(consensus::AddLearner{ aMember, aIdentity },
+                WithoutIndex(std::move(aDone)));
+}
+
+void
+Driver::Promote(HostIdentity aIdentity, Done aDone)
+{
+  mImpl->Change(PromoteLearner{ aIdentity }, WithoutIndex(std::move(aDone)));
+}
+
+void
+Driver::Remove(HostIdentity aIdentity, Done aDone)
+{
+  mImpl->Change(RemoveMember{ aIdentity }, WithoutIndex(std::move(aDone)));
+}
+
+} // namespace rattandyke::consensus
--- a/src/librattandyke/consensus/driver.h
+++ b/src/librattandyke/consensus/driver.h
@@ -20,10 +20,11 @@
 
 namespace rattandyke::consensus {
 
-/// A member of the control group. All methods but the destructor are called on
-/// the executor, which must run one handler at a time (a strand, or an
-/// io_context with one thread); all callbacks run on it. The disk is written
-/// and synced by a thread of the driver's own.
+/// A member of the control group. All methods are called on the executor, which
+/// must run one handler at a time (a strand, or an io_context with one thread);
+/// all callbacks run on it. The destructor stops the driver; call it on the
+/// executor too, or once that runs no more. The disk is written and synced by a
+/// thread of the driver's own.
 class Driver
 {
 public:
--- /dev/null
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -0,0 +1,285 @@
+#include "consensus/driver.h"
+
+#include <filesystem>
+#include <map>
+#include <random>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::consensus {
+namespace {
+
+namespace fs = std::filesystem;
+
+/// A folder that is removed at the end of the test.
+class TemporaryFolder
+{
+public:
+  TemporaryFolder()
+    : mPath(fs::temp_directory_path() /
+            ("rattandyke-test-" + std::to_string(std::random_device{}())))
+  {
+    fs::create_directories(mPath);
+  }
+  ~TemporaryFolder() { fs::remove_all(mPath); }
+  const fs::path& Path() const { return mPath; }
+
+private:
+  const fs::path mPath;
+};
+
+/// Control hosts in one process on one executor, each with a folder of its own.
+class Hosts
+{
+public:
+  explicit Hosts(std::vector<std::string> aNames)
+  {
+    for (const std::string& name : aNames) {
+      mMembers.push_back({ HostName{ name }, { "127.0.0.1", 1 } });
+    }
+    for (const std::string& name : aNames) {
+      EXPECT_TRUE(Start(name).has_value());
+    }
+  }
+
+  ~Hosts()
+  {
+    for (auto& [name, host] : mHosts) {
+      host.driver.reset();
+    }
+  }
+
+  Result<void> Start(const std::string& aName)
+  {
+    Host& host = mHosts[aName];
+    host.applied.clear();
+    Driver::Options options;
+    options.name = HostName{ aName };
+    options.dataFolder = Folder(aName);
+    options.controlHosts = mMembers;
+    options.replica = mOptions;
+    host.driver = std::make_unique<Driver>(mContext.get_executor(),
+                                           std::move(options),
+                                           MakeCallbacks(aName),
+                                           mClock,
+                                           mMembers.size());
+    return host.driver->Start();
+  }
+
+  /// Ends a host at once, as a crash would: nothing is handed over.
+  void Kill(const std::string& aName) { mHosts[aName].driver.reset(); }
+
+  fs::path Folder(const std::string& aName) const
+  {
+    return mFolder.Path() / aName;
+  }
+
+  Driver& At(const std::string& aName) { return *mHosts[aName].driver; }
+
+  const std::vector<std::string>& Applied(const std::string& aName)
+  {
+    return mHosts[aName].applied;
+  }
+
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    while (!aCondition()) {
+      mContext.run_one();
+    }
+  }
+
+  std::string WaitForLeader()
+  {
+    std::string leader;
+    RunUntil([&] {
+      for (auto& [name, host] : mHosts) {
+        if (host.driver && host.driver->IsLeader()) {
+          leader = name;
+        }
+      }
+      return !leader.empty();
+    });
+    return leader;
+  }
+
+  /// Proposes to whoever leads until it is acknowledged.
+  void Write(const std::string& aPayload)
+  {
+    bool done = false;
+    while (!done) {
+      const std::string leader = WaitForLeader();
+      bool answered = false;
+      At(leader).Propose(aPayload, [&](Result<LogIndex> result) {
+        answered = true;
+        done = result.has_value();
+      });
+      RunUntil([&] { return answered; });
+    }
+  }
+
+  ReplicaOptions mOptions = [] {
+    ReplicaOptions options;
+    options.entriesPerSnapshot = 20;
+    options.entriesKeptBehind = 5;
+    options.replaceAfter = std::chrono::milliseconds{ 100 };
+    return options;
+  }();
+
+private:
+  struct Host
+  {
+    std::unique_ptr<Driver> driver;
+    std::vector<std::string> applied;
+  };
+
+  Driver::Callbacks MakeCallbacks(const std::string& aName)
+  {
+    Driver::Callbacks callbacks;
+    callbacks.send = [this, aName](const HostName& to, std::string bytes) {
+      boost::asio::post(mContext, [this, aName, to, bytes = std::move(bytes)] {
+        if (mHosts[to.value].driver) {
+          mHosts[to.value].driver->Receive(HostName{ aName }, bytes);
+        }
+      });
+    };
+    callbacks.apply = [this, aName](LogIndex, std::string_view payload) {
+      mHosts[aName].applied.emplace_back(payload);
+    };
+    callbacks.makeSnapshot = [this, aName] {
+      std::string state;
+      for (const std::string& item : mHosts[aName].applied) {
+        state += item + "\n";
+      }
+      return state;
+    };
+    callbacks.loadSnapshot = [this, aName](std::string_view state) {
+      std::istringstream lines{ std::string(state) };
+      mHosts[aName].applied.clear();
+      for (std::string line; std::getline(lines, line);) {
+        mHosts[aName].applied.push_back(line);
+      }
+    };
+    callbacks.leadership = [](std::optional<uint64_t>) {};
+    return callbacks;
+  }
+
+  TemporaryFolder mFolder;
+  SystemClock mClock;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork{ mContext.get_executor() };
+  std::vector<Member> mMembers;
+  std::map<std::string, Host> mHosts;
+};
+
+std::vector<std::string>
+Numbered(int aCount)
+{
+  std::vector<std::string> items;
+  for (int i = 0; i < aCount; ++i) {
+    items.push_back("change " + std::to_string(i));
+  }
+  return items;
+}
+
+TEST(Driver, SingleHostKeepsItsChangesAcrossARestart)
+{
+  // An operator runs one host on its defaults, submits changes and restarts
+  // it. Every acknowledged change must be there again, once and in order, both
+  // those in the snapshot and those in the log after it.
+  Hosts hosts({ "a" });
+  const auto changes = Numbered(50);
+  for (const std::string& change : changes) {
+    hosts.Write(change);
+  }
+  const HostIdentity identity = hosts.At("a").Identity();
+  hosts.Kill("a");
+  ASSERT_TRUE(hosts.Start("a").has_value());
+  hosts.WaitForLeader();
+  EXPECT_EQ(hosts.Applied("a"), changes);
+  EXPECT_EQ(hosts.At("a").Identity(), identity);
+}
+
+TEST(Driver, ThreeHostsKeepAcknowledgedChangesWhenTheLeaderIsLost)
+{
+  // Changes are acknowledged, then the leader's process is killed. The other
+  // two elect a leader and go on; the killed host comes back after enough
+  // changes that it needs a snapshot, and ends with the same state.
+  Hosts hosts({ "a", "b", "c" });
+  const auto changes = Numbered(100);
+  for (int i = 0; i < 10; ++i) {
+    hosts.Write(changes[i]);
+  }
+  const std::string lost = hosts.WaitForLeader();
+  hosts.Kill(lost);
+  for (int i = 10; i < 100; ++i) {
+    hosts.Write(changes[i]);
+  }
+  ASSERT_TRUE(hosts.Start(lost).has_value());
+  for (const char* name : { "a", "b", "c" }) {
+    hosts.RunUntil([&] { return hosts.Applied(name).size() == 100; });
+    EXPECT_EQ(hosts.Applied(name), changes) << name;
+  }
+}
+
+TEST(Driver, HostThatLostItsDiskReplacesItsOldIdentity)
+{
+  // A control host's disk is lost and it starts with an empty folder. It must
+  // not vote as the voter it was; it joins under a new identity, catches up,
+  // becomes a voter, and only then its old identity leaves the group.
+  Hosts hosts({ "a", "b", "c" });
+  hosts.Write("before");
+  const HostIdentity old = hosts.At("b").Identity();
+  hosts.Kill("b");
+  fs::remove_all(hosts.Folder("b"));
+  ASSERT_TRUE(hosts.Start("b").has_value());
+  const HostIdentity renewed = hosts.At("b").Identity();
+  EXPECT_NE(renewed, old);
+  hosts.RunUntil([&] {
+    const auto members = hosts.At(hosts.WaitForLeader()).Status().members;
+    const bool votes =
+      std::any_of(members.begin(), members.end(), [&](const auto& member) {
+        return member.identity == renewed && member.voter;
+      });
+    return votes && members.size() == 3;
+  });
+  hosts.Write("after");
+  hosts.RunUntil([&] { return hosts.Applied("b").size() == 2; });
+}
+
+TEST(Driver, SecondProcessOnTheSameFolderIsRefused)
+{
+  // An operator starts a host twice by mistake. Two processes on one log would
+  // vote twice; the second must end at once with a clear error.
+  Hosts hosts({ "a" });
+  SystemClock clock;
+  boost::asio::io_context context;
+  Driver::Options options;
+  options.name = HostName{ "a" };
+  options.dataFolder = hosts.Folder("a");
+  Driver second(context.get_executor(), options, {}, clock, 1);
+  const auto started = second.Start();
+  ASSERT_FALSE(started.has_value());
+  EXPECT_EQ(started.error().code, Code::StorageLocked);
+}
+
+TEST(Driver, LeadershipIsHandedOver)
+{
+  // A leader shuts down on request. It hands over to a follower that has the
+  // whole log, so that the group is without a leader for one round trip and
+  // not for an election timeout.
+  Hosts hosts({ "a", "b", "c" });
+  hosts.Write("before");
+  const std::string first = hosts.WaitForLeader();
+  bool done = false;
+  hosts.At(first).TransferLeadership([&] { done = true; });
+  hosts.RunUntil([&] { return done; });
+  hosts.Kill(first);
+  EXPECT_NE(hosts.WaitForLeader(), first);
+  hosts.Write("after");
+}
+
+} // namespace
+} // namespace rattandyke::consensus
--- /dev/null
+++ b/src/librattandyke/consensus/founding.cpp
@@ -0,0 +1,103 @@
+#include "consensus/founding.h"
+
+#include <algorithm>
+
+namespace rattandyke::consensus {
+
+Founding::Founding(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+std::vector<Founding::Effect>
+Founding::Step(const Event& aEvent, const Own& aOwn, Instant aNow)
+{
+  std::visit([&](const auto& event) { On(event, aOwn, aNow); }, aEvent);
+  return std::exchange(mEffects, {});
+}
+
+void
+Founding::On(const Tick&, const Own& aOwn, Instant aNow)
+{
+  if (aOwn.configuration.members_size() > 0) {
+    mHelloDue = Instant::max();
+    return;
+  }
+  if (aNow < mHelloDue) {
+    return;
+  }
+  mHelloDue = aNow + mOptions.helloInterval;
+  for (const Member& member : mOptions.controlHosts) {
+    if (member.name != mOptions.self) {
+      wire::Hello hello;
+      hello.set_empty(aOwn.empty);
+      mEffects.push_back(SendHello{ member.name, std::move(hello) });
+    }
+  }
+  if (aOwn.empty) {
+    FoundIfComplete();
+  }
+}
+
+void
+Founding::On(const HelloReceived& aEvent, const Own& aOwn, Instant aNow)
+{
+  const wire::Hello& hello = aEvent.hello;
+  if (hello.answers() == 0) {
+    wire::Hello answer;
+    answer.set_empty(aOwn.empty);
+    answer.set_answers(aEvent.identity.value);
+    *answer.mutable_configuration() = aOwn.configuration;
+    mEffects.push_back(SendHello{ aEvent.from, std::move(answer) });
+    return;
+  }
+  // An answer to an earlier identity of this host may be old: the one who gave
+  // it may have joined a group since.
+  if (hello.answers() != mOptions.identity.value) {
+    return;
+  }
+  if (!hello.empty()) {
+    mEmpty.erase(aEvent.from);
+    return;
+  }
+  mEmpty[aEvent.from] = aEvent.identity;
+  if (aOwn.empty) {
+    FoundIfComplete();
+  }
+}
+
+bool
+Founding::MayFound() const
+{
+  const auto& hosts = mOptions.controlHosts;
+  return !mFounded &&
+         std::all_of(hosts.begin(), hosts.end(), [&](const Member& member) {
+           return member.name >= mOptions.self &&
+                  (member.name == mOptions.self ||
+                   mEmpty.contains(member.name));
+         });
+}
+
+void
+Founding::FoundIfComplete()
+{
+  if (!MayFound()) {
+    return;
+  }
+  mFounded = true;
+  wire::Configuration configuration;
+  configuration.set_group(mOptions.identity.value);
+  for (const Member& host : mOptions.controlHosts) {
+    wire::GroupMember* member = configuration.add_members();
+    const bool self = host.name == mOptions.self;
+    member->set_identity(
+      (self ? mOptions.identity : mEmpty.at(host.name)).value);
+    member->set_name(host.name.value);
+    member->set_address(host.address.address);
+    member->set_port(host.address.port);
+    member->set_voter(true);
+  }
+  mEffects.push_back(Found{ std::move(configuration) });
+}
+
+} // namespace rattandyke::consensus
--- /dev/null
+++ b/src/librattandyke/consensus/founding.h
@@ -0,0 +1,87 @@
+/// How the control hosts of the settings become a group, once.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "consensus/types.h"
+#include "wire/consensus.pb.h"
+
+namespace rattandyke::consensus {
+
+/// Decides who founds the group and with which identities. Does no I/O. Not
+/// thread-safe.
+///
+/// Only the control host whose name sorts first may found, and only after all
+/// the others have answered its own hellos that they have no log. A host that
+/// belongs to a group never answers so, so a group is never founded beside one
+/// that lives; the price is that the first start needs all hosts.
+class Founding
+{
+public:
+  struct Options
+  {
+    HostName self;
+    HostIdentity identity;
+    std::vector<Member> controlHosts;
+    Duration helloInterval = std::chrono::milliseconds{ 200 };
+  };
+
+  /// What this host's replica holds at the moment.
+  struct Own
+  {
+    /// It has neither log nor snapshot.
+    bool empty = true;
+    wire::Configuration configuration;
+  };
+
+  struct Tick
+  {};
+
+  struct HelloReceived
+  {
+    HostName from;
+    HostIdentity identity;
+    wire::Hello hello;
+  };
+
+  using Event = std::variant<Tick, HelloReceived>;
+
+  struct SendHello
+  {
+    HostName to;
+    wire::Hello hello;
+  };
+
+  struct Found
+  {
+    wire::Configuration configuration;
+  };
+
+  using Effect = std::variant<SendHello, Found>;
+
+  explicit Founding(Options aOptions);
+
+  std::vector<Effect> Step(const Event& aEvent, const Own& aOwn, Instant aNow);
+
+  /// @return when the next Tick is due; the latest instant once the host
+  /// belongs to a group.
+  Instant NextDeadline() const { return mHelloDue; }
+
+private:
+  void On(const Tick&, const Own& aOwn, Instant aNow);
+  void On(const HelloReceived& aEvent, const Own& aOwn, Instant aNow);
+  void FoundIfComplete();
+  bool MayFound() const;
+
+  const Options mOptions;
+  Instant mHelloDue{};
+  bool mFounded = false;
+  /// Hosts that said they are empty, in answer to a hello of this process.
+  std::map<HostName, HostIdentity> mEmpty;
+  std::vector<Effect> mEffects;
+};
+
+} // namespace rattandyke::consensus
--- /dev/null
+++ b/src/librattandyke/consensus/repair.h
@@ -0,0 +1,67 @@
+/// How a group gets back to its full number after a host lost its disk.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "consensus/replica_events.h"
+#include "consensus/types.h"
+
+namespace rattandyke::consensus {
+
+/// Decides the leader's changes of the membership, one at a time. Does no I/O.
+/// Not thread-safe.
+///
+/// A host whose disk was lost comes back with a new identity. It becomes a
+/// learner; once it has caught up, a voter beside its old identity; then the
+/// old identity is removed. Until the last step it does not stand in for the
+/// lost one: the group's majorities are those of the members as written.
+class Repair
+{
+public:
+  struct Options
+  {
+    std::vector<Member> controlHosts;
+    /// An identity is replaced only after this long without a word from it:
+    /// else two hosts given one name by mistake would oust each other in turn.
+    Duration replaceAfter{};
+  };
+
+  explicit Repair(Options aOptions);
+
+  /// Notes a host that has no group yet.
+  void HeardNewcomer(const HostName& aName,
+                     HostIdentity aIdentity,
+                     Instant aNow);
+
+  /// @param aStatus of the leader.
+  /// @return the next change, if one is due. Calling it again before the change
+  /// is committed gives the same change, which the replica refuses.
+  std::optional<MembershipChange> Decide(const GroupStatus& aStatus,
+                                         Instant aNow) const;
+
+private:
+  struct Newcomer
+  {
+    HostIdentity identity;
+    Instant heardAt{};
+  };
+
+  bool IsSilent(const MemberStatus& aMember, Instant aNow) const;
+  bool HasLiveNamesake(const GroupStatus& aStatus,
+                       const HostName& aName,
+                       HostIdentity aBut,
+                       Instant aNow) const;
+  std::optional<MembershipChange> RemoveReplaced(const GroupStatus& aStatus,
+                                                 Instant aNow) const;
+  std::optional<MembershipChange> PromoteReplacement(const GroupStatus& aStatus,
+                                                     Instant aNow) const;
+  std::optional<MembershipChange> AddNewcomer(const GroupStatus& aStatus,
+                                              Instant aNow) const;
+
+  const Options mOptions;
+  std::map<HostName, Newcomer> mNewcomers;
+};
+
+} // namespace rattandyke::consensus
