Add the fair admission plug-in: deficit round robin over customers

One queue per upstream was first come, first served: a customer with ten times the requests got ten times the slots. Each customer now has its own queue, is served within a round, and pays for the slot time of its requests. A request that by the estimate cannot be admitted in time or finish by its deadline is refused at once with Retry-After.

--- /dev/null
+++ b/src/fair.admission/fair_queue.cpp
@@ -0,0 +1,374 @@
+#include "fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattandyke::admission {
+
+namespace {
+
+/// A weight below this would need too many rounds for one request.
+constexpr double kLeastWeight = 0.05;
+/// Units that a customer can be in debt for one long request.
+constexpr double kMostDebt = 8;
+/// Share of the newest request in the mean service time.
+constexpr double kNewestShare = 0.1;
+/// Starts that a rate limit lets pass at once, in seconds of its rate.
+constexpr double kRateBurst = 0.1;
+/// Customers remembered for their debt or rate; more only if they are busy.
+constexpr size_t kMostRemembered = 4096;
+/// An upstream cannot ask for a longer pause.
+constexpr Duration kLongestPause = std::chrono::seconds(5);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
+
+double
+WeightOf(const Share& aShare)
+{
+  return std::max(aShare.weight, kLeastWeight);
+}
+
+Duration
+Scaled(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+const AdmissionRegistry::Registration sRegistration(
+  "fair",
+  [](Settings aSettings) { return std::make_unique<FairQueue>(aSettings); });
+
+} // namespace
+
+FairQueue::FairQueue(Settings aSettings)
+  : mSettings(aSettings)
+  , mSlots(aSettings.slots)
+  , mServiceTime(std::max<Duration>(aSettings.serviceTime, Duration(1)))
+{
+}
+
+std::vector<Effect>
+FairQueue::Step(const Event& aEvent, Instant aNow)
+{
+  mNow = aNow;
+  std::visit([this](const auto& event) { On(event); }, aEvent);
+  RefuseLate();
+  Fill();
+  return std::exchange(mEffects, {});
+}
+
+void
+FairQueue::On(const Offer& aEvent)
+{
+  const auto customer = CustomerOf(aEvent);
+  if (const auto objection = Objection(aEvent, customer->second)) {
+    mEffects.emplace_back(*objection);
+    Forget(customer);
+    return;
+  }
+  Enqueue(aEvent, customer);
+}
+
+FairQueue::Customers::iterator
+FairQueue::CustomerOf(const Offer& aOffer)
+{
+  if (mCustomers.size() >= kMostRemembered) {
+    std::erase_if(mCustomers, [](const auto& customer) {
+      return customer.second.queue.empty() && customer.second.running == 0;
+    });
+  }
+  const auto [customer, isNew] = mCustomers.try_emplace(aOffer.customer);
+  customer->second.share = aOffer.share;
+  if (isNew) {
+    customer->second.tokens =
+      std::max(1.0, aOffer.share.ratePerSecond * kRateBurst);
+    customer->second.refilled = mNow;
+  }
+  return customer;
+}
+
+std::optional<Refuse>
+FairQueue::Objection(const Offer& aOffer, Customer& aCustomer)
+{
+  if (mNow + mServiceTime > aOffer.deadline && !mRunning.empty()) {
+    return Refuse{ aOffer.ticket, Code::DeadlineExceeded, Duration{} };
+  }
+  const Duration wait = ExpectedWait(aCustomer);
+  const Instant admitBy =
+    std::min(aOffer.admitBy, mNow + mSettings.maxQueueTime);
+  const bool late =
+    mNow + wait > admitBy || mNow + wait + mServiceTime > aOffer.deadline;
+  const bool full = aCustomer.queue.size() >= mSettings.maxQueuedEach;
+  // While nothing runs the estimate cannot improve, so it must not refuse: one
+  // frozen upstream that woke up would stay shut out for good.
+  const bool trusted = !mRunning.empty() || mNow < mPausedUntil;
+  if (full || (late && trusted)) {
+    return Refuse{ aOffer.ticket,
+                   Code::Overloaded,
+                   std::max(wait, kLeastRetryAfter) };
+  }
+  if (!TakeToken(aCustomer)) {
+    const double missing = 1 - aCustomer.tokens;
+    const std::chrono::duration<double> refill(missing /
+                                               aCustomer.share.ratePerSecond);
+    return Refuse{ aOffer.ticket,
+                   Code::LimitExceeded,
+                   std::chrono::duration_cast<Duration>(refill) };
+  }
+  return std::nullopt;
+}
+
+/// The wait of a request that joins the end of its customer's queue: the
+/// customer's part of the slots works off what is before it.
+Duration
+FairQueue::ExpectedWait(const Customer& aCustomer) const
+{
+  const Duration pause = std::max<Duration>(mPausedUntil - mNow, Duration{});
+  if (mRunning.size() < mSlots && mWaiting.empty()) {
+    return pause;
+  }
+  double weights = aCustomer.queue.empty() ? WeightOf(aCustomer.share) : 0;
+  for (const auto& customer : mRound) {
+    weights += WeightOf(customer->second.share);
+  }
+  const double part = WeightOf(aCustomer.share) / weights;
+  const double before = static_cast<double>(aCustomer.queue.size()) + 1;
+  // No more than everything that waits can go first.
+  const double ahead =
+    std::min(before / part, static_cast<double>(mWaiting.size()) + 1);
+  const double slots = std::max<double>(mSlots, 1);
+  return pause + Scaled(mServiceTime, ahead / slots);
+}
+
+bool
+FairQueue::TakeToken(Customer& aCustomer)
+{
+  const double rate = aCustomer.share.ratePerSecond;
+  if (rate <= 0) {
+    return true;
+  }
+  const double most = std::max(1.0, rate * kRateBurst);
+  const double earned = rate * Seconds(mNow - aCustomer.refilled);
+  aCustomer.tokens = std::min(most, aCustomer.tokens + earned);
+  aCustomer.refilled = mNow;
+  if (aCustomer.tokens < 1) {
+    return false;
+  }
+  aCustomer.tokens -= 1;
+  return true;
+}
+
+void
+FairQueue::Enqueue(const Offer& aOffer, Customers::iterator aCustomer)
+{
+  const Instant latest = std::min(
+    { aOffer.admitBy, aOffer.deadline, mNow + mSettings.maxQueueTime });
+  const auto expiry = mExpiries.emplace(latest, aOffer.ticket);
+  mWaiting.emplace(aOffer.ticket, Waiting{ aOffer, aCustomer, expiry });
+  aCustomer->second.queue.push_back(aOffer.ticket);
+  if (!aCustomer->second.turn) {
+    aCustomer->second.turn = mRound.insert(mRound.end(), aCustomer);
+  }
+}
+
+void
+FairQueue::On(const Left& aEvent)
+{
+  if (const auto running = mRunning.find(aEvent.ticket);
+      running != mRunning.end()) {
+    const auto customer = running->second;
+    mRunning.erase(running);
+    --customer->second.running;
+    customer->second.deficit += 1; // The slot was not used.
+    return Forget(customer);
+  }
+  if (mWaiting.contains(aEvent.ticket)) {
+    Remove(aEvent.ticket);
+  }
+}
+
+void
+FairQueue::On(const Finished& aEvent)
+{
+  const auto running = mRunning.find(aEvent.ticket);
+  if (running == mRunning.end()) {
+    return;
+  }
+  const auto customer = running->second;
+  mRunning.erase(running);
+  --customer->second.running;
+  Settle(customer, aEvent.serviceTime);
+  if (aEvent.ending == Ending::Succeeded) {
+    // Failures are often quick and would make a failing upstream look fast.
+    mServiceTime = Scaled(mServiceTime, 1 - kNewestShare) +
+                   Scaled(aEvent.serviceTime, kNewestShare);
+    mServiceTime = std::max(mServiceTime, Duration(1));
+  }
+  if (aEvent.ending == Ending::Shed) {
+    const Duration pause = std::min(aEvent.retryAfter, kLongestPause);
+    mPausedUntil = std::max(mPausedUntil, mNow + pause);
+  }
+  Forget(customer);
+}
+
+/// Charges what the request needed beyond the unit it was admitted for.
+void
+FairQueue::Settle(Customers::iterator aCustomer, Duration aServiceTime)
+{
+  const double units = Seconds(aServiceTime) / Seconds(mServiceTime);
+  double& deficit = aCustomer->second.deficit;
+  deficit = std::max(deficit - (units - 1), -kMostDebt);
+}
+
+void
+FairQueue::On(const Slots& aEvent)
+{
+  mSlots = aEvent.slots;
+}
+
+void
+FairQueue::On(const Tick&)
+{
+}
+
+/// Takes a waiting request out.
+void
+FairQueue::Remove(Ticket aTicket)
+{
+  const auto waiting = mWaiting.find(aTicket);
+  const auto customer = waiting->second.customer;
+  mExpiries.erase(waiting->second.expiry);
+  mWaiting.erase(waiting);
+  std::deque<Ticket>& queue = customer->second.queue;
+  if (queue.front() == aTicket) {
+    queue.pop_front();
+  } else {
+    std::erase(queue, aTicket);
+  }
+  if (queue.empty()) {
+    LeaveRound(customer);
+    Forget(customer);
+  }
+}
+
+void
+FairQueue::LeaveRound(Customers::iterator aCustomer)
+{
+  Customer& customer = aCustomer->second;
+  if (*customer.turn == mRound.begin()) {
+    mTurnPaid = false;
+  }
+  mRound.erase(*customer.turn);
+  customer.turn.reset();
+  // What it did not use is not saved up: a burst later would crowd out others.
+  customer.deficit = std::min(customer.deficit, 0.0);
+}
+
+/// Drops a customer that is idle and has nothing to pay.
+void
+FairQueue::Forget(Customers::iterator aCustomer)
+{
+  const Customer& customer = aCustomer->second;
+  const bool limited = customer.share.ratePerSecond > 0;
+  const bool idle = customer.queue.empty() && customer.running == 0;
+  if (idle && !limited && customer.deficit >= 0) {
+    mCustomers.erase(aCustomer);
+  }
+}
+
+/// Refuses what waited too long or can no longer finish in time.
+void
+FairQueue::RefuseLate()
+{
+  while (!mExpiries.empty() && mExpiries.begin()->first <= mNow) {
+    const Ticket ticket = mExpiries.begin()->second;
+    const Waiting& waiting = mWaiting.at(ticket);
+    const Duration wait = ExpectedWait(waiting.customer->second);
+    const bool dead = mNow >= waiting.offer.deadline;
+    mEffects.emplace_back(
+      Refuse{ ticket,
+              dead ? Code::DeadlineExceeded : Code::Overloaded,
+              dead ? Duration{} : std::max(wait, kLeastRetryAfter) });
+    Remove(ticket);
+  }
+}
+
+/// Gives out the free slots.
+void
+FairQueue::Fill()
+{
+  while (mRunning.size() < mSlots && mNow >= mPausedUntil) {
+    const auto customer = NextCustomer();
+    if (customer == mCustomers.end()) {
+      return;
+    }
+    AdmitFrom(customer);
+  }
+}
+
+bool
+FairQueue::MayRun(const Customer& aCustomer) const
+{
+  const uint32_t most = aCustomer.share.maxConcurrent;
+  return most == 0 || aCustomer.running < most;
+}
+
+/// @return the customer whose turn it is, or end if none may run now.
+FairQueue::Customers::iterator
+FairQueue::NextCustomer()
+{
+  const bool any = std::any_of(mRound.begin(), mRound.end(), [&](auto& turn) {
+    return MayRun(turn->second);
+  });
+  if (!any) {
+    return mCustomers.end();
+  }
+  while (true) {
+    const auto turn = mRound.front();
+    Customer& customer = turn->second;
+    if (!mTurnPaid && MayRun(customer)) {
+      customer.deficit += WeightOf(customer.share);
+      mTurnPaid = true;
+    }
+    if (MayRun(customer) && customer.deficit >= 1) {
+      return turn;
+    }
+    mRound.splice(mRound.end(), mRound, mRound.begin());
+    mTurnPaid = false;
+  }
+}
+
+void
+FairQueue::AdmitFrom(Customers::iterator aCustomer)
+{
+  Customer& customer = aCustomer->second;
+  const Ticket ticket = customer.queue.front();
+  const Instant deadline = mWaiting.at(ticket).offer.deadline;
+  if (mNow + mServiceTime > deadline && !mRunning.empty()) {
+    mEffects.emplace_back(Refuse{ ticket, Code::DeadlineExceeded, Duration{} });
+    return Remove(ticket);
+  }
+  customer.deficit -= 1;
+  ++customer.running;
+  mRunning.emplace(ticket, aCustomer);
+  mEffects.emplace_back(Admit{ ticket });
+  Remove(ticket);
+}
+
+std::optional<Instant>
+FairQueue::NextTick() const
+{
+  if (mExpiries.empty()) {
+    return std::nullopt;
+  }
+  const Instant expiry = mExpiries.begin()->first;
+  return mNow < mPausedUntil ? std::min(expiry, mPausedUntil) : expiry;
+}
+
+} // namespace rattandyke::admission
