--- /dev/null
+++ b/src/librattandyke/entry/retry_budget.cpp
@@ -0,0 +1,31 @@
+#include "entry/retry_budget.h"
+
+#include <algorithm>
+
+namespace rattandyke::entry {
+
+RetryBudget::RetryBudget(Settings aSettings)
+  : mSettings(aSettings)
+  , mTokens(aSettings.initial)
+{
+}
+
+void
+RetryBudget::OnFirstSend()
+{
+  const std::lock_guard lock(mMutex);
+  mTokens = std::min(mTokens + mSettings.share, mSettings.burst);
+}
+
+bool
+RetryBudget::TryTake()
+{
+  const std::lock_guard lock(mMutex);
+  if (mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+} // namespace rattandyke::entry
--- /dev/null
+++ b/src/librattandyke/entry/retry_budget_test.cpp
@@ -0,0 +1,27 @@
+#include "entry/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::entry {
+namespace {
+
+/// All upstreams of a service fail and every request asks to be retried. The
+/// upstreams see at most a tenth more than the callers sent, since retries are
+/// paid for by first sendings and not by time.
+TEST(RetryBudget, RetriesStayWithinTheirShare)
+{
+  RetryBudget budget({ .share = 0.1, .burst = 10, .initial = 2 });
+  int retries = 0;
+  constexpr int kRequests = 10000;
+  for (int i = 0; i < kRequests; ++i) {
+    budget.OnFirstSend();
+    while (budget.TryTake()) {
+      ++retries;
+    }
+  }
+  EXPECT_LE(retries, kRequests / 10 + 2);
+  EXPECT_GE(retries, kRequests / 10 - 1);
+}
+
+} // namespace
+} // namespace rattandyke::entry
