Decide on one request: claims, queueing, sending, retries, final answer

RequestFlow sends non-idempotent work at most once and says not-run only if that is proven: for keyed work by the register's grant, since the refusal of a resend says nothing about the first sending. The lookup is repeated when the first byte is about to be written, so that a process that stood still does not send to a former owner.

--- a/src/librattandyke/entry/outcome.h
+++ b/src/librattandyke/entry/outcome.h
@@ -1,6 +1,7 @@
 /// What a caller is told about whether its request ran.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 
 namespace rattandyke::entry {
@@ -33,4 +34,30 @@
   return "unknown";
 }
 
+/// @return whether the status means that the upstream is too busy.
+constexpr bool
+IsShed(uint32_t aStatus)
+{
+  constexpr uint32_t kTooManyRequests = 429;
+  constexpr uint32_t kServiceUnavailable = 503;
+  return aStatus == kTooManyRequests || aStatus == kServiceUnavailable;
+}
+
+/// @return whether the upstream answered with a failure of its own.
+constexpr bool
+IsServerError(uint32_t aStatus)
+{
+  constexpr uint32_t kFirst = 500;
+  return aStatus >= kFirst;
+}
+
+/// @return what a whole answer of this status says of the work, if the
+/// upstream gives no proof that it did not run.
+constexpr Outcome
+OutcomeOf(uint32_t aStatus)
+{
+  const bool failed = IsServerError(aStatus) || IsShed(aStatus);
+  return failed ? Outcome::Unknown : Outcome::Ran;
+}
+
 } // namespace rattandyke::entry
--- a/src/librattandyke/entry/request_flow.h
+++ b/src/librattandyke/entry/request_flow.h
@@ -117,12 +117,16 @@
 {
   uint32_t attempt = 0;
 };
-/// After Send: the first byte of the request is about to be handed to a
-/// socket. Must be delivered before the write, else a crash between the two
-/// would pass for proof that nothing was sent.
+/// After Send: connected, and the first byte of the request is about to be
+/// handed to a socket. Must be delivered before the write, else a crash between
+/// the two would pass for proof that nothing was sent. If the effects hold
+/// CancelSend, nothing may be written.
 struct FirstByteSent
 {
   uint32_t attempt = 0;
+  /// Made now: the process may have stood still since it was admitted, and the
+  /// key may have another owner.
+  Lookup lookup;
 };
 /// The upstream answered that it does not hold the grant of this fence and did
 /// not run the request.
@@ -157,13 +161,16 @@
 };
 /// The caller closed its connection, or its body broke off.
 struct CallerGone
-{};
+{
+  /// The whole body was read, so that the upstream can still get it.
+  bool requestWhole = false;
+};
 /// The deadline of RequestFacts came. Edge: one timer a request, set at Start.
 struct DeadlinePassed
 {};
-/// The lookup of the key gives another answer than before. Edge: deliver to
+/// The lookup of the key may give another answer than before. Edge: deliver to
 /// every request that AwaitsOwner() when a new table is in force or the table
-/// lease was lost or regained.
+/// lease was lost or regained; a lookup without news does no harm.
 struct OwnerChanged
 {
   Lookup lookup;
@@ -230,10 +237,19 @@
   UpstreamName upstream;
   uint64_t incarnation = 0;
 };
-/// The trial is over. Not survived: the connection was lost during it.
+enum class TrialEnd
+{
+  /// The upstream answered.
+  Cleared,
+  /// The connection was lost during it; ReportCrash comes too.
+  Crashed,
+  /// The request was not sent, or nothing can be concluded.
+  Unused,
+};
+/// The trial that was granted, or is still being asked for, is over.
 struct EndTrial
 {
-  bool survived = false;
+  TrialEnd end = TrialEnd::Unused;
 };
 /// Offer the request to the upstream's admission; answer with Admitted or
 /// Refused.
@@ -375,6 +391,9 @@
     uint32_t maxSendings = 3;
     /// Longest wait for the register.
     std::chrono::milliseconds claimTimeout{ 2000 };
+    /// How long after the deadline a claimed request may still end, so that
+    /// its answer is there for a resend.
+    std::chrono::milliseconds linger{ 5000 };
     /// Told to callers when nothing better is known.
     std::chrono::milliseconds retryAfter{ 1000 };
   };
@@ -398,7 +417,7 @@
   /// Nothing more will come of it; it may be destroyed.
   bool Done() const;
 
-  /// It wants OwnerChanged: it is queued, or waits for an owner.
+  /// It wants OwnerChanged: nothing is being sent yet.
   bool AwaitsOwner() const;
 
   const RequestFacts& Facts() const;
