--- a/src/upstream/announcer.cpp
+++ b/src/upstream/announcer.cpp
@@ -241,7 +241,7 @@
     const Instant now = std::chrono::steady_clock::now();
     log.LeaseExtended(book.LeaseUntil(), now);
     if (changed) {
-      log.GrantsTaken(answer->grantsVersion, now);
+      log.GrantsTaken(answer->grantsVersion, *answer->grants, now);
     }
     drained = wasDraining && !book.HoldsGrants() && book.Running() == 0 &&
               !answer->grants;
--- a/src/upstream/main.cpp
+++ b/src/upstream/main.cpp
@@ -57,8 +57,10 @@
     std::cerr << address.error().message << '\n';
     return kFailedExitCode;
   }
-  (*log)->Started(
-    aOptions.name.value, incarnation, std::chrono::steady_clock::now());
+  (*log)->Started(aOptions.service.value,
+                  aOptions.name.value,
+                  incarnation,
+                  std::chrono::steady_clock::now());
   Announcer announcer(context.get_executor(),
                       aOptions,
                       modes,
--- a/src/upstream/run_log.cpp
+++ b/src/upstream/run_log.cpp
@@ -36,6 +36,24 @@
   aLine["sender"] = aRequest.sender;
 }
 
+/// Lists grants as [first, last, fence] and [key, fence].
+struct GrantLister
+{
+  boost::json::array& slots;
+  boost::json::array& keys;
+
+  void operator()(const SlotGrant& aGrant) const
+  {
+    slots.push_back(
+      { aGrant.first.value, aGrant.last.value, aGrant.fence.value });
+  }
+
+  void operator()(const KeyGrant& aGrant) const
+  {
+    keys.push_back({ aGrant.key, aGrant.fence.value });
+  }
+};
+
 } // namespace
 
 Result<std::unique_ptr<RunLog>>
@@ -67,9 +85,13 @@
 }
 
 void
-RunLog::Started(std::string_view aUpstream, uint64_t aIncarnation, Instant aNow)
+RunLog::Started(std::string_view aService,
+                std::string_view aUpstream,
+                uint64_t aIncarnation,
+                Instant aNow)
 {
   auto line = Line("up", aNow);
+  line["service"] = aService;
   line["upstream"] = aUpstream;
   line["incarnation"] = aIncarnation;
   Append(boost::json::serialize(line));
@@ -111,10 +133,19 @@
 }
 
 void
-RunLog::GrantsTaken(uint64_t aVersion, Instant aNow)
+RunLog::GrantsTaken(uint64_t aVersion,
+                    const std::vector<Grant>& aGrants,
+                    Instant aNow)
 {
+  boost::json::array slots;
+  boost::json::array keys;
+  for (const Grant& grant : aGrants) {
+    std::visit(GrantLister{ slots, keys }, grant);
+  }
   auto line = Line("grants", aNow);
   line["version"] = aVersion;
+  line["slots"] = std::move(slots);
+  line["keys"] = std::move(keys);
   Append(boost::json::serialize(line));
 }
 
--- a/src/upstream/run_log.h
+++ b/src/upstream/run_log.h
@@ -8,6 +8,8 @@
 #include <rattandyke/result.h>
 #include <rattandyke/types.h>
 
+#include "upstream/grant_book.h"
+
 namespace rattandyke::upstream {
 
 /// Everything that the record keeps of one request.
@@ -41,7 +43,10 @@
   static Result<std::unique_ptr<RunLog>> Open(const std::string& aPath);
   ~RunLog();
 
-  void Started(std::string_view aUpstream, uint64_t aIncarnation, Instant aNow);
+  void Started(std::string_view aService,
+               std::string_view aUpstream,
+               uint64_t aIncarnation,
+               Instant aNow);
   /// Written before the run begins.
   void RunStarted(uint64_t aRun, const RunRequest& aRequest, Instant aNow);
   /// @param aHow "answered", "cancelled", "lease-over" or "cut".
@@ -49,7 +54,10 @@
   /// A request was refused, and did not run.
   void Refused(const RunRequest& aRequest, std::string_view aWhy, Instant aNow);
   void LeaseExtended(Instant aUntil, Instant aNow);
-  void GrantsTaken(uint64_t aVersion, Instant aNow);
+  /// From now on these grants are the only ones.
+  void GrantsTaken(uint64_t aVersion,
+                   const std::vector<Grant>& aGrants,
+                   Instant aNow);
 
 private:
   explicit RunLog(int aFile);
