--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/endpoint.h"
 #include "log/log.h"
 
 namespace rattandyke::admin {
@@ -310,7 +311,7 @@
   }
   if (error) {
     return Fail(Code::AddressInUse,
-                "admin " + config::ToText(listen) + ": " + error.message());
+                "admin " + ToString(listen) + ": " + error.message());
   }
   mImpl->Accept();
   return Endpoint{ listen.address, acceptor.local_endpoint().port() };
--- a/src/librattandyke/config/settings.cpp
+++ b/src/librattandyke/config/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 
+#include "base/endpoint.h"
 #include "config/ini.h"
 #include "config/table.h"
 
@@ -162,18 +163,11 @@
   {
     const LeaseSettings& leases = mSettings.leases;
     CheckBelow("leases", "heartbeat", leases.heartbeat, leases.hostLease);
-    CheckBelow(
-      "leases", "announce_every", leases.announceEvery, leases.upstreamLease);
-    CheckBelow("control",
-               "leader_heartbeat",
-               mSettings.control.leaderHeartbeat,
-               mSettings.control.electionTimeout);
-    if (leases.announceHold > leases.announceEvery) {
-      RejectKey("leases",
-                "announce_hold",
-                std::to_string(leases.announceHold.count()),
-                "at most announce_every");
-    }
+    CheckBelow("leases",
+               "announce_interval",
+               leases.announceInterval,
+               leases.upstreamLease);
+    CheckBelow("leases", "heartbeat", leases.heartbeat, leases.leaderTimeout);
   }
 
   // Safeguard: a lease that one lost message ends would lapse without a fault;
@@ -204,13 +198,13 @@
     if (keys == 0 && !IsLoopback(mSettings.listen.peers)) {
       RejectKey("listen",
                 "peers",
-                ToText(mSettings.listen.peers),
+                ToString(mSettings.listen.peers),
                 "loopback, or any address with keys in [curve]");
     }
     if (mSettings.tokens.empty() && !IsLoopback(mSettings.listen.admin)) {
       RejectKey("listen",
                 "admin",
-                ToText(mSettings.listen.admin),
+                ToString(mSettings.listen.admin),
                 "loopback, or any address with [tokens]");
     }
   }
--- a/src/librattandyke/config/settings.h
+++ b/src/librattandyke/config/settings.h
@@ -47,14 +47,20 @@
   uint64_t workers = 0;
   uint64_t headerBytes = 0;
   uint64_t bodyBytes = 0;
+  uint64_t replayBytes = 0;
+  uint64_t storedAnswerBytes = 0;
   uint64_t adminBodyBytes = 0;
   uint64_t connections = 0;
-  uint64_t connectionsPerPeer = 0;
+  uint64_t adminConnections = 0;
+  uint64_t adminConnectionsPerPeer = 0;
+  uint64_t idlePerUpstream = 0;
   Millis readTimeout{};
-  Millis writeTimeout{};
+  Millis stallTimeout{};
+  Millis answerStallTimeout{};
   Millis idleTimeout{};
   Millis connectTimeout{};
   Millis callTimeout{};
+  Millis drainNotice{};
   Millis shutdownGrace{};
 };
 
@@ -64,8 +70,8 @@
   Millis heartbeat{};
   Millis hostLease{};
   Millis upstreamLease{};
-  Millis announceEvery{};
-  Millis announceHold{};
+  Millis announceInterval{};
+  Millis leaderTimeout{};
 };
 
 struct ControlSettings
@@ -73,8 +79,6 @@
   /// Names of the hosts that vote in the replicated log.
   std::vector<HostName> hosts;
   Millis electionTimeout{};
-  Millis leaderHeartbeat{};
-  uint64_t snapshotEntries = 0;
 };
 
 struct LogSettings
@@ -140,13 +144,6 @@
 /// working directory.
 Result<Settings> LoadSettings(const std::filesystem::path& aFile);
 
-/// @param aText "IP:PORT" or "[IPV6]:PORT".
-/// @return nothing if it is not an address by number.
-std::optional<Endpoint> ParseEndpoint(std::string_view aText);
-
-/// @return "IP:PORT", with brackets around IPv6.
-std::string ToText(const Endpoint& aEndpoint);
-
 /// @return whether the address is of the loopback network.
 bool IsLoopback(const Endpoint& aEndpoint);
 
--- a/src/librattandyke/config/values.cpp
+++ b/src/librattandyke/config/values.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "base/endpoint.h"
 #include "config/ini.h"
 #include "config/table.h"
 
@@ -101,7 +102,7 @@
 
   bool operator()(const AddressKind& aKind) const
   {
-    const std::optional<Endpoint> endpoint = ParseEndpoint(value);
+    const Result<Endpoint> endpoint = ParseEndpoint(value);
     if (endpoint) {
       aKind.field(settings) = *endpoint;
     }
@@ -174,7 +175,7 @@
 
   bool operator()(const HostsKind&) const
   {
-    const std::optional<Endpoint> endpoint = ParseEndpoint(value);
+    const Result<Endpoint> endpoint = ParseEndpoint(value);
     if (!IsName(key) || !endpoint || endpoint->port == 0) {
       return false;
     }
@@ -275,37 +276,6 @@
   return std::visit(Assigner{ aKey, aValue, aSettings }, aSetting.kind);
 }
 
-std::optional<Endpoint>
-ParseEndpoint(std::string_view aText)
-{
-  const size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::string_view host = aText.substr(0, colon);
-  const bool bracketed = host.size() > 2 && host.front() == '[';
-  if (bracketed && host.back() != ']') {
-    return std::nullopt;
-  }
-  host = bracketed ? host.substr(1, host.size() - 2) : host;
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(std::string(host), error);
-  const auto port = ParseNumber<uint16_t>(aText.substr(colon + 1));
-  if (error || !port || address.is_v6() != bracketed) {
-    return std::nullopt;
-  }
-  return Endpoint{ address.to_string(), *port };
-}
-
-std::string
-ToText(const Endpoint& aEndpoint)
-{
-  const bool v6 = aEndpoint.address.find(':') != std::string::npos;
-  const std::string host =
-    v6 ? "[" + aEndpoint.address + "]" : aEndpoint.address;
-  return host + ":" + std::to_string(aEndpoint.port);
-}
-
 bool
 IsLoopback(const Endpoint& aEndpoint)
 {
