Refuse at once while an upstream gives no slot back

An upstream that announces itself but answers nothing kept each request for the whole queue time before the same refusal. The time since a slot last came free now counts as the expected service time.

--- a/src/fair.admission/fair_queue.cpp
+++ b/src/fair.admission/fair_queue.cpp
@@ -143,7 +143,17 @@
   const double ahead =
     std::min(before / part, static_cast<double>(mWaiting.size()) + 1);
   const double slots = std::max<double>(mSlots, 1);
-  return pause + Scaled(mServiceTime, ahead / slots);
+  return pause + Scaled(std::max(mServiceTime, Stall()), ahead / slots);
+}
+
+/// How long every slot has been busy without one coming free. An upstream that
+/// answers nothing any more, but still announces itself, would otherwise keep
+/// each request waiting in vain for the whole queue time; what has taken so
+/// long will likely take as long again.
+Duration
+FairQueue::Stall() const
+{
+  return mRunning.size() < mSlots ? Duration{} : mNow - mLastProgress;
 }
 
 bool
@@ -203,6 +213,7 @@
   const auto customer = running->second;
   mRunning.erase(running);
   --customer->second.running;
+  mLastProgress = mNow;
   Settle(customer, aEvent.serviceTime);
   if (aEvent.ending == Ending::Succeeded) {
     // Failures are often quick and would make a failing upstream look fast.
@@ -356,6 +367,7 @@
   }
   customer.deficit -= 1;
   ++customer.running;
+  mLastProgress = mNow;
   mRunning.emplace(ticket, aCustomer);
   mEffects.emplace_back(Admit{ ticket });
   Remove(ticket);
--- a/src/fair.admission/fair_queue.h
+++ b/src/fair.admission/fair_queue.h
@@ -67,6 +67,7 @@
   Customers::iterator CustomerOf(const Offer& aOffer);
   std::optional<Refuse> Objection(const Offer& aOffer, Customer& aCustomer);
   Duration ExpectedWait(const Customer& aCustomer) const;
+  Duration Stall() const;
   bool TakeToken(Customer& aCustomer);
   void Enqueue(const Offer& aOffer, Customers::iterator aCustomer);
   void Remove(Ticket aTicket);
@@ -92,6 +93,8 @@
   bool mTurnPaid = false;
   /// Mean of what requests needed, weighted towards the newest.
   Duration mServiceTime;
+  /// When a request was last admitted or finished.
+  Instant mLastProgress{};
   /// The upstream asked for a pause until then.
   Instant mPausedUntil{};
 };
--- a/src/fair.admission/fair_queue_test.cpp
+++ b/src/fair.admission/fair_queue_test.cpp
@@ -119,6 +119,21 @@
   EXPECT_EQ(Admitted(queue.Step(OfferOf(1, "one"), kStart)).size(), 1u);
 }
 
+/// The upstream froze a second ago with both slots taken. A caller that comes
+/// now is refused at once: with nothing coming back, its second in the queue
+/// would only be lost before the same answer.
+TEST(FairQueue, RefusesAtOnceWhileNothingComesBack)
+{
+  FairQueue queue({ .slots = 2 });
+  queue.Step(OfferOf(1, "one"), kStart);
+  queue.Step(OfferOf(2, "two"), kStart);
+  EXPECT_TRUE(queue.Step(OfferOf(3, "one"), kStart + 10ms).empty());
+  const Instant later = kStart + 2100ms;
+  const auto effects = queue.Step(OfferOf(4, "two", later), later);
+  ASSERT_FALSE(effects.empty());
+  EXPECT_EQ(std::get<Refuse>(effects[0]).ticket.value, 4u);
+}
+
 /// The upstream sheds and asks for 200 ms. Callers that can wait are queued;
 /// nothing reaches the upstream before, and the first goes out when it is over.
 TEST(FairQueue, HonoursRetryAfterOfTheUpstream)
