--- a/src/librattandyke/wire/control.pb.cpp
+++ b/src/librattandyke/wire/control.pb.cpp
@@ -37,20 +37,6 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CommandDefaultTypeInternal _Command_default_instance_;
-PROTOBUF_CONSTEXPR LeaderBegan::LeaderBegan(
-    ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.leader_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.term_)*/uint64_t{0u}
-  , /*decltype(_impl_._cached_size_)*/{}} {}
-struct LeaderBeganDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR LeaderBeganDefaultTypeInternal()
-      : _instance(::_pbi::ConstantInitialized{}) {}
-  ~LeaderBeganDefaultTypeInternal() {}
-  union {
-    LeaderBegan _instance;
-  };
-};
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 LeaderBeganDefaultTypeInternal _LeaderBegan_default_instance_;
 PROTOBUF_CONSTEXPR UpstreamRegistration::UpstreamRegistration(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.home_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -240,6 +226,8 @@
   , /*decltype(_impl_.version_)*/uint64_t{0u}
   , /*decltype(_impl_.oldest_version_)*/uint64_t{0u}
   , /*decltype(_impl_.now_unix_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.forgot_unix_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.records_changed_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct StateSnapshotDefaultTypeInternal {
   PROTOBUF_CONSTEXPR StateSnapshotDefaultTypeInternal()
@@ -387,7 +375,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashSnapshotDefaultTypeInternal _CrashSnapshot_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_control_2eproto[23];
+static ::_pb::Metadata file_level_metadata_control_2eproto[22];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_control_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_control_2eproto = nullptr;
 
@@ -412,17 +400,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
-  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Command, _impl_.body_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LeaderBegan, _internal_metadata_),
-  ~0u,  // no _extensions_
-  ~0u,  // no _oneof_case_
-  ~0u,  // no _weak_field_map_
-  ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LeaderBegan, _impl_.term_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LeaderBegan, _impl_.leader_),
-  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRegistration, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -543,6 +522,8 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.claims_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.bans_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.crashes_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.forgot_unix_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.records_changed_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -632,33 +613,31 @@
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::rattandyke::wire::Command)},
-  { 22, -1, -1, sizeof(::rattandyke::wire::LeaderBegan)},
-  { 30, -1, -1, sizeof(::rattandyke::wire::UpstreamRegistration)},
-  { 39, -1, -1, sizeof(::rattandyke::wire::RegisterUpstreams)},
-  { 46, -1, -1, sizeof(::rattandyke::wire::UpstreamRef)},
-  { 56, -1, -1, sizeof(::rattandyke::wire::SetUpstreamState)},
-  { 64, -1, -1, sizeof(::rattandyke::wire::DrainUpstream)},
-  { 74, -1, -1, sizeof(::rattandyke::wire::SlotFence)},
-  { 83, -1, -1, sizeof(::rattandyke::wire::ReleaseSlots)},
-  { 92, -1, -1, sizeof(::rattandyke::wire::SlotGrant)},
-  { 102, -1, -1, sizeof(::rattandyke::wire::GrantSlots)},
-  { 110, -1, -1, sizeof(::rattandyke::wire::RemoveHotKeys)},
-  { 118, -1, -1, sizeof(::rattandyke::wire::TakeClaim)},
-  { 128, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
-  { 136, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
-  { 151, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
-  { 159, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
-  { 168, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
-  { 178, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
-  { 192, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
-  { 207, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
-  { 218, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
-  { 226, -1, -1, sizeof(::rattandyke::wire::CrashSnapshot)},
+  { 21, -1, -1, sizeof(::rattandyke::wire::UpstreamRegistration)},
+  { 30, -1, -1, sizeof(::rattandyke::wire::RegisterUpstreams)},
+  { 37, -1, -1, sizeof(::rattandyke::wire::UpstreamRef)},
+  { 47, -1, -1, sizeof(::rattandyke::wire::SetUpstreamState)},
+  { 55, -1, -1, sizeof(::rattandyke::wire::DrainUpstream)},
+  { 65, -1, -1, sizeof(::rattandyke::wire::SlotFence)},
+  { 74, -1, -1, sizeof(::rattandyke::wire::ReleaseSlots)},
+  { 83, -1, -1, sizeof(::rattandyke::wire::SlotGrant)},
+  { 93, -1, -1, sizeof(::rattandyke::wire::GrantSlots)},
+  { 101, -1, -1, sizeof(::rattandyke::wire::RemoveHotKeys)},
+  { 109, -1, -1, sizeof(::rattandyke::wire::TakeClaim)},
+  { 119, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
+  { 127, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
+  { 144, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
+  { 152, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
+  { 161, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
+  { 171, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
+  { 185, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
+  { 200, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
+  { 211, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
+  { 219, -1, -1, sizeof(::rattandyke::wire::CrashSnapshot)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
   &::rattandyke::wire::_Command_default_instance_._instance,
-  &::rattandyke::wire::_LeaderBegan_default_instance_._instance,
   &::rattandyke::wire::_UpstreamRegistration_default_instance_._instance,
   &::rattandyke::wire::_RegisterUpstreams_default_instance_._instance,
   &::rattandyke::wire::_UpstreamRef_default_instance_._instance,
@@ -684,106 +663,105 @@
 
 const char descriptor_table_protodef_control_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\rcontrol.proto\022\017rattandyke.wire\032\npeer.p"
-  "roto\032\013table.proto\"\304\006\n\007Command\022\030\n\020propose"
-  "d_unix_ms\030\001 \001(\004\0224\n\014leader_began\030\t \001(\0132\034."
-  "rattandyke.wire.LeaderBeganH\000\022:\n\rsubmit_"
-  "record\030\n \001(\0132!.rattandyke.wire.SubmitRec"
-  "ordCallH\000\022@\n\022register_upstreams\030\013 \001(\0132\"."
-  "rattandyke.wire.RegisterUpstreamsH\000\022\?\n\022s"
-  "et_upstream_state\030\014 \001(\0132!.rattandyke.wir"
-  "e.SetUpstreamStateH\000\0228\n\016drain_upstream\030\r"
-  " \001(\0132\036.rattandyke.wire.DrainUpstreamH\000\0226"
-  "\n\rrelease_slots\030\016 \001(\0132\035.rattandyke.wire."
-  "ReleaseSlotsH\000\0222\n\013grant_slots\030\017 \001(\0132\033.ra"
-  "ttandyke.wire.GrantSlotsH\000\0229\n\017remove_hot"
-  "_keys\030\020 \001(\0132\036.rattandyke.wire.RemoveHotK"
-  "eysH\000\0220\n\ntake_claim\030\021 \001(\0132\032.rattandyke.w"
-  "ire.TakeClaimH\000\022<\n\016complete_claim\030\022 \001(\0132"
-  "\".rattandyke.wire.CompleteClaimCallH\000\022:\n"
-  "\rrelease_claim\030\023 \001(\0132!.rattandyke.wire.R"
-  "eleaseClaimCallH\000\0226\n\rorphan_claims\030\024 \001(\013"
-  "2\035.rattandyke.wire.OrphanClaimsH\000\022#\n\003ban"
-  "\030\025 \001(\0132\024.rattandyke.wire.BanH\000\0228\n\014crash_"
-  "report\030\026 \001(\0132 .rattandyke.wire.CrashRepo"
-  "rtCallH\000B\006\n\004body\"+\n\013LeaderBegan\022\014\n\004term\030"
-  "\001 \001(\004\022\016\n\006leader\030\002 \001(\t\"h\n\024UpstreamRegistr"
-  "ation\022,\n\tannounced\030\001 \001(\0132\031.rattandyke.wi"
-  "re.Upstream\022\014\n\004home\030\002 \001(\t\022\024\n\014home_sessio"
-  "n\030\003 \001(\004\"Q\n\021RegisterUpstreams\022<\n\rregistra"
-  "tions\030\001 \003(\0132%.rattandyke.wire.UpstreamRe"
-  "gistration\"a\n\013UpstreamRef\022\017\n\007service\030\001 \001"
-  "(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001("
-  "\004\022\032\n\022registered_version\030\004 \001(\004\"r\n\020SetUpst"
-  "reamState\022-\n\005state\030\001 \001(\0162\036.rattandyke.wi"
-  "re.UpstreamState\022/\n\tupstreams\030\002 \003(\0132\034.ra"
-  "ttandyke.wire.UpstreamRef\"V\n\rDrainUpstre"
-  "am\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n"
-  "\005drain\030\003 \001(\010\022\023\n\013by_operator\030\004 \001(\010\"5\n\tSlo"
-  "tFence\022\014\n\004slot\030\001 \001(\r\022\013\n\003key\030\002 \001(\t\022\r\n\005fen"
-  "ce\030\003 \001(\004\"w\n\014ReleaseSlots\022\017\n\007service\030\001 \001("
-  "\t\022)\n\005slots\030\002 \003(\0132\032.rattandyke.wire.SlotF"
-  "ence\022+\n\006reason\030\003 \001(\0162\033.rattandyke.wire.M"
-  "oveReason\"\215\001\n\tSlotGrant\022,\n\010released\030\001 \001("
-  "\0132\032.rattandyke.wire.SlotFence\022\020\n\010upstrea"
-  "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022+\n\006reason\030\004"
-  " \001(\0162\033.rattandyke.wire.MoveReason\"I\n\nGra"
-  "ntSlots\022\017\n\007service\030\001 \001(\t\022*\n\006grants\030\002 \003(\013"
-  "2\032.rattandyke.wire.SlotGrant\"J\n\rRemoveHo"
-  "tKeys\022\017\n\007service\030\001 \001(\t\022(\n\004keys\030\002 \003(\0132\032.r"
-  "attandyke.wire.SlotFence\"e\n\tTakeClaim\022(\n"
-  "\004call\030\001 \001(\0132\032.rattandyke.wire.ClaimCall\022"
-  "\014\n\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022\017\n\007call_i"
-  "d\030\004 \001(\004\"-\n\014OrphanClaims\022\014\n\004host\030\001 \001(\t\022\017\n"
-  "\007session\030\002 \001(\004\"\372\002\n\rStateSnapshot\022\017\n\007vers"
-  "ion\030\001 \001(\004\022\026\n\016oldest_version\030\002 \001(\004\022\023\n\013now"
-  "_unix_ms\030\003 \001(\004\0220\n\007records\030\004 \003(\0132\037.rattan"
-  "dyke.wire.RecordSnapshot\0228\n\013submissions\030"
-  "\005 \003(\0132#.rattandyke.wire.SubmissionSnapsh"
-  "ot\0222\n\010services\030\006 \003(\0132 .rattandyke.wire.S"
-  "erviceSnapshot\022.\n\006claims\030\007 \003(\0132\036.rattand"
-  "yke.wire.ClaimSnapshot\022*\n\004bans\030\010 \003(\0132\034.r"
-  "attandyke.wire.BanSnapshot\022/\n\007crashes\030\t "
-  "\003(\0132\036.rattandyke.wire.CrashSnapshot\"d\n\016R"
-  "ecordSnapshot\022\'\n\006newest\030\001 \001(\0132\027.rattandy"
-  "ke.wire.Record\022)\n\010in_force\030\002 \001(\0132\027.ratta"
-  "ndyke.wire.Record\"e\n\022SubmissionSnapshot\022"
-  "\025\n\rsubmission_id\030\001 \001(\t\022\r\n\005index\030\002 \001(\004\022)\n"
-  "\005reply\030\003 \001(\0132\032.rattandyke.wire.CallReply"
-  "\"\275\001\n\017ServiceSnapshot\022\017\n\007service\030\001 \001(\t\0224\n"
-  "\tupstreams\030\002 \003(\0132!.rattandyke.wire.Upstr"
-  "eamSnapshot\022/\n\005slots\030\003 \003(\0132 .rattandyke."
-  "wire.HoldingSnapshot\0222\n\010hot_keys\030\004 \003(\0132 "
-  ".rattandyke.wire.HoldingSnapshot\"\335\001\n\020Ups"
-  "treamSnapshot\022+\n\010upstream\030\001 \001(\0132\031.rattan"
-  "dyke.wire.Upstream\022\024\n\014home_session\030\002 \001(\004"
-  "\022\022\n\nmoved_home\030\003 \001(\010\022\033\n\023drained_by_opera"
-  "tor\030\004 \001(\010\022\032\n\022draining_announced\030\005 \001(\010\022\022\n"
-  "\nsuperseded\030\006 \003(\004\022\017\n\007changed\030\007 \001(\004\022\024\n\014lo"
-  "st_unix_ms\030\010 \001(\004\"\322\001\n\017HoldingSnapshot\022\013\n\003"
-  "key\030\001 \001(\t\022\r\n\005owner\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022"
-  "\020\n\010previous\030\004 \001(\r\022\034\n\024previous_incarnatio"
-  "n\030\005 \001(\004\022+\n\006reason\030\006 \001(\0162\033.rattandyke.wir"
-  "e.MoveReason\022\025\n\rsince_unix_ms\030\007 \001(\004\022\017\n\007c"
-  "hanged\030\010 \001(\004\022\017\n\007removed\030\t \001(\010\"\274\001\n\rClaimS"
-  "napshot\022(\n\004take\030\001 \001(\0132\032.rattandyke.wire."
-  "TakeClaim\022\r\n\005claim\030\002 \001(\004\022*\n\005state\030\003 \001(\0162"
-  "\033.rattandyke.wire.ClaimState\022-\n\006answer\030\004"
-  " \001(\0132\035.rattandyke.wire.StoredAnswer\022\027\n\017e"
-  "xpires_unix_ms\030\005 \001(\004\"A\n\013BanSnapshot\022!\n\003b"
-  "an\030\001 \001(\0132\024.rattandyke.wire.Ban\022\017\n\007change"
-  "d\030\002 \001(\004\"t\n\rCrashSnapshot\022\017\n\007service\030\001 \001("
-  "\t\022\023\n\013fingerprint\030\002 \001(\t\022\021\n\tupstreams\030\003 \003("
-  "\t\022\021\n\tsuspicion\030\004 \001(\001\022\027\n\017expires_unix_ms\030"
-  "\005 \001(\004*\346\001\n\nMoveReason\022\033\n\027MOVE_REASON_UNSP"
-  "ECIFIED\020\000\022\033\n\027MOVE_REASON_FIRST_OWNER\020\001\022\032"
-  "\n\026MOVE_REASON_OWNER_LOST\020\002\022\036\n\032MOVE_REASO"
-  "N_OWNER_DRAINING\020\003\022\027\n\023MOVE_REASON_BALANC"
-  "E\020\004\022\024\n\020MOVE_REASON_LOAD\020\005\022\027\n\023MOVE_REASON"
-  "_HOT_KEY\020\006\022\032\n\026MOVE_REASON_TAKEN_BACK\020\007*\213"
-  "\001\n\nClaimState\022\033\n\027CLAIM_STATE_UNSPECIFIED"
-  "\020\000\022\027\n\023CLAIM_STATE_RUNNING\020\001\022\024\n\020CLAIM_STA"
-  "TE_DONE\020\002\022\027\n\023CLAIM_STATE_UNKNOWN\020\003\022\030\n\024CL"
-  "AIM_STATE_RELEASED\020\004b\006proto3"
+  "roto\032\013table.proto\"\216\006\n\007Command\022\030\n\020propose"
+  "d_unix_ms\030\001 \001(\004\022:\n\rsubmit_record\030\n \001(\0132!"
+  ".rattandyke.wire.SubmitRecordCallH\000\022@\n\022r"
+  "egister_upstreams\030\013 \001(\0132\".rattandyke.wir"
+  "e.RegisterUpstreamsH\000\022\?\n\022set_upstream_st"
+  "ate\030\014 \001(\0132!.rattandyke.wire.SetUpstreamS"
+  "tateH\000\0228\n\016drain_upstream\030\r \001(\0132\036.rattand"
+  "yke.wire.DrainUpstreamH\000\0226\n\rrelease_slot"
+  "s\030\016 \001(\0132\035.rattandyke.wire.ReleaseSlotsH\000"
+  "\0222\n\013grant_slots\030\017 \001(\0132\033.rattandyke.wire."
+  "GrantSlotsH\000\0229\n\017remove_hot_keys\030\020 \001(\0132\036."
+  "rattandyke.wire.RemoveHotKeysH\000\0220\n\ntake_"
+  "claim\030\021 \001(\0132\032.rattandyke.wire.TakeClaimH"
+  "\000\022<\n\016complete_claim\030\022 \001(\0132\".rattandyke.w"
+  "ire.CompleteClaimCallH\000\022:\n\rrelease_claim"
+  "\030\023 \001(\0132!.rattandyke.wire.ReleaseClaimCal"
+  "lH\000\0226\n\rorphan_claims\030\024 \001(\0132\035.rattandyke."
+  "wire.OrphanClaimsH\000\022#\n\003ban\030\025 \001(\0132\024.ratta"
+  "ndyke.wire.BanH\000\0228\n\014crash_report\030\026 \001(\0132 "
+  ".rattandyke.wire.CrashReportCallH\000B\006\n\004bo"
+  "dy\"h\n\024UpstreamRegistration\022,\n\tannounced\030"
+  "\001 \001(\0132\031.rattandyke.wire.Upstream\022\014\n\004home"
+  "\030\002 \001(\t\022\024\n\014home_session\030\003 \001(\004\"Q\n\021Register"
+  "Upstreams\022<\n\rregistrations\030\001 \003(\0132%.ratta"
+  "ndyke.wire.UpstreamRegistration\"a\n\013Upstr"
+  "eamRef\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001("
+  "\t\022\023\n\013incarnation\030\003 \001(\004\022\032\n\022registered_ver"
+  "sion\030\004 \001(\004\"r\n\020SetUpstreamState\022-\n\005state\030"
+  "\001 \001(\0162\036.rattandyke.wire.UpstreamState\022/\n"
+  "\tupstreams\030\002 \003(\0132\034.rattandyke.wire.Upstr"
+  "eamRef\"V\n\rDrainUpstream\022\017\n\007service\030\001 \001(\t"
+  "\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\022\023\n\013by_"
+  "operator\030\004 \001(\010\"5\n\tSlotFence\022\014\n\004slot\030\001 \001("
+  "\r\022\013\n\003key\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\"w\n\014Release"
+  "Slots\022\017\n\007service\030\001 \001(\t\022)\n\005slots\030\002 \003(\0132\032."
+  "rattandyke.wire.SlotFence\022+\n\006reason\030\003 \001("
+  "\0162\033.rattandyke.wire.MoveReason\"\215\001\n\tSlotG"
+  "rant\022,\n\010released\030\001 \001(\0132\032.rattandyke.wire"
+  ".SlotFence\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnat"
+  "ion\030\003 \001(\004\022+\n\006reason\030\004 \001(\0162\033.rattandyke.w"
+  "ire.MoveReason\"I\n\nGrantSlots\022\017\n\007service\030"
+  "\001 \001(\t\022*\n\006grants\030\002 \003(\0132\032.rattandyke.wire."
+  "SlotGrant\"J\n\rRemoveHotKeys\022\017\n\007service\030\001 "
+  "\001(\t\022(\n\004keys\030\002 \003(\0132\032.rattandyke.wire.Slot"
+  "Fence\"e\n\tTakeClaim\022(\n\004call\030\001 \001(\0132\032.ratta"
+  "ndyke.wire.ClaimCall\022\014\n\004host\030\002 \001(\t\022\017\n\007se"
+  "ssion\030\003 \001(\004\022\017\n\007call_id\030\004 \001(\004\"-\n\014OrphanCl"
+  "aims\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\"\253\003\n\r"
+  "StateSnapshot\022\017\n\007version\030\001 \001(\004\022\026\n\016oldest"
+  "_version\030\002 \001(\004\022\023\n\013now_unix_ms\030\003 \001(\004\0220\n\007r"
+  "ecords\030\004 \003(\0132\037.rattandyke.wire.RecordSna"
+  "pshot\0228\n\013submissions\030\005 \003(\0132#.rattandyke."
+  "wire.SubmissionSnapshot\0222\n\010services\030\006 \003("
+  "\0132 .rattandyke.wire.ServiceSnapshot\022.\n\006c"
+  "laims\030\007 \003(\0132\036.rattandyke.wire.ClaimSnaps"
+  "hot\022*\n\004bans\030\010 \003(\0132\034.rattandyke.wire.BanS"
+  "napshot\022/\n\007crashes\030\t \003(\0132\036.rattandyke.wi"
+  "re.CrashSnapshot\022\026\n\016forgot_unix_ms\030\n \001(\004"
+  "\022\027\n\017records_changed\030\013 \001(\004\"d\n\016RecordSnaps"
+  "hot\022\'\n\006newest\030\001 \001(\0132\027.rattandyke.wire.Re"
+  "cord\022)\n\010in_force\030\002 \001(\0132\027.rattandyke.wire"
+  ".Record\"e\n\022SubmissionSnapshot\022\025\n\rsubmiss"
+  "ion_id\030\001 \001(\t\022\r\n\005index\030\002 \001(\004\022)\n\005reply\030\003 \001"
+  "(\0132\032.rattandyke.wire.CallReply\"\275\001\n\017Servi"
+  "ceSnapshot\022\017\n\007service\030\001 \001(\t\0224\n\tupstreams"
+  "\030\002 \003(\0132!.rattandyke.wire.UpstreamSnapsho"
+  "t\022/\n\005slots\030\003 \003(\0132 .rattandyke.wire.Holdi"
+  "ngSnapshot\0222\n\010hot_keys\030\004 \003(\0132 .rattandyk"
+  "e.wire.HoldingSnapshot\"\335\001\n\020UpstreamSnaps"
+  "hot\022+\n\010upstream\030\001 \001(\0132\031.rattandyke.wire."
+  "Upstream\022\024\n\014home_session\030\002 \001(\004\022\022\n\nmoved_"
+  "home\030\003 \001(\010\022\033\n\023drained_by_operator\030\004 \001(\010\022"
+  "\032\n\022draining_announced\030\005 \001(\010\022\022\n\nsupersede"
+  "d\030\006 \003(\004\022\017\n\007changed\030\007 \001(\004\022\024\n\014lost_unix_ms"
+  "\030\010 \001(\004\"\322\001\n\017HoldingSnapshot\022\013\n\003key\030\001 \001(\t\022"
+  "\r\n\005owner\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010previou"
+  "s\030\004 \001(\r\022\034\n\024previous_incarnation\030\005 \001(\004\022+\n"
+  "\006reason\030\006 \001(\0162\033.rattandyke.wire.MoveReas"
+  "on\022\025\n\rsince_unix_ms\030\007 \001(\004\022\017\n\007changed\030\010 \001"
+  "(\004\022\017\n\007removed\030\t \001(\010\"\274\001\n\rClaimSnapshot\022(\n"
+  "\004take\030\001 \001(\0132\032.rattandyke.wire.TakeClaim\022"
+  "\r\n\005claim\030\002 \001(\004\022*\n\005state\030\003 \001(\0162\033.rattandy"
+  "ke.wire.ClaimState\022-\n\006answer\030\004 \001(\0132\035.rat"
+  "tandyke.wire.StoredAnswer\022\027\n\017expires_uni"
+  "x_ms\030\005 \001(\004\"A\n\013BanSnapshot\022!\n\003ban\030\001 \001(\0132\024"
+  ".rattandyke.wire.Ban\022\017\n\007changed\030\002 \001(\004\"t\n"
+  "\rCrashSnapshot\022\017\n\007service\030\001 \001(\t\022\023\n\013finge"
+  "rprint\030\002 \001(\t\022\021\n\tupstreams\030\003 \003(\t\022\021\n\tsuspi"
+  "cion\030\004 \001(\001\022\027\n\017expires_unix_ms\030\005 \001(\004*\346\001\n\n"
+  "MoveReason\022\033\n\027MOVE_REASON_UNSPECIFIED\020\000\022"
+  "\033\n\027MOVE_REASON_FIRST_OWNER\020\001\022\032\n\026MOVE_REA"
+  "SON_OWNER_LOST\020\002\022\036\n\032MOVE_REASON_OWNER_DR"
+  "AINING\020\003\022\027\n\023MOVE_REASON_BALANCE\020\004\022\024\n\020MOV"
+  "E_REASON_LOAD\020\005\022\027\n\023MOVE_REASON_HOT_KEY\020\006"
+  "\022\032\n\026MOVE_REASON_TAKEN_BACK\020\007*\213\001\n\nClaimSt"
+  "ate\022\033\n\027CLAIM_STATE_UNSPECIFIED\020\000\022\027\n\023CLAI"
+  "M_STATE_RUNNING\020\001\022\024\n\020CLAIM_STATE_DONE\020\002\022"
+  "\027\n\023CLAIM_STATE_UNKNOWN\020\003\022\030\n\024CLAIM_STATE_"
+  "RELEASED\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_control_2eproto_deps[2] = {
   &::descriptor_table_peer_2eproto,
@@ -791,9 +769,9 @@
 };
 static ::_pbi::once_flag descriptor_table_control_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_control_2eproto = {
-    false, false, 4028, descriptor_table_protodef_control_2eproto,
+    false, false, 3978, descriptor_table_protodef_control_2eproto,
     "control.proto",
-    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 23,
+    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 22,
     schemas, file_default_instances, TableStruct_control_2eproto::offsets,
     file_level_metadata_control_2eproto, file_level_enum_descriptors_control_2eproto,
     file_level_service_descriptors_control_2eproto,
@@ -848,7 +826,6 @@
 
 class Command::_Internal {
  public:
-  static const ::rattandyke::wire::LeaderBegan& leader_began(const Command* msg);
   static const ::rattandyke::wire::SubmitRecordCall& submit_record(const Command* msg);
   static const ::rattandyke::wire::RegisterUpstreams& register_upstreams(const Command* msg);
   static const ::rattandyke::wire::SetUpstreamState& set_upstream_state(const Command* msg);
@@ -864,10 +841,6 @@
   static const ::rattandyke::wire::CrashReportCall& crash_report(const Command* msg);
 };
 
-const ::rattandyke::wire::LeaderBegan&
-Command::_Internal::leader_began(const Command* msg) {
-  return *msg->_impl_.body_.leader_began_;
-}
 const ::rattandyke::wire::SubmitRecordCall&
 Command::_Internal::submit_record(const Command* msg) {
   return *msg->_impl_.body_.submit_record_;
@@ -920,21 +893,6 @@
 Command::_Internal::crash_report(const Command* msg) {
   return *msg->_impl_.body_.crash_report_;
 }
-void Command::set_allocated_leader_began(::rattandyke::wire::LeaderBegan* leader_began) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (leader_began) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(leader_began);
-    if (message_arena != submessage_arena) {
-      leader_began = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, leader_began, submessage_arena);
-    }
-    set_has_leader_began();
-    _impl_.body_.leader_began_ = leader_began;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Command.leader_began)
-}
 void Command::set_allocated_submit_record(::rattandyke::wire::SubmitRecordCall* submit_record) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -1194,11 +1152,6 @@
   _this->_impl_.proposed_unix_ms_ = from._impl_.proposed_unix_ms_;
   clear_has_body();
   switch (from.body_case()) {
-    case kLeaderBegan: {
-      _this->_internal_mutable_leader_began()->::rattandyke::wire::LeaderBegan::MergeFrom(
-          from._internal_leader_began());
-      break;
-    }
     case kSubmitRecord: {
       _this->_internal_mutable_submit_record()->::rattandyke::wire::SubmitRecordCall::MergeFrom(
           from._internal_submit_record());
@@ -1307,12 +1260,6 @@
 void Command::clear_body() {
 // @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.Command)
   switch (body_case()) {
-    case kLeaderBegan: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.leader_began_;
-      }
-      break;
-    }
     case kSubmitRecord: {
       if (GetArenaForAllocation() == nullptr) {
         delete _impl_.body_.submit_record_;
@@ -1424,14 +1371,6 @@
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.LeaderBegan leader_began = 9;
-      case 9:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
-          ptr = ctx->ParseMessage(_internal_mutable_leader_began(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
       // .rattandyke.wire.SubmitRecordCall submit_record = 10;
       case 10:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
@@ -1571,13 +1510,6 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_proposed_unix_ms(), target);
   }
 
-  // .rattandyke.wire.LeaderBegan leader_began = 9;
-  if (_internal_has_leader_began()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(9, _Internal::leader_began(this),
-        _Internal::leader_began(this).GetCachedSize(), target, stream);
-  }
-
   // .rattandyke.wire.SubmitRecordCall submit_record = 10;
   if (_internal_has_submit_record()) {
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
@@ -1691,13 +1623,6 @@
   }
 
   switch (body_case()) {
-    // .rattandyke.wire.LeaderBegan leader_began = 9;
-    case kLeaderBegan: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.leader_began_);
-      break;
-    }
     // .rattandyke.wire.SubmitRecordCall submit_record = 10;
     case kSubmitRecord: {
       total_size += 1 +
@@ -1815,11 +1740,6 @@
     _this->_internal_set_proposed_unix_ms(from._internal_proposed_unix_ms());
   }
   switch (from.body_case()) {
-    case kLeaderBegan: {
-      _this->_internal_mutable_leader_began()->::rattandyke::wire::LeaderBegan::MergeFrom(
-          from._internal_leader_began());
-      break;
-    }
     case kSubmitRecord: {
       _this->_internal_mutable_submit_record()->::rattandyke::wire::SubmitRecordCall::MergeFrom(
           from._internal_submit_record());
@@ -1919,236 +1839,6 @@
 
 // ===================================================================
 
-class LeaderBegan::_Internal {
- public:
-};
-
-LeaderBegan::LeaderBegan(::PROTOBUF_NAMESPACE_ID::Arena* arena,
-                         bool is_message_owned)
-  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
-  SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.LeaderBegan)
-}
-LeaderBegan::LeaderBegan(const LeaderBegan& from)
-  : ::PROTOBUF_NAMESPACE_ID::Message() {
-  LeaderBegan* const _this = this; (void)_this;
-  new (&_impl_) Impl_{
-      decltype(_impl_.leader_){}
-    , decltype(_impl_.term_){}
-    , /*decltype(_impl_._cached_size_)*/{}};
-
-  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.leader_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.leader_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_leader().empty()) {
-    _this->_impl_.leader_.Set(from._internal_leader(), 
-      _this->GetArenaForAllocation());
-  }
-  _this->_impl_.term_ = from._impl_.term_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.LeaderBegan)
-}
-
-inline void LeaderBegan::SharedCtor(
-    ::_pb::Arena* arena, bool is_message_owned) {
-  (void)arena;
-  (void)is_message_owned;
-  new (&_impl_) Impl_{
-      decltype(_impl_.leader_){}
-    , decltype(_impl_.term_){uint64_t{0u}}
-    , /*decltype(_impl_._cached_size_)*/{}
-  };
-  _impl_.leader_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.leader_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-}
-
-LeaderBegan::~LeaderBegan() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.LeaderBegan)
-  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
-  (void)arena;
-    return;
-  }
-  SharedDtor();
-}
-
-inline void LeaderBegan::SharedDtor() {
-  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.leader_.Destroy();
-}
-
-void LeaderBegan::SetCachedSize(int size) const {
-  _impl_._cached_size_.Set(size);
-}
-
-void LeaderBegan::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.LeaderBegan)
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  _impl_.leader_.ClearToEmpty();
-  _impl_.term_ = uint64_t{0u};
-  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
-}
-
-const char* LeaderBegan::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
-#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
-  while (!ctx->Done(&ptr)) {
-    uint32_t tag;
-    ptr = ::_pbi::ReadTag(ptr, &tag);
-    switch (tag >> 3) {
-      // uint64 term = 1;
-      case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.term_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // string leader = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_leader();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.LeaderBegan.leader"));
-        } else
-          goto handle_unusual;
-        continue;
-      default:
-        goto handle_unusual;
-    }  // switch
-  handle_unusual:
-    if ((tag == 0) || ((tag & 7) == 4)) {
-      CHK_(ptr);
-      ctx->SetLastTag(tag);
-      goto message_done;
-    }
-    ptr = UnknownFieldParse(
-        tag,
-        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
-        ptr, ctx);
-    CHK_(ptr != nullptr);
-  }  // while
-message_done:
-  return ptr;
-failure:
-  ptr = nullptr;
-  goto message_done;
-#undef CHK_
-}
-
-uint8_t* LeaderBegan::_InternalSerialize(
-    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.LeaderBegan)
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  // uint64 term = 1;
-  if (this->_internal_term() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_term(), target);
-  }
-
-  // string leader = 2;
-  if (!this->_internal_leader().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_leader().data(), static_cast<int>(this->_internal_leader().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.LeaderBegan.leader");
-    target = stream->WriteStringMaybeAliased(
-        2, this->_internal_leader(), target);
-  }
-
-  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
-    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
-        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
-  }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.LeaderBegan)
-  return target;
-}
-
-size_t LeaderBegan::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.LeaderBegan)
-  size_t total_size = 0;
-
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  // string leader = 2;
-  if (!this->_internal_leader().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_leader());
-  }
-
-  // uint64 term = 1;
-  if (this->_internal_term() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_term());
-  }
-
-  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
-}
-
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData LeaderBegan::_class_data_ = {
-    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    LeaderBegan::MergeImpl
-};
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*LeaderBegan::GetClassData() const { return &_class_data_; }
-
-
-void LeaderBegan::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<LeaderBegan*>(&to_msg);
-  auto& from = static_cast<const LeaderBegan&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.LeaderBegan)
-  GOOGLE_DCHECK_NE(&from, _this);
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  if (!from._internal_leader().empty()) {
-    _this->_internal_set_leader(from._internal_leader());
-  }
-  if (from._internal_term() != 0) {
-    _this->_internal_set_term(from._internal_term());
-  }
-  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-}
-
-void LeaderBegan::CopyFrom(const LeaderBegan& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.LeaderBegan)
-  if (&from == this) return;
-  Clear();
-  MergeFrom(from);
-}
-
-bool LeaderBegan::IsInitialized() const {
-  return true;
-}
-
-void LeaderBegan::InternalSwap(LeaderBegan* other) {
-  using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
-  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.leader_, lhs_arena,
-      &other->_impl_.leader_, rhs_arena
-  );
-  swap(_impl_.term_, other->_impl_.term_);
-}
-
-::PROTOBUF_NAMESPACE_ID::Metadata LeaderBegan::GetMetadata() const {
-  return ::_pbi::AssignDescriptors(
-      &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[1]);
-}
-
-// ===================================================================
-
 class UpstreamRegistration::_Internal {
  public:
   static const ::rattandyke::wire::Upstream& announced(const UpstreamRegistration* msg);
@@ -2426,7 +2116,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamRegistration::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[2]);
+      file_level_metadata_control_2eproto[1]);
 }
 
 // ===================================================================
@@ -2611,7 +2301,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RegisterUpstreams::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[3]);
+      file_level_metadata_control_2eproto[2]);
 }
 
 // ===================================================================
@@ -2924,7 +2614,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamRef::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[4]);
+      file_level_metadata_control_2eproto[3]);
 }
 
 // ===================================================================
@@ -3139,7 +2829,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SetUpstreamState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[5]);
+      file_level_metadata_control_2eproto[4]);
 }
 
 // ===================================================================
@@ -3452,7 +3142,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DrainUpstream::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[6]);
+      file_level_metadata_control_2eproto[5]);
 }
 
 // ===================================================================
@@ -3715,7 +3405,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotFence::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[7]);
+      file_level_metadata_control_2eproto[6]);
 }
 
 // ===================================================================
@@ -3982,7 +3672,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ReleaseSlots::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[8]);
+      file_level_metadata_control_2eproto[7]);
 }
 
 // ===================================================================
@@ -4289,7 +3979,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotGrant::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[9]);
+      file_level_metadata_control_2eproto[8]);
 }
 
 // ===================================================================
@@ -4526,7 +4216,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GrantSlots::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[10]);
+      file_level_metadata_control_2eproto[9]);
 }
 
 // ===================================================================
@@ -4763,7 +4453,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RemoveHotKeys::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[11]);
+      file_level_metadata_control_2eproto[10]);
 }
 
 // ===================================================================
@@ -5073,7 +4763,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata TakeClaim::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[12]);
+      file_level_metadata_control_2eproto[11]);
 }
 
 // ===================================================================
@@ -5303,7 +4993,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata OrphanClaims::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[13]);
+      file_level_metadata_control_2eproto[12]);
 }
 
 // ===================================================================
@@ -5331,12 +5021,14 @@
     , decltype(_impl_.version_){}
     , decltype(_impl_.oldest_version_){}
     , decltype(_impl_.now_unix_ms_){}
+    , decltype(_impl_.forgot_unix_ms_){}
+    , decltype(_impl_.records_changed_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   ::memcpy(&_impl_.version_, &from._impl_.version_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.now_unix_ms_) -
-    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.now_unix_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.records_changed_) -
+    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.StateSnapshot)
 }
 
@@ -5354,6 +5046,8 @@
     , decltype(_impl_.version_){uint64_t{0u}}
     , decltype(_impl_.oldest_version_){uint64_t{0u}}
     , decltype(_impl_.now_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.forgot_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.records_changed_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -5394,8 +5088,8 @@
   _impl_.bans_.Clear();
   _impl_.crashes_.Clear();
   ::memset(&_impl_.version_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.now_unix_ms_) -
-      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.now_unix_ms_));
+      reinterpret_cast<char*>(&_impl_.records_changed_) -
+      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -5507,6 +5201,22 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 forgot_unix_ms = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
+          _impl_.forgot_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 records_changed = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.records_changed_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -5602,6 +5312,18 @@
         InternalWriteMessage(9, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // uint64 forgot_unix_ms = 10;
+  if (this->_internal_forgot_unix_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_forgot_unix_ms(), target);
+  }
+
+  // uint64 records_changed = 11;
+  if (this->_internal_records_changed() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(11, this->_internal_records_changed(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -5675,6 +5397,16 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_now_unix_ms());
   }
 
+  // uint64 forgot_unix_ms = 10;
+  if (this->_internal_forgot_unix_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_forgot_unix_ms());
+  }
+
+  // uint64 records_changed = 11;
+  if (this->_internal_records_changed() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_records_changed());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -5708,6 +5440,12 @@
   if (from._internal_now_unix_ms() != 0) {
     _this->_internal_set_now_unix_ms(from._internal_now_unix_ms());
   }
+  if (from._internal_forgot_unix_ms() != 0) {
+    _this->_internal_set_forgot_unix_ms(from._internal_forgot_unix_ms());
+  }
+  if (from._internal_records_changed() != 0) {
+    _this->_internal_set_records_changed(from._internal_records_changed());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -5732,8 +5470,8 @@
   _impl_.bans_.InternalSwap(&other->_impl_.bans_);
   _impl_.crashes_.InternalSwap(&other->_impl_.crashes_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.now_unix_ms_)
-      + sizeof(StateSnapshot::_impl_.now_unix_ms_)
+      PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.records_changed_)
+      + sizeof(StateSnapshot::_impl_.records_changed_)
       - PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.version_)>(
           reinterpret_cast<char*>(&_impl_.version_),
           reinterpret_cast<char*>(&other->_impl_.version_));
@@ -5742,7 +5480,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata StateSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[14]);
+      file_level_metadata_control_2eproto[13]);
 }
 
 // ===================================================================
@@ -5993,7 +5731,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RecordSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[15]);
+      file_level_metadata_control_2eproto[14]);
 }
 
 // ===================================================================
@@ -6275,7 +6013,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SubmissionSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[16]);
+      file_level_metadata_control_2eproto[15]);
 }
 
 // ===================================================================
@@ -6580,7 +6318,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[17]);
+      file_level_metadata_control_2eproto[16]);
 }
 
 // ===================================================================
@@ -6976,7 +6714,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[18]);
+      file_level_metadata_control_2eproto[17]);
 }
 
 // ===================================================================
@@ -7386,7 +7124,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HoldingSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[19]);
+      file_level_metadata_control_2eproto[18]);
 }
 
 // ===================================================================
@@ -7712,7 +7450,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ClaimSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[20]);
+      file_level_metadata_control_2eproto[19]);
 }
 
 // ===================================================================
@@ -7942,7 +7680,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata BanSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[21]);
+      file_level_metadata_control_2eproto[20]);
 }
 
 // ===================================================================
@@ -8306,7 +8044,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CrashSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[22]);
+      file_level_metadata_control_2eproto[21]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -8317,10 +8055,6 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::Command >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::Command >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::LeaderBegan*
-Arena::CreateMaybeMessage< ::rattandyke::wire::LeaderBegan >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::LeaderBegan >(arena);
-}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamRegistration*
 Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamRegistration >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamRegistration >(arena);
