--- a/src/librattandyke/control/control_service.h
+++ b/src/librattandyke/control/control_service.h
@@ -22,8 +22,8 @@
 namespace rattandyke::control {
 
 /// Joins consensus::Driver, State and Coordinator to the transport. Everything
-/// runs on one strand of the executor; the public methods may be called from
-/// any thread.
+/// runs on one strand of the executor; Handle, Shutdown and StatusJson may be
+/// called from any thread.
 class ControlService
 {
 public:
@@ -47,7 +47,8 @@
                  uint64_t aSeed);
   ~ControlService();
 
-  /// Opens the data folder and joins the control group.
+  /// Opens the data folder and joins the control group. To be called before
+  /// any thread runs the executor.
   /// @return an error of the data folder; the message says what to do.
   Result<void> Start();
 
