Test the invariant checks, describe testing, add baselines to the load driver

A check that finds nothing would make each end-to-end case green: each fault is put into records by hand and must be found. That found one hole: the time of an owner that lived on was cut at its last line, so an overlap behind it was not seen; now only a killed process ends before its lease.

--- a/scripts/checks.py
+++ b/scripts/checks.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import json
+import math
 import sys
 
 EXAMPLES_SHOWN = 5
@@ -45,8 +46,9 @@
     service: str
     upstream: str
     incarnation: int
-    began: int
-    ended: int
+    last_line: int
+    # Only a killed process ends; one that lives on ends with its lease.
+    ended: float = math.inf
     runs: list = dataclasses.field(default_factory=list)
     leases: list = dataclasses.field(default_factory=list)
     grants: list = dataclasses.field(default_factory=list)
@@ -88,11 +90,13 @@
         event, now = line["event"], line["t"]
         if event == "up":
             open_runs = {}
+            if lives:
+                lives[-1].ended = lives[-1].last_line
             lives.append(Life(line["service"], line["upstream"],
-                              line["incarnation"], now, now))
+                              line["incarnation"], now))
             continue
         life = lives[-1]
-        life.ended = max(life.ended, now)
+        life.last_line = now
         if event == "start":
             run = Run(life, line["service"], line["key"], line["slot"],
                       line["fence"], line["request_id"], line["load_id"],
@@ -307,8 +311,8 @@
         self.lives = []
         for path in record_files:
             lives = read_record(path)
-            if lives and ended and path in ended:
-                lives[-1].ended = max(lives[-1].ended, ended[path])
+            if lives and ended and str(path) in ended:
+                lives[-1].ended = ended[str(path)]
             self.lives += lives
         self.runs = [run for life in self.lives for run in life.runs]
         self.sendings = [line for path in request_files
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -234,7 +234,9 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandyke-"))
         return self
 
-    def __exit__(self, *failure):
+    def __exit__(self, kind, failure, trace):
+        if kind is not None:
+            self._show_ends()
         for part in self.hosts + self.upstreams:
             if part.process is not None:
                 part.process.end()
@@ -245,6 +247,12 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _show_ends(self):
+        """What the hosts wrote last, for whoever looks into a failure."""
+        for host in self.hosts:
+            state = "lives" if host.process and host.process.alive() else "ended"
+            print(f"--- {host.name} ({state}):\n{host.last_output()}")
+
     def add_hosts(self, count=3, centres=3, roles="entry, control", extra="",
                   control=None):
         """Starts hosts in data centres dc-1 to dc-N. The first `control` of
@@ -265,21 +273,23 @@
         return [host for host in self.hosts
                 if host.process is not None and host.process.alive()]
 
-    def leader(self):
-        """The host that the others take for the leader, if they agree on a
-        living one."""
+    def leader(self, hosts=None):
+        """The host that the given ones, or all living ones, take for the
+        leader, if they agree on one of them."""
+        hosts = hosts or self.living()
         names = set()
-        for host in self.living():
+        for host in hosts:
             status = host.status()
             names.add(status.get("leader") if status else None)
         if len(names) == 1:
-            for host in self.living():
+            for host in hosts:
                 if host.name in names:
                     return host
         return None
 
-    def wait_for_leader(self):
-        return wait_for("a leader that all living hosts know", self.leader)
+    def wait_for_leader(self, hosts=None):
+        return wait_for("a leader that the hosts agree on",
+                        lambda: self.leader(hosts))
 
     def command(self, *arguments, host=None):
         """Runs one of the operator's commands. Returns the finished process."""
@@ -330,14 +340,14 @@
             added.append(upstream)
         return added
 
-    def wait_until_owned(self, service, upstreams=None):
+    def wait_until_owned(self, service, upstreams=None, host=None):
         """Waits until each slot of the service has an owner among the given
         upstreams, and each of these owns something."""
         names = {upstream.name for upstream in upstreams or self.upstreams
                  if upstream.service == service}
 
         def owned():
-            owners = self.list("owners", f"&service={service}")
+            owners = self.list("owners", f"&service={service}", host=host)
             if not owners:
                 return False
             holders = {owner.get("upstream") for owner in owners}
--- a/src/load/attempt.cpp
+++ b/src/load/attempt.cpp
@@ -18,7 +18,10 @@
 }
 
 Request
-MakeRequest(const Plan& aPlan, uint32_t aNumber, Duration aTimeout)
+MakeRequest(const Plan& aPlan,
+            uint32_t aNumber,
+            Duration aTimeout,
+            bool aDirect)
 {
   const auto verb = aPlan.write ? http::verb::post : http::verb::get;
   Request request(verb, aPlan.service->prefix + '/' + aPlan.key, kHttp11);
@@ -33,6 +36,11 @@
   if (!aPlan.idempotencyKey.empty()) {
     request.set("Idempotency-Key", aPlan.idempotencyKey);
   }
+  if (aDirect) {
+    request.set("Rattandyke-Service", aPlan.service->name.value);
+    request.set("Rattandyke-Key", aPlan.key);
+    request.set("Rattandyke-Customer", aPlan.customer->name.value);
+  }
   if (aPlan.write) {
     request.body().assign(aPlan.service->bodyBytes, 'b');
     request.prepare_payload();
@@ -61,9 +69,10 @@
 Exchange(Connection& aConnection,
          const Plan& aPlan,
          Duration aTimeout,
+         bool aDirect,
          Attempt& aAttempt)
 {
-  auto request = MakeRequest(aPlan, aAttempt.number, aTimeout);
+  auto request = MakeRequest(aPlan, aAttempt.number, aTimeout, aDirect);
   aConnection.stream.expires_after(aTimeout);
   aAttempt.result = AttemptResult::Lost;
   auto [writeError, written] =
@@ -80,7 +89,7 @@
   if (readError) {
     co_return false;
   }
-  Judge(parser.get(), aPlan, aAttempt);
+  Judge(parser.get(), aPlan, aDirect, aAttempt);
   co_return parser.get().keep_alive();
 }
 
@@ -115,7 +124,8 @@
          const Plan& aPlan,
          uint32_t aNumber,
          size_t aEntry,
-         Duration aTimeout)
+         Duration aTimeout,
+         bool aDirect)
 {
   Attempt attempt;
   attempt.number = aNumber;
@@ -124,7 +134,7 @@
   auto connection = co_await aConnections.Take(aEntry, aTimeout);
   if (connection) {
     const bool reusable =
-      co_await Exchange(*connection, aPlan, aTimeout, attempt);
+      co_await Exchange(*connection, aPlan, aTimeout, aDirect, attempt);
     if (reusable) {
       aConnections.GiveBack(aEntry, std::move(connection));
     }
@@ -136,6 +146,7 @@
 void
 Judge(const http::response<http::string_body>& aResponse,
       const Plan& aPlan,
+      bool aDirect,
       Attempt& aAttempt)
 {
   aAttempt.status = aResponse.result_int();
@@ -145,7 +156,7 @@
     aAttempt.result = AttemptResult::NotRun;
     return;
   }
-  if (outcome != "ran") {
+  if (outcome != "ran" && !aDirect) {
     aAttempt.result = AttemptResult::Unknown;
     return;
   }
--- a/src/load/attempt.h
+++ b/src/load/attempt.h
@@ -50,15 +50,19 @@
 /// Sends a request once.
 /// @param aNumber 0 for its first sending.
 /// @param aTimeout how long to wait for the whole answer.
+/// @param aDirect the target is an upstream: the request names what an entry
+/// would have told it, and an answer without an outcome is one of a run.
 asio::awaitable<Attempt> SendOnce(Connections& aConnections,
                                   const Plan& aPlan,
                                   uint32_t aNumber,
                                   size_t aEntry,
-                                  Duration aTimeout);
+                                  Duration aTimeout,
+                                  bool aDirect);
 
 /// Judges an answer that HTTP takes for whole.
 void Judge(const http::response<http::string_body>& aResponse,
            const Plan& aPlan,
+           bool aDirect,
            Attempt& aAttempt);
 
 } // namespace rattandyke::load
--- a/src/load/driver.cpp
+++ b/src/load/driver.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "load/plan.h"
 
 namespace rattandyke::load {
@@ -38,19 +40,30 @@
   bool answered = false;
 };
 
-/// Whether sending a request again cannot run it twice.
-bool
-IsSafeToResend(const Plan& aPlan)
+} // namespace
+
+Result<Routing>
+ParseRouting(std::string_view aName)
 {
-  return !aPlan.write || !aPlan.idempotencyKey.empty();
+  if (aName == "entries") {
+    return Routing::Entries;
+  }
+  if (aName == "static-hash") {
+    return Routing::StaticHash;
+  }
+  if (aName == "round-robin") {
+    return Routing::RoundRobin;
+  }
+  return Fail(Code::InvalidSettings,
+              "'" + std::string(aName) +
+                "' is not entries, static-hash or round-robin.");
 }
 
-} // namespace
-
 struct Driver::Impl
 {
   asio::io_context& context;
   const LoadConfig& config;
+  Routing routing;
   Connections connections;
   std::string runName;
   Instant start;
@@ -62,13 +75,15 @@
 
   Impl(asio::io_context& aContext,
        const LoadConfig& aConfig,
-       std::vector<Endpoint> aEntries,
+       Routing aRouting,
+       std::vector<Endpoint> aTargets,
        std::string aRunName,
        Instant aStart,
        Results& aResults)
     : context(aContext)
     , config(aConfig)
-    , connections(aContext.get_executor(), std::move(aEntries))
+    , routing(aRouting)
+    , connections(aContext.get_executor(), std::move(aTargets))
     , runName(std::move(aRunName))
     , start(aStart)
     , results(aResults)
@@ -76,12 +91,34 @@
   {
   }
 
+  /// Whether sending a request again cannot run it twice; the round-robin
+  /// baseline does not ask.
+  bool IsSafeToResend(const Plan& aPlan) const
+  {
+    return routing == Routing::RoundRobin || !aPlan.write ||
+           !aPlan.idempotencyKey.empty();
+  }
+
+  /// @param aFirst target of the first sending, if targets are taken in turn.
+  size_t Target(const Plan& aPlan, size_t aFirst, uint32_t aNumber) const
+  {
+    if (routing == Routing::StaticHash) {
+      return XXH64(aPlan.key.data(), aPlan.key.size(), 0) %
+             connections.Entries();
+    }
+    return (aFirst + aNumber) % connections.Entries();
+  }
+
   asio::awaitable<void> SendAttempt(std::shared_ptr<Request> aRequest,
                                     uint32_t aNumber,
                                     size_t aEntry)
   {
-    const auto attempt = co_await SendOnce(
-      connections, aRequest->finished.plan, aNumber, aEntry, config.timeout);
+    const auto attempt = co_await SendOnce(connections,
+                                           aRequest->finished.plan,
+                                           aNumber,
+                                           aEntry,
+                                           config.timeout,
+                                           routing != Routing::Entries);
     aRequest->finished.attempts.push_back(attempt);
     aRequest->last = attempt.result;
     aRequest->answered =
@@ -154,7 +191,7 @@
           break;
         }
       }
-      const size_t entry = (first + number) % connections.Entries();
+      const size_t entry = Target(aRequest->finished.plan, first, number);
       ++aRequest->outstanding;
       asio::co_spawn(
         context, SendAttempt(aRequest, number, entry), asio::detached);
@@ -199,13 +236,15 @@
 
 Driver::Driver(asio::io_context& aContext,
                const LoadConfig& aConfig,
-               std::vector<Endpoint> aEntries,
+               Routing aRouting,
+               std::vector<Endpoint> aTargets,
                std::string aRunName,
                Instant aStart,
                Results& aResults)
   : mImpl(std::make_unique<Impl>(aContext,
                                  aConfig,
-                                 std::move(aEntries),
+                                 aRouting,
+                                 std::move(aTargets),
                                  std::move(aRunName),
                                  aStart,
                                  aResults))
--- a/src/load/driver.h
+++ b/src/load/driver.h
@@ -10,16 +10,34 @@
 
 namespace rattandyke::load {
 
+/// Who chooses the upstream of a request.
+enum class Routing
+{
+  /// The entry hosts; requests go to them in turn.
+  Entries,
+  /// Baseline without rattandyke: the targets are the upstreams themselves,
+  /// and a key's hash chooses one for good. No limits.
+  StaticHash,
+  /// Baseline without rattandyke: the upstreams in turn, and any request that
+  /// fails is sent again to the next, writes as well.
+  RoundRobin
+};
+
+/// @return the routing of that name, or Code::InvalidSettings.
+Result<Routing> ParseRouting(std::string_view aName);
+
 /// Open loop: a request starts when its customer intended, also while earlier
 /// ones are under way. Runs on one thread.
 class Driver
 {
 public:
   /// All references outlive the driver.
+  /// @param aTargets entry hosts, or upstreams, as the routing says.
   /// @param aRunName begins the requests' ids.
   Driver(asio::io_context& aContext,
          const LoadConfig& aConfig,
-         std::vector<Endpoint> aEntries,
+         Routing aRouting,
+         std::vector<Endpoint> aTargets,
          std::string aRunName,
          Instant aStart,
          Results& aResults);
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -21,6 +21,7 @@
 {
   LoadConfig config;
   std::vector<Endpoint> entries;
+  Routing routing = Routing::Entries;
   std::string runName;
   std::string summaryFile;
   std::string requestsFile;
@@ -59,6 +60,15 @@
     "", "config", "what to send", true, "", "FILE", command);
   TCLAP::MultiArg<std::string> entries(
     "", "entry", "an entry host's address", true, "IP:PORT", command);
+  TCLAP::ValueArg<std::string> routing(
+    "",
+    "routing",
+    "entries, or a baseline whose entries are upstreams: static-hash, "
+    "round-robin",
+    false,
+    "entries",
+    "NAME",
+    command);
   TCLAP::ValueArg<std::string> name("",
                                     "name",
                                     "begins the requests' ids",
@@ -78,6 +88,7 @@
     for (const std::string& entry : entries) {
       options.entries.push_back(AcceptLoopback(entry));
     }
+    options.routing = Accept(ParseRouting(routing.getValue()), "routing");
     options.runName = name.getValue();
     options.summaryFile = summary.getValue();
     options.requestsFile = requests.getValue();
@@ -117,6 +128,7 @@
   Results results(start, aOptions.requestsFile);
   Driver driver(context,
                 aOptions.config,
+                aOptions.routing,
                 aOptions.entries,
                 aOptions.runName,
                 start,
