Serve callers: sessions, the run of a request, shutdown

The edge around entry::RequestFlow: one coroutine a connection on its own strand, bounded buffers both ways, the health page and Drain. The last bytes of an answer are written only once it proved whole.

--- /dev/null
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -0,0 +1,238 @@
+#include "http/caller_stream.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "http/body_reader.h"
+
+namespace rattandyke::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr size_t kReadBytes = 4096;
+
+/// @return whether the other side has closed, or the connection is broken.
+bool
+HasEnded(asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  const auto got =
+    recv(aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace
+
+CallerStream::CallerStream(asio::ip::tcp::socket aSocket,
+                           const Limits& aLimits,
+                           const Clock& aClock)
+  : mSocket(std::move(aSocket))
+  , mLimits(aLimits)
+  , mClock(aClock)
+  , mBuffer(size_t{ aLimits.maxHeaderBytes } + aLimits.streamBufferBytes)
+  , mReadable(mSocket.get_executor())
+{
+  error_code ignored;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<bool>
+CallerStream::AwaitRequest()
+{
+  if (mBuffer.size() > 0) {
+    co_return true;
+  }
+  mIdle = true;
+  ExpireIn(mLimits.idleTime);
+  if (!mLeaving) {
+    co_await AwaitReadable();
+  }
+  mIdle = false;
+  mExpiry.Clear();
+  error_code error;
+  // A leaving connection still serves a request that has begun to arrive.
+  co_return !mGone && !mTimedOut && (!mLeaving || mSocket.available(error) > 0);
+}
+
+asio::awaitable<void>
+CallerStream::AwaitReadable()
+{
+  StartWait();
+  while (mWaiting) {
+    co_await mReadable.Wait();
+  }
+}
+
+void
+CallerStream::StartWait()
+{
+  if (mWaiting) {
+    return;
+  }
+  mWaiting = true;
+  mSocket.async_wait(asio::socket_base::wait_read,
+                     [self = shared_from_this()](const error_code& aError) {
+                       self->OnReadable(aError);
+                     });
+}
+
+void
+CallerStream::OnReadable(const error_code& aError)
+{
+  mWaiting = false;
+  mReadable.Notify();
+  if (aError || HasEnded(mSocket)) {
+    mGone = true;
+  }
+  if (mGone && mOnGone) {
+    std::exchange(mOnGone, nullptr)();
+  }
+}
+
+void
+CallerStream::Watch(std::function<void()> aOnGone)
+{
+  mOnGone = std::move(aOnGone);
+  if (mBuffer.size() == 0) {
+    StartWait();
+  }
+}
+
+asio::awaitable<error_code>
+CallerStream::ReadHead()
+{
+  mParser.emplace();
+  mParser->header_limit(mLimits.maxHeaderBytes);
+  mParser->body_limit(mLimits.maxBodyBytes);
+  mBuffer.reserve(kReadBytes);
+  ExpireIn(mLimits.headTime);
+  const auto [error, read] =
+    co_await beast::http::async_read_header(mSocket, mBuffer, *mParser, kAwait);
+  co_return Finish(error);
+}
+
+std::optional<uint64_t>
+CallerStream::ContentLength() const
+{
+  const auto length = mParser->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+std::optional<uint64_t>
+CallerStream::RemainingLength() const
+{
+  const auto length = mParser->content_length_remaining();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+asio::awaitable<error_code>
+CallerStream::ReadBodySome(std::span<char> aInto, size_t& aRead)
+{
+  ExpireIn(mLimits.callerStall);
+  co_return Finish(co_await ReadSome(mSocket, mBuffer, *mParser, aInto, aRead));
+}
+
+asio::awaitable<error_code>
+CallerStream::WriteContinue()
+{
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  co_return co_await Write(asio::buffer(kContinue));
+}
+
+error_code
+CallerStream::Finish(error_code aError)
+{
+  mExpiry.Clear();
+  return mTimedOut ? error_code(asio::error::timed_out) : aError;
+}
+
+void
+CallerStream::Cancel()
+{
+  error_code ignored;
+  mSocket.cancel(ignored);
+}
+
+void
+CallerStream::Abort()
+{
+  error_code ignored;
+  mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  mSocket.close(ignored);
+}
+
+asio::awaitable<void>
+CallerStream::CloseGently()
+{
+  error_code error;
+  mSocket.shutdown(asio::socket_base::shutdown_send, error);
+  ExpireIn(mLimits.lingerTime);
+  std::array<char, kReadBytes> dropped;
+  while (!error) {
+    const auto [failure, read] =
+      co_await mSocket.async_read_some(asio::buffer(dropped), kAwait);
+    error = failure;
+  }
+  mExpiry.Clear();
+  mSocket.close(error);
+}
+
+void
+CallerStream::Close()
+{
+  error_code ignored;
+  mSocket.close(ignored);
+}
+
+void
+CallerStream::Leave()
+{
+  asio::post(mSocket.get_executor(),
+             [self = shared_from_this()] { self->LeaveNow(); });
+}
+
+void
+CallerStream::Kill()
+{
+  asio::post(mSocket.get_executor(),
+             [self = shared_from_this()] { self->Abort(); });
+}
+
+void
+CallerStream::LeaveNow()
+{
+  mLeaving = true;
+  error_code error;
+  if (mIdle && mSocket.available(error) == 0) {
+    Cancel();
+  }
+}
+
+void
+CallerStream::CheckExpiry(Instant aNow)
+{
+  if (mExpiry.Passed(aNow)) {
+    asio::post(mSocket.get_executor(),
+               [self = shared_from_this()] { self->Expire(); });
+  }
+}
+
+void
+CallerStream::Expire()
+{
+  // Checked again: the wait may have ended while this was on its way.
+  if (!mExpiry.Passed(mClock.Now())) {
+    return;
+  }
+  mExpiry.Clear();
+  mTimedOut = true;
+  Cancel();
+}
+
+} // namespace rattandyke::http
--- /dev/null
+++ b/src/librattandyke/http/entry_context.h
@@ -0,0 +1,78 @@
+/// What all requests of one entry share.
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "base/clock.h"
+#include "entry/retry_budget.h"
+#include "http/entry_host.h"
+#include "http/limits.h"
+#include "http/slot_queues.h"
+#include "http/upstream_pool.h"
+
+namespace rattandyke::http {
+
+class RequestRun;
+
+/// Requests that want to hear of a new table. Thread-safe; a leaf lock.
+class WaitingRuns
+{
+public:
+  void Add(std::shared_ptr<RequestRun> aRun);
+  void Remove(const std::shared_ptr<RequestRun>& aRun);
+  /// Tells each of them, on its own strand.
+  void TellAll();
+
+private:
+  std::mutex mMutex;
+  std::unordered_set<std::shared_ptr<RequestRun>> mRuns;
+};
+
+/// Retry budgets by service. Thread-safe; a leaf lock.
+class RetryBudgets
+{
+public:
+  /// @return lives as long as this.
+  entry::RetryBudget& Of(const ServiceName& aService);
+
+private:
+  std::mutex mMutex;
+  std::unordered_map<ServiceName, std::unique_ptr<entry::RetryBudget>> mBudgets;
+};
+
+/// Outlives every connection and request of the entry.
+struct EntryContext
+{
+  EntryContext(boost::asio::any_io_executor aExecutor,
+               const Limits& aLimits,
+               EntryHost& aHost,
+               const Clock& aClock,
+               uint64_t aSeed)
+    : executor(aExecutor)
+    , limits(aLimits)
+    , host(aHost)
+    , clock(aClock)
+    , seed(aSeed)
+    , pool(aExecutor, aLimits)
+    , slots(aExecutor, aClock)
+  {
+  }
+
+  const boost::asio::any_io_executor executor;
+  const Limits limits;
+  EntryHost& host;
+  const Clock& clock;
+  /// Makes request ids of this process unlike those of any other.
+  const uint64_t seed;
+  UpstreamPool pool;
+  SlotQueues slots;
+  RetryBudgets budgets;
+  WaitingRuns waiting;
+  std::atomic<uint64_t> lastRequest{ 0 };
+  std::atomic<bool> draining{ false };
+};
+
+} // namespace rattandyke::http
--- /dev/null
+++ b/src/librattandyke/http/entry_host.h
@@ -0,0 +1,28 @@
+/// What the entry role needs of the rest of its host.
+#pragma once
+
+#include <memory>
+
+#include "agent/agent_service.h"
+
+namespace rattandyke::http {
+
+/// Implemented over agent::AgentService, and by a fake in tests. Thread-safe.
+class EntryHost
+{
+public:
+  virtual ~EntryHost() = default;
+
+  virtual std::shared_ptr<const routing::RoutingTable> Table() const = 0;
+  virtual bool TableLeaseValid(Instant aNow) const = 0;
+  virtual agent::InFlightVersions& InFlight() = 0;
+  virtual void ReportEvidence(const agent::Evidence& aEvidence) = 0;
+  virtual void CountRequest(std::string_view aService,
+                            Slot aSlot,
+                            std::string_view aKey) = 0;
+  virtual void Call(wire::CallRequest aRequest,
+                    Duration aTimeout,
+                    agent::LeaderCalls::Callback aDone) = 0;
+};
+
+} // namespace rattandyke::http
--- /dev/null
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -0,0 +1,291 @@
+#include <boost/asio/post.hpp>
+
+#include "http/request_run.h"
+
+namespace rattandyke::http {
+
+namespace asio = boost::asio;
+namespace flow_effect = entry::flow_effect;
+namespace flow_event = entry::flow_event;
+
+namespace {
+
+constexpr std::chrono::seconds kClaimRepeatTimeout{ 2 };
+
+admission::Ending
+AdmissionEnding(flow_effect::Use aUse)
+{
+  using flow_effect::Use;
+  switch (aUse) {
+    case Use::Succeeded:
+      return admission::Ending::Succeeded;
+    case Use::Shed:
+      return admission::Ending::Shed;
+    case Use::Cancelled:
+    case Use::Unreachable:
+      return admission::Ending::Cancelled;
+    case Use::Failed:
+    case Use::Broken:
+    case Use::TimedOut:
+      break;
+  }
+  return admission::Ending::Failed;
+}
+
+std::optional<agent::EvidenceKind>
+EvidenceOf(flow_effect::Use aUse)
+{
+  using flow_effect::Use;
+  switch (aUse) {
+    case Use::Succeeded:
+      return agent::EvidenceKind::Succeeded;
+    case Use::Shed:
+      return agent::EvidenceKind::Shed;
+    case Use::Unreachable:
+      return agent::EvidenceKind::Unreachable;
+    case Use::Cancelled:
+      return std::nullopt;
+    case Use::Failed:
+    case Use::Broken:
+    case Use::TimedOut:
+      break;
+  }
+  return agent::EvidenceKind::Failed;
+}
+
+bool
+MayComeTrueLater(Code aCode)
+{
+  return aCode == Code::NoQuorum || aCode == Code::NotLeader ||
+         aCode == Code::ProposalDropped || aCode == Code::TransportFailed;
+}
+
+/// Repeats a call that settles a claim until the leader has answered: a claim
+/// left open would hold up every resend of its key until it expires.
+void
+CallUntilAnswered(EntryHost& aHost, wire::CallRequest aRequest)
+{
+  aHost.Call(aRequest,
+             kClaimRepeatTimeout,
+             [&aHost, aRequest](const Result<wire::CallReply>& aReply) {
+               if (!aReply && MayComeTrueLater(aReply.error().code)) {
+                 CallUntilAnswered(aHost, aRequest);
+               }
+             });
+}
+
+Result<wire::ClaimReply>
+ClaimReplyOf(const Result<wire::CallReply>& aReply)
+{
+  if (!aReply) {
+    return tl::unexpected(aReply.error());
+  }
+  return aReply->claim();
+}
+
+std::chrono::milliseconds
+InMilliseconds(Duration aTime)
+{
+  return std::chrono::ceil<std::chrono::milliseconds>(aTime);
+}
+
+} // namespace
+
+void
+RequestRun::Execute(flow_effect::Claim aEffect)
+{
+  wire::CallRequest request;
+  *request.mutable_claim() = std::move(aEffect.call);
+  mContext.host.Call(
+    std::move(request),
+    aEffect.timeout,
+    [self = shared_from_this(),
+     attempt = aEffect.attempt](const Result<wire::CallReply>& aReply) {
+      asio::post(self->mStrand, [self, attempt, reply = ClaimReplyOf(aReply)] {
+        self->Deliver(flow_event::ClaimAnswered{ attempt, reply });
+      });
+    });
+}
+
+void
+RequestRun::Execute(flow_effect::CompleteClaim aEffect)
+{
+  wire::CallRequest request;
+  *request.mutable_complete_claim() = std::move(aEffect.call);
+  CallUntilAnswered(mContext.host, std::move(request));
+}
+
+void
+RequestRun::Execute(flow_effect::ReleaseClaim aEffect)
+{
+  wire::CallRequest request;
+  *request.mutable_release_claim() = std::move(aEffect.call);
+  CallUntilAnswered(mContext.host, std::move(request));
+}
+
+void
+RequestRun::Execute(flow_effect::AskTrial aEffect)
+{
+  Deliver(flow_event::TrialAnswered{ aEffect.attempt, true, {} });
+}
+
+void
+RequestRun::Execute(flow_effect::EndTrial)
+{
+}
+
+void
+RequestRun::Execute(flow_effect::Enqueue aEffect)
+{
+  const std::string& service = mRequest.record->name.value;
+  const auto* record = mTable->ServiceNamed(service);
+  const auto* upstream =
+    mTable->FindUpstream(service, aEffect.owner.upstream.value);
+  if (record == nullptr || upstream == nullptr) {
+    Deliver(flow_event::Refused{ aEffect.attempt, Code::NoOwner, {} });
+    return;
+  }
+  admission::Share share;
+  if (const auto* limit = mTable->FindLimit(service, mRequest.customer.value)) {
+    share = { limit->weight, limit->maxConcurrent, limit->ratePerSecond };
+  }
+  const auto onAnswer = [self = shared_from_this(),
+                         attempt = aEffect.attempt](SlotAnswer aAnswer) {
+    asio::post(self->mStrand, [self, attempt, answer = std::move(aAnswer)] {
+      self->OnSlotAnswer(attempt, answer);
+    });
+  };
+  mPlaceAttempt = aEffect.attempt;
+  auto offered = mContext.slots.Offer(*upstream,
+                                      *record,
+                                      { mRequest.customer,
+                                        share,
+                                        aEffect.admitBy,
+                                        mFlow.Facts().deadline,
+                                        mRequest.idempotent },
+                                      onAnswer);
+  mPlace = std::move(offered.place);
+  if (offered.answer) {
+    OnSlotAnswer(aEffect.attempt, *offered.answer);
+  }
+}
+
+void
+RequestRun::OnSlotAnswer(uint32_t aAttempt, const SlotAnswer& aAnswer)
+{
+  if (!mPlace || mPlaceAttempt != aAttempt) {
+    return;
+  }
+  if (const auto* refuse = std::get_if<admission::Refuse>(&aAnswer)) {
+    mPlace.reset();
+    Deliver(flow_event::Refused{
+      aAttempt, refuse->code, InMilliseconds(refuse->retryAfter) });
+    return;
+  }
+  const entry::Lookup lookup = LookUpForSending();
+  Deliver(flow_event::Admitted{ aAttempt, lookup });
+}
+
+void
+RequestRun::Execute(flow_effect::LeaveQueue aEffect)
+{
+  mBracket.reset();
+  if (mPlace && mPlaceAttempt == aEffect.attempt) {
+    std::exchange(mPlace, nullptr)->Leave();
+  }
+}
+
+void
+RequestRun::Execute(flow_effect::Send aEffect)
+{
+  mContext.host.CountRequest(
+    mRequest.record->name.value, aEffect.owner.slot, mRequest.key);
+  mPendingSend = std::move(aEffect);
+}
+
+void
+RequestRun::Execute(flow_effect::CancelSend aEffect)
+{
+  mPendingSend.reset();
+  if (mExchange) {
+    mExchange->Abort();
+  }
+}
+
+void
+RequestRun::Execute(flow_effect::FreeSlot aEffect)
+{
+  mBracket.reset();
+  if (mPlace && mPlaceAttempt == aEffect.attempt) {
+    std::exchange(mPlace, nullptr)
+      ->Finish(AdmissionEnding(aEffect.use), aEffect.serviceTime, mRetryAfter);
+  }
+  if (const auto kind = EvidenceOf(aEffect.use)) {
+    mContext.host.ReportEvidence({ mRequest.record->name.value,
+                                   aEffect.owner.upstream.value,
+                                   *kind,
+                                   aEffect.serviceTime });
+  }
+}
+
+void
+RequestRun::Execute(flow_effect::ReplyError aEffect)
+{
+  mOwnAnswer = ErrorAnswer(aEffect, ContextOfAnswer());
+  End(Ending::Own);
+}
+
+void
+RequestRun::Execute(flow_effect::ReplyStored aEffect)
+{
+  mOwnAnswer = StoredAnswerText(aEffect, ContextOfAnswer());
+  End(Ending::Own);
+}
+
+void
+RequestRun::Execute(flow_effect::PassAnswer aEffect)
+{
+  mPassing = aEffect;
+}
+
+void
+RequestRun::Execute(flow_effect::FinishAnswer)
+{
+}
+
+void
+RequestRun::Execute(flow_effect::AbortAnswer aEffect)
+{
+  if (!std::exchange(mPassing, std::nullopt)) {
+    return;
+  }
+  if (!mAnswerBegun) {
+    // Nothing was passed on yet: the caller can still be told what happened.
+    return Execute(flow_effect::ReplyError{
+      mRequest.idempotent ? aEffect.code : Code::OutcomeUnknown,
+      entry::Outcome::Unknown,
+      {},
+      {} });
+  }
+  mCaller->Abort();
+  End(Ending::Broken);
+}
+
+void
+RequestRun::Execute(flow_effect::WaitRetry aEffect)
+{
+  mWait.expires_at(aEffect.until);
+  mWait.async_wait([self = shared_from_this(),
+                    attempt = aEffect.attempt](const error_code& aError) {
+    if (!aError) {
+      self->Deliver(flow_event::RetryDelayOver{ attempt, self->LookUp() });
+    }
+  });
+}
+
+void
+RequestRun::Execute(flow_effect::ReportCrash)
+{
+}
+
+} // namespace rattandyke::http
--- /dev/null
+++ b/src/testing/entry_fixture.h
@@ -0,0 +1,64 @@
+/// One entry on loopback, with its pool of workers, for tests and benches.
+#pragma once
+
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "http/entry_service.h"
+#include "testing/fake_entry_host.h"
+
+namespace rattandyke::testing {
+
+/// Runs until destroyed.
+class EntryFixture
+{
+public:
+  explicit EntryFixture(http::Limits aLimits = {}, size_t aWorkers = 4)
+    : mHost(new FakeEntryHost)
+    , mService(mContext.get_executor(),
+               { { "127.0.0.1", 0 },
+                 aLimits,
+                 std::chrono::milliseconds{ 0 },
+                 std::chrono::seconds{ 30 } },
+               std::unique_ptr<http::EntryHost>(mHost),
+               mClock,
+               kSeed)
+  {
+    if (const auto started = mService.Start(); !started) {
+      throw std::runtime_error(started.error().message);
+    }
+    for (size_t worker = 0; worker < aWorkers; ++worker) {
+      mWorkers.emplace_back([this] { mContext.run(); });
+    }
+  }
+
+  ~EntryFixture()
+  {
+    mService.Stop();
+    mWork.reset();
+    for (auto& worker : mWorkers) {
+      worker.join();
+    }
+  }
+
+  FakeEntryHost& Host() { return *mHost; }
+  http::EntryService& Service() { return mService; }
+  Endpoint Address() const { return mService.Listening(); }
+
+private:
+  static constexpr uint64_t kSeed = 20261202;
+
+  SystemClock mClock;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork{ mContext.get_executor() };
+  FakeEntryHost* mHost;
+  http::EntryService mService;
+  std::vector<std::thread> mWorkers;
+};
+
+} // namespace rattandyke::testing
