--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -295,7 +295,7 @@
         """Runs one of the operator's commands. Returns the finished process."""
         host = host or self.living()[0]
         return subprocess.run(
-            [str(self.bin / "rattandyke"), *map(str, arguments), "--admin",
+            [str(self.bin / "rattandyke"), *map(str, arguments), "--host",
              f"127.0.0.1:{host.admin}"], capture_output=True, text=True,
             timeout=PATIENCE_S, check=False, cwd=self.folder)
 
--- a/src/librattandyke/admin/api.cpp
+++ b/src/librattandyke/admin/api.cpp
@@ -15,7 +15,10 @@
 using config::TokenRole;
 
 constexpr size_t kMaxName = 256;
+/// Stands for any one segment of a path.
 constexpr std::string_view kAnything = "*";
+/// Stands for all that is left of a path: names may hold slashes.
+constexpr std::string_view kRest = "**";
 
 std::string
 RandomId()
@@ -79,6 +82,14 @@
   return error ? 0 : number;
 }
 
+bool
+TrueAt(const boost::json::value& aItem, std::string_view aField)
+{
+  const auto* object = aItem.if_object();
+  const auto* value = object == nullptr ? nullptr : object->if_contains(aField);
+  return value != nullptr && value->is_bool() && value->get_bool();
+}
+
 Result<boost::json::object>
 ParseBody(const std::string& aBody)
 {
@@ -124,19 +135,34 @@
 
   static bool Matches(const Route& aRoute, const ApiRequest& aRequest)
   {
-    if (aRequest.path.size() != aRoute.path.size() + 1) {
+    const size_t given = aRequest.path.size() - 1;
+    const bool open = aRoute.path.back() == kRest;
+    if (open ? given < aRoute.path.size() : given != aRoute.path.size()) {
       return false;
     }
-    for (size_t i = 0; i < aRoute.path.size(); ++i) {
+    for (size_t i = 0; i < given; ++i) {
       const std::string& segment = aRequest.path[i + 1];
+      const std::string_view wanted =
+        i < aRoute.path.size() ? aRoute.path[i] : kRest;
+      const bool any = wanted == kAnything || wanted == kRest;
       if (segment.empty() || segment.size() > kMaxName ||
-          (aRoute.path[i] != kAnything && aRoute.path[i] != segment)) {
+          (!any && wanted != segment)) {
         return false;
       }
     }
     return true;
   }
 
+  /// @return the record's name: the rest of the path after the kind.
+  static std::string NameIn(const ApiRequest& aRequest)
+  {
+    std::string name = aRequest.path[3];
+    for (size_t i = 4; i < aRequest.path.size(); ++i) {
+      name += "/" + aRequest.path[i];
+    }
+    return name;
+  }
+
   /// @return the route, or the error that fits best.
   static Result<const Route*> FindRoute(const ApiRequest& aRequest)
   {
@@ -215,7 +241,7 @@
                   const Responder& aRespond)
   {
     const std::string kind = aRequest.path[2];
-    const std::string name = aRequest.path[3];
+    const std::string name = NameIn(aRequest);
     Query(
       "records", aRequest, aRespond, [kind, name](boost::json::value aJson) {
         for (const auto& item : ItemsOf(std::move(aJson))) {
@@ -316,6 +342,10 @@
       boost::json::array hosts;
       bool everywhere = true;
       for (const auto& item : ItemsOf(std::move(aJson))) {
+        // A host without a lease routes nothing, by whatever table.
+        if (!TrueAt(item, "live")) {
+          continue;
+        }
         const uint64_t version = NumberAt(item, "table_version");
         const bool inForce = version >= revision;
         everywhere = everywhere && inForce;
@@ -389,13 +419,13 @@
       return aRespond(ErrorAnswer(body.error()));
     }
     body->emplace("kind", aRequest.path[2]);
-    body->emplace("name", aRequest.path[3]);
+    body->emplace("name", NameIn(aRequest));
     Result<records::Submission> submission = records::SubmissionFromJson(*body);
     if (!submission) {
       return aRespond(ErrorAnswer(submission.error()));
     }
     if (submission->record.kind() != aRequest.path[2] ||
-        submission->record.name() != aRequest.path[3]) {
+        submission->record.name() != NameIn(aRequest)) {
       return aRespond(ErrorAnswer(
         { Code::InvalidRecord, "Kind or name differ from the path." }));
     }
@@ -419,7 +449,7 @@
     }
     wire::Record record;
     record.set_kind(aRequest.path[2]);
-    record.set_name(aRequest.path[3]);
+    record.set_name(NameIn(aRequest));
     record.set_deleted(true);
     Submit(std::move(record), *expected, aRequest, aCaller, aRespond);
   }
@@ -503,9 +533,9 @@
   constexpr auto kWrite = TokenRole::ReadWrite;
   static const std::vector<Route> sRoutes{
     { "GET", { "records" }, kRead, &Impl::ListRecords },
-    { "GET", { "records", "*", "*" }, kRead, &Impl::ReadRecord },
-    { "PUT", { "records", "*", "*" }, kWrite, &Impl::PutRecord },
-    { "DELETE", { "records", "*", "*" }, kWrite, &Impl::DeleteRecord },
+    { "GET", { "records", "*", "**" }, kRead, &Impl::ReadRecord },
+    { "PUT", { "records", "*", "**" }, kWrite, &Impl::PutRecord },
+    { "DELETE", { "records", "*", "**" }, kWrite, &Impl::DeleteRecord },
     { "GET", { "owners" }, kRead, &Impl::ListOwners },
     { "GET", { "upstreams" }, kRead, &Impl::ListUpstreams },
     { "POST", { "upstreams", "*", "*", "drain" }, kWrite, &Impl::Drain },
--- a/src/librattandyke/admin/api_test.cpp
+++ b/src/librattandyke/admin/api_test.cpp
@@ -190,6 +190,24 @@
   EXPECT_EQ(fixture.Send("GET", "/v1/hosts?limit=x").status, 400U);
 }
 
+// Waiting for a revision must end when all that route have it, and a host that
+// lost its lease must not hold it up for ever.
+TEST(AdminApi, InForceCountsLiveHostsOnly)
+{
+  Fixture fixture;
+  wire::CallReply reply;
+  reply.set_json(R"([{"name": "a", "live": true, "table_version": 9},
+                     {"name": "b", "live": false, "table_version": 3}])");
+  fixture.calls.reply = reply;
+  const auto ask = [&](const std::string& aRevision) {
+    const std::string target = "/v1/in-force?revision=" + aRevision;
+    return boost::json::parse(fixture.Send("GET", target).body)
+      .at("everywhere");
+  };
+  EXPECT_TRUE(ask("9").as_bool());
+  EXPECT_FALSE(ask("10").as_bool());
+}
+
 // Any bytes as target and body: an answer with a status, never a crash, and
 // nothing but a whole record reaches the leader.
 RC_GTEST_PROP(AdminApiProperty, AnyBytesGetAnAnswer, ())
--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -138,10 +138,9 @@
 
 struct AdminServer::Impl : std::enable_shared_from_this<AdminServer::Impl>
 {
-  Impl(asio::any_io_executor aExecutor, Options aOptions, AdminApi& aApi)
+  Impl(asio::any_io_executor aExecutor, Options aOptions)
     : executor(std::move(aExecutor))
     , options(std::move(aOptions))
-    , api(aApi)
     , acceptor(asio::make_strand(executor))
     , pause(acceptor.get_executor())
     , count(options.connections, options.connectionsPerPeer)
@@ -158,7 +157,7 @@
         // std::function needs something that can be copied.
         auto handler =
           std::make_shared<decltype(aHandler)>(std::move(aHandler));
-        api.Handle(std::move(aCall), [handler, strand](ApiAnswer aAnswer) {
+        api->Handle(std::move(aCall), [handler, strand](ApiAnswer aAnswer) {
           asio::post(strand, [handler, answer = std::move(aAnswer)]() mutable {
             (*handler)(std::move(answer));
           });
@@ -272,25 +271,22 @@
 
   asio::any_io_executor executor;
   Options options;
-  AdminApi& api;
+  AdminApi* api = nullptr;
   Tcp::acceptor acceptor;
   asio::steady_timer pause;
   ConnectionCount count;
   std::atomic<bool> stopping{ false };
 };
 
-AdminServer::AdminServer(asio::any_io_executor aExecutor,
-                         Options aOptions,
-                         AdminApi& aApi)
-  : mImpl(
-      std::make_shared<Impl>(std::move(aExecutor), std::move(aOptions), aApi))
+AdminServer::AdminServer(asio::any_io_executor aExecutor, Options aOptions)
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor), std::move(aOptions)))
 {
 }
 
 AdminServer::~AdminServer() = default;
 
 Result<Endpoint>
-AdminServer::Start()
+AdminServer::Bind()
 {
   const Endpoint& listen = mImpl->options.listen;
   ErrorCode error;
@@ -310,13 +306,21 @@
     acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    return Fail(Code::AddressInUse,
-                "admin " + ToString(listen) + ": " + error.message());
+    const bool taken = error == asio::error::address_in_use;
+    return Fail(taken ? Code::AddressInUse : Code::InvalidSettings,
+                "Cannot listen for operators on " + ToString(listen) + ": " +
+                  error.message() + ".");
   }
-  mImpl->Accept();
   return Endpoint{ listen.address, acceptor.local_endpoint().port() };
 }
 
+void
+AdminServer::Start(AdminApi& aApi)
+{
+  mImpl->api = &aApi;
+  mImpl->Accept();
+}
+
 void
 AdminServer::Stop()
 {
--- a/src/librattandyke/admin/server.h
+++ b/src/librattandyke/admin/server.h
@@ -27,15 +27,16 @@
     std::chrono::milliseconds idleTimeout{ 60000 };
   };
 
-  /// @param aApi outlives the executor's last handler.
-  AdminServer(boost::asio::any_io_executor aExecutor,
-              Options aOptions,
-              AdminApi& aApi);
+  AdminServer(boost::asio::any_io_executor aExecutor, Options aOptions);
   ~AdminServer();
 
-  /// Binds and begins to accept.
+  /// Takes the address; connections wait until Start.
   /// @return the address with the actual port, or Code::AddressInUse.
-  Result<Endpoint> Start();
+  Result<Endpoint> Bind();
+
+  /// Begins to accept.
+  /// @param aApi outlives the executor's last handler.
+  void Start(AdminApi& aApi);
 
   /// Accepts no more; connections end with their next answer.
   void Stop();
--- a/src/librattandyke/config/settings.cpp
+++ b/src/librattandyke/config/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
+#include <set>
 
 #include "base/endpoint.h"
 #include "config/ini.h"
@@ -30,6 +32,17 @@
   return settings;
 }
 
+const Setting*
+FindRow(std::string_view aSection, std::string_view aKey)
+{
+  const auto rows = AllSettings();
+  const auto row = std::ranges::find_if(rows, [&](const Setting& setting) {
+    return setting.section == aSection &&
+           (setting.FreeKey() || setting.key == aKey);
+  });
+  return row == rows.end() ? nullptr : &*row;
+}
+
 /// Turns the entries of a file into settings and collects what is wrong.
 class Builder
 {
@@ -44,7 +57,9 @@
   {
     for (const IniEntry& entry : mFile.entries) {
       Apply(entry);
+      mSettings.written.push_back({ entry.section, entry.key, entry.value });
     }
+    std::ranges::sort(mSettings.written);
     // What is missing is told only when all that is there was understood.
     if (mFile.problems.empty()) {
       CheckHosts();
@@ -59,7 +74,7 @@
 private:
   void Apply(const IniEntry& aEntry)
   {
-    const Setting* setting = Find(aEntry);
+    const Setting* setting = FindRow(aEntry.section, aEntry.key);
     if (setting == nullptr) {
       Reject(aEntry, aEntry.value, KnownIn(aEntry.section));
     } else if (!Assign(*setting, aEntry.key, aEntry.value, mSettings)) {
@@ -70,16 +85,6 @@
     }
   }
 
-  static const Setting* Find(const IniEntry& aEntry)
-  {
-    const auto rows = AllSettings();
-    const auto row = std::ranges::find_if(rows, [&](const Setting& setting) {
-      return setting.section == aEntry.section &&
-             (setting.FreeKey() || setting.key == aEntry.key);
-    });
-    return row == rows.end() ? nullptr : &*row;
-  }
-
   static std::string KnownIn(const std::string& aSection)
   {
     std::string keys;
@@ -232,6 +237,26 @@
 
 } // namespace
 
+SettingChanges
+Compare(const Settings& aOld, const Settings& aNew)
+{
+  std::vector<WrittenSetting> differing;
+  std::ranges::set_symmetric_difference(
+    aOld.written, aNew.written, std::back_inserter(differing));
+  std::set<std::pair<std::string, std::string>> keys;
+  for (const WrittenSetting& setting : differing) {
+    keys.emplace(setting.section, setting.key);
+  }
+  SettingChanges changes;
+  for (const auto& [section, key] : keys) {
+    const Setting* row = FindRow(section, key);
+    const bool atOnce = row != nullptr && row->reload == Reload::AtOnce;
+    (atOnce ? changes.atOnce : changes.restart)
+      .push_back("[" + section + "] " + key);
+  }
+  return changes;
+}
+
 log::Options
 Settings::LogOptions() const
 {
--- a/src/librattandyke/config/settings.h
+++ b/src/librattandyke/config/settings.h
@@ -113,6 +113,15 @@
   std::string peersPublicKey;
 };
 
+/// One key as the file gives it.
+struct WrittenSetting
+{
+  std::string section;
+  std::string key;
+  std::string value;
+  auto operator<=>(const WrittenSetting&) const = default;
+};
+
 struct Settings
 {
   HostSettings host;
@@ -125,11 +134,25 @@
   LogSettings log;
   std::vector<OperatorToken> tokens;
   CurveSettings curve;
+  /// What the file gives, sorted.
+  std::vector<WrittenSetting> written;
 
   /// @return the options for log::Configure.
   log::Options LogOptions() const;
 };
 
+/// Keys that differ between two files, as "[section] key".
+struct SettingChanges
+{
+  /// Can be taken over while the host runs.
+  std::vector<std::string> atOnce;
+  /// Need a restart.
+  std::vector<std::string> restart;
+};
+
+/// @return what differs; for SIGHUP.
+SettingChanges Compare(const Settings& aOld, const Settings& aNew);
+
 /// @return the settings of a single host with both roles on loopback.
 Settings DefaultSettings();
 
--- a/src/librattandyke/config/settings_test.cpp
+++ b/src/librattandyke/config/settings_test.cpp
@@ -105,6 +105,21 @@
   EXPECT_NE(message.find("Z85"), std::string::npos) << message;
 }
 
+// An operator edits the file and sends SIGHUP. What cannot be taken over must
+// be named, or the operator believes in a value that is not in force.
+TEST(Settings, ChangesAreSplitIntoAtOnceAndRestart)
+{
+  const auto before =
+    ParseSettings("[log]\nlevel = info\n[limits]\nworkers = 2", "f.ini");
+  const auto after = ParseSettings(
+    "[limits]\nworkers = 3\n[log]\nlevel = debug\nformat = text", "f.ini");
+  ASSERT_TRUE(before && after);
+  const SettingChanges changes = Compare(*before, *after);
+  EXPECT_EQ(changes.atOnce,
+            (std::vector<std::string>{ "[log] format", "[log] level" }));
+  EXPECT_EQ(changes.restart, std::vector<std::string>{ "[limits] workers" });
+}
+
 TEST(Settings, EveryDefaultIsAllowedAndDescribed)
 {
   for (const Setting& setting : AllSettings()) {
--- a/src/rattandyke/lists.cpp
+++ b/src/rattandyke/lists.cpp
@@ -1,4 +1,6 @@
 // The commands that read one list or object from a host.
+#include <iostream>
+
 #include "admin/message.h"
 #include "rattandyke/table_printer.h"
 
@@ -61,7 +63,8 @@
                   "/v1/hosts",
                   { { "HOST", "name" },
                     { "DATA CENTRE", "data_centre" },
-                    { "LEASE", "lease" },
+                    { "LIVE", "live" },
+                    { "SILENT MS", "silent_ms" },
                     { "TABLE", "table_version" },
                     { "PEERS", "peer_address" },
                     { "ADMIN", "admin_address" } });
@@ -79,19 +82,25 @@
 Records(CommandLine& aLine, const std::vector<std::string>& aArguments)
 {
   const HostArguments host(aLine);
-  TCLAP::UnlabeledValueArg<std::string> kind(
-    "kind", "only of this kind", false, "", "KIND", aLine.Tclap());
-  TCLAP::UnlabeledValueArg<std::string> name(
-    "name", "one record, whole", false, "", "NAME", aLine.Tclap());
+  TCLAP::UnlabeledMultiArg<std::string> which(
+    "which",
+    "KIND: only records of this kind; KIND NAME: one record, whole",
+    false,
+    "KIND [NAME]",
+    aLine.Tclap());
   aLine.Parse(aArguments);
 
-  if (!name.getValue().empty()) {
+  const std::vector<std::string>& words = which.getValue();
+  if (words.size() > 2) {
+    return Report({ Code::UsageError, "records: KIND and NAME at most" });
+  }
+  if (words.size() == 2) {
     return ShowObject(host,
-                      "/v1/records/" + PercentEncoded(kind.getValue()) + "/" +
-                        PercentEncoded(name.getValue()));
+                      "/v1/records/" + PercentEncoded(words[0]) + "/" +
+                        PercentEncoded(words[1]));
   }
   const std::string filter =
-    kind.getValue().empty() ? "" : "?kind=" + PercentEncoded(kind.getValue());
+    words.empty() ? "" : "?kind=" + PercentEncoded(words[0]);
   return ShowList(host,
                   "/v1/records" + filter,
                   { { "KIND", "kind" },
@@ -102,6 +111,32 @@
                     { "BODY", "body" } });
 }
 
+/// Prints one key's owner as a table of one line.
+Exit
+ShowOwner(const HostArguments& aHost, const std::string& aTarget)
+{
+  const Result<AdminClient> client = aHost.Client();
+  if (!client) {
+    return Report(client.error());
+  }
+  const Result<boost::json::value> answer = client->Ask({ .target = aTarget });
+  if (!answer) {
+    return Report(answer.error());
+  }
+  if (aHost.Json()) {
+    std::cout << boost::json::serialize(*answer) << '\n';
+  } else {
+    PrintTable({ { "SERVICE", "service" },
+                 { "KEY", "key" },
+                 { "SLOT", "slot" },
+                 { "UPSTREAM", "upstream" },
+                 { "FENCE", "fence" },
+                 { "REASON", "reason" } },
+               { *answer });
+  }
+  return Exit::Ok;
+}
+
 Exit
 Owners(CommandLine& aLine, const std::vector<std::string>& aArguments)
 {
@@ -117,7 +152,7 @@
   const TCLAP::SwitchArg explain(
     "",
     "explain",
-    "with --key: slot, fence, last owner and why it moved",
+    "with --key: why this owner, and what would move the key",
     aLine.Tclap());
   aLine.Parse(aArguments);
 
@@ -136,7 +171,7 @@
     return Report({ Code::UsageError, "--key needs --service" });
   }
   const std::string one = target + "&key=" + PercentEncoded(key.getValue());
-  return ShowObject(host, one + (explain.getValue() ? "&explain=true" : ""));
+  return explain.getValue() ? ShowObject(host, one) : ShowOwner(host, one);
 }
 
 const Registration sUpstreams(
--- a/src/rattandyke/submit.cpp
+++ b/src/rattandyke/submit.cpp
@@ -175,7 +175,11 @@
   boost::json::array accepted;
   Result<void> done = SubmitAll(*client, *records, arguments, accepted);
   if (arguments.host.Json()) {
-    std::cout << boost::json::serialize(accepted) << '\n';
+    // One record in, one out; a list in, a list out.
+    const bool one = records->size() == 1 && accepted.size() == 1;
+    std::cout << boost::json::serialize(one ? accepted[0]
+                                            : boost::json::value(accepted))
+              << '\n';
   } else {
     PrintTable({ { "KIND", "kind" },
                  { "NAME", "name" },
