--- a/src/librattandyke/control/call_handler.cpp
+++ b/src/librattandyke/control/call_handler.cpp
@@ -101,14 +101,16 @@
       *take.mutable_call() = aRequest.claim();
       take.set_host(aRequest.host());
       take.set_session(aRequest.session());
-      take.set_call_id(aRequest.id());
       break;
     }
     case wire::CallRequest::kCompleteClaim:
       *command.mutable_complete_claim() = aRequest.complete_claim();
       break;
     case wire::CallRequest::kReleaseClaim:
-      *command.mutable_release_claim() = aRequest.release_claim();
+      *command.mutable_release_claim()->mutable_call() =
+        aRequest.release_claim();
+      command.mutable_release_claim()->set_host(aRequest.host());
+      command.mutable_release_claim()->set_session(aRequest.session());
       break;
     case wire::CallRequest::kBan:
       *command.mutable_ban() = aRequest.ban().ban();
--- a/src/librattandyke/control/claim_table.cpp
+++ b/src/librattandyke/control/claim_table.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-// A released claim is remembered so long: a late repeat of the call that took
-// it would otherwise take it again, for a runner that no longer waits, and the
-// key would stay blocked until that host is lost. No repeat is on its way
+// An attempt that was given up is remembered so long: its claim, arriving late
+// or again, would otherwise be granted to a runner that no longer waits, and
+// the key would stay blocked until that host is lost. No call is on its way
 // longer than calls are retried.
 constexpr uint64_t kReleasedMemoryMs = 60'000;
 
@@ -22,11 +22,10 @@
   return { HostName{ aTake.host() }, aTake.session() };
 }
 
-bool
-IsSameCall(const wire::TakeClaim& aLeft, const wire::TakeClaim& aRight)
+Attempt
+AttemptOf(const wire::TakeClaim& aTake)
 {
-  return RunnerOf(aLeft) == RunnerOf(aRight) &&
-         aLeft.call_id() == aRight.call_id();
+  return { RunnerOf(aTake), aTake.call().attempt() };
 }
 
 wire::ClaimReply
@@ -54,9 +53,9 @@
       return Reply(wire::CLAIM_OUTCOME_UNKNOWN, aClaim.claim());
     default:
       // The answer to the call that took the claim may have been lost: the
-      // same call gets the same answer, any other one has to wait.
+      // same attempt gets the same answer, any other one has to wait.
       return Reply(aClaim.state() == wire::CLAIM_STATE_RUNNING &&
-                       IsSameCall(aClaim.take(), aTake)
+                       AttemptOf(aClaim.take()) == AttemptOf(aTake)
                      ? wire::CLAIM_OUTCOME_GRANTED
                      : wire::CLAIM_OUTCOME_RUNNING,
                    aClaim.claim());
@@ -79,20 +78,19 @@
 ClaimTable::Take(LogIndex aIndex, const wire::TakeClaim& aTake, WallTime aNow)
 {
   Expire(aNow);
+  if (mReleased.contains(AttemptOf(aTake))) {
+    return Fail(Code::ProposalDropped, "The attempt was given up.");
+  }
   const wire::ClaimCall& call = aTake.call();
   const Key key{ call.service(), call.customer(), call.idempotency_key() };
   const auto found = mClaims.find(key);
-  if (found == mClaims.end()) {
-    if (mClaims.size() >= kMostClaims) {
-      return Fail(Code::ClaimUnavailable, "The idempotency register is full.");
-    }
-    return Start(aIndex, key, aTake);
+  if (found != mClaims.end()) {
+    return ReplyToRepeat(found->second, aTake);
   }
-  const bool released = found->second.state() == wire::CLAIM_STATE_RELEASED;
-  if (released && !IsSameCall(found->second.take(), aTake)) {
-    return Start(aIndex, key, aTake);
+  if (mClaims.size() >= kMostClaims) {
+    return Fail(Code::ClaimUnavailable, "The idempotency register is full.");
   }
-  return ReplyToRepeat(found->second, aTake);
+  return Start(aIndex, key, aTake);
 }
 
 wire::ClaimReply
@@ -101,8 +99,6 @@
                   const wire::TakeClaim& aTake)
 {
   wire::ClaimSnapshot& claim = mClaims[aKey];
-  mExpiries.erase({ claim.expires_unix_ms(), aKey });
-  claim.Clear();
   *claim.mutable_take() = aTake;
   claim.set_claim(aIndex.value);
   claim.set_state(wire::CLAIM_STATE_RUNNING);
@@ -118,19 +114,26 @@
   return held ? found : mClaims.end();
 }
 
+void
+ClaimTable::StopRunning(const wire::ClaimSnapshot& aClaim, const Key& aKey)
+{
+  const auto runner = mRunning.find(RunnerOf(aClaim.take()));
+  if (runner == mRunning.end()) {
+    return;
+  }
+  runner->second.erase(aKey);
+  if (runner->second.empty()) {
+    mRunning.erase(runner);
+  }
+}
+
 void
 ClaimTable::End(Claims::iterator aClaim,
                 wire::ClaimState aState,
                 uint64_t aExpires)
 {
   const auto& [key, claim] = *aClaim;
-  const auto runner = mRunning.find(RunnerOf(claim.take()));
-  if (runner != mRunning.end()) {
-    runner->second.erase(key);
-    if (runner->second.empty()) {
-      mRunning.erase(runner);
-    }
-  }
+  StopRunning(claim, key);
   mExpiries.erase({ claim.expires_unix_ms(), key });
   mExpiries.insert({ aExpires, key });
   aClaim->second.set_state(aState);
@@ -145,8 +148,7 @@
   if (claim == mClaims.end()) {
     return;
   }
-  const wire::ClaimState state = claim->second.state();
-  if (state == wire::CLAIM_STATE_DONE || state == wire::CLAIM_STATE_RELEASED) {
+  if (claim->second.state() == wire::CLAIM_STATE_DONE) {
     return;
   }
   const uint64_t expires =
@@ -160,20 +162,29 @@
 }
 
 void
-ClaimTable::Release(const wire::ReleaseClaimCall& aCall, WallTime aNow)
+ClaimTable::Remember(const Attempt& aAttempt, uint64_t aExpires)
 {
-  const Key key{ aCall.service(), aCall.customer(), aCall.idempotency_key() };
-  const auto claim = FindHeld(key, aCall.claim());
-  if (claim == mClaims.end()) {
-    return;
+  if (mReleased.emplace(aAttempt, aExpires).second) {
+    mReleasedExpiries.insert({ aExpires, aAttempt });
   }
-  const wire::ClaimState state = claim->second.state();
-  if (state == wire::CLAIM_STATE_DONE || state == wire::CLAIM_STATE_RELEASED) {
+}
+
+void
+ClaimTable::Release(const wire::ReleaseClaim& aRelease, WallTime aNow)
+{
+  const wire::ReleaseClaimCall& call = aRelease.call();
+  const Attempt attempt{ { HostName{ aRelease.host() }, aRelease.session() },
+                         call.attempt() };
+  Remember(attempt, ToMilliseconds(aNow) + kReleasedMemoryMs);
+  const Key key{ call.service(), call.customer(), call.idempotency_key() };
+  const auto claim = mClaims.find(key);
+  if (claim == mClaims.end() || AttemptOf(claim->second.take()) != attempt ||
+      claim->second.state() == wire::CLAIM_STATE_DONE) {
     return;
   }
-  End(claim,
-      wire::CLAIM_STATE_RELEASED,
-      ToMilliseconds(aNow) + kReleasedMemoryMs);
+  StopRunning(claim->second, key);
+  mExpiries.erase({ claim->second.expires_unix_ms(), key });
+  mClaims.erase(claim);
 }
 
 void
@@ -200,6 +211,11 @@
     mClaims.erase(mExpiries.begin()->second);
     mExpiries.erase(mExpiries.begin());
   }
+  while (!mReleasedExpiries.empty() &&
+         mReleasedExpiries.begin()->first <= now) {
+    mReleased.erase(mReleasedExpiries.begin()->second);
+    mReleasedExpiries.erase(mReleasedExpiries.begin());
+  }
 }
 
 ClaimTable::Counts
@@ -230,6 +246,13 @@
   for (const auto& [key, claim] : mClaims) {
     *aSnapshot.add_claims() = claim;
   }
+  for (const auto& [attempt, expires] : mReleased) {
+    wire::ReleasedAttemptSnapshot& saved = *aSnapshot.add_released_attempts();
+    saved.set_host(attempt.runner.host.value);
+    saved.set_session(attempt.runner.session);
+    saved.set_attempt(attempt.number);
+    saved.set_expires_unix_ms(expires);
+  }
 }
 
 void
@@ -238,6 +261,12 @@
   mClaims.clear();
   mRunning.clear();
   mExpiries.clear();
+  mReleased.clear();
+  mReleasedExpiries.clear();
+  for (const auto& saved : aSnapshot.released_attempts()) {
+    Remember({ { HostName{ saved.host() }, saved.session() }, saved.attempt() },
+             saved.expires_unix_ms());
+  }
   for (const wire::ClaimSnapshot& claim : aSnapshot.claims()) {
     const wire::ClaimCall& call = claim.take().call();
     const Key key{ call.service(), call.customer(), call.idempotency_key() };
--- a/src/librattandyke/control/claim_table.h
+++ b/src/librattandyke/control/claim_table.h
@@ -23,6 +23,14 @@
   auto operator<=>(const HostSession&) const = default;
 };
 
+/// One sending of a request by one process.
+struct Attempt
+{
+  HostSession runner;
+  uint64_t number = 0;
+  auto operator<=>(const Attempt&) const = default;
+};
+
 /// Part of State: deterministic, and without a clock of its own. Memory is
 /// bounded by the retention of claims and by kMostClaims. Not thread-safe.
 class ClaimTable
@@ -41,7 +49,8 @@
     size_t unknown = 0;
   };
 
-  /// @return Code::ClaimUnavailable if the table is full.
+  /// @return Code::ClaimUnavailable if the table is full,
+  /// Code::ProposalDropped if the attempt was given up before.
   Result<wire::ClaimReply> Take(LogIndex aIndex,
                                 const wire::TakeClaim& aTake,
                                 WallTime aNow);
@@ -50,8 +59,9 @@
   /// another's or forgotten.
   void Complete(const wire::CompleteClaimCall& aCall, WallTime aNow);
 
-  /// Frees the key of a request that did not run.
-  void Release(const wire::ReleaseClaimCall& aCall, WallTime aNow);
+  /// Frees the key of a request that did not run, if this attempt holds it, and
+  /// refuses the attempt from now on.
+  void Release(const wire::ReleaseClaim& aRelease, WallTime aNow);
 
   /// A process is gone: the outcome of what it ran is unknown.
   void Orphan(const HostSession& aRunner, WallTime aNow);
@@ -78,6 +88,8 @@
 
   using Claims = std::map<Key, wire::ClaimSnapshot>;
 
+  void StopRunning(const wire::ClaimSnapshot& aClaim, const Key& aKey);
+  void Remember(const Attempt& aAttempt, uint64_t aExpires);
   void End(Claims::iterator aClaim, wire::ClaimState aState, uint64_t aExpires);
   Claims::iterator FindHeld(const Key& aKey, uint64_t aClaim);
   wire::ClaimReply Start(LogIndex aIndex,
@@ -87,6 +99,9 @@
   Claims mClaims;
   std::map<HostSession, std::set<Key>> mRunning;
   std::set<std::pair<uint64_t, Key>> mExpiries;
+  std::map<Attempt, uint64_t> mReleased;
+  /// The same by the time at which each is forgotten.
+  std::set<std::pair<uint64_t, Attempt>> mReleasedExpiries;
 };
 
 } // namespace rattandyke::control
--- a/src/librattandyke/control/claim_table_test.cpp
+++ b/src/librattandyke/control/claim_table_test.cpp
@@ -9,7 +9,7 @@
 {
 protected:
   wire::TakeClaim Call(uint64_t aSession,
-                       uint64_t aCallId,
+                       uint64_t aAttempt,
                        const std::string& aDigest = "d")
   {
     wire::TakeClaim take;
@@ -19,7 +19,7 @@
     take.mutable_call()->set_retention_ms(1000);
     take.set_host("h");
     take.set_session(aSession);
-    take.set_call_id(aCallId);
+    take.mutable_call()->set_attempt(aAttempt);
     return take;
   }
 
@@ -39,13 +39,15 @@
     return call;
   }
 
-  wire::ReleaseClaimCall Freeing(uint64_t aClaim)
+  wire::ReleaseClaim Freeing(uint64_t aSession, uint64_t aAttempt)
   {
-    wire::ReleaseClaimCall call;
-    call.set_service("board");
-    call.set_idempotency_key("k");
-    call.set_claim(aClaim);
-    return call;
+    wire::ReleaseClaim release;
+    release.mutable_call()->set_service("board");
+    release.mutable_call()->set_idempotency_key("k");
+    release.mutable_call()->set_attempt(aAttempt);
+    release.set_host("h");
+    release.set_session(aSession);
+    return release;
   }
 
   WallTime Now() const { return WallTime{ std::chrono::milliseconds(now) }; }
@@ -74,17 +76,28 @@
 // The reply to a claim is lost and the same call comes again: it still holds
 // the claim. A copy of that call that arrives after the claim was given back
 // must not take it again, since nobody waits for it: the key would be blocked.
-TEST_F(ClaimTableTest, CopiesOfOneCallAreOneCall)
+TEST_F(ClaimTableTest, CopiesOfOneAttemptAreOneAttempt)
 {
   const auto first = Take(Call(1, 7));
   const auto copy = Take(Call(1, 7));
   EXPECT_EQ(copy.outcome(), wire::CLAIM_OUTCOME_GRANTED);
   EXPECT_EQ(copy.claim(), first.claim());
-  table.Release(Freeing(first.claim()), Now());
-  EXPECT_EQ(Take(Call(1, 7)).outcome(), wire::CLAIM_OUTCOME_RUNNING);
+  table.Release(Freeing(1, 7), Now());
+  const auto late = table.Take(LogIndex{ ++index }, Call(1, 7), Now());
+  ASSERT_FALSE(late);
+  EXPECT_EQ(late.error().code, Code::ProposalDropped);
   EXPECT_EQ(Take(Call(2, 1)).outcome(), wire::CLAIM_OUTCOME_GRANTED);
 }
 
+// The caller goes away before its claim was answered, and the release overtakes
+// the claim on the way to the leader: the claim comes too late.
+TEST_F(ClaimTableTest, AReleaseMayComeBeforeItsClaim)
+{
+  table.Release(Freeing(1, 1), Now());
+  EXPECT_FALSE(table.Take(LogIndex{ ++index }, Call(1, 1), Now()));
+  EXPECT_EQ(Take(Call(1, 2)).outcome(), wire::CLAIM_OUTCOME_GRANTED);
+}
+
 // The host that ran the request is lost: a repeat is told that the outcome is
 // not known. If the host was only cut off and completes after all, its answer
 // counts.
@@ -102,9 +115,9 @@
 TEST_F(ClaimTableTest, OnlyTheHolderEndsAClaim)
 {
   const auto first = Take(Call(1, 1));
-  table.Release(Freeing(first.claim()), Now());
+  table.Release(Freeing(1, 1), Now());
   const auto second = Take(Call(2, 1));
-  table.Release(Freeing(first.claim()), Now());
+  table.Release(Freeing(1, 1), Now());
   table.Complete(Completion(first.claim(), "old"), Now());
   EXPECT_EQ(Take(Call(3, 1)).outcome(), wire::CLAIM_OUTCOME_RUNNING);
   table.Complete(Completion(second.claim(), "new"), Now());
--- a/src/librattandyke/control/coordinator.cpp
+++ b/src/librattandyke/control/coordinator.cpp
@@ -134,9 +134,15 @@
     *reply.mutable_update() = state.UpdateSince(aHost.table);
     reply.set_keeper_version(state.Version().value);
     for (const auto& [session, lease] : hosts.All()) {
-      if (lease.entry && !lease.leaving && hosts.MayLive(lease, aNow)) {
+      if (lease.leaving || !hosts.MayLive(lease, aNow)) {
+        continue;
+      }
+      if (lease.entry) {
         reply.add_live_hosts(session.host.value);
       }
+      if (!lease.upstreamAddress.empty()) {
+        reply.add_upstream_addresses(lease.upstreamAddress);
+      }
     }
     effects.push_back(Reply{ std::move(reply) });
   }
--- a/src/librattandyke/control/host_leases.cpp
+++ b/src/librattandyke/control/host_leases.cpp
@@ -30,6 +30,7 @@
   lease.dataCentre = DataCentre{ aHeartbeat.data_centre() };
   lease.peerAddress = aHeartbeat.peer_address();
   lease.adminAddress = aHeartbeat.admin_address();
+  lease.upstreamAddress = aHeartbeat.upstream_address();
   lease.entry = aHeartbeat.entry();
   lease.leaving = aHeartbeat.leaving();
   lease.logIdentity = aHeartbeat.log_identity();
--- a/src/librattandyke/control/host_leases.h
+++ b/src/librattandyke/control/host_leases.h
@@ -21,6 +21,8 @@
   DataCentre dataCentre;
   std::string peerAddress;
   std::string adminAddress;
+  /// Where upstreams announce themselves to it.
+  std::string upstreamAddress;
   bool entry = false;
   bool leaving = false;
   uint64_t logIdentity = 0;
--- a/src/librattandyke/control/state.cpp
+++ b/src/librattandyke/control/state.cpp
@@ -110,7 +110,7 @@
     state.mClaims.Complete(aCommand, state.mNow);
   }
 
-  void operator()(const wire::ReleaseClaimCall& aCommand)
+  void operator()(const wire::ReleaseClaim& aCommand)
   {
     state.mClaims.Release(aCommand, state.mNow);
   }
--- a/src/librattandyke/wire/control.pb.cpp
+++ b/src/librattandyke/wire/control.pb.cpp
@@ -190,7 +190,6 @@
     /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.call_)*/nullptr
   , /*decltype(_impl_.session_)*/uint64_t{0u}
-  , /*decltype(_impl_.call_id_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct TakeClaimDefaultTypeInternal {
   PROTOBUF_CONSTEXPR TakeClaimDefaultTypeInternal()
@@ -201,6 +200,21 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 TakeClaimDefaultTypeInternal _TakeClaim_default_instance_;
+PROTOBUF_CONSTEXPR ReleaseClaim::ReleaseClaim(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.call_)*/nullptr
+  , /*decltype(_impl_.session_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ReleaseClaimDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ReleaseClaimDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ReleaseClaimDefaultTypeInternal() {}
+  union {
+    ReleaseClaim _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ReleaseClaimDefaultTypeInternal _ReleaseClaim_default_instance_;
 PROTOBUF_CONSTEXPR OrphanClaims::OrphanClaims(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -223,6 +237,7 @@
   , /*decltype(_impl_.claims_)*/{}
   , /*decltype(_impl_.bans_)*/{}
   , /*decltype(_impl_.crashes_)*/{}
+  , /*decltype(_impl_.released_attempts_)*/{}
   , /*decltype(_impl_.version_)*/uint64_t{0u}
   , /*decltype(_impl_.oldest_version_)*/uint64_t{0u}
   , /*decltype(_impl_.now_unix_ms_)*/uint64_t{0u}
@@ -342,6 +357,22 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ClaimSnapshotDefaultTypeInternal _ClaimSnapshot_default_instance_;
+PROTOBUF_CONSTEXPR ReleasedAttemptSnapshot::ReleasedAttemptSnapshot(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.session_)*/uint64_t{0u}
+  , /*decltype(_impl_.attempt_)*/uint64_t{0u}
+  , /*decltype(_impl_.expires_unix_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ReleasedAttemptSnapshotDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ReleasedAttemptSnapshotDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ReleasedAttemptSnapshotDefaultTypeInternal() {}
+  union {
+    ReleasedAttemptSnapshot _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ReleasedAttemptSnapshotDefaultTypeInternal _ReleasedAttemptSnapshot_default_instance_;
 PROTOBUF_CONSTEXPR BanSnapshot::BanSnapshot(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.ban_)*/nullptr
@@ -375,7 +406,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashSnapshotDefaultTypeInternal _CrashSnapshot_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_control_2eproto[22];
+static ::_pb::Metadata file_level_metadata_control_2eproto[24];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_control_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_control_2eproto = nullptr;
 
@@ -498,7 +529,15 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TakeClaim, _impl_.call_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TakeClaim, _impl_.host_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TakeClaim, _impl_.session_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TakeClaim, _impl_.call_id_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaim, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaim, _impl_.call_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaim, _impl_.host_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleaseClaim, _impl_.session_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::OrphanClaims, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -524,6 +563,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.crashes_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.forgot_unix_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.records_changed_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.released_attempts_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -592,6 +632,16 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimSnapshot, _impl_.answer_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ClaimSnapshot, _impl_.expires_unix_ms_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleasedAttemptSnapshot, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleasedAttemptSnapshot, _impl_.host_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleasedAttemptSnapshot, _impl_.session_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleasedAttemptSnapshot, _impl_.attempt_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ReleasedAttemptSnapshot, _impl_.expires_unix_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::BanSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -624,16 +674,18 @@
   { 93, -1, -1, sizeof(::rattandyke::wire::GrantSlots)},
   { 101, -1, -1, sizeof(::rattandyke::wire::RemoveHotKeys)},
   { 109, -1, -1, sizeof(::rattandyke::wire::TakeClaim)},
-  { 119, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
-  { 127, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
-  { 144, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
-  { 152, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
-  { 161, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
-  { 171, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
-  { 185, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
-  { 200, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
-  { 211, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
-  { 219, -1, -1, sizeof(::rattandyke::wire::CrashSnapshot)},
+  { 118, -1, -1, sizeof(::rattandyke::wire::ReleaseClaim)},
+  { 127, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
+  { 135, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
+  { 153, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
+  { 161, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
+  { 170, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
+  { 180, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
+  { 194, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
+  { 209, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
+  { 220, -1, -1, sizeof(::rattandyke::wire::ReleasedAttemptSnapshot)},
+  { 230, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
+  { 238, -1, -1, sizeof(::rattandyke::wire::CrashSnapshot)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -649,6 +701,7 @@
   &::rattandyke::wire::_GrantSlots_default_instance_._instance,
   &::rattandyke::wire::_RemoveHotKeys_default_instance_._instance,
   &::rattandyke::wire::_TakeClaim_default_instance_._instance,
+  &::rattandyke::wire::_ReleaseClaim_default_instance_._instance,
   &::rattandyke::wire::_OrphanClaims_default_instance_._instance,
   &::rattandyke::wire::_StateSnapshot_default_instance_._instance,
   &::rattandyke::wire::_RecordSnapshot_default_instance_._instance,
@@ -657,13 +710,14 @@
   &::rattandyke::wire::_UpstreamSnapshot_default_instance_._instance,
   &::rattandyke::wire::_HoldingSnapshot_default_instance_._instance,
   &::rattandyke::wire::_ClaimSnapshot_default_instance_._instance,
+  &::rattandyke::wire::_ReleasedAttemptSnapshot_default_instance_._instance,
   &::rattandyke::wire::_BanSnapshot_default_instance_._instance,
   &::rattandyke::wire::_CrashSnapshot_default_instance_._instance,
 };
 
 const char descriptor_table_protodef_control_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\rcontrol.proto\022\017rattandyke.wire\032\npeer.p"
-  "roto\032\013table.proto\"\216\006\n\007Command\022\030\n\020propose"
+  "roto\032\013table.proto\"\212\006\n\007Command\022\030\n\020propose"
   "d_unix_ms\030\001 \001(\004\022:\n\rsubmit_record\030\n \001(\0132!"
   ".rattandyke.wire.SubmitRecordCallH\000\022@\n\022r"
   "egister_upstreams\030\013 \001(\0132\".rattandyke.wir"
@@ -677,91 +731,96 @@
   "rattandyke.wire.RemoveHotKeysH\000\0220\n\ntake_"
   "claim\030\021 \001(\0132\032.rattandyke.wire.TakeClaimH"
   "\000\022<\n\016complete_claim\030\022 \001(\0132\".rattandyke.w"
-  "ire.CompleteClaimCallH\000\022:\n\rrelease_claim"
-  "\030\023 \001(\0132!.rattandyke.wire.ReleaseClaimCal"
-  "lH\000\0226\n\rorphan_claims\030\024 \001(\0132\035.rattandyke."
-  "wire.OrphanClaimsH\000\022#\n\003ban\030\025 \001(\0132\024.ratta"
-  "ndyke.wire.BanH\000\0228\n\014crash_report\030\026 \001(\0132 "
-  ".rattandyke.wire.CrashReportCallH\000B\006\n\004bo"
-  "dy\"h\n\024UpstreamRegistration\022,\n\tannounced\030"
-  "\001 \001(\0132\031.rattandyke.wire.Upstream\022\014\n\004home"
-  "\030\002 \001(\t\022\024\n\014home_session\030\003 \001(\004\"Q\n\021Register"
-  "Upstreams\022<\n\rregistrations\030\001 \003(\0132%.ratta"
-  "ndyke.wire.UpstreamRegistration\"a\n\013Upstr"
-  "eamRef\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001("
-  "\t\022\023\n\013incarnation\030\003 \001(\004\022\032\n\022registered_ver"
-  "sion\030\004 \001(\004\"r\n\020SetUpstreamState\022-\n\005state\030"
-  "\001 \001(\0162\036.rattandyke.wire.UpstreamState\022/\n"
-  "\tupstreams\030\002 \003(\0132\034.rattandyke.wire.Upstr"
-  "eamRef\"V\n\rDrainUpstream\022\017\n\007service\030\001 \001(\t"
-  "\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\022\023\n\013by_"
-  "operator\030\004 \001(\010\"5\n\tSlotFence\022\014\n\004slot\030\001 \001("
-  "\r\022\013\n\003key\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\"w\n\014Release"
-  "Slots\022\017\n\007service\030\001 \001(\t\022)\n\005slots\030\002 \003(\0132\032."
-  "rattandyke.wire.SlotFence\022+\n\006reason\030\003 \001("
-  "\0162\033.rattandyke.wire.MoveReason\"\215\001\n\tSlotG"
-  "rant\022,\n\010released\030\001 \001(\0132\032.rattandyke.wire"
-  ".SlotFence\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnat"
-  "ion\030\003 \001(\004\022+\n\006reason\030\004 \001(\0162\033.rattandyke.w"
-  "ire.MoveReason\"I\n\nGrantSlots\022\017\n\007service\030"
-  "\001 \001(\t\022*\n\006grants\030\002 \003(\0132\032.rattandyke.wire."
-  "SlotGrant\"J\n\rRemoveHotKeys\022\017\n\007service\030\001 "
-  "\001(\t\022(\n\004keys\030\002 \003(\0132\032.rattandyke.wire.Slot"
-  "Fence\"e\n\tTakeClaim\022(\n\004call\030\001 \001(\0132\032.ratta"
-  "ndyke.wire.ClaimCall\022\014\n\004host\030\002 \001(\t\022\017\n\007se"
-  "ssion\030\003 \001(\004\022\017\n\007call_id\030\004 \001(\004\"-\n\014OrphanCl"
-  "aims\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\"\253\003\n\r"
-  "StateSnapshot\022\017\n\007version\030\001 \001(\004\022\026\n\016oldest"
-  "_version\030\002 \001(\004\022\023\n\013now_unix_ms\030\003 \001(\004\0220\n\007r"
-  "ecords\030\004 \003(\0132\037.rattandyke.wire.RecordSna"
-  "pshot\0228\n\013submissions\030\005 \003(\0132#.rattandyke."
-  "wire.SubmissionSnapshot\0222\n\010services\030\006 \003("
-  "\0132 .rattandyke.wire.ServiceSnapshot\022.\n\006c"
-  "laims\030\007 \003(\0132\036.rattandyke.wire.ClaimSnaps"
-  "hot\022*\n\004bans\030\010 \003(\0132\034.rattandyke.wire.BanS"
-  "napshot\022/\n\007crashes\030\t \003(\0132\036.rattandyke.wi"
-  "re.CrashSnapshot\022\026\n\016forgot_unix_ms\030\n \001(\004"
-  "\022\027\n\017records_changed\030\013 \001(\004\"d\n\016RecordSnaps"
-  "hot\022\'\n\006newest\030\001 \001(\0132\027.rattandyke.wire.Re"
-  "cord\022)\n\010in_force\030\002 \001(\0132\027.rattandyke.wire"
-  ".Record\"e\n\022SubmissionSnapshot\022\025\n\rsubmiss"
-  "ion_id\030\001 \001(\t\022\r\n\005index\030\002 \001(\004\022)\n\005reply\030\003 \001"
-  "(\0132\032.rattandyke.wire.CallReply\"\275\001\n\017Servi"
-  "ceSnapshot\022\017\n\007service\030\001 \001(\t\0224\n\tupstreams"
-  "\030\002 \003(\0132!.rattandyke.wire.UpstreamSnapsho"
-  "t\022/\n\005slots\030\003 \003(\0132 .rattandyke.wire.Holdi"
-  "ngSnapshot\0222\n\010hot_keys\030\004 \003(\0132 .rattandyk"
-  "e.wire.HoldingSnapshot\"\335\001\n\020UpstreamSnaps"
-  "hot\022+\n\010upstream\030\001 \001(\0132\031.rattandyke.wire."
-  "Upstream\022\024\n\014home_session\030\002 \001(\004\022\022\n\nmoved_"
-  "home\030\003 \001(\010\022\033\n\023drained_by_operator\030\004 \001(\010\022"
-  "\032\n\022draining_announced\030\005 \001(\010\022\022\n\nsupersede"
-  "d\030\006 \003(\004\022\017\n\007changed\030\007 \001(\004\022\024\n\014lost_unix_ms"
-  "\030\010 \001(\004\"\322\001\n\017HoldingSnapshot\022\013\n\003key\030\001 \001(\t\022"
-  "\r\n\005owner\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010previou"
-  "s\030\004 \001(\r\022\034\n\024previous_incarnation\030\005 \001(\004\022+\n"
-  "\006reason\030\006 \001(\0162\033.rattandyke.wire.MoveReas"
-  "on\022\025\n\rsince_unix_ms\030\007 \001(\004\022\017\n\007changed\030\010 \001"
-  "(\004\022\017\n\007removed\030\t \001(\010\"\274\001\n\rClaimSnapshot\022(\n"
-  "\004take\030\001 \001(\0132\032.rattandyke.wire.TakeClaim\022"
-  "\r\n\005claim\030\002 \001(\004\022*\n\005state\030\003 \001(\0162\033.rattandy"
-  "ke.wire.ClaimState\022-\n\006answer\030\004 \001(\0132\035.rat"
-  "tandyke.wire.StoredAnswer\022\027\n\017expires_uni"
-  "x_ms\030\005 \001(\004\"A\n\013BanSnapshot\022!\n\003ban\030\001 \001(\0132\024"
-  ".rattandyke.wire.Ban\022\017\n\007changed\030\002 \001(\004\"t\n"
-  "\rCrashSnapshot\022\017\n\007service\030\001 \001(\t\022\023\n\013finge"
-  "rprint\030\002 \001(\t\022\021\n\tupstreams\030\003 \003(\t\022\021\n\tsuspi"
-  "cion\030\004 \001(\001\022\027\n\017expires_unix_ms\030\005 \001(\004*\346\001\n\n"
-  "MoveReason\022\033\n\027MOVE_REASON_UNSPECIFIED\020\000\022"
-  "\033\n\027MOVE_REASON_FIRST_OWNER\020\001\022\032\n\026MOVE_REA"
-  "SON_OWNER_LOST\020\002\022\036\n\032MOVE_REASON_OWNER_DR"
-  "AINING\020\003\022\027\n\023MOVE_REASON_BALANCE\020\004\022\024\n\020MOV"
-  "E_REASON_LOAD\020\005\022\027\n\023MOVE_REASON_HOT_KEY\020\006"
-  "\022\032\n\026MOVE_REASON_TAKEN_BACK\020\007*\213\001\n\nClaimSt"
-  "ate\022\033\n\027CLAIM_STATE_UNSPECIFIED\020\000\022\027\n\023CLAI"
-  "M_STATE_RUNNING\020\001\022\024\n\020CLAIM_STATE_DONE\020\002\022"
-  "\027\n\023CLAIM_STATE_UNKNOWN\020\003\022\030\n\024CLAIM_STATE_"
-  "RELEASED\020\004b\006proto3"
+  "ire.CompleteClaimCallH\000\0226\n\rrelease_claim"
+  "\030\023 \001(\0132\035.rattandyke.wire.ReleaseClaimH\000\022"
+  "6\n\rorphan_claims\030\024 \001(\0132\035.rattandyke.wire"
+  ".OrphanClaimsH\000\022#\n\003ban\030\025 \001(\0132\024.rattandyk"
+  "e.wire.BanH\000\0228\n\014crash_report\030\026 \001(\0132 .rat"
+  "tandyke.wire.CrashReportCallH\000B\006\n\004body\"h"
+  "\n\024UpstreamRegistration\022,\n\tannounced\030\001 \001("
+  "\0132\031.rattandyke.wire.Upstream\022\014\n\004home\030\002 \001"
+  "(\t\022\024\n\014home_session\030\003 \001(\004\"Q\n\021RegisterUpst"
+  "reams\022<\n\rregistrations\030\001 \003(\0132%.rattandyk"
+  "e.wire.UpstreamRegistration\"a\n\013UpstreamR"
+  "ef\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n"
+  "\013incarnation\030\003 \001(\004\022\032\n\022registered_version"
+  "\030\004 \001(\004\"r\n\020SetUpstreamState\022-\n\005state\030\001 \001("
+  "\0162\036.rattandyke.wire.UpstreamState\022/\n\tups"
+  "treams\030\002 \003(\0132\034.rattandyke.wire.UpstreamR"
+  "ef\"V\n\rDrainUpstream\022\017\n\007service\030\001 \001(\t\022\020\n\010"
+  "upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\022\023\n\013by_oper"
+  "ator\030\004 \001(\010\"5\n\tSlotFence\022\014\n\004slot\030\001 \001(\r\022\013\n"
+  "\003key\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\"w\n\014ReleaseSlot"
+  "s\022\017\n\007service\030\001 \001(\t\022)\n\005slots\030\002 \003(\0132\032.ratt"
+  "andyke.wire.SlotFence\022+\n\006reason\030\003 \001(\0162\033."
+  "rattandyke.wire.MoveReason\"\215\001\n\tSlotGrant"
+  "\022,\n\010released\030\001 \001(\0132\032.rattandyke.wire.Slo"
+  "tFence\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030"
+  "\003 \001(\004\022+\n\006reason\030\004 \001(\0162\033.rattandyke.wire."
+  "MoveReason\"I\n\nGrantSlots\022\017\n\007service\030\001 \001("
+  "\t\022*\n\006grants\030\002 \003(\0132\032.rattandyke.wire.Slot"
+  "Grant\"J\n\rRemoveHotKeys\022\017\n\007service\030\001 \001(\t\022"
+  "(\n\004keys\030\002 \003(\0132\032.rattandyke.wire.SlotFenc"
+  "e\"T\n\tTakeClaim\022(\n\004call\030\001 \001(\0132\032.rattandyk"
+  "e.wire.ClaimCall\022\014\n\004host\030\002 \001(\t\022\017\n\007sessio"
+  "n\030\003 \001(\004\"^\n\014ReleaseClaim\022/\n\004call\030\001 \001(\0132!."
+  "rattandyke.wire.ReleaseClaimCall\022\014\n\004host"
+  "\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\"-\n\014OrphanClaims\022"
+  "\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\"\360\003\n\rState"
+  "Snapshot\022\017\n\007version\030\001 \001(\004\022\026\n\016oldest_vers"
+  "ion\030\002 \001(\004\022\023\n\013now_unix_ms\030\003 \001(\004\0220\n\007record"
+  "s\030\004 \003(\0132\037.rattandyke.wire.RecordSnapshot"
+  "\0228\n\013submissions\030\005 \003(\0132#.rattandyke.wire."
+  "SubmissionSnapshot\0222\n\010services\030\006 \003(\0132 .r"
+  "attandyke.wire.ServiceSnapshot\022.\n\006claims"
+  "\030\007 \003(\0132\036.rattandyke.wire.ClaimSnapshot\022*"
+  "\n\004bans\030\010 \003(\0132\034.rattandyke.wire.BanSnapsh"
+  "ot\022/\n\007crashes\030\t \003(\0132\036.rattandyke.wire.Cr"
+  "ashSnapshot\022\026\n\016forgot_unix_ms\030\n \001(\004\022\027\n\017r"
+  "ecords_changed\030\013 \001(\004\022C\n\021released_attempt"
+  "s\030\014 \003(\0132(.rattandyke.wire.ReleasedAttemp"
+  "tSnapshot\"d\n\016RecordSnapshot\022\'\n\006newest\030\001 "
+  "\001(\0132\027.rattandyke.wire.Record\022)\n\010in_force"
+  "\030\002 \001(\0132\027.rattandyke.wire.Record\"e\n\022Submi"
+  "ssionSnapshot\022\025\n\rsubmission_id\030\001 \001(\t\022\r\n\005"
+  "index\030\002 \001(\004\022)\n\005reply\030\003 \001(\0132\032.rattandyke."
+  "wire.CallReply\"\275\001\n\017ServiceSnapshot\022\017\n\007se"
+  "rvice\030\001 \001(\t\0224\n\tupstreams\030\002 \003(\0132!.rattand"
+  "yke.wire.UpstreamSnapshot\022/\n\005slots\030\003 \003(\013"
+  "2 .rattandyke.wire.HoldingSnapshot\0222\n\010ho"
+  "t_keys\030\004 \003(\0132 .rattandyke.wire.HoldingSn"
+  "apshot\"\335\001\n\020UpstreamSnapshot\022+\n\010upstream\030"
+  "\001 \001(\0132\031.rattandyke.wire.Upstream\022\024\n\014home"
+  "_session\030\002 \001(\004\022\022\n\nmoved_home\030\003 \001(\010\022\033\n\023dr"
+  "ained_by_operator\030\004 \001(\010\022\032\n\022draining_anno"
+  "unced\030\005 \001(\010\022\022\n\nsuperseded\030\006 \003(\004\022\017\n\007chang"
+  "ed\030\007 \001(\004\022\024\n\014lost_unix_ms\030\010 \001(\004\"\322\001\n\017Holdi"
+  "ngSnapshot\022\013\n\003key\030\001 \001(\t\022\r\n\005owner\030\002 \001(\r\022\r"
+  "\n\005fence\030\003 \001(\004\022\020\n\010previous\030\004 \001(\r\022\034\n\024previ"
+  "ous_incarnation\030\005 \001(\004\022+\n\006reason\030\006 \001(\0162\033."
+  "rattandyke.wire.MoveReason\022\025\n\rsince_unix"
+  "_ms\030\007 \001(\004\022\017\n\007changed\030\010 \001(\004\022\017\n\007removed\030\t "
+  "\001(\010\"\274\001\n\rClaimSnapshot\022(\n\004take\030\001 \001(\0132\032.ra"
+  "ttandyke.wire.TakeClaim\022\r\n\005claim\030\002 \001(\004\022*"
+  "\n\005state\030\003 \001(\0162\033.rattandyke.wire.ClaimSta"
+  "te\022-\n\006answer\030\004 \001(\0132\035.rattandyke.wire.Sto"
+  "redAnswer\022\027\n\017expires_unix_ms\030\005 \001(\004\"b\n\027Re"
+  "leasedAttemptSnapshot\022\014\n\004host\030\001 \001(\t\022\017\n\007s"
+  "ession\030\002 \001(\004\022\017\n\007attempt\030\003 \001(\004\022\027\n\017expires"
+  "_unix_ms\030\004 \001(\004\"A\n\013BanSnapshot\022!\n\003ban\030\001 \001"
+  "(\0132\024.rattandyke.wire.Ban\022\017\n\007changed\030\002 \001("
+  "\004\"t\n\rCrashSnapshot\022\017\n\007service\030\001 \001(\t\022\023\n\013f"
+  "ingerprint\030\002 \001(\t\022\021\n\tupstreams\030\003 \003(\t\022\021\n\ts"
+  "uspicion\030\004 \001(\001\022\027\n\017expires_unix_ms\030\005 \001(\004*"
+  "\346\001\n\nMoveReason\022\033\n\027MOVE_REASON_UNSPECIFIE"
+  "D\020\000\022\033\n\027MOVE_REASON_FIRST_OWNER\020\001\022\032\n\026MOVE"
+  "_REASON_OWNER_LOST\020\002\022\036\n\032MOVE_REASON_OWNE"
+  "R_DRAINING\020\003\022\027\n\023MOVE_REASON_BALANCE\020\004\022\024\n"
+  "\020MOVE_REASON_LOAD\020\005\022\027\n\023MOVE_REASON_HOT_K"
+  "EY\020\006\022\032\n\026MOVE_REASON_TAKEN_BACK\020\007*q\n\nClai"
+  "mState\022\033\n\027CLAIM_STATE_UNSPECIFIED\020\000\022\027\n\023C"
+  "LAIM_STATE_RUNNING\020\001\022\024\n\020CLAIM_STATE_DONE"
+  "\020\002\022\027\n\023CLAIM_STATE_UNKNOWN\020\003b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_control_2eproto_deps[2] = {
   &::descriptor_table_peer_2eproto,
@@ -769,9 +828,9 @@
 };
 static ::_pbi::once_flag descriptor_table_control_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_control_2eproto = {
-    false, false, 3978, descriptor_table_protodef_control_2eproto,
+    false, false, 4195, descriptor_table_protodef_control_2eproto,
     "control.proto",
-    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 22,
+    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 24,
     schemas, file_default_instances, TableStruct_control_2eproto::offsets,
     file_level_metadata_control_2eproto, file_level_enum_descriptors_control_2eproto,
     file_level_service_descriptors_control_2eproto,
@@ -814,7 +873,6 @@
     case 1:
     case 2:
     case 3:
-    case 4:
       return true;
     default:
       return false;
@@ -835,7 +893,7 @@
   static const ::rattandyke::wire::RemoveHotKeys& remove_hot_keys(const Command* msg);
   static const ::rattandyke::wire::TakeClaim& take_claim(const Command* msg);
   static const ::rattandyke::wire::CompleteClaimCall& complete_claim(const Command* msg);
-  static const ::rattandyke::wire::ReleaseClaimCall& release_claim(const Command* msg);
+  static const ::rattandyke::wire::ReleaseClaim& release_claim(const Command* msg);
   static const ::rattandyke::wire::OrphanClaims& orphan_claims(const Command* msg);
   static const ::rattandyke::wire::Ban& ban(const Command* msg);
   static const ::rattandyke::wire::CrashReportCall& crash_report(const Command* msg);
@@ -877,7 +935,7 @@
 Command::_Internal::complete_claim(const Command* msg) {
   return *msg->_impl_.body_.complete_claim_;
 }
-const ::rattandyke::wire::ReleaseClaimCall&
+const ::rattandyke::wire::ReleaseClaim&
 Command::_Internal::release_claim(const Command* msg) {
   return *msg->_impl_.body_.release_claim_;
 }
@@ -1046,13 +1104,12 @@
     clear_has_body();
   }
 }
-void Command::set_allocated_release_claim(::rattandyke::wire::ReleaseClaimCall* release_claim) {
+void Command::set_allocated_release_claim(::rattandyke::wire::ReleaseClaim* release_claim) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
   if (release_claim) {
     ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-        ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(
-                reinterpret_cast<::PROTOBUF_NAMESPACE_ID::MessageLite*>(release_claim));
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(release_claim);
     if (message_arena != submessage_arena) {
       release_claim = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
           message_arena, release_claim, submessage_arena);
@@ -1062,14 +1119,6 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Command.release_claim)
 }
-void Command::clear_release_claim() {
-  if (_internal_has_release_claim()) {
-    if (GetArenaForAllocation() == nullptr) {
-      delete _impl_.body_.release_claim_;
-    }
-    clear_has_body();
-  }
-}
 void Command::set_allocated_orphan_claims(::rattandyke::wire::OrphanClaims* orphan_claims) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -1198,7 +1247,7 @@
       break;
     }
     case kReleaseClaim: {
-      _this->_internal_mutable_release_claim()->::rattandyke::wire::ReleaseClaimCall::MergeFrom(
+      _this->_internal_mutable_release_claim()->::rattandyke::wire::ReleaseClaim::MergeFrom(
           from._internal_release_claim());
       break;
     }
@@ -1443,7 +1492,7 @@
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.ReleaseClaimCall release_claim = 19;
+      // .rattandyke.wire.ReleaseClaim release_claim = 19;
       case 19:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 154)) {
           ptr = ctx->ParseMessage(_internal_mutable_release_claim(), ptr);
@@ -1573,7 +1622,7 @@
         _Internal::complete_claim(this).GetCachedSize(), target, stream);
   }
 
-  // .rattandyke.wire.ReleaseClaimCall release_claim = 19;
+  // .rattandyke.wire.ReleaseClaim release_claim = 19;
   if (_internal_has_release_claim()) {
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
       InternalWriteMessage(19, _Internal::release_claim(this),
@@ -1686,7 +1735,7 @@
           *_impl_.body_.complete_claim_);
       break;
     }
-    // .rattandyke.wire.ReleaseClaimCall release_claim = 19;
+    // .rattandyke.wire.ReleaseClaim release_claim = 19;
     case kReleaseClaim: {
       total_size += 2 +
         ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
@@ -1786,7 +1835,7 @@
       break;
     }
     case kReleaseClaim: {
-      _this->_internal_mutable_release_claim()->::rattandyke::wire::ReleaseClaimCall::MergeFrom(
+      _this->_internal_mutable_release_claim()->::rattandyke::wire::ReleaseClaim::MergeFrom(
           from._internal_release_claim());
       break;
     }
@@ -4486,7 +4535,6 @@
       decltype(_impl_.host_){}
     , decltype(_impl_.call_){nullptr}
     , decltype(_impl_.session_){}
-    , decltype(_impl_.call_id_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -4501,9 +4549,7 @@
   if (from._internal_has_call()) {
     _this->_impl_.call_ = new ::rattandyke::wire::ClaimCall(*from._impl_.call_);
   }
-  ::memcpy(&_impl_.session_, &from._impl_.session_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.call_id_) -
-    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.call_id_));
+  _this->_impl_.session_ = from._impl_.session_;
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.TakeClaim)
 }
 
@@ -4515,7 +4561,6 @@
       decltype(_impl_.host_){}
     , decltype(_impl_.call_){nullptr}
     , decltype(_impl_.session_){uint64_t{0u}}
-    , decltype(_impl_.call_id_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.host_.InitDefault();
@@ -4554,9 +4599,7 @@
     delete _impl_.call_;
   }
   _impl_.call_ = nullptr;
-  ::memset(&_impl_.session_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.call_id_) -
-      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.call_id_));
+  _impl_.session_ = uint64_t{0u};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -4592,14 +4635,6 @@
         } else
           goto handle_unusual;
         continue;
-      // uint64 call_id = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
-          _impl_.call_id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4652,12 +4687,6 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_session(), target);
   }
 
-  // uint64 call_id = 4;
-  if (this->_internal_call_id() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_call_id(), target);
-  }
-
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4693,11 +4722,6 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
   }
 
-  // uint64 call_id = 4;
-  if (this->_internal_call_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_call_id());
-  }
-
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -4726,9 +4750,6 @@
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
-  if (from._internal_call_id() != 0) {
-    _this->_internal_set_call_id(from._internal_call_id());
-  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -4753,8 +4774,8 @@
       &other->_impl_.host_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(TakeClaim, _impl_.call_id_)
-      + sizeof(TakeClaim::_impl_.call_id_)
+      PROTOBUF_FIELD_OFFSET(TakeClaim, _impl_.session_)
+      + sizeof(TakeClaim::_impl_.session_)
       - PROTOBUF_FIELD_OFFSET(TakeClaim, _impl_.call_)>(
           reinterpret_cast<char*>(&_impl_.call_),
           reinterpret_cast<char*>(&other->_impl_.call_));
@@ -4768,21 +4789,33 @@
 
 // ===================================================================
 
-class OrphanClaims::_Internal {
+class ReleaseClaim::_Internal {
  public:
+  static const ::rattandyke::wire::ReleaseClaimCall& call(const ReleaseClaim* msg);
 };
 
-OrphanClaims::OrphanClaims(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+const ::rattandyke::wire::ReleaseClaimCall&
+ReleaseClaim::_Internal::call(const ReleaseClaim* msg) {
+  return *msg->_impl_.call_;
+}
+void ReleaseClaim::clear_call() {
+  if (GetArenaForAllocation() == nullptr && _impl_.call_ != nullptr) {
+    delete _impl_.call_;
+  }
+  _impl_.call_ = nullptr;
+}
+ReleaseClaim::ReleaseClaim(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.OrphanClaims)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ReleaseClaim)
 }
-OrphanClaims::OrphanClaims(const OrphanClaims& from)
+ReleaseClaim::ReleaseClaim(const ReleaseClaim& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  OrphanClaims* const _this = this; (void)_this;
+  ReleaseClaim* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.host_){}
+    , decltype(_impl_.call_){nullptr}
     , decltype(_impl_.session_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -4795,16 +4828,20 @@
     _this->_impl_.host_.Set(from._internal_host(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_call()) {
+    _this->_impl_.call_ = new ::rattandyke::wire::ReleaseClaimCall(*from._impl_.call_);
+  }
   _this->_impl_.session_ = from._impl_.session_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.OrphanClaims)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ReleaseClaim)
 }
 
-inline void OrphanClaims::SharedCtor(
+inline void ReleaseClaim::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.host_){}
+    , decltype(_impl_.call_){nullptr}
     , decltype(_impl_.session_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -4814,8 +4851,8 @@
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-OrphanClaims::~OrphanClaims() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.OrphanClaims)
+ReleaseClaim::~ReleaseClaim() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ReleaseClaim)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -4823,45 +4860,58 @@
   SharedDtor();
 }
 
-inline void OrphanClaims::SharedDtor() {
+inline void ReleaseClaim::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.host_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.call_;
 }
 
-void OrphanClaims::SetCachedSize(int size) const {
+void ReleaseClaim::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void OrphanClaims::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.OrphanClaims)
+void ReleaseClaim::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ReleaseClaim)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
   _impl_.host_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.call_ != nullptr) {
+    delete _impl_.call_;
+  }
+  _impl_.call_ = nullptr;
   _impl_.session_ = uint64_t{0u};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* OrphanClaims::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ReleaseClaim::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string host = 1;
+      // .rattandyke.wire.ReleaseClaimCall call = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_call(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string host = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_host();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.OrphanClaims.host"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ReleaseClaim.host"));
         } else
           goto handle_unusual;
         continue;
-      // uint64 session = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+      // uint64 session = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
           _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
@@ -4890,52 +4940,66 @@
 #undef CHK_
 }
 
-uint8_t* OrphanClaims::_InternalSerialize(
+uint8_t* ReleaseClaim::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.OrphanClaims)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ReleaseClaim)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string host = 1;
+  // .rattandyke.wire.ReleaseClaimCall call = 1;
+  if (this->_internal_has_call()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::call(this),
+        _Internal::call(this).GetCachedSize(), target, stream);
+  }
+
+  // string host = 2;
   if (!this->_internal_host().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.OrphanClaims.host");
+      "rattandyke.wire.ReleaseClaim.host");
     target = stream->WriteStringMaybeAliased(
-        1, this->_internal_host(), target);
+        2, this->_internal_host(), target);
   }
 
-  // uint64 session = 2;
+  // uint64 session = 3;
   if (this->_internal_session() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_session(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_session(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.OrphanClaims)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ReleaseClaim)
   return target;
 }
 
-size_t OrphanClaims::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.OrphanClaims)
+size_t ReleaseClaim::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ReleaseClaim)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string host = 1;
+  // string host = 2;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
         this->_internal_host());
   }
 
-  // uint64 session = 2;
+  // .rattandyke.wire.ReleaseClaimCall call = 1;
+  if (this->_internal_has_call()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.call_);
+  }
+
+  // uint64 session = 3;
   if (this->_internal_session() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
   }
@@ -4943,17 +5007,17 @@
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData OrphanClaims::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ReleaseClaim::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    OrphanClaims::MergeImpl
+    ReleaseClaim::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*OrphanClaims::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ReleaseClaim::GetClassData() const { return &_class_data_; }
 
 
-void OrphanClaims::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<OrphanClaims*>(&to_msg);
-  auto& from = static_cast<const OrphanClaims&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.OrphanClaims)
+void ReleaseClaim::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ReleaseClaim*>(&to_msg);
+  auto& from = static_cast<const ReleaseClaim&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ReleaseClaim)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
@@ -4961,24 +5025,28 @@
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
+  if (from._internal_has_call()) {
+    _this->_internal_mutable_call()->::rattandyke::wire::ReleaseClaimCall::MergeFrom(
+        from._internal_call());
+  }
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void OrphanClaims::CopyFrom(const OrphanClaims& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.OrphanClaims)
+void ReleaseClaim::CopyFrom(const ReleaseClaim& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ReleaseClaim)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool OrphanClaims::IsInitialized() const {
+bool ReleaseClaim::IsInitialized() const {
   return true;
 }
 
-void OrphanClaims::InternalSwap(OrphanClaims* other) {
+void ReleaseClaim::InternalSwap(ReleaseClaim* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
@@ -4987,10 +5055,15 @@
       &_impl_.host_, lhs_arena,
       &other->_impl_.host_, rhs_arena
   );
-  swap(_impl_.session_, other->_impl_.session_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ReleaseClaim, _impl_.session_)
+      + sizeof(ReleaseClaim::_impl_.session_)
+      - PROTOBUF_FIELD_OFFSET(ReleaseClaim, _impl_.call_)>(
+          reinterpret_cast<char*>(&_impl_.call_),
+          reinterpret_cast<char*>(&other->_impl_.call_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata OrphanClaims::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ReleaseClaim::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
       file_level_metadata_control_2eproto[12]);
@@ -4998,62 +5071,54 @@
 
 // ===================================================================
 
-class StateSnapshot::_Internal {
+class OrphanClaims::_Internal {
  public:
 };
 
-StateSnapshot::StateSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+OrphanClaims::OrphanClaims(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.StateSnapshot)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.OrphanClaims)
 }
-StateSnapshot::StateSnapshot(const StateSnapshot& from)
+OrphanClaims::OrphanClaims(const OrphanClaims& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  StateSnapshot* const _this = this; (void)_this;
+  OrphanClaims* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.records_){from._impl_.records_}
-    , decltype(_impl_.submissions_){from._impl_.submissions_}
-    , decltype(_impl_.services_){from._impl_.services_}
-    , decltype(_impl_.claims_){from._impl_.claims_}
-    , decltype(_impl_.bans_){from._impl_.bans_}
-    , decltype(_impl_.crashes_){from._impl_.crashes_}
-    , decltype(_impl_.version_){}
-    , decltype(_impl_.oldest_version_){}
-    , decltype(_impl_.now_unix_ms_){}
-    , decltype(_impl_.forgot_unix_ms_){}
-    , decltype(_impl_.records_changed_){}
+      decltype(_impl_.host_){}
+    , decltype(_impl_.session_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  ::memcpy(&_impl_.version_, &from._impl_.version_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.records_changed_) -
-    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.StateSnapshot)
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_host().empty()) {
+    _this->_impl_.host_.Set(from._internal_host(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.session_ = from._impl_.session_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.OrphanClaims)
 }
 
-inline void StateSnapshot::SharedCtor(
+inline void OrphanClaims::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.records_){arena}
-    , decltype(_impl_.submissions_){arena}
-    , decltype(_impl_.services_){arena}
-    , decltype(_impl_.claims_){arena}
-    , decltype(_impl_.bans_){arena}
-    , decltype(_impl_.crashes_){arena}
-    , decltype(_impl_.version_){uint64_t{0u}}
-    , decltype(_impl_.oldest_version_){uint64_t{0u}}
-    , decltype(_impl_.now_unix_ms_){uint64_t{0u}}
-    , decltype(_impl_.forgot_unix_ms_){uint64_t{0u}}
-    , decltype(_impl_.records_changed_){uint64_t{0u}}
+      decltype(_impl_.host_){}
+    , decltype(_impl_.session_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-StateSnapshot::~StateSnapshot() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.StateSnapshot)
+OrphanClaims::~OrphanClaims() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.OrphanClaims)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -5061,67 +5126,309 @@
   SharedDtor();
 }
 
-inline void StateSnapshot::SharedDtor() {
+inline void OrphanClaims::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.records_.~RepeatedPtrField();
-  _impl_.submissions_.~RepeatedPtrField();
-  _impl_.services_.~RepeatedPtrField();
-  _impl_.claims_.~RepeatedPtrField();
-  _impl_.bans_.~RepeatedPtrField();
-  _impl_.crashes_.~RepeatedPtrField();
+  _impl_.host_.Destroy();
 }
 
-void StateSnapshot::SetCachedSize(int size) const {
+void OrphanClaims::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void StateSnapshot::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.StateSnapshot)
+void OrphanClaims::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.OrphanClaims)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.records_.Clear();
-  _impl_.submissions_.Clear();
-  _impl_.services_.Clear();
-  _impl_.claims_.Clear();
-  _impl_.bans_.Clear();
-  _impl_.crashes_.Clear();
-  ::memset(&_impl_.version_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.records_changed_) -
-      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
+  _impl_.host_.ClearToEmpty();
+  _impl_.session_ = uint64_t{0u};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* StateSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* OrphanClaims::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 version = 1;
+      // string host = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_host();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.OrphanClaims.host"));
         } else
           goto handle_unusual;
         continue;
-      // uint64 oldest_version = 2;
+      // uint64 session = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.oldest_version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // uint64 now_unix_ms = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.now_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* OrphanClaims::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.OrphanClaims)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.OrphanClaims.host");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_host(), target);
+  }
+
+  // uint64 session = 2;
+  if (this->_internal_session() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_session(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.OrphanClaims)
+  return target;
+}
+
+size_t OrphanClaims::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.OrphanClaims)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_host());
+  }
+
+  // uint64 session = 2;
+  if (this->_internal_session() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData OrphanClaims::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    OrphanClaims::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*OrphanClaims::GetClassData() const { return &_class_data_; }
+
+
+void OrphanClaims::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<OrphanClaims*>(&to_msg);
+  auto& from = static_cast<const OrphanClaims&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.OrphanClaims)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_host().empty()) {
+    _this->_internal_set_host(from._internal_host());
+  }
+  if (from._internal_session() != 0) {
+    _this->_internal_set_session(from._internal_session());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void OrphanClaims::CopyFrom(const OrphanClaims& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.OrphanClaims)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool OrphanClaims::IsInitialized() const {
+  return true;
+}
+
+void OrphanClaims::InternalSwap(OrphanClaims* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.host_, lhs_arena,
+      &other->_impl_.host_, rhs_arena
+  );
+  swap(_impl_.session_, other->_impl_.session_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata OrphanClaims::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
+      file_level_metadata_control_2eproto[13]);
+}
+
+// ===================================================================
+
+class StateSnapshot::_Internal {
+ public:
+};
+
+StateSnapshot::StateSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.StateSnapshot)
+}
+StateSnapshot::StateSnapshot(const StateSnapshot& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  StateSnapshot* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.records_){from._impl_.records_}
+    , decltype(_impl_.submissions_){from._impl_.submissions_}
+    , decltype(_impl_.services_){from._impl_.services_}
+    , decltype(_impl_.claims_){from._impl_.claims_}
+    , decltype(_impl_.bans_){from._impl_.bans_}
+    , decltype(_impl_.crashes_){from._impl_.crashes_}
+    , decltype(_impl_.released_attempts_){from._impl_.released_attempts_}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.oldest_version_){}
+    , decltype(_impl_.now_unix_ms_){}
+    , decltype(_impl_.forgot_unix_ms_){}
+    , decltype(_impl_.records_changed_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.version_, &from._impl_.version_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.records_changed_) -
+    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.StateSnapshot)
+}
+
+inline void StateSnapshot::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.records_){arena}
+    , decltype(_impl_.submissions_){arena}
+    , decltype(_impl_.services_){arena}
+    , decltype(_impl_.claims_){arena}
+    , decltype(_impl_.bans_){arena}
+    , decltype(_impl_.crashes_){arena}
+    , decltype(_impl_.released_attempts_){arena}
+    , decltype(_impl_.version_){uint64_t{0u}}
+    , decltype(_impl_.oldest_version_){uint64_t{0u}}
+    , decltype(_impl_.now_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.forgot_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.records_changed_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+StateSnapshot::~StateSnapshot() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.StateSnapshot)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void StateSnapshot::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.records_.~RepeatedPtrField();
+  _impl_.submissions_.~RepeatedPtrField();
+  _impl_.services_.~RepeatedPtrField();
+  _impl_.claims_.~RepeatedPtrField();
+  _impl_.bans_.~RepeatedPtrField();
+  _impl_.crashes_.~RepeatedPtrField();
+  _impl_.released_attempts_.~RepeatedPtrField();
+}
+
+void StateSnapshot::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void StateSnapshot::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.StateSnapshot)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.records_.Clear();
+  _impl_.submissions_.Clear();
+  _impl_.services_.Clear();
+  _impl_.claims_.Clear();
+  _impl_.bans_.Clear();
+  _impl_.crashes_.Clear();
+  _impl_.released_attempts_.Clear();
+  ::memset(&_impl_.version_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.records_changed_) -
+      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* StateSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 version = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 oldest_version = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.oldest_version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 now_unix_ms = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.now_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
         continue;
       // repeated .rattandyke.wire.RecordSnapshot records = 4;
       case 4:
@@ -5217,6 +5524,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.ReleasedAttemptSnapshot released_attempts = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_released_attempts(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -5324,6 +5644,14 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(11, this->_internal_records_changed(), target);
   }
 
+  // repeated .rattandyke.wire.ReleasedAttemptSnapshot released_attempts = 12;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_released_attempts_size()); i < n; i++) {
+    const auto& repfield = this->_internal_released_attempts(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(12, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -5382,6 +5710,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.ReleasedAttemptSnapshot released_attempts = 12;
+  total_size += 1UL * this->_internal_released_attempts_size();
+  for (const auto& msg : this->_impl_.released_attempts_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // uint64 version = 1;
   if (this->_internal_version() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
@@ -5431,6 +5766,7 @@
   _this->_impl_.claims_.MergeFrom(from._impl_.claims_);
   _this->_impl_.bans_.MergeFrom(from._impl_.bans_);
   _this->_impl_.crashes_.MergeFrom(from._impl_.crashes_);
+  _this->_impl_.released_attempts_.MergeFrom(from._impl_.released_attempts_);
   if (from._internal_version() != 0) {
     _this->_internal_set_version(from._internal_version());
   }
@@ -5469,6 +5805,7 @@
   _impl_.claims_.InternalSwap(&other->_impl_.claims_);
   _impl_.bans_.InternalSwap(&other->_impl_.bans_);
   _impl_.crashes_.InternalSwap(&other->_impl_.crashes_);
+  _impl_.released_attempts_.InternalSwap(&other->_impl_.released_attempts_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.records_changed_)
       + sizeof(StateSnapshot::_impl_.records_changed_)
@@ -5480,7 +5817,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata StateSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[13]);
+      file_level_metadata_control_2eproto[14]);
 }
 
 // ===================================================================
@@ -5731,7 +6068,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RecordSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[14]);
+      file_level_metadata_control_2eproto[15]);
 }
 
 // ===================================================================
@@ -6013,7 +6350,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SubmissionSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[15]);
+      file_level_metadata_control_2eproto[16]);
 }
 
 // ===================================================================
@@ -6318,7 +6655,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[16]);
+      file_level_metadata_control_2eproto[17]);
 }
 
 // ===================================================================
@@ -6714,7 +7051,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[17]);
+      file_level_metadata_control_2eproto[18]);
 }
 
 // ===================================================================
@@ -7124,7 +7461,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HoldingSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[18]);
+      file_level_metadata_control_2eproto[19]);
 }
 
 // ===================================================================
@@ -7450,7 +7787,294 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ClaimSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[19]);
+      file_level_metadata_control_2eproto[20]);
+}
+
+// ===================================================================
+
+class ReleasedAttemptSnapshot::_Internal {
+ public:
+};
+
+ReleasedAttemptSnapshot::ReleasedAttemptSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ReleasedAttemptSnapshot)
+}
+ReleasedAttemptSnapshot::ReleasedAttemptSnapshot(const ReleasedAttemptSnapshot& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ReleasedAttemptSnapshot* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.host_){}
+    , decltype(_impl_.session_){}
+    , decltype(_impl_.attempt_){}
+    , decltype(_impl_.expires_unix_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_host().empty()) {
+    _this->_impl_.host_.Set(from._internal_host(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.session_, &from._impl_.session_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.expires_unix_ms_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.expires_unix_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ReleasedAttemptSnapshot)
+}
+
+inline void ReleasedAttemptSnapshot::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.host_){}
+    , decltype(_impl_.session_){uint64_t{0u}}
+    , decltype(_impl_.attempt_){uint64_t{0u}}
+    , decltype(_impl_.expires_unix_ms_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ReleasedAttemptSnapshot::~ReleasedAttemptSnapshot() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ReleasedAttemptSnapshot)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ReleasedAttemptSnapshot::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.host_.Destroy();
+}
+
+void ReleasedAttemptSnapshot::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ReleasedAttemptSnapshot::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ReleasedAttemptSnapshot)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.host_.ClearToEmpty();
+  ::memset(&_impl_.session_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.expires_unix_ms_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.expires_unix_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ReleasedAttemptSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string host = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_host();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ReleasedAttemptSnapshot.host"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 session = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 attempt = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.attempt_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 expires_unix_ms = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.expires_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ReleasedAttemptSnapshot::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ReleasedAttemptSnapshot)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ReleasedAttemptSnapshot.host");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_host(), target);
+  }
+
+  // uint64 session = 2;
+  if (this->_internal_session() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_session(), target);
+  }
+
+  // uint64 attempt = 3;
+  if (this->_internal_attempt() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_attempt(), target);
+  }
+
+  // uint64 expires_unix_ms = 4;
+  if (this->_internal_expires_unix_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_expires_unix_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ReleasedAttemptSnapshot)
+  return target;
+}
+
+size_t ReleasedAttemptSnapshot::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ReleasedAttemptSnapshot)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_host());
+  }
+
+  // uint64 session = 2;
+  if (this->_internal_session() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
+  }
+
+  // uint64 attempt = 3;
+  if (this->_internal_attempt() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_attempt());
+  }
+
+  // uint64 expires_unix_ms = 4;
+  if (this->_internal_expires_unix_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_expires_unix_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ReleasedAttemptSnapshot::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ReleasedAttemptSnapshot::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ReleasedAttemptSnapshot::GetClassData() const { return &_class_data_; }
+
+
+void ReleasedAttemptSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ReleasedAttemptSnapshot*>(&to_msg);
+  auto& from = static_cast<const ReleasedAttemptSnapshot&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ReleasedAttemptSnapshot)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_host().empty()) {
+    _this->_internal_set_host(from._internal_host());
+  }
+  if (from._internal_session() != 0) {
+    _this->_internal_set_session(from._internal_session());
+  }
+  if (from._internal_attempt() != 0) {
+    _this->_internal_set_attempt(from._internal_attempt());
+  }
+  if (from._internal_expires_unix_ms() != 0) {
+    _this->_internal_set_expires_unix_ms(from._internal_expires_unix_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ReleasedAttemptSnapshot::CopyFrom(const ReleasedAttemptSnapshot& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ReleasedAttemptSnapshot)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ReleasedAttemptSnapshot::IsInitialized() const {
+  return true;
+}
+
+void ReleasedAttemptSnapshot::InternalSwap(ReleasedAttemptSnapshot* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.host_, lhs_arena,
+      &other->_impl_.host_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ReleasedAttemptSnapshot, _impl_.expires_unix_ms_)
+      + sizeof(ReleasedAttemptSnapshot::_impl_.expires_unix_ms_)
+      - PROTOBUF_FIELD_OFFSET(ReleasedAttemptSnapshot, _impl_.session_)>(
+          reinterpret_cast<char*>(&_impl_.session_),
+          reinterpret_cast<char*>(&other->_impl_.session_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ReleasedAttemptSnapshot::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
+      file_level_metadata_control_2eproto[21]);
 }
 
 // ===================================================================
@@ -7680,7 +8304,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata BanSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[20]);
+      file_level_metadata_control_2eproto[22]);
 }
 
 // ===================================================================
@@ -8044,7 +8668,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CrashSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[21]);
+      file_level_metadata_control_2eproto[23]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -8099,6 +8723,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::TakeClaim >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::TakeClaim >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ReleaseClaim*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ReleaseClaim >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ReleaseClaim >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::OrphanClaims*
 Arena::CreateMaybeMessage< ::rattandyke::wire::OrphanClaims >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::OrphanClaims >(arena);
@@ -8131,6 +8759,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::ClaimSnapshot >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::ClaimSnapshot >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ReleasedAttemptSnapshot*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ReleasedAttemptSnapshot >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ReleasedAttemptSnapshot >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::BanSnapshot*
 Arena::CreateMaybeMessage< ::rattandyke::wire::BanSnapshot >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::BanSnapshot >(arena);
