Add the deployment benches and their baselines

Three more scenarios: writes under faults, a surging dominant customer, and what an entry adds to latency.

The summary counted answered sendings over answered requests under one name; sendings now have their own object.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export CCACHE_NOHASHDIR = 1
 
 .PHONY: all deps configure build demo test run bench bench-association \
-        bench-agency capacity lint format-check clang-format proto clean \
+        bench-agency bench-faults bench-fairness bench-latency capacity lint format-check clang-format proto clean \
         test-asan test-tsan pages
 
 all: build
@@ -36,10 +36,19 @@
 	@$(BUILD)/bin/rattandyke-bench
 
 bench-association: build
-	@$(BUILD)/bin/rattandyke-bench --scenario association
+	@scripts/bench-deployment --bin $(BUILD)/bin --scenario association
 
 bench-agency: build
-	@$(BUILD)/bin/rattandyke-bench --scenario agency
+	@scripts/bench-deployment --bin $(BUILD)/bin --scenario agency
+
+bench-faults: build
+	@scripts/bench-deployment --bin $(BUILD)/bin --scenario faults
+
+bench-fairness: build
+	@scripts/bench-deployment --bin $(BUILD)/bin --scenario fairness
+
+bench-latency: build
+	@scripts/bench-deployment --bin $(BUILD)/bin --scenario latency
 
 capacity: build
 	@$(BUILD)/bin/rattandyke-capacity
--- a/scripts/checks.py
+++ b/scripts/checks.py
@@ -228,7 +228,8 @@
 
 
 def _has_lease(life, now):
-    return any(since <= now < until for since, until in _lease_periods(life))
+    # Without leases, as in a baseline, nothing excuses a run's being there.
+    return not life.leases or any(since <= now < until for since, until in _lease_periods(life))
 
 
 def outlived_runs(runs):
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -17,6 +17,8 @@
 # Generous: nothing that is waited for should come near it, and a machine that
 # is busy with other work must not turn a right result into a failure.
 PATIENCE_S = 60
+# A port at which nobody listens, for upstreams that are to have no host.
+NOBODY = 1
 
 
 class Failure(Exception):
@@ -175,36 +177,39 @@
 class Upstream:
     """One stand-in upstream and its record file."""
 
-    def __init__(self, deployment, service, name, data_centre, options):
+    def __init__(self, deployment, service, name, data_centre, options,
+                 announce):
         self.deployment = deployment
         self.service = service
         self.name = name
         self.data_centre = data_centre
         self.options = options
+        self.announce = announce
         self.record = deployment.folder / f"{service}.{name}.record"
         self.output = deployment.folder / f"{service}.{name}.output"
         self.process = None
-        self.port = None
+        self.port = free_port()
 
     def start(self):
         if self.output.exists():
             self.output.unlink()
-        hosts = [argument for host in self.deployment.hosts
-                 for argument in ("--host", f"127.0.0.1:{host.upstreams}")]
+        ports = [host.upstreams for host in self.deployment.hosts]
+        if not self.announce:
+            ports = [NOBODY]
+        hosts = [argument for port in ports
+                 for argument in ("--host", f"127.0.0.1:{port}")]
         self.process = Process(
             [self.deployment.bin / "rattandyke-upstream", "--service",
              self.service, "--name", self.name, "--data-centre",
-             self.data_centre, "--record", self.record, *hosts,
-             *self.options], self.output, self.deployment.folder)
-        self.port = wait_for(f"{self.name} to listen", self._listening_port)
+             self.data_centre, "--record", self.record, "--listen",
+             f"127.0.0.1:{self.port}", *hosts, *self.options], self.output,
+            self.deployment.folder)
+        wait_for(f"{self.name} to listen", self._listens)
 
-    def _listening_port(self):
+    def _listens(self):
         if not self.process.alive():
             raise Failure(f"{self.name} ended:\n{self.output.read_text()}")
-        for line in self.output.read_text().splitlines():
-            if line.startswith("listening "):
-                return int(line.rsplit(":", 1)[1])
-        return None
+        return "listening " in self.output.read_text()
 
     def set_mode(self, **modes):
         answer = call(self.port, "POST", "/-/mode", json.dumps(modes))
@@ -330,11 +335,12 @@
             if after is None:
                 return items
 
-    def add_upstreams(self, service, count, *options, first=1):
+    def add_upstreams(self, service, count, *options, first=1, announce=True):
+        """Starts upstreams SERVICE-first and so on. Returns them."""
         added = []
         for index in range(first, first + count):
             upstream = Upstream(self, service, f"{service}-{index}",
-                                f"dc-{(index - 1) % 3 + 1}", options)
+                                f"dc-{(index - 1) % 3 + 1}", options, announce)
             self.upstreams.append(upstream)
             upstream.start()
             added.append(upstream)
@@ -354,8 +360,17 @@
             return holders == names
         wait_for(f"every slot of {service} to have an owner", owned)
 
-    def start_load(self, config, name="load", entries=None):
-        load = Load(self, config, name, entries or self.living())
+    def start_load(self, config, name="load", entries=None, routing="entries",
+                   upstreams=None):
+        """Starts the load driver against the entries, all living ones if none
+        are named, or against the upstreams if another routing is asked for."""
+        if routing != "entries":
+            targets = [f"{upstream.service}=127.0.0.1:{upstream.port}"
+                       for upstream in upstreams or self.upstreams]
+        else:
+            targets = [f"127.0.0.1:{host.callers}"
+                       for host in entries or self.living()]
+        load = Load(self, config, name, routing, targets)
         self.loads.append(load)
         return load
 
@@ -363,19 +378,19 @@
 class Load:
     """One run of the load driver."""
 
-    def __init__(self, deployment, config, name, entries):
+    def __init__(self, deployment, config, name, routing, targets):
         self.folder = deployment.folder
         self.summary_file = self.folder / f"{name}.summary.json"
         self.requests = self.folder / f"{name}.requests"
         self.output = self.folder / f"{name}.output"
         config_file = self.folder / f"{name}.ini"
         config_file.write_text(config)
-        targets = [argument for host in entries
-                   for argument in ("--entry", f"127.0.0.1:{host.callers}")]
+        entries = [argument for target in targets
+                   for argument in ("--entry", target)]
         self.process = Process(
             [deployment.bin / "rattandyke-load", "--config", config_file,
-             "--name", name, "--summary", self.summary_file, "--requests",
-             self.requests, *targets], self.output, self.folder)
+             "--name", name, "--routing", routing, "--summary", self.summary_file, "--requests",
+             self.requests, *entries], self.output, self.folder)
 
     def answered(self):
         """Requests answered so far, from the driver's progress line."""
--- a/src/load/driver.cpp
+++ b/src/load/driver.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "load/plan.h"
+#include "upstream/options.h"
 
 namespace rattandyke::load {
 
@@ -40,8 +41,55 @@
   bool answered = false;
 };
 
+std::vector<Endpoint>
+AddressesOf(const std::vector<Target>& aTargets)
+{
+  std::vector<Endpoint> addresses;
+  for (const Target& target : aTargets) {
+    addresses.push_back(target.address);
+  }
+  return addresses;
+}
+
+std::vector<size_t>
+TargetsOf(const ServiceName& aService, const std::vector<Target>& aTargets)
+{
+  std::vector<size_t> indices;
+  for (size_t index = 0; index < aTargets.size(); ++index) {
+    const ServiceName& only = aTargets[index].service;
+    if (only.value.empty() || only == aService) {
+      indices.push_back(index);
+    }
+  }
+  return indices;
+}
+
 } // namespace
 
+Result<Target>
+ParseTarget(const std::string& aText)
+{
+  Target target;
+  const size_t equals = aText.find('=');
+  if (equals != std::string::npos) {
+    target.service.value = aText.substr(0, equals);
+  }
+  const std::string address =
+    equals == std::string::npos ? aText : aText.substr(equals + 1);
+  auto endpoint = upstream::ParseEndpoint(address);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(endpoint->address, error);
+  if (error || !ip.is_loopback()) {
+    return Fail(Code::InvalidSettings,
+                "'" + address + "' is not a loopback address.");
+  }
+  target.address = std::move(*endpoint);
+  return target;
+}
+
 Result<Routing>
 ParseRouting(std::string_view aName)
 {
@@ -71,24 +119,29 @@
   Random random;
   size_t underWay = 0;
   uint64_t started = 0;
-  size_t nextEntry = 0;
+  size_t nextTarget = 0;
+  /// By service, as in the configuration: indices of its targets.
+  std::vector<std::vector<size_t>> targets;
 
   Impl(asio::io_context& aContext,
        const LoadConfig& aConfig,
        Routing aRouting,
-       std::vector<Endpoint> aTargets,
+       const std::vector<Target>& aTargets,
        std::string aRunName,
        Instant aStart,
        Results& aResults)
     : context(aContext)
     , config(aConfig)
     , routing(aRouting)
-    , connections(aContext.get_executor(), std::move(aTargets))
+    , connections(aContext.get_executor(), AddressesOf(aTargets))
     , runName(std::move(aRunName))
     , start(aStart)
     , results(aResults)
     , random(aConfig.seed)
   {
+    for (const ServiceLoad& service : aConfig.services) {
+      targets.push_back(TargetsOf(service.name, aTargets));
+    }
   }
 
   /// Whether sending a request again cannot run it twice; the round-robin
@@ -99,14 +152,15 @@
            !aPlan.idempotencyKey.empty();
   }
 
-  /// @param aFirst target of the first sending, if targets are taken in turn.
-  size_t Target(const Plan& aPlan, size_t aFirst, uint32_t aNumber) const
+  /// @param aFirst counts requests: targets are taken in turn.
+  size_t ChooseTarget(const Plan& aPlan, size_t aFirst, uint32_t aNumber) const
   {
+    const auto& mine = targets[aPlan.service - config.services.data()];
     if (routing == Routing::StaticHash) {
-      return XXH64(aPlan.key.data(), aPlan.key.size(), 0) %
-             connections.Entries();
+      const auto hash = XXH64(aPlan.key.data(), aPlan.key.size(), 0);
+      return mine[hash % mine.size()];
     }
-    return (aFirst + aNumber) % connections.Entries();
+    return mine[(aFirst + aNumber) % mine.size()];
   }
 
   asio::awaitable<void> SendAttempt(std::shared_ptr<Request> aRequest,
@@ -182,7 +236,7 @@
 
   asio::awaitable<void> Carry(std::shared_ptr<Request> aRequest)
   {
-    const size_t first = nextEntry++;
+    const size_t first = nextTarget++;
     uint32_t number = 0;
     do {
       if (number > 0) {
@@ -191,7 +245,7 @@
           break;
         }
       }
-      const size_t entry = Target(aRequest->finished.plan, first, number);
+      const size_t entry = ChooseTarget(aRequest->finished.plan, first, number);
       ++aRequest->outstanding;
       asio::co_spawn(
         context, SendAttempt(aRequest, number, entry), asio::detached);
@@ -237,14 +291,14 @@
 Driver::Driver(asio::io_context& aContext,
                const LoadConfig& aConfig,
                Routing aRouting,
-               std::vector<Endpoint> aTargets,
+               const std::vector<Target>& aTargets,
                std::string aRunName,
                Instant aStart,
                Results& aResults)
   : mImpl(std::make_unique<Impl>(aContext,
                                  aConfig,
                                  aRouting,
-                                 std::move(aTargets),
+                                 aTargets,
                                  std::move(aRunName),
                                  aStart,
                                  aResults))
--- a/src/load/driver.h
+++ b/src/load/driver.h
@@ -26,6 +26,18 @@
 /// @return the routing of that name, or Code::InvalidSettings.
 Result<Routing> ParseRouting(std::string_view aName);
 
+/// Where requests may be sent.
+struct Target
+{
+  Endpoint address;
+  /// Only requests of this service; empty: of any.
+  ServiceName service;
+};
+
+/// @param aText "IP:PORT" or "SERVICE=IP:PORT", the IP a loopback address:
+/// load is for a machine's own test bench, never for somebody's network.
+Result<Target> ParseTarget(const std::string& aText);
+
 /// Open loop: a request starts when its customer intended, also while earlier
 /// ones are under way. Runs on one thread.
 class Driver
@@ -37,7 +49,7 @@
   Driver(asio::io_context& aContext,
          const LoadConfig& aConfig,
          Routing aRouting,
-         std::vector<Endpoint> aTargets,
+         const std::vector<Target>& aTargets,
          std::string aRunName,
          Instant aStart,
          Results& aResults);
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,5 +1,6 @@
 // Open-loop load driver: sends the requests of several customers to the entry
 // hosts and verifies each answer. Not a part of the product.
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -20,7 +21,7 @@
 struct Options
 {
   LoadConfig config;
-  std::vector<Endpoint> entries;
+  std::vector<Target> targets;
   Routing routing = Routing::Entries;
   std::string runName;
   std::string summaryFile;
@@ -37,18 +38,22 @@
   return std::move(*aResult);
 }
 
-/// Load is for the machine's own test bench, never for somebody's network.
-Endpoint
-AcceptLoopback(const std::string& aText)
+/// Each service needs a target, or its requests could go nowhere.
+void
+AcceptTargets(const Options& aOptions)
 {
-  auto endpoint = Accept(upstream::ParseEndpoint(aText), "entry");
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(endpoint.address, error);
-  if (error || !address.is_loopback()) {
-    throw TCLAP::ArgException("'" + aText + "' is not a loopback address.",
-                              "entry");
+  for (const ServiceLoad& service : aOptions.config.services) {
+    const bool any = std::any_of(aOptions.targets.begin(),
+                                 aOptions.targets.end(),
+                                 [&service](const Target& aTarget) {
+                                   return aTarget.service.value.empty() ||
+                                          aTarget.service == service.name;
+                                 });
+    if (!any) {
+      throw TCLAP::ArgException("No target takes " + service.name.value + ".",
+                                "entry");
+    }
   }
-  return endpoint;
 }
 
 Options
@@ -59,7 +64,7 @@
   TCLAP::ValueArg<std::string> config(
     "", "config", "what to send", true, "", "FILE", command);
   TCLAP::MultiArg<std::string> entries(
-    "", "entry", "an entry host's address", true, "IP:PORT", command);
+    "", "entry", "where to send", true, "[SERVICE=]IP:PORT", command);
   TCLAP::ValueArg<std::string> routing(
     "",
     "routing",
@@ -86,8 +91,9 @@
     Options options;
     options.config = Accept(ReadLoadConfig(config.getValue()), "config");
     for (const std::string& entry : entries) {
-      options.entries.push_back(AcceptLoopback(entry));
+      options.targets.push_back(Accept(ParseTarget(entry), "entry"));
     }
+    AcceptTargets(options);
     options.routing = Accept(ParseRouting(routing.getValue()), "routing");
     options.runName = name.getValue();
     options.summaryFile = summary.getValue();
@@ -129,7 +135,7 @@
   Driver driver(context,
                 aOptions.config,
                 aOptions.routing,
-                aOptions.entries,
+                aOptions.targets,
                 aOptions.runName,
                 start,
                 results);
--- a/src/load/results.cpp
+++ b/src/load/results.cpp
@@ -58,10 +58,12 @@
     { "p999_ms", aTally.latencies.Quantile(0.999).count() },
     { "longest_ms", aTally.latencies.Longest().count() }
   };
+  boost::json::object results;
   for (const AttemptResult result : kAllResults) {
-    json[std::string(NameOf(result))] =
+    results[std::string(NameOf(result))] =
       aTally.results[static_cast<size_t>(result)];
   }
+  json["sendings_by_result"] = std::move(results);
   return json;
 }
 
