Settle every request and claim before a shutdown is done

A request may outlive its caller's connection while its claim is completed; Drain counted connections only. What is open is counted, the context is shared by all that use it, and connections the kernel has taken are served before the port closes.

--- a/src/librattandyke/http/entry_context.h
+++ b/src/librattandyke/http/entry_context.h
@@ -43,17 +43,39 @@
   std::unordered_map<ServiceName, std::unique_ptr<entry::RetryBudget>> mBudgets;
 };
 
-/// Outlives every connection and request of the entry.
+/// Counts what a shutdown has to wait for while it lives.
+class OpenWork
+{
+public:
+  explicit OpenWork(std::atomic<size_t>& aCount)
+    : mCount(&aCount)
+  {
+    ++*mCount;
+  }
+  OpenWork(const OpenWork& aOther)
+    : OpenWork(*aOther.mCount)
+  {
+  }
+  OpenWork& operator=(const OpenWork&) = delete;
+  ~OpenWork() { --*mCount; }
+
+private:
+  std::atomic<size_t>* mCount;
+};
+
+/// Shared by the service, its connections and requests; a request may outlive
+/// its connection, and either the service.
 struct EntryContext
 {
   EntryContext(boost::asio::any_io_executor aExecutor,
                const Limits& aLimits,
-               EntryHost& aHost,
+               std::unique_ptr<EntryHost> aHost,
                const Clock& aClock,
                uint64_t aSeed)
     : executor(aExecutor)
     , limits(aLimits)
-    , host(aHost)
+    , ownedHost(std::move(aHost))
+    , host(*ownedHost)
     , clock(aClock)
     , seed(aSeed)
     , pool(aExecutor, aLimits)
@@ -63,6 +85,7 @@
 
   const boost::asio::any_io_executor executor;
   const Limits limits;
+  const std::unique_ptr<EntryHost> ownedHost;
   EntryHost& host;
   const Clock& clock;
   /// Makes request ids of this process unlike those of any other.
@@ -73,6 +96,9 @@
   WaitingRuns waiting;
   std::atomic<uint64_t> lastRequest{ 0 };
   std::atomic<bool> draining{ false };
+  /// Requests and claims that are not settled, also those whose caller has
+  /// gone: a claim left open would hold up the resends of its key.
+  std::atomic<size_t> openWork{ 0 };
 };
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -76,8 +76,12 @@
        const Clock& aClock,
        uint64_t aSeed)
     : options(std::move(aOptions))
-    , host(std::move(aHost))
-    , context(aExecutor, options.limits, *host, aClock, aSeed)
+    , contextOwner(std::make_shared<EntryContext>(aExecutor,
+                                                  options.limits,
+                                                  std::move(aHost),
+                                                  aClock,
+                                                  aSeed))
+    , context(*contextOwner)
     , strand(asio::make_strand(aExecutor))
     , acceptor(strand)
     , acceptPause(strand)
@@ -92,12 +96,14 @@
   void Tick();
   void CheckTable();
   void Sweep();
+  void Serve(tcp::socket aSocket);
   void StopAccepting();
+  void AcceptQueued();
   void CheckDrained();
 
   const Options options;
-  const std::unique_ptr<EntryHost> host;
-  EntryContext context;
+  const std::shared_ptr<EntryContext> contextOwner;
+  EntryContext& context;
   const asio::any_io_executor strand;
   tcp::acceptor acceptor;
   asio::steady_timer acceptPause;
@@ -107,6 +113,7 @@
   Endpoint bound;
   std::function<void()> onDrained;
   bool accepting = true;
+  bool drainOver = false;
   bool stopped = false;
   TableVersion toldVersion;
   bool toldLease = false;
@@ -172,19 +179,26 @@
     });
     return;
   }
+  Serve(std::move(aSocket));
+  Accept();
+}
+
+void
+EntryService::Impl::Serve(tcp::socket aSocket)
+{
   const asio::any_io_executor own = aSocket.get_executor();
   const auto stream = std::make_shared<CallerStream>(
     std::move(aSocket), context.limits, context.clock);
-  if (connections.Add(stream, context.limits.maxConnections)) {
-    auto session = std::make_shared<Session>(context, own, stream);
-    asio::co_spawn(
-      own,
-      session->Run(),
-      [self = shared_from_this(), session, stream](const std::exception_ptr&) {
-        self->connections.Remove(stream);
-      });
+  if (!connections.Add(stream, context.limits.maxConnections)) {
+    return;
   }
-  Accept();
+  auto session = std::make_shared<Session>(contextOwner, own, stream);
+  asio::co_spawn(
+    own,
+    session->Run(),
+    [self = shared_from_this(), session, stream](const std::exception_ptr&) {
+      self->connections.Remove(stream);
+    });
 }
 
 void
@@ -205,8 +219,8 @@
 void
 EntryService::Impl::CheckTable()
 {
-  const TableVersion version = host->Table()->Version();
-  const bool lease = host->TableLeaseValid(context.clock.Now());
+  const TableVersion version = context.host.Table()->Version();
+  const bool lease = context.host.TableLeaseValid(context.clock.Now());
   if (version != toldVersion || lease != toldLease) {
     toldVersion = version;
     toldLease = lease;
@@ -231,21 +245,40 @@
 EntryService::Impl::StopAccepting()
 {
   accepting = false;
+  AcceptQueued();
   error_code ignored;
   acceptor.close(ignored);
   connections.ForEach([](CallerStream& aStream) { aStream.Leave(); });
   drainTimer.expires_after(options.drainLimit);
   drainTimer.async_wait([self = shared_from_this()](const error_code& aError) {
     if (!aError) {
+      self->drainOver = true;
       self->connections.ForEach([](CallerStream& aStream) { aStream.Kill(); });
     }
   });
 }
 
+/// Connections that the kernel has taken already: closing the port would reset
+/// them, and with them requests that their callers believe sent.
+void
+EntryService::Impl::AcceptQueued()
+{
+  error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(asio::make_strand(context.executor));
+    acceptor.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket));
+    }
+  }
+}
+
 void
 EntryService::Impl::CheckDrained()
 {
-  if (!accepting && connections.Size() == 0 && onDrained) {
+  const bool settled = context.openWork == 0 || drainOver;
+  if (!accepting && connections.Size() == 0 && settled && onDrained) {
     drainTimer.cancel();
     std::exchange(onDrained, nullptr)();
   }
--- a/src/librattandyke/http/entry_service.h
+++ b/src/librattandyke/http/entry_service.h
@@ -50,7 +50,8 @@
   /// Graceful shutdown: the health page says 503 at once; after drainNotice no
   /// connection is accepted any more and idle ones are closed; requests in
   /// flight are finished.
-  /// @param aDone called once on the executor, when no connection is left.
+  /// @param aDone called once on the executor, when no connection is left and
+  /// every claim is settled, or after drainLimit.
   void Drain(std::function<void()> aDone);
 
   /// Breaks off everything. The executor must go on running until it has ended
--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -78,12 +78,14 @@
 
 } // namespace
 
-RequestRun::RequestRun(EntryContext& aContext,
+RequestRun::RequestRun(std::shared_ptr<EntryContext> aContext,
                        const asio::any_io_executor& aStrand,
                        std::shared_ptr<CallerStream> aCaller,
                        RoutedRequest aRequest,
                        std::string aBody)
-  : mContext(aContext)
+  : mContextOwner(std::move(aContext))
+  , mContext(*mContextOwner)
+  , mWork(mContext.openWork)
   , mStrand(aStrand)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
@@ -96,18 +98,18 @@
                   mCaller->Head(),
                   mBody,
                   mBodyWhole,
-                  ++aContext.lastRequest,
-                  aContext.clock.Now()),
+                  ++mContext.lastRequest,
+                  mContext.clock.Now()),
           {},
-          aContext.budgets.Of(mRequest.record->name),
-          aContext.seed ^ aContext.lastRequest)
+          mContext.budgets.Of(mRequest.record->name),
+          mContext.seed ^ mContext.lastRequest)
   , mDeadline(aStrand)
   , mWait(aStrand)
   , mEnded(aStrand)
   , mUploadEnded(aStrand)
 {
   mRequestId = mRequest.requestId.empty()
-                 ? NewRequestId(aContext.seed, mFlow.Facts().number)
+                 ? NewRequestId(mContext.seed, mFlow.Facts().number)
                  : mRequest.requestId;
 }
 
--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -36,7 +36,7 @@
   /// @param aStrand  of the caller's connection.
   /// @param aRequest as routed; its head is aCaller's.
   /// @param aBody    what was read of the body; whole if aCaller.BodyDone().
-  RequestRun(EntryContext& aContext,
+  RequestRun(std::shared_ptr<EntryContext> aContext,
              const boost::asio::any_io_executor& aStrand,
              std::shared_ptr<CallerStream> aCaller,
              RoutedRequest aRequest,
@@ -117,7 +117,9 @@
                                          const Framing& aFraming,
                                          bool aLast);
 
+  const std::shared_ptr<EntryContext> mContextOwner;
   EntryContext& mContext;
+  const OpenWork mWork;
   const boost::asio::any_io_executor mStrand;
   const std::shared_ptr<CallerStream> mCaller;
   const RoutedRequest mRequest;
--- a/src/librattandyke/http/request_run_effects.cpp
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -63,15 +63,17 @@
 /// Repeats a call that settles a claim until the leader has answered: a claim
 /// left open would hold up every resend of its key until it expires.
 void
-CallUntilAnswered(EntryHost& aHost, wire::CallRequest aRequest)
+CallUntilAnswered(const std::shared_ptr<EntryContext>& aContext,
+                  wire::CallRequest aRequest)
 {
-  aHost.Call(aRequest,
-             kClaimRepeatTimeout,
-             [&aHost, aRequest](const Result<wire::CallReply>& aReply) {
-               if (!aReply && MayComeTrueLater(aReply.error().code)) {
-                 CallUntilAnswered(aHost, aRequest);
-               }
-             });
+  const auto onReply =
+    [aContext, aRequest, work = OpenWork(aContext->openWork)](
+      const Result<wire::CallReply>& aReply) {
+      if (!aReply && MayComeTrueLater(aReply.error().code)) {
+        CallUntilAnswered(aContext, aRequest);
+      }
+    };
+  aContext->host.Call(std::move(aRequest), kClaimRepeatTimeout, onReply);
 }
 
 Result<wire::ClaimReply>
@@ -112,7 +114,7 @@
 {
   wire::CallRequest request;
   *request.mutable_complete_claim() = std::move(aEffect.call);
-  CallUntilAnswered(mContext.host, std::move(request));
+  CallUntilAnswered(mContextOwner, std::move(request));
 }
 
 void
@@ -120,7 +122,7 @@
 {
   wire::CallRequest request;
   *request.mutable_release_claim() = std::move(aEffect.call);
-  CallUntilAnswered(mContext.host, std::move(request));
+  CallUntilAnswered(mContextOwner, std::move(request));
 }
 
 void
--- a/src/librattandyke/http/session.cpp
+++ b/src/librattandyke/http/session.cpp
@@ -39,10 +39,11 @@
 
 } // namespace
 
-Session::Session(EntryContext& aContext,
+Session::Session(std::shared_ptr<EntryContext> aContext,
                  const asio::any_io_executor& aStrand,
                  std::shared_ptr<CallerStream> aCaller)
-  : mContext(aContext)
+  : mContextOwner(std::move(aContext))
+  , mContext(*mContextOwner)
   , mStrand(aStrand)
   , mCaller(std::move(aCaller))
 {
@@ -102,7 +103,7 @@
     co_return co_await RefuseUnread(error);
   }
   const auto run = std::make_shared<RequestRun>(
-    mContext, mStrand, mCaller, std::move(aRequest), std::move(body));
+    mContextOwner, mStrand, mCaller, std::move(aRequest), std::move(body));
   switch (co_await run->Serve()) {
     case RequestRun::Ending::Own:
       co_return co_await WriteOwn(run->OwnAnswer(), run->KeepsAlive());
--- a/src/librattandyke/http/session.h
+++ b/src/librattandyke/http/session.h
@@ -16,7 +16,7 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(EntryContext& aContext,
+  Session(std::shared_ptr<EntryContext> aContext,
           const boost::asio::any_io_executor& aStrand,
           std::shared_ptr<CallerStream> aCaller);
 
@@ -33,6 +33,7 @@
   boost::asio::awaitable<bool> RefuseUnread(error_code aError);
   boost::asio::awaitable<bool> WriteOwn(std::string aAnswer, bool aKeepAlive);
 
+  const std::shared_ptr<EntryContext> mContextOwner;
   EntryContext& mContext;
   const boost::asio::any_io_executor mStrand;
   const std::shared_ptr<CallerStream> mCaller;
--- a/src/testing/entry_fixture.h
+++ b/src/testing/entry_fixture.h
@@ -17,13 +17,14 @@
 class EntryFixture
 {
 public:
-  explicit EntryFixture(http::Limits aLimits = {}, size_t aWorkers = 4)
+  explicit EntryFixture(
+    http::Limits aLimits = {},
+    std::chrono::milliseconds aDrainNotice = {},
+    std::chrono::milliseconds aDrainLimit = std::chrono::seconds{ 30 },
+    size_t aWorkers = 4)
     : mHost(new FakeEntryHost)
     , mService(mContext.get_executor(),
-               { { "127.0.0.1", 0 },
-                 aLimits,
-                 std::chrono::milliseconds{ 0 },
-                 std::chrono::seconds{ 30 } },
+               { { "127.0.0.1", 0 }, aLimits, aDrainNotice, aDrainLimit },
                std::unique_ptr<http::EntryHost>(mHost),
                mClock,
                kSeed)
