--- a/src/include/rattandyke/result.h
+++ b/src/include/rattandyke/result.h
@@ -34,6 +34,8 @@
   ShuttingDown = 208,
   LimitExceeded = 209,
   ClaimUnavailable = 210,
+  UpstreamSuperseded = 211,
+  LeaseUnavailable = 212,
   NotLeader = 301,
   NoQuorum = 302,
   RevisionConflict = 303,
--- a/src/librattandyke/agent/agent_service.h
+++ b/src/librattandyke/agent/agent_service.h
@@ -11,6 +11,7 @@
 
 #include "agent/announcement.h"
 #include "agent/calls.h"
+#include "agent/evidence.h"
 #include "agent/in_flight_versions.h"
 #include "base/clock.h"
 #include "net/peer_transport.h"
@@ -38,27 +39,6 @@
   Endpoint peer;
 };
 
-/// What one request to an upstream showed of its health.
-enum class EvidenceKind
-{
-  Succeeded,
-  Failed,
-  /// No connection could be made, or it broke before anything was sent.
-  Unreachable,
-  /// Refused as too busy.
-  Shed
-};
-
-/// One observation of an upstream, from a request or a shared probe.
-struct Evidence
-{
-  std::string_view service;
-  std::string_view upstream;
-  EvidenceKind kind = EvidenceKind::Succeeded;
-  /// From sending the request to the end of the answer.
-  Duration latency{};
-};
-
 /// Joins HostAgent, LeaseKeeper and the calls to the transport and timers. All
 /// state lives on one strand of the executor; methods say if they may be called
 /// from elsewhere.
@@ -96,8 +76,8 @@
   void Start();
 
   /// Ends timers; calls that wait get Code::ShuttingDown, announcements a
-  /// refusal. Thread-safe; nothing happens after it returned but callbacks
-  /// already posted.
+  /// refusal, on the strand. Thread-safe. The transport and the clock must
+  /// outlive the work that the executor still runs.
   void Stop();
 
   /// Takes a heartbeat_reply or call_reply; others are ignored. Thread-safe.
--- a/src/librattandyke/base/result.cpp
+++ b/src/librattandyke/base/result.cpp
@@ -100,6 +100,17 @@
     "The idempotency register could not be read or written.",
     "Try again with the same Idempotency-Key: this sending did not run, but "
     "whether an earlier one with the same key ran is not known." },
+  { Code::UpstreamSuperseded,
+    "upstream-superseded",
+    409,
+    "A newer process announced itself under the upstream's name, or two "
+    "processes share an incarnation.",
+    "The upstream stops taking work; its next start draws a new incarnation." },
+  { Code::LeaseUnavailable,
+    "lease-unavailable",
+    503,
+    "The host cannot keep leases: it is cut off, shutting down or full.",
+    "The upstream announces itself to another host." },
   { Code::NotLeader,
     "not-leader",
     503,
