--- a/src/testing/entry_fixture.h
+++ b/src/testing/entry_fixture.h
@@ -1,12 +1,14 @@
 /// One entry on loopback, with its pool of workers, for tests and benches.
 #pragma once
 
+#include <future>
 #include <stdexcept>
 #include <thread>
 #include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include "http/entry_service.h"
 #include "testing/fake_entry_host.h"
@@ -46,6 +48,16 @@
     }
   }
 
+  /// Runs a call on one of the workers and waits for its result; with a single
+  /// worker, its thread's counters can be read so.
+  template<typename Call>
+  auto OnWorker(Call aCall)
+  {
+    std::promise<decltype(aCall())> promise;
+    boost::asio::post(mContext, [&] { promise.set_value(aCall()); });
+    return promise.get_future().get();
+  }
+
   FakeEntryHost& Host() { return *mHost; }
   http::EntryService& Service() { return mService; }
   Endpoint Address() const { return mService.Listening(); }
--- a/src/testing/fake_upstream.cpp
+++ b/src/testing/fake_upstream.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "testing/drain_body.h"
+
 namespace rattandyke::testing {
 
 namespace asio = boost::asio;
@@ -30,6 +32,13 @@
   return parser.release();
 }
 
+uint64_t
+UpstreamSide::DrainBody()
+{
+  http::request_parser<http::buffer_body> parser;
+  return testing::DrainBody(mSocket, mBuffer, parser);
+}
+
 bool
 UpstreamSide::Write(std::string_view aBytes)
 {
--- a/src/testing/fake_upstream.h
+++ b/src/testing/fake_upstream.h
@@ -30,6 +30,8 @@
 
   /// @return the next request, or nothing once the entry closed.
   std::optional<HttpRequest> Read();
+  /// Reads a request without keeping its body. @return the body's bytes.
+  uint64_t DrainBody();
   /// @return false if the entry has closed.
   bool Write(std::string_view aBytes);
   /// Blocks until the entry has closed the connection.
--- a/src/testing/test_caller.cpp
+++ b/src/testing/test_caller.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "testing/drain_body.h"
+
 namespace rattandyke::testing {
 
 namespace asio = boost::asio;
@@ -38,6 +40,13 @@
   return parser.release();
 }
 
+uint64_t
+TestCaller::DrainBody()
+{
+  http::response_parser<http::buffer_body> parser;
+  return testing::DrainBody(mSocket, mBuffer, parser);
+}
+
 std::optional<HttpAnswer>
 TestCaller::Ask(std::string_view aMethod,
                 std::string_view aTarget,
--- a/src/testing/test_caller.h
+++ b/src/testing/test_caller.h
@@ -26,6 +26,9 @@
   bool Write(std::string_view aBytes);
   /// @return the next answer, or nothing if it does not come whole.
   std::optional<HttpAnswer> Read(bool aHeadRequest = false);
+  /// Reads an answer without keeping its body. @return the body's bytes, also
+  /// if it broke off.
+  uint64_t DrainBody();
   /// Both: a request of this method and path, with a Content-Length if there
   /// is a body.
   std::optional<HttpAnswer> Ask(std::string_view aMethod,
