--- a/src/librattandyke/http/entry_host.h
+++ b/src/librattandyke/http/entry_host.h
@@ -25,4 +25,7 @@
                     agent::LeaderCalls::Callback aDone) = 0;
 };
 
+/// @param aAgent outlives the result.
+std::unique_ptr<EntryHost> MakeEntryHost(agent::AgentService& aAgent);
+
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -284,6 +284,19 @@
   }
 }
 
+EntryService::EntryService(asio::any_io_executor aExecutor,
+                           Options aOptions,
+                           agent::AgentService& aAgent,
+                           const Clock& aClock,
+                           uint64_t aSeed)
+  : EntryService(std::move(aExecutor),
+                 std::move(aOptions),
+                 MakeEntryHost(aAgent),
+                 aClock,
+                 aSeed)
+{
+}
+
 EntryService::EntryService(asio::any_io_executor aExecutor,
                            Options aOptions,
                            std::unique_ptr<EntryHost> aHost,
--- a/src/librattandyke/http/entry_service.h
+++ b/src/librattandyke/http/entry_service.h
@@ -12,6 +12,10 @@
 #include "base/clock.h"
 #include "http/limits.h"
 
+namespace rattandyke::agent {
+class AgentService;
+}
+
 namespace rattandyke::http {
 
 class EntryHost;
@@ -35,8 +39,14 @@
   };
 
   /// @param aExecutor of the pool of workers; must not be a strand.
-  /// @param aHost     what it needs of its host.
+  /// @param aAgent    outlives the service.
   /// @param aSeed     random per process start.
+  EntryService(boost::asio::any_io_executor aExecutor,
+               Options aOptions,
+               agent::AgentService& aAgent,
+               const Clock& aClock,
+               uint64_t aSeed);
+  /// @param aHost what it needs of its host.
   EntryService(boost::asio::any_io_executor aExecutor,
                Options aOptions,
                std::unique_ptr<EntryHost> aHost,
