Take pushed tables, and renew no upstream for a host's earlier process

The leader repeats its newest reply to push a change; such replies were ignored, so a move took up to a heartbeat longer. It also keeps homes by the session of the host process: a host that restarted at once found itself named as home and renewed upstreams whose leases the leader held for over. Now only a registration after this process's first table counts.

--- a/src/librattandyke/agent/host_agent.cpp
+++ b/src/librattandyke/agent/host_agent.cpp
@@ -50,11 +50,12 @@
 {
   const wire::HeartbeatReply& reply = aEvent.reply;
   const auto sent = mSent.find(reply.sequence());
-  // Replies to an earlier life of this host, repeated ones and late ones: the
-  // lease they would give began before one that is already held.
+  // Replies to an earlier life of this host, and late ones: the lease they
+  // would give began before one that is already held. The newest one may come
+  // again with a newer table, when the leader does not wait for a heartbeat.
   if (reply.host() != mOptions.name.value ||
       reply.session() != mOptions.session || sent == mSent.end() ||
-      reply.sequence() <= mAnswered) {
+      reply.sequence() < mAnswered) {
     return;
   }
   if (!reply.granted()) {
@@ -91,7 +92,7 @@
 {
   mTerm = aReply.term();
   mAnswered = aReply.sequence();
-  mSent.erase(mSent.begin(), mSent.upper_bound(mAnswered));
+  mSent.erase(mSent.begin(), mSent.lower_bound(mAnswered));
   Follow(aReply.leader(), aNow);
   mLeaderHeard = aNow;
 
@@ -156,13 +157,12 @@
   }
   const wire::TableUpdate& update = aReply.update();
   const TableVersion to{ update.to_version() };
-  const bool isComplete = update.from_version() == 0;
   if (to <= mTable->Version() && !mNeedsCompleteTable) {
     return true;
   }
   TableReplaced replaced;
   replaced.table = mTable->Apply(update, &replaced.touched);
-  if (!replaced.table || (mNeedsCompleteTable && !isComplete)) {
+  if (!replaced.table) {
     mNeedsCompleteTable = true;
     return false;
   }
--- a/src/librattandyke/agent/lease_keeper.cpp
+++ b/src/librattandyke/agent/lease_keeper.cpp
@@ -94,6 +94,9 @@
 LeaseKeeper::On(const TableArrived& aEvent, Instant aNow, Effects& aEffects)
 {
   mTable = aEvent.table;
+  if (!mFirstTable) {
+    mFirstTable = mTable->Version();
+  }
   for (auto& [key, charge] : mCharges) {
     FollowTable(key, charge, aNow);
   }
@@ -279,9 +282,15 @@
 LeaseKeeper::IsOurs(const Key& aKey, const Charge& aCharge) const
 {
   const routing::UpstreamView* view = ViewOf(aKey);
+  // After a restart the table still names this host as home, but means the
+  // process before, whom the leader believes gone: it waits for none of this
+  // one's leases until it has registered the upstream with this one. That
+  // cannot have happened before this process had its first table.
+  const TableVersion floor =
+    std::max(aCharge.registrationFloor, mFirstTable.value_or(TableVersion{}));
   return view != nullptr && view->incarnation == aKey.incarnation &&
          view->home == mOptions.self && TakesWork(view->state) &&
-         view->registered > aCharge.registrationFloor;
+         view->registered > floor;
 }
 
 bool
--- a/src/librattandyke/agent/lease_keeper.h
+++ b/src/librattandyke/agent/lease_keeper.h
@@ -176,6 +176,8 @@
   std::optional<Instant> mControlHeard;
   uint64_t mAnswered = 0;
   bool mLeaving = false;
+  /// Version of the first table of this process; see IsOurs.
+  std::optional<TableVersion> mFirstTable;
 };
 
 } // namespace rattandyke::agent
--- a/src/librattandyke/agent/lease_keeper_test.cpp
+++ b/src/librattandyke/agent/lease_keeper_test.cpp
@@ -413,6 +413,24 @@
   EXPECT_EQ(mReports.size(), 1U);
 }
 
+// A host restarts at once; its upstreams find it again before anyone missed
+// them. The table names it as their home, but the leader counts on the process
+// before and might grant their keys to others without waiting for this one.
+TEST_F(LeaseKeeperTest, RestartedHostNeedsNewRegistrations)
+{
+  Register();
+  const uint64_t held = mVersion;
+  mKeeper = LeaseKeeper(MakeOptions());
+  DeliverTable();
+  Heartbeat();
+  Announce(kFirst, held);
+  Heartbeat();
+  EXPECT_EQ(Announce(kFirst, held).lease, 0ms);
+  SetUpstream(kFirst);
+  DeliverTable();
+  EXPECT_EQ(Announce(kFirst, held).lease, 800ms);
+}
+
 // The leader gave the upstream up while this host was cut off, and the host
 // returns. The reply that extends its lease brings the table that says so.
 TEST_F(LeaseKeeperTest, UpstreamGivenUpByTheLeaderIsNotRenewed)
