--- a/src/testing/disk_model.cpp
+++ b/src/testing/disk_model.cpp
@@ -5,6 +5,7 @@
 void
 DiskModel::Write(consensus::Persist aBatch)
 {
+  mLast = aBatch;
   mUnsynced.push_back(std::move(aBatch));
 }
 
--- a/src/testing/disk_model.h
+++ b/src/testing/disk_model.h
@@ -25,12 +25,16 @@
 
   const consensus::Restored& Contents() const { return mSynced; }
 
+  /// @return the batch written last.
+  const consensus::Persist& Last() const { return mLast; }
+
 private:
   void Commit(consensus::Persist aBatch);
   void TruncateFrom(uint64_t aIndex);
   void Save(const consensus::SaveSnapshot& aSave);
 
   consensus::Restored mSynced;
+  consensus::Persist mLast;
   std::deque<consensus::Persist> mUnsynced;
 };
 
