Keep upstream leases by host, and take a missing report for its end

A home knows itself in the table by name, so every process of that host may renew; its leases are now counted together. A home reports all it keeps in each heartbeat: what is missing has lapsed, also if the report of its end went to a leader that was lost. A host that asks for a whole table gets one, and an empty deployment sends none. Of two hosts that report an upstream, the one that heard it later is its home.

--- a/src/librattandyke/control/coordinator.cpp
+++ b/src/librattandyke/control/coordinator.cpp
@@ -41,7 +41,7 @@
     for (const auto& [service, owners] : state.Owners().All()) {
       for (const UpstreamEntry& entry : owners.upstreams) {
         if (!entry.IsForgotten()) {
-          leases.Follow(entry, aNow);
+          leases.Follow(entry, false, aNow);
         }
       }
     }
@@ -70,7 +70,7 @@
     }
     mustPush = true;
     state.VisitChangedUpstreams(followed, [&](const UpstreamEntry& aEntry) {
-      leases.Follow(aEntry, aNow);
+      leases.Follow(aEntry, true, aNow);
       if (aEntry.IsLost()) {
         mover.NoteLost(aEntry.view.service(), aNow);
         effects.push_back(Note{ "upstream " + aEntry.view.service() + "/" +
@@ -94,6 +94,9 @@
       leases.NoteReport(report, session, table);
       registrar.Note(report, session, aNow);
     }
+    for (const UpstreamLife& life : leases.NoteMissing(heartbeat)) {
+      registrar.Suspect(life);
+    }
     // A leader that was cut off must not give leases that its successor, who
     // counts them from its own election, cannot know. It answers only while
     // followers that heard from it cannot have elected anyone yet.
@@ -131,7 +134,9 @@
     reply.set_leader(name.value);
     reply.set_granted(true);
     reply.set_lease_ms(options.hostLease.count());
-    *reply.mutable_update() = state.UpdateSince(aHost.table);
+    if (state.Version().value != 0) {
+      *reply.mutable_update() = state.UpdateSince(aHost.updateFrom);
+    }
     reply.set_keeper_version(state.Version().value);
     for (const auto& [session, lease] : hosts.All()) {
       if (lease.leaving || !hosts.MayLive(lease, aNow)) {
@@ -156,7 +161,7 @@
     }
     mustPush = false;
     for (const auto& [session, lease] : hosts.All()) {
-      if (lease.table < state.Version() && lease.heard == lease.lastSeen &&
+      if (lease.updateFrom < state.Version() && lease.heard == lease.lastSeen &&
           hosts.MayLive(lease, aNow)) {
         Answer(lease, aNow);
       }
--- a/src/librattandyke/control/host_leases.cpp
+++ b/src/librattandyke/control/host_leases.cpp
@@ -35,6 +35,7 @@
   lease.leaving = aHeartbeat.leaving();
   lease.logIdentity = aHeartbeat.log_identity();
   lease.lastSeen = aReceived;
+  lease.updateFrom = { aHeartbeat.table_version() };
   // Versions never go back, whatever a confused host says.
   lease.table = std::max(lease.table, { aHeartbeat.table_version() });
   lease.quiesced = std::max(lease.quiesced, { aHeartbeat.quiesced_version() });
--- a/src/librattandyke/control/host_leases.h
+++ b/src/librattandyke/control/host_leases.h
@@ -31,7 +31,10 @@
   Instant heard{};
   /// When its newest heartbeat of all came in; tells of its link.
   Instant lastSeen{};
+  /// Newest table it ever reported, and the one that the next update has to
+  /// follow on: 0 if it asks for a whole table.
   TableVersion table;
+  TableVersion updateFrom;
   TableVersion quiesced;
 };
 
--- a/src/librattandyke/control/registrar.cpp
+++ b/src/librattandyke/control/registrar.cpp
@@ -60,6 +60,7 @@
 {
   mElected = aElected;
   mUnsettled.clear();
+  mNewest.clear();
   mHomeChanges.clear();
   mRefusedUntil.clear();
   mCondemned.clear();
@@ -76,7 +77,11 @@
   const wire::Upstream& announced = aReport.announced();
   const Key key{ announced.service(), announced.name() };
   if (!aReport.lapsed()) {
-    mUnsettled[key] = { aReport, aHome, aNow };
+    const std::chrono::milliseconds age{ aReport.announced_ms_ago() };
+    const Report report{ aReport, aHome, aNow - age };
+    if (!IsOutdated(key, report)) {
+      mUnsettled[key] = report;
+    }
     return;
   }
   mSuspects.insert(key);
@@ -86,6 +91,32 @@
   }
 }
 
+void
+Registrar::Suspect(const UpstreamLife& aLife)
+{
+  mSuspects.insert({ aLife.service, aLife.upstream });
+}
+
+bool
+Registrar::IsOutdated(const Key& aKey, const Report& aReport)
+{
+  const auto [newest, isNew] = mNewest.try_emplace(aKey, aReport);
+  if (isNew) {
+    return false;
+  }
+  // An upstream that changed hosts is still reported by the one before, until
+  // its lease there lapses: that must not call it back.
+  const Report& known = newest->second;
+  const bool sameLife = known.report.announced().incarnation() ==
+                        aReport.report.announced().incarnation();
+  if (sameLife && known.home != aReport.home &&
+      aReport.announcedAt < known.announcedAt) {
+    return true;
+  }
+  newest->second = aReport;
+  return false;
+}
+
 void
 Registrar::Condemn(const wire::Upstream& aUpstream, Instant aUntil)
 {
--- a/src/librattandyke/control/registrar.h
+++ b/src/librattandyke/control/registrar.h
@@ -34,6 +34,9 @@
             const HostSession& aHome,
             Instant aNow);
 
+  /// Its home no longer reports it.
+  void Suspect(const UpstreamLife& aLife);
+
   /// Declares an upstream lost although its lease may live: it does not let go,
   /// or nobody can reach it. It is not taken up again before aUntil.
   void Condemn(const wire::Upstream& aUpstream, Instant aUntil);
@@ -49,9 +52,12 @@
   {
     wire::UpstreamReport report;
     HostSession home;
-    Instant at{};
+    /// When the upstream announced itself there.
+    Instant announcedAt{};
   };
 
+  /// Whether another host heard the same life announce itself later.
+  bool IsOutdated(const Key& aKey, const Report& aReport);
   void Answer(const Key& aKey,
               const Report& aReport,
               Instant aNow,
@@ -78,6 +84,8 @@
   Instant mElected{};
   /// Newest report of each upstream that is not settled yet.
   std::map<Key, Report> mUnsettled;
+  /// Newest announcement of each upstream.
+  std::map<Key, Report> mNewest;
   std::map<Key, Instant> mHomeChanges;
   std::map<UpstreamLife, Instant> mRefusedUntil;
   std::set<Key> mCondemned;
--- a/src/librattandyke/control/upstream_leases.h
+++ b/src/librattandyke/control/upstream_leases.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <rattandyke/types.h>
 
@@ -35,13 +36,21 @@
   void Begin(Instant aElected);
 
   /// The replicated entry of an upstream changed, or is met for the first time.
-  void Follow(const UpstreamEntry& aEntry, Instant aNow);
+  /// @param aIsNew a life not met before registered under this leader.
+  void Follow(const UpstreamEntry& aEntry, bool aIsNew, Instant aNow);
 
   /// A report from aHome, whose table was at aTable when it was made.
   void NoteReport(const wire::UpstreamReport& aReport,
                   const HostSession& aHome,
                   TableVersion aTable);
 
+  /// Takes what a heartbeat does not say. A home reports all that it keeps in
+  /// each heartbeat, and drops an upstream only once its lease is over, so one
+  /// that is missing has lapsed. Needed when the report of the end went to a
+  /// leader that was lost before it could act.
+  /// @return the lives that are missing.
+  std::vector<UpstreamLife> NoteMissing(const wire::Heartbeat& aHeartbeat);
+
   /// A host process reported its table: it may have learnt that it must stop.
   void NoteTable(const HostSession& aHome, TableVersion aTable, Instant aNow);
 
@@ -56,14 +65,23 @@
   /// @return whether the life checks fences; false if not known.
   bool ChecksFences(const UpstreamLife& aLife) const;
 
-  /// @return whether the home that keeps it now reported its end.
+  /// @return whether that process reported its end.
   bool HasLapsed(const UpstreamLife& aLife, const HostSession& aHome) const;
 
   /// Drops lives for which aIsNeeded is false.
   void Forget(const std::function<bool(const UpstreamLife&)>& aIsNeeded);
 
 private:
-  /// A host process that may renew the lease.
+  /// What one process of a keeper told.
+  struct ProcessView
+  {
+    bool lapsed = false;
+    /// When it was first seen to know that it must stop.
+    std::optional<Instant> knownAt;
+  };
+
+  /// A host that may renew the lease. All its processes count: hosts know
+  /// themselves in the table by name, so a restarted one renews at once.
   struct Keeper
   {
     /// Registration that made it the home.
@@ -72,35 +90,47 @@
     std::optional<TableVersion> stop;
     /// When the leader committed that.
     Instant stoppedAt{};
-    /// When it was first seen to have that version.
-    std::optional<Instant> knownAt;
-    bool lapsed = false;
+    std::map<uint64_t, ProcessView> processes;
   };
 
   struct Life
   {
-    std::map<HostSession, Keeper> keepers;
+    std::map<HostName, Keeper> keepers;
     TableVersion acknowledged;
     bool checksFences = false;
-    /// Every process that may renew it is among the keepers.
-    bool complete = false;
+    /// Registered under this leader: no earlier leader's table names it.
+    bool isNew = false;
+    /// The process that keeps it now.
+    std::optional<HostSession> keptBy;
+    /// The only process that ever kept it, if there was only one.
+    std::optional<HostSession> onlyHome;
   };
 
   void StopKeepers(Life& aLife,
-                   const HostSession* aExcept,
+                   const HostName* aExcept,
                    TableVersion aVersion,
                    Instant aNow);
-  bool IsOver(const HostSession& aHome,
+  void KeepAt(const std::optional<HostSession>& aHome,
+              const UpstreamLife& aLife);
+  void StopOlderLives(const UpstreamLife& aLife,
+                      TableVersion aVersion,
+                      Instant aNow);
+  bool IsOver(const HostName& aHome, const Keeper& aKeeper, Instant aNow) const;
+  bool IsOver(const HostLease& aHome,
               const Keeper& aKeeper,
               Instant aNow) const;
+  bool MayHaveUnknownHomes(const Life& aLife, Instant aNow) const;
+  Duration BothLeases() const;
 
   LeaseOptions mOptions;
   const HostLeases& mHosts;
   Instant mElected{};
   std::map<UpstreamLife, Life> mLives;
 
-  /// Keepers told to stop that were not seen to know it yet.
-  std::map<HostSession, std::set<UpstreamLife>> mStopping;
+  /// Lives by the process that keeps them now.
+  std::map<HostSession, std::set<UpstreamLife>> mKept;
+  /// Lives that hosts were told to stop renewing, until that is long ago.
+  std::map<HostName, std::set<UpstreamLife>> mStopping;
 };
 
 } // namespace rattandyke::control
