--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "consensus/disk_thread.h"
-#include "consensus/participant.h"
+#include "consensus/founding.h"
+#include "consensus/repair.h"
+#include "consensus/replica.h"
 
 namespace rattandyke::consensus {
 
@@ -38,6 +40,7 @@
     , mClock(aClock)
     , mSeed(aSeed)
     , mTimer(mExecutor)
+    , mRepair({ mOptions.controlHosts, mOptions.replica.replaceAfter })
   {
   }
 
@@ -53,12 +56,14 @@
     if (restored.snapshot) {
       mCallbacks.loadSnapshot(*restored.snapshot->data);
     }
-    mParticipant.emplace(
-      Participant::Options{
-        mOptions.name, identity, mOptions.controlHosts, mOptions.replica },
-      std::move(restored),
-      mSeed ^ identity.value,
-      mClock.Now());
+    mReplica.emplace(identity,
+                     mOptions.name,
+                     mOptions.replica,
+                     std::move(restored),
+                     mSeed ^ identity.value,
+                     mClock.Now());
+    mFounding.emplace(Founding::Options{
+      mOptions.name, identity, mOptions.controlHosts, kHelloInterval });
     mDisk = std::make_unique<DiskThread>(std::move(*store), DiskCallbacks());
     mRunning = true;
     OnTimer();
@@ -114,7 +119,8 @@
     if (!mRunning) {
       return;
     }
-    const Instant due = mParticipant->NextDeadline();
+    const Instant due =
+      std::min(mReplica->NextDeadline(), mFounding->NextDeadline());
     if (due == mArmedFor) {
       return;
     }
@@ -131,7 +137,21 @@
   void OnTimer()
   {
     mArmedFor.reset();
+    StepFounding(Founding::Tick{});
     Step(Tick{});
+    KeepMembership();
+    ArmTimer();
+  }
+
+  void KeepMembership()
+  {
+    if (!mReplica->IsReadyLeader()) {
+      return;
+    }
+    const Instant now = mClock.Now();
+    if (auto change = mRepair.Decide(mReplica->Status(now), now)) {
+      Change(std::move(*change), [](Result<LogIndex>) {});
+    }
   }
 
   void Receive(const HostName& aFrom, std::string_view aBytes)
@@ -141,9 +161,44 @@
                                 static_cast<int>(aBytes.size()))) {
       return;
     }
+    if (message.has_hello()) {
+      OnHello(aFrom, message);
+      return;
+    }
     Step(MessageReceived{ std::move(message) });
   }
 
+  void OnHello(const HostName& aFrom, const wire::ConsensusMessage& aMessage)
+  {
+    const HostIdentity identity{ aMessage.from() };
+    if (aMessage.hello().answers() == 0) {
+      mRepair.HeardNewcomer(aFrom, identity, mClock.Now());
+    }
+    StepFounding(Founding::HelloReceived{ aFrom, identity, aMessage.hello() });
+  }
+
+  void StepFounding(const Founding::Event& aEvent)
+  {
+    const Founding::Own own{ mReplica->IsEmpty(), mReplica->Members() };
+    for (const auto& effect : mFounding->Step(aEvent, own, mClock.Now())) {
+      std::visit([this](const auto& item) { On(item); }, effect);
+    }
+  }
+
+  void On(const Founding::SendHello& aEffect)
+  {
+    wire::ConsensusMessage message;
+    message.set_from(mReplica->Identity().value);
+    message.set_from_name(mOptions.name.value);
+    *message.mutable_hello() = aEffect.hello;
+    mCallbacks.send(aEffect.to, message.SerializeAsString());
+  }
+
+  void On(const Founding::Found& aEffect)
+  {
+    Step(FoundGroup{ aEffect.configuration });
+  }
+
   /// Steps the replica. A callback may lead back here; its event waits until
   /// the effects of the one before are done.
   void Step(Event aEvent)
@@ -156,7 +211,7 @@
     while (!mEvents.empty() && mRunning) {
       const Event event = std::move(mEvents.front());
       mEvents.pop_front();
-      for (Effect& effect : mParticipant->Step(event, mClock.Now())) {
+      for (Effect& effect : mReplica->Step(event, mClock.Now())) {
         // A callback may have stopped the driver.
         if (mRunning) {
           std::visit([this](auto& item) { On(item); }, effect);
@@ -251,6 +306,8 @@
     Step(ChangeMembership{ AddWaiting(std::move(aDone)), std::move(aChange) });
   }
 
+  static constexpr Duration kHelloInterval = std::chrono::milliseconds{ 200 };
+
   const boost::asio::any_io_executor mExecutor;
   const Options mOptions;
   const Callbacks mCallbacks;
@@ -258,7 +315,9 @@
   const uint64_t mSeed;
   boost::asio::steady_timer mTimer;
   std::optional<Instant> mArmedFor;
-  std::optional<Participant> mParticipant;
+  Repair mRepair;
+  std::optional<Replica> mReplica;
+  std::optional<Founding> mFounding;
   std::unique_ptr<DiskThread> mDisk;
   std::optional<Error> mDiskError;
   std::deque<Event> mEvents;
@@ -317,21 +376,19 @@
 bool
 Driver::IsLeader() const
 {
-  return mImpl->mRunning && mImpl->mParticipant->Log().IsReadyLeader();
+  return mImpl->mRunning && mImpl->mReplica->IsReadyLeader();
 }
 
 std::optional<HostName>
 Driver::LeaderHint() const
 {
-  return mImpl->mParticipant ? mImpl->mParticipant->Log().Leader()
-                             : std::nullopt;
+  return mImpl->mReplica ? mImpl->mReplica->Leader() : std::nullopt;
 }
 
 HostIdentity
 Driver::Identity() const
 {
-  return mImpl->mParticipant ? mImpl->mParticipant->Log().Identity()
-                             : HostIdentity{};
+  return mImpl->mReplica ? mImpl->mReplica->Identity() : HostIdentity{};
 }
 
 std::optional<Instant>
@@ -340,7 +397,7 @@
   if (!mImpl->mRunning) {
     return std::nullopt;
   }
-  return mImpl->mParticipant->Log().QuorumContact(mImpl->mClock.Now());
+  return mImpl->mReplica->QuorumContact(mImpl->mClock.Now());
 }
 
 void
@@ -357,10 +414,10 @@
 GroupStatus
 Driver::Status() const
 {
-  if (!mImpl->mParticipant) {
+  if (!mImpl->mReplica) {
     return {};
   }
-  GroupStatus status = mImpl->mParticipant->Log().Status(mImpl->mClock.Now());
+  GroupStatus status = mImpl->mReplica->Status(mImpl->mClock.Now());
   status.syncs = mImpl->mDisk ? mImpl->mDisk->Syncs() : 0;
   if (mImpl->mDiskError) {
     status.storageError = mImpl->mDiskError->message;
--- a/src/librattandyke/entry/request_flow.cpp
+++ b/src/librattandyke/entry/request_flow.cpp
@@ -119,16 +119,11 @@
   if (!IsCurrent(aEvent.attempt, Phase::Trial)) {
     return;
   }
-  if (aEvent.granted) {
-    return Queue();
-  }
-  mTrial = false;
-  mPhase = Phase::Backoff;
-  const Instant again = mNow + std::max(aEvent.retryAfter, Jitter());
-  if (again >= *mWaitEnd) {
+  if (!aEvent.granted) {
+    mTrial = false;
     return Refuse(Code::Overloaded, aEvent.retryAfter);
   }
-  Wait(again);
+  Queue();
 }
 
 void
