--- a/src/capacity/main.cpp
+++ b/src/capacity/main.cpp
@@ -3,7 +3,11 @@
 /// users' first letter. docs/CAPACITY.md quotes what it prints.
 #include <iostream>
 
+#include "capacity/announce_slopes.h"
+#include "capacity/control_slopes.h"
+#include "capacity/log_slopes.h"
 #include "capacity/printer.h"
+#include "capacity/table_slopes.h"
 #include "capacity/target_size.h"
 #include "capacity/transport_slopes.h"
 #include "capacity/wire_slopes.h"
@@ -49,6 +53,10 @@
   PrintInputs(printer);
   MeasureWire(printer);
   MeasureTransport(printer);
+  MeasureTable(printer);
+  MeasureControl(printer);
+  MeasureLog(printer);
+  MeasureAnnouncements(printer);
 }
 
 } // namespace
--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -8,9 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "consensus/disk_thread.h"
-#include "consensus/founding.h"
-#include "consensus/repair.h"
-#include "consensus/replica.h"
+#include "consensus/participant.h"
 
 namespace rattandyke::consensus {
 
@@ -40,7 +38,6 @@
     , mClock(aClock)
     , mSeed(aSeed)
     , mTimer(mExecutor)
-    , mRepair({ mOptions.controlHosts, mOptions.replica.replaceAfter })
   {
   }
 
@@ -56,14 +53,12 @@
     if (restored.snapshot) {
       mCallbacks.loadSnapshot(*restored.snapshot->data);
     }
-    mReplica.emplace(identity,
-                     mOptions.name,
-                     mOptions.replica,
-                     std::move(restored),
-                     mSeed ^ identity.value,
-                     mClock.Now());
-    mFounding.emplace(Founding::Options{
-      mOptions.name, identity, mOptions.controlHosts, kHelloInterval });
+    mParticipant.emplace(
+      Participant::Options{
+        mOptions.name, identity, mOptions.controlHosts, mOptions.replica },
+      std::move(restored),
+      mSeed ^ identity.value,
+      mClock.Now());
     mDisk = std::make_unique<DiskThread>(std::move(*store), DiskCallbacks());
     mRunning = true;
     OnTimer();
@@ -119,8 +114,7 @@
     if (!mRunning) {
       return;
     }
-    const Instant due =
-      std::min(mReplica->NextDeadline(), mFounding->NextDeadline());
+    const Instant due = mParticipant->NextDeadline();
     if (due == mArmedFor) {
       return;
     }
@@ -137,21 +131,7 @@
   void OnTimer()
   {
     mArmedFor.reset();
-    StepFounding(Founding::Tick{});
     Step(Tick{});
-    KeepMembership();
-    ArmTimer();
-  }
-
-  void KeepMembership()
-  {
-    if (!mReplica->IsReadyLeader()) {
-      return;
-    }
-    const Instant now = mClock.Now();
-    if (auto change = mRepair.Decide(mReplica->Status(now), now)) {
-      Change(std::move(*change), [](Result<LogIndex>) {});
-    }
   }
 
   void Receive(const HostName& aFrom, std::string_view aBytes)
@@ -161,44 +141,9 @@
                                 static_cast<int>(aBytes.size()))) {
       return;
     }
-    if (message.has_hello()) {
-      OnHello(aFrom, message);
-      return;
-    }
     Step(MessageReceived{ std::move(message) });
   }
 
-  void OnHello(const HostName& aFrom, const wire::ConsensusMessage& aMessage)
-  {
-    const HostIdentity identity{ aMessage.from() };
-    if (aMessage.hello().answers() == 0) {
-      mRepair.HeardNewcomer(aFrom, identity, mClock.Now());
-    }
-    StepFounding(Founding::HelloReceived{ aFrom, identity, aMessage.hello() });
-  }
-
-  void StepFounding(const Founding::Event& aEvent)
-  {
-    const Founding::Own own{ mReplica->IsEmpty(), mReplica->Members() };
-    for (const auto& effect : mFounding->Step(aEvent, own, mClock.Now())) {
-      std::visit([this](const auto& item) { On(item); }, effect);
-    }
-  }
-
-  void On(const Founding::SendHello& aEffect)
-  {
-    wire::ConsensusMessage message;
-    message.set_from(mReplica->Identity().value);
-    message.set_from_name(mOptions.name.value);
-    *message.mutable_hello() = aEffect.hello;
-    mCallbacks.send(aEffect.to, message.SerializeAsString());
-  }
-
-  void On(const Founding::Found& aEffect)
-  {
-    Step(FoundGroup{ aEffect.configuration });
-  }
-
   /// Steps the replica. A callback may lead back here; its event waits until
   /// the effects of the one before are done.
   void Step(Event aEvent)
@@ -211,7 +156,7 @@
     while (!mEvents.empty() && mRunning) {
       const Event event = std::move(mEvents.front());
       mEvents.pop_front();
-      for (Effect& effect : mReplica->Step(event, mClock.Now())) {
+      for (Effect& effect : mParticipant->Step(event, mClock.Now())) {
         // A callback may have stopped the driver.
         if (mRunning) {
           std::visit([this](auto& item) { On(item); }, effect);
@@ -306,8 +251,6 @@
     Step(ChangeMembership{ AddWaiting(std::move(aDone)), std::move(aChange) });
   }
 
-  static constexpr Duration kHelloInterval = std::chrono::milliseconds{ 200 };
-
   const boost::asio::any_io_executor mExecutor;
   const Options mOptions;
   const Callbacks mCallbacks;
@@ -315,9 +258,7 @@
   const uint64_t mSeed;
   boost::asio::steady_timer mTimer;
   std::optional<Instant> mArmedFor;
-  Repair mRepair;
-  std::optional<Replica> mReplica;
-  std::optional<Founding> mFounding;
+  std::optional<Participant> mParticipant;
   std::unique_ptr<DiskThread> mDisk;
   std::optional<Error> mDiskError;
   std::deque<Event> mEvents;
@@ -376,19 +317,21 @@
 bool
 Driver::IsLeader() const
 {
-  return mImpl->mRunning && mImpl->mReplica->IsReadyLeader();
+  return mImpl->mRunning && mImpl->mParticipant->Log().IsReadyLeader();
 }
 
 std::optional<HostName>
 Driver::LeaderHint() const
 {
-  return mImpl->mReplica ? mImpl->mReplica->Leader() : std::nullopt;
+  return mImpl->mParticipant ? mImpl->mParticipant->Log().Leader()
+                             : std::nullopt;
 }
 
 HostIdentity
 Driver::Identity() const
 {
-  return mImpl->mReplica ? mImpl->mReplica->Identity() : HostIdentity{};
+  return mImpl->mParticipant ? mImpl->mParticipant->Log().Identity()
+                             : HostIdentity{};
 }
 
 std::optional<Instant>
@@ -397,7 +340,7 @@
   if (!mImpl->mRunning) {
     return std::nullopt;
   }
-  return mImpl->mReplica->QuorumContact(mImpl->mClock.Now());
+  return mImpl->mParticipant->Log().QuorumContact(mImpl->mClock.Now());
 }
 
 void
@@ -414,10 +357,10 @@
 GroupStatus
 Driver::Status() const
 {
-  if (!mImpl->mReplica) {
+  if (!mImpl->mParticipant) {
     return {};
   }
-  GroupStatus status = mImpl->mReplica->Status(mImpl->mClock.Now());
+  GroupStatus status = mImpl->mParticipant->Log().Status(mImpl->mClock.Now());
   status.syncs = mImpl->mDisk ? mImpl->mDisk->Syncs() : 0;
   if (mImpl->mDiskError) {
     status.storageError = mImpl->mDiskError->message;
--- a/src/librattandyke/consensus/replica_leader.cpp
+++ b/src/librattandyke/consensus/replica_leader.cpp
@@ -79,6 +79,13 @@
 {
   // The answer to the last probe may be lost; the next one may go out.
   aProgress.probeSent = false;
+  // A follower that answered none of the appends in flight learns from the
+  // heartbeat that it lacks them. If the log in front of them is compacted by
+  // then, no heartbeat can tell it so: it needs the snapshot.
+  if (aProgress.mode != Progress::Mode::Snapshot &&
+      !mLog.TermAt(aProgress.next - 1)) {
+    StartSnapshot(aMember, aProgress);
+  }
   const uint64_t previous =
     aProgress.mode == Progress::Mode::Snapshot ? 0 : aProgress.next - 1;
   const auto term = previous == 0 ? 0 : mLog.TermAt(previous);
--- /dev/null
+++ b/src/librattandyke/consensus/replica_test.cpp
@@ -0,0 +1,81 @@
+#include "consensus/replica.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "testing/fault_schedule.h"
+
+namespace rattandyke::testing {
+
+void
+showValue(const FaultStep& aStep, std::ostream& aOut)
+{
+  aOut << "{kind " << static_cast<int>(aStep.kind) << " host "
+       << int{ aStep.host } << " other " << int{ aStep.other } << " "
+       << aStep.time.count() << " ms}";
+}
+
+} // namespace rattandyke::testing
+
+template<>
+struct rc::Arbitrary<rattandyke::testing::FaultStep>
+{
+  static Gen<rattandyke::testing::FaultStep> arbitrary()
+  {
+    using rattandyke::testing::FaultStep;
+    return gen::map(
+      gen::tuple(gen::inRange(0, FaultStep::kKinds),
+                 gen::inRange<uint8_t>(0, 5),
+                 gen::inRange<uint8_t>(0, 5),
+                 gen::inRange(0, 400)),
+      [](const auto& drawn) {
+        return FaultStep{ static_cast<FaultStep::Kind>(std::get<0>(drawn)),
+                          std::get<1>(drawn),
+                          std::get<2>(drawn),
+                          std::chrono::milliseconds{ std::get<3>(drawn) } };
+      });
+  }
+};
+
+namespace rattandyke::consensus {
+namespace {
+
+using testing::FaultStep;
+using testing::ReplicaGroup;
+
+RC_GTEST_PROP(ReplicaFaults,
+              AcknowledgedChangesSurviveAnySchedule,
+              (const std::vector<FaultStep>& steps, uint64_t seed))
+{
+  // Hosts are cut off one way or both, paused, crashed with unsynced writes
+  // lost, emptied, and made to hand over, at any moment and several at once,
+  // while changes are proposed. No term has two leaders, no committed entry
+  // changes, all hosts apply the same commands in the same order, and once the
+  // faults end the group has everything it acknowledged and its full number.
+  const size_t hosts = *rc::gen::element<size_t>(1, 3, 5);
+  const auto report = RunSchedule(testing::ScheduleOptions(hosts, seed), steps);
+  RC_ASSERT(report.violation == std::string());
+  RC_ASSERT(report.acknowledgedLost == 0U);
+}
+
+TEST(ReplicaFaults, FollowerBehindACompactedLogGetsTheSnapshot)
+{
+  // Changes go on while one host hears nothing; the leader sends it as many
+  // appends as may be in flight, then compacts its log. When the cut ends, the
+  // host accepts each heartbeat, since none can refer to a compacted entry, and
+  // would never get the rest: it must be sent the snapshot.
+  ReplicaGroup group(testing::ScheduleOptions(3, 1));
+  group.RunFor(std::chrono::milliseconds{ 250 });
+  const size_t leader = group.Leader().value();
+  const auto cutOff = static_cast<uint8_t>((leader + 1) % 3);
+  group.Execute({ FaultStep::Kind::Cut, static_cast<uint8_t>(leader), cutOff });
+  for (int i = 0; i < 40; ++i) {
+    group.Propose();
+    group.RunFor(std::chrono::milliseconds{ 10 });
+  }
+  EXPECT_TRUE(group.Settle()) << group.Report().violation;
+  EXPECT_EQ(group.Report().acknowledged, group.Report().committed);
+}
+
+} // namespace
+} // namespace rattandyke::consensus
--- a/src/librattandyke/entry/request_flow.cpp
+++ b/src/librattandyke/entry/request_flow.cpp
@@ -119,11 +119,16 @@
   if (!IsCurrent(aEvent.attempt, Phase::Trial)) {
     return;
   }
-  if (!aEvent.granted) {
-    mTrial = false;
+  if (aEvent.granted) {
+    return Queue();
+  }
+  mTrial = false;
+  mPhase = Phase::Backoff;
+  const Instant again = mNow + std::max(aEvent.retryAfter, Jitter());
+  if (again >= *mWaitEnd) {
     return Refuse(Code::Overloaded, aEvent.retryAfter);
   }
-  Queue();
+  Wait(again);
 }
 
 void
--- a/src/librattandyke/entry/request_flow.h
+++ b/src/librattandyke/entry/request_flow.h
@@ -94,7 +94,7 @@
 {
   uint32_t attempt = 0;
   bool granted = false;
-  /// If not granted: when to tell the caller to come back.
+  /// If not granted: when to ask again; another trial is running.
   std::chrono::milliseconds retryAfter{};
 };
 /// Answers Enqueue: the request holds one of the upstream's slots.
@@ -347,6 +347,8 @@
 struct ReportCrash
 {
   OwnerView owner;
+  /// It ran on a trial.
+  bool onTrial = false;
 };
 
 } // namespace flow_effect
--- a/src/librattandyke/entry/request_flow_sending.cpp
+++ b/src/librattandyke/entry/request_flow_sending.cpp
@@ -153,7 +153,7 @@
     return;
   }
   if (aEvent.connectionLost) {
-    mEffects.emplace_back(flow_effect::ReportCrash{ mOwner });
+    mEffects.emplace_back(flow_effect::ReportCrash{ mOwner, mTrial });
   }
   EndSlot(aEvent.connectionLost ? flow_effect::Use::Broken
                                 : flow_effect::Use::Failed);
--- a/src/librattandyke/storage/segment_log.cpp
+++ b/src/librattandyke/storage/segment_log.cpp
@@ -213,8 +213,6 @@
 Result<void>
 SegmentLog::RollBack()
 {
-  mBuffer.clear();
-  mBuffered.clear();
   return OpenNewest()
     .and_then([&] { return mFile->Truncate(mSegments.back().bytes); })
     .map([&] { mTailUnknown = false; });
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -308,6 +308,7 @@
     /*decltype(_impl_.fingerprints_)*/{}
   , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.on_trial_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct CrashReportCallDefaultTypeInternal {
@@ -319,6 +320,38 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashReportCallDefaultTypeInternal _CrashReportCall_default_instance_;
+PROTOBUF_CONSTEXPR TrialCall::TrialCall(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.fingerprint_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
+  , /*decltype(_impl_.attempt_)*/uint64_t{0u}
+  , /*decltype(_impl_.step_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct TrialCallDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR TrialCallDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~TrialCallDefaultTypeInternal() {}
+  union {
+    TrialCall _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 TrialCallDefaultTypeInternal _TrialCall_default_instance_;
+PROTOBUF_CONSTEXPR TrialReply::TrialReply(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.granted_)*/false
+  , /*decltype(_impl_.retry_after_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct TrialReplyDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR TrialReplyDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~TrialReplyDefaultTypeInternal() {}
+  union {
+    TrialReply _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 TrialReplyDefaultTypeInternal _TrialReply_default_instance_;
 PROTOBUF_CONSTEXPR DrainUpstreamCall::DrainUpstreamCall(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -416,8 +449,8 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EnvelopeDefaultTypeInternal _Envelope_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_peer_2eproto[23];
-static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[1];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[25];
+static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
 const uint32_t TableStruct_peer_2eproto::offsets[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -523,6 +556,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallRequest, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallReply, _internal_metadata_),
@@ -538,6 +572,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallReply, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SubmitRecordCall, _internal_metadata_),
@@ -628,6 +663,27 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReportCall, _impl_.upstream_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReportCall, _impl_.incarnation_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReportCall, _impl_.fingerprints_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReportCall, _impl_.on_trial_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.fingerprint_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.upstream_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.incarnation_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.step_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialCall, _impl_.attempt_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialReply, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialReply, _impl_.granted_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TrialReply, _impl_.retry_after_ms_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DrainUpstreamCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -700,22 +756,24 @@
   { 56, -1, -1, sizeof(::rattandyke::wire::SlotLoad)},
   { 66, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
   { 83, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
-  { 103, -1, -1, sizeof(::rattandyke::wire::CallReply)},
-  { 118, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
-  { 128, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
-  { 140, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
-  { 150, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
-  { 158, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
-  { 167, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
-  { 179, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
-  { 190, -1, -1, sizeof(::rattandyke::wire::BanCall)},
-  { 197, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
-  { 207, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
-  { 216, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
-  { 225, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
-  { 237, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
-  { 246, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 256, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 104, -1, -1, sizeof(::rattandyke::wire::CallReply)},
+  { 120, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
+  { 130, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
+  { 142, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
+  { 152, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
+  { 160, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
+  { 169, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
+  { 181, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
+  { 192, -1, -1, sizeof(::rattandyke::wire::BanCall)},
+  { 199, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
+  { 210, -1, -1, sizeof(::rattandyke::wire::TrialCall)},
+  { 222, -1, -1, sizeof(::rattandyke::wire::TrialReply)},
+  { 230, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
+  { 239, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
+  { 248, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
+  { 260, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
+  { 269, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 279, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -736,6 +794,8 @@
   &::rattandyke::wire::_ReleaseClaimCall_default_instance_._instance,
   &::rattandyke::wire::_BanCall_default_instance_._instance,
   &::rattandyke::wire::_CrashReportCall_default_instance_._instance,
+  &::rattandyke::wire::_TrialCall_default_instance_._instance,
+  &::rattandyke::wire::_TrialReply_default_instance_._instance,
   &::rattandyke::wire::_DrainUpstreamCall_default_instance_._instance,
   &::rattandyke::wire::_QueryCall_default_instance_._instance,
   &::rattandyke::wire::_CreditCall_default_instance_._instance,
@@ -775,7 +835,7 @@
   "se_ms\030\007 \001(\r\022,\n\006update\030\010 \001(\0132\034.rattandyke"
   ".wire.TableUpdate\022\022\n\nlive_hosts\030\t \003(\t\022\026\n"
   "\016keeper_version\030\n \001(\004\022\032\n\022upstream_addres"
-  "ses\030\013 \003(\t\"\327\004\n\013CallRequest\022\n\n\002id\030\001 \001(\004\022\014\n"
+  "ses\030\013 \003(\t\"\204\005\n\013CallRequest\022\n\n\002id\030\001 \001(\004\022\014\n"
   "\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n\rsubmit_r"
   "ecord\030\n \001(\0132!.rattandyke.wire.SubmitReco"
   "rdCallH\000\022+\n\005claim\030\013 \001(\0132\032.rattandyke.wir"
@@ -790,68 +850,80 @@
   "editCallH\000\0228\n\014crash_report\030\022 \001(\0132 .ratta"
   "ndyke.wire.CrashReportCallH\000\0225\n\nmembersh"
   "ip\030\023 \001(\0132\037.rattandyke.wire.MembershipCal"
-  "lH\000B\006\n\004body\"\347\001\n\tCallReply\022\n\n\002id\030\001 \001(\004\022\014\n"
-  "\004code\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\022\016\n\006leader\030\004"
-  " \001(\t\022)\n\006record\030\n \001(\0132\027.rattandyke.wire.R"
-  "ecordH\000\022,\n\005claim\030\013 \001(\0132\033.rattandyke.wire"
-  ".ClaimReplyH\000\022\016\n\004json\030\014 \001(\tH\000\022.\n\006credit\030"
-  "\r \001(\0132\034.rattandyke.wire.CreditReplyH\000B\006\n"
-  "\004body\"}\n\020SubmitRecordCall\022\'\n\006record\030\001 \001("
-  "\0132\027.rattandyke.wire.Record\022\031\n\021expected_r"
-  "evision\030\002 \001(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007d"
-  "ry_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 "
+  "lH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke.wire.Tri"
+  "alCallH\000B\006\n\004body\"\225\002\n\tCallReply\022\n\n\002id\030\001 \001"
+  "(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\022\016\n\006lea"
+  "der\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.rattandyke.w"
+  "ire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.rattandyke"
+  ".wire.ClaimReplyH\000\022\016\n\004json\030\014 \001(\tH\000\022.\n\006cr"
+  "edit\030\r \001(\0132\034.rattandyke.wire.CreditReply"
+  "H\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke.wire.Tria"
+  "lReplyH\000B\006\n\004body\"}\n\020SubmitRecordCall\022\'\n\006"
+  "record\030\001 \001(\0132\027.rattandyke.wire.Record\022\031\n"
+  "\021expected_revision\030\002 \001(\004\022\024\n\014any_revision"
+  "\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n"
+  "\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idem"
+  "potency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001("
+  "\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004"
+  "\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001(\r\022.\n\007head"
+  "ers\030\002 \003(\0132\035.rattandyke.wire.StoredHeader"
+  "\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014"
+  "StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001("
+  "\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001(\0162\035.ratta"
+  "ndyke.wire.ClaimOutcome\022\r\n\005claim\030\002 \001(\004\022-"
+  "\n\006answer\030\003 \001(\0132\035.rattandyke.wire.StoredA"
+  "nswer\"\236\001\n\021CompleteClaimCall\022\017\n\007service\030\001"
+  " \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_ke"
+  "y\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035"
+  ".rattandyke.wire.StoredAnswer\022\017\n\007unknown"
+  "\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007service\030\001 "
   "\001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key"
-  "\030\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\024\n\014retent"
-  "ion_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredA"
-  "nswer\022\016\n\006status\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035"
-  ".rattandyke.wire.StoredHeader\022\014\n\004body\030\003 "
-  "\001(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014StoredHeade"
-  "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimR"
-  "eply\022.\n\007outcome\030\001 \001(\0162\035.rattandyke.wire."
-  "ClaimOutcome\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 "
-  "\001(\0132\035.rattandyke.wire.StoredAnswer\"\236\001\n\021C"
-  "ompleteClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cus"
-  "tomer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005"
-  "claim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035.rattandyke"
-  ".wire.StoredAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020R"
-  "eleaseClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
-  "omer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005c"
-  "laim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!"
-  "\n\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\"_\n\017Cra"
-  "shReportCall\022\017\n\007service\030\001 \001(\t\022\020\n\010upstrea"
-  "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\024\n\014fingerpr"
-  "ints\030\004 \003(\t\"E\n\021DrainUpstreamCall\022\017\n\007servi"
-  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001("
-  "\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030"
-  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007serv"
-  "ice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030"
-  "\003 \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001("
-  "\010\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007req"
-  "uest\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_aft"
-  "er_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_ide"
-  "ntity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_add"
-  "ress\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010"
-  "Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002"
-  " \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wir"
-  "e.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037"
-  ".rattandyke.wire.HeartbeatReplyH\000\0224\n\014cal"
-  "l_request\030\014 \001(\0132\034.rattandyke.wire.CallRe"
-  "questH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke"
-  ".wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006"
-  "\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME"
-  "_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020"
-  "\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OU"
-  "TCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022"
-  "\032\n\026CLAIM_OUTCOME_MISMATCH\020\005b\006proto3"
+  "\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\","
+  "\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattandyke.wire"
+  ".Ban\"q\n\017CrashReportCall\022\017\n\007service\030\001 \001(\t"
+  "\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022"
+  "\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_trial\030\005 \001(\t\""
+  "\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022\023\n\013finger"
+  "print\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023\n\013incarna"
+  "tion\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.rattandyke.wi"
+  "re.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5\n\nTrialRe"
+  "ply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_after_ms\030\002"
+  " \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007service\030\001 \001"
+  "(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\"7\n\tQ"
+  "ueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022"
+  "\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007service\030\001 "
+  "\001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030\003 \001(\t\022"
+  "\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001(\010\022\017\n\007w"
+  "ait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007request\030\001"
+  " \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_after_ms\030"
+  "\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_identity\030"
+  "\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_address\030\003"
+  " \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010Envelo"
+  "pe\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 \001(\004\022/"
+  "\n\theartbeat\030\n \001(\0132\032.rattandyke.wire.Hear"
+  "tbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.ratta"
+  "ndyke.wire.HeartbeatReplyH\000\0224\n\014call_requ"
+  "est\030\014 \001(\0132\034.rattandyke.wire.CallRequestH"
+  "\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke.wire."
+  "CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006\n\004body"
+  "*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNSPE"
+  "CIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n\025C"
+  "LAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOME_"
+  "DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026CLA"
+  "IM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n\026T"
+  "RIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_AS"
+  "K\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_STE"
+  "P_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004b\006prot"
+  "o3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 3915, descriptor_table_protodef_peer_2eproto,
+    false, false, 4362, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 23,
+    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 25,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -882,6 +954,23 @@
   }
 }
 
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* TrialStep_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_peer_2eproto);
+  return file_level_enum_descriptors_peer_2eproto[1];
+}
+bool TrialStep_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return true;
+    default:
+      return false;
+  }
+}
+
 
 // ===================================================================
 
@@ -3441,6 +3530,7 @@
   static const ::rattandyke::wire::CreditCall& credit(const CallRequest* msg);
   static const ::rattandyke::wire::CrashReportCall& crash_report(const CallRequest* msg);
   static const ::rattandyke::wire::MembershipCall& membership(const CallRequest* msg);
+  static const ::rattandyke::wire::TrialCall& trial(const CallRequest* msg);
 };
 
 const ::rattandyke::wire::SubmitRecordCall&
@@ -3483,6 +3573,10 @@
 CallRequest::_Internal::membership(const CallRequest* msg) {
   return *msg->_impl_.body_.membership_;
 }
+const ::rattandyke::wire::TrialCall&
+CallRequest::_Internal::trial(const CallRequest* msg) {
+  return *msg->_impl_.body_.trial_;
+}
 void CallRequest::set_allocated_submit_record(::rattandyke::wire::SubmitRecordCall* submit_record) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -3633,6 +3727,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallRequest.membership)
 }
+void CallRequest::set_allocated_trial(::rattandyke::wire::TrialCall* trial) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (trial) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(trial);
+    if (message_arena != submessage_arena) {
+      trial = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, trial, submessage_arena);
+    }
+    set_has_trial();
+    _impl_.body_.trial_ = trial;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallRequest.trial)
+}
 CallRequest::CallRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -3714,6 +3823,11 @@
           from._internal_membership());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialCall::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -3824,6 +3938,12 @@
       }
       break;
     }
+    case kTrial: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.trial_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -3958,6 +4078,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.TrialCall trial = 20;
+      case 20:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 162)) {
+          ptr = ctx->ParseMessage(_internal_mutable_trial(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4079,6 +4207,13 @@
         _Internal::membership(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.TrialCall trial = 20;
+  if (_internal_has_trial()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(20, _Internal::trial(this),
+        _Internal::trial(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4183,6 +4318,13 @@
           *_impl_.body_.membership_);
       break;
     }
+    // .rattandyke.wire.TrialCall trial = 20;
+    case kTrial: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.trial_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -4265,6 +4407,11 @@
           from._internal_membership());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialCall::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -4315,6 +4462,7 @@
   static const ::rattandyke::wire::Record& record(const CallReply* msg);
   static const ::rattandyke::wire::ClaimReply& claim(const CallReply* msg);
   static const ::rattandyke::wire::CreditReply& credit(const CallReply* msg);
+  static const ::rattandyke::wire::TrialReply& trial(const CallReply* msg);
 };
 
 const ::rattandyke::wire::Record&
@@ -4329,6 +4477,10 @@
 CallReply::_Internal::credit(const CallReply* msg) {
   return *msg->_impl_.body_.credit_;
 }
+const ::rattandyke::wire::TrialReply&
+CallReply::_Internal::trial(const CallReply* msg) {
+  return *msg->_impl_.body_.trial_;
+}
 void CallReply::set_allocated_record(::rattandyke::wire::Record* record) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -4383,6 +4535,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallReply.credit)
 }
+void CallReply::set_allocated_trial(::rattandyke::wire::TrialReply* trial) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (trial) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(trial);
+    if (message_arena != submessage_arena) {
+      trial = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, trial, submessage_arena);
+    }
+    set_has_trial();
+    _impl_.body_.trial_ = trial;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallReply.trial)
+}
 CallReply::CallReply(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -4442,6 +4609,11 @@
           from._internal_credit());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialReply::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -4520,6 +4692,12 @@
       }
       break;
     }
+    case kTrial: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.trial_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -4619,6 +4797,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.TrialReply trial = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 114)) {
+          ptr = ctx->ParseMessage(_internal_mutable_trial(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4711,6 +4897,13 @@
         _Internal::credit(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.TrialReply trial = 14;
+  if (_internal_has_trial()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(14, _Internal::trial(this),
+        _Internal::trial(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4780,6 +4973,13 @@
           *_impl_.body_.credit_);
       break;
     }
+    // .rattandyke.wire.TrialReply trial = 14;
+    case kTrial: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.trial_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -4834,6 +5034,11 @@
           from._internal_credit());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialReply::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7356,6 +7561,7 @@
       decltype(_impl_.fingerprints_){from._impl_.fingerprints_}
     , decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.on_trial_){}
     , decltype(_impl_.incarnation_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -7376,6 +7582,14 @@
     _this->_impl_.upstream_.Set(from._internal_upstream(), 
       _this->GetArenaForAllocation());
   }
+  _impl_.on_trial_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.on_trial_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_on_trial().empty()) {
+    _this->_impl_.on_trial_.Set(from._internal_on_trial(), 
+      _this->GetArenaForAllocation());
+  }
   _this->_impl_.incarnation_ = from._impl_.incarnation_;
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CrashReportCall)
 }
@@ -7388,6 +7602,7 @@
       decltype(_impl_.fingerprints_){arena}
     , decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.on_trial_){}
     , decltype(_impl_.incarnation_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -7399,6 +7614,10 @@
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.upstream_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.on_trial_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.on_trial_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
 CrashReportCall::~CrashReportCall() {
@@ -7415,6 +7634,7 @@
   _impl_.fingerprints_.~RepeatedPtrField();
   _impl_.service_.Destroy();
   _impl_.upstream_.Destroy();
+  _impl_.on_trial_.Destroy();
 }
 
 void CrashReportCall::SetCachedSize(int size) const {
@@ -7430,6 +7650,7 @@
   _impl_.fingerprints_.Clear();
   _impl_.service_.ClearToEmpty();
   _impl_.upstream_.ClearToEmpty();
+  _impl_.on_trial_.ClearToEmpty();
   _impl_.incarnation_ = uint64_t{0u};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
@@ -7483,6 +7704,16 @@
         } else
           goto handle_unusual;
         continue;
+      // string on_trial = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_on_trial();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReportCall.on_trial"));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7548,6 +7779,16 @@
     target = stream->WriteString(4, s, target);
   }
 
+  // string on_trial = 5;
+  if (!this->_internal_on_trial().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_on_trial().data(), static_cast<int>(this->_internal_on_trial().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashReportCall.on_trial");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_on_trial(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -7586,6 +7827,13 @@
         this->_internal_upstream());
   }
 
+  // string on_trial = 5;
+  if (!this->_internal_on_trial().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_on_trial());
+  }
+
   // uint64 incarnation = 3;
   if (this->_internal_incarnation() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
@@ -7616,6 +7864,9 @@
   if (!from._internal_upstream().empty()) {
     _this->_internal_set_upstream(from._internal_upstream());
   }
+  if (!from._internal_on_trial().empty()) {
+    _this->_internal_set_on_trial(from._internal_on_trial());
+  }
   if (from._internal_incarnation() != 0) {
     _this->_internal_set_incarnation(from._internal_incarnation());
   }
@@ -7647,6 +7898,10 @@
       &_impl_.upstream_, lhs_arena,
       &other->_impl_.upstream_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.on_trial_, lhs_arena,
+      &other->_impl_.on_trial_, rhs_arena
+  );
   swap(_impl_.incarnation_, other->_impl_.incarnation_);
 }
 
@@ -7658,23 +7913,26 @@
 
 // ===================================================================
 
-class DrainUpstreamCall::_Internal {
+class TrialCall::_Internal {
  public:
 };
 
-DrainUpstreamCall::DrainUpstreamCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+TrialCall::TrialCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.DrainUpstreamCall)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.TrialCall)
 }
-DrainUpstreamCall::DrainUpstreamCall(const DrainUpstreamCall& from)
+TrialCall::TrialCall(const TrialCall& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  DrainUpstreamCall* const _this = this; (void)_this;
+  TrialCall* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
     , decltype(_impl_.upstream_){}
-    , decltype(_impl_.drain_){}
+    , decltype(_impl_.incarnation_){}
+    , decltype(_impl_.attempt_){}
+    , decltype(_impl_.step_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -7686,6 +7944,14 @@
     _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_fingerprint().empty()) {
+    _this->_impl_.fingerprint_.Set(from._internal_fingerprint(), 
+      _this->GetArenaForAllocation());
+  }
   _impl_.upstream_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.upstream_.Set("", GetArenaForAllocation());
@@ -7694,32 +7960,41 @@
     _this->_impl_.upstream_.Set(from._internal_upstream(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.drain_ = from._impl_.drain_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DrainUpstreamCall)
+  ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.step_) -
+    reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.step_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.TrialCall)
 }
 
-inline void DrainUpstreamCall::SharedCtor(
+inline void TrialCall::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
     , decltype(_impl_.upstream_){}
-    , decltype(_impl_.drain_){false}
+    , decltype(_impl_.incarnation_){uint64_t{0u}}
+    , decltype(_impl_.attempt_){uint64_t{0u}}
+    , decltype(_impl_.step_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
   _impl_.upstream_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.upstream_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-DrainUpstreamCall::~DrainUpstreamCall() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.DrainUpstreamCall)
+TrialCall::~TrialCall() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.TrialCall)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -7727,29 +8002,33 @@
   SharedDtor();
 }
 
-inline void DrainUpstreamCall::SharedDtor() {
+inline void TrialCall::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.service_.Destroy();
+  _impl_.fingerprint_.Destroy();
   _impl_.upstream_.Destroy();
 }
 
-void DrainUpstreamCall::SetCachedSize(int size) const {
+void TrialCall::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void DrainUpstreamCall::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.DrainUpstreamCall)
+void TrialCall::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.TrialCall)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
   _impl_.service_.ClearToEmpty();
+  _impl_.fingerprint_.ClearToEmpty();
   _impl_.upstream_.ClearToEmpty();
-  _impl_.drain_ = false;
+  ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.step_) -
+      reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.step_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* DrainUpstreamCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* TrialCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -7761,24 +8040,51 @@
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.service"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // string fingerprint = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_upstream();
+          auto str = _internal_mutable_fingerprint();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.upstream"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.fingerprint"));
         } else
           goto handle_unusual;
         continue;
-      // bool drain = 3;
+      // string upstream = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.drain_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_upstream();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.upstream"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 incarnation = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.incarnation_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.TrialStep step = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_step(static_cast<::rattandyke::wire::TrialStep>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 attempt = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.attempt_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -7806,9 +8112,9 @@
 #undef CHK_
 }
 
-uint8_t* DrainUpstreamCall::_InternalSerialize(
+uint8_t* TrialCall::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.DrainUpstreamCall)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.TrialCall)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -7817,37 +8123,60 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.DrainUpstreamCall.service");
+      "rattandyke.wire.TrialCall.service");
     target = stream->WriteStringMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // string fingerprint = 2;
+  if (!this->_internal_fingerprint().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.TrialCall.fingerprint");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_fingerprint(), target);
+  }
+
+  // string upstream = 3;
   if (!this->_internal_upstream().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.DrainUpstreamCall.upstream");
+      "rattandyke.wire.TrialCall.upstream");
     target = stream->WriteStringMaybeAliased(
-        2, this->_internal_upstream(), target);
+        3, this->_internal_upstream(), target);
   }
 
-  // bool drain = 3;
-  if (this->_internal_drain() != 0) {
+  // uint64 incarnation = 4;
+  if (this->_internal_incarnation() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_drain(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_incarnation(), target);
+  }
+
+  // .rattandyke.wire.TrialStep step = 5;
+  if (this->_internal_step() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      5, this->_internal_step(), target);
+  }
+
+  // uint64 attempt = 6;
+  if (this->_internal_attempt() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(6, this->_internal_attempt(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.DrainUpstreamCall)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.TrialCall)
   return target;
 }
 
-size_t DrainUpstreamCall::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.DrainUpstreamCall)
+size_t TrialCall::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.TrialCall)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
@@ -7861,32 +8190,50 @@
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // string fingerprint = 2;
+  if (!this->_internal_fingerprint().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_fingerprint());
+  }
+
+  // string upstream = 3;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
         this->_internal_upstream());
   }
 
-  // bool drain = 3;
-  if (this->_internal_drain() != 0) {
-    total_size += 1 + 1;
+  // uint64 incarnation = 4;
+  if (this->_internal_incarnation() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
+  }
+
+  // uint64 attempt = 6;
+  if (this->_internal_attempt() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_attempt());
+  }
+
+  // .rattandyke.wire.TrialStep step = 5;
+  if (this->_internal_step() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_step());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData DrainUpstreamCall::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData TrialCall::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    DrainUpstreamCall::MergeImpl
+    TrialCall::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*DrainUpstreamCall::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*TrialCall::GetClassData() const { return &_class_data_; }
 
 
-void DrainUpstreamCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<DrainUpstreamCall*>(&to_msg);
-  auto& from = static_cast<const DrainUpstreamCall&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.DrainUpstreamCall)
+void TrialCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<TrialCall*>(&to_msg);
+  auto& from = static_cast<const TrialCall&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.TrialCall)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
@@ -7894,27 +8241,36 @@
   if (!from._internal_service().empty()) {
     _this->_internal_set_service(from._internal_service());
   }
+  if (!from._internal_fingerprint().empty()) {
+    _this->_internal_set_fingerprint(from._internal_fingerprint());
+  }
   if (!from._internal_upstream().empty()) {
     _this->_internal_set_upstream(from._internal_upstream());
   }
-  if (from._internal_drain() != 0) {
-    _this->_internal_set_drain(from._internal_drain());
+  if (from._internal_incarnation() != 0) {
+    _this->_internal_set_incarnation(from._internal_incarnation());
+  }
+  if (from._internal_attempt() != 0) {
+    _this->_internal_set_attempt(from._internal_attempt());
+  }
+  if (from._internal_step() != 0) {
+    _this->_internal_set_step(from._internal_step());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void DrainUpstreamCall::CopyFrom(const DrainUpstreamCall& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.DrainUpstreamCall)
+void TrialCall::CopyFrom(const TrialCall& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.TrialCall)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool DrainUpstreamCall::IsInitialized() const {
+bool TrialCall::IsInitialized() const {
   return true;
 }
 
-void DrainUpstreamCall::InternalSwap(DrainUpstreamCall* other) {
+void TrialCall::InternalSwap(TrialCall* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
@@ -7923,14 +8279,23 @@
       &_impl_.service_, lhs_arena,
       &other->_impl_.service_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.fingerprint_, lhs_arena,
+      &other->_impl_.fingerprint_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.upstream_, lhs_arena,
       &other->_impl_.upstream_, rhs_arena
   );
-  swap(_impl_.drain_, other->_impl_.drain_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(TrialCall, _impl_.step_)
+      + sizeof(TrialCall::_impl_.step_)
+      - PROTOBUF_FIELD_OFFSET(TrialCall, _impl_.incarnation_)>(
+          reinterpret_cast<char*>(&_impl_.incarnation_),
+          reinterpret_cast<char*>(&other->_impl_.incarnation_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata DrainUpstreamCall::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata TrialCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
       file_level_metadata_peer_2eproto[17]);
@@ -7938,7 +8303,498 @@
 
 // ===================================================================
 
-class QueryCall::_Internal {
+class TrialReply::_Internal {
+ public:
+};
+
+TrialReply::TrialReply(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.TrialReply)
+}
+TrialReply::TrialReply(const TrialReply& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  TrialReply* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.granted_){}
+    , decltype(_impl_.retry_after_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.granted_, &from._impl_.granted_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
+    reinterpret_cast<char*>(&_impl_.granted_)) + sizeof(_impl_.retry_after_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.TrialReply)
+}
+
+inline void TrialReply::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.granted_){false}
+    , decltype(_impl_.retry_after_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+TrialReply::~TrialReply() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.TrialReply)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void TrialReply::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void TrialReply::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void TrialReply::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.TrialReply)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  ::memset(&_impl_.granted_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
+      reinterpret_cast<char*>(&_impl_.granted_)) + sizeof(_impl_.retry_after_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* TrialReply::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // bool granted = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.granted_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 retry_after_ms = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.retry_after_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* TrialReply::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.TrialReply)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // bool granted = 1;
+  if (this->_internal_granted() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(1, this->_internal_granted(), target);
+  }
+
+  // uint32 retry_after_ms = 2;
+  if (this->_internal_retry_after_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_retry_after_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.TrialReply)
+  return target;
+}
+
+size_t TrialReply::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.TrialReply)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // bool granted = 1;
+  if (this->_internal_granted() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint32 retry_after_ms = 2;
+  if (this->_internal_retry_after_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_retry_after_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData TrialReply::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    TrialReply::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*TrialReply::GetClassData() const { return &_class_data_; }
+
+
+void TrialReply::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<TrialReply*>(&to_msg);
+  auto& from = static_cast<const TrialReply&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.TrialReply)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_granted() != 0) {
+    _this->_internal_set_granted(from._internal_granted());
+  }
+  if (from._internal_retry_after_ms() != 0) {
+    _this->_internal_set_retry_after_ms(from._internal_retry_after_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void TrialReply::CopyFrom(const TrialReply& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.TrialReply)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool TrialReply::IsInitialized() const {
+  return true;
+}
+
+void TrialReply::InternalSwap(TrialReply* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(TrialReply, _impl_.retry_after_ms_)
+      + sizeof(TrialReply::_impl_.retry_after_ms_)
+      - PROTOBUF_FIELD_OFFSET(TrialReply, _impl_.granted_)>(
+          reinterpret_cast<char*>(&_impl_.granted_),
+          reinterpret_cast<char*>(&other->_impl_.granted_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata TrialReply::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[18]);
+}
+
+// ===================================================================
+
+class DrainUpstreamCall::_Internal {
+ public:
+};
+
+DrainUpstreamCall::DrainUpstreamCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.DrainUpstreamCall)
+}
+DrainUpstreamCall::DrainUpstreamCall(const DrainUpstreamCall& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  DrainUpstreamCall* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.drain_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_upstream().empty()) {
+    _this->_impl_.upstream_.Set(from._internal_upstream(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.drain_ = from._impl_.drain_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DrainUpstreamCall)
+}
+
+inline void DrainUpstreamCall::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.drain_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+DrainUpstreamCall::~DrainUpstreamCall() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.DrainUpstreamCall)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void DrainUpstreamCall::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.service_.Destroy();
+  _impl_.upstream_.Destroy();
+}
+
+void DrainUpstreamCall::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void DrainUpstreamCall::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.DrainUpstreamCall)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.service_.ClearToEmpty();
+  _impl_.upstream_.ClearToEmpty();
+  _impl_.drain_ = false;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* DrainUpstreamCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string service = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string upstream = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_upstream();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.upstream"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool drain = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.drain_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* DrainUpstreamCall::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.DrainUpstreamCall)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.DrainUpstreamCall.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.DrainUpstreamCall.upstream");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_upstream(), target);
+  }
+
+  // bool drain = 3;
+  if (this->_internal_drain() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_drain(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.DrainUpstreamCall)
+  return target;
+}
+
+size_t DrainUpstreamCall::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.DrainUpstreamCall)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_upstream());
+  }
+
+  // bool drain = 3;
+  if (this->_internal_drain() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData DrainUpstreamCall::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    DrainUpstreamCall::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*DrainUpstreamCall::GetClassData() const { return &_class_data_; }
+
+
+void DrainUpstreamCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<DrainUpstreamCall*>(&to_msg);
+  auto& from = static_cast<const DrainUpstreamCall&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.DrainUpstreamCall)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_upstream().empty()) {
+    _this->_internal_set_upstream(from._internal_upstream());
+  }
+  if (from._internal_drain() != 0) {
+    _this->_internal_set_drain(from._internal_drain());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void DrainUpstreamCall::CopyFrom(const DrainUpstreamCall& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.DrainUpstreamCall)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool DrainUpstreamCall::IsInitialized() const {
+  return true;
+}
+
+void DrainUpstreamCall::InternalSwap(DrainUpstreamCall* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.upstream_, lhs_arena,
+      &other->_impl_.upstream_, rhs_arena
+  );
+  swap(_impl_.drain_, other->_impl_.drain_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata DrainUpstreamCall::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[19]);
+}
+
+// ===================================================================
+
+class QueryCall::_Internal {
  public:
 };
 
@@ -8236,7 +9092,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata QueryCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[18]);
+      file_level_metadata_peer_2eproto[20]);
 }
 
 // ===================================================================
@@ -8623,7 +9479,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[19]);
+      file_level_metadata_peer_2eproto[21]);
 }
 
 // ===================================================================
@@ -8858,7 +9714,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditReply::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[20]);
+      file_level_metadata_peer_2eproto[22]);
 }
 
 // ===================================================================
@@ -9171,7 +10027,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata MembershipCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[21]);
+      file_level_metadata_peer_2eproto[23]);
 }
 
 // ===================================================================
@@ -9705,7 +10561,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata Envelope::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[22]);
+      file_level_metadata_peer_2eproto[24]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -9780,6 +10636,14 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::CrashReportCall >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CrashReportCall >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::TrialCall*
+Arena::CreateMaybeMessage< ::rattandyke::wire::TrialCall >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::TrialCall >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::TrialReply*
+Arena::CreateMaybeMessage< ::rattandyke::wire::TrialReply >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::TrialReply >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::DrainUpstreamCall*
 Arena::CreateMaybeMessage< ::rattandyke::wire::DrainUpstreamCall >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::DrainUpstreamCall >(arena);
--- a/src/librattandyke/wire/table.pb.cpp
+++ b/src/librattandyke/wire/table.pb.cpp
@@ -92,6 +92,7 @@
   , /*decltype(_impl_.reason_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.expires_unix_ms_)*/uint64_t{0u}
   , /*decltype(_impl_.lifted_)*/false
+  , /*decltype(_impl_.suspect_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct BanDefaultTypeInternal {
   PROTOBUF_CONSTEXPR BanDefaultTypeInternal()
@@ -183,6 +184,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Ban, _impl_.expires_unix_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Ban, _impl_.reason_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Ban, _impl_.lifted_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Ban, _impl_.suspect_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::TableUpdate, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -201,7 +203,7 @@
   { 15, -1, -1, sizeof(::rattandyke::wire::Upstream)},
   { 32, -1, -1, sizeof(::rattandyke::wire::SlotOwner)},
   { 45, -1, -1, sizeof(::rattandyke::wire::Ban)},
-  { 56, -1, -1, sizeof(::rattandyke::wire::TableUpdate)},
+  { 57, -1, -1, sizeof(::rattandyke::wire::TableUpdate)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -227,23 +229,24 @@
   "ome\030\n \001(\t\022\025\n\rstart_unix_ms\030\013 \001(\004\"{\n\tSlot"
   "Owner\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\013\n\003"
   "key\030\003 \001(\t\022\020\n\010upstream\030\004 \001(\t\022\r\n\005fence\030\005 \001"
-  "(\004\022\020\n\010previous\030\006 \001(\t\022\017\n\007removed\030\007 \001(\010\"d\n"
+  "(\004\022\020\n\010previous\030\006 \001(\t\022\017\n\007removed\030\007 \001(\010\"u\n"
   "\003Ban\022\017\n\007service\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001"
   "(\t\022\027\n\017expires_unix_ms\030\003 \001(\004\022\016\n\006reason\030\004 "
-  "\001(\t\022\016\n\006lifted\030\005 \001(\010\"\337\001\n\013TableUpdate\022\024\n\014f"
-  "rom_version\030\001 \001(\004\022\022\n\nto_version\030\002 \001(\004\022(\n"
-  "\007records\030\003 \003(\0132\027.rattandyke.wire.Record\022"
-  ",\n\tupstreams\030\004 \003(\0132\031.rattandyke.wire.Ups"
-  "tream\022*\n\006owners\030\005 \003(\0132\032.rattandyke.wire."
-  "SlotOwner\022\"\n\004bans\030\006 \003(\0132\024.rattandyke.wir"
-  "e.Ban*\200\001\n\rUpstreamState\022\036\n\032UPSTREAM_STAT"
-  "E_UNSPECIFIED\020\000\022\031\n\025UPSTREAM_STATE_ACTIVE"
-  "\020\001\022\033\n\027UPSTREAM_STATE_DRAINING\020\002\022\027\n\023UPSTR"
-  "EAM_STATE_LOST\020\003b\006proto3"
+  "\001(\t\022\016\n\006lifted\030\005 \001(\010\022\017\n\007suspect\030\006 \001(\010\"\337\001\n"
+  "\013TableUpdate\022\024\n\014from_version\030\001 \001(\004\022\022\n\nto"
+  "_version\030\002 \001(\004\022(\n\007records\030\003 \003(\0132\027.rattan"
+  "dyke.wire.Record\022,\n\tupstreams\030\004 \003(\0132\031.ra"
+  "ttandyke.wire.Upstream\022*\n\006owners\030\005 \003(\0132\032"
+  ".rattandyke.wire.SlotOwner\022\"\n\004bans\030\006 \003(\013"
+  "2\024.rattandyke.wire.Ban*\200\001\n\rUpstreamState"
+  "\022\036\n\032UPSTREAM_STATE_UNSPECIFIED\020\000\022\031\n\025UPST"
+  "REAM_STATE_ACTIVE\020\001\022\033\n\027UPSTREAM_STATE_DR"
+  "AINING\020\002\022\027\n\023UPSTREAM_STATE_LOST\020\003b\006proto"
+  "3"
   ;
 static ::_pbi::once_flag descriptor_table_table_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_table_2eproto = {
-    false, false, 1064, descriptor_table_protodef_table_2eproto,
+    false, false, 1081, descriptor_table_protodef_table_2eproto,
     "table.proto",
     &descriptor_table_table_2eproto_once, nullptr, 0, 5,
     schemas, file_default_instances, TableStruct_table_2eproto::offsets,
@@ -1806,6 +1809,7 @@
     , decltype(_impl_.reason_){}
     , decltype(_impl_.expires_unix_ms_){}
     , decltype(_impl_.lifted_){}
+    , decltype(_impl_.suspect_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -1834,8 +1838,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.expires_unix_ms_, &from._impl_.expires_unix_ms_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.lifted_) -
-    reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.lifted_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.suspect_) -
+    reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.suspect_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.Ban)
 }
 
@@ -1849,6 +1853,7 @@
     , decltype(_impl_.reason_){}
     , decltype(_impl_.expires_unix_ms_){uint64_t{0u}}
     , decltype(_impl_.lifted_){false}
+    , decltype(_impl_.suspect_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
@@ -1895,8 +1900,8 @@
   _impl_.fingerprint_.ClearToEmpty();
   _impl_.reason_.ClearToEmpty();
   ::memset(&_impl_.expires_unix_ms_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.lifted_) -
-      reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.lifted_));
+      reinterpret_cast<char*>(&_impl_.suspect_) -
+      reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.suspect_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -1952,6 +1957,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool suspect = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.suspect_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -2023,6 +2036,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(5, this->_internal_lifted(), target);
   }
 
+  // bool suspect = 6;
+  if (this->_internal_suspect() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_suspect(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -2070,6 +2089,11 @@
     total_size += 1 + 1;
   }
 
+  // bool suspect = 6;
+  if (this->_internal_suspect() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -2103,6 +2127,9 @@
   if (from._internal_lifted() != 0) {
     _this->_internal_set_lifted(from._internal_lifted());
   }
+  if (from._internal_suspect() != 0) {
+    _this->_internal_set_suspect(from._internal_suspect());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -2135,8 +2162,8 @@
       &other->_impl_.reason_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(Ban, _impl_.lifted_)
-      + sizeof(Ban::_impl_.lifted_)
+      PROTOBUF_FIELD_OFFSET(Ban, _impl_.suspect_)
+      + sizeof(Ban::_impl_.suspect_)
       - PROTOBUF_FIELD_OFFSET(Ban, _impl_.expires_unix_ms_)>(
           reinterpret_cast<char*>(&_impl_.expires_unix_ms_),
           reinterpret_cast<char*>(&other->_impl_.expires_unix_ms_));
