Remove a lost identity before its replacement votes

The replacement was made a voter beside its old identity; when its disk was lost again in that moment, two of four voters were left and the group stood still for good. Change: Repair removes the old identity once the learner has caught up, then promotes it; both only if the voters that answer keep a majority. A control host that settings name and that has no voter joins the same way.

--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -228,7 +228,7 @@
 {
   // A control host's disk is lost and it starts with an empty folder. It must
   // not vote as the voter it was; it joins under a new identity, catches up,
-  // becomes a voter, and only then its old identity leaves the group.
+  // takes the place of its old identity, and is a full voter again.
   Hosts hosts({ "a", "b", "c" });
   hosts.Write("before");
   const HostIdentity old = hosts.At("b").Identity();
--- a/src/librattandyke/consensus/repair.cpp
+++ b/src/librattandyke/consensus/repair.cpp
@@ -9,6 +9,38 @@
 /// A newcomer repeats its hello several times within this.
 constexpr Duration kNewcomerForgotten = std::chrono::seconds{ 1 };
 
+bool
+IsCaughtUp(const MemberStatus& aLearner, const GroupStatus& aStatus)
+{
+  return !aLearner.voter && aLearner.active && aLearner.match.value > 0 &&
+         aLearner.match >= aStatus.commitIndex;
+}
+
+bool
+HasVoter(const GroupStatus& aStatus, const HostName& aName)
+{
+  return std::any_of(
+    aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
+      return member.voter && member.member.name == aName;
+    });
+}
+
+/// Whether the voters that answer now would be a majority if aChanged voted, or
+/// did not vote any more. A change that they could not commit would take effect
+/// all the same and stop the group.
+bool
+LeavesMajority(const GroupStatus& aStatus, HostIdentity aChanged)
+{
+  size_t voters = 0;
+  size_t active = 0;
+  for (const MemberStatus& member : aStatus.members) {
+    const bool votes = member.voter != (member.identity == aChanged);
+    voters += votes ? 1 : 0;
+    active += votes && member.active ? 1 : 0;
+  }
+  return active > voters / 2;
+}
+
 } // namespace
 
 Repair::Repair(Options aOptions)
@@ -30,7 +62,7 @@
   if (auto change = RemoveReplaced(aStatus, aNow)) {
     return change;
   }
-  if (auto change = PromoteReplacement(aStatus, aNow)) {
+  if (auto change = PromoteNewcomer(aStatus)) {
     return change;
   }
   return AddNewcomer(aStatus, aNow);
@@ -39,23 +71,16 @@
 bool
 Repair::IsSilent(const MemberStatus& aMember, Instant aNow) const
 {
-  return aMember.identity.value != 0 && !aMember.active &&
-         aNow - aMember.heardAt >= mOptions.replaceAfter;
+  return !aMember.active && aNow - aMember.heardAt >= mOptions.replaceAfter;
 }
 
 bool
-Repair::HasLiveNamesake(const GroupStatus& aStatus,
-                        const HostName& aName,
-                        HostIdentity aBut,
-                        Instant aNow) const
+Repair::IsWanted(const HostName& aName) const
 {
-  return std::any_of(aStatus.members.begin(),
-                     aStatus.members.end(),
-                     [&](const MemberStatus& member) {
-                       return member.member.name == aName &&
-                              member.identity != aBut &&
-                              !IsSilent(member, aNow);
-                     });
+  return std::any_of(
+    mOptions.controlHosts.begin(),
+    mOptions.controlHosts.end(),
+    [&](const Member& member) { return member.name == aName; });
 }
 
 std::optional<MembershipChange>
@@ -66,13 +91,15 @@
       std::any_of(aStatus.members.begin(),
                   aStatus.members.end(),
                   [&](const MemberStatus& member) {
-                    // A voter may go once its namesake votes; a learner once
-                    // there is one.
-                    return member.member.name == old.member.name &&
-                           member.identity != old.identity && member.active &&
-                           (member.voter || !old.voter);
+                    const bool ready = old.voter
+                                         ? IsCaughtUp(member, aStatus) ||
+                                             (member.voter && member.active)
+                                         : member.active;
+                    return member.identity != old.identity &&
+                           member.member.name == old.member.name && ready;
                   });
-    if (replaced && IsSilent(old, aNow)) {
+    const bool affordable = !old.voter || LeavesMajority(aStatus, old.identity);
+    if (replaced && affordable && IsSilent(old, aNow)) {
       return RemoveMember{ old.identity };
     }
   }
@@ -80,20 +107,12 @@
 }
 
 std::optional<MembershipChange>
-Repair::PromoteReplacement(const GroupStatus& aStatus, Instant aNow) const
+Repair::PromoteNewcomer(const GroupStatus& aStatus) const
 {
   for (const MemberStatus& learner : aStatus.members) {
-    const bool replaces =
-      std::any_of(aStatus.members.begin(),
-                  aStatus.members.end(),
-                  [&](const MemberStatus& member) {
-                    return member.voter &&
-                           member.member.name == learner.member.name &&
-                           IsSilent(member, aNow);
-                  });
-    const bool caughtUp =
-      learner.match.value > 0 && learner.match >= aStatus.commitIndex;
-    if (!learner.voter && learner.active && replaces && caughtUp) {
+    const HostName& name = learner.member.name;
+    if (IsCaughtUp(learner, aStatus) && IsWanted(name) &&
+        !HasVoter(aStatus, name) && LeavesMajority(aStatus, learner.identity)) {
       return PromoteLearner{ learner.identity };
     }
   }
@@ -103,20 +122,20 @@
 std::optional<MembershipChange>
 Repair::AddNewcomer(const GroupStatus& aStatus, Instant aNow) const
 {
-  for (const auto& [name, newcomer] : mNewcomers) {
-    const HostName& wanted = name;
-    const auto host =
-      std::find_if(mOptions.controlHosts.begin(),
-                   mOptions.controlHosts.end(),
-                   [&](const Member& member) { return member.name == wanted; });
-    const bool member = std::any_of(
-      aStatus.members.begin(), aStatus.members.end(), [&](const auto& row) {
-        return row.identity == newcomer.identity;
+  for (const Member& host : mOptions.controlHosts) {
+    const auto newcomer = mNewcomers.find(host.name);
+    if (newcomer == mNewcomers.end() ||
+        aNow - newcomer->second.heardAt >= kNewcomerForgotten) {
+      continue;
+    }
+    const HostIdentity identity = newcomer->second.identity;
+    const bool hindered = std::any_of(
+      aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
+        return member.identity == identity ||
+               (member.member.name == host.name && !IsSilent(member, aNow));
       });
-    if (host != mOptions.controlHosts.end() && !member &&
-        aNow - newcomer.heardAt < kNewcomerForgotten &&
-        !HasLiveNamesake(aStatus, name, newcomer.identity, aNow)) {
-      return AddLearner{ *host, newcomer.identity };
+    if (!hindered) {
+      return AddLearner{ host, identity };
     }
   }
   return std::nullopt;
--- a/src/librattandyke/consensus/repair.h
+++ b/src/librattandyke/consensus/repair.h
@@ -14,9 +14,12 @@
 /// Not thread-safe.
 ///
 /// A host whose disk was lost comes back with a new identity. It becomes a
-/// learner; once it has caught up, a voter beside its old identity; then the
-/// old identity is removed. Until the last step it does not stand in for the
-/// lost one: the group's majorities are those of the members as written.
+/// learner; once it has caught up, its old identity is removed, and then it
+/// becomes a voter. It counts for no majority before that. The old identity
+/// goes first: with both as voters the majority would be larger, and if the
+/// newcomer is lost in that moment, the group could stand still for good. A
+/// control host that settings name and that has no old identity joins in the
+/// same way.
 class Repair
 {
 public:
@@ -49,14 +52,11 @@
   };
 
   bool IsSilent(const MemberStatus& aMember, Instant aNow) const;
-  bool HasLiveNamesake(const GroupStatus& aStatus,
-                       const HostName& aName,
-                       HostIdentity aBut,
-                       Instant aNow) const;
+  bool IsWanted(const HostName& aName) const;
   std::optional<MembershipChange> RemoveReplaced(const GroupStatus& aStatus,
                                                  Instant aNow) const;
-  std::optional<MembershipChange> PromoteReplacement(const GroupStatus& aStatus,
-                                                     Instant aNow) const;
+  std::optional<MembershipChange> PromoteNewcomer(
+    const GroupStatus& aStatus) const;
   std::optional<MembershipChange> AddNewcomer(const GroupStatus& aStatus,
                                               Instant aNow) const;
 
--- a/src/librattandyke/consensus/replica_test.cpp
+++ b/src/librattandyke/consensus/replica_test.cpp
@@ -77,5 +77,32 @@
   EXPECT_EQ(group.Report().acknowledged, group.Report().committed);
 }
 
+TEST(ReplicaFaults, NewcomerThatIsLostAgainDoesNotStopTheGroup)
+{
+  // One of three hosts loses its disk, comes back empty, catches up, and loses
+  // its disk again in the moment before it is to vote. The other two must go
+  // on: were it made a voter beside its old identity, they would be two of four
+  // voters and could never commit anything again, not even its removal.
+  ReplicaGroup group(testing::ScheduleOptions(3, 1));
+  group.RunFor(std::chrono::milliseconds{ 250 });
+  group.Propose();
+  group.RunFor(std::chrono::milliseconds{ 250 });
+  const size_t leader = group.Leader().value();
+  const auto lost = static_cast<uint8_t>((leader + 1) % 3);
+  group.Execute({ FaultStep::Kind::LoseDisk, lost, 0 });
+  const auto& log = group.Host(leader).Log();
+  const auto hasCaughtUp = [&] {
+    const auto members = log.Status(Instant{}).members;
+    return std::any_of(members.begin(), members.end(), [&](const auto& row) {
+      return !row.voter && row.match == log.CommitIndex();
+    });
+  };
+  while (!hasCaughtUp()) {
+    group.RunFor(std::chrono::milliseconds{ 1 });
+  }
+  group.Execute({ FaultStep::Kind::LoseDisk, lost, 0 });
+  EXPECT_TRUE(group.Settle()) << group.Report().violation;
+}
+
 } // namespace
 } // namespace rattandyke::consensus
