--- a/src/testing/replica_group.cpp
+++ b/src/testing/replica_group.cpp
@@ -353,22 +353,32 @@
     }
   }
 
-  bool Propose()
+  bool Propose(size_t aCount)
   {
     bool proposed = false;
     for (SimulatedHost& host : mHosts) {
       if (host.participant && !host.paused &&
           host.participant->Log().IsReadyLeader()) {
         proposed = true;
-        ++mLastProposal;
-        Step(host,
-             consensus::Propose{ { { consensus::ProposalId{ mLastProposal },
-                                     std::to_string(mLastProposal) } } });
+        Step(host, NewProposals(aCount));
       }
     }
     return proposed;
   }
 
+  consensus::Propose NewProposals(size_t aCount)
+  {
+    consensus::Propose event;
+    for (; aCount > 0; --aCount) {
+      ++mLastProposal;
+      std::string payload = std::to_string(mLastProposal);
+      payload.resize(std::max(payload.size(), mOptions.payloadBytes));
+      event.proposals.push_back(
+        { consensus::ProposalId{ mLastProposal }, std::move(payload) });
+    }
+    return event;
+  }
+
   void Transfer()
   {
     for (SimulatedHost& host : mHosts) {
@@ -385,7 +395,7 @@
       case FaultStep::Kind::Run:
         break;
       case FaultStep::Kind::Propose:
-        Propose();
+        Propose(1);
         break;
       case FaultStep::Kind::Cut:
         mCuts.emplace(IndexOf(host), aStep.other % mHosts.size());
@@ -451,7 +461,7 @@
       }
       if (!proposed || acknowledged == before) {
         before = acknowledged;
-        proposed = Propose();
+        proposed = Propose(1);
       }
     }
     mReport.acknowledgedLost = LostAnywhere();
@@ -531,9 +541,15 @@
 }
 
 bool
-ReplicaGroup::Propose()
+ReplicaGroup::Propose(size_t aCount)
+{
+  return mImpl->Propose(aCount);
+}
+
+void
+ReplicaGroup::ResetCounts()
 {
-  return mImpl->Propose();
+  mImpl->mReport = GroupReport{};
 }
 
 std::optional<size_t>
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -64,6 +64,7 @@
     consensus::ReplicaOptions replica;
     /// Count bytes of messages; costs time.
     bool countBytes = false;
+    size_t payloadBytes = 0;
     Duration delayMin = std::chrono::microseconds{ 300 };
     Duration delayMax = std::chrono::microseconds{ 700 };
     Duration syncMin = std::chrono::milliseconds{ 1 };
@@ -81,9 +82,13 @@
   /// @return false, with a violation noted, if it does not get there.
   bool Settle();
 
-  /// Proposes to the leader, if there is one.
-  /// @return whether there was.
-  bool Propose();
+  /// Proposes to every host that believes it leads.
+  /// @param aCount proposals that arrive together.
+  /// @return whether there was one.
+  bool Propose(size_t aCount = 1);
+
+  /// Forgets the counts of messages, bytes and syncs.
+  void ResetCounts();
 
   /// @return the host that is ready to lead with the newest term.
   std::optional<size_t> Leader() const;
