Work out the letter's size from the slopes

make capacity now prints, after the slopes, what a host, an upstream, the leader and the voters spend at 18,000 nodes against the letter's limits: for today's design, for regional groups on paper, and for losses. Each line says from what it was worked out.

--- a/src/capacity/main.cpp
+++ b/src/capacity/main.cpp
@@ -1,16 +1,10 @@
 /// rattandyke-capacity: measures on small stand-ins how state, messages and
 /// processor time grow, and works out what they come to at the size of the
 /// users' first letter. docs/CAPACITY.md quotes what it prints.
+#include <exception>
 #include <iostream>
 
-#include "capacity/announce_slopes.h"
-#include "capacity/control_slopes.h"
-#include "capacity/log_slopes.h"
-#include "capacity/printer.h"
-#include "capacity/table_slopes.h"
-#include "capacity/target_size.h"
-#include "capacity/transport_slopes.h"
-#include "capacity/wire_slopes.h"
+#include "capacity/model.h"
 
 namespace rattandyke::capacity {
 namespace {
@@ -43,20 +37,42 @@
   open("claim_share", assumed.claimShare, "ratio");
   open("claim_kept", assumed.claimSeconds, "s");
   open("rack_nodes", assumed.rackNodes, "count");
+  open("link", assumed.linkBytesPerSecond, "bytes/s");
+  open("parted", assumed.partedSeconds, "s");
   open("segment_header", assumed.segmentHeaderBytes, "bytes");
 }
 
+void
+PrintProposalInputs(Printer& aPrinter)
+{
+  const Proposal proposal;
+  const auto chosen = [&](const char* aName, double aValue, const char* aUnit) {
+    aPrinter.Input(aName, aValue, aUnit, "proposal");
+  };
+  chosen("heartbeats", proposal.heartbeatsPerSecond, "1/s");
+  chosen("host_lease", proposal.hostLeaseSeconds, "s");
+  chosen("upstream_lease", proposal.upstreamLeaseSeconds, "s");
+  chosen("announcements", proposal.announceSeconds, "s");
+  chosen("pushes", proposal.pushSeconds, "s");
+  chosen("loads", proposal.loadSeconds, "s");
+  chosen("digest", proposal.digestBytes, "bytes");
+  chosen("spare_hosts", proposal.spareHosts, "count");
+  aPrinter.Input(
+    "region_round_trip", proposal.regionRoundTripSeconds, "s", "assumed");
+}
+
 void
 Run()
 {
   Printer printer(std::cout);
   PrintInputs(printer);
-  MeasureWire(printer);
-  MeasureTransport(printer);
-  MeasureTable(printer);
-  MeasureControl(printer);
-  MeasureLog(printer);
-  MeasureAnnouncements(printer);
+  PrintProposalInputs(printer);
+  const Slopes slopes{ MeasureWire(printer),  MeasureTransport(printer),
+                       MeasureTable(printer), MeasureControl(printer),
+                       MeasureLog(printer),   MeasureAnnouncements(printer) };
+  PrintToday(slopes, printer);
+  PrintProposal(slopes, printer);
+  PrintFaults(slopes, printer);
 }
 
 } // namespace
@@ -65,6 +81,11 @@
 int
 main()
 {
-  rattandyke::capacity::Run();
-  return 0;
+  try {
+    rattandyke::capacity::Run();
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "A measurement failed: " << error.what() << '\n';
+    return 1;
+  }
 }
--- a/src/capacity/target_size.h
+++ b/src/capacity/target_size.h
@@ -45,9 +45,32 @@
   /// How long a claim is kept: the service record's default.
   double claimSeconds = 600;
   double rackNodes = 40;
+  /// A control host's network: 10 Gbit/s.
+  double linkBytesPerSecond = 1.25e9;
+  /// How long regions lose each other.
+  double partedSeconds = 300;
   /// TCP and IPv4 header with timestamps; one segment for each small message,
   /// and one bare acknowledgement for it.
   double segmentHeaderBytes = 52;
 };
 
+/// The design on paper: regional groups and what they ask of hosts.
+struct Proposal
+{
+  double heartbeatsPerSecond = 3;
+  double hostLeaseSeconds = 0.8;
+  /// Longer than two pauses, so that one announcement may be lost.
+  double upstreamLeaseSeconds = 1.4;
+  double announceSeconds = 0.6;
+  /// Changes of records wait for each other this long.
+  double pushSeconds = 1;
+  /// Loads of slots and keys are told this often.
+  double loadSeconds = 10;
+  /// Stands for reports or lists that have not changed.
+  double digestBytes = 8;
+  /// Between the farthest regions; assumed.
+  double regionRoundTripSeconds = 0.3;
+  double spareHosts = 4;
+};
+
 } // namespace rattandyke::capacity
--- /dev/null
+++ b/src/capacity/today.cpp
@@ -0,0 +1,237 @@
+#include <algorithm>
+
+#include "capacity/model.h"
+#include "control/claim_table.h"
+
+namespace rattandyke::capacity {
+namespace {
+
+constexpr double kHeartbeatsPerSecond = 10;
+constexpr double kMostSlotLoads = 512;
+constexpr double kHotKeysTold = 16;
+/// The pause that upstreams are told is 150 ms.
+constexpr double kAnnouncementsPerSecond = 1 / 0.15;
+constexpr double kControlHosts = 5;
+
+/// Segments of ZeroMQ's own heartbeats: an answer carries the acknowledgement
+/// of the question.
+double
+IdleConnectionBytes(const Slopes& aSlopes, const Arithmetic& aSums)
+{
+  constexpr double kSegmentsWithAcknowledgement = 1.5;
+  return aSlopes.transport.idleBytesPerConnection.slope +
+         aSlopes.transport.idleSegmentsPerConnection.slope *
+           kSegmentsWithAcknowledgement * aSums.assumed.segmentHeaderBytes;
+}
+
+void
+PrintHostNetwork(const Slopes& aSlopes,
+                 const Arithmetic& aSums,
+                 Printer& aPrinter)
+{
+  const auto against = [&](const char* aName, double aValue, const char* aHow) {
+    aPrinter.Against(
+      aName, aValue, "bytes/s", aSums.limits.controlBytesPerSecond, aHow);
+  };
+  const WireSlopes& wire = aSlopes.wire;
+  const double upstreams = aSums.assumed.upstreamsPerEntry;
+  const double each = aSums.size.requestsPerSecond / aSums.size.nodes;
+  const double beat = each / kHeartbeatsPerSecond;
+  against("today.host.heartbeats",
+          kHeartbeatsPerSecond *
+            aSums.MessageBytes(wire.heartbeatPerUpstream.At(upstreams)),
+          "10/s, 3 upstreams reported in each");
+  against("today.host.evidence",
+          kHeartbeatsPerSecond * wire.heartbeatPerEvidence.slope *
+            std::min(beat, aSums.size.nodes),
+          "a line for each upstream used since the last heartbeat");
+  against("today.host.slot_loads",
+          kHeartbeatsPerSecond * wire.heartbeatPerSlotLoad.slope *
+            std::min(each / kHeartbeatsPerSecond, kMostSlotLoads),
+          "a line for each slot used, at most 512 a heartbeat");
+  against("today.host.hot_keys",
+          wire.heartbeatPerHotKey.slope * kHotKeysTold,
+          "16 keys a second");
+  against("today.host.replies",
+          kHeartbeatsPerSecond *
+            aSums.MessageBytes(aSlopes.control.replyBytes.At(aSums.size.nodes)),
+          "10/s, each with names and ports of all live hosts");
+  against("today.host.idle_connections",
+          (kControlHosts + 1) * IdleConnectionBytes(aSlopes, aSums),
+          "5 control hosts and one back, ZeroMQ's heartbeats only");
+  against("today.host.announcements",
+          upstreams * kAnnouncementsPerSecond *
+            aSums.HttpExchangeBytes(
+              aSlopes.announce.bytesPerHost.At(aSums.size.nodes)),
+          "3 upstreams, 6.7/s each, all live hosts' ports in every answer");
+}
+
+void
+PrintHostRest(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
+{
+  const TableSlopes& table = aSlopes.table;
+  const double slots = aSums.size.nodes * aSums.assumed.slotsPerUpstream;
+  aPrinter.Against("today.host.table",
+                   table.bytesPerUpstream.At(aSums.size.nodes) +
+                     table.bytesPerSlot.slope * slots +
+                     table.bytesPerHotKey.slope * aSums.size.hotKeys,
+                   "bytes",
+                   aSums.limits.controlBytes,
+                   "18,000 upstreams, 288,000 slots, 500 hot keys");
+  aPrinter.Against("today.host.whole_table_message",
+                   aSums.WholeTableBytes(),
+                   "bytes",
+                   16.0 * 1024 * 1024,
+                   "sent to a host that starts; limit: the largest message");
+  aPrinter.Value("today.host.table_build",
+                 table.buildCpu.At(slots),
+                 "s",
+                 "processor, once a start");
+  const double upstreams = aSums.assumed.upstreamsPerEntry;
+  const double messages = 2 * kHeartbeatsPerSecond;
+  constexpr double kOneEnd = 0.5;
+  aPrinter.Against(
+    "today.host.cpu",
+    messages * kOneEnd * aSlopes.transport.cpuPerMessage.slope +
+      kHeartbeatsPerSecond * aSlopes.wire.codingPerUpstream.At(upstreams) +
+      upstreams * kAnnouncementsPerSecond * kOneEnd *
+        aSlopes.announce.exchangeCpu.slope,
+    "cores",
+    aSums.limits.controlCores,
+    "heartbeats and announcements, without the lists of hosts in them");
+  aPrinter.Value("today.request.decisions",
+                 table.lookupCpu.At(slots) + table.admissionCpu.At(4) +
+                   table.countingCpu.At(100) + table.recordingCpu.At(4),
+                 "s",
+                 "lookup, admission, load counting and metrics of a request");
+}
+
+void
+PrintUpstream(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
+{
+  const AnnounceSlopes& announce = aSlopes.announce;
+  aPrinter.Value("today.upstream.announcements",
+                 kAnnouncementsPerSecond *
+                   aSums.HttpExchangeBytes(announce.bytesPerHost.At(0)),
+                 "bytes/s",
+                 "6.7/s, without the list of hosts");
+  aPrinter.Value("today.upstream.host_list",
+                 kAnnouncementsPerSecond * announce.bytesPerHost.slope *
+                   aSums.size.nodes,
+                 "bytes/s",
+                 "the list of hosts in each answer");
+  constexpr double kConnections = 110;
+  aPrinter.Against("today.upstream.connections",
+                   aSums.size.nodes,
+                   "connections",
+                   kConnections,
+                   "one from each entry; limit: what a target accepts");
+}
+
+void
+PrintLeader(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
+{
+  const double heartbeats = kHeartbeatsPerSecond * aSums.size.nodes;
+  const ControlSlopes& control = aSlopes.control;
+  const double decision = control.heartbeatCpu.At(aSums.size.nodes);
+  const auto cores = [&](const char* aName, double aValue, const char* aHow) {
+    aPrinter.Against(aName, aValue, "cores", 1, aHow);
+  };
+  cores("today.leader.decisions",
+        heartbeats * decision,
+        "180,000 heartbeats/s, work on each grows with the hosts; one strand");
+  cores("today.leader.transport",
+        heartbeats * aSlopes.transport.busyCpuPerMessage.slope,
+        "two messages, one end of each");
+  cores("today.leader.coding",
+        heartbeats *
+          aSlopes.wire.codingPerUpstream.At(aSums.assumed.upstreamsPerEntry),
+        "heartbeats of 3 upstreams");
+  aPrinter.Value("today.leader.replies",
+                 heartbeats * control.replyBytes.At(aSums.size.nodes),
+                 "bytes/s",
+                 "180,000/s with all live hosts");
+  aPrinter.Against("today.leader.push",
+                   aSums.size.nodes * decision,
+                   "s",
+                   aSums.limits.everywhereSeconds,
+                   "processor for one change to 18,000 hosts");
+  aPrinter.Against("today.voter.state",
+                   control.stateBytes.At(aSums.size.nodes),
+                   "bytes",
+                   aSums.limits.controlBytes,
+                   "replicated state of 18,000 upstreams");
+  aPrinter.Value("today.voter.snapshot",
+                 control.snapshotBytes.At(aSums.size.nodes),
+                 "bytes",
+                 "18,000 upstreams");
+  aPrinter.Value("today.voter.snapshot_cpu",
+                 control.snapshotCpu.At(aSums.size.nodes),
+                 "s",
+                 "on the leader's strand, each 8,192 entries");
+  aPrinter.Value("today.voter.restore",
+                 control.restoreCpu.At(aSums.size.nodes),
+                 "s",
+                 "after a restart");
+  aPrinter.Value("today.leader.planning",
+                 control.planningCpu.At(aSums.size.nodes),
+                 "s",
+                 "one plan, at most each 288 ms");
+}
+
+void
+PrintLog(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
+{
+  const double changes = aSums.ChangesPerSecond() * aSums.assumed.peakOverMean +
+                         aSums.HotKeyChangesPerSecond() +
+                         aSums.LossesPerSecond();
+  aPrinter.Value("today.log.changes",
+                 changes,
+                 "1/s",
+                 "peak of records, hot keys both ways, losses");
+  aPrinter.Against("today.log.cpu",
+                   changes * aSlopes.log.cpu.slope,
+                   "cores",
+                   aSums.limits.controlCores,
+                   "all three members together");
+  const double claims = aSums.size.requestsPerSecond * aSums.assumed.claimShare;
+  const double perClaim =
+    2 * aSlopes.log.batchedCpu.slope / 3 + aSlopes.control.claimCpu.slope;
+  aPrinter.Against("today.log.claims_cpu",
+                   claims * perClaim,
+                   "cores",
+                   1,
+                   "5.8 M claims/s, two commands each, the leader's part");
+  aPrinter.Value("today.log.claims_network",
+                 claims * 2 * aSlopes.log.batchedSentBytes.slope,
+                 "bytes/s",
+                 "between three members");
+  aPrinter.Against("today.log.claims_kept",
+                   claims * aSums.assumed.claimSeconds,
+                   "claims",
+                   static_cast<double>(control::ClaimTable::kMostClaims),
+                   "kept 600 s; limit: the register's bound");
+  aPrinter.Value("today.log.claims_memory",
+                 claims * aSums.assumed.claimSeconds *
+                   aSlopes.control.claimBytes.slope,
+                 "bytes",
+                 "on every voter, were there no bound");
+}
+
+} // namespace
+
+void
+PrintToday(const Slopes& aSlopes, Printer& aPrinter)
+{
+  const Arithmetic sums(aSlopes);
+  aPrinter.Heading("today's design at the letter's size: a host");
+  PrintHostNetwork(aSlopes, sums, aPrinter);
+  PrintHostRest(aSlopes, sums, aPrinter);
+  aPrinter.Heading("today: what an upstream spends on us");
+  PrintUpstream(aSlopes, sums, aPrinter);
+  aPrinter.Heading("today: the leader and the voters");
+  PrintLeader(aSlopes, sums, aPrinter);
+  PrintLog(aSlopes, sums, aPrinter);
+}
+
+} // namespace rattandyke::capacity
