Order customers by slot time used lately instead of rounds

Deficit round robin gave each waiting customer one turn a round, so a burst of a small customer was spread over as many rounds while the dominant one took its turn in each. Slots now go in turn to customers that used little more than the mean of late, else to the one that used least.

--- a/src/fair.admission/fair_queue.cpp
+++ b/src/fair.admission/fair_queue.cpp
@@ -7,10 +7,15 @@
 
 namespace {
 
-/// A weight below this would need too many rounds for one request.
-constexpr double kLeastWeight = 0.05;
-/// Units that a customer can be in debt for one long request.
-constexpr double kMostDebt = 8;
+constexpr double kLeastWeight = 0.01;
+/// Units above the mean that still count as within it.
+constexpr double kBurst = 8;
+/// Use counts half as much after about 0.7 of this.
+constexpr std::chrono::duration<double> kMemory{ 2.0 };
+/// Usage worth less than this part of a unit is forgotten.
+constexpr double kForgotten = 0.01;
+/// Far from what a double can hold.
+constexpr double kLargestScale = 1e100;
 /// Share of the newest request in the mean service time.
 constexpr double kNewestShare = 0.1;
 /// Starts that a rate limit lets pass at once, in seconds of its rate.
@@ -57,6 +62,7 @@
 FairQueue::Step(const Event& aEvent, Instant aNow)
 {
   mNow = aNow;
+  Rescale();
   std::visit([this](const auto& event) { On(event); }, aEvent);
   RefuseLate();
   Fill();
@@ -79,20 +85,54 @@
 FairQueue::CustomerOf(const Offer& aOffer)
 {
   if (mCustomers.size() >= kMostRemembered) {
-    std::erase_if(mCustomers, [](const auto& customer) {
-      return customer.second.queue.empty() && customer.second.running == 0;
-    });
+    ForgetIdle();
   }
   const auto [customer, isNew] = mCustomers.try_emplace(aOffer.customer);
-  customer->second.share = aOffer.share;
   if (isNew) {
     customer->second.tokens =
       std::max(1.0, aOffer.share.ratePerSecond * kRateBurst);
     customer->second.refilled = mNow;
+  } else {
+    Count(customer->second, -1);
   }
+  customer->second.share = aOffer.share;
+  Count(customer->second, 1);
   return customer;
 }
 
+void
+FairQueue::ForgetIdle()
+{
+  for (auto next = mCustomers.begin(); next != mCustomers.end();) {
+    const auto customer = next++;
+    const bool idle =
+      customer->second.queue.empty() && customer->second.running == 0;
+    if (idle) {
+      Count(customer->second, -1);
+      mCustomers.erase(customer);
+    }
+  }
+}
+
+/// Adds the customer to the sums, or takes it out.
+void
+FairQueue::Count(const Customer& aCustomer, double aSign)
+{
+  const double weight = WeightOf(aCustomer.share);
+  mWeights += aSign * weight;
+  mUsed = std::max(mUsed + aSign * weight * aCustomer.usage, 0.0);
+}
+
+/// The usage up to which customers are served in turn: the mean and a short
+/// burst, else customers of equal size would overtake each other, which helps
+/// none of them and spreads their waits.
+double
+FairQueue::FairUsage() const
+{
+  const double mean = mWeights > 0 ? mUsed / mWeights : 0;
+  return mean + kBurst * mScale;
+}
+
 std::optional<Refuse>
 FairQueue::Objection(const Offer& aOffer, Customer& aCustomer)
 {
@@ -124,8 +164,8 @@
   return std::nullopt;
 }
 
-/// The wait of a request that joins the end of its customer's queue: the
-/// customer's part of the slots works off what is before it.
+/// The wait of a request that joins the end of its customer's queue: its own
+/// before it, and of each other customer those that come before by usage.
 Duration
 FairQueue::ExpectedWait(const Customer& aCustomer) const
 {
@@ -133,15 +173,20 @@
   if (mRunning.size() < mSlots && mWaiting.empty()) {
     return pause;
   }
-  double weights = aCustomer.queue.empty() ? WeightOf(aCustomer.share) : 0;
-  for (const auto& customer : mRound) {
-    weights += WeightOf(customer->second.share);
+  const auto own = static_cast<double>(aCustomer.queue.size());
+  const double reached =
+    std::max(aCustomer.usage + own * UnitOf(aCustomer), FairUsage());
+  double ahead = own + 1;
+  for (const auto& [usage, customer] : mOrder) {
+    if (usage > reached) {
+      break;
+    }
+    if (&customer->second != &aCustomer) {
+      const double before = (reached - usage) / UnitOf(customer->second) + 1;
+      ahead +=
+        std::min(before, static_cast<double>(customer->second.queue.size()));
+    }
   }
-  const double part = WeightOf(aCustomer.share) / weights;
-  const double before = static_cast<double>(aCustomer.queue.size()) + 1;
-  // No more than everything that waits can go first.
-  const double ahead =
-    std::min(before / part, static_cast<double>(mWaiting.size()) + 1);
   const double slots = std::max<double>(mSlots, 1);
   return pause + Scaled(std::max(mServiceTime, Stall()), ahead / slots);
 }
@@ -183,7 +228,8 @@
   mWaiting.emplace(aOffer.ticket, Waiting{ aOffer, aCustomer, expiry });
   aCustomer->second.queue.push_back(aOffer.ticket);
   if (!aCustomer->second.turn) {
-    aCustomer->second.turn = mRound.insert(mRound.end(), aCustomer);
+    aCustomer->second.waitingSince = ++mTurns;
+    aCustomer->second.turn = mOrder.emplace(aCustomer->second.usage, aCustomer);
   }
 }
 
@@ -195,7 +241,7 @@
     const auto customer = running->second;
     mRunning.erase(running);
     --customer->second.running;
-    customer->second.deficit += 1; // The slot was not used.
+    Charge(customer, -1); // The slot was not used.
     return Forget(customer);
   }
   if (mWaiting.contains(aEvent.ticket)) {
@@ -214,7 +260,7 @@
   mRunning.erase(running);
   --customer->second.running;
   mLastProgress = mNow;
-  Settle(customer, aEvent.serviceTime);
+  Charge(customer, Seconds(aEvent.serviceTime) / Seconds(mServiceTime) - 1);
   if (aEvent.ending == Ending::Succeeded) {
     // Failures are often quick and would make a failing upstream look fast.
     mServiceTime = Scaled(mServiceTime, 1 - kNewestShare) +
@@ -228,13 +274,45 @@
   Forget(customer);
 }
 
-/// Charges what the request needed beyond the unit it was admitted for.
 void
-FairQueue::Settle(Customers::iterator aCustomer, Duration aServiceTime)
+FairQueue::Charge(Customers::iterator aCustomer, double aUnits)
 {
-  const double units = Seconds(aServiceTime) / Seconds(mServiceTime);
-  double& deficit = aCustomer->second.deficit;
-  deficit = std::max(deficit - (units - 1), -kMostDebt);
+  Customer& customer = aCustomer->second;
+  Count(customer, -1);
+  customer.usage = std::max(customer.usage + aUnits * UnitOf(customer), 0.0);
+  Count(customer, 1);
+  if (customer.turn) {
+    mOrder.erase(*customer.turn);
+    customer.turn = mOrder.emplace(customer.usage, aCustomer);
+  }
+}
+
+/// What one unit adds to a customer's usage now.
+double
+FairQueue::UnitOf(const Customer& aCustomer) const
+{
+  return mScale / WeightOf(aCustomer.share);
+}
+
+/// Keeps mScale in step with the time, and within what a double can hold.
+void
+FairQueue::Rescale()
+{
+  mScale *= std::exp((mNow - mScaledAt) / kMemory);
+  mScaledAt = mNow;
+  if (mScale < kLargestScale) {
+    return;
+  }
+  mOrder.clear();
+  for (auto customer = mCustomers.begin(); customer != mCustomers.end();
+       ++customer) {
+    customer->second.usage /= mScale;
+    if (customer->second.turn) {
+      customer->second.turn = mOrder.emplace(customer->second.usage, customer);
+    }
+  }
+  mUsed /= mScale;
+  mScale = 1;
 }
 
 void
@@ -263,32 +341,27 @@
     std::erase(queue, aTicket);
   }
   if (queue.empty()) {
-    LeaveRound(customer);
+    LeaveOrder(customer->second);
     Forget(customer);
   }
 }
 
 void
-FairQueue::LeaveRound(Customers::iterator aCustomer)
+FairQueue::LeaveOrder(Customer& aCustomer)
 {
-  Customer& customer = aCustomer->second;
-  if (*customer.turn == mRound.begin()) {
-    mTurnPaid = false;
-  }
-  mRound.erase(*customer.turn);
-  customer.turn.reset();
-  // What it did not use is not saved up: a burst later would crowd out others.
-  customer.deficit = std::min(customer.deficit, 0.0);
+  mOrder.erase(*aCustomer.turn);
+  aCustomer.turn.reset();
 }
 
-/// Drops a customer that is idle and has nothing to pay.
+/// Drops a customer that is idle and of whom nothing need be remembered.
 void
 FairQueue::Forget(Customers::iterator aCustomer)
 {
   const Customer& customer = aCustomer->second;
   const bool limited = customer.share.ratePerSecond > 0;
   const bool idle = customer.queue.empty() && customer.running == 0;
-  if (idle && !limited && customer.deficit >= 0) {
+  if (idle && !limited && customer.usage < kForgotten * UnitOf(customer)) {
+    Count(customer, -1);
     mCustomers.erase(aCustomer);
   }
 }
@@ -316,10 +389,10 @@
 {
   while (mRunning.size() < mSlots && mNow >= mPausedUntil) {
     const auto customer = NextCustomer();
-    if (customer == mCustomers.end()) {
+    if (!customer) {
       return;
     }
-    AdmitFrom(customer);
+    AdmitFrom(*customer);
   }
 }
 
@@ -330,29 +403,27 @@
   return most == 0 || aCustomer.running < most;
 }
 
-/// @return the customer whose turn it is, or end if none may run now.
-FairQueue::Customers::iterator
-FairQueue::NextCustomer()
+/// @return whose request is next, or none.
+std::optional<FairQueue::Customers::iterator>
+FairQueue::NextCustomer() const
 {
-  const bool any = std::any_of(mRound.begin(), mRound.end(), [&](auto& turn) {
-    return MayRun(turn->second);
-  });
-  if (!any) {
-    return mCustomers.end();
-  }
-  while (true) {
-    const auto turn = mRound.front();
-    Customer& customer = turn->second;
-    if (!mTurnPaid && MayRun(customer)) {
-      customer.deficit += WeightOf(customer.share);
-      mTurnPaid = true;
+  const double fair = FairUsage();
+  std::optional<Customers::iterator> next;
+  uint64_t oldest = 0;
+  for (const auto& [usage, customer] : mOrder) {
+    if (next && usage > fair) {
+      break;
+    }
+    if (!MayRun(customer->second)) {
+      continue;
     }
-    if (MayRun(customer) && customer.deficit >= 1) {
-      return turn;
+    const uint64_t since = customer->second.waitingSince;
+    if (!next || since < oldest) {
+      next = customer;
+      oldest = since;
     }
-    mRound.splice(mRound.end(), mRound, mRound.begin());
-    mTurnPaid = false;
   }
+  return next;
 }
 
 void
@@ -365,8 +436,9 @@
     mEffects.emplace_back(Refuse{ ticket, Code::DeadlineExceeded, Duration{} });
     return Remove(ticket);
   }
-  customer.deficit -= 1;
   ++customer.running;
+  customer.waitingSince = ++mTurns;
+  Charge(aCustomer, 1);
   mLastProgress = mNow;
   mRunning.emplace(ticket, aCustomer);
   mEffects.emplace_back(Admit{ ticket });
--- a/src/fair.admission/fair_queue.h
+++ b/src/fair.admission/fair_queue.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <deque>
-#include <list>
 #include <map>
 #include <unordered_map>
 
@@ -10,12 +9,15 @@
 
 namespace rattandyke::admission {
 
-/// Deficit round robin over customers. Each round gives a customer `weight`
-/// units; a request costs 1 unit when it is admitted and is settled by its real
-/// slot time, in units of the mean service time, when it ends. So a customer
-/// with long requests pays for their length, one customer alone may use every
-/// slot, and a customer that comes back is served within a round however many
-/// requests the others have queued.
+/// Remembers the slot time that each customer used lately, over its weight,
+/// and forgets it by and by. A free slot goes to the oldest request of those
+/// customers that used little more than the mean, else to the customer that
+/// used least. So one customer alone may use every slot; customers within their
+/// part are served in turn, and before one that uses more, however
+/// many requests that one has queued; customers that all want more than their
+/// part get slot time in proportion to their weights. A request is charged a
+/// unit (the mean service time) when it is admitted and its real slot time when
+/// it ends, so long requests pay for their length.
 ///
 /// A request is refused at once if by the estimate it cannot be admitted in
 /// time or finished by its deadline: a refusal early and cheap lets the caller
@@ -35,6 +37,7 @@
   /// Customers of equal name share one entry; kept while it says anything.
   using Customers = std::map<CustomerName, Customer>;
   using Expiries = std::multimap<Instant, Ticket>;
+  using Order = std::multimap<double, Customers::iterator>;
 
   struct Waiting
   {
@@ -47,17 +50,18 @@
   {
     Share share;
     std::deque<Ticket> queue;
-    double deficit = 0;
+    /// Units used, over weight; grown by mScale instead of decaying.
+    double usage = 0;
     uint32_t running = 0;
     /// Starts that the rate limit allows now.
     double tokens = 0;
     Instant refilled{};
-    /// Position in the round, if it has requests queued.
-    std::optional<std::list<Customers::iterator>::iterator> turn;
+    /// Since when its first request is first: it came or the one before went.
+    uint64_t waitingSince = 0;
+    /// Position in mOrder, if it has requests queued.
+    std::optional<Order::iterator> turn;
   };
 
-  using Round = std::list<Customers::iterator>;
-
   void On(const Offer& aEvent);
   void On(const Left& aEvent);
   void On(const Finished& aEvent);
@@ -71,14 +75,19 @@
   bool TakeToken(Customer& aCustomer);
   void Enqueue(const Offer& aOffer, Customers::iterator aCustomer);
   void Remove(Ticket aTicket);
-  void LeaveRound(Customers::iterator aCustomer);
+  void LeaveOrder(Customer& aCustomer);
   void Forget(Customers::iterator aCustomer);
+  void ForgetIdle();
   void Fill();
-  Customers::iterator NextCustomer();
+  std::optional<Customers::iterator> NextCustomer() const;
   void AdmitFrom(Customers::iterator aCustomer);
   void RefuseLate();
   bool MayRun(const Customer& aCustomer) const;
-  void Settle(Customers::iterator aCustomer, Duration aServiceTime);
+  void Charge(Customers::iterator aCustomer, double aUnits);
+  void Count(const Customer& aCustomer, double aSign);
+  double UnitOf(const Customer& aCustomer) const;
+  double FairUsage() const;
+  void Rescale();
 
   const Settings mSettings;
   uint32_t mSlots;
@@ -88,9 +97,17 @@
   std::unordered_map<Ticket, Waiting> mWaiting;
   std::unordered_map<Ticket, Customers::iterator> mRunning;
   Expiries mExpiries;
-  Round mRound;
-  /// Whose turn it is already got this round's units.
-  bool mTurnPaid = false;
+  /// Customers with requests queued, by usage.
+  Order mOrder;
+  /// Sums over mCustomers, of weight and of usage by weight.
+  double mWeights = 0;
+  double mUsed = 0;
+  /// Numbers Customer::waitingSince.
+  uint64_t mTurns = 0;
+  /// Worth of a unit used now: rises as time passes, which makes older use
+  /// count less without touching every customer.
+  double mScale = 1;
+  Instant mScaledAt{};
   /// Mean of what requests needed, weighted towards the newest.
   Duration mServiceTime;
   /// When a request was last admitted or finished.
