Share an upstream's slots between entries by credits from its home

Entries do not see each other's work: with ten entries, each within the upstream's two slots, 20 requests were at the upstream at once and its own queue served the dominant customer first. The home now queues for all entries and grants one credit a request, so an idle entry strands nothing. A silent home is replaced by a small local limit after 100 ms.

--- /dev/null
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -0,0 +1,136 @@
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "entry/credit_broker.h"
+#include "entry/credit_client.h"
+#include "testing/overload_model.h"
+
+namespace rattandyke::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using admission::Admit;
+using admission::Offer;
+using admission::Refuse;
+using admission::Ticket;
+
+constexpr Instant kStart{ 1h };
+
+std::unique_ptr<admission::Admission>
+Fair(uint32_t aSlots)
+{
+  return std::move(
+    *admission::AdmissionRegistry::Make("fair", { .slots = aSlots }));
+}
+
+credit_event::Asked
+AskedBy(std::string aHost, uint64_t aRequest)
+{
+  return { { { std::move(aHost) }, 1, aRequest }, { "one" }, {}, 1s, 10s };
+}
+
+size_t
+GrantedIn(const std::vector<CreditAnswer>& aAnswers)
+{
+  return static_cast<size_t>(
+    std::count_if(aAnswers.begin(), aAnswers.end(), [](const auto& one) {
+      return one.state == CreditState::Granted;
+    }));
+}
+
+Offer
+OfferOf(uint64_t aTicket, Instant aNow = kStart)
+{
+  return { { aTicket }, { "one" }, {}, aNow + 1s, aNow + 10s, false };
+}
+
+template<typename Effect>
+size_t
+CountOf(const std::vector<CreditClientEffect>& aEffects)
+{
+  return static_cast<size_t>(
+    std::count_if(aEffects.begin(), aEffects.end(), [](const auto& one) {
+      return std::holds_alternative<Effect>(one);
+    }));
+}
+
+/// An entry dies with both slots of an upstream. Callers of the other entries
+/// get them as soon as its session is known to be over, not when its requests
+/// would have timed out.
+TEST(CreditBroker, SlotsOfALostEntryAreFreeAgain)
+{
+  CreditBroker broker(Fair(2));
+  broker.Step(AskedBy("lost", 1), kStart);
+  broker.Step(AskedBy("lost", 2), kStart);
+  EXPECT_EQ(GrantedIn(broker.Step(AskedBy("other", 1), kStart)), 0u);
+  EXPECT_EQ(
+    GrantedIn(broker.Step(credit_event::SessionGone{ { "lost" }, 1 }, kStart)),
+    1u);
+}
+
+/// A message is repeated: the same request never takes two slots. Its return is
+/// lost for good: the slot comes back when the request cannot be running.
+TEST(CreditBroker, OneRequestOneSlotAndNoneIsLostForGood)
+{
+  CreditBroker broker(Fair(2));
+  EXPECT_EQ(GrantedIn(broker.Step(AskedBy("a", 1), kStart)), 1u);
+  EXPECT_EQ(GrantedIn(broker.Step(AskedBy("a", 1), kStart)), 1u);
+  EXPECT_EQ(broker.Granted(), 1u);
+  ASSERT_TRUE(broker.NextTick().has_value());
+  broker.Step(credit_event::Tick{}, *broker.NextTick());
+  EXPECT_EQ(broker.Granted(), 0u);
+}
+
+/// The home of an upstream stands still. Callers of this entry wait for the
+/// home's timeout once, then go by the entry's own small limit, and by the home
+/// again once it answers; what it granted meanwhile is given back.
+TEST(CreditClient, GoesByItselfWhileTheHomeIsSilent)
+{
+  CreditClient client({}, Fair(1));
+  EXPECT_EQ(CountOf<AskCredit>(client.Step(OfferOf(1), kStart)), 1u);
+  EXPECT_EQ(client.NextTick(), kStart + 100ms);
+  const auto fallback = client.Step(admission::Tick{}, kStart + 100ms);
+  EXPECT_EQ(CountOf<ReturnCredit>(fallback), 1u);
+  EXPECT_EQ(CountOf<Admit>(fallback), 1u);
+  EXPECT_FALSE(client.UsesHome());
+  EXPECT_TRUE(client.Step(OfferOf(2), kStart + 101ms).empty()); // Queued here.
+
+  const auto late =
+    client.Step(CreditAnswered{ { 1 }, CreditState::Granted }, kStart + 200ms);
+  EXPECT_EQ(CountOf<ReturnCredit>(late), 1u);
+  EXPECT_TRUE(client.UsesHome());
+  EXPECT_EQ(CountOf<AskCredit>(client.Step(OfferOf(3), kStart + 201ms)), 1u);
+}
+
+/// The caller goes away while its request waits at the home. The home hears of
+/// it, and a grant that crossed the message on its way is given back.
+TEST(CreditClient, ReturnsWhatNobodyWantsAnyMore)
+{
+  CreditClient client({}, Fair(1));
+  client.Step(OfferOf(1), kStart);
+  EXPECT_EQ(
+    CountOf<ReturnCredit>(client.Step(admission::Left{ { 1 } }, kStart)), 1u);
+  const auto crossed =
+    client.Step(CreditAnswered{ { 1 }, CreditState::Granted }, kStart + 1ms);
+  EXPECT_EQ(CountOf<ReturnCredit>(crossed), 1u);
+  EXPECT_EQ(CountOf<Admit>(crossed), 0u);
+}
+
+/// The dominant customer offers ten times its share while the home stands still
+/// for five seconds and comes back. Small customers' requests are all answered,
+/// and every credit comes back.
+TEST(Credits, SurviveAPauseOfTheHome)
+{
+  testing::OverloadSettings settings;
+  settings.seed = 1;
+  settings.dominantLoad = 10.0 / 11;
+  settings.homePause = 5s;
+  const auto result = testing::RunOverloadModel(settings);
+  EXPECT_GE(static_cast<double>(result.smallAnswered),
+            0.99 * static_cast<double>(result.smallSent));
+  EXPECT_EQ(result.leaked, 0u);
+}
+
+} // namespace
+} // namespace rattandyke::entry
