--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -220,7 +220,9 @@
   asio::awaitable<void> Serve(Tcp::socket aSocket, asio::ip::address aPeer)
   {
     const auto self = shared_from_this();
-    beast::tcp_stream stream(std::move(aSocket));
+    const auto shared = std::make_shared<beast::tcp_stream>(std::move(aSocket));
+    beast::tcp_stream& stream = *shared;
+    Remember(shared);
     beast::flat_buffer buffer(options.headerBytes + options.bodyBytes);
     const bool fromLoopback = aPeer.is_loopback();
     while (co_await ServeOne(stream, buffer, fromLoopback)) {
@@ -230,6 +232,24 @@
     count.Leave(aPeer);
   }
 
+  void Remember(const std::shared_ptr<beast::tcp_stream>& aStream)
+  {
+    const std::lock_guard lock(streamsMutex);
+    std::erase_if(streams, [](const auto& aOne) { return aOne.expired(); });
+    streams.push_back(aStream);
+  }
+
+  /// Ends what waits for a request or for its peer to read.
+  void CloseStreams()
+  {
+    const std::lock_guard lock(streamsMutex);
+    for (const auto& weak : streams) {
+      if (const auto stream = weak.lock()) {
+        asio::post(stream->get_executor(), [stream] { stream->cancel(); });
+      }
+    }
+  }
+
   void Accept()
   {
     const auto self = shared_from_this();
@@ -276,6 +296,8 @@
   asio::steady_timer pause;
   ConnectionCount count;
   std::atomic<bool> stopping{ false };
+  std::mutex streamsMutex; // guards the next one
+  std::vector<std::weak_ptr<beast::tcp_stream>> streams;
 };
 
 AdminServer::AdminServer(asio::any_io_executor aExecutor, Options aOptions)
@@ -329,6 +351,7 @@
     ErrorCode ignored;
     impl->acceptor.close(ignored);
     impl->pause.cancel();
+    impl->CloseStreams();
   });
 }
 
--- a/src/librattandyke/admin/server.h
+++ b/src/librattandyke/admin/server.h
@@ -38,7 +38,7 @@
   /// @param aApi outlives the executor's last handler.
   void Start(AdminApi& aApi);
 
-  /// Accepts no more; connections end with their next answer.
+  /// Accepts no more and ends the connections.
   void Stop();
 
 private:
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -130,6 +130,7 @@
   mutable std::mutex sharedMutex;
   std::shared_ptr<const routing::RoutingTable> sharedTable;
   std::vector<HostName> sharedLiveHosts;
+  HostName sharedLeader;
   std::atomic<Instant::rep> leaseUntil{
     Instant::min().time_since_epoch().count()
   };
@@ -203,6 +204,8 @@
   for (const auto& effect : hostAgent.Step(aEvent, clock.Now())) {
     std::visit([this](const auto& aKind) { Run(aKind); }, effect);
   }
+  const std::lock_guard lock(sharedMutex);
+  sharedLeader = hostAgent.Leader().value_or(HostName{});
 }
 
 void
@@ -456,6 +459,13 @@
   return mImpl->sharedLiveHosts;
 }
 
+HostName
+AgentService::Leader() const
+{
+  const std::lock_guard lock(mImpl->sharedMutex);
+  return mImpl->sharedLeader;
+}
+
 void
 AgentService::Leave(std::function<void()> aDone)
 {
--- a/src/librattandyke/agent/agent_service.h
+++ b/src/librattandyke/agent/agent_service.h
@@ -112,6 +112,9 @@
   /// heartbeat, this one included. Thread-safe.
   std::vector<HostName> LiveHosts() const;
 
+  /// @return who is believed to lead; empty if unknown. Thread-safe.
+  HostName Leader() const;
+
   /// Graceful shutdown: tells the leader that this host leaves, and refuses
   /// announcements, so that its upstreams find other hosts. Thread-safe.
   /// @param aDone called once on the strand, when the leader knows or after
--- a/src/librattandyke/config/settings.cpp
+++ b/src/librattandyke/config/settings.cpp
@@ -137,8 +137,19 @@
   void CheckHosts()
   {
     std::erase_if(mSettings.peers, [&](const PeerHost& peer) {
-      return peer.name == mSettings.host.name;
+      const bool own = peer.name == mSettings.host.name;
+      if (own) {
+        mSettings.host.advertised = peer.address;
+      }
+      return own;
     });
+    if (IsAnyAddress(mSettings.listen.peers) && !mSettings.host.advertised) {
+      RejectKey("listen",
+                "peers",
+                ToString(mSettings.listen.peers),
+                "one interface, or a line for this host in [hosts] that "
+                "tells where it is reached");
+    }
     std::vector<HostName>& control = mSettings.control.hosts;
     if (control.empty() && mSettings.peers.empty() && mSettings.host.control) {
       control.push_back(mSettings.host.name);
--- a/src/librattandyke/config/settings.h
+++ b/src/librattandyke/config/settings.h
@@ -25,6 +25,8 @@
   bool entry = false;
   bool control = false;
   std::filesystem::path dataFolder;
+  /// This host's own line in [hosts], if it has one.
+  std::optional<Endpoint> advertised;
 };
 
 struct ListenSettings
@@ -167,6 +169,9 @@
 /// working directory.
 Result<Settings> LoadSettings(const std::filesystem::path& aFile);
 
+/// @return whether the address stands for all interfaces.
+bool IsAnyAddress(const Endpoint& aEndpoint);
+
 /// @return whether the address is of the loopback network.
 bool IsLoopback(const Endpoint& aEndpoint);
 
--- a/src/librattandyke/config/table.cpp
+++ b/src/librattandyke/config/table.cpp
@@ -105,7 +105,8 @@
       "",
       Reload::Restart,
       "One line for each other host: its name and its peers address. A line "
-      "for this host is allowed and ignored.",
+      "for this host is needed if [listen] peers is on all interfaces: it "
+      "tells by which IP the others reach it.",
       HostsKind{} },
     { "control",
       "hosts",
--- a/src/librattandyke/config/values.cpp
+++ b/src/librattandyke/config/values.cpp
@@ -276,6 +276,14 @@
   return std::visit(Assigner{ aKey, aValue, aSettings }, aSetting.kind);
 }
 
+bool
+IsAnyAddress(const Endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aEndpoint.address, error);
+  return !error && address.is_unspecified();
+}
+
 bool
 IsLoopback(const Endpoint& aEndpoint)
 {
