Join announcements and callers to the host

The listener of announcements and the callers' server run on the host's agent; the data folder is made absolute, since a relative one without a parent could not be synced; a control host tells its status from its first tick.

--- a/src/librattandyke/config/pages_test.cpp
+++ b/src/librattandyke/config/pages_test.cpp
@@ -22,8 +22,8 @@
 // that is no longer true. `make pages` writes the pages anew.
 TEST(Pages, AreNotStale)
 {
-  EXPECT_EQ(ReadPage("SETTINGS.md"), SettingsPage()) << "run make pages";
-  EXPECT_EQ(ReadPage("ERRORS.md"), ErrorsPage()) << "run make pages";
+  EXPECT_TRUE(ReadPage("SETTINGS.md") == SettingsPage()) << "run make pages";
+  EXPECT_TRUE(ReadPage("ERRORS.md") == ErrorsPage()) << "run make pages";
 }
 
 } // namespace
--- a/src/librattandyke/control/control_service.cpp
+++ b/src/librattandyke/control/control_service.cpp
@@ -105,7 +105,8 @@
   void OnTick()
   {
     Step(Tick{ mClock.Wall() });
-    if (++mTicks % kTicksPerStatus != 0) {
+    // The first tick too: a host that has just started has a status.
+    if (mTicks++ % kTicksPerStatus != 0) {
       return;
     }
     std::string status = StatusOf(mDriver.Status(), mState, mCoordinator);
--- a/src/librattandyke/server/server.cpp
+++ b/src/librattandyke/server/server.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "agent/announce_server.h"
 #include "base/endpoint.h"
 #include "log/log.h"
-#include "server/agent_entry_host.h"
 #include "server/host_status.h"
 #include "server/worker_pool.h"
 
@@ -37,6 +37,26 @@
   return number == 0 ? 1 : number;
 }
 
+/// @return the address with a free port of the kernel's choice for port 0. The
+/// agent tells upstreams' addresses before the listener for them exists.
+Endpoint
+WithPort(Endpoint aEndpoint)
+{
+  if (aEndpoint.port != 0) {
+    return aEndpoint;
+  }
+  ErrorCode error;
+  asio::io_context context;
+  asio::ip::tcp::acceptor probe(context);
+  const asio::ip::tcp::endpoint any(
+    asio::ip::make_address(aEndpoint.address, error), 0);
+  probe.open(any.protocol(), error);
+  probe.bind(any, error);
+  const auto bound = probe.local_endpoint(error);
+  aEndpoint.port = error ? 0 : bound.port();
+  return aEndpoint;
+}
+
 log::Line
 Info()
 {
@@ -172,6 +192,7 @@
       return tl::unexpected(bound.error());
     }
     addresses.admin = *bound;
+    addresses.upstreams = WithPort(settings.listen.upstreams);
     return {};
   }
 
@@ -186,7 +207,9 @@
       RandomNumber());
     agentReceiver = agent.get();
     agent->Start();
-    return {};
+    announceServer = std::make_unique<agent::AnnounceServer>(
+      core.Executor(), addresses.upstreams, *agent);
+    return announceServer->Start();
   }
 
   Result<void> StartEntry()
@@ -194,12 +217,11 @@
     if (!settings.host.entry) {
       return {};
     }
-    entry = std::make_unique<http::EntryService>(
-      workers.Executor(),
-      EntryOptions(settings),
-      std::make_unique<AgentEntryHost>(*agent),
-      clock,
-      RandomNumber());
+    entry = std::make_unique<http::EntryService>(workers.Executor(),
+                                                 EntryOptions(settings),
+                                                 *agent,
+                                                 clock,
+                                                 RandomNumber());
     const Result<void> started = entry->Start();
     if (started) {
       addresses.callers = entry->Listening();
@@ -371,6 +393,9 @@
     if (adminServer) {
       adminServer->Stop();
     }
+    if (announceServer) {
+      announceServer->Stop();
+    }
     if (agent) {
       agent->Stop();
     }
@@ -401,6 +426,7 @@
   std::unique_ptr<net::PeerTransport> transport;
   std::unique_ptr<control::ControlService> control;
   std::unique_ptr<agent::AgentService> agent;
+  std::unique_ptr<agent::AnnounceServer> announceServer;
   std::unique_ptr<http::EntryService> entry;
   std::unique_ptr<HostStatus> status;
   std::unique_ptr<admin::AdminApi> api;
--- a/src/librattandyke/server/service_options.cpp
+++ b/src/librattandyke/server/service_options.cpp
@@ -43,7 +43,7 @@
   control::ControlService::Options options;
   options.name = aSettings.host.name;
   options.dataCentre = aSettings.host.dataCentre;
-  options.dataFolder = aSettings.host.dataFolder;
+  options.dataFolder = std::filesystem::absolute(aSettings.host.dataFolder);
   for (const HostName& name : aSettings.control.hosts) {
     options.controlHosts.push_back(
       { name, PeerAddress(aSettings, name, aPeers) });
