--- a/src/capacity/arithmetic.cpp
+++ b/src/capacity/arithmetic.cpp
@@ -1,6 +1,7 @@
 #include <cmath>
 
 #include "capacity/model.h"
+#include "consensus/types.h"
 
 namespace rattandyke::capacity {
 namespace {
@@ -66,4 +67,20 @@
          (assumed.hotKeyMinutes * kSecondsPerMinute);
 }
 
+double
+Arithmetic::ServedAgainSeconds() const
+{
+  constexpr double kDrift = 1.01;
+  return (proposal.hostLeaseSeconds + proposal.upstreamLeaseSeconds) * kDrift +
+         mSlopes.control.lossSeconds;
+}
+
+double
+Arithmetic::ElectionSeconds()
+{
+  const std::chrono::duration<double> longest =
+    consensus::ReplicaOptions{}.electionTimeoutMax;
+  return longest.count();
+}
+
 } // namespace rattandyke::capacity
--- a/src/capacity/faults.cpp
+++ b/src/capacity/faults.cpp
@@ -47,6 +47,32 @@
                  "that get another owner");
 }
 
+/// Both leases, the plan, and its update to the region's hosts.
+void
+PrintDataCentreTimes(const Slopes& aSlopes,
+                     const Arithmetic& aSums,
+                     Printer& aPrinter)
+{
+  const double hosts = aSums.size.nodes / aSums.size.regions;
+  const double lost = aSums.size.nodes / aSums.size.dataCentres;
+  const double compact =
+    aSlopes.wire.compactPerSlot.At(lost * aSums.assumed.slotsPerUpstream);
+  const double served = aSums.ServedAgainSeconds() +
+                        aSlopes.control.planningCpu.At(hosts) +
+                        compact * hosts / aSums.assumed.linkBytesPerSecond;
+  const double limit = aSums.limits.servedAgainSeconds;
+  aPrinter.Against("loss.data_centre.paper_served_again",
+                   served,
+                   "s",
+                   limit,
+                   "leases, plan, sending to the region");
+  aPrinter.Against("loss.data_centre.paper_served_again_with_leader",
+                   served + Arithmetic::ElectionSeconds(),
+                   "s",
+                   limit,
+                   "the data centre held the region's leader");
+}
+
 void
 PrintParted(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
 {
@@ -83,6 +109,7 @@
             sums,
             { "data_centre", sums.size.nodes / sums.size.dataCentres, region },
             aPrinter);
+  PrintDataCentreTimes(aSlopes, sums, aPrinter);
   const double inRegion = sums.size.dataCentres / sums.size.regions;
   aPrinter.Value("loss.data_centre.load",
                  inRegion / (inRegion - 1),
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -54,6 +54,13 @@
   /// @return hot keys that get an owner of their own, or lose it, a second.
   double HotKeyChangesPerSecond() const;
 
+  /// @return seconds until keys are served again after a home and its upstream
+  /// were lost at once, under the leases of the proposal.
+  double ServedAgainSeconds() const;
+
+  /// @return the longest that an election takes to begin.
+  static double ElectionSeconds();
+
   const TargetSize size;
   const Limits limits;
   const Assumptions assumed;
--- a/src/capacity/proposal.cpp
+++ b/src/capacity/proposal.cpp
@@ -90,6 +90,12 @@
                    "bytes/s",
                    limit,
                    "the same at the peak of changes");
+  aPrinter.Value("paper.relay.children",
+                 limit /
+                   (network.heartbeats + network.loads + network.changesAtPeak),
+                 "hosts",
+                 "what a relay on an ordinary node could serve with all of its "
+                 "5,000 bytes/s");
   constexpr double kOneEnd = 0.5;
   const double upstreams = aSums.assumed.upstreamsPerEntry;
   const double messages =
@@ -159,15 +165,18 @@
 PrintTimes(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
 {
   const Proposal& proposal = aSums.proposal;
-  constexpr double kDrift = 1.01;
+  const double lost = aSums.ServedAgainSeconds();
   aPrinter.Against("paper.served_again",
-                   (proposal.hostLeaseSeconds + proposal.upstreamLeaseSeconds) *
-                       kDrift +
-                     aSlopes.control.lossSeconds,
+                   lost,
                    "s",
                    aSums.limits.servedAgainSeconds,
                    "home and upstream lost at once: both leases, then as "
                    "measured in virtual time");
+  aPrinter.Against("paper.served_again_with_leader",
+                   lost + Arithmetic::ElectionSeconds(),
+                   "s",
+                   aSums.limits.servedAgainSeconds,
+                   "the region's leader lost too: one election more");
   const double hosts = aSums.size.nodes / aSums.size.regions;
   aPrinter.Against("paper.everywhere",
                    2 * proposal.regionRoundTripSeconds + proposal.pushSeconds +
--- a/src/capacity/target_size.h
+++ b/src/capacity/target_size.h
@@ -60,7 +60,7 @@
   double heartbeatsPerSecond = 3;
   double hostLeaseSeconds = 0.8;
   /// Longer than two pauses, so that one announcement may be lost.
-  double upstreamLeaseSeconds = 1.4;
+  double upstreamLeaseSeconds = 1.3;
   double announceSeconds = 0.6;
   /// Changes of records wait for each other this long.
   double pushSeconds = 1;
--- a/src/capacity/today.cpp
+++ b/src/capacity/today.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "agent/agent_service.h"
 #include "capacity/model.h"
 #include "control/claim_table.h"
 
@@ -24,6 +25,35 @@
            kSegmentsWithAcknowledgement * aSums.assumed.segmentHeaderBytes;
 }
 
+/// Bytes a second that a host sends to the leader.
+struct Reported
+{
+  double heartbeats = 0;
+  double evidence = 0;
+  double slotLoads = 0;
+  double hotKeys = 0;
+
+  double Sum() const { return heartbeats + evidence + slotLoads + hotKeys; }
+};
+
+Reported
+ReportedBy(const Slopes& aSlopes, const Arithmetic& aSums)
+{
+  const WireSlopes& wire = aSlopes.wire;
+  const double beat =
+    aSums.size.requestsPerSecond / aSums.size.nodes / kHeartbeatsPerSecond;
+  Reported reported;
+  reported.heartbeats =
+    kHeartbeatsPerSecond * aSums.MessageBytes(wire.heartbeatPerUpstream.At(
+                             aSums.assumed.upstreamsPerEntry));
+  reported.evidence = kHeartbeatsPerSecond * wire.heartbeatPerEvidence.slope *
+                      std::min(beat, aSums.size.nodes);
+  reported.slotLoads = kHeartbeatsPerSecond * wire.heartbeatPerSlotLoad.slope *
+                       std::min(beat, kMostSlotLoads);
+  reported.hotKeys = wire.heartbeatPerHotKey.slope * kHotKeysTold;
+  return reported;
+}
+
 void
 PrintHostNetwork(const Slopes& aSlopes,
                  const Arithmetic& aSums,
@@ -33,25 +63,18 @@
     aPrinter.Against(
       aName, aValue, "bytes/s", aSums.limits.controlBytesPerSecond, aHow);
   };
-  const WireSlopes& wire = aSlopes.wire;
   const double upstreams = aSums.assumed.upstreamsPerEntry;
-  const double each = aSums.size.requestsPerSecond / aSums.size.nodes;
-  const double beat = each / kHeartbeatsPerSecond;
+  const Reported reported = ReportedBy(aSlopes, aSums);
   against("today.host.heartbeats",
-          kHeartbeatsPerSecond *
-            aSums.MessageBytes(wire.heartbeatPerUpstream.At(upstreams)),
+          reported.heartbeats,
           "10/s, 3 upstreams reported in each");
   against("today.host.evidence",
-          kHeartbeatsPerSecond * wire.heartbeatPerEvidence.slope *
-            std::min(beat, aSums.size.nodes),
+          reported.evidence,
           "a line for each upstream used since the last heartbeat");
   against("today.host.slot_loads",
-          kHeartbeatsPerSecond * wire.heartbeatPerSlotLoad.slope *
-            std::min(each / kHeartbeatsPerSecond, kMostSlotLoads),
+          reported.slotLoads,
           "a line for each slot used, at most 512 a heartbeat");
-  against("today.host.hot_keys",
-          wire.heartbeatPerHotKey.slope * kHotKeysTold,
-          "16 keys a second");
+  against("today.host.hot_keys", reported.hotKeys, "16 keys a second");
   against("today.host.replies",
           kHeartbeatsPerSecond *
             aSums.MessageBytes(aSlopes.control.replyBytes.At(aSums.size.nodes)),
@@ -99,11 +122,21 @@
     "cores",
     aSums.limits.controlCores,
     "heartbeats and announcements, without the lists of hosts in them");
+  aPrinter.Value("today.host.table_change",
+                 table.applyOne.At(slots),
+                 "s",
+                 "processor, one slot of 288,000 changes");
+  const double decisions = table.lookupCpu.At(slots) +
+                           table.admissionCpu.At(4) +
+                           table.countingCpu.At(100) + table.recordingCpu.At(4);
   aPrinter.Value("today.request.decisions",
-                 table.lookupCpu.At(slots) + table.admissionCpu.At(4) +
-                   table.countingCpu.At(100) + table.recordingCpu.At(4),
+                 decisions,
                  "s",
                  "lookup, admission, load counting and metrics of a request");
+  aPrinter.Value("today.request.cores",
+                 decisions * aSums.size.requestsPerSecond / aSums.size.nodes,
+                 "cores",
+                 "the same for 3,222 requests/s");
 }
 
 void
@@ -140,6 +173,9 @@
   cores("today.leader.decisions",
         heartbeats * decision,
         "180,000 heartbeats/s, work on each grows with the hosts; one strand");
+  cores("today.leader.decisions_base",
+        heartbeats * control.heartbeatCpu.base,
+        "the part that does not grow with the hosts");
   cores("today.leader.transport",
         heartbeats * aSlopes.transport.busyCpuPerMessage.slope,
         "two messages, one end of each");
@@ -147,6 +183,10 @@
         heartbeats *
           aSlopes.wire.codingPerUpstream.At(aSums.assumed.upstreamsPerEntry),
         "heartbeats of 3 upstreams");
+  aPrinter.Value("today.leader.received",
+                 aSums.size.nodes * ReportedBy(aSlopes, aSums).Sum(),
+                 "bytes/s",
+                 "heartbeats with evidence and loads of 18,000 hosts");
   aPrinter.Value("today.leader.replies",
                  heartbeats * control.replyBytes.At(aSums.size.nodes),
                  "bytes/s",
@@ -173,12 +213,39 @@
                  control.restoreCpu.At(aSums.size.nodes),
                  "s",
                  "after a restart");
+  aPrinter.Value("today.leader.tick",
+                 control.tickCpu.At(aSums.size.nodes),
+                 "s",
+                 "each 10 ms");
   aPrinter.Value("today.leader.planning",
                  control.planningCpu.At(aSums.size.nodes),
                  "s",
                  "one plan, at most each 288 ms");
 }
 
+/// Leases of DESIGN.md, with the drift bound of 1%.
+void
+PrintTimes(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
+{
+  const agent::LeaseOptions leases;
+  constexpr double kDrift = 1.01;
+  const std::chrono::duration<double> both =
+    leases.hostLease + leases.upstreamLease;
+  const double lost = both.count() * kDrift + aSlopes.control.lossSeconds;
+  const double limit = aSums.limits.servedAgainSeconds;
+  aPrinter.Against("today.served_again",
+                   lost,
+                   "s",
+                   limit,
+                   "home and upstream lost at once: both leases, then as "
+                   "measured in virtual time");
+  aPrinter.Against("today.served_again_with_leader",
+                   lost + Arithmetic::ElectionSeconds(),
+                   "s",
+                   limit,
+                   "the leader lost too: one election more");
+}
+
 void
 PrintLog(const Slopes& aSlopes, const Arithmetic& aSums, Printer& aPrinter)
 {
@@ -231,6 +298,7 @@
   PrintUpstream(aSlopes, sums, aPrinter);
   aPrinter.Heading("today: the leader and the voters");
   PrintLeader(aSlopes, sums, aPrinter);
+  PrintTimes(aSlopes, sums, aPrinter);
   PrintLog(aSlopes, sums, aPrinter);
 }
 
