--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -94,6 +94,17 @@
   return { Code::MalformedRequest, "The request is not HTTP/1.1." };
 }
 
+/// An answer that a connection waits for; used on its strand only.
+struct PendingAnswer
+{
+  explicit PendingAnswer(const asio::any_io_executor& aStrand)
+    : arrival(aStrand, asio::steady_timer::time_point::max())
+  {
+  }
+  asio::steady_timer arrival;
+  std::optional<ApiAnswer> answer;
+};
+
 /// Counts connections in all and by address. Thread-safe.
 class ConnectionCount
 {
@@ -147,24 +158,25 @@
   {
   }
 
-  /// Waits for the API's answer on the connection's own strand.
+  /// Waits for the API's answer on the connection's own strand. The wait is a
+  /// timer that never expires and is cancelled; a lambda with captures inside
+  /// a co_await expression is destroyed twice by GCC 12.
   asio::awaitable<ApiAnswer> Ask(ApiRequest aRequest)
   {
     const auto strand = co_await asio::this_coro::executor;
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
-                                            void(ApiAnswer)>(
-      [this, strand](auto aHandler, ApiRequest aCall) {
-        // std::function needs something that can be copied.
-        auto handler =
-          std::make_shared<decltype(aHandler)>(std::move(aHandler));
-        api->Handle(std::move(aCall), [handler, strand](ApiAnswer aAnswer) {
-          asio::post(strand, [handler, answer = std::move(aAnswer)]() mutable {
-            (*handler)(std::move(answer));
-          });
-        });
-      },
-      asio::use_awaitable,
-      std::move(aRequest));
+    const auto pending = std::make_shared<PendingAnswer>(strand);
+    const Responder respond = [pending](ApiAnswer aAnswer) {
+      asio::post(pending->arrival.get_executor(),
+                 [pending, answer = std::move(aAnswer)]() mutable {
+                   pending->answer = std::move(answer);
+                   pending->arrival.cancel();
+                 });
+    };
+    api->Handle(std::move(aRequest), respond);
+    while (!pending->answer) {
+      co_await pending->arrival.async_wait(kAwait);
+    }
+    co_return std::move(*pending->answer);
   }
 
   asio::awaitable<bool> Write(beast::tcp_stream& aStream, HttpAnswer aAnswer)
