Give an upstream time to let go when it is registered anew

Found by random faults against hosts and leader: after a second without a leader every upstream was lost, registered anew, and condemned two milliseconds later because it had not let go since the release, which was older than its registration. With all of them in that state no slot was ever served again. The patience now counts from the registration, if that is later.

--- a/src/librattandyke/control/mover.cpp
+++ b/src/librattandyke/control/mover.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::seconds kRest{ 10 };
 constexpr std::chrono::seconds kMassLossWindow{ 2 };
 constexpr std::chrono::seconds kMassLossHold{ 5 };
-constexpr size_t kReleasesRemembered = 4096;
+constexpr size_t kChangesRemembered = 4096;
 
 std::string
 SubjectOf(const std::string& aService)
@@ -128,18 +128,29 @@
 }
 
 void
-Mover::NoteReleases(const std::vector<Free>& aFree,
+Mover::NoteReleases(const ServiceAssignments& aOwners,
+                    const std::vector<Free>& aFree,
                     Service& aService,
                     Instant aNow)
 {
   for (const Free& free : aFree) {
-    aService.releasedAt.emplace(free.holding->fence, aNow);
+    aService.seenAt.emplace(free.holding->fence, aNow);
+    if (const UpstreamEntry* previous = aOwners.At(free.holding->previous)) {
+      aService.seenAt.emplace(previous->view.registered_version(), aNow);
+    }
   }
-  while (aService.releasedAt.size() > kReleasesRemembered) {
-    aService.releasedAt.erase(aService.releasedAt.begin());
+  while (aService.seenAt.size() > kChangesRemembered) {
+    aService.seenAt.erase(aService.seenAt.begin());
   }
 }
 
+Instant
+Mover::SeenAt(const Service& aService, uint64_t aChange)
+{
+  const auto found = aService.seenAt.find(aChange);
+  return found == aService.seenAt.end() ? Instant{} : found->second;
+}
+
 bool
 Mover::IsSettling(const ServiceAssignments& aOwners,
                   Service& aService,
@@ -207,8 +218,16 @@
     const bool keepsLease =
       previous != nullptr && !previous->IsLost() &&
       previous->view.incarnation() == holding.previousIncarnation;
-    if (!keepsLease ||
-        aNow < aService.releasedAt.at(holding.fence) + patience) {
+    if (!keepsLease) {
+      continue;
+    }
+    // One that was lost and is registered anew hears of the release only now:
+    // counted from the release alone, its time would be up at once, each time
+    // it comes back.
+    const Instant asked =
+      std::max(SeenAt(aService, holding.fence),
+               SeenAt(aService, previous->view.registered_version()));
+    if (aNow < asked + patience) {
       continue;
     }
     const UpstreamLife life{ aOwners.name,
@@ -244,7 +263,7 @@
     return;
   }
   const std::vector<Free> free = FreeOf(aOwners);
-  NoteReleases(free, aService, aNow);
+  NoteReleases(aOwners, free, aService, aNow);
   Decision decision;
   HandleOverdue(aOwners, aService, free, aNow, decision);
   // Those it gave back must not be granted to another in the same step.
--- a/src/librattandyke/control/mover.h
+++ b/src/librattandyke/control/mover.h
@@ -51,8 +51,9 @@
     Instant plannedAt{};
     /// When an upstream was first there while no slot had had an owner.
     std::optional<Instant> firstUpstreamAt;
-    /// When each release, by its fence, was seen.
-    std::map<uint64_t, Instant> releasedAt;
+    /// When releases, and registrations of those who have to let go, were
+    /// seen, by their log indices.
+    std::map<uint64_t, Instant> seenAt;
     /// Losses a short while ago.
     std::vector<Instant> losses;
     Instant holdUntil{};
@@ -78,9 +79,12 @@
                    Service& aService,
                    Instant aNow);
   void Refresh(const ServiceAssignments& aOwners, Service& aService);
-  void NoteReleases(const std::vector<Free>& aFree,
+  void NoteReleases(const ServiceAssignments& aOwners,
+                    const std::vector<Free>& aFree,
                     Service& aService,
                     Instant aNow);
+  /// @return when the change was seen; long ago if it is forgotten.
+  static Instant SeenAt(const Service& aService, uint64_t aChange);
   std::vector<Free> FreeOf(const ServiceAssignments& aOwners) const;
   bool IsSettling(const ServiceAssignments& aOwners,
                   Service& aService,
