--- a/src/rattandyke/submit.cpp
+++ b/src/rattandyke/submit.cpp
@@ -1,10 +1,10 @@
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
 
 #include "admin/message.h"
+#include "rattandyke/record_file.h"
 #include "rattandyke/table_printer.h"
 
 namespace rattandyke::cli {
@@ -14,39 +14,6 @@
 
 constexpr std::chrono::milliseconds kBetweenLooks{ 50 };
 
-/// @return the records of a file: one object or a list of them.
-Result<boost::json::array>
-ReadRecords(const std::string& aFile)
-{
-  std::ifstream stream(aFile, std::ios::binary);
-  if (!stream) {
-    return Fail(Code::InvalidRecord, aFile + ": cannot be read");
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  boost::system::error_code error;
-  boost::json::value json = boost::json::parse(text.str(), error);
-  if (error) {
-    return Fail(Code::InvalidRecord, aFile + ": " + error.message());
-  }
-  boost::json::array records;
-  if (json.is_array()) {
-    records = std::move(json.get_array());
-  } else {
-    records.push_back(std::move(json));
-  }
-  for (const auto& record : records) {
-    const auto* object = record.if_object();
-    if (object == nullptr || !object->contains("kind") ||
-        !object->contains("name") || !record.at("kind").is_string() ||
-        !record.at("name").is_string()) {
-      return Fail(Code::InvalidRecord,
-                  aFile + ": each record needs texts 'kind' and 'name'");
-    }
-  }
-  return records;
-}
-
 std::string
 RandomId()
 {
@@ -168,7 +135,7 @@
   if (!client) {
     return Report(client.error());
   }
-  const auto records = ReadRecords(arguments.file.getValue());
+  const auto records = ReadRecordFile(arguments.file.getValue());
   if (!records) {
     return Report(records.error());
   }
@@ -180,7 +147,7 @@
     std::cout << boost::json::serialize(one ? accepted[0]
                                             : boost::json::value(accepted))
               << '\n';
-  } else {
+  } else if (!accepted.empty()) {
     PrintTable({ { "KIND", "kind" },
                  { "NAME", "name" },
                  { "REVISION", "revision" },
