--- a/src/librattandyke/control/assignments.cpp
+++ b/src/librattandyke/control/assignments.cpp
@@ -188,20 +188,21 @@
   return current ? &entry : nullptr;
 }
 
-void
+bool
 Assignments::SetLost(LogIndex aIndex,
                      const wire::UpstreamRef& aRef,
                      WallTime aNow)
 {
   UpstreamEntry* entry = FindCurrent(aRef);
   if (entry == nullptr || entry->IsLost()) {
-    return;
+    return false;
   }
   ServiceAssignments& service = Service(aRef.service());
   entry->view.set_state(wire::UPSTREAM_STATE_LOST);
   entry->lostAt = aNow;
   MarkUpstream(aIndex, service, *entry);
   FreeAllOf(aIndex, service, service.idByName.at(aRef.upstream()), aNow);
+  return true;
 }
 
 void
--- a/src/librattandyke/control/assignments.h
+++ b/src/librattandyke/control/assignments.h
@@ -107,7 +107,8 @@
   void Register(LogIndex aIndex,
                 const wire::UpstreamRegistration& aRegistration,
                 WallTime aNow);
-  void SetLost(LogIndex aIndex, const wire::UpstreamRef& aRef, WallTime aNow);
+  /// @return whether it is lost by this command.
+  bool SetLost(LogIndex aIndex, const wire::UpstreamRef& aRef, WallTime aNow);
   void Drain(LogIndex aIndex, const wire::DrainUpstream& aDrain);
   void Release(LogIndex aIndex,
                const wire::ReleaseSlots& aRelease,
--- a/src/librattandyke/control/ban_table.cpp
+++ b/src/librattandyke/control/ban_table.cpp
@@ -6,87 +6,113 @@
 
 namespace {
 
-// A request that was alone in flight when an upstream crashed is suspected
-// more than one of many. Two crashes with it alone, or more among others, ban
-// it: a popular harmless request is seldom in flight at several crashes in a
-// row, while the one that causes them always is.
-constexpr size_t kLeastCrashes = 2;
-constexpr double kSuspicionOfTwo = 1.0;
-constexpr size_t kManyCrashes = 4;
-constexpr uint64_t kSuspicionMemoryMs = 10 * 60'000;
-constexpr uint64_t kBanMs = 10 * 60'000;
-constexpr size_t kMostSuspicions = 10'000;
+// A ban that is over stays so long for hosts that have to hear of its end.
+constexpr std::chrono::hours kMemory{ 1 };
 
-uint64_t
-ToMilliseconds(WallTime aTime)
+wire::Ban
+ToBan(const entry::SetVerdict& aVerdict)
 {
-  return static_cast<uint64_t>(aTime.time_since_epoch().count());
+  wire::Ban ban;
+  ban.set_service(aVerdict.service.value);
+  ban.set_fingerprint(aVerdict.fingerprint);
+  ban.set_expires_unix_ms(aVerdict.expires.time_since_epoch().count());
+  ban.set_reason(aVerdict.reason);
+  ban.set_suspect(aVerdict.verdict == entry::QuarantineVerdict::Suspect);
+  ban.set_lifted(aVerdict.verdict == entry::QuarantineVerdict::Free);
+  return ban;
 }
 
-bool
-StandsOut(const wire::CrashSnapshot& aCrash)
+entry::UpstreamLife
+LifeOf(const auto& aUpstream)
 {
-  const auto crashes = static_cast<size_t>(aCrash.upstreams_size());
-  return crashes >= kManyCrashes ||
-         (crashes >= kLeastCrashes && aCrash.suspicion() >= kSuspicionOfTwo);
+  return { ServiceName{ aUpstream.service() },
+           UpstreamName{ aUpstream.upstream() },
+           aUpstream.incarnation() };
 }
 
 } // namespace
 
-void
-BanTable::Set(LogIndex aIndex, const wire::Ban& aBan)
+BanTable::BanTable()
+  : mBlame(entry::CrashBlame::Settings{})
+{
+}
+
+std::vector<BanTable::Key>
+BanTable::Step(LogIndex aIndex, const entry::BlameEvent& aEvent, WallTime aNow)
+{
+  std::vector<Key> changed;
+  for (const entry::SetVerdict& verdict : mBlame.Step(aEvent, aNow)) {
+    const wire::Ban ban = ToBan(verdict);
+    const Key key{ ban.service(), ban.fingerprint() };
+    mBans[key] = { ban, aIndex.value };
+    changed.push_back(key);
+  }
+  return changed;
+}
+
+std::vector<BanTable::Key>
+BanTable::Set(LogIndex aIndex, const wire::Ban& aBan, WallTime aNow)
 {
   const Key key{ aBan.service(), aBan.fingerprint() };
-  mBans[key] = { aBan, aIndex.value };
   if (aBan.lifted()) {
-    mCrashes.erase(key);
+    Step(aIndex,
+         entry::blame_event::Lifted{ ServiceName{ aBan.service() },
+                                     aBan.fingerprint() },
+         aNow);
   }
+  mBans[key] = { aBan, aIndex.value };
+  return { key };
 }
 
-std::vector<std::string>
+std::vector<BanTable::Key>
 BanTable::Report(LogIndex aIndex,
                  const wire::CrashReportCall& aReport,
                  WallTime aNow)
 {
-  std::vector<std::string> banned;
-  const std::string crashed =
-    aReport.upstream() + "#" + std::to_string(aReport.incarnation());
-  for (const std::string& fingerprint : aReport.fingerprints()) {
-    const Key key{ aReport.service(), fingerprint };
-    if (mCrashes.size() >= kMostSuspicions && !mCrashes.contains(key)) {
-      continue;
-    }
-    wire::CrashSnapshot& crash = mCrashes[key];
-    const auto& seen = crash.upstreams();
-    // Several hosts report the same crash: it counts once.
-    if (std::find(seen.begin(), seen.end(), crashed) != seen.end()) {
-      continue;
-    }
-    crash.set_service(aReport.service());
-    crash.set_fingerprint(fingerprint);
-    crash.add_upstreams(crashed);
-    crash.set_suspicion(crash.suspicion() + 1.0 / aReport.fingerprints_size());
-    crash.set_expires_unix_ms(ToMilliseconds(aNow) + kSuspicionMemoryMs);
-    if (StandsOut(crash)) {
-      wire::Ban ban;
-      ban.set_service(aReport.service());
-      ban.set_fingerprint(fingerprint);
-      ban.set_expires_unix_ms(ToMilliseconds(aNow) + kBanMs);
-      ban.set_reason("crashed " + std::to_string(seen.size()) +
-                     " upstreams, last " + aReport.upstream());
-      mBans[key] = { ban, aIndex.value };
-      banned.push_back(fingerprint);
-    }
+  entry::blame_event::Reported reported;
+  reported.upstream = LifeOf(aReport);
+  reported.fingerprints.assign(aReport.fingerprints().begin(),
+                               aReport.fingerprints().end());
+  reported.onTrial = aReport.on_trial();
+  return Step(aIndex, reported, aNow);
+}
+
+std::vector<BanTable::Key>
+BanTable::Lose(LogIndex aIndex,
+               const wire::UpstreamRef& aUpstream,
+               WallTime aNow)
+{
+  return Step(aIndex, entry::blame_event::Lost{ LifeOf(aUpstream) }, aNow);
+}
+
+std::vector<BanTable::Key>
+BanTable::EndTrial(LogIndex aIndex,
+                   const wire::TrialCall& aTrial,
+                   WallTime aNow)
+{
+  if (aTrial.step() != wire::TRIAL_STEP_CLEARED) {
+    return {};
   }
-  return banned;
+  return Step(aIndex,
+              entry::blame_event::Cleared{ ServiceName{ aTrial.service() },
+                                           aTrial.fingerprint() },
+              aNow);
 }
 
-void
-BanTable::Expire(WallTime aNow)
+uint64_t
+BanTable::Expire(LogIndex aIndex, WallTime aNow)
 {
-  std::erase_if(mCrashes, [&](const auto& aItem) {
-    return aItem.second.expires_unix_ms() <= ToMilliseconds(aNow);
+  Step(aIndex, entry::blame_event::Tick{}, aNow);
+  uint64_t newest = 0;
+  std::erase_if(mBans, [&](const auto& aItem) {
+    const Entry& entry = aItem.second;
+    const WallTime expires{ std::chrono::milliseconds(
+      entry.ban.expires_unix_ms()) };
+    const bool isOver = expires + kMemory < aNow;
+    newest = std::max(newest, isOver ? entry.changed : 0);
+    return isOver;
   });
+  return newest;
 }
 
 const BanTable::Entry*
@@ -104,23 +130,18 @@
     *saved.mutable_ban() = entry.ban;
     saved.set_changed(entry.changed);
   }
-  for (const auto& [key, crash] : mCrashes) {
-    *aSnapshot.add_crashes() = crash;
-  }
+  mBlame.Save(aSnapshot);
 }
 
 void
 BanTable::Load(const wire::StateSnapshot& aSnapshot)
 {
   mBans.clear();
-  mCrashes.clear();
   for (const wire::BanSnapshot& saved : aSnapshot.bans()) {
     const wire::Ban& ban = saved.ban();
     mBans[{ ban.service(), ban.fingerprint() }] = { ban, saved.changed() };
   }
-  for (const wire::CrashSnapshot& crash : aSnapshot.crashes()) {
-    mCrashes[{ crash.service(), crash.fingerprint() }] = crash;
-  }
+  mBlame.Load(aSnapshot);
 }
 
 } // namespace rattandyke::control
--- a/src/librattandyke/control/ban_table.h
+++ b/src/librattandyke/control/ban_table.h
@@ -1,19 +1,20 @@
-/// Request fingerprints that crash upstreams.
+/// Requests that are quarantined.
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <rattandyke/types.h>
 
+#include "entry/crash_blame.h"
 #include "wire/control.pb.h"
 
 namespace rattandyke::control {
 
-/// Part of State: deterministic. Counts in how many crashes of upstreams a
-/// request was in flight and bans it when it stands out. Not thread-safe.
+/// Part of State: deterministic. Keeps the verdicts of CrashBlame and of
+/// operators as the routing table shows them. Not thread-safe.
 class BanTable
 {
 public:
@@ -26,16 +27,26 @@
     uint64_t changed = 0;
   };
 
-  /// Puts a ban in force, or lifts it if aBan says so.
-  void Set(LogIndex aIndex, const wire::Ban& aBan);
+  BanTable();
 
-  /// @return fingerprints banned by this report.
-  std::vector<std::string> Report(LogIndex aIndex,
-                                  const wire::CrashReportCall& aReport,
-                                  WallTime aNow);
+  /// An operator's ban, or its end.
+  /// @return what changed, as from the other methods.
+  std::vector<Key> Set(LogIndex aIndex, const wire::Ban& aBan, WallTime aNow);
 
-  /// Forgets old suspicions. Bans end by their own time.
-  void Expire(WallTime aNow);
+  std::vector<Key> Report(LogIndex aIndex,
+                          const wire::CrashReportCall& aReport,
+                          WallTime aNow);
+  std::vector<Key> Lose(LogIndex aIndex,
+                        const wire::UpstreamRef& aUpstream,
+                        WallTime aNow);
+  std::vector<Key> EndTrial(LogIndex aIndex,
+                            const wire::TrialCall& aTrial,
+                            WallTime aNow);
+
+  /// Forgets what is over for long. Deterministic if called at the same
+  /// commands.
+  /// @return newest change that is forgotten; 0 if none.
+  uint64_t Expire(LogIndex aIndex, WallTime aNow);
 
   const std::map<Key, Entry>& All() const { return mBans; }
   const Entry* Find(const Key& aKey) const;
@@ -44,8 +55,12 @@
   void Load(const wire::StateSnapshot& aSnapshot);
 
 private:
+  std::vector<Key> Step(LogIndex aIndex,
+                        const entry::BlameEvent& aEvent,
+                        WallTime aNow);
+
   std::map<Key, Entry> mBans;
-  std::map<Key, wire::CrashSnapshot> mCrashes;
+  entry::CrashBlame mBlame;
 };
 
 } // namespace rattandyke::control
--- a/src/librattandyke/control/call_handler.cpp
+++ b/src/librattandyke/control/call_handler.cpp
@@ -96,6 +96,8 @@
       return Query(aRequest.query(), aAnswer);
     case wire::CallRequest::kMembership:
       return ChangeMembership(aRequest.membership(), aAnswer);
+    case wire::CallRequest::kTrial:
+      return Try(aRequest, aAnswer);
     case wire::CallRequest::kClaim: {
       wire::TakeClaim& take = *command.mutable_take_claim();
       *take.mutable_call() = aRequest.claim();
@@ -134,6 +136,57 @@
   ProposeAndAnswer(std::move(command), aAnswer);
 }
 
+void
+CallHandler::Begin(Instant aNow)
+{
+  mTrials.emplace(entry::TrialDesk::Settings{}, aNow);
+}
+
+void
+CallHandler::EndTrialsOfLostHosts(Instant aNow)
+{
+  for (const auto& [session, lease] : mCoordinator.Hosts().All()) {
+    if (!mCoordinator.Hosts().MayLive(lease, aNow)) {
+      mTrials->Step(
+        entry::trial_event::SessionGone{ session.host, session.session }, aNow);
+    }
+  }
+}
+
+void
+CallHandler::Try(const wire::CallRequest& aRequest, const Answer& aAnswer)
+{
+  const Instant now = mClock.Now();
+  const wire::TrialCall& call = aRequest.trial();
+  const entry::TrialAsker asker{ HostName{ aRequest.host() },
+                                 aRequest.session(),
+                                 call.attempt() };
+  const ServiceName service{ call.service() };
+  EndTrialsOfLostHosts(now);
+  if (call.step() == wire::TRIAL_STEP_ASK) {
+    const auto answer = mTrials->Step(
+      entry::trial_event::Asked{ asker, service, call.fingerprint() }, now);
+    wire::CallReply reply;
+    reply.mutable_trial()->set_granted(answer->granted);
+    reply.mutable_trial()->set_retry_after_ms(answer->retryAfter.count());
+    return aAnswer(std::move(reply));
+  }
+  const auto end = [this, asker, service] {
+    mTrials->Step(entry::trial_event::Ended{ asker, service }, mClock.Now());
+  };
+  if (call.step() != wire::TRIAL_STEP_CLEARED) {
+    end();
+    return aAnswer({});
+  }
+  // The next trial begins once the table says that this one ended well.
+  wire::Command command;
+  *command.mutable_trial() = call;
+  ProposeAndAnswer(std::move(command), [end, aAnswer](wire::CallReply aReply) {
+    end();
+    aAnswer(std::move(aReply));
+  });
+}
+
 void
 CallHandler::Submit(const wire::SubmitRecordCall& aCall, const Answer& aAnswer)
 {
--- a/src/librattandyke/control/call_handler.h
+++ b/src/librattandyke/control/call_handler.h
@@ -11,6 +11,7 @@
 #include "consensus/driver.h"
 #include "control/coordinator.h"
 #include "control/state.h"
+#include "entry/trial_desk.h"
 #include "wire/peer.pb.h"
 
 namespace rattandyke::control {
@@ -29,6 +30,9 @@
               consensus::Driver& aDriver,
               const Clock& aClock);
 
+  /// This host became the leader.
+  void Begin(Instant aNow);
+
   /// To be called by a leader only.
   void Handle(const wire::CallRequest& aRequest, const Answer& aAnswer);
 
@@ -37,6 +41,8 @@
 
 private:
   void Submit(const wire::SubmitRecordCall& aCall, const Answer& aAnswer);
+  void Try(const wire::CallRequest& aRequest, const Answer& aAnswer);
+  void EndTrialsOfLostHosts(Instant aNow);
   void Query(const wire::QueryCall& aCall, const Answer& aAnswer);
   void ChangeMembership(const wire::MembershipCall& aCall,
                         const Answer& aAnswer);
@@ -48,6 +54,7 @@
   consensus::Driver& mDriver;
   const Clock& mClock;
   std::map<LogIndex, wire::CallReply> mKept;
+  std::optional<entry::TrialDesk> mTrials;
 };
 
 } // namespace rattandyke::control
--- a/src/librattandyke/control/control_service.cpp
+++ b/src/librattandyke/control/control_service.cpp
@@ -141,6 +141,7 @@
     if (aTerm && !mLeaving) {
       log::Line(log::Part::Control, log::Severity::Info)
         << "leads in term " << *aTerm;
+      mCalls.Begin(mClock.Now());
       Step(BecameLeader{ *aTerm, mClock.Now() });
       return;
     }
--- a/src/librattandyke/control/state.cpp
+++ b/src/librattandyke/control/state.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::chrono::hours kLostMemory{ 1 };
 constexpr std::chrono::minutes kForgetInterval{ 10 };
+constexpr std::chrono::seconds kBanExpiryInterval{ 1 };
 const std::string kServiceKind = "service";
 
 void
@@ -29,7 +30,14 @@
   void operator()(const wire::RegisterUpstreams& aCommand)
   {
     for (const auto& registration : aCommand.registrations()) {
+      const wire::Upstream& announced = registration.announced();
+      const auto before = RefOf(announced.service(), announced.name());
       state.mAssignments.Register(index, registration, state.mNow);
+      const auto after = RefOf(announced.service(), announced.name());
+      // A new life is the end of the one before.
+      if (before && before->incarnation() != after->incarnation()) {
+        MarkBans(state.mBans.Lose(index, *before, state.mNow));
+      }
     }
   }
 
@@ -39,7 +47,11 @@
       return;
     }
     for (const wire::UpstreamRef& upstream : aCommand.upstreams()) {
-      state.mAssignments.SetLost(index, upstream, state.mNow);
+      // The suspects of a lost upstream are in the table no later than its
+      // loss, so whoever learns of a new owner knows them as well.
+      if (state.mAssignments.SetLost(index, upstream, state.mNow)) {
+        MarkBans(state.mBans.Lose(index, upstream, state.mNow));
+      }
     }
   }
 
@@ -67,16 +79,17 @@
 
   void operator()(const wire::Ban& aCommand)
   {
-    state.mBans.Set(index, aCommand);
-    MarkBan(aCommand.service(), aCommand.fingerprint());
+    MarkBans(state.mBans.Set(index, aCommand, state.mNow));
   }
 
   void operator()(const wire::CrashReportCall& aCommand)
   {
-    for (const std::string& fingerprint :
-         state.mBans.Report(index, aCommand, state.mNow)) {
-      MarkBan(aCommand.service(), fingerprint);
-    }
+    MarkBans(state.mBans.Report(index, aCommand, state.mNow));
+  }
+
+  void operator()(const wire::TrialCall& aCommand)
+  {
+    MarkBans(state.mBans.EndTrial(index, aCommand, state.mNow));
   }
 
   void operator()(const wire::OrphanClaims& aCommand)
@@ -144,15 +157,33 @@
         return (*this)(aCommand.ban());
       case wire::Command::kCrashReport:
         return (*this)(aCommand.crash_report());
+      case wire::Command::kTrial:
+        return (*this)(aCommand.trial());
       case wire::Command::BODY_NOT_SET:
         return;
     }
   }
 
 private:
-  void MarkBan(const std::string& aService, const std::string& aFingerprint)
+  std::optional<wire::UpstreamRef> RefOf(const std::string& aService,
+                                         const std::string& aUpstream) const
+  {
+    const auto* entry = state.mAssignments.FindUpstream(aService, aUpstream);
+    if (entry == nullptr) {
+      return std::nullopt;
+    }
+    wire::UpstreamRef ref;
+    ref.set_service(aService);
+    ref.set_upstream(aUpstream);
+    ref.set_incarnation(entry->view.incarnation());
+    return ref;
+  }
+
+  void MarkBans(const std::vector<BanTable::Key>& aChanged)
   {
-    state.MarkChanged({ ChangedItem::Kind::Ban, aService, aFingerprint, 0 });
+    for (const auto& [service, fingerprint] : aChanged) {
+      state.MarkChanged({ ChangedItem::Kind::Ban, service, fingerprint, 0 });
+    }
   }
 };
 
@@ -183,11 +214,15 @@
 void
 State::ForgetOld()
 {
+  if (mNow - mBansExpiredAt >= kBanExpiryInterval) {
+    mBansExpiredAt = mNow;
+    const TableVersion forgotten{ mBans.Expire(mApplying, mNow) };
+    mOldestVersion = std::max(mOldestVersion, forgotten);
+  }
   if (mNow - mForgotAt < kForgetInterval) {
     return;
   }
   mForgotAt = mNow;
-  mBans.Expire(mNow);
   const Forgotten forgotten = mAssignments.Forget(mNow - kLostMemory);
   mOldestVersion =
     std::max(mOldestVersion, TableVersion{ forgotten.newestHotKey });
--- a/src/librattandyke/control/state.h
+++ b/src/librattandyke/control/state.h
@@ -98,6 +98,7 @@
   LogIndex mApplying;
   WallTime mNow{};
   WallTime mForgotAt{};
+  WallTime mBansExpiredAt{};
   uint64_t mRecordsChanged = 0;
 };
 
--- a/src/librattandyke/control/state_table.cpp
+++ b/src/librattandyke/control/state_table.cpp
@@ -151,6 +151,7 @@
   snapshot.set_oldest_version(mOldestVersion.value);
   snapshot.set_now_unix_ms(mNow.time_since_epoch().count());
   snapshot.set_forgot_unix_ms(mForgotAt.time_since_epoch().count());
+  snapshot.set_bans_expired_unix_ms(mBansExpiredAt.time_since_epoch().count());
   snapshot.set_records_changed(mRecordsChanged);
   mRecords.Save(snapshot);
   mAssignments.Save(snapshot);
@@ -174,6 +175,7 @@
   mOldestVersion = TableVersion{ snapshot.oldest_version() };
   mNow = toTime(snapshot.now_unix_ms());
   mForgotAt = toTime(snapshot.forgot_unix_ms());
+  mBansExpiredAt = toTime(snapshot.bans_expired_unix_ms());
   mRecordsChanged = snapshot.records_changed();
   mRecords.Load(snapshot);
   mAssignments.Load(snapshot);
--- a/src/librattandyke/entry/crash_blame.h
+++ b/src/librattandyke/entry/crash_blame.h
@@ -11,6 +11,10 @@
 
 #include "entry/request_flow.h"
 
+namespace rattandyke::wire {
+class StateSnapshot;
+}
+
 namespace rattandyke::entry {
 
 /// One life of an upstream.
@@ -104,6 +108,9 @@
   QuarantineVerdict Verdict(const ServiceName& aService,
                             const std::string& aFingerprint) const;
 
+  void Save(wire::StateSnapshot& aSnapshot) const;
+  void Load(const wire::StateSnapshot& aSnapshot);
+
 private:
   struct Case
   {
--- a/src/librattandyke/wire/control.pb.cpp
+++ b/src/librattandyke/wire/control.pb.cpp
@@ -236,13 +236,15 @@
   , /*decltype(_impl_.services_)*/{}
   , /*decltype(_impl_.claims_)*/{}
   , /*decltype(_impl_.bans_)*/{}
-  , /*decltype(_impl_.crashes_)*/{}
+  , /*decltype(_impl_.crash_cases_)*/{}
   , /*decltype(_impl_.released_attempts_)*/{}
+  , /*decltype(_impl_.verdicts_)*/{}
   , /*decltype(_impl_.version_)*/uint64_t{0u}
   , /*decltype(_impl_.oldest_version_)*/uint64_t{0u}
   , /*decltype(_impl_.now_unix_ms_)*/uint64_t{0u}
   , /*decltype(_impl_.forgot_unix_ms_)*/uint64_t{0u}
   , /*decltype(_impl_.records_changed_)*/uint64_t{0u}
+  , /*decltype(_impl_.bans_expired_unix_ms_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct StateSnapshotDefaultTypeInternal {
   PROTOBUF_CONSTEXPR StateSnapshotDefaultTypeInternal()
@@ -387,26 +389,44 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 BanSnapshotDefaultTypeInternal _BanSnapshot_default_instance_;
-PROTOBUF_CONSTEXPR CrashSnapshot::CrashSnapshot(
+PROTOBUF_CONSTEXPR CrashCaseSnapshot::CrashCaseSnapshot(
     ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.upstreams_)*/{}
+    /*decltype(_impl_.fingerprints_)*/{}
   , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.on_trial_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
+  , /*decltype(_impl_.opened_unix_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.lost_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct CrashCaseSnapshotDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CrashCaseSnapshotDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~CrashCaseSnapshotDefaultTypeInternal() {}
+  union {
+    CrashCaseSnapshot _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashCaseSnapshotDefaultTypeInternal _CrashCaseSnapshot_default_instance_;
+PROTOBUF_CONSTEXPR VerdictSnapshot::VerdictSnapshot(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.fingerprint_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.suspicion_)*/0
   , /*decltype(_impl_.expires_unix_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.banned_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
-struct CrashSnapshotDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR CrashSnapshotDefaultTypeInternal()
+struct VerdictSnapshotDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR VerdictSnapshotDefaultTypeInternal()
       : _instance(::_pbi::ConstantInitialized{}) {}
-  ~CrashSnapshotDefaultTypeInternal() {}
+  ~VerdictSnapshotDefaultTypeInternal() {}
   union {
-    CrashSnapshot _instance;
+    VerdictSnapshot _instance;
   };
 };
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashSnapshotDefaultTypeInternal _CrashSnapshot_default_instance_;
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 VerdictSnapshotDefaultTypeInternal _VerdictSnapshot_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_control_2eproto[24];
+static ::_pb::Metadata file_level_metadata_control_2eproto[25];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_control_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_control_2eproto = nullptr;
 
@@ -431,6 +451,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Command, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRegistration, _internal_metadata_),
@@ -560,10 +581,12 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.services_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.claims_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.bans_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.crashes_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.crash_cases_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.forgot_unix_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.records_changed_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.released_attempts_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.verdicts_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::StateSnapshot, _impl_.bans_expired_unix_ms_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -650,42 +673,55 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::BanSnapshot, _impl_.ban_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::BanSnapshot, _impl_.changed_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _internal_metadata_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.upstream_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.incarnation_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.fingerprints_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.on_trial_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.lost_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashCaseSnapshot, _impl_.opened_unix_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::VerdictSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _impl_.service_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _impl_.fingerprint_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _impl_.upstreams_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _impl_.suspicion_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashSnapshot, _impl_.expires_unix_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::VerdictSnapshot, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::VerdictSnapshot, _impl_.fingerprint_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::VerdictSnapshot, _impl_.banned_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::VerdictSnapshot, _impl_.expires_unix_ms_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::rattandyke::wire::Command)},
-  { 21, -1, -1, sizeof(::rattandyke::wire::UpstreamRegistration)},
-  { 30, -1, -1, sizeof(::rattandyke::wire::RegisterUpstreams)},
-  { 37, -1, -1, sizeof(::rattandyke::wire::UpstreamRef)},
-  { 47, -1, -1, sizeof(::rattandyke::wire::SetUpstreamState)},
-  { 55, -1, -1, sizeof(::rattandyke::wire::DrainUpstream)},
-  { 65, -1, -1, sizeof(::rattandyke::wire::SlotFence)},
-  { 74, -1, -1, sizeof(::rattandyke::wire::ReleaseSlots)},
-  { 83, -1, -1, sizeof(::rattandyke::wire::SlotGrant)},
-  { 93, -1, -1, sizeof(::rattandyke::wire::GrantSlots)},
-  { 101, -1, -1, sizeof(::rattandyke::wire::RemoveHotKeys)},
-  { 109, -1, -1, sizeof(::rattandyke::wire::TakeClaim)},
-  { 118, -1, -1, sizeof(::rattandyke::wire::ReleaseClaim)},
-  { 127, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
-  { 135, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
-  { 153, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
-  { 161, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
-  { 170, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
-  { 180, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
-  { 194, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
-  { 209, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
-  { 220, -1, -1, sizeof(::rattandyke::wire::ReleasedAttemptSnapshot)},
-  { 230, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
-  { 238, -1, -1, sizeof(::rattandyke::wire::CrashSnapshot)},
+  { 22, -1, -1, sizeof(::rattandyke::wire::UpstreamRegistration)},
+  { 31, -1, -1, sizeof(::rattandyke::wire::RegisterUpstreams)},
+  { 38, -1, -1, sizeof(::rattandyke::wire::UpstreamRef)},
+  { 48, -1, -1, sizeof(::rattandyke::wire::SetUpstreamState)},
+  { 56, -1, -1, sizeof(::rattandyke::wire::DrainUpstream)},
+  { 66, -1, -1, sizeof(::rattandyke::wire::SlotFence)},
+  { 75, -1, -1, sizeof(::rattandyke::wire::ReleaseSlots)},
+  { 84, -1, -1, sizeof(::rattandyke::wire::SlotGrant)},
+  { 94, -1, -1, sizeof(::rattandyke::wire::GrantSlots)},
+  { 102, -1, -1, sizeof(::rattandyke::wire::RemoveHotKeys)},
+  { 110, -1, -1, sizeof(::rattandyke::wire::TakeClaim)},
+  { 119, -1, -1, sizeof(::rattandyke::wire::ReleaseClaim)},
+  { 128, -1, -1, sizeof(::rattandyke::wire::OrphanClaims)},
+  { 136, -1, -1, sizeof(::rattandyke::wire::StateSnapshot)},
+  { 156, -1, -1, sizeof(::rattandyke::wire::RecordSnapshot)},
+  { 164, -1, -1, sizeof(::rattandyke::wire::SubmissionSnapshot)},
+  { 173, -1, -1, sizeof(::rattandyke::wire::ServiceSnapshot)},
+  { 183, -1, -1, sizeof(::rattandyke::wire::UpstreamSnapshot)},
+  { 197, -1, -1, sizeof(::rattandyke::wire::HoldingSnapshot)},
+  { 212, -1, -1, sizeof(::rattandyke::wire::ClaimSnapshot)},
+  { 223, -1, -1, sizeof(::rattandyke::wire::ReleasedAttemptSnapshot)},
+  { 233, -1, -1, sizeof(::rattandyke::wire::BanSnapshot)},
+  { 241, -1, -1, sizeof(::rattandyke::wire::CrashCaseSnapshot)},
+  { 254, -1, -1, sizeof(::rattandyke::wire::VerdictSnapshot)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -712,12 +748,13 @@
   &::rattandyke::wire::_ClaimSnapshot_default_instance_._instance,
   &::rattandyke::wire::_ReleasedAttemptSnapshot_default_instance_._instance,
   &::rattandyke::wire::_BanSnapshot_default_instance_._instance,
-  &::rattandyke::wire::_CrashSnapshot_default_instance_._instance,
+  &::rattandyke::wire::_CrashCaseSnapshot_default_instance_._instance,
+  &::rattandyke::wire::_VerdictSnapshot_default_instance_._instance,
 };
 
 const char descriptor_table_protodef_control_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\rcontrol.proto\022\017rattandyke.wire\032\npeer.p"
-  "roto\032\013table.proto\"\212\006\n\007Command\022\030\n\020propose"
+  "roto\032\013table.proto\"\267\006\n\007Command\022\030\n\020propose"
   "d_unix_ms\030\001 \001(\004\022:\n\rsubmit_record\030\n \001(\0132!"
   ".rattandyke.wire.SubmitRecordCallH\000\022@\n\022r"
   "egister_upstreams\030\013 \001(\0132\".rattandyke.wir"
@@ -736,91 +773,98 @@
   "6\n\rorphan_claims\030\024 \001(\0132\035.rattandyke.wire"
   ".OrphanClaimsH\000\022#\n\003ban\030\025 \001(\0132\024.rattandyk"
   "e.wire.BanH\000\0228\n\014crash_report\030\026 \001(\0132 .rat"
-  "tandyke.wire.CrashReportCallH\000B\006\n\004body\"h"
-  "\n\024UpstreamRegistration\022,\n\tannounced\030\001 \001("
-  "\0132\031.rattandyke.wire.Upstream\022\014\n\004home\030\002 \001"
-  "(\t\022\024\n\014home_session\030\003 \001(\004\"Q\n\021RegisterUpst"
-  "reams\022<\n\rregistrations\030\001 \003(\0132%.rattandyk"
-  "e.wire.UpstreamRegistration\"a\n\013UpstreamR"
-  "ef\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n"
-  "\013incarnation\030\003 \001(\004\022\032\n\022registered_version"
-  "\030\004 \001(\004\"r\n\020SetUpstreamState\022-\n\005state\030\001 \001("
-  "\0162\036.rattandyke.wire.UpstreamState\022/\n\tups"
-  "treams\030\002 \003(\0132\034.rattandyke.wire.UpstreamR"
-  "ef\"V\n\rDrainUpstream\022\017\n\007service\030\001 \001(\t\022\020\n\010"
-  "upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\022\023\n\013by_oper"
-  "ator\030\004 \001(\010\"5\n\tSlotFence\022\014\n\004slot\030\001 \001(\r\022\013\n"
-  "\003key\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\"w\n\014ReleaseSlot"
-  "s\022\017\n\007service\030\001 \001(\t\022)\n\005slots\030\002 \003(\0132\032.ratt"
-  "andyke.wire.SlotFence\022+\n\006reason\030\003 \001(\0162\033."
-  "rattandyke.wire.MoveReason\"\215\001\n\tSlotGrant"
-  "\022,\n\010released\030\001 \001(\0132\032.rattandyke.wire.Slo"
-  "tFence\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030"
-  "\003 \001(\004\022+\n\006reason\030\004 \001(\0162\033.rattandyke.wire."
-  "MoveReason\"I\n\nGrantSlots\022\017\n\007service\030\001 \001("
-  "\t\022*\n\006grants\030\002 \003(\0132\032.rattandyke.wire.Slot"
-  "Grant\"J\n\rRemoveHotKeys\022\017\n\007service\030\001 \001(\t\022"
-  "(\n\004keys\030\002 \003(\0132\032.rattandyke.wire.SlotFenc"
-  "e\"T\n\tTakeClaim\022(\n\004call\030\001 \001(\0132\032.rattandyk"
-  "e.wire.ClaimCall\022\014\n\004host\030\002 \001(\t\022\017\n\007sessio"
-  "n\030\003 \001(\004\"^\n\014ReleaseClaim\022/\n\004call\030\001 \001(\0132!."
-  "rattandyke.wire.ReleaseClaimCall\022\014\n\004host"
-  "\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\"-\n\014OrphanClaims\022"
-  "\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\"\360\003\n\rState"
-  "Snapshot\022\017\n\007version\030\001 \001(\004\022\026\n\016oldest_vers"
-  "ion\030\002 \001(\004\022\023\n\013now_unix_ms\030\003 \001(\004\0220\n\007record"
-  "s\030\004 \003(\0132\037.rattandyke.wire.RecordSnapshot"
-  "\0228\n\013submissions\030\005 \003(\0132#.rattandyke.wire."
-  "SubmissionSnapshot\0222\n\010services\030\006 \003(\0132 .r"
-  "attandyke.wire.ServiceSnapshot\022.\n\006claims"
-  "\030\007 \003(\0132\036.rattandyke.wire.ClaimSnapshot\022*"
-  "\n\004bans\030\010 \003(\0132\034.rattandyke.wire.BanSnapsh"
-  "ot\022/\n\007crashes\030\t \003(\0132\036.rattandyke.wire.Cr"
-  "ashSnapshot\022\026\n\016forgot_unix_ms\030\n \001(\004\022\027\n\017r"
-  "ecords_changed\030\013 \001(\004\022C\n\021released_attempt"
-  "s\030\014 \003(\0132(.rattandyke.wire.ReleasedAttemp"
-  "tSnapshot\"d\n\016RecordSnapshot\022\'\n\006newest\030\001 "
-  "\001(\0132\027.rattandyke.wire.Record\022)\n\010in_force"
-  "\030\002 \001(\0132\027.rattandyke.wire.Record\"e\n\022Submi"
-  "ssionSnapshot\022\025\n\rsubmission_id\030\001 \001(\t\022\r\n\005"
-  "index\030\002 \001(\004\022)\n\005reply\030\003 \001(\0132\032.rattandyke."
-  "wire.CallReply\"\275\001\n\017ServiceSnapshot\022\017\n\007se"
-  "rvice\030\001 \001(\t\0224\n\tupstreams\030\002 \003(\0132!.rattand"
-  "yke.wire.UpstreamSnapshot\022/\n\005slots\030\003 \003(\013"
-  "2 .rattandyke.wire.HoldingSnapshot\0222\n\010ho"
-  "t_keys\030\004 \003(\0132 .rattandyke.wire.HoldingSn"
-  "apshot\"\335\001\n\020UpstreamSnapshot\022+\n\010upstream\030"
-  "\001 \001(\0132\031.rattandyke.wire.Upstream\022\024\n\014home"
-  "_session\030\002 \001(\004\022\022\n\nmoved_home\030\003 \001(\010\022\033\n\023dr"
-  "ained_by_operator\030\004 \001(\010\022\032\n\022draining_anno"
-  "unced\030\005 \001(\010\022\022\n\nsuperseded\030\006 \003(\004\022\017\n\007chang"
-  "ed\030\007 \001(\004\022\024\n\014lost_unix_ms\030\010 \001(\004\"\322\001\n\017Holdi"
-  "ngSnapshot\022\013\n\003key\030\001 \001(\t\022\r\n\005owner\030\002 \001(\r\022\r"
-  "\n\005fence\030\003 \001(\004\022\020\n\010previous\030\004 \001(\r\022\034\n\024previ"
-  "ous_incarnation\030\005 \001(\004\022+\n\006reason\030\006 \001(\0162\033."
-  "rattandyke.wire.MoveReason\022\025\n\rsince_unix"
-  "_ms\030\007 \001(\004\022\017\n\007changed\030\010 \001(\004\022\017\n\007removed\030\t "
-  "\001(\010\"\274\001\n\rClaimSnapshot\022(\n\004take\030\001 \001(\0132\032.ra"
-  "ttandyke.wire.TakeClaim\022\r\n\005claim\030\002 \001(\004\022*"
-  "\n\005state\030\003 \001(\0162\033.rattandyke.wire.ClaimSta"
-  "te\022-\n\006answer\030\004 \001(\0132\035.rattandyke.wire.Sto"
-  "redAnswer\022\027\n\017expires_unix_ms\030\005 \001(\004\"b\n\027Re"
-  "leasedAttemptSnapshot\022\014\n\004host\030\001 \001(\t\022\017\n\007s"
-  "ession\030\002 \001(\004\022\017\n\007attempt\030\003 \001(\004\022\027\n\017expires"
-  "_unix_ms\030\004 \001(\004\"A\n\013BanSnapshot\022!\n\003ban\030\001 \001"
-  "(\0132\024.rattandyke.wire.Ban\022\017\n\007changed\030\002 \001("
-  "\004\"t\n\rCrashSnapshot\022\017\n\007service\030\001 \001(\t\022\023\n\013f"
-  "ingerprint\030\002 \001(\t\022\021\n\tupstreams\030\003 \003(\t\022\021\n\ts"
-  "uspicion\030\004 \001(\001\022\027\n\017expires_unix_ms\030\005 \001(\004*"
-  "\346\001\n\nMoveReason\022\033\n\027MOVE_REASON_UNSPECIFIE"
-  "D\020\000\022\033\n\027MOVE_REASON_FIRST_OWNER\020\001\022\032\n\026MOVE"
-  "_REASON_OWNER_LOST\020\002\022\036\n\032MOVE_REASON_OWNE"
-  "R_DRAINING\020\003\022\027\n\023MOVE_REASON_BALANCE\020\004\022\024\n"
-  "\020MOVE_REASON_LOAD\020\005\022\027\n\023MOVE_REASON_HOT_K"
-  "EY\020\006\022\032\n\026MOVE_REASON_TAKEN_BACK\020\007*q\n\nClai"
-  "mState\022\033\n\027CLAIM_STATE_UNSPECIFIED\020\000\022\027\n\023C"
-  "LAIM_STATE_RUNNING\020\001\022\024\n\020CLAIM_STATE_DONE"
-  "\020\002\022\027\n\023CLAIM_STATE_UNKNOWN\020\003b\006proto3"
+  "tandyke.wire.CrashReportCallH\000\022+\n\005trial\030"
+  "\027 \001(\0132\032.rattandyke.wire.TrialCallH\000B\006\n\004b"
+  "ody\"h\n\024UpstreamRegistration\022,\n\tannounced"
+  "\030\001 \001(\0132\031.rattandyke.wire.Upstream\022\014\n\004hom"
+  "e\030\002 \001(\t\022\024\n\014home_session\030\003 \001(\004\"Q\n\021Registe"
+  "rUpstreams\022<\n\rregistrations\030\001 \003(\0132%.ratt"
+  "andyke.wire.UpstreamRegistration\"a\n\013Upst"
+  "reamRef\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001"
+  "(\t\022\023\n\013incarnation\030\003 \001(\004\022\032\n\022registered_ve"
+  "rsion\030\004 \001(\004\"r\n\020SetUpstreamState\022-\n\005state"
+  "\030\001 \001(\0162\036.rattandyke.wire.UpstreamState\022/"
+  "\n\tupstreams\030\002 \003(\0132\034.rattandyke.wire.Upst"
+  "reamRef\"V\n\rDrainUpstream\022\017\n\007service\030\001 \001("
+  "\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\022\023\n\013by"
+  "_operator\030\004 \001(\010\"5\n\tSlotFence\022\014\n\004slot\030\001 \001"
+  "(\r\022\013\n\003key\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\"w\n\014Releas"
+  "eSlots\022\017\n\007service\030\001 \001(\t\022)\n\005slots\030\002 \003(\0132\032"
+  ".rattandyke.wire.SlotFence\022+\n\006reason\030\003 \001"
+  "(\0162\033.rattandyke.wire.MoveReason\"\215\001\n\tSlot"
+  "Grant\022,\n\010released\030\001 \001(\0132\032.rattandyke.wir"
+  "e.SlotFence\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarna"
+  "tion\030\003 \001(\004\022+\n\006reason\030\004 \001(\0162\033.rattandyke."
+  "wire.MoveReason\"I\n\nGrantSlots\022\017\n\007service"
+  "\030\001 \001(\t\022*\n\006grants\030\002 \003(\0132\032.rattandyke.wire"
+  ".SlotGrant\"J\n\rRemoveHotKeys\022\017\n\007service\030\001"
+  " \001(\t\022(\n\004keys\030\002 \003(\0132\032.rattandyke.wire.Slo"
+  "tFence\"T\n\tTakeClaim\022(\n\004call\030\001 \001(\0132\032.ratt"
+  "andyke.wire.ClaimCall\022\014\n\004host\030\002 \001(\t\022\017\n\007s"
+  "ession\030\003 \001(\004\"^\n\014ReleaseClaim\022/\n\004call\030\001 \001"
+  "(\0132!.rattandyke.wire.ReleaseClaimCall\022\014\n"
+  "\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\"-\n\014OrphanCl"
+  "aims\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\"\312\004\n\r"
+  "StateSnapshot\022\017\n\007version\030\001 \001(\004\022\026\n\016oldest"
+  "_version\030\002 \001(\004\022\023\n\013now_unix_ms\030\003 \001(\004\0220\n\007r"
+  "ecords\030\004 \003(\0132\037.rattandyke.wire.RecordSna"
+  "pshot\0228\n\013submissions\030\005 \003(\0132#.rattandyke."
+  "wire.SubmissionSnapshot\0222\n\010services\030\006 \003("
+  "\0132 .rattandyke.wire.ServiceSnapshot\022.\n\006c"
+  "laims\030\007 \003(\0132\036.rattandyke.wire.ClaimSnaps"
+  "hot\022*\n\004bans\030\010 \003(\0132\034.rattandyke.wire.BanS"
+  "napshot\0227\n\013crash_cases\030\t \003(\0132\".rattandyk"
+  "e.wire.CrashCaseSnapshot\022\026\n\016forgot_unix_"
+  "ms\030\n \001(\004\022\027\n\017records_changed\030\013 \001(\004\022C\n\021rel"
+  "eased_attempts\030\014 \003(\0132(.rattandyke.wire.R"
+  "eleasedAttemptSnapshot\0222\n\010verdicts\030\r \003(\013"
+  "2 .rattandyke.wire.VerdictSnapshot\022\034\n\024ba"
+  "ns_expired_unix_ms\030\016 \001(\004\"d\n\016RecordSnapsh"
+  "ot\022\'\n\006newest\030\001 \001(\0132\027.rattandyke.wire.Rec"
+  "ord\022)\n\010in_force\030\002 \001(\0132\027.rattandyke.wire."
+  "Record\"e\n\022SubmissionSnapshot\022\025\n\rsubmissi"
+  "on_id\030\001 \001(\t\022\r\n\005index\030\002 \001(\004\022)\n\005reply\030\003 \001("
+  "\0132\032.rattandyke.wire.CallReply\"\275\001\n\017Servic"
+  "eSnapshot\022\017\n\007service\030\001 \001(\t\0224\n\tupstreams\030"
+  "\002 \003(\0132!.rattandyke.wire.UpstreamSnapshot"
+  "\022/\n\005slots\030\003 \003(\0132 .rattandyke.wire.Holdin"
+  "gSnapshot\0222\n\010hot_keys\030\004 \003(\0132 .rattandyke"
+  ".wire.HoldingSnapshot\"\335\001\n\020UpstreamSnapsh"
+  "ot\022+\n\010upstream\030\001 \001(\0132\031.rattandyke.wire.U"
+  "pstream\022\024\n\014home_session\030\002 \001(\004\022\022\n\nmoved_h"
+  "ome\030\003 \001(\010\022\033\n\023drained_by_operator\030\004 \001(\010\022\032"
+  "\n\022draining_announced\030\005 \001(\010\022\022\n\nsuperseded"
+  "\030\006 \003(\004\022\017\n\007changed\030\007 \001(\004\022\024\n\014lost_unix_ms\030"
+  "\010 \001(\004\"\322\001\n\017HoldingSnapshot\022\013\n\003key\030\001 \001(\t\022\r"
+  "\n\005owner\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010previous"
+  "\030\004 \001(\r\022\034\n\024previous_incarnation\030\005 \001(\004\022+\n\006"
+  "reason\030\006 \001(\0162\033.rattandyke.wire.MoveReaso"
+  "n\022\025\n\rsince_unix_ms\030\007 \001(\004\022\017\n\007changed\030\010 \001("
+  "\004\022\017\n\007removed\030\t \001(\010\"\274\001\n\rClaimSnapshot\022(\n\004"
+  "take\030\001 \001(\0132\032.rattandyke.wire.TakeClaim\022\r"
+  "\n\005claim\030\002 \001(\004\022*\n\005state\030\003 \001(\0162\033.rattandyk"
+  "e.wire.ClaimState\022-\n\006answer\030\004 \001(\0132\035.ratt"
+  "andyke.wire.StoredAnswer\022\027\n\017expires_unix"
+  "_ms\030\005 \001(\004\"b\n\027ReleasedAttemptSnapshot\022\014\n\004"
+  "host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\017\n\007attempt\030\003"
+  " \001(\004\022\027\n\017expires_unix_ms\030\004 \001(\004\"A\n\013BanSnap"
+  "shot\022!\n\003ban\030\001 \001(\0132\024.rattandyke.wire.Ban\022"
+  "\017\n\007changed\030\002 \001(\004\"\231\001\n\021CrashCaseSnapshot\022\017"
+  "\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013inc"
+  "arnation\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022\020\n\010"
+  "on_trial\030\005 \001(\t\022\014\n\004lost\030\006 \001(\010\022\026\n\016opened_u"
+  "nix_ms\030\007 \001(\004\"`\n\017VerdictSnapshot\022\017\n\007servi"
+  "ce\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022\016\n\006banned\030"
+  "\003 \001(\010\022\027\n\017expires_unix_ms\030\004 \001(\004*\346\001\n\nMoveR"
+  "eason\022\033\n\027MOVE_REASON_UNSPECIFIED\020\000\022\033\n\027MO"
+  "VE_REASON_FIRST_OWNER\020\001\022\032\n\026MOVE_REASON_O"
+  "WNER_LOST\020\002\022\036\n\032MOVE_REASON_OWNER_DRAININ"
+  "G\020\003\022\027\n\023MOVE_REASON_BALANCE\020\004\022\024\n\020MOVE_REA"
+  "SON_LOAD\020\005\022\027\n\023MOVE_REASON_HOT_KEY\020\006\022\032\n\026M"
+  "OVE_REASON_TAKEN_BACK\020\007*q\n\nClaimState\022\033\n"
+  "\027CLAIM_STATE_UNSPECIFIED\020\000\022\027\n\023CLAIM_STAT"
+  "E_RUNNING\020\001\022\024\n\020CLAIM_STATE_DONE\020\002\022\027\n\023CLA"
+  "IM_STATE_UNKNOWN\020\003b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_control_2eproto_deps[2] = {
   &::descriptor_table_peer_2eproto,
@@ -828,9 +872,9 @@
 };
 static ::_pbi::once_flag descriptor_table_control_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_control_2eproto = {
-    false, false, 4195, descriptor_table_protodef_control_2eproto,
+    false, false, 4466, descriptor_table_protodef_control_2eproto,
     "control.proto",
-    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 24,
+    &descriptor_table_control_2eproto_once, descriptor_table_control_2eproto_deps, 2, 25,
     schemas, file_default_instances, TableStruct_control_2eproto::offsets,
     file_level_metadata_control_2eproto, file_level_enum_descriptors_control_2eproto,
     file_level_service_descriptors_control_2eproto,
@@ -897,6 +941,7 @@
   static const ::rattandyke::wire::OrphanClaims& orphan_claims(const Command* msg);
   static const ::rattandyke::wire::Ban& ban(const Command* msg);
   static const ::rattandyke::wire::CrashReportCall& crash_report(const Command* msg);
+  static const ::rattandyke::wire::TrialCall& trial(const Command* msg);
 };
 
 const ::rattandyke::wire::SubmitRecordCall&
@@ -951,6 +996,10 @@
 Command::_Internal::crash_report(const Command* msg) {
   return *msg->_impl_.body_.crash_report_;
 }
+const ::rattandyke::wire::TrialCall&
+Command::_Internal::trial(const Command* msg) {
+  return *msg->_impl_.body_.trial_;
+}
 void Command::set_allocated_submit_record(::rattandyke::wire::SubmitRecordCall* submit_record) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -1182,6 +1231,30 @@
     clear_has_body();
   }
 }
+void Command::set_allocated_trial(::rattandyke::wire::TrialCall* trial) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (trial) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+        ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(
+                reinterpret_cast<::PROTOBUF_NAMESPACE_ID::MessageLite*>(trial));
+    if (message_arena != submessage_arena) {
+      trial = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, trial, submessage_arena);
+    }
+    set_has_trial();
+    _impl_.body_.trial_ = trial;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Command.trial)
+}
+void Command::clear_trial() {
+  if (_internal_has_trial()) {
+    if (GetArenaForAllocation() == nullptr) {
+      delete _impl_.body_.trial_;
+    }
+    clear_has_body();
+  }
+}
 Command::Command(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -1266,6 +1339,11 @@
           from._internal_crash_report());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialCall::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -1387,6 +1465,12 @@
       }
       break;
     }
+    case kTrial: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.trial_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -1524,6 +1608,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.TrialCall trial = 23;
+      case 23:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 186)) {
+          ptr = ctx->ParseMessage(_internal_mutable_trial(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1650,6 +1742,13 @@
         _Internal::crash_report(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.TrialCall trial = 23;
+  if (_internal_has_trial()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(23, _Internal::trial(this),
+        _Internal::trial(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1763,6 +1862,13 @@
           *_impl_.body_.crash_report_);
       break;
     }
+    // .rattandyke.wire.TrialCall trial = 23;
+    case kTrial: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.trial_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -1854,6 +1960,11 @@
           from._internal_crash_report());
       break;
     }
+    case kTrial: {
+      _this->_internal_mutable_trial()->::rattandyke::wire::TrialCall::MergeFrom(
+          from._internal_trial());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -5320,19 +5431,21 @@
     , decltype(_impl_.services_){from._impl_.services_}
     , decltype(_impl_.claims_){from._impl_.claims_}
     , decltype(_impl_.bans_){from._impl_.bans_}
-    , decltype(_impl_.crashes_){from._impl_.crashes_}
+    , decltype(_impl_.crash_cases_){from._impl_.crash_cases_}
     , decltype(_impl_.released_attempts_){from._impl_.released_attempts_}
+    , decltype(_impl_.verdicts_){from._impl_.verdicts_}
     , decltype(_impl_.version_){}
     , decltype(_impl_.oldest_version_){}
     , decltype(_impl_.now_unix_ms_){}
     , decltype(_impl_.forgot_unix_ms_){}
     , decltype(_impl_.records_changed_){}
+    , decltype(_impl_.bans_expired_unix_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   ::memcpy(&_impl_.version_, &from._impl_.version_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.records_changed_) -
-    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.bans_expired_unix_ms_) -
+    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.bans_expired_unix_ms_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.StateSnapshot)
 }
 
@@ -5346,13 +5459,15 @@
     , decltype(_impl_.services_){arena}
     , decltype(_impl_.claims_){arena}
     , decltype(_impl_.bans_){arena}
-    , decltype(_impl_.crashes_){arena}
+    , decltype(_impl_.crash_cases_){arena}
     , decltype(_impl_.released_attempts_){arena}
+    , decltype(_impl_.verdicts_){arena}
     , decltype(_impl_.version_){uint64_t{0u}}
     , decltype(_impl_.oldest_version_){uint64_t{0u}}
     , decltype(_impl_.now_unix_ms_){uint64_t{0u}}
     , decltype(_impl_.forgot_unix_ms_){uint64_t{0u}}
     , decltype(_impl_.records_changed_){uint64_t{0u}}
+    , decltype(_impl_.bans_expired_unix_ms_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -5373,8 +5488,9 @@
   _impl_.services_.~RepeatedPtrField();
   _impl_.claims_.~RepeatedPtrField();
   _impl_.bans_.~RepeatedPtrField();
-  _impl_.crashes_.~RepeatedPtrField();
+  _impl_.crash_cases_.~RepeatedPtrField();
   _impl_.released_attempts_.~RepeatedPtrField();
+  _impl_.verdicts_.~RepeatedPtrField();
 }
 
 void StateSnapshot::SetCachedSize(int size) const {
@@ -5392,11 +5508,12 @@
   _impl_.services_.Clear();
   _impl_.claims_.Clear();
   _impl_.bans_.Clear();
-  _impl_.crashes_.Clear();
+  _impl_.crash_cases_.Clear();
   _impl_.released_attempts_.Clear();
+  _impl_.verdicts_.Clear();
   ::memset(&_impl_.version_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.records_changed_) -
-      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.records_changed_));
+      reinterpret_cast<char*>(&_impl_.bans_expired_unix_ms_) -
+      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.bans_expired_unix_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -5495,13 +5612,13 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.CrashSnapshot crashes = 9;
+      // repeated .rattandyke.wire.CrashCaseSnapshot crash_cases = 9;
       case 9:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
           ptr -= 1;
           do {
             ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_crashes(), ptr);
+            ptr = ctx->ParseMessage(_internal_add_crash_cases(), ptr);
             CHK_(ptr);
             if (!ctx->DataAvailable(ptr)) break;
           } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<74>(ptr));
@@ -5537,6 +5654,27 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.VerdictSnapshot verdicts = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_verdicts(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 bans_expired_unix_ms = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 112)) {
+          _impl_.bans_expired_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -5624,10 +5762,10 @@
         InternalWriteMessage(8, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // repeated .rattandyke.wire.CrashSnapshot crashes = 9;
+  // repeated .rattandyke.wire.CrashCaseSnapshot crash_cases = 9;
   for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_crashes_size()); i < n; i++) {
-    const auto& repfield = this->_internal_crashes(i);
+      n = static_cast<unsigned>(this->_internal_crash_cases_size()); i < n; i++) {
+    const auto& repfield = this->_internal_crash_cases(i);
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
         InternalWriteMessage(9, repfield, repfield.GetCachedSize(), target, stream);
   }
@@ -5652,6 +5790,20 @@
         InternalWriteMessage(12, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated .rattandyke.wire.VerdictSnapshot verdicts = 13;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_verdicts_size()); i < n; i++) {
+    const auto& repfield = this->_internal_verdicts(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // uint64 bans_expired_unix_ms = 14;
+  if (this->_internal_bans_expired_unix_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(14, this->_internal_bans_expired_unix_ms(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -5703,9 +5855,9 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // repeated .rattandyke.wire.CrashSnapshot crashes = 9;
-  total_size += 1UL * this->_internal_crashes_size();
-  for (const auto& msg : this->_impl_.crashes_) {
+  // repeated .rattandyke.wire.CrashCaseSnapshot crash_cases = 9;
+  total_size += 1UL * this->_internal_crash_cases_size();
+  for (const auto& msg : this->_impl_.crash_cases_) {
     total_size +=
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
@@ -5717,6 +5869,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.VerdictSnapshot verdicts = 13;
+  total_size += 1UL * this->_internal_verdicts_size();
+  for (const auto& msg : this->_impl_.verdicts_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // uint64 version = 1;
   if (this->_internal_version() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
@@ -5742,6 +5901,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_records_changed());
   }
 
+  // uint64 bans_expired_unix_ms = 14;
+  if (this->_internal_bans_expired_unix_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_bans_expired_unix_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -5765,8 +5929,9 @@
   _this->_impl_.services_.MergeFrom(from._impl_.services_);
   _this->_impl_.claims_.MergeFrom(from._impl_.claims_);
   _this->_impl_.bans_.MergeFrom(from._impl_.bans_);
-  _this->_impl_.crashes_.MergeFrom(from._impl_.crashes_);
+  _this->_impl_.crash_cases_.MergeFrom(from._impl_.crash_cases_);
   _this->_impl_.released_attempts_.MergeFrom(from._impl_.released_attempts_);
+  _this->_impl_.verdicts_.MergeFrom(from._impl_.verdicts_);
   if (from._internal_version() != 0) {
     _this->_internal_set_version(from._internal_version());
   }
@@ -5782,6 +5947,9 @@
   if (from._internal_records_changed() != 0) {
     _this->_internal_set_records_changed(from._internal_records_changed());
   }
+  if (from._internal_bans_expired_unix_ms() != 0) {
+    _this->_internal_set_bans_expired_unix_ms(from._internal_bans_expired_unix_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -5804,11 +5972,12 @@
   _impl_.services_.InternalSwap(&other->_impl_.services_);
   _impl_.claims_.InternalSwap(&other->_impl_.claims_);
   _impl_.bans_.InternalSwap(&other->_impl_.bans_);
-  _impl_.crashes_.InternalSwap(&other->_impl_.crashes_);
+  _impl_.crash_cases_.InternalSwap(&other->_impl_.crash_cases_);
   _impl_.released_attempts_.InternalSwap(&other->_impl_.released_attempts_);
+  _impl_.verdicts_.InternalSwap(&other->_impl_.verdicts_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.records_changed_)
-      + sizeof(StateSnapshot::_impl_.records_changed_)
+      PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.bans_expired_unix_ms_)
+      + sizeof(StateSnapshot::_impl_.bans_expired_unix_ms_)
       - PROTOBUF_FIELD_OFFSET(StateSnapshot, _impl_.version_)>(
           reinterpret_cast<char*>(&_impl_.version_),
           reinterpret_cast<char*>(&other->_impl_.version_));
@@ -8309,25 +8478,450 @@
 
 // ===================================================================
 
-class CrashSnapshot::_Internal {
+class CrashCaseSnapshot::_Internal {
  public:
 };
 
-CrashSnapshot::CrashSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+CrashCaseSnapshot::CrashCaseSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CrashSnapshot)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CrashCaseSnapshot)
 }
-CrashSnapshot::CrashSnapshot(const CrashSnapshot& from)
+CrashCaseSnapshot::CrashCaseSnapshot(const CrashCaseSnapshot& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  CrashSnapshot* const _this = this; (void)_this;
+  CrashCaseSnapshot* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.upstreams_){from._impl_.upstreams_}
+      decltype(_impl_.fingerprints_){from._impl_.fingerprints_}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.on_trial_){}
+    , decltype(_impl_.incarnation_){}
+    , decltype(_impl_.opened_unix_ms_){}
+    , decltype(_impl_.lost_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_upstream().empty()) {
+    _this->_impl_.upstream_.Set(from._internal_upstream(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.on_trial_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.on_trial_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_on_trial().empty()) {
+    _this->_impl_.on_trial_.Set(from._internal_on_trial(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.lost_) -
+    reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.lost_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CrashCaseSnapshot)
+}
+
+inline void CrashCaseSnapshot::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.fingerprints_){arena}
     , decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.on_trial_){}
+    , decltype(_impl_.incarnation_){uint64_t{0u}}
+    , decltype(_impl_.opened_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.lost_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.on_trial_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.on_trial_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+CrashCaseSnapshot::~CrashCaseSnapshot() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CrashCaseSnapshot)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void CrashCaseSnapshot::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.fingerprints_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
+  _impl_.upstream_.Destroy();
+  _impl_.on_trial_.Destroy();
+}
+
+void CrashCaseSnapshot::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void CrashCaseSnapshot::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CrashCaseSnapshot)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.fingerprints_.Clear();
+  _impl_.service_.ClearToEmpty();
+  _impl_.upstream_.ClearToEmpty();
+  _impl_.on_trial_.ClearToEmpty();
+  ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.lost_) -
+      reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.lost_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* CrashCaseSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string service = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashCaseSnapshot.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string upstream = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_upstream();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashCaseSnapshot.upstream"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 incarnation = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.incarnation_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string fingerprints = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_fingerprints();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashCaseSnapshot.fingerprints"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // string on_trial = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_on_trial();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashCaseSnapshot.on_trial"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool lost = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.lost_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 opened_unix_ms = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.opened_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* CrashCaseSnapshot::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CrashCaseSnapshot)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashCaseSnapshot.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashCaseSnapshot.upstream");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_upstream(), target);
+  }
+
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_incarnation(), target);
+  }
+
+  // repeated string fingerprints = 4;
+  for (int i = 0, n = this->_internal_fingerprints_size(); i < n; i++) {
+    const auto& s = this->_internal_fingerprints(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashCaseSnapshot.fingerprints");
+    target = stream->WriteString(4, s, target);
+  }
+
+  // string on_trial = 5;
+  if (!this->_internal_on_trial().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_on_trial().data(), static_cast<int>(this->_internal_on_trial().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashCaseSnapshot.on_trial");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_on_trial(), target);
+  }
+
+  // bool lost = 6;
+  if (this->_internal_lost() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_lost(), target);
+  }
+
+  // uint64 opened_unix_ms = 7;
+  if (this->_internal_opened_unix_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(7, this->_internal_opened_unix_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CrashCaseSnapshot)
+  return target;
+}
+
+size_t CrashCaseSnapshot::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CrashCaseSnapshot)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated string fingerprints = 4;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.fingerprints_.size());
+  for (int i = 0, n = _impl_.fingerprints_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.fingerprints_.Get(i));
+  }
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_upstream());
+  }
+
+  // string on_trial = 5;
+  if (!this->_internal_on_trial().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_on_trial());
+  }
+
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
+  }
+
+  // uint64 opened_unix_ms = 7;
+  if (this->_internal_opened_unix_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_opened_unix_ms());
+  }
+
+  // bool lost = 6;
+  if (this->_internal_lost() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CrashCaseSnapshot::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    CrashCaseSnapshot::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CrashCaseSnapshot::GetClassData() const { return &_class_data_; }
+
+
+void CrashCaseSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CrashCaseSnapshot*>(&to_msg);
+  auto& from = static_cast<const CrashCaseSnapshot&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CrashCaseSnapshot)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.fingerprints_.MergeFrom(from._impl_.fingerprints_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_upstream().empty()) {
+    _this->_internal_set_upstream(from._internal_upstream());
+  }
+  if (!from._internal_on_trial().empty()) {
+    _this->_internal_set_on_trial(from._internal_on_trial());
+  }
+  if (from._internal_incarnation() != 0) {
+    _this->_internal_set_incarnation(from._internal_incarnation());
+  }
+  if (from._internal_opened_unix_ms() != 0) {
+    _this->_internal_set_opened_unix_ms(from._internal_opened_unix_ms());
+  }
+  if (from._internal_lost() != 0) {
+    _this->_internal_set_lost(from._internal_lost());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void CrashCaseSnapshot::CopyFrom(const CrashCaseSnapshot& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CrashCaseSnapshot)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool CrashCaseSnapshot::IsInitialized() const {
+  return true;
+}
+
+void CrashCaseSnapshot::InternalSwap(CrashCaseSnapshot* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.fingerprints_.InternalSwap(&other->_impl_.fingerprints_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.upstream_, lhs_arena,
+      &other->_impl_.upstream_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.on_trial_, lhs_arena,
+      &other->_impl_.on_trial_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(CrashCaseSnapshot, _impl_.lost_)
+      + sizeof(CrashCaseSnapshot::_impl_.lost_)
+      - PROTOBUF_FIELD_OFFSET(CrashCaseSnapshot, _impl_.incarnation_)>(
+          reinterpret_cast<char*>(&_impl_.incarnation_),
+          reinterpret_cast<char*>(&other->_impl_.incarnation_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata CrashCaseSnapshot::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
+      file_level_metadata_control_2eproto[23]);
+}
+
+// ===================================================================
+
+class VerdictSnapshot::_Internal {
+ public:
+};
+
+VerdictSnapshot::VerdictSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.VerdictSnapshot)
+}
+VerdictSnapshot::VerdictSnapshot(const VerdictSnapshot& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  VerdictSnapshot* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_){}
     , decltype(_impl_.fingerprint_){}
-    , decltype(_impl_.suspicion_){}
     , decltype(_impl_.expires_unix_ms_){}
+    , decltype(_impl_.banned_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -8347,22 +8941,21 @@
     _this->_impl_.fingerprint_.Set(from._internal_fingerprint(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.suspicion_, &from._impl_.suspicion_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.expires_unix_ms_) -
-    reinterpret_cast<char*>(&_impl_.suspicion_)) + sizeof(_impl_.expires_unix_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CrashSnapshot)
+  ::memcpy(&_impl_.expires_unix_ms_, &from._impl_.expires_unix_ms_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.banned_) -
+    reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.banned_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.VerdictSnapshot)
 }
 
-inline void CrashSnapshot::SharedCtor(
+inline void VerdictSnapshot::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.upstreams_){arena}
-    , decltype(_impl_.service_){}
+      decltype(_impl_.service_){}
     , decltype(_impl_.fingerprint_){}
-    , decltype(_impl_.suspicion_){0}
     , decltype(_impl_.expires_unix_ms_){uint64_t{0u}}
+    , decltype(_impl_.banned_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
@@ -8375,8 +8968,8 @@
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-CrashSnapshot::~CrashSnapshot() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.CrashSnapshot)
+VerdictSnapshot::~VerdictSnapshot() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.VerdictSnapshot)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -8384,33 +8977,31 @@
   SharedDtor();
 }
 
-inline void CrashSnapshot::SharedDtor() {
+inline void VerdictSnapshot::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.upstreams_.~RepeatedPtrField();
   _impl_.service_.Destroy();
   _impl_.fingerprint_.Destroy();
 }
 
-void CrashSnapshot::SetCachedSize(int size) const {
+void VerdictSnapshot::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void CrashSnapshot::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CrashSnapshot)
+void VerdictSnapshot::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.VerdictSnapshot)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.upstreams_.Clear();
   _impl_.service_.ClearToEmpty();
   _impl_.fingerprint_.ClearToEmpty();
-  ::memset(&_impl_.suspicion_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.expires_unix_ms_) -
-      reinterpret_cast<char*>(&_impl_.suspicion_)) + sizeof(_impl_.expires_unix_ms_));
+  ::memset(&_impl_.expires_unix_ms_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.banned_) -
+      reinterpret_cast<char*>(&_impl_.expires_unix_ms_)) + sizeof(_impl_.banned_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* CrashSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* VerdictSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -8422,7 +9013,7 @@
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashSnapshot.service"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.VerdictSnapshot.service"));
         } else
           goto handle_unusual;
         continue;
@@ -8432,36 +9023,21 @@
           auto str = _internal_mutable_fingerprint();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashSnapshot.fingerprint"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.VerdictSnapshot.fingerprint"));
         } else
           goto handle_unusual;
         continue;
-      // repeated string upstreams = 3;
+      // bool banned = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_upstreams();
-            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-            CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashSnapshot.upstreams"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.banned_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // double suspicion = 4;
+      // uint64 expires_unix_ms = 4;
       case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 33)) {
-          _impl_.suspicion_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
-          ptr += sizeof(double);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 expires_unix_ms = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
           _impl_.expires_unix_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
@@ -8490,9 +9066,9 @@
 #undef CHK_
 }
 
-uint8_t* CrashSnapshot::_InternalSerialize(
+uint8_t* VerdictSnapshot::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CrashSnapshot)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.VerdictSnapshot)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -8501,7 +9077,7 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashSnapshot.service");
+      "rattandyke.wire.VerdictSnapshot.service");
     target = stream->WriteStringMaybeAliased(
         1, this->_internal_service(), target);
   }
@@ -8511,61 +9087,39 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashSnapshot.fingerprint");
+      "rattandyke.wire.VerdictSnapshot.fingerprint");
     target = stream->WriteStringMaybeAliased(
         2, this->_internal_fingerprint(), target);
   }
 
-  // repeated string upstreams = 3;
-  for (int i = 0, n = this->_internal_upstreams_size(); i < n; i++) {
-    const auto& s = this->_internal_upstreams(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashSnapshot.upstreams");
-    target = stream->WriteString(3, s, target);
-  }
-
-  // double suspicion = 4;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_suspicion = this->_internal_suspicion();
-  uint64_t raw_suspicion;
-  memcpy(&raw_suspicion, &tmp_suspicion, sizeof(tmp_suspicion));
-  if (raw_suspicion != 0) {
+  // bool banned = 3;
+  if (this->_internal_banned() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteDoubleToArray(4, this->_internal_suspicion(), target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_banned(), target);
   }
 
-  // uint64 expires_unix_ms = 5;
+  // uint64 expires_unix_ms = 4;
   if (this->_internal_expires_unix_ms() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_expires_unix_ms(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_expires_unix_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CrashSnapshot)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.VerdictSnapshot)
   return target;
 }
 
-size_t CrashSnapshot::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CrashSnapshot)
+size_t VerdictSnapshot::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.VerdictSnapshot)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string upstreams = 3;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.upstreams_.size());
-  for (int i = 0, n = _impl_.upstreams_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.upstreams_.Get(i));
-  }
-
   // string service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
@@ -8580,75 +9134,65 @@
         this->_internal_fingerprint());
   }
 
-  // double suspicion = 4;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_suspicion = this->_internal_suspicion();
-  uint64_t raw_suspicion;
-  memcpy(&raw_suspicion, &tmp_suspicion, sizeof(tmp_suspicion));
-  if (raw_suspicion != 0) {
-    total_size += 1 + 8;
-  }
-
-  // uint64 expires_unix_ms = 5;
+  // uint64 expires_unix_ms = 4;
   if (this->_internal_expires_unix_ms() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_expires_unix_ms());
   }
 
+  // bool banned = 3;
+  if (this->_internal_banned() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CrashSnapshot::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData VerdictSnapshot::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    CrashSnapshot::MergeImpl
+    VerdictSnapshot::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CrashSnapshot::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*VerdictSnapshot::GetClassData() const { return &_class_data_; }
 
 
-void CrashSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<CrashSnapshot*>(&to_msg);
-  auto& from = static_cast<const CrashSnapshot&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CrashSnapshot)
+void VerdictSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<VerdictSnapshot*>(&to_msg);
+  auto& from = static_cast<const VerdictSnapshot&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.VerdictSnapshot)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.upstreams_.MergeFrom(from._impl_.upstreams_);
   if (!from._internal_service().empty()) {
     _this->_internal_set_service(from._internal_service());
   }
   if (!from._internal_fingerprint().empty()) {
     _this->_internal_set_fingerprint(from._internal_fingerprint());
   }
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_suspicion = from._internal_suspicion();
-  uint64_t raw_suspicion;
-  memcpy(&raw_suspicion, &tmp_suspicion, sizeof(tmp_suspicion));
-  if (raw_suspicion != 0) {
-    _this->_internal_set_suspicion(from._internal_suspicion());
-  }
   if (from._internal_expires_unix_ms() != 0) {
     _this->_internal_set_expires_unix_ms(from._internal_expires_unix_ms());
   }
+  if (from._internal_banned() != 0) {
+    _this->_internal_set_banned(from._internal_banned());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void CrashSnapshot::CopyFrom(const CrashSnapshot& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CrashSnapshot)
+void VerdictSnapshot::CopyFrom(const VerdictSnapshot& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.VerdictSnapshot)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool CrashSnapshot::IsInitialized() const {
+bool VerdictSnapshot::IsInitialized() const {
   return true;
 }
 
-void CrashSnapshot::InternalSwap(CrashSnapshot* other) {
+void VerdictSnapshot::InternalSwap(VerdictSnapshot* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.upstreams_.InternalSwap(&other->_impl_.upstreams_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.service_, lhs_arena,
       &other->_impl_.service_, rhs_arena
@@ -8658,17 +9202,17 @@
       &other->_impl_.fingerprint_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(CrashSnapshot, _impl_.expires_unix_ms_)
-      + sizeof(CrashSnapshot::_impl_.expires_unix_ms_)
-      - PROTOBUF_FIELD_OFFSET(CrashSnapshot, _impl_.suspicion_)>(
-          reinterpret_cast<char*>(&_impl_.suspicion_),
-          reinterpret_cast<char*>(&other->_impl_.suspicion_));
+      PROTOBUF_FIELD_OFFSET(VerdictSnapshot, _impl_.banned_)
+      + sizeof(VerdictSnapshot::_impl_.banned_)
+      - PROTOBUF_FIELD_OFFSET(VerdictSnapshot, _impl_.expires_unix_ms_)>(
+          reinterpret_cast<char*>(&_impl_.expires_unix_ms_),
+          reinterpret_cast<char*>(&other->_impl_.expires_unix_ms_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata CrashSnapshot::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata VerdictSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_control_2eproto_getter, &descriptor_table_control_2eproto_once,
-      file_level_metadata_control_2eproto[23]);
+      file_level_metadata_control_2eproto[24]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -8767,9 +9311,13 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::BanSnapshot >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::BanSnapshot >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::CrashSnapshot*
-Arena::CreateMaybeMessage< ::rattandyke::wire::CrashSnapshot >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::CrashSnapshot >(arena);
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CrashCaseSnapshot*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CrashCaseSnapshot >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CrashCaseSnapshot >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::VerdictSnapshot*
+Arena::CreateMaybeMessage< ::rattandyke::wire::VerdictSnapshot >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::VerdictSnapshot >(arena);
 }
 PROTOBUF_NAMESPACE_CLOSE
 
