Ask health and quarantine before a request is sent

The service's health plug-in judges each owner and bounds its slots; connections lost with a request in flight make it a suspect here at once and are reported to the leader; suspects run on trials. Calls that must be answered are repeated after a pause.

--- a/src/librattandyke/http/entry_context.h
+++ b/src/librattandyke/http/entry_context.h
@@ -9,8 +9,10 @@
 #include "base/clock.h"
 #include "entry/retry_budget.h"
 #include "http/entry_host.h"
+#include "http/health_desk.h"
 #include "http/limits.h"
 #include "http/slot_queues.h"
+#include "http/suspects.h"
 #include "http/upstream_pool.h"
 
 namespace rattandyke::http {
@@ -80,6 +82,7 @@
     , seed(aSeed)
     , pool(aExecutor, aLimits)
     , slots(aExecutor, aClock)
+    , health(aClock)
   {
   }
 
@@ -92,10 +95,13 @@
   const uint64_t seed;
   UpstreamPool pool;
   SlotQueues slots;
+  HealthDesk health;
+  Suspects suspects;
   RetryBudgets budgets;
   WaitingRuns waiting;
   std::atomic<uint64_t> lastRequest{ 0 };
   std::atomic<bool> draining{ false };
+  std::atomic<bool> stopped{ false };
   /// Requests and claims that are not settled, also those whose caller has
   /// gone: a claim left open would hold up the resends of its key.
   std::atomic<size_t> openWork{ 0 };
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -344,6 +344,7 @@
 void
 EntryService::Stop()
 {
+  mImpl->context.stopped = true;
   asio::post(mImpl->strand, [impl = mImpl] {
     error_code ignored;
     impl->stopped = true;
--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
-#include "http/digest.h"
+#include "entry/digest.h"
 
 namespace rattandyke::http {
 
@@ -54,9 +54,18 @@
   facts.idempotent = aRequest.idempotent;
   facts.idempotencyKey = aRequest.idempotencyKey;
   if (!facts.idempotencyKey.empty()) {
-    facts.digest =
-      Digest({ View(aHead.method_string()), View(aHead.target()), aBody });
+    // The announced length tells large bodies apart, of which only the
+    // beginning is here.
+    facts.digest = entry::DigestOf({ View(aHead.method_string()),
+                                     View(aHead.target()),
+                                     FieldOf(aHead, "Content-Length"),
+                                     aBody });
   }
+  facts.fingerprint = entry::FingerprintOf(aRequest.record->name.value,
+                                           aRequest.customer.value,
+                                           View(aHead.method_string()),
+                                           View(aHead.target()),
+                                           aBody);
   facts.deadline = aNow + aRequest.deadline;
   facts.maxQueueTime = aRequest.record->maxQueueTime;
   facts.retention = aRequest.record->retention;
@@ -195,7 +204,14 @@
   mTable = std::move(aTable);
   entry::Lookup lookup;
   lookup.tableLeaseValid = mContext.host.TableLeaseValid(mContext.clock.Now());
-  const auto* record = mTable->ServiceNamed(mRequest.record->name.value);
+  const std::string& service = mRequest.record->name.value;
+  const std::string& fingerprint = mFlow.Facts().fingerprint;
+  lookup.quarantine = mContext.suspects.Judge(
+    mRequest.record->name,
+    fingerprint,
+    mTable->FindBan(service, fingerprint, mContext.clock.Wall()),
+    mContext.clock.Now());
+  const auto* record = mTable->ServiceNamed(service);
   if (record == nullptr) {
     return lookup;
   }
--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -161,6 +161,8 @@
   bool mKeepAlive = false;
   wire::StoredAnswer mStored;
   Duration mRetryAfter{};
+  /// The trial asked for last.
+  wire::TrialCall mTrial;
 };
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/request_run_effects.cpp
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -10,7 +10,12 @@
 
 namespace {
 
-constexpr std::chrono::seconds kClaimRepeatTimeout{ 2 };
+constexpr std::chrono::seconds kRepeatTimeout{ 2 };
+constexpr std::chrono::milliseconds kRepeatPause{ 100 };
+constexpr std::chrono::seconds kTrialTimeout{ 1 };
+constexpr std::chrono::milliseconds kTrialRetryAfter{ 100 };
+/// A request tries far fewer than 256 times.
+constexpr unsigned kAttemptBits = 8;
 
 admission::Ending
 AdmissionEnding(flow_effect::Use aUse)
@@ -53,6 +58,27 @@
   return agent::EvidenceKind::Failed;
 }
 
+std::optional<health::Observation>
+ObservationOf(flow_effect::Use aUse)
+{
+  using flow_effect::Use;
+  switch (aUse) {
+    case Use::Succeeded:
+      return health::Observation::Succeeded;
+    case Use::Shed:
+      return health::Observation::Shed;
+    case Use::Failed:
+      return health::Observation::Failed;
+    case Use::Cancelled:
+      return std::nullopt;
+    case Use::Unreachable:
+    case Use::Broken:
+    case Use::TimedOut:
+      break;
+  }
+  return health::Observation::Unreachable;
+}
+
 bool
 MayComeTrueLater(Code aCode)
 {
@@ -60,20 +86,69 @@
          aCode == Code::ProposalDropped || aCode == Code::TransportFailed;
 }
 
-/// Repeats a call that settles a claim until the leader has answered: a claim
-/// left open would hold up every resend of its key until it expires.
+void CallUntilAnswered(const std::shared_ptr<EntryContext>& aContext,
+                       wire::CallRequest aRequest);
+
+/// Not at once: an answer that comes without delay would be asked for in a
+/// tight loop.
+void
+CallAgainLater(const std::shared_ptr<EntryContext>& aContext,
+               wire::CallRequest aRequest)
+{
+  auto timer =
+    std::make_shared<asio::steady_timer>(aContext->executor, kRepeatPause);
+  timer->async_wait([aContext,
+                     timer,
+                     request = std::move(aRequest),
+                     work = OpenWork(aContext->openWork)](const error_code&) {
+    CallUntilAnswered(aContext, request);
+  });
+}
+
+/// Repeats a call until the leader has answered. A claim left open would hold
+/// up every resend of its key until it expires, and a crash that is not
+/// reported costs another upstream.
 void
 CallUntilAnswered(const std::shared_ptr<EntryContext>& aContext,
                   wire::CallRequest aRequest)
 {
+  if (aContext->stopped) {
+    return;
+  }
   const auto onReply =
     [aContext, aRequest, work = OpenWork(aContext->openWork)](
       const Result<wire::CallReply>& aReply) {
       if (!aReply && MayComeTrueLater(aReply.error().code)) {
-        CallUntilAnswered(aContext, aRequest);
+        CallAgainLater(aContext, aRequest);
       }
     };
-  aContext->host.Call(std::move(aRequest), kClaimRepeatTimeout, onReply);
+  aContext->host.Call(std::move(aRequest), kRepeatTimeout, onReply);
+}
+
+flow_event::TrialAnswered
+TrialEventOf(uint32_t aAttempt, const Result<wire::CallReply>& aReply)
+{
+  if (!aReply) {
+    return { aAttempt, false, kTrialRetryAfter };
+  }
+  const wire::TrialReply& trial = aReply->trial();
+  return { aAttempt,
+           trial.granted(),
+           std::chrono::milliseconds{ trial.retry_after_ms() } };
+}
+
+wire::TrialStep
+StepOf(flow_effect::TrialEnd aEnd)
+{
+  switch (aEnd) {
+    case flow_effect::TrialEnd::Cleared:
+      return wire::TRIAL_STEP_CLEARED;
+    case flow_effect::TrialEnd::Crashed:
+      return wire::TRIAL_STEP_CRASHED;
+    case flow_effect::TrialEnd::Unused:
+      break;
+  }
+  return wire::TRIAL_STEP_UNUSED;
 }
 
 Result<wire::ClaimReply>
@@ -128,12 +203,32 @@
 void
 RequestRun::Execute(flow_effect::AskTrial aEffect)
 {
-  Deliver(flow_event::TrialAnswered{ aEffect.attempt, true, {} });
+  mTrial.set_service(mRequest.record->name.value);
+  mTrial.set_fingerprint(mFlow.Facts().fingerprint);
+  mTrial.set_upstream(aEffect.upstream.value);
+  mTrial.set_incarnation(aEffect.incarnation);
+  mTrial.set_attempt((mFlow.Facts().number << kAttemptBits) | aEffect.attempt);
+  mTrial.set_step(wire::TRIAL_STEP_ASK);
+  wire::CallRequest request;
+  *request.mutable_trial() = mTrial;
+  mContext.host.Call(
+    std::move(request),
+    kTrialTimeout,
+    [self = shared_from_this(),
+     attempt = aEffect.attempt](const Result<wire::CallReply>& aReply) {
+      asio::post(self->mStrand, [self, event = TrialEventOf(attempt, aReply)] {
+        self->Deliver(event);
+      });
+    });
 }
 
 void
-RequestRun::Execute(flow_effect::EndTrial)
+RequestRun::Execute(flow_effect::EndTrial aEffect)
 {
+  mTrial.set_step(StepOf(aEffect.end));
+  wire::CallRequest request;
+  *request.mutable_trial() = mTrial;
+  CallUntilAnswered(mContextOwner, std::move(request));
 }
 
 void
@@ -147,6 +242,13 @@
     Deliver(flow_event::Refused{ aEffect.attempt, Code::NoOwner, {} });
     return;
   }
+  const health::Verdict verdict = mContext.health.Judge(
+    *mTable, *record, { aEffect.owner.upstream, aEffect.owner.incarnation });
+  if (!verdict.accept) {
+    Deliver(flow_event::Refused{
+      aEffect.attempt, Code::Overloaded, InMilliseconds(verdict.retryAfter) });
+    return;
+  }
   admission::Share share;
   if (const auto* limit = mTable->FindLimit(service, mRequest.customer.value)) {
     share = { limit->weight, limit->maxConcurrent, limit->ratePerSecond };
@@ -159,6 +261,7 @@
   };
   mPlaceAttempt = aEffect.attempt;
   auto offered = mContext.slots.Offer(*upstream,
+                                      verdict.slots,
                                       *record,
                                       { mRequest.customer,
                                         share,
@@ -222,6 +325,14 @@
     std::exchange(mPlace, nullptr)
       ->Finish(AdmissionEnding(aEffect.use), aEffect.serviceTime, mRetryAfter);
   }
+  if (const auto observation = ObservationOf(aEffect.use)) {
+    mContext.health.Tell(
+      mRequest.record->name,
+      { { aEffect.owner.upstream, aEffect.owner.incarnation },
+        *observation,
+        aEffect.serviceTime,
+        mRetryAfter });
+  }
   if (const auto kind = EvidenceOf(aEffect.use)) {
     mContext.host.ReportEvidence({ mRequest.record->name.value,
                                    aEffect.owner.upstream.value,
@@ -286,8 +397,21 @@
 }
 
 void
-RequestRun::Execute(flow_effect::ReportCrash)
+RequestRun::Execute(flow_effect::ReportCrash aEffect)
 {
+  const std::string& fingerprint = mFlow.Facts().fingerprint;
+  mContext.suspects.OnCrash(
+    mRequest.record->name, fingerprint, mContext.clock.Now());
+  wire::CallRequest request;
+  auto& report = *request.mutable_crash_report();
+  report.set_service(mRequest.record->name.value);
+  report.set_upstream(aEffect.owner.upstream.value);
+  report.set_incarnation(aEffect.owner.incarnation);
+  report.add_fingerprints(fingerprint);
+  if (aEffect.onTrial) {
+    report.set_on_trial(fingerprint);
+  }
+  CallUntilAnswered(mContextOwner, std::move(request));
 }
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/request_run_exchange.cpp
+++ b/src/librattandyke/http/request_run_exchange.cpp
@@ -284,6 +284,8 @@
       co_return;
     }
     if (done) {
+      mContext.suspects.OnAnswered(mRequest.record->name,
+                                   mFlow.Facts().fingerprint);
       Deliver(flow_event::AnswerComplete{ aAttempt, std::move(mStored) });
     }
     co_await WritePart(part, aFraming, done);
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -241,12 +241,13 @@
 
 SlotQueues::Offered
 SlotQueues::Offer(const routing::UpstreamView& aUpstream,
+                  uint32_t aSlots,
                   const records::ServiceRecord& aRecord,
                   Request aRequest,
                   std::function<void(SlotAnswer)> aOnAnswer)
 {
   auto queue = mImpl->QueueOf(aUpstream, aRecord);
-  queue->SetSlots(aUpstream.slots);
+  queue->SetSlots(std::min(aSlots, aUpstream.slots));
   const Ticket ticket{ ++mImpl->lastTicket };
   auto answer = queue->Offer({ ticket,
                                std::move(aRequest.customer),
--- a/src/librattandyke/http/slot_queues.h
+++ b/src/librattandyke/http/slot_queues.h
@@ -58,9 +58,11 @@
   SlotQueues(boost::asio::any_io_executor aExecutor, const Clock& aClock);
   ~SlotQueues();
 
+  /// @param aSlots    of the upstream's that may be used now.
   /// @param aOnAnswer called at most once, from any thread and without a lock
   /// held, if the answer was not known at once.
   Offered Offer(const routing::UpstreamView& aUpstream,
+                uint32_t aSlots,
                 const records::ServiceRecord& aRecord,
                 Request aRequest,
                 std::function<void(SlotAnswer)> aOnAnswer);
--- a/src/testing/fake_entry_host.cpp
+++ b/src/testing/fake_entry_host.cpp
@@ -106,13 +106,7 @@
                     Duration aTimeout,
                     agent::LeaderCalls::Callback aDone)
 {
-  const bool isClaim = aRequest.has_claim() || aRequest.has_complete_claim() ||
-                       aRequest.has_release_claim();
-  if (isClaim) {
-    aDone(Settle(aRequest));
-  } else {
-    aDone(Fail(Code::NoQuorum, "A fake host has no leader."));
-  }
+  aDone(Settle(aRequest));
 }
 
 wire::CallReply
@@ -126,6 +120,11 @@
     mClaims.erase(aRequest.release_claim().idempotency_key());
     return {};
   }
+  if (!aRequest.has_complete_claim()) {
+    wire::CallReply reply;
+    reply.mutable_trial()->set_granted(true);
+    return reply;
+  }
   const auto& call = aRequest.complete_claim();
   ClaimState& state = mClaims[call.idempotency_key()];
   state.done = !call.unknown();
--- a/src/testing/fake_entry_host.h
+++ b/src/testing/fake_entry_host.h
@@ -34,7 +34,7 @@
   agent::InFlightVersions& InFlight() override { return mInFlight; }
   void ReportEvidence(const agent::Evidence& aEvidence) override;
   void CountRequest(std::string_view, Slot, std::string_view) override {}
-  /// Answers claims from a register in memory; other calls with NoQuorum.
+  /// Answers claims from a register in memory, and grants every trial.
   void Call(wire::CallRequest aRequest,
             Duration aTimeout,
             agent::LeaderCalls::Callback aDone) override;
