--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -44,7 +44,7 @@
   Result<void> Start()
   {
     auto store = storage::LogStore::Open(
-      storage::MakeFileSystem(), mOptions.dataFolder, {}, RandomIdentity());
+      mOptions.openFiles(), mOptions.dataFolder, {}, RandomIdentity());
     if (!store) {
       return tl::unexpected(store.error());
     }
--- a/src/librattandyke/consensus/driver.h
+++ b/src/librattandyke/consensus/driver.h
@@ -17,6 +17,7 @@
 
 #include "base/clock.h"
 #include "consensus/types.h"
+#include "storage/file_system.h"
 
 namespace rattandyke::consensus {
 
@@ -36,6 +37,9 @@
     /// Every control host of the settings, this one too.
     std::vector<Member> controlHosts;
     ReplicaOptions replica;
+    /// Files that hold the data folder.
+    std::function<std::unique_ptr<storage::FileSystem>()> openFiles =
+      storage::MakeFileSystem;
   };
 
   struct Callbacks
--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include "testing/memory_file_system.h"
+
 namespace rattandyke::consensus {
 namespace {
 
@@ -33,7 +35,10 @@
 class Hosts
 {
 public:
-  explicit Hosts(std::vector<std::string> aNames)
+  /// @param aDisk of the host, if it is only one; else files of the system.
+  explicit Hosts(std::vector<std::string> aNames,
+                 std::shared_ptr<testing::MemoryDisk> aDisk = nullptr)
+    : mDisk(std::move(aDisk))
   {
     for (const std::string& name : aNames) {
       mMembers.push_back({ HostName{ name }, { "127.0.0.1", 1 } });
@@ -59,6 +64,9 @@
     options.dataFolder = Folder(aName);
     options.controlHosts = mMembers;
     options.replica = mOptions;
+    if (mDisk) {
+      options.openFiles = [this] { return testing::MemoryDisk::Mount(mDisk); };
+    }
     host.driver = std::make_unique<Driver>(mContext.get_executor(),
                                            std::move(options),
                                            MakeCallbacks(aName),
@@ -165,6 +173,7 @@
     return callbacks;
   }
 
+  const std::shared_ptr<testing::MemoryDisk> mDisk;
   TemporaryFolder mFolder;
   SystemClock mClock;
   boost::asio::io_context mContext;
@@ -281,5 +290,36 @@
   hosts.Write("after");
 }
 
+TEST(Driver, FullDiskAcknowledgesNothing)
+{
+  // The disk fills up while changes come in. What is proposed then is refused
+  // or dropped, never acknowledged, and the status says why. Once there is room
+  // the host goes on by itself, and after a restart it has every change that it
+  // acknowledged.
+  auto disk = std::make_shared<testing::MemoryDisk>();
+  Hosts hosts({ "a" }, disk);
+  hosts.Write("before");
+  disk->LimitTo(0);
+  std::vector<Code> codes;
+  hosts.At("a").Propose("lost", [&](Result<LogIndex> result) {
+    codes.push_back(result ? Code::Ok : result.error().code);
+  });
+  hosts.RunUntil([&] { return !hosts.At("a").Status().storageError.empty(); });
+  hosts.At("a").Propose("refused", [&](Result<LogIndex> result) {
+    codes.push_back(result ? Code::Ok : result.error().code);
+  });
+  EXPECT_EQ(codes, (std::vector{ Code::ProposalDropped, Code::DiskFull }));
+  EXPECT_FALSE(hosts.At("a").IsLeader());
+  disk->LimitTo(UINT64_MAX);
+  hosts.Write("after");
+  hosts.Kill("a");
+  ASSERT_TRUE(hosts.Start("a").has_value());
+  hosts.WaitForLeader();
+  const auto& applied = hosts.Applied("a");
+  EXPECT_EQ(applied.front(), "before");
+  EXPECT_EQ(applied.back(), "after");
+  EXPECT_EQ(std::count(applied.begin(), applied.end(), "refused"), 0);
+}
+
 } // namespace
 } // namespace rattandyke::consensus
--- a/src/testing/memory_file_system.cpp
+++ b/src/testing/memory_file_system.cpp
@@ -1,5 +1,7 @@
 #include "testing/memory_file_system.h"
 
+#include <algorithm>
+
 namespace rattandyke::testing {
 
 namespace {
@@ -29,7 +31,9 @@
       mNode->bytes += aBytes.substr(0, aBytes.size() / 2);
       return FailInjected();
     }
-    const uint64_t room = mDisk->mCapacity - mDisk->Used();
+    const uint64_t used = mDisk->Used();
+    const uint64_t capacity = std::max<uint64_t>(mDisk->mCapacity, used);
+    const uint64_t room = capacity - used;
     if (aBytes.size() > room) {
       mNode->bytes += aBytes.substr(0, room);
       return Fail(Code::DiskFull, "injected");
--- a/src/testing/memory_file_system.h
+++ b/src/testing/memory_file_system.h
@@ -1,6 +1,7 @@
 /// Files in memory that lose what was not synced.
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,7 +29,8 @@
   /// done; the one that fails does a part of its work. Nothing: no limit.
   void FailAfter(std::optional<uint64_t> aCount) { mFailAfter = aCount; }
 
-  /// Bytes that all files together may hold.
+  /// Bytes that all files together may hold. May be called while another thread
+  /// uses the disk.
   void LimitTo(uint64_t aBytes) { mCapacity = aBytes; }
 
   /// @return the bytes of all files.
@@ -64,7 +66,7 @@
   Names mSyncedNames;
   std::vector<NameChange> mUnsyncedChanges;
   std::optional<uint64_t> mFailAfter;
-  uint64_t mCapacity = UINT64_MAX;
+  std::atomic<uint64_t> mCapacity = UINT64_MAX;
   bool mLocked = false;
 };
 
