--- a/src/bench/entry_bench.cpp
+++ b/src/bench/entry_bench.cpp
@@ -1,5 +1,6 @@
 /// Figures of one request's decisions over random schedules, in virtual time.
 #include "bench/bench.h"
+#include "entry/request_flow.h"
 #include "testing/request_model.h"
 
 namespace rattandyke::bench {
@@ -35,6 +36,98 @@
   aReporter.AtMost("claims_or_slots_leaked", value(total.leaked), "count", 0);
 }
 
+namespace event = entry::flow_event;
+namespace effect = entry::flow_effect;
+
+constexpr uint64_t kRetriedRequests = 30000;
+constexpr uint64_t kUpstreams = 9;
+
+/// An idempotent request whose upstream breaks every connection, or answers.
+/// Everything else goes well at once.
+class RetriedRequest
+{
+public:
+  RetriedRequest(entry::RetryBudget& aBudget, uint64_t aNumber)
+    : mFails(aNumber % kUpstreams % 3 == 0)
+    , mNow(std::chrono::hours(1))
+    , mFlow(Facts(mNow), {}, aBudget, aNumber)
+  {
+  }
+
+  /// @return how often it was sent.
+  uint64_t Run()
+  {
+    Deliver(event::Start{ mLookup });
+    return mSendings;
+  }
+
+private:
+  static entry::RequestFacts Facts(Instant aNow)
+  {
+    entry::RequestFacts facts;
+    facts.idempotent = true;
+    facts.replayable = true;
+    facts.deadline = aNow + std::chrono::seconds(10);
+    return facts;
+  }
+
+  void Deliver(const entry::FlowEvent& aEvent)
+  {
+    for (const entry::FlowEffect& next : mFlow.Step(aEvent, mNow)) {
+      std::visit([this](const auto& one) { Do(one); }, next);
+    }
+  }
+
+  void Do(const effect::Enqueue& aEffect)
+  {
+    Deliver(event::Admitted{ aEffect.attempt, mLookup });
+  }
+
+  void Do(const effect::Send& aEffect)
+  {
+    ++mSendings;
+    Deliver(event::FirstByteSent{ aEffect.attempt, mLookup });
+    if (mFails) {
+      return Deliver(event::AnswerBroken{ aEffect.attempt, true });
+    }
+    Deliver(event::AnswerHead{ aEffect.attempt, 200, false });
+    Deliver(event::AnswerComplete{ aEffect.attempt, {} });
+  }
+
+  void Do(const effect::WaitRetry& aEffect)
+  {
+    mNow = aEffect.until;
+    Deliver(event::RetryDelayOver{ aEffect.attempt, mLookup });
+  }
+
+  template<typename Other>
+  void Do(const Other&)
+  {
+  }
+
+  const bool mFails;
+  const entry::Lookup mLookup{ entry::OwnerView{}, true, {} };
+  Instant mNow;
+  entry::RequestFlow mFlow;
+  uint64_t mSendings = 0;
+};
+
+void
+RunRetries(Reporter& aReporter)
+{
+  entry::RetryBudget budget({});
+  uint64_t sendings = 0;
+  for (uint64_t number = 0; number < kRetriedRequests; ++number) {
+    sendings += RetriedRequest(budget, number).Run();
+  }
+  aReporter.AtMost("retry_amplification",
+                   static_cast<double>(sendings) /
+                     static_cast<double>(kRetriedRequests),
+                   "ratio",
+                   1.10);
+}
+
+const Registration sRetries("entry_retries", RunRetries);
 const Registration sRegistration("entry_requests", RunRequests);
 
 } // namespace
--- a/src/librattandyke/entry/credit_broker.cpp
+++ b/src/librattandyke/entry/credit_broker.cpp
@@ -40,6 +40,7 @@
   const Instant deadline = mNow + aEvent.finishWithin;
   mRequests.emplace(aEvent.key, Request{ ticket, false, deadline + kGrace });
   mKeys.emplace(ticket, aEvent.key);
+  mEnds.emplace(deadline + kGrace, aEvent.key);
   Feed(admission::Offer{ ticket,
                          aEvent.customer,
                          aEvent.share,
@@ -64,8 +65,7 @@
   }
   admission::Finished finished = *aEvent.finished;
   finished.ticket = request->second.ticket;
-  mKeys.erase(finished.ticket);
-  mRequests.erase(request);
+  Erase(aEvent.key);
   Feed(finished);
 }
 
@@ -73,11 +73,19 @@
 CreditBroker::Drop(const CreditKey& aKey)
 {
   const admission::Ticket ticket = mRequests.at(aKey).ticket;
-  mKeys.erase(ticket);
-  mRequests.erase(aKey);
+  Erase(aKey);
   Feed(admission::Left{ ticket });
 }
 
+void
+CreditBroker::Erase(const CreditKey& aKey)
+{
+  const auto request = mRequests.find(aKey);
+  mKeys.erase(request->second.ticket);
+  mEnds.erase({ request->second.ends, aKey });
+  mRequests.erase(request);
+}
+
 void
 CreditBroker::On(const credit_event::SessionGone& aEvent)
 {
@@ -108,13 +116,9 @@
 void
 CreditBroker::ReclaimOverdue()
 {
-  std::vector<CreditKey> overdue;
-  for (const auto& [key, request] : mRequests) {
-    if (request.ends <= mNow) {
-      overdue.push_back(key);
-    }
+  while (!mEnds.empty() && mEnds.begin()->first <= mNow) {
+    Drop(CreditKey(mEnds.begin()->second));
   }
-  std::for_each(overdue.begin(), overdue.end(), [&](auto& key) { Drop(key); });
 }
 
 void
@@ -139,16 +143,16 @@
   const CreditKey key = mKeys.at(aEffect.ticket);
   mAnswers.push_back(
     { key, CreditState::Refused, aEffect.code, aEffect.retryAfter });
-  mKeys.erase(aEffect.ticket);
-  mRequests.erase(key);
+  Erase(key);
 }
 
 std::optional<Instant>
 CreditBroker::NextTick() const
 {
   std::optional<Instant> next = mAdmission->NextTick();
-  for (const auto& [key, request] : mRequests) {
-    next = std::min(next.value_or(request.ends), request.ends);
+  if (!mEnds.empty()) {
+    const Instant end = mEnds.begin()->first;
+    next = std::min(next.value_or(end), end);
   }
   return next;
 }
--- a/src/librattandyke/entry/credit_broker.h
+++ b/src/librattandyke/entry/credit_broker.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -122,6 +124,7 @@
   void Carry(const admission::Admit& aEffect);
   void Carry(const admission::Refuse& aEffect);
   void Drop(const CreditKey& aKey);
+  void Erase(const CreditKey& aKey);
   void ReclaimOverdue();
 
   const std::unique_ptr<admission::Admission> mAdmission;
@@ -129,6 +132,8 @@
   std::vector<CreditAnswer> mAnswers;
   std::map<CreditKey, Request> mRequests;
   std::map<admission::Ticket, CreditKey> mKeys;
+  /// When requests can no longer be running.
+  std::set<std::pair<Instant, CreditKey>> mEnds;
   uint64_t mTickets = 0;
 };
 
--- a/src/librattandyke/entry/retry_budget.cpp
+++ b/src/librattandyke/entry/retry_budget.cpp
@@ -7,6 +7,7 @@
 RetryBudget::RetryBudget(Settings aSettings)
   : mSettings(aSettings)
   , mTokens(aSettings.initial)
+  , mOwed(aSettings.initial)
 {
 }
 
@@ -14,6 +15,10 @@
 RetryBudget::OnFirstSend()
 {
   const std::lock_guard lock(mMutex);
+  if (mOwed > 0) {
+    mOwed -= mSettings.share;
+    return;
+  }
   mTokens = std::min(mTokens + mSettings.share, mSettings.burst);
 }
 
--- a/src/librattandyke/entry/retry_budget.h
+++ b/src/librattandyke/entry/retry_budget.h
@@ -21,7 +21,8 @@
     double share = 0.1;
     /// Most tokens kept: retries that may follow each other after a quiet time.
     double burst = 10;
-    /// Tokens at the start.
+    /// Tokens at the start, so that the first requests of a service can be
+    /// retried; lent: the first sendings pay them back and add none.
     double initial = 2;
   };
 
@@ -37,6 +38,8 @@
   const Settings mSettings;
   mutable std::mutex mMutex;
   double mTokens;
+  /// Of the tokens lent at the start.
+  double mOwed;
 };
 
 } // namespace rattandyke::entry
