--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr size_t kReadBytes = 4096;
+/// An idle connection keeps no more than this of what a request needed.
+constexpr size_t kMaxIdleBufferBytes = 8192;
 
 /// @return whether the other side has closed, or the connection is broken.
 bool
@@ -48,6 +50,9 @@
   if (mBuffer.size() > 0) {
     co_return true;
   }
+  if (mBuffer.capacity() > kMaxIdleBufferBytes) {
+    mBuffer.shrink_to_fit();
+  }
   mIdle = true;
   ExpireIn(mLimits.idleTime);
   if (!mLeaving) {
--- a/src/librattandyke/http/own_answer.cpp
+++ b/src/librattandyke/http/own_answer.cpp
@@ -42,13 +42,13 @@
 
 } // namespace
 
-std::string
-StatusLine(uint32_t aStatus)
+void
+AppendStatusLine(std::string& aOut, uint32_t aStatus)
 {
   const auto reason = boost::beast::http::obsolete_reason(
     boost::beast::http::int_to_status(aStatus));
-  return "HTTP/1.1 " + std::to_string(aStatus) + " " +
-         std::string(reason.data(), reason.size()) + "\r\n";
+  aOut.append("HTTP/1.1 ").append(std::to_string(aStatus)).append(" ");
+  aOut.append(reason.data(), reason.size()).append("\r\n");
 }
 
 std::string
@@ -59,7 +59,8 @@
     aError.message.empty() ? Describe(aError.code).meaning : aError.message;
   const std::string code = CodeText(aError.code);
   const std::string body = code + ": " + std::string(text) + "\n";
-  std::string out = StatusLine(StatusOf(aError.code));
+  std::string out;
+  AppendStatusLine(out, StatusOf(aError.code));
   AppendField(out, "Content-Type", "text/plain; charset=utf-8");
   AppendField(out, kCodeHeader, code);
   AppendField(out, kOutcomeHeader, entry::NameOf(aError.outcome));
@@ -78,7 +79,8 @@
 StoredAnswerText(const entry::flow_effect::ReplyStored& aStored,
                  const AnswerContext& aContext)
 {
-  std::string out = StatusLine(aStored.answer.status());
+  std::string out;
+  AppendStatusLine(out, aStored.answer.status());
   for (const auto& header : aStored.answer.headers()) {
     AppendField(out, header.name(), header.value());
   }
@@ -93,7 +95,8 @@
 {
   constexpr uint32_t kOk = 200;
   constexpr uint32_t kUnavailable = 503;
-  std::string out = StatusLine(aHealthy ? kOk : kUnavailable);
+  std::string out;
+  AppendStatusLine(out, aHealthy ? kOk : kUnavailable);
   AppendField(out, "Content-Type", "text/plain");
   const std::string body = std::string(aReason) + "\n";
   EndHead(out, { {}, false, aKeepAlive }, body.size());
--- a/src/librattandyke/http/own_answer.h
+++ b/src/librattandyke/http/own_answer.h
@@ -30,7 +30,7 @@
                          std::string_view aReason,
                          bool aKeepAlive);
 
-/// @return "HTTP/1.1 404 Not Found" and the line's end.
-std::string StatusLine(uint32_t aStatus);
+/// Appends "HTTP/1.1 404 Not Found" and the line's end.
+void AppendStatusLine(std::string& aOut, uint32_t aStatus);
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -13,10 +13,14 @@
 
 namespace {
 
+/// Room that spares most heads the growing of their text.
+constexpr size_t kUsualHeadBytes = 768;
+
 std::string
 ForwardedHead(const RequestHead& aHead)
 {
   std::string out;
+  out.reserve(kUsualHeadBytes);
   out.append(View(aHead.method_string())).append(" ");
   out.append(View(aHead.target())).append(" HTTP/1.1\r\n");
   ForEachEndToEnd(aHead, [&](std::string_view aName, std::string_view aValue) {
@@ -166,13 +170,14 @@
   if (std::exchange(mStepping, true)) {
     return;
   }
-  while (!mEvents.empty()) {
-    const entry::FlowEvent event = std::move(mEvents.front());
-    mEvents.pop_front();
+  for (size_t next = 0; next < mEvents.size(); ++next) {
+    // Moved out, since an effect may add to the list and so move it.
+    const entry::FlowEvent event = std::move(mEvents[next]);
     for (auto& effect : mFlow.Step(event, mContext.clock.Now())) {
       std::visit([this](auto& each) { Execute(std::move(each)); }, effect);
     }
   }
+  mEvents.clear();
   mStepping = false;
   Settle();
 }
--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -1,7 +1,6 @@
 /// One request on its way: carries out what entry::RequestFlow decides.
 #pragma once
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -132,7 +131,7 @@
   std::string mRequestId;
   Flow mFlow;
 
-  std::deque<entry::FlowEvent> mEvents;
+  std::vector<entry::FlowEvent> mEvents;
   bool mStepping = false;
   bool mAwaitsOwner = false;
   /// Owner's address as of the last lookup.
--- a/src/librattandyke/http/request_run_exchange.cpp
+++ b/src/librattandyke/http/request_run_exchange.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr uint32_t kConflict = 409;
+/// Room for what a sending adds to the caller's head, and for most answers'
+/// heads: growing a text costs an allocation for each doubling.
+constexpr size_t kAddedHeadBytes = 512;
+constexpr size_t kUsualAnswerHeadBytes = 768;
 /// Largest body of a refusal that is read, to keep the connection.
 constexpr uint64_t kMaxRefusalBytes = 4096;
 constexpr std::string_view kChunkEnd = "\r\n";
@@ -136,7 +140,9 @@
   using std::chrono::milliseconds;
   const auto left = std::chrono::duration_cast<milliseconds>(
     mFlow.Facts().deadline - mContext.clock.Now());
-  std::string out = mForwardedHead;
+  std::string out;
+  out.reserve(mForwardedHead.size() + kAddedHeadBytes);
+  out = mForwardedHead;
   AppendField(out, "Rattandyke-Service", mRequest.record->name.value);
   AppendField(out, "Rattandyke-Slot", std::to_string(aSend.owner.slot.value));
   AppendField(out, "Rattandyke-Key", PercentEncode(mRequest.key));
@@ -326,7 +332,9 @@
 RequestRun::AnswerText(const AnswerHead& aHead, const Framing& aFraming)
 {
   const AnswerContext context = ContextOfAnswer();
-  std::string out = StatusLine(aHead.result_int());
+  std::string out;
+  out.reserve(kUsualAnswerHeadBytes);
+  AppendStatusLine(out, aHead.result_int());
   ForEachEndToEnd(aHead, [&](std::string_view aName, std::string_view aValue) {
     AppendField(out, aName, aValue);
   });
