--- a/src/bench/http_bench.cpp
+++ b/src/bench/http_bench.cpp
@@ -20,7 +20,7 @@
 using testing::TestCaller;
 using testing::UpstreamSide;
 
-constexpr double kMaxAllocations = 100;
+constexpr double kMaxAllocations = 90;
 constexpr double kMaxBytesPerConnection = 8000;
 constexpr double kMaxStreamMegabytes = 4;
 
--- a/src/librattandyke/http/request_run_effects.cpp
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -253,8 +253,8 @@
   if (const auto* limit = mTable->FindLimit(service, mRequest.customer.value)) {
     share = { limit->weight, limit->maxConcurrent, limit->ratePerSecond };
   }
-  const auto onAnswer = [self = shared_from_this(),
-                         attempt = aEffect.attempt](SlotAnswer aAnswer) {
+  auto onAnswer = [self = shared_from_this(),
+                   attempt = aEffect.attempt](SlotAnswer aAnswer) {
     asio::post(self->mStrand, [self, attempt, answer = std::move(aAnswer)] {
       self->OnSlotAnswer(attempt, answer);
     });
@@ -268,7 +268,7 @@
                                         aEffect.admitBy,
                                         mFlow.Facts().deadline,
                                         mRequest.idempotent },
-                                      onAnswer);
+                                      std::move(onAnswer));
   mPlace = std::move(offered.place);
   if (offered.answer) {
     OnSlotAnswer(aEffect.attempt, *offered.answer);
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -68,7 +68,8 @@
   {
   }
 
-  /// @return the offer's own answer, if it came at once.
+  /// @return the offer's own answer, if it came at once; the callback is kept
+  /// only if not.
   std::optional<SlotAnswer> Offer(admission::Offer aOffer, Callback aOnAnswer)
   {
     const Ticket own = aOffer.ticket;
@@ -77,16 +78,12 @@
     {
       const std::lock_guard lock(mMutex);
       mLastUse = mClock.Now();
-      mCallbacks.emplace(own, std::move(aOnAnswer));
-      answers = StepLocked(std::move(aOffer));
-    }
-    for (auto& [answer, callback] : answers) {
-      if (TicketOf(answer) == own) {
-        ownAnswer = answer;
-      } else {
-        callback(answer);
+      ownAnswer = StepLocked(std::move(aOffer), own, answers);
+      if (!ownAnswer) {
+        mCallbacks.emplace(own, std::move(aOnAnswer));
       }
     }
+    CallBack(answers);
     return ownAnswer;
   }
 
@@ -98,11 +95,9 @@
       if (const auto* left = std::get_if<admission::Left>(&aEvent)) {
         mCallbacks.erase(left->ticket);
       }
-      answers = StepLocked(aEvent);
-    }
-    for (auto& [answer, callback] : answers) {
-      callback(answer);
+      StepLocked(aEvent, std::nullopt, answers);
     }
+    CallBack(answers);
   }
 
   void SetSlots(uint32_t aSlots)
@@ -127,18 +122,33 @@
 private:
   using Answers = std::vector<std::pair<SlotAnswer, Callback>>;
 
-  Answers StepLocked(const admission::Event& aEvent)
+  static void CallBack(const Answers& aAnswers)
   {
-    Answers answers;
+    for (const auto& [answer, callback] : aAnswers) {
+      callback(answer);
+    }
+  }
+
+  /// @param aOwn     ticket whose answer is returned in place of called back.
+  /// @param aAnswers to be called back once the lock is given up.
+  std::optional<SlotAnswer> StepLocked(const admission::Event& aEvent,
+                                       std::optional<Ticket> aOwn,
+                                       Answers& aAnswers)
+  {
+    std::optional<SlotAnswer> own;
     for (SlotAnswer& answer : mAdmission->Step(aEvent, mClock.Now())) {
+      if (TicketOf(answer) == aOwn) {
+        own = std::move(answer);
+        continue;
+      }
       const auto found = mCallbacks.find(TicketOf(answer));
       if (found != mCallbacks.end()) {
-        answers.emplace_back(std::move(answer), std::move(found->second));
+        aAnswers.emplace_back(std::move(answer), std::move(found->second));
         mCallbacks.erase(found);
       }
     }
     ArmLocked();
-    return answers;
+    return own;
   }
 
   void ArmLocked()
