Count only requests that need it against a host's quiesced version

Each request held the version back, also at upstreams that check fences, so that a long one there delayed moves away from others that do not. Quiesced.WhileACheckingUpstreamRuns failed before and passes now.

--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -248,7 +248,14 @@
     table = mContext.host.Table();
     mBracket = mContext.host.InFlight().Enter(table->Version());
   }
-  return LookUpIn(std::move(table));
+  entry::Lookup lookup = LookUpIn(std::move(table));
+  // An upstream that checks fences refuses what comes too late by itself. Were
+  // its long requests counted, they would hold up every move away from those
+  // that do not.
+  if (lookup.owner && lookup.owner->checksFences) {
+    mBracket.reset();
+  }
+  return lookup;
 }
 
 void
