--- a/src/bench/entry_bench.cpp
+++ b/src/bench/entry_bench.cpp
@@ -74,7 +74,7 @@
   void Deliver(const entry::FlowEvent& aEvent)
   {
     for (const entry::FlowEffect& next : mFlow.Step(aEvent, mNow)) {
-      std::visit([this](const auto& one) { Do(one); }, next);
+      std::visit([this](const auto& aOne) { Do(aOne); }, next);
     }
   }
 
--- a/src/evidence.health/evidence_health.cpp
+++ b/src/evidence.health/evidence_health.cpp
@@ -34,7 +34,7 @@
 void
 EvidenceHealth::Step(const Event& aEvent, Instant aNow)
 {
-  std::visit([&](const auto& event) { On(event, aNow); }, aEvent);
+  std::visit([&](const auto& aEach) { On(aEach, aNow); }, aEvent);
 }
 
 void
@@ -112,8 +112,8 @@
 EvidenceHealth::MayEject() const
 {
   const auto ejected =
-    std::count_if(mUpstreams.begin(), mUpstreams.end(), [](const auto& one) {
-      return one.second.probeAt.has_value();
+    std::count_if(mUpstreams.begin(), mUpstreams.end(), [](const auto& aOne) {
+      return aOne.second.probeAt.has_value();
     });
   const double most =
     std::floor(static_cast<double>(mUpstreams.size()) * kMostEjected);
--- a/src/fair.admission/fair_queue.cpp
+++ b/src/fair.admission/fair_queue.cpp
@@ -63,7 +63,7 @@
 {
   mNow = aNow;
   Rescale();
-  std::visit([this](const auto& event) { On(event); }, aEvent);
+  std::visit([this](const auto& aEach) { On(aEach); }, aEvent);
   RefuseLate();
   Fill();
   return std::exchange(mEffects, {});
--- a/src/fair.admission/fair_queue_test.cpp
+++ b/src/fair.admission/fair_queue_test.cpp
@@ -183,8 +183,8 @@
     std::map<uint64_t, std::string> running;
     const auto step = [&](const Event& aEvent) {
       for (const Effect& effect : queue.Step(aEvent, now)) {
-        const auto ticket =
-          std::visit([](const auto& one) { return one.ticket.value; }, effect);
+        const auto ticket = std::visit(
+          [](const auto& aOne) { return aOne.ticket.value; }, effect);
         RC_ASSERT(waiting.erase(ticket) == 1u);
         if (std::holds_alternative<Admit>(effect)) {
           running[ticket] = "c" + std::to_string(ticket % 4);
--- a/src/librattandyke/entry/crash_blame.cpp
+++ b/src/librattandyke/entry/crash_blame.cpp
@@ -14,7 +14,7 @@
 CrashBlame::Step(const BlameEvent& aEvent, WallTime aNow)
 {
   mNow = aNow;
-  std::visit([this](const auto& event) { On(event); }, aEvent);
+  std::visit([this](const auto& aEach) { On(aEach); }, aEvent);
   return std::exchange(mEffects, {});
 }
 
@@ -106,9 +106,9 @@
 CrashBlame::CasesOf(const Key& aKey) const
 {
   return static_cast<size_t>(
-    std::count_if(mCases.begin(), mCases.end(), [&](const auto& one) {
-      return one.first.service == aKey.first && one.second.lost &&
-             one.second.fingerprints.contains(aKey.second);
+    std::count_if(mCases.begin(), mCases.end(), [&](const auto& aOne) {
+      return aOne.first.service == aKey.first && aOne.second.lost &&
+             aOne.second.fingerprints.contains(aKey.second);
     }));
 }
 
@@ -118,12 +118,12 @@
 CrashBlame::Ban(const ServiceName& aService, const std::string& aFingerprint)
 {
   std::set<std::string> beside;
-  std::erase_if(mCases, [&](const auto& one) {
-    const bool explained = one.first.service == aService &&
-                           one.second.fingerprints.contains(aFingerprint);
+  std::erase_if(mCases, [&](const auto& aOne) {
+    const bool explained = aOne.first.service == aService &&
+                           aOne.second.fingerprints.contains(aFingerprint);
     if (explained) {
-      beside.insert(one.second.fingerprints.begin(),
-                    one.second.fingerprints.end());
+      beside.insert(aOne.second.fingerprints.begin(),
+                    aOne.second.fingerprints.end());
     }
     return explained;
   });
@@ -172,14 +172,14 @@
 void
 CrashBlame::On(const blame_event::Tick&)
 {
-  std::erase_if(mCases, [&](const auto& one) {
-    const Case& crash = one.second;
+  std::erase_if(mCases, [&](const auto& aOne) {
+    const Case& crash = aOne.second;
     const auto kept =
       crash.lost ? mSettings.suspectFor : mSettings.confirmWithin;
     return crash.opened + kept <= mNow;
   });
   std::erase_if(mJudged,
-                [&](const auto& one) { return one.second.expires <= mNow; });
+                [&](const auto& aOne) { return aOne.second.expires <= mNow; });
 }
 
 void
--- a/src/librattandyke/entry/credit_broker.cpp
+++ b/src/librattandyke/entry/credit_broker.cpp
@@ -21,7 +21,7 @@
 CreditBroker::Step(const CreditEvent& aEvent, Instant aNow)
 {
   mNow = aNow;
-  std::visit([this](const auto& event) { On(event); }, aEvent);
+  std::visit([this](const auto& aEach) { On(aEach); }, aEvent);
   ReclaimOverdue();
   return std::exchange(mAnswers, {});
 }
@@ -95,7 +95,7 @@
       gone.push_back(key);
     }
   }
-  std::for_each(gone.begin(), gone.end(), [&](auto& key) { Drop(key); });
+  std::for_each(gone.begin(), gone.end(), [&](auto& aKey) { Drop(aKey); });
 }
 
 void
@@ -125,7 +125,7 @@
 CreditBroker::Feed(const admission::Event& aEvent)
 {
   for (const admission::Effect& effect : mAdmission->Step(aEvent, mNow)) {
-    std::visit([this](const auto& one) { Carry(one); }, effect);
+    std::visit([this](const auto& aOne) { Carry(aOne); }, effect);
   }
 }
 
--- a/src/librattandyke/entry/credit_client.cpp
+++ b/src/librattandyke/entry/credit_client.cpp
@@ -16,7 +16,7 @@
 CreditClient::Step(const CreditClientEvent& aEvent, Instant aNow)
 {
   mNow = aNow;
-  std::visit([this](const auto& event) { On(event); }, aEvent);
+  std::visit([this](const auto& aEach) { On(aEach); }, aEvent);
   return std::exchange(mEffects, {});
 }
 
@@ -121,8 +121,8 @@
 bool
 CreditClient::HomeIsSilent() const
 {
-  return std::any_of(mRequests.begin(), mRequests.end(), [&](const auto& one) {
-    const Request& request = one.second;
+  return std::any_of(mRequests.begin(), mRequests.end(), [&](const auto& aOne) {
+    const Request& request = aOne.second;
     return request.place == Place::Asked && mHeard < request.asked &&
            mNow >= request.asked + mSettings.homeTimeout;
   });
@@ -151,8 +151,8 @@
 void
 CreditClient::RefuseLate()
 {
-  std::erase_if(mRequests, [&](const auto& one) {
-    const auto& [ticket, request] = one;
+  std::erase_if(mRequests, [&](const auto& aOne) {
+    const auto& [ticket, request] = aOne;
     const bool late =
       request.place == Place::Asked && mNow >= request.offer.admitBy;
     if (late) {
@@ -171,7 +171,8 @@
     if (const auto* refuse = std::get_if<admission::Refuse>(&effect)) {
       mRequests.erase(refuse->ticket);
     }
-    std::visit([this](const auto& one) { mEffects.emplace_back(one); }, effect);
+    std::visit([this](const auto& aOne) { mEffects.emplace_back(aOne); },
+               effect);
   }
 }
 
--- a/src/librattandyke/entry/credit_test.cpp
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -34,8 +34,8 @@
 GrantedIn(const std::vector<CreditAnswer>& aAnswers)
 {
   return static_cast<size_t>(
-    std::count_if(aAnswers.begin(), aAnswers.end(), [](const auto& one) {
-      return one.state == CreditState::Granted;
+    std::count_if(aAnswers.begin(), aAnswers.end(), [](const auto& aOne) {
+      return aOne.state == CreditState::Granted;
     }));
 }
 
@@ -50,8 +50,8 @@
 CountOf(const std::vector<CreditClientEffect>& aEffects)
 {
   return static_cast<size_t>(
-    std::count_if(aEffects.begin(), aEffects.end(), [](const auto& one) {
-      return std::holds_alternative<Effect>(one);
+    std::count_if(aEffects.begin(), aEffects.end(), [](const auto& aOne) {
+      return std::holds_alternative<Effect>(aOne);
     }));
 }
 
--- a/src/librattandyke/entry/quarantine.cpp
+++ b/src/librattandyke/entry/quarantine.cpp
@@ -32,7 +32,8 @@
                     const std::string& aFingerprint,
                     Instant aNow)
 {
-  std::erase_if(mSuspects, [&](const auto& one) { return one.second <= aNow; });
+  std::erase_if(mSuspects,
+                [&](const auto& aOne) { return aOne.second <= aNow; });
   mSuspects[{ aService, aFingerprint }] = aNow + kOwnSuspicion;
 }
 
--- a/src/librattandyke/entry/request_flow.cpp
+++ b/src/librattandyke/entry/request_flow.cpp
@@ -323,7 +323,7 @@
 RequestFlow::Step(const FlowEvent& aEvent, Instant aNow)
 {
   mImpl->mNow = aNow;
-  std::visit([this](const auto& event) { mImpl->On(event); }, aEvent);
+  std::visit([this](const auto& aEach) { mImpl->On(aEach); }, aEvent);
   return std::exchange(mImpl->mEffects, {});
 }
 
--- a/src/librattandyke/entry/trial_desk.cpp
+++ b/src/librattandyke/entry/trial_desk.cpp
@@ -11,7 +11,7 @@
 std::optional<TrialAnswer>
 TrialDesk::Step(const TrialEvent& aEvent, Instant aNow)
 {
-  return std::visit([&](const auto& event) { return On(event, aNow); }, aEvent);
+  return std::visit([&](const auto& aEach) { return On(aEach, aNow); }, aEvent);
 }
 
 std::optional<TrialAnswer>
@@ -45,8 +45,8 @@
 std::optional<TrialAnswer>
 TrialDesk::On(const trial_event::SessionGone& aEvent, Instant)
 {
-  std::erase_if(mTrials, [&](const auto& one) {
-    const TrialAsker& asker = one.second.asker;
+  std::erase_if(mTrials, [&](const auto& aOne) {
+    const TrialAsker& asker = aOne.second.asker;
     return asker.host == aEvent.host && asker.session == aEvent.session;
   });
   return std::nullopt;
--- a/src/testing/overload_model.cpp
+++ b/src/testing/overload_model.cpp
@@ -202,7 +202,7 @@
 Model::Step(size_t aEntry, const admission::Event& aEvent)
 {
   for (const auto& effect : mEntries[aEntry].local->Step(aEvent, mTime.Now())) {
-    std::visit([&](const auto& one) { Do(aEntry, one); }, effect);
+    std::visit([&](const auto& aOne) { Do(aEntry, aOne); }, effect);
   }
   Schedule(aEntry);
 }
@@ -212,7 +212,7 @@
 {
   for (const auto& effect :
        mEntries[aEntry].client->Step(aEvent, mTime.Now())) {
-    std::visit([&](const auto& one) { Do(aEntry, one); }, effect);
+    std::visit([&](const auto& aOne) { Do(aEntry, aOne); }, effect);
   }
   Schedule(aEntry);
 }
