--- a/scripts/end_to_end.py
+++ b/scripts/end_to_end.py
@@ -128,14 +128,23 @@
 
 
 def record_is(trial, kind, name, revision):
-    """Waits until every living host shows the record at the revision."""
-    def shown():
-        records = [trial.record(kind, urllib.parse.quote(name, safe=""), host)
-                   for host in trial.living()]
-        return all(record and int(record["revision"]) == revision
-                   for record in records)
+    """Waits until the record stands at the revision, whichever living host is
+    asked, and each of them routes by a table that has it."""
+    quoted = urllib.parse.quote(name, safe="")
+
+    def in_force():
+        asked = trial.living()
+        records = [trial.record(kind, quoted, host) for host in asked]
+        if not all(record and int(record["revision"]) == revision
+                   for record in records):
+            return False
+        answer = deployment.call_json(asked[0].admin, "GET",
+                                      f"/v1/in-force?revision={revision}")
+        routing = {line["host"] for line in (answer or {}).get("hosts", [])
+                   if line["in_force"]}
+        return routing >= {host.name for host in asked}
     deployment.wait_for(f"{kind} {name} at revision {revision} everywhere",
-                        shown)
+                        in_force)
     print(f"  as it must be: {kind} {name} is in force at revision "
           f"{revision} on every host", flush=True)
 
