--- a/src/bench/entry_bench.cpp
+++ b/src/bench/entry_bench.cpp
@@ -1,4 +1,6 @@
 /// Figures of one request's decisions over random schedules, in virtual time.
+#include <rattandyke/admission.h>
+
 #include "bench/bench.h"
 #include "entry/request_flow.h"
 #include "testing/request_model.h"
@@ -128,6 +130,68 @@
 }
 
 const Registration sRetries("entry_retries", RunRetries);
+/// Cost of the decisions on one request that goes well.
+void
+RunCost(Reporter& aReporter)
+{
+  entry::RetryBudget budget({});
+  constexpr uint64_t kCalls = 20000;
+  constexpr uint64_t kGoesWell = 1;
+  const double flow = NanosecondsPerCall(
+    kCalls, [&] { KeepAlive(RetriedRequest(budget, kGoesWell).Run()); });
+  aReporter.Printed("request_flow_time", flow, "ns");
+}
+
+const Registration sCost("entry_cost", RunCost);
+
+/// Admitting one request and finishing another while aCustomers wait.
+double
+AdmissionTime(uint64_t aCustomers)
+{
+  using namespace admission;
+  auto queue = std::move(*AdmissionRegistry::Make(
+    "fair", { .slots = 2, .maxQueueTime = std::chrono::hours(1) }));
+  const Instant now{ std::chrono::hours(1) };
+  uint64_t ticket = 0;
+  std::vector<Ticket> running;
+  const auto step = [&](const Event& aEvent) {
+    for (const Effect& effect : queue->Step(aEvent, now)) {
+      if (const auto* admit = std::get_if<Admit>(&effect)) {
+        running.push_back(admit->ticket);
+      }
+    }
+  };
+  const auto offer = [&] {
+    const uint64_t number = ++ticket;
+    step(Offer{ { number },
+                { "customer-" + std::to_string(number % aCustomers) },
+                {},
+                now + std::chrono::hours(1),
+                now + std::chrono::hours(1) });
+  };
+  for (uint64_t i = 0; i < aCustomers + 2; ++i) {
+    offer();
+  }
+  constexpr uint64_t kCalls = 2000;
+  return NanosecondsPerCall(kCalls, [&] {
+    const Ticket done = running.front();
+    running.erase(running.begin());
+    step(
+      Finished{ done, Ending::Succeeded, std::chrono::milliseconds(10), {} });
+    offer();
+  });
+}
+
+void
+RunAdmissionCost(Reporter& aReporter)
+{
+  aReporter.Printed("admission_time_10_customers", AdmissionTime(10), "ns");
+  aReporter.Printed("admission_time_100_customers", AdmissionTime(100), "ns");
+  aReporter.Printed("admission_time_1000_customers", AdmissionTime(1000), "ns");
+}
+
+const Registration sAdmissionCost("entry_admission_cost", RunAdmissionCost);
+
 const Registration sRegistration("entry_requests", RunRequests);
 
 } // namespace
