--- a/scripts/bench_figures.py
+++ b/scripts/bench_figures.py
@@ -80,6 +80,12 @@
     return total / SECOND
 
 
+def new_work_after_ms(life, told):
+    """How long after it was told to stop a process still began a run."""
+    last = max((run.start for run in life.runs), default=told)
+    return max(0, last - told) / 1e6
+
+
 @dataclasses.dataclass
 class Request:
     service: str
