--- a/src/bench/routing_bench.cpp
+++ b/src/bench/routing_bench.cpp
@@ -131,6 +131,7 @@
   explicit DeltaPlayer(uint32_t aUpstreams)
     : mTable(TableOf(aUpstreams))
     , mUpstreams(aUpstreams)
+    , mSlots(uint64_t{ aUpstreams } * kSlotsEach)
   {
   }
 
@@ -141,7 +142,7 @@
     update.set_from_version(version);
     update.set_to_version(version + 1);
     *update.add_owners() =
-      OwnerOf(static_cast<uint32_t>(version * 7919 % (mUpstreams * kSlotsEach)),
+      OwnerOf(static_cast<uint32_t>(version * 7919 % mSlots),
               static_cast<uint32_t>(version % mUpstreams),
               version + 1);
     mTable = mTable->Apply(update);
@@ -150,6 +151,7 @@
 private:
   TablePointer mTable;
   uint32_t mUpstreams;
+  uint64_t mSlots;
 };
 
 double
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -26,6 +26,7 @@
 NamesOf(const std::vector<ControlHost>& aHosts)
 {
   std::vector<HostName> names;
+  names.reserve(aHosts.size());
   for (const ControlHost& host : aHosts) {
     names.push_back(host.name);
   }
@@ -68,7 +69,7 @@
   using Strand = boost::asio::strand<boost::asio::any_io_executor>;
   using AnnounceCallback = std::function<void(AnnounceAnswer)>;
 
-  Impl(boost::asio::any_io_executor aExecutor,
+  Impl(const boost::asio::any_io_executor& aExecutor,
        Options aOptions,
        net::PeerTransport& aTransport,
        const Clock& aClock,
@@ -136,7 +137,7 @@
   };
 };
 
-AgentService::Impl::Impl(boost::asio::any_io_executor aExecutor,
+AgentService::Impl::Impl(const boost::asio::any_io_executor& aExecutor,
                          Options aOptions,
                          net::PeerTransport& aTransport,
                          const Clock& aClock,
@@ -366,7 +367,7 @@
                            net::PeerTransport& aTransport,
                            const Clock& aClock,
                            uint64_t aSeed)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+  : mImpl(std::make_shared<Impl>(aExecutor,
                                  std::move(aOptions),
                                  aTransport,
                                  aClock,
--- a/src/librattandyke/agent/announce_server.cpp
+++ b/src/librattandyke/agent/announce_server.cpp
@@ -19,7 +19,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr uint32_t kMostHeaderBytes = 8 * 1024;
-constexpr uint64_t kMostBodyBytes = 16 * 1024;
+constexpr uint64_t kMostBodyBytes = 16ULL * 1024;
 /// Longest pause between two requests of a connection, or within one.
 constexpr std::chrono::seconds kIdleTime{ 10 };
 constexpr size_t kMostConnections = 8192;
--- a/src/librattandyke/agent/announce_server_test.cpp
+++ b/src/librattandyke/agent/announce_server_test.cpp
@@ -107,7 +107,7 @@
 TEST_F(AnnounceServerTest, OversizedBodyIsRefused)
 {
   const auto response =
-    Ask(http::verb::post, "/v1/announce", std::string(17 * 1024, ' '));
+    Ask(http::verb::post, "/v1/announce", std::string(17ULL * 1024, ' '));
   EXPECT_EQ(response.result(), http::status::payload_too_large);
   EXPECT_FALSE(response.keep_alive());
 }
--- a/src/librattandyke/base/endpoint.cpp
+++ b/src/librattandyke/base/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "base/endpoint.h"
 
 #include <charconv>
+#include <optional>
 
 #include <boost/asio/ip/address.hpp>
 
--- a/src/librattandyke/routing/hot_keys_test.cpp
+++ b/src/librattandyke/routing/hot_keys_test.cpp
@@ -48,12 +48,13 @@
     RC_ASSERT(entry.count >= truth[entry.key]);
     RC_ASSERT(entry.count - entry.error <= truth[entry.key]);
   }
-  for (const auto& [key, count] : truth) {
+  for (const auto& entry : truth) {
+    const std::string& key = entry.first;
     const bool isListed =
       std::any_of(top.begin(), top.end(), [&](const auto& aEntry) {
         return aEntry.key == key;
       });
-    RC_ASSERT(isListed || count <= requests.size() / 8);
+    RC_ASSERT(isListed || entry.second <= requests.size() / 8);
   }
 }
 
--- a/src/librattandyke/routing/routing_table.cpp
+++ b/src/librattandyke/routing/routing_table.cpp
@@ -187,12 +187,13 @@
 std::vector<ServicePointer>
 Merge(std::vector<ServicePointer> aBase, TableEditor& aEditor)
 {
-  for (auto& [service, editor] : aEditor.Editors()) {
+  for (auto& edit : aEditor.Editors()) {
+    const std::string& service = edit.first;
     const auto place = std::partition_point(
       aBase.begin(), aBase.end(), [&](const ServicePointer& aOther) {
         return aOther->name.value < service;
       });
-    ServicePointer edited = editor.Finish();
+    ServicePointer edited = edit.second.Finish();
     if (place != aBase.end() && (*place)->name.value == service) {
       *place = std::move(edited);
     } else {
--- a/src/librattandyke/routing/service_table.cpp
+++ b/src/librattandyke/routing/service_table.cpp
@@ -72,9 +72,10 @@
                      Iterator aLast,
                      std::string_view aCustomer)
 {
-  return std::partition_point(aFirst, aLast, [&](const auto& aLimit) {
-    return aLimit.customer.value < aCustomer;
-  });
+  return std::partition_point(
+    aFirst, aLast, [&](const records::LimitRecord& aLimit) {
+      return aLimit.customer.value < aCustomer;
+    });
 }
 
 template<typename Iterator>
