--- a/src/librattandyke/admin/api.cpp
+++ b/src/librattandyke/admin/api.cpp
@@ -231,8 +231,8 @@
   {
     const std::string kind = aRequest.Query("kind");
     QueryList(
-      "records", aRequest, aRespond, [kind](const boost::json::value& item) {
-        return kind.empty() || TextAt(item, "kind") == kind;
+      "records", aRequest, aRespond, [kind](const boost::json::value& aItem) {
+        return kind.empty() || TextAt(aItem, "kind") == kind;
       });
   }
 
@@ -291,8 +291,8 @@
   {
     const std::string service = aRequest.Query("service");
     QueryList(
-      aWhat, aRequest, aRespond, [service](const boost::json::value& item) {
-        return service.empty() || TextAt(item, "service") == service;
+      aWhat, aRequest, aRespond, [service](const boost::json::value& aItem) {
+        return service.empty() || TextAt(aItem, "service") == service;
       });
   }
 
@@ -566,7 +566,7 @@
 }
 
 void
-AdminApi::Handle(ApiRequest aRequest, Responder aRespond)
+AdminApi::Handle(const ApiRequest& aRequest, const Responder& aRespond)
 {
   // Rights go first, so that nothing can be learned without a token.
   const Result<const Impl::Route*> route = Impl::FindRoute(aRequest);
--- a/src/librattandyke/admin/api.h
+++ b/src/librattandyke/admin/api.h
@@ -45,7 +45,7 @@
   void ReplaceTokens(std::vector<config::OperatorToken> aTokens);
 
   /// @param aRespond called once, here or on the executor of LeaderCalls.
-  void Handle(ApiRequest aRequest, Responder aRespond);
+  void Handle(const ApiRequest& aRequest, const Responder& aRespond);
 
 private:
   struct Impl;
--- a/src/librattandyke/admin/api_test.cpp
+++ b/src/librattandyke/admin/api_test.cpp
@@ -36,7 +36,7 @@
 
   ApiAnswer Send(const std::string& aMethod,
                  const std::string& aTarget,
-                 std::function<void(ApiRequest&)> aChange = {})
+                 const std::function<void(ApiRequest&)>& aChange = {})
   {
     ApiRequest request;
     request.method = aMethod;
@@ -46,7 +46,7 @@
       aChange(request);
     }
     std::optional<ApiAnswer> answer;
-    api.Handle(request, [&](ApiAnswer aAnswer) { answer = aAnswer; });
+    api.Handle(request, [&](const ApiAnswer& aAnswer) { answer = aAnswer; });
     EXPECT_TRUE(answer.has_value());
     return answer.value_or(ApiAnswer{ 0, "", "" });
   }
@@ -68,7 +68,7 @@
 }
 
 std::function<void(ApiRequest&)>
-WithToken(std::string aToken, std::string aBody = "{}")
+WithToken(const std::string& aToken, const std::string& aBody = "{}")
 {
   return [aToken, aBody](ApiRequest& aRequest) {
     aRequest.token = aToken;
--- a/src/librattandyke/admin/message.cpp
+++ b/src/librattandyke/admin/message.cpp
@@ -52,8 +52,8 @@
   if (aPath.empty() || aPath.front() != '/') {
     return false;
   }
-  return ForEachPart(aPath.substr(1), '/', [&](std::string_view segment) {
-    const auto decoded = Decoded(segment);
+  return ForEachPart(aPath.substr(1), '/', [&](std::string_view aSegment) {
+    const auto decoded = Decoded(aSegment);
     if (decoded) {
       aRequest.path.push_back(*decoded);
     }
@@ -64,12 +64,12 @@
 bool
 DecodeQuery(std::string_view aQuery, ApiRequest& aRequest)
 {
-  return ForEachPart(aQuery, '&', [&](std::string_view parameter) {
-    const size_t equals = parameter.find('=');
-    const auto name = Decoded(parameter.substr(0, equals));
+  return ForEachPart(aQuery, '&', [&](std::string_view aParameter) {
+    const size_t equals = aParameter.find('=');
+    const auto name = Decoded(aParameter.substr(0, equals));
     const auto value = equals == std::string_view::npos
                          ? std::optional<std::string>("")
-                         : Decoded(parameter.substr(equals + 1));
+                         : Decoded(aParameter.substr(equals + 1));
     return name && value && aRequest.query.emplace(*name, *value).second;
   });
 }
--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -172,7 +172,7 @@
                    pending->arrival.cancel();
                  });
     };
-    api->Handle(std::move(aRequest), respond);
+    api->Handle(aRequest, respond);
     while (!pending->answer) {
       co_await pending->arrival.async_wait(kAwait);
     }
--- a/src/librattandyke/config/ini.cpp
+++ b/src/librattandyke/config/ini.cpp
@@ -13,8 +13,8 @@
 bool
 IsPrintable(std::string_view aText)
 {
-  return std::all_of(aText.begin(), aText.end(), [](unsigned char c) {
-    return c >= ' ' && c != 0x7f;
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return aByte >= ' ' && aByte != 0x7f;
   });
 }
 
--- a/src/librattandyke/config/settings.cpp
+++ b/src/librattandyke/config/settings.cpp
@@ -36,9 +36,8 @@
 FindRow(std::string_view aSection, std::string_view aKey)
 {
   const auto rows = AllSettings();
-  const auto row = std::ranges::find_if(rows, [&](const Setting& setting) {
-    return setting.section == aSection &&
-           (setting.FreeKey() || setting.key == aKey);
+  const auto row = std::ranges::find_if(rows, [&](const Setting& aRow) {
+    return aRow.section == aSection && (aRow.FreeKey() || aRow.key == aKey);
   });
   return row == rows.end() ? nullptr : &*row;
 }
@@ -59,7 +58,7 @@
       Apply(entry);
       mSettings.written.push_back({ entry.section, entry.key, entry.value });
     }
-    std::ranges::sort(mSettings.written);
+    std::sort(mSettings.written.begin(), mSettings.written.end());
     // What is missing is told only when all that is there was understood.
     if (mFile.problems.empty()) {
       CheckHosts();
@@ -129,17 +128,17 @@
   bool IsKnownHost(const HostName& aName) const
   {
     return aName == mSettings.host.name ||
-           std::ranges::any_of(mSettings.peers, [&](const PeerHost& peer) {
-             return peer.name == aName;
+           std::ranges::any_of(mSettings.peers, [&](const PeerHost& aPeer) {
+             return aPeer.name == aName;
            });
   }
 
   void CheckHosts()
   {
-    std::erase_if(mSettings.peers, [&](const PeerHost& peer) {
-      const bool own = peer.name == mSettings.host.name;
+    std::erase_if(mSettings.peers, [&](const PeerHost& aPeer) {
+      const bool own = aPeer.name == mSettings.host.name;
       if (own) {
-        mSettings.host.advertised = peer.address;
+        mSettings.host.advertised = aPeer.address;
       }
       return own;
     });
@@ -248,12 +247,29 @@
 
 } // namespace
 
+namespace {
+
+std::string
+NameOf(const std::string& aSection, const std::string& aKey)
+{
+  std::string name = "[";
+  name += aSection;
+  name += "] ";
+  name += aKey;
+  return name;
+}
+
+} // namespace
+
 SettingChanges
 Compare(const Settings& aOld, const Settings& aNew)
 {
   std::vector<WrittenSetting> differing;
-  std::ranges::set_symmetric_difference(
-    aOld.written, aNew.written, std::back_inserter(differing));
+  std::set_symmetric_difference(aOld.written.begin(),
+                                aOld.written.end(),
+                                aNew.written.begin(),
+                                aNew.written.end(),
+                                std::back_inserter(differing));
   std::set<std::pair<std::string, std::string>> keys;
   for (const WrittenSetting& setting : differing) {
     keys.emplace(setting.section, setting.key);
@@ -262,8 +278,7 @@
   for (const auto& [section, key] : keys) {
     const Setting* row = FindRow(section, key);
     const bool atOnce = row != nullptr && row->reload == Reload::AtOnce;
-    (atOnce ? changes.atOnce : changes.restart)
-      .push_back("[" + section + "] " + key);
+    (atOnce ? changes.atOnce : changes.restart).push_back(NameOf(section, key));
   }
   return changes;
 }
--- a/src/librattandyke/config/settings.h
+++ b/src/librattandyke/config/settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <rattandyke/result.h>
@@ -121,7 +122,11 @@
   std::string section;
   std::string key;
   std::string value;
-  auto operator<=>(const WrittenSetting&) const = default;
+  bool operator<(const WrittenSetting& aOther) const
+  {
+    return std::tie(section, key, value) <
+           std::tie(aOther.section, aOther.key, aOther.value);
+  }
 };
 
 struct Settings
--- a/src/librattandyke/config/values.cpp
+++ b/src/librattandyke/config/values.cpp
@@ -24,8 +24,9 @@
 IsName(std::string_view aText)
 {
   return !aText.empty() && aText.size() <= kMaxName &&
-         std::all_of(aText.begin(), aText.end(), [](unsigned char c) {
-           return (std::isalnum(c) != 0) || c == '.' || c == '-' || c == '_';
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+           return (std::isalnum(aByte) != 0) || aByte == '.' || aByte == '-' ||
+                  aByte == '_';
          });
 }
 
--- a/src/librattandyke/server/server.cpp
+++ b/src/librattandyke/server/server.cpp
@@ -5,7 +5,9 @@
 #include <fstream>
 #include <random>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -116,7 +118,7 @@
   {
   }
 
-  void Dispatch(wire::Envelope aEnvelope)
+  void Dispatch(const wire::Envelope& aEnvelope)
   {
     switch (aEnvelope.body_case()) {
       case wire::Envelope::kHeartbeat:
@@ -155,8 +157,8 @@
       settings.host.name,
       session,
       CurveKeysOf(settings),
-      [this](wire::Envelope aEnvelope) { Dispatch(std::move(aEnvelope)); });
-    const Result<void> started = transport->Start();
+      [this](const wire::Envelope& aEnvelope) { Dispatch(aEnvelope); });
+    Result<void> started = transport->Start();
     if (started) {
       addresses.peers = transport->Listening();
     }
@@ -174,7 +176,7 @@
       *transport,
       clock,
       RandomNumber());
-    const Result<void> started = control->Start();
+    Result<void> started = control->Start();
     if (started) {
       controlReceiver = control.get();
     }
@@ -222,7 +224,7 @@
                                                  *agent,
                                                  clock,
                                                  RandomNumber());
-    const Result<void> started = entry->Start();
+    Result<void> started = entry->Start();
     if (started) {
       addresses.callers = entry->Listening();
     }
--- a/src/librattandyke/server/worker_pool.h
+++ b/src/librattandyke/server/worker_pool.h
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
--- a/src/rattandyke/admin_client.cpp
+++ b/src/rattandyke/admin_client.cpp
@@ -165,8 +165,11 @@
   const char separator = aTarget.find('?') == std::string::npos ? '?' : '&';
   std::string after = "0";
   for (;;) {
-    const auto page =
-      Ask({ .target = aTarget + separator + "limit=1000&after=" + after });
+    std::string target = aTarget;
+    target += separator;
+    target += "limit=1000&after=";
+    target += after;
+    const auto page = Ask({ .target = target });
     if (!page) {
       return tl::unexpected(page.error());
     }
--- a/src/rattandyke/command.cpp
+++ b/src/rattandyke/command.cpp
@@ -85,8 +85,8 @@
     }
     const std::string flag = word.substr(0, word.find('='));
     const auto& known = mTclap.getArgList();
-    const bool matches = std::ranges::any_of(known, [&](TCLAP::Arg* arg) {
-      return flag == "-" + arg->getFlag() || flag == "--" + arg->getName();
+    const bool matches = std::ranges::any_of(known, [&](TCLAP::Arg* aArg) {
+      return flag == "-" + aArg->getFlag() || flag == "--" + aArg->getName();
     });
     if (word.size() > 1 && word.front() == '-' && !matches) {
       throw TCLAP::CmdLineParseException("unknown flag", flag);
--- a/src/rattandyke/table_printer.cpp
+++ b/src/rattandyke/table_printer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <sstream>
 
 namespace rattandyke::cli {
 
@@ -15,6 +16,11 @@
   if (aValue.is_string()) {
     return aValue.get_string().empty() ? "-" : std::string(aValue.get_string());
   }
+  if (aValue.is_double()) {
+    std::ostringstream text;
+    text << aValue.get_double();
+    return text.str();
+  }
   return aValue.is_null() ? "-" : boost::json::serialize(aValue);
 }
 
@@ -33,6 +39,14 @@
   std::cout << line << '\n';
 }
 
+void
+PrintItems(const boost::json::array& aItems, size_t aIndent)
+{
+  for (const auto& item : aItems) {
+    std::cout << std::string(aIndent, ' ') << "- " << ValueText(item) << '\n';
+  }
+}
+
 } // namespace
 
 std::string
@@ -97,6 +111,9 @@
     if (value.is_object()) {
       std::cout << '\n';
       PrintObject(value.get_object(), aIndent + kGap);
+    } else if (value.is_array()) {
+      std::cout << '\n';
+      PrintItems(value.get_array(), aIndent + kGap);
     } else {
       std::cout << ValueText(value) << '\n';
     }
