Serve the request that an answer promised before a shutdown

An answer whose head was written before the shutdown began left its connection open; the connection was closed as soon as the answer ended, often under the caller's next request. It now waits one linger time for it.

--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -54,15 +54,13 @@
     mBuffer.shrink_to_fit();
   }
   mIdle = true;
-  ExpireIn(mLimits.idleTime);
-  if (!mLeaving) {
-    co_await AwaitReadable();
-  }
+  // The last answer may have told the caller, before the shutdown began, that
+  // the connection stays open: its next request may be on the way.
+  ExpireIn(mLeaving ? mLimits.lingerTime : mLimits.idleTime);
+  co_await AwaitReadable();
   mIdle = false;
   mExpiry.Clear();
-  error_code error;
-  // A leaving connection still serves a request that has begun to arrive.
-  co_return !mGone && !mTimedOut && (!mLeaving || mSocket.available(error) > 0);
+  co_return !mGone && !mTimedOut;
 }
 
 asio::awaitable<void>
--- a/src/librattandyke/http/shutdown_test.cpp
+++ b/src/librattandyke/http/shutdown_test.cpp
@@ -67,6 +67,53 @@
   EXPECT_THROW(TestCaller{ entry.Address() }, boost::system::system_error);
 }
 
+bool
+Accepts(const Endpoint& aEntry)
+{
+  try {
+    TestCaller caller(aEntry);
+    return true;
+  } catch (const boost::system::system_error&) {
+    return false;
+  }
+}
+
+// The shutdown begins while an answer is on its way whose head promised that
+// the connection stays open. The caller sends its next request at once after
+// the answer: it is answered too, with the word that the connection ends.
+TEST(Shutdown, APromisedNextRequestIsServed)
+{
+  std::promise<void> mayFinish;
+  FakeUpstream upstream([&](UpstreamSide& aSide) {
+    aSide.Read();
+    const std::string answer = AnswerText("first answer");
+    aSide.Write(answer.substr(0, answer.size() - 6));
+    mayFinish.get_future().wait();
+    aSide.Write(answer.substr(answer.size() - 6));
+    EchoIdentity(aSide);
+  });
+  EntryFixture entry;
+  entry.Host().SetOwner(upstream.Address());
+  TestCaller caller(entry.Address());
+  caller.Write(RequestText("GET", "/board/k1"));
+  caller.AwaitReadable();
+  std::promise<void> drained;
+  entry.Service().Drain([&] { drained.set_value(); });
+  while (Accepts(entry.Address())) {
+    std::this_thread::yield();
+  }
+  mayFinish.set_value();
+  const auto first = caller.Read();
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->body(), "first answer");
+  EXPECT_EQ(first->count("Connection"), 0U);
+  const auto second = caller.Ask("GET", "/board/k2");
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->body(), "GET /board/k2 ");
+  EXPECT_EQ((*second)["Connection"], "close");
+  drained.get_future().wait();
+}
+
 // A request still runs when the time for a shutdown is over: it is broken off,
 // so that the process can end.
 TEST(Shutdown, ATimeIsSetToIt)
--- a/src/testing/test_caller.cpp
+++ b/src/testing/test_caller.cpp
@@ -59,6 +59,13 @@
   return Read(aMethod == "HEAD");
 }
 
+void
+TestCaller::AwaitReadable()
+{
+  error_code ignored;
+  mSocket.wait(asio::socket_base::wait_read, ignored);
+}
+
 void
 TestCaller::FinishWriting()
 {
--- a/src/testing/test_caller.h
+++ b/src/testing/test_caller.h
@@ -35,6 +35,8 @@
                                 std::string_view aTarget,
                                 std::string_view aBody = {},
                                 std::string_view aHeaders = {});
+  /// Blocks until something can be read.
+  void AwaitReadable();
   /// Sends no more; the entry reads the end.
   void FinishWriting();
   /// @return whether the entry closes the connection; blocks until it does or
