--- a/src/librattandyke/config/pages.cpp
+++ b/src/librattandyke/config/pages.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view kSettingsIntro =
   R"(# Settings
 
-Made by `make pages` from the table in `src/librattandyke/config/table.cpp`; a
+Made by `make pages` from the table in `src/librattandyke/config/table*.cpp`; a
 test fails if it is stale.
 
 `rattandyke serve --settings FILE` reads an INI file: `[section]` lines,
