Let no control host vote right after its restart

A leader gives leases while those who answered it lately cannot vote. A follower that restarted forgot whom it had heard and voted at once, so a successor could be elected beside a leader that still gave leases, which the successor does not wait for. It now counts as having heard a leader when it starts.

Before: the new test saw the term rise at 100 ms; now after the least election timeout.

--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -27,6 +27,13 @@
   for (wire::LogEntry& entry : aRestored.entries) {
     AppendToLog(std::move(entry));
   }
+  // A leader gives leases for as long as nobody who heard it lately can vote.
+  // This host may have heard it just before the restart and forgot that: voting
+  // at once, it would help to elect a successor beside a leader that still
+  // gives leases, and a key could get two owners.
+  if (mTerm > 0) {
+    mHeardLeaderAt = aNow;
+  }
   // What was restored is on the disk already.
   mPending = Persist{};
   mHasPending = false;
