--- a/src/load/connections.h
+++ b/src/load/connections.h
@@ -12,8 +12,8 @@
 
 struct Connection
 {
-  explicit Connection(asio::any_io_executor aExecutor)
-    : stream(std::move(aExecutor))
+  explicit Connection(const asio::any_io_executor& aExecutor)
+    : stream(aExecutor)
   {
   }
   beast::tcp_stream stream;
--- a/src/load/driver.cpp
+++ b/src/load/driver.cpp
@@ -26,8 +26,8 @@
 /// the request's caller was answered.
 struct Request
 {
-  Request(asio::any_io_executor aExecutor, Plan aPlan, Instant aIntended)
-    : changed(std::move(aExecutor))
+  Request(const asio::any_io_executor& aExecutor, Plan aPlan, Instant aIntended)
+    : changed(aExecutor)
   {
     finished.plan = std::move(aPlan);
     finished.intended = aIntended;
@@ -45,6 +45,7 @@
 AddressesOf(const std::vector<Target>& aTargets)
 {
   std::vector<Endpoint> addresses;
+  addresses.reserve(aTargets.size());
   for (const Target& target : aTargets) {
     addresses.push_back(target.address);
   }
--- a/src/load/load_config.cpp
+++ b/src/load/load_config.cpp
@@ -75,20 +75,26 @@
 }
 
 /// @throws std::invalid_argument naming the key.
+[[noreturn]] void
+Refuse(const std::string& aSection,
+       const std::string& aKey,
+       const std::string& aWhy)
+{
+  throw std::invalid_argument("[" + aSection + "] " + aKey + ": " + aWhy);
+}
+
 void
 Fill(const std::string& aSection, const Tree& aValues, const Setters& aSetters)
 {
   for (const auto& [key, value] : aValues) {
     const auto setter = aSetters.find(key);
-    const std::string where = "[" + aSection + "] " + key;
     if (setter == aSetters.end()) {
-      throw std::invalid_argument(where + ": no such key");
+      Refuse(aSection, key, "no such key");
     }
     try {
       setter->second(value);
     } catch (const std::exception&) {
-      throw std::invalid_argument(where + ": '" + value.data() +
-                                  "' is not a number");
+      Refuse(aSection, key, "'" + value.data() + "' is not a number");
     }
   }
 }
--- a/src/upstream/announcer.cpp
+++ b/src/upstream/announcer.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <iostream>
 
+#include <boost/json.hpp>
+
 namespace rattandyke::upstream {
 
 namespace {
@@ -113,7 +115,7 @@
   /// The last answer said that nothing is granted while draining.
   bool drained = false;
 
-  Impl(asio::any_io_executor aExecutor,
+  Impl(const asio::any_io_executor& aExecutor,
        const Options& aOptions,
        const Modes& aModes,
        uint64_t aIncarnation,
@@ -265,7 +267,7 @@
   }
 };
 
-Announcer::Announcer(asio::any_io_executor aExecutor,
+Announcer::Announcer(const asio::any_io_executor& aExecutor,
                      const Options& aOptions,
                      const Modes& aModes,
                      uint64_t aIncarnation,
--- a/src/upstream/announcer.h
+++ b/src/upstream/announcer.h
@@ -24,7 +24,7 @@
 {
 public:
   /// All references outlive the announcer.
-  Announcer(asio::any_io_executor aExecutor,
+  Announcer(const asio::any_io_executor& aExecutor,
             const Options& aOptions,
             const Modes& aModes,
             uint64_t aIncarnation,
--- a/src/upstream/runner.cpp
+++ b/src/upstream/runner.cpp
@@ -60,7 +60,7 @@
   std::list<Running> running;
   size_t inHand = 0;
 
-  Impl(asio::any_io_executor aExecutor,
+  Impl(const asio::any_io_executor& aExecutor,
        const Options& aOptions,
        const Modes& aModes,
        GrantBook& aBook,
@@ -201,7 +201,7 @@
   }
 };
 
-Runner::Runner(asio::any_io_executor aExecutor,
+Runner::Runner(const asio::any_io_executor& aExecutor,
                const Options& aOptions,
                const Modes& aModes,
                GrantBook& aBook,
--- a/src/upstream/runner.h
+++ b/src/upstream/runner.h
@@ -37,7 +37,7 @@
 {
 public:
   /// All references outlive the runner.
-  Runner(asio::any_io_executor aExecutor,
+  Runner(const asio::any_io_executor& aExecutor,
          const Options& aOptions,
          const Modes& aModes,
          GrantBook& aBook,
--- a/src/upstream/server.cpp
+++ b/src/upstream/server.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include <boost/json.hpp>
+
 #include "upstream/answer_body.h"
 #include "upstream/runner.h"
 
@@ -47,7 +49,7 @@
   Random random;
   tcp::acceptor acceptor;
 
-  Impl(asio::any_io_executor aExecutor,
+  Impl(const asio::any_io_executor& aExecutor,
        const Options& aOptions,
        Modes& aModes,
        GrantBook& aBook,
@@ -188,7 +190,7 @@
   }
 };
 
-Server::Server(asio::any_io_executor aExecutor,
+Server::Server(const asio::any_io_executor& aExecutor,
                const Options& aOptions,
                Modes& aModes,
                GrantBook& aBook,
--- a/src/upstream/server.h
+++ b/src/upstream/server.h
@@ -16,7 +16,7 @@
 {
 public:
   /// All references outlive the server.
-  Server(asio::any_io_executor aExecutor,
+  Server(const asio::any_io_executor& aExecutor,
          const Options& aOptions,
          Modes& aModes,
          GrantBook& aBook,
