Tell reads' waits from writes' in the deployment benches

A write that its upstream froze with waits for its outcome for as long as its caller does; that is no measure of the key's unavailable time.

--- a/scripts/bench_figures.py
+++ b/scripts/bench_figures.py
@@ -80,6 +80,13 @@
     return total / SECOND
 
 
+def longest_read_wait_ms(evidence):
+    """Longest wait of a read. A write that an upstream froze with waits for
+    its outcome, although its key has an owner again."""
+    return max((request.waited for request in requests_of(evidence).values()
+                if request.method == "GET"), default=0) / 1e6
+
+
 def new_work_after_ms(life, told):
     """How long after it was told to stop a process still began a run."""
     last = max((run.start for run in life.runs), default=told)
@@ -91,6 +98,7 @@
     service: str
     key: str
     customer: str
+    method: str
     intended: int
     waited: int = 0
     answered: bool = False
@@ -102,7 +110,8 @@
     for sending in evidence.sendings:
         request = requests.setdefault(
             sending["id"], Request(sending["service"], sending["key"],
-                                   sending["customer"], sending["intended"]))
+                                   sending["customer"], sending["method"],
+                                   sending["intended"]))
         waited = sending["done"] - sending["intended"]
         if sending["result"] == "answered":
             request.waited = min(request.waited, waited) if request.answered \
