Take back a move without costing the owner its lease

A move for balance from an upstream that ran a request longer than the upstream lease was given up by the leader, but the home still counted the revocation as overdue and let the lease end: the upstream lost all its slots. A revocation whose slots are granted again needs no acknowledgement any more.

--- a/src/librattandyke/agent/charge.cpp
+++ b/src/librattandyke/agent/charge.cpp
@@ -33,6 +33,40 @@
   return adjoins ? range : nullptr;
 }
 
+bool
+HoldsSlot(const std::vector<Grant>& aGrants, Slot aSlot)
+{
+  return std::any_of(aGrants.begin(), aGrants.end(), [&](const Grant& aGrant) {
+    const auto* range = std::get_if<SlotRangeGrant>(&aGrant);
+    return range != nullptr && range->first <= aSlot && aSlot <= range->last;
+  });
+}
+
+/// @return whether every slot of aBefore is held in aNow, under any fence.
+/// Single keys are not looked into: with any of them the answer is no.
+bool
+HoldsAgain(const std::vector<Grant>& aBefore, const std::vector<Grant>& aNow)
+{
+  const auto holds = [&](const Grant& aGrant) {
+    const auto* range = std::get_if<SlotRangeGrant>(&aGrant);
+    if (range == nullptr) {
+      return false;
+    }
+    for (Slot slot = range->first; slot <= range->last; ++slot.value) {
+      if (!HoldsSlot(aNow, slot)) {
+        return false;
+      }
+    }
+    return true;
+  };
+  const bool hasKeys =
+    std::any_of(aNow.begin(), aNow.end(), [](const Grant& aGrant) {
+      return std::holds_alternative<KeyGrant>(aGrant);
+    });
+  return !aBefore.empty() && !hasKeys &&
+         std::all_of(aBefore.begin(), aBefore.end(), holds);
+}
+
 } // namespace
 
 std::vector<Grant>
@@ -79,10 +113,17 @@
     return;
   }
   const bool takesAway = isFirst || TakesAway(aCharge.grants, aGrants);
+  // A move that was given up returns what it took, under a new fence. What
+  // still runs under the old one runs at its owner; waiting for its end would
+  // cost the upstream its lease for no one's sake.
+  std::erase_if(aCharge.revocations, [&](const Revocation& aRevocation) {
+    return HoldsAgain(aRevocation.before, aGrants);
+  });
+  std::vector<Grant> before = std::move(aCharge.grants);
   aCharge.grants = std::move(aGrants);
   aCharge.grantsVersion = aVersion;
   if (takesAway && aCharge.last.grantsVersion < aVersion) {
-    aCharge.revocations.push_back({ aVersion, aNow });
+    aCharge.revocations.push_back({ aVersion, aNow, std::move(before) });
   }
 }
 
--- a/src/librattandyke/agent/charge.h
+++ b/src/librattandyke/agent/charge.h
@@ -17,6 +17,8 @@
 {
   TableVersion version;
   Instant since;
+  /// What the upstream held before.
+  std::vector<Grant> before;
 };
 
 /// An announcement whose answer waits for news.
--- a/src/librattandyke/control/grants_test.cpp
+++ b/src/librattandyke/control/grants_test.cpp
@@ -90,6 +90,38 @@
   EXPECT_EQ(world->MostOwnersAtOnce(), 1U);
 }
 
+// An upstream joins and a slot is to move to it, but its owner runs a request
+// of several seconds there and cannot let go. The move is given up: the owner
+// gets the slot back under a new fence and never loses its lease over it.
+TEST(Grants, AMoveForBalanceCostsNoUpstreamItsLease)
+{
+  WorldOptions options = CalmOptions();
+  options.unchecking = 0;
+  const auto world = std::make_unique<ControlWorld>(options);
+  world->CrashUpstream(3);
+  world->RunFor(seconds(1));
+  world->Submit(kRecord, "first");
+  world->RunFor(seconds(3));
+  for (size_t at = 0; at < 3; ++at) {
+    for (const auto& [slot, fence] : world->Upstream(at).grants) {
+      world->Upstream(at).running.insert(slot);
+    }
+  }
+  world->StartUpstream(3);
+  world->RunFor(seconds(4));
+  bool takenBack = false;
+  const auto& service =
+    *world->NewestState().Owners().Find(testing::kWorldService);
+  for (const Holding& holding : service.slots) {
+    takenBack |= holding.reason == wire::MOVE_REASON_TAKEN_BACK;
+  }
+  EXPECT_TRUE(takenBack);
+  for (const UpstreamEntry& entry : service.upstreams) {
+    EXPECT_EQ(entry.lostAt, WallTime{}) << entry.view.name();
+  }
+  EXPECT_EQ(world->MostOwnersAtOnce(), 1U);
+}
+
 // A home is paused, its upstream moves to another home, and one of its slots is
 // released. The old home wakes, finds the lease lapsed, gets the new table, and
 // reported the upstream as having acknowledged it though it had never been
