Record callers' requests, and keep their burn on each host

metrics::Recorder had nothing to record: RequestTrace now gives it each request's ending, queue time, retries and attempts, and the agent what was left of its table lease. What no part reports yet (moves, times without an owner, churn, imbalance, queue lengths) is taken out of the recorder again, so that the page has no line that is always zero.

--- a/src/bench/operators_bench.cpp
+++ b/src/bench/operators_bench.cpp
@@ -30,6 +30,7 @@
 public:
   boost::json::object Status() const override { return {}; }
   std::string Metrics() const override { return {}; }
+  boost::json::object Burn() const override { return {}; }
 };
 
 struct Api
--- a/src/librattandyke/admin/api.cpp
+++ b/src/librattandyke/admin/api.cpp
@@ -318,6 +318,13 @@
     aRespond(JsonAnswer(status));
   }
 
+  void ReadBurn(const ApiRequest&,
+                const std::string&,
+                const Responder& aRespond)
+  {
+    aRespond(JsonAnswer(view.Burn()));
+  }
+
   void ReadMetrics(const ApiRequest&,
                    const std::string&,
                    const Responder& aRespond)
@@ -545,6 +552,7 @@
     { "GET", { "status" }, kRead, &Impl::ReadStatus },
     { "GET", { "in-force" }, kRead, &Impl::ReadInForce },
     { "GET", { "metrics" }, kRead, &Impl::ReadMetrics },
+    { "GET", { "burn" }, kRead, &Impl::ReadBurn },
   };
   return sRoutes;
 }
--- a/src/librattandyke/admin/api.h
+++ b/src/librattandyke/admin/api.h
@@ -20,6 +20,8 @@
   virtual boost::json::object Status() const = 0;
   /// @return the metrics page.
   virtual std::string Metrics() const = 0;
+  /// @return requests against the objectives, by minute; metrics/burn_json.h.
+  virtual boost::json::object Burn() const = 0;
 };
 
 /// Answers operators' calls: reads and writes go to the leader, status and
--- a/src/librattandyke/admin/api_test.cpp
+++ b/src/librattandyke/admin/api_test.cpp
@@ -25,6 +25,7 @@
 public:
   boost::json::object Status() const override { return { { "host", "h1" } }; }
   std::string Metrics() const override { return "m 1\n"; }
+  boost::json::object Burn() const override { return { { "host", "h1" } }; }
 };
 
 struct Fixture
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -274,7 +274,11 @@
 AgentService::Impl::Run(const LeaseExtended& aEffect)
 {
   const auto until = aEffect.leaseUntil.time_since_epoch().count();
-  if (until > leaseUntil.load()) {
+  const auto before = leaseUntil.load();
+  if (until > before) {
+    if (options.onRenewed && before > 0) {
+      options.onRenewed(Duration(before) - clock.Now().time_since_epoch());
+    }
     leaseUntil.store(until);
   }
   otherUpstreamPorts.clear();
--- a/src/librattandyke/agent/agent_service.h
+++ b/src/librattandyke/agent/agent_service.h
@@ -60,6 +60,9 @@
     uint64_t logIdentity = 0;
     std::vector<ControlHost> controlHosts;
     LeaseOptions leases;
+    /// Told, on the strand, what was left of the table lease whenever it is
+    /// renewed; negative if it was over. Empty: nobody is told.
+    std::function<void(Duration)> onRenewed;
   };
 
   /// @param aTransport outlives the service; its receiver passes heartbeat and
--- a/src/librattandyke/http/entry_host.cpp
+++ b/src/librattandyke/http/entry_host.cpp
@@ -7,8 +7,9 @@
 class AgentEntryHost final : public EntryHost
 {
 public:
-  explicit AgentEntryHost(agent::AgentService& aAgent)
+  AgentEntryHost(agent::AgentService& aAgent, metrics::Recorder& aMetrics)
     : mAgent(aAgent)
+    , mMetrics(aMetrics)
   {
   }
 
@@ -43,16 +44,19 @@
     mAgent.Call(std::move(aRequest), aTimeout, std::move(aDone));
   }
 
+  metrics::Recorder& Metrics() override { return mMetrics; }
+
 private:
   agent::AgentService& mAgent;
+  metrics::Recorder& mMetrics;
 };
 
 } // namespace
 
 std::unique_ptr<EntryHost>
-MakeEntryHost(agent::AgentService& aAgent)
+MakeEntryHost(agent::AgentService& aAgent, metrics::Recorder& aMetrics)
 {
-  return std::make_unique<AgentEntryHost>(aAgent);
+  return std::make_unique<AgentEntryHost>(aAgent, aMetrics);
 }
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_host.h
+++ b/src/librattandyke/http/entry_host.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "agent/agent_service.h"
+#include "metrics/recorder.h"
 
 namespace rattandyke::http {
 
@@ -23,9 +24,11 @@
   virtual void Call(wire::CallRequest aRequest,
                     Duration aTimeout,
                     agent::LeaderCalls::Callback aDone) = 0;
+  virtual metrics::Recorder& Metrics() = 0;
 };
 
-/// @param aAgent outlives the result.
-std::unique_ptr<EntryHost> MakeEntryHost(agent::AgentService& aAgent);
+/// @param aAgent, aMetrics outlive the result.
+std::unique_ptr<EntryHost> MakeEntryHost(agent::AgentService& aAgent,
+                                         metrics::Recorder& aMetrics);
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -287,11 +287,12 @@
 EntryService::EntryService(asio::any_io_executor aExecutor,
                            Options aOptions,
                            agent::AgentService& aAgent,
+                           metrics::Recorder& aMetrics,
                            const Clock& aClock,
                            uint64_t aSeed)
   : EntryService(std::move(aExecutor),
                  std::move(aOptions),
-                 MakeEntryHost(aAgent),
+                 MakeEntryHost(aAgent, aMetrics),
                  aClock,
                  aSeed)
 {
--- a/src/librattandyke/http/entry_service.h
+++ b/src/librattandyke/http/entry_service.h
@@ -16,6 +16,10 @@
 class AgentService;
 }
 
+namespace rattandyke::metrics {
+class Recorder;
+}
+
 namespace rattandyke::http {
 
 class EntryHost;
@@ -39,11 +43,12 @@
   };
 
   /// @param aExecutor of the pool of workers; must not be a strand.
-  /// @param aAgent    outlives the service.
+  /// @param aAgent, aMetrics outlive the service.
   /// @param aSeed     random per process start.
   EntryService(boost::asio::any_io_executor aExecutor,
                Options aOptions,
                agent::AgentService& aAgent,
+               metrics::Recorder& aMetrics,
                const Clock& aClock,
                uint64_t aSeed);
   /// @param aHost what it needs of its host.
--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -116,6 +116,7 @@
           {},
           mContext.budgets.Of(mRequest.record->name),
           mContext.seed ^ mContext.lastRequest)
+  , mTrace(mContext.clock.Now())
   , mDeadline(aStrand)
   , mWait(aStrand)
   , mEnded(aStrand)
@@ -272,6 +273,7 @@
 RequestRun::OnCallerGone()
 {
   mPassing.reset();
+  mTrace.CallerGone();
   End(Ending::Broken);
   Deliver(flow_event::CallerGone{ mBodyWhole });
 }
@@ -281,6 +283,15 @@
 {
   if (!mEnding) {
     mEnding = aEnding;
+    const std::string& customer = mRequest.customer.value;
+    const bool limited =
+      mTable &&
+      mTable->FindLimit(mRequest.record->name.value, customer) != nullptr;
+    mTrace.Record(mContext.host.Metrics(),
+                  *mRequest.record,
+                  customer,
+                  limited,
+                  mContext.clock.Now());
     mEnded.Notify();
   }
 }
--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -10,6 +10,7 @@
 #include "http/caller_stream.h"
 #include "http/entry_context.h"
 #include "http/own_answer.h"
+#include "http/request_trace.h"
 #include "http/routed_request.h"
 #include "http/upstream_exchange.h"
 
@@ -87,6 +88,7 @@
   void OnSlotAnswer(uint32_t aAttempt, const SlotAnswer& aAnswer);
   void OnCallerGone();
   void End(Ending aEnding);
+  void RecordAttempt(const entry::flow_effect::FreeSlot& aSlot);
   AnswerContext ContextOfAnswer();
 
   boost::asio::awaitable<void> Exchange(
@@ -130,6 +132,7 @@
   std::string mForwardedHead;
   std::string mRequestId;
   Flow mFlow;
+  RequestTrace mTrace;
 
   std::vector<entry::FlowEvent> mEvents;
   bool mStepping = false;
--- a/src/librattandyke/http/request_run_effects.cpp
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -260,6 +260,7 @@
     });
   };
   mPlaceAttempt = aEffect.attempt;
+  mTrace.Queued(mContext.clock.Now());
   auto offered = mContext.slots.Offer(*upstream,
                                       verdict.slots,
                                       *record,
@@ -281,6 +282,7 @@
   if (!mPlace || mPlaceAttempt != aAttempt) {
     return;
   }
+  mTrace.LeftQueue(mContext.clock.Now());
   if (const auto* refuse = std::get_if<admission::Refuse>(&aAnswer)) {
     mPlace.reset();
     Deliver(flow_event::Refused{
@@ -305,6 +307,7 @@
 {
   mContext.host.CountRequest(
     mRequest.record->name.value, aEffect.owner.slot, mRequest.key);
+  mTrace.Sent();
   mPendingSend = std::move(aEffect);
 }
 
@@ -333,6 +336,7 @@
         aEffect.serviceTime,
         mRetryAfter });
   }
+  RecordAttempt(aEffect);
   if (const auto kind = EvidenceOf(aEffect.use)) {
     mContext.host.ReportEvidence({ mRequest.record->name.value,
                                    aEffect.owner.upstream.value,
@@ -341,10 +345,26 @@
   }
 }
 
+void
+RequestRun::RecordAttempt(const flow_effect::FreeSlot& aSlot)
+{
+  using flow_effect::Use;
+  if (aSlot.use == Use::Cancelled) {
+    return;
+  }
+  const bool failed = aSlot.use != Use::Succeeded && aSlot.use != Use::Shed;
+  mContext.host.Metrics().RecordAttempt({ mRequest.record->name.value,
+                                          aSlot.owner.upstream.value,
+                                          failed,
+                                          aSlot.serviceTime });
+}
+
 void
 RequestRun::Execute(flow_effect::ReplyError aEffect)
 {
   mOwnAnswer = ErrorAnswer(aEffect, ContextOfAnswer());
+  mTrace.Answered(
+    aEffect.outcome, aEffect.code, Describe(aEffect.code).httpStatus);
   End(Ending::Own);
 }
 
@@ -352,6 +372,8 @@
 RequestRun::Execute(flow_effect::ReplyStored aEffect)
 {
   mOwnAnswer = StoredAnswerText(aEffect, ContextOfAnswer());
+  mTrace.Answered(aEffect.outcome, Code::Ok, aEffect.answer.status());
+  mTrace.AnsweredAgain();
   End(Ending::Own);
 }
 
@@ -381,6 +403,8 @@
       {} });
   }
   mCaller->Abort();
+  mTrace.Answered(
+    entry::Outcome::Unknown, aEffect.code, Describe(aEffect.code).httpStatus);
   End(Ending::Broken);
 }
 
--- a/src/librattandyke/http/request_run_exchange.cpp
+++ b/src/librattandyke/http/request_run_exchange.cpp
@@ -332,6 +332,7 @@
 RequestRun::AnswerText(const AnswerHead& aHead, const Framing& aFraming)
 {
   const AnswerContext context = ContextOfAnswer();
+  mTrace.Answered(mPassing->outcome, Code::Ok, aHead.result_int());
   std::string out;
   out.reserve(kUsualAnswerHeadBytes);
   AppendStatusLine(out, aHead.result_int());
--- a/src/librattandyke/metrics/burn.cpp
+++ b/src/librattandyke/metrics/burn.cpp
@@ -138,20 +138,21 @@
   for (const ServiceFigures& service : aSnapshot.services) {
     ObjectiveCounts& seen = mSeen[service.service];
     const ObjectiveCounts& now = service.objective;
-    mHistories[service.service].Add(aNow,
-                                    { now.total - seen.total,
-                                      now.failed - seen.failed,
-                                      now.slow - seen.slow });
-    seen = now;
+    const ObjectiveCounts fresh{ now.total - seen.total,
+                                 now.failed - seen.failed,
+                                 now.slow - seen.slow };
+    if (fresh != ObjectiveCounts{}) {
+      mHistories[service.service].Add(aNow, fresh);
+      mUnsaved.push_back({ service.service, aNow, fresh });
+      seen = now;
+    }
   }
 }
 
 void
-BurnKeeper::Restore(const std::string& aService,
-                    WallTime aAt,
-                    const ObjectiveCounts& aCounts)
+BurnKeeper::Restore(const CountedMinute& aCounted)
 {
-  mHistories[aService].Add(aAt, aCounts);
+  mHistories[aCounted.service].Add(aCounted.at, aCounted.counts);
 }
 
 } // namespace rattandyke::metrics
--- a/src/librattandyke/metrics/burn.h
+++ b/src/librattandyke/metrics/burn.h
@@ -90,6 +90,14 @@
                           const records::Objective& aObjective,
                           WallTime aNow);
 
+/// A part of what was counted in one minute.
+struct CountedMinute
+{
+  std::string service;
+  WallTime at{};
+  ObjectiveCounts counts;
+};
+
 /// Turns the rising counts of a Recorder into histories. Not thread-safe.
 class BurnKeeper
 {
@@ -98,9 +106,11 @@
   void Observe(const Snapshot& aSnapshot, WallTime aNow);
 
   /// Puts back what an earlier life of the host had counted.
-  void Restore(const std::string& aService,
-               WallTime aAt,
-               const ObjectiveCounts& aCounts);
+  void Restore(const CountedMinute& aCounted);
+
+  /// @return what was observed and not marked as saved.
+  const std::vector<CountedMinute>& Unsaved() const { return mUnsaved; }
+  void MarkSaved() { mUnsaved.clear(); }
 
   /// By service.
   const std::map<std::string, BurnHistory>& Histories() const
@@ -111,6 +121,7 @@
 private:
   std::map<std::string, BurnHistory> mHistories;
   std::map<std::string, ObjectiveCounts> mSeen;
+  std::vector<CountedMinute> mUnsaved;
 };
 
 } // namespace rattandyke::metrics
--- a/src/librattandyke/metrics/prometheus.cpp
+++ b/src/librattandyke/metrics/prometheus.cpp
@@ -57,11 +57,6 @@
     Line("", aLabels, std::to_string(aValue));
   }
 
-  void Number(const Labels& aLabels, double aValue)
-  {
-    Line("", aLabels, NumberText(aValue));
-  }
-
   void Times(const Labels& aLabels, const Distribution& aTimes)
   {
     uint64_t below = 0;
@@ -198,34 +193,6 @@
   }
 }
 
-void
-WriteCounter(const Snapshot& aSnapshot,
-             Counter aCounter,
-             std::string_view aName,
-             std::string_view aHelp,
-             Page& aPage)
-{
-  aPage.Head(aName, "counter", aHelp);
-  for (const ServiceFigures& service : aSnapshot.services) {
-    aPage.Count({ { "service", service.service } },
-                service.counters[static_cast<size_t>(aCounter)]);
-  }
-}
-
-void
-WriteGauge(const Snapshot& aSnapshot,
-           Gauge aGauge,
-           std::string_view aName,
-           std::string_view aHelp,
-           Page& aPage)
-{
-  aPage.Head(aName, "gauge", aHelp);
-  for (const ServiceFigures& service : aSnapshot.services) {
-    aPage.Number({ { "service", service.service } },
-                 service.gauges[static_cast<size_t>(aGauge)]);
-  }
-}
-
 void
 WriteServices(const Snapshot& aSnapshot, Page& aPage)
 {
@@ -233,35 +200,10 @@
   for (const ServiceFigures& service : aSnapshot.services) {
     aPage.Count({ { "service", service.service } }, service.retries);
   }
-  WriteCounter(
-    aSnapshot, Counter::Moves, "moves_total", "Owner changes.", aPage);
-  WriteCounter(
-    aSnapshot, Counter::Banned, "banned_total", "Refused by a ban.", aPage);
-  WriteCounter(aSnapshot,
-               Counter::AnsweredAgain,
-               "answered_again_total",
-               "Resends that got the first answer.",
-               aPage);
-  WriteGauge(aSnapshot,
-             Gauge::Imbalance,
-             "imbalance_ratio",
-             "Largest load of an owner over the mean.",
-             aPage);
-  WriteGauge(aSnapshot,
-             Gauge::Churn,
-             "churn_ratio",
-             "Keys moved over the least that had to move.",
-             aPage);
-  WriteGauge(
-    aSnapshot, Gauge::Queued, "queued_requests", "Waiting for a slot.", aPage);
-  WriteGauge(aSnapshot,
-             Gauge::InFlight,
-             "in_flight_requests",
-             "Sent and not answered yet.",
-             aPage);
-  aPage.Head("unavailable_seconds", "histogram", "Times without an owner.");
+  aPage.Head(
+    "answered_again_total", "counter", "Resends that got the first answer.");
   for (const ServiceFigures& service : aSnapshot.services) {
-    aPage.Times({ { "service", service.service } }, service.unavailable);
+    aPage.Count({ { "service", service.service } }, service.answeredAgain);
   }
 }
 
--- a/src/librattandyke/metrics/recorder.cpp
+++ b/src/librattandyke/metrics/recorder.cpp
@@ -55,11 +55,10 @@
 {
   ObjectiveCounts objective;
   uint64_t retries = 0;
-  TimeHistogram unavailable;
+  uint64_t answeredAgain = 0;
   ByName<CustomerSeries> customers;
   ByName<UpstreamSeries> upstreams;
   std::unordered_map<Code, uint64_t> refusals;
-  std::array<uint64_t, static_cast<size_t>(Counter::Count)> counters{};
 };
 
 struct Shard
@@ -70,8 +69,6 @@
   FoldedCounts folded;
 };
 
-using Gauges = std::array<double, static_cast<size_t>(Gauge::Count)>;
-
 ObjectiveCounts
 CountsOf(const RequestSample& aSample)
 {
@@ -110,16 +107,6 @@
   return *aAll.insert(at, std::move(fresh));
 }
 
-ServiceFigures&
-ServiceOf(Snapshot& aSnapshot, const std::string& aName)
-{
-  ServiceFigures& figures =
-    FiguresOf(aSnapshot.services, &ServiceFigures::service, aName);
-  figures.counters.resize(static_cast<size_t>(Counter::Count));
-  figures.gauges.resize(static_cast<size_t>(Gauge::Count));
-  return figures;
-}
-
 void
 AddCustomers(const ServiceSeries& aSeries, ServiceFigures& aInto)
 {
@@ -153,15 +140,12 @@
 {
   aInto.objective += aSeries.objective;
   aInto.retries += aSeries.retries;
-  aSeries.unavailable.AddTo(aInto.unavailable);
+  aInto.answeredAgain += aSeries.answeredAgain;
   AddCustomers(aSeries, aInto);
   AddUpstreams(aSeries, aInto);
   for (const auto& [code, count] : aSeries.refusals) {
     FiguresOf(aInto.refusals, &RefusalFigures::code, code).count += count;
   }
-  for (size_t counter = 0; counter < aSeries.counters.size(); ++counter) {
-    aInto.counters[counter] += aSeries.counters[counter];
-  }
 }
 
 } // namespace
@@ -221,8 +205,6 @@
 
   LabelTable labels;
   std::array<Shard, kShards> shards;
-  mutable std::mutex gaugeMutex;
-  std::map<std::string, Gauges, std::less<>> gauges;
 };
 
 Recorder::Recorder(LabelLimits aLimits)
@@ -240,6 +222,7 @@
   ServiceSeries& service = mImpl->Service(shard, aSample.service);
   service.objective += CountsOf(aSample);
   service.retries += aSample.retries;
+  service.answeredAgain += aSample.answeredAgain ? 1 : 0;
   if (aSample.code != Code::Ok) {
     ++service.refusals[aSample.code];
   }
@@ -261,35 +244,6 @@
   upstream.latency.Add(aSample.latency);
 }
 
-void
-Recorder::Add(Counter aCounter, std::string_view aService, uint64_t aCount)
-{
-  Shard& shard = mImpl->MyShard();
-  const std::lock_guard lock(shard.mutex);
-  ServiceSeries& service = mImpl->Service(shard, aService);
-  service.counters[static_cast<size_t>(aCounter)] += aCount;
-}
-
-void
-Recorder::Set(Gauge aGauge, std::string_view aService, double aValue)
-{
-  const bool admitted = mImpl->labels.AdmitService(aService);
-  const std::lock_guard lock(mImpl->gaugeMutex);
-  // Gauges of different services do not add up: past the limit they are left
-  // out, where counts go to "other".
-  if (admitted) {
-    mImpl->gauges[std::string(aService)][static_cast<size_t>(aGauge)] = aValue;
-  }
-}
-
-void
-Recorder::RecordUnavailable(std::string_view aService, Duration aTime)
-{
-  Shard& shard = mImpl->MyShard();
-  const std::lock_guard lock(shard.mutex);
-  mImpl->Service(shard, aService).unavailable.Add(aTime);
-}
-
 void
 Recorder::RecordLeaseMargin(Duration aMargin)
 {
@@ -326,13 +280,10 @@
     snapshot.folded.customers += shard.folded.customers;
     snapshot.folded.upstreams += shard.folded.upstreams;
     for (const auto& [name, series] : shard.services) {
-      AddService(series, ServiceOf(snapshot, name));
+      AddService(series,
+                 FiguresOf(snapshot.services, &ServiceFigures::service, name));
     }
   }
-  const std::lock_guard lock(mImpl->gaugeMutex);
-  for (const auto& [name, gauges] : mImpl->gauges) {
-    ServiceOf(snapshot, name).gauges.assign(gauges.begin(), gauges.end());
-  }
   return snapshot;
 }
 
--- a/src/librattandyke/metrics/recorder.h
+++ b/src/librattandyke/metrics/recorder.h
@@ -43,6 +43,8 @@
   /// Part of the latency spent waiting for one of the upstream's slots.
   Duration queueTime{};
   uint32_t retries = 0;
+  /// The answer is that of an earlier sending with the same Idempotency-Key.
+  bool answeredAgain = false;
   /// The service's latency objective; zero: none.
   Duration objective{};
 };
@@ -57,30 +59,6 @@
   Duration latency{};
 };
 
-enum class Counter
-{
-  /// Slots or hot keys whose owner changed in this host's table.
-  Moves,
-  /// Requests refused because a ban was in force.
-  Banned,
-  /// Answers given again to a resend with the same Idempotency-Key.
-  AnsweredAgain,
-  Count
-};
-
-enum class Gauge
-{
-  /// Largest load of an owner over the mean load.
-  Imbalance,
-  /// Keys moved over the least that had to move.
-  Churn,
-  /// Requests waiting for a slot on this host.
-  Queued,
-  /// Requests sent to upstreams and not answered yet.
-  InFlight,
-  Count
-};
-
 /// Times of one kind, in buckets of equal width on a logarithmic scale.
 struct Distribution
 {
@@ -143,13 +121,10 @@
   std::string service;
   ObjectiveCounts objective;
   uint64_t retries = 0;
-  Distribution unavailable;
+  uint64_t answeredAgain = 0;
   std::vector<CustomerFigures> customers;
   std::vector<UpstreamFigures> upstreams;
   std::vector<RefusalFigures> refusals;
-  /// Indexed by Counter and by Gauge.
-  std::vector<uint64_t> counters;
-  std::vector<double> gauges;
 };
 
 /// Samples that were counted under "other".
@@ -186,15 +161,6 @@
   void RecordRequest(const RequestSample& aSample);
   void RecordAttempt(const AttemptSample& aSample);
 
-  /// Adds to a counter of a service.
-  void Add(Counter aCounter, std::string_view aService, uint64_t aCount = 1);
-
-  /// Sets a gauge of a service.
-  void Set(Gauge aGauge, std::string_view aService, double aValue);
-
-  /// A key range of the service had no owner for this long.
-  void RecordUnavailable(std::string_view aService, Duration aTime);
-
   /// @param aMargin what was left of the table lease when it was renewed; a
   /// negative margin, of a lease that was over, counts as zero.
   void RecordLeaseMargin(Duration aMargin);
--- a/src/librattandyke/server/host_status.cpp
+++ b/src/librattandyke/server/host_status.cpp
@@ -84,7 +84,13 @@
   if (mSources.entry != nullptr) {
     line("rattandyke_callers_connected", mSources.entry->Connections());
   }
-  return page;
+  return page + mSources.metrics->Page();
+}
+
+boost::json::object
+HostStatus::Burn() const
+{
+  return mSources.metrics->Burn();
 }
 
 } // namespace rattandyke::server
--- a/src/librattandyke/server/host_status.h
+++ b/src/librattandyke/server/host_status.h
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "control/control_service.h"
 #include "http/entry_service.h"
+#include "server/metrics_service.h"
 #include "server/service_options.h"
 
 namespace rattandyke::server {
@@ -19,6 +20,7 @@
   const agent::AgentService* agent = nullptr;
   const control::ControlService* control = nullptr;
   const http::EntryService* entry = nullptr;
+  const MetricsService* metrics = nullptr;
 };
 
 /// @see admin::HostView. Thread-safe.
@@ -36,6 +38,7 @@
 
   boost::json::object Status() const override;
   std::string Metrics() const override;
+  boost::json::object Burn() const override;
 
 private:
   const config::Settings mSettings;
--- a/src/librattandyke/server/server.cpp
+++ b/src/librattandyke/server/server.cpp
@@ -15,6 +15,7 @@
 #include "base/endpoint.h"
 #include "log/log.h"
 #include "server/host_status.h"
+#include "server/metrics_service.h"
 #include "server/worker_pool.h"
 
 namespace rattandyke::server {
@@ -201,14 +202,24 @@
   Result<void> StartAgent()
   {
     const uint64_t identity = control ? control->Identity().value : 0;
+    agent::AgentService::Options options =
+      AgentOptions(settings, addresses, session, identity);
+    options.onRenewed = [this](Duration aMargin) {
+      recorder.RecordLeaseMargin(aMargin);
+    };
     agent = std::make_unique<agent::AgentService>(
-      core.Executor(),
-      AgentOptions(settings, addresses, session, identity),
-      *transport,
-      clock,
-      RandomNumber());
+      core.Executor(), std::move(options), *transport, clock, RandomNumber());
     agentReceiver = agent.get();
     agent->Start();
+    metrics = std::make_unique<MetricsService>(core.Executor(),
+                                               settings.host.name,
+                                               settings.host.control
+                                                 ? settings.host.dataFolder
+                                                 : std::filesystem::path(),
+                                               recorder,
+                                               *agent,
+                                               clock);
+    metrics->Start();
     announceServer = std::make_unique<agent::AnnounceServer>(
       core.Executor(), addresses.upstreams, *agent);
     return announceServer->Start();
@@ -222,6 +233,7 @@
     entry = std::make_unique<http::EntryService>(workers.Executor(),
                                                  EntryOptions(settings),
                                                  *agent,
+                                                 recorder,
                                                  clock,
                                                  RandomNumber());
     Result<void> started = entry->Start();
@@ -236,7 +248,7 @@
     status = std::make_unique<HostStatus>(
       settings,
       addresses,
-      StatusSources{ agent.get(), control.get(), entry.get() },
+      StatusSources{ agent.get(), control.get(), entry.get(), metrics.get() },
       clock);
     api = std::make_unique<admin::AdminApi>(
       AdminApiOptions(settings), *agent, *status, clock);
@@ -398,6 +410,9 @@
     if (announceServer) {
       announceServer->Stop();
     }
+    if (metrics) {
+      metrics->Stop();
+    }
     if (agent) {
       agent->Stop();
     }
@@ -416,6 +431,7 @@
   const std::filesystem::path settingsFile;
   const uint64_t session;
   const SystemClock clock;
+  metrics::Recorder recorder;
   Addresses addresses;
   std::atomic<control::ControlService*> controlReceiver{ nullptr };
   std::atomic<agent::AgentService*> agentReceiver{ nullptr };
@@ -429,6 +445,7 @@
   std::unique_ptr<control::ControlService> control;
   std::unique_ptr<agent::AgentService> agent;
   std::unique_ptr<agent::AnnounceServer> announceServer;
+  std::unique_ptr<MetricsService> metrics;
   std::unique_ptr<http::EntryService> entry;
   std::unique_ptr<HostStatus> status;
   std::unique_ptr<admin::AdminApi> api;
--- a/src/testing/fake_entry_host.h
+++ b/src/testing/fake_entry_host.h
@@ -38,6 +38,7 @@
   void Call(wire::CallRequest aRequest,
             Duration aTimeout,
             agent::LeaderCalls::Callback aDone) override;
+  metrics::Recorder& Metrics() override { return mMetrics; }
 
 private:
   struct ClaimState
@@ -61,6 +62,7 @@
   std::map<std::string, ClaimState> mClaims;
   std::atomic<bool> mLease{ true };
   agent::InFlightVersions mInFlight;
+  metrics::Recorder mMetrics;
 };
 
 } // namespace rattandyke::testing
