--- a/src/rattandyke/admin_client.h
+++ b/src/rattandyke/admin_client.h
@@ -37,6 +37,12 @@
   /// Code::HostUnreachable.
   Result<boost::json::value> Ask(const AdminCall& aCall) const;
 
+  /// @return a client of another host, with the same token and timeout.
+  AdminClient ToHost(const Endpoint& aHost) const
+  {
+    return AdminClient(aHost, mToken, mTimeout);
+  }
+
   /// Asks until a call that may be sent again got through, or the timeout.
   /// @param aCall must be a read, or carry a submission id.
   Result<boost::json::value> AskAgain(const AdminCall& aCall) const;
