Keep a leader's contact with a majority good for an election timeout

Cause: control's leases rest on no other leader being elected within the shortest election timeout after QuorumContact. Checked by LogInvariants now, it did not hold: a follower that restarted could vote at once, and a leader that handed over went on claiming contact while its successor was elected. Change: a restarted host counts as having heard a leader; a leader emits LeadershipLost before it asks another to stand, has no QuorumContact unless it is ready, and stands down if the hand-over fails. Refusals of appends wait for the term to be on the disk.

--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -39,6 +39,12 @@
   mHasPending = false;
   mSyncedIndex = mLog.LastIndex();
   ResetElectionTimer();
+  // Its process may have answered a leader just before it ended. Voting at once
+  // could elect another within the time in which that leader relies on the
+  // answer (QuorumContact); so it counts as having heard one now.
+  if (mTerm > 0 || !IsEmpty()) {
+    mHeardLeaderAt = mNow;
+  }
 }
 
 std::vector<Effect>
@@ -72,9 +78,15 @@
 std::optional<Instant>
 Replica::QuorumContact(Instant aNow) const
 {
-  if (mRole != Role::Leader) {
+  if (!mReady) {
     return std::nullopt;
   }
+  return AnsweredByMajority(aNow);
+}
+
+std::optional<Instant>
+Replica::AnsweredByMajority(Instant aNow) const
+{
   return MajorityValue(
     Members(), [&](const wire::GroupMember& member) -> std::optional<Instant> {
       if (member.identity() == mSelf) {
@@ -127,6 +139,10 @@
     return;
   }
   if (mTransfer && mNow >= mTransfer->deadline) {
+    // The one that was asked may stand for election at any later time.
+    if (mTransfer->asked) {
+      return BecomeFollower(mTerm);
+    }
     EndTransfer();
   }
   if (mNow >= mHeartbeatDue) {
@@ -353,7 +369,8 @@
     mSnapshotAsked = true;
     mEffects.push_back(TakeSnapshot{ AppliedIndex() });
   }
-  if (mRole == Role::Leader && !mReady && mApplied >= mTermStart) {
+  if (mRole == Role::Leader && !mReady && !mTransfer &&
+      mApplied >= mTermStart) {
     mReady = true;
     mEffects.push_back(LeadershipGained{ CurrentTerm() });
   }
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -53,12 +53,15 @@
   bool IsEmpty() const;
 
   /// @return newest instant at which a message was sent that a majority has
-  /// answered; aNow for a group of one; nothing unless this is the leader.
+  /// answered; aNow for a group of one; nothing unless IsReadyLeader.
+  /// No other is elected within electionTimeoutMin of it while this is so.
   std::optional<Instant> QuorumContact(Instant aNow) const;
 
   GroupStatus Status(Instant aNow) const;
 
 private:
+  std::optional<Instant> AnsweredByMajority(Instant aNow) const;
+
   /// What the leader knows of another member.
   struct Progress
   {
@@ -154,6 +157,7 @@
   void StartSnapshot(const wire::GroupMember& aMember, Progress& aProgress);
   Progress* ProgressOf(uint64_t aIdentity);
   void ContinueTransfer();
+  void SendElectNow();
   uint64_t AppendOwn(wire::EntryKind aKind, std::string aPayload);
   Result<wire::Configuration> Changed(const AddLearner& aChange) const;
   Result<wire::Configuration> Changed(const PromoteLearner& aChange) const;
--- a/src/librattandyke/consensus/replica_election.cpp
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -205,7 +205,7 @@
   // A leader cut off from the majority would go on refusing elections to those
   // who still hear it, and keep callers waiting for commits that can't come.
   const Instant contact =
-    std::max(QuorumContact(mNow).value_or(mLeaderSince), mLeaderSince);
+    std::max(AnsweredByMajority(mNow).value_or(mLeaderSince), mLeaderSince);
   if (mNow - contact > mOptions.electionTimeoutMax) {
     BecomeFollower(mTerm);
   }
--- a/src/librattandyke/consensus/replica_follower.cpp
+++ b/src/librattandyke/consensus/replica_follower.cpp
@@ -80,7 +80,11 @@
   body->set_rejected(true);
   body->set_match_index(aHint);
   body->set_sent_at(aMessage.append_request().sent_at());
-  SendNow(ReplyTo(aMessage, std::move(reply)));
+  if (mHardStateTicket > mSyncedTicket) {
+    SendWhenDurable(ReplyTo(aMessage, std::move(reply)));
+  } else {
+    SendNow(ReplyTo(aMessage, std::move(reply)));
+  }
 }
 
 uint64_t
--- a/src/librattandyke/consensus/replica_leader.cpp
+++ b/src/librattandyke/consensus/replica_leader.cpp
@@ -68,9 +68,8 @@
       SendHeartbeat(member, *progress);
     }
   }
-  if (mTransfer) {
-    mTransfer->asked = false;
-    ContinueTransfer();
+  if (mTransfer && mTransfer->asked) {
+    SendElectNow();
   }
 }
 
@@ -371,7 +370,7 @@
 void
 Replica::On(const TransferLeadership&)
 {
-  if (mRole != Role::Leader || mTransfer) {
+  if (!mReady || mTransfer) {
     mEffects.push_back(TransferEnded{});
     return;
   }
@@ -410,6 +409,21 @@
     return;
   }
   mTransfer->asked = true;
+  // The election that follows does not wait for this leader's contact with a
+  // majority to grow old; the owner must have stopped acting on it by then.
+  if (std::exchange(mReady, false)) {
+    mEffects.push_back(LeadershipLost{});
+  }
+  SendElectNow();
+}
+
+void
+Replica::SendElectNow()
+{
+  const wire::GroupMember* member = FindMember(Members(), mTransfer->target);
+  if (member == nullptr) {
+    return;
+  }
   wire::ConsensusMessage message = NewMessage(mTransfer->target);
   message.mutable_elect_now();
   SendNow({ HostName{ member->name() }, std::move(message) });
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -36,10 +36,10 @@
   Duration electionTimeoutMin = std::chrono::milliseconds{ 250 };
   Duration electionTimeoutMax = std::chrono::milliseconds{ 450 };
   /// Bytes of entries in one message; one entry may exceed it.
-  size_t maxBytesPerAppend = 256 * 1024;
+  size_t maxBytesPerAppend = size_t{ 256 } * 1024;
   /// Appends sent to one follower and not answered yet.
   size_t maxAppendsInFlight = 16;
-  size_t snapshotChunkBytes = 256 * 1024;
+  size_t snapshotChunkBytes = size_t{ 256 } * 1024;
   /// Applied entries since the last snapshot at which the next one is taken.
   uint64_t entriesPerSnapshot = 8192;
   /// Entries kept in front of a snapshot for followers that are a bit behind.
--- a/src/testing/invariants.cpp
+++ b/src/testing/invariants.cpp
@@ -34,8 +34,8 @@
   if (record.identities.empty()) {
     record.electedAt = aNow;
     for (const auto& [earlier, leader] : mLeaders) {
-      if (earlier < term && leader.contact > aNow) {
-        Violate("a later term began before a contact of an earlier one");
+      if (earlier < term && leader.contact + mLease > aNow) {
+        Violate("a later term began within the lease of an earlier one");
       }
     }
   }
@@ -62,10 +62,10 @@
   record.contact = aContact;
   for (auto later = mLeaders.upper_bound(aTerm); later != mLeaders.end();
        ++later) {
-    if (later->second.electedAt < aContact) {
+    if (later->second.electedAt < aContact + mLease) {
       Violate("term " + std::to_string(aTerm) +
-              " claims a majority after term " + std::to_string(later->first) +
-              " began");
+              " claims a lease that reaches past the start of term " +
+              std::to_string(later->first) + " began");
     }
   }
 }
@@ -127,6 +127,16 @@
   mAcknowledged.push_back(aIndex);
 }
 
+void
+LogInvariants::StoodDown(HostIdentity aIdentity)
+{
+  for (auto& [term, record] : mLeaders) {
+    if (record.identities.front() == aIdentity.value) {
+      record.contact = Instant{};
+    }
+  }
+}
+
 uint64_t
 LogInvariants::LostIfOnly(size_t aCount) const
 {
--- a/src/testing/invariants.h
+++ b/src/testing/invariants.h
@@ -14,6 +14,13 @@
 class LogInvariants
 {
 public:
+  /// @param aLease how long after a leader's contact with a majority no other
+  /// may be elected: the control part's leases rest on it.
+  explicit LogInvariants(Duration aLease)
+    : mLease(aLease)
+  {
+  }
+
   /// Checks a host after a step: leaders of a term, committed entries, and the
   /// leader's claim of a majority's contact.
   /// @param aNow       time of the group's clock.
@@ -27,6 +34,9 @@
 
   void Acknowledged(LogIndex aIndex);
 
+  /// A leader's owner was told that it leads no more.
+  void StoodDown(HostIdentity aIdentity);
+
   /// @return acknowledged commands that are not among the first aCount applied.
   uint64_t LostIfOnly(size_t aCount) const;
 
@@ -61,6 +71,7 @@
   void ObserveCommitted(const consensus::Replica& aReplica);
   void CheckCommitted(const wire::LogEntry& aEntry);
 
+  const Duration mLease;
   std::map<uint64_t, TermRecord> mLeaders;
   std::vector<wire::LogEntry> mCommitted;
   std::map<uint64_t, uint64_t> mChecked;
--- a/src/testing/replica_group.cpp
+++ b/src/testing/replica_group.cpp
@@ -62,6 +62,7 @@
   explicit Impl(Options aOptions)
     : mOptions(aOptions)
     , mRandom(aOptions.seed)
+    , mInvariants(aOptions.replica.electionTimeoutMin)
     , mHosts(aOptions.hosts)
   {
     for (size_t i = 0; i < mHosts.size(); ++i) {
@@ -328,6 +329,11 @@
     }
   }
 
+  void On(SimulatedHost& aHost, const consensus::LeadershipLost&)
+  {
+    mInvariants.StoodDown(HostIdentity{ aHost.identity });
+  }
+
   template<typename Other>
   void On(SimulatedHost&, const Other&)
   {
@@ -573,6 +579,7 @@
 
   const Options mOptions;
   Random mRandom;
+  LogInvariants mInvariants;
   Instant mNow{ std::chrono::seconds{ 1 } };
   std::vector<SimulatedHost> mHosts;
   std::vector<consensus::Member> mMembers;
@@ -583,7 +590,6 @@
   uint64_t mLastIdentity = 0;
   uint64_t mLastProposal = 0;
   Instant mAcknowledgedAt{};
-  LogInvariants mInvariants;
   GroupReport mReport;
 };
 
