--- a/src/capacity/control_stand_in.cpp
+++ b/src/capacity/control_stand_in.cpp
@@ -68,6 +68,7 @@
   heartbeat.set_session(aHost + 1);
   heartbeat.set_sequence(++mSequence);
   heartbeat.set_upstream_address("10.20.30.40:7003");
+  heartbeat.set_hosts_digest(mHostsDigest);
   heartbeat.set_table_version(mState.Version().value);
   heartbeat.set_quiesced_version(mState.Version().value);
   for (size_t one = 0; one < mUpstreamsEach; ++one) {
@@ -105,6 +106,10 @@
 ControlStandIn::Take(std::vector<control::Effect> aEffects, ControlCost& aCost)
 {
   for (const control::Effect& effect : aEffects) {
+    const auto* reply = std::get_if<control::Reply>(&effect);
+    if (reply != nullptr && reply->reply.has_hosts()) {
+      mHostsDigest = reply->reply.hosts().digest();
+    }
     const auto* propose = std::get_if<control::Propose>(&effect);
     if (propose == nullptr) {
       continue;
--- a/src/capacity/control_stand_in.h
+++ b/src/capacity/control_stand_in.h
@@ -53,6 +53,8 @@
   size_t mLost = 0;
   uint64_t mIndex = 0;
   uint64_t mSequence = 0;
+  /// Of the newest list of hosts; every host is taken to hold it.
+  uint64_t mHostsDigest = 0;
   Instant mNow{};
   control::State mState;
   control::Coordinator mCoordinator;
--- a/src/capacity/wire_slopes.cpp
+++ b/src/capacity/wire_slopes.cpp
@@ -94,7 +94,8 @@
     });
   aSlopes.replyPerLiveHost =
     BytesPer(ReplyEnvelope(), sizes, [](auto& aEnvelope, size_t aOne) {
-      aEnvelope.mutable_heartbeat_reply()->add_live_hosts(HostText(aOne));
+      aEnvelope.mutable_heartbeat_reply()->mutable_hosts()->add_entries(
+        HostText(aOne));
     });
 }
 
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -97,6 +97,7 @@
   void Run(const SendHeartbeat& aEffect);
   void Run(const TableReplaced& aEffect);
   void Run(const LeaseExtended& aEffect);
+  void Run(const HostsListed& aEffect);
   void Run(const ControlHeard& aEffect);
   void Run(const LeaveAcknowledged& aEffect);
   void Run(const SendCall& aEffect);
@@ -245,6 +246,7 @@
   heartbeat.set_table_version(aEffect.tableVersion.value);
   heartbeat.set_quiesced_version(inFlight.Quiesced().value);
   heartbeat.set_leaving(aEffect.leaving);
+  heartbeat.set_hosts_digest(aEffect.hostsDigest);
   heartbeat.set_entry(options.entry);
   heartbeat.set_log_identity(options.logIdentity);
   const Instant now = clock.Now();
@@ -281,6 +283,13 @@
     }
     leaseUntil.store(until);
   }
+  Step(LeaseKeeperEvent{
+    HeartbeatAnswered{ aEffect.sequence, aEffect.leaseUntil } });
+}
+
+void
+AgentService::Impl::Run(const HostsListed& aEffect)
+{
   otherUpstreamPorts.clear();
   for (const std::string& address : aEffect.upstreamAddresses) {
     const auto endpoint = ParseEndpoint(address);
@@ -288,12 +297,8 @@
       otherUpstreamPorts.push_back(*endpoint);
     }
   }
-  {
-    const std::lock_guard lock(sharedMutex);
-    sharedLiveHosts = aEffect.liveHosts;
-  }
-  Step(LeaseKeeperEvent{
-    HeartbeatAnswered{ aEffect.sequence, aEffect.leaseUntil } });
+  const std::lock_guard lock(sharedMutex);
+  sharedLiveHosts = aEffect.entries;
 }
 
 void
--- a/src/librattandyke/agent/host_agent.cpp
+++ b/src/librattandyke/agent/host_agent.cpp
@@ -106,12 +106,8 @@
   LeaseExtended extended;
   extended.sequence = mAnswered;
   extended.leaseUntil = aSent + std::chrono::milliseconds(aReply.lease_ms());
-  for (const std::string& host : aReply.live_hosts()) {
-    extended.liveHosts.push_back({ host });
-  }
-  extended.upstreamAddresses.assign(aReply.upstream_addresses().begin(),
-                                    aReply.upstream_addresses().end());
-  aEffects.emplace_back(std::move(extended));
+  aEffects.emplace_back(extended);
+  TakeHosts(aReply, aEffects);
 
   if (mLeaving && mAnswered >= mLeavingSince && !mLeaveAcknowledged) {
     mLeaveAcknowledged = true;
@@ -172,6 +168,25 @@
   return true;
 }
 
+void
+HostAgent::TakeHosts(const wire::HeartbeatReply& aReply, Effects& aEffects)
+{
+  // A reply without a list says that the one held when the heartbeat was sent
+  // is right. A newer one may have come since; that one stays.
+  if (!aReply.has_hosts() || aReply.hosts().digest() == mHostsDigest) {
+    return;
+  }
+  const wire::HostList& list = aReply.hosts();
+  mHostsDigest = list.digest();
+  HostsListed listed;
+  for (const std::string& name : list.entries()) {
+    listed.entries.push_back({ name });
+  }
+  listed.upstreamAddresses.assign(list.upstream_addresses().begin(),
+                                  list.upstream_addresses().end());
+  aEffects.emplace_back(std::move(listed));
+}
+
 void
 HostAgent::Follow(const std::string& aLeader, Instant aNow)
 {
@@ -192,6 +207,7 @@
   heartbeat.tableVersion =
     mNeedsCompleteTable ? TableVersion{} : mTable->Version();
   heartbeat.leaving = mLeaving;
+  heartbeat.hostsDigest = mHostsDigest;
   mSent.emplace(mSequence, aNow);
   if (mSent.size() > kMostUnanswered) {
     mSent.erase(mSent.begin());
--- a/src/librattandyke/agent/host_agent.h
+++ b/src/librattandyke/agent/host_agent.h
@@ -41,6 +41,8 @@
   /// 0 asks for a complete table.
   TableVersion tableVersion;
   bool leaving = false;
+  /// Of the list of hosts that is held; 0 without one.
+  uint64_t hostsDigest = 0;
 };
 struct TableReplaced
 {
@@ -52,7 +54,12 @@
 {
   uint64_t sequence = 0;
   Instant leaseUntil;
-  std::vector<HostName> liveHosts;
+};
+/// The list of live hosts changed.
+struct HostsListed
+{
+  std::vector<HostName> entries;
+  /// Where upstreams can announce themselves, this host included.
   std::vector<std::string> upstreamAddresses;
 };
 /// A control host answered that it does not lead: this host is not cut off.
@@ -63,6 +70,7 @@
 using HostAgentEffect = std::variant<SendHeartbeat,
                                      TableReplaced,
                                      LeaseExtended,
+                                     HostsListed,
                                      ControlHeard,
                                      LeaveAcknowledged>;
 
@@ -112,6 +120,7 @@
   void SendEarly(Instant aNow, Effects& aEffects);
   /// @return whether the table is now at least as new as the leader's.
   bool TakeUpdate(const wire::HeartbeatReply& aReply, Effects& aEffects);
+  void TakeHosts(const wire::HeartbeatReply& aReply, Effects& aEffects);
   void Follow(const std::string& aLeader, Instant aNow);
   void Send(Instant aNow, Effects& aEffects);
   HostName NextTarget();
@@ -130,6 +139,8 @@
   std::map<uint64_t, Instant> mSent;
   Instant mNextHeartbeat;
   Instant mNextEarly;
+  /// Of the newest list of hosts that was taken.
+  uint64_t mHostsDigest = 0;
   bool mLeaving = false;
   uint64_t mLeavingSince = 0;
   bool mLeaveAcknowledged = false;
--- a/src/librattandyke/agent/host_agent_test.cpp
+++ b/src/librattandyke/agent/host_agent_test.cpp
@@ -222,5 +222,30 @@
   EXPECT_TRUE(Find<LeaveAcknowledged>(Reply(ReplyTo(leaving))));
 }
 
+// Two replies cross: the list that came with the second is newer than the one
+// that the first leaves out. An upstream that asks where else to announce
+// itself would be told of hosts that are gone if the list were emptied or set
+// back.
+TEST_F(HostAgentTest, KeepsTheNewestListOfHosts)
+{
+  const SendHeartbeat first = Beat();
+  EXPECT_EQ(first.hostsDigest, 0U);
+  wire::HeartbeatReply reply = WithUpdate(ReplyTo(first), 0, 5);
+  reply.mutable_hosts()->set_digest(11);
+  reply.mutable_hosts()->add_entries("a");
+  reply.mutable_hosts()->add_upstream_addresses("127.0.0.1:1");
+  const auto effects = Reply(reply);
+  const auto* listed = Find<HostsListed>(effects);
+  ASSERT_NE(listed, nullptr);
+  EXPECT_EQ(listed->entries, std::vector{ HostName{ "a" } });
+  EXPECT_EQ(listed->upstreamAddresses,
+            std::vector<std::string>{ "127.0.0.1:1" });
+
+  const SendHeartbeat second = Beat();
+  EXPECT_EQ(second.hostsDigest, 11U);
+  EXPECT_EQ(Find<HostsListed>(Reply(ReplyTo(second))), nullptr);
+  EXPECT_EQ(Beat().hostsDigest, 11U);
+}
+
 } // namespace
 } // namespace rattandyke::agent
--- a/src/librattandyke/control/coordinator.cpp
+++ b/src/librattandyke/control/coordinator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "control/evidence_book.h"
+#include "control/live_hosts.h"
 #include "control/mover.h"
 #include "control/registrar.h"
 #include "control/upstream_leases.h"
@@ -42,6 +43,7 @@
     quorumSentAt.reset();
     proposals.Clear();
     hosts.Begin(aEvent.elected);
+    liveHosts = {};
     leases.Begin(aEvent.elected);
     registrar.Begin(aEvent.elected);
     mover.Begin(aEvent.elected);
@@ -121,6 +123,7 @@
   void On(const Tick& aEvent, Instant aNow)
   {
     mover.SetWall(aEvent.wall);
+    liveHosts.Refresh(hosts, aNow);
     OrphanClaims(aNow);
     Push(aNow);
     if (aNow - weighedAt >= kWeighingInterval) {
@@ -154,17 +157,10 @@
       *reply.mutable_update() = state.UpdateSince(aHost.updateFrom);
     }
     reply.set_keeper_version(state.Version().value);
-    for (const auto& [session, lease] : hosts.All()) {
-      if (lease.leaving || !hosts.MayLive(lease, aNow)) {
-        continue;
-      }
-      if (lease.entry) {
-        reply.add_live_hosts(session.host.value);
-      }
-      if (!lease.upstreamAddress.empty()) {
-        reply.add_upstream_addresses(lease.upstreamAddress);
-      }
+    if (!liveHosts.Covers(aHost)) {
+      liveHosts.Refresh(hosts, aNow);
     }
+    liveHosts.AddTo(reply, aHost.hostsDigest);
     effects.push_back(Reply{ std::move(reply) });
   }
 
@@ -298,6 +294,7 @@
   const State& state;
   Proposals proposals;
   HostLeases hosts;
+  LiveHosts liveHosts;
   UpstreamLeases leases;
   Registrar registrar;
   Mover mover;
--- a/src/librattandyke/control/host_leases.cpp
+++ b/src/librattandyke/control/host_leases.cpp
@@ -34,6 +34,7 @@
   lease.entry = aHeartbeat.entry();
   lease.leaving = aHeartbeat.leaving();
   lease.logIdentity = aHeartbeat.log_identity();
+  lease.hostsDigest = aHeartbeat.hosts_digest();
   lease.lastSeen = aReceived;
   lease.updateFrom = { aHeartbeat.table_version() };
   // Versions never go back, whatever a confused host says.
--- a/src/librattandyke/control/host_leases.h
+++ b/src/librattandyke/control/host_leases.h
@@ -36,6 +36,8 @@
   TableVersion table;
   TableVersion updateFrom;
   TableVersion quiesced;
+  /// Of the HostList that its newest heartbeat says it holds.
+  uint64_t hostsDigest = 0;
 };
 
 /// Safeguard: a host counts its lease from when it sent a heartbeat; here the
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -38,6 +38,7 @@
   , /*decltype(_impl_.table_version_)*/uint64_t{0u}
   , /*decltype(_impl_.quiesced_version_)*/uint64_t{0u}
   , /*decltype(_impl_.log_identity_)*/uint64_t{0u}
+  , /*decltype(_impl_.hosts_digest_)*/uint64_t{0u}
   , /*decltype(_impl_.leaving_)*/false
   , /*decltype(_impl_.entry_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -120,11 +121,10 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotLoadDefaultTypeInternal _SlotLoad_default_instance_;
 PROTOBUF_CONSTEXPR HeartbeatReply::HeartbeatReply(
     ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.live_hosts_)*/{}
-  , /*decltype(_impl_.upstream_addresses_)*/{}
-  , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+    /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.leader_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.update_)*/nullptr
+  , /*decltype(_impl_.hosts_)*/nullptr
   , /*decltype(_impl_.session_)*/uint64_t{0u}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
   , /*decltype(_impl_.term_)*/uint64_t{0u}
@@ -141,6 +141,21 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HeartbeatReplyDefaultTypeInternal _HeartbeatReply_default_instance_;
+PROTOBUF_CONSTEXPR HostList::HostList(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_.upstream_addresses_)*/{}
+  , /*decltype(_impl_.digest_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct HostListDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR HostListDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~HostListDefaultTypeInternal() {}
+  union {
+    HostList _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HostListDefaultTypeInternal _HostList_default_instance_;
 PROTOBUF_CONSTEXPR CallRequest::CallRequest(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -449,7 +464,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EnvelopeDefaultTypeInternal _Envelope_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_peer_2eproto[25];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[26];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
@@ -476,6 +491,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.entry_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.log_identity_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.upstream_address_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Heartbeat, _impl_.hosts_digest_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamReport, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -534,9 +550,17 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.granted_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.lease_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.update_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.live_hosts_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.hosts_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.keeper_version_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HeartbeatReply, _impl_.upstream_addresses_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostList, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostList, _impl_.digest_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostList, _impl_.entries_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostList, _impl_.upstream_addresses_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -750,30 +774,31 @@
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::rattandyke::wire::Heartbeat)},
-  { 22, -1, -1, sizeof(::rattandyke::wire::UpstreamReport)},
-  { 33, -1, -1, sizeof(::rattandyke::wire::UpstreamEvidence)},
-  { 46, -1, -1, sizeof(::rattandyke::wire::KeyLoad)},
-  { 56, -1, -1, sizeof(::rattandyke::wire::SlotLoad)},
-  { 66, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
-  { 83, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
-  { 104, -1, -1, sizeof(::rattandyke::wire::CallReply)},
-  { 120, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
-  { 130, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
-  { 142, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
-  { 152, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
-  { 160, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
-  { 169, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
-  { 181, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
-  { 192, -1, -1, sizeof(::rattandyke::wire::BanCall)},
-  { 199, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
-  { 210, -1, -1, sizeof(::rattandyke::wire::TrialCall)},
-  { 222, -1, -1, sizeof(::rattandyke::wire::TrialReply)},
-  { 230, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
-  { 239, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
-  { 248, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
-  { 260, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
-  { 269, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 279, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 23, -1, -1, sizeof(::rattandyke::wire::UpstreamReport)},
+  { 34, -1, -1, sizeof(::rattandyke::wire::UpstreamEvidence)},
+  { 47, -1, -1, sizeof(::rattandyke::wire::KeyLoad)},
+  { 57, -1, -1, sizeof(::rattandyke::wire::SlotLoad)},
+  { 67, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
+  { 83, -1, -1, sizeof(::rattandyke::wire::HostList)},
+  { 92, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
+  { 113, -1, -1, sizeof(::rattandyke::wire::CallReply)},
+  { 129, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
+  { 139, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
+  { 151, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
+  { 161, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
+  { 169, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
+  { 178, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
+  { 190, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
+  { 201, -1, -1, sizeof(::rattandyke::wire::BanCall)},
+  { 208, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
+  { 219, -1, -1, sizeof(::rattandyke::wire::TrialCall)},
+  { 231, -1, -1, sizeof(::rattandyke::wire::TrialReply)},
+  { 239, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
+  { 248, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
+  { 257, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
+  { 269, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
+  { 278, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 288, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -783,6 +808,7 @@
   &::rattandyke::wire::_KeyLoad_default_instance_._instance,
   &::rattandyke::wire::_SlotLoad_default_instance_._instance,
   &::rattandyke::wire::_HeartbeatReply_default_instance_._instance,
+  &::rattandyke::wire::_HostList_default_instance_._instance,
   &::rattandyke::wire::_CallRequest_default_instance_._instance,
   &::rattandyke::wire::_CallReply_default_instance_._instance,
   &::rattandyke::wire::_SubmitRecordCall_default_instance_._instance,
@@ -806,7 +832,7 @@
 
 const char descriptor_table_protodef_peer_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\npeer.proto\022\017rattandyke.wire\032\013table.pro"
-  "to\"\303\003\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\017\n\007sessio"
+  "to\"\331\003\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\017\n\007sessio"
   "n\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n\013data_centre"
   "\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t\022\025\n\radmin_ad"
   "dress\030\006 \001(\t\022\025\n\rtable_version\030\007 \001(\004\022\030\n\020qu"
@@ -817,113 +843,115 @@
   "e.KeyLoad\022-\n\nslot_loads\030\014 \003(\0132\031.rattandy"
   "ke.wire.SlotLoad\022\017\n\007leaving\030\r \001(\010\022\r\n\005ent"
   "ry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001(\004\022\030\n\020upstre"
-  "am_address\030\020 \001(\t\"\222\001\n\016UpstreamReport\022,\n\ta"
-  "nnounced\030\001 \001(\0132\031.rattandyke.wire.Upstrea"
-  "m\022\026\n\016grants_version\030\002 \001(\004\022\016\n\006lapsed\030\003 \001("
-  "\010\022\020\n\010draining\030\004 \001(\010\022\030\n\020announced_ms_ago\030"
-  "\005 \001(\r\"\224\001\n\020UpstreamEvidence\022\017\n\007service\030\001 "
-  "\001(\t\022\020\n\010upstream\030\002 \001(\t\022\021\n\tsucceeded\030\003 \001(\r"
-  "\022\016\n\006failed\030\004 \001(\r\022\023\n\013unreachable\030\005 \001(\r\022\014\n"
-  "\004shed\030\006 \001(\r\022\027\n\017mean_latency_us\030\007 \001(\r\"N\n\007"
-  "KeyLoad\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n"
-  "\010requests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"P\n\010"
-  "SlotLoad\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022"
-  "\020\n\010requests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"\370"
-  "\001\n\016HeartbeatReply\022\014\n\004host\030\001 \001(\t\022\017\n\007sessi"
-  "on\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004term\030\004 \001(\004"
-  "\022\016\n\006leader\030\005 \001(\t\022\017\n\007granted\030\006 \001(\010\022\020\n\010lea"
-  "se_ms\030\007 \001(\r\022,\n\006update\030\010 \001(\0132\034.rattandyke"
-  ".wire.TableUpdate\022\022\n\nlive_hosts\030\t \003(\t\022\026\n"
-  "\016keeper_version\030\n \001(\004\022\032\n\022upstream_addres"
-  "ses\030\013 \003(\t\"\204\005\n\013CallRequest\022\n\n\002id\030\001 \001(\004\022\014\n"
-  "\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n\rsubmit_r"
-  "ecord\030\n \001(\0132!.rattandyke.wire.SubmitReco"
-  "rdCallH\000\022+\n\005claim\030\013 \001(\0132\032.rattandyke.wir"
-  "e.ClaimCallH\000\022<\n\016complete_claim\030\014 \001(\0132\"."
-  "rattandyke.wire.CompleteClaimCallH\000\022:\n\rr"
-  "elease_claim\030\r \001(\0132!.rattandyke.wire.Rel"
-  "easeClaimCallH\000\022\'\n\003ban\030\016 \001(\0132\030.rattandyk"
-  "e.wire.BanCallH\000\022<\n\016drain_upstream\030\017 \001(\013"
-  "2\".rattandyke.wire.DrainUpstreamCallH\000\022+"
-  "\n\005query\030\020 \001(\0132\032.rattandyke.wire.QueryCal"
-  "lH\000\022-\n\006credit\030\021 \001(\0132\033.rattandyke.wire.Cr"
-  "editCallH\000\0228\n\014crash_report\030\022 \001(\0132 .ratta"
-  "ndyke.wire.CrashReportCallH\000\0225\n\nmembersh"
-  "ip\030\023 \001(\0132\037.rattandyke.wire.MembershipCal"
-  "lH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke.wire.Tri"
-  "alCallH\000B\006\n\004body\"\225\002\n\tCallReply\022\n\n\002id\030\001 \001"
-  "(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\022\016\n\006lea"
-  "der\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.rattandyke.w"
-  "ire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.rattandyke"
-  ".wire.ClaimReplyH\000\022\016\n\004json\030\014 \001(\tH\000\022.\n\006cr"
-  "edit\030\r \001(\0132\034.rattandyke.wire.CreditReply"
-  "H\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke.wire.Tria"
-  "lReplyH\000B\006\n\004body\"}\n\020SubmitRecordCall\022\'\n\006"
-  "record\030\001 \001(\0132\027.rattandyke.wire.Record\022\031\n"
-  "\021expected_revision\030\002 \001(\004\022\024\n\014any_revision"
-  "\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tClaimCall\022\017\n"
-  "\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idem"
-  "potency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001("
-  "\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007attempt\030\006 \001(\004"
-  "\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001(\r\022.\n\007head"
-  "ers\030\002 \003(\0132\035.rattandyke.wire.StoredHeader"
-  "\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001(\010\"+\n\014"
-  "StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001("
-  "\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001(\0162\035.ratta"
-  "ndyke.wire.ClaimOutcome\022\r\n\005claim\030\002 \001(\004\022-"
-  "\n\006answer\030\003 \001(\0132\035.rattandyke.wire.StoredA"
-  "nswer\"\236\001\n\021CompleteClaimCall\022\017\n\007service\030\001"
-  " \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_ke"
-  "y\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answer\030\005 \001(\0132\035"
-  ".rattandyke.wire.StoredAnswer\022\017\n\007unknown"
-  "\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007service\030\001 "
-  "\001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempotency_key"
-  "\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attempt\030\005 \001(\004\","
-  "\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattandyke.wire"
-  ".Ban\"q\n\017CrashReportCall\022\017\n\007service\030\001 \001(\t"
-  "\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022"
-  "\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_trial\030\005 \001(\t\""
-  "\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022\023\n\013finger"
-  "print\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023\n\013incarna"
-  "tion\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.rattandyke.wi"
-  "re.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5\n\nTrialRe"
-  "ply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_after_ms\030\002"
-  " \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007service\030\001 \001"
-  "(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001(\010\"7\n\tQ"
-  "ueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022"
-  "\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007service\030\001 "
-  "\001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010customer\030\003 \001(\t\022"
-  "\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005 \001(\010\022\017\n\007w"
-  "ait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007request\030\001"
-  " \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_after_ms\030"
-  "\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_identity\030"
-  "\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_address\030\003"
-  " \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240\002\n\010Envelo"
-  "pe\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 \001(\004\022/"
-  "\n\theartbeat\030\n \001(\0132\032.rattandyke.wire.Hear"
-  "tbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.ratta"
-  "ndyke.wire.HeartbeatReplyH\000\0224\n\014call_requ"
-  "est\030\014 \001(\0132\034.rattandyke.wire.CallRequestH"
-  "\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke.wire."
-  "CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000B\006\n\004body"
-  "*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNSPE"
-  "CIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n\025C"
-  "LAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOME_"
-  "DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026CLA"
-  "IM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n\026T"
-  "RIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_AS"
-  "K\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_STE"
-  "P_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004b\006prot"
-  "o3"
+  "am_address\030\020 \001(\t\022\024\n\014hosts_digest\030\021 \001(\004\"\222"
+  "\001\n\016UpstreamReport\022,\n\tannounced\030\001 \001(\0132\031.r"
+  "attandyke.wire.Upstream\022\026\n\016grants_versio"
+  "n\030\002 \001(\004\022\016\n\006lapsed\030\003 \001(\010\022\020\n\010draining\030\004 \001("
+  "\010\022\030\n\020announced_ms_ago\030\005 \001(\r\"\224\001\n\020Upstream"
+  "Evidence\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 "
+  "\001(\t\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006failed\030\004 \001(\r\022\023"
+  "\n\013unreachable\030\005 \001(\r\022\014\n\004shed\030\006 \001(\r\022\027\n\017mea"
+  "n_latency_us\030\007 \001(\r\"N\n\007KeyLoad\022\017\n\007service"
+  "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n\010requests\030\003 \001(\r\022\023\n"
+  "\013interval_ms\030\004 \001(\r\"P\n\010SlotLoad\022\017\n\007servic"
+  "e\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\022"
+  "\023\n\013interval_ms\030\004 \001(\r\"\362\001\n\016HeartbeatReply\022"
+  "\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\020\n\010sequen"
+  "ce\030\003 \001(\004\022\014\n\004term\030\004 \001(\004\022\016\n\006leader\030\005 \001(\t\022\017"
+  "\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030\007 \001(\r\022,\n\006upd"
+  "ate\030\010 \001(\0132\034.rattandyke.wire.TableUpdate\022"
+  "(\n\005hosts\030\t \001(\0132\031.rattandyke.wire.HostLis"
+  "t\022\026\n\016keeper_version\030\n \001(\004\"G\n\010HostList\022\016\n"
+  "\006digest\030\001 \001(\004\022\017\n\007entries\030\002 \003(\t\022\032\n\022upstre"
+  "am_addresses\030\003 \003(\t\"\204\005\n\013CallRequest\022\n\n\002id"
+  "\030\001 \001(\004\022\014\n\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n"
+  "\rsubmit_record\030\n \001(\0132!.rattandyke.wire.S"
+  "ubmitRecordCallH\000\022+\n\005claim\030\013 \001(\0132\032.ratta"
+  "ndyke.wire.ClaimCallH\000\022<\n\016complete_claim"
+  "\030\014 \001(\0132\".rattandyke.wire.CompleteClaimCa"
+  "llH\000\022:\n\rrelease_claim\030\r \001(\0132!.rattandyke"
+  ".wire.ReleaseClaimCallH\000\022\'\n\003ban\030\016 \001(\0132\030."
+  "rattandyke.wire.BanCallH\000\022<\n\016drain_upstr"
+  "eam\030\017 \001(\0132\".rattandyke.wire.DrainUpstrea"
+  "mCallH\000\022+\n\005query\030\020 \001(\0132\032.rattandyke.wire"
+  ".QueryCallH\000\022-\n\006credit\030\021 \001(\0132\033.rattandyk"
+  "e.wire.CreditCallH\000\0228\n\014crash_report\030\022 \001("
+  "\0132 .rattandyke.wire.CrashReportCallH\000\0225\n"
+  "\nmembership\030\023 \001(\0132\037.rattandyke.wire.Memb"
+  "ershipCallH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke"
+  ".wire.TrialCallH\000B\006\n\004body\"\225\002\n\tCallReply\022"
+  "\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001"
+  "(\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.rat"
+  "tandyke.wire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.r"
+  "attandyke.wire.ClaimReplyH\000\022\016\n\004json\030\014 \001("
+  "\tH\000\022.\n\006credit\030\r \001(\0132\034.rattandyke.wire.Cr"
+  "editReplyH\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke."
+  "wire.TrialReplyH\000B\006\n\004body\"}\n\020SubmitRecor"
+  "dCall\022\'\n\006record\030\001 \001(\0132\027.rattandyke.wire."
+  "Record\022\031\n\021expected_revision\030\002 \001(\004\022\024\n\014any"
+  "_revision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tCla"
+  "imCall\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001("
+  "\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016request_di"
+  "gest\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007atte"
+  "mpt\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001("
+  "\r\022.\n\007headers\030\002 \003(\0132\035.rattandyke.wire.Sto"
+  "redHeader\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030"
+  "\004 \001(\010\"+\n\014StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005v"
+  "alue\030\002 \001(\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001("
+  "\0162\035.rattandyke.wire.ClaimOutcome\022\r\n\005clai"
+  "m\030\002 \001(\004\022-\n\006answer\030\003 \001(\0132\035.rattandyke.wir"
+  "e.StoredAnswer\"\236\001\n\021CompleteClaimCall\022\017\n\007"
+  "service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idemp"
+  "otency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answe"
+  "r\030\005 \001(\0132\035.rattandyke.wire.StoredAnswer\022\017"
+  "\n\007unknown\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007s"
+  "ervice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempo"
+  "tency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attemp"
+  "t\030\005 \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattan"
+  "dyke.wire.Ban\"q\n\017CrashReportCall\022\017\n\007serv"
+  "ice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnati"
+  "on\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_tri"
+  "al\030\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022"
+  "\023\n\013fingerprint\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023"
+  "\n\013incarnation\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.ratt"
+  "andyke.wire.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5"
+  "\n\nTrialReply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_a"
+  "fter_ms\030\002 \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007se"
+  "rvice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003"
+  " \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007servi"
+  "ce\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007s"
+  "ervice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010custom"
+  "er\030\003 \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005"
+  " \001(\010\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007"
+  "request\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_"
+  "after_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_"
+  "identity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_"
+  "address\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240"
+  "\002\n\010Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_sessio"
+  "n\030\002 \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke."
+  "wire.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001("
+  "\0132\037.rattandyke.wire.HeartbeatReplyH\000\0224\n\014"
+  "call_request\030\014 \001(\0132\034.rattandyke.wire.Cal"
+  "lRequestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattand"
+  "yke.wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H"
+  "\000B\006\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTC"
+  "OME_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANT"
+  "ED\020\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM"
+  "_OUTCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN"
+  "\020\004\022\032\n\026CLAIM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrial"
+  "Step\022\032\n\026TRIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIA"
+  "L_STEP_ASK\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022"
+  "TRIAL_STEP_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSE"
+  "D\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 4362, descriptor_table_protodef_peer_2eproto,
+    false, false, 4451, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 25,
+    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 26,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -1002,6 +1030,7 @@
     , decltype(_impl_.table_version_){}
     , decltype(_impl_.quiesced_version_){}
     , decltype(_impl_.log_identity_){}
+    , decltype(_impl_.hosts_digest_){}
     , decltype(_impl_.leaving_){}
     , decltype(_impl_.entry_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -1072,6 +1101,7 @@
     , decltype(_impl_.table_version_){uint64_t{0u}}
     , decltype(_impl_.quiesced_version_){uint64_t{0u}}
     , decltype(_impl_.log_identity_){uint64_t{0u}}
+    , decltype(_impl_.hosts_digest_){uint64_t{0u}}
     , decltype(_impl_.leaving_){false}
     , decltype(_impl_.entry_){false}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -1309,6 +1339,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 hosts_digest = 17;
+      case 17:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 136)) {
+          _impl_.hosts_digest_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1462,6 +1500,12 @@
         16, this->_internal_upstream_address(), target);
   }
 
+  // uint64 hosts_digest = 17;
+  if (this->_internal_hosts_digest() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(17, this->_internal_hosts_digest(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1566,6 +1610,13 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_log_identity());
   }
 
+  // uint64 hosts_digest = 17;
+  if (this->_internal_hosts_digest() != 0) {
+    total_size += 2 +
+      ::_pbi::WireFormatLite::UInt64Size(
+        this->_internal_hosts_digest());
+  }
+
   // bool leaving = 13;
   if (this->_internal_leaving() != 0) {
     total_size += 1 + 1;
@@ -1628,6 +1679,9 @@
   if (from._internal_log_identity() != 0) {
     _this->_internal_set_log_identity(from._internal_log_identity());
   }
+  if (from._internal_hosts_digest() != 0) {
+    _this->_internal_set_hosts_digest(from._internal_hosts_digest());
+  }
   if (from._internal_leaving() != 0) {
     _this->_internal_set_leaving(from._internal_leaving());
   }
@@ -2987,12 +3041,17 @@
 class HeartbeatReply::_Internal {
  public:
   static const ::rattandyke::wire::TableUpdate& update(const HeartbeatReply* msg);
+  static const ::rattandyke::wire::HostList& hosts(const HeartbeatReply* msg);
 };
 
 const ::rattandyke::wire::TableUpdate&
 HeartbeatReply::_Internal::update(const HeartbeatReply* msg) {
   return *msg->_impl_.update_;
 }
+const ::rattandyke::wire::HostList&
+HeartbeatReply::_Internal::hosts(const HeartbeatReply* msg) {
+  return *msg->_impl_.hosts_;
+}
 void HeartbeatReply::clear_update() {
   if (GetArenaForAllocation() == nullptr && _impl_.update_ != nullptr) {
     delete _impl_.update_;
@@ -3009,11 +3068,10 @@
   : ::PROTOBUF_NAMESPACE_ID::Message() {
   HeartbeatReply* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.live_hosts_){from._impl_.live_hosts_}
-    , decltype(_impl_.upstream_addresses_){from._impl_.upstream_addresses_}
-    , decltype(_impl_.host_){}
+      decltype(_impl_.host_){}
     , decltype(_impl_.leader_){}
     , decltype(_impl_.update_){nullptr}
+    , decltype(_impl_.hosts_){nullptr}
     , decltype(_impl_.session_){}
     , decltype(_impl_.sequence_){}
     , decltype(_impl_.term_){}
@@ -3042,6 +3100,9 @@
   if (from._internal_has_update()) {
     _this->_impl_.update_ = new ::rattandyke::wire::TableUpdate(*from._impl_.update_);
   }
+  if (from._internal_has_hosts()) {
+    _this->_impl_.hosts_ = new ::rattandyke::wire::HostList(*from._impl_.hosts_);
+  }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.keeper_version_) -
     reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.keeper_version_));
@@ -3053,11 +3114,10 @@
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.live_hosts_){arena}
-    , decltype(_impl_.upstream_addresses_){arena}
-    , decltype(_impl_.host_){}
+      decltype(_impl_.host_){}
     , decltype(_impl_.leader_){}
     , decltype(_impl_.update_){nullptr}
+    , decltype(_impl_.hosts_){nullptr}
     , decltype(_impl_.session_){uint64_t{0u}}
     , decltype(_impl_.sequence_){uint64_t{0u}}
     , decltype(_impl_.term_){uint64_t{0u}}
@@ -3087,11 +3147,10 @@
 
 inline void HeartbeatReply::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.live_hosts_.~RepeatedPtrField();
-  _impl_.upstream_addresses_.~RepeatedPtrField();
   _impl_.host_.Destroy();
   _impl_.leader_.Destroy();
   if (this != internal_default_instance()) delete _impl_.update_;
+  if (this != internal_default_instance()) delete _impl_.hosts_;
 }
 
 void HeartbeatReply::SetCachedSize(int size) const {
@@ -3104,14 +3163,16 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.live_hosts_.Clear();
-  _impl_.upstream_addresses_.Clear();
   _impl_.host_.ClearToEmpty();
   _impl_.leader_.ClearToEmpty();
   if (GetArenaForAllocation() == nullptr && _impl_.update_ != nullptr) {
     delete _impl_.update_;
   }
   _impl_.update_ = nullptr;
+  if (GetArenaForAllocation() == nullptr && _impl_.hosts_ != nullptr) {
+    delete _impl_.hosts_;
+  }
+  _impl_.hosts_ = nullptr;
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.keeper_version_) -
       reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.keeper_version_));
@@ -3192,18 +3253,11 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated string live_hosts = 9;
+      // .rattandyke.wire.HostList hosts = 9;
       case 9:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_live_hosts();
-            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-            CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HeartbeatReply.live_hosts"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<74>(ptr));
+          ptr = ctx->ParseMessage(_internal_mutable_hosts(), ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -3215,21 +3269,6 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated string upstream_addresses = 11;
-      case 11:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_upstream_addresses();
-            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-            CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HeartbeatReply.upstream_addresses"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<90>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3316,14 +3355,11 @@
         _Internal::update(this).GetCachedSize(), target, stream);
   }
 
-  // repeated string live_hosts = 9;
-  for (int i = 0, n = this->_internal_live_hosts_size(); i < n; i++) {
-    const auto& s = this->_internal_live_hosts(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HeartbeatReply.live_hosts");
-    target = stream->WriteString(9, s, target);
+  // .rattandyke.wire.HostList hosts = 9;
+  if (this->_internal_has_hosts()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(9, _Internal::hosts(this),
+        _Internal::hosts(this).GetCachedSize(), target, stream);
   }
 
   // uint64 keeper_version = 10;
@@ -3332,16 +3368,6 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_keeper_version(), target);
   }
 
-  // repeated string upstream_addresses = 11;
-  for (int i = 0, n = this->_internal_upstream_addresses_size(); i < n; i++) {
-    const auto& s = this->_internal_upstream_addresses(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HeartbeatReply.upstream_addresses");
-    target = stream->WriteString(11, s, target);
-  }
-
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3358,22 +3384,6 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string live_hosts = 9;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.live_hosts_.size());
-  for (int i = 0, n = _impl_.live_hosts_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.live_hosts_.Get(i));
-  }
-
-  // repeated string upstream_addresses = 11;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.upstream_addresses_.size());
-  for (int i = 0, n = _impl_.upstream_addresses_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.upstream_addresses_.Get(i));
-  }
-
   // string host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
@@ -3395,6 +3405,13 @@
         *_impl_.update_);
   }
 
+  // .rattandyke.wire.HostList hosts = 9;
+  if (this->_internal_has_hosts()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.hosts_);
+  }
+
   // uint64 session = 2;
   if (this->_internal_session() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_session());
@@ -3443,8 +3460,6 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.live_hosts_.MergeFrom(from._impl_.live_hosts_);
-  _this->_impl_.upstream_addresses_.MergeFrom(from._impl_.upstream_addresses_);
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
@@ -3455,6 +3470,10 @@
     _this->_internal_mutable_update()->::rattandyke::wire::TableUpdate::MergeFrom(
         from._internal_update());
   }
+  if (from._internal_has_hosts()) {
+    _this->_internal_mutable_hosts()->::rattandyke::wire::HostList::MergeFrom(
+        from._internal_hosts());
+  }
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
@@ -3492,8 +3511,6 @@
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.live_hosts_.InternalSwap(&other->_impl_.live_hosts_);
-  _impl_.upstream_addresses_.InternalSwap(&other->_impl_.upstream_addresses_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.host_, lhs_arena,
       &other->_impl_.host_, rhs_arena
@@ -3518,6 +3535,262 @@
 
 // ===================================================================
 
+class HostList::_Internal {
+ public:
+};
+
+HostList::HostList(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostList)
+}
+HostList::HostList(const HostList& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  HostList* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.upstream_addresses_){from._impl_.upstream_addresses_}
+    , decltype(_impl_.digest_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _this->_impl_.digest_ = from._impl_.digest_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostList)
+}
+
+inline void HostList::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.entries_){arena}
+    , decltype(_impl_.upstream_addresses_){arena}
+    , decltype(_impl_.digest_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+HostList::~HostList() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HostList)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void HostList::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.entries_.~RepeatedPtrField();
+  _impl_.upstream_addresses_.~RepeatedPtrField();
+}
+
+void HostList::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void HostList::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostList)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.entries_.Clear();
+  _impl_.upstream_addresses_.Clear();
+  _impl_.digest_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* HostList::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 digest = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.digest_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string entries = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_entries();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HostList.entries"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string upstream_addresses = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_upstream_addresses();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HostList.upstream_addresses"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* HostList::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostList)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 digest = 1;
+  if (this->_internal_digest() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_digest(), target);
+  }
+
+  // repeated string entries = 2;
+  for (int i = 0, n = this->_internal_entries_size(); i < n; i++) {
+    const auto& s = this->_internal_entries(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HostList.entries");
+    target = stream->WriteString(2, s, target);
+  }
+
+  // repeated string upstream_addresses = 3;
+  for (int i = 0, n = this->_internal_upstream_addresses_size(); i < n; i++) {
+    const auto& s = this->_internal_upstream_addresses(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HostList.upstream_addresses");
+    target = stream->WriteString(3, s, target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostList)
+  return target;
+}
+
+size_t HostList::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostList)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated string entries = 2;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.entries_.size());
+  for (int i = 0, n = _impl_.entries_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.entries_.Get(i));
+  }
+
+  // repeated string upstream_addresses = 3;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.upstream_addresses_.size());
+  for (int i = 0, n = _impl_.upstream_addresses_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.upstream_addresses_.Get(i));
+  }
+
+  // uint64 digest = 1;
+  if (this->_internal_digest() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_digest());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostList::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    HostList::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostList::GetClassData() const { return &_class_data_; }
+
+
+void HostList::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HostList*>(&to_msg);
+  auto& from = static_cast<const HostList&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostList)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  _this->_impl_.upstream_addresses_.MergeFrom(from._impl_.upstream_addresses_);
+  if (from._internal_digest() != 0) {
+    _this->_internal_set_digest(from._internal_digest());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void HostList::CopyFrom(const HostList& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostList)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool HostList::IsInitialized() const {
+  return true;
+}
+
+void HostList::InternalSwap(HostList* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  _impl_.upstream_addresses_.InternalSwap(&other->_impl_.upstream_addresses_);
+  swap(_impl_.digest_, other->_impl_.digest_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata HostList::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[6]);
+}
+
+// ===================================================================
+
 class CallRequest::_Internal {
  public:
   static const ::rattandyke::wire::SubmitRecordCall& submit_record(const CallRequest* msg);
@@ -4452,7 +4725,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CallRequest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[6]);
+      file_level_metadata_peer_2eproto[7]);
 }
 
 // ===================================================================
@@ -5083,7 +5356,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CallReply::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[7]);
+      file_level_metadata_peer_2eproto[8]);
 }
 
 // ===================================================================
@@ -5365,7 +5638,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SubmitRecordCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[8]);
+      file_level_metadata_peer_2eproto[9]);
 }
 
 // ===================================================================
@@ -5773,7 +6046,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ClaimCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[9]);
+      file_level_metadata_peer_2eproto[10]);
 }
 
 // ===================================================================
@@ -6065,7 +6338,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata StoredAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[10]);
+      file_level_metadata_peer_2eproto[11]);
 }
 
 // ===================================================================
@@ -6318,7 +6591,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata StoredHeader::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[11]);
+      file_level_metadata_peer_2eproto[12]);
 }
 
 // ===================================================================
@@ -6573,7 +6846,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ClaimReply::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[12]);
+      file_level_metadata_peer_2eproto[13]);
 }
 
 // ===================================================================
@@ -6977,7 +7250,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CompleteClaimCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[13]);
+      file_level_metadata_peer_2eproto[14]);
 }
 
 // ===================================================================
@@ -7340,7 +7613,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ReleaseClaimCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[14]);
+      file_level_metadata_peer_2eproto[15]);
 }
 
 // ===================================================================
@@ -7539,7 +7812,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata BanCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[15]);
+      file_level_metadata_peer_2eproto[16]);
 }
 
 // ===================================================================
@@ -7908,7 +8181,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CrashReportCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[16]);
+      file_level_metadata_peer_2eproto[17]);
 }
 
 // ===================================================================
@@ -8298,7 +8571,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata TrialCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[17]);
+      file_level_metadata_peer_2eproto[18]);
 }
 
 // ===================================================================
@@ -8509,7 +8782,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata TrialReply::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[18]);
+      file_level_metadata_peer_2eproto[19]);
 }
 
 // ===================================================================
@@ -8789,7 +9062,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DrainUpstreamCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[19]);
+      file_level_metadata_peer_2eproto[20]);
 }
 
 // ===================================================================
@@ -9092,7 +9365,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata QueryCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[20]);
+      file_level_metadata_peer_2eproto[21]);
 }
 
 // ===================================================================
@@ -9479,7 +9752,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[21]);
+      file_level_metadata_peer_2eproto[22]);
 }
 
 // ===================================================================
@@ -9714,7 +9987,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditReply::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[22]);
+      file_level_metadata_peer_2eproto[23]);
 }
 
 // ===================================================================
@@ -10027,7 +10300,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata MembershipCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[23]);
+      file_level_metadata_peer_2eproto[24]);
 }
 
 // ===================================================================
@@ -10561,7 +10834,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata Envelope::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[24]);
+      file_level_metadata_peer_2eproto[25]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -10592,6 +10865,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::HeartbeatReply >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HeartbeatReply >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::HostList*
+Arena::CreateMaybeMessage< ::rattandyke::wire::HostList >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::HostList >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::CallRequest*
 Arena::CreateMaybeMessage< ::rattandyke::wire::CallRequest >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CallRequest >(arena);
--- a/src/testing/control_world.h
+++ b/src/testing/control_world.h
@@ -131,6 +131,7 @@
   void On(ModelHost& aHost, const agent::SendHeartbeat& aEffect);
   void On(ModelHost& aHost, const agent::TableReplaced& aEffect);
   void On(ModelHost& aHost, const agent::LeaseExtended& aEffect);
+  void On(ModelHost& aHost, const agent::HostsListed& aEffect);
   void On(ModelHost& aHost, const agent::ControlHeard& aEffect);
   void On(ModelHost& aHost, const agent::LeaveAcknowledged& aEffect);
   void OnAnnouncement(ModelHost& aHost,
--- a/src/testing/control_world_host.cpp
+++ b/src/testing/control_world_host.cpp
@@ -68,6 +68,7 @@
   heartbeat.set_sequence(aEffect.sequence);
   heartbeat.set_table_version(aEffect.tableVersion.value);
   heartbeat.set_quiesced_version(aHost.inFlight->Quiesced().value);
+  heartbeat.set_hosts_digest(aEffect.hostsDigest);
   heartbeat.set_entry(true);
   const Instant now = mNetwork.Local(aHost.node);
   for (auto& report : aHost.keeper->Reports(aEffect.sequence, now)) {
@@ -101,6 +102,11 @@
              agent::HeartbeatAnswered{ aEffect.sequence, aEffect.leaseUntil });
 }
 
+void
+ControlWorld::On(ModelHost&, const agent::HostsListed&)
+{
+}
+
 void
 ControlWorld::On(ModelHost& aHost, const agent::ControlHeard&)
 {
