Count the list of live hosts where it changes in the capacity sums

Cause: took the list out of heartbeat replies; the sums of make capacity and docs/CAPACITY.md still counted it in each.

Change: a reply is the wire's reply without a list. The leader's stand-in measures a reply with the list beside one without, and has 540 hosts as a fourth size.

The line of the leader's decisions goes 33 times beyond the largest stand-in.

--- a/src/capacity/control_slopes.cpp
+++ b/src/capacity/control_slopes.cpp
@@ -51,6 +51,18 @@
   aBytes.push_back({ aUpstreams, static_cast<double>(count.bytesHeld) });
 }
 
+/// @return seconds of the leader's decisions for a heartbeat, over all hosts.
+double
+HeartbeatSeconds(ControlStandIn& aLeader, size_t aHosts)
+{
+  const double seconds = LeastThreadSeconds(kRounds, [&] {
+    for (size_t host = 0; host < aHosts; ++host) {
+      aLeader.Heartbeat(host);
+    }
+  });
+  return seconds / static_cast<double>(aHosts);
+}
+
 /// Leaders of growing deployments, each brought to rest.
 void
 MeasureLeaders(ControlSlopes& aSlopes)
@@ -58,21 +70,18 @@
   std::vector<Point> heartbeats;
   std::vector<Point> ticks;
   std::vector<Point> replies;
+  std::vector<Point> listedHeartbeats;
+  std::vector<Point> listedReplies;
   std::vector<Point> bytes;
   std::vector<Point> snapshots;
   std::vector<Point> snapshotCpu;
   std::vector<Point> restoreCpu;
-  for (const size_t hosts : { 20U, 60U, 180U }) {
+  for (const size_t hosts : { 20U, 60U, 180U, 540U }) {
     ControlStandIn leader(hosts, kUpstreamsEach, kSlotsEach);
     leader.Settle();
     const auto size = static_cast<double>(hosts);
     replies.push_back({ size, ReplyBytes(leader.Heartbeat(0)) });
-    const double seconds = LeastThreadSeconds(kRounds, [&] {
-      for (size_t host = 0; host < hosts; ++host) {
-        leader.Heartbeat(host);
-      }
-    });
-    heartbeats.push_back({ size, seconds / size });
+    heartbeats.push_back({ size, HeartbeatSeconds(leader, hosts) });
     constexpr int kTicks = 20;
     const double ticking = LeastThreadSeconds(kRounds, [&] {
       for (int tick = 0; tick < kTicks; ++tick) {
@@ -80,6 +89,9 @@
       }
     });
     ticks.push_back({ size, ticking / kTicks });
+    leader.ForgetHosts();
+    listedReplies.push_back({ size, ReplyBytes(leader.Heartbeat(0)) });
+    listedHeartbeats.push_back({ size, HeartbeatSeconds(leader, hosts) });
     MeasureState(leader.State(),
                  size * kUpstreamsEach,
                  bytes,
@@ -90,6 +102,8 @@
   aSlopes.heartbeatCpu = FitLine(std::move(heartbeats));
   aSlopes.tickCpu = FitLine(std::move(ticks));
   aSlopes.replyBytes = FitLine(std::move(replies));
+  aSlopes.listedHeartbeatCpu = FitLine(std::move(listedHeartbeats));
+  aSlopes.listedReplyBytes = FitLine(std::move(listedReplies));
   aSlopes.stateBytes = FitLine(std::move(bytes));
   aSlopes.snapshotBytes = FitLine(std::move(snapshots));
   aSlopes.snapshotCpu = FitLine(std::move(snapshotCpu));
@@ -235,6 +249,10 @@
   aPrinter.Slope("leader_heartbeat_cpu", "s", "host", slopes.heartbeatCpu);
   aPrinter.Slope("leader_tick_cpu", "s", "host", slopes.tickCpu);
   aPrinter.Slope("leader_reply_bytes", "bytes", "host", slopes.replyBytes);
+  aPrinter.Slope(
+    "leader_listed_heartbeat_cpu", "s", "host", slopes.listedHeartbeatCpu);
+  aPrinter.Slope(
+    "leader_listed_reply_bytes", "bytes", "host", slopes.listedReplyBytes);
   aPrinter.Slope("state_bytes", "bytes", "upstream", slopes.stateBytes);
   aPrinter.Slope("snapshot_bytes", "bytes", "upstream", slopes.snapshotBytes);
   aPrinter.Slope("snapshot_cpu", "s", "upstream", slopes.snapshotCpu);
--- a/src/capacity/control_slopes.h
+++ b/src/capacity/control_slopes.h
@@ -9,10 +9,13 @@
 struct ControlSlopes
 {
   /// By hosts, three upstreams each: seconds of the leader's decisions for one
-  /// heartbeat and for one tick, bytes of the reply.
+  /// heartbeat and for one tick, bytes of the reply; the same of a heartbeat
+  /// and reply if the reply has to carry the list of hosts.
   Fit heartbeatCpu;
   Fit tickCpu;
   Fit replyBytes;
+  Fit listedHeartbeatCpu;
+  Fit listedReplyBytes;
   /// By upstreams, 16 slots each: bytes of heap of the replicated state, bytes
   /// of its snapshot, seconds to make and to load it.
   Fit stateBytes;
--- a/src/capacity/control_stand_in.cpp
+++ b/src/capacity/control_stand_in.cpp
@@ -60,6 +60,12 @@
   mLost = aCount;
 }
 
+void
+ControlStandIn::ForgetHosts()
+{
+  mHostsDigest = 0;
+}
+
 std::vector<control::Effect>
 ControlStandIn::Heartbeat(size_t aHost)
 {
--- a/src/capacity/control_stand_in.h
+++ b/src/capacity/control_stand_in.h
@@ -41,6 +41,9 @@
 
   const control::State& State() const { return mState; }
 
+  /// From here on every host is taken to hold no list of hosts.
+  void ForgetHosts();
+
 private:
   void Submit();
   void Round(ControlCost& aCost);
--- a/src/capacity/today.cpp
+++ b/src/capacity/today.cpp
@@ -25,6 +25,32 @@
            kSegmentsWithAcknowledgement * aSums.assumed.segmentHeaderBytes;
 }
 
+/// A lost or restarted host leaves the list, and it or its successor comes
+/// back.
+double
+HostListChangesPerSecond(const Arithmetic& aSums)
+{
+  constexpr double kChangesEach = 2;
+  return kChangesEach * aSums.LossesPerSecond();
+}
+
+/// Bytes on the network of a reply without the list of hosts. It is taken from
+/// the wire: the leader's stand-ins count from low indices, whose bytes grow.
+double
+ReplyBytes(const Slopes& aSlopes, const Arithmetic& aSums)
+{
+  return aSums.MessageBytes(aSlopes.wire.replyPerLiveHost.base);
+}
+
+/// Bytes that the list of hosts adds to the one reply that carries it.
+double
+HostListBytes(const Slopes& aSlopes, const Arithmetic& aSums)
+{
+  const double list = aSlopes.control.listedReplyBytes.slope * aSums.size.nodes;
+  return aSums.MessageBytes(aSlopes.wire.replyPerLiveHost.base + list) -
+         ReplyBytes(aSlopes, aSums);
+}
+
 /// Bytes a second that a host sends to the leader.
 struct Reported
 {
@@ -43,9 +69,10 @@
   const double beat =
     aSums.size.requestsPerSecond / aSums.size.nodes / kHeartbeatsPerSecond;
   Reported reported;
-  reported.heartbeats =
-    kHeartbeatsPerSecond * aSums.MessageBytes(wire.heartbeatPerUpstream.At(
-                             aSums.assumed.upstreamsPerEntry));
+  reported.heartbeats = kHeartbeatsPerSecond *
+                        aSums.MessageBytes(wire.heartbeatPerUpstream.At(
+                                             aSums.assumed.upstreamsPerEntry) +
+                                           wire.hostsDigestBytes);
   reported.evidence = kHeartbeatsPerSecond * wire.heartbeatPerEvidence.slope *
                       std::min(beat, aSums.size.nodes);
   reported.slotLoads = kHeartbeatsPerSecond * wire.heartbeatPerSlotLoad.slope *
@@ -67,7 +94,7 @@
   const Reported reported = ReportedBy(aSlopes, aSums);
   against("today.host.heartbeats",
           reported.heartbeats,
-          "10/s, 3 upstreams reported in each");
+          "10/s, 3 upstreams reported in each, digest of the list of hosts");
   against("today.host.evidence",
           reported.evidence,
           "a line for each upstream used since the last heartbeat");
@@ -76,9 +103,16 @@
           "a line for each slot used, at most 512 a heartbeat");
   against("today.host.hot_keys", reported.hotKeys, "16 keys a second");
   against("today.host.replies",
-          kHeartbeatsPerSecond *
-            aSums.MessageBytes(aSlopes.control.replyBytes.At(aSums.size.nodes)),
-          "10/s, each with names and ports of all live hosts");
+          kHeartbeatsPerSecond * ReplyBytes(aSlopes, aSums),
+          "10/s, without the list of hosts");
+  against("today.host.host_list",
+          HostListChangesPerSecond(aSums) * HostListBytes(aSlopes, aSums),
+          "names and ports of all live hosts after each of 2,008 changes a "
+          "day: 1,004 hosts leave and come back");
+  aPrinter.Value("today.host.host_list_at_start",
+                 HostListBytes(aSlopes, aSums),
+                 "bytes",
+                 "the list once, to a host that starts");
   against("today.host.idle_connections",
           (kControlHosts + 1) * IdleConnectionBytes(aSlopes, aSums),
           "5 control hosts and one back, ZeroMQ's heartbeats only");
@@ -113,15 +147,15 @@
   const double upstreams = aSums.assumed.upstreamsPerEntry;
   const double messages = 2 * kHeartbeatsPerSecond;
   constexpr double kOneEnd = 0.5;
-  aPrinter.Against(
-    "today.host.cpu",
-    messages * kOneEnd * aSlopes.transport.cpuPerMessage.slope +
-      kHeartbeatsPerSecond * aSlopes.wire.codingPerUpstream.At(upstreams) +
-      upstreams * kAnnouncementsPerSecond * kOneEnd *
-        aSlopes.announce.exchangeCpu.slope,
-    "cores",
-    aSums.limits.controlCores,
-    "heartbeats and announcements, without the lists of hosts in them");
+  aPrinter.Against("today.host.cpu",
+                   messages * kOneEnd * aSlopes.transport.cpuPerMessage.slope +
+                     kHeartbeatsPerSecond *
+                       aSlopes.wire.codingPerUpstream.At(upstreams) +
+                     upstreams * kAnnouncementsPerSecond * kOneEnd *
+                       aSlopes.announce.exchangeCpu.slope,
+                   "cores",
+                   aSums.limits.controlCores,
+                   "heartbeats and announcements, without the lists of hosts");
   aPrinter.Value("today.host.table_change",
                  table.applyOne.At(slots),
                  "s",
@@ -172,10 +206,14 @@
   };
   cores("today.leader.decisions",
         heartbeats * decision,
-        "180,000 heartbeats/s, work on each grows with the hosts; one strand");
+        "180,000 heartbeats/s whose hosts hold the list; one strand");
   cores("today.leader.decisions_base",
         heartbeats * control.heartbeatCpu.base,
         "the part that does not grow with the hosts");
+  cores("today.leader.host_list",
+        HostListChangesPerSecond(aSums) * aSums.size.nodes *
+          (control.listedHeartbeatCpu.At(aSums.size.nodes) - decision),
+        "copying the list into 18,000 replies after each change of it");
   cores("today.leader.transport",
         heartbeats * aSlopes.transport.busyCpuPerMessage.slope,
         "two messages, one end of each");
@@ -188,9 +226,19 @@
                  "bytes/s",
                  "heartbeats with evidence and loads of 18,000 hosts");
   aPrinter.Value("today.leader.replies",
-                 heartbeats * control.replyBytes.At(aSums.size.nodes),
+                 heartbeats * ReplyBytes(aSlopes, aSums) +
+                   HostListChangesPerSecond(aSums) * aSums.size.nodes *
+                     HostListBytes(aSlopes, aSums),
                  "bytes/s",
-                 "180,000/s with all live hosts");
+                 "180,000/s, and the list of hosts after each change of it");
+  const std::chrono::duration<double> lease = agent::LeaseOptions{}.hostLease;
+  aPrinter.Against("today.leader.host_list_sent",
+                   aSums.size.nodes * HostListBytes(aSlopes, aSums) /
+                     aSums.assumed.linkBytesPerSecond,
+                   "s",
+                   lease.count(),
+                   "one change of the list to 18,000 hosts over 10 Gbit/s; "
+                   "limit: a host's lease, renewed by the same replies");
   aPrinter.Against("today.leader.push",
                    aSums.size.nodes * decision,
                    "s",
--- a/src/capacity/wire_slopes.cpp
+++ b/src/capacity/wire_slopes.cpp
@@ -92,6 +92,10 @@
     BytesPer(idle, sizes, [](auto& aEnvelope, size_t aOne) {
       *aEnvelope.mutable_heartbeat()->add_hot_keys() = KeyLoadOf(aOne);
     });
+  wire::Envelope withDigest = idle;
+  withDigest.mutable_heartbeat()->set_hosts_digest(0x9e3779b97f4a7c15ULL);
+  aSlopes.hostsDigestBytes =
+    static_cast<double>(withDigest.ByteSizeLong() - idle.ByteSizeLong());
   aSlopes.replyPerLiveHost =
     BytesPer(ReplyEnvelope(), sizes, [](auto& aEnvelope, size_t aOne) {
       aEnvelope.mutable_heartbeat_reply()->mutable_hosts()->add_entries(
@@ -183,6 +187,10 @@
   print("heartbeat_evidence_bytes", "upstream", slopes.heartbeatPerEvidence);
   print("heartbeat_slot_load_bytes", "slot", slopes.heartbeatPerSlotLoad);
   print("heartbeat_hot_key_bytes", "key", slopes.heartbeatPerHotKey);
+  aPrinter.Value("heartbeat_hosts_digest_bytes",
+                 slopes.hostsDigestBytes,
+                 "bytes",
+                 "the digest of the list of hosts in a heartbeat");
   print("reply_bytes", "live_host", slopes.replyPerLiveHost);
   print("update_upstream_bytes", "upstream", slopes.updatePerUpstream);
   print("update_slot_bytes", "slot", slopes.updatePerSlot);
--- a/src/capacity/wire_slopes.h
+++ b/src/capacity/wire_slopes.h
@@ -13,6 +13,8 @@
   Fit heartbeatPerEvidence;
   Fit heartbeatPerSlotLoad;
   Fit heartbeatPerHotKey;
+  /// Bytes that the digest of the list of hosts adds to a heartbeat.
+  double hostsDigestBytes = 0;
   /// Bytes of a reply that changes nothing and names the live entries.
   Fit replyPerLiveHost;
   /// Bytes of a table update.
