Compare the list of live hosts in place on each tick

Since each tick built a set of all hosts to see whether the list had changed: 127 ns a host by make capacity, 2.28 ms of each 10 ms at 18,000 hosts. It now walks the leases beside the list and builds nothing unless they differ.

--- a/src/librattandyke/control/live_hosts.cpp
+++ b/src/librattandyke/control/live_hosts.cpp
@@ -30,21 +30,46 @@
   return std::max<uint64_t>(digest, 1);
 }
 
+bool
+IsListed(const HostLeases& aLeases, const HostLease& aLease, Instant aNow)
+{
+  return !aLease.leaving && aLeases.MayLive(aLease, aNow);
+}
+
+/// Whether aHosts are just those to be listed. Asked on every tick, so it
+/// compares in place.
+bool
+AreListed(const std::set<HostSession>& aHosts,
+          const HostLeases& aLeases,
+          Instant aNow)
+{
+  auto next = aHosts.begin();
+  for (const auto& [session, lease] : aLeases.All()) {
+    if (!IsListed(aLeases, lease, aNow)) {
+      continue;
+    }
+    if (next == aHosts.end() || *next != session) {
+      return false;
+    }
+    ++next;
+  }
+  return next == aHosts.end();
+}
+
 } // namespace
 
 void
 LiveHosts::Refresh(const HostLeases& aLeases, Instant aNow)
 {
-  std::set<HostSession> hosts;
+  if (mList.digest() != 0 && AreListed(mHosts, aLeases, aNow)) {
+    return;
+  }
+  mHosts.clear();
   for (const auto& [session, lease] : aLeases.All()) {
-    if (!lease.leaving && aLeases.MayLive(lease, aNow)) {
-      hosts.insert(hosts.end(), session);
+    if (IsListed(aLeases, lease, aNow)) {
+      mHosts.insert(mHosts.end(), session);
     }
   }
-  if (hosts == mHosts && mList.digest() != 0) {
-    return;
-  }
-  mHosts = std::move(hosts);
   mList.Clear();
   for (const HostSession& session : mHosts) {
     const HostLease& lease = *aLeases.Find(session);
