Mark the defaulted operator<=> for clang-tidy

clang-tidy 14 takes the zero that the compiler puts into a defaulted operator<=> for a null pointer (modernize-use-nullptr). The comment stands on the same line: no other line of the headers moves.

--- a/src/include/rattandyke/health.h
+++ b/src/include/rattandyke/health.h
@@ -14,7 +14,7 @@
 {
   UpstreamName name;
   uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamId&) const = default;
+  auto operator<=>(const UpstreamId&) const = default; // NOLINT(*-nullptr)
 };
 
 /// How one request went.
--- a/src/include/rattandyke/types.h
+++ b/src/include/rattandyke/types.h
@@ -23,7 +23,7 @@
 struct Strong
 {
   Value value{};
-  auto operator<=>(const Strong&) const = default;
+  auto operator<=>(const Strong&) const = default; // NOLINT(*-nullptr)
 };
 
 /// One life of one host's durable state: drawn at random when a data folder is
@@ -55,7 +55,7 @@
 {
   std::string address;
   uint16_t port = 0;
-  auto operator<=>(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint&) const = default; // NOLINT(*-nullptr)
 };
 
 } // namespace rattandyke
--- a/src/librattandyke/agent/lease_keeper.h
+++ b/src/librattandyke/agent/lease_keeper.h
@@ -104,7 +104,7 @@
   {
     routing::UpstreamId id;
     uint64_t incarnation = 0;
-    auto operator<=>(const Key&) const = default;
+    auto operator<=>(const Key&) const = default; // NOLINT(*-nullptr)
   };
   using Charges = std::map<Key, Charge>;
 
--- a/src/librattandyke/agent/load_meter.h
+++ b/src/librattandyke/agent/load_meter.h
@@ -60,7 +60,7 @@
   {
     std::string service;
     std::string upstream;
-    auto operator<=>(const UpstreamKey&) const = default;
+    auto operator<=>(const UpstreamKey&) const = default; // NOLINT(*-nullptr)
   };
 
   static constexpr size_t kShards = 8;
--- a/src/librattandyke/control/claim_table.h
+++ b/src/librattandyke/control/claim_table.h
@@ -20,7 +20,7 @@
 {
   HostName host;
   uint64_t session = 0;
-  auto operator<=>(const HostSession&) const = default;
+  auto operator<=>(const HostSession&) const = default; // NOLINT(*-nullptr)
 };
 
 /// One sending of a request by one process.
@@ -28,7 +28,7 @@
 {
   HostSession runner;
   uint64_t number = 0;
-  auto operator<=>(const Attempt&) const = default;
+  auto operator<=>(const Attempt&) const = default; // NOLINT(*-nullptr)
 };
 
 /// Part of State: deterministic, and without a clock of its own. Memory is
@@ -83,7 +83,7 @@
     std::string service;
     std::string customer;
     std::string idempotencyKey;
-    auto operator<=>(const Key&) const = default;
+    auto operator<=>(const Key&) const = default; // NOLINT(*-nullptr)
   };
 
   using Claims = std::map<Key, wire::ClaimSnapshot>;
--- a/src/librattandyke/control/upstream_leases.h
+++ b/src/librattandyke/control/upstream_leases.h
@@ -22,7 +22,7 @@
   std::string service;
   std::string upstream;
   uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamLife&) const = default;
+  auto operator<=>(const UpstreamLife&) const = default; // NOLINT(*-nullptr)
 };
 
 /// Follows which host processes may renew the lease of each life, and what
--- a/src/librattandyke/entry/crash_blame.h
+++ b/src/librattandyke/entry/crash_blame.h
@@ -23,7 +23,7 @@
   ServiceName service;
   UpstreamName name;
   uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamLife&) const = default;
+  auto operator<=>(const UpstreamLife&) const = default; // NOLINT(*-nullptr)
 };
 
 /// The events of CrashBlame.
--- a/src/librattandyke/entry/credit_broker.h
+++ b/src/librattandyke/entry/credit_broker.h
@@ -21,7 +21,7 @@
   HostName host;
   uint64_t session = 0;
   uint64_t request = 0;
-  auto operator<=>(const CreditKey&) const = default;
+  auto operator<=>(const CreditKey&) const = default; // NOLINT(*-nullptr)
 };
 
 /// The events of CreditBroker.
--- a/src/librattandyke/entry/trial_desk.h
+++ b/src/librattandyke/entry/trial_desk.h
@@ -17,7 +17,7 @@
   HostName host;
   uint64_t session = 0;
   uint64_t attempt = 0;
-  auto operator<=>(const TrialAsker&) const = default;
+  auto operator<=>(const TrialAsker&) const = default; // NOLINT(*-nullptr)
 };
 
 /// The events of TrialDesk.
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -24,7 +24,7 @@
   std::string service;
   std::string name;
   uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamLife&) const = default;
+  auto operator<=>(const UpstreamLife&) const = default; // NOLINT(*-nullptr)
 };
 
 std::unique_ptr<admission::Admission>
--- a/src/librattandyke/routing/routing_table.h
+++ b/src/librattandyke/routing/routing_table.h
@@ -48,7 +48,7 @@
 {
   ServiceName service;
   UpstreamName name;
-  auto operator<=>(const UpstreamId&) const = default;
+  auto operator<=>(const UpstreamId&) const = default; // NOLINT(*-nullptr)
 };
 
 /// Whose grants an update changed, so that nobody has to compare whole tables.
