--- a/src/bench/http_bench.cpp
+++ b/src/bench/http_bench.cpp
@@ -177,7 +177,7 @@
 }
 
 constexpr uint64_t kStreamBytes = 1ULL << 30;
-constexpr size_t kPieceBytes = 64 * 1024;
+constexpr size_t kPieceBytes = size_t{ 64 } * 1024;
 
 void
 WriteMany(const std::function<bool(std::string_view)>& aWrite)
--- a/src/librattandyke/control/claim_table.h
+++ b/src/librattandyke/control/claim_table.h
@@ -40,7 +40,7 @@
   /// the memory of every control host.
   static constexpr size_t kMostClaims = 1'000'000;
   /// Larger answers are not kept; a repeat then learns that it ran.
-  static constexpr size_t kMostAnswerBytes = 16 * 1024;
+  static constexpr size_t kMostAnswerBytes = size_t{ 16 } * 1024;
 
   struct Counts
   {
--- a/src/librattandyke/http/limits.h
+++ b/src/librattandyke/http/limits.h
@@ -15,11 +15,11 @@
   uint32_t maxConnections = 20000;
   /// A body up to this size is read before the request starts, so that a slow
   /// caller holds no slot and the request can be sent again.
-  size_t maxReplayBytes = 64 * 1024;
+  size_t maxReplayBytes = size_t{ 64 } * 1024;
   /// Bytes of one direction of a stream that are held at once.
-  size_t streamBufferBytes = 64 * 1024;
+  size_t streamBufferBytes = size_t{ 64 } * 1024;
   /// Largest answer body kept for resends with an Idempotency-Key.
-  size_t maxStoredAnswerBytes = 16 * 1024;
+  size_t maxStoredAnswerBytes = size_t{ 16 } * 1024;
   /// Idle connections kept to one upstream.
   uint32_t maxIdlePerUpstream = 4;
 
--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -16,8 +16,8 @@
 constexpr uint32_t kMaxAnswerHeadBytes = 64 * 1024;
 constexpr size_t kReadBytes = 4096;
 /// From this length on, an answer's body is read in large pieces.
-constexpr uint64_t kLargeBodyBytes = 64 * 1024;
-constexpr size_t kLargeReadBytes = 32 * 1024;
+constexpr uint64_t kLargeBodyBytes = uint64_t{ 64 } * 1024;
+constexpr size_t kLargeReadBytes = size_t{ 32 } * 1024;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContent = 204;
--- a/src/librattandyke/metrics/burn_file.cpp
+++ b/src/librattandyke/metrics/burn_file.cpp
@@ -13,7 +13,7 @@
 constexpr const char* kFile = "burn";
 constexpr const char* kNewFile = "burn.new";
 /// Three days of sixteen services by minute are about three megabytes.
-constexpr size_t kLargeFile = 8 * 1024 * 1024;
+constexpr size_t kLargeFile = size_t{ 8 } * 1024 * 1024;
 
 /// "MINUTE ALL FAILED SLOW SERVICE CHECKSUM"; a service's name has no blanks.
 std::string
--- a/src/librattandyke/net/peer_transport.cpp
+++ b/src/librattandyke/net/peer_transport.cpp
@@ -18,7 +18,7 @@
 constexpr int kSendQueueMessages = 256;
 constexpr int kReceiveQueueMessages = 1024;
 constexpr size_t kMaxHandoverMessages = 4096;
-constexpr size_t kMaxHandoverBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxHandoverBytes = size_t{ 64 } * 1024 * 1024;
 /// Messages read before commands get their turn again.
 constexpr int kReceiveBurst = 256;
 
--- a/src/librattandyke/records/records.cpp
+++ b/src/librattandyke/records/records.cpp
@@ -18,11 +18,11 @@
 
 constexpr uint64_t kMostSegments = 32;
 constexpr uint64_t kMostSlots = 1 << 20;
-constexpr uint64_t kMostRetentionSeconds = 7 * 24 * 3600;
-constexpr uint64_t kMostMilliseconds = 24 * 3600 * 1000;
+constexpr uint64_t kMostRetentionSeconds = uint64_t{ 7 } * 24 * 3600;
+constexpr uint64_t kMostMilliseconds = uint64_t{ 24 } * 3600 * 1000;
 constexpr double kMostWeight = 1000;
 constexpr double kMostRate = 1e9;
-constexpr size_t kMostBodyBytes = 64 * 1024;
+constexpr size_t kMostBodyBytes = size_t{ 64 } * 1024;
 constexpr size_t kMostNameBytes = 200;
 
 bool
--- a/src/librattandyke/storage/log_store.h
+++ b/src/librattandyke/storage/log_store.h
@@ -12,7 +12,7 @@
 struct LogStoreOptions
 {
   /// Size above which the next entries go to a new file.
-  uint64_t segmentBytes = 16 * 1024 * 1024;
+  uint64_t segmentBytes = uint64_t{ 16 } * 1024 * 1024;
 };
 
 /// One data folder:
--- a/src/testing/drain_body.h
+++ b/src/testing/drain_body.h
@@ -19,7 +19,7 @@
           boost::beast::flat_buffer& aBuffer,
           Parser& aParser)
 {
-  constexpr size_t kPieceBytes = 64 * 1024;
+  constexpr size_t kPieceBytes = size_t{ 64 } * 1024;
   std::vector<char> piece(kPieceBytes);
   boost::system::error_code error;
   aParser.body_limit(boost::none);
