--- a/src/librattandyke/http/caller_stream.h
+++ b/src/librattandyke/http/caller_stream.h
@@ -7,6 +7,7 @@
 #include <span>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/src/librattandyke/http/upstream_exchange.h
+++ b/src/librattandyke/http/upstream_exchange.h
@@ -6,6 +6,7 @@
 #include <span>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
--- a/src/librattandyke/net/peer_transport_test.cpp
+++ b/src/librattandyke/net/peer_transport_test.cpp
@@ -3,6 +3,9 @@
 #include <condition_variable>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <zmq.hpp>
 
