--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -83,8 +83,8 @@
     callbacks.synced = [this](Ticket ticket) {
       Post([ticket](Impl& self) { self.Step(Synced{ ticket }); });
     };
-    callbacks.changed = [this](std::optional<Error> error) {
-      Post([error](Impl& self) { self.OnDiskChanged(error); });
+    callbacks.changed = [this](const std::optional<Error>& aError) {
+      Post([aError](Impl& aSelf) { aSelf.OnDiskChanged(aError); });
     };
     return callbacks;
   }
--- a/src/librattandyke/consensus/participant.cpp
+++ b/src/librattandyke/consensus/participant.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-Participant::Participant(Options aOptions,
+Participant::Participant(const Options& aOptions,
                          Restored aRestored,
                          uint64_t aSeed,
                          Instant aNow)
--- a/src/librattandyke/consensus/participant.h
+++ b/src/librattandyke/consensus/participant.h
@@ -24,7 +24,7 @@
     ReplicaOptions replica;
   };
 
-  Participant(Options aOptions,
+  Participant(const Options& aOptions,
               Restored aRestored,
               uint64_t aSeed,
               Instant aNow);
--- a/src/librattandyke/control/control_service.cpp
+++ b/src/librattandyke/control/control_service.cpp
@@ -29,12 +29,12 @@
 
 struct ControlService::Impl : std::enable_shared_from_this<ControlService::Impl>
 {
-  Impl(boost::asio::any_io_executor aExecutor,
+  Impl(const boost::asio::any_io_executor& aExecutor,
        Options aOptions,
        net::PeerTransport& aTransport,
        const Clock& aClock,
        uint64_t aSeed)
-    : mStrand(boost::asio::make_strand(std::move(aExecutor)))
+    : mStrand(boost::asio::make_strand(aExecutor))
     , mOptions(std::move(aOptions))
     , mTransport(aTransport)
     , mClock(aClock)
@@ -273,7 +273,7 @@
     mTransport.Send(aTo, std::move(envelope));
   }
 
-  void Shutdown(std::function<void()> aDone)
+  void Shutdown(const std::function<void()>& aDone)
   {
     if (!mRunning) {
       return aDone();
--- a/src/librattandyke/control/coordinator.cpp
+++ b/src/librattandyke/control/coordinator.cpp
@@ -260,12 +260,14 @@
       for (const UpstreamEntry& entry : owners.upstreams) {
         needed.insert({ service, entry.view.name(), entry.view.incarnation() });
       }
-      const auto needPrevious = [&](const Holding& aHolding) {
-        if (const UpstreamEntry* previous = owners.At(aHolding.previous)) {
-          needed.insert(
-            { service, previous->view.name(), aHolding.previousIncarnation });
-        }
-      };
+      // By name: clang refuses to capture a structured binding by default.
+      const auto needPrevious =
+        [&, &service = service, &owners = owners](const Holding& aHolding) {
+          if (const UpstreamEntry* previous = owners.At(aHolding.previous)) {
+            needed.insert(
+              { service, previous->view.name(), aHolding.previousIncarnation });
+          }
+        };
       for (const uint32_t slot : owners.freeSlots) {
         needPrevious(owners.slots[slot]);
       }
--- a/src/librattandyke/http/entry_context.h
+++ b/src/librattandyke/http/entry_context.h
@@ -69,7 +69,7 @@
 /// its connection, and either the service.
 struct EntryContext
 {
-  EntryContext(boost::asio::any_io_executor aExecutor,
+  EntryContext(const boost::asio::any_io_executor& aExecutor,
                const Limits& aLimits,
                std::unique_ptr<EntryHost> aHost,
                const Clock& aClock,
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -70,7 +70,7 @@
 /// The acceptor and the timers live on one strand of their own.
 struct EntryService::Impl : std::enable_shared_from_this<EntryService::Impl>
 {
-  Impl(asio::any_io_executor aExecutor,
+  Impl(const asio::any_io_executor& aExecutor,
        Options aOptions,
        std::unique_ptr<EntryHost> aHost,
        const Clock& aClock,
