--- a/src/librattandyke/base/result.cpp
+++ b/src/librattandyke/base/result.cpp
@@ -214,8 +214,8 @@
 const CodeInfo&
 Describe(Code aCode)
 {
-  const auto row = std::find_if(kCodes.begin(), kCodes.end(), [&](auto& info) {
-    return info.code == aCode;
+  const auto row = std::find_if(kCodes.begin(), kCodes.end(), [&](auto& aInfo) {
+    return aInfo.code == aCode;
   });
   return row == kCodes.end() ? kCodes.front() : *row;
 }
--- a/src/librattandyke/consensus/configuration.cpp
+++ b/src/librattandyke/consensus/configuration.cpp
@@ -26,8 +26,8 @@
 VoterCount(const wire::Configuration& aConfiguration)
 {
   const auto& members = aConfiguration.members();
-  return std::count_if(members.begin(), members.end(), [](const auto& member) {
-    return member.voter();
+  return std::count_if(members.begin(), members.end(), [](const auto& aMember) {
+    return aMember.voter();
   });
 }
 
@@ -41,8 +41,8 @@
 ConfigurationHistory::At(uint64_t aIndex) const
 {
   const auto found =
-    std::find_if(mItems.rbegin(), mItems.rend(), [&](const Item& item) {
-      return item.index <= aIndex;
+    std::find_if(mItems.rbegin(), mItems.rend(), [&](const Item& aItem) {
+      return aItem.index <= aIndex;
     });
   return found == mItems.rend() ? mItems.front().value : found->value;
 }
--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -80,8 +80,8 @@
   DiskThread::Callbacks DiskCallbacks()
   {
     DiskThread::Callbacks callbacks;
-    callbacks.synced = [this](Ticket ticket) {
-      Post([ticket](Impl& self) { self.Step(Synced{ ticket }); });
+    callbacks.synced = [this](Ticket aTicket) {
+      Post([aTicket](Impl& aSelf) { aSelf.Step(Synced{ aTicket }); });
     };
     callbacks.changed = [this](const std::optional<Error>& aError) {
       Post([aError](Impl& aSelf) { aSelf.OnDiskChanged(aError); });
@@ -120,9 +120,9 @@
     }
     mArmedFor = due;
     mTimer.expires_at(due);
-    mTimer.async_wait([weak = weak_from_this()](auto error) {
+    mTimer.async_wait([weak = weak_from_this()](auto aError) {
       const auto self = weak.lock();
-      if (self && self->mRunning && !error) {
+      if (self && self->mRunning && !aError) {
         self->OnTimer();
       }
     });
@@ -159,7 +159,7 @@
       for (Effect& effect : mParticipant->Step(event, mClock.Now())) {
         // A callback may have stopped the driver.
         if (mRunning) {
-          std::visit([this](auto& item) { On(item); }, effect);
+          std::visit([this](auto& aItem) { On(aItem); }, effect);
         }
       }
     }
@@ -240,8 +240,8 @@
     }
     mBatch.push_back({ AddWaiting(std::move(aDone)), std::move(aPayload) });
     if (mBatch.size() == 1) {
-      Post([](Impl& self) {
-        self.Step(consensus::Propose{ std::exchange(self.mBatch, {}) });
+      Post([](Impl& aSelf) {
+        aSelf.Step(consensus::Propose{ std::exchange(aSelf.mBatch, {}) });
       });
     }
   }
@@ -373,8 +373,8 @@
 Driver::ProposeDone
 WithoutIndex(Driver::Done aDone)
 {
-  return [done = std::move(aDone)](Result<LogIndex> result) {
-    done(result.map([](LogIndex) {}));
+  return [done = std::move(aDone)](Result<LogIndex> aResult) {
+    done(aResult.map([](LogIndex) {}));
   };
 }
 
--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -119,9 +119,9 @@
     while (!done) {
       const std::string leader = WaitForLeader();
       bool answered = false;
-      At(leader).Propose(aPayload, [&](Result<LogIndex> result) {
+      At(leader).Propose(aPayload, [&](Result<LogIndex> aResult) {
         answered = true;
-        done = result.has_value();
+        done = aResult.has_value();
       });
       RunUntil([&] { return answered; });
     }
@@ -145,15 +145,16 @@
   Driver::Callbacks MakeCallbacks(const std::string& aName)
   {
     Driver::Callbacks callbacks;
-    callbacks.send = [this, aName](const HostName& to, std::string bytes) {
-      boost::asio::post(mContext, [this, aName, to, bytes = std::move(bytes)] {
-        if (mHosts[to.value].driver) {
-          mHosts[to.value].driver->Receive(HostName{ aName }, bytes);
-        }
-      });
+    callbacks.send = [this, aName](const HostName& aTo, std::string aBytes) {
+      boost::asio::post(
+        mContext, [this, aName, aTo, aBytes = std::move(aBytes)] {
+          if (mHosts[aTo.value].driver) {
+            mHosts[aTo.value].driver->Receive(HostName{ aName }, aBytes);
+          }
+        });
     };
-    callbacks.apply = [this, aName](LogIndex, std::string_view payload) {
-      mHosts[aName].applied.emplace_back(payload);
+    callbacks.apply = [this, aName](LogIndex, std::string_view aPayload) {
+      mHosts[aName].applied.emplace_back(aPayload);
     };
     callbacks.makeSnapshot = [this, aName] {
       std::string state;
@@ -162,8 +163,8 @@
       }
       return state;
     };
-    callbacks.loadSnapshot = [this, aName](std::string_view state) {
-      std::istringstream lines{ std::string(state) };
+    callbacks.loadSnapshot = [this, aName](std::string_view aState) {
+      std::istringstream lines{ std::string(aState) };
       mHosts[aName].applied.clear();
       for (std::string line; std::getline(lines, line);) {
         mHosts[aName].applied.push_back(line);
@@ -249,8 +250,8 @@
   hosts.RunUntil([&] {
     const auto members = hosts.At(hosts.WaitForLeader()).Status().members;
     const bool votes =
-      std::any_of(members.begin(), members.end(), [&](const auto& member) {
-        return member.identity == renewed && member.voter;
+      std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
+        return aMember.identity == renewed && aMember.voter;
       });
     return votes && members.size() == 3;
   });
@@ -301,12 +302,12 @@
   hosts.Write("before");
   disk->LimitTo(0);
   std::vector<Code> codes;
-  hosts.At("a").Propose("lost", [&](Result<LogIndex> result) {
-    codes.push_back(result ? Code::Ok : result.error().code);
+  hosts.At("a").Propose("lost", [&](Result<LogIndex> aResult) {
+    codes.push_back(aResult ? Code::Ok : aResult.error().code);
   });
   hosts.RunUntil([&] { return !hosts.At("a").Status().storageError.empty(); });
-  hosts.At("a").Propose("refused", [&](Result<LogIndex> result) {
-    codes.push_back(result ? Code::Ok : result.error().code);
+  hosts.At("a").Propose("refused", [&](Result<LogIndex> aResult) {
+    codes.push_back(aResult ? Code::Ok : aResult.error().code);
   });
   EXPECT_EQ(codes, (std::vector{ Code::ProposalDropped, Code::DiskFull }));
   EXPECT_FALSE(hosts.At("a").IsLeader());
--- a/src/librattandyke/consensus/founding.cpp
+++ b/src/librattandyke/consensus/founding.cpp
@@ -14,7 +14,7 @@
 std::vector<Founding::Effect>
 Founding::Step(const Event& aEvent, const Own& aOwn, Instant aNow)
 {
-  std::visit([&](const auto& event) { On(event, aOwn, aNow); }, aEvent);
+  std::visit([&](const auto& aEvent) { On(aEvent, aOwn, aNow); }, aEvent);
   return std::exchange(mEffects, {});
 }
 
@@ -72,10 +72,10 @@
 {
   const auto& hosts = mOptions.controlHosts;
   return !mFounded &&
-         std::all_of(hosts.begin(), hosts.end(), [&](const Member& member) {
-           return member.name >= mOptions.self &&
-                  (member.name == mOptions.self ||
-                   mEmpty.contains(member.name));
+         std::all_of(hosts.begin(), hosts.end(), [&](const Member& aMember) {
+           return aMember.name >= mOptions.self &&
+                  (aMember.name == mOptions.self ||
+                   mEmpty.contains(aMember.name));
          });
 }
 
@@ -89,9 +89,10 @@
   wire::Configuration configuration;
   configuration.set_group(mOptions.identity.value);
   std::vector<Member> hosts = mOptions.controlHosts;
-  std::sort(hosts.begin(), hosts.end(), [](const auto& one, const auto& other) {
-    return one.name < other.name;
-  });
+  std::sort(
+    hosts.begin(), hosts.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.name < aOther.name;
+    });
   const size_t voters = mOptions.voters == 0 ? hosts.size() : mOptions.voters;
   for (const Member& host : hosts) {
     wire::GroupMember* member = configuration.add_members();
--- a/src/librattandyke/consensus/repair.cpp
+++ b/src/librattandyke/consensus/repair.cpp
@@ -20,8 +20,8 @@
 HasVoter(const GroupStatus& aStatus, const HostName& aName)
 {
   return std::any_of(
-    aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
-      return member.voter && member.member.name == aName;
+    aStatus.members.begin(), aStatus.members.end(), [&](const auto& aMember) {
+      return aMember.voter && aMember.member.name == aName;
     });
 }
 
@@ -30,8 +30,8 @@
 HasLearner(const GroupStatus& aStatus, const HostName& aName)
 {
   return std::any_of(
-    aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
-      return !member.voter && member.active && member.member.name == aName;
+    aStatus.members.begin(), aStatus.members.end(), [&](const auto& aMember) {
+      return !aMember.voter && aMember.active && aMember.member.name == aName;
     });
 }
 
@@ -40,7 +40,7 @@
 {
   return std::count_if(aStatus.members.begin(),
                        aStatus.members.end(),
-                       [](const auto& member) { return member.voter; });
+                       [](const auto& aMember) { return aMember.voter; });
 }
 
 /// Whether the voters that answer now would be a majority if aChanged voted, or
@@ -118,7 +118,7 @@
   return std::any_of(
     mOptions.controlHosts.begin(),
     mOptions.controlHosts.end(),
-    [&](const Member& member) { return member.name == aName; });
+    [&](const Member& aMember) { return aMember.name == aName; });
 }
 
 std::optional<MembershipChange>
@@ -128,13 +128,13 @@
     const bool replaced =
       std::any_of(aStatus.members.begin(),
                   aStatus.members.end(),
-                  [&](const MemberStatus& member) {
+                  [&](const MemberStatus& aMember) {
                     const bool ready = old.voter
-                                         ? IsCaughtUp(member, aStatus) ||
-                                             (member.voter && member.active)
-                                         : member.active;
-                    return member.identity != old.identity &&
-                           member.member.name == old.member.name && ready;
+                                         ? IsCaughtUp(aMember, aStatus) ||
+                                             (aMember.voter && aMember.active)
+                                         : aMember.active;
+                    return aMember.identity != old.identity &&
+                           aMember.member.name == old.member.name && ready;
                   });
     const bool affordable = !old.voter || LeavesMajority(aStatus, old.identity);
     if (replaced && affordable && IsSilent(old, mOptions.replaceAfter, aNow)) {
@@ -171,9 +171,9 @@
 {
   const size_t voters = CountVoters(aStatus);
   const bool silent = std::any_of(
-    aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
-      return member.voter && IsSilent(member, mOptions.spareAfter, aNow) &&
-             !HasLearner(aStatus, member.member.name);
+    aStatus.members.begin(), aStatus.members.end(), [&](const auto& aMember) {
+      return aMember.voter && IsSilent(aMember, mOptions.spareAfter, aNow) &&
+             !HasLearner(aStatus, aMember.member.name);
     });
   if (voters > VotersWanted() || (voters == VotersWanted() && !silent)) {
     return std::nullopt;
@@ -198,10 +198,10 @@
     }
     const HostIdentity identity = newcomer->second.identity;
     const bool hindered = std::any_of(
-      aStatus.members.begin(), aStatus.members.end(), [&](const auto& member) {
-        return member.identity == identity ||
-               (member.member.name == host.name &&
-                !IsSilent(member, mOptions.replaceAfter, aNow));
+      aStatus.members.begin(), aStatus.members.end(), [&](const auto& aMember) {
+        return aMember.identity == identity ||
+               (aMember.member.name == host.name &&
+                !IsSilent(aMember, mOptions.replaceAfter, aNow));
       });
     if (!hindered) {
       return AddLearner{ host, identity };
--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -54,7 +54,7 @@
   // A leader that was paused finds its replies and proposals waiting; it must
   // learn that its time is over before it looks at them.
   CheckQuorum();
-  std::visit([this](const auto& event) { On(event); }, aEvent);
+  std::visit([this](const auto& aEvent) { On(aEvent); }, aEvent);
   EmitAfterSync();
   if (mRole == Role::Leader) {
     Replicate();
@@ -88,11 +88,11 @@
 Replica::AnsweredByMajority(Instant aNow) const
 {
   return MajorityValue(
-    Members(), [&](const wire::GroupMember& member) -> std::optional<Instant> {
-      if (member.identity() == mSelf) {
+    Members(), [&](const wire::GroupMember& aMember) -> std::optional<Instant> {
+      if (aMember.identity() == mSelf) {
         return aNow;
       }
-      const auto found = mProgress.find(member.identity());
+      const auto found = mProgress.find(aMember.identity());
       return found == mProgress.end() ? std::nullopt : found->second.answered;
     });
 }
--- a/src/librattandyke/consensus/replica_election.cpp
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -124,8 +124,8 @@
 size_t
 Replica::VotesCounted() const
 {
-  return std::count_if(mVotes.begin(), mVotes.end(), [&](uint64_t identity) {
-    return IsVoter(Members(), identity);
+  return std::count_if(mVotes.begin(), mVotes.end(), [&](uint64_t aIdentity) {
+    return IsVoter(Members(), aIdentity);
   });
 }
 
--- a/src/librattandyke/consensus/replica_leader.cpp
+++ b/src/librattandyke/consensus/replica_leader.cpp
@@ -38,8 +38,8 @@
 void
 Replica::SyncProgressWithMembers()
 {
-  std::erase_if(mProgress, [&](const auto& item) {
-    return FindMember(Members(), item.first) == nullptr;
+  std::erase_if(mProgress, [&](const auto& aItem) {
+    return FindMember(Members(), aItem.first) == nullptr;
   });
   for (const wire::GroupMember& member : Members().members()) {
     if (member.identity() == mSelf || mProgress.contains(member.identity())) {
@@ -239,7 +239,7 @@
   aProgress.match = std::max(aProgress.match, aMatch);
   aProgress.next = std::max(aProgress.next, aProgress.match + 1);
   std::erase_if(aProgress.inFlight,
-                [&](uint64_t last) { return last <= aProgress.match; });
+                [&](uint64_t aLast) { return aLast <= aProgress.match; });
   if (aProgress.mode == Progress::Mode::Snapshot) {
     if (aProgress.match < aProgress.snapshot->meta.index()) {
       return;
@@ -274,11 +274,11 @@
 Replica::AdvanceLeaderCommit()
 {
   const uint64_t reached =
-    MajorityValue(Members(), [&](const wire::GroupMember& member) -> uint64_t {
-      if (member.identity() == mSelf) {
+    MajorityValue(Members(), [&](const wire::GroupMember& aMember) -> uint64_t {
+      if (aMember.identity() == mSelf) {
         return mSyncedIndex;
       }
-      const Progress* progress = ProgressOf(member.identity());
+      const Progress* progress = ProgressOf(aMember.identity());
       return progress == nullptr ? 0 : progress->match;
     });
   if (reached > mCommit && mLog.TermAt(reached) == mTerm) {
@@ -303,7 +303,7 @@
                   "Another change of the membership is not committed yet.");
   }
   const auto changed = std::visit(
-    [this](const auto& change) { return Changed(change); }, aEvent.change);
+    [this](const auto& aChange) { return Changed(aChange); }, aEvent.change);
   if (!changed) {
     return refuse(changed.error().code, changed.error().message);
   }
@@ -354,8 +354,8 @@
   wire::Configuration changed = Members();
   auto* members = changed.mutable_members();
   const auto removed = std::remove_if(
-    members->begin(), members->end(), [&](const wire::GroupMember& member) {
-      return member.identity() == aChange.identity.value;
+    members->begin(), members->end(), [&](const wire::GroupMember& aMember) {
+      return aMember.identity() == aChange.identity.value;
     });
   if (removed == members->end()) {
     return Fail(Code::RevisionConflict, "The host is not a member.");
--- a/src/librattandyke/consensus/replica_rules_test.cpp
+++ b/src/librattandyke/consensus/replica_rules_test.cpp
@@ -151,9 +151,9 @@
   // could leave two majorities that share no voter; the second is refused.
   BecomeLeader();
   Acknowledge(3);
-  const auto add = [](uint64_t id) {
-    return ChangeMembership{ ProposalId{ id },
-                             AddLearner{ {}, HostIdentity{ 10 + id } } };
+  const auto add = [](uint64_t aId) {
+    return ChangeMembership{ ProposalId{ aId },
+                             AddLearner{ {}, HostIdentity{ 10 + aId } } };
   };
   Step(add(1));
   const auto effects = Step(add(2));
--- a/src/librattandyke/consensus/replica_test.cpp
+++ b/src/librattandyke/consensus/replica_test.cpp
@@ -28,11 +28,11 @@
                  gen::inRange<uint8_t>(0, 7),
                  gen::inRange<uint8_t>(0, 7),
                  gen::oneOf(gen::inRange(0, 8), gen::inRange(0, 400))),
-      [](const auto& drawn) {
-        return FaultStep{ static_cast<FaultStep::Kind>(std::get<0>(drawn)),
-                          std::get<1>(drawn),
-                          std::get<2>(drawn),
-                          std::chrono::milliseconds{ std::get<3>(drawn) } };
+      [](const auto& aDrawn) {
+        return FaultStep{ static_cast<FaultStep::Kind>(std::get<0>(aDrawn)),
+                          std::get<1>(aDrawn),
+                          std::get<2>(aDrawn),
+                          std::chrono::milliseconds{ std::get<3>(aDrawn) } };
       });
   }
 };
@@ -94,8 +94,8 @@
   const auto& log = group.Host(leader).Log();
   const auto hasCaughtUp = [&] {
     const auto members = log.Status(Instant{}).members;
-    return std::any_of(members.begin(), members.end(), [&](const auto& row) {
-      return !row.voter && row.match == log.CommitIndex();
+    return std::any_of(members.begin(), members.end(), [&](const auto& aRow) {
+      return !aRow.voter && aRow.match == log.CommitIndex();
     });
   };
   while (!hasCaughtUp()) {
@@ -114,8 +114,8 @@
   ReplicaGroup group(testing::ScheduleOptions(7, 1));
   group.RunFor(std::chrono::milliseconds{ 250 });
   const size_t leader = group.Leader().value();
-  const auto other = [&](size_t distance) {
-    return static_cast<uint8_t>((leader + distance) % 5);
+  const auto other = [&](size_t aDistance) {
+    return static_cast<uint8_t>((leader + aDistance) % 5);
   };
   group.Execute({ FaultStep::Kind::Crash, other(1) });
   group.RunFor(std::chrono::seconds{ 3 });
--- a/src/librattandyke/http/headers.cpp
+++ b/src/librattandyke/http/headers.cpp
@@ -80,8 +80,8 @@
 bool
 IsHopByHop(std::string_view aName)
 {
-  return std::any_of(kHopByHop.begin(), kHopByHop.end(), [&](auto each) {
-    return EqualNames(each, aName);
+  return std::any_of(kHopByHop.begin(), kHopByHop.end(), [&](auto aEach) {
+    return EqualNames(aEach, aName);
   });
 }
 
@@ -97,8 +97,8 @@
 {
   const auto [first, last] =
     aFields.equal_range(beast::http::field::connection);
-  return std::any_of(first, last, [&](const auto& field) {
-    return beast::http::token_list(field.value()).exists(ToBeast(aName));
+  return std::any_of(first, last, [&](const auto& aField) {
+    return beast::http::token_list(aField.value()).exists(ToBeast(aName));
   });
 }
 
--- a/src/librattandyke/http/request_run.cpp
+++ b/src/librattandyke/http/request_run.cpp
@@ -175,7 +175,7 @@
     // Moved out, since an effect may add to the list and so move it.
     const entry::FlowEvent event = std::move(mEvents[next]);
     for (auto& effect : mFlow.Step(event, mContext.clock.Now())) {
-      std::visit([this](auto& each) { Execute(std::move(each)); }, effect);
+      std::visit([this](auto& aEach) { Execute(std::move(aEach)); }, effect);
     }
   }
   mEvents.clear();
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -49,7 +49,7 @@
 Ticket
 TicketOf(const SlotAnswer& aAnswer)
 {
-  return std::visit([](const auto& each) { return each.ticket; }, aAnswer);
+  return std::visit([](const auto& aEach) { return aEach.ticket; }, aAnswer);
 }
 
 /// The queue of one upstream. Its mutex is never held while another is taken
@@ -274,8 +274,9 @@
 SlotQueues::Sweep(Instant aNow)
 {
   const std::lock_guard lock(mImpl->mutex);
-  std::erase_if(mImpl->queues,
-                [&](const auto& each) { return each.second->IsUnused(aNow); });
+  std::erase_if(mImpl->queues, [&](const auto& aEach) {
+    return aEach.second->IsUnused(aNow);
+  });
 }
 
 } // namespace rattandyke::http
--- a/src/librattandyke/net/peer_transport.cpp
+++ b/src/librattandyke/net/peer_transport.cpp
@@ -299,7 +299,7 @@
     commandBytes = 0;
   }
   for (Command& command : taken) {
-    std::visit([&](auto& each) { Apply(std::move(each)); }, command);
+    std::visit([&](auto& aEach) { Apply(std::move(aEach)); }, command);
   }
 }
 
--- a/src/librattandyke/net/peer_transport_test.cpp
+++ b/src/librattandyke/net/peer_transport_test.cpp
@@ -61,8 +61,8 @@
   size_t CountLocked(const std::string& aContent) const
   {
     return static_cast<size_t>(
-      std::count_if(mEnvelopes.begin(), mEnvelopes.end(), [&](auto& each) {
-        return each.consensus() == aContent;
+      std::count_if(mEnvelopes.begin(), mEnvelopes.end(), [&](auto& aEach) {
+        return aEach.consensus() == aContent;
       }));
   }
 
--- a/src/librattandyke/storage/log_store.cpp
+++ b/src/librattandyke/storage/log_store.cpp
@@ -68,9 +68,9 @@
   {
     return mFiles->CreateFolder(mFolder)
       .and_then([&] { return mFiles->Lock(mFolder / "lock"); })
-      .map([&](std::unique_ptr<FileLock> lock) { mLock = std::move(lock); })
+      .map([&](std::unique_ptr<FileLock> aLock) { mLock = std::move(aLock); })
       .and_then([&] { return mFiles->List(mFolder); })
-      .map([&](std::vector<std::string> names) { mNames = std::move(names); })
+      .map([&](std::vector<std::string> aNames) { mNames = std::move(aNames); })
       .and_then([&] { return RemoveTemporaries(); })
       .and_then([&] { return LoadIdentity(aRandomIdentity); })
       .and_then([&] { return LoadState(); })
@@ -85,8 +85,8 @@
 
   bool HasPrefix(std::string_view aPrefix) const
   {
-    return std::any_of(mNames.begin(), mNames.end(), [&](const auto& name) {
-      return name.starts_with(aPrefix);
+    return std::any_of(mNames.begin(), mNames.end(), [&](const auto& aName) {
+      return aName.starts_with(aPrefix);
     });
   }
 
@@ -99,8 +99,8 @@
         }
       }
     }
-    std::erase_if(mNames, [](const auto& name) {
-      return name.ends_with(kTemporarySuffix);
+    std::erase_if(mNames, [](const auto& aName) {
+      return aName.ends_with(kTemporarySuffix);
     });
     return {};
   }
@@ -122,11 +122,11 @@
         return mFiles->SyncFolder(mFolder.parent_path());
       });
     }
-    return ReadSealed(*mFiles, path).and_then([&](std::string bytes) {
-      if (bytes.size() != kNumberBytes) {
+    return ReadSealed(*mFiles, path).and_then([&](std::string aBytes) {
+      if (aBytes.size() != kNumberBytes) {
         return Result<void>(FailCorrupt(path, 0, "its length is wrong"));
       }
-      mIdentity = ReadNumber(bytes, 0);
+      mIdentity = ReadNumber(aBytes, 0);
       return Result<void>();
     });
   }
@@ -141,8 +141,8 @@
       }
       return {};
     }
-    return ReadSealed(*mFiles, path).and_then([&](std::string bytes) {
-      if (!mRestored.hardState.ParseFromString(bytes)) {
+    return ReadSealed(*mFiles, path).and_then([&](std::string aBytes) {
+      if (!mRestored.hardState.ParseFromString(aBytes)) {
         return Result<void>(FailCorrupt(path, 0, "it can't be read"));
       }
       return Result<void>();
@@ -152,16 +152,16 @@
   Result<void> LoadSnapshot()
   {
     const auto newest =
-      std::find_if(mNames.rbegin(), mNames.rend(), [](const auto& name) {
-        return name.starts_with(kSnapshotPrefix);
+      std::find_if(mNames.rbegin(), mNames.rend(), [](const auto& aName) {
+        return aName.starts_with(kSnapshotPrefix);
       });
     if (newest == mNames.rend()) {
       return {};
     }
     const auto path = mFolder / *newest;
     return ReadSealed(*mFiles, path)
-      .and_then([&](std::string bytes) {
-        mRestored.snapshot = DecodeSnapshot(bytes);
+      .and_then([&](std::string aBytes) {
+        mRestored.snapshot = DecodeSnapshot(aBytes);
         if (!mRestored.snapshot) {
           return Result<void>(FailCorrupt(path, 0, "it can't be read"));
         }
@@ -280,8 +280,8 @@
           *mFiles, mFolder / name, EncodeSnapshot(aSave.snapshot));
       })
       .and_then([&] { return mFiles->List(mFolder); })
-      .and_then([&](std::vector<std::string> names) {
-        mNames = std::move(names);
+      .and_then([&](std::vector<std::string> aNames) {
+        mNames = std::move(aNames);
         return RemoveSnapshotsBut(name);
       })
       .and_then([&] {
--- a/src/librattandyke/storage/sealed_file.cpp
+++ b/src/librattandyke/storage/sealed_file.cpp
@@ -58,8 +58,8 @@
   bytes += aPayload;
   return aFiles.Remove(temporary)
     .and_then([&] { return aFiles.Open(temporary); })
-    .and_then([&](std::unique_ptr<File> file) {
-      return file->Append(bytes).and_then([&] { return file->Sync(); });
+    .and_then([&](std::unique_ptr<File> aFile) {
+      return aFile->Append(bytes).and_then([&] { return aFile->Sync(); });
     })
     .and_then([&] { return aFiles.Rename(temporary, aPath); })
     .and_then([&] { return aFiles.SyncFolder(aPath.parent_path()); });
--- a/src/librattandyke/storage/segment_log.cpp
+++ b/src/librattandyke/storage/segment_log.cpp
@@ -39,7 +39,7 @@
   std::copy_if(aNames.begin(),
                aNames.end(),
                std::back_inserter(names),
-               [](const auto& name) { return name.starts_with(kPrefix); });
+               [](const auto& aName) { return aName.starts_with(kPrefix); });
   std::vector<wire::LogEntry> entries;
   for (const std::string& name : names) {
     const auto loaded = LoadSegment(name, name == names.back(), entries);
@@ -166,16 +166,16 @@
   ++mSyncs;
   return mFiles.Remove(segment.path)
     .and_then([&] { return mFiles.Open(segment.path); })
-    .and_then([&](std::unique_ptr<File> file) {
-      mFile = std::move(file);
+    .and_then([&](std::unique_ptr<File> aFile) {
+      mFile = std::move(aFile);
       return mFile->Append(header);
     })
     .and_then([&] { return mFile->Sync(); })
     .and_then([&] { return SyncFolder(); })
     .map([&] { mSegments.push_back(std::move(segment)); })
-    .map_error([&](Error error) {
+    .map_error([&](Error aError) {
       mFile.reset();
-      return error;
+      return aError;
     });
 }
 
@@ -225,7 +225,7 @@
     return {};
   }
   return mFiles.Open(mSegments.back().path)
-    .map([&](std::unique_ptr<File> file) { mFile = std::move(file); });
+    .map([&](std::unique_ptr<File> aFile) { mFile = std::move(aFile); });
 }
 
 Result<void>
--- a/src/testing/invariants.cpp
+++ b/src/testing/invariants.cpp
@@ -142,9 +142,9 @@
 {
   const auto kept = mApplied.begin() + std::min(aCount, mApplied.size());
   return std::count_if(
-    mAcknowledged.begin(), mAcknowledged.end(), [&](LogIndex index) {
-      return std::none_of(mApplied.begin(), kept, [&](const Command& command) {
-        return command.index == index;
+    mAcknowledged.begin(), mAcknowledged.end(), [&](LogIndex aIndex) {
+      return std::none_of(mApplied.begin(), kept, [&](const Command& aCommand) {
+        return aCommand.index == aIndex;
       });
     });
 }
--- a/src/testing/replica_group.cpp
+++ b/src/testing/replica_group.cpp
@@ -155,8 +155,8 @@
     left.erase(aHost.identity);
     return std::all_of(mHosts.begin(),
                        mHosts.end(),
-                       [&](const auto& host) {
-                         return AffordableWithSpares(host.members, left);
+                       [&](const auto& aHost) {
+                         return AffordableWithSpares(aHost.members, left);
                        }) &&
            AffordableWithSpares(mInvariants.CommittedMembers(), left);
   }
@@ -183,8 +183,8 @@
       const bool hasVoter =
         std::any_of(aMembers.members().begin(),
                     aMembers.members().end(),
-                    [&](const auto& other) {
-                      return other.voter() && other.name() == name;
+                    [&](const auto& aOther) {
+                      return aOther.voter() && aOther.name() == name;
                     });
       if (!hasVoter) {
         wire::Configuration changed = aMembers;
@@ -227,7 +227,7 @@
     const auto effects = aHost.participant->Step(aEvent, mNow + aHost.clock);
     mInvariants.Observe(aHost.participant->Log(), mNow, aHost.clock);
     for (const consensus::Effect& effect : effects) {
-      std::visit([&](const auto& item) { On(aHost, item); }, effect);
+      std::visit([&](const auto& aItem) { On(aHost, aItem); }, effect);
     }
     if (auto taken = std::exchange(aHost.taken, {})) {
       Step(aHost, *taken);
@@ -514,9 +514,9 @@
     const size_t voters =
       mOptions.replica.voters == 0 ? mHosts.size() : mOptions.replica.voters;
     return consensus::VoterCount(members) == voters &&
-           std::all_of(mHosts.begin(), mHosts.end(), [&](const auto& host) {
-             return consensus::FindMember(members, host.identity) != nullptr &&
-                    host.applied == mInvariants.AppliedCount();
+           std::all_of(mHosts.begin(), mHosts.end(), [&](const auto& aHost) {
+             return consensus::FindMember(members, aHost.identity) != nullptr &&
+                    aHost.applied == mInvariants.AppliedCount();
            });
   }
 
