Mend clang-tidy's findings in HTTP, routing and storage

Values that were only read are taken by const reference, trivially copyable answers are copied without std::move, results that are returned are no longer const, so that they move, and two comparisons of string with string_view in templates, which clang 14 cannot rewrite, use compare(). Behaviour is the same.

--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -72,16 +72,16 @@
   void Execute(entry::flow_effect::ReleaseClaim aEffect);
   void Execute(entry::flow_effect::AskTrial aEffect);
   void Execute(entry::flow_effect::EndTrial aEffect);
-  void Execute(entry::flow_effect::Enqueue aEffect);
+  void Execute(const entry::flow_effect::Enqueue& aEffect);
   void Execute(entry::flow_effect::LeaveQueue aEffect);
   void Execute(entry::flow_effect::Send aEffect);
   void Execute(entry::flow_effect::CancelSend aEffect);
   void Execute(entry::flow_effect::FreeSlot aEffect);
-  void Execute(entry::flow_effect::ReplyError aEffect);
+  void Execute(const entry::flow_effect::ReplyError& aEffect);
   void Execute(entry::flow_effect::PassAnswer aEffect);
   void Execute(entry::flow_effect::FinishAnswer aEffect);
   void Execute(entry::flow_effect::AbortAnswer aEffect);
-  void Execute(entry::flow_effect::ReplyStored aEffect);
+  void Execute(const entry::flow_effect::ReplyStored& aEffect);
   void Execute(entry::flow_effect::WaitRetry aEffect);
   void Execute(entry::flow_effect::ReportCrash aEffect);
 
--- a/src/librattandyke/http/request_run_effects.cpp
+++ b/src/librattandyke/http/request_run_effects.cpp
@@ -232,7 +232,7 @@
 }
 
 void
-RequestRun::Execute(flow_effect::Enqueue aEffect)
+RequestRun::Execute(const flow_effect::Enqueue& aEffect)
 {
   const std::string& service = mRequest.record->name.value;
   const auto* record = mTable->ServiceNamed(service);
@@ -255,7 +255,7 @@
   }
   auto onAnswer = [self = shared_from_this(),
                    attempt = aEffect.attempt](SlotAnswer aAnswer) {
-    asio::post(self->mStrand, [self, attempt, answer = std::move(aAnswer)] {
+    asio::post(self->mStrand, [self, attempt, answer = aAnswer] {
       self->OnSlotAnswer(attempt, answer);
     });
   };
@@ -360,7 +360,7 @@
 }
 
 void
-RequestRun::Execute(flow_effect::ReplyError aEffect)
+RequestRun::Execute(const flow_effect::ReplyError& aEffect)
 {
   mOwnAnswer = ErrorAnswer(aEffect, ContextOfAnswer());
   mTrace.Answered(
@@ -369,7 +369,7 @@
 }
 
 void
-RequestRun::Execute(flow_effect::ReplyStored aEffect)
+RequestRun::Execute(const flow_effect::ReplyStored& aEffect)
 {
   mOwnAnswer = StoredAnswerText(aEffect, ContextOfAnswer());
   mTrace.Answered(aEffect.outcome, Code::Ok, aEffect.answer.status());
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -138,12 +138,12 @@
     std::optional<SlotAnswer> own;
     for (SlotAnswer& answer : mAdmission->Step(aEvent, mClock.Now())) {
       if (TicketOf(answer) == aOwn) {
-        own = std::move(answer);
+        own = answer;
         continue;
       }
       const auto found = mCallbacks.find(TicketOf(answer));
       if (found != mCallbacks.end()) {
-        aAnswers.emplace_back(std::move(answer), std::move(found->second));
+        aAnswers.emplace_back(answer, std::move(found->second));
         mCallbacks.erase(found);
       }
     }
@@ -266,8 +266,7 @@
                                aRequest.deadline,
                                aRequest.idempotent },
                              std::move(aOnAnswer));
-  return { std::make_shared<Place>(std::move(queue), ticket),
-           std::move(answer) };
+  return { std::make_shared<Place>(std::move(queue), ticket), answer };
 }
 
 void
--- a/src/librattandyke/routing/service_table.cpp
+++ b/src/librattandyke/routing/service_table.cpp
@@ -74,7 +74,7 @@
 {
   return std::partition_point(
     aFirst, aLast, [&](const records::LimitRecord& aLimit) {
-      return aLimit.customer.value < aCustomer;
+      return aLimit.customer.value.compare(aCustomer) < 0;
     });
 }
 
@@ -85,7 +85,7 @@
                         std::string_view aFingerprint)
 {
   return std::partition_point(aFirst, aLast, [&](const wire::Ban& aBan) {
-    return aBan.fingerprint() < aFingerprint;
+    return aBan.fingerprint().compare(aFingerprint) < 0;
   });
 }
 
--- a/src/librattandyke/server/metrics_service.cpp
+++ b/src/librattandyke/server/metrics_service.cpp
@@ -25,7 +25,7 @@
 /// held.
 struct MetricsService::Impl : std::enable_shared_from_this<Impl>
 {
-  Impl(asio::any_io_executor aExecutor,
+  Impl(const asio::any_io_executor& aExecutor,
        HostName aHost,
        std::filesystem::path aFolder,
        metrics::Recorder& aRecorder,
--- a/src/librattandyke/storage/log_store.cpp
+++ b/src/librattandyke/storage/log_store.cpp
@@ -94,7 +94,7 @@
   {
     for (const std::string& name : mNames) {
       if (name.ends_with(kTemporarySuffix)) {
-        if (const auto removed = mFiles->Remove(mFolder / name); !removed) {
+        if (auto removed = mFiles->Remove(mFolder / name); !removed) {
           return removed;
         }
       }
@@ -122,7 +122,7 @@
         return mFiles->SyncFolder(mFolder.parent_path());
       });
     }
-    return ReadSealed(*mFiles, path).and_then([&](std::string aBytes) {
+    return ReadSealed(*mFiles, path).and_then([&](const std::string& aBytes) {
       if (aBytes.size() != kNumberBytes) {
         return Result<void>(FailCorrupt(path, 0, "its length is wrong"));
       }
@@ -141,7 +141,7 @@
       }
       return {};
     }
-    return ReadSealed(*mFiles, path).and_then([&](std::string aBytes) {
+    return ReadSealed(*mFiles, path).and_then([&](const std::string& aBytes) {
       if (!mRestored.hardState.ParseFromString(aBytes)) {
         return Result<void>(FailCorrupt(path, 0, "it can't be read"));
       }
@@ -160,7 +160,7 @@
     }
     const auto path = mFolder / *newest;
     return ReadSealed(*mFiles, path)
-      .and_then([&](std::string aBytes) {
+      .and_then([&](const std::string& aBytes) {
         mRestored.snapshot = DecodeSnapshot(aBytes);
         if (!mRestored.snapshot) {
           return Result<void>(FailCorrupt(path, 0, "it can't be read"));
@@ -174,7 +174,7 @@
   {
     for (const std::string& name : mNames) {
       if (name.starts_with(kSnapshotPrefix) && name != aKept) {
-        if (const auto removed = mFiles->Remove(mFolder / name); !removed) {
+        if (auto removed = mFiles->Remove(mFolder / name); !removed) {
           return removed;
         }
       }
@@ -234,14 +234,14 @@
     }
     if (state != nullptr) {
       mSyncs += kSyncsPerSealedFile;
-      const auto written =
+      auto written =
         WriteSealed(*mFiles, mFolder / "state", state->SerializeAsString());
       if (!written) {
         return written;
       }
     }
     for (const consensus::Persist& batch : aBatches) {
-      if (const auto written = WriteBatch(batch); !written) {
+      if (auto written = WriteBatch(batch); !written) {
         return written;
       }
     }
@@ -251,18 +251,18 @@
   Result<void> WriteBatch(const consensus::Persist& aBatch)
   {
     if (aBatch.snapshot) {
-      if (const auto saved = SaveSnapshot(*aBatch.snapshot); !saved) {
+      if (auto saved = SaveSnapshot(*aBatch.snapshot); !saved) {
         return saved;
       }
     }
     if (aBatch.truncateFrom) {
-      const auto cut = mLog.TruncateFrom(aBatch.truncateFrom->value);
+      auto cut = mLog.TruncateFrom(aBatch.truncateFrom->value);
       if (!cut) {
         return cut;
       }
     }
     for (const wire::LogEntry& entry : aBatch.entries) {
-      if (const auto appended = mLog.Append(entry); !appended) {
+      if (auto appended = mLog.Append(entry); !appended) {
         return appended;
       }
     }
--- a/src/librattandyke/storage/segment_log.cpp
+++ b/src/librattandyke/storage/segment_log.cpp
@@ -126,7 +126,7 @@
     return {};
   }
   if (aEntry.index() <= LastIndex()) {
-    if (const auto cut = TruncateFrom(aEntry.index()); !cut) {
+    if (auto cut = TruncateFrom(aEntry.index()); !cut) {
       return cut;
     }
   }
@@ -139,7 +139,7 @@
   const bool full = mSegments.empty() ||
                     mSegments.back().bytes + mBuffer.size() >= mSegmentBytes;
   if (full) {
-    const auto started = Flush().and_then([&] { return StartSegment(); });
+    auto started = Flush().and_then([&] { return StartSegment(); });
     if (!started) {
       return started;
     }
@@ -183,7 +183,7 @@
 SegmentLog::Flush()
 {
   if (mTailUnknown) {
-    if (const auto rolledBack = RollBack(); !rolledBack) {
+    if (auto rolledBack = RollBack(); !rolledBack) {
       return rolledBack;
     }
   }
@@ -193,7 +193,7 @@
   const std::string bytes = std::exchange(mBuffer, {});
   const std::vector<Item> items = std::exchange(mBuffered, {});
   ++mSyncs;
-  const auto written =
+  auto written =
     OpenNewest().and_then([&] { return mFile->Append(bytes); }).and_then([&] {
       return mFile->Sync();
     });
@@ -254,11 +254,11 @@
 Result<void>
 SegmentLog::TruncateFrom(uint64_t aIndex)
 {
-  if (const auto flushed = Flush(); !flushed) {
+  if (auto flushed = Flush(); !flushed) {
     return flushed;
   }
   while (!mSegments.empty() && mSegments.back().previousIndex + 1 >= aIndex) {
-    if (const auto removed = RemoveNewest(); !removed) {
+    if (auto removed = RemoveNewest(); !removed) {
       return removed;
     }
   }
@@ -284,7 +284,7 @@
 SegmentLog::DropBelow(uint64_t aIndex)
 {
   while (mSegments.size() > 1 && mSegments.front().LastIndex() < aIndex) {
-    const auto removed = mFiles.Remove(mSegments.front().path).and_then([&] {
+    auto removed = mFiles.Remove(mSegments.front().path).and_then([&] {
       return SyncFolder();
     });
     if (!removed) {
@@ -301,7 +301,7 @@
   mBuffer.clear();
   mBuffered.clear();
   while (!mSegments.empty()) {
-    if (const auto removed = RemoveNewest(); !removed) {
+    if (auto removed = RemoveNewest(); !removed) {
       return removed;
     }
   }
