Mend clang-tidy's findings in the agent, transport and metrics

Includes that the precompiled header hid, commands of the transport taken by const reference, an executor moved in place of copied, and buckets counted by their place, so that no sum is made before it is widened. Behaviour is the same.

--- a/src/allocation/allocation_counter.cpp
+++ b/src/allocation/allocation_counter.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <cstddef>
 #include <cstdlib>
 #include <new>
 
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -376,7 +376,7 @@
                            net::PeerTransport& aTransport,
                            const Clock& aClock,
                            uint64_t aSeed)
-  : mImpl(std::make_shared<Impl>(aExecutor,
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
                                  std::move(aOptions),
                                  aTransport,
                                  aClock,
--- a/src/librattandyke/metrics/time_histogram.h
+++ b/src/librattandyke/metrics/time_histogram.h
@@ -32,8 +32,8 @@
     aInto.counts.resize(static_cast<size_t>(buckets) + 2);
     // The histogram's own index runs from -1, the bucket of what is shorter
     // than the first edge, to `buckets`, that of what is longer than the last.
-    for (int bucket = -1; bucket <= buckets; ++bucket) {
-      aInto.counts[static_cast<size_t>(bucket + 1)] += mHistogram.at(bucket);
+    for (int place = 0; place < buckets + 2; ++place) {
+      aInto.counts[static_cast<size_t>(place)] += mHistogram.at(place - 1);
     }
     aInto.sum += mSum;
     aInto.count += mCount;
--- a/src/librattandyke/net/peer_transport.cpp
+++ b/src/librattandyke/net/peer_transport.cpp
@@ -3,11 +3,14 @@
 #include <atomic>
 #include <csignal>
 #include <deque>
+#include <mutex>
 #include <thread>
+#include <variant>
 
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/address.hpp>
 #include <zmq.hpp>
 
 namespace rattandyke::net {
@@ -143,8 +146,8 @@
   Result<void> Open();
   void Run();
   void DrainCommands();
-  void Apply(AddPeer aCommand);
-  void Apply(SendMessage aCommand);
+  void Apply(const AddPeer& aCommand);
+  void Apply(const SendMessage& aCommand);
   void Receive();
   void Authenticate();
   void Deliver(const void* aData, size_t aSize);
@@ -304,7 +307,7 @@
 }
 
 void
-PeerTransport::Impl::Apply(AddPeer aCommand)
+PeerTransport::Impl::Apply(const AddPeer& aCommand)
 {
   outgoing.erase(aCommand.name);
   zmq::socket_t socket(context, zmq::socket_type::push);
@@ -327,7 +330,7 @@
 }
 
 void
-PeerTransport::Impl::Apply(SendMessage aCommand)
+PeerTransport::Impl::Apply(const SendMessage& aCommand)
 {
   if (aCommand.to == name) {
     ++sent;
