--- a/src/capacity/announce_slopes.cpp
+++ b/src/capacity/announce_slopes.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
--- a/src/capacity/control_stand_in.cpp
+++ b/src/capacity/control_stand_in.cpp
@@ -109,7 +109,8 @@
 }
 
 void
-ControlStandIn::Take(std::vector<control::Effect> aEffects, ControlCost& aCost)
+ControlStandIn::Take(const std::vector<control::Effect>& aEffects,
+                     ControlCost& aCost)
 {
   for (const control::Effect& effect : aEffects) {
     const auto* reply = std::get_if<control::Reply>(&effect);
--- a/src/capacity/control_stand_in.h
+++ b/src/capacity/control_stand_in.h
@@ -47,7 +47,7 @@
 private:
   void Submit();
   void Round(ControlCost& aCost);
-  void Take(std::vector<control::Effect> aEffects, ControlCost& aCost);
+  void Take(const std::vector<control::Effect>& aEffects, ControlCost& aCost);
   bool IsWhole() const;
 
   const size_t mHosts;
--- a/src/capacity/counting_relay.cpp
+++ b/src/capacity/counting_relay.cpp
@@ -69,7 +69,7 @@
 
 struct CountingRelay::Impl
 {
-  explicit Impl(Endpoint aTarget)
+  explicit Impl(const Endpoint& aTarget)
     : target(asio::ip::make_address(aTarget.address), aTarget.port)
     , acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
   {
--- a/src/capacity/log_slopes.cpp
+++ b/src/capacity/log_slopes.cpp
@@ -1,6 +1,7 @@
 #include "capacity/log_slopes.h"
 
 #include <filesystem>
+#include <map>
 #include <random>
 #include <stdexcept>
 
--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -371,12 +371,12 @@
   Step(CallEvent{ CallStarted{ std::move(aRequest), aTimeout } });
 }
 
-AgentService::AgentService(boost::asio::any_io_executor aExecutor,
+AgentService::AgentService(const boost::asio::any_io_executor& aExecutor,
                            Options aOptions,
                            net::PeerTransport& aTransport,
                            const Clock& aClock,
                            uint64_t aSeed)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+  : mImpl(std::make_shared<Impl>(aExecutor,
                                  std::move(aOptions),
                                  aTransport,
                                  aClock,
--- a/src/librattandyke/agent/agent_service.h
+++ b/src/librattandyke/agent/agent_service.h
@@ -68,7 +68,7 @@
   /// @param aTransport outlives the service; its receiver passes heartbeat and
   /// call replies to Handle.
   /// @param aSeed of the random order in which control hosts are tried.
-  AgentService(boost::asio::any_io_executor aExecutor,
+  AgentService(const boost::asio::any_io_executor& aExecutor,
                Options aOptions,
                net::PeerTransport& aTransport,
                const Clock& aClock,
--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -36,7 +36,7 @@
 {
 public:
   /// @param aDisk of the host, if it is only one; else files of the system.
-  explicit Hosts(std::vector<std::string> aNames,
+  explicit Hosts(const std::vector<std::string>& aNames,
                  std::shared_ptr<testing::MemoryDisk> aDisk = nullptr)
     : mDisk(std::move(aDisk))
   {
@@ -119,7 +119,7 @@
     while (!done) {
       const std::string leader = WaitForLeader();
       bool answered = false;
-      At(leader).Propose(aPayload, [&](Result<LogIndex> aResult) {
+      At(leader).Propose(aPayload, [&](const Result<LogIndex>& aResult) {
         answered = true;
         done = aResult.has_value();
       });
@@ -302,11 +302,11 @@
   hosts.Write("before");
   disk->LimitTo(0);
   std::vector<Code> codes;
-  hosts.At("a").Propose("lost", [&](Result<LogIndex> aResult) {
+  hosts.At("a").Propose("lost", [&](const Result<LogIndex>& aResult) {
     codes.push_back(aResult ? Code::Ok : aResult.error().code);
   });
   hosts.RunUntil([&] { return !hosts.At("a").Status().storageError.empty(); });
-  hosts.At("a").Propose("refused", [&](Result<LogIndex> aResult) {
+  hosts.At("a").Propose("refused", [&](const Result<LogIndex>& aResult) {
     codes.push_back(aResult ? Code::Ok : aResult.error().code);
   });
   EXPECT_EQ(codes, (std::vector{ Code::ProposalDropped, Code::DiskFull }));
--- a/src/librattandyke/control/control_service.cpp
+++ b/src/librattandyke/control/control_service.cpp
@@ -316,12 +316,12 @@
   std::string mStatus = "{}";
 };
 
-ControlService::ControlService(boost::asio::any_io_executor aExecutor,
+ControlService::ControlService(const boost::asio::any_io_executor& aExecutor,
                                Options aOptions,
                                net::PeerTransport& aTransport,
                                const Clock& aClock,
                                uint64_t aSeed)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+  : mImpl(std::make_shared<Impl>(aExecutor,
                                  std::move(aOptions),
                                  aTransport,
                                  aClock,
--- a/src/librattandyke/control/control_service.h
+++ b/src/librattandyke/control/control_service.h
@@ -40,7 +40,7 @@
   /// @param aTransport outlives the service; its receiver passes heartbeats,
   /// call requests and consensus messages to Handle.
   /// @param aSeed of the random election timeouts.
-  ControlService(boost::asio::any_io_executor aExecutor,
+  ControlService(const boost::asio::any_io_executor& aExecutor,
                  Options aOptions,
                  net::PeerTransport& aTransport,
                  const Clock& aClock,
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -284,13 +284,13 @@
   }
 }
 
-EntryService::EntryService(asio::any_io_executor aExecutor,
+EntryService::EntryService(const asio::any_io_executor& aExecutor,
                            Options aOptions,
                            agent::AgentService& aAgent,
                            metrics::Recorder& aMetrics,
                            const Clock& aClock,
                            uint64_t aSeed)
-  : EntryService(std::move(aExecutor),
+  : EntryService(aExecutor,
                  std::move(aOptions),
                  MakeEntryHost(aAgent, aMetrics),
                  aClock,
@@ -298,12 +298,12 @@
 {
 }
 
-EntryService::EntryService(asio::any_io_executor aExecutor,
+EntryService::EntryService(const asio::any_io_executor& aExecutor,
                            Options aOptions,
                            std::unique_ptr<EntryHost> aHost,
                            const Clock& aClock,
                            uint64_t aSeed)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+  : mImpl(std::make_shared<Impl>(aExecutor,
                                  std::move(aOptions),
                                  std::move(aHost),
                                  aClock,
--- a/src/librattandyke/http/entry_service.h
+++ b/src/librattandyke/http/entry_service.h
@@ -45,14 +45,14 @@
   /// @param aExecutor of the pool of workers; must not be a strand.
   /// @param aAgent, aMetrics outlive the service.
   /// @param aSeed     random per process start.
-  EntryService(boost::asio::any_io_executor aExecutor,
+  EntryService(const boost::asio::any_io_executor& aExecutor,
                Options aOptions,
                agent::AgentService& aAgent,
                metrics::Recorder& aMetrics,
                const Clock& aClock,
                uint64_t aSeed);
   /// @param aHost what it needs of its host.
-  EntryService(boost::asio::any_io_executor aExecutor,
+  EntryService(const boost::asio::any_io_executor& aExecutor,
                Options aOptions,
                std::unique_ptr<EntryHost> aHost,
                const Clock& aClock,
--- a/src/librattandyke/server/metrics_service.cpp
+++ b/src/librattandyke/server/metrics_service.cpp
@@ -122,13 +122,13 @@
   int observations = 0;
 };
 
-MetricsService::MetricsService(asio::any_io_executor aExecutor,
+MetricsService::MetricsService(const asio::any_io_executor& aExecutor,
                                HostName aHost,
                                std::filesystem::path aFolder,
                                metrics::Recorder& aRecorder,
                                const agent::AgentService& aAgent,
                                const Clock& aClock)
-  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+  : mImpl(std::make_shared<Impl>(aExecutor,
                                  std::move(aHost),
                                  std::move(aFolder),
                                  aRecorder,
--- a/src/librattandyke/server/metrics_service.h
+++ b/src/librattandyke/server/metrics_service.h
@@ -24,7 +24,7 @@
   /// do not, as on a host without a disk.
   /// @param aRecorder, aAgent, aClock outlive the service and the work of the
   /// executor.
-  MetricsService(boost::asio::any_io_executor aExecutor,
+  MetricsService(const boost::asio::any_io_executor& aExecutor,
                  HostName aHost,
                  std::filesystem::path aFolder,
                  metrics::Recorder& aRecorder,
