--- a/src/capacity/counting_relay.cpp
+++ b/src/capacity/counting_relay.cpp
@@ -110,8 +110,8 @@
   std::thread thread;
 };
 
-CountingRelay::CountingRelay(Endpoint aTarget)
-  : mImpl(std::make_unique<Impl>(std::move(aTarget)))
+CountingRelay::CountingRelay(const Endpoint& aTarget)
+  : mImpl(std::make_unique<Impl>(aTarget))
 {
 }
 
--- a/src/capacity/counting_relay.h
+++ b/src/capacity/counting_relay.h
@@ -24,7 +24,7 @@
 {
 public:
   /// @param aTarget where it passes everything on.
-  explicit CountingRelay(Endpoint aTarget);
+  explicit CountingRelay(const Endpoint& aTarget);
   ~CountingRelay();
 
   Endpoint Listening() const;
