--- a/src/testing/control_world.cpp
+++ b/src/testing/control_world.cpp
@@ -50,7 +50,7 @@
     mNetwork,
     mOptions.leases,
     members,
-    [this](ControlGroup::Member& aFrom, wire::HeartbeatReply aReply) {
+    [this](ControlGroup::Member& aFrom, const wire::HeartbeatReply& aReply) {
       for (auto& host : mHosts) {
         if (host->node.name == aReply.host()) {
           mNetwork.Send(
--- a/src/testing/overload_model.cpp
+++ b/src/testing/overload_model.cpp
@@ -50,7 +50,7 @@
 
   double Milliseconds(Duration aDuration) const;
   std::unique_ptr<Admission> MakeAdmission(uint32_t aSlots) const;
-  void Arrive(std::string aCustomer, double aRate);
+  void Arrive(const std::string& aCustomer, double aRate);
   void Offer(uint64_t aNumber);
   void Step(size_t aEntry, const admission::Event& aEvent);
   void StepClient(size_t aEntry, const entry::CreditClientEvent& aEvent);
@@ -58,7 +58,7 @@
   void Do(size_t aEntry, const admission::Refuse& aEffect);
   void Do(size_t aEntry, const entry::AskCredit& aEffect);
   void Do(size_t aEntry, const entry::ReturnCredit& aEffect);
-  void ToHome(entry::CreditEvent aEvent);
+  void ToHome(const entry::CreditEvent& aEvent);
   void StepHome(const entry::CreditEvent& aEvent);
   void Schedule(size_t aEntry);
   void ScheduleHome();
@@ -151,7 +151,7 @@
 
 /// Poisson arrivals until the end.
 void
-Model::Arrive(std::string aCustomer, double aRate)
+Model::Arrive(const std::string& aCustomer, double aRate)
 {
   std::exponential_distribution<double> gap(aRate);
   const auto delay = std::chrono::duration_cast<Duration>(
@@ -275,7 +275,7 @@
 }
 
 void
-Model::ToHome(entry::CreditEvent aEvent)
+Model::ToHome(const entry::CreditEvent& aEvent)
 {
   mTime.After(mSettings.oneWay, [=, this] {
     if (mHomePaused) {
--- a/src/testing/request_model.cpp
+++ b/src/testing/request_model.cpp
@@ -63,7 +63,7 @@
 
 /// Sends the work once, and perhaps again: at once, or after a while.
 void
-Model::Submit(std::shared_ptr<Work> aWork, uint32_t aResends)
+Model::Submit(const std::shared_ptr<Work>& aWork, uint32_t aResends)
 {
   auto sending = std::make_shared<Sending>();
   sending->number = mSendings.size() + 1;
@@ -108,14 +108,16 @@
 }
 
 void
-Model::Later(Duration aDelay, const SendingPtr& aSending, FlowEvent aEvent)
+Model::Later(Duration aDelay,
+             const SendingPtr& aSending,
+             const FlowEvent& aEvent)
 {
   mTime.After(aDelay, [=, this] { Deliver(aSending, aEvent); });
 }
 
 /// Hands an event to the flow, unless its entry is paused or was killed.
 void
-Model::Deliver(const SendingPtr& aSending, FlowEvent aEvent)
+Model::Deliver(const SendingPtr& aSending, const FlowEvent& aEvent)
 {
   Entry& entry = mEntries[aSending->entry];
   if (aSending->dead || aSending->session != entry.session) {
--- a/src/testing/request_model_effects.cpp
+++ b/src/testing/request_model_effects.cpp
@@ -39,7 +39,7 @@
 
 /// A call that is repeated until it is answered: it arrives, at least once.
 void
-Model::Keep(std::function<void()> aCall)
+Model::Keep(const std::function<void()>& aCall)
 {
   mTime.After(NetworkDelay(), aCall);
   if (Chance(mSettings.faults)) {
--- a/src/testing/request_model_schedule.h
+++ b/src/testing/request_model_schedule.h
@@ -88,10 +88,12 @@
   Duration Between(milliseconds aLeast, milliseconds aMost);
   Duration NetworkDelay();
 
-  void Submit(std::shared_ptr<Work> aWork, uint32_t aResends);
-  void Deliver(const SendingPtr& aSending, FlowEvent aEvent);
+  void Submit(const std::shared_ptr<Work>& aWork, uint32_t aResends);
+  void Deliver(const SendingPtr& aSending, const FlowEvent& aEvent);
   void PassDeadline(const SendingPtr& aSending);
-  void Later(Duration aDelay, const SendingPtr& aSending, FlowEvent aEvent);
+  void Later(Duration aDelay,
+             const SendingPtr& aSending,
+             const FlowEvent& aEvent);
   Lookup Look();
 
   void Do(const SendingPtr& aSending, const effect::Claim& aEffect);
@@ -117,7 +119,7 @@
   void Answer(const SendingPtr& aSending, uint32_t aAttempt, bool aRan);
   void Said(const SendingPtr& aSending, Outcome aOutcome);
   void RunWork(const SendingPtr& aSending);
-  void Keep(std::function<void()> aCall);
+  void Keep(const std::function<void()>& aCall);
 
   void Disturb();
   void KillEntry(size_t aEntry);
