--- a/src/librattandyke/entry/credit_client.cpp
+++ b/src/librattandyke/entry/credit_client.cpp
@@ -9,6 +9,7 @@
                            std::unique_ptr<admission::Admission> aLocal)
   : mSettings(aSettings)
   , mLocal(std::move(aLocal))
+  , mUsesHome(aSettings.hasHome)
 {
 }
 
@@ -23,7 +24,7 @@
 void
 CreditClient::On(const admission::Offer& aEvent)
 {
-  const bool tries = !mUsesHome && mNow >= mTryAt;
+  const bool tries = mSettings.hasHome && !mUsesHome && mNow >= mTryAt;
   if (mUsesHome || tries) {
     // One request finds out whether a silent home is back.
     mTryAt = mNow + mSettings.tryAgain;
@@ -101,6 +102,12 @@
   }
 }
 
+void
+CreditClient::On(const admission::Slots& aEvent)
+{
+  FeedLocal(aEvent);
+}
+
 void
 CreditClient::On(const admission::Tick& aEvent)
 {
--- a/src/librattandyke/entry/credit_client.h
+++ b/src/librattandyke/entry/credit_client.h
@@ -39,6 +39,7 @@
 using CreditClientEvent = std::variant<admission::Offer,
                                        admission::Left,
                                        admission::Finished,
+                                       admission::Slots,
                                        admission::Tick,
                                        CreditAnswered>;
 
@@ -55,6 +56,8 @@
 public:
   struct Settings
   {
+    /// False: there is no home to ask.
+    bool hasHome = true;
     /// Without a word from the home for so long, the entry goes by itself.
     std::chrono::milliseconds homeTimeout{ 100 };
     /// How often a home that was silent is tried again.
@@ -74,6 +77,9 @@
   /// @return whether requests go by the home.
   bool UsesHome() const { return mUsesHome; }
 
+  /// @return requests that wait or run.
+  size_t Requests() const { return mRequests.size(); }
+
 private:
   enum class Place
   {
@@ -95,6 +101,8 @@
   void On(const admission::Offer& aEvent);
   void On(const admission::Left& aEvent);
   void On(const admission::Finished& aEvent);
+  /// Of the local admission.
+  void On(const admission::Slots& aEvent);
   void On(const admission::Tick& aEvent);
   void On(const CreditAnswered& aEvent);
 
@@ -109,7 +117,7 @@
   Instant mNow{};
   std::vector<CreditClientEffect> mEffects;
   std::map<admission::Ticket, Request> mRequests;
-  bool mUsesHome = true;
+  bool mUsesHome;
   /// Last word from the home.
   Instant mHeard{};
   Instant mTryAt{};
--- a/src/librattandyke/http/entry_context.h
+++ b/src/librattandyke/http/entry_context.h
@@ -81,7 +81,7 @@
     , clock(aClock)
     , seed(aSeed)
     , pool(aExecutor, aLimits)
-    , slots(aExecutor, aClock)
+    , slots(aExecutor, aClock, host)
     , health(aClock)
   {
   }
--- a/src/librattandyke/http/entry_host.cpp
+++ b/src/librattandyke/http/entry_host.cpp
@@ -7,8 +7,11 @@
 class AgentEntryHost final : public EntryHost
 {
 public:
-  AgentEntryHost(agent::AgentService& aAgent, metrics::Recorder& aMetrics)
+  AgentEntryHost(agent::AgentService& aAgent,
+                 net::PeerTransport& aTransport,
+                 metrics::Recorder& aMetrics)
     : mAgent(aAgent)
+    , mTransport(aTransport)
     , mMetrics(aMetrics)
   {
   }
@@ -44,19 +47,27 @@
     mAgent.Call(std::move(aRequest), aTimeout, std::move(aDone));
   }
 
+  void Send(const HostName& aTo, wire::Envelope aEnvelope) override
+  {
+    mTransport.Send(aTo, std::move(aEnvelope));
+  }
+
   metrics::Recorder& Metrics() override { return mMetrics; }
 
 private:
   agent::AgentService& mAgent;
+  net::PeerTransport& mTransport;
   metrics::Recorder& mMetrics;
 };
 
 } // namespace
 
 std::unique_ptr<EntryHost>
-MakeEntryHost(agent::AgentService& aAgent, metrics::Recorder& aMetrics)
+MakeEntryHost(agent::AgentService& aAgent,
+              net::PeerTransport& aTransport,
+              metrics::Recorder& aMetrics)
 {
-  return std::make_unique<AgentEntryHost>(aAgent, aMetrics);
+  return std::make_unique<AgentEntryHost>(aAgent, aTransport, aMetrics);
 }
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_host.h
+++ b/src/librattandyke/http/entry_host.h
@@ -24,11 +24,15 @@
   virtual void Call(wire::CallRequest aRequest,
                     Duration aTimeout,
                     agent::LeaderCalls::Callback aDone) = 0;
+  /// Sends to another host or to this one, as net::PeerTransport::Send. Called
+  /// with a lock held: must not call back on the same thread.
+  virtual void Send(const HostName& aTo, wire::Envelope aEnvelope) = 0;
   virtual metrics::Recorder& Metrics() = 0;
 };
 
-/// @param aAgent, aMetrics outlive the result.
+/// @param aAgent, aTransport, aMetrics outlive the result.
 std::unique_ptr<EntryHost> MakeEntryHost(agent::AgentService& aAgent,
+                                         net::PeerTransport& aTransport,
                                          metrics::Recorder& aMetrics);
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -287,12 +287,13 @@
 EntryService::EntryService(const asio::any_io_executor& aExecutor,
                            Options aOptions,
                            agent::AgentService& aAgent,
+                           net::PeerTransport& aTransport,
                            metrics::Recorder& aMetrics,
                            const Clock& aClock,
                            uint64_t aSeed)
   : EntryService(aExecutor,
                  std::move(aOptions),
-                 MakeEntryHost(aAgent, aMetrics),
+                 MakeEntryHost(aAgent, aTransport, aMetrics),
                  aClock,
                  aSeed)
 {
@@ -327,6 +328,19 @@
   });
 }
 
+void
+EntryService::Handle(const wire::Envelope& aEnvelope)
+{
+  if (!aEnvelope.has_credit_answer()) {
+    return;
+  }
+  asio::post(mImpl->context.executor,
+             [context = mImpl->contextOwner, aEnvelope] {
+               context->slots.Handle(HostName{ aEnvelope.from() },
+                                     aEnvelope.credit_answer());
+             });
+}
+
 void
 EntryService::Drain(std::function<void()> aDone)
 {
--- a/src/librattandyke/http/entry_service.h
+++ b/src/librattandyke/http/entry_service.h
@@ -20,6 +20,14 @@
 class Recorder;
 }
 
+namespace rattandyke::net {
+class PeerTransport;
+}
+
+namespace rattandyke::wire {
+class Envelope;
+}
+
 namespace rattandyke::http {
 
 class EntryHost;
@@ -43,11 +51,12 @@
   };
 
   /// @param aExecutor of the pool of workers; must not be a strand.
-  /// @param aAgent, aMetrics outlive the service.
+  /// @param aAgent, aTransport, aMetrics outlive the service.
   /// @param aSeed     random per process start.
   EntryService(const boost::asio::any_io_executor& aExecutor,
                Options aOptions,
                agent::AgentService& aAgent,
+               net::PeerTransport& aTransport,
                metrics::Recorder& aMetrics,
                const Clock& aClock,
                uint64_t aSeed);
@@ -62,6 +71,9 @@
   /// @return Code::AddressInUse if the address is taken.
   Result<void> Start();
 
+  /// Takes a credit_answer; others are ignored. Only posts.
+  void Handle(const wire::Envelope& aEnvelope);
+
   /// Graceful shutdown: the health page says 503 at once; after drainNotice no
   /// connection is accepted any more and idle ones are closed; requests in
   /// flight are finished.
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -1,12 +1,12 @@
 #include "http/slot_queues.h"
 
+#include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
-#include <unordered_map>
 
-#include <boost/asio/steady_timer.hpp>
-
-#include "log/log.h"
+#include "http/make_admission.h"
+#include "http/upstream_queue.h"
 
 namespace rattandyke::http {
 
@@ -15,181 +15,14 @@
 
 namespace {
 
-constexpr std::chrono::seconds kForgetAfter{ 60 };
-constexpr std::string_view kDefaultPolicy = "fair";
-
-/// A life of an upstream: a new incarnation starts with empty slots.
-struct UpstreamLife
-{
-  std::string service;
-  std::string name;
-  uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamLife&) const = default; // NOLINT(*-nullptr)
-};
-
-std::unique_ptr<admission::Admission>
-MakeAdmission(const records::ServiceRecord& aRecord, uint32_t aSlots)
-{
-  admission::Settings settings;
-  settings.slots = aSlots;
-  settings.maxQueueTime = aRecord.maxQueueTime;
-  auto made =
-    admission::AdmissionRegistry::Make(aRecord.admissionPolicy, settings);
-  if (!made) {
-    // Records are checked when submitted; a host of another version may still
-    // not know the policy, and refusing every request would be worse.
-    log::Line(log::Part::Entry, log::Severity::Warning)
-      << made.error().message << " Service " << aRecord.name.value << " uses '"
-      << kDefaultPolicy << "'.";
-    made = admission::AdmissionRegistry::Make(kDefaultPolicy, settings);
-  }
-  return std::move(made.value());
-}
-
-Ticket
-TicketOf(const SlotAnswer& aAnswer)
-{
-  return std::visit([](const auto& aEach) { return aEach.ticket; }, aAnswer);
-}
-
-/// The queue of one upstream. Its mutex is never held while another is taken
-/// or a callback runs.
-class Queue : public std::enable_shared_from_this<Queue>
-{
-public:
-  using Callback = std::function<void(SlotAnswer)>;
-
-  Queue(const asio::any_io_executor& aExecutor,
-        const Clock& aClock,
-        std::unique_ptr<admission::Admission> aAdmission)
-    : mClock(aClock)
-    , mAdmission(std::move(aAdmission))
-    , mTimer(aExecutor)
-  {
-  }
-
-  /// @return the offer's own answer, if it came at once; the callback is kept
-  /// only if not.
-  std::optional<SlotAnswer> Offer(admission::Offer aOffer, Callback aOnAnswer)
-  {
-    const Ticket own = aOffer.ticket;
-    std::optional<SlotAnswer> ownAnswer;
-    Answers answers;
-    {
-      const std::lock_guard lock(mMutex);
-      mLastUse = mClock.Now();
-      ownAnswer = StepLocked(std::move(aOffer), own, answers);
-      if (!ownAnswer) {
-        mCallbacks.emplace(own, std::move(aOnAnswer));
-      }
-    }
-    CallBack(answers);
-    return ownAnswer;
-  }
-
-  void Post(const admission::Event& aEvent)
-  {
-    Answers answers;
-    {
-      const std::lock_guard lock(mMutex);
-      if (const auto* left = std::get_if<admission::Left>(&aEvent)) {
-        mCallbacks.erase(left->ticket);
-      }
-      StepLocked(aEvent, std::nullopt, answers);
-    }
-    CallBack(answers);
-  }
-
-  void SetSlots(uint32_t aSlots)
-  {
-    {
-      const std::lock_guard lock(mMutex);
-      if (aSlots == mSlots) {
-        return;
-      }
-      mSlots = aSlots;
-    }
-    Post(admission::Slots{ aSlots });
-  }
-
-  bool IsUnused(Instant aNow) const
-  {
-    const std::lock_guard lock(mMutex);
-    return mAdmission->Queued() == 0 && mAdmission->Running() == 0 &&
-           aNow - mLastUse > kForgetAfter;
-  }
-
-private:
-  using Answers = std::vector<std::pair<SlotAnswer, Callback>>;
-
-  static void CallBack(const Answers& aAnswers)
-  {
-    for (const auto& [answer, callback] : aAnswers) {
-      callback(answer);
-    }
-  }
-
-  /// @param aOwn     ticket whose answer is returned in place of called back.
-  /// @param aAnswers to be called back once the lock is given up.
-  std::optional<SlotAnswer> StepLocked(const admission::Event& aEvent,
-                                       std::optional<Ticket> aOwn,
-                                       Answers& aAnswers)
-  {
-    std::optional<SlotAnswer> own;
-    for (SlotAnswer& answer : mAdmission->Step(aEvent, mClock.Now())) {
-      if (TicketOf(answer) == aOwn) {
-        own = answer;
-        continue;
-      }
-      const auto found = mCallbacks.find(TicketOf(answer));
-      if (found != mCallbacks.end()) {
-        aAnswers.emplace_back(answer, std::move(found->second));
-        mCallbacks.erase(found);
-      }
-    }
-    ArmLocked();
-    return own;
-  }
-
-  void ArmLocked()
-  {
-    const auto next = mAdmission->NextTick();
-    if (!next || (mArmed && *mArmed <= *next)) {
-      return;
-    }
-    mArmed = *next;
-    mTimer.expires_at(*next);
-    mTimer.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& aError) {
-        if (const auto self = weak.lock(); self && !aError) {
-          self->OnTimer();
-        }
-      });
-  }
-
-  void OnTimer()
-  {
-    {
-      const std::lock_guard lock(mMutex);
-      mArmed.reset();
-    }
-    Post(admission::Tick{});
-  }
-
-  const Clock& mClock;
-  mutable std::mutex mMutex;
-  std::unique_ptr<admission::Admission> mAdmission;
-  std::unordered_map<Ticket, Callback> mCallbacks;
-  asio::steady_timer mTimer;
-  std::optional<Instant> mArmed;
-  Instant mLastUse{};
-  uint32_t mSlots = 0;
-};
+/// Of each entry while the home of an upstream is silent: with more, all
+/// entries together would bring several times its slots.
+constexpr uint32_t kSlotsWithoutHome = 1;
 
 class Place final : public SlotPlace
 {
 public:
-  Place(std::shared_ptr<Queue> aQueue, Ticket aTicket)
+  Place(std::shared_ptr<UpstreamQueue> aQueue, Ticket aTicket)
     : mQueue(std::move(aQueue))
     , mTicket(aTicket)
   {
@@ -206,7 +39,7 @@
   void Leave() override { mQueue->Post(admission::Left{ mTicket }); }
 
 private:
-  std::shared_ptr<Queue> mQueue;
+  std::shared_ptr<UpstreamQueue> mQueue;
   Ticket mTicket;
 };
 
@@ -214,36 +47,57 @@
 
 struct SlotQueues::Impl
 {
-  Impl(asio::any_io_executor aExecutor, const Clock& aClock)
+  Impl(asio::any_io_executor aExecutor, const Clock& aClock, EntryHost& aHost)
     : executor(std::move(aExecutor))
     , clock(aClock)
+    , host(aHost)
   {
   }
 
-  std::shared_ptr<Queue> QueueOf(const routing::UpstreamView& aUpstream,
-                                 const records::ServiceRecord& aRecord)
+  std::shared_ptr<UpstreamQueue> QueueOf(const routing::UpstreamView& aUpstream,
+                                         const records::ServiceRecord& aRecord)
   {
     const std::lock_guard lock(mutex);
     UpstreamLife life{ aUpstream.service.value,
                        aUpstream.name.value,
                        aUpstream.incarnation };
-    auto& queue = queues[std::move(life)];
+    auto& queue = queues[life];
     if (!queue) {
-      queue = std::make_shared<Queue>(
-        executor, clock, MakeAdmission(aRecord, aUpstream.slots));
+      const bool hasHome = !aUpstream.home.value.empty();
+      const uint32_t localSlots =
+        hasHome ? std::min(kSlotsWithoutHome, aUpstream.slots)
+                : aUpstream.slots;
+      queue = std::make_shared<UpstreamQueue>(
+        executor,
+        clock,
+        host,
+        std::move(life),
+        localSlots,
+        entry::CreditClient::Settings{ .hasHome = hasHome },
+        MakeAdmission(aRecord, localSlots));
     }
     return queue;
   }
 
+  std::shared_ptr<UpstreamQueue> FindQueue(const UpstreamLife& aLife)
+  {
+    const std::lock_guard lock(mutex);
+    const auto queue = queues.find(aLife);
+    return queue == queues.end() ? nullptr : queue->second;
+  }
+
   const asio::any_io_executor executor;
   const Clock& clock;
+  EntryHost& host;
   std::atomic<uint64_t> lastTicket{ 0 };
   std::mutex mutex; // guards queues
-  std::map<UpstreamLife, std::shared_ptr<Queue>> queues;
+  std::map<UpstreamLife, std::shared_ptr<UpstreamQueue>> queues;
 };
 
-SlotQueues::SlotQueues(asio::any_io_executor aExecutor, const Clock& aClock)
-  : mImpl(std::make_unique<Impl>(std::move(aExecutor), aClock))
+SlotQueues::SlotQueues(asio::any_io_executor aExecutor,
+                       const Clock& aClock,
+                       EntryHost& aHost)
+  : mImpl(std::make_unique<Impl>(std::move(aExecutor), aClock, aHost))
 {
 }
 
@@ -257,16 +111,26 @@
                   std::function<void(SlotAnswer)> aOnAnswer)
 {
   auto queue = mImpl->QueueOf(aUpstream, aRecord);
-  queue->SetSlots(std::min(aSlots, aUpstream.slots));
   const Ticket ticket{ ++mImpl->lastTicket };
-  auto answer = queue->Offer({ ticket,
+  auto answer = queue->Offer(aUpstream.home,
+                             std::min(aSlots, aUpstream.slots),
+                             { ticket,
                                std::move(aRequest.customer),
                                aRequest.share,
                                aRequest.admitBy,
                                aRequest.deadline,
                                aRequest.idempotent },
                              std::move(aOnAnswer));
-  return { std::make_shared<Place>(std::move(queue), ticket), answer };
+  return { std::make_shared<Place>(std::move(queue), ticket),
+           std::move(answer) };
+}
+
+void
+SlotQueues::Handle(const HostName& aFrom, const wire::CreditAnswer& aMessage)
+{
+  if (const auto queue = mImpl->FindQueue(LifeOf(aMessage))) {
+    queue->Handle(aFrom, aMessage);
+  }
 }
 
 void
--- a/src/librattandyke/http/slot_queues.h
+++ b/src/librattandyke/http/slot_queues.h
@@ -11,6 +11,7 @@
 #include <rattandyke/admission.h>
 
 #include "base/clock.h"
+#include "http/entry_host.h"
 #include "routing/routing_table.h"
 
 namespace rattandyke::http {
@@ -33,8 +34,9 @@
   virtual void Leave() = 0;
 };
 
-/// Runs one admission plug-in for each upstream. Thread-safe; locks in
-/// docs/LOCKS.md.
+/// Gets slots for requests from the homes of their upstreams, and by a small
+/// limit of its own while a home is silent. An upstream without a home gets an
+/// admission plug-in of this entry. Thread-safe; locks in docs/LOCKS.md.
 class SlotQueues
 {
 public:
@@ -55,7 +57,10 @@
     std::optional<SlotAnswer> answer;
   };
 
-  SlotQueues(boost::asio::any_io_executor aExecutor, const Clock& aClock);
+  /// @param aHost carries messages to homes; outlives the queues.
+  SlotQueues(boost::asio::any_io_executor aExecutor,
+             const Clock& aClock,
+             EntryHost& aHost);
   ~SlotQueues();
 
   /// @param aSlots    of the upstream's that may be used now.
@@ -67,6 +72,9 @@
                 Request aRequest,
                 std::function<void(SlotAnswer)> aOnAnswer);
 
+  /// Takes a home's message. Calls back as Offer.
+  void Handle(const HostName& aFrom, const wire::CreditAnswer& aMessage);
+
   /// Forgets the queues of upstreams that nobody asked for lately.
   void Sweep(Instant aNow);
 
--- a/src/librattandyke/server/server.cpp
+++ b/src/librattandyke/server/server.cpp
@@ -2,20 +2,20 @@
 
 #include <atomic>
 #include <csignal>
-#include <fstream>
 #include <random>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "agent/announce_server.h"
 #include "base/endpoint.h"
+#include "http/credit_home.h"
 #include "log/log.h"
 #include "server/host_status.h"
 #include "server/metrics_service.h"
+#include "server/ports.h"
 #include "server/worker_pool.h"
 
 namespace rattandyke::server {
@@ -30,7 +30,6 @@
 /// For what is pending when all services have stopped.
 constexpr std::chrono::seconds kFinishTime{ 3 };
 constexpr int kStoppedAtOnce = 1;
-constexpr const char* kPortsFile = "ports.json";
 
 uint64_t
 RandomNumber()
@@ -40,26 +39,6 @@
   return number == 0 ? 1 : number;
 }
 
-/// @return the address with a free port of the kernel's choice for port 0. The
-/// agent tells upstreams' addresses before the listener for them exists.
-Endpoint
-WithPort(Endpoint aEndpoint)
-{
-  if (aEndpoint.port != 0) {
-    return aEndpoint;
-  }
-  ErrorCode error;
-  asio::io_context context;
-  asio::ip::tcp::acceptor probe(context);
-  const asio::ip::tcp::endpoint any(
-    asio::ip::make_address(aEndpoint.address, error), 0);
-  probe.open(any.protocol(), error);
-  probe.bind(any, error);
-  const auto bound = probe.local_endpoint(error);
-  aEndpoint.port = error ? 0 : bound.port();
-  return aEndpoint;
-}
-
 log::Line
 Info()
 {
@@ -82,29 +61,6 @@
   return joined;
 }
 
-/// Renamed into place, so that a reader never sees half a file.
-bool
-WritePorts(const std::filesystem::path& aFolder, const Addresses& aAddresses)
-{
-  const boost::json::object ports{
-    { "callers", aAddresses.callers.port },
-    { "upstreams", aAddresses.upstreams.port },
-    { "admin", aAddresses.admin.port },
-    { "peers", aAddresses.peers.port },
-  };
-  const std::filesystem::path temporary = aFolder / "ports.json.new";
-  {
-    std::ofstream stream(temporary, std::ios::trunc);
-    stream << boost::json::serialize(ports) << '\n';
-    if (!stream.flush()) {
-      return false;
-    }
-  }
-  std::error_code error;
-  std::filesystem::rename(temporary, aFolder / kPortsFile, error);
-  return !error;
-}
-
 } // namespace
 
 struct Server::Impl
@@ -135,6 +91,16 @@
           receiver->Handle(aEnvelope);
         }
         return;
+      case wire::Envelope::kCreditRequest:
+        if (auto* receiver = creditReceiver.load()) {
+          receiver->Handle(aEnvelope);
+        }
+        return;
+      case wire::Envelope::kCreditAnswer:
+        if (auto* receiver = entryReceiver.load()) {
+          receiver->Handle(aEnvelope);
+        }
+        return;
       default:
         return;
     }
@@ -225,6 +191,27 @@
     return announceServer->Start();
   }
 
+  /// Every host, also one without the entry role, can be an upstream's home.
+  Result<void> StartCredits()
+  {
+    for (const config::PeerHost& peer : settings.peers) {
+      transport->SetPeer(peer.name, peer.address);
+    }
+    credits = std::make_unique<http::CreditHome>(
+      core.Executor(),
+      settings.host.name,
+      http::CreditHome::Sources{
+        [this] { return agent->Table(); },
+        [this] { return agent->LiveHosts(); },
+        [this](const HostName& aTo, wire::Envelope aEnvelope) {
+          transport->Send(aTo, std::move(aEnvelope));
+        } },
+      clock);
+    credits->Start();
+    creditReceiver = credits.get();
+    return {};
+  }
+
   Result<void> StartEntry()
   {
     if (!settings.host.entry) {
@@ -233,11 +220,13 @@
     entry = std::make_unique<http::EntryService>(workers.Executor(),
                                                  EntryOptions(settings),
                                                  *agent,
+                                                 *transport,
                                                  recorder,
                                                  clock,
                                                  RandomNumber());
     Result<void> started = entry->Start();
     if (started) {
+      entryReceiver = entry.get();
       addresses.callers = entry->Listening();
     }
     return started;
@@ -263,6 +252,7 @@
                              &Impl::StartControl,
                              &Impl::Listen,
                              &Impl::StartAgent,
+                             &Impl::StartCredits,
                              &Impl::StartEntry,
                              &Impl::StartAdmin }) {
       if (done) {
@@ -282,7 +272,7 @@
   void Tell()
   {
     if (!WritePorts(settings.host.dataFolder, addresses)) {
-      Warning() << "cannot write " << kPortsFile << " into the data folder";
+      Warning() << "cannot write ports.json into the data folder";
     }
     Info() << "serves callers on " << ToString(addresses.callers)
            << ", upstreams on " << ToString(addresses.upstreams)
@@ -413,6 +403,9 @@
     if (metrics) {
       metrics->Stop();
     }
+    if (credits) {
+      credits->Stop();
+    }
     if (agent) {
       agent->Stop();
     }
@@ -435,6 +428,8 @@
   Addresses addresses;
   std::atomic<control::ControlService*> controlReceiver{ nullptr };
   std::atomic<agent::AgentService*> agentReceiver{ nullptr };
+  std::atomic<http::CreditHome*> creditReceiver{ nullptr };
+  std::atomic<http::EntryService*> entryReceiver{ nullptr };
 
   // Declared before what runs on them, so destroyed after it.
   asio::io_context main;
@@ -446,6 +441,7 @@
   std::unique_ptr<agent::AgentService> agent;
   std::unique_ptr<agent::AnnounceServer> announceServer;
   std::unique_ptr<MetricsService> metrics;
+  std::unique_ptr<http::CreditHome> credits;
   std::unique_ptr<http::EntryService> entry;
   std::unique_ptr<HostStatus> status;
   std::unique_ptr<admin::AdminApi> api;
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -397,39 +397,78 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 QueryCallDefaultTypeInternal _QueryCall_default_instance_;
-PROTOBUF_CONSTEXPR CreditCall::CreditCall(
+PROTOBUF_CONSTEXPR CreditRequest::CreditRequest(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.customer_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
   , /*decltype(_impl_.request_)*/uint64_t{0u}
-  , /*decltype(_impl_.give_back_)*/false
-  , /*decltype(_impl_.wait_ms_)*/0u
+  , /*decltype(_impl_.body_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}
+  , /*decltype(_impl_._oneof_case_)*/{}} {}
+struct CreditRequestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CreditRequestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~CreditRequestDefaultTypeInternal() {}
+  union {
+    CreditRequest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditRequestDefaultTypeInternal _CreditRequest_default_instance_;
+PROTOBUF_CONSTEXPR CreditAsk::CreditAsk(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.customer_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.weight_)*/0
+  , /*decltype(_impl_.rate_per_second_)*/0
+  , /*decltype(_impl_.admit_within_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.max_concurrent_)*/0u
+  , /*decltype(_impl_.idempotent_)*/false
+  , /*decltype(_impl_.finish_within_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.usable_slots_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
-struct CreditCallDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR CreditCallDefaultTypeInternal()
+struct CreditAskDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CreditAskDefaultTypeInternal()
       : _instance(::_pbi::ConstantInitialized{}) {}
-  ~CreditCallDefaultTypeInternal() {}
+  ~CreditAskDefaultTypeInternal() {}
   union {
-    CreditCall _instance;
+    CreditAsk _instance;
   };
 };
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditCallDefaultTypeInternal _CreditCall_default_instance_;
-PROTOBUF_CONSTEXPR CreditReply::CreditReply(
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditAskDefaultTypeInternal _CreditAsk_default_instance_;
+PROTOBUF_CONSTEXPR CreditReturn::CreditReturn(
     ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.request_)*/uint64_t{0u}
-  , /*decltype(_impl_.granted_)*/false
-  , /*decltype(_impl_.retry_after_ms_)*/0u
+    /*decltype(_impl_.service_time_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.retry_after_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.ending_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct CreditReturnDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CreditReturnDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~CreditReturnDefaultTypeInternal() {}
+  union {
+    CreditReturn _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditReturnDefaultTypeInternal _CreditReturn_default_instance_;
+PROTOBUF_CONSTEXPR CreditAnswer::CreditAnswer(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
+  , /*decltype(_impl_.request_)*/uint64_t{0u}
+  , /*decltype(_impl_.state_)*/0
+  , /*decltype(_impl_.code_)*/0u
+  , /*decltype(_impl_.retry_after_us_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
-struct CreditReplyDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR CreditReplyDefaultTypeInternal()
+struct CreditAnswerDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CreditAnswerDefaultTypeInternal()
       : _instance(::_pbi::ConstantInitialized{}) {}
-  ~CreditReplyDefaultTypeInternal() {}
+  ~CreditAnswerDefaultTypeInternal() {}
   union {
-    CreditReply _instance;
+    CreditAnswer _instance;
   };
 };
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditReplyDefaultTypeInternal _CreditReply_default_instance_;
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditAnswerDefaultTypeInternal _CreditAnswer_default_instance_;
 PROTOBUF_CONSTEXPR MembershipCall::MembershipCall(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.add_host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -464,8 +503,8 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EnvelopeDefaultTypeInternal _Envelope_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_peer_2eproto[26];
-static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[2];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[28];
+static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[4];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
 const uint32_t TableStruct_peer_2eproto::offsets[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -580,7 +619,6 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
-  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallRequest, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallReply, _internal_metadata_),
@@ -596,7 +634,6 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
-  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CallReply, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SubmitRecordCall, _internal_metadata_),
@@ -727,26 +764,54 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::QueryCall, _impl_.service_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::QueryCall, _impl_.key_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _internal_metadata_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_._oneof_case_[0]),
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.upstream_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.incarnation_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.request_),
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.body_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.customer_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.weight_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.max_concurrent_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.rate_per_second_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.admit_within_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.finish_within_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.idempotent_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _impl_.usable_slots_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReturn, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.service_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.upstream_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.customer_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.request_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.give_back_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditCall, _impl_.wait_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReturn, _impl_.ending_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReturn, _impl_.service_time_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReturn, _impl_.retry_after_us_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReply, _internal_metadata_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReply, _impl_.request_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReply, _impl_.granted_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditReply, _impl_.retry_after_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.upstream_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.incarnation_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.request_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.state_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.code_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.retry_after_us_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::MembershipCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -770,6 +835,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Envelope, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -781,24 +848,26 @@
   { 67, -1, -1, sizeof(::rattandyke::wire::HeartbeatReply)},
   { 83, -1, -1, sizeof(::rattandyke::wire::HostList)},
   { 92, -1, -1, sizeof(::rattandyke::wire::CallRequest)},
-  { 113, -1, -1, sizeof(::rattandyke::wire::CallReply)},
-  { 129, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
-  { 139, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
-  { 151, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
-  { 161, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
-  { 169, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
-  { 178, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
-  { 190, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
-  { 201, -1, -1, sizeof(::rattandyke::wire::BanCall)},
-  { 208, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
-  { 219, -1, -1, sizeof(::rattandyke::wire::TrialCall)},
-  { 231, -1, -1, sizeof(::rattandyke::wire::TrialReply)},
-  { 239, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
-  { 248, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
-  { 257, -1, -1, sizeof(::rattandyke::wire::CreditCall)},
-  { 269, -1, -1, sizeof(::rattandyke::wire::CreditReply)},
-  { 278, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 288, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 112, -1, -1, sizeof(::rattandyke::wire::CallReply)},
+  { 127, -1, -1, sizeof(::rattandyke::wire::SubmitRecordCall)},
+  { 137, -1, -1, sizeof(::rattandyke::wire::ClaimCall)},
+  { 149, -1, -1, sizeof(::rattandyke::wire::StoredAnswer)},
+  { 159, -1, -1, sizeof(::rattandyke::wire::StoredHeader)},
+  { 167, -1, -1, sizeof(::rattandyke::wire::ClaimReply)},
+  { 176, -1, -1, sizeof(::rattandyke::wire::CompleteClaimCall)},
+  { 188, -1, -1, sizeof(::rattandyke::wire::ReleaseClaimCall)},
+  { 199, -1, -1, sizeof(::rattandyke::wire::BanCall)},
+  { 206, -1, -1, sizeof(::rattandyke::wire::CrashReportCall)},
+  { 217, -1, -1, sizeof(::rattandyke::wire::TrialCall)},
+  { 229, -1, -1, sizeof(::rattandyke::wire::TrialReply)},
+  { 237, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
+  { 246, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
+  { 255, -1, -1, sizeof(::rattandyke::wire::CreditRequest)},
+  { 268, -1, -1, sizeof(::rattandyke::wire::CreditAsk)},
+  { 282, -1, -1, sizeof(::rattandyke::wire::CreditReturn)},
+  { 291, -1, -1, sizeof(::rattandyke::wire::CreditAnswer)},
+  { 304, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 314, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -824,8 +893,10 @@
   &::rattandyke::wire::_TrialReply_default_instance_._instance,
   &::rattandyke::wire::_DrainUpstreamCall_default_instance_._instance,
   &::rattandyke::wire::_QueryCall_default_instance_._instance,
-  &::rattandyke::wire::_CreditCall_default_instance_._instance,
-  &::rattandyke::wire::_CreditReply_default_instance_._instance,
+  &::rattandyke::wire::_CreditRequest_default_instance_._instance,
+  &::rattandyke::wire::_CreditAsk_default_instance_._instance,
+  &::rattandyke::wire::_CreditReturn_default_instance_._instance,
+  &::rattandyke::wire::_CreditAnswer_default_instance_._instance,
   &::rattandyke::wire::_MembershipCall_default_instance_._instance,
   &::rattandyke::wire::_Envelope_default_instance_._instance,
 };
@@ -863,7 +934,7 @@
   "(\n\005hosts\030\t \001(\0132\031.rattandyke.wire.HostLis"
   "t\022\026\n\016keeper_version\030\n \001(\004\"G\n\010HostList\022\016\n"
   "\006digest\030\001 \001(\004\022\017\n\007entries\030\002 \003(\t\022\032\n\022upstre"
-  "am_addresses\030\003 \003(\t\"\204\005\n\013CallRequest\022\n\n\002id"
+  "am_addresses\030\003 \003(\t\"\333\004\n\013CallRequest\022\n\n\002id"
   "\030\001 \001(\004\022\014\n\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n"
   "\rsubmit_record\030\n \001(\0132!.rattandyke.wire.S"
   "ubmitRecordCallH\000\022+\n\005claim\030\013 \001(\0132\032.ratta"
@@ -874,84 +945,104 @@
   "rattandyke.wire.BanCallH\000\022<\n\016drain_upstr"
   "eam\030\017 \001(\0132\".rattandyke.wire.DrainUpstrea"
   "mCallH\000\022+\n\005query\030\020 \001(\0132\032.rattandyke.wire"
-  ".QueryCallH\000\022-\n\006credit\030\021 \001(\0132\033.rattandyk"
-  "e.wire.CreditCallH\000\0228\n\014crash_report\030\022 \001("
-  "\0132 .rattandyke.wire.CrashReportCallH\000\0225\n"
-  "\nmembership\030\023 \001(\0132\037.rattandyke.wire.Memb"
-  "ershipCallH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke"
-  ".wire.TrialCallH\000B\006\n\004body\"\225\002\n\tCallReply\022"
-  "\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001"
-  "(\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.rat"
-  "tandyke.wire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.r"
-  "attandyke.wire.ClaimReplyH\000\022\016\n\004json\030\014 \001("
-  "\tH\000\022.\n\006credit\030\r \001(\0132\034.rattandyke.wire.Cr"
-  "editReplyH\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke."
-  "wire.TrialReplyH\000B\006\n\004body\"}\n\020SubmitRecor"
-  "dCall\022\'\n\006record\030\001 \001(\0132\027.rattandyke.wire."
-  "Record\022\031\n\021expected_revision\030\002 \001(\004\022\024\n\014any"
-  "_revision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tCla"
-  "imCall\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001("
-  "\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016request_di"
-  "gest\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007atte"
-  "mpt\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001("
-  "\r\022.\n\007headers\030\002 \003(\0132\035.rattandyke.wire.Sto"
-  "redHeader\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030"
-  "\004 \001(\010\"+\n\014StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005v"
-  "alue\030\002 \001(\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001("
-  "\0162\035.rattandyke.wire.ClaimOutcome\022\r\n\005clai"
-  "m\030\002 \001(\004\022-\n\006answer\030\003 \001(\0132\035.rattandyke.wir"
-  "e.StoredAnswer\"\236\001\n\021CompleteClaimCall\022\017\n\007"
-  "service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idemp"
-  "otency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answe"
-  "r\030\005 \001(\0132\035.rattandyke.wire.StoredAnswer\022\017"
-  "\n\007unknown\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007s"
-  "ervice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempo"
-  "tency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attemp"
-  "t\030\005 \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattan"
-  "dyke.wire.Ban\"q\n\017CrashReportCall\022\017\n\007serv"
-  "ice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnati"
-  "on\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_tri"
-  "al\030\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022"
-  "\023\n\013fingerprint\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023"
-  "\n\013incarnation\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.ratt"
-  "andyke.wire.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5"
-  "\n\nTrialReply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_a"
-  "fter_ms\030\002 \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007se"
-  "rvice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003"
-  " \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007servi"
-  "ce\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"v\n\nCreditCall\022\017\n\007s"
-  "ervice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010custom"
-  "er\030\003 \001(\t\022\017\n\007request\030\004 \001(\004\022\021\n\tgive_back\030\005"
-  " \001(\010\022\017\n\007wait_ms\030\006 \001(\r\"G\n\013CreditReply\022\017\n\007"
-  "request\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\026\n\016retry_"
-  "after_ms\030\003 \001(\r\"f\n\016MembershipCall\022\024\n\014add_"
-  "identity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_"
-  "address\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\240"
-  "\002\n\010Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_sessio"
-  "n\030\002 \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke."
-  "wire.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001("
-  "\0132\037.rattandyke.wire.HeartbeatReplyH\000\0224\n\014"
-  "call_request\030\014 \001(\0132\034.rattandyke.wire.Cal"
-  "lRequestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattand"
-  "yke.wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H"
-  "\000B\006\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTC"
-  "OME_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANT"
-  "ED\020\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM"
-  "_OUTCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN"
-  "\020\004\022\032\n\026CLAIM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrial"
-  "Step\022\032\n\026TRIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIA"
-  "L_STEP_ASK\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022"
-  "TRIAL_STEP_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSE"
-  "D\020\004b\006proto3"
+  ".QueryCallH\000\0228\n\014crash_report\030\022 \001(\0132 .rat"
+  "tandyke.wire.CrashReportCallH\000\0225\n\nmember"
+  "ship\030\023 \001(\0132\037.rattandyke.wire.MembershipC"
+  "allH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke.wire.T"
+  "rialCallH\000B\006\n\004bodyJ\004\010\021\020\022\"\353\001\n\tCallReply\022\n"
+  "\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001("
+  "\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.ratt"
+  "andyke.wire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.ra"
+  "ttandyke.wire.ClaimReplyH\000\022\016\n\004json\030\014 \001(\t"
+  "H\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke.wire.Tria"
+  "lReplyH\000B\006\n\004bodyJ\004\010\r\020\016\"}\n\020SubmitRecordCa"
+  "ll\022\'\n\006record\030\001 \001(\0132\027.rattandyke.wire.Rec"
+  "ord\022\031\n\021expected_revision\030\002 \001(\004\022\024\n\014any_re"
+  "vision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tClaimC"
+  "all\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027"
+  "\n\017idempotency_key\030\003 \001(\t\022\026\n\016request_diges"
+  "t\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007attempt"
+  "\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001(\r\022."
+  "\n\007headers\030\002 \003(\0132\035.rattandyke.wire.Stored"
+  "Header\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001"
+  "(\010\"+\n\014StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005valu"
+  "e\030\002 \001(\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001(\0162\035"
+  ".rattandyke.wire.ClaimOutcome\022\r\n\005claim\030\002"
+  " \001(\004\022-\n\006answer\030\003 \001(\0132\035.rattandyke.wire.S"
+  "toredAnswer\"\236\001\n\021CompleteClaimCall\022\017\n\007ser"
+  "vice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempote"
+  "ncy_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answer\030\005"
+  " \001(\0132\035.rattandyke.wire.StoredAnswer\022\017\n\007u"
+  "nknown\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007serv"
+  "ice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempoten"
+  "cy_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attempt\030\005"
+  " \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattandyk"
+  "e.wire.Ban\"q\n\017CrashReportCall\022\017\n\007service"
+  "\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030"
+  "\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_trial\030"
+  "\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022\023\n\013"
+  "fingerprint\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023\n\013i"
+  "ncarnation\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.rattand"
+  "yke.wire.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5\n\nT"
+  "rialReply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_afte"
+  "r_ms\030\002 \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007servi"
+  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001("
+  "\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030"
+  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\277\001\n\rCreditRequest\022\017\n\007"
+  "service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incar"
+  "nation\030\003 \001(\004\022\017\n\007request\030\004 \001(\004\022)\n\003ask\030\n \001"
+  "(\0132\032.rattandyke.wire.CreditAskH\000\0222\n\tgive"
+  "_back\030\013 \001(\0132\035.rattandyke.wire.CreditRetu"
+  "rnH\000B\006\n\004body\"\273\001\n\tCreditAsk\022\020\n\010customer\030\001"
+  " \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n\016max_concurrent\030\003"
+  " \001(\r\022\027\n\017rate_per_second\030\004 \001(\001\022\027\n\017admit_w"
+  "ithin_us\030\005 \001(\004\022\030\n\020finish_within_us\030\006 \001(\004"
+  "\022\022\n\nidempotent\030\007 \001(\010\022\024\n\014usable_slots\030\010 \001"
+  "(\r\"n\n\014CreditReturn\022-\n\006ending\030\001 \001(\0162\035.rat"
+  "tandyke.wire.CreditEnding\022\027\n\017service_tim"
+  "e_us\030\002 \001(\004\022\026\n\016retry_after_us\030\003 \001(\004\"\252\001\n\014C"
+  "reditAnswer\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream"
+  "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030\004"
+  " \001(\004\022+\n\005state\030\005 \001(\0162\034.rattandyke.wire.Cr"
+  "editState\022\014\n\004code\030\006 \001(\r\022\026\n\016retry_after_u"
+  "s\030\007 \001(\004\"f\n\016MembershipCall\022\024\n\014add_identit"
+  "y\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_address"
+  "\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\222\003\n\010Enve"
+  "lope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 \001(\004"
+  "\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wire.He"
+  "artbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.rat"
+  "tandyke.wire.HeartbeatReplyH\000\0224\n\014call_re"
+  "quest\030\014 \001(\0132\034.rattandyke.wire.CallReques"
+  "tH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke.wir"
+  "e.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000\0228\n\016cr"
+  "edit_request\030\017 \001(\0132\036.rattandyke.wire.Cre"
+  "ditRequestH\000\0226\n\rcredit_answer\030\020 \001(\0132\035.ra"
+  "ttandyke.wire.CreditAnswerH\000B\006\n\004body*\262\001\n"
+  "\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNSPECIFI"
+  "ED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n\025CLAIM"
+  "_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOME_DONE"
+  "\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026CLAIM_O"
+  "UTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n\026TRIAL"
+  "_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_ASK\020\001\022"
+  "\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_STEP_CR"
+  "ASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004*\224\001\n\014Credi"
+  "tEnding\022\030\n\024CREDIT_ENDING_UNUSED\020\000\022\033\n\027CRE"
+  "DIT_ENDING_SUCCEEDED\020\001\022\030\n\024CREDIT_ENDING_"
+  "FAILED\020\002\022\026\n\022CREDIT_ENDING_SHED\020\003\022\033\n\027CRED"
+  "IT_ENDING_CANCELLED\020\004*\223\001\n\013CreditState\022\034\n"
+  "\030CREDIT_STATE_UNSPECIFIED\020\000\022\027\n\023CREDIT_ST"
+  "ATE_QUEUED\020\001\022\030\n\024CREDIT_STATE_GRANTED\020\002\022\030"
+  "\n\024CREDIT_STATE_REFUSED\020\003\022\031\n\025CREDIT_STATE"
+  "_RETURNED\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 4451, descriptor_table_protodef_peer_2eproto,
+    false, false, 5259, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 26,
+    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 28,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -999,6 +1090,40 @@
   }
 }
 
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* CreditEnding_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_peer_2eproto);
+  return file_level_enum_descriptors_peer_2eproto[2];
+}
+bool CreditEnding_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return true;
+    default:
+      return false;
+  }
+}
+
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* CreditState_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_peer_2eproto);
+  return file_level_enum_descriptors_peer_2eproto[3];
+}
+bool CreditState_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return true;
+    default:
+      return false;
+  }
+}
+
 
 // ===================================================================
 
@@ -3800,7 +3925,6 @@
   static const ::rattandyke::wire::BanCall& ban(const CallRequest* msg);
   static const ::rattandyke::wire::DrainUpstreamCall& drain_upstream(const CallRequest* msg);
   static const ::rattandyke::wire::QueryCall& query(const CallRequest* msg);
-  static const ::rattandyke::wire::CreditCall& credit(const CallRequest* msg);
   static const ::rattandyke::wire::CrashReportCall& crash_report(const CallRequest* msg);
   static const ::rattandyke::wire::MembershipCall& membership(const CallRequest* msg);
   static const ::rattandyke::wire::TrialCall& trial(const CallRequest* msg);
@@ -3834,10 +3958,6 @@
 CallRequest::_Internal::query(const CallRequest* msg) {
   return *msg->_impl_.body_.query_;
 }
-const ::rattandyke::wire::CreditCall&
-CallRequest::_Internal::credit(const CallRequest* msg) {
-  return *msg->_impl_.body_.credit_;
-}
 const ::rattandyke::wire::CrashReportCall&
 CallRequest::_Internal::crash_report(const CallRequest* msg) {
   return *msg->_impl_.body_.crash_report_;
@@ -3955,21 +4075,6 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallRequest.query)
 }
-void CallRequest::set_allocated_credit(::rattandyke::wire::CreditCall* credit) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (credit) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(credit);
-    if (message_arena != submessage_arena) {
-      credit = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, credit, submessage_arena);
-    }
-    set_has_credit();
-    _impl_.body_.credit_ = credit;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallRequest.credit)
-}
 void CallRequest::set_allocated_crash_report(::rattandyke::wire::CrashReportCall* crash_report) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -4081,11 +4186,6 @@
           from._internal_query());
       break;
     }
-    case kCredit: {
-      _this->_internal_mutable_credit()->::rattandyke::wire::CreditCall::MergeFrom(
-          from._internal_credit());
-      break;
-    }
     case kCrashReport: {
       _this->_internal_mutable_crash_report()->::rattandyke::wire::CrashReportCall::MergeFrom(
           from._internal_crash_report());
@@ -4193,12 +4293,6 @@
       }
       break;
     }
-    case kCredit: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.credit_;
-      }
-      break;
-    }
     case kCrashReport: {
       if (GetArenaForAllocation() == nullptr) {
         delete _impl_.body_.crash_report_;
@@ -4327,14 +4421,6 @@
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.CreditCall credit = 17;
-      case 17:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 138)) {
-          ptr = ctx->ParseMessage(_internal_mutable_credit(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
       // .rattandyke.wire.CrashReportCall crash_report = 18;
       case 18:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 146)) {
@@ -4459,13 +4545,6 @@
         _Internal::query(this).GetCachedSize(), target, stream);
   }
 
-  // .rattandyke.wire.CreditCall credit = 17;
-  if (_internal_has_credit()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(17, _Internal::credit(this),
-        _Internal::credit(this).GetCachedSize(), target, stream);
-  }
-
   // .rattandyke.wire.CrashReportCall crash_report = 18;
   if (_internal_has_crash_report()) {
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
@@ -4570,13 +4649,6 @@
           *_impl_.body_.query_);
       break;
     }
-    // .rattandyke.wire.CreditCall credit = 17;
-    case kCredit: {
-      total_size += 2 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.credit_);
-      break;
-    }
     // .rattandyke.wire.CrashReportCall crash_report = 18;
     case kCrashReport: {
       total_size += 2 +
@@ -4665,11 +4737,6 @@
           from._internal_query());
       break;
     }
-    case kCredit: {
-      _this->_internal_mutable_credit()->::rattandyke::wire::CreditCall::MergeFrom(
-          from._internal_credit());
-      break;
-    }
     case kCrashReport: {
       _this->_internal_mutable_crash_report()->::rattandyke::wire::CrashReportCall::MergeFrom(
           from._internal_crash_report());
@@ -4734,7 +4801,6 @@
  public:
   static const ::rattandyke::wire::Record& record(const CallReply* msg);
   static const ::rattandyke::wire::ClaimReply& claim(const CallReply* msg);
-  static const ::rattandyke::wire::CreditReply& credit(const CallReply* msg);
   static const ::rattandyke::wire::TrialReply& trial(const CallReply* msg);
 };
 
@@ -4746,10 +4812,6 @@
 CallReply::_Internal::claim(const CallReply* msg) {
   return *msg->_impl_.body_.claim_;
 }
-const ::rattandyke::wire::CreditReply&
-CallReply::_Internal::credit(const CallReply* msg) {
-  return *msg->_impl_.body_.credit_;
-}
 const ::rattandyke::wire::TrialReply&
 CallReply::_Internal::trial(const CallReply* msg) {
   return *msg->_impl_.body_.trial_;
@@ -4793,21 +4855,6 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallReply.claim)
 }
-void CallReply::set_allocated_credit(::rattandyke::wire::CreditReply* credit) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (credit) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(credit);
-    if (message_arena != submessage_arena) {
-      credit = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, credit, submessage_arena);
-    }
-    set_has_credit();
-    _impl_.body_.credit_ = credit;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CallReply.credit)
-}
 void CallReply::set_allocated_trial(::rattandyke::wire::TrialReply* trial) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -4877,11 +4924,6 @@
       _this->_internal_set_json(from._internal_json());
       break;
     }
-    case kCredit: {
-      _this->_internal_mutable_credit()->::rattandyke::wire::CreditReply::MergeFrom(
-          from._internal_credit());
-      break;
-    }
     case kTrial: {
       _this->_internal_mutable_trial()->::rattandyke::wire::TrialReply::MergeFrom(
           from._internal_trial());
@@ -4959,12 +5001,6 @@
       _impl_.body_.json_.Destroy();
       break;
     }
-    case kCredit: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.credit_;
-      }
-      break;
-    }
     case kTrial: {
       if (GetArenaForAllocation() == nullptr) {
         delete _impl_.body_.trial_;
@@ -5062,14 +5098,6 @@
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.CreditReply credit = 13;
-      case 13:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
-          ptr = ctx->ParseMessage(_internal_mutable_credit(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
       // .rattandyke.wire.TrialReply trial = 14;
       case 14:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 114)) {
@@ -5163,13 +5191,6 @@
         12, this->_internal_json(), target);
   }
 
-  // .rattandyke.wire.CreditReply credit = 13;
-  if (_internal_has_credit()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(13, _Internal::credit(this),
-        _Internal::credit(this).GetCachedSize(), target, stream);
-  }
-
   // .rattandyke.wire.TrialReply trial = 14;
   if (_internal_has_trial()) {
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
@@ -5239,13 +5260,6 @@
           this->_internal_json());
       break;
     }
-    // .rattandyke.wire.CreditReply credit = 13;
-    case kCredit: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.credit_);
-      break;
-    }
     // .rattandyke.wire.TrialReply trial = 14;
     case kTrial: {
       total_size += 1 +
@@ -5302,11 +5316,6 @@
       _this->_internal_set_json(from._internal_json());
       break;
     }
-    case kCredit: {
-      _this->_internal_mutable_credit()->::rattandyke::wire::CreditReply::MergeFrom(
-          from._internal_credit());
-      break;
-    }
     case kTrial: {
       _this->_internal_mutable_trial()->::rattandyke::wire::TrialReply::MergeFrom(
           from._internal_trial());
@@ -9370,27 +9379,67 @@
 
 // ===================================================================
 
-class CreditCall::_Internal {
+class CreditRequest::_Internal {
  public:
+  static const ::rattandyke::wire::CreditAsk& ask(const CreditRequest* msg);
+  static const ::rattandyke::wire::CreditReturn& give_back(const CreditRequest* msg);
 };
 
-CreditCall::CreditCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+const ::rattandyke::wire::CreditAsk&
+CreditRequest::_Internal::ask(const CreditRequest* msg) {
+  return *msg->_impl_.body_.ask_;
+}
+const ::rattandyke::wire::CreditReturn&
+CreditRequest::_Internal::give_back(const CreditRequest* msg) {
+  return *msg->_impl_.body_.give_back_;
+}
+void CreditRequest::set_allocated_ask(::rattandyke::wire::CreditAsk* ask) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (ask) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(ask);
+    if (message_arena != submessage_arena) {
+      ask = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, ask, submessage_arena);
+    }
+    set_has_ask();
+    _impl_.body_.ask_ = ask;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CreditRequest.ask)
+}
+void CreditRequest::set_allocated_give_back(::rattandyke::wire::CreditReturn* give_back) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (give_back) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(give_back);
+    if (message_arena != submessage_arena) {
+      give_back = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, give_back, submessage_arena);
+    }
+    set_has_give_back();
+    _impl_.body_.give_back_ = give_back;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CreditRequest.give_back)
+}
+CreditRequest::CreditRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditCall)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditRequest)
 }
-CreditCall::CreditCall(const CreditCall& from)
+CreditRequest::CreditRequest(const CreditRequest& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  CreditCall* const _this = this; (void)_this;
+  CreditRequest* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
-    , decltype(_impl_.customer_){}
+    , decltype(_impl_.incarnation_){}
     , decltype(_impl_.request_){}
-    , decltype(_impl_.give_back_){}
-    , decltype(_impl_.wait_ms_){}
-    , /*decltype(_impl_._cached_size_)*/{}};
+    , decltype(_impl_.body_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   _impl_.service_.InitDefault();
@@ -9409,32 +9458,40 @@
     _this->_impl_.upstream_.Set(from._internal_upstream(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.customer_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.customer_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_customer().empty()) {
-    _this->_impl_.customer_.Set(from._internal_customer(), 
-      _this->GetArenaForAllocation());
+  ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.request_) -
+    reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.request_));
+  clear_has_body();
+  switch (from.body_case()) {
+    case kAsk: {
+      _this->_internal_mutable_ask()->::rattandyke::wire::CreditAsk::MergeFrom(
+          from._internal_ask());
+      break;
+    }
+    case kGiveBack: {
+      _this->_internal_mutable_give_back()->::rattandyke::wire::CreditReturn::MergeFrom(
+          from._internal_give_back());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
   }
-  ::memcpy(&_impl_.request_, &from._impl_.request_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.wait_ms_) -
-    reinterpret_cast<char*>(&_impl_.request_)) + sizeof(_impl_.wait_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditCall)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditRequest)
 }
 
-inline void CreditCall::SharedCtor(
+inline void CreditRequest::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
-    , decltype(_impl_.customer_){}
+    , decltype(_impl_.incarnation_){uint64_t{0u}}
     , decltype(_impl_.request_){uint64_t{0u}}
-    , decltype(_impl_.give_back_){false}
-    , decltype(_impl_.wait_ms_){0u}
+    , decltype(_impl_.body_){}
     , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}
   };
   _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
@@ -9444,14 +9501,11 @@
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.upstream_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.customer_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.customer_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  clear_has_body();
 }
 
-CreditCall::~CreditCall() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditCall)
+CreditRequest::~CreditRequest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditRequest)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -9459,33 +9513,58 @@
   SharedDtor();
 }
 
-inline void CreditCall::SharedDtor() {
+inline void CreditRequest::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.service_.Destroy();
   _impl_.upstream_.Destroy();
-  _impl_.customer_.Destroy();
+  if (has_body()) {
+    clear_body();
+  }
 }
 
-void CreditCall::SetCachedSize(int size) const {
+void CreditRequest::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void CreditCall::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditCall)
+void CreditRequest::clear_body() {
+// @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.CreditRequest)
+  switch (body_case()) {
+    case kAsk: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.ask_;
+      }
+      break;
+    }
+    case kGiveBack: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.give_back_;
+      }
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _impl_._oneof_case_[0] = BODY_NOT_SET;
+}
+
+
+void CreditRequest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditRequest)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
   _impl_.service_.ClearToEmpty();
   _impl_.upstream_.ClearToEmpty();
-  _impl_.customer_.ClearToEmpty();
-  ::memset(&_impl_.request_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.wait_ms_) -
-      reinterpret_cast<char*>(&_impl_.request_)) + sizeof(_impl_.wait_ms_));
+  ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.request_) -
+      reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.request_));
+  clear_body();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* CreditCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* CreditRequest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -9497,7 +9576,7 @@
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditCall.service"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditRequest.service"));
         } else
           goto handle_unusual;
         continue;
@@ -9507,17 +9586,15 @@
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditCall.upstream"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditRequest.upstream"));
         } else
           goto handle_unusual;
         continue;
-      // string customer = 3;
+      // uint64 incarnation = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_customer();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.incarnation_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditCall.customer"));
         } else
           goto handle_unusual;
         continue;
@@ -9529,18 +9606,18 @@
         } else
           goto handle_unusual;
         continue;
-      // bool give_back = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
-          _impl_.give_back_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+      // .rattandyke.wire.CreditAsk ask = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr = ctx->ParseMessage(_internal_mutable_ask(), ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // uint32 wait_ms = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
-          _impl_.wait_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+      // .rattandyke.wire.CreditReturn give_back = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr = ctx->ParseMessage(_internal_mutable_give_back(), ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -9568,9 +9645,9 @@
 #undef CHK_
 }
 
-uint8_t* CreditCall::_InternalSerialize(
+uint8_t* CreditRequest::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditCall)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditRequest)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -9579,7 +9656,7 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditCall.service");
+      "rattandyke.wire.CreditRequest.service");
     target = stream->WriteStringMaybeAliased(
         1, this->_internal_service(), target);
   }
@@ -9589,19 +9666,15 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditCall.upstream");
+      "rattandyke.wire.CreditRequest.upstream");
     target = stream->WriteStringMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
-  // string customer = 3;
-  if (!this->_internal_customer().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditCall.customer");
-    target = stream->WriteStringMaybeAliased(
-        3, this->_internal_customer(), target);
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_incarnation(), target);
   }
 
   // uint64 request = 4;
@@ -9610,28 +9683,30 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_request(), target);
   }
 
-  // bool give_back = 5;
-  if (this->_internal_give_back() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(5, this->_internal_give_back(), target);
+  // .rattandyke.wire.CreditAsk ask = 10;
+  if (_internal_has_ask()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(10, _Internal::ask(this),
+        _Internal::ask(this).GetCachedSize(), target, stream);
   }
 
-  // uint32 wait_ms = 6;
-  if (this->_internal_wait_ms() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_wait_ms(), target);
+  // .rattandyke.wire.CreditReturn give_back = 11;
+  if (_internal_has_give_back()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(11, _Internal::give_back(this),
+        _Internal::give_back(this).GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditCall)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditRequest)
   return target;
 }
 
-size_t CreditCall::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditCall)
+size_t CreditRequest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditRequest)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
@@ -9652,11 +9727,9 @@
         this->_internal_upstream());
   }
 
-  // string customer = 3;
-  if (!this->_internal_customer().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_customer());
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
   }
 
   // uint64 request = 4;
@@ -9664,30 +9737,39 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_request());
   }
 
-  // bool give_back = 5;
-  if (this->_internal_give_back() != 0) {
-    total_size += 1 + 1;
-  }
-
-  // uint32 wait_ms = 6;
-  if (this->_internal_wait_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_wait_ms());
+  switch (body_case()) {
+    // .rattandyke.wire.CreditAsk ask = 10;
+    case kAsk: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.ask_);
+      break;
+    }
+    // .rattandyke.wire.CreditReturn give_back = 11;
+    case kGiveBack: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.give_back_);
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
   }
-
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditCall::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditRequest::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    CreditCall::MergeImpl
+    CreditRequest::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditCall::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditRequest::GetClassData() const { return &_class_data_; }
 
 
-void CreditCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<CreditCall*>(&to_msg);
-  auto& from = static_cast<const CreditCall&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditCall)
+void CreditRequest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CreditRequest*>(&to_msg);
+  auto& from = static_cast<const CreditRequest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditRequest)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
@@ -9698,33 +9780,42 @@
   if (!from._internal_upstream().empty()) {
     _this->_internal_set_upstream(from._internal_upstream());
   }
-  if (!from._internal_customer().empty()) {
-    _this->_internal_set_customer(from._internal_customer());
+  if (from._internal_incarnation() != 0) {
+    _this->_internal_set_incarnation(from._internal_incarnation());
   }
   if (from._internal_request() != 0) {
     _this->_internal_set_request(from._internal_request());
   }
-  if (from._internal_give_back() != 0) {
-    _this->_internal_set_give_back(from._internal_give_back());
-  }
-  if (from._internal_wait_ms() != 0) {
-    _this->_internal_set_wait_ms(from._internal_wait_ms());
-  }
-  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-}
-
-void CreditCall::CopyFrom(const CreditCall& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditCall)
-  if (&from == this) return;
-  Clear();
+  switch (from.body_case()) {
+    case kAsk: {
+      _this->_internal_mutable_ask()->::rattandyke::wire::CreditAsk::MergeFrom(
+          from._internal_ask());
+      break;
+    }
+    case kGiveBack: {
+      _this->_internal_mutable_give_back()->::rattandyke::wire::CreditReturn::MergeFrom(
+          from._internal_give_back());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void CreditRequest::CopyFrom(const CreditRequest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditRequest)
+  if (&from == this) return;
+  Clear();
   MergeFrom(from);
 }
 
-bool CreditCall::IsInitialized() const {
+bool CreditRequest::IsInitialized() const {
   return true;
 }
 
-void CreditCall::InternalSwap(CreditCall* other) {
+void CreditRequest::InternalSwap(CreditRequest* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
@@ -9737,66 +9828,741 @@
       &_impl_.upstream_, lhs_arena,
       &other->_impl_.upstream_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(CreditRequest, _impl_.request_)
+      + sizeof(CreditRequest::_impl_.request_)
+      - PROTOBUF_FIELD_OFFSET(CreditRequest, _impl_.incarnation_)>(
+          reinterpret_cast<char*>(&_impl_.incarnation_),
+          reinterpret_cast<char*>(&other->_impl_.incarnation_));
+  swap(_impl_.body_, other->_impl_.body_);
+  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata CreditRequest::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[22]);
+}
+
+// ===================================================================
+
+class CreditAsk::_Internal {
+ public:
+};
+
+CreditAsk::CreditAsk(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditAsk)
+}
+CreditAsk::CreditAsk(const CreditAsk& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  CreditAsk* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.customer_){}
+    , decltype(_impl_.weight_){}
+    , decltype(_impl_.rate_per_second_){}
+    , decltype(_impl_.admit_within_us_){}
+    , decltype(_impl_.max_concurrent_){}
+    , decltype(_impl_.idempotent_){}
+    , decltype(_impl_.finish_within_us_){}
+    , decltype(_impl_.usable_slots_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.customer_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.customer_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_customer().empty()) {
+    _this->_impl_.customer_.Set(from._internal_customer(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.weight_, &from._impl_.weight_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.usable_slots_) -
+    reinterpret_cast<char*>(&_impl_.weight_)) + sizeof(_impl_.usable_slots_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditAsk)
+}
+
+inline void CreditAsk::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.customer_){}
+    , decltype(_impl_.weight_){0}
+    , decltype(_impl_.rate_per_second_){0}
+    , decltype(_impl_.admit_within_us_){uint64_t{0u}}
+    , decltype(_impl_.max_concurrent_){0u}
+    , decltype(_impl_.idempotent_){false}
+    , decltype(_impl_.finish_within_us_){uint64_t{0u}}
+    , decltype(_impl_.usable_slots_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.customer_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.customer_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+CreditAsk::~CreditAsk() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditAsk)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void CreditAsk::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.customer_.Destroy();
+}
+
+void CreditAsk::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void CreditAsk::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditAsk)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.customer_.ClearToEmpty();
+  ::memset(&_impl_.weight_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.usable_slots_) -
+      reinterpret_cast<char*>(&_impl_.weight_)) + sizeof(_impl_.usable_slots_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* CreditAsk::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string customer = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_customer();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAsk.customer"));
+        } else
+          goto handle_unusual;
+        continue;
+      // double weight = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.weight_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 max_concurrent = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.max_concurrent_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // double rate_per_second = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 33)) {
+          _impl_.rate_per_second_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 admit_within_us = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.admit_within_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 finish_within_us = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.finish_within_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool idempotent = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.idempotent_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 usable_slots = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.usable_slots_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* CreditAsk::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditAsk)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string customer = 1;
+  if (!this->_internal_customer().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CreditAsk.customer");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_customer(), target);
+  }
+
+  // double weight = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_weight = this->_internal_weight();
+  uint64_t raw_weight;
+  memcpy(&raw_weight, &tmp_weight, sizeof(tmp_weight));
+  if (raw_weight != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_weight(), target);
+  }
+
+  // uint32 max_concurrent = 3;
+  if (this->_internal_max_concurrent() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(3, this->_internal_max_concurrent(), target);
+  }
+
+  // double rate_per_second = 4;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_rate_per_second = this->_internal_rate_per_second();
+  uint64_t raw_rate_per_second;
+  memcpy(&raw_rate_per_second, &tmp_rate_per_second, sizeof(tmp_rate_per_second));
+  if (raw_rate_per_second != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(4, this->_internal_rate_per_second(), target);
+  }
+
+  // uint64 admit_within_us = 5;
+  if (this->_internal_admit_within_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_admit_within_us(), target);
+  }
+
+  // uint64 finish_within_us = 6;
+  if (this->_internal_finish_within_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(6, this->_internal_finish_within_us(), target);
+  }
+
+  // bool idempotent = 7;
+  if (this->_internal_idempotent() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_idempotent(), target);
+  }
+
+  // uint32 usable_slots = 8;
+  if (this->_internal_usable_slots() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(8, this->_internal_usable_slots(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditAsk)
+  return target;
+}
+
+size_t CreditAsk::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditAsk)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string customer = 1;
+  if (!this->_internal_customer().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_customer());
+  }
+
+  // double weight = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_weight = this->_internal_weight();
+  uint64_t raw_weight;
+  memcpy(&raw_weight, &tmp_weight, sizeof(tmp_weight));
+  if (raw_weight != 0) {
+    total_size += 1 + 8;
+  }
+
+  // double rate_per_second = 4;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_rate_per_second = this->_internal_rate_per_second();
+  uint64_t raw_rate_per_second;
+  memcpy(&raw_rate_per_second, &tmp_rate_per_second, sizeof(tmp_rate_per_second));
+  if (raw_rate_per_second != 0) {
+    total_size += 1 + 8;
+  }
+
+  // uint64 admit_within_us = 5;
+  if (this->_internal_admit_within_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_admit_within_us());
+  }
+
+  // uint32 max_concurrent = 3;
+  if (this->_internal_max_concurrent() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_max_concurrent());
+  }
+
+  // bool idempotent = 7;
+  if (this->_internal_idempotent() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint64 finish_within_us = 6;
+  if (this->_internal_finish_within_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_finish_within_us());
+  }
+
+  // uint32 usable_slots = 8;
+  if (this->_internal_usable_slots() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_usable_slots());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditAsk::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    CreditAsk::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditAsk::GetClassData() const { return &_class_data_; }
+
+
+void CreditAsk::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CreditAsk*>(&to_msg);
+  auto& from = static_cast<const CreditAsk&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditAsk)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_customer().empty()) {
+    _this->_internal_set_customer(from._internal_customer());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_weight = from._internal_weight();
+  uint64_t raw_weight;
+  memcpy(&raw_weight, &tmp_weight, sizeof(tmp_weight));
+  if (raw_weight != 0) {
+    _this->_internal_set_weight(from._internal_weight());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_rate_per_second = from._internal_rate_per_second();
+  uint64_t raw_rate_per_second;
+  memcpy(&raw_rate_per_second, &tmp_rate_per_second, sizeof(tmp_rate_per_second));
+  if (raw_rate_per_second != 0) {
+    _this->_internal_set_rate_per_second(from._internal_rate_per_second());
+  }
+  if (from._internal_admit_within_us() != 0) {
+    _this->_internal_set_admit_within_us(from._internal_admit_within_us());
+  }
+  if (from._internal_max_concurrent() != 0) {
+    _this->_internal_set_max_concurrent(from._internal_max_concurrent());
+  }
+  if (from._internal_idempotent() != 0) {
+    _this->_internal_set_idempotent(from._internal_idempotent());
+  }
+  if (from._internal_finish_within_us() != 0) {
+    _this->_internal_set_finish_within_us(from._internal_finish_within_us());
+  }
+  if (from._internal_usable_slots() != 0) {
+    _this->_internal_set_usable_slots(from._internal_usable_slots());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void CreditAsk::CopyFrom(const CreditAsk& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditAsk)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool CreditAsk::IsInitialized() const {
+  return true;
+}
+
+void CreditAsk::InternalSwap(CreditAsk* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.customer_, lhs_arena,
       &other->_impl_.customer_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(CreditCall, _impl_.wait_ms_)
-      + sizeof(CreditCall::_impl_.wait_ms_)
-      - PROTOBUF_FIELD_OFFSET(CreditCall, _impl_.request_)>(
-          reinterpret_cast<char*>(&_impl_.request_),
-          reinterpret_cast<char*>(&other->_impl_.request_));
+      PROTOBUF_FIELD_OFFSET(CreditAsk, _impl_.usable_slots_)
+      + sizeof(CreditAsk::_impl_.usable_slots_)
+      - PROTOBUF_FIELD_OFFSET(CreditAsk, _impl_.weight_)>(
+          reinterpret_cast<char*>(&_impl_.weight_),
+          reinterpret_cast<char*>(&other->_impl_.weight_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata CreditAsk::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[23]);
+}
+
+// ===================================================================
+
+class CreditReturn::_Internal {
+ public:
+};
+
+CreditReturn::CreditReturn(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditReturn)
+}
+CreditReturn::CreditReturn(const CreditReturn& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  CreditReturn* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_time_us_){}
+    , decltype(_impl_.retry_after_us_){}
+    , decltype(_impl_.ending_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.service_time_us_, &from._impl_.service_time_us_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.ending_) -
+    reinterpret_cast<char*>(&_impl_.service_time_us_)) + sizeof(_impl_.ending_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditReturn)
+}
+
+inline void CreditReturn::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_time_us_){uint64_t{0u}}
+    , decltype(_impl_.retry_after_us_){uint64_t{0u}}
+    , decltype(_impl_.ending_){0}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+CreditReturn::~CreditReturn() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditReturn)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void CreditReturn::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void CreditReturn::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void CreditReturn::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditReturn)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  ::memset(&_impl_.service_time_us_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.ending_) -
+      reinterpret_cast<char*>(&_impl_.service_time_us_)) + sizeof(_impl_.ending_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* CreditReturn::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .rattandyke.wire.CreditEnding ending = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_ending(static_cast<::rattandyke::wire::CreditEnding>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 service_time_us = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.service_time_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 retry_after_us = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.retry_after_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* CreditReturn::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditReturn)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.CreditEnding ending = 1;
+  if (this->_internal_ending() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      1, this->_internal_ending(), target);
+  }
+
+  // uint64 service_time_us = 2;
+  if (this->_internal_service_time_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_service_time_us(), target);
+  }
+
+  // uint64 retry_after_us = 3;
+  if (this->_internal_retry_after_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_retry_after_us(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditReturn)
+  return target;
+}
+
+size_t CreditReturn::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditReturn)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // uint64 service_time_us = 2;
+  if (this->_internal_service_time_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_service_time_us());
+  }
+
+  // uint64 retry_after_us = 3;
+  if (this->_internal_retry_after_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_retry_after_us());
+  }
+
+  // .rattandyke.wire.CreditEnding ending = 1;
+  if (this->_internal_ending() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_ending());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditReturn::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    CreditReturn::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditReturn::GetClassData() const { return &_class_data_; }
+
+
+void CreditReturn::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CreditReturn*>(&to_msg);
+  auto& from = static_cast<const CreditReturn&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditReturn)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_service_time_us() != 0) {
+    _this->_internal_set_service_time_us(from._internal_service_time_us());
+  }
+  if (from._internal_retry_after_us() != 0) {
+    _this->_internal_set_retry_after_us(from._internal_retry_after_us());
+  }
+  if (from._internal_ending() != 0) {
+    _this->_internal_set_ending(from._internal_ending());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void CreditReturn::CopyFrom(const CreditReturn& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditReturn)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool CreditReturn::IsInitialized() const {
+  return true;
+}
+
+void CreditReturn::InternalSwap(CreditReturn* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(CreditReturn, _impl_.ending_)
+      + sizeof(CreditReturn::_impl_.ending_)
+      - PROTOBUF_FIELD_OFFSET(CreditReturn, _impl_.service_time_us_)>(
+          reinterpret_cast<char*>(&_impl_.service_time_us_),
+          reinterpret_cast<char*>(&other->_impl_.service_time_us_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata CreditCall::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata CreditReturn::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[22]);
+      file_level_metadata_peer_2eproto[24]);
 }
 
 // ===================================================================
 
-class CreditReply::_Internal {
+class CreditAnswer::_Internal {
  public:
 };
 
-CreditReply::CreditReply(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+CreditAnswer::CreditAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditReply)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CreditAnswer)
 }
-CreditReply::CreditReply(const CreditReply& from)
+CreditAnswer::CreditAnswer(const CreditAnswer& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  CreditReply* const _this = this; (void)_this;
+  CreditAnswer* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.request_){}
-    , decltype(_impl_.granted_){}
-    , decltype(_impl_.retry_after_ms_){}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.incarnation_){}
+    , decltype(_impl_.request_){}
+    , decltype(_impl_.state_){}
+    , decltype(_impl_.code_){}
+    , decltype(_impl_.retry_after_us_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  ::memcpy(&_impl_.request_, &from._impl_.request_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
-    reinterpret_cast<char*>(&_impl_.request_)) + sizeof(_impl_.retry_after_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditReply)
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_upstream().empty()) {
+    _this->_impl_.upstream_.Set(from._internal_upstream(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_us_) -
+    reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.retry_after_us_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CreditAnswer)
 }
 
-inline void CreditReply::SharedCtor(
+inline void CreditAnswer::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.request_){uint64_t{0u}}
-    , decltype(_impl_.granted_){false}
-    , decltype(_impl_.retry_after_ms_){0u}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.upstream_){}
+    , decltype(_impl_.incarnation_){uint64_t{0u}}
+    , decltype(_impl_.request_){uint64_t{0u}}
+    , decltype(_impl_.state_){0}
+    , decltype(_impl_.code_){0u}
+    , decltype(_impl_.retry_after_us_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.upstream_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.upstream_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-CreditReply::~CreditReply() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditReply)
+CreditAnswer::~CreditAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CreditAnswer)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -9804,52 +10570,93 @@
   SharedDtor();
 }
 
-inline void CreditReply::SharedDtor() {
+inline void CreditAnswer::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.service_.Destroy();
+  _impl_.upstream_.Destroy();
 }
 
-void CreditReply::SetCachedSize(int size) const {
+void CreditAnswer::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void CreditReply::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditReply)
+void CreditAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CreditAnswer)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  ::memset(&_impl_.request_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
-      reinterpret_cast<char*>(&_impl_.request_)) + sizeof(_impl_.retry_after_ms_));
+  _impl_.service_.ClearToEmpty();
+  _impl_.upstream_.ClearToEmpty();
+  ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.retry_after_us_) -
+      reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.retry_after_us_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* CreditReply::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* CreditAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 request = 1;
+      // string service = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.request_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAnswer.service"));
         } else
           goto handle_unusual;
         continue;
-      // bool granted = 2;
+      // string upstream = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.granted_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_upstream();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAnswer.upstream"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 retry_after_ms = 3;
+      // uint64 incarnation = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.retry_after_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.incarnation_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 request = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.request_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.CreditState state = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_state(static_cast<::rattandyke::wire::CreditState>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 code = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.code_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 retry_after_us = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.retry_after_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -9877,117 +10684,197 @@
 #undef CHK_
 }
 
-uint8_t* CreditReply::_InternalSerialize(
+uint8_t* CreditAnswer::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditReply)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CreditAnswer)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 request = 1;
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CreditAnswer.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CreditAnswer.upstream");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_upstream(), target);
+  }
+
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_incarnation(), target);
+  }
+
+  // uint64 request = 4;
   if (this->_internal_request() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_request(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_request(), target);
+  }
+
+  // .rattandyke.wire.CreditState state = 5;
+  if (this->_internal_state() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      5, this->_internal_state(), target);
   }
 
-  // bool granted = 2;
-  if (this->_internal_granted() != 0) {
+  // uint32 code = 6;
+  if (this->_internal_code() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_granted(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_code(), target);
   }
 
-  // uint32 retry_after_ms = 3;
-  if (this->_internal_retry_after_ms() != 0) {
+  // uint64 retry_after_us = 7;
+  if (this->_internal_retry_after_us() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(3, this->_internal_retry_after_ms(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(7, this->_internal_retry_after_us(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditReply)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CreditAnswer)
   return target;
 }
 
-size_t CreditReply::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditReply)
+size_t CreditAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CreditAnswer)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // uint64 request = 1;
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string upstream = 2;
+  if (!this->_internal_upstream().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_upstream());
+  }
+
+  // uint64 incarnation = 3;
+  if (this->_internal_incarnation() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
+  }
+
+  // uint64 request = 4;
   if (this->_internal_request() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_request());
   }
 
-  // bool granted = 2;
-  if (this->_internal_granted() != 0) {
-    total_size += 1 + 1;
+  // .rattandyke.wire.CreditState state = 5;
+  if (this->_internal_state() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_state());
   }
 
-  // uint32 retry_after_ms = 3;
-  if (this->_internal_retry_after_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_retry_after_ms());
+  // uint32 code = 6;
+  if (this->_internal_code() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_code());
+  }
+
+  // uint64 retry_after_us = 7;
+  if (this->_internal_retry_after_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_retry_after_us());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditReply::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CreditAnswer::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    CreditReply::MergeImpl
+    CreditAnswer::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditReply::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CreditAnswer::GetClassData() const { return &_class_data_; }
 
 
-void CreditReply::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<CreditReply*>(&to_msg);
-  auto& from = static_cast<const CreditReply&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditReply)
+void CreditAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CreditAnswer*>(&to_msg);
+  auto& from = static_cast<const CreditAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CreditAnswer)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_upstream().empty()) {
+    _this->_internal_set_upstream(from._internal_upstream());
+  }
+  if (from._internal_incarnation() != 0) {
+    _this->_internal_set_incarnation(from._internal_incarnation());
+  }
   if (from._internal_request() != 0) {
     _this->_internal_set_request(from._internal_request());
   }
-  if (from._internal_granted() != 0) {
-    _this->_internal_set_granted(from._internal_granted());
+  if (from._internal_state() != 0) {
+    _this->_internal_set_state(from._internal_state());
   }
-  if (from._internal_retry_after_ms() != 0) {
-    _this->_internal_set_retry_after_ms(from._internal_retry_after_ms());
+  if (from._internal_code() != 0) {
+    _this->_internal_set_code(from._internal_code());
+  }
+  if (from._internal_retry_after_us() != 0) {
+    _this->_internal_set_retry_after_us(from._internal_retry_after_us());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void CreditReply::CopyFrom(const CreditReply& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditReply)
+void CreditAnswer::CopyFrom(const CreditAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CreditAnswer)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool CreditReply::IsInitialized() const {
+bool CreditAnswer::IsInitialized() const {
   return true;
 }
 
-void CreditReply::InternalSwap(CreditReply* other) {
+void CreditAnswer::InternalSwap(CreditAnswer* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.upstream_, lhs_arena,
+      &other->_impl_.upstream_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(CreditReply, _impl_.retry_after_ms_)
-      + sizeof(CreditReply::_impl_.retry_after_ms_)
-      - PROTOBUF_FIELD_OFFSET(CreditReply, _impl_.request_)>(
-          reinterpret_cast<char*>(&_impl_.request_),
-          reinterpret_cast<char*>(&other->_impl_.request_));
+      PROTOBUF_FIELD_OFFSET(CreditAnswer, _impl_.retry_after_us_)
+      + sizeof(CreditAnswer::_impl_.retry_after_us_)
+      - PROTOBUF_FIELD_OFFSET(CreditAnswer, _impl_.incarnation_)>(
+          reinterpret_cast<char*>(&_impl_.incarnation_),
+          reinterpret_cast<char*>(&other->_impl_.incarnation_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata CreditReply::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata CreditAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[23]);
+      file_level_metadata_peer_2eproto[25]);
 }
 
 // ===================================================================
@@ -10300,7 +11187,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata MembershipCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[24]);
+      file_level_metadata_peer_2eproto[26]);
 }
 
 // ===================================================================
@@ -10311,6 +11198,8 @@
   static const ::rattandyke::wire::HeartbeatReply& heartbeat_reply(const Envelope* msg);
   static const ::rattandyke::wire::CallRequest& call_request(const Envelope* msg);
   static const ::rattandyke::wire::CallReply& call_reply(const Envelope* msg);
+  static const ::rattandyke::wire::CreditRequest& credit_request(const Envelope* msg);
+  static const ::rattandyke::wire::CreditAnswer& credit_answer(const Envelope* msg);
 };
 
 const ::rattandyke::wire::Heartbeat&
@@ -10329,6 +11218,14 @@
 Envelope::_Internal::call_reply(const Envelope* msg) {
   return *msg->_impl_.body_.call_reply_;
 }
+const ::rattandyke::wire::CreditRequest&
+Envelope::_Internal::credit_request(const Envelope* msg) {
+  return *msg->_impl_.body_.credit_request_;
+}
+const ::rattandyke::wire::CreditAnswer&
+Envelope::_Internal::credit_answer(const Envelope* msg) {
+  return *msg->_impl_.body_.credit_answer_;
+}
 void Envelope::set_allocated_heartbeat(::rattandyke::wire::Heartbeat* heartbeat) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -10389,6 +11286,36 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Envelope.call_reply)
 }
+void Envelope::set_allocated_credit_request(::rattandyke::wire::CreditRequest* credit_request) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (credit_request) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(credit_request);
+    if (message_arena != submessage_arena) {
+      credit_request = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, credit_request, submessage_arena);
+    }
+    set_has_credit_request();
+    _impl_.body_.credit_request_ = credit_request;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Envelope.credit_request)
+}
+void Envelope::set_allocated_credit_answer(::rattandyke::wire::CreditAnswer* credit_answer) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (credit_answer) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(credit_answer);
+    if (message_arena != submessage_arena) {
+      credit_answer = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, credit_answer, submessage_arena);
+    }
+    set_has_credit_answer();
+    _impl_.body_.credit_answer_ = credit_answer;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.Envelope.credit_answer)
+}
 Envelope::Envelope(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -10441,6 +11368,16 @@
       _this->_internal_set_consensus(from._internal_consensus());
       break;
     }
+    case kCreditRequest: {
+      _this->_internal_mutable_credit_request()->::rattandyke::wire::CreditRequest::MergeFrom(
+          from._internal_credit_request());
+      break;
+    }
+    case kCreditAnswer: {
+      _this->_internal_mutable_credit_answer()->::rattandyke::wire::CreditAnswer::MergeFrom(
+          from._internal_credit_answer());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -10518,6 +11455,18 @@
       _impl_.body_.consensus_.Destroy();
       break;
     }
+    case kCreditRequest: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.credit_request_;
+      }
+      break;
+    }
+    case kCreditAnswer: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.credit_answer_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -10603,6 +11552,22 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.CreditRequest credit_request = 15;
+      case 15:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 122)) {
+          ptr = ctx->ParseMessage(_internal_mutable_credit_request(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.CreditAnswer credit_answer = 16;
+      case 16:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 130)) {
+          ptr = ctx->ParseMessage(_internal_mutable_credit_answer(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -10682,6 +11647,20 @@
         14, this->_internal_consensus(), target);
   }
 
+  // .rattandyke.wire.CreditRequest credit_request = 15;
+  if (_internal_has_credit_request()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(15, _Internal::credit_request(this),
+        _Internal::credit_request(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.CreditAnswer credit_answer = 16;
+  if (_internal_has_credit_answer()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(16, _Internal::credit_answer(this),
+        _Internal::credit_answer(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -10746,6 +11725,20 @@
           this->_internal_consensus());
       break;
     }
+    // .rattandyke.wire.CreditRequest credit_request = 15;
+    case kCreditRequest: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.credit_request_);
+      break;
+    }
+    // .rattandyke.wire.CreditAnswer credit_answer = 16;
+    case kCreditAnswer: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.credit_answer_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -10799,6 +11792,16 @@
       _this->_internal_set_consensus(from._internal_consensus());
       break;
     }
+    case kCreditRequest: {
+      _this->_internal_mutable_credit_request()->::rattandyke::wire::CreditRequest::MergeFrom(
+          from._internal_credit_request());
+      break;
+    }
+    case kCreditAnswer: {
+      _this->_internal_mutable_credit_answer()->::rattandyke::wire::CreditAnswer::MergeFrom(
+          from._internal_credit_answer());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -10834,7 +11837,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata Envelope::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[25]);
+      file_level_metadata_peer_2eproto[27]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -10929,13 +11932,21 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::QueryCall >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::QueryCall >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditCall*
-Arena::CreateMaybeMessage< ::rattandyke::wire::CreditCall >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditCall >(arena);
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditRequest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CreditRequest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditRequest >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditAsk*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CreditAsk >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditAsk >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditReturn*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CreditReturn >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditReturn >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditReply*
-Arena::CreateMaybeMessage< ::rattandyke::wire::CreditReply >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditReply >(arena);
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditAnswer*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CreditAnswer >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CreditAnswer >(arena);
 }
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::MembershipCall*
 Arena::CreateMaybeMessage< ::rattandyke::wire::MembershipCall >(Arena* arena) {
--- a/src/testing/fake_entry_host.h
+++ b/src/testing/fake_entry_host.h
@@ -39,6 +39,8 @@
             Duration aTimeout,
             agent::LeaderCalls::Callback aDone) override;
   metrics::Recorder& Metrics() override { return mMetrics; }
+  /// Its upstreams have no home, so nothing is sent.
+  void Send(const HostName&, wire::Envelope) override {}
 
 private:
   struct ClaimState
