--- a/src/librattandyke/http/credit_sharing_test.cpp
+++ b/src/librattandyke/http/credit_sharing_test.cpp
@@ -370,8 +370,8 @@
   EXPECT_EQ(deployment.Admitted(), 2 * kSlots);
 }
 
-// An upstream's home changes while requests wait for it. The new home, once the
-// table names it, shares out the slots.
+// An upstream announces itself to another host. Once the table names the new
+// home, requests that come from then on get their slots there.
 TEST(CreditSharing, TheTableNamesTheHome)
 {
   const StillClock clock;
