--- a/src/librattandyke/base/clock.h
+++ b/src/librattandyke/base/clock.h
@@ -2,6 +2,7 @@
 /// system's, tests use their own.
 #pragma once
 
+#include <ctime>
 #include <random>
 
 #include <rattandyke/types.h>
@@ -28,6 +29,22 @@
   }
 };
 
+/// Counts the time for which the machine was suspended, too, so that a lease
+/// that ran out meanwhile is seen to be over. Its instants are not those of
+/// steady_clock.
+class BootClock final : public Clock
+{
+public:
+  Instant Now() const override
+  {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant{ std::chrono::seconds{ now.tv_sec } +
+                    std::chrono::nanoseconds{ now.tv_nsec } };
+  }
+  WallTime Wall() const override { return SystemClock().Wall(); }
+};
+
 /// Random source of a decision: seeded by its owner, so that a run repeats.
 /// Not thread-safe.
 using Random = std::mt19937_64;
--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -53,12 +53,14 @@
     if (restored.snapshot) {
       mCallbacks.loadSnapshot(*restored.snapshot->data);
     }
-    mParticipant.emplace(
-      Participant::Options{
-        mOptions.name, identity, mOptions.controlHosts, mOptions.replica },
-      std::move(restored),
-      mSeed ^ identity.value,
-      mClock.Now());
+    mParticipant.emplace(Participant::Options{ mOptions.name,
+                                               identity,
+                                               mOptions.address,
+                                               mOptions.controlHosts,
+                                               mOptions.replica },
+                         std::move(restored),
+                         mSeed ^ identity.value,
+                         mClock.Now());
     mDisk = std::make_unique<DiskThread>(std::move(*store), DiskCallbacks());
     mRunning = true;
     OnTimer();
@@ -119,7 +121,9 @@
       return;
     }
     mArmedFor = due;
-    mTimer.expires_at(due);
+    // The clock may count time that the timer's does not, so instants of the
+    // two are not comparable.
+    mTimer.expires_after(std::max(due - mClock.Now(), Duration::zero()));
     mTimer.async_wait([weak = weak_from_this()](auto aError) {
       const auto self = weak.lock();
       if (self && self->mRunning && !aError) {
--- a/src/librattandyke/consensus/driver.h
+++ b/src/librattandyke/consensus/driver.h
@@ -33,8 +33,12 @@
   {
     /// This host, one of controlHosts.
     HostName name;
+    /// Where the drivers of other control hosts reach this one; told to those
+    /// whose settings do not name it.
+    Endpoint address;
     std::filesystem::path dataFolder;
-    /// Every control host of the settings, this one too.
+    /// Every control host of the settings, this one too; with
+    /// ReplicaOptions::openMembership those that found the group.
     std::vector<Member> controlHosts;
     ReplicaOptions replica;
     /// Files that hold the data folder.
--- a/src/librattandyke/consensus/founding.cpp
+++ b/src/librattandyke/consensus/founding.cpp
@@ -28,25 +28,57 @@
   if (aOwn.hearsLeader) {
     return;
   }
-  for (const Member& member : mOptions.controlHosts) {
-    if (member.name != mOptions.self) {
-      wire::Hello hello;
-      hello.set_empty(aOwn.empty);
-      mEffects.push_back(SendHello{ member.name, std::move(hello) });
-    }
+  for (const HostName& host : HostsToGreet(aOwn)) {
+    mEffects.push_back(SendHello{ host, MakeHello(aOwn) });
   }
   if (aOwn.empty) {
     FoundIfComplete();
   }
 }
 
+std::set<HostName>
+Founding::HostsToGreet(const Own& aOwn) const
+{
+  std::set<HostName> hosts = mLearned;
+  for (const Member& member : mOptions.controlHosts) {
+    hosts.insert(member.name);
+  }
+  if (mOptions.openMembership) {
+    for (const wire::GroupMember& member : aOwn.configuration.members()) {
+      hosts.insert(HostName{ member.name() });
+    }
+  }
+  hosts.erase(mOptions.self);
+  return hosts;
+}
+
+wire::Hello
+Founding::MakeHello(const Own& aOwn) const
+{
+  wire::Hello hello;
+  hello.set_empty(aOwn.empty);
+  hello.set_address(mOptions.address.address);
+  hello.set_port(mOptions.address.port);
+  return hello;
+}
+
+void
+Founding::Learn(const wire::Configuration& aConfiguration)
+{
+  if (!mOptions.openMembership) {
+    return;
+  }
+  for (const wire::GroupMember& member : aConfiguration.members()) {
+    mLearned.insert(HostName{ member.name() });
+  }
+}
+
 void
 Founding::On(const HelloReceived& aEvent, const Own& aOwn, Instant aNow)
 {
   const wire::Hello& hello = aEvent.hello;
   if (hello.answers() == 0) {
-    wire::Hello answer;
-    answer.set_empty(aOwn.empty);
+    wire::Hello answer = MakeHello(aOwn);
     answer.set_answers(aEvent.identity.value);
     *answer.mutable_configuration() = aOwn.configuration;
     mEffects.push_back(SendHello{ aEvent.from, std::move(answer) });
@@ -58,6 +90,7 @@
     return;
   }
   if (!hello.empty()) {
+    Learn(hello.configuration());
     mEmpty.erase(aEvent.from);
     return;
   }
@@ -71,7 +104,11 @@
 Founding::MayFound() const
 {
   const auto& hosts = mOptions.controlHosts;
-  return !mFounded &&
+  const bool named =
+    std::any_of(hosts.begin(), hosts.end(), [&](const Member& aMember) {
+      return aMember.name == mOptions.self;
+    });
+  return !mFounded && mOptions.mayFound && named &&
          std::all_of(hosts.begin(), hosts.end(), [&](const Member& aMember) {
            return aMember.name >= mOptions.self &&
                   (aMember.name == mOptions.self ||
--- a/src/librattandyke/consensus/participant.cpp
+++ b/src/librattandyke/consensus/participant.cpp
@@ -15,6 +15,7 @@
                          uint64_t aSeed,
                          Instant aNow)
   : mName(aOptions.name)
+  , mControlHosts(aOptions.controlHosts)
   , mReplica(aOptions.identity,
              aOptions.name,
              aOptions.replica,
@@ -24,11 +25,15 @@
   , mFounding({ aOptions.name,
                 aOptions.identity,
                 aOptions.controlHosts,
-                aOptions.replica.voters })
+                aOptions.replica.voters,
+                aOptions.address,
+                aOptions.replica.openMembership,
+                aOptions.replica.mayFound })
   , mRepair({ aOptions.controlHosts,
               aOptions.replica.replaceAfter,
               aOptions.replica.voters,
-              aOptions.replica.spareAfter })
+              aOptions.replica.spareAfter,
+              aOptions.replica.openMembership })
 {
 }
 
@@ -56,6 +61,20 @@
   return std::min(mReplica.NextDeadline(), mFounding.NextDeadline());
 }
 
+Member
+Participant::SenderOf(const wire::ConsensusMessage& aMessage) const
+{
+  const HostName name{ aMessage.from_name() };
+  for (const Member& member : mControlHosts) {
+    if (member.name == name) {
+      return member;
+    }
+  }
+  const wire::Hello& hello = aMessage.hello();
+  return { name,
+           Endpoint{ hello.address(), static_cast<uint16_t>(hello.port()) } };
+}
+
 void
 Participant::OnHello(const wire::ConsensusMessage& aMessage, Instant aNow)
 {
@@ -66,7 +85,7 @@
   const HostName from{ aMessage.from_name() };
   const HostIdentity identity{ aMessage.from() };
   if (aMessage.hello().answers() == 0) {
-    mRepair.HeardNewcomer(from, identity, aNow);
+    mRepair.HeardNewcomer(SenderOf(aMessage), identity, aNow);
   }
   StepFounding(Founding::HelloReceived{ from, identity, aMessage.hello() },
                aNow);
--- a/src/librattandyke/consensus/participant.h
+++ b/src/librattandyke/consensus/participant.h
@@ -19,7 +19,10 @@
   {
     HostName name;
     HostIdentity identity;
-    /// Every control host of the settings, this one too.
+    /// Where peers reach this host.
+    Endpoint address;
+    /// Every control host of the settings, this one too; with open membership
+    /// those that found the group.
     std::vector<Member> controlHosts;
     ReplicaOptions replica;
   };
@@ -39,12 +42,14 @@
   const Replica& Log() const { return mReplica; }
 
 private:
+  Member SenderOf(const wire::ConsensusMessage& aMessage) const;
   void OnHello(const wire::ConsensusMessage& aMessage, Instant aNow);
   void StepReplica(const Event& aEvent, Instant aNow);
   void StepFounding(const Founding::Event& aEvent, Instant aNow);
   void KeepMembership(Instant aNow);
 
   const HostName mName;
+  const std::vector<Member> mControlHosts;
   Replica mReplica;
   Founding mFounding;
   Repair mRepair;
--- a/src/librattandyke/consensus/repair.cpp
+++ b/src/librattandyke/consensus/repair.cpp
@@ -67,11 +67,11 @@
 }
 
 void
-Repair::HeardNewcomer(const HostName& aName,
+Repair::HeardNewcomer(const Member& aMember,
                       HostIdentity aIdentity,
                       Instant aNow)
 {
-  mNewcomers[aName] = { aIdentity, aNow };
+  mNewcomers[aMember.name] = { aMember, aIdentity, aNow };
 }
 
 std::optional<MembershipChange>
@@ -100,6 +100,9 @@
 size_t
 Repair::VotersWanted() const
 {
+  if (mOptions.openMembership) {
+    return mOptions.voters;
+  }
   const size_t hosts = mOptions.controlHosts.size();
   return mOptions.voters == 0 ? hosts : std::min(hosts, mOptions.voters);
 }
@@ -115,10 +118,11 @@
 bool
 Repair::IsWanted(const HostName& aName) const
 {
-  return std::any_of(
-    mOptions.controlHosts.begin(),
-    mOptions.controlHosts.end(),
-    [&](const Member& aMember) { return aMember.name == aName; });
+  return mOptions.openMembership || std::any_of(mOptions.controlHosts.begin(),
+                                                mOptions.controlHosts.end(),
+                                                [&](const Member& aMember) {
+                                                  return aMember.name == aName;
+                                                });
 }
 
 std::optional<MembershipChange>
@@ -190,13 +194,12 @@
 std::optional<MembershipChange>
 Repair::AddNewcomer(const GroupStatus& aStatus, Instant aNow) const
 {
-  for (const Member& host : mOptions.controlHosts) {
-    const auto newcomer = mNewcomers.find(host.name);
-    if (newcomer == mNewcomers.end() ||
-        aNow - newcomer->second.heardAt >= kNewcomerForgotten) {
+  for (const auto& [name, newcomer] : mNewcomers) {
+    const Member& host = newcomer.member;
+    if (!IsWanted(name) || aNow - newcomer.heardAt >= kNewcomerForgotten) {
       continue;
     }
-    const HostIdentity identity = newcomer->second.identity;
+    const HostIdentity identity = newcomer.identity;
     const bool hindered = std::any_of(
       aStatus.members.begin(), aStatus.members.end(), [&](const auto& aMember) {
         return aMember.identity == identity ||
--- a/src/librattandyke/consensus/repair.h
+++ b/src/librattandyke/consensus/repair.h
@@ -36,12 +36,14 @@
     /// As in ReplicaOptions.
     size_t voters = 0;
     Duration spareAfter{};
+    /// As in ReplicaOptions.
+    bool openMembership = false;
   };
 
   explicit Repair(Options aOptions);
 
   /// Notes a host that hears no leader; it may be no member.
-  void HeardNewcomer(const HostName& aName,
+  void HeardNewcomer(const Member& aMember,
                      HostIdentity aIdentity,
                      Instant aNow);
 
@@ -54,6 +56,7 @@
 private:
   struct Newcomer
   {
+    Member member;
     HostIdentity identity;
     Instant heardAt{};
   };
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -55,6 +55,13 @@
   /// A spare takes the place of a voter that the leader has not heard from for
   /// this long.
   Duration spareAfter = std::chrono::seconds{ 10 };
+  /// Control hosts that are not in the settings may join. They are known by
+  /// their hellos only, so `voters` must be set.
+  bool openMembership = false;
+  /// Whether this host may found the group, as the first of the settings'
+  /// control hosts. False once the deployment has been started before: a host
+  /// that finds its disk empty then has lost it, and must join.
+  bool mayFound = true;
 };
 
 /// What a leader knows of one member of the group.
--- /dev/null
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -0,0 +1,188 @@
+#include "gateway/call_server.h"
+
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/endpoint.h"
+#include "net/frame_connection.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/// Of one call; a configuration of a few thousand routes fits.
+constexpr uint64_t kMaxBodyBytes = uint64_t{ 8 } * 1024 * 1024;
+/// A caller that neither sends nor takes anything for so long is cut off.
+constexpr std::chrono::seconds kIdleTimeout{ 30 };
+constexpr size_t kMaxConnections = 1000;
+
+} // namespace
+
+struct CallServer::Impl : std::enable_shared_from_this<CallServer::Impl>
+{
+  struct Session
+  {
+    explicit Session(tcp::socket aSocket)
+      : stream(std::move(aSocket))
+    {
+    }
+    beast::tcp_stream stream;
+    bool busy = false;
+  };
+
+  Impl(asio::any_io_executor aExecutor, Endpoint aListen, Handler aHandler)
+    : executor(std::move(aExecutor))
+    , listen(std::move(aListen))
+    , handler(std::move(aHandler))
+    , acceptor(executor)
+  {
+  }
+
+  Result<void> Start()
+  {
+    ErrorCode error;
+    const tcp::endpoint endpoint(asio::ip::make_address(listen.address, error),
+                                 listen.port);
+    if (!error) {
+      acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+      acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return Fail(Code::AddressInUse,
+                  ToString(listen) + ": " + error.message());
+    }
+    Accept();
+    return {};
+  }
+
+  void Accept()
+  {
+    acceptor.async_accept(
+      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
+        if (self->stopped || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError && self->sessions.size() < kMaxConnections) {
+          self->Take(std::move(aSocket));
+        }
+        self->Accept();
+      });
+  }
+
+  void Take(tcp::socket aSocket)
+  {
+    net::TuneSocket(aSocket, std::chrono::milliseconds(kIdleTimeout));
+    auto session = std::make_shared<Session>(std::move(aSocket));
+    sessions.insert(session);
+    asio::co_spawn(
+      executor, Serve(shared_from_this(), session), asio::detached);
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<Impl> aSelf,
+                                     std::shared_ptr<Session> aSession)
+  {
+    beast::flat_buffer buffer;
+    for (;;) {
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(kMaxBodyBytes);
+      aSession->stream.expires_after(kIdleTimeout);
+      auto [readError, read] =
+        co_await http::async_read(aSession->stream, buffer, parser, kAwait);
+      if (readError) {
+        break;
+      }
+      aSession->busy = true;
+      aSession->stream.expires_never();
+      CallRequest request{ std::string(parser.get().method_string()),
+                           std::string(parser.get().target()),
+                           std::move(parser.get().body()) };
+      CallAnswer answer = co_await aSelf->handler(std::move(request));
+      http::response<http::string_body> response;
+      response.result(answer.status);
+      response.set(http::field::content_type, answer.contentType);
+      response.body() = std::move(answer.body);
+      response.keep_alive(parser.get().keep_alive() && !aSelf->stopped);
+      response.prepare_payload();
+      aSession->stream.expires_after(kIdleTimeout);
+      auto [writeError, written] =
+        co_await http::async_write(aSession->stream, response, kAwait);
+      aSession->busy = false;
+      if (writeError || !response.keep_alive()) {
+        break;
+      }
+    }
+    ErrorCode ignored; // The other side may be gone already.
+    aSession->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    aSelf->sessions.erase(aSession);
+  }
+
+  void Stop()
+  {
+    stopped = true;
+    ErrorCode ignored; // Nothing is accepted any more either way.
+    acceptor.close(ignored);
+    for (const auto& session : sessions) {
+      if (!session->busy) {
+        session->stream.cancel();
+      }
+    }
+  }
+
+  const asio::any_io_executor executor;
+  const Endpoint listen;
+  const Handler handler;
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<Session>> sessions;
+  bool stopped = false;
+};
+
+CallServer::CallServer(asio::any_io_executor aExecutor,
+                       Endpoint aListen,
+                       Handler aHandler)
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+                                 std::move(aListen),
+                                 std::move(aHandler)))
+{
+}
+
+CallServer::~CallServer()
+{
+  Stop();
+}
+
+Result<void>
+CallServer::Start()
+{
+  return mImpl->Start();
+}
+
+void
+CallServer::Stop()
+{
+  if (!mImpl->stopped) {
+    mImpl->Stop();
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/call_server.h
@@ -0,0 +1,54 @@
+/// HTTP server for calls that are answered by the host itself.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <rattandyke/result.h>
+#include <rattandyke/types.h>
+
+namespace rattandyke::gateway {
+
+struct CallRequest
+{
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+struct CallAnswer
+{
+  unsigned status = 200;
+  std::string body;
+  std::string contentType = "application/json";
+};
+
+/// Answers whole requests, any number on a connection. Runs on one executor
+/// that runs one handler at a time.
+class CallServer
+{
+public:
+  using Handler =
+    std::function<boost::asio::awaitable<CallAnswer>(CallRequest)>;
+
+  CallServer(boost::asio::any_io_executor aExecutor,
+             Endpoint aListen,
+             Handler aHandler);
+  ~CallServer();
+
+  /// @return Code::AddressInUse if it can't listen.
+  Result<void> Start();
+
+  /// Closes the listener and connections without a call.
+  void Stop();
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -0,0 +1,338 @@
+#include "gateway/exchange.h"
+
+#include <charconv>
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/endpoint.h"
+#include "http/headers.h"
+#include "http/signal.h"
+#include "net/frame_connection.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using http::kAwait;
+using std::chrono::milliseconds;
+using ErrorCode = boost::system::error_code;
+using Parser = beast::http::response_parser<beast::http::string_body>;
+
+/// Upstreams are a few milliseconds away; one that takes longer to accept a
+/// connection is gone or full.
+constexpr milliseconds kConnectTimeout{ 250 };
+/// Idle time after which a connection is not used again if the upstream does
+/// not say how long it keeps them.
+constexpr milliseconds kDefaultKept{ 4000 };
+/// Taken off what the upstream says, so that no request crosses its close.
+constexpr milliseconds kKeptMargin{ 1000 };
+constexpr milliseconds kUnacknowledged{ 1000 };
+/// Answers to other requests that are skipped before the connection is given
+/// up.
+constexpr int kMaxForeignAnswers = 3;
+/// Bodies up to this are written before the answer is read; longer ones beside
+/// it, since an upstream may answer before it has read them.
+constexpr size_t kWrittenAhead = 32 * 1024;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+
+/// @return whether an idle connection is still open and has nothing to read:
+/// what arrives unasked belongs to no request of ours.
+bool
+IsQuiet(tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got = ::recv(
+    aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+Duration
+KeptFor(const IncomingAnswer& aAnswer)
+{
+  const std::string_view field = http::FieldOf(aAnswer.fields, "Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = field.find(kName);
+  if (at == std::string_view::npos) {
+    return kDefaultKept;
+  }
+  const std::string_view text = field.substr(at + kName.size());
+  unsigned seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::chrono::seconds{ seconds } - Duration(kKeptMargin);
+}
+
+ExchangeResult
+Ended(ExchangeResult::Kind aKind, std::string aReason)
+{
+  ExchangeResult result;
+  result.kind = aKind;
+  result.reason = std::move(aReason);
+  return result;
+}
+
+asio::awaitable<void>
+WriteRest(std::shared_ptr<UpstreamConnection> aConnection,
+          std::shared_ptr<const OutgoingRequest> aRequest,
+          std::shared_ptr<bool> aDone)
+{
+  auto [error, bytes] = co_await asio::async_write(
+    aConnection->socket, asio::buffer(aRequest->body), kAwait);
+  *aDone = !error;
+}
+
+} // namespace
+
+std::shared_ptr<UpstreamConnection>
+ConnectionPool::Take(const std::string& aInstance, Instant aNow)
+{
+  const auto found = mIdle.find(aInstance);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    auto connection = idle.back();
+    idle.pop_back();
+    if (connection->goodUntil > aNow && IsQuiet(connection->socket)) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void
+ConnectionPool::Put(const std::string& aInstance,
+                    std::shared_ptr<UpstreamConnection> aConnection)
+{
+  mIdle[aInstance].push_back(std::move(aConnection));
+}
+
+void
+ExchangeHandle::Abort(std::string aReason)
+{
+  if (mAborted) {
+    return;
+  }
+  mAborted = true;
+  mReason = std::move(aReason);
+  if (mConnection) {
+    mConnection->Close();
+  }
+}
+
+void
+ExchangeHandle::Attach(std::shared_ptr<UpstreamConnection> aConnection)
+{
+  mConnection = std::move(aConnection);
+  if (mAborted) {
+    mConnection->Close();
+  }
+}
+
+Exchanger::Exchanger(asio::any_io_executor aExecutor,
+                     const HeaderNames& aHeaders,
+                     const Clock& aClock)
+  : mExecutor(std::move(aExecutor))
+  , mHeaders(aHeaders)
+  , mClock(aClock)
+{
+}
+
+asio::awaitable<std::shared_ptr<UpstreamConnection>>
+Exchanger::Connect(std::string aAddress,
+                   std::shared_ptr<ExchangeHandle> aHandle)
+{
+  const Result<Endpoint> address = ParseEndpoint(aAddress);
+  if (!address) {
+    co_return nullptr;
+  }
+  auto connection = std::make_shared<UpstreamConnection>(mExecutor);
+  aHandle->Attach(connection);
+  ++mConnects;
+  asio::steady_timer timer(mExecutor, kConnectTimeout);
+  timer.async_wait([connection](ErrorCode aError) {
+    if (!aError) {
+      connection->Close();
+    }
+  });
+  ErrorCode ignored; // ParseEndpoint has checked the address.
+  const tcp::endpoint endpoint(
+    asio::ip::make_address(address->address, ignored), address->port);
+  auto [error] = co_await connection->socket.async_connect(endpoint, kAwait);
+  timer.cancel();
+  if (error || !connection->socket.is_open()) {
+    co_return nullptr;
+  }
+  net::TuneSocket(connection->socket, kUnacknowledged);
+  co_return connection;
+}
+
+std::string
+Exchanger::HeadOf(const std::string& aInstance,
+                  const OutgoingRequest& aRequest,
+                  Duration aLeft) const
+{
+  const auto left = std::chrono::duration_cast<milliseconds>(aLeft).count();
+  std::string head;
+  head.reserve(aRequest.fields.size() + 256);
+  head += aRequest.method;
+  head += ' ';
+  head += aRequest.target;
+  head += " HTTP/1.1\r\n";
+  head += aRequest.fields;
+  http::AppendField(head, mHeaders.deadline, std::to_string(left));
+  http::AppendField(head, mHeaders.expectedInstance, aInstance);
+  if (aRequest.hasBody) {
+    http::AppendField(
+      head, "Content-Length", std::to_string(aRequest.body.size()));
+  }
+  head += "\r\n";
+  return head;
+}
+
+asio::awaitable<ExchangeResult>
+Exchanger::Run(std::string aInstance,
+               std::string aAddress,
+               std::shared_ptr<const OutgoingRequest> aRequest,
+               Duration aLeft,
+               std::shared_ptr<ExchangeHandle> aHandle)
+{
+  const Instant started = mClock.Now();
+  std::shared_ptr<UpstreamConnection> connection =
+    mPool.Take(aInstance, started);
+  if (connection) {
+    aHandle->Attach(connection);
+  } else {
+    connection = co_await Connect(aAddress, aHandle);
+    if (!connection || aHandle->Aborted()) {
+      aHandle->Detach();
+      co_return Ended(ExchangeResult::Kind::NotSent,
+                      aHandle->Aborted() ? aHandle->Reason()
+                                         : "can't be reached");
+    }
+  }
+  const Instant sentAt = mClock.Now();
+  std::string head = HeadOf(aInstance, *aRequest, aLeft - (sentAt - started));
+  const bool ahead = aRequest->body.size() <= kWrittenAhead;
+  if (ahead) {
+    head += aRequest->body;
+  }
+  auto [writeError, written] =
+    co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
+  if (writeError) {
+    aHandle->Detach();
+    connection->Close();
+    co_return Ended(ExchangeResult::Kind::Unknown,
+                    "writing failed: " + writeError.message());
+  }
+  auto wholeBody = std::make_shared<bool>(ahead);
+  if (!ahead) {
+    asio::co_spawn(
+      mExecutor, WriteRest(connection, aRequest, wholeBody), asio::detached);
+  }
+  ExchangeResult result =
+    co_await ReadAnswer(connection, aRequest, aInstance, ahead);
+  aHandle->Detach();
+  result.took = mClock.Now() - sentAt;
+  if (aHandle->Aborted() && result.kind == ExchangeResult::Kind::Unknown) {
+    result.reason = aHandle->Reason();
+    result.silent = true;
+  }
+  const bool reusable = result.kind == ExchangeResult::Kind::Answer ||
+                        result.kind == ExchangeResult::Kind::NotRun;
+  if (reusable && *wholeBody && connection->buffer.size() == 0 &&
+      connection->goodUntil > mClock.Now() && !aHandle->Aborted()) {
+    mPool.Put(aInstance, connection);
+  } else {
+    connection->Close();
+  }
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult>
+Exchanger::ReadAnswer(std::shared_ptr<UpstreamConnection> aConnection,
+                      std::shared_ptr<const OutgoingRequest> aRequest,
+                      std::string aInstance,
+                      bool aWritten)
+{
+  for (int skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
+    Parser parser;
+    parser.body_limit(boost::none);
+    parser.skip(aRequest->method == "HEAD");
+    auto [error, bytes] = co_await beast::http::async_read(
+      aConnection->socket, aConnection->buffer, parser, kAwait);
+    if (error) {
+      co_return Ended(ExchangeResult::Kind::Unknown,
+                      "no whole answer: " + error.message());
+    }
+    auto& message = parser.get();
+    IncomingAnswer answer;
+    answer.status = message.result_int();
+    const bool kept = message.keep_alive() && !parser.need_eof();
+    answer.body = std::move(message.body());
+    answer.fields = std::move(message.base());
+    aConnection->goodUntil = {};
+    const std::string_view id =
+      http::FieldOf(answer.fields, mHeaders.requestId);
+    if (!id.empty() && id != aRequest->requestId) {
+      // Safeguard: an upstream may send an answer twice, late. Taken for ours,
+      // a caller would get what belongs to another.
+      if (!kept) {
+        co_return Ended(ExchangeResult::Kind::Unknown,
+                        "the answer belongs to another request");
+      }
+      continue;
+    }
+    if (kept && skipped == 0) {
+      aConnection->goodUntil = mClock.Now() + KeptFor(answer);
+    }
+    co_return Judge(std::move(answer));
+  }
+  co_return Ended(ExchangeResult::Kind::Unknown,
+                  "too many answers to other requests");
+}
+
+ExchangeResult
+Exchanger::Judge(IncomingAnswer aAnswer) const
+{
+  const bool success =
+    aAnswer.status >= kFirstSuccess && aAnswer.status < kFirstRedirect;
+  const auto has = [&](const std::string& aName) {
+    return !http::FieldOf(aAnswer.fields, aName).empty();
+  };
+  if (!success &&
+      (aAnswer.status == kMisdirected || has(mHeaders.notExecuted))) {
+    ExchangeResult result =
+      Ended(ExchangeResult::Kind::NotRun,
+            "refused with " + std::to_string(aAnswer.status));
+    result.answer = std::move(aAnswer);
+    return result;
+  }
+  // Safeguard: a faulty upstream may send bytes that look like an answer. Its
+  // signature and the request's id show that it is one.
+  if (!has(mHeaders.signature) || !has(mHeaders.requestId) ||
+      has("Content-Encoding")) {
+    return Ended(ExchangeResult::Kind::Unknown,
+                 "the answer " + std::to_string(aAnswer.status) +
+                   " is not the upstream's own");
+  }
+  ExchangeResult result = Ended(ExchangeResult::Kind::Answer, "");
+  result.answer = std::move(aAnswer);
+  return result;
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -0,0 +1,316 @@
+#include "gateway/feed_client.h"
+
+#include <algorithm>
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/endpoint.h"
+#include "log/log.h"
+#include "net/frame_connection.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using ErrorCode = boost::system::error_code;
+
+constexpr milliseconds kCheckInterval{ 150 };
+/// Without a ping for so long the control host may be cut off from the group.
+/// Three pings fit in it. With the time of finding another host it stays below
+/// a second, so that a change reaches every entry within two.
+constexpr milliseconds kSilence{ 700 };
+constexpr milliseconds kConnectTimeout{ 400 };
+
+log::Line
+Info()
+{
+  return { log::Part::Agent, log::Severity::Info };
+}
+
+} // namespace
+
+struct FeedClient::Impl : std::enable_shared_from_this<FeedClient::Impl>
+{
+  Impl(asio::any_io_executor aExecutor,
+       Options aOptions,
+       std::function<void(const wire::GatewayCommand*)> aChanged,
+       const Clock& aClock,
+       uint64_t aSeed)
+    : executor(std::move(aExecutor))
+    , options(std::move(aOptions))
+    , changed(std::move(aChanged))
+    , clock(aClock)
+    , random(aSeed)
+    , timer(executor)
+  {
+  }
+
+  void Start()
+  {
+    TryNext();
+    Check();
+  }
+
+  void Check()
+  {
+    timer.expires_after(kCheckInterval);
+    timer.async_wait([self = weak_from_this()](ErrorCode aError) {
+      const auto client = self.lock();
+      if (!client || aError || client->stopped) {
+        return;
+      }
+      client->OnCheck();
+      client->Check();
+    });
+  }
+
+  void OnCheck()
+  {
+    const Duration quiet = clock.Now() - heardAt;
+    const Duration allowed =
+      connecting ? Duration(kConnectTimeout) : Duration(kSilence);
+    if (quiet < allowed) {
+      return;
+    }
+    if (connection || connecting) {
+      Info() << "leaves control host " << current << ", silent for "
+             << std::chrono::duration_cast<milliseconds>(quiet).count()
+             << " ms";
+    }
+    Drop();
+    TryNext();
+  }
+
+  void Drop()
+  {
+    if (connecting) {
+      ErrorCode ignored; // Given up.
+      connecting->close(ignored);
+      connecting.reset();
+    }
+    if (connection) {
+      const auto old = std::exchange(connection, nullptr);
+      old->Close();
+    }
+  }
+
+  /// All hosts known, each once before any is tried again.
+  std::string NextHost()
+  {
+    std::set<std::string> hosts(controlHosts.begin(), controlHosts.end());
+    for (const Endpoint& seed : options.seeds) {
+      hosts.insert(ToString(seed));
+    }
+    std::vector<std::string> fresh;
+    for (const std::string& host : hosts) {
+      if (!tried.contains(host)) {
+        fresh.push_back(host);
+      }
+    }
+    if (fresh.empty()) {
+      tried.clear();
+      fresh.assign(hosts.begin(), hosts.end());
+    }
+    if (fresh.empty()) {
+      return {};
+    }
+    const std::string host = fresh[random() % fresh.size()];
+    tried.insert(host);
+    return host;
+  }
+
+  void TryNext()
+  {
+    heardAt = clock.Now();
+    current = NextHost();
+    const Result<Endpoint> address = ParseEndpoint(current);
+    if (!address) {
+      return;
+    }
+    auto socket = std::make_shared<tcp::socket>(executor);
+    connecting = socket;
+    ErrorCode ignored; // ParseEndpoint has checked the address.
+    const auto ip = asio::ip::make_address(address->address, ignored);
+    socket->async_connect({ ip, address->port },
+                          [self = weak_from_this(), socket](ErrorCode aError) {
+                            const auto client = self.lock();
+                            if (client && !client->stopped &&
+                                client->connecting == socket) {
+                              client->OnConnected(aError);
+                            }
+                          });
+  }
+
+  void OnConnected(ErrorCode aError)
+  {
+    const auto socket = std::exchange(connecting, nullptr);
+    if (aError) {
+      return; // The next check tries another.
+    }
+    heardAt = clock.Now();
+    net::TuneSocket(*socket, net::kUnacknowledgedTimeout);
+    auto made = std::make_shared<net::FrameConnection>(std::move(*socket));
+    connection = made;
+    made->Start({ [self = weak_from_this(), raw = made.get()](auto aMessage) {
+                   const auto client = self.lock();
+                   if (client && client->connection.get() == raw) {
+                     client->OnMessage(aMessage);
+                   }
+                 },
+                  [self = weak_from_this(), raw = made.get()] {
+                    const auto client = self.lock();
+                    if (client && client->connection.get() == raw) {
+                      client->connection.reset();
+                    }
+                  } });
+    wire::GatewayFrame frame;
+    frame.mutable_feed_open()->set_host(options.host.value);
+    frame.mutable_feed_open()->set_applied(state.Applied().value);
+    made->Send(frame.SerializeAsString());
+  }
+
+  void OnMessage(std::string_view aMessage)
+  {
+    wire::GatewayFrame frame;
+    if (!frame.ParseFromArray(aMessage.data(),
+                              static_cast<int>(aMessage.size()))) {
+      Info() << "a message of " << current << " can't be read";
+      Drop();
+      return;
+    }
+    if (frame.has_feed_snapshot()) {
+      OnSnapshot(frame.feed_snapshot());
+    } else if (frame.has_feed_command()) {
+      OnCommand(frame.feed_command());
+    } else if (frame.has_feed_ping()) {
+      OnPing(frame.feed_ping());
+    }
+  }
+
+  void OnSnapshot(const wire::FeedSnapshot& aSnapshot)
+  {
+    if (aSnapshot.state().applied() <= state.Applied().value) {
+      return;
+    }
+    state.Load(aSnapshot.state());
+    hasState = true;
+    changed(nullptr);
+  }
+
+  void OnCommand(const wire::FeedCommand& aCommand)
+  {
+    if (aCommand.index() <= state.Applied().value) {
+      return;
+    }
+    // What the state refuses changes nothing here, as at the control hosts.
+    static_cast<void>(
+      state.Apply(aCommand.command(), LogIndex{ aCommand.index() }));
+    hasState = true;
+    changed(&aCommand.command());
+  }
+
+  void OnPing(const wire::FeedPing& aPing)
+  {
+    if (aPing.applied() < state.Applied().value) {
+      return; // It is behind: no assurance.
+    }
+    heardAt = clock.Now();
+    assuredAt = heardAt;
+    tried.clear();
+    if (aPing.control_hosts_size() > 0) {
+      controlHosts.assign(aPing.control_hosts().begin(),
+                          aPing.control_hosts().end());
+    }
+  }
+
+  const asio::any_io_executor executor;
+  Options options;
+  const std::function<void(const wire::GatewayCommand*)> changed;
+  const Clock& clock;
+  Random random;
+  asio::steady_timer timer;
+  State state;
+  bool hasState = false;
+  bool stopped = false;
+  Instant heardAt{};
+  Instant assuredAt{};
+  std::string current;
+  std::vector<std::string> controlHosts;
+  std::set<std::string> tried;
+  std::shared_ptr<tcp::socket> connecting;
+  std::shared_ptr<net::FrameConnection> connection;
+};
+
+FeedClient::FeedClient(
+  asio::any_io_executor aExecutor,
+  Options aOptions,
+  std::function<void(const wire::GatewayCommand*)> aChanged,
+  const Clock& aClock,
+  uint64_t aSeed)
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+                                 std::move(aOptions),
+                                 std::move(aChanged),
+                                 aClock,
+                                 aSeed))
+{
+}
+
+FeedClient::~FeedClient()
+{
+  Stop();
+}
+
+void
+FeedClient::Start()
+{
+  mImpl->Start();
+}
+
+void
+FeedClient::Stop()
+{
+  mImpl->stopped = true;
+  mImpl->timer.cancel();
+  mImpl->Drop();
+}
+
+void
+FeedClient::SetSeeds(std::vector<Endpoint> aSeeds)
+{
+  mImpl->options.seeds = std::move(aSeeds);
+}
+
+const State&
+FeedClient::Known() const
+{
+  return mImpl->state;
+}
+
+bool
+FeedClient::HasState() const
+{
+  return mImpl->hasState;
+}
+
+Duration
+FeedClient::Age() const
+{
+  return mImpl->clock.Now() - mImpl->assuredAt;
+}
+
+void
+FeedClient::Report(const wire::FeedReport& aReport)
+{
+  if (mImpl->connection) {
+    wire::GatewayFrame frame;
+    *frame.mutable_feed_report() = aReport;
+    mImpl->connection->Send(frame.SerializeAsString());
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -0,0 +1,117 @@
+#include "gateway/feed_server.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+/// Enough for a subscriber that comes back within seconds; others get the whole
+/// state.
+constexpr size_t kRecentCommands = 512;
+
+} // namespace
+
+FeedServer::FeedServer(const State& aState)
+  : mState(aState)
+{
+}
+
+void
+FeedServer::Open(const Connection& aConnection, const wire::FeedOpen& aOpen)
+{
+  Subscriber& subscriber = mSubscribers[aConnection];
+  subscriber.told = aOpen.applied();
+  Catch(aConnection, subscriber);
+}
+
+void
+FeedServer::Close(const Connection& aConnection)
+{
+  mSubscribers.erase(aConnection);
+}
+
+void
+FeedServer::Catch(const Connection& aConnection, Subscriber& aSubscriber)
+{
+  const uint64_t applied = mState.Applied().value;
+  aSubscriber.ahead = aSubscriber.told > applied;
+  if (aSubscriber.told >= applied) {
+    return;
+  }
+  const bool recent = aSubscriber.told > 0 && !mRecent.empty() &&
+                      mRecent.front().first <= aSubscriber.told;
+  if (recent) {
+    for (const auto& [index, frame] : mRecent) {
+      if (index > aSubscriber.told) {
+        aConnection->Send(frame);
+      }
+    }
+  } else {
+    wire::GatewayFrame frame;
+    *frame.mutable_feed_snapshot()->mutable_state() = mState.Save();
+    aConnection->Send(frame.SerializeAsString());
+  }
+  aSubscriber.told = applied;
+}
+
+void
+FeedServer::Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex)
+{
+  wire::GatewayFrame frame;
+  frame.mutable_feed_command()->set_index(aIndex.value);
+  *frame.mutable_feed_command()->mutable_command() = aCommand;
+  mRecent.emplace_back(aIndex.value, frame.SerializeAsString());
+  if (mRecent.size() > kRecentCommands) {
+    mRecent.pop_front();
+  }
+  const std::string& bytes = mRecent.back().second;
+  // A subscriber whose queue is full closes, which ends its entry in the map.
+  const std::map<Connection, Subscriber> subscribers = mSubscribers;
+  for (const auto& [connection, unused] : subscribers) {
+    const auto found = mSubscribers.find(connection);
+    if (found == mSubscribers.end() || found->second.told >= aIndex.value) {
+      continue;
+    }
+    if (found->second.ahead) {
+      found->second.ahead = false;
+    }
+    found->second.told = aIndex.value;
+    connection->Send(bytes);
+  }
+}
+
+void
+FeedServer::Reset()
+{
+  mRecent.clear();
+  const std::map<Connection, Subscriber> subscribers = mSubscribers;
+  for (const auto& [connection, unused] : subscribers) {
+    const auto found = mSubscribers.find(connection);
+    if (found != mSubscribers.end()) {
+      Catch(connection, found->second);
+    }
+  }
+}
+
+void
+FeedServer::Ping(const std::vector<std::string>& aControlHosts)
+{
+  const std::map<Connection, Subscriber> subscribers = mSubscribers;
+  for (const auto& [connection, unused] : subscribers) {
+    const auto found = mSubscribers.find(connection);
+    if (found == mSubscribers.end() || found->second.ahead) {
+      continue;
+    }
+    wire::GatewayFrame frame;
+    wire::FeedPing* ping = frame.mutable_feed_ping();
+    ping->set_applied(mState.Applied().value);
+    if (found->second.controlHosts != aControlHosts) {
+      found->second.controlHosts = aControlHosts;
+      for (const std::string& host : aControlHosts) {
+        ping->add_control_hosts(host);
+      }
+    }
+    connection->Send(frame.SerializeAsString());
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/feed_server.h
@@ -0,0 +1,62 @@
+/// Tells entry hosts of the replicated state.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/state.h"
+#include "net/frame_mesh.h"
+
+namespace rattandyke::gateway {
+
+/// Sends each subscriber the whole state once and then every command as it is
+/// applied. Any control host serves subscribers; it assures them of being up to
+/// date by pings, and falls silent while it can't be sure. Then they turn to
+/// another host: else a host on the wrong side of a cut would keep its
+/// subscribers on an old state. Not thread-safe.
+class FeedServer
+{
+public:
+  using Connection = net::FrameMesh::Connection;
+
+  /// @param aState outlives this object.
+  explicit FeedServer(const State& aState);
+
+  /// A subscriber asks for what it lacks.
+  void Open(const Connection& aConnection, const wire::FeedOpen& aOpen);
+  void Close(const Connection& aConnection);
+
+  /// A command was applied to the state.
+  void Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex);
+
+  /// The state was replaced as a whole.
+  void Reset();
+
+  /// @param aControlHosts the group's members at this moment.
+  void Ping(const std::vector<std::string>& aControlHosts);
+
+  size_t Subscribers() const { return mSubscribers.size(); }
+
+private:
+  struct Subscriber
+  {
+    /// Index up to which it has been told.
+    uint64_t told = 0;
+    /// It knows a newer state than this host; it is told nothing older.
+    bool ahead = false;
+    std::vector<std::string> controlHosts;
+  };
+
+  void Catch(const Connection& aConnection, Subscriber& aSubscriber);
+
+  const State& mState;
+  std::map<Connection, Subscriber> mSubscribers;
+  /// Newest commands as frames, with their indices.
+  std::deque<std::pair<uint64_t, std::string>> mRecent;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/granter.h
@@ -0,0 +1,155 @@
+/// The leader's decisions on who holds which keys.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <rattandyke/types.h>
+
+#include "gateway/heartbeat.h"
+#include "gateway/load_map.h"
+#include "gateway/state.h"
+#include "wire/gateway.pb.h"
+
+namespace rattandyke::gateway {
+
+/// Grants keys to the instances of services whose keys have one owner, and
+/// knows until when each instance may hold what it was granted. Does no I/O:
+/// it returns commands for the replicated log; what it decides next it takes
+/// from the state that results. Not thread-safe.
+///
+/// Owners and fences are replicated; how long a hold lasts is known to the
+/// leader only. A new leader assumes that its predecessor renewed every holder
+/// in the instant before it was elected, for the longest time there is, and
+/// frees nothing of a silent one earlier. So two instances never hold a key at
+/// the same time, whoever leads.
+class Granter
+{
+public:
+  struct Options
+  {
+    /// Time for which an answer renews what an instance holds.
+    Duration holdTime{};
+    /// How often instances send heartbeats.
+    Duration heartbeatInterval{};
+    /// Time after the last heartbeat at which an instance that holds no keys is
+    /// forgotten.
+    Duration forgetAfter{};
+  };
+
+  explicit Granter(Options aOptions);
+
+  /// This host leads from now on.
+  void BecomeLeader(const State& aState, Instant aNow);
+
+  /// @return commands to commit before the heartbeat is answered, in order.
+  std::vector<wire::GatewayCommand> OnHeartbeat(const Heartbeat& aHeartbeat,
+                                                const State& aState,
+                                                Instant aArrived);
+
+  /// @return a grant of free keys to an instance whose heartbeat is to be
+  /// answered.
+  std::optional<wire::GatewayCommand> PlanGrant(const Heartbeat& aHeartbeat,
+                                                const State& aState,
+                                                Instant aNow);
+
+  /// Renews what an instance holds.
+  /// @param aArrived when the heartbeat arrived here: later than it was sent,
+  /// from when the instance counts.
+  /// @return what it is to hold; none if the answer must renew nothing.
+  std::optional<Grants> Renew(const Heartbeat& aHeartbeat,
+                              const State& aState,
+                              Instant aArrived);
+
+  /// @return commands that time has made due. Call it every kTick.
+  std::vector<wire::GatewayCommand> Tick(const State& aState, Instant aNow);
+
+  /// Notes how busy keys are.
+  void AddLoad(const wire::RangeLoad& aLoad);
+
+  static constexpr Duration kTick = std::chrono::milliseconds{ 100 };
+
+private:
+  /// What the leader knows of one instance.
+  struct Lease
+  {
+    /// Newest sequence seen.
+    uint64_t sequence = 0;
+    std::optional<Instant> lastHeartbeat;
+    /// First heartbeat that this leader saw, while the instance waits to
+    /// replace another at its address.
+    std::optional<Instant> firstHeartbeat;
+    /// From then on it holds nothing, by any clock that is within the bounds.
+    Instant ends{};
+    /// Its keys are being freed: nothing may be renewed.
+    bool expiring = false;
+    /// Keys left out of its answers, so that it releases them.
+    std::vector<KeySpan> withheld;
+    std::optional<Instant> withheldSince;
+  };
+
+  /// Keys on their way from one holder to another.
+  struct Move
+  {
+    std::string from;
+    std::string to;
+    KeySpan keys;
+    Instant plannedAt{};
+    std::optional<Instant> startedAt;
+  };
+
+  /// What is known of a service.
+  struct Group
+  {
+    LoadMap load;
+    std::optional<Instant> firstInstance;
+    std::optional<Instant> freeSince;
+    std::optional<Move> move;
+    Instant lastMove{};
+  };
+
+  using Loads = std::map<std::string, double>;
+
+  static bool OwnsKeys(const State& aState, const std::string& aService);
+  std::vector<KeySpan> HeldBy(const std::string& aId,
+                              const RangeTable& aRanges) const;
+  void NoteReleased(const Heartbeat& aHeartbeat,
+                    const State& aState,
+                    std::vector<wire::GatewayCommand>& aCommands);
+  void NoteReplaced(const Heartbeat& aHeartbeat,
+                    const State& aState,
+                    Instant aNow,
+                    std::vector<wire::GatewayCommand>& aCommands);
+  void FreeExpired(const State& aState,
+                   Instant aNow,
+                   std::vector<wire::GatewayCommand>& aCommands);
+  static void FreeAll(const std::string& aId,
+                      const State& aState,
+                      std::vector<wire::GatewayCommand>& aCommands);
+  void WithholdForMove(const Heartbeat& aHeartbeat, Instant aNow);
+  bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
+  Loads LoadOfHolders(const std::string& aService,
+                      const State& aState,
+                      Instant aNow) const;
+  void PlanMove(const std::string& aService, const State& aState, Instant aNow);
+  std::optional<KeySpan> SliceOf(const std::string& aHolder,
+                                 const RangeTable& aRanges,
+                                 const LoadMap& aLoad,
+                                 double aWanted) const;
+  bool IsWithheld(const Lease& aLease, uint32_t aKey) const;
+  void UpdatePool(const std::string& aService,
+                  const State& aState,
+                  Instant aNow);
+  double Quota(const Group& aGroup,
+               const Loads& aLoads,
+               const std::string& aId,
+               Instant aNow) const;
+
+  const Options mOptions;
+  std::map<std::string, Lease> mLeases;
+  std::map<std::string, Group> mGroups;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/load_map.h
@@ -0,0 +1,51 @@
+/// How busy the keys of a service are.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <rattandyke/types.h>
+
+#include "gateway/range_table.h"
+#include "wire/gateway.pb.h"
+
+namespace rattandyke::gateway {
+
+/// Keys counted together. Busy keys lie side by side, so a bucket must be small
+/// against a run of them; 16,384 counts of a float are 64 KB a service.
+inline constexpr uint32_t kKeysPerBucket = 4;
+
+/// Requests a second of each key, as a moving average. Not thread-safe.
+class LoadMap
+{
+public:
+  LoadMap();
+
+  /// Adds the requests of a report.
+  void Add(const wire::RangeLoad& aLoad);
+
+  /// Lets earlier requests count less. Call it at least once a second.
+  void Decay(Instant aNow);
+
+  /// @return load of the keys: their requests, and a little for each key, so
+  /// that keys without requests are spread, too.
+  double Of(KeySpan aKeys) const;
+
+  double Total() const { return Of({ 0, kMaxKey }); }
+
+  /// @return requests that the average still holds.
+  double Requests() const { return mSum; }
+
+  /// @return the longest run of keys from the start of aKeys whose load is at
+  /// most aLoad; at least one bucket.
+  KeySpan Take(KeySpan aKeys, double aLoad) const;
+
+private:
+  double PerBucket() const;
+
+  std::vector<float> mBuckets;
+  double mSum = 0;
+  Instant mDecayedAt{};
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/range_table.cpp
@@ -0,0 +1,160 @@
+#include "gateway/range_table.h"
+
+#include <algorithm>
+
+namespace rattandyke::gateway {
+
+namespace {
+
+bool
+AreAlike(const wire::RangeSegment& aOne, const wire::RangeSegment& aOther)
+{
+  if (aOne.holder() != aOther.holder()) {
+    return false;
+  }
+  if (aOne.holder().empty()) {
+    return aOne.handover() == aOther.handover();
+  }
+  return aOne.fence() == aOther.fence() && aOne.handover() == aOther.handover();
+}
+
+bool
+IsProper(const wire::KeyRange& aRange)
+{
+  return aRange.from() <= aRange.to() && aRange.to() <= kMaxKey;
+}
+
+} // namespace
+
+RangeTable::RangeTable()
+{
+  wire::RangeSegment all;
+  all.set_to(kMaxKey);
+  mSegments.push_back(std::move(all));
+}
+
+size_t
+RangeTable::IndexOf(uint32_t aKey) const
+{
+  const auto found = std::partition_point(
+    mSegments.begin(), mSegments.end(), [&](const auto& aSegment) {
+      return aSegment.to() < aKey;
+    });
+  return static_cast<size_t>(found - mSegments.begin());
+}
+
+const wire::RangeSegment&
+RangeTable::Find(uint32_t aKey) const
+{
+  return mSegments[IndexOf(aKey)];
+}
+
+bool
+RangeTable::IsUntouched() const
+{
+  return mSegments.size() == 1 && mSegments.front().fence() == 0;
+}
+
+void
+RangeTable::SplitBefore(uint32_t aKey)
+{
+  if (aKey == 0 || aKey > kMaxKey) {
+    return;
+  }
+  const size_t index = IndexOf(aKey);
+  if (mSegments[index].from() == aKey) {
+    return;
+  }
+  wire::RangeSegment upper = mSegments[index];
+  upper.set_from(aKey);
+  mSegments[index].set_to(aKey - 1);
+  mSegments.insert(mSegments.begin() + static_cast<ptrdiff_t>(index) + 1,
+                   std::move(upper));
+}
+
+void
+RangeTable::Merge()
+{
+  std::vector<wire::RangeSegment> merged;
+  for (wire::RangeSegment& segment : mSegments) {
+    if (!merged.empty() && AreAlike(merged.back(), segment)) {
+      wire::RangeSegment& last = merged.back();
+      last.set_to(segment.to());
+      last.set_fence(std::max(last.fence(), segment.fence()));
+      last.set_sequence(std::max(last.sequence(), segment.sequence()));
+      continue;
+    }
+    merged.push_back(std::move(segment));
+  }
+  mSegments = std::move(merged);
+}
+
+Result<void>
+RangeTable::Grant(const wire::GrantRanges& aGrant, uint64_t aFence)
+{
+  for (const wire::KeyRange& range : aGrant.ranges()) {
+    if (!IsProper(range)) {
+      return Fail(Code::InvalidRecord, "A grant has keys out of bounds.");
+    }
+    for (size_t at = IndexOf(range.from());
+         at < mSegments.size() && mSegments[at].from() <= range.to();
+         ++at) {
+      if (!mSegments[at].holder().empty()) {
+        return Fail(Code::RevisionConflict, "A key to grant has a holder.");
+      }
+    }
+  }
+  for (const wire::KeyRange& range : aGrant.ranges()) {
+    SplitBefore(range.from());
+    SplitBefore(range.to() + 1);
+    for (size_t at = IndexOf(range.from());
+         at < mSegments.size() && mSegments[at].from() <= range.to();
+         ++at) {
+      mSegments[at].set_holder(aGrant.holder());
+      mSegments[at].set_fence(aFence);
+      mSegments[at].set_sequence(aGrant.sequence());
+    }
+  }
+  Merge();
+  return {};
+}
+
+void
+RangeTable::Free(const wire::FreeRanges& aFree)
+{
+  for (const wire::KeyRange& range : aFree.ranges()) {
+    if (!IsProper(range)) {
+      continue;
+    }
+    SplitBefore(range.from());
+    SplitBefore(range.to() + 1);
+    for (size_t at = IndexOf(range.from());
+         at < mSegments.size() && mSegments[at].from() <= range.to();
+         ++at) {
+      if (mSegments[at].holder() == aFree.holder()) {
+        mSegments[at].clear_holder();
+        mSegments[at].set_handover(range.handover());
+      }
+    }
+  }
+  Merge();
+}
+
+void
+RangeTable::Save(wire::ServiceRanges& aRanges) const
+{
+  for (const wire::RangeSegment& segment : mSegments) {
+    *aRanges.add_segments() = segment;
+  }
+}
+
+void
+RangeTable::Load(const wire::ServiceRanges& aRanges)
+{
+  mSegments.assign(aRanges.segments().begin(), aRanges.segments().end());
+  if (mSegments.empty()) {
+    *this = RangeTable();
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -0,0 +1,503 @@
+#include "gateway/request_handler.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+#include "gateway/load_map.h"
+#include "http/headers.h"
+#include "http/signal.h"
+#include "log/log.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using http::kAwait;
+using std::chrono::milliseconds;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+/// Part of a request's objective for which it waits for an upstream that has
+/// room, or for its key's next owner. What waits longer seldom makes it in
+/// time; refused, its caller can use the time to come back.
+constexpr double kWaitPart = 0.3;
+constexpr milliseconds kRetryAfterFull{ 150 };
+constexpr milliseconds kRetryAfterNoOwner{ 400 };
+constexpr milliseconds kRetryAfterNoState{ 300 };
+/// A try with less time than this is not begun.
+constexpr milliseconds kLeastTry{ 15 };
+/// Time kept for the way back to the caller.
+constexpr milliseconds kWayBack{ 4 };
+/// Without a deadline of the caller's.
+constexpr milliseconds kDefaultDeadline{ 10000 };
+/// Tries of which nothing was sent.
+constexpr int kMaxUnsent = 6;
+/// Each entry may spend this part of what all may: a client's wave comes to one
+/// entry, and arrivals that are refused count, too.
+constexpr double kBudgetPart = 0.6;
+constexpr double kBudgetBurst = 6;
+
+log::Line
+Line(const std::string& aId)
+{
+  return { log::Part::Entry, log::Severity::Info, aId };
+}
+
+std::optional<uint64_t>
+ParseNumber(std::string_view aText)
+{
+  uint64_t number = 0;
+  const char* const last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, number);
+  if (aText.empty() || error != std::errc{} || end != last) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  const size_t colon = aHost.rfind(':');
+  const bool bracketed = aHost.ends_with(']');
+  return colon == std::string_view::npos || bracketed ? aHost
+                                                      : aHost.substr(0, colon);
+}
+
+std::string
+Seconds(Duration aTime)
+{
+  char text[32];
+  const double seconds = std::chrono::duration<double>(aTime).count();
+  std::snprintf(text, sizeof(text), "%.3f", seconds);
+  return text;
+}
+
+int64_t
+Ms(Duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
+TryEnd
+EndOf(const ExchangeResult& aResult, bool aCallerLeft)
+{
+  if (aCallerLeft) {
+    return TryEnd::Abandoned;
+  }
+  switch (aResult.kind) {
+    case ExchangeResult::Kind::Answer:
+      return TryEnd::Answered;
+    case ExchangeResult::Kind::NotRun:
+      return TryEnd::Refused;
+    case ExchangeResult::Kind::NotSent:
+      return TryEnd::Unreachable;
+    case ExchangeResult::Kind::Unknown:
+      return aResult.silent ? TryEnd::Silent : TryEnd::Broken;
+  }
+  return TryEnd::Abandoned;
+}
+
+} // namespace
+
+void
+RequestContext::Abort(const char* aReason)
+{
+  if (mHandle) {
+    mHandle->Abort(aReason);
+  }
+  mWake.cancel();
+}
+
+void
+RequestContext::CallerLeft()
+{
+  mLeft = true;
+  Abort("the caller left");
+}
+
+void
+RequestContext::Expire()
+{
+  mExpired = true;
+  Abort("no answer in time");
+}
+
+void
+RequestContext::Attach(std::shared_ptr<ExchangeHandle> aHandle)
+{
+  mHandle = std::move(aHandle);
+  if (IsOver()) {
+    mHandle->Abort(mLeft ? "the caller left" : "no answer in time");
+  }
+}
+
+RequestHandler::RequestHandler(asio::any_io_executor aExecutor,
+                               Options aOptions,
+                               const FeedClient& aFeed,
+                               const HeaderNames& aHeaders,
+                               const Clock& aClock,
+                               uint64_t aSeed)
+  : mExecutor(aExecutor)
+  , mOptions(std::move(aOptions))
+  , mFeed(aFeed)
+  , mHeaders(aHeaders)
+  , mClock(aClock)
+  , mUpstreams(mOptions.dataCentre, aSeed)
+  , mExchanger(std::move(aExecutor), aHeaders, aClock)
+{
+}
+
+void
+RequestHandler::StateChanged(const wire::GatewayCommand* aCommand)
+{
+  if (aCommand == nullptr || aCommand->has_change_items()) {
+    mRoutes.Update(mFeed.Known().Items());
+  }
+  if (aCommand == nullptr || aCommand->has_put_instance() ||
+      aCommand->has_end_instance()) {
+    mUpstreams.Update(mFeed.Known(), mClock.Now());
+  }
+  WakeAll();
+}
+
+void
+RequestHandler::WakeWaiters(const std::string& aService)
+{
+  const auto found = mWaiters.find(aService);
+  if (found == mWaiters.end()) {
+    return;
+  }
+  for (const auto& [priority, waiter] : found->second) {
+    if (const auto context = waiter.lock()) {
+      context->Wake().cancel();
+    }
+  }
+}
+
+void
+RequestHandler::WakeAll()
+{
+  for (const auto& [service, waiters] : mWaiters) {
+    WakeWaiters(service);
+  }
+}
+
+void
+RequestHandler::NoteKey(const std::string& aService, uint32_t aKey)
+{
+  ++mKeyLoads[aService][aKey / kKeysPerBucket];
+}
+
+wire::FeedReport
+RequestHandler::TakeLoads()
+{
+  wire::FeedReport report;
+  for (const auto& [service, buckets] : mKeyLoads) {
+    wire::RangeLoad* load = report.add_loads();
+    load->set_service(service);
+    for (const auto& [bucket, requests] : buckets) {
+      load->add_buckets(bucket);
+      load->add_requests(requests);
+    }
+  }
+  mKeyLoads.clear();
+  return report;
+}
+
+void
+RequestHandler::Sweep()
+{
+  const State& state = mFeed.Known();
+  mExchanger.Pool().Sweep(mClock.Now(), [&](const std::string& aInstance) {
+    return state.FindInstance(aInstance) != nullptr;
+  });
+}
+
+bool
+RequestHandler::OwnsKeys(const std::string& aService) const
+{
+  const auto& services = mFeed.Known().Items().Services();
+  const auto found = services.find(aService);
+  return found != services.end() && found->second.owns_keys();
+}
+
+entry::RetryBudget&
+RequestHandler::BudgetOf(const std::string& aService)
+{
+  auto& budget = mBudgets[aService];
+  if (!budget) {
+    budget = std::make_unique<entry::RetryBudget>(entry::RetryBudget::Settings{
+      mOptions.retryRatio * kBudgetPart, kBudgetBurst, 2 });
+  }
+  return *budget;
+}
+
+std::shared_ptr<const OutgoingRequest>
+RequestHandler::Outgoing(const CallerRequest& aRequest,
+                         const std::string& aId) const
+{
+  auto outgoing = std::make_shared<OutgoingRequest>();
+  outgoing->method = aRequest.method;
+  outgoing->target = aRequest.target;
+  outgoing->body = aRequest.body;
+  outgoing->hasBody = aRequest.hasBody;
+  outgoing->requestId = aId;
+  http::ForEachEndToEnd(
+    aRequest.fields, [&](std::string_view aName, std::string_view aValue) {
+      const bool ownField =
+        boost::beast::iequals(aName, mHeaders.deadline) ||
+        boost::beast::iequals(aName, mHeaders.expectedInstance) ||
+        boost::beast::iequals(aName, "Expect");
+      if (!ownField) {
+        http::AppendField(outgoing->fields, aName, aValue);
+      }
+    });
+  return outgoing;
+}
+
+asio::awaitable<CallerAnswer>
+RequestHandler::Handle(std::shared_ptr<RequestContext> aContext,
+                       CallerRequest aRequest)
+{
+  const std::string id(http::FieldOf(aRequest.fields, mHeaders.requestId));
+  if (!mFeed.HasState() || mFeed.Known().Items().IsEmpty()) {
+    co_return Own(kUnavailable,
+                  id,
+                  "no configuration is known yet",
+                  Duration(kRetryAfterNoState));
+  }
+  if (id.empty()) {
+    co_return Own(kBadRequest, id, "the request has no id");
+  }
+  const std::string_view host =
+    WithoutPort(http::FieldOf(aRequest.fields, "Host"));
+  const std::string_view path =
+    std::string_view(aRequest.target)
+      .substr(0, aRequest.target.find_first_of("?#"));
+  Flow flow;
+  flow.route = mRoutes.Find(host, path);
+  if (!flow.route) {
+    Line(id) << "no route host=" << host << " path=" << path
+             << " index=" << mFeed.Known().Applied().value
+             << " age_ms=" << Ms(mFeed.Age());
+    co_return Own(kNotFound, id, "no route matches");
+  }
+  flow.context = std::move(aContext);
+  flow.service = NextService(*flow.route);
+  flow.arrived = aRequest.arrived;
+  const auto asked =
+    ParseNumber(http::FieldOf(aRequest.fields, mHeaders.deadline));
+  const Duration wait = milliseconds(
+    asked ? static_cast<int64_t>(std::min<uint64_t>(*asked, 3'600'000))
+          : kDefaultDeadline.count());
+  flow.deadline = flow.arrived + std::min(wait, Duration(flow.route->timeout));
+  if (OwnsKeys(flow.service)) {
+    const auto key = ParseNumber(http::FieldOf(aRequest.fields, mHeaders.key));
+    if (!key || *key > kMaxKey) {
+      co_return Own(kBadRequest, id, "the request has no key");
+    }
+    flow.key = static_cast<uint32_t>(*key);
+    NoteKey(flow.service, *flow.key);
+  }
+  flow.request = Outgoing(aRequest, id);
+  co_return co_await Run(flow);
+}
+
+UpstreamSet::Outcome
+RequestHandler::Choose(const Flow& aFlow)
+{
+  if (aFlow.key) {
+    return mUpstreams.ChooseOwner(
+      mFeed.Known(), aFlow.service, *aFlow.key, mClock.Now());
+  }
+  return mUpstreams.Choose(aFlow.service, aFlow.tried, mClock.Now());
+}
+
+asio::awaitable<UpstreamSet::Outcome>
+RequestHandler::ChooseOrWait(Flow& aFlow)
+{
+  const auto patience =
+    std::chrono::duration_cast<Duration>(aFlow.route->objective * kWaitPart);
+  const Instant giveUp =
+    std::min(mClock.Now() + patience, aFlow.deadline - Duration(kLeastTry));
+  for (;;) {
+    UpstreamSet::Outcome outcome = Choose(aFlow);
+    const Instant now = mClock.Now();
+    if (std::holds_alternative<UpstreamSet::Choice>(outcome) || now >= giveUp ||
+        aFlow.context->IsOver()) {
+      co_return outcome;
+    }
+    auto& waiters = mWaiters[aFlow.service];
+    const auto place = waiters.emplace(aFlow.route->priority, aFlow.context);
+    aFlow.context->Wake().expires_after(giveUp - now);
+    co_await aFlow.context->Wake().async_wait(kAwait);
+    waiters.erase(place);
+  }
+}
+
+asio::awaitable<ExchangeResult>
+RequestHandler::Try(Flow& aFlow, const UpstreamSet::Choice& aChoice)
+{
+  const UpstreamSet::Choice choice = aChoice;
+  mUpstreams.Begin(choice.instance);
+  auto handle = std::make_shared<ExchangeHandle>();
+  aFlow.context->Attach(handle);
+  const Duration left = aFlow.deadline - mClock.Now() - Duration(kWayBack);
+  ExchangeResult result = co_await mExchanger.Run(
+    choice.instance, choice.address, aFlow.request, left, handle);
+  aFlow.context->Detach();
+  mUpstreams.End(choice.instance,
+                 EndOf(result, aFlow.context->HasLeft()),
+                 result.took,
+                 mClock.Now());
+  aFlow.lastUpstream = choice.instance;
+  aFlow.lastReason = result.reason;
+  WakeWaiters(aFlow.service);
+  co_return result;
+}
+
+bool
+RequestHandler::MayRetry(Flow& aFlow, const ExchangeResult& aResult)
+{
+  if (aFlow.context->IsOver() ||
+      mClock.Now() + Duration(kLeastTry) >= aFlow.deadline) {
+    return false;
+  }
+  const bool safe =
+    aResult.kind == ExchangeResult::Kind::NotRun ||
+    (aFlow.route->idempotent && aResult.kind == ExchangeResult::Kind::Unknown);
+  return safe && aFlow.sent < aFlow.route->maxAttempts &&
+         BudgetOf(aFlow.service).TryTake();
+}
+
+asio::awaitable<CallerAnswer>
+RequestHandler::Run(Flow& aFlow)
+{
+  asio::steady_timer timer(mExecutor);
+  timer.expires_after(aFlow.deadline - mClock.Now());
+  timer.async_wait([context = aFlow.context](auto aError) {
+    if (!aError) {
+      context->Expire();
+    }
+  });
+  for (int unsent = 0; unsent < kMaxUnsent;) {
+    const UpstreamSet::Outcome outcome = co_await ChooseOrWait(aFlow);
+    const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome);
+    if (choice == nullptr) {
+      const bool full = std::get<UpstreamSet::Hindrance>(outcome) ==
+                        UpstreamSet::Hindrance::Full;
+      co_return NotRun(aFlow,
+                       full ? kRetryAfterFull : kRetryAfterNoOwner,
+                       full ? "all upstreams are full" : "no upstream");
+    }
+    if (aFlow.context->IsOver()) {
+      break;
+    }
+    if (aFlow.sent == 0) {
+      BudgetOf(aFlow.service).OnFirstSend();
+    }
+    ExchangeResult result = co_await Try(aFlow, *choice);
+    if (result.kind == ExchangeResult::Kind::NotSent) {
+      ++unsent;
+      aFlow.tried.insert(aFlow.lastUpstream);
+      if (aFlow.key) {
+        asio::steady_timer pause(mExecutor, milliseconds(30));
+        co_await pause.async_wait(kAwait);
+      }
+      continue;
+    }
+    ++aFlow.sent;
+    aFlow.tried.insert(aFlow.lastUpstream);
+    aFlow.mayHaveRun |= result.kind == ExchangeResult::Kind::Unknown;
+    if (result.kind == ExchangeResult::Kind::Answer ||
+        !MayRetry(aFlow, result)) {
+      co_return Final(aFlow, std::move(result));
+    }
+  }
+  if (aFlow.mayHaveRun) {
+    co_return Final(
+      aFlow,
+      ExchangeResult{
+        ExchangeResult::Kind::Unknown, {}, aFlow.lastReason, false, {} });
+  }
+  co_return NotRun(aFlow, kRetryAfterFull, aFlow.lastReason);
+}
+
+CallerAnswer
+RequestHandler::Final(const Flow& aFlow, ExchangeResult aResult) const
+{
+  const std::string& id = aFlow.request->requestId;
+  if (aResult.kind == ExchangeResult::Kind::Answer) {
+    CallerAnswer answer;
+    answer.status = aResult.answer.status;
+    http::ForEachEndToEnd(aResult.answer.fields,
+                          [&](std::string_view aName, std::string_view aValue) {
+                            http::AppendField(answer.fields, aName, aValue);
+                          });
+    answer.body = std::move(aResult.answer.body);
+    return answer;
+  }
+  if (!aFlow.mayHaveRun) {
+    return NotRun(aFlow, kRetryAfterFull, aResult.reason);
+  }
+  const bool timeout = aFlow.context->HasExpired();
+  Line(id) << "outcome unknown route=" << aFlow.route->name
+           << " service=" << aFlow.service << " upstream=" << aFlow.lastUpstream
+           << " sent=" << aFlow.sent << " reason=" << aResult.reason
+           << " after_ms=" << Ms(mClock.Now() - aFlow.arrived);
+  return Own(timeout ? kGatewayTimeout : kBadGateway, id, aResult.reason);
+}
+
+CallerAnswer
+RequestHandler::NotRun(const Flow& aFlow,
+                       Duration aRetryAfter,
+                       const std::string& aReason) const
+{
+  const std::string& id = aFlow.request->requestId;
+  if (aFlow.mayHaveRun) {
+    return Own(kBadGateway, id, aReason);
+  }
+  Line(id) << "not run route=" << aFlow.route->name
+           << " service=" << aFlow.service
+           << " key=" << (aFlow.key ? std::to_string(*aFlow.key) : "-")
+           << " reason=" << aReason << " last=" << aFlow.lastReason
+           << " upstream=" << aFlow.lastUpstream
+           << " index=" << mFeed.Known().Applied().value
+           << " age_ms=" << Ms(mFeed.Age())
+           << " after_ms=" << Ms(mClock.Now() - aFlow.arrived);
+  return Own(kUnavailable, id, aReason, aRetryAfter);
+}
+
+CallerAnswer
+RequestHandler::Own(unsigned aStatus,
+                    const std::string& aId,
+                    const std::string& aText,
+                    std::optional<Duration> aRetryAfter) const
+{
+  CallerAnswer answer;
+  answer.status = aStatus;
+  if (!aId.empty()) {
+    http::AppendField(answer.fields, mHeaders.requestId, aId);
+  }
+  if (aRetryAfter) {
+    http::AppendField(answer.fields, "Retry-After", Seconds(*aRetryAfter));
+  }
+  http::AppendField(answer.fields, "Content-Type", "text/plain");
+  answer.body = aText + "\n";
+  return answer;
+}
+
+CallerAnswer
+RequestHandler::Refuse(unsigned aStatus, const std::string& aText) const
+{
+  return Own(aStatus, {}, aText);
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/request_handler.h
@@ -0,0 +1,171 @@
+/// From a caller's whole request to the answer it gets.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/fields.hpp>
+
+#include <rattandyke/types.h>
+
+#include "base/clock.h"
+#include "entry/retry_budget.h"
+#include "gateway/dialect.h"
+#include "gateway/exchange.h"
+#include "gateway/feed_client.h"
+#include "gateway/route_table.h"
+#include "gateway/upstream_set.h"
+
+namespace rattandyke::gateway {
+
+struct CallerRequest
+{
+  std::string method;
+  std::string target;
+  boost::beast::http::fields fields;
+  std::string body;
+  bool hasBody = false;
+  Instant arrived{};
+};
+
+struct CallerAnswer
+{
+  unsigned status = 0;
+  /// Header lines, each with its line's end.
+  std::string fields;
+  std::string body;
+};
+
+/// What ends a request from outside while it is worked on.
+class RequestContext
+{
+public:
+  explicit RequestContext(const boost::asio::any_io_executor& aExecutor)
+    : mWake(aExecutor)
+  {
+  }
+
+  /// The caller has closed its connection.
+  void CallerLeft();
+
+  /// The request's time is up.
+  void Expire();
+
+  bool IsOver() const { return mLeft || mExpired; }
+  bool HasLeft() const { return mLeft; }
+  bool HasExpired() const { return mExpired; }
+
+  /// For the handler.
+  void Attach(std::shared_ptr<ExchangeHandle> aHandle);
+  void Detach() { mHandle.reset(); }
+  boost::asio::steady_timer& Wake() { return mWake; }
+
+private:
+  void Abort(const char* aReason);
+
+  boost::asio::steady_timer mWake;
+  std::shared_ptr<ExchangeHandle> mHandle;
+  bool mLeft = false;
+  bool mExpired = false;
+};
+
+/// Finds the route, chooses upstreams, makes tries and words the answer. Runs
+/// on one executor that runs one handler at a time.
+class RequestHandler
+{
+public:
+  struct Options
+  {
+    DataCentre dataCentre;
+    /// Second tries for each request that all hosts together may make.
+    double retryRatio = 0;
+  };
+
+  /// @param aFeed, aHeaders and aClock outlive this object.
+  RequestHandler(boost::asio::any_io_executor aExecutor,
+                 Options aOptions,
+                 const FeedClient& aFeed,
+                 const HeaderNames& aHeaders,
+                 const Clock& aClock,
+                 uint64_t aSeed);
+
+  /// The state that the feed knows has changed.
+  void StateChanged(const wire::GatewayCommand* aCommand);
+
+  boost::asio::awaitable<CallerAnswer> Handle(
+    std::shared_ptr<RequestContext> aContext,
+    CallerRequest aRequest);
+
+  /// An answer made without a request that could be read.
+  CallerAnswer Refuse(unsigned aStatus, const std::string& aText) const;
+
+  /// @return requests for keys since the last call.
+  wire::FeedReport TakeLoads();
+
+  /// Closes connections that have been idle too long.
+  void Sweep();
+
+private:
+  /// One request on its way.
+  struct Flow
+  {
+    std::shared_ptr<RequestContext> context;
+    std::shared_ptr<Route> route;
+    std::shared_ptr<const OutgoingRequest> request;
+    std::string service;
+    std::optional<uint32_t> key;
+    Instant arrived{};
+    Instant deadline{};
+    /// Upstreams that it was sent to.
+    std::set<std::string> tried;
+    uint32_t sent = 0;
+    /// Somewhere it may have run.
+    bool mayHaveRun = false;
+    std::string lastReason;
+    std::string lastUpstream;
+  };
+
+  using Waiters = std::multimap<uint32_t, std::weak_ptr<RequestContext>>;
+
+  bool OwnsKeys(const std::string& aService) const;
+  std::shared_ptr<const OutgoingRequest> Outgoing(const CallerRequest& aRequest,
+                                                  const std::string& aId) const;
+  UpstreamSet::Outcome Choose(const Flow& aFlow);
+  boost::asio::awaitable<UpstreamSet::Outcome> ChooseOrWait(Flow& aFlow);
+  boost::asio::awaitable<CallerAnswer> Run(Flow& aFlow);
+  boost::asio::awaitable<ExchangeResult> Try(
+    Flow& aFlow,
+    const UpstreamSet::Choice& aChoice);
+  bool MayRetry(Flow& aFlow, const ExchangeResult& aResult);
+  CallerAnswer Final(const Flow& aFlow, ExchangeResult aResult) const;
+  CallerAnswer NotRun(const Flow& aFlow,
+                      Duration aRetryAfter,
+                      const std::string& aReason) const;
+  CallerAnswer Own(unsigned aStatus,
+                   const std::string& aId,
+                   const std::string& aText,
+                   std::optional<Duration> aRetryAfter = {}) const;
+  entry::RetryBudget& BudgetOf(const std::string& aService);
+  void WakeWaiters(const std::string& aService);
+  void WakeAll();
+  void NoteKey(const std::string& aService, uint32_t aKey);
+
+  const boost::asio::any_io_executor mExecutor;
+  const Options mOptions;
+  const FeedClient& mFeed;
+  const HeaderNames& mHeaders;
+  const Clock& mClock;
+  RouteTable mRoutes;
+  UpstreamSet mUpstreams;
+  Exchanger mExchanger;
+  std::map<std::string, std::unique_ptr<entry::RetryBudget>> mBudgets;
+  std::map<std::string, Waiters> mWaiters;
+  std::map<std::string, std::map<uint32_t, uint32_t>> mKeyLoads;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/route_table.h
@@ -0,0 +1,65 @@
+/// Which route a request takes.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <rattandyke/types.h>
+
+#include "gateway/items.h"
+
+namespace rattandyke::gateway {
+
+struct Route
+{
+  std::string name;
+  std::string host;
+  std::string pathPrefix;
+  /// May run more than once.
+  bool idempotent = false;
+  std::chrono::milliseconds timeout{};
+  /// An answer within it is of full use.
+  std::chrono::milliseconds objective{};
+  /// 0 goes first.
+  uint32_t priority = 0;
+  uint32_t maxAttempts = 1;
+  struct Part
+  {
+    std::string service;
+    double weight = 0;
+    /// How far its share lags behind its weight.
+    double credit = 0;
+  };
+  std::vector<Part> parts;
+  uint64_t version = 0;
+};
+
+/// Routes by host and longest prefix. Not thread-safe.
+class RouteTable
+{
+public:
+  /// Takes the routes in force. Routes that did not change keep their place in
+  /// the order of their parts.
+  void Update(const ItemTable& aItems);
+
+  /// @param aHost of the request, without a port.
+  /// @return the route, or nullptr. It stays valid while it is held.
+  std::shared_ptr<Route> Find(std::string_view aHost,
+                              std::string_view aPath) const;
+
+private:
+  std::map<std::string, std::shared_ptr<Route>> mByName;
+  /// Longest prefix first.
+  std::map<std::string, std::vector<std::shared_ptr<Route>>, std::less<>>
+    mByHost;
+};
+
+/// @return the service that a request goes to. Each gets its weight's share of
+/// any run of requests, not only on average: a part that was chosen pays the
+/// sum of all weights, and all earn their own at each choice.
+const std::string& NextService(Route& aRoute);
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/settings.h
@@ -0,0 +1,65 @@
+/// Settings of one host of a gateway deployment, read from an INI file.
+#pragma once
+
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <rattandyke/result.h>
+#include <rattandyke/types.h>
+
+namespace rattandyke::gateway {
+
+using Millis = std::chrono::milliseconds;
+
+struct Settings
+{
+  // [host]
+  HostName name;
+  DataCentre dataCentre;
+  bool entry = false;
+  bool control = false;
+  std::filesystem::path dataFolder;
+  /// The whole deployment starts for the first time, with empty disks.
+  bool firstStart = false;
+  std::string dialect;
+  std::string logLevel;
+
+  // [listen]
+  std::optional<Endpoint> callers;
+  std::optional<Endpoint> readiness;
+  std::optional<Endpoint> calls;
+  Endpoint peers;
+
+  // [control]
+  /// Control hosts that may be asked for the others, as addresses for peers.
+  std::vector<Endpoint> seeds;
+  /// Control hosts that may be lost at the same time.
+  uint64_t tolerated = 0;
+
+  // [leases]
+  Millis heartbeatInterval{};
+  /// Longest hold of keys that upstreams accept.
+  Millis longestHold{};
+  Millis hold{};
+
+  // [requests]
+  /// Second tries for each first one that all hosts together may send.
+  double retryRatio = 0;
+  Millis drainTimeout{};
+  Millis shutdownGrace{};
+};
+
+/// @return the settings, or Code::InvalidSettings with a line for each problem.
+Result<Settings> ParseSettings(std::string_view aText,
+                               const std::string& aFile);
+
+Result<Settings> LoadSettings(const std::filesystem::path& aFile);
+
+/// @return docs/GATEWAY-SETTINGS.md: every setting with default and meaning.
+std::string SettingsPage();
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/state.cpp
@@ -0,0 +1,156 @@
+#include "gateway/state.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+/// More than end within any time for which a heartbeat may be held up: at 940
+/// restarts a day this covers several days, in about 100 KB.
+constexpr size_t kEndedKept = 4096;
+
+} // namespace
+
+Result<void>
+State::Apply(const wire::GatewayCommand& aCommand, LogIndex aIndex)
+{
+  mApplied = aIndex;
+  switch (aCommand.body_case()) {
+    case wire::GatewayCommand::kChangeItems:
+      return On(aCommand.change_items());
+    case wire::GatewayCommand::kPutInstance:
+      return On(aCommand.put_instance());
+    case wire::GatewayCommand::kEndInstance:
+      return On(aCommand.end_instance());
+    case wire::GatewayCommand::kGrantRanges:
+      return On(aCommand.grant_ranges());
+    case wire::GatewayCommand::kFreeRanges:
+      return On(aCommand.free_ranges());
+    case wire::GatewayCommand::BODY_NOT_SET:
+      break;
+  }
+  return Fail(Code::InvalidRecord, "A command has no body.");
+}
+
+const wire::UpstreamInstance*
+State::FindInstance(const std::string& aId) const
+{
+  const auto found = mInstances.find(aId);
+  return found == mInstances.end() ? nullptr : &found->second;
+}
+
+const wire::UpstreamInstance*
+State::FindAtAddress(const std::string& aAddress) const
+{
+  for (const auto& [id, instance] : mInstances) {
+    if (instance.address() == aAddress) {
+      return &instance;
+    }
+  }
+  return nullptr;
+}
+
+const RangeTable*
+State::Ranges(const std::string& aService) const
+{
+  const auto found = mRanges.find(aService);
+  return found == mRanges.end() ? nullptr : &found->second;
+}
+
+Result<void>
+State::On(const wire::ChangeItems& aCommand)
+{
+  // Checked again here: another change may have been committed since the leader
+  // checked this one.
+  if (Result<void> allowed = mItems.Check(aCommand); !allowed) {
+    return allowed;
+  }
+  mItems.Apply(aCommand);
+  return {};
+}
+
+Result<void>
+State::On(const wire::PutInstance& aCommand)
+{
+  const wire::UpstreamInstance& instance = aCommand.instance();
+  if (HasEnded(instance.id())) {
+    return Fail(Code::UpstreamSuperseded, "The instance has ended.");
+  }
+  mInstances[instance.id()] = instance;
+  return {};
+}
+
+Result<void>
+State::On(const wire::EndInstance& aCommand)
+{
+  mInstances.erase(aCommand.id());
+  NoteEnded(aCommand.id());
+  return {};
+}
+
+void
+State::NoteEnded(const std::string& aId)
+{
+  if (!mEnded.insert(aId).second) {
+    return;
+  }
+  mEndedOrder.push_back(aId);
+  if (mEndedOrder.size() > kEndedKept) {
+    mEnded.erase(mEndedOrder.front());
+    mEndedOrder.pop_front();
+  }
+}
+
+Result<void>
+State::On(const wire::GrantRanges& aCommand)
+{
+  if (FindInstance(aCommand.holder()) == nullptr) {
+    return Fail(Code::UnknownUpstream, "The holder is not registered.");
+  }
+  return mRanges[aCommand.service()].Grant(aCommand, mApplied.value);
+}
+
+Result<void>
+State::On(const wire::FreeRanges& aCommand)
+{
+  mRanges[aCommand.service()].Free(aCommand);
+  return {};
+}
+
+wire::GatewayState
+State::Save() const
+{
+  wire::GatewayState state;
+  state.set_applied(mApplied.value);
+  mItems.Save(state);
+  for (const auto& [id, instance] : mInstances) {
+    *state.add_instances() = instance;
+  }
+  for (const std::string& id : mEndedOrder) {
+    state.add_ended_instances(id);
+  }
+  for (const auto& [service, ranges] : mRanges) {
+    wire::ServiceRanges* saved = state.add_ranges();
+    saved->set_service(service);
+    ranges.Save(*saved);
+  }
+  return state;
+}
+
+void
+State::Load(const wire::GatewayState& aState)
+{
+  *this = State();
+  mApplied = LogIndex{ aState.applied() };
+  mItems.Load(aState);
+  for (const wire::UpstreamInstance& instance : aState.instances()) {
+    mInstances[instance.id()] = instance;
+  }
+  for (const std::string& id : aState.ended_instances()) {
+    NoteEnded(id);
+  }
+  for (const wire::ServiceRanges& ranges : aState.ranges()) {
+    mRanges[ranges.service()].Load(ranges);
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/state.h
@@ -0,0 +1,76 @@
+/// The replicated state of a gateway deployment.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <rattandyke/result.h>
+#include <rattandyke/types.h>
+
+#include "gateway/items.h"
+#include "gateway/range_table.h"
+#include "wire/gateway.pb.h"
+
+namespace rattandyke::gateway {
+
+/// Items, upstream instances and owners of keys. Control hosts apply committed
+/// commands in the order of the log; entry hosts apply the same commands as
+/// they are told of them, so all hosts go through the same states. Not
+/// thread-safe.
+class State
+{
+public:
+  /// @return what became of the command: applied, or refused and without
+  /// effect. The same on every host.
+  Result<void> Apply(const wire::GatewayCommand& aCommand, LogIndex aIndex);
+
+  /// @return the index of the newest command applied.
+  LogIndex Applied() const { return mApplied; }
+
+  const ItemTable& Items() const { return mItems; }
+
+  const std::map<std::string, wire::UpstreamInstance>& Instances() const
+  {
+    return mInstances;
+  }
+
+  /// @return the instance, or nullptr.
+  const wire::UpstreamInstance* FindInstance(const std::string& aId) const;
+
+  /// @return the instance that was last registered at an address, or nullptr.
+  const wire::UpstreamInstance* FindAtAddress(
+    const std::string& aAddress) const;
+
+  /// @return whether the instance was registered once and has ended.
+  bool HasEnded(const std::string& aId) const { return mEnded.contains(aId); }
+
+  /// @return the owners of a service's keys, or nullptr before the first grant.
+  const RangeTable* Ranges(const std::string& aService) const;
+
+  const std::map<std::string, RangeTable>& AllRanges() const { return mRanges; }
+
+  wire::GatewayState Save() const;
+  void Load(const wire::GatewayState& aState);
+
+private:
+  Result<void> On(const wire::ChangeItems& aCommand);
+  Result<void> On(const wire::PutInstance& aCommand);
+  Result<void> On(const wire::EndInstance& aCommand);
+  Result<void> On(const wire::GrantRanges& aCommand);
+  Result<void> On(const wire::FreeRanges& aCommand);
+  void NoteEnded(const std::string& aId);
+
+  LogIndex mApplied;
+  ItemTable mItems;
+  std::map<std::string, wire::UpstreamInstance> mInstances;
+  /// Instances that ended, oldest first; bounded. A heartbeat that was held up
+  /// in the network must not bring an ended instance back.
+  std::deque<std::string> mEndedOrder;
+  std::set<std::string, std::less<>> mEnded;
+  std::map<std::string, RangeTable> mRanges;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -0,0 +1,258 @@
+#include "net/frame_mesh.h"
+
+#include <map>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/endpoint.h"
+
+namespace rattandyke::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+/// A connection that takes longer is given up; hosts are a few milliseconds
+/// apart.
+constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
+/// Pause after a failed connection, so that a dead host costs little.
+constexpr std::chrono::milliseconds kRetryPause{ 100 };
+/// Messages kept while a connection is made.
+constexpr size_t kMaxWaitingBytes = size_t{ 1024 } * 1024;
+
+tcp::endpoint
+ToTcp(const Endpoint& aEndpoint)
+{
+  ErrorCode ignored; // An unusable address fails to connect.
+  return { asio::ip::make_address(aEndpoint.address, ignored), aEndpoint.port };
+}
+
+} // namespace
+
+struct FrameMesh::Impl : std::enable_shared_from_this<FrameMesh::Impl>
+{
+  struct Peer
+  {
+    Connection connection;
+    std::shared_ptr<tcp::socket> connecting;
+    std::vector<std::string> waiting;
+    size_t waitingBytes = 0;
+    std::optional<std::chrono::steady_clock::time_point> failedAt;
+  };
+
+  Impl(asio::any_io_executor aExecutor, Endpoint aListen, Handlers aHandlers)
+    : executor(std::move(aExecutor))
+    , listen(std::move(aListen))
+    , handlers(std::move(aHandlers))
+    , acceptor(executor)
+  {
+  }
+
+  Result<void> Start()
+  {
+    ErrorCode error;
+    const tcp::endpoint endpoint = ToTcp(listen);
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+      acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return Fail(Code::AddressInUse,
+                  ToString(listen) + ": " + error.message());
+    }
+    Accept();
+    return {};
+  }
+
+  void Accept()
+  {
+    acceptor.async_accept(
+      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
+        if (self->stopped || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          self->Take(std::move(aSocket));
+        }
+        self->Accept();
+      });
+  }
+
+  void Take(tcp::socket aSocket)
+  {
+    TuneSocket(aSocket, kUnacknowledgedTimeout);
+    auto connection = std::make_shared<FrameConnection>(std::move(aSocket));
+    accepted[connection.get()] = connection;
+    std::weak_ptr<FrameConnection> weak = connection;
+    connection->Start(
+      { [self = weak_from_this(), weak](std::string_view aMessage) {
+         const auto mesh = self.lock();
+         const auto source = weak.lock();
+         if (mesh && source && !mesh->stopped) {
+           mesh->handlers.received(source, aMessage);
+         }
+       },
+        [self = weak_from_this(), weak] {
+          const auto mesh = self.lock();
+          const auto source = weak.lock();
+          if (mesh && source && !mesh->stopped) {
+            mesh->accepted.erase(source.get());
+            mesh->handlers.closed(source);
+          }
+        } });
+  }
+
+  void Send(const HostName& aTo, std::string_view aMessage)
+  {
+    Peer& peer = peers[aTo];
+    if (peer.connection) {
+      peer.connection->Send(aMessage);
+      return;
+    }
+    if (peer.failedAt &&
+        std::chrono::steady_clock::now() - *peer.failedAt < kRetryPause) {
+      return;
+    }
+    if (peer.waitingBytes + aMessage.size() <= kMaxWaitingBytes) {
+      peer.waiting.emplace_back(aMessage);
+      peer.waitingBytes += aMessage.size();
+    }
+    if (!peer.connecting) {
+      Connect(aTo);
+    }
+  }
+
+  void Connect(const HostName& aTo)
+  {
+    const Result<Endpoint> address = ParseEndpoint(aTo.value);
+    if (!address) {
+      peers.erase(aTo);
+      return;
+    }
+    auto socket = std::make_shared<tcp::socket>(executor);
+    peers[aTo].connecting = socket;
+    auto deadline =
+      std::make_shared<asio::steady_timer>(executor, kConnectTimeout);
+    deadline->async_wait([socket](ErrorCode aError) {
+      if (!aError) {
+        ErrorCode ignored; // Ends the attempt, which reports it.
+        socket->close(ignored);
+      }
+    });
+    socket->async_connect(
+      ToTcp(*address),
+      [self = weak_from_this(), socket, deadline, aTo](ErrorCode aError) {
+        deadline->cancel();
+        if (const auto mesh = self.lock(); mesh && !mesh->stopped) {
+          mesh->OnConnected(aTo, socket, aError);
+        }
+      });
+  }
+
+  void OnConnected(const HostName& aTo,
+                   const std::shared_ptr<tcp::socket>& aSocket,
+                   ErrorCode aError)
+  {
+    Peer& peer = peers[aTo];
+    peer.connecting.reset();
+    const auto waiting = std::exchange(peer.waiting, {});
+    peer.waitingBytes = 0;
+    if (aError || !aSocket->is_open()) {
+      peer.failedAt = std::chrono::steady_clock::now();
+      return;
+    }
+    peer.failedAt.reset();
+    TuneSocket(*aSocket, kUnacknowledgedTimeout);
+    auto connection = std::make_shared<FrameConnection>(std::move(*aSocket));
+    peer.connection = connection;
+    std::weak_ptr<FrameConnection> weak = connection;
+    connection->Start(
+      { [self = weak_from_this(), weak](std::string_view aMessage) {
+         const auto mesh = self.lock();
+         const auto source = weak.lock();
+         if (mesh && source && !mesh->stopped) {
+           mesh->handlers.received(source, aMessage);
+         }
+       },
+        [self = weak_from_this(), aTo] {
+          if (const auto mesh = self.lock(); mesh && !mesh->stopped) {
+            mesh->peers[aTo].connection.reset();
+          }
+        } });
+    for (const std::string& message : waiting) {
+      connection->Send(message);
+    }
+  }
+
+  void Stop()
+  {
+    stopped = true;
+    ErrorCode ignored; // Nothing is done with it any more.
+    acceptor.close(ignored);
+    for (auto& [raw, connection] : accepted) {
+      connection->Close();
+    }
+    for (auto& [name, peer] : peers) {
+      if (peer.connecting) {
+        peer.connecting->close(ignored);
+      }
+      if (peer.connection) {
+        peer.connection->Close();
+      }
+    }
+    accepted.clear();
+    peers.clear();
+  }
+
+  const asio::any_io_executor executor;
+  const Endpoint listen;
+  const Handlers handlers;
+  tcp::acceptor acceptor;
+  std::map<HostName, Peer> peers;
+  std::map<FrameConnection*, Connection> accepted;
+  bool stopped = false;
+};
+
+FrameMesh::FrameMesh(asio::any_io_executor aExecutor,
+                     Endpoint aListen,
+                     Handlers aHandlers)
+  : mImpl(std::make_shared<Impl>(std::move(aExecutor),
+                                 std::move(aListen),
+                                 std::move(aHandlers)))
+{
+}
+
+FrameMesh::~FrameMesh()
+{
+  Stop();
+}
+
+Result<void>
+FrameMesh::Start()
+{
+  return mImpl->Start();
+}
+
+void
+FrameMesh::Stop()
+{
+  if (!mImpl->stopped) {
+    mImpl->Stop();
+  }
+}
+
+void
+FrameMesh::Send(const HostName& aTo, std::string_view aMessage)
+{
+  if (!mImpl->stopped) {
+    mImpl->Send(aTo, aMessage);
+  }
+}
+
+} // namespace rattandyke::net
--- a/src/librattandyke/wire/consensus.pb.cpp
+++ b/src/librattandyke/wire/consensus.pb.cpp
@@ -205,9 +205,11 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ElectNowDefaultTypeInternal _ElectNow_default_instance_;
 PROTOBUF_CONSTEXPR Hello::Hello(
     ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.configuration_)*/nullptr
+    /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.configuration_)*/nullptr
   , /*decltype(_impl_.answers_)*/uint64_t{0u}
   , /*decltype(_impl_.empty_)*/false
+  , /*decltype(_impl_.port_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct HelloDefaultTypeInternal {
   PROTOBUF_CONSTEXPR HelloDefaultTypeInternal()
@@ -363,6 +365,8 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Hello, _impl_.empty_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Hello, _impl_.answers_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Hello, _impl_.configuration_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Hello, _impl_.address_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::Hello, _impl_.port_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ConsensusMessage, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -398,7 +402,7 @@
   { 95, -1, -1, sizeof(::rattandyke::wire::SnapshotReply)},
   { 104, -1, -1, sizeof(::rattandyke::wire::ElectNow)},
   { 110, -1, -1, sizeof(::rattandyke::wire::Hello)},
-  { 119, -1, -1, sizeof(::rattandyke::wire::ConsensusMessage)},
+  { 121, -1, -1, sizeof(::rattandyke::wire::ConsensusMessage)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -444,29 +448,30 @@
   "(\004\022\r\n\005total\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\022\017\n\007sent_"
   "at\030\005 \001(\004\"A\n\rSnapshotReply\022\r\n\005index\030\001 \001(\004"
   "\022\020\n\010received\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"\n\n\010E"
-  "lectNow\"^\n\005Hello\022\r\n\005empty\030\001 \001(\010\022\017\n\007answe"
+  "lectNow\"}\n\005Hello\022\r\n\005empty\030\001 \001(\010\022\017\n\007answe"
   "rs\030\002 \001(\006\0225\n\rconfiguration\030\003 \001(\0132\036.rattan"
-  "dyke.wire.Configuration\"\211\004\n\020ConsensusMes"
-  "sage\022\014\n\004from\030\001 \001(\006\022\021\n\tfrom_name\030\002 \001(\t\022\n\n"
-  "\002to\030\003 \001(\006\022\r\n\005group\030\004 \001(\006\022\014\n\004term\030\005 \001(\004\0224"
-  "\n\014vote_request\030\n \001(\0132\034.rattandyke.wire.V"
-  "oteRequestH\000\0220\n\nvote_reply\030\013 \001(\0132\032.ratta"
-  "ndyke.wire.VoteReplyH\000\0228\n\016append_request"
-  "\030\014 \001(\0132\036.rattandyke.wire.AppendRequestH\000"
-  "\0224\n\014append_reply\030\r \001(\0132\034.rattandyke.wire"
-  ".AppendReplyH\000\0228\n\016snapshot_chunk\030\016 \001(\0132\036"
-  ".rattandyke.wire.SnapshotChunkH\000\0228\n\016snap"
-  "shot_reply\030\017 \001(\0132\036.rattandyke.wire.Snaps"
-  "hotReplyH\000\022.\n\telect_now\030\020 \001(\0132\031.rattandy"
-  "ke.wire.ElectNowH\000\022\'\n\005hello\030\021 \001(\0132\026.ratt"
-  "andyke.wire.HelloH\000B\006\n\004body*s\n\tEntryKind"
-  "\022\032\n\026ENTRY_KIND_UNSPECIFIED\020\000\022\026\n\022ENTRY_KI"
-  "ND_COMMAND\020\001\022\024\n\020ENTRY_KIND_NO_OP\020\002\022\034\n\030EN"
-  "TRY_KIND_CONFIGURATION\020\003b\006proto3"
+  "dyke.wire.Configuration\022\017\n\007address\030\004 \001(\t"
+  "\022\014\n\004port\030\005 \001(\r\"\211\004\n\020ConsensusMessage\022\014\n\004f"
+  "rom\030\001 \001(\006\022\021\n\tfrom_name\030\002 \001(\t\022\n\n\002to\030\003 \001(\006"
+  "\022\r\n\005group\030\004 \001(\006\022\014\n\004term\030\005 \001(\004\0224\n\014vote_re"
+  "quest\030\n \001(\0132\034.rattandyke.wire.VoteReques"
+  "tH\000\0220\n\nvote_reply\030\013 \001(\0132\032.rattandyke.wir"
+  "e.VoteReplyH\000\0228\n\016append_request\030\014 \001(\0132\036."
+  "rattandyke.wire.AppendRequestH\000\0224\n\014appen"
+  "d_reply\030\r \001(\0132\034.rattandyke.wire.AppendRe"
+  "plyH\000\0228\n\016snapshot_chunk\030\016 \001(\0132\036.rattandy"
+  "ke.wire.SnapshotChunkH\000\0228\n\016snapshot_repl"
+  "y\030\017 \001(\0132\036.rattandyke.wire.SnapshotReplyH"
+  "\000\022.\n\telect_now\030\020 \001(\0132\031.rattandyke.wire.E"
+  "lectNowH\000\022\'\n\005hello\030\021 \001(\0132\026.rattandyke.wi"
+  "re.HelloH\000B\006\n\004body*s\n\tEntryKind\022\032\n\026ENTRY"
+  "_KIND_UNSPECIFIED\020\000\022\026\n\022ENTRY_KIND_COMMAN"
+  "D\020\001\022\024\n\020ENTRY_KIND_NO_OP\020\002\022\034\n\030ENTRY_KIND_"
+  "CONFIGURATION\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_consensus_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_consensus_2eproto = {
-    false, false, 1752, descriptor_table_protodef_consensus_2eproto,
+    false, false, 1783, descriptor_table_protodef_consensus_2eproto,
     "consensus.proto",
     &descriptor_table_consensus_2eproto_once, nullptr, 0, 14,
     schemas, file_default_instances, TableStruct_consensus_2eproto::offsets,
@@ -3412,18 +3417,28 @@
   : ::PROTOBUF_NAMESPACE_ID::Message() {
   Hello* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.configuration_){nullptr}
+      decltype(_impl_.address_){}
+    , decltype(_impl_.configuration_){nullptr}
     , decltype(_impl_.answers_){}
     , decltype(_impl_.empty_){}
+    , decltype(_impl_.port_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
+  }
   if (from._internal_has_configuration()) {
     _this->_impl_.configuration_ = new ::rattandyke::wire::Configuration(*from._impl_.configuration_);
   }
   ::memcpy(&_impl_.answers_, &from._impl_.answers_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.empty_) -
-    reinterpret_cast<char*>(&_impl_.answers_)) + sizeof(_impl_.empty_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.port_) -
+    reinterpret_cast<char*>(&_impl_.answers_)) + sizeof(_impl_.port_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.Hello)
 }
 
@@ -3432,11 +3447,17 @@
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.configuration_){nullptr}
+      decltype(_impl_.address_){}
+    , decltype(_impl_.configuration_){nullptr}
     , decltype(_impl_.answers_){uint64_t{0u}}
     , decltype(_impl_.empty_){false}
+    , decltype(_impl_.port_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
 Hello::~Hello() {
@@ -3450,6 +3471,7 @@
 
 inline void Hello::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.address_.Destroy();
   if (this != internal_default_instance()) delete _impl_.configuration_;
 }
 
@@ -3463,13 +3485,14 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
+  _impl_.address_.ClearToEmpty();
   if (GetArenaForAllocation() == nullptr && _impl_.configuration_ != nullptr) {
     delete _impl_.configuration_;
   }
   _impl_.configuration_ = nullptr;
   ::memset(&_impl_.answers_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.empty_) -
-      reinterpret_cast<char*>(&_impl_.answers_)) + sizeof(_impl_.empty_));
+      reinterpret_cast<char*>(&_impl_.port_) -
+      reinterpret_cast<char*>(&_impl_.answers_)) + sizeof(_impl_.port_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3503,6 +3526,24 @@
         } else
           goto handle_unusual;
         continue;
+      // string address = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Hello.address"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 port = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.port_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3551,6 +3592,22 @@
         _Internal::configuration(this).GetCachedSize(), target, stream);
   }
 
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.Hello.address");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_address(), target);
+  }
+
+  // uint32 port = 5;
+  if (this->_internal_port() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_port(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3567,6 +3624,13 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
   // .rattandyke.wire.Configuration configuration = 3;
   if (this->_internal_has_configuration()) {
     total_size += 1 +
@@ -3584,6 +3648,11 @@
     total_size += 1 + 1;
   }
 
+  // uint32 port = 5;
+  if (this->_internal_port() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_port());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -3602,6 +3671,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
   if (from._internal_has_configuration()) {
     _this->_internal_mutable_configuration()->::rattandyke::wire::Configuration::MergeFrom(
         from._internal_configuration());
@@ -3612,6 +3684,9 @@
   if (from._internal_empty() != 0) {
     _this->_internal_set_empty(from._internal_empty());
   }
+  if (from._internal_port() != 0) {
+    _this->_internal_set_port(from._internal_port());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -3628,10 +3703,16 @@
 
 void Hello::InternalSwap(Hello* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(Hello, _impl_.empty_)
-      + sizeof(Hello::_impl_.empty_)
+      PROTOBUF_FIELD_OFFSET(Hello, _impl_.port_)
+      + sizeof(Hello::_impl_.port_)
       - PROTOBUF_FIELD_OFFSET(Hello, _impl_.configuration_)>(
           reinterpret_cast<char*>(&_impl_.configuration_),
           reinterpret_cast<char*>(&other->_impl_.configuration_));
--- a/src/testing/replica_group.cpp
+++ b/src/testing/replica_group.cpp
@@ -106,6 +106,7 @@
     aHost.participant = std::make_unique<Participant>(
       Participant::Options{ aHost.name,
                             HostIdentity{ aHost.identity },
+                            Endpoint{},
                             mMembers,
                             mOptions.replica },
       restored,
