Feed entries without operators' texts; keep a feed whose bytes arrive

Cause: on a 2 Mbit/s link the whole state (big_config: 250 KB, half of it operators' texts) took longer than the allowed silence of 700 ms; entries gave the feed up in the middle and asked for the whole again, so the links stayed full: old configuration (CONFIG 205, DENIED 204), latency of a second. Ruled out: processor time (0.009 of a core at most). Change: texts stay with control hosts; bytes of a state under way count as life.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -210,7 +210,9 @@
     wire::GatewayCommand command;
     command.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
     Result<void> outcome = state.Apply(command, aIndex);
-    feed.Applied(command, aIndex);
+    if (outcome) {
+      feed.Applied(command, aIndex);
+    }
     outcomes.emplace_back(aIndex, std::move(outcome));
     if (outcomes.size() > kOutcomesKept) {
       outcomes.pop_front();
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -153,6 +153,7 @@
       return; // The next check tries another.
     }
     heardAt = clock.Now();
+    assured = false;
     net::TuneSocket(*socket, net::kUnacknowledgedTimeout);
     auto made = std::make_shared<net::FrameConnection>(std::move(*socket));
     connection = made;
@@ -167,6 +168,12 @@
                     if (client && client->connection.get() == raw) {
                       client->connection.reset();
                     }
+                  },
+                  [self = weak_from_this(), raw = made.get()] {
+                    const auto client = self.lock();
+                    if (client && client->connection.get() == raw) {
+                      client->OnProgress();
+                    }
                   } });
     wire::GatewayFrame frame;
     frame.mutable_feed_open()->set_host(options.host.value);
@@ -192,6 +199,16 @@
     }
   }
 
+  /// Safeguard: a whole state takes longer than the allowed silence on a slow
+  /// link. Given up in the middle it would be asked for again and again, and
+  /// nothing else would get through the link.
+  void OnProgress()
+  {
+    if (!assured) {
+      heardAt = clock.Now();
+    }
+  }
+
   void OnSnapshot(const wire::FeedSnapshot& aSnapshot)
   {
     if (aSnapshot.state().applied() <= state.Applied().value) {
@@ -221,6 +238,7 @@
     }
     heardAt = clock.Now();
     assuredAt = heardAt;
+    assured = true;
     tried.clear();
     if (aPing.control_hosts_size() > 0) {
       controlHosts.assign(aPing.control_hosts().begin(),
@@ -237,6 +255,8 @@
   State state;
   bool hasState = false;
   bool stopped = false;
+  /// By a ping of this connection.
+  bool assured = false;
   Instant heardAt{};
   Instant assuredAt{};
   std::string current;
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -8,6 +8,19 @@
 /// state.
 constexpr size_t kRecentCommands = 512;
 
+/// Takes the operators' texts out of items.
+template<typename Items>
+void
+DropSources(Items& aItems)
+{
+  for (auto& route : *aItems.mutable_routes()) {
+    route.clear_source();
+  }
+  for (auto& service : *aItems.mutable_services()) {
+    service.clear_source();
+  }
+}
+
 } // namespace
 
 FeedServer::FeedServer(const State& aState)
@@ -47,7 +60,10 @@
     }
   } else {
     wire::GatewayFrame frame;
-    *frame.mutable_feed_snapshot()->mutable_state() = mState.Save();
+    wire::GatewayState& state = *frame.mutable_feed_snapshot()->mutable_state();
+    state = mState.Save();
+    DropSources(state);
+    state.clear_ended_instances();
     aConnection->Send(frame.SerializeAsString());
   }
   aSubscriber.told = applied;
@@ -58,7 +74,12 @@
 {
   wire::GatewayFrame frame;
   frame.mutable_feed_command()->set_index(aIndex.value);
-  *frame.mutable_feed_command()->mutable_command() = aCommand;
+  wire::GatewayCommand& command =
+    *frame.mutable_feed_command()->mutable_command();
+  command = aCommand;
+  if (command.has_change_items()) {
+    DropSources(*command.mutable_change_items());
+  }
   mRecent.emplace_back(aIndex.value, frame.SerializeAsString());
   if (mRecent.size() > kRecentCommands) {
     mRecent.pop_front();
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -14,7 +14,8 @@
 namespace rattandyke::gateway {
 
 /// Sends each subscriber the whole state once and then every command as it is
-/// applied. Any control host serves subscribers; it assures them of being up to
+/// applied, without the operators' texts of items, which only control hosts
+/// need: they are more than half of the bytes. Any control host serves subscribers; it assures them of being up to
 /// date by pings, and falls silent while it can't be sure. Then they turn to
 /// another host: else a host on the wrong side of a cut would keep its
 /// subscribers on an old state. Not thread-safe.
@@ -30,7 +31,7 @@
   void Open(const Connection& aConnection, const wire::FeedOpen& aOpen);
   void Close(const Connection& aConnection);
 
-  /// A command was applied to the state.
+  /// A command was applied to the state and not refused by it.
   void Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex);
 
   /// The state was replaced as a whole.
--- a/src/librattandyke/net/frame_connection.cpp
+++ b/src/librattandyke/net/frame_connection.cpp
@@ -80,6 +80,9 @@
     asio::buffer(mReceived.data() + before, kReadBytes),
     [self = shared_from_this(), before](auto aError, size_t aBytes) {
       self->mReceived.resize(before + aBytes);
+      if (!aError && self->mOpen && self->mHandlers.progress) {
+        self->mHandlers.progress();
+      }
       if (aError || !self->mOpen || !self->TakeFrames()) {
         self->Close();
         return;
--- a/src/librattandyke/net/frame_connection.h
+++ b/src/librattandyke/net/frame_connection.h
@@ -23,6 +23,8 @@
     std::function<void(std::string_view)> received;
     /// The connection is over, for whatever reason; called once.
     std::function<void()> closed;
+    /// Bytes arrived, a whole message or a part of one. May be empty.
+    std::function<void()> progress;
   };
 
   explicit FrameConnection(boost::asio::ip::tcp::socket aSocket);
