--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -11,6 +11,7 @@
 #include "base/endpoint.h"
 #include "consensus/driver.h"
 #include "gateway/call_server.h"
+#include "gateway/entry_registry.h"
 #include "gateway/feed_server.h"
 #include "gateway/granter.h"
 #include "log/log.h"
@@ -33,6 +34,7 @@
 /// Pings tell entries that they are up to date; they go elsewhere after 700 ms
 /// of silence.
 constexpr milliseconds kPingInterval{ 200 };
+constexpr milliseconds kReportInterval{ 200 };
 /// Instances that hold no keys and have been silent so long are forgotten;
 /// entries would find out by themselves, but try them again and again.
 constexpr std::chrono::seconds kForgetAfter{ 30 };
@@ -43,6 +45,10 @@
 constexpr milliseconds kSpareAfter{ 1200 };
 /// Attempts to grant keys that another heartbeat was given meanwhile.
 constexpr int kGrantAttempts = 3;
+/// Longest delay of an answer for keys on their way; an upstream takes answers
+/// that come within a second.
+constexpr milliseconds kKeysAwaited{ 450 };
+constexpr milliseconds kKeysPoll{ 15 };
 constexpr size_t kOutcomesKept = 1024;
 
 constexpr unsigned kOk = 200;
@@ -235,6 +241,7 @@
       Info() << "leads term " << *aTerm << " at index "
              << state.Applied().value;
       granter.BecomeLeader(state, clock.Now());
+      entries.BecomeLeader(state, clock.Now());
     } else {
       Info() << "leads no more";
     }
@@ -303,6 +310,7 @@
   {
     if (LeadsSurely()) {
       ProposeAll(granter.Tick(state, clock.Now()));
+      ProposeAll(entries.Tick(state, clock.Now()));
     }
     const Instant now = clock.Now();
     if (now - pingedAt < kPingInterval) {
@@ -314,7 +322,10 @@
     if (fresh) {
       feed.Ping(ControlHosts());
     }
-    RelayLoads();
+    if (now - reportedAt >= kReportInterval) {
+      reportedAt = now;
+      Report();
+    }
   }
 
   std::vector<std::string> ControlHosts() const
@@ -346,10 +357,10 @@
         feed.Open(aConnection, frame.feed_open());
         return;
       case wire::GatewayFrame::kFeedReport:
-        NoteLoads(frame.feed_report().loads());
+        OnFeedReport(aConnection, frame.feed_report());
         return;
-      case wire::GatewayFrame::kRelayedLoad:
-        NoteLoads(frame.relayed_load().loads());
+      case wire::GatewayFrame::kHostReport:
+        OnHostReport(frame.host_report());
         return;
       case wire::GatewayFrame::kForwardedCall:
         OnForwardedCall(frame.forwarded_call());
@@ -362,27 +373,47 @@
     }
   }
 
-  template<typename Loads>
-  void NoteLoads(const Loads& aLoads)
+  void OnFeedReport(const net::FrameMesh::Connection& aConnection,
+                    const wire::FeedReport& aReport)
   {
-    for (const wire::RangeLoad& load : aLoads) {
-      if (driver->IsLeader()) {
-        granter.AddLoad(load);
-      } else {
-        *waitingLoads.mutable_loads()->Add() = load;
-      }
+    if (aReport.leaving()) {
+      feed.Leave(aConnection);
     }
+    waitingReport.mutable_loads()->MergeFrom(aReport.loads());
+    waitingReport.mutable_times()->MergeFrom(aReport.times());
   }
 
-  void RelayLoads()
+  void OnHostReport(const wire::HostReport& aReport)
+  {
+    if (!driver->IsLeader()) {
+      return;
+    }
+    for (const wire::RangeLoad& load : aReport.loads()) {
+      granter.AddLoad(load);
+    }
+    for (const wire::InstanceTime& time : aReport.times()) {
+      granter.NoteTime(time.instance(), time.seconds());
+    }
+    for (const wire::EntryMember& entry : aReport.entries()) {
+      entries.Seen(entry, clock.Now());
+    }
+  }
+
+  /// Tells the leader what this host's subscribers have reported.
+  void Report()
   {
     const auto leader = driver->LeaderHint();
-    if (waitingLoads.loads_size() > 0 && leader && *leader != self) {
+    for (const wire::EntryMember& entry : feed.Entries()) {
+      *waitingReport.add_entries() = entry;
+    }
+    const wire::HostReport report = std::exchange(waitingReport, {});
+    if (driver->IsLeader()) {
+      OnHostReport(report);
+    } else if (leader) {
       wire::GatewayFrame frame;
-      *frame.mutable_relayed_load() = waitingLoads;
+      *frame.mutable_host_report() = report;
       mesh->Send(*leader, frame.SerializeAsString());
     }
-    waitingLoads.Clear();
   }
 
   // Calls of upstreams and operators.
@@ -506,11 +537,24 @@
     co_return Result<void>{};
   }
 
+  /// Keys on their way to the instance are told of in this answer rather than
+  /// in the next, a heartbeat interval later.
+  asio::awaitable<void> AwaitKeys(const Heartbeat& aHeartbeat)
+  {
+    const Instant end = clock.Now() + Duration(kKeysAwaited);
+    while (clock.Now() < end && LeadsSurely() &&
+           granter.AwaitsKeys(aHeartbeat, state, clock.Now())) {
+      asio::steady_timer pause(executor, kKeysPoll);
+      co_await pause.async_wait(kAwait);
+    }
+  }
+
   asio::awaitable<CallAnswer> OnCall(const Heartbeat& aHeartbeat)
   {
     const Instant arrived = clock.Now();
     Result<void> committed =
       co_await Commit(granter.OnHeartbeat(aHeartbeat, state, arrived));
+    co_await AwaitKeys(aHeartbeat);
     for (int attempt = 0; committed && attempt < kGrantAttempts; ++attempt) {
       const auto grant = granter.PlanGrant(aHeartbeat, state, clock.Now());
       if (!grant) {
@@ -592,8 +636,10 @@
   std::deque<std::pair<LogIndex, Result<void>>> outcomes;
   std::map<uint64_t, std::shared_ptr<Awaited<CallAnswer>>> forwarded;
   uint64_t lastCall = 0;
-  wire::RelayedLoad waitingLoads;
+  wire::HostReport waitingReport;
+  EntryRegistry entries;
   Instant pingedAt{};
+  Instant reportedAt{};
   bool stopping = false;
 };
 
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -22,6 +22,7 @@
 #include "http/signal.h"
 #include "log/log.h"
 #include "net/frame_connection.h"
+#include "net/frame_mesh.h"
 
 namespace rattandyke::gateway {
 
@@ -36,8 +37,9 @@
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
 /// The sweep's interval is the error of the idle timeouts.
-constexpr milliseconds kSweepInterval{ 500 };
-constexpr milliseconds kReportInterval{ 1000 };
+constexpr milliseconds kSweepInterval{ 200 };
+/// Busy keys change within seconds.
+constexpr milliseconds kReportInterval{ 400 };
 /// Before the first configuration tells.
 constexpr milliseconds kDefaultIdle{ 15000 };
 constexpr uint32_t kDefaultHeaderBytes = 16384;
@@ -115,23 +117,93 @@
     , sweeper(executor)
     , feed(
         executor,
-        { aSettings.name, aSettings.seeds },
+        { SelfOf(aSettings), aSettings.seeds },
         [this](const wire::GatewayCommand* aCommand) {
-          handler.StateChanged(aCommand);
+          OnStateChanged(aCommand);
+        },
+        aClock,
+        aSeed)
+    , desk(
+        executor,
+        ToString(aSettings.peers),
+        aSeed,
+        [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
+          mesh->Send(aTo, aFrame.SerializeAsString());
         },
         aClock,
         aSeed)
     , handler(executor,
               { aSettings.dataCentre, aSettings.retryRatio },
               feed,
+              desk,
               aDialect.Headers(),
-              aClock,
-              aSeed)
+              aClock)
+    , slotTicker(executor)
+  {
+  }
+
+  static wire::EntryMember SelfOf(const Settings& aSettings)
   {
+    wire::EntryMember self;
+    self.set_address(ToString(aSettings.peers));
+    self.set_data_centre(aSettings.dataCentre.value);
+    return self;
+  }
+
+  void OnStateChanged(const wire::GatewayCommand* aCommand)
+  {
+    const bool slots = aCommand == nullptr || aCommand->has_put_instance() ||
+                       aCommand->has_end_instance() ||
+                       aCommand->has_put_entry() || aCommand->has_drop_entry();
+    if (slots) {
+      desk.StateChanged(feed.Known());
+    }
+    handler.StateChanged(aCommand);
+  }
+
+  void OnFrame(const net::FrameMesh::Connection& aConnection,
+               std::string_view aMessage)
+  {
+    wire::GatewayFrame frame;
+    if (!frame.ParseFromArray(aMessage.data(),
+                              static_cast<int>(aMessage.size()))) {
+      log::Line(log::Part::Net, log::Severity::Warning)
+        << "a message between hosts can't be read; the connection ends";
+      aConnection->Close();
+    } else if (frame.has_slot_ask()) {
+      desk.OnAsk(frame.slot_ask());
+    } else if (frame.has_slot_answer()) {
+      desk.OnAnswer(frame.slot_answer());
+    } else if (frame.has_slot_done()) {
+      desk.OnDone(frame.slot_done());
+    }
+  }
+
+  void TickSlots()
+  {
+    slotTicker.expires_after(SlotBroker::kTick);
+    slotTicker.async_wait([self = weak_from_this()](ErrorCode aError) {
+      const auto host = self.lock();
+      if (host && !aError) {
+        host->desk.Tick();
+        host->TickSlots();
+      }
+    });
   }
 
   Result<void> Start()
   {
+    mesh = std::make_unique<net::FrameMesh>(
+      executor,
+      settings.peers,
+      net::FrameMesh::Handlers{
+        [this](const auto& aConnection, std::string_view aMessage) {
+          OnFrame(aConnection, aMessage);
+        },
+        [](const auto&) {} });
+    if (Result<void> started = mesh->Start(); !started) {
+      return started;
+    }
     ErrorCode error;
     const tcp::endpoint endpoint(
       asio::ip::make_address(settings.callers->address, error),
@@ -164,6 +236,7 @@
     feed.Start();
     Accept();
     Sweep();
+    TickSlots();
     return {};
   }
 
@@ -344,10 +417,9 @@
     handler.Sweep();
     if (now - reportedAt >= kReportInterval) {
       reportedAt = now;
-      const wire::FeedReport report = handler.TakeLoads();
-      if (report.loads_size() > 0) {
-        feed.Report(report);
-      }
+      wire::FeedReport report = handler.TakeLoads();
+      report.set_leaving(stopping);
+      feed.Report(report);
     }
     if (stopping) {
       OnStopping(now);
@@ -376,6 +448,8 @@
     if ((late || idle) && done) {
       feed.Stop();
       sweeper.cancel();
+      slotTicker.cancel();
+      mesh->Stop();
       std::exchange(done, nullptr)();
     }
   }
@@ -385,6 +459,9 @@
     stopping = true;
     stoppedAt = clock.Now();
     done = std::move(aDone);
+    wire::FeedReport report;
+    report.set_leaving(true);
+    feed.Report(report);
   }
 
   const asio::any_io_executor executor;
@@ -393,8 +470,11 @@
   const Clock& clock;
   tcp::acceptor acceptor;
   asio::steady_timer sweeper;
+  std::unique_ptr<net::FrameMesh> mesh;
   FeedClient feed;
+  SlotDesk desk;
   RequestHandler handler;
+  asio::steady_timer slotTicker;
   std::unique_ptr<CallServer> readiness;
   std::set<std::shared_ptr<Session>> sessions;
   Instant reportedAt{};
--- /dev/null
+++ b/src/librattandyke/gateway/entry_registry.cpp
@@ -0,0 +1,48 @@
+#include "gateway/entry_registry.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+/// Longer than an entry needs to find another control host (700 ms of silence
+/// and a connection), with a report each second.
+constexpr std::chrono::milliseconds kForgottenAfter{ 2200 };
+
+} // namespace
+
+void
+EntryRegistry::BecomeLeader(const State& aState, Instant aNow)
+{
+  mEntries.clear();
+  for (const auto& [address, member] : aState.Entries()) {
+    mEntries[address] = { member, aNow };
+  }
+}
+
+void
+EntryRegistry::Seen(const wire::EntryMember& aEntry, Instant aNow)
+{
+  mEntries[aEntry.address()] = { aEntry, aNow };
+}
+
+std::vector<wire::GatewayCommand>
+EntryRegistry::Tick(const State& aState, Instant aNow)
+{
+  std::vector<wire::GatewayCommand> commands;
+  for (auto at = mEntries.begin(); at != mEntries.end();) {
+    const bool forgotten = aNow - at->second.seenAt >= kForgottenAfter;
+    if (!forgotten && !aState.Entries().contains(at->first)) {
+      *commands.emplace_back().mutable_put_entry()->mutable_entry() =
+        at->second.member;
+    }
+    at = forgotten ? mEntries.erase(at) : std::next(at);
+  }
+  for (const auto& [address, member] : aState.Entries()) {
+    if (!mEntries.contains(address)) {
+      commands.emplace_back().mutable_drop_entry()->set_address(address);
+    }
+  }
+  return commands;
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/entry_registry.h
@@ -0,0 +1,41 @@
+/// Which entry hosts serve callers, as the leader decides.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <rattandyke/types.h>
+
+#include "gateway/state.h"
+#include "wire/gateway.pb.h"
+
+namespace rattandyke::gateway {
+
+/// Collects what control hosts report of their subscribers and keeps the
+/// replicated list of entry hosts in step with it. Entries share upstreams'
+/// slots by that list, so a host must leave it soon after it died, but not
+/// while it only changes from one control host to another. Does no I/O. Not
+/// thread-safe.
+class EntryRegistry
+{
+public:
+  /// This host leads from now on: it has heard of nobody yet.
+  void BecomeLeader(const State& aState, Instant aNow);
+
+  /// An entry host subscribes somewhere.
+  void Seen(const wire::EntryMember& aEntry, Instant aNow);
+
+  /// @return commands that make the list what has been seen.
+  std::vector<wire::GatewayCommand> Tick(const State& aState, Instant aNow);
+
+private:
+  struct Entry
+  {
+    wire::EntryMember member;
+    Instant seenAt{};
+  };
+  std::map<std::string, Entry> mEntries;
+};
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -176,7 +176,7 @@
                     }
                   } });
     wire::GatewayFrame frame;
-    frame.mutable_feed_open()->set_host(options.host.value);
+    *frame.mutable_feed_open()->mutable_entry() = options.self;
     frame.mutable_feed_open()->set_applied(state.Applied().value);
     made->Send(frame.SerializeAsString());
   }
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -22,7 +22,8 @@
 public:
   struct Options
   {
-    HostName host;
+    /// This host, as other hosts are to know it.
+    wire::EntryMember self;
     /// Control hosts to ask first, as addresses for peers.
     std::vector<Endpoint> seeds;
   };
@@ -51,7 +52,7 @@
   /// newest.
   Duration Age() const;
 
-  /// Tells the control hosts how busy keys are.
+  /// Tells the control hosts how busy keys and upstreams are.
   void Report(const wire::FeedReport& aReport);
 
 private:
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -33,6 +33,7 @@
 {
   Subscriber& subscriber = mSubscribers[aConnection];
   subscriber.told = aOpen.applied();
+  subscriber.entry = aOpen.entry();
   Catch(aConnection, subscriber);
 }
 
@@ -42,6 +43,27 @@
   mSubscribers.erase(aConnection);
 }
 
+void
+FeedServer::Leave(const Connection& aConnection)
+{
+  const auto found = mSubscribers.find(aConnection);
+  if (found != mSubscribers.end()) {
+    found->second.leaving = true;
+  }
+}
+
+std::vector<wire::EntryMember>
+FeedServer::Entries() const
+{
+  std::vector<wire::EntryMember> entries;
+  for (const auto& [connection, subscriber] : mSubscribers) {
+    if (!subscriber.leaving && !subscriber.entry.address().empty()) {
+      entries.push_back(subscriber.entry);
+    }
+  }
+  return entries;
+}
+
 void
 FeedServer::Catch(const Connection& aConnection, Subscriber& aSubscriber)
 {
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -15,10 +15,11 @@
 
 /// Sends each subscriber the whole state once and then every command as it is
 /// applied, without the operators' texts of items, which only control hosts
-/// need: they are more than half of the bytes. Any control host serves subscribers; it assures them of being up to
-/// date by pings, and falls silent while it can't be sure. Then they turn to
-/// another host: else a host on the wrong side of a cut would keep its
-/// subscribers on an old state. Not thread-safe.
+/// need: they are more than half of the bytes. Any control host serves
+/// subscribers; it assures them of being up to date by pings, and falls silent
+/// while it can't be sure. Then they turn to another host: else a host on the
+/// wrong side of a cut would keep its subscribers on an old state. Not
+/// thread-safe.
 class FeedServer
 {
 public:
@@ -40,7 +41,11 @@
   /// @param aControlHosts the group's members at this moment.
   void Ping(const std::vector<std::string>& aControlHosts);
 
-  size_t Subscribers() const { return mSubscribers.size(); }
+  /// A subscriber will serve no more callers.
+  void Leave(const Connection& aConnection);
+
+  /// @return the entry hosts that subscribe here and serve callers.
+  std::vector<wire::EntryMember> Entries() const;
 
 private:
   struct Subscriber
@@ -49,6 +54,8 @@
     uint64_t told = 0;
     /// It knows a newer state than this host; it is told nothing older.
     bool ahead = false;
+    bool leaving = false;
+    wire::EntryMember entry;
     std::vector<std::string> controlHosts;
   };
 
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -31,20 +31,28 @@
 constexpr double kChoosyPart = 0.34;
 constexpr double kUrgentPart = 1.0;
 
-/// A holder this much above the average gives keys away. Below it, the noise of
-/// the counts would move keys to and fro.
-constexpr double kHotRatio = 1.45;
-/// Requests in memory below which loads are noise.
-constexpr double kLeastRequests = 60;
-/// Pause between moves of one service, for the loads to show the last one.
-constexpr Duration kMovePause = milliseconds{ 1500 };
-/// A move begins when its target is about to send a heartbeat, so that the keys
-/// are without owner for less time than that.
-constexpr Duration kMoveLeadMin = milliseconds{ 90 };
-constexpr Duration kMoveLeadMax = milliseconds{ 450 };
-constexpr Duration kMovePatience = std::chrono::seconds{ 4 };
+/// Speeds are taken as no further from the average than this.
+constexpr double kLeastSpeed = 0.25;
+constexpr double kMostSpeed = 2.0;
+/// An instance takes a little more than its share, so that the last pieces
+/// find a holder.
+constexpr double kQuotaSlack = 1.05;
+/// A holder gives keys away if so much of its slots is busy, and it has so much
+/// more than an even share. Below that, requests seldom wait, and each move
+/// leaves its keys without an owner for some 200 ms.
+constexpr double kBusy = 0.55;
+constexpr double kHotRatio = 1.25;
+/// Moves that one heartbeat of a holder may begin.
+constexpr size_t kMaxMoves = 6;
+/// A move begins if its target's next heartbeat is due in this time: after the
+/// holder has let go, which takes the rest of the work on the keys, and not
+/// much later.
+constexpr Duration kMoveLeadMin = milliseconds{ 60 };
+constexpr Duration kMoveLeadMax = milliseconds{ 650 };
 /// Keys of a move are kept for its target this long.
 constexpr Duration kMoveReserved = milliseconds{ 1600 };
+/// Assumed for an instance that has not answered yet.
+constexpr double kDefaultSeconds = 0.1;
 
 /// Heartbeats of a new process at an address must be this many intervals apart,
 /// with the old one silent, for the old one to count as ended. A single
@@ -182,7 +190,7 @@
   }
   NoteReleased(aHeartbeat, aState, commands);
   lease.lastHeartbeat = aArrived;
-  WithholdForMove(aHeartbeat, aArrived);
+  PlanMoves(aHeartbeat, aState, aArrived);
   return commands;
 }
 
@@ -269,30 +277,107 @@
   }
 }
 
+std::vector<std::string>
+Granter::TargetsFor(const Heartbeat& aHeartbeat,
+                    const Holders& aHolders,
+                    double aEven,
+                    Instant aNow) const
+{
+  std::vector<std::string> targets;
+  for (const auto& [id, holder] : aHolders) {
+    const auto lease = mLeases.find(id);
+    if (id == aHeartbeat.instance || holder.Level() >= aEven ||
+        lease == mLeases.end() || !lease->second.lastHeartbeat) {
+      continue;
+    }
+    const Duration due =
+      *lease->second.lastHeartbeat + mOptions.heartbeatInterval - aNow;
+    if (due >= kMoveLeadMin && due <= kMoveLeadMax) {
+      targets.push_back(id);
+    }
+  }
+  std::sort(targets.begin(),
+            targets.end(),
+            [&](const std::string& aOne, const std::string& aOther) {
+              return aHolders.at(aOne).Level() < aHolders.at(aOther).Level();
+            });
+  return targets;
+}
+
+/// The targets are chosen when the holder's heartbeat has come, among those
+/// whose own is due next: keys that wait for a heartbeat have no owner.
 void
-Granter::WithholdForMove(const Heartbeat& aHeartbeat, Instant aNow)
+Granter::PlanMoves(const Heartbeat& aHeartbeat,
+                   const State& aState,
+                   Instant aNow)
 {
+  const std::string& id = aHeartbeat.instance;
+  const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
   const auto found = mGroups.find(aHeartbeat.service);
-  if (found == mGroups.end() || !found->second.move) {
+  if (ranges == nullptr || found == mGroups.end() || found->second.freeSince) {
     return;
   }
-  Move& move = *found->second.move;
-  if (move.from != aHeartbeat.instance || move.startedAt) {
+  Group& group = found->second;
+  Lease& lease = mLeases[id];
+  Holders holders = HoldersOf(aHeartbeat.service, aState, aNow);
+  const auto own = holders.find(id);
+  if (own == holders.end() || !lease.withheld.empty()) {
     return;
   }
-  const Lease& target = mLeases[move.to];
-  if (!target.lastHeartbeat) {
+  Holder& hot = own->second;
+  const double even = EvenLevel(group, holders);
+  if (hot.busy < kBusy || hot.Level() < kHotRatio * even) {
     return;
   }
-  const Duration since = aNow - *target.lastHeartbeat;
-  const Duration left = mOptions.heartbeatInterval - since;
-  const bool timely = left >= kMoveLeadMin && left <= kMoveLeadMax;
-  if (!timely && aNow - move.plannedAt < kMovePatience) {
-    return;
+  size_t moves = 0;
+  for (const std::string& target :
+       TargetsFor(aHeartbeat, holders, even, aNow)) {
+    Holder& cold = holders.at(target);
+    // As much as brings one of the two to the even level.
+    const double wanted =
+      std::min(hot.load - even * hot.speed, even * cold.speed - cold.load);
+    const auto slice = SliceOf(id, *ranges, group.load, wanted);
+    if (moves >= kMaxMoves || wanted <= 0 || !slice) {
+      continue;
+    }
+    const double load = group.load.Of(*slice);
+    lease.withheld.push_back(*slice);
+    group.moves.push_back(Move{ id, target, *slice, aNow });
+    hot.load -= load;
+    cold.load += load;
+    ++moves;
   }
-  move.startedAt = aNow;
-  Lease& lease = mLeases[aHeartbeat.instance];
-  lease.withheld.push_back(move.keys);
+}
+
+const Granter::Move*
+Granter::MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow)
+{
+  for (const Move& move : aGroup.moves) {
+    if (aNow - move.startedAt < kMoveReserved && Overlap(aKeys, move.keys)) {
+      return &move;
+    }
+  }
+  return nullptr;
+}
+
+bool
+Granter::AwaitsKeys(const Heartbeat& aHeartbeat,
+                    const State& aState,
+                    Instant aNow) const
+{
+  const auto found = mGroups.find(aHeartbeat.service);
+  const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
+  if (found == mGroups.end() || ranges == nullptr) {
+    return false;
+  }
+  for (const Move& move : found->second.moves) {
+    if (move.to == aHeartbeat.instance &&
+        aNow - move.startedAt < kMoveReserved &&
+        ranges->Find(move.keys.from).holder() == move.from) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool
@@ -307,29 +392,75 @@
          Scaled(mOptions.heartbeatInterval, 2.5);
 }
 
-Granter::Loads
-Granter::LoadOfHolders(const std::string& aService,
-                       const State& aState,
-                       Instant aNow) const
+Granter::Holders
+Granter::HoldersOf(const std::string& aService,
+                   const State& aState,
+                   Instant aNow) const
 {
-  Loads loads;
+  Holders holders;
+  double sum = 0;
+  size_t timed = 0;
   for (const auto& [id, instance] : aState.Instances()) {
-    if (instance.service() == aService && IsActive(instance, aNow)) {
-      loads[id] = 0;
+    if (instance.service() != aService || !IsActive(instance, aNow)) {
+      continue;
+    }
+    Holder& holder = holders[id];
+    const auto seconds = mSeconds.find(id);
+    holder.speed = 0;
+    if (seconds != mSeconds.end()) {
+      holder.speed = std::max(instance.slots(), 1U) / seconds->second;
+      sum += holder.speed;
+      ++timed;
     }
   }
+  // Speeds relative to the average, within bounds: a slow one still takes some
+  // load, or its speed would never be seen to change.
+  const double average = timed == 0 ? 1 : sum / static_cast<double>(timed);
+  for (auto& [id, holder] : holders) {
+    holder.speed =
+      holder.speed == 0
+        ? 1
+        : std::clamp(holder.speed / average, kLeastSpeed, kMostSpeed);
+  }
   const RangeTable* ranges = aState.Ranges(aService);
   const auto group = mGroups.find(aService);
   if (ranges == nullptr || group == mGroups.end()) {
-    return loads;
+    return holders;
   }
+  const auto add = [&](const std::string& aId, KeySpan aKeys, double aSign) {
+    const auto found = holders.find(aId);
+    if (found == holders.end()) {
+      return;
+    }
+    const auto seconds = mSeconds.find(aId);
+    const double time =
+      seconds == mSeconds.end() ? kDefaultSeconds : seconds->second;
+    const uint32_t slots = std::max(aState.FindInstance(aId)->slots(), 1U);
+    found->second.load += aSign * group->second.load.Of(aKeys);
+    found->second.busy += aSign * group->second.load.Rate(aKeys) * time / slots;
+  };
   for (const wire::RangeSegment& segment : ranges->Segments()) {
-    const auto found = loads.find(segment.holder());
-    if (found != loads.end()) {
-      found->second += group->second.load.Of(SpanOf(segment));
+    add(segment.holder(), SpanOf(segment), 1);
+  }
+  for (const Move& move : group->second.moves) {
+    if (ranges->Find(move.keys.from).holder() == move.from) {
+      add(move.from, move.keys, -1);
+    }
+    if (ranges->Find(move.keys.from).holder() != move.to) {
+      add(move.to, move.keys, 1);
     }
   }
-  return loads;
+  return holders;
+}
+
+double
+Granter::EvenLevel(const Group& aGroup, const Holders& aHolders)
+{
+  double speed = 0;
+  for (const auto& [id, holder] : aHolders) {
+    speed += holder.speed;
+  }
+  return aGroup.load.Total() / std::max(speed, kLeastSpeed);
 }
 
 void
@@ -353,18 +484,17 @@
 
 double
 Granter::Quota(const Group& aGroup,
-               const Loads& aLoads,
+               const Holders& aHolders,
                const std::string& aId,
                Instant aNow) const
 {
-  const double share = aGroup.load.Total() /
-                       static_cast<double>(std::max<size_t>(aLoads.size(), 1));
-  const double own = aLoads.at(aId);
+  const Holder& own = aHolders.at(aId);
+  const double share = EvenLevel(aGroup, aHolders) * own.speed;
   const Duration age = aNow - *aGroup.freeSince;
   const double part = age >= kUrgentTime   ? kUrgentPart
                       : age >= kChoosyTime ? kChoosyPart
                                            : 0.0;
-  return std::max(share * 1.05 - own, share * part);
+  return std::max(share * kQuotaSlack - own.load, share * part);
 }
 
 std::optional<wire::GatewayCommand>
@@ -396,11 +526,11 @@
     group.freeSince = aNow;
     return std::nullopt;
   }
-  const Loads loads = LoadOfHolders(instance->service(), aState, aNow);
-  if (!loads.contains(id)) {
+  const Holders holders = HoldersOf(instance->service(), aState, aNow);
+  if (!holders.contains(id)) {
     return std::nullopt;
   }
-  double quota = Quota(group, loads, id, aNow);
+  double quota = Quota(group, holders, id, aNow);
   size_t rows = 0;
   for (const wire::RangeSegment& segment : ranges.Segments()) {
     rows += segment.holder() == id ? 1 : 0;
@@ -415,13 +545,11 @@
       continue;
     }
     KeySpan keys = SpanOf(segment);
-    const bool reserved = group.move && group.move->startedAt &&
-                          aNow - *group.move->startedAt < kMoveReserved &&
-                          Overlap(keys, group.move->keys).has_value();
-    if (reserved && group.move->to != id) {
+    const Move* move = MoveOf(group, keys, aNow);
+    if (move != nullptr && move->to != id) {
       continue;
     }
-    if (!reserved) {
+    if (move == nullptr) {
       if (quota <= 0) {
         continue;
       }
@@ -440,15 +568,6 @@
   return command;
 }
 
-bool
-Granter::IsWithheld(const Lease& aLease, uint32_t aKey) const
-{
-  return std::any_of(
-    aLease.withheld.begin(), aLease.withheld.end(), [&](const KeySpan& aSpan) {
-      return aSpan.from <= aKey && aKey <= aSpan.to;
-    });
-}
-
 std::optional<Grants>
 Granter::Renew(const Heartbeat& aHeartbeat,
                const State& aState,
@@ -513,6 +632,9 @@
       at->second.expiring = false;
     }
     const bool gone = !holds && aState.HasEnded(at->first);
+    if (gone) {
+      mSeconds.erase(at->first);
+    }
     at = gone ? mLeases.erase(at) : std::next(at);
   }
 }
@@ -534,7 +656,9 @@
   for (auto& [service, group] : mGroups) {
     group.load.Decay(aNow);
     UpdatePool(service, aState, aNow);
-    PlanMove(service, aState, aNow);
+    std::erase_if(group.moves, [&](const Move& aMove) {
+      return aNow - aMove.startedAt >= kMoveReserved;
+    });
   }
   return commands;
 }
@@ -545,68 +669,28 @@
                  const LoadMap& aLoad,
                  double aWanted) const
 {
-  std::optional<KeySpan> busiest;
-  double most = 0;
+  const Lease& lease = mLeases.at(aHolder);
+  std::optional<KeySpan> best;
   for (const wire::RangeSegment& segment : aRanges.Segments()) {
     if (segment.holder() != aHolder) {
       continue;
     }
-    // Load for each key: a move of few busy keys costs less than one of many.
-    const double load = aLoad.Of(SpanOf(segment));
-    if (load > most) {
-      most = load;
-      busiest = SpanOf(segment);
+    for (const KeySpan& keys : Without(SpanOf(segment), lease.withheld)) {
+      const auto slice = aLoad.TakeBusy(keys, aWanted);
+      if (slice && (!best || aLoad.Of(*slice) > aLoad.Of(*best))) {
+        best = slice;
+      }
     }
   }
-  if (!busiest) {
-    return std::nullopt;
-  }
-  const KeySpan slice = aLoad.Take(*busiest, aWanted);
-  return slice;
+  return best;
 }
 
 void
-Granter::PlanMove(const std::string& aService,
-                  const State& aState,
-                  Instant aNow)
+Granter::NoteTime(const std::string& aInstance, double aSeconds)
 {
-  Group& group = mGroups[aService];
-  if (group.move) {
-    const bool done = group.move->startedAt
-                        ? aNow - *group.move->startedAt >= kMoveReserved
-                        : aNow - group.move->plannedAt >= 2 * kMovePatience;
-    if (!done) {
-      return;
-    }
-    group.move.reset();
-    group.lastMove = aNow;
-  }
-  const RangeTable* ranges = aState.Ranges(aService);
-  if (ranges == nullptr || group.freeSince ||
-      aNow - group.lastMove < kMovePause ||
-      group.load.Requests() < kLeastRequests) {
-    return;
-  }
-  const Loads loads = LoadOfHolders(aService, aState, aNow);
-  if (loads.size() < 2) {
-    return;
-  }
-  const auto byLoad = [](const auto& aOne, const auto& aOther) {
-    return aOne.second < aOther.second;
-  };
-  const auto hottest = std::max_element(loads.begin(), loads.end(), byLoad);
-  const auto coldest = std::min_element(loads.begin(), loads.end(), byLoad);
-  const double share = group.load.Total() / static_cast<double>(loads.size());
-  if (hottest->second < kHotRatio * share) {
-    return;
-  }
-  const double wanted =
-    std::min(hottest->second - share, (hottest->second - coldest->second) / 2);
-  const auto slice = SliceOf(hottest->first, *ranges, group.load, wanted);
-  if (!slice || group.load.Of(*slice) >= hottest->second - coldest->second) {
-    return;
+  if (aSeconds > 0) {
+    mSeconds[aInstance] = aSeconds;
   }
-  group.move = Move{ hottest->first, coldest->first, *slice, aNow, {} };
 }
 
 void
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -55,6 +55,12 @@
                                                 const State& aState,
                                                 Instant aNow);
 
+  /// @return whether keys that are being released are meant for the instance:
+  /// its answer should wait for them a moment, as its next heartbeat is far.
+  bool AwaitsKeys(const Heartbeat& aHeartbeat,
+                  const State& aState,
+                  Instant aNow) const;
+
   /// Renews what an instance holds.
   /// @param aArrived when the heartbeat arrived here: later than it was sent,
   /// from when the instance counts.
@@ -69,6 +75,9 @@
   /// Notes how busy keys are.
   void AddLoad(const wire::RangeLoad& aLoad);
 
+  /// Notes how long an instance's answers take at the moment, in seconds.
+  void NoteTime(const std::string& aInstance, double aSeconds);
+
   static constexpr Duration kTick = std::chrono::milliseconds{ 100 };
 
 private:
@@ -96,8 +105,7 @@
     std::string from;
     std::string to;
     KeySpan keys;
-    Instant plannedAt{};
-    std::optional<Instant> startedAt;
+    Instant startedAt{};
   };
 
   /// What is known of a service.
@@ -106,11 +114,20 @@
     LoadMap load;
     std::optional<Instant> firstInstance;
     std::optional<Instant> freeSince;
-    std::optional<Move> move;
-    Instant lastMove{};
+    std::vector<Move> moves;
   };
 
-  using Loads = std::map<std::string, double>;
+  /// What an instance can take, and what it has, in the same unit: the load
+  /// of keys per unit of speed.
+  struct Holder
+  {
+    double load = 0;
+    double speed = 1;
+    /// Part of its slots that its requests keep busy.
+    double busy = 0;
+    double Level() const { return load / speed; }
+  };
+  using Holders = std::map<std::string, Holder>;
 
   static bool OwnsKeys(const State& aState, const std::string& aService);
   std::vector<KeySpan> HeldBy(const std::string& aId,
@@ -128,11 +145,18 @@
   static void FreeAll(const std::string& aId,
                       const State& aState,
                       std::vector<wire::GatewayCommand>& aCommands);
-  void WithholdForMove(const Heartbeat& aHeartbeat, Instant aNow);
+  void PlanMoves(const Heartbeat& aHeartbeat,
+                 const State& aState,
+                 Instant aNow);
+  std::vector<std::string> TargetsFor(const Heartbeat& aHeartbeat,
+                                      const Holders& aHolders,
+                                      double aEven,
+                                      Instant aNow) const;
+  static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
-  Loads LoadOfHolders(const std::string& aService,
-                      const State& aState,
-                      Instant aNow) const;
+  Holders HoldersOf(const std::string& aService,
+                    const State& aState,
+                    Instant aNow) const;
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
   std::optional<KeySpan> SliceOf(const std::string& aHolder,
                                  const RangeTable& aRanges,
@@ -142,14 +166,16 @@
   void UpdatePool(const std::string& aService,
                   const State& aState,
                   Instant aNow);
+  static double EvenLevel(const Group& aGroup, const Holders& aHolders);
   double Quota(const Group& aGroup,
-               const Loads& aLoads,
+               const Holders& aHolders,
                const std::string& aId,
                Instant aNow) const;
 
   const Options mOptions;
   std::map<std::string, Lease> mLeases;
   std::map<std::string, Group> mGroups;
+  std::map<std::string, double> mSeconds;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-/// Time in which a request's weight falls to 1/e. Busy keys change within
-/// minutes or, in a rush, seconds; at 50 requests a second 4 s hold 200
-/// requests, enough to tell a holder's share from another's to about a third.
-constexpr std::chrono::duration<double> kMemory{ 4.0 };
+/// The average reaches over the time in which this many requests come, within
+/// bounds: enough to tell one holder's share from another's, and no longer, as
+/// busy keys change within seconds.
+constexpr double kRequestsRemembered = 250;
+constexpr double kLeastMemory = 1.0;
+constexpr double kMostMemory = 4.0;
 /// Share of the load that is spread over all keys alike.
 constexpr double kEvenShare = 0.1;
 constexpr double kLeastEvenLoad = 1.0;
@@ -40,8 +42,11 @@
 {
   const std::chrono::duration<double> passed = aNow - mDecayedAt;
   mDecayedAt = aNow;
+  const double rate = mSum / mSeconds;
+  mSeconds = std::clamp(
+    kRequestsRemembered / std::max(rate, 1.0), kLeastMemory, kMostMemory);
   const auto factor =
-    static_cast<float>(std::exp(-std::max(passed / kMemory, 0.0)));
+    static_cast<float>(std::exp(-std::max(passed.count(), 0.0) / mSeconds));
   mSum = 0;
   for (float& bucket : mBuckets) {
     bucket *= factor;
@@ -56,15 +61,70 @@
 }
 
 double
-LoadMap::Of(KeySpan aKeys) const
+LoadMap::LoadOf(uint32_t aBucket) const
+{
+  return mBuckets[aBucket] + PerBucket();
+}
+
+double
+LoadMap::Counted(KeySpan aKeys) const
 {
-  const uint32_t first = aKeys.from / kKeysPerBucket;
-  const uint32_t last = aKeys.to / kKeysPerBucket;
   double sum = 0;
-  for (uint32_t bucket = first; bucket <= last; ++bucket) {
+  for (uint32_t bucket = aKeys.from / kKeysPerBucket;
+       bucket <= aKeys.to / kKeysPerBucket;
+       ++bucket) {
     sum += mBuckets[bucket];
   }
-  return sum + PerBucket() * (last - first + 1);
+  return sum;
+}
+
+double
+LoadMap::Of(KeySpan aKeys) const
+{
+  const uint32_t buckets =
+    aKeys.to / kKeysPerBucket - aKeys.from / kKeysPerBucket + 1;
+  return Counted(aKeys) + PerBucket() * buckets;
+}
+
+double
+LoadMap::Rate(KeySpan aKeys) const
+{
+  return Counted(aKeys) / mSeconds;
+}
+
+std::optional<KeySpan>
+LoadMap::TakeBusy(KeySpan aKeys, double aLoad) const
+{
+  const uint32_t first = (aKeys.from + kKeysPerBucket - 1) / kKeysPerBucket;
+  const uint32_t end = (aKeys.to + 1) / kKeysPerBucket;
+  std::optional<uint32_t> busiest;
+  for (uint32_t bucket = first; bucket < end; ++bucket) {
+    const bool fits = LoadOf(bucket) <= aLoad;
+    if (fits && (!busiest || LoadOf(bucket) > LoadOf(*busiest))) {
+      busiest = bucket;
+    }
+  }
+  if (!busiest) {
+    return std::nullopt;
+  }
+  uint32_t low = *busiest;
+  uint32_t high = *busiest + 1;
+  double sum = LoadOf(low);
+  for (;;) {
+    const double below = low > first ? LoadOf(low - 1) : -1;
+    const double above = high < end ? LoadOf(high) : -1;
+    const double next = std::max(below, above);
+    if (next < 0 || sum + next > aLoad) {
+      break;
+    }
+    sum += next;
+    if (below >= above) {
+      --low;
+    } else {
+      ++high;
+    }
+  }
+  return KeySpan{ low * kKeysPerBucket, high * kKeysPerBucket - 1 };
 }
 
 KeySpan
--- a/src/librattandyke/gateway/load_map.h
+++ b/src/librattandyke/gateway/load_map.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <rattandyke/types.h>
@@ -33,18 +34,26 @@
 
   double Total() const { return Of({ 0, kMaxKey }); }
 
-  /// @return requests that the average still holds.
-  double Requests() const { return mSum; }
+  /// @return requests a second for the keys.
+  double Rate(KeySpan aKeys) const;
 
   /// @return the longest run of keys from the start of aKeys whose load is at
   /// most aLoad; at least one bucket.
   KeySpan Take(KeySpan aKeys, double aLoad) const;
 
+  /// @return a run of few keys within aKeys whose load is at most aLoad and
+  /// near it, around the busiest bucket that fits; nothing if none fits.
+  std::optional<KeySpan> TakeBusy(KeySpan aKeys, double aLoad) const;
+
 private:
+  double Counted(KeySpan aKeys) const;
   double PerBucket() const;
+  double LoadOf(uint32_t aBucket) const;
 
   std::vector<float> mBuckets;
   double mSum = 0;
+  /// Time over which the counts are summed, in effect.
+  double mSeconds = 1;
   Instant mDecayedAt{};
 };
 
--- /dev/null
+++ b/src/librattandyke/gateway/request_context.cpp
@@ -0,0 +1,44 @@
+#include "gateway/request_context.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+constexpr const char* kCallerLeft = "the caller left";
+constexpr const char* kNoAnswer = "no answer in time";
+
+} // namespace
+
+void
+RequestContext::Abort(const char* aReason)
+{
+  if (mHandle) {
+    mHandle->Abort(aReason);
+  }
+  mWake.cancel();
+}
+
+void
+RequestContext::CallerLeft()
+{
+  mLeft = true;
+  Abort(kCallerLeft);
+}
+
+void
+RequestContext::Expire()
+{
+  mExpired = true;
+  Abort(kNoAnswer);
+}
+
+void
+RequestContext::Attach(std::shared_ptr<ExchangeHandle> aHandle)
+{
+  mHandle = std::move(aHandle);
+  if (IsOver()) {
+    mHandle->Abort(mLeft ? kCallerLeft : kNoAnswer);
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/request_context.h
@@ -0,0 +1,48 @@
+/// What ends a request from outside while it is worked on.
+#pragma once
+
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "gateway/exchange.h"
+
+namespace rattandyke::gateway {
+
+/// Shared by the caller's session and whoever works on its request.
+class RequestContext
+{
+public:
+  explicit RequestContext(const boost::asio::any_io_executor& aExecutor)
+    : mWake(aExecutor)
+  {
+  }
+
+  /// The caller has closed its connection.
+  void CallerLeft();
+
+  /// The request's time is up.
+  void Expire();
+
+  bool IsOver() const { return mLeft || mExpired; }
+  bool HasLeft() const { return mLeft; }
+  bool HasExpired() const { return mExpired; }
+
+  /// A try begins, which ends with the request.
+  void Attach(std::shared_ptr<ExchangeHandle> aHandle);
+  void Detach() { mHandle.reset(); }
+
+  /// What the one who works on the request waits on; cancelled when there is
+  /// news.
+  boost::asio::steady_timer& Wake() { return mWake; }
+
+private:
+  void Abort(const char* aReason);
+
+  boost::asio::steady_timer mWake;
+  std::shared_ptr<ExchangeHandle> mHandle;
+  bool mLeft = false;
+  bool mExpired = false;
+};
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -26,7 +26,7 @@
 /// Part of a request's objective for which it waits for an upstream that has
 /// room, or for its key's next owner. What waits longer seldom makes it in
 /// time; refused, its caller can use the time to come back.
-constexpr double kWaitPart = 0.3;
+constexpr double kWaitPart = 0.6;
 constexpr milliseconds kRetryAfterFull{ 150 };
 constexpr milliseconds kRetryAfterNoOwner{ 400 };
 constexpr milliseconds kRetryAfterNoState{ 300 };
@@ -106,50 +106,18 @@
 
 } // namespace
 
-void
-RequestContext::Abort(const char* aReason)
-{
-  if (mHandle) {
-    mHandle->Abort(aReason);
-  }
-  mWake.cancel();
-}
-
-void
-RequestContext::CallerLeft()
-{
-  mLeft = true;
-  Abort("the caller left");
-}
-
-void
-RequestContext::Expire()
-{
-  mExpired = true;
-  Abort("no answer in time");
-}
-
-void
-RequestContext::Attach(std::shared_ptr<ExchangeHandle> aHandle)
-{
-  mHandle = std::move(aHandle);
-  if (IsOver()) {
-    mHandle->Abort(mLeft ? "the caller left" : "no answer in time");
-  }
-}
-
 RequestHandler::RequestHandler(asio::any_io_executor aExecutor,
                                Options aOptions,
                                const FeedClient& aFeed,
+                               SlotDesk& aDesk,
                                const HeaderNames& aHeaders,
-                               const Clock& aClock,
-                               uint64_t aSeed)
+                               const Clock& aClock)
   : mExecutor(aExecutor)
   , mOptions(std::move(aOptions))
   , mFeed(aFeed)
   , mHeaders(aHeaders)
   , mClock(aClock)
-  , mUpstreams(mOptions.dataCentre, aSeed)
+  , mDesk(aDesk)
   , mExchanger(std::move(aExecutor), aHeaders, aClock)
 {
 }
@@ -160,35 +128,19 @@
   if (aCommand == nullptr || aCommand->has_change_items()) {
     mRoutes.Update(mFeed.Known().Items());
   }
-  if (aCommand == nullptr || aCommand->has_put_instance() ||
-      aCommand->has_end_instance()) {
-    mUpstreams.Update(mFeed.Known(), mClock.Now());
-  }
-  WakeAll();
+  WakeWaiters();
 }
 
 void
-RequestHandler::WakeWaiters(const std::string& aService)
+RequestHandler::WakeWaiters()
 {
-  const auto found = mWaiters.find(aService);
-  if (found == mWaiters.end()) {
-    return;
-  }
-  for (const auto& [priority, waiter] : found->second) {
+  for (const auto& waiter : mWaiters) {
     if (const auto context = waiter.lock()) {
       context->Wake().cancel();
     }
   }
 }
 
-void
-RequestHandler::WakeAll()
-{
-  for (const auto& [service, waiters] : mWaiters) {
-    WakeWaiters(service);
-  }
-}
-
 void
 RequestHandler::NoteKey(const std::string& aService, uint32_t aKey)
 {
@@ -208,6 +160,12 @@
     }
   }
   mKeyLoads.clear();
+  mDesk.Broker().Upstreams().ForEachTime(
+    [&](const std::string& aInstance, double aSeconds) {
+      wire::InstanceTime* time = report.add_times();
+      time->set_instance(aInstance);
+      time->set_seconds(aSeconds);
+    });
   return report;
 }
 
@@ -310,56 +268,68 @@
   co_return co_await Run(flow);
 }
 
-UpstreamSet::Outcome
-RequestHandler::Choose(const Flow& aFlow)
+asio::awaitable<std::string>
+RequestHandler::AwaitOwner(Flow& aFlow)
 {
-  if (aFlow.key) {
-    return mUpstreams.ChooseOwner(
-      mFeed.Known(), aFlow.service, *aFlow.key, mClock.Now());
+  const Instant giveUp = PatienceEnd(aFlow);
+  for (;;) {
+    const Instant now = mClock.Now();
+    std::string owner = mDesk.Broker().Upstreams().OwnerOf(
+      mFeed.Known(), aFlow.service, *aFlow.key, now);
+    if (!owner.empty() || now >= giveUp || aFlow.context->IsOver()) {
+      co_return owner;
+    }
+    const auto place = mWaiters.insert(mWaiters.end(), aFlow.context);
+    aFlow.context->Wake().expires_after(giveUp - now);
+    co_await aFlow.context->Wake().async_wait(kAwait);
+    mWaiters.erase(place);
   }
-  return mUpstreams.Choose(aFlow.service, aFlow.tried, mClock.Now());
 }
 
-asio::awaitable<UpstreamSet::Outcome>
-RequestHandler::ChooseOrWait(Flow& aFlow)
+Instant
+RequestHandler::PatienceEnd(const Flow& aFlow) const
 {
   const auto patience =
     std::chrono::duration_cast<Duration>(aFlow.route->objective * kWaitPart);
-  const Instant giveUp =
-    std::min(mClock.Now() + patience, aFlow.deadline - Duration(kLeastTry));
-  for (;;) {
-    UpstreamSet::Outcome outcome = Choose(aFlow);
-    const Instant now = mClock.Now();
-    if (std::holds_alternative<UpstreamSet::Choice>(outcome) || now >= giveUp ||
-        aFlow.context->IsOver()) {
-      co_return outcome;
+  return std::min(aFlow.arrived + patience,
+                  aFlow.deadline - Duration(kLeastTry));
+}
+
+asio::awaitable<SlotOutcome>
+RequestHandler::AwaitSlot(Flow& aFlow)
+{
+  SlotRequest request;
+  request.service = aFlow.service;
+  if (aFlow.key) {
+    request.instance = co_await AwaitOwner(aFlow);
+    if (request.instance.empty()) {
+      co_return NoSlot{ UpstreamSet::Hindrance::NoOwner,
+                        Duration(kRetryAfterNoOwner) };
     }
-    auto& waiters = mWaiters[aFlow.service];
-    const auto place = waiters.emplace(aFlow.route->priority, aFlow.context);
-    aFlow.context->Wake().expires_after(giveUp - now);
-    co_await aFlow.context->Wake().async_wait(kAwait);
-    waiters.erase(place);
+  } else {
+    request.excluded = aFlow.tried;
   }
+  const Instant now = mClock.Now();
+  request.priority = aFlow.route->priority;
+  request.patience = std::max(PatienceEnd(aFlow) - now, Duration::zero());
+  request.held = std::max(aFlow.deadline - now, Duration::zero());
+  request.dataCentre = mOptions.dataCentre;
+  co_return co_await mDesk.Acquire(aFlow.context, std::move(request));
 }
 
 asio::awaitable<ExchangeResult>
-RequestHandler::Try(Flow& aFlow, const UpstreamSet::Choice& aChoice)
+RequestHandler::Try(Flow& aFlow, const Slot& aSlot)
 {
-  const UpstreamSet::Choice choice = aChoice;
-  mUpstreams.Begin(choice.instance);
+  const Slot slot = aSlot;
   auto handle = std::make_shared<ExchangeHandle>();
   aFlow.context->Attach(handle);
   const Duration left = aFlow.deadline - mClock.Now() - Duration(kWayBack);
   ExchangeResult result = co_await mExchanger.Run(
-    choice.instance, choice.address, aFlow.request, left, handle);
+    slot.instance, slot.address, aFlow.request, left, handle);
   aFlow.context->Detach();
-  mUpstreams.End(choice.instance,
-                 EndOf(result, aFlow.context->HasLeft()),
-                 result.took,
-                 mClock.Now());
-  aFlow.lastUpstream = choice.instance;
+  mDesk.Release(slot, EndOf(result, aFlow.context->HasLeft()), result.took);
+  aFlow.lastUpstream = slot.instance;
   aFlow.lastReason = result.reason;
-  WakeWaiters(aFlow.service);
   co_return result;
 }
 
@@ -388,22 +358,23 @@
     }
   });
   for (int unsent = 0; unsent < kMaxUnsent;) {
-    const UpstreamSet::Outcome outcome = co_await ChooseOrWait(aFlow);
-    const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome);
-    if (choice == nullptr) {
-      const bool full = std::get<UpstreamSet::Hindrance>(outcome) ==
-                        UpstreamSet::Hindrance::Full;
+    const SlotOutcome outcome = co_await AwaitSlot(aFlow);
+    const auto* slot = std::get_if<Slot>(&outcome);
+    if (slot == nullptr) {
+      const NoSlot& none = std::get<NoSlot>(outcome);
+      const bool full = none.hindrance == UpstreamSet::Hindrance::Full;
       co_return NotRun(aFlow,
-                       full ? kRetryAfterFull : kRetryAfterNoOwner,
+                       none.retryAfter,
                        full ? "all upstreams are full" : "no upstream");
     }
     if (aFlow.context->IsOver()) {
+      mDesk.Release(*slot, TryEnd::Abandoned, {});
       break;
     }
     if (aFlow.sent == 0) {
       BudgetOf(aFlow.service).OnFirstSend();
     }
-    ExchangeResult result = co_await Try(aFlow, *choice);
+    ExchangeResult result = co_await Try(aFlow, *slot);
     if (result.kind == ExchangeResult::Kind::NotSent) {
       ++unsent;
       aFlow.tried.insert(aFlow.lastUpstream);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -18,8 +18,9 @@
 #include "gateway/dialect.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_client.h"
+#include "gateway/request_context.h"
 #include "gateway/route_table.h"
-#include "gateway/upstream_set.h"
+#include "gateway/slot_desk.h"
 
 namespace rattandyke::gateway {
 
@@ -41,39 +42,6 @@
   std::string body;
 };
 
-/// What ends a request from outside while it is worked on.
-class RequestContext
-{
-public:
-  explicit RequestContext(const boost::asio::any_io_executor& aExecutor)
-    : mWake(aExecutor)
-  {
-  }
-
-  /// The caller has closed its connection.
-  void CallerLeft();
-
-  /// The request's time is up.
-  void Expire();
-
-  bool IsOver() const { return mLeft || mExpired; }
-  bool HasLeft() const { return mLeft; }
-  bool HasExpired() const { return mExpired; }
-
-  /// For the handler.
-  void Attach(std::shared_ptr<ExchangeHandle> aHandle);
-  void Detach() { mHandle.reset(); }
-  boost::asio::steady_timer& Wake() { return mWake; }
-
-private:
-  void Abort(const char* aReason);
-
-  boost::asio::steady_timer mWake;
-  std::shared_ptr<ExchangeHandle> mHandle;
-  bool mLeft = false;
-  bool mExpired = false;
-};
-
 /// Finds the route, chooses upstreams, makes tries and words the answer. Runs
 /// on one executor that runs one handler at a time.
 class RequestHandler
@@ -86,13 +54,13 @@
     double retryRatio = 0;
   };
 
-  /// @param aFeed, aHeaders and aClock outlive this object.
+  /// @param aFeed, aDesk, aHeaders and aClock outlive this object.
   RequestHandler(boost::asio::any_io_executor aExecutor,
                  Options aOptions,
                  const FeedClient& aFeed,
+                 SlotDesk& aDesk,
                  const HeaderNames& aHeaders,
-                 const Clock& aClock,
-                 uint64_t aSeed);
+                 const Clock& aClock);
 
   /// The state that the feed knows has changed.
   void StateChanged(const wire::GatewayCommand* aCommand);
@@ -104,7 +72,7 @@
   /// An answer made without a request that could be read.
   CallerAnswer Refuse(unsigned aStatus, const std::string& aText) const;
 
-  /// @return requests for keys since the last call.
+  /// @return requests for keys since the last call, and times of upstreams.
   wire::FeedReport TakeLoads();
 
   /// Closes connections that have been idle too long.
@@ -130,17 +98,17 @@
     std::string lastUpstream;
   };
 
-  using Waiters = std::multimap<uint32_t, std::weak_ptr<RequestContext>>;
+  /// Requests whose keys have no owner at the moment.
+  using Waiters = std::list<std::weak_ptr<RequestContext>>;
 
   bool OwnsKeys(const std::string& aService) const;
   std::shared_ptr<const OutgoingRequest> Outgoing(const CallerRequest& aRequest,
                                                   const std::string& aId) const;
-  UpstreamSet::Outcome Choose(const Flow& aFlow);
-  boost::asio::awaitable<UpstreamSet::Outcome> ChooseOrWait(Flow& aFlow);
+  Instant PatienceEnd(const Flow& aFlow) const;
+  boost::asio::awaitable<std::string> AwaitOwner(Flow& aFlow);
+  boost::asio::awaitable<SlotOutcome> AwaitSlot(Flow& aFlow);
   boost::asio::awaitable<CallerAnswer> Run(Flow& aFlow);
-  boost::asio::awaitable<ExchangeResult> Try(
-    Flow& aFlow,
-    const UpstreamSet::Choice& aChoice);
+  boost::asio::awaitable<ExchangeResult> Try(Flow& aFlow, const Slot& aSlot);
   bool MayRetry(Flow& aFlow, const ExchangeResult& aResult);
   CallerAnswer Final(const Flow& aFlow, ExchangeResult aResult) const;
   CallerAnswer NotRun(const Flow& aFlow,
@@ -151,8 +119,7 @@
                    const std::string& aText,
                    std::optional<Duration> aRetryAfter = {}) const;
   entry::RetryBudget& BudgetOf(const std::string& aService);
-  void WakeWaiters(const std::string& aService);
-  void WakeAll();
+  void WakeWaiters();
   void NoteKey(const std::string& aService, uint32_t aKey);
 
   const boost::asio::any_io_executor mExecutor;
@@ -161,10 +128,10 @@
   const HeaderNames& mHeaders;
   const Clock& mClock;
   RouteTable mRoutes;
-  UpstreamSet mUpstreams;
+  SlotDesk& mDesk;
   Exchanger mExchanger;
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mBudgets;
-  std::map<std::string, Waiters> mWaiters;
+  Waiters mWaiters;
   std::map<std::string, std::map<uint32_t, uint32_t>> mKeyLoads;
 };
 
--- /dev/null
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -0,0 +1,133 @@
+/// Shares upstreams' slots out to requests.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <rattandyke/types.h>
+
+#include "gateway/state.h"
+#include "gateway/upstream_set.h"
+
+namespace rattandyke::gateway {
+
+/// One request of one process that wants a slot.
+struct SlotKey
+{
+  uint64_t session = 0;
+  uint64_t ticket = 0;
+  auto operator<=>(const SlotKey&) const = default; // NOLINT(*-nullptr)
+};
+
+/// A request wants a slot.
+struct SlotRequest
+{
+  SlotKey key;
+  std::string service;
+  /// The one upstream that will do; empty: any of the service's.
+  std::string instance;
+  /// Without an instance: the group of the service's upstreams.
+  uint32_t group = 0;
+  /// Upstreams that will not do.
+  std::set<std::string> excluded;
+  /// 0 goes first.
+  uint32_t priority = 0;
+  /// Time for which it waits.
+  Duration patience{};
+  /// Longest time for which it keeps the slot.
+  Duration held{};
+  DataCentre dataCentre;
+};
+
+struct SlotGranted
+{
+  SlotKey key;
+  std::string instance;
+  std::string address;
+};
+
+struct SlotRefused
+{
+  SlotKey key;
+  UpstreamSet::Hindrance hindrance = UpstreamSet::Hindrance::Full;
+  /// When a slot may be free.
+  Duration retryAfter{};
+};
+
+/// It waits its turn.
+struct SlotQueued
+{
+  SlotKey key;
+};
+
+using SlotAnswer = std::variant<SlotGranted, SlotRefused, SlotQueued>;
+
+/// Keeps the slots of the upstreams that it is asked for: all requests that run
+/// there for any entry host are known to it, so that no upstream gets more than
+/// it has room for. Without that, entries that each send what an upstream can
+/// run overrun it together; it then keeps silent or resets connections, and a
+/// request that could have waited or gone elsewhere fails. Does no I/O. Not
+/// thread-safe.
+class SlotBroker
+{
+public:
+  explicit SlotBroker(uint64_t aSeed);
+
+  /// Takes over the instances of the replicated state.
+  std::vector<SlotAnswer> Update(const State& aState, Instant aNow);
+
+  std::vector<SlotAnswer> Ask(const SlotRequest& aRequest, Instant aNow);
+
+  /// A request ended, or wants no slot any more.
+  std::vector<SlotAnswer> Done(const SlotKey& aKey,
+                               TryEnd aEnd,
+                               Duration aTook,
+                               Instant aNow);
+
+  /// Time has passed. Call it every kTick.
+  std::vector<SlotAnswer> Tick(Instant aNow);
+
+  const UpstreamSet& Upstreams() const { return mUpstreams; }
+
+  static constexpr Duration kTick = std::chrono::milliseconds{ 20 };
+
+private:
+  struct Waiting
+  {
+    SlotRequest request;
+    Instant until{};
+  };
+
+  struct Running
+  {
+    std::string instance;
+    Instant ends{};
+  };
+
+  /// By priority, then in the order of arrival.
+  using Place = std::pair<uint32_t, uint64_t>;
+  using Queue = std::map<Place, Waiting>;
+
+  UpstreamSet::Outcome Choose(const SlotRequest& aRequest, Instant aNow);
+  void Grant(const SlotRequest& aRequest,
+             const UpstreamSet::Choice& aChoice,
+             Instant aNow);
+  void Refuse(const SlotRequest& aRequest,
+              UpstreamSet::Hindrance aHindrance,
+              Duration aRetryAfter);
+  Duration ExpectedWait(const SlotRequest& aRequest) const;
+  void Serve(const std::string& aService, Instant aNow);
+  std::vector<SlotAnswer> TakeAnswers();
+
+  UpstreamSet mUpstreams;
+  std::map<std::string, Queue> mQueues;
+  std::map<SlotKey, Running> mRunning;
+  uint64_t mArrivals = 0;
+  std::vector<SlotAnswer> mAnswers;
+};
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -0,0 +1,367 @@
+#include "gateway/slot_desk.h"
+
+#include <algorithm>
+
+#include "http/signal.h"
+#include "routing/service_table.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using http::kAwait;
+using std::chrono::milliseconds;
+
+/// A home that says nothing for so long is busy, cut off or gone. Hosts are a
+/// few milliseconds apart; a host with a part of a core may pause for tens.
+constexpr milliseconds kHomeSilence{ 60 };
+/// How long a silent home is left alone.
+constexpr milliseconds kLeftAlone{ 400 };
+/// Beyond its patience, for the home's refusal to arrive.
+constexpr milliseconds kAnswerSlack{ 60 };
+
+milliseconds
+Ms(Duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime);
+}
+
+SlotKey
+KeyOf(const SlotAnswer& aAnswer)
+{
+  return std::visit([](const auto& aItem) { return aItem.key; }, aAnswer);
+}
+
+wire::SlotAnswer
+ToWire(const SlotAnswer& aAnswer)
+{
+  wire::SlotAnswer answer;
+  const SlotKey key = KeyOf(aAnswer);
+  answer.set_session(key.session);
+  answer.set_ticket(key.ticket);
+  if (const auto* granted = std::get_if<SlotGranted>(&aAnswer)) {
+    answer.set_state(wire::SLOT_STATE_GRANTED);
+    answer.set_instance(granted->instance);
+  } else if (const auto* refused = std::get_if<SlotRefused>(&aAnswer)) {
+    answer.set_state(wire::SLOT_STATE_REFUSED);
+    answer.set_retry_after_ms(Ms(refused->retryAfter).count());
+  } else {
+    answer.set_state(wire::SLOT_STATE_QUEUED);
+  }
+  return answer;
+}
+
+SlotRequest
+FromWire(const wire::SlotAsk& aAsk)
+{
+  SlotRequest request;
+  request.key = { aAsk.session(), aAsk.ticket() };
+  request.service = aAsk.service();
+  request.instance = aAsk.instance();
+  request.excluded.insert(aAsk.excluded().begin(), aAsk.excluded().end());
+  request.group = aAsk.group();
+  request.priority = aAsk.priority();
+  request.patience = milliseconds{ aAsk.patience_ms() };
+  request.held = milliseconds{ aAsk.held_ms() };
+  request.dataCentre = DataCentre{ aAsk.data_centre() };
+  return request;
+}
+
+} // namespace
+
+SlotDesk::SlotDesk(asio::any_io_executor aExecutor,
+                   std::string aSelf,
+                   uint64_t aSession,
+                   Send aSend,
+                   const Clock& aClock,
+                   uint64_t aSeed)
+  : mExecutor(std::move(aExecutor))
+  , mSelf(std::move(aSelf))
+  , mSession(aSession)
+  , mSend(std::move(aSend))
+  , mClock(aClock)
+  , mRandom(aSeed)
+  , mBroker(aSeed)
+{
+}
+
+void
+SlotDesk::StateChanged(const State& aState)
+{
+  mEntries.clear();
+  for (const auto& [address, member] : aState.Entries()) {
+    mEntries.push_back(address);
+  }
+  Deliver(mBroker.Update(aState, mClock.Now()));
+}
+
+/// The entry whose hash with the group's name is the highest: when an entry
+/// comes or goes, only the groups that it takes or leaves change their home.
+std::string
+SlotDesk::HomeOf(const std::string& aService, uint32_t aGroup) const
+{
+  const std::string name = aService + "/" + std::to_string(aGroup) + "@";
+  std::string home;
+  uint64_t highest = 0;
+  for (const std::string& entry : mEntries) {
+    const uint64_t hash = routing::HashOf(name + entry);
+    if (home.empty() || hash > highest) {
+      highest = hash;
+      home = entry;
+    }
+  }
+  return home;
+}
+
+bool
+SlotDesk::IsSilent(const std::string& aHome) const
+{
+  const auto found = mSilentUntil.find(aHome);
+  return found != mSilentUntil.end() && mClock.Now() < found->second;
+}
+
+asio::awaitable<void>
+SlotDesk::WaitFor(std::shared_ptr<Pending> aPending, Instant aUntil)
+{
+  const Duration left = aUntil - mClock.Now();
+  if (left <= Duration::zero()) {
+    co_return;
+  }
+  aPending->context->Wake().expires_after(left);
+  co_await aPending->context->Wake().async_wait(kAwait);
+}
+
+asio::awaitable<void>
+SlotDesk::AskHome(std::shared_ptr<Pending> aPending,
+                  std::string aHome,
+                  const SlotRequest& aRequest)
+{
+  wire::GatewayFrame frame;
+  wire::SlotAsk* ask = frame.mutable_slot_ask();
+  ask->set_reply_to(mSelf);
+  ask->set_session(mSession);
+  ask->set_ticket(aRequest.key.ticket);
+  ask->set_service(aRequest.service);
+  ask->set_instance(aRequest.instance);
+  for (const std::string& instance : aRequest.excluded) {
+    ask->add_excluded(instance);
+  }
+  ask->set_group(aRequest.group);
+  ask->set_priority(aRequest.priority);
+  ask->set_patience_ms(Ms(aRequest.patience).count());
+  ask->set_held_ms(Ms(aRequest.held).count());
+  ask->set_data_centre(aRequest.dataCentre.value);
+  const Instant asked = mClock.Now();
+  mSend(HostName{ aHome }, frame);
+  const Instant silence = asked + Duration(kHomeSilence);
+  while (!aPending->outcome && !aPending->queued &&
+         !aPending->context->IsOver() && mClock.Now() < silence) {
+    co_await WaitFor(aPending, silence);
+  }
+  if (!aPending->outcome && !aPending->queued && !aPending->context->IsOver()) {
+    mSilentUntil[aHome] = mClock.Now() + Duration(kLeftAlone);
+    co_return;
+  }
+  const Instant end = asked + aRequest.patience + Duration(kAnswerSlack);
+  while (!aPending->outcome && !aPending->context->IsOver() &&
+         mClock.Now() < end) {
+    co_await WaitFor(aPending, end);
+  }
+}
+
+asio::awaitable<void>
+SlotDesk::AskHere(std::shared_ptr<Pending> aPending,
+                  const SlotRequest& aRequest)
+{
+  const Instant end = mClock.Now() + aRequest.patience + Duration(kAnswerSlack);
+  Deliver(mBroker.Ask(aRequest, mClock.Now()));
+  while (!aPending->outcome && !aPending->context->IsOver() &&
+         mClock.Now() < end) {
+    co_await WaitFor(aPending, end);
+  }
+}
+
+asio::awaitable<SlotOutcome>
+SlotDesk::Acquire(std::shared_ptr<RequestContext> aContext,
+                  SlotRequest aRequest)
+{
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  aRequest.group = aRequest.instance.empty()
+                     ? upstreams.DrawGroup(aRequest.service, mRandom())
+                     : upstreams.GroupOf(aRequest.instance);
+  const std::string home = HomeOf(aRequest.service, aRequest.group);
+  const bool askHome = !home.empty() && home != mSelf && !IsSilent(home);
+  std::optional<SlotOutcome> outcome;
+  if (askHome) {
+    outcome = co_await AcquireFrom(home, aContext, aRequest);
+  }
+  const auto* slot = outcome ? std::get_if<Slot>(&*outcome) : nullptr;
+  if (slot != nullptr && slot->address.empty()) {
+    // Safeguard: a home that was cut off may not know yet that an upstream
+    // leaves. What this host knows itself goes first: a leaving upstream that
+    // gets new work may end while it runs.
+    Release(*slot, TryEnd::Abandoned, {});
+    aRequest.excluded.insert(slot->instance);
+    outcome.reset();
+  }
+  if (!outcome && !aContext->IsOver()) {
+    outcome = co_await AcquireFrom({}, aContext, aRequest);
+  }
+  co_return outcome.value_or(
+    NoSlot{ UpstreamSet::Hindrance::Full, Duration(kLeftAlone) });
+}
+
+asio::awaitable<std::optional<SlotOutcome>>
+SlotDesk::AcquireFrom(std::string aHome,
+                      std::shared_ptr<RequestContext> aContext,
+                      SlotRequest aRequest)
+{
+  const uint64_t ticket = ++mLastTicket;
+  aRequest.key = { mSession, ticket };
+  auto pending = std::make_shared<Pending>();
+  pending->context = std::move(aContext);
+  mPending[ticket] = pending;
+  if (aHome.empty()) {
+    co_await AskHere(pending, aRequest);
+  } else {
+    co_await AskHome(pending, aHome, aRequest);
+  }
+  mPending.erase(ticket);
+  if (!pending->outcome) {
+    // The caller left, or the answer is late: the slot may still be granted.
+    Release(Slot{ ticket, aHome, {}, {} }, TryEnd::Abandoned, {});
+    const bool silent = !pending->queued;
+    co_return silent ? std::nullopt
+                     : std::optional<SlotOutcome>(
+                         NoSlot{ UpstreamSet::Hindrance::Full,
+                                 Duration(kLeftAlone) });
+  }
+  if (auto* slot = std::get_if<Slot>(&*pending->outcome)) {
+    slot->home = aHome;
+    slot->address =
+      mBroker.Upstreams().UsableAddress(slot->instance, mClock.Now());
+  }
+  co_return pending->outcome;
+}
+
+void
+SlotDesk::Release(const Slot& aSlot, TryEnd aEnd, Duration aTook)
+{
+  if (aSlot.home.empty()) {
+    Deliver(
+      mBroker.Done({ mSession, aSlot.ticket }, aEnd, aTook, mClock.Now()));
+  } else {
+    SendDone(aSlot.home, aSlot.ticket, aEnd, aTook);
+  }
+}
+
+void
+SlotDesk::SendDone(const std::string& aHome,
+                   uint64_t aTicket,
+                   TryEnd aEnd,
+                   Duration aTook)
+{
+  wire::GatewayFrame frame;
+  wire::SlotDone* done = frame.mutable_slot_done();
+  done->set_session(mSession);
+  done->set_ticket(aTicket);
+  done->set_end(static_cast<uint32_t>(aEnd));
+  done->set_took_us(
+    std::chrono::duration_cast<std::chrono::microseconds>(aTook).count());
+  mSend(HostName{ aHome }, frame);
+}
+
+void
+SlotDesk::OnAsk(const wire::SlotAsk& aAsk)
+{
+  mAskers[aAsk.session()] = aAsk.reply_to();
+  Deliver(mBroker.Ask(FromWire(aAsk), mClock.Now()));
+}
+
+void
+SlotDesk::OnDone(const wire::SlotDone& aDone)
+{
+  const auto end = aDone.end() <= static_cast<uint32_t>(TryEnd::Abandoned)
+                     ? static_cast<TryEnd>(aDone.end())
+                     : TryEnd::Abandoned;
+  Deliver(mBroker.Done({ aDone.session(), aDone.ticket() },
+                       end,
+                       std::chrono::microseconds{ aDone.took_us() },
+                       mClock.Now()));
+}
+
+void
+SlotDesk::OnAnswer(const wire::SlotAnswer& aAnswer)
+{
+  if (aAnswer.session() != mSession) {
+    return;
+  }
+  const SlotKey key{ aAnswer.session(), aAnswer.ticket() };
+  switch (aAnswer.state()) {
+    case wire::SLOT_STATE_GRANTED:
+      TakeOwn(key.ticket, SlotGranted{ key, aAnswer.instance(), {} });
+      return;
+    case wire::SLOT_STATE_REFUSED:
+      TakeOwn(key.ticket,
+              SlotRefused{ key,
+                           UpstreamSet::Hindrance::Full,
+                           milliseconds{ aAnswer.retry_after_ms() } });
+      return;
+    case wire::SLOT_STATE_QUEUED:
+      TakeOwn(key.ticket, SlotQueued{ key });
+      return;
+    default:
+      return;
+  }
+}
+
+void
+SlotDesk::TakeOwn(uint64_t aTicket, const SlotAnswer& aAnswer)
+{
+  const auto found = mPending.find(aTicket);
+  if (found == mPending.end()) {
+    return; // Its end has been, or is being, told to the keeper.
+  }
+  Pending& pending = *found->second;
+  if (const auto* granted = std::get_if<SlotGranted>(&aAnswer)) {
+    pending.outcome = Slot{ aTicket, {}, granted->instance, granted->address };
+  } else if (const auto* refused = std::get_if<SlotRefused>(&aAnswer)) {
+    pending.outcome = NoSlot{ refused->hindrance, refused->retryAfter };
+  } else {
+    pending.queued = true;
+  }
+  pending.context->Wake().cancel();
+}
+
+void
+SlotDesk::Deliver(const std::vector<SlotAnswer>& aAnswers)
+{
+  for (const SlotAnswer& answer : aAnswers) {
+    Deliver(answer);
+  }
+}
+
+void
+SlotDesk::Deliver(const SlotAnswer& aAnswer)
+{
+  const SlotKey key = KeyOf(aAnswer);
+  if (key.session == mSession) {
+    TakeOwn(key.ticket, aAnswer);
+    return;
+  }
+  const auto asker = mAskers.find(key.session);
+  if (asker != mAskers.end()) {
+    wire::GatewayFrame frame;
+    *frame.mutable_slot_answer() = ToWire(aAnswer);
+    mSend(HostName{ asker->second }, frame);
+  }
+}
+
+void
+SlotDesk::Tick()
+{
+  Deliver(mBroker.Tick(mClock.Now()));
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -0,0 +1,125 @@
+/// An entry host's dealings with other entries about upstreams' slots.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <rattandyke/types.h>
+
+#include "base/clock.h"
+#include "gateway/request_context.h"
+#include "gateway/slot_broker.h"
+#include "wire/gateway.pb.h"
+
+namespace rattandyke::gateway {
+
+/// A slot that a request has.
+struct Slot
+{
+  uint64_t ticket = 0;
+  /// Entry host that keeps it; empty: this one.
+  std::string home;
+  std::string instance;
+  std::string address;
+};
+
+/// Why a request has none.
+struct NoSlot
+{
+  UpstreamSet::Hindrance hindrance = UpstreamSet::Hindrance::Full;
+  Duration retryAfter{};
+};
+
+using SlotOutcome = std::variant<Slot, NoSlot>;
+
+/// Each upstream's slots are kept by one entry host, its home, which all hosts
+/// find by the replicated list of entries. A request asks the home of the
+/// upstream that owns its key, or the home of a group of its service's
+/// upstreams. While a home is silent, the entry goes by what it knows itself:
+/// the loss of a home costs some order, and no service. Runs on one executor
+/// that runs one handler at a time.
+class SlotDesk
+{
+public:
+  using Send =
+    std::function<void(const HostName& aTo, const wire::GatewayFrame&)>;
+
+  /// @param aSelf   this host's address for peers.
+  /// @param aSession random per process start.
+  SlotDesk(boost::asio::any_io_executor aExecutor,
+           std::string aSelf,
+           uint64_t aSession,
+           Send aSend,
+           const Clock& aClock,
+           uint64_t aSeed);
+
+  void StateChanged(const State& aState);
+
+  void OnAsk(const wire::SlotAsk& aAsk);
+  void OnAnswer(const wire::SlotAnswer& aAnswer);
+  void OnDone(const wire::SlotDone& aDone);
+
+  /// @param aRequest its key is set here.
+  boost::asio::awaitable<SlotOutcome> Acquire(
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest);
+
+  void Release(const Slot& aSlot, TryEnd aEnd, Duration aTook);
+
+  /// Call it every SlotBroker::kTick.
+  void Tick();
+
+  const SlotBroker& Broker() const { return mBroker; }
+
+private:
+  struct Pending
+  {
+    std::shared_ptr<RequestContext> context;
+    bool queued = false;
+    std::optional<SlotOutcome> outcome;
+  };
+
+  /// @return the outcome; nothing if the home kept silent.
+  boost::asio::awaitable<std::optional<SlotOutcome>> AcquireFrom(
+    std::string aHome,
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest);
+  std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
+  bool IsSilent(const std::string& aHome) const;
+  boost::asio::awaitable<void> AskHome(std::shared_ptr<Pending> aPending,
+                                       std::string aHome,
+                                       const SlotRequest& aRequest);
+  boost::asio::awaitable<void> AskHere(std::shared_ptr<Pending> aPending,
+                                       const SlotRequest& aRequest);
+  boost::asio::awaitable<void> WaitFor(std::shared_ptr<Pending> aPending,
+                                       Instant aUntil);
+  void Deliver(const std::vector<SlotAnswer>& aAnswers);
+  void Deliver(const SlotAnswer& aAnswer);
+  void TakeOwn(uint64_t aTicket, const SlotAnswer& aAnswer);
+  void SendDone(const std::string& aHome,
+                uint64_t aTicket,
+                TryEnd aEnd,
+                Duration aTook);
+
+  const boost::asio::any_io_executor mExecutor;
+  const std::string mSelf;
+  const uint64_t mSession;
+  const Send mSend;
+  const Clock& mClock;
+  Random mRandom;
+  SlotBroker mBroker;
+  std::vector<std::string> mEntries;
+  std::map<uint64_t, std::shared_ptr<Pending>> mPending;
+  /// Where the sessions that ask here are reached.
+  std::map<uint64_t, std::string> mAskers;
+  std::map<std::string, Instant> mSilentUntil;
+  uint64_t mLastTicket = 0;
+};
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -25,6 +25,10 @@
       return On(aCommand.grant_ranges());
     case wire::GatewayCommand::kFreeRanges:
       return On(aCommand.free_ranges());
+    case wire::GatewayCommand::kPutEntry:
+      return On(aCommand.put_entry());
+    case wire::GatewayCommand::kDropEntry:
+      return On(aCommand.drop_entry());
     case wire::GatewayCommand::BODY_NOT_SET:
       break;
   }
@@ -116,6 +120,20 @@
   return {};
 }
 
+Result<void>
+State::On(const wire::PutEntry& aCommand)
+{
+  mEntries[aCommand.entry().address()] = aCommand.entry();
+  return {};
+}
+
+Result<void>
+State::On(const wire::DropEntry& aCommand)
+{
+  mEntries.erase(aCommand.address());
+  return {};
+}
+
 wire::GatewayState
 State::Save() const
 {
@@ -133,6 +151,9 @@
     saved->set_service(service);
     ranges.Save(*saved);
   }
+  for (const auto& [address, entry] : mEntries) {
+    *state.add_entries() = entry;
+  }
   return state;
 }
 
@@ -151,6 +172,9 @@
   for (const wire::ServiceRanges& ranges : aState.ranges()) {
     mRanges[ranges.service()].Load(ranges);
   }
+  for (const wire::EntryMember& entry : aState.entries()) {
+    mEntries[entry.address()] = entry;
+  }
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -52,6 +52,12 @@
 
   const std::map<std::string, RangeTable>& AllRanges() const { return mRanges; }
 
+  /// @return the entry hosts that serve callers, by address.
+  const std::map<std::string, wire::EntryMember>& Entries() const
+  {
+    return mEntries;
+  }
+
   wire::GatewayState Save() const;
   void Load(const wire::GatewayState& aState);
 
@@ -61,6 +67,8 @@
   Result<void> On(const wire::EndInstance& aCommand);
   Result<void> On(const wire::GrantRanges& aCommand);
   Result<void> On(const wire::FreeRanges& aCommand);
+  Result<void> On(const wire::PutEntry& aCommand);
+  Result<void> On(const wire::DropEntry& aCommand);
   void NoteEnded(const std::string& aId);
 
   LogIndex mApplied;
@@ -71,6 +79,7 @@
   std::deque<std::string> mEndedOrder;
   std::set<std::string, std::less<>> mEnded;
   std::map<std::string, RangeTable> mRanges;
+  std::map<std::string, wire::EntryMember> mEntries;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -1,6 +1,9 @@
 #include "gateway/upstream_set.h"
 
 #include <algorithm>
+#include <bit>
+
+#include "routing/service_table.h"
 
 namespace rattandyke::gateway {
 
@@ -24,12 +27,16 @@
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
 constexpr double kFarFactor = 1.12;
+/// Requests that an upstream is given beyond its slots. While one answer is on
+/// its way back and the next request on its way there, a slot would be idle: a
+/// few ms of each 50 to 200.
+constexpr uint32_t kQueuedThere = 1;
+constexpr double kLeastRate = 0.01;
 
 } // namespace
 
-UpstreamSet::UpstreamSet(DataCentre aOwnDataCentre, uint64_t aSeed)
-  : mOwnDataCentre(std::move(aOwnDataCentre))
-  , mRandom(aSeed)
+UpstreamSet::UpstreamSet(uint64_t aSeed)
+  : mRandom(aSeed)
 {
 }
 
@@ -41,12 +48,20 @@
     const bool forget = at->second.gone && at->second.running == 0;
     at = forget ? mUpstreams.erase(at) : std::next(at);
   }
+  std::map<std::string, uint32_t> sizes;
+  for (const auto& [id, instance] : aState.Instances()) {
+    ++sizes[instance.service()];
+  }
   for (const auto& [id, instance] : aState.Instances()) {
+    // A power of two: a few instances more or less seldom change it.
+    const uint32_t groups =
+      std::bit_ceil((sizes[instance.service()] + kGroupSize - 1) / kGroupSize);
     Upstream& upstream = mUpstreams[id];
     upstream.service = instance.service();
     upstream.address = instance.address();
     upstream.dataCentre = instance.data_centre();
     upstream.slots = std::max(instance.slots(), 1U);
+    upstream.group = static_cast<uint32_t>(routing::HashOf(id) % groups);
     if (instance.draining() && !upstream.drainingSince) {
       upstream.drainingSince = aNow;
     }
@@ -54,20 +69,99 @@
 }
 
 double
-UpstreamSet::Score(const Upstream& aUpstream) const
+UpstreamSet::Score(const Upstream& aUpstream, const DataCentre& aNear)
 {
   const double seconds =
     aUpstream.seconds > 0 ? aUpstream.seconds : kDefaultSeconds;
   const double load =
     (aUpstream.running + 1.0) / static_cast<double>(aUpstream.slots);
-  const double far =
-    aUpstream.dataCentre == mOwnDataCentre.value ? 1.0 : kFarFactor;
+  const double far = aUpstream.dataCentre == aNear.value ? 1.0 : kFarFactor;
   return seconds * (0.5 + load) * far;
 }
 
+uint32_t
+UpstreamSet::RoomOf(const Upstream& aUpstream)
+{
+  return aUpstream.slots + kQueuedThere;
+}
+
+double
+UpstreamSet::Rate(const Upstream& aUpstream)
+{
+  const double seconds =
+    aUpstream.seconds > 0 ? aUpstream.seconds : kDefaultSeconds;
+  return aUpstream.slots / seconds;
+}
+
+double
+UpstreamSet::RateOf(const std::string& aService, uint32_t aGroup) const
+{
+  double rate = 0;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (upstream.service == aService && upstream.group == aGroup &&
+        !upstream.gone && !upstream.drainingSince) {
+      rate += Rate(upstream);
+    }
+  }
+  return std::max(rate, kLeastRate);
+}
+
+double
+UpstreamSet::RateOfOne(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found == mUpstreams.end() ? kLeastRate
+                                   : std::max(Rate(found->second), kLeastRate);
+}
+
+uint32_t
+UpstreamSet::GroupOf(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found == mUpstreams.end() ? 0 : found->second.group;
+}
+
+uint32_t
+UpstreamSet::DrawGroup(const std::string& aService, uint64_t aRandom) const
+{
+  std::vector<uint32_t> groups;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (upstream.service == aService && !upstream.gone &&
+        !upstream.drainingSince) {
+      groups.push_back(upstream.group);
+    }
+  }
+  return groups.empty() ? 0 : groups[aRandom % groups.size()];
+}
+
+std::string
+UpstreamSet::ServiceOf(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found == mUpstreams.end() ? std::string() : found->second.service;
+}
+
+bool
+UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow)
+{
+  return !aUpstream.gone && (!aUpstream.drainingSince ||
+                             aNow - *aUpstream.drainingSince < kDrainingOwner);
+}
+
+std::string
+UpstreamSet::UsableAddress(const std::string& aInstance, Instant aNow) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  const bool usable =
+    found != mUpstreams.end() && IsUsable(found->second, aNow);
+  return usable ? found->second.address : std::string();
+}
+
 UpstreamSet::Outcome
 UpstreamSet::Choose(const std::string& aService,
+                    uint32_t aGroup,
                     const std::set<std::string>& aTried,
+                    const DataCentre& aNear,
                     Instant aNow)
 {
   bool known = false;
@@ -75,12 +169,13 @@
   std::vector<const std::pair<const std::string, Upstream>*> avoided;
   for (const auto& item : mUpstreams) {
     const Upstream& upstream = item.second;
-    if (upstream.service != aService || upstream.gone ||
-        upstream.drainingSince || aTried.contains(item.first)) {
+    if (upstream.service != aService || upstream.group != aGroup ||
+        upstream.gone || upstream.drainingSince ||
+        aTried.contains(item.first)) {
       continue;
     }
     known = true;
-    if (upstream.running >= upstream.slots) {
+    if (upstream.running >= RoomOf(upstream)) {
       continue;
     }
     (aNow < upstream.avoidUntil ? avoided : room).push_back(&item);
@@ -91,12 +186,9 @@
   if (room.empty()) {
     return known ? Hindrance::Full : Hindrance::NoInstance;
   }
-  // Entries that all take the best one would overrun it together: each takes
-  // the better of two drawn at random.
   const auto* best = room[mRandom() % room.size()];
-  for (int i = 0; i < 2; ++i) {
-    const auto* other = room[mRandom() % room.size()];
-    if (Score(other->second) < Score(best->second)) {
+  for (const auto* other : room) {
+    if (Score(other->second, aNear) < Score(best->second, aNear)) {
       best = other;
     }
   }
@@ -104,27 +196,32 @@
 }
 
 UpstreamSet::Outcome
-UpstreamSet::ChooseOwner(const State& aState,
-                         const std::string& aService,
-                         uint32_t aKey,
-                         Instant aNow)
+UpstreamSet::ChooseOne(const std::string& aInstance, Instant aNow)
 {
-  const RangeTable* ranges = aState.Ranges(aService);
-  if (ranges == nullptr) {
-    return Hindrance::NoOwner;
-  }
-  const auto found = mUpstreams.find(ranges->Find(aKey).holder());
+  const auto found = mUpstreams.find(aInstance);
   if (found == mUpstreams.end() || found->second.gone) {
-    return Hindrance::NoOwner;
-  }
-  const Upstream& owner = found->second;
-  if (owner.drainingSince && aNow - *owner.drainingSince >= kDrainingOwner) {
-    return Hindrance::NoOwner;
+    return Hindrance::NoInstance;
   }
-  if (owner.running >= owner.slots) {
+  if (found->second.running >= RoomOf(found->second)) {
     return Hindrance::Full;
   }
-  return Choice{ found->first, owner.address };
+  return Choice{ found->first, found->second.address };
+}
+
+std::string
+UpstreamSet::OwnerOf(const State& aState,
+                     const std::string& aService,
+                     uint32_t aKey,
+                     Instant aNow) const
+{
+  const RangeTable* ranges = aState.Ranges(aService);
+  if (ranges == nullptr) {
+    return {};
+  }
+  const auto found = mUpstreams.find(ranges->Find(aKey).holder());
+  const bool usable =
+    found != mUpstreams.end() && IsUsable(found->second, aNow);
+  return usable ? found->first : std::string();
 }
 
 void
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -55,21 +55,59 @@
 
   using Outcome = std::variant<Choice, Hindrance>;
 
-  UpstreamSet(DataCentre aOwnDataCentre, uint64_t aSeed);
+  explicit UpstreamSet(uint64_t aSeed);
 
   /// Takes over the instances of the replicated state.
   void Update(const State& aState, Instant aNow);
 
-  /// @param aTried instances that this request was sent to already.
+  /// Any instance of a group of a service's instances.
+  /// @param aTried instances that will not do.
+  /// @param aNear where the request comes from.
   Outcome Choose(const std::string& aService,
+                 uint32_t aGroup,
                  const std::set<std::string>& aTried,
+                 const DataCentre& aNear,
                  Instant aNow);
 
-  /// The owner of a key of a service whose keys have owners.
-  Outcome ChooseOwner(const State& aState,
+  /// One instance, if it has room.
+  Outcome ChooseOne(const std::string& aInstance, Instant aNow);
+
+  /// @return the owner of a key that may be sent requests, or an empty text.
+  std::string OwnerOf(const State& aState,
                       const std::string& aService,
                       uint32_t aKey,
-                      Instant aNow);
+                      Instant aNow) const;
+
+  /// Instances of a service are in groups of about kGroupSize, so that the
+  /// sharing of their slots can be divided between hosts.
+  uint32_t GroupOf(const std::string& aInstance) const;
+
+  /// @return a group, drawn by the number of instances in it.
+  uint32_t DrawGroup(const std::string& aService, uint64_t aRandom) const;
+
+  static constexpr uint32_t kGroupSize = 16;
+
+  /// @return requests a second that the instances of a group can run.
+  double RateOf(const std::string& aService, uint32_t aGroup) const;
+  double RateOfOne(const std::string& aInstance) const;
+
+  /// @return the service of a known instance, or an empty text.
+  std::string ServiceOf(const std::string& aInstance) const;
+
+  /// @return the address of an instance that may be sent requests, or an empty
+  /// text.
+  std::string UsableAddress(const std::string& aInstance, Instant aNow) const;
+
+  /// Calls aEach(instance, seconds) for each instance that has answered.
+  template<typename Each>
+  void ForEachTime(Each aEach) const
+  {
+    for (const auto& [id, upstream] : mUpstreams) {
+      if (upstream.seconds > 0 && !upstream.gone) {
+        aEach(id, upstream.seconds);
+      }
+    }
+  }
 
   /// A try at an instance begins.
   void Begin(const std::string& aInstance);
@@ -81,7 +119,7 @@
            Duration aTook,
            Instant aNow);
 
-  /// @return requests that the instance runs for this host.
+  /// @return requests that the instance runs, as far as known here.
   uint32_t Running(const std::string& aInstance) const;
 
 private:
@@ -99,11 +137,14 @@
     uint32_t failures = 0;
     Instant avoidUntil{};
     bool gone = false;
+    uint32_t group = 0;
   };
 
-  double Score(const Upstream& aUpstream) const;
+  static bool IsUsable(const Upstream& aUpstream, Instant aNow);
+  static uint32_t RoomOf(const Upstream& aUpstream);
+  static double Score(const Upstream& aUpstream, const DataCentre& aNear);
+  static double Rate(const Upstream& aUpstream);
 
-  const DataCentre mOwnDataCentre;
   Random mRandom;
   std::map<std::string, Upstream> mUpstreams;
 };
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -218,6 +218,46 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 FreeRangesDefaultTypeInternal _FreeRanges_default_instance_;
+PROTOBUF_CONSTEXPR EntryMember::EntryMember(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct EntryMemberDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR EntryMemberDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~EntryMemberDefaultTypeInternal() {}
+  union {
+    EntryMember _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EntryMemberDefaultTypeInternal _EntryMember_default_instance_;
+PROTOBUF_CONSTEXPR PutEntry::PutEntry(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.entry_)*/nullptr
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct PutEntryDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR PutEntryDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~PutEntryDefaultTypeInternal() {}
+  union {
+    PutEntry _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 PutEntryDefaultTypeInternal _PutEntry_default_instance_;
+PROTOBUF_CONSTEXPR DropEntry::DropEntry(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct DropEntryDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR DropEntryDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~DropEntryDefaultTypeInternal() {}
+  union {
+    DropEntry _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DropEntryDefaultTypeInternal _DropEntry_default_instance_;
 PROTOBUF_CONSTEXPR GatewayCommand::GatewayCommand(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -273,6 +313,7 @@
   , /*decltype(_impl_.instances_)*/{}
   , /*decltype(_impl_.ended_instances_)*/{}
   , /*decltype(_impl_.ranges_)*/{}
+  , /*decltype(_impl_.entries_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -287,7 +328,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayStateDefaultTypeInternal _GatewayState_default_instance_;
 PROTOBUF_CONSTEXPR FeedOpen::FeedOpen(
     ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+    /*decltype(_impl_.entry_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedOpenDefaultTypeInternal {
@@ -330,7 +371,6 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.control_hosts_)*/{}
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
-  , /*decltype(_impl_.entries_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedPingDefaultTypeInternal {
   PROTOBUF_CONSTEXPR FeedPingDefaultTypeInternal()
@@ -358,9 +398,25 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RangeLoadDefaultTypeInternal _RangeLoad_default_instance_;
+PROTOBUF_CONSTEXPR InstanceTime::InstanceTime(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.seconds_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct InstanceTimeDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR InstanceTimeDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~InstanceTimeDefaultTypeInternal() {}
+  union {
+    InstanceTime _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 InstanceTimeDefaultTypeInternal _InstanceTime_default_instance_;
 PROTOBUF_CONSTEXPR FeedReport::FeedReport(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.loads_)*/{}
+  , /*decltype(_impl_.times_)*/{}
+  , /*decltype(_impl_.leaving_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedReportDefaultTypeInternal {
   PROTOBUF_CONSTEXPR FeedReportDefaultTypeInternal()
@@ -404,21 +460,78 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedAnswerDefaultTypeInternal _ForwardedAnswer_default_instance_;
-PROTOBUF_CONSTEXPR RelayedLoad::RelayedLoad(
+PROTOBUF_CONSTEXPR HostReport::HostReport(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.loads_)*/{}
-  , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.entries_)*/0u
+  , /*decltype(_impl_.times_)*/{}
+  , /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct HostReportDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR HostReportDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~HostReportDefaultTypeInternal() {}
+  union {
+    HostReport _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HostReportDefaultTypeInternal _HostReport_default_instance_;
+PROTOBUF_CONSTEXPR SlotAsk::SlotAsk(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.excluded_)*/{}
+  , /*decltype(_impl_.reply_to_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.session_)*/uint64_t{0u}
+  , /*decltype(_impl_.ticket_)*/uint64_t{0u}
+  , /*decltype(_impl_.priority_)*/0u
+  , /*decltype(_impl_.patience_ms_)*/0u
+  , /*decltype(_impl_.held_ms_)*/0u
+  , /*decltype(_impl_.group_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct SlotAskDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR SlotAskDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~SlotAskDefaultTypeInternal() {}
+  union {
+    SlotAsk _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotAskDefaultTypeInternal _SlotAsk_default_instance_;
+PROTOBUF_CONSTEXPR SlotAnswer::SlotAnswer(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.session_)*/uint64_t{0u}
+  , /*decltype(_impl_.ticket_)*/uint64_t{0u}
+  , /*decltype(_impl_.state_)*/0
+  , /*decltype(_impl_.retry_after_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct SlotAnswerDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR SlotAnswerDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~SlotAnswerDefaultTypeInternal() {}
+  union {
+    SlotAnswer _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotAnswerDefaultTypeInternal _SlotAnswer_default_instance_;
+PROTOBUF_CONSTEXPR SlotDone::SlotDone(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.from_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.session_)*/uint64_t{0u}
+  , /*decltype(_impl_.ticket_)*/uint64_t{0u}
+  , /*decltype(_impl_.end_)*/0u
+  , /*decltype(_impl_.took_us_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
-struct RelayedLoadDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR RelayedLoadDefaultTypeInternal()
+struct SlotDoneDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR SlotDoneDefaultTypeInternal()
       : _instance(::_pbi::ConstantInitialized{}) {}
-  ~RelayedLoadDefaultTypeInternal() {}
+  ~SlotDoneDefaultTypeInternal() {}
   union {
-    RelayedLoad _instance;
+    SlotDone _instance;
   };
 };
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayedLoadDefaultTypeInternal _RelayedLoad_default_instance_;
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotDoneDefaultTypeInternal _SlotDone_default_instance_;
 PROTOBUF_CONSTEXPR GatewayFrame::GatewayFrame(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -435,8 +548,8 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[26];
-static constexpr ::_pb::EnumDescriptor const** file_level_enum_descriptors_gateway_2eproto = nullptr;
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[33];
+static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
 const uint32_t TableStruct_gateway_2eproto::offsets[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -565,6 +678,28 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FreeRanges, _impl_.holder_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FreeRanges, _impl_.ranges_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _impl_.address_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _impl_.data_centre_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutEntry, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutEntry, _impl_.entry_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropEntry, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropEntry, _impl_.address_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_._oneof_case_[0]),
@@ -575,6 +710,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -611,13 +748,14 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.instances_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_instances_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ranges_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.entries_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.host_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.entry_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.applied_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedSnapshot, _internal_metadata_),
@@ -642,7 +780,6 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.applied_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.control_hosts_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.entries_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeLoad, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -653,12 +790,22 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeLoad, _impl_.buckets_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeLoad, _impl_.requests_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InstanceTime, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InstanceTime, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InstanceTime, _impl_.seconds_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.loads_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.times_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.leaving_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -681,14 +828,53 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedAnswer, _impl_.status_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedAnswer, _impl_.body_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedLoad, _internal_metadata_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.loads_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.times_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.entries_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.reply_to_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.session_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.ticket_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.excluded_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.priority_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.patience_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.held_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.data_centre_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.group_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.session_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.ticket_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.state_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.retry_after_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedLoad, _impl_.loads_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedLoad, _impl_.entries_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedLoad, _impl_.host_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.from_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.session_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.ticket_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.end_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.took_us_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -704,6 +890,9 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -719,20 +908,27 @@
   { 96, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
   { 105, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
   { 115, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
-  { 124, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 136, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 148, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 156, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 171, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 179, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 186, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 194, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 203, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 212, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 219, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 231, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 240, -1, -1, sizeof(::rattandyke::wire::RelayedLoad)},
-  { 249, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 124, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
+  { 132, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
+  { 139, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
+  { 146, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 160, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 172, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 180, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 196, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 204, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 211, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 219, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 227, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 236, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 244, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 253, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 265, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 274, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 283, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 300, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 311, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 322, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -748,6 +944,9 @@
   &::rattandyke::wire::_KeyRange_default_instance_._instance,
   &::rattandyke::wire::_GrantRanges_default_instance_._instance,
   &::rattandyke::wire::_FreeRanges_default_instance_._instance,
+  &::rattandyke::wire::_EntryMember_default_instance_._instance,
+  &::rattandyke::wire::_PutEntry_default_instance_._instance,
+  &::rattandyke::wire::_DropEntry_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
   &::rattandyke::wire::_RangeSegment_default_instance_._instance,
   &::rattandyke::wire::_ServiceRanges_default_instance_._instance,
@@ -757,10 +956,14 @@
   &::rattandyke::wire::_FeedCommand_default_instance_._instance,
   &::rattandyke::wire::_FeedPing_default_instance_._instance,
   &::rattandyke::wire::_RangeLoad_default_instance_._instance,
+  &::rattandyke::wire::_InstanceTime_default_instance_._instance,
   &::rattandyke::wire::_FeedReport_default_instance_._instance,
   &::rattandyke::wire::_ForwardedCall_default_instance_._instance,
   &::rattandyke::wire::_ForwardedAnswer_default_instance_._instance,
-  &::rattandyke::wire::_RelayedLoad_default_instance_._instance,
+  &::rattandyke::wire::_HostReport_default_instance_._instance,
+  &::rattandyke::wire::_SlotAsk_default_instance_._instance,
+  &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
+  &::rattandyke::wire::_SlotDone_default_instance_._instance,
   &::rattandyke::wire::_GatewayFrame_default_instance_._instance,
 };
 
@@ -800,63 +1003,92 @@
   "\n\006ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRang"
   "e\"X\n\nFreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006hold"
   "er\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wi"
-  "re.KeyRange\"\244\002\n\016GatewayCommand\0224\n\014change"
-  "_items\030\001 \001(\0132\034.rattandyke.wire.ChangeIte"
-  "msH\000\0224\n\014put_instance\030\002 \001(\0132\034.rattandyke."
-  "wire.PutInstanceH\000\0224\n\014end_instance\030\003 \001(\013"
-  "2\034.rattandyke.wire.EndInstanceH\000\0224\n\014gran"
-  "t_ranges\030\004 \001(\0132\034.rattandyke.wire.GrantRa"
-  "ngesH\000\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyke"
-  ".wire.FreeRangesH\000B\006\n\004body\"k\n\014RangeSegme"
-  "nt\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003"
-  " \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n"
-  "\010handover\030\006 \001(\t\"Q\n\rServiceRanges\022\017\n\007serv"
-  "ice\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandyke"
-  ".wire.RangeSegment\"\225\003\n\014GatewayState\022\017\n\007a"
-  "pplied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyk"
-  "e.wire.RouteItem\022.\n\010services\030\003 \003(\0132\034.rat"
-  "tandyke.wire.ServiceItem\022+\n\006limits\030\004 \001(\013"
-  "2\033.rattandyke.wire.LimitsItem\0224\n\016dropped"
-  "_routes\030\005 \003(\0132\034.rattandyke.wire.DroppedI"
-  "tem\0226\n\020dropped_services\030\006 \003(\0132\034.rattandy"
-  "ke.wire.DroppedItem\0224\n\tinstances\030\007 \003(\0132!"
-  ".rattandyke.wire.UpstreamInstance\022\027\n\017end"
-  "ed_instances\030\010 \003(\t\022.\n\006ranges\030\t \003(\0132\036.rat"
-  "tandyke.wire.ServiceRanges\")\n\010FeedOpen\022\014"
-  "\n\004host\030\001 \001(\t\022\017\n\007applied\030\002 \001(\004\"<\n\014FeedSna"
-  "pshot\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.G"
-  "atewayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001("
-  "\004\0220\n\007command\030\002 \001(\0132\037.rattandyke.wire.Gat"
-  "ewayCommand\"C\n\010FeedPing\022\017\n\007applied\030\001 \001(\004"
-  "\022\025\n\rcontrol_hosts\030\002 \003(\t\022\017\n\007entries\030\003 \001(\r"
-  "\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007bucket"
-  "s\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"7\n\nFeedReport\022"
-  ")\n\005loads\030\001 \003(\0132\032.rattandyke.wire.RangeLo"
-  "ad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply"
-  "_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001("
-  "\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Fo"
-  "rwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001("
-  "\r\022\014\n\004body\030\003 \001(\t\"W\n\013RelayedLoad\022)\n\005loads\030"
-  "\001 \003(\0132\032.rattandyke.wire.RangeLoad\022\017\n\007ent"
-  "ries\030\002 \001(\r\022\014\n\004host\030\003 \001(\t\"\333\003\n\014GatewayFram"
-  "e\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001("
-  "\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed_s"
-  "napshot\030\003 \001(\0132\035.rattandyke.wire.FeedSnap"
-  "shotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandyk"
-  "e.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132"
-  "\031.rattandyke.wire.FeedPingH\000\0222\n\013feed_rep"
-  "ort\030\006 \001(\0132\033.rattandyke.wire.FeedReportH\000"
-  "\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyke.wi"
-  "re.ForwardedCallH\000\022<\n\020forwarded_answer\030\010"
-  " \001(\0132 .rattandyke.wire.ForwardedAnswerH\000"
-  "\0224\n\014relayed_load\030\t \001(\0132\034.rattandyke.wire"
-  ".RelayedLoadH\000B\006\n\004bodyb\006proto3"
+  "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
+  "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
+  "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
+  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\206\003\n\016Gate"
+  "wayCommand\0224\n\014change_items\030\001 \001(\0132\034.ratta"
+  "ndyke.wire.ChangeItemsH\000\0224\n\014put_instance"
+  "\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH\000\0224"
+  "\n\014end_instance\030\003 \001(\0132\034.rattandyke.wire.E"
+  "ndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rat"
+  "tandyke.wire.GrantRangesH\000\0222\n\013free_range"
+  "s\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH\000\022."
+  "\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.PutE"
+  "ntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandyke."
+  "wire.DropEntryH\000B\006\n\004body\"k\n\014RangeSegment"
+  "\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001"
+  "(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010h"
+  "andover\030\006 \001(\t\"Q\n\rServiceRanges\022\017\n\007servic"
+  "e\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandyke.w"
+  "ire.RangeSegment\"\304\003\n\014GatewayState\022\017\n\007app"
+  "lied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke."
+  "wire.RouteItem\022.\n\010services\030\003 \003(\0132\034.ratta"
+  "ndyke.wire.ServiceItem\022+\n\006limits\030\004 \001(\0132\033"
+  ".rattandyke.wire.LimitsItem\0224\n\016dropped_r"
+  "outes\030\005 \003(\0132\034.rattandyke.wire.DroppedIte"
+  "m\0226\n\020dropped_services\030\006 \003(\0132\034.rattandyke"
+  ".wire.DroppedItem\0224\n\tinstances\030\007 \003(\0132!.r"
+  "attandyke.wire.UpstreamInstance\022\027\n\017ended"
+  "_instances\030\010 \003(\t\022.\n\006ranges\030\t \003(\0132\036.ratta"
+  "ndyke.wire.ServiceRanges\022-\n\007entries\030\n \003("
+  "\0132\034.rattandyke.wire.EntryMember\"H\n\010FeedO"
+  "pen\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.Ent"
+  "ryMember\022\017\n\007applied\030\002 \001(\004\"<\n\014FeedSnapsho"
+  "t\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.Gatew"
+  "ayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n"
+  "\007command\030\002 \001(\0132\037.rattandyke.wire.Gateway"
+  "Command\"2\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\r"
+  "control_hosts\030\002 \003(\t\"\?\n\tRangeLoad\022\017\n\007serv"
+  "ice\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003"
+  " \003(\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017"
+  "\n\007seconds\030\002 \001(\001\"v\n\nFeedReport\022)\n\005loads\030\001"
+  " \003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005time"
+  "s\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017"
+  "\n\007leaving\030\003 \001(\010\"n\n\rForwardedCall\022\n\n\002id\030\001"
+  " \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016"
+  "\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_m"
+  "s\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016"
+  "\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostRep"
+  "ort\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire.Ran"
+  "geLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire."
+  "InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rattandy"
+  "ke.wire.EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply"
+  "_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001"
+  "(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n"
+  "\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013pat"
+  "ience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_"
+  "centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnsw"
+  "er\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005s"
+  "tate\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020"
+  "\n\010instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r"
+  "\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 "
+  "\001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took"
+  "_us\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030"
+  "\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke."
+  "wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035"
+  ".rattandyke.wire.FeedSnapshotH\000\0224\n\014feed_"
+  "command\030\004 \001(\0132\034.rattandyke.wire.FeedComm"
+  "andH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wi"
+  "re.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rat"
+  "tandyke.wire.FeedReportH\000\0228\n\016forwarded_c"
+  "all\030\007 \001(\0132\036.rattandyke.wire.ForwardedCal"
+  "lH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandy"
+  "ke.wire.ForwardedAnswerH\000\0222\n\013host_report"
+  "\030\t \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n"
+  "\010slot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAs"
+  "kH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wi"
+  "re.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rat"
+  "tandyke.wire.SlotDoneH\000B\006\n\004body*n\n\tSlotS"
+  "tate\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT"
+  "_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022"
+  "\026\n\022SLOT_STATE_REFUSED\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 3430, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4591, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 26,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 33,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -869,6 +1101,22 @@
 PROTOBUF_ATTRIBUTE_INIT_PRIORITY2 static ::_pbi::AddDescriptorsRunner dynamic_init_dummy_gateway_2eproto(&descriptor_table_gateway_2eproto);
 namespace rattandyke {
 namespace wire {
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* SlotState_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_gateway_2eproto);
+  return file_level_enum_descriptors_gateway_2eproto[0];
+}
+bool SlotState_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+      return true;
+    default:
+      return false;
+  }
+}
+
 
 // ===================================================================
 
@@ -4685,173 +4933,65 @@
 
 // ===================================================================
 
-class GatewayCommand::_Internal {
+class EntryMember::_Internal {
  public:
-  static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
-  static const ::rattandyke::wire::PutInstance& put_instance(const GatewayCommand* msg);
-  static const ::rattandyke::wire::EndInstance& end_instance(const GatewayCommand* msg);
-  static const ::rattandyke::wire::GrantRanges& grant_ranges(const GatewayCommand* msg);
-  static const ::rattandyke::wire::FreeRanges& free_ranges(const GatewayCommand* msg);
 };
 
-const ::rattandyke::wire::ChangeItems&
-GatewayCommand::_Internal::change_items(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.change_items_;
-}
-const ::rattandyke::wire::PutInstance&
-GatewayCommand::_Internal::put_instance(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.put_instance_;
-}
-const ::rattandyke::wire::EndInstance&
-GatewayCommand::_Internal::end_instance(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.end_instance_;
-}
-const ::rattandyke::wire::GrantRanges&
-GatewayCommand::_Internal::grant_ranges(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.grant_ranges_;
-}
-const ::rattandyke::wire::FreeRanges&
-GatewayCommand::_Internal::free_ranges(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.free_ranges_;
-}
-void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (change_items) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(change_items);
-    if (message_arena != submessage_arena) {
-      change_items = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, change_items, submessage_arena);
-    }
-    set_has_change_items();
-    _impl_.body_.change_items_ = change_items;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.change_items)
-}
-void GatewayCommand::set_allocated_put_instance(::rattandyke::wire::PutInstance* put_instance) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (put_instance) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_instance);
-    if (message_arena != submessage_arena) {
-      put_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, put_instance, submessage_arena);
-    }
-    set_has_put_instance();
-    _impl_.body_.put_instance_ = put_instance;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_instance)
-}
-void GatewayCommand::set_allocated_end_instance(::rattandyke::wire::EndInstance* end_instance) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (end_instance) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(end_instance);
-    if (message_arena != submessage_arena) {
-      end_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, end_instance, submessage_arena);
-    }
-    set_has_end_instance();
-    _impl_.body_.end_instance_ = end_instance;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.end_instance)
-}
-void GatewayCommand::set_allocated_grant_ranges(::rattandyke::wire::GrantRanges* grant_ranges) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (grant_ranges) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(grant_ranges);
-    if (message_arena != submessage_arena) {
-      grant_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, grant_ranges, submessage_arena);
-    }
-    set_has_grant_ranges();
-    _impl_.body_.grant_ranges_ = grant_ranges;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.grant_ranges)
-}
-void GatewayCommand::set_allocated_free_ranges(::rattandyke::wire::FreeRanges* free_ranges) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (free_ranges) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(free_ranges);
-    if (message_arena != submessage_arena) {
-      free_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, free_ranges, submessage_arena);
-    }
-    set_has_free_ranges();
-    _impl_.body_.free_ranges_ = free_ranges;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.free_ranges)
-}
-GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+EntryMember::EntryMember(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayCommand)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EntryMember)
 }
-GatewayCommand::GatewayCommand(const GatewayCommand& from)
+EntryMember::EntryMember(const EntryMember& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  GatewayCommand* const _this = this; (void)_this;
+  EntryMember* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
-    , /*decltype(_impl_._cached_size_)*/{}
-    , /*decltype(_impl_._oneof_case_)*/{}};
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  clear_has_body();
-  switch (from.body_case()) {
-    case kChangeItems: {
-      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
-          from._internal_change_items());
-      break;
-    }
-    case kPutInstance: {
-      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
-          from._internal_put_instance());
-      break;
-    }
-    case kEndInstance: {
-      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
-          from._internal_end_instance());
-      break;
-    }
-    case kGrantRanges: {
-      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
-          from._internal_grant_ranges());
-      break;
-    }
-    case kFreeRanges: {
-      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
-          from._internal_free_ranges());
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayCommand)
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EntryMember)
 }
 
-inline void GatewayCommand::SharedCtor(
+inline void EntryMember::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
     , /*decltype(_impl_._cached_size_)*/{}
-    , /*decltype(_impl_._oneof_case_)*/{}
   };
-  clear_has_body();
-}
-
-GatewayCommand::~GatewayCommand() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayCommand)
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+EntryMember::~EntryMember() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.EntryMember)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -4859,111 +4999,50 @@
   SharedDtor();
 }
 
-inline void GatewayCommand::SharedDtor() {
+inline void EntryMember::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  if (has_body()) {
-    clear_body();
-  }
+  _impl_.address_.Destroy();
+  _impl_.data_centre_.Destroy();
 }
 
-void GatewayCommand::SetCachedSize(int size) const {
+void EntryMember::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void GatewayCommand::clear_body() {
-// @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.GatewayCommand)
-  switch (body_case()) {
-    case kChangeItems: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.change_items_;
-      }
-      break;
-    }
-    case kPutInstance: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.put_instance_;
-      }
-      break;
-    }
-    case kEndInstance: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.end_instance_;
-      }
-      break;
-    }
-    case kGrantRanges: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.grant_ranges_;
-      }
-      break;
-    }
-    case kFreeRanges: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.free_ranges_;
-      }
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
-  }
-  _impl_._oneof_case_[0] = BODY_NOT_SET;
-}
-
-
-void GatewayCommand::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayCommand)
+void EntryMember::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EntryMember)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  clear_body();
+  _impl_.address_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* GatewayCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* EntryMember::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // .rattandyke.wire.ChangeItems change_items = 1;
+      // string address = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr = ctx->ParseMessage(_internal_mutable_change_items(), ptr);
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EntryMember.address"));
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.PutInstance put_instance = 2;
+      // string data_centre = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr = ctx->ParseMessage(_internal_mutable_put_instance(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.EndInstance end_instance = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr = ctx->ParseMessage(_internal_mutable_end_instance(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.GrantRanges grant_ranges = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          ptr = ctx->ParseMessage(_internal_mutable_grant_ranges(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.FreeRanges free_ranges = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          ptr = ctx->ParseMessage(_internal_mutable_free_ranges(), ptr);
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EntryMember.data_centre"));
         } else
           goto handle_unusual;
         continue;
@@ -4990,173 +5069,116 @@
 #undef CHK_
 }
 
-uint8_t* GatewayCommand::_InternalSerialize(
+uint8_t* EntryMember::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayCommand)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.EntryMember)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // .rattandyke.wire.ChangeItems change_items = 1;
-  if (_internal_has_change_items()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(1, _Internal::change_items(this),
-        _Internal::change_items(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.PutInstance put_instance = 2;
-  if (_internal_has_put_instance()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(2, _Internal::put_instance(this),
-        _Internal::put_instance(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.EndInstance end_instance = 3;
-  if (_internal_has_end_instance()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(3, _Internal::end_instance(this),
-        _Internal::end_instance(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.GrantRanges grant_ranges = 4;
-  if (_internal_has_grant_ranges()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(4, _Internal::grant_ranges(this),
-        _Internal::grant_ranges(this).GetCachedSize(), target, stream);
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.EntryMember.address");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_address(), target);
   }
 
-  // .rattandyke.wire.FreeRanges free_ranges = 5;
-  if (_internal_has_free_ranges()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(5, _Internal::free_ranges(this),
-        _Internal::free_ranges(this).GetCachedSize(), target, stream);
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.EntryMember.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_data_centre(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayCommand)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.EntryMember)
   return target;
 }
 
-size_t GatewayCommand::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayCommand)
+size_t EntryMember::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.EntryMember)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  switch (body_case()) {
-    // .rattandyke.wire.ChangeItems change_items = 1;
-    case kChangeItems: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.change_items_);
-      break;
-    }
-    // .rattandyke.wire.PutInstance put_instance = 2;
-    case kPutInstance: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.put_instance_);
-      break;
-    }
-    // .rattandyke.wire.EndInstance end_instance = 3;
-    case kEndInstance: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.end_instance_);
-      break;
-    }
-    // .rattandyke.wire.GrantRanges grant_ranges = 4;
-    case kGrantRanges: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.grant_ranges_);
-      break;
-    }
-    // .rattandyke.wire.FreeRanges free_ranges = 5;
-    case kFreeRanges: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.free_ranges_);
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
   }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayCommand::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData EntryMember::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    GatewayCommand::MergeImpl
+    EntryMember::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayCommand::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*EntryMember::GetClassData() const { return &_class_data_; }
 
 
-void GatewayCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<GatewayCommand*>(&to_msg);
-  auto& from = static_cast<const GatewayCommand&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayCommand)
+void EntryMember::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<EntryMember*>(&to_msg);
+  auto& from = static_cast<const EntryMember&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.EntryMember)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  switch (from.body_case()) {
-    case kChangeItems: {
-      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
-          from._internal_change_items());
-      break;
-    }
-    case kPutInstance: {
-      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
-          from._internal_put_instance());
-      break;
-    }
-    case kEndInstance: {
-      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
-          from._internal_end_instance());
-      break;
-    }
-    case kGrantRanges: {
-      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
-          from._internal_grant_ranges());
-      break;
-    }
-    case kFreeRanges: {
-      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
-          from._internal_free_ranges());
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void GatewayCommand::CopyFrom(const GatewayCommand& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayCommand)
+void EntryMember::CopyFrom(const EntryMember& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.EntryMember)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool GatewayCommand::IsInitialized() const {
+bool EntryMember::IsInitialized() const {
   return true;
 }
 
-void GatewayCommand::InternalSwap(GatewayCommand* other) {
+void EntryMember::InternalSwap(EntryMember* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  swap(_impl_.body_, other->_impl_.body_);
-  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata EntryMember::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[12]);
@@ -5164,76 +5186,47 @@
 
 // ===================================================================
 
-class RangeSegment::_Internal {
+class PutEntry::_Internal {
  public:
+  static const ::rattandyke::wire::EntryMember& entry(const PutEntry* msg);
 };
 
-RangeSegment::RangeSegment(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+const ::rattandyke::wire::EntryMember&
+PutEntry::_Internal::entry(const PutEntry* msg) {
+  return *msg->_impl_.entry_;
+}
+PutEntry::PutEntry(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.PutEntry)
 }
-RangeSegment::RangeSegment(const RangeSegment& from)
+PutEntry::PutEntry(const PutEntry& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RangeSegment* const _this = this; (void)_this;
+  PutEntry* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.holder_){}
-    , decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){}
-    , decltype(_impl_.to_){}
-    , decltype(_impl_.fence_){}
-    , decltype(_impl_.sequence_){}
+      decltype(_impl_.entry_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.holder_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_holder().empty()) {
-    _this->_impl_.holder_.Set(from._internal_holder(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.handover_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_handover().empty()) {
-    _this->_impl_.handover_.Set(from._internal_handover(), 
-      _this->GetArenaForAllocation());
+  if (from._internal_has_entry()) {
+    _this->_impl_.entry_ = new ::rattandyke::wire::EntryMember(*from._impl_.entry_);
   }
-  ::memcpy(&_impl_.from_, &from._impl_.from_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sequence_) -
-    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PutEntry)
 }
 
-inline void RangeSegment::SharedCtor(
+inline void PutEntry::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.holder_){}
-    , decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){0u}
-    , decltype(_impl_.to_){0u}
-    , decltype(_impl_.fence_){uint64_t{0u}}
-    , decltype(_impl_.sequence_){uint64_t{0u}}
+      decltype(_impl_.entry_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.holder_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.handover_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-RangeSegment::~RangeSegment() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeSegment)
+PutEntry::~PutEntry() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.PutEntry)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -5241,85 +5234,39 @@
   SharedDtor();
 }
 
-inline void RangeSegment::SharedDtor() {
+inline void PutEntry::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.holder_.Destroy();
-  _impl_.handover_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.entry_;
 }
 
-void RangeSegment::SetCachedSize(int size) const {
+void PutEntry::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void RangeSegment::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeSegment)
+void PutEntry::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.PutEntry)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.holder_.ClearToEmpty();
-  _impl_.handover_.ClearToEmpty();
-  ::memset(&_impl_.from_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.sequence_) -
-      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
+  if (GetArenaForAllocation() == nullptr && _impl_.entry_ != nullptr) {
+    delete _impl_.entry_;
+  }
+  _impl_.entry_ = nullptr;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* RangeSegment::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* PutEntry::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint32 from = 1;
+      // .rattandyke.wire.EntryMember entry = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 to = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // string holder = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_holder();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.holder"));
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 fence = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
-          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 sequence = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
-          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // string handover = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
-          auto str = _internal_mutable_handover();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_entry(), ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.handover"));
         } else
           goto handle_unusual;
         continue;
@@ -5346,178 +5293,85 @@
 #undef CHK_
 }
 
-uint8_t* RangeSegment::_InternalSerialize(
+uint8_t* PutEntry::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.PutEntry)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
-  }
-
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
-  }
-
-  // string holder = 3;
-  if (!this->_internal_holder().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RangeSegment.holder");
-    target = stream->WriteStringMaybeAliased(
-        3, this->_internal_holder(), target);
-  }
-
-  // uint64 fence = 4;
-  if (this->_internal_fence() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_fence(), target);
-  }
-
-  // uint64 sequence = 5;
-  if (this->_internal_sequence() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_sequence(), target);
-  }
-
-  // string handover = 6;
-  if (!this->_internal_handover().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RangeSegment.handover");
-    target = stream->WriteStringMaybeAliased(
-        6, this->_internal_handover(), target);
+  // .rattandyke.wire.EntryMember entry = 1;
+  if (this->_internal_has_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::entry(this),
+        _Internal::entry(this).GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.PutEntry)
   return target;
 }
 
-size_t RangeSegment::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeSegment)
+size_t PutEntry::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.PutEntry)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string holder = 3;
-  if (!this->_internal_holder().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_holder());
-  }
-
-  // string handover = 6;
-  if (!this->_internal_handover().empty()) {
+  // .rattandyke.wire.EntryMember entry = 1;
+  if (this->_internal_has_entry()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_handover());
-  }
-
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
-  }
-
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
-  }
-
-  // uint64 fence = 4;
-  if (this->_internal_fence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
-  }
-
-  // uint64 sequence = 5;
-  if (this->_internal_sequence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.entry_);
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeSegment::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData PutEntry::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RangeSegment::MergeImpl
+    PutEntry::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeSegment::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*PutEntry::GetClassData() const { return &_class_data_; }
 
 
-void RangeSegment::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RangeSegment*>(&to_msg);
-  auto& from = static_cast<const RangeSegment&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeSegment)
+void PutEntry::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<PutEntry*>(&to_msg);
+  auto& from = static_cast<const PutEntry&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.PutEntry)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_holder().empty()) {
-    _this->_internal_set_holder(from._internal_holder());
-  }
-  if (!from._internal_handover().empty()) {
-    _this->_internal_set_handover(from._internal_handover());
-  }
-  if (from._internal_from() != 0) {
-    _this->_internal_set_from(from._internal_from());
-  }
-  if (from._internal_to() != 0) {
-    _this->_internal_set_to(from._internal_to());
-  }
-  if (from._internal_fence() != 0) {
-    _this->_internal_set_fence(from._internal_fence());
-  }
-  if (from._internal_sequence() != 0) {
-    _this->_internal_set_sequence(from._internal_sequence());
+  if (from._internal_has_entry()) {
+    _this->_internal_mutable_entry()->::rattandyke::wire::EntryMember::MergeFrom(
+        from._internal_entry());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void RangeSegment::CopyFrom(const RangeSegment& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeSegment)
+void PutEntry::CopyFrom(const PutEntry& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.PutEntry)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool RangeSegment::IsInitialized() const {
+bool PutEntry::IsInitialized() const {
   return true;
 }
 
-void RangeSegment::InternalSwap(RangeSegment* other) {
+void PutEntry::InternalSwap(PutEntry* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.holder_, lhs_arena,
-      &other->_impl_.holder_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.handover_, lhs_arena,
-      &other->_impl_.handover_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.sequence_)
-      + sizeof(RangeSegment::_impl_.sequence_)
-      - PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.from_)>(
-          reinterpret_cast<char*>(&_impl_.from_),
-          reinterpret_cast<char*>(&other->_impl_.from_));
+  swap(_impl_.entry_, other->_impl_.entry_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata PutEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[13]);
@@ -5525,53 +5379,51 @@
 
 // ===================================================================
 
-class ServiceRanges::_Internal {
+class DropEntry::_Internal {
  public:
 };
 
-ServiceRanges::ServiceRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+DropEntry::DropEntry(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.DropEntry)
 }
-ServiceRanges::ServiceRanges(const ServiceRanges& from)
+DropEntry::DropEntry(const DropEntry& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ServiceRanges* const _this = this; (void)_this;
+  DropEntry* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.segments_){from._impl_.segments_}
-    , decltype(_impl_.service_){}
+      decltype(_impl_.address_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.service_.InitDefault();
+  _impl_.address_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.address_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_service().empty()) {
-    _this->_impl_.service_.Set(from._internal_service(), 
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
       _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DropEntry)
 }
 
-inline void ServiceRanges::SharedCtor(
+inline void DropEntry::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.segments_){arena}
-    , decltype(_impl_.service_){}
+      decltype(_impl_.address_){}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.service_.InitDefault();
+  _impl_.address_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.address_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ServiceRanges::~ServiceRanges() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceRanges)
+DropEntry::~DropEntry() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.DropEntry)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -5579,53 +5431,38 @@
   SharedDtor();
 }
 
-inline void ServiceRanges::SharedDtor() {
+inline void DropEntry::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.segments_.~RepeatedPtrField();
-  _impl_.service_.Destroy();
+  _impl_.address_.Destroy();
 }
 
-void ServiceRanges::SetCachedSize(int size) const {
+void DropEntry::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ServiceRanges::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceRanges)
+void DropEntry::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.DropEntry)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.segments_.Clear();
-  _impl_.service_.ClearToEmpty();
+  _impl_.address_.ClearToEmpty();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ServiceRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* DropEntry::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // string address = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_service();
+          auto str = _internal_mutable_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceRanges.service"));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.RangeSegment segments = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_segments(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DropEntry.address"));
         } else
           goto handle_unusual;
         continue;
@@ -5652,109 +5489,92 @@
 #undef CHK_
 }
 
-uint8_t* ServiceRanges::_InternalSerialize(
+uint8_t* DropEntry::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.DropEntry)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ServiceRanges.service");
+      "rattandyke.wire.DropEntry.address");
     target = stream->WriteStringMaybeAliased(
-        1, this->_internal_service(), target);
-  }
-
-  // repeated .rattandyke.wire.RangeSegment segments = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_segments_size()); i < n; i++) {
-    const auto& repfield = this->_internal_segments(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+        1, this->_internal_address(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.DropEntry)
   return target;
 }
 
-size_t ServiceRanges::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceRanges)
+size_t DropEntry::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.DropEntry)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeSegment segments = 2;
-  total_size += 1UL * this->_internal_segments_size();
-  for (const auto& msg : this->_impl_.segments_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_service());
+        this->_internal_address());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceRanges::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData DropEntry::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ServiceRanges::MergeImpl
+    DropEntry::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceRanges::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*DropEntry::GetClassData() const { return &_class_data_; }
 
 
-void ServiceRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ServiceRanges*>(&to_msg);
-  auto& from = static_cast<const ServiceRanges&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceRanges)
+void DropEntry::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<DropEntry*>(&to_msg);
+  auto& from = static_cast<const DropEntry&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.DropEntry)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.segments_.MergeFrom(from._impl_.segments_);
-  if (!from._internal_service().empty()) {
-    _this->_internal_set_service(from._internal_service());
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ServiceRanges::CopyFrom(const ServiceRanges& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceRanges)
+void DropEntry::CopyFrom(const DropEntry& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.DropEntry)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ServiceRanges::IsInitialized() const {
+bool DropEntry::IsInitialized() const {
   return true;
 }
 
-void ServiceRanges::InternalSwap(ServiceRanges* other) {
+void DropEntry::InternalSwap(DropEntry* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.segments_.InternalSwap(&other->_impl_.segments_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.service_, lhs_arena,
-      &other->_impl_.service_, rhs_arena
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
   );
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata DropEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[14]);
