@@ -5762,220 +5582,2430 @@
 
 // ===================================================================
 
-class GatewayState::_Internal {
+class GatewayCommand::_Internal {
  public:
-  static const ::rattandyke::wire::LimitsItem& limits(const GatewayState* msg);
+  static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutInstance& put_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::EndInstance& end_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::GrantRanges& grant_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::FreeRanges& free_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutEntry& put_entry(const GatewayCommand* msg);
+  static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
 };
 
-const ::rattandyke::wire::LimitsItem&
-GatewayState::_Internal::limits(const GatewayState* msg) {
-  return *msg->_impl_.limits_;
+const ::rattandyke::wire::ChangeItems&
+GatewayCommand::_Internal::change_items(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.change_items_;
 }
-GatewayState::GatewayState(::PROTOBUF_NAMESPACE_ID::Arena* arena,
-                         bool is_message_owned)
-  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
-  SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayState)
+const ::rattandyke::wire::PutInstance&
+GatewayCommand::_Internal::put_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_instance_;
 }
-GatewayState::GatewayState(const GatewayState& from)
-  : ::PROTOBUF_NAMESPACE_ID::Message() {
-  GatewayState* const _this = this; (void)_this;
-  new (&_impl_) Impl_{
-      decltype(_impl_.routes_){from._impl_.routes_}
-    , decltype(_impl_.services_){from._impl_.services_}
-    , decltype(_impl_.dropped_routes_){from._impl_.dropped_routes_}
-    , decltype(_impl_.dropped_services_){from._impl_.dropped_services_}
-    , decltype(_impl_.instances_){from._impl_.instances_}
-    , decltype(_impl_.ended_instances_){from._impl_.ended_instances_}
-    , decltype(_impl_.ranges_){from._impl_.ranges_}
-    , decltype(_impl_.limits_){nullptr}
-    , decltype(_impl_.applied_){}
-    , /*decltype(_impl_._cached_size_)*/{}};
-
-  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  if (from._internal_has_limits()) {
-    _this->_impl_.limits_ = new ::rattandyke::wire::LimitsItem(*from._impl_.limits_);
-  }
-  _this->_impl_.applied_ = from._impl_.applied_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayState)
+const ::rattandyke::wire::EndInstance&
+GatewayCommand::_Internal::end_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.end_instance_;
 }
-
-inline void GatewayState::SharedCtor(
-    ::_pb::Arena* arena, bool is_message_owned) {
-  (void)arena;
-  (void)is_message_owned;
-  new (&_impl_) Impl_{
-      decltype(_impl_.routes_){arena}
-    , decltype(_impl_.services_){arena}
-    , decltype(_impl_.dropped_routes_){arena}
-    , decltype(_impl_.dropped_services_){arena}
-    , decltype(_impl_.instances_){arena}
-    , decltype(_impl_.ended_instances_){arena}
-    , decltype(_impl_.ranges_){arena}
-    , decltype(_impl_.limits_){nullptr}
-    , decltype(_impl_.applied_){uint64_t{0u}}
-    , /*decltype(_impl_._cached_size_)*/{}
-  };
+const ::rattandyke::wire::GrantRanges&
+GatewayCommand::_Internal::grant_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.grant_ranges_;
 }
-
-GatewayState::~GatewayState() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayState)
-  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
-  (void)arena;
-    return;
+const ::rattandyke::wire::FreeRanges&
+GatewayCommand::_Internal::free_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.free_ranges_;
+}
+const ::rattandyke::wire::PutEntry&
+GatewayCommand::_Internal::put_entry(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_entry_;
+}
+const ::rattandyke::wire::DropEntry&
+GatewayCommand::_Internal::drop_entry(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.drop_entry_;
+}
+void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (change_items) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(change_items);
+    if (message_arena != submessage_arena) {
+      change_items = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, change_items, submessage_arena);
+    }
+    set_has_change_items();
+    _impl_.body_.change_items_ = change_items;
   }
-  SharedDtor();
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.change_items)
 }
-
-inline void GatewayState::SharedDtor() {
-  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.routes_.~RepeatedPtrField();
-  _impl_.services_.~RepeatedPtrField();
-  _impl_.dropped_routes_.~RepeatedPtrField();
-  _impl_.dropped_services_.~RepeatedPtrField();
-  _impl_.instances_.~RepeatedPtrField();
-  _impl_.ended_instances_.~RepeatedPtrField();
-  _impl_.ranges_.~RepeatedPtrField();
-  if (this != internal_default_instance()) delete _impl_.limits_;
+void GatewayCommand::set_allocated_put_instance(::rattandyke::wire::PutInstance* put_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_instance);
+    if (message_arena != submessage_arena) {
+      put_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_instance, submessage_arena);
+    }
+    set_has_put_instance();
+    _impl_.body_.put_instance_ = put_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_instance)
 }
-
-void GatewayState::SetCachedSize(int size) const {
-  _impl_._cached_size_.Set(size);
+void GatewayCommand::set_allocated_end_instance(::rattandyke::wire::EndInstance* end_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (end_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(end_instance);
+    if (message_arena != submessage_arena) {
+      end_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, end_instance, submessage_arena);
+    }
+    set_has_end_instance();
+    _impl_.body_.end_instance_ = end_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.end_instance)
 }
-
-void GatewayState::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayState)
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  _impl_.routes_.Clear();
-  _impl_.services_.Clear();
-  _impl_.dropped_routes_.Clear();
-  _impl_.dropped_services_.Clear();
-  _impl_.instances_.Clear();
-  _impl_.ended_instances_.Clear();
-  _impl_.ranges_.Clear();
-  if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
-    delete _impl_.limits_;
+void GatewayCommand::set_allocated_grant_ranges(::rattandyke::wire::GrantRanges* grant_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (grant_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(grant_ranges);
+    if (message_arena != submessage_arena) {
+      grant_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, grant_ranges, submessage_arena);
+    }
+    set_has_grant_ranges();
+    _impl_.body_.grant_ranges_ = grant_ranges;
   }
-  _impl_.limits_ = nullptr;
-  _impl_.applied_ = uint64_t{0u};
-  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.grant_ranges)
 }
-
-const char* GatewayState::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
-#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
-  while (!ctx->Done(&ptr)) {
-    uint32_t tag;
-    ptr = ::_pbi::ReadTag(ptr, &tag);
-    switch (tag >> 3) {
-      // uint64 applied = 1;
-      case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+void GatewayCommand::set_allocated_free_ranges(::rattandyke::wire::FreeRanges* free_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (free_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(free_ranges);
+    if (message_arena != submessage_arena) {
+      free_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, free_ranges, submessage_arena);
+    }
+    set_has_free_ranges();
+    _impl_.body_.free_ranges_ = free_ranges;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.free_ranges)
+}
+void GatewayCommand::set_allocated_put_entry(::rattandyke::wire::PutEntry* put_entry) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_entry) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_entry);
+    if (message_arena != submessage_arena) {
+      put_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_entry, submessage_arena);
+    }
+    set_has_put_entry();
+    _impl_.body_.put_entry_ = put_entry;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_entry)
+}
+void GatewayCommand::set_allocated_drop_entry(::rattandyke::wire::DropEntry* drop_entry) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (drop_entry) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_entry);
+    if (message_arena != submessage_arena) {
+      drop_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, drop_entry, submessage_arena);
+    }
+    set_has_drop_entry();
+    _impl_.body_.drop_entry_ = drop_entry;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_entry)
+}
+GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayCommand)
+}
+GatewayCommand::GatewayCommand(const GatewayCommand& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  GatewayCommand* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.body_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  clear_has_body();
+  switch (from.body_case()) {
+    case kChangeItems: {
+      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
+          from._internal_change_items());
+      break;
+    }
+    case kPutInstance: {
+      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
+          from._internal_put_instance());
+      break;
+    }
+    case kEndInstance: {
+      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
+          from._internal_end_instance());
+      break;
+    }
+    case kGrantRanges: {
+      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
+          from._internal_grant_ranges());
+      break;
+    }
+    case kFreeRanges: {
+      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
+          from._internal_free_ranges());
+      break;
+    }
+    case kPutEntry: {
+      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
+          from._internal_put_entry());
+      break;
+    }
+    case kDropEntry: {
+      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
+          from._internal_drop_entry());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayCommand)
+}
+
+inline void GatewayCommand::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.body_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}
+  };
+  clear_has_body();
+}
+
+GatewayCommand::~GatewayCommand() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayCommand)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void GatewayCommand::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (has_body()) {
+    clear_body();
+  }
+}
+
+void GatewayCommand::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void GatewayCommand::clear_body() {
+// @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.GatewayCommand)
+  switch (body_case()) {
+    case kChangeItems: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.change_items_;
+      }
+      break;
+    }
+    case kPutInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_instance_;
+      }
+      break;
+    }
+    case kEndInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.end_instance_;
+      }
+      break;
+    }
+    case kGrantRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.grant_ranges_;
+      }
+      break;
+    }
+    case kFreeRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.free_ranges_;
+      }
+      break;
+    }
+    case kPutEntry: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_entry_;
+      }
+      break;
+    }
+    case kDropEntry: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.drop_entry_;
+      }
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _impl_._oneof_case_[0] = BODY_NOT_SET;
+}
+
+
+void GatewayCommand::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayCommand)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  clear_body();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* GatewayCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .rattandyke.wire.ChangeItems change_items = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_change_items(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.PutInstance put_instance = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.EndInstance end_instance = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr = ctx->ParseMessage(_internal_mutable_end_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.GrantRanges grant_ranges = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr = ctx->ParseMessage(_internal_mutable_grant_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.FreeRanges free_ranges = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr = ctx->ParseMessage(_internal_mutable_free_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.PutEntry put_entry = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_entry(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.DropEntry drop_entry = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
+          ptr = ctx->ParseMessage(_internal_mutable_drop_entry(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* GatewayCommand::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayCommand)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.ChangeItems change_items = 1;
+  if (_internal_has_change_items()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::change_items(this),
+        _Internal::change_items(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.PutInstance put_instance = 2;
+  if (_internal_has_put_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(2, _Internal::put_instance(this),
+        _Internal::put_instance(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.EndInstance end_instance = 3;
+  if (_internal_has_end_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(3, _Internal::end_instance(this),
+        _Internal::end_instance(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.GrantRanges grant_ranges = 4;
+  if (_internal_has_grant_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(4, _Internal::grant_ranges(this),
+        _Internal::grant_ranges(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.FreeRanges free_ranges = 5;
+  if (_internal_has_free_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(5, _Internal::free_ranges(this),
+        _Internal::free_ranges(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.PutEntry put_entry = 6;
+  if (_internal_has_put_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(6, _Internal::put_entry(this),
+        _Internal::put_entry(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.DropEntry drop_entry = 7;
+  if (_internal_has_drop_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(7, _Internal::drop_entry(this),
+        _Internal::drop_entry(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayCommand)
+  return target;
+}
+
+size_t GatewayCommand::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayCommand)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  switch (body_case()) {
+    // .rattandyke.wire.ChangeItems change_items = 1;
+    case kChangeItems: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.change_items_);
+      break;
+    }
+    // .rattandyke.wire.PutInstance put_instance = 2;
+    case kPutInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_instance_);
+      break;
+    }
+    // .rattandyke.wire.EndInstance end_instance = 3;
+    case kEndInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.end_instance_);
+      break;
+    }
+    // .rattandyke.wire.GrantRanges grant_ranges = 4;
+    case kGrantRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.grant_ranges_);
+      break;
+    }
+    // .rattandyke.wire.FreeRanges free_ranges = 5;
+    case kFreeRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.free_ranges_);
+      break;
+    }
+    // .rattandyke.wire.PutEntry put_entry = 6;
+    case kPutEntry: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_entry_);
+      break;
+    }
+    // .rattandyke.wire.DropEntry drop_entry = 7;
+    case kDropEntry: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.drop_entry_);
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayCommand::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    GatewayCommand::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayCommand::GetClassData() const { return &_class_data_; }
+
+
+void GatewayCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<GatewayCommand*>(&to_msg);
+  auto& from = static_cast<const GatewayCommand&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayCommand)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  switch (from.body_case()) {
+    case kChangeItems: {
+      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
+          from._internal_change_items());
+      break;
+    }
+    case kPutInstance: {
+      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
+          from._internal_put_instance());
+      break;
+    }
+    case kEndInstance: {
+      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
+          from._internal_end_instance());
+      break;
+    }
+    case kGrantRanges: {
+      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
+          from._internal_grant_ranges());
+      break;
+    }
+    case kFreeRanges: {
+      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
+          from._internal_free_ranges());
+      break;
+    }
+    case kPutEntry: {
+      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
+          from._internal_put_entry());
+      break;
+    }
+    case kDropEntry: {
+      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
+          from._internal_drop_entry());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void GatewayCommand::CopyFrom(const GatewayCommand& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayCommand)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool GatewayCommand::IsInitialized() const {
+  return true;
+}
+
+void GatewayCommand::InternalSwap(GatewayCommand* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.body_, other->_impl_.body_);
+  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[15]);
+}
+
+// ===================================================================
+
+class RangeSegment::_Internal {
+ public:
+};
+
+RangeSegment::RangeSegment(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeSegment)
+}
+RangeSegment::RangeSegment(const RangeSegment& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RangeSegment* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holder_){}
+    , decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){}
+    , decltype(_impl_.to_){}
+    , decltype(_impl_.fence_){}
+    , decltype(_impl_.sequence_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_holder().empty()) {
+    _this->_impl_.holder_.Set(from._internal_holder(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_handover().empty()) {
+    _this->_impl_.handover_.Set(from._internal_handover(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.from_, &from._impl_.from_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sequence_) -
+    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeSegment)
+}
+
+inline void RangeSegment::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holder_){}
+    , decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){0u}
+    , decltype(_impl_.to_){0u}
+    , decltype(_impl_.fence_){uint64_t{0u}}
+    , decltype(_impl_.sequence_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RangeSegment::~RangeSegment() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeSegment)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RangeSegment::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.holder_.Destroy();
+  _impl_.handover_.Destroy();
+}
+
+void RangeSegment::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RangeSegment::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeSegment)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.holder_.ClearToEmpty();
+  _impl_.handover_.ClearToEmpty();
+  ::memset(&_impl_.from_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.sequence_) -
+      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RangeSegment::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint32 from = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 to = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string holder = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_holder();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.holder"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 fence = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 sequence = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string handover = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_handover();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.handover"));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RangeSegment::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeSegment)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
+  }
+
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
+  }
+
+  // string holder = 3;
+  if (!this->_internal_holder().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RangeSegment.holder");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_holder(), target);
+  }
+
+  // uint64 fence = 4;
+  if (this->_internal_fence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_fence(), target);
+  }
+
+  // uint64 sequence = 5;
+  if (this->_internal_sequence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_sequence(), target);
+  }
+
+  // string handover = 6;
+  if (!this->_internal_handover().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RangeSegment.handover");
+    target = stream->WriteStringMaybeAliased(
+        6, this->_internal_handover(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeSegment)
+  return target;
+}
+
+size_t RangeSegment::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeSegment)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string holder = 3;
+  if (!this->_internal_holder().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_holder());
+  }
+
+  // string handover = 6;
+  if (!this->_internal_handover().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_handover());
+  }
+
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
+  }
+
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+  }
+
+  // uint64 fence = 4;
+  if (this->_internal_fence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
+  }
+
+  // uint64 sequence = 5;
+  if (this->_internal_sequence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeSegment::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RangeSegment::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeSegment::GetClassData() const { return &_class_data_; }
+
+
+void RangeSegment::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RangeSegment*>(&to_msg);
+  auto& from = static_cast<const RangeSegment&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeSegment)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_holder().empty()) {
+    _this->_internal_set_holder(from._internal_holder());
+  }
+  if (!from._internal_handover().empty()) {
+    _this->_internal_set_handover(from._internal_handover());
+  }
+  if (from._internal_from() != 0) {
+    _this->_internal_set_from(from._internal_from());
+  }
+  if (from._internal_to() != 0) {
+    _this->_internal_set_to(from._internal_to());
+  }
+  if (from._internal_fence() != 0) {
+    _this->_internal_set_fence(from._internal_fence());
+  }
+  if (from._internal_sequence() != 0) {
+    _this->_internal_set_sequence(from._internal_sequence());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RangeSegment::CopyFrom(const RangeSegment& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeSegment)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RangeSegment::IsInitialized() const {
+  return true;
+}
+
+void RangeSegment::InternalSwap(RangeSegment* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.holder_, lhs_arena,
+      &other->_impl_.holder_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.handover_, lhs_arena,
+      &other->_impl_.handover_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.sequence_)
+      + sizeof(RangeSegment::_impl_.sequence_)
+      - PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.from_)>(
+          reinterpret_cast<char*>(&_impl_.from_),
+          reinterpret_cast<char*>(&other->_impl_.from_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[16]);
+}
+
+// ===================================================================
+
+class ServiceRanges::_Internal {
+ public:
+};
+
+ServiceRanges::ServiceRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceRanges)
+}
+ServiceRanges::ServiceRanges(const ServiceRanges& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ServiceRanges* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.segments_){from._impl_.segments_}
+    , decltype(_impl_.service_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceRanges)
+}
+
+inline void ServiceRanges::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.segments_){arena}
+    , decltype(_impl_.service_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ServiceRanges::~ServiceRanges() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceRanges)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ServiceRanges::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.segments_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
+}
+
+void ServiceRanges::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ServiceRanges::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceRanges)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.segments_.Clear();
+  _impl_.service_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ServiceRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string service = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceRanges.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.RangeSegment segments = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_segments(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ServiceRanges::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceRanges)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ServiceRanges.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // repeated .rattandyke.wire.RangeSegment segments = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_segments_size()); i < n; i++) {
+    const auto& repfield = this->_internal_segments(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceRanges)
+  return target;
+}
+
+size_t ServiceRanges::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceRanges)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RangeSegment segments = 2;
+  total_size += 1UL * this->_internal_segments_size();
+  for (const auto& msg : this->_impl_.segments_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceRanges::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ServiceRanges::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceRanges::GetClassData() const { return &_class_data_; }
+
+
+void ServiceRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ServiceRanges*>(&to_msg);
+  auto& from = static_cast<const ServiceRanges&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceRanges)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.segments_.MergeFrom(from._impl_.segments_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ServiceRanges::CopyFrom(const ServiceRanges& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceRanges)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ServiceRanges::IsInitialized() const {
+  return true;
+}
+
+void ServiceRanges::InternalSwap(ServiceRanges* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.segments_.InternalSwap(&other->_impl_.segments_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[17]);
+}
+
+// ===================================================================
+
+class GatewayState::_Internal {
+ public:
+  static const ::rattandyke::wire::LimitsItem& limits(const GatewayState* msg);
+};
+
+const ::rattandyke::wire::LimitsItem&
+GatewayState::_Internal::limits(const GatewayState* msg) {
+  return *msg->_impl_.limits_;
+}
+GatewayState::GatewayState(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayState)
+}
+GatewayState::GatewayState(const GatewayState& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  GatewayState* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.routes_){from._impl_.routes_}
+    , decltype(_impl_.services_){from._impl_.services_}
+    , decltype(_impl_.dropped_routes_){from._impl_.dropped_routes_}
+    , decltype(_impl_.dropped_services_){from._impl_.dropped_services_}
+    , decltype(_impl_.instances_){from._impl_.instances_}
+    , decltype(_impl_.ended_instances_){from._impl_.ended_instances_}
+    , decltype(_impl_.ranges_){from._impl_.ranges_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.limits_){nullptr}
+    , decltype(_impl_.applied_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_limits()) {
+    _this->_impl_.limits_ = new ::rattandyke::wire::LimitsItem(*from._impl_.limits_);
+  }
+  _this->_impl_.applied_ = from._impl_.applied_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayState)
+}
+
+inline void GatewayState::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.routes_){arena}
+    , decltype(_impl_.services_){arena}
+    , decltype(_impl_.dropped_routes_){arena}
+    , decltype(_impl_.dropped_services_){arena}
+    , decltype(_impl_.instances_){arena}
+    , decltype(_impl_.ended_instances_){arena}
+    , decltype(_impl_.ranges_){arena}
+    , decltype(_impl_.entries_){arena}
+    , decltype(_impl_.limits_){nullptr}
+    , decltype(_impl_.applied_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+GatewayState::~GatewayState() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayState)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void GatewayState::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.routes_.~RepeatedPtrField();
+  _impl_.services_.~RepeatedPtrField();
+  _impl_.dropped_routes_.~RepeatedPtrField();
+  _impl_.dropped_services_.~RepeatedPtrField();
+  _impl_.instances_.~RepeatedPtrField();
+  _impl_.ended_instances_.~RepeatedPtrField();
+  _impl_.ranges_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
+  if (this != internal_default_instance()) delete _impl_.limits_;
+}
+
+void GatewayState::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void GatewayState::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayState)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.routes_.Clear();
+  _impl_.services_.Clear();
+  _impl_.dropped_routes_.Clear();
+  _impl_.dropped_services_.Clear();
+  _impl_.instances_.Clear();
+  _impl_.ended_instances_.Clear();
+  _impl_.ranges_.Clear();
+  _impl_.entries_.Clear();
+  if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
+    delete _impl_.limits_;
+  }
+  _impl_.limits_ = nullptr;
+  _impl_.applied_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* GatewayState::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 applied = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.RouteItem routes = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_routes(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ServiceItem services = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_services(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.LimitsItem limits = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr = ctx->ParseMessage(_internal_mutable_limits(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_dropped_routes(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_dropped_services(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<50>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.UpstreamInstance instances = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_instances(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<58>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string ended_instances = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_ended_instances();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.GatewayState.ended_instances"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<66>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ServiceRanges ranges = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<74>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.EntryMember entries = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<82>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* GatewayState::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayState)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 applied = 1;
+  if (this->_internal_applied() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_applied(), target);
+  }
+
+  // repeated .rattandyke.wire.RouteItem routes = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_routes_size()); i < n; i++) {
+    const auto& repfield = this->_internal_routes(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.ServiceItem services = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_services_size()); i < n; i++) {
+    const auto& repfield = this->_internal_services(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.LimitsItem limits = 4;
+  if (this->_internal_has_limits()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(4, _Internal::limits(this),
+        _Internal::limits(this).GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_dropped_routes_size()); i < n; i++) {
+    const auto& repfield = this->_internal_dropped_routes(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_dropped_services_size()); i < n; i++) {
+    const auto& repfield = this->_internal_dropped_services(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(6, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.UpstreamInstance instances = 7;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_instances_size()); i < n; i++) {
+    const auto& repfield = this->_internal_instances(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(7, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated string ended_instances = 8;
+  for (int i = 0, n = this->_internal_ended_instances_size(); i < n; i++) {
+    const auto& s = this->_internal_ended_instances(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.GatewayState.ended_instances");
+    target = stream->WriteString(8, s, target);
+  }
+
+  // repeated .rattandyke.wire.ServiceRanges ranges = 9;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ranges(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(9, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 10;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(10, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayState)
+  return target;
+}
+
+size_t GatewayState::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayState)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RouteItem routes = 2;
+  total_size += 1UL * this->_internal_routes_size();
+  for (const auto& msg : this->_impl_.routes_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.ServiceItem services = 3;
+  total_size += 1UL * this->_internal_services_size();
+  for (const auto& msg : this->_impl_.services_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
+  total_size += 1UL * this->_internal_dropped_routes_size();
+  for (const auto& msg : this->_impl_.dropped_routes_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
+  total_size += 1UL * this->_internal_dropped_services_size();
+  for (const auto& msg : this->_impl_.dropped_services_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.UpstreamInstance instances = 7;
+  total_size += 1UL * this->_internal_instances_size();
+  for (const auto& msg : this->_impl_.instances_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated string ended_instances = 8;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.ended_instances_.size());
+  for (int i = 0, n = _impl_.ended_instances_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.ended_instances_.Get(i));
+  }
+
+  // repeated .rattandyke.wire.ServiceRanges ranges = 9;
+  total_size += 1UL * this->_internal_ranges_size();
+  for (const auto& msg : this->_impl_.ranges_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 10;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // .rattandyke.wire.LimitsItem limits = 4;
+  if (this->_internal_has_limits()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.limits_);
+  }
+
+  // uint64 applied = 1;
+  if (this->_internal_applied() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayState::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    GatewayState::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayState::GetClassData() const { return &_class_data_; }
+
+
+void GatewayState::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<GatewayState*>(&to_msg);
+  auto& from = static_cast<const GatewayState&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayState)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.routes_.MergeFrom(from._impl_.routes_);
+  _this->_impl_.services_.MergeFrom(from._impl_.services_);
+  _this->_impl_.dropped_routes_.MergeFrom(from._impl_.dropped_routes_);
+  _this->_impl_.dropped_services_.MergeFrom(from._impl_.dropped_services_);
+  _this->_impl_.instances_.MergeFrom(from._impl_.instances_);
+  _this->_impl_.ended_instances_.MergeFrom(from._impl_.ended_instances_);
+  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  if (from._internal_has_limits()) {
+    _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
+        from._internal_limits());
+  }
+  if (from._internal_applied() != 0) {
+    _this->_internal_set_applied(from._internal_applied());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void GatewayState::CopyFrom(const GatewayState& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayState)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool GatewayState::IsInitialized() const {
+  return true;
+}
+
+void GatewayState::InternalSwap(GatewayState* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.routes_.InternalSwap(&other->_impl_.routes_);
+  _impl_.services_.InternalSwap(&other->_impl_.services_);
+  _impl_.dropped_routes_.InternalSwap(&other->_impl_.dropped_routes_);
+  _impl_.dropped_services_.InternalSwap(&other->_impl_.dropped_services_);
+  _impl_.instances_.InternalSwap(&other->_impl_.instances_);
+  _impl_.ended_instances_.InternalSwap(&other->_impl_.ended_instances_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
+      + sizeof(GatewayState::_impl_.applied_)
+      - PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.limits_)>(
+          reinterpret_cast<char*>(&_impl_.limits_),
+          reinterpret_cast<char*>(&other->_impl_.limits_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[18]);
+}
+
+// ===================================================================
+
+class FeedOpen::_Internal {
+ public:
+  static const ::rattandyke::wire::EntryMember& entry(const FeedOpen* msg);
+};
+
+const ::rattandyke::wire::EntryMember&
+FeedOpen::_Internal::entry(const FeedOpen* msg) {
+  return *msg->_impl_.entry_;
+}
+FeedOpen::FeedOpen(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedOpen)
+}
+FeedOpen::FeedOpen(const FeedOpen& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  FeedOpen* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.entry_){nullptr}
+    , decltype(_impl_.applied_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_entry()) {
+    _this->_impl_.entry_ = new ::rattandyke::wire::EntryMember(*from._impl_.entry_);
+  }
+  _this->_impl_.applied_ = from._impl_.applied_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedOpen)
+}
+
+inline void FeedOpen::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.entry_){nullptr}
+    , decltype(_impl_.applied_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+FeedOpen::~FeedOpen() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedOpen)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void FeedOpen::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (this != internal_default_instance()) delete _impl_.entry_;
+}
+
+void FeedOpen::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void FeedOpen::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedOpen)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  if (GetArenaForAllocation() == nullptr && _impl_.entry_ != nullptr) {
+    delete _impl_.entry_;
+  }
+  _impl_.entry_ = nullptr;
+  _impl_.applied_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* FeedOpen::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .rattandyke.wire.EntryMember entry = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_entry(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 applied = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* FeedOpen::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedOpen)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.EntryMember entry = 1;
+  if (this->_internal_has_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::entry(this),
+        _Internal::entry(this).GetCachedSize(), target, stream);
+  }
+
+  // uint64 applied = 2;
+  if (this->_internal_applied() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_applied(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedOpen)
+  return target;
+}
+
+size_t FeedOpen::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedOpen)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.EntryMember entry = 1;
+  if (this->_internal_has_entry()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.entry_);
+  }
+
+  // uint64 applied = 2;
+  if (this->_internal_applied() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedOpen::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    FeedOpen::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedOpen::GetClassData() const { return &_class_data_; }
+
+
+void FeedOpen::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedOpen*>(&to_msg);
+  auto& from = static_cast<const FeedOpen&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedOpen)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_has_entry()) {
+    _this->_internal_mutable_entry()->::rattandyke::wire::EntryMember::MergeFrom(
+        from._internal_entry());
+  }
+  if (from._internal_applied() != 0) {
+    _this->_internal_set_applied(from._internal_applied());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FeedOpen::CopyFrom(const FeedOpen& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedOpen)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FeedOpen::IsInitialized() const {
+  return true;
+}
+
+void FeedOpen::InternalSwap(FeedOpen* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(FeedOpen, _impl_.applied_)
+      + sizeof(FeedOpen::_impl_.applied_)
+      - PROTOBUF_FIELD_OFFSET(FeedOpen, _impl_.entry_)>(
+          reinterpret_cast<char*>(&_impl_.entry_),
+          reinterpret_cast<char*>(&other->_impl_.entry_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[19]);
+}
+
+// ===================================================================
+
+class FeedSnapshot::_Internal {
+ public:
+  static const ::rattandyke::wire::GatewayState& state(const FeedSnapshot* msg);
+};
+
+const ::rattandyke::wire::GatewayState&
+FeedSnapshot::_Internal::state(const FeedSnapshot* msg) {
+  return *msg->_impl_.state_;
+}
+FeedSnapshot::FeedSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedSnapshot)
+}
+FeedSnapshot::FeedSnapshot(const FeedSnapshot& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  FeedSnapshot* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.state_){nullptr}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_state()) {
+    _this->_impl_.state_ = new ::rattandyke::wire::GatewayState(*from._impl_.state_);
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedSnapshot)
+}
+
+inline void FeedSnapshot::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.state_){nullptr}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+FeedSnapshot::~FeedSnapshot() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedSnapshot)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void FeedSnapshot::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (this != internal_default_instance()) delete _impl_.state_;
+}
+
+void FeedSnapshot::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void FeedSnapshot::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedSnapshot)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  if (GetArenaForAllocation() == nullptr && _impl_.state_ != nullptr) {
+    delete _impl_.state_;
+  }
+  _impl_.state_ = nullptr;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* FeedSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .rattandyke.wire.GatewayState state = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_state(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* FeedSnapshot::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedSnapshot)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.GatewayState state = 1;
+  if (this->_internal_has_state()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::state(this),
+        _Internal::state(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedSnapshot)
+  return target;
+}
+
+size_t FeedSnapshot::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedSnapshot)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.GatewayState state = 1;
+  if (this->_internal_has_state()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.state_);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedSnapshot::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    FeedSnapshot::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedSnapshot::GetClassData() const { return &_class_data_; }
+
+
+void FeedSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedSnapshot*>(&to_msg);
+  auto& from = static_cast<const FeedSnapshot&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedSnapshot)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_has_state()) {
+    _this->_internal_mutable_state()->::rattandyke::wire::GatewayState::MergeFrom(
+        from._internal_state());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FeedSnapshot::CopyFrom(const FeedSnapshot& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedSnapshot)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FeedSnapshot::IsInitialized() const {
+  return true;
+}
+
+void FeedSnapshot::InternalSwap(FeedSnapshot* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.state_, other->_impl_.state_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[20]);
+}
+
+// ===================================================================
+
+class FeedCommand::_Internal {
+ public:
+  static const ::rattandyke::wire::GatewayCommand& command(const FeedCommand* msg);
+};
+
+const ::rattandyke::wire::GatewayCommand&
+FeedCommand::_Internal::command(const FeedCommand* msg) {
+  return *msg->_impl_.command_;
+}
+FeedCommand::FeedCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedCommand)
+}
+FeedCommand::FeedCommand(const FeedCommand& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  FeedCommand* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.command_){nullptr}
+    , decltype(_impl_.index_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_command()) {
+    _this->_impl_.command_ = new ::rattandyke::wire::GatewayCommand(*from._impl_.command_);
+  }
+  _this->_impl_.index_ = from._impl_.index_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedCommand)
+}
+
+inline void FeedCommand::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.command_){nullptr}
+    , decltype(_impl_.index_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+FeedCommand::~FeedCommand() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedCommand)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void FeedCommand::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (this != internal_default_instance()) delete _impl_.command_;
+}
+
+void FeedCommand::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void FeedCommand::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedCommand)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  if (GetArenaForAllocation() == nullptr && _impl_.command_ != nullptr) {
+    delete _impl_.command_;
+  }
+  _impl_.command_ = nullptr;
+  _impl_.index_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* FeedCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 index = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.index_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.GatewayCommand command = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr = ctx->ParseMessage(_internal_mutable_command(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* FeedCommand::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedCommand)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 index = 1;
+  if (this->_internal_index() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_index(), target);
+  }
+
+  // .rattandyke.wire.GatewayCommand command = 2;
+  if (this->_internal_has_command()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(2, _Internal::command(this),
+        _Internal::command(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedCommand)
+  return target;
+}
+
+size_t FeedCommand::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedCommand)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.GatewayCommand command = 2;
+  if (this->_internal_has_command()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.command_);
+  }
+
+  // uint64 index = 1;
+  if (this->_internal_index() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_index());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedCommand::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    FeedCommand::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedCommand::GetClassData() const { return &_class_data_; }
+
+
+void FeedCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedCommand*>(&to_msg);
+  auto& from = static_cast<const FeedCommand&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedCommand)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_has_command()) {
+    _this->_internal_mutable_command()->::rattandyke::wire::GatewayCommand::MergeFrom(
+        from._internal_command());
+  }
+  if (from._internal_index() != 0) {
+    _this->_internal_set_index(from._internal_index());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FeedCommand::CopyFrom(const FeedCommand& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedCommand)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FeedCommand::IsInitialized() const {
+  return true;
+}
+
+void FeedCommand::InternalSwap(FeedCommand* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(FeedCommand, _impl_.index_)
+      + sizeof(FeedCommand::_impl_.index_)
+      - PROTOBUF_FIELD_OFFSET(FeedCommand, _impl_.command_)>(
+          reinterpret_cast<char*>(&_impl_.command_),
+          reinterpret_cast<char*>(&other->_impl_.command_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[21]);
+}
+
+// ===================================================================
+
+class FeedPing::_Internal {
+ public:
+};
+
+FeedPing::FeedPing(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedPing)
+}
+FeedPing::FeedPing(const FeedPing& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  FeedPing* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.control_hosts_){from._impl_.control_hosts_}
+    , decltype(_impl_.applied_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _this->_impl_.applied_ = from._impl_.applied_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedPing)
+}
+
+inline void FeedPing::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.control_hosts_){arena}
+    , decltype(_impl_.applied_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+FeedPing::~FeedPing() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedPing)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void FeedPing::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.control_hosts_.~RepeatedPtrField();
+}
+
+void FeedPing::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void FeedPing::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedPing)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.control_hosts_.Clear();
+  _impl_.applied_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* FeedPing::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 applied = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.RouteItem routes = 2;
+      // repeated string control_hosts = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           ptr -= 1;
           do {
             ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_routes(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.ServiceItem services = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_services(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.LimitsItem limits = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          ptr = ctx->ParseMessage(_internal_mutable_limits(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_dropped_routes(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_dropped_services(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<50>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.UpstreamInstance instances = 7;
-      case 7:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_instances(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<58>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated string ended_instances = 8;
-      case 8:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_ended_instances();
+            auto str = _internal_add_control_hosts();
             ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
             CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.GatewayState.ended_instances"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<66>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.ServiceRanges ranges = 9;
-      case 9:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
-            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FeedPing.control_hosts"));
             if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<74>(ptr));
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
         } else
           goto handle_unusual;
         continue;
@@ -6002,154 +8032,50 @@
 #undef CHK_
 }
 
-uint8_t* GatewayState::_InternalSerialize(
+uint8_t* FeedPing::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayState)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedPing)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
   // uint64 applied = 1;
   if (this->_internal_applied() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_applied(), target);
-  }
-
-  // repeated .rattandyke.wire.RouteItem routes = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_routes_size()); i < n; i++) {
-    const auto& repfield = this->_internal_routes(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.ServiceItem services = 3;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_services_size()); i < n; i++) {
-    const auto& repfield = this->_internal_services(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.LimitsItem limits = 4;
-  if (this->_internal_has_limits()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(4, _Internal::limits(this),
-        _Internal::limits(this).GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_dropped_routes_size()); i < n; i++) {
-    const auto& repfield = this->_internal_dropped_routes(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_dropped_services_size()); i < n; i++) {
-    const auto& repfield = this->_internal_dropped_services(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(6, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.UpstreamInstance instances = 7;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_instances_size()); i < n; i++) {
-    const auto& repfield = this->_internal_instances(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(7, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated string ended_instances = 8;
-  for (int i = 0, n = this->_internal_ended_instances_size(); i < n; i++) {
-    const auto& s = this->_internal_ended_instances(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.GatewayState.ended_instances");
-    target = stream->WriteString(8, s, target);
-  }
-
-  // repeated .rattandyke.wire.ServiceRanges ranges = 9;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
-    const auto& repfield = this->_internal_ranges(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(9, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
-    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
-        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
-  }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayState)
-  return target;
-}
-
-size_t GatewayState::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayState)
-  size_t total_size = 0;
-
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  // repeated .rattandyke.wire.RouteItem routes = 2;
-  total_size += 1UL * this->_internal_routes_size();
-  for (const auto& msg : this->_impl_.routes_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // repeated .rattandyke.wire.ServiceItem services = 3;
-  total_size += 1UL * this->_internal_services_size();
-  for (const auto& msg : this->_impl_.services_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // repeated .rattandyke.wire.DroppedItem dropped_routes = 5;
-  total_size += 1UL * this->_internal_dropped_routes_size();
-  for (const auto& msg : this->_impl_.dropped_routes_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // repeated .rattandyke.wire.DroppedItem dropped_services = 6;
-  total_size += 1UL * this->_internal_dropped_services_size();
-  for (const auto& msg : this->_impl_.dropped_services_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_applied(), target);
   }
 
-  // repeated .rattandyke.wire.UpstreamInstance instances = 7;
-  total_size += 1UL * this->_internal_instances_size();
-  for (const auto& msg : this->_impl_.instances_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // repeated string control_hosts = 2;
+  for (int i = 0, n = this->_internal_control_hosts_size(); i < n; i++) {
+    const auto& s = this->_internal_control_hosts(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.FeedPing.control_hosts");
+    target = stream->WriteString(2, s, target);
   }
 
-  // repeated string ended_instances = 8;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.ended_instances_.size());
-  for (int i = 0, n = _impl_.ended_instances_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.ended_instances_.Get(i));
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedPing)
+  return target;
+}
 
-  // repeated .rattandyke.wire.ServiceRanges ranges = 9;
-  total_size += 1UL * this->_internal_ranges_size();
-  for (const auto& msg : this->_impl_.ranges_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
+size_t FeedPing::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedPing)
+  size_t total_size = 0;
 
-  // .rattandyke.wire.LimitsItem limits = 4;
-  if (this->_internal_has_limits()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-        *_impl_.limits_);
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated string control_hosts = 2;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.control_hosts_.size());
+  for (int i = 0, n = _impl_.control_hosts_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.control_hosts_.Get(i));
   }
 
   // uint64 applied = 1;
@@ -6160,123 +8086,107 @@
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayState::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedPing::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    GatewayState::MergeImpl
+    FeedPing::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayState::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedPing::GetClassData() const { return &_class_data_; }
 
 
-void GatewayState::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<GatewayState*>(&to_msg);
-  auto& from = static_cast<const GatewayState&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayState)
+void FeedPing::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedPing*>(&to_msg);
+  auto& from = static_cast<const FeedPing&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedPing)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.routes_.MergeFrom(from._impl_.routes_);
-  _this->_impl_.services_.MergeFrom(from._impl_.services_);
-  _this->_impl_.dropped_routes_.MergeFrom(from._impl_.dropped_routes_);
-  _this->_impl_.dropped_services_.MergeFrom(from._impl_.dropped_services_);
-  _this->_impl_.instances_.MergeFrom(from._impl_.instances_);
-  _this->_impl_.ended_instances_.MergeFrom(from._impl_.ended_instances_);
-  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
-  if (from._internal_has_limits()) {
-    _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
-        from._internal_limits());
-  }
+  _this->_impl_.control_hosts_.MergeFrom(from._impl_.control_hosts_);
   if (from._internal_applied() != 0) {
     _this->_internal_set_applied(from._internal_applied());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void GatewayState::CopyFrom(const GatewayState& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayState)
+void FeedPing::CopyFrom(const FeedPing& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedPing)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool GatewayState::IsInitialized() const {
+bool FeedPing::IsInitialized() const {
   return true;
 }
 
-void GatewayState::InternalSwap(GatewayState* other) {
+void FeedPing::InternalSwap(FeedPing* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.routes_.InternalSwap(&other->_impl_.routes_);
-  _impl_.services_.InternalSwap(&other->_impl_.services_);
-  _impl_.dropped_routes_.InternalSwap(&other->_impl_.dropped_routes_);
-  _impl_.dropped_services_.InternalSwap(&other->_impl_.dropped_services_);
-  _impl_.instances_.InternalSwap(&other->_impl_.instances_);
-  _impl_.ended_instances_.InternalSwap(&other->_impl_.ended_instances_);
-  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
-      + sizeof(GatewayState::_impl_.applied_)
-      - PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.limits_)>(
-          reinterpret_cast<char*>(&_impl_.limits_),
-          reinterpret_cast<char*>(&other->_impl_.limits_));
+  _impl_.control_hosts_.InternalSwap(&other->_impl_.control_hosts_);
+  swap(_impl_.applied_, other->_impl_.applied_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[15]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
 
-class FeedOpen::_Internal {
+class RangeLoad::_Internal {
  public:
 };
 
-FeedOpen::FeedOpen(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+RangeLoad::RangeLoad(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedOpen)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeLoad)
 }
-FeedOpen::FeedOpen(const FeedOpen& from)
+RangeLoad::RangeLoad(const RangeLoad& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedOpen* const _this = this; (void)_this;
+  RangeLoad* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.host_){}
-    , decltype(_impl_.applied_){}
+      decltype(_impl_.buckets_){from._impl_.buckets_}
+    , /*decltype(_impl_._buckets_cached_byte_size_)*/{0}
+    , decltype(_impl_.requests_){from._impl_.requests_}
+    , /*decltype(_impl_._requests_cached_byte_size_)*/{0}
+    , decltype(_impl_.service_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.host_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.host_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_host().empty()) {
-    _this->_impl_.host_.Set(from._internal_host(), 
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.applied_ = from._impl_.applied_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedOpen)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeLoad)
 }
 
-inline void FeedOpen::SharedCtor(
+inline void RangeLoad::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.host_){}
-    , decltype(_impl_.applied_){uint64_t{0u}}
+      decltype(_impl_.buckets_){arena}
+    , /*decltype(_impl_._buckets_cached_byte_size_)*/{0}
+    , decltype(_impl_.requests_){arena}
+    , /*decltype(_impl_._requests_cached_byte_size_)*/{0}
+    , decltype(_impl_.service_){}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.host_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.host_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-FeedOpen::~FeedOpen() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedOpen)
+RangeLoad::~RangeLoad() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeLoad)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6284,46 +8194,63 @@
   SharedDtor();
 }
 
-inline void FeedOpen::SharedDtor() {
+inline void RangeLoad::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.host_.Destroy();
+  _impl_.buckets_.~RepeatedField();
+  _impl_.requests_.~RepeatedField();
+  _impl_.service_.Destroy();
 }
 
-void FeedOpen::SetCachedSize(int size) const {
+void RangeLoad::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedOpen::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedOpen)
+void RangeLoad::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeLoad)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.host_.ClearToEmpty();
-  _impl_.applied_ = uint64_t{0u};
+  _impl_.buckets_.Clear();
+  _impl_.requests_.Clear();
+  _impl_.service_.ClearToEmpty();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedOpen::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* RangeLoad::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string host = 1;
+      // string service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_host();
+          auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FeedOpen.host"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeLoad.service"));
         } else
           goto handle_unusual;
         continue;
-      // uint64 applied = 2;
+      // repeated uint32 buckets = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt32Parser(_internal_mutable_buckets(), ptr, ctx);
+          CHK_(ptr);
+        } else if (static_cast<uint8_t>(tag) == 16) {
+          _internal_add_buckets(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr));
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated uint32 requests = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt32Parser(_internal_mutable_requests(), ptr, ctx);
+          CHK_(ptr);
+        } else if (static_cast<uint8_t>(tag) == 24) {
+          _internal_add_requests(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr));
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -6351,155 +8278,197 @@
 #undef CHK_
 }
 
-uint8_t* FeedOpen::_InternalSerialize(
+uint8_t* RangeLoad::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedOpen)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeLoad)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string host = 1;
-  if (!this->_internal_host().empty()) {
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.FeedOpen.host");
+      "rattandyke.wire.RangeLoad.service");
     target = stream->WriteStringMaybeAliased(
-        1, this->_internal_host(), target);
+        1, this->_internal_service(), target);
   }
 
-  // uint64 applied = 2;
-  if (this->_internal_applied() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_applied(), target);
+  // repeated uint32 buckets = 2;
+  {
+    int byte_size = _impl_._buckets_cached_byte_size_.load(std::memory_order_relaxed);
+    if (byte_size > 0) {
+      target = stream->WriteUInt32Packed(
+          2, _internal_buckets(), byte_size, target);
+    }
+  }
+
+  // repeated uint32 requests = 3;
+  {
+    int byte_size = _impl_._requests_cached_byte_size_.load(std::memory_order_relaxed);
+    if (byte_size > 0) {
+      target = stream->WriteUInt32Packed(
+          3, _internal_requests(), byte_size, target);
+    }
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedOpen)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeLoad)
   return target;
 }
 
-size_t FeedOpen::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedOpen)
+size_t RangeLoad::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeLoad)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string host = 1;
-  if (!this->_internal_host().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_host());
+  // repeated uint32 buckets = 2;
+  {
+    size_t data_size = ::_pbi::WireFormatLite::
+      UInt32Size(this->_impl_.buckets_);
+    if (data_size > 0) {
+      total_size += 1 +
+        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
+    }
+    int cached_size = ::_pbi::ToCachedSize(data_size);
+    _impl_._buckets_cached_byte_size_.store(cached_size,
+                                    std::memory_order_relaxed);
+    total_size += data_size;
+  }
+
+  // repeated uint32 requests = 3;
+  {
+    size_t data_size = ::_pbi::WireFormatLite::
+      UInt32Size(this->_impl_.requests_);
+    if (data_size > 0) {
+      total_size += 1 +
+        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
+    }
+    int cached_size = ::_pbi::ToCachedSize(data_size);
+    _impl_._requests_cached_byte_size_.store(cached_size,
+                                    std::memory_order_relaxed);
+    total_size += data_size;
   }
 
-  // uint64 applied = 2;
-  if (this->_internal_applied() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedOpen::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeLoad::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedOpen::MergeImpl
+    RangeLoad::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedOpen::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeLoad::GetClassData() const { return &_class_data_; }
 
 
-void FeedOpen::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedOpen*>(&to_msg);
-  auto& from = static_cast<const FeedOpen&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedOpen)
+void RangeLoad::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RangeLoad*>(&to_msg);
+  auto& from = static_cast<const RangeLoad&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeLoad)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_host().empty()) {
-    _this->_internal_set_host(from._internal_host());
-  }
-  if (from._internal_applied() != 0) {
-    _this->_internal_set_applied(from._internal_applied());
+  _this->_impl_.buckets_.MergeFrom(from._impl_.buckets_);
+  _this->_impl_.requests_.MergeFrom(from._impl_.requests_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedOpen::CopyFrom(const FeedOpen& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedOpen)
+void RangeLoad::CopyFrom(const RangeLoad& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeLoad)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedOpen::IsInitialized() const {
+bool RangeLoad::IsInitialized() const {
   return true;
 }
 
-void FeedOpen::InternalSwap(FeedOpen* other) {
+void RangeLoad::InternalSwap(RangeLoad* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.buckets_.InternalSwap(&other->_impl_.buckets_);
+  _impl_.requests_.InternalSwap(&other->_impl_.requests_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.host_, lhs_arena,
-      &other->_impl_.host_, rhs_arena
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
   );
-  swap(_impl_.applied_, other->_impl_.applied_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[16]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
 
-class FeedSnapshot::_Internal {
+class InstanceTime::_Internal {
  public:
-  static const ::rattandyke::wire::GatewayState& state(const FeedSnapshot* msg);
 };
 
-const ::rattandyke::wire::GatewayState&
-FeedSnapshot::_Internal::state(const FeedSnapshot* msg) {
-  return *msg->_impl_.state_;
-}
-FeedSnapshot::FeedSnapshot(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+InstanceTime::InstanceTime(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedSnapshot)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.InstanceTime)
 }
-FeedSnapshot::FeedSnapshot(const FeedSnapshot& from)
+InstanceTime::InstanceTime(const InstanceTime& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedSnapshot* const _this = this; (void)_this;
+  InstanceTime* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.state_){nullptr}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.seconds_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  if (from._internal_has_state()) {
-    _this->_impl_.state_ = new ::rattandyke::wire::GatewayState(*from._impl_.state_);
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedSnapshot)
+  _this->_impl_.seconds_ = from._impl_.seconds_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.InstanceTime)
 }
 
-inline void FeedSnapshot::SharedCtor(
+inline void InstanceTime::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.state_){nullptr}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.seconds_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-FeedSnapshot::~FeedSnapshot() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedSnapshot)
+InstanceTime::~InstanceTime() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.InstanceTime)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6507,39 +8476,47 @@
   SharedDtor();
 }
 
-inline void FeedSnapshot::SharedDtor() {
+inline void InstanceTime::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  if (this != internal_default_instance()) delete _impl_.state_;
+  _impl_.instance_.Destroy();
 }
 
-void FeedSnapshot::SetCachedSize(int size) const {
+void InstanceTime::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedSnapshot::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedSnapshot)
+void InstanceTime::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.InstanceTime)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  if (GetArenaForAllocation() == nullptr && _impl_.state_ != nullptr) {
-    delete _impl_.state_;
-  }
-  _impl_.state_ = nullptr;
+  _impl_.instance_.ClearToEmpty();
+  _impl_.seconds_ = 0;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedSnapshot::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* InstanceTime::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // .rattandyke.wire.GatewayState state = 1;
+      // string instance = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr = ctx->ParseMessage(_internal_mutable_state(), ptr);
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.InstanceTime.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // double seconds = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.seconds_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
         } else
           goto handle_unusual;
         continue;
@@ -6566,136 +8543,164 @@
 #undef CHK_
 }
 
-uint8_t* FeedSnapshot::_InternalSerialize(
+uint8_t* InstanceTime::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedSnapshot)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.InstanceTime)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // .rattandyke.wire.GatewayState state = 1;
-  if (this->_internal_has_state()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(1, _Internal::state(this),
-        _Internal::state(this).GetCachedSize(), target, stream);
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.InstanceTime.instance");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_instance(), target);
+  }
+
+  // double seconds = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_seconds = this->_internal_seconds();
+  uint64_t raw_seconds;
+  memcpy(&raw_seconds, &tmp_seconds, sizeof(tmp_seconds));
+  if (raw_seconds != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_seconds(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedSnapshot)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.InstanceTime)
   return target;
 }
 
-size_t FeedSnapshot::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedSnapshot)
+size_t InstanceTime::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.InstanceTime)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // .rattandyke.wire.GatewayState state = 1;
-  if (this->_internal_has_state()) {
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-        *_impl_.state_);
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // double seconds = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_seconds = this->_internal_seconds();
+  uint64_t raw_seconds;
+  memcpy(&raw_seconds, &tmp_seconds, sizeof(tmp_seconds));
+  if (raw_seconds != 0) {
+    total_size += 1 + 8;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedSnapshot::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData InstanceTime::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedSnapshot::MergeImpl
+    InstanceTime::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedSnapshot::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*InstanceTime::GetClassData() const { return &_class_data_; }
 
 
-void FeedSnapshot::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedSnapshot*>(&to_msg);
-  auto& from = static_cast<const FeedSnapshot&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedSnapshot)
+void InstanceTime::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<InstanceTime*>(&to_msg);
+  auto& from = static_cast<const InstanceTime&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.InstanceTime)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (from._internal_has_state()) {
-    _this->_internal_mutable_state()->::rattandyke::wire::GatewayState::MergeFrom(
-        from._internal_state());
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_seconds = from._internal_seconds();
+  uint64_t raw_seconds;
+  memcpy(&raw_seconds, &tmp_seconds, sizeof(tmp_seconds));
+  if (raw_seconds != 0) {
+    _this->_internal_set_seconds(from._internal_seconds());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedSnapshot::CopyFrom(const FeedSnapshot& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedSnapshot)
+void InstanceTime::CopyFrom(const InstanceTime& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.InstanceTime)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedSnapshot::IsInitialized() const {
+bool InstanceTime::IsInitialized() const {
   return true;
 }
 
-void FeedSnapshot::InternalSwap(FeedSnapshot* other) {
+void InstanceTime::InternalSwap(InstanceTime* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  swap(_impl_.state_, other->_impl_.state_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  swap(_impl_.seconds_, other->_impl_.seconds_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[17]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
 
-class FeedCommand::_Internal {
+class FeedReport::_Internal {
  public:
-  static const ::rattandyke::wire::GatewayCommand& command(const FeedCommand* msg);
 };
 
-const ::rattandyke::wire::GatewayCommand&
-FeedCommand::_Internal::command(const FeedCommand* msg) {
-  return *msg->_impl_.command_;
-}
-FeedCommand::FeedCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+FeedReport::FeedReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedCommand)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedReport)
 }
-FeedCommand::FeedCommand(const FeedCommand& from)
+FeedReport::FeedReport(const FeedReport& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedCommand* const _this = this; (void)_this;
+  FeedReport* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.command_){nullptr}
-    , decltype(_impl_.index_){}
+      decltype(_impl_.loads_){from._impl_.loads_}
+    , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.leaving_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  if (from._internal_has_command()) {
-    _this->_impl_.command_ = new ::rattandyke::wire::GatewayCommand(*from._impl_.command_);
-  }
-  _this->_impl_.index_ = from._impl_.index_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedCommand)
+  _this->_impl_.leaving_ = from._impl_.leaving_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedReport)
 }
 
-inline void FeedCommand::SharedCtor(
+inline void FeedReport::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.command_){nullptr}
-    , decltype(_impl_.index_){uint64_t{0u}}
+      decltype(_impl_.loads_){arena}
+    , decltype(_impl_.times_){arena}
+    , decltype(_impl_.leaving_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
 
-FeedCommand::~FeedCommand() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedCommand)
+FeedReport::~FeedReport() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedReport)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6703,47 +8708,64 @@
   SharedDtor();
 }
 
-inline void FeedCommand::SharedDtor() {
+inline void FeedReport::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  if (this != internal_default_instance()) delete _impl_.command_;
+  _impl_.loads_.~RepeatedPtrField();
+  _impl_.times_.~RepeatedPtrField();
 }
 
-void FeedCommand::SetCachedSize(int size) const {
+void FeedReport::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedCommand::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedCommand)
+void FeedReport::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedReport)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  if (GetArenaForAllocation() == nullptr && _impl_.command_ != nullptr) {
-    delete _impl_.command_;
-  }
-  _impl_.command_ = nullptr;
-  _impl_.index_ = uint64_t{0u};
+  _impl_.loads_.Clear();
+  _impl_.times_.Clear();
+  _impl_.leaving_ = false;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* FeedReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 index = 1;
+      // repeated .rattandyke.wire.RangeLoad loads = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.index_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.GatewayCommand command = 2;
+      // repeated .rattandyke.wire.InstanceTime times = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr = ctx->ParseMessage(_internal_mutable_command(), ptr);
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool leaving = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.leaving_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -6771,151 +8793,216 @@
 #undef CHK_
 }
 
-uint8_t* FeedCommand::_InternalSerialize(
+uint8_t* FeedReport::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedCommand)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedReport)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 index = 1;
-  if (this->_internal_index() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_index(), target);
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
+    const auto& repfield = this->_internal_loads(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // .rattandyke.wire.GatewayCommand command = 2;
-  if (this->_internal_has_command()) {
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
+    const auto& repfield = this->_internal_times(i);
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(2, _Internal::command(this),
-        _Internal::command(this).GetCachedSize(), target, stream);
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // bool leaving = 3;
+  if (this->_internal_leaving() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_leaving(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedCommand)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedReport)
   return target;
 }
 
-size_t FeedCommand::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedCommand)
+size_t FeedReport::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedReport)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // .rattandyke.wire.GatewayCommand command = 2;
-  if (this->_internal_has_command()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-        *_impl_.command_);
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  total_size += 1UL * this->_internal_loads_size();
+  for (const auto& msg : this->_impl_.loads_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint64 index = 1;
-  if (this->_internal_index() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_index());
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  total_size += 1UL * this->_internal_times_size();
+  for (const auto& msg : this->_impl_.times_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // bool leaving = 3;
+  if (this->_internal_leaving() != 0) {
+    total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedCommand::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedReport::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedCommand::MergeImpl
+    FeedReport::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedCommand::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedReport::GetClassData() const { return &_class_data_; }
 
 
-void FeedCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedCommand*>(&to_msg);
-  auto& from = static_cast<const FeedCommand&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedCommand)
+void FeedReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedReport*>(&to_msg);
+  auto& from = static_cast<const FeedReport&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedReport)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (from._internal_has_command()) {
-    _this->_internal_mutable_command()->::rattandyke::wire::GatewayCommand::MergeFrom(
-        from._internal_command());
-  }
-  if (from._internal_index() != 0) {
-    _this->_internal_set_index(from._internal_index());
+  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
+  _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  if (from._internal_leaving() != 0) {
+    _this->_internal_set_leaving(from._internal_leaving());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedCommand::CopyFrom(const FeedCommand& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedCommand)
+void FeedReport::CopyFrom(const FeedReport& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedReport)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedCommand::IsInitialized() const {
+bool FeedReport::IsInitialized() const {
   return true;
 }
 
-void FeedCommand::InternalSwap(FeedCommand* other) {
+void FeedReport::InternalSwap(FeedReport* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(FeedCommand, _impl_.index_)
-      + sizeof(FeedCommand::_impl_.index_)
-      - PROTOBUF_FIELD_OFFSET(FeedCommand, _impl_.command_)>(
-          reinterpret_cast<char*>(&_impl_.command_),
-          reinterpret_cast<char*>(&other->_impl_.command_));
+  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
+  _impl_.times_.InternalSwap(&other->_impl_.times_);
+  swap(_impl_.leaving_, other->_impl_.leaving_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
 
-class FeedPing::_Internal {
+class ForwardedCall::_Internal {
  public:
 };
 
-FeedPing::FeedPing(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ForwardedCall::ForwardedCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedPing)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedCall)
 }
-FeedPing::FeedPing(const FeedPing& from)
+ForwardedCall::ForwardedCall(const ForwardedCall& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedPing* const _this = this; (void)_this;
+  ForwardedCall* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.control_hosts_){from._impl_.control_hosts_}
-    , decltype(_impl_.applied_){}
-    , decltype(_impl_.entries_){}
+      decltype(_impl_.reply_to_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.waited_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  ::memcpy(&_impl_.applied_, &from._impl_.applied_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.entries_) -
-    reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.entries_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedPing)
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_reply_to().empty()) {
+    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_method().empty()) {
+    _this->_impl_.method_.Set(from._internal_method(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_target().empty()) {
+    _this->_impl_.target_.Set(from._internal_target(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_body().empty()) {
+    _this->_impl_.body_.Set(from._internal_body(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.waited_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedCall)
 }
 
-inline void FeedPing::SharedCtor(
+inline void ForwardedCall::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.control_hosts_){arena}
-    , decltype(_impl_.applied_){uint64_t{0u}}
-    , decltype(_impl_.entries_){0u}
+      decltype(_impl_.reply_to_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.waited_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-FeedPing::~FeedPing() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedPing)
+ForwardedCall::~ForwardedCall() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedCall)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6923,61 +9010,92 @@
   SharedDtor();
 }
 
-inline void FeedPing::SharedDtor() {
+inline void ForwardedCall::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.control_hosts_.~RepeatedPtrField();
+  _impl_.reply_to_.Destroy();
+  _impl_.method_.Destroy();
+  _impl_.target_.Destroy();
+  _impl_.body_.Destroy();
 }
 
-void FeedPing::SetCachedSize(int size) const {
+void ForwardedCall::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedPing::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedPing)
+void ForwardedCall::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedCall)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.control_hosts_.Clear();
-  ::memset(&_impl_.applied_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.entries_) -
-      reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.entries_));
+  _impl_.reply_to_.ClearToEmpty();
+  _impl_.method_.ClearToEmpty();
+  _impl_.target_.ClearToEmpty();
+  _impl_.body_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.waited_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedPing::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ForwardedCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 applied = 1;
+      // uint64 id = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.applied_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated string control_hosts = 2;
+      // string reply_to = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_control_hosts();
-            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-            CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FeedPing.control_hosts"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+          auto str = _internal_mutable_reply_to();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.reply_to"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 entries = 3;
+      // string method = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.entries_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_method();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.method"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string target = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_target();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.target"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string body = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_body();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.body"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 waited_ms = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.waited_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -7005,180 +9123,257 @@
 #undef CHK_
 }
 
-uint8_t* FeedPing::_InternalSerialize(
+uint8_t* ForwardedCall::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedPing)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedCall)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 applied = 1;
-  if (this->_internal_applied() != 0) {
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_applied(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // repeated string control_hosts = 2;
-  for (int i = 0, n = this->_internal_control_hosts_size(); i < n; i++) {
-    const auto& s = this->_internal_control_hosts(i);
+  // string reply_to = 2;
+  if (!this->_internal_reply_to().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.reply_to");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_reply_to(), target);
+  }
+
+  // string method = 3;
+  if (!this->_internal_method().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.method");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_method(), target);
+  }
+
+  // string target = 4;
+  if (!this->_internal_target().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_target().data(), static_cast<int>(this->_internal_target().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.target");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_target(), target);
+  }
+
+  // string body = 5;
+  if (!this->_internal_body().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
+      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.FeedPing.control_hosts");
-    target = stream->WriteString(2, s, target);
+      "rattandyke.wire.ForwardedCall.body");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_body(), target);
   }
 
-  // uint32 entries = 3;
-  if (this->_internal_entries() != 0) {
+  // uint32 waited_ms = 6;
+  if (this->_internal_waited_ms() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(3, this->_internal_entries(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_waited_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedPing)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedCall)
   return target;
 }
 
-size_t FeedPing::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedPing)
+size_t ForwardedCall::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedCall)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string control_hosts = 2;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.control_hosts_.size());
-  for (int i = 0, n = _impl_.control_hosts_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.control_hosts_.Get(i));
+  // string reply_to = 2;
+  if (!this->_internal_reply_to().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_reply_to());
   }
 
-  // uint64 applied = 1;
-  if (this->_internal_applied() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
+  // string method = 3;
+  if (!this->_internal_method().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_method());
+  }
+
+  // string target = 4;
+  if (!this->_internal_target().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_target());
+  }
+
+  // string body = 5;
+  if (!this->_internal_body().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_body());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
   }
 
-  // uint32 entries = 3;
-  if (this->_internal_entries() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_entries());
+  // uint32 waited_ms = 6;
+  if (this->_internal_waited_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_waited_ms());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedPing::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedCall::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedPing::MergeImpl
+    ForwardedCall::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedPing::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedCall::GetClassData() const { return &_class_data_; }
 
 
-void FeedPing::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedPing*>(&to_msg);
-  auto& from = static_cast<const FeedPing&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedPing)
+void ForwardedCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedCall*>(&to_msg);
+  auto& from = static_cast<const ForwardedCall&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedCall)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.control_hosts_.MergeFrom(from._impl_.control_hosts_);
-  if (from._internal_applied() != 0) {
-    _this->_internal_set_applied(from._internal_applied());
+  if (!from._internal_reply_to().empty()) {
+    _this->_internal_set_reply_to(from._internal_reply_to());
+  }
+  if (!from._internal_method().empty()) {
+    _this->_internal_set_method(from._internal_method());
+  }
+  if (!from._internal_target().empty()) {
+    _this->_internal_set_target(from._internal_target());
+  }
+  if (!from._internal_body().empty()) {
+    _this->_internal_set_body(from._internal_body());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
   }
-  if (from._internal_entries() != 0) {
-    _this->_internal_set_entries(from._internal_entries());
+  if (from._internal_waited_ms() != 0) {
+    _this->_internal_set_waited_ms(from._internal_waited_ms());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedPing::CopyFrom(const FeedPing& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedPing)
+void ForwardedCall::CopyFrom(const ForwardedCall& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedCall)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedPing::IsInitialized() const {
+bool ForwardedCall::IsInitialized() const {
   return true;
 }
 
-void FeedPing::InternalSwap(FeedPing* other) {
+void ForwardedCall::InternalSwap(ForwardedCall* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.control_hosts_.InternalSwap(&other->_impl_.control_hosts_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.reply_to_, lhs_arena,
+      &other->_impl_.reply_to_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.method_, lhs_arena,
+      &other->_impl_.method_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.target_, lhs_arena,
+      &other->_impl_.target_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.body_, lhs_arena,
+      &other->_impl_.body_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(FeedPing, _impl_.entries_)
-      + sizeof(FeedPing::_impl_.entries_)
-      - PROTOBUF_FIELD_OFFSET(FeedPing, _impl_.applied_)>(
-          reinterpret_cast<char*>(&_impl_.applied_),
-          reinterpret_cast<char*>(&other->_impl_.applied_));
+      PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.waited_ms_)
+      + sizeof(ForwardedCall::_impl_.waited_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
 
-class RangeLoad::_Internal {
+class ForwardedAnswer::_Internal {
  public:
 };
 
-RangeLoad::RangeLoad(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ForwardedAnswer::ForwardedAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeLoad)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedAnswer)
 }
-RangeLoad::RangeLoad(const RangeLoad& from)
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RangeLoad* const _this = this; (void)_this;
+  ForwardedAnswer* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.buckets_){from._impl_.buckets_}
-    , /*decltype(_impl_._buckets_cached_byte_size_)*/{0}
-    , decltype(_impl_.requests_){from._impl_.requests_}
-    , /*decltype(_impl_._requests_cached_byte_size_)*/{0}
-    , decltype(_impl_.service_){}
+      decltype(_impl_.body_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.status_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.service_.InitDefault();
+  _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.body_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_service().empty()) {
-    _this->_impl_.service_.Set(from._internal_service(), 
+  if (!from._internal_body().empty()) {
+    _this->_impl_.body_.Set(from._internal_body(), 
       _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeLoad)
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.status_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedAnswer)
 }
 
-inline void RangeLoad::SharedCtor(
+inline void ForwardedAnswer::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.buckets_){arena}
-    , /*decltype(_impl_._buckets_cached_byte_size_)*/{0}
-    , decltype(_impl_.requests_){arena}
-    , /*decltype(_impl_._requests_cached_byte_size_)*/{0}
-    , decltype(_impl_.service_){}
+      decltype(_impl_.body_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.status_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.service_.InitDefault();
+  _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.body_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-RangeLoad::~RangeLoad() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeLoad)
+ForwardedAnswer::~ForwardedAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedAnswer)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -7186,64 +9381,57 @@
   SharedDtor();
 }
 
-inline void RangeLoad::SharedDtor() {
+inline void ForwardedAnswer::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.buckets_.~RepeatedField();
-  _impl_.requests_.~RepeatedField();
-  _impl_.service_.Destroy();
+  _impl_.body_.Destroy();
 }
 
-void RangeLoad::SetCachedSize(int size) const {
+void ForwardedAnswer::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void RangeLoad::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeLoad)
+void ForwardedAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedAnswer)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.buckets_.Clear();
-  _impl_.requests_.Clear();
-  _impl_.service_.ClearToEmpty();
+  _impl_.body_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.status_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* RangeLoad::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ForwardedAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // uint64 id = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_service();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeLoad.service"));
         } else
           goto handle_unusual;
         continue;
-      // repeated uint32 buckets = 2;
+      // uint32 status = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt32Parser(_internal_mutable_buckets(), ptr, ctx);
-          CHK_(ptr);
-        } else if (static_cast<uint8_t>(tag) == 16) {
-          _internal_add_buckets(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.status_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated uint32 requests = 3;
+      // string body = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt32Parser(_internal_mutable_requests(), ptr, ctx);
-          CHK_(ptr);
-        } else if (static_cast<uint8_t>(tag) == 24) {
-          _internal_add_requests(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr));
+          auto str = _internal_mutable_body();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedAnswer.body"));
         } else
           goto handle_unusual;
         continue;
@@ -7270,182 +9458,170 @@
 #undef CHK_
 }
 
-uint8_t* RangeLoad::_InternalSerialize(
+uint8_t* ForwardedAnswer::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeLoad)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedAnswer)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RangeLoad.service");
-    target = stream->WriteStringMaybeAliased(
-        1, this->_internal_service(), target);
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // repeated uint32 buckets = 2;
-  {
-    int byte_size = _impl_._buckets_cached_byte_size_.load(std::memory_order_relaxed);
-    if (byte_size > 0) {
-      target = stream->WriteUInt32Packed(
-          2, _internal_buckets(), byte_size, target);
-    }
+  // uint32 status = 2;
+  if (this->_internal_status() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_status(), target);
   }
 
-  // repeated uint32 requests = 3;
-  {
-    int byte_size = _impl_._requests_cached_byte_size_.load(std::memory_order_relaxed);
-    if (byte_size > 0) {
-      target = stream->WriteUInt32Packed(
-          3, _internal_requests(), byte_size, target);
-    }
+  // string body = 3;
+  if (!this->_internal_body().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedAnswer.body");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_body(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeLoad)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedAnswer)
   return target;
 }
 
-size_t RangeLoad::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeLoad)
+size_t ForwardedAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedAnswer)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated uint32 buckets = 2;
-  {
-    size_t data_size = ::_pbi::WireFormatLite::
-      UInt32Size(this->_impl_.buckets_);
-    if (data_size > 0) {
-      total_size += 1 +
-        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
-    }
-    int cached_size = ::_pbi::ToCachedSize(data_size);
-    _impl_._buckets_cached_byte_size_.store(cached_size,
-                                    std::memory_order_relaxed);
-    total_size += data_size;
+  // string body = 3;
+  if (!this->_internal_body().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_body());
   }
 
-  // repeated uint32 requests = 3;
-  {
-    size_t data_size = ::_pbi::WireFormatLite::
-      UInt32Size(this->_impl_.requests_);
-    if (data_size > 0) {
-      total_size += 1 +
-        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
-    }
-    int cached_size = ::_pbi::ToCachedSize(data_size);
-    _impl_._requests_cached_byte_size_.store(cached_size,
-                                    std::memory_order_relaxed);
-    total_size += data_size;
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
   }
 
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_service());
+  // uint32 status = 2;
+  if (this->_internal_status() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_status());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeLoad::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedAnswer::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RangeLoad::MergeImpl
+    ForwardedAnswer::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeLoad::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedAnswer::GetClassData() const { return &_class_data_; }
 
 
-void RangeLoad::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RangeLoad*>(&to_msg);
-  auto& from = static_cast<const RangeLoad&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeLoad)
+void ForwardedAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedAnswer*>(&to_msg);
+  auto& from = static_cast<const ForwardedAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedAnswer)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.buckets_.MergeFrom(from._impl_.buckets_);
-  _this->_impl_.requests_.MergeFrom(from._impl_.requests_);
-  if (!from._internal_service().empty()) {
-    _this->_internal_set_service(from._internal_service());
+  if (!from._internal_body().empty()) {
+    _this->_internal_set_body(from._internal_body());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_status() != 0) {
+    _this->_internal_set_status(from._internal_status());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void RangeLoad::CopyFrom(const RangeLoad& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeLoad)
+void ForwardedAnswer::CopyFrom(const ForwardedAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedAnswer)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool RangeLoad::IsInitialized() const {
+bool ForwardedAnswer::IsInitialized() const {
   return true;
 }
 
-void RangeLoad::InternalSwap(RangeLoad* other) {
+void ForwardedAnswer::InternalSwap(ForwardedAnswer* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.buckets_.InternalSwap(&other->_impl_.buckets_);
-  _impl_.requests_.InternalSwap(&other->_impl_.requests_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.service_, lhs_arena,
-      &other->_impl_.service_, rhs_arena
+      &_impl_.body_, lhs_arena,
+      &other->_impl_.body_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.status_)
+      + sizeof(ForwardedAnswer::_impl_.status_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
 
-class FeedReport::_Internal {
+class HostReport::_Internal {
  public:
 };
 
-FeedReport::FeedReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostReport)
 }
-FeedReport::FeedReport(const FeedReport& from)
+HostReport::HostReport(const HostReport& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedReport* const _this = this; (void)_this;
+  HostReport* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.loads_){from._impl_.loads_}
+    , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
 }
 
-inline void FeedReport::SharedCtor(
+inline void HostReport::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.loads_){arena}
+    , decltype(_impl_.times_){arena}
+    , decltype(_impl_.entries_){arena}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
 
-FeedReport::~FeedReport() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedReport)
+HostReport::~HostReport() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HostReport)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -7453,26 +9629,30 @@
   SharedDtor();
 }
 
-inline void FeedReport::SharedDtor() {
+inline void HostReport::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.loads_.~RepeatedPtrField();
+  _impl_.times_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
 }
 
-void FeedReport::SetCachedSize(int size) const {
+void HostReport::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedReport::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedReport)
+void HostReport::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostReport)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
   _impl_.loads_.Clear();
+  _impl_.times_.Clear();
+  _impl_.entries_.Clear();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* HostReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -7491,6 +9671,32 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.InstanceTime times = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.EntryMember entries = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7514,9 +9720,9 @@
 #undef CHK_
 }
 
-uint8_t* FeedReport::_InternalSerialize(
+uint8_t* HostReport::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostReport)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -7528,16 +9734,32 @@
         InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
+    const auto& repfield = this->_internal_times(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostReport)
   return target;
 }
 
-size_t FeedReport::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedReport)
+size_t HostReport::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostReport)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
@@ -7551,73 +9773,96 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  total_size += 1UL * this->_internal_times_size();
+  for (const auto& msg : this->_impl_.times_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedReport::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostReport::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedReport::MergeImpl
+    HostReport::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedReport::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostReport::GetClassData() const { return &_class_data_; }
 
 
-void FeedReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedReport*>(&to_msg);
-  auto& from = static_cast<const FeedReport&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedReport)
+void HostReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HostReport*>(&to_msg);
+  auto& from = static_cast<const HostReport&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostReport)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
   _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
+  _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedReport::CopyFrom(const FeedReport& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedReport)
+void HostReport::CopyFrom(const HostReport& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostReport)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedReport::IsInitialized() const {
+bool HostReport::IsInitialized() const {
   return true;
 }
 
-void FeedReport::InternalSwap(FeedReport* other) {
+void HostReport::InternalSwap(HostReport* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.loads_.InternalSwap(&other->_impl_.loads_);
+  _impl_.times_.InternalSwap(&other->_impl_.times_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
 
-class ForwardedCall::_Internal {
+class SlotAsk::_Internal {
  public:
 };
 
-ForwardedCall::ForwardedCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+SlotAsk::SlotAsk(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.SlotAsk)
 }
-ForwardedCall::ForwardedCall(const ForwardedCall& from)
+SlotAsk::SlotAsk(const SlotAsk& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedCall* const _this = this; (void)_this;
+  SlotAsk* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.reply_to_){}
-    , decltype(_impl_.method_){}
-    , decltype(_impl_.target_){}
-    , decltype(_impl_.body_){}
-    , decltype(_impl_.id_){}
-    , decltype(_impl_.waited_ms_){}
+      decltype(_impl_.excluded_){from._impl_.excluded_}
+    , decltype(_impl_.reply_to_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.session_){}
+    , decltype(_impl_.ticket_){}
+    , decltype(_impl_.priority_){}
+    , decltype(_impl_.patience_ms_){}
+    , decltype(_impl_.held_ms_){}
+    , decltype(_impl_.group_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
