@@ -7629,69 +9874,74 @@
     _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.method_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.method_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_method().empty()) {
-    _this->_impl_.method_.Set(from._internal_method(), 
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.target_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.target_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_target().empty()) {
-    _this->_impl_.target_.Set(from._internal_target(), 
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.body_.InitDefault();
+  _impl_.data_centre_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_body().empty()) {
-    _this->_impl_.body_.Set(from._internal_body(), 
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.waited_ms_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedCall)
+  ::memcpy(&_impl_.session_, &from._impl_.session_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.group_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.group_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotAsk)
 }
 
-inline void ForwardedCall::SharedCtor(
+inline void SlotAsk::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.reply_to_){}
-    , decltype(_impl_.method_){}
-    , decltype(_impl_.target_){}
-    , decltype(_impl_.body_){}
-    , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.waited_ms_){0u}
+      decltype(_impl_.excluded_){arena}
+    , decltype(_impl_.reply_to_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.session_){uint64_t{0u}}
+    , decltype(_impl_.ticket_){uint64_t{0u}}
+    , decltype(_impl_.priority_){0u}
+    , decltype(_impl_.patience_ms_){0u}
+    , decltype(_impl_.held_ms_){0u}
+    , decltype(_impl_.group_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.reply_to_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.reply_to_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.method_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.method_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.target_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.target_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.body_.InitDefault();
+  _impl_.data_centre_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedCall::~ForwardedCall() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedCall)
+SlotAsk::~SlotAsk() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.SlotAsk)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -7699,92 +9949,141 @@
   SharedDtor();
 }
 
-inline void ForwardedCall::SharedDtor() {
+inline void SlotAsk::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.excluded_.~RepeatedPtrField();
   _impl_.reply_to_.Destroy();
-  _impl_.method_.Destroy();
-  _impl_.target_.Destroy();
-  _impl_.body_.Destroy();
+  _impl_.service_.Destroy();
+  _impl_.instance_.Destroy();
+  _impl_.data_centre_.Destroy();
 }
 
-void ForwardedCall::SetCachedSize(int size) const {
+void SlotAsk::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedCall::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedCall)
+void SlotAsk::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.SlotAsk)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
+  _impl_.excluded_.Clear();
   _impl_.reply_to_.ClearToEmpty();
-  _impl_.method_.ClearToEmpty();
-  _impl_.target_.ClearToEmpty();
-  _impl_.body_.ClearToEmpty();
-  ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.waited_ms_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
+  _impl_.service_.ClearToEmpty();
+  _impl_.instance_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
+  ::memset(&_impl_.session_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.group_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.group_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* SlotAsk::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 id = 1;
+      // string reply_to = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_reply_to();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAsk.reply_to"));
         } else
           goto handle_unusual;
         continue;
-      // string reply_to = 2;
+      // fixed64 session = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_reply_to();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.reply_to"));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<uint64_t>(ptr);
+          ptr += sizeof(uint64_t);
         } else
           goto handle_unusual;
         continue;
-      // string method = 3;
+      // uint64 ticket = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_method();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.ticket_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.method"));
         } else
           goto handle_unusual;
         continue;
-      // string target = 4;
+      // string service = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          auto str = _internal_mutable_target();
+          auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.target"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAsk.service"));
         } else
           goto handle_unusual;
         continue;
-      // string body = 5;
+      // string instance = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          auto str = _internal_mutable_body();
+          auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.body"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAsk.instance"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 waited_ms = 6;
+      // repeated string excluded = 6;
       case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
-          _impl_.waited_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_excluded();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAsk.excluded"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<50>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 priority = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.priority_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 patience_ms = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.patience_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 held_ms = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.held_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string data_centre = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAsk.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 group = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.group_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -7812,257 +10111,337 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedCall::_InternalSerialize(
+uint8_t* SlotAsk::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.SlotAsk)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
-  }
-
-  // string reply_to = 2;
+  // string reply_to = 1;
   if (!this->_internal_reply_to().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.reply_to");
+      "rattandyke.wire.SlotAsk.reply_to");
     target = stream->WriteStringMaybeAliased(
-        2, this->_internal_reply_to(), target);
+        1, this->_internal_reply_to(), target);
   }
 
-  // string method = 3;
-  if (!this->_internal_method().empty()) {
+  // fixed64 session = 2;
+  if (this->_internal_session() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteFixed64ToArray(2, this->_internal_session(), target);
+  }
+
+  // uint64 ticket = 3;
+  if (this->_internal_ticket() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_ticket(), target);
+  }
+
+  // string service = 4;
+  if (!this->_internal_service().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.method");
+      "rattandyke.wire.SlotAsk.service");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_method(), target);
+        4, this->_internal_service(), target);
   }
 
-  // string target = 4;
-  if (!this->_internal_target().empty()) {
+  // string instance = 5;
+  if (!this->_internal_instance().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_target().data(), static_cast<int>(this->_internal_target().length()),
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.target");
+      "rattandyke.wire.SlotAsk.instance");
     target = stream->WriteStringMaybeAliased(
-        4, this->_internal_target(), target);
+        5, this->_internal_instance(), target);
   }
 
-  // string body = 5;
-  if (!this->_internal_body().empty()) {
+  // repeated string excluded = 6;
+  for (int i = 0, n = this->_internal_excluded_size(); i < n; i++) {
+    const auto& s = this->_internal_excluded(i);
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
+      s.data(), static_cast<int>(s.length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.body");
+      "rattandyke.wire.SlotAsk.excluded");
+    target = stream->WriteString(6, s, target);
+  }
+
+  // uint32 priority = 7;
+  if (this->_internal_priority() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(7, this->_internal_priority(), target);
+  }
+
+  // uint32 patience_ms = 8;
+  if (this->_internal_patience_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(8, this->_internal_patience_ms(), target);
+  }
+
+  // uint32 held_ms = 9;
+  if (this->_internal_held_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(9, this->_internal_held_ms(), target);
+  }
+
+  // string data_centre = 10;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.SlotAsk.data_centre");
     target = stream->WriteStringMaybeAliased(
-        5, this->_internal_body(), target);
+        10, this->_internal_data_centre(), target);
   }
 
-  // uint32 waited_ms = 6;
-  if (this->_internal_waited_ms() != 0) {
+  // uint32 group = 11;
+  if (this->_internal_group() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_waited_ms(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_group(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.SlotAsk)
   return target;
 }
 
-size_t ForwardedCall::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedCall)
+size_t SlotAsk::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.SlotAsk)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string reply_to = 2;
+  // repeated string excluded = 6;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.excluded_.size());
+  for (int i = 0, n = _impl_.excluded_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.excluded_.Get(i));
+  }
+
+  // string reply_to = 1;
   if (!this->_internal_reply_to().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
         this->_internal_reply_to());
   }
 
-  // string method = 3;
-  if (!this->_internal_method().empty()) {
+  // string service = 4;
+  if (!this->_internal_service().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_method());
+        this->_internal_service());
   }
 
-  // string target = 4;
-  if (!this->_internal_target().empty()) {
+  // string instance = 5;
+  if (!this->_internal_instance().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_target());
+        this->_internal_instance());
   }
 
-  // string body = 5;
-  if (!this->_internal_body().empty()) {
+  // string data_centre = 10;
+  if (!this->_internal_data_centre().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_body());
+        this->_internal_data_centre());
   }
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  // fixed64 session = 2;
+  if (this->_internal_session() != 0) {
+    total_size += 1 + 8;
   }
 
-  // uint32 waited_ms = 6;
-  if (this->_internal_waited_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_waited_ms());
+  // uint64 ticket = 3;
+  if (this->_internal_ticket() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_ticket());
+  }
+
+  // uint32 priority = 7;
+  if (this->_internal_priority() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_priority());
+  }
+
+  // uint32 patience_ms = 8;
+  if (this->_internal_patience_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_patience_ms());
+  }
+
+  // uint32 held_ms = 9;
+  if (this->_internal_held_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_held_ms());
+  }
+
+  // uint32 group = 11;
+  if (this->_internal_group() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_group());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedCall::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData SlotAsk::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedCall::MergeImpl
+    SlotAsk::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedCall::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*SlotAsk::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedCall*>(&to_msg);
-  auto& from = static_cast<const ForwardedCall&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedCall)
+void SlotAsk::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<SlotAsk*>(&to_msg);
+  auto& from = static_cast<const SlotAsk&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.SlotAsk)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
+  _this->_impl_.excluded_.MergeFrom(from._impl_.excluded_);
   if (!from._internal_reply_to().empty()) {
     _this->_internal_set_reply_to(from._internal_reply_to());
   }
-  if (!from._internal_method().empty()) {
-    _this->_internal_set_method(from._internal_method());
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
   }
-  if (!from._internal_target().empty()) {
-    _this->_internal_set_target(from._internal_target());
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
   }
-  if (!from._internal_body().empty()) {
-    _this->_internal_set_body(from._internal_body());
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
   }
-  if (from._internal_id() != 0) {
-    _this->_internal_set_id(from._internal_id());
+  if (from._internal_session() != 0) {
+    _this->_internal_set_session(from._internal_session());
   }
-  if (from._internal_waited_ms() != 0) {
-    _this->_internal_set_waited_ms(from._internal_waited_ms());
+  if (from._internal_ticket() != 0) {
+    _this->_internal_set_ticket(from._internal_ticket());
+  }
+  if (from._internal_priority() != 0) {
+    _this->_internal_set_priority(from._internal_priority());
+  }
+  if (from._internal_patience_ms() != 0) {
+    _this->_internal_set_patience_ms(from._internal_patience_ms());
+  }
+  if (from._internal_held_ms() != 0) {
+    _this->_internal_set_held_ms(from._internal_held_ms());
+  }
+  if (from._internal_group() != 0) {
+    _this->_internal_set_group(from._internal_group());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedCall::CopyFrom(const ForwardedCall& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedCall)
+void SlotAsk::CopyFrom(const SlotAsk& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.SlotAsk)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedCall::IsInitialized() const {
+bool SlotAsk::IsInitialized() const {
   return true;
 }
 
-void ForwardedCall::InternalSwap(ForwardedCall* other) {
+void SlotAsk::InternalSwap(SlotAsk* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.excluded_.InternalSwap(&other->_impl_.excluded_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.reply_to_, lhs_arena,
       &other->_impl_.reply_to_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.method_, lhs_arena,
-      &other->_impl_.method_, rhs_arena
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.target_, lhs_arena,
-      &other->_impl_.target_, rhs_arena
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.body_, lhs_arena,
-      &other->_impl_.body_, rhs_arena
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.waited_ms_)
-      + sizeof(ForwardedCall::_impl_.waited_ms_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.id_)>(
-          reinterpret_cast<char*>(&_impl_.id_),
-          reinterpret_cast<char*>(&other->_impl_.id_));
+      PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.group_)
+      + sizeof(SlotAsk::_impl_.group_)
+      - PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.session_)>(
+          reinterpret_cast<char*>(&_impl_.session_),
+          reinterpret_cast<char*>(&other->_impl_.session_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
 
-class ForwardedAnswer::_Internal {
+class SlotAnswer::_Internal {
  public:
 };
 
-ForwardedAnswer::ForwardedAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+SlotAnswer::SlotAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.SlotAnswer)
 }
-ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& from)
+SlotAnswer::SlotAnswer(const SlotAnswer& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedAnswer* const _this = this; (void)_this;
+  SlotAnswer* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
-    , decltype(_impl_.id_){}
-    , decltype(_impl_.status_){}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.session_){}
+    , decltype(_impl_.ticket_){}
+    , decltype(_impl_.state_){}
+    , decltype(_impl_.retry_after_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.body_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_body().empty()) {
-    _this->_impl_.body_.Set(from._internal_body(), 
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.status_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedAnswer)
+  ::memcpy(&_impl_.session_, &from._impl_.session_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotAnswer)
 }
 
-inline void ForwardedAnswer::SharedCtor(
+inline void SlotAnswer::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
-    , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.status_){0u}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.session_){uint64_t{0u}}
+    , decltype(_impl_.ticket_){uint64_t{0u}}
+    , decltype(_impl_.state_){0}
+    , decltype(_impl_.retry_after_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.body_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedAnswer::~ForwardedAnswer() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedAnswer)
+SlotAnswer::~SlotAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.SlotAnswer)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -8070,57 +10449,74 @@
   SharedDtor();
 }
 
-inline void ForwardedAnswer::SharedDtor() {
+inline void SlotAnswer::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.body_.Destroy();
+  _impl_.instance_.Destroy();
 }
 
-void ForwardedAnswer::SetCachedSize(int size) const {
+void SlotAnswer::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedAnswer::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedAnswer)
+void SlotAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.SlotAnswer)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.body_.ClearToEmpty();
-  ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.status_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.session_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* SlotAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 id = 1;
+      // fixed64 session = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 9)) {
+          _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<uint64_t>(ptr);
+          ptr += sizeof(uint64_t);
         } else
           goto handle_unusual;
         continue;
-      // uint32 status = 2;
+      // uint64 ticket = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.status_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.ticket_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // string body = 3;
+      // .rattandyke.wire.SlotState state = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_body();
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_state(static_cast<::rattandyke::wire::SlotState>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedAnswer.body"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAnswer.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 retry_after_ms = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.retry_after_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -8147,183 +10543,219 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedAnswer::_InternalSerialize(
+uint8_t* SlotAnswer::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.SlotAnswer)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
+  // fixed64 session = 1;
+  if (this->_internal_session() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+    target = ::_pbi::WireFormatLite::WriteFixed64ToArray(1, this->_internal_session(), target);
   }
 
-  // uint32 status = 2;
-  if (this->_internal_status() != 0) {
+  // uint64 ticket = 2;
+  if (this->_internal_ticket() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_status(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_ticket(), target);
   }
 
-  // string body = 3;
-  if (!this->_internal_body().empty()) {
+  // .rattandyke.wire.SlotState state = 3;
+  if (this->_internal_state() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      3, this->_internal_state(), target);
+  }
+
+  // string instance = 4;
+  if (!this->_internal_instance().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedAnswer.body");
+      "rattandyke.wire.SlotAnswer.instance");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_body(), target);
+        4, this->_internal_instance(), target);
+  }
+
+  // uint32 retry_after_ms = 5;
+  if (this->_internal_retry_after_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_retry_after_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.SlotAnswer)
   return target;
 }
 
-size_t ForwardedAnswer::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedAnswer)
+size_t SlotAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.SlotAnswer)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string body = 3;
-  if (!this->_internal_body().empty()) {
+  // string instance = 4;
+  if (!this->_internal_instance().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_body());
+        this->_internal_instance());
   }
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  // fixed64 session = 1;
+  if (this->_internal_session() != 0) {
+    total_size += 1 + 8;
   }
 
-  // uint32 status = 2;
-  if (this->_internal_status() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_status());
+  // uint64 ticket = 2;
+  if (this->_internal_ticket() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_ticket());
+  }
+
+  // .rattandyke.wire.SlotState state = 3;
+  if (this->_internal_state() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_state());
+  }
+
+  // uint32 retry_after_ms = 5;
+  if (this->_internal_retry_after_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_retry_after_ms());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedAnswer::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData SlotAnswer::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedAnswer::MergeImpl
+    SlotAnswer::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedAnswer::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*SlotAnswer::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedAnswer*>(&to_msg);
-  auto& from = static_cast<const ForwardedAnswer&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedAnswer)
+void SlotAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<SlotAnswer*>(&to_msg);
+  auto& from = static_cast<const SlotAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.SlotAnswer)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_body().empty()) {
-    _this->_internal_set_body(from._internal_body());
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
   }
-  if (from._internal_id() != 0) {
-    _this->_internal_set_id(from._internal_id());
+  if (from._internal_session() != 0) {
+    _this->_internal_set_session(from._internal_session());
   }
-  if (from._internal_status() != 0) {
-    _this->_internal_set_status(from._internal_status());
+  if (from._internal_ticket() != 0) {
+    _this->_internal_set_ticket(from._internal_ticket());
+  }
+  if (from._internal_state() != 0) {
+    _this->_internal_set_state(from._internal_state());
+  }
+  if (from._internal_retry_after_ms() != 0) {
+    _this->_internal_set_retry_after_ms(from._internal_retry_after_ms());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedAnswer::CopyFrom(const ForwardedAnswer& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedAnswer)
+void SlotAnswer::CopyFrom(const SlotAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.SlotAnswer)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedAnswer::IsInitialized() const {
+bool SlotAnswer::IsInitialized() const {
   return true;
 }
 
-void ForwardedAnswer::InternalSwap(ForwardedAnswer* other) {
+void SlotAnswer::InternalSwap(SlotAnswer* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.body_, lhs_arena,
-      &other->_impl_.body_, rhs_arena
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.status_)
-      + sizeof(ForwardedAnswer::_impl_.status_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.id_)>(
-          reinterpret_cast<char*>(&_impl_.id_),
-          reinterpret_cast<char*>(&other->_impl_.id_));
+      PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.retry_after_ms_)
+      + sizeof(SlotAnswer::_impl_.retry_after_ms_)
+      - PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.session_)>(
+          reinterpret_cast<char*>(&_impl_.session_),
+          reinterpret_cast<char*>(&other->_impl_.session_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
 
-class RelayedLoad::_Internal {
+class SlotDone::_Internal {
  public:
 };
 
-RelayedLoad::RelayedLoad(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+SlotDone::SlotDone(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayedLoad)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.SlotDone)
 }
-RelayedLoad::RelayedLoad(const RelayedLoad& from)
+SlotDone::SlotDone(const SlotDone& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RelayedLoad* const _this = this; (void)_this;
+  SlotDone* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){from._impl_.loads_}
-    , decltype(_impl_.host_){}
-    , decltype(_impl_.entries_){}
+      decltype(_impl_.from_){}
+    , decltype(_impl_.session_){}
+    , decltype(_impl_.ticket_){}
+    , decltype(_impl_.end_){}
+    , decltype(_impl_.took_us_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.host_.InitDefault();
+  _impl_.from_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.host_.Set("", GetArenaForAllocation());
+    _impl_.from_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_host().empty()) {
-    _this->_impl_.host_.Set(from._internal_host(), 
+  if (!from._internal_from().empty()) {
+    _this->_impl_.from_.Set(from._internal_from(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.entries_ = from._impl_.entries_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayedLoad)
+  ::memcpy(&_impl_.session_, &from._impl_.session_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.took_us_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.took_us_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotDone)
 }
 
-inline void RelayedLoad::SharedCtor(
+inline void SlotDone::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){arena}
-    , decltype(_impl_.host_){}
-    , decltype(_impl_.entries_){0u}
+      decltype(_impl_.from_){}
+    , decltype(_impl_.session_){uint64_t{0u}}
+    , decltype(_impl_.ticket_){uint64_t{0u}}
+    , decltype(_impl_.end_){0u}
+    , decltype(_impl_.took_us_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.host_.InitDefault();
+  _impl_.from_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.host_.Set("", GetArenaForAllocation());
+    _impl_.from_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-RelayedLoad::~RelayedLoad() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayedLoad)
+SlotDone::~SlotDone() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.SlotDone)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -8331,62 +10763,73 @@
   SharedDtor();
 }
 
-inline void RelayedLoad::SharedDtor() {
+inline void SlotDone::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.loads_.~RepeatedPtrField();
-  _impl_.host_.Destroy();
+  _impl_.from_.Destroy();
 }
 
-void RelayedLoad::SetCachedSize(int size) const {
+void SlotDone::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void RelayedLoad::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayedLoad)
+void SlotDone::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.SlotDone)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.loads_.Clear();
-  _impl_.host_.ClearToEmpty();
-  _impl_.entries_ = 0u;
+  _impl_.from_.ClearToEmpty();
+  ::memset(&_impl_.session_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.took_us_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.took_us_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* RelayedLoad::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* SlotDone::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      // string from = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+          auto str = _internal_mutable_from();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotDone.from"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 entries = 2;
+      // fixed64 session = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.entries_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.session_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<uint64_t>(ptr);
+          ptr += sizeof(uint64_t);
         } else
           goto handle_unusual;
         continue;
-      // string host = 3;
+      // uint64 ticket = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_host();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.ticket_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 end = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.end_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 took_us = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.took_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedLoad.host"));
         } else
           goto handle_unusual;
         continue;
@@ -8413,127 +10856,157 @@
 #undef CHK_
 }
 
-uint8_t* RelayedLoad::_InternalSerialize(
+uint8_t* SlotDone::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayedLoad)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.SlotDone)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
-    const auto& repfield = this->_internal_loads(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  // string from = 1;
+  if (!this->_internal_from().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_from().data(), static_cast<int>(this->_internal_from().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.SlotDone.from");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_from(), target);
   }
 
-  // uint32 entries = 2;
-  if (this->_internal_entries() != 0) {
+  // fixed64 session = 2;
+  if (this->_internal_session() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_entries(), target);
+    target = ::_pbi::WireFormatLite::WriteFixed64ToArray(2, this->_internal_session(), target);
   }
 
-  // string host = 3;
-  if (!this->_internal_host().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedLoad.host");
-    target = stream->WriteStringMaybeAliased(
-        3, this->_internal_host(), target);
+  // uint64 ticket = 3;
+  if (this->_internal_ticket() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_ticket(), target);
+  }
+
+  // uint32 end = 4;
+  if (this->_internal_end() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(4, this->_internal_end(), target);
+  }
+
+  // uint32 took_us = 5;
+  if (this->_internal_took_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_took_us(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayedLoad)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.SlotDone)
   return target;
 }
 
-size_t RelayedLoad::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayedLoad)
+size_t SlotDone::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.SlotDone)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  total_size += 1UL * this->_internal_loads_size();
-  for (const auto& msg : this->_impl_.loads_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // string host = 3;
-  if (!this->_internal_host().empty()) {
+  // string from = 1;
+  if (!this->_internal_from().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_host());
+        this->_internal_from());
+  }
+
+  // fixed64 session = 2;
+  if (this->_internal_session() != 0) {
+    total_size += 1 + 8;
+  }
+
+  // uint64 ticket = 3;
+  if (this->_internal_ticket() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_ticket());
+  }
+
+  // uint32 end = 4;
+  if (this->_internal_end() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_end());
   }
 
-  // uint32 entries = 2;
-  if (this->_internal_entries() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_entries());
+  // uint32 took_us = 5;
+  if (this->_internal_took_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_took_us());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayedLoad::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData SlotDone::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RelayedLoad::MergeImpl
+    SlotDone::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayedLoad::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*SlotDone::GetClassData() const { return &_class_data_; }
 
 
-void RelayedLoad::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RelayedLoad*>(&to_msg);
-  auto& from = static_cast<const RelayedLoad&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayedLoad)
+void SlotDone::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<SlotDone*>(&to_msg);
+  auto& from = static_cast<const SlotDone&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.SlotDone)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
-  if (!from._internal_host().empty()) {
-    _this->_internal_set_host(from._internal_host());
+  if (!from._internal_from().empty()) {
+    _this->_internal_set_from(from._internal_from());
   }
-  if (from._internal_entries() != 0) {
-    _this->_internal_set_entries(from._internal_entries());
+  if (from._internal_session() != 0) {
+    _this->_internal_set_session(from._internal_session());
+  }
+  if (from._internal_ticket() != 0) {
+    _this->_internal_set_ticket(from._internal_ticket());
+  }
+  if (from._internal_end() != 0) {
+    _this->_internal_set_end(from._internal_end());
+  }
+  if (from._internal_took_us() != 0) {
+    _this->_internal_set_took_us(from._internal_took_us());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void RelayedLoad::CopyFrom(const RelayedLoad& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayedLoad)
+void SlotDone::CopyFrom(const SlotDone& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.SlotDone)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool RelayedLoad::IsInitialized() const {
+bool SlotDone::IsInitialized() const {
   return true;
 }
 
-void RelayedLoad::InternalSwap(RelayedLoad* other) {
+void SlotDone::InternalSwap(SlotDone* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.host_, lhs_arena,
-      &other->_impl_.host_, rhs_arena
+      &_impl_.from_, lhs_arena,
+      &other->_impl_.from_, rhs_arena
   );
-  swap(_impl_.entries_, other->_impl_.entries_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(SlotDone, _impl_.took_us_)
+      + sizeof(SlotDone::_impl_.took_us_)
+      - PROTOBUF_FIELD_OFFSET(SlotDone, _impl_.session_)>(
+          reinterpret_cast<char*>(&_impl_.session_),
+          reinterpret_cast<char*>(&other->_impl_.session_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata RelayedLoad::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -8547,7 +11020,10 @@
   static const ::rattandyke::wire::FeedReport& feed_report(const GatewayFrame* msg);
   static const ::rattandyke::wire::ForwardedCall& forwarded_call(const GatewayFrame* msg);
   static const ::rattandyke::wire::ForwardedAnswer& forwarded_answer(const GatewayFrame* msg);
-  static const ::rattandyke::wire::RelayedLoad& relayed_load(const GatewayFrame* msg);
+  static const ::rattandyke::wire::HostReport& host_report(const GatewayFrame* msg);
+  static const ::rattandyke::wire::SlotAsk& slot_ask(const GatewayFrame* msg);
+  static const ::rattandyke::wire::SlotAnswer& slot_answer(const GatewayFrame* msg);
+  static const ::rattandyke::wire::SlotDone& slot_done(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -8578,9 +11054,21 @@
 GatewayFrame::_Internal::forwarded_answer(const GatewayFrame* msg) {
   return *msg->_impl_.body_.forwarded_answer_;
 }
-const ::rattandyke::wire::RelayedLoad&
-GatewayFrame::_Internal::relayed_load(const GatewayFrame* msg) {
-  return *msg->_impl_.body_.relayed_load_;
+const ::rattandyke::wire::HostReport&
+GatewayFrame::_Internal::host_report(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.host_report_;
+}
+const ::rattandyke::wire::SlotAsk&
+GatewayFrame::_Internal::slot_ask(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.slot_ask_;
+}
+const ::rattandyke::wire::SlotAnswer&
+GatewayFrame::_Internal::slot_answer(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.slot_answer_;
+}
+const ::rattandyke::wire::SlotDone&
+GatewayFrame::_Internal::slot_done(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.slot_done_;
 }
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
@@ -8687,20 +11175,65 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.forwarded_answer)
 }
-void GatewayFrame::set_allocated_relayed_load(::rattandyke::wire::RelayedLoad* relayed_load) {
+void GatewayFrame::set_allocated_host_report(::rattandyke::wire::HostReport* host_report) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (host_report) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(host_report);
+    if (message_arena != submessage_arena) {
+      host_report = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, host_report, submessage_arena);
+    }
+    set_has_host_report();
+    _impl_.body_.host_report_ = host_report;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.host_report)
+}
+void GatewayFrame::set_allocated_slot_ask(::rattandyke::wire::SlotAsk* slot_ask) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (slot_ask) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(slot_ask);
+    if (message_arena != submessage_arena) {
+      slot_ask = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, slot_ask, submessage_arena);
+    }
+    set_has_slot_ask();
+    _impl_.body_.slot_ask_ = slot_ask;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.slot_ask)
+}
+void GatewayFrame::set_allocated_slot_answer(::rattandyke::wire::SlotAnswer* slot_answer) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (slot_answer) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(slot_answer);
+    if (message_arena != submessage_arena) {
+      slot_answer = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, slot_answer, submessage_arena);
+    }
+    set_has_slot_answer();
+    _impl_.body_.slot_answer_ = slot_answer;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.slot_answer)
+}
+void GatewayFrame::set_allocated_slot_done(::rattandyke::wire::SlotDone* slot_done) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
-  if (relayed_load) {
+  if (slot_done) {
     ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relayed_load);
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(slot_done);
     if (message_arena != submessage_arena) {
-      relayed_load = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, relayed_load, submessage_arena);
+      slot_done = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, slot_done, submessage_arena);
     }
-    set_has_relayed_load();
-    _impl_.body_.relayed_load_ = relayed_load;
+    set_has_slot_done();
+    _impl_.body_.slot_done_ = slot_done;
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relayed_load)
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.slot_done)
 }
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
@@ -8758,9 +11291,24 @@
           from._internal_forwarded_answer());
       break;
     }
-    case kRelayedLoad: {
-      _this->_internal_mutable_relayed_load()->::rattandyke::wire::RelayedLoad::MergeFrom(
-          from._internal_relayed_load());
+    case kHostReport: {
+      _this->_internal_mutable_host_report()->::rattandyke::wire::HostReport::MergeFrom(
+          from._internal_host_report());
+      break;
+    }
+    case kSlotAsk: {
+      _this->_internal_mutable_slot_ask()->::rattandyke::wire::SlotAsk::MergeFrom(
+          from._internal_slot_ask());
+      break;
+    }
+    case kSlotAnswer: {
+      _this->_internal_mutable_slot_answer()->::rattandyke::wire::SlotAnswer::MergeFrom(
+          from._internal_slot_answer());
+      break;
+    }
+    case kSlotDone: {
+      _this->_internal_mutable_slot_done()->::rattandyke::wire::SlotDone::MergeFrom(
+          from._internal_slot_done());
       break;
     }
     case BODY_NOT_SET: {
@@ -8851,9 +11399,27 @@
       }
       break;
     }
-    case kRelayedLoad: {
+    case kHostReport: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.host_report_;
+      }
+      break;
+    }
+    case kSlotAsk: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.slot_ask_;
+      }
+      break;
+    }
+    case kSlotAnswer: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.slot_answer_;
+      }
+      break;
+    }
+    case kSlotDone: {
       if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.relayed_load_;
+        delete _impl_.body_.slot_done_;
       }
       break;
     }
@@ -8946,10 +11512,34 @@
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.RelayedLoad relayed_load = 9;
+      // .rattandyke.wire.HostReport host_report = 9;
       case 9:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
-          ptr = ctx->ParseMessage(_internal_mutable_relayed_load(), ptr);
+          ptr = ctx->ParseMessage(_internal_mutable_host_report(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.SlotAsk slot_ask = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr = ctx->ParseMessage(_internal_mutable_slot_ask(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.SlotAnswer slot_answer = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr = ctx->ParseMessage(_internal_mutable_slot_answer(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.SlotDone slot_done = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr = ctx->ParseMessage(_internal_mutable_slot_done(), ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -9038,11 +11628,32 @@
         _Internal::forwarded_answer(this).GetCachedSize(), target, stream);
   }
 
-  // .rattandyke.wire.RelayedLoad relayed_load = 9;
-  if (_internal_has_relayed_load()) {
+  // .rattandyke.wire.HostReport host_report = 9;
+  if (_internal_has_host_report()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(9, _Internal::host_report(this),
+        _Internal::host_report(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.SlotAsk slot_ask = 10;
+  if (_internal_has_slot_ask()) {
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(9, _Internal::relayed_load(this),
-        _Internal::relayed_load(this).GetCachedSize(), target, stream);
+      InternalWriteMessage(10, _Internal::slot_ask(this),
+        _Internal::slot_ask(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.SlotAnswer slot_answer = 11;
+  if (_internal_has_slot_answer()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(11, _Internal::slot_answer(this),
+        _Internal::slot_answer(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.SlotDone slot_done = 12;
+  if (_internal_has_slot_done()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(12, _Internal::slot_done(this),
+        _Internal::slot_done(this).GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
@@ -9118,11 +11729,32 @@
           *_impl_.body_.forwarded_answer_);
       break;
     }
-    // .rattandyke.wire.RelayedLoad relayed_load = 9;
-    case kRelayedLoad: {
+    // .rattandyke.wire.HostReport host_report = 9;
+    case kHostReport: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.host_report_);
+      break;
+    }
+    // .rattandyke.wire.SlotAsk slot_ask = 10;
+    case kSlotAsk: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.slot_ask_);
+      break;
+    }
+    // .rattandyke.wire.SlotAnswer slot_answer = 11;
+    case kSlotAnswer: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.slot_answer_);
+      break;
+    }
+    // .rattandyke.wire.SlotDone slot_done = 12;
+    case kSlotDone: {
       total_size += 1 +
         ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.relayed_load_);
+          *_impl_.body_.slot_done_);
       break;
     }
     case BODY_NOT_SET: {
@@ -9187,9 +11819,24 @@
           from._internal_forwarded_answer());
       break;
     }
-    case kRelayedLoad: {
-      _this->_internal_mutable_relayed_load()->::rattandyke::wire::RelayedLoad::MergeFrom(
-          from._internal_relayed_load());
+    case kHostReport: {
+      _this->_internal_mutable_host_report()->::rattandyke::wire::HostReport::MergeFrom(
+          from._internal_host_report());
+      break;
+    }
+    case kSlotAsk: {
+      _this->_internal_mutable_slot_ask()->::rattandyke::wire::SlotAsk::MergeFrom(
+          from._internal_slot_ask());
+      break;
+    }
+    case kSlotAnswer: {
+      _this->_internal_mutable_slot_answer()->::rattandyke::wire::SlotAnswer::MergeFrom(
+          from._internal_slot_answer());
+      break;
+    }
+    case kSlotDone: {
+      _this->_internal_mutable_slot_done()->::rattandyke::wire::SlotDone::MergeFrom(
+          from._internal_slot_done());
       break;
     }
     case BODY_NOT_SET: {
@@ -9220,7 +11867,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -9275,6 +11922,18 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::FreeRanges >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::FreeRanges >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::EntryMember*
+Arena::CreateMaybeMessage< ::rattandyke::wire::EntryMember >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::EntryMember >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::PutEntry*
+Arena::CreateMaybeMessage< ::rattandyke::wire::PutEntry >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::PutEntry >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::DropEntry*
+Arena::CreateMaybeMessage< ::rattandyke::wire::DropEntry >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::DropEntry >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayCommand*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayCommand >(arena);
@@ -9311,6 +11970,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::RangeLoad >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::RangeLoad >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::InstanceTime*
+Arena::CreateMaybeMessage< ::rattandyke::wire::InstanceTime >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::InstanceTime >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::FeedReport*
 Arena::CreateMaybeMessage< ::rattandyke::wire::FeedReport >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::FeedReport >(arena);
@@ -9323,9 +11986,21 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedAnswer >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedAnswer >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayedLoad*
-Arena::CreateMaybeMessage< ::rattandyke::wire::RelayedLoad >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayedLoad >(arena);
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::HostReport*
+Arena::CreateMaybeMessage< ::rattandyke::wire::HostReport >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::HostReport >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::SlotAsk*
+Arena::CreateMaybeMessage< ::rattandyke::wire::SlotAsk >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::SlotAsk >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::SlotAnswer*
+Arena::CreateMaybeMessage< ::rattandyke::wire::SlotAnswer >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::SlotAnswer >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::SlotDone*
+Arena::CreateMaybeMessage< ::rattandyke::wire::SlotDone >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::SlotDone >(arena);
 }
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayFrame*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayFrame >(Arena* arena) {
