--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -47,7 +47,7 @@
 constexpr int kGrantAttempts = 3;
 /// Longest delay of an answer for keys on their way; an upstream takes answers
 /// that come within a second.
-constexpr milliseconds kKeysAwaited{ 450 };
+constexpr milliseconds kKeysAwaited{ 350 };
 constexpr milliseconds kKeysPoll{ 15 };
 constexpr size_t kOutcomesKept = 1024;
 
@@ -552,8 +552,13 @@
   asio::awaitable<CallAnswer> OnCall(const Heartbeat& aHeartbeat)
   {
     const Instant arrived = clock.Now();
-    Result<void> committed =
-      co_await Commit(granter.OnHeartbeat(aHeartbeat, state, arrived));
+    std::vector<wire::GatewayCommand> due =
+      granter.OnHeartbeat(aHeartbeat, state, arrived);
+    for (const wire::GatewayCommand& command : due) {
+      Info() << "heartbeat " << aHeartbeat.sequence << " of "
+             << aHeartbeat.instance << ": " << command.ShortDebugString();
+    }
+    Result<void> committed = co_await Commit(std::move(due));
     co_await AwaitKeys(aHeartbeat);
     for (int attempt = 0; committed && attempt < kGrantAttempts; ++attempt) {
       const auto grant = granter.PlanGrant(aHeartbeat, state, clock.Now());
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -132,12 +132,13 @@
         },
         aClock,
         aSeed)
-    , handler(executor,
-              { aSettings.dataCentre, aSettings.retryRatio },
-              feed,
-              desk,
-              aDialect.Headers(),
-              aClock)
+    , handler(
+        executor,
+        { aSettings.dataCentre, aSettings.retryRatio, aSettings.retrySlack },
+        feed,
+        desk,
+        aDialect.Headers(),
+        aClock)
     , slotTicker(executor)
   {
   }
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -23,13 +23,19 @@
 /// 4 KiB.
 constexpr size_t kMaxRows = 64;
 
-/// How long free keys wait for the instances that have the least load, before
-/// any instance that sends a heartbeat gets a share of them.
-constexpr Duration kChoosyTime = milliseconds{ 250 };
-constexpr Duration kUrgentTime = milliseconds{ 800 };
+/// A piece of free keys is taken whole by an instance whose level it does not
+/// raise further above the even one than this.
+constexpr double kFits = 1.25;
+/// After this long it is cut for those that come, and later taken by anyone:
+/// keys without an owner are worse than keys with a busy one. Heartbeats of a
+/// service with a dozen instances come every 100 ms.
+constexpr Duration kChoosyTime = milliseconds{ 150 };
+constexpr Duration kUrgentTime = milliseconds{ 600 };
+/// An instance that has just given keys away does not take them back.
+constexpr Duration kNotTakenBack = milliseconds{ 1500 };
 /// Part of an even share that an instance gets then, however loaded it is.
-constexpr double kChoosyPart = 0.34;
-constexpr double kUrgentPart = 1.0;
+constexpr double kChoosyPart = 0.5;
+constexpr double kUrgentPart = 1.5;
 
 /// Speeds are taken as no further from the average than this.
 constexpr double kLeastSpeed = 0.25;
@@ -43,14 +49,16 @@
 constexpr double kBusy = 0.55;
 constexpr double kHotRatio = 1.25;
 /// Moves that one heartbeat of a holder may begin.
-constexpr size_t kMaxMoves = 6;
-/// A move begins if its target's next heartbeat is due in this time: after the
-/// holder has let go, which takes the rest of the work on the keys, and not
-/// much later.
-constexpr Duration kMoveLeadMin = milliseconds{ 60 };
-constexpr Duration kMoveLeadMax = milliseconds{ 650 };
-/// Keys of a move are kept for its target this long.
-constexpr Duration kMoveReserved = milliseconds{ 1600 };
+constexpr size_t kMaxMoves = 3;
+/// Least part of an even share that is worth a move.
+constexpr double kLeastPiece = 0.15;
+/// Keys that alone overrun a holder, are this part of its load, and find an
+/// instance so much faster, are moved whole.
+constexpr double kOverrun = 0.95;
+constexpr double kDominant = 0.6;
+constexpr double kFaster = 1.4;
+/// Such keys are kept for that instance this long.
+constexpr Duration kMoveReserved = milliseconds{ 900 };
 /// Assumed for an instance that has not answered yet.
 constexpr double kDefaultSeconds = 0.1;
 
@@ -188,9 +196,14 @@
     instance->set_slots(aHeartbeat.slots);
     instance->set_draining(aHeartbeat.draining);
   }
+  const size_t before = commands.size();
   NoteReleased(aHeartbeat, aState, commands);
   lease.lastHeartbeat = aArrived;
-  PlanMoves(aHeartbeat, aState, aArrived);
+  if (commands.size() != before) {
+    lease.releasedAt = aArrived;
+  } else {
+    PlanMoves(aHeartbeat, aState, aArrived, commands);
+  }
   return commands;
 }
 
@@ -250,7 +263,6 @@
   if (ranges == nullptr) {
     return;
   }
-  Lease& lease = mLeases[aHeartbeat.instance];
   wire::FreeRanges free;
   free.set_service(aHeartbeat.service);
   free.set_holder(aHeartbeat.instance);
@@ -265,63 +277,36 @@
         AddRange(free, *common, released.handover);
       }
     }
-    std::vector<KeySpan> withheld;
-    for (const KeySpan& span : lease.withheld) {
-      const auto rest = Without(span, released.keys);
-      withheld.insert(withheld.end(), rest.begin(), rest.end());
-    }
-    lease.withheld = std::move(withheld);
   }
   if (free.ranges_size() > 0) {
     *aCommands.emplace_back().mutable_free_ranges() = std::move(free);
   }
 }
 
-std::vector<std::string>
-Granter::TargetsFor(const Heartbeat& aHeartbeat,
-                    const Holders& aHolders,
-                    double aEven,
-                    Instant aNow) const
-{
-  std::vector<std::string> targets;
-  for (const auto& [id, holder] : aHolders) {
-    const auto lease = mLeases.find(id);
-    if (id == aHeartbeat.instance || holder.Level() >= aEven ||
-        lease == mLeases.end() || !lease->second.lastHeartbeat) {
-      continue;
-    }
-    const Duration due =
-      *lease->second.lastHeartbeat + mOptions.heartbeatInterval - aNow;
-    if (due >= kMoveLeadMin && due <= kMoveLeadMax) {
-      targets.push_back(id);
-    }
-  }
-  std::sort(targets.begin(),
-            targets.end(),
-            [&](const std::string& aOne, const std::string& aOther) {
-              return aHolders.at(aOne).Level() < aHolders.at(aOther).Level();
-            });
-  return targets;
-}
-
-/// The targets are chosen when the holder's heartbeat has come, among those
-/// whose own is due next: keys that wait for a heartbeat have no owner.
+/// What the holder gives up is taken by the instances whose heartbeats come
+/// next: keys that wait for a certain instance's heartbeat have no owner.
 void
 Granter::PlanMoves(const Heartbeat& aHeartbeat,
                    const State& aState,
-                   Instant aNow)
+                   Instant aNow,
+                   std::vector<wire::GatewayCommand>& aCommands)
 {
   const std::string& id = aHeartbeat.instance;
   const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
   const auto found = mGroups.find(aHeartbeat.service);
-  if (ranges == nullptr || found == mGroups.end() || found->second.freeSince) {
+  if (ranges == nullptr || found == mGroups.end()) {
     return;
   }
-  Group& group = found->second;
-  Lease& lease = mLeases[id];
+  const Group& group = found->second;
   Holders holders = HoldersOf(aHeartbeat.service, aState, aNow);
   const auto own = holders.find(id);
-  if (own == holders.end() || !lease.withheld.empty()) {
+  const bool releasing =
+    std::any_of(ranges->Segments().begin(),
+                ranges->Segments().end(),
+                [&](const wire::RangeSegment& aSegment) {
+                  return aSegment.held_back() && aSegment.holder() == id;
+                });
+  if (own == holders.end() || releasing) {
     return;
   }
   Holder& hot = own->second;
@@ -329,23 +314,89 @@
   if (hot.busy < kBusy || hot.Level() < kHotRatio * even) {
     return;
   }
-  size_t moves = 0;
-  for (const std::string& target :
-       TargetsFor(aHeartbeat, holders, even, aNow)) {
-    Holder& cold = holders.at(target);
+  std::vector<KeySpan> given;
+  MoveHotKeys(aHeartbeat, *ranges, holders, aNow, given);
+  std::vector<Holder> cold;
+  for (const auto& [other, holder] : holders) {
+    if (other != id && holder.Level() < even) {
+      cold.push_back(holder);
+    }
+  }
+  std::sort(cold.begin(), cold.end(), [](const auto& aOne, const auto& aOther) {
+    return aOne.Level() < aOther.Level();
+  });
+  for (const Holder& taker : cold) {
     // As much as brings one of the two to the even level.
     const double wanted =
-      std::min(hot.load - even * hot.speed, even * cold.speed - cold.load);
-    const auto slice = SliceOf(id, *ranges, group.load, wanted);
-    if (moves >= kMaxMoves || wanted <= 0 || !slice) {
+      std::min(hot.load - even * hot.speed, even * taker.speed - taker.load);
+    if (given.size() >= kMaxMoves || wanted < kLeastPiece * even * hot.speed) {
+      break;
+    }
+    if (const auto slice = SliceOf(id, *ranges, group.load, given, wanted)) {
+      hot.load -= group.load.Of(*slice);
+      given.push_back(*slice);
+    }
+  }
+  HoldBack(aHeartbeat, given, aCommands);
+}
+
+/// The keys are left out of the instance's answers from then on, by the
+/// replicated state, so that a new leader goes on with it.
+void
+Granter::HoldBack(const Heartbeat& aHeartbeat,
+                  const std::vector<KeySpan>& aSpans,
+                  std::vector<wire::GatewayCommand>& aCommands)
+{
+  if (aSpans.empty()) {
+    return;
+  }
+  wire::HoldBackRanges* held =
+    aCommands.emplace_back().mutable_hold_back_ranges();
+  held->set_service(aHeartbeat.service);
+  held->set_holder(aHeartbeat.instance);
+  for (const KeySpan& keys : aSpans) {
+    wire::KeyRange* range = held->add_ranges();
+    range->set_from(keys.from);
+    range->set_to(keys.to);
+  }
+}
+
+/// Keys that alone are more than their holder can take can't be divided. They
+/// go to the instance that can take the most, if that is clearly more; it then
+/// gives its other keys away.
+void
+Granter::MoveHotKeys(const Heartbeat& aHeartbeat,
+                     const RangeTable& aRanges,
+                     Holders& aHolders,
+                     Instant aNow,
+                     std::vector<KeySpan>& aGiven)
+{
+  Group& group = mGroups[aHeartbeat.service];
+  Holder& hot = aHolders.at(aHeartbeat.instance);
+  std::optional<KeySpan> busiest;
+  double most = 0;
+  for (const wire::RangeSegment& segment : aRanges.Segments()) {
+    if (segment.holder() != aHeartbeat.instance) {
       continue;
     }
-    const double load = group.load.Of(*slice);
-    lease.withheld.push_back(*slice);
-    group.moves.push_back(Move{ id, target, *slice, aNow });
-    hot.load -= load;
-    cold.load += load;
-    ++moves;
+    const KeySpan keys = group.load.BusiestOf(SpanOf(segment));
+    if (group.load.Of(keys) > most) {
+      most = group.load.Of(keys);
+      busiest = keys;
+    }
+  }
+  if (!busiest || hot.busy < kOverrun || most < kDominant * hot.load) {
+    return;
+  }
+  const auto best = std::max_element(
+    aHolders.begin(), aHolders.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.second.speed < aOther.second.speed;
+    });
+  if (best->second.speed > kFaster * hot.speed) {
+    hot.load -= most;
+    best->second.load += most;
+    group.moves.push_back(Move{ best->first, *busiest, aNow });
+    aGiven.push_back(*busiest);
   }
 }
 
@@ -365,19 +416,24 @@
                     const State& aState,
                     Instant aNow) const
 {
-  const auto found = mGroups.find(aHeartbeat.service);
   const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
-  if (found == mGroups.end() || ranges == nullptr) {
+  const auto group = mGroups.find(aHeartbeat.service);
+  if (ranges == nullptr || group == mGroups.end()) {
     return false;
   }
-  for (const Move& move : found->second.moves) {
-    if (move.to == aHeartbeat.instance &&
-        aNow - move.startedAt < kMoveReserved &&
-        ranges->Find(move.keys.from).holder() == move.from) {
-      return true;
-    }
+  const bool released = std::any_of(
+    ranges->Segments().begin(),
+    ranges->Segments().end(),
+    [&](const wire::RangeSegment& aSegment) {
+      return aSegment.held_back() && aSegment.holder() != aHeartbeat.instance;
+    });
+  if (!released) {
+    return false;
   }
-  return false;
+  const Holders holders = HoldersOf(aHeartbeat.service, aState, aNow);
+  const auto own = holders.find(aHeartbeat.instance);
+  return own != holders.end() &&
+         own->second.Level() < EvenLevel(group->second, holders);
 }
 
 bool
@@ -427,7 +483,7 @@
   if (ranges == nullptr || group == mGroups.end()) {
     return holders;
   }
-  const auto add = [&](const std::string& aId, KeySpan aKeys, double aSign) {
+  const auto add = [&](const std::string& aId, KeySpan aKeys) {
     const auto found = holders.find(aId);
     if (found == holders.end()) {
       return;
@@ -436,18 +492,12 @@
     const double time =
       seconds == mSeconds.end() ? kDefaultSeconds : seconds->second;
     const uint32_t slots = std::max(aState.FindInstance(aId)->slots(), 1U);
-    found->second.load += aSign * group->second.load.Of(aKeys);
-    found->second.busy += aSign * group->second.load.Rate(aKeys) * time / slots;
+    found->second.load += group->second.load.Of(aKeys);
+    found->second.busy += group->second.load.Rate(aKeys) * time / slots;
   };
   for (const wire::RangeSegment& segment : ranges->Segments()) {
-    add(segment.holder(), SpanOf(segment), 1);
-  }
-  for (const Move& move : group->second.moves) {
-    if (ranges->Find(move.keys.from).holder() == move.from) {
-      add(move.from, move.keys, -1);
-    }
-    if (ranges->Find(move.keys.from).holder() != move.to) {
-      add(move.to, move.keys, 1);
+    if (!segment.held_back()) {
+      add(segment.holder(), SpanOf(segment));
     }
   }
   return holders;
@@ -482,19 +532,30 @@
   }
 }
 
-double
-Granter::Quota(const Group& aGroup,
-               const Holders& aHolders,
-               const std::string& aId,
-               Instant aNow) const
+std::optional<KeySpan>
+Granter::PieceFor(KeySpan aFree,
+                  const Group& aGroup,
+                  const Holder& aTaker,
+                  double aShare,
+                  Duration aAge,
+                  bool aFirst)
 {
-  const Holder& own = aHolders.at(aId);
-  const double share = EvenLevel(aGroup, aHolders) * own.speed;
-  const Duration age = aNow - *aGroup.freeSince;
-  const double part = age >= kUrgentTime   ? kUrgentPart
-                      : age >= kChoosyTime ? kChoosyPart
-                                           : 0.0;
-  return std::max(share * kQuotaSlack - own.load, share * part);
+  const double load = aGroup.load.Of(aFree);
+  if (aTaker.load + load <= kFits * aShare) {
+    return aFree;
+  }
+  if (aFirst) {
+    const double room = aShare * kQuotaSlack - aTaker.load;
+    return room > 0 ? std::optional(aGroup.load.Take(aFree, room))
+                    : std::nullopt;
+  }
+  if (aAge < kChoosyTime) {
+    return std::nullopt;
+  }
+  const double part = aAge < kUrgentTime ? kChoosyPart : kUrgentPart;
+  const double room =
+    std::max(aShare * kQuotaSlack - aTaker.load, aShare * part);
+  return aGroup.load.Take(aFree, room);
 }
 
 std::optional<wire::GatewayCommand>
@@ -530,7 +591,13 @@
   if (!holders.contains(id)) {
     return std::nullopt;
   }
-  double quota = Quota(group, holders, id, aNow);
+  Holder taker = holders.at(id);
+  const double share = EvenLevel(group, holders) * taker.speed;
+  const Duration age = aNow - *group.freeSince;
+  const std::optional<Instant>& released = mLeases[id].releasedAt;
+  if (released && age < kUrgentTime && aNow - *released < kNotTakenBack) {
+    return std::nullopt;
+  }
   size_t rows = 0;
   for (const wire::RangeSegment& segment : ranges.Segments()) {
     rows += segment.holder() == id ? 1 : 0;
@@ -550,12 +617,13 @@
       continue;
     }
     if (move == nullptr) {
-      if (quota <= 0) {
+      const auto piece = PieceFor(keys, group, taker, share, age, first);
+      if (!piece) {
         continue;
       }
-      keys = group.load.Take(keys, quota);
-      quota -= group.load.Of(keys);
+      keys = *piece;
     }
+    taker.load += group.load.Of(keys);
     wire::KeyRange* range = grant->add_ranges();
     range->set_from(keys.from);
     range->set_to(keys.to);
@@ -589,12 +657,9 @@
   const RangeTable* ranges = aState.Ranges(instance->service());
   if (ranges != nullptr && !instance->draining()) {
     for (const wire::RangeSegment& segment : ranges->Segments()) {
-      if (segment.holder() != id) {
-        continue;
-      }
-      for (const KeySpan& keys : Without(SpanOf(segment), lease.withheld)) {
+      if (segment.holder() == id && !segment.held_back()) {
         grants.ranges.push_back(
-          { keys, Fence{ segment.fence() }, segment.handover() });
+          { SpanOf(segment), Fence{ segment.fence() }, segment.handover() });
       }
     }
   }
@@ -667,15 +732,15 @@
 Granter::SliceOf(const std::string& aHolder,
                  const RangeTable& aRanges,
                  const LoadMap& aLoad,
-                 double aWanted) const
+                 const std::vector<KeySpan>& aGiven,
+                 double aWanted)
 {
-  const Lease& lease = mLeases.at(aHolder);
   std::optional<KeySpan> best;
   for (const wire::RangeSegment& segment : aRanges.Segments()) {
     if (segment.holder() != aHolder) {
       continue;
     }
-    for (const KeySpan& keys : Without(SpanOf(segment), lease.withheld)) {
+    for (const KeySpan& keys : Without(SpanOf(segment), aGiven)) {
       const auto slice = aLoad.TakeBusy(keys, aWanted);
       if (slice && (!best || aLoad.Of(*slice) > aLoad.Of(*best))) {
         best = slice;
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -55,8 +55,8 @@
                                                 const State& aState,
                                                 Instant aNow);
 
-  /// @return whether keys that are being released are meant for the instance:
-  /// its answer should wait for them a moment, as its next heartbeat is far.
+  /// @return whether keys are being released that the instance may get: its
+  /// answer should wait for them a moment, as its next heartbeat is far.
   bool AwaitsKeys(const Heartbeat& aHeartbeat,
                   const State& aState,
                   Instant aNow) const;
@@ -94,15 +94,12 @@
     Instant ends{};
     /// Its keys are being freed: nothing may be renewed.
     bool expiring = false;
-    /// Keys left out of its answers, so that it releases them.
-    std::vector<KeySpan> withheld;
-    std::optional<Instant> withheldSince;
+    std::optional<Instant> releasedAt;
   };
 
-  /// Keys on their way from one holder to another.
+  /// Keys that are kept for one instance when they are free.
   struct Move
   {
-    std::string from;
     std::string to;
     KeySpan keys;
     Instant startedAt{};
@@ -147,30 +144,43 @@
                       std::vector<wire::GatewayCommand>& aCommands);
   void PlanMoves(const Heartbeat& aHeartbeat,
                  const State& aState,
-                 Instant aNow);
-  std::vector<std::string> TargetsFor(const Heartbeat& aHeartbeat,
-                                      const Holders& aHolders,
-                                      double aEven,
-                                      Instant aNow) const;
+                 Instant aNow,
+                 std::vector<wire::GatewayCommand>& aCommands);
+  static void HoldBack(const Heartbeat& aHeartbeat,
+                       const std::vector<KeySpan>& aSpans,
+                       std::vector<wire::GatewayCommand>& aCommands);
+  void MoveHotKeys(const Heartbeat& aHeartbeat,
+                   const RangeTable& aRanges,
+                   Holders& aHolders,
+                   Instant aNow,
+                   std::vector<KeySpan>& aGiven);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
   Holders HoldersOf(const std::string& aService,
                     const State& aState,
                     Instant aNow) const;
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
-  std::optional<KeySpan> SliceOf(const std::string& aHolder,
-                                 const RangeTable& aRanges,
-                                 const LoadMap& aLoad,
-                                 double aWanted) const;
+  static std::optional<KeySpan> SliceOf(const std::string& aHolder,
+                                        const RangeTable& aRanges,
+                                        const LoadMap& aLoad,
+                                        const std::vector<KeySpan>& aGiven,
+                                        double aWanted);
   bool IsWithheld(const Lease& aLease, uint32_t aKey) const;
   void UpdatePool(const std::string& aService,
                   const State& aState,
                   Instant aNow);
   static double EvenLevel(const Group& aGroup, const Holders& aHolders);
-  double Quota(const Group& aGroup,
-               const Holders& aHolders,
-               const std::string& aId,
-               Instant aNow) const;
+  /// @return the part of free keys that an instance gets; nothing if others
+  /// should.
+  /// @param aShare an even share for it.
+  /// @param aAge   time for which keys have been free.
+  /// @param aFirst no key has had an owner yet.
+  static std::optional<KeySpan> PieceFor(KeySpan aFree,
+                                         const Group& aGroup,
+                                         const Holder& aTaker,
+                                         double aShare,
+                                         Duration aAge,
+                                         bool aFirst);
 
   const Options mOptions;
   std::map<std::string, Lease> mLeases;
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -92,6 +92,21 @@
   return Counted(aKeys) / mSeconds;
 }
 
+KeySpan
+LoadMap::BusiestOf(KeySpan aKeys) const
+{
+  const uint32_t first = aKeys.from / kKeysPerBucket;
+  const uint32_t last = aKeys.to / kKeysPerBucket;
+  uint32_t busiest = first;
+  for (uint32_t bucket = first; bucket <= last; ++bucket) {
+    if (mBuckets[bucket] > mBuckets[busiest]) {
+      busiest = bucket;
+    }
+  }
+  return { std::max(aKeys.from, busiest * kKeysPerBucket),
+           std::min(aKeys.to, (busiest + 1) * kKeysPerBucket - 1) };
+}
+
 std::optional<KeySpan>
 LoadMap::TakeBusy(KeySpan aKeys, double aLoad) const
 {
--- a/src/librattandyke/gateway/load_map.h
+++ b/src/librattandyke/gateway/load_map.h
@@ -45,6 +45,9 @@
   /// near it, around the busiest bucket that fits; nothing if none fits.
   std::optional<KeySpan> TakeBusy(KeySpan aKeys, double aLoad) const;
 
+  /// @return the keys of the busiest bucket within aKeys.
+  KeySpan BusiestOf(KeySpan aKeys) const;
+
 private:
   double Counted(KeySpan aKeys) const;
   double PerBucket() const;
--- a/src/librattandyke/gateway/range_table.cpp
+++ b/src/librattandyke/gateway/range_table.cpp
@@ -15,7 +15,9 @@
   if (aOne.holder().empty()) {
     return aOne.handover() == aOther.handover();
   }
-  return aOne.fence() == aOther.fence() && aOne.handover() == aOther.handover();
+  return aOne.fence() == aOther.fence() &&
+         aOne.held_back() == aOther.held_back() &&
+         aOne.handover() == aOther.handover();
 }
 
 bool
@@ -119,6 +121,26 @@
   return {};
 }
 
+void
+RangeTable::HoldBack(const wire::HoldBackRanges& aCommand)
+{
+  for (const wire::KeyRange& range : aCommand.ranges()) {
+    if (!IsProper(range)) {
+      continue;
+    }
+    SplitBefore(range.from());
+    SplitBefore(range.to() + 1);
+    for (size_t at = IndexOf(range.from());
+         at < mSegments.size() && mSegments[at].from() <= range.to();
+         ++at) {
+      if (mSegments[at].holder() == aCommand.holder()) {
+        mSegments[at].set_held_back(true);
+      }
+    }
+  }
+  Merge();
+}
+
 void
 RangeTable::Free(const wire::FreeRanges& aFree)
 {
@@ -133,6 +155,7 @@
          ++at) {
       if (mSegments[at].holder() == aFree.holder()) {
         mSegments[at].clear_holder();
+        mSegments[at].clear_held_back();
         mSegments[at].set_handover(range.handover());
       }
     }
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -38,10 +38,9 @@
 constexpr milliseconds kDefaultDeadline{ 10000 };
 /// Tries of which nothing was sent.
 constexpr int kMaxUnsent = 6;
-/// Each entry may spend this part of what all may: a client's wave comes to one
-/// entry, and arrivals that are refused count, too.
-constexpr double kBudgetPart = 0.6;
-constexpr double kBudgetBurst = 6;
+/// Each entry may spend this part of what all may: arrivals that upstreams
+/// refuse count, too, and so does what is under way when a window begins.
+constexpr double kBudgetPart = 0.75;
 
 log::Line
 Line(const std::string& aId)
@@ -191,8 +190,11 @@
 {
   auto& budget = mBudgets[aService];
   if (!budget) {
+    const double entries =
+      static_cast<double>(std::max<size_t>(mFeed.Known().Entries().size(), 1));
+    const double burst = mOptions.retrySlack * kBudgetPart / entries;
     budget = std::make_unique<entry::RetryBudget>(entry::RetryBudget::Settings{
-      mOptions.retryRatio * kBudgetPart, kBudgetBurst, 2 });
+      mOptions.retryRatio * kBudgetPart, burst, burst / 2 });
   }
   return *budget;
 }
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -52,6 +52,8 @@
     DataCentre dataCentre;
     /// Second tries for each request that all hosts together may make.
     double retryRatio = 0;
+    /// Second tries beyond these that all may make at a time.
+    double retrySlack = 0;
   };
 
   /// @param aFeed, aDesk, aHeaders and aClock outlive this object.
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -43,6 +43,15 @@
   return true;
 }
 
+/// @return whether it is a number from 0.
+bool
+ParseNumber(const std::string& aText, double& aNumber)
+{
+  const char* const last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, aNumber);
+  return error == std::errc{} && end == last && aNumber >= 0;
+}
+
 bool
 ParseFlag(const std::string& aText, bool& aFlag)
 {
@@ -258,11 +267,16 @@
       "a number from 0 to 1",
       "Second tries for each request that all hosts together may make.",
       [](Settings& aSettings, const std::string& aText) {
-        const char* const last = aText.data() + aText.size();
-        const auto [end, error] =
-          std::from_chars(aText.data(), last, aSettings.retryRatio);
-        return error == std::errc{} && end == last &&
-               aSettings.retryRatio >= 0 && aSettings.retryRatio <= 1;
+        return ParseNumber(aText, aSettings.retryRatio) &&
+               aSettings.retryRatio <= 1;
+      } },
+    { "requests",
+      "retry_slack",
+      "10",
+      "a number from 0",
+      "Second tries beyond these that all hosts together may make at a time.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseNumber(aText, aSettings.retrySlack);
       } },
     { "requests",
       "drain_timeout",
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -49,6 +49,8 @@
   // [requests]
   /// Second tries for each first one that all hosts together may send.
   double retryRatio = 0;
+  /// Second tries beyond these that all hosts together may send at a time.
+  double retrySlack = 0;
   Millis drainTimeout{};
   Millis shutdownGrace{};
 };
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -59,9 +59,10 @@
                   const UpstreamSet::Choice& aChoice,
                   Instant aNow)
 {
-  mUpstreams.Begin(aChoice.instance);
+  const bool queued = mUpstreams.Begin(aChoice.instance);
   mRunning[aRequest.key] = { aChoice.instance,
-                             aNow + aRequest.held + Duration(kLostReturn) };
+                             aNow + aRequest.held + Duration(kLostReturn),
+                             queued };
   mAnswers.emplace_back(
     SlotGranted{ aRequest.key, aChoice.instance, aChoice.address });
 }
@@ -155,9 +156,9 @@
 {
   const auto found = mRunning.find(aKey);
   if (found != mRunning.end()) {
-    const std::string instance = found->second.instance;
+    const auto [instance, ends, queued] = found->second;
     mRunning.erase(found);
-    mUpstreams.End(instance, aEnd, aTook, aNow);
+    mUpstreams.End(instance, aEnd, aTook, queued, aNow);
     Serve(mUpstreams.ServiceOf(instance), aNow);
     return TakeAnswers();
   }
@@ -195,7 +196,7 @@
       ++at;
       continue;
     }
-    mUpstreams.End(at->second.instance, TryEnd::Abandoned, {}, aNow);
+    mUpstreams.End(at->second.instance, TryEnd::Abandoned, {}, true, aNow);
     freed.insert(mUpstreams.ServiceOf(at->second.instance));
     at = mRunning.erase(at);
   }
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -106,6 +106,7 @@
   {
     std::string instance;
     Instant ends{};
+    bool queuedThere = false;
   };
 
   /// By priority, then in the order of arrival.
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -233,9 +233,8 @@
     Release(Slot{ ticket, aHome, {}, {} }, TryEnd::Abandoned, {});
     const bool silent = !pending->queued;
     co_return silent ? std::nullopt
-                     : std::optional<SlotOutcome>(
-                         NoSlot{ UpstreamSet::Hindrance::Full,
-                                 Duration(kLeftAlone) });
+                     : std::optional<SlotOutcome>(NoSlot{
+                         UpstreamSet::Hindrance::Full, Duration(kLeftAlone) });
   }
   if (auto* slot = std::get_if<Slot>(&*pending->outcome)) {
     slot->home = aHome;
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -25,6 +25,8 @@
       return On(aCommand.grant_ranges());
     case wire::GatewayCommand::kFreeRanges:
       return On(aCommand.free_ranges());
+    case wire::GatewayCommand::kHoldBackRanges:
+      return On(aCommand.hold_back_ranges());
     case wire::GatewayCommand::kPutEntry:
       return On(aCommand.put_entry());
     case wire::GatewayCommand::kDropEntry:
@@ -120,6 +122,13 @@
   return {};
 }
 
+Result<void>
+State::On(const wire::HoldBackRanges& aCommand)
+{
+  mRanges[aCommand.service()].HoldBack(aCommand);
+  return {};
+}
+
 Result<void>
 State::On(const wire::PutEntry& aCommand)
 {
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -67,6 +67,7 @@
   Result<void> On(const wire::EndInstance& aCommand);
   Result<void> On(const wire::GrantRanges& aCommand);
   Result<void> On(const wire::FreeRanges& aCommand);
+  Result<void> On(const wire::HoldBackRanges& aCommand);
   Result<void> On(const wire::PutEntry& aCommand);
   Result<void> On(const wire::DropEntry& aCommand);
   void NoteEnded(const std::string& aId);
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds kDrainingOwner{ 900 };
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
-constexpr double kFarFactor = 1.12;
+constexpr double kFarFactor = 1.5;
 /// Requests that an upstream is given beyond its slots. While one answer is on
 /// its way back and the next request on its way there, a slot would be idle: a
 /// few ms of each 50 to 200.
@@ -218,22 +218,26 @@
   if (ranges == nullptr) {
     return {};
   }
-  const auto found = mUpstreams.find(ranges->Find(aKey).holder());
-  const bool usable =
-    found != mUpstreams.end() && IsUsable(found->second, aNow);
+  const wire::RangeSegment& segment = ranges->Find(aKey);
+  const auto found = mUpstreams.find(segment.holder());
+  const bool usable = !segment.held_back() && found != mUpstreams.end() &&
+                      IsUsable(found->second, aNow);
   return usable ? found->first : std::string();
 }
 
-void
+bool
 UpstreamSet::Begin(const std::string& aInstance)
 {
-  ++mUpstreams[aInstance].running;
+  Upstream& upstream = mUpstreams[aInstance];
+  ++upstream.running;
+  return upstream.running > upstream.slots;
 }
 
 void
 UpstreamSet::End(const std::string& aInstance,
                  TryEnd aEnd,
                  Duration aTook,
+                 bool aQueued,
                  Instant aNow)
 {
   const auto found = mUpstreams.find(aInstance);
@@ -243,7 +247,10 @@
   Upstream& upstream = found->second;
   upstream.running -= upstream.running > 0 ? 1 : 0;
   const double took = std::chrono::duration<double>(aTook).count();
-  const bool timed = aEnd == TryEnd::Answered || aEnd == TryEnd::Silent;
+  // A request that waited there first tells more of the load than of the
+  // upstream.
+  const bool timed =
+    aEnd == TryEnd::Silent || (aEnd == TryEnd::Answered && !aQueued);
   if (timed) {
     upstream.seconds =
       upstream.seconds == 0
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -110,13 +110,16 @@
   }
 
   /// A try at an instance begins.
-  void Begin(const std::string& aInstance);
+  /// @return whether it has to wait there for a slot.
+  bool Begin(const std::string& aInstance);
 
   /// It is over.
-  /// @param aTook time since it was sent.
+  /// @param aTook   time since it was sent.
+  /// @param aQueued what Begin returned.
   void End(const std::string& aInstance,
            TryEnd aEnd,
            Duration aTook,
+           bool aQueued,
            Instant aNow);
 
   /// @return requests that the instance runs, as far as known here.
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -258,6 +258,21 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DropEntryDefaultTypeInternal _DropEntry_default_instance_;
+PROTOBUF_CONSTEXPR HoldBackRanges::HoldBackRanges(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.ranges_)*/{}
+  , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.holder_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct HoldBackRangesDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR HoldBackRangesDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~HoldBackRangesDefaultTypeInternal() {}
+  union {
+    HoldBackRanges _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HoldBackRangesDefaultTypeInternal _HoldBackRanges_default_instance_;
 PROTOBUF_CONSTEXPR GatewayCommand::GatewayCommand(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -280,6 +295,7 @@
   , /*decltype(_impl_.to_)*/0u
   , /*decltype(_impl_.fence_)*/uint64_t{0u}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
+  , /*decltype(_impl_.held_back_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct RangeSegmentDefaultTypeInternal {
   PROTOBUF_CONSTEXPR RangeSegmentDefaultTypeInternal()
@@ -548,7 +564,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[33];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[34];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -700,6 +716,15 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropEntry, _impl_.address_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _impl_.holder_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _impl_.ranges_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_._oneof_case_[0]),
@@ -712,6 +737,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -725,6 +751,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _impl_.fence_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _impl_.sequence_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _impl_.handover_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _impl_.held_back_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceRanges, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -911,24 +938,25 @@
   { 124, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
   { 132, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
   { 139, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 146, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 160, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 172, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 180, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 196, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 204, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 211, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 219, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 227, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 236, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 244, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 253, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 265, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 274, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 283, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 300, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 311, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 322, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 146, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 155, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 170, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 183, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 191, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 207, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 215, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 222, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 230, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 238, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 247, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 255, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 264, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 276, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 285, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 294, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 311, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 322, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 333, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -947,6 +975,7 @@
   &::rattandyke::wire::_EntryMember_default_instance_._instance,
   &::rattandyke::wire::_PutEntry_default_instance_._instance,
   &::rattandyke::wire::_DropEntry_default_instance_._instance,
+  &::rattandyke::wire::_HoldBackRanges_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
   &::rattandyke::wire::_RangeSegment_default_instance_._instance,
   &::rattandyke::wire::_ServiceRanges_default_instance_._instance,
@@ -1006,89 +1035,94 @@
   "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
   "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
   "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
-  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\206\003\n\016Gate"
-  "wayCommand\0224\n\014change_items\030\001 \001(\0132\034.ratta"
-  "ndyke.wire.ChangeItemsH\000\0224\n\014put_instance"
-  "\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH\000\0224"
-  "\n\014end_instance\030\003 \001(\0132\034.rattandyke.wire.E"
-  "ndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rat"
-  "tandyke.wire.GrantRangesH\000\0222\n\013free_range"
-  "s\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH\000\022."
-  "\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.PutE"
-  "ntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandyke."
-  "wire.DropEntryH\000B\006\n\004body\"k\n\014RangeSegment"
-  "\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001"
-  "(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010h"
-  "andover\030\006 \001(\t\"Q\n\rServiceRanges\022\017\n\007servic"
-  "e\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandyke.w"
-  "ire.RangeSegment\"\304\003\n\014GatewayState\022\017\n\007app"
-  "lied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke."
-  "wire.RouteItem\022.\n\010services\030\003 \003(\0132\034.ratta"
-  "ndyke.wire.ServiceItem\022+\n\006limits\030\004 \001(\0132\033"
-  ".rattandyke.wire.LimitsItem\0224\n\016dropped_r"
-  "outes\030\005 \003(\0132\034.rattandyke.wire.DroppedIte"
-  "m\0226\n\020dropped_services\030\006 \003(\0132\034.rattandyke"
-  ".wire.DroppedItem\0224\n\tinstances\030\007 \003(\0132!.r"
-  "attandyke.wire.UpstreamInstance\022\027\n\017ended"
-  "_instances\030\010 \003(\t\022.\n\006ranges\030\t \003(\0132\036.ratta"
-  "ndyke.wire.ServiceRanges\022-\n\007entries\030\n \003("
-  "\0132\034.rattandyke.wire.EntryMember\"H\n\010FeedO"
-  "pen\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.Ent"
-  "ryMember\022\017\n\007applied\030\002 \001(\004\"<\n\014FeedSnapsho"
-  "t\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.Gatew"
-  "ayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n"
-  "\007command\030\002 \001(\0132\037.rattandyke.wire.Gateway"
-  "Command\"2\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\r"
-  "control_hosts\030\002 \003(\t\"\?\n\tRangeLoad\022\017\n\007serv"
-  "ice\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003"
-  " \003(\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017"
-  "\n\007seconds\030\002 \001(\001\"v\n\nFeedReport\022)\n\005loads\030\001"
-  " \003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005time"
-  "s\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017"
-  "\n\007leaving\030\003 \001(\010\"n\n\rForwardedCall\022\n\n\002id\030\001"
-  " \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016"
-  "\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_m"
-  "s\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016"
-  "\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostRep"
+  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldB"
+  "ackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001"
+  "(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Key"
+  "Range\"\303\003\n\016GatewayCommand\0224\n\014change_items"
+  "\030\001 \001(\0132\034.rattandyke.wire.ChangeItemsH\000\0224"
+  "\n\014put_instance\030\002 \001(\0132\034.rattandyke.wire.P"
+  "utInstanceH\000\0224\n\014end_instance\030\003 \001(\0132\034.rat"
+  "tandyke.wire.EndInstanceH\000\0224\n\014grant_rang"
+  "es\030\004 \001(\0132\034.rattandyke.wire.GrantRangesH\000"
+  "\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyke.wire."
+  "FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattan"
+  "dyke.wire.PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\013"
+  "2\032.rattandyke.wire.DropEntryH\000\022;\n\020hold_b"
+  "ack_ranges\030\010 \001(\0132\037.rattandyke.wire.HoldB"
+  "ackRangesH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004f"
+  "rom\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n"
+  "\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handov"
+  "er\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRa"
+  "nges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132"
+  "\035.rattandyke.wire.RangeSegment\"\304\003\n\014Gatew"
+  "ayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\013"
+  "2\032.rattandyke.wire.RouteItem\022.\n\010services"
+  "\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006"
+  "limits\030\004 \001(\0132\033.rattandyke.wire.LimitsIte"
+  "m\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.w"
+  "ire.DroppedItem\0226\n\020dropped_services\030\006 \003("
+  "\0132\034.rattandyke.wire.DroppedItem\0224\n\tinsta"
+  "nces\030\007 \003(\0132!.rattandyke.wire.UpstreamIns"
+  "tance\022\027\n\017ended_instances\030\010 \003(\t\022.\n\006ranges"
+  "\030\t \003(\0132\036.rattandyke.wire.ServiceRanges\022-"
+  "\n\007entries\030\n \003(\0132\034.rattandyke.wire.EntryM"
+  "ember\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.ratta"
+  "ndyke.wire.EntryMember\022\017\n\007applied\030\002 \001(\004\""
+  "<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rattand"
+  "yke.wire.GatewayState\"N\n\013FeedCommand\022\r\n\005"
+  "index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyk"
+  "e.wire.GatewayCommand\"2\n\010FeedPing\022\017\n\007app"
+  "lied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\"\?\n\tRan"
+  "geLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r"
+  "\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010in"
+  "stance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"v\n\nFeedRep"
   "ort\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire.Ran"
   "geLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire."
-  "InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rattandy"
-  "ke.wire.EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply"
-  "_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001"
-  "(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n"
-  "\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013pat"
-  "ience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_"
-  "centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnsw"
-  "er\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005s"
-  "tate\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020"
-  "\n\010instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r"
-  "\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 "
-  "\001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took"
-  "_us\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030"
-  "\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke."
-  "wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035"
-  ".rattandyke.wire.FeedSnapshotH\000\0224\n\014feed_"
-  "command\030\004 \001(\0132\034.rattandyke.wire.FeedComm"
-  "andH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wi"
-  "re.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rat"
-  "tandyke.wire.FeedReportH\000\0228\n\016forwarded_c"
-  "all\030\007 \001(\0132\036.rattandyke.wire.ForwardedCal"
-  "lH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandy"
-  "ke.wire.ForwardedAnswerH\000\0222\n\013host_report"
-  "\030\t \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n"
-  "\010slot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAs"
-  "kH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wi"
-  "re.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rat"
-  "tandyke.wire.SlotDoneH\000B\006\n\004body*n\n\tSlotS"
-  "tate\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT"
-  "_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022"
-  "\026\n\022SLOT_STATE_REFUSED\020\003b\006proto3"
+  "InstanceTime\022\017\n\007leaving\030\003 \001(\010\"n\n\rForward"
+  "edCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006"
+  "method\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001"
+  "(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017ForwardedAnswer"
+  "\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001"
+  "(\t\"\224\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.ratta"
+  "ndyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.ra"
+  "ttandyke.wire.InstanceTime\022-\n\007entries\030\003 "
+  "\003(\0132\034.rattandyke.wire.EntryMember\"\315\001\n\007Sl"
+  "otAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
+  "\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010ins"
+  "tance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priorit"
+  "y\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030"
+  "\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001("
+  "\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006tic"
+  "ket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wi"
+  "re.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_"
+  "after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t"
+  "\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end"
+  "\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014GatewayFrame"
+  "\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\013"
+  "2\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed_sn"
+  "apshot\030\003 \001(\0132\035.rattandyke.wire.FeedSnaps"
+  "hotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke"
+  ".wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031"
+  ".rattandyke.wire.FeedPingH\000\0222\n\013feed_repo"
+  "rt\030\006 \001(\0132\033.rattandyke.wire.FeedReportH\000\022"
+  "8\n\016forwarded_call\030\007 \001(\0132\036.rattandyke.wir"
+  "e.ForwardedCallH\000\022<\n\020forwarded_answer\030\010 "
+  "\001(\0132 .rattandyke.wire.ForwardedAnswerH\000\022"
+  "2\n\013host_report\030\t \001(\0132\033.rattandyke.wire.H"
+  "ostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandy"
+  "ke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033"
+  ".rattandyke.wire.SlotAnswerH\000\022.\n\tslot_do"
+  "ne\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000B\006\n"
+  "\004body*n\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECI"
+  "FIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_ST"
+  "ATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003b\006p"
+  "roto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4591, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4765, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 33,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 34,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -5582,6 +5616,293 @@
 
 // ===================================================================
 
+class HoldBackRanges::_Internal {
+ public:
+};
+
+HoldBackRanges::HoldBackRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HoldBackRanges)
+}
+HoldBackRanges::HoldBackRanges(const HoldBackRanges& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  HoldBackRanges* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){from._impl_.ranges_}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.holder_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_holder().empty()) {
+    _this->_impl_.holder_.Set(from._internal_holder(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HoldBackRanges)
+}
+
+inline void HoldBackRanges::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){arena}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.holder_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+HoldBackRanges::~HoldBackRanges() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HoldBackRanges)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void HoldBackRanges::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.ranges_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
+  _impl_.holder_.Destroy();
+}
+
+void HoldBackRanges::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void HoldBackRanges::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HoldBackRanges)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.ranges_.Clear();
+  _impl_.service_.ClearToEmpty();
+  _impl_.holder_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* HoldBackRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string service = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string holder = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_holder();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.holder"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.KeyRange ranges = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* HoldBackRanges::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HoldBackRanges)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HoldBackRanges.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // string holder = 2;
+  if (!this->_internal_holder().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HoldBackRanges.holder");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_holder(), target);
+  }
+
+  // repeated .rattandyke.wire.KeyRange ranges = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ranges(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HoldBackRanges)
+  return target;
+}
+
+size_t HoldBackRanges::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HoldBackRanges)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.KeyRange ranges = 3;
+  total_size += 1UL * this->_internal_ranges_size();
+  for (const auto& msg : this->_impl_.ranges_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string holder = 2;
+  if (!this->_internal_holder().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_holder());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HoldBackRanges::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    HoldBackRanges::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HoldBackRanges::GetClassData() const { return &_class_data_; }
+
+
+void HoldBackRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HoldBackRanges*>(&to_msg);
+  auto& from = static_cast<const HoldBackRanges&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HoldBackRanges)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_holder().empty()) {
+    _this->_internal_set_holder(from._internal_holder());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void HoldBackRanges::CopyFrom(const HoldBackRanges& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HoldBackRanges)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool HoldBackRanges::IsInitialized() const {
+  return true;
+}
+
+void HoldBackRanges::InternalSwap(HoldBackRanges* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.holder_, lhs_arena,
+      &other->_impl_.holder_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[15]);
+}
+
+// ===================================================================
+
 class GatewayCommand::_Internal {
  public:
   static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
@@ -5591,6 +5912,7 @@
   static const ::rattandyke::wire::FreeRanges& free_ranges(const GatewayCommand* msg);
   static const ::rattandyke::wire::PutEntry& put_entry(const GatewayCommand* msg);
   static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
+  static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
 };
 
 const ::rattandyke::wire::ChangeItems&
@@ -5621,6 +5943,10 @@
 GatewayCommand::_Internal::drop_entry(const GatewayCommand* msg) {
   return *msg->_impl_.body_.drop_entry_;
 }
+const ::rattandyke::wire::HoldBackRanges&
+GatewayCommand::_Internal::hold_back_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.hold_back_ranges_;
+}
 void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -5726,6 +6052,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_entry)
 }
+void GatewayCommand::set_allocated_hold_back_ranges(::rattandyke::wire::HoldBackRanges* hold_back_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (hold_back_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(hold_back_ranges);
+    if (message_arena != submessage_arena) {
+      hold_back_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, hold_back_ranges, submessage_arena);
+    }
+    set_has_hold_back_ranges();
+    _impl_.body_.hold_back_ranges_ = hold_back_ranges;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.hold_back_ranges)
+}
 GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -5778,6 +6119,11 @@
           from._internal_drop_entry());
       break;
     }
+    case kHoldBackRanges: {
+      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
+          from._internal_hold_back_ranges());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -5862,6 +6208,12 @@
       }
       break;
     }
+    case kHoldBackRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.hold_back_ranges_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -5942,6 +6294,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
+          ptr = ctx->ParseMessage(_internal_mutable_hold_back_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6020,6 +6380,13 @@
         _Internal::drop_entry(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+  if (_internal_has_hold_back_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(8, _Internal::hold_back_ranges(this),
+        _Internal::hold_back_ranges(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6086,6 +6453,13 @@
           *_impl_.body_.drop_entry_);
       break;
     }
+    // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+    case kHoldBackRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.hold_back_ranges_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6144,6 +6518,11 @@
           from._internal_drop_entry());
       break;
     }
+    case kHoldBackRanges: {
+      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
+          from._internal_hold_back_ranges());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6172,7 +6551,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[15]);
+      file_level_metadata_gateway_2eproto[16]);
 }
 
 // ===================================================================
@@ -6197,6 +6576,7 @@
     , decltype(_impl_.to_){}
     , decltype(_impl_.fence_){}
     , decltype(_impl_.sequence_){}
+    , decltype(_impl_.held_back_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -6217,8 +6597,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.from_, &from._impl_.from_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sequence_) -
-    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.held_back_) -
+    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeSegment)
 }
 
@@ -6233,6 +6613,7 @@
     , decltype(_impl_.to_){0u}
     , decltype(_impl_.fence_){uint64_t{0u}}
     , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.held_back_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.holder_.InitDefault();
@@ -6273,8 +6654,8 @@
   _impl_.holder_.ClearToEmpty();
   _impl_.handover_.ClearToEmpty();
   ::memset(&_impl_.from_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.sequence_) -
-      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.sequence_));
+      reinterpret_cast<char*>(&_impl_.held_back_) -
+      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -6336,6 +6717,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool held_back = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.held_back_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6409,6 +6798,12 @@
         6, this->_internal_handover(), target);
   }
 
+  // bool held_back = 7;
+  if (this->_internal_held_back() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_held_back(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6459,6 +6854,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
   }
 
+  // bool held_back = 7;
+  if (this->_internal_held_back() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -6495,6 +6895,9 @@
   if (from._internal_sequence() != 0) {
     _this->_internal_set_sequence(from._internal_sequence());
   }
+  if (from._internal_held_back() != 0) {
+    _this->_internal_set_held_back(from._internal_held_back());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -6523,8 +6926,8 @@
       &other->_impl_.handover_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.sequence_)
-      + sizeof(RangeSegment::_impl_.sequence_)
+      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.held_back_)
+      + sizeof(RangeSegment::_impl_.held_back_)
       - PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.from_)>(
           reinterpret_cast<char*>(&_impl_.from_),
           reinterpret_cast<char*>(&other->_impl_.from_));
@@ -6533,7 +6936,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[16]);
+      file_level_metadata_gateway_2eproto[17]);
 }
 
 // ===================================================================
@@ -6770,7 +7173,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[17]);
+      file_level_metadata_gateway_2eproto[18]);
 }
 
 // ===================================================================
@@ -7271,7 +7674,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[19]);
 }
 
 // ===================================================================
@@ -7495,7 +7898,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[20]);
 }
 
 // ===================================================================
@@ -7688,7 +8091,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[21]);
 }
 
 // ===================================================================
@@ -7912,7 +8315,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
@@ -8129,7 +8532,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
@@ -8416,7 +8819,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -8658,7 +9061,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -8904,7 +9307,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9317,7 +9720,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -9580,7 +9983,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
@@ -9833,7 +10236,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10381,7 +10784,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -10695,7 +11098,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -11006,7 +11409,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -11867,7 +12270,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -11934,6 +12337,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::DropEntry >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::DropEntry >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::HoldBackRanges*
+Arena::CreateMaybeMessage< ::rattandyke::wire::HoldBackRanges >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::HoldBackRanges >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayCommand*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayCommand >(arena);
