Count loads by key; sum holders up once a state; drop a read that crossed the close

Change: a count for each key with running sums, holders cached by state, waiting answers woken by a release, and a read on a closed connection dropped.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -48,7 +48,6 @@
 /// Longest delay of an answer for keys on their way; an upstream takes answers
 /// that come within a second.
 constexpr milliseconds kKeysAwaited{ 350 };
-constexpr milliseconds kKeysPoll{ 15 };
 constexpr size_t kOutcomesKept = 1024;
 
 constexpr unsigned kOk = 200;
@@ -219,6 +218,9 @@
     if (outcome) {
       feed.Applied(command, aIndex);
     }
+    if (command.has_free_ranges()) {
+      WakeKeyWaiters();
+    }
     outcomes.emplace_back(aIndex, std::move(outcome));
     if (outcomes.size() > kOutcomesKept) {
       outcomes.pop_front();
@@ -541,11 +543,22 @@
   /// in the next, a heartbeat interval later.
   asio::awaitable<void> AwaitKeys(const Heartbeat& aHeartbeat)
   {
-    const Instant end = clock.Now() + Duration(kKeysAwaited);
-    while (clock.Now() < end && LeadsSurely() &&
-           granter.AwaitsKeys(aHeartbeat, state, clock.Now())) {
-      asio::steady_timer pause(executor, kKeysPoll);
-      co_await pause.async_wait(kAwait);
+    const Instant now = clock.Now();
+    if (!LeadsSurely() || !granter.AwaitsKeys(aHeartbeat, state, now)) {
+      co_return;
+    }
+    auto freed = std::make_shared<asio::steady_timer>(executor, kKeysAwaited);
+    keyWaiters.push_back(freed);
+    co_await freed->async_wait(kAwait);
+  }
+
+  /// Keys have become free: answers that wait for some go on.
+  void WakeKeyWaiters()
+  {
+    for (const auto& waiter : std::exchange(keyWaiters, {})) {
+      if (const auto timer = waiter.lock()) {
+        timer->cancel();
+      }
     }
   }
 
@@ -641,6 +654,7 @@
   std::deque<std::pair<LogIndex, Result<void>>> outcomes;
   std::map<uint64_t, std::shared_ptr<Awaited<CallAnswer>>> forwarded;
   uint64_t lastCall = 0;
+  std::vector<std::weak_ptr<asio::steady_timer>> keyWaiters;
   wire::HostReport waitingReport;
   EntryRegistry entries;
   Instant pingedAt{};
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -326,6 +326,12 @@
     if (headError) {
       co_return co_await RefuseUnread(aSession, headError);
     }
+    // Safeguard: the read may have ended in the moment in which the idle
+    // connection was closed. Passed on, the request would run and its answer
+    // be lost; dropped here, its caller sees a close that crossed it.
+    if (!aSession->socket.is_open()) {
+      co_return false;
+    }
     aSession->busy = true;
     auto& message = parser.get();
     const bool keep = message.keep_alive();
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -49,7 +49,7 @@
 constexpr double kBusy = 0.55;
 constexpr double kHotRatio = 1.25;
 /// Moves that one heartbeat of a holder may begin.
-constexpr size_t kMaxMoves = 3;
+constexpr size_t kMaxMoves = 5;
 /// Least part of an even share that is worth a move.
 constexpr double kLeastPiece = 0.15;
 /// Keys that alone overrun a holder, are this part of its load, and find an
@@ -414,7 +414,7 @@
 bool
 Granter::AwaitsKeys(const Heartbeat& aHeartbeat,
                     const State& aState,
-                    Instant aNow) const
+                    Instant aNow)
 {
   const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
   const auto group = mGroups.find(aHeartbeat.service);
@@ -430,7 +430,7 @@
   if (!released) {
     return false;
   }
-  const Holders holders = HoldersOf(aHeartbeat.service, aState, aNow);
+  const Holders& holders = HoldersOf(aHeartbeat.service, aState, aNow);
   const auto own = holders.find(aHeartbeat.instance);
   return own != holders.end() &&
          own->second.Level() < EvenLevel(group->second, holders);
@@ -448,10 +448,25 @@
          Scaled(mOptions.heartbeatInterval, 2.5);
 }
 
-Granter::Holders
+/// Summing up takes a pass over all instances and segments; between two ticks
+/// it is done once for each state.
+const Granter::Holders&
 Granter::HoldersOf(const std::string& aService,
                    const State& aState,
-                   Instant aNow) const
+                   Instant aNow)
+{
+  Group& group = mGroups[aService];
+  if (group.holdersAt != aState.Applied()) {
+    group.holders = SumUpHolders(aService, aState, aNow);
+    group.holdersAt = aState.Applied();
+  }
+  return group.holders;
+}
+
+Granter::Holders
+Granter::SumUpHolders(const std::string& aService,
+                      const State& aState,
+                      Instant aNow) const
 {
   Holders holders;
   double sum = 0;
@@ -587,7 +602,7 @@
     group.freeSince = aNow;
     return std::nullopt;
   }
-  const Holders holders = HoldersOf(instance->service(), aState, aNow);
+  const Holders& holders = HoldersOf(instance->service(), aState, aNow);
   if (!holders.contains(id)) {
     return std::nullopt;
   }
@@ -720,6 +735,7 @@
   }
   for (auto& [service, group] : mGroups) {
     group.load.Decay(aNow);
+    group.holdersAt.reset();
     UpdatePool(service, aState, aNow);
     std::erase_if(group.moves, [&](const Move& aMove) {
       return aNow - aMove.startedAt >= kMoveReserved;
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -59,7 +59,7 @@
   /// answer should wait for them a moment, as its next heartbeat is far.
   bool AwaitsKeys(const Heartbeat& aHeartbeat,
                   const State& aState,
-                  Instant aNow) const;
+                  Instant aNow);
 
   /// Renews what an instance holds.
   /// @param aArrived when the heartbeat arrived here: later than it was sent,
@@ -105,15 +105,6 @@
     Instant startedAt{};
   };
 
-  /// What is known of a service.
-  struct Group
-  {
-    LoadMap load;
-    std::optional<Instant> firstInstance;
-    std::optional<Instant> freeSince;
-    std::vector<Move> moves;
-  };
-
   /// What an instance can take, and what it has, in the same unit: the load
   /// of keys per unit of speed.
   struct Holder
@@ -126,6 +117,18 @@
   };
   using Holders = std::map<std::string, Holder>;
 
+  /// What is known of a service.
+  struct Group
+  {
+    LoadMap load;
+    std::optional<Instant> firstInstance;
+    std::optional<Instant> freeSince;
+    std::vector<Move> moves;
+    /// Of the state at an index and of the loads since a tick.
+    Holders holders;
+    std::optional<LogIndex> holdersAt;
+  };
+
   static bool OwnsKeys(const State& aState, const std::string& aService);
   std::vector<KeySpan> HeldBy(const std::string& aId,
                               const RangeTable& aRanges) const;
@@ -156,9 +159,12 @@
                    std::vector<KeySpan>& aGiven);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
-  Holders HoldersOf(const std::string& aService,
-                    const State& aState,
-                    Instant aNow) const;
+  const Holders& HoldersOf(const std::string& aService,
+                           const State& aState,
+                           Instant aNow);
+  Holders SumUpHolders(const std::string& aService,
+                       const State& aState,
+                       Instant aNow) const;
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
   static std::optional<KeySpan> SliceOf(const std::string& aHolder,
                                         const RangeTable& aRanges,
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -22,6 +22,7 @@
 
 LoadMap::LoadMap()
   : mBuckets(kBuckets)
+  , mSums(kBuckets + 1)
 {
 }
 
@@ -32,7 +33,6 @@
   for (int i = 0; i < count; ++i) {
     if (aLoad.buckets(i) < kBuckets) {
       mBuckets[aLoad.buckets(i)] += static_cast<float>(aLoad.requests(i));
-      mSum += aLoad.requests(i);
     }
   }
 }
@@ -47,11 +47,22 @@
     kRequestsRemembered / std::max(rate, 1.0), kLeastMemory, kMostMemory);
   const auto factor =
     static_cast<float>(std::exp(-std::max(passed.count(), 0.0) / mSeconds));
-  mSum = 0;
   for (float& bucket : mBuckets) {
     bucket *= factor;
-    mSum += bucket;
   }
+  SumUp();
+}
+
+void
+LoadMap::SumUp()
+{
+  double sum = 0;
+  for (uint32_t bucket = 0; bucket < kBuckets; ++bucket) {
+    mSums[bucket] = sum;
+    sum += mBuckets[bucket];
+  }
+  mSums[kBuckets] = sum;
+  mSum = sum;
 }
 
 double
@@ -69,13 +80,8 @@
 double
 LoadMap::Counted(KeySpan aKeys) const
 {
-  double sum = 0;
-  for (uint32_t bucket = aKeys.from / kKeysPerBucket;
-       bucket <= aKeys.to / kKeysPerBucket;
-       ++bucket) {
-    sum += mBuckets[bucket];
-  }
-  return sum;
+  return mSums[aKeys.to / kKeysPerBucket + 1] -
+         mSums[aKeys.from / kKeysPerBucket];
 }
 
 double
--- a/src/librattandyke/gateway/load_map.h
+++ b/src/librattandyke/gateway/load_map.h
@@ -12,9 +12,10 @@
 
 namespace rattandyke::gateway {
 
-/// Keys counted together. Busy keys lie side by side, so a bucket must be small
-/// against a run of them; 16,384 counts of a float are 64 KB a service.
-inline constexpr uint32_t kKeysPerBucket = 4;
+/// Keys counted together. Busy keys lie side by side, and each alone may keep
+/// an instance busy, so each has a count of its own: 65,536 floats, 256 KB a
+/// service, and twice that for their sums.
+inline constexpr uint32_t kKeysPerBucket = 1;
 
 /// Requests a second of each key, as a moving average. Not thread-safe.
 class LoadMap
@@ -25,7 +26,8 @@
   /// Adds the requests of a report.
   void Add(const wire::RangeLoad& aLoad);
 
-  /// Lets earlier requests count less. Call it at least once a second.
+  /// Lets earlier requests count less, and takes those added since the last
+  /// call into account. Call it several times a second.
   void Decay(Instant aNow);
 
   /// @return load of the keys: their requests, and a little for each key, so
@@ -52,8 +54,11 @@
   double Counted(KeySpan aKeys) const;
   double PerBucket() const;
   double LoadOf(uint32_t aBucket) const;
+  void SumUp();
 
   std::vector<float> mBuckets;
+  /// Sum of the buckets before each one, as of the last Decay.
+  std::vector<double> mSums;
   double mSum = 0;
   /// Time over which the counts are summed, in effect.
   double mSeconds = 1;
