Let entries that are cut off take the state from other entries

Change: an entry that no control host answers subscribes to another entry, which passes on state and reports; the state's age adds up on the way, so that two that are cut off together can't assure each other.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -322,7 +322,7 @@
     const bool fresh =
       driver->IsLeader() ? LeadsSurely() : driver->LeaderHint().has_value();
     if (fresh) {
-      feed.Ping(ControlHosts());
+      feed.Ping(ControlHosts(), Duration::zero());
     }
     if (now - reportedAt >= kReportInterval) {
       reportedAt = now;
@@ -383,6 +383,7 @@
     }
     waitingReport.mutable_loads()->MergeFrom(aReport.loads());
     waitingReport.mutable_times()->MergeFrom(aReport.times());
+    waitingReport.mutable_entries()->MergeFrom(aReport.entries());
   }
 
   void OnHostReport(const wire::HostReport& aReport)
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -17,6 +17,7 @@
 #include "base/endpoint.h"
 #include "gateway/call_server.h"
 #include "gateway/feed_client.h"
+#include "gateway/feed_server.h"
 #include "gateway/request_handler.h"
 #include "http/headers.h"
 #include "http/signal.h"
@@ -42,6 +43,8 @@
 constexpr milliseconds kReportInterval{ 400 };
 /// Before the first configuration tells.
 constexpr milliseconds kDefaultIdle{ 15000 };
+/// Above this age of its own state an entry assures no other of it.
+constexpr milliseconds kRelayedAge{ 600 };
 constexpr uint32_t kDefaultHeaderBytes = 16384;
 constexpr uint64_t kDefaultBodyBytes = uint64_t{ 64 } * 1024 * 1024;
 /// A balancer asks once a second and takes a host out after two misses; until
@@ -123,6 +126,7 @@
         },
         aClock,
         aSeed)
+    , relay(feed.Known())
     , desk(
         executor,
         ToString(aSettings.peers),
@@ -160,6 +164,11 @@
       desk.StateChanged(feed.Known());
     }
     handler.StateChanged(aCommand);
+    if (aCommand == nullptr) {
+      relay.Reset();
+    } else {
+      relay.Applied(*aCommand, feed.Known().Applied());
+    }
   }
 
   void OnFrame(const net::FrameMesh::Connection& aConnection,
@@ -177,9 +186,24 @@
       desk.OnAnswer(frame.slot_answer());
     } else if (frame.has_slot_done()) {
       desk.OnDone(frame.slot_done());
+    } else if (frame.has_feed_open()) {
+      relay.Open(aConnection, frame.feed_open());
+    } else if (frame.has_feed_report()) {
+      OnRelayedReport(aConnection, frame.feed_report());
     }
   }
 
+  /// Passes on what an entry that subscribes here reports.
+  void OnRelayedReport(const net::FrameMesh::Connection& aConnection,
+                       wire::FeedReport aReport)
+  {
+    if (aReport.leaving()) {
+      relay.Leave(aConnection);
+      aReport.set_leaving(false);
+    }
+    feed.Report(aReport);
+  }
+
   void TickSlots()
   {
     slotTicker.expires_after(SlotBroker::kTick);
@@ -201,7 +225,7 @@
         [this](const auto& aConnection, std::string_view aMessage) {
           OnFrame(aConnection, aMessage);
         },
-        [](const auto&) {} });
+        [this](const auto& aConnection) { relay.Close(aConnection); } });
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
@@ -422,10 +446,16 @@
       }
     }
     handler.Sweep();
+    if (!stopping && feed.Age() < kRelayedAge) {
+      relay.Ping(feed.ControlHosts(), feed.Age());
+    }
     if (now - reportedAt >= kReportInterval) {
       reportedAt = now;
       wire::FeedReport report = handler.TakeLoads();
       report.set_leaving(stopping);
+      for (const wire::EntryMember& entry : relay.Entries()) {
+        *report.add_entries() = entry;
+      }
       feed.Report(report);
     }
     if (stopping) {
@@ -479,6 +509,7 @@
   asio::steady_timer sweeper;
   std::unique_ptr<net::FrameMesh> mesh;
   FeedClient feed;
+  FeedServer relay;
   SlotDesk desk;
   RequestHandler handler;
   asio::steady_timer slotTicker;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -24,7 +24,7 @@
 /// Three pings fit in it. With the time of finding another host it stays below
 /// a second, so that a change reaches every entry within two.
 constexpr milliseconds kSilence{ 700 };
-constexpr milliseconds kConnectTimeout{ 400 };
+constexpr milliseconds kConnectTimeout{ 250 };
 
 log::Line
 Info()
@@ -114,6 +114,9 @@
     }
     if (fresh.empty()) {
       tried.clear();
+      fresh = EntriesToAsk();
+    }
+    if (fresh.empty()) {
       fresh.assign(hosts.begin(), hosts.end());
     }
     if (fresh.empty()) {
@@ -124,6 +127,22 @@
     return host;
   }
 
+  /// @return an entry host, drawn at random, to ask once all control hosts have
+  /// been tried in vain.
+  std::vector<std::string> EntriesToAsk()
+  {
+    std::vector<std::string> entries;
+    for (const auto& [address, member] : state.Entries()) {
+      if (address != options.self.address()) {
+        entries.push_back(address);
+      }
+    }
+    if (entries.empty()) {
+      return {};
+    }
+    return { entries[random() % entries.size()] };
+  }
+
   void TryNext()
   {
     heardAt = clock.Now();
@@ -233,11 +252,14 @@
 
   void OnPing(const wire::FeedPing& aPing)
   {
-    if (aPing.applied() < state.Applied().value) {
-      return; // It is behind: no assurance.
+    const Duration age = milliseconds{ aPing.age_ms() };
+    if (aPing.applied() < state.Applied().value || age >= kSilence) {
+      return; // It is behind, or cut off itself: no assurance.
     }
     heardAt = clock.Now();
-    assuredAt = heardAt;
+    // Safeguard: the age adds up from host to host, so that two that are cut
+    // off together can't assure each other.
+    assuredAt = std::max(assuredAt, heardAt - age);
     assured = true;
     tried.clear();
     if (aPing.control_hosts_size() > 0) {
@@ -317,6 +339,12 @@
   return mImpl->hasState;
 }
 
+const std::vector<std::string>&
+FeedClient::ControlHosts() const
+{
+  return mImpl->controlHosts;
+}
+
 Duration
 FeedClient::Age() const
 {
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -136,7 +136,7 @@
 }
 
 void
-FeedServer::Ping(const std::vector<std::string>& aControlHosts)
+FeedServer::Ping(const std::vector<std::string>& aControlHosts, Duration aAge)
 {
   const std::map<Connection, Subscriber> subscribers = mSubscribers;
   for (const auto& [connection, unused] : subscribers) {
@@ -147,6 +147,8 @@
     wire::GatewayFrame frame;
     wire::FeedPing* ping = frame.mutable_feed_ping();
     ping->set_applied(mState.Applied().value);
+    ping->set_age_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count()));
     if (found->second.controlHosts != aControlHosts) {
       found->second.controlHosts = aControlHosts;
       for (const std::string& host : aControlHosts) {
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -14,12 +14,13 @@
 namespace rattandyke::gateway {
 
 /// Sends each subscriber the whole state once and then every command as it is
-/// applied, without the operators' texts of items, which only control hosts
-/// need: they are more than half of the bytes. Any control host serves
-/// subscribers; it assures them of being up to date by pings, and falls silent
-/// while it can't be sure. Then they turn to another host: else a host on the
-/// wrong side of a cut would keep its subscribers on an old state. Not
-/// thread-safe.
+/// applied. Entry hosts serve others in the same way, which may be cut off from
+/// all control hosts. Sent is the state without the operators' texts of items,
+/// which only control hosts need: they are more than half of the bytes. Any
+/// control host serves subscribers; it assures them of being up to date by
+/// pings, and falls silent while it can't be sure. Then they turn to another
+/// host: else a host on the wrong side of a cut would keep its subscribers on
+/// an old state. Not thread-safe.
 class FeedServer
 {
 public:
@@ -39,7 +40,9 @@
   void Reset();
 
   /// @param aControlHosts the group's members at this moment.
-  void Ping(const std::vector<std::string>& aControlHosts);
+  /// @param aAge          time since this host was assured of the state; zero
+  /// at a control host.
+  void Ping(const std::vector<std::string>& aControlHosts, Duration aAge);
 
   /// A subscriber will serve no more callers.
   void Leave(const Connection& aConnection);
--- /dev/null
+++ b/src/librattandyke/gateway/range_table_test.cpp
@@ -0,0 +1,136 @@
+#include "gateway/range_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+wire::GrantRanges
+GrantTo(const std::string& aHolder, uint32_t aFrom, uint32_t aTo)
+{
+  wire::GrantRanges grant;
+  grant.set_holder(aHolder);
+  wire::KeyRange* range = grant.add_ranges();
+  range->set_from(aFrom);
+  range->set_to(aTo);
+  return grant;
+}
+
+wire::FreeRanges
+FreeOf(const std::string& aHolder,
+       uint32_t aFrom,
+       uint32_t aTo,
+       const std::string& aHandover = "")
+{
+  wire::FreeRanges free;
+  free.set_holder(aHolder);
+  wire::KeyRange* range = free.add_ranges();
+  range->set_from(aFrom);
+  range->set_to(aTo);
+  range->set_handover(aHandover);
+  return free;
+}
+
+wire::HoldBackRanges
+HoldBackOf(const std::string& aHolder, uint32_t aFrom, uint32_t aTo)
+{
+  wire::HoldBackRanges held;
+  held.set_holder(aHolder);
+  wire::KeyRange* range = held.add_ranges();
+  range->set_from(aFrom);
+  range->set_to(aTo);
+  return held;
+}
+
+TEST(RangeTable, GrantsFreeKeysOnly)
+{
+  RangeTable ranges;
+  ASSERT_TRUE(ranges.Grant(GrantTo("a", 0, 99), 5));
+  EXPECT_FALSE(ranges.Grant(GrantTo("b", 99, 200), 6));
+  EXPECT_EQ(ranges.Find(100).holder(), "");
+  EXPECT_TRUE(ranges.Grant(GrantTo("b", 100, 200), 7));
+  EXPECT_EQ(ranges.Find(99).fence(), 5U);
+  EXPECT_EQ(ranges.Find(100).fence(), 7U);
+}
+
+TEST(RangeTable, FreeTakesOnlyWhatTheHolderHas)
+{
+  RangeTable ranges;
+  ASSERT_TRUE(ranges.Grant(GrantTo("a", 0, 99), 5));
+  ASSERT_TRUE(ranges.Grant(GrantTo("b", 100, 199), 6));
+  ranges.Free(FreeOf("a", 50, 150, "h"));
+  EXPECT_EQ(ranges.Find(49).holder(), "a");
+  EXPECT_EQ(ranges.Find(50).holder(), "");
+  EXPECT_EQ(ranges.Find(50).handover(), "h");
+  EXPECT_EQ(ranges.Find(100).holder(), "b");
+}
+
+// A busy holder is to give up a part of its keys. The mark on that part decides
+// which keys its answers leave out. Segments that differ in the mark alone must
+// not be merged: the mark would be lost, the keys stay where they are, and
+// entries would hold their requests back for nothing.
+TEST(RangeTable, MarkOfKeysHeldBackSurvivesMerging)
+{
+  RangeTable ranges;
+  ASSERT_TRUE(ranges.Grant(GrantTo("a", 0, 99), 5));
+  ranges.HoldBack(HoldBackOf("a", 40, 59));
+  EXPECT_FALSE(ranges.Find(39).held_back());
+  EXPECT_TRUE(ranges.Find(40).held_back());
+  EXPECT_TRUE(ranges.Find(59).held_back());
+  EXPECT_FALSE(ranges.Find(60).held_back());
+  ranges.Free(FreeOf("a", 40, 59, "h"));
+  EXPECT_FALSE(ranges.Find(50).held_back());
+  ASSERT_TRUE(ranges.Grant(GrantTo("b", 40, 59), 8));
+  EXPECT_FALSE(ranges.Find(50).held_back());
+  EXPECT_EQ(ranges.Find(50).handover(), "h");
+}
+
+TEST(RangeTable, OthersKeysAreNotHeldBack)
+{
+  RangeTable ranges;
+  ASSERT_TRUE(ranges.Grant(GrantTo("a", 0, 99), 5));
+  ranges.HoldBack(HoldBackOf("b", 0, 99));
+  EXPECT_FALSE(ranges.Find(0).held_back());
+}
+
+// Whatever is granted, held back and freed, in any order: the segments cover
+// each key once, and the fence of a key never falls.
+RC_GTEST_PROP(RangeTable, SegmentsPartitionTheKeys, ())
+{
+  RangeTable ranges;
+  uint64_t fence = 0;
+  std::map<uint32_t, uint64_t> fences;
+  const auto steps = *rc::gen::inRange(1, 60);
+  for (int step = 0; step < steps; ++step) {
+    const uint32_t from = *rc::gen::inRange<uint32_t>(0, kKeyCount);
+    const uint32_t to =
+      std::min(kMaxKey, from + *rc::gen::inRange<uint32_t>(0, 9000));
+    const std::string holder(1, *rc::gen::elementOf(std::string("abc")));
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        static_cast<void>(ranges.Grant(GrantTo(holder, from, to), ++fence));
+        break;
+      case 1:
+        ranges.Free(FreeOf(holder, from, to, "h"));
+        break;
+      default:
+        ranges.HoldBack(HoldBackOf(holder, from, to));
+        break;
+    }
+    uint32_t next = 0;
+    for (const wire::RangeSegment& segment : ranges.Segments()) {
+      RC_ASSERT(segment.from() == next);
+      RC_ASSERT(segment.to() >= segment.from());
+      next = segment.to() + 1;
+    }
+    RC_ASSERT(next == kKeyCount);
+    for (uint32_t key = 0; key < kKeyCount; key += 4096) {
+      RC_ASSERT(ranges.Find(key).fence() >= fences[key]);
+      fences[key] = ranges.Find(key).fence();
+    }
+  }
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -0,0 +1,204 @@
+#include "gateway/slot_broker.h"
+
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+State
+StateWith(const std::vector<std::string>& aInstances, uint32_t aSlots)
+{
+  State state;
+  uint64_t index = 0;
+  for (const std::string& id : aInstances) {
+    wire::GatewayCommand command;
+    wire::UpstreamInstance* instance =
+      command.mutable_put_instance()->mutable_instance();
+    instance->set_id(id);
+    instance->set_service("desk");
+    instance->set_address("10.0.0.1:80");
+    instance->set_slots(aSlots);
+    static_cast<void>(state.Apply(command, LogIndex{ ++index }));
+  }
+  return state;
+}
+
+SlotRequest
+Request(uint64_t aTicket, uint32_t aPriority = 1)
+{
+  SlotRequest request;
+  request.key = { 1, aTicket };
+  request.service = "desk";
+  request.priority = aPriority;
+  request.patience = milliseconds{ 300 };
+  request.held = milliseconds{ 1000 };
+  return request;
+}
+
+template<typename Answer>
+size_t
+Count(const std::vector<SlotAnswer>& aAnswers)
+{
+  size_t count = 0;
+  for (const SlotAnswer& answer : aAnswers) {
+    count += std::holds_alternative<Answer>(answer) ? 1 : 0;
+  }
+  return count;
+}
+
+class SlotBrokerTest : public ::testing::Test
+{
+protected:
+  void Use(const std::vector<std::string>& aInstances, uint32_t aSlots)
+  {
+    broker.Update(StateWith(aInstances, aSlots), now);
+  }
+
+  Instant now{ std::chrono::hours{ 1 } };
+  SlotBroker broker{ 7 };
+};
+
+TEST_F(SlotBrokerTest, GrantsUpToTheRoomAndQueuesTheRest)
+{
+  Use({ "a" }, 1);
+  EXPECT_EQ(Count<SlotGranted>(broker.Ask(Request(1), now)), 1U);
+  EXPECT_EQ(Count<SlotGranted>(broker.Ask(Request(2), now)), 1U);
+  EXPECT_EQ(Count<SlotQueued>(broker.Ask(Request(3), now)), 1U);
+  const auto answers =
+    broker.Done({ 1, 1 }, TryEnd::Answered, milliseconds{ 50 }, now);
+  ASSERT_EQ(Count<SlotGranted>(answers), 1U);
+  EXPECT_EQ(std::get<SlotGranted>(answers.front()).key.ticket, 3U);
+}
+
+TEST_F(SlotBrokerTest, MoreUrgentRequestsGoFirst)
+{
+  Use({ "a" }, 1);
+  broker.Ask(Request(1), now);
+  broker.Ask(Request(2), now);
+  broker.Ask(Request(3, 2), now);
+  broker.Ask(Request(4, 0), now);
+  const auto answers =
+    broker.Done({ 1, 1 }, TryEnd::Answered, milliseconds{ 50 }, now);
+  ASSERT_EQ(Count<SlotGranted>(answers), 1U);
+  EXPECT_EQ(std::get<SlotGranted>(answers.front()).key.ticket, 4U);
+}
+
+// Many callers come at once. Those who would have to wait much longer than they
+// can are refused at once, while they can still use their time.
+TEST_F(SlotBrokerTest, HopelessRequestsAreRefusedAtOnce)
+{
+  Use({ "a" }, 1);
+  size_t refused = 0;
+  for (uint64_t ticket = 1; ticket <= 20; ++ticket) {
+    refused += Count<SlotRefused>(broker.Ask(Request(ticket), now));
+  }
+  EXPECT_GE(refused, 10U);
+}
+
+TEST_F(SlotBrokerTest, PatienceEnds)
+{
+  Use({ "a" }, 1);
+  broker.Ask(Request(1), now);
+  broker.Ask(Request(2), now);
+  broker.Ask(Request(3), now);
+  EXPECT_EQ(Count<SlotRefused>(broker.Tick(now + milliseconds{ 299 })), 0U);
+  EXPECT_EQ(Count<SlotRefused>(broker.Tick(now + milliseconds{ 301 })), 1U);
+}
+
+// The entry that had a slot is killed, and its return never comes. The slot
+// must be free again once its request must have ended.
+TEST_F(SlotBrokerTest, SlotWhoseReturnIsLostIsFreeAgain)
+{
+  Use({ "a" }, 1);
+  broker.Ask(Request(1), now);
+  broker.Ask(Request(2), now);
+  now += milliseconds{ 1500 };
+  broker.Tick(now);
+  EXPECT_EQ(broker.Upstreams().Running("a"), 0U);
+}
+
+TEST_F(SlotBrokerTest, LeavingUpstreamGetsNothing)
+{
+  State state = StateWith({ "a", "b" }, 2);
+  wire::GatewayCommand command;
+  wire::UpstreamInstance* instance =
+    command.mutable_put_instance()->mutable_instance();
+  *instance = *state.FindInstance("a");
+  instance->set_draining(true);
+  static_cast<void>(state.Apply(command, LogIndex{ 9 }));
+  broker.Update(state, now);
+  for (uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    for (const SlotAnswer& answer : broker.Ask(Request(ticket), now)) {
+      ASSERT_TRUE(std::holds_alternative<SlotGranted>(answer));
+      EXPECT_EQ(std::get<SlotGranted>(answer).instance, "b");
+    }
+  }
+}
+
+TEST_F(SlotBrokerTest, UpstreamThatFailsIsAvoidedButNotForGood)
+{
+  Use({ "a", "b" }, 2);
+  broker.Ask(Request(1), now);
+  std::string failed;
+  for (uint64_t ticket = 2; failed.empty(); ++ticket) {
+    const auto answers = broker.Ask(Request(ticket), now);
+    failed = std::get<SlotGranted>(answers.front()).instance;
+    broker.Done({ 1, ticket }, TryEnd::Unreachable, {}, now);
+  }
+  const auto next = broker.Ask(Request(100), now);
+  EXPECT_NE(std::get<SlotGranted>(next.front()).instance, failed);
+  EXPECT_EQ(broker.Upstreams().Running(failed), failed == "a" ? 1U : 0U);
+}
+
+// Whatever is asked, returned and lost in any order: no upstream runs more than
+// it has room for, and each request gets one final answer at most.
+RC_GTEST_PROP(SlotBroker, NeverOverrunsAnUpstream, ())
+{
+  std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
+  SlotBroker broker(random());
+  Instant now{ std::chrono::hours{ 1 } };
+  broker.Update(StateWith({ "a", "b", "c" }, 2), now);
+  std::map<std::string, int> running;
+  std::map<uint64_t, std::string> granted;
+  std::set<uint64_t> final;
+  uint64_t ticket = 0;
+  const auto take = [&](const std::vector<SlotAnswer>& aAnswers) {
+    for (const SlotAnswer& answer : aAnswers) {
+      if (const auto* slot = std::get_if<SlotGranted>(&answer)) {
+        RC_ASSERT(final.insert(slot->key.ticket).second);
+        RC_ASSERT(++running[slot->instance] <= 3);
+        granted[slot->key.ticket] = slot->instance;
+      } else if (const auto* none = std::get_if<SlotRefused>(&answer)) {
+        RC_ASSERT(final.insert(none->key.ticket).second);
+      }
+    }
+  };
+  for (int step = 0; step < 300; ++step) {
+    if (random() % 2 == 0) {
+      take(broker.Ask(Request(++ticket, random() % 3), now));
+    } else if (!granted.empty()) {
+      const auto [done, instance] = *granted.begin();
+      granted.erase(granted.begin());
+      --running[instance];
+      const auto end = static_cast<TryEnd>(random() % 6);
+      take(broker.Done({ 1, done }, end, milliseconds{ 40 }, now));
+    }
+    now += milliseconds(random() % 20);
+    take(broker.Tick(now));
+    // Requests end before their slots are taken back.
+    while (!granted.empty() && ticket - granted.begin()->first > 40) {
+      const auto [done, instance] = *granted.begin();
+      granted.erase(granted.begin());
+      --running[instance];
+      take(broker.Done({ 1, done }, TryEnd::Answered, milliseconds{ 40 }, now));
+    }
+  }
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -387,6 +387,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.control_hosts_)*/{}
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
+  , /*decltype(_impl_.age_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedPingDefaultTypeInternal {
   PROTOBUF_CONSTEXPR FeedPingDefaultTypeInternal()
@@ -432,6 +433,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.loads_)*/{}
   , /*decltype(_impl_.times_)*/{}
+  , /*decltype(_impl_.entries_)*/{}
   , /*decltype(_impl_.leaving_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedReportDefaultTypeInternal {
@@ -807,6 +809,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.applied_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.control_hosts_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _impl_.age_ms_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeLoad, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -833,6 +836,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.loads_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.times_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.leaving_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.entries_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -947,16 +951,16 @@
   { 215, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
   { 222, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
   { 230, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 238, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 247, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 255, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 264, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 276, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 285, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 294, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 311, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 322, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 333, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 239, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 248, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 256, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 266, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 278, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 287, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 296, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 313, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 324, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 335, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1071,56 +1075,57 @@
   "<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rattand"
   "yke.wire.GatewayState\"N\n\013FeedCommand\022\r\n\005"
   "index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyk"
-  "e.wire.GatewayCommand\"2\n\010FeedPing\022\017\n\007app"
-  "lied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\"\?\n\tRan"
-  "geLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r"
-  "\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010in"
-  "stance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"v\n\nFeedRep"
-  "ort\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire.Ran"
-  "geLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire."
-  "InstanceTime\022\017\n\007leaving\030\003 \001(\010\"n\n\rForward"
-  "edCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006"
-  "method\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001"
-  "(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017ForwardedAnswer"
-  "\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001"
-  "(\t\"\224\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.ratta"
-  "ndyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.ra"
-  "ttandyke.wire.InstanceTime\022-\n\007entries\030\003 "
-  "\003(\0132\034.rattandyke.wire.EntryMember\"\315\001\n\007Sl"
-  "otAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
-  "\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010ins"
-  "tance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priorit"
-  "y\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030"
-  "\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001("
-  "\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006tic"
-  "ket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wi"
-  "re.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_"
-  "after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t"
-  "\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end"
-  "\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014GatewayFrame"
-  "\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\013"
-  "2\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed_sn"
-  "apshot\030\003 \001(\0132\035.rattandyke.wire.FeedSnaps"
-  "hotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke"
-  ".wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031"
-  ".rattandyke.wire.FeedPingH\000\0222\n\013feed_repo"
-  "rt\030\006 \001(\0132\033.rattandyke.wire.FeedReportH\000\022"
-  "8\n\016forwarded_call\030\007 \001(\0132\036.rattandyke.wir"
-  "e.ForwardedCallH\000\022<\n\020forwarded_answer\030\010 "
-  "\001(\0132 .rattandyke.wire.ForwardedAnswerH\000\022"
-  "2\n\013host_report\030\t \001(\0132\033.rattandyke.wire.H"
-  "ostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandy"
-  "ke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033"
-  ".rattandyke.wire.SlotAnswerH\000\022.\n\tslot_do"
-  "ne\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000B\006\n"
-  "\004body*n\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECI"
-  "FIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_ST"
-  "ATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003b\006p"
-  "roto3"
+  "e.wire.GatewayCommand\"B\n\010FeedPing\022\017\n\007app"
+  "lied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age"
+  "_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022"
+  "\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014In"
+  "stanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030"
+  "\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.ra"
+  "ttandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035"
+  ".rattandyke.wire.InstanceTime\022\017\n\007leaving"
+  "\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wir"
+  "e.EntryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 \001"
+  "(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006"
+  "target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030"
+  "\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006"
+  "status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostRepor"
+  "t\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire.Range"
+  "Load\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.In"
+  "stanceTime\022-\n\007entries\030\003 \003(\0132\034.rattandyke"
+  ".wire.EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply_t"
+  "o\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
+  "\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010e"
+  "xcluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patie"
+  "nce_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_ce"
+  "ntre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnswer"
+  "\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005sta"
+  "te\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010"
+  "instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W"
+  "\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001("
+  "\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_u"
+  "s\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
+  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
+  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
+  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
+  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
+  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
+  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
+  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
+  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
+  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
+  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
+  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
+  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
+  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
+  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
+  "ndyke.wire.SlotDoneH\000B\006\n\004body*n\n\tSlotSta"
+  "te\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_S"
+  "TATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n"
+  "\022SLOT_STATE_REFUSED\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4765, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4829, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, nullptr, 0, 34,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -8336,10 +8341,13 @@
   new (&_impl_) Impl_{
       decltype(_impl_.control_hosts_){from._impl_.control_hosts_}
     , decltype(_impl_.applied_){}
+    , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _this->_impl_.applied_ = from._impl_.applied_;
+  ::memcpy(&_impl_.applied_, &from._impl_.applied_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
+    reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.age_ms_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedPing)
 }
 
@@ -8350,6 +8358,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.control_hosts_){arena}
     , decltype(_impl_.applied_){uint64_t{0u}}
+    , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -8379,7 +8388,9 @@
   (void) cached_has_bits;
 
   _impl_.control_hosts_.Clear();
-  _impl_.applied_ = uint64_t{0u};
+  ::memset(&_impl_.applied_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.age_ms_) -
+      reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.age_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -8412,6 +8423,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 age_ms = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -8457,6 +8476,12 @@
     target = stream->WriteString(2, s, target);
   }
 
+  // uint32 age_ms = 3;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(3, this->_internal_age_ms(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -8486,6 +8511,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
   }
 
+  // uint32 age_ms = 3;
+  if (this->_internal_age_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -8508,6 +8538,9 @@
   if (from._internal_applied() != 0) {
     _this->_internal_set_applied(from._internal_applied());
   }
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -8526,7 +8559,12 @@
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.control_hosts_.InternalSwap(&other->_impl_.control_hosts_);
-  swap(_impl_.applied_, other->_impl_.applied_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(FeedPing, _impl_.age_ms_)
+      + sizeof(FeedPing::_impl_.age_ms_)
+      - PROTOBUF_FIELD_OFFSET(FeedPing, _impl_.applied_)>(
+          reinterpret_cast<char*>(&_impl_.applied_),
+          reinterpret_cast<char*>(&other->_impl_.applied_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
@@ -9082,6 +9120,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.loads_){from._impl_.loads_}
     , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
     , decltype(_impl_.leaving_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -9097,6 +9136,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.loads_){arena}
     , decltype(_impl_.times_){arena}
+    , decltype(_impl_.entries_){arena}
     , decltype(_impl_.leaving_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -9115,6 +9155,7 @@
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.loads_.~RepeatedPtrField();
   _impl_.times_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
 }
 
 void FeedReport::SetCachedSize(int size) const {
@@ -9129,6 +9170,7 @@
 
   _impl_.loads_.Clear();
   _impl_.times_.Clear();
+  _impl_.entries_.Clear();
   _impl_.leaving_ = false;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
@@ -9173,6 +9215,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.EntryMember entries = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -9224,6 +9279,14 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_leaving(), target);
   }
 
+  // repeated .rattandyke.wire.EntryMember entries = 4;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -9254,6 +9317,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.EntryMember entries = 4;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // bool leaving = 3;
   if (this->_internal_leaving() != 0) {
     total_size += 1 + 1;
@@ -9279,6 +9349,7 @@
 
   _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
   _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
   if (from._internal_leaving() != 0) {
     _this->_internal_set_leaving(from._internal_leaving());
   }
@@ -9301,6 +9372,7 @@
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.loads_.InternalSwap(&other->_impl_.loads_);
   _impl_.times_.InternalSwap(&other->_impl_.times_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
   swap(_impl_.leaving_, other->_impl_.leaving_);
 }
 
