--- /dev/null
+++ b/scripts/soak_actors.py
@@ -0,0 +1,246 @@
+"""Stand-ins of the soak: upstreams that hold keys, callers, an operator."""
+
+import asyncio
+import json
+import random
+import time
+
+import soak_http
+
+SIGNATURE = "X-Upstream-Signature"
+KEYS = 65536
+
+
+def body_for(request_id, kind):
+    """The one right answer to a request."""
+    return f"{kind}:{request_id}:".encode() * 20
+
+
+class Upstream:
+    """Serves requests for the keys that it holds, by a clock of its own."""
+
+    def __init__(self, world, number, service, sharded):
+        self.world = world
+        self.number = number
+        self.service = service
+        self.sharded = sharded
+        self.port = world.port(40 + number)
+        self.host = f"127.0.3.{number + 1}"
+        self.drift = world.random.uniform(0.98, 1.0)
+        self.alive = False
+        self.draining = False
+        self.life = 0
+
+    async def start(self):
+        self.life += 1
+        self.id = f"i-{self.number}-{self.life}"
+        self.alive, self.draining = True, False
+        self.sequence = 0
+        self.rows, self.released, self.ends = [], [], 0.0
+        self.running = 0
+        self.connections = set()
+        self.server = await asyncio.start_server(
+            self.serve, self.host, self.port, reuse_address=True)
+        self.task = asyncio.ensure_future(self.beat(self.life))
+
+    async def crash(self):
+        self.alive = False
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.task.cancel()
+
+    def holds(self, key):
+        now = time.monotonic()
+        return self.alive and now < self.ends and any(
+            row[0] <= key <= row[1] for row in self.rows)
+
+    async def beat(self, life):
+        while self.alive and self.life == life:
+            self.sequence += 1
+            sent = time.monotonic()
+            sequence, released = self.sequence, list(self.released)
+            answer = await soak_http.call(
+                *self.world.control_address(), "POST",
+                f"/instances/{self.id}/heartbeat", {}, json.dumps({
+                    "service": self.service,
+                    "address": f"{self.host}:{self.port}", "zone": "here",
+                    "version": "v1", "concurrency": 4,
+                    "state": "draining" if self.draining else "ready",
+                    "sequence": sequence,
+                    "holds": [row[:3] for row in self.rows],
+                    "released": released}).encode(), timeout=1.0)
+            again = False
+            if answer and answer[0] == 200 and sequence == self.sequence:
+                self.released = []
+                again = self.take(json.loads(answer[1]), sent)
+            await asyncio.sleep(0.1 if again else 0.4)
+
+    def take(self, answer, sent):
+        """@return whether there is something to report at once."""
+        if "holds" not in answer:
+            return False
+        hold = float(answer["hold_time"].removesuffix("ms")) / 1000
+        if time.monotonic() < self.ends:
+            kept = [tuple(row[:3]) for row in answer["holds"]]
+            for row in self.rows:
+                if tuple(row[:3]) not in kept and not any(
+                        new[0] <= row[1] and row[0] <= new[1]
+                        for new in answer["holds"]):
+                    self.released.append([row[0], row[1], f"h{row[2]}"])
+        self.rows = answer["holds"]
+        self.ends = sent + hold / self.drift
+        self.world.check_owners(self)
+        return bool(self.released)
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while self.alive:
+                first, fields, body = await soak_http.read_message(reader)
+                await self.answer(first, fields, body, writer)
+        except (soak_http.Broken, OSError, asyncio.CancelledError):
+            pass  # The caller is gone, or the run is over.
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    async def answer(self, first, fields, body, writer):
+        request = fields.get("x-attempt-id", "")
+        base = {"X-Attempt-Id": request, "X-Instance-Id": self.id}
+        if fields.get("x-expected-instance") != self.id:
+            writer.write(soak_http.message(
+                "HTTP/1.1 421 Misdirected Request", base))
+            return
+        if self.sharded and not self.holds(int(fields["x-shard-key"])):
+            writer.write(soak_http.message(
+                "HTTP/1.1 421 Misdirected Request",
+                {**base, "X-Not-Executed": "1"}))
+            return
+        kind = first.split()[0]
+        self.world.ran(request, kind, self)
+        await asyncio.sleep(self.world.random.uniform(0.002, 0.03))
+        writer.write(soak_http.message(
+            "HTTP/1.1 200 OK", {**base, SIGNATURE: "s." + request},
+            body_for(request, kind)))
+        await writer.drain()
+
+
+class Caller:
+    """Sends requests on a kept connection and judges the answers."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.random = random.Random(f"{world.seed}/{number}")
+        self.number = number
+        self.sent = 0
+
+    async def run(self):
+        while not self.world.over:
+            try:
+                await self.session()
+            except (OSError, soak_http.Broken, asyncio.TimeoutError):
+                self.world.count("no answer")
+            await asyncio.sleep(0.02)
+
+    async def session(self):
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(*self.world.entry_address()), 1)
+        try:
+            while not self.world.over:
+                if not await self.one(reader, writer):
+                    return
+                await asyncio.sleep(self.random.uniform(0.01, 0.06))
+        finally:
+            writer.close()
+
+    async def one(self, reader, writer):
+        self.sent += 1
+        request = f"{self.number}-{self.sent}"
+        read = self.random.random() < 0.5
+        kind = "GET" if read else "POST"
+        fields = {"Host": "soak.example", "X-Attempt-Id": request,
+                  "X-Deadline-Ms": "2000",
+                  "X-Shard-Key": str(self.random.randrange(KEYS))}
+        path = "/board/x" if read else "/desk/x"
+        writer.write(soak_http.message(f"{kind} {path} HTTP/1.1", fields))
+        first, answer, body = await asyncio.wait_for(
+            soak_http.read_message(reader), 3.5)
+        self.judge(request, kind, int(first.split()[1]), answer, body)
+        return answer.get("connection", "").lower() != "close"
+
+    def judge(self, request, kind, status, fields, body):
+        world = self.world
+        world.count(str(status))
+        if status == 200:
+            if body != body_for(request, kind):
+                world.broke(f"{request} got another answer: {body[:40]!r}")
+            if fields.get("x-attempt-id") != request:
+                world.broke(f"{request} got the answer of "
+                            f"{fields.get('x-attempt-id')}")
+        elif status == 503:
+            world.refused(request, kind)
+        elif status in (404, 400):
+            world.broke(f"{request} got {status}")
+
+
+class Operator:
+    """Changes routes and remembers what was acknowledged."""
+
+    def __init__(self, world):
+        self.world = world
+        self.version = 1
+        self.acknowledged = {}
+
+    def route(self, name, prefix, service, kind, version):
+        return {"host": "soak.example", "path_prefix": prefix,
+                "route_type": kind, "timeout": "2000ms", "aim": "1000ms",
+                "priority": 1, "service": service, "max_attempts": 2,
+                "version": f"{version:08x}"}
+
+    def first(self):
+        routes = {
+            "r-board": self.route("r-board", "/board/", "board", "safe", 1),
+            "r-desk": self.route("r-desk", "/desk/", "desk", "unsafe", 1)}
+        services = {
+            "board": {"sharded": True, "warm": "1s", "version": "00000001"},
+            "desk": {"version": "00000001"}}
+        return {"upsert": {"routes": routes, "services": services}}
+
+    async def send(self, change):
+        for _ in range(60):
+            answer = await soak_http.call(
+                *self.world.control_address(), "POST", "/config/patch", {},
+                json.dumps(change).encode(), timeout=1.2)
+            if answer and answer[0] == 200:
+                for name, route in change["upsert"]["routes"].items():
+                    self.acknowledged[name] = int(route["version"], 16)
+                return True
+            if answer and answer[0] in (400, 409):
+                self.world.broke(f"a proper change got {answer}")
+                return False
+            await asyncio.sleep(0.3)
+        return False
+
+    async def run(self):
+        while not self.world.over:
+            await asyncio.sleep(0.7)
+            self.version += 1
+            name = f"r-extra-{self.version % 5}"
+            await self.send({"upsert": {"routes": {name: self.route(
+                name, f"/{name}/", "desk", "unsafe", self.version)}}})
+
+    async def read_back(self):
+        for _ in range(80):
+            answer = await soak_http.call(*self.world.control_address(), "GET",
+                                          "/config/get", {}, timeout=1.2)
+            if answer and answer[0] == 200:
+                stand = json.loads(answer[1])["routes"]
+                for name, version in self.acknowledged.items():
+                    found = int(stand.get(name, {}).get("version", "0"), 16)
+                    if found < version:
+                        self.world.broke(f"{name} stands at {found}, "
+                                         f"acknowledged was {version}")
+                return
+            await asyncio.sleep(0.25)
+        self.world.broke("nothing could be read back")
--- /dev/null
+++ b/scripts/soak_http.py
@@ -0,0 +1,52 @@
+"""Just enough HTTP/1.1 for the soak's callers and upstreams."""
+
+import asyncio
+
+
+class Broken(Exception):
+    """The connection ended or what came is no message."""
+
+
+async def read_message(reader):
+    """@return first line, fields in lower case, body."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError,
+            asyncio.LimitOverrunError) as error:
+        raise Broken(str(error)) from error
+    lines = head.split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.strip().lower()] = value.strip()
+    try:
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        raise Broken(str(error)) from error
+    return lines[0], fields, body
+
+
+def message(first, fields, body=b""):
+    """@return the bytes of a message."""
+    lines = [first] + [f"{name}: {value}" for name, value in fields.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def call(host, port, method, path, fields, body=b"", timeout=2.0):
+    """One request on a connection of its own.
+    @return status and body; None if there was no whole answer in time."""
+    async def exchange():
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(message(f"{method} {path} HTTP/1.1",
+                                 {"Host": host, **fields}, body))
+            first, _, answer = await read_message(reader)
+            return int(first.split()[1]), answer
+        finally:
+            writer.close()
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, Broken, asyncio.TimeoutError):
+        return None
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -110,7 +110,7 @@
     , dialect(aDialect)
     , clock(aClock)
     , seed(aSeed)
-    , self{ ToString(aSettings.peers) }
+    , self{ ToString(aSettings.Self()) }
     , granter({ aSettings.hold, aSettings.heartbeatInterval, kForgetAfter })
     , feed(state)
     , ticker(executor)
@@ -152,7 +152,7 @@
   {
     consensus::Driver::Options options;
     options.name = self;
-    options.address = settings.peers;
+    options.address = settings.Self();
     options.dataFolder = settings.dataFolder;
     for (const Endpoint& host : settings.seeds) {
       options.controlHosts.push_back({ HostName{ ToString(host) }, host });
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -129,7 +129,7 @@
     , relay(feed.Known())
     , desk(
         executor,
-        ToString(aSettings.peers),
+        ToString(aSettings.Self()),
         aSeed,
         [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
           mesh->Send(aTo, aFrame.SerializeAsString());
@@ -150,7 +150,7 @@
   static wire::EntryMember SelfOf(const Settings& aSettings)
   {
     wire::EntryMember self;
-    self.set_address(ToString(aSettings.peers));
+    self.set_address(ToString(aSettings.Self()));
     self.set_data_centre(aSettings.dataCentre.value);
     return self;
   }
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -199,6 +199,10 @@
   const size_t before = commands.size();
   NoteReleased(aHeartbeat, aState, commands);
   lease.lastHeartbeat = aArrived;
+  if (const auto group = mGroups.find(aHeartbeat.service);
+      group != mGroups.end()) {
+    group->second.holdersAt.reset();
+  }
   if (commands.size() != before) {
     lease.releasedAt = aArrived;
   } else {
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -219,6 +219,12 @@
         aSettings.peers = endpoint.value_or(Endpoint{});
         return endpoint.has_value();
       } },
+    { "listen",
+      "advertised",
+      "",
+      "an address IP:PORT or nothing",
+      "Where other hosts reach this one, if not at `peers`.",
+      Optional(&Settings::advertised) },
     { "control",
       "seeds",
       "",
@@ -361,7 +367,7 @@
     }
   }
   for (Endpoint& seed : settings.seeds) {
-    seed.port = settings.peers.port;
+    seed.port = settings.Self().port;
   }
   CheckWhole(settings, problems);
   if (!problems.empty()) {
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -33,6 +33,12 @@
   std::optional<Endpoint> readiness;
   std::optional<Endpoint> calls;
   Endpoint peers;
+  /// Where others reach this host, if not at the address it listens on.
+  std::optional<Endpoint> advertised;
+
+  /// @return this host's address as others know it, which is its name among
+  /// them.
+  const Endpoint& Self() const { return advertised ? *advertised : peers; }
 
   // [control]
   /// Control hosts that may be asked for the others, as addresses for peers.
