--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 .PHONY: all deps configure build demo test run bench bench-association \
         bench-agency bench-faults bench-fairness bench-latency capacity lint format-check clang-format proto clean \
-        test-asan test-tsan pages
+        test-asan test-tsan pages soak
 
 all: build
 
@@ -29,6 +29,9 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
 
+soak: build
+	@scripts/soak --bin $(BUILD)/bin --seed 1 --count 3 --seconds 6
+
 run: build
 	@$(BUILD)/bin/rattandyke serve
 
--- a/src/librattandyke/config/pages_test.cpp
+++ b/src/librattandyke/config/pages_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include "gateway/settings.h"
+
 namespace rattandyke::config {
 namespace {
 
@@ -23,6 +25,8 @@
 TEST(Pages, AreNotStale)
 {
   EXPECT_TRUE(ReadPage("SETTINGS.md") == SettingsPage()) << "run make pages";
+  EXPECT_TRUE(ReadPage("GATEWAY-SETTINGS.md") == gateway::SettingsPage())
+    << "run make pages";
   EXPECT_TRUE(ReadPage("ERRORS.md") == ErrorsPage()) << "run make pages";
 }
 
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -14,6 +14,7 @@
 #include "gateway/entry_registry.h"
 #include "gateway/feed_server.h"
 #include "gateway/granter.h"
+#include "gateway/metrics.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
 
@@ -144,10 +145,44 @@
     if (Result<void> started = calls->Start(); !started) {
       return started;
     }
+    if (settings.metrics) {
+      metricsServer = std::make_unique<CallServer>(
+        executor,
+        *settings.metrics,
+        [self = weak_from_this()](CallRequest aCall) {
+          return AnswerMetrics(self, std::move(aCall));
+        });
+      if (Result<void> started = metricsServer->Start(); !started) {
+        return started;
+      }
+    }
     Tick();
     return {};
   }
 
+  static asio::awaitable<CallAnswer> AnswerMetrics(std::weak_ptr<Impl> aSelf,
+                                                   CallRequest aCall)
+  {
+    const auto self = aSelf.lock();
+    co_return CallAnswer{ self ? kOk : kUnavailable,
+                          self ? self->MetricsPage() : std::string(),
+                          "text/plain" };
+  }
+
+  std::string MetricsPage()
+  {
+    const consensus::GroupStatus status = driver->Status();
+    metrics.Set("state_index", static_cast<double>(state.Applied().value));
+    metrics.Set("leads", driver->IsLeader() ? 1 : 0);
+    metrics.Set("term", static_cast<double>(status.term.value));
+    metrics.Set("members", static_cast<double>(status.members.size()));
+    metrics.Set("disk_syncs", static_cast<double>(status.syncs));
+    metrics.Set("disk_failing", status.storageError.empty() ? 0 : 1);
+    metrics.Set("entries", static_cast<double>(state.Entries().size()));
+    metrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+    return metrics.Page();
+  }
+
   consensus::Driver::Options DriverOptions() const
   {
     consensus::Driver::Options options;
@@ -199,6 +234,9 @@
   {
     stopping = true;
     calls->Stop();
+    if (metricsServer) {
+      metricsServer->Stop();
+    }
     driver->TransferLeadership(
       [self = shared_from_this(), done = std::move(aDone)] {
         self->driver->Stop();
@@ -428,7 +466,12 @@
     if (!self) {
       co_return CallAnswer{ kUnavailable, "", "application/json" };
     }
-    co_return co_await self->Handle(std::move(aCall));
+    const Instant arrived = self->clock.Now();
+    CallAnswer answer = co_await self->Handle(std::move(aCall));
+    self->metrics.Count("calls",
+                        "status=\"" + std::to_string(answer.status) + "\"");
+    self->metrics.Observe("call", self->clock.Now() - arrived);
+    co_return answer;
   }
 
   asio::awaitable<CallAnswer> Handle(CallRequest aCall)
@@ -652,6 +695,8 @@
   std::unique_ptr<net::FrameMesh> mesh;
   std::unique_ptr<consensus::Driver> driver;
   std::unique_ptr<CallServer> calls;
+  std::unique_ptr<CallServer> metricsServer;
+  Metrics metrics;
   std::deque<std::pair<LogIndex, Result<void>>> outcomes;
   std::map<uint64_t, std::shared_ptr<Awaited<CallAnswer>>> forwarded;
   uint64_t lastCall = 0;
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -258,6 +258,17 @@
         return started;
       }
     }
+    if (settings.metrics) {
+      metrics = std::make_unique<CallServer>(
+        executor,
+        *settings.metrics,
+        [self = weak_from_this()](CallRequest aCall) {
+          return AnswerMetrics(self, std::move(aCall));
+        });
+      if (Result<void> started = metrics->Start(); !started) {
+        return started;
+      }
+    }
     feed.Start();
     Accept();
     Sweep();
@@ -280,6 +291,15 @@
                           "text/plain" };
   }
 
+  static asio::awaitable<CallAnswer> AnswerMetrics(std::weak_ptr<Impl> aSelf,
+                                                   CallRequest aCall)
+  {
+    const auto self = aSelf.lock();
+    co_return CallAnswer{ self ? kOk : kUnavailable,
+                          self ? self->handler.MetricsPage() : std::string(),
+                          "text/plain" };
+  }
+
   void Accept()
   {
     acceptor.async_accept(
@@ -514,6 +534,7 @@
   RequestHandler handler;
   asio::steady_timer slotTicker;
   std::unique_ptr<CallServer> readiness;
+  std::unique_ptr<CallServer> metrics;
   std::set<std::shared_ptr<Session>> sessions;
   Instant reportedAt{};
   bool stopping = false;
--- /dev/null
+++ b/src/librattandyke/gateway/metrics_test.cpp
@@ -0,0 +1,40 @@
+#include "gateway/metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+TEST(GatewayMetrics, PageShowsCountsValuesAndTimes)
+{
+  Metrics metrics;
+  metrics.Count("requests", "status=\"200\"");
+  metrics.Count("requests", "status=\"200\"");
+  metrics.Count("connects");
+  metrics.Set("state_index", 7);
+  metrics.Observe("request", std::chrono::milliseconds{ 20 });
+  const std::string page = metrics.Page();
+  const auto has = [&](const std::string& aLine) {
+    EXPECT_NE(page.find(aLine + "\n"), std::string::npos) << aLine;
+  };
+  has("rattandyke_gateway_requests_total{status=\"200\"} 2");
+  has("rattandyke_gateway_connects_total 1");
+  has("rattandyke_gateway_state_index 7");
+  has("rattandyke_gateway_request_seconds_count 1");
+  has("rattandyke_gateway_request_seconds_bucket{le=\"+Inf\"} 1");
+}
+
+// A scraper adds buckets up: each must count all that are shorter, too.
+TEST(GatewayMetrics, BucketsAreCumulative)
+{
+  Metrics metrics;
+  metrics.Observe("request", std::chrono::microseconds{ 1 });
+  metrics.Observe("request", std::chrono::seconds{ 1000 });
+  const std::string page = metrics.Page();
+  EXPECT_NE(page.find("le=\"0.0001\"} 1\n"), std::string::npos);
+  EXPECT_NE(page.find("le=\"100\"} 1\n"), std::string::npos);
+  EXPECT_NE(page.find("le=\"+Inf\"} 2\n"), std::string::npos);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -84,6 +84,22 @@
   return std::chrono::duration_cast<milliseconds>(aTime).count();
 }
 
+std::string_view
+TryLabel(ExchangeResult::Kind aKind)
+{
+  switch (aKind) {
+    case ExchangeResult::Kind::Answer:
+      return "end=\"answer\"";
+    case ExchangeResult::Kind::NotRun:
+      return "end=\"not_run\"";
+    case ExchangeResult::Kind::NotSent:
+      return "end=\"not_sent\"";
+    case ExchangeResult::Kind::Unknown:
+      return "end=\"unknown\"";
+  }
+  return {};
+}
+
 TryEnd
 EndOf(const ExchangeResult& aResult, bool aCallerLeft)
 {
@@ -225,6 +241,32 @@
 asio::awaitable<CallerAnswer>
 RequestHandler::Handle(std::shared_ptr<RequestContext> aContext,
                        CallerRequest aRequest)
+{
+  const Instant arrived = aRequest.arrived;
+  CallerAnswer answer =
+    co_await Answer(std::move(aContext), std::move(aRequest));
+  mMetrics.Count("requests",
+                 "status=\"" + std::to_string(answer.status) + "\"");
+  mMetrics.Observe("request", mClock.Now() - arrived);
+  co_return answer;
+}
+
+std::string
+RequestHandler::MetricsPage()
+{
+  const State& state = mFeed.Known();
+  mMetrics.Set("state_index", static_cast<double>(state.Applied().value));
+  mMetrics.Set("state_age_seconds",
+               std::chrono::duration<double>(mFeed.Age()).count());
+  mMetrics.Set("entries", static_cast<double>(state.Entries().size()));
+  mMetrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+  mMetrics.Set("upstream_connects", static_cast<double>(mExchanger.Connects()));
+  return mMetrics.Page();
+}
+
+asio::awaitable<CallerAnswer>
+RequestHandler::Answer(std::shared_ptr<RequestContext> aContext,
+                       CallerRequest aRequest)
 {
   const std::string id(http::FieldOf(aRequest.fields, mHeaders.requestId));
   if (!mFeed.HasState() || mFeed.Known().Items().IsEmpty()) {
@@ -312,6 +354,7 @@
     request.excluded = aFlow.tried;
   }
   const Instant now = mClock.Now();
+  mMetrics.Observe("owner_wait", now - aFlow.arrived);
   request.priority = aFlow.route->priority;
   request.patience = std::max(PatienceEnd(aFlow) - now, Duration::zero());
   request.held = std::max(aFlow.deadline - now, Duration::zero());
@@ -330,6 +373,8 @@
     slot.instance, slot.address, aFlow.request, left, handle);
   aFlow.context->Detach();
   mDesk.Release(slot, EndOf(result, aFlow.context->HasLeft()), result.took);
+  mMetrics.Count("tries", TryLabel(result.kind));
+  mMetrics.Observe("try", result.took);
   aFlow.lastUpstream = slot.instance;
   aFlow.lastReason = result.reason;
   co_return result;
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -18,6 +18,7 @@
 #include "gateway/dialect.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_client.h"
+#include "gateway/metrics.h"
 #include "gateway/request_context.h"
 #include "gateway/route_table.h"
 #include "gateway/slot_desk.h"
@@ -80,6 +81,9 @@
   /// Closes connections that have been idle too long.
   void Sweep();
 
+  /// @return what this host has counted, as a text page.
+  std::string MetricsPage();
+
 private:
   /// One request on its way.
   struct Flow
@@ -109,6 +113,9 @@
   Instant PatienceEnd(const Flow& aFlow) const;
   boost::asio::awaitable<std::string> AwaitOwner(Flow& aFlow);
   boost::asio::awaitable<SlotOutcome> AwaitSlot(Flow& aFlow);
+  boost::asio::awaitable<CallerAnswer> Answer(
+    std::shared_ptr<RequestContext> aContext,
+    CallerRequest aRequest);
   boost::asio::awaitable<CallerAnswer> Run(Flow& aFlow);
   boost::asio::awaitable<ExchangeResult> Try(Flow& aFlow, const Slot& aSlot);
   bool MayRetry(Flow& aFlow, const ExchangeResult& aResult);
@@ -134,6 +141,7 @@
   Exchanger mExchanger;
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mBudgets;
   Waiters mWaiters;
+  Metrics mMetrics;
   std::map<std::string, std::map<uint32_t, uint32_t>> mKeyLoads;
 };
 
--- /dev/null
+++ b/src/librattandyke/gateway/route_table_test.cpp
@@ -0,0 +1,91 @@
+#include "gateway/route_table.h"
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+wire::RouteItem
+Item(const std::string& aName,
+     const std::string& aPrefix,
+     uint64_t aVersion = 1)
+{
+  wire::RouteItem item;
+  item.set_name(aName);
+  item.set_host("h.example");
+  item.set_path_prefix(aPrefix);
+  item.set_timeout_ms(1000);
+  item.set_max_attempts(1);
+  item.set_version(aVersion);
+  wire::RoutePart* part = item.add_parts();
+  part->set_service(aName);
+  part->set_weight(1);
+  return item;
+}
+
+ItemTable
+Items(const std::vector<wire::RouteItem>& aRoutes)
+{
+  wire::ChangeItems change;
+  for (const wire::RouteItem& route : aRoutes) {
+    *change.add_routes() = route;
+  }
+  ItemTable items;
+  items.Apply(change);
+  return items;
+}
+
+TEST(RouteTable, LongestPrefixOfTheHostIsTaken)
+{
+  RouteTable table;
+  table.Update(
+    Items({ Item("all", "/"), Item("a", "/a/"), Item("ab", "/a/b/") }));
+  EXPECT_EQ(table.Find("h.example", "/a/b/c")->name, "ab");
+  EXPECT_EQ(table.Find("h.example", "/a/c")->name, "a");
+  EXPECT_EQ(table.Find("h.example", "/ab")->name, "all");
+  EXPECT_EQ(table.Find("other.example", "/a/"), nullptr);
+}
+
+TEST(RouteTable, DroppedRouteIsFoundNoMore)
+{
+  RouteTable table;
+  table.Update(Items({ Item("a", "/a/") }));
+  table.Update(Items({ Item("b", "/b/") }));
+  EXPECT_EQ(table.Find("h.example", "/a/x"), nullptr);
+  EXPECT_NE(table.Find("h.example", "/b/x"), nullptr);
+}
+
+// Requests must be divided by weight in any run of them, not on average only,
+// and other routes' changes must not make a route begin anew.
+TEST(RouteTable, PartsGetTheirWeightsShareOfEveryRun)
+{
+  wire::RouteItem split = Item("s", "/s/");
+  split.mutable_parts(0)->set_weight(90);
+  wire::RoutePart* second = split.add_parts();
+  second->set_service("t");
+  second->set_weight(10);
+  RouteTable table;
+  table.Update(Items({ split }));
+  int seconds = 0;
+  for (int request = 1; request <= 200; ++request) {
+    table.Update(Items({ split, Item("x", "/x/", request) }));
+    seconds += NextService(*table.Find("h.example", "/s/1")) == "t" ? 1 : 0;
+    EXPECT_NEAR(seconds, request * 0.1, 1.0);
+  }
+}
+
+TEST(RouteTable, PartOfWeightZeroGetsNothing)
+{
+  wire::RouteItem split = Item("s", "/s/");
+  wire::RoutePart* second = split.add_parts();
+  second->set_service("t");
+  second->set_weight(0);
+  RouteTable table;
+  table.Update(Items({ split }));
+  for (int request = 0; request < 50; ++request) {
+    EXPECT_EQ(NextService(*table.Find("h.example", "/s/1")), "s");
+  }
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -32,6 +32,7 @@
   std::optional<Endpoint> callers;
   std::optional<Endpoint> readiness;
   std::optional<Endpoint> calls;
+  std::optional<Endpoint> metrics;
   Endpoint peers;
   /// Where others reach this host, if not at the address it listens on.
   std::optional<Endpoint> advertised;
--- a/src/rattandyke/pages.cpp
+++ b/src/rattandyke/pages.cpp
@@ -1,4 +1,5 @@
 #include "config/pages.h"
+#include "gateway/settings.h"
 
 #include <filesystem>
 #include <fstream>
@@ -25,6 +26,7 @@
 
   const std::filesystem::path docs = folder.getValue();
   if (!WritePage(docs / "SETTINGS.md", config::SettingsPage()) ||
+      !WritePage(docs / "GATEWAY-SETTINGS.md", gateway::SettingsPage()) ||
       !WritePage(docs / "ERRORS.md", config::ErrorsPage())) {
     return Report(
       Error{ Code::StorageFailed, docs.string() + ": cannot be written" });
