--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
--- a/src/librattandyke/gateway/exchange.cpp
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -43,7 +43,7 @@
 constexpr int kMaxForeignAnswers = 3;
 /// Bodies up to this are written before the answer is read; longer ones beside
 /// it, since an upstream may answer before it has read them.
-constexpr size_t kWrittenAhead = 32 * 1024;
+constexpr size_t kWrittenAhead = size_t{ 32 } * 1024;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -122,7 +122,7 @@
     if (fresh.empty()) {
       return {};
     }
-    const std::string host = fresh[random() % fresh.size()];
+    std::string host = fresh[random() % fresh.size()];
     tried.insert(host);
     return host;
   }
--- a/src/librattandyke/gateway/settings_test.cpp
+++ b/src/librattandyke/gateway/settings_test.cpp
@@ -33,8 +33,9 @@
 
 TEST(GatewaySettings, AdvertisedAddressIsTheHostsName)
 {
-  const auto settings = ParseSettings(
-    std::string(kEntry) + "[listen]\nadvertised = 10.9.0.1:7100\n", "file");
+  std::string text(kEntry);
+  text.insert(text.find("peers ="), "advertised = 10.9.0.1:7100\n");
+  const auto settings = ParseSettings(text, "file");
   ASSERT_TRUE(settings);
   EXPECT_EQ(settings->Self(), (Endpoint{ "10.9.0.1", 7100 }));
   EXPECT_EQ(settings->seeds[0].port, 7100);
--- a/src/librattandyke/net/frame_connection.cpp
+++ b/src/librattandyke/net/frame_connection.cpp
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 
 constexpr size_t kHeaderBytes = 4;
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = size_t{ 16 } * 1024;
 constexpr unsigned kBitsPerByte = 8;
 constexpr unsigned kByteMask = 0xff;
 /// A connection that only receives shows its loss by keep-alive probes.
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -1,6 +1,7 @@
 #include "net/frame_mesh.h"
 
 #include <map>
+#include <optional>
 
 #include <boost/asio/steady_timer.hpp>
 
