Send subscribers elsewhere at once while a host is not sure of its state

Change: such a host closes its subscribers' connections, and refuses new ones; a sure one pings as soon as it is asked; an entry without a connection goes on at its next check, 150 ms at most.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -359,10 +359,12 @@
       return;
     }
     pingedAt = now;
-    const bool fresh =
-      driver->IsLeader() ? LeadsSurely() : driver->LeaderHint().has_value();
-    if (fresh) {
+    if (IsFresh()) {
       feed.Ping(ControlHosts(), Duration::zero());
+    } else {
+      // Told by a close, subscribers go elsewhere at once; by silence alone,
+      // each host that is cut off would cost them 700 ms.
+      feed.CloseAll();
     }
     if (now - reportedAt >= kReportInterval) {
       reportedAt = now;
@@ -370,6 +372,14 @@
     }
   }
 
+  /// Whether this host is sure to have the newest state, but for messages that
+  /// are under way.
+  bool IsFresh() const
+  {
+    return driver->IsLeader() ? LeadsSurely()
+                              : driver->LeaderHint().has_value();
+  }
+
   std::vector<std::string> ControlHosts() const
   {
     std::vector<std::string> hosts;
@@ -396,7 +406,7 @@
         driver->Receive({}, frame.consensus());
         return;
       case wire::GatewayFrame::kFeedOpen:
-        feed.Open(aConnection, frame.feed_open());
+        OnFeedOpen(aConnection, frame.feed_open());
         return;
       case wire::GatewayFrame::kFeedReport:
         OnFeedReport(aConnection, frame.feed_report());
@@ -415,6 +425,17 @@
     }
   }
 
+  void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
+                  const wire::FeedOpen& aOpen)
+  {
+    if (!IsFresh()) {
+      aConnection->Close();
+      return;
+    }
+    feed.Open(aConnection, aOpen);
+    feed.Ping(ControlHosts(), Duration::zero());
+  }
+
   void OnFeedReport(const net::FrameMesh::Connection& aConnection,
                     const wire::FeedReport& aReport)
   {
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -187,12 +187,23 @@
     } else if (frame.has_slot_done()) {
       desk.OnDone(frame.slot_done());
     } else if (frame.has_feed_open()) {
-      relay.Open(aConnection, frame.feed_open());
+      OnRelayOpen(aConnection, frame.feed_open());
     } else if (frame.has_feed_report()) {
       OnRelayedReport(aConnection, frame.feed_report());
     }
   }
 
+  void OnRelayOpen(const net::FrameMesh::Connection& aConnection,
+                   const wire::FeedOpen& aOpen)
+  {
+    if (stopping || feed.Age() >= kRelayedAge) {
+      aConnection->Close();
+      return;
+    }
+    relay.Open(aConnection, aOpen);
+    relay.Ping(feed.ControlHosts(), feed.Age());
+  }
+
   /// Passes on what an entry that subscribes here reports.
   void OnRelayedReport(const net::FrameMesh::Connection& aConnection,
                        wire::FeedReport aReport)
@@ -468,6 +479,8 @@
     handler.Sweep();
     if (!stopping && feed.Age() < kRelayedAge) {
       relay.Ping(feed.ControlHosts(), feed.Age());
+    } else {
+      relay.CloseAll();
     }
     if (now - reportedAt >= kReportInterval) {
       reportedAt = now;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -71,13 +71,17 @@
 
   void OnCheck()
   {
+    if (!connection && !connecting) {
+      TryNext();
+      return;
+    }
     const Duration quiet = clock.Now() - heardAt;
     const Duration allowed =
       connecting ? Duration(kConnectTimeout) : Duration(kSilence);
     if (quiet < allowed) {
       return;
     }
-    if (connection || connecting) {
+    if (connection) {
       Info() << "leaves control host " << current << ", silent for "
              << std::chrono::duration_cast<milliseconds>(quiet).count()
              << " ms";
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -43,6 +43,16 @@
   mSubscribers.erase(aConnection);
 }
 
+void
+FeedServer::CloseAll()
+{
+  const std::map<Connection, Subscriber> subscribers = std::move(mSubscribers);
+  mSubscribers.clear();
+  for (const auto& [connection, unused] : subscribers) {
+    connection->Close();
+  }
+}
+
 void
 FeedServer::Leave(const Connection& aConnection)
 {
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -44,6 +44,9 @@
   /// at a control host.
   void Ping(const std::vector<std::string>& aControlHosts, Duration aAge);
 
+  /// Sends all subscribers elsewhere: this host is not sure of its state.
+  void CloseAll();
+
   /// A subscriber will serve no more callers.
   void Leave(const Connection& aConnection);
 
