--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import json
+import pathlib
 import random
+import sys
 import time
 
 import soak_http
 
-SIGNATURE = "X-Upstream-Signature"
+sys.path.insert(
+    0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+
+import soak_words as words  # noqa: E402
+
 KEYS = 65536
 
 
@@ -62,14 +68,9 @@
             sequence, released = self.sequence, list(self.released)
             answer = await soak_http.call(
                 *self.world.control_address(), "POST",
-                f"/instances/{self.id}/heartbeat", {}, json.dumps({
-                    "service": self.service,
-                    "address": f"{self.host}:{self.port}", "zone": "here",
-                    "version": "v1", "concurrency": 4,
-                    "state": "draining" if self.draining else "ready",
-                    "sequence": sequence,
-                    "holds": [row[:3] for row in self.rows],
-                    "released": released}).encode(), timeout=1.0)
+                words.heartbeat_path(self.id), {}, json.dumps(words.heartbeat(
+                    self.service, f"{self.host}:{self.port}", self.draining,
+                    sequence, self.rows, released)).encode(), timeout=1.0)
             again = False
             if answer and answer[0] == 200 and sequence == self.sequence:
                 self.released = []
@@ -78,17 +79,17 @@
 
     def take(self, answer, sent):
         """@return whether there is something to report at once."""
-        if "holds" not in answer:
+        granted = words.grants(answer)
+        if granted is None:
             return False
-        hold = float(answer["hold_time"].removesuffix("ms")) / 1000
+        rows, hold = granted
         if time.monotonic() < self.ends:
-            kept = [tuple(row[:3]) for row in answer["holds"]]
+            kept = [tuple(row[:3]) for row in rows]
             for row in self.rows:
                 if tuple(row[:3]) not in kept and not any(
-                        new[0] <= row[1] and row[0] <= new[1]
-                        for new in answer["holds"]):
+                        new[0] <= row[1] and row[0] <= new[1] for new in rows):
                     self.released.append([row[0], row[1], f"h{row[2]}"])
-        self.rows = answer["holds"]
+        self.rows = rows
         self.ends = sent + hold / self.drift
         self.world.check_owners(self)
         return bool(self.released)
@@ -106,22 +107,22 @@
             writer.close()
 
     async def answer(self, first, fields, body, writer):
-        request = fields.get("x-attempt-id", "")
-        base = {"X-Attempt-Id": request, "X-Instance-Id": self.id}
-        if fields.get("x-expected-instance") != self.id:
+        request = fields.get(words.REQUEST_ID.lower(), "")
+        base = {words.REQUEST_ID: request, words.INSTANCE: self.id}
+        if fields.get(words.EXPECTED.lower()) != self.id:
             writer.write(soak_http.message(
                 "HTTP/1.1 421 Misdirected Request", base))
             return
-        if self.sharded and not self.holds(int(fields["x-shard-key"])):
+        if self.sharded and not self.holds(int(fields[words.KEY.lower()])):
             writer.write(soak_http.message(
                 "HTTP/1.1 421 Misdirected Request",
-                {**base, "X-Not-Executed": "1"}))
+                {**base, words.NOT_RUN: "1"}))
             return
         kind = first.split()[0]
         self.world.ran(request, kind, self)
         await asyncio.sleep(self.world.random.uniform(0.002, 0.03))
         writer.write(soak_http.message(
-            "HTTP/1.1 200 OK", {**base, SIGNATURE: "s." + request},
+            "HTTP/1.1 200 OK", {**base, words.SIGNATURE: "s." + request},
             body_for(request, kind)))
         await writer.drain()
 
@@ -159,9 +160,9 @@
         request = f"{self.number}-{self.sent}"
         read = self.random.random() < 0.5
         kind = "GET" if read else "POST"
-        fields = {"Host": "soak.example", "X-Attempt-Id": request,
-                  "X-Deadline-Ms": "2000",
-                  "X-Shard-Key": str(self.random.randrange(KEYS))}
+        fields = {"Host": "soak.example", words.REQUEST_ID: request,
+                  words.DEADLINE: "2000",
+                  words.KEY: str(self.random.randrange(KEYS))}
         path = "/board/x" if read else "/desk/x"
         writer.write(soak_http.message(f"{kind} {path} HTTP/1.1", fields))
         first, answer, body = await asyncio.wait_for(
@@ -175,9 +176,9 @@
         if status == 200:
             if body != body_for(request, kind):
                 world.broke(f"{request} got another answer: {body[:40]!r}")
-            if fields.get("x-attempt-id") != request:
-                world.broke(f"{request} got the answer of "
-                            f"{fields.get('x-attempt-id')}")
+            answered = fields.get(words.REQUEST_ID.lower())
+            if answered != request:
+                world.broke(f"{request} got the answer of {answered}")
         elif status == 503:
             world.refused(request, kind)
         elif status in (404, 400):
@@ -192,29 +193,19 @@
         self.version = 1
         self.acknowledged = {}
 
-    def route(self, name, prefix, service, kind, version):
-        return {"host": "soak.example", "path_prefix": prefix,
-                "route_type": kind, "timeout": "2000ms", "aim": "1000ms",
-                "priority": 1, "service": service, "max_attempts": 2,
-                "version": f"{version:08x}"}
-
     def first(self):
-        routes = {
-            "r-board": self.route("r-board", "/board/", "board", "safe", 1),
-            "r-desk": self.route("r-desk", "/desk/", "desk", "unsafe", 1)}
-        services = {
-            "board": {"sharded": True, "warm": "1s", "version": "00000001"},
-            "desk": {"version": "00000001"}}
-        return {"upsert": {"routes": routes, "services": services}}
+        return words.first_change({
+            "r-board": words.route("/board/", "board", True, 1),
+            "r-desk": words.route("/desk/", "desk", False, 1)})
 
     async def send(self, change):
         for _ in range(60):
             answer = await soak_http.call(
-                *self.world.control_address(), "POST", "/config/patch", {},
+                *self.world.control_address(), "POST", words.CHANGE_PATH, {},
                 json.dumps(change).encode(), timeout=1.2)
             if answer and answer[0] == 200:
                 for name, route in change["upsert"]["routes"].items():
-                    self.acknowledged[name] = int(route["version"], 16)
+                    self.acknowledged[name] = words.version_of(route)
                 return True
             if answer and answer[0] in (400, 409):
                 self.world.broke(f"a proper change got {answer}")
@@ -227,17 +218,17 @@
             await asyncio.sleep(0.7)
             self.version += 1
             name = f"r-extra-{self.version % 5}"
-            await self.send({"upsert": {"routes": {name: self.route(
-                name, f"/{name}/", "desk", "unsafe", self.version)}}})
+            await self.send(words.change({name: words.route(
+                f"/{name}/", "desk", False, self.version)}))
 
     async def read_back(self):
         for _ in range(80):
             answer = await soak_http.call(*self.world.control_address(), "GET",
-                                          "/config/get", {}, timeout=1.2)
+                                          words.READ_PATH, {}, timeout=1.2)
             if answer and answer[0] == 200:
                 stand = json.loads(answer[1])["routes"]
                 for name, version in self.acknowledged.items():
-                    found = int(stand.get(name, {}).get("version", "0"), 16)
+                    found = words.version_of(stand.get(name, {}))
                     if found < version:
                         self.world.broke(f"{name} stands at {found}, "
                                          f"acknowledged was {version}")
--- a/src/librattandyke/base/clock.h
+++ b/src/librattandyke/base/clock.h
@@ -45,6 +45,13 @@
   WallTime Wall() const override { return SystemClock().Wall(); }
 };
 
+/// @return a time lengthened or shortened by a factor.
+inline Duration
+Scaled(Duration aTime, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aTime * aFactor);
+}
+
 /// Random source of a decision: seeded by its owner, so that a run repeats.
 /// Not thread-safe.
 using Random = std::mt19937_64;
--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -13,6 +13,7 @@
 
 #include "base/endpoint.h"
 #include "net/frame_connection.h"
+#include "net/listen.h"
 
 namespace rattandyke::gateway {
 
@@ -55,22 +56,8 @@
 
   Result<void> Start()
   {
-    ErrorCode error;
-    const tcp::endpoint endpoint(asio::ip::make_address(listen.address, error),
-                                 listen.port);
-    if (!error) {
-      acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-      acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Fail(Code::AddressInUse,
-                  ToString(listen) + ": " + error.message());
+    if (Result<void> open = net::Listen(acceptor, listen); !open) {
+      return open;
     }
     Accept();
     return {};
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -24,6 +24,7 @@
 #include "log/log.h"
 #include "net/frame_connection.h"
 #include "net/frame_mesh.h"
+#include "net/listen.h"
 
 namespace rattandyke::gateway {
 
@@ -240,23 +241,8 @@
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
-    ErrorCode error;
-    const tcp::endpoint endpoint(
-      asio::ip::make_address(settings.callers->address, error),
-      settings.callers->port);
-    if (!error) {
-      acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-      acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Fail(Code::AddressInUse,
-                  ToString(*settings.callers) + ": " + error.message());
+    if (Result<void> open = net::Listen(acceptor, *settings.callers); !open) {
+      return open;
     }
     if (settings.readiness) {
       readiness = std::make_unique<CallServer>(
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -157,6 +157,7 @@
                    Holders& aHolders,
                    Instant aNow,
                    std::vector<KeySpan>& aGiven);
+  static void EndReservations(Group& aGroup, Instant aNow);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
   const Holders& HoldersOf(const std::string& aService,
--- /dev/null
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -0,0 +1,465 @@
+// Who gets free keys, and which keys a busy holder gives away.
+#include "gateway/granter.h"
+
+#include <algorithm>
+
+#include "base/clock.h"
+#include "gateway/key_spans.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Times the heartbeat interval for which the first keys of a service wait for
+/// instances to announce themselves. All send one within an interval; without
+/// the wait the first of them would get all keys.
+constexpr double kGatherIntervals = 1.2;
+
+/// Rows of one answer. A row takes up to 45 bytes as text, an answer at most
+/// 4 KiB.
+constexpr size_t kMaxRows = 64;
+
+/// A piece of free keys is taken whole by an instance whose level it does not
+/// raise further above the even one than this.
+constexpr double kFits = 1.25;
+/// After this long it is cut for those that come, and later taken by anyone:
+/// keys without an owner are worse than keys with a busy one. Heartbeats of a
+/// service with a dozen instances come every 100 ms.
+constexpr Duration kChoosyTime = milliseconds{ 150 };
+constexpr Duration kUrgentTime = milliseconds{ 600 };
+/// An instance that has just given keys away does not take them back.
+constexpr Duration kNotTakenBack = milliseconds{ 1500 };
+/// Part of an even share that an instance gets then, however loaded it is.
+constexpr double kChoosyPart = 0.5;
+constexpr double kUrgentPart = 1.5;
+
+/// Speeds are taken as no further from the average than this.
+constexpr double kLeastSpeed = 0.25;
+constexpr double kMostSpeed = 2.0;
+/// An instance takes a little more than its share, so that the last pieces
+/// find a holder.
+constexpr double kQuotaSlack = 1.05;
+/// A holder gives keys away if so much of its slots is busy, and it has so much
+/// more than an even share. Below that, requests seldom wait, and each move
+/// leaves its keys without an owner for some 200 ms.
+constexpr double kBusy = 0.55;
+constexpr double kHotRatio = 1.25;
+/// Moves that one heartbeat of a holder may begin.
+constexpr size_t kMaxMoves = 5;
+/// Least part of an even share that is worth a move.
+constexpr double kLeastPiece = 0.15;
+/// Keys that alone overrun a holder, are this part of its load, and find an
+/// instance so much faster, are moved whole.
+constexpr double kOverrun = 0.95;
+constexpr double kDominant = 0.6;
+constexpr double kFaster = 1.4;
+/// Such keys are kept for that instance this long.
+constexpr Duration kMoveReserved = milliseconds{ 900 };
+/// Assumed for an instance that has not answered yet.
+constexpr double kDefaultSeconds = 0.1;
+
+} // namespace
+
+/// What the holder gives up is taken by the instances whose heartbeats come
+/// next: keys that wait for a certain instance's heartbeat have no owner.
+void
+Granter::PlanMoves(const Heartbeat& aHeartbeat,
+                   const State& aState,
+                   Instant aNow,
+                   std::vector<wire::GatewayCommand>& aCommands)
+{
+  const std::string& id = aHeartbeat.instance;
+  const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
+  const auto found = mGroups.find(aHeartbeat.service);
+  if (ranges == nullptr || found == mGroups.end()) {
+    return;
+  }
+  const Group& group = found->second;
+  Holders holders = HoldersOf(aHeartbeat.service, aState, aNow);
+  const auto own = holders.find(id);
+  const bool releasing =
+    std::any_of(ranges->Segments().begin(),
+                ranges->Segments().end(),
+                [&](const wire::RangeSegment& aSegment) {
+                  return aSegment.held_back() && aSegment.holder() == id;
+                });
+  if (own == holders.end() || releasing) {
+    return;
+  }
+  Holder& hot = own->second;
+  const double even = EvenLevel(group, holders);
+  if (hot.busy < kBusy || hot.Level() < kHotRatio * even) {
+    return;
+  }
+  std::vector<KeySpan> given;
+  MoveHotKeys(aHeartbeat, *ranges, holders, aNow, given);
+  std::vector<Holder> cold;
+  for (const auto& [other, holder] : holders) {
+    if (other != id && holder.Level() < even) {
+      cold.push_back(holder);
+    }
+  }
+  std::sort(cold.begin(), cold.end(), [](const auto& aOne, const auto& aOther) {
+    return aOne.Level() < aOther.Level();
+  });
+  for (const Holder& taker : cold) {
+    // As much as brings one of the two to the even level.
+    const double wanted =
+      std::min(hot.load - even * hot.speed, even * taker.speed - taker.load);
+    if (given.size() >= kMaxMoves || wanted < kLeastPiece * even * hot.speed) {
+      break;
+    }
+    if (const auto slice = SliceOf(id, *ranges, group.load, given, wanted)) {
+      hot.load -= group.load.Of(*slice);
+      given.push_back(*slice);
+    }
+  }
+  HoldBack(aHeartbeat, given, aCommands);
+}
+
+/// The keys are left out of the instance's answers from then on, by the
+/// replicated state, so that a new leader goes on with it.
+void
+Granter::HoldBack(const Heartbeat& aHeartbeat,
+                  const std::vector<KeySpan>& aSpans,
+                  std::vector<wire::GatewayCommand>& aCommands)
+{
+  if (aSpans.empty()) {
+    return;
+  }
+  wire::HoldBackRanges* held =
+    aCommands.emplace_back().mutable_hold_back_ranges();
+  held->set_service(aHeartbeat.service);
+  held->set_holder(aHeartbeat.instance);
+  for (const KeySpan& keys : aSpans) {
+    wire::KeyRange* range = held->add_ranges();
+    range->set_from(keys.from);
+    range->set_to(keys.to);
+  }
+}
+
+/// Keys that alone are more than their holder can take can't be divided. They
+/// go to the instance that can take the most, if that is clearly more; it then
+/// gives its other keys away.
+void
+Granter::MoveHotKeys(const Heartbeat& aHeartbeat,
+                     const RangeTable& aRanges,
+                     Holders& aHolders,
+                     Instant aNow,
+                     std::vector<KeySpan>& aGiven)
+{
+  Group& group = mGroups[aHeartbeat.service];
+  Holder& hot = aHolders.at(aHeartbeat.instance);
+  std::optional<KeySpan> busiest;
+  double most = 0;
+  for (const wire::RangeSegment& segment : aRanges.Segments()) {
+    if (segment.holder() != aHeartbeat.instance) {
+      continue;
+    }
+    const KeySpan keys = group.load.BusiestOf(SpanOf(segment));
+    if (group.load.Of(keys) > most) {
+      most = group.load.Of(keys);
+      busiest = keys;
+    }
+  }
+  if (!busiest || hot.busy < kOverrun || most < kDominant * hot.load) {
+    return;
+  }
+  const auto best = std::max_element(
+    aHolders.begin(), aHolders.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.second.speed < aOther.second.speed;
+    });
+  if (best->second.speed > kFaster * hot.speed) {
+    hot.load -= most;
+    best->second.load += most;
+    group.moves.push_back(Move{ best->first, *busiest, aNow });
+    aGiven.push_back(*busiest);
+  }
+}
+
+void
+Granter::EndReservations(Group& aGroup, Instant aNow)
+{
+  std::erase_if(aGroup.moves, [&](const Move& aMove) {
+    return aNow - aMove.startedAt >= kMoveReserved;
+  });
+}
+
+const Granter::Move*
+Granter::MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow)
+{
+  for (const Move& move : aGroup.moves) {
+    if (aNow - move.startedAt < kMoveReserved && Overlap(aKeys, move.keys)) {
+      return &move;
+    }
+  }
+  return nullptr;
+}
+
+bool
+Granter::AwaitsKeys(const Heartbeat& aHeartbeat,
+                    const State& aState,
+                    Instant aNow)
+{
+  const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
+  const auto group = mGroups.find(aHeartbeat.service);
+  if (ranges == nullptr || group == mGroups.end()) {
+    return false;
+  }
+  const bool released = std::any_of(
+    ranges->Segments().begin(),
+    ranges->Segments().end(),
+    [&](const wire::RangeSegment& aSegment) {
+      return aSegment.held_back() && aSegment.holder() != aHeartbeat.instance;
+    });
+  if (!released) {
+    return false;
+  }
+  const Holders& holders = HoldersOf(aHeartbeat.service, aState, aNow);
+  const auto own = holders.find(aHeartbeat.instance);
+  return own != holders.end() &&
+         own->second.Level() < EvenLevel(group->second, holders);
+}
+
+/// Summing up takes a pass over all instances and segments; between two ticks
+/// it is done once for each state.
+const Granter::Holders&
+Granter::HoldersOf(const std::string& aService,
+                   const State& aState,
+                   Instant aNow)
+{
+  Group& group = mGroups[aService];
+  if (group.holdersAt != aState.Applied()) {
+    group.holders = SumUpHolders(aService, aState, aNow);
+    group.holdersAt = aState.Applied();
+  }
+  return group.holders;
+}
+
+Granter::Holders
+Granter::SumUpHolders(const std::string& aService,
+                      const State& aState,
+                      Instant aNow) const
+{
+  Holders holders;
+  double sum = 0;
+  size_t timed = 0;
+  for (const auto& [id, instance] : aState.Instances()) {
+    if (instance.service() != aService || !IsActive(instance, aNow)) {
+      continue;
+    }
+    Holder& holder = holders[id];
+    const auto seconds = mSeconds.find(id);
+    holder.speed = 0;
+    if (seconds != mSeconds.end()) {
+      holder.speed = std::max(instance.slots(), 1U) / seconds->second;
+      sum += holder.speed;
+      ++timed;
+    }
+  }
+  // Speeds relative to the average, within bounds: a slow one still takes some
+  // load, or its speed would never be seen to change.
+  const double average = timed == 0 ? 1 : sum / static_cast<double>(timed);
+  for (auto& [id, holder] : holders) {
+    holder.speed =
+      holder.speed == 0
+        ? 1
+        : std::clamp(holder.speed / average, kLeastSpeed, kMostSpeed);
+  }
+  const RangeTable* ranges = aState.Ranges(aService);
+  const auto group = mGroups.find(aService);
+  if (ranges == nullptr || group == mGroups.end()) {
+    return holders;
+  }
+  const auto add = [&](const std::string& aId, KeySpan aKeys) {
+    const auto found = holders.find(aId);
+    if (found == holders.end()) {
+      return;
+    }
+    const auto seconds = mSeconds.find(aId);
+    const double time =
+      seconds == mSeconds.end() ? kDefaultSeconds : seconds->second;
+    const uint32_t slots = std::max(aState.FindInstance(aId)->slots(), 1U);
+    found->second.load += group->second.load.Of(aKeys);
+    found->second.busy += group->second.load.Rate(aKeys) * time / slots;
+  };
+  for (const wire::RangeSegment& segment : ranges->Segments()) {
+    if (!segment.held_back()) {
+      add(segment.holder(), SpanOf(segment));
+    }
+  }
+  return holders;
+}
+
+double
+Granter::EvenLevel(const Group& aGroup, const Holders& aHolders)
+{
+  double speed = 0;
+  for (const auto& [id, holder] : aHolders) {
+    speed += holder.speed;
+  }
+  return aGroup.load.Total() / std::max(speed, kLeastSpeed);
+}
+
+void
+Granter::UpdatePool(const std::string& aService,
+                    const State& aState,
+                    Instant aNow)
+{
+  Group& group = mGroups[aService];
+  const RangeTable* ranges = aState.Ranges(aService);
+  const bool free =
+    ranges == nullptr ||
+    std::any_of(ranges->Segments().begin(),
+                ranges->Segments().end(),
+                [](const auto& aSegment) { return aSegment.holder().empty(); });
+  if (!free) {
+    group.freeSince.reset();
+  } else if (!group.freeSince) {
+    group.freeSince = aNow;
+  }
+}
+
+std::optional<KeySpan>
+Granter::PieceFor(KeySpan aFree,
+                  const Group& aGroup,
+                  const Holder& aTaker,
+                  double aShare,
+                  Duration aAge,
+                  bool aFirst)
+{
+  const double load = aGroup.load.Of(aFree);
+  if (aTaker.load + load <= kFits * aShare) {
+    return aFree;
+  }
+  if (aFirst) {
+    const double room = aShare * kQuotaSlack - aTaker.load;
+    return room > 0 ? std::optional(aGroup.load.Take(aFree, room))
+                    : std::nullopt;
+  }
+  if (aAge < kChoosyTime) {
+    return std::nullopt;
+  }
+  const double part = aAge < kUrgentTime ? kChoosyPart : kUrgentPart;
+  const double room =
+    std::max(aShare * kQuotaSlack - aTaker.load, aShare * part);
+  return aGroup.load.Take(aFree, room);
+}
+
+std::optional<wire::GatewayCommand>
+Granter::PlanGrant(const Heartbeat& aHeartbeat,
+                   const State& aState,
+                   Instant aNow)
+{
+  const std::string& id = aHeartbeat.instance;
+  const wire::UpstreamInstance* instance = aState.FindInstance(id);
+  if (instance == nullptr || !OwnsKeys(aState, instance->service()) ||
+      mLeases[id].sequence != aHeartbeat.sequence ||
+      !IsActive(*instance, aNow)) {
+    return std::nullopt;
+  }
+  UpdatePool(instance->service(), aState, aNow);
+  Group& group = mGroups[instance->service()];
+  if (!group.firstInstance) {
+    group.firstInstance = aNow;
+  }
+  static const RangeTable sUntouched;
+  const RangeTable* known = aState.Ranges(instance->service());
+  const RangeTable& ranges = known == nullptr ? sUntouched : *known;
+  if (!group.freeSince) {
+    return std::nullopt;
+  }
+  const bool first = ranges.IsUntouched();
+  if (first && aNow - *group.firstInstance <
+                 Scaled(mOptions.heartbeatInterval, kGatherIntervals)) {
+    group.freeSince = aNow;
+    return std::nullopt;
+  }
+  const Holders& holders = HoldersOf(instance->service(), aState, aNow);
+  if (!holders.contains(id)) {
+    return std::nullopt;
+  }
+  Holder taker = holders.at(id);
+  const double share = EvenLevel(group, holders) * taker.speed;
+  const Duration age = aNow - *group.freeSince;
+  const std::optional<Instant>& released = mLeases[id].releasedAt;
+  if (released && age < kUrgentTime && aNow - *released < kNotTakenBack) {
+    return std::nullopt;
+  }
+  size_t rows = 0;
+  for (const wire::RangeSegment& segment : ranges.Segments()) {
+    rows += segment.holder() == id ? 1 : 0;
+  }
+  wire::GatewayCommand command;
+  wire::GrantRanges* grant = command.mutable_grant_ranges();
+  grant->set_service(instance->service());
+  grant->set_holder(id);
+  grant->set_sequence(aHeartbeat.sequence);
+  for (const wire::RangeSegment& segment : ranges.Segments()) {
+    if (!segment.holder().empty() || rows >= kMaxRows) {
+      continue;
+    }
+    KeySpan keys = SpanOf(segment);
+    const Move* move = MoveOf(group, keys, aNow);
+    if (move != nullptr && move->to != id) {
+      continue;
+    }
+    if (move == nullptr) {
+      const auto piece = PieceFor(keys, group, taker, share, age, first);
+      if (!piece) {
+        continue;
+      }
+      keys = *piece;
+    }
+    taker.load += group.load.Of(keys);
+    wire::KeyRange* range = grant->add_ranges();
+    range->set_from(keys.from);
+    range->set_to(keys.to);
+    range->set_handover(segment.handover());
+    ++rows;
+  }
+  if (grant->ranges_size() == 0) {
+    return std::nullopt;
+  }
+  return command;
+}
+
+std::optional<KeySpan>
+Granter::SliceOf(const std::string& aHolder,
+                 const RangeTable& aRanges,
+                 const LoadMap& aLoad,
+                 const std::vector<KeySpan>& aGiven,
+                 double aWanted)
+{
+  std::optional<KeySpan> best;
+  for (const wire::RangeSegment& segment : aRanges.Segments()) {
+    if (segment.holder() != aHolder) {
+      continue;
+    }
+    for (const KeySpan& keys : Without(SpanOf(segment), aGiven)) {
+      const auto slice = aLoad.TakeBusy(keys, aWanted);
+      if (slice && (!best || aLoad.Of(*slice) > aLoad.Of(*best))) {
+        best = slice;
+      }
+    }
+  }
+  return best;
+}
+
+void
+Granter::NoteTime(const std::string& aInstance, double aSeconds)
+{
+  if (aSeconds > 0) {
+    mSeconds[aInstance] = aSeconds;
+  }
+}
+
+void
+Granter::AddLoad(const wire::RangeLoad& aLoad)
+{
+  mGroups[aLoad.service()].load.Add(aLoad);
+}
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/items.cpp
+++ b/src/librattandyke/gateway/items.cpp
@@ -23,7 +23,7 @@
   if (aRoute.host().empty()) {
     return Invalid(name + " names no host.");
   }
-  const std::string& prefix = aRoute.path_prefix();
+  const std::string& prefix = aRoute.prefix();
   if (!prefix.starts_with('/') || !prefix.ends_with('/')) {
     return Invalid(name + " has a prefix without a slash at both ends.");
   }
@@ -132,7 +132,7 @@
 {
   std::set<std::pair<std::string, std::string>> places;
   for (const auto& [name, route] : aItems.Routes()) {
-    if (!places.emplace(route.host(), route.path_prefix()).second) {
+    if (!places.emplace(route.host(), route.prefix()).second) {
       return Invalid("Route '" + name + "' has the place of another.");
     }
     for (const wire::RoutePart& part : route.parts()) {
--- a/src/librattandyke/gateway/items_test.cpp
+++ b/src/librattandyke/gateway/items_test.cpp
@@ -26,7 +26,7 @@
   wire::RouteItem route;
   route.set_name(aName);
   route.set_host("board.example");
-  route.set_path_prefix("/" + aName + "/");
+  route.set_prefix("/" + aName + "/");
   route.set_timeout_ms(1000);
   route.set_max_attempts(2);
   route.set_version(aVersion);
@@ -139,7 +139,7 @@
   };
   invalid([](wire::RouteItem& aRoute) { aRoute.set_max_attempts(0); });
   invalid([](wire::RouteItem& aRoute) { aRoute.clear_host(); });
-  invalid([](wire::RouteItem& aRoute) { aRoute.set_path_prefix("/bad"); });
+  invalid([](wire::RouteItem& aRoute) { aRoute.set_prefix("/bad"); });
   invalid([](wire::RouteItem& aRoute) { aRoute.set_timeout_ms(0); });
   invalid(
     [](wire::RouteItem& aRoute) { aRoute.mutable_parts(0)->set_weight(-1); });
@@ -148,7 +148,7 @@
   invalid([](wire::RouteItem& aRoute) {
     aRoute.mutable_parts(0)->set_service("nobody");
   });
-  invalid([](wire::RouteItem& aRoute) { aRoute.set_path_prefix("/good/"); });
+  invalid([](wire::RouteItem& aRoute) { aRoute.set_prefix("/good/"); });
 }
 
 TEST(ItemTable, ServiceInUseCannotBeDropped)
--- /dev/null
+++ b/src/librattandyke/gateway/key_spans.cpp
@@ -0,0 +1,61 @@
+#include "gateway/key_spans.h"
+
+#include <algorithm>
+
+namespace rattandyke::gateway {
+
+std::optional<KeySpan>
+Overlap(KeySpan aOne, KeySpan aOther)
+{
+  const KeySpan common{ std::max(aOne.from, aOther.from),
+                        std::min(aOne.to, aOther.to) };
+  if (common.from > common.to) {
+    return std::nullopt;
+  }
+  return common;
+}
+
+KeySpan
+SpanOf(const wire::RangeSegment& aSegment)
+{
+  return { aSegment.from(), aSegment.to() };
+}
+
+namespace {
+
+/// @return what is left of a span without another.
+std::vector<KeySpan>
+Without(KeySpan aSpan, KeySpan aTaken)
+{
+  std::vector<KeySpan> rest;
+  const auto common = Overlap(aSpan, aTaken);
+  if (!common) {
+    return { aSpan };
+  }
+  if (aSpan.from < common->from) {
+    rest.push_back({ aSpan.from, common->from - 1 });
+  }
+  if (common->to < aSpan.to) {
+    rest.push_back({ common->to + 1, aSpan.to });
+  }
+  return rest;
+}
+
+} // namespace
+
+std::vector<KeySpan>
+Without(KeySpan aSpan, const std::vector<KeySpan>& aTaken)
+{
+  std::vector<KeySpan> rest{ aSpan };
+  for (const KeySpan& taken : aTaken) {
+    std::vector<KeySpan> next;
+    for (const KeySpan& part : rest) {
+      const auto parts = Without(part, taken);
+      next.insert(next.end(), parts.begin(), parts.end());
+    }
+    rest = std::move(next);
+  }
+  return rest;
+}
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/route_table.cpp
+++ b/src/librattandyke/gateway/route_table.cpp
@@ -12,7 +12,7 @@
   auto route = std::make_shared<Route>();
   route->name = aItem.name();
   route->host = aItem.host();
-  route->pathPrefix = aItem.path_prefix();
+  route->pathPrefix = aItem.prefix();
   route->idempotent = aItem.idempotent();
   route->timeout = std::chrono::milliseconds{ aItem.timeout_ms() };
   route->objective = std::chrono::milliseconds{ aItem.objective_ms() };
--- a/src/librattandyke/gateway/route_table_test.cpp
+++ b/src/librattandyke/gateway/route_table_test.cpp
@@ -13,7 +13,7 @@
   wire::RouteItem item;
   item.set_name(aName);
   item.set_host("h.example");
-  item.set_path_prefix(aPrefix);
+  item.set_prefix(aPrefix);
   item.set_timeout_ms(1000);
   item.set_max_attempts(1);
   item.set_version(aVersion);
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
+#include "net/listen.h"
 
 namespace rattandyke::net {
 
@@ -53,19 +54,8 @@
 
   Result<void> Start()
   {
-    ErrorCode error;
-    const tcp::endpoint endpoint = ToTcp(listen);
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-      acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Fail(Code::AddressInUse,
-                  ToString(listen) + ": " + error.message());
+    if (Result<void> open = net::Listen(acceptor, listen); !open) {
+      return open;
     }
     Accept();
     return {};
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -41,7 +41,7 @@
     /*decltype(_impl_.parts_)*/{}
   , /*decltype(_impl_.name_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.path_prefix_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.prefix_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.source_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.idempotent_)*/false
   , /*decltype(_impl_.timeout_ms_)*/0u
@@ -587,7 +587,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.name_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.host_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.path_prefix_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.prefix_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.idempotent_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.timeout_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RouteItem, _impl_.objective_ms_),
@@ -1002,130 +1002,130 @@
 
 const char descriptor_table_protodef_gateway_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\rgateway.proto\022\017rattandyke.wire\",\n\tRout"
-  "ePart\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"\356"
+  "ePart\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"\351"
   "\001\n\tRouteItem\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t"
-  "\022\023\n\013path_prefix\030\003 \001(\t\022\022\n\nidempotent\030\004 \001("
-  "\010\022\022\n\ntimeout_ms\030\005 \001(\r\022\024\n\014objective_ms\030\006 "
-  "\001(\r\022\020\n\010priority\030\007 \001(\r\022)\n\005parts\030\010 \003(\0132\032.r"
-  "attandyke.wire.RoutePart\022\024\n\014max_attempts"
-  "\030\t \001(\r\022\017\n\007version\030\n \001(\004\022\016\n\006source\030\013 \001(\t\""
-  "\216\001\n\013ServiceItem\022\014\n\004name\030\001 \001(\t\022\023\n\013health_"
-  "path\030\002 \001(\t\022\027\n\017max_connections\030\003 \001(\r\022\021\n\to"
-  "wns_keys\030\004 \001(\010\022\017\n\007warm_ms\030\005 \001(\r\022\017\n\007versi"
-  "on\030\006 \001(\004\022\016\n\006source\030\007 \001(\t\"\223\001\n\nLimitsItem\022"
-  "\030\n\020max_header_bytes\030\001 \001(\r\022\026\n\016max_body_by"
-  "tes\030\002 \001(\004\022\031\n\021header_timeout_ms\030\003 \001(\r\022\027\n\017"
-  "idle_timeout_ms\030\004 \001(\r\022\017\n\007version\030\005 \001(\004\022\016"
-  "\n\006source\030\006 \001(\t\",\n\013DroppedItem\022\014\n\004name\030\001 "
-  "\001(\t\022\017\n\007version\030\002 \001(\004\"\204\002\n\013ChangeItems\022*\n\006"
-  "routes\030\001 \003(\0132\032.rattandyke.wire.RouteItem"
-  "\022.\n\010services\030\002 \003(\0132\034.rattandyke.wire.Ser"
-  "viceItem\022+\n\006limits\030\003 \001(\0132\033.rattandyke.wi"
-  "re.LimitsItem\0224\n\016dropped_routes\030\004 \003(\0132\034."
-  "rattandyke.wire.DroppedItem\0226\n\020dropped_s"
-  "ervices\030\005 \003(\0132\034.rattandyke.wire.DroppedI"
-  "tem\"\207\001\n\020UpstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007"
-  "service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_c"
-  "entre\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 "
-  "\001(\r\022\020\n\010draining\030\007 \001(\010\"B\n\013PutInstance\0223\n\010"
-  "instance\030\001 \001(\0132!.rattandyke.wire.Upstrea"
-  "mInstance\"\031\n\013EndInstance\022\n\n\002id\030\001 \001(\t\"6\n\010"
-  "KeyRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010ha"
-  "ndover\030\003 \001(\t\"k\n\013GrantRanges\022\017\n\007service\030\001"
-  " \001(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)"
-  "\n\006ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRang"
-  "e\"X\n\nFreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006hold"
-  "er\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wi"
-  "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
-  "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
-  "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
-  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldB"
-  "ackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001"
-  "(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Key"
-  "Range\"\303\003\n\016GatewayCommand\0224\n\014change_items"
-  "\030\001 \001(\0132\034.rattandyke.wire.ChangeItemsH\000\0224"
-  "\n\014put_instance\030\002 \001(\0132\034.rattandyke.wire.P"
-  "utInstanceH\000\0224\n\014end_instance\030\003 \001(\0132\034.rat"
-  "tandyke.wire.EndInstanceH\000\0224\n\014grant_rang"
-  "es\030\004 \001(\0132\034.rattandyke.wire.GrantRangesH\000"
-  "\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyke.wire."
-  "FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattan"
-  "dyke.wire.PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\013"
-  "2\032.rattandyke.wire.DropEntryH\000\022;\n\020hold_b"
-  "ack_ranges\030\010 \001(\0132\037.rattandyke.wire.HoldB"
-  "ackRangesH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004f"
-  "rom\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n"
-  "\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handov"
-  "er\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRa"
-  "nges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132"
-  "\035.rattandyke.wire.RangeSegment\"\304\003\n\014Gatew"
-  "ayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\013"
-  "2\032.rattandyke.wire.RouteItem\022.\n\010services"
-  "\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006"
-  "limits\030\004 \001(\0132\033.rattandyke.wire.LimitsIte"
-  "m\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.w"
-  "ire.DroppedItem\0226\n\020dropped_services\030\006 \003("
-  "\0132\034.rattandyke.wire.DroppedItem\0224\n\tinsta"
-  "nces\030\007 \003(\0132!.rattandyke.wire.UpstreamIns"
-  "tance\022\027\n\017ended_instances\030\010 \003(\t\022.\n\006ranges"
-  "\030\t \003(\0132\036.rattandyke.wire.ServiceRanges\022-"
-  "\n\007entries\030\n \003(\0132\034.rattandyke.wire.EntryM"
-  "ember\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.ratta"
-  "ndyke.wire.EntryMember\022\017\n\007applied\030\002 \001(\004\""
-  "<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rattand"
-  "yke.wire.GatewayState\"N\n\013FeedCommand\022\r\n\005"
-  "index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyk"
-  "e.wire.GatewayCommand\"B\n\010FeedPing\022\017\n\007app"
-  "lied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age"
-  "_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022"
-  "\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014In"
-  "stanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030"
-  "\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.ra"
-  "ttandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035"
-  ".rattandyke.wire.InstanceTime\022\017\n\007leaving"
-  "\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wir"
-  "e.EntryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 \001"
-  "(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006"
-  "target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030"
-  "\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006"
-  "status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostRepor"
-  "t\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire.Range"
-  "Load\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.In"
-  "stanceTime\022-\n\007entries\030\003 \003(\0132\034.rattandyke"
-  ".wire.EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply_t"
-  "o\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
-  "\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010e"
-  "xcluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patie"
-  "nce_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_ce"
-  "ntre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnswer"
-  "\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005sta"
-  "te\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010"
-  "instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W"
-  "\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001("
-  "\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_u"
-  "s\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
-  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
-  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
-  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
-  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
-  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
-  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
-  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
-  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
-  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
-  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
-  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
-  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
-  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
-  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
-  "ndyke.wire.SlotDoneH\000B\006\n\004body*n\n\tSlotSta"
-  "te\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_S"
-  "TATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n"
-  "\022SLOT_STATE_REFUSED\020\003b\006proto3"
+  "\022\016\n\006prefix\030\003 \001(\t\022\022\n\nidempotent\030\004 \001(\010\022\022\n\n"
+  "timeout_ms\030\005 \001(\r\022\024\n\014objective_ms\030\006 \001(\r\022\020"
+  "\n\010priority\030\007 \001(\r\022)\n\005parts\030\010 \003(\0132\032.rattan"
+  "dyke.wire.RoutePart\022\024\n\014max_attempts\030\t \001("
+  "\r\022\017\n\007version\030\n \001(\004\022\016\n\006source\030\013 \001(\t\"\216\001\n\013S"
+  "erviceItem\022\014\n\004name\030\001 \001(\t\022\023\n\013health_path\030"
+  "\002 \001(\t\022\027\n\017max_connections\030\003 \001(\r\022\021\n\towns_k"
+  "eys\030\004 \001(\010\022\017\n\007warm_ms\030\005 \001(\r\022\017\n\007version\030\006 "
+  "\001(\004\022\016\n\006source\030\007 \001(\t\"\223\001\n\nLimitsItem\022\030\n\020ma"
+  "x_header_bytes\030\001 \001(\r\022\026\n\016max_body_bytes\030\002"
+  " \001(\004\022\031\n\021header_timeout_ms\030\003 \001(\r\022\027\n\017idle_"
+  "timeout_ms\030\004 \001(\r\022\017\n\007version\030\005 \001(\004\022\016\n\006sou"
+  "rce\030\006 \001(\t\",\n\013DroppedItem\022\014\n\004name\030\001 \001(\t\022\017"
+  "\n\007version\030\002 \001(\004\"\204\002\n\013ChangeItems\022*\n\006route"
+  "s\030\001 \003(\0132\032.rattandyke.wire.RouteItem\022.\n\010s"
+  "ervices\030\002 \003(\0132\034.rattandyke.wire.ServiceI"
+  "tem\022+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Li"
+  "mitsItem\0224\n\016dropped_routes\030\004 \003(\0132\034.ratta"
+  "ndyke.wire.DroppedItem\0226\n\020dropped_servic"
+  "es\030\005 \003(\0132\034.rattandyke.wire.DroppedItem\"\207"
+  "\001\n\020UpstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007servi"
+  "ce\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre"
+  "\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020"
+  "\n\010draining\030\007 \001(\010\"B\n\013PutInstance\0223\n\010insta"
+  "nce\030\001 \001(\0132!.rattandyke.wire.UpstreamInst"
+  "ance\"\031\n\013EndInstance\022\n\n\002id\030\001 \001(\t\"6\n\010KeyRa"
+  "nge\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010handove"
+  "r\030\003 \001(\t\"k\n\013GrantRanges\022\017\n\007service\030\001 \001(\t\022"
+  "\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006ran"
+  "ges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\"X\n\n"
+  "FreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 "
+  "\001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Ke"
+  "yRange\"3\n\013EntryMember\022\017\n\007address\030\001 \001(\t\022\023"
+  "\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005entry"
+  "\030\001 \001(\0132\034.rattandyke.wire.EntryMember\"\034\n\t"
+  "DropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldBackRa"
+  "nges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n"
+  "\006ranges\030\003 \003(\0132\031.rattandyke.wire.KeyRange"
+  "\"\303\003\n\016GatewayCommand\0224\n\014change_items\030\001 \001("
+  "\0132\034.rattandyke.wire.ChangeItemsH\000\0224\n\014put"
+  "_instance\030\002 \001(\0132\034.rattandyke.wire.PutIns"
+  "tanceH\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandy"
+  "ke.wire.EndInstanceH\000\0224\n\014grant_ranges\030\004 "
+  "\001(\0132\034.rattandyke.wire.GrantRangesH\000\0222\n\013f"
+  "ree_ranges\030\005 \001(\0132\033.rattandyke.wire.FreeR"
+  "angesH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke."
+  "wire.PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.ra"
+  "ttandyke.wire.DropEntryH\000\022;\n\020hold_back_r"
+  "anges\030\010 \001(\0132\037.rattandyke.wire.HoldBackRa"
+  "ngesH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004from\030\001"
+  " \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n\005fenc"
+  "e\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handover\030\006 "
+  "\001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRanges\022"
+  "\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rat"
+  "tandyke.wire.RangeSegment\"\304\003\n\014GatewaySta"
+  "te\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.ra"
+  "ttandyke.wire.RouteItem\022.\n\010services\030\003 \003("
+  "\0132\034.rattandyke.wire.ServiceItem\022+\n\006limit"
+  "s\030\004 \001(\0132\033.rattandyke.wire.LimitsItem\0224\n\016"
+  "dropped_routes\030\005 \003(\0132\034.rattandyke.wire.D"
+  "roppedItem\0226\n\020dropped_services\030\006 \003(\0132\034.r"
+  "attandyke.wire.DroppedItem\0224\n\tinstances\030"
+  "\007 \003(\0132!.rattandyke.wire.UpstreamInstance"
+  "\022\027\n\017ended_instances\030\010 \003(\t\022.\n\006ranges\030\t \003("
+  "\0132\036.rattandyke.wire.ServiceRanges\022-\n\007ent"
+  "ries\030\n \003(\0132\034.rattandyke.wire.EntryMember"
+  "\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke"
+  ".wire.EntryMember\022\017\n\007applied\030\002 \001(\004\"<\n\014Fe"
+  "edSnapshot\022,\n\005state\030\001 \001(\0132\035.rattandyke.w"
+  "ire.GatewayState\"N\n\013FeedCommand\022\r\n\005index"
+  "\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyke.wir"
+  "e.GatewayCommand\"B\n\010FeedPing\022\017\n\007applied\030"
+  "\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003"
+  " \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007bu"
+  "ckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014Instanc"
+  "eTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001"
+  "\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rattand"
+  "yke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.ratt"
+  "andyke.wire.InstanceTime\022\017\n\007leaving\030\003 \001("
+  "\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wire.Ent"
+  "ryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n"
+  "\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006targe"
+  "t\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r"
+  "\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006statu"
+  "s\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostReport\022)\n\005"
+  "loads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022"
+  ",\n\005times\030\002 \003(\0132\035.rattandyke.wire.Instanc"
+  "eTime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire"
+  ".EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
+  "(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007s"
+  "ervice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010exclud"
+  "ed\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_m"
+  "s\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030"
+  "\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007s"
+  "ession\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 "
+  "\001(\0162\032.rattandyke.wire.SlotState\022\020\n\010insta"
+  "nce\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W\n\010Slo"
+  "tDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006"
+  "ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001"
+  "(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000"
+  "\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wire.Fe"
+  "edOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattan"
+  "dyke.wire.FeedSnapshotH\000\0224\n\014feed_command"
+  "\030\004 \001(\0132\034.rattandyke.wire.FeedCommandH\000\022."
+  "\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire.Feed"
+  "PingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattandyke"
+  ".wire.FeedReportH\000\0228\n\016forwarded_call\030\007 \001"
+  "(\0132\036.rattandyke.wire.ForwardedCallH\000\022<\n\020"
+  "forwarded_answer\030\010 \001(\0132 .rattandyke.wire"
+  ".ForwardedAnswerH\000\0222\n\013host_report\030\t \001(\0132"
+  "\033.rattandyke.wire.HostReportH\000\022,\n\010slot_a"
+  "sk\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013"
+  "slot_answer\030\013 \001(\0132\033.rattandyke.wire.Slot"
+  "AnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke"
+  ".wire.SlotDoneH\000B\006\n\004body*n\n\tSlotState\022\032\n"
+  "\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_"
+  "QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT"
+  "_STATE_REFUSED\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4829, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4824, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, nullptr, 0, 34,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -1418,7 +1418,7 @@
       decltype(_impl_.parts_){from._impl_.parts_}
     , decltype(_impl_.name_){}
     , decltype(_impl_.host_){}
-    , decltype(_impl_.path_prefix_){}
+    , decltype(_impl_.prefix_){}
     , decltype(_impl_.source_){}
     , decltype(_impl_.idempotent_){}
     , decltype(_impl_.timeout_ms_){}
@@ -1445,12 +1445,12 @@
     _this->_impl_.host_.Set(from._internal_host(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.path_prefix_.InitDefault();
+  _impl_.prefix_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.path_prefix_.Set("", GetArenaForAllocation());
+    _impl_.prefix_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_path_prefix().empty()) {
-    _this->_impl_.path_prefix_.Set(from._internal_path_prefix(), 
+  if (!from._internal_prefix().empty()) {
+    _this->_impl_.prefix_.Set(from._internal_prefix(), 
       _this->GetArenaForAllocation());
   }
   _impl_.source_.InitDefault();
@@ -1475,7 +1475,7 @@
       decltype(_impl_.parts_){arena}
     , decltype(_impl_.name_){}
     , decltype(_impl_.host_){}
-    , decltype(_impl_.path_prefix_){}
+    , decltype(_impl_.prefix_){}
     , decltype(_impl_.source_){}
     , decltype(_impl_.idempotent_){false}
     , decltype(_impl_.timeout_ms_){0u}
@@ -1493,9 +1493,9 @@
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.host_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.path_prefix_.InitDefault();
+  _impl_.prefix_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.path_prefix_.Set("", GetArenaForAllocation());
+    _impl_.prefix_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
   _impl_.source_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
@@ -1517,7 +1517,7 @@
   _impl_.parts_.~RepeatedPtrField();
   _impl_.name_.Destroy();
   _impl_.host_.Destroy();
-  _impl_.path_prefix_.Destroy();
+  _impl_.prefix_.Destroy();
   _impl_.source_.Destroy();
 }
 
@@ -1534,7 +1534,7 @@
   _impl_.parts_.Clear();
   _impl_.name_.ClearToEmpty();
   _impl_.host_.ClearToEmpty();
-  _impl_.path_prefix_.ClearToEmpty();
+  _impl_.prefix_.ClearToEmpty();
   _impl_.source_.ClearToEmpty();
   ::memset(&_impl_.idempotent_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.max_attempts_) -
@@ -1568,13 +1568,13 @@
         } else
           goto handle_unusual;
         continue;
-      // string path_prefix = 3;
+      // string prefix = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_path_prefix();
+          auto str = _internal_mutable_prefix();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RouteItem.path_prefix"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RouteItem.prefix"));
         } else
           goto handle_unusual;
         continue;
@@ -1698,14 +1698,14 @@
         2, this->_internal_host(), target);
   }
 
-  // string path_prefix = 3;
-  if (!this->_internal_path_prefix().empty()) {
+  // string prefix = 3;
+  if (!this->_internal_prefix().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_path_prefix().data(), static_cast<int>(this->_internal_path_prefix().length()),
+      this->_internal_prefix().data(), static_cast<int>(this->_internal_prefix().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RouteItem.path_prefix");
+      "rattandyke.wire.RouteItem.prefix");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_path_prefix(), target);
+        3, this->_internal_prefix(), target);
   }
 
   // bool idempotent = 4;
@@ -1799,11 +1799,11 @@
         this->_internal_host());
   }
 
-  // string path_prefix = 3;
-  if (!this->_internal_path_prefix().empty()) {
+  // string prefix = 3;
+  if (!this->_internal_prefix().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_path_prefix());
+        this->_internal_prefix());
   }
 
   // string source = 11;
@@ -1868,8 +1868,8 @@
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
-  if (!from._internal_path_prefix().empty()) {
-    _this->_internal_set_path_prefix(from._internal_path_prefix());
+  if (!from._internal_prefix().empty()) {
+    _this->_internal_set_prefix(from._internal_prefix());
   }
   if (!from._internal_source().empty()) {
     _this->_internal_set_source(from._internal_source());
@@ -1921,8 +1921,8 @@
       &other->_impl_.host_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.path_prefix_, lhs_arena,
-      &other->_impl_.path_prefix_, rhs_arena
+      &_impl_.prefix_, lhs_arena,
+      &other->_impl_.prefix_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.source_, lhs_arena,
