Let a late connect timer not end the request

Ruled out: the shutdown of the entry (its grace time had 4 s left). Change: the handler looks whether the connection is still being made.

--- a/src/librattandyke/gateway/exchange.cpp
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -163,9 +163,13 @@
   auto connection = std::make_shared<UpstreamConnection>(mExecutor);
   aHandle->Attach(connection);
   ++mConnects;
+  // Safeguard: the timer may have run out in the moment in which the connection
+  // stands; its handler is then called although it was cancelled. It would
+  // close the connection in the middle of the request, which may have run.
+  auto connecting = std::make_shared<bool>(true);
   asio::steady_timer timer(mExecutor, kConnectTimeout);
-  timer.async_wait([connection](ErrorCode aError) {
-    if (!aError) {
+  timer.async_wait([connection, connecting](ErrorCode aError) {
+    if (!aError && *connecting) {
       connection->Close();
     }
   });
@@ -173,6 +177,7 @@
   const tcp::endpoint endpoint(
     asio::ip::make_address(address->address, ignored), address->port);
   auto [error] = co_await connection->socket.async_connect(endpoint, kAwait);
+  *connecting = false;
   timer.cancel();
   if (error || !connection->socket.is_open()) {
     co_return nullptr;
--- a/src/librattandyke/gateway/exchange_test.cpp
+++ b/src/librattandyke/gateway/exchange_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.h"
 
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +25,9 @@
 const HeaderNames kNames{ "Id",      "Deadline", "Signature", "Expected",
                           "Not-Run", "Instance", "Key" };
 
+/// More than an exchange waits for a connection to stand.
+constexpr milliseconds kLongerThanConnecting{ 300 };
+
 /// Answers each request on a connection with the next of some texts, then
 /// closes if it is told to.
 class ScriptedUpstream
@@ -249,5 +254,21 @@
   EXPECT_EQ(result.kind, Kind::NotSent);
 }
 
+// The connection stands in the moment in which the time for it runs out, since
+// the host paused: the timer's handler is called although the timer was
+// cancelled. It must not close the connection in the middle of the request.
+TEST_F(ExchangerTest, LateTimerOfConnectingDoesNotEndTheRequest)
+{
+  upstream = std::make_unique<ScriptedUpstream>(
+    context, std::vector<std::string>{ AnswerTo("r-1", "a") });
+  asio::co_spawn(context, SendAll(1), asio::detached);
+  while (exchanger.Connects() == 0) {
+    context.poll_one();
+  }
+  std::this_thread::sleep_for(kLongerThanConnecting);
+  context.run();
+  EXPECT_EQ(results.at(0).kind, Kind::Answer) << results.at(0).reason;
+}
+
 } // namespace
 } // namespace rattandyke::gateway
