Have few asks under way for one upstream, and take a part of its slots alone

Cause: when a busy key got a new owner, all requests that waited for it asked the home of its slots at once. Change: AskLine: two asks under way per entry and upstream, a refusal holds for those that wait and for 50 to 400 ms; alone an entry takes half of the slots and none right after a refusal; a pause of the asker is not the home's silence.

--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -45,7 +45,8 @@
 SlotBroker::Choose(const SlotRequest& aRequest, Instant aNow)
 {
   if (!aRequest.instance.empty()) {
-    return mUpstreams.ChooseOne(aRequest.instance, aNow);
+    return aRequest.alone ? mUpstreams.ChooseOneAlone(aRequest.instance, aNow)
+                          : mUpstreams.ChooseOne(aRequest.instance);
   }
   return mUpstreams.Choose(aRequest.service,
                            aRequest.group,
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -41,6 +41,8 @@
   /// Longest time for which it keeps the slot.
   Duration held{};
   DataCentre dataCentre;
+  /// Other hosts, unknown to this one, send requests to the same upstreams.
+  bool alone = false;
 };
 
 struct SlotGranted
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "http/signal.h"
+#include "log/log.h"
 #include "routing/service_table.h"
 
 namespace rattandyke::gateway {
@@ -16,6 +17,8 @@
 /// A home that says nothing for so long is busy, cut off or gone. Hosts are a
 /// few milliseconds apart; a host with a part of a core may pause for tens.
 constexpr milliseconds kHomeSilence{ 60 };
+/// A timer that is so late tells of a pause of this host.
+constexpr milliseconds kOwnPause{ 10 };
 /// How long a silent home is left alone.
 constexpr milliseconds kLeftAlone{ 400 };
 /// Beyond its patience, for the home's refusal to arrive.
@@ -132,6 +135,27 @@
   co_await aPending->context->Wake().async_wait(kAwait);
 }
 
+/// Waits for any answer of the home.
+asio::awaitable<void>
+SlotDesk::AwaitSign(std::shared_ptr<Pending> aPending, Instant aUntil)
+{
+  const auto heard = [&] {
+    return aPending->outcome || aPending->queued || aPending->context->IsOver();
+  };
+  while (!heard() && mClock.Now() < aUntil) {
+    co_await WaitFor(aPending, aUntil);
+  }
+  // Safeguard: a host that was paused itself finds the time over before it has
+  // read what came meanwhile. The home would be taken for silent, and a slot
+  // that it gave be left unused.
+  if (!heard() && mClock.Now() - aUntil >= Duration(kOwnPause)) {
+    const Instant again = mClock.Now() + Duration(kOwnPause);
+    while (!heard() && mClock.Now() < again) {
+      co_await WaitFor(aPending, again);
+    }
+  }
+}
+
 asio::awaitable<void>
 SlotDesk::AskHome(std::shared_ptr<Pending> aPending,
                   std::string aHome,
@@ -153,14 +177,14 @@
   ask->set_held_ms(Ms(aRequest.held).count());
   ask->set_data_centre(aRequest.dataCentre.value);
   const Instant asked = mClock.Now();
+  aPending->asked = true;
   mSend(HostName{ aHome }, frame);
-  const Instant silence = asked + Duration(kHomeSilence);
-  while (!aPending->outcome && !aPending->queued &&
-         !aPending->context->IsOver() && mClock.Now() < silence) {
-    co_await WaitFor(aPending, silence);
-  }
+  co_await AwaitSign(aPending, asked + Duration(kHomeSilence));
   if (!aPending->outcome && !aPending->queued && !aPending->context->IsOver()) {
     mSilentUntil[aHome] = mClock.Now() + Duration(kLeftAlone);
+    log::Line(log::Part::Entry, log::Severity::Info)
+      << "slots' home " << aHome << " is silent; goes by itself for "
+      << kLeftAlone.count() << " ms";
     co_return;
   }
   const Instant end = asked + aRequest.patience + Duration(kAnswerSlack);
@@ -170,6 +194,78 @@
   }
 }
 
+asio::awaitable<bool>
+SlotDesk::AwaitTurn(std::shared_ptr<Pending> aPending,
+                    const SlotRequest& aRequest)
+{
+  const uint64_t ticket = aRequest.key.ticket;
+  const Instant entered = mClock.Now();
+  const Instant end = entered + aRequest.patience;
+  AskLine::Verdict verdict =
+    mLine.Enter(ticket, aRequest.instance, aRequest.priority, entered);
+  if (std::holds_alternative<AskLine::MustWait>(verdict)) {
+    while (!aPending->turn && !aPending->context->IsOver() &&
+           mClock.Now() < end) {
+      co_await WaitFor(aPending, end);
+    }
+    if (!aPending->turn) {
+      mLine.Leave(ticket, aRequest.instance);
+      aPending->outcome =
+        NoSlot{ UpstreamSet::Hindrance::Full, Duration(kLeftAlone) };
+      co_return false;
+    }
+    verdict = *aPending->turn;
+  }
+  if (const auto* full = std::get_if<AskLine::IsFull>(&verdict)) {
+    aPending->outcome =
+      NoSlot{ UpstreamSet::Hindrance::Full, full->retryAfter };
+    co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<void>
+SlotDesk::AskInTurn(std::shared_ptr<Pending> aPending,
+                    std::string aHome,
+                    SlotRequest aRequest)
+{
+  const Instant end = mClock.Now() + aRequest.patience;
+  if (!co_await AwaitTurn(aPending, aRequest)) {
+    co_return;
+  }
+  // While it waited, the home may have been found to be silent.
+  if (!aPending->context->IsOver() && !IsSilent(aHome)) {
+    aRequest.patience = std::max(end - mClock.Now(), Duration::zero());
+    co_await AskHome(aPending, aHome, aRequest);
+  }
+  EndTurn(*aPending, aRequest);
+}
+
+void
+SlotDesk::EndTurn(const Pending& aPending, const SlotRequest& aRequest)
+{
+  if (!aPending.outcome) {
+    Tell(mLine.OnGivenUp(aRequest.instance));
+  } else if (const auto* none = std::get_if<NoSlot>(&*aPending.outcome)) {
+    Tell(mLine.OnRefused(
+      aRequest.instance, aRequest.priority, none->retryAfter, mClock.Now()));
+  } else {
+    Tell(mLine.OnGranted(aRequest.instance));
+  }
+}
+
+void
+SlotDesk::Tell(const std::vector<AskLine::Turn>& aTurns)
+{
+  for (const AskLine::Turn& turn : aTurns) {
+    const auto found = mPending.find(turn.ticket);
+    if (found != mPending.end()) {
+      found->second->turn = turn.verdict;
+      found->second->context->Wake().cancel();
+    }
+  }
+}
+
 asio::awaitable<void>
 SlotDesk::AskHere(std::shared_ptr<Pending> aPending,
                   const SlotRequest& aRequest)
@@ -206,6 +302,7 @@
     outcome.reset();
   }
   if (!outcome && !aContext->IsOver()) {
+    aRequest.alone = !home.empty() && home != mSelf;
     outcome = co_await AcquireFrom({}, aContext, aRequest);
   }
   co_return outcome.value_or(
@@ -224,13 +321,17 @@
   mPending[ticket] = pending;
   if (aHome.empty()) {
     co_await AskHere(pending, aRequest);
+  } else if (!aRequest.instance.empty()) {
+    co_await AskInTurn(pending, aHome, aRequest);
   } else {
     co_await AskHome(pending, aHome, aRequest);
   }
   mPending.erase(ticket);
   if (!pending->outcome) {
     // The caller left, or the answer is late: the slot may still be granted.
-    Release(Slot{ ticket, aHome, {}, {} }, TryEnd::Abandoned, {});
+    if (aHome.empty() || pending->asked) {
+      Release(Slot{ ticket, aHome, {}, {} }, TryEnd::Abandoned, {});
+    }
     const bool silent = !pending->queued;
     co_return silent ? std::nullopt
                      : std::optional<SlotOutcome>(NoSlot{
@@ -361,6 +462,7 @@
 SlotDesk::Tick()
 {
   Deliver(mBroker.Tick(mClock.Now()));
+  mLine.Sweep(mClock.Now());
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -13,6 +13,7 @@
 #include <rattandyke/types.h>
 
 #include "base/clock.h"
+#include "gateway/ask_line.h"
 #include "gateway/request_context.h"
 #include "gateway/slot_broker.h"
 #include "wire/gateway.pb.h"
@@ -82,6 +83,10 @@
   {
     std::shared_ptr<RequestContext> context;
     bool queued = false;
+    /// Whether its home has been asked.
+    bool asked = false;
+    /// What the line said to the request while it waited.
+    std::optional<AskLine::Verdict> turn;
     std::optional<SlotOutcome> outcome;
   };
 
@@ -92,9 +97,20 @@
     SlotRequest aRequest);
   std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
   bool IsSilent(const std::string& aHome) const;
+  boost::asio::awaitable<void> AwaitSign(std::shared_ptr<Pending> aPending,
+                                         Instant aUntil);
   boost::asio::awaitable<void> AskHome(std::shared_ptr<Pending> aPending,
                                        std::string aHome,
                                        const SlotRequest& aRequest);
+  /// Waits for a turn to ask the home of the request's one upstream.
+  /// @return whether it may ask now; if not, it has its outcome or is over.
+  boost::asio::awaitable<bool> AwaitTurn(std::shared_ptr<Pending> aPending,
+                                         const SlotRequest& aRequest);
+  boost::asio::awaitable<void> AskInTurn(std::shared_ptr<Pending> aPending,
+                                         std::string aHome,
+                                         SlotRequest aRequest);
+  void EndTurn(const Pending& aPending, const SlotRequest& aRequest);
+  void Tell(const std::vector<AskLine::Turn>& aTurns);
   boost::asio::awaitable<void> AskHere(std::shared_ptr<Pending> aPending,
                                        const SlotRequest& aRequest);
   boost::asio::awaitable<void> WaitFor(std::shared_ptr<Pending> aPending,
@@ -119,6 +135,7 @@
   /// Where the sessions that ask here are reached.
   std::map<uint64_t, std::string> mAskers;
   std::map<std::string, Instant> mSilentUntil;
+  AskLine mLine;
   uint64_t mLastTicket = 0;
 };
 
--- /dev/null
+++ b/src/librattandyke/gateway/slot_desk_test.cpp
@@ -0,0 +1,205 @@
+#include "gateway/slot_desk.h"
+
+#include <algorithm>
+#include <deque>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+namespace rattandyke::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// The system's clock, set forward by the test.
+class ShiftedClock final : public Clock
+{
+public:
+  Instant Now() const override { return mSystem.Now() + mAhead; }
+  WallTime Wall() const override { return mSystem.Wall(); }
+  void Advance(Duration aTime) { mAhead += aTime; }
+
+private:
+  SystemClock mSystem;
+  Duration mAhead{};
+};
+
+/// One desk, whose upstreams' home is another host that the test plays.
+class SlotDeskTest : public ::testing::Test
+{
+protected:
+  void Know(bool aDraining = false)
+  {
+    wire::GatewayCommand put;
+    wire::UpstreamInstance* instance =
+      put.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-1");
+    instance->set_service("desk");
+    instance->set_address("10.0.0.1:80");
+    instance->set_slots(4);
+    instance->set_draining(aDraining);
+    Apply(put);
+    wire::GatewayCommand entry;
+    entry.mutable_put_entry()->mutable_entry()->set_address(kHome);
+    Apply(entry);
+    desk.StateChanged(state);
+  }
+
+  void Apply(const wire::GatewayCommand& aCommand)
+  {
+    static_cast<void>(state.Apply(aCommand, LogIndex{ ++index }));
+  }
+
+  void Acquire(size_t aCount = 1)
+  {
+    for (size_t number = 0; number < aCount; ++number) {
+      SlotRequest request;
+      request.service = "desk";
+      request.instance = "i-1";
+      request.patience = milliseconds{ 2000 };
+      request.held = milliseconds{ 2000 };
+      asio::co_spawn(
+        context,
+        desk.Acquire(std::make_shared<RequestContext>(context.get_executor()),
+                     request),
+        [this](const std::exception_ptr&, SlotOutcome aOutcome) {
+          outcomes.push_back(std::move(aOutcome));
+        });
+    }
+  }
+
+  /// The home's answer to the oldest ask.
+  void Answer(wire::SlotState aState)
+  {
+    wire::SlotAnswer answer;
+    answer.set_session(asks.front().session());
+    answer.set_ticket(asks.front().ticket());
+    answer.set_state(aState);
+    answer.set_instance("i-1");
+    answer.set_retry_after_ms(200);
+    asks.pop_front();
+    asio::post(context, [this, answer] { desk.OnAnswer(answer); });
+  }
+
+  size_t Slots() const
+  {
+    return static_cast<size_t>(
+      std::count_if(outcomes.begin(), outcomes.end(), [](const auto& aOutcome) {
+        return std::holds_alternative<Slot>(aOutcome);
+      }));
+  }
+
+  void Sent(const wire::GatewayFrame& aFrame)
+  {
+    if (aFrame.has_slot_ask()) {
+      asks.push_back(aFrame.slot_ask());
+      ++asked;
+      if (answers) {
+        Answer(*answers);
+      }
+    } else if (aFrame.has_slot_done()) {
+      ends.push_back(aFrame.slot_done());
+    }
+  }
+
+  static constexpr const char* kHome = "10.0.0.9:1";
+  ShiftedClock clock;
+  asio::io_context context;
+  State state;
+  uint64_t index = 0;
+  std::deque<wire::SlotAsk> asks;
+  size_t asked = 0;
+  /// What the home answers by itself.
+  std::optional<wire::SlotState> answers;
+  std::vector<wire::SlotDone> ends;
+  std::vector<SlotOutcome> outcomes;
+  SlotDesk desk{ context.get_executor(),
+                 "10.0.0.1:1",
+                 77,
+                 [this](const HostName&, const wire::GatewayFrame& aFrame) {
+                   Sent(aFrame);
+                 },
+                 clock,
+                 7 };
+};
+
+// Three hundred requests for one key arrive at an entry at once. The home of
+// its owner's slots hears of two at a time, and all get their slots in turn.
+TEST_F(SlotDeskTest, HomeHearsFewAsksAtOnce)
+{
+  Know();
+  Acquire(300);
+  context.poll();
+  EXPECT_EQ(asks.size(), 2U);
+  while (!asks.empty()) {
+    Answer(wire::SLOT_STATE_GRANTED);
+    context.poll();
+    EXPECT_LE(asks.size(), 2U);
+  }
+  EXPECT_EQ(Slots(), 300U);
+  EXPECT_EQ(asked, 300U);
+}
+
+// The home refuses one request. The others, which it would refuse, too, have
+// their answer at once, without being asked for.
+TEST_F(SlotDeskTest, RefusalIsSharedByThoseThatWait)
+{
+  Know();
+  answers = wire::SLOT_STATE_REFUSED;
+  Acquire(300);
+  context.poll();
+  EXPECT_EQ(outcomes.size(), 300U);
+  EXPECT_EQ(Slots(), 0U);
+  EXPECT_LE(asked, 2U);
+}
+
+// A home was cut off before it heard that an upstream leaves, and gives a slot
+// there. The asking entry knows better: it gives the slot back, since the
+// upstream may end while the request runs.
+TEST_F(SlotDeskTest, SlotAtLeavingUpstreamIsGivenBack)
+{
+  Know(true);
+  clock.Advance(std::chrono::seconds{ 2 });
+  answers = wire::SLOT_STATE_GRANTED;
+  Acquire();
+  context.run_for(milliseconds{ 5 });
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends.front().end(), static_cast<uint32_t>(TryEnd::Abandoned));
+}
+
+// The home says nothing. The request goes by what this host knows itself, and
+// the next ones do not wait for the home again.
+TEST_F(SlotDeskTest, SilentHomeIsLeftAlone)
+{
+  Know();
+  Acquire();
+  context.run();
+  EXPECT_EQ(Slots(), 1U);
+  EXPECT_EQ(asked, 1U);
+  Acquire();
+  context.restart();
+  context.run();
+  EXPECT_EQ(Slots(), 2U);
+  EXPECT_EQ(asked, 1U);
+}
+
+// Alone, an entry takes a part of the slots only: the others that are alone, as
+// well, would overrun the upstream together.
+TEST_F(SlotDeskTest, AloneTakesAPartOfTheSlots)
+{
+  Know();
+  Acquire();
+  context.run();
+  Acquire(8);
+  context.restart();
+  context.poll();
+  EXPECT_EQ(Slots(), 2U);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -31,6 +31,9 @@
 /// its way back and the next request on its way there, a slot would be idle: a
 /// few ms of each 50 to 200.
 constexpr uint32_t kQueuedThere = 1;
+/// An entry that knows only its own requests takes one of so many slots: with
+/// all, some ten entries overrun an upstream that is asked for often.
+constexpr uint32_t kAlonePart = 2;
 constexpr double kLeastRate = 0.01;
 
 } // namespace
@@ -196,7 +199,7 @@
 }
 
 UpstreamSet::Outcome
-UpstreamSet::ChooseOne(const std::string& aInstance, Instant aNow)
+UpstreamSet::ChooseOne(const std::string& aInstance) const
 {
   const auto found = mUpstreams.find(aInstance);
   if (found == mUpstreams.end() || found->second.gone) {
@@ -208,6 +211,21 @@
   return Choice{ found->first, found->second.address };
 }
 
+UpstreamSet::Outcome
+UpstreamSet::ChooseOneAlone(const std::string& aInstance, Instant aNow) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  if (found == mUpstreams.end() || found->second.gone) {
+    return Hindrance::NoInstance;
+  }
+  const Upstream& upstream = found->second;
+  const uint32_t room = std::max(upstream.slots / kAlonePart, 1U);
+  if (upstream.running >= room || aNow < upstream.avoidUntil) {
+    return Hindrance::Full;
+  }
+  return Choice{ found->first, upstream.address };
+}
+
 std::string
 UpstreamSet::OwnerOf(const State& aState,
                      const std::string& aService,
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -70,7 +70,11 @@
                  Instant aNow);
 
   /// One instance, if it has room.
-  Outcome ChooseOne(const std::string& aInstance, Instant aNow);
+  Outcome ChooseOne(const std::string& aInstance) const;
+
+  /// The same while other hosts choose it, too, without telling this one: only
+  /// a part of its slots is taken, and none right after it failed or refused.
+  Outcome ChooseOneAlone(const std::string& aInstance, Instant aNow) const;
 
   /// @return the owner of a key that may be sent requests, or an empty text.
   std::string OwnerOf(const State& aState,
