Elect a leader sooner after all hosts were down, and log each change of role

Hosts encouraged a second candidate a few ms after they had voted for the first; those that asked in vain waited a whole election timeout; a first packet lost to a dark host kept the connection to it dead for 600 ms. Change: who has voted encourages nobody for the least election timeout; who asked in vain asks again after a fifth to a half of it; connections are tried for 150 ms. Replica::FollowsUpToDate tells whether a follower knows its leader's commits. One line a change of role.

--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -9,11 +9,37 @@
 
 #include "consensus/disk_thread.h"
 #include "consensus/participant.h"
+#include "log/log.h"
 
 namespace rattandyke::consensus {
 
 namespace {
 
+/// What an election changes.
+struct Standing
+{
+  Role role = Role::Follower;
+  Term term;
+  std::optional<HostName> leader;
+  bool operator==(const Standing&) const = default;
+};
+
+std::string_view
+NameOf(Role aRole)
+{
+  switch (aRole) {
+    case Role::Follower:
+      return "follower";
+    case Role::PreCandidate:
+      return "pre-candidate";
+    case Role::Candidate:
+      return "candidate";
+    case Role::Leader:
+      return "leader";
+  }
+  return {};
+}
+
 uint64_t
 RandomIdentity()
 {
@@ -168,9 +194,29 @@
       }
     }
     mStepping = false;
+    NoteRole();
     ArmTimer();
   }
 
+  /// One line for each change of role, term or leader: an election can be
+  /// followed from the logs of all hosts.
+  void NoteRole()
+  {
+    const Replica& log = mParticipant->Log();
+    const Standing standing{ log.CurrentRole(),
+                             log.CurrentTerm(),
+                             log.Leader() };
+    if (standing == mStanding) {
+      return;
+    }
+    mStanding = standing;
+    log::Line(log::Part::Raft, log::Severity::Info)
+      << "is " << NameOf(standing.role) << " in term " << standing.term.value
+      << ", leader " << (standing.leader ? standing.leader->value : "none")
+      << ", log up to " << log.Log().LastIndex() << ", commit "
+      << log.CommitIndex().value;
+  }
+
   void On(Send& aEffect)
   {
     mCallbacks.send(aEffect.to, aEffect.message.SerializeAsString());
@@ -267,6 +313,7 @@
   std::optional<Error> mDiskError;
   std::deque<Event> mEvents;
   bool mStepping = false;
+  Standing mStanding;
   bool mRunning = false;
   uint64_t mLastProposal = 0;
   std::map<ProposalId, ProposeDone> mWaiting;
@@ -331,6 +378,12 @@
                              : std::nullopt;
 }
 
+bool
+Driver::FollowsUpToDate() const
+{
+  return mImpl->mRunning && mImpl->mParticipant->Log().FollowsUpToDate();
+}
+
 HostIdentity
 Driver::Identity() const
 {
--- a/src/librattandyke/consensus/driver.h
+++ b/src/librattandyke/consensus/driver.h
@@ -103,6 +103,10 @@
   /// @return the leader that this host last heard, itself included.
   std::optional<HostName> LeaderHint() const;
 
+  /// Whether this host follows a leader and has applied all that was committed
+  /// before that leader's term (Replica::FollowsUpToDate).
+  bool FollowsUpToDate() const;
+
   /// @return the identity in the data folder; set once Start succeeded.
   HostIdentity Identity() const;
 
--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -27,21 +27,15 @@
   for (wire::LogEntry& entry : aRestored.entries) {
     AppendToLog(std::move(entry));
   }
-  // A leader gives leases for as long as nobody who heard it lately can vote.
-  // This host may have heard it just before the restart and forgot that: voting
-  // at once, it would help to elect a successor beside a leader that still
-  // gives leases, and a key could get two owners.
-  if (mTerm > 0) {
-    mHeardLeaderAt = aNow;
-  }
   // What was restored is on the disk already.
   mPending = Persist{};
   mHasPending = false;
   mSyncedIndex = mLog.LastIndex();
   ResetElectionTimer();
-  // Its process may have answered a leader just before it ended. Voting at once
-  // could elect another within the time in which that leader relies on the
-  // answer (QuorumContact); so it counts as having heard one now.
+  // Safeguard: its process may have answered a leader just before it ended.
+  // Voting at once could elect another within the time in which that leader
+  // relies on the answer (QuorumContact) and gives leases, and a key could get
+  // two owners; so it counts as having heard one now.
   if (mTerm > 0 || !IsEmpty()) {
     mHeardLeaderAt = mNow;
   }
@@ -84,6 +78,13 @@
   return AnsweredByMajority(aNow);
 }
 
+bool
+Replica::FollowsUpToDate() const
+{
+  return mRole == Role::Follower && mLeaderName &&
+         mLog.TermAt(mCommit) == mTerm;
+}
+
 std::optional<Instant>
 Replica::AnsweredByMajority(Instant aNow) const
 {
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -57,6 +57,12 @@
   /// No other is elected within electionTimeoutMin of it while this is so.
   std::optional<Instant> QuorumContact(Instant aNow) const;
 
+  /// Whether this replica follows a leader that has told it a commit of its own
+  /// term: all that was committed before that term is applied here. A host that
+  /// has just restarted follows a leader while its state is that of its last
+  /// snapshot, maybe minutes old.
+  bool FollowsUpToDate() const;
+
   GroupStatus Status(Instant aNow) const;
 
 private:
@@ -123,6 +129,7 @@
 
   // Elections (replica_election.cpp).
   void OnElectionTimeout();
+  void AskAgainSoon();
   void StartPreVote();
   void StartElection(bool aTransfer);
   void RequestVotes(bool aPreVote, bool aTransfer);
@@ -132,6 +139,7 @@
   void BecomeLeader();
   void FollowLeader(const wire::ConsensusMessage& aMessage);
   bool HeardLeaderRecently() const;
+  bool VotedRecently() const;
   bool IsUpToDate(const wire::VoteRequest& aRequest) const;
   void CheckQuorum();
   void ResetElectionTimer();
@@ -220,6 +228,7 @@
   uint64_t mApplied = 0;
   std::optional<HostName> mLeaderName;
   std::optional<Instant> mHeardLeaderAt;
+  std::optional<Instant> mVotedAt;
   Instant mElectionDue{};
   std::set<uint64_t> mVotes;
   std::optional<Snapshot> mIncoming;
--- a/src/librattandyke/consensus/replica_election.cpp
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -4,6 +4,15 @@
 
 namespace rattandyke::consensus {
 
+namespace {
+
+/// A host that asks in vain whether it could win asks again after a fifth to
+/// a half of the least election timeout.
+constexpr int kLeastAskPart = 5;
+constexpr int kMostAskPart = 2;
+
+} // namespace
+
 void
 Replica::ResetElectionTimer()
 {
@@ -14,6 +23,19 @@
   mElectionDue = mNow + Duration{ wait(mRandom) };
 }
 
+/// Safeguard: the first to miss the leader asks the others while these still
+/// count as having heard it, or before enough hosts are up again. With a whole
+/// election timeout until the next attempt the group would be without a leader
+/// for that much longer; the question changes no term, so it may come often.
+void
+Replica::AskAgainSoon()
+{
+  std::uniform_int_distribution<Duration::rep> wait(
+    (mOptions.electionTimeoutMin / kLeastAskPart).count(),
+    (mOptions.electionTimeoutMin / kMostAskPart).count());
+  mElectionDue = mNow + Duration{ wait(mRandom) };
+}
+
 void
 Replica::OnElectionTimeout()
 {
@@ -31,6 +53,7 @@
   // depose a working leader: it asks first whether it could win, which changes
   // no term.
   mRole = Role::PreCandidate;
+  AskAgainSoon();
   mVotes = { mSelf };
   if (VotesCounted() >= Majority(Members())) {
     StartElection(false);
@@ -46,6 +69,7 @@
   mLeaderName.reset();
   ++mTerm;
   mVote = mSelf;
+  mVotedAt = mNow;
   mVotes.clear();
   PersistHardState();
   ResetElectionTimer();
@@ -81,8 +105,12 @@
   wire::ConsensusMessage reply = NewMessage(aMessage.from());
   reply.mutable_vote_reply()->set_pre_vote(request.pre_vote());
   if (request.pre_vote()) {
+    // Safeguard: the leader that this host has just voted for is about to say
+    // so. Encouraged now, another host would depose it, and the group would be
+    // without a leader for one more election.
+    const bool leaderExpected = HeardLeaderRecently() || VotedRecently();
     const bool granted =
-      aMessage.term() > mTerm && !HeardLeaderRecently() && IsUpToDate(request);
+      aMessage.term() > mTerm && !leaderExpected && IsUpToDate(request);
     reply.mutable_vote_reply()->set_granted(granted);
     reply.set_term(granted ? aMessage.term() : mTerm);
     SendNow(ReplyTo(aMessage, std::move(reply)));
@@ -95,6 +123,7 @@
     PersistHardState();
   }
   if (granted) {
+    mVotedAt = mNow;
     ResetElectionTimer();
   }
   reply.mutable_vote_reply()->set_granted(granted);
@@ -187,6 +216,12 @@
   return mHeardLeaderAt && mNow - *mHeardLeaderAt < mOptions.electionTimeoutMin;
 }
 
+bool
+Replica::VotedRecently() const
+{
+  return mVotedAt && mNow - *mVotedAt < mOptions.electionTimeoutMin;
+}
+
 bool
 Replica::IsUpToDate(const wire::VoteRequest& aRequest) const
 {
--- a/src/librattandyke/consensus/replica_restart_test.cpp
+++ b/src/librattandyke/consensus/replica_restart_test.cpp
@@ -1,5 +1,7 @@
 #include "consensus/replica.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace rattandyke::consensus {
@@ -28,5 +30,115 @@
   EXPECT_EQ(replica.Status(start).term.value, 4U);
 }
 
+/// A message of a vote between hosts 2 (this one) and 3.
+wire::ConsensusMessage
+VoteOf(uint64_t aTerm, bool aPreVote)
+{
+  wire::ConsensusMessage asks;
+  asks.set_from(3);
+  asks.set_from_name("c");
+  asks.set_to(2);
+  asks.set_term(aTerm);
+  asks.mutable_vote_request()->set_last_index(9);
+  asks.mutable_vote_request()->set_pre_vote(aPreVote);
+  return asks;
+}
+
+bool
+Encourages(const std::vector<Effect>& aEffects)
+{
+  return std::any_of(aEffects.begin(), aEffects.end(), [](const Effect& aItem) {
+    const auto* send = std::get_if<Send>(&aItem);
+    return send != nullptr && send->message.vote_reply().granted();
+  });
+}
+
+// All hosts start at once. Two of them stand for election at nearly the same
+// time; one is voted for, and the other asks those who voted whether it could
+// win. Encouraged, it would depose the first a few milliseconds after it has
+// won, and the group would have no leader for one more election.
+TEST(ReplicaRestart, WhoHasJustVotedEncouragesNobodyElse)
+{
+  const Instant start{ std::chrono::hours(1) };
+  Replica replica(HostIdentity{ 2 }, HostName{ "b" }, {}, {}, 1, start);
+  replica.Step(MessageReceived{ VoteOf(4, false) }, start);
+  const Instant soon = start + std::chrono::milliseconds(20);
+  EXPECT_FALSE(
+    Encourages(replica.Step(MessageReceived{ VoteOf(5, true) }, soon)));
+  const Instant later = start + std::chrono::milliseconds(260);
+  EXPECT_TRUE(
+    Encourages(replica.Step(MessageReceived{ VoteOf(5, true) }, later)));
+}
+
+/// A restarted voter of a group of three.
+Replica
+RestartedVoter(Instant aNow)
+{
+  Restored restored;
+  restored.hardState.set_term(3);
+  wire::LogEntry& entry = restored.entries.emplace_back();
+  entry.set_index(1);
+  entry.set_term(3);
+  entry.set_kind(wire::ENTRY_KIND_CONFIGURATION);
+  wire::Configuration configuration;
+  configuration.set_group(1);
+  for (uint64_t identity = 2; identity <= 4; ++identity) {
+    wire::GroupMember* member = configuration.add_members();
+    member->set_identity(identity);
+    member->set_name(std::to_string(identity));
+    member->set_voter(true);
+  }
+  entry.set_payload(configuration.SerializeAsString());
+  return {
+    HostIdentity{ 2 }, HostName{ "2" }, {}, std::move(restored), 1, aNow
+  };
+}
+
+// After a loss of power the first hosts that are up ask the others, in vain,
+// since these do not run yet. They ask again before another election timeout
+// is over: each 100 ms of it is time in which nobody is served.
+TEST(ReplicaRestart, HostThatAskedInVainAsksAgainSoon)
+{
+  const Instant start{ std::chrono::hours(1) };
+  Replica replica = RestartedVoter(start);
+  const Instant due = replica.NextDeadline();
+  replica.Step(Tick{}, due);
+  EXPECT_EQ(replica.CurrentRole(), Role::PreCandidate);
+  EXPECT_LE(replica.NextDeadline() - due, std::chrono::milliseconds(125));
+  EXPECT_GE(replica.NextDeadline() - due, std::chrono::milliseconds(50));
+}
+
+// A host that has restarted hears a new leader at once, but has applied its log
+// only as far as its last snapshot. Entries that subscribe to it would serve by
+// a configuration that is minutes old.
+TEST(ReplicaRestart, FollowerIsUpToDateOnceItsLeaderHasCommitted)
+{
+  const Instant start{ std::chrono::hours(1) };
+  Replica replica = RestartedVoter(start);
+  wire::ConsensusMessage append;
+  append.set_from(3);
+  append.set_from_name("3");
+  append.set_to(2);
+  append.set_group(1);
+  append.set_term(4);
+  wire::AppendRequest* request = append.mutable_append_request();
+  request->set_previous_index(1);
+  request->set_previous_term(3);
+  wire::LogEntry* entry = request->add_entries();
+  entry->set_index(2);
+  entry->set_term(4);
+  entry->set_kind(wire::ENTRY_KIND_NO_OP);
+  request->set_commit_index(1);
+  replica.Step(MessageReceived{ append }, start);
+  ASSERT_TRUE(replica.Leader().has_value());
+  EXPECT_FALSE(replica.FollowsUpToDate());
+  request->clear_entries();
+  request->set_previous_index(2);
+  request->set_previous_term(4);
+  request->set_commit_index(2);
+  replica.Step(MessageReceived{ append }, start);
+  EXPECT_TRUE(replica.FollowsUpToDate());
+}
+
 } // namespace
 } // namespace rattandyke::consensus
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -17,10 +17,12 @@
 using ErrorCode = boost::system::error_code;
 
 /// A connection that takes longer is given up; hosts are a few milliseconds
-/// apart.
-constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
+/// apart. The first packet of an attempt is lost if the other host is down or
+/// a link drops it, and the kernel repeats it after a second only: with a long
+/// attempt, a host that is up again is not heard of for that long.
+constexpr std::chrono::milliseconds kConnectTimeout{ 150 };
 /// Pause after a failed connection, so that a dead host costs little.
-constexpr std::chrono::milliseconds kRetryPause{ 100 };
+constexpr std::chrono::milliseconds kRetryPause{ 50 };
 /// Messages kept while a connection is made.
 constexpr size_t kMaxWaitingBytes = size_t{ 1024 } * 1024;
 
