--- a/src/librattandyke/gateway/ask_line.cpp
+++ b/src/librattandyke/gateway/ask_line.cpp
@@ -8,20 +8,38 @@
 
 using std::chrono::milliseconds;
 
-/// Asks under way for one upstream. One waits in the home's queue, one is on
-/// its way: more would only be ahead of other entries' requests.
-constexpr uint32_t kMostAsking = 2;
+/// Asks under way for one upstream, from all entries together, and from each at
+/// least: one waits in the home's queue, one is on its way. A home with a tenth
+/// of a core takes 0.5 ms for each.
+constexpr size_t kAsksAtOnce = 64;
+constexpr uint32_t kLeastAsking = 2;
+/// Asks a second for one upstream that is full, from all entries together.
+constexpr double kAsksASecond = 160;
 /// Time for which requests are refused after one refusal: an upstream of a few
-/// slots and some 100 ms a request has one free again.
-constexpr milliseconds kFirstFull{ 50 };
-/// After many: with 64 entries a home then hears 160 asks a second.
-constexpr milliseconds kLongestFull{ 400 };
-constexpr uint32_t kMostDoublings = 3;
+/// slots and some 100 ms a request has one free again. It doubles up to the
+/// time that an entry's part of the asks allows.
+constexpr milliseconds kFirstFull{ 20 };
+constexpr uint32_t kMostDoublings = 8;
 /// Refusals that are so old say nothing of the next one.
 constexpr milliseconds kForgottenAfter{ 1000 };
 
 } // namespace
 
+AskLine::AskLine(size_t aEntries)
+{
+  SetEntries(aEntries);
+}
+
+void
+AskLine::SetEntries(size_t aEntries)
+{
+  const size_t entries = std::max<size_t>(aEntries, 1);
+  mMostAsking =
+    std::max(static_cast<uint32_t>(kAsksAtOnce / entries), kLeastAsking);
+  mLongestFull = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(static_cast<double>(entries) / kAsksASecond));
+}
+
 AskLine::Verdict
 AskLine::Enter(uint64_t aTicket,
                const std::string& aInstance,
@@ -32,7 +50,7 @@
   if (aNow < line.fullUntil && aPriority >= line.fullPriority) {
     return IsFull{ std::max(line.retryAt - aNow, line.fullUntil - aNow) };
   }
-  if (line.asking < kMostAsking) {
+  if (line.asking < mMostAsking) {
     ++line.asking;
     return MayAsk{};
   }
@@ -52,11 +70,11 @@
 }
 
 std::vector<AskLine::Turn>
-AskLine::PassOn(Line& aLine)
+AskLine::PassOn(Line& aLine) const
 {
   aLine.asking -= aLine.asking > 0 ? 1 : 0;
   std::vector<Turn> turns;
-  while (aLine.asking < kMostAsking && !aLine.waiting.empty()) {
+  while (aLine.asking < mMostAsking && !aLine.waiting.empty()) {
     const auto first = aLine.waiting.begin();
     turns.push_back(Turn{ first->second, MayAsk{} });
     aLine.waiting.erase(first);
@@ -82,7 +100,7 @@
 {
   Line& line = mLines[aInstance];
   const Duration full = std::min<Duration>(
-    kFirstFull * (1U << std::min(line.refusals, kMostDoublings)), kLongestFull);
+    kFirstFull * (1U << std::min(line.refusals, kMostDoublings)), mLongestFull);
   ++line.refusals;
   line.fullPriority = aPriority;
   line.fullUntil = aNow + full;
--- a/src/librattandyke/gateway/ask_line.h
+++ b/src/librattandyke/gateway/ask_line.h
@@ -17,8 +17,9 @@
 /// hundreds of requests at once and resets them. So an entry has few asks under
 /// way for one upstream; other requests wait here, and after a refusal are
 /// refused here, too, for a time that doubles while refusals go on. It bounds
-/// what a home hears of one upstream to some tens of asks at once and a few a
-/// second of each entry, whatever the requests. Does no I/O. Not thread-safe.
+/// what a home hears of one upstream to some tens of asks at once and some
+/// hundreds a second, whatever the requests and the number of entries. Does no
+/// I/O. Not thread-safe.
 class AskLine
 {
 public:
@@ -43,6 +44,12 @@
     Verdict verdict;
   };
 
+  /// @param aEntries entry hosts that may ask the same homes, this one
+  /// included.
+  explicit AskLine(size_t aEntries = 1);
+
+  void SetEntries(size_t aEntries);
+
   /// A request wants a slot of an upstream.
   /// @param aPriority 0 goes first.
   Verdict Enter(uint64_t aTicket,
@@ -89,8 +96,10 @@
     Instant retryAt{};
   };
 
-  static std::vector<Turn> PassOn(Line& aLine);
+  std::vector<Turn> PassOn(Line& aLine) const;
 
+  uint32_t mMostAsking = 0;
+  Duration mLongestFull{};
   std::map<std::string, Line> mLines;
   uint64_t mArrivals = 0;
 };
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -96,6 +96,7 @@
   for (const auto& [address, member] : aState.Entries()) {
     mEntries.push_back(address);
   }
+  mLine.SetEntries(mEntries.size());
   Deliver(mBroker.Update(aState, mClock.Now()));
 }
 
