Balance by what upstreams take now: report only new times, wait only for answers in time

Every entry that had once sent an upstream a request while its home was silent went on reporting the time that it remembered, 2.5 times a second, and the last report won at the leader. Change: only times that changed are reported; owners of keys have a home each; a home is silent after 110 instead of 60 ms; a request waits no longer than leaves room for an answer in time; refusals name the owner.

--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -158,9 +158,10 @@
 
   void OnStateChanged(const wire::GatewayCommand* aCommand)
   {
-    const bool slots = aCommand == nullptr || aCommand->has_put_instance() ||
-                       aCommand->has_end_instance() ||
-                       aCommand->has_put_entry() || aCommand->has_drop_entry();
+    const bool slots =
+      aCommand == nullptr || aCommand->has_put_instance() ||
+      aCommand->has_end_instance() || aCommand->has_put_entry() ||
+      aCommand->has_drop_entry() || aCommand->has_change_items();
     if (slots) {
       desk.StateChanged(feed.Known());
     }
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -175,12 +175,11 @@
     }
   }
   mKeyLoads.clear();
-  mDesk.Broker().Upstreams().ForEachTime(
-    [&](const std::string& aInstance, double aSeconds) {
-      wire::InstanceTime* time = report.add_times();
-      time->set_instance(aInstance);
-      time->set_seconds(aSeconds);
-    });
+  for (const auto& [instance, seconds] : mDesk.TakeNewTimes()) {
+    wire::InstanceTime* time = report.add_times();
+    time->set_instance(instance);
+    time->set_seconds(seconds);
+  }
   return report;
 }
 
@@ -346,6 +345,7 @@
   request.service = aFlow.service;
   if (aFlow.key) {
     request.instance = co_await AwaitOwner(aFlow);
+    aFlow.owner = request.instance;
     if (request.instance.empty()) {
       co_return NoSlot{ UpstreamSet::Hindrance::NoOwner,
                         Duration(kRetryAfterNoOwner) };
@@ -357,6 +357,8 @@
   mMetrics.Observe("owner_wait", now - aFlow.arrived);
   request.priority = aFlow.route->priority;
   request.patience = std::max(PatienceEnd(aFlow) - now, Duration::zero());
+  request.aim = std::max<Duration>(
+    aFlow.arrived + Duration(aFlow.route->objective) - now, milliseconds{ 1 });
   request.held = std::max(aFlow.deadline - now, Duration::zero());
   request.dataCentre = mOptions.dataCentre;
   co_return co_await mDesk.Acquire(aFlow.context, std::move(request));
@@ -486,6 +488,7 @@
            << " service=" << aFlow.service
            << " key=" << (aFlow.key ? std::to_string(*aFlow.key) : "-")
            << " reason=" << aReason << " last=" << aFlow.lastReason
+           << " owner=" << (aFlow.owner.empty() ? "-" : aFlow.owner)
            << " upstream=" << aFlow.lastUpstream
            << " index=" << mFeed.Known().Applied().value
            << " age_ms=" << Ms(mFeed.Age())
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -101,6 +101,8 @@
     /// Somewhere it may have run.
     bool mayHaveRun = false;
     std::string lastReason;
+    /// Of its key, when it last asked for a slot.
+    std::string owner;
     std::string lastUpstream;
   };
 
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -1,6 +1,9 @@
 #include "gateway/slot_broker.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
 
 namespace rattandyke::gateway {
 
@@ -14,6 +17,11 @@
 /// A request is refused at once if it would have to wait this many times its
 /// patience: it would only come back later.
 constexpr double kHopeless = 1.3;
+/// Of an answer to its caller, through an entry host with a tenth of a core.
+constexpr milliseconds kWayBack{ 20 };
+/// Part of its patience for which a request waits even for a slow upstream: its
+/// time there is an average, and many take less.
+constexpr double kLeastPatience = 0.25;
 constexpr milliseconds kLeastRetryAfter{ 60 };
 constexpr milliseconds kMostRetryAfter{ 1000 };
 constexpr milliseconds kNoUpstreamRetryAfter{ 400 };
@@ -76,6 +84,27 @@
   mAnswers.emplace_back(SlotRefused{ aRequest.key, aHindrance, aRetryAfter });
 }
 
+/// Safeguard: a request that waits until its answer can only be late takes a
+/// slot, under load, from one whose answer would be in time; a busy upstream
+/// that is slow then answers nobody in time. So it waits no longer than leaves
+/// room for the answer.
+Duration
+SlotBroker::PatienceOf(const SlotRequest& aRequest) const
+{
+  if (aRequest.aim <= Duration::zero()) {
+    return aRequest.patience;
+  }
+  const double seconds =
+    aRequest.instance.empty()
+      ? mUpstreams.SecondsOf(aRequest.service, aRequest.group)
+      : mUpstreams.SecondsOfOne(aRequest.instance);
+  const auto answer = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(seconds));
+  const Duration left = aRequest.aim - answer - Duration(kWayBack);
+  return std::clamp(
+    left, Scaled(aRequest.patience, kLeastPatience), aRequest.patience);
+}
+
 Duration
 SlotBroker::ExpectedWait(const SlotRequest& aRequest) const
 {
@@ -112,17 +141,16 @@
     return TakeAnswers();
   }
   const Duration wait = ExpectedWait(aRequest);
-  const Duration bearable =
-    std::chrono::duration_cast<Duration>(aRequest.patience * kHopeless);
+  const Duration patience = PatienceOf(aRequest);
+  const Duration bearable = Scaled(patience, kHopeless);
   if (wait > bearable) {
     Refuse(aRequest,
            hindrance,
            std::clamp<Duration>(wait, kLeastRetryAfter, kMostRetryAfter));
     return TakeAnswers();
   }
-  mQueues[aRequest.service].emplace(
-    Place{ aRequest.priority, ++mArrivals },
-    Waiting{ aRequest, aNow + aRequest.patience });
+  mQueues[aRequest.service].emplace(Place{ aRequest.priority, ++mArrivals },
+                                    Waiting{ aRequest, aNow + patience });
   mAnswers.emplace_back(SlotQueued{ aRequest.key });
   return TakeAnswers();
 }
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -38,6 +38,8 @@
   uint32_t priority = 0;
   /// Time for which it waits.
   Duration patience{};
+  /// Time left in which its answer is still in time; zero: not said.
+  Duration aim{};
   /// Longest time for which it keeps the slot.
   Duration held{};
   DataCentre dataCentre;
@@ -95,6 +97,12 @@
 
   const UpstreamSet& Upstreams() const { return mUpstreams; }
 
+  /// UpstreamSet::TakeNewTimes.
+  std::map<std::string, double> TakeNewTimes()
+  {
+    return mUpstreams.TakeNewTimes();
+  }
+
   static constexpr Duration kTick = std::chrono::milliseconds{ 20 };
 
 private:
@@ -122,6 +130,7 @@
   void Refuse(const SlotRequest& aRequest,
               UpstreamSet::Hindrance aHindrance,
               Duration aRetryAfter);
+  Duration PatienceOf(const SlotRequest& aRequest) const;
   Duration ExpectedWait(const SlotRequest& aRequest) const;
   void Serve(const std::string& aService, Instant aNow);
   std::vector<SlotAnswer> TakeAnswers();
--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -203,5 +203,36 @@
   }
 }
 
+// An upstream takes 400 ms for each answer, and answers after 500 ms are late.
+// A request that waits 300 ms for it is late in any case, and the next one,
+// which waits behind it, too: none of them would be in time.
+TEST_F(SlotBrokerTest, NobodyWaitsUntilOnlyALateAnswerIsLeft)
+{
+  Use({ "a" }, 1);
+  for (uint64_t ticket = 1; ticket <= 30; ++ticket) {
+    broker.Ask(Request(ticket), now);
+    broker.Done({ 1, ticket }, TryEnd::Answered, milliseconds{ 400 }, now);
+  }
+  const auto ask = [&](uint64_t aTicket) {
+    SlotRequest request = Request(aTicket);
+    request.instance = "a";
+    request.patience = milliseconds{ 300 };
+    request.aim = milliseconds{ 500 };
+    return broker.Ask(request, now);
+  };
+  EXPECT_EQ(Count<SlotGranted>(ask(101)), 1U);
+  EXPECT_EQ(Count<SlotGranted>(ask(102)), 1U);
+  EXPECT_EQ(Count<SlotRefused>(ask(103)), 1U);
+}
+
+TEST_F(SlotBrokerTest, OnlyNewTimesAreReported)
+{
+  Use({ "a", "b" }, 1);
+  broker.Ask(Request(1), now);
+  broker.Done({ 1, 1 }, TryEnd::Answered, milliseconds{ 50 }, now);
+  EXPECT_EQ(broker.TakeNewTimes().size(), 1U);
+  EXPECT_TRUE(broker.TakeNewTimes().empty());
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -15,8 +15,9 @@
 using std::chrono::milliseconds;
 
 /// A home that says nothing for so long is busy, cut off or gone. Hosts are a
-/// few milliseconds apart; a host with a part of a core may pause for tens.
-constexpr milliseconds kHomeSilence{ 60 };
+/// few milliseconds apart; one with a tenth of a core as a quota of 10 ms in
+/// each 100 ms may pause for 90 ms.
+constexpr milliseconds kHomeSilence{ 110 };
 /// A timer that is so late tells of a pause of this host.
 constexpr milliseconds kOwnPause{ 10 };
 /// How long a silent home is left alone.
@@ -66,6 +67,7 @@
   request.group = aAsk.group();
   request.priority = aAsk.priority();
   request.patience = milliseconds{ aAsk.patience_ms() };
+  request.aim = milliseconds{ aAsk.aim_ms() };
   request.held = milliseconds{ aAsk.held_ms() };
   request.dataCentre = DataCentre{ aAsk.data_centre() };
   return request;
@@ -175,6 +177,7 @@
   ask->set_group(aRequest.group);
   ask->set_priority(aRequest.priority);
   ask->set_patience_ms(Ms(aRequest.patience).count());
+  ask->set_aim_ms(std::max<int64_t>(Ms(aRequest.aim).count(), int64_t{ 1 }));
   ask->set_held_ms(Ms(aRequest.held).count());
   ask->set_data_centre(aRequest.dataCentre.value);
   const Instant asked = mClock.Now();
@@ -236,7 +239,9 @@
   }
   // While it waited, the home may have been found to be silent.
   if (!aPending->context->IsOver() && !IsSilent(aHome)) {
-    aRequest.patience = std::max(end - mClock.Now(), Duration::zero());
+    const Duration left = std::max(end - mClock.Now(), Duration::zero());
+    aRequest.aim -= std::min(aRequest.patience - left, aRequest.aim);
+    aRequest.patience = left;
     co_await AskHome(aPending, aHome, aRequest);
   }
   EndTurn(*aPending, aRequest);
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -78,6 +78,12 @@
 
   const SlotBroker& Broker() const { return mBroker; }
 
+  /// UpstreamSet::TakeNewTimes.
+  std::map<std::string, double> TakeNewTimes()
+  {
+    return mBroker.TakeNewTimes();
+  }
+
 private:
   struct Pending
   {
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 #include "routing/service_table.h"
 
@@ -35,6 +36,9 @@
 /// all, some ten entries overrun an upstream that is asked for often.
 constexpr uint32_t kAlonePart = 2;
 constexpr double kLeastRate = 0.01;
+/// A request for a key has one upstream, so that a group has nothing to choose
+/// from: owners of keys are spread over all entries, most alone in their group.
+constexpr uint32_t kGroupsOfOwners = 4096;
 
 } // namespace
 
@@ -43,6 +47,20 @@
 {
 }
 
+uint32_t
+UpstreamSet::GroupsOf(const State& aState,
+                      const std::string& aService,
+                      uint32_t aSize)
+{
+  const auto& services = aState.Items().Services();
+  const auto found = services.find(aService);
+  if (found != services.end() && found->second.owns_keys()) {
+    return kGroupsOfOwners;
+  }
+  // A power of two: a few instances more or less seldom change it.
+  return std::bit_ceil((aSize + kGroupSize - 1) / kGroupSize);
+}
+
 void
 UpstreamSet::Update(const State& aState, Instant aNow)
 {
@@ -55,31 +73,37 @@
   for (const auto& [id, instance] : aState.Instances()) {
     ++sizes[instance.service()];
   }
+  std::map<std::string, uint32_t> groups;
+  for (const auto& [service, size] : sizes) {
+    groups[service] = GroupsOf(aState, service, size);
+  }
   for (const auto& [id, instance] : aState.Instances()) {
-    // A power of two: a few instances more or less seldom change it.
-    const uint32_t groups =
-      std::bit_ceil((sizes[instance.service()] + kGroupSize - 1) / kGroupSize);
     Upstream& upstream = mUpstreams[id];
     upstream.service = instance.service();
     upstream.address = instance.address();
     upstream.dataCentre = instance.data_centre();
     upstream.slots = std::max(instance.slots(), 1U);
-    upstream.group = static_cast<uint32_t>(routing::HashOf(id) % groups);
+    upstream.group =
+      static_cast<uint32_t>(routing::HashOf(id) % groups[instance.service()]);
     if (instance.draining() && !upstream.drainingSince) {
       upstream.drainingSince = aNow;
     }
   }
 }
 
+double
+UpstreamSet::SecondsOf(const Upstream& aUpstream)
+{
+  return aUpstream.seconds > 0 ? aUpstream.seconds : kDefaultSeconds;
+}
+
 double
 UpstreamSet::Score(const Upstream& aUpstream, const DataCentre& aNear)
 {
-  const double seconds =
-    aUpstream.seconds > 0 ? aUpstream.seconds : kDefaultSeconds;
   const double load =
     (aUpstream.running + 1.0) / static_cast<double>(aUpstream.slots);
   const double far = aUpstream.dataCentre == aNear.value ? 1.0 : kFarFactor;
-  return seconds * (0.5 + load) * far;
+  return SecondsOf(aUpstream) * (0.5 + load) * far;
 }
 
 uint32_t
@@ -91,9 +115,7 @@
 double
 UpstreamSet::Rate(const Upstream& aUpstream)
 {
-  const double seconds =
-    aUpstream.seconds > 0 ? aUpstream.seconds : kDefaultSeconds;
-  return aUpstream.slots / seconds;
+  return aUpstream.slots / SecondsOf(aUpstream);
 }
 
 double
@@ -117,6 +139,28 @@
                                    : std::max(Rate(found->second), kLeastRate);
 }
 
+double
+UpstreamSet::SecondsOf(const std::string& aService, uint32_t aGroup) const
+{
+  double sum = 0;
+  size_t count = 0;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (upstream.service == aService && upstream.group == aGroup &&
+        !upstream.gone && !upstream.drainingSince) {
+      sum += SecondsOf(upstream);
+      ++count;
+    }
+  }
+  return count == 0 ? kDefaultSeconds : sum / static_cast<double>(count);
+}
+
+double
+UpstreamSet::SecondsOfOne(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found == mUpstreams.end() ? kDefaultSeconds : SecondsOf(found->second);
+}
+
 uint32_t
 UpstreamSet::GroupOf(const std::string& aInstance) const
 {
@@ -274,6 +318,7 @@
       upstream.seconds == 0
         ? took
         : upstream.seconds + kNewest * (took - upstream.seconds);
+    upstream.newTime = true;
   }
   if (aEnd == TryEnd::Answered) {
     upstream.failures = 0;
@@ -290,6 +335,18 @@
   }
 }
 
+std::map<std::string, double>
+UpstreamSet::TakeNewTimes()
+{
+  std::map<std::string, double> times;
+  for (auto& [id, upstream] : mUpstreams) {
+    if (std::exchange(upstream.newTime, false) && !upstream.gone) {
+      times[id] = upstream.seconds;
+    }
+  }
+  return times;
+}
+
 uint32_t
 UpstreamSet::Running(const std::string& aInstance) const
 {
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -82,8 +82,9 @@
                       uint32_t aKey,
                       Instant aNow) const;
 
-  /// Instances of a service are in groups of about kGroupSize, so that the
-  /// sharing of their slots can be divided between hosts.
+  /// Instances of a service are in groups, so that the sharing of their slots
+  /// can be divided between hosts: of about kGroupSize, among which the least
+  /// busy is chosen; or, where a request has one owner, nearly each alone.
   uint32_t GroupOf(const std::string& aInstance) const;
 
   /// @return a group, drawn by the number of instances in it.
@@ -95,6 +96,10 @@
   double RateOf(const std::string& aService, uint32_t aGroup) const;
   double RateOfOne(const std::string& aInstance) const;
 
+  /// @return how long answers take, in seconds.
+  double SecondsOf(const std::string& aService, uint32_t aGroup) const;
+  double SecondsOfOne(const std::string& aInstance) const;
+
   /// @return the service of a known instance, or an empty text.
   std::string ServiceOf(const std::string& aInstance) const;
 
@@ -102,16 +107,10 @@
   /// text.
   std::string UsableAddress(const std::string& aInstance, Instant aNow) const;
 
-  /// Calls aEach(instance, seconds) for each instance that has answered.
-  template<typename Each>
-  void ForEachTime(Each aEach) const
-  {
-    for (const auto& [id, upstream] : mUpstreams) {
-      if (upstream.seconds > 0 && !upstream.gone) {
-        aEach(id, upstream.seconds);
-      }
-    }
-  }
+  /// Times of answers that changed since the last call, in seconds. Only these:
+  /// many hosts have once sent an instance something, and what they remember of
+  /// it would hide what those see that send it requests now.
+  std::map<std::string, double> TakeNewTimes();
 
   /// A try at an instance begins.
   /// @return whether it has to wait there for a slot.
@@ -140,6 +139,8 @@
     uint32_t running = 0;
     /// Moving average of answers' times, in seconds; 0: none yet.
     double seconds = 0;
+    /// Since TakeNewTimes.
+    bool newTime = false;
     /// Failures since the last answer.
     uint32_t failures = 0;
     Instant avoidUntil{};
@@ -147,9 +148,13 @@
     uint32_t group = 0;
   };
 
+  static uint32_t GroupsOf(const State& aState,
+                           const std::string& aService,
+                           uint32_t aSize);
   static bool IsUsable(const Upstream& aUpstream, Instant aNow);
   static uint32_t RoomOf(const Upstream& aUpstream);
   static double Score(const Upstream& aUpstream, const DataCentre& aNear);
+  static double SecondsOf(const Upstream& aUpstream);
   static double Rate(const Upstream& aUpstream);
 
   Random mRandom;
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -506,6 +506,7 @@
   , /*decltype(_impl_.patience_ms_)*/0u
   , /*decltype(_impl_.held_ms_)*/0u
   , /*decltype(_impl_.group_)*/0u
+  , /*decltype(_impl_.aim_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct SlotAskDefaultTypeInternal {
   PROTOBUF_CONSTEXPR SlotAskDefaultTypeInternal()
@@ -884,6 +885,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.held_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.data_centre_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.group_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.aim_ms_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -958,9 +960,9 @@
   { 278, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
   { 287, -1, -1, sizeof(::rattandyke::wire::HostReport)},
   { 296, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 313, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 324, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 335, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 314, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 325, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 336, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1092,40 +1094,40 @@
   "loads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022"
   ",\n\005times\030\002 \003(\0132\035.rattandyke.wire.Instanc"
   "eTime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire"
-  ".EntryMember\"\315\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
+  ".EntryMember\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
   "(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007s"
   "ervice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010exclud"
   "ed\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_m"
   "s\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030"
-  "\n \001(\t\022\r\n\005group\030\013 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007s"
-  "ession\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 "
-  "\001(\0162\032.rattandyke.wire.SlotState\022\020\n\010insta"
-  "nce\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W\n\010Slo"
-  "tDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006"
-  "ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001"
-  "(\r\"\353\004\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000"
-  "\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wire.Fe"
-  "edOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattan"
-  "dyke.wire.FeedSnapshotH\000\0224\n\014feed_command"
-  "\030\004 \001(\0132\034.rattandyke.wire.FeedCommandH\000\022."
-  "\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire.Feed"
-  "PingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattandyke"
-  ".wire.FeedReportH\000\0228\n\016forwarded_call\030\007 \001"
-  "(\0132\036.rattandyke.wire.ForwardedCallH\000\022<\n\020"
-  "forwarded_answer\030\010 \001(\0132 .rattandyke.wire"
-  ".ForwardedAnswerH\000\0222\n\013host_report\030\t \001(\0132"
-  "\033.rattandyke.wire.HostReportH\000\022,\n\010slot_a"
-  "sk\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013"
-  "slot_answer\030\013 \001(\0132\033.rattandyke.wire.Slot"
-  "AnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke"
-  ".wire.SlotDoneH\000B\006\n\004body*n\n\tSlotState\022\032\n"
-  "\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_"
-  "QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT"
-  "_STATE_REFUSED\020\003b\006proto3"
+  "\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n"
+  "\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002"
+  " \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Sl"
+  "otState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after"
+  "_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007s"
+  "ession\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001("
+  "\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tc"
+  "onsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.ra"
+  "ttandyke.wire.FeedOpenH\000\0226\n\rfeed_snapsho"
+  "t\030\003 \001(\0132\035.rattandyke.wire.FeedSnapshotH\000"
+  "\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke.wire"
+  ".FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.ratt"
+  "andyke.wire.FeedPingH\000\0222\n\013feed_report\030\006 "
+  "\001(\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016fo"
+  "rwarded_call\030\007 \001(\0132\036.rattandyke.wire.For"
+  "wardedCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 "
+  ".rattandyke.wire.ForwardedAnswerH\000\0222\n\013ho"
+  "st_report\030\t \001(\0132\033.rattandyke.wire.HostRe"
+  "portH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wi"
+  "re.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.ratt"
+  "andyke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 "
+  "\001(\0132\031.rattandyke.wire.SlotDoneH\000B\006\n\004body"
+  "*n\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020"
+  "\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_G"
+  "RANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4824, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4840, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, nullptr, 0, 34,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -10338,6 +10340,7 @@
     , decltype(_impl_.patience_ms_){}
     , decltype(_impl_.held_ms_){}
     , decltype(_impl_.group_){}
+    , decltype(_impl_.aim_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -10374,8 +10377,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.group_) -
-    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.group_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.aim_ms_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.aim_ms_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotAsk)
 }
 
@@ -10395,6 +10398,7 @@
     , decltype(_impl_.patience_ms_){0u}
     , decltype(_impl_.held_ms_){0u}
     , decltype(_impl_.group_){0u}
+    , decltype(_impl_.aim_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.reply_to_.InitDefault();
@@ -10449,8 +10453,8 @@
   _impl_.instance_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.group_) -
-      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.group_));
+      reinterpret_cast<char*>(&_impl_.aim_ms_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.aim_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -10563,6 +10567,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 aim_ms = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 96)) {
+          _impl_.aim_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -10678,6 +10690,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_group(), target);
   }
 
+  // uint32 aim_ms = 12;
+  if (this->_internal_aim_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(12, this->_internal_aim_ms(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -10760,6 +10778,11 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_group());
   }
 
+  // uint32 aim_ms = 12;
+  if (this->_internal_aim_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_aim_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -10809,6 +10832,9 @@
   if (from._internal_group() != 0) {
     _this->_internal_set_group(from._internal_group());
   }
+  if (from._internal_aim_ms() != 0) {
+    _this->_internal_set_aim_ms(from._internal_aim_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -10846,8 +10872,8 @@
       &other->_impl_.data_centre_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.group_)
-      + sizeof(SlotAsk::_impl_.group_)
+      PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.aim_ms_)
+      + sizeof(SlotAsk::_impl_.aim_ms_)
       - PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.session_)>(
           reinterpret_cast<char*>(&_impl_.session_),
           reinterpret_cast<char*>(&other->_impl_.session_));
