--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "log/log.h"
+#include "net/listen.h"
 
 namespace rattandyke::admin {
 
@@ -322,30 +323,7 @@
 Result<Endpoint>
 AdminServer::Bind()
 {
-  const Endpoint& listen = mImpl->options.listen;
-  ErrorCode error;
-  const auto address = asio::ip::make_address(listen.address, error);
-  const Tcp::endpoint endpoint(address, listen.port);
-  Tcp::acceptor& acceptor = mImpl->acceptor;
-  if (!error) {
-    acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    const bool taken = error == asio::error::address_in_use;
-    return Fail(taken ? Code::AddressInUse : Code::InvalidSettings,
-                "Cannot listen for operators on " + ToString(listen) + ": " +
-                  error.message() + ".");
-  }
-  return Endpoint{ listen.address, acceptor.local_endpoint().port() };
+  return net::Listen(mImpl->acceptor, mImpl->options.listen, "operators");
 }
 
 void
--- a/src/librattandyke/gateway/ask_line.cpp
+++ b/src/librattandyke/gateway/ask_line.cpp
@@ -111,8 +111,8 @@
     turns.push_back(Turn{ at->second, IsFull{ aRetryAfter } });
   }
   line.waiting.erase(refused, line.waiting.end());
-  for (Turn& turn : PassOn(line)) {
-    turns.push_back(std::move(turn));
+  for (const Turn& turn : PassOn(line)) {
+    turns.push_back(turn);
   }
   return turns;
 }
--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -56,8 +56,8 @@
 
   Result<void> Start()
   {
-    if (Result<void> open = net::Listen(acceptor, listen); !open) {
-      return open;
+    if (const auto open = net::Listen(acceptor, listen, "calls"); !open) {
+      return tl::unexpected(open.error());
     }
     Accept();
     return {};
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -57,6 +57,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeadTooLarge = 431;
 constexpr unsigned kUnavailable = 503;
@@ -136,7 +137,8 @@
           mesh->Send(aTo, aFrame.SerializeAsString());
         },
         aClock,
-        aSeed)
+        aSeed,
+        aSettings.drainTimeout)
     , handler(
         executor,
         { aSettings.dataCentre, aSettings.retryRatio, aSettings.retrySlack },
@@ -242,8 +244,9 @@
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
-    if (Result<void> open = net::Listen(acceptor, *settings.callers); !open) {
-      return open;
+    const auto open = net::Listen(acceptor, *settings.callers, "callers");
+    if (!open) {
+      return tl::unexpected(open.error());
     }
     if (settings.readiness) {
       readiness = std::make_unique<CallServer>(
@@ -283,6 +286,11 @@
                                                      CallRequest aCall)
   {
     const auto self = aSelf.lock();
+    if (self && !self->dialect.IsReadinessPath(aCall.target)) {
+      co_return CallAnswer{ kNotFound,
+                            "only readiness is asked here\n",
+                            "text/plain" };
+    }
     const bool ready = self && self->IsReady();
     co_return CallAnswer{ ready ? kOk : kUnavailable,
                           ready ? "ready\n" : "not ready\n",
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -259,11 +259,12 @@
       at->second.expiring = false;
     }
     const bool gone = !holds && aState.HasEnded(at->first);
-    if (gone) {
-      mSeconds.erase(at->first);
-    }
     at = gone ? mLeases.erase(at) : std::next(at);
   }
+  // Late reports tell of instances that have ended, too.
+  std::erase_if(mSeconds, [&](const auto& aItem) {
+    return aState.FindInstance(aItem.first) == nullptr;
+  });
 }
 
 std::vector<wire::GatewayCommand>
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-SlotBroker::SlotBroker(uint64_t aSeed)
-  : mUpstreams(aSeed)
+SlotBroker::SlotBroker(uint64_t aSeed, Duration aDrainTimeout)
+  : mUpstreams(aSeed, aDrainTimeout)
 {
 }
 
@@ -202,6 +202,21 @@
   return TakeAnswers();
 }
 
+bool
+SlotBroker::HasRequestOf(uint64_t aSession) const
+{
+  const auto running = mRunning.lower_bound({ aSession, 0 });
+  if (running != mRunning.end() && running->first.session == aSession) {
+    return true;
+  }
+  return std::any_of(mQueues.begin(), mQueues.end(), [&](const auto& aQueue) {
+    return std::any_of(
+      aQueue.second.begin(), aQueue.second.end(), [&](const auto& aWaiting) {
+        return aWaiting.second.request.key.session == aSession;
+      });
+  });
+}
+
 std::vector<SlotAnswer>
 SlotBroker::Tick(Instant aNow)
 {
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -79,7 +79,8 @@
 class SlotBroker
 {
 public:
-  explicit SlotBroker(uint64_t aSeed);
+  /// @param aDrainTimeout see UpstreamSet.
+  SlotBroker(uint64_t aSeed, Duration aDrainTimeout);
 
   /// Takes over the instances of the replicated state.
   std::vector<SlotAnswer> Update(const State& aState, Instant aNow);
@@ -97,6 +98,9 @@
 
   const UpstreamSet& Upstreams() const { return mUpstreams; }
 
+  /// @return whether a request of a process waits or has a slot here.
+  bool HasRequestOf(uint64_t aSession) const;
+
   /// UpstreamSet::TakeNewTimes.
   std::map<std::string, double> TakeNewTimes()
   {
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -80,14 +80,15 @@
                    uint64_t aSession,
                    Send aSend,
                    const Clock& aClock,
-                   uint64_t aSeed)
+                   uint64_t aSeed,
+                   Duration aDrainTimeout)
   : mExecutor(std::move(aExecutor))
   , mSelf(std::move(aSelf))
   , mSession(aSession)
   , mSend(std::move(aSend))
   , mClock(aClock)
   , mRandom(aSeed)
-  , mBroker(aSeed)
+  , mBroker(aSeed, aDrainTimeout)
 {
 }
 
@@ -99,6 +100,11 @@
     mEntries.push_back(address);
   }
   mLine.SetEntries(mEntries.size());
+  // Sessions of entries that are gone ask nothing any more.
+  std::erase_if(mAskers, [&](const auto& aAsker) {
+    return !aState.Entries().contains(aAsker.second) &&
+           !mBroker.HasRequestOf(aAsker.first);
+  });
   Deliver(mBroker.Update(aState, mClock.Now()));
 }
 
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -53,12 +53,14 @@
 
   /// @param aSelf   this host's address for peers.
   /// @param aSession random per process start.
+  /// @param aDrainTimeout see UpstreamSet.
   SlotDesk(boost::asio::any_io_executor aExecutor,
            std::string aSelf,
            uint64_t aSession,
            Send aSend,
            const Clock& aClock,
-           uint64_t aSeed);
+           uint64_t aSeed,
+           Duration aDrainTimeout);
 
   void StateChanged(const State& aState);
 
--- a/src/librattandyke/gateway/slot_desk_test.cpp
+++ b/src/librattandyke/gateway/slot_desk_test.cpp
@@ -126,7 +126,8 @@
                    Sent(aFrame);
                  },
                  clock,
-                 7 };
+                 7,
+                 std::chrono::seconds{ 2 } };
 };
 
 // Three hundred requests for one key arrive at an entry at once. The home of
@@ -174,6 +175,19 @@
   EXPECT_EQ(ends.front().end(), static_cast<uint32_t>(TryEnd::Abandoned));
 }
 
+// With a drain timeout of 2 s a leaving owner of keys still gets requests for
+// 0.9 s, until its keys have another holder.
+TEST_F(SlotDeskTest, LeavingOwnerIsUsedForAPartOfItsDrainTimeout)
+{
+  Know(true);
+  clock.Advance(milliseconds{ 600 });
+  answers = wire::SLOT_STATE_GRANTED;
+  Acquire();
+  context.run_for(milliseconds{ 5 });
+  EXPECT_EQ(Slots(), 1U);
+  EXPECT_TRUE(ends.empty());
+}
+
 // The home says nothing. The request goes by what this host knows itself, and
 // the next ones do not wait for the home again.
 TEST_F(SlotDeskTest, SilentHomeIsLeftAlone)
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -21,10 +21,10 @@
 /// further one. A crashed one is back within seconds.
 constexpr milliseconds kFirstAvoided{ 400 };
 constexpr milliseconds kLongestAvoided{ 5000 };
-/// A draining owner of keys gets requests for this long: it holds them until
-/// they are released, but nothing new may reach it once `drain_timeout` has
-/// passed.
-constexpr milliseconds kDrainingOwner{ 900 };
+/// A draining owner of keys gets requests for this part of the drain timeout:
+/// it holds them until they are released, but nothing new may reach it later.
+/// The rest is for this host to hear of it late, and for a request's own wait.
+constexpr double kDrainingOwner = 0.45;
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
 constexpr double kFarFactor = 1.5;
@@ -42,8 +42,9 @@
 
 } // namespace
 
-UpstreamSet::UpstreamSet(uint64_t aSeed)
+UpstreamSet::UpstreamSet(uint64_t aSeed, Duration aDrainTimeout)
   : mRandom(aSeed)
+  , mDrainingOwner(Scaled(aDrainTimeout, kDrainingOwner))
 {
 }
 
@@ -189,10 +190,10 @@
 }
 
 bool
-UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow)
+UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow) const
 {
   return !aUpstream.gone && (!aUpstream.drainingSince ||
-                             aNow - *aUpstream.drainingSince < kDrainingOwner);
+                             aNow - *aUpstream.drainingSince < mDrainingOwner);
 }
 
 std::string
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -55,7 +55,9 @@
 
   using Outcome = std::variant<Choice, Hindrance>;
 
-  explicit UpstreamSet(uint64_t aSeed);
+  /// @param aDrainTimeout time after which a leaving instance must get no more
+  /// requests.
+  UpstreamSet(uint64_t aSeed, Duration aDrainTimeout);
 
   /// Takes over the instances of the replicated state.
   void Update(const State& aState, Instant aNow);
@@ -151,13 +153,14 @@
   static uint32_t GroupsOf(const State& aState,
                            const std::string& aService,
                            uint32_t aSize);
-  static bool IsUsable(const Upstream& aUpstream, Instant aNow);
+  bool IsUsable(const Upstream& aUpstream, Instant aNow) const;
   static uint32_t RoomOf(const Upstream& aUpstream);
   static double Score(const Upstream& aUpstream, const DataCentre& aNear);
   static double SecondsOf(const Upstream& aUpstream);
   static double Rate(const Upstream& aUpstream);
 
   Random mRandom;
+  const Duration mDrainingOwner;
   std::map<std::string, Upstream> mUpstreams;
 };
 
--- a/src/librattandyke/http/entry_service.cpp
+++ b/src/librattandyke/http/entry_service.cpp
@@ -8,6 +8,7 @@
 
 #include "http/session.h"
 #include "log/log.h"
+#include "net/listen.h"
 
 namespace rattandyke::http {
 
@@ -123,31 +124,11 @@
 Result<void>
 EntryService::Impl::Open()
 {
-  error_code error;
-  const auto address = asio::ip::make_address(options.listen.address, error);
-  if (error) {
-    return Fail(Code::InvalidSettings,
-                "'" + options.listen.address + "' is not an IP address.");
-  }
-  const tcp::endpoint endpoint(address, options.listen.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    const bool taken = error == asio::error::address_in_use;
-    return Fail(taken ? Code::AddressInUse : Code::InvalidSettings,
-                "Cannot listen for callers on " + options.listen.address + ":" +
-                  std::to_string(options.listen.port) + ": " + error.message() +
-                  ".");
+  const auto open = net::Listen(acceptor, options.listen, "callers");
+  if (!open) {
+    return tl::unexpected(open.error());
   }
-  bound = { options.listen.address, acceptor.local_endpoint().port() };
+  bound = *open;
   return {};
 }
 
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -56,8 +56,8 @@
 
   Result<void> Start()
   {
-    if (Result<void> open = net::Listen(acceptor, listen); !open) {
-      return open;
+    if (const auto open = net::Listen(acceptor, listen, "hosts"); !open) {
+      return tl::unexpected(open.error());
     }
     Accept();
     return {};
--- a/src/librattandyke/net/listen.cpp
+++ b/src/librattandyke/net/listen.cpp
@@ -4,8 +4,10 @@
 
 namespace rattandyke::net {
 
-Result<void>
-Listen(boost::asio::ip::tcp::acceptor& aAcceptor, const Endpoint& aAddress)
+Result<Endpoint>
+Listen(boost::asio::ip::tcp::acceptor& aAcceptor,
+       const Endpoint& aAddress,
+       std::string_view aFor)
 {
   using boost::asio::ip::tcp;
   boost::system::error_code error;
@@ -16,16 +18,20 @@
   }
   if (!error) {
     aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
     aAcceptor.bind(endpoint, error);
   }
   if (!error) {
     aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    return Fail(Code::AddressInUse,
-                ToString(aAddress) + ": " + error.message());
+    const bool taken = error == boost::asio::error::address_in_use;
+    return Fail(taken ? Code::AddressInUse : Code::InvalidSettings,
+                "Cannot listen for " + std::string(aFor) + " on " +
+                  ToString(aAddress) + ": " + error.message() + ".");
   }
-  return {};
+  return Endpoint{ aAddress.address, aAcceptor.local_endpoint().port() };
 }
 
 } // namespace rattandyke::net
