--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -7,6 +7,10 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
 #include "testing/memory_file_system.h"
 
 namespace rattandyke::consensus {
@@ -145,13 +149,13 @@
   Driver::Callbacks MakeCallbacks(const std::string& aName)
   {
     Driver::Callbacks callbacks;
-    callbacks.send = [this, aName](const HostName& aTo, std::string aBytes) {
-      boost::asio::post(
-        mContext, [this, aName, aTo, aBytes = std::move(aBytes)] {
-          if (mHosts[aTo.value].driver) {
-            mHosts[aTo.value].driver->Receive(HostName{ aName }, aBytes);
-          }
-        });
+    callbacks.send = [this, aName](const HostName& aTo,
+                                   const std::string& aBytes) {
+      boost::asio::post(mContext, [this, aName, aTo, aBytes] {
+        if (mHosts[aTo.value].driver) {
+          mHosts[aTo.value].driver->Receive(HostName{ aName }, aBytes);
+        }
+      });
     };
     callbacks.apply = [this, aName](LogIndex, std::string_view aPayload) {
       mHosts[aName].applied.emplace_back(aPayload);
--- a/src/librattandyke/consensus/replica_test.cpp
+++ b/src/librattandyke/consensus/replica_test.cpp
@@ -7,8 +7,10 @@
 
 namespace rattandyke::testing {
 
+// RapidCheck finds it by this name.
 void
-showValue(const FaultStep& aStep, std::ostream& aOut)
+showValue(const FaultStep& aStep, // NOLINT(readability-identifier-naming)
+          std::ostream& aOut)
 {
   aOut << "{kind " << static_cast<int>(aStep.kind) << " host "
        << int{ aStep.host } << " other " << int{ aStep.other } << " "
@@ -20,6 +22,7 @@
 template<>
 struct rc::Arbitrary<rattandyke::testing::FaultStep>
 {
+  // NOLINTNEXTLINE(readability-identifier-naming): RapidCheck's name.
   static Gen<rattandyke::testing::FaultStep> arbitrary()
   {
     using rattandyke::testing::FaultStep;
