--- a/src/librattandyke/consensus/driver_test.cpp
+++ b/src/librattandyke/consensus/driver_test.cpp
@@ -192,6 +192,7 @@
 Numbered(int aCount)
 {
   std::vector<std::string> items;
+  items.reserve(static_cast<size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     items.push_back("change " + std::to_string(i));
   }
