Tell the home's time in a held refusal

Cause: while a refusal is held for others like it, these were told what was left of the home's time, down to a few ms; a caller that comes back then has used its one second try in vain. Change: the home's time is told on as it is; a test. Conclusion: kept because a token time is no help to a caller.

--- a/src/librattandyke/gateway/ask_line.cpp
+++ b/src/librattandyke/gateway/ask_line.cpp
@@ -48,7 +48,7 @@
 {
   Line& line = mLines[aInstance];
   if (aNow < line.fullUntil && aPriority >= line.fullPriority) {
-    return IsFull{ std::max(line.retryAt - aNow, line.fullUntil - aNow) };
+    return IsFull{ line.retryAfter };
   }
   if (line.asking < mMostAsking) {
     ++line.asking;
@@ -104,7 +104,7 @@
   ++line.refusals;
   line.fullPriority = aPriority;
   line.fullUntil = aNow + full;
-  line.retryAt = aNow + aRetryAfter;
+  line.retryAfter = aRetryAfter;
   std::vector<Turn> turns;
   const auto refused = line.waiting.lower_bound(Place{ aPriority, 0 });
   for (auto at = refused; at != line.waiting.end(); ++at) {
--- a/src/librattandyke/gateway/ask_line.h
+++ b/src/librattandyke/gateway/ask_line.h
@@ -93,7 +93,10 @@
     /// Requests of this priority, and less urgent ones, are refused until then.
     uint32_t fullPriority = 0;
     Instant fullUntil{};
-    Instant retryAt{};
+    /// What the home said then. It is told on as it is: while refusals go on
+    /// the queue stays as long, and a caller that comes back sooner has used
+    /// its second try in vain.
+    Duration retryAfter{};
   };
 
   std::vector<Turn> PassOn(Line& aLine) const;
--- a/src/librattandyke/gateway/ask_line_test.cpp
+++ b/src/librattandyke/gateway/ask_line_test.cpp
@@ -90,6 +90,19 @@
   EXPECT_TRUE(Enters<MayAsk>(4));
 }
 
+// A caller comes back after the time that it is told, and only once. Near the
+// end of the hold it must not be told a few milliseconds: the queue is as long
+// as before.
+TEST_F(AskLineTest, HeldRefusalTellsTheHomesTime)
+{
+  Enters<MayAsk>(1);
+  line.OnRefused("i-1", 1, milliseconds{ 300 }, now);
+  now += milliseconds{ 19 };
+  const auto verdict = line.Enter(2, "i-1", 1, now);
+  ASSERT_TRUE(std::holds_alternative<IsFull>(verdict));
+  EXPECT_EQ(std::get<IsFull>(verdict).retryAfter, milliseconds{ 300 });
+}
+
 TEST_F(AskLineTest, RefusalsThatGoOnAreAskedForLessOften)
 {
   size_t asks = 0;
