--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -57,6 +57,9 @@
 /// that come within a second.
 constexpr milliseconds kKeysAwaited{ 350 };
 constexpr size_t kOutcomesKept = 1024;
+/// Of an id that anyone may have written, in the log.
+constexpr size_t kLoggedId = 64;
+constexpr size_t kLoggedTarget = 128;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kInvalid = 400;
@@ -79,6 +82,7 @@
     case Code::InvalidRecord:
       return kInvalid;
     case Code::RevisionConflict:
+    case Code::UpstreamSuperseded:
       return kConflict;
     default:
       return kUnavailable;
@@ -561,6 +565,18 @@
     }
   }
 
+  /// A message of another writer, or of an earlier life.
+  CallAnswer NotTaken(std::string_view aCall,
+                      const std::string& aInstance,
+                      const Error& aError)
+  {
+    metrics.Count("messages_not_taken",
+                  "code=\"" + std::string(Describe(aError.code).name) + "\"");
+    Info() << "takes no " << aCall << " of " << aInstance.substr(0, kLoggedId)
+           << ": " << aError.message;
+    return Refused(aError);
+  }
+
   CallAnswer Refused(const Error& aError) const
   {
     return { StatusOf(aError), dialect.Encode(aError), "application/json" };
@@ -576,7 +592,11 @@
     Result<ControlCall> call =
       dialect.Decode(aCall.method, aCall.target, aCall.body);
     if (!call) {
-      Info() << "refuses " << aCall.method << " " << aCall.target << ": "
+      metrics.Count("messages_not_taken",
+                    "code=\"" + std::string(Describe(call.error().code).name) +
+                      "\"");
+      Info() << "refuses " << aCall.method << " "
+             << aCall.target.substr(0, kLoggedTarget) << ": "
              << call.error().message;
       co_return Refused(call.error());
     }
@@ -637,6 +657,9 @@
   asio::awaitable<CallAnswer> OnCall(const Heartbeat& aHeartbeat)
   {
     const Instant arrived = clock.Now();
+    if (Result<void> checked = granter.Check(aHeartbeat, state); !checked) {
+      co_return NotTaken("heartbeat", aHeartbeat.instance, checked.error());
+    }
     std::vector<wire::GatewayCommand> due =
       granter.OnHeartbeat(aHeartbeat, state, arrived);
     for (const wire::GatewayCommand& command : due) {
@@ -676,10 +699,13 @@
 
   asio::awaitable<CallAnswer> OnCall(const Deregistration& aLeaving)
   {
-    wire::GatewayCommand command;
-    command.mutable_end_instance()->set_id(aLeaving.instance);
-    const Result<void> ended = co_await Propose(command);
-    Info() << "instance " << aLeaving.instance << " leaves";
+    const auto command = granter.OnDeregistration(aLeaving, state);
+    if (!command) {
+      co_return NotTaken("deregistration", aLeaving.instance, command.error());
+    }
+    const Result<void> ended = co_await Propose(*command);
+    Info() << "instance " << aLeaving.instance << " life " << aLeaving.life
+           << " leaves";
     co_return ended ? CallAnswer{ kOk, "{}", "application/json" }
                     : Refused(ended.error());
   }
--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -18,6 +18,8 @@
 struct Deregistration
 {
   std::string instance;
+  /// See Heartbeat::life.
+  uint64_t life = 0;
 };
 
 /// The items that stand, as operators wrote them.
--- a/src/librattandyke/gateway/exchange.cpp
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -95,14 +95,24 @@
 
 } // namespace
 
-std::shared_ptr<UpstreamConnection>
-ConnectionPool::Take(const std::string& aInstance, Instant aNow)
+ConnectionPool::Kept&
+ConnectionPool::KeptOf(const UpstreamPeer& aPeer)
 {
-  const auto found = mIdle.find(aInstance);
-  if (found == mIdle.end()) {
-    return nullptr;
+  Kept& kept = mIdle[aPeer.instance];
+  if (kept.peer != aPeer) {
+    for (const auto& connection : kept.idle) {
+      connection->Close();
+    }
+    kept.idle.clear();
+    kept.peer = aPeer;
   }
-  auto& idle = found->second;
+  return kept;
+}
+
+std::shared_ptr<UpstreamConnection>
+ConnectionPool::Take(const UpstreamPeer& aPeer, Instant aNow)
+{
+  auto& idle = KeptOf(aPeer).idle;
   while (!idle.empty()) {
     auto connection = idle.back();
     idle.pop_back();
@@ -115,10 +125,15 @@
 }
 
 void
-ConnectionPool::Put(const std::string& aInstance,
+ConnectionPool::Put(const UpstreamPeer& aPeer,
                     std::shared_ptr<UpstreamConnection> aConnection)
 {
-  mIdle[aInstance].push_back(std::move(aConnection));
+  const auto kept = mIdle.find(aPeer.instance);
+  if (kept != mIdle.end() && kept->second.peer != aPeer) {
+    aConnection->Close(); // Its process has been followed by another.
+    return;
+  }
+  KeptOf(aPeer).idle.push_back(std::move(aConnection));
 }
 
 void
@@ -210,19 +225,17 @@
 }
 
 asio::awaitable<ExchangeResult>
-Exchanger::Run(std::string aInstance,
-               std::string aAddress,
+Exchanger::Run(UpstreamPeer aPeer,
                std::shared_ptr<const OutgoingRequest> aRequest,
                Duration aLeft,
                std::shared_ptr<ExchangeHandle> aHandle)
 {
   const Instant started = mClock.Now();
-  std::shared_ptr<UpstreamConnection> connection =
-    mPool.Take(aInstance, started);
+  std::shared_ptr<UpstreamConnection> connection = mPool.Take(aPeer, started);
   if (connection) {
     aHandle->Attach(connection);
   } else {
-    connection = co_await Connect(aAddress, aHandle);
+    connection = co_await Connect(aPeer.address, aHandle);
     if (!connection || aHandle->Aborted()) {
       aHandle->Detach();
       co_return Ended(ExchangeResult::Kind::NotSent,
@@ -231,7 +244,8 @@
     }
   }
   const Instant sentAt = mClock.Now();
-  std::string head = HeadOf(aInstance, *aRequest, aLeft - (sentAt - started));
+  std::string head =
+    HeadOf(aPeer.instance, *aRequest, aLeft - (sentAt - started));
   const bool ahead = aRequest->body.size() <= kWrittenAhead;
   if (ahead) {
     head += aRequest->body;
@@ -250,7 +264,7 @@
       mExecutor, WriteRest(connection, aRequest, wholeBody), asio::detached);
   }
   ExchangeResult result =
-    co_await ReadAnswer(connection, aRequest, aInstance, ahead);
+    co_await ReadAnswer(connection, aRequest, aPeer.instance, ahead);
   aHandle->Detach();
   result.took = mClock.Now() - sentAt;
   if (aHandle->Aborted() && result.kind == ExchangeResult::Kind::Unknown) {
@@ -261,7 +275,7 @@
                         result.kind == ExchangeResult::Kind::NotRun;
   if (reusable && *wholeBody && connection->buffer.size() == 0 &&
       connection->goodUntil > mClock.Now() && !aHandle->Aborted()) {
-    mPool.Put(aInstance, connection);
+    mPool.Put(aPeer, connection);
   } else {
     connection->Close();
   }
--- a/src/librattandyke/gateway/exchange.h
+++ b/src/librattandyke/gateway/exchange.h
@@ -39,15 +39,29 @@
   Instant goodUntil{};
 };
 
+/// A process to which a request is sent.
+struct UpstreamPeer
+{
+  std::string instance;
+  std::string address;
+  /// Tells apart processes that start again under one instance's id.
+  uint64_t life = 0;
+  bool operator==(const UpstreamPeer&) const = default;
+};
+
 /// Idle connections to upstreams, by instance. Not thread-safe.
+///
+/// Safeguard: a connection to a process that has ended silently looks open; a
+/// request sent on it may or may not have run. So connections are kept for one
+/// life of an instance only.
 class ConnectionPool
 {
 public:
   /// @return an idle connection that is still good, or nullptr.
-  std::shared_ptr<UpstreamConnection> Take(const std::string& aInstance,
+  std::shared_ptr<UpstreamConnection> Take(const UpstreamPeer& aPeer,
                                            Instant aNow);
 
-  void Put(const std::string& aInstance,
+  void Put(const UpstreamPeer& aPeer,
            std::shared_ptr<UpstreamConnection> aConnection);
 
   /// Closes what has been idle too long, and connections to instances that are
@@ -56,7 +70,7 @@
   void Sweep(Instant aNow, Known aKnown)
   {
     for (auto at = mIdle.begin(); at != mIdle.end();) {
-      auto& idle = at->second;
+      auto& idle = at->second.idle;
       while (!idle.empty() &&
              (idle.front()->goodUntil <= aNow || !aKnown(at->first))) {
         idle.pop_front();
@@ -66,8 +80,17 @@
   }
 
 private:
-  /// Oldest first; the newest is taken first, so that the others time out.
-  std::map<std::string, std::deque<std::shared_ptr<UpstreamConnection>>> mIdle;
+  struct Kept
+  {
+    UpstreamPeer peer;
+    /// Oldest first; the newest is taken first, so that the others time out.
+    std::deque<std::shared_ptr<UpstreamConnection>> idle;
+  };
+
+  /// @return the connections to a process, without those to earlier ones.
+  Kept& KeptOf(const UpstreamPeer& aPeer);
+
+  std::map<std::string, Kept> mIdle;
 };
 
 /// What is sent.
@@ -147,8 +170,7 @@
 
   /// @param aLeft time that the upstream is given.
   boost::asio::awaitable<ExchangeResult> Run(
-    std::string aInstance,
-    std::string aAddress,
+    UpstreamPeer aPeer,
     std::shared_ptr<const OutgoingRequest> aRequest,
     Duration aLeft,
     std::shared_ptr<ExchangeHandle> aHandle);
--- a/src/librattandyke/gateway/exchange_test.cpp
+++ b/src/librattandyke/gateway/exchange_test.cpp
@@ -114,9 +114,9 @@
       request->method = "GET";
       request->target = "/x";
       request->requestId = "r-" + std::to_string(number);
+      const UpstreamPeer peer{ "i-1", upstream->Address() };
       results.push_back(
-        co_await exchanger.Run("i-1",
-                               upstream->Address(),
+        co_await exchanger.Run(peer,
                                request,
                                std::chrono::seconds{ 1 },
                                std::make_shared<ExchangeHandle>()));
@@ -241,15 +241,15 @@
   request->method = "GET";
   request->target = "/x";
   request->requestId = "r-1";
-  asio::co_spawn(context,
-                 exchanger.Run("i-1",
-                               "127.0.0.1:" + std::to_string(port),
-                               request,
-                               std::chrono::seconds{ 1 },
-                               std::make_shared<ExchangeHandle>()),
-                 [&](const std::exception_ptr&, ExchangeResult aResult) {
-                   result = std::move(aResult);
-                 });
+  asio::co_spawn(
+    context,
+    exchanger.Run(UpstreamPeer{ "i-1", "127.0.0.1:" + std::to_string(port) },
+                  request,
+                  std::chrono::seconds{ 1 },
+                  std::make_shared<ExchangeHandle>()),
+    [&](const std::exception_ptr&, ExchangeResult aResult) {
+      result = std::move(aResult);
+    });
   context.run();
   EXPECT_EQ(result.kind, Kind::NotSent);
 }
@@ -270,5 +270,33 @@
   EXPECT_EQ(results.at(0).kind, Kind::Answer) << results.at(0).reason;
 }
 
+// An upstream starts again under its id, at the same address. A connection to
+// the process before looks open and is not used again: what is sent on it may
+// or may not run.
+TEST(ConnectionPoolTest, ConnectionsAreKeptForOneLife)
+{
+  asio::io_context context;
+  ConnectionPool pool;
+  const Instant now{ std::chrono::hours{ 1 } };
+  tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  const auto connect = [&] {
+    auto connection = std::make_shared<UpstreamConnection>(
+      asio::any_io_executor(context.get_executor()));
+    connection->socket.connect(acceptor.local_endpoint());
+    connection->goodUntil = now + std::chrono::seconds{ 9 };
+    return connection;
+  };
+  const UpstreamPeer earlier{ "i-1", "10.0.0.1:80", 100 };
+  const UpstreamPeer later{ "i-1", "10.0.0.1:80", 200 };
+  pool.Put(earlier, connect());
+  EXPECT_NE(pool.Take(earlier, now), nullptr);
+  pool.Put(earlier, connect());
+  EXPECT_EQ(pool.Take(later, now), nullptr);
+  pool.Put(earlier, connect());
+  EXPECT_EQ(pool.Take(later, now), nullptr);
+  pool.Put(later, connect());
+  EXPECT_NE(pool.Take(later, now), nullptr);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -34,7 +34,7 @@
 StripForEntries(wire::GatewayState& aState)
 {
   DropSources(aState);
-  aState.clear_ended_instances();
+  aState.clear_ended();
   for (wire::ServiceRanges& ranges : *aState.mutable_ranges()) {
     for (wire::RangeSegment& segment : *ranges.mutable_segments()) {
       segment.clear_handover();
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "gateway/key_spans.h"
 
 namespace rattandyke::gateway {
@@ -52,6 +53,7 @@
 {
   mLeases.clear();
   mGroups.clear();
+  mLivesTold = false;
   const Instant longest =
     aNow + Scaled(mOptions.holdTime, kDrift) + kTimerSlack;
   for (const auto& [service, ranges] : aState.AllRanges()) {
@@ -63,27 +65,116 @@
   }
   for (const auto& [id, instance] : aState.Instances()) {
     mLeases[id].lastHeartbeat = aNow;
+    mLeases[id].life = instance.life();
+    mLivesTold |= instance.life() > 0;
   }
 }
 
+Result<void>
+Granter::CheckLife(const std::string& aInstance,
+                   uint64_t aLife,
+                   const State& aState) const
+{
+  const auto lease = mLeases.find(aInstance);
+  const wire::UpstreamInstance* known = aState.FindInstance(aInstance);
+  const uint64_t newest =
+    std::max(lease == mLeases.end() ? 0 : lease->second.life,
+             known == nullptr ? 0 : known->life());
+  // One program runs on all upstreams of a deployment: where one tells its
+  // lives apart, all do.
+  if (aLife == 0 && (newest > 0 || mLivesTold)) {
+    return Fail(Code::InvalidRecord, "The message does not tell its life.");
+  }
+  if (aLife < newest) {
+    return Fail(Code::UpstreamSuperseded, "A later life is known.");
+  }
+  return {};
+}
+
+/// Safeguard: a message may come from a writer that is no upstream of this
+/// deployment. Taken for one, its sequence would outrun the true upstream's,
+/// which would then lose its keys, and its address would be sent requests. So
+/// what names a service that no item names, or does not tell its life where
+/// others do, changes nothing.
+Result<void>
+Granter::Check(const Heartbeat& aHeartbeat, const State& aState) const
+{
+  if (!ParseEndpoint(aHeartbeat.address)) {
+    return Fail(Code::InvalidRecord, "The heartbeat's address is none.");
+  }
+  const ItemTable& items = aState.Items();
+  if (!items.IsEmpty() && !items.Services().contains(aHeartbeat.service)) {
+    return Fail(Code::InvalidRecord, "The heartbeat's service is not known.");
+  }
+  const wire::UpstreamInstance* known =
+    aState.FindInstance(aHeartbeat.instance);
+  const bool otherService = known != nullptr &&
+                            known->life() == aHeartbeat.life &&
+                            known->service() != aHeartbeat.service;
+  if (otherService) {
+    return Fail(Code::InvalidRecord, "The instance is one of another service.");
+  }
+  return CheckLife(aHeartbeat.instance, aHeartbeat.life, aState);
+}
+
+Result<wire::GatewayCommand>
+Granter::OnDeregistration(const Deregistration& aLeaving,
+                          const State& aState) const
+{
+  Result<void> checked = CheckLife(aLeaving.instance, aLeaving.life, aState);
+  if (!checked) {
+    return tl::unexpected(checked.error());
+  }
+  wire::GatewayCommand command;
+  command.mutable_end_instance()->set_id(aLeaving.instance);
+  command.mutable_end_instance()->set_life(aLeaving.life);
+  return command;
+}
+
+/// A later life holds nothing of what the earlier one held, and its calls are
+/// numbered anew. The end of the earlier life's hold stays: it is the bound
+/// until the registration of the later one is committed.
+void
+Granter::BeginLife(const std::string& aInstance, uint64_t aLife)
+{
+  const Instant ends = mLeases[aInstance].ends;
+  mLeases[aInstance] = Lease{};
+  mLeases[aInstance].life = aLife;
+  mLeases[aInstance].ends = ends;
+  mSeconds.erase(aInstance);
+}
+
+bool
+Granter::IsNewest(const Heartbeat& aHeartbeat) const
+{
+  const auto lease = mLeases.find(aHeartbeat.instance);
+  return lease != mLeases.end() && lease->second.life == aHeartbeat.life &&
+         lease->second.sequence == aHeartbeat.sequence;
+}
+
 std::vector<wire::GatewayCommand>
 Granter::OnHeartbeat(const Heartbeat& aHeartbeat,
                      const State& aState,
                      Instant aArrived)
 {
   std::vector<wire::GatewayCommand> commands;
-  if (aState.HasEnded(aHeartbeat.instance)) {
+  if (aState.HasEnded(aHeartbeat.instance, aHeartbeat.life)) {
     return commands;
   }
+  if (mLeases[aHeartbeat.instance].life < aHeartbeat.life) {
+    BeginLife(aHeartbeat.instance, aHeartbeat.life);
+  }
   Lease& lease = mLeases[aHeartbeat.instance];
   if (aHeartbeat.sequence < lease.sequence) {
     return commands;
   }
   lease.sequence = aHeartbeat.sequence;
+  mLivesTold |= aHeartbeat.life > 0;
   NoteReplaced(aHeartbeat, aState, aArrived, commands);
   const wire::UpstreamInstance* known =
     aState.FindInstance(aHeartbeat.instance);
-  if (known == nullptr || known->draining() != aHeartbeat.draining ||
+  const bool sameLife = known != nullptr && known->life() == aHeartbeat.life;
+  if (!sameLife || known->draining() != aHeartbeat.draining ||
       known->slots() != aHeartbeat.slots) {
     wire::UpstreamInstance* instance =
       commands.emplace_back().mutable_put_instance()->mutable_instance();
@@ -94,9 +185,12 @@
     instance->set_version(aHeartbeat.version);
     instance->set_slots(aHeartbeat.slots);
     instance->set_draining(aHeartbeat.draining);
+    instance->set_life(aHeartbeat.life);
   }
   const size_t before = commands.size();
-  NoteReleased(aHeartbeat, aState, commands);
+  if (sameLife) {
+    NoteReleased(aHeartbeat, aState, commands);
+  }
   lease.lastHeartbeat = aArrived;
   if (const auto group = mGroups.find(aHeartbeat.service);
       group != mGroups.end()) {
@@ -104,7 +198,7 @@
   }
   if (commands.size() != before) {
     lease.releasedAt = aArrived;
-  } else {
+  } else if (sameLife) {
     PlanMoves(aHeartbeat, aState, aArrived, commands);
   }
   return commands;
@@ -130,7 +224,9 @@
     const bool lasting = aNow - *lease.firstHeartbeat >=
                          Scaled(mOptions.heartbeatInterval, kReplaceIntervals);
     if (silent && lasting) {
-      aCommands.emplace_back().mutable_end_instance()->set_id(id);
+      wire::EndInstance* end = aCommands.emplace_back().mutable_end_instance();
+      end->set_id(id);
+      end->set_life(other.life());
       mLeases[id].expiring = true;
       FreeAll(id, aState, aCommands);
     }
@@ -210,7 +306,8 @@
     return std::nullopt;
   }
   Lease& lease = found->second;
-  if (lease.expiring || lease.sequence != aHeartbeat.sequence ||
+  if (lease.expiring || !IsNewest(aHeartbeat) ||
+      instance->life() != aHeartbeat.life ||
       !OwnsKeys(aState, instance->service())) {
     return std::nullopt;
   }
@@ -258,7 +355,11 @@
     if (!holds) {
       at->second.expiring = false;
     }
-    const bool gone = !holds && aState.HasEnded(at->first);
+    const auto& heard = at->second.lastHeartbeat;
+    const bool forgotten = aState.FindInstance(at->first) == nullptr &&
+                           (!heard || aNow - *heard >= mOptions.forgetAfter);
+    const bool gone =
+      !holds && (forgotten || aState.HasEnded(at->first, at->second.life));
     at = gone ? mLeases.erase(at) : std::next(at);
   }
   // Late reports tell of instances that have ended, too.
@@ -278,7 +379,10 @@
       lease.lastHeartbeat = aNow;
     }
     if (aNow - *lease.lastHeartbeat >= mOptions.forgetAfter) {
-      commands.emplace_back().mutable_end_instance()->set_id(id);
+      wire::EndInstance* end = commands.emplace_back().mutable_end_instance();
+      end->set_id(id);
+      end->set_life(instance.life());
+      end->set_forgotten(true);
     }
   }
   for (auto& [service, group] : mGroups) {
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -6,8 +6,10 @@
 #include <string>
 #include <vector>
 
+#include <rattandyke/result.h>
 #include <rattandyke/types.h>
 
+#include "gateway/dialect.h"
 #include "gateway/heartbeat.h"
 #include "gateway/load_map.h"
 #include "gateway/state.h"
@@ -44,6 +46,16 @@
   /// This host leads from now on.
   void BecomeLeader(const State& aState, Instant aNow);
 
+  /// @return whether a heartbeat is one of an upstream of this deployment:
+  /// Code::InvalidRecord if it can't be, Code::UpstreamSuperseded if a later
+  /// life under its id is known. What fails here changes nothing.
+  Result<void> Check(const Heartbeat& aHeartbeat, const State& aState) const;
+
+  /// @return the command that ends an instance that leaves, or as Check.
+  Result<wire::GatewayCommand> OnDeregistration(const Deregistration& aLeaving,
+                                                const State& aState) const;
+
+  /// @param aHeartbeat has passed Check.
   /// @return commands to commit before the heartbeat is answered, in order.
   std::vector<wire::GatewayCommand> OnHeartbeat(const Heartbeat& aHeartbeat,
                                                 const State& aState,
@@ -84,7 +96,8 @@
   /// What the leader knows of one instance.
   struct Lease
   {
-    /// Newest sequence seen.
+    /// Newest life seen, and its newest sequence.
+    uint64_t life = 0;
     uint64_t sequence = 0;
     std::optional<Instant> lastHeartbeat;
     /// First heartbeat that this leader saw, while the instance waits to
@@ -130,6 +143,12 @@
   };
 
   static bool OwnsKeys(const State& aState, const std::string& aService);
+  Result<void> CheckLife(const std::string& aInstance,
+                         uint64_t aLife,
+                         const State& aState) const;
+  void BeginLife(const std::string& aInstance, uint64_t aLife);
+  /// @return whether a heartbeat is the newest of the instance's newest life.
+  bool IsNewest(const Heartbeat& aHeartbeat) const;
   std::vector<KeySpan> HeldBy(const std::string& aId,
                               const RangeTable& aRanges) const;
   void NoteReleased(const Heartbeat& aHeartbeat,
@@ -193,6 +212,8 @@
   std::map<std::string, Lease> mLeases;
   std::map<std::string, Group> mGroups;
   std::map<std::string, double> mSeconds;
+  /// Instances of this deployment tell their lives apart.
+  bool mLivesTold = false;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -355,8 +355,8 @@
 {
   const std::string& id = aHeartbeat.instance;
   const wire::UpstreamInstance* instance = aState.FindInstance(id);
-  if (instance == nullptr || !OwnsKeys(aState, instance->service()) ||
-      mLeases[id].sequence != aHeartbeat.sequence ||
+  if (instance == nullptr || instance->life() != aHeartbeat.life ||
+      !OwnsKeys(aState, instance->service()) || !IsNewest(aHeartbeat) ||
       !IsActive(*instance, aNow)) {
     return std::nullopt;
   }
@@ -396,6 +396,7 @@
   wire::GrantRanges* grant = command.mutable_grant_ranges();
   grant->set_service(instance->service());
   grant->set_holder(id);
+  grant->set_life(aHeartbeat.life);
   grant->set_sequence(aHeartbeat.sequence);
   for (const wire::RangeSegment& segment : ranges.Segments()) {
     if (!segment.holder().empty() || rows >= kMaxRows) {
--- a/src/librattandyke/gateway/heartbeat.h
+++ b/src/librattandyke/gateway/heartbeat.h
@@ -37,7 +37,10 @@
   std::string version;
   uint32_t slots = 0;
   bool draining = false;
-  /// Rises with each call of an instance.
+  /// Tells apart the lives of a process that starts again under its id: it
+  /// rises with each start. 0: the instance does not say.
+  uint64_t life = 0;
+  /// Rises with each call of one life.
   uint64_t sequence = 0;
   /// Includes keys that it still works on.
   std::vector<HeldRange> holds;
--- a/src/librattandyke/gateway/range_table.cpp
+++ b/src/librattandyke/gateway/range_table.cpp
@@ -168,6 +168,21 @@
   }
 }
 
+void
+RangeTable::FreeAllOf(const std::string& aHolder)
+{
+  wire::FreeRanges free;
+  free.set_holder(aHolder);
+  for (const wire::RangeSegment& segment : mSegments) {
+    if (segment.holder() == aHolder) {
+      wire::KeyRange* range = free.add_ranges();
+      range->set_from(segment.from());
+      range->set_to(segment.to());
+    }
+  }
+  Free(free);
+}
+
 void
 RangeTable::Save(wire::ServiceRanges& aRanges) const
 {
--- a/src/librattandyke/gateway/range_table.h
+++ b/src/librattandyke/gateway/range_table.h
@@ -51,6 +51,9 @@
   /// Takes keys from a holder; keys that it does not hold stay as they are.
   void Free(const wire::FreeRanges& aFree);
 
+  /// Takes all keys from a holder that has ended, without a handover.
+  void FreeAllOf(const std::string& aHolder);
+
   void Save(wire::ServiceRanges& aRanges) const;
   void Load(const wire::ServiceRanges& aRanges);
 
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -371,8 +371,11 @@
   auto handle = std::make_shared<ExchangeHandle>();
   aFlow.context->Attach(handle);
   const Duration left = aFlow.deadline - mClock.Now() - Duration(kWayBack);
-  ExchangeResult result = co_await mExchanger.Run(
-    slot.instance, slot.address, aFlow.request, left, handle);
+  // Named: a braced temporary in an awaited call is destroyed twice by the
+  // compiler that Debian 12 has.
+  const UpstreamPeer peer{ slot.instance, slot.address, slot.life };
+  ExchangeResult result =
+    co_await mExchanger.Run(peer, aFlow.request, left, handle);
   aFlow.context->Detach();
   mDesk.Release(slot, EndOf(result, aFlow.context->HasLeft()), result.took);
   mMetrics.Count("tries", TryLabel(result.kind));
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -68,10 +68,10 @@
                   const UpstreamSet::Choice& aChoice,
                   Instant aNow)
 {
-  const bool queued = mUpstreams.Begin(aChoice.instance);
+  const UpstreamSet::Begun begun = mUpstreams.Begin(aChoice.instance);
   mRunning[aRequest.key] = { aChoice.instance,
                              aNow + aRequest.held + Duration(kLostReturn),
-                             queued };
+                             begun };
   mAnswers.emplace_back(
     SlotGranted{ aRequest.key, aChoice.instance, aChoice.address });
 }
@@ -185,9 +185,9 @@
 {
   const auto found = mRunning.find(aKey);
   if (found != mRunning.end()) {
-    const auto [instance, ends, queued] = found->second;
+    const auto [instance, ends, begun] = found->second;
     mRunning.erase(found);
-    mUpstreams.End(instance, aEnd, aTook, queued, aNow);
+    mUpstreams.End(instance, aEnd, aTook, begun, aNow);
     Serve(mUpstreams.ServiceOf(instance), aNow);
     return TakeAnswers();
   }
@@ -240,7 +240,8 @@
       ++at;
       continue;
     }
-    mUpstreams.End(at->second.instance, TryEnd::Abandoned, {}, true, aNow);
+    mUpstreams.End(
+      at->second.instance, TryEnd::Abandoned, {}, at->second.begun, aNow);
     freed.insert(mUpstreams.ServiceOf(at->second.instance));
     at = mRunning.erase(at);
   }
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -120,7 +120,7 @@
   {
     std::string instance;
     Instant ends{};
-    bool queuedThere = false;
+    UpstreamSet::Begun begun;
   };
 
   /// By priority, then in the order of arrival.
--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -234,5 +234,37 @@
   EXPECT_TRUE(broker.TakeNewTimes().empty());
 }
 
+// An upstream starts again under its id while two requests run at its earlier
+// life. The later life has all its slots free, is not leaving although the
+// earlier one was, and is not charged with the ends of those requests.
+TEST_F(SlotBrokerTest, LaterLifeHasAllItsSlots)
+{
+  State state;
+  wire::GatewayCommand command;
+  wire::UpstreamInstance* instance =
+    command.mutable_put_instance()->mutable_instance();
+  instance->set_id("a");
+  instance->set_service("desk");
+  instance->set_address("10.0.0.1:80");
+  instance->set_slots(1);
+  instance->set_life(100);
+  static_cast<void>(state.Apply(command, LogIndex{ 1 }));
+  broker.Update(state, now);
+  broker.Ask(Request(1), now);
+  broker.Ask(Request(2), now);
+  instance->set_draining(true);
+  static_cast<void>(state.Apply(command, LogIndex{ 2 }));
+  broker.Update(state, now);
+  instance->set_draining(false);
+  instance->set_life(200);
+  static_cast<void>(state.Apply(command, LogIndex{ 3 }));
+  broker.Update(state, now);
+  EXPECT_EQ(broker.Upstreams().Running("a"), 0U);
+  EXPECT_EQ(Count<SlotGranted>(broker.Ask(Request(3), now)), 1U);
+  broker.Done({ 1, 1 }, TryEnd::Broken, milliseconds{ 50 }, now);
+  EXPECT_EQ(broker.Upstreams().Running("a"), 1U);
+  EXPECT_EQ(Count<SlotGranted>(broker.Ask(Request(4), now)), 1U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -351,8 +351,9 @@
   }
   if (auto* slot = std::get_if<Slot>(&*pending->outcome)) {
     slot->home = aHome;
-    slot->address =
-      mBroker.Upstreams().UsableAddress(slot->instance, mClock.Now());
+    const UpstreamSet& upstreams = mBroker.Upstreams();
+    slot->address = upstreams.UsableAddress(slot->instance, mClock.Now());
+    slot->life = upstreams.LifeOf(slot->instance);
   }
   co_return pending->outcome;
 }
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -28,6 +28,8 @@
   std::string home;
   std::string instance;
   std::string address;
+  /// Of the instance's process.
+  uint64_t life = 0;
 };
 
 /// Why a request has none.
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/state.h"
 
+#include <algorithm>
+
 namespace rattandyke::gateway {
 
 namespace {
@@ -74,29 +76,66 @@
   return {};
 }
 
+bool
+State::HasEnded(const std::string& aId, uint64_t aLife) const
+{
+  const wire::UpstreamInstance* known = FindInstance(aId);
+  if (known != nullptr) {
+    return aLife < known->life();
+  }
+  const auto ended = mEnded.find(aId);
+  return ended != mEnded.end() && aLife <= ended->second;
+}
+
+/// Safeguard: a process that starts again under its id holds nothing of what
+/// its earlier life held. Were the keys still taken as its own, it would be
+/// sent requests that it refuses, and be given keys under fences that it has
+/// let go of. One process runs at a time under an id, so the later life proves
+/// that the earlier one is over: its keys are free in the same command that
+/// registers the later one, on every host.
 Result<void>
 State::On(const wire::PutInstance& aCommand)
 {
   const wire::UpstreamInstance& instance = aCommand.instance();
-  if (HasEnded(instance.id())) {
+  if (HasEnded(instance.id(), instance.life())) {
     return Fail(Code::UpstreamSuperseded, "The instance has ended.");
   }
-  mInstances[instance.id()] = instance;
+  const wire::UpstreamInstance* known = FindInstance(instance.id());
+  const bool sameLife = known != nullptr && known->life() == instance.life();
+  // What leaves does not come back within one life: a heartbeat that says
+  // otherwise was held up.
+  const bool draining = instance.draining() || (sameLife && known->draining());
+  if (!sameLife) {
+    for (auto& [service, ranges] : mRanges) {
+      ranges.FreeAllOf(instance.id());
+    }
+  }
+  wire::UpstreamInstance& put = mInstances[instance.id()];
+  put = instance;
+  put.set_draining(draining);
   return {};
 }
 
 Result<void>
 State::On(const wire::EndInstance& aCommand)
 {
+  const wire::UpstreamInstance* known = FindInstance(aCommand.id());
+  if (known != nullptr && known->life() > aCommand.life()) {
+    return Fail(Code::UpstreamSuperseded, "A later life is registered.");
+  }
   mInstances.erase(aCommand.id());
-  NoteEnded(aCommand.id());
+  if (!aCommand.forgotten()) {
+    NoteEnded(aCommand.id(), aCommand.life());
+  }
   return {};
 }
 
 void
-State::NoteEnded(const std::string& aId)
+State::NoteEnded(const std::string& aId, uint64_t aLife)
 {
-  if (!mEnded.insert(aId).second) {
+  const auto [at, added] = mEnded.try_emplace(aId, aLife);
+  at->second = std::max(at->second, aLife);
+  if (!added) {
     return;
   }
   mEndedOrder.push_back(aId);
@@ -109,7 +148,8 @@
 Result<void>
 State::On(const wire::GrantRanges& aCommand)
 {
-  if (FindInstance(aCommand.holder()) == nullptr) {
+  const wire::UpstreamInstance* holder = FindInstance(aCommand.holder());
+  if (holder == nullptr || holder->life() != aCommand.life()) {
     return Fail(Code::UnknownUpstream, "The holder is not registered.");
   }
   return mRanges[aCommand.service()].Grant(aCommand, mApplied.value);
@@ -153,7 +193,9 @@
     *state.add_instances() = instance;
   }
   for (const std::string& id : mEndedOrder) {
-    state.add_ended_instances(id);
+    wire::EndedInstance* ended = state.add_ended();
+    ended->set_id(id);
+    ended->set_life(mEnded.at(id));
   }
   for (const auto& [service, ranges] : mRanges) {
     wire::ServiceRanges* saved = state.add_ranges();
@@ -175,8 +217,8 @@
   for (const wire::UpstreamInstance& instance : aState.instances()) {
     mInstances[instance.id()] = instance;
   }
-  for (const std::string& id : aState.ended_instances()) {
-    NoteEnded(id);
+  for (const wire::EndedInstance& ended : aState.ended()) {
+    NoteEnded(ended.id(), ended.life());
   }
   for (const wire::ServiceRanges& ranges : aState.ranges()) {
     mRanges[ranges.service()].Load(ranges);
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -3,7 +3,6 @@
 
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -44,8 +43,9 @@
   const wire::UpstreamInstance* FindAtAddress(
     const std::string& aAddress) const;
 
-  /// @return whether the instance was registered once and has ended.
-  bool HasEnded(const std::string& aId) const { return mEnded.contains(aId); }
+  /// @return whether a life of an instance has ended: it deregistered, or a
+  /// later one was registered or has ended, too.
+  bool HasEnded(const std::string& aId, uint64_t aLife) const;
 
   /// @return the owners of a service's keys, or nullptr before the first grant.
   const RangeTable* Ranges(const std::string& aService) const;
@@ -70,7 +70,7 @@
   Result<void> On(const wire::HoldBackRanges& aCommand);
   Result<void> On(const wire::PutEntry& aCommand);
   Result<void> On(const wire::DropEntry& aCommand);
-  void NoteEnded(const std::string& aId);
+  void NoteEnded(const std::string& aId, uint64_t aLife);
 
   LogIndex mApplied;
   ItemTable mItems;
@@ -78,7 +78,8 @@
   /// Instances that ended, oldest first; bounded. A heartbeat that was held up
   /// in the network must not bring an ended instance back.
   std::deque<std::string> mEndedOrder;
-  std::set<std::string, std::less<>> mEnded;
+  /// The newest life of each that has ended.
+  std::map<std::string, uint64_t> mEnded;
   std::map<std::string, RangeTable> mRanges;
   std::map<std::string, wire::EntryMember> mEntries;
 };
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -80,6 +80,12 @@
   }
   for (const auto& [id, instance] : aState.Instances()) {
     Upstream& upstream = mUpstreams[id];
+    if (upstream.life != instance.life()) {
+      // A process that has started again has free slots, is not leaving, and
+      // has not failed yet; its times are not those of the earlier one.
+      upstream = Upstream{};
+      upstream.life = instance.life();
+    }
     upstream.service = instance.service();
     upstream.address = instance.address();
     upstream.dataCentre = instance.data_centre();
@@ -205,6 +211,13 @@
   return usable ? found->second.address : std::string();
 }
 
+uint64_t
+UpstreamSet::LifeOf(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found == mUpstreams.end() ? 0 : found->second.life;
+}
+
 UpstreamSet::Outcome
 UpstreamSet::Choose(const std::string& aService,
                     uint32_t aGroup,
@@ -288,23 +301,23 @@
   return usable ? found->first : std::string();
 }
 
-bool
+UpstreamSet::Begun
 UpstreamSet::Begin(const std::string& aInstance)
 {
   Upstream& upstream = mUpstreams[aInstance];
   ++upstream.running;
-  return upstream.running > upstream.slots;
+  return { upstream.running > upstream.slots, upstream.life };
 }
 
 void
 UpstreamSet::End(const std::string& aInstance,
                  TryEnd aEnd,
                  Duration aTook,
-                 bool aQueued,
+                 const Begun& aBegun,
                  Instant aNow)
 {
   const auto found = mUpstreams.find(aInstance);
-  if (found == mUpstreams.end()) {
+  if (found == mUpstreams.end() || found->second.life != aBegun.life) {
     return;
   }
   Upstream& upstream = found->second;
@@ -313,7 +326,7 @@
   // A request that waited there first tells more of the load than of the
   // upstream.
   const bool timed =
-    aEnd == TryEnd::Silent || (aEnd == TryEnd::Answered && !aQueued);
+    aEnd == TryEnd::Silent || (aEnd == TryEnd::Answered && !aBegun.queued);
   if (timed) {
     upstream.seconds =
       upstream.seconds == 0
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -109,22 +109,33 @@
   /// text.
   std::string UsableAddress(const std::string& aInstance, Instant aNow) const;
 
+  /// @return the life of an instance's process; 0 if it is not known.
+  uint64_t LifeOf(const std::string& aInstance) const;
+
   /// Times of answers that changed since the last call, in seconds. Only these:
   /// many hosts have once sent an instance something, and what they remember of
   /// it would hide what those see that send it requests now.
   std::map<std::string, double> TakeNewTimes();
 
+  /// What is known of a try when it begins.
+  struct Begun
+  {
+    /// It has to wait at the upstream for a slot.
+    bool queued = false;
+    /// Of the upstream's process.
+    uint64_t life = 0;
+  };
+
   /// A try at an instance begins.
-  /// @return whether it has to wait there for a slot.
-  bool Begin(const std::string& aInstance);
+  Begun Begin(const std::string& aInstance);
 
-  /// It is over.
-  /// @param aTook   time since it was sent.
-  /// @param aQueued what Begin returned.
+  /// It is over. A try at an earlier life says nothing of the present one.
+  /// @param aTook  time since it was sent.
+  /// @param aBegun what Begin returned.
   void End(const std::string& aInstance,
            TryEnd aEnd,
            Duration aTook,
-           bool aQueued,
+           const Begun& aBegun,
            Instant aNow);
 
   /// @return requests that the instance runs, as far as known here.
@@ -137,6 +148,8 @@
     std::string address;
     std::string dataCentre;
     uint32_t slots = 1;
+    /// Of its process: all below is of this one.
+    uint64_t life = 0;
     std::optional<Instant> drainingSince;
     uint32_t running = 0;
     /// Moving average of answers' times, in seconds; 0: none yet.
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -136,6 +136,7 @@
   , /*decltype(_impl_.version_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.slots_)*/0u
   , /*decltype(_impl_.draining_)*/false
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamInstanceDefaultTypeInternal {
   PROTOBUF_CONSTEXPR UpstreamInstanceDefaultTypeInternal()
@@ -162,6 +163,8 @@
 PROTOBUF_CONSTEXPR EndInstance::EndInstance(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.id_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.forgotten_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct EndInstanceDefaultTypeInternal {
   PROTOBUF_CONSTEXPR EndInstanceDefaultTypeInternal()
@@ -172,6 +175,20 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EndInstanceDefaultTypeInternal _EndInstance_default_instance_;
+PROTOBUF_CONSTEXPR EndedInstance::EndedInstance(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.id_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct EndedInstanceDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR EndedInstanceDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~EndedInstanceDefaultTypeInternal() {}
+  union {
+    EndedInstance _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EndedInstanceDefaultTypeInternal _EndedInstance_default_instance_;
 PROTOBUF_CONSTEXPR KeyRange::KeyRange(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.handover_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -193,6 +210,7 @@
   , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.holder_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct GrantRangesDefaultTypeInternal {
   PROTOBUF_CONSTEXPR GrantRangesDefaultTypeInternal()
@@ -327,9 +345,9 @@
   , /*decltype(_impl_.dropped_routes_)*/{}
   , /*decltype(_impl_.dropped_services_)*/{}
   , /*decltype(_impl_.instances_)*/{}
-  , /*decltype(_impl_.ended_instances_)*/{}
   , /*decltype(_impl_.ranges_)*/{}
   , /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_.ended_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -567,7 +585,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[34];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[35];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -654,6 +672,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.version_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.slots_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.draining_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.life_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutInstance, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -668,6 +687,16 @@
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndInstance, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndInstance, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndInstance, _impl_.forgotten_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndedInstance, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndedInstance, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndedInstance, _impl_.life_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::KeyRange, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -687,6 +716,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GrantRanges, _impl_.holder_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GrantRanges, _impl_.sequence_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GrantRanges, _impl_.ranges_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GrantRanges, _impl_.life_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FreeRanges, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -776,9 +806,9 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.dropped_routes_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.dropped_services_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.instances_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_instances_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ranges_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.entries_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -936,33 +966,34 @@
   { 50, -1, -1, sizeof(::rattandyke::wire::DroppedItem)},
   { 58, -1, -1, sizeof(::rattandyke::wire::ChangeItems)},
   { 69, -1, -1, sizeof(::rattandyke::wire::UpstreamInstance)},
-  { 82, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
-  { 89, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
-  { 96, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
-  { 105, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
-  { 115, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
-  { 124, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
-  { 132, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
-  { 139, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 146, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
-  { 155, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 170, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 183, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 191, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 207, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 215, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 222, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 230, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 239, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 248, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 256, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 266, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 278, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 287, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 296, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 314, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 325, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 336, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 83, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
+  { 90, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
+  { 99, -1, -1, sizeof(::rattandyke::wire::EndedInstance)},
+  { 107, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
+  { 116, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
+  { 127, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
+  { 136, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
+  { 144, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
+  { 151, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
+  { 158, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 167, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 182, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 195, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 203, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 219, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 227, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 234, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 242, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 251, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 260, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 268, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 278, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 290, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 299, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 308, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 326, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 337, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 348, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -975,6 +1006,7 @@
   &::rattandyke::wire::_UpstreamInstance_default_instance_._instance,
   &::rattandyke::wire::_PutInstance_default_instance_._instance,
   &::rattandyke::wire::_EndInstance_default_instance_._instance,
+  &::rattandyke::wire::_EndedInstance_default_instance_._instance,
   &::rattandyke::wire::_KeyRange_default_instance_._instance,
   &::rattandyke::wire::_GrantRanges_default_instance_._instance,
   &::rattandyke::wire::_FreeRanges_default_instance_._instance,
@@ -1025,111 +1057,115 @@
   "tem\022+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Li"
   "mitsItem\0224\n\016dropped_routes\030\004 \003(\0132\034.ratta"
   "ndyke.wire.DroppedItem\0226\n\020dropped_servic"
-  "es\030\005 \003(\0132\034.rattandyke.wire.DroppedItem\"\207"
+  "es\030\005 \003(\0132\034.rattandyke.wire.DroppedItem\"\225"
   "\001\n\020UpstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007servi"
   "ce\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre"
   "\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020"
-  "\n\010draining\030\007 \001(\010\"B\n\013PutInstance\0223\n\010insta"
-  "nce\030\001 \001(\0132!.rattandyke.wire.UpstreamInst"
-  "ance\"\031\n\013EndInstance\022\n\n\002id\030\001 \001(\t\"6\n\010KeyRa"
-  "nge\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010handove"
-  "r\030\003 \001(\t\"k\n\013GrantRanges\022\017\n\007service\030\001 \001(\t\022"
-  "\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006ran"
-  "ges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\"X\n\n"
-  "FreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 "
-  "\001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Ke"
-  "yRange\"3\n\013EntryMember\022\017\n\007address\030\001 \001(\t\022\023"
-  "\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005entry"
-  "\030\001 \001(\0132\034.rattandyke.wire.EntryMember\"\034\n\t"
-  "DropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldBackRa"
-  "nges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n"
-  "\006ranges\030\003 \003(\0132\031.rattandyke.wire.KeyRange"
-  "\"\303\003\n\016GatewayCommand\0224\n\014change_items\030\001 \001("
-  "\0132\034.rattandyke.wire.ChangeItemsH\000\0224\n\014put"
-  "_instance\030\002 \001(\0132\034.rattandyke.wire.PutIns"
-  "tanceH\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandy"
-  "ke.wire.EndInstanceH\000\0224\n\014grant_ranges\030\004 "
-  "\001(\0132\034.rattandyke.wire.GrantRangesH\000\0222\n\013f"
-  "ree_ranges\030\005 \001(\0132\033.rattandyke.wire.FreeR"
-  "angesH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke."
-  "wire.PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.ra"
-  "ttandyke.wire.DropEntryH\000\022;\n\020hold_back_r"
-  "anges\030\010 \001(\0132\037.rattandyke.wire.HoldBackRa"
-  "ngesH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004from\030\001"
-  " \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n\005fenc"
-  "e\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handover\030\006 "
-  "\001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRanges\022"
-  "\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rat"
-  "tandyke.wire.RangeSegment\"\304\003\n\014GatewaySta"
-  "te\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.ra"
-  "ttandyke.wire.RouteItem\022.\n\010services\030\003 \003("
-  "\0132\034.rattandyke.wire.ServiceItem\022+\n\006limit"
-  "s\030\004 \001(\0132\033.rattandyke.wire.LimitsItem\0224\n\016"
-  "dropped_routes\030\005 \003(\0132\034.rattandyke.wire.D"
-  "roppedItem\0226\n\020dropped_services\030\006 \003(\0132\034.r"
-  "attandyke.wire.DroppedItem\0224\n\tinstances\030"
-  "\007 \003(\0132!.rattandyke.wire.UpstreamInstance"
-  "\022\027\n\017ended_instances\030\010 \003(\t\022.\n\006ranges\030\t \003("
-  "\0132\036.rattandyke.wire.ServiceRanges\022-\n\007ent"
-  "ries\030\n \003(\0132\034.rattandyke.wire.EntryMember"
-  "\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke"
-  ".wire.EntryMember\022\017\n\007applied\030\002 \001(\004\"<\n\014Fe"
-  "edSnapshot\022,\n\005state\030\001 \001(\0132\035.rattandyke.w"
-  "ire.GatewayState\"N\n\013FeedCommand\022\r\n\005index"
-  "\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyke.wir"
-  "e.GatewayCommand\"B\n\010FeedPing\022\017\n\007applied\030"
-  "\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003"
-  " \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007bu"
-  "ckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014Instanc"
-  "eTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001"
-  "\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rattand"
-  "yke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.ratt"
-  "andyke.wire.InstanceTime\022\017\n\007leaving\030\003 \001("
-  "\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wire.Ent"
-  "ryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n"
-  "\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006targe"
-  "t\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r"
-  "\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006statu"
-  "s\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostReport\022)\n\005"
-  "loads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022"
-  ",\n\005times\030\002 \003(\0132\035.rattandyke.wire.Instanc"
-  "eTime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire"
-  ".EntryMember\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
-  "(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007s"
-  "ervice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010exclud"
-  "ed\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_m"
-  "s\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030"
-  "\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n"
-  "\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002"
-  " \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Sl"
-  "otState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after"
-  "_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007s"
-  "ession\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001("
-  "\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014GatewayFrame\022\023\n\tc"
-  "onsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.ra"
-  "ttandyke.wire.FeedOpenH\000\0226\n\rfeed_snapsho"
-  "t\030\003 \001(\0132\035.rattandyke.wire.FeedSnapshotH\000"
-  "\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke.wire"
-  ".FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.ratt"
-  "andyke.wire.FeedPingH\000\0222\n\013feed_report\030\006 "
-  "\001(\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016fo"
-  "rwarded_call\030\007 \001(\0132\036.rattandyke.wire.For"
-  "wardedCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 "
-  ".rattandyke.wire.ForwardedAnswerH\000\0222\n\013ho"
-  "st_report\030\t \001(\0132\033.rattandyke.wire.HostRe"
-  "portH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wi"
-  "re.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.ratt"
-  "andyke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 "
-  "\001(\0132\031.rattandyke.wire.SlotDoneH\000B\006\n\004body"
-  "*n\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020"
-  "\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_G"
-  "RANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003b\006proto3"
+  "\n\010draining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\"B\n\013PutIns"
+  "tance\0223\n\010instance\030\001 \001(\0132!.rattandyke.wir"
+  "e.UpstreamInstance\":\n\013EndInstance\022\n\n\002id\030"
+  "\001 \001(\t\022\014\n\004life\030\002 \001(\004\022\021\n\tforgotten\030\003 \001(\010\")"
+  "\n\rEndedInstance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001("
+  "\004\"6\n\010KeyRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
+  "\020\n\010handover\030\003 \001(\t\"y\n\013GrantRanges\022\017\n\007serv"
+  "ice\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 "
+  "\001(\004\022)\n\006ranges\030\004 \003(\0132\031.rattandyke.wire.Ke"
+  "yRange\022\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007se"
+  "rvice\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 "
+  "\003(\0132\031.rattandyke.wire.KeyRange\"3\n\013EntryM"
+  "ember\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 "
+  "\001(\t\"7\n\010PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattand"
+  "yke.wire.EntryMember\"\034\n\tDropEntry\022\017\n\007add"
+  "ress\030\001 \001(\t\"\\\n\016HoldBackRanges\022\017\n\007service\030"
+  "\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031."
+  "rattandyke.wire.KeyRange\"\303\003\n\016GatewayComm"
+  "and\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.w"
+  "ire.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132"
+  "\034.rattandyke.wire.PutInstanceH\000\0224\n\014end_i"
+  "nstance\030\003 \001(\0132\034.rattandyke.wire.EndInsta"
+  "nceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke"
+  ".wire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\013"
+  "2\033.rattandyke.wire.FreeRangesH\000\022.\n\tput_e"
+  "ntry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\022"
+  "0\n\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Dr"
+  "opEntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ra"
+  "ttandyke.wire.HoldBackRangesH\000B\006\n\004body\"~"
+  "\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r"
+  "\022\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010seque"
+  "nce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back"
+  "\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t"
+  "\022/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Ran"
+  "geSegment\"\340\003\n\014GatewayState\022\017\n\007applied\030\001 "
+  "\001(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Ro"
+  "uteItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.w"
+  "ire.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattan"
+  "dyke.wire.LimitsItem\0224\n\016dropped_routes\030\005"
+  " \003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dr"
+  "opped_services\030\006 \003(\0132\034.rattandyke.wire.D"
+  "roppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandy"
+  "ke.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\013"
+  "2\036.rattandyke.wire.ServiceRanges\022-\n\007entr"
+  "ies\030\n \003(\0132\034.rattandyke.wire.EntryMember\022"
+  "-\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIn"
+  "stanceJ\004\010\010\020\t\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132"
+  "\034.rattandyke.wire.EntryMember\022\017\n\007applied"
+  "\030\002 \001(\004\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035."
+  "rattandyke.wire.GatewayState\"N\n\013FeedComm"
+  "and\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ra"
+  "ttandyke.wire.GatewayCommand\"B\n\010FeedPing"
+  "\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t"
+  "\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service"
+  "\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003("
+  "\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007s"
+  "econds\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003"
+  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
+  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017\n\007"
+  "leaving\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattand"
+  "yke.wire.EntryMember\"n\n\rForwardedCall\022\n\n"
+  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
+  "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
+  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
+  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHo"
+  "stReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wir"
+  "e.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke."
+  "wire.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rat"
+  "tandyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010"
+  "reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticke"
+  "t\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001"
+  "(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023"
+  "\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013"
+  "data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_"
+  "ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006"
+  "\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattan"
+  "dyke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n"
+  "\016retry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004fro"
+  "m\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
+  "\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014Gatew"
+  "ayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_ope"
+  "n\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\r"
+  "feed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Fe"
+  "edSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rat"
+  "tandyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030"
+  "\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013fe"
+  "ed_report\030\006 \001(\0132\033.rattandyke.wire.FeedRe"
+  "portH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattand"
+  "yke.wire.ForwardedCallH\000\022<\n\020forwarded_an"
+  "swer\030\010 \001(\0132 .rattandyke.wire.ForwardedAn"
+  "swerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke"
+  ".wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.r"
+  "attandyke.wire.SlotAskH\000\0222\n\013slot_answer\030"
+  "\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\t"
+  "slot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDo"
+  "neH\000B\006\n\004body*n\n\tSlotState\022\032\n\026SLOT_STATE_"
+  "UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022"
+  "SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUS"
+  "ED\020\003b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4840, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4972, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 34,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 35,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -3272,6 +3308,7 @@
     , decltype(_impl_.version_){}
     , decltype(_impl_.slots_){}
     , decltype(_impl_.draining_){}
+    , decltype(_impl_.life_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3316,8 +3353,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.slots_, &from._impl_.slots_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.draining_) -
-    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.draining_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.life_) -
+    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.life_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamInstance)
 }
 
@@ -3333,6 +3370,7 @@
     , decltype(_impl_.version_){}
     , decltype(_impl_.slots_){0u}
     , decltype(_impl_.draining_){false}
+    , decltype(_impl_.life_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.id_.InitDefault();
@@ -3391,8 +3429,8 @@
   _impl_.data_centre_.ClearToEmpty();
   _impl_.version_.ClearToEmpty();
   ::memset(&_impl_.slots_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.draining_) -
-      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.draining_));
+      reinterpret_cast<char*>(&_impl_.life_) -
+      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.life_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3468,6 +3506,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 life = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3559,6 +3605,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_draining(), target);
   }
 
+  // uint64 life = 8;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(8, this->_internal_life(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3620,6 +3672,11 @@
     total_size += 1 + 1;
   }
 
+  // uint64 life = 8;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -3659,6 +3716,9 @@
   if (from._internal_draining() != 0) {
     _this->_internal_set_draining(from._internal_draining());
   }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -3699,8 +3759,8 @@
       &other->_impl_.version_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.draining_)
-      + sizeof(UpstreamInstance::_impl_.draining_)
+      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.life_)
+      + sizeof(UpstreamInstance::_impl_.life_)
       - PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.slots_)>(
           reinterpret_cast<char*>(&_impl_.slots_),
           reinterpret_cast<char*>(&other->_impl_.slots_));
@@ -3922,6 +3982,8 @@
   EndInstance* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.id_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.forgotten_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3933,6 +3995,9 @@
     _this->_impl_.id_.Set(from._internal_id(), 
       _this->GetArenaForAllocation());
   }
+  ::memcpy(&_impl_.life_, &from._impl_.life_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.forgotten_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.forgotten_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EndInstance)
 }
 
@@ -3942,6 +4007,8 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.id_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.forgotten_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.id_.InitDefault();
@@ -3975,6 +4042,9 @@
   (void) cached_has_bits;
 
   _impl_.id_.ClearToEmpty();
+  ::memset(&_impl_.life_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.forgotten_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.forgotten_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3994,6 +4064,22 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 life = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool forgotten = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.forgotten_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4033,6 +4119,18 @@
         1, this->_internal_id(), target);
   }
 
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
+  }
+
+  // bool forgotten = 3;
+  if (this->_internal_forgotten() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_forgotten(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4056,6 +4154,16 @@
         this->_internal_id());
   }
 
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // bool forgotten = 3;
+  if (this->_internal_forgotten() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -4077,6 +4185,12 @@
   if (!from._internal_id().empty()) {
     _this->_internal_set_id(from._internal_id());
   }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_forgotten() != 0) {
+    _this->_internal_set_forgotten(from._internal_forgotten());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -4100,6 +4214,12 @@
       &_impl_.id_, lhs_arena,
       &other->_impl_.id_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(EndInstance, _impl_.forgotten_)
+      + sizeof(EndInstance::_impl_.forgotten_)
+      - PROTOBUF_FIELD_OFFSET(EndInstance, _impl_.life_)>(
+          reinterpret_cast<char*>(&_impl_.life_),
+          reinterpret_cast<char*>(&other->_impl_.life_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata EndInstance::GetMetadata() const {
@@ -4110,6 +4230,236 @@
 
 // ===================================================================
 
+class EndedInstance::_Internal {
+ public:
+};
+
+EndedInstance::EndedInstance(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EndedInstance)
+}
+EndedInstance::EndedInstance(const EndedInstance& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  EndedInstance* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , decltype(_impl_.life_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_id().empty()) {
+    _this->_impl_.id_.Set(from._internal_id(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.life_ = from._impl_.life_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EndedInstance)
+}
+
+inline void EndedInstance::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+EndedInstance::~EndedInstance() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.EndedInstance)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void EndedInstance::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.id_.Destroy();
+}
+
+void EndedInstance::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void EndedInstance::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EndedInstance)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.id_.ClearToEmpty();
+  _impl_.life_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* EndedInstance::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_id();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EndedInstance.id"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* EndedInstance::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.EndedInstance)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string id = 1;
+  if (!this->_internal_id().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_id().data(), static_cast<int>(this->_internal_id().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.EndedInstance.id");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_id(), target);
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.EndedInstance)
+  return target;
+}
+
+size_t EndedInstance::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.EndedInstance)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string id = 1;
+  if (!this->_internal_id().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_id());
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData EndedInstance::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    EndedInstance::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*EndedInstance::GetClassData() const { return &_class_data_; }
+
+
+void EndedInstance::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<EndedInstance*>(&to_msg);
+  auto& from = static_cast<const EndedInstance&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.EndedInstance)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_id().empty()) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void EndedInstance::CopyFrom(const EndedInstance& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.EndedInstance)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool EndedInstance::IsInitialized() const {
+  return true;
+}
+
+void EndedInstance::InternalSwap(EndedInstance* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.id_, lhs_arena,
+      &other->_impl_.id_, rhs_arena
+  );
+  swap(_impl_.life_, other->_impl_.life_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata EndedInstance::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[9]);
+}
+
+// ===================================================================
+
 class KeyRange::_Internal {
  public:
 };
@@ -4368,7 +4718,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata KeyRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[9]);
+      file_level_metadata_gateway_2eproto[10]);
 }
 
 // ===================================================================
@@ -4391,6 +4741,7 @@
     , decltype(_impl_.service_){}
     , decltype(_impl_.holder_){}
     , decltype(_impl_.sequence_){}
+    , decltype(_impl_.life_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -4410,7 +4761,9 @@
     _this->_impl_.holder_.Set(from._internal_holder(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.sequence_ = from._impl_.sequence_;
+  ::memcpy(&_impl_.sequence_, &from._impl_.sequence_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.life_) -
+    reinterpret_cast<char*>(&_impl_.sequence_)) + sizeof(_impl_.life_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GrantRanges)
 }
 
@@ -4423,6 +4776,7 @@
     , decltype(_impl_.service_){}
     , decltype(_impl_.holder_){}
     , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.life_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
@@ -4464,7 +4818,9 @@
   _impl_.ranges_.Clear();
   _impl_.service_.ClearToEmpty();
   _impl_.holder_.ClearToEmpty();
-  _impl_.sequence_ = uint64_t{0u};
+  ::memset(&_impl_.sequence_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.life_) -
+      reinterpret_cast<char*>(&_impl_.sequence_)) + sizeof(_impl_.life_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -4515,6 +4871,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 life = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4578,6 +4942,12 @@
         InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // uint64 life = 5;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_life(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4620,6 +4990,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
   }
 
+  // uint64 life = 5;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -4648,6 +5023,9 @@
   if (from._internal_sequence() != 0) {
     _this->_internal_set_sequence(from._internal_sequence());
   }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -4676,13 +5054,18 @@
       &_impl_.holder_, lhs_arena,
       &other->_impl_.holder_, rhs_arena
   );
-  swap(_impl_.sequence_, other->_impl_.sequence_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(GrantRanges, _impl_.life_)
+      + sizeof(GrantRanges::_impl_.life_)
+      - PROTOBUF_FIELD_OFFSET(GrantRanges, _impl_.sequence_)>(
+          reinterpret_cast<char*>(&_impl_.sequence_),
+          reinterpret_cast<char*>(&other->_impl_.sequence_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata GrantRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[10]);
+      file_level_metadata_gateway_2eproto[11]);
 }
 
 // ===================================================================
@@ -4969,7 +5352,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FreeRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[11]);
+      file_level_metadata_gateway_2eproto[12]);
 }
 
 // ===================================================================
@@ -5222,7 +5605,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EntryMember::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[12]);
+      file_level_metadata_gateway_2eproto[13]);
 }
 
 // ===================================================================
@@ -5415,7 +5798,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PutEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[13]);
+      file_level_metadata_gateway_2eproto[14]);
 }
 
 // ===================================================================
@@ -5618,7 +6001,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DropEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[14]);
+      file_level_metadata_gateway_2eproto[15]);
 }
 
 // ===================================================================
@@ -5905,7 +6288,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[15]);
+      file_level_metadata_gateway_2eproto[16]);
 }
 
 // ===================================================================
@@ -6558,7 +6941,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[16]);
+      file_level_metadata_gateway_2eproto[17]);
 }
 
 // ===================================================================
@@ -6943,7 +7326,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[17]);
+      file_level_metadata_gateway_2eproto[18]);
 }
 
 // ===================================================================
@@ -7180,7 +7563,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[19]);
 }
 
 // ===================================================================
@@ -7209,9 +7592,9 @@
     , decltype(_impl_.dropped_routes_){from._impl_.dropped_routes_}
     , decltype(_impl_.dropped_services_){from._impl_.dropped_services_}
     , decltype(_impl_.instances_){from._impl_.instances_}
-    , decltype(_impl_.ended_instances_){from._impl_.ended_instances_}
     , decltype(_impl_.ranges_){from._impl_.ranges_}
     , decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.ended_){from._impl_.ended_}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -7234,9 +7617,9 @@
     , decltype(_impl_.dropped_routes_){arena}
     , decltype(_impl_.dropped_services_){arena}
     , decltype(_impl_.instances_){arena}
-    , decltype(_impl_.ended_instances_){arena}
     , decltype(_impl_.ranges_){arena}
     , decltype(_impl_.entries_){arena}
+    , decltype(_impl_.ended_){arena}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -7259,9 +7642,9 @@
   _impl_.dropped_routes_.~RepeatedPtrField();
   _impl_.dropped_services_.~RepeatedPtrField();
   _impl_.instances_.~RepeatedPtrField();
-  _impl_.ended_instances_.~RepeatedPtrField();
   _impl_.ranges_.~RepeatedPtrField();
   _impl_.entries_.~RepeatedPtrField();
+  _impl_.ended_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
 }
 
@@ -7280,9 +7663,9 @@
   _impl_.dropped_routes_.Clear();
   _impl_.dropped_services_.Clear();
   _impl_.instances_.Clear();
-  _impl_.ended_instances_.Clear();
   _impl_.ranges_.Clear();
   _impl_.entries_.Clear();
+  _impl_.ended_.Clear();
   if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
     delete _impl_.limits_;
   }
@@ -7378,21 +7761,6 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated string ended_instances = 8;
-      case 8:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            auto str = _internal_add_ended_instances();
-            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-            CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.GatewayState.ended_instances"));
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<66>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
       // repeated .rattandyke.wire.ServiceRanges ranges = 9;
       case 9:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
@@ -7419,6 +7787,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.EndedInstance ended = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ended(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<90>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7501,16 +7882,6 @@
         InternalWriteMessage(7, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // repeated string ended_instances = 8;
-  for (int i = 0, n = this->_internal_ended_instances_size(); i < n; i++) {
-    const auto& s = this->_internal_ended_instances(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.GatewayState.ended_instances");
-    target = stream->WriteString(8, s, target);
-  }
-
   // repeated .rattandyke.wire.ServiceRanges ranges = 9;
   for (unsigned i = 0,
       n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
@@ -7527,6 +7898,14 @@
         InternalWriteMessage(10, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated .rattandyke.wire.EndedInstance ended = 11;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ended_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ended(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(11, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -7578,14 +7957,6 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // repeated string ended_instances = 8;
-  total_size += 1 *
-      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.ended_instances_.size());
-  for (int i = 0, n = _impl_.ended_instances_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-      _impl_.ended_instances_.Get(i));
-  }
-
   // repeated .rattandyke.wire.ServiceRanges ranges = 9;
   total_size += 1UL * this->_internal_ranges_size();
   for (const auto& msg : this->_impl_.ranges_) {
@@ -7600,6 +7971,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.EndedInstance ended = 11;
+  total_size += 1UL * this->_internal_ended_size();
+  for (const auto& msg : this->_impl_.ended_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // .rattandyke.wire.LimitsItem limits = 4;
   if (this->_internal_has_limits()) {
     total_size += 1 +
@@ -7635,9 +8013,9 @@
   _this->_impl_.dropped_routes_.MergeFrom(from._impl_.dropped_routes_);
   _this->_impl_.dropped_services_.MergeFrom(from._impl_.dropped_services_);
   _this->_impl_.instances_.MergeFrom(from._impl_.instances_);
-  _this->_impl_.ended_instances_.MergeFrom(from._impl_.ended_instances_);
   _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
   _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  _this->_impl_.ended_.MergeFrom(from._impl_.ended_);
   if (from._internal_has_limits()) {
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
@@ -7667,9 +8045,9 @@
   _impl_.dropped_routes_.InternalSwap(&other->_impl_.dropped_routes_);
   _impl_.dropped_services_.InternalSwap(&other->_impl_.dropped_services_);
   _impl_.instances_.InternalSwap(&other->_impl_.instances_);
-  _impl_.ended_instances_.InternalSwap(&other->_impl_.ended_instances_);
   _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
   _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  _impl_.ended_.InternalSwap(&other->_impl_.ended_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
       + sizeof(GatewayState::_impl_.applied_)
@@ -7681,7 +8059,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[20]);
 }
 
 // ===================================================================
@@ -7905,7 +8283,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[21]);
 }
 
 // ===================================================================
@@ -8098,7 +8476,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
@@ -8322,7 +8700,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
@@ -8572,7 +8950,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -8859,7 +9237,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -9101,7 +9479,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9381,7 +9759,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -9794,7 +10172,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
@@ -10057,7 +10435,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10310,7 +10688,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -10882,7 +11260,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -11196,7 +11574,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -11507,7 +11885,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -12368,7 +12746,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -12411,6 +12789,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::EndInstance >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::EndInstance >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::EndedInstance*
+Arena::CreateMaybeMessage< ::rattandyke::wire::EndedInstance >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::EndedInstance >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::KeyRange*
 Arena::CreateMaybeMessage< ::rattandyke::wire::KeyRange >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::KeyRange >(arena);
