End callers' connections without losing a request

Cause: an idle connection was closed under its read. Entries also took requests until 3.2 s after SIGTERM, so that one with a long work could be cut at the end of the grace. Idle connections end 2.6 s after SIGTERM, the process 0.3 s before its grace ends.

--- /dev/null
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -0,0 +1,123 @@
+#include "gateway/caller_connection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "http/headers.h"
+#include "http/signal.h"
+
+namespace rattandyke::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using http::kAwait;
+
+CallerConnection::CallerConnection(tcp::socket aSocket, const Clock& aClock)
+  : mSocket(std::move(aSocket))
+  , mClock(aClock)
+{
+}
+
+asio::awaitable<CallerConnection::ErrorCode>
+CallerConnection::Read(Parser& aParser, Duration aIdle)
+{
+  mBusy = false;
+  mIdleUntil = mClock.Now() + aIdle;
+  ErrorCode error;
+  do {
+    auto [headError, bytes] = co_await beast::http::async_read_header(
+      mSocket, mBuffer, aParser, kAwait);
+    error = headError;
+  } while (GoesOn(aParser, error, aIdle));
+  const bool hasBody = !error && !aParser.is_done();
+  if (hasBody &&
+      http::FieldOf(aParser.get().base(), "Expect") == "100-continue") {
+    static const std::string sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(mSocket, asio::buffer(sContinue), kAwait);
+  }
+  if (hasBody) {
+    do {
+      auto [bodyError, bytes] =
+        co_await beast::http::async_read(mSocket, mBuffer, aParser, kAwait);
+      error = bodyError;
+    } while (GoesOn(aParser, error, aIdle));
+  }
+  mBusy = !error;
+  co_return error;
+}
+
+/// Safeguard: an idle connection is ended in the moment in which a request
+/// arrives on it. Were it closed under the read, a request that was read whole
+/// would get no answer, and its caller, if it may not repeat it, would not know
+/// what became of it. So the end only cuts the read short: what has begun to
+/// arrive is read on, for no longer than a connection may be idle.
+bool
+CallerConnection::GoesOn(const Parser& aParser,
+                         ErrorCode aError,
+                         Duration aIdle)
+{
+  if (aError != asio::error::operation_aborted || !mEnding) {
+    return false;
+  }
+  const bool begun = aParser.got_some() || mBuffer.size() > 0;
+  ErrorCode failed;
+  const bool arriving = mSocket.available(failed) > 0 && !failed;
+  if (!begun && arriving) {
+    mIdleUntil = mClock.Now() + aIdle;
+    return true;
+  }
+  return begun && mClock.Now() < mIdleUntil;
+}
+
+asio::awaitable<bool>
+CallerConnection::Write(const std::string& aText)
+{
+  auto [error, bytes] =
+    co_await asio::async_write(mSocket, asio::buffer(aText), kAwait);
+  co_return !error;
+}
+
+void
+CallerConnection::Watch(std::shared_ptr<RequestContext> aContext)
+{
+  if (mBuffer.size() > 0) {
+    return; // The next request is here already: its caller is, too.
+  }
+  mSocket.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this(),
+                      context = std::move(aContext)](ErrorCode aError) {
+                       ErrorCode failed;
+                       if (!aError &&
+                           (self->mSocket.available(failed) == 0 || failed)) {
+                         context->CallerLeft();
+                       }
+                     });
+}
+
+void
+CallerConnection::Unwatch()
+{
+  ErrorCode ignored; // The watch ends; nothing else is pending.
+  mSocket.cancel(ignored);
+}
+
+void
+CallerConnection::End()
+{
+  mEnding = true;
+  if (!mBusy) {
+    ErrorCode ignored; // Cuts the read short.
+    mSocket.cancel(ignored);
+  }
+}
+
+void
+CallerConnection::Close()
+{
+  ErrorCode ignored; // The caller may be gone already.
+  mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+  mSocket.close(ignored);
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -0,0 +1,75 @@
+/// A caller's connection to an entry host.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <rattandyke/types.h>
+
+#include "base/clock.h"
+#include "gateway/request_context.h"
+
+namespace rattandyke::gateway {
+
+/// Reads a caller's requests one after the other, and ends without losing one.
+/// Runs on one executor that runs one handler at a time.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using ErrorCode = boost::system::error_code;
+
+  /// @param aClock outlives this object.
+  CallerConnection(boost::asio::ip::tcp::socket aSocket, const Clock& aClock);
+
+  /// Reads the next request.
+  /// @param aParser with its limits set.
+  /// @param aIdle   time within which it must be read.
+  /// @return operation_aborted if the connection was ended before.
+  boost::asio::awaitable<ErrorCode> Read(Parser& aParser, Duration aIdle);
+
+  /// @return whether all was written.
+  boost::asio::awaitable<bool> Write(const std::string& aText);
+
+  /// Tells the context when the caller closes its connection, so that the work
+  /// for it ends. Until Unwatch.
+  void Watch(std::shared_ptr<RequestContext> aContext);
+  void Unwatch();
+
+  /// Ends an idle connection. A request that has begun to arrive is read and
+  /// answered first.
+  void End();
+
+  /// @return whether it ends with the answer that comes next.
+  bool IsEnding() const { return mEnding; }
+
+  /// @return whether no request is worked on.
+  bool IsIdle() const { return !mBusy; }
+
+  /// @return whether it is idle and has been for as long as it may.
+  bool IsIdleTooLong(Instant aNow) const
+  {
+    return !mBusy && mIdleUntil <= aNow;
+  }
+
+  void Close();
+
+private:
+  bool GoesOn(const Parser& aParser, ErrorCode aError, Duration aIdle);
+
+  boost::asio::ip::tcp::socket mSocket;
+  const Clock& mClock;
+  boost::beast::flat_buffer mBuffer;
+  bool mBusy = false;
+  bool mEnding = false;
+  Instant mIdleUntil{};
+};
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -6,16 +6,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "base/endpoint.h"
 #include "gateway/call_server.h"
+#include "gateway/caller_connection.h"
 #include "gateway/feed_client.h"
 #include "gateway/feed_server.h"
 #include "gateway/request_handler.h"
@@ -36,7 +32,6 @@
 using http::kAwait;
 using std::chrono::milliseconds;
 using ErrorCode = boost::system::error_code;
-using Parser = beast::http::request_parser<beast::http::string_body>;
 
 /// The sweep's interval is the error of the idle timeouts.
 constexpr milliseconds kSweepInterval{ 200 };
@@ -50,9 +45,10 @@
 constexpr uint64_t kDefaultBodyBytes = uint64_t{ 64 } * 1024 * 1024;
 /// A balancer asks once a second and takes a host out after two misses; until
 /// then it sends new connections.
-constexpr milliseconds kLeaveRotation{ 3200 };
-/// Kept of the time before the process is killed.
-constexpr milliseconds kGraceMargin{ 500 };
+constexpr milliseconds kLeaveRotation{ 2600 };
+/// Kept of the time before the process is killed: for its end, on a part of a
+/// core.
+constexpr milliseconds kGraceMargin{ 300 };
 constexpr milliseconds kUnacknowledged{ 3000 };
 
 constexpr unsigned kOk = 200;
@@ -95,19 +91,7 @@
 
 struct EntryHost::Impl : std::enable_shared_from_this<EntryHost::Impl>
 {
-  /// One connection of a caller.
-  struct Session
-  {
-    explicit Session(tcp::socket aSocket)
-      : socket(std::move(aSocket))
-    {
-    }
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-    bool busy = false;
-    /// While no request is worked on: when it is closed.
-    Instant idleUntil{};
-  };
+  using Connection = std::shared_ptr<CallerConnection>;
 
   Impl(asio::io_context& aContext,
        const Settings& aSettings,
@@ -324,10 +308,11 @@
   void Take(tcp::socket aSocket)
   {
     net::TuneSocket(aSocket, kUnacknowledged);
-    auto session = std::make_shared<Session>(std::move(aSocket));
-    sessions.insert(session);
+    auto connection =
+      std::make_shared<CallerConnection>(std::move(aSocket), clock);
+    connections.insert(connection);
     asio::co_spawn(
-      executor, Serve(shared_from_this(), session), asio::detached);
+      executor, Serve(shared_from_this(), connection), asio::detached);
   }
 
   Duration IdleTimeout() const
@@ -337,52 +322,30 @@
   }
 
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> aSelf,
-                                     std::shared_ptr<Session> aSession)
+                                     Connection aConnection)
   {
     bool keep = true;
     while (keep) {
-      keep = co_await aSelf->ServeOne(aSession);
+      keep = co_await aSelf->ServeOne(aConnection);
     }
-    ErrorCode ignored; // The caller may be gone already.
-    aSession->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    aSession->socket.close(ignored);
-    aSelf->sessions.erase(aSession);
+    aConnection->Close();
+    aSelf->connections.erase(aConnection);
   }
 
   /// @return whether the connection is kept.
-  asio::awaitable<bool> ServeOne(std::shared_ptr<Session> aSession)
+  asio::awaitable<bool> ServeOne(Connection aConnection)
   {
-    aSession->idleUntil = clock.Now() + IdleTimeout();
-    aSession->busy = false;
-    Parser parser;
+    CallerConnection::Parser parser;
     const wire::LimitsItem& limits = feed.Known().Items().Limits();
     parser.header_limit(limits.max_header_bytes() == 0
                           ? kDefaultHeaderBytes
                           : limits.max_header_bytes());
     parser.body_limit(limits.max_body_bytes() == 0 ? kDefaultBodyBytes
                                                    : limits.max_body_bytes());
-    auto [headError, headBytes] = co_await beast::http::async_read_header(
-      aSession->socket, aSession->buffer, parser, kAwait);
-    if (!headError && !parser.is_done()) {
-      if (http::FieldOf(parser.get().base(), "Expect") == "100-continue") {
-        static const std::string sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(
-          aSession->socket, asio::buffer(sContinue), kAwait);
-      }
-      auto [bodyError, bodyBytes] = co_await beast::http::async_read(
-        aSession->socket, aSession->buffer, parser, kAwait);
-      headError = bodyError;
+    const ErrorCode unread = co_await aConnection->Read(parser, IdleTimeout());
+    if (unread) {
+      co_return co_await RefuseUnread(aConnection, unread);
     }
-    if (headError) {
-      co_return co_await RefuseUnread(aSession, headError);
-    }
-    // Safeguard: the read may have ended in the moment in which the idle
-    // connection was closed. Passed on, the request would run and its answer
-    // be lost; dropped here, its caller sees a close that crossed it.
-    if (!aSession->socket.is_open()) {
-      co_return false;
-    }
-    aSession->busy = true;
     auto& message = parser.get();
     const bool keep = message.keep_alive();
     CallerRequest request;
@@ -394,42 +357,19 @@
     request.arrived = clock.Now();
     const bool head = request.method == "HEAD";
     auto context = std::make_shared<RequestContext>(executor);
-    Watch(aSession, context);
+    aConnection->Watch(context);
     CallerAnswer answer = co_await handler.Handle(context, std::move(request));
     if (context->HasLeft()) {
       co_return false;
     }
-    ErrorCode ignored; // The watch ends; nothing else is pending.
-    aSession->socket.cancel(ignored);
-    const bool keepOpen = keep && !stopping;
+    aConnection->Unwatch();
+    const bool keepOpen = keep && !stopping && !aConnection->IsEnding();
     const std::string text = Serialize(answer, keepOpen, head);
-    auto [error, bytes] =
-      co_await asio::async_write(aSession->socket, asio::buffer(text), kAwait);
-    co_return !error && keepOpen;
+    const bool written = co_await aConnection->Write(text);
+    co_return written&& keepOpen;
   }
 
-  /// Tells the context when the caller closes its connection, so that the work
-  /// for it ends.
-  void Watch(const std::shared_ptr<Session>& aSession,
-             const std::shared_ptr<RequestContext>& aContext)
-  {
-    if (aSession->buffer.size() > 0) {
-      return; // The next request is here already: its caller is, too.
-    }
-    aSession->socket.async_wait(
-      tcp::socket::wait_read, [aSession, aContext](ErrorCode aError) {
-        if (aError) {
-          return;
-        }
-        ErrorCode failed;
-        if (aSession->socket.available(failed) == 0 || failed) {
-          aContext->CallerLeft();
-        }
-      });
-  }
-
-  asio::awaitable<bool> RefuseUnread(std::shared_ptr<Session> aSession,
-                                     ErrorCode aError)
+  asio::awaitable<bool> RefuseUnread(Connection aConnection, ErrorCode aError)
   {
     using BeastError = beast::http::error;
     unsigned status = 0;
@@ -446,7 +386,7 @@
     if (status != 0) {
       const std::string text =
         Serialize(handler.Refuse(status, aError.message()), false, false);
-      co_await asio::async_write(aSession->socket, asio::buffer(text), kAwait);
+      co_await aConnection->Write(text);
     }
     co_return false;
   }
@@ -466,9 +406,9 @@
   void OnSweep()
   {
     const Instant now = clock.Now();
-    for (const auto& session : sessions) {
-      if (!session->busy && session->idleUntil <= now) {
-        CloseSession(*session);
+    for (const Connection& connection : connections) {
+      if (connection->IsIdleTooLong(now)) {
+        connection->End();
       }
     }
     handler.Sweep();
@@ -491,25 +431,19 @@
     }
   }
 
-  static void CloseSession(Session& aSession)
-  {
-    ErrorCode ignored; // Ends the session's read.
-    aSession.socket.close(ignored);
-  }
-
   void OnStopping(Instant aNow)
   {
     if (aNow - stoppedAt >= kLeaveRotation) {
       ErrorCode ignored; // Nothing is accepted any more either way.
       acceptor.close(ignored);
-      for (const auto& session : sessions) {
-        if (!session->busy) {
-          CloseSession(*session);
+      for (const Connection& connection : connections) {
+        if (connection->IsIdle() && !connection->IsEnding()) {
+          connection->End();
         }
       }
     }
     const bool late = aNow - stoppedAt >= settings.shutdownGrace - kGraceMargin;
-    const bool idle = !acceptor.is_open() && sessions.empty();
+    const bool idle = !acceptor.is_open() && connections.empty();
     if ((late || idle) && done) {
       feed.Stop();
       sweeper.cancel();
@@ -543,7 +477,7 @@
   asio::steady_timer slotTicker;
   std::unique_ptr<CallServer> readiness;
   std::unique_ptr<CallServer> metrics;
-  std::set<std::shared_ptr<Session>> sessions;
+  std::set<Connection> connections;
   Instant reportedAt{};
   bool stopping = false;
   Instant stoppedAt{};
