Keep requests for late answers behind those in time; homes without state decline

Cause: a request that could only be late was refused, although its caller has as much time again and the upstream has room a moment later; it came back once on another connection. A home that had just started refused what it did not know; the entry that asked knew better. Change: what has waited for its patience goes on behind those that can be in time, if what is left of the upstream's rate beside the demand of the last 0.7 s is likely to reach it within 0.35 of the time it has; else it is refused at once. An ask in the home's queue lets the next one ask. A home that does not know an upstream declines, and the entry goes by itself at once.

--- a/src/librattandyke/gateway/ask_line.cpp
+++ b/src/librattandyke/gateway/ask_line.cpp
@@ -83,6 +83,15 @@
   return turns;
 }
 
+/// A request in the home's queue costs the home nothing more. Were it counted
+/// as asking until it has a slot, those that wait for a late answer would keep
+/// others from asking whose answers may be in time.
+std::vector<AskLine::Turn>
+AskLine::OnQueued(const std::string& aInstance)
+{
+  return OnGranted(aInstance);
+}
+
 std::vector<AskLine::Turn>
 AskLine::OnGranted(const std::string& aInstance)
 {
--- a/src/librattandyke/gateway/ask_line.h
+++ b/src/librattandyke/gateway/ask_line.h
@@ -60,6 +60,10 @@
   /// A request that waits goes.
   void Leave(uint64_t aTicket, const std::string& aInstance);
 
+  /// The home keeps the request in its queue: it asks no more, and one of the
+  /// other calls need not follow.
+  std::vector<Turn> OnQueued(const std::string& aInstance);
+
   /// The home gave a slot.
   std::vector<Turn> OnGranted(const std::string& aInstance);
 
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -1,6 +1,7 @@
 #include "gateway/slot_broker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/clock.h"
@@ -22,6 +23,19 @@
 /// Part of its patience for which a request waits even for a slow upstream: its
 /// time there is an average, and many take less.
 constexpr double kLeastPatience = 0.25;
+/// A late answer is of less use than one in time, and of more than none. A
+/// request is kept for one only if it is expected to start within this part of
+/// the time in which it can: held to the end in vain, its caller could not come
+/// back.
+constexpr double kSureOfLate = 0.35;
+/// Least part of an upstream's rate that is taken as left for late requests.
+constexpr double kLeastLeft = 0.05;
+/// Seconds over which the demand for an upstream is averaged: some tens of
+/// requests, and less than a busy key lasts.
+constexpr double kDemandMemory = 0.7;
+constexpr std::chrono::seconds kDemandForgotten{ 10 };
+/// Seconds; longer waits are all alike.
+constexpr double kLongestWait = 3600;
 constexpr milliseconds kLeastRetryAfter{ 60 };
 constexpr milliseconds kMostRetryAfter{ 1000 };
 constexpr milliseconds kNoUpstreamRetryAfter{ 400 };
@@ -84,52 +98,129 @@
   mAnswers.emplace_back(SlotRefused{ aRequest.key, aHindrance, aRetryAfter });
 }
 
+SlotBroker::Target
+SlotBroker::TargetOf(const SlotRequest& aRequest)
+{
+  return { aRequest.service, aRequest.instance, aRequest.group };
+}
+
+Duration
+SlotBroker::AnswerTime(const SlotRequest& aRequest) const
+{
+  const double seconds =
+    aRequest.instance.empty()
+      ? mUpstreams.SecondsOf(aRequest.service, aRequest.group)
+      : mUpstreams.SecondsOfOne(aRequest.instance);
+  return std::chrono::duration_cast<Duration>(
+           std::chrono::duration<double>(seconds)) +
+         Duration(kWayBack);
+}
+
 /// Safeguard: a request that waits until its answer can only be late takes a
 /// slot, under load, from one whose answer would be in time; a busy upstream
-/// that is slow then answers nobody in time. So it waits no longer than leaves
-/// room for the answer.
+/// that is slow then answers nobody in time. So it waits in front no longer
+/// than leaves room for the answer, and behind those that can be in time after
+/// that.
 Duration
 SlotBroker::PatienceOf(const SlotRequest& aRequest) const
 {
   if (aRequest.aim <= Duration::zero()) {
     return aRequest.patience;
   }
-  const double seconds =
-    aRequest.instance.empty()
-      ? mUpstreams.SecondsOf(aRequest.service, aRequest.group)
-      : mUpstreams.SecondsOfOne(aRequest.instance);
-  const auto answer = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(seconds));
-  const Duration left = aRequest.aim - answer - Duration(kWayBack);
-  return std::clamp(
-    left, Scaled(aRequest.patience, kLeastPatience), aRequest.patience);
+  return std::clamp(aRequest.aim - AnswerTime(aRequest),
+                    Scaled(aRequest.patience, kLeastPatience),
+                    aRequest.patience);
 }
 
+/// @return the time for which it may wait if its answer may be late.
 Duration
-SlotBroker::ExpectedWait(const SlotRequest& aRequest) const
+SlotBroker::LatestStart(const SlotRequest& aRequest) const
+{
+  return std::max(aRequest.held - AnswerTime(aRequest), Duration::zero());
+}
+
+double
+SlotBroker::RateFor(const SlotRequest& aRequest) const
+{
+  return aRequest.instance.empty()
+           ? mUpstreams.RateOf(aRequest.service, aRequest.group)
+           : mUpstreams.RateOfOne(aRequest.instance);
+}
+
+size_t
+SlotBroker::Ahead(const SlotRequest& aRequest, bool aLate) const
 {
-  size_t ahead = 0;
   const auto queue = mQueues.find(aRequest.service);
-  if (queue != mQueues.end()) {
-    for (const auto& [place, waiting] : queue->second) {
-      ahead += waiting.request.instance == aRequest.instance &&
-                   waiting.request.group == aRequest.group &&
-                   place.first <= aRequest.priority
-                 ? 1
-                 : 0;
-    }
+  if (queue == mQueues.end()) {
+    return 0;
   }
-  const double rate = aRequest.instance.empty()
-                        ? mUpstreams.RateOf(aRequest.service, aRequest.group)
-                        : mUpstreams.RateOfOne(aRequest.instance);
-  const double seconds = static_cast<double>(ahead + 1) / rate;
+  const Target target = TargetOf(aRequest);
+  const auto end =
+    queue->second.lower_bound(Place{ aRequest.priority, aLate, UINT64_MAX });
+  return static_cast<size_t>(
+    std::count_if(queue->second.begin(), end, [&](const auto& aWaiting) {
+      return TargetOf(aWaiting.second.request) == target;
+    }));
+}
+
+Duration
+SlotBroker::ExpectedWait(const SlotRequest& aRequest) const
+{
+  const double seconds =
+    static_cast<double>(Ahead(aRequest, false) + 1) / RateFor(aRequest);
   return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(std::min(seconds, 3600.0)));
+    std::chrono::duration<double>(std::min(seconds, kLongestWait)));
+}
+
+/// Those whose answers may be in time go first, so that one that is late gets
+/// what they leave.
+Duration
+SlotBroker::ExpectedLateWait(const SlotRequest& aRequest, Instant aNow) const
+{
+  const double rate = RateFor(aRequest);
+  const double left =
+    std::max(rate - DemandFor(aRequest, aNow), rate * kLeastLeft);
+  const double seconds = static_cast<double>(Ahead(aRequest, true) + 1) / left;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::min(seconds, kLongestWait)));
+}
+
+void
+SlotBroker::NoteDemand(const SlotRequest& aRequest, Instant aNow)
+{
+  Demand& demand = mDemand[TargetOf(aRequest)];
+  const std::chrono::duration<double> passed = aNow - demand.at;
+  demand.requests *= std::exp(-passed.count() / kDemandMemory);
+  demand.requests += 1;
+  demand.at = aNow;
+}
+
+double
+SlotBroker::DemandFor(const SlotRequest& aRequest, Instant aNow) const
+{
+  const auto found = mDemand.find(TargetOf(aRequest));
+  if (found == mDemand.end()) {
+    return 0;
+  }
+  const std::chrono::duration<double> passed = aNow - found->second.at;
+  return found->second.requests * std::exp(-passed.count() / kDemandMemory) /
+         kDemandMemory;
+}
+
+void
+SlotBroker::Enqueue(const SlotRequest& aRequest, bool aLate, Instant aNow)
+{
+  const Instant lateUntil = aNow + LatestStart(aRequest);
+  const Instant until = aLate ? lateUntil : aNow + PatienceOf(aRequest);
+  mQueues[aRequest.service].emplace(
+    Place{ aRequest.priority, aLate, ++mArrivals },
+    QueuedRequest{ aRequest, until, lateUntil });
 }
 
 std::vector<SlotAnswer>
 SlotBroker::Ask(const SlotRequest& aRequest, Instant aNow)
 {
+  NoteDemand(aRequest, aNow);
   const UpstreamSet::Outcome outcome = Choose(aRequest, aNow);
   if (const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome)) {
     Grant(aRequest, *choice, aNow);
@@ -141,16 +232,16 @@
     return TakeAnswers();
   }
   const Duration wait = ExpectedWait(aRequest);
-  const Duration patience = PatienceOf(aRequest);
-  const Duration bearable = Scaled(patience, kHopeless);
-  if (wait > bearable) {
+  const bool inTime = wait <= Scaled(PatienceOf(aRequest), kHopeless);
+  const bool late = !inTime && ExpectedLateWait(aRequest, aNow) <=
+                                 Scaled(LatestStart(aRequest), kSureOfLate);
+  if (!inTime && !late) {
     Refuse(aRequest,
            hindrance,
            std::clamp<Duration>(wait, kLeastRetryAfter, kMostRetryAfter));
     return TakeAnswers();
   }
-  mQueues[aRequest.service].emplace(Place{ aRequest.priority, ++mArrivals },
-                                    Waiting{ aRequest, aNow + patience });
+  Enqueue(aRequest, late, aNow);
   mAnswers.emplace_back(SlotQueued{ aRequest.key });
   return TakeAnswers();
 }
@@ -217,23 +308,55 @@
   });
 }
 
+/// Ends the waits that are over; those that may still be answered late go on
+/// behind the others.
+void
+SlotBroker::EndWaits(Queue& aQueue, Instant aNow)
+{
+  std::vector<SlotRequest> late;
+  for (auto at = aQueue.begin(); at != aQueue.end();) {
+    if (at->second.until > aNow) {
+      ++at;
+      continue;
+    }
+    SlotRequest request = at->second.request;
+    const bool wasLate = at->first.late;
+    request.held = at->second.lateUntil + AnswerTime(request) - aNow;
+    at = aQueue.erase(at);
+    if (!wasLate && ExpectedLateWait(request, aNow) <=
+                      Scaled(LatestStart(request), kSureOfLate)) {
+      late.push_back(std::move(request));
+      continue;
+    }
+    Refuse(request,
+           UpstreamSet::Hindrance::Full,
+           std::clamp<Duration>(
+             ExpectedWait(request), kLeastRetryAfter, kMostRetryAfter));
+  }
+  for (const SlotRequest& request : late) {
+    Enqueue(request, true, aNow);
+  }
+}
+
+size_t
+SlotBroker::Waiting() const
+{
+  size_t waiting = 0;
+  for (const auto& [service, queue] : mQueues) {
+    waiting += queue.size();
+  }
+  return waiting;
+}
+
 std::vector<SlotAnswer>
 SlotBroker::Tick(Instant aNow)
 {
   for (auto& [service, queue] : mQueues) {
-    for (auto at = queue.begin(); at != queue.end();) {
-      if (at->second.until > aNow) {
-        ++at;
-        continue;
-      }
-      Refuse(at->second.request,
-             UpstreamSet::Hindrance::Full,
-             std::clamp<Duration>(ExpectedWait(at->second.request),
-                                  kLeastRetryAfter,
-                                  kMostRetryAfter));
-      at = queue.erase(at);
-    }
+    EndWaits(queue, aNow);
   }
+  std::erase_if(mDemand, [&](const auto& aItem) {
+    return aNow - aItem.second.at >= Duration(kDemandForgotten);
+  });
   std::set<std::string> freed;
   for (auto at = mRunning.begin(); at != mRunning.end();) {
     if (at->second.ends > aNow) {
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -101,6 +101,9 @@
   /// @return whether a request of a process waits or has a slot here.
   bool HasRequestOf(uint64_t aSession) const;
 
+  /// @return requests that wait for a slot.
+  size_t Waiting() const;
+
   /// UpstreamSet::TakeNewTimes.
   std::map<std::string, double> TakeNewTimes()
   {
@@ -110,10 +113,12 @@
   static constexpr Duration kTick = std::chrono::milliseconds{ 20 };
 
 private:
-  struct Waiting
+  struct QueuedRequest
   {
     SlotRequest request;
     Instant until{};
+    /// Until then an answer may come before its caller's deadline.
+    Instant lateUntil{};
   };
 
   struct Running
@@ -123,9 +128,32 @@
     UpstreamSet::Begun begun;
   };
 
-  /// By priority, then in the order of arrival.
-  using Place = std::pair<uint32_t, uint64_t>;
-  using Queue = std::map<Place, Waiting>;
+  /// By priority; then those whose answers may still be in time, and those that
+  /// are late; then in the order of arrival.
+  struct Place
+  {
+    uint32_t priority = 0;
+    bool late = false;
+    uint64_t arrival = 0;
+    auto operator<=>(const Place&) const = default; // NOLINT(*-nullptr)
+  };
+  using Queue = std::map<Place, QueuedRequest>;
+
+  /// Requests for the same upstreams: one, or a group.
+  struct Target
+  {
+    std::string service;
+    std::string instance;
+    uint32_t group = 0;
+    auto operator<=>(const Target&) const = default; // NOLINT(*-nullptr)
+  };
+
+  /// How many requests come for a target, as a moving sum.
+  struct Demand
+  {
+    double requests = 0;
+    Instant at{};
+  };
 
   UpstreamSet::Outcome Choose(const SlotRequest& aRequest, Instant aNow);
   void Grant(const SlotRequest& aRequest,
@@ -134,14 +162,25 @@
   void Refuse(const SlotRequest& aRequest,
               UpstreamSet::Hindrance aHindrance,
               Duration aRetryAfter);
+  static Target TargetOf(const SlotRequest& aRequest);
+  Duration AnswerTime(const SlotRequest& aRequest) const;
   Duration PatienceOf(const SlotRequest& aRequest) const;
+  Duration LatestStart(const SlotRequest& aRequest) const;
+  double RateFor(const SlotRequest& aRequest) const;
+  size_t Ahead(const SlotRequest& aRequest, bool aLate) const;
   Duration ExpectedWait(const SlotRequest& aRequest) const;
+  Duration ExpectedLateWait(const SlotRequest& aRequest, Instant aNow) const;
+  void NoteDemand(const SlotRequest& aRequest, Instant aNow);
+  double DemandFor(const SlotRequest& aRequest, Instant aNow) const;
+  void Enqueue(const SlotRequest& aRequest, bool aLate, Instant aNow);
+  void EndWaits(Queue& aQueue, Instant aNow);
   void Serve(const std::string& aService, Instant aNow);
   std::vector<SlotAnswer> TakeAnswers();
 
   UpstreamSet mUpstreams;
   std::map<std::string, Queue> mQueues;
   std::map<SlotKey, Running> mRunning;
+  std::map<Target, Demand> mDemand;
   uint64_t mArrivals = 0;
   std::vector<SlotAnswer> mAnswers;
 };
--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -100,16 +100,66 @@
   EXPECT_GE(refused, 10U);
 }
 
+// A request has waited for as long as its answer could be in time. If no later
+// answer is likely to reach its caller either, it is refused then.
 TEST_F(SlotBrokerTest, PatienceEnds)
 {
   Use({ "a" }, 1);
   broker.Ask(Request(1), now);
   broker.Ask(Request(2), now);
-  broker.Ask(Request(3), now);
+  SlotRequest third = Request(3);
+  third.held = milliseconds{ 450 };
+  broker.Ask(third, now);
   EXPECT_EQ(Count<SlotRefused>(broker.Tick(now + milliseconds{ 299 })), 0U);
   EXPECT_EQ(Count<SlotRefused>(broker.Tick(now + milliseconds{ 301 })), 1U);
 }
 
+// The same with a caller that has much time left and an upstream that has room
+// for more than comes: the request waits on for a late answer, behind those
+// that came after it and can still be in time, and until no answer can come.
+TEST_F(SlotBrokerTest, LateRequestWaitsBehindThoseInTime)
+{
+  Use({ "a" }, 1);
+  broker.Ask(Request(1), now);
+  broker.Ask(Request(2), now);
+  broker.Ask(Request(3), now);
+  EXPECT_TRUE(broker.Tick(now + milliseconds{ 301 }).empty());
+  broker.Ask(Request(4), now + milliseconds{ 310 });
+  const auto first = broker.Done(
+    { 1, 1 }, TryEnd::Answered, milliseconds{ 100 }, now + milliseconds{ 320 });
+  ASSERT_EQ(Count<SlotGranted>(first), 1U);
+  EXPECT_EQ(std::get<SlotGranted>(first.front()).key.ticket, 4U);
+  EXPECT_TRUE(broker.Tick(now + milliseconds{ 860 }).empty());
+  const auto last = broker.Tick(now + milliseconds{ 900 });
+  ASSERT_EQ(Count<SlotRefused>(last), 1U);
+  EXPECT_EQ(std::get<SlotRefused>(last.front()).key.ticket, 3U);
+}
+
+// Twice as much comes as the upstream can run. Nothing is left for late
+// answers, so that nobody is kept for one: a caller that is told at once can
+// use its time.
+TEST_F(SlotBrokerTest, NobodyWaitsForALateAnswerUnderOverload)
+{
+  Use({ "a" }, 1);
+  uint64_t ticket = 0;
+  for (int step = 0; step < 40; ++step) {
+    now += milliseconds{ 50 };
+    for (const SlotAnswer& answer : broker.Ask(Request(++ticket), now)) {
+      if (const auto* refused = std::get_if<SlotRefused>(&answer)) {
+        EXPECT_EQ(refused->key.ticket, ticket);
+      }
+    }
+    if (step % 2 == 1) {
+      broker.Done({ 1, static_cast<uint64_t>(step) / 2 + 1 },
+                  TryEnd::Answered,
+                  milliseconds{ 100 },
+                  now);
+    }
+    broker.Tick(now);
+  }
+  EXPECT_LE(broker.Waiting(), 5U);
+}
+
 // The entry that had a slot is killed, and its return never comes. The slot
 // must be free again once its request must have ended.
 TEST_F(SlotBrokerTest, SlotWhoseReturnIsLostIsFreeAgain)
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -20,10 +20,10 @@
 constexpr milliseconds kHomeSilence{ 110 };
 /// A timer that is so late tells of a pause of this host.
 constexpr milliseconds kOwnPause{ 10 };
+/// How long a home without state is left alone: it has some soon.
+constexpr milliseconds kDeclinedFor{ 60 };
 /// How long a silent home is left alone.
 constexpr milliseconds kLeftAlone{ 400 };
-/// Beyond its patience, for the home's refusal to arrive.
-constexpr milliseconds kAnswerSlack{ 60 };
 
 milliseconds
 Ms(Duration aTime)
@@ -149,7 +149,8 @@
 SlotDesk::AwaitSign(std::shared_ptr<Pending> aPending, Instant aUntil)
 {
   const auto heard = [&] {
-    return aPending->outcome || aPending->queued || aPending->context->IsOver();
+    return aPending->outcome || aPending->queued || aPending->declined ||
+           aPending->context->IsOver();
   };
   while (!heard() && mClock.Now() < aUntil) {
     co_await WaitFor(aPending, aUntil);
@@ -190,6 +191,10 @@
   aPending->asked = true;
   mSend(HostName{ aHome }, frame);
   co_await AwaitSign(aPending, asked + Duration(kHomeSilence));
+  if (aPending->declined) {
+    mSilentUntil[aHome] = mClock.Now() + Duration(kDeclinedFor);
+    co_return;
+  }
   if (!aPending->outcome && !aPending->queued && !aPending->context->IsOver()) {
     mSilentUntil[aHome] = mClock.Now() + Duration(kLeftAlone);
     log::Line(log::Part::Entry, log::Severity::Info)
@@ -197,7 +202,8 @@
       << kLeftAlone.count() << " ms";
     co_return;
   }
-  const Instant end = asked + aRequest.patience + Duration(kAnswerSlack);
+  // The home ends its wait, at the latest when no answer can come in time.
+  const Instant end = asked + aRequest.held;
   while (!aPending->outcome && !aPending->context->IsOver() &&
          mClock.Now() < end) {
     co_await WaitFor(aPending, end);
@@ -247,6 +253,7 @@
   if (!aPending->context->IsOver() && !IsSilent(aHome)) {
     const Duration left = std::max(end - mClock.Now(), Duration::zero());
     aRequest.aim -= std::min(aRequest.patience - left, aRequest.aim);
+    aRequest.held -= std::min(aRequest.patience - left, aRequest.held);
     aRequest.patience = left;
     co_await AskHome(aPending, aHome, aRequest);
   }
@@ -256,6 +263,9 @@
 void
 SlotDesk::EndTurn(const Pending& aPending, const SlotRequest& aRequest)
 {
+  if (aPending.queued) {
+    return; // Its turn ended when the home took it into its queue.
+  }
   if (!aPending.outcome) {
     Tell(mLine.OnGivenUp(aRequest.instance));
   } else if (const auto* none = std::get_if<NoSlot>(&*aPending.outcome)) {
@@ -282,7 +292,7 @@
 SlotDesk::AskHere(std::shared_ptr<Pending> aPending,
                   const SlotRequest& aRequest)
 {
-  const Instant end = mClock.Now() + aRequest.patience + Duration(kAnswerSlack);
+  const Instant end = mClock.Now() + aRequest.held;
   Deliver(mBroker.Ask(aRequest, mClock.Now()));
   while (!aPending->outcome && !aPending->context->IsOver() &&
          mClock.Now() < end) {
@@ -329,6 +339,7 @@
   const uint64_t ticket = ++mLastTicket;
   aRequest.key = { mSession, ticket };
   auto pending = std::make_shared<Pending>();
+  pending->instance = aRequest.instance;
   pending->context = std::move(aContext);
   mPending[ticket] = pending;
   if (aHome.empty()) {
@@ -389,9 +400,31 @@
 SlotDesk::OnAsk(const wire::SlotAsk& aAsk)
 {
   mAskers[aAsk.session()] = aAsk.reply_to();
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  const bool known = aAsk.instance().empty()
+                       ? upstreams.HasInstances(aAsk.service())
+                       : !upstreams.ServiceOf(aAsk.instance()).empty();
+  if (!known) {
+    Decline(aAsk);
+    return;
+  }
   Deliver(mBroker.Ask(FromWire(aAsk), mClock.Now()));
 }
 
+/// Safeguard: a home that has just started has no state yet, or hears later
+/// than others of a new upstream. A refusal of it would say that no upstream
+/// can run the request; the one who asks knows better, and goes by itself.
+void
+SlotDesk::Decline(const wire::SlotAsk& aAsk)
+{
+  wire::GatewayFrame frame;
+  wire::SlotAnswer* answer = frame.mutable_slot_answer();
+  answer->set_session(aAsk.session());
+  answer->set_ticket(aAsk.ticket());
+  answer->set_state(wire::SLOT_STATE_UNKNOWN);
+  mSend(HostName{ aAsk.reply_to() }, frame);
+}
+
 void
 SlotDesk::OnDone(const wire::SlotDone& aDone)
 {
@@ -424,6 +457,9 @@
     case wire::SLOT_STATE_QUEUED:
       TakeOwn(key.ticket, SlotQueued{ key });
       return;
+    case wire::SLOT_STATE_UNKNOWN:
+      NoteDeclined(key.ticket);
+      return;
     default:
       return;
   }
@@ -441,12 +477,23 @@
     pending.outcome = Slot{ aTicket, {}, granted->instance, granted->address };
   } else if (const auto* refused = std::get_if<SlotRefused>(&aAnswer)) {
     pending.outcome = NoSlot{ refused->hindrance, refused->retryAfter };
-  } else {
-    pending.queued = true;
+  } else if (!std::exchange(pending.queued, true) && pending.asked &&
+             !pending.instance.empty()) {
+    Tell(mLine.OnQueued(pending.instance));
   }
   pending.context->Wake().cancel();
 }
 
+void
+SlotDesk::NoteDeclined(uint64_t aTicket)
+{
+  const auto found = mPending.find(aTicket);
+  if (found != mPending.end()) {
+    found->second->declined = true;
+    found->second->context->Wake().cancel();
+  }
+}
+
 void
 SlotDesk::Deliver(const std::vector<SlotAnswer>& aAnswers)
 {
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -92,7 +92,11 @@
   struct Pending
   {
     std::shared_ptr<RequestContext> context;
+    /// The one upstream that it wants; empty: any.
+    std::string instance;
     bool queued = false;
+    /// Its home does not know such upstreams.
+    bool declined = false;
     /// Whether its home has been asked.
     bool asked = false;
     /// What the line said to the request while it waited.
@@ -127,6 +131,8 @@
                                        Instant aUntil);
   void Deliver(const std::vector<SlotAnswer>& aAnswers);
   void Deliver(const SlotAnswer& aAnswer);
+  void Decline(const wire::SlotAsk& aAsk);
+  void NoteDeclined(uint64_t aTicket);
   void TakeOwn(uint64_t aTicket, const SlotAnswer& aAnswer);
   void SendDone(const std::string& aHome,
                 uint64_t aTicket,
--- a/src/librattandyke/gateway/slot_desk_test.cpp
+++ b/src/librattandyke/gateway/slot_desk_test.cpp
@@ -104,6 +104,8 @@
       }
     } else if (aFrame.has_slot_done()) {
       ends.push_back(aFrame.slot_done());
+    } else if (aFrame.has_slot_answer()) {
+      answered.push_back(aFrame.slot_answer());
     }
   }
 
@@ -118,6 +120,8 @@
   /// What the home answers by itself.
   std::optional<wire::SlotState> answers;
   std::vector<wire::SlotDone> ends;
+  /// What this entry answers as a home.
+  std::vector<wire::SlotAnswer> answered;
   std::vector<SlotOutcome> outcomes;
   SlotDesk desk{ context.get_executor(),
                  "10.0.0.1:1",
@@ -217,5 +221,44 @@
   EXPECT_EQ(Slots(), 2U);
 }
 
+// All hosts were restarted; an entry has the state and the home of an upstream
+// has none yet. The home must not say that it knows no such upstream, which
+// would end the request: it declines, and the entry goes by itself at once.
+TEST_F(SlotDeskTest, HomeWithoutStateDeclines)
+{
+  wire::SlotAsk ask;
+  ask.set_reply_to("10.0.0.2:1");
+  ask.set_session(5);
+  ask.set_ticket(9);
+  ask.set_service("desk");
+  ask.set_instance("i-1");
+  desk.OnAsk(ask);
+  ASSERT_EQ(answered.size(), 1U);
+  EXPECT_EQ(answered.front().state(), wire::SLOT_STATE_UNKNOWN);
+  EXPECT_EQ(answered.front().ticket(), 9U);
+}
+
+TEST_F(SlotDeskTest, EntryGoesByItselfWhenTheHomeDeclines)
+{
+  Know();
+  answers = wire::SLOT_STATE_UNKNOWN;
+  Acquire(1);
+  context.run();
+  EXPECT_EQ(Slots(), 1U);
+  EXPECT_EQ(asked, 1U);
+}
+
+// The home keeps in its queue as many requests as the entry may ask for at
+// once. They cost it nothing more, and must not keep others from asking that
+// are more urgent, or can still be in time.
+TEST_F(SlotDeskTest, RequestsInTheHomesQueueLetOthersAsk)
+{
+  Know();
+  answers = wire::SLOT_STATE_QUEUED;
+  Acquire(kMostAtOnce + 20);
+  context.poll();
+  EXPECT_EQ(asked, kMostAtOnce + 20);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -211,6 +211,15 @@
   return usable ? found->second.address : std::string();
 }
 
+bool
+UpstreamSet::HasInstances(const std::string& aService) const
+{
+  return std::any_of(
+    mUpstreams.begin(), mUpstreams.end(), [&](const auto& aItem) {
+      return aItem.second.service == aService && !aItem.second.gone;
+    });
+}
+
 uint64_t
 UpstreamSet::LifeOf(const std::string& aInstance) const
 {
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -109,6 +109,9 @@
   /// text.
   std::string UsableAddress(const std::string& aInstance, Instant aNow) const;
 
+  /// @return whether an instance of the service is known.
+  bool HasInstances(const std::string& aService) const;
+
   /// @return the life of an instance's process; 0 if it is not known.
   uint64_t LifeOf(const std::string& aInstance) const;
 
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -1156,14 +1156,14 @@
   "attandyke.wire.SlotAskH\000\0222\n\013slot_answer\030"
   "\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\t"
   "slot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDo"
-  "neH\000B\006\n\004body*n\n\tSlotState\022\032\n\026SLOT_STATE_"
-  "UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022"
-  "SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUS"
-  "ED\020\003b\006proto3"
+  "neH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE"
+  "_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n"
+  "\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFU"
+  "SED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4972, descriptor_table_protodef_gateway_2eproto,
+    false, false, 4997, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, nullptr, 0, 35,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -1188,6 +1188,7 @@
     case 1:
     case 2:
     case 3:
+    case 4:
       return true;
     default:
       return false;
