Serve sooner after all hosts were down

Cause: after power was back entries found control hosts before there was a leader, were sent away, and came back up to 150 ms later, or were kept waiting by one without a disk; callers were refused at once, came back within a third of their time and were refused again. Change: a control host that has a log and may follow a leader within 0.9 s keeps entries until it is sure of its state; an entry that is sent away asks the next host 30 ms later; a request waits for the first state for 0.3 of its time.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -38,6 +38,10 @@
 /// of silence.
 constexpr milliseconds kPingInterval{ 200 };
 constexpr milliseconds kReportInterval{ 200 };
+/// A host that starts, or has lost its leader, follows one again this soon: two
+/// elections of up to 450 ms. After that it is more likely cut off.
+constexpr milliseconds kHopeful{ 900 };
+constexpr milliseconds kParkedCheck{ 10 };
 /// Instances that hold no keys and have been silent so long are forgotten;
 /// entries would find out by themselves, but try them again and again.
 constexpr std::chrono::seconds kForgetAfter{ 30 };
@@ -126,6 +130,8 @@
     , granter({ aSettings.hold, aSettings.heartbeatInterval, kForgetAfter })
     , feed(state)
     , ticker(executor)
+    , parkedTimer(executor)
+    , freshAt(aClock.Now())
   {
   }
 
@@ -140,7 +146,12 @@
         [this](const auto& aConnection, std::string_view aMessage) {
           OnFrame(aConnection, aMessage);
         },
-        [this](const auto& aConnection) { feed.Close(aConnection); } });
+        [this](const auto& aConnection) {
+          feed.Close(aConnection);
+          std::erase_if(parked, [&](const auto& aOpen) {
+            return aOpen.first == aConnection;
+          });
+        } });
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
@@ -370,6 +381,7 @@
     }
     pingedAt = now;
     if (IsFresh()) {
+      freshAt = now;
       feed.Ping(ControlHosts(), Duration::zero());
     } else {
       // Told by a close, subscribers go elsewhere at once; by silence alone,
@@ -437,12 +449,56 @@
   void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
                   const wire::FeedOpen& aOpen)
   {
-    if (!IsFresh()) {
+    if (IsFresh()) {
+      feed.Open(aConnection, aOpen);
+      feed.Ping(ControlHosts(), Duration::zero());
+    } else if (IsHopeful()) {
+      parked.emplace_back(aConnection, aOpen);
+      WatchParked();
+    } else {
       aConnection->Close();
+    }
+  }
+
+  /// @return whether it may be sure of its state soon. A host that has lost its
+  /// disk needs longer: it must be made a member again first.
+  bool IsHopeful() const
+  {
+    return state.Applied().value > 0 && clock.Now() - freshAt < kHopeful;
+  }
+
+  /// Safeguard: after all hosts were down, entries find control hosts before
+  /// there is a leader. Sent away they come back some 150 ms later, and serve
+  /// nobody meanwhile; kept, they get the state in the moment in which it is
+  /// known to be the newest.
+  void WatchParked()
+  {
+    parkedTimer.expires_after(kParkedCheck);
+    parkedTimer.async_wait([self = weak_from_this()](auto aError) {
+      const auto host = self.lock();
+      if (host && !aError && !host->stopping) {
+        host->OnParked();
+      }
+    });
+  }
+
+  void OnParked()
+  {
+    const bool fresh = IsFresh();
+    if (!fresh && IsHopeful()) {
+      WatchParked();
       return;
     }
-    feed.Open(aConnection, aOpen);
-    feed.Ping(ControlHosts(), Duration::zero());
+    for (const auto& [connection, open] : std::exchange(parked, {})) {
+      if (fresh) {
+        feed.Open(connection, open);
+      } else {
+        connection->Close();
+      }
+    }
+    if (fresh) {
+      feed.Ping(ControlHosts(), Duration::zero());
+    }
   }
 
   void OnFeedReport(const net::FrameMesh::Connection& aConnection,
@@ -759,6 +815,11 @@
   EntryRegistry entries;
   Instant pingedAt{};
   Instant reportedAt{};
+  /// Entries that wait for this host to be sure of its state.
+  std::vector<std::pair<net::FrameMesh::Connection, wire::FeedOpen>> parked;
+  asio::steady_timer parkedTimer;
+  /// When it was last sure of its state, or started.
+  Instant freshAt{};
   bool stopping = false;
 };
 
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -25,6 +25,9 @@
 /// a second, so that a change reaches every entry within two.
 constexpr milliseconds kSilence{ 700 };
 constexpr milliseconds kConnectTimeout{ 250 };
+/// Pause before the next host is asked after one has sent this one away: an
+/// entry that has no state serves nobody. Five hosts are asked within 200 ms.
+constexpr milliseconds kNextHost{ 30 };
 
 log::Line
 Info()
@@ -47,6 +50,7 @@
     , clock(aClock)
     , random(aSeed)
     , timer(executor)
+    , soon(executor)
   {
   }
 
@@ -90,6 +94,20 @@
     TryNext();
   }
 
+  /// A host that sends this one away is not sure of its state; another may be.
+  void TrySoon()
+  {
+    soon.expires_after(kNextHost);
+    soon.async_wait([self = weak_from_this()](ErrorCode aError) {
+      const auto client = self.lock();
+      const bool idle = client && !aError && !client->stopped &&
+                        !client->connection && !client->connecting;
+      if (idle) {
+        client->TryNext();
+      }
+    });
+  }
+
   void Drop()
   {
     if (connecting) {
@@ -210,6 +228,7 @@
     if (assured) {
       Info() << "is sent away by " << current;
     }
+    TrySoon();
   }
 
   void OnMessage(std::string_view aMessage)
@@ -289,6 +308,7 @@
   const Clock& clock;
   Random random;
   asio::steady_timer timer;
+  asio::steady_timer soon;
   State state;
   bool hasState = false;
   bool stopped = false;
@@ -333,6 +353,7 @@
 {
   mImpl->stopped = true;
   mImpl->timer.cancel();
+  mImpl->soon.cancel();
   mImpl->Drop();
 }
 
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -255,5 +255,49 @@
   client.Stop();
 }
 
+// A control host that is not sure of its state sends an entry away, four times
+// in a row. The entry asks again by itself each time until it is served.
+TEST(FeedClientTest, EntryThatIsSentAwayAsksAgain)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint seed{ "127.0.0.1", acceptor.local_endpoint().port() };
+  SystemClock clock;
+  State state;
+  ASSERT_TRUE(state.Apply(PutInstance(1), LogIndex{ 1 }));
+  FeedServer server(state);
+  std::shared_ptr<net::FrameConnection> served;
+  int sentAway = 0;
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](auto aError, tcp::socket aSocket) {
+      if (aError || served) {
+        return;
+      }
+      if (sentAway < 4) {
+        ++sentAway;
+        aSocket.close();
+      } else {
+        served = std::make_shared<net::FrameConnection>(std::move(aSocket));
+        served->Start({ [](auto) {}, [] {}, {} });
+        server.Open(served, {});
+      }
+      accept();
+    });
+  };
+  accept();
+  wire::EntryMember self;
+  self.set_address("127.0.0.1:1");
+  FeedClient client(
+    context.get_executor(),
+    { self, { seed } },
+    [&](const wire::GatewayCommand*) { context.stop(); },
+    clock,
+    7);
+  client.Start();
+  context.run();
+  EXPECT_EQ(sentAway, 4);
+  EXPECT_TRUE(client.HasState());
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -27,6 +27,10 @@
 /// room, or for its key's next owner. What waits longer seldom makes it in
 /// time; refused, its caller can use the time to come back.
 constexpr double kWaitPart = 0.6;
+/// Part of its time for which a request waits for the first state. With the
+/// caller's own pause of a third of the rest, and a second wait, a state that
+/// comes within two thirds of its time is not too late.
+constexpr double kStateWaitPart = 0.3;
 constexpr milliseconds kRetryAfterFull{ 150 };
 constexpr milliseconds kRetryAfterNoOwner{ 400 };
 constexpr milliseconds kRetryAfterNoState{ 300 };
@@ -268,7 +272,14 @@
                        CallerRequest aRequest)
 {
   const std::string id(http::FieldOf(aRequest.fields, mHeaders.requestId));
-  if (!mFeed.HasState() || mFeed.Known().Items().IsEmpty()) {
+  const auto asked =
+    ParseNumber(http::FieldOf(aRequest.fields, mHeaders.deadline));
+  const Duration wait = milliseconds(
+    asked ? static_cast<int64_t>(std::min<uint64_t>(*asked, 3'600'000))
+          : kDefaultDeadline.count());
+  co_await AwaitState(aContext,
+                      aRequest.arrived + Scaled(wait, kStateWaitPart));
+  if (!HasState()) {
     co_return Own(kUnavailable,
                   id,
                   "no configuration is known yet",
@@ -293,11 +304,6 @@
   flow.context = std::move(aContext);
   flow.service = NextService(*flow.route);
   flow.arrived = aRequest.arrived;
-  const auto asked =
-    ParseNumber(http::FieldOf(aRequest.fields, mHeaders.deadline));
-  const Duration wait = milliseconds(
-    asked ? static_cast<int64_t>(std::min<uint64_t>(*asked, 3'600'000))
-          : kDefaultDeadline.count());
   flow.deadline = flow.arrived + std::min(wait, Duration(flow.route->timeout));
   if (OwnsKeys(flow.service)) {
     const auto key = ParseNumber(http::FieldOf(aRequest.fields, mHeaders.key));
@@ -311,6 +317,35 @@
   co_return co_await Run(flow);
 }
 
+bool
+RequestHandler::HasState() const
+{
+  return mFeed.HasState() && !mFeed.Known().Items().IsEmpty();
+}
+
+asio::awaitable<void>
+RequestHandler::AwaitChange(std::shared_ptr<RequestContext> aContext,
+                            Instant aUntil)
+{
+  const auto place = mWaiters.insert(mWaiters.end(), aContext);
+  aContext->Wake().expires_after(aUntil - mClock.Now());
+  co_await aContext->Wake().async_wait(kAwait);
+  mWaiters.erase(place);
+}
+
+/// Safeguard: after all hosts were down, an entry has callers some tenths of a
+/// second before it has the state. Refused at once they come back once, within
+/// a third of the time they have left, and are refused again; kept for a part
+/// of it they are served, late.
+asio::awaitable<void>
+RequestHandler::AwaitState(std::shared_ptr<RequestContext> aContext,
+                           Instant aUntil)
+{
+  while (!HasState() && !aContext->IsOver() && mClock.Now() < aUntil) {
+    co_await AwaitChange(aContext, aUntil);
+  }
+}
+
 asio::awaitable<std::string>
 RequestHandler::AwaitOwner(Flow& aFlow)
 {
@@ -322,10 +357,7 @@
     if (!owner.empty() || now >= giveUp || aFlow.context->IsOver()) {
       co_return owner;
     }
-    const auto place = mWaiters.insert(mWaiters.end(), aFlow.context);
-    aFlow.context->Wake().expires_after(giveUp - now);
-    co_await aFlow.context->Wake().async_wait(kAwait);
-    mWaiters.erase(place);
+    co_await AwaitChange(aFlow.context, giveUp);
   }
 }
 
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -113,6 +113,15 @@
   std::shared_ptr<const OutgoingRequest> Outgoing(const CallerRequest& aRequest,
                                                   const std::string& aId) const;
   Instant PatienceEnd(const Flow& aFlow) const;
+  /// @return whether this host knows what operators have set.
+  bool HasState() const;
+  /// Waits until the state changes.
+  boost::asio::awaitable<void> AwaitChange(
+    std::shared_ptr<RequestContext> aContext,
+    Instant aUntil);
+  boost::asio::awaitable<void> AwaitState(
+    std::shared_ptr<RequestContext> aContext,
+    Instant aUntil);
   boost::asio::awaitable<std::string> AwaitOwner(Flow& aFlow);
   boost::asio::awaitable<SlotOutcome> AwaitSlot(Flow& aFlow);
   boost::asio::awaitable<CallerAnswer> Answer(
