Move keys by what is known of loads and times, not by chance

Cause: a holder is taken as hot at 1.25 times the even level, with some twenty requests counted for each; a speed was the newest report of an average over seven answers. In the first two seconds loads were divided by the whole memory of 4 s, so that a holder overrun from the start looked idle. Change: a holder must be above its share by two standard deviations of its count; times are averaged at the leader (weight 0.06); the time of the load average grows with what was counted; entries report every 200 ms (400), control hosts every 100 ms (200). The tests fail with no significance and no average.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -37,7 +37,7 @@
 /// Pings tell entries that they are up to date; they go elsewhere after 700 ms
 /// of silence.
 constexpr milliseconds kPingInterval{ 200 };
-constexpr milliseconds kReportInterval{ 200 };
+constexpr milliseconds kReportInterval{ 100 };
 /// A host that starts, or has lost its leader, follows one again this soon: two
 /// elections of up to 450 ms. After that it is more likely cut off.
 constexpr milliseconds kHopeful{ 900 };
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -35,8 +35,10 @@
 
 /// The sweep's interval is the error of the idle timeouts.
 constexpr milliseconds kSweepInterval{ 200 };
-/// Busy keys change within seconds.
-constexpr milliseconds kReportInterval{ 400 };
+/// Busy keys change within seconds, and a holder that is overrun refuses half
+/// of what comes until they are moved; twice as often as heartbeats come is
+/// soon enough.
+constexpr milliseconds kReportInterval{ 200 };
 /// Before the first configuration tells.
 constexpr milliseconds kDefaultIdle{ 15000 };
 /// Above this age of its own state an entry assures no other of it.
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -2,6 +2,7 @@
 #include "gateway/granter.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/clock.h"
 #include "gateway/key_spans.h"
@@ -46,6 +47,11 @@
 /// leaves its keys without an owner for some 200 ms.
 constexpr double kBusy = 0.55;
 constexpr double kHotRatio = 1.25;
+/// Times the standard deviation of the number of requests counted for a holder
+/// by which it must be above an even share. With some twenty counted for each
+/// of a dozen holders, one in three is a quarter above it by chance; keys that
+/// are moved for that are moved back soon.
+constexpr double kSignificance = 2.0;
 /// Moves that one heartbeat of a holder may begin.
 constexpr size_t kMaxMoves = 5;
 /// Least part of an even share that is worth a move.
@@ -57,6 +63,10 @@
 constexpr double kFaster = 1.4;
 /// Such keys are kept for that instance this long.
 constexpr Duration kMoveReserved = milliseconds{ 900 };
+/// Weight of the newest report of an instance's time. A report is an average of
+/// some seven answers, and comes up to five times a second: taken as it is, it
+/// makes a speed look 30% higher or lower by chance, and shares move with it.
+constexpr double kNewestTime = 0.06;
 /// Assumed for an instance that has not answered yet.
 constexpr double kDefaultSeconds = 0.1;
 
@@ -90,7 +100,9 @@
   }
   Holder& hot = own->second;
   const double even = EvenLevel(group, holders);
-  if (hot.busy < kBusy || hot.Level() < kHotRatio * even) {
+  const double excess = hot.load - even * hot.speed;
+  if (hot.busy < kBusy || hot.Level() < kHotRatio * even ||
+      excess < kSignificance * std::sqrt(hot.load)) {
     return;
   }
   std::vector<KeySpan> given;
@@ -453,7 +465,8 @@
 Granter::NoteTime(const std::string& aInstance, double aSeconds)
 {
   if (aSeconds > 0) {
-    mSeconds[aInstance] = aSeconds;
+    double& seconds = mSeconds.try_emplace(aInstance, aSeconds).first->second;
+    seconds += kNewestTime * (aSeconds - seconds);
   }
 }
 
--- a/src/librattandyke/gateway/granter_test.cpp
+++ b/src/librattandyke/gateway/granter_test.cpp
@@ -283,6 +283,82 @@
   return false;
 }
 
+/// Time passes under a load while both holders send their heartbeats.
+/// @param aLoad gives the requests of a report of 200 ms.
+template<typename Load>
+void
+PassUnder(Leader& aLeader, int aReports, uint64_t& aSequence, Load aLoad)
+{
+  for (int report = 0; report < aReports; ++report) {
+    wire::RangeLoad load = aLoad();
+    load.set_service("board");
+    aLeader.granter->AddLoad(load);
+    aLeader.Pass(milliseconds{ 200 });
+    if (report % 5 == 4) {
+      ++aSequence;
+      aLeader.Answer(From("b", aSequence));
+      aLeader.Answer(From("a", aSequence));
+    }
+  }
+}
+
+// Two holders get the same load, drawn at random, and are busy with it. One of
+// them always has some more by chance. Keys that are moved for that have no
+// owner for 200 ms, and are moved back when chance turns.
+TEST(Granter, ChanceMovesNoKeys)
+{
+  size_t moved = 0;
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    Leader leader;
+    Settle(leader);
+    std::mt19937 random(seed);
+    leader.granter->NoteTime("a", 0.2);
+    leader.granter->NoteTime("b", 0.2);
+    uint64_t sequence = 10;
+    PassUnder(leader, 60, sequence, [&] {
+      wire::RangeLoad load;
+      for (int request = 0; request < 3; ++request) {
+        load.add_buckets(random() % kKeyCount);
+        load.add_requests(1);
+      }
+      return load;
+    });
+    ASSERT_NE(leader.HolderOf(0), "");
+    moved += HoldsBack(leader) ? 1 : 0;
+  }
+  EXPECT_LE(moved, 2U);
+}
+
+// Reports of an instance's time are averages of few answers. A single one that
+// is half as long again must not make its holder look slow and its keys move; a
+// holder that stays slow gives some away.
+TEST(Granter, OneLongAnswerMovesNoKeys)
+{
+  Leader leader;
+  Settle(leader);
+  uint64_t sequence = 10;
+  const auto even = [] {
+    wire::RangeLoad load;
+    for (uint32_t key = 0; key < kKeyCount; key += 1024) {
+      load.add_buckets(key);
+      load.add_requests(1);
+    }
+    return load;
+  };
+  leader.granter->NoteTime("a", 0.1);
+  leader.granter->NoteTime("b", 0.1);
+  PassUnder(leader, 20, sequence, even);
+  leader.granter->NoteTime("a", 0.17);
+  PassUnder(leader, 10, sequence, even);
+  ASSERT_NE(leader.HolderOf(0), "");
+  EXPECT_FALSE(HoldsBack(leader));
+  for (int report = 0; report < 60; ++report) {
+    leader.granter->NoteTime("a", 0.4);
+  }
+  PassUnder(leader, 10, sequence, even);
+  EXPECT_TRUE(HoldsBack(leader));
+}
+
 TEST(Granter, BusyHolderGivesKeysAway)
 {
   Leader leader;
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -13,6 +13,10 @@
 constexpr double kRequestsRemembered = 250;
 constexpr double kLeastMemory = 1.0;
 constexpr double kMostMemory = 4.0;
+/// Fewer requests than this say nothing of a rate: counting begins anew.
+constexpr double kNothing = 1.0;
+/// Reports come every 200 to 600 ms.
+constexpr double kLeastSeconds = 0.4;
 /// Share of the load that is spread over all keys alike.
 constexpr double kEvenShare = 0.1;
 constexpr double kLeastEvenLoad = 1.0;
@@ -40,17 +44,27 @@
 void
 LoadMap::Decay(Instant aNow)
 {
-  const std::chrono::duration<double> passed = aNow - mDecayedAt;
+  const std::chrono::duration<double> since = aNow - mDecayedAt;
   mDecayedAt = aNow;
+  // After a pause in the calls nothing is known of the time in between.
+  const double passed = std::clamp(since.count(), 0.0, kMostMemory);
   const double rate = mSum / mSeconds;
-  mSeconds = std::clamp(
+  const double memory = std::clamp(
     kRequestsRemembered / std::max(rate, 1.0), kLeastMemory, kMostMemory);
-  const auto factor =
-    static_cast<float>(std::exp(-std::max(passed.count(), 0.0) / mSeconds));
+  const double factor = std::exp(-passed / memory);
   for (float& bucket : mBuckets) {
-    bucket *= factor;
+    bucket *= static_cast<float>(factor);
   }
   SumUp();
+  // Safeguard: taken as the whole memory from the beginning, the time over
+  // which the first requests are summed up would make them look like a tenth of
+  // what comes, and a holder that is overrun from the start like an idle one.
+  if (mSum < kNothing) {
+    mSeconds = kLeastSeconds;
+  } else {
+    mSeconds =
+      std::max(mSeconds * factor + memory * (1 - factor), kLeastSeconds);
+  }
 }
 
 void
--- /dev/null
+++ b/src/librattandyke/gateway/load_map_test.cpp
@@ -0,0 +1,71 @@
+#include "gateway/load_map.h"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTick = milliseconds{ 100 };
+
+class LoadMapTest : public ::testing::Test
+{
+protected:
+  /// Requests for one key at a steady rate, in reports of 200 ms.
+  void Come(uint32_t aKey, double aASecond, Duration aFor)
+  {
+    const Instant end = now + aFor;
+    while (now < end) {
+      now += kTick;
+      due += aASecond / 10;
+      if (++ticks % 2 == 0) {
+        wire::RangeLoad load;
+        load.add_buckets(aKey);
+        load.add_requests(static_cast<uint32_t>(due));
+        due -= static_cast<uint32_t>(due);
+        map.Add(load);
+      }
+      map.Decay(now);
+    }
+  }
+
+  Instant now{ std::chrono::hours{ 1 } };
+  LoadMap map;
+  double due = 0;
+  int ticks = 0;
+};
+
+// A key is busy from the first request on. Its holder is overrun, and must not
+// look like an idle one because the first requests are divided by the whole
+// time of the average: keys are moved only from holders that are busy.
+TEST_F(LoadMapTest, FirstRequestsAreNotDiluted)
+{
+  Come(7, 200, milliseconds{ 800 });
+  EXPECT_GT(map.Rate({ 7, 7 }), 140);
+  EXPECT_LT(map.Rate({ 7, 7 }), 260);
+}
+
+TEST_F(LoadMapTest, RateIsThatOfTheRequests)
+{
+  Come(7, 200, std::chrono::seconds{ 6 });
+  EXPECT_NEAR(map.Rate({ 7, 7 }), 200, 30);
+  Come(7, 40, std::chrono::seconds{ 20 });
+  EXPECT_NEAR(map.Rate({ 7, 7 }), 40, 10);
+}
+
+// Nothing comes for a while, then a key is busy at once: the silence before is
+// not a part of its average.
+TEST_F(LoadMapTest, LoadAfterASilenceIsNotDiluted)
+{
+  Come(7, 200, std::chrono::seconds{ 3 });
+  Come(7, 0, std::chrono::seconds{ 60 });
+  EXPECT_LT(map.Rate({ 0, kMaxKey }), 1);
+  Come(9, 200, milliseconds{ 800 });
+  EXPECT_GT(map.Rate({ 9, 9 }), 140);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
