Give the rest of a hot holder's keys away; tell callers of dead owners at once

Cause: a run of keys ended beside a key that alone was too much, after one key: the holder of a hot key gave away single keys. Requests for the keys of a dark owner waited to their deadlines and kept its slots for 4.5 s. 45 MB went between data centres. Change: a neighbour that does not fit bounds a run on its side only; a hot key goes to an instance whose heartbeat is due when it is released, or stays; an owner that failed four times in a row is tried every 100 ms; an upstream in another data centre counts 2 times its time (1.5), one that would make the request wait 2 more.

--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -176,6 +176,7 @@
                    Holders& aHolders,
                    Instant aNow,
                    std::vector<KeySpan>& aGiven);
+  bool TakesSoon(const std::string& aInstance, Instant aNow) const;
   static void EndReservations(Group& aGroup, Instant aNow);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -63,6 +63,11 @@
 constexpr double kFaster = 1.4;
 /// Such keys are kept for that instance this long.
 constexpr Duration kMoveReserved = milliseconds{ 900 };
+/// A holder reports a release some 100 ms after it was told of it.
+constexpr milliseconds kReleaseTime{ 110 };
+/// Longest time for which such keys may be without an owner after that. A
+/// holder 1.4 times as fast makes up for it within a second.
+constexpr milliseconds kUnownedFor{ 250 };
 /// Weight of the newest report of an instance's time. A report is an average of
 /// some seven answers, and comes up to five times a second: taken as it is, it
 /// makes a speed look 30% higher or lower by chance, and shares move with it.
@@ -179,11 +184,15 @@
   if (!busiest || hot.busy < kOverrun || most < kDominant * hot.load) {
     return;
   }
-  const auto best = std::max_element(
-    aHolders.begin(), aHolders.end(), [](const auto& aOne, const auto& aOther) {
-      return aOne.second.speed < aOther.second.speed;
-    });
-  if (best->second.speed > kFaster * hot.speed) {
+  auto best = aHolders.end();
+  for (auto at = aHolders.begin(); at != aHolders.end(); ++at) {
+    const bool faster =
+      best == aHolders.end() || at->second.speed > best->second.speed;
+    if (faster && TakesSoon(at->first, aNow)) {
+      best = at;
+    }
+  }
+  if (best != aHolders.end() && best->second.speed > kFaster * hot.speed) {
     hot.load -= most;
     best->second.load += most;
     group.moves.push_back(Move{ best->first, *busiest, aNow });
@@ -191,6 +200,22 @@
   }
 }
 
+/// Safeguard: keys that wait for one instance's heartbeat have no owner, and
+/// the busiest key of a service loses by that what a faster owner would gain in
+/// seconds. So such keys go only to an instance whose heartbeat is due about
+/// when they are released, with the time for which its answer may be held.
+bool
+Granter::TakesSoon(const std::string& aInstance, Instant aNow) const
+{
+  const auto lease = mLeases.find(aInstance);
+  if (lease == mLeases.end() || !lease->second.lastHeartbeat) {
+    return false;
+  }
+  const Duration due =
+    *lease->second.lastHeartbeat + mOptions.heartbeatInterval - aNow;
+  return due <= Duration(kReleaseTime) + Duration(kUnownedFor);
+}
+
 void
 Granter::EndReservations(Group& aGroup, Instant aNow)
 {
--- a/src/librattandyke/gateway/granter_test.cpp
+++ b/src/librattandyke/gateway/granter_test.cpp
@@ -251,21 +251,32 @@
   EXPECT_TRUE(grants->ranges.empty());
 }
 
-/// One key of "a" gets far more requests than it can run.
-void
-MakeBusy(Leader& aLeader, uint32_t aKeys)
+uint32_t
+FirstKeyOf(const Leader& aLeader, const std::string& aHolder)
 {
   const RangeTable& ranges = *aLeader.state.Ranges("board");
   uint32_t first = 0;
-  while (ranges.Find(first).holder() != "a") {
+  while (ranges.Find(first).holder() != aHolder) {
     first = ranges.Find(first).to() + 1;
   }
+  return first;
+}
+
+/// The first keys of some holders get far more requests than they can run.
+void
+MakeBusy(Leader& aLeader,
+         uint32_t aKeys,
+         const std::vector<std::string>& aHolders = { "a" })
+{
   for (int tick = 0; tick < 20; ++tick) {
     wire::RangeLoad load;
     load.set_service("board");
-    for (uint32_t key = first; key < first + aKeys; ++key) {
-      load.add_buckets(key / kKeysPerBucket);
-      load.add_requests(4);
+    for (const std::string& holder : aHolders) {
+      const uint32_t first = FirstKeyOf(aLeader, holder);
+      for (uint32_t key = first; key < first + aKeys; ++key) {
+        load.add_buckets(key / kKeysPerBucket);
+        load.add_requests(4);
+      }
     }
     aLeader.granter->AddLoad(load);
     aLeader.Pass(milliseconds{ 100 });
@@ -329,6 +340,31 @@
   EXPECT_LE(moved, 2U);
 }
 
+// One key alone overruns its holder, and another instance is twice as fast. The
+// key is moved if that one's heartbeat comes about when it is released; were it
+// moved just after that heartbeat, it would have no owner for most of an
+// interval.
+TEST(Granter, BusiestKeyMovesOnlyToAnInstanceWhoseHeartbeatIsDue)
+{
+  for (const bool due : { false, true }) {
+    Leader leader;
+    Settle(leader);
+    MakeBusy(leader, 1, { "a", "b" });
+    for (int report = 0; report < 200; ++report) {
+      leader.granter->NoteTime("a", 0.1);
+      leader.granter->NoteTime("b", 0.03);
+    }
+    leader.Answer(From("b", 8));
+    leader.Pass(due ? kInterval - milliseconds{ 100 } : Duration::zero());
+    leader.Answer(From("a", 8));
+    bool moved = false;
+    for (const auto& segment : leader.state.Ranges("board")->Segments()) {
+      moved |= segment.held_back() && segment.from() == segment.to();
+    }
+    EXPECT_EQ(moved, due);
+  }
+}
+
 // Reports of an instance's time are averages of few answers. A single one that
 // is half as long again must not make its holder look slow and its keys move; a
 // holder that stays slow gives some away.
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -145,17 +145,23 @@
   uint32_t low = *busiest;
   uint32_t high = *busiest + 1;
   double sum = LoadOf(low);
+  // Safeguard: a neighbour that does not fit bounds the run on its side only.
+  // Beside a key that alone is too much, a run would else end with its first
+  // key, and the holder of that key could give nothing else away.
+  const auto fits = [&](uint32_t aBucket) {
+    return sum + LoadOf(aBucket) <= aLoad;
+  };
   for (;;) {
-    const double below = low > first ? LoadOf(low - 1) : -1;
-    const double above = high < end ? LoadOf(high) : -1;
-    const double next = std::max(below, above);
-    if (next < 0 || sum + next > aLoad) {
+    const bool below = low > first && fits(low - 1);
+    const bool above = high < end && fits(high);
+    if (!below && !above) {
       break;
     }
-    sum += next;
-    if (below >= above) {
+    if (below && (!above || LoadOf(low - 1) >= LoadOf(high))) {
       --low;
+      sum += LoadOf(low);
     } else {
+      sum += LoadOf(high);
       ++high;
     }
   }
--- a/src/librattandyke/gateway/load_map_test.cpp
+++ b/src/librattandyke/gateway/load_map_test.cpp
@@ -67,5 +67,20 @@
   EXPECT_GT(map.Rate({ 9, 9 }), 140);
 }
 
+// One key is more than its holder can take. The holder is to give its other
+// keys away in runs that are worth a move, also those beside that key.
+TEST_F(LoadMapTest, RunBesideAKeyThatIsTooMuchGoesOnAwayFromIt)
+{
+  Come(1000, 200, std::chrono::seconds{ 3 });
+  const auto run = map.TakeBusy({ 1000, 9000 }, map.Of({ 1000, 1000 }) / 2);
+  ASSERT_TRUE(run);
+  EXPECT_EQ(run->from, 1001U);
+  EXPECT_GT(run->Size(), 1000U);
+  const auto before = map.TakeBusy({ 100, 1000 }, map.Of({ 1000, 1000 }) / 2);
+  ASSERT_TRUE(before);
+  EXPECT_EQ(before->to, 999U);
+  EXPECT_GT(before->Size(), 100U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -68,7 +68,7 @@
 {
   if (!aRequest.instance.empty()) {
     return aRequest.alone ? mUpstreams.ChooseOneAlone(aRequest.instance, aNow)
-                          : mUpstreams.ChooseOne(aRequest.instance);
+                          : mUpstreams.ChooseOne(aRequest.instance, aNow);
   }
   return mUpstreams.Choose(aRequest.service,
                            aRequest.group,
@@ -263,7 +263,7 @@
     }
     const auto hindrance = std::get<UpstreamSet::Hindrance>(outcome);
     if (hindrance != UpstreamSet::Hindrance::Full) {
-      Refuse(at->second.request, hindrance, kLeastRetryAfter);
+      Refuse(at->second.request, hindrance, kNoUpstreamRetryAfter);
       at = queue.erase(at);
       continue;
     }
--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -316,5 +316,33 @@
   EXPECT_EQ(Count<SlotGranted>(broker.Ask(Request(4), now)), 1U);
 }
 
+// The owner of a key falls silent, and its keys have no other owner until its
+// hold is over. Those that were sent to it wait to their deadlines; who comes
+// after them is told at once, but for a request now and then, and once one of
+// these is answered all are sent again.
+TEST_F(SlotBrokerTest, OwnerThatSeemsDeadIsTriedNowAndThen)
+{
+  Use({ "a" }, 4);
+  const auto ask = [&](uint64_t aTicket) {
+    SlotRequest request = Request(aTicket);
+    request.instance = "a";
+    return broker.Ask(request, now);
+  };
+  for (uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    ask(ticket);
+  }
+  for (uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    broker.Done({ 1, ticket }, TryEnd::Silent, milliseconds{ 500 }, now);
+  }
+  EXPECT_EQ(Count<SlotGranted>(ask(5)), 1U);
+  EXPECT_EQ(Count<SlotRefused>(ask(6)), 1U);
+  EXPECT_EQ(Count<SlotRefused>(ask(7)), 1U);
+  now += milliseconds{ 110 };
+  EXPECT_EQ(Count<SlotGranted>(ask(8)), 1U);
+  broker.Done({ 1, 8 }, TryEnd::Answered, milliseconds{ 50 }, now);
+  EXPECT_EQ(Count<SlotGranted>(ask(9)), 1U);
+  EXPECT_EQ(Count<SlotGranted>(ask(10)), 1U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -21,13 +21,22 @@
 /// further one. A crashed one is back within seconds.
 constexpr milliseconds kFirstAvoided{ 400 };
 constexpr milliseconds kLongestAvoided{ 5000 };
+/// An owner of keys seems dead after so many failures in a row: one that is
+/// merely overrun answers others in between.
+constexpr uint32_t kDeadAfter = 4;
+/// Requests that find out if it is back: within the time in which its keys are
+/// served again after that, and few beside those that would be lost.
+constexpr milliseconds kTryDeadEvery{ 100 };
 /// A draining owner of keys gets requests for this part of the drain timeout:
 /// it holds them until they are released, but nothing new may reach it later.
 /// The rest is for this host to hear of it late, and for a request's own wait.
 constexpr double kDrainingOwner = 0.45;
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
-constexpr double kFarFactor = 1.5;
+constexpr double kFarFactor = 2.0;
+/// What waiting at an upstream for a slot costs, as a part of the time of an
+/// answer: rather a free slot in another data centre.
+constexpr double kWaitsThere = 2.0;
 /// Requests that an upstream is given beyond its slots. While one answer is on
 /// its way back and the next request on its way there, a slot would be idle: a
 /// few ms of each 50 to 200.
@@ -109,8 +118,9 @@
 {
   const double load =
     (aUpstream.running + 1.0) / static_cast<double>(aUpstream.slots);
+  const double waits = aUpstream.running >= aUpstream.slots ? kWaitsThere : 0;
   const double far = aUpstream.dataCentre == aNear.value ? 1.0 : kFarFactor;
-  return SecondsOf(aUpstream) * (0.5 + load) * far;
+  return SecondsOf(aUpstream) * (0.5 + load + waits) * far;
 }
 
 uint32_t
@@ -266,13 +276,24 @@
 }
 
 UpstreamSet::Outcome
-UpstreamSet::ChooseOne(const std::string& aInstance) const
+UpstreamSet::ChooseOne(const std::string& aInstance, Instant aNow)
 {
   const auto found = mUpstreams.find(aInstance);
   if (found == mUpstreams.end() || found->second.gone) {
     return Hindrance::NoInstance;
   }
-  if (found->second.running >= RoomOf(found->second)) {
+  Upstream& upstream = found->second;
+  // Safeguard: the owner of a key has crashed or is cut off, and its keys have
+  // no other owner until its hold is over. Each request for them would wait at
+  // it until its caller's deadline and keep a slot; refused, its caller knows
+  // at once.
+  if (upstream.failures >= kDeadAfter) {
+    if (aNow < upstream.tryAgainAt) {
+      return Hindrance::Failing;
+    }
+    upstream.tryAgainAt = aNow + Duration(kTryDeadEvery);
+  }
+  if (upstream.running >= RoomOf(upstream)) {
     return Hindrance::Full;
   }
   return Choice{ found->first, found->second.address };
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -51,6 +51,8 @@
     NoOwner,
     /// All that could be chosen have as many requests as they can run.
     Full,
+    /// The one that could be chosen has failed again and again.
+    Failing,
   };
 
   using Outcome = std::variant<Choice, Hindrance>;
@@ -71,8 +73,9 @@
                  const DataCentre& aNear,
                  Instant aNow);
 
-  /// One instance, if it has room.
-  Outcome ChooseOne(const std::string& aInstance) const;
+  /// One instance, if it has room and does not seem dead. Of one that seems so,
+  /// a request now and then finds out if it is back.
+  Outcome ChooseOne(const std::string& aInstance, Instant aNow);
 
   /// The same while other hosts choose it, too, without telling this one: only
   /// a part of its slots is taken, and none right after it failed or refused.
@@ -162,6 +165,8 @@
     /// Failures since the last answer.
     uint32_t failures = 0;
     Instant avoidUntil{};
+    /// While it seems dead: when a request may try it again.
+    Instant tryAgainAt{};
     bool gone = false;
     uint32_t group = 0;
   };
