--- /dev/null
+++ b/src/librattandyke/gateway/granter_lives_test.cpp
@@ -0,0 +1,197 @@
+#include "gateway/granter.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/granter_leader.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+using namespace testing; // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+Heartbeat
+FromLife(const std::string& aInstance, uint64_t aLife, uint64_t aSequence)
+{
+  Heartbeat heartbeat = From(aInstance, aSequence);
+  heartbeat.life = aLife;
+  return heartbeat;
+}
+
+/// Announces the first lives of two instances until they share all keys.
+void
+SettleLives(Leader& aLeader)
+{
+  for (uint64_t sequence = 1; sequence <= 4; ++sequence) {
+    aLeader.Answer(FromLife("a", 100, sequence));
+    aLeader.Pass(kInterval / 2);
+    aLeader.Answer(FromLife("b", 100, sequence));
+    aLeader.Pass(kInterval / 2);
+  }
+}
+
+// A process crashes and starts again under its id, with its calls numbered from
+// 1. Taken as late calls of the earlier life they would renew nothing, and its
+// keys would have no owner that runs requests until the old hold is over. The
+// later life proves that the earlier one is over: its first heartbeat is given
+// keys, under a fence above the earlier one's.
+TEST(Granter, LaterLifeIsGivenKeysAtItsFirstHeartbeat)
+{
+  Leader leader;
+  SettleLives(leader);
+  const uint32_t key = leader.state.Ranges("board")->Segments().front().from();
+  const std::string owner = leader.HolderOf(key);
+  const uint64_t fence = leader.state.Ranges("board")->Find(key).fence();
+  leader.Pass(milliseconds{ 300 });
+  const auto grants = leader.Answer(FromLife(owner, 200, 1));
+  ASSERT_TRUE(grants);
+  ASSERT_GT(KeysOf(grants), 0U);
+  for (const GrantedRange& range : grants->ranges) {
+    EXPECT_GT(range.fence.value, fence);
+  }
+}
+
+// The last heartbeat of an earlier life was held up and arrives after the later
+// life has spoken: it reports releases, says that it drains, and has a higher
+// sequence than any of the later life. It must change nothing, whoever leads.
+TEST(Granter, EarlierLifeChangesNothingOnceALaterOneSpoke)
+{
+  for (const bool replaced : { false, true }) {
+    Leader leader;
+    SettleLives(leader);
+    leader.Answer(FromLife("a", 200, 1));
+    leader.Answer(FromLife("a", 200, 2));
+    if (replaced) {
+      leader.Replace();
+    }
+    const auto before = leader.state.Save().SerializeAsString();
+    Heartbeat late = FromLife("a", 100, 50);
+    late.draining = true;
+    late.released = { { { 0, kMaxKey }, "h" } };
+    EXPECT_EQ(leader.granter->Check(late, leader.state).error().code,
+              Code::UpstreamSuperseded);
+    EXPECT_FALSE(leader.Answer(late));
+    EXPECT_FALSE(leader.granter->OnDeregistration({ "a", 100 }, leader.state));
+    EXPECT_EQ(leader.state.Save().SerializeAsString(), before);
+    EXPECT_TRUE(leader.Answer(FromLife("a", 200, 3)));
+  }
+}
+
+// A grant to a life is planned, and the next life is registered before the log
+// has the grant. Applied then, it would name an owner that holds nothing.
+TEST(Granter, GrantToAnEarlierLifeIsRefused)
+{
+  Leader leader;
+  SettleLives(leader);
+  wire::GatewayCommand late;
+  wire::GrantRanges* grant = late.mutable_grant_ranges();
+  grant->set_service("board");
+  grant->set_holder("a");
+  grant->set_life(100);
+  leader.Commit(leader.granter->OnHeartbeat(
+    FromLife("a", 200, 1), leader.state, leader.now));
+  EXPECT_FALSE(leader.state.Apply(late, LogIndex{ ++leader.index }));
+  EXPECT_EQ(
+    leader.granter->Renew(FromLife("a", 100, 4), leader.state, leader.now),
+    std::nullopt);
+}
+
+// A process says that it leaves, crashes, and starts again: its later life does
+// not leave. Within one life a heartbeat that was held up from before must not
+// bring the process back, also when a new leader hears it that knows no
+// sequence.
+TEST(Granter, OnlyALaterLifeEndsDraining)
+{
+  Leader leader;
+  SettleLives(leader);
+  Heartbeat leaving = FromLife("a", 100, 9);
+  leaving.draining = true;
+  leader.Answer(leaving);
+  leader.Replace();
+  leader.Answer(FromLife("a", 100, 8));
+  EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+  leader.Answer(FromLife("a", 200, 1));
+  EXPECT_FALSE(leader.state.FindInstance("a")->draining());
+}
+
+// An instance deregisters and starts again under its id: what ended is its
+// earlier life only, and a held-up call of that one ends nothing any more.
+TEST(Granter, DeregisteredInstanceComesBackInALaterLife)
+{
+  Leader leader;
+  SettleLives(leader);
+  const auto ended =
+    leader.granter->OnDeregistration({ "a", 100 }, leader.state);
+  ASSERT_TRUE(ended);
+  leader.Commit({ *ended });
+  leader.Answer(FromLife("a", 100, 9));
+  EXPECT_EQ(leader.state.FindInstance("a"), nullptr);
+  leader.Answer(FromLife("a", 200, 1));
+  ASSERT_NE(leader.state.FindInstance("a"), nullptr);
+  leader.Commit({ *ended });
+  EXPECT_NE(leader.state.FindInstance("a"), nullptr);
+}
+
+// A process starts again with a clock that was set back: its life looks earlier
+// than the one known, as a held-up message does. It is taken once the known one
+// has been silent for longer than any message is held up.
+TEST(Granter, LifeOfAClockSetBackIsTakenOnceTheKnownOneIsForgotten)
+{
+  Leader leader;
+  SettleLives(leader);
+  EXPECT_FALSE(leader.Answer(FromLife("a", 50, 1)));
+  leader.Pass(kOptions.forgetAfter + kInterval);
+  EXPECT_TRUE(leader.Answer(FromLife("a", 50, 2)));
+  EXPECT_EQ(leader.state.FindInstance("a")->life(), 50U);
+}
+
+// Another life may have another address, or serve another service: its keys of
+// the earlier one are free.
+TEST(Granter, LaterLifeMayServeElsewhere)
+{
+  Leader leader;
+  SettleLives(leader);
+  wire::GatewayCommand command;
+  wire::ServiceItem* service = command.mutable_change_items()->add_services();
+  service->set_name("desk");
+  service->set_version(1);
+  service->set_source("desk");
+  leader.Commit({ command });
+  Heartbeat moved = FromLife("a", 200, 1);
+  moved.service = "desk";
+  moved.address = "10.0.0.7:99";
+  leader.Answer(moved);
+  EXPECT_EQ(leader.state.FindInstance("a")->service(), "desk");
+  for (const auto& segment : leader.state.Ranges("board")->Segments()) {
+    EXPECT_NE(segment.holder(), "a");
+  }
+}
+
+// Heartbeats come from a writer that is no upstream of ours: for a service that
+// nobody named, of a known instance under another service, without a life where
+// others tell theirs, from an address that is none. Taken, their sequence would
+// make the true upstream's heartbeats look late, and it would lose its keys.
+TEST(Granter, HeartbeatsOfOtherWritersChangeNothing)
+{
+  Leader leader;
+  SettleLives(leader);
+  const auto before = leader.state.Save().SerializeAsString();
+  Heartbeat unnamed = FromLife("x", 300, 1);
+  unnamed.service = "no-such-service";
+  Heartbeat other = FromLife("a", 100, 900);
+  other.service = "no-such-service";
+  Heartbeat lifeless = From("x", 7);
+  Heartbeat known = From("a", 900);
+  Heartbeat nowhere = FromLife("x", 300, 1);
+  nowhere.address = "somewhere";
+  for (const Heartbeat& each : { unnamed, other, lifeless, known, nowhere }) {
+    EXPECT_EQ(leader.granter->Check(each, leader.state).error().code,
+              Code::InvalidRecord);
+    EXPECT_FALSE(leader.Answer(each));
+  }
+  EXPECT_EQ(leader.state.Save().SerializeAsString(), before);
+  EXPECT_TRUE(leader.Answer(FromLife("a", 100, 5)));
+}
+
+} // namespace
+} // namespace rattandyke::gateway
