Soak: upstreams that start again under their ids, and strangers' heartbeats

Cause: the soak's upstreams had a new id after each start, and nobody sent what no upstream sends. Change: a third of the upstreams' faults are restarts under the same id with a later life; a stranger sends heartbeats with one thing wrong, cut short, under known and unknown ids, and none may be acknowledged.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -37,9 +37,11 @@
         self.draining = False
         self.life = 0
 
-    async def start(self):
+    async def start(self, same_id=False):
+        """@param same_id as a process that starts again under its id."""
         self.life += 1
-        self.id = f"i-{self.number}-{self.life}"
+        if not same_id:
+            self.id = f"i-{self.number}-{self.life}"
         self.alive, self.draining = True, False
         self.sequence = 0
         self.rows, self.released, self.ends = [], [], 0.0
@@ -70,7 +72,8 @@
                 *self.world.control_address(), "POST",
                 words.heartbeat_path(self.id), {}, json.dumps(words.heartbeat(
                     self.service, f"{self.host}:{self.port}", self.draining,
-                    sequence, self.rows, released)).encode(), timeout=1.0)
+                    life, sequence, self.rows, released)).encode(),
+                timeout=1.0)
             again = False
             if answer and answer[0] == 200 and sequence == self.sequence:
                 self.released = []
@@ -127,6 +130,29 @@
         await writer.drain()
 
 
+class Stranger:
+    """Sends heartbeats that are no upstream's, some under ids that are. None
+    may be acknowledged, and none may cost an upstream its keys."""
+
+    def __init__(self, world):
+        self.world = world
+        self.random = random.Random(f"{world.seed}/stranger")
+
+    async def run(self):
+        while not self.world.over:
+            await asyncio.sleep(self.random.uniform(0.02, 0.2))
+            upstream = self.random.choice(self.world.upstreams)
+            instance = self.random.choice([upstream.id, "i-stranger"])
+            body = words.rubbish(self.random, upstream.service,
+                                 f"{upstream.host}:{upstream.port}",
+                                 upstream.life)
+            answer = await soak_http.call(
+                *self.world.control_address(), "POST",
+                words.heartbeat_path(instance), {}, body, timeout=1.0)
+            if answer and answer[0] == 200:
+                self.world.broke(f"a stranger's heartbeat was taken: {body}")
+
+
 class Caller:
     """Sends requests on a kept connection and judges the answers."""
 
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -234,14 +234,14 @@
 
 
 async def upstream_fault(world, upstream):
-    kind = world.random.choice(["crash", "drain"])
+    kind = world.random.choice(["crash", "drain", "restart"])
     world.faults.append(f"{kind} {upstream.id}")
     if kind == "drain":
         upstream.draining = True
         await asyncio.sleep(1.5)
     await upstream.crash()
     await asyncio.sleep(world.random.uniform(0.2, 2.0))
-    await upstream.start()
+    await upstream.start(same_id=kind == "restart")
 
 
 async def faults(world, hosts, make, pause):
@@ -267,6 +267,7 @@
     callers = [soak_actors.Caller(world, n) for n in range(CALLERS)]
     tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     tasks.append(asyncio.ensure_future(operator.run()))
+    tasks.append(asyncio.ensure_future(soak_actors.Stranger(world).run()))
     half = CONTROL_HOSTS // 2
     await asyncio.gather(
         faults(world, world.hosts[:half], host_fault, (0.1, 1.5)),
