Log what a long message keeps busy: the link or the entry's thread

Cause: beside a large change of the configuration requests came late, and the logs could not tell whether the link or the thread held them up. Change: an entry host logs a message of its feed that took 50 ms or longer to arrive or to take in, with its size and both times.

--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -1,7 +1,9 @@
 #include "gateway/feed_client.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +30,9 @@
 /// Pause before the next host is asked after one has sent this one away: an
 /// entry that has no state serves nobody. Five hosts are asked within 200 ms.
 constexpr milliseconds kNextHost{ 30 };
+/// A message that keeps the link or the thread busy for longer than this holds
+/// up requests so that callers notice; it is logged.
+constexpr milliseconds kHeldUp{ 50 };
 
 log::Line
 Info()
@@ -35,6 +40,12 @@
   return { log::Part::Agent, log::Severity::Info };
 }
 
+int64_t
+Ms(Duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 } // namespace
 
 struct FeedClient::Impl : std::enable_shared_from_this<FeedClient::Impl>
@@ -87,8 +98,7 @@
     }
     if (connection) {
       Info() << "leaves control host " << current << ", silent for "
-             << std::chrono::duration_cast<milliseconds>(quiet).count()
-             << " ms";
+             << Ms(quiet) << " ms";
     }
     Drop();
     TryNext();
@@ -195,6 +205,7 @@
     }
     heardAt = clock.Now();
     assured = false;
+    arrivingSince.reset();
     net::TuneSocket(*socket, net::kUnacknowledgedTimeout);
     auto made = std::make_shared<net::FrameConnection>(std::move(*socket));
     connection = made;
@@ -231,7 +242,23 @@
     TrySoon();
   }
 
+  /// Takes a message and tells, if it held requests up, for how long each of
+  /// the link and this thread was busy with it.
   void OnMessage(std::string_view aMessage)
+  {
+    const Instant arrived = clock.Now();
+    const Duration arriving =
+      arrived - std::exchange(arrivingSince, std::nullopt).value_or(arrived);
+    Take(aMessage);
+    const Duration taking = clock.Now() - arrived;
+    if (arriving >= Duration(kHeldUp) || taking >= Duration(kHeldUp)) {
+      Info() << "took a long message bytes=" << aMessage.size()
+             << " index=" << state.Applied().value
+             << " arriving_ms=" << Ms(arriving) << " taking_ms=" << Ms(taking);
+    }
+  }
+
+  void Take(std::string_view aMessage)
   {
     wire::GatewayFrame frame;
     if (!frame.ParseFromArray(aMessage.data(),
@@ -254,6 +281,9 @@
   /// nothing else would get through the link.
   void OnProgress()
   {
+    if (!arrivingSince) {
+      arrivingSince = clock.Now();
+    }
     if (!assured) {
       heardAt = clock.Now();
     }
@@ -315,6 +345,8 @@
   /// By a ping of this connection.
   bool assured = false;
   Instant heardAt{};
+  /// When the first bytes of the message that is arriving came.
+  std::optional<Instant> arrivingSince;
   Instant assuredAt{};
   std::string current;
   std::vector<std::string> controlHosts;
