Compress long messages of the feed to those who read them compressed

Cause: a change by 1,400 routes is 101 KB to each entry host and keeps its link of 2 Mbit/s busy for 0.39 to 0.57 s; requests and answers wait behind it. Change: frames of 2 KB and more are sent compressed (zlib) to subscribers that say that they read it; compressed once for all of them, and only if one does. Hosts of an older version get them as before.

--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
+#include "gateway/packed_frame.h"
 #include "log/log.h"
 #include "net/frame_connection.h"
 
@@ -230,6 +231,7 @@
     wire::GatewayFrame frame;
     *frame.mutable_feed_open()->mutable_entry() = options.self;
     frame.mutable_feed_open()->set_applied(state.Applied().value);
+    frame.mutable_feed_open()->set_reads_packed(true);
     made->Send(frame.SerializeAsString());
   }
 
@@ -263,16 +265,32 @@
     wire::GatewayFrame frame;
     if (!frame.ParseFromArray(aMessage.data(),
                               static_cast<int>(aMessage.size()))) {
-      Info() << "a message of " << current << " can't be read";
-      Drop();
+      OnUnreadable();
       return;
     }
-    if (frame.has_feed_snapshot()) {
-      OnSnapshot(frame.feed_snapshot());
-    } else if (frame.has_feed_command()) {
-      OnCommand(frame.feed_command());
-    } else if (frame.has_feed_ping()) {
-      OnPing(frame.feed_ping());
+    if (!frame.has_packed()) {
+      Dispatch(frame);
+    } else if (const auto unpacked = UnpackFrame(frame.packed())) {
+      Dispatch(*unpacked);
+    } else {
+      OnUnreadable();
+    }
+  }
+
+  void OnUnreadable()
+  {
+    Info() << "a message of " << current << " can't be read";
+    Drop();
+  }
+
+  void Dispatch(const wire::GatewayFrame& aFrame)
+  {
+    if (aFrame.has_feed_snapshot()) {
+      OnSnapshot(aFrame.feed_snapshot());
+    } else if (aFrame.has_feed_command()) {
+      OnCommand(aFrame.feed_command());
+    } else if (aFrame.has_feed_ping()) {
+      OnPing(aFrame.feed_ping());
     }
   }
 
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -62,6 +62,14 @@
   }
 }
 
+void
+SendTo(const FeedServer::Connection& aConnection,
+       bool aReadsPacked,
+       OutgoingFrame& aFrame)
+{
+  aConnection->Send(aReadsPacked ? aFrame.Packed() : aFrame.Plain());
+}
+
 } // namespace
 
 FeedServer::FeedServer(const State& aState)
@@ -75,6 +83,7 @@
   Subscriber& subscriber = mSubscribers[aConnection];
   subscriber.told = aOpen.applied();
   subscriber.entry = aOpen.entry();
+  subscriber.readsPacked = aOpen.reads_packed();
   Catch(aConnection, subscriber);
 }
 
@@ -121,7 +130,8 @@
 /// once, the newest commands bring it up to date.
 /// @return the index of the state that was sent.
 uint64_t
-FeedServer::SendWhole(const Connection& aConnection)
+FeedServer::SendWhole(const Connection& aConnection,
+                      const Subscriber& aSubscriber)
 {
   const uint64_t applied = mState.Applied().value;
   const bool usable = mWhole && mWholeIndex >= mForgottenUpTo &&
@@ -131,14 +141,14 @@
     wire::GatewayState& state = *frame.mutable_feed_snapshot()->mutable_state();
     state = mState.Save();
     StripForEntries(state);
-    mWhole = frame.SerializeAsString();
+    mWhole.emplace(frame);
     mWholeIndex = applied;
     log::Line(log::Part::Control, log::Severity::Info)
-      << "encodes the state at index " << applied << " in " << mWhole->size()
-      << " bytes";
+      << "encodes the state at index " << applied << " in "
+      << mWhole->Plain().size() << " bytes";
   }
   mWholeUsed = true;
-  aConnection->Send(*mWhole);
+  SendTo(aConnection, aSubscriber.readsPacked, *mWhole);
   return mWholeIndex;
 }
 
@@ -152,10 +162,11 @@
   }
   const bool recent =
     aSubscriber.told > 0 && aSubscriber.told >= mForgottenUpTo;
-  const uint64_t from = recent ? aSubscriber.told : SendWhole(aConnection);
-  for (const auto& [index, frame] : mRecent) {
+  const uint64_t from =
+    recent ? aSubscriber.told : SendWhole(aConnection, aSubscriber);
+  for (auto& [index, frame] : mRecent) {
     if (index > from) {
-      aConnection->Send(frame);
+      SendTo(aConnection, aSubscriber.readsPacked, frame);
     }
   }
   aSubscriber.told = applied;
@@ -170,12 +181,12 @@
     *frame.mutable_feed_command()->mutable_command();
   command = aCommand;
   StripForEntries(command);
-  mRecent.emplace_back(aIndex.value, frame.SerializeAsString());
+  mRecent.emplace_back(aIndex.value, OutgoingFrame(frame));
   if (mRecent.size() > kRecentCommands) {
     mForgottenUpTo = mRecent.front().first;
     mRecent.pop_front();
   }
-  const std::string& bytes = mRecent.back().second;
+  OutgoingFrame& newest = mRecent.back().second;
   // A subscriber whose queue is full closes, which ends its entry in the map.
   const std::map<Connection, Subscriber> subscribers = mSubscribers;
   for (const auto& [connection, unused] : subscribers) {
@@ -187,7 +198,7 @@
       found->second.ahead = false;
     }
     found->second.told = aIndex.value;
-    connection->Send(bytes);
+    SendTo(connection, found->second.readsPacked, newest);
   }
 }
 
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/packed_frame.h"
 #include "gateway/state.h"
 #include "net/frame_mesh.h"
 
@@ -62,21 +63,23 @@
     /// It knows a newer state than this host; it is told nothing older.
     bool ahead = false;
     bool leaving = false;
+    bool readsPacked = false;
     wire::EntryMember entry;
     std::vector<std::string> controlHosts;
   };
 
   void Catch(const Connection& aConnection, Subscriber& aSubscriber);
-  uint64_t SendWhole(const Connection& aConnection);
+  uint64_t SendWhole(const Connection& aConnection,
+                     const Subscriber& aSubscriber);
 
   const State& mState;
   std::map<Connection, Subscriber> mSubscribers;
   /// Newest commands as frames, with their indices.
-  std::deque<std::pair<uint64_t, std::string>> mRecent;
+  std::deque<std::pair<uint64_t, OutgoingFrame>> mRecent;
   /// Commands up to this index are not among them.
   uint64_t mForgottenUpTo = 0;
   /// A whole state as a frame, and whether it was sent since the last ping.
-  std::optional<std::string> mWhole;
+  std::optional<OutgoingFrame> mWhole;
   uint64_t mWholeIndex = 0;
   bool mWholeUsed = false;
 };
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include "net/frame_connection.h"
+#include "testing/large_change.h"
 
 namespace rattandyke::gateway {
 namespace {
@@ -27,6 +28,14 @@
   return command;
 }
 
+wire::GatewayFrame
+Read(const std::string& aBytes)
+{
+  wire::GatewayFrame frame;
+  EXPECT_TRUE(frame.ParseFromString(aBytes));
+  return frame.has_packed() ? UnpackFrame(frame.packed()).value() : frame;
+}
+
 /// The far end of a subscription: keeps what arrives.
 struct Subscriber
 {
@@ -38,8 +47,7 @@
   {
     State state;
     for (const std::string& bytes : frames) {
-      wire::GatewayFrame frame;
-      frame.ParseFromString(bytes);
+      const wire::GatewayFrame frame = Read(bytes);
       if (frame.has_feed_snapshot()) {
         state.Load(frame.feed_snapshot().state());
       } else if (frame.has_feed_command()) {
@@ -60,7 +68,7 @@
     server.Applied(aCommand, LogIndex{ index });
   }
 
-  std::shared_ptr<Subscriber> Subscribe()
+  std::shared_ptr<Subscriber> Subscribe(bool aReadsPacked = false)
   {
     tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
     tcp::socket near(context);
@@ -75,7 +83,9 @@
        },
         [] {},
         {} });
-    server.Open(subscriber->near, {});
+    wire::FeedOpen open;
+    open.set_reads_packed(aReadsPacked);
+    server.Open(subscriber->near, open);
     return subscriber;
   }
 
@@ -155,6 +165,34 @@
   }
 }
 
+// The configuration grows by 1,400 routes. An entry host on a slow link answers
+// nobody until they have come over it; it gets them, and later the whole state,
+// in a third of their size. A host of an older version, which does not read
+// that, gets them as before, and all end at the same state.
+TEST_F(FeedServerTest, LargeChangeIsShortForThoseWhoReadItPacked)
+{
+  wire::GatewayCommand change;
+  *change.mutable_change_items() = testing::LargeChange(1400);
+  change.mutable_change_items()->add_services()->set_name("desk");
+  const auto plain = Subscribe(false);
+  const auto packed = Subscribe(true);
+  Apply(change);
+  const auto late = Subscribe(true);
+  Run();
+  const auto bytes = [](const Subscriber& aSubscriber) {
+    size_t sum = 0;
+    for (const std::string& frame : aSubscriber.frames) {
+      sum += frame.size();
+    }
+    return sum;
+  };
+  EXPECT_LE(bytes(*packed) * 3, bytes(*plain));
+  EXPECT_LE(bytes(*late) * 3, bytes(*plain));
+  for (const auto& subscriber : { plain, packed, late }) {
+    EXPECT_EQ(subscriber->Known().Items().Routes().size(), 1400U);
+  }
+}
+
 /// A control host whose whole state takes longer to arrive than an entry bears
 /// silence.
 class SlowControlHost
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -364,6 +364,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.entry_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
+  , /*decltype(_impl_.reads_packed_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedOpenDefaultTypeInternal {
   PROTOBUF_CONSTEXPR FeedOpenDefaultTypeInternal()
@@ -569,6 +570,20 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotDoneDefaultTypeInternal _SlotDone_default_instance_;
+PROTOBUF_CONSTEXPR PackedFrame::PackedFrame(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.bytes_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.size_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct PackedFrameDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR PackedFrameDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~PackedFrameDefaultTypeInternal() {}
+  union {
+    PackedFrame _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 PackedFrameDefaultTypeInternal _PackedFrame_default_instance_;
 PROTOBUF_CONSTEXPR GatewayFrame::GatewayFrame(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -585,7 +600,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[35];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[36];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -817,6 +832,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.entry_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.applied_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _impl_.reads_packed_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedSnapshot, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -939,6 +955,14 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.end_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.took_us_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PackedFrame, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PackedFrame, _impl_.size_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PackedFrame, _impl_.bytes_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_._oneof_case_[0]),
@@ -956,6 +980,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -981,19 +1006,20 @@
   { 195, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
   { 203, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
   { 219, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 227, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 234, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 242, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 251, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 260, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 268, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 278, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 290, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 299, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 308, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 326, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 337, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 348, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 228, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 235, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 243, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 252, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 261, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 269, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 279, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 291, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 300, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 309, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 327, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 338, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 349, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 357, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1031,6 +1057,7 @@
   &::rattandyke::wire::_SlotAsk_default_instance_._instance,
   &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
   &::rattandyke::wire::_SlotDone_default_instance_._instance,
+  &::rattandyke::wire::_PackedFrame_default_instance_._instance,
   &::rattandyke::wire::_GatewayFrame_default_instance_._instance,
 };
 
@@ -1107,65 +1134,68 @@
   "2\036.rattandyke.wire.ServiceRanges\022-\n\007entr"
   "ies\030\n \003(\0132\034.rattandyke.wire.EntryMember\022"
   "-\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIn"
-  "stanceJ\004\010\010\020\t\"H\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132"
+  "stanceJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132"
   "\034.rattandyke.wire.EntryMember\022\017\n\007applied"
-  "\030\002 \001(\004\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035."
-  "rattandyke.wire.GatewayState\"N\n\013FeedComm"
-  "and\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ra"
-  "ttandyke.wire.GatewayCommand\"B\n\010FeedPing"
-  "\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t"
-  "\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service"
-  "\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003("
-  "\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007s"
-  "econds\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003"
-  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
-  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017\n\007"
-  "leaving\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattand"
-  "yke.wire.EntryMember\"n\n\rForwardedCall\022\n\n"
-  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
-  "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
-  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
-  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHo"
-  "stReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wir"
-  "e.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke."
-  "wire.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rat"
-  "tandyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010"
-  "reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticke"
-  "t\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001"
-  "(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023"
-  "\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013"
-  "data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_"
-  "ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006"
-  "\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattan"
-  "dyke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n"
-  "\016retry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004fro"
-  "m\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
-  "\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"\353\004\n\014Gatew"
-  "ayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_ope"
-  "n\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\r"
-  "feed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Fe"
-  "edSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rat"
-  "tandyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030"
-  "\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013fe"
-  "ed_report\030\006 \001(\0132\033.rattandyke.wire.FeedRe"
-  "portH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattand"
-  "yke.wire.ForwardedCallH\000\022<\n\020forwarded_an"
-  "swer\030\010 \001(\0132 .rattandyke.wire.ForwardedAn"
-  "swerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke"
-  ".wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.r"
-  "attandyke.wire.SlotAskH\000\0222\n\013slot_answer\030"
-  "\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\t"
-  "slot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDo"
-  "neH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE"
-  "_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n"
-  "\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFU"
-  "SED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001(\010\"<\n\014FeedSnap"
+  "shot\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.Ga"
+  "tewayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004"
+  "\0220\n\007command\030\002 \001(\0132\037.rattandyke.wire.Gate"
+  "wayCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022"
+  "\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?"
+  "\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030"
+  "\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022"
+  "\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nF"
+  "eedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wi"
+  "re.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke"
+  ".wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007e"
+  "ntries\030\004 \003(\0132\034.rattandyke.wire.EntryMemb"
+  "er\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply"
+  "_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001("
+  "\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Fo"
+  "rwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001("
+  "\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostReport\022)\n\005loads\030"
+  "\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005tim"
+  "es\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022"
+  "-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.Entry"
+  "Member\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007"
+  "session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service"
+  "\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003"
+  "(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001("
+  "\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022"
+  "\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nSlotA"
+  "nswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)"
+  "\n\005state\030\003 \001(\0162\032.rattandyke.wire.SlotStat"
+  "e\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 "
+  "\001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session"
+  "\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007t"
+  "ook_us\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030\001 \001("
+  "\r\022\r\n\005bytes\030\002 \001(\014\"\233\005\n\014GatewayFrame\022\023\n\tcon"
+  "sensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.ratt"
+  "andyke.wire.FeedOpenH\000\0226\n\rfeed_snapshot\030"
+  "\003 \001(\0132\035.rattandyke.wire.FeedSnapshotH\000\0224"
+  "\n\014feed_command\030\004 \001(\0132\034.rattandyke.wire.F"
+  "eedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattan"
+  "dyke.wire.FeedPingH\000\0222\n\013feed_report\030\006 \001("
+  "\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016forw"
+  "arded_call\030\007 \001(\0132\036.rattandyke.wire.Forwa"
+  "rdedCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .r"
+  "attandyke.wire.ForwardedAnswerH\000\0222\n\013host"
+  "_report\030\t \001(\0132\033.rattandyke.wire.HostRepo"
+  "rtH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire"
+  ".SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattan"
+  "dyke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001("
+  "\0132\031.rattandyke.wire.SlotDoneH\000\022.\n\006packed"
+  "\030\r \001(\0132\034.rattandyke.wire.PackedFrameH\000B\006"
+  "\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPE"
+  "CIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_"
+  "STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022"
+  "\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 4997, descriptor_table_protodef_gateway_2eproto,
+    false, false, 5111, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 35,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 36,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -8086,13 +8116,16 @@
   new (&_impl_) Impl_{
       decltype(_impl_.entry_){nullptr}
     , decltype(_impl_.applied_){}
+    , decltype(_impl_.reads_packed_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   if (from._internal_has_entry()) {
     _this->_impl_.entry_ = new ::rattandyke::wire::EntryMember(*from._impl_.entry_);
   }
-  _this->_impl_.applied_ = from._impl_.applied_;
+  ::memcpy(&_impl_.applied_, &from._impl_.applied_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.reads_packed_) -
+    reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.reads_packed_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedOpen)
 }
 
@@ -8103,6 +8136,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.entry_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
+    , decltype(_impl_.reads_packed_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -8135,7 +8169,9 @@
     delete _impl_.entry_;
   }
   _impl_.entry_ = nullptr;
-  _impl_.applied_ = uint64_t{0u};
+  ::memset(&_impl_.applied_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.reads_packed_) -
+      reinterpret_cast<char*>(&_impl_.applied_)) + sizeof(_impl_.reads_packed_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -8161,6 +8197,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool reads_packed = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.reads_packed_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -8203,6 +8247,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_applied(), target);
   }
 
+  // bool reads_packed = 3;
+  if (this->_internal_reads_packed() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_reads_packed(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -8231,6 +8281,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
   }
 
+  // bool reads_packed = 3;
+  if (this->_internal_reads_packed() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -8256,6 +8311,9 @@
   if (from._internal_applied() != 0) {
     _this->_internal_set_applied(from._internal_applied());
   }
+  if (from._internal_reads_packed() != 0) {
+    _this->_internal_set_reads_packed(from._internal_reads_packed());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -8274,8 +8332,8 @@
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(FeedOpen, _impl_.applied_)
-      + sizeof(FeedOpen::_impl_.applied_)
+      PROTOBUF_FIELD_OFFSET(FeedOpen, _impl_.reads_packed_)
+      + sizeof(FeedOpen::_impl_.reads_packed_)
       - PROTOBUF_FIELD_OFFSET(FeedOpen, _impl_.entry_)>(
           reinterpret_cast<char*>(&_impl_.entry_),
           reinterpret_cast<char*>(&other->_impl_.entry_));
@@ -11891,6 +11949,231 @@
 
 // ===================================================================
 
+class PackedFrame::_Internal {
+ public:
+};
+
+PackedFrame::PackedFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.PackedFrame)
+}
+PackedFrame::PackedFrame(const PackedFrame& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  PackedFrame* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.bytes_){}
+    , decltype(_impl_.size_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.bytes_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.bytes_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_bytes().empty()) {
+    _this->_impl_.bytes_.Set(from._internal_bytes(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.size_ = from._impl_.size_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PackedFrame)
+}
+
+inline void PackedFrame::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.bytes_){}
+    , decltype(_impl_.size_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.bytes_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.bytes_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+PackedFrame::~PackedFrame() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.PackedFrame)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void PackedFrame::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.bytes_.Destroy();
+}
+
+void PackedFrame::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void PackedFrame::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.PackedFrame)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.bytes_.ClearToEmpty();
+  _impl_.size_ = 0u;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* PackedFrame::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint32 size = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.size_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes bytes = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_bytes();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* PackedFrame::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.PackedFrame)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint32 size = 1;
+  if (this->_internal_size() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_size(), target);
+  }
+
+  // bytes bytes = 2;
+  if (!this->_internal_bytes().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        2, this->_internal_bytes(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.PackedFrame)
+  return target;
+}
+
+size_t PackedFrame::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.PackedFrame)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // bytes bytes = 2;
+  if (!this->_internal_bytes().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_bytes());
+  }
+
+  // uint32 size = 1;
+  if (this->_internal_size() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_size());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData PackedFrame::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    PackedFrame::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*PackedFrame::GetClassData() const { return &_class_data_; }
+
+
+void PackedFrame::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<PackedFrame*>(&to_msg);
+  auto& from = static_cast<const PackedFrame&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.PackedFrame)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_bytes().empty()) {
+    _this->_internal_set_bytes(from._internal_bytes());
+  }
+  if (from._internal_size() != 0) {
+    _this->_internal_set_size(from._internal_size());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void PackedFrame::CopyFrom(const PackedFrame& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.PackedFrame)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool PackedFrame::IsInitialized() const {
+  return true;
+}
+
+void PackedFrame::InternalSwap(PackedFrame* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.bytes_, lhs_arena,
+      &other->_impl_.bytes_, rhs_arena
+  );
+  swap(_impl_.size_, other->_impl_.size_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[34]);
+}
+
+// ===================================================================
+
 class GatewayFrame::_Internal {
  public:
   static const ::rattandyke::wire::FeedOpen& feed_open(const GatewayFrame* msg);
@@ -11904,6 +12187,7 @@
   static const ::rattandyke::wire::SlotAsk& slot_ask(const GatewayFrame* msg);
   static const ::rattandyke::wire::SlotAnswer& slot_answer(const GatewayFrame* msg);
   static const ::rattandyke::wire::SlotDone& slot_done(const GatewayFrame* msg);
+  static const ::rattandyke::wire::PackedFrame& packed(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -11950,6 +12234,10 @@
 GatewayFrame::_Internal::slot_done(const GatewayFrame* msg) {
   return *msg->_impl_.body_.slot_done_;
 }
+const ::rattandyke::wire::PackedFrame&
+GatewayFrame::_Internal::packed(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.packed_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -12115,6 +12403,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.slot_done)
 }
+void GatewayFrame::set_allocated_packed(::rattandyke::wire::PackedFrame* packed) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (packed) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(packed);
+    if (message_arena != submessage_arena) {
+      packed = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, packed, submessage_arena);
+    }
+    set_has_packed();
+    _impl_.body_.packed_ = packed;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.packed)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -12191,6 +12494,11 @@
           from._internal_slot_done());
       break;
     }
+    case kPacked: {
+      _this->_internal_mutable_packed()->::rattandyke::wire::PackedFrame::MergeFrom(
+          from._internal_packed());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -12303,6 +12611,12 @@
       }
       break;
     }
+    case kPacked: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.packed_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -12424,6 +12738,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.PackedFrame packed = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr = ctx->ParseMessage(_internal_mutable_packed(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -12536,6 +12858,13 @@
         _Internal::slot_done(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.PackedFrame packed = 13;
+  if (_internal_has_packed()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(13, _Internal::packed(this),
+        _Internal::packed(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -12637,6 +12966,13 @@
           *_impl_.body_.slot_done_);
       break;
     }
+    // .rattandyke.wire.PackedFrame packed = 13;
+    case kPacked: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.packed_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -12719,6 +13055,11 @@
           from._internal_slot_done());
       break;
     }
+    case kPacked: {
+      _this->_internal_mutable_packed()->::rattandyke::wire::PackedFrame::MergeFrom(
+          from._internal_packed());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -12747,7 +13088,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -12890,6 +13231,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::SlotDone >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::SlotDone >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::PackedFrame*
+Arena::CreateMaybeMessage< ::rattandyke::wire::PackedFrame >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::PackedFrame >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayFrame*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayFrame >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayFrame >(arena);
