Gateway: one place ends a caller's connection and says why

Cause: an entry could end a caller's connection under a request that it had read, and neither a log line nor a metric told. Where a connection ended was spread over entry_host.cpp.

Change: the callers' side of an entry host is a class of its own, CallerFront, moved out of entry_host.cpp without a change of its decisions (the listener opens before the readiness page now, not after it; nothing is accepted before the loop runs either way). Each end has a reason, which is counted in connections_ended_total{reason}. An end under a request that was read whole writes one line with the request's id, the reason, the time it was worked on and what the socket said, at most 20 a second.

Conclusion: an end without an answer can be told apart by its line: the caller's close, a reset, a failed write, a fault of ours; without a line the request had not been read.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_connection.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -75,9 +77,18 @@
 {
   auto [error, bytes] =
     co_await asio::async_write(mSocket, asio::buffer(aText), kAwait);
+  NoteError(error);
   co_return !error;
 }
 
+void
+CallerConnection::NoteError(ErrorCode aError)
+{
+  if (aError) {
+    mSocketSaid = aError.message();
+  }
+}
+
 void
 CallerConnection::Watch(std::shared_ptr<RequestContext> aContext)
 {
@@ -90,11 +101,25 @@
                        ErrorCode failed;
                        if (!aError &&
                            (self->mSocket.available(failed) == 0 || failed)) {
+                         self->mSocketSaid = self->PeekedAt();
                          context->CallerLeft();
                        }
                      });
 }
 
+/// @return what the socket holds for us at the moment, without taking it.
+std::string
+CallerConnection::PeekedAt()
+{
+  char byte = 0;
+  const ssize_t got = ::recv(
+    mSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (got < 0) {
+    return ErrorCode(errno, boost::system::system_category()).message();
+  }
+  return got == 0 ? make_error_code(asio::error::eof).message() : "bytes";
+}
+
 void
 CallerConnection::Unwatch()
 {
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -50,6 +50,9 @@
   /// @return whether it ends with the answer that comes next.
   bool IsEnding() const { return mEnding; }
 
+  /// @return what the socket said when the caller left or a write failed.
+  const std::string& SocketSaid() const { return mSocketSaid; }
+
   /// @return whether no request is worked on.
   bool IsIdle() const { return !mBusy; }
 
@@ -62,6 +65,8 @@
   void Close();
 
 private:
+  void NoteError(ErrorCode aError);
+  std::string PeekedAt();
   bool GoesOn(const Parser& aParser, ErrorCode aError, Duration aIdle);
 
   boost::asio::ip::tcp::socket mSocket;
@@ -70,6 +75,7 @@
   bool mBusy = false;
   bool mEnding = false;
   Instant mIdleUntil{};
+  std::string mSocketSaid = "nothing";
 };
 
 } // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -0,0 +1,279 @@
+#include "gateway/caller_front.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "http/headers.h"
+#include "log/log.h"
+#include "net/frame_connection.h"
+#include "net/listen.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using ErrorCode = CallerConnection::ErrorCode;
+using BeastError = beast::http::error;
+
+constexpr milliseconds kUnacknowledged{ 3000 };
+/// Of the lines on connections that ended under a request. Callers that leave
+/// in a crowd are told by the metric; some lines of them are enough.
+constexpr uint32_t kLinesPerSecond = 20;
+
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+
+std::string_view
+NameOf(ConnectionEnd aEnd)
+{
+  switch (aEnd) {
+    case ConnectionEnd::Answered:
+      return "answered";
+    case ConnectionEnd::Refused:
+      return "refused";
+    case ConnectionEnd::CallerClosed:
+      return "caller_closed";
+    case ConnectionEnd::HalfRequest:
+      return "half_request";
+    case ConnectionEnd::Idle:
+      return "idle";
+    case ConnectionEnd::Leaving:
+      return "leaving";
+    case ConnectionEnd::CallerLeft:
+      return "caller_left";
+    case ConnectionEnd::WriteFailed:
+      return "write_failed";
+    case ConnectionEnd::Failed:
+      break;
+  }
+  return "failed";
+}
+
+std::string
+Serialize(const CallerAnswer& aAnswer, bool aKeep, bool aHead)
+{
+  const auto reason = beast::http::obsolete_reason(
+    static_cast<beast::http::status>(aAnswer.status));
+  std::string text;
+  text.reserve(aAnswer.fields.size() + aAnswer.body.size() + 128);
+  text += "HTTP/1.1 " + std::to_string(aAnswer.status) + " ";
+  text.append(reason.data(), reason.size());
+  text += "\r\n";
+  text += aAnswer.fields;
+  const bool bodiless =
+    aAnswer.status == kNoContent || aAnswer.status == kNotModified;
+  if (!bodiless) {
+    http::AppendField(
+      text, "Content-Length", std::to_string(aAnswer.body.size()));
+  }
+  if (!aKeep) {
+    http::AppendField(text, "Connection", "close");
+  }
+  text += "\r\n";
+  if (!bodiless && !aHead) {
+    text += aAnswer.body;
+  }
+  return text;
+}
+
+CallerRequest
+Take(CallerConnection::Parser& aParser, Instant aNow)
+{
+  auto& message = aParser.get();
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.hasBody = message.has_content_length() || message.chunked();
+  request.body = std::move(message.body());
+  request.fields = std::move(message.base());
+  request.arrived = aNow;
+  return request;
+}
+
+/// @return the status that refuses what could not be read, 0 if there is
+/// nobody to refuse.
+unsigned
+RefusalOf(ErrorCode aError)
+{
+  if (aError == BeastError::header_limit) {
+    return kHeadTooLarge;
+  }
+  if (aError == BeastError::body_limit) {
+    return kTooLarge;
+  }
+  const bool malformed =
+    aError.category() == make_error_code(BeastError::bad_method).category() &&
+    aError != BeastError::end_of_stream &&
+    aError != BeastError::partial_message;
+  return malformed ? kBadRequest : 0;
+}
+
+} // namespace
+
+CallerFront::CallerFront(const asio::any_io_executor& aExecutor,
+                         CallerService& aService,
+                         const Clock& aClock)
+  : mExecutor(aExecutor)
+  , mService(aService)
+  , mClock(aClock)
+  , mAcceptor(aExecutor)
+  , mLines(kLinesPerSecond)
+{
+}
+
+Result<Endpoint>
+CallerFront::Start(const Endpoint& aListen, Owner aOwner)
+{
+  auto open = net::Listen(mAcceptor, aListen, "callers");
+  if (open) {
+    Accept(std::move(aOwner));
+  }
+  return open;
+}
+
+void
+CallerFront::Accept(Owner aOwner)
+{
+  mAcceptor.async_accept(
+    [this, owner = std::move(aOwner)](ErrorCode aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        Take(std::move(aSocket), owner);
+      }
+      Accept(owner);
+    });
+}
+
+void
+CallerFront::Take(tcp::socket aSocket, Owner aOwner)
+{
+  net::TuneSocket(aSocket, kUnacknowledged);
+  auto connection =
+    std::make_shared<CallerConnection>(std::move(aSocket), mClock);
+  mOpen.insert(connection);
+  asio::co_spawn(
+    mExecutor, Serve(this, connection, std::move(aOwner)), asio::detached);
+}
+
+asio::awaitable<void>
+CallerFront::Serve(CallerFront* aSelf, Connection aConnection, Owner aOwner)
+{
+  End end;
+  while (!end) {
+    end = co_await aSelf->ServeOne(aConnection);
+  }
+  aSelf->Tell(*aConnection, *end);
+  aConnection->Close();
+  aSelf->mOpen.erase(aConnection);
+}
+
+asio::awaitable<CallerFront::End>
+CallerFront::ServeOne(Connection aConnection)
+{
+  const CallerLimits limits = mService.Limits();
+  CallerConnection::Parser parser;
+  parser.header_limit(limits.headerBytes);
+  parser.body_limit(limits.bodyBytes);
+  const ErrorCode unread = co_await aConnection->Read(parser, limits.idle);
+  if (unread) {
+    co_return co_await RefuseUnread(aConnection, unread, parser.got_some());
+  }
+  co_return co_await ServeRequest(aConnection, parser);
+}
+
+asio::awaitable<CallerFront::End>
+CallerFront::ServeRequest(Connection aConnection,
+                          CallerConnection::Parser& aParser)
+{
+  const bool keep = aParser.get().keep_alive();
+  CallerRequest request = gateway::Take(aParser, mClock.Now());
+  const Instant arrived = request.arrived;
+  const std::string id = mService.IdOf(request);
+  const bool head = request.method == "HEAD";
+  auto context = std::make_shared<RequestContext>(mExecutor);
+  aConnection->Watch(context);
+  CallerAnswer answer = co_await mService.Handle(context, std::move(request));
+  if (context->HasLeft()) {
+    co_return Ended{ ConnectionEnd::CallerLeft, id, mClock.Now() - arrived };
+  }
+  aConnection->Unwatch();
+  const bool keepOpen = keep && !mStopping && !aConnection->IsEnding();
+  const std::string text = Serialize(answer, keepOpen, head);
+  if (!co_await aConnection->Write(text)) {
+    co_return Ended{ ConnectionEnd::WriteFailed, id, mClock.Now() - arrived };
+  }
+  co_return keepOpen ? End{} : Ended{ ConnectionEnd::Answered };
+}
+
+asio::awaitable<CallerFront::Ended>
+CallerFront::RefuseUnread(Connection aConnection, ErrorCode aError, bool aBegun)
+{
+  const unsigned status = RefusalOf(aError);
+  if (status != 0) {
+    const std::string text =
+      Serialize(mService.Refuse(status, aError.message()), false, false);
+    co_await aConnection->Write(text);
+    co_return Ended{ ConnectionEnd::Refused };
+  }
+  if (aBegun) {
+    co_return Ended{ ConnectionEnd::HalfRequest };
+  }
+  if (aError != asio::error::operation_aborted) {
+    co_return Ended{ ConnectionEnd::CallerClosed };
+  }
+  co_return Ended{ mStopping ? ConnectionEnd::Leaving : ConnectionEnd::Idle };
+}
+
+/// Each connection's end is counted. A line is written of one that ended under
+/// a request, which is what a caller reports.
+void
+CallerFront::Tell(const CallerConnection& aConnection, const Ended& aEnd)
+{
+  mService.CountEnd(NameOf(aEnd.reason));
+  if (aEnd.reason < ConnectionEnd::CallerLeft) {
+    return;
+  }
+  if (const auto leftOut = mLines.Pass(mClock.Now())) {
+    const auto worked =
+      std::chrono::duration_cast<milliseconds>(aEnd.worked).count();
+    log::Line(log::Part::Entry, log::Severity::Info, aEnd.id)
+      << "connection ended under a request reason=" << NameOf(aEnd.reason)
+      << " after_ms=" << worked << " socket=" << aConnection.SocketSaid()
+      << " left_out=" << *leftOut;
+  }
+}
+
+void
+CallerFront::Sweep(Instant aNow)
+{
+  for (const Connection& connection : mOpen) {
+    if (connection->IsIdleTooLong(aNow)) {
+      connection->End();
+    }
+  }
+}
+
+void
+CallerFront::Close()
+{
+  ErrorCode ignored; // Nothing is accepted any more either way.
+  mAcceptor.close(ignored);
+  for (const Connection& connection : mOpen) {
+    if (connection->IsIdle() && !connection->IsEnding()) {
+      connection->End();
+    }
+  }
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -0,0 +1,223 @@
+#include "gateway/caller_front.h"
+
+#include <array>
+#include <map>
+#include <sstream>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/signal.h"
+#include "log/log.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using ErrorCode = boost::system::error_code;
+
+class SteppedClock final : public Clock
+{
+public:
+  Instant Now() const override { return mNow; }
+  WallTime Wall() const override { return {}; }
+  void Step(Duration aTime) { mNow += aTime; }
+
+private:
+  Instant mNow{ seconds{ 100 } };
+};
+
+/// Keeps requests until it is told to answer them, or until they are over.
+class FakeService final : public CallerService
+{
+public:
+  CallerLimits Limits() const override { return limits; }
+
+  asio::awaitable<CallerAnswer> Handle(std::shared_ptr<RequestContext> aContext,
+                                       CallerRequest aRequest) override
+  {
+    ++handled;
+    while (held && !aContext->IsOver()) {
+      aContext->Wake().expires_at(asio::steady_timer::time_point::max());
+      co_await aContext->Wake().async_wait(http::kAwait);
+    }
+    co_return CallerAnswer{ aContext->IsOver() ? 503U : 200U, "", body };
+  }
+
+  CallerAnswer Refuse(unsigned aStatus, const std::string& aText) const override
+  {
+    return { aStatus, "", aText };
+  }
+
+  std::string IdOf(const CallerRequest& aRequest) const override
+  {
+    return std::string(aRequest.fields["Id"]);
+  }
+
+  void CountEnd(std::string_view aReason) override
+  {
+    ++ends[std::string(aReason)];
+  }
+
+  CallerLimits limits{ 4096, 4096, seconds{ 9 } };
+  std::string body = "done";
+  bool held = false;
+  size_t handled = 0;
+  std::map<std::string, size_t> ends;
+};
+
+class CallerFrontTest : public ::testing::Test
+{
+protected:
+  CallerFrontTest()
+  {
+    log::Options options;
+    options.stream = lines;
+    log::Configure(options);
+    const auto open = front.Start({ "127.0.0.1", 0 }, nullptr);
+    address = { asio::ip::address_v4::loopback(), open->port };
+  }
+
+  ~CallerFrontTest() override { log::Configure({}); }
+
+  tcp::socket Connect()
+  {
+    tcp::socket caller(context);
+    caller.connect(address);
+    return caller;
+  }
+
+  static void Send(tcp::socket& aCaller, const std::string& aText)
+  {
+    asio::write(aCaller, asio::buffer(aText));
+  }
+
+  /// Lets the host run until something is so.
+  /// @return whether it came to be so; false only if the test is to fail.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition)
+  {
+    constexpr int kMostRounds = 3000;
+    for (int round = 0; round < kMostRounds && !aCondition(); ++round) {
+      context.restart();
+      context.run_for(milliseconds{ 1 });
+    }
+    return aCondition();
+  }
+
+  /// Lets the host run until the caller sees its connection end.
+  /// @return all that the caller got, with the error that ended it.
+  std::string ReadToEnd(tcp::socket& aCaller)
+  {
+    std::string got;
+    ErrorCode error;
+    aCaller.non_blocking(true);
+    RunUntil([&] {
+      std::array<char, 65536> bytes;
+      const size_t read = aCaller.read_some(asio::buffer(bytes), error);
+      got.append(bytes.data(), read);
+      return error && error != asio::error::would_block;
+    });
+    return got + (error == asio::error::eof ? "" : "!" + error.message());
+  }
+
+  std::string Lines()
+  {
+    log::Flush();
+    return lines->str();
+  }
+
+  std::shared_ptr<std::ostringstream> lines =
+    std::make_shared<std::ostringstream>();
+  SteppedClock clock;
+  asio::io_context context;
+  FakeService service;
+  CallerFront front{ context.get_executor(), service, clock };
+  tcp::endpoint address;
+};
+
+const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nId: r-1\r\n\r\n";
+const std::string kLastRequest =
+  "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+size_t
+Count(const std::string& aText, const std::string& aPart)
+{
+  size_t count = 0;
+  for (size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_F(CallerFrontTest, AnswersRequestAfterRequest)
+{
+  tcp::socket caller = Connect();
+  Send(caller, kRequest + kLastRequest);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 2U) << got;
+  EXPECT_EQ(Count(got, "Connection: close"), 1U) << got;
+  EXPECT_EQ(service.ends["answered"], 1U);
+}
+
+// A caller closes its connection under its request. Whether it did, or the
+// connection was lost in another way, is told by one line and counted.
+TEST_F(CallerFrontTest, EndUnderARequestIsTold)
+{
+  service.held = true;
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  ASSERT_TRUE(RunUntil([&] { return service.handled == 1; }));
+  clock.Step(milliseconds{ 12 });
+  caller.close();
+  EXPECT_TRUE(RunUntil([&] { return service.ends["caller_left"] == 1; }));
+  const std::string told = Lines();
+  EXPECT_NE(told.find("connection ended under a request reason=caller_left "
+                      "after_ms=12 socket=End of file"),
+            std::string::npos)
+    << told;
+  EXPECT_NE(told.find("r-1"), std::string::npos) << told;
+}
+
+// Callers leave by the hundred when a service is slow. Their lines would fill
+// the log and hide the others.
+TEST_F(CallerFrontTest, LinesOfEndedConnectionsAreBounded)
+{
+  constexpr size_t kCallers = 50;
+  constexpr size_t kMostLines = 20;
+  service.held = true;
+  std::vector<tcp::socket> callers;
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(Connect());
+    Send(callers.back(), kRequest);
+  }
+  ASSERT_TRUE(RunUntil([&] { return service.handled == kCallers; }));
+  callers.clear();
+  EXPECT_TRUE(
+    RunUntil([&] { return service.ends["caller_left"] == kCallers; }));
+  EXPECT_EQ(Count(Lines(), "ended under a request"), kMostLines);
+}
+
+TEST_F(CallerFrontTest, OrdinaryEndsAreCountedAndNotTold)
+{
+  tcp::socket idle = Connect();
+  tcp::socket closing = Connect();
+  ASSERT_TRUE(RunUntil([&] { return context.poll() == 0; }));
+  closing.close();
+  EXPECT_TRUE(RunUntil([&] { return service.ends["caller_closed"] == 1; }));
+  clock.Step(seconds{ 10 });
+  front.Sweep(clock.Now());
+  EXPECT_TRUE(RunUntil([&] { return service.ends["idle"] == 1; }));
+  EXPECT_EQ(Count(Lines(), "ended under a request"), 0U);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/caller_service.h
@@ -0,0 +1,81 @@
+/// What a caller's connection asks of the host that it belongs to.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/fields.hpp>
+
+#include <rattandyke/types.h>
+
+#include "gateway/request_context.h"
+
+namespace rattandyke::gateway {
+
+struct CallerRequest
+{
+  std::string method;
+  std::string target;
+  boost::beast::http::fields fields;
+  std::string body;
+  bool hasBody = false;
+  Instant arrived{};
+};
+
+struct CallerAnswer
+{
+  unsigned status = 0;
+  /// Header lines, each with its line's end.
+  std::string fields;
+  std::string body;
+};
+
+/// What a caller may send, and how long its connection may be idle.
+struct CallerLimits
+{
+  uint32_t headerBytes = 0;
+  uint64_t bodyBytes = 0;
+  Duration idle{};
+};
+
+/// Why a caller's connection ended. The first ones are in order; from
+/// CallerLeft on there was a request that had been read whole and whose answer
+/// was not written to its end.
+enum class ConnectionEnd : uint8_t
+{
+  Answered,
+  Refused,
+  CallerClosed,
+  HalfRequest,
+  Idle,
+  Leaving,
+  CallerLeft,
+  WriteFailed,
+  Failed
+};
+
+/// Answers callers' requests. Runs on the executor of their connections.
+class CallerService
+{
+public:
+  virtual ~CallerService() = default;
+
+  virtual CallerLimits Limits() const = 0;
+
+  virtual boost::asio::awaitable<CallerAnswer> Handle(
+    std::shared_ptr<RequestContext> aContext,
+    CallerRequest aRequest) = 0;
+
+  /// An answer made without a request that could be read.
+  virtual CallerAnswer Refuse(unsigned aStatus,
+                              const std::string& aText) const = 0;
+
+  /// @return the request's id, empty if it has none.
+  virtual std::string IdOf(const CallerRequest& aRequest) const = 0;
+
+  /// Counts a connection that has ended.
+  virtual void CountEnd(std::string_view aReason) = 0;
+};
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -1,35 +1,21 @@
 #include "gateway/entry_host.h"
 
-#include <set>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/status.hpp>
 
 #include "base/endpoint.h"
 #include "gateway/call_server.h"
-#include "gateway/caller_connection.h"
+#include "gateway/caller_front.h"
 #include "gateway/feed_client.h"
 #include "gateway/feed_server.h"
 #include "gateway/request_handler.h"
-#include "http/headers.h"
-#include "http/signal.h"
 #include "log/log.h"
-#include "net/frame_connection.h"
 #include "net/frame_mesh.h"
-#include "net/listen.h"
 
 namespace rattandyke::gateway {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-using asio::ip::tcp;
-using http::kAwait;
 using std::chrono::milliseconds;
 using ErrorCode = boost::system::error_code;
 
@@ -39,62 +25,23 @@
 /// of what comes until they are moved; twice as often as heartbeats come is
 /// soon enough.
 constexpr milliseconds kReportInterval{ 200 };
-/// Before the first configuration tells.
-constexpr milliseconds kDefaultIdle{ 15000 };
 /// Above this age of its own state an entry assures no other of it.
 constexpr milliseconds kRelayedAge{ 600 };
-constexpr uint32_t kDefaultHeaderBytes = 16384;
-constexpr uint64_t kDefaultBodyBytes = uint64_t{ 64 } * 1024 * 1024;
 /// A balancer asks once a second and takes a host out after two misses; until
 /// then it sends new connections.
 constexpr milliseconds kLeaveRotation{ 2600 };
 /// Kept of the time before the process is killed: for its end, on a part of a
 /// core.
 constexpr milliseconds kGraceMargin{ 300 };
-constexpr milliseconds kUnacknowledged{ 3000 };
 
 constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kTooLarge = 413;
-constexpr unsigned kHeadTooLarge = 431;
 constexpr unsigned kUnavailable = 503;
-constexpr unsigned kNoContent = 204;
-constexpr unsigned kNotModified = 304;
-
-std::string
-Serialize(const CallerAnswer& aAnswer, bool aKeep, bool aHead)
-{
-  const auto reason = beast::http::obsolete_reason(
-    static_cast<beast::http::status>(aAnswer.status));
-  std::string text;
-  text.reserve(aAnswer.fields.size() + aAnswer.body.size() + 128);
-  text += "HTTP/1.1 " + std::to_string(aAnswer.status) + " ";
-  text.append(reason.data(), reason.size());
-  text += "\r\n";
-  text += aAnswer.fields;
-  const bool bodiless =
-    aAnswer.status == kNoContent || aAnswer.status == kNotModified;
-  if (!bodiless) {
-    http::AppendField(
-      text, "Content-Length", std::to_string(aAnswer.body.size()));
-  }
-  if (!aKeep) {
-    http::AppendField(text, "Connection", "close");
-  }
-  text += "\r\n";
-  if (!bodiless && !aHead) {
-    text += aAnswer.body;
-  }
-  return text;
-}
 
 } // namespace
 
 struct EntryHost::Impl : std::enable_shared_from_this<EntryHost::Impl>
 {
-  using Connection = std::shared_ptr<CallerConnection>;
-
   Impl(asio::io_context& aContext,
        const Settings& aSettings,
        const Dialect& aDialect,
@@ -104,7 +51,6 @@
     , settings(aSettings)
     , dialect(aDialect)
     , clock(aClock)
-    , acceptor(executor)
     , sweeper(executor)
     , feed(
         executor,
@@ -132,6 +78,7 @@
         desk,
         aDialect.Headers(),
         aClock)
+    , callers(executor, handler, aClock)
     , slotTicker(executor)
   {
   }
@@ -230,7 +177,7 @@
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
-    const auto open = net::Listen(acceptor, *settings.callers, "callers");
+    const auto open = callers.Start(*settings.callers, shared_from_this());
     if (!open) {
       return tl::unexpected(open.error());
     }
@@ -257,7 +204,6 @@
       }
     }
     feed.Start();
-    Accept();
     Sweep();
     TickSlots();
     return {};
@@ -292,107 +238,6 @@
                           "text/plain" };
   }
 
-  void Accept()
-  {
-    acceptor.async_accept(
-      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
-        if (aError == asio::error::operation_aborted ||
-            !self->acceptor.is_open()) {
-          return;
-        }
-        if (!aError) {
-          self->Take(std::move(aSocket));
-        }
-        self->Accept();
-      });
-  }
-
-  void Take(tcp::socket aSocket)
-  {
-    net::TuneSocket(aSocket, kUnacknowledged);
-    auto connection =
-      std::make_shared<CallerConnection>(std::move(aSocket), clock);
-    connections.insert(connection);
-    asio::co_spawn(
-      executor, Serve(shared_from_this(), connection), asio::detached);
-  }
-
-  Duration IdleTimeout() const
-  {
-    const auto ms = feed.Known().Items().Limits().idle_timeout_ms();
-    return ms == 0 ? Duration(kDefaultIdle) : Duration(milliseconds(ms));
-  }
-
-  static asio::awaitable<void> Serve(std::shared_ptr<Impl> aSelf,
-                                     Connection aConnection)
-  {
-    bool keep = true;
-    while (keep) {
-      keep = co_await aSelf->ServeOne(aConnection);
-    }
-    aConnection->Close();
-    aSelf->connections.erase(aConnection);
-  }
-
-  /// @return whether the connection is kept.
-  asio::awaitable<bool> ServeOne(Connection aConnection)
-  {
-    CallerConnection::Parser parser;
-    const wire::LimitsItem& limits = feed.Known().Items().Limits();
-    parser.header_limit(limits.max_header_bytes() == 0
-                          ? kDefaultHeaderBytes
-                          : limits.max_header_bytes());
-    parser.body_limit(limits.max_body_bytes() == 0 ? kDefaultBodyBytes
-                                                   : limits.max_body_bytes());
-    const ErrorCode unread = co_await aConnection->Read(parser, IdleTimeout());
-    if (unread) {
-      co_return co_await RefuseUnread(aConnection, unread);
-    }
-    auto& message = parser.get();
-    const bool keep = message.keep_alive();
-    CallerRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.hasBody = message.has_content_length() || message.chunked();
-    request.body = std::move(message.body());
-    request.fields = std::move(message.base());
-    request.arrived = clock.Now();
-    const bool head = request.method == "HEAD";
-    auto context = std::make_shared<RequestContext>(executor);
-    aConnection->Watch(context);
-    CallerAnswer answer = co_await handler.Handle(context, std::move(request));
-    if (context->HasLeft()) {
-      co_return false;
-    }
-    aConnection->Unwatch();
-    const bool keepOpen = keep && !stopping && !aConnection->IsEnding();
-    const std::string text = Serialize(answer, keepOpen, head);
-    const bool written = co_await aConnection->Write(text);
-    co_return written&& keepOpen;
-  }
-
-  asio::awaitable<bool> RefuseUnread(Connection aConnection, ErrorCode aError)
-  {
-    using BeastError = beast::http::error;
-    unsigned status = 0;
-    if (aError == BeastError::header_limit) {
-      status = kHeadTooLarge;
-    } else if (aError == BeastError::body_limit) {
-      status = kTooLarge;
-    } else if (aError.category() ==
-                 make_error_code(BeastError::bad_method).category() &&
-               aError != BeastError::end_of_stream &&
-               aError != BeastError::partial_message) {
-      status = kBadRequest;
-    }
-    if (status != 0) {
-      const std::string text =
-        Serialize(handler.Refuse(status, aError.message()), false, false);
-      co_await aConnection->Write(text);
-    }
-    co_return false;
-  }
-
   void Sweep()
   {
     sweeper.expires_after(kSweepInterval);
@@ -408,11 +253,7 @@
   void OnSweep()
   {
     const Instant now = clock.Now();
-    for (const Connection& connection : connections) {
-      if (connection->IsIdleTooLong(now)) {
-        connection->End();
-      }
-    }
+    callers.Sweep(now);
     handler.Sweep();
     if (!stopping && feed.Age() < kRelayedAge) {
       relay.Ping(feed.ControlHosts(), feed.Age());
@@ -436,16 +277,10 @@
   void OnStopping(Instant aNow)
   {
     if (aNow - stoppedAt >= kLeaveRotation) {
-      ErrorCode ignored; // Nothing is accepted any more either way.
-      acceptor.close(ignored);
-      for (const Connection& connection : connections) {
-        if (connection->IsIdle() && !connection->IsEnding()) {
-          connection->End();
-        }
-      }
+      callers.Close();
     }
     const bool late = aNow - stoppedAt >= settings.shutdownGrace - kGraceMargin;
-    const bool idle = !acceptor.is_open() && connections.empty();
+    const bool idle = callers.IsClosed();
     if ((late || idle) && done) {
       feed.Stop();
       sweeper.cancel();
@@ -458,6 +293,7 @@
   void Stop(std::function<void()> aDone)
   {
     stopping = true;
+    callers.Stop();
     stoppedAt = clock.Now();
     done = std::move(aDone);
     wire::FeedReport report;
@@ -469,17 +305,16 @@
   Settings settings;
   const Dialect& dialect;
   const Clock& clock;
-  tcp::acceptor acceptor;
   asio::steady_timer sweeper;
   std::unique_ptr<net::FrameMesh> mesh;
   FeedClient feed;
   FeedServer relay;
   SlotDesk desk;
   RequestHandler handler;
+  CallerFront callers;
   asio::steady_timer slotTicker;
   std::unique_ptr<CallServer> readiness;
   std::unique_ptr<CallServer> metrics;
-  std::set<Connection> connections;
   Instant reportedAt{};
   bool stopping = false;
   Instant stoppedAt{};
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -42,6 +42,10 @@
 constexpr milliseconds kDefaultDeadline{ 10000 };
 /// Tries of which nothing was sent.
 constexpr int kMaxUnsent = 6;
+/// Before the first configuration tells.
+constexpr milliseconds kDefaultIdle{ 15000 };
+constexpr uint32_t kDefaultHeaderBytes = 16384;
+constexpr uint64_t kDefaultBodyBytes = uint64_t{ 64 } * 1024 * 1024;
 /// Each entry may spend this part of what all may: arrivals that upstreams
 /// refuse count, too, and so does what is under way when a window begins.
 constexpr double kBudgetPart = 0.75;
@@ -241,6 +245,33 @@
   return outgoing;
 }
 
+CallerLimits
+RequestHandler::Limits() const
+{
+  const wire::LimitsItem& limits = mFeed.Known().Items().Limits();
+  const auto orElse = [](auto aValue, auto aDefault) {
+    return aValue == 0 ? aDefault : aValue;
+  };
+  return { orElse(limits.max_header_bytes(), kDefaultHeaderBytes),
+           orElse(limits.max_body_bytes(), kDefaultBodyBytes),
+           limits.idle_timeout_ms() == 0
+             ? Duration(kDefaultIdle)
+             : Duration(milliseconds(limits.idle_timeout_ms())) };
+}
+
+std::string
+RequestHandler::IdOf(const CallerRequest& aRequest) const
+{
+  return std::string(http::FieldOf(aRequest.fields, mHeaders.requestId));
+}
+
+void
+RequestHandler::CountEnd(std::string_view aReason)
+{
+  mMetrics.Count("connections_ended",
+                 "reason=\"" + std::string(aReason) + "\"");
+}
+
 asio::awaitable<CallerAnswer>
 RequestHandler::Handle(std::shared_ptr<RequestContext> aContext,
                        CallerRequest aRequest)
@@ -271,7 +302,7 @@
 RequestHandler::Answer(std::shared_ptr<RequestContext> aContext,
                        CallerRequest aRequest)
 {
-  const std::string id(http::FieldOf(aRequest.fields, mHeaders.requestId));
+  const std::string id = IdOf(aRequest);
   const auto asked =
     ParseNumber(http::FieldOf(aRequest.fields, mHeaders.deadline));
   const Duration wait = milliseconds(
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -9,12 +9,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/fields.hpp>
 
 #include <rattandyke/types.h>
 
 #include "base/clock.h"
 #include "entry/retry_budget.h"
+#include "gateway/caller_service.h"
 #include "gateway/dialect.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_client.h"
@@ -25,27 +25,9 @@
 
 namespace rattandyke::gateway {
 
-struct CallerRequest
-{
-  std::string method;
-  std::string target;
-  boost::beast::http::fields fields;
-  std::string body;
-  bool hasBody = false;
-  Instant arrived{};
-};
-
-struct CallerAnswer
-{
-  unsigned status = 0;
-  /// Header lines, each with its line's end.
-  std::string fields;
-  std::string body;
-};
-
 /// Finds the route, chooses upstreams, makes tries and words the answer. Runs
 /// on one executor that runs one handler at a time.
-class RequestHandler
+class RequestHandler : public CallerService
 {
 public:
   struct Options
@@ -68,12 +50,18 @@
   /// The state that the feed knows has changed.
   void StateChanged(const wire::GatewayCommand* aCommand);
 
+  CallerLimits Limits() const override;
+
   boost::asio::awaitable<CallerAnswer> Handle(
     std::shared_ptr<RequestContext> aContext,
-    CallerRequest aRequest);
+    CallerRequest aRequest) override;
+
+  CallerAnswer Refuse(unsigned aStatus,
+                      const std::string& aText) const override;
+
+  std::string IdOf(const CallerRequest& aRequest) const override;
 
-  /// An answer made without a request that could be read.
-  CallerAnswer Refuse(unsigned aStatus, const std::string& aText) const;
+  void CountEnd(std::string_view aReason) override;
 
   /// @return requests for keys since the last call, and times of upstreams.
   wire::FeedReport TakeLoads();
