Tests: three ways in which a request that was read ends without an answer

Cause: an event of the socket with nothing to read counts as the caller's close; a caller that closes its sending side after its request is cut off; an exception under a request is swallowed with its coroutine, and the connection stays open, unanswered, until the process ends.

Change: a test of each, and two that show that a close and a reset are still noticed.

--- a/src/librattandyke/gateway/caller_connection_test.cpp
+++ b/src/librattandyke/gateway/caller_connection_test.cpp
@@ -1,7 +1,10 @@
 #include "gateway/caller_connection.h"
 
+#include <array>
 #include <optional>
 
+#include <sys/socket.h>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +13,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
+#include "testing/stepped_clock.h"
+
 namespace rattandyke::gateway {
 namespace {
 
@@ -24,7 +29,9 @@
   {
     tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
     caller.connect(acceptor.local_endpoint());
-    connection = std::make_shared<CallerConnection>(acceptor.accept(), clock);
+    tcp::socket accepted = acceptor.accept();
+    handle = accepted.native_handle();
+    connection = std::make_shared<CallerConnection>(std::move(accepted), clock);
   }
 
   void Send(const std::string& aText)
@@ -53,9 +60,11 @@
     }
   }
 
-  SystemClock clock;
+  testing::SteppedClock clock;
   asio::io_context context;
   tcp::socket caller{ context };
+  /// Of the connection's socket.
+  int handle = -1;
   std::shared_ptr<CallerConnection> connection;
   std::optional<CallerConnection::Parser> parser{ std::in_place };
   ErrorCode error;
@@ -116,6 +125,55 @@
   EXPECT_EQ(error, asio::error::operation_aborted);
 }
 
+// The kernel reports that something can be read, and by the time in which the
+// report is handled it has been taken: nothing is there, and the caller has not
+// left. Taken for its end, a request that was read whole would get no answer.
+TEST_F(CallerConnectionTest, EventWithNothingToReadIsNotTheCallersEnd)
+{
+  tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  tcp::socket signal(context);
+  signal.connect(acceptor.local_endpoint());
+  tcp::socket taker = acceptor.accept();
+  std::array<char, 9> taken;
+  ssize_t got = 0;
+  taker.async_wait(tcp::socket::wait_read, [&](ErrorCode) {
+    got = recv(handle, taken.data(), taken.size(), MSG_DONTWAIT);
+  });
+  const auto request = std::make_shared<RequestContext>(context.get_executor());
+  connection->Watch(request);
+  asio::write(signal, asio::buffer("1", 1)); // Handled first: it came first.
+  Send("2");
+  context.poll();
+  ASSERT_EQ(got, 1);
+  EXPECT_FALSE(request->HasLeft());
+  caller.close();
+  context.restart();
+  context.poll();
+  EXPECT_TRUE(request->HasLeft()) << "it is watched on";
+}
+
+TEST_F(CallerConnectionTest, CallerThatClosesIsNoticed)
+{
+  const auto request = std::make_shared<RequestContext>(context.get_executor());
+  connection->Watch(request);
+  context.poll();
+  EXPECT_FALSE(request->HasLeft());
+  caller.close();
+  context.restart();
+  context.poll();
+  EXPECT_TRUE(request->HasLeft());
+}
+
+TEST_F(CallerConnectionTest, CallerWhoseConnectionIsResetIsNoticed)
+{
+  const auto request = std::make_shared<RequestContext>(context.get_executor());
+  connection->Watch(request);
+  caller.set_option(asio::socket_base::linger(true, 0));
+  caller.close();
+  context.poll();
+  EXPECT_TRUE(request->HasLeft());
+}
+
 TEST_F(CallerConnectionTest, ConnectionWithARequestIsNotIdle)
 {
   Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -3,16 +3,23 @@
 #include <array>
 #include <map>
 #include <sstream>
+#include <stdexcept>
 #include <vector>
 
+#include <sys/resource.h>
+#include <sys/socket.h>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include "http/signal.h"
 #include "log/log.h"
+#include "testing/stepped_clock.h"
 
 namespace rattandyke::gateway {
 namespace {
@@ -23,17 +30,6 @@
 using std::chrono::seconds;
 using ErrorCode = boost::system::error_code;
 
-class SteppedClock final : public Clock
-{
-public:
-  Instant Now() const override { return mNow; }
-  WallTime Wall() const override { return {}; }
-  void Step(Duration aTime) { mNow += aTime; }
-
-private:
-  Instant mNow{ seconds{ 100 } };
-};
-
 /// Keeps requests until it is told to answer them, or until they are over.
 class FakeService final : public CallerService
 {
@@ -44,6 +40,10 @@
                                        CallerRequest aRequest) override
   {
     ++handled;
+    if (fails) {
+      throw std::runtime_error("a fault");
+    }
+    current = aContext;
     while (held && !aContext->IsOver()) {
       aContext->Wake().expires_at(asio::steady_timer::time_point::max());
       co_await aContext->Wake().async_wait(http::kAwait);
@@ -51,6 +51,13 @@
     co_return CallerAnswer{ aContext->IsOver() ? 503U : 200U, "", body };
   }
 
+  /// Lets the last request be answered.
+  void Release()
+  {
+    held = false;
+    current->Wake().cancel();
+  }
+
   CallerAnswer Refuse(unsigned aStatus, const std::string& aText) const override
   {
     return { aStatus, "", aText };
@@ -69,7 +76,9 @@
   CallerLimits limits{ 4096, 4096, seconds{ 9 } };
   std::string body = "done";
   bool held = false;
+  bool fails = false;
   size_t handled = 0;
+  std::shared_ptr<RequestContext> current;
   std::map<std::string, size_t> ends;
 };
 
@@ -128,6 +137,29 @@
     return got + (error == asio::error::eof ? "" : "!" + error.message());
   }
 
+  /// @return the host's end of a caller's connection, -1 if there is none.
+  static int HandleOf(const tcp::socket& aCaller)
+  {
+    constexpr int kMostHandles = 1024;
+    const tcp::endpoint wanted = aCaller.local_endpoint();
+    for (int handle = 0; handle < kMostHandles; ++handle) {
+      tcp::endpoint peer;
+      auto size = static_cast<socklen_t>(peer.capacity());
+      if (getpeername(handle, peer.data(), &size) == 0 && peer == wanted) {
+        return handle;
+      }
+    }
+    return -1;
+  }
+
+  static int Option(int aHandle, int aLevel, int aName)
+  {
+    int value = -1;
+    socklen_t size = sizeof(value);
+    getsockopt(aHandle, aLevel, aName, &value, &size);
+    return value;
+  }
+
   std::string Lines()
   {
     log::Flush();
@@ -136,7 +168,7 @@
 
   std::shared_ptr<std::ostringstream> lines =
     std::make_shared<std::ostringstream>();
-  SteppedClock clock;
+  testing::SteppedClock clock;
   asio::io_context context;
   FakeService service;
   CallerFront front{ context.get_executor(), service, clock };
@@ -219,5 +251,33 @@
   EXPECT_EQ(Count(Lines(), "ended under a request"), 0U);
 }
 
+// A caller closes its sending side after its request, which HTTP allows. It
+// can't be told from one that has left, so its request is given up; but it gets
+// the answer that says so, and does not have to guess what became of it.
+TEST_F(CallerFrontTest, CallerThatHalfClosesGetsAnAnswer)
+{
+  service.held = true;
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  caller.shutdown(tcp::socket::shutdown_send);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 503"), 1U) << got;
+  EXPECT_EQ(Count(got, "Connection: close"), 1U) << got;
+  EXPECT_EQ(service.ends["caller_left"], 1U);
+}
+
+// The work on a request fails with a fault of ours. The caller is told that
+// nobody knows what became of it, at once, and the connection does not stay
+// open for ever.
+TEST_F(CallerFrontTest, FaultUnderARequestIsAnAnswer)
+{
+  service.fails = true;
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 502"), 1U) << got;
+  EXPECT_EQ(service.ends["failed"], 1U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
