Gateway: a request that was read ends with an answer, also without its caller

Cause: CallerConnection took any event with no bytes to read for the caller's close, and CallerFront then closed the connection without a word. A caller that only closed its sending side was cut off the same way. An exception under a request ended the coroutine that would have answered.

Change: an event is followed by a look at the socket (MSG_PEEK): end of stream, reset and nothing are told apart, and after nothing the watch goes on. The answer is written also if the caller seems to have left. An exception under a request becomes 502.

Conclusion: no single belief about the caller can leave a request that was read without an answer any more.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -95,34 +95,60 @@
   if (mBuffer.size() > 0) {
     return; // The next request is here already: its caller is, too.
   }
-  mSocket.async_wait(tcp::socket::wait_read,
-                     [self = shared_from_this(),
-                      context = std::move(aContext)](ErrorCode aError) {
-                       ErrorCode failed;
-                       if (!aError &&
-                           (self->mSocket.available(failed) == 0 || failed)) {
-                         self->mSocketSaid = self->PeekedAt();
-                         context->CallerLeft();
-                       }
-                     });
+  mWatched = std::move(aContext);
+  AwaitReadable();
 }
 
-/// @return what the socket holds for us at the moment, without taking it.
-std::string
-CallerConnection::PeekedAt()
+void
+CallerConnection::AwaitReadable()
+{
+  mSocket.async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this(), context = mWatched](ErrorCode aError) {
+      if (!aError && context == self->mWatched) {
+        self->OnReadable();
+      }
+    });
+}
+
+/// Safeguard: an event says that something could be read when it arose, not
+/// that it still can, and never what. Taken for the caller's end, an event that
+/// is late or stands for nothing ends a request without an answer. Only the
+/// socket's own word counts; without one the watch goes on.
+///
+/// A caller that only closes its sending side looks the same as one that is
+/// gone, and most of those that do are gone: the work ends for both. The answer
+/// that says so is written all the same, see CallerFront.
+void
+CallerConnection::OnReadable()
+{
+  const ErrorCode said = Peek();
+  if (said == asio::error::would_block) {
+    AwaitReadable();
+  } else if (said) { // No error: the next request. Its caller is here.
+    NoteError(said);
+    mWatched->CallerLeft();
+  }
+}
+
+/// @return no error if there are bytes to read, eof if the caller closed,
+/// would_block if there is nothing.
+CallerConnection::ErrorCode
+CallerConnection::Peek()
 {
   char byte = 0;
   const ssize_t got = ::recv(
     mSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
   if (got < 0) {
-    return ErrorCode(errno, boost::system::system_category()).message();
+    return { errno, boost::system::system_category() };
   }
-  return got == 0 ? make_error_code(asio::error::eof).message() : "bytes";
+  return got == 0 ? make_error_code(asio::error::eof) : ErrorCode{};
 }
 
 void
 CallerConnection::Unwatch()
 {
+  mWatched.reset();
   ErrorCode ignored; // The watch ends; nothing else is pending.
   mSocket.cancel(ignored);
 }
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -66,7 +66,9 @@
 
 private:
   void NoteError(ErrorCode aError);
-  std::string PeekedAt();
+  ErrorCode Peek();
+  void AwaitReadable();
+  void OnReadable();
   bool GoesOn(const Parser& aParser, ErrorCode aError, Duration aIdle);
 
   boost::asio::ip::tcp::socket mSocket;
@@ -75,6 +77,8 @@
   bool mBusy = false;
   bool mEnding = false;
   Instant mIdleUntil{};
+  /// Whose caller is watched.
+  std::shared_ptr<RequestContext> mWatched;
   std::string mSocketSaid = "nothing";
 };
 
--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -31,6 +31,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kBadGateway = 502;
 
 std::string_view
 NameOf(ConnectionEnd aEnd)
@@ -203,17 +204,44 @@
   const bool head = request.method == "HEAD";
   auto context = std::make_shared<RequestContext>(mExecutor);
   aConnection->Watch(context);
-  CallerAnswer answer = co_await mService.Handle(context, std::move(request));
+  Ended end{ ConnectionEnd::Answered, id };
+  const CallerAnswer answer =
+    co_await AnswerOf(context, std::move(request), end.reason);
+  aConnection->Unwatch();
   if (context->HasLeft()) {
-    co_return Ended{ ConnectionEnd::CallerLeft, id, mClock.Now() - arrived };
+    end.reason = ConnectionEnd::CallerLeft;
   }
-  aConnection->Unwatch();
-  const bool keepOpen = keep && !mStopping && !aConnection->IsEnding();
+  const bool keepOpen = end.reason == ConnectionEnd::Answered && keep &&
+                        !mStopping && !aConnection->IsEnding();
+  // Also to a caller that seems to have left: one that has only closed its
+  // sending side reads it, and nobody has to trust our belief that it is gone.
   const std::string text = Serialize(answer, keepOpen, head);
-  if (!co_await aConnection->Write(text)) {
-    co_return Ended{ ConnectionEnd::WriteFailed, id, mClock.Now() - arrived };
+  const bool written = co_await aConnection->Write(text);
+  end.worked = mClock.Now() - arrived;
+  if (!written && end.reason == ConnectionEnd::Answered) {
+    end.reason = ConnectionEnd::WriteFailed;
+  }
+  co_return written&& keepOpen ? End{} : end;
+}
+
+/// Safeguard: an exception would end the work on a request together with the
+/// one who answers it. The connection would stay, and its caller wait.
+asio::awaitable<CallerAnswer>
+CallerFront::AnswerOf(std::shared_ptr<RequestContext> aContext,
+                      CallerRequest aRequest,
+                      ConnectionEnd& aEnd)
+{
+  std::string fault;
+  try {
+    co_return co_await mService.Handle(std::move(aContext),
+                                       std::move(aRequest));
+  } catch (const std::exception& exception) {
+    fault = exception.what();
   }
-  co_return keepOpen ? End{} : Ended{ ConnectionEnd::Answered };
+  log::Line(log::Part::Entry, log::Severity::Error)
+    << "the work on a request failed: " << fault;
+  aEnd = ConnectionEnd::Failed;
+  co_return mService.Refuse(kBadGateway, "the gateway failed");
 }
 
 asio::awaitable<CallerFront::Ended>
--- a/src/librattandyke/gateway/caller_front.h
+++ b/src/librattandyke/gateway/caller_front.h
@@ -71,6 +71,10 @@
   boost::asio::awaitable<End> ServeOne(Connection aConnection);
   boost::asio::awaitable<End> ServeRequest(Connection aConnection,
                                            CallerConnection::Parser& aParser);
+  boost::asio::awaitable<CallerAnswer> AnswerOf(
+    std::shared_ptr<RequestContext> aContext,
+    CallerRequest aRequest,
+    ConnectionEnd& aEnd);
   boost::asio::awaitable<Ended> RefuseUnread(Connection aConnection,
                                              CallerConnection::ErrorCode aError,
                                              bool aBegun);
