Tests: three ways in which a reset discards an answer or a request

Cause: a socket that is closed with bytes to read is reset by the kernel, which drops what it still had to send. And with TCP_USER_TIMEOUT set, Linux resets an idle connection at the first keep-alive probe that is not answered within the probes' interval (1 s here), whatever the number of probes set.

Change: a test of each, and one that a caller that stays open does not hold up the host's end.

--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -266,6 +266,59 @@
   EXPECT_EQ(service.ends["caller_left"], 1U);
 }
 
+// A caller sends its next request before it has read the answer that ends the
+// connection. A socket that is closed with bytes to read is reset by the
+// kernel, which drops what it had still to send: the caller gets part of an
+// answer and a reset.
+TEST_F(CallerFrontTest, AnswerIsWholeAlthoughMoreWasSent)
+{
+  service.body = std::string(200000, 'x');
+  tcp::socket caller(context, tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect(address);
+  service.held = true;
+  Send(caller, kLastRequest);
+  ASSERT_TRUE(RunUntil([&] { return service.handled == 1; }));
+  Send(caller, kRequest);
+  service.Release();
+  ASSERT_TRUE(RunUntil([&] { return service.ends["answered"] == 1; }));
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "x"), service.body.size()) << got.substr(0, 200);
+  EXPECT_EQ(Count(got, "!"), 0U) << got.substr(got.size() - 40);
+}
+
+// The same with the rest of a body that is too long.
+TEST_F(CallerFrontTest, RefusalReachesACallerThatStillSends)
+{
+  tcp::socket caller = Connect();
+  Send(caller,
+       "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+         std::string(50000, '.'));
+  ASSERT_TRUE(RunUntil([&] { return service.ends["refused"] == 1; }));
+  ErrorCode error;
+  asio::write(caller, asio::buffer(std::string(50000, '.')), error);
+  EXPECT_FALSE(error) << error.message();
+  ErrorCode ignored; // The caller may be reset by now.
+  caller.shutdown(tcp::socket::shutdown_send, ignored);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 413"), 1U) << got;
+  EXPECT_EQ(Count(got, "!"), 0U) << got;
+}
+
+// A caller reads its last answer and keeps its side open. The host does not
+// keep the connection for it.
+TEST_F(CallerFrontTest, CallerThatStaysDoesNotHoldUpTheEnd)
+{
+  tcp::socket caller = Connect();
+  Send(caller, kLastRequest);
+  ASSERT_TRUE(RunUntil([&] { return service.ends["answered"] == 1; }));
+  front.Stop();
+  front.Close();
+  clock.Step(seconds{ 2 });
+  front.Sweep(clock.Now());
+  EXPECT_TRUE(RunUntil([&] { return front.IsClosed(); }));
+}
+
 // The work on a request fails with a fault of ours. The caller is told that
 // nobody knows what became of it, at once, and the connection does not stay
 // open for ever.
@@ -279,5 +332,21 @@
   EXPECT_EQ(service.ends["failed"], 1U);
 }
 
+// A link is held up for a second while a request crosses it on an idle
+// connection. With an end to unacknowledged bytes set, the kernel resets a
+// connection after one probe that is not answered within the probes' interval,
+// and the request with it. A caller that is gone is found without probes: by
+// the idle time, by the request's own time, or by its answer.
+TEST_F(CallerFrontTest, CallersAreNotProbed)
+{
+  tcp::socket caller = Connect();
+  ASSERT_TRUE(RunUntil([&] { return context.poll() == 0; }));
+  const int handle = HandleOf(caller);
+  ASSERT_GE(handle, 0);
+  EXPECT_EQ(Option(handle, SOL_SOCKET, SO_KEEPALIVE), 0);
+  EXPECT_EQ(Option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT), 3000);
+  EXPECT_NE(Option(handle, IPPROTO_TCP, TCP_NODELAY), 0);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
