Gateway: an answer is not lost to the reset of its connection

Cause: a caller's connection was closed right after its last answer, also with bytes to read; the kernel then resets it and drops what it still had to send. Callers' sockets had the keep-alive probes of connections between hosts, one of which ends a connection if it is late by a second.

An end while a refusal is written no longer cancels that write. Callers' sockets keep the end to unacknowledged bytes (3 s) and get no probes; connections between hosts are as before, with a comment that says what the kernel makes of the options.

Conclusion: what was written of an answer reaches a caller that reads on.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_connection.h"
 
+#include <array>
+
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
@@ -7,6 +9,7 @@
 
 #include "http/headers.h"
 #include "http/signal.h"
+#include "net/frame_connection.h"
 
 namespace rattandyke::gateway {
 
@@ -15,16 +18,32 @@
 using asio::ip::tcp;
 using http::kAwait;
 
+namespace {
+
+/// Time after which a caller that takes nothing of its answer is given up.
+constexpr std::chrono::milliseconds kUnacknowledged{ 3000 };
+/// A round trip over a link on which 100 KB of something else are queued.
+constexpr std::chrono::milliseconds kLingerTime{ 500 };
+constexpr size_t kDroppedBytes = 4096;
+
+} // namespace
+
+/// Safeguard: callers get no keep-alive probes. With an end to unacknowledged
+/// bytes set, Linux resets an idle connection after one probe that is not
+/// answered within the probes' interval; a link that is held up for so long
+/// would lose a request that crosses it. A caller that is gone is found without
+/// probes: by the idle time, by its request's time, or by its answer.
 CallerConnection::CallerConnection(tcp::socket aSocket, const Clock& aClock)
   : mSocket(std::move(aSocket))
   , mClock(aClock)
 {
+  net::LimitUnacknowledged(mSocket, kUnacknowledged);
 }
 
 asio::awaitable<CallerConnection::ErrorCode>
 CallerConnection::Read(Parser& aParser, Duration aIdle)
 {
-  mBusy = false;
+  mPhase = Phase::Reading;
   mIdleUntil = mClock.Now() + aIdle;
   ErrorCode error;
   do {
@@ -45,7 +64,7 @@
       error = bodyError;
     } while (GoesOn(aParser, error, aIdle));
   }
-  mBusy = !error;
+  mPhase = Phase::Working; // Also if what is written next is a refusal.
   co_return error;
 }
 
@@ -157,12 +176,31 @@
 CallerConnection::End()
 {
   mEnding = true;
-  if (!mBusy) {
+  if (mPhase != Phase::Working) {
     ErrorCode ignored; // Cuts the read short.
     mSocket.cancel(ignored);
   }
 }
 
+/// Safeguard: the kernel resets a connection that is closed with bytes to read,
+/// and drops what it still had to send: the caller gets part of its answer.
+/// Bytes lie unread after a refusal, whose request goes on arriving, and if the
+/// caller sent its next request before it read that this answer is the last.
+asio::awaitable<void>
+CallerConnection::Linger()
+{
+  mPhase = Phase::Lingering;
+  mIdleUntil = mClock.Now() + Duration(kLingerTime);
+  ErrorCode error;
+  mSocket.shutdown(tcp::socket::shutdown_send, error);
+  std::array<char, kDroppedBytes> dropped{};
+  while (!error && mClock.Now() < mIdleUntil) {
+    auto [ended, bytes] =
+      co_await mSocket.async_read_some(asio::buffer(dropped), kAwait);
+    error = ended;
+  }
+}
+
 void
 CallerConnection::Close()
 {
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -26,6 +26,7 @@
     boost::beast::http::request_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
 
+  /// Sets the socket's options.
   /// @param aClock outlives this object.
   CallerConnection(boost::asio::ip::tcp::socket aSocket, const Clock& aClock);
 
@@ -54,17 +55,32 @@
   const std::string& SocketSaid() const { return mSocketSaid; }
 
   /// @return whether no request is worked on.
-  bool IsIdle() const { return !mBusy; }
+  bool IsIdle() const { return mPhase == Phase::Reading; }
 
-  /// @return whether it is idle and has been for as long as it may.
+  /// @return whether it has waited for its caller for as long as it may.
   bool IsIdleTooLong(Instant aNow) const
   {
-    return !mBusy && mIdleUntil <= aNow;
+    return mPhase != Phase::Working && mIdleUntil <= aNow;
   }
 
+  /// Ends the connection after an answer: reads and drops what still comes,
+  /// until the caller closes or some time has passed.
+  boost::asio::awaitable<void> Linger();
+
   void Close();
 
 private:
+  enum class Phase : uint8_t
+  {
+    /// Waits for a request, or reads one.
+    Reading,
+    /// From a request's last byte to its answer's, and while the connection
+    /// writes.
+    Working,
+    /// Its last answer is written.
+    Lingering
+  };
+
   void NoteError(ErrorCode aError);
   ErrorCode Peek();
   void AwaitReadable();
@@ -74,7 +90,7 @@
   boost::asio::ip::tcp::socket mSocket;
   const Clock& mClock;
   boost::beast::flat_buffer mBuffer;
-  bool mBusy = false;
+  Phase mPhase = Phase::Reading;
   bool mEnding = false;
   Instant mIdleUntil{};
   /// Whose caller is watched.
--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -7,7 +7,6 @@
 
 #include "http/headers.h"
 #include "log/log.h"
-#include "net/frame_connection.h"
 #include "net/listen.h"
 
 namespace rattandyke::gateway {
@@ -21,7 +20,9 @@
 using ErrorCode = CallerConnection::ErrorCode;
 using BeastError = beast::http::error;
 
-constexpr milliseconds kUnacknowledged{ 3000 };
+/// Connections that are read on after their last answer. Beyond this number
+/// they close at once, so that callers that never close cannot pile up.
+constexpr size_t kMostLingering = 64;
 /// Of the lines on connections that ended under a request. Callers that leave
 /// in a crowd are told by the metric; some lines of them are enough.
 constexpr uint32_t kLinesPerSecond = 20;
@@ -159,7 +160,6 @@
 void
 CallerFront::Take(tcp::socket aSocket, Owner aOwner)
 {
-  net::TuneSocket(aSocket, kUnacknowledged);
   auto connection =
     std::make_shared<CallerConnection>(std::move(aSocket), mClock);
   mOpen.insert(connection);
@@ -175,6 +175,7 @@
     end = co_await aSelf->ServeOne(aConnection);
   }
   aSelf->Tell(*aConnection, *end);
+  co_await aSelf->AwaitTaken(aConnection, end->reason);
   aConnection->Close();
   aSelf->mOpen.erase(aConnection);
 }
@@ -263,6 +264,19 @@
   co_return Ended{ mStopping ? ConnectionEnd::Leaving : ConnectionEnd::Idle };
 }
 
+asio::awaitable<void>
+CallerFront::AwaitTaken(Connection aConnection, ConnectionEnd aEnd)
+{
+  const bool answered =
+    aEnd == ConnectionEnd::Answered || aEnd == ConnectionEnd::Refused ||
+    aEnd == ConnectionEnd::CallerLeft || aEnd == ConnectionEnd::Failed;
+  if (answered && mLingering < kMostLingering) {
+    ++mLingering;
+    co_await aConnection->Linger();
+    --mLingering;
+  }
+}
+
 /// Each connection's end is counted. A line is written of one that ended under
 /// a request, which is what a caller reports.
 void
--- a/src/librattandyke/gateway/caller_front.h
+++ b/src/librattandyke/gateway/caller_front.h
@@ -78,6 +78,9 @@
   boost::asio::awaitable<Ended> RefuseUnread(Connection aConnection,
                                              CallerConnection::ErrorCode aError,
                                              bool aBegun);
+  /// Waits for a caller to take its last answer.
+  boost::asio::awaitable<void> AwaitTaken(Connection aConnection,
+                                          ConnectionEnd aEnd);
   void Tell(const CallerConnection& aConnection, const Ended& aEnd);
 
   const boost::asio::any_io_executor mExecutor;
@@ -86,6 +89,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::set<Connection> mOpen;
   log::RateBound mLines;
+  size_t mLingering = 0;
   bool mStopping = false;
 };
 
--- a/src/librattandyke/net/frame_connection.cpp
+++ b/src/librattandyke/net/frame_connection.cpp
@@ -19,6 +19,10 @@
 constexpr unsigned kByteMask = 0xff;
 /// A connection that only receives shows its loss by keep-alive probes.
 constexpr int kKeepAliveIdleSeconds = 5;
+/// Where the end to unacknowledged bytes is shorter than the silence before the
+/// first probe, one that is not answered within this time ends the connection:
+/// Linux counts probes only where no such end is set.
+constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
 void
@@ -29,6 +33,13 @@
   }
 }
 
+void
+SetTcpOption(asio::ip::tcp::socket& aSocket, int aOption, int aValue)
+{
+  setsockopt(
+    aSocket.native_handle(), IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
+}
+
 size_t
 ReadHeader(std::string_view aBytes)
 {
@@ -42,21 +53,26 @@
 
 } // namespace
 
+void
+LimitUnacknowledged(asio::ip::tcp::socket& aSocket,
+                    std::chrono::milliseconds aUnacknowledged)
+{
+  boost::system::error_code ignored; // A socket without options still works.
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  SetTcpOption(
+    aSocket, TCP_USER_TIMEOUT, static_cast<int>(aUnacknowledged.count()));
+}
+
 void
 TuneSocket(asio::ip::tcp::socket& aSocket,
            std::chrono::milliseconds aUnacknowledged)
 {
+  LimitUnacknowledged(aSocket, aUnacknowledged);
   boost::system::error_code ignored; // A socket without options still works.
-  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
-  const auto set = [&](int aOption, int aValue) {
-    setsockopt(
-      aSocket.native_handle(), IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
-  };
-  set(TCP_USER_TIMEOUT, static_cast<int>(aUnacknowledged.count()));
-  set(TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  set(TCP_KEEPINTVL, 1);
-  set(TCP_KEEPCNT, kKeepAliveProbes);
+  SetTcpOption(aSocket, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetTcpOption(aSocket, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetTcpOption(aSocket, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
 FrameConnection::FrameConnection(asio::ip::tcp::socket aSocket)
--- a/src/librattandyke/net/frame_connection.h
+++ b/src/librattandyke/net/frame_connection.h
@@ -64,6 +64,11 @@
 /// than a second in which upstreams and operators wait for an answer.
 inline constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 800 };
 
+/// Sets what every connection needs: no delay of small messages, and an end if
+/// what was sent stays unacknowledged.
+void LimitUnacknowledged(boost::asio::ip::tcp::socket& aSocket,
+                         std::chrono::milliseconds aUnacknowledged);
+
 /// Sets what every connection between hosts needs: no delay of small messages,
 /// and an end to silence.
 void TuneSocket(boost::asio::ip::tcp::socket& aSocket,
