Tests: three ways in which ending a connection cuts off its request

Cause: End() only cancels what is pending on the socket. Before a read has begun there is nothing, and the end is lost; while "100 Continue" is written it is that write; and a request of which a part came just before the idle time ended is given up with the rest of it under way.

Change: a test of each, and two that bound them: a request that is here by then is read, and one whose rest never comes is not kept.

--- a/src/librattandyke/gateway/caller_connection_test.cpp
+++ b/src/librattandyke/gateway/caller_connection_test.cpp
@@ -125,6 +125,96 @@
   EXPECT_EQ(error, asio::error::operation_aborted);
 }
 
+// The host ends an idle connection between two of its reads, or before its
+// first one: nothing is there that could be cut short. Were the end forgotten,
+// the connection would stay, and the host would wait for it until it is killed.
+TEST_F(CallerConnectionTest, EndBeforeTheReadIsNotLost)
+{
+  connection->End();
+  BeginRead();
+  EXPECT_TRUE(over);
+  EXPECT_EQ(error, asio::error::operation_aborted);
+}
+
+// The same with a request that has arrived by then: it is read.
+TEST_F(CallerConnectionTest, EndBeforeTheReadOfARequestThatIsHere)
+{
+  connection->End();
+  Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  BeginRead();
+  Finish();
+  EXPECT_FALSE(error);
+}
+
+// A caller asks whether it shall send its body. Its link is held up, and the
+// answer to that waits in the send buffer when the host leaves. The caller
+// waits for the word; without it the request ends half read.
+TEST_F(CallerConnectionTest, EndDoesNotCutTheWordThatABodyMayCome)
+{
+  Send("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+       "Content-Length: 4\r\n\r\n");
+  const std::string filler(65536, '.');
+  while (send(handle, filler.data(), filler.size(), MSG_DONTWAIT) > 0) {
+  }
+  BeginRead();
+  connection->End();
+  context.poll();
+  EXPECT_FALSE(over);
+  std::string got;
+  caller.non_blocking(true);
+  constexpr int kMostRounds = 2000;
+  for (int round = 0; round < kMostRounds && !got.ends_with("\r\n\r\n");
+       ++round) {
+    std::array<char, 65536> bytes;
+    ErrorCode ignored; // Nothing may be there in this round.
+    const size_t read = caller.read_some(asio::buffer(bytes), ignored);
+    got.append(bytes.data(), read);
+    context.run_for(std::chrono::milliseconds{ 1 });
+  }
+  EXPECT_TRUE(got.ends_with("HTTP/1.1 100 Continue\r\n\r\n"));
+  Send("1234");
+  Finish();
+  EXPECT_FALSE(error);
+  EXPECT_EQ(parser->get().body(), "1234");
+}
+
+// A link is held up: a request begins to arrive just before its connection has
+// been idle for too long, and the rest of it just after. The caller kept to the
+// idle time; it gets its answer.
+TEST_F(CallerConnectionTest, RequestThatBeganWithinTheIdleTimeIsReadToItsEnd)
+{
+  BeginRead(std::chrono::seconds{ 9 });
+  clock.Step(std::chrono::milliseconds{ 8990 });
+  Send("GET /x HT");
+  context.poll();
+  clock.Step(std::chrono::milliseconds{ 20 });
+  ASSERT_TRUE(connection->IsIdleTooLong(clock.Now()));
+  connection->End();
+  context.poll();
+  EXPECT_FALSE(over);
+  Send("TP/1.1\r\nHost: h\r\n\r\n");
+  Finish();
+  EXPECT_FALSE(error);
+}
+
+// The same, but the rest never comes: the connection is not kept for longer
+// than an idle one.
+TEST_F(CallerConnectionTest, RequestThatBeganWithinTheIdleTimeIsNotKeptForEver)
+{
+  BeginRead(std::chrono::seconds{ 9 });
+  clock.Step(std::chrono::milliseconds{ 8990 });
+  Send("GET /x HT");
+  context.poll();
+  for (int sweep = 0; sweep < 2; ++sweep) {
+    clock.Step(std::chrono::seconds{ 9 });
+    ASSERT_TRUE(over || connection->IsIdleTooLong(clock.Now()));
+    connection->End();
+    context.poll();
+  }
+  EXPECT_TRUE(over);
+  EXPECT_EQ(error, asio::error::operation_aborted);
+}
+
 // The kernel reports that something can be read, and by the time in which the
 // report is handled it has been taken: nothing is there, and the caller has not
 // left. Taken for its end, a request that was read whole would get no answer.
