Gateway: the end of a connection cuts off no request that is on its way

Change: a read looks whether its connection was to end before it began; the word that a body may come is written as work on a request, which ends do not touch; and a request that meets an end half read has the idle time once more. "Expect" is compared without regard to case.

Conclusion: an end now only ever stops the wait for a request that has not begun to arrive, or one that is too slow.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "http/headers.h"
@@ -45,34 +46,58 @@
 {
   mPhase = Phase::Reading;
   mIdleUntil = mClock.Now() + aIdle;
+  mGivenTime = false;
+  const ErrorCode error = co_await ReadWhole(aParser, aIdle);
+  mPhase = Phase::Working; // Also if what is written next is a refusal.
+  co_return error;
+}
+
+asio::awaitable<CallerConnection::ErrorCode>
+CallerConnection::ReadWhole(Parser& aParser, Duration aIdle)
+{
+  // Safeguard: an end that came between two reads had nothing to cut short.
+  // Nobody would end this read, and the host would wait for it.
+  if (mEnding && mBuffer.size() == 0 && Peek() == asio::error::would_block) {
+    co_return asio::error::operation_aborted;
+  }
   ErrorCode error;
   do {
     auto [headError, bytes] = co_await beast::http::async_read_header(
       mSocket, mBuffer, aParser, kAwait);
     error = headError;
   } while (GoesOn(aParser, error, aIdle));
-  const bool hasBody = !error && !aParser.is_done();
-  if (hasBody &&
-      http::FieldOf(aParser.get().base(), "Expect") == "100-continue") {
-    static const std::string sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(mSocket, asio::buffer(sContinue), kAwait);
+  if (error || aParser.is_done()) {
+    co_return error;
   }
-  if (hasBody) {
-    do {
-      auto [bodyError, bytes] =
-        co_await beast::http::async_read(mSocket, mBuffer, aParser, kAwait);
-      error = bodyError;
-    } while (GoesOn(aParser, error, aIdle));
+  if (beast::iequals(http::FieldOf(aParser.get().base(), "Expect"),
+                     "100-continue")) {
+    co_await WriteContinue();
   }
-  mPhase = Phase::Working; // Also if what is written next is a refusal.
+  do {
+    auto [bodyError, bytes] =
+      co_await beast::http::async_read(mSocket, mBuffer, aParser, kAwait);
+    error = bodyError;
+  } while (GoesOn(aParser, error, aIdle));
   co_return error;
 }
 
+/// Safeguard: an end cancels what is pending on the socket. It must not be this
+/// write: the caller waits for the word before it sends its body.
+asio::awaitable<void>
+CallerConnection::WriteContinue()
+{
+  static const std::string sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  mPhase = Phase::Working;
+  co_await asio::async_write(mSocket, asio::buffer(sContinue), kAwait);
+  mPhase = Phase::Reading; // After an error the next read fails, too.
+}
+
 /// Safeguard: an idle connection is ended in the moment in which a request
 /// arrives on it. Were it closed under the read, a request that was read whole
 /// would get no answer, and its caller, if it may not repeat it, would not know
 /// what became of it. So the end only cuts the read short: what has begun to
-/// arrive is read on, for no longer than a connection may be idle.
+/// arrive is read on. It has the idle time once more, from the first end that
+/// meets it: it may have begun to arrive in the last moment, over a slow link.
 bool
 CallerConnection::GoesOn(const Parser& aParser,
                          ErrorCode aError,
@@ -82,13 +107,15 @@
     return false;
   }
   const bool begun = aParser.got_some() || mBuffer.size() > 0;
-  ErrorCode failed;
-  const bool arriving = mSocket.available(failed) > 0 && !failed;
-  if (!begun && arriving) {
-    mIdleUntil = mClock.Now() + aIdle;
-    return true;
+  if (!begun && Peek()) {
+    return false;
+  }
+  const Instant now = mClock.Now();
+  if (!mGivenTime) {
+    mGivenTime = true;
+    mIdleUntil = now + aIdle;
   }
-  return begun && mClock.Now() < mIdleUntil;
+  return !begun || now < mIdleUntil;
 }
 
 asio::awaitable<bool>
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -81,6 +81,8 @@
     Lingering
   };
 
+  boost::asio::awaitable<ErrorCode> ReadWhole(Parser& aParser, Duration aIdle);
+  boost::asio::awaitable<void> WriteContinue();
   void NoteError(ErrorCode aError);
   ErrorCode Peek();
   void AwaitReadable();
@@ -93,6 +95,8 @@
   Phase mPhase = Phase::Reading;
   bool mEnding = false;
   Instant mIdleUntil{};
+  /// The request that arrives has met an end, and was given time for its rest.
+  bool mGivenTime = false;
   /// Whose caller is watched.
   std::shared_ptr<RequestContext> mWatched;
   std::string mSocketSaid = "nothing";
