Tests: a leaving host and a host without descriptors, and their new callers

Cause: a listener that closes resets the connections in its queue, requests in them included. A connection that was just accepted counts as idle, and is ended under its first request. An accept that fails is tried again at once.

Change: a test of each, and one that a new connection that brings nothing ends all the same.

--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -332,6 +332,69 @@
   EXPECT_EQ(service.ends["failed"], 1U);
 }
 
+// The host leaves. A caller's connection stands and its request is sent, but
+// the host has not accepted it: the kernel resets what is left in the queue of
+// a listener that closes.
+TEST_F(CallerFrontTest, CallersInTheQueueAreServedAsTheListenerCloses)
+{
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  front.Stop();
+  front.Close();
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 1U) << got;
+}
+
+// The host leaves. A caller has just connected, and its first request is on its
+// way over a slow link.
+TEST_F(CallerFrontTest, NewConnectionMayBringItsFirstRequest)
+{
+  tcp::socket caller = Connect();
+  ASSERT_TRUE(RunUntil([&] { return context.poll() == 0; }));
+  front.Stop();
+  front.Close();
+  context.restart();
+  context.poll();
+  Send(caller, kRequest);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 1U) << got;
+}
+
+TEST_F(CallerFrontTest, NewConnectionThatBringsNothingEnds)
+{
+  tcp::socket caller = Connect();
+  ASSERT_TRUE(RunUntil([&] { return context.poll() == 0; }));
+  front.Stop();
+  front.Close();
+  clock.Step(seconds{ 1 });
+  front.Close();
+  EXPECT_TRUE(RunUntil([&] { return front.IsClosed(); }));
+  EXPECT_EQ(service.ends["leaving"], 1U);
+}
+
+// The host has no descriptor left for one more connection. It must not spend
+// its share of the core on trying again at once: those it has would get late
+// answers. The caller that waits is accepted once there is room.
+TEST_F(CallerFrontTest, WithoutDescriptorsItWaits)
+{
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  rlimit none = before;
+  none.rlim_cur = 0;
+  setrlimit(RLIMIT_NOFILE, &none);
+  constexpr size_t kMostHandlers = 100;
+  size_t handlers = 0;
+  while (handlers < kMostHandlers && context.poll_one() > 0) {
+    ++handlers;
+  }
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_LT(handlers, kMostHandlers);
+  front.Sweep(clock.Now());
+  ASSERT_TRUE(RunUntil([&] { return service.handled == 1; }));
+}
+
 // A link is held up for a second while a request crosses it on an idle
 // connection. With an end to unacknowledged bytes set, the kernel resets a
 // connection after one probe that is not answered within the probes' interval,
