Gateway: a leaving host serves the callers it has, an exhausted one waits

Besides, a connection that had been accepted when the listener closed, and whose handler had not run, was dropped.

Change: before the listener closes, what waits in its queue is accepted; an accept that is done by then is taken over. A connection that is younger than 500 ms and brought no request yet is not ended as idle.

Conclusion: none of a leaving host's callers is reset whose connection stood when the listener closed.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -37,6 +37,7 @@
 CallerConnection::CallerConnection(tcp::socket aSocket, const Clock& aClock)
   : mSocket(std::move(aSocket))
   , mClock(aClock)
+  , mMadeAt(aClock.Now())
 {
   net::LimitUnacknowledged(mSocket, kUnacknowledged);
 }
@@ -48,6 +49,7 @@
   mIdleUntil = mClock.Now() + aIdle;
   mGivenTime = false;
   const ErrorCode error = co_await ReadWhole(aParser, aIdle);
+  mUsed = true;
   mPhase = Phase::Working; // Also if what is written next is a refusal.
   co_return error;
 }
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -57,6 +57,13 @@
   /// @return whether no request is worked on.
   bool IsIdle() const { return mPhase == Phase::Reading; }
 
+  /// @return whether it was made just now, so that its first request is likely
+  /// to be on its way.
+  bool IsNew(Instant aNow) const
+  {
+    return !mUsed && aNow - mMadeAt < Duration(kFirstRequest);
+  }
+
   /// @return whether it has waited for its caller for as long as it may.
   bool IsIdleTooLong(Instant aNow) const
   {
@@ -70,6 +77,10 @@
   void Close();
 
 private:
+  /// A caller sends its first request as soon as its connection stands: a round
+  /// trip over a link on which 100 KB of something else are queued.
+  static constexpr std::chrono::milliseconds kFirstRequest{ 500 };
+
   enum class Phase : uint8_t
   {
     /// Waits for a request, or reads one.
@@ -92,6 +103,9 @@
   boost::asio::ip::tcp::socket mSocket;
   const Clock& mClock;
   boost::beast::flat_buffer mBuffer;
+  const Instant mMadeAt;
+  /// A request has been read.
+  bool mUsed = false;
   Phase mPhase = Phase::Reading;
   bool mEnding = false;
   Instant mIdleUntil{};
--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -133,30 +133,58 @@
 }
 
 Result<Endpoint>
-CallerFront::Start(const Endpoint& aListen, Owner aOwner)
+CallerFront::Start(const Endpoint& aListen, const Owner& aOwner)
 {
   auto open = net::Listen(mAcceptor, aListen, "callers");
   if (open) {
-    Accept(std::move(aOwner));
+    mOwner = aOwner;
+    Accept(aOwner);
   }
   return open;
 }
 
+/// Safeguard: without a free descriptor each try to accept fails at once. Tried
+/// again without a pause they would take the core from the requests that are
+/// here. The sweep tries again; callers wait in the listener's queue.
 void
 CallerFront::Accept(Owner aOwner)
 {
+  mAccepting = true;
   mAcceptor.async_accept(
     [this, owner = std::move(aOwner)](ErrorCode aError, tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
+      mAccepting = false;
+      if (!aError) { // Perhaps from before the listener closed.
+        Take(std::move(aSocket), owner);
+      }
+      if (!mAcceptor.is_open()) {
         return;
       }
-      if (!aError) {
-        Take(std::move(aSocket), owner);
+      if (aError) {
+        log::Line(log::Part::Entry, log::Severity::Warning)
+          << "no caller can be accepted: " << aError.message();
+        return;
       }
       Accept(owner);
     });
 }
 
+/// Safeguard: the kernel resets what waits in the queue of a listener that
+/// closes. Callers whose connection stood, and whose request may be sent, would
+/// get no answer.
+void
+CallerFront::AcceptQueued()
+{
+  const Owner owner = mOwner.lock();
+  ErrorCode error;
+  mAcceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = mAcceptor.accept(error);
+    if (!error) {
+      Take(std::move(socket), owner);
+    }
+  }
+}
+
 void
 CallerFront::Take(tcp::socket aSocket, Owner aOwner)
 {
@@ -299,6 +327,9 @@
 void
 CallerFront::Sweep(Instant aNow)
 {
+  if (!mAccepting && mAcceptor.is_open()) {
+    Accept(mOwner.lock());
+  }
   for (const Connection& connection : mOpen) {
     if (connection->IsIdleTooLong(aNow)) {
       connection->End();
@@ -309,10 +340,14 @@
 void
 CallerFront::Close()
 {
-  ErrorCode ignored; // Nothing is accepted any more either way.
-  mAcceptor.close(ignored);
+  if (mAcceptor.is_open()) {
+    AcceptQueued();
+    ErrorCode ignored; // Nothing is accepted any more either way.
+    mAcceptor.close(ignored);
+  }
+  const Instant now = mClock.Now();
   for (const Connection& connection : mOpen) {
-    if (connection->IsIdle() && !connection->IsEnding()) {
+    if (connection->IsIdle() && !connection->IsNew(now)) {
       connection->End();
     }
   }
--- a/src/librattandyke/gateway/caller_front.h
+++ b/src/librattandyke/gateway/caller_front.h
@@ -32,20 +32,25 @@
   /// @param aOwner kept alive, and with it this object, while callers are
   ///               accepted and served.
   /// @return the address it listens on.
-  Result<Endpoint> Start(const Endpoint& aListen, std::shared_ptr<void> aOwner);
+  Result<Endpoint> Start(const Endpoint& aListen,
+                         const std::shared_ptr<void>& aOwner);
 
-  /// Ends connections that have been idle for too long.
+  /// Ends connections that have been idle for too long, and accepts again if it
+  /// could not.
   void Sweep(Instant aNow);
 
   /// From now on each connection ends with its next answer.
   void Stop() { mStopping = true; }
 
-  /// Accepts no more connections and ends the idle ones. Called again and
-  /// again until all have ended.
+  /// Accepts those that have connected, then none, and ends idle connections.
+  /// Called again and again until all have ended.
   void Close();
 
   /// @return whether no connection is left, and none can come.
-  bool IsClosed() const { return !mAcceptor.is_open() && mOpen.empty(); }
+  bool IsClosed() const
+  {
+    return !mAcceptor.is_open() && !mAccepting && mOpen.empty();
+  }
 
 private:
   using Connection = std::shared_ptr<CallerConnection>;
@@ -64,6 +69,7 @@
   using End = std::optional<Ended>;
 
   void Accept(Owner aOwner);
+  void AcceptQueued();
   void Take(boost::asio::ip::tcp::socket aSocket, Owner aOwner);
   static boost::asio::awaitable<void> Serve(CallerFront* aSelf,
                                             Connection aConnection,
@@ -89,6 +95,8 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::set<Connection> mOpen;
   log::RateBound mLines;
+  std::weak_ptr<void> mOwner;
+  bool mAccepting = false;
   size_t mLingering = 0;
   bool mStopping = false;
 };
--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -345,6 +345,38 @@
   EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 1U) << got;
 }
 
+// The same with the listener closed after each number of the host's first
+// steps: at some of them a caller has been accepted and nobody has it yet.
+TEST_F(CallerFrontTest, CallersAreServedWhereverTheListenerCloses)
+{
+  constexpr size_t kMostSteps = 9;
+  constexpr size_t kCallers = 3;
+  for (size_t steps = 0; steps < kMostSteps; ++steps) {
+    CallerFront other(context.get_executor(), service, clock);
+    address.port(other.Start({ "127.0.0.1", 0 }, nullptr)->port);
+    std::vector<tcp::socket> callers;
+    for (size_t i = 0; i < kCallers; ++i) {
+      callers.push_back(Connect());
+      Send(callers.back(), kRequest);
+    }
+    context.restart();
+    for (size_t i = 0; i < steps; ++i) {
+      context.poll_one();
+    }
+    other.Stop();
+    other.Close();
+    RunUntil([&] { return service.handled == kCallers * (steps + 1); });
+    context.poll();
+    other.Close(); // As each sweep does.
+    for (tcp::socket& caller : callers) {
+      const std::string got = ReadToEnd(caller);
+      EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 1U) << steps << " " << got;
+    }
+    callers.clear();
+    EXPECT_TRUE(RunUntil([&] { return other.IsClosed(); }));
+  }
+}
+
 // The host leaves. A caller has just connected, and its first request is on its
 // way over a slow link.
 TEST_F(CallerFrontTest, NewConnectionMayBringItsFirstRequest)
