Tests: the end of a host's grace under a request

Cause: at the end of its grace an entry's process ends whatever is under way. Callers get a reset, which promises nothing, also for a request that was never sent to an upstream or of which half was read.

Change: two tests that drive an entry host over loopback until it has ended.

Conclusion: a fault of today's entry, at the end of the grace only.

--- /dev/null
+++ b/src/librattandyke/gateway/entry_host_test.cpp
@@ -0,0 +1,134 @@
+#include "gateway/entry_host.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+namespace rattandyke::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using ErrorCode = boost::system::error_code;
+
+/// Only names headers.
+class NamesOnly final : public Dialect
+{
+public:
+  const HeaderNames& Headers() const override { return mNames; }
+  Result<ControlCall> Decode(std::string_view,
+                             std::string_view,
+                             std::string_view) const override
+  {
+    return Fail(Code::UnknownRecord, "no calls here");
+  }
+  std::string Encode(const HeartbeatAnswer&) const override { return {}; }
+  std::string EncodeItems(const wire::GatewayState&) const override
+  {
+    return {};
+  }
+  std::string Encode(const Error&) const override { return {}; }
+  bool IsReadinessPath(std::string_view) const override { return false; }
+
+private:
+  const HeaderNames mNames{ "Id",      "Deadline", "Signature", "Expected",
+                            "Not-Run", "Instance", "Key" };
+};
+
+uint16_t
+FreePort(asio::io_context& aContext)
+{
+  const tcp::acceptor acceptor(aContext,
+                               { asio::ip::address_v4::loopback(), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+/// An entry host that no control host ever tells anything. Requests with time
+/// left wait for that.
+class EntryHostTest : public ::testing::Test
+{
+protected:
+  EntryHostTest()
+  {
+    settings.name = HostName{ "e" };
+    settings.entry = true;
+    settings.peers = { "127.0.0.1", FreePort(context) };
+    settings.callers = Endpoint{ "127.0.0.1", FreePort(context) };
+    settings.drainTimeout = milliseconds{ 500 };
+    settings.shutdownGrace = milliseconds{ 1000 };
+  }
+
+  tcp::socket Connect()
+  {
+    tcp::socket caller(context);
+    caller.connect(
+      { asio::ip::address_v4::loopback(), settings.callers->port });
+    return caller;
+  }
+
+  /// Runs the host until it has ended, as its process does.
+  void StopAndRun()
+  {
+    host->Stop([&] { context.stop(); });
+    context.restart();
+    context.run();
+  }
+
+  /// @return all that the caller was sent.
+  static std::string Received(tcp::socket& aCaller)
+  {
+    std::string got;
+    ErrorCode error;
+    aCaller.non_blocking(true);
+    while (!error) {
+      std::array<char, 4096> bytes;
+      const size_t read = aCaller.read_some(asio::buffer(bytes), error);
+      got.append(bytes.data(), read);
+    }
+    return got;
+  }
+
+  Settings settings;
+  const NamesOnly dialect;
+  const SystemClock clock;
+  asio::io_context context{ 1 };
+  std::unique_ptr<EntryHost> host;
+};
+
+// A host is stopped, and at the end of its grace a request is still waited
+// with. The process ends either way: the caller gets an answer before it does,
+// and does not have to guess from a reset whether its request has run.
+TEST_F(EntryHostTest, RequestAtTheEndOfTheGraceGetsAnAnswer)
+{
+  host = std::make_unique<EntryHost>(context, settings, dialect, clock, 1);
+  ASSERT_TRUE(host->Start());
+  tcp::socket caller = Connect();
+  asio::write(caller,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\nId: r\r\n"
+                                       "Deadline: 60000\r\n\r\n")));
+  context.run_for(milliseconds{ 50 });
+  StopAndRun();
+  EXPECT_TRUE(Received(caller).starts_with("HTTP/1.1 503")) << Received(caller);
+}
+
+// The same with a request of which half has been read. It has not run, and the
+// refusal says so; its caller may send it again.
+TEST_F(EntryHostTest, HalfRequestAtTheEndOfTheGraceIsRefused)
+{
+  host = std::make_unique<EntryHost>(context, settings, dialect, clock, 1);
+  ASSERT_TRUE(host->Start());
+  tcp::socket caller = Connect();
+  asio::write(caller,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\n"
+                                       "Content-Length: 9\r\n\r\n1234")));
+  context.run_for(milliseconds{ 50 });
+  StopAndRun();
+  EXPECT_TRUE(Received(caller).starts_with("HTTP/1.1 408")) << Received(caller);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
