Gateway: each request gets its answer before a host's grace is over

A request that is half read for longer than the idle time gets 408, too, and no longer a close.

Conclusion: callers of a host that is stopped know what became of their requests. What an upstream still runs in the last half second of the grace is broken off 200 ms sooner than before, with an answer.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -140,11 +140,10 @@
 void
 CallerConnection::Watch(std::shared_ptr<RequestContext> aContext)
 {
-  if (mBuffer.size() > 0) {
-    return; // The next request is here already: its caller is, too.
-  }
   mWatched = std::move(aContext);
-  AwaitReadable();
+  if (mBuffer.size() == 0) { // If not, the next request is here: its caller is.
+    AwaitReadable();
+  }
 }
 
 void
@@ -211,6 +210,19 @@
   }
 }
 
+void
+CallerConnection::LastCall()
+{
+  if (mWatched) {
+    mWatched->Expire();
+  }
+  if (mPhase == Phase::Reading) {
+    mGivenTime = true;
+    mIdleUntil = mClock.Now();
+  }
+  End();
+}
+
 /// Safeguard: the kernel resets a connection that is closed with bytes to read,
 /// and drops what it still had to send: the caller gets part of its answer.
 /// Bytes lie unread after a refusal, whose request goes on arriving, and if the
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -48,6 +48,9 @@
   /// answered first.
   void End();
 
+  /// Ends also a request: its time is up, whether it is read or worked on.
+  void LastCall();
+
   /// @return whether it ends with the answer that comes next.
   bool IsEnding() const { return mEnding; }
 
--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeadTooLarge = 431;
 constexpr unsigned kBadGateway = 502;
@@ -283,10 +284,19 @@
     co_await aConnection->Write(text);
     co_return Ended{ ConnectionEnd::Refused };
   }
+  const bool cut = aError == asio::error::operation_aborted;
+  if (aBegun && cut) {
+    // It has not run, and a refusal promises so; a close does not.
+    const std::string text = Serialize(
+      mService.Refuse(kRequestTimeout, "the request was not read in time"),
+      false,
+      false);
+    co_await aConnection->Write(text);
+  }
   if (aBegun) {
     co_return Ended{ ConnectionEnd::HalfRequest };
   }
-  if (aError != asio::error::operation_aborted) {
+  if (!cut) {
     co_return Ended{ ConnectionEnd::CallerClosed };
   }
   co_return Ended{ mStopping ? ConnectionEnd::Leaving : ConnectionEnd::Idle };
@@ -297,7 +307,8 @@
 {
   const bool answered =
     aEnd == ConnectionEnd::Answered || aEnd == ConnectionEnd::Refused ||
-    aEnd == ConnectionEnd::CallerLeft || aEnd == ConnectionEnd::Failed;
+    aEnd == ConnectionEnd::HalfRequest || aEnd == ConnectionEnd::CallerLeft ||
+    aEnd == ConnectionEnd::Failed;
   if (answered && mLingering < kMostLingering) {
     ++mLingering;
     co_await aConnection->Linger();
@@ -353,4 +364,12 @@
   }
 }
 
+void
+CallerFront::LastCall()
+{
+  for (const Connection& connection : mOpen) {
+    connection->LastCall();
+  }
+}
+
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/caller_front.h
+++ b/src/librattandyke/gateway/caller_front.h
@@ -46,6 +46,10 @@
   /// Called again and again until all have ended.
   void Close();
 
+  /// The host is about to end: each request gets an answer now. Called again
+  /// and again.
+  void LastCall();
+
   /// @return whether no connection is left, and none can come.
   bool IsClosed() const
   {
--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -266,6 +266,23 @@
   EXPECT_EQ(service.ends["caller_left"], 1U);
 }
 
+// A caller sends part of a request and then nothing. Its request has not run,
+// and the refusal says so.
+TEST_F(CallerFrontTest, HalfRequestThatTakesTooLongIsRefused)
+{
+  tcp::socket caller = Connect();
+  Send(caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1234");
+  for (int sweep = 0; sweep < 2; ++sweep) {
+    context.restart();
+    context.poll();
+    clock.Step(seconds{ 9 });
+    front.Sweep(clock.Now());
+  }
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 408"), 1U) << got;
+  EXPECT_EQ(service.ends["half_request"], 1U);
+}
+
 // A caller sends its next request before it has read the answer that ends the
 // connection. A socket that is closed with bytes to read is reset by the
 // kernel, which drops what it had still to send: the caller gets part of an
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -279,7 +279,15 @@
     if (aNow - stoppedAt >= kLeaveRotation) {
       callers.Close();
     }
-    const bool late = aNow - stoppedAt >= settings.shutdownGrace - kGraceMargin;
+    // Safeguard: the process ends under what has not ended by then, and its
+    // callers would get resets, which tell them nothing. One sweep is time for
+    // the answers to be written.
+    const Duration left = stoppedAt + settings.shutdownGrace - aNow;
+    const bool late = left <= kGraceMargin && lastCalled;
+    if (left <= kGraceMargin + kSweepInterval) {
+      callers.LastCall();
+      lastCalled = true;
+    }
     const bool idle = callers.IsClosed();
     if ((late || idle) && done) {
       feed.Stop();
@@ -317,6 +325,8 @@
   std::unique_ptr<CallServer> metrics;
   Instant reportedAt{};
   bool stopping = false;
+  /// Requests have been told that the host ends.
+  bool lastCalled = false;
   Instant stoppedAt{};
   std::function<void()> done;
 };
