Test: a call server without descriptors

Cause: as the callers' listener did, a call server whose accept fails tries again at once. It shares the thread on which requests are answered.

Change: a test.

--- /dev/null
+++ b/src/librattandyke/gateway/call_server_test.cpp
@@ -0,0 +1,59 @@
+#include "gateway/call_server.h"
+
+#include <gtest/gtest.h>
+
+#include <sys/resource.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+namespace rattandyke::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// The host has no descriptor left for one more connection. It must not spend
+// its share of the core on trying again at once; the call that waits is taken
+// once there is room.
+TEST(CallServer, WithoutDescriptorsItWaits)
+{
+  asio::io_context context;
+  tcp::acceptor free(context, { asio::ip::address_v4::loopback(), 0 });
+  const tcp::endpoint address = free.local_endpoint();
+  free.close();
+  size_t calls = 0;
+  CallServer server(context.get_executor(),
+                    { "127.0.0.1", address.port() },
+                    [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
+                      ++calls;
+                      co_return CallAnswer{ 200, "", "text/plain" };
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket caller(context);
+  caller.connect(address);
+  asio::write(caller,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  rlimit none = before;
+  none.rlim_cur = 0;
+  setrlimit(RLIMIT_NOFILE, &none);
+  constexpr size_t kMostHandlers = 100;
+  size_t handlers = 0;
+  while (handlers < kMostHandlers && context.poll_one() > 0) {
+    ++handlers;
+  }
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_LT(handlers, kMostHandlers);
+  constexpr int kMostRounds = 3000;
+  for (int round = 0; round < kMostRounds && calls == 0; ++round) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds{ 1 });
+  }
+  EXPECT_EQ(calls, 1U);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
