Gateway: a call server that can't accept waits before it tries again

Change: after an accept that failed it waits 100 ms.

Conclusion: the listeners of a gateway host pause after a failed accept, but for the one between hosts (net/frame_mesh.cpp), which is left.

--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -31,6 +32,7 @@
 /// A caller that neither sends nor takes anything for so long is cut off.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 constexpr size_t kMaxConnections = 1000;
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
 } // namespace
 
@@ -51,6 +53,7 @@
     , listen(std::move(aListen))
     , handler(std::move(aHandler))
     , acceptor(executor)
+    , pause(executor)
   {
   }
 
@@ -70,13 +73,29 @@
         if (self->stopped || aError == asio::error::operation_aborted) {
           return;
         }
-        if (!aError && self->sessions.size() < kMaxConnections) {
+        if (aError) {
+          self->AcceptLater();
+          return;
+        }
+        if (self->sessions.size() < kMaxConnections) {
           self->Take(std::move(aSocket));
         }
         self->Accept();
       });
   }
 
+  /// Safeguard: without a free descriptor each try to accept fails at once.
+  /// Tried again without a pause they would take the thread from all else.
+  void AcceptLater()
+  {
+    pause.expires_after(kAcceptPause);
+    pause.async_wait([self = shared_from_this()](ErrorCode aError) {
+      if (!aError && !self->stopped) {
+        self->Accept();
+      }
+    });
+  }
+
   void Take(tcp::socket aSocket)
   {
     net::TuneSocket(aSocket, std::chrono::milliseconds(kIdleTimeout));
@@ -129,6 +148,7 @@
     stopped = true;
     ErrorCode ignored; // Nothing is accepted any more either way.
     acceptor.close(ignored);
+    pause.cancel();
     for (const auto& session : sessions) {
       if (!session->busy) {
         session->stream.cancel();
@@ -140,6 +160,7 @@
   const Endpoint listen;
   const Handler handler;
   tcp::acceptor acceptor;
+  asio::steady_timer pause;
   std::set<std::shared_ptr<Session>> sessions;
   bool stopped = false;
 };
