Tests: a fault between two requests, and an answer that is not taken

Cause: an exception outside the work on a request, as for want of memory, also ends the one who serves the connection, and the connection stays open.

Result: FaultBetweenRequestsEndsTheConnection fails, AnswerThatIsNotTakenIsTold passes.

--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -34,7 +34,13 @@
 class FakeService final : public CallerService
 {
 public:
-  CallerLimits Limits() const override { return limits; }
+  CallerLimits Limits() const override
+  {
+    if (unsound) {
+      throw std::runtime_error("a fault");
+    }
+    return limits;
+  }
 
   asio::awaitable<CallerAnswer> Handle(std::shared_ptr<RequestContext> aContext,
                                        CallerRequest aRequest) override
@@ -77,6 +83,7 @@
   std::string body = "done";
   bool held = false;
   bool fails = false;
+  bool unsound = false;
   size_t handled = 0;
   std::shared_ptr<RequestContext> current;
   std::map<std::string, size_t> ends;
@@ -349,6 +356,32 @@
   EXPECT_EQ(service.ends["failed"], 1U);
 }
 
+// The same between two requests: the caller sees its connection end and does
+// not wait, and the host does not keep the connection until its own end.
+TEST_F(CallerFrontTest, FaultBetweenRequestsEndsTheConnection)
+{
+  service.unsound = true;
+  tcp::socket caller = Connect();
+  EXPECT_EQ(ReadToEnd(caller), "");
+  EXPECT_EQ(service.ends["failed"], 1U);
+}
+
+// A caller's connection is reset as it is sent its answer.
+TEST_F(CallerFrontTest, AnswerThatIsNotTakenIsTold)
+{
+  constexpr size_t kMoreThanBuffers = size_t{ 32 } * 1024 * 1024;
+  service.body = std::string(kMoreThanBuffers, 'x');
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  ASSERT_TRUE(RunUntil([&] { return service.handled == 1; }));
+  context.restart();
+  context.poll();
+  caller.set_option(asio::socket_base::linger(true, 0));
+  caller.close();
+  EXPECT_TRUE(RunUntil([&] { return service.ends["write_failed"] == 1; }));
+  EXPECT_EQ(Count(Lines(), "under a request reason=write_failed"), 1U);
+}
+
 // The host leaves. A caller's connection stands and its request is sent, but
 // the host has not accepted it: the kernel resets what is left in the queue of
 // a listener that closes.
