Gateway: a fault between two requests ends only its connection

Change: the loop that serves a connection catches what the work on a request does not, logs it, and ends the connection with the reason "failed".

Conclusion: every way out of that loop passes the one place that ends a connection.

--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -200,8 +200,18 @@
 CallerFront::Serve(CallerFront* aSelf, Connection aConnection, Owner aOwner)
 {
   End end;
+  std::string fault;
   while (!end) {
-    end = co_await aSelf->ServeOne(aConnection);
+    try {
+      end = co_await aSelf->ServeOne(aConnection);
+    } catch (const std::exception& exception) {
+      fault = exception.what();
+      end = Ended{ ConnectionEnd::Failed };
+    }
+  }
+  if (!fault.empty()) {
+    log::Line(log::Part::Entry, log::Severity::Error)
+      << "serving a caller failed: " << fault;
   }
   aSelf->Tell(*aConnection, *end);
   co_await aSelf->AwaitTaken(aConnection, end->reason);
