--- a/src/librattandyke/gateway/caller_service.h
+++ b/src/librattandyke/gateway/caller_service.h
@@ -39,9 +39,8 @@
   Duration idle{};
 };
 
-/// Why a caller's connection ended. The first ones are in order; from
-/// CallerLeft on there was a request that had been read whole and whose answer
-/// was not written to its end.
+/// Why a caller's connection ended. Ends up to Leaving are ordinary; the others
+/// came under a request that had been read whole, or by a fault of ours.
 enum class ConnectionEnd : uint8_t
 {
   Answered,
