--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -26,6 +26,7 @@
     boost::beast::http::request_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
 
+  /// Sets the socket's options.
   /// @param aClock outlives this object.
   CallerConnection(boost::asio::ip::tcp::socket aSocket, const Clock& aClock);
 
@@ -47,29 +48,75 @@
   /// answered first.
   void End();
 
+  /// Ends also a request: its time is up, whether it is read or worked on.
+  void LastCall();
+
   /// @return whether it ends with the answer that comes next.
   bool IsEnding() const { return mEnding; }
 
+  /// @return what the socket said when the caller left or a write failed.
+  const std::string& SocketSaid() const { return mSocketSaid; }
+
   /// @return whether no request is worked on.
-  bool IsIdle() const { return !mBusy; }
+  bool IsIdle() const { return mPhase == Phase::Reading; }
+
+  /// @return whether it was made just now, so that its first request is likely
+  /// to be on its way.
+  bool IsNew(Instant aNow) const
+  {
+    return !mUsed && aNow - mMadeAt < Duration(kFirstRequest);
+  }
 
-  /// @return whether it is idle and has been for as long as it may.
+  /// @return whether it has waited for its caller for as long as it may.
   bool IsIdleTooLong(Instant aNow) const
   {
-    return !mBusy && mIdleUntil <= aNow;
+    return mPhase != Phase::Working && mIdleUntil <= aNow;
   }
 
+  /// Ends the connection after an answer: reads and drops what still comes,
+  /// until the caller closes or some time has passed.
+  boost::asio::awaitable<void> Linger();
+
   void Close();
 
 private:
+  /// A caller sends its first request as soon as its connection stands: a round
+  /// trip over a link on which 100 KB of something else are queued.
+  static constexpr std::chrono::milliseconds kFirstRequest{ 500 };
+
+  enum class Phase : uint8_t
+  {
+    /// Waits for a request, or reads one.
+    Reading,
+    /// From a request's last byte to its answer's, and while the connection
+    /// writes.
+    Working,
+    /// Its last answer is written.
+    Lingering
+  };
+
+  boost::asio::awaitable<ErrorCode> ReadWhole(Parser& aParser, Duration aIdle);
+  boost::asio::awaitable<void> WriteContinue();
+  void NoteError(ErrorCode aError);
+  ErrorCode Peek();
+  void AwaitReadable();
+  void OnReadable();
   bool GoesOn(const Parser& aParser, ErrorCode aError, Duration aIdle);
 
   boost::asio::ip::tcp::socket mSocket;
   const Clock& mClock;
   boost::beast::flat_buffer mBuffer;
-  bool mBusy = false;
+  const Instant mMadeAt;
+  /// A request has been read.
+  bool mUsed = false;
+  Phase mPhase = Phase::Reading;
   bool mEnding = false;
   Instant mIdleUntil{};
+  /// The request that arrives has met an end, and was given time for its rest.
+  bool mGivenTime = false;
+  /// Whose caller is watched.
+  std::shared_ptr<RequestContext> mWatched;
+  std::string mSocketSaid = "nothing";
 };
 
 } // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -0,0 +1,385 @@
+#include "gateway/caller_front.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "http/headers.h"
+#include "log/log.h"
+#include "net/listen.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using ErrorCode = CallerConnection::ErrorCode;
+using BeastError = beast::http::error;
+
+/// Connections that are read on after their last answer. Beyond this number
+/// they close at once, so that callers that never close cannot pile up.
+constexpr size_t kMostLingering = 64;
+/// Of the lines on connections that ended under a request. Callers that leave
+/// in a crowd are told by the metric; some lines of them are enough.
+constexpr uint32_t kLinesPerSecond = 20;
+
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kBadGateway = 502;
+
+std::string_view
+NameOf(ConnectionEnd aEnd)
+{
+  switch (aEnd) {
+    case ConnectionEnd::Answered:
+      return "answered";
+    case ConnectionEnd::Refused:
+      return "refused";
+    case ConnectionEnd::CallerClosed:
+      return "caller_closed";
+    case ConnectionEnd::HalfRequest:
+      return "half_request";
+    case ConnectionEnd::Idle:
+      return "idle";
+    case ConnectionEnd::Leaving:
+      return "leaving";
+    case ConnectionEnd::CallerLeft:
+      return "caller_left";
+    case ConnectionEnd::WriteFailed:
+      return "write_failed";
+    case ConnectionEnd::Failed:
+      break;
+  }
+  return "failed";
+}
+
+std::string
+Serialize(const CallerAnswer& aAnswer, bool aKeep, bool aHead)
+{
+  const auto reason = beast::http::obsolete_reason(
+    static_cast<beast::http::status>(aAnswer.status));
+  std::string text;
+  text.reserve(aAnswer.fields.size() + aAnswer.body.size() + 128);
+  text += "HTTP/1.1 " + std::to_string(aAnswer.status) + " ";
+  text.append(reason.data(), reason.size());
+  text += "\r\n";
+  text += aAnswer.fields;
+  const bool bodiless =
+    aAnswer.status == kNoContent || aAnswer.status == kNotModified;
+  if (!bodiless) {
+    http::AppendField(
+      text, "Content-Length", std::to_string(aAnswer.body.size()));
+  }
+  if (!aKeep) {
+    http::AppendField(text, "Connection", "close");
+  }
+  text += "\r\n";
+  if (!bodiless && !aHead) {
+    text += aAnswer.body;
+  }
+  return text;
+}
+
+CallerRequest
+Take(CallerConnection::Parser& aParser, Instant aNow)
+{
+  auto& message = aParser.get();
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.hasBody = message.has_content_length() || message.chunked();
+  request.body = std::move(message.body());
+  request.fields = std::move(message.base());
+  request.arrived = aNow;
+  return request;
+}
+
+/// @return the status that refuses what could not be read, 0 if there is
+/// nobody to refuse.
+unsigned
+RefusalOf(ErrorCode aError)
+{
+  if (aError == BeastError::header_limit) {
+    return kHeadTooLarge;
+  }
+  if (aError == BeastError::body_limit) {
+    return kTooLarge;
+  }
+  const bool malformed =
+    aError.category() == make_error_code(BeastError::bad_method).category() &&
+    aError != BeastError::end_of_stream &&
+    aError != BeastError::partial_message;
+  return malformed ? kBadRequest : 0;
+}
+
+} // namespace
+
+CallerFront::CallerFront(const asio::any_io_executor& aExecutor,
+                         CallerService& aService,
+                         const Clock& aClock)
+  : mExecutor(aExecutor)
+  , mService(aService)
+  , mClock(aClock)
+  , mAcceptor(aExecutor)
+  , mLines(kLinesPerSecond)
+{
+}
+
+Result<Endpoint>
+CallerFront::Start(const Endpoint& aListen, const Owner& aOwner)
+{
+  auto open = net::Listen(mAcceptor, aListen, "callers");
+  if (open) {
+    mOwner = aOwner;
+    Accept(aOwner);
+  }
+  return open;
+}
+
+/// Safeguard: without a free descriptor each try to accept fails at once. Tried
+/// again without a pause they would take the core from the requests that are
+/// here. The sweep tries again; callers wait in the listener's queue.
+void
+CallerFront::Accept(Owner aOwner)
+{
+  mAccepting = true;
+  mAcceptor.async_accept(
+    [this, owner = std::move(aOwner)](ErrorCode aError, tcp::socket aSocket) {
+      mAccepting = false;
+      if (!aError) { // Perhaps from before the listener closed.
+        Take(std::move(aSocket), owner);
+      }
+      if (!mAcceptor.is_open()) {
+        return;
+      }
+      if (aError) {
+        log::Line(log::Part::Entry, log::Severity::Warning)
+          << "no caller can be accepted: " << aError.message();
+        return;
+      }
+      Accept(owner);
+    });
+}
+
+/// Safeguard: the kernel resets what waits in the queue of a listener that
+/// closes. Callers whose connection stood, and whose request may be sent, would
+/// get no answer.
+void
+CallerFront::AcceptQueued()
+{
+  const Owner owner = mOwner.lock();
+  ErrorCode error;
+  mAcceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = mAcceptor.accept(error);
+    if (!error) {
+      Take(std::move(socket), owner);
+    }
+  }
+}
+
+void
+CallerFront::Take(tcp::socket aSocket, Owner aOwner)
+{
+  auto connection =
+    std::make_shared<CallerConnection>(std::move(aSocket), mClock);
+  mOpen.insert(connection);
+  asio::co_spawn(
+    mExecutor, Serve(this, connection, std::move(aOwner)), asio::detached);
+}
+
+asio::awaitable<void>
+CallerFront::Serve(CallerFront* aSelf, Connection aConnection, Owner aOwner)
+{
+  End end;
+  std::string fault;
+  while (!end) {
+    try {
+      end = co_await aSelf->ServeOne(aConnection);
+    } catch (const std::exception& exception) {
+      fault = exception.what();
+      end = Ended{ ConnectionEnd::Failed };
+    }
+  }
+  if (!fault.empty()) {
+    log::Line(log::Part::Entry, log::Severity::Error)
+      << "serving a caller failed: " << fault;
+  }
+  aSelf->Tell(*aConnection, *end);
+  co_await aSelf->AwaitTaken(aConnection, end->reason);
+  aConnection->Close();
+  aSelf->mOpen.erase(aConnection);
+}
+
+asio::awaitable<CallerFront::End>
+CallerFront::ServeOne(Connection aConnection)
+{
+  const CallerLimits limits = mService.Limits();
+  CallerConnection::Parser parser;
+  parser.header_limit(limits.headerBytes);
+  parser.body_limit(limits.bodyBytes);
+  const ErrorCode unread = co_await aConnection->Read(parser, limits.idle);
+  if (unread) {
+    co_return co_await RefuseUnread(aConnection, unread, parser.got_some());
+  }
+  co_return co_await ServeRequest(aConnection, parser);
+}
+
+asio::awaitable<CallerFront::End>
+CallerFront::ServeRequest(Connection aConnection,
+                          CallerConnection::Parser& aParser)
+{
+  const bool keep = aParser.get().keep_alive();
+  CallerRequest request = gateway::Take(aParser, mClock.Now());
+  const Instant arrived = request.arrived;
+  const std::string id = mService.IdOf(request);
+  const bool head = request.method == "HEAD";
+  auto context = std::make_shared<RequestContext>(mExecutor);
+  aConnection->Watch(context);
+  Ended end{ ConnectionEnd::Answered, id };
+  const CallerAnswer answer =
+    co_await AnswerOf(context, std::move(request), end.reason);
+  aConnection->Unwatch();
+  if (context->HasLeft()) {
+    end.reason = ConnectionEnd::CallerLeft;
+  }
+  const bool keepOpen = end.reason == ConnectionEnd::Answered && keep &&
+                        !mStopping && !aConnection->IsEnding();
+  // Also to a caller that seems to have left: one that has only closed its
+  // sending side reads it, and nobody has to trust our belief that it is gone.
+  const std::string text = Serialize(answer, keepOpen, head);
+  const bool written = co_await aConnection->Write(text);
+  end.worked = mClock.Now() - arrived;
+  if (!written && end.reason == ConnectionEnd::Answered) {
+    end.reason = ConnectionEnd::WriteFailed;
+  }
+  co_return written&& keepOpen ? End{} : end;
+}
+
+/// Safeguard: an exception would end the work on a request together with the
+/// one who answers it. The connection would stay, and its caller wait.
+asio::awaitable<CallerAnswer>
+CallerFront::AnswerOf(std::shared_ptr<RequestContext> aContext,
+                      CallerRequest aRequest,
+                      ConnectionEnd& aEnd)
+{
+  std::string fault;
+  try {
+    co_return co_await mService.Handle(std::move(aContext),
+                                       std::move(aRequest));
+  } catch (const std::exception& exception) {
+    fault = exception.what();
+  }
+  log::Line(log::Part::Entry, log::Severity::Error)
+    << "the work on a request failed: " << fault;
+  aEnd = ConnectionEnd::Failed;
+  co_return mService.Refuse(kBadGateway, "the gateway failed");
+}
+
+asio::awaitable<CallerFront::Ended>
+CallerFront::RefuseUnread(Connection aConnection, ErrorCode aError, bool aBegun)
+{
+  const unsigned status = RefusalOf(aError);
+  if (status != 0) {
+    const std::string text =
+      Serialize(mService.Refuse(status, aError.message()), false, false);
+    co_await aConnection->Write(text);
+    co_return Ended{ ConnectionEnd::Refused };
+  }
+  const bool cut = aError == asio::error::operation_aborted;
+  if (aBegun && cut) {
+    // It has not run, and a refusal promises so; a close does not.
+    const std::string text = Serialize(
+      mService.Refuse(kRequestTimeout, "the request was not read in time"),
+      false,
+      false);
+    co_await aConnection->Write(text);
+  }
+  if (aBegun) {
+    co_return Ended{ ConnectionEnd::HalfRequest };
+  }
+  if (!cut) {
+    co_return Ended{ ConnectionEnd::CallerClosed };
+  }
+  co_return Ended{ mStopping ? ConnectionEnd::Leaving : ConnectionEnd::Idle };
+}
+
+asio::awaitable<void>
+CallerFront::AwaitTaken(Connection aConnection, ConnectionEnd aEnd)
+{
+  const bool answered =
+    aEnd == ConnectionEnd::Answered || aEnd == ConnectionEnd::Refused ||
+    aEnd == ConnectionEnd::HalfRequest || aEnd == ConnectionEnd::CallerLeft ||
+    aEnd == ConnectionEnd::Failed;
+  if (answered && mLingering < kMostLingering) {
+    ++mLingering;
+    co_await aConnection->Linger();
+    --mLingering;
+  }
+}
+
+/// Each connection's end is counted. A line is written of one that ended under
+/// a request, which is what a caller reports.
+void
+CallerFront::Tell(const CallerConnection& aConnection, const Ended& aEnd)
+{
+  mService.CountEnd(NameOf(aEnd.reason));
+  if (aEnd.reason < ConnectionEnd::CallerLeft) {
+    return;
+  }
+  if (const auto leftOut = mLines.Pass(mClock.Now())) {
+    const auto worked =
+      std::chrono::duration_cast<milliseconds>(aEnd.worked).count();
+    log::Line(log::Part::Entry, log::Severity::Info, aEnd.id)
+      << "connection ended under a request reason=" << NameOf(aEnd.reason)
+      << " after_ms=" << worked << " socket=" << aConnection.SocketSaid()
+      << " left_out=" << *leftOut;
+  }
+}
+
+void
+CallerFront::Sweep(Instant aNow)
+{
+  if (!mAccepting && mAcceptor.is_open()) {
+    Accept(mOwner.lock());
+  }
+  for (const Connection& connection : mOpen) {
+    if (connection->IsIdleTooLong(aNow)) {
+      connection->End();
+    }
+  }
+}
+
+void
+CallerFront::Close()
+{
+  if (mAcceptor.is_open()) {
+    AcceptQueued();
+    ErrorCode ignored; // Nothing is accepted any more either way.
+    mAcceptor.close(ignored);
+  }
+  const Instant now = mClock.Now();
+  for (const Connection& connection : mOpen) {
+    if (connection->IsIdle() && !connection->IsNew(now)) {
+      connection->End();
+    }
+  }
+}
+
+void
+CallerFront::LastCall()
+{
+  for (const Connection& connection : mOpen) {
+    connection->LastCall();
+  }
+}
+
+} // namespace rattandyke::gateway
