Tests: a request of two reads, wherever its connection's end falls

A first read takes 512 bytes; what is over is read at once and handled one turn later. Beside a large change, which holds a host up for up to a second, read and end are due in the same turn.

Change: a test that ends the connection after each of the first five handlers.

--- a/src/librattandyke/gateway/caller_connection_test.cpp
+++ b/src/librattandyke/gateway/caller_connection_test.cpp
@@ -105,6 +105,36 @@
   }
 }
 
+class CallerConnectionEndTest
+  : public CallerConnectionTest
+  , public ::testing::WithParamInterface<int>
+{};
+
+// The caller sees its connection closed with no answer, a third of a second
+// after it sent a whole request on it. While a large change of the
+// configuration held the host up, the connection had been idle for too long.
+// Then the host read the request, in two reads, and ended the connection
+// between the second one and the work on what it had read: all three were due
+// at the same moment. Wherever the end falls, the request must be read.
+TEST_P(CallerConnectionEndTest, RequestOfTwoReadsIsReadWholeWhereverTheEndFalls)
+{
+  // More than is read at once at first.
+  const std::string body(900, 'b');
+  BeginRead(Duration::zero());
+  Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" + body);
+  for (int handler = 0; handler < GetParam(); ++handler) {
+    context.poll_one();
+  }
+  connection->End();
+  Finish();
+  EXPECT_FALSE(error) << error.message();
+  EXPECT_EQ(parser->get().body(), body);
+}
+
+INSTANTIATE_TEST_SUITE_P(AfterHandlers,
+                         CallerConnectionEndTest,
+                         ::testing::Range(0, 5));
+
 // A caller begins a request and sends no more of it. The connection is not kept
 // for longer than an idle one.
 TEST_F(CallerConnectionTest, RequestThatNeverArrivesWholeEndsWithTheIdleTime)
