--- a/src/librattandyke/gateway/caller_front_test.cpp
+++ b/src/librattandyke/gateway/caller_front_test.cpp
@@ -182,6 +182,10 @@
   tcp::endpoint address;
 };
 
+/// For which the connections of this service are kept: its idle limit of 9 s
+/// and the time for which a link may be held up.
+constexpr seconds kKept{ 11 };
+
 const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\nId: r-1\r\n\r\n";
 const std::string kLastRequest =
   "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -252,12 +256,42 @@
   ASSERT_TRUE(RunUntil([&] { return context.poll() == 0; }));
   closing.close();
   EXPECT_TRUE(RunUntil([&] { return service.ends["caller_closed"] == 1; }));
-  clock.Step(seconds{ 10 });
+  clock.Step(kKept);
   front.Sweep(clock.Now());
   EXPECT_TRUE(RunUntil([&] { return service.ends["idle"] == 1; }));
   EXPECT_EQ(Count(Lines(), "ended under a request"), 0U);
 }
 
+// A caller uses a connection for as long as it was told, and then the link is
+// held up. Its request reaches the host two seconds after the idle limit, in
+// the moment in which the host would end the connection at the limit itself:
+// the caller would see a close and no answer.
+TEST_F(CallerFrontTest, RequestThatIsHeldUpBeyondTheIdleLimitIsAnswered)
+{
+  tcp::socket caller = Connect();
+  Send(caller, kRequest);
+  ASSERT_TRUE(RunUntil([&] { return service.handled == 1; }));
+  clock.Step(kKept - milliseconds{ 1 });
+  front.Sweep(clock.Now());
+  context.restart();
+  context.poll();
+  Send(caller, kLastRequest);
+  const std::string got = ReadToEnd(caller);
+  EXPECT_EQ(Count(got, "HTTP/1.1 200 OK"), 2U) << got;
+  EXPECT_EQ(Count(got, "Keep-Alive: timeout=7\r\n"), 1U) << got;
+  EXPECT_EQ(service.ends["idle"], 0U);
+}
+
+// A limit of less than two seconds can't be told in whole seconds; "0" would
+// have callers connect anew for each request.
+TEST_F(CallerFrontTest, ShortIdleLimitIsNotTold)
+{
+  service.limits.idle = milliseconds{ 1200 };
+  tcp::socket caller = Connect();
+  Send(caller, kRequest + kLastRequest);
+  EXPECT_EQ(Count(ReadToEnd(caller), "Keep-Alive"), 0U);
+}
+
 // A caller closes its sending side after its request, which HTTP allows. It
 // can't be told from one that has left, so its request is given up; but it gets
 // the answer that says so, and does not have to guess what became of it.
@@ -282,7 +316,7 @@
   for (int sweep = 0; sweep < 2; ++sweep) {
     context.restart();
     context.poll();
-    clock.Step(seconds{ 9 });
+    clock.Step(kKept);
     front.Sweep(clock.Now());
   }
   const std::string got = ReadToEnd(caller);
