--- a/src/librattandyke/entry/request_flow_test.cpp
+++ b/src/librattandyke/entry/request_flow_test.cpp
@@ -55,7 +55,7 @@
     mFlow.emplace(std::move(aFacts), RequestFlow::Settings{}, mBudget, 1);
   }
 
-  std::vector<FlowEffect> Step(FlowEvent aEvent, Duration aAfter = 0ms)
+  std::vector<FlowEffect> Step(const FlowEvent& aEvent, Duration aAfter = 0ms)
   {
     return mFlow->Step(aEvent, kStart + aAfter);
   }
--- a/src/librattandyke/http/credit_home.cpp
+++ b/src/librattandyke/http/credit_home.cpp
@@ -305,7 +305,7 @@
   seenLive = std::move(live);
 }
 
-CreditHome::CreditHome(asio::any_io_executor aExecutor,
+CreditHome::CreditHome(const asio::any_io_executor& aExecutor,
                        HostName aName,
                        Sources aSources,
                        const Clock& aClock)
--- a/src/librattandyke/http/credit_home.h
+++ b/src/librattandyke/http/credit_home.h
@@ -31,7 +31,7 @@
     std::function<void(const HostName&, wire::Envelope)> send;
   };
 
-  CreditHome(boost::asio::any_io_executor aExecutor,
+  CreditHome(const boost::asio::any_io_executor& aExecutor,
              HostName aName,
              Sources aSources,
              const Clock& aClock);
--- a/src/librattandyke/http/credit_messages.h
+++ b/src/librattandyke/http/credit_messages.h
@@ -15,7 +15,7 @@
   std::string service;
   std::string name;
   uint64_t incarnation = 0;
-  auto operator<=>(const UpstreamLife&) const = default;
+  auto operator<=>(const UpstreamLife&) const = default; // NOLINT(*-nullptr)
 };
 
 /// @param aMessage a CreditRequest or a CreditAnswer.
--- a/src/librattandyke/http/credit_sharing_test.cpp
+++ b/src/librattandyke/http/credit_sharing_test.cpp
@@ -98,7 +98,7 @@
   {
     return HostName{ std::string(aName) };
   }
-  void Carry(const HostName& aTo, wire::Envelope aEnvelope);
+  void Carry(const HostName& aTo, const wire::Envelope& aEnvelope);
   void Deliver(const HostName& aTo, const wire::Envelope& aEnvelope);
   void TakeAnswer(const std::shared_ptr<SlotPlace>& aPlace,
                   const SlotAnswer& aAnswer);
@@ -141,7 +141,7 @@
   {
     aEnvelope.set_from(mName.value);
     aEnvelope.set_from_session(1);
-    mAll.Carry(aTo, std::move(aEnvelope));
+    mAll.Carry(aTo, aEnvelope);
   }
 
   metrics::Recorder& Metrics() override { return mMetrics; }
@@ -160,7 +160,7 @@
   for (const std::string_view name : { kHome, std::string_view("other") }) {
     auto send = [this, name](const HostName& aTo, wire::Envelope aEnvelope) {
       aEnvelope.set_from(std::string(name));
-      Carry(aTo, std::move(aEnvelope));
+      Carry(aTo, aEnvelope);
     };
     mHomes[Name(name)] = std::make_unique<CreditHome>(
       mContext.get_executor(),
@@ -255,7 +255,7 @@
 }
 
 void
-Deployment::Carry(const HostName& aTo, wire::Envelope aEnvelope)
+Deployment::Carry(const HostName& aTo, const wire::Envelope& aEnvelope)
 {
   if (loses && loses(aEnvelope, aTo)) {
     return;
@@ -330,7 +330,7 @@
   EXPECT_EQ(deployment.GrantsBy(kHome), 0u);
   deployment.loses = nullptr;
   size_t sent = kRequestsEach;
-  while (deployment.GrantsBy(kHome) < 2 * kSlots) {
+  while (deployment.GrantsBy(kHome) < uint64_t{ 2 } * kSlots) {
     deployment.Offer(0, 1);
     deployment.RunUntilAdmitted(++sent);
     deployment.FinishOne();
@@ -351,8 +351,8 @@
   size_t heard = 0;
   deployment.loses = [&](const wire::Envelope& aEnvelope, const HostName&) {
     heard += aEnvelope.credit_answer().state() == wire::CREDIT_STATE_RETURNED;
-    const bool loses =
-      aEnvelope.credit_request().has_give_back() && lost < 2 * kSlots;
+    const bool loses = aEnvelope.credit_request().has_give_back() &&
+                       lost < uint64_t{ 2 } * kSlots;
     lost += loses ? 1 : 0;
     return loses;
   };
@@ -399,7 +399,7 @@
   deployment.RunUntilIdle();
   EXPECT_EQ(deployment.Admitted(), kSlots);
   deployment.SetLive({ HostName{ "1" } });
-  deployment.RunUntilAdmitted(2 * kSlots);
+  deployment.RunUntilAdmitted(size_t{ 2 } * kSlots);
   EXPECT_EQ(deployment.GrantsBy(kHome), 2 * kSlots);
 }
 
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -121,8 +121,7 @@
                                aRequest.deadline,
                                aRequest.idempotent },
                              std::move(aOnAnswer));
-  return { std::make_shared<Place>(std::move(queue), ticket),
-           std::move(answer) };
+  return { std::make_shared<Place>(std::move(queue), ticket), answer };
 }
 
 void
--- a/src/librattandyke/http/upstream_queue.cpp
+++ b/src/librattandyke/http/upstream_queue.cpp
@@ -180,12 +180,12 @@
 UpstreamQueue::AnswerLocked(Answer aAnswer, Ticket aTicket)
 {
   if (mOwn == aTicket) {
-    mOwnAnswer = std::move(aAnswer);
+    mOwnAnswer = aAnswer;
     return;
   }
   const auto found = mCallbacks.find(aTicket);
   if (found != mCallbacks.end()) {
-    mAnswers->emplace_back(std::move(aAnswer), std::move(found->second));
+    mAnswers->emplace_back(aAnswer, std::move(found->second));
     mCallbacks.erase(found);
   }
 }
--- a/src/librattandyke/http/whole_answers_test.cpp
+++ b/src/librattandyke/http/whole_answers_test.cpp
@@ -326,8 +326,10 @@
   std::atomic<uint64_t> whole{ 0 };
   std::atomic<uint64_t> broken{ 0 };
   std::atomic<uint64_t> wrong{ 0 };
+  constexpr int kThreads = 16;
   std::vector<std::thread> threads;
-  for (int thread = 0; thread < 16; ++thread) {
+  threads.reserve(kThreads);
+  for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&, thread] {
       auto caller = std::make_unique<TestCaller>(entry.Address());
       for (int count = 0; count < 100; ++count) {
--- a/src/librattandyke/metrics/recorder_test.cpp
+++ b/src/librattandyke/metrics/recorder_test.cpp
@@ -79,6 +79,7 @@
   constexpr int kEach = 2000;
   Recorder recorder;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&recorder] {
       for (int request = 0; request < kEach; ++request) {
--- a/src/librattandyke/net/peer_transport_test.cpp
+++ b/src/librattandyke/net/peer_transport_test.cpp
@@ -240,7 +240,7 @@
 TEST(PeerTransport, WithoutKeysOnlyLoopback)
 {
   PeerTransport transport(
-    { "0.0.0.0", 0 }, HostName{ "one" }, 1, {}, [](wire::Envelope) {});
+    { "0.0.0.0", 0 }, HostName{ "one" }, 1, {}, [](const wire::Envelope&) {});
   const auto started = transport.Start();
   ASSERT_FALSE(started);
   EXPECT_EQ(started.error().code, Code::InvalidSettings);
