--- a/src/librattandyke/gateway/exchange_test.cpp
+++ b/src/librattandyke/gateway/exchange_test.cpp
@@ -115,11 +115,8 @@
       request->target = "/x";
       request->requestId = "r-" + std::to_string(number);
       const UpstreamPeer peer{ "i-1", upstream->Address() };
-      results.push_back(
-        co_await exchanger.Run(peer,
-                               request,
-                               std::chrono::seconds{ 1 },
-                               std::make_shared<ExchangeHandle>()));
+      results.push_back(co_await exchanger.Run(
+        peer, request, left, std::make_shared<ExchangeHandle>()));
     }
     context.stop();
   }
@@ -127,6 +124,7 @@
   SystemClock clock;
   asio::io_context context;
   Exchanger exchanger{ context.get_executor(), kNames, clock };
+  Duration left = std::chrono::seconds{ 1 };
   std::unique_ptr<ScriptedUpstream> upstream;
   std::vector<ExchangeResult> results;
 };
@@ -145,6 +143,23 @@
   EXPECT_LE(std::stoi(head.substr(at + 10)), 1000);
 }
 
+// The host is held up until the request's time is over. Sent now, it would tell
+// the upstream of no time left, which many take for no limit: it would run for
+// a caller that is gone. It is not sent, and nothing else is lost by it.
+TEST_F(ExchangerTest, RequestWhoseTimeIsOverIsNotSent)
+{
+  for (const Duration time :
+       { Duration(milliseconds{ -853 }), Duration::zero() }) {
+    left = time;
+    const auto got = Send({ AnswerTo("r-1", "a") });
+    ASSERT_EQ(got.size(), 1U);
+    EXPECT_EQ(got[0].kind, Kind::NotSent);
+    EXPECT_TRUE(upstream->Heads().empty());
+    context.restart();
+    results.clear();
+  }
+}
+
 TEST_F(ExchangerTest, KeptConnectionIsUsedAgain)
 {
   const auto got = Send({ AnswerTo("r-1", "a"), AnswerTo("r-2", "b") }, 2);
