Send no request whose time is over

Change: a request with less than a millisecond left is not sent, and its connection is kept; a slot that comes too late is given back and the request answered as not run. Conclusion: upstreams never get a request without a limit.

--- a/src/librattandyke/gateway/exchange.cpp
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -38,6 +38,10 @@
 /// Taken off what the upstream says, so that no request crosses its close.
 constexpr milliseconds kKeptMargin{ 1000 };
 constexpr milliseconds kUnacknowledged{ 1000 };
+/// Safeguard: a request whose time ran out while this host was held up is not
+/// sent. The time it has left is told in whole milliseconds, and upstreams take
+/// none for no limit: they would work for a caller that is gone.
+constexpr milliseconds kLeastTold{ 1 };
 /// Answers to other requests that are skipped before the connection is given
 /// up.
 constexpr int kMaxForeignAnswers = 3;
@@ -244,8 +248,13 @@
     }
   }
   const Instant sentAt = mClock.Now();
-  std::string head =
-    HeadOf(aPeer.instance, *aRequest, aLeft - (sentAt - started));
+  const Duration left = aLeft - (sentAt - started);
+  if (left < Duration(kLeastTold)) {
+    aHandle->Detach();
+    KeepOrClose(aPeer, connection);
+    co_return Ended(ExchangeResult::Kind::NotSent, "no time is left");
+  }
+  std::string head = HeadOf(aPeer.instance, *aRequest, left);
   const bool ahead = aRequest->body.size() <= kWrittenAhead;
   if (ahead) {
     head += aRequest->body;
@@ -273,15 +282,26 @@
   }
   const bool reusable = result.kind == ExchangeResult::Kind::Answer ||
                         result.kind == ExchangeResult::Kind::NotRun;
-  if (reusable && *wholeBody && connection->buffer.size() == 0 &&
-      connection->goodUntil > mClock.Now() && !aHandle->Aborted()) {
-    mPool.Put(aPeer, connection);
+  if (reusable && *wholeBody && !aHandle->Aborted()) {
+    KeepOrClose(aPeer, connection);
   } else {
     connection->Close();
   }
   co_return result;
 }
 
+void
+Exchanger::KeepOrClose(const UpstreamPeer& aPeer,
+                       const std::shared_ptr<UpstreamConnection>& aConnection)
+{
+  if (aConnection->buffer.size() == 0 &&
+      aConnection->goodUntil > mClock.Now()) {
+    mPool.Put(aPeer, aConnection);
+  } else {
+    aConnection->Close();
+  }
+}
+
 asio::awaitable<ExchangeResult>
 Exchanger::ReadAnswer(std::shared_ptr<UpstreamConnection> aConnection,
                       std::shared_ptr<const OutgoingRequest> aRequest,
--- a/src/librattandyke/gateway/exchange.h
+++ b/src/librattandyke/gateway/exchange.h
@@ -192,6 +192,9 @@
     std::shared_ptr<const OutgoingRequest> aRequest,
     std::string aInstance,
     bool aWritten);
+  /// Keeps a connection on which nothing is under way, if it may be used again.
+  void KeepOrClose(const UpstreamPeer& aPeer,
+                   const std::shared_ptr<UpstreamConnection>& aConnection);
   ExchangeResult Judge(IncomingAnswer aAnswer) const;
 
   const boost::asio::any_io_executor mExecutor;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -485,7 +485,8 @@
                        none.retryAfter,
                        full ? "all upstreams are full" : "no upstream");
     }
-    if (aFlow.context->IsOver()) {
+    const bool late = mClock.Now() + Duration(kWayBack) >= aFlow.deadline;
+    if (late || aFlow.context->IsOver()) {
       mDesk.Release(*slot, TryEnd::Abandoned, {});
       break;
     }
