Tests: a key that alone is too much is moved again and again

A service of six upstreams that are about equally fast shows it without I/O: the owner is full and answers slower, so another looks faster at every heartbeat; and slices are cut by load only, so they hold such a key, too.

--- a/src/librattandyke/gateway/granter_moves_test.cpp
+++ b/src/librattandyke/gateway/granter_moves_test.cpp
@@ -74,6 +74,173 @@
   }
 }
 
+/// A service whose upstreams send heartbeats in turn, report what they were
+/// left out soon after, and answer as fast as they are. One of them grows
+/// slower while it is full.
+class BusyService
+{
+public:
+  static constexpr uint32_t kHotKey = 22772;
+  /// Others are a quarter of all requests, evenly spread.
+  static constexpr double kHotRequests = 120;
+  static constexpr double kOtherRequests = 60;
+  static constexpr milliseconds kStep{ 20 };
+  /// As a control host waits.
+  static constexpr milliseconds kKeysAwaited{ 350 };
+  /// A full upstream's answers take this much longer.
+  static constexpr double kFullSlower = 1.5;
+
+  /// @param aSeconds how long the answers of each upstream take.
+  explicit BusyService(std::vector<double> aSeconds, unsigned aSeed)
+    : mRandom(aSeed)
+  {
+    for (size_t at = 0; at < aSeconds.size(); ++at) {
+      Upstream upstream;
+      upstream.id = std::string(1, static_cast<char>('a' + at));
+      upstream.seconds = aSeconds[at];
+      upstream.next = leader.now + kInterval * at / aSeconds.size();
+      mUpstreams.push_back(upstream);
+    }
+  }
+
+  /// @param aHot keys that are busy meanwhile.
+  void PassFor(Duration aTime, const std::vector<uint32_t>& aHot)
+  {
+    for (const Instant end = leader.now + aTime; leader.now < end;) {
+      leader.Pass(kStep);
+      Come(aHot);
+      for (Upstream& upstream : mUpstreams) {
+        if (leader.now >= upstream.next && !Waits(upstream)) {
+          Beat(upstream);
+        }
+      }
+      if (const std::string owner = Owner();
+          owner != mOwner && !owner.empty()) {
+        owners.push_back(owner);
+        mOwner = owner;
+      }
+      unowned += Owner().empty() ? Duration(kStep) : Duration::zero();
+    }
+  }
+
+  /// Who runs requests for the hot key; nobody while it is held back or free.
+  std::string Owner(uint32_t aKey = kHotKey) const
+  {
+    const RangeTable* ranges = leader.state.Ranges("board");
+    if (ranges == nullptr || ranges->Find(aKey).held_back()) {
+      return "";
+    }
+    return ranges->Find(aKey).holder();
+  }
+
+  void Forget()
+  {
+    owners.clear();
+    unowned = {};
+  }
+
+  void Slow(const std::string& aInstance, double aSeconds)
+  {
+    for (Upstream& upstream : mUpstreams) {
+      if (upstream.id == aInstance) {
+        upstream.seconds = aSeconds;
+      }
+    }
+  }
+
+  Leader leader;
+  /// Owners of the hot key, one after the other, and the time without one.
+  std::vector<std::string> owners;
+  Duration unowned{};
+
+private:
+  struct Upstream
+  {
+    std::string id;
+    double seconds = 0.1;
+    uint64_t sequence = 0;
+    Instant next{};
+    std::vector<GrantedRange> held;
+    std::vector<ReleasedRange> released;
+  };
+
+  void Come(const std::vector<uint32_t>& aHot)
+  {
+    mDue += kStep;
+    if (mDue < milliseconds{ 200 }) {
+      return;
+    }
+    mDue = {};
+    wire::RangeLoad load;
+    load.set_service("board");
+    const auto add = [&](uint32_t aKey, double aRequests) {
+      load.add_buckets(aKey);
+      load.add_requests(static_cast<uint32_t>(aRequests));
+    };
+    for (const uint32_t key : aHot) {
+      add(key, kHotRequests / 5);
+    }
+    for (int other = 0; other < static_cast<int>(kOtherRequests / 5); ++other) {
+      add(static_cast<uint32_t>(mRandom() % kKeyCount), 1);
+    }
+    leader.granter->AddLoad(load);
+    std::uniform_real_distribution<double> noise(0.7, 1.3);
+    for (const Upstream& upstream : mUpstreams) {
+      const bool full = !aHot.empty() && Owner() == upstream.id;
+      leader.granter->NoteTime(upstream.id,
+                               upstream.seconds * noise(mRandom) *
+                                 (full ? kFullSlower : 1));
+    }
+  }
+
+  /// An answer waits a moment for keys on their way to the upstream.
+  bool Waits(const Upstream& aUpstream)
+  {
+    return leader.now < aUpstream.next + kKeysAwaited &&
+           leader.granter->AwaitsKeys(
+             From(aUpstream.id, aUpstream.sequence), leader.state, leader.now);
+  }
+
+  void Beat(Upstream& aUpstream)
+  {
+    Heartbeat heartbeat = From(aUpstream.id, ++aUpstream.sequence);
+    heartbeat.released = std::exchange(aUpstream.released, {});
+    const auto grants = leader.Answer(heartbeat);
+    for (const GrantedRange& held : aUpstream.held) {
+      uint32_t from = held.keys.from;
+      // What an answer leaves out of a range is released.
+      std::vector<KeySpan> kept;
+      for (const GrantedRange& range :
+           grants ? grants->ranges : std::vector<GrantedRange>{}) {
+        if (range.keys.to >= held.keys.from &&
+            range.keys.from <= held.keys.to) {
+          kept.push_back(range.keys);
+        }
+      }
+      for (const KeySpan& keys : kept) {
+        if (keys.from > from) {
+          aUpstream.released.push_back({ { from, keys.from - 1 }, "h" });
+        }
+        from = std::max(from, keys.to + 1);
+      }
+      if (from <= held.keys.to) {
+        aUpstream.released.push_back({ { from, held.keys.to }, "h" });
+      }
+    }
+    if (grants) {
+      aUpstream.held = grants->ranges;
+    }
+    aUpstream.next =
+      leader.now +
+      (aUpstream.released.empty() ? kInterval : Duration(milliseconds{ 100 }));
+  }
+
+  std::mt19937 mRandom;
+  std::vector<Upstream> mUpstreams;
+  Duration mDue{};
+  std::string mOwner;
+};
+
 // Two holders get the same load, drawn at random, and are busy with it. One of
 // them always has some more by chance. Keys that are moved for that have no
 // owner for 200 ms, and are moved back when chance turns.
@@ -156,6 +323,59 @@
   EXPECT_TRUE(HoldsBack(leader));
 }
 
+// One key is six times what any upstream can run, and all upstreams are about
+// equally fast. Its requests wait or are refused at whoever owns it, which is
+// full and answers slower. Another one would gain them nothing, and each move
+// leaves the key without an owner for part of a second.
+TEST(Granter, KeyThatIsTooMuchForAnyUpstreamStays)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    BusyService service({ 0.1, 0.08, 0.11, 0.09, 0.12, 0.1 }, seed);
+    service.PassFor(std::chrono::seconds{ 5 }, {});
+    service.Forget();
+    service.PassFor(std::chrono::seconds{ 10 }, { BusyService::kHotKey });
+    EXPECT_LE(service.owners.size(), 1U) << "seed " << seed;
+    EXPECT_LE(service.unowned, milliseconds{ 400 }) << "seed " << seed;
+  }
+}
+
+// Two such keys lie side by side, and each would fit the share of a much faster
+// upstream, whose heartbeat has just come. A slice is taken by whoever comes
+// next, and not for an interval if that is the fast one; the keys beside them
+// are given away instead.
+TEST(Granter, KeyThatIsTooMuchIsInNoSlice)
+{
+  Leader leader;
+  Settle(leader);
+  MakeBusy(leader, 2);
+  for (int report = 0; report < 200; ++report) {
+    leader.granter->NoteTime("a", 0.1);
+    leader.granter->NoteTime("b", 0.02);
+  }
+  const uint32_t key = FirstKeyOf(leader, "a");
+  leader.Answer(From("b", 8));
+  leader.Answer(From("a", 8));
+  EXPECT_FALSE(leader.state.Ranges("board")->Find(key).held_back());
+  EXPECT_FALSE(leader.state.Ranges("board")->Find(key + 1).held_back());
+  EXPECT_TRUE(HoldsBack(leader));
+}
+
+// The owner of such a key is three times as slow as the others. It runs a third
+// of what another would, so the key goes to another, and stays there.
+TEST(Granter, KeyThatIsTooMuchLeavesASlowUpstreamOnce)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    BusyService service({ 0.1, 0.1, 0.1, 0.1, 0.1, 0.1 }, seed);
+    service.PassFor(std::chrono::seconds{ 5 }, {});
+    const std::string slow = service.Owner();
+    service.Slow(slow, 0.3);
+    service.Forget();
+    service.PassFor(std::chrono::seconds{ 10 }, { BusyService::kHotKey });
+    EXPECT_EQ(service.owners.size(), 1U) << "seed " << seed;
+    EXPECT_NE(service.Owner(), slow) << "seed " << seed;
+  }
+}
+
 TEST(Granter, BusyHolderGivesKeysAway)
 {
   Leader leader;
