A key that alone is too much stays where it was moved

Cause: whoever holds such a key is full and answers slower for that, so another instance looks 1.4 times as fast at every heartbeat, wherever the key is. The fastest one was chosen also if it had another such key already. Ordinary slices were cut by load only: where an instance's share exceeds the key, they held it, too, for whoever came next.

Change: a key that alone overruns an instance as fast as most is in no slice. One that overruns its holder is moved alone: to an instance 1.4 times as fast, or to another where two such keys share their owner; to none that has such a key; then it stays for 10 s. An answer waits for keys that are kept for its instance, and no more for those kept for another. A holder that is slow itself still gives keys that others carry with ease away together (a test of its own: with what is too much for the holder in place of what is too much for most it gave none).

The one move may still take 0.9 s, if the holder releases after the taker's answer had to be given: a full holder took 0.1 to 0.7 s to release.

--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -124,6 +124,9 @@
   {
     double load = 0;
     double speed = 1;
+    /// Time of its answers by its slots, in seconds: what each request of a
+    /// second adds to busy.
+    double perRequest = 0;
     /// Part of its slots that its requests keep busy.
     double busy = 0;
     double Level() const { return load / speed; }
@@ -137,6 +140,8 @@
     std::optional<Instant> firstInstance;
     std::optional<Instant> freeSince;
     std::vector<Move> moves;
+    /// When keys that alone are too much for their holder were last moved.
+    std::map<uint32_t, Instant> movedAlone;
     /// Of the state at an index and of the loads since a tick.
     Holders holders;
     std::optional<LogIndex> holdersAt;
@@ -171,11 +176,26 @@
   static void HoldBack(const Heartbeat& aHeartbeat,
                        const std::vector<KeySpan>& aSpans,
                        std::vector<wire::GatewayCommand>& aCommands);
-  void MoveHotKeys(const Heartbeat& aHeartbeat,
-                   const RangeTable& aRanges,
-                   Holders& aHolders,
-                   Instant aNow,
-                   std::vector<KeySpan>& aGiven);
+  /// @return the mean of what a request adds to the time of an instance.
+  static double UsualTime(const Holders& aHolders);
+  /// @return the keys of an instance that each alone are more than one can take
+  /// to whose time a request adds so much, the least busy first.
+  static std::vector<KeySpan> KeysTooMuch(const std::string& aId,
+                                          double aPerRequest,
+                                          const RangeTable& aRanges,
+                                          const LoadMap& aLoad);
+  /// Plans the move of a key that is too much for its holder, if another one is
+  /// better for it.
+  void MoveKeyAlone(const Heartbeat& aHeartbeat,
+                    const RangeTable& aRanges,
+                    Holders& aHolders,
+                    Instant aNow,
+                    std::vector<KeySpan>& aGiven);
+  Holders::iterator TakerAlone(const std::string& aFrom,
+                               const RangeTable& aRanges,
+                               const Group& aGroup,
+                               Holders& aHolders,
+                               Instant aNow) const;
   bool TakesSoon(const std::string& aInstance, Instant aNow) const;
   static void EndReservations(Group& aGroup, Instant aNow);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
@@ -190,7 +210,7 @@
   static std::optional<KeySpan> SliceOf(const std::string& aHolder,
                                         const RangeTable& aRanges,
                                         const LoadMap& aLoad,
-                                        const std::vector<KeySpan>& aGiven,
+                                        const std::vector<KeySpan>& aExcept,
                                         double aWanted);
   bool IsWithheld(const Lease& aLease, uint32_t aKey) const;
   void UpdatePool(const std::string& aService,
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -56,11 +56,14 @@
 constexpr size_t kMaxMoves = 5;
 /// Least part of an even share that is worth a move.
 constexpr double kLeastPiece = 0.15;
-/// Keys that alone overrun a holder, are this part of its load, and find an
-/// instance so much faster, are moved whole.
+/// A key that alone keeps its holder's slots busy for so much of the time can't
+/// be divided. It is moved if it is this part of the holder's load and finds an
+/// instance so much faster.
 constexpr double kOverrun = 0.95;
 constexpr double kDominant = 0.6;
 constexpr double kFaster = 1.4;
+/// Time for which it then stays: longer than most keys are so busy.
+constexpr Duration kStaysAlone = std::chrono::seconds{ 10 };
 /// Such keys are kept for that instance this long.
 constexpr Duration kMoveReserved = milliseconds{ 900 };
 /// A holder reports a release some 100 ms after it was told of it.
@@ -111,7 +114,13 @@
     return;
   }
   std::vector<KeySpan> given;
-  MoveHotKeys(aHeartbeat, *ranges, holders, aNow, given);
+  MoveKeyAlone(aHeartbeat, *ranges, holders, aNow, given);
+  // Safeguard: a slice is for whoever comes next. A key that alone is too much
+  // for one like most would be moved from one full holder to the next, without
+  // an owner each time, and would gain nothing.
+  std::vector<KeySpan> except =
+    KeysTooMuch(id, UsualTime(holders), *ranges, group.load);
+  except.insert(except.end(), given.begin(), given.end());
   std::vector<Holder> cold;
   for (const auto& [other, holder] : holders) {
     if (other != id && holder.Level() < even) {
@@ -128,9 +137,10 @@
     if (given.size() >= kMaxMoves || wanted < kLeastPiece * even * hot.speed) {
       break;
     }
-    if (const auto slice = SliceOf(id, *ranges, group.load, given, wanted)) {
+    if (const auto slice = SliceOf(id, *ranges, group.load, except, wanted)) {
       hot.load -= group.load.Of(*slice);
       given.push_back(*slice);
+      except.push_back(*slice);
     }
   }
   HoldBack(aHeartbeat, given, aCommands);
@@ -157,46 +167,102 @@
   }
 }
 
-/// Keys that alone are more than their holder can take can't be divided. They
-/// go to the instance that can take the most, if that is clearly more; it then
-/// gives its other keys away.
-void
-Granter::MoveHotKeys(const Heartbeat& aHeartbeat,
+double
+Granter::UsualTime(const Holders& aHolders)
+{
+  double sum = 0;
+  for (const auto& [id, holder] : aHolders) {
+    sum += holder.perRequest;
+  }
+  return sum / static_cast<double>(std::max<size_t>(aHolders.size(), 1));
+}
+
+std::vector<KeySpan>
+Granter::KeysTooMuch(const std::string& aId,
+                     double aPerRequest,
                      const RangeTable& aRanges,
-                     Holders& aHolders,
-                     Instant aNow,
-                     std::vector<KeySpan>& aGiven)
+                     const LoadMap& aLoad)
 {
-  Group& group = mGroups[aHeartbeat.service];
-  Holder& hot = aHolders.at(aHeartbeat.instance);
-  std::optional<KeySpan> busiest;
-  double most = 0;
+  std::vector<KeySpan> keys;
   for (const wire::RangeSegment& segment : aRanges.Segments()) {
-    if (segment.holder() != aHeartbeat.instance) {
-      continue;
+    if (segment.holder() == aId && !segment.held_back()) {
+      const auto busy = aLoad.BusyKeys(SpanOf(segment), kOverrun / aPerRequest);
+      keys.insert(keys.end(), busy.begin(), busy.end());
     }
-    const KeySpan keys = group.load.BusiestOf(SpanOf(segment));
-    if (group.load.Of(keys) > most) {
-      most = group.load.Of(keys);
-      busiest = keys;
-    }
-  }
-  if (!busiest || hot.busy < kOverrun || most < kDominant * hot.load) {
-    return;
   }
+  std::sort(keys.begin(), keys.end(), [&](KeySpan aOne, KeySpan aOther) {
+    return aLoad.Of(aOne) < aLoad.Of(aOther);
+  });
+  return keys;
+}
+
+/// The fastest instance whose heartbeat is due when the key is released, and
+/// that has no such key: two of them would share what one can have.
+Granter::Holders::iterator
+Granter::TakerAlone(const std::string& aFrom,
+                    const RangeTable& aRanges,
+                    const Group& aGroup,
+                    Holders& aHolders,
+                    Instant aNow) const
+{
   auto best = aHolders.end();
   for (auto at = aHolders.begin(); at != aHolders.end(); ++at) {
+    const auto& [id, holder] = *at;
     const bool faster =
-      best == aHolders.end() || at->second.speed > best->second.speed;
-    if (faster && TakesSoon(at->first, aNow)) {
+      best == aHolders.end() || holder.speed > best->second.speed;
+    const bool awaits =
+      std::any_of(aGroup.moves.begin(),
+                  aGroup.moves.end(),
+                  [&](const Move& aMove) { return aMove.to == at->first; });
+    if (id != aFrom && faster && !awaits && TakesSoon(id, aNow) &&
+        KeysTooMuch(id, holder.perRequest, aRanges, aGroup.load).empty()) {
       best = at;
     }
   }
-  if (best != aHolders.end() && best->second.speed > kFaster * hot.speed) {
-    hot.load -= most;
-    best->second.load += most;
-    group.moves.push_back(Move{ best->first, *busiest, aNow });
-    aGiven.push_back(*busiest);
+  return best;
+}
+
+/// A key that no upstream can carry gains little by a move, and has no owner
+/// meanwhile: it goes to an instance that is clearly faster, which then gives
+/// its other keys away, or away from another such key.
+///
+/// Safeguard: whoever holds it is full, and answers slower for that, so that
+/// others look faster wherever it is. Moved each time, it had no owner for 0.1
+/// to 0.9 s in every one or two; so it stays where it was moved.
+void
+Granter::MoveKeyAlone(const Heartbeat& aHeartbeat,
+                      const RangeTable& aRanges,
+                      Holders& aHolders,
+                      Instant aNow,
+                      std::vector<KeySpan>& aGiven)
+{
+  Group& group = mGroups[aHeartbeat.service];
+  Holder& hot = aHolders.at(aHeartbeat.instance);
+  const std::vector<KeySpan> tooMuch =
+    KeysTooMuch(aHeartbeat.instance, hot.perRequest, aRanges, group.load);
+  const auto key =
+    std::find_if(tooMuch.begin(), tooMuch.end(), [&](KeySpan aKeys) {
+      return !group.movedAlone.contains(aKeys.from);
+    });
+  if (key == tooMuch.end()) {
+    return;
+  }
+  const auto taker =
+    TakerAlone(aHeartbeat.instance, aRanges, group, aHolders, aNow);
+  if (taker == aHolders.end()) {
+    return;
+  }
+  const double load = group.load.Of(*key);
+  const double faster = taker->second.speed / hot.speed;
+  const bool gains = tooMuch.size() > 1
+                       ? faster * static_cast<double>(tooMuch.size()) > 1
+                       : faster > kFaster && load >= kDominant * hot.load;
+  if (gains) {
+    hot.load -= load;
+    taker->second.load += load;
+    group.moves.push_back(Move{ taker->first, *key, aNow });
+    group.movedAlone[key->from] = aNow;
+    aGiven.push_back(*key);
   }
 }
 
@@ -222,6 +288,9 @@
   std::erase_if(aGroup.moves, [&](const Move& aMove) {
     return aNow - aMove.startedAt >= kMoveReserved;
   });
+  std::erase_if(aGroup.movedAlone, [&](const auto& aKey) {
+    return aNow - aKey.second >= kStaysAlone;
+  });
 }
 
 const Granter::Move*
@@ -245,12 +314,17 @@
   if (ranges == nullptr || group == mGroups.end()) {
     return false;
   }
-  const bool released = std::any_of(
-    ranges->Segments().begin(),
-    ranges->Segments().end(),
-    [&](const wire::RangeSegment& aSegment) {
-      return aSegment.held_back() && aSegment.holder() != aHeartbeat.instance;
-    });
+  bool released = false;
+  for (const wire::RangeSegment& segment : ranges->Segments()) {
+    if (!segment.held_back() || segment.holder() == aHeartbeat.instance) {
+      continue;
+    }
+    const Move* move = MoveOf(group->second, SpanOf(segment), aNow);
+    if (move != nullptr && move->to == aHeartbeat.instance) {
+      return true;
+    }
+    released |= move == nullptr;
+  }
   if (!released) {
     return false;
   }
@@ -305,6 +379,12 @@
         ? 1
         : std::clamp(holder.speed / average, kLeastSpeed, kMostSpeed);
   }
+  for (auto& [id, holder] : holders) {
+    const auto seconds = mSeconds.find(id);
+    const double time =
+      seconds == mSeconds.end() ? kDefaultSeconds : seconds->second;
+    holder.perRequest = time / std::max(aState.FindInstance(id)->slots(), 1U);
+  }
   const RangeTable* ranges = aState.Ranges(aService);
   const auto group = mGroups.find(aService);
   if (ranges == nullptr || group == mGroups.end()) {
@@ -315,12 +395,9 @@
     if (found == holders.end()) {
       return;
     }
-    const auto seconds = mSeconds.find(aId);
-    const double time =
-      seconds == mSeconds.end() ? kDefaultSeconds : seconds->second;
-    const uint32_t slots = std::max(aState.FindInstance(aId)->slots(), 1U);
     found->second.load += group->second.load.Of(aKeys);
-    found->second.busy += group->second.load.Rate(aKeys) * time / slots;
+    found->second.busy +=
+      group->second.load.Rate(aKeys) * found->second.perRequest;
   };
   for (const wire::RangeSegment& segment : ranges->Segments()) {
     if (!segment.held_back()) {
@@ -468,7 +545,7 @@
 Granter::SliceOf(const std::string& aHolder,
                  const RangeTable& aRanges,
                  const LoadMap& aLoad,
-                 const std::vector<KeySpan>& aGiven,
+                 const std::vector<KeySpan>& aExcept,
                  double aWanted)
 {
   std::optional<KeySpan> best;
@@ -476,7 +553,7 @@
     if (segment.holder() != aHolder) {
       continue;
     }
-    for (const KeySpan& keys : Without(SpanOf(segment), aGiven)) {
+    for (const KeySpan& keys : Without(SpanOf(segment), aExcept)) {
       const auto slice = aLoad.TakeBusy(keys, aWanted);
       if (slice && (!best || aLoad.Of(*slice) > aLoad.Of(*best))) {
         best = slice;
--- a/src/librattandyke/gateway/granter_moves_test.cpp
+++ b/src/librattandyke/gateway/granter_moves_test.cpp
@@ -81,7 +81,7 @@
 {
 public:
   static constexpr uint32_t kHotKey = 22772;
-  /// Others are a quarter of all requests, evenly spread.
+  /// Requests a second; all others are evenly spread.
   static constexpr double kHotRequests = 120;
   static constexpr double kOtherRequests = 60;
   static constexpr milliseconds kStep{ 20 };
@@ -360,6 +360,37 @@
   EXPECT_TRUE(HoldsBack(leader));
 }
 
+// A holder has grown so slow that each of a dozen keys is too much for it,
+// which others carry with ease. It gives them away together as ever: one at a
+// time, it would be overrun for a dozen heartbeats.
+TEST(Granter, KeysThatAreTooMuchForASlowHolderOnlyGoTogether)
+{
+  Leader leader;
+  Settle(leader);
+  const uint32_t first = FirstKeyOf(leader, "a");
+  for (int report = 0; report < 200; ++report) {
+    leader.granter->NoteTime("a", 0.6);
+    leader.granter->NoteTime("b", 0.1);
+  }
+  for (int report = 0; report < 10; ++report) {
+    wire::RangeLoad load;
+    load.set_service("board");
+    for (uint32_t key = first; key < first + 12; ++key) {
+      load.add_buckets(key);
+      load.add_requests(1);
+    }
+    leader.granter->AddLoad(load);
+    leader.Pass(milliseconds{ 200 });
+  }
+  leader.Answer(From("b", 8));
+  leader.Answer(From("a", 8));
+  size_t given = 0;
+  for (uint32_t key = first; key < first + 12; ++key) {
+    given += leader.state.Ranges("board")->Find(key).held_back() ? 1 : 0;
+  }
+  EXPECT_GE(given, 6U);
+}
+
 // The owner of such a key is three times as slow as the others. It runs a third
 // of what another would, so the key goes to another, and stays there.
 TEST(Granter, KeyThatIsTooMuchLeavesASlowUpstreamOnce)
@@ -376,6 +407,24 @@
   }
 }
 
+// Busy keys lie side by side. Two that are each too much for any upstream share
+// what their owner can run; one of them goes to another upstream. It may have
+// been in a slice before the first reports showed how busy it is.
+TEST(Granter, TwoKeysThatAreTooMuchGetDifferentOwners)
+{
+  const std::vector<uint32_t> hot{ BusyService::kHotKey,
+                                   BusyService::kHotKey + 1 };
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    BusyService service({ 0.1, 0.1, 0.1, 0.1, 0.1, 0.1 }, seed);
+    service.PassFor(std::chrono::seconds{ 5 }, {});
+    ASSERT_EQ(service.Owner(hot[0]), service.Owner(hot[1]));
+    service.Forget();
+    service.PassFor(std::chrono::seconds{ 10 }, hot);
+    EXPECT_NE(service.Owner(hot[0]), service.Owner(hot[1])) << "seed " << seed;
+    EXPECT_LE(service.owners.size(), 2U) << "seed " << seed;
+  }
+}
+
 TEST(Granter, BusyHolderGivesKeysAway)
 {
   Leader leader;
--- a/src/librattandyke/gateway/load_map.cpp
+++ b/src/librattandyke/gateway/load_map.cpp
@@ -112,19 +112,20 @@
   return Counted(aKeys) / mSeconds;
 }
 
-KeySpan
-LoadMap::BusiestOf(KeySpan aKeys) const
+std::vector<KeySpan>
+LoadMap::BusyKeys(KeySpan aKeys, double aASecond) const
 {
-  const uint32_t first = aKeys.from / kKeysPerBucket;
   const uint32_t last = aKeys.to / kKeysPerBucket;
-  uint32_t busiest = first;
-  for (uint32_t bucket = first; bucket <= last; ++bucket) {
-    if (mBuckets[bucket] > mBuckets[busiest]) {
-      busiest = bucket;
+  std::vector<KeySpan> busy;
+  for (uint32_t bucket = aKeys.from / kKeysPerBucket; bucket <= last;
+       ++bucket) {
+    const KeySpan keys{ std::max(aKeys.from, bucket * kKeysPerBucket),
+                        std::min(aKeys.to, (bucket + 1) * kKeysPerBucket - 1) };
+    if (Rate(keys) >= aASecond) {
+      busy.push_back(keys);
     }
   }
-  return { std::max(aKeys.from, busiest * kKeysPerBucket),
-           std::min(aKeys.to, (busiest + 1) * kKeysPerBucket - 1) };
+  return busy;
 }
 
 std::optional<KeySpan>
--- a/src/librattandyke/gateway/load_map.h
+++ b/src/librattandyke/gateway/load_map.h
@@ -47,8 +47,9 @@
   /// near it, around the busiest bucket that fits; nothing if none fits.
   std::optional<KeySpan> TakeBusy(KeySpan aKeys, double aLoad) const;
 
-  /// @return the keys of the busiest bucket within aKeys.
-  KeySpan BusiestOf(KeySpan aKeys) const;
+  /// @return the buckets within aKeys that each alone get so many requests a
+  /// second, or more.
+  std::vector<KeySpan> BusyKeys(KeySpan aKeys, double aASecond) const;
 
 private:
   double Counted(KeySpan aKeys) const;
--- a/src/librattandyke/gateway/load_map_test.cpp
+++ b/src/librattandyke/gateway/load_map_test.cpp
@@ -67,6 +67,19 @@
   EXPECT_GT(map.Rate({ 9, 9 }), 140);
 }
 
+// A holder must know which of its keys overrun it alone, and not count one that
+// lies beside its range.
+TEST_F(LoadMapTest, BusyKeysAreThoseOfTheRangeThatAreBusyAlone)
+{
+  Come(1000, 200, std::chrono::seconds{ 3 });
+  const auto busy = map.BusyKeys({ 900, 1000 }, 150);
+  ASSERT_EQ(busy.size(), 1U);
+  EXPECT_EQ(busy.front().from, 1000U);
+  EXPECT_EQ(busy.front().to, 1000U);
+  EXPECT_TRUE(map.BusyKeys({ 900, 1000 }, 250).empty());
+  EXPECT_TRUE(map.BusyKeys({ 1001, 2000 }, 150).empty());
+}
+
 // One key is more than its holder can take. The holder is to give its other
 // keys away in runs that are worth a move, also those beside that key.
 TEST_F(LoadMapTest, RunBesideAKeyThatIsTooMuchGoesOnAwayFromIt)
