Tests: held-up heartbeats of a process that was never heard

Found by reading, and real: a process crashes before any of its heartbeats comes through, another starts at its address and is granted keys; two heartbeats of the first arrive 0.7 intervals apart while the second is silent for as long. The second is ended before its hold is over and its keys get a second owner. The property's first lives are 2 now, so that there are earlier ones.

--- a/src/librattandyke/gateway/granter_lives_test.cpp
+++ b/src/librattandyke/gateway/granter_lives_test.cpp
@@ -167,6 +167,59 @@
   }
 }
 
+/// What a process that is not known sends from the address of another.
+Heartbeat
+FromAddressOf(const std::string& aOther, uint64_t aLife, uint64_t aSequence)
+{
+  Heartbeat heartbeat = FromLife("x", aLife, aSequence);
+  heartbeat.address = From(aOther, 1).address;
+  return heartbeat;
+}
+
+// A process crashed before any of its heartbeats came through; another one
+// started at its address, was granted keys, and can't reach the control hosts
+// for a moment. Two heartbeats of the first that were held up arrive now, an
+// interval apart: as from a successor of the second, which goes on serving for
+// the rest of its hold. Its keys must not be granted to others before.
+TEST(Granter, HeldUpHeartbeatsOfAnEarlierProcessEndNothing)
+{
+  for (const uint64_t life : { uint64_t{ 0 }, uint64_t{ 100 } }) {
+    Leader leader;
+    const auto beat = [&](const std::string& aInstance, uint64_t aSequence) {
+      return leader.Answer(FromLife(aInstance, life, aSequence));
+    };
+    for (uint64_t sequence = 1; sequence <= 4; ++sequence) {
+      beat("a", sequence);
+      leader.Pass(kInterval / 2);
+      beat("b", sequence);
+      leader.Pass(kInterval / 2);
+    }
+    const std::string owner = leader.HolderOf(0);
+    beat(owner, 5);
+    for (uint64_t sequence = 3; sequence <= 4; ++sequence) {
+      leader.Pass(kInterval);
+      leader.Answer(FromAddressOf(owner, life / 2, sequence));
+    }
+    EXPECT_EQ(leader.HolderOf(0), owner) << "life " << life;
+    EXPECT_TRUE(beat(owner, 6)) << "life " << life;
+  }
+}
+
+// Where lives are told apart, one that started later at an address proves that
+// the earlier one there is over, also if its hold is not.
+TEST(Granter, LaterLifeAtAnAddressEndsTheEarlierOneThere)
+{
+  Leader leader;
+  SettleLives(leader);
+  const std::string owner = leader.HolderOf(0);
+  leader.Answer(FromAddressOf(owner, 200, 1));
+  leader.Pass(kInterval);
+  leader.Answer(FromAddressOf(owner, 200, 2));
+  EXPECT_NE(leader.HolderOf(0), owner);
+  EXPECT_TRUE(leader.state.HasEnded(owner, 100));
+  EXPECT_FALSE(leader.Answer(FromLife(owner, 100, 99)));
+}
+
 // Heartbeats come from a writer that is no upstream of ours: for a service that
 // nobody named, of a known instance under another service, without a life where
 // others tell theirs, from an address that is none. Taken, their sequence would
--- a/src/librattandyke/gateway/granter_test.cpp
+++ b/src/librattandyke/gateway/granter_test.cpp
@@ -214,8 +214,9 @@
 
 // Four upstreams with slow clocks send heartbeats. Answers are lost or late,
 // upstreams crash, start again under their ids or others at their addresses,
-// leaders change, and loads make keys move. At no moment may two upstreams hold
-// the same key, and a key that changes hands must do so with a higher fence.
+// heartbeats of processes that ran there before come late, leaders change, and
+// loads make keys move. At no moment may two upstreams hold the same key, and a
+// key that changes hands must do so with a higher fence.
 RC_GTEST_PROP(Granter, NoKeyHasTwoOwnersInAnySchedule, ())
 {
   Leader leader;
@@ -231,9 +232,12 @@
     Instant sent{};
     Instant arrives{};
   };
+  constexpr uint64_t kEarlierLife = 1;
+  constexpr uint64_t kFirstLife = 2;
+  uint64_t earlier = 0;
   std::vector<Holder> holders;
   for (const char* id : { "a", "b", "c", "d" }) {
-    holders.push_back({ id, 1, 0, true, {}, {}, {} });
+    holders.push_back({ id, kFirstLife, 0, true, {}, {}, {} });
   }
   std::deque<Pending> answers;
   std::deque<std::pair<size_t, Heartbeat>> heldUp;
@@ -260,11 +264,17 @@
       leader.Answer(heldUp.front().second);
       heldUp.pop_front();
     }
+    if (chance(10)) {
+      Heartbeat late = From("old", ++earlier);
+      late.address = From(holders.front().id, 1).address;
+      late.life = kEarlierLife;
+      leader.Answer(late);
+    }
     if (chance(3)) {
       leader.Replace();
     }
     if (chance(3)) {
-      holder = { holder.id + "x", 1, 0, true, {}, {}, {} };
+      holder = { holder.id + "x", kFirstLife, 0, true, {}, {}, {} };
     }
     if (chance(3)) {
       holder = { holder.id, holder.life + 1, 0, true, {}, {}, {} };
