Only a later life or the end of its hold ends an upstream at its address

Cause: two heartbeats of another process at an address, 0.7 intervals apart, with the present one silent, counted for a proof that the present one is over. They prove nothing if both were held up: their sender may have run there before it.

Change: where lives are told, only a later one ends the present one, and an earlier one never does. Where they are not, nothing in a heartbeat tells an earlier process from a successor, so the present one is ended when its hold is over, by the leader's clock. Instances without keys are ended as before.

--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -223,7 +223,7 @@
       !old.lastHeartbeat || *old.lastHeartbeat < *lease.firstHeartbeat;
     const bool lasting = aNow - *lease.firstHeartbeat >=
                          Scaled(mOptions.heartbeatInterval, kReplaceIntervals);
-    if (silent && lasting) {
+    if (silent && lasting && IsOver(other, aHeartbeat, aNow)) {
       wire::EndInstance* end = aCommands.emplace_back().mutable_end_instance();
       end->set_id(id);
       end->set_life(other.life());
@@ -233,6 +233,24 @@
   }
 }
 
+/// Safeguard: heartbeats at an address may be ones of a process that ran there
+/// before the present one and was never heard: they were all held up. Taken for
+/// a successor's, they would end the present one while it serves, and its keys
+/// would have two owners. A later life proves that the present one is over.
+/// Where lives are not told, nothing in a heartbeat does, and only the end of
+/// its hold is certain.
+bool
+Granter::IsOver(const wire::UpstreamInstance& aOld,
+                const Heartbeat& aOther,
+                Instant aNow) const
+{
+  if (aOld.life() > 0 && aOther.life > 0) {
+    return aOther.life > aOld.life();
+  }
+  const auto lease = mLeases.find(aOld.id());
+  return lease == mLeases.end() || aNow >= lease->second.ends;
+}
+
 void
 Granter::FreeAll(const std::string& aId,
                  const State& aState,
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -163,6 +163,11 @@
                     const State& aState,
                     Instant aNow,
                     std::vector<wire::GatewayCommand>& aCommands);
+  /// @return whether an instance is certain to be over, or to hold nothing any
+  /// more, when heartbeats of another come from its address.
+  bool IsOver(const wire::UpstreamInstance& aOld,
+              const Heartbeat& aOther,
+              Instant aNow) const;
   void FreeExpired(const State& aState,
                    Instant aNow,
                    std::vector<wire::GatewayCommand>& aCommands);
