Say twice-written code once

NameOf(Role) stands in consensus/types.h for driver.cpp and group_status.cpp. In SlotBroker the bounds of a refusal's time, the time until a request's turn and the decay of a demand stand once each; in ControlHost the count of messages that are not taken; in RangeTable the walk over the segments of a range that one instance holds.

Left: ControlHost and EntryHost pass Start and Stop on to their Impl in the same words.

--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -24,22 +24,6 @@
   bool operator==(const Standing&) const = default;
 };
 
-std::string_view
-NameOf(Role aRole)
-{
-  switch (aRole) {
-    case Role::Follower:
-      return "follower";
-    case Role::PreCandidate:
-      return "pre-candidate";
-    case Role::Candidate:
-      return "candidate";
-    case Role::Leader:
-      return "leader";
-  }
-  return {};
-}
-
 uint64_t
 RandomIdentity()
 {
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <rattandyke/types.h>
@@ -28,6 +29,23 @@
   Leader
 };
 
+/// @return a role as logs and operators' pages call it.
+constexpr std::string_view
+NameOf(Role aRole)
+{
+  switch (aRole) {
+    case Role::Follower:
+      return "follower";
+    case Role::PreCandidate:
+      return "pre-candidate";
+    case Role::Candidate:
+      return "candidate";
+    case Role::Leader:
+      return "leader";
+  }
+  return {};
+}
+
 /// Times and sizes of a Replica.
 struct ReplicaOptions
 {
--- a/src/librattandyke/control/group_status.cpp
+++ b/src/librattandyke/control/group_status.cpp
@@ -6,22 +6,6 @@
 
 namespace {
 
-std::string_view
-NameOf(consensus::Role aRole)
-{
-  switch (aRole) {
-    case consensus::Role::Follower:
-      return "follower";
-    case consensus::Role::PreCandidate:
-      return "pre-candidate";
-    case consensus::Role::Candidate:
-      return "candidate";
-    case consensus::Role::Leader:
-      return "leader";
-  }
-  return "";
-}
-
 boost::json::object
 MemberLine(const consensus::MemberStatus& aMember)
 {
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -621,13 +621,18 @@
     }
   }
 
+  void CountNotTaken(const Error& aError)
+  {
+    metrics.Count("messages_not_taken",
+                  "code=\"" + std::string(Describe(aError.code).name) + "\"");
+  }
+
   /// A message of another writer, or of an earlier life.
   CallAnswer NotTaken(std::string_view aCall,
                       const std::string& aInstance,
                       const Error& aError)
   {
-    metrics.Count("messages_not_taken",
-                  "code=\"" + std::string(Describe(aError.code).name) + "\"");
+    CountNotTaken(aError);
     Info() << "takes no " << aCall << " of " << aInstance.substr(0, kLoggedId)
            << ": " << aError.message;
     return Refused(aError);
@@ -648,9 +653,7 @@
     Result<ControlCall> call =
       dialect.Decode(aCall.method, aCall.target, aCall.body);
     if (!call) {
-      metrics.Count("messages_not_taken",
-                    "code=\"" + std::string(Describe(call.error().code).name) +
-                      "\"");
+      CountNotTaken(call.error());
       Info() << "refuses " << aCall.method << " "
              << aCall.target.substr(0, kLoggedTarget) << ": "
              << call.error().message;
--- a/src/librattandyke/gateway/range_table.cpp
+++ b/src/librattandyke/gateway/range_table.cpp
@@ -126,23 +126,35 @@
   return {};
 }
 
+/// Changes the segments of a range that one instance holds.
+template<typename Change>
+void
+RangeTable::ChangeHeld(const wire::KeyRange& aRange,
+                       const std::string& aHolder,
+                       Change aChange)
+{
+  if (!IsProper(aRange)) {
+    return;
+  }
+  SplitBefore(aRange.from());
+  SplitBefore(aRange.to() + 1);
+  for (size_t at = IndexOf(aRange.from());
+       at < mSegments.size() && mSegments[at].from() <= aRange.to();
+       ++at) {
+    if (mSegments[at].holder() == aHolder) {
+      aChange(mSegments[at]);
+    }
+  }
+  MergeAround(aRange);
+}
+
 void
 RangeTable::HoldBack(const wire::HoldBackRanges& aCommand)
 {
   for (const wire::KeyRange& range : aCommand.ranges()) {
-    if (!IsProper(range)) {
-      continue;
-    }
-    SplitBefore(range.from());
-    SplitBefore(range.to() + 1);
-    for (size_t at = IndexOf(range.from());
-         at < mSegments.size() && mSegments[at].from() <= range.to();
-         ++at) {
-      if (mSegments[at].holder() == aCommand.holder()) {
-        mSegments[at].set_held_back(true);
-      }
-    }
-    MergeAround(range);
+    ChangeHeld(range, aCommand.holder(), [](wire::RangeSegment& aSegment) {
+      aSegment.set_held_back(true);
+    });
   }
 }
 
@@ -150,21 +162,11 @@
 RangeTable::Free(const wire::FreeRanges& aFree)
 {
   for (const wire::KeyRange& range : aFree.ranges()) {
-    if (!IsProper(range)) {
-      continue;
-    }
-    SplitBefore(range.from());
-    SplitBefore(range.to() + 1);
-    for (size_t at = IndexOf(range.from());
-         at < mSegments.size() && mSegments[at].from() <= range.to();
-         ++at) {
-      if (mSegments[at].holder() == aFree.holder()) {
-        mSegments[at].clear_holder();
-        mSegments[at].clear_held_back();
-        mSegments[at].set_handover(range.handover());
-      }
-    }
-    MergeAround(range);
+    ChangeHeld(range, aFree.holder(), [&](wire::RangeSegment& aSegment) {
+      aSegment.clear_holder();
+      aSegment.clear_held_back();
+      aSegment.set_handover(range.handover());
+    });
   }
 }
 
--- a/src/librattandyke/gateway/range_table.h
+++ b/src/librattandyke/gateway/range_table.h
@@ -60,6 +60,10 @@
 private:
   size_t IndexOf(uint32_t aKey) const;
   void SplitBefore(uint32_t aKey);
+  template<typename Change>
+  void ChangeHeld(const wire::KeyRange& aRange,
+                  const std::string& aHolder,
+                  Change aChange);
   /// Joins segments that are alike in and next to a range: all others are
   /// joined already, and there are thousands of them.
   void MergeAround(const wire::KeyRange& aRange);
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -40,6 +40,16 @@
 constexpr milliseconds kMostRetryAfter{ 1000 };
 constexpr milliseconds kNoUpstreamRetryAfter{ 400 };
 
+/// @return the time until a request starts behind others, of which so many
+/// start a second.
+Duration
+TurnAfter(size_t aAhead, double aRate)
+{
+  const double seconds = static_cast<double>(aAhead + 1) / aRate;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::min(seconds, kLongestWait)));
+}
+
 } // namespace
 
 SlotBroker::SlotBroker(uint64_t aSeed, Duration aDrainTimeout)
@@ -98,6 +108,15 @@
   mAnswers.emplace_back(SlotRefused{ aRequest.key, aHindrance, aRetryAfter });
 }
 
+/// Its caller is to come back when it would have its turn.
+void
+SlotBroker::RefuseAsFull(const SlotRequest& aRequest, Duration aWait)
+{
+  Refuse(aRequest,
+         UpstreamSet::Hindrance::Full,
+         std::clamp<Duration>(aWait, kLeastRetryAfter, kMostRetryAfter));
+}
+
 SlotBroker::Target
 SlotBroker::TargetOf(const SlotRequest& aRequest)
 {
@@ -166,10 +185,7 @@
 Duration
 SlotBroker::ExpectedWait(const SlotRequest& aRequest) const
 {
-  const double seconds =
-    static_cast<double>(Ahead(aRequest, false) + 1) / RateFor(aRequest);
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(std::min(seconds, kLongestWait)));
+  return TurnAfter(Ahead(aRequest, false), RateFor(aRequest));
 }
 
 /// Those whose answers may be in time go first, so that one that is late gets
@@ -180,18 +196,21 @@
   const double rate = RateFor(aRequest);
   const double left =
     std::max(rate - DemandFor(aRequest, aNow), rate * kLeastLeft);
-  const double seconds = static_cast<double>(Ahead(aRequest, true) + 1) / left;
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(std::min(seconds, kLongestWait)));
+  return TurnAfter(Ahead(aRequest, true), left);
+}
+
+double
+SlotBroker::Demand::RequestsAt(Instant aNow) const
+{
+  const std::chrono::duration<double> passed = aNow - at;
+  return requests * std::exp(-passed.count() / kDemandMemory);
 }
 
 void
 SlotBroker::NoteDemand(const SlotRequest& aRequest, Instant aNow)
 {
   Demand& demand = mDemand[TargetOf(aRequest)];
-  const std::chrono::duration<double> passed = aNow - demand.at;
-  demand.requests *= std::exp(-passed.count() / kDemandMemory);
-  demand.requests += 1;
+  demand.requests = demand.RequestsAt(aNow) + 1;
   demand.at = aNow;
 }
 
@@ -202,9 +221,7 @@
   if (found == mDemand.end()) {
     return 0;
   }
-  const std::chrono::duration<double> passed = aNow - found->second.at;
-  return found->second.requests * std::exp(-passed.count() / kDemandMemory) /
-         kDemandMemory;
+  return found->second.RequestsAt(aNow) / kDemandMemory;
 }
 
 void
@@ -236,9 +253,7 @@
   const bool late = !inTime && ExpectedLateWait(aRequest, aNow) <=
                                  Scaled(LatestStart(aRequest), kSureOfLate);
   if (!inTime && !late) {
-    Refuse(aRequest,
-           hindrance,
-           std::clamp<Duration>(wait, kLeastRetryAfter, kMostRetryAfter));
+    RefuseAsFull(aRequest, wait);
     return TakeAnswers();
   }
   Enqueue(aRequest, late, aNow);
@@ -328,10 +343,7 @@
       late.push_back(std::move(request));
       continue;
     }
-    Refuse(request,
-           UpstreamSet::Hindrance::Full,
-           std::clamp<Duration>(
-             ExpectedWait(request), kLeastRetryAfter, kMostRetryAfter));
+    RefuseAsFull(request, ExpectedWait(request));
   }
   for (const SlotRequest& request : late) {
     Enqueue(request, true, aNow);
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -153,6 +153,7 @@
   {
     double requests = 0;
     Instant at{};
+    double RequestsAt(Instant aNow) const;
   };
 
   UpstreamSet::Outcome Choose(const SlotRequest& aRequest, Instant aNow);
@@ -162,6 +163,7 @@
   void Refuse(const SlotRequest& aRequest,
               UpstreamSet::Hindrance aHindrance,
               Duration aRetryAfter);
+  void RefuseAsFull(const SlotRequest& aRequest, Duration aWait);
   static Target TargetOf(const SlotRequest& aRequest);
   Duration AnswerTime(const SlotRequest& aRequest) const;
   Duration PatienceOf(const SlotRequest& aRequest) const;
