Soak: judge each request that ends without an answer

Cause: an entry closed a caller's connection on a whole request beside a large change. The soak counted "no answer" and judged nothing, its operator added one route at a time, and its callers sent small requests on kept connections.

Change: a judge of its own (soak_judge.py, pure, with tests) that allows an end without an answer only after a kill, where all upstreams broke off, or where the request crossed an end that was under way. Arrivals of all requests are noted at the stand-in upstreams, and bodies are compared there. A host that ends by itself is a fault. Soaks beside each other take blocks of ports: those drawn before could overlap. The soak notes when its loop or the disk stands still.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the soak: upstreams that hold keys, callers, an operator."""
+"""Stand-ins of the soak: upstreams that hold keys, and strangers to them."""
 
 import asyncio
 import json
@@ -47,6 +47,7 @@
         self.rows, self.released, self.ends = [], [], 0.0
         self.running = 0
         self.connections = set()
+        self.arrivals = []
         self.server = await asyncio.start_server(
             self.serve, self.host, self.port, reuse_address=True)
         self.task = asyncio.ensure_future(self.beat(self.life))
@@ -54,6 +55,9 @@
     async def crash(self):
         self.alive = False
         self.server.close()
+        now = time.monotonic()
+        for arrival in self.arrivals:
+            arrival.crash(now)
         for writer in list(self.connections):
             writer.transport.abort()
         self.task.cancel()
@@ -111,6 +115,12 @@
 
     async def answer(self, first, fields, body, writer):
         request = fields.get(words.REQUEST_ID.lower(), "")
+        arrival = self.world.arrived(request, self, body)
+        self.arrivals.append(arrival)
+        await self.reply(first, fields, request, writer)
+        arrival.answered = time.monotonic()
+
+    async def reply(self, first, fields, request, writer):
         base = {words.REQUEST_ID: request, words.INSTANCE: self.id}
         if fields.get(words.EXPECTED.lower()) != self.id:
             writer.write(soak_http.message(
@@ -151,113 +161,3 @@
                 words.heartbeat_path(instance), {}, body, timeout=1.0)
             if answer and answer[0] == 200:
                 self.world.broke(f"a stranger's heartbeat was taken: {body}")
-
-
-class Caller:
-    """Sends requests on a kept connection and judges the answers."""
-
-    def __init__(self, world, number):
-        self.world = world
-        self.random = random.Random(f"{world.seed}/{number}")
-        self.number = number
-        self.sent = 0
-
-    async def run(self):
-        while not self.world.over:
-            try:
-                await self.session()
-            except (OSError, soak_http.Broken, asyncio.TimeoutError):
-                self.world.count("no answer")
-            await asyncio.sleep(0.02)
-
-    async def session(self):
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(*self.world.entry_address()), 1)
-        try:
-            while not self.world.over:
-                if not await self.one(reader, writer):
-                    return
-                await asyncio.sleep(self.random.uniform(0.01, 0.06))
-        finally:
-            writer.close()
-
-    async def one(self, reader, writer):
-        self.sent += 1
-        request = f"{self.number}-{self.sent}"
-        read = self.random.random() < 0.5
-        kind = "GET" if read else "POST"
-        fields = {"Host": "soak.example", words.REQUEST_ID: request,
-                  words.DEADLINE: "2000",
-                  words.KEY: str(self.random.randrange(KEYS))}
-        path = "/board/x" if read else "/desk/x"
-        writer.write(soak_http.message(f"{kind} {path} HTTP/1.1", fields))
-        first, answer, body = await asyncio.wait_for(
-            soak_http.read_message(reader), 3.5)
-        self.judge(request, kind, int(first.split()[1]), answer, body)
-        return answer.get("connection", "").lower() != "close"
-
-    def judge(self, request, kind, status, fields, body):
-        world = self.world
-        world.count(str(status))
-        if status == 200:
-            if body != body_for(request, kind):
-                world.broke(f"{request} got another answer: {body[:40]!r}")
-            answered = fields.get(words.REQUEST_ID.lower())
-            if answered != request:
-                world.broke(f"{request} got the answer of {answered}")
-        elif status == 503:
-            world.refused(request, kind)
-        elif status in (404, 400):
-            world.broke(f"{request} got {status}")
-
-
-class Operator:
-    """Changes routes and remembers what was acknowledged."""
-
-    def __init__(self, world):
-        self.world = world
-        self.version = 1
-        self.acknowledged = {}
-
-    def first(self):
-        return words.first_change({
-            "r-board": words.route("/board/", "board", True, 1),
-            "r-desk": words.route("/desk/", "desk", False, 1)})
-
-    async def send(self, change):
-        for _ in range(60):
-            answer = await soak_http.call(
-                *self.world.control_address(), "POST", words.CHANGE_PATH, {},
-                json.dumps(change).encode(), timeout=1.2)
-            if answer and answer[0] == 200:
-                for name, route in change["upsert"]["routes"].items():
-                    self.acknowledged[name] = words.version_of(route)
-                return True
-            if answer and answer[0] in (400, 409):
-                self.world.broke(f"a proper change got {answer}")
-                return False
-            await asyncio.sleep(0.3)
-        return False
-
-    async def run(self):
-        while not self.world.over:
-            await asyncio.sleep(0.7)
-            self.version += 1
-            name = f"r-extra-{self.version % 5}"
-            await self.send(words.change({name: words.route(
-                f"/{name}/", "desk", False, self.version)}))
-
-    async def read_back(self):
-        for _ in range(80):
-            answer = await soak_http.call(*self.world.control_address(), "GET",
-                                          words.READ_PATH, {}, timeout=1.2)
-            if answer and answer[0] == 200:
-                stand = json.loads(answer[1])["routes"]
-                for name, version in self.acknowledged.items():
-                    found = words.version_of(stand.get(name, {}))
-                    if found < version:
-                        self.world.broke(f"{name} stands at {found}, "
-                                         f"acknowledged was {version}")
-                return
-            await asyncio.sleep(0.25)
-        self.world.broke("nothing could be read back")
--- a/scripts/soak_http.py
+++ b/scripts/soak_http.py
@@ -21,12 +21,24 @@
             name, value = line.split(":", 1)
             fields[name.strip().lower()] = value.strip()
     try:
-        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        if fields.get("transfer-encoding", "").lower() == "chunked":
+            body = await read_chunks(reader)
+        else:
+            body = await reader.readexactly(
+                int(fields.get("content-length", 0)))
     except (asyncio.IncompleteReadError, ConnectionError) as error:
         raise Broken(str(error)) from error
     return lines[0], fields, body
 
 
+async def read_chunks(reader):
+    body = b""
+    while size := int((await reader.readline()).strip() or b"0", 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
+
+
 def message(first, fields, body=b""):
     """@return the bytes of a message."""
     lines = [first] + [f"{name}: {value}" for name, value in fields.items()]
@@ -34,6 +46,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def chunked(first, fields, body, random):
+    """@return the bytes of a message whose body comes in chunks."""
+    lines = [first] + [f"{name}: {value}" for name, value in fields.items()]
+    lines.append("Transfer-Encoding: chunked")
+    data = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    while body:
+        size = random.randint(1, len(body))
+        data += f"{size:x}\r\n".encode() + body[:size] + b"\r\n"
+        body = body[size:]
+    return data + b"0\r\n\r\n"
+
+
 async def call(host, port, method, path, fields, body=b"", timeout=2.0):
     """One request on a connection of its own.
     @return status and body; None if there was no whole answer in time."""
--- /dev/null
+++ b/scripts/soak_judge.py
@@ -0,0 +1,144 @@
+"""Judges requests that end without an answer. Pure functions of what was seen:
+no clock, no socket. All times are seconds of one monotonic clock."""
+
+import dataclasses
+
+# What a calm entry may take to end a connection that a request crosses. One
+# that lay whole at it for longer was there to be read.
+WHOLE_SECONDS = 0.2
+# The same for a connection that was ended because it was idle.
+CROSSED_IDLE_SECONDS = 0.1
+# How far past its deadline a request may be answered.
+LATE_SECONDS = 0.5
+# Callers use a connection again that was idle for at most this share of the
+# idle limit.
+IDLE_SHARE = 0.8
+# An upstream that crashes this soon after its answer may not have sent it.
+BROKE_OFF_SECONDS = 0.05
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request came to an upstream, whether it ran there or not."""
+
+    at: float
+    upstream: str
+    answered: float | None = None
+    broke_off: bool = False
+
+    def crash(self, now):
+        if self.answered is None or now - self.answered < BROKE_OFF_SECONDS:
+            self.broke_off = True
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request as its caller saw it."""
+
+    request: str
+    shape: str
+    opened: float           # The connection was.
+    kept: bool = False      # It had carried a request before.
+    idle: float = 0.0       # For how long it had been idle.
+    idle_limit: float = 15.0
+    deadline: float = 2.0
+    whole: float | None = None    # Its last byte was sent.
+    # The answer to the request before it on the connection came then, and said
+    # that the connection closes.
+    behind: float | None = None
+    told_close: bool = False
+
+
+class Spans:
+    """Times that do not count: an entry is stopped, or the soak itself is held
+    up and sees nothing."""
+
+    def __init__(self, spans):
+        self.spans = sorted(spans)
+
+    def counted(self, begin, end):
+        """@return what of this time counts."""
+        left, at = 0.0, begin
+        for first, last in self.spans:
+            first, last = max(first, at), min(last, end)
+            if first < last:
+                left += first - at
+                at = last
+        return left + max(end - at, 0.0)
+
+
+class Life:
+    """What was done to the process of an entry, in order."""
+
+    def __init__(self):
+        self.events = []
+
+    def add(self, at, what):
+        """@param what kill, term, stop, cont or start."""
+        self.events.append((at, what))
+
+    def had(self, what, begin, end):
+        return any(begin <= at <= end for at, name in self.events
+                   if name == what)
+
+    def is_ending(self, begin, end):
+        """@return whether it had been told to end, at some time in between."""
+        told = [what for at, what in self.events
+                if at < begin and what in ("term", "start")]
+        return told[-1:] == ["term"] or self.had("term", begin, end)
+
+    def stopped(self, now):
+        """@return the spans in which it was stopped."""
+        spans, begin = [], None
+        for at, what in self.events:
+            if what == "stop" and begin is None:
+                begin = at
+            elif what in ("cont", "kill", "start") and begin is not None:
+                spans.append((begin, at))
+                begin = None
+        return spans if begin is None else spans + [(begin, now)]
+
+
+def begun(sent):
+    """@return when the entry could first begin to work on the request."""
+    return max(sent.whole, sent.behind or 0.0)
+
+
+def waited(sent, now, life, held_up):
+    """@return for how long a running entry has had the whole request."""
+    spans = Spans(life.stopped(now) + list(held_up))
+    return spans.counted(begun(sent), now)
+
+
+def is_late(sent, now, life, held_up):
+    """@return whether the request should have been answered by now."""
+    return (sent.whole is not None
+            and not life.had("kill", sent.opened, now)
+            and waited(sent, now, life, held_up)
+            > sent.deadline + LATE_SECONDS)
+
+
+def unanswered(sent, ended, life, arrivals, held_up):
+    """Judges a request whose connection ended before its answer.
+    @param arrivals of this request, at all upstreams.
+    @param held_up  spans in which the soak itself saw nothing.
+    @return whether a rule is broken, and a word for what happened."""
+    if life.had("kill", sent.opened, ended):
+        return False, "killed"
+    if arrivals:
+        if all(arrival.broke_off for arrival in arrivals):
+            return False, "upstream broke off"
+        where = ", ".join(arrival.upstream for arrival in arrivals)
+        return True, f"passed on to {where}"
+    terminated = life.is_ending(sent.opened, ended)
+    if sent.whole is None:
+        return not terminated, "cut while it was sent"
+    wait = waited(sent, ended, life, held_up)
+    if wait > WHOLE_SECONDS:
+        return True, f"whole at a running entry for {wait:.3f} s"
+    if terminated or sent.told_close:
+        return False, "crossed the end"
+    if (sent.kept and wait < CROSSED_IDLE_SECONDS
+            and sent.idle >= IDLE_SHARE * sent.idle_limit):
+        return False, "crossed the idle limit"
+    return True, "closed on for no reason"
--- /dev/null
+++ b/scripts/soak_judge_test.py
@@ -0,0 +1,173 @@
+#!/usr/bin/env python3
+"""Tests of the soak's judge: each way in which a request may end without an
+answer is allowed, and each other one is found."""
+
+import unittest
+
+from soak_judge import Arrival, Life, Sent, Spans, is_late, unanswered
+
+
+def life(*events):
+    whole = Life()
+    for at, what in events:
+        whole.add(at, what)
+    return whole
+
+
+def sent(**fields):
+    """A request that was sent whole at 10 s on a connection of 9 s."""
+    return Sent(**{"request": "1-1", "shape": "plain", "opened": 9.0,
+                   "whole": 10.0, **fields})
+
+
+def arrived(**fields):
+    return [Arrival(**{"at": 10.01, "upstream": "i-1", **fields})]
+
+
+class JudgeTest(unittest.TestCase):
+    def judge(self, ended, *events, arrivals=(), held_up=(), **fields):
+        return unanswered(sent(**fields), ended, life(*events), arrivals,
+                          held_up)
+
+    def assert_broken(self, verdict, word):
+        self.assertTrue(verdict[0], verdict)
+        self.assertIn(word, verdict[1])
+
+    def assert_allowed(self, verdict, word):
+        self.assertEqual(verdict, (False, word))
+
+    def test_closed_on_a_new_connection(self):
+        # Nothing was done to the entry: at once or not, there is no reason.
+        self.assert_broken(self.judge(10.01), "no reason")
+
+    def test_killed(self):
+        self.assert_allowed(self.judge(10.5, (10.4, "kill")), "killed")
+
+    def test_killed_before_the_connection_was_opened(self):
+        self.assert_broken(self.judge(10.01, (8, "kill"), (8.5, "start")),
+                           "no reason")
+
+    def test_passed_on(self):
+        self.assert_broken(self.judge(10.02, arrivals=arrived()), "i-1")
+
+    def test_passed_on_after_sigterm(self):
+        self.assert_broken(
+            self.judge(10.02, (9.5, "term"), arrivals=arrived()), "i-1")
+
+    def test_passed_on_and_killed(self):
+        self.assert_allowed(
+            self.judge(10.02, (10.015, "kill"), arrivals=arrived()), "killed")
+
+    def test_upstream_broke_off(self):
+        self.assert_allowed(
+            self.judge(10.02, arrivals=arrived(broke_off=True)),
+            "upstream broke off")
+
+    def test_one_of_two_upstreams_broke_off(self):
+        both = arrived(broke_off=True) + arrived(upstream="i-2")
+        self.assert_broken(self.judge(10.02, arrivals=both), "i-2")
+
+    def test_crossed_the_end_of_a_process(self):
+        self.assert_allowed(self.judge(10.05, (9.5, "term")),
+                            "crossed the end")
+
+    def test_whole_at_an_entry_that_ends(self):
+        self.assert_broken(self.judge(10.25, (9.5, "term")), "running entry")
+
+    def test_sigterm_long_before(self):
+        # Of the process before: this one was told nothing.
+        self.assert_broken(self.judge(10.05, (7, "term"), (8, "start")),
+                           "no reason")
+
+    def test_connected_to_an_entry_that_ends(self):
+        self.assert_allowed(self.judge(10.05, (7, "start"), (8, "term")),
+                            "crossed the end")
+
+    def test_behind_an_answer_that_said_close(self):
+        self.assert_allowed(
+            self.judge(10.3, kept=True, behind=10.29, told_close=True),
+            "crossed the end")
+
+    def test_behind_an_answer_that_said_nothing(self):
+        self.assert_broken(self.judge(10.3, kept=True, behind=10.29),
+                           "no reason")
+
+    def test_crossed_the_idle_limit(self):
+        old = {"kept": True, "idle": 1.3, "idle_limit": 1.5}
+        self.assert_allowed(self.judge(10.05, **old),
+                            "crossed the idle limit")
+        self.assert_broken(self.judge(10.15, **old), "no reason")
+        self.assert_broken(self.judge(10.05, arrivals=arrived(), **old), "i-1")
+
+    def test_idle_for_less_than_the_limit(self):
+        self.assert_broken(
+            self.judge(10.05, kept=True, idle=1.0, idle_limit=1.5),
+            "no reason")
+
+    def test_cut_while_it_was_sent(self):
+        self.assert_broken(self.judge(10.05, whole=None), "cut")
+        self.assert_allowed(self.judge(10.05, (9.5, "term"), whole=None),
+                            "cut while it was sent")
+
+    def test_pause_does_not_count(self):
+        # Paused from 9.9 to 13 s, and SIGTERM then: it had 50 ms to read.
+        events = [(9.9, "stop"), (13, "cont"), (13.01, "term")]
+        self.assert_allowed(self.judge(13.05, *events), "crossed the end")
+        self.assert_broken(self.judge(13.25, *events), "running entry")
+
+    def test_pause_is_no_reason(self):
+        self.assert_broken(self.judge(13.01, (9.9, "stop"), (13, "cont")),
+                           "no reason")
+
+    def test_own_delay_does_not_count(self):
+        # The soak saw nothing from 10.02 to 10.3 s.
+        self.assert_allowed(
+            self.judge(10.3, (9.5, "term"), held_up=[(10.02, 10.3)]),
+            "crossed the end")
+
+
+class LateTest(unittest.TestCase):
+    def test_late(self):
+        self.assertFalse(is_late(sent(), 12.4, life(), []))
+        self.assertTrue(is_late(sent(), 12.6, life(), []))
+
+    def test_paused(self):
+        paused = life((10.5, "stop"), (11.5, "cont"))
+        self.assertFalse(is_late(sent(), 13.4, paused, []))
+        self.assertTrue(is_late(sent(), 13.6, paused, []))
+
+    def test_still_paused(self):
+        self.assertFalse(is_late(sent(), 20, life((10.5, "stop")), []))
+
+    def test_killed(self):
+        self.assertFalse(is_late(sent(), 20, life((10.5, "kill")), []))
+
+    def test_not_whole(self):
+        self.assertFalse(is_late(sent(whole=None), 20, life(), []))
+
+    def test_behind_another(self):
+        self.assertFalse(is_late(sent(behind=11.0), 13.4, life(), []))
+        self.assertTrue(is_late(sent(behind=11.0), 13.6, life(), []))
+
+
+class SpansTest(unittest.TestCase):
+    def test_overlapping_spans_count_once(self):
+        spans = Spans([(3, 5), (1, 4), (4.5, 6), (9, 12)])
+        self.assertAlmostEqual(spans.counted(0, 10), 1 + 3)
+        self.assertAlmostEqual(spans.counted(2, 5.5), 0)
+        self.assertAlmostEqual(spans.counted(7, 8), 1)
+
+
+class ArrivalTest(unittest.TestCase):
+    def test_crash(self):
+        under_way, answered, old = arrived()[0], arrived()[0], arrived()[0]
+        answered.answered, old.answered = 10.02, 9.0
+        for arrival in (under_way, answered, old):
+            arrival.crash(10.03)
+        self.assertTrue(under_way.broke_off)
+        self.assertTrue(answered.broke_off)
+        self.assertFalse(old.broke_off)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -7,21 +7,47 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
 
 import soak_actors
+import soak_callers
+import soak_judge
+import soak_operator
 
 CONTROL_HOSTS = 5
 ENTRY_HOSTS = 3
 UPSTREAMS = 4
 DESKS = 2
-CALLERS = 6
 # Of the requests after the faults; below it the deployment has not recovered.
 SERVED_AFTER = 0.9
 SETTLE_SECONDS = 6
 RECOVERY_SECONDS = 8
+# Blocks of ports, below those that the kernel gives out itself.
+FIRST_PORT, PORT_BLOCK, PORT_BLOCKS = 20000, 50, 240
+LOCK_ADDRESS = "127.0.4.1"
+# The soak's own delays: it looks this often, and one this long is noted.
+TICK_SECONDS, HELD_UP_SECONDS = 0.01, 0.02
+# A delay of the soak, or of its disk, that a reader of a failed run must know.
+NOTED_SECONDS, DISK_TICK_SECONDS = 0.2, 0.5
+EVENTS = {signal.SIGKILL: "kill", signal.SIGTERM: "term",
+          signal.SIGSTOP: "stop", signal.SIGCONT: "cont"}
+
+
+def reserve_ports(first):
+    """Takes a block of ports that no other soak beside this one uses.
+    @return the first port, and the socket that holds the block while open."""
+    for number in range(PORT_BLOCKS):
+        base = FIRST_PORT + (first + number) % PORT_BLOCKS * PORT_BLOCK
+        lock = socket.socket()
+        try:
+            lock.bind((LOCK_ADDRESS, base))
+            return base, lock
+        except OSError:
+            lock.close()  # Another soak has it.
+    raise SystemExit("no block of ports is free")
 
 
 class Proxy:
@@ -83,6 +109,9 @@
                            (self.listen, world.port(1)))
         self.folder = world.folder / self.name
         self.process = None
+        self.life = soak_judge.Life()
+        self.told_to_end = False
+        self.moment = asyncio.Event()
 
     def settings(self, first):
         seeds = ",".join(f"127.0.2.{10 + n}:{self.world.port(1)}"
@@ -114,6 +143,8 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         file = self.folder / "settings.ini"
         file.write_text(self.settings(first))
+        self.told_to_end = False
+        self.life.add(time.monotonic(), "start")
         log = open(self.folder / "log", "ab")
         self.process = subprocess.Popen(
             [str(self.world.binary), "gateway", "--settings", str(file)],
@@ -122,14 +153,27 @@
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
+            self.told_to_end |= number in (signal.SIGTERM, signal.SIGKILL)
+            # Before the signal: what it does to a caller is seen after it.
+            self.life.add(time.monotonic(), EVENTS[number])
             self.process.send_signal(number)
 
+    async def signal_under_callers(self, number):
+        """Callers that wait for this moment send around the signal."""
+        moment, self.moment = self.moment, asyncio.Event()
+        moment.set()
+        await asyncio.sleep(self.world.random.choice([0, 0, 0.001, 0.005]))
+        self.signal(number)
+
     def end(self):
         if self.process:
-            self.signal(signal.SIGCONT)
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    def ended_by_itself(self):
+        return (self.process is not None and not self.told_to_end
+                and self.process.poll() is not None)
+
 
 class World:
     """What a run knows, and what it has seen broken."""
@@ -139,13 +183,19 @@
         self.seed, self.seconds = seed, seconds
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        self.base = 20000 + (os.getpid() * 7 + seed * 61) % 20000
+        self.base, self.ports = reserve_ports(os.getpid() * 7 + seed)
+        self.began = time.monotonic()
         self.over = False
         self.broken = []
         self.counts = collections.Counter()
-        self.faults = []
+        self.faults = 0
+        self.notes = []
         self.runs = collections.Counter()
         self.not_run = set()
+        self.bodies = {}
+        self.arrivals = collections.defaultdict(list)
+        self.held_up = []
+        self.idle_limit = soak_operator.FIRST_IDLE_SECONDS
         self.hosts = [Host(self, "control", n) for n in range(CONTROL_HOSTS)]
         self.entries = [Host(self, "entry", n) for n in range(ENTRY_HOSTS)]
         self.upstreams = [
@@ -159,11 +209,27 @@
     def control_address(self):
         return self.random.choice(self.hosts).listen, self.port(4)
 
-    def entry_address(self):
-        return self.random.choice(self.entries).listen, self.port(2)
+    def at(self, moment):
+        """@return a moment of the clock as a time of this run."""
+        return "never" if moment is None else f"{moment - self.began:.3f} s"
 
     def broke(self, text):
-        self.broken.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+        self.broken.append(f"{self.at(time.monotonic())}: {text}")
+
+    def note(self, text):
+        self.notes.append(f"{self.at(time.monotonic())}: {text}")
+
+    def fault(self, text):
+        self.faults += 1
+        self.note(text)
+
+    def arrived(self, request, upstream, body):
+        """@return the Arrival, whose end the upstream notes."""
+        arrival = soak_judge.Arrival(time.monotonic(), upstream.id)
+        self.arrivals[request].append(arrival)
+        if body != self.bodies.get(request, b""):
+            self.broke(f"{request} reached {upstream.id} with another body")
+        return arrival
 
     def count(self, what):
         self.counts[what] += 1
@@ -195,7 +261,7 @@
     def summary(self):
         seen = ", ".join(f"{name}: {count}"
                          for name, count in sorted(self.counts.items()))
-        return f"{len(self.faults)} faults; {seen}"
+        return f"{self.faults} faults; {seen}"
 
 
 async def host_fault(world, host):
@@ -204,20 +270,20 @@
     kind = rand.choice(["kill", "pause", "term", "reset", "delay", "refuse",
                         "silent", "silent in", "silent out"])
     lasts = rand.uniform(0.3, 3.0)
-    world.faults.append(f"{kind} {host.name} {lasts:.1f}")
+    world.fault(f"{kind} {host.name} {lasts:.1f}")
     if kind == "kill":
         host.end()
         await asyncio.sleep(lasts)
         host.start()
     elif kind == "term":
-        host.signal(signal.SIGTERM)
+        await host.signal_under_callers(signal.SIGTERM)
         await asyncio.get_running_loop().run_in_executor(
             None, host.process.wait)
         host.start()
     elif kind == "pause":
         host.signal(signal.SIGSTOP)
         await asyncio.sleep(lasts)
-        host.signal(signal.SIGCONT)
+        await host.signal_under_callers(signal.SIGCONT)
     elif kind == "reset":
         host.proxy.reset()
     elif kind == "delay":
@@ -235,7 +301,7 @@
 
 async def upstream_fault(world, upstream):
     kind = world.random.choice(["crash", "drain", "restart"])
-    world.faults.append(f"{kind} {upstream.id}")
+    world.fault(f"{kind} {upstream.id}")
     if kind == "drain":
         upstream.draining = True
         await asyncio.sleep(1.5)
@@ -252,20 +318,60 @@
         await asyncio.sleep(world.random.uniform(*pause))
 
 
+async def note_delays(world):
+    """What the soak itself was too late to see, and hosts that ended."""
+    while True:
+        due = time.monotonic() + TICK_SECONDS
+        await asyncio.sleep(TICK_SECONDS)
+        now = time.monotonic()
+        if now - due > HELD_UP_SECONDS:
+            world.held_up.append((due, now))
+        if now - due > NOTED_SECONDS:
+            world.note(f"the soak was held up for {now - due:.2f} s")
+        for host in world.hosts + world.entries:
+            if host.ended_by_itself():
+                host.told_to_end = True
+                world.broke(f"{host.name} ended by itself with "
+                            f"{host.process.returncode}")
+
+
+def sync_file(path):
+    """@return how long the disk took to make a line durable."""
+    begin = time.monotonic()
+    with open(path, "a", encoding="ascii") as file:
+        file.write("x\n")
+        file.flush()
+        os.fsync(file.fileno())
+    return time.monotonic() - begin
+
+
+async def note_disk(world):
+    """Control hosts wait for the disk: without it nothing is acknowledged and
+    nobody is elected. The verdict is the same; the note says where to look."""
+    while True:
+        await asyncio.sleep(DISK_TICK_SECONDS)
+        took = await asyncio.get_running_loop().run_in_executor(
+            None, sync_file, world.folder / "synced")
+        if took > NOTED_SECONDS:
+            world.note(f"the disk took {took:.2f} s")
+
+
 async def play(world):
     world.began = time.monotonic()
+    watches = [asyncio.ensure_future(note_delays(world)),
+               asyncio.ensure_future(note_disk(world))]
     for host in world.hosts + world.entries:
         await host.proxy.start()
         host.start(first=True)
-    operator = soak_actors.Operator(world)
+    operator = soak_operator.Operator(world)
     if not await operator.send(operator.first()):
         world.broke("the first configuration was never acknowledged")
         return
     for upstream in world.upstreams:
         await upstream.start()
     await asyncio.sleep(SETTLE_SECONDS)
-    callers = [soak_actors.Caller(world, n) for n in range(CALLERS)]
-    tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+    tasks = [asyncio.ensure_future(caller.run())
+             for caller in soak_callers.callers(world)]
     tasks.append(asyncio.ensure_future(operator.run()))
     tasks.append(asyncio.ensure_future(soak_actors.Stranger(world).run()))
     half = CONTROL_HOSTS // 2
@@ -286,6 +392,8 @@
     world.over = True
     await asyncio.gather(*tasks)
     await operator.read_back()
+    for watch in watches:
+        watch.cancel()
 
 
 async def end_tasks():
@@ -307,7 +415,7 @@
 
 def kill_all(world):
     """A final fault: all hosts die in the same moment and start again."""
-    world.faults.append("kill all")
+    world.fault("kill all")
     for host in world.hosts + world.entries:
         host.end()
     for host in world.hosts + world.entries:
@@ -318,7 +426,8 @@
     """@return the World of the run, with what was broken."""
     world = World(binary, seed, seconds)
     asyncio.run(play_whole(world))
-    (world.folder / "faults").write_text("\n".join(world.faults) + "\n")
+    world.ports.close()
+    (world.folder / "faults").write_text("\n".join(world.notes) + "\n")
     if not world.broken:
         shutil.rmtree(world.folder, ignore_errors=True)
     return world
