Soak: slow readers and large answers; its own delays lose no request

Change: the soak waits for ends beside its loop. The judge counts a connection as idle since its answer may have come, and a request as slow that took as long to send as the idle limit. One answer in eight is large, and some callers read slowly, so that answers lie with the entry when it ends.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -6,6 +6,7 @@
 import random
 import sys
 import time
+import zlib
 
 import soak_http
 
@@ -15,11 +16,14 @@
 import soak_words as words  # noqa: E402
 
 KEYS = 65536
+LARGE_ANSWER_EACH = 8
 
 
 def body_for(request_id, kind):
-    """The one right answer to a request."""
-    return f"{kind}:{request_id}:".encode() * 20
+    """The one right answer to a request; one in some is large, so that a slow
+    reader's answer lies with the entry for a while."""
+    large = zlib.crc32(request_id.encode()) % LARGE_ANSWER_EACH == 0
+    return f"{kind}:{request_id}:".encode() * (30000 if large else 20)
 
 
 class Upstream:
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import time
 
 import soak_http
@@ -17,6 +18,8 @@
 # have seen the end of the connection.
 ARRIVALS_SECONDS = 0.2
 CHECK_SECONDS = 0.25
+# Slow readers leave most of a large answer with the entry for this long.
+SLOW_BUFFER_BYTES, SLOW_SECONDS = 8192, 0.15
 
 
 class Late(Exception):
@@ -26,17 +29,38 @@
 class Connection:
     """A caller's connection to an entry."""
 
-    def __init__(self, world, entry):
-        self.world, self.entry = world, entry
+    def __init__(self, world, entry, slow=False):
+        """@param slow whether answers are read slowly."""
+        self.world, self.entry, self.slow = world, entry, slow
         self.carried = 0
-        self.used = time.monotonic()
+        self.asked = self.used = time.monotonic()
 
     async def open(self):
         self.opened = time.monotonic()
-        self.reader, self.writer = await asyncio.wait_for(
-            asyncio.open_connection(self.entry.listen, self.world.port(2)), 1)
+        self.reader, self.writer = await asyncio.wait_for(self.connect(), 1)
         self.used = time.monotonic()
 
+    async def connect(self):
+        own = socket.socket()
+        own.setblocking(False)
+        if self.slow:
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                           SLOW_BUFFER_BYTES)
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                own, (self.entry.listen, self.world.port(2)))
+            return await asyncio.open_connection(sock=own)
+        except BaseException:
+            own.close()
+            raise
+
+    async def read_message(self):
+        if self.slow:
+            self.writer.transport.pause_reading()
+            await asyncio.sleep(SLOW_SECONDS)
+            self.writer.transport.resume_reading()
+        return await soak_http.read_message(self.reader)
+
     def idle(self):
         return time.monotonic() - self.used
 
@@ -61,7 +85,8 @@
             self.writer.write(piece)
         while self.writer.transport.get_write_buffer_size() > 0:
             await asyncio.sleep(0.001)
-        return time.monotonic()
+        self.asked = time.monotonic()
+        return self.asked
 
     def close(self):
         self.writer.close()
@@ -86,8 +111,9 @@
 
     async def run(self):
         while not self.world.over:
-            connection = Connection(self.world,
-                                    self.random.choice(self.world.entries))
+            connection = Connection(
+                self.world, self.random.choice(self.world.entries),
+                self.shapes is ALL_SHAPES and self.random.random() < 0.3)
             try:
                 await connection.open()
             except (OSError, asyncio.TimeoutError):
@@ -162,8 +188,8 @@
         self.world.bodies[request] = body
         return soak_judge.Sent(
             request, shape, connection.opened, connection.carried > 0,
-            connection.idle(), self.world.idle_limit,
-            DEADLINE_SECONDS), kind, data
+            connection.asked, connection.idle(), time.monotonic(),
+            deadline=DEADLINE_SECONDS), kind, data
 
     def body(self, request, shape):
         if shape == "long":
@@ -192,8 +218,7 @@
         return fields.get("connection", "").lower() != "close"
 
     async def wait(self, connection, sent):
-        reading = asyncio.ensure_future(
-            soak_http.read_message(connection.reader))
+        reading = asyncio.ensure_future(connection.read_message())
         try:
             while not (await asyncio.wait([reading],
                                           timeout=CHECK_SECONDS))[0]:
@@ -209,6 +234,7 @@
 
     async def judge_end(self, connection, sent, ended):
         await asyncio.sleep(ARRIVALS_SECONDS)
+        sent.idle_limit = self.world.idle_limit
         broken, word = soak_judge.unanswered(
             sent, ended, connection.entry.life,
             self.world.arrivals[sent.request], self.world.held_up)
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -170,6 +170,11 @@
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    async def has_ended(self):
+        """Beside the loop: a process that waits for the disk ends late."""
+        await asyncio.get_running_loop().run_in_executor(
+            None, self.process.wait)
+
     def ended_by_itself(self):
         return (self.process is not None and not self.told_to_end
                 and self.process.poll() is not None)
@@ -272,13 +277,13 @@
     lasts = rand.uniform(0.3, 3.0)
     world.fault(f"{kind} {host.name} {lasts:.1f}")
     if kind == "kill":
-        host.end()
+        host.signal(signal.SIGKILL)
+        await host.has_ended()
         await asyncio.sleep(lasts)
         host.start()
     elif kind == "term":
         await host.signal_under_callers(signal.SIGTERM)
-        await asyncio.get_running_loop().run_in_executor(
-            None, host.process.wait)
+        await host.has_ended()
         host.start()
     elif kind == "pause":
         host.signal(signal.SIGSTOP)
@@ -381,7 +386,8 @@
         faults(world, world.entries[:1], host_fault, (0.3, 3.0)),
         faults(world, world.entries[1:], host_fault, (0.5, 3.0)),
         faults(world, world.upstreams, upstream_fault, (0.5, 3.0)))
-    world.random.choice([lambda: None, lambda: kill_all(world)])()
+    if world.random.random() < 0.5:
+        await kill_all(world)
     await asyncio.sleep(RECOVERY_SECONDS)
     before = collections.Counter(world.counts)
     await asyncio.sleep(3)
@@ -413,11 +419,13 @@
         await end_tasks()
 
 
-def kill_all(world):
+async def kill_all(world):
     """A final fault: all hosts die in the same moment and start again."""
     world.fault("kill all")
     for host in world.hosts + world.entries:
-        host.end()
+        host.signal(signal.SIGKILL)
+    for host in world.hosts + world.entries:
+        await host.has_ended()
     for host in world.hosts + world.entries:
         host.start()
 
