Soak: upstreams that leave and deregister, callers that close; kills take time

Upstreams also leave as most do: draining, deregistered, gone. Callers of single requests may say "Connection: close".

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -17,6 +17,7 @@
 
 KEYS = 65536
 LARGE_ANSWER_EACH = 8
+LEAVING_SECONDS = 1.5
 
 
 def body_for(request_id, kind):
@@ -56,6 +57,20 @@
             self.serve, self.host, self.port, reuse_address=True)
         self.task = asyncio.ensure_future(self.beat(self.life))
 
+    async def leave(self):
+        """As one that says so in time: it serves on for a while."""
+        self.draining = True
+        await asyncio.sleep(LEAVING_SECONDS)
+        self.task.cancel()
+        answer = await soak_http.call(
+            *self.world.control_address(), "POST",
+            words.deregister_path(self.id), {},
+            json.dumps({"born": self.life}).encode(), timeout=1.0)
+        if answer and 400 <= answer[0] < 500:
+            self.world.broke(f"{self.id} left and got {answer}")
+        await asyncio.sleep(LEAVING_SECONDS / 5)
+        await self.crash()
+
     async def crash(self):
         self.alive = False
         self.server.close()
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -113,7 +113,7 @@
         while not self.world.over:
             connection = Connection(
                 self.world, self.random.choice(self.world.entries),
-                self.shapes is ALL_SHAPES and self.random.random() < 0.3)
+                self.shapes is not PLAIN and self.random.random() < 0.3)
             try:
                 await connection.open()
             except (OSError, asyncio.TimeoutError):
@@ -181,6 +181,8 @@
         fields = {"Host": "soak.example", words.REQUEST_ID: request,
                   words.DEADLINE: str(int(DEADLINE_SECONDS * 1000)),
                   words.KEY: str(self.random.randrange(KEYS))}
+        if self.new_share == 1.0 and self.random.random() < 0.5:
+            fields["Connection"] = "close"
         first = f"{kind} {'/board/x' if read else '/desk/x'} HTTP/1.1"
         data = (soak_http.chunked(first, fields, body, self.random)
                 if shape.startswith("chunked")
@@ -292,14 +294,14 @@
 
 
 PLAIN = ["plain"]
-ALL_SHAPES = ["plain", "pieces", "long", "chunked", "chunked pieces",
-              "pipelined"]
+SINGLE_SHAPES = ["plain", "pieces", "long", "chunked", "chunked pieces"]
+ALL_SHAPES = [*SINGLE_SHAPES, "pipelined"]
 
 
 def callers(world):
     """@return all callers of a run."""
     makes = ([(Caller, PLAIN, 0.0)] * 3 + [(Caller, PLAIN, 1.0)] * 2
-             + [(Caller, ALL_SHAPES, 0.1)] * 3 + [(Caller, ALL_SHAPES, 1.0)]
+             + [(Caller, ALL_SHAPES, 0.1)] * 3 + [(Caller, SINGLE_SHAPES, 1.0)]
              + [(MomentCaller, PLAIN, 0.0)] * 3
              + [(MomentCaller, ALL_SHAPES, 0.0)] * 3)
     return [make(world, number, shapes, new_share)
--- a/scripts/soak_judge_test.py
+++ b/scripts/soak_judge_test.py
@@ -47,6 +47,10 @@
         self.assert_broken(self.judge(10.01, (8, "kill"), (8.5, "start")),
                            "no reason")
 
+    def test_connected_to_an_entry_that_was_killed(self):
+        self.assert_allowed(self.judge(10.01, (8, "start"), (8.999, "kill")),
+                            "killed")
+
     def test_passed_on(self):
         self.assert_broken(self.judge(10.02, arrivals=arrived()), "i-1")
 
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -305,12 +305,15 @@
 
 
 async def upstream_fault(world, upstream):
-    kind = world.random.choice(["crash", "drain", "restart"])
+    kind = world.random.choice(["crash", "drain", "leave", "restart"])
     world.fault(f"{kind} {upstream.id}")
     if kind == "drain":
         upstream.draining = True
-        await asyncio.sleep(1.5)
-    await upstream.crash()
+        await asyncio.sleep(soak_actors.LEAVING_SECONDS)
+    if kind == "leave":
+        await upstream.leave()
+    else:
+        await upstream.crash()
     await asyncio.sleep(world.random.uniform(0.2, 2.0))
     await upstream.start(same_id=kind == "restart")
 
