Soak: recovery begins on a disk that works; callers that trust the last limit

Change: the time to recover is counted from when the disk works; one that never does ends the wait after 60 s, and the verdict is as before. The judge allows the end of a connection whose caller stood still for 2.5 s. Half of the callers trust the idle limit that was acknowledged last, as the platform's do, so that ends of idle connections and requests cross.

Measured: tests of the judge pass.

--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -29,9 +29,13 @@
 class Connection:
     """A caller's connection to an entry."""
 
-    def __init__(self, world, entry, slow=False):
-        """@param slow whether answers are read slowly."""
-        self.world, self.entry, self.slow = world, entry, slow
+    def __init__(self, world, entry, slow=False, trusting=False):
+        """@param slow     whether answers are read slowly.
+        @param trusting whether the idle limit acknowledged last is thought to
+                        hold; it does not for a connection that was idle under
+                        a smaller one before."""
+        self.world, self.entry = world, entry
+        self.slow, self.trusting = slow, trusting
         self.carried = 0
         self.asked = self.used = time.monotonic()
 
@@ -67,8 +71,10 @@
     def is_usable(self):
         """@return whether it is open, and was idle for no longer than callers
         may."""
-        return (not self.has_ended() and self.idle()
-                < soak_judge.IDLE_SHARE * self.world.idle_limit)
+        limit = (self.world.last_idle_limit if self.trusting
+                 else self.world.idle_limit)
+        return (not self.has_ended()
+                and self.idle() < soak_judge.IDLE_SHARE * limit)
 
     def has_ended(self):
         return (self.reader.at_eof() or self.reader.exception() is not None
@@ -113,7 +119,8 @@
         while not self.world.over:
             connection = Connection(
                 self.world, self.random.choice(self.world.entries),
-                self.shapes is not PLAIN and self.random.random() < 0.3)
+                self.shapes is not PLAIN and self.random.random() < 0.3,
+                self.random.random() < 0.5)
             try:
                 await connection.open()
             except (OSError, asyncio.TimeoutError):
@@ -130,14 +137,16 @@
         while await self.one(connection) and not self.world.over:
             if self.random.random() < self.new_share:
                 return
-            await self.pause()
+            await self.pause(connection)
             if not connection.is_usable():
                 return
 
-    async def pause(self):
+    async def pause(self, connection):
         if self.random.random() < 0.03:
-            longest = min(soak_judge.IDLE_SHARE * self.world.idle_limit,
-                          LONG_IDLE_SECONDS)
+            longest = LONG_IDLE_SECONDS
+            if not connection.trusting:
+                longest = min(longest, soak_judge.IDLE_SHARE
+                              * self.world.idle_limit)
             await asyncio.sleep(self.random.uniform(0.5, 1.0) * longest)
         else:
             await asyncio.sleep(self.random.uniform(0.01, 0.06))
--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -13,6 +13,9 @@
 # Callers use a connection again that was idle for at most this share of the
 # idle limit.
 IDLE_SHARE = 0.8
+# A caller that stands still for this long takes nothing of a large answer; the
+# entry may give it up (after 3 s in which it takes nothing).
+STOOD_STILL_SECONDS = 2.5
 # An upstream that crashes this soon after its answer may not have sent it.
 BROKE_OFF_SECONDS = 0.05
 
@@ -144,6 +147,9 @@
     @return whether a rule is broken, and a word for what happened."""
     if life.is_under("kill", sent.opened, ended):
         return False, "killed"
+    if (sent.whole is not None and Spans(held_up).lost(sent.whole, ended)
+            >= STOOD_STILL_SECONDS):
+        return False, "the caller stood still"
     if arrivals:
         if all(arrival.broke_off for arrival in arrivals):
             return False, "upstream broke off"
--- a/scripts/soak_judge_test.py
+++ b/scripts/soak_judge_test.py
@@ -62,6 +62,15 @@
         self.assert_allowed(
             self.judge(10.02, (10.015, "kill"), arrivals=arrived()), "killed")
 
+    def test_caller_stood_still(self):
+        self.assert_allowed(self.judge(13.0, arrivals=arrived(),
+                                       held_up=[(10.2, 12.9)]),
+                            "the caller stood still")
+        self.assert_broken(self.judge(13.0, arrivals=arrived(),
+                                      held_up=[(10.2, 12.6)]), "i-1")
+        self.assert_broken(self.judge(13.0, arrivals=arrived(),
+                                      held_up=[(6.0, 9.9)]), "i-1")
+
     def test_upstream_broke_off(self):
         self.assert_allowed(
             self.judge(10.02, arrivals=arrived(broke_off=True)),
--- a/scripts/soak_operator.py
+++ b/scripts/soak_operator.py
@@ -100,7 +100,8 @@
         idle = self.random.choice(IDLE_SECONDS)
         self.world.idle_limit = min(self.world.idle_limit, idle)
         self.world.note(f"idle limit {idle} s")
-        await self.send(words.limits(idle, self.version))
+        if await self.send(words.limits(idle, self.version)):
+            self.world.last_idle_limit = idle
 
     async def read_back(self):
         for _ in range(80):
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -32,6 +32,7 @@
 TICK_SECONDS, HELD_UP_SECONDS = 0.01, 0.02
 # A delay of the soak, or of its disk, that a reader of a failed run must know.
 NOTED_SECONDS, DISK_TICK_SECONDS = 0.2, 0.5
+DISK_STANDS_SECONDS, LONGEST_RECOVERY_SECONDS = 1.0, 60
 EVENTS = {signal.SIGKILL: "kill", signal.SIGTERM: "term",
           signal.SIGSTOP: "stop", signal.SIGCONT: "cont"}
 
@@ -200,7 +201,11 @@
         self.bodies = {}
         self.arrivals = collections.defaultdict(list)
         self.held_up = []
+        # The disk was found to stand still, at last then; it was asked then.
+        self.disk_stood, self.disk_asked = 0.0, None
+        # The smallest that was ever sent, and the last acknowledged.
         self.idle_limit = soak_operator.FIRST_IDLE_SECONDS
+        self.last_idle_limit = soak_operator.FIRST_IDLE_SECONDS
         self.hosts = [Host(self, "control", n) for n in range(CONTROL_HOSTS)]
         self.entries = [Host(self, "entry", n) for n in range(ENTRY_HOSTS)]
         self.upstreams = [
@@ -355,13 +360,31 @@
 
 async def note_disk(world):
     """Control hosts wait for the disk: without it nothing is acknowledged and
-    nobody is elected. The verdict is the same; the note says where to look."""
+    nobody is elected."""
     while True:
         await asyncio.sleep(DISK_TICK_SECONDS)
+        world.disk_asked = time.monotonic()
         took = await asyncio.get_running_loop().run_in_executor(
             None, sync_file, world.folder / "synced")
+        world.disk_asked = None
         if took > NOTED_SECONDS:
             world.note(f"the disk took {took:.2f} s")
+        if took > DISK_STANDS_SECONDS:
+            world.disk_stood = time.monotonic()
+
+
+async def recovery(world):
+    """Waits until hosts have had the time to recover, on a disk that works: no
+    host can elect, grant or acknowledge anything without it."""
+    began = time.monotonic()
+    while (now := time.monotonic()) < began + LONGEST_RECOVERY_SECONDS:
+        asked = world.disk_asked
+        if asked is not None and now - asked > DISK_STANDS_SECONDS:
+            world.disk_stood = now
+        if now - max(world.disk_stood, began) >= RECOVERY_SECONDS:
+            return
+        await asyncio.sleep(DISK_TICK_SECONDS)
+    world.note("the disk never worked for long enough")
 
 
 async def play(world):
@@ -391,7 +414,7 @@
         faults(world, world.upstreams, upstream_fault, (0.5, 3.0)))
     if world.random.random() < 0.5:
         await kill_all(world)
-    await asyncio.sleep(RECOVERY_SECONDS)
+    await recovery(world)
     before = collections.Counter(world.counts)
     await asyncio.sleep(3)
     after = world.counts - before
