Keep the places of routes right through repeated names; tell late requests of the last call

A request that is read after the last call of a leaving host was not told, and an upstream that was at work then counted as silent. A connection that has not begun to read had an idle end in the past. Change: routes that a change touches leave the indices before any comes in; the front remembers the last call; work that the host gives up counts as abandoned; a connection's idle end is set when it is made. Conclusion: the first is out of reach of the operators' calls, which carry a name once; the others could act at the end of a grace.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -38,6 +38,7 @@
   : mSocket(std::move(aSocket))
   , mClock(aClock)
   , mMadeAt(aClock.Now())
+  , mIdleUntil(Instant::max()) // Until it reads, it can't have been idle.
 {
   net::LimitUnacknowledged(mSocket, kUnacknowledged);
 }
@@ -214,7 +215,7 @@
 CallerConnection::LastCall()
 {
   if (mWatched) {
-    mWatched->Expire();
+    mWatched->HostEnds();
   }
   if (mPhase == Phase::Reading) {
     mGivenTime = true;
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -111,7 +111,7 @@
   bool mUsed = false;
   Phase mPhase = Phase::Reading;
   bool mEnding = false;
-  Instant mIdleUntil{};
+  Instant mIdleUntil;
   /// The request that arrives has met an end, and was given time for its rest.
   bool mGivenTime = false;
   /// Whose caller is watched.
--- a/src/librattandyke/gateway/caller_front.cpp
+++ b/src/librattandyke/gateway/caller_front.cpp
@@ -275,6 +275,9 @@
   const bool head = request.method == "HEAD";
   auto context = std::make_shared<RequestContext>(mExecutor);
   aConnection->Watch(context);
+  if (mLastCalled) { // It came after the call to those that were here.
+    context->HostEnds();
+  }
   Ended end{ ConnectionEnd::Answered, id };
   const CallerAnswer answer =
     co_await AnswerOf(context, std::move(request), end.reason);
@@ -411,6 +414,7 @@
 void
 CallerFront::LastCall()
 {
+  mLastCalled = true;
   for (const Connection& connection : mOpen) {
     connection->LastCall();
   }
--- a/src/librattandyke/gateway/caller_front.h
+++ b/src/librattandyke/gateway/caller_front.h
@@ -103,6 +103,7 @@
   bool mAccepting = false;
   size_t mLingering = 0;
   bool mStopping = false;
+  bool mLastCalled = false;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/items.cpp
+++ b/src/librattandyke/gateway/items.cpp
@@ -288,11 +288,7 @@
   if (route == mRoutes.end()) {
     return;
   }
-  const auto place = mPlaces.find(PlaceOf(route->second));
-  // Another route of the same change may stand there by now.
-  if (place != mPlaces.end() && place->second == aRoute) {
-    mPlaces.erase(place);
-  }
+  mPlaces.erase(PlaceOf(route->second));
   for (const wire::RoutePart& part : route->second.parts()) {
     const auto uses = mUses.find(part.service());
     if (--uses->second == 0) {
@@ -301,27 +297,6 @@
   }
 }
 
-void
-ItemTable::PutRoute(const wire::RouteItem& aRoute)
-{
-  if (IsNewer(aRoute.version(),
-              VersionOf(mRoutes, mDroppedRoutes, aRoute.name()))) {
-    Unindex(aRoute.name());
-    Put(mRoutes, mDroppedRoutes, aRoute);
-    Index(aRoute);
-  }
-}
-
-void
-ItemTable::DropRoute(const wire::DroppedItem& aDrop)
-{
-  if (IsNewer(aDrop.version(),
-              VersionOf(mRoutes, mDroppedRoutes, aDrop.name()))) {
-    Unindex(aDrop.name());
-    Drop(mRoutes, mDroppedRoutes, aDrop);
-  }
-}
-
 Result<void>
 ItemTable::Check(const wire::ChangeItems& aChange) const
 {
@@ -368,8 +343,14 @@
 void
 ItemTable::Apply(const wire::ChangeItems& aChange)
 {
+  // All that change leave the indices before any comes into them: one may take
+  // the place of another, and a name may be there more than once.
+  const Outcome outcome(*this, aChange);
+  for (const auto& [name, route] : outcome.routes.Changed()) {
+    Unindex(name);
+  }
   for (const wire::DroppedItem& drop : aChange.dropped_routes()) {
-    DropRoute(drop);
+    Drop(mRoutes, mDroppedRoutes, drop);
   }
   for (const wire::DroppedItem& drop : aChange.dropped_services()) {
     Drop(mServices, mDroppedServices, drop);
@@ -378,7 +359,12 @@
     Put(mServices, mDroppedServices, service);
   }
   for (const wire::RouteItem& route : aChange.routes()) {
-    PutRoute(route);
+    Put(mRoutes, mDroppedRoutes, route);
+  }
+  for (const auto& [name, route] : outcome.routes.Changed()) {
+    if (route != nullptr) {
+      Index(*route);
+    }
   }
   if (aChange.has_limits() &&
       (mLimits.source().empty() ||
--- a/src/librattandyke/gateway/items.h
+++ b/src/librattandyke/gateway/items.h
@@ -49,8 +49,6 @@
 
   Result<void> CheckPlaces(const Outcome& aOutcome) const;
   Result<void> CheckServices(const Outcome& aOutcome) const;
-  void PutRoute(const wire::RouteItem& aRoute);
-  void DropRoute(const wire::DroppedItem& aDrop);
   void Index(const wire::RouteItem& aRoute);
   /// Before the route of that name goes or changes; there may be none.
   void Unindex(const std::string& aRoute);
@@ -65,10 +63,9 @@
   /// Name of the route at each host and prefix, and number of parts of routes
   /// that name a service.
   ///
-  /// Safeguard: without them each change was checked against a copy of all
-  /// items. With 4,200 routes the change of one kept the thread of an entry
-  /// host with a tenth of a core for more than 50 ms, in which it answered
-  /// nobody. With them a change costs what it changes.
+  /// Safeguard: checked against all items, the change of one route among
+  /// thousands keeps the thread of a small entry host for 50 ms, in which it
+  /// answers nobody. With these a change costs what it changes.
   std::map<std::pair<std::string, std::string>, std::string> mPlaces;
   std::map<std::string, size_t> mUses;
 };
--- a/src/librattandyke/gateway/request_context.cpp
+++ b/src/librattandyke/gateway/request_context.cpp
@@ -32,6 +32,15 @@
   Abort(kNoAnswer);
 }
 
+/// Safeguard: taken for silent, an upstream that was at work would be avoided
+/// by all hosts for a fault that was none.
+void
+RequestContext::HostEnds()
+{
+  mHostEnds = true;
+  Expire();
+}
+
 void
 RequestContext::Attach(std::shared_ptr<ExchangeHandle> aHandle)
 {
--- a/src/librattandyke/gateway/request_context.h
+++ b/src/librattandyke/gateway/request_context.h
@@ -24,8 +24,16 @@
   /// The request's time is up.
   void Expire();
 
+  /// The host ends: the request's time is up, whoever works on it.
+  void HostEnds();
+
   bool IsOver() const { return mLeft || mExpired; }
   bool HasLeft() const { return mLeft; }
+
+  /// @return whether the work was given up for a reason that says nothing of
+  /// the upstream that it was sent to.
+  bool IsAbandoned() const { return mLeft || mHostEnds; }
+
   bool HasExpired() const { return mExpired; }
 
   /// A try begins, which ends with the request.
@@ -43,6 +51,7 @@
   std::shared_ptr<ExchangeHandle> mHandle;
   bool mLeft = false;
   bool mExpired = false;
+  bool mHostEnds = false;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -109,9 +109,9 @@
 }
 
 TryEnd
-EndOf(const ExchangeResult& aResult, bool aCallerLeft)
+EndOf(const ExchangeResult& aResult, bool aAbandoned)
 {
-  if (aCallerLeft) {
+  if (aAbandoned) {
     return TryEnd::Abandoned;
   }
   switch (aResult.kind) {
@@ -443,7 +443,7 @@
   ExchangeResult result =
     co_await mExchanger.Run(peer, aFlow.request, left, handle);
   aFlow.context->Detach();
-  mDesk.Release(slot, EndOf(result, aFlow.context->HasLeft()), result.took);
+  mDesk.Release(slot, EndOf(result, aFlow.context->IsAbandoned()), result.took);
   mMetrics.Count("tries", TryLabel(result.kind));
   mMetrics.Observe("try", result.took);
   aFlow.lastUpstream = slot.instance;
