ControlHost in files of one part each

Its private Impl is declared in control_host_impl.h; start, stop and time stay in control_host.cpp (229 lines), and the log (124), messages of other hosts (176) and calls (316) have files of their own. Functions and constants are moved as they were; the only word that changed is the name of the time that a call waits, now Awaited::kTimeout.

--- /dev/null
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -0,0 +1,316 @@
+// Calls of upstreams and operators.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "base/endpoint.h"
+#include "gateway/control_host_impl.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/// Attempts to grant keys that another heartbeat was given meanwhile.
+constexpr int kGrantAttempts = 3;
+/// Longest delay of an answer for keys on their way; an upstream takes answers
+/// that come within a second.
+constexpr milliseconds kKeysAwaited{ 350 };
+/// Of an id that anyone may have written, in the log.
+constexpr size_t kLoggedId = 64;
+constexpr size_t kLoggedTarget = 128;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kInvalid = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kUnavailable = 503;
+
+unsigned
+StatusOf(const Error& aError)
+{
+  switch (aError.code) {
+    case Code::UnknownRecord:
+      return kNotFound;
+    case Code::InvalidRecord:
+      return kInvalid;
+    case Code::RevisionConflict:
+    case Code::UpstreamSuperseded:
+      return kConflict;
+    default:
+      return kUnavailable;
+  }
+}
+
+} // namespace
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::HandleWeak(std::weak_ptr<Impl> aSelf, CallRequest aCall)
+{
+  const auto self = aSelf.lock();
+  if (!self) {
+    co_return CallAnswer{ kUnavailable, "", "application/json" };
+  }
+  const Instant arrived = self->clock.Now();
+  CallAnswer answer = co_await self->Handle(std::move(aCall));
+  self->metrics.Count("calls",
+                      "status=\"" + std::to_string(answer.status) + "\"");
+  self->metrics.Observe("call", self->clock.Now() - arrived);
+  co_return answer;
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::Handle(CallRequest aCall)
+{
+  if (driver->IsLeader()) {
+    co_return co_await HandleAsLeader(aCall);
+  }
+  const auto leader = driver->LeaderHint();
+  if (!leader || *leader == self) {
+    co_return Unavailable("No control host leads at the moment.");
+  }
+  const uint64_t id = ++lastCall;
+  auto awaited = std::make_shared<Awaited<CallAnswer>>(executor);
+  forwarded[id] = awaited;
+  wire::GatewayFrame frame;
+  wire::ForwardedCall* call = frame.mutable_forwarded_call();
+  call->set_id(id);
+  call->set_reply_to(self.value);
+  call->set_method(aCall.method);
+  call->set_target(aCall.target);
+  call->set_body(aCall.body);
+  mesh->Send(*leader, frame.SerializeAsString());
+  co_await awaited->timer.async_wait(kAwait);
+  forwarded.erase(id);
+  co_return awaited->value.value_or(Unavailable("The leader does not answer."));
+}
+
+void
+ControlHost::Impl::OnForwardedCall(const wire::ForwardedCall& aCall)
+{
+  asio::co_spawn(
+    executor, AnswerForwarded(shared_from_this(), aCall), asio::detached);
+}
+
+asio::awaitable<void>
+ControlHost::Impl::AnswerForwarded(std::shared_ptr<Impl> aSelf,
+                                   wire::ForwardedCall aCall)
+{
+  CallAnswer answer = aSelf->Unavailable("This host does not lead.");
+  if (aSelf->driver->IsLeader()) {
+    const CallRequest request{ aCall.method(), aCall.target(), aCall.body() };
+    answer = co_await aSelf->HandleAsLeader(request);
+  }
+  wire::GatewayFrame frame;
+  wire::ForwardedAnswer* reply = frame.mutable_forwarded_answer();
+  reply->set_id(aCall.id());
+  reply->set_status(answer.status);
+  reply->set_body(answer.body);
+  aSelf->mesh->Send(HostName{ aCall.reply_to() }, frame.SerializeAsString());
+}
+
+void
+ControlHost::Impl::OnForwardedAnswer(const wire::ForwardedAnswer& aAnswer)
+{
+  const auto found = forwarded.find(aAnswer.id());
+  if (found != forwarded.end()) {
+    CallAnswer answer;
+    answer.status = aAnswer.status();
+    answer.body = aAnswer.body();
+    found->second->Set(std::move(answer));
+  }
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::HandleAsLeader(const CallRequest& aCall)
+{
+  Result<ControlCall> call =
+    dialect.Decode(aCall.method, aCall.target, aCall.body);
+  if (!call) {
+    CountNotTaken(call.error());
+    Info() << "refuses " << aCall.method << " "
+           << aCall.target.substr(0, kLoggedTarget) << ": "
+           << call.error().message;
+    co_return Refused(call.error());
+  }
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&*call)) {
+    co_return co_await OnCall(*heartbeat);
+  }
+  if (const auto* leaving = std::get_if<Deregistration>(&*call)) {
+    co_return co_await OnCall(*leaving);
+  }
+  if (const auto* change = std::get_if<wire::ChangeItems>(&*call)) {
+    co_return co_await OnCall(*change);
+  }
+  co_return OnRead();
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::OnCall(const Heartbeat& aHeartbeat)
+{
+  const Instant arrived = clock.Now();
+  if (Result<void> checked = granter.Check(aHeartbeat, state); !checked) {
+    co_return NotTaken("heartbeat", aHeartbeat.instance, checked.error());
+  }
+  std::vector<wire::GatewayCommand> due =
+    granter.OnHeartbeat(aHeartbeat, state, arrived);
+  for (const wire::GatewayCommand& command : due) {
+    Info() << "heartbeat " << aHeartbeat.sequence << " of "
+           << aHeartbeat.instance << ": " << command.ShortDebugString();
+  }
+  Result<void> committed = co_await Commit(std::move(due));
+  co_await AwaitKeys(aHeartbeat);
+  for (int attempt = 0; committed && attempt < kGrantAttempts; ++attempt) {
+    const auto grant = granter.PlanGrant(aHeartbeat, state, clock.Now());
+    if (!grant) {
+      break;
+    }
+    const Result<void> granted = co_await Propose(*grant);
+    if (granted) {
+      Info() << "grants " << grant->ShortDebugString();
+      break;
+    }
+    if (granted.error().code != Code::RevisionConflict) {
+      committed = granted;
+    }
+  }
+  if (!committed) {
+    co_return Refused(committed.error());
+  }
+  // Safeguard: while the commands were committed, this host may have stood
+  // still and another may lead by now. An answer would renew keys that the
+  // other has given away.
+  if (!LeadsSurely()) {
+    co_return Unavailable("This host may not lead any more.");
+  }
+  HeartbeatAnswer answer;
+  answer.grants = granter.Renew(aHeartbeat, state, arrived);
+  answer.heartbeatAddress = ToString(*settings.calls);
+  co_return CallAnswer{ kOk, dialect.Encode(answer), "application/json" };
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::OnCall(const Deregistration& aLeaving)
+{
+  const auto command = granter.OnDeregistration(aLeaving, state);
+  if (!command) {
+    co_return NotTaken("deregistration", aLeaving.instance, command.error());
+  }
+  const Result<void> ended = co_await Propose(*command);
+  Info() << "instance " << aLeaving.instance << " life " << aLeaving.life
+         << " leaves";
+  co_return ended ? CallAnswer{ kOk, "{}", "application/json" }
+                  : Refused(ended.error());
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::OnCall(const wire::ChangeItems& aChange)
+{
+  if (Result<void> allowed = state.Items().Check(aChange); !allowed) {
+    Info() << "refuses a change: " << allowed.error().message;
+    co_return Refused(allowed.error());
+  }
+  wire::GatewayCommand command;
+  *command.mutable_change_items() = aChange;
+  const Result<void> changed = co_await Propose(command);
+  if (!changed) {
+    Info() << "refuses a change: " << changed.error().message;
+    co_return Refused(changed.error());
+  }
+  co_return CallAnswer{ kOk, "{}", "application/json" };
+}
+
+CallAnswer
+ControlHost::Impl::OnRead() const
+{
+  if (!LeadsSurely() || state.Items().IsEmpty()) {
+    return Unavailable("There is no configuration to tell of yet.");
+  }
+  wire::GatewayState items;
+  state.Items().Save(items);
+  return { kOk, dialect.EncodeItems(items), "application/json" };
+}
+
+/// Keys on their way to the instance are told of in this answer rather than
+/// in the next, a heartbeat interval later.
+asio::awaitable<void>
+ControlHost::Impl::AwaitKeys(const Heartbeat& aHeartbeat)
+{
+  const Instant now = clock.Now();
+  if (!LeadsSurely() || !granter.AwaitsKeys(aHeartbeat, state, now)) {
+    co_return;
+  }
+  auto freed = std::make_shared<asio::steady_timer>(executor, kKeysAwaited);
+  keyWaiters.push_back(freed);
+  co_await freed->async_wait(kAwait);
+}
+
+/// Keys have become free: answers that wait for some go on.
+void
+ControlHost::Impl::WakeKeyWaiters()
+{
+  for (const auto& waiter : std::exchange(keyWaiters, {})) {
+    if (const auto timer = waiter.lock()) {
+      timer->cancel();
+    }
+  }
+}
+
+void
+ControlHost::Impl::CountNotTaken(const Error& aError)
+{
+  metrics.Count("messages_not_taken",
+                "code=\"" + std::string(Describe(aError.code).name) + "\"");
+}
+
+/// A message of another writer, or of an earlier life.
+CallAnswer
+ControlHost::Impl::NotTaken(std::string_view aCall,
+                            const std::string& aInstance,
+                            const Error& aError)
+{
+  CountNotTaken(aError);
+  Info() << "takes no " << aCall << " of " << aInstance.substr(0, kLoggedId)
+         << ": " << aError.message;
+  return Refused(aError);
+}
+
+CallAnswer
+ControlHost::Impl::Refused(const Error& aError) const
+{
+  return { StatusOf(aError), dialect.Encode(aError), "application/json" };
+}
+
+CallAnswer
+ControlHost::Impl::Unavailable(std::string aText) const
+{
+  return Refused(Error{ Code::NoQuorum, std::move(aText) });
+}
+
+asio::awaitable<CallAnswer>
+ControlHost::Impl::AnswerMetrics(std::weak_ptr<Impl> aSelf, CallRequest aCall)
+{
+  const auto self = aSelf.lock();
+  co_return CallAnswer{ self ? kOk : kUnavailable,
+                        self ? self->MetricsPage() : std::string(),
+                        "text/plain" };
+}
+
+std::string
+ControlHost::Impl::MetricsPage()
+{
+  const consensus::GroupStatus status = driver->Status();
+  metrics.Set("state_index", static_cast<double>(state.Applied().value));
+  metrics.Set("leads", driver->IsLeader() ? 1 : 0);
+  metrics.Set("term", static_cast<double>(status.term.value));
+  metrics.Set("members", static_cast<double>(status.members.size()));
+  metrics.Set("disk_syncs", static_cast<double>(status.syncs));
+  metrics.Set("disk_failing", status.storageError.empty() ? 0 : 1);
+  metrics.Set("entries", static_cast<double>(state.Entries().size()));
+  metrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+  return metrics.Page();
+}
+
+} // namespace rattandyke::gateway
