--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -19,8 +19,8 @@
 constexpr Duration kTimerSlack = milliseconds{ 50 };
 
 /// Heartbeats of a new process at an address must be this many intervals apart,
-/// with the old one silent, for the old one to count as ended. A single
-/// heartbeat may be one of an even older process that was held up.
+/// with the old one silent, before it is asked whether the old one has ended: a
+/// single one is more likely held up than a successor's.
 constexpr double kReplaceIntervals = 0.7;
 
 wire::KeyRange&
