Red: an entry ends connections under requests that it should answer

Behind an answer: an entry that was told to end answers with "Connection: close" and closes at once. Where a second request lies unread in the socket, the kernel resets the connection and drops what it has not sent of the answer; a large answer that was passed on and begun is cut. Slow after idle: CallerConnection::Read sets the end of the idle time once, at its begin, so that the time in which a request arrives counts as idle. A caller that uses a connection after half of the idle limit, and whose request takes a little longer than the other half to arrive, is closed on in between.

Pieces in the soak are as slow as the limits allow.

--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -11,8 +11,9 @@
 
 DEADLINE_SECONDS = 2.0
 LONGEST_BODY = 60000
-# A request in pieces is whole after at most this: well within all limits.
-PIECES_SECONDS = 0.25
+# A request in pieces is whole after at most this: within all limits, and with
+# the idle time before it beyond the smallest idle limit.
+PIECES_SECONDS = 0.8
 LONG_IDLE_SECONDS = 3.0
 # An arrival is seen by the stand-in upstream, a moment after its caller may
 # have seen the end of the connection.
