Soak: end tasks until they have ended

It waited for tasks that it had cancelled once; presumably one missed that (its stack was not seen), as asyncio's wait_for drops a cancel if what it waits for is done in the same moment.

Change: tasks are cancelled each second until none is left.

--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -429,11 +429,12 @@
 
 
 async def end_tasks():
-    """Ends what the proxies and upstreams still do."""
-    tasks = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    """Ends what the proxies and upstreams still do. A task may miss one cancel:
+    wait_for drops it if what it waits for is done in the same moment."""
+    while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=1)
 
 
 async def play_whole(world):
