--- a/src/librattandyke/gateway/call_server_test.cpp
+++ b/src/librattandyke/gateway/call_server_test.cpp
@@ -55,5 +55,41 @@
   EXPECT_EQ(calls, 1U);
 }
 
+// A control host is stopped while an operator's large call arrives over a slow
+// link. The caller sees its connection end and gets no answer, although the
+// host lives on until another leads: stopping cuts the read of what has begun
+// to arrive, as it does an idle wait.
+TEST(CallServer, CallThatIsArrivingIsAnsweredAlthoughItStops)
+{
+  asio::io_context context;
+  tcp::acceptor free(context, { asio::ip::address_v4::loopback(), 0 });
+  const tcp::endpoint address = free.local_endpoint();
+  free.close();
+  size_t calls = 0;
+  CallServer server(context.get_executor(),
+                    { "127.0.0.1", address.port() },
+                    [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
+                      ++calls;
+                      co_return CallAnswer{ 200, "", "text/plain" };
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket caller(context);
+  caller.connect(address);
+  const std::string half(1000, 'b');
+  asio::write(
+    caller,
+    asio::buffer("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" +
+                 half));
+  context.run_for(std::chrono::milliseconds{ 20 });
+  server.Stop();
+  context.restart();
+  context.run_for(std::chrono::milliseconds{ 20 });
+  boost::system::error_code error;
+  asio::write(caller, asio::buffer(half), error);
+  context.restart();
+  context.run_for(std::chrono::milliseconds{ 20 });
+  EXPECT_EQ(calls, 1U) << error.message();
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/items_test.cpp
+++ b/src/librattandyke/gateway/items_test.cpp
@@ -278,5 +278,22 @@
   }
 }
 
+// A change carries a route twice: an older version at the place of a route that
+// stays, a newer one elsewhere. What results is valid. The place of the route
+// that stays must still count as taken afterwards, or the next change puts two
+// routes there and each host picks its own.
+TEST(ItemTable, PlaceOfARouteThatStaysIsKeptThroughARepeatedName)
+{
+  ItemTable items;
+  ASSERT_TRUE(Submit(items, Change({ MakeRoute("stays", 1) })));
+  wire::RouteItem older = MakeRoute("moves", 2);
+  older.set_prefix("/stays/");
+  const wire::RouteItem newer = MakeRoute("moves", 3);
+  ASSERT_TRUE(Submit(items, Change({ older, newer })));
+  wire::RouteItem twin = MakeRoute("twin", 4);
+  twin.set_prefix("/stays/");
+  EXPECT_EQ(CodeOf(items, Change({ twin })), Code::InvalidRecord);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
