--- a/src/librattandyke/gateway/entry_host_test.cpp
+++ b/src/librattandyke/gateway/entry_host_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace rattandyke::gateway {
@@ -130,5 +131,27 @@
   EXPECT_TRUE(Received(caller).starts_with("HTTP/1.1 408")) << Received(caller);
 }
 
+// A caller connects to a host whose grace is almost over, between the last call
+// to the requests that it has and its end: its listener is open, since the
+// grace is shorter than the time in which balancers learn that it leaves. The
+// request is read whole; its caller must get an answer and not a reset.
+TEST_F(EntryHostTest, RequestAfterTheLastCallGetsAnAnswer)
+{
+  host = std::make_unique<EntryHost>(context, settings, dialect, clock, 1);
+  ASSERT_TRUE(host->Start());
+  tcp::socket caller(context);
+  asio::steady_timer late(context, milliseconds{ 700 });
+  late.async_wait([&](ErrorCode) {
+    caller.connect(
+      { asio::ip::address_v4::loopback(), settings.callers->port });
+    asio::write(caller,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n"
+                                         "Id: r\r\nDeadline: 60000\r\n\r\n")));
+  });
+  StopAndRun();
+  const std::string got = Received(caller);
+  EXPECT_TRUE(got.starts_with("HTTP/1.1 503")) << got;
+}
+
 } // namespace
 } // namespace rattandyke::gateway
