Wait between tries to accept other hosts

Cause: without a free descriptor each try to accept fails at once, and the mesh tried again without a pause: it took the thread on which callers are answered.

Change: the call server's loop with its pause is a piece of its own, net::AcceptLoop; the mesh and the call server use it.

Conclusion: a host without descriptors answers the callers that it has.

--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -6,15 +6,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include "base/endpoint.h"
+#include "net/accept_loop.h"
 #include "net/frame_connection.h"
-#include "net/listen.h"
 
 namespace rattandyke::gateway {
 
@@ -32,7 +30,6 @@
 /// A caller that neither sends nor takes anything for so long is cut off.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 constexpr size_t kMaxConnections = 1000;
-constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
 } // namespace
 
@@ -52,48 +49,19 @@
     : executor(std::move(aExecutor))
     , listen(std::move(aListen))
     , handler(std::move(aHandler))
-    , acceptor(executor)
-    , pause(executor)
   {
   }
 
   Result<void> Start()
   {
-    if (const auto open = net::Listen(acceptor, listen, "calls"); !open) {
-      return tl::unexpected(open.error());
-    }
-    Accept();
-    return {};
-  }
-
-  void Accept()
-  {
-    acceptor.async_accept(
-      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
-        if (self->stopped || aError == asio::error::operation_aborted) {
-          return;
-        }
-        if (aError) {
-          self->AcceptLater();
-          return;
-        }
-        if (self->sessions.size() < kMaxConnections) {
-          self->Take(std::move(aSocket));
+    acceptor = std::make_shared<net::AcceptLoop>(
+      executor, [self = weak_from_this()](tcp::socket aSocket) {
+        const auto server = self.lock();
+        if (server && server->sessions.size() < kMaxConnections) {
+          server->Take(std::move(aSocket));
         }
-        self->Accept();
       });
-  }
-
-  /// Safeguard: without a free descriptor each try to accept fails at once.
-  /// Tried again without a pause they would take the thread from all else.
-  void AcceptLater()
-  {
-    pause.expires_after(kAcceptPause);
-    pause.async_wait([self = shared_from_this()](ErrorCode aError) {
-      if (!aError && !self->stopped) {
-        self->Accept();
-      }
-    });
+    return acceptor->Start(listen, "calls");
   }
 
   void Take(tcp::socket aSocket)
@@ -146,9 +114,9 @@
   void Stop()
   {
     stopped = true;
-    ErrorCode ignored; // Nothing is accepted any more either way.
-    acceptor.close(ignored);
-    pause.cancel();
+    if (acceptor) {
+      acceptor->Stop();
+    }
     for (const auto& session : sessions) {
       if (!session->busy) {
         session->stream.cancel();
@@ -159,8 +127,7 @@
   const asio::any_io_executor executor;
   const Endpoint listen;
   const Handler handler;
-  tcp::acceptor acceptor;
-  asio::steady_timer pause;
+  std::shared_ptr<net::AcceptLoop> acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   bool stopped = false;
 };
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
-#include "net/listen.h"
+#include "net/accept_loop.h"
 
 namespace rattandyke::net {
 
@@ -50,31 +50,18 @@
     : executor(std::move(aExecutor))
     , listen(std::move(aListen))
     , handlers(std::move(aHandlers))
-    , acceptor(executor)
   {
   }
 
   Result<void> Start()
   {
-    if (const auto open = net::Listen(acceptor, listen, "hosts"); !open) {
-      return tl::unexpected(open.error());
-    }
-    Accept();
-    return {};
-  }
-
-  void Accept()
-  {
-    acceptor.async_accept(
-      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
-        if (self->stopped || aError == asio::error::operation_aborted) {
-          return;
-        }
-        if (!aError) {
-          self->Take(std::move(aSocket));
+    acceptor = std::make_shared<AcceptLoop>(
+      executor, [self = weak_from_this()](tcp::socket aSocket) {
+        if (const auto mesh = self.lock()) {
+          mesh->Take(std::move(aSocket));
         }
-        self->Accept();
       });
+    return acceptor->Start(listen, "hosts");
   }
 
   void Take(tcp::socket aSocket)
@@ -186,8 +173,10 @@
   void Stop()
   {
     stopped = true;
+    if (acceptor) {
+      acceptor->Stop();
+    }
     ErrorCode ignored; // Nothing is done with it any more.
-    acceptor.close(ignored);
     for (auto& [raw, connection] : accepted) {
       connection->Close();
     }
@@ -206,7 +195,7 @@
   const asio::any_io_executor executor;
   const Endpoint listen;
   const Handlers handlers;
-  tcp::acceptor acceptor;
+  std::shared_ptr<AcceptLoop> acceptor;
   std::map<HostName, Peer> peers;
   std::map<FrameConnection*, Connection> accepted;
   bool stopped = false;
