Let no late timer end a request to an upstream

Cause: a timer that runs out in the moment in which the connection stands has its handler called although it was cancelled. The handler aborted the exchange, and with it a request that had been sent and may have run.

Change: each start and stop of the timer makes a turn; a handler of an earlier turn does nothing. This covers the timer of a stalled answer, too.

--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -72,17 +72,30 @@
   co_return mAborted ? error_code(asio::error::operation_aborted) : failure;
 }
 
+/// Safeguard: the timer may have run out in the moment in which what it limits
+/// is done; its handler is then called although it was cancelled. It would
+/// abort the exchange in the middle of the request, which may have run. Each
+/// start and stop makes a turn, so a handler of an earlier turn does nothing.
 void
 UpstreamExchange::StartTimer(Duration aTime)
 {
   mTimer.expires_after(aTime);
-  mTimer.async_wait([weak = weak_from_this()](const error_code& aError) {
-    if (const auto self = weak.lock(); self && !aError) {
+  const uint64_t turn = ++mTimerTurns;
+  mTimer.async_wait([weak = weak_from_this(), turn](const error_code& aError) {
+    const auto self = weak.lock();
+    if (self && !aError && self->mTimerTurns == turn) {
       self->Abort();
     }
   });
 }
 
+void
+UpstreamExchange::StopTimer()
+{
+  ++mTimerTurns;
+  mTimer.cancel();
+}
+
 /// Spares the timer for the many answers that arrive in one piece.
 bool
 UpstreamExchange::BodyIsBuffered() const
--- a/src/librattandyke/http/upstream_exchange.h
+++ b/src/librattandyke/http/upstream_exchange.h
@@ -73,7 +73,7 @@
   void NewParser(bool aHeadRequest);
   /// Aborts after aTime, unless StopTimer comes first.
   void StartTimer(Duration aTime);
-  void StopTimer() { mTimer.cancel(); }
+  void StopTimer();
   bool BodyIsBuffered() const;
   bool HasSurplus();
 
@@ -87,6 +87,8 @@
   UpstreamConnectionPtr mConnection;
   std::optional<Parser> mParser;
   boost::asio::steady_timer mTimer;
+  /// Starts and stops of the timer so far.
+  uint64_t mTimerTurns = 0;
   bool mRequestWritten = false;
   bool mHeadRequest = false;
   bool mAborted = false;
