Read a request that arrives as its connection ends as idle

Cause: the idle end cancelled the wait without a look into the socket. A request that lay there got neither an answer nor a refusal.

Change: the idle end looks, as leaving does, with the same function. What lies there ends the wait by itself and is read within the time to read a head.

--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -211,12 +211,19 @@
 CallerStream::LeaveNow()
 {
   mLeaving = true;
-  error_code error;
-  if (mIdle && mSocket.available(error) == 0) {
+  if (IsIdle()) {
     Cancel();
   }
 }
 
+/// @return whether it waits for a request and none has begun to arrive.
+bool
+CallerStream::IsIdle()
+{
+  error_code ignored; // Nothing can be read after an error.
+  return mIdle && mSocket.available(ignored) == 0;
+}
+
 void
 CallerStream::CheckExpiry(Instant aNow)
 {
@@ -234,6 +241,13 @@
     return;
   }
   mExpiry.Clear();
+  // Safeguard: a request arrives in the moment in which its connection has been
+  // idle for too long. Ended then, it would get neither an answer nor a
+  // refusal. What lies in the socket ends the wait, so it is read; from then on
+  // the time to read a head limits it.
+  if (mIdle && !IsIdle()) {
+    return;
+  }
   mTimedOut = true;
   Cancel();
 }
--- a/src/librattandyke/http/caller_stream.h
+++ b/src/librattandyke/http/caller_stream.h
@@ -93,6 +93,7 @@
   void OnReadable(const error_code& aError);
   void Expire();
   void LeaveNow();
+  bool IsIdle();
   void ExpireIn(Duration aTime) { mExpiry.Set(mClock.Now() + aTime); }
   error_code Finish(error_code aError);
 
