Answer a call that arrives while the host stops

Cause: stopping cancelled each connection on which no call was worked on, also one on which a call had begun to arrive. The host lives on until another leads, but the caller got no answer.

Change: stopping cuts only the wait for a call. One that has begun to arrive, as the parser, the buffer or the socket shows, is read on within the idle timeout that runs already, and answered; its connection ends after the answer. The test reads the answer, too, and a new one holds the end of idle connections.

In a trial that never cuts a wait, IdleConnectionEndsAsItStops fails.

Conclusion: an operator's call over a slow link outlives the stop.

--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/call_server.h"
 
+#include <optional>
 #include <set>
 
 #include <boost/asio/as_tuple.hpp>
@@ -23,6 +24,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 /// Of one call; a configuration of a few thousand routes fits.
@@ -42,6 +44,9 @@
     {
     }
     beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    /// Of the call that is awaited or read.
+    std::optional<Parser> parser;
     bool busy = false;
   };
 
@@ -76,13 +81,12 @@
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> aSelf,
                                      std::shared_ptr<Session> aSession)
   {
-    beast::flat_buffer buffer;
     for (;;) {
-      http::request_parser<http::string_body> parser;
+      Parser& parser = aSession->parser.emplace();
       parser.body_limit(kMaxBodyBytes);
       aSession->stream.expires_after(kIdleTimeout);
-      auto [readError, read] =
-        co_await http::async_read(aSession->stream, buffer, parser, kAwait);
+      auto [readError, read] = co_await http::async_read(
+        aSession->stream, aSession->buffer, parser, kAwait);
       if (readError) {
         break;
       }
@@ -111,6 +115,19 @@
     aSelf->sessions.erase(aSession);
   }
 
+  /// @return whether a call is worked on, or has begun to arrive.
+  static bool HasCall(Session& aSession)
+  {
+    ErrorCode ignored; // Nothing can be read after an error.
+    return aSession.busy || aSession.buffer.size() > 0 ||
+           (aSession.parser && aSession.parser->got_some()) ||
+           aSession.stream.socket().available(ignored) > 0;
+  }
+
+  /// Safeguard: a call arrives over a slow link while the host stops, which
+  /// lives on until another leads. Were its read cut, the caller would get no
+  /// answer and not know whether its change was made. So only a wait for a call
+  /// is cut; what has begun to arrive has the idle timeout that runs already.
   void Stop()
   {
     stopped = true;
@@ -118,7 +135,7 @@
       acceptor->Stop();
     }
     for (const auto& session : sessions) {
-      if (!session->busy) {
+      if (!HasCall(*session)) {
         session->stream.cancel();
       }
     }
--- a/src/librattandyke/gateway/call_server.h
+++ b/src/librattandyke/gateway/call_server.h
@@ -43,7 +43,8 @@
   /// @return Code::AddressInUse if it can't listen.
   Result<void> Start();
 
-  /// Closes the listener and connections without a call.
+  /// Closes the listener and connections on which no call is worked on or has
+  /// begun to arrive.
   void Stop();
 
 private:
--- a/src/librattandyke/gateway/call_server_test.cpp
+++ b/src/librattandyke/gateway/call_server_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/call_server.h"
 
+#include <array>
+
 #include <gtest/gtest.h>
 
 #include <sys/resource.h>
@@ -89,6 +91,38 @@
   context.restart();
   context.run_for(std::chrono::milliseconds{ 20 });
   EXPECT_EQ(calls, 1U) << error.message();
+  std::array<char, 1000> answer{};
+  caller.non_blocking(true);
+  const size_t read = caller.read_some(asio::buffer(answer), error);
+  EXPECT_TRUE(std::string_view(answer.data(), read).starts_with("HTTP/1.1 200"))
+    << error.message();
+}
+
+// A caller keeps a connection on which it calls nothing. It must see its end
+// when the host stops, and not learn of it with its next call.
+TEST(CallServer, IdleConnectionEndsAsItStops)
+{
+  asio::io_context context;
+  tcp::acceptor free(context, { asio::ip::address_v4::loopback(), 0 });
+  const tcp::endpoint address = free.local_endpoint();
+  free.close();
+  CallServer server(context.get_executor(),
+                    { "127.0.0.1", address.port() },
+                    [](const CallRequest&) -> asio::awaitable<CallAnswer> {
+                      co_return CallAnswer{};
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket caller(context);
+  caller.connect(address);
+  context.run_for(std::chrono::milliseconds{ 20 });
+  server.Stop();
+  context.restart();
+  context.run_for(std::chrono::milliseconds{ 20 });
+  std::array<char, 1> byte{};
+  boost::system::error_code error;
+  caller.non_blocking(true);
+  caller.read_some(asio::buffer(byte), error);
+  EXPECT_EQ(error, asio::error::eof) << error.message();
 }
 
 } // namespace
