--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -1,20 +1,19 @@
 #include "gateway/call_server.h"
 
+#include <optional>
 #include <set>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include "base/endpoint.h"
+#include "net/accept_loop.h"
 #include "net/frame_connection.h"
-#include "net/listen.h"
 
 namespace rattandyke::gateway {
 
@@ -25,6 +24,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 /// Of one call; a configuration of a few thousand routes fits.
@@ -32,7 +32,6 @@
 /// A caller that neither sends nor takes anything for so long is cut off.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 constexpr size_t kMaxConnections = 1000;
-constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
 } // namespace
 
@@ -45,6 +44,9 @@
     {
     }
     beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    /// Of the call that is awaited or read.
+    std::optional<Parser> parser;
     bool busy = false;
   };
 
@@ -52,48 +54,19 @@
     : executor(std::move(aExecutor))
     , listen(std::move(aListen))
     , handler(std::move(aHandler))
-    , acceptor(executor)
-    , pause(executor)
   {
   }
 
   Result<void> Start()
   {
-    if (const auto open = net::Listen(acceptor, listen, "calls"); !open) {
-      return tl::unexpected(open.error());
-    }
-    Accept();
-    return {};
-  }
-
-  void Accept()
-  {
-    acceptor.async_accept(
-      [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
-        if (self->stopped || aError == asio::error::operation_aborted) {
-          return;
-        }
-        if (aError) {
-          self->AcceptLater();
-          return;
+    acceptor = std::make_shared<net::AcceptLoop>(
+      executor, [self = weak_from_this()](tcp::socket aSocket) {
+        const auto server = self.lock();
+        if (server && server->sessions.size() < kMaxConnections) {
+          server->Take(std::move(aSocket));
         }
-        if (self->sessions.size() < kMaxConnections) {
-          self->Take(std::move(aSocket));
-        }
-        self->Accept();
       });
-  }
-
-  /// Safeguard: without a free descriptor each try to accept fails at once.
-  /// Tried again without a pause they would take the thread from all else.
-  void AcceptLater()
-  {
-    pause.expires_after(kAcceptPause);
-    pause.async_wait([self = shared_from_this()](ErrorCode aError) {
-      if (!aError && !self->stopped) {
-        self->Accept();
-      }
-    });
+    return acceptor->Start(listen, "calls");
   }
 
   void Take(tcp::socket aSocket)
@@ -108,13 +81,12 @@
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> aSelf,
                                      std::shared_ptr<Session> aSession)
   {
-    beast::flat_buffer buffer;
     for (;;) {
-      http::request_parser<http::string_body> parser;
+      Parser& parser = aSession->parser.emplace();
       parser.body_limit(kMaxBodyBytes);
       aSession->stream.expires_after(kIdleTimeout);
-      auto [readError, read] =
-        co_await http::async_read(aSession->stream, buffer, parser, kAwait);
+      auto [readError, read] = co_await http::async_read(
+        aSession->stream, aSession->buffer, parser, kAwait);
       if (readError) {
         break;
       }
@@ -143,14 +115,27 @@
     aSelf->sessions.erase(aSession);
   }
 
+  /// @return whether a call is worked on, or has begun to arrive.
+  static bool HasCall(Session& aSession)
+  {
+    ErrorCode ignored; // Nothing can be read after an error.
+    return aSession.busy || aSession.buffer.size() > 0 ||
+           (aSession.parser && aSession.parser->got_some()) ||
+           aSession.stream.socket().available(ignored) > 0;
+  }
+
+  /// Safeguard: a call arrives over a slow link while the host stops, which
+  /// lives on until another leads. Were its read cut, the caller would get no
+  /// answer and not know whether its change was made. So only a wait for a call
+  /// is cut; what has begun to arrive has the idle timeout that runs already.
   void Stop()
   {
     stopped = true;
-    ErrorCode ignored; // Nothing is accepted any more either way.
-    acceptor.close(ignored);
-    pause.cancel();
+    if (acceptor) {
+      acceptor->Stop();
+    }
     for (const auto& session : sessions) {
-      if (!session->busy) {
+      if (!HasCall(*session)) {
         session->stream.cancel();
       }
     }
@@ -159,8 +144,7 @@
   const asio::any_io_executor executor;
   const Endpoint listen;
   const Handler handler;
-  tcp::acceptor acceptor;
-  asio::steady_timer pause;
+  std::shared_ptr<net::AcceptLoop> acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   bool stopped = false;
 };
