--- a/src/bench/items_bench.cpp
+++ b/src/bench/items_bench.cpp
@@ -4,6 +4,7 @@
 
 #include "allocation/allocation_counter.h"
 #include "bench/bench.h"
+#include "gateway/packed_frame.h"
 #include "gateway/route_table.h"
 #include "gateway/state.h"
 #include "testing/large_change.h"
@@ -15,6 +16,9 @@
 /// Of one route among 1,400; more would show that a change costs what stands
 /// beside it again.
 constexpr uint64_t kMostAllocations = 60;
+/// Names and paths that are random letters hold 16; three times that would
+/// keep a link of 2 Mbit/s busy for a quarter of a second.
+constexpr double kMostBytesPerRoute = 40;
 constexpr int kRounds = 5;
 
 struct Entry
@@ -32,6 +36,17 @@
   }
 };
 
+/// @return bytes that a change takes on the link to an entry host, a route.
+double
+PackedBytesPerRoute(const wire::ChangeItems& aChange)
+{
+  wire::GatewayFrame frame;
+  *frame.mutable_feed_command()->mutable_command()->mutable_change_items() =
+    aChange;
+  gateway::OutgoingFrame outgoing(frame);
+  return static_cast<double>(outgoing.Packed().size()) / aChange.routes_size();
+}
+
 double
 MsOfTaking(const wire::ChangeItems& aChange)
 {
@@ -53,6 +68,13 @@
   wire::ChangeItems large = testing::LargeChange(kRoutes);
   large.add_services()->set_name("desk");
   aReporter.Printed("items_large_change_time", MsOfTaking(large), "ms");
+  wire::ChangeItems tenfold = testing::LargeChange(10 * kRoutes);
+  tenfold.add_services()->set_name("desk");
+  aReporter.Printed("items_tenfold_change_time", MsOfTaking(tenfold), "ms");
+  aReporter.AtMost("items_packed_bytes_per_route",
+                   PackedBytesPerRoute(large),
+                   "bytes",
+                   kMostBytesPerRoute);
 
   Entry entry;
   entry.Take(large);
