Look at a change of items once, and keep no large command for nobody

Cause: an entry host looked at what a change makes of its items twice, to check and to apply it, and encoded each large command for subscribers that it did not have. Change: the outcome of a change is worked out once and followed; a command of 4 KB and more is not kept while nobody subscribes: who comes gets the state.

--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -11,6 +11,8 @@
 /// Enough for a subscriber that comes back within seconds; others get the whole
 /// state.
 constexpr size_t kRecentCommands = 512;
+/// A longer command is not kept while nobody subscribes.
+constexpr size_t kKeptForNobody = 4096;
 /// A whole state is encoded anew rather than followed by more entries of the
 /// log than this.
 constexpr uint64_t kLongestTail = 128;
@@ -175,6 +177,11 @@
 void
 FeedServer::Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex)
 {
+  if (mSubscribers.empty() && aCommand.ByteSizeLong() > kKeptForNobody) {
+    // An entry host seldom has subscribers, and its thread has better to do.
+    Forget();
+    return;
+  }
   wire::GatewayFrame frame;
   frame.mutable_feed_command()->set_index(aIndex.value);
   wire::GatewayCommand& command =
@@ -202,12 +209,19 @@
   }
 }
 
+/// Who subscribes from now on gets the whole state.
 void
-FeedServer::Reset()
+FeedServer::Forget()
 {
   mRecent.clear();
   mWhole.reset();
   mForgottenUpTo = mState.Applied().value;
+}
+
+void
+FeedServer::Reset()
+{
+  Forget();
   const std::map<Connection, Subscriber> subscribers = mSubscribers;
   for (const auto& [connection, unused] : subscribers) {
     const auto found = mSubscribers.find(connection);
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -68,6 +68,7 @@
     std::vector<std::string> controlHosts;
   };
 
+  void Forget();
   void Catch(const Connection& aConnection, Subscriber& aSubscriber);
   uint64_t SendWhole(const Connection& aConnection,
                      const Subscriber& aSubscriber);
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -193,6 +193,28 @@
   }
 }
 
+// A large change comes while nobody subscribes. Who comes back afterwards, with
+// the state of just before it, must not miss it.
+TEST_F(FeedServerTest, WhoWasAwayDuringALargeChangeGetsIt)
+{
+  Apply(PutInstance(1));
+  const auto before = Subscribe();
+  Run();
+  const uint64_t known = index;
+  server.Close(before->near);
+  wire::GatewayCommand change;
+  *change.mutable_change_items() = testing::LargeChange(1400);
+  change.mutable_change_items()->add_services()->set_name("desk");
+  Apply(change);
+  Apply(PutInstance(2));
+  wire::FeedOpen open;
+  open.set_applied(known);
+  server.Open(before->near, open);
+  Run();
+  EXPECT_EQ(before->Known().Items().Routes().size(), 1400U);
+  EXPECT_EQ(before->Known().Instances().size(), 2U);
+}
+
 /// A control host whose whole state takes longer to arrive than an entry bears
 /// silence.
 class SlowControlHost
--- a/src/librattandyke/gateway/items.cpp
+++ b/src/librattandyke/gateway/items.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace rattandyke::gateway {
@@ -105,12 +106,19 @@
   return !aKnown || aVersion > *aKnown;
 }
 
-/// What a change makes of the items of one kind that it names, before it is
-/// applied.
+/// What a change makes of the items of one kind that it names. Refers to the
+/// change.
 template<typename Item>
 class ItemsOutcome
 {
 public:
+  struct Changed
+  {
+    uint64_t version = 0;
+    /// The item to come, or nullptr if it goes.
+    const Item* item = nullptr;
+  };
+
   ItemsOutcome(const std::map<std::string, Item>& aItems,
                const std::map<std::string, uint64_t>& aDropped)
     : mItems(aItems)
@@ -118,64 +126,61 @@
   {
   }
 
-  void Put(const Item& aItem) { Take(aItem.name(), aItem.version(), &aItem); }
+  void Put(const Item& aItem)
+  {
+    Take(aItem.name(), { aItem.version(), &aItem });
+  }
 
   void Drop(const wire::DroppedItem& aDrop)
   {
-    Take(aDrop.name(), aDrop.version(), nullptr);
+    Take(aDrop.name(), { aDrop.version(), nullptr });
   }
 
-  /// @return what is changed, by name: the item to come, or nullptr.
-  const std::map<std::string, const Item*>& Changed() const { return mChanged; }
+  /// @return what is changed, by name.
+  const std::map<std::string_view, Changed>& All() const { return mChanged; }
 
   /// @return whether an item of that name stands afterwards.
   bool Stands(const std::string& aName) const
   {
     const auto changed = mChanged.find(aName);
     return changed == mChanged.end() ? mItems.contains(aName)
-                                     : changed->second != nullptr;
+                                     : changed->second.item != nullptr;
   }
 
 private:
-  void Take(const std::string& aName, uint64_t aVersion, const Item* aItem)
+  void Take(const std::string& aName, Changed aChanged)
   {
-    const auto known = mVersions.find(aName);
-    const auto version = known != mVersions.end()
-                           ? std::optional(known->second)
-                           : VersionOf(mItems, mDropped, aName);
-    if (IsNewer(aVersion, version)) {
-      mVersions[aName] = aVersion;
-      mChanged[aName] = aItem;
+    const auto known = mChanged.find(aName);
+    if (known != mChanged.end()) {
+      if (aChanged.version > known->second.version) {
+        known->second = aChanged;
+      }
+    } else if (IsNewer(aChanged.version, VersionOf(mItems, mDropped, aName))) {
+      mChanged.emplace(aName, aChanged);
     }
   }
 
   const std::map<std::string, Item>& mItems;
   const std::map<std::string, uint64_t>& mDropped;
-  std::map<std::string, uint64_t> mVersions;
-  std::map<std::string, const Item*> mChanged;
+  std::map<std::string_view, Changed> mChanged;
 };
 
+/// Brings items into force and takes others out of it.
 template<typename Item>
 void
-Put(std::map<std::string, Item>& aItems,
-    std::map<std::string, uint64_t>& aDropped,
-    const Item& aItem)
+Follow(const ItemsOutcome<Item>& aOutcome,
+       std::map<std::string, Item>& aItems,
+       std::map<std::string, uint64_t>& aDropped)
 {
-  if (IsNewer(aItem.version(), VersionOf(aItems, aDropped, aItem.name()))) {
-    aDropped.erase(aItem.name());
-    aItems[aItem.name()] = aItem;
-  }
-}
-
-template<typename Item>
-void
-Drop(std::map<std::string, Item>& aItems,
-     std::map<std::string, uint64_t>& aDropped,
-     const wire::DroppedItem& aDrop)
-{
-  if (IsNewer(aDrop.version(), VersionOf(aItems, aDropped, aDrop.name()))) {
-    aItems.erase(aDrop.name());
-    aDropped[aDrop.name()] = aDrop.version();
+  for (const auto& [view, changed] : aOutcome.All()) {
+    const std::string name(view);
+    if (changed.item != nullptr) {
+      aDropped.erase(name);
+      aItems[name] = *changed.item;
+    } else {
+      aItems.erase(name);
+      aDropped[name] = changed.version;
+    }
   }
 }
 
@@ -223,18 +228,19 @@
 Result<void>
 ItemTable::CheckPlaces(const Outcome& aOutcome) const
 {
-  const auto& changed = aOutcome.routes.Changed();
+  const auto& changed = aOutcome.routes.All();
   std::set<std::pair<std::string, std::string>> taken;
   for (const auto& [name, route] : changed) {
-    if (route == nullptr) {
+    if (route.item == nullptr) {
       continue;
     }
-    const auto place = PlaceOf(*route);
+    const auto place = PlaceOf(*route.item);
     const auto holder = mPlaces.find(place);
     const bool stays =
       holder != mPlaces.end() && !changed.contains(holder->second);
     if (stays || !taken.insert(place).second) {
-      return Invalid("Route '" + name + "' has the place of another.");
+      return Invalid("Route '" + std::string(name) +
+                     "' has the place of another.");
     }
   }
   return {};
@@ -244,28 +250,28 @@
 Result<void>
 ItemTable::CheckServices(const Outcome& aOutcome) const
 {
-  const auto& changed = aOutcome.routes.Changed();
   std::map<std::string, size_t> released;
-  for (const auto& [name, route] : changed) {
-    if (const auto old = mRoutes.find(name); old != mRoutes.end()) {
+  for (const auto& [name, route] : aOutcome.routes.All()) {
+    const auto old = mRoutes.find(std::string(name));
+    if (old != mRoutes.end()) {
       for (const wire::RoutePart& part : old->second.parts()) {
         ++released[part.service()];
       }
     }
-    if (route == nullptr) {
+    if (route.item == nullptr) {
       continue;
     }
-    for (const wire::RoutePart& part : route->parts()) {
+    for (const wire::RoutePart& part : route.item->parts()) {
       if (!aOutcome.services.Stands(part.service())) {
-        return UnknownService(name, part.service());
+        return UnknownService(route.item->name(), part.service());
       }
     }
   }
-  for (const auto& [service, item] : aOutcome.services.Changed()) {
-    const auto uses = mUses.find(service);
-    if (item == nullptr && uses != mUses.end() &&
-        uses->second > released[service]) {
-      return Invalid("The service '" + service +
+  for (const auto& [name, service] : aOutcome.services.All()) {
+    const auto uses = mUses.find(std::string(name));
+    if (service.item == nullptr && uses != mUses.end() &&
+        uses->second > released[uses->first]) {
+      return Invalid("The service '" + uses->first +
                      "' can't be dropped: routes that stand name it.");
     }
   }
@@ -299,6 +305,13 @@
 
 Result<void>
 ItemTable::Check(const wire::ChangeItems& aChange) const
+{
+  return Check(aChange, Outcome(*this, aChange));
+}
+
+Result<void>
+ItemTable::Check(const wire::ChangeItems& aChange,
+                 const Outcome& aOutcome) const
 {
   for (const wire::RouteItem& route : aChange.routes()) {
     const bool repeated = IsInForce(mRoutes, route);
@@ -333,37 +346,42 @@
       return dropped;
     }
   }
-  const Outcome outcome(*this, aChange);
-  if (Result<void> places = CheckPlaces(outcome); !places) {
+  if (Result<void> places = CheckPlaces(aOutcome); !places) {
     return places;
   }
-  return CheckServices(outcome);
+  return CheckServices(aOutcome);
 }
 
 void
 ItemTable::Apply(const wire::ChangeItems& aChange)
 {
-  // All that change leave the indices before any comes into them: one may take
-  // the place of another, and a name may be there more than once.
+  Apply(aChange, Outcome(*this, aChange));
+}
+
+Result<void>
+ItemTable::Submit(const wire::ChangeItems& aChange)
+{
   const Outcome outcome(*this, aChange);
-  for (const auto& [name, route] : outcome.routes.Changed()) {
-    Unindex(name);
+  if (Result<void> allowed = Check(aChange, outcome); !allowed) {
+    return allowed;
   }
-  for (const wire::DroppedItem& drop : aChange.dropped_routes()) {
-    Drop(mRoutes, mDroppedRoutes, drop);
-  }
-  for (const wire::DroppedItem& drop : aChange.dropped_services()) {
-    Drop(mServices, mDroppedServices, drop);
-  }
-  for (const wire::ServiceItem& service : aChange.services()) {
-    Put(mServices, mDroppedServices, service);
-  }
-  for (const wire::RouteItem& route : aChange.routes()) {
-    Put(mRoutes, mDroppedRoutes, route);
-  }
-  for (const auto& [name, route] : outcome.routes.Changed()) {
-    if (route != nullptr) {
-      Index(*route);
+  Apply(aChange, outcome);
+  return {};
+}
+
+void
+ItemTable::Apply(const wire::ChangeItems& aChange, const Outcome& aOutcome)
+{
+  // All that change leave the indices before any comes into them: one may take
+  // the place of another.
+  for (const auto& [name, route] : aOutcome.routes.All()) {
+    Unindex(std::string(name));
+  }
+  Follow(aOutcome.services, mServices, mDroppedServices);
+  Follow(aOutcome.routes, mRoutes, mDroppedRoutes);
+  for (const auto& [name, route] : aOutcome.routes.All()) {
+    if (route.item != nullptr) {
+      Index(*route.item);
     }
   }
   if (aChange.has_limits() &&
--- a/src/librattandyke/gateway/items.h
+++ b/src/librattandyke/gateway/items.h
@@ -27,6 +27,10 @@
   /// Applies a change that Check allows.
   void Apply(const wire::ChangeItems& aChange);
 
+  /// Applies a change if Check allows it, at the cost of one look at it.
+  /// @return as Check.
+  Result<void> Submit(const wire::ChangeItems& aChange);
+
   const std::map<std::string, wire::RouteItem>& Routes() const
   {
     return mRoutes;
@@ -47,6 +51,9 @@
   /// What a change would make of the items that it names.
   class Outcome;
 
+  Result<void> Check(const wire::ChangeItems& aChange,
+                     const Outcome& aOutcome) const;
+  void Apply(const wire::ChangeItems& aChange, const Outcome& aOutcome);
   Result<void> CheckPlaces(const Outcome& aOutcome) const;
   Result<void> CheckServices(const Outcome& aOutcome) const;
   void Index(const wire::RouteItem& aRoute);
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -69,11 +69,7 @@
 {
   // Checked again here: another change may have been committed since the leader
   // checked this one.
-  if (Result<void> allowed = mItems.Check(aCommand); !allowed) {
-    return allowed;
-  }
-  mItems.Apply(aCommand);
-  return {};
+  return mItems.Submit(aCommand);
 }
 
 bool
