--- /dev/null
+++ b/src/librattandyke/gateway/cold_upstream_test.cpp
@@ -0,0 +1,228 @@
+// Cold upstreams: for some seconds they bear only a few requests in any second
+// and crash at the rate that warm ones run. On homes of slots in simulated time;
+// every send is counted in each sliding second.
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "gateway/slot_broker.h"
+#include "testing/granter_leader.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+using namespace testing; // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWarmUp{ 3000 };
+constexpr double kRate = 6.7;
+constexpr double kFactor = 1.5;
+constexpr double kSlack = 8;
+/// What the upstream bears in one second.
+constexpr double kBorne = kRate * kFactor + kSlack;
+const UpstreamSet::Options kOptionsOfHome{ std::chrono::seconds{ 2 },
+                                           std::chrono::seconds{ 5 },
+                                           kFactor,
+                                           kSlack,
+                                           "e",
+                                           {} };
+
+State
+StateWithCold(bool aOwnsKeys, uint32_t aColdMs)
+{
+  State state;
+  wire::GatewayCommand service;
+  wire::ServiceItem* item = service.mutable_change_items()->add_services();
+  item->set_name("desk");
+  item->set_owns_keys(aOwnsKeys);
+  item->set_cold_ms(kWarmUp.count());
+  item->set_cold_rate(kRate);
+  item->set_version(1);
+  item->set_source("desk");
+  static_cast<void>(state.Apply(service, LogIndex{ 1 }));
+  wire::GatewayCommand put;
+  wire::UpstreamInstance* instance =
+    put.mutable_put_instance()->mutable_instance();
+  instance->set_id("a");
+  instance->set_service("desk");
+  instance->set_address("10.0.0.1:80");
+  instance->set_slots(4);
+  instance->set_cold_ms(aColdMs);
+  static_cast<void>(state.Apply(put, LogIndex{ 2 }));
+  return state;
+}
+
+/// Counts sends in sliding seconds.
+class Arrivals
+{
+public:
+  void Add(Instant aNow)
+  {
+    mRecent.push_back(aNow);
+    while (aNow - mRecent.front() >= std::chrono::seconds{ 1 }) {
+      mRecent.pop_front();
+    }
+    most = std::max(most, mRecent.size());
+  }
+
+  size_t most = 0;
+
+private:
+  std::deque<Instant> mRecent;
+};
+
+/// Callers that send 80 requests a second to one upstream, which answers within
+/// 40 ms, by way of one home at a time.
+class ColdUpstream : public ::testing::Test
+{
+protected:
+  void PassFor(Duration aTime, SlotBroker& aHome)
+  {
+    for (const Instant end = now + aTime; now < end; now += milliseconds{ 5 }) {
+      if (mRandom() % 100 < 40) {
+        SlotRequest request;
+        request.key = { 1, ++mTicket };
+        request.service = "desk";
+        request.instance = keyed ? "a" : "";
+        request.patience = milliseconds{ 300 };
+        request.held = milliseconds{ 1000 };
+        Take(aHome.Ask(request, now));
+      }
+      while (!mUnderWay.empty() && mUnderWay.front().first <= now) {
+        const SlotKey key = mUnderWay.front().second;
+        mUnderWay.pop_front();
+        Take(aHome.Done(key, TryEnd::Answered, milliseconds{ 40 }, now));
+      }
+      Take(aHome.Tick(now));
+    }
+  }
+
+  void Take(const std::vector<SlotAnswer>& aAnswers)
+  {
+    for (const SlotAnswer& answer : aAnswers) {
+      if (const auto* granted = std::get_if<SlotGranted>(&answer)) {
+        arrivals.Add(now);
+        ++served;
+        mUnderWay.emplace_back(now + milliseconds{ 40 }, granted->key);
+      }
+    }
+  }
+
+  Instant now{ std::chrono::hours{ 1 } };
+  bool keyed = false;
+  Arrivals arrivals;
+  size_t served = 0;
+
+private:
+  std::mt19937_64 mRandom{ 7 };
+  uint64_t mTicket = 0;
+  std::deque<std::pair<Instant, SlotKey>> mUnderWay;
+};
+
+TEST_F(ColdUpstream, GetsWhatItBearsAndThenAll)
+{
+  for (const bool withKeys : { false, true }) {
+    keyed = withKeys;
+    arrivals = {};
+    SlotBroker home(3, kOptionsOfHome);
+    home.Update(StateWithCold(keyed, kWarmUp.count()), now);
+    served = 0;
+    PassFor(kWarmUp - milliseconds{ 50 }, home);
+    EXPECT_LE(static_cast<double>(arrivals.most), kBorne);
+    EXPECT_GE(served, 24U);
+    PassFor(std::chrono::seconds{ 2 }, home);
+    EXPECT_GT(static_cast<double>(arrivals.most), 2 * kBorne);
+  }
+}
+
+// It runs at its usual rate and turns cold; its home learns of it a moment
+// later. What it was sent in the last second counts.
+TEST_F(ColdUpstream, CountsWhatItGotBeforeItWasKnownToBeCold)
+{
+  SlotBroker home(3, kOptionsOfHome);
+  home.Update(StateWithCold(false, 0), now);
+  PassFor(std::chrono::seconds{ 2 }, home);
+  State state = StateWithCold(false, 0);
+  wire::GatewayCommand put;
+  *put.mutable_put_instance()->mutable_instance() = *state.FindInstance("a");
+  put.mutable_put_instance()->mutable_instance()->set_cold_ms(kWarmUp.count());
+  static_cast<void>(state.Apply(put, LogIndex{ 3 }));
+  home.Update(state, now);
+  served = 0;
+  PassFor(milliseconds{ 700 }, home);
+  EXPECT_EQ(served, 0U);
+  arrivals = {};
+  PassFor(milliseconds{ 2000 }, home);
+  EXPECT_LE(static_cast<double>(arrivals.most), kBorne);
+  EXPECT_GE(served, 12U);
+}
+
+// Its home is lost in mid-second, and another takes its place that knows
+// nothing of what it has sent.
+TEST_F(ColdUpstream, NextHomeWaitsUntilTheSecondOfTheLastOneIsOver)
+{
+  SlotBroker home(3, kOptionsOfHome);
+  home.Update(StateWithCold(true, kWarmUp.count()), now);
+  keyed = true;
+  PassFor(milliseconds{ 1300 }, home);
+  SlotBroker next(4, kOptionsOfHome);
+  next.Update(StateWithCold(true, kWarmUp.count()), now);
+  next.HoldOffCold({ "a" }, now);
+  PassFor(milliseconds{ 1600 }, next);
+  EXPECT_LE(static_cast<double>(arrivals.most), kBorne);
+}
+
+// A host that goes by itself does not know what others send.
+TEST_F(ColdUpstream, IsLeftAloneByHostsThatAreNotItsHome)
+{
+  SlotBroker entry(3, kOptionsOfHome);
+  entry.Update(StateWithCold(true, kWarmUp.count()), now);
+  SlotRequest request;
+  request.key = { 1, 1 };
+  request.service = "desk";
+  request.instance = "a";
+  request.alone = true;
+  request.cold = false;
+  request.held = milliseconds{ 500 };
+  for (const SlotAnswer& answer : entry.Ask(request, now)) {
+    EXPECT_FALSE(std::holds_alternative<SlotGranted>(answer));
+  }
+}
+
+// An upstream tells of its cold spell with each heartbeat. The log carries its
+// begin and its end, and not each word of it.
+TEST(ColdInLog, IsToldTwiceForASpell)
+{
+  Leader leader;
+  wire::GatewayCommand service;
+  wire::ServiceItem* item = service.mutable_change_items()->add_services();
+  item->set_name("board");
+  item->set_owns_keys(true);
+  item->set_cold_ms(kWarmUp.count());
+  item->set_cold_rate(kRate);
+  item->set_version(2);
+  item->set_source("cold");
+  leader.Commit({ service });
+  size_t told = 0;
+  Duration left = kWarmUp;
+  for (uint64_t sequence = 1; sequence <= 9; ++sequence) {
+    Heartbeat heartbeat = From("a", sequence);
+    heartbeat.cold = left;
+    const auto commands =
+      leader.granter->OnHeartbeat(heartbeat, leader.state, leader.now);
+    for (const wire::GatewayCommand& command : commands) {
+      told += command.has_put_instance() ? 1 : 0;
+    }
+    leader.Commit(commands);
+    EXPECT_EQ(leader.state.FindInstance("a")->cold_ms() > 0,
+              left > Duration::zero())
+      << sequence;
+    leader.Pass(kInterval / 2);
+    left = std::max<Duration>(left - kInterval / 2, Duration::zero());
+  }
+  EXPECT_EQ(told, 2U);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/evacuation_test.cpp
@@ -0,0 +1,256 @@
+// Evacuating a data centre: an order of the operator after which nothing new is
+// sent to its upstreams, until another order takes it back. On the state, an
+// entry's choice and the leader's decisions, in simulated time.
+#include <algorithm>
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "gateway/key_spans.h"
+#include "gateway/slot_broker.h"
+#include "testing/granter_leader.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+using namespace testing; // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kEvacuation{ 5 };
+constexpr milliseconds kWarmUp{ 3000 };
+
+wire::GatewayCommand
+Order(const std::string& aDataCentre, bool aEnds)
+{
+  wire::GatewayCommand command;
+  command.mutable_evacuate_data_centre()->set_data_centre(aDataCentre);
+  command.mutable_evacuate_data_centre()->set_ends(aEnds);
+  return command;
+}
+
+wire::GatewayCommand
+PutService(const std::string& aName, bool aOwnsKeys)
+{
+  wire::GatewayCommand command;
+  wire::ServiceItem* service = command.mutable_change_items()->add_services();
+  service->set_name(aName);
+  service->set_owns_keys(aOwnsKeys);
+  service->set_cold_ms(kWarmUp.count());
+  service->set_cold_rate(6);
+  service->set_version(2);
+  service->set_source(aName + "2");
+  return command;
+}
+
+wire::GatewayCommand
+PutUpstream(const std::string& aId,
+            const std::string& aService,
+            const std::string& aDataCentre)
+{
+  wire::GatewayCommand command;
+  wire::UpstreamInstance* instance =
+    command.mutable_put_instance()->mutable_instance();
+  instance->set_id(aId);
+  instance->set_service(aService);
+  instance->set_address("10.0.0.1:80");
+  instance->set_data_centre(aDataCentre);
+  instance->set_slots(3);
+  return command;
+}
+
+/// An entry's view of the state.
+class EntryView
+{
+public:
+  EntryView()
+    : set(1, { std::chrono::seconds{ 2 }, kEvacuation, 1.5, 8, "e", {} })
+  {
+    Apply(PutService("desk", false));
+    Apply(PutService("board", true));
+  }
+
+  void Apply(const wire::GatewayCommand& aCommand)
+  {
+    ASSERT_TRUE(state.Apply(aCommand, LogIndex{ ++index }));
+    set.Update(state, now);
+  }
+
+  bool Finds(const std::string& aService)
+  {
+    const auto outcome =
+      set.Choose(aService, 0, {}, DataCentre{ "west" }, true, now);
+    return std::holds_alternative<UpstreamSet::Choice>(outcome);
+  }
+
+  Instant now{ std::chrono::hours{ 1 } };
+  uint64_t index = 0;
+  State state;
+  UpstreamSet set;
+};
+
+TEST(Evacuation, OrdersAreKeptWithTheState)
+{
+  State state;
+  ASSERT_TRUE(state.Apply(Order("west", false), LogIndex{ 1 }));
+  ASSERT_TRUE(state.Apply(Order("west", false), LogIndex{ 2 }));
+  ASSERT_TRUE(state.Apply(Order("east", true), LogIndex{ 3 }));
+  State loaded;
+  loaded.Load(state.Save());
+  EXPECT_TRUE(loaded.IsEvacuated("west"));
+  EXPECT_FALSE(loaded.IsEvacuated("east"));
+  ASSERT_TRUE(loaded.Apply(Order("west", true), LogIndex{ 4 }));
+  EXPECT_FALSE(loaded.IsEvacuated("west"));
+}
+
+// A caller's request comes after the order. It must be run elsewhere, and where
+// nothing is left, be refused: it must not wait for an upstream that gets none.
+TEST(Evacuation, RequestsWithoutAKeyGoElsewhereAtOnce)
+{
+  EntryView entry;
+  entry.Apply(PutUpstream("a", "desk", "west"));
+  entry.Apply(PutUpstream("b", "desk", "east"));
+  entry.Apply(Order("west", false));
+  for (int request = 0; request < 20; ++request) {
+    const auto outcome =
+      entry.set.Choose("desk", 0, {}, DataCentre{ "west" }, true, entry.now);
+    EXPECT_EQ(std::get<UpstreamSet::Choice>(outcome).instance, "b");
+  }
+  EXPECT_EQ(entry.set.UsableAddress("a", entry.now), "");
+  entry.Apply(Order("east", false));
+  EXPECT_FALSE(entry.Finds("desk"));
+  EXPECT_FALSE(entry.set.CanServe("desk"));
+  entry.Apply(Order("east", true));
+  EXPECT_TRUE(entry.Finds("desk"));
+}
+
+// The holder of a key stands in the data centre. Until its keys have another
+// holder it serves on, but the bound of the order holds also if they never
+// have.
+TEST(Evacuation, HolderOfKeysServesOnForAPartOfTheBound)
+{
+  EntryView entry;
+  entry.Apply(PutUpstream("a", "board", "west"));
+  entry.Apply(PutUpstream("b", "board", "east"));
+  wire::GatewayCommand grant;
+  grant.mutable_grant_ranges()->set_service("board");
+  grant.mutable_grant_ranges()->set_holder("a");
+  wire::KeyRange* range = grant.mutable_grant_ranges()->add_ranges();
+  range->set_to(kMaxKey);
+  entry.Apply(grant);
+  entry.Apply(Order("west", false));
+  EXPECT_EQ(entry.set.OwnerOf(entry.state, "board", 7, entry.now), "a");
+  entry.now += milliseconds{ kEvacuation } / 2;
+  EXPECT_EQ(entry.set.OwnerOf(entry.state, "board", 7, entry.now), "");
+  const auto outcome = entry.set.ChooseOne("a", entry.now);
+  EXPECT_TRUE(std::holds_alternative<UpstreamSet::Hindrance>(outcome));
+}
+
+// Upstreams may have become cold before the end of the order, and tell so only
+// with their next heartbeats. Until then they are taken as cold.
+TEST(Evacuation, UpstreamsAreTakenAsColdAfterIt)
+{
+  EntryView entry;
+  entry.Apply(PutUpstream("a", "desk", "west"));
+  entry.Apply(PutUpstream("b", "desk", "east"));
+  entry.Apply(Order("west", false));
+  entry.Apply(Order("west", true));
+  EXPECT_TRUE(entry.set.IsCold("a", entry.now));
+  EXPECT_FALSE(entry.set.IsCold("b", entry.now));
+  EXPECT_FALSE(entry.set.IsCold("a", entry.now + kWarmUp));
+}
+
+class EvacuatedKeys : public ::testing::Test
+{
+protected:
+  EvacuatedKeys()
+  {
+    leader.Commit({ PutService("board", true) });
+    for (uint64_t sequence = 1; sequence <= 8; ++sequence) {
+      Beat(sequence);
+    }
+  }
+
+  /// One heartbeat of each, which reports what was left out of its last answer.
+  void Beat(uint64_t aSequence)
+  {
+    for (const char* id : { "a", "b", "c" }) {
+      Heartbeat heartbeat = From(id, aSequence);
+      heartbeat.dataCentre = id == std::string("a") ? "west" : "east";
+      const auto held = mHeld[id];
+      for (const KeySpan& keys : mReleased[id]) {
+        heartbeat.released.push_back({ keys, "handover" });
+      }
+      mReleased[id].clear();
+      const auto grants = leader.Answer(heartbeat);
+      if (grants) {
+        std::vector<KeySpan> now;
+        for (const GrantedRange& range : grants->ranges) {
+          now.push_back(range.keys);
+        }
+        for (const KeySpan& keys : held) {
+          const bool kept = std::any_of(
+            now.begin(), now.end(), [&](KeySpan aKeys) {
+              return Overlap(aKeys, keys).has_value();
+            });
+          if (!kept) {
+            mReleased[id].push_back(keys);
+          }
+        }
+        mHeld[id] = now;
+      }
+      leader.Pass(kInterval / 3);
+    }
+  }
+
+  uint32_t KeysHeldBy(const std::string& aId) const
+  {
+    uint32_t keys = 0;
+    for (const auto& segment : leader.state.Ranges("board")->Segments()) {
+      keys += segment.holder() == aId ? segment.to() - segment.from() + 1 : 0;
+    }
+    return keys;
+  }
+
+  Leader leader;
+  std::map<std::string, std::vector<KeySpan>> mHeld;
+  std::map<std::string, std::vector<KeySpan>> mReleased;
+};
+
+// The order comes: the holder there is left out of its own next answer,
+// releases, and the others take the keys with its handover, well within the
+// bound. After the order's end it is given keys again.
+TEST_F(EvacuatedKeys, AreHandedOverAndComeBack)
+{
+  ASSERT_GT(KeysHeldBy("a"), 0U);
+  leader.Commit({ Order("west", false) });
+  for (uint64_t sequence = 9; sequence <= 12; ++sequence) {
+    Beat(sequence);
+  }
+  EXPECT_EQ(KeysHeldBy("a"), 0U);
+  EXPECT_EQ(KeysHeldBy("b") + KeysHeldBy("c"), kKeyCount);
+}
+
+// A leader is lost just after the order; its successor must go on with it.
+TEST_F(EvacuatedKeys, NextLeaderGoesOnWithTheOrder)
+{
+  leader.Commit({ Order("west", false) });
+  leader.Replace();
+  for (uint64_t sequence = 9; sequence <= 13; ++sequence) {
+    Beat(sequence);
+  }
+  EXPECT_EQ(KeysHeldBy("a"), 0U);
+}
+
+// Two orders that together leave nothing: the keys stay where they are, and no
+// holder is told to release them for nobody.
+TEST_F(EvacuatedKeys, StayIfNobodyElseCanHoldThem)
+{
+  leader.Commit({ Order("west", false), Order("east", false) });
+  for (uint64_t sequence = 9; sequence <= 12; ++sequence) {
+    Beat(sequence);
+  }
+  EXPECT_EQ(KeysHeldBy("a") + KeysHeldBy("b") + KeysHeldBy("c"), kKeyCount);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
