--- a/src/librattandyke/gateway/cold_upstream_test.cpp
+++ b/src/librattandyke/gateway/cold_upstream_test.cpp
@@ -24,9 +24,7 @@
 const UpstreamSet::Options kOptionsOfHome{ std::chrono::seconds{ 2 },
                                            std::chrono::seconds{ 5 },
                                            kFactor,
-                                           kSlack,
-                                           "e",
-                                           {} };
+                                           kSlack };
 
 State
 StateWithCold(bool aOwnsKeys, uint32_t aColdMs)
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -1,4 +1,7 @@
 // Calls of upstreams and operators.
+#include <algorithm>
+#include <sstream>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -21,6 +24,7 @@
 /// Of an id that anyone may have written, in the log.
 constexpr size_t kLoggedId = 64;
 constexpr size_t kLoggedTarget = 128;
+constexpr int kLoggedItems = 8;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kInvalid = 400;
@@ -28,6 +32,30 @@
 constexpr unsigned kConflict = 409;
 constexpr unsigned kUnavailable = 503;
 
+/// What a change changes, for the log: names of a few items and how many.
+std::string
+Summary(const wire::ChangeItems& aChange)
+{
+  std::ostringstream text;
+  int named = 0;
+  const auto list = [&](std::string_view aKind, const auto& aItems) {
+    text << aItems.size() << " " << aKind;
+    for (const auto& item : aItems) {
+      if (named++ < kLoggedItems) {
+        text << " " << item.name().substr(0, kLoggedId) << "@"
+             << item.version();
+      }
+    }
+    text << "; ";
+  };
+  list("routes", aChange.routes());
+  list("services", aChange.services());
+  list("dropped routes", aChange.dropped_routes());
+  list("dropped services", aChange.dropped_services());
+  text << "limits " << (aChange.has_limits() ? "changed" : "kept");
+  return text.str();
+}
+
 unsigned
 StatusOf(const Error& aError)
 {
@@ -144,6 +172,9 @@
   if (const auto* change = std::get_if<wire::ChangeItems>(&*call)) {
     co_return co_await OnCall(*change);
   }
+  if (const auto* evacuation = std::get_if<Evacuation>(&*call)) {
+    co_return co_await OnCall(*evacuation);
+  }
   co_return OnRead();
 }
 
@@ -219,6 +250,43 @@
     Info() << "refuses a change: " << changed.error().message;
     co_return Refused(changed.error());
   }
+  Info() << "takes a change: " << Summary(aChange) << ", in force at index "
+         << state.Applied().value;
+  co_return CallAnswer{ kOk, "{}", "application/json" };
+}
+
+bool
+ControlHost::Impl::IsDataCentre(const DataCentre& aName) const
+{
+  const auto& known = settings.dataCentres;
+  return known.empty() ||
+         std::find(known.begin(), known.end(), aName) != known.end();
+}
+
+/// Committed also if it changes nothing: an order against it may be under way,
+/// and the one that is answered last must be the one in force.
+asio::awaitable<CallAnswer>
+ControlHost::Impl::OnCall(const Evacuation& aOrder)
+{
+  const char* const what = aOrder.ends ? "the end" : "the start";
+  if (!IsDataCentre(aOrder.dataCentre)) {
+    Info() << "refuses " << what << " of an evacuation of an unknown data "
+           << "centre";
+    co_return Refused(
+      Error{ Code::UnknownRecord, "There is no such data centre." });
+  }
+  wire::GatewayCommand command;
+  wire::EvacuateDataCentre* order = command.mutable_evacuate_data_centre();
+  order->set_data_centre(aOrder.dataCentre.value);
+  order->set_ends(aOrder.ends);
+  const Result<void> done = co_await Propose(command);
+  if (!done) {
+    co_return Refused(done.error());
+  }
+  Info() << "takes " << what << " of the evacuation of "
+         << aOrder.dataCentre.value << ", in force at index "
+         << state.Applied().value;
+  metrics.Count("evacuations", aOrder.ends ? "order=\"end\"" : "order=\"start\"");
   co_return CallAnswer{ kOk, "{}", "application/json" };
 }
 
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -117,6 +117,8 @@
   boost::asio::awaitable<CallAnswer> OnCall(const Heartbeat& aHeartbeat);
   boost::asio::awaitable<CallAnswer> OnCall(const Deregistration& aLeaving);
   boost::asio::awaitable<CallAnswer> OnCall(const wire::ChangeItems& aChange);
+  boost::asio::awaitable<CallAnswer> OnCall(const Evacuation& aOrder);
+  bool IsDataCentre(const DataCentre& aName) const;
   CallAnswer OnRead() const;
   boost::asio::awaitable<void> AwaitKeys(const Heartbeat& aHeartbeat);
   void WakeKeyWaiters();
--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -22,13 +22,25 @@
   uint64_t life = 0;
 };
 
+/// An operator wants nothing sent to the upstreams of a data centre any more,
+/// or allows it again.
+struct Evacuation
+{
+  DataCentre dataCentre;
+  bool ends = false;
+};
+
 /// The items that stand, as operators wrote them.
 struct ReadItems
 {};
 
 /// A call to a control host.
 using ControlCall =
-  std::variant<Heartbeat, Deregistration, wire::ChangeItems, ReadItems>;
+  std::variant<Heartbeat,
+               Deregistration,
+               wire::ChangeItems,
+               Evacuation,
+               ReadItems>;
 
 /// Names of the HTTP headers between callers, entry hosts and upstreams.
 struct HeaderNames
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -70,7 +70,11 @@
         },
         aClock,
         aSeed,
-        aSettings.drainTimeout)
+        UpstreamSet::Options{ aSettings.drainTimeout,
+                              aSettings.evacuationTimeout,
+                              aSettings.coldFactor,
+                              aSettings.coldSlack },
+        [this] { return feed.Age(); })
     , handler(
         executor,
         { aSettings.dataCentre, aSettings.retryRatio, aSettings.retrySlack },
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -23,6 +23,10 @@
 /// single one is more likely held up than a successor's.
 constexpr double kReplaceIntervals = 0.7;
 
+/// Time by which two reports of the end of one cold spell may differ, as they
+/// take differently long to arrive.
+constexpr Duration kColdSlack = milliseconds{ 300 };
+
 wire::KeyRange&
 AddRange(wire::FreeRanges& aFree, KeySpan aKeys, const std::string& aHandover)
 {
@@ -67,6 +71,10 @@
     mLeases[id].lastHeartbeat = aNow;
     mLeases[id].life = instance.life();
     mLivesTold |= instance.life() > 0;
+    if (instance.cold_ms() > 0) {
+      mLeases[id].coldIndex = instance.cold_index();
+      mLeases[id].coldUntil = aNow + milliseconds{ instance.cold_ms() };
+    }
   }
 }
 
@@ -174,7 +182,8 @@
   const wire::UpstreamInstance* known =
     aState.FindInstance(aHeartbeat.instance);
   const bool sameLife = known != nullptr && known->life() == aHeartbeat.life;
-  if (!sameLife || known->draining() != aHeartbeat.draining ||
+  const bool coldChanged = NoteCold(aHeartbeat, aState, aArrived);
+  if (!sameLife || coldChanged || known->draining() != aHeartbeat.draining ||
       known->slots() != aHeartbeat.slots) {
     wire::UpstreamInstance* instance =
       commands.emplace_back().mutable_put_instance()->mutable_instance();
@@ -186,6 +195,9 @@
     instance->set_slots(aHeartbeat.slots);
     instance->set_draining(aHeartbeat.draining);
     instance->set_life(aHeartbeat.life);
+    const Duration cold = std::max(lease.coldUntil - aArrived, Duration::zero());
+    instance->set_cold_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<milliseconds>(cold).count()));
   }
   const size_t before = commands.size();
   if (sameLife) {
@@ -194,7 +206,7 @@
   // Only one that was silent changes the sums by its heartbeat. Summed up for
   // each heartbeat, they took 450 us at 800 upstreams, more than a third of a
   // core; without that a heartbeat takes 6 us (rattandyke-bench --only fleet).
-  const bool counted = sameLife && IsActive(*known, aArrived);
+  const bool counted = sameLife && IsActive(*known, aState, aArrived);
   lease.lastHeartbeat = aArrived;
   if (const auto group = mGroups.find(aHeartbeat.service);
       !counted && group != mGroups.end()) {
@@ -202,12 +214,47 @@
   }
   if (commands.size() != before) {
     lease.releasedAt = aArrived;
+  } else if (sameLife && aState.IsEvacuated(known->data_centre())) {
+    GiveUpAll(aHeartbeat, aState, aArrived, commands);
   } else if (sameLife) {
     PlanMoves(aHeartbeat, aState, aArrived, commands);
   }
   return commands;
 }
 
+/// Only where a service bounds what a cold upstream may get: elsewhere nobody
+/// needs to know.
+bool
+Granter::NoteCold(const Heartbeat& aHeartbeat,
+                  const State& aState,
+                  Instant aNow)
+{
+  const auto& services = aState.Items().Services();
+  const auto service = services.find(aHeartbeat.service);
+  if (service == services.end() || service->second.cold_rate() <= 0) {
+    return false;
+  }
+  Lease& lease = mLeases[aHeartbeat.instance];
+  const wire::UpstreamInstance* known =
+    aState.FindInstance(aHeartbeat.instance);
+  const bool knownCold = known != nullptr && known->cold_ms() > 0;
+  if (knownCold && known->cold_index() != lease.coldIndex) {
+    // Told by a heartbeat, it is known here for how long; only what the end of
+    // an evacuation assumed is new.
+    lease.coldIndex = known->cold_index();
+    if (lease.coldUntil <= aNow) {
+      lease.coldUntil = aNow + milliseconds{ known->cold_ms() };
+    }
+  }
+  const Instant until = aNow + aHeartbeat.cold;
+  if (aHeartbeat.cold > Duration::zero() &&
+      (!knownCold || until > lease.coldUntil + kColdSlack)) {
+    lease.coldUntil = std::max(lease.coldUntil, until);
+    return true;
+  }
+  return knownCold && aNow >= lease.coldUntil;
+}
+
 void
 Granter::NoteReplaced(const Heartbeat& aHeartbeat,
                       const State& aState,
@@ -327,10 +374,13 @@
 }
 
 bool
-Granter::IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const
+Granter::IsActive(const wire::UpstreamInstance& aInstance,
+                  const State& aState,
+                  Instant aNow) const
 {
   const auto lease = mLeases.find(aInstance.id());
-  if (aInstance.draining() || lease == mLeases.end() ||
+  if (aInstance.draining() || aState.IsEvacuated(aInstance.data_centre()) ||
+      lease == mLeases.end() ||
       lease->second.expiring || !lease->second.lastHeartbeat) {
     return false;
   }
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -109,6 +109,10 @@
     /// Its keys are being freed: nothing may be renewed.
     bool expiring = false;
     std::optional<Instant> releasedAt;
+    /// It is cold until then, as it said or as is assumed, and the command of
+    /// the state that this follows.
+    Instant coldUntil{};
+    uint64_t coldIndex = 0;
   };
 
   /// Average of an instance's reported times.
@@ -214,7 +218,20 @@
   bool TakesSoon(const std::string& aInstance, Instant aNow) const;
   static void EndReservations(Group& aGroup, Instant aNow);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
-  bool IsActive(const wire::UpstreamInstance& aInstance, Instant aNow) const;
+  /// @return whether an instance may be given keys.
+  bool IsActive(const wire::UpstreamInstance& aInstance,
+                const State& aState,
+                Instant aNow) const;
+  /// @return whether the state must be told anew for how long an instance is
+  /// cold.
+  bool NoteCold(const Heartbeat& aHeartbeat,
+                const State& aState,
+                Instant aNow);
+  /// Lets all keys of an instance in an evacuated data centre be released.
+  void GiveUpAll(const Heartbeat& aHeartbeat,
+                 const State& aState,
+                 Instant aNow,
+                 std::vector<wire::GatewayCommand>& aCommands) const;
   const Holders& HoldersOf(const std::string& aService,
                            const State& aState,
                            Instant aNow);
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -80,6 +80,8 @@
 constexpr double kUsualReports = 4;
 /// Assumed while no instance of the service has answered yet.
 constexpr double kDefaultSeconds = 0.1;
+/// A cold instance takes so many times as long, and is given less for it.
+constexpr double kColdSlower = 2;
 
 } // namespace
 
@@ -154,6 +156,36 @@
   HoldBack(aHeartbeat, given, aCommands);
 }
 
+/// Safeguard: nothing new may reach an evacuated data centre, and keys that are
+/// held there can be served nowhere else. They are released with the holder's
+/// next heartbeat, so that their next holders start with the handover. Where
+/// nobody can take them they stay: without an owner they would be refused, too,
+/// and moved in vain.
+void
+Granter::GiveUpAll(const Heartbeat& aHeartbeat,
+                   const State& aState,
+                   Instant aNow,
+                   std::vector<wire::GatewayCommand>& aCommands) const
+{
+  const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
+  const auto& instances = aState.Instances();
+  const bool taken =
+    std::any_of(instances.begin(), instances.end(), [&](const auto& aItem) {
+      return aItem.second.service() == aHeartbeat.service &&
+             IsActive(aItem.second, aState, aNow);
+    });
+  if (ranges == nullptr || !taken) {
+    return;
+  }
+  std::vector<KeySpan> given;
+  for (const wire::RangeSegment& segment : ranges->Segments()) {
+    if (segment.holder() == aHeartbeat.instance && !segment.held_back()) {
+      given.push_back(SpanOf(segment));
+    }
+  }
+  HoldBack(aHeartbeat, given, aCommands);
+}
+
 /// The keys are left out of the instance's answers from then on, by the
 /// replicated state, so that a new leader goes on with it.
 void
@@ -372,7 +404,7 @@
   double sum = 0;
   size_t timed = 0;
   for (const auto& [id, instance] : aState.Instances()) {
-    if (instance.service() != aService || !IsActive(instance, aNow)) {
+    if (instance.service() != aService || !IsActive(instance, aState, aNow)) {
       continue;
     }
     holders.emplace_hint(holders.end(), id, Holder{});
@@ -391,8 +423,10 @@
     const double seconds =
       (time.seconds * time.reports + usual * kUsualReports) /
       (time.reports + kUsualReports);
+    const auto lease = mLeases.find(id);
+    const bool cold = lease != mLeases.end() && aNow < lease->second.coldUntil;
     holder.perRequest =
-      seconds / std::max(aState.FindInstance(id)->slots(), 1U);
+      (cold ? kColdSlower : 1) * seconds / std::max(aState.FindInstance(id)->slots(), 1U);
     holder.speed = 1 / holder.perRequest;
     speeds += holder.speed;
   }
@@ -498,7 +532,7 @@
   const wire::UpstreamInstance* instance = aState.FindInstance(id);
   if (instance == nullptr || instance->life() != aHeartbeat.life ||
       !OwnsKeys(aState, instance->service()) || !IsNewest(aHeartbeat) ||
-      !IsActive(*instance, aNow)) {
+      !IsActive(*instance, aState, aNow)) {
     return std::nullopt;
   }
   UpdatePool(instance->service(), aState, aNow);
--- a/src/librattandyke/gateway/heartbeat.h
+++ b/src/librattandyke/gateway/heartbeat.h
@@ -37,6 +37,9 @@
   std::string version;
   uint32_t slots = 0;
   bool draining = false;
+  /// Time left for which it is cold: slow, and able to bear only a few requests
+  /// a second.
+  Duration cold{};
   /// Tells apart the lives of a process that starts again under its id: it
   /// rises with each start. 0: the instance does not say.
   uint64_t life = 0;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -388,7 +388,9 @@
     const Instant now = mClock.Now();
     std::string owner = mDesk.Broker().Upstreams().OwnerOf(
       mFeed.Known(), aFlow.service, *aFlow.key, now);
-    if (!owner.empty() || now >= giveUp || aFlow.context->IsOver()) {
+    // Without an upstream that could take the key there is nothing to wait for.
+    const bool vain = !mDesk.Broker().Upstreams().CanServe(aFlow.service);
+    if (!owner.empty() || vain || now >= giveUp || aFlow.context->IsOver()) {
       co_return owner;
     }
     co_await AwaitChange(aFlow.context, giveUp);
@@ -404,6 +406,19 @@
                   aFlow.deadline - Duration(kLeastTry));
 }
 
+/// @return whether its key has another owner than the one that it waited for,
+/// or will have one, and there is time to ask that one.
+bool
+RequestHandler::HasMoved(const Flow& aFlow) const
+{
+  if (aFlow.owner.empty() || mClock.Now() >= PatienceEnd(aFlow)) {
+    return false;
+  }
+  return mDesk.Broker().Upstreams().OwnerOf(
+           mFeed.Known(), aFlow.service, *aFlow.key, mClock.Now()) !=
+         aFlow.owner;
+}
+
 asio::awaitable<SlotOutcome>
 RequestHandler::AwaitSlot(Flow& aFlow)
 {
@@ -479,6 +494,10 @@
     const SlotOutcome outcome = co_await AwaitSlot(aFlow);
     const auto* slot = std::get_if<Slot>(&outcome);
     if (slot == nullptr) {
+      if (HasMoved(aFlow)) {
+        ++unsent;
+        continue;
+      }
       const NoSlot& none = std::get<NoSlot>(outcome);
       const bool full = none.hindrance == UpstreamSet::Hindrance::Full;
       co_return NotRun(aFlow,
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -101,6 +101,7 @@
   std::shared_ptr<const OutgoingRequest> Outgoing(const CallerRequest& aRequest,
                                                   const std::string& aId) const;
   Instant PatienceEnd(const Flow& aFlow) const;
+  bool HasMoved(const Flow& aFlow) const;
   /// @return whether this host knows what operators have set.
   bool HasState() const;
   /// Waits until the state changes.
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -96,6 +96,30 @@
   return true;
 }
 
+/// Names with commas between them.
+bool
+ParseDataCentres(const std::string& aText, std::vector<DataCentre>& aNames)
+{
+  aNames.clear();
+  std::istringstream words(aText);
+  std::string word;
+  while (std::getline(words, word, ',')) {
+    const std::string trimmed(config::Trimmed(word));
+    if (!trimmed.empty()) {
+      aNames.push_back(DataCentre{ trimmed });
+    }
+  }
+  return true;
+}
+
+/// Nothing stands for what a deployment does not tell.
+template<typename Parse>
+bool
+OrDefault(const std::string& aText, Parse aParse)
+{
+  return aText.empty() || aParse();
+}
+
 bool
 ParseRole(const std::string& aText, Settings& aSettings)
 {
@@ -144,6 +168,15 @@
         aSettings.dataCentre.value = aText;
         return !aText.empty();
       } },
+    { "host",
+      "data_centres",
+      "",
+      "names with commas between them, or nothing",
+      "All data centres of the deployment; an order about another one is "
+      "refused. Nothing: any name is taken.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseDataCentres(aText, aSettings.dataCentres);
+      } },
     { "host",
       "role",
       "entry",
@@ -296,6 +329,35 @@
       "a time in ms or s",
       "Time within which a leaving upstream must get no more requests.",
       Time(&Settings::drainTimeout) },
+    { "requests",
+      "evacuation_timeout",
+      "5s",
+      "a time in ms or s, or nothing for the default",
+      "Time within which nothing new may reach the upstreams of an evacuated "
+      "data centre.",
+      [](Settings& aSettings, const std::string& aText) {
+        return OrDefault(aText, [&] {
+          return ParseTime(aText, aSettings.evacuationTimeout);
+        });
+      } },
+    { "requests",
+      "cold_factor",
+      "1",
+      "a number from 0, or nothing for the default",
+      "Times its service's rate that a cold upstream may get in one second.",
+      [](Settings& aSettings, const std::string& aText) {
+        return OrDefault(
+          aText, [&] { return ParseNumber(aText, aSettings.coldFactor); });
+      } },
+    { "requests",
+      "cold_slack",
+      "0",
+      "a number from 0, or nothing for the default",
+      "Requests beyond these that a cold upstream may get in one second.",
+      [](Settings& aSettings, const std::string& aText) {
+        return OrDefault(
+          aText, [&] { return ParseNumber(aText, aSettings.coldSlack); });
+      } },
     { "requests",
       "shutdown_grace",
       "6s",
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -25,6 +25,8 @@
   std::filesystem::path dataFolder;
   /// The whole deployment starts for the first time, with empty disks.
   bool firstStart = false;
+  /// All data centres of the deployment; empty: not told.
+  std::vector<DataCentre> dataCentres;
   std::string dialect;
   std::string logLevel;
 
@@ -59,6 +61,12 @@
   /// Second tries beyond these that all hosts together may send at a time.
   double retrySlack = 0;
   Millis drainTimeout{};
+  /// Time within which nothing new may reach an evacuated data centre.
+  Millis evacuationTimeout{};
+  /// Requests that a cold upstream may get in one second: what its service
+  /// says times the factor, and the slack.
+  double coldFactor = 1;
+  double coldSlack = 0;
   Millis shutdownGrace{};
 };
 
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -52,8 +52,8 @@
 
 } // namespace
 
-SlotBroker::SlotBroker(uint64_t aSeed, Duration aDrainTimeout)
-  : mUpstreams(aSeed, aDrainTimeout)
+SlotBroker::SlotBroker(uint64_t aSeed, const UpstreamSet::Options& aOptions)
+  : mUpstreams(aSeed, aOptions)
 {
 }
 
@@ -91,6 +91,9 @@
 UpstreamSet::Outcome
 SlotBroker::Choose(const SlotRequest& aRequest, Instant aNow)
 {
+  if (!aRequest.cold && mUpstreams.IsCold(aRequest.instance, aNow)) {
+    return UpstreamSet::Hindrance::Full;
+  }
   if (!aRequest.instance.empty()) {
     return aRequest.alone ? mUpstreams.ChooseOneAlone(aRequest.instance, aNow)
                           : mUpstreams.ChooseOne(aRequest.instance, aNow);
@@ -99,6 +102,7 @@
                            aRequest.group,
                            aRequest.excluded,
                            aRequest.dataCentre,
+                           aRequest.cold,
                            aNow);
 }
 
@@ -107,7 +111,7 @@
                   const UpstreamSet::Choice& aChoice,
                   Instant aNow)
 {
-  const UpstreamSet::Begun begun = mUpstreams.Begin(aChoice.instance);
+  const UpstreamSet::Begun begun = mUpstreams.Begin(aChoice.instance, aNow);
   mRunning[aRequest.key] = { aChoice.instance,
                              aNow + aRequest.held + Duration(kLostReturn),
                              begun };
@@ -398,7 +402,25 @@
   for (const std::string& service : freed) {
     Serve(service, aNow);
   }
+  ServeCold(aNow);
   return TakeAnswers();
 }
 
+/// A cold upstream may be sent more as time passes, without any end of a
+/// request.
+void
+SlotBroker::ServeCold(Instant aNow)
+{
+  if (Waiting() == 0) {
+    return;
+  }
+  std::set<std::string> services;
+  for (const std::string& instance : mUpstreams.ColdInstances(aNow)) {
+    services.insert(mUpstreams.ServiceOf(instance));
+  }
+  for (const std::string& service : services) {
+    Serve(service, aNow);
+  }
+}
+
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -45,6 +45,8 @@
   DataCentre dataCentre;
   /// Other hosts, unknown to this one, send requests to the same upstreams.
   bool alone = false;
+  /// This host is certain to keep the slots of cold upstreams.
+  bool cold = true;
 };
 
 struct SlotGranted
@@ -79,8 +81,7 @@
 class SlotBroker
 {
 public:
-  /// @param aDrainTimeout see UpstreamSet.
-  SlotBroker(uint64_t aSeed, Duration aDrainTimeout);
+  SlotBroker(uint64_t aSeed, const UpstreamSet::Options& aOptions);
 
   /// Takes over all instances of the replicated state.
   std::vector<SlotAnswer> Update(const State& aState, Instant aNow);
@@ -103,6 +104,12 @@
 
   const UpstreamSet& Upstreams() const { return mUpstreams; }
 
+  /// UpstreamSet::HoldOffCold.
+  void HoldOffCold(const std::vector<std::string>& aInstances, Instant aNow)
+  {
+    mUpstreams.HoldOffCold(aInstances, aNow);
+  }
+
   /// @return whether a request of a process waits or has a slot here.
   bool HasRequestOf(uint64_t aSession) const;
 
@@ -182,6 +189,7 @@
   void Enqueue(const SlotRequest& aRequest, bool aLate, Instant aNow);
   void EndWaits(Queue& aQueue, Instant aNow);
   void Serve(const std::string& aService, Instant aNow);
+  void ServeCold(Instant aNow);
   std::vector<SlotAnswer> TakeAnswers();
 
   UpstreamSet mUpstreams;
--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -60,7 +60,7 @@
   }
 
   Instant now{ std::chrono::hours{ 1 } };
-  SlotBroker broker{ 7, std::chrono::seconds{ 2 } };
+  SlotBroker broker{ 7, { std::chrono::seconds{ 2 } } };
 };
 
 TEST_F(SlotBrokerTest, GrantsUpToTheRoomAndQueuesTheRest)
@@ -240,7 +240,7 @@
 RC_GTEST_PROP(SlotBroker, NeverOverrunsAnUpstream, ())
 {
   std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
-  SlotBroker broker(random(), std::chrono::seconds{ 2 });
+  SlotBroker broker(random(), { std::chrono::seconds{ 2 } });
   Instant now{ std::chrono::hours{ 1 } };
   broker.Update(StateWith({ "a", "b", "c" }, 2), now);
   std::map<std::string, int> running;
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds kDeclinedFor{ 60 };
 /// How long a silent home is left alone.
 constexpr milliseconds kLeftAlone{ 400 };
+/// Older than this, a home's list of entries may be one in which it is home no
+/// more.
+constexpr milliseconds kAssuredHome{ 1000 };
 
 milliseconds
 Ms(Duration aTime)
@@ -91,14 +94,16 @@
                    Send aSend,
                    const Clock& aClock,
                    uint64_t aSeed,
-                   Duration aDrainTimeout)
+                   const UpstreamSet::Options& aOptions,
+                   StateAge aStateAge)
   : mExecutor(std::move(aExecutor))
   , mSelf(std::move(aSelf))
   , mSession(aSession)
   , mSend(std::move(aSend))
   , mClock(aClock)
+  , mStateAge(std::move(aStateAge))
   , mRandom(aSeed)
-  , mBroker(aSeed, aDrainTimeout)
+  , mBroker(aSeed, aOptions)
 {
 }
 
@@ -112,6 +117,8 @@
   mLine.SetEntries(mEntries.size());
   ForgetAskers(aState);
   Deliver(mBroker.Update(aState, mClock.Now()));
+  // This host may have just started, and has missed changes in any case.
+  HoldOffNewCold({});
 }
 
 void
@@ -127,14 +134,23 @@
     case wire::GatewayCommand::kEndInstance:
       Deliver(mBroker.Update(aState, aCommand.end_instance().id(), now));
       return;
-    case wire::GatewayCommand::kPutEntry:
+    case wire::GatewayCommand::kPutEntry: {
+      const std::vector<std::string> before = ColdHere();
       AddEntry(aCommand.put_entry().entry().address());
       mLine.SetEntries(mEntries.size());
+      HoldOffNewCold(before);
       return;
-    case wire::GatewayCommand::kDropEntry:
+    }
+    case wire::GatewayCommand::kDropEntry: {
+      const std::vector<std::string> before = ColdHere();
       DropEntry(aCommand.drop_entry().address());
       mLine.SetEntries(mEntries.size());
       ForgetAskers(aState);
+      HoldOffNewCold(before);
+      return;
+    }
+    case wire::GatewayCommand::kEvacuateDataCentre:
+      Deliver(mBroker.Update(aState, now));
       return;
     case wire::GatewayCommand::kChangeItems:
       // A service may own keys now, or no more.
@@ -200,6 +216,49 @@
   return home == nullptr ? std::string() : home->address;
 }
 
+bool
+SlotDesk::IsHomeOf(const std::string& aInstance) const
+{
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  return HomeOf(upstreams.ServiceOf(aInstance),
+                upstreams.GroupOf(aInstance)) == mSelf;
+}
+
+/// @return the cold upstreams of which this host is the home.
+std::vector<std::string>
+SlotDesk::ColdHere() const
+{
+  std::vector<std::string> cold =
+    mBroker.Upstreams().ColdInstances(mClock.Now());
+  std::erase_if(cold, [&](const auto& aId) { return !IsHomeOf(aId); });
+  return cold;
+}
+
+/// Safeguard: the home before this one has sent a cold upstream as much as it
+/// bears in the last second. Sent as much again by its next home, it would
+/// crash. So a new home waits until that second has passed.
+void
+SlotDesk::HoldOffNewCold(const std::vector<std::string>& aBefore)
+{
+  std::vector<std::string> cold = ColdHere();
+  std::erase_if(cold, [&](const auto& aId) {
+    return std::find(aBefore.begin(), aBefore.end(), aId) != aBefore.end();
+  });
+  mBroker.HoldOffCold(cold, mClock.Now());
+}
+
+/// Safeguard: a home that is cut off goes on after another has taken its place,
+/// for those that are cut off with it. Two homes would send a cold upstream
+/// twice what it bears. So only a host that is its home, and is assured of it,
+/// keeps the slots of a cold upstream; the list of entries leaves one out only
+/// after a longer silence than this.
+bool
+SlotDesk::MayKeepCold(const std::string& aService, uint32_t aGroup) const
+{
+  return mStateAge() < Duration(kAssuredHome) &&
+         HomeOf(aService, aGroup) == mSelf;
+}
+
 bool
 SlotDesk::IsSilent(const std::string& aHome) const
 {
@@ -399,6 +458,8 @@
   }
   if (!outcome && !aContext->IsOver()) {
     aRequest.alone = !home.empty() && home != mSelf;
+    aRequest.cold =
+      home.empty() || MayKeepCold(aRequest.service, aRequest.group);
     outcome = co_await AcquireFrom({}, aContext, aRequest);
   }
   co_return outcome.value_or(
@@ -482,7 +543,9 @@
     Decline(aAsk);
     return;
   }
-  Deliver(mBroker.Ask(FromWire(aAsk), mClock.Now()));
+  SlotRequest request = FromWire(aAsk);
+  request.cold = MayKeepCold(request.service, request.group);
+  Deliver(mBroker.Ask(request, mClock.Now()));
 }
 
 /// Safeguard: a home that has just started has no state yet, or hears later
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -50,19 +50,21 @@
 class SlotDesk
 {
 public:
+  using StateAge = std::function<Duration()>;
   using Send =
     std::function<void(const HostName& aTo, const wire::GatewayFrame&)>;
 
   /// @param aSelf   this host's address for peers.
   /// @param aSession random per process start.
-  /// @param aDrainTimeout see UpstreamSet.
+  /// @param aStateAge time since this host was assured of the state.
   SlotDesk(boost::asio::any_io_executor aExecutor,
            std::string aSelf,
            uint64_t aSession,
            Send aSend,
            const Clock& aClock,
            uint64_t aSeed,
-           Duration aDrainTimeout);
+           const UpstreamSet::Options& aOptions,
+           StateAge aStateAge);
 
   /// The replicated state was replaced as a whole.
   void StateChanged(const State& aState);
@@ -124,6 +126,10 @@
   void DropEntry(const std::string& aAddress);
   void ForgetAskers(const State& aState);
   std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
+  bool IsHomeOf(const std::string& aInstance) const;
+  std::vector<std::string> ColdHere() const;
+  void HoldOffNewCold(const std::vector<std::string>& aBefore);
+  bool MayKeepCold(const std::string& aService, uint32_t aGroup) const;
   bool IsSilent(const std::string& aHome) const;
   boost::asio::awaitable<void> AwaitSign(std::shared_ptr<Pending> aPending,
                                          Instant aUntil);
@@ -158,6 +164,7 @@
   const uint64_t mSession;
   const Send mSend;
   const Clock& mClock;
+  const StateAge mStateAge;
   Random mRandom;
   SlotBroker mBroker;
   /// By address.
--- a/src/librattandyke/gateway/slot_desk_test.cpp
+++ b/src/librattandyke/gateway/slot_desk_test.cpp
@@ -131,7 +131,8 @@
                  },
                  clock,
                  7,
-                 std::chrono::seconds{ 2 } };
+                 { std::chrono::seconds{ 2 } },
+                 [] { return Duration::zero(); } };
 };
 
 /// @return the home that a desk asks for a slot of an upstream.
@@ -150,7 +151,8 @@
                  },
                  clock,
                  7,
-                 std::chrono::seconds{ 2 } };
+                 { std::chrono::seconds{ 2 } },
+                 [] { return Duration::zero(); } };
   aTell(desk);
   SlotRequest request;
   request.service = "desk";
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -33,6 +33,8 @@
       return On(aCommand.put_entry());
     case wire::GatewayCommand::kDropEntry:
       return On(aCommand.drop_entry());
+    case wire::GatewayCommand::kEvacuateDataCentre:
+      return On(aCommand.evacuate_data_centre());
     case wire::GatewayCommand::BODY_NOT_SET:
       break;
   }
@@ -98,6 +100,7 @@
   wire::UpstreamInstance& put = mInstances[instance.id()];
   put = instance;
   put.set_draining(draining);
+  put.set_cold_index(mApplied.value);
   ++mInstancesVersion;
   return {};
 }
@@ -170,6 +173,35 @@
   return {};
 }
 
+Result<void>
+State::On(const wire::EvacuateDataCentre& aCommand)
+{
+  if (!aCommand.ends()) {
+    mEvacuated.insert(aCommand.data_centre());
+  } else if (mEvacuated.erase(aCommand.data_centre()) > 0) {
+    AssumeCold(aCommand.data_centre());
+  }
+  return {};
+}
+
+/// Safeguard: upstreams may have become cold while nothing was sent to them,
+/// and tell so only with their next heartbeats. At the usual rate, until then,
+/// they would crash. Taken as cold from the order on, they get no more than
+/// they bear; a heartbeat that says otherwise ends it once their time is over.
+void
+State::AssumeCold(const std::string& aDataCentre)
+{
+  for (auto& [id, instance] : mInstances) {
+    const auto service = mItems.Services().find(instance.service());
+    if (instance.data_centre() == aDataCentre &&
+        service != mItems.Services().end()) {
+      instance.set_cold_ms(service->second.cold_ms());
+      instance.set_cold_index(mApplied.value);
+    }
+  }
+  ++mInstancesVersion;
+}
+
 wire::GatewayState
 State::Save() const
 {
@@ -192,6 +224,9 @@
   for (const auto& [address, entry] : mEntries) {
     *state.add_entries() = entry;
   }
+  for (const std::string& dataCentre : mEvacuated) {
+    state.add_evacuated(dataCentre);
+  }
   return state;
 }
 
@@ -215,6 +250,7 @@
   for (const wire::EntryMember& entry : aState.entries()) {
     mEntries[entry.address()] = entry;
   }
+  mEvacuated.insert(aState.evacuated().begin(), aState.evacuated().end());
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,15 @@
   /// later one was registered or has ended, too.
   bool HasEnded(const std::string& aId, uint64_t aLife) const;
 
+  /// @return whether operators want nothing sent to the upstreams of a data
+  /// centre.
+  bool IsEvacuated(const std::string& aDataCentre) const
+  {
+    return mEvacuated.contains(aDataCentre);
+  }
+
+  const std::set<std::string>& Evacuated() const { return mEvacuated; }
+
   /// @return the owners of a service's keys, or nullptr before the first grant.
   const RangeTable* Ranges(const std::string& aService) const;
 
@@ -69,6 +79,8 @@
   Result<void> On(const wire::HoldBackRanges& aCommand);
   Result<void> On(const wire::PutEntry& aCommand);
   Result<void> On(const wire::DropEntry& aCommand);
+  Result<void> On(const wire::EvacuateDataCentre& aCommand);
+  void AssumeCold(const std::string& aDataCentre);
   void NoteEnded(const std::string& aId, uint64_t aLife);
 
   LogIndex mApplied;
@@ -82,6 +94,7 @@
   std::map<std::string, uint64_t> mEnded;
   std::map<std::string, RangeTable> mRanges;
   std::map<std::string, wire::EntryMember> mEntries;
+  std::set<std::string> mEvacuated;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -31,6 +31,14 @@
 /// it holds them until they are released, but nothing new may reach it later.
 /// The rest is for this host to hear of it late, and for a request's own wait.
 constexpr double kDrainingOwner = 0.45;
+/// The same for an owner in an evacuated data centre.
+constexpr double kEvacuatedOwner = 0.45;
+/// Sends to a cold upstream are counted over this time, which is longer than
+/// the second that it is protected for: they arrive after different delays.
+constexpr milliseconds kColdWindow{ 1150 };
+/// Part of what a cold upstream bears that it is sent. The rest is for sends
+/// that were held up on their way and arrive with those of the next second.
+constexpr double kColdPart = 0.85;
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
 constexpr double kFarFactor = 2.0;
@@ -51,9 +59,9 @@
 
 } // namespace
 
-UpstreamSet::UpstreamSet(uint64_t aSeed, Duration aDrainTimeout)
+UpstreamSet::UpstreamSet(uint64_t aSeed, const Options& aOptions)
   : mRandom(aSeed)
-  , mDrainingOwner(Scaled(aDrainTimeout, kDrainingOwner))
+  , mOptions(aOptions)
 {
 }
 
@@ -70,7 +78,8 @@
 bool
 UpstreamSet::IsMember(const Upstream& aUpstream)
 {
-  return aUpstream.included && !aUpstream.drainingSince;
+  return aUpstream.included && !aUpstream.drainingSince &&
+         !aUpstream.evacuatedSince;
 }
 
 const std::vector<const UpstreamSet::Item*>&
@@ -120,8 +129,82 @@
   upstream.included = false;
 }
 
+std::optional<size_t>
+UpstreamSet::ColdBound(const wire::ServiceItem& aService) const
+{
+  if (aService.cold_rate() <= 0) {
+    return std::nullopt;
+  }
+  const double borne =
+    aService.cold_rate() * mOptions.coldFactor + mOptions.coldSlack;
+  return static_cast<size_t>(std::max(borne * kColdPart, 1.0));
+}
+
 void
-UpstreamSet::Put(const wire::UpstreamInstance& aInstance, Instant aNow)
+UpstreamSet::PutCold(const wire::UpstreamInstance& aInstance,
+                     Upstream& aUpstream,
+                     Instant aNow)
+{
+  if (aInstance.cold_index() == aUpstream.coldIndex) {
+    return; // It is as old as what is known.
+  }
+  aUpstream.coldIndex = aInstance.cold_index();
+  aUpstream.coldUntil = aNow + milliseconds{ aInstance.cold_ms() };
+}
+
+/// Safeguard: a cold upstream crashes at a rate that a warm one bears, and what
+/// it runs is lost. So all that its home sends it counts, for any second, also
+/// before it was known to be cold.
+bool
+UpstreamSet::IsColdFull(const Upstream& aUpstream, Instant aNow) const
+{
+  const auto service = mServices.find(aUpstream.service);
+  if (aNow >= aUpstream.coldUntil || service == mServices.end() ||
+      !service->second.coldBound) {
+    return false;
+  }
+  const auto& recent = aUpstream.recent;
+  const size_t bound = *service->second.coldBound;
+  const bool full = recent.size() >= bound &&
+                    aNow - recent[recent.size() - bound] < kColdWindow;
+  return aNow < aUpstream.coldFrom || full;
+}
+
+void
+UpstreamSet::HoldOffCold(const std::vector<std::string>& aInstances,
+                         Instant aNow)
+{
+  for (const std::string& id : aInstances) {
+    const auto found = mUpstreams.find(id);
+    if (found != mUpstreams.end()) {
+      found->second.coldFrom = aNow + Duration(kColdWindow);
+    }
+  }
+}
+
+std::vector<std::string>
+UpstreamSet::ColdInstances(Instant aNow) const
+{
+  std::vector<std::string> cold;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (aNow < upstream.coldUntil) {
+      cold.push_back(id);
+    }
+  }
+  return cold;
+}
+
+bool
+UpstreamSet::IsCold(const std::string& aInstance, Instant aNow) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found != mUpstreams.end() && aNow < found->second.coldUntil;
+}
+
+void
+UpstreamSet::Put(const wire::UpstreamInstance& aInstance,
+                 bool aEvacuated,
+                 Instant aNow)
 {
   const auto at = mUpstreams.try_emplace(aInstance.id()).first;
   Exclude(*at);
@@ -140,6 +223,12 @@
   if (aInstance.draining() && !upstream.drainingSince) {
     upstream.drainingSince = aNow;
   }
+  if (!aEvacuated) {
+    upstream.evacuatedSince.reset();
+  } else if (!upstream.evacuatedSince) {
+    upstream.evacuatedSince = aNow;
+  }
+  PutCold(aInstance, upstream, aNow);
   Include(*at);
 }
 
@@ -186,6 +275,7 @@
 {
   for (const auto& [name, item] : aState.Items().Services()) {
     mServices[name].ownsKeys = item.owns_keys();
+    mServices[name].coldBound = ColdBound(item);
   }
   std::vector<std::string> ended;
   for (const auto& [id, upstream] : mUpstreams) {
@@ -197,7 +287,7 @@
     Remove(id);
   }
   for (const auto& [id, instance] : aState.Instances()) {
-    Put(instance, aNow);
+    Put(instance, aState.IsEvacuated(instance.data_centre()), aNow);
   }
   for (const auto& [name, service] : mServices) {
     Regroup(name);
@@ -211,7 +301,7 @@
 {
   const std::string before = ServiceOf(aInstance);
   if (const auto* instance = aState.FindInstance(aInstance)) {
-    Put(*instance, aNow);
+    Put(*instance, aState.IsEvacuated(instance->data_centre()), aNow);
     Regroup(instance->service());
   } else {
     Remove(aInstance);
@@ -320,8 +410,20 @@
 bool
 UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow) const
 {
-  return !aUpstream.gone && (!aUpstream.drainingSince ||
-                             aNow - *aUpstream.drainingSince < mDrainingOwner);
+  const auto service = mServices.find(aUpstream.service);
+  const bool ownsKeys =
+    service != mServices.end() && service->second.ownsKeys;
+  const bool drained =
+    aUpstream.drainingSince &&
+    aNow - *aUpstream.drainingSince >=
+      Scaled(mOptions.drainTimeout, kDrainingOwner);
+  // An owner of keys serves on until they have another one; any other upstream
+  // has others beside it.
+  const bool evacuated =
+    aUpstream.evacuatedSince &&
+    (!ownsKeys || aNow - *aUpstream.evacuatedSince >=
+                    Scaled(mOptions.evacuationTimeout, kEvacuatedOwner));
+  return !aUpstream.gone && !drained && !evacuated;
 }
 
 std::string
@@ -333,6 +435,13 @@
   return usable ? found->second.address : std::string();
 }
 
+bool
+UpstreamSet::CanServe(const std::string& aService) const
+{
+  const auto service = mServices.find(aService);
+  return service != mServices.end() && service->second.usable > 0;
+}
+
 bool
 UpstreamSet::HasInstances(const std::string& aService) const
 {
@@ -352,6 +461,7 @@
                     uint32_t aGroup,
                     const std::set<std::string>& aTried,
                     const DataCentre& aNear,
+                    bool aCold,
                     Instant aNow)
 {
   bool known = false;
@@ -363,7 +473,9 @@
     }
     known = true;
     const Upstream& upstream = item->second;
-    if (upstream.running >= RoomOf(upstream)) {
+    const bool cold = aNow < upstream.coldUntil;
+    if (upstream.running >= RoomOf(upstream) ||
+        (cold && (!aCold || IsColdFull(upstream, aNow)))) {
       continue;
     }
     (aNow < upstream.avoidUntil ? avoided : room).push_back(item);
@@ -391,6 +503,9 @@
     return Hindrance::NoInstance;
   }
   Upstream& upstream = found->second;
+  if (upstream.evacuatedSince && !IsUsable(upstream, aNow)) {
+    return Hindrance::NoOwner;
+  }
   // Safeguard: the owner of a key has crashed or is cut off, and its keys have
   // no other owner until its hold is over. Each request for them would wait at
   // it until its caller's deadline and keep a slot; refused, its caller knows
@@ -401,7 +516,7 @@
     }
     upstream.tryAgainAt = aNow + Duration(kTryDeadEvery);
   }
-  if (upstream.running >= RoomOf(upstream)) {
+  if (upstream.running >= RoomOf(upstream) || IsColdFull(upstream, aNow)) {
     return Hindrance::Full;
   }
   return Choice{ found->first, found->second.address };
@@ -416,7 +531,10 @@
   }
   const Upstream& upstream = found->second;
   const uint32_t room = std::max(upstream.slots / kAlonePart, 1U);
-  if (upstream.running >= room || aNow < upstream.avoidUntil) {
+  // Safeguard: hosts that each send a cold upstream a little send too much
+  // together. It is left to its home.
+  if (upstream.running >= room || aNow < upstream.avoidUntil ||
+      aNow < upstream.coldUntil) {
     return Hindrance::Full;
   }
   return Choice{ found->first, upstream.address };
@@ -440,10 +558,17 @@
 }
 
 UpstreamSet::Begun
-UpstreamSet::Begin(const std::string& aInstance)
+UpstreamSet::Begin(const std::string& aInstance, Instant aNow)
 {
   Upstream& upstream = mUpstreams[aInstance];
   ++upstream.running;
+  const auto service = mServices.find(upstream.service);
+  if (service != mServices.end() && service->second.coldBound) {
+    upstream.recent.push_back(aNow);
+    while (upstream.recent.size() > *service->second.coldBound) {
+      upstream.recent.pop_front();
+    }
+  }
   return { upstream.running > upstream.slots, upstream.life };
 }
 
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -1,6 +1,7 @@
 /// Which upstream a request is sent to.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,9 +58,19 @@
 
   using Outcome = std::variant<Choice, Hindrance>;
 
-  /// @param aDrainTimeout time after which a leaving instance must get no more
-  /// requests.
-  UpstreamSet(uint64_t aSeed, Duration aDrainTimeout);
+  struct Options
+  {
+    /// Time after which a leaving instance must get no more requests.
+    Duration drainTimeout{};
+    /// The same for the instances of an evacuated data centre.
+    Duration evacuationTimeout{};
+    /// Requests that all hosts together may send a cold instance in one second:
+    /// its service's rate times the factor, and the slack.
+    double coldFactor = 1;
+    double coldSlack = 0;
+  };
+
+  UpstreamSet(uint64_t aSeed, const Options& aOptions);
 
   /// Takes over all instances of the replicated state.
   void Update(const State& aState, Instant aNow);
@@ -68,13 +79,26 @@
   /// does not grow with the number of the others.
   void Update(const State& aState, const std::string& aInstance, Instant aNow);
 
+  /// Sends to these instances are known to this host only from now on: another
+  /// kept their slots until a moment ago, and what it sent in the last second
+  /// is not known here.
+  void HoldOffCold(const std::vector<std::string>& aInstances, Instant aNow);
+
+  /// @return instances that are cold.
+  std::vector<std::string> ColdInstances(Instant aNow) const;
+
+  bool IsCold(const std::string& aInstance, Instant aNow) const;
+
   /// Any instance of a group of a service's instances.
   /// @param aTried instances that will not do.
   /// @param aNear where the request comes from.
+  /// @param aCold whether a cold one will do: only its home knows how much it
+  /// has been sent.
   Outcome Choose(const std::string& aService,
                  uint32_t aGroup,
                  const std::set<std::string>& aTried,
                  const DataCentre& aNear,
+                 bool aCold,
                  Instant aNow);
 
   /// One instance, if it has room and does not seem dead. Of one that seems so,
@@ -116,6 +140,10 @@
   /// text.
   std::string UsableAddress(const std::string& aInstance, Instant aNow) const;
 
+  /// @return whether an instance of the service may be sent requests: one that
+  /// neither leaves nor is evacuated.
+  bool CanServe(const std::string& aService) const;
+
   /// @return whether an instance of the service is known.
   bool HasInstances(const std::string& aService) const;
 
@@ -137,7 +165,7 @@
   };
 
   /// A try at an instance begins.
-  Begun Begin(const std::string& aInstance);
+  Begun Begin(const std::string& aInstance, Instant aNow);
 
   /// It is over. A try at an earlier life says nothing of the present one.
   /// @param aTook  time since it was sent.
@@ -161,6 +189,16 @@
     /// Of its process: all below is of this one.
     uint64_t life = 0;
     std::optional<Instant> drainingSince;
+    /// Nothing new is to be sent to its data centre.
+    std::optional<Instant> evacuatedSince;
+    /// Of the command that last told for how long it is cold.
+    uint64_t coldIndex = 0;
+    Instant coldUntil{};
+    /// While it is cold, it gets nothing before.
+    Instant coldFrom{};
+    /// When the newest tries began, oldest first: as many as a cold one may get
+    /// in a second.
+    std::deque<Instant> recent;
     uint32_t running = 0;
     /// Moving average of answers' times, in seconds; 0: none yet.
     double seconds = 0;
@@ -185,6 +223,8 @@
   struct Service
   {
     bool ownsKeys = false;
+    /// Requests that a cold instance is sent in a second; none: no bound.
+    std::optional<size_t> coldBound;
     uint32_t instances = 0;
     uint32_t groups = 1;
     /// Instances by group; without those that leave or are gone.
@@ -199,7 +239,15 @@
   /// Takes an upstream into what is known of its service, and out of it.
   void Include(Item& aItem);
   void Exclude(Item& aItem);
-  void Put(const wire::UpstreamInstance& aInstance, Instant aNow);
+  void Put(const wire::UpstreamInstance& aInstance,
+           bool aEvacuated,
+           Instant aNow);
+  void PutCold(const wire::UpstreamInstance& aInstance,
+               Upstream& aUpstream,
+               Instant aNow);
+  std::optional<size_t> ColdBound(const wire::ServiceItem& aService) const;
+  /// @return whether a cold instance has got all that it may for now.
+  bool IsColdFull(const Upstream& aUpstream, Instant aNow) const;
   void Remove(const std::string& aInstance);
   void Regroup(const std::string& aName);
   bool IsUsable(const Upstream& aUpstream, Instant aNow) const;
@@ -209,7 +257,7 @@
   static double Rate(const Upstream& aUpstream);
 
   Random mRandom;
-  const Duration mDrainingOwner;
+  const Options mOptions;
   std::map<std::string, Upstream> mUpstreams;
   std::map<std::string, Service> mServices;
 };
--- a/src/librattandyke/gateway/upstream_set_test.cpp
+++ b/src/librattandyke/gateway/upstream_set_test.cpp
@@ -79,7 +79,7 @@
 {
   const Instant now{ std::chrono::hours{ 1 } };
   State state = WithServices();
-  UpstreamSet followed(1, kDrain);
+  UpstreamSet followed(1, { kDrain });
   followed.Update(state, now);
   uint64_t index = 1;
   const auto commands = *rc::gen::inRange(1, 120);
@@ -92,7 +92,7 @@
                       : command.end_instance().id(),
                     now);
   }
-  UpstreamSet whole(1, kDrain);
+  UpstreamSet whole(1, { kDrain });
   whole.Update(state, now);
   for (size_t number = 0; number < kIds; ++number) {
     const std::string id = IdOf(number);
@@ -120,13 +120,13 @@
   State state = WithServices();
   static_cast<void>(state.Apply(Put("a", "desk"), LogIndex{ 2 }));
   static_cast<void>(state.Apply(Put("b", "desk"), LogIndex{ 3 }));
-  UpstreamSet set(1, kDrain);
+  UpstreamSet set(1, { kDrain });
   set.Update(state, now);
-  const UpstreamSet::Begun begun = set.Begin("a");
+  const UpstreamSet::Begun begun = set.Begin("a", now);
   static_cast<void>(state.Apply(End("a", 0), LogIndex{ 4 }));
   set.Update(state, "a", now);
   EXPECT_EQ(set.Running("a"), 1U);
-  const auto outcome = set.Choose("desk", 0, {}, DataCentre{ "" }, now);
+  const auto outcome = set.Choose("desk", 0, {}, DataCentre{ "" }, true, now);
   const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome);
   ASSERT_NE(choice, nullptr);
   EXPECT_EQ(choice->instance, "b");
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -68,6 +68,8 @@
   , /*decltype(_impl_.owns_keys_)*/false
   , /*decltype(_impl_.version_)*/uint64_t{0u}
   , /*decltype(_impl_.warm_ms_)*/0u
+  , /*decltype(_impl_.cold_ms_)*/0u
+  , /*decltype(_impl_.cold_rate_)*/0
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct ServiceItemDefaultTypeInternal {
   PROTOBUF_CONSTEXPR ServiceItemDefaultTypeInternal()
@@ -137,6 +139,8 @@
   , /*decltype(_impl_.slots_)*/0u
   , /*decltype(_impl_.draining_)*/false
   , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.cold_index_)*/uint64_t{0u}
+  , /*decltype(_impl_.cold_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamInstanceDefaultTypeInternal {
   PROTOBUF_CONSTEXPR UpstreamInstanceDefaultTypeInternal()
@@ -291,6 +295,20 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HoldBackRangesDefaultTypeInternal _HoldBackRanges_default_instance_;
+PROTOBUF_CONSTEXPR EvacuateDataCentre::EvacuateDataCentre(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.ends_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct EvacuateDataCentreDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR EvacuateDataCentreDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~EvacuateDataCentreDefaultTypeInternal() {}
+  union {
+    EvacuateDataCentre _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EvacuateDataCentreDefaultTypeInternal _EvacuateDataCentre_default_instance_;
 PROTOBUF_CONSTEXPR GatewayCommand::GatewayCommand(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -348,6 +366,7 @@
   , /*decltype(_impl_.ranges_)*/{}
   , /*decltype(_impl_.entries_)*/{}
   , /*decltype(_impl_.ended_)*/{}
+  , /*decltype(_impl_.evacuated_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -600,7 +619,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[36];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[37];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -643,6 +662,8 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceItem, _impl_.warm_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceItem, _impl_.version_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceItem, _impl_.source_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceItem, _impl_.cold_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceItem, _impl_.cold_rate_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LimitsItem, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -688,6 +709,8 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.slots_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.draining_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.cold_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.cold_index_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutInstance, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -773,6 +796,14 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _impl_.holder_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _impl_.ranges_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EvacuateDataCentre, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EvacuateDataCentre, _impl_.data_centre_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EvacuateDataCentre, _impl_.ends_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_._oneof_case_[0]),
@@ -786,6 +817,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -824,6 +856,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ranges_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.entries_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.evacuated_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -987,39 +1020,40 @@
   { 0, -1, -1, sizeof(::rattandyke::wire::RoutePart)},
   { 8, -1, -1, sizeof(::rattandyke::wire::RouteItem)},
   { 25, -1, -1, sizeof(::rattandyke::wire::ServiceItem)},
-  { 38, -1, -1, sizeof(::rattandyke::wire::LimitsItem)},
-  { 50, -1, -1, sizeof(::rattandyke::wire::DroppedItem)},
-  { 58, -1, -1, sizeof(::rattandyke::wire::ChangeItems)},
-  { 69, -1, -1, sizeof(::rattandyke::wire::UpstreamInstance)},
-  { 83, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
-  { 90, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
-  { 99, -1, -1, sizeof(::rattandyke::wire::EndedInstance)},
-  { 107, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
-  { 116, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
-  { 127, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
-  { 136, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
-  { 144, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
-  { 151, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 158, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
-  { 167, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 182, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 195, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 203, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 219, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 228, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 235, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 243, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 252, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 261, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 269, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 279, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 291, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 300, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 309, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 327, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 338, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 349, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 357, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 40, -1, -1, sizeof(::rattandyke::wire::LimitsItem)},
+  { 52, -1, -1, sizeof(::rattandyke::wire::DroppedItem)},
+  { 60, -1, -1, sizeof(::rattandyke::wire::ChangeItems)},
+  { 71, -1, -1, sizeof(::rattandyke::wire::UpstreamInstance)},
+  { 87, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
+  { 94, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
+  { 103, -1, -1, sizeof(::rattandyke::wire::EndedInstance)},
+  { 111, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
+  { 120, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
+  { 131, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
+  { 140, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
+  { 148, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
+  { 155, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
+  { 162, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 171, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
+  { 179, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 195, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 208, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 216, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 233, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 242, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 249, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 257, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 266, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 275, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 283, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 293, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 305, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 314, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 323, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 341, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 352, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 363, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 371, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1040,6 +1074,7 @@
   &::rattandyke::wire::_PutEntry_default_instance_._instance,
   &::rattandyke::wire::_DropEntry_default_instance_._instance,
   &::rattandyke::wire::_HoldBackRanges_default_instance_._instance,
+  &::rattandyke::wire::_EvacuateDataCentre_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
   &::rattandyke::wire::_RangeSegment_default_instance_._instance,
   &::rattandyke::wire::_ServiceRanges_default_instance_._instance,
@@ -1069,133 +1104,139 @@
   "timeout_ms\030\005 \001(\r\022\024\n\014objective_ms\030\006 \001(\r\022\020"
   "\n\010priority\030\007 \001(\r\022)\n\005parts\030\010 \003(\0132\032.rattan"
   "dyke.wire.RoutePart\022\024\n\014max_attempts\030\t \001("
-  "\r\022\017\n\007version\030\n \001(\004\022\016\n\006source\030\013 \001(\t\"\216\001\n\013S"
+  "\r\022\017\n\007version\030\n \001(\004\022\016\n\006source\030\013 \001(\t\"\262\001\n\013S"
   "erviceItem\022\014\n\004name\030\001 \001(\t\022\023\n\013health_path\030"
   "\002 \001(\t\022\027\n\017max_connections\030\003 \001(\r\022\021\n\towns_k"
   "eys\030\004 \001(\010\022\017\n\007warm_ms\030\005 \001(\r\022\017\n\007version\030\006 "
-  "\001(\004\022\016\n\006source\030\007 \001(\t\"\223\001\n\nLimitsItem\022\030\n\020ma"
-  "x_header_bytes\030\001 \001(\r\022\026\n\016max_body_bytes\030\002"
-  " \001(\004\022\031\n\021header_timeout_ms\030\003 \001(\r\022\027\n\017idle_"
-  "timeout_ms\030\004 \001(\r\022\017\n\007version\030\005 \001(\004\022\016\n\006sou"
-  "rce\030\006 \001(\t\",\n\013DroppedItem\022\014\n\004name\030\001 \001(\t\022\017"
-  "\n\007version\030\002 \001(\004\"\204\002\n\013ChangeItems\022*\n\006route"
-  "s\030\001 \003(\0132\032.rattandyke.wire.RouteItem\022.\n\010s"
-  "ervices\030\002 \003(\0132\034.rattandyke.wire.ServiceI"
-  "tem\022+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Li"
-  "mitsItem\0224\n\016dropped_routes\030\004 \003(\0132\034.ratta"
-  "ndyke.wire.DroppedItem\0226\n\020dropped_servic"
-  "es\030\005 \003(\0132\034.rattandyke.wire.DroppedItem\"\225"
-  "\001\n\020UpstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007servi"
-  "ce\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre"
-  "\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020"
-  "\n\010draining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\"B\n\013PutIns"
-  "tance\0223\n\010instance\030\001 \001(\0132!.rattandyke.wir"
-  "e.UpstreamInstance\":\n\013EndInstance\022\n\n\002id\030"
-  "\001 \001(\t\022\014\n\004life\030\002 \001(\004\022\021\n\tforgotten\030\003 \001(\010\")"
-  "\n\rEndedInstance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001("
-  "\004\"6\n\010KeyRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
-  "\020\n\010handover\030\003 \001(\t\"y\n\013GrantRanges\022\017\n\007serv"
-  "ice\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 "
-  "\001(\004\022)\n\006ranges\030\004 \003(\0132\031.rattandyke.wire.Ke"
-  "yRange\022\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007se"
-  "rvice\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 "
-  "\003(\0132\031.rattandyke.wire.KeyRange\"3\n\013EntryM"
-  "ember\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 "
-  "\001(\t\"7\n\010PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattand"
-  "yke.wire.EntryMember\"\034\n\tDropEntry\022\017\n\007add"
-  "ress\030\001 \001(\t\"\\\n\016HoldBackRanges\022\017\n\007service\030"
-  "\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031."
-  "rattandyke.wire.KeyRange\"\303\003\n\016GatewayComm"
-  "and\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.w"
-  "ire.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132"
-  "\034.rattandyke.wire.PutInstanceH\000\0224\n\014end_i"
-  "nstance\030\003 \001(\0132\034.rattandyke.wire.EndInsta"
-  "nceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke"
-  ".wire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\013"
-  "2\033.rattandyke.wire.FreeRangesH\000\022.\n\tput_e"
-  "ntry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\022"
-  "0\n\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Dr"
-  "opEntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ra"
-  "ttandyke.wire.HoldBackRangesH\000B\006\n\004body\"~"
-  "\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r"
-  "\022\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010seque"
-  "nce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back"
-  "\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t"
-  "\022/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Ran"
-  "geSegment\"\340\003\n\014GatewayState\022\017\n\007applied\030\001 "
-  "\001(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Ro"
-  "uteItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.w"
-  "ire.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattan"
-  "dyke.wire.LimitsItem\0224\n\016dropped_routes\030\005"
-  " \003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dr"
-  "opped_services\030\006 \003(\0132\034.rattandyke.wire.D"
-  "roppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandy"
-  "ke.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\013"
-  "2\036.rattandyke.wire.ServiceRanges\022-\n\007entr"
-  "ies\030\n \003(\0132\034.rattandyke.wire.EntryMember\022"
-  "-\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIn"
-  "stanceJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132"
-  "\034.rattandyke.wire.EntryMember\022\017\n\007applied"
-  "\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001(\010\"<\n\014FeedSnap"
-  "shot\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.Ga"
-  "tewayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004"
-  "\0220\n\007command\030\002 \001(\0132\037.rattandyke.wire.Gate"
-  "wayCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022"
-  "\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?"
-  "\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030"
-  "\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022"
-  "\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nF"
-  "eedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wi"
-  "re.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke"
-  ".wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007e"
-  "ntries\030\004 \003(\0132\034.rattandyke.wire.EntryMemb"
-  "er\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply"
-  "_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001("
-  "\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Fo"
-  "rwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001("
-  "\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHostReport\022)\n\005loads\030"
-  "\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005tim"
-  "es\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022"
-  "-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.Entry"
-  "Member\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007"
-  "session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service"
-  "\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003"
-  "(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001("
-  "\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022"
-  "\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nSlotA"
-  "nswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)"
-  "\n\005state\030\003 \001(\0162\032.rattandyke.wire.SlotStat"
-  "e\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 "
-  "\001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session"
-  "\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007t"
-  "ook_us\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030\001 \001("
-  "\r\022\r\n\005bytes\030\002 \001(\014\"\233\005\n\014GatewayFrame\022\023\n\tcon"
-  "sensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.ratt"
-  "andyke.wire.FeedOpenH\000\0226\n\rfeed_snapshot\030"
-  "\003 \001(\0132\035.rattandyke.wire.FeedSnapshotH\000\0224"
-  "\n\014feed_command\030\004 \001(\0132\034.rattandyke.wire.F"
-  "eedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattan"
-  "dyke.wire.FeedPingH\000\0222\n\013feed_report\030\006 \001("
-  "\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016forw"
-  "arded_call\030\007 \001(\0132\036.rattandyke.wire.Forwa"
-  "rdedCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .r"
-  "attandyke.wire.ForwardedAnswerH\000\0222\n\013host"
-  "_report\030\t \001(\0132\033.rattandyke.wire.HostRepo"
-  "rtH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire"
-  ".SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattan"
-  "dyke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001("
-  "\0132\031.rattandyke.wire.SlotDoneH\000\022.\n\006packed"
-  "\030\r \001(\0132\034.rattandyke.wire.PackedFrameH\000B\006"
-  "\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPE"
-  "CIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_"
-  "STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022"
-  "\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "\001(\004\022\016\n\006source\030\007 \001(\t\022\017\n\007cold_ms\030\010 \001(\r\022\021\n\t"
+  "cold_rate\030\t \001(\001\"\223\001\n\nLimitsItem\022\030\n\020max_he"
+  "ader_bytes\030\001 \001(\r\022\026\n\016max_body_bytes\030\002 \001(\004"
+  "\022\031\n\021header_timeout_ms\030\003 \001(\r\022\027\n\017idle_time"
+  "out_ms\030\004 \001(\r\022\017\n\007version\030\005 \001(\004\022\016\n\006source\030"
+  "\006 \001(\t\",\n\013DroppedItem\022\014\n\004name\030\001 \001(\t\022\017\n\007ve"
+  "rsion\030\002 \001(\004\"\204\002\n\013ChangeItems\022*\n\006routes\030\001 "
+  "\003(\0132\032.rattandyke.wire.RouteItem\022.\n\010servi"
+  "ces\030\002 \003(\0132\034.rattandyke.wire.ServiceItem\022"
+  "+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Limits"
+  "Item\0224\n\016dropped_routes\030\004 \003(\0132\034.rattandyk"
+  "e.wire.DroppedItem\0226\n\020dropped_services\030\005"
+  " \003(\0132\034.rattandyke.wire.DroppedItem\"\272\001\n\020U"
+  "pstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002"
+  " \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001"
+  "(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020\n\010dr"
+  "aining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\022\017\n\007cold_ms\030\t "
+  "\001(\r\022\022\n\ncold_index\030\n \001(\004\"B\n\013PutInstance\0223"
+  "\n\010instance\030\001 \001(\0132!.rattandyke.wire.Upstr"
+  "eamInstance\":\n\013EndInstance\022\n\n\002id\030\001 \001(\t\022\014"
+  "\n\004life\030\002 \001(\004\022\021\n\tforgotten\030\003 \001(\010\")\n\rEnded"
+  "Instance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\"6\n\010Ke"
+  "yRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010hand"
+  "over\030\003 \001(\t\"y\n\013GrantRanges\022\017\n\007service\030\001 \001"
+  "(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006"
+  "ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\022"
+  "\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007service\030\001"
+  " \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.r"
+  "attandyke.wire.KeyRange\"3\n\013EntryMember\022\017"
+  "\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010"
+  "PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wir"
+  "e.EntryMember\"\034\n\tDropEntry\022\017\n\007address\030\001 "
+  "\001(\t\"\\\n\016HoldBackRanges\022\017\n\007service\030\001 \001(\t\022\016"
+  "\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattand"
+  "yke.wire.KeyRange\"7\n\022EvacuateDataCentre\022"
+  "\023\n\013data_centre\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\210\004\n\016G"
+  "atewayCommand\0224\n\014change_items\030\001 \001(\0132\034.ra"
+  "ttandyke.wire.ChangeItemsH\000\0224\n\014put_insta"
+  "nce\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH"
+  "\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandyke.wir"
+  "e.EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034."
+  "rattandyke.wire.GrantRangesH\000\0222\n\013free_ra"
+  "nges\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH"
+  "\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.P"
+  "utEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandy"
+  "ke.wire.DropEntryH\000\022;\n\020hold_back_ranges\030"
+  "\010 \001(\0132\037.rattandyke.wire.HoldBackRangesH\000"
+  "\022C\n\024evacuate_data_centre\030\t \001(\0132#.rattand"
+  "yke.wire.EvacuateDataCentreH\000B\006\n\004body\"~\n"
+  "\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
+  "\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequen"
+  "ce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back\030"
+  "\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t\022"
+  "/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Rang"
+  "eSegment\"\363\003\n\014GatewayState\022\017\n\007applied\030\001 \001"
+  "(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Rou"
+  "teItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.wi"
+  "re.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattand"
+  "yke.wire.LimitsItem\0224\n\016dropped_routes\030\005 "
+  "\003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dro"
+  "pped_services\030\006 \003(\0132\034.rattandyke.wire.Dr"
+  "oppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandyk"
+  "e.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\0132"
+  "\036.rattandyke.wire.ServiceRanges\022-\n\007entri"
+  "es\030\n \003(\0132\034.rattandyke.wire.EntryMember\022-"
+  "\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIns"
+  "tance\022\021\n\tevacuated\030\014 \003(\tJ\004\010\010\020\t\"^\n\010FeedOp"
+  "en\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.Entr"
+  "yMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed"
+  "\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035."
+  "rattandyke.wire.GatewayState\"N\n\013FeedComm"
+  "and\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ra"
+  "ttandyke.wire.GatewayCommand\"B\n\010FeedPing"
+  "\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t"
+  "\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service"
+  "\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003("
+  "\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007s"
+  "econds\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003"
+  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
+  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017\n\007"
+  "leaving\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattand"
+  "yke.wire.EntryMember\"n\n\rForwardedCall\022\n\n"
+  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
+  "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
+  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
+  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHo"
+  "stReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wir"
+  "e.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke."
+  "wire.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rat"
+  "tandyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010"
+  "reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticke"
+  "t\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001"
+  "(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023"
+  "\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013"
+  "data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_"
+  "ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006"
+  "\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattan"
+  "dyke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n"
+  "\016retry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004fro"
+  "m\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
+  "\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"*\n\013Packed"
+  "Frame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\233\005\n\014G"
+  "atewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed"
+  "_open\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000"
+  "\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wir"
+  "e.FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034"
+  ".rattandyke.wire.FeedCommandH\000\022.\n\tfeed_p"
+  "ing\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222"
+  "\n\013feed_report\030\006 \001(\0132\033.rattandyke.wire.Fe"
+  "edReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rat"
+  "tandyke.wire.ForwardedCallH\000\022<\n\020forwarde"
+  "d_answer\030\010 \001(\0132 .rattandyke.wire.Forward"
+  "edAnswerH\000\0222\n\013host_report\030\t \001(\0132\033.rattan"
+  "dyke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\013"
+  "2\030.rattandyke.wire.SlotAskH\000\0222\n\013slot_ans"
+  "wer\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000"
+  "\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.Sl"
+  "otDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wi"
+  "re.PackedFrameH\000B\006\n\004body*\206\001\n\tSlotState\022\032"
+  "\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE"
+  "_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLO"
+  "T_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020"
+  "\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 5111, descriptor_table_protodef_gateway_2eproto,
+    false, false, 5329, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 36,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 37,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -2034,6 +2075,8 @@
     , decltype(_impl_.owns_keys_){}
     , decltype(_impl_.version_){}
     , decltype(_impl_.warm_ms_){}
+    , decltype(_impl_.cold_ms_){}
+    , decltype(_impl_.cold_rate_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -2062,8 +2105,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.max_connections_, &from._impl_.max_connections_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.warm_ms_) -
-    reinterpret_cast<char*>(&_impl_.max_connections_)) + sizeof(_impl_.warm_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_rate_) -
+    reinterpret_cast<char*>(&_impl_.max_connections_)) + sizeof(_impl_.cold_rate_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceItem)
 }
 
@@ -2079,6 +2122,8 @@
     , decltype(_impl_.owns_keys_){false}
     , decltype(_impl_.version_){uint64_t{0u}}
     , decltype(_impl_.warm_ms_){0u}
+    , decltype(_impl_.cold_ms_){0u}
+    , decltype(_impl_.cold_rate_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.name_.InitDefault();
@@ -2125,8 +2170,8 @@
   _impl_.health_path_.ClearToEmpty();
   _impl_.source_.ClearToEmpty();
   ::memset(&_impl_.max_connections_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.warm_ms_) -
-      reinterpret_cast<char*>(&_impl_.max_connections_)) + sizeof(_impl_.warm_ms_));
+      reinterpret_cast<char*>(&_impl_.cold_rate_) -
+      reinterpret_cast<char*>(&_impl_.max_connections_)) + sizeof(_impl_.cold_rate_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -2198,6 +2243,22 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 cold_ms = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.cold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // double cold_rate = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 73)) {
+          _impl_.cold_rate_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -2281,6 +2342,22 @@
         7, this->_internal_source(), target);
   }
 
+  // uint32 cold_ms = 8;
+  if (this->_internal_cold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(8, this->_internal_cold_ms(), target);
+  }
+
+  // double cold_rate = 9;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_cold_rate = this->_internal_cold_rate();
+  uint64_t raw_cold_rate;
+  memcpy(&raw_cold_rate, &tmp_cold_rate, sizeof(tmp_cold_rate));
+  if (raw_cold_rate != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(9, this->_internal_cold_rate(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -2338,6 +2415,20 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_warm_ms());
   }
 
+  // uint32 cold_ms = 8;
+  if (this->_internal_cold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  }
+
+  // double cold_rate = 9;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_cold_rate = this->_internal_cold_rate();
+  uint64_t raw_cold_rate;
+  memcpy(&raw_cold_rate, &tmp_cold_rate, sizeof(tmp_cold_rate));
+  if (raw_cold_rate != 0) {
+    total_size += 1 + 8;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -2377,6 +2468,16 @@
   if (from._internal_warm_ms() != 0) {
     _this->_internal_set_warm_ms(from._internal_warm_ms());
   }
+  if (from._internal_cold_ms() != 0) {
+    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_cold_rate = from._internal_cold_rate();
+  uint64_t raw_cold_rate;
+  memcpy(&raw_cold_rate, &tmp_cold_rate, sizeof(tmp_cold_rate));
+  if (raw_cold_rate != 0) {
+    _this->_internal_set_cold_rate(from._internal_cold_rate());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -2409,8 +2510,8 @@
       &other->_impl_.source_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ServiceItem, _impl_.warm_ms_)
-      + sizeof(ServiceItem::_impl_.warm_ms_)
+      PROTOBUF_FIELD_OFFSET(ServiceItem, _impl_.cold_rate_)
+      + sizeof(ServiceItem::_impl_.cold_rate_)
       - PROTOBUF_FIELD_OFFSET(ServiceItem, _impl_.max_connections_)>(
           reinterpret_cast<char*>(&_impl_.max_connections_),
           reinterpret_cast<char*>(&other->_impl_.max_connections_));
@@ -3340,6 +3441,8 @@
     , decltype(_impl_.slots_){}
     , decltype(_impl_.draining_){}
     , decltype(_impl_.life_){}
+    , decltype(_impl_.cold_index_){}
+    , decltype(_impl_.cold_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3384,8 +3487,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.slots_, &from._impl_.slots_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.life_) -
-    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.life_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_ms_) -
+    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.cold_ms_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamInstance)
 }
 
@@ -3402,6 +3505,8 @@
     , decltype(_impl_.slots_){0u}
     , decltype(_impl_.draining_){false}
     , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.cold_index_){uint64_t{0u}}
+    , decltype(_impl_.cold_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.id_.InitDefault();
@@ -3460,8 +3565,8 @@
   _impl_.data_centre_.ClearToEmpty();
   _impl_.version_.ClearToEmpty();
   ::memset(&_impl_.slots_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.life_) -
-      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.life_));
+      reinterpret_cast<char*>(&_impl_.cold_ms_) -
+      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.cold_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3545,6 +3650,22 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 cold_ms = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.cold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 cold_index = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
+          _impl_.cold_index_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3642,6 +3763,18 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(8, this->_internal_life(), target);
   }
 
+  // uint32 cold_ms = 9;
+  if (this->_internal_cold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(9, this->_internal_cold_ms(), target);
+  }
+
+  // uint64 cold_index = 10;
+  if (this->_internal_cold_index() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_cold_index(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3708,6 +3841,16 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
   }
 
+  // uint64 cold_index = 10;
+  if (this->_internal_cold_index() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_cold_index());
+  }
+
+  // uint32 cold_ms = 9;
+  if (this->_internal_cold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -3750,6 +3893,12 @@
   if (from._internal_life() != 0) {
     _this->_internal_set_life(from._internal_life());
   }
+  if (from._internal_cold_index() != 0) {
+    _this->_internal_set_cold_index(from._internal_cold_index());
+  }
+  if (from._internal_cold_ms() != 0) {
+    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -3790,8 +3939,8 @@
       &other->_impl_.version_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.life_)
-      + sizeof(UpstreamInstance::_impl_.life_)
+      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.cold_ms_)
+      + sizeof(UpstreamInstance::_impl_.cold_ms_)
       - PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.slots_)>(
           reinterpret_cast<char*>(&_impl_.slots_),
           reinterpret_cast<char*>(&other->_impl_.slots_));
@@ -6324,6 +6473,236 @@
 
 // ===================================================================
 
+class EvacuateDataCentre::_Internal {
+ public:
+};
+
+EvacuateDataCentre::EvacuateDataCentre(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+EvacuateDataCentre::EvacuateDataCentre(const EvacuateDataCentre& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  EvacuateDataCentre* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.ends_ = from._impl_.ends_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+
+inline void EvacuateDataCentre::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+EvacuateDataCentre::~EvacuateDataCentre() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.EvacuateDataCentre)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void EvacuateDataCentre::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.data_centre_.Destroy();
+}
+
+void EvacuateDataCentre::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void EvacuateDataCentre::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EvacuateDataCentre)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.data_centre_.ClearToEmpty();
+  _impl_.ends_ = false;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* EvacuateDataCentre::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string data_centre = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EvacuateDataCentre.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool ends = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.ends_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* EvacuateDataCentre::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.EvacuateDataCentre)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string data_centre = 1;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.EvacuateDataCentre.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_data_centre(), target);
+  }
+
+  // bool ends = 2;
+  if (this->_internal_ends() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_ends(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.EvacuateDataCentre)
+  return target;
+}
+
+size_t EvacuateDataCentre::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.EvacuateDataCentre)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string data_centre = 1;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
+  }
+
+  // bool ends = 2;
+  if (this->_internal_ends() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData EvacuateDataCentre::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    EvacuateDataCentre::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*EvacuateDataCentre::GetClassData() const { return &_class_data_; }
+
+
+void EvacuateDataCentre::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<EvacuateDataCentre*>(&to_msg);
+  auto& from = static_cast<const EvacuateDataCentre&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.EvacuateDataCentre)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
+  }
+  if (from._internal_ends() != 0) {
+    _this->_internal_set_ends(from._internal_ends());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void EvacuateDataCentre::CopyFrom(const EvacuateDataCentre& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.EvacuateDataCentre)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool EvacuateDataCentre::IsInitialized() const {
+  return true;
+}
+
+void EvacuateDataCentre::InternalSwap(EvacuateDataCentre* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
+  swap(_impl_.ends_, other->_impl_.ends_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata EvacuateDataCentre::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[17]);
+}
+
+// ===================================================================
+
 class GatewayCommand::_Internal {
  public:
   static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
@@ -6334,6 +6713,7 @@
   static const ::rattandyke::wire::PutEntry& put_entry(const GatewayCommand* msg);
   static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
   static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::EvacuateDataCentre& evacuate_data_centre(const GatewayCommand* msg);
 };
 
 const ::rattandyke::wire::ChangeItems&
@@ -6368,6 +6748,10 @@
 GatewayCommand::_Internal::hold_back_ranges(const GatewayCommand* msg) {
   return *msg->_impl_.body_.hold_back_ranges_;
 }
+const ::rattandyke::wire::EvacuateDataCentre&
+GatewayCommand::_Internal::evacuate_data_centre(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.evacuate_data_centre_;
+}
 void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -6488,6 +6872,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.hold_back_ranges)
 }
+void GatewayCommand::set_allocated_evacuate_data_centre(::rattandyke::wire::EvacuateDataCentre* evacuate_data_centre) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (evacuate_data_centre) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(evacuate_data_centre);
+    if (message_arena != submessage_arena) {
+      evacuate_data_centre = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, evacuate_data_centre, submessage_arena);
+    }
+    set_has_evacuate_data_centre();
+    _impl_.body_.evacuate_data_centre_ = evacuate_data_centre;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.evacuate_data_centre)
+}
 GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -6545,6 +6944,11 @@
           from._internal_hold_back_ranges());
       break;
     }
+    case kEvacuateDataCentre: {
+      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
+          from._internal_evacuate_data_centre());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6635,6 +7039,12 @@
       }
       break;
     }
+    case kEvacuateDataCentre: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.evacuate_data_centre_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6723,6 +7133,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
+          ptr = ctx->ParseMessage(_internal_mutable_evacuate_data_centre(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6808,6 +7226,13 @@
         _Internal::hold_back_ranges(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+  if (_internal_has_evacuate_data_centre()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(9, _Internal::evacuate_data_centre(this),
+        _Internal::evacuate_data_centre(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6881,6 +7306,13 @@
           *_impl_.body_.hold_back_ranges_);
       break;
     }
+    // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+    case kEvacuateDataCentre: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.evacuate_data_centre_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6944,6 +7376,11 @@
           from._internal_hold_back_ranges());
       break;
     }
+    case kEvacuateDataCentre: {
+      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
+          from._internal_evacuate_data_centre());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -6972,7 +7409,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[17]);
+      file_level_metadata_gateway_2eproto[18]);
 }
 
 // ===================================================================
@@ -7357,7 +7794,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[19]);
 }
 
 // ===================================================================
@@ -7594,7 +8031,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[20]);
 }
 
 // ===================================================================
@@ -7626,6 +8063,7 @@
     , decltype(_impl_.ranges_){from._impl_.ranges_}
     , decltype(_impl_.entries_){from._impl_.entries_}
     , decltype(_impl_.ended_){from._impl_.ended_}
+    , decltype(_impl_.evacuated_){from._impl_.evacuated_}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -7651,6 +8089,7 @@
     , decltype(_impl_.ranges_){arena}
     , decltype(_impl_.entries_){arena}
     , decltype(_impl_.ended_){arena}
+    , decltype(_impl_.evacuated_){arena}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -7676,6 +8115,7 @@
   _impl_.ranges_.~RepeatedPtrField();
   _impl_.entries_.~RepeatedPtrField();
   _impl_.ended_.~RepeatedPtrField();
+  _impl_.evacuated_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
 }
 
@@ -7697,6 +8137,7 @@
   _impl_.ranges_.Clear();
   _impl_.entries_.Clear();
   _impl_.ended_.Clear();
+  _impl_.evacuated_.Clear();
   if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
     delete _impl_.limits_;
   }
@@ -7831,6 +8272,21 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated string evacuated = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_evacuated();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.GatewayState.evacuated"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7937,6 +8393,16 @@
         InternalWriteMessage(11, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated string evacuated = 12;
+  for (int i = 0, n = this->_internal_evacuated_size(); i < n; i++) {
+    const auto& s = this->_internal_evacuated(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.GatewayState.evacuated");
+    target = stream->WriteString(12, s, target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -8009,6 +8475,14 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated string evacuated = 12;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.evacuated_.size());
+  for (int i = 0, n = _impl_.evacuated_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.evacuated_.Get(i));
+  }
+
   // .rattandyke.wire.LimitsItem limits = 4;
   if (this->_internal_has_limits()) {
     total_size += 1 +
@@ -8047,6 +8521,7 @@
   _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
   _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
   _this->_impl_.ended_.MergeFrom(from._impl_.ended_);
+  _this->_impl_.evacuated_.MergeFrom(from._impl_.evacuated_);
   if (from._internal_has_limits()) {
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
@@ -8079,6 +8554,7 @@
   _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
   _impl_.entries_.InternalSwap(&other->_impl_.entries_);
   _impl_.ended_.InternalSwap(&other->_impl_.ended_);
+  _impl_.evacuated_.InternalSwap(&other->_impl_.evacuated_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
       + sizeof(GatewayState::_impl_.applied_)
@@ -8090,7 +8566,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[21]);
 }
 
 // ===================================================================
@@ -8342,7 +8818,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
@@ -8535,7 +9011,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
@@ -8759,7 +9235,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -9009,7 +9485,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -9296,7 +9772,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9538,7 +10014,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -9818,7 +10294,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
@@ -10231,7 +10707,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10494,7 +10970,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -10747,7 +11223,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -11319,7 +11795,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -11633,7 +12109,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -11944,7 +12420,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // ===================================================================
@@ -12169,7 +12645,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // ===================================================================
@@ -13088,7 +13564,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -13163,6 +13639,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::HoldBackRanges >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HoldBackRanges >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::EvacuateDataCentre*
+Arena::CreateMaybeMessage< ::rattandyke::wire::EvacuateDataCentre >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::EvacuateDataCentre >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayCommand*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayCommand >(arena);
