--- a/src/librattandyke/gateway/caller_service.h
+++ b/src/librattandyke/gateway/caller_service.h
@@ -29,6 +29,8 @@
   /// Header lines, each with its line's end.
   std::string fields;
   std::string body;
+  /// When it should leave this host to be in time; before: at once.
+  Instant due{};
 };
 
 /// What a caller may send, and how long its connection may be idle.
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 namespace asio = boost::asio;
+
+constexpr double kBytesPerMbit = 1e6 / 8;
 using std::chrono::milliseconds;
 using ErrorCode = boost::system::error_code;
 
@@ -66,7 +68,9 @@
         ToString(aSettings.Self()),
         aSeed,
         [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
-          mesh->Send(aTo, aFrame.SerializeAsString());
+          const std::string bytes = aFrame.SerializeAsString();
+          handler.NoteSent(bytes.size());
+          mesh->Send(aTo, bytes);
         },
         aClock,
         aSeed,
@@ -77,7 +81,10 @@
         [this] { return feed.Age(); })
     , handler(
         executor,
-        { aSettings.dataCentre, aSettings.retryRatio, aSettings.retrySlack },
+        { aSettings.dataCentre,
+          aSettings.retryRatio,
+          aSettings.retrySlack,
+          aSettings.linkMbits * kBytesPerMbit },
         feed,
         desk,
         aDialect.Headers(),
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -38,6 +38,13 @@
 constexpr milliseconds kLeastTry{ 15 };
 /// Time kept for the way back to the caller.
 constexpr milliseconds kWayBack{ 4 };
+/// Of an answer from this host to its caller.
+constexpr milliseconds kWayToCaller{ 15 };
+/// Longest time for which an answer waits for the link; no answer does, unless
+/// the link is slower than it is taken for.
+constexpr std::chrono::seconds kLongestEgress{ 2 };
+/// About what a request's line and our own fields take.
+constexpr size_t kRequestLine = 160;
 /// Without a deadline of the caller's.
 constexpr milliseconds kDefaultDeadline{ 10000 };
 /// Tries of which nothing was sent.
@@ -141,7 +148,9 @@
   , mHeaders(aHeaders)
   , mClock(aClock)
   , mDesk(aDesk)
-  , mExchanger(std::move(aExecutor), aHeaders, aClock)
+  , mExchanger(aExecutor, aHeaders, aClock)
+  , mEgress(mOptions.linkBytesPerSecond)
+  , mEgressTimer(std::move(aExecutor))
 {
 }
 
@@ -280,14 +289,64 @@
                        CallerRequest aRequest)
 {
   const Instant arrived = aRequest.arrived;
-  CallerAnswer answer =
-    co_await Answer(std::move(aContext), std::move(aRequest));
+  CallerAnswer answer = co_await Answer(aContext, std::move(aRequest));
+  const size_t bytes = answer.fields.size() + answer.body.size();
+  if (answer.due > Instant{}) {
+    co_await AwaitEgress(std::move(aContext), bytes, answer.due);
+  } else {
+    NoteSent(bytes);
+  }
   mMetrics.Count("requests",
                  "status=\"" + std::to_string(answer.status) + "\"");
   mMetrics.Observe("request", mClock.Now() - arrived);
   co_return answer;
 }
 
+asio::awaitable<void>
+RequestHandler::AwaitEgress(std::shared_ptr<RequestContext> aContext,
+                            size_t aBytes,
+                            Instant aDue)
+{
+  const Instant entered = mClock.Now();
+  const EgressQueue::Ticket ticket = ++mLastEgress;
+  if (mEgress.Enter(ticket, aBytes, aDue, entered)) {
+    co_return;
+  }
+  mAwaitEgress[ticket] = aContext;
+  WatchEgress();
+  while (mAwaitEgress.contains(ticket) && !aContext->IsOver()) {
+    aContext->Wake().expires_after(kLongestEgress);
+    co_await aContext->Wake().async_wait(kAwait);
+  }
+  if (mAwaitEgress.erase(ticket) > 0) {
+    mEgress.Leave(ticket);
+    NoteSent(aBytes);
+  }
+  mMetrics.Observe("egress_wait", mClock.Now() - entered);
+}
+
+void
+RequestHandler::WatchEgress()
+{
+  mEgressTimer.expires_after(
+    std::max(mEgress.NextAt() - mClock.Now(), Duration::zero()));
+  mEgressTimer.async_wait([this](auto aError) {
+    if (aError) {
+      return;
+    }
+    for (const EgressQueue::Ticket ticket : mEgress.TakeReady(mClock.Now())) {
+      const auto found = mAwaitEgress.find(ticket);
+      if (found != mAwaitEgress.end()) {
+        found->second->Wake().cancel();
+        mAwaitEgress.erase(found);
+      }
+    }
+    if (!mEgress.IsEmpty()) {
+      WatchEgress();
+    }
+  });
+}
+
 std::string
 RequestHandler::MetricsPage()
 {
@@ -454,6 +513,8 @@
   const Duration left = aFlow.deadline - mClock.Now() - Duration(kWayBack);
   // Named: a braced temporary in an awaited call is destroyed twice by the
   // compiler that Debian 12 has.
+  NoteSent(aFlow.request->fields.size() + aFlow.request->body.size() +
+           kRequestLine);
   const UpstreamPeer peer{ slot.instance, slot.address, slot.life };
   ExchangeResult result =
     co_await mExchanger.Run(peer, aFlow.request, left, handle);
@@ -551,6 +612,8 @@
                             http::AppendField(answer.fields, aName, aValue);
                           });
     answer.body = std::move(aResult.answer.body);
+    answer.due = aFlow.arrived + Duration(aFlow.route->objective) -
+                 Duration(kWayToCaller);
     return answer;
   }
   if (!aFlow.mayHaveRun) {
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -16,6 +16,7 @@
 #include "entry/retry_budget.h"
 #include "gateway/caller_service.h"
 #include "gateway/dialect.h"
+#include "gateway/egress_queue.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_client.h"
 #include "gateway/metrics.h"
@@ -37,6 +38,8 @@
     double retryRatio = 0;
     /// Second tries beyond these that all may make at a time.
     double retrySlack = 0;
+    /// Of the host's link; 0: not told.
+    double linkBytesPerSecond = 0;
   };
 
   /// @param aFeed, aDesk, aHeaders and aClock outlive this object.
@@ -69,6 +72,9 @@
   /// Closes connections that have been idle too long.
   void Sweep();
 
+  /// Bytes were sent to another host.
+  void NoteSent(size_t aBytes) { mEgress.NoteSent(aBytes, mClock.Now()); }
+
   /// @return what this host has counted, as a text page.
   std::string MetricsPage();
 
@@ -117,6 +123,12 @@
     std::shared_ptr<RequestContext> aContext,
     CallerRequest aRequest);
   boost::asio::awaitable<CallerAnswer> Run(Flow& aFlow);
+  /// Waits until the host's link can take an answer.
+  boost::asio::awaitable<void> AwaitEgress(
+    std::shared_ptr<RequestContext> aContext,
+    size_t aBytes,
+    Instant aDue);
+  void WatchEgress();
   boost::asio::awaitable<ExchangeResult> Try(Flow& aFlow, const Slot& aSlot);
   bool MayRetry(Flow& aFlow, const ExchangeResult& aResult);
   CallerAnswer Final(const Flow& aFlow, ExchangeResult aResult) const;
@@ -142,6 +154,11 @@
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
+  EgressQueue mEgress;
+  EgressQueue::Ticket mLastEgress = 0;
+  /// Whose answers wait for the link.
+  std::map<EgressQueue::Ticket, std::shared_ptr<RequestContext>> mAwaitEgress;
+  boost::asio::steady_timer mEgressTimer;
   std::map<std::string, std::map<uint32_t, uint32_t>> mKeyLoads;
 };
 
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -213,6 +213,16 @@
         aSettings.dialect = aText;
         return !aText.empty();
       } },
+    { "host",
+      "link_mbits",
+      "0",
+      "a number from 0, or nothing for the default",
+      "Bandwidth of the host's link in Mbit/s. While it is busy, answers wait "
+      "for it in the order in which they are due. 0: not told, nothing waits.",
+      [](Settings& aSettings, const std::string& aText) {
+        return OrDefault(
+          aText, [&] { return ParseNumber(aText, aSettings.linkMbits); });
+      } },
     { "host",
       "log_level",
       "info",
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -29,6 +29,8 @@
   std::vector<DataCentre> dataCentres;
   std::string dialect;
   std::string logLevel;
+  /// Of the host's link; 0: not told.
+  double linkMbits = 0;
 
   // [listen]
   std::optional<Endpoint> callers;
