--- a/src/librattandyke/gateway/cold_upstream_test.cpp
+++ b/src/librattandyke/gateway/cold_upstream_test.cpp
@@ -24,7 +24,9 @@
 const UpstreamSet::Options kOptionsOfHome{ std::chrono::seconds{ 2 },
                                            std::chrono::seconds{ 5 },
                                            kFactor,
-                                           kSlack };
+                                           kSlack,
+                                           "e",
+                                           {} };
 
 State
 StateWithCold(bool aOwnsKeys, uint32_t aColdMs)
--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -10,6 +10,7 @@
 #include <rattandyke/result.h>
 
 #include "gateway/heartbeat.h"
+#include "gateway/told_load.h"
 #include "wire/gateway.pb.h"
 
 namespace rattandyke::gateway {
@@ -58,6 +59,8 @@
   std::string instance;
   /// Key of a request to a service whose keys have owners.
   std::string key;
+  /// In an answer: the upstream's load, see Dialect::DecodeLoad.
+  std::string load;
 };
 
 /// Translates between a platform's messages and the gateway's types. Decides
@@ -75,6 +78,10 @@
                                      std::string_view aTarget,
                                      std::string_view aBody) const = 0;
 
+  /// @return what an upstream tells with HeaderNames::load, or nothing if it
+  /// can't be read.
+  virtual std::optional<ToldLoad> DecodeLoad(std::string_view aText) const = 0;
+
   virtual std::string Encode(const HeartbeatAnswer& aAnswer) const = 0;
 
   /// @return the items in force, laid out as operators send them.
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -77,7 +77,9 @@
         UpstreamSet::Options{ aSettings.drainTimeout,
                               aSettings.evacuationTimeout,
                               aSettings.coldFactor,
-                              aSettings.coldSlack },
+                              aSettings.coldSlack,
+                              ToString(aSettings.Self()),
+                              aSettings.dataCentre },
         [this] { return feed.Age(); })
     , handler(
         executor,
@@ -87,7 +89,7 @@
           aSettings.linkMbits * kBytesPerMbit },
         feed,
         desk,
-        aDialect.Headers(),
+        aDialect,
         aClock)
     , callers(executor, handler, aClock)
     , slotTicker(executor)
--- a/src/librattandyke/gateway/entry_host_test.cpp
+++ b/src/librattandyke/gateway/entry_host_test.cpp
@@ -29,6 +29,10 @@
   {
     return Fail(Code::UnknownRecord, "no calls here");
   }
+  std::optional<ToldLoad> DecodeLoad(std::string_view) const override
+  {
+    return std::nullopt;
+  }
   std::string Encode(const HeartbeatAnswer&) const override { return {}; }
   std::string EncodeItems(const wire::GatewayState&) const override
   {
@@ -39,7 +43,7 @@
 
 private:
   const HeaderNames mNames{ "Id",      "Deadline", "Signature", "Expected",
-                            "Not-Run", "Instance", "Key" };
+                            "Not-Run", "Instance", "Key",      "Load" };
 };
 
 /// An entry host that no control host ever tells anything. Requests with time
--- a/src/librattandyke/gateway/evacuation_test.cpp
+++ b/src/librattandyke/gateway/evacuation_test.cpp
@@ -63,7 +63,7 @@
 {
 public:
   EntryView()
-    : set(1, { std::chrono::seconds{ 2 }, kEvacuation, 1.5, 8 })
+    : set(1, { std::chrono::seconds{ 2 }, kEvacuation, 1.5, 8, "e", {} })
   {
     Apply(PutService("desk", false));
     Apply(PutService("board", true));
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -140,15 +140,16 @@
                                Options aOptions,
                                const FeedClient& aFeed,
                                SlotDesk& aDesk,
-                               const HeaderNames& aHeaders,
+                               const Dialect& aDialect,
                                const Clock& aClock)
   : mExecutor(aExecutor)
   , mOptions(std::move(aOptions))
   , mFeed(aFeed)
-  , mHeaders(aHeaders)
+  , mDialect(aDialect)
+  , mHeaders(aDialect.Headers())
   , mClock(aClock)
   , mDesk(aDesk)
-  , mExchanger(aExecutor, aHeaders, aClock)
+  , mExchanger(aExecutor, mHeaders, aClock)
   , mEgress(mOptions.linkBytesPerSecond)
   , mEgressTimer(std::move(aExecutor))
 {
@@ -519,6 +520,7 @@
   ExchangeResult result =
     co_await mExchanger.Run(peer, aFlow.request, left, handle);
   aFlow.context->Detach();
+  NoteTold(slot.instance, result.answer);
   mDesk.Release(slot, EndOf(result, aFlow.context->IsAbandoned()), result.took);
   mMetrics.Count("tries", TryLabel(result.kind));
   mMetrics.Observe("try", result.took);
@@ -527,6 +529,22 @@
   co_return result;
 }
 
+/// What can't be read is counted and told nobody: the answer is good without.
+void
+RequestHandler::NoteTold(const std::string& aInstance,
+                         const IncomingAnswer& aAnswer)
+{
+  const std::string_view text = http::FieldOf(aAnswer.fields, mHeaders.load);
+  if (text.empty()) {
+    return;
+  }
+  if (const auto load = mDialect.DecodeLoad(text)) {
+    mDesk.NoteTold(aInstance, *load);
+  } else {
+    mMetrics.Count("loads_not_read", "");
+  }
+}
+
 bool
 RequestHandler::MayRetry(Flow& aFlow, const ExchangeResult& aResult)
 {
@@ -609,7 +627,10 @@
     answer.status = aResult.answer.status;
     http::ForEachEndToEnd(aResult.answer.fields,
                           [&](std::string_view aName, std::string_view aValue) {
-                            http::AppendField(answer.fields, aName, aValue);
+                            // Said to this host, and old when it arrives.
+                            if (!boost::beast::iequals(aName, mHeaders.load)) {
+                              http::AppendField(answer.fields, aName, aValue);
+                            }
                           });
     answer.body = std::move(aResult.answer.body);
     answer.due = aFlow.arrived + Duration(aFlow.route->objective) -
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -42,12 +42,12 @@
     double linkBytesPerSecond = 0;
   };
 
-  /// @param aFeed, aDesk, aHeaders and aClock outlive this object.
+  /// @param aFeed, aDesk, aDialect and aClock outlive this object.
   RequestHandler(boost::asio::any_io_executor aExecutor,
                  Options aOptions,
                  const FeedClient& aFeed,
                  SlotDesk& aDesk,
-                 const HeaderNames& aHeaders,
+                 const Dialect& aDialect,
                  const Clock& aClock);
 
   /// The state that the feed knows has changed.
@@ -130,6 +130,8 @@
     Instant aDue);
   void WatchEgress();
   boost::asio::awaitable<ExchangeResult> Try(Flow& aFlow, const Slot& aSlot);
+  /// Notes what the upstream told with its answer.
+  void NoteTold(const std::string& aInstance, const IncomingAnswer& aAnswer);
   bool MayRetry(Flow& aFlow, const ExchangeResult& aResult);
   CallerAnswer Final(const Flow& aFlow, ExchangeResult aResult) const;
   CallerAnswer NotRun(const Flow& aFlow,
@@ -146,6 +148,7 @@
   const boost::asio::any_io_executor mExecutor;
   const Options mOptions;
   const FeedClient& mFeed;
+  const Dialect& mDialect;
   const HeaderNames& mHeaders;
   const Clock& mClock;
   RouteTable mRoutes;
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -91,6 +91,9 @@
 UpstreamSet::Outcome
 SlotBroker::Choose(const SlotRequest& aRequest, Instant aNow)
 {
+  if (aRequest.direct) {
+    return mUpstreams.ChooseDirect(aRequest.service, aRequest.excluded, aNow);
+  }
   if (!aRequest.cold && mUpstreams.IsCold(aRequest.instance, aNow)) {
     return UpstreamSet::Hindrance::Full;
   }
@@ -267,6 +270,10 @@
     Refuse(aRequest, hindrance, kNoUpstreamRetryAfter);
     return TakeAnswers();
   }
+  if (aRequest.direct) {
+    RefuseAsFull(aRequest, mUpstreams.DirectWait(aRequest.service, aNow));
+    return TakeAnswers();
+  }
   const Duration wait = ExpectedWait(aRequest);
   const bool inTime = wait <= Scaled(PatienceOf(aRequest), kHopeless);
   const bool late = !inTime && ExpectedLateWait(aRequest, aNow) <=
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -47,6 +47,8 @@
   bool alone = false;
   /// This host is certain to keep the slots of cold upstreams.
   bool cold = true;
+  /// This host chooses an instance by itself, by what they have told.
+  bool direct = false;
 };
 
 struct SlotGranted
@@ -104,6 +106,14 @@
 
   const UpstreamSet& Upstreams() const { return mUpstreams; }
 
+  /// UpstreamSet::NoteTold.
+  void NoteTold(const std::string& aInstance,
+                const ToldLoad& aLoad,
+                Instant aNow)
+  {
+    mUpstreams.NoteTold(aInstance, aLoad, aNow);
+  }
+
   /// UpstreamSet::HoldOffCold.
   void HoldOffCold(const std::vector<std::string>& aInstances, Instant aNow)
   {
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -27,6 +27,18 @@
 /// Older than this, a home's list of entries may be one in which it is home no
 /// more.
 constexpr milliseconds kAssuredHome{ 1000 };
+/// Asking a home is worth its time up to here: beyond, an upstream chosen by
+/// what the upstreams tell answers sooner, if it is not the best one.
+constexpr milliseconds kSlowAsk{ 20 };
+/// Down here again it is.
+constexpr milliseconds kQuickAsk{ 6 };
+/// Weight of the newest ask.
+constexpr double kNewestAsk = 0.05;
+/// One in so many requests asks all the same, so that the time is known.
+constexpr uint64_t kStillAsks = 32;
+/// Part of the requests to a service with cold upstreams that ask, for each
+/// part that is cold: homes alone know what a cold one may be sent.
+constexpr double kColdAsks = 0.6;
 
 milliseconds
 Ms(Duration aTime)
@@ -34,16 +46,6 @@
   return std::chrono::duration_cast<milliseconds>(aTime);
 }
 
-/// @return a number in which each bit depends on all bits of the other one
-/// (the finalizer of SplitMix64).
-uint64_t
-Mixed(uint64_t aNumber)
-{
-  aNumber = (aNumber ^ (aNumber >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  aNumber = (aNumber ^ (aNumber >> 27U)) * 0x94d049bb133111ebULL;
-  return aNumber ^ (aNumber >> 31U);
-}
-
 SlotKey
 KeyOf(const SlotAnswer& aAnswer)
 {
@@ -207,7 +209,7 @@
   const Entry* home = nullptr;
   uint64_t highest = 0;
   for (const Entry& entry : mEntries) {
-    const uint64_t mixed = Mixed(group ^ entry.hash);
+    const uint64_t mixed = routing::Mixed(group ^ entry.hash);
     if (home == nullptr || mixed > highest) {
       highest = mixed;
       home = &entry;
@@ -324,6 +326,7 @@
   aPending->asked = true;
   mSend(HostName{ aHome }, frame);
   co_await AwaitSign(aPending, asked + Duration(kHomeSilence));
+  NoteAskTime(mClock.Now() - asked);
   if (aPending->declined) {
     mSilentUntil[aHome] = mClock.Now() + Duration(kDeclinedFor);
     co_return;
@@ -433,6 +436,34 @@
   }
 }
 
+void
+SlotDesk::NoteAskTime(Duration aTime)
+{
+  mAskTime += Scaled(aTime - mAskTime, kNewestAsk);
+  if (mAskTime >= Duration(kSlowAsk)) {
+    mAsksAreSlow = true;
+  } else if (mAskTime <= Duration(kQuickAsk)) {
+    mAsksAreSlow = false;
+  }
+}
+
+/// A home knows all requests that its upstreams have, so that its choice is the
+/// best there is, for two messages before each request. On links that are busy
+/// these wait at four queues, longer than the better choice gains.
+bool
+SlotDesk::ChoosesDirect(const SlotRequest& aRequest)
+{
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  const Instant now = mClock.Now();
+  if (!mAsksAreSlow || !aRequest.instance.empty() ||
+      !upstreams.TellsLoad(aRequest.service, now) ||
+      mRandom() % kStillAsks == 0) {
+    return false;
+  }
+  const double cold = upstreams.ColdPart(aRequest.service, now) * kColdAsks;
+  return static_cast<double>(mRandom() % 1024) >= cold * 1024;
+}
+
 asio::awaitable<SlotOutcome>
 SlotDesk::Acquire(std::shared_ptr<RequestContext> aContext,
                   SlotRequest aRequest)
@@ -441,7 +472,9 @@
   aRequest.group = aRequest.instance.empty()
                      ? upstreams.DrawGroup(aRequest.service, mRandom())
                      : upstreams.GroupOf(aRequest.instance);
-  const std::string home = HomeOf(aRequest.service, aRequest.group);
+  aRequest.direct = ChoosesDirect(aRequest);
+  const std::string home =
+    aRequest.direct ? std::string() : HomeOf(aRequest.service, aRequest.group);
   const bool askHome = !home.empty() && home != mSelf && !IsSilent(home);
   std::optional<SlotOutcome> outcome;
   if (askHome) {
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -84,6 +84,12 @@
 
   void Release(const Slot& aSlot, TryEnd aEnd, Duration aTook);
 
+  /// An upstream has told its load.
+  void NoteTold(const std::string& aInstance, const ToldLoad& aLoad)
+  {
+    mBroker.NoteTold(aInstance, aLoad, mClock.Now());
+  }
+
   /// Call it every SlotBroker::kTick.
   void Tick();
 
@@ -126,6 +132,9 @@
   void DropEntry(const std::string& aAddress);
   void ForgetAskers(const State& aState);
   std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
+  /// @return whether this host chooses an upstream by itself.
+  bool ChoosesDirect(const SlotRequest& aRequest);
+  void NoteAskTime(Duration aTime);
   bool IsHomeOf(const std::string& aInstance) const;
   std::vector<std::string> ColdHere() const;
   void HoldOffNewCold(const std::vector<std::string>& aBefore);
@@ -174,6 +183,10 @@
   std::map<uint64_t, std::string> mAskers;
   std::map<std::string, Instant> mSilentUntil;
   AskLine mLine;
+  /// Moving average of the time until a home says something.
+  Duration mAskTime{};
+  /// Asking takes so long that this host does without where it can.
+  bool mAsksAreSlow = false;
   uint64_t mLastTicket = 0;
 };
 
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "gateway/state.h"
+#include "gateway/told_load.h"
 
 namespace rattandyke::gateway {
 
@@ -68,6 +69,9 @@
     /// its service's rate times the factor, and the slack.
     double coldFactor = 1;
     double coldSlack = 0;
+    /// This host and its data centre.
+    std::string host;
+    DataCentre dataCentre;
   };
 
   UpstreamSet(uint64_t aSeed, const Options& aOptions);
@@ -101,6 +105,27 @@
                  bool aCold,
                  Instant aNow);
 
+  /// An instance of a service that this host chooses by itself, by what the
+  /// instances have told it. Each host has a few of them for itself: it hears
+  /// these often enough to know how fast they are and how much they have.
+  Outcome ChooseDirect(const std::string& aService,
+                       const std::set<std::string>& aTried,
+                       Instant aNow);
+
+  /// @return when one of these may have room again.
+  Duration DirectWait(const std::string& aService, Instant aNow);
+
+  /// An instance has told its load.
+  void NoteTold(const std::string& aInstance,
+                const ToldLoad& aLoad,
+                Instant aNow);
+
+  /// @return whether instances of the service tell their load.
+  bool TellsLoad(const std::string& aService, Instant aNow) const;
+
+  /// @return the part of the service's usable instances that is cold.
+  double ColdPart(const std::string& aService, Instant aNow) const;
+
   /// One instance, if it has room and does not seem dead. Of one that seems so,
   /// a request now and then finds out if it is back.
   Outcome ChooseOne(const std::string& aInstance, Instant aNow);
@@ -199,6 +224,10 @@
     /// When the newest tries began, oldest first: as many as a cold one may get
     /// in a second.
     std::deque<Instant> recent;
+    std::optional<ToldLoad> told;
+    Instant toldAt{};
+    /// Tries of this host that have begun since.
+    uint32_t begunSince = 0;
     uint32_t running = 0;
     /// Moving average of answers' times, in seconds; 0: none yet.
     double seconds = 0;
@@ -230,6 +259,10 @@
     /// Instances by group; without those that leave or are gone.
     std::map<uint32_t, std::vector<const Item*>> members;
     size_t usable = 0;
+    /// Instances that this host chooses from by itself; none: not known yet.
+    std::optional<std::vector<const Item*>> subset;
+    /// When one last told its load.
+    std::optional<Instant> toldAt;
   };
 
   static uint32_t GroupsFor(const Service& aService);
@@ -253,6 +286,11 @@
   bool IsUsable(const Upstream& aUpstream, Instant aNow) const;
   static uint32_t RoomOf(const Upstream& aUpstream);
   static double Score(const Upstream& aUpstream, const DataCentre& aNear);
+  const std::vector<const Item*>& SubsetOf(const std::string& aService);
+  /// @return requests that an instance has, as far as it can be known.
+  static double LoadOf(const Upstream& aUpstream, Instant aNow);
+  /// @return the time after which it would have answered one more.
+  double AnswerIn(const Upstream& aUpstream, double aUsual, Instant aNow) const;
   static double SecondsOf(const Upstream& aUpstream);
   static double Rate(const Upstream& aUpstream);
 
--- a/src/librattandyke/routing/service_table.cpp
+++ b/src/librattandyke/routing/service_table.cpp
@@ -135,6 +135,14 @@
   return XXH64(aKey.data(), aKey.size(), 0);
 }
 
+uint64_t
+Mixed(uint64_t aNumber)
+{
+  aNumber = (aNumber ^ (aNumber >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  aNumber = (aNumber ^ (aNumber >> 27U)) * 0x94d049bb133111ebULL;
+  return aNumber ^ (aNumber >> 31U);
+}
+
 Slot
 SlotOfHash(uint64_t aHash, uint32_t aSlots)
 {
