--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -150,6 +150,7 @@
   , mClock(aClock)
   , mDesk(aDesk)
   , mExchanger(aExecutor, mHeaders, aClock)
+  , mLink(mOptions.linkBytesPerSecond)
   , mEgress(mOptions.linkBytesPerSecond)
   , mEgressTimer(std::move(aExecutor))
 {
@@ -290,6 +291,7 @@
                        CallerRequest aRequest)
 {
   const Instant arrived = aRequest.arrived;
+  mLink.NoteReceived(aRequest.body.size() + kRequestLine, arrived);
   CallerAnswer answer = co_await Answer(aContext, std::move(aRequest));
   const size_t bytes = answer.fields.size() + answer.body.size();
   if (answer.due > Instant{}) {
@@ -408,7 +410,33 @@
     NoteKey(flow.service, *flow.key);
   }
   flow.request = Outgoing(aRequest, id);
-  co_return co_await Run(flow);
+  co_return co_await RunIfRoom(flow);
+}
+
+size_t
+RequestHandler::BytesOf(const OutgoingRequest& aRequest)
+{
+  return aRequest.fields.size() + aRequest.body.size() + kRequestLine;
+}
+
+asio::awaitable<CallerAnswer>
+RequestHandler::RunIfRoom(Flow& aFlow)
+{
+  const size_t expected = mSizes.Of(aFlow.route->name);
+  const auto wait = mLink.Admit(
+    aFlow.route->priority, BytesOf(*aFlow.request), expected, mClock.Now());
+  if (wait) {
+    mMetrics.Count("link_refusals", "");
+    co_return NotRun(aFlow, *wait, "the link is full");
+  }
+  CallerAnswer answer = co_await Run(aFlow);
+  // What came has been counted as expected; a refusal has brought nothing.
+  if (answer.due > Instant{}) {
+    mSizes.Note(aFlow.route->name, answer.fields.size() + answer.body.size());
+  } else {
+    mLink.GiveBack(expected);
+  }
+  co_return answer;
 }
 
 bool
@@ -514,8 +542,7 @@
   const Duration left = aFlow.deadline - mClock.Now() - Duration(kWayBack);
   // Named: a braced temporary in an awaited call is destroyed twice by the
   // compiler that Debian 12 has.
-  NoteSent(aFlow.request->fields.size() + aFlow.request->body.size() +
-           kRequestLine);
+  NoteSent(BytesOf(*aFlow.request));
   const UpstreamPeer peer{ slot.instance, slot.address, slot.life };
   ExchangeResult result =
     co_await mExchanger.Run(peer, aFlow.request, left, handle);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -19,6 +19,7 @@
 #include "gateway/egress_queue.h"
 #include "gateway/exchange.h"
 #include "gateway/feed_client.h"
+#include "gateway/link_budget.h"
 #include "gateway/metrics.h"
 #include "gateway/request_context.h"
 #include "gateway/route_table.h"
@@ -122,6 +123,9 @@
   boost::asio::awaitable<CallerAnswer> Answer(
     std::shared_ptr<RequestContext> aContext,
     CallerRequest aRequest);
+  /// Runs a request if the host's link has room for its answer.
+  boost::asio::awaitable<CallerAnswer> RunIfRoom(Flow& aFlow);
+  static size_t BytesOf(const OutgoingRequest& aRequest);
   boost::asio::awaitable<CallerAnswer> Run(Flow& aFlow);
   /// Waits until the host's link can take an answer.
   boost::asio::awaitable<void> AwaitEgress(
@@ -157,6 +161,8 @@
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
+  LinkBudget mLink;
+  AnswerSizes mSizes;
   EgressQueue mEgress;
   EgressQueue::Ticket mLastEgress = 0;
   /// Whose answers wait for the link.
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -92,7 +92,12 @@
 SlotBroker::Choose(const SlotRequest& aRequest, Instant aNow)
 {
   if (aRequest.direct) {
-    return mUpstreams.ChooseDirect(aRequest.service, aRequest.excluded, aNow);
+    // One that can't be in time any more is sent as long as it can be answered.
+    const bool late = aRequest.aim <= Duration(kWayBack);
+    return mUpstreams.ChooseDirect(aRequest.service,
+                                   aRequest.excluded,
+                                   late ? aRequest.held : aRequest.aim,
+                                   aNow);
   }
   if (!aRequest.cold && mUpstreams.IsCold(aRequest.instance, aNow)) {
     return UpstreamSet::Hindrance::Full;
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -584,8 +584,10 @@
 UpstreamSet::Outcome
 UpstreamSet::ChooseDirect(const std::string& aService,
                           const std::set<std::string>& aTried,
+                          Duration aWithin,
                           Instant aNow)
 {
+  const double within = std::chrono::duration<double>(aWithin).count();
   const std::vector<const Item*>& subset = SubsetOf(aService);
   double known = 0;
   double sum = 0;
@@ -604,8 +606,12 @@
     }
     // Hosts that have been told the same must not all choose the same.
     const double spread = 0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
+    const double answer = AnswerIn(upstream, usual, aNow);
+    if (answer > within) {
+      continue;
+    }
     const std::pair<bool, double> in{ aNow < upstream.avoidUntil,
-                                      AnswerIn(upstream, usual, aNow) * spread };
+                                      answer * spread };
     if (best == nullptr || in < bestIn) {
       best = item;
       bestIn = in;
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -108,8 +108,10 @@
   /// An instance of a service that this host chooses by itself, by what the
   /// instances have told it. Each host has a few of them for itself: it hears
   /// these often enough to know how fast they are and how much they have.
+  /// @param aWithin one that would answer later will not do.
   Outcome ChooseDirect(const std::string& aService,
                        const std::set<std::string>& aTried,
+                       Duration aWithin,
                        Instant aNow);
 
   /// @return when one of these may have room again.
