--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -52,16 +52,21 @@
 /// An entry that knows only its own requests takes one of so many slots: with
 /// all, some ten entries overrun an upstream that is asked for often.
 constexpr uint32_t kAlonePart = 2;
+/// An upstream that tells of so many that wait is left to its home.
+constexpr uint32_t kCrowded = 3;
 /// Instances that a host chooses from by itself: as many in its own data
 /// centre, and as many elsewhere. With fewer, one that is slow for a moment has
 /// too little beside it; with more, each is heard too seldom.
 constexpr size_t kSubsetNear = 6;
 constexpr size_t kSubsetFar = 2;
 /// For how long what an instance told counts: about as long as requests run.
-constexpr milliseconds kToldFor{ 500 };
+constexpr milliseconds kToldFor{ 1000 };
 /// Bounds of a pace that is believed.
 constexpr double kLeastPace = 0.5;
 constexpr double kMostPace = 4;
+/// How often a host sends one request to an instance that was full and has been
+/// silent since.
+constexpr milliseconds kAskAgainEvery{ 700 };
 /// For how long its pace counts.
 constexpr milliseconds kPaceFor{ 250 };
 /// Without a recent word, an instance is taken to have this part of its slots
@@ -70,7 +75,7 @@
 /// Requests that hosts that choose by themselves let wait at an instance. It
 /// has a few more places, beyond which it may never answer: others send it
 /// some that are not known here.
-constexpr double kDirectQueue = 5;
+constexpr double kDirectQueue = 3;
 /// A service's instances tell their load as long as one has within this time.
 constexpr std::chrono::seconds kTellsFor{ 5 };
 /// What a request to another data centre costs a direct choice, in seconds.
@@ -554,6 +559,19 @@
   return service.subset.emplace(std::move(subset));
 }
 
+/// Safeguard: hosts that found an upstream full hear nothing more of it, and
+/// after a while all think that it may have room again. What they then send in
+/// one moment is more than it has places for.
+bool
+UpstreamSet::IsAwaited(const Upstream& aUpstream, Instant aNow)
+{
+  const bool full =
+    aUpstream.told &&
+    aUpstream.told->running + aUpstream.told->waiting >= aUpstream.slots;
+  return full && aNow - aUpstream.toldAt >= kToldFor &&
+         aNow - aUpstream.begunAt < kAskAgainEvery;
+}
+
 double
 UpstreamSet::LoadOf(const Upstream& aUpstream, Instant aNow)
 {
@@ -601,6 +619,7 @@
   for (const Item* item : subset) {
     const Upstream& upstream = item->second;
     if (aTried.contains(item->first) || aNow < upstream.coldUntil ||
+        IsAwaited(upstream, aNow) ||
         LoadOf(upstream, aNow) >= upstream.slots + kDirectQueue) {
       continue;
     }
@@ -721,7 +740,9 @@
   const uint32_t room = std::max(upstream.slots / kAlonePart, 1U);
   // Safeguard: hosts that each send a cold upstream a little send too much
   // together. It is left to its home.
-  if (upstream.running >= room || aNow < upstream.avoidUntil ||
+  const bool crowded = upstream.told && aNow - upstream.toldAt < kToldFor &&
+                       upstream.told->waiting >= kCrowded;
+  if (crowded || upstream.running >= room || aNow < upstream.avoidUntil ||
       aNow < upstream.coldUntil) {
     return Hindrance::Full;
   }
@@ -752,6 +773,7 @@
   const bool full = LoadOf(upstream, aNow) >= upstream.slots;
   ++upstream.running;
   ++upstream.begunSince;
+  upstream.begunAt = aNow;
   const auto service = mServices.find(upstream.service);
   if (service != mServices.end() && service->second.coldBound) {
     upstream.recent.push_back(aNow);
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -228,8 +228,9 @@
     std::deque<Instant> recent;
     std::optional<ToldLoad> told;
     Instant toldAt{};
-    /// Tries of this host that have begun since.
+    /// Tries of this host that have begun since, and when the newest did.
     uint32_t begunSince = 0;
+    Instant begunAt{};
     uint32_t running = 0;
     /// Moving average of answers' times, in seconds; 0: none yet.
     double seconds = 0;
@@ -289,6 +290,9 @@
   static uint32_t RoomOf(const Upstream& aUpstream);
   static double Score(const Upstream& aUpstream, const DataCentre& aNear);
   const std::vector<const Item*>& SubsetOf(const std::string& aService);
+  /// @return whether an instance was full when it last told its load, and this
+  /// host has just asked it again.
+  static bool IsAwaited(const Upstream& aUpstream, Instant aNow);
   /// @return requests that an instance has, as far as it can be known.
   static double LoadOf(const Upstream& aUpstream, Instant aNow);
   /// @return the time after which it would have answered one more.
