--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -45,6 +45,8 @@
   , granter({ aSettings.hold, aSettings.heartbeatInterval, kForgetAfter })
   , feed(state)
   , ticker(executor)
+  , heartbeatTimer(executor)
+  , answerTimer(executor)
   , parkedTimer(executor)
   , freshAt(aClock.Now())
 {
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -99,6 +99,14 @@
   if (!leader || *leader == self) {
     co_return Unavailable("No control host leads at the moment.");
   }
+  if (dialect.IsHeartbeat(aCall.method, aCall.target)) {
+    Result<ControlCall> call =
+      dialect.Decode(aCall.method, aCall.target, aCall.body);
+    if (!call) {
+      co_return Unread(aCall, call.error());
+    }
+    co_return co_await ForwardHeartbeat(*leader, std::get<Heartbeat>(*call));
+  }
   const uint64_t id = ++lastCall;
   auto awaited = std::make_shared<Awaited<CallAnswer>>(executor);
   forwarded[id] = awaited;
@@ -157,11 +165,7 @@
   Result<ControlCall> call =
     dialect.Decode(aCall.method, aCall.target, aCall.body);
   if (!call) {
-    CountNotTaken(call.error());
-    Info() << "refuses " << aCall.method << " "
-           << aCall.target.substr(0, kLoggedTarget) << ": "
-           << call.error().message;
-    co_return Refused(call.error());
+    co_return Unread(aCall, call.error());
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&*call)) {
     co_return co_await OnCall(*heartbeat);
@@ -178,12 +182,30 @@
   co_return OnRead();
 }
 
+/// A call that can't be read.
+CallAnswer
+ControlHost::Impl::Unread(const CallRequest& aCall, const Error& aError)
+{
+  CountNotTaken(aError);
+  Info() << "refuses " << aCall.method << " "
+         << aCall.target.substr(0, kLoggedTarget) << ": " << aError.message;
+  return Refused(aError);
+}
+
 asio::awaitable<CallAnswer>
 ControlHost::Impl::OnCall(const Heartbeat& aHeartbeat)
+{
+  co_return Encoded(co_await Decide(aHeartbeat));
+}
+
+asio::awaitable<Result<HeartbeatAnswer>>
+ControlHost::Impl::Decide(const Heartbeat& aHeartbeat)
 {
   const Instant arrived = clock.Now();
   if (Result<void> checked = granter.Check(aHeartbeat, state); !checked) {
-    co_return NotTaken("heartbeat", aHeartbeat.instance, checked.error());
+    static_cast<void>(
+      NotTaken("heartbeat", aHeartbeat.instance, checked.error()));
+    co_return tl::unexpected(checked.error());
   }
   std::vector<wire::GatewayCommand> due =
     granter.OnHeartbeat(aHeartbeat, state, arrived);
@@ -208,18 +230,17 @@
     }
   }
   if (!committed) {
-    co_return Refused(committed.error());
+    co_return tl::unexpected(committed.error());
   }
   // Safeguard: while the commands were committed, this host may have stood
   // still and another may lead by now. An answer would renew keys that the
   // other has given away.
   if (!LeadsSurely()) {
-    co_return Unavailable("This host may not lead any more.");
+    co_return Fail(Code::NoQuorum, "This host may not lead any more.");
   }
   HeartbeatAnswer answer;
   answer.grants = granter.Renew(aHeartbeat, state, arrived);
-  answer.heartbeatAddress = ToString(*settings.calls);
-  co_return CallAnswer{ kOk, dialect.Encode(answer), "application/json" };
+  co_return answer;
 }
 
 asio::awaitable<CallAnswer>
@@ -286,7 +307,8 @@
   Info() << "takes " << what << " of the evacuation of "
          << aOrder.dataCentre.value << ", in force at index "
          << state.Applied().value;
-  metrics.Count("evacuations", aOrder.ends ? "order=\"end\"" : "order=\"start\"");
+  metrics.Count("evacuations",
+                aOrder.ends ? "order=\"end\"" : "order=\"start\"");
   co_return CallAnswer{ kOk, "{}", "application/json" };
 }
 
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -44,6 +44,12 @@
     case wire::GatewayFrame::kForwardedAnswer:
       OnForwardedAnswer(frame.forwarded_answer());
       return;
+    case wire::GatewayFrame::kForwardedHeartbeats:
+      OnForwardedHeartbeats(frame.forwarded_heartbeats());
+      return;
+    case wire::GatewayFrame::kForwardedHeartbeatAnswers:
+      OnForwardedHeartbeatAnswers(frame.forwarded_heartbeat_answers());
+      return;
     default:
       return;
   }
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -21,6 +21,7 @@
 #include "gateway/entry_registry.h"
 #include "gateway/feed_server.h"
 #include "gateway/granter.h"
+#include "gateway/heartbeat_wire.h"
 #include "gateway/metrics.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
@@ -102,6 +103,22 @@
   void OnHostReport(const wire::HostReport& aReport);
   void Report();
 
+  // Heartbeats between control hosts: control_host_forward.cpp.
+
+  boost::asio::awaitable<CallAnswer> ForwardHeartbeat(
+    HostName aLeader,
+    const Heartbeat& aHeartbeat);
+  void FlushHeartbeats();
+  void OnForwardedHeartbeats(const wire::ForwardedHeartbeats& aBatch);
+  static boost::asio::awaitable<void> DecideForwarded(
+    std::shared_ptr<Impl> aSelf,
+    HostName aReplyTo,
+    wire::ForwardedHeartbeat aHeartbeat);
+  void FlushAnswers();
+  void OnForwardedHeartbeatAnswers(
+    const wire::ForwardedHeartbeatAnswers& aBatch);
+  CallAnswer Encoded(Result<HeartbeatAnswer> aAnswer) const;
+
   // Calls: control_host_calls.cpp.
 
   static boost::asio::awaitable<CallAnswer> HandleWeak(
@@ -115,6 +132,9 @@
   void OnForwardedAnswer(const wire::ForwardedAnswer& aAnswer);
   boost::asio::awaitable<CallAnswer> HandleAsLeader(const CallRequest& aCall);
   boost::asio::awaitable<CallAnswer> OnCall(const Heartbeat& aHeartbeat);
+  /// The leader's answer to a heartbeat.
+  boost::asio::awaitable<Result<HeartbeatAnswer>> Decide(
+    const Heartbeat& aHeartbeat);
   boost::asio::awaitable<CallAnswer> OnCall(const Deregistration& aLeaving);
   boost::asio::awaitable<CallAnswer> OnCall(const wire::ChangeItems& aChange);
   boost::asio::awaitable<CallAnswer> OnCall(const Evacuation& aOrder);
@@ -126,6 +146,7 @@
   CallAnswer NotTaken(std::string_view aCall,
                       const std::string& aInstance,
                       const Error& aError);
+  CallAnswer Unread(const CallRequest& aCall, const Error& aError);
   CallAnswer Refused(const Error& aError) const;
   CallAnswer Unavailable(std::string aText) const;
   static boost::asio::awaitable<CallAnswer> AnswerMetrics(
@@ -150,7 +171,16 @@
   Metrics metrics;
   std::deque<std::pair<LogIndex, Result<void>>> outcomes;
   std::map<uint64_t, std::shared_ptr<Awaited<CallAnswer>>> forwarded;
+  std::map<uint64_t, std::shared_ptr<Awaited<Result<HeartbeatAnswer>>>>
+    forwardedHeartbeats;
   uint64_t lastCall = 0;
+  /// Heartbeats that are about to be sent to a leader, and answers that are
+  /// about to be sent back.
+  HostName heartbeatsFor;
+  wire::ForwardedHeartbeats waitingHeartbeats;
+  boost::asio::steady_timer heartbeatTimer;
+  std::map<HostName, wire::ForwardedHeartbeatAnswers> waitingAnswers;
+  boost::asio::steady_timer answerTimer;
   std::vector<std::weak_ptr<boost::asio::steady_timer>> keyWaiters;
   wire::HostReport waitingReport;
   EntryRegistry entries;
--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -36,12 +36,8 @@
 {};
 
 /// A call to a control host.
-using ControlCall =
-  std::variant<Heartbeat,
-               Deregistration,
-               wire::ChangeItems,
-               Evacuation,
-               ReadItems>;
+using ControlCall = std::
+  variant<Heartbeat, Deregistration, wire::ChangeItems, Evacuation, ReadItems>;
 
 /// Names of the HTTP headers between callers, entry hosts and upstreams.
 struct HeaderNames
@@ -82,6 +78,10 @@
   /// can't be read.
   virtual std::optional<ToldLoad> DecodeLoad(std::string_view aText) const = 0;
 
+  /// @return whether a call is a heartbeat, by its method and path alone.
+  virtual bool IsHeartbeat(std::string_view aMethod,
+                           std::string_view aTarget) const = 0;
+
   virtual std::string Encode(const HeartbeatAnswer& aAnswer) const = 0;
 
   /// @return the items in force, laid out as operators send them.
--- a/src/librattandyke/gateway/egress_queue.cpp
+++ b/src/librattandyke/gateway/egress_queue.cpp
@@ -32,8 +32,8 @@
   }
   const std::chrono::duration<double> takes(
     static_cast<double>(aBytes + kPerWrite) / mBytesPerSecond);
-  mFreeAt = std::max(mFreeAt, aNow) +
-            std::chrono::duration_cast<Duration>(takes);
+  mFreeAt =
+    std::max(mFreeAt, aNow) + std::chrono::duration_cast<Duration>(takes);
 }
 
 bool
@@ -82,8 +82,8 @@
 EgressQueue::Queue&
 EgressQueue::Next(Instant aNow)
 {
-  const bool starves = !mLate.empty() &&
-                       aNow - mLate.begin()->first.first >= kLongestLate;
+  const bool starves =
+    !mLate.empty() && aNow - mLate.begin()->first.first >= kLongestLate;
   return mInTime.empty() || starves ? mLate : mInTime;
 }
 
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -81,16 +81,15 @@
                               ToString(aSettings.Self()),
                               aSettings.dataCentre },
         [this] { return feed.Age(); })
-    , handler(
-        executor,
-        { aSettings.dataCentre,
-          aSettings.retryRatio,
-          aSettings.retrySlack,
-          aSettings.linkMbits * kBytesPerMbit },
-        feed,
-        desk,
-        aDialect,
-        aClock)
+    , handler(executor,
+              { aSettings.dataCentre,
+                aSettings.retryRatio,
+                aSettings.retrySlack,
+                aSettings.linkMbits * kBytesPerMbit },
+              feed,
+              desk,
+              aDialect,
+              aClock)
     , callers(executor, handler, aClock)
     , slotTicker(executor)
   {
--- a/src/librattandyke/gateway/entry_host_test.cpp
+++ b/src/librattandyke/gateway/entry_host_test.cpp
@@ -33,6 +33,10 @@
   {
     return std::nullopt;
   }
+  bool IsHeartbeat(std::string_view, std::string_view) const override
+  {
+    return false;
+  }
   std::string Encode(const HeartbeatAnswer&) const override { return {}; }
   std::string EncodeItems(const wire::GatewayState&) const override
   {
@@ -43,7 +47,7 @@
 
 private:
   const HeaderNames mNames{ "Id",      "Deadline", "Signature", "Expected",
-                            "Not-Run", "Instance", "Key",      "Load" };
+                            "Not-Run", "Instance", "Key",       "Load" };
 };
 
 /// An entry host that no control host ever tells anything. Requests with time
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -195,7 +195,8 @@
     instance->set_slots(aHeartbeat.slots);
     instance->set_draining(aHeartbeat.draining);
     instance->set_life(aHeartbeat.life);
-    const Duration cold = std::max(lease.coldUntil - aArrived, Duration::zero());
+    const Duration cold =
+      std::max(lease.coldUntil - aArrived, Duration::zero());
     instance->set_cold_ms(static_cast<uint32_t>(
       std::chrono::duration_cast<milliseconds>(cold).count()));
   }
@@ -249,10 +250,10 @@
   const Instant until = aNow + aHeartbeat.cold;
   if (aHeartbeat.cold > Duration::zero() &&
       (!knownCold || until > lease.coldUntil + kColdSlack)) {
-    lease.coldUntil = std::max(lease.coldUntil, until);
+    lease.coldUntil = until;
     return true;
   }
-  return knownCold && aNow >= lease.coldUntil;
+  return false;
 }
 
 void
@@ -380,8 +381,8 @@
 {
   const auto lease = mLeases.find(aInstance.id());
   if (aInstance.draining() || aState.IsEvacuated(aInstance.data_centre()) ||
-      lease == mLeases.end() ||
-      lease->second.expiring || !lease->second.lastHeartbeat) {
+      lease == mLeases.end() || lease->second.expiring ||
+      !lease->second.lastHeartbeat) {
     return false;
   }
   return aNow - *lease->second.lastHeartbeat <
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -224,9 +224,7 @@
                 Instant aNow) const;
   /// @return whether the state must be told anew for how long an instance is
   /// cold.
-  bool NoteCold(const Heartbeat& aHeartbeat,
-                const State& aState,
-                Instant aNow);
+  bool NoteCold(const Heartbeat& aHeartbeat, const State& aState, Instant aNow);
   /// Lets all keys of an instance in an evacuated data centre be released.
   void GiveUpAll(const Heartbeat& aHeartbeat,
                  const State& aState,
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -425,8 +425,8 @@
       (time.reports + kUsualReports);
     const auto lease = mLeases.find(id);
     const bool cold = lease != mLeases.end() && aNow < lease->second.coldUntil;
-    holder.perRequest =
-      (cold ? kColdSlower : 1) * seconds / std::max(aState.FindInstance(id)->slots(), 1U);
+    holder.perRequest = (cold ? kColdSlower : 1) * seconds /
+                        std::max(aState.FindInstance(id)->slots(), 1U);
     holder.speed = 1 / holder.perRequest;
     speeds += holder.speed;
   }
--- a/src/librattandyke/gateway/link_budget.cpp
+++ b/src/librattandyke/gateway/link_budget.cpp
@@ -52,8 +52,8 @@
   if (mBytesPerSecond <= 0) {
     return std::nullopt;
   }
-  const Duration longest = Duration(kLongestQueue) + Duration(kUrgentMore) /
-                                                       (aPriority + 1);
+  const Duration longest =
+    Duration(kLongestQueue) + Duration(kUrgentMore) / (aPriority + 1);
   const Duration queue = std::max(mFreeAt - aNow, Duration::zero());
   const bool saves = aAnswer > kWorthRefusing * aRequest;
   if (queue > longest && saves) {
--- a/src/librattandyke/gateway/link_budget.h
+++ b/src/librattandyke/gateway/link_budget.h
@@ -17,9 +17,10 @@
 /// all that it has taken on is late: answers queue at the link's other end,
 /// where nobody can choose among them. So a request whose answer would make the
 /// queue too long is refused at once, the less urgent ones sooner, with the
-/// time after which there is room; what is taken on is in time. Its caller sends
-/// it again, over the same link: where the answer is not much longer than the
-/// request, refusing it makes the queue longer. Does no I/O. Not thread-safe.
+/// time after which there is room; what is taken on is in time. Its caller
+/// sends it again, over the same link: where the answer is not much longer than
+/// the request, refusing it makes the queue longer. Does no I/O. Not
+/// thread-safe.
 class LinkBudget
 {
 public:
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -660,8 +660,8 @@
                             }
                           });
     answer.body = std::move(aResult.answer.body);
-    answer.due = aFlow.arrived + Duration(aFlow.route->objective) -
-                 Duration(kWayToCaller);
+    answer.due =
+      aFlow.arrived + Duration(aFlow.route->objective) - Duration(kWayToCaller);
     return answer;
   }
   if (!aFlow.mayHaveRun) {
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -346,9 +346,8 @@
       "Time within which nothing new may reach the upstreams of an evacuated "
       "data centre.",
       [](Settings& aSettings, const std::string& aText) {
-        return OrDefault(aText, [&] {
-          return ParseTime(aText, aSettings.evacuationTimeout);
-        });
+        return OrDefault(
+          aText, [&] { return ParseTime(aText, aSettings.evacuationTimeout); });
       } },
     { "requests",
       "cold_factor",
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -18,12 +18,12 @@
 /// few milliseconds apart; one with a tenth of a core as a quota of 10 ms in
 /// each 100 ms may pause for 90 ms.
 constexpr milliseconds kHomeSilence{ 110 };
-/// The same where asking takes long as a rule and the upstream is seldom wanted:
-/// the home's word is more likely in a queue than lost, and the upstream likely
-/// to have room.
+/// The same where asking takes long as a rule and the upstream is seldom
+/// wanted: the home's word is more likely in a queue than lost, and the
+/// upstream likely to have room.
 constexpr milliseconds kSlowSilence{ 50 };
-/// An upstream that a host has wanted within this time may be one that all hosts
-/// want, if there are more hosts than it has places.
+/// An upstream that a host has wanted within this time may be one that all
+/// hosts want, if there are more hosts than it has places.
 constexpr milliseconds kCalmAfter{ 1000 };
 constexpr size_t kFewHosts = 16;
 /// After which a caller comes back if the home of a busy upstream says nothing.
@@ -232,8 +232,8 @@
 SlotDesk::IsHomeOf(const std::string& aInstance) const
 {
   const UpstreamSet& upstreams = mBroker.Upstreams();
-  return HomeOf(upstreams.ServiceOf(aInstance),
-                upstreams.GroupOf(aInstance)) == mSelf;
+  return HomeOf(upstreams.ServiceOf(aInstance), upstreams.GroupOf(aInstance)) ==
+         mSelf;
 }
 
 /// @return the cold upstreams of which this host is the home.
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -441,12 +441,10 @@
 UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow) const
 {
   const auto service = mServices.find(aUpstream.service);
-  const bool ownsKeys =
-    service != mServices.end() && service->second.ownsKeys;
+  const bool ownsKeys = service != mServices.end() && service->second.ownsKeys;
   const bool drained =
-    aUpstream.drainingSince &&
-    aNow - *aUpstream.drainingSince >=
-      Scaled(mOptions.drainTimeout, kDrainingOwner);
+    aUpstream.drainingSince && aNow - *aUpstream.drainingSince >=
+                                 Scaled(mOptions.drainTimeout, kDrainingOwner);
   // An owner of keys serves on until they have another one; any other upstream
   // has others beside it.
   const bool evacuated =
@@ -540,8 +538,7 @@
   const uint64_t own = routing::HashOf(mOptions.host);
   for (const auto& [group, members] : service.members) {
     for (const Item* item : members) {
-      const bool isNear =
-        item->second.dataCentre == mOptions.dataCentre.value;
+      const bool isNear = item->second.dataCentre == mOptions.dataCentre.value;
       (isNear ? near : far)
         .emplace_back(routing::Mixed(own ^ routing::HashOf(item->first)), item);
     }
@@ -580,7 +577,8 @@
     return std::max(own, kAssumedBusy * aUpstream.slots);
   }
   const ToldLoad& told = *aUpstream.told;
-  return std::max(own, told.running + told.waiting + 0.0 + aUpstream.begunSince);
+  return std::max(own,
+                  told.running + told.waiting + 0.0 + aUpstream.begunSince);
 }
 
 double
@@ -624,7 +622,8 @@
       continue;
     }
     // Hosts that have been told the same must not all choose the same.
-    const double spread = 0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
+    const double spread =
+      0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
     const double answer = AnswerIn(upstream, usual, aNow);
     if (answer > within) {
       continue;
@@ -782,8 +781,7 @@
     }
   }
   const bool told = upstream.told && aNow - upstream.toldAt < kToldFor;
-  return { upstream.running > upstream.slots || (told && full),
-           upstream.life };
+  return { upstream.running > upstream.slots || (told && full), upstream.life };
 }
 
 void
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -516,6 +516,92 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedAnswerDefaultTypeInternal _ForwardedAnswer_default_instance_;
+PROTOBUF_CONSTEXPR FencedRange::FencedRange(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.handover_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.from_)*/0u
+  , /*decltype(_impl_.to_)*/0u
+  , /*decltype(_impl_.fence_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct FencedRangeDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR FencedRangeDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~FencedRangeDefaultTypeInternal() {}
+  union {
+    FencedRange _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 FencedRangeDefaultTypeInternal _FencedRange_default_instance_;
+PROTOBUF_CONSTEXPR ForwardedHeartbeat::ForwardedHeartbeat(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.holds_)*/{}
+  , /*decltype(_impl_.released_)*/{}
+  , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.version_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.slots_)*/0u
+  , /*decltype(_impl_.draining_)*/false
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.sequence_)*/uint64_t{0u}
+  , /*decltype(_impl_.cold_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ForwardedHeartbeatDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ForwardedHeartbeatDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ForwardedHeartbeatDefaultTypeInternal() {}
+  union {
+    ForwardedHeartbeat _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedHeartbeatDefaultTypeInternal _ForwardedHeartbeat_default_instance_;
+PROTOBUF_CONSTEXPR ForwardedHeartbeats::ForwardedHeartbeats(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.heartbeats_)*/{}
+  , /*decltype(_impl_.reply_to_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ForwardedHeartbeatsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ForwardedHeartbeatsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ForwardedHeartbeatsDefaultTypeInternal() {}
+  union {
+    ForwardedHeartbeats _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedHeartbeatsDefaultTypeInternal _ForwardedHeartbeats_default_instance_;
+PROTOBUF_CONSTEXPR ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.ranges_)*/{}
+  , /*decltype(_impl_.text_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.code_)*/0u
+  , /*decltype(_impl_.renews_)*/false
+  , /*decltype(_impl_.hold_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ForwardedHeartbeatAnswerDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ForwardedHeartbeatAnswerDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ForwardedHeartbeatAnswerDefaultTypeInternal() {}
+  union {
+    ForwardedHeartbeatAnswer _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedHeartbeatAnswerDefaultTypeInternal _ForwardedHeartbeatAnswer_default_instance_;
+PROTOBUF_CONSTEXPR ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.answers_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ForwardedHeartbeatAnswersDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ForwardedHeartbeatAnswersDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ForwardedHeartbeatAnswersDefaultTypeInternal() {}
+  union {
+    ForwardedHeartbeatAnswers _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ForwardedHeartbeatAnswersDefaultTypeInternal _ForwardedHeartbeatAnswers_default_instance_;
 PROTOBUF_CONSTEXPR HostReport::HostReport(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.loads_)*/{}
@@ -619,7 +705,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[37];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[42];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -939,6 +1025,62 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedAnswer, _impl_.status_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedAnswer, _impl_.body_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FencedRange, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FencedRange, _impl_.from_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FencedRange, _impl_.to_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FencedRange, _impl_.fence_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FencedRange, _impl_.handover_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.address_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.data_centre_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.version_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.slots_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.draining_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.sequence_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.cold_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.holds_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeat, _impl_.released_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeats, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeats, _impl_.reply_to_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeats, _impl_.heartbeats_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.code_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.text_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.renews_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.ranges_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswer, _impl_.hold_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswers, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedHeartbeatAnswers, _impl_.answers_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1014,6 +1156,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1048,12 +1192,17 @@
   { 283, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
   { 293, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
   { 305, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 314, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 323, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 341, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 352, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 363, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 371, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 314, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 324, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 343, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 351, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 363, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 370, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 379, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 397, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 408, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 419, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 427, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1088,6 +1237,11 @@
   &::rattandyke::wire::_FeedReport_default_instance_._instance,
   &::rattandyke::wire::_ForwardedCall_default_instance_._instance,
   &::rattandyke::wire::_ForwardedAnswer_default_instance_._instance,
+  &::rattandyke::wire::_FencedRange_default_instance_._instance,
+  &::rattandyke::wire::_ForwardedHeartbeat_default_instance_._instance,
+  &::rattandyke::wire::_ForwardedHeartbeats_default_instance_._instance,
+  &::rattandyke::wire::_ForwardedHeartbeatAnswer_default_instance_._instance,
+  &::rattandyke::wire::_ForwardedHeartbeatAnswers_default_instance_._instance,
   &::rattandyke::wire::_HostReport_default_instance_._instance,
   &::rattandyke::wire::_SlotAsk_default_instance_._instance,
   &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
@@ -1193,50 +1347,71 @@
   "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
   "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
   "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
-  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"\224\001\n\nHo"
-  "stReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wir"
-  "e.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke."
-  "wire.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.rat"
-  "tandyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010"
-  "reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticke"
-  "t\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001"
-  "(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023"
-  "\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013"
-  "data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_"
-  "ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006"
-  "\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattan"
-  "dyke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n"
-  "\016retry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004fro"
-  "m\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004"
-  "\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"*\n\013Packed"
-  "Frame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\233\005\n\014G"
-  "atewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed"
-  "_open\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000"
-  "\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wir"
-  "e.FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034"
-  ".rattandyke.wire.FeedCommandH\000\022.\n\tfeed_p"
-  "ing\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222"
-  "\n\013feed_report\030\006 \001(\0132\033.rattandyke.wire.Fe"
-  "edReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rat"
-  "tandyke.wire.ForwardedCallH\000\022<\n\020forwarde"
-  "d_answer\030\010 \001(\0132 .rattandyke.wire.Forward"
-  "edAnswerH\000\0222\n\013host_report\030\t \001(\0132\033.rattan"
-  "dyke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\013"
-  "2\030.rattandyke.wire.SlotAskH\000\0222\n\013slot_ans"
-  "wer\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000"
-  "\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.Sl"
-  "otDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wi"
-  "re.PackedFrameH\000B\006\n\004body*\206\001\n\tSlotState\022\032"
-  "\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE"
-  "_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLO"
-  "T_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020"
-  "\004b\006proto3"
+  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013Fen"
+  "cedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fe"
+  "nce\030\003 \001(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022Forwarde"
+  "dHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t"
+  "\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013da"
+  "ta_centre\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slot"
+  "s\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022"
+  "\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005ho"
+  "lds\030\014 \003(\0132\034.rattandyke.wire.FencedRange\022"
+  "+\n\010released\030\r \003(\0132\031.rattandyke.wire.KeyR"
+  "ange\"`\n\023ForwardedHeartbeats\022\020\n\010reply_to\030"
+  "\001 \001(\t\0227\n\nheartbeats\030\002 \003(\0132#.rattandyke.w"
+  "ire.ForwardedHeartbeat\"\221\001\n\030ForwardedHear"
+  "tbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n"
+  "\004text\030\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 "
+  "\003(\0132\034.rattandyke.wire.FencedRange\022\017\n\007hol"
+  "d_ms\030\006 \001(\r\"W\n\031ForwardedHeartbeatAnswers\022"
+  ":\n\007answers\030\001 \003(\0132).rattandyke.wire.Forwa"
+  "rdedHeartbeatAnswer\"\224\001\n\nHostReport\022)\n\005lo"
+  "ads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n"
+  "\005times\030\002 \003(\0132\035.rattandyke.wire.InstanceT"
+  "ime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.E"
+  "ntryMember\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t"
+  "\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007ser"
+  "vice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded"
+  "\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030"
+  "\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n "
+  "\001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nS"
+  "lotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001"
+  "(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Slot"
+  "State\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_m"
+  "s\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007ses"
+  "sion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022"
+  "\017\n\007took_us\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030"
+  "\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\264\006\n\014GatewayFrame\022\023\n"
+  "\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031."
+  "rattandyke.wire.FeedOpenH\000\0226\n\rfeed_snaps"
+  "hot\030\003 \001(\0132\035.rattandyke.wire.FeedSnapshot"
+  "H\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke.wi"
+  "re.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.ra"
+  "ttandyke.wire.FeedPingH\000\0222\n\013feed_report\030"
+  "\006 \001(\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016"
+  "forwarded_call\030\007 \001(\0132\036.rattandyke.wire.F"
+  "orwardedCallH\000\022<\n\020forwarded_answer\030\010 \001(\013"
+  "2 .rattandyke.wire.ForwardedAnswerH\000\0222\n\013"
+  "host_report\030\t \001(\0132\033.rattandyke.wire.Host"
+  "ReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke."
+  "wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.ra"
+  "ttandyke.wire.SlotAnswerH\000\022.\n\tslot_done\030"
+  "\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000\022.\n\006pa"
+  "cked\030\r \001(\0132\034.rattandyke.wire.PackedFrame"
+  "H\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$.ratta"
+  "ndyke.wire.ForwardedHeartbeatsH\000\022Q\n\033forw"
+  "arded_heartbeat_answers\030\017 \001(\0132*.rattandy"
+  "ke.wire.ForwardedHeartbeatAnswersH\000B\006\n\004b"
+  "ody*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIF"
+  "IED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STA"
+  "TE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022"
+  "SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 5329, descriptor_table_protodef_gateway_2eproto,
+    false, false, 6188, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 37,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 42,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -10975,43 +11150,60 @@
 
 // ===================================================================
 
-class HostReport::_Internal {
+class FencedRange::_Internal {
  public:
 };
 
-HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+FencedRange::FencedRange(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FencedRange)
 }
-HostReport::HostReport(const HostReport& from)
+FencedRange::FencedRange(const FencedRange& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  HostReport* const _this = this; (void)_this;
+  FencedRange* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){from._impl_.loads_}
-    , decltype(_impl_.times_){from._impl_.times_}
-    , decltype(_impl_.entries_){from._impl_.entries_}
+      decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){}
+    , decltype(_impl_.to_){}
+    , decltype(_impl_.fence_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_handover().empty()) {
+    _this->_impl_.handover_.Set(from._internal_handover(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.from_, &from._impl_.from_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.fence_) -
+    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FencedRange)
 }
 
-inline void HostReport::SharedCtor(
+inline void FencedRange::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){arena}
-    , decltype(_impl_.times_){arena}
-    , decltype(_impl_.entries_){arena}
+      decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){0u}
+    , decltype(_impl_.to_){0u}
+    , decltype(_impl_.fence_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-HostReport::~HostReport() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.HostReport)
+FencedRange::~FencedRange() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FencedRange)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -11019,71 +11211,65 @@
   SharedDtor();
 }
 
-inline void HostReport::SharedDtor() {
+inline void FencedRange::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.loads_.~RepeatedPtrField();
-  _impl_.times_.~RepeatedPtrField();
-  _impl_.entries_.~RepeatedPtrField();
+  _impl_.handover_.Destroy();
 }
 
-void HostReport::SetCachedSize(int size) const {
+void FencedRange::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void HostReport::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostReport)
+void FencedRange::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FencedRange)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.loads_.Clear();
-  _impl_.times_.Clear();
-  _impl_.entries_.Clear();
+  _impl_.handover_.ClearToEmpty();
+  ::memset(&_impl_.from_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.fence_) -
+      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* HostReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* FencedRange::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      // uint32 from = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.InstanceTime times = 2;
+      // uint32 to = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.EntryMember entries = 3;
+      // uint64 fence = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string handover = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_handover();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FencedRange.handover"));
         } else
           goto handle_unusual;
         continue;
@@ -11110,100 +11296,1770 @@
 #undef CHK_
 }
 
-uint8_t* HostReport::_InternalSerialize(
+uint8_t* FencedRange::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FencedRange)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
-    const auto& repfield = this->_internal_loads(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
   }
 
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
-    const auto& repfield = this->_internal_times(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
   }
 
-  // repeated .rattandyke.wire.EntryMember entries = 3;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
-    const auto& repfield = this->_internal_entries(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  // uint64 fence = 3;
+  if (this->_internal_fence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_fence(), target);
+  }
+
+  // string handover = 4;
+  if (!this->_internal_handover().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.FencedRange.handover");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_handover(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FencedRange)
   return target;
 }
 
-size_t HostReport::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostReport)
+size_t FencedRange::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FencedRange)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  total_size += 1UL * this->_internal_loads_size();
-  for (const auto& msg : this->_impl_.loads_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // string handover = 4;
+  if (!this->_internal_handover().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_handover());
   }
 
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  total_size += 1UL * this->_internal_times_size();
-  for (const auto& msg : this->_impl_.times_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
   }
 
-  // repeated .rattandyke.wire.EntryMember entries = 3;
-  total_size += 1UL * this->_internal_entries_size();
-  for (const auto& msg : this->_impl_.entries_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+  }
+
+  // uint64 fence = 3;
+  if (this->_internal_fence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostReport::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FencedRange::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    HostReport::MergeImpl
+    FencedRange::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostReport::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FencedRange::GetClassData() const { return &_class_data_; }
 
 
-void HostReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<HostReport*>(&to_msg);
-  auto& from = static_cast<const HostReport&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostReport)
+void FencedRange::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FencedRange*>(&to_msg);
+  auto& from = static_cast<const FencedRange&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FencedRange)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
-  _this->_impl_.times_.MergeFrom(from._impl_.times_);
-  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
-  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-}
-
-void HostReport::CopyFrom(const HostReport& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostReport)
-  if (&from == this) return;
+  if (!from._internal_handover().empty()) {
+    _this->_internal_set_handover(from._internal_handover());
+  }
+  if (from._internal_from() != 0) {
+    _this->_internal_set_from(from._internal_from());
+  }
+  if (from._internal_to() != 0) {
+    _this->_internal_set_to(from._internal_to());
+  }
+  if (from._internal_fence() != 0) {
+    _this->_internal_set_fence(from._internal_fence());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FencedRange::CopyFrom(const FencedRange& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FencedRange)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FencedRange::IsInitialized() const {
+  return true;
+}
+
+void FencedRange::InternalSwap(FencedRange* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.handover_, lhs_arena,
+      &other->_impl_.handover_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.fence_)
+      + sizeof(FencedRange::_impl_.fence_)
+      - PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.from_)>(
+          reinterpret_cast<char*>(&_impl_.from_),
+          reinterpret_cast<char*>(&other->_impl_.from_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[31]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeat::_Internal {
+ public:
+};
+
+ForwardedHeartbeat::ForwardedHeartbeat(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeat)
+}
+ForwardedHeartbeat::ForwardedHeartbeat(const ForwardedHeartbeat& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeat* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holds_){from._impl_.holds_}
+    , decltype(_impl_.released_){from._impl_.released_}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.slots_){}
+    , decltype(_impl_.draining_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.sequence_){}
+    , decltype(_impl_.cold_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.version_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.version_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_version().empty()) {
+    _this->_impl_.version_.Set(from._internal_version(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeat)
+}
+
+inline void ForwardedHeartbeat::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holds_){arena}
+    , decltype(_impl_.released_){arena}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.slots_){0u}
+    , decltype(_impl_.draining_){false}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.cold_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.version_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.version_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeat::~ForwardedHeartbeat() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeat)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeat::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.holds_.~RepeatedPtrField();
+  _impl_.released_.~RepeatedPtrField();
+  _impl_.instance_.Destroy();
+  _impl_.service_.Destroy();
+  _impl_.address_.Destroy();
+  _impl_.data_centre_.Destroy();
+  _impl_.version_.Destroy();
+}
+
+void ForwardedHeartbeat::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeat::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeat)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.holds_.Clear();
+  _impl_.released_.Clear();
+  _impl_.instance_.ClearToEmpty();
+  _impl_.service_.ClearToEmpty();
+  _impl_.address_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
+  _impl_.version_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.cold_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeat::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string service = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string address = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.address"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string data_centre = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string version = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_version();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.version"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 slots = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.slots_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool draining = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.draining_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 sequence = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
+          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 cold_ms = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.cold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.FencedRange holds = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_holds(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.KeyRange released = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_released(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeat::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeat)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.instance");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_instance(), target);
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.service");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_service(), target);
+  }
+
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.address");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_address(), target);
+  }
+
+  // string data_centre = 5;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_data_centre(), target);
+  }
+
+  // string version = 6;
+  if (!this->_internal_version().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_version().data(), static_cast<int>(this->_internal_version().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.version");
+    target = stream->WriteStringMaybeAliased(
+        6, this->_internal_version(), target);
+  }
+
+  // uint32 slots = 7;
+  if (this->_internal_slots() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(7, this->_internal_slots(), target);
+  }
+
+  // bool draining = 8;
+  if (this->_internal_draining() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(8, this->_internal_draining(), target);
+  }
+
+  // uint64 life = 9;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(9, this->_internal_life(), target);
+  }
+
+  // uint64 sequence = 10;
+  if (this->_internal_sequence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_sequence(), target);
+  }
+
+  // uint32 cold_ms = 11;
+  if (this->_internal_cold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_cold_ms(), target);
+  }
+
+  // repeated .rattandyke.wire.FencedRange holds = 12;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_holds_size()); i < n; i++) {
+    const auto& repfield = this->_internal_holds(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(12, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.KeyRange released = 13;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_released_size()); i < n; i++) {
+    const auto& repfield = this->_internal_released(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeat)
+  return target;
+}
+
+size_t ForwardedHeartbeat::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeat)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FencedRange holds = 12;
+  total_size += 1UL * this->_internal_holds_size();
+  for (const auto& msg : this->_impl_.holds_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.KeyRange released = 13;
+  total_size += 1UL * this->_internal_released_size();
+  for (const auto& msg : this->_impl_.released_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
+  // string data_centre = 5;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
+  }
+
+  // string version = 6;
+  if (!this->_internal_version().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_version());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint32 slots = 7;
+  if (this->_internal_slots() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_slots());
+  }
+
+  // bool draining = 8;
+  if (this->_internal_draining() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint64 life = 9;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // uint64 sequence = 10;
+  if (this->_internal_sequence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  }
+
+  // uint32 cold_ms = 11;
+  if (this->_internal_cold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeat::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeat::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeat::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeat::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeat*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeat&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeat)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.holds_.MergeFrom(from._impl_.holds_);
+  _this->_impl_.released_.MergeFrom(from._impl_.released_);
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
+  }
+  if (!from._internal_version().empty()) {
+    _this->_internal_set_version(from._internal_version());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_slots() != 0) {
+    _this->_internal_set_slots(from._internal_slots());
+  }
+  if (from._internal_draining() != 0) {
+    _this->_internal_set_draining(from._internal_draining());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_sequence() != 0) {
+    _this->_internal_set_sequence(from._internal_sequence());
+  }
+  if (from._internal_cold_ms() != 0) {
+    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeat::CopyFrom(const ForwardedHeartbeat& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeat)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeat::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeat::InternalSwap(ForwardedHeartbeat* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.holds_.InternalSwap(&other->_impl_.holds_);
+  _impl_.released_.InternalSwap(&other->_impl_.released_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.version_, lhs_arena,
+      &other->_impl_.version_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.cold_ms_)
+      + sizeof(ForwardedHeartbeat::_impl_.cold_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[32]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeats::_Internal {
+ public:
+};
+
+ForwardedHeartbeats::ForwardedHeartbeats(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeats)
+}
+ForwardedHeartbeats::ForwardedHeartbeats(const ForwardedHeartbeats& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeats* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.heartbeats_){from._impl_.heartbeats_}
+    , decltype(_impl_.reply_to_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_reply_to().empty()) {
+    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeats)
+}
+
+inline void ForwardedHeartbeats::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.heartbeats_){arena}
+    , decltype(_impl_.reply_to_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeats::~ForwardedHeartbeats() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeats)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeats::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.heartbeats_.~RepeatedPtrField();
+  _impl_.reply_to_.Destroy();
+}
+
+void ForwardedHeartbeats::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeats::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeats)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.heartbeats_.Clear();
+  _impl_.reply_to_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeats::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string reply_to = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_reply_to();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeats.reply_to"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_heartbeats(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeats::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeats)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string reply_to = 1;
+  if (!this->_internal_reply_to().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeats.reply_to");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_reply_to(), target);
+  }
+
+  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_heartbeats_size()); i < n; i++) {
+    const auto& repfield = this->_internal_heartbeats(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeats)
+  return target;
+}
+
+size_t ForwardedHeartbeats::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeats)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+  total_size += 1UL * this->_internal_heartbeats_size();
+  for (const auto& msg : this->_impl_.heartbeats_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string reply_to = 1;
+  if (!this->_internal_reply_to().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_reply_to());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeats::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeats::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeats::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeats::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeats*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeats&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeats)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.heartbeats_.MergeFrom(from._impl_.heartbeats_);
+  if (!from._internal_reply_to().empty()) {
+    _this->_internal_set_reply_to(from._internal_reply_to());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeats::CopyFrom(const ForwardedHeartbeats& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeats)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeats::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeats::InternalSwap(ForwardedHeartbeats* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.heartbeats_.InternalSwap(&other->_impl_.heartbeats_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.reply_to_, lhs_arena,
+      &other->_impl_.reply_to_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[33]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeatAnswer::_Internal {
+ public:
+};
+
+ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+}
+ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(const ForwardedHeartbeatAnswer& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeatAnswer* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){from._impl_.ranges_}
+    , decltype(_impl_.text_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.code_){}
+    , decltype(_impl_.renews_){}
+    , decltype(_impl_.hold_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.text_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.text_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_text().empty()) {
+    _this->_impl_.text_.Set(from._internal_text(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.hold_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+}
+
+inline void ForwardedHeartbeatAnswer::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){arena}
+    , decltype(_impl_.text_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.code_){0u}
+    , decltype(_impl_.renews_){false}
+    , decltype(_impl_.hold_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.text_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.text_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeatAnswer::~ForwardedHeartbeatAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeatAnswer::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.ranges_.~RepeatedPtrField();
+  _impl_.text_.Destroy();
+}
+
+void ForwardedHeartbeatAnswer::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeatAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.ranges_.Clear();
+  _impl_.text_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.hold_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeatAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 code = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.code_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string text = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_text();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeatAnswer.text"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool renews = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.renews_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.FencedRange ranges = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 hold_ms = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.hold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeatAnswer::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // uint32 code = 2;
+  if (this->_internal_code() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_code(), target);
+  }
+
+  // string text = 3;
+  if (!this->_internal_text().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_text().data(), static_cast<int>(this->_internal_text().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeatAnswer.text");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_text(), target);
+  }
+
+  // bool renews = 4;
+  if (this->_internal_renews() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_renews(), target);
+  }
+
+  // repeated .rattandyke.wire.FencedRange ranges = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ranges(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // uint32 hold_ms = 6;
+  if (this->_internal_hold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_hold_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswer)
+  return target;
+}
+
+size_t ForwardedHeartbeatAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FencedRange ranges = 5;
+  total_size += 1UL * this->_internal_ranges_size();
+  for (const auto& msg : this->_impl_.ranges_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string text = 3;
+  if (!this->_internal_text().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_text());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint32 code = 2;
+  if (this->_internal_code() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_code());
+  }
+
+  // bool renews = 4;
+  if (this->_internal_renews() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint32 hold_ms = 6;
+  if (this->_internal_hold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_hold_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswer::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeatAnswer::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswer::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeatAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeatAnswer*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeatAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
+  if (!from._internal_text().empty()) {
+    _this->_internal_set_text(from._internal_text());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_code() != 0) {
+    _this->_internal_set_code(from._internal_code());
+  }
+  if (from._internal_renews() != 0) {
+    _this->_internal_set_renews(from._internal_renews());
+  }
+  if (from._internal_hold_ms() != 0) {
+    _this->_internal_set_hold_ms(from._internal_hold_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeatAnswer::CopyFrom(const ForwardedHeartbeatAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeatAnswer::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeatAnswer::InternalSwap(ForwardedHeartbeatAnswer* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.text_, lhs_arena,
+      &other->_impl_.text_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.hold_ms_)
+      + sizeof(ForwardedHeartbeatAnswer::_impl_.hold_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[34]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeatAnswers::_Internal {
+ public:
+};
+
+ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+}
+ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(const ForwardedHeartbeatAnswers& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeatAnswers* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.answers_){from._impl_.answers_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+}
+
+inline void ForwardedHeartbeatAnswers::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.answers_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+ForwardedHeartbeatAnswers::~ForwardedHeartbeatAnswers() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeatAnswers::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.answers_.~RepeatedPtrField();
+}
+
+void ForwardedHeartbeatAnswers::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeatAnswers::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.answers_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeatAnswers::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_answers(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeatAnswers::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_answers_size()); i < n; i++) {
+    const auto& repfield = this->_internal_answers(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswers)
+  return target;
+}
+
+size_t ForwardedHeartbeatAnswers::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+  total_size += 1UL * this->_internal_answers_size();
+  for (const auto& msg : this->_impl_.answers_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswers::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeatAnswers::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswers::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeatAnswers::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeatAnswers*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeatAnswers&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.answers_.MergeFrom(from._impl_.answers_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeatAnswers::CopyFrom(const ForwardedHeartbeatAnswers& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeatAnswers::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeatAnswers::InternalSwap(ForwardedHeartbeatAnswers* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.answers_.InternalSwap(&other->_impl_.answers_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[35]);
+}
+
+// ===================================================================
+
+class HostReport::_Internal {
+ public:
+};
+
+HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostReport)
+}
+HostReport::HostReport(const HostReport& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  HostReport* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.loads_){from._impl_.loads_}
+    , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
+}
+
+inline void HostReport::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.loads_){arena}
+    , decltype(_impl_.times_){arena}
+    , decltype(_impl_.entries_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+HostReport::~HostReport() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HostReport)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void HostReport::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.loads_.~RepeatedPtrField();
+  _impl_.times_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
+}
+
+void HostReport::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void HostReport::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostReport)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.loads_.Clear();
+  _impl_.times_.Clear();
+  _impl_.entries_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* HostReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.InstanceTime times = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.EntryMember entries = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* HostReport::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostReport)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
+    const auto& repfield = this->_internal_loads(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
+    const auto& repfield = this->_internal_times(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostReport)
+  return target;
+}
+
+size_t HostReport::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostReport)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  total_size += 1UL * this->_internal_loads_size();
+  for (const auto& msg : this->_impl_.loads_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  total_size += 1UL * this->_internal_times_size();
+  for (const auto& msg : this->_impl_.times_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostReport::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    HostReport::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostReport::GetClassData() const { return &_class_data_; }
+
+
+void HostReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HostReport*>(&to_msg);
+  auto& from = static_cast<const HostReport&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostReport)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
+  _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void HostReport::CopyFrom(const HostReport& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostReport)
+  if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
@@ -11223,7 +13079,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // ===================================================================
@@ -11795,7 +13651,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[37]);
 }
 
 // ===================================================================
@@ -12109,7 +13965,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[38]);
 }
 
 // ===================================================================
@@ -12420,7 +14276,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[39]);
 }
 
 // ===================================================================
@@ -12645,7 +14501,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[40]);
 }
 
 // ===================================================================
@@ -12664,6 +14520,8 @@
   static const ::rattandyke::wire::SlotAnswer& slot_answer(const GatewayFrame* msg);
   static const ::rattandyke::wire::SlotDone& slot_done(const GatewayFrame* msg);
   static const ::rattandyke::wire::PackedFrame& packed(const GatewayFrame* msg);
+  static const ::rattandyke::wire::ForwardedHeartbeats& forwarded_heartbeats(const GatewayFrame* msg);
+  static const ::rattandyke::wire::ForwardedHeartbeatAnswers& forwarded_heartbeat_answers(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -12714,6 +14572,14 @@
 GatewayFrame::_Internal::packed(const GatewayFrame* msg) {
   return *msg->_impl_.body_.packed_;
 }
+const ::rattandyke::wire::ForwardedHeartbeats&
+GatewayFrame::_Internal::forwarded_heartbeats(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.forwarded_heartbeats_;
+}
+const ::rattandyke::wire::ForwardedHeartbeatAnswers&
+GatewayFrame::_Internal::forwarded_heartbeat_answers(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.forwarded_heartbeat_answers_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -12894,6 +14760,36 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.packed)
 }
+void GatewayFrame::set_allocated_forwarded_heartbeats(::rattandyke::wire::ForwardedHeartbeats* forwarded_heartbeats) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (forwarded_heartbeats) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(forwarded_heartbeats);
+    if (message_arena != submessage_arena) {
+      forwarded_heartbeats = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, forwarded_heartbeats, submessage_arena);
+    }
+    set_has_forwarded_heartbeats();
+    _impl_.body_.forwarded_heartbeats_ = forwarded_heartbeats;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.forwarded_heartbeats)
+}
+void GatewayFrame::set_allocated_forwarded_heartbeat_answers(::rattandyke::wire::ForwardedHeartbeatAnswers* forwarded_heartbeat_answers) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (forwarded_heartbeat_answers) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(forwarded_heartbeat_answers);
+    if (message_arena != submessage_arena) {
+      forwarded_heartbeat_answers = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, forwarded_heartbeat_answers, submessage_arena);
+    }
+    set_has_forwarded_heartbeat_answers();
+    _impl_.body_.forwarded_heartbeat_answers_ = forwarded_heartbeat_answers;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.forwarded_heartbeat_answers)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -12975,6 +14871,16 @@
           from._internal_packed());
       break;
     }
+    case kForwardedHeartbeats: {
+      _this->_internal_mutable_forwarded_heartbeats()->::rattandyke::wire::ForwardedHeartbeats::MergeFrom(
+          from._internal_forwarded_heartbeats());
+      break;
+    }
+    case kForwardedHeartbeatAnswers: {
+      _this->_internal_mutable_forwarded_heartbeat_answers()->::rattandyke::wire::ForwardedHeartbeatAnswers::MergeFrom(
+          from._internal_forwarded_heartbeat_answers());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -13093,6 +14999,18 @@
       }
       break;
     }
+    case kForwardedHeartbeats: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.forwarded_heartbeats_;
+      }
+      break;
+    }
+    case kForwardedHeartbeatAnswers: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.forwarded_heartbeat_answers_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -13222,6 +15140,22 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.ForwardedHeartbeats forwarded_heartbeats = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 114)) {
+          ptr = ctx->ParseMessage(_internal_mutable_forwarded_heartbeats(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.ForwardedHeartbeatAnswers forwarded_heartbeat_answers = 15;
+      case 15:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 122)) {
+          ptr = ctx->ParseMessage(_internal_mutable_forwarded_heartbeat_answers(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -13341,6 +15275,20 @@
         _Internal::packed(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.ForwardedHeartbeats forwarded_heartbeats = 14;
+  if (_internal_has_forwarded_heartbeats()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(14, _Internal::forwarded_heartbeats(this),
+        _Internal::forwarded_heartbeats(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.ForwardedHeartbeatAnswers forwarded_heartbeat_answers = 15;
+  if (_internal_has_forwarded_heartbeat_answers()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(15, _Internal::forwarded_heartbeat_answers(this),
+        _Internal::forwarded_heartbeat_answers(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -13449,6 +15397,20 @@
           *_impl_.body_.packed_);
       break;
     }
+    // .rattandyke.wire.ForwardedHeartbeats forwarded_heartbeats = 14;
+    case kForwardedHeartbeats: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.forwarded_heartbeats_);
+      break;
+    }
+    // .rattandyke.wire.ForwardedHeartbeatAnswers forwarded_heartbeat_answers = 15;
+    case kForwardedHeartbeatAnswers: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.forwarded_heartbeat_answers_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -13536,6 +15498,16 @@
           from._internal_packed());
       break;
     }
+    case kForwardedHeartbeats: {
+      _this->_internal_mutable_forwarded_heartbeats()->::rattandyke::wire::ForwardedHeartbeats::MergeFrom(
+          from._internal_forwarded_heartbeats());
+      break;
+    }
+    case kForwardedHeartbeatAnswers: {
+      _this->_internal_mutable_forwarded_heartbeat_answers()->::rattandyke::wire::ForwardedHeartbeatAnswers::MergeFrom(
+          from._internal_forwarded_heartbeat_answers());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -13564,7 +15536,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[36]);
+      file_level_metadata_gateway_2eproto[41]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -13695,6 +15667,26 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedAnswer >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedAnswer >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::FencedRange*
+Arena::CreateMaybeMessage< ::rattandyke::wire::FencedRange >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::FencedRange >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ForwardedHeartbeat*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedHeartbeat >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedHeartbeat >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ForwardedHeartbeats*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedHeartbeats >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedHeartbeats >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ForwardedHeartbeatAnswer*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedHeartbeatAnswer >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedHeartbeatAnswer >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ForwardedHeartbeatAnswers*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ForwardedHeartbeatAnswers >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ForwardedHeartbeatAnswers >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::HostReport*
 Arena::CreateMaybeMessage< ::rattandyke::wire::HostReport >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HostReport >(arena);
