--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -1,6 +1,7 @@
 /// The leader's decisions on who holds which keys.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -93,6 +94,10 @@
 
   static constexpr Duration kTick = std::chrono::milliseconds{ 100 };
 
+  /// @return how often holders were summed up, which takes a pass over all
+  /// instances and keys of a service.
+  uint64_t Sums() const { return mSums; }
+
 private:
   /// What the leader knows of one instance.
   struct Lease
@@ -153,11 +158,14 @@
     std::optional<Instant> firstInstance;
     std::optional<Instant> freeSince;
     std::vector<Move> moves;
+    /// Free keys whose grants are being committed, oldest first.
+    std::deque<std::pair<Instant, KeySpan>> planned;
     /// When keys that alone are too much for their holder were last moved.
     std::map<uint32_t, Instant> movedAlone;
     /// Of the state at an index and of the loads since a tick.
     Holders holders;
     std::optional<LogIndex> holdersAt;
+    Instant summedAt{};
   };
 
   static bool OwnsKeys(const State& aState, const std::string& aService);
@@ -217,6 +225,10 @@
                                Instant aNow) const;
   bool TakesSoon(const std::string& aInstance, Instant aNow) const;
   static void EndReservations(Group& aGroup, Instant aNow);
+  /// @return the parts of free keys that no grant under way takes.
+  static std::vector<KeySpan> NotPlanned(Group& aGroup,
+                                         KeySpan aFree,
+                                         Instant aNow);
   static const Move* MoveOf(const Group& aGroup, KeySpan aKeys, Instant aNow);
   /// @return whether an instance may be given keys.
   bool IsActive(const wire::UpstreamInstance& aInstance,
@@ -269,6 +281,7 @@
   std::map<std::string, AnswerTime> mTimes;
   /// Instances of this deployment tell their lives apart.
   bool mLivesTold = false;
+  uint64_t mSums = 0;
   /// How many instances are registered at each address, and the version of the
   /// instances of which that is so.
   std::unordered_map<std::string, uint32_t> mAtAddress;
--- a/src/librattandyke/gateway/granter_fleet_test.cpp
+++ b/src/librattandyke/gateway/granter_fleet_test.cpp
@@ -2,6 +2,7 @@
 // decisions and a simulated clock.
 #include "gateway/granter.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -193,5 +194,73 @@
   EXPECT_LE(fleet.PassFor(std::chrono::seconds{ 5 }), kMostUnowned);
 }
 
+// A fleet of two thousand upstreams starts: each registers, which changes the
+// state, and asks for keys. The leader must not go over all of them for each;
+// it would be deposed before it has granted anything.
+TEST(GranterFleet, RegistrationsDoNotEachSumUpAllHolders)
+{
+  constexpr size_t kFleet = 2000;
+  Leader leader;
+  for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    for (size_t at = 0; at < kFleet; ++at) {
+      Heartbeat heartbeat = From("i-" + std::to_string(at), sequence);
+      heartbeat.address = "10.0.0.1:" + std::to_string(1000 + at);
+      leader.Answer(heartbeat);
+      leader.now += kInterval / kFleet;
+    }
+    leader.Pass(Granter::kTick);
+  }
+  EXPECT_LT(leader.granter->Sums(), 3 * kFleet / 10);
+  const auto& segments = leader.state.Ranges("board")->Segments();
+  const auto free =
+    std::count_if(segments.begin(), segments.end(), [](const auto& aSegment) {
+      return aSegment.holder().empty();
+    });
+  EXPECT_EQ(free, 0);
+}
+
+// Heartbeats of many instances arrive while the first grants are committed.
+// Each must be planned other keys: of grants of the same keys the log takes
+// one.
+TEST(GranterFleet, GrantsUnderWayAreOfDifferentKeys)
+{
+  constexpr size_t kFleet = 50;
+  Leader leader;
+  const auto heartbeat = [](size_t aAt, uint64_t aSequence) {
+    Heartbeat one = From("i-" + std::to_string(aAt), aSequence);
+    one.address = "10.0.0.1:" + std::to_string(1000 + aAt);
+    return one;
+  };
+  for (size_t at = 0; at < kFleet; ++at) {
+    leader.Answer(heartbeat(at, 1));
+  }
+  leader.Pass(kInterval * 3 / 2);
+  const auto plan = [&](uint64_t aSequence) {
+    std::vector<KeySpan> planned;
+    for (size_t at = 0; at < kFleet; ++at) {
+      const Heartbeat one = heartbeat(at, aSequence);
+      leader.Commit(leader.granter->OnHeartbeat(one, leader.state, leader.now));
+      const auto grant =
+        leader.granter->PlanGrant(one, leader.state, leader.now);
+      if (grant) {
+        for (const wire::KeyRange& range : grant->grant_ranges().ranges()) {
+          planned.push_back({ range.from(), range.to() });
+        }
+      }
+    }
+    return planned;
+  };
+  const std::vector<KeySpan> planned = plan(2);
+  EXPECT_GT(planned.size(), kFleet / 2);
+  for (size_t one = 0; one < planned.size(); ++one) {
+    for (size_t other = 0; other < one; ++other) {
+      EXPECT_FALSE(Overlap(planned[one], planned[other]));
+    }
+  }
+  // None was committed: the keys are planned again.
+  leader.Pass(milliseconds{ 400 });
+  EXPECT_GT(plan(3).size(), kFleet / 2);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -82,6 +82,10 @@
 constexpr double kDefaultSeconds = 0.1;
 /// A cold instance takes so many times as long, and is given less for it.
 constexpr double kColdSlower = 2;
+/// Time within which a grant is committed, or has failed.
+constexpr Duration kPlannedFor = milliseconds{ 300 };
+/// For how long sums stand, for each holder of the service.
+constexpr std::chrono::microseconds kSumsStand{ 20 };
 
 } // namespace
 
@@ -374,17 +378,27 @@
          own->second.Level() < EvenLevel(group->second, holders);
 }
 
-/// Summing up takes a pass over all instances and segments; between two ticks
-/// it is done once for each state.
+/// Safeguard: summing up takes a pass over all instances and segments. While a
+/// fleet of thousands registers or moves its keys, each heartbeat finds another
+/// state than the one before. Summed up for each, they keep a leader busy until
+/// it is deposed, and its successors after it, and no keys are granted. So the
+/// sums of a large service stand for a few milliseconds; those of a small one
+/// are of each state.
 const Granter::Holders&
 Granter::HoldersOf(const std::string& aService,
                    const State& aState,
                    Instant aNow)
 {
   Group& group = mGroups[aService];
-  if (group.holdersAt != aState.Applied()) {
+  const bool other = group.holdersAt != aState.Applied();
+  const bool due = !group.holdersAt ||
+                   aNow - group.summedAt >=
+                     kSumsStand * static_cast<int64_t>(group.holders.size());
+  if (other && due) {
     group.holders = SumUpHolders(aService, aState, aNow);
     group.holdersAt = aState.Applied();
+    group.summedAt = aNow;
+    ++mSums;
   }
   return group.holders;
 }
@@ -523,6 +537,27 @@
   return aGroup.load.Take(aFree, room);
 }
 
+/// Safeguard: while one grant is committed, the heartbeats of hundreds of other
+/// instances arrive. Given the same keys, all but one are refused, plan again
+/// and are refused again: one grant in each round of the log, and a fleet waits
+/// for its first keys for a minute. A grant that fails leaves its keys to
+/// others after a moment.
+std::vector<KeySpan>
+Granter::NotPlanned(Group& aGroup, KeySpan aFree, Instant aNow)
+{
+  while (!aGroup.planned.empty() &&
+         aNow - aGroup.planned.front().first >= kPlannedFor) {
+    aGroup.planned.pop_front();
+  }
+  std::vector<KeySpan> planned;
+  for (const auto& [since, keys] : aGroup.planned) {
+    if (Overlap(aFree, keys)) {
+      planned.push_back(keys);
+    }
+  }
+  return Without(aFree, planned);
+}
+
 std::optional<wire::GatewayCommand>
 Granter::PlanGrant(const Heartbeat& aHeartbeat,
                    const State& aState,
@@ -541,8 +576,8 @@
     group.firstInstance = aNow;
   }
   static const RangeTable sUntouched;
-  const RangeTable* known = aState.Ranges(instance->service());
-  const RangeTable& ranges = known == nullptr ? sUntouched : *known;
+  const RangeTable* granted = aState.Ranges(instance->service());
+  const RangeTable& ranges = granted == nullptr ? sUntouched : *granted;
   if (!group.freeSince) {
     return std::nullopt;
   }
@@ -553,10 +588,9 @@
     return std::nullopt;
   }
   const Holders& holders = HoldersOf(instance->service(), aState, aNow);
-  if (!holders.contains(id)) {
-    return std::nullopt;
-  }
-  Holder taker = holders.at(id);
+  // One that has just come is not among the holders yet, and holds nothing.
+  const auto known = holders.find(id);
+  Holder taker = known == holders.end() ? Holder{} : known->second;
   const double share = EvenLevel(group, holders) * taker.speed;
   const Duration age = aNow - *group.freeSince;
   const std::optional<Instant>& released = mLeases[id].releasedAt;
@@ -574,27 +608,30 @@
   grant->set_life(aHeartbeat.life);
   grant->set_sequence(aHeartbeat.sequence);
   for (const wire::RangeSegment& segment : ranges.Segments()) {
-    if (!segment.holder().empty() || rows >= kMaxRows) {
-      continue;
-    }
-    KeySpan keys = SpanOf(segment);
-    const Move* move = MoveOf(group, keys, aNow);
-    if (move != nullptr && move->to != id) {
+    if (!segment.holder().empty()) {
       continue;
     }
-    if (move == nullptr) {
-      const auto piece = PieceFor(keys, group, taker, share, age, first);
-      if (!piece) {
+    for (KeySpan keys : NotPlanned(group, SpanOf(segment), aNow)) {
+      const Move* move = MoveOf(group, keys, aNow);
+      const bool forOther = move != nullptr && move->to != id;
+      if (forOther || rows >= kMaxRows) {
         continue;
       }
-      keys = *piece;
+      if (move == nullptr) {
+        const auto piece = PieceFor(keys, group, taker, share, age, first);
+        if (!piece) {
+          continue;
+        }
+        keys = *piece;
+      }
+      taker.load += group.load.Of(keys);
+      group.planned.emplace_back(aNow, keys);
+      wire::KeyRange* range = grant->add_ranges();
+      range->set_from(keys.from);
+      range->set_to(keys.to);
+      range->set_handover(segment.handover());
+      ++rows;
     }
-    taker.load += group.load.Of(keys);
-    wire::KeyRange* range = grant->add_ranges();
-    range->set_from(keys.from);
-    range->set_to(keys.to);
-    range->set_handover(segment.handover());
-    ++rows;
   }
   if (grant->ranges_size() == 0) {
     return std::nullopt;
--- a/src/librattandyke/gateway/items_test.cpp
+++ b/src/librattandyke/gateway/items_test.cpp
@@ -278,6 +278,26 @@
   }
 }
 
+// An operator names one route twice, at two places and with two versions. Of
+// each name the highest version counts: the route is at its newer place only,
+// and the older one is free.
+TEST(ItemTable, RouteOfAHigherVersionLeavesItsOldPlace)
+{
+  ItemTable items;
+  ASSERT_TRUE(items.Submit(Change({ MakeRoute("r", 18) })));
+  wire::RouteItem moved = MakeRoute("r", 32);
+  moved.set_prefix("/elsewhere/");
+  ASSERT_TRUE(items.Submit(Change({ moved })));
+  ASSERT_EQ(items.Routes().size(), 1U);
+  EXPECT_EQ(items.Routes().at("r").prefix(), "/elsewhere/");
+  EXPECT_EQ(items.Routes().at("r").version(), 32U);
+  wire::RouteItem other = MakeRoute("other", 33);
+  other.set_prefix("/r/");
+  EXPECT_TRUE(items.Check(Change({ other })));
+  other.set_prefix("/elsewhere/");
+  EXPECT_FALSE(items.Check(Change({ other })));
+}
+
 // A change carries a route twice: an older version at the place of a route that
 // stays, a newer one elsewhere. What results is valid. The place of the route
 // that stays must still count as taken afterwards, or the next change puts two
