--- a/src/bench/fleet_bench.cpp
+++ b/src/bench/fleet_bench.cpp
@@ -92,7 +92,7 @@
                    "count",
                    kMostAllocations);
 
-  gateway::UpstreamSet upstreams(kSeed, std::chrono::seconds{ 2 });
+  gateway::UpstreamSet upstreams(kSeed, { std::chrono::seconds{ 2 } });
   upstreams.Update(many.leader.state, many.leader.now);
   const double taken = NanosecondsPerCall(kCalls, [&] {
     upstreams.Update(many.leader.state, NameOf(0), many.leader.now);
