--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -40,11 +40,6 @@
 constexpr milliseconds kWayBack{ 4 };
 /// Of an answer from this host to its caller.
 constexpr milliseconds kWayToCaller{ 15 };
-/// Longest time for which an answer waits for the link; no answer does, unless
-/// the link is slower than it is taken for.
-constexpr std::chrono::seconds kLongestEgress{ 2 };
-/// About what a request's line and our own fields take.
-constexpr size_t kRequestLine = 160;
 /// Without a deadline of the caller's.
 constexpr milliseconds kDefaultDeadline{ 10000 };
 /// Tries of which nothing was sent.
@@ -305,51 +300,6 @@
   co_return answer;
 }
 
-asio::awaitable<void>
-RequestHandler::AwaitEgress(std::shared_ptr<RequestContext> aContext,
-                            size_t aBytes,
-                            Instant aDue)
-{
-  const Instant entered = mClock.Now();
-  const EgressQueue::Ticket ticket = ++mLastEgress;
-  if (mEgress.Enter(ticket, aBytes, aDue, entered)) {
-    co_return;
-  }
-  mAwaitEgress[ticket] = aContext;
-  WatchEgress();
-  while (mAwaitEgress.contains(ticket) && !aContext->IsOver()) {
-    aContext->Wake().expires_after(kLongestEgress);
-    co_await aContext->Wake().async_wait(kAwait);
-  }
-  if (mAwaitEgress.erase(ticket) > 0) {
-    mEgress.Leave(ticket);
-    NoteSent(aBytes);
-  }
-  mMetrics.Observe("egress_wait", mClock.Now() - entered);
-}
-
-void
-RequestHandler::WatchEgress()
-{
-  mEgressTimer.expires_after(
-    std::max(mEgress.NextAt() - mClock.Now(), Duration::zero()));
-  mEgressTimer.async_wait([this](auto aError) {
-    if (aError) {
-      return;
-    }
-    for (const EgressQueue::Ticket ticket : mEgress.TakeReady(mClock.Now())) {
-      const auto found = mAwaitEgress.find(ticket);
-      if (found != mAwaitEgress.end()) {
-        found->second->Wake().cancel();
-        mAwaitEgress.erase(found);
-      }
-    }
-    if (!mEgress.IsEmpty()) {
-      WatchEgress();
-    }
-  });
-}
-
 std::string
 RequestHandler::MetricsPage()
 {
@@ -413,32 +363,6 @@
   co_return co_await RunIfRoom(flow);
 }
 
-size_t
-RequestHandler::BytesOf(const OutgoingRequest& aRequest)
-{
-  return aRequest.fields.size() + aRequest.body.size() + kRequestLine;
-}
-
-asio::awaitable<CallerAnswer>
-RequestHandler::RunIfRoom(Flow& aFlow)
-{
-  const size_t expected = mSizes.Of(aFlow.route->name);
-  const auto wait = mLink.Admit(
-    aFlow.route->priority, BytesOf(*aFlow.request), expected, mClock.Now());
-  if (wait) {
-    mMetrics.Count("link_refusals", "");
-    co_return NotRun(aFlow, *wait, "the link is full");
-  }
-  CallerAnswer answer = co_await Run(aFlow);
-  // What came has been counted as expected; a refusal has brought nothing.
-  if (answer.due > Instant{}) {
-    mSizes.Note(aFlow.route->name, answer.fields.size() + answer.body.size());
-  } else {
-    mLink.GiveBack(expected);
-  }
-  co_return answer;
-}
-
 bool
 RequestHandler::HasState() const
 {
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -80,6 +80,9 @@
   std::string MetricsPage();
 
 private:
+  /// About the bytes that a request's line and our own fields take.
+  static constexpr size_t kRequestLine = 160;
+
   /// One request on its way.
   struct Flow
   {
--- a/src/librattandyke/gateway/slot_desk.h
+++ b/src/librattandyke/gateway/slot_desk.h
@@ -102,6 +102,10 @@
   }
 
 private:
+  /// An upstream that a host has wanted within this time may be one that all
+  /// hosts want, if there are more hosts than it has places.
+  static constexpr std::chrono::milliseconds kCalmAfter{ 1000 };
+
   struct Entry
   {
     std::string address;
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -15,8 +15,6 @@
 /// Weight of the newest answer in the moving average of times: the last ten or
 /// so count.
 constexpr double kNewest = 0.15;
-/// Assumed for an upstream that has not answered yet.
-constexpr double kDefaultSeconds = 0.1;
 /// Time for which an upstream is avoided after a failure; doubled with each
 /// further one. A crashed one is back within seconds.
 constexpr milliseconds kFirstAvoided{ 400 };
@@ -33,12 +31,6 @@
 constexpr double kDrainingOwner = 0.45;
 /// The same for an owner in an evacuated data centre.
 constexpr double kEvacuatedOwner = 0.45;
-/// Sends to a cold upstream are counted over this time, which is longer than
-/// the second that it is protected for: they arrive after different delays.
-constexpr milliseconds kColdWindow{ 1150 };
-/// Part of what a cold upstream bears that it is sent. The rest is for sends
-/// that were held up on their way and arrive with those of the next second.
-constexpr double kColdPart = 0.85;
 /// What a request to another data centre costs, as a part of the time of an
 /// answer: so that an equal one nearby is chosen.
 constexpr double kFarFactor = 2.0;
@@ -54,32 +46,6 @@
 constexpr uint32_t kAlonePart = 2;
 /// An upstream that tells of so many that wait is left to its home.
 constexpr uint32_t kCrowded = 3;
-/// Instances that a host chooses from by itself: as many in its own data
-/// centre, and as many elsewhere. With fewer, one that is slow for a moment has
-/// too little beside it; with more, each is heard too seldom.
-constexpr size_t kSubsetNear = 6;
-constexpr size_t kSubsetFar = 2;
-/// For how long what an instance told counts: about as long as requests run.
-constexpr milliseconds kToldFor{ 1000 };
-/// Bounds of a pace that is believed.
-constexpr double kLeastPace = 0.5;
-constexpr double kMostPace = 4;
-/// How often a host sends one request to an instance that was full and has been
-/// silent since.
-constexpr milliseconds kAskAgainEvery{ 700 };
-/// For how long its pace counts.
-constexpr milliseconds kPaceFor{ 250 };
-/// Without a recent word, an instance is taken to have this part of its slots
-/// busy.
-constexpr double kAssumedBusy = 0.7;
-/// Requests that hosts that choose by themselves let wait at an instance. It
-/// has a few more places, beyond which it may never answer: others send it
-/// some that are not known here.
-constexpr double kDirectQueue = 3;
-/// A service's instances tell their load as long as one has within this time.
-constexpr std::chrono::seconds kTellsFor{ 5 };
-/// What a request to another data centre costs a direct choice, in seconds.
-constexpr double kFarSeconds = 0.02;
 constexpr double kLeastRate = 0.01;
 /// A request for a key has one upstream, so that a group has nothing to choose
 /// from: owners of keys are spread over all entries, most alone in their group.
@@ -159,78 +125,6 @@
   upstream.included = false;
 }
 
-std::optional<size_t>
-UpstreamSet::ColdBound(const wire::ServiceItem& aService) const
-{
-  if (aService.cold_rate() <= 0) {
-    return std::nullopt;
-  }
-  const double borne =
-    aService.cold_rate() * mOptions.coldFactor + mOptions.coldSlack;
-  return static_cast<size_t>(std::max(borne * kColdPart, 1.0));
-}
-
-void
-UpstreamSet::PutCold(const wire::UpstreamInstance& aInstance,
-                     Upstream& aUpstream,
-                     Instant aNow)
-{
-  if (aInstance.cold_index() == aUpstream.coldIndex) {
-    return; // It is as old as what is known.
-  }
-  aUpstream.coldIndex = aInstance.cold_index();
-  aUpstream.coldUntil = aNow + milliseconds{ aInstance.cold_ms() };
-}
-
-/// Safeguard: a cold upstream crashes at a rate that a warm one bears, and what
-/// it runs is lost. So all that its home sends it counts, for any second, also
-/// before it was known to be cold.
-bool
-UpstreamSet::IsColdFull(const Upstream& aUpstream, Instant aNow) const
-{
-  const auto service = mServices.find(aUpstream.service);
-  if (aNow >= aUpstream.coldUntil || service == mServices.end() ||
-      !service->second.coldBound) {
-    return false;
-  }
-  const auto& recent = aUpstream.recent;
-  const size_t bound = *service->second.coldBound;
-  const bool full = recent.size() >= bound &&
-                    aNow - recent[recent.size() - bound] < kColdWindow;
-  return aNow < aUpstream.coldFrom || full;
-}
-
-void
-UpstreamSet::HoldOffCold(const std::vector<std::string>& aInstances,
-                         Instant aNow)
-{
-  for (const std::string& id : aInstances) {
-    const auto found = mUpstreams.find(id);
-    if (found != mUpstreams.end()) {
-      found->second.coldFrom = aNow + Duration(kColdWindow);
-    }
-  }
-}
-
-std::vector<std::string>
-UpstreamSet::ColdInstances(Instant aNow) const
-{
-  std::vector<std::string> cold;
-  for (const auto& [id, upstream] : mUpstreams) {
-    if (aNow < upstream.coldUntil) {
-      cold.push_back(id);
-    }
-  }
-  return cold;
-}
-
-bool
-UpstreamSet::IsCold(const std::string& aInstance, Instant aNow) const
-{
-  const auto found = mUpstreams.find(aInstance);
-  return found != mUpstreams.end() && aNow < found->second.coldUntil;
-}
-
 void
 UpstreamSet::Put(const wire::UpstreamInstance& aInstance,
                  bool aEvacuated,
@@ -523,184 +417,6 @@
   return Choice{ best->first, best->second.address };
 }
 
-/// Each host ranks all instances by a hash of its own, so that hosts have
-/// different ones and each instance about as many hosts.
-const std::vector<const UpstreamSet::Item*>&
-UpstreamSet::SubsetOf(const std::string& aService)
-{
-  Service& service = mServices[aService];
-  if (service.subset) {
-    return *service.subset;
-  }
-  using Ranked = std::pair<uint64_t, const Item*>;
-  std::vector<Ranked> near;
-  std::vector<Ranked> far;
-  const uint64_t own = routing::HashOf(mOptions.host);
-  for (const auto& [group, members] : service.members) {
-    for (const Item* item : members) {
-      const bool isNear = item->second.dataCentre == mOptions.dataCentre.value;
-      (isNear ? near : far)
-        .emplace_back(routing::Mixed(own ^ routing::HashOf(item->first)), item);
-    }
-  }
-  std::sort(near.begin(), near.end());
-  std::sort(far.begin(), far.end());
-  std::vector<const Item*> subset;
-  for (size_t at = 0; at < std::min(near.size(), kSubsetNear); ++at) {
-    subset.push_back(near[at].second);
-  }
-  const size_t wanted = kSubsetNear + kSubsetFar - subset.size();
-  for (size_t at = 0; at < std::min(far.size(), wanted); ++at) {
-    subset.push_back(far[at].second);
-  }
-  return service.subset.emplace(std::move(subset));
-}
-
-/// Safeguard: hosts that found an upstream full hear nothing more of it, and
-/// after a while all think that it may have room again. What they then send in
-/// one moment is more than it has places for.
-bool
-UpstreamSet::IsAwaited(const Upstream& aUpstream, Instant aNow)
-{
-  const bool full =
-    aUpstream.told &&
-    aUpstream.told->running + aUpstream.told->waiting >= aUpstream.slots;
-  return full && aNow - aUpstream.toldAt >= kToldFor &&
-         aNow - aUpstream.begunAt < kAskAgainEvery;
-}
-
-double
-UpstreamSet::LoadOf(const Upstream& aUpstream, Instant aNow)
-{
-  const double own = aUpstream.running;
-  if (!aUpstream.told || aNow - aUpstream.toldAt >= kToldFor) {
-    return std::max(own, kAssumedBusy * aUpstream.slots);
-  }
-  const ToldLoad& told = *aUpstream.told;
-  return std::max(own,
-                  told.running + told.waiting + 0.0 + aUpstream.begunSince);
-}
-
-double
-UpstreamSet::AnswerIn(const Upstream& aUpstream,
-                      double aUsual,
-                      Instant aNow) const
-{
-  const bool paced = aUpstream.told && aNow - aUpstream.toldAt < kPaceFor;
-  const double pace =
-    paced ? std::clamp(aUpstream.told->pace, kLeastPace, kMostPace) : 1.0;
-  const double seconds =
-    (aUpstream.seconds > 0 ? aUpstream.seconds : aUsual) * pace;
-  const double waits =
-    std::max(LoadOf(aUpstream, aNow) + 1 - aUpstream.slots, 0.0);
-  const bool isFar = aUpstream.dataCentre != mOptions.dataCentre.value;
-  return seconds * (1 + waits / aUpstream.slots) + (isFar ? kFarSeconds : 0);
-}
-
-UpstreamSet::Outcome
-UpstreamSet::ChooseDirect(const std::string& aService,
-                          const std::set<std::string>& aTried,
-                          Duration aWithin,
-                          Instant aNow)
-{
-  const double within = std::chrono::duration<double>(aWithin).count();
-  const std::vector<const Item*>& subset = SubsetOf(aService);
-  double known = 0;
-  double sum = 0;
-  for (const Item* item : subset) {
-    known += item->second.seconds > 0 ? 1 : 0;
-    sum += item->second.seconds;
-  }
-  const double usual = known > 0 ? sum / known : kDefaultSeconds;
-  const Item* best = nullptr;
-  std::pair<bool, double> bestIn;
-  for (const Item* item : subset) {
-    const Upstream& upstream = item->second;
-    if (aTried.contains(item->first) || aNow < upstream.coldUntil ||
-        IsAwaited(upstream, aNow) ||
-        LoadOf(upstream, aNow) >= upstream.slots + kDirectQueue) {
-      continue;
-    }
-    // Hosts that have been told the same must not all choose the same.
-    const double spread =
-      0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
-    const double answer = AnswerIn(upstream, usual, aNow);
-    if (answer > within) {
-      continue;
-    }
-    const std::pair<bool, double> in{ aNow < upstream.avoidUntil,
-                                      answer * spread };
-    if (best == nullptr || in < bestIn) {
-      best = item;
-      bestIn = in;
-    }
-  }
-  if (best == nullptr) {
-    return subset.empty() ? Hindrance::NoInstance : Hindrance::Full;
-  }
-  return Choice{ best->first, best->second.address };
-}
-
-Duration
-UpstreamSet::DirectWait(const std::string& aService, Instant aNow)
-{
-  double least = kDefaultSeconds;
-  bool found = false;
-  for (const Item* item : SubsetOf(aService)) {
-    const Upstream& upstream = item->second;
-    const double excess =
-      LoadOf(upstream, aNow) + 1 - upstream.slots - kDirectQueue;
-    const double wait =
-      std::max(excess, 1.0) * SecondsOf(upstream) / upstream.slots;
-    least = found ? std::min(least, wait) : wait;
-    found = true;
-  }
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(least));
-}
-
-void
-UpstreamSet::NoteTold(const std::string& aInstance,
-                      const ToldLoad& aLoad,
-                      Instant aNow)
-{
-  const auto found = mUpstreams.find(aInstance);
-  if (found == mUpstreams.end()) {
-    return;
-  }
-  Upstream& upstream = found->second;
-  upstream.told = aLoad;
-  upstream.toldAt = aNow;
-  upstream.begunSince = 0;
-  mServices[upstream.service].toldAt = aNow;
-}
-
-bool
-UpstreamSet::TellsLoad(const std::string& aService, Instant aNow) const
-{
-  const auto service = mServices.find(aService);
-  return service != mServices.end() && service->second.toldAt &&
-         aNow - *service->second.toldAt < kTellsFor;
-}
-
-double
-UpstreamSet::ColdPart(const std::string& aService, Instant aNow) const
-{
-  const auto service = mServices.find(aService);
-  if (service == mServices.end() || service->second.usable == 0) {
-    return 0;
-  }
-  size_t cold = 0;
-  for (const auto& [group, members] : service->second.members) {
-    cold += static_cast<size_t>(
-      std::count_if(members.begin(), members.end(), [&](const Item* aItem) {
-        return aNow < aItem->second.coldUntil;
-      }));
-  }
-  return static_cast<double>(cold) /
-         static_cast<double>(service->second.usable);
-}
-
 UpstreamSet::Outcome
 UpstreamSet::ChooseOne(const std::string& aInstance, Instant aNow)
 {
@@ -739,8 +455,8 @@
   const uint32_t room = std::max(upstream.slots / kAlonePart, 1U);
   // Safeguard: hosts that each send a cold upstream a little send too much
   // together. It is left to its home.
-  const bool crowded = upstream.told && aNow - upstream.toldAt < kToldFor &&
-                       upstream.told->waiting >= kCrowded;
+  const bool crowded =
+    HasToldLately(upstream, aNow) && upstream.told->waiting >= kCrowded;
   if (crowded || upstream.running >= room || aNow < upstream.avoidUntil ||
       aNow < upstream.coldUntil) {
     return Hindrance::Full;
@@ -780,7 +496,7 @@
       upstream.recent.pop_front();
     }
   }
-  const bool told = upstream.told && aNow - upstream.toldAt < kToldFor;
+  const bool told = HasToldLately(upstream, aNow);
   return { upstream.running > upstream.slots || (told && full), upstream.life };
 }
 
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -207,6 +207,9 @@
   uint32_t Running(const std::string& aInstance) const;
 
 private:
+  /// Assumed for an upstream that has not answered yet.
+  static constexpr double kDefaultSeconds = 0.1;
+
   struct Upstream
   {
     std::string service;
@@ -290,6 +293,8 @@
   static uint32_t RoomOf(const Upstream& aUpstream);
   static double Score(const Upstream& aUpstream, const DataCentre& aNear);
   const std::vector<const Item*>& SubsetOf(const std::string& aService);
+  /// @return whether what an instance told its load to be still counts.
+  static bool HasToldLately(const Upstream& aUpstream, Instant aNow);
   /// @return whether an instance was full when it last told its load, and this
   /// host has just asked it again.
   static bool IsAwaited(const Upstream& aUpstream, Instant aNow);
