--- a/src/librattandyke/gateway/control_host_forward.cpp
+++ b/src/librattandyke/gateway/control_host_forward.cpp
@@ -20,10 +20,9 @@
 
 } // namespace
 
-/// Each upstream keeps to the control host that it has found. To read its
-/// heartbeats and word the answers takes a hundred times as long as to decide
-/// them; so all control hosts share that, and the leader gets in one message
-/// what came in a few milliseconds.
+/// Each upstream keeps to the control host that it has found, so that no host
+/// has the connections of all. Control hosts read heartbeats and word answers;
+/// the leader gets in one message what came in a few milliseconds.
 asio::awaitable<CallAnswer>
 ControlHost::Impl::ForwardHeartbeat(HostName aLeader,
                                     const Heartbeat& aHeartbeat)
--- a/src/librattandyke/gateway/slot_desk_homes.cpp
+++ b/src/librattandyke/gateway/slot_desk_homes.cpp
@@ -26,6 +26,7 @@
 /// Part of the requests to a service with cold upstreams that ask, for each
 /// part that is cold: homes alone know what a cold one may be sent.
 constexpr double kColdAsks = 0.6;
+/// So few hosts can't overrun an upstream with one request each.
 constexpr size_t kFewHosts = 16;
 
 } // namespace
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -187,7 +187,7 @@
 /// Safeguard: upstreams may have become cold while nothing was sent to them,
 /// and tell so only with their next heartbeats. At the usual rate, until then,
 /// they would crash. Taken as cold from the order on, they get no more than
-/// they bear; a heartbeat that says otherwise ends it once their time is over.
+/// they bear until their service's time is over.
 void
 State::AssumeCold(const std::string& aDataCentre)
 {
--- a/src/librattandyke/gateway/upstream_set_direct.cpp
+++ b/src/librattandyke/gateway/upstream_set_direct.cpp
@@ -12,12 +12,12 @@
 
 using std::chrono::milliseconds;
 
-/// Instances that a host chooses from by itself: as many in its own data
-/// centre, and as many elsewhere. With fewer, one that is slow for a moment has
+/// Instances that a host chooses from by itself, in its own data centre and
+/// elsewhere. With fewer, one that is slow for a moment has
 /// too little beside it; with more, each is heard too seldom.
 constexpr size_t kSubsetNear = 6;
 constexpr size_t kSubsetFar = 2;
-/// For how long what an instance told counts: about as long as requests run.
+/// For how long what an instance told counts.
 constexpr milliseconds kToldFor{ 1000 };
 /// Bounds of a pace that is believed.
 constexpr double kLeastPace = 0.5;
