--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -129,16 +129,47 @@
 Granter::OnDeregistration(const Deregistration& aLeaving,
                           const State& aState) const
 {
-  Result<void> checked = CheckLife(aLeaving.instance, aLeaving.life, aState);
+  wire::GatewayCommand command;
+  const wire::UpstreamInstance* known = aState.FindInstance(aLeaving.instance);
+  if (aLeaving.life == 0 && known != nullptr && known->life() > 0) {
+    // Any life may have sent it, however late: the present one drains, and
+    // comes back if its heartbeats say that it is ready.
+    command.mutable_withdraw_instance()->set_id(aLeaving.instance);
+    return command;
+  }
+  const bool told = aLeaving.life > 0;
+  Result<void> checked =
+    told ? CheckLife(aLeaving.instance, aLeaving.life, aState) : Result<void>{};
   if (!checked) {
     return tl::unexpected(checked.error());
   }
-  wire::GatewayCommand command;
   command.mutable_end_instance()->set_id(aLeaving.instance);
   command.mutable_end_instance()->set_life(aLeaving.life);
   return command;
 }
 
+/// A single heartbeat may have been sent before the call that withdrew the
+/// instance, and ones that were held up arrive together. Two that are most of
+/// an interval apart come from an instance that goes on.
+bool
+Granter::Returns(const Heartbeat& aHeartbeat,
+                 const wire::UpstreamInstance* aKnown,
+                 Instant aNow)
+{
+  Lease& lease = mLeases[aHeartbeat.instance];
+  const bool withdrawn = aKnown != nullptr && aKnown->withdrawn() &&
+                         aKnown->life() == aHeartbeat.life;
+  if (!withdrawn || aHeartbeat.draining) {
+    lease.readySince.reset();
+    return false;
+  }
+  if (!lease.readySince) {
+    lease.readySince = aNow;
+  }
+  return aNow - *lease.readySince >=
+         Scaled(mOptions.heartbeatInterval, kReplaceIntervals);
+}
+
 /// A later life holds nothing of what the earlier one held, and its calls are
 /// numbered anew. The end of the earlier life's hold stays: it is the bound
 /// until the registration of the later one is committed.
@@ -183,10 +214,13 @@
     aState.FindInstance(aHeartbeat.instance);
   const bool sameLife = known != nullptr && known->life() == aHeartbeat.life;
   const bool coldChanged = NoteCold(aHeartbeat, aState, aArrived);
-  if (!sameLife || coldChanged || known->draining() != aHeartbeat.draining ||
+  const bool returns = Returns(aHeartbeat, known, aArrived);
+  const bool drains = sameLife && (known->draining() || aHeartbeat.draining);
+  if (!sameLife || coldChanged || returns || known->draining() != drains ||
       known->slots() != aHeartbeat.slots) {
-    wire::UpstreamInstance* instance =
-      commands.emplace_back().mutable_put_instance()->mutable_instance();
+    wire::PutInstance* put = commands.emplace_back().mutable_put_instance();
+    put->set_returns(returns);
+    wire::UpstreamInstance* instance = put->mutable_instance();
     instance->set_id(aHeartbeat.instance);
     instance->set_service(aHeartbeat.service);
     instance->set_address(aHeartbeat.address);
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -53,7 +53,9 @@
   /// life under its id is known. What fails here changes nothing.
   Result<void> Check(const Heartbeat& aHeartbeat, const State& aState) const;
 
-  /// @return the command that ends an instance that leaves, or as Check.
+  /// @return the command that ends an instance that leaves, or withdraws it
+  /// where the call tells no life; Code::UpstreamSuperseded if a later life is
+  /// known.
   Result<wire::GatewayCommand> OnDeregistration(const Deregistration& aLeaving,
                                                 const State& aState) const;
 
@@ -111,6 +113,8 @@
     std::optional<Instant> firstHeartbeat;
     /// From then on it holds nothing, by any clock that is within the bounds.
     Instant ends{};
+    /// First ready heartbeat since it was withdrawn.
+    std::optional<Instant> readySince;
     /// Its keys are being freed: nothing may be renewed.
     bool expiring = false;
     std::optional<Instant> releasedAt;
@@ -173,6 +177,10 @@
                          uint64_t aLife,
                          const State& aState) const;
   void BeginLife(const std::string& aInstance, uint64_t aLife);
+  /// @return whether a withdrawn instance is alive and ready.
+  bool Returns(const Heartbeat& aHeartbeat,
+               const wire::UpstreamInstance* aKnown,
+               Instant aNow);
   /// @return whether a heartbeat is the newest of the instance's newest life.
   bool IsNewest(const Heartbeat& aHeartbeat) const;
   std::vector<KeySpan> HeldBy(const std::string& aId,
--- a/src/librattandyke/gateway/granter_lives_test.cpp
+++ b/src/librattandyke/gateway/granter_lives_test.cpp
@@ -132,6 +132,82 @@
   EXPECT_NE(leader.state.FindInstance("a"), nullptr);
 }
 
+/// A deregistration that tells no life.
+wire::GatewayCommand
+Withdrawal(const Leader& aLeader, const std::string& aInstance)
+{
+  const auto command =
+    aLeader.granter->OnDeregistration({ aInstance, 0 }, aLeader.state);
+  return command.value_or(wire::GatewayCommand{});
+}
+
+// Guards against upstreams that leave by a call without a life, are refused,
+// and are sent requests after they are gone.
+TEST(Granter, DeregistrationWithoutALifeDrainsThePresentOne)
+{
+  Leader leader;
+  SettleLives(leader);
+  const wire::GatewayCommand command = Withdrawal(leader, "a");
+  ASSERT_TRUE(command.has_withdraw_instance());
+  leader.Commit({ command });
+  EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+  // The same call again is taken again.
+  leader.Commit({ Withdrawal(leader, "a") });
+  EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+  EXPECT_TRUE(Withdrawal(leader, "gone").has_end_instance());
+}
+
+// Guards against a deregistration of an earlier life that arrives late and
+// takes a later one out for good.
+TEST(Granter, WithdrawnInstanceThatGoesOnComesBack)
+{
+  for (const bool replaced : { false, true }) {
+    Leader leader;
+    SettleLives(leader);
+    leader.Commit({ Withdrawal(leader, "a") });
+    if (replaced) {
+      leader.Replace();
+    }
+    leader.Answer(FromLife("a", 100, 10));
+    EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+    leader.Pass(kInterval);
+    leader.Answer(FromLife("a", 100, 11));
+    EXPECT_FALSE(leader.state.FindInstance("a")->draining());
+    EXPECT_FALSE(leader.state.FindInstance("a")->withdrawn());
+  }
+}
+
+// Guards against heartbeats that were held up and bring a leaving upstream
+// back: they were sent before its deregistration and arrive together.
+TEST(Granter, HeldUpHeartbeatsDoNotBringAWithdrawnInstanceBack)
+{
+  Leader leader;
+  SettleLives(leader);
+  leader.Commit({ Withdrawal(leader, "a") });
+  leader.Pass(kInterval * 2);
+  for (uint64_t sequence = 10; sequence < 14; ++sequence) {
+    leader.Answer(FromLife("a", 100, sequence));
+    leader.Pass(milliseconds{ 20 });
+  }
+  EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+  Heartbeat leaving = FromLife("a", 100, 20);
+  leaving.draining = true;
+  leader.Pass(kInterval);
+  leader.Answer(leaving);
+  leader.Answer(FromLife("a", 100, 21));
+  EXPECT_TRUE(leader.state.FindInstance("a")->draining());
+}
+
+// Guards against a withdrawal that outlives the process that it was about.
+TEST(Granter, LaterLifeIsNotWithdrawn)
+{
+  Leader leader;
+  SettleLives(leader);
+  leader.Commit({ Withdrawal(leader, "a") });
+  leader.Answer(FromLife("a", 200, 1));
+  EXPECT_FALSE(leader.state.FindInstance("a")->draining());
+}
+
 // A process starts again with a clock that was set back: its life looks earlier
 // than the one known, as a held-up message does. It is taken once the known one
 // has been silent for longer than any message is held up.
--- a/src/librattandyke/gateway/slot_desk.cpp
+++ b/src/librattandyke/gateway/slot_desk.cpp
@@ -124,6 +124,9 @@
       Deliver(
         mBroker.Update(aState, aCommand.put_instance().instance().id(), now));
       return;
+    case wire::GatewayCommand::kWithdrawInstance:
+      Deliver(mBroker.Update(aState, aCommand.withdraw_instance().id(), now));
+      return;
     case wire::GatewayCommand::kEndInstance:
       Deliver(mBroker.Update(aState, aCommand.end_instance().id(), now));
       return;
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -23,6 +23,8 @@
       return On(aCommand.put_instance());
     case wire::GatewayCommand::kEndInstance:
       return On(aCommand.end_instance());
+    case wire::GatewayCommand::kWithdrawInstance:
+      return On(aCommand.withdraw_instance());
     case wire::GatewayCommand::kGrantRanges:
       return On(aCommand.grant_ranges());
     case wire::GatewayCommand::kFreeRanges:
@@ -91,7 +93,11 @@
   const bool sameLife = known != nullptr && known->life() == instance.life();
   // What leaves does not come back within one life: a heartbeat that says
   // otherwise was held up.
-  const bool draining = instance.draining() || (sameLife && known->draining());
+  const bool returns =
+    sameLife && known->withdrawn() && aCommand.returns();
+  const bool withdrawn = sameLife && known->withdrawn() && !returns;
+  const bool draining =
+    instance.draining() || (sameLife && known->draining() && !returns);
   if (!sameLife) {
     for (auto& [service, ranges] : mRanges) {
       ranges.FreeAllOf(instance.id());
@@ -100,6 +106,7 @@
   wire::UpstreamInstance& put = mInstances[instance.id()];
   put = instance;
   put.set_draining(draining);
+  put.set_withdrawn(withdrawn);
   put.set_cold_index(mApplied.value);
   ++mInstancesVersion;
   return {};
@@ -120,6 +127,19 @@
   return {};
 }
 
+Result<void>
+State::On(const wire::WithdrawInstance& aCommand)
+{
+  const auto known = mInstances.find(aCommand.id());
+  if (known == mInstances.end() || known->second.draining()) {
+    return {}; // It is gone, or leaves by its own word.
+  }
+  known->second.set_draining(true);
+  known->second.set_withdrawn(true);
+  ++mInstancesVersion;
+  return {};
+}
+
 void
 State::NoteEnded(const std::string& aId, uint64_t aLife)
 {
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -74,6 +74,7 @@
   Result<void> On(const wire::ChangeItems& aCommand);
   Result<void> On(const wire::PutInstance& aCommand);
   Result<void> On(const wire::EndInstance& aCommand);
+  Result<void> On(const wire::WithdrawInstance& aCommand);
   Result<void> On(const wire::GrantRanges& aCommand);
   Result<void> On(const wire::FreeRanges& aCommand);
   Result<void> On(const wire::HoldBackRanges& aCommand);
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -137,10 +137,11 @@
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.version_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.slots_)*/0u
-  , /*decltype(_impl_.draining_)*/false
+  , /*decltype(_impl_.cold_ms_)*/0u
   , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_.cold_index_)*/uint64_t{0u}
-  , /*decltype(_impl_.cold_ms_)*/0u
+  , /*decltype(_impl_.draining_)*/false
+  , /*decltype(_impl_.withdrawn_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamInstanceDefaultTypeInternal {
   PROTOBUF_CONSTEXPR UpstreamInstanceDefaultTypeInternal()
@@ -154,6 +155,7 @@
 PROTOBUF_CONSTEXPR PutInstance::PutInstance(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.instance_)*/nullptr
+  , /*decltype(_impl_.returns_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct PutInstanceDefaultTypeInternal {
   PROTOBUF_CONSTEXPR PutInstanceDefaultTypeInternal()
@@ -164,6 +166,19 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 PutInstanceDefaultTypeInternal _PutInstance_default_instance_;
+PROTOBUF_CONSTEXPR WithdrawInstance::WithdrawInstance(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.id_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct WithdrawInstanceDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR WithdrawInstanceDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~WithdrawInstanceDefaultTypeInternal() {}
+  union {
+    WithdrawInstance _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 WithdrawInstanceDefaultTypeInternal _WithdrawInstance_default_instance_;
 PROTOBUF_CONSTEXPR EndInstance::EndInstance(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.id_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -705,7 +720,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[42];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[43];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -797,6 +812,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.life_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.cold_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.cold_index_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamInstance, _impl_.withdrawn_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutInstance, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -804,6 +820,14 @@
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutInstance, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutInstance, _impl_.returns_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::WithdrawInstance, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::WithdrawInstance, _impl_.id_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EndInstance, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -904,6 +928,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -1168,41 +1193,42 @@
   { 52, -1, -1, sizeof(::rattandyke::wire::DroppedItem)},
   { 60, -1, -1, sizeof(::rattandyke::wire::ChangeItems)},
   { 71, -1, -1, sizeof(::rattandyke::wire::UpstreamInstance)},
-  { 87, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
-  { 94, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
-  { 103, -1, -1, sizeof(::rattandyke::wire::EndedInstance)},
-  { 111, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
-  { 120, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
-  { 131, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
-  { 140, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
-  { 148, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
-  { 155, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 162, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
-  { 171, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
-  { 179, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 195, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 208, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 216, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 233, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 242, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 249, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 257, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 266, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 275, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 283, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 293, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 305, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 314, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 324, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 343, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 351, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 363, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 370, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 379, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 397, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 408, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 419, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 427, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 88, -1, -1, sizeof(::rattandyke::wire::PutInstance)},
+  { 96, -1, -1, sizeof(::rattandyke::wire::WithdrawInstance)},
+  { 103, -1, -1, sizeof(::rattandyke::wire::EndInstance)},
+  { 112, -1, -1, sizeof(::rattandyke::wire::EndedInstance)},
+  { 120, -1, -1, sizeof(::rattandyke::wire::KeyRange)},
+  { 129, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
+  { 140, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
+  { 149, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
+  { 157, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
+  { 164, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
+  { 171, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 180, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
+  { 188, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 205, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 218, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 226, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 243, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 252, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 259, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 267, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 276, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 285, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 293, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 303, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 315, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 324, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 334, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 353, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 361, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 373, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 380, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 389, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 407, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 418, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 429, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 437, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1214,6 +1240,7 @@
   &::rattandyke::wire::_ChangeItems_default_instance_._instance,
   &::rattandyke::wire::_UpstreamInstance_default_instance_._instance,
   &::rattandyke::wire::_PutInstance_default_instance_._instance,
+  &::rattandyke::wire::_WithdrawInstance_default_instance_._instance,
   &::rattandyke::wire::_EndInstance_default_instance_._instance,
   &::rattandyke::wire::_EndedInstance_default_instance_._instance,
   &::rattandyke::wire::_KeyRange_default_instance_._instance,
@@ -1274,144 +1301,147 @@
   "+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Limits"
   "Item\0224\n\016dropped_routes\030\004 \003(\0132\034.rattandyk"
   "e.wire.DroppedItem\0226\n\020dropped_services\030\005"
-  " \003(\0132\034.rattandyke.wire.DroppedItem\"\272\001\n\020U"
+  " \003(\0132\034.rattandyke.wire.DroppedItem\"\315\001\n\020U"
   "pstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002"
   " \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001"
   "(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020\n\010dr"
   "aining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\022\017\n\007cold_ms\030\t "
-  "\001(\r\022\022\n\ncold_index\030\n \001(\004\"B\n\013PutInstance\0223"
-  "\n\010instance\030\001 \001(\0132!.rattandyke.wire.Upstr"
-  "eamInstance\":\n\013EndInstance\022\n\n\002id\030\001 \001(\t\022\014"
-  "\n\004life\030\002 \001(\004\022\021\n\tforgotten\030\003 \001(\010\")\n\rEnded"
-  "Instance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\"6\n\010Ke"
-  "yRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010hand"
-  "over\030\003 \001(\t\"y\n\013GrantRanges\022\017\n\007service\030\001 \001"
-  "(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006"
-  "ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\022"
-  "\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007service\030\001"
-  " \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.r"
-  "attandyke.wire.KeyRange\"3\n\013EntryMember\022\017"
-  "\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010"
-  "PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wir"
-  "e.EntryMember\"\034\n\tDropEntry\022\017\n\007address\030\001 "
-  "\001(\t\"\\\n\016HoldBackRanges\022\017\n\007service\030\001 \001(\t\022\016"
-  "\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattand"
-  "yke.wire.KeyRange\"7\n\022EvacuateDataCentre\022"
-  "\023\n\013data_centre\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\210\004\n\016G"
-  "atewayCommand\0224\n\014change_items\030\001 \001(\0132\034.ra"
-  "ttandyke.wire.ChangeItemsH\000\0224\n\014put_insta"
-  "nce\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH"
-  "\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandyke.wir"
-  "e.EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034."
-  "rattandyke.wire.GrantRangesH\000\0222\n\013free_ra"
-  "nges\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH"
-  "\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.P"
-  "utEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandy"
-  "ke.wire.DropEntryH\000\022;\n\020hold_back_ranges\030"
-  "\010 \001(\0132\037.rattandyke.wire.HoldBackRangesH\000"
-  "\022C\n\024evacuate_data_centre\030\t \001(\0132#.rattand"
-  "yke.wire.EvacuateDataCentreH\000B\006\n\004body\"~\n"
-  "\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
-  "\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequen"
-  "ce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back\030"
-  "\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t\022"
-  "/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Rang"
-  "eSegment\"\363\003\n\014GatewayState\022\017\n\007applied\030\001 \001"
-  "(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Rou"
-  "teItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.wi"
-  "re.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattand"
-  "yke.wire.LimitsItem\0224\n\016dropped_routes\030\005 "
-  "\003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dro"
-  "pped_services\030\006 \003(\0132\034.rattandyke.wire.Dr"
-  "oppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandyk"
-  "e.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\0132"
-  "\036.rattandyke.wire.ServiceRanges\022-\n\007entri"
-  "es\030\n \003(\0132\034.rattandyke.wire.EntryMember\022-"
-  "\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIns"
-  "tance\022\021\n\tevacuated\030\014 \003(\tJ\004\010\010\020\t\"^\n\010FeedOp"
-  "en\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.Entr"
-  "yMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed"
-  "\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035."
-  "rattandyke.wire.GatewayState\"N\n\013FeedComm"
-  "and\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ra"
-  "ttandyke.wire.GatewayCommand\"B\n\010FeedPing"
-  "\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t"
-  "\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service"
-  "\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003("
-  "\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007s"
-  "econds\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003"
-  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
-  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022\017\n\007"
-  "leaving\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattand"
-  "yke.wire.EntryMember\"n\n\rForwardedCall\022\n\n"
-  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
-  "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
-  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
-  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013Fen"
-  "cedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fe"
-  "nce\030\003 \001(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022Forwarde"
-  "dHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t"
-  "\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013da"
-  "ta_centre\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slot"
-  "s\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022"
-  "\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005ho"
-  "lds\030\014 \003(\0132\034.rattandyke.wire.FencedRange\022"
-  "+\n\010released\030\r \003(\0132\031.rattandyke.wire.KeyR"
-  "ange\"`\n\023ForwardedHeartbeats\022\020\n\010reply_to\030"
-  "\001 \001(\t\0227\n\nheartbeats\030\002 \003(\0132#.rattandyke.w"
-  "ire.ForwardedHeartbeat\"\221\001\n\030ForwardedHear"
-  "tbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n"
-  "\004text\030\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 "
-  "\003(\0132\034.rattandyke.wire.FencedRange\022\017\n\007hol"
-  "d_ms\030\006 \001(\r\"W\n\031ForwardedHeartbeatAnswers\022"
-  ":\n\007answers\030\001 \003(\0132).rattandyke.wire.Forwa"
-  "rdedHeartbeatAnswer\"\224\001\n\nHostReport\022)\n\005lo"
-  "ads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n"
-  "\005times\030\002 \003(\0132\035.rattandyke.wire.InstanceT"
-  "ime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.E"
-  "ntryMember\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t"
-  "\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007ser"
-  "vice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded"
-  "\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030"
-  "\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n "
-  "\001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nS"
-  "lotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001"
-  "(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Slot"
-  "State\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_m"
-  "s\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007ses"
-  "sion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022"
-  "\017\n\007took_us\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030"
-  "\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\264\006\n\014GatewayFrame\022\023\n"
-  "\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031."
-  "rattandyke.wire.FeedOpenH\000\0226\n\rfeed_snaps"
-  "hot\030\003 \001(\0132\035.rattandyke.wire.FeedSnapshot"
-  "H\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandyke.wi"
-  "re.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.ra"
-  "ttandyke.wire.FeedPingH\000\0222\n\013feed_report\030"
-  "\006 \001(\0132\033.rattandyke.wire.FeedReportH\000\0228\n\016"
-  "forwarded_call\030\007 \001(\0132\036.rattandyke.wire.F"
-  "orwardedCallH\000\022<\n\020forwarded_answer\030\010 \001(\013"
-  "2 .rattandyke.wire.ForwardedAnswerH\000\0222\n\013"
-  "host_report\030\t \001(\0132\033.rattandyke.wire.Host"
-  "ReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke."
-  "wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.ra"
-  "ttandyke.wire.SlotAnswerH\000\022.\n\tslot_done\030"
-  "\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000\022.\n\006pa"
-  "cked\030\r \001(\0132\034.rattandyke.wire.PackedFrame"
-  "H\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$.ratta"
-  "ndyke.wire.ForwardedHeartbeatsH\000\022Q\n\033forw"
-  "arded_heartbeat_answers\030\017 \001(\0132*.rattandy"
-  "ke.wire.ForwardedHeartbeatAnswersH\000B\006\n\004b"
-  "ody*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIF"
-  "IED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STA"
-  "TE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022"
-  "SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "\001(\r\022\022\n\ncold_index\030\n \001(\004\022\021\n\twithdrawn\030\013 \001"
+  "(\010\"S\n\013PutInstance\0223\n\010instance\030\001 \001(\0132!.ra"
+  "ttandyke.wire.UpstreamInstance\022\017\n\007return"
+  "s\030\002 \001(\010\"\036\n\020WithdrawInstance\022\n\n\002id\030\001 \001(\t\""
+  ":\n\013EndInstance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004"
+  "\022\021\n\tforgotten\030\003 \001(\010\")\n\rEndedInstance\022\n\n\002"
+  "id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\"6\n\010KeyRange\022\014\n\004fr"
+  "om\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010handover\030\003 \001(\t\"y"
+  "\n\013GrantRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder"
+  "\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006ranges\030\004 \003(\013"
+  "2\031.rattandyke.wire.KeyRange\022\014\n\004life\030\005 \001("
+  "\004\"X\n\nFreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006hold"
+  "er\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wi"
+  "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
+  "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
+  "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
+  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldB"
+  "ackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001"
+  "(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Key"
+  "Range\"7\n\022EvacuateDataCentre\022\023\n\013data_cent"
+  "re\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\310\004\n\016GatewayComman"
+  "d\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.wir"
+  "e.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132\034."
+  "rattandyke.wire.PutInstanceH\000\0224\n\014end_ins"
+  "tance\030\003 \001(\0132\034.rattandyke.wire.EndInstanc"
+  "eH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke.w"
+  "ire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\0132\033"
+  ".rattandyke.wire.FreeRangesH\000\022.\n\tput_ent"
+  "ry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\0220\n"
+  "\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Drop"
+  "EntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ratt"
+  "andyke.wire.HoldBackRangesH\000\022C\n\024evacuate"
+  "_data_centre\030\t \001(\0132#.rattandyke.wire.Eva"
+  "cuateDataCentreH\000\022>\n\021withdraw_instance\030\n"
+  " \001(\0132!.rattandyke.wire.WithdrawInstanceH"
+  "\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022"
+  "\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001"
+  "(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021"
+  "\n\theld_back\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007se"
+  "rvice\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandy"
+  "ke.wire.RangeSegment\"\363\003\n\014GatewayState\022\017\n"
+  "\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.rattand"
+  "yke.wire.RouteItem\022.\n\010services\030\003 \003(\0132\034.r"
+  "attandyke.wire.ServiceItem\022+\n\006limits\030\004 \001"
+  "(\0132\033.rattandyke.wire.LimitsItem\0224\n\016dropp"
+  "ed_routes\030\005 \003(\0132\034.rattandyke.wire.Droppe"
+  "dItem\0226\n\020dropped_services\030\006 \003(\0132\034.rattan"
+  "dyke.wire.DroppedItem\0224\n\tinstances\030\007 \003(\013"
+  "2!.rattandyke.wire.UpstreamInstance\022.\n\006r"
+  "anges\030\t \003(\0132\036.rattandyke.wire.ServiceRan"
+  "ges\022-\n\007entries\030\n \003(\0132\034.rattandyke.wire.E"
+  "ntryMember\022-\n\005ended\030\013 \003(\0132\036.rattandyke.w"
+  "ire.EndedInstance\022\021\n\tevacuated\030\014 \003(\tJ\004\010\010"
+  "\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandy"
+  "ke.wire.EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014"
+  "reads_packed\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005st"
+  "ate\030\001 \001(\0132\035.rattandyke.wire.GatewayState"
+  "\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n\007comman"
+  "d\030\002 \001(\0132\037.rattandyke.wire.GatewayCommand"
+  "\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol"
+  "_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoa"
+  "d\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010r"
+  "equests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010instanc"
+  "e\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nFeedReport\022"
+  ")\n\005loads\030\001 \003(\0132\032.rattandyke.wire.RangeLo"
+  "ad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.Inst"
+  "anceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007entries\030\004 \003"
+  "(\0132\034.rattandyke.wire.EntryMember\"n\n\rForw"
+  "ardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022"
+  "\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030"
+  "\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017ForwardedAns"
+  "wer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030"
+  "\003 \001(\t\"H\n\013FencedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to"
+  "\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010handover\030\004 \001(\t\""
+  "\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010in"
+  "stance\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007address"
+  "\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\017\n\007version\030\006"
+  " \001(\t\022\r\n\005slots\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n"
+  "\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms"
+  "\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattandyke.wire."
+  "FencedRange\022+\n\010released\030\r \003(\0132\031.rattandy"
+  "ke.wire.KeyRange\"`\n\023ForwardedHeartbeats\022"
+  "\020\n\010reply_to\030\001 \001(\t\0227\n\nheartbeats\030\002 \003(\0132#."
+  "rattandyke.wire.ForwardedHeartbeat\"\221\001\n\030F"
+  "orwardedHeartbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004c"
+  "ode\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022"
+  ",\n\006ranges\030\005 \003(\0132\034.rattandyke.wire.Fenced"
+  "Range\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031ForwardedHeart"
+  "beatAnswers\022:\n\007answers\030\001 \003(\0132).rattandyk"
+  "e.wire.ForwardedHeartbeatAnswer\"\224\001\n\nHost"
+  "Report\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire."
+  "RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wi"
+  "re.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.ratta"
+  "ndyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010re"
+  "ply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030"
+  "\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t"
+  "\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013"
+  "patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013da"
+  "ta_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms"
+  "\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016"
+  "\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandy"
+  "ke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016r"
+  "etry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030"
+  "\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013"
+  "\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"*\n\013PackedFr"
+  "ame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\264\006\n\014Gat"
+  "ewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_o"
+  "pen\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226"
+  "\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wire."
+  "FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.r"
+  "attandyke.wire.FeedCommandH\000\022.\n\tfeed_pin"
+  "g\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013"
+  "feed_report\030\006 \001(\0132\033.rattandyke.wire.Feed"
+  "ReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.ratta"
+  "ndyke.wire.ForwardedCallH\000\022<\n\020forwarded_"
+  "answer\030\010 \001(\0132 .rattandyke.wire.Forwarded"
+  "AnswerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandy"
+  "ke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030"
+  ".rattandyke.wire.SlotAskH\000\0222\n\013slot_answe"
+  "r\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022."
+  "\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.Slot"
+  "DoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire"
+  ".PackedFrameH\000\022D\n\024forwarded_heartbeats\030\016"
+  " \001(\0132$.rattandyke.wire.ForwardedHeartbea"
+  "tsH\000\022Q\n\033forwarded_heartbeat_answers\030\017 \001("
+  "\0132*.rattandyke.wire.ForwardedHeartbeatAn"
+  "swersH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_ST"
+  "ATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001"
+  "\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_R"
+  "EFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 6188, descriptor_table_protodef_gateway_2eproto,
+    false, false, 6320, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 42,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 43,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -3614,10 +3644,11 @@
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.version_){}
     , decltype(_impl_.slots_){}
-    , decltype(_impl_.draining_){}
+    , decltype(_impl_.cold_ms_){}
     , decltype(_impl_.life_){}
     , decltype(_impl_.cold_index_){}
-    , decltype(_impl_.cold_ms_){}
+    , decltype(_impl_.draining_){}
+    , decltype(_impl_.withdrawn_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3662,8 +3693,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.slots_, &from._impl_.slots_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_ms_) -
-    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.cold_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.withdrawn_) -
+    reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.withdrawn_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamInstance)
 }
 
@@ -3678,10 +3709,11 @@
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.version_){}
     , decltype(_impl_.slots_){0u}
-    , decltype(_impl_.draining_){false}
+    , decltype(_impl_.cold_ms_){0u}
     , decltype(_impl_.life_){uint64_t{0u}}
     , decltype(_impl_.cold_index_){uint64_t{0u}}
-    , decltype(_impl_.cold_ms_){0u}
+    , decltype(_impl_.draining_){false}
+    , decltype(_impl_.withdrawn_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.id_.InitDefault();
@@ -3740,8 +3772,8 @@
   _impl_.data_centre_.ClearToEmpty();
   _impl_.version_.ClearToEmpty();
   ::memset(&_impl_.slots_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.cold_ms_) -
-      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.cold_ms_));
+      reinterpret_cast<char*>(&_impl_.withdrawn_) -
+      reinterpret_cast<char*>(&_impl_.slots_)) + sizeof(_impl_.withdrawn_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3841,6 +3873,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool withdrawn = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.withdrawn_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3950,6 +3990,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_cold_index(), target);
   }
 
+  // bool withdrawn = 11;
+  if (this->_internal_withdrawn() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(11, this->_internal_withdrawn(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4006,9 +4052,9 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_slots());
   }
 
-  // bool draining = 7;
-  if (this->_internal_draining() != 0) {
-    total_size += 1 + 1;
+  // uint32 cold_ms = 9;
+  if (this->_internal_cold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
   }
 
   // uint64 life = 8;
@@ -4021,9 +4067,14 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_cold_index());
   }
 
-  // uint32 cold_ms = 9;
-  if (this->_internal_cold_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  // bool draining = 7;
+  if (this->_internal_draining() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // bool withdrawn = 11;
+  if (this->_internal_withdrawn() != 0) {
+    total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
@@ -4062,8 +4113,8 @@
   if (from._internal_slots() != 0) {
     _this->_internal_set_slots(from._internal_slots());
   }
-  if (from._internal_draining() != 0) {
-    _this->_internal_set_draining(from._internal_draining());
+  if (from._internal_cold_ms() != 0) {
+    _this->_internal_set_cold_ms(from._internal_cold_ms());
   }
   if (from._internal_life() != 0) {
     _this->_internal_set_life(from._internal_life());
@@ -4071,8 +4122,11 @@
   if (from._internal_cold_index() != 0) {
     _this->_internal_set_cold_index(from._internal_cold_index());
   }
-  if (from._internal_cold_ms() != 0) {
-    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  if (from._internal_draining() != 0) {
+    _this->_internal_set_draining(from._internal_draining());
+  }
+  if (from._internal_withdrawn() != 0) {
+    _this->_internal_set_withdrawn(from._internal_withdrawn());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
@@ -4114,8 +4168,8 @@
       &other->_impl_.version_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.cold_ms_)
-      + sizeof(UpstreamInstance::_impl_.cold_ms_)
+      PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.withdrawn_)
+      + sizeof(UpstreamInstance::_impl_.withdrawn_)
       - PROTOBUF_FIELD_OFFSET(UpstreamInstance, _impl_.slots_)>(
           reinterpret_cast<char*>(&_impl_.slots_),
           reinterpret_cast<char*>(&other->_impl_.slots_));
@@ -4149,12 +4203,14 @@
   PutInstance* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){nullptr}
+    , decltype(_impl_.returns_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   if (from._internal_has_instance()) {
     _this->_impl_.instance_ = new ::rattandyke::wire::UpstreamInstance(*from._impl_.instance_);
   }
+  _this->_impl_.returns_ = from._impl_.returns_;
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PutInstance)
 }
 
@@ -4164,6 +4220,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){nullptr}
+    , decltype(_impl_.returns_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -4196,6 +4253,7 @@
     delete _impl_.instance_;
   }
   _impl_.instance_ = nullptr;
+  _impl_.returns_ = false;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -4213,6 +4271,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool returns = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.returns_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4249,6 +4315,12 @@
         _Internal::instance(this).GetCachedSize(), target, stream);
   }
 
+  // bool returns = 2;
+  if (this->_internal_returns() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_returns(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4272,6 +4344,11 @@
         *_impl_.instance_);
   }
 
+  // bool returns = 2;
+  if (this->_internal_returns() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -4294,6 +4371,9 @@
     _this->_internal_mutable_instance()->::rattandyke::wire::UpstreamInstance::MergeFrom(
         from._internal_instance());
   }
+  if (from._internal_returns() != 0) {
+    _this->_internal_set_returns(from._internal_returns());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -4311,7 +4391,12 @@
 void PutInstance::InternalSwap(PutInstance* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  swap(_impl_.instance_, other->_impl_.instance_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(PutInstance, _impl_.returns_)
+      + sizeof(PutInstance::_impl_.returns_)
+      - PROTOBUF_FIELD_OFFSET(PutInstance, _impl_.instance_)>(
+          reinterpret_cast<char*>(&_impl_.instance_),
+          reinterpret_cast<char*>(&other->_impl_.instance_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata PutInstance::GetMetadata() const {
@@ -4322,6 +4407,209 @@
 
 // ===================================================================
 
+class WithdrawInstance::_Internal {
+ public:
+};
+
+WithdrawInstance::WithdrawInstance(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.WithdrawInstance)
+}
+WithdrawInstance::WithdrawInstance(const WithdrawInstance& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  WithdrawInstance* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_id().empty()) {
+    _this->_impl_.id_.Set(from._internal_id(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.WithdrawInstance)
+}
+
+inline void WithdrawInstance::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+WithdrawInstance::~WithdrawInstance() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.WithdrawInstance)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void WithdrawInstance::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.id_.Destroy();
+}
+
+void WithdrawInstance::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void WithdrawInstance::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.WithdrawInstance)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.id_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* WithdrawInstance::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_id();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.WithdrawInstance.id"));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* WithdrawInstance::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.WithdrawInstance)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string id = 1;
+  if (!this->_internal_id().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_id().data(), static_cast<int>(this->_internal_id().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.WithdrawInstance.id");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_id(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.WithdrawInstance)
+  return target;
+}
+
+size_t WithdrawInstance::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.WithdrawInstance)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string id = 1;
+  if (!this->_internal_id().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_id());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData WithdrawInstance::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    WithdrawInstance::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*WithdrawInstance::GetClassData() const { return &_class_data_; }
+
+
+void WithdrawInstance::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<WithdrawInstance*>(&to_msg);
+  auto& from = static_cast<const WithdrawInstance&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.WithdrawInstance)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_id().empty()) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void WithdrawInstance::CopyFrom(const WithdrawInstance& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.WithdrawInstance)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool WithdrawInstance::IsInitialized() const {
+  return true;
+}
+
+void WithdrawInstance::InternalSwap(WithdrawInstance* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.id_, lhs_arena,
+      &other->_impl_.id_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata WithdrawInstance::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[8]);
+}
+
+// ===================================================================
+
 class EndInstance::_Internal {
  public:
 };
@@ -4580,7 +4868,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EndInstance::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[8]);
+      file_level_metadata_gateway_2eproto[9]);
 }
 
 // ===================================================================
@@ -4810,7 +5098,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EndedInstance::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[9]);
+      file_level_metadata_gateway_2eproto[10]);
 }
 
 // ===================================================================
@@ -5073,7 +5361,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata KeyRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[10]);
+      file_level_metadata_gateway_2eproto[11]);
 }
 
 // ===================================================================
@@ -5420,7 +5708,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GrantRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[11]);
+      file_level_metadata_gateway_2eproto[12]);
 }
 
 // ===================================================================
@@ -5707,7 +5995,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FreeRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[12]);
+      file_level_metadata_gateway_2eproto[13]);
 }
 
 // ===================================================================
@@ -5960,7 +6248,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EntryMember::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[13]);
+      file_level_metadata_gateway_2eproto[14]);
 }
 
 // ===================================================================
@@ -6153,7 +6441,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PutEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[14]);
+      file_level_metadata_gateway_2eproto[15]);
 }
 
 // ===================================================================
@@ -6356,7 +6644,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DropEntry::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[15]);
+      file_level_metadata_gateway_2eproto[16]);
 }
 
 // ===================================================================
@@ -6643,7 +6931,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[16]);
+      file_level_metadata_gateway_2eproto[17]);
 }
 
 // ===================================================================
@@ -6873,7 +7161,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EvacuateDataCentre::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[17]);
+      file_level_metadata_gateway_2eproto[18]);
 }
 
 // ===================================================================
@@ -6889,6 +7177,7 @@
   static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
   static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
   static const ::rattandyke::wire::EvacuateDataCentre& evacuate_data_centre(const GatewayCommand* msg);
+  static const ::rattandyke::wire::WithdrawInstance& withdraw_instance(const GatewayCommand* msg);
 };
 
 const ::rattandyke::wire::ChangeItems&
@@ -6927,6 +7216,10 @@
 GatewayCommand::_Internal::evacuate_data_centre(const GatewayCommand* msg) {
   return *msg->_impl_.body_.evacuate_data_centre_;
 }
+const ::rattandyke::wire::WithdrawInstance&
+GatewayCommand::_Internal::withdraw_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.withdraw_instance_;
+}
 void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -7062,6 +7355,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.evacuate_data_centre)
 }
+void GatewayCommand::set_allocated_withdraw_instance(::rattandyke::wire::WithdrawInstance* withdraw_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (withdraw_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(withdraw_instance);
+    if (message_arena != submessage_arena) {
+      withdraw_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, withdraw_instance, submessage_arena);
+    }
+    set_has_withdraw_instance();
+    _impl_.body_.withdraw_instance_ = withdraw_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.withdraw_instance)
+}
 GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -7124,6 +7432,11 @@
           from._internal_evacuate_data_centre());
       break;
     }
+    case kWithdrawInstance: {
+      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
+          from._internal_withdraw_instance());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7220,6 +7533,12 @@
       }
       break;
     }
+    case kWithdrawInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.withdraw_instance_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7316,6 +7635,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr = ctx->ParseMessage(_internal_mutable_withdraw_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7408,6 +7735,13 @@
         _Internal::evacuate_data_centre(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+  if (_internal_has_withdraw_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(10, _Internal::withdraw_instance(this),
+        _Internal::withdraw_instance(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -7488,6 +7822,13 @@
           *_impl_.body_.evacuate_data_centre_);
       break;
     }
+    // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+    case kWithdrawInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.withdraw_instance_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7556,6 +7897,11 @@
           from._internal_evacuate_data_centre());
       break;
     }
+    case kWithdrawInstance: {
+      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
+          from._internal_withdraw_instance());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7584,7 +7930,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[19]);
 }
 
 // ===================================================================
@@ -7969,7 +8315,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[20]);
 }
 
 // ===================================================================
@@ -8206,7 +8552,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[21]);
 }
 
 // ===================================================================
@@ -8741,7 +9087,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
@@ -8993,7 +9339,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
@@ -9186,7 +9532,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -9410,7 +9756,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -9660,7 +10006,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9947,7 +10293,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -10189,7 +10535,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
@@ -10469,7 +10815,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10882,7 +11228,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -11145,7 +11491,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -11432,7 +11778,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -12059,7 +12405,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -12296,7 +12642,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // ===================================================================
@@ -12641,7 +12987,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // ===================================================================
@@ -12826,7 +13172,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // ===================================================================
@@ -13079,7 +13425,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[36]);
+      file_level_metadata_gateway_2eproto[37]);
 }
 
 // ===================================================================
@@ -13651,7 +13997,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[37]);
+      file_level_metadata_gateway_2eproto[38]);
 }
 
 // ===================================================================
@@ -13965,7 +14311,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[38]);
+      file_level_metadata_gateway_2eproto[39]);
 }
 
 // ===================================================================
@@ -14276,7 +14622,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[39]);
+      file_level_metadata_gateway_2eproto[40]);
 }
 
 // ===================================================================
@@ -14501,7 +14847,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[40]);
+      file_level_metadata_gateway_2eproto[41]);
 }
 
 // ===================================================================
@@ -15536,7 +15882,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[41]);
+      file_level_metadata_gateway_2eproto[42]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -15575,6 +15921,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::PutInstance >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::PutInstance >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::WithdrawInstance*
+Arena::CreateMaybeMessage< ::rattandyke::wire::WithdrawInstance >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::WithdrawInstance >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::EndInstance*
 Arena::CreateMaybeMessage< ::rattandyke::wire::EndInstance >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::EndInstance >(arena);
