Leader: work for a heartbeat and a tick no longer grows with the fleet

For each heartbeat after a registration it counted the instances at all addresses anew, and it passed over all segments of the service up to four times; each tick looked up every lease three times.

Change: HolderIndex follows the key table by its changes and finds the segments of a holder, the free ones and those about to be released; instances are indexed by address; ends of holds are looked at when they are due; leases that are over are looked for a tenth at a time; the sum of speeds stands with the sums; keys of grants under way are found by their place; times of answers stand in the lease.

Measured: GranterFleet.WorkForAHeartbeatDoesNotGrowWithTheFleet counts the leases, instances and segments that are looked at: at most 16 a heartbeat at 100, 1,000 and 10,000 upstreams. Granter and state tests pass.

--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -23,6 +23,14 @@
 /// single one is more likely held up than a successor's.
 constexpr double kReplaceIntervals = 0.7;
 
+/// Leases are looked through for ones that are over within a second, a part in
+/// each tick.
+constexpr size_t kForgetParts = 10;
+constexpr size_t kLeastForgotten = 256;
+
+/// An instance that holds no keys may get some by a grant that is on its way.
+constexpr Duration kIdleWatch = std::chrono::seconds{ 1 };
+
 /// Time by which two reports of the end of one cold spell may differ, as they
 /// take differently long to arrive.
 constexpr Duration kColdSlack = milliseconds{ 300 };
@@ -56,6 +64,8 @@
 Granter::BecomeLeader(const State& aState, Instant aNow)
 {
   mLeases.clear();
+  mWatched.clear();
+  mAtAddress.clear();
   mGroups.clear();
   mLivesTold = false;
   const Instant longest =
@@ -63,21 +73,61 @@
   for (const auto& [service, ranges] : aState.AllRanges()) {
     for (const wire::RangeSegment& segment : ranges.Segments()) {
       if (!segment.holder().empty()) {
-        mLeases[segment.holder()].ends = longest;
+        Lease& lease = mLeases[segment.holder()];
+        lease.ends = longest;
+        Watch(segment.holder(), lease, longest);
       }
     }
   }
   for (const auto& [id, instance] : aState.Instances()) {
-    mLeases[id].lastHeartbeat = aNow;
-    mLeases[id].life = instance.life();
+    Lease& lease = mLeases[id];
+    lease.lastHeartbeat = aNow;
+    lease.life = instance.life();
     mLivesTold |= instance.life() > 0;
+    mAtAddress[instance.address()].insert(id);
     if (instance.cold_ms() > 0) {
-      mLeases[id].coldIndex = instance.cold_index();
-      mLeases[id].coldUntil = aNow + milliseconds{ instance.cold_ms() };
+      lease.coldIndex = instance.cold_index();
+      lease.coldUntil = aNow + milliseconds{ instance.cold_ms() };
     }
   }
 }
 
+void
+Granter::Watch(const std::string& aId, Lease& aLease, Instant aAt)
+{
+  Unwatch(aId, aLease);
+  aLease.watchedAt = aAt;
+  mWatched.emplace(aAt, aId);
+}
+
+void
+Granter::Unwatch(const std::string& aId, Lease& aLease)
+{
+  if (aLease.watchedAt) {
+    mWatched.erase({ *aLease.watchedAt, aId });
+    aLease.watchedAt.reset();
+  }
+}
+
+const HolderIndex&
+Granter::IndexOf(const std::string& aService, const RangeTable& aRanges)
+{
+  HolderIndex& index = mGroups[aService].index;
+  const uint64_t before = index.SegmentsRead();
+  index.Follow(aRanges);
+  mVisits += index.SegmentsRead() - before;
+  return index;
+}
+
+bool
+Granter::HoldsKeys(const std::string& aId, const State& aState)
+{
+  const auto& all = aState.AllRanges();
+  return std::any_of(all.begin(), all.end(), [&](const auto& aItem) {
+    return !IndexOf(aItem.first, aItem.second).HeldBy(aId).empty();
+  });
+}
+
 Result<void>
 Granter::CheckLife(const std::string& aInstance,
                    uint64_t aLife,
@@ -176,11 +226,12 @@
 void
 Granter::BeginLife(const std::string& aInstance, uint64_t aLife)
 {
-  const Instant ends = mLeases[aInstance].ends;
-  mLeases[aInstance] = Lease{};
-  mLeases[aInstance].life = aLife;
-  mLeases[aInstance].ends = ends;
-  mTimes.erase(aInstance);
+  Lease& lease = mLeases[aInstance];
+  Lease next;
+  next.life = aLife;
+  next.ends = lease.ends;
+  next.watchedAt = lease.watchedAt;
+  lease = next;
 }
 
 bool
@@ -300,13 +351,8 @@
   if (!lease.firstHeartbeat) {
     lease.firstHeartbeat = aNow;
   }
-  if (!HasOthersAtAddress(aHeartbeat, aState)) {
-    return;
-  }
-  for (const auto& [id, other] : aState.Instances()) {
-    if (other.address() != aHeartbeat.address || id == aHeartbeat.instance) {
-      continue;
-    }
+  for (const std::string& id : OthersAtAddress(aHeartbeat, aState)) {
+    const wire::UpstreamInstance& other = *aState.FindInstance(id);
     const Lease& old = mLeases[id];
     const bool silent =
       !old.lastHeartbeat || *old.lastHeartbeat < *lease.firstHeartbeat;
@@ -322,23 +368,21 @@
   }
 }
 
-/// @return whether other instances are registered at the address. Counted once
-/// after a change of the instances: a heartbeat must not cost a pass over all.
-bool
-Granter::HasOthersAtAddress(const Heartbeat& aHeartbeat, const State& aState)
+std::vector<std::string>
+Granter::OthersAtAddress(const Heartbeat& aHeartbeat, const State& aState)
 {
-  if (mAtAddressVersion != aState.InstancesVersion()) {
-    mAtAddressVersion = aState.InstancesVersion();
-    mAtAddress.clear();
-    for (const auto& [id, instance] : aState.Instances()) {
-      ++mAtAddress[instance.address()];
-    }
-  }
-  const auto found = mAtAddress.find(aHeartbeat.address);
-  const wire::UpstreamInstance* own = aState.FindInstance(aHeartbeat.instance);
-  const bool ownIsThere =
-    own != nullptr && own->address() == aHeartbeat.address;
-  return found != mAtAddress.end() && found->second > (ownIsThere ? 1 : 0);
+  std::set<std::string>& ids = mAtAddress[aHeartbeat.address];
+  ids.insert(aHeartbeat.instance);
+  mVisits += ids.size();
+  std::erase_if(ids, [&](const std::string& aId) {
+    const wire::UpstreamInstance* known = aState.FindInstance(aId);
+    const bool there =
+      known != nullptr && known->address() == aHeartbeat.address;
+    return !there && aId != aHeartbeat.instance;
+  });
+  std::vector<std::string> others(ids.begin(), ids.end());
+  std::erase(others, aHeartbeat.instance);
+  return others;
 }
 
 /// Safeguard: heartbeats at an address may be ones of a process that ran there
@@ -368,10 +412,8 @@
     wire::FreeRanges free;
     free.set_service(service);
     free.set_holder(aId);
-    for (const wire::RangeSegment& segment : ranges.Segments()) {
-      if (segment.holder() == aId) {
-        AddRange(free, SpanOf(segment), "");
-      }
+    for (const uint32_t key : IndexOf(service, ranges).HeldBy(aId)) {
+      AddRange(free, SpanOf(ranges.Find(key)), "");
     }
     if (free.ranges_size() > 0) {
       *aCommands.emplace_back().mutable_free_ranges() = std::move(free);
@@ -385,18 +427,19 @@
                       std::vector<wire::GatewayCommand>& aCommands)
 {
   const RangeTable* ranges = aState.Ranges(aHeartbeat.service);
-  if (ranges == nullptr) {
+  if (ranges == nullptr || aHeartbeat.released.empty()) {
     return;
   }
+  const HolderIndex& index = IndexOf(aHeartbeat.service, *ranges);
   wire::FreeRanges free;
   free.set_service(aHeartbeat.service);
   free.set_holder(aHeartbeat.instance);
   for (const ReleasedRange& released : aHeartbeat.released) {
-    for (const wire::RangeSegment& segment : ranges->Segments()) {
+    for (const uint32_t key : index.HeldBy(aHeartbeat.instance)) {
+      const wire::RangeSegment& segment = ranges->Find(key);
       // A release in a heartbeat that was sent before the grant speaks of an
       // earlier hold of these keys.
-      const bool current = segment.holder() == aHeartbeat.instance &&
-                           segment.sequence() < aHeartbeat.sequence;
+      const bool current = segment.sequence() < aHeartbeat.sequence;
       const auto common = Overlap(SpanOf(segment), released.keys);
       if (current && common) {
         AddRange(free, *common, released.handover);
@@ -414,12 +457,21 @@
                   Instant aNow) const
 {
   const auto lease = mLeases.find(aInstance.id());
+  return lease != mLeases.end() &&
+         IsActive(aInstance, lease->second, aState, aNow);
+}
+
+bool
+Granter::IsActive(const wire::UpstreamInstance& aInstance,
+                  const Lease& aLease,
+                  const State& aState,
+                  Instant aNow) const
+{
   if (aInstance.draining() || aState.IsEvacuated(aInstance.data_centre()) ||
-      lease == mLeases.end() || lease->second.expiring ||
-      !lease->second.lastHeartbeat) {
+      aLease.expiring || !aLease.lastHeartbeat) {
     return false;
   }
-  return aNow - *lease->second.lastHeartbeat <
+  return aNow - *aLease.lastHeartbeat <
          Scaled(mOptions.heartbeatInterval, 2.5);
 }
 
@@ -444,8 +496,10 @@
   grants.holdTime = mOptions.holdTime;
   const RangeTable* ranges = aState.Ranges(instance->service());
   if (ranges != nullptr && !instance->draining()) {
-    for (const wire::RangeSegment& segment : ranges->Segments()) {
-      if (segment.holder() == id && !segment.held_back()) {
+    for (const uint32_t key :
+         IndexOf(instance->service(), *ranges).HeldBy(id)) {
+      const wire::RangeSegment& segment = ranges->Find(key);
+      if (!segment.held_back()) {
         grants.ranges.push_back(
           { SpanOf(segment), Fence{ segment.fence() }, segment.handover() });
       }
@@ -455,65 +509,82 @@
   // ends no later than this.
   lease.ends = std::max(
     lease.ends, aArrived + Scaled(mOptions.holdTime, kDrift) + kTimerSlack);
+  if (!lease.watchedAt) {
+    Watch(id, lease, lease.ends);
+  }
   return grants;
 }
 
+/// A lease is looked at when its hold was to end as it was last looked at, so
+/// that renewals cost nothing here.
 void
 Granter::FreeExpired(const State& aState,
                      Instant aNow,
                      std::vector<wire::GatewayCommand>& aCommands)
 {
-  std::set<std::string> holders;
-  for (const auto& [service, ranges] : aState.AllRanges()) {
-    for (const wire::RangeSegment& segment : ranges.Segments()) {
-      if (!segment.holder().empty()) {
-        holders.insert(segment.holder());
-      }
-    }
-  }
-  for (const std::string& id : holders) {
+  while (!mWatched.empty() && mWatched.begin()->first <= aNow) {
+    const std::string id = mWatched.begin()->second;
     Lease& lease = mLeases[id];
-    if (aNow >= lease.ends) {
+    ++mVisits;
+    if (!HoldsKeys(id, aState)) {
+      lease.expiring = false;
+      Watch(id, lease, aNow + kIdleWatch);
+    } else if (aNow >= lease.ends) {
       // Until the commands are applied nothing of it may be renewed.
       lease.expiring = true;
       FreeAll(id, aState, aCommands);
+      Watch(id, lease, aNow + kTick);
+    } else {
+      Watch(id, lease, lease.ends);
     }
   }
-  for (auto at = mLeases.begin(); at != mLeases.end();) {
-    const bool holds = holders.contains(at->first);
-    if (!holds) {
-      at->second.expiring = false;
-    }
-    const auto& heard = at->second.lastHeartbeat;
-    const bool forgotten = aState.FindInstance(at->first) == nullptr &&
-                           (!heard || aNow - *heard >= mOptions.forgetAfter);
-    const bool gone =
-      !holds && (forgotten || aState.HasEnded(at->first, at->second.life));
-    at = gone ? mLeases.erase(at) : std::next(at);
-  }
-  // Late reports tell of instances that have ended, too.
-  std::erase_if(mTimes, [&](const auto& aItem) {
-    return aState.FindInstance(aItem.first) == nullptr;
-  });
 }
 
-std::vector<wire::GatewayCommand>
-Granter::Tick(const State& aState, Instant aNow)
+void
+Granter::Forget(const State& aState,
+                Instant aNow,
+                std::vector<wire::GatewayCommand>& aCommands)
 {
-  std::vector<wire::GatewayCommand> commands;
-  FreeExpired(aState, aNow, commands);
-  for (const auto& [id, instance] : aState.Instances()) {
-    Lease& lease = mLeases[id];
-    if (!lease.lastHeartbeat) {
+  const size_t most =
+    std::max(mLeases.size() / kForgetParts + 1, kLeastForgotten);
+  auto at = mLeases.upper_bound(mForgottenUpTo);
+  for (size_t looked = 0; looked < std::min(most, mLeases.size()); ++looked) {
+    if (at == mLeases.end()) {
+      at = mLeases.begin();
+    }
+    ++mVisits;
+    const std::string& id = at->first;
+    Lease& lease = at->second;
+    const wire::UpstreamInstance* known = aState.FindInstance(id);
+    if (known != nullptr && !lease.lastHeartbeat) {
       lease.lastHeartbeat = aNow;
     }
-    if (aNow - *lease.lastHeartbeat >= mOptions.forgetAfter) {
-      wire::EndInstance* end = commands.emplace_back().mutable_end_instance();
+    const bool silent =
+      !lease.lastHeartbeat || aNow - *lease.lastHeartbeat >= mOptions.forgetAfter;
+    if (known != nullptr && silent) {
+      wire::EndInstance* end = aCommands.emplace_back().mutable_end_instance();
       end->set_id(id);
-      end->set_life(instance.life());
+      end->set_life(known->life());
       end->set_forgotten(true);
     }
+    mForgottenUpTo = id;
+    const bool forgotten = known == nullptr && silent;
+    if ((forgotten || aState.HasEnded(id, lease.life)) &&
+        !HoldsKeys(id, aState)) {
+      Unwatch(id, lease);
+      at = mLeases.erase(at);
+    } else {
+      ++at;
+    }
   }
+}
+
+std::vector<wire::GatewayCommand>
+Granter::Tick(const State& aState, Instant aNow)
+{
+  std::vector<wire::GatewayCommand> commands;
+  FreeExpired(aState, aNow, commands);
+  Forget(aState, aNow, commands);
   for (auto& [service, group] : mGroups) {
     group.load.Decay(aNow, group.holders.size());
     group.holdersAt.reset();
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,6 +14,7 @@
 
 #include "gateway/dialect.h"
 #include "gateway/heartbeat.h"
+#include "gateway/holder_index.h"
 #include "gateway/load_map.h"
 #include "gateway/state.h"
 #include "wire/gateway.pb.h"
@@ -100,6 +102,10 @@
   /// instances and keys of a service.
   uint64_t Sums() const { return mSums; }
 
+  /// @return how many leases, other instances at an address and segments were
+  /// looked at so far: the work that may grow with the fleet.
+  uint64_t Visits() const { return mVisits; }
+
 private:
   /// What the leader knows of one instance.
   struct Lease
@@ -115,6 +121,8 @@
     Instant ends{};
     /// First ready heartbeat since it was withdrawn.
     std::optional<Instant> readySince;
+    /// When the end of its hold is looked at next, if it may hold keys.
+    std::optional<Instant> watchedAt;
     /// Its keys are being freed: nothing may be renewed.
     bool expiring = false;
     std::optional<Instant> releasedAt;
@@ -122,14 +130,10 @@
     /// the state that this follows.
     Instant coldUntil{};
     uint64_t coldIndex = 0;
-  };
-
-  /// Average of an instance's reported times.
-  struct AnswerTime
-  {
-    double seconds = 0;
-    /// Reports that it stands for.
-    double reports = 0;
+    /// Average of its reported times in seconds, and the reports that it stands
+    /// for.
+    double answerSeconds = 0;
+    double answerReports = 0;
   };
 
   /// Keys that are kept for one instance when they are free.
@@ -155,19 +159,30 @@
   };
   using Holders = std::map<std::string, Holder>;
 
+  /// Keys of a grant that is being committed.
+  struct Planned
+  {
+    uint32_t to = 0;
+    Instant since{};
+  };
+
   /// What is known of a service.
   struct Group
   {
     LoadMap load;
+    HolderIndex index;
     std::optional<Instant> firstInstance;
     std::optional<Instant> freeSince;
     std::vector<Move> moves;
-    /// Free keys whose grants are being committed, oldest first.
-    std::deque<std::pair<Instant, KeySpan>> planned;
+    /// Free keys whose grants are being committed, by their first key; and
+    /// these keys, oldest first.
+    std::map<uint32_t, Planned> planned;
+    std::deque<std::pair<Instant, uint32_t>> plannedOrder;
     /// When keys that alone are too much for their holder were last moved.
     std::map<uint32_t, Instant> movedAlone;
     /// Of the state at an index and of the loads since a tick.
     Holders holders;
+    double speeds = 0;
     std::optional<LogIndex> holdersAt;
     Instant summedAt{};
   };
@@ -183,8 +198,13 @@
                Instant aNow);
   /// @return whether a heartbeat is the newest of the instance's newest life.
   bool IsNewest(const Heartbeat& aHeartbeat) const;
-  std::vector<KeySpan> HeldBy(const std::string& aId,
-                              const RangeTable& aRanges) const;
+  /// Looks at the end of an instance's hold at a time.
+  void Watch(const std::string& aId, Lease& aLease, Instant aAt);
+  void Unwatch(const std::string& aId, Lease& aLease);
+  /// @return the index of a service's segments, up to date.
+  const HolderIndex& IndexOf(const std::string& aService,
+                             const RangeTable& aRanges);
+  bool HoldsKeys(const std::string& aId, const State& aState);
   void NoteReleased(const Heartbeat& aHeartbeat,
                     const State& aState,
                     std::vector<wire::GatewayCommand>& aCommands);
@@ -200,10 +220,16 @@
   void FreeExpired(const State& aState,
                    Instant aNow,
                    std::vector<wire::GatewayCommand>& aCommands);
-  bool HasOthersAtAddress(const Heartbeat& aHeartbeat, const State& aState);
-  static void FreeAll(const std::string& aId,
-                      const State& aState,
-                      std::vector<wire::GatewayCommand>& aCommands);
+  /// Forgets instances and leases that are over, a part of them in each call.
+  void Forget(const State& aState,
+              Instant aNow,
+              std::vector<wire::GatewayCommand>& aCommands);
+  /// @return the other instances that are registered at a heartbeat's address.
+  std::vector<std::string> OthersAtAddress(const Heartbeat& aHeartbeat,
+                                           const State& aState);
+  void FreeAll(const std::string& aId,
+               const State& aState,
+               std::vector<wire::GatewayCommand>& aCommands);
   void PlanMoves(const Heartbeat& aHeartbeat,
                  const State& aState,
                  Instant aNow,
@@ -218,7 +244,7 @@
   static std::vector<KeySpan> KeysTooMuch(const std::string& aId,
                                           double aPerRequest,
                                           const RangeTable& aRanges,
-                                          const LoadMap& aLoad);
+                                          const Group& aGroup);
   /// Plans the move of a key that is too much for its holder, if another one is
   /// better for it.
   void MoveKeyAlone(const Heartbeat& aHeartbeat,
@@ -242,6 +268,10 @@
   bool IsActive(const wire::UpstreamInstance& aInstance,
                 const State& aState,
                 Instant aNow) const;
+  bool IsActive(const wire::UpstreamInstance& aInstance,
+                const Lease& aLease,
+                const State& aState,
+                Instant aNow) const;
   /// @return whether the state must be told anew for how long an instance is
   /// cold.
   bool NoteCold(const Heartbeat& aHeartbeat, const State& aState, Instant aNow);
@@ -259,18 +289,20 @@
                    Instant aNow) const;
   Holders SumUpHolders(const std::string& aService,
                        const State& aState,
-                       Instant aNow) const;
+                       Instant aNow);
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
   static std::optional<KeySpan> SliceOf(const std::string& aHolder,
                                         const RangeTable& aRanges,
-                                        const LoadMap& aLoad,
+                                        const Group& aGroup,
                                         const std::vector<KeySpan>& aExcept,
                                         double aWanted);
   bool IsWithheld(const Lease& aLease, uint32_t aKey) const;
   void UpdatePool(const std::string& aService,
                   const State& aState,
                   Instant aNow);
-  static double EvenLevel(const Group& aGroup, const Holders& aHolders);
+  static double EvenLevel(const Group& aGroup);
+  /// Notes that a grant of keys is being committed.
+  static void NotePlanned(Group& aGroup, KeySpan aKeys, Instant aNow);
   /// @return the part of free keys that an instance gets; nothing if others
   /// should.
   /// @param aShare an even share for it.
@@ -286,14 +318,17 @@
   const Options mOptions;
   std::map<std::string, Lease> mLeases;
   std::map<std::string, Group> mGroups;
-  std::map<std::string, AnswerTime> mTimes;
   /// Instances of this deployment tell their lives apart.
   bool mLivesTold = false;
   uint64_t mSums = 0;
-  /// How many instances are registered at each address, and the version of the
-  /// instances of which that is so.
-  std::unordered_map<std::string, uint32_t> mAtAddress;
-  std::optional<uint64_t> mAtAddressVersion;
+  uint64_t mVisits = 0;
+  /// Leases by when the ends of their holds are looked at.
+  std::set<std::pair<Instant, std::string>> mWatched;
+  /// Instances by address. Ones that are registered no more are taken out when
+  /// their address is looked at.
+  std::unordered_map<std::string, std::set<std::string>> mAtAddress;
+  /// The lease after which Forget goes on.
+  std::string mForgottenUpTo;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/granter_fleet_test.cpp
+++ b/src/librattandyke/gateway/granter_fleet_test.cpp
@@ -219,6 +219,33 @@
   EXPECT_EQ(free, 0);
 }
 
+// Guards against a leader whose work for one heartbeat, or for one tick, grows
+// with the fleet: it is deposed while thousands register, again and again, and
+// nobody is granted keys.
+TEST(GranterFleet, WorkForAHeartbeatDoesNotGrowWithTheFleet)
+{
+  constexpr uint64_t kRounds = 4;
+  constexpr uint64_t kVisitsEach = 16;
+  for (const size_t fleet : { 100U, 1000U, 10000U }) {
+    Leader leader;
+    for (uint64_t sequence = 1; sequence <= kRounds; ++sequence) {
+      Instant ticked = leader.now;
+      for (size_t at = 0; at < fleet; ++at) {
+        Heartbeat heartbeat = From("i-" + std::to_string(at), sequence);
+        heartbeat.address = "10.0.0.1:" + std::to_string(at);
+        leader.Answer(heartbeat);
+        leader.now += kInterval / fleet;
+        if (leader.now - ticked >= Granter::kTick) {
+          ticked = leader.now;
+          leader.Commit(leader.granter->Tick(leader.state, leader.now));
+        }
+      }
+    }
+    EXPECT_LE(leader.granter->Visits(), kVisitsEach * kRounds * fleet);
+    EXPECT_GE(leader.state.Ranges("board")->Segments().size(), fleet / 2);
+  }
+}
+
 // Heartbeats of many instances arrive while the first grants are committed.
 // Each must be planned other keys: of grants of the same keys the log takes
 // one.
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -110,18 +110,16 @@
   if (known == all.end() || known->second.busy < kBusy) {
     return;
   }
-  const double even = EvenLevel(group, all);
+  const double even = EvenLevel(group);
   const double excess = known->second.load - even * known->second.speed;
   if (known->second.Level() < kHotRatio * even ||
       excess < kSignificance * std::sqrt(known->second.load)) {
     return;
   }
-  const bool releasing =
-    std::any_of(ranges->Segments().begin(),
-                ranges->Segments().end(),
-                [&](const wire::RangeSegment& aSegment) {
-                  return aSegment.held_back() && aSegment.holder() == id;
-                });
+  const auto& held = IndexOf(aHeartbeat.service, *ranges).HeldBy(id);
+  const bool releasing = std::any_of(held.begin(), held.end(), [&](auto aKey) {
+    return ranges->Find(aKey).held_back();
+  });
   if (releasing) {
     return;
   }
@@ -133,7 +131,7 @@
   // for one like most would be moved from one full holder to the next, without
   // an owner each time, and would gain nothing.
   std::vector<KeySpan> except =
-    KeysTooMuch(id, UsualTime(holders), *ranges, group.load);
+    KeysTooMuch(id, UsualTime(holders), *ranges, group);
   except.insert(except.end(), given.begin(), given.end());
   std::vector<Holder> cold;
   for (const auto& [other, holder] : holders) {
@@ -151,7 +149,7 @@
     if (given.size() >= kMaxMoves || wanted < kLeastPiece * even * hot.speed) {
       break;
     }
-    if (const auto slice = SliceOf(id, *ranges, group.load, except, wanted)) {
+    if (const auto slice = SliceOf(id, *ranges, group, except, wanted)) {
       hot.load -= group.load.Of(*slice);
       given.push_back(*slice);
       except.push_back(*slice);
@@ -225,17 +223,19 @@
 Granter::KeysTooMuch(const std::string& aId,
                      double aPerRequest,
                      const RangeTable& aRanges,
-                     const LoadMap& aLoad)
+                     const Group& aGroup)
 {
   std::vector<KeySpan> keys;
-  for (const wire::RangeSegment& segment : aRanges.Segments()) {
-    if (segment.holder() == aId && !segment.held_back()) {
-      const auto busy = aLoad.BusyKeys(SpanOf(segment), kOverrun / aPerRequest);
+  for (const uint32_t key : aGroup.index.HeldBy(aId)) {
+    const wire::RangeSegment& segment = aRanges.Find(key);
+    if (!segment.held_back()) {
+      const auto busy =
+        aGroup.load.BusyKeys(SpanOf(segment), kOverrun / aPerRequest);
       keys.insert(keys.end(), busy.begin(), busy.end());
     }
   }
   std::sort(keys.begin(), keys.end(), [&](KeySpan aOne, KeySpan aOther) {
-    return aLoad.Of(aOne) < aLoad.Of(aOther);
+    return aGroup.load.Of(aOne) < aGroup.load.Of(aOther);
   });
   return keys;
 }
@@ -259,7 +259,7 @@
                   aGroup.moves.end(),
                   [&](const Move& aMove) { return aMove.to == at->first; });
     if (id != aFrom && faster && !awaits && TakesSoon(id, aNow) &&
-        KeysTooMuch(id, holder.perRequest, aRanges, aGroup.load).empty()) {
+        KeysTooMuch(id, holder.perRequest, aRanges, aGroup).empty()) {
       best = at;
     }
   }
@@ -283,7 +283,7 @@
   Group& group = mGroups[aHeartbeat.service];
   Holder& hot = aHolders.at(aHeartbeat.instance);
   const std::vector<KeySpan> tooMuch =
-    KeysTooMuch(aHeartbeat.instance, hot.perRequest, aRanges, group.load);
+    KeysTooMuch(aHeartbeat.instance, hot.perRequest, aRanges, group);
   const auto key =
     std::find_if(tooMuch.begin(), tooMuch.end(), [&](KeySpan aKeys) {
       return !group.movedAlone.contains(aKeys.from);
@@ -359,8 +359,10 @@
     return false;
   }
   bool released = false;
-  for (const wire::RangeSegment& segment : ranges->Segments()) {
-    if (!segment.held_back() || segment.holder() == aHeartbeat.instance) {
+  for (const uint32_t key : IndexOf(aHeartbeat.service, *ranges).HeldBack()) {
+    const wire::RangeSegment& segment = ranges->Find(key);
+    ++mVisits;
+    if (segment.holder() == aHeartbeat.instance) {
       continue;
     }
     const Move* move = MoveOf(group->second, SpanOf(segment), aNow);
@@ -375,7 +377,7 @@
   const Holders& holders = HoldersOf(aHeartbeat.service, aState, aNow);
   const auto own = holders.find(aHeartbeat.instance);
   return own != holders.end() &&
-         own->second.Level() < EvenLevel(group->second, holders);
+         own->second.Level() < EvenLevel(group->second);
 }
 
 /// Safeguard: summing up takes a pass over all instances and segments. While a
@@ -396,6 +398,10 @@
                      kSumsStand * static_cast<int64_t>(group.holders.size());
   if (other && due) {
     group.holders = SumUpHolders(aService, aState, aNow);
+    group.speeds = 0;
+    for (const auto& [id, holder] : group.holders) {
+      group.speeds += holder.speed;
+    }
     group.holdersAt = aState.Applied();
     group.summedAt = aNow;
     ++mSums;
@@ -415,34 +421,36 @@
                   Instant aNow) const
 {
   Holders holders;
+  std::vector<std::pair<Holder*, const Lease*>> timed;
+  std::vector<uint32_t> slots;
   double sum = 0;
-  size_t timed = 0;
+  size_t reporting = 0;
   for (const auto& [id, instance] : aState.Instances()) {
-    if (instance.service() != aService || !IsActive(instance, aState, aNow)) {
+    const auto lease = mLeases.find(id);
+    if (instance.service() != aService || lease == mLeases.end() ||
+        !IsActive(instance, lease->second, aState, aNow)) {
       continue;
     }
-    holders.emplace_hint(holders.end(), id, Holder{});
-    if (const auto time = mTimes.find(id); time != mTimes.end()) {
-      sum += time->second.seconds;
-      ++timed;
+    const auto added = holders.emplace_hint(holders.end(), id, Holder{});
+    timed.emplace_back(&added->second, &lease->second);
+    slots.push_back(std::max(instance.slots(), 1U));
+    if (lease->second.answerReports > 0) {
+      sum += lease->second.answerSeconds;
+      ++reporting;
     }
   }
   const double usual =
-    timed == 0 ? kDefaultSeconds : sum / static_cast<double>(timed);
+    reporting == 0 ? kDefaultSeconds : sum / static_cast<double>(reporting);
   double speeds = 0;
-  for (auto& [id, holder] : holders) {
-    const auto found = mTimes.find(id);
-    const AnswerTime time =
-      found == mTimes.end() ? AnswerTime{} : found->second;
+  for (size_t at = 0; at < timed.size(); ++at) {
+    const auto& [holder, lease] = timed[at];
     const double seconds =
-      (time.seconds * time.reports + usual * kUsualReports) /
-      (time.reports + kUsualReports);
-    const auto lease = mLeases.find(id);
-    const bool cold = lease != mLeases.end() && aNow < lease->second.coldUntil;
-    holder.perRequest = (cold ? kColdSlower : 1) * seconds /
-                        std::max(aState.FindInstance(id)->slots(), 1U);
-    holder.speed = 1 / holder.perRequest;
-    speeds += holder.speed;
+      (lease->answerSeconds * lease->answerReports + usual * kUsualReports) /
+      (lease->answerReports + kUsualReports);
+    const bool cold = aNow < lease->coldUntil;
+    holder->perRequest = (cold ? kColdSlower : 1) * seconds / slots[at];
+    holder->speed = 1 / holder->perRequest;
+    speeds += holder->speed;
   }
   // Relative to the average, within bounds: a slow one still takes some load,
   // or its speed would never be seen to change.
@@ -457,7 +465,7 @@
 Granter::Holders
 Granter::SumUpHolders(const std::string& aService,
                       const State& aState,
-                      Instant aNow) const
+                      Instant aNow)
 {
   Holders holders = SpeedsOf(aService, aState, aNow);
   const RangeTable* ranges = aState.Ranges(aService);
@@ -483,13 +491,9 @@
 }
 
 double
-Granter::EvenLevel(const Group& aGroup, const Holders& aHolders)
+Granter::EvenLevel(const Group& aGroup)
 {
-  double speed = 0;
-  for (const auto& [id, holder] : aHolders) {
-    speed += holder.speed;
-  }
-  return aGroup.load.Total() / std::max(speed, kLeastSpeed);
+  return aGroup.load.Total() / std::max(aGroup.speeds, kLeastSpeed);
 }
 
 void
@@ -500,10 +504,7 @@
   Group& group = mGroups[aService];
   const RangeTable* ranges = aState.Ranges(aService);
   const bool free =
-    ranges == nullptr ||
-    std::any_of(ranges->Segments().begin(),
-                ranges->Segments().end(),
-                [](const auto& aSegment) { return aSegment.holder().empty(); });
+    ranges == nullptr || !IndexOf(aService, *ranges).Free().empty();
   if (!free) {
     group.freeSince.reset();
   } else if (!group.freeSince) {
@@ -545,17 +546,34 @@
 std::vector<KeySpan>
 Granter::NotPlanned(Group& aGroup, KeySpan aFree, Instant aNow)
 {
-  while (!aGroup.planned.empty() &&
-         aNow - aGroup.planned.front().first >= kPlannedFor) {
-    aGroup.planned.pop_front();
-  }
-  std::vector<KeySpan> planned;
-  for (const auto& [since, keys] : aGroup.planned) {
-    if (Overlap(aFree, keys)) {
-      planned.push_back(keys);
+  while (!aGroup.plannedOrder.empty() &&
+         aNow - aGroup.plannedOrder.front().first >= kPlannedFor) {
+    aGroup.planned.erase(aGroup.plannedOrder.front().second);
+    aGroup.plannedOrder.pop_front();
+  }
+  std::vector<KeySpan> rest;
+  uint32_t from = aFree.from;
+  auto at = aGroup.planned.upper_bound(from);
+  if (at != aGroup.planned.begin() && std::prev(at)->second.to >= from) {
+    --at;
+  }
+  for (; at != aGroup.planned.end() && at->first <= aFree.to; ++at) {
+    if (at->first > from) {
+      rest.push_back({ from, at->first - 1 });
     }
+    from = at->second.to + 1;
   }
-  return Without(aFree, planned);
+  if (from <= aFree.to) {
+    rest.push_back({ from, aFree.to });
+  }
+  return rest;
+}
+
+void
+Granter::NotePlanned(Group& aGroup, KeySpan aKeys, Instant aNow)
+{
+  aGroup.planned[aKeys.from] = { aKeys.to, aNow };
+  aGroup.plannedOrder.emplace_back(aNow, aKeys.from);
 }
 
 std::optional<wire::GatewayCommand>
@@ -591,25 +609,25 @@
   // One that has just come is not among the holders yet, and holds nothing.
   const auto known = holders.find(id);
   Holder taker = known == holders.end() ? Holder{} : known->second;
-  const double share = EvenLevel(group, holders) * taker.speed;
+  const double share = EvenLevel(group) * taker.speed;
   const Duration age = aNow - *group.freeSince;
   const std::optional<Instant>& released = mLeases[id].releasedAt;
   if (released && age < kUrgentTime && aNow - *released < kNotTakenBack) {
     return std::nullopt;
   }
-  size_t rows = 0;
-  for (const wire::RangeSegment& segment : ranges.Segments()) {
-    rows += segment.holder() == id ? 1 : 0;
-  }
+  const HolderIndex& index = IndexOf(instance->service(), ranges);
+  size_t rows = index.HeldBy(id).size();
   wire::GatewayCommand command;
   wire::GrantRanges* grant = command.mutable_grant_ranges();
   grant->set_service(instance->service());
   grant->set_holder(id);
   grant->set_life(aHeartbeat.life);
   grant->set_sequence(aHeartbeat.sequence);
-  for (const wire::RangeSegment& segment : ranges.Segments()) {
-    if (!segment.holder().empty()) {
-      continue;
+  for (const uint32_t key : index.Free()) {
+    const wire::RangeSegment& segment = ranges.Find(key);
+    ++mVisits;
+    if (rows >= kMaxRows) {
+      break;
     }
     for (KeySpan keys : NotPlanned(group, SpanOf(segment), aNow)) {
       const Move* move = MoveOf(group, keys, aNow);
@@ -625,7 +643,7 @@
         keys = *piece;
       }
       taker.load += group.load.Of(keys);
-      group.planned.emplace_back(aNow, keys);
+      NotePlanned(group, keys, aNow);
       wire::KeyRange* range = grant->add_ranges();
       range->set_from(keys.from);
       range->set_to(keys.to);
@@ -642,18 +660,16 @@
 std::optional<KeySpan>
 Granter::SliceOf(const std::string& aHolder,
                  const RangeTable& aRanges,
-                 const LoadMap& aLoad,
+                 const Group& aGroup,
                  const std::vector<KeySpan>& aExcept,
                  double aWanted)
 {
   std::optional<KeySpan> best;
-  for (const wire::RangeSegment& segment : aRanges.Segments()) {
-    if (segment.holder() != aHolder) {
-      continue;
-    }
-    for (const KeySpan& keys : Without(SpanOf(segment), aExcept)) {
-      const auto slice = aLoad.TakeBusy(keys, aWanted);
-      if (slice && (!best || aLoad.Of(*slice) > aLoad.Of(*best))) {
+  const LoadMap& load = aGroup.load;
+  for (const uint32_t key : aGroup.index.HeldBy(aHolder)) {
+    for (const KeySpan& keys : Without(SpanOf(aRanges.Find(key)), aExcept)) {
+      const auto slice = load.TakeBusy(keys, aWanted);
+      if (slice && (!best || load.Of(*slice) > load.Of(*best))) {
         best = slice;
       }
     }
@@ -667,9 +683,14 @@
   if (aSeconds <= 0) {
     return;
   }
-  AnswerTime& time = mTimes[aInstance];
-  time.reports = std::min(time.reports + 1, 1 / kNewestTime);
-  time.seconds += (aSeconds - time.seconds) / time.reports;
+  const auto lease = mLeases.find(aInstance);
+  if (lease == mLeases.end()) {
+    return; // Late reports tell of instances that have ended, too.
+  }
+  double& reports = lease->second.answerReports;
+  double& seconds = lease->second.answerSeconds;
+  reports = std::min(reports + 1, 1 / kNewestTime);
+  seconds += (aSeconds - seconds) / reports;
 }
 
 void
--- a/src/librattandyke/gateway/range_table.cpp
+++ b/src/librattandyke/gateway/range_table.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Who follows a table asks more often than this many changes are made.
+constexpr size_t kChangesKept = 256;
+
 bool
 AreAlike(const wire::RangeSegment& aOne, const wire::RangeSegment& aOther)
 {
@@ -94,6 +97,22 @@
   const auto begin = mSegments.begin();
   mSegments.erase(begin + static_cast<ptrdiff_t>(kept) + 1,
                   begin + static_cast<ptrdiff_t>(last) + 1);
+  ++mVersion;
+  mChanges.push_back({ aRange.from(), aRange.to() });
+  if (mChanges.size() > kChangesKept) {
+    mChanges.pop_front();
+  }
+}
+
+std::optional<std::vector<KeySpan>>
+RangeTable::ChangesSince(uint64_t aVersion) const
+{
+  if (aVersion > mVersion || mVersion - aVersion > mChanges.size()) {
+    return std::nullopt;
+  }
+  const auto first =
+    mChanges.end() - static_cast<ptrdiff_t>(mVersion - aVersion);
+  return std::vector<KeySpan>(first, mChanges.end());
 }
 
 Result<void>
--- a/src/librattandyke/gateway/range_table.h
+++ b/src/librattandyke/gateway/range_table.h
@@ -1,6 +1,9 @@
 /// Owners of one service's keys, by ranges.
 #pragma once
 
+#include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +57,13 @@
   /// Takes all keys from a holder that has ended, without a handover.
   void FreeAllOf(const std::string& aHolder);
 
+  /// @return a number that rises with each change.
+  uint64_t Version() const { return mVersion; }
+
+  /// @return the keys around which segments changed since a version, oldest
+  /// first; nothing if that is not known any more.
+  std::optional<std::vector<KeySpan>> ChangesSince(uint64_t aVersion) const;
+
   void Save(wire::ServiceRanges& aRanges) const;
   void Load(const wire::ServiceRanges& aRanges);
 
@@ -70,6 +80,9 @@
 
   /// Sorted; together they cover all keys.
   std::vector<wire::RangeSegment> mSegments;
+  /// The newest changes, oldest first.
+  std::deque<KeySpan> mChanges;
+  uint64_t mVersion = 0;
 };
 
 } // namespace rattandyke::gateway
