Leader: decide heartbeats a few at a time and refuse those nobody awaits

Cause: a batch of forwarded heartbeats was decided in one run of the thread. After a loss all 9,999 upstreams of a fleet call in the same second, and the words of the other control hosts stand behind them until the leader is deposed.

--- a/src/librattandyke/gateway/control_host_forward.cpp
+++ b/src/librattandyke/gateway/control_host_forward.cpp
@@ -1,6 +1,7 @@
 // Heartbeats that followers read and the leader decides.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include "base/endpoint.h"
 #include "gateway/control_host_impl.h"
@@ -18,6 +19,12 @@
 constexpr milliseconds kGatherTime{ 5 };
 constexpr unsigned kOk = 200;
 
+Result<HeartbeatAnswer>
+Behind()
+{
+  return Fail(Code::Overloaded, "The leader is behind with heartbeats.");
+}
+
 } // namespace
 
 /// Each upstream keeps to the control host that it has found, so that no host
@@ -66,12 +73,39 @@
 ControlHost::Impl::OnForwardedHeartbeats(
   const wire::ForwardedHeartbeats& aBatch)
 {
+  const bool idle = heartbeatQueue.IsEmpty();
   const HostName replyTo{ aBatch.reply_to() };
   for (const wire::ForwardedHeartbeat& heartbeat : aBatch.heartbeats()) {
+    if (!heartbeatQueue.Add({ replyTo, heartbeat, clock.Now() })) {
+      QueueAnswer(replyTo, heartbeat.id(), Behind());
+    }
+  }
+  if (idle) {
+    TakeHeartbeats();
+  }
+}
+
+void
+ControlHost::Impl::TakeHeartbeats()
+{
+  HeartbeatQueue::Slice slice = heartbeatQueue.Take(clock.Now());
+  for (HeartbeatQueue::Waiting& waiting : slice.decide) {
     asio::co_spawn(executor,
-                   DecideForwarded(shared_from_this(), replyTo, heartbeat),
+                   DecideForwarded(shared_from_this(),
+                                   std::move(waiting.replyTo),
+                                   std::move(waiting.heartbeat)),
                    asio::detached);
   }
+  for (const HeartbeatQueue::Waiting& waiting : slice.refuse) {
+    QueueAnswer(waiting.replyTo, waiting.heartbeat.id(), Behind());
+  }
+  if (!heartbeatQueue.IsEmpty()) {
+    asio::post(executor, [self = weak_from_this()] {
+      if (const auto host = self.lock()) {
+        host->TakeHeartbeats();
+      }
+    });
+  }
 }
 
 asio::awaitable<void>
@@ -85,18 +119,24 @@
     const Heartbeat heartbeat = FromWire(aHeartbeat);
     answer = co_await aSelf->Decide(heartbeat);
   }
-  if (aSelf->waitingAnswers.empty()) {
-    aSelf->answerTimer.expires_after(kGatherTime);
-    aSelf->answerTimer.async_wait(
-      [self = aSelf->weak_from_this()](auto aError) {
-        const auto host = self.lock();
-        if (host && !aError) {
-          host->FlushAnswers();
-        }
-      });
+  aSelf->QueueAnswer(aReplyTo, aHeartbeat.id(), answer);
+}
+
+void
+ControlHost::Impl::QueueAnswer(const HostName& aReplyTo,
+                               uint64_t aId,
+                               const Result<HeartbeatAnswer>& aAnswer)
+{
+  if (waitingAnswers.empty()) {
+    answerTimer.expires_after(kGatherTime);
+    answerTimer.async_wait([self = weak_from_this()](auto aError) {
+      const auto host = self.lock();
+      if (host && !aError) {
+        host->FlushAnswers();
+      }
+    });
   }
-  *aSelf->waitingAnswers[aReplyTo].add_answers() =
-    ToWire(answer, aHeartbeat.id());
+  *waitingAnswers[aReplyTo].add_answers() = ToWire(aAnswer, aId);
 }
 
 void
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -21,6 +21,7 @@
 #include "gateway/entry_registry.h"
 #include "gateway/feed_server.h"
 #include "gateway/granter.h"
+#include "gateway/heartbeat_queue.h"
 #include "gateway/heartbeat_wire.h"
 #include "gateway/metrics.h"
 #include "log/log.h"
@@ -110,6 +111,10 @@
     const Heartbeat& aHeartbeat);
   void FlushHeartbeats();
   void OnForwardedHeartbeats(const wire::ForwardedHeartbeats& aBatch);
+  void TakeHeartbeats();
+  void QueueAnswer(const HostName& aReplyTo,
+                   uint64_t aId,
+                   const Result<HeartbeatAnswer>& aAnswer);
   static boost::asio::awaitable<void> DecideForwarded(
     std::shared_ptr<Impl> aSelf,
     HostName aReplyTo,
@@ -179,6 +184,7 @@
   HostName heartbeatsFor;
   wire::ForwardedHeartbeats waitingHeartbeats;
   boost::asio::steady_timer heartbeatTimer;
+  HeartbeatQueue heartbeatQueue;
   std::map<HostName, wire::ForwardedHeartbeatAnswers> waitingAnswers;
   boost::asio::steady_timer answerTimer;
   std::vector<std::weak_ptr<boost::asio::steady_timer>> keyWaiters;
