Bound the calls' connections of a host by its descriptors

Cause: a control host served 3,000 connections, whatever it has. 9,999 upstreams on ten hosts have 1,000 each, and more where hosts are lost: a third of them on one host is over the bound, and their heartbeats are cut off.

Change: the platform's number of descriptors is a setting; four fifths of them are for calls.

Measured: CallServer.AsManyConnectionsAsAreAllowedAreServed.

--- a/src/librattandyke/gateway/call_server.cpp
+++ b/src/librattandyke/gateway/call_server.cpp
@@ -31,13 +31,6 @@
 constexpr uint64_t kMaxBodyBytes = uint64_t{ 8 } * 1024 * 1024;
 /// A caller that neither sends nor takes anything for so long is cut off.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
-/// Safeguard: each upstream keeps a connection to the leader, and one that fell
-/// dark leaves its own behind for the idle time. Beyond the limit heartbeats
-/// are cut off, and owners lose their keys though they live. At 1,000 upstreams
-/// of which half are replaced at once there are 1,500, and calls of operators;
-/// a host with 4,096 descriptors has some 3,500 beside files and other hosts.
-constexpr size_t kMaxConnections = 3000;
-
 } // namespace
 
 struct CallServer::Impl : std::enable_shared_from_this<CallServer::Impl>
@@ -55,9 +48,13 @@
     bool busy = false;
   };
 
-  Impl(asio::any_io_executor aExecutor, Endpoint aListen, Handler aHandler)
+  Impl(asio::any_io_executor aExecutor,
+       Endpoint aListen,
+       size_t aMostConnections,
+       Handler aHandler)
     : executor(std::move(aExecutor))
     , listen(std::move(aListen))
+    , mostConnections(aMostConnections)
     , handler(std::move(aHandler))
   {
   }
@@ -67,7 +64,7 @@
     acceptor = std::make_shared<net::AcceptLoop>(
       executor, [self = weak_from_this()](tcp::socket aSocket) {
         const auto server = self.lock();
-        if (server && server->sessions.size() < kMaxConnections) {
+        if (server && server->sessions.size() < server->mostConnections) {
           server->Take(std::move(aSocket));
         }
       });
@@ -148,6 +145,7 @@
 
   const asio::any_io_executor executor;
   const Endpoint listen;
+  const size_t mostConnections;
   const Handler handler;
   std::shared_ptr<net::AcceptLoop> acceptor;
   std::set<std::shared_ptr<Session>> sessions;
@@ -156,9 +154,11 @@
 
 CallServer::CallServer(asio::any_io_executor aExecutor,
                        Endpoint aListen,
+                       size_t aMostConnections,
                        Handler aHandler)
   : mImpl(std::make_shared<Impl>(std::move(aExecutor),
                                  std::move(aListen),
+                                 aMostConnections,
                                  std::move(aHandler)))
 {
 }
--- a/src/librattandyke/gateway/call_server.h
+++ b/src/librattandyke/gateway/call_server.h
@@ -35,8 +35,12 @@
   using Handler =
     std::function<boost::asio::awaitable<CallAnswer>(CallRequest)>;
 
+  /// @param aMostConnections beyond these, new ones are closed: callers go to
+  /// another host. Each upstream keeps one, and one that fell dark leaves its
+  /// own behind for the idle time.
   CallServer(boost::asio::any_io_executor aExecutor,
              Endpoint aListen,
+             size_t aMostConnections,
              Handler aHandler);
   ~CallServer();
 
--- a/src/librattandyke/gateway/call_server_test.cpp
+++ b/src/librattandyke/gateway/call_server_test.cpp
@@ -18,6 +18,8 @@
 using asio::ip::tcp;
 using namespace testing; // NOLINT(google-build-using-namespace)
 
+constexpr size_t kMostConnections = 3000;
+
 // The host has no descriptor left for one more connection. It must not spend
 // its share of the core on trying again at once; the call that waits is taken
 // once there is room.
@@ -28,6 +30,7 @@
   size_t calls = 0;
   CallServer server(context.get_executor(),
                     address,
+                    kMostConnections,
                     [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
                       ++calls;
                       co_return CallAnswer{ 200, "", "text/plain" };
@@ -47,6 +50,41 @@
   EXPECT_EQ(calls, 1U);
 }
 
+// Guards against a fixed number of connections that a larger fleet exceeds: its
+// upstreams' heartbeats are cut off, and owners lose their keys though they
+// live.
+TEST(CallServer, AsManyConnectionsAsAreAllowedAreServed)
+{
+  for (const size_t most : { 1U, 50U }) {
+    asio::io_context context;
+    const Endpoint address = FreeAddress(context);
+    size_t calls = 0;
+    CallServer server(context.get_executor(),
+                      address,
+                      most,
+                      [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
+                        ++calls;
+                        co_return CallAnswer{ 200, "", "text/plain" };
+                      });
+    ASSERT_TRUE(server.Start());
+    std::vector<tcp::socket> callers;
+    for (size_t i = 0; i < most + 10; ++i) {
+      tcp::socket& caller = callers.emplace_back(context);
+      caller.connect(TcpOf(address));
+      boost::system::error_code error; // A refused one shows in the count.
+      asio::write(
+        caller,
+        asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")),
+        error);
+      context.restart();
+      context.run_for(std::chrono::milliseconds{ 1 });
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds{ 20 });
+    EXPECT_EQ(calls, most);
+  }
+}
+
 // A third of a fleet falls dark and is started anew elsewhere: the leader still
 // has the connections of those that are gone, and gets as many new ones. Every
 // newcomer's heartbeat must be answered: without an answer it holds no keys.
@@ -62,6 +100,7 @@
   size_t calls = 0;
   CallServer server(context.get_executor(),
                     address,
+                    kMostConnections,
                     [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
                       ++calls;
                       co_return CallAnswer{ 200, "", "text/plain" };
@@ -97,6 +136,7 @@
   size_t calls = 0;
   CallServer server(context.get_executor(),
                     address,
+                    kMostConnections,
                     [&](const CallRequest&) -> asio::awaitable<CallAnswer> {
                       ++calls;
                       co_return CallAnswer{ 200, "", "text/plain" };
@@ -133,6 +173,7 @@
   const Endpoint address = FreeAddress(context);
   CallServer server(context.get_executor(),
                     address,
+                    kMostConnections,
                     [](const CallRequest&) -> asio::awaitable<CallAnswer> {
                       co_return CallAnswer{};
                     });
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -77,7 +77,10 @@
     return started;
   }
   calls = std::make_unique<CallServer>(
-    executor, *settings.calls, [self = weak_from_this()](CallRequest aCall) {
+    executor,
+    *settings.calls,
+    settings.MostCalls(),
+    [self = weak_from_this()](CallRequest aCall) {
       return HandleWeak(self, std::move(aCall));
     });
   if (Result<void> started = calls->Start(); !started) {
@@ -87,6 +90,7 @@
     metricsServer = std::make_unique<CallServer>(
       executor,
       *settings.metrics,
+      settings.MostCalls(),
       [self = weak_from_this()](CallRequest aCall) {
         return AnswerMetrics(self, std::move(aCall));
       });
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -195,6 +195,7 @@
       readiness = std::make_unique<CallServer>(
         executor,
         *settings.readiness,
+        settings.MostCalls(),
         [self = weak_from_this()](CallRequest aCall) {
           return AnswerReadiness(self, std::move(aCall));
         });
@@ -206,6 +207,7 @@
       metrics = std::make_unique<CallServer>(
         executor,
         *settings.metrics,
+        settings.MostCalls(),
         [self = weak_from_this()](CallRequest aCall) {
           return AnswerMetrics(self, std::move(aCall));
         });
--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -52,6 +52,15 @@
   return error == std::errc{} && end == last && aNumber >= 0;
 }
 
+/// @return whether it is a whole number from 0.
+bool
+ParseCount(const std::string& aText, uint64_t& aCount)
+{
+  const char* const last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, aCount);
+  return error == std::errc{} && end == last;
+}
+
 bool
 ParseFlag(const std::string& aText, bool& aFlag)
 {
@@ -223,6 +232,16 @@
         return OrDefault(
           aText, [&] { return ParseNumber(aText, aSettings.linkMbits); });
       } },
+    { "host",
+      "descriptors",
+      "4096",
+      "a whole number from 0, or nothing for the default",
+      "Descriptors that the process may have. Four fifths of them are for "
+      "connections of upstreams and operators.",
+      [](Settings& aSettings, const std::string& aText) {
+        return OrDefault(
+          aText, [&] { return ParseCount(aText, aSettings.descriptors); });
+      } },
     { "host",
       "log_level",
       "info",
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -31,6 +31,12 @@
   std::string logLevel;
   /// Of the host's link; 0: not told.
   double linkMbits = 0;
+  /// That the process may have.
+  uint64_t descriptors = 4096;
+
+  /// @return the calls' connections that a process may have; the rest of its
+  /// descriptors is for files and for other hosts.
+  size_t MostCalls() const { return descriptors * 4 / 5; }
 
   // [listen]
   std::optional<Endpoint> callers;
