--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -46,6 +46,7 @@
   , feed(state)
   , ticker(executor)
   , heartbeatTimer(executor)
+  , feedTimer(executor)
   , answerTimer(executor)
   , parkedTimer(executor)
   , freshAt(aClock.Now())
@@ -76,13 +77,13 @@
   if (Result<void> started = driver->Start(); !started) {
     return started;
   }
-  calls = std::make_unique<CallServer>(
-    executor,
-    *settings.calls,
-    settings.MostCalls(),
-    [self = weak_from_this()](CallRequest aCall) {
-      return HandleWeak(self, std::move(aCall));
-    });
+  calls =
+    std::make_unique<CallServer>(executor,
+                                 *settings.calls,
+                                 settings.MostCalls(),
+                                 [self = weak_from_this()](CallRequest aCall) {
+                                   return HandleWeak(self, std::move(aCall));
+                                 });
   if (Result<void> started = calls->Start(); !started) {
     return started;
   }
@@ -189,6 +190,7 @@
   if (LeadsSurely()) {
     ProposeAll(granter.Tick(state, clock.Now()));
     ProposeAll(entries.Tick(state, clock.Now()));
+    DropControls();
   }
   const Instant now = clock.Now();
   if (now - pingedAt < kPingInterval) {
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -1,6 +1,8 @@
 // Messages of other hosts: subscribers of the state, and what they report.
 #include "gateway/control_host_impl.h"
 
+#include <algorithm>
+
 namespace rattandyke::gateway {
 
 namespace {
@@ -11,6 +13,9 @@
 /// elections of up to 450 ms. After that it is more likely cut off.
 constexpr milliseconds kHopeful{ 900 };
 constexpr milliseconds kParkedCheck{ 10 };
+/// Commands are gathered for subscribers this long: a change is to be in force
+/// at all entries within seconds.
+constexpr milliseconds kFeedGatherTime{ 10 };
 
 } // namespace
 
@@ -159,6 +164,54 @@
   for (const wire::EntryMember& entry : aReport.entries()) {
     entries.Seen(entry, clock.Now());
   }
+  if (aReport.has_sender()) {
+    NoteControl(aReport.sender());
+  }
+}
+
+void
+ControlHost::Impl::NoteControl(const wire::ControlMember& aControl)
+{
+  const auto known = state.Controls().find(aControl.address());
+  const bool same = known != state.Controls().end() &&
+                    known->second.data_centre() == aControl.data_centre();
+  if (same || !LeadsSurely()) {
+    return;
+  }
+  wire::GatewayCommand command;
+  *command.mutable_put_control()->mutable_control() = aControl;
+  ProposeAll({ command });
+}
+
+/// Hosts that the group does not have any more.
+void
+ControlHost::Impl::DropControls()
+{
+  const std::vector<std::string> hosts = ControlHosts();
+  std::vector<wire::GatewayCommand> commands;
+  for (const auto& [address, control] : state.Controls()) {
+    if (std::find(hosts.begin(), hosts.end(), address) == hosts.end()) {
+      commands.emplace_back().mutable_drop_control()->set_address(address);
+    }
+  }
+  ProposeAll(commands);
+}
+
+void
+ControlHost::Impl::FlushFeedSoon()
+{
+  if (feedFlushDue) {
+    return;
+  }
+  feedFlushDue = true;
+  feedTimer.expires_after(kFeedGatherTime);
+  feedTimer.async_wait([self = weak_from_this()](auto aError) {
+    const auto host = self.lock();
+    if (host && !aError) {
+      host->feedFlushDue = false;
+      host->feed.Flush();
+    }
+  });
 }
 
 /// Tells the leader what this host's subscribers have reported.
@@ -169,6 +222,8 @@
   for (const wire::EntryMember& entry : feed.Entries()) {
     *waitingReport.add_entries() = entry;
   }
+  waitingReport.mutable_sender()->set_address(self.value);
+  waitingReport.mutable_sender()->set_data_centre(settings.dataCentre.value);
   const wire::HostReport report = std::exchange(waitingReport, {});
   if (driver->IsLeader()) {
     OnHostReport(report);
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -102,7 +102,10 @@
   void OnFeedReport(const net::FrameMesh::Connection& aConnection,
                     const wire::FeedReport& aReport);
   void OnHostReport(const wire::HostReport& aReport);
+  void NoteControl(const wire::ControlMember& aControl);
+  void DropControls();
   void Report();
+  void FlushFeedSoon();
 
   // Heartbeats between control hosts: control_host_forward.cpp.
 
@@ -185,6 +188,8 @@
   wire::ForwardedHeartbeats waitingHeartbeats;
   boost::asio::steady_timer heartbeatTimer;
   HeartbeatQueue heartbeatQueue;
+  boost::asio::steady_timer feedTimer;
+  bool feedFlushDue = false;
   std::map<HostName, wire::ForwardedHeartbeatAnswers> waitingAnswers;
   boost::asio::steady_timer answerTimer;
   std::vector<std::weak_ptr<boost::asio::steady_timer>> keyWaiters;
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -24,6 +24,7 @@
   Result<void> outcome = state.Apply(command, aIndex);
   if (outcome) {
     feed.Applied(command, aIndex);
+    FlushFeedSoon();
   }
   if (command.has_free_ranges()) {
     WakeKeyWaiters();
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -115,6 +115,7 @@
       relay.Reset();
     } else {
       relay.Applied(*aCommand, feed.Known().Applied());
+      relay.Flush();
     }
   }
 
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -34,6 +34,11 @@
 /// A message that keeps the link or the thread busy for longer than this holds
 /// up requests so that callers notice; it is logged.
 constexpr milliseconds kHeldUp{ 50 };
+/// Pause before a host in another data centre is left for one nearby, and
+/// before that is tried again. Drawn between one and two of these, so that not
+/// all entries move at once.
+constexpr milliseconds kMoveNearer{ 1000 };
+constexpr milliseconds kMoveAgain{ 10000 };
 
 log::Line
 Info()
@@ -132,7 +137,43 @@
     }
   }
 
-  /// All hosts known, each once before any is tried again.
+  /// @return whether a control host is known to be in this data centre.
+  bool IsNear(const std::string& aHost) const
+  {
+    const auto known = state.Controls().find(aHost);
+    return known != state.Controls().end() &&
+           known->second.data_centre() == options.self.data_centre();
+  }
+
+  /// Safeguard: fed from another data centre, each entry would have every
+  /// change sent to it over the links between them, once for each entry. So one
+  /// that was fed from afar while it knew no better moves to a host nearby.
+  void ConsiderNearer()
+  {
+    const Instant now = clock.Now();
+    const bool better = !IsNear(current) && std::any_of(controlHosts.begin(),
+                                                        controlHosts.end(),
+                                                        [&](const auto& aHost) {
+                                                          return IsNear(aHost);
+                                                        });
+    if (!better) {
+      moveAt.reset();
+      return;
+    }
+    const auto drawn = [&](milliseconds aPause) {
+      return aPause + milliseconds(random() % aPause.count());
+    };
+    if (!moveAt) {
+      moveAt = std::max(now + drawn(kMoveNearer), movedAt + drawn(kMoveAgain));
+    } else if (now >= *moveAt) {
+      moveAt.reset();
+      movedAt = now;
+      Drop();
+      TryNext();
+    }
+  }
+
+  /// All hosts known, each once before any is tried again; those nearby first.
   std::string NextHost()
   {
     std::set<std::string> hosts(controlHosts.begin(), controlHosts.end());
@@ -145,6 +186,13 @@
         fresh.push_back(host);
       }
     }
+    const auto far =
+      std::stable_partition(fresh.begin(), fresh.end(), [&](const auto& aHost) {
+        return IsNear(aHost);
+      });
+    if (far != fresh.begin()) {
+      fresh.erase(far, fresh.end());
+    }
     if (fresh.empty()) {
       tried.clear();
       fresh = EntriesToAsk();
@@ -289,6 +337,11 @@
       OnSnapshot(aFrame.feed_snapshot());
     } else if (aFrame.has_feed_command()) {
       OnCommand(aFrame.feed_command());
+    } else if (aFrame.has_feed_commands()) {
+      for (const wire::FeedCommand& command :
+           aFrame.feed_commands().commands()) {
+        OnCommand(command);
+      }
     } else if (aFrame.has_feed_ping()) {
       OnPing(aFrame.feed_ping());
     }
@@ -348,6 +401,7 @@
       controlHosts.assign(aPing.control_hosts().begin(),
                           aPing.control_hosts().end());
     }
+    ConsiderNearer();
   }
 
   const asio::any_io_executor executor;
@@ -369,6 +423,9 @@
   std::string current;
   std::vector<std::string> controlHosts;
   std::set<std::string> tried;
+  /// When a host nearby is to be tried, and when one was last.
+  std::optional<Instant> moveAt;
+  Instant movedAt{};
   std::shared_ptr<tcp::socket> connecting;
   std::shared_ptr<net::FrameConnection> connection;
 };
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -15,11 +15,11 @@
 namespace rattandyke::gateway {
 
 /// Subscribes to one control host after another until one assures it of being
-/// up to date, and keeps to that. If none does, it turns to other entry hosts:
-/// one that is cut off from all control hosts would else go by an old state,
-/// though others that it reaches know the new one. Never goes back to an older
-/// state in one life of the process. Runs on one executor that runs one handler
-/// at a time.
+/// up to date, and keeps to that, or to one in its own data centre. If none
+/// does, it turns to other entry hosts: one that is cut off from all control
+/// hosts would else go by an old state, though others that it reaches know the
+/// new one. Never goes back to an older state in one life of the process. Runs
+/// on one executor that runs one handler at a time.
 class FeedClient
 {
 public:
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/feed_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "log/log.h"
@@ -9,13 +10,15 @@
 namespace {
 
 /// Enough for a subscriber that comes back within seconds; others get the whole
-/// state.
-constexpr size_t kRecentCommands = 512;
+/// state. Of a large state as many commands are kept as it has records: up to
+/// there they are shorter.
+constexpr size_t kLeastRecent = 512;
 /// A longer command is not kept while nobody subscribes.
 constexpr size_t kKeptForNobody = 4096;
-/// A whole state is encoded anew rather than followed by more entries of the
-/// log than this.
-constexpr uint64_t kLongestTail = 128;
+/// A whole state is encoded anew rather than followed by more commands than
+/// this, and than this part of its records: encoding costs what they all do.
+constexpr uint64_t kLeastTail = 128;
+constexpr uint64_t kTailPart = 4;
 
 /// Takes the operators' texts out of items.
 template<typename Items>
@@ -64,14 +67,6 @@
   }
 }
 
-void
-SendTo(const FeedServer::Connection& aConnection,
-       bool aReadsPacked,
-       OutgoingFrame& aFrame)
-{
-  aConnection->Send(aReadsPacked ? aFrame.Packed() : aFrame.Plain());
-}
-
 } // namespace
 
 FeedServer::FeedServer(const State& aState, WhileAlone aWhileAlone)
@@ -80,9 +75,25 @@
 {
 }
 
+void
+FeedServer::SendTo(const Connection& aConnection,
+                   const Subscriber& aSubscriber,
+                   OutgoingFrame& aFrame)
+{
+  ++mMessages;
+  aConnection->Send(aSubscriber.readsPacked ? aFrame.Packed() : aFrame.Plain());
+}
+
+size_t
+FeedServer::MostKept() const
+{
+  return kLeastRecent + mState.Instances().size();
+}
+
 void
 FeedServer::Open(const Connection& aConnection, const wire::FeedOpen& aOpen)
 {
+  Flush();
   Subscriber& subscriber = mSubscribers[aConnection];
   subscriber.told = aOpen.applied();
   subscriber.entry = aOpen.entry();
@@ -137,8 +148,10 @@
                       const Subscriber& aSubscriber)
 {
   const uint64_t applied = mState.Applied().value;
+  const uint64_t longestTail =
+    std::max(kLeastTail, mState.Instances().size() / kTailPart);
   const bool usable = mWhole && mWholeIndex >= mForgottenUpTo &&
-                      mWholeIndex + kLongestTail >= applied;
+                      mWholeIndex + longestTail >= applied;
   if (!usable) {
     wire::GatewayFrame frame;
     wire::GatewayState& state = *frame.mutable_feed_snapshot()->mutable_state();
@@ -146,12 +159,13 @@
     StripForEntries(state);
     mWhole.emplace(frame);
     mWholeIndex = applied;
+    ++mEncodings;
     log::Line(log::Part::Control, log::Severity::Info)
       << "encodes the state at index " << applied << " in "
       << mWhole->Plain().size() << " bytes";
   }
   mWholeUsed = true;
-  SendTo(aConnection, aSubscriber.readsPacked, *mWhole);
+  SendTo(aConnection, aSubscriber, *mWhole);
   return mWholeIndex;
 }
 
@@ -167,9 +181,9 @@
     aSubscriber.told > 0 && aSubscriber.told >= mForgottenUpTo;
   const uint64_t from =
     recent ? aSubscriber.told : SendWhole(aConnection, aSubscriber);
-  for (auto& [index, frame] : mRecent) {
-    if (index > from) {
-      SendTo(aConnection, aSubscriber.readsPacked, frame);
+  for (Batch& batch : mRecent) {
+    if (batch.last > from) {
+      SendTo(aConnection, aSubscriber, batch.frame);
     }
   }
   aSubscriber.told = applied;
@@ -185,28 +199,46 @@
     Forget();
     return;
   }
+  wire::FeedCommand* gathered = mGathered.add_commands();
+  gathered->set_index(aIndex.value);
+  *gathered->mutable_command() = aCommand;
+  StripForEntries(*gathered->mutable_command());
+}
+
+/// Safeguard: while thousands of upstreams register, each command sent alone to
+/// each of a hundred subscribers keeps a control host busy with writes. What
+/// was applied within a few milliseconds is one message, encoded once.
+void
+FeedServer::Flush()
+{
+  if (!HasGathered()) {
+    return;
+  }
+  const auto commands = static_cast<size_t>(mGathered.commands_size());
+  const uint64_t last = mGathered.commands().rbegin()->index();
   wire::GatewayFrame frame;
-  frame.mutable_feed_command()->set_index(aIndex.value);
-  wire::GatewayCommand& command =
-    *frame.mutable_feed_command()->mutable_command();
-  command = aCommand;
-  StripForEntries(command);
-  mRecent.emplace_back(aIndex.value, OutgoingFrame(frame));
-  if (mRecent.size() > kRecentCommands) {
-    mForgottenUpTo = mRecent.front().first;
+  if (commands == 1) {
+    *frame.mutable_feed_command() = std::move(*mGathered.mutable_commands(0));
+  } else {
+    *frame.mutable_feed_commands() = std::move(mGathered);
+  }
+  mGathered.Clear();
+  mRecent.push_back({ last, commands, OutgoingFrame(frame) });
+  mRecentCommands += commands;
+  while (mRecent.size() > 1 && mRecentCommands > MostKept()) {
+    mForgottenUpTo = mRecent.front().last;
+    mRecentCommands -= mRecent.front().commands;
     mRecent.pop_front();
   }
-  OutgoingFrame& newest = mRecent.back().second;
+  OutgoingFrame& newest = mRecent.back().frame;
   for (const Connection& connection : Connections()) {
     const auto found = mSubscribers.find(connection);
-    if (found == mSubscribers.end() || found->second.told >= aIndex.value) {
+    if (found == mSubscribers.end() || found->second.told >= last) {
       continue;
     }
-    if (found->second.ahead) {
-      found->second.ahead = false;
-    }
-    found->second.told = aIndex.value;
-    SendTo(connection, found->second.readsPacked, newest);
+    found->second.ahead = false;
+    found->second.told = last;
+    SendTo(connection, found->second, newest);
   }
 }
 
@@ -214,7 +246,9 @@
 void
 FeedServer::Forget()
 {
+  mGathered.Clear();
   mRecent.clear();
+  mRecentCommands = 0;
   mWhole.reset();
   mForgottenUpTo = mState.Applied().value;
 }
@@ -234,6 +268,7 @@
 void
 FeedServer::Ping(const std::vector<std::string>& aControlHosts, Duration aAge)
 {
+  Flush();
   if (!std::exchange(mWholeUsed, false)) {
     mWhole.reset(); // Memory is dear; subscribers seldom come.
   }
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -45,9 +45,22 @@
   void Open(const Connection& aConnection, const wire::FeedOpen& aOpen);
   void Close(const Connection& aConnection);
 
-  /// A command was applied to the state and not refused by it.
+  /// A command was applied to the state and not refused by it. Subscribers are
+  /// told with the next Flush.
   void Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex);
 
+  /// @return whether commands wait for a Flush.
+  bool HasGathered() const { return mGathered.commands_size() > 0; }
+
+  /// Tells subscribers what was applied since the last call, in one message.
+  void Flush();
+
+  /// @return messages sent to subscribers so far.
+  uint64_t Messages() const { return mMessages; }
+
+  /// @return how often a whole state was encoded.
+  uint64_t Encodings() const { return mEncodings; }
+
   /// The state was replaced as a whole.
   void Reset();
 
@@ -84,7 +97,20 @@
     std::vector<std::string> controlHosts;
   };
 
+  /// Commands that follow each other, as one frame.
+  struct Batch
+  {
+    uint64_t last = 0;
+    size_t commands = 0;
+    OutgoingFrame frame;
+  };
+
   std::vector<Connection> Connections() const;
+  void SendTo(const Connection& aConnection,
+              const Subscriber& aSubscriber,
+              OutgoingFrame& aFrame);
+  /// @return as many commands as a whole state has records, or a few more.
+  size_t MostKept() const;
   void Forget();
   void Catch(const Connection& aConnection, Subscriber& aSubscriber);
   uint64_t SendWhole(const Connection& aConnection,
@@ -93,14 +119,19 @@
   const State& mState;
   const WhileAlone mWhileAlone;
   std::map<Connection, Subscriber> mSubscribers;
-  /// Newest commands as frames, with their indices.
-  std::deque<std::pair<uint64_t, OutgoingFrame>> mRecent;
+  /// Applied, and not told yet.
+  wire::FeedCommands mGathered;
+  /// Newest commands.
+  std::deque<Batch> mRecent;
+  size_t mRecentCommands = 0;
   /// Commands up to this index are not among them.
   uint64_t mForgottenUpTo = 0;
   /// A whole state as a frame, and whether it was sent since the last ping.
   std::optional<OutgoingFrame> mWhole;
   uint64_t mWholeIndex = 0;
   bool mWholeUsed = false;
+  uint64_t mMessages = 0;
+  uint64_t mEncodings = 0;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -471,8 +471,7 @@
       aLease.expiring || !aLease.lastHeartbeat) {
     return false;
   }
-  return aNow - *aLease.lastHeartbeat <
-         Scaled(mOptions.heartbeatInterval, 2.5);
+  return aNow - *aLease.lastHeartbeat < Scaled(mOptions.heartbeatInterval, 2.5);
 }
 
 std::optional<Grants>
@@ -559,8 +558,8 @@
     if (known != nullptr && !lease.lastHeartbeat) {
       lease.lastHeartbeat = aNow;
     }
-    const bool silent =
-      !lease.lastHeartbeat || aNow - *lease.lastHeartbeat >= mOptions.forgetAfter;
+    const bool silent = !lease.lastHeartbeat ||
+                        aNow - *lease.lastHeartbeat >= mOptions.forgetAfter;
     if (known != nullptr && silent) {
       wire::EndInstance* end = aCommands.emplace_back().mutable_end_instance();
       end->set_id(id);
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -376,8 +376,7 @@
   }
   const Holders& holders = HoldersOf(aHeartbeat.service, aState, aNow);
   const auto own = holders.find(aHeartbeat.instance);
-  return own != holders.end() &&
-         own->second.Level() < EvenLevel(group->second);
+  return own != holders.end() && own->second.Level() < EvenLevel(group->second);
 }
 
 /// Safeguard: summing up takes a pass over all instances and segments. While a
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -37,6 +37,10 @@
       return On(aCommand.drop_entry());
     case wire::GatewayCommand::kEvacuateDataCentre:
       return On(aCommand.evacuate_data_centre());
+    case wire::GatewayCommand::kPutControl:
+      return On(aCommand.put_control());
+    case wire::GatewayCommand::kDropControl:
+      return On(aCommand.drop_control());
     case wire::GatewayCommand::BODY_NOT_SET:
       break;
   }
@@ -93,8 +97,7 @@
   const bool sameLife = known != nullptr && known->life() == instance.life();
   // What leaves does not come back within one life: a heartbeat that says
   // otherwise was held up.
-  const bool returns =
-    sameLife && known->withdrawn() && aCommand.returns();
+  const bool returns = sameLife && known->withdrawn() && aCommand.returns();
   const bool withdrawn = sameLife && known->withdrawn() && !returns;
   const bool draining =
     instance.draining() || (sameLife && known->draining() && !returns);
@@ -193,6 +196,20 @@
   return {};
 }
 
+Result<void>
+State::On(const wire::PutControl& aCommand)
+{
+  mControls[aCommand.control().address()] = aCommand.control();
+  return {};
+}
+
+Result<void>
+State::On(const wire::DropControl& aCommand)
+{
+  mControls.erase(aCommand.address());
+  return {};
+}
+
 Result<void>
 State::On(const wire::EvacuateDataCentre& aCommand)
 {
@@ -247,6 +264,9 @@
   for (const std::string& dataCentre : mEvacuated) {
     state.add_evacuated(dataCentre);
   }
+  for (const auto& [address, control] : mControls) {
+    *state.add_controls() = control;
+  }
   return state;
 }
 
@@ -271,6 +291,9 @@
     mEntries[entry.address()] = entry;
   }
   mEvacuated.insert(aState.evacuated().begin(), aState.evacuated().end());
+  for (const wire::ControlMember& control : aState.controls()) {
+    mControls[control.address()] = control;
+  }
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -67,6 +67,12 @@
     return mEntries;
   }
 
+  /// @return the control hosts that have told where they are, by address.
+  const std::map<std::string, wire::ControlMember>& Controls() const
+  {
+    return mControls;
+  }
+
   wire::GatewayState Save() const;
   void Load(const wire::GatewayState& aState);
 
@@ -81,6 +87,8 @@
   Result<void> On(const wire::PutEntry& aCommand);
   Result<void> On(const wire::DropEntry& aCommand);
   Result<void> On(const wire::EvacuateDataCentre& aCommand);
+  Result<void> On(const wire::PutControl& aCommand);
+  Result<void> On(const wire::DropControl& aCommand);
   void AssumeCold(const std::string& aDataCentre);
   void NoteEnded(const std::string& aId, uint64_t aLife);
 
@@ -95,6 +103,7 @@
   std::map<std::string, uint64_t> mEnded;
   std::map<std::string, RangeTable> mRanges;
   std::map<std::string, wire::EntryMember> mEntries;
+  std::map<std::string, wire::ControlMember> mControls;
   std::set<std::string> mEvacuated;
 };
 
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -295,6 +295,46 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DropEntryDefaultTypeInternal _DropEntry_default_instance_;
+PROTOBUF_CONSTEXPR ControlMember::ControlMember(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ControlMemberDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ControlMemberDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ControlMemberDefaultTypeInternal() {}
+  union {
+    ControlMember _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ControlMemberDefaultTypeInternal _ControlMember_default_instance_;
+PROTOBUF_CONSTEXPR PutControl::PutControl(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.control_)*/nullptr
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct PutControlDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR PutControlDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~PutControlDefaultTypeInternal() {}
+  union {
+    PutControl _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 PutControlDefaultTypeInternal _PutControl_default_instance_;
+PROTOBUF_CONSTEXPR DropControl::DropControl(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct DropControlDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR DropControlDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~DropControlDefaultTypeInternal() {}
+  union {
+    DropControl _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DropControlDefaultTypeInternal _DropControl_default_instance_;
 PROTOBUF_CONSTEXPR HoldBackRanges::HoldBackRanges(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.ranges_)*/{}
@@ -382,6 +422,7 @@
   , /*decltype(_impl_.entries_)*/{}
   , /*decltype(_impl_.ended_)*/{}
   , /*decltype(_impl_.evacuated_)*/{}
+  , /*decltype(_impl_.controls_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -436,6 +477,19 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 FeedCommandDefaultTypeInternal _FeedCommand_default_instance_;
+PROTOBUF_CONSTEXPR FeedCommands::FeedCommands(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.commands_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct FeedCommandsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR FeedCommandsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~FeedCommandsDefaultTypeInternal() {}
+  union {
+    FeedCommands _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 FeedCommandsDefaultTypeInternal _FeedCommands_default_instance_;
 PROTOBUF_CONSTEXPR FeedPing::FeedPing(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.control_hosts_)*/{}
@@ -622,6 +676,7 @@
     /*decltype(_impl_.loads_)*/{}
   , /*decltype(_impl_.times_)*/{}
   , /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_.sender_)*/nullptr
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct HostReportDefaultTypeInternal {
   PROTOBUF_CONSTEXPR HostReportDefaultTypeInternal()
@@ -720,7 +775,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[43];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[47];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -897,6 +952,28 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropEntry, _impl_.address_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.address_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.data_centre_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutControl, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutControl, _impl_.control_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropControl, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DropControl, _impl_.address_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HoldBackRanges, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -929,6 +1006,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -968,6 +1047,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.entries_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.evacuated_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.controls_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -993,6 +1073,13 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedCommand, _impl_.index_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedCommand, _impl_.command_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedCommands, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedCommands, _impl_.commands_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedPing, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1114,6 +1201,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.loads_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.times_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.entries_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.sender_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1183,6 +1271,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1203,32 +1292,36 @@
   { 149, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
   { 157, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
   { 164, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 171, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
-  { 180, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
-  { 188, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 205, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 218, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 226, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 243, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 252, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 259, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 267, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 276, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 285, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 293, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 303, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 315, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 324, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 334, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 353, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 361, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 373, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 380, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 389, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 407, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 418, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 429, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 437, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 171, -1, -1, sizeof(::rattandyke::wire::ControlMember)},
+  { 179, -1, -1, sizeof(::rattandyke::wire::PutControl)},
+  { 186, -1, -1, sizeof(::rattandyke::wire::DropControl)},
+  { 193, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 202, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
+  { 210, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 229, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 242, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 250, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 268, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 277, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 284, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 292, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 299, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 308, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 317, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 325, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 335, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 347, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 356, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 366, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 385, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 393, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 405, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 412, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 422, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 440, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 451, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 462, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 470, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1249,6 +1342,9 @@
   &::rattandyke::wire::_EntryMember_default_instance_._instance,
   &::rattandyke::wire::_PutEntry_default_instance_._instance,
   &::rattandyke::wire::_DropEntry_default_instance_._instance,
+  &::rattandyke::wire::_ControlMember_default_instance_._instance,
+  &::rattandyke::wire::_PutControl_default_instance_._instance,
+  &::rattandyke::wire::_DropControl_default_instance_._instance,
   &::rattandyke::wire::_HoldBackRanges_default_instance_._instance,
   &::rattandyke::wire::_EvacuateDataCentre_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
@@ -1258,6 +1354,7 @@
   &::rattandyke::wire::_FeedOpen_default_instance_._instance,
   &::rattandyke::wire::_FeedSnapshot_default_instance_._instance,
   &::rattandyke::wire::_FeedCommand_default_instance_._instance,
+  &::rattandyke::wire::_FeedCommands_default_instance_._instance,
   &::rattandyke::wire::_FeedPing_default_instance_._instance,
   &::rattandyke::wire::_RangeLoad_default_instance_._instance,
   &::rattandyke::wire::_InstanceTime_default_instance_._instance,
@@ -1322,126 +1419,138 @@
   "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
   "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
   "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
-  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldB"
-  "ackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001"
-  "(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.Key"
-  "Range\"7\n\022EvacuateDataCentre\022\023\n\013data_cent"
-  "re\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\310\004\n\016GatewayComman"
-  "d\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.wir"
-  "e.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132\034."
-  "rattandyke.wire.PutInstanceH\000\0224\n\014end_ins"
-  "tance\030\003 \001(\0132\034.rattandyke.wire.EndInstanc"
-  "eH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke.w"
-  "ire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\0132\033"
-  ".rattandyke.wire.FreeRangesH\000\022.\n\tput_ent"
-  "ry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\0220\n"
-  "\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Drop"
-  "EntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ratt"
-  "andyke.wire.HoldBackRangesH\000\022C\n\024evacuate"
-  "_data_centre\030\t \001(\0132#.rattandyke.wire.Eva"
-  "cuateDataCentreH\000\022>\n\021withdraw_instance\030\n"
-  " \001(\0132!.rattandyke.wire.WithdrawInstanceH"
-  "\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022"
-  "\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001"
-  "(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021"
-  "\n\theld_back\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007se"
-  "rvice\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandy"
-  "ke.wire.RangeSegment\"\363\003\n\014GatewayState\022\017\n"
-  "\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.rattand"
-  "yke.wire.RouteItem\022.\n\010services\030\003 \003(\0132\034.r"
-  "attandyke.wire.ServiceItem\022+\n\006limits\030\004 \001"
-  "(\0132\033.rattandyke.wire.LimitsItem\0224\n\016dropp"
-  "ed_routes\030\005 \003(\0132\034.rattandyke.wire.Droppe"
-  "dItem\0226\n\020dropped_services\030\006 \003(\0132\034.rattan"
-  "dyke.wire.DroppedItem\0224\n\tinstances\030\007 \003(\013"
-  "2!.rattandyke.wire.UpstreamInstance\022.\n\006r"
-  "anges\030\t \003(\0132\036.rattandyke.wire.ServiceRan"
-  "ges\022-\n\007entries\030\n \003(\0132\034.rattandyke.wire.E"
-  "ntryMember\022-\n\005ended\030\013 \003(\0132\036.rattandyke.w"
-  "ire.EndedInstance\022\021\n\tevacuated\030\014 \003(\tJ\004\010\010"
-  "\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandy"
-  "ke.wire.EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014"
-  "reads_packed\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005st"
-  "ate\030\001 \001(\0132\035.rattandyke.wire.GatewayState"
-  "\"N\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n\007comman"
-  "d\030\002 \001(\0132\037.rattandyke.wire.GatewayCommand"
-  "\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol"
-  "_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoa"
-  "d\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\r\022\020\n\010r"
-  "equests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010instanc"
-  "e\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nFeedReport\022"
-  ")\n\005loads\030\001 \003(\0132\032.rattandyke.wire.RangeLo"
-  "ad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.Inst"
-  "anceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007entries\030\004 \003"
-  "(\0132\034.rattandyke.wire.EntryMember\"n\n\rForw"
-  "ardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022"
-  "\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030"
-  "\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017ForwardedAns"
-  "wer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030"
-  "\003 \001(\t\"H\n\013FencedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to"
-  "\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010handover\030\004 \001(\t\""
-  "\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010in"
-  "stance\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007address"
-  "\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\017\n\007version\030\006"
-  " \001(\t\022\r\n\005slots\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n"
-  "\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms"
-  "\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattandyke.wire."
-  "FencedRange\022+\n\010released\030\r \003(\0132\031.rattandy"
-  "ke.wire.KeyRange\"`\n\023ForwardedHeartbeats\022"
-  "\020\n\010reply_to\030\001 \001(\t\0227\n\nheartbeats\030\002 \003(\0132#."
-  "rattandyke.wire.ForwardedHeartbeat\"\221\001\n\030F"
-  "orwardedHeartbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004c"
-  "ode\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022"
-  ",\n\006ranges\030\005 \003(\0132\034.rattandyke.wire.Fenced"
-  "Range\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031ForwardedHeart"
-  "beatAnswers\022:\n\007answers\030\001 \003(\0132).rattandyk"
-  "e.wire.ForwardedHeartbeatAnswer\"\224\001\n\nHost"
-  "Report\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wire."
-  "RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke.wi"
-  "re.InstanceTime\022-\n\007entries\030\003 \003(\0132\034.ratta"
-  "ndyke.wire.EntryMember\"\335\001\n\007SlotAsk\022\020\n\010re"
-  "ply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030"
-  "\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t"
-  "\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013"
-  "patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013da"
-  "ta_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms"
-  "\030\014 \001(\r\"\202\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016"
-  "\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandy"
-  "ke.wire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016r"
-  "etry_after_ms\030\005 \001(\r\"W\n\010SlotDone\022\014\n\004from\030"
-  "\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013"
-  "\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\"*\n\013PackedFr"
-  "ame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\264\006\n\014Gat"
-  "ewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_o"
-  "pen\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226"
-  "\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wire."
-  "FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.r"
-  "attandyke.wire.FeedCommandH\000\022.\n\tfeed_pin"
-  "g\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013"
-  "feed_report\030\006 \001(\0132\033.rattandyke.wire.Feed"
-  "ReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.ratta"
-  "ndyke.wire.ForwardedCallH\000\022<\n\020forwarded_"
-  "answer\030\010 \001(\0132 .rattandyke.wire.Forwarded"
-  "AnswerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandy"
-  "ke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030"
-  ".rattandyke.wire.SlotAskH\000\0222\n\013slot_answe"
-  "r\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022."
-  "\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.Slot"
-  "DoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire"
-  ".PackedFrameH\000\022D\n\024forwarded_heartbeats\030\016"
-  " \001(\0132$.rattandyke.wire.ForwardedHeartbea"
-  "tsH\000\022Q\n\033forwarded_heartbeat_answers\030\017 \001("
-  "\0132*.rattandyke.wire.ForwardedHeartbeatAn"
-  "swersH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_ST"
-  "ATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001"
-  "\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_R"
-  "EFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"5\n\rContr"
+  "olMember\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre"
+  "\030\002 \001(\t\"=\n\nPutControl\022/\n\007control\030\001 \001(\0132\036."
+  "rattandyke.wire.ControlMember\"\036\n\013DropCon"
+  "trol\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldBackRanges\022"
+  "\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006rang"
+  "es\030\003 \003(\0132\031.rattandyke.wire.KeyRange\"7\n\022E"
+  "vacuateDataCentre\022\023\n\013data_centre\030\001 \001(\t\022\014"
+  "\n\004ends\030\002 \001(\010\"\262\005\n\016GatewayCommand\0224\n\014chang"
+  "e_items\030\001 \001(\0132\034.rattandyke.wire.ChangeIt"
+  "emsH\000\0224\n\014put_instance\030\002 \001(\0132\034.rattandyke"
+  ".wire.PutInstanceH\000\0224\n\014end_instance\030\003 \001("
+  "\0132\034.rattandyke.wire.EndInstanceH\000\0224\n\014gra"
+  "nt_ranges\030\004 \001(\0132\034.rattandyke.wire.GrantR"
+  "angesH\000\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyk"
+  "e.wire.FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031"
+  ".rattandyke.wire.PutEntryH\000\0220\n\ndrop_entr"
+  "y\030\007 \001(\0132\032.rattandyke.wire.DropEntryH\000\022;\n"
+  "\020hold_back_ranges\030\010 \001(\0132\037.rattandyke.wir"
+  "e.HoldBackRangesH\000\022C\n\024evacuate_data_cent"
+  "re\030\t \001(\0132#.rattandyke.wire.EvacuateDataC"
+  "entreH\000\022>\n\021withdraw_instance\030\n \001(\0132!.rat"
+  "tandyke.wire.WithdrawInstanceH\000\0222\n\013put_c"
+  "ontrol\030\013 \001(\0132\033.rattandyke.wire.PutContro"
+  "lH\000\0224\n\014drop_control\030\014 \001(\0132\034.rattandyke.w"
+  "ire.DropControlH\000B\006\n\004body\"~\n\014RangeSegmen"
+  "t\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 "
+  "\001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010"
+  "handover\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rSer"
+  "viceRanges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030"
+  "\002 \003(\0132\035.rattandyke.wire.RangeSegment\"\245\004\n"
+  "\014GatewayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes"
+  "\030\002 \003(\0132\032.rattandyke.wire.RouteItem\022.\n\010se"
+  "rvices\030\003 \003(\0132\034.rattandyke.wire.ServiceIt"
+  "em\022+\n\006limits\030\004 \001(\0132\033.rattandyke.wire.Lim"
+  "itsItem\0224\n\016dropped_routes\030\005 \003(\0132\034.rattan"
+  "dyke.wire.DroppedItem\0226\n\020dropped_service"
+  "s\030\006 \003(\0132\034.rattandyke.wire.DroppedItem\0224\n"
+  "\tinstances\030\007 \003(\0132!.rattandyke.wire.Upstr"
+  "eamInstance\022.\n\006ranges\030\t \003(\0132\036.rattandyke"
+  ".wire.ServiceRanges\022-\n\007entries\030\n \003(\0132\034.r"
+  "attandyke.wire.EntryMember\022-\n\005ended\030\013 \003("
+  "\0132\036.rattandyke.wire.EndedInstance\022\021\n\teva"
+  "cuated\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattand"
+  "yke.wire.ControlMemberJ\004\010\010\020\t\"^\n\010FeedOpen"
+  "\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryM"
+  "ember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003"
+  " \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.ra"
+  "ttandyke.wire.GatewayState\"N\n\013FeedComman"
+  "d\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ratt"
+  "andyke.wire.GatewayCommand\">\n\014FeedComman"
+  "ds\022.\n\010commands\030\001 \003(\0132\034.rattandyke.wire.F"
+  "eedCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022"
+  "\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?"
+  "\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030"
+  "\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022"
+  "\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nF"
+  "eedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wi"
+  "re.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke"
+  ".wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007e"
+  "ntries\030\004 \003(\0132\034.rattandyke.wire.EntryMemb"
+  "er\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply"
+  "_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001("
+  "\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Fo"
+  "rwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001("
+  "\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRange\022\014\n\004from\030\001"
+  " \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010hando"
+  "ver\030\004 \001(\t\"\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001"
+  " \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022"
+  "\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\017\n"
+  "\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\020\n\010drainin"
+  "g\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022"
+  "\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattan"
+  "dyke.wire.FencedRange\022+\n\010released\030\r \003(\0132"
+  "\031.rattandyke.wire.KeyRange\"`\n\023ForwardedH"
+  "eartbeats\022\020\n\010reply_to\030\001 \001(\t\0227\n\nheartbeat"
+  "s\030\002 \003(\0132#.rattandyke.wire.ForwardedHeart"
+  "beat\"\221\001\n\030ForwardedHeartbeatAnswer\022\n\n\002id\030"
+  "\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\022\016\n\006ren"
+  "ews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rattandyke.w"
+  "ire.FencedRange\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031Forw"
+  "ardedHeartbeatAnswers\022:\n\007answers\030\001 \003(\0132)"
+  ".rattandyke.wire.ForwardedHeartbeatAnswe"
+  "r\"\304\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.rattan"
+  "dyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rat"
+  "tandyke.wire.InstanceTime\022-\n\007entries\030\003 \003"
+  "(\0132\034.rattandyke.wire.EntryMember\022.\n\006send"
+  "er\030\004 \001(\0132\036.rattandyke.wire.ControlMember"
+  "\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007sessio"
+  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t"
+  "\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010"
+  "priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007h"
+  "eld_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005gro"
+  "up\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022"
+  "\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005stat"
+  "e\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010i"
+  "nstance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W\n"
+  "\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
+  "\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us"
+  "\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005b"
+  "ytes\030\002 \001(\014\"\354\006\n\014GatewayFrame\022\023\n\tconsensus"
+  "\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke"
+  ".wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132"
+  "\035.rattandyke.wire.FeedSnapshotH\000\0224\n\014feed"
+  "_command\030\004 \001(\0132\034.rattandyke.wire.FeedCom"
+  "mandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.w"
+  "ire.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ra"
+  "ttandyke.wire.FeedReportH\000\0228\n\016forwarded_"
+  "call\030\007 \001(\0132\036.rattandyke.wire.ForwardedCa"
+  "llH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattand"
+  "yke.wire.ForwardedAnswerH\000\0222\n\013host_repor"
+  "t\030\t \001(\0132\033.rattandyke.wire.HostReportH\000\022,"
+  "\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire.SlotA"
+  "skH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.w"
+  "ire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ra"
+  "ttandyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\013"
+  "2\034.rattandyke.wire.PackedFrameH\000\022D\n\024forw"
+  "arded_heartbeats\030\016 \001(\0132$.rattandyke.wire"
+  ".ForwardedHeartbeatsH\000\022Q\n\033forwarded_hear"
+  "tbeat_answers\030\017 \001(\0132*.rattandyke.wire.Fo"
+  "rwardedHeartbeatAnswersH\000\0226\n\rfeed_comman"
+  "ds\030\020 \001(\0132\035.rattandyke.wire.FeedCommandsH"
+  "\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UN"
+  "SPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SL"
+  "OT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED"
+  "\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 6320, descriptor_table_protodef_gateway_2eproto,
+    false, false, 6794, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 43,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 47,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -6649,67 +6758,65 @@
 
 // ===================================================================
 
-class HoldBackRanges::_Internal {
+class ControlMember::_Internal {
  public:
 };
 
-HoldBackRanges::HoldBackRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ControlMember::ControlMember(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HoldBackRanges)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ControlMember)
 }
-HoldBackRanges::HoldBackRanges(const HoldBackRanges& from)
+ControlMember::ControlMember(const ControlMember& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  HoldBackRanges* const _this = this; (void)_this;
+  ControlMember* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.ranges_){from._impl_.ranges_}
-    , decltype(_impl_.service_){}
-    , decltype(_impl_.holder_){}
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.service_.InitDefault();
+  _impl_.address_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.address_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_service().empty()) {
-    _this->_impl_.service_.Set(from._internal_service(), 
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
       _this->GetArenaForAllocation());
   }
-  _impl_.holder_.InitDefault();
+  _impl_.data_centre_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_holder().empty()) {
-    _this->_impl_.holder_.Set(from._internal_holder(), 
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
       _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HoldBackRanges)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ControlMember)
 }
 
-inline void HoldBackRanges::SharedCtor(
+inline void ControlMember::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.ranges_){arena}
-    , decltype(_impl_.service_){}
-    , decltype(_impl_.holder_){}
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.service_.InitDefault();
+  _impl_.address_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
+    _impl_.address_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.holder_.InitDefault();
+  _impl_.data_centre_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-HoldBackRanges::~HoldBackRanges() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.HoldBackRanges)
+ControlMember::~ControlMember() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ControlMember)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6717,65 +6824,50 @@
   SharedDtor();
 }
 
-inline void HoldBackRanges::SharedDtor() {
+inline void ControlMember::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.ranges_.~RepeatedPtrField();
-  _impl_.service_.Destroy();
-  _impl_.holder_.Destroy();
+  _impl_.address_.Destroy();
+  _impl_.data_centre_.Destroy();
 }
 
-void HoldBackRanges::SetCachedSize(int size) const {
+void ControlMember::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void HoldBackRanges::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HoldBackRanges)
+void ControlMember::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ControlMember)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.ranges_.Clear();
-  _impl_.service_.ClearToEmpty();
-  _impl_.holder_.ClearToEmpty();
+  _impl_.address_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* HoldBackRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ControlMember::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // string address = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_service();
+          auto str = _internal_mutable_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.service"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ControlMember.address"));
         } else
           goto handle_unusual;
         continue;
-      // string holder = 2;
+      // string data_centre = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_holder();
+          auto str = _internal_mutable_data_centre();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.holder"));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.KeyRange ranges = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ControlMember.data_centre"));
         } else
           goto handle_unusual;
         continue;
@@ -6802,133 +6894,116 @@
 #undef CHK_
 }
 
-uint8_t* HoldBackRanges::_InternalSerialize(
+uint8_t* ControlMember::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HoldBackRanges)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ControlMember)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HoldBackRanges.service");
+      "rattandyke.wire.ControlMember.address");
     target = stream->WriteStringMaybeAliased(
-        1, this->_internal_service(), target);
+        1, this->_internal_address(), target);
   }
 
-  // string holder = 2;
-  if (!this->_internal_holder().empty()) {
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HoldBackRanges.holder");
+      "rattandyke.wire.ControlMember.data_centre");
     target = stream->WriteStringMaybeAliased(
-        2, this->_internal_holder(), target);
-  }
-
-  // repeated .rattandyke.wire.KeyRange ranges = 3;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
-    const auto& repfield = this->_internal_ranges(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+        2, this->_internal_data_centre(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HoldBackRanges)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ControlMember)
   return target;
 }
 
-size_t HoldBackRanges::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HoldBackRanges)
+size_t ControlMember::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ControlMember)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.KeyRange ranges = 3;
-  total_size += 1UL * this->_internal_ranges_size();
-  for (const auto& msg : this->_impl_.ranges_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // string service = 1;
-  if (!this->_internal_service().empty()) {
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_service());
+        this->_internal_address());
   }
 
-  // string holder = 2;
-  if (!this->_internal_holder().empty()) {
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_holder());
+        this->_internal_data_centre());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HoldBackRanges::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ControlMember::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    HoldBackRanges::MergeImpl
+    ControlMember::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HoldBackRanges::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ControlMember::GetClassData() const { return &_class_data_; }
 
 
-void HoldBackRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<HoldBackRanges*>(&to_msg);
-  auto& from = static_cast<const HoldBackRanges&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HoldBackRanges)
+void ControlMember::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ControlMember*>(&to_msg);
+  auto& from = static_cast<const ControlMember&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ControlMember)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
-  if (!from._internal_service().empty()) {
-    _this->_internal_set_service(from._internal_service());
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
   }
-  if (!from._internal_holder().empty()) {
-    _this->_internal_set_holder(from._internal_holder());
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void HoldBackRanges::CopyFrom(const HoldBackRanges& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HoldBackRanges)
+void ControlMember::CopyFrom(const ControlMember& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ControlMember)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool HoldBackRanges::IsInitialized() const {
+bool ControlMember::IsInitialized() const {
   return true;
 }
 
-void HoldBackRanges::InternalSwap(HoldBackRanges* other) {
+void ControlMember::InternalSwap(ControlMember* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.service_, lhs_arena,
-      &other->_impl_.service_, rhs_arena
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.holder_, lhs_arena,
-      &other->_impl_.holder_, rhs_arena
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
   );
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ControlMember::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[17]);
@@ -6936,54 +7011,47 @@
 
 // ===================================================================
 
-class EvacuateDataCentre::_Internal {
+class PutControl::_Internal {
  public:
+  static const ::rattandyke::wire::ControlMember& control(const PutControl* msg);
 };
 
-EvacuateDataCentre::EvacuateDataCentre(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+const ::rattandyke::wire::ControlMember&
+PutControl::_Internal::control(const PutControl* msg) {
+  return *msg->_impl_.control_;
+}
+PutControl::PutControl(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EvacuateDataCentre)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.PutControl)
 }
-EvacuateDataCentre::EvacuateDataCentre(const EvacuateDataCentre& from)
+PutControl::PutControl(const PutControl& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  EvacuateDataCentre* const _this = this; (void)_this;
+  PutControl* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.data_centre_){}
-    , decltype(_impl_.ends_){}
+      decltype(_impl_.control_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_data_centre().empty()) {
-    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
-      _this->GetArenaForAllocation());
+  if (from._internal_has_control()) {
+    _this->_impl_.control_ = new ::rattandyke::wire::ControlMember(*from._impl_.control_);
   }
-  _this->_impl_.ends_ = from._impl_.ends_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EvacuateDataCentre)
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PutControl)
 }
 
-inline void EvacuateDataCentre::SharedCtor(
+inline void PutControl::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.data_centre_){}
-    , decltype(_impl_.ends_){false}
+      decltype(_impl_.control_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-EvacuateDataCentre::~EvacuateDataCentre() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.EvacuateDataCentre)
+PutControl::~PutControl() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.PutControl)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -6991,48 +7059,738 @@
   SharedDtor();
 }
 
-inline void EvacuateDataCentre::SharedDtor() {
+inline void PutControl::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.data_centre_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.control_;
 }
 
-void EvacuateDataCentre::SetCachedSize(int size) const {
+void PutControl::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void EvacuateDataCentre::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EvacuateDataCentre)
+void PutControl::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.PutControl)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.data_centre_.ClearToEmpty();
-  _impl_.ends_ = false;
+  if (GetArenaForAllocation() == nullptr && _impl_.control_ != nullptr) {
+    delete _impl_.control_;
+  }
+  _impl_.control_ = nullptr;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* EvacuateDataCentre::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* PutControl::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string data_centre = 1;
+      // .rattandyke.wire.ControlMember control = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_data_centre();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          ptr = ctx->ParseMessage(_internal_mutable_control(), ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EvacuateDataCentre.data_centre"));
         } else
           goto handle_unusual;
         continue;
-      // bool ends = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.ends_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* PutControl::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.PutControl)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.ControlMember control = 1;
+  if (this->_internal_has_control()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::control(this),
+        _Internal::control(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.PutControl)
+  return target;
+}
+
+size_t PutControl::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.PutControl)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.ControlMember control = 1;
+  if (this->_internal_has_control()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.control_);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData PutControl::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    PutControl::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*PutControl::GetClassData() const { return &_class_data_; }
+
+
+void PutControl::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<PutControl*>(&to_msg);
+  auto& from = static_cast<const PutControl&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.PutControl)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_has_control()) {
+    _this->_internal_mutable_control()->::rattandyke::wire::ControlMember::MergeFrom(
+        from._internal_control());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void PutControl::CopyFrom(const PutControl& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.PutControl)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool PutControl::IsInitialized() const {
+  return true;
+}
+
+void PutControl::InternalSwap(PutControl* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.control_, other->_impl_.control_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata PutControl::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[18]);
+}
+
+// ===================================================================
+
+class DropControl::_Internal {
+ public:
+};
+
+DropControl::DropControl(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.DropControl)
+}
+DropControl::DropControl(const DropControl& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  DropControl* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.address_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DropControl)
+}
+
+inline void DropControl::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.address_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+DropControl::~DropControl() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.DropControl)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void DropControl::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.address_.Destroy();
+}
+
+void DropControl::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void DropControl::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.DropControl)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.address_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* DropControl::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string address = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DropControl.address"));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* DropControl::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.DropControl)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.DropControl.address");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_address(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.DropControl)
+  return target;
+}
+
+size_t DropControl::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.DropControl)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData DropControl::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    DropControl::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*DropControl::GetClassData() const { return &_class_data_; }
+
+
+void DropControl::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<DropControl*>(&to_msg);
+  auto& from = static_cast<const DropControl&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.DropControl)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void DropControl::CopyFrom(const DropControl& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.DropControl)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool DropControl::IsInitialized() const {
+  return true;
+}
+
+void DropControl::InternalSwap(DropControl* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata DropControl::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[19]);
+}
+
+// ===================================================================
+
+class HoldBackRanges::_Internal {
+ public:
+};
+
+HoldBackRanges::HoldBackRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HoldBackRanges)
+}
+HoldBackRanges::HoldBackRanges(const HoldBackRanges& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  HoldBackRanges* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){from._impl_.ranges_}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.holder_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_holder().empty()) {
+    _this->_impl_.holder_.Set(from._internal_holder(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HoldBackRanges)
+}
+
+inline void HoldBackRanges::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){arena}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.holder_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+HoldBackRanges::~HoldBackRanges() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HoldBackRanges)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void HoldBackRanges::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.ranges_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
+  _impl_.holder_.Destroy();
+}
+
+void HoldBackRanges::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void HoldBackRanges::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HoldBackRanges)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.ranges_.Clear();
+  _impl_.service_.ClearToEmpty();
+  _impl_.holder_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* HoldBackRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string service = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string holder = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_holder();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HoldBackRanges.holder"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.KeyRange ranges = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* HoldBackRanges::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HoldBackRanges)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HoldBackRanges.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
+  }
+
+  // string holder = 2;
+  if (!this->_internal_holder().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.HoldBackRanges.holder");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_holder(), target);
+  }
+
+  // repeated .rattandyke.wire.KeyRange ranges = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ranges(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HoldBackRanges)
+  return target;
+}
+
+size_t HoldBackRanges::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HoldBackRanges)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.KeyRange ranges = 3;
+  total_size += 1UL * this->_internal_ranges_size();
+  for (const auto& msg : this->_impl_.ranges_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string holder = 2;
+  if (!this->_internal_holder().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_holder());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HoldBackRanges::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    HoldBackRanges::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HoldBackRanges::GetClassData() const { return &_class_data_; }
+
+
+void HoldBackRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HoldBackRanges*>(&to_msg);
+  auto& from = static_cast<const HoldBackRanges&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HoldBackRanges)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_holder().empty()) {
+    _this->_internal_set_holder(from._internal_holder());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void HoldBackRanges::CopyFrom(const HoldBackRanges& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HoldBackRanges)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool HoldBackRanges::IsInitialized() const {
+  return true;
+}
+
+void HoldBackRanges::InternalSwap(HoldBackRanges* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.holder_, lhs_arena,
+      &other->_impl_.holder_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[20]);
+}
+
+// ===================================================================
+
+class EvacuateDataCentre::_Internal {
+ public:
+};
+
+EvacuateDataCentre::EvacuateDataCentre(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+EvacuateDataCentre::EvacuateDataCentre(const EvacuateDataCentre& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  EvacuateDataCentre* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.ends_ = from._impl_.ends_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+
+inline void EvacuateDataCentre::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+EvacuateDataCentre::~EvacuateDataCentre() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.EvacuateDataCentre)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void EvacuateDataCentre::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.data_centre_.Destroy();
+}
+
+void EvacuateDataCentre::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void EvacuateDataCentre::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EvacuateDataCentre)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.data_centre_.ClearToEmpty();
+  _impl_.ends_ = false;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* EvacuateDataCentre::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string data_centre = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EvacuateDataCentre.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool ends = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.ends_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
           goto handle_unusual;
         continue;
       default:
@@ -7161,7 +7919,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata EvacuateDataCentre::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[18]);
+      file_level_metadata_gateway_2eproto[21]);
 }
 
 // ===================================================================
@@ -7178,6 +7936,8 @@
   static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
   static const ::rattandyke::wire::EvacuateDataCentre& evacuate_data_centre(const GatewayCommand* msg);
   static const ::rattandyke::wire::WithdrawInstance& withdraw_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutControl& put_control(const GatewayCommand* msg);
+  static const ::rattandyke::wire::DropControl& drop_control(const GatewayCommand* msg);
 };
 
 const ::rattandyke::wire::ChangeItems&
@@ -7220,6 +7980,14 @@
 GatewayCommand::_Internal::withdraw_instance(const GatewayCommand* msg) {
   return *msg->_impl_.body_.withdraw_instance_;
 }
+const ::rattandyke::wire::PutControl&
+GatewayCommand::_Internal::put_control(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_control_;
+}
+const ::rattandyke::wire::DropControl&
+GatewayCommand::_Internal::drop_control(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.drop_control_;
+}
 void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -7370,6 +8138,36 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.withdraw_instance)
 }
+void GatewayCommand::set_allocated_put_control(::rattandyke::wire::PutControl* put_control) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_control) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_control);
+    if (message_arena != submessage_arena) {
+      put_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_control, submessage_arena);
+    }
+    set_has_put_control();
+    _impl_.body_.put_control_ = put_control;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_control)
+}
+void GatewayCommand::set_allocated_drop_control(::rattandyke::wire::DropControl* drop_control) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (drop_control) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_control);
+    if (message_arena != submessage_arena) {
+      drop_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, drop_control, submessage_arena);
+    }
+    set_has_drop_control();
+    _impl_.body_.drop_control_ = drop_control;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_control)
+}
 GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -7437,6 +8235,16 @@
           from._internal_withdraw_instance());
       break;
     }
+    case kPutControl: {
+      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
+          from._internal_put_control());
+      break;
+    }
+    case kDropControl: {
+      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
+          from._internal_drop_control());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7539,6 +8347,18 @@
       }
       break;
     }
+    case kPutControl: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_control_;
+      }
+      break;
+    }
+    case kDropControl: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.drop_control_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7643,6 +8463,22 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.PutControl put_control = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_control(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.DropControl drop_control = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr = ctx->ParseMessage(_internal_mutable_drop_control(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -7742,6 +8578,20 @@
         _Internal::withdraw_instance(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.PutControl put_control = 11;
+  if (_internal_has_put_control()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(11, _Internal::put_control(this),
+        _Internal::put_control(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.DropControl drop_control = 12;
+  if (_internal_has_drop_control()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(12, _Internal::drop_control(this),
+        _Internal::drop_control(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -7826,7 +8676,21 @@
     case kWithdrawInstance: {
       total_size += 1 +
         ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.withdraw_instance_);
+          *_impl_.body_.withdraw_instance_);
+      break;
+    }
+    // .rattandyke.wire.PutControl put_control = 11;
+    case kPutControl: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_control_);
+      break;
+    }
+    // .rattandyke.wire.DropControl drop_control = 12;
+    case kDropControl: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.drop_control_);
       break;
     }
     case BODY_NOT_SET: {
@@ -7902,6 +8766,16 @@
           from._internal_withdraw_instance());
       break;
     }
+    case kPutControl: {
+      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
+          from._internal_put_control());
+      break;
+    }
+    case kDropControl: {
+      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
+          from._internal_drop_control());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -7930,7 +8804,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[19]);
+      file_level_metadata_gateway_2eproto[22]);
 }
 
 // ===================================================================
@@ -8315,7 +9189,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
@@ -8552,7 +9426,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -8585,6 +9459,7 @@
     , decltype(_impl_.entries_){from._impl_.entries_}
     , decltype(_impl_.ended_){from._impl_.ended_}
     , decltype(_impl_.evacuated_){from._impl_.evacuated_}
+    , decltype(_impl_.controls_){from._impl_.controls_}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -8611,6 +9486,7 @@
     , decltype(_impl_.entries_){arena}
     , decltype(_impl_.ended_){arena}
     , decltype(_impl_.evacuated_){arena}
+    , decltype(_impl_.controls_){arena}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -8637,6 +9513,7 @@
   _impl_.entries_.~RepeatedPtrField();
   _impl_.ended_.~RepeatedPtrField();
   _impl_.evacuated_.~RepeatedPtrField();
+  _impl_.controls_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
 }
 
@@ -8659,6 +9536,7 @@
   _impl_.entries_.Clear();
   _impl_.ended_.Clear();
   _impl_.evacuated_.Clear();
+  _impl_.controls_.Clear();
   if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
     delete _impl_.limits_;
   }
@@ -8808,6 +9686,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.ControlMember controls = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_controls(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -8924,6 +9815,14 @@
     target = stream->WriteString(12, s, target);
   }
 
+  // repeated .rattandyke.wire.ControlMember controls = 13;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_controls_size()); i < n; i++) {
+    const auto& repfield = this->_internal_controls(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -9004,6 +9903,13 @@
       _impl_.evacuated_.Get(i));
   }
 
+  // repeated .rattandyke.wire.ControlMember controls = 13;
+  total_size += 1UL * this->_internal_controls_size();
+  for (const auto& msg : this->_impl_.controls_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // .rattandyke.wire.LimitsItem limits = 4;
   if (this->_internal_has_limits()) {
     total_size += 1 +
@@ -9043,6 +9949,7 @@
   _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
   _this->_impl_.ended_.MergeFrom(from._impl_.ended_);
   _this->_impl_.evacuated_.MergeFrom(from._impl_.evacuated_);
+  _this->_impl_.controls_.MergeFrom(from._impl_.controls_);
   if (from._internal_has_limits()) {
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
@@ -9076,6 +9983,7 @@
   _impl_.entries_.InternalSwap(&other->_impl_.entries_);
   _impl_.ended_.InternalSwap(&other->_impl_.ended_);
   _impl_.evacuated_.InternalSwap(&other->_impl_.evacuated_);
+  _impl_.controls_.InternalSwap(&other->_impl_.controls_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
       + sizeof(GatewayState::_impl_.applied_)
@@ -9087,7 +9995,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -9339,7 +10247,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9532,7 +10440,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -9756,7 +10664,192 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[28]);
+}
+
+// ===================================================================
+
+class FeedCommands::_Internal {
+ public:
+};
+
+FeedCommands::FeedCommands(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedCommands)
+}
+FeedCommands::FeedCommands(const FeedCommands& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  FeedCommands* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.commands_){from._impl_.commands_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedCommands)
+}
+
+inline void FeedCommands::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.commands_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+FeedCommands::~FeedCommands() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedCommands)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void FeedCommands::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.commands_.~RepeatedPtrField();
+}
+
+void FeedCommands::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void FeedCommands::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedCommands)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.commands_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* FeedCommands::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.FeedCommand commands = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_commands(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* FeedCommands::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedCommands)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FeedCommand commands = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_commands_size()); i < n; i++) {
+    const auto& repfield = this->_internal_commands(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedCommands)
+  return target;
+}
+
+size_t FeedCommands::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedCommands)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FeedCommand commands = 1;
+  total_size += 1UL * this->_internal_commands_size();
+  for (const auto& msg : this->_impl_.commands_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedCommands::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    FeedCommands::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedCommands::GetClassData() const { return &_class_data_; }
+
+
+void FeedCommands::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedCommands*>(&to_msg);
+  auto& from = static_cast<const FeedCommands&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedCommands)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.commands_.MergeFrom(from._impl_.commands_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FeedCommands::CopyFrom(const FeedCommands& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedCommands)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FeedCommands::IsInitialized() const {
+  return true;
+}
+
+void FeedCommands::InternalSwap(FeedCommands* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.commands_.InternalSwap(&other->_impl_.commands_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FeedCommands::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10006,7 +11099,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -10293,7 +11386,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -10535,7 +11628,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -10815,7 +11908,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -11228,7 +12321,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // ===================================================================
@@ -11491,7 +12584,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // ===================================================================
@@ -11778,7 +12871,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // ===================================================================
@@ -12405,7 +13498,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[37]);
 }
 
 // ===================================================================
@@ -12642,7 +13735,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[38]);
 }
 
 // ===================================================================
@@ -12987,7 +14080,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[39]);
 }
 
 // ===================================================================
@@ -13172,15 +14265,20 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[36]);
+      file_level_metadata_gateway_2eproto[40]);
 }
 
 // ===================================================================
 
 class HostReport::_Internal {
  public:
+  static const ::rattandyke::wire::ControlMember& sender(const HostReport* msg);
 };
 
+const ::rattandyke::wire::ControlMember&
+HostReport::_Internal::sender(const HostReport* msg) {
+  return *msg->_impl_.sender_;
+}
 HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -13194,9 +14292,13 @@
       decltype(_impl_.loads_){from._impl_.loads_}
     , decltype(_impl_.times_){from._impl_.times_}
     , decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.sender_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_sender()) {
+    _this->_impl_.sender_ = new ::rattandyke::wire::ControlMember(*from._impl_.sender_);
+  }
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
 }
 
@@ -13208,6 +14310,7 @@
       decltype(_impl_.loads_){arena}
     , decltype(_impl_.times_){arena}
     , decltype(_impl_.entries_){arena}
+    , decltype(_impl_.sender_){nullptr}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -13226,6 +14329,7 @@
   _impl_.loads_.~RepeatedPtrField();
   _impl_.times_.~RepeatedPtrField();
   _impl_.entries_.~RepeatedPtrField();
+  if (this != internal_default_instance()) delete _impl_.sender_;
 }
 
 void HostReport::SetCachedSize(int size) const {
@@ -13241,6 +14345,10 @@
   _impl_.loads_.Clear();
   _impl_.times_.Clear();
   _impl_.entries_.Clear();
+  if (GetArenaForAllocation() == nullptr && _impl_.sender_ != nullptr) {
+    delete _impl_.sender_;
+  }
+  _impl_.sender_ = nullptr;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -13289,6 +14397,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.ControlMember sender = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr = ctx->ParseMessage(_internal_mutable_sender(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -13342,6 +14458,13 @@
         InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.ControlMember sender = 4;
+  if (this->_internal_has_sender()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(4, _Internal::sender(this),
+        _Internal::sender(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -13379,6 +14502,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // .rattandyke.wire.ControlMember sender = 4;
+  if (this->_internal_has_sender()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.sender_);
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -13400,6 +14530,10 @@
   _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
   _this->_impl_.times_.MergeFrom(from._impl_.times_);
   _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  if (from._internal_has_sender()) {
+    _this->_internal_mutable_sender()->::rattandyke::wire::ControlMember::MergeFrom(
+        from._internal_sender());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -13420,12 +14554,13 @@
   _impl_.loads_.InternalSwap(&other->_impl_.loads_);
   _impl_.times_.InternalSwap(&other->_impl_.times_);
   _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  swap(_impl_.sender_, other->_impl_.sender_);
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[37]);
+      file_level_metadata_gateway_2eproto[41]);
 }
 
 // ===================================================================
@@ -13997,7 +15132,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[38]);
+      file_level_metadata_gateway_2eproto[42]);
 }
 
 // ===================================================================
@@ -14311,7 +15446,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[39]);
+      file_level_metadata_gateway_2eproto[43]);
 }
 
 // ===================================================================
@@ -14622,7 +15757,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[40]);
+      file_level_metadata_gateway_2eproto[44]);
 }
 
 // ===================================================================
@@ -14847,7 +15982,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[41]);
+      file_level_metadata_gateway_2eproto[45]);
 }
 
 // ===================================================================
@@ -14868,6 +16003,7 @@
   static const ::rattandyke::wire::PackedFrame& packed(const GatewayFrame* msg);
   static const ::rattandyke::wire::ForwardedHeartbeats& forwarded_heartbeats(const GatewayFrame* msg);
   static const ::rattandyke::wire::ForwardedHeartbeatAnswers& forwarded_heartbeat_answers(const GatewayFrame* msg);
+  static const ::rattandyke::wire::FeedCommands& feed_commands(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -14926,6 +16062,10 @@
 GatewayFrame::_Internal::forwarded_heartbeat_answers(const GatewayFrame* msg) {
   return *msg->_impl_.body_.forwarded_heartbeat_answers_;
 }
+const ::rattandyke::wire::FeedCommands&
+GatewayFrame::_Internal::feed_commands(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.feed_commands_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -15136,6 +16276,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.forwarded_heartbeat_answers)
 }
+void GatewayFrame::set_allocated_feed_commands(::rattandyke::wire::FeedCommands* feed_commands) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (feed_commands) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(feed_commands);
+    if (message_arena != submessage_arena) {
+      feed_commands = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, feed_commands, submessage_arena);
+    }
+    set_has_feed_commands();
+    _impl_.body_.feed_commands_ = feed_commands;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.feed_commands)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -15227,6 +16382,11 @@
           from._internal_forwarded_heartbeat_answers());
       break;
     }
+    case kFeedCommands: {
+      _this->_internal_mutable_feed_commands()->::rattandyke::wire::FeedCommands::MergeFrom(
+          from._internal_feed_commands());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -15357,6 +16517,12 @@
       }
       break;
     }
+    case kFeedCommands: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.feed_commands_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -15502,6 +16668,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.FeedCommands feed_commands = 16;
+      case 16:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 130)) {
+          ptr = ctx->ParseMessage(_internal_mutable_feed_commands(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -15635,6 +16809,13 @@
         _Internal::forwarded_heartbeat_answers(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.FeedCommands feed_commands = 16;
+  if (_internal_has_feed_commands()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(16, _Internal::feed_commands(this),
+        _Internal::feed_commands(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -15757,6 +16938,13 @@
           *_impl_.body_.forwarded_heartbeat_answers_);
       break;
     }
+    // .rattandyke.wire.FeedCommands feed_commands = 16;
+    case kFeedCommands: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.feed_commands_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -15854,6 +17042,11 @@
           from._internal_forwarded_heartbeat_answers());
       break;
     }
+    case kFeedCommands: {
+      _this->_internal_mutable_feed_commands()->::rattandyke::wire::FeedCommands::MergeFrom(
+          from._internal_feed_commands());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -15882,7 +17075,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[42]);
+      file_level_metadata_gateway_2eproto[46]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -15957,6 +17150,18 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::DropEntry >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::DropEntry >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ControlMember*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ControlMember >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ControlMember >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::PutControl*
+Arena::CreateMaybeMessage< ::rattandyke::wire::PutControl >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::PutControl >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::DropControl*
+Arena::CreateMaybeMessage< ::rattandyke::wire::DropControl >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::DropControl >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::HoldBackRanges*
 Arena::CreateMaybeMessage< ::rattandyke::wire::HoldBackRanges >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HoldBackRanges >(arena);
@@ -15993,6 +17198,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::FeedCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::FeedCommand >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::FeedCommands*
+Arena::CreateMaybeMessage< ::rattandyke::wire::FeedCommands >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::FeedCommands >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::FeedPing*
 Arena::CreateMaybeMessage< ::rattandyke::wire::FeedPing >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::FeedPing >(arena);
