--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -365,8 +365,11 @@
     ApplyEntry(mLog.At(mApplied));
   }
   const uint64_t snapshotIndex = mSnapshot ? mSnapshot->meta.index() : 0;
-  if (!mSnapshotAsked &&
-      mApplied - snapshotIndex >= mOptions.entriesPerSnapshot) {
+  const uint64_t snapshotBytes = mSnapshot ? mSnapshot->data->size() : 0;
+  const uint64_t wanted =
+    std::max(mOptions.entriesPerSnapshot,
+             snapshotBytes / mOptions.snapshotBytesPerEntry);
+  if (!mSnapshotAsked && mApplied - snapshotIndex >= wanted) {
     mSnapshotAsked = true;
     mEffects.push_back(TakeSnapshot{ AppliedIndex() });
   }
--- a/src/librattandyke/consensus/replica_restart_test.cpp
+++ b/src/librattandyke/consensus/replica_restart_test.cpp
@@ -140,5 +140,72 @@
   EXPECT_TRUE(replica.FollowsUpToDate());
 }
 
+/// @return the index at which a follower with a snapshot of so many bytes takes
+/// the next one.
+uint64_t
+NextSnapshotAfter(size_t aBytes)
+{
+  const Instant start{ std::chrono::hours(1) };
+  Restored restored;
+  restored.hardState.set_term(2);
+  restored.previousIndex = 1;
+  restored.previousTerm = 1;
+  Snapshot& snapshot = restored.snapshot.emplace();
+  snapshot.meta.set_index(1);
+  snapshot.meta.set_term(1);
+  for (const uint64_t identity : { 2, 3 }) {
+    wire::GroupMember* member =
+      snapshot.meta.mutable_configuration()->add_members();
+    member->set_identity(identity);
+    member->set_voter(true);
+  }
+  snapshot.data = std::make_shared<const std::string>(aBytes, 's');
+  ReplicaOptions options;
+  options.entriesPerSnapshot = 100;
+  Replica replica(
+    HostIdentity{ 2 }, HostName{ "b" }, options, std::move(restored), 1, start);
+  for (uint64_t index = 2; index < 20000; ++index) {
+    wire::ConsensusMessage message;
+    message.set_from(3);
+    message.set_from_name("c");
+    message.set_to(2);
+    message.set_term(2);
+    wire::AppendRequest* request = message.mutable_append_request();
+    request->set_previous_index(index - 1);
+    request->set_previous_term(index == 2 ? 1 : 2);
+    request->set_commit_index(index);
+    wire::LogEntry* entry = request->add_entries();
+    entry->set_index(index);
+    entry->set_term(2);
+    entry->set_kind(wire::ENTRY_KIND_COMMAND);
+    uint64_t synced = 0;
+    for (const Effect& effect :
+         replica.Step(MessageReceived{ message }, start)) {
+      if (const auto* persist = std::get_if<Persist>(&effect)) {
+        synced = persist->ticket.value;
+      }
+      if (std::holds_alternative<TakeSnapshot>(effect)) {
+        return index;
+      }
+    }
+    for (const Effect& effect :
+         replica.Step(Synced{ Ticket{ synced } }, start)) {
+      if (std::holds_alternative<TakeSnapshot>(effect)) {
+        return index;
+      }
+    }
+  }
+  return 0;
+}
+
+// Guards against a host that encodes a state of thousands of records again for
+// every few of them that change.
+TEST(ReplicaRestart, SnapshotsOfALargeStateAreTakenSeldom)
+{
+  EXPECT_EQ(NextSnapshotAfter(1000), 101U);
+  EXPECT_EQ(NextSnapshotAfter(size_t{ 256 } * 1000), 1001U);
+  EXPECT_EQ(NextSnapshotAfter(size_t{ 256 } * 10000), 10001U);
+}
+
 } // namespace
 } // namespace rattandyke::consensus
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -60,6 +60,10 @@
   size_t snapshotChunkBytes = size_t{ 256 } * 1024;
   /// Applied entries since the last snapshot at which the next one is taken.
   uint64_t entriesPerSnapshot = 8192;
+  /// A snapshot is taken no sooner than after an entry for each so many bytes
+  /// of the one before: what snapshots cost an entry does not grow with the
+  /// state.
+  uint64_t snapshotBytesPerEntry = 256;
   /// Entries kept in front of a snapshot for followers that are a bit behind.
   uint64_t entriesKeptBehind = 1024;
   /// Entries not yet committed above which proposals are refused.
