Entries: no pass over all upstreams for each entry that comes or goes

Cause: each change of the list of entries looked at all upstreams for cold ones, and each upstream was searched for among all of its group when the number of groups changed: 985 times 9,999, and the square of a service.

Change: instances that were told to be cold are kept apart; groups are made anew from nothing.

Measured: UpstreamSet.ColdOnesAreFoundWithoutAPassOverAll. Not yet played on the fleet.

--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -414,6 +414,7 @@
   for (const std::string& service : freed) {
     Serve(service, aNow);
   }
+  mUpstreams.ForgetWarm(aNow);
   ServeCold(aNow);
   return TakeAnswers();
 }
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -185,8 +185,12 @@
       items.push_back(&item);
     }
   }
+  // Taken out one by one, each would be searched for among all of its group.
+  service.members.clear();
+  service.usable = 0;
+  service.instances = 0;
   for (Item* item : items) {
-    Exclude(*item);
+    item->second.included = false;
   }
   service.groups = groups;
   for (Item* item : items) {
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -91,6 +91,13 @@
   /// @return instances that are cold.
   std::vector<std::string> ColdInstances(Instant aNow) const;
 
+  /// Leaves out of ColdInstances what is not cold any more: call it now and
+  /// then.
+  void ForgetWarm(Instant aNow);
+
+  /// @return how many instances ColdInstances looks at.
+  size_t ColdLately() const { return mColdLately.size(); }
+
   bool IsCold(const std::string& aInstance, Instant aNow) const;
 
   /// Any instance of a group of a service's instances.
@@ -309,6 +316,8 @@
   const Options mOptions;
   std::map<std::string, Upstream> mUpstreams;
   std::map<std::string, Service> mServices;
+  /// Instances that were told to be cold, since ForgetWarm.
+  std::set<std::string> mColdLately;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set_cold.cpp
+++ b/src/librattandyke/gateway/upstream_set_cold.cpp
@@ -2,6 +2,7 @@
 #include "gateway/upstream_set.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace rattandyke::gateway {
 
@@ -39,6 +40,9 @@
   }
   aUpstream.coldIndex = aInstance.cold_index();
   aUpstream.coldUntil = aNow + milliseconds{ aInstance.cold_ms() };
+  if (aInstance.cold_ms() > 0) {
+    mColdLately.insert(aInstance.id());
+  }
 }
 
 /// Safeguard: a cold upstream crashes at a rate that a warm one bears, and what
@@ -75,14 +79,20 @@
 UpstreamSet::ColdInstances(Instant aNow) const
 {
   std::vector<std::string> cold;
-  for (const auto& [id, upstream] : mUpstreams) {
-    if (aNow < upstream.coldUntil) {
-      cold.push_back(id);
-    }
-  }
+  std::copy_if(mColdLately.begin(),
+               mColdLately.end(),
+               std::back_inserter(cold),
+               [&](const std::string& aId) { return IsCold(aId, aNow); });
   return cold;
 }
 
+void
+UpstreamSet::ForgetWarm(Instant aNow)
+{
+  std::erase_if(mColdLately,
+                [&](const std::string& aId) { return !IsCold(aId, aNow); });
+}
+
 bool
 UpstreamSet::IsCold(const std::string& aInstance, Instant aNow) const
 {
--- a/src/librattandyke/gateway/upstream_set_test.cpp
+++ b/src/librattandyke/gateway/upstream_set_test.cpp
@@ -135,5 +135,29 @@
   EXPECT_TRUE(set.HasInstances("desk"));
 }
 
+// Guards against a pass over all upstreams for each entry host that comes or
+// goes: a fleet that starts has a thousand of one and ten thousand of the
+// other.
+TEST(UpstreamSet, ColdOnesAreFoundWithoutAPassOverAll)
+{
+  State state;
+  for (uint64_t at = 1; at <= 1000; ++at) {
+    wire::GatewayCommand command;
+    wire::UpstreamInstance* instance =
+      command.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-" + std::to_string(at));
+    instance->set_service("desk");
+    instance->set_cold_ms(at <= 3 ? 2000 : 0);
+    ASSERT_TRUE(state.Apply(command, LogIndex{ at }));
+  }
+  UpstreamSet upstreams(1, {});
+  const Instant now{ std::chrono::hours{ 1 } };
+  upstreams.Update(state, now);
+  EXPECT_EQ(upstreams.ColdLately(), 3U);
+  EXPECT_EQ(upstreams.ColdInstances(now).size(), 3U);
+  upstreams.ForgetWarm(now + std::chrono::seconds{ 3 });
+  EXPECT_EQ(upstreams.ColdLately(), 0U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
