Refuse long requests whose answers would leave too late

Cause: requests that are nearly as long as their answers were always taken on, as a refusal saves little.

Change: such requests are refused, too, once the queue would take half of the time in which their answers should leave. Callers come back at another host.

Measured: LinkBudget.LongRequestsAreRefusedOnceTheirAnswersWouldBeLate (without the bound the queue grows to 10 s in 20 s of 1.5 times the link).

--- a/src/librattandyke/gateway/link_budget.cpp
+++ b/src/librattandyke/gateway/link_budget.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "base/clock.h"
+
 namespace rattandyke::gateway {
 
 namespace {
@@ -17,6 +19,9 @@
 /// Times the request by which an answer must be longer for a refusal to save
 /// more than it costs.
 constexpr size_t kWorthRefusing = 3;
+/// Part of the time for an answer that the queue may take; the rest is for the
+/// upstream.
+constexpr double kMostOfItsTime = 0.5;
 /// Weight of the newest answer of a route, and what is taken for the first one.
 constexpr double kNewest = 0.05;
 constexpr double kDefaultSize = 2000;
@@ -47,6 +52,7 @@
 LinkBudget::Admit(uint32_t aPriority,
                   size_t aRequest,
                   size_t aAnswer,
+                  Duration aInTime,
                   Instant aNow)
 {
   if (mBytesPerSecond <= 0) {
@@ -56,8 +62,10 @@
     Duration(kLongestQueue) + Duration(kUrgentMore) / (aPriority + 1);
   const Duration queue = std::max(mFreeAt - aNow, Duration::zero());
   const bool saves = aAnswer > kWorthRefusing * aRequest;
-  if (queue > longest && saves) {
-    return std::max<Duration>(queue - longest, kLeastWait);
+  const Duration most =
+    saves ? longest : std::max(longest, Scaled(aInTime, kMostOfItsTime));
+  if (queue > most) {
+    return std::max<Duration>(queue - most, kLeastWait);
   }
   NoteReceived(aAnswer, aNow);
   return std::nullopt;
--- a/src/librattandyke/gateway/link_budget.h
+++ b/src/librattandyke/gateway/link_budget.h
@@ -18,8 +18,9 @@
 /// where nobody can choose among them. So a request whose answer would make the
 /// queue too long is refused at once, the less urgent ones sooner, with the
 /// time after which there is room; what is taken on is in time. Its caller
-/// sends it again, over the same link: where the answer is not much longer than
-/// the request, refusing it makes the queue longer. Does no I/O. Not
+/// sends it again, over the same link or another host's: where the answer is
+/// not much longer than the request, refusing it costs more than it saves, up
+/// to the queue in which its answer would be late. Does no I/O. Not
 /// thread-safe.
 class LinkBudget
 {
@@ -38,11 +39,13 @@
   /// @param aPriority 0 is the most urgent one.
   /// @param aRequest  bytes of the request.
   /// @param aAnswer   bytes that its answer is expected to have.
+  /// @param aInTime   time within which its answer should have left.
   /// @return nothing if there is room, which is then taken; else the time until
   /// there may be some.
   std::optional<Duration> Admit(uint32_t aPriority,
                                 size_t aRequest,
                                 size_t aAnswer,
+                                Duration aInTime,
                                 Instant aNow);
 
   /// Expected bytes will not come.
--- a/src/librattandyke/gateway/link_budget_test.cpp
+++ b/src/librattandyke/gateway/link_budget_test.cpp
@@ -12,13 +12,14 @@
 
 /// Of a small host's link.
 constexpr double kRate = 287'500;
+constexpr milliseconds kInTime{ 600 };
 
 TEST(LinkBudget, LinkWithoutABoundTakesAll)
 {
   LinkBudget budget(0);
   const Instant now{ std::chrono::hours{ 1 } };
   for (int request = 0; request < 1000; ++request) {
-    EXPECT_FALSE(budget.Admit(9, 300, 1'000'000, now));
+    EXPECT_FALSE(budget.Admit(9, 300, 1'000'000, kInTime, now));
   }
 }
 
@@ -26,10 +27,10 @@
 {
   LinkBudget budget(kRate);
   const Instant now{ std::chrono::hours{ 1 } };
-  while (!budget.Admit(2, 300, 5000, now)) {
+  while (!budget.Admit(2, 300, 5000, kInTime, now)) {
   }
-  EXPECT_TRUE(budget.Admit(3, 300, 5000, now));
-  EXPECT_FALSE(budget.Admit(0, 300, 5000, now));
+  EXPECT_TRUE(budget.Admit(3, 300, 5000, kInTime, now));
+  EXPECT_FALSE(budget.Admit(0, 300, 5000, kInTime, now));
 }
 
 // A refused caller that comes back after the time it was told finds room.
@@ -38,19 +39,19 @@
   LinkBudget budget(kRate);
   Instant now{ std::chrono::hours{ 1 } };
   std::optional<Duration> wait;
-  while (!(wait = budget.Admit(1, 300, 5000, now))) {
+  while (!(wait = budget.Admit(1, 300, 5000, kInTime, now))) {
   }
-  EXPECT_FALSE(budget.Admit(1, 300, 5000, now + *wait));
+  EXPECT_FALSE(budget.Admit(1, 300, 5000, kInTime, now + *wait));
 }
 
 TEST(LinkBudget, RoomOfWhatDoesNotComeIsFreeAgain)
 {
   LinkBudget budget(kRate);
   const Instant now{ std::chrono::hours{ 1 } };
-  while (!budget.Admit(1, 300, 5000, now)) {
+  while (!budget.Admit(1, 300, 5000, kInTime, now)) {
   }
   budget.GiveBack(5000);
-  EXPECT_FALSE(budget.Admit(1, 300, 5000, now));
+  EXPECT_FALSE(budget.Admit(1, 300, 5000, kInTime, now));
 }
 
 // A caller that is refused sends its request again. Where that is as long as
@@ -59,9 +60,9 @@
 {
   LinkBudget budget(kRate);
   const Instant now{ std::chrono::hours{ 1 } };
-  while (!budget.Admit(1, 300, 5000, now)) {
+  while (!budget.Admit(1, 300, 5000, kInTime, now)) {
   }
-  EXPECT_FALSE(budget.Admit(1, 4000, 5000, now));
+  EXPECT_FALSE(budget.Admit(1, 4000, 5000, kInTime, now));
 }
 
 TEST(AnswerSizes, FollowsTheAnswersOfARoute)
@@ -99,7 +100,7 @@
       now += std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(gap(random)));
       asked += 1;
-      if (budget.Admit(2, 300, static_cast<size_t>(kAnswer), now)) {
+      if (budget.Admit(2, 300, static_cast<size_t>(kAnswer), kInTime, now)) {
         continue;
       }
       const Instant sent = now + milliseconds{ 120 };
@@ -122,6 +123,35 @@
   EXPECT_GT(Burst::InTime(1.5, true), 0.9 * LinkBudget::kUsable / 1.5);
 }
 
+// Guards against an entry that takes on all requests with long bodies, because
+// a refusal saves little, until their answers leave after their routes' time.
+TEST(LinkBudget, LongRequestsAreRefusedOnceTheirAnswersWouldBeLate)
+{
+  constexpr size_t kRequest = 4000;
+  constexpr size_t kAnswer = 1500;
+  constexpr double kOffered = 1.5;
+  LinkBudget budget(kRate);
+  Instant now{ std::chrono::hours{ 1 } };
+  const Instant end = now + std::chrono::seconds{ 20 };
+  Instant linkFree = now;
+  Duration longest{};
+  double taken = 0;
+  while (now < end) {
+    now += std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>((kRequest + kAnswer) / (kOffered * kRate)));
+    const auto wait = budget.Admit(0, kRequest, kAnswer, kInTime, now);
+    budget.NoteReceived(kRequest, now);
+    linkFree =
+      std::max(linkFree, now) +
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        (kRequest + (wait ? 0 : kAnswer)) / kRate));
+    taken += wait ? 0 : 1;
+    longest = std::max(longest, wait ? Duration{} : linkFree - now);
+  }
+  EXPECT_LE(longest, Duration(kInTime));
+  EXPECT_GT(taken, 0);
+}
+
 // At four fifths of what requests may use hardly anything is refused.
 TEST(LinkBudget, UsualLoadIsTaken)
 {
--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -73,8 +73,11 @@
 RequestHandler::RunIfRoom(Flow& aFlow)
 {
   const size_t expected = mSizes.Of(aFlow.route->name);
-  const auto wait = mLink.Admit(
-    aFlow.route->priority, BytesOf(*aFlow.request), expected, mClock.Now());
+  const auto wait = mLink.Admit(aFlow.route->priority,
+                                BytesOf(*aFlow.request),
+                                expected,
+                                Duration(aFlow.route->objective),
+                                mClock.Now());
   if (wait) {
     mMetrics.Count("link_refusals", "");
     co_return NotRun(aFlow, *wait, "the link is full");
