Entries: an upstream that is never met takes half the memory

Cause: each upstream had a queue of the instants of its newest tries, which only cold ones need; the library's empty deque takes 576 bytes. 985 entries times 9,999 upstreams.

Change: a vector, which is empty for nearly all.

Measured: UpstreamSet.UpstreamThatIsNeverMetTakesLittleMemory: 1,124 bytes each before; it fails there.

--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -497,7 +497,7 @@
   if (service != mServices.end() && service->second.coldBound) {
     upstream.recent.push_back(aNow);
     while (upstream.recent.size() > *service->second.coldBound) {
-      upstream.recent.pop_front();
+      upstream.recent.erase(upstream.recent.begin());
     }
   }
   const bool told = HasToldLately(upstream, aNow);
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -1,7 +1,6 @@
 /// Which upstream a request is sent to.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -234,8 +233,8 @@
     /// While it is cold, it gets nothing before.
     Instant coldFrom{};
     /// When the newest tries began, oldest first: as many as a cold one may get
-    /// in a second.
-    std::deque<Instant> recent;
+    /// in a second. Nearly all instances have none, which takes no memory here.
+    std::vector<Instant> recent;
     std::optional<ToldLoad> told;
     Instant toldAt{};
     /// Tries of this host that have begun since, and when the newest did.
--- a/src/librattandyke/gateway/upstream_set_test.cpp
+++ b/src/librattandyke/gateway/upstream_set_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstream_set.h"
 
+#include <malloc.h>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -159,5 +161,35 @@
   EXPECT_EQ(upstreams.ColdLately(), 0U);
 }
 
+/// @return bytes of the heap that a set keeps for each of its instances.
+double
+BytesEach(uint64_t aInstances)
+{
+  State state;
+  for (uint64_t at = 1; at <= aInstances; ++at) {
+    wire::GatewayCommand command;
+    wire::UpstreamInstance* instance =
+      command.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-" + std::to_string(at));
+    instance->set_service("desk");
+    instance->set_address("10.128.127.126:65535");
+    static_cast<void>(state.Apply(command, LogIndex{ at }));
+  }
+  const size_t before = mallinfo2().uordblks;
+  UpstreamSet upstreams(1, {});
+  upstreams.Update(state, Instant{ std::chrono::hours{ 1 } });
+  const size_t after = mallinfo2().uordblks;
+  return static_cast<double>(after - before) / static_cast<double>(aInstances);
+}
+
+// Guards against memory that each entry host spends on each upstream, most of
+// which it never meets: buffers for what only cold ones need took 600 bytes.
+TEST(UpstreamSet, UpstreamThatIsNeverMetTakesLittleMemory)
+{
+  constexpr double kMostBytes = 600;
+  EXPECT_LE(BytesEach(1000), kMostBytes);
+  EXPECT_LE(BytesEach(10000), kMostBytes);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
