Holds of keys outlast a lost heartbeat also where heartbeats are far apart

Cause: holds lasted 4.5 s whatever the interval of heartbeats. At 870 ms that is five intervals, at the fleet's 3 s one and a half: an upstream whose heartbeat gets no answer within a second, as during a change of leader, loses its keys though it is well.

Change: without a setting, two and a half intervals if that is longer than 4.5 s, within what upstreams accept. A crashed upstream's keys are without an owner for up to 3 s longer on the fleet; deployments with intervals up to 1.8 s stay as they are.

Measured: GatewaySettings.HoldOutlastsALostHeartbeat.

--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -329,11 +329,12 @@
       Time(&Settings::longestHold) },
     { "leases",
       "hold",
-      "4500ms",
+      "0s",
       "a time in ms or s",
       "For how long an answered heartbeat renews an upstream's keys. Longer "
       "outlasts longer outages of the control hosts; shorter gives the keys of "
-      "a crashed upstream to another sooner.",
+      "a crashed upstream to another sooner. 0s: 4.5 s, or two and a half "
+      "heartbeat intervals if that is longer, but no longer than longest_hold.",
       Time(&Settings::hold) },
     { "requests",
       "retry_ratio",
@@ -414,6 +415,21 @@
 }
 
 /// What one key alone can't show.
+/// Safeguard: a hold that outlasts hardly more than one interval ends while a
+/// heartbeat that got no answer is sent again, and keys move though their
+/// holder is well.
+void
+FillHoldIn(Settings& aSettings)
+{
+  constexpr Millis kLeastHold{ 4500 };
+  if (aSettings.hold > Millis::zero()) {
+    return;
+  }
+  const Millis lasting = aSettings.heartbeatInterval * 5 / 2;
+  aSettings.hold =
+    std::min(std::max(kLeastHold, lasting), aSettings.longestHold);
+}
+
 void
 CheckWhole(const Settings& aSettings, std::string& aProblems)
 {
@@ -465,6 +481,7 @@
   for (Endpoint& seed : settings.seeds) {
     seed.port = settings.Self().port;
   }
+  FillHoldIn(settings);
   CheckWhole(settings, problems);
   if (!problems.empty()) {
     problems.pop_back();
--- a/src/librattandyke/gateway/settings_test.cpp
+++ b/src/librattandyke/gateway/settings_test.cpp
@@ -61,6 +61,22 @@
   }
 }
 
+// Guards against holds that one unanswered heartbeat outlasts where heartbeats
+// are far apart.
+TEST(GatewaySettings, HoldOutlastsALostHeartbeat)
+{
+  const auto holdWith = [](const std::string& aLeases) {
+    const auto settings =
+      ParseSettings(std::string(kEntry) + "[leases]\n" + aLeases, "file");
+    EXPECT_TRUE(settings);
+    return settings ? settings->hold : Millis{};
+  };
+  EXPECT_EQ(holdWith("heartbeat_interval = 870ms\n"), Millis{ 4500 });
+  EXPECT_EQ(holdWith("heartbeat_interval = 3s\n"), Millis{ 7500 });
+  EXPECT_EQ(holdWith("heartbeat_interval = 9s\n"), Millis{ 10000 });
+  EXPECT_EQ(holdWith("heartbeat_interval = 3s\nhold = 5s\n"), Millis{ 5000 });
+}
+
 TEST(GatewaySettings, RolesNeedTheirAddresses)
 {
   EXPECT_FALSE(ParseSettings("[control]\nseeds = 10.0.0.1:1\n", "file"));
