Logs: lines left out are told once a second

Cause: while the rate bound was reached, each line that passed came with a warning of its own, 200 a second at the fleet's start.

Change: the number is told with a line once a second at most.

Measured: Log.LinesLeftOutAreToldOnceASecond; the bound itself stays.

--- a/src/librattandyke/log/log_test.cpp
+++ b/src/librattandyke/log/log_test.cpp
@@ -77,5 +77,26 @@
   EXPECT_EQ(bound.Pass(start + std::chrono::seconds(1)), 0U);
 }
 
+// Guards against a warning beside each line that passes while the bound is
+// reached, which doubles what a fault writes.
+TEST(Log, LinesLeftOutAreToldOnceASecond)
+{
+  RateBound bound(100);
+  Instant now{ std::chrono::seconds(100) };
+  uint64_t told = 0;
+  uint64_t leftOut = 0;
+  int warnings = 0;
+  for (int i = 0; i < 5000; ++i) {
+    now += std::chrono::milliseconds(1);
+    const auto passed = bound.Pass(now);
+    leftOut += passed ? 0 : 1;
+    told += passed.value_or(0);
+    warnings += passed.value_or(0) > 0 ? 1 : 0;
+  }
+  EXPECT_LE(warnings, 6);
+  told += bound.Pass(now + std::chrono::seconds(1)).value_or(0);
+  EXPECT_EQ(told, leftOut);
+}
+
 } // namespace
 } // namespace rattandyke::log
--- a/src/librattandyke/log/rate_bound.h
+++ b/src/librattandyke/log/rate_bound.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
+#include <utility>
 
 #include <rattandyke/types.h>
 
@@ -10,8 +12,8 @@
 
 /// A token bucket of one second's lines. Safeguard: a fault that logs at each
 /// request would fill the disk and hide every other line; beyond the bound
-/// lines are only counted, and the count is told with the next line that
-/// passes. Not thread-safe.
+/// lines are only counted, and the count is told with a line that passes, once
+/// a second at most. Not thread-safe.
 class RateBound
 {
 public:
@@ -21,8 +23,8 @@
   {
   }
 
-  /// @return the number of lines left out before this one, or nothing if this
-  /// line is to be left out as well.
+  /// @return the number of lines left out that is to be told with this one, or
+  /// nothing if this line is to be left out as well.
   std::optional<uint64_t> Pass(Instant aNow)
   {
     Refill(aNow);
@@ -31,12 +33,16 @@
       return std::nullopt;
     }
     mTokens -= 1;
-    const uint64_t suppressed = mSuppressed;
-    mSuppressed = 0;
-    return suppressed;
+    if (mSuppressed == 0 || (mToldAt && aNow - *mToldAt < kToldEvery)) {
+      return 0;
+    }
+    mToldAt = aNow;
+    return std::exchange(mSuppressed, 0);
   }
 
 private:
+  static constexpr Duration kToldEvery = std::chrono::seconds{ 1 };
+
   void Refill(Instant aNow)
   {
     const std::chrono::duration<double> passed = aNow - mLast;
@@ -51,6 +57,7 @@
   double mTokens;
   Instant mLast{};
   uint64_t mSuppressed = 0;
+  std::optional<Instant> mToldAt;
 };
 
 } // namespace rattandyke::log
