Second tries: one entry of a thousand has a share of them, too

Cause: the slack for second tries was shared out among all entries, and an entry kept no more than its part: 1,040 x 0.75 / 985 is 0.79, below one try. No entry of the fleet ever tried again. The share was also fixed when an entry first needed it, by the entries that it knew then.

Change: an entry may keep one try, earned by its own requests; the share follows the number of entries.

--- a/src/librattandyke/entry/retry_budget.cpp
+++ b/src/librattandyke/entry/retry_budget.cpp
@@ -11,6 +11,14 @@
 {
 }
 
+void
+RetryBudget::SetBurst(double aBurst)
+{
+  const std::lock_guard lock(mMutex);
+  mSettings.burst = aBurst;
+  mTokens = std::min(mTokens, aBurst);
+}
+
 void
 RetryBudget::OnFirstSend()
 {
--- a/src/librattandyke/entry/retry_budget.h
+++ b/src/librattandyke/entry/retry_budget.h
@@ -28,6 +28,9 @@
 
   explicit RetryBudget(Settings aSettings);
 
+  /// Changes Settings::burst: the number of hosts that share it has changed.
+  void SetBurst(double aBurst);
+
   /// A request was sent for the first time.
   void OnFirstSend();
 
@@ -35,7 +38,7 @@
   bool TryTake();
 
 private:
-  const Settings mSettings;
+  Settings mSettings;
   mutable std::mutex mMutex;
   double mTokens;
   /// Of the tokens lent at the start.
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "gateway/load_map.h"
+#include "gateway/retry_share.h"
 #include "http/headers.h"
 #include "http/signal.h"
 #include "log/log.h"
@@ -48,9 +49,6 @@
 constexpr milliseconds kDefaultIdle{ 15000 };
 constexpr uint32_t kDefaultHeaderBytes = 16384;
 constexpr uint64_t kDefaultBodyBytes = uint64_t{ 64 } * 1024 * 1024;
-/// Each entry may spend this part of what all may: arrivals that upstreams
-/// refuse count, too, and so does what is under way when a window begins.
-constexpr double kBudgetPart = 0.75;
 
 log::Line
 Line(const std::string& aId)
@@ -221,13 +219,13 @@
 RequestHandler::BudgetOf(const std::string& aService)
 {
   auto& budget = mBudgets[aService];
+  const entry::RetryBudget::Settings share =
+    ShareOf({ mOptions.retryRatio, mOptions.retrySlack },
+            mFeed.Known().Entries().size());
   if (!budget) {
-    const double entries =
-      static_cast<double>(std::max<size_t>(mFeed.Known().Entries().size(), 1));
-    const double burst = mOptions.retrySlack * kBudgetPart / entries;
-    budget = std::make_unique<entry::RetryBudget>(entry::RetryBudget::Settings{
-      mOptions.retryRatio * kBudgetPart, burst, burst / 2 });
+    budget = std::make_unique<entry::RetryBudget>(share);
   }
+  budget->SetBurst(share.burst);
   return *budget;
 }
 
