Elections: a follower that was held up reads before it asks for votes

Followers have some thousand upstreams' calls and a hundred entries each; one whose thread is late finds its election timer run out before it has read the leader's heartbeats.

Change: a timer that is noticed 30 ms late waits once for 60 ms, in which the sockets are read. A leader that is gone is found that much later by such a host.

Measured: ReplicaHeldUp.*.

--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -134,7 +134,7 @@
 Replica::On(const Tick&)
 {
   if (mRole != Role::Leader) {
-    if (mNow >= mElectionDue) {
+    if (mNow >= mElectionDue && !CatchesUp()) {
       OnElectionTimeout();
     }
     return;
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -128,6 +128,9 @@
   void Dispatch(const wire::ConsensusMessage& aMessage);
 
   // Elections (replica_election.cpp).
+  /// @return whether the timer ran out because this host was held up: it waits
+  /// once more.
+  bool CatchesUp();
   void OnElectionTimeout();
   void AskAgainSoon();
   void StartPreVote();
@@ -230,6 +233,8 @@
   std::optional<Instant> mHeardLeaderAt;
   std::optional<Instant> mVotedAt;
   Instant mElectionDue{};
+  /// Since it heard a leader it has waited once because it was held up.
+  bool mCaughtUp = false;
   std::set<uint64_t> mVotes;
   std::optional<Snapshot> mIncoming;
   std::string mIncomingData;
--- a/src/librattandyke/consensus/replica_election.cpp
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -1,6 +1,7 @@
 #include "consensus/replica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattandyke::consensus {
 
@@ -36,6 +37,21 @@
   mElectionDue = mNow + Duration{ wait(mRandom) };
 }
 
+/// Safeguard: a host whose thread was busy finds the timer run out while the
+/// leader's heartbeats lie unread in its sockets. Several such hosts would
+/// depose a leader that never stood still.
+bool
+Replica::CatchesUp()
+{
+  const bool heldUp = mOptions.heldUpAfter > Duration::zero() &&
+                      mNow - mElectionDue >= mOptions.heldUpAfter;
+  if (!heldUp || std::exchange(mCaughtUp, true)) {
+    return false;
+  }
+  mElectionDue = mNow + mOptions.catchUpTime;
+  return true;
+}
+
 void
 Replica::OnElectionTimeout()
 {
@@ -204,6 +220,7 @@
   BecomeFollower(mTerm);
   mLeaderName = HostName{ aMessage.from_name() };
   mHeardLeaderAt = mNow;
+  mCaughtUp = false;
   ResetElectionTimer();
 }
 
--- a/src/librattandyke/consensus/replica_rules_test.cpp
+++ b/src/librattandyke/consensus/replica_rules_test.cpp
@@ -1,5 +1,7 @@
 #include "consensus/replica.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace rattandyke::consensus {
@@ -163,5 +165,96 @@
   EXPECT_EQ(failed->error.code, Code::RevisionConflict);
 }
 
+/// Whether any effect asks for votes.
+bool
+AsksForVotes(const std::vector<Effect>& aEffects)
+{
+  return std::any_of(aEffects.begin(), aEffects.end(), [](const Effect& aItem) {
+    const auto* send = std::get_if<Send>(&aItem);
+    return send != nullptr && send->message.has_vote_request();
+  });
+}
+
+/// A follower of a group of three that counts as held up after 30 ms.
+class ReplicaHeldUp : public ::testing::Test
+{
+protected:
+  ReplicaHeldUp()
+    : mReplica(HostIdentity{ kSelf },
+               HostName{ "a" },
+               Options(),
+               OnDisk(),
+               1,
+               mNow)
+  {
+  }
+
+  static ReplicaOptions Options()
+  {
+    ReplicaOptions options;
+    options.heldUpAfter = std::chrono::milliseconds{ 30 };
+    return options;
+  }
+
+  static Restored OnDisk()
+  {
+    wire::Configuration members;
+    for (const uint64_t identity : { kSelf, kPeer, uint64_t{ 3 } }) {
+      wire::GroupMember* member = members.add_members();
+      member->set_identity(identity);
+      member->set_voter(true);
+    }
+    Restored restored;
+    restored.hardState.set_term(1);
+    wire::LogEntry& entry = restored.entries.emplace_back();
+    entry.set_index(1);
+    entry.set_term(1);
+    entry.set_kind(wire::ENTRY_KIND_CONFIGURATION);
+    entry.set_payload(members.SerializeAsString());
+    return restored;
+  }
+
+  void HearLeader()
+  {
+    wire::ConsensusMessage heartbeat;
+    heartbeat.set_from(kPeer);
+    heartbeat.set_from_name("b");
+    heartbeat.set_to(kSelf);
+    heartbeat.set_term(1);
+    heartbeat.mutable_append_request();
+    mReplica.Step(MessageReceived{ heartbeat }, mNow);
+  }
+
+  Instant mNow{ std::chrono::hours{ 1 } };
+  Replica mReplica;
+};
+
+// Guards against followers that were busy themselves and depose a leader whose
+// heartbeats lie unread in their sockets.
+TEST_F(ReplicaHeldUp, LeaderThatIsHeardLateIsNotDeposed)
+{
+  mNow = mReplica.NextDeadline() + std::chrono::milliseconds{ 200 };
+  EXPECT_FALSE(AsksForVotes(mReplica.Step(Tick{}, mNow)));
+  HearLeader();
+  mNow += Options().catchUpTime;
+  EXPECT_FALSE(AsksForVotes(mReplica.Step(Tick{}, mNow)));
+}
+
+// Guards against a host that is always held up and never stands for election.
+TEST_F(ReplicaHeldUp, ItWaitsOnlyOnce)
+{
+  mNow = mReplica.NextDeadline() + std::chrono::milliseconds{ 200 };
+  EXPECT_FALSE(AsksForVotes(mReplica.Step(Tick{}, mNow)));
+  mNow += Options().catchUpTime + std::chrono::milliseconds{ 200 };
+  EXPECT_TRUE(AsksForVotes(mReplica.Step(Tick{}, mNow)));
+}
+
+// Guards against an election that is put off where the timer is in time.
+TEST_F(ReplicaHeldUp, TimerInTimeAsksAtOnce)
+{
+  mNow = mReplica.NextDeadline() + std::chrono::milliseconds{ 5 };
+  EXPECT_TRUE(AsksForVotes(mReplica.Step(Tick{}, mNow)));
+}
+
 } // namespace
 } // namespace rattandyke::consensus
--- a/src/librattandyke/consensus/types.h
+++ b/src/librattandyke/consensus/types.h
@@ -53,6 +53,11 @@
   /// A follower that hears no leader waits a random time between these two.
   Duration electionTimeoutMin = std::chrono::milliseconds{ 250 };
   Duration electionTimeoutMax = std::chrono::milliseconds{ 450 };
+  /// A follower whose election timer is noticed so late was held up itself, and
+  /// reads for catchUpTime what has come meanwhile before it asks for votes.
+  /// 0: it asks at once.
+  Duration heldUpAfter{};
+  Duration catchUpTime = std::chrono::milliseconds{ 60 };
   /// Bytes of entries in one message; one entry may exceed it.
   size_t maxBytesPerAppend = size_t{ 256 } * 1024;
   /// Appends sent to one follower and not answered yet.
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -23,6 +23,9 @@
 /// be lost.
 constexpr milliseconds kReplaceAfter{ 900 };
 constexpr milliseconds kSpareAfter{ 1200 };
+/// A host with a part of a core is held up for so long while many upstreams
+/// call.
+constexpr milliseconds kHeldUpAfter{ 30 };
 /// A host that starts applies what came after its last snapshot before it can
 /// serve: at some 30 us an entry, 1,024 take 50 ms of a host with 0.6 of a
 /// core, about as long as an election. Some 300 upstreams make 150 entries a
@@ -135,6 +138,7 @@
   options.replica.voters = 2 * settings.tolerated + 1;
   options.replica.replaceAfter = kReplaceAfter;
   options.replica.spareAfter = kSpareAfter;
+  options.replica.heldUpAfter = kHeldUpAfter;
   options.replica.entriesPerSnapshot = kEntriesPerSnapshot;
   return options;
 }
