Feed: the more subscribers, the longer commands are gathered

Cause: at 98 subscribers and a flush each 10 ms a control host makes 9,800 writes a second while a fleet registers.

Change: half a millisecond for each subscriber, at least 5 and at most 200 ms: some 2,000 writes a second for any number up to 400.

--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -13,9 +13,12 @@
 /// elections of up to 450 ms. After that it is more likely cut off.
 constexpr milliseconds kHopeful{ 900 };
 constexpr milliseconds kParkedCheck{ 10 };
-/// Commands are gathered for subscribers this long: a change is to be in force
-/// at all entries within seconds.
-constexpr milliseconds kFeedGatherTime{ 10 };
+/// Commands are gathered for so long for each subscriber, so that writes to all
+/// of them together stay below 2,000 a second, within bounds: a change is to be
+/// in force at all entries within seconds.
+constexpr std::chrono::microseconds kFeedGatherEach{ 500 };
+constexpr milliseconds kLeastFeedGather{ 5 };
+constexpr milliseconds kMostFeedGather{ 200 };
 
 } // namespace
 
@@ -204,7 +207,9 @@
     return;
   }
   feedFlushDue = true;
-  feedTimer.expires_after(kFeedGatherTime);
+  const auto gather = kFeedGatherEach * static_cast<int64_t>(feed.Size());
+  feedTimer.expires_after(
+    std::clamp<Duration>(gather, kLeastFeedGather, kMostFeedGather));
   feedTimer.async_wait([self = weak_from_this()](auto aError) {
     const auto host = self.lock();
     if (host && !aError) {
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -49,6 +49,9 @@
   /// told with the next Flush.
   void Applied(const wire::GatewayCommand& aCommand, LogIndex aIndex);
 
+  /// @return the number of subscribers.
+  size_t Size() const { return mSubscribers.size(); }
+
   /// @return whether commands wait for a Flush.
   bool HasGathered() const { return mGathered.commands_size() > 0; }
 
