Pass on 'not run' only with an upstream's proof

Cause: a 408, 429 or 503 that an upstream sent with its signature and without the proof that the request has not run was passed on as it came. These statuses promise the caller that its request never ran (REFUSED).

An upstream's own 500 and 504 are passed on as before.

--- a/src/librattandyke/gateway/exchange.cpp
+++ b/src/librattandyke/gateway/exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 #include <sys/socket.h>
@@ -52,6 +54,15 @@
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 
+/// @return whether a status promises that the request never ran and never will.
+bool
+IsPromise(unsigned aStatus)
+{
+  constexpr std::array kPromises{ 408U, 421U, 429U, 503U };
+  return std::find(kPromises.begin(), kPromises.end(), aStatus) !=
+         kPromises.end();
+}
+
 /// @return whether an idle connection is still open and has nothing to read:
 /// what arrives unasked belongs to no request of ours.
 bool
@@ -364,6 +375,13 @@
     result.answer = std::move(aAnswer);
     return result;
   }
+  // Safeguard: these statuses promise a caller that its request has not run.
+  // Without the proof the upstream promises nothing, and neither may this host.
+  if (IsPromise(aAnswer.status)) {
+    return Ended(ExchangeResult::Kind::Unknown,
+                 "refused with " + std::to_string(aAnswer.status) +
+                   " and without proof");
+  }
   // Safeguard: a faulty upstream may send bytes that look like an answer. Its
   // signature and the request's id show that it is one.
   if (!has(mHeaders.signature) || !has(mHeaders.requestId) ||
--- a/src/librattandyke/gateway/exchange_test.cpp
+++ b/src/librattandyke/gateway/exchange_test.cpp
@@ -246,6 +246,48 @@
     Kind::NotRun);
 }
 
+/// What an upstream sends, and what is known of the request then.
+struct Proof
+{
+  const char* status;
+  const char* fields;
+  Kind known;
+};
+
+class ProofTest
+  : public ExchangerTest
+  , public ::testing::WithParamInterface<Proof>
+{};
+
+constexpr const char* kOwn = "Signature: s\r\n";
+constexpr const char* kProved = "Signature: s\r\nNot-Run: 1\r\n";
+
+// Guards against a status that promises "not run" to a caller although nothing
+// proves it, and against a failure that an upstream made being replaced.
+TEST_P(ProofTest, OnlyProvedRefusalsAreRefusals)
+{
+  const Proof& proof = GetParam();
+  const auto got = Send({ AnswerTo("r-1", "x", proof.fields, proof.status) });
+  ASSERT_EQ(got.size(), 1U);
+  EXPECT_EQ(got[0].kind, proof.known) << proof.status << " " << proof.fields;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Statuses,
+  ProofTest,
+  ::testing::Values(Proof{ "408 Request Timeout", kOwn, Kind::Unknown },
+                    Proof{ "429 Too Many Requests", kOwn, Kind::Unknown },
+                    Proof{ "503 Service Unavailable", kOwn, Kind::Unknown },
+                    Proof{ "503 Service Unavailable", "", Kind::Unknown },
+                    Proof{ "408 Request Timeout", kProved, Kind::NotRun },
+                    Proof{ "421 Misdirected Request", kOwn, Kind::NotRun },
+                    Proof{ "429 Too Many Requests", kProved, Kind::NotRun },
+                    Proof{ "503 Service Unavailable", kProved, Kind::NotRun },
+                    Proof{ "500 Internal Server Error", kOwn, Kind::Answer },
+                    Proof{ "504 Gateway Timeout", kOwn, Kind::Answer },
+                    Proof{ "502 Bad Gateway", "", Kind::Unknown },
+                    Proof{ "200 OK", kProved, Kind::Answer }));
+
 TEST_F(ExchangerTest, UnreachableUpstreamWasSentNothing)
 {
   tcp::acceptor closed(context, { asio::ip::make_address("127.0.0.1"), 0 });
