Leader: commands are not proposed again while the log may bring them

Cause: what time makes due was proposed anew in each tick until it was applied: a command for each of 985 entries, and one for each holder that fell silent, ten times a second. A log that is slow for a second gets 10,000 entries more, and stays slow.

Change: again after a second, when it must have been lost.

--- a/src/librattandyke/gateway/entry_registry.h
+++ b/src/librattandyke/gateway/entry_registry.h
@@ -15,8 +15,11 @@
 /// Collects what control hosts report of their subscribers and keeps the
 /// replicated list of entry hosts in step with it. Entries share upstreams'
 /// slots by that list, so a host must leave it soon after it died, but not
-/// while it only changes from one control host to another. Does no I/O. Not
-/// thread-safe.
+/// while it only changes from one control host to another.
+///
+/// Safeguard: a command is not proposed again while the log may still bring it.
+/// With one for each of a thousand entries in each tick, a log that is slow for
+/// a moment would be kept slow by them. Does no I/O. Not thread-safe.
 class EntryRegistry
 {
 public:
@@ -35,7 +38,13 @@
     wire::EntryMember member;
     Instant seenAt{};
   };
+
+  /// @return whether a command for an entry is to be proposed now.
+  bool MayPropose(const std::string& aAddress, Instant aNow);
+
   std::map<std::string, Entry> mEntries;
+  /// When commands were proposed, by the entry's address.
+  std::map<std::string, Instant> mProposed;
 };
 
 } // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/entry_registry_test.cpp
@@ -0,0 +1,73 @@
+#include "gateway/entry_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace rattandyke::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 100 };
+
+wire::EntryMember
+Member(size_t aNumber)
+{
+  wire::EntryMember member;
+  member.set_address("10.0.0.1:" + std::to_string(aNumber));
+  return member;
+}
+
+// Guards against a slow log that is kept slow by the same commands again and
+// again: a thousand entries come while nothing is committed.
+TEST(EntryRegistry, CommandsAreNotRepeatedWhileTheLogIsSlow)
+{
+  constexpr size_t kEntries = 1000;
+  State state;
+  EntryRegistry registry;
+  Instant now{ std::chrono::hours{ 1 } };
+  registry.BecomeLeader(state, now);
+  size_t proposed = 0;
+  for (int tick = 0; tick < 9; ++tick) {
+    for (size_t at = 0; at < kEntries; ++at) {
+      registry.Seen(Member(at), now);
+    }
+    proposed += registry.Tick(state, now).size();
+    now += kTick;
+  }
+  EXPECT_EQ(proposed, kEntries);
+  // They were lost: all are proposed once more.
+  for (size_t at = 0; at < kEntries; ++at) {
+    registry.Seen(Member(at), now);
+  }
+  EXPECT_EQ(registry.Tick(state, now + kTick).size(), kEntries);
+}
+
+TEST(EntryRegistry, EntryThatComesBackIsListedAgain)
+{
+  State state;
+  EntryRegistry registry;
+  Instant now{ std::chrono::hours{ 1 } };
+  uint64_t index = 0;
+  const auto tick = [&] {
+    for (const wire::GatewayCommand& command : registry.Tick(state, now)) {
+      ASSERT_TRUE(state.Apply(command, LogIndex{ ++index }));
+    }
+    now += kTick;
+  };
+  registry.BecomeLeader(state, now);
+  registry.Seen(Member(1), now);
+  tick();
+  EXPECT_EQ(state.Entries().size(), 1U);
+  for (int ticks = 0; ticks < 30; ++ticks) {
+    tick();
+  }
+  EXPECT_TRUE(state.Entries().empty());
+  for (int ticks = 0; ticks < 12; ++ticks) {
+    registry.Seen(Member(1), now);
+    tick();
+  }
+  EXPECT_EQ(state.Entries().size(), 1U);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -31,6 +31,9 @@
 /// An instance that holds no keys may get some by a grant that is on its way.
 constexpr Duration kIdleWatch = std::chrono::seconds{ 1 };
 
+/// Commands that free keys are planned again once they must have been lost.
+constexpr Duration kFreedFor = std::chrono::seconds{ 1 };
+
 /// Time by which two reports of the end of one cold spell may differ, as they
 /// take differently long to arrive.
 constexpr Duration kColdSlack = milliseconds{ 300 };
@@ -527,11 +530,15 @@
     ++mVisits;
     if (!HoldsKeys(id, aState)) {
       lease.expiring = false;
+      lease.freedAt.reset();
       Watch(id, lease, aNow + kIdleWatch);
     } else if (aNow >= lease.ends) {
       // Until the commands are applied nothing of it may be renewed.
       lease.expiring = true;
-      FreeAll(id, aState, aCommands);
+      if (!lease.freedAt || aNow - *lease.freedAt >= kFreedFor) {
+        lease.freedAt = aNow;
+        FreeAll(id, aState, aCommands);
+      }
       Watch(id, lease, aNow + kTick);
     } else {
       Watch(id, lease, lease.ends);
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -125,6 +125,8 @@
     std::optional<Instant> watchedAt;
     /// Its keys are being freed: nothing may be renewed.
     bool expiring = false;
+    /// When commands that free its keys were last planned.
+    std::optional<Instant> freedAt;
     std::optional<Instant> releasedAt;
     /// It is cold until then, as it said or as is assumed, and the command of
     /// the state that this follows.
--- a/src/librattandyke/gateway/granter_fleet_test.cpp
+++ b/src/librattandyke/gateway/granter_fleet_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -246,6 +248,39 @@
   }
 }
 
+// Guards against a slow log that is kept slow by the same commands again and
+// again: a seventh of a fleet falls dark while nothing is committed.
+TEST(GranterFleet, KeysAreNotFreedAgainWhileTheLogIsSlow)
+{
+  constexpr size_t kFleet = 700;
+  Leader leader;
+  for (uint64_t sequence = 1; sequence <= 4; ++sequence) {
+    for (size_t at = 0; at < kFleet; ++at) {
+      Heartbeat heartbeat = From("i-" + std::to_string(at), sequence);
+      heartbeat.address = "10.0.0.1:" + std::to_string(at);
+      leader.Answer(heartbeat);
+      leader.now += kInterval / kFleet;
+    }
+    leader.Pass(Granter::kTick);
+  }
+  std::set<std::string> holders;
+  for (const auto& segment : leader.state.Ranges("board")->Segments()) {
+    if (!segment.holder().empty()) {
+      holders.insert(segment.holder());
+    }
+  }
+  ASSERT_GT(holders.size(), kFleet / 2);
+  leader.now += kHold * 2;
+  size_t planned = 0;
+  for (int tick = 0; tick < 9; ++tick) {
+    for (const auto& command : leader.granter->Tick(leader.state, leader.now)) {
+      planned += command.has_free_ranges() ? 1 : 0;
+    }
+    leader.now += Granter::kTick;
+  }
+  EXPECT_EQ(planned, holders.size());
+}
+
 // Heartbeats of many instances arrive while the first grants are committed.
 // Each must be planned other keys: of grants of the same keys the log takes
 // one.
