Control: overload by heartbeats ends by itself

Whole states were encoded 28 times at one host, as hosts were restarted one by one.

Change: a heartbeat waits 0.3 s at most at the leader; a host that has 256 waiting for the leader refuses more by itself; a whole state is kept for 25 pings.

Measured: FeedServerTest.WholeStateIsKeptBetweenRestarts (20 encodings before).

--- a/src/librattandyke/gateway/control_host_forward.cpp
+++ b/src/librattandyke/gateway/control_host_forward.cpp
@@ -18,6 +18,10 @@
 /// upstreams send one in each millisecond or two.
 constexpr milliseconds kGatherTime{ 5 };
 constexpr unsigned kOk = 200;
+/// Heartbeats of a host that wait for the leader. What more comes is refused
+/// here: a leader that is behind would spend its time on refusals, and each
+/// refused upstream calls again.
+constexpr size_t kMostForwarded = 256;
 
 Result<HeartbeatAnswer>
 Behind()
@@ -34,6 +38,10 @@
 ControlHost::Impl::ForwardHeartbeat(HostName aLeader,
                                     const Heartbeat& aHeartbeat)
 {
+  if (forwardedHeartbeats.size() >= kMostForwarded) {
+    metrics.Count("heartbeats_refused", "");
+    co_return Encoded(Behind());
+  }
   const uint64_t id = ++lastCall;
   auto awaited = std::make_shared<Awaited<Result<HeartbeatAnswer>>>(executor);
   forwardedHeartbeats[id] = awaited;
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -19,6 +19,10 @@
 /// this, and than this part of its records: encoding costs what they all do.
 constexpr uint64_t kLeastTail = 128;
 constexpr uint64_t kTailPart = 4;
+/// Pings for which a whole state is kept that nobody asked for: while hosts are
+/// restarted one after the other, each asks a few tenths of a second after the
+/// one before.
+constexpr int kWholeKept = 25;
 
 /// Takes the operators' texts out of items.
 template<typename Items>
@@ -164,7 +168,7 @@
       << "encodes the state at index " << applied << " in "
       << mWhole->Plain().size() << " bytes";
   }
-  mWholeUsed = true;
+  mWholeIdle = 0;
   SendTo(aConnection, aSubscriber, *mWhole);
   return mWholeIndex;
 }
@@ -269,8 +273,8 @@
 FeedServer::Ping(const std::vector<std::string>& aControlHosts, Duration aAge)
 {
   Flush();
-  if (!std::exchange(mWholeUsed, false)) {
-    mWhole.reset(); // Memory is dear; subscribers seldom come.
+  if (mWhole && ++mWholeIdle > kWholeKept) {
+    mWhole.reset();
   }
   for (const Connection& connection : Connections()) {
     Ping(connection, aControlHosts, aAge);
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -129,10 +129,10 @@
   size_t mRecentCommands = 0;
   /// Commands up to this index are not among them.
   uint64_t mForgottenUpTo = 0;
-  /// A whole state as a frame, and whether it was sent since the last ping.
+  /// A whole state as a frame, and the pings since it was last sent.
   std::optional<OutgoingFrame> mWhole;
   uint64_t mWholeIndex = 0;
-  bool mWholeUsed = false;
+  int mWholeIdle = 0;
   uint64_t mMessages = 0;
   uint64_t mEncodings = 0;
 };
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -216,6 +216,22 @@
   }
 }
 
+// Guards against a large state that is encoded anew for each of the hosts that
+// are restarted one after the other.
+TEST_F(FeedServerTest, WholeStateIsKeptBetweenRestarts)
+{
+  for (uint64_t number = 1; number <= 1000; ++number) {
+    Apply(PutInstance(number));
+  }
+  for (int comer = 0; comer < 20; ++comer) {
+    static_cast<void>(Subscribe());
+    server.CloseAll();
+    server.Ping({}, Duration::zero());
+    server.Ping({}, Duration::zero());
+  }
+  EXPECT_EQ(server.Encodings(), 1U);
+}
+
 TEST_F(FeedServerTest, EntriesAreNotSentHandovers)
 {
   Apply(PutInstance(1));
--- a/src/librattandyke/gateway/heartbeat_queue.h
+++ b/src/librattandyke/gateway/heartbeat_queue.h
@@ -42,8 +42,9 @@
   static constexpr size_t kSlice = 32;
   /// Heartbeats that may wait: more than are decided within kLongestWait.
   static constexpr size_t kMostWaiting = 32768;
-  /// Senders go elsewhere after a second, some of which is for the ways.
-  static constexpr Duration kLongestWait = std::chrono::milliseconds{ 700 };
+  /// Senders go elsewhere after a second. What is decided so late that its
+  /// answer comes too late is decided in vain, and its sender calls again.
+  static constexpr Duration kLongestWait = std::chrono::milliseconds{ 300 };
 
   /// @return whether it is kept; if not, it is to be refused.
   bool Add(Waiting aWaiting);
