Leader: newcomers and comers-back are not each summed up

Cause: found with a profile of the leader. Each heartbeat of an instance that is not among the sums of its service made them anew; while upstreams register that is each one, 3 to 4 ms each, as soon as there are holders to sum up. After a silence of all, sums stood for a time that counts the active holders, though all instances are looked at.

Change: a newcomer leaves the sums as they are; for one that comes back from a silence they are made anew four times a tick at most; they stand for a time that grows with the instances looked at.

--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -31,6 +31,9 @@
 /// An instance that holds no keys may get some by a grant that is on its way.
 constexpr Duration kIdleWatch = std::chrono::seconds{ 1 };
 
+/// Times in a tick that a service is summed up for one that comes back.
+constexpr uint32_t kSumsAgain = 4;
+
 /// Commands that free keys are planned again once they must have been lost.
 constexpr Duration kFreedFor = std::chrono::seconds{ 1 };
 
@@ -292,14 +295,11 @@
   if (sameLife) {
     NoteReleased(aHeartbeat, aState, commands);
   }
-  // Only one that was silent changes the sums by its heartbeat. Summed up for
-  // each heartbeat, they took 450 us at 800 upstreams, more than a third of a
-  // core; without that a heartbeat takes 6 us (rattandyke-bench --only fleet).
   const bool counted = sameLife && IsActive(*known, aState, aArrived);
   lease.lastHeartbeat = aArrived;
   if (const auto group = mGroups.find(aHeartbeat.service);
       !counted && group != mGroups.end()) {
-    group->second.holdersAt.reset();
+    NoteUncounted(group->second, sameLife);
   }
   if (commands.size() != before) {
     lease.releasedAt = aArrived;
@@ -311,6 +311,19 @@
   return commands;
 }
 
+/// Safeguard: one that comes back from a silence may be busy, and is not among
+/// the sums by which it would give keys away. But when a fleet comes back, or
+/// registers, sums for each would keep the leader busy until it is deposed.
+void
+Granter::NoteUncounted(Group& aGroup, bool aComesBack)
+{
+  if (aComesBack && aGroup.sumsAgain < kSumsAgain) {
+    ++aGroup.sumsAgain;
+    aGroup.holdersAt.reset();
+  }
+  aGroup.holdersStale = true;
+}
+
 /// Only where a service bounds what a cold upstream may get: elsewhere nobody
 /// needs to know.
 bool
@@ -594,6 +607,7 @@
   for (auto& [service, group] : mGroups) {
     group.load.Decay(aNow, group.holders.size());
     group.holdersAt.reset();
+    group.sumsAgain = 0;
     UpdatePool(service, aState, aNow);
     EndReservations(group, aNow);
   }
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -182,10 +182,13 @@
     std::deque<std::pair<Instant, uint32_t>> plannedOrder;
     /// When keys that alone are too much for their holder were last moved.
     std::map<uint32_t, Instant> movedAlone;
-    /// Of the state at an index and of the loads since a tick.
+    /// Of the state at an index and of the loads since a tick, unless stale.
     Holders holders;
     double speeds = 0;
     std::optional<LogIndex> holdersAt;
+    bool holdersStale = false;
+    /// Times since the last tick that one came back that was not counted.
+    uint32_t sumsAgain = 0;
     Instant summedAt{};
   };
 
@@ -200,6 +203,9 @@
                Instant aNow);
   /// @return whether a heartbeat is the newest of the instance's newest life.
   bool IsNewest(const Heartbeat& aHeartbeat) const;
+  /// An instance has sent a heartbeat that is not among the sums.
+  /// @param aComesBack it was registered, and silent.
+  static void NoteUncounted(Group& aGroup, bool aComesBack);
   /// Looks at the end of an instance's hold at a time.
   void Watch(const std::string& aId, Lease& aLease, Instant aAt);
   void Unwatch(const std::string& aId, Lease& aLease);
--- a/src/librattandyke/gateway/granter_fleet_test.cpp
+++ b/src/librattandyke/gateway/granter_fleet_test.cpp
@@ -248,6 +248,57 @@
   }
 }
 
+// Guards against sums that are made anew for each newcomer while others hold
+// keys already: the leader stands still as soon as it has granted the first
+// keys, and is deposed.
+TEST(GranterFleet, NewcomersAmongHoldersDoNotEachSumUpAllHolders)
+{
+  constexpr size_t kFleet = 2000;
+  Leader leader;
+  const auto answer = [&](size_t aAt, uint64_t aSequence) {
+    Heartbeat heartbeat = From("i-" + std::to_string(aAt), aSequence);
+    heartbeat.address = "10.0.0.1:" + std::to_string(aAt);
+    leader.Answer(heartbeat);
+  };
+  for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    for (size_t at = 0; at < kFleet / 2; ++at) {
+      answer(at, sequence);
+      leader.now += kInterval / (kFleet / 2);
+    }
+  }
+  const uint64_t before = leader.granter->Sums();
+  for (size_t at = 0; at < kFleet / 2; ++at) {
+    answer(kFleet / 2 + at, 1);
+    answer(at, 4);
+    leader.now += kInterval / (kFleet / 2);
+  }
+  // Every 20 ms at most, within one interval of a second.
+  EXPECT_LE(leader.granter->Sums() - before, 60U);
+}
+
+// Guards against the same when a fleet was silent and comes back.
+TEST(GranterFleet, HoldersThatComeBackDoNotEachSumUpAllHolders)
+{
+  constexpr size_t kFleet = 2000;
+  Leader leader;
+  const auto round = [&](uint64_t aSequence) {
+    for (size_t at = 0; at < kFleet; ++at) {
+      Heartbeat heartbeat = From("i-" + std::to_string(at), aSequence);
+      heartbeat.address = "10.0.0.1:" + std::to_string(at);
+      leader.Answer(heartbeat);
+      leader.now += kInterval / kFleet;
+    }
+    leader.Pass(Granter::kTick);
+  };
+  for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    round(sequence);
+  }
+  leader.Pass(kInterval * 3);
+  const uint64_t before = leader.granter->Sums();
+  round(4);
+  EXPECT_LE(leader.granter->Sums() - before, 60U);
+}
+
 // Guards against a slow log that is kept slow by the same commands again and
 // again: a seventh of a fleet falls dark while nothing is committed.
 TEST(GranterFleet, KeysAreNotFreedAgainWhileTheLogIsSlow)
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -84,7 +84,7 @@
 constexpr double kColdSlower = 2;
 /// Time within which a grant is committed, or has failed.
 constexpr Duration kPlannedFor = milliseconds{ 300 };
-/// For how long sums stand, for each holder of the service.
+/// For how long sums stand, for each instance that is looked at for them.
 constexpr std::chrono::microseconds kSumsStand{ 20 };
 
 } // namespace
@@ -391,10 +391,10 @@
                    Instant aNow)
 {
   Group& group = mGroups[aService];
-  const bool other = group.holdersAt != aState.Applied();
+  const bool other = group.holdersStale || group.holdersAt != aState.Applied();
   const bool due = !group.holdersAt ||
                    aNow - group.summedAt >=
-                     kSumsStand * static_cast<int64_t>(group.holders.size());
+                     kSumsStand * static_cast<int64_t>(aState.Instances().size());
   if (other && due) {
     group.holders = SumUpHolders(aService, aState, aNow);
     group.speeds = 0;
@@ -402,6 +402,7 @@
       group.speeds += holder.speed;
     }
     group.holdersAt = aState.Applied();
+    group.holdersStale = false;
     group.summedAt = aNow;
     ++mSums;
   }
