Leader: keys of a grant that was never renewed are freed

Cause: read in the change. Ends of holds are looked at from the first renewal on; a grant that was committed while its heartbeat got no answer, and whose holder crashed before the next one, would have stood for ever. And a control host that is about to become a member would have been put into and out of the list of control hosts by turns.

Change: a planned grant is looked at, too; only members are listed.

Measured: Granter.KeysOfAGrantThatWasNeverRenewedAreFreed, which fails without the change.

--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -178,7 +178,11 @@
   const auto known = state.Controls().find(aControl.address());
   const bool same = known != state.Controls().end() &&
                     known->second.data_centre() == aControl.data_centre();
-  if (same || !LeadsSurely()) {
+  const std::vector<std::string> members = ControlHosts();
+  const bool isMember =
+    std::find(members.begin(), members.end(), aControl.address()) !=
+    members.end();
+  if (same || !isMember || !LeadsSurely()) {
     return;
   }
   wire::GatewayCommand command;
--- a/src/librattandyke/gateway/granter.cpp
+++ b/src/librattandyke/gateway/granter.cpp
@@ -28,9 +28,6 @@
 constexpr size_t kForgetParts = 10;
 constexpr size_t kLeastForgotten = 256;
 
-/// An instance that holds no keys may get some by a grant that is on its way.
-constexpr Duration kIdleWatch = std::chrono::seconds{ 1 };
-
 /// Times in a tick that a service is summed up for one that comes back.
 constexpr uint32_t kSumsAgain = 4;
 
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -192,6 +192,10 @@
     Instant summedAt{};
   };
 
+  /// How soon an instance is looked at that holds no keys: it may get some by a
+  /// grant that is on its way.
+  static constexpr Duration kIdleWatch = std::chrono::seconds{ 1 };
+
   static bool OwnsKeys(const State& aState, const std::string& aService);
   Result<void> CheckLife(const std::string& aInstance,
                          uint64_t aLife,
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -392,9 +392,10 @@
 {
   Group& group = mGroups[aService];
   const bool other = group.holdersStale || group.holdersAt != aState.Applied();
-  const bool due = !group.holdersAt ||
-                   aNow - group.summedAt >=
-                     kSumsStand * static_cast<int64_t>(aState.Instances().size());
+  const bool due =
+    !group.holdersAt ||
+    aNow - group.summedAt >=
+      kSumsStand * static_cast<int64_t>(aState.Instances().size());
   if (other && due) {
     group.holders = SumUpHolders(aService, aState, aNow);
     group.speeds = 0;
@@ -426,8 +427,11 @@
   double sum = 0;
   size_t reporting = 0;
   for (const auto& [id, instance] : aState.Instances()) {
+    if (instance.service() != aService) {
+      continue;
+    }
     const auto lease = mLeases.find(id);
-    if (instance.service() != aService || lease == mLeases.end() ||
+    if (lease == mLeases.end() ||
         !IsActive(instance, lease->second, aState, aNow)) {
       continue;
     }
@@ -654,6 +658,10 @@
   if (grant->ranges_size() == 0) {
     return std::nullopt;
   }
+  // It may be committed and never renewed: then its end is looked at, too.
+  if (Lease& lease = mLeases[id]; !lease.watchedAt) {
+    Watch(id, lease, aNow + kIdleWatch);
+  }
   return command;
 }
 
--- a/src/librattandyke/gateway/granter_test.cpp
+++ b/src/librattandyke/gateway/granter_test.cpp
@@ -327,5 +327,25 @@
   }
 }
 
+// Guards against keys that nobody serves for ever: a grant was committed, its
+// heartbeat got no answer, and the holder crashed before the next one.
+TEST(Granter, KeysOfAGrantThatWasNeverRenewedAreFreed)
+{
+  Leader leader;
+  leader.Answer(From("a", 1));
+  leader.Pass(kInterval * 3 / 2);
+  const Heartbeat heartbeat = From("b", 1);
+  leader.Commit(
+    leader.granter->OnHeartbeat(heartbeat, leader.state, leader.now));
+  const auto grant =
+    leader.granter->PlanGrant(heartbeat, leader.state, leader.now);
+  ASSERT_TRUE(grant);
+  leader.Commit({ *grant });
+  const uint32_t key = grant->grant_ranges().ranges(0).from();
+  EXPECT_EQ(leader.HolderOf(key), "b");
+  leader.Pass(kHold);
+  EXPECT_NE(leader.HolderOf(key), "b");
+}
+
 } // namespace
 } // namespace rattandyke::gateway
