Bound long requests by their route's time, not by their objective

Late answers of these requests are of use to their callers.

Change: six tenths of the longest time that a caller is kept waiting.

--- a/src/librattandyke/gateway/link_budget.cpp
+++ b/src/librattandyke/gateway/link_budget.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kWorthRefusing = 3;
 /// Part of the time for an answer that the queue may take; the rest is for the
 /// upstream.
-constexpr double kMostOfItsTime = 0.5;
+constexpr double kMostOfItsTime = 0.6;
 /// Weight of the newest answer of a route, and what is taken for the first one.
 constexpr double kNewest = 0.05;
 constexpr double kDefaultSize = 2000;
--- a/src/librattandyke/gateway/link_budget.h
+++ b/src/librattandyke/gateway/link_budget.h
@@ -39,7 +39,7 @@
   /// @param aPriority 0 is the most urgent one.
   /// @param aRequest  bytes of the request.
   /// @param aAnswer   bytes that its answer is expected to have.
-  /// @param aInTime   time within which its answer should have left.
+  /// @param aInTime   longest time that its caller is kept waiting.
   /// @return nothing if there is room, which is then taken; else the time until
   /// there may be some.
   std::optional<Duration> Admit(uint32_t aPriority,
--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -76,7 +76,7 @@
   const auto wait = mLink.Admit(aFlow.route->priority,
                                 BytesOf(*aFlow.request),
                                 expected,
-                                Duration(aFlow.route->objective),
+                                Duration(aFlow.route->timeout),
                                 mClock.Now());
   if (wait) {
     mMetrics.Count("link_refusals", "");
