Read the change once more: a time kept twice, members listed in vain

Planned grants kept the time that their order keeps, too. The members of the group were listed for each report of a control host, though nearly all tell nothing new. No behaviour is changed.

--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -178,13 +178,14 @@
   const auto known = state.Controls().find(aControl.address());
   const bool same = known != state.Controls().end() &&
                     known->second.data_centre() == aControl.data_centre();
-  const std::vector<std::string> members = ControlHosts();
-  const bool isMember =
-    std::find(members.begin(), members.end(), aControl.address()) !=
-    members.end();
-  if (same || !isMember || !LeadsSurely()) {
+  if (same || !LeadsSurely()) {
     return;
   }
+  const std::vector<std::string> members = ControlHosts();
+  if (std::find(members.begin(), members.end(), aControl.address()) ==
+      members.end()) {
+    return; // It is about to become one.
+  }
   wire::GatewayCommand command;
   *command.mutable_put_control()->mutable_control() = aControl;
   ProposeAll({ command });
--- a/src/librattandyke/gateway/granter.h
+++ b/src/librattandyke/gateway/granter.h
@@ -161,13 +161,6 @@
   };
   using Holders = std::map<std::string, Holder>;
 
-  /// Keys of a grant that is being committed.
-  struct Planned
-  {
-    uint32_t to = 0;
-    Instant since{};
-  };
-
   /// What is known of a service.
   struct Group
   {
@@ -176,9 +169,9 @@
     std::optional<Instant> firstInstance;
     std::optional<Instant> freeSince;
     std::vector<Move> moves;
-    /// Free keys whose grants are being committed, by their first key; and
-    /// these keys, oldest first.
-    std::map<uint32_t, Planned> planned;
+    /// Free keys whose grants are being committed: the last key by the first;
+    /// and the first ones, oldest grant first.
+    std::map<uint32_t, uint32_t> planned;
     std::deque<std::pair<Instant, uint32_t>> plannedOrder;
     /// When keys that alone are too much for their holder were last moved.
     std::map<uint32_t, Instant> movedAlone;
--- a/src/librattandyke/gateway/granter_moves.cpp
+++ b/src/librattandyke/gateway/granter_moves.cpp
@@ -421,14 +421,14 @@
   std::vector<KeySpan> rest;
   uint32_t from = aFree.from;
   auto at = aGroup.planned.upper_bound(from);
-  if (at != aGroup.planned.begin() && std::prev(at)->second.to >= from) {
+  if (at != aGroup.planned.begin() && std::prev(at)->second >= from) {
     --at;
   }
   for (; at != aGroup.planned.end() && at->first <= aFree.to; ++at) {
     if (at->first > from) {
       rest.push_back({ from, at->first - 1 });
     }
-    from = at->second.to + 1;
+    from = at->second + 1;
   }
   if (from <= aFree.to) {
     rest.push_back({ from, aFree.to });
@@ -439,7 +439,7 @@
 void
 Granter::NotePlanned(Group& aGroup, KeySpan aKeys, Instant aNow)
 {
-  aGroup.planned[aKeys.from] = { aKeys.to, aNow };
+  aGroup.planned[aKeys.from] = aKeys.to;
   aGroup.plannedOrder.emplace_back(aNow, aKeys.from);
 }
 
