Read and tell the rate limits that upstreams name

Cause: upstreams may name in their responses how many requests a second they accept from all entry hosts together. Change: an entry reads the header of responses that are the upstream's own, keeps the newest value for the upstream's incarnation, writes a line where it changes, with the home entry of the slot, and counts responses with a limit and limits that can't be read. Nothing is decided by it yet.

--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -63,6 +63,9 @@
   std::string key;
   /// Response: load report of the upstream, see Dialect::DecodeLoadReport.
   std::string load;
+  /// Response: requests per second that the upstream accepts from all entry
+  /// hosts together.
+  std::string rateLimit;
 };
 
 /// Translates between the messages of a platform and the types of the gateway.
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdio>
 
+#include "gateway/back_pressure.h"
 #include "gateway/key_load_map.h"
 #include "gateway/retry_share.h"
 #include "http/headers.h"
@@ -488,6 +489,7 @@
     process, aProgress.request, left, handle);
   aProgress.context->DetachAttempt();
   RecordLoadReport(slot.instance, result.response);
+  RecordBackPressure(slot, result);
   mSlots.Release(
     slot,
     ToAttemptOutcome(result, aProgress.context->IsCancelledByCallerOrHost()),
@@ -516,6 +518,27 @@
   }
 }
 
+/// Only a response that is the upstream's own counts. A limit that can't be
+/// read changes nothing.
+void
+RequestHandler::RecordBackPressure(const Slot& aSlot,
+                                   const AttemptResult& aResult)
+{
+  if (aResult.kind != AttemptResult::Kind::Response &&
+      aResult.kind != AttemptResult::Kind::NotExecuted) {
+    return;
+  }
+  const auto limit = ReadRateLimit(aResult.response.fields, mHeaders.rateLimit);
+  if (!limit) {
+    mMetrics.Increment("rate_limits_not_read");
+    return;
+  }
+  if (*limit) {
+    mMetrics.Increment("rate_limited_responses");
+  }
+  mSlots.RecordRateLimit(aSlot, *limit);
+}
+
 bool
 RequestHandler::TryTakeRetry(RequestProgress& aProgress,
                              const AttemptResult& aResult)
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -171,6 +171,8 @@
   /// Records the load report in an upstream's response, if it has one.
   void RecordLoadReport(const std::string& aInstance,
                         const UpstreamResponse& aResponse);
+  /// Records the back pressure that an upstream's response signals.
+  void RecordBackPressure(const Slot& aSlot, const AttemptResult& aResult);
   /// @return whether the request may be sent again. If so, a retry is taken
   /// from the retry budget.
   bool TryTakeRetry(RequestProgress& aProgress, const AttemptResult& aResult);
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -126,6 +126,16 @@
     mUpstreams.RecordLoadReport(aInstance, aLoad, aNow);
   }
 
+  /// See UpstreamSet::RecordRateLimit.
+  bool RecordRateLimit(const std::string& aInstance,
+                       uint64_t aIncarnation,
+                       std::optional<double> aRequestsPerSecond,
+                       Instant aToldAt)
+  {
+    return mUpstreams.RecordRateLimit(
+      aInstance, aIncarnation, aRequestsPerSecond, aToldAt);
+  }
+
   /// See UpstreamSet::PauseCold.
   void PauseCold(const std::vector<std::string>& aInstances, Instant aNow)
   {
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -467,6 +467,24 @@
   mSend(HostName{ aHome }, frame);
 }
 
+void
+SlotCoordinator::RecordRateLimit(const Slot& aSlot,
+                                 std::optional<double> aRequestsPerSecond)
+{
+  if (!mBroker.RecordRateLimit(
+        aSlot.instance, aSlot.incarnation, aRequestsPerSecond, mClock.Now())) {
+    return;
+  }
+  log::Line line(log::Part::Entry, log::Severity::Info);
+  line << "upstream " << aSlot.instance;
+  if (aRequestsPerSecond) {
+    line << " limits its requests per second limit=" << *aRequestsPerSecond;
+  } else {
+    line << " lifts its limit of requests per second";
+  }
+  line << " home=" << (aSlot.home.empty() ? mSelf : aSlot.home);
+}
+
 void
 SlotCoordinator::OnSlotRequest(const wire::SlotAsk& aRequest)
 {
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -103,6 +103,12 @@
     mBroker.RecordLoadReport(aInstance, aLoad, mClock.Now());
   }
 
+  /// Records what the response to a request in a slot says about the
+  /// upstream's request rate limit.
+  /// @param aRequestsPerSecond see UpstreamSet::RecordRateLimit.
+  void RecordRateLimit(const Slot& aSlot,
+                       std::optional<double> aRequestsPerSecond);
+
   /// Ends expired waits and slots. Must be called every SlotBroker::kTick.
   void Tick();
 
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -135,6 +135,18 @@
                         const LoadReport& aLoad,
                         Instant aNow);
 
+  /// Records what a response of an instance says about its request rate limit.
+  /// @param aIncarnation incarnation that sent the response; what another one
+  /// said is ignored.
+  /// @param aRequestsPerSecond limit for all entry hosts together, or
+  /// std::nullopt if the instance names none.
+  /// @param aToldAt time of the response.
+  /// @return whether the limit changed.
+  bool RecordRateLimit(const std::string& aInstance,
+                       uint64_t aIncarnation,
+                       std::optional<double> aRequestsPerSecond,
+                       Instant aToldAt);
+
   /// @return whether instances of the service report their load.
   bool ReportsLoad(const std::string& aService, Instant aNow) const;
 
@@ -255,6 +267,10 @@
     /// cold instance may get in a second. Nearly all instances have none, and
     /// then this allocates no memory.
     std::vector<Instant> recentStarts;
+    /// Requests per second that it accepts from all entry hosts together, as
+    /// of rateLimitToldAt.
+    std::optional<double> rateLimit;
+    Instant rateLimitToldAt{};
     std::optional<LoadReport> report;
     Instant reportedAt{};
     /// Attempts of this host that started since the last load report, and the
--- a/src/librattandyke/gateway/upstream_set_cold.cpp
+++ b/src/librattandyke/gateway/upstream_set_rate.cpp
@@ -1,4 +1,4 @@
-// Limit on the requests sent to cold upstreams.
+// Limits on the request rate of upstreams.
 #include "gateway/upstream_set.h"
 
 #include <algorithm>
@@ -121,4 +121,21 @@
          static_cast<double>(service->second.usable);
 }
 
+bool
+UpstreamSet::RecordRateLimit(const std::string& aInstance,
+                             uint64_t aIncarnation,
+                             std::optional<double> aRequestsPerSecond,
+                             Instant aToldAt)
+{
+  const auto found = mUpstreams.find(aInstance);
+  if (found == mUpstreams.end() || found->second.incarnation != aIncarnation) {
+    return false;
+  }
+  Upstream& upstream = found->second;
+  const bool changed = upstream.rateLimit != aRequestsPerSecond;
+  upstream.rateLimit = aRequestsPerSecond;
+  upstream.rateLimitToldAt = aToldAt;
+  return changed;
+}
+
 } // namespace rattandyke::gateway
