--- /dev/null
+++ b/src/testing/entry_group.cpp
@@ -0,0 +1,360 @@
+#include "testing/entry_group.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace rattandyke::gateway::testing {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr const char* kService = "desk";
+constexpr milliseconds kMaxWait{ 300 };
+constexpr milliseconds kMaxHold{ 1000 };
+constexpr milliseconds kTimeToObjective{ 500 };
+constexpr UpstreamSet::Options kOptions{
+  std::chrono::seconds{ 2 }, std::chrono::seconds{ 5 }, 1, 0, {}, {}
+};
+
+std::string
+InstanceId(size_t aUpstream)
+{
+  return "i-" + std::to_string(aUpstream);
+}
+
+size_t
+UpstreamNumber(const std::string& aInstance)
+{
+  return std::stoul(aInstance.substr(2));
+}
+
+} // namespace
+
+class EntryGroup::SimulatedClock final : public Clock
+{
+public:
+  explicit SimulatedClock(const Instant& aNow)
+    : mNow(aNow)
+  {
+  }
+
+  Instant Now() const override { return mNow; }
+  WallTime Wall() const override { return {}; }
+
+private:
+  const Instant& mNow;
+};
+
+struct EntryGroup::Entry
+{
+  uint64_t session = 0;
+  bool listed = true;
+  bool silent = false;
+  std::unique_ptr<SlotCoordinator> slots;
+  /// First responses with a rate limit, by upstream.
+  std::map<size_t, Instant> toldLimitAt;
+};
+
+struct EntryGroup::Message
+{
+  size_t from = 0;
+  std::string to;
+  wire::GatewayFrame frame;
+};
+
+struct EntryGroup::Response
+{
+  size_t entry = 0;
+  uint64_t session = 0;
+  Slot slot;
+  Duration elapsed{};
+};
+
+EntryGroup::EntryGroup(size_t aEntries, size_t aUpstreams, bool aOwnsKeys)
+  : mOwnsKeys(aOwnsKeys)
+  , mClock(std::make_unique<SimulatedClock>(mNow))
+  , mUpstreams(aUpstreams)
+  , mIncarnations(aUpstreams, 1)
+  , mArrivals(aUpstreams)
+{
+  wire::GatewayCommand service;
+  wire::ServiceItem* item = service.mutable_change_items()->add_services();
+  item->set_name(kService);
+  item->set_owns_keys(aOwnsKeys);
+  item->set_version(1);
+  item->set_source(kService);
+  Apply(service);
+  for (size_t number = 0; number < aUpstreams; ++number) {
+    Apply(PutUpstream(number));
+  }
+  for (size_t number = 0; number < aEntries; ++number) {
+    wire::GatewayCommand put;
+    put.mutable_put_entry()->mutable_entry()->set_address(AddressOf(number));
+    Apply(put);
+  }
+  for (size_t number = 0; number < aEntries; ++number) {
+    mEntries.push_back(std::make_unique<Entry>());
+    StartEntry(number);
+  }
+}
+
+EntryGroup::~EntryGroup() = default;
+
+std::string
+EntryGroup::AddressOf(size_t aEntry) const
+{
+  return "10.0." + std::to_string(aEntry / 250) + "." +
+         std::to_string(aEntry % 250) + ":1";
+}
+
+void
+EntryGroup::Apply(const wire::GatewayCommand& aCommand)
+{
+  static_cast<void>(mState.Apply(aCommand, LogIndex{ ++mIndex }));
+  for (const auto& entry : mEntries) {
+    if (entry->slots) {
+      entry->slots->StateChanged(mState, aCommand);
+    }
+  }
+}
+
+wire::GatewayCommand
+EntryGroup::PutUpstream(size_t aUpstream) const
+{
+  wire::GatewayCommand put;
+  wire::UpstreamInstance* instance =
+    put.mutable_put_instance()->mutable_instance();
+  instance->set_id(InstanceId(aUpstream));
+  instance->set_service(kService);
+  instance->set_address("10.9.0.1:" + std::to_string(aUpstream + 1));
+  instance->set_slots(mUpstreams[aUpstream].slots);
+  instance->set_life(mIncarnations[aUpstream]);
+  return put;
+}
+
+void
+EntryGroup::StartEntry(size_t aEntry)
+{
+  Entry& entry = *mEntries[aEntry];
+  entry.session = ++mLastSession;
+  entry.toldLimitAt.clear();
+  entry.slots = std::make_unique<SlotCoordinator>(
+    mContext.get_executor(),
+    AddressOf(aEntry),
+    entry.session,
+    [this, aEntry](const HostName& aTo, const wire::GatewayFrame& aFrame) {
+      mMessages.emplace(mNow + mMessageDelay,
+                        Message{ aEntry, aTo.value, aFrame });
+    },
+    *mClock,
+    entry.session,
+    kOptions,
+    [this] { return mStateAge; });
+  if (!entry.listed) {
+    entry.listed = true;
+    wire::GatewayCommand put;
+    put.mutable_put_entry()->mutable_entry()->set_address(AddressOf(aEntry));
+    Apply(put);
+  }
+  entry.slots->StateChanged(mState);
+}
+
+void
+EntryGroup::StopEntry(size_t aEntry, bool aPlanned)
+{
+  RunHandlers();
+  mEntries[aEntry]->slots.reset();
+  mDrops.emplace(aPlanned ? mNow : mNow + kDetectionTime, aEntry);
+}
+
+void
+EntryGroup::SetSilent(size_t aEntry, bool aSilent)
+{
+  mEntries[aEntry]->silent = aSilent;
+}
+
+void
+EntryGroup::RestartUpstream(size_t aUpstream)
+{
+  ++mIncarnations[aUpstream];
+  Apply(PutUpstream(aUpstream));
+}
+
+void
+EntryGroup::RunFor(Duration aTime, double aRequestsPerSecond)
+{
+  for (const Instant end = mNow + aTime; mNow < end; mNow += kStep) {
+    while (!mDrops.empty() && mDrops.begin()->first <= mNow) {
+      Entry& entry = *mEntries[mDrops.begin()->second];
+      if (!entry.slots && entry.listed) {
+        entry.listed = false;
+        wire::GatewayCommand drop;
+        drop.mutable_drop_entry()->set_address(
+          AddressOf(mDrops.begin()->second));
+        Apply(drop);
+      }
+      mDrops.erase(mDrops.begin());
+    }
+    mOwedRequests +=
+      aRequestsPerSecond * std::chrono::duration<double>(kStep).count();
+    for (; mOwedRequests >= 1; mOwedRequests -= 1) {
+      SendRequest();
+    }
+    DeliverMessages();
+    DeliverResponses();
+    if (mNow >= mNextTick) {
+      mNextTick = mNow + Duration(SlotBroker::kTick);
+      for (const auto& entry : mEntries) {
+        if (entry->slots) {
+          entry->slots->Tick();
+        }
+      }
+    }
+    RunHandlers();
+  }
+}
+
+void
+EntryGroup::SendRequest()
+{
+  const size_t number = mRandom() % mEntries.size();
+  Entry& entry = *mEntries[number];
+  if (!entry.slots) {
+    return;
+  }
+  SlotRequest request;
+  request.service = kService;
+  if (mOwnsKeys) {
+    request.instance = InstanceId(mRandom() % mUpstreams.size());
+  }
+  request.maxWait = kMaxWait;
+  request.timeToObjective = kTimeToObjective;
+  request.maxHold = kMaxHold;
+  auto context = std::make_shared<RequestContext>(mContext.get_executor());
+  mWaiting.push_back(context);
+  asio::co_spawn(mContext,
+                 entry.slots->Acquire(context, request),
+                 [this, number, session = entry.session](
+                   const std::exception_ptr&, SlotOutcome aOutcome) {
+                   OnSlot(number, session, std::move(aOutcome));
+                 });
+  RunHandlers();
+}
+
+void
+EntryGroup::OnSlot(size_t aEntry, uint64_t aSession, SlotOutcome aOutcome)
+{
+  const auto* slot = std::get_if<Slot>(&aOutcome);
+  if (slot == nullptr) {
+    ++mRefused;
+    return;
+  }
+  const size_t upstream = UpstreamNumber(slot->instance);
+  const Entry& entry = *mEntries[aEntry];
+  const auto told = entry.toldLimitAt.find(upstream);
+  mArrivals[upstream].push_back({ mNow,
+                                  aEntry,
+                                  told == entry.toldLimitAt.end()
+                                    ? std::optional<Instant>()
+                                    : told->second });
+  const Duration elapsed = mUpstreams[upstream].serviceTime;
+  mResponses.emplace(mNow + elapsed,
+                     Response{ aEntry, aSession, *slot, elapsed });
+}
+
+void
+EntryGroup::DeliverMessages()
+{
+  while (!mMessages.empty() && mMessages.begin()->first <= mNow) {
+    const Message message = std::move(mMessages.begin()->second);
+    mMessages.erase(mMessages.begin());
+    const auto to =
+      std::find_if(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+        const auto number = static_cast<size_t>(&aEntry - mEntries.data());
+        return AddressOf(number) == message.to;
+      });
+    if (to == mEntries.end() || !(*to)->slots || (*to)->silent ||
+        mEntries[message.from]->silent) {
+      continue;
+    }
+    SlotCoordinator& slots = *(*to)->slots;
+    if (message.frame.has_slot_ask()) {
+      slots.OnSlotRequest(message.frame.slot_ask());
+    } else if (message.frame.has_slot_answer()) {
+      slots.OnSlotAnswer(message.frame.slot_answer());
+    } else if (message.frame.has_slot_done()) {
+      slots.OnSlotRelease(message.frame.slot_done());
+    }
+    RunHandlers();
+  }
+}
+
+void
+EntryGroup::DeliverResponses()
+{
+  while (!mResponses.empty() && mResponses.begin()->first <= mNow) {
+    const Response response = std::move(mResponses.begin()->second);
+    mResponses.erase(mResponses.begin());
+    Entry& entry = *mEntries[response.entry];
+    if (!entry.slots || entry.session != response.session) {
+      continue;
+    }
+    const size_t number = UpstreamNumber(response.slot.instance);
+    const UpstreamModel& upstream = mUpstreams[number];
+    if (upstream.rateLimit) {
+      entry.toldLimitAt.try_emplace(number, mNow);
+    }
+    if (upstream.reportsLoad) {
+      entry.slots->RecordLoadReport(response.slot.instance,
+                                    { 0, 0, upstream.slots, 1 });
+    }
+    entry.slots->RecordRateLimit(response.slot, upstream.rateLimit);
+    entry.slots->Release(
+      response.slot, AttemptOutcome::Answered, response.elapsed);
+    ++mServed;
+    RunHandlers();
+  }
+}
+
+/// Wakes all waiting requests, which check the simulated clock.
+void
+EntryGroup::RunHandlers()
+{
+  std::erase_if(mWaiting, [](const auto& aWaiting) {
+    const auto context = aWaiting.lock();
+    if (context) {
+      context->WakeTimer().cancel();
+    }
+    return !context;
+  });
+  mContext.restart();
+  mContext.poll();
+}
+
+size_t
+EntryGroup::MostInWindow(size_t aUpstream,
+                         Instant aFrom,
+                         Duration aWindow) const
+{
+  constexpr milliseconds kTellingTime{ 500 };
+  std::deque<Instant> recent;
+  size_t most = 0;
+  for (const Arrival& arrival : mArrivals[aUpstream]) {
+    const bool told =
+      arrival.toldLimitAt && arrival.at >= *arrival.toldLimitAt + kTellingTime;
+    if (!told || arrival.at < aFrom) {
+      continue;
+    }
+    recent.push_back(arrival.at);
+    while (arrival.at - recent.front() >= aWindow) {
+      recent.pop_front();
+    }
+    most = std::max(most, recent.size());
+  }
+  return most;
+}
+
+} // namespace rattandyke::gateway::testing
--- /dev/null
+++ b/src/testing/entry_group.h
@@ -0,0 +1,128 @@
+/// Entry hosts and upstreams in simulated time, for tests of what all entries
+/// together send to an upstream.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/slot_coordinator.h"
+#include "gateway/state.h"
+
+namespace rattandyke::gateway::testing {
+
+/// An emulated upstream. Tests change its behaviour while it runs.
+struct UpstreamModel
+{
+  /// Requests per second that it names in its responses.
+  std::optional<double> rateLimit;
+  uint32_t slots = 2;
+  Duration serviceTime = std::chrono::milliseconds{ 40 };
+  /// It reports its load in its responses.
+  bool reportsLoad = false;
+};
+
+/// A request that arrived at an upstream.
+struct Arrival
+{
+  Instant at{};
+  size_t entry = 0;
+  /// Time of the first response with a rate limit that the entry got from the
+  /// upstream, if it has got one.
+  std::optional<Instant> toldLimitAt;
+};
+
+/// Several entry hosts, each with a SlotCoordinator, and the upstreams of one
+/// service. Messages between entries take a fixed time; timers follow the
+/// simulated clock.
+class EntryGroup
+{
+public:
+  static constexpr std::chrono::milliseconds kStep{ 5 };
+
+  /// @param aOwnsKeys whether each request is for a certain upstream.
+  EntryGroup(size_t aEntries, size_t aUpstreams, bool aOwnsKeys);
+  ~EntryGroup();
+
+  /// Lets time pass while callers send requests to random entries.
+  void RunFor(Duration aTime, double aRequestsPerSecond);
+
+  /// Ends an entry. It leaves the list of entries at the same time if it says
+  /// so, otherwise kDetectionTime later.
+  void StopEntry(size_t aEntry, bool aPlanned);
+  /// Starts an entry again, without what it knew.
+  void StartEntry(size_t aEntry);
+  /// Drops or delivers the messages to and from an entry, which stays in the
+  /// list.
+  void SetSilent(size_t aEntry, bool aSilent);
+  void SetMessageDelay(Duration aDelay) { mMessageDelay = aDelay; }
+  /// Sets the time since the entries' state was known to be up to date.
+  void SetStateAge(Duration aAge) { mStateAge = aAge; }
+  /// Starts an upstream again under its id.
+  void RestartUpstream(size_t aUpstream);
+
+  UpstreamModel& Upstream(size_t aUpstream) { return mUpstreams[aUpstream]; }
+  const std::vector<Arrival>& Arrivals(size_t aUpstream) const
+  {
+    return mArrivals[aUpstream];
+  }
+
+  Instant Now() const { return mNow; }
+  /// Requests that got a response, and that were refused by their entry.
+  size_t Served() const { return mServed; }
+  size_t Refused() const { return mRefused; }
+  void ResetCounts() { mServed = mRefused = 0; }
+
+  /// @return the most requests that arrived in a window at an upstream from
+  /// entries that had been told a limit half a second before, in windows that
+  /// begin at aFrom or later.
+  size_t MostInWindow(size_t aUpstream, Instant aFrom, Duration aWindow) const;
+
+  static constexpr std::chrono::milliseconds kDetectionTime{ 1500 };
+
+private:
+  class SimulatedClock;
+  struct Entry;
+  struct Response;
+  struct Message;
+
+  std::string AddressOf(size_t aEntry) const;
+  void Apply(const wire::GatewayCommand& aCommand);
+  wire::GatewayCommand PutUpstream(size_t aUpstream) const;
+  void SendRequest();
+  void OnSlot(size_t aEntry, uint64_t aSession, SlotOutcome aOutcome);
+  void DeliverMessages();
+  void DeliverResponses();
+  void RunHandlers();
+
+  const bool mOwnsKeys;
+  Instant mNow{ std::chrono::hours{ 1 } };
+  Instant mNextTick{};
+  Duration mMessageDelay = kStep;
+  Duration mStateAge{};
+  std::mt19937_64 mRandom{ 11 };
+  std::unique_ptr<SimulatedClock> mClock;
+  boost::asio::io_context mContext;
+  State mState;
+  uint64_t mIndex = 0;
+  uint64_t mLastSession = 0;
+  std::vector<std::unique_ptr<Entry>> mEntries;
+  std::vector<UpstreamModel> mUpstreams;
+  std::vector<uint64_t> mIncarnations;
+  std::vector<std::vector<Arrival>> mArrivals;
+  std::multimap<Instant, Message> mMessages;
+  std::multimap<Instant, Response> mResponses;
+  std::multimap<Instant, size_t> mDrops;
+  std::vector<std::weak_ptr<RequestContext>> mWaiting;
+  double mOwedRequests = 0;
+  size_t mServed = 0;
+  size_t mRefused = 0;
+};
+
+} // namespace rattandyke::gateway::testing
