--- a/src/librattandyke/gateway/cold_upstream_test.cpp
+++ b/src/librattandyke/gateway/cold_upstream_test.cpp
@@ -166,7 +166,7 @@
   RunFor(milliseconds{ 1300 }, home);
   SlotBroker next(4, kHomeOptions);
   next.Update(StateWithCold(true, kWarmUp.count()), now);
-  next.PauseCold({ "a" }, now);
+  next.PauseRateLimited({ "a" }, now);
   RunFor(milliseconds{ 1600 }, next);
   EXPECT_LE(static_cast<double>(arrivals.maxPerSecond), kMaxColdRate);
 }
@@ -181,7 +181,7 @@
   request.service = "desk";
   request.instance = "a";
   request.uncoordinated = true;
-  request.mayUseCold = false;
+  request.rateShare = 0;
   request.maxHold = milliseconds{ 500 };
   for (const SlotAnswer& answer : entry.Acquire(request, now)) {
     EXPECT_FALSE(std::holds_alternative<SlotGranted>(answer));
--- a/src/librattandyke/gateway/direct_choice_test.cpp
+++ b/src/librattandyke/gateway/direct_choice_test.cpp
@@ -139,7 +139,7 @@
       id = choice->instance;
     }
     Upstream& upstream = mUpstreams.at(id);
-    const auto start = mEntries[entry].BeginAttempt(id, mNow);
+    const auto start = mEntries[entry].BeginAttempt(id, 0, mNow);
     if (upstream.waiting.size() >= kQueueCapacity) {
       ++mDropped;
       return;
--- a/src/librattandyke/gateway/evacuation_test.cpp
+++ b/src/librattandyke/gateway/evacuation_test.cpp
@@ -78,7 +78,7 @@
   bool CanChoose(const std::string& aService)
   {
     const auto outcome =
-      set.Choose(aService, 0, {}, DataCentre{ "west" }, true, now);
+      set.Choose(aService, 0, {}, DataCentre{ "west" }, 1, now);
     return std::holds_alternative<UpstreamSet::Choice>(outcome);
   }
 
@@ -113,7 +113,7 @@
   entry.Apply(EvacuationCommand("west", false));
   for (int request = 0; request < 20; ++request) {
     const auto outcome =
-      entry.set.Choose("desk", 0, {}, DataCentre{ "west" }, true, entry.now);
+      entry.set.Choose("desk", 0, {}, DataCentre{ "west" }, 1, entry.now);
     EXPECT_EQ(std::get<UpstreamSet::Choice>(outcome).instance, "b");
   }
   EXPECT_EQ(entry.set.UsableAddress("a", entry.now), "");
@@ -142,7 +142,7 @@
   EXPECT_EQ(entry.set.OwnerOf(entry.state, "board", 7, entry.now), "a");
   entry.now += milliseconds{ kEvacuation } / 2;
   EXPECT_EQ(entry.set.OwnerOf(entry.state, "board", 7, entry.now), "");
-  const auto outcome = entry.set.ChooseOne("a", entry.now);
+  const auto outcome = entry.set.ChooseOne("a", 1, entry.now);
   EXPECT_TRUE(std::holds_alternative<UpstreamSet::UnavailableReason>(outcome));
 }
 
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -619,6 +619,15 @@
     aProgress, kRetryAfterFull, aProgress.lastFailure);
 }
 
+/// A caller can't use what an upstream tells of its load: it is outdated there,
+/// and the caller does not choose the upstream.
+bool
+RequestHandler::IsForThisHost(std::string_view aName) const
+{
+  return boost::beast::iequals(aName, mHeaders.load) ||
+         boost::beast::iequals(aName, mHeaders.rateLimit);
+}
+
 CallerResponse
 RequestHandler::FinalResponse(const RequestProgress& aProgress,
                               AttemptResult aResult) const
@@ -629,8 +638,7 @@
     response.status = aResult.response.status;
     http::ForEachEndToEnd(aResult.response.fields,
                           [&](std::string_view aName, std::string_view aValue) {
-                            // Meant for this host; outdated at the caller.
-                            if (!boost::beast::iequals(aName, mHeaders.load)) {
+                            if (!IsForThisHost(aName)) {
                               http::AppendField(response.fields, aName, aValue);
                             }
                           });
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -176,6 +176,8 @@
   /// @return whether the request may be sent again. If so, a retry is taken
   /// from the retry budget.
   bool TryTakeRetry(RequestProgress& aProgress, const AttemptResult& aResult);
+  /// @return whether a response header is meant for this host only.
+  bool IsForThisHost(std::string_view aName) const;
   /// @return the response for the last attempt's result.
   CallerResponse FinalResponse(const RequestProgress& aProgress,
                                AttemptResult aResult) const;
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "routing/service_table.h"
 
 namespace rattandyke::gateway {
 
@@ -42,6 +43,9 @@
 constexpr milliseconds kMinRetryAfter{ 60 };
 constexpr milliseconds kMaxRetryAfter{ 1000 };
 constexpr milliseconds kNoUpstreamRetryAfter{ 400 };
+/// Times to retry after are spread up to twice the shortest, so the shortest is
+/// at most this fraction of kMaxRetryAfter.
+constexpr double kMinSpreadFraction = 0.5;
 
 /// @return the expected wait of a request behind aQueuedAhead others, of which
 /// aRequestsPerSecond start per second.
@@ -105,19 +109,17 @@
                                         : aRequest.timeToObjective,
                                    aNow);
   }
-  if (!aRequest.mayUseCold && mUpstreams.IsCold(aRequest.instance, aNow)) {
-    return UpstreamSet::UnavailableReason::Full;
-  }
   if (!aRequest.instance.empty()) {
     return aRequest.uncoordinated
              ? mUpstreams.ChooseOneUncoordinated(aRequest.instance, aNow)
-             : mUpstreams.ChooseOne(aRequest.instance, aNow);
+             : mUpstreams.ChooseOne(
+                 aRequest.instance, aRequest.rateShare, aNow);
   }
   return mUpstreams.Choose(aRequest.service,
                            aRequest.group,
                            aRequest.excluded,
                            aRequest.dataCentre,
-                           aRequest.mayUseCold,
+                           aRequest.rateShare,
                            aNow);
 }
 
@@ -127,7 +129,7 @@
                   Instant aNow)
 {
   const UpstreamSet::AttemptStart start =
-    mUpstreams.BeginAttempt(aChoice.instance, aNow);
+    mUpstreams.BeginAttempt(aChoice.instance, aRequest.rateShare, aNow);
   mGranted[aRequest.key] = { aChoice.instance,
                              aNow + aRequest.maxHold +
                                Duration(kLostReleaseGrace),
@@ -222,9 +224,28 @@
 }
 
 Duration
-SlotBroker::ExpectedWait(const SlotRequest& aRequest) const
+SlotBroker::ExpectedWait(const SlotRequest& aRequest, Instant aNow) const
 {
-  return QueueWait(QueuedAhead(aRequest, false), CapacityFor(aRequest));
+  const size_t ahead = QueuedAhead(aRequest, false);
+  return std::max(QueueWait(ahead, CapacityFor(aRequest)),
+                  mUpstreams.RateLimitWait(aRequest.instance, ahead, aNow));
+}
+
+/// The rate of a limited upstream admits one caller at a time, so the callers
+/// that it refuses in the meantime are told to come back at different times.
+Duration
+SlotBroker::RetryAfter(const SlotRequest& aRequest,
+                       Duration aWait,
+                       Instant aNow) const
+{
+  if (!mUpstreams.IsRateLimited(aRequest.instance, aNow)) {
+    return aWait;
+  }
+  const uint64_t hash = routing::MixBits(aRequest.key.session ^
+                                         routing::MixBits(aRequest.key.ticket));
+  const Duration base =
+    std::min<Duration>(aWait, Scaled(kMaxRetryAfter, kMinSpreadFraction));
+  return Scaled(base, 1 + static_cast<double>(hash % 1024) / 1024);
 }
 
 /// @return the expected wait of a late request. Late requests get the capacity
@@ -235,7 +256,9 @@
   const double capacity = CapacityFor(aRequest);
   const double spareCapacity = std::max(capacity - DemandRate(aRequest, aNow),
                                         capacity * kMinSpareFraction);
-  return QueueWait(QueuedAhead(aRequest, true), spareCapacity);
+  const size_t ahead = QueuedAhead(aRequest, true);
+  return std::max(QueueWait(ahead, spareCapacity),
+                  mUpstreams.RateLimitWait(aRequest.instance, ahead, aNow));
 }
 
 double
@@ -278,6 +301,10 @@
 SlotBroker::Acquire(const SlotRequest& aRequest, Instant aNow)
 {
   RecordDemand(aRequest, aNow);
+  if (mUpstreams.IsRateLimited(aRequest.instance, aNow)) {
+    // What has accrued since the last tick is for those that wait.
+    GrantQueued(aRequest.service, aNow);
+  }
   const UpstreamSet::Outcome outcome = Choose(aRequest, aNow);
   if (const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome)) {
     Grant(aRequest, *choice, aNow);
@@ -292,13 +319,19 @@
     RefuseFull(aRequest, mUpstreams.ExpectedDirectWait(aRequest.service, aNow));
     return TakePendingAnswers();
   }
-  const Duration wait = ExpectedWait(aRequest);
+  const Duration wait = ExpectedWait(aRequest, aNow);
+  if (aRequest.rateShare <= 0 &&
+      mUpstreams.IsRateLimited(aRequest.instance, aNow)) {
+    // Only the home entry knows when the limit has room.
+    RefuseFull(aRequest, RetryAfter(aRequest, wait, aNow));
+    return TakePendingAnswers();
+  }
   const bool onTime = wait <= Scaled(MaxOnTimeWait(aRequest), kMaxWaitFactor);
   const bool late =
     !onTime && ExpectedLateWait(aRequest, aNow) <=
                  Scaled(MaxLateWait(aRequest), kMaxLateWaitFraction);
   if (!onTime && !late) {
-    RefuseFull(aRequest, wait);
+    RefuseFull(aRequest, RetryAfter(aRequest, wait, aNow));
     return TakePendingAnswers();
   }
   Enqueue(aRequest, late, aNow);
@@ -392,7 +425,7 @@
       late.push_back(std::move(request));
       continue;
     }
-    RefuseFull(request, ExpectedWait(request));
+    RefuseFull(request, RetryAfter(request, ExpectedWait(request, aNow), aNow));
   }
   for (const SlotRequest& request : late) {
     Enqueue(request, true, aNow);
@@ -435,21 +468,21 @@
   for (const std::string& service : freed) {
     GrantQueued(service, aNow);
   }
-  mUpstreams.RemoveWarm(aNow);
-  GrantQueuedForCold(aNow);
+  mUpstreams.RemoveUnlimited(aNow);
+  GrantQueuedForRateLimited(aNow);
   return TakePendingAnswers();
 }
 
-/// Grants slots of cold upstreams: their request limit allows more as time
-/// passes, also if no request ends.
+/// Grants slots of upstreams with a limited request rate: the limit allows more
+/// as time passes, also if no request ends.
 void
-SlotBroker::GrantQueuedForCold(Instant aNow)
+SlotBroker::GrantQueuedForRateLimited(Instant aNow)
 {
   if (QueuedCount() == 0) {
     return;
   }
   std::set<std::string> services;
-  for (const std::string& instance : mUpstreams.ColdInstances(aNow)) {
+  for (const std::string& instance : mUpstreams.RateLimitedInstances(aNow)) {
     services.insert(mUpstreams.ServiceOf(instance));
   }
   for (const std::string& service : services) {
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -51,8 +51,10 @@
   bool uncoordinated = false;
   /// The request may be sent without an answer of the home entry.
   bool mayBypassHome = true;
-  /// Cold upstreams may be chosen: this host is certain to be their home entry.
-  bool mayUseCold = true;
+  /// Fraction of the request rate of a limited upstream that this host may
+  /// allocate: 1 as its home entry, less if its list of entries may be
+  /// outdated, 0 if it is not the home entry.
+  double rateShare = 1;
   /// This host chooses an instance from load reports, without the home entry.
   bool direct = false;
 };
@@ -127,19 +129,19 @@
   }
 
   /// See UpstreamSet::RecordRateLimit.
-  bool RecordRateLimit(const std::string& aInstance,
-                       uint64_t aIncarnation,
-                       std::optional<double> aRequestsPerSecond,
-                       Instant aToldAt)
+  bool RecordRateLimit(const RateLimitNotice& aNotice, Instant aNow)
   {
-    return mUpstreams.RecordRateLimit(
-      aInstance, aIncarnation, aRequestsPerSecond, aToldAt);
+    return mUpstreams.RecordRateLimit(aNotice, aNow);
   }
 
-  /// See UpstreamSet::PauseCold.
-  void PauseCold(const std::vector<std::string>& aInstances, Instant aNow)
+  /// See UpstreamSet::SetEntryCount.
+  void SetEntryCount(size_t aCount) { mUpstreams.SetEntryCount(aCount); }
+
+  /// See UpstreamSet::PauseRateLimited.
+  void PauseRateLimited(const std::vector<std::string>& aInstances,
+                        Instant aNow)
   {
-    mUpstreams.PauseCold(aInstances, aNow);
+    mUpstreams.PauseRateLimited(aInstances, aNow);
   }
 
   /// @return whether a request of the session waits or has a slot here.
@@ -219,14 +221,17 @@
   Duration MaxLateWait(const SlotRequest& aRequest) const;
   double CapacityFor(const SlotRequest& aRequest) const;
   size_t QueuedAhead(const SlotRequest& aRequest, bool aLate) const;
-  Duration ExpectedWait(const SlotRequest& aRequest) const;
+  Duration ExpectedWait(const SlotRequest& aRequest, Instant aNow) const;
+  Duration RetryAfter(const SlotRequest& aRequest,
+                      Duration aWait,
+                      Instant aNow) const;
   Duration ExpectedLateWait(const SlotRequest& aRequest, Instant aNow) const;
   void RecordDemand(const SlotRequest& aRequest, Instant aNow);
   double DemandRate(const SlotRequest& aRequest, Instant aNow) const;
   void Enqueue(const SlotRequest& aRequest, bool aLate, Instant aNow);
   void ExpireWaits(Queue& aQueue, Instant aNow);
   void GrantQueued(const std::string& aService, Instant aNow);
-  void GrantQueuedForCold(Instant aNow);
+  void GrantQueuedForRateLimited(Instant aNow);
   std::vector<SlotAnswer> TakePendingAnswers();
 
   UpstreamSet mUpstreams;
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -46,7 +46,7 @@
 }
 
 wire::SlotAnswer
-ToWire(const SlotAnswer& aAnswer)
+EncodeAnswer(const SlotAnswer& aAnswer)
 {
   wire::SlotAnswer answer;
   const SlotKey key = KeyOf(aAnswer);
@@ -110,12 +110,12 @@
   for (const auto& [address, member] : aState.Entries()) {
     AddEntry(address);
   }
-  mLimiter.SetEntryCount(mEntries.size());
+  OnEntryCountChanged();
   RemoveStaleRequesters(aState);
   Deliver(mBroker.Update(aState, mClock.Now()));
   // This host may have just started, and a snapshot does not show when it
   // became the home entry of an upstream.
-  PauseNewlyHomedCold({});
+  PauseNewlyHomed({});
 }
 
 void
@@ -135,18 +135,18 @@
       Deliver(mBroker.Update(aState, aCommand.end_instance().id(), now));
       return;
     case wire::GatewayCommand::kPutEntry: {
-      const std::vector<std::string> before = ColdUpstreamsHomedHere();
+      const std::vector<std::string> before = RateLimitedHomedHere();
       AddEntry(aCommand.put_entry().entry().address());
-      mLimiter.SetEntryCount(mEntries.size());
-      PauseNewlyHomedCold(before);
+      OnEntryCountChanged();
+      PauseNewlyHomed(before);
       return;
     }
     case wire::GatewayCommand::kDropEntry: {
-      const std::vector<std::string> before = ColdUpstreamsHomedHere();
+      const std::vector<std::string> before = RateLimitedHomedHere();
       DropEntry(aCommand.drop_entry().address());
-      mLimiter.SetEntryCount(mEntries.size());
+      OnEntryCountChanged();
       RemoveStaleRequesters(aState);
-      PauseNewlyHomedCold(before);
+      PauseNewlyHomed(before);
       return;
     }
     case wire::GatewayCommand::kEvacuateDataCentre:
@@ -164,6 +164,13 @@
   }
 }
 
+void
+SlotCoordinator::OnEntryCountChanged()
+{
+  mLimiter.SetEntryCount(mEntries.size());
+  mBroker.SetEntryCount(std::max<size_t>(mEntries.size(), 1));
+}
+
 /// Removes the sessions of entries that have left the state, unless they have
 /// requests here.
 void
@@ -209,6 +216,19 @@
   }
 }
 
+std::vector<RateLimitNotice>
+SlotCoordinator::LimitsFor(const SlotRequest& aRequest) const
+{
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  if (aRequest.instance.empty()) {
+    return upstreams.RateLimitsOf(aRequest.service, aRequest.group);
+  }
+  const auto limit = upstreams.RateLimitOf(aRequest.instance);
+  return limit && limit->requestsPerSecond
+           ? std::vector<RateLimitNotice>{ *limit }
+           : std::vector<RateLimitNotice>{};
+}
+
 asio::awaitable<void>
 SlotCoordinator::RequestFromHome(std::shared_ptr<Pending> aPending,
                                  std::string aHome,
@@ -231,6 +251,9 @@
     std::max<int64_t>(Ms(aRequest.timeToObjective).count(), int64_t{ 1 }));
   ask->set_held_ms(Ms(aRequest.maxHold).count());
   ask->set_data_centre(aRequest.dataCentre.value);
+  for (const RateLimitNotice& limit : LimitsFor(aRequest)) {
+    *ask->add_limits() = ToWire(limit);
+  }
   const Instant sentAt = mClock.Now();
   aPending->sentToHome = true;
   mSend(HostName{ aHome }, frame);
@@ -389,8 +412,8 @@
       co_return SlotUnavailable{ UpstreamSet::UnavailableReason::Full,
                                  Duration(kBusyRetryAfter) };
     }
-    aRequest.mayUseCold =
-      home.empty() || MayAllocateCold(aRequest.service, aRequest.group);
+    aRequest.rateShare =
+      aRequest.direct ? 0 : RateShareOf(aRequest.service, aRequest.group);
     outcome = co_await AcquireFrom({}, aContext, aRequest);
   }
   co_return outcome.value_or(SlotUnavailable{
@@ -447,42 +470,80 @@
     Deliver(mBroker.Release(
       { mSession, aSlot.ticket }, aOutcome, aElapsed, mClock.Now()));
   } else {
-    SendRelease(aSlot.home, aSlot.ticket, aOutcome, aElapsed);
+    SendRelease(aSlot, aOutcome, aElapsed);
   }
 }
 
 void
-SlotCoordinator::SendRelease(const std::string& aHome,
-                             uint64_t aTicket,
+SlotCoordinator::SendRelease(const Slot& aSlot,
                              AttemptOutcome aOutcome,
                              Duration aElapsed)
 {
   wire::GatewayFrame frame;
   wire::SlotDone* done = frame.mutable_slot_done();
   done->set_session(mSession);
-  done->set_ticket(aTicket);
+  done->set_ticket(aSlot.ticket);
   done->set_end(static_cast<uint32_t>(aOutcome));
   done->set_took_us(
     std::chrono::duration_cast<std::chrono::microseconds>(aElapsed).count());
-  mSend(HostName{ aHome }, frame);
+  if (const auto limit = mBroker.Upstreams().RateLimitOf(aSlot.instance)) {
+    *done->mutable_notice() = ToWire(*limit);
+  }
+  mSend(HostName{ aSlot.home }, frame);
 }
 
 void
 SlotCoordinator::RecordRateLimit(const Slot& aSlot,
                                  std::optional<double> aRequestsPerSecond)
 {
-  if (!mBroker.RecordRateLimit(
-        aSlot.instance, aSlot.incarnation, aRequestsPerSecond, mClock.Now())) {
+  Record(
+    { aSlot.instance, aSlot.incarnation, aRequestsPerSecond, mClock.Now() },
+    "response");
+}
+
+void
+SlotCoordinator::ApplyNotice(const wire::UpstreamNotice& aNotice)
+{
+  const Instant now = mClock.Now();
+  Record({ aNotice.instance(),
+           aNotice.life(),
+           aNotice.limited() ? std::optional(aNotice.requests_per_second())
+                             : std::nullopt,
+           now - milliseconds{ aNotice.age_ms() } },
+         "entry");
+}
+
+wire::UpstreamNotice
+SlotCoordinator::ToWire(const RateLimitNotice& aNotice) const
+{
+  wire::UpstreamNotice notice;
+  notice.set_instance(aNotice.instance);
+  notice.set_life(aNotice.incarnation);
+  notice.set_limited(aNotice.requestsPerSecond.has_value());
+  notice.set_requests_per_second(aNotice.requestsPerSecond.value_or(0));
+  notice.set_age_ms(Ms(mClock.Now() - aNotice.toldAt).count());
+  return notice;
+}
+
+void
+SlotCoordinator::Record(const RateLimitNotice& aNotice,
+                        std::string_view aSource)
+{
+  if (!mBroker.RecordRateLimit(aNotice, mClock.Now())) {
     return;
   }
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  const std::string home = HomeOf(upstreams.ServiceOf(aNotice.instance),
+                                  upstreams.GroupOf(aNotice.instance));
   log::Line line(log::Part::Entry, log::Severity::Info);
-  line << "upstream " << aSlot.instance;
-  if (aRequestsPerSecond) {
-    line << " limits its requests per second limit=" << *aRequestsPerSecond;
+  line << "upstream " << aNotice.instance;
+  if (aNotice.requestsPerSecond) {
+    line << " limits its requests per second limit="
+         << *aNotice.requestsPerSecond;
   } else {
     line << " lifts its limit of requests per second";
   }
-  line << " home=" << (aSlot.home.empty() ? mSelf : aSlot.home);
+  line << " source=" << aSource << " home=" << (home.empty() ? mSelf : home);
 }
 
 void
@@ -497,8 +558,11 @@
     Decline(aRequest);
     return;
   }
+  for (const wire::UpstreamNotice& limit : aRequest.limits()) {
+    ApplyNotice(limit);
+  }
   SlotRequest request = FromWire(aRequest);
-  request.mayUseCold = MayAllocateCold(request.service, request.group);
+  request.rateShare = RateShareOf(request.service, request.group);
   Deliver(mBroker.Acquire(request, mClock.Now()));
 }
 
@@ -524,6 +588,9 @@
     aDone.end() <= static_cast<uint32_t>(AttemptOutcome::Abandoned)
       ? static_cast<AttemptOutcome>(aDone.end())
       : AttemptOutcome::Abandoned;
+  if (aDone.has_notice()) {
+    ApplyNotice(aDone.notice());
+  }
   Deliver(mBroker.Release({ aDone.session(), aDone.ticket() },
                           outcome,
                           std::chrono::microseconds{ aDone.took_us() },
@@ -537,6 +604,9 @@
     return;
   }
   const SlotKey key{ aAnswer.session(), aAnswer.ticket() };
+  if (aAnswer.has_notice()) {
+    ApplyNotice(aAnswer.notice());
+  }
   switch (aAnswer.state()) {
     case wire::SLOT_STATE_GRANTED:
       ApplyAnswer(key.ticket, SlotGranted{ key, aAnswer.instance(), {} });
@@ -606,7 +676,13 @@
   const auto replyTo = mReplyAddresses.find(key.session);
   if (replyTo != mReplyAddresses.end()) {
     wire::GatewayFrame frame;
-    *frame.mutable_slot_answer() = ToWire(aAnswer);
+    *frame.mutable_slot_answer() = EncodeAnswer(aAnswer);
+    if (const auto* granted = std::get_if<SlotGranted>(&aAnswer)) {
+      const auto limit = mBroker.Upstreams().RateLimitOf(granted->instance);
+      if (limit) {
+        *frame.mutable_slot_answer()->mutable_notice() = ToWire(*limit);
+      }
+    }
     mSend(HostName{ replyTo->second }, frame);
   }
 }
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -160,6 +160,7 @@
     SlotRequest aRequest);
   void AddEntry(const std::string& aAddress);
   void DropEntry(const std::string& aAddress);
+  void OnEntryCountChanged();
   void RemoveStaleRequesters(const State& aState);
   std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
   /// @return whether to choose an upstream from load reports, without its home
@@ -170,13 +171,22 @@
   /// @return whether this host may send it without the home entry.
   bool RecordRequest(const std::string& aInstance);
   bool IsHomeOf(const std::string& aInstance) const;
-  std::vector<std::string> ColdUpstreamsHomedHere() const;
-  void PauseNewlyHomedCold(const std::vector<std::string>& aBefore);
-  bool MayAllocateCold(const std::string& aService, uint32_t aGroup) const;
+  std::vector<std::string> RateLimitedHomedHere() const;
+  void PauseNewlyHomed(const std::vector<std::string>& aBefore);
+  /// @return see SlotRequest::rateShare.
+  double RateShareOf(const std::string& aService, uint32_t aGroup) const;
+  /// Records a notice that another host sent.
+  void ApplyNotice(const wire::UpstreamNotice& aNotice);
+  /// @param aSource sender of the notice, for the log.
+  void Record(const RateLimitNotice& aNotice, std::string_view aSource);
+  wire::UpstreamNotice ToWire(const RateLimitNotice& aNotice) const;
   bool IsUnresponsive(const std::string& aHome) const;
   boost::asio::awaitable<void> AwaitFirstReply(
     std::shared_ptr<Pending> aPending,
     Instant aUntil);
+  /// @return the rate limits that this host knows of the upstreams that a
+  /// request may get. A home entry that has just taken over knows none.
+  std::vector<RateLimitNotice> LimitsFor(const SlotRequest& aRequest) const;
   boost::asio::awaitable<void> RequestFromHome(
     std::shared_ptr<Pending> aPending,
     std::string aHome,
@@ -202,8 +212,7 @@
   void Decline(const wire::SlotAsk& aRequest);
   void OnDeclined(uint64_t aTicket);
   void ApplyAnswer(uint64_t aTicket, const SlotAnswer& aAnswer);
-  void SendRelease(const std::string& aHome,
-                   uint64_t aTicket,
+  void SendRelease(const Slot& aSlot,
                    AttemptOutcome aOutcome,
                    Duration aElapsed);
 
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -14,6 +14,10 @@
 /// With a list of entries older than this, a host may no longer be the home
 /// entry.
 constexpr milliseconds kMaxStateAge{ 1000 };
+/// Share of a limited upstream's request rate that a host allocates with such a
+/// list. Together with a whole share of another host it stays below one and a
+/// half times the rate.
+constexpr double kOutdatedListShare = 0.45;
 /// Mean latency of slot requests above which they are slow: an upstream chosen
 /// from load reports then answers earlier, even if it is not the best one.
 constexpr milliseconds kSlowHomeLatency{ 20 };
@@ -25,9 +29,9 @@
 /// are slow, to measure the latency.
 constexpr uint64_t kHomeProbePeriod = 32;
 /// Fraction of the requests to a service that go to the home entry if all its
-/// upstreams are cold; proportionally less if fewer are. Only home entries know
-/// how many requests a cold upstream may get.
-constexpr double kColdHomeFraction = 0.6;
+/// upstreams are limited in their request rate; proportionally less if fewer
+/// are. Only home entries know how many requests such an upstream may get.
+constexpr double kLimitedHomeFraction = 0.6;
 /// This few hosts can't overload an upstream with one request each.
 constexpr size_t kFewEntries = 16;
 
@@ -84,42 +88,45 @@
          mSelf;
 }
 
-/// @return the cold upstreams of which this host is the home entry.
+/// @return the upstreams with a limited request rate of which this host is the
+/// home entry.
 std::vector<std::string>
-SlotCoordinator::ColdUpstreamsHomedHere() const
+SlotCoordinator::RateLimitedHomedHere() const
 {
-  std::vector<std::string> cold =
-    mBroker.Upstreams().ColdInstances(mClock.Now());
-  std::erase_if(cold, [&](const auto& aId) { return !IsHomeOf(aId); });
-  return cold;
+  std::vector<std::string> limited =
+    mBroker.Upstreams().RateLimitedInstances(mClock.Now());
+  std::erase_if(limited, [&](const auto& aId) { return !IsHomeOf(aId); });
+  return limited;
 }
 
-/// Pauses sending to cold upstreams that have become homed on this host. The
+/// Pauses sending to limited upstreams that have become homed on this host. The
 /// previous home entry may have sent such an upstream all requests that it
-/// bears in the last second, and as many again from this host would crash it.
-/// @param aBefore cold upstreams that were homed on this host before.
+/// accepts, and as many again from this host would be too many.
+/// @param aBefore limited upstreams that were homed on this host before.
 void
-SlotCoordinator::PauseNewlyHomedCold(const std::vector<std::string>& aBefore)
+SlotCoordinator::PauseNewlyHomed(const std::vector<std::string>& aBefore)
 {
-  std::vector<std::string> cold = ColdUpstreamsHomedHere();
-  std::erase_if(cold, [&](const auto& aId) {
+  std::vector<std::string> limited = RateLimitedHomedHere();
+  std::erase_if(limited, [&](const auto& aId) {
     return std::find(aBefore.begin(), aBefore.end(), aId) != aBefore.end();
   });
-  mBroker.PauseCold(cold, mClock.Now());
+  mBroker.PauseRateLimited(limited, mClock.Now());
 }
 
-/// @return whether this host may allocate the slots of a group's cold
-/// upstreams: it must be the home entry by a list of entries that is up to
-/// date. A partitioned home entry continues to allocate slots for the entries
-/// on its side of the partition after another has replaced it, and two home
-/// entries would send a cold upstream twice what it bears. An entry is removed
-/// from the list only after being unreachable for longer than kMaxStateAge.
-bool
-SlotCoordinator::MayAllocateCold(const std::string& aService,
-                                 uint32_t aGroup) const
+/// A partitioned home entry continues to allocate slots for the entries on its
+/// side of the partition after another has replaced it, and two home entries
+/// would send a limited upstream twice what it accepts. An entry is removed
+/// from the list only after being unreachable for longer than kMaxStateAge, so
+/// with an older list this host allocates only a part of the rate.
+double
+SlotCoordinator::RateShareOf(const std::string& aService, uint32_t aGroup) const
 {
-  return mStateAge() < Duration(kMaxStateAge) &&
-         HomeOf(aService, aGroup) == mSelf;
+  const std::string home = HomeOf(aService, aGroup);
+  if (!home.empty() && home != mSelf) {
+    return 0;
+  }
+  const bool upToDate = home.empty() || mStateAge() < Duration(kMaxStateAge);
+  return upToDate ? 1 : kOutdatedListShare;
 }
 
 bool
@@ -154,9 +161,9 @@
       mRandom() % kHomeProbePeriod == 0) {
     return false;
   }
-  const double cold =
-    upstreams.ColdFraction(aRequest.service, now) * kColdHomeFraction;
-  return static_cast<double>(mRandom() % 1024) >= cold * 1024;
+  const double limited =
+    upstreams.RateLimitedFraction(aRequest.service, now) * kLimitedHomeFraction;
+  return static_cast<double>(mRandom() % 1024) >= limited * 1024;
 }
 
 /// While a key is hot and the home entry of its owner does not answer, each of
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -273,7 +273,10 @@
 double
 UpstreamSet::Capacity(const Upstream& aUpstream)
 {
-  return aUpstream.slots / ResponseSecondsOf(aUpstream);
+  const double capacity = aUpstream.slots / ResponseSecondsOf(aUpstream);
+  return HasNamedLimit(aUpstream)
+           ? std::min(capacity, *aUpstream.rateLimit->requestsPerSecond)
+           : capacity;
 }
 
 double
@@ -399,7 +402,7 @@
                     uint32_t aGroup,
                     const std::set<std::string>& aExcluded,
                     const DataCentre& aDataCentre,
-                    bool aMayUseCold,
+                    double aRateShare,
                     Instant aNow)
 {
   bool known = false;
@@ -411,9 +414,8 @@
     }
     known = true;
     const Upstream& upstream = item->second;
-    const bool cold = aNow < upstream.coldUntil;
     if (upstream.inFlight >= MaxInFlight(upstream) ||
-        (cold && (!aMayUseCold || IsColdLimitReached(upstream, aNow)))) {
+        !HasRateRoom(upstream, aRateShare, aNow)) {
       continue;
     }
     (aNow < upstream.avoidUntil ? avoided : room).push_back(item);
@@ -434,7 +436,9 @@
 }
 
 UpstreamSet::Outcome
-UpstreamSet::ChooseOne(const std::string& aInstance, Instant aNow)
+UpstreamSet::ChooseOne(const std::string& aInstance,
+                       double aRateShare,
+                       Instant aNow)
 {
   const auto found = mUpstreams.find(aInstance);
   if (found == mUpstreams.end() || found->second.removed) {
@@ -454,7 +458,7 @@
     upstream.nextProbeAt = aNow + Duration(kProbeInterval);
   }
   if (upstream.inFlight >= MaxInFlight(upstream) ||
-      IsColdLimitReached(upstream, aNow)) {
+      !HasRateRoom(upstream, aRateShare, aNow)) {
     return UnavailableReason::Full;
   }
   return Choice{ found->first, found->second.address };
@@ -472,10 +476,8 @@
   const uint32_t room = std::max(upstream.slots / kUncoordinatedDivisor, 1U);
   const bool overloaded = HasFreshReport(upstream, aNow) &&
                           upstream.report->waiting >= kOverloadedWaiting;
-  // Hosts that each send a cold upstream a few requests send too many together,
-  // so only its home entry sends to it.
   if (overloaded || upstream.inFlight >= room || aNow < upstream.avoidUntil ||
-      aNow < upstream.coldUntil) {
+      !HasUncoordinatedRateRoom(upstream, aNow)) {
     return UnavailableReason::Full;
   }
   return Choice{ found->first, upstream.address };
@@ -499,7 +501,9 @@
 }
 
 UpstreamSet::AttemptStart
-UpstreamSet::BeginAttempt(const std::string& aInstance, Instant aNow)
+UpstreamSet::BeginAttempt(const std::string& aInstance,
+                          double aRateShare,
+                          Instant aNow)
 {
   Upstream& upstream = mUpstreams[aInstance];
   const bool full = EstimatedLoad(upstream, aNow) >= upstream.slots;
@@ -513,6 +517,11 @@
       upstream.recentStarts.erase(upstream.recentStarts.begin());
     }
   }
+  if (HasNamedLimit(upstream) && aRateShare > 0) {
+    upstream.rateLimit->bucket.Take(1 / aRateShare, aNow);
+  } else if (HasNamedLimit(upstream)) {
+    upstream.rateLimit->uncoordinatedFrom = NextUncoordinated(aInstance, aNow);
+  }
   const bool hasReport = HasFreshReport(upstream, aNow);
   return { upstream.inFlight > upstream.slots || (hasReport && full),
            upstream.incarnation };
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -11,6 +12,7 @@
 #include <rattandyke/types.h>
 
 #include "base/clock.h"
+#include "base/token_bucket.h"
 #include "gateway/load_report.h"
 #include "gateway/state.h"
 
@@ -33,6 +35,17 @@
   Abandoned,
 };
 
+/// What an upstream said about the request rate that it accepts.
+struct RateLimitNotice
+{
+  std::string instance;
+  uint64_t incarnation = 0;
+  /// Requests per second from all entry hosts together; none: unlimited.
+  std::optional<double> requestsPerSecond;
+  /// Time of the response that said so.
+  Instant toldAt{};
+};
+
 /// The upstream instances known to an entry host, with their load, response
 /// times, failures and cold periods, and the load balancer that chooses among
 /// them. Does no I/O. Not thread-safe.
@@ -86,35 +99,40 @@
   /// cost does not grow with the number of other instances.
   void Update(const State& aState, const std::string& aInstance, Instant aNow);
 
-  /// Sends nothing to these instances while they are cold and the last second
-  /// is not over: this host has just become their home entry and does not know
-  /// what the previous one sent them in that time.
-  void PauseCold(const std::vector<std::string>& aInstances, Instant aNow);
+  /// This host has just become the home entry of these instances and does not
+  /// know what the previous one sent them: cold ones get nothing before the
+  /// last second is over, and the request rate of the others accrues from now
+  /// on.
+  void PauseRateLimited(const std::vector<std::string>& aInstances,
+                        Instant aNow);
 
-  /// @return the ids of the cold instances.
-  std::vector<std::string> ColdInstances(Instant aNow) const;
+  /// Removes instances that are no longer limited from the candidates for
+  /// RateLimitedInstances. Must be called from time to time.
+  void RemoveUnlimited(Instant aNow);
 
-  /// Removes instances that are no longer cold from the candidates for
-  /// ColdInstances. Must be called from time to time.
-  void RemoveWarm(Instant aNow);
+  /// @return the ids of the instances whose request rate is limited: the cold
+  /// ones and those that named a limit.
+  std::vector<std::string> RateLimitedInstances(Instant aNow) const;
 
-  /// @return the number of instances that ColdInstances examines.
-  size_t ColdCandidateCount() const { return mColdCandidates.size(); }
+  /// @return the number of instances that RateLimitedInstances examines.
+  size_t RateLimitCandidateCount() const { return mRateLimitCandidates.size(); }
 
   /// @return whether the instance is in its cold period, in which it bears only
   /// a limited request rate.
   bool IsCold(const std::string& aInstance, Instant aNow) const;
 
+  /// @return whether the request rate of the instance is limited.
+  bool IsRateLimited(const std::string& aInstance, Instant aNow) const;
+
   /// Chooses an instance of a group of a service.
   /// @param aExcluded instances that must not be chosen.
   /// @param aDataCentre data centre that the request comes from.
-  /// @param aMayUseCold whether a cold instance may be chosen: only its home
-  /// entry knows how many requests it has been sent.
+  /// @param aRateShare see SlotRequest::rateShare.
   Outcome Choose(const std::string& aService,
                  uint32_t aGroup,
                  const std::set<std::string>& aExcluded,
                  const DataCentre& aDataCentre,
-                 bool aMayUseCold,
+                 double aRateShare,
                  Instant aNow);
 
   /// Chooses an instance of a service from load reports, without a home entry.
@@ -135,27 +153,43 @@
                         const LoadReport& aLoad,
                         Instant aNow);
 
-  /// Records what a response of an instance says about its request rate limit.
-  /// @param aIncarnation incarnation that sent the response; what another one
-  /// said is ignored.
-  /// @param aRequestsPerSecond limit for all entry hosts together, or
-  /// std::nullopt if the instance names none.
-  /// @param aToldAt time of the response.
+  /// Records what an instance said about its request rate limit, to this host
+  /// or to another one. Older notices and those of other incarnations are
+  /// ignored.
   /// @return whether the limit changed.
-  bool RecordRateLimit(const std::string& aInstance,
-                       uint64_t aIncarnation,
-                       std::optional<double> aRequestsPerSecond,
-                       Instant aToldAt);
+  bool RecordRateLimit(const RateLimitNotice& aNotice, Instant aNow);
+
+  /// @return the newest notice of an instance, std::nullopt if its incarnation
+  /// has never named a limit.
+  std::optional<RateLimitNotice> RateLimitOf(
+    const std::string& aInstance) const;
+
+  /// @return the limits of the instances of a group that have one.
+  std::vector<RateLimitNotice> RateLimitsOf(const std::string& aService,
+                                            uint32_t aGroup) const;
+
+  /// @return the time until the limit of an instance admits a request behind
+  /// aQueuedAhead others; zero without a limit.
+  Duration RateLimitWait(const std::string& aInstance,
+                         size_t aQueuedAhead,
+                         Instant aNow) const;
+
+  /// Sets the number of entry hosts, for sending without a home entry.
+  void SetEntryCount(size_t aCount) { mEntryCount = aCount; }
 
   /// @return whether instances of the service report their load.
   bool ReportsLoad(const std::string& aService, Instant aNow) const;
 
-  /// @return the fraction of the service's usable instances that are cold.
-  double ColdFraction(const std::string& aService, Instant aNow) const;
+  /// @return the fraction of the service's usable instances whose request rate
+  /// is limited.
+  double RateLimitedFraction(const std::string& aService, Instant aNow) const;
 
   /// Chooses the given instance if it has room. If it seems to be down, only an
   /// occasional request is let through as a probe.
-  Outcome ChooseOne(const std::string& aInstance, Instant aNow);
+  /// @param aRateShare see SlotRequest::rateShare.
+  Outcome ChooseOne(const std::string& aInstance,
+                    double aRateShare,
+                    Instant aNow);
 
   /// Chooses the given instance while other hosts may send requests to it that
   /// this host does not know of: uses only some of its slots, and none shortly
@@ -226,7 +260,10 @@
   };
 
   /// Records the start of an attempt at an instance.
-  AttemptStart BeginAttempt(const std::string& aInstance, Instant aNow);
+  /// @param aRateShare see SlotRequest::rateShare.
+  AttemptStart BeginAttempt(const std::string& aInstance,
+                            double aRateShare,
+                            Instant aNow);
 
   /// Records the end of an attempt. Has no effect if the attempt was at an
   /// earlier incarnation of the instance.
@@ -246,6 +283,18 @@
   /// Response time assumed for an upstream that has not answered yet.
   static constexpr double kDefaultResponseSeconds = 0.1;
 
+  /// Limit of an instance's request rate, as the instance named it.
+  struct RateLimit
+  {
+    /// Requests per second from all hosts together; none: it was lifted.
+    std::optional<double> requestsPerSecond;
+    Instant toldAt{};
+    /// Requests that this host may allocate as the home entry.
+    TokenBucket bucket;
+    /// Before this time, the instance gets no requests without its home entry.
+    Instant uncoordinatedFrom{};
+  };
+
   /// An instance, as known to this host.
   struct Upstream
   {
@@ -267,10 +316,9 @@
     /// cold instance may get in a second. Nearly all instances have none, and
     /// then this allocates no memory.
     std::vector<Instant> recentStarts;
-    /// Requests per second that it accepts from all entry hosts together, as
-    /// of rateLimitToldAt.
-    std::optional<double> rateLimit;
-    Instant rateLimitToldAt{};
+    /// Set once the instance has named a limit of its request rate. Few have,
+    /// so the others pay for a pointer only.
+    std::unique_ptr<RateLimit> rateLimit;
     std::optional<LoadReport> report;
     Instant reportedAt{};
     /// Attempts of this host that started since the last load report, and the
@@ -331,6 +379,18 @@
   std::optional<size_t> ColdLimit(const wire::ServiceItem& aService) const;
   /// @return whether the instance is cold and may get no request at present.
   bool IsColdLimitReached(const Upstream& aUpstream, Instant aNow) const;
+  static bool HasNamedLimit(const Upstream& aUpstream);
+  static bool IsRateLimited(const Upstream& aUpstream, Instant aNow);
+  /// @return whether the limits of the instance's request rate admit a request
+  /// that its home entry allocates.
+  bool HasRateRoom(const Upstream& aUpstream,
+                   double aRateShare,
+                   Instant aNow) const;
+  /// @return the same for a request that is sent without the home entry.
+  static bool HasUncoordinatedRateRoom(const Upstream& aUpstream, Instant aNow);
+  /// @return when this host may send the instance a request without its home
+  /// entry although it named a limit.
+  Instant NextUncoordinated(const std::string& aInstance, Instant aNow) const;
   void Remove(const std::string& aInstance);
   void Regroup(const std::string& aName);
   bool IsUsable(const Upstream& aUpstream, Instant aNow) const;
@@ -357,8 +417,10 @@
   const Options mOptions;
   std::map<std::string, Upstream> mUpstreams;
   std::map<std::string, Service> mServices;
-  /// Instances that got a cold period and were not removed by RemoveWarm.
-  std::set<std::string> mColdCandidates;
+  /// Instances that got a cold period or named a limit and were not removed by
+  /// RemoveUnlimited.
+  std::set<std::string> mRateLimitCandidates;
+  size_t mEntryCount = 1;
   /// Instances whose averages changed since TakeChangedResponseSeconds.
   std::set<std::string> mChangedResponseSeconds;
 };
--- a/src/librattandyke/gateway/upstream_set_direct.cpp
+++ b/src/librattandyke/gateway/upstream_set_direct.cpp
@@ -151,7 +151,8 @@
   std::pair<bool, double> bestIn;
   for (const Item* item : subset) {
     const Upstream& upstream = item->second;
-    if (aExcluded.contains(item->first) || aNow < upstream.coldUntil ||
+    if (aExcluded.contains(item->first) ||
+        !HasUncoordinatedRateRoom(upstream, aNow) ||
         IsAwaitingProbe(upstream, aNow) ||
         EstimatedLoad(upstream, aNow) >= upstream.slots + kMaxDirectQueue) {
       continue;
--- a/src/librattandyke/gateway/upstream_set_rate.cpp
+++ b/src/librattandyke/gateway/upstream_set_rate.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "routing/service_table.h"
+
 namespace rattandyke::gateway {
 
 namespace {
@@ -18,6 +20,20 @@
 /// requests that are delayed in the network and arrive with those of the next
 /// second.
 constexpr double kColdLimitFraction = 0.85;
+/// Requests per second that an upstream gets at least if it names a limit.
+/// Without any, no response would tell that the limit was lifted.
+constexpr double kMinNamedRate = 0.25;
+/// Requests that accrue while an upstream with a named limit gets none, in
+/// seconds of its rate, beyond one. Successive home entries each start with as
+/// many, so they must be few.
+constexpr double kNamedRateBurstSeconds = 0.05;
+/// A notice that repeats a known limit counts as newer from this age
+/// difference on. Notices take time from host to host, and without a minimum
+/// two hosts would renew an old one between them.
+constexpr std::chrono::seconds kNoticeRenewal{ 1 };
+/// Interval of the requests of all hosts together that are sent to an upstream
+/// with a named limit without its home entry.
+constexpr std::chrono::seconds kUncoordinatedInterval{ 4 };
 
 } // namespace
 
@@ -43,7 +59,7 @@
   aUpstream.coldIndex = aInstance.cold_index();
   aUpstream.coldUntil = aNow + milliseconds{ aInstance.cold_ms() };
   if (aInstance.cold_ms() > 0) {
-    mColdCandidates.insert(aInstance.id());
+    mRateLimitCandidates.insert(aInstance.id());
   }
 }
 
@@ -68,32 +84,39 @@
 }
 
 void
-UpstreamSet::PauseCold(const std::vector<std::string>& aInstances, Instant aNow)
+UpstreamSet::PauseRateLimited(const std::vector<std::string>& aInstances,
+                              Instant aNow)
 {
   for (const std::string& id : aInstances) {
     const auto found = mUpstreams.find(id);
-    if (found != mUpstreams.end()) {
-      found->second.coldPausedUntil = aNow + Duration(kColdWindow);
+    if (found == mUpstreams.end()) {
+      continue;
+    }
+    found->second.coldPausedUntil = aNow + Duration(kColdWindow);
+    if (found->second.rateLimit) {
+      found->second.rateLimit->bucket.Empty(aNow);
     }
   }
 }
 
 std::vector<std::string>
-UpstreamSet::ColdInstances(Instant aNow) const
+UpstreamSet::RateLimitedInstances(Instant aNow) const
 {
-  std::vector<std::string> cold;
-  std::copy_if(mColdCandidates.begin(),
-               mColdCandidates.end(),
-               std::back_inserter(cold),
-               [&](const std::string& aId) { return IsCold(aId, aNow); });
-  return cold;
+  std::vector<std::string> limited;
+  std::copy_if(
+    mRateLimitCandidates.begin(),
+    mRateLimitCandidates.end(),
+    std::back_inserter(limited),
+    [&](const std::string& aId) { return IsRateLimited(aId, aNow); });
+  return limited;
 }
 
 void
-UpstreamSet::RemoveWarm(Instant aNow)
+UpstreamSet::RemoveUnlimited(Instant aNow)
 {
-  std::erase_if(mColdCandidates,
-                [&](const std::string& aId) { return !IsCold(aId, aNow); });
+  std::erase_if(mRateLimitCandidates, [&](const std::string& aId) {
+    return !IsRateLimited(aId, aNow);
+  });
 }
 
 bool
@@ -104,38 +127,153 @@
 }
 
 double
-UpstreamSet::ColdFraction(const std::string& aService, Instant aNow) const
+UpstreamSet::RateLimitedFraction(const std::string& aService,
+                                 Instant aNow) const
 {
   const auto service = mServices.find(aService);
   if (service == mServices.end() || service->second.usable == 0) {
     return 0;
   }
-  size_t cold = 0;
+  size_t limited = 0;
   for (const auto& [group, members] : service->second.members) {
-    cold += static_cast<size_t>(
+    limited += static_cast<size_t>(
       std::count_if(members.begin(), members.end(), [&](const Item* aItem) {
-        return aNow < aItem->second.coldUntil;
+        return IsRateLimited(aItem->second, aNow);
       }));
   }
-  return static_cast<double>(cold) /
+  return static_cast<double>(limited) /
          static_cast<double>(service->second.usable);
 }
 
 bool
-UpstreamSet::RecordRateLimit(const std::string& aInstance,
-                             uint64_t aIncarnation,
-                             std::optional<double> aRequestsPerSecond,
-                             Instant aToldAt)
+UpstreamSet::HasNamedLimit(const Upstream& aUpstream)
+{
+  return aUpstream.rateLimit && aUpstream.rateLimit->requestsPerSecond;
+}
+
+bool
+UpstreamSet::IsRateLimited(const Upstream& aUpstream, Instant aNow)
+{
+  return aNow < aUpstream.coldUntil || HasNamedLimit(aUpstream);
+}
+
+bool
+UpstreamSet::IsRateLimited(const std::string& aInstance, Instant aNow) const
 {
   const auto found = mUpstreams.find(aInstance);
-  if (found == mUpstreams.end() || found->second.incarnation != aIncarnation) {
+  return found != mUpstreams.end() && IsRateLimited(found->second, aNow);
+}
+
+/// While this host's list of entries may be outdated, another one may be the
+/// home entry by a newer list. A cold upstream bears no requests of both; a
+/// named limit leaves room for a fraction of the rate.
+bool
+UpstreamSet::HasRateRoom(const Upstream& aUpstream,
+                         double aRateShare,
+                         Instant aNow) const
+{
+  const bool cold = aNow < aUpstream.coldUntil;
+  if (cold && (aRateShare < 1 || IsColdLimitReached(aUpstream, aNow))) {
     return false;
   }
-  Upstream& upstream = found->second;
-  const bool changed = upstream.rateLimit != aRequestsPerSecond;
-  upstream.rateLimit = aRequestsPerSecond;
-  upstream.rateLimitToldAt = aToldAt;
+  return !HasNamedLimit(aUpstream) ||
+         (aRateShare > 0 && aUpstream.rateLimit->bucket.Has(1, aNow));
+}
+
+/// Hosts that each send a few requests send too many together, so a limited
+/// upstream gets requests from its home entry only.
+bool
+UpstreamSet::HasUncoordinatedRateRoom(const Upstream& aUpstream, Instant aNow)
+{
+  return aNow >= aUpstream.coldUntil &&
+         (!HasNamedLimit(aUpstream) ||
+          aNow >= aUpstream.rateLimit->uncoordinatedFrom);
+}
+
+/// A host that never reaches the home entry would not learn that a limit was
+/// lifted. So it sends a request from time to time, at intervals in which all
+/// hosts together send one per kProbeInterval.
+Instant
+UpstreamSet::NextUncoordinated(const std::string& aInstance, Instant aNow) const
+{
+  const uint64_t hash = routing::MixBits(routing::HashKey(mOptions.host) ^
+                                         routing::HashKey(aInstance));
+  const double phase = 0.5 + static_cast<double>(hash % 1024) / 1024;
+  return aNow + Scaled(Duration(kUncoordinatedInterval),
+                       static_cast<double>(mEntryCount) * phase);
+}
+
+bool
+UpstreamSet::RecordRateLimit(const RateLimitNotice& aNotice, Instant aNow)
+{
+  const auto found = mUpstreams.find(aNotice.instance);
+  if (found == mUpstreams.end() ||
+      found->second.incarnation != aNotice.incarnation) {
+    return false;
+  }
+  std::unique_ptr<RateLimit>& limit = found->second.rateLimit;
+  if (!limit && !aNotice.requestsPerSecond) {
+    return false;
+  }
+  if (!limit) {
+    limit = std::make_unique<RateLimit>(
+      RateLimit{ {}, {}, TokenBucket(0, aNow), {} });
+  }
+  const bool changed = limit->requestsPerSecond != aNotice.requestsPerSecond;
+  const Duration newer = aNotice.toldAt - limit->toldAt;
+  if (newer <= Duration::zero() ||
+      (!changed && newer < Duration(kNoticeRenewal))) {
+    return false;
+  }
+  limit->requestsPerSecond = aNotice.requestsPerSecond;
+  limit->toldAt = aNotice.toldAt;
+  limit->uncoordinatedFrom = NextUncoordinated(aNotice.instance, aNow);
+  if (changed && aNotice.requestsPerSecond) {
+    const double rate = std::max(*aNotice.requestsPerSecond, kMinNamedRate);
+    limit->bucket.SetRate(rate, 1 + rate * kNamedRateBurstSeconds, aNow);
+    mRateLimitCandidates.insert(aNotice.instance);
+  }
   return changed;
 }
 
+std::optional<RateLimitNotice>
+UpstreamSet::RateLimitOf(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  if (found == mUpstreams.end() || !found->second.rateLimit) {
+    return std::nullopt;
+  }
+  const Upstream& upstream = found->second;
+  return RateLimitNotice{ aInstance,
+                          upstream.incarnation,
+                          upstream.rateLimit->requestsPerSecond,
+                          upstream.rateLimit->toldAt };
+}
+
+std::vector<RateLimitNotice>
+UpstreamSet::RateLimitsOf(const std::string& aService, uint32_t aGroup) const
+{
+  std::vector<RateLimitNotice> limits;
+  for (const Item* member : MembersOf(aService, aGroup)) {
+    if (HasNamedLimit(member->second)) {
+      limits.push_back(*RateLimitOf(member->first));
+    }
+  }
+  return limits;
+}
+
+Duration
+UpstreamSet::RateLimitWait(const std::string& aInstance,
+                           size_t aQueuedAhead,
+                           Instant aNow) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  if (found == mUpstreams.end() || !HasNamedLimit(found->second)) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+    found->second.rateLimit->bucket.TimeUntil(
+      static_cast<double>(aQueuedAhead + 1), aNow));
+}
+
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set_test.cpp
+++ b/src/librattandyke/gateway/upstream_set_test.cpp
@@ -127,11 +127,11 @@
   static_cast<void>(state.Apply(PutInstance("b", "desk"), LogIndex{ 3 }));
   UpstreamSet set(1, { kDrain });
   set.Update(state, now);
-  const UpstreamSet::AttemptStart start = set.BeginAttempt("a", now);
+  const UpstreamSet::AttemptStart start = set.BeginAttempt("a", 1, now);
   static_cast<void>(state.Apply(EndInstance("a", 0), LogIndex{ 4 }));
   set.Update(state, "a", now);
   EXPECT_EQ(set.InFlight("a"), 1U);
-  const auto outcome = set.Choose("desk", 0, {}, DataCentre{ "" }, true, now);
+  const auto outcome = set.Choose("desk", 0, {}, DataCentre{ "" }, 1, now);
   const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome);
   ASSERT_NE(choice, nullptr);
   EXPECT_EQ(choice->instance, "b");
@@ -159,10 +159,10 @@
   UpstreamSet upstreams(1, {});
   const Instant now{ std::chrono::hours{ 1 } };
   upstreams.Update(state, now);
-  EXPECT_EQ(upstreams.ColdCandidateCount(), 3U);
-  EXPECT_EQ(upstreams.ColdInstances(now).size(), 3U);
-  upstreams.RemoveWarm(now + std::chrono::seconds{ 3 });
-  EXPECT_EQ(upstreams.ColdCandidateCount(), 0U);
+  EXPECT_EQ(upstreams.RateLimitCandidateCount(), 3U);
+  EXPECT_EQ(upstreams.RateLimitedInstances(now).size(), 3U);
+  upstreams.RemoveUnlimited(now + std::chrono::seconds{ 3 });
+  EXPECT_EQ(upstreams.RateLimitCandidateCount(), 0U);
 }
 
 /// @return the heap memory that a set uses for each of its instances, in bytes.
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -687,9 +687,27 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HostReportDefaultTypeInternal _HostReport_default_instance_;
+PROTOBUF_CONSTEXPR UpstreamNotice::UpstreamNotice(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.requests_per_second_)*/0
+  , /*decltype(_impl_.limited_)*/false
+  , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct UpstreamNoticeDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR UpstreamNoticeDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~UpstreamNoticeDefaultTypeInternal() {}
+  union {
+    UpstreamNotice _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 UpstreamNoticeDefaultTypeInternal _UpstreamNotice_default_instance_;
 PROTOBUF_CONSTEXPR SlotAsk::SlotAsk(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.excluded_)*/{}
+  , /*decltype(_impl_.limits_)*/{}
   , /*decltype(_impl_.reply_to_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -714,6 +732,7 @@
 PROTOBUF_CONSTEXPR SlotAnswer::SlotAnswer(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.notice_)*/nullptr
   , /*decltype(_impl_.session_)*/uint64_t{0u}
   , /*decltype(_impl_.ticket_)*/uint64_t{0u}
   , /*decltype(_impl_.state_)*/0
@@ -731,6 +750,7 @@
 PROTOBUF_CONSTEXPR SlotDone::SlotDone(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.from_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.notice_)*/nullptr
   , /*decltype(_impl_.session_)*/uint64_t{0u}
   , /*decltype(_impl_.ticket_)*/uint64_t{0u}
   , /*decltype(_impl_.end_)*/0u
@@ -775,7 +795,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[47];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[48];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -1203,6 +1223,17 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.entries_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.sender_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.limited_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.requests_per_second_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.age_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1220,6 +1251,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.data_centre_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.group_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.aim_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.limits_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1231,6 +1263,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.state_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.instance_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.retry_after_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.notice_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1242,6 +1275,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.ticket_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.end_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.took_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.notice_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PackedFrame, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1317,11 +1351,12 @@
   { 393, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
   { 405, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
   { 412, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 422, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 440, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 451, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 462, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 470, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 422, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 433, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 452, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 464, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 476, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 484, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1367,6 +1402,7 @@
   &::rattandyke::wire::_ForwardedHeartbeatAnswer_default_instance_._instance,
   &::rattandyke::wire::_ForwardedHeartbeatAnswers_default_instance_._instance,
   &::rattandyke::wire::_HostReport_default_instance_._instance,
+  &::rattandyke::wire::_UpstreamNotice_default_instance_._instance,
   &::rattandyke::wire::_SlotAsk_default_instance_._instance,
   &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
   &::rattandyke::wire::_SlotDone_default_instance_._instance,
@@ -1507,50 +1543,57 @@
   "tandyke.wire.InstanceTime\022-\n\007entries\030\003 \003"
   "(\0132\034.rattandyke.wire.EntryMember\022.\n\006send"
   "er\030\004 \001(\0132\036.rattandyke.wire.ControlMember"
-  "\"\335\001\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007sessio"
-  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t"
-  "\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010"
-  "priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007h"
-  "eld_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005gro"
-  "up\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\"\202\001\n\nSlotAnswer\022"
-  "\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005stat"
-  "e\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010i"
-  "nstance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\"W\n"
-  "\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
-  "\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us"
-  "\030\005 \001(\r\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005b"
-  "ytes\030\002 \001(\014\"\354\006\n\014GatewayFrame\022\023\n\tconsensus"
-  "\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke"
-  ".wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132"
-  "\035.rattandyke.wire.FeedSnapshotH\000\0224\n\014feed"
-  "_command\030\004 \001(\0132\034.rattandyke.wire.FeedCom"
-  "mandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.w"
-  "ire.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ra"
-  "ttandyke.wire.FeedReportH\000\0228\n\016forwarded_"
-  "call\030\007 \001(\0132\036.rattandyke.wire.ForwardedCa"
-  "llH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattand"
-  "yke.wire.ForwardedAnswerH\000\0222\n\013host_repor"
-  "t\030\t \001(\0132\033.rattandyke.wire.HostReportH\000\022,"
-  "\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire.SlotA"
-  "skH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.w"
-  "ire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ra"
-  "ttandyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\013"
-  "2\034.rattandyke.wire.PackedFrameH\000\022D\n\024forw"
-  "arded_heartbeats\030\016 \001(\0132$.rattandyke.wire"
-  ".ForwardedHeartbeatsH\000\022Q\n\033forwarded_hear"
-  "tbeat_answers\030\017 \001(\0132*.rattandyke.wire.Fo"
-  "rwardedHeartbeatAnswersH\000\0226\n\rfeed_comman"
-  "ds\030\020 \001(\0132\035.rattandyke.wire.FeedCommandsH"
-  "\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UN"
-  "SPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SL"
-  "OT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED"
-  "\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "\"n\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022\014\n\004"
+  "life\030\002 \001(\004\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_"
+  "per_second\030\004 \001(\001\022\016\n\006age_ms\030\005 \001(\r\"\216\002\n\007Slo"
+  "tAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022"
+  "\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010inst"
+  "ance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority"
+  "\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t"
+  " \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r"
+  "\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.ratta"
+  "ndyke.wire.UpstreamNotice\"\263\001\n\nSlotAnswer"
+  "\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005sta"
+  "te\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010"
+  "instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/"
+  "\n\006notice\030\006 \001(\0132\037.rattandyke.wire.Upstrea"
+  "mNotice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007se"
+  "ssion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r"
+  "\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.ratt"
+  "andyke.wire.UpstreamNotice\"*\n\013PackedFram"
+  "e\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\354\006\n\014Gatew"
+  "ayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_ope"
+  "n\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\r"
+  "feed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Fe"
+  "edSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rat"
+  "tandyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030"
+  "\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013fe"
+  "ed_report\030\006 \001(\0132\033.rattandyke.wire.FeedRe"
+  "portH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattand"
+  "yke.wire.ForwardedCallH\000\022<\n\020forwarded_an"
+  "swer\030\010 \001(\0132 .rattandyke.wire.ForwardedAn"
+  "swerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke"
+  ".wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.r"
+  "attandyke.wire.SlotAskH\000\0222\n\013slot_answer\030"
+  "\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\t"
+  "slot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDo"
+  "neH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.P"
+  "ackedFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001"
+  "(\0132$.rattandyke.wire.ForwardedHeartbeats"
+  "H\000\022Q\n\033forwarded_heartbeat_answers\030\017 \001(\0132"
+  "*.rattandyke.wire.ForwardedHeartbeatAnsw"
+  "ersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyk"
+  "e.wire.FeedCommandsH\000B\006\n\004body*\206\001\n\tSlotSt"
+  "ate\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_"
+  "STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026"
+  "\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNK"
+  "NOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 6794, descriptor_table_protodef_gateway_2eproto,
+    false, false, 7054, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 47,
+    &descriptor_table_gateway_2eproto_once, nullptr, 0, 48,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -14565,6 +14608,329 @@
 
 // ===================================================================
 
+class UpstreamNotice::_Internal {
+ public:
+};
+
+UpstreamNotice::UpstreamNotice(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.UpstreamNotice)
+}
+UpstreamNotice::UpstreamNotice(const UpstreamNotice& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  UpstreamNotice* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.requests_per_second_){}
+    , decltype(_impl_.limited_){}
+    , decltype(_impl_.age_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.life_, &from._impl_.life_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.age_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamNotice)
+}
+
+inline void UpstreamNotice::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.requests_per_second_){0}
+    , decltype(_impl_.limited_){false}
+    , decltype(_impl_.age_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+UpstreamNotice::~UpstreamNotice() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.UpstreamNotice)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void UpstreamNotice::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.instance_.Destroy();
+}
+
+void UpstreamNotice::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void UpstreamNotice::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.UpstreamNotice)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.life_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.age_ms_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.age_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* UpstreamNotice::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string instance = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamNotice.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool limited = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.limited_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // double requests_per_second = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 33)) {
+          _impl_.requests_per_second_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 age_ms = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* UpstreamNotice::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.UpstreamNotice)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.UpstreamNotice.instance");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_instance(), target);
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
+  }
+
+  // bool limited = 3;
+  if (this->_internal_limited() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_limited(), target);
+  }
+
+  // double requests_per_second = 4;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = this->_internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(4, this->_internal_requests_per_second(), target);
+  }
+
+  // uint32 age_ms = 5;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_age_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.UpstreamNotice)
+  return target;
+}
+
+size_t UpstreamNotice::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.UpstreamNotice)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // double requests_per_second = 4;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = this->_internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    total_size += 1 + 8;
+  }
+
+  // bool limited = 3;
+  if (this->_internal_limited() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint32 age_ms = 5;
+  if (this->_internal_age_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData UpstreamNotice::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    UpstreamNotice::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*UpstreamNotice::GetClassData() const { return &_class_data_; }
+
+
+void UpstreamNotice::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<UpstreamNotice*>(&to_msg);
+  auto& from = static_cast<const UpstreamNotice&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.UpstreamNotice)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = from._internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    _this->_internal_set_requests_per_second(from._internal_requests_per_second());
+  }
+  if (from._internal_limited() != 0) {
+    _this->_internal_set_limited(from._internal_limited());
+  }
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void UpstreamNotice::CopyFrom(const UpstreamNotice& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.UpstreamNotice)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool UpstreamNotice::IsInitialized() const {
+  return true;
+}
+
+void UpstreamNotice::InternalSwap(UpstreamNotice* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.age_ms_)
+      + sizeof(UpstreamNotice::_impl_.age_ms_)
+      - PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.life_)>(
+          reinterpret_cast<char*>(&_impl_.life_),
+          reinterpret_cast<char*>(&other->_impl_.life_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata UpstreamNotice::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[42]);
+}
+
+// ===================================================================
+
 class SlotAsk::_Internal {
  public:
 };
@@ -14580,6 +14946,7 @@
   SlotAsk* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.excluded_){from._impl_.excluded_}
+    , decltype(_impl_.limits_){from._impl_.limits_}
     , decltype(_impl_.reply_to_){}
     , decltype(_impl_.service_){}
     , decltype(_impl_.instance_){}
@@ -14638,6 +15005,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.excluded_){arena}
+    , decltype(_impl_.limits_){arena}
     , decltype(_impl_.reply_to_){}
     , decltype(_impl_.service_){}
     , decltype(_impl_.instance_){}
@@ -14681,6 +15049,7 @@
 inline void SlotAsk::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.excluded_.~RepeatedPtrField();
+  _impl_.limits_.~RepeatedPtrField();
   _impl_.reply_to_.Destroy();
   _impl_.service_.Destroy();
   _impl_.instance_.Destroy();
@@ -14698,6 +15067,7 @@
   (void) cached_has_bits;
 
   _impl_.excluded_.Clear();
+  _impl_.limits_.Clear();
   _impl_.reply_to_.ClearToEmpty();
   _impl_.service_.ClearToEmpty();
   _impl_.instance_.ClearToEmpty();
@@ -14825,6 +15195,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.UpstreamNotice limits = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_limits(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -14946,6 +15329,14 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(12, this->_internal_aim_ms(), target);
   }
 
+  // repeated .rattandyke.wire.UpstreamNotice limits = 13;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_limits_size()); i < n; i++) {
+    const auto& repfield = this->_internal_limits(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -14970,6 +15361,13 @@
       _impl_.excluded_.Get(i));
   }
 
+  // repeated .rattandyke.wire.UpstreamNotice limits = 13;
+  total_size += 1UL * this->_internal_limits_size();
+  for (const auto& msg : this->_impl_.limits_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // string reply_to = 1;
   if (!this->_internal_reply_to().empty()) {
     total_size += 1 +
@@ -15052,6 +15450,7 @@
   (void) cached_has_bits;
 
   _this->_impl_.excluded_.MergeFrom(from._impl_.excluded_);
+  _this->_impl_.limits_.MergeFrom(from._impl_.limits_);
   if (!from._internal_reply_to().empty()) {
     _this->_internal_set_reply_to(from._internal_reply_to());
   }
@@ -15105,6 +15504,7 @@
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.excluded_.InternalSwap(&other->_impl_.excluded_);
+  _impl_.limits_.InternalSwap(&other->_impl_.limits_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.reply_to_, lhs_arena,
       &other->_impl_.reply_to_, rhs_arena
@@ -15132,15 +15532,20 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[42]);
+      file_level_metadata_gateway_2eproto[43]);
 }
 
 // ===================================================================
 
 class SlotAnswer::_Internal {
  public:
+  static const ::rattandyke::wire::UpstreamNotice& notice(const SlotAnswer* msg);
 };
 
+const ::rattandyke::wire::UpstreamNotice&
+SlotAnswer::_Internal::notice(const SlotAnswer* msg) {
+  return *msg->_impl_.notice_;
+}
 SlotAnswer::SlotAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -15152,6 +15557,7 @@
   SlotAnswer* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.session_){}
     , decltype(_impl_.ticket_){}
     , decltype(_impl_.state_){}
@@ -15167,6 +15573,9 @@
     _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_notice()) {
+    _this->_impl_.notice_ = new ::rattandyke::wire::UpstreamNotice(*from._impl_.notice_);
+  }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
     reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
@@ -15179,6 +15588,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.session_){uint64_t{0u}}
     , decltype(_impl_.ticket_){uint64_t{0u}}
     , decltype(_impl_.state_){0}
@@ -15203,6 +15613,7 @@
 inline void SlotAnswer::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.instance_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.notice_;
 }
 
 void SlotAnswer::SetCachedSize(int size) const {
@@ -15216,6 +15627,10 @@
   (void) cached_has_bits;
 
   _impl_.instance_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
       reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
@@ -15271,6 +15686,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.UpstreamNotice notice = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr = ctx->ParseMessage(_internal_mutable_notice(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -15335,6 +15758,13 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_retry_after_ms(), target);
   }
 
+  // .rattandyke.wire.UpstreamNotice notice = 6;
+  if (this->_internal_has_notice()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(6, _Internal::notice(this),
+        _Internal::notice(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -15358,6 +15788,13 @@
         this->_internal_instance());
   }
 
+  // .rattandyke.wire.UpstreamNotice notice = 6;
+  if (this->_internal_has_notice()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.notice_);
+  }
+
   // fixed64 session = 1;
   if (this->_internal_session() != 0) {
     total_size += 1 + 8;
@@ -15400,6 +15837,10 @@
   if (!from._internal_instance().empty()) {
     _this->_internal_set_instance(from._internal_instance());
   }
+  if (from._internal_has_notice()) {
+    _this->_internal_mutable_notice()->::rattandyke::wire::UpstreamNotice::MergeFrom(
+        from._internal_notice());
+  }
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
@@ -15438,23 +15879,28 @@
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.retry_after_ms_)
       + sizeof(SlotAnswer::_impl_.retry_after_ms_)
-      - PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.session_)>(
-          reinterpret_cast<char*>(&_impl_.session_),
-          reinterpret_cast<char*>(&other->_impl_.session_));
+      - PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.notice_)>(
+          reinterpret_cast<char*>(&_impl_.notice_),
+          reinterpret_cast<char*>(&other->_impl_.notice_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[43]);
+      file_level_metadata_gateway_2eproto[44]);
 }
 
 // ===================================================================
 
 class SlotDone::_Internal {
  public:
+  static const ::rattandyke::wire::UpstreamNotice& notice(const SlotDone* msg);
 };
 
+const ::rattandyke::wire::UpstreamNotice&
+SlotDone::_Internal::notice(const SlotDone* msg) {
+  return *msg->_impl_.notice_;
+}
 SlotDone::SlotDone(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -15466,6 +15912,7 @@
   SlotDone* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.from_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.session_){}
     , decltype(_impl_.ticket_){}
     , decltype(_impl_.end_){}
@@ -15481,6 +15928,9 @@
     _this->_impl_.from_.Set(from._internal_from(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_notice()) {
+    _this->_impl_.notice_ = new ::rattandyke::wire::UpstreamNotice(*from._impl_.notice_);
+  }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.took_us_) -
     reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.took_us_));
@@ -15493,6 +15943,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.from_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.session_){uint64_t{0u}}
     , decltype(_impl_.ticket_){uint64_t{0u}}
     , decltype(_impl_.end_){0u}
@@ -15517,6 +15968,7 @@
 inline void SlotDone::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.from_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.notice_;
 }
 
 void SlotDone::SetCachedSize(int size) const {
@@ -15530,6 +15982,10 @@
   (void) cached_has_bits;
 
   _impl_.from_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.took_us_) -
       reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.took_us_));
@@ -15584,6 +16040,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.UpstreamNotice notice = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr = ctx->ParseMessage(_internal_mutable_notice(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -15647,6 +16111,13 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_took_us(), target);
   }
 
+  // .rattandyke.wire.UpstreamNotice notice = 6;
+  if (this->_internal_has_notice()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(6, _Internal::notice(this),
+        _Internal::notice(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -15670,6 +16141,13 @@
         this->_internal_from());
   }
 
+  // .rattandyke.wire.UpstreamNotice notice = 6;
+  if (this->_internal_has_notice()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.notice_);
+  }
+
   // fixed64 session = 2;
   if (this->_internal_session() != 0) {
     total_size += 1 + 8;
@@ -15711,6 +16189,10 @@
   if (!from._internal_from().empty()) {
     _this->_internal_set_from(from._internal_from());
   }
+  if (from._internal_has_notice()) {
+    _this->_internal_mutable_notice()->::rattandyke::wire::UpstreamNotice::MergeFrom(
+        from._internal_notice());
+  }
   if (from._internal_session() != 0) {
     _this->_internal_set_session(from._internal_session());
   }
@@ -15749,15 +16231,15 @@
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(SlotDone, _impl_.took_us_)
       + sizeof(SlotDone::_impl_.took_us_)
-      - PROTOBUF_FIELD_OFFSET(SlotDone, _impl_.session_)>(
-          reinterpret_cast<char*>(&_impl_.session_),
-          reinterpret_cast<char*>(&other->_impl_.session_));
+      - PROTOBUF_FIELD_OFFSET(SlotDone, _impl_.notice_)>(
+          reinterpret_cast<char*>(&_impl_.notice_),
+          reinterpret_cast<char*>(&other->_impl_.notice_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[44]);
+      file_level_metadata_gateway_2eproto[45]);
 }
 
 // ===================================================================
@@ -15982,7 +16464,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[45]);
+      file_level_metadata_gateway_2eproto[46]);
 }
 
 // ===================================================================
@@ -17075,7 +17557,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[46]);
+      file_level_metadata_gateway_2eproto[47]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -17250,6 +17732,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::HostReport >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HostReport >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamNotice*
+Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamNotice >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamNotice >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::SlotAsk*
 Arena::CreateMaybeMessage< ::rattandyke::wire::SlotAsk >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::SlotAsk >(arena);
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -146,6 +146,7 @@
     AddressOf(aEntry),
     entry.session,
     [this, aEntry](const HostName& aTo, const wire::GatewayFrame& aFrame) {
+      mLastHome = aFrame.has_slot_answer() ? aEntry : mLastHome;
       mMessages.emplace(mNow + mMessageDelay,
                         Message{ aEntry, aTo.value, aFrame });
     },
@@ -165,6 +166,12 @@
 void
 EntryGroup::StopEntry(size_t aEntry, bool aPlanned)
 {
+  for (const auto& [entry, waiting] : mWaiting) {
+    const auto context = waiting.lock();
+    if (context && entry == aEntry) {
+      context->OnHostShutdown();
+    }
+  }
   RunHandlers();
   mEntries[aEntry]->slots.reset();
   mDrops.emplace(aPlanned ? mNow : mNow + kDetectionTime, aEntry);
@@ -234,22 +241,28 @@
   request.timeToObjective = kTimeToObjective;
   request.maxHold = kMaxHold;
   auto context = std::make_shared<RequestContext>(mContext.get_executor());
-  mWaiting.push_back(context);
+  mWaiting.emplace_back(number, context);
+  const uint64_t session = entry.session;
+  const Instant sentAt = mNow;
   asio::co_spawn(mContext,
                  entry.slots->Acquire(context, request),
-                 [this, number, session = entry.session](
-                   const std::exception_ptr&, SlotOutcome aOutcome) {
-                   OnSlot(number, session, std::move(aOutcome));
+                 [=, this](const std::exception_ptr&, SlotOutcome aOutcome) {
+                   OnSlot(number, session, sentAt, std::move(aOutcome));
                  });
   RunHandlers();
 }
 
 void
-EntryGroup::OnSlot(size_t aEntry, uint64_t aSession, SlotOutcome aOutcome)
+EntryGroup::OnSlot(size_t aEntry,
+                   uint64_t aSession,
+                   Instant aSentAt,
+                   SlotOutcome aOutcome)
 {
   const auto* slot = std::get_if<Slot>(&aOutcome);
   if (slot == nullptr) {
     ++mRefused;
+    mLongestRefusalTime = std::max(mLongestRefusalTime, mNow - aSentAt);
+    mRetryAfterTimes.insert(std::get<SlotUnavailable>(aOutcome).retryAfter);
     return;
   }
   const size_t upstream = UpstreamNumber(slot->instance);
@@ -324,7 +337,7 @@
 EntryGroup::RunHandlers()
 {
   std::erase_if(mWaiting, [](const auto& aWaiting) {
-    const auto context = aWaiting.lock();
+    const auto context = aWaiting.second.lock();
     if (context) {
       context->WakeTimer().cancel();
     }
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
   /// Drops or delivers the messages to and from an entry, which stays in the
   /// list.
   void SetSilent(size_t aEntry, bool aSilent);
+  /// @return the entry that last answered a slot request of another one.
+  size_t LastHome() const { return mLastHome; }
   void SetMessageDelay(Duration aDelay) { mMessageDelay = aDelay; }
   /// Sets the time since the entries' state was known to be up to date.
   void SetStateAge(Duration aAge) { mStateAge = aAge; }
@@ -78,6 +81,10 @@
   size_t Served() const { return mServed; }
   size_t Refused() const { return mRefused; }
   void ResetCounts() { mServed = mRefused = 0; }
+  /// @return the longest time after which a request was refused.
+  Duration LongestRefusalTime() const { return mLongestRefusalTime; }
+  /// @return the different times after which refused callers may come back.
+  const std::set<Duration>& RetryAfterTimes() const { return mRetryAfterTimes; }
 
   /// @return the most requests that arrived in a window at an upstream from
   /// entries that had been told a limit half a second before, in windows that
@@ -96,7 +103,10 @@
   void Apply(const wire::GatewayCommand& aCommand);
   wire::GatewayCommand PutUpstream(size_t aUpstream) const;
   void SendRequest();
-  void OnSlot(size_t aEntry, uint64_t aSession, SlotOutcome aOutcome);
+  void OnSlot(size_t aEntry,
+              uint64_t aSession,
+              Instant aSentAt,
+              SlotOutcome aOutcome);
   void DeliverMessages();
   void DeliverResponses();
   void RunHandlers();
@@ -119,10 +129,14 @@
   std::multimap<Instant, Message> mMessages;
   std::multimap<Instant, Response> mResponses;
   std::multimap<Instant, size_t> mDrops;
-  std::vector<std::weak_ptr<RequestContext>> mWaiting;
+  /// Requests that may wait for a slot, and their entries.
+  std::vector<std::pair<size_t, std::weak_ptr<RequestContext>>> mWaiting;
+  size_t mLastHome = 0;
   double mOwedRequests = 0;
   size_t mServed = 0;
   size_t mRefused = 0;
+  Duration mLongestRefusalTime{};
+  std::set<Duration> mRetryAfterTimes;
 };
 
 } // namespace rattandyke::gateway::testing
