--- a/src/fair.admission/fair_queue.cpp
+++ b/src/fair.admission/fair_queue.cpp
@@ -33,6 +33,10 @@
 constexpr Duration kMaxPause = std::chrono::seconds(5);
 /// Lower limit for the retry delay in Code::Overloaded refusals.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
+/// Retry delays are spread from this one up to twice as long.
+constexpr Duration kMaxSpreadRetryAfter = std::chrono::seconds(2);
+/// Spreads consecutive tickets (2^64 divided by the golden ratio).
+constexpr uint64_t kSpreadMultiplier = 0x9e3779b97f4a7c15;
 
 double
 WeightOf(const Share& aShare)
@@ -165,11 +169,12 @@
   // Only successful requests update the service time estimate. While nothing
   // runs, a high estimate would never come down, and an upstream that has
   // recovered from a freeze would never get requests again.
-  const bool mayUseEstimate = !mRunning.empty() || mNow < mPausedUntil;
+  const bool mayUseEstimate =
+    !mRunning.empty() || mNow < mPausedUntil || mRateLimit;
   if (isQueueFull || (isTooLate && mayUseEstimate)) {
     return Refuse{ aOffer.ticket,
                    Code::Overloaded,
-                   std::max(estimatedWait, kMinRetryAfter) };
+                   RetryAfter(aOffer.ticket, estimatedWait) };
   }
   if (!TakeToken(aCustomer)) {
     const double missingTokens = 1 - aCustomer.tokens;
@@ -191,7 +196,7 @@
 {
   const Duration pause = std::max<Duration>(mPausedUntil - mNow, Duration{});
   if (mRunning.size() < mSlots && mQueuedRequests.empty()) {
-    return pause;
+    return std::max(pause, RateLimitWait(1));
   }
   const auto ownQueued = static_cast<double>(aCustomer.queue.size());
   const double usageAtTurn = std::max(
@@ -209,7 +214,9 @@
     }
   }
   const double slots = std::max<double>(mSlots, 1);
-  return pause + Scaled(std::max(mMeanServiceTime, StallTime()), ahead / slots);
+  return std::max(
+    pause + Scaled(std::max(mMeanServiceTime, StallTime()), ahead / slots),
+    RateLimitWait(ahead));
 }
 
 /// Returns the time since the last admission or completion, or zero if a slot
@@ -354,6 +361,49 @@
   mSlots = aEvent.slots;
 }
 
+void
+FairQueue::On(const RateLimit& aEvent)
+{
+  if (!aEvent.requestsPerSecond) {
+    mRateLimit.reset();
+    return;
+  }
+  if (!mRateLimit) {
+    mRateLimit.emplace(0, mNow);
+  }
+  NamedRate::Apply(*aEvent.requestsPerSecond, *mRateLimit, mNow);
+}
+
+bool
+FairQueue::HasRateRoom() const
+{
+  return !mRateLimit || mRateLimit->Has(1, mNow);
+}
+
+/// Returns the time until the upstream's rate limit admits so many requests.
+Duration
+FairQueue::RateLimitWait(double aRequests) const
+{
+  return mRateLimit ? std::chrono::duration_cast<Duration>(
+                        mRateLimit->TimeUntil(aRequests, mNow))
+                    : Duration{};
+}
+
+/// Returns the delay to tell the caller of a refused request. A rate limit
+/// admits one request at a time, so callers that it refuses in the meantime are
+/// told different delays.
+Duration
+FairQueue::RetryAfter(Ticket aTicket, Duration aWait) const
+{
+  const Duration wait = std::max(aWait, kMinRetryAfter);
+  if (!mRateLimit) {
+    return wait;
+  }
+  const uint64_t hash = aTicket.value * kSpreadMultiplier;
+  return Scaled(std::min(wait, kMaxSpreadRetryAfter),
+                1 + static_cast<double>(hash >> 54U) / 1024);
+}
+
 void
 FairQueue::On(const Tick&)
 {
@@ -415,7 +465,7 @@
     mEffects.emplace_back(Refuse{
       ticket,
       isPastDeadline ? Code::DeadlineExceeded : Code::Overloaded,
-      isPastDeadline ? Duration{} : std::max(estimatedWait, kMinRetryAfter) });
+      isPastDeadline ? Duration{} : RetryAfter(ticket, estimatedWait) });
     RemoveQueued(ticket);
   }
 }
@@ -424,7 +474,7 @@
 void
 FairQueue::AdmitQueued()
 {
-  while (mRunning.size() < mSlots && mNow >= mPausedUntil) {
+  while (mRunning.size() < mSlots && mNow >= mPausedUntil && HasRateRoom()) {
     const auto customer = NextCustomer();
     if (!customer) {
       return;
@@ -477,6 +527,9 @@
     mEffects.emplace_back(Refuse{ ticket, Code::DeadlineExceeded, Duration{} });
     return RemoveQueued(ticket);
   }
+  if (mRateLimit) {
+    mRateLimit->Take(1, mNow);
+  }
   ++customer.running;
   customer.turnSequence = ++mLastSequence;
   Charge(aCustomer, 1);
@@ -493,7 +546,10 @@
     return std::nullopt;
   }
   const Instant expiry = mExpiries.begin()->first;
-  return mNow < mPausedUntil ? std::min(expiry, mPausedUntil) : expiry;
+  const Instant admitted = std::max<Instant>(
+    mPausedUntil, mNow + RateLimitWait(1) + std::chrono::milliseconds(1));
+  return mNow < mPausedUntil || !HasRateRoom() ? std::min(expiry, admitted)
+                                               : expiry;
 }
 
 } // namespace rattandyke::admission
--- a/src/fair.admission/fair_queue.h
+++ b/src/fair.admission/fair_queue.h
@@ -7,6 +7,8 @@
 
 #include <rattandyke/admission.h>
 
+#include "base/named_rate.h"
+
 namespace rattandyke::admission {
 
 /// Weighted fair queue in front of the slots of one upstream, with one FIFO
@@ -76,12 +78,16 @@
   void On(const Left& aEvent);
   void On(const Finished& aEvent);
   void On(const Slots& aEvent);
+  void On(const RateLimit& aEvent);
   void On(const Tick& aEvent);
 
   Customers::iterator FindOrAddCustomer(const Offer& aOffer);
   std::optional<Refuse> RefusalFor(const Offer& aOffer, Customer& aCustomer);
   Duration EstimateWait(const Customer& aCustomer) const;
   Duration StallTime() const;
+  bool HasRateRoom() const;
+  Duration RateLimitWait(double aRequests) const;
+  Duration RetryAfter(Ticket aTicket, Duration aWait) const;
   bool TakeToken(Customer& aCustomer);
   void Enqueue(const Offer& aOffer, Customers::iterator aCustomer);
   void RemoveQueued(Ticket aTicket);
@@ -125,6 +131,8 @@
   Instant mLastProgress{};
   /// No admissions before this time, as the upstream's Retry-After asked.
   Instant mPausedUntil{};
+  /// Requests that the upstream's rate limit admits; none: no limit.
+  std::optional<TokenBucket> mRateLimit;
 };
 
 } // namespace rattandyke::admission
--- a/src/fair.admission/fair_queue_test.cpp
+++ b/src/fair.admission/fair_queue_test.cpp
@@ -172,6 +172,27 @@
   EXPECT_LE(admitted, 11u);
 }
 
+/// An upstream that limits its request rate must get its requests at that rate,
+/// by the queue's own ticks, and callers beyond it must know at once.
+TEST(FairQueue, KeepsTheRateLimitOfTheUpstream)
+{
+  FairQueue queue({ .slots = 4 });
+  queue.Step(RateLimit{ 2 }, kStart);
+  EXPECT_TRUE(AdmittedTickets(queue.Step(MakeOffer(1, "one"), kStart)).empty());
+  EXPECT_TRUE(queue.Step(MakeOffer(2, "one"), kStart).empty());
+  const auto refused = queue.Step(MakeOffer(3, "one"), kStart);
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Refuse>(refused.front()));
+  const auto next = queue.NextTick();
+  ASSERT_TRUE(next);
+  EXPECT_GE(*next, kStart + 500ms);
+  EXPECT_LE(*next, kStart + 510ms);
+  EXPECT_EQ(AdmittedTickets(queue.Step(Tick{}, *next)).size(), 1u);
+  queue.Step(RateLimit{}, *next);
+  EXPECT_EQ(
+    AdmittedTickets(queue.Step(MakeOffer(4, "two", *next), *next)).size(), 1u);
+}
+
 /// Property, for random sequences of events: each offer is admitted, refused or
 /// withdrawn exactly once; running requests never exceed the slots or a
 /// customer's maxConcurrent; at the end no request is still queued.
--- a/src/include/rattandyke/admission.h
+++ b/src/include/rattandyke/admission.h
@@ -74,11 +74,19 @@
   uint32_t slots = 0;
 };
 
+/// Event: the upstream named a limit of the request rate from all hosts
+/// together, of which this Admission is the only one to admit, or lifted it.
+struct RateLimit
+{
+  /// None: no limit.
+  std::optional<double> requestsPerSecond;
+};
+
 /// Event: the time that NextTick returned has come.
 struct Tick
 {};
 
-using Event = std::variant<Offer, Left, Finished, Slots, Tick>;
+using Event = std::variant<Offer, Left, Finished, Slots, RateLimit, Tick>;
 
 /// The request may run. It holds a slot until Finished or Left.
 struct Admit
--- a/src/librattandyke/entry/credit_broker.cpp
+++ b/src/librattandyke/entry/credit_broker.cpp
@@ -104,6 +104,12 @@
   Feed(admission::Slots{ aEvent.slots });
 }
 
+void
+CreditBroker::On(const credit_event::RateLimitChanged& aEvent)
+{
+  Feed(admission::RateLimit{ aEvent.requestsPerSecond });
+}
+
 void
 CreditBroker::On(const credit_event::Tick&)
 {
--- a/src/librattandyke/entry/credit_broker.h
+++ b/src/librattandyke/entry/credit_broker.h
@@ -57,6 +57,11 @@
 {
   uint32_t slots = 0;
 };
+/// As admission::RateLimit.
+struct RateLimitChanged
+{
+  std::optional<double> requestsPerSecond;
+};
 /// The instant of NextTick came.
 struct Tick
 {};
@@ -67,6 +72,7 @@
                                  credit_event::Returned,
                                  credit_event::SessionGone,
                                  credit_event::SlotsChanged,
+                                 credit_event::RateLimitChanged,
                                  credit_event::Tick>;
 
 enum class CreditState
@@ -118,6 +124,7 @@
   void On(const credit_event::Returned& aEvent);
   void On(const credit_event::SessionGone& aEvent);
   void On(const credit_event::SlotsChanged& aEvent);
+  void On(const credit_event::RateLimitChanged& aEvent);
   void On(const credit_event::Tick& aEvent);
 
   void Feed(const admission::Event& aEvent);
--- a/src/librattandyke/entry/credit_client.cpp
+++ b/src/librattandyke/entry/credit_client.cpp
@@ -33,7 +33,20 @@
     return Ask(request);
   }
   mRequests[aEvent.ticket] = { Place::Local, aEvent, mNow };
-  FeedLocal(aEvent);
+  AdmitLocally(aEvent);
+}
+
+/// The home alone counts the requests to an upstream that limits their rate, so
+/// without it none is admitted.
+void
+CreditClient::AdmitLocally(const admission::Offer& aOffer)
+{
+  if (!mSettings.hasHome || !mRateLimited) {
+    return FeedLocal(aOffer);
+  }
+  mRequests.erase(aOffer.ticket);
+  mEffects.emplace_back(
+    admission::Refuse{ aOffer.ticket, Code::Overloaded, mSettings.tryAgain });
 }
 
 void
@@ -108,6 +121,13 @@
   FeedLocal(aEvent);
 }
 
+void
+CreditClient::On(const admission::RateLimit& aEvent)
+{
+  mRateLimited = aEvent.requestsPerSecond.has_value();
+  FeedLocal(aEvent);
+}
+
 void
 CreditClient::On(const admission::Tick& aEvent)
 {
@@ -150,7 +170,7 @@
   }
   for (const admission::Offer& offer : offers) {
     mEffects.emplace_back(ReturnCredit{ offer.ticket, std::nullopt });
-    FeedLocal(offer);
+    AdmitLocally(offer);
   }
 }
 
--- a/src/librattandyke/entry/credit_client.h
+++ b/src/librattandyke/entry/credit_client.h
@@ -40,6 +40,7 @@
                                        admission::Left,
                                        admission::Finished,
                                        admission::Slots,
+                                       admission::RateLimit,
                                        admission::Tick,
                                        CreditAnswered>;
 
@@ -103,12 +104,14 @@
   void On(const admission::Finished& aEvent);
   /// Of the local admission.
   void On(const admission::Slots& aEvent);
+  void On(const admission::RateLimit& aEvent);
   void On(const admission::Tick& aEvent);
   void On(const CreditAnswered& aEvent);
 
   void Ask(Request& aRequest);
   void FeedLocal(const admission::Event& aEvent);
   void GoLocal();
+  void AdmitLocally(const admission::Offer& aOffer);
   void RefuseLate();
   bool HomeIsSilent() const;
 
@@ -118,6 +121,8 @@
   std::vector<CreditClientEffect> mEffects;
   std::map<admission::Ticket, Request> mRequests;
   bool mUsesHome;
+  /// The upstream limits its request rate.
+  bool mRateLimited = false;
   /// Last word from the home.
   Instant mHeard{};
   Instant mTryAt{};
--- a/src/librattandyke/entry/credit_test.cpp
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -132,5 +132,21 @@
   EXPECT_EQ(result.leaked, 0u);
 }
 
+// The home of an upstream that limits its request rate is silent. Entries that
+// each admitted some requests would exceed the limit together.
+TEST(CreditClient, AdmitsNothingByItselfWhileTheRateIsLimited)
+{
+  CreditClient client({ .hasHome = true }, Fair(1));
+  client.Step(admission::RateLimit{ 1 }, kStart);
+  client.Step(OfferOf(1), kStart);
+  const auto later = kStart + 200ms;
+  const auto effects = client.Step(admission::Tick{}, later);
+  EXPECT_EQ(CountOf<Admit>(effects), 0u);
+  EXPECT_EQ(CountOf<Refuse>(effects), 1u);
+  EXPECT_EQ(CountOf<Refuse>(client.Step(OfferOf(2, later), later)), 1u);
+  client.Step(admission::RateLimit{}, later);
+  EXPECT_EQ(CountOf<Admit>(client.Step(OfferOf(3, later), later)), 1u);
+}
+
 } // namespace
 } // namespace rattandyke::entry
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -4,9 +4,9 @@
 #include <charconv>
 #include <cstdio>
 
-#include "gateway/back_pressure.h"
 #include "gateway/key_load_map.h"
 #include "gateway/retry_share.h"
+#include "http/back_pressure.h"
 #include "http/headers.h"
 #include "http/signal.h"
 #include "log/log.h"
@@ -528,7 +528,8 @@
       aResult.kind != AttemptResult::Kind::NotExecuted) {
     return;
   }
-  const auto limit = ReadRateLimit(aResult.response.fields, mHeaders.rateLimit);
+  const auto limit =
+    http::ReadRateLimit(aResult.response.fields, mHeaders.rateLimit);
   if (!limit) {
     mMetrics.Increment("rate_limits_not_read");
     return;
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -275,7 +275,7 @@
 {
   const double capacity = aUpstream.slots / ResponseSecondsOf(aUpstream);
   return HasNamedLimit(aUpstream)
-           ? std::min(capacity, *aUpstream.rateLimit->requestsPerSecond)
+           ? std::min(capacity, *aUpstream.rateLimit->named.RequestsPerSecond())
            : capacity;
 }
 
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -12,6 +12,7 @@
 #include <rattandyke/types.h>
 
 #include "base/clock.h"
+#include "base/named_rate.h"
 #include "base/token_bucket.h"
 #include "gateway/load_report.h"
 #include "gateway/state.h"
@@ -286,9 +287,7 @@
   /// Limit of an instance's request rate, as the instance named it.
   struct RateLimit
   {
-    /// Requests per second from all hosts together; none: it was lifted.
-    std::optional<double> requestsPerSecond;
-    Instant toldAt{};
+    NamedRate named;
     /// Requests that this host may allocate as the home entry.
     TokenBucket bucket;
     /// Before this time, the instance gets no requests without its home entry.
--- a/src/librattandyke/gateway/upstream_set_rate.cpp
+++ b/src/librattandyke/gateway/upstream_set_rate.cpp
@@ -20,17 +20,6 @@
 /// requests that are delayed in the network and arrive with those of the next
 /// second.
 constexpr double kColdLimitFraction = 0.85;
-/// Requests per second that an upstream gets at least if it names a limit.
-/// Without any, no response would tell that the limit was lifted.
-constexpr double kMinNamedRate = 0.25;
-/// Requests that accrue while an upstream with a named limit gets none, in
-/// seconds of its rate, beyond one. Successive home entries each start with as
-/// many, so they must be few.
-constexpr double kNamedRateBurstSeconds = 0.05;
-/// A notice that repeats a known limit counts as newer from this age
-/// difference on. Notices take time from host to host, and without a minimum
-/// two hosts would renew an old one between them.
-constexpr std::chrono::seconds kNoticeRenewal{ 1 };
 /// Interval of the requests of all hosts together that are sent to an upstream
 /// with a named limit without its home entry.
 constexpr std::chrono::seconds kUncoordinatedInterval{ 4 };
@@ -148,7 +137,7 @@
 bool
 UpstreamSet::HasNamedLimit(const Upstream& aUpstream)
 {
-  return aUpstream.rateLimit && aUpstream.rateLimit->requestsPerSecond;
+  return aUpstream.rateLimit && aUpstream.rateLimit->named.RequestsPerSecond();
 }
 
 bool
@@ -216,21 +205,16 @@
     return false;
   }
   if (!limit) {
-    limit = std::make_unique<RateLimit>(
-      RateLimit{ {}, {}, TokenBucket(0, aNow), {} });
+    limit = std::make_unique<RateLimit>(RateLimit{ {}, { 0, aNow }, {} });
   }
-  const bool changed = limit->requestsPerSecond != aNotice.requestsPerSecond;
-  const Duration newer = aNotice.toldAt - limit->toldAt;
-  if (newer <= Duration::zero() ||
-      (!changed && newer < Duration(kNoticeRenewal))) {
-    return false;
+  const Instant before = limit->named.ToldAt();
+  const bool changed =
+    limit->named.Update(aNotice.requestsPerSecond, aNotice.toldAt);
+  if (limit->named.ToldAt() != before) {
+    limit->uncoordinatedFrom = NextUncoordinated(aNotice.instance, aNow);
   }
-  limit->requestsPerSecond = aNotice.requestsPerSecond;
-  limit->toldAt = aNotice.toldAt;
-  limit->uncoordinatedFrom = NextUncoordinated(aNotice.instance, aNow);
   if (changed && aNotice.requestsPerSecond) {
-    const double rate = std::max(*aNotice.requestsPerSecond, kMinNamedRate);
-    limit->bucket.SetRate(rate, 1 + rate * kNamedRateBurstSeconds, aNow);
+    NamedRate::Apply(*aNotice.requestsPerSecond, limit->bucket, aNow);
     mRateLimitCandidates.insert(aNotice.instance);
   }
   return changed;
@@ -246,8 +230,8 @@
   const Upstream& upstream = found->second;
   return RateLimitNotice{ aInstance,
                           upstream.incarnation,
-                          upstream.rateLimit->requestsPerSecond,
-                          upstream.rateLimit->toldAt };
+                          upstream.rateLimit->named.RequestsPerSecond(),
+                          upstream.rateLimit->named.ToldAt() };
 }
 
 std::vector<RateLimitNotice>
--- a/src/librattandyke/gateway/back_pressure.cpp
+++ b/src/librattandyke/http/back_pressure.cpp
@@ -1,11 +1,11 @@
-#include "gateway/back_pressure.h"
+#include "http/back_pressure.h"
 
 #include <charconv>
 #include <cmath>
 
 #include "http/headers.h"
 
-namespace rattandyke::gateway {
+namespace rattandyke::http {
 
 namespace {
 
@@ -31,11 +31,11 @@
   if (count == 0) {
     return std::optional<double>();
   }
-  const auto limit = ParseDecimal(http::FieldOf(aFields, aName));
+  const auto limit = ParseDecimal(FieldOf(aFields, aName));
   if (count > 1 || !limit) {
     return Fail(Code::InvalidRecord, "the rate limit can't be read");
   }
   return limit;
 }
 
-} // namespace rattandyke::gateway
+} // namespace rattandyke::http
--- a/src/librattandyke/gateway/back_pressure.h
+++ b/src/librattandyke/http/back_pressure.h
@@ -8,7 +8,7 @@
 
 #include <rattandyke/result.h>
 
-namespace rattandyke::gateway {
+namespace rattandyke::http {
 
 /// Reads the request rate limit in an upstream's response.
 /// @param aName name of the header.
@@ -19,4 +19,4 @@
   const boost::beast::http::fields& aFields,
   std::string_view aName);
 
-} // namespace rattandyke::gateway
+} // namespace rattandyke::http
--- a/src/librattandyke/gateway/back_pressure_test.cpp
+++ b/src/librattandyke/http/back_pressure_test.cpp
@@ -1,10 +1,10 @@
-#include "gateway/back_pressure.h"
+#include "http/back_pressure.h"
 
 #include <cmath>
 
 #include <gtest/gtest.h>
 
-namespace rattandyke::gateway {
+namespace rattandyke::http {
 namespace {
 
 using boost::beast::http::fields;
@@ -43,4 +43,4 @@
 }
 
 } // namespace
-} // namespace rattandyke::gateway
+} // namespace rattandyke::http
--- a/src/librattandyke/http/credit_home.cpp
+++ b/src/librattandyke/http/credit_home.cpp
@@ -49,6 +49,7 @@
     std::optional<Instant> armed;
     uint32_t slots;
     std::map<HostName, UsableSlots> usable;
+    NamedRate rate;
   };
 
   Impl(const asio::any_io_executor& aExecutor,
@@ -74,6 +75,9 @@
   void Step(const UpstreamLife& aLife,
             Desk& aDesk,
             const entry::CreditEvent& aEvent);
+  void TakeNotice(const UpstreamLife& aLife,
+                  Desk& aDesk,
+                  const wire::CreditRequest& aRequest);
   void TakeUsable(const UpstreamLife& aLife,
                   Desk& aDesk,
                   const HostName& aFrom,
@@ -144,6 +148,7 @@
   if (desk == nullptr) {
     return;
   }
+  TakeNotice(life, *desk, aRequest);
   TakeUsable(life, *desk, aFrom, aRequest.ask().usable_slots());
   Step(life, *desk, AskedIn(aRequest, { aFrom, aSession, aRequest.request() }));
 }
@@ -158,6 +163,7 @@
   Answer(aFrom, ReturnedMessage(life, aRequest.request()));
   const auto desk = desks.find(life);
   if (desk != desks.end()) {
+    TakeNotice(life, desk->second, aRequest);
     Step(life,
          desk->second,
          ReturnedIn(aRequest, { aFrom, aSession, aRequest.request() }));
@@ -185,6 +191,22 @@
   return &desk->second;
 }
 
+/// Entries tell what the upstream's responses say, also to a home that has just
+/// taken over.
+void
+CreditHome::Impl::TakeNotice(const UpstreamLife& aLife,
+                             Desk& aDesk,
+                             const wire::CreditRequest& aRequest)
+{
+  if (aRequest.has_notice() &&
+      ApplyNotice(aRequest.notice(), aDesk.rate, clock.Now())) {
+    Step(
+      aLife,
+      aDesk,
+      entry::credit_event::RateLimitChanged{ aDesk.rate.RequestsPerSecond() });
+  }
+}
+
 /// The upstream gets what every entry that asked lately thinks it can take: of
 /// a cold start all see the same, and of shedding the one that met it.
 void
@@ -214,7 +236,11 @@
                        const entry::CreditEvent& aEvent)
 {
   for (const auto& answer : aDesk.broker.Step(aEvent, clock.Now())) {
-    Answer(answer.key.host, AnswerMessage(aLife, answer));
+    auto message = AnswerMessage(aLife, answer);
+    if (aDesk.rate.WasNamed()) {
+      *message.mutable_notice() = NoticeMessage(aDesk.rate, clock.Now());
+    }
+    Answer(answer.key.host, std::move(message));
   }
   Arm(aLife, aDesk);
 }
--- a/src/librattandyke/http/credit_messages.cpp
+++ b/src/librattandyke/http/credit_messages.cpp
@@ -163,6 +163,25 @@
                                 FromMicroseconds(giveBack.retry_after_us()) } };
 }
 
+wire::RateNotice
+NoticeMessage(const NamedRate& aRate, Instant aNow)
+{
+  wire::RateNotice message;
+  message.set_limited(aRate.RequestsPerSecond().has_value());
+  message.set_requests_per_second(aRate.RequestsPerSecond().value_or(0));
+  message.set_age_us(InMicroseconds(aNow - aRate.ToldAt()));
+  return message;
+}
+
+bool
+ApplyNotice(const wire::RateNotice& aMessage, NamedRate& aRate, Instant aNow)
+{
+  const auto limit = aMessage.limited()
+                       ? std::optional(aMessage.requests_per_second())
+                       : std::nullopt;
+  return aRate.Update(limit, aNow - FromMicroseconds(aMessage.age_us()));
+}
+
 std::optional<entry::CreditAnswered>
 AnsweredIn(const wire::CreditAnswer& aMessage)
 {
--- a/src/librattandyke/http/credit_messages.h
+++ b/src/librattandyke/http/credit_messages.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "base/named_rate.h"
 #include "entry/credit_broker.h"
 #include "entry/credit_client.h"
 #include "wire/peer.pb.h"
@@ -52,6 +53,15 @@
 entry::credit_event::Returned ReturnedIn(const wire::CreditRequest& aMessage,
                                          entry::CreditKey aKey);
 
+/// @return the notice as a message, with its age.
+wire::RateNotice NoticeMessage(const NamedRate& aRate, Instant aNow);
+
+/// Applies a notice of another host.
+/// @return whether the limit changed.
+bool ApplyNotice(const wire::RateNotice& aMessage,
+                 NamedRate& aRate,
+                 Instant aNow);
+
 /// @return none if it is no answer to an ask.
 std::optional<entry::CreditAnswered> AnsweredIn(
   const wire::CreditAnswer& aMessage);
--- a/src/librattandyke/http/credit_sharing_test.cpp
+++ b/src/librattandyke/http/credit_sharing_test.cpp
@@ -30,9 +30,10 @@
   }
   WallTime Wall() const override { return {}; }
   void Go(bool aGoes) { mGoes = aGoes; }
+  void Advance(Duration aTime) { mStill += aTime; }
 
 private:
-  const Instant mStill = std::chrono::steady_clock::now() + 24h;
+  Instant mStill = std::chrono::steady_clock::now() + 24h;
   bool mGoes = false;
 };
 
@@ -61,13 +62,16 @@
 class Deployment
 {
 public:
-  Deployment(const Clock& aClock, std::string_view aHome);
+  Deployment(const Clock& aClock,
+             std::string_view aHome,
+             size_t aEntries = kEntries);
   ~Deployment();
 
   /// Offers requests at one entry.
   void Offer(size_t aEntry, size_t aRequests);
   /// Ends the request that was admitted first of those that run.
-  void FinishOne();
+  /// @param aRateLimit requests per second that its response names.
+  void FinishOne(std::optional<double> aRateLimit = {});
   void RunUntilIdle() { mContext.poll(); }
   void RunOne() { mContext.run_one(); }
   /// Runs until so many requests were admitted since the start.
@@ -153,7 +157,9 @@
   metrics::Recorder mMetrics;
 };
 
-Deployment::Deployment(const Clock& aClock, std::string_view aHome)
+Deployment::Deployment(const Clock& aClock,
+                       std::string_view aHome,
+                       size_t aEntries)
   : mClock(aClock)
   , mTable(TableWith(aHome))
 {
@@ -174,7 +180,7 @@
       mClock);
     mHomes[Name(name)]->Start();
   }
-  for (size_t entry = 0; entry < kEntries; ++entry) {
+  for (size_t entry = 0; entry < aEntries; ++entry) {
     const HostName name{ std::to_string(entry) };
     Entry& made = mEntries[name];
     made.host = std::make_unique<Host>(*this, name);
@@ -239,10 +245,11 @@
 }
 
 void
-Deployment::FinishOne()
+Deployment::FinishOne(std::optional<double> aRateLimit)
 {
   const auto place = mRunning.front();
   mRunning.pop_front();
+  place->RecordRateLimit(aRateLimit);
   place->Finish(admission::Ending::Succeeded, 1ms, {});
 }
 
@@ -403,5 +410,56 @@
   EXPECT_EQ(deployment.GrantsBy(kHome), 2 * kSlots);
 }
 
+/// @return the most requests that reached, in four seconds, an upstream that
+/// names a limit, of a deployment with 30 requests per second.
+/// @param aMoveHome the upstream gets another home each second.
+size_t
+MostWithRateLimit(size_t aEntries, double aLimit, bool aMoveHome)
+{
+  constexpr auto kStep = 33ms;
+  constexpr int kSteps = 700;
+  constexpr int kSettlingSteps = 90;
+  constexpr int kStepsPerHome = 30;
+  StillClock clock;
+  Deployment deployment(clock, kHome, aEntries);
+  std::deque<Instant> recent;
+  size_t most = 0;
+  for (int step = 0; step < kSteps; ++step, clock.Advance(kStep)) {
+    if (aMoveHome && step % kStepsPerHome == 0) {
+      deployment.MoveHome(step / kStepsPerHome % 2 == 0 ? kHome : "other");
+    }
+    const size_t before = deployment.Admitted();
+    deployment.Offer(static_cast<size_t>(step) * 7919 % aEntries, 1);
+    deployment.RunUntilIdle();
+    for (size_t at = before; at < deployment.Admitted(); ++at) {
+      recent.push_back(clock.Now());
+    }
+    while (!recent.empty() && clock.Now() - recent.front() >= 4s) {
+      recent.pop_front();
+    }
+    if (step >= kSettlingSteps * 2) {
+      most = std::max(most, recent.size());
+    }
+    if (deployment.Running() > 0) {
+      deployment.FinishOne(aLimit);
+      deployment.RunUntilIdle();
+    }
+  }
+  return most;
+}
+
+// Entries that each keep an upstream's rate limit by themselves, or homes that
+// follow one another and know nothing of it, exceed it together.
+TEST(CreditSharing, EntriesTogetherKeepTheRateLimitOfAnUpstream)
+{
+  for (const size_t entries : { 10, 1000 }) {
+    for (const bool moveHome : { false, true }) {
+      EXPECT_LE(MostWithRateLimit(entries, 0, moveHome), 5u) << entries;
+      EXPECT_LE(MostWithRateLimit(entries, 1, moveHome), 11u) << entries;
+      EXPECT_LE(MostWithRateLimit(entries, 2.5, moveHome), 20u) << entries;
+    }
+  }
+}
+
 } // namespace
 } // namespace rattandyke::http
--- a/src/librattandyke/http/headers.h
+++ b/src/librattandyke/http/headers.h
@@ -19,6 +19,7 @@
 inline constexpr std::string_view kCodeHeader = "Rattandyke-Code";
 inline constexpr std::string_view kRequestIdHeader = "Rattandyke-Request-Id";
 inline constexpr std::string_view kDeadlineHeader = "Rattandyke-Deadline-Ms";
+inline constexpr std::string_view kRateLimitHeader = "Rattandyke-Rate-Limit";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 /// How the end of a message's body is marked.
--- a/src/librattandyke/http/request_run.h
+++ b/src/librattandyke/http/request_run.h
@@ -110,6 +110,8 @@
   boost::asio::awaitable<void> ReceiveBody(uint32_t aAttempt,
                                            UpstreamExchange& aExchange,
                                            const Framing& aFraming);
+  /// Takes the back pressure that a response signals.
+  void RecordBackPressure(const AnswerHead& aHead);
   void DeliverBroken(uint32_t aAttempt, const error_code& aError);
   void Keep(std::span<const char> aBytes);
   void KeepHead(const AnswerHead& aHead);
--- a/src/librattandyke/http/request_run_exchange.cpp
+++ b/src/librattandyke/http/request_run_exchange.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http/back_pressure.h"
 #include "http/request_run.h"
+#include "log/log.h"
 
 namespace rattandyke::http {
 
@@ -224,6 +226,7 @@
     co_return;
   }
   const AnswerHead& head = aExchange.Head();
+  RecordBackPressure(head);
   if (RefusesFence(head)) {
     co_await ReceiveRefusal(aAttempt, aExchange);
     co_return;
@@ -241,6 +244,19 @@
   co_await ReceiveBody(aAttempt, aExchange, *framing);
 }
 
+/// A limit that can't be read changes nothing.
+void
+RequestRun::RecordBackPressure(const AnswerHead& aHead)
+{
+  const auto limit = ReadRateLimit(aHead, kRateLimitHeader);
+  if (!limit) {
+    log::Line(log::Part::Http, log::Severity::Warning, mRequestId)
+      << limit.error().message;
+  } else if (mPlace) {
+    mPlace->RecordRateLimit(*limit);
+  }
+}
+
 /// Reads the refusal to its end before it is told, so that the connection can
 /// be used again.
 asio::awaitable<void>
--- a/src/librattandyke/http/slot_queues.cpp
+++ b/src/librattandyke/http/slot_queues.cpp
@@ -36,6 +36,11 @@
       admission::Finished{ mTicket, aEnding, aServiceTime, aRetryAfter });
   }
 
+  void RecordRateLimit(std::optional<double> aRequestsPerSecond) override
+  {
+    mQueue->RecordRateLimit(aRequestsPerSecond);
+  }
+
   void Leave() override { mQueue->Post(admission::Left{ mTicket }); }
 
 private:
--- a/src/librattandyke/http/slot_queues.h
+++ b/src/librattandyke/http/slot_queues.h
@@ -30,6 +30,11 @@
                       Duration aServiceTime,
                       Duration aRetryAfter) = 0;
 
+  /// Takes what the response to an admitted request says about the upstream's
+  /// request rate limit.
+  /// @param aRequestsPerSecond std::nullopt if it names none.
+  virtual void RecordRateLimit(std::optional<double> aRequestsPerSecond) = 0;
+
   /// Leaves the queue, or gives back a slot unused. No answer comes after it.
   virtual void Leave() = 0;
 };
--- a/src/librattandyke/http/upstream_queue.cpp
+++ b/src/librattandyke/http/upstream_queue.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "log/log.h"
+
 namespace rattandyke::http {
 
 using admission::Ticket;
@@ -68,6 +70,30 @@
   return ownAnswer;
 }
 
+void
+UpstreamQueue::RecordRateLimit(std::optional<double> aRequestsPerSecond)
+{
+  Answers answers;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mRate.Update(aRequestsPerSecond, mClock.Now())) {
+      log::Line(log::Part::Entry, log::Severity::Info)
+        << "upstream " << mLife.name << " of service " << mLife.service
+        << (aRequestsPerSecond ? " limits" : " no longer limits")
+        << " its requests per second limit=" << aRequestsPerSecond.value_or(0);
+      OnRateChangedLocked(answers);
+    }
+  }
+  CallBack(answers);
+}
+
+void
+UpstreamQueue::OnRateChangedLocked(Answers& aAnswers)
+{
+  StepLocked(
+    admission::RateLimit{ mRate.RequestsPerSecond() }, std::nullopt, aAnswers);
+}
+
 void
 UpstreamQueue::Post(const entry::CreditClientEvent& aEvent)
 {
@@ -90,6 +116,10 @@
   Answers answers;
   {
     const std::lock_guard lock(mMutex);
+    if (aMessage.has_notice() &&
+        ApplyNotice(aMessage.notice(), mRate, mClock.Now())) {
+      OnRateChangedLocked(answers);
+    }
     if (aMessage.state() == wire::CREDIT_STATE_RETURNED) {
       std::erase_if(mUnheard, [&](const Unheard& aOne) {
         return aOne.ticket == ticket && aOne.home == aFrom;
@@ -203,11 +233,13 @@
 }
 
 void
-UpstreamQueue::SendLocked(const HostName& aHome,
-                          const wire::CreditRequest& aMessage)
+UpstreamQueue::SendLocked(const HostName& aHome, wire::CreditRequest aMessage)
 {
+  if (mRate.WasNamed()) {
+    *aMessage.mutable_notice() = NoticeMessage(mRate, mClock.Now());
+  }
   wire::Envelope envelope;
-  *envelope.mutable_credit_request() = aMessage;
+  *envelope.mutable_credit_request() = std::move(aMessage);
   mHost.Send(aHome, std::move(envelope));
 }
 
--- a/src/librattandyke/http/upstream_queue.h
+++ b/src/librattandyke/http/upstream_queue.h
@@ -47,6 +47,9 @@
                               admission::Offer aOffer,
                               Callback aOnAnswer);
 
+  /// Takes what a response says about the upstream's request rate limit.
+  void RecordRateLimit(std::optional<double> aRequestsPerSecond);
+
   /// A request left or finished.
   void Post(const entry::CreditClientEvent& aEvent);
 
@@ -82,7 +85,8 @@
   void ReturnLocked(const HostName& aHome,
                     admission::Ticket aTicket,
                     const std::optional<admission::Finished>& aFinished);
-  void SendLocked(const HostName& aHome, const wire::CreditRequest& aMessage);
+  void SendLocked(const HostName& aHome, wire::CreditRequest aMessage);
+  void OnRateChangedLocked(Answers& aAnswers);
   void ResendLocked();
   void ArmLocked();
   std::optional<Instant> NextLocked() const;
@@ -102,6 +106,7 @@
   uint32_t mSlots = 0;
   boost::asio::steady_timer mTimer;
   std::optional<Instant> mArmed;
+  NamedRate mRate;
   Instant mLastUse{};
   // Of the step that runs.
   std::optional<admission::Ticket> mOwn;
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -401,6 +401,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.notice_)*/nullptr
   , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
   , /*decltype(_impl_.request_)*/uint64_t{0u}
   , /*decltype(_impl_.body_)*/{}
@@ -415,6 +416,21 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditRequestDefaultTypeInternal _CreditRequest_default_instance_;
+PROTOBUF_CONSTEXPR RateNotice::RateNotice(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.requests_per_second_)*/0
+  , /*decltype(_impl_.age_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.limited_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RateNoticeDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RateNoticeDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RateNoticeDefaultTypeInternal() {}
+  union {
+    RateNotice _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RateNoticeDefaultTypeInternal _RateNotice_default_instance_;
 PROTOBUF_CONSTEXPR CreditAsk::CreditAsk(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.customer_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -454,6 +470,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.upstream_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.notice_)*/nullptr
   , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
   , /*decltype(_impl_.request_)*/uint64_t{0u}
   , /*decltype(_impl_.state_)*/0
@@ -503,7 +520,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EnvelopeDefaultTypeInternal _Envelope_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_peer_2eproto[28];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[29];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[4];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
@@ -775,8 +792,18 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.request_),
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.notice_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.body_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.limited_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.requests_per_second_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.age_us_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -812,6 +839,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.state_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.code_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.retry_after_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAnswer, _impl_.notice_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::MembershipCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -863,11 +891,12 @@
   { 237, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
   { 246, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
   { 255, -1, -1, sizeof(::rattandyke::wire::CreditRequest)},
-  { 268, -1, -1, sizeof(::rattandyke::wire::CreditAsk)},
-  { 282, -1, -1, sizeof(::rattandyke::wire::CreditReturn)},
-  { 291, -1, -1, sizeof(::rattandyke::wire::CreditAnswer)},
-  { 304, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 314, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 269, -1, -1, sizeof(::rattandyke::wire::RateNotice)},
+  { 278, -1, -1, sizeof(::rattandyke::wire::CreditAsk)},
+  { 292, -1, -1, sizeof(::rattandyke::wire::CreditReturn)},
+  { 301, -1, -1, sizeof(::rattandyke::wire::CreditAnswer)},
+  { 315, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 325, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -894,6 +923,7 @@
   &::rattandyke::wire::_DrainUpstreamCall_default_instance_._instance,
   &::rattandyke::wire::_QueryCall_default_instance_._instance,
   &::rattandyke::wire::_CreditRequest_default_instance_._instance,
+  &::rattandyke::wire::_RateNotice_default_instance_._instance,
   &::rattandyke::wire::_CreditAsk_default_instance_._instance,
   &::rattandyke::wire::_CreditReturn_default_instance_._instance,
   &::rattandyke::wire::_CreditAnswer_default_instance_._instance,
@@ -988,61 +1018,65 @@
   "r_ms\030\002 \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007servi"
   "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001("
   "\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030"
-  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\277\001\n\rCreditRequest\022\017\n\007"
+  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\354\001\n\rCreditRequest\022\017\n\007"
   "service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incar"
   "nation\030\003 \001(\004\022\017\n\007request\030\004 \001(\004\022)\n\003ask\030\n \001"
   "(\0132\032.rattandyke.wire.CreditAskH\000\0222\n\tgive"
   "_back\030\013 \001(\0132\035.rattandyke.wire.CreditRetu"
-  "rnH\000B\006\n\004body\"\273\001\n\tCreditAsk\022\020\n\010customer\030\001"
-  " \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n\016max_concurrent\030\003"
-  " \001(\r\022\027\n\017rate_per_second\030\004 \001(\001\022\027\n\017admit_w"
-  "ithin_us\030\005 \001(\004\022\030\n\020finish_within_us\030\006 \001(\004"
-  "\022\022\n\nidempotent\030\007 \001(\010\022\024\n\014usable_slots\030\010 \001"
-  "(\r\"n\n\014CreditReturn\022-\n\006ending\030\001 \001(\0162\035.rat"
-  "tandyke.wire.CreditEnding\022\027\n\017service_tim"
-  "e_us\030\002 \001(\004\022\026\n\016retry_after_us\030\003 \001(\004\"\252\001\n\014C"
-  "reditAnswer\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream"
-  "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030\004"
-  " \001(\004\022+\n\005state\030\005 \001(\0162\034.rattandyke.wire.Cr"
-  "editState\022\014\n\004code\030\006 \001(\r\022\026\n\016retry_after_u"
-  "s\030\007 \001(\004\"f\n\016MembershipCall\022\024\n\014add_identit"
-  "y\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_address"
-  "\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\222\003\n\010Enve"
-  "lope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session\030\002 \001(\004"
-  "\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.wire.He"
-  "artbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.rat"
-  "tandyke.wire.HeartbeatReplyH\000\0224\n\014call_re"
-  "quest\030\014 \001(\0132\034.rattandyke.wire.CallReques"
-  "tH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandyke.wir"
-  "e.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000\0228\n\016cr"
-  "edit_request\030\017 \001(\0132\036.rattandyke.wire.Cre"
-  "ditRequestH\000\0226\n\rcredit_answer\030\020 \001(\0132\035.ra"
-  "ttandyke.wire.CreditAnswerH\000B\006\n\004body*\262\001\n"
-  "\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNSPECIFI"
-  "ED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n\025CLAIM"
-  "_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOME_DONE"
-  "\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026CLAIM_O"
-  "UTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n\026TRIAL"
-  "_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_ASK\020\001\022"
-  "\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_STEP_CR"
-  "ASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004*\224\001\n\014Credi"
-  "tEnding\022\030\n\024CREDIT_ENDING_UNUSED\020\000\022\033\n\027CRE"
-  "DIT_ENDING_SUCCEEDED\020\001\022\030\n\024CREDIT_ENDING_"
-  "FAILED\020\002\022\026\n\022CREDIT_ENDING_SHED\020\003\022\033\n\027CRED"
-  "IT_ENDING_CANCELLED\020\004*\223\001\n\013CreditState\022\034\n"
-  "\030CREDIT_STATE_UNSPECIFIED\020\000\022\027\n\023CREDIT_ST"
-  "ATE_QUEUED\020\001\022\030\n\024CREDIT_STATE_GRANTED\020\002\022\030"
-  "\n\024CREDIT_STATE_REFUSED\020\003\022\031\n\025CREDIT_STATE"
-  "_RETURNED\020\004b\006proto3"
+  "rnH\000\022+\n\006notice\030\014 \001(\0132\033.rattandyke.wire.R"
+  "ateNoticeB\006\n\004body\"J\n\nRateNotice\022\017\n\007limit"
+  "ed\030\001 \001(\010\022\033\n\023requests_per_second\030\002 \001(\001\022\016\n"
+  "\006age_us\030\003 \001(\004\"\273\001\n\tCreditAsk\022\020\n\010customer\030"
+  "\001 \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n\016max_concurrent\030"
+  "\003 \001(\r\022\027\n\017rate_per_second\030\004 \001(\001\022\027\n\017admit_"
+  "within_us\030\005 \001(\004\022\030\n\020finish_within_us\030\006 \001("
+  "\004\022\022\n\nidempotent\030\007 \001(\010\022\024\n\014usable_slots\030\010 "
+  "\001(\r\"n\n\014CreditReturn\022-\n\006ending\030\001 \001(\0162\035.ra"
+  "ttandyke.wire.CreditEnding\022\027\n\017service_ti"
+  "me_us\030\002 \001(\004\022\026\n\016retry_after_us\030\003 \001(\004\"\327\001\n\014"
+  "CreditAnswer\022\017\n\007service\030\001 \001(\t\022\020\n\010upstrea"
+  "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030"
+  "\004 \001(\004\022+\n\005state\030\005 \001(\0162\034.rattandyke.wire.C"
+  "reditState\022\014\n\004code\030\006 \001(\r\022\026\n\016retry_after_"
+  "us\030\007 \001(\004\022+\n\006notice\030\010 \001(\0132\033.rattandyke.wi"
+  "re.RateNotice\"f\n\016MembershipCall\022\024\n\014add_i"
+  "dentity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_a"
+  "ddress\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\222\003"
+  "\n\010Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session"
+  "\030\002 \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.w"
+  "ire.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\013"
+  "2\037.rattandyke.wire.HeartbeatReplyH\000\0224\n\014c"
+  "all_request\030\014 \001(\0132\034.rattandyke.wire.Call"
+  "RequestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandy"
+  "ke.wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000"
+  "\0228\n\016credit_request\030\017 \001(\0132\036.rattandyke.wi"
+  "re.CreditRequestH\000\0226\n\rcredit_answer\030\020 \001("
+  "\0132\035.rattandyke.wire.CreditAnswerH\000B\006\n\004bo"
+  "dy*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNS"
+  "PECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n"
+  "\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOM"
+  "E_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026C"
+  "LAIM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n"
+  "\026TRIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_"
+  "ASK\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_S"
+  "TEP_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004*\224\001\n"
+  "\014CreditEnding\022\030\n\024CREDIT_ENDING_UNUSED\020\000\022"
+  "\033\n\027CREDIT_ENDING_SUCCEEDED\020\001\022\030\n\024CREDIT_E"
+  "NDING_FAILED\020\002\022\026\n\022CREDIT_ENDING_SHED\020\003\022\033"
+  "\n\027CREDIT_ENDING_CANCELLED\020\004*\223\001\n\013CreditSt"
+  "ate\022\034\n\030CREDIT_STATE_UNSPECIFIED\020\000\022\027\n\023CRE"
+  "DIT_STATE_QUEUED\020\001\022\030\n\024CREDIT_STATE_GRANT"
+  "ED\020\002\022\030\n\024CREDIT_STATE_REFUSED\020\003\022\031\n\025CREDIT"
+  "_STATE_RETURNED\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 5259, descriptor_table_protodef_peer_2eproto,
+    false, false, 5425, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 28,
+    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 29,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -9383,6 +9417,7 @@
  public:
   static const ::rattandyke::wire::CreditAsk& ask(const CreditRequest* msg);
   static const ::rattandyke::wire::CreditReturn& give_back(const CreditRequest* msg);
+  static const ::rattandyke::wire::RateNotice& notice(const CreditRequest* msg);
 };
 
 const ::rattandyke::wire::CreditAsk&
@@ -9393,6 +9428,10 @@
 CreditRequest::_Internal::give_back(const CreditRequest* msg) {
   return *msg->_impl_.body_.give_back_;
 }
+const ::rattandyke::wire::RateNotice&
+CreditRequest::_Internal::notice(const CreditRequest* msg) {
+  return *msg->_impl_.notice_;
+}
 void CreditRequest::set_allocated_ask(::rattandyke::wire::CreditAsk* ask) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -9435,6 +9474,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.incarnation_){}
     , decltype(_impl_.request_){}
     , decltype(_impl_.body_){}
@@ -9458,6 +9498,9 @@
     _this->_impl_.upstream_.Set(from._internal_upstream(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_notice()) {
+    _this->_impl_.notice_ = new ::rattandyke::wire::RateNotice(*from._impl_.notice_);
+  }
   ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.request_) -
     reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.request_));
@@ -9487,6 +9530,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.incarnation_){uint64_t{0u}}
     , decltype(_impl_.request_){uint64_t{0u}}
     , decltype(_impl_.body_){}
@@ -9517,6 +9561,7 @@
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.service_.Destroy();
   _impl_.upstream_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.notice_;
   if (has_body()) {
     clear_body();
   }
@@ -9557,6 +9602,10 @@
 
   _impl_.service_.ClearToEmpty();
   _impl_.upstream_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
   ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.request_) -
       reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.request_));
@@ -9622,6 +9671,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.RateNotice notice = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr = ctx->ParseMessage(_internal_mutable_notice(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -9697,6 +9754,13 @@
         _Internal::give_back(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.RateNotice notice = 12;
+  if (this->_internal_has_notice()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(12, _Internal::notice(this),
+        _Internal::notice(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -9727,6 +9791,13 @@
         this->_internal_upstream());
   }
 
+  // .rattandyke.wire.RateNotice notice = 12;
+  if (this->_internal_has_notice()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.notice_);
+  }
+
   // uint64 incarnation = 3;
   if (this->_internal_incarnation() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
@@ -9780,6 +9851,10 @@
   if (!from._internal_upstream().empty()) {
     _this->_internal_set_upstream(from._internal_upstream());
   }
+  if (from._internal_has_notice()) {
+    _this->_internal_mutable_notice()->::rattandyke::wire::RateNotice::MergeFrom(
+        from._internal_notice());
+  }
   if (from._internal_incarnation() != 0) {
     _this->_internal_set_incarnation(from._internal_incarnation());
   }
@@ -9831,9 +9906,9 @@
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(CreditRequest, _impl_.request_)
       + sizeof(CreditRequest::_impl_.request_)
-      - PROTOBUF_FIELD_OFFSET(CreditRequest, _impl_.incarnation_)>(
-          reinterpret_cast<char*>(&_impl_.incarnation_),
-          reinterpret_cast<char*>(&other->_impl_.incarnation_));
+      - PROTOBUF_FIELD_OFFSET(CreditRequest, _impl_.notice_)>(
+          reinterpret_cast<char*>(&_impl_.notice_),
+          reinterpret_cast<char*>(&other->_impl_.notice_));
   swap(_impl_.body_, other->_impl_.body_);
   swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
 }
@@ -9846,6 +9921,253 @@
 
 // ===================================================================
 
+class RateNotice::_Internal {
+ public:
+};
+
+RateNotice::RateNotice(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RateNotice)
+}
+RateNotice::RateNotice(const RateNotice& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RateNotice* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.requests_per_second_){}
+    , decltype(_impl_.age_us_){}
+    , decltype(_impl_.limited_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.requests_per_second_, &from._impl_.requests_per_second_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.limited_) -
+    reinterpret_cast<char*>(&_impl_.requests_per_second_)) + sizeof(_impl_.limited_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RateNotice)
+}
+
+inline void RateNotice::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.requests_per_second_){0}
+    , decltype(_impl_.age_us_){uint64_t{0u}}
+    , decltype(_impl_.limited_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+RateNotice::~RateNotice() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RateNotice)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RateNotice::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void RateNotice::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RateNotice::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RateNotice)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  ::memset(&_impl_.requests_per_second_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.limited_) -
+      reinterpret_cast<char*>(&_impl_.requests_per_second_)) + sizeof(_impl_.limited_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RateNotice::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // bool limited = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.limited_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // double requests_per_second = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.requests_per_second_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 age_us = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.age_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RateNotice::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RateNotice)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // bool limited = 1;
+  if (this->_internal_limited() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(1, this->_internal_limited(), target);
+  }
+
+  // double requests_per_second = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = this->_internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_requests_per_second(), target);
+  }
+
+  // uint64 age_us = 3;
+  if (this->_internal_age_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_age_us(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RateNotice)
+  return target;
+}
+
+size_t RateNotice::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RateNotice)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // double requests_per_second = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = this->_internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    total_size += 1 + 8;
+  }
+
+  // uint64 age_us = 3;
+  if (this->_internal_age_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_age_us());
+  }
+
+  // bool limited = 1;
+  if (this->_internal_limited() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RateNotice::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RateNotice::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RateNotice::GetClassData() const { return &_class_data_; }
+
+
+void RateNotice::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RateNotice*>(&to_msg);
+  auto& from = static_cast<const RateNotice&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RateNotice)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_requests_per_second = from._internal_requests_per_second();
+  uint64_t raw_requests_per_second;
+  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
+  if (raw_requests_per_second != 0) {
+    _this->_internal_set_requests_per_second(from._internal_requests_per_second());
+  }
+  if (from._internal_age_us() != 0) {
+    _this->_internal_set_age_us(from._internal_age_us());
+  }
+  if (from._internal_limited() != 0) {
+    _this->_internal_set_limited(from._internal_limited());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RateNotice::CopyFrom(const RateNotice& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RateNotice)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RateNotice::IsInitialized() const {
+  return true;
+}
+
+void RateNotice::InternalSwap(RateNotice* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RateNotice, _impl_.limited_)
+      + sizeof(RateNotice::_impl_.limited_)
+      - PROTOBUF_FIELD_OFFSET(RateNotice, _impl_.requests_per_second_)>(
+          reinterpret_cast<char*>(&_impl_.requests_per_second_),
+          reinterpret_cast<char*>(&other->_impl_.requests_per_second_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RateNotice::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[23]);
+}
+
+// ===================================================================
+
 class CreditAsk::_Internal {
  public:
 };
@@ -10248,7 +10570,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[23]);
+      file_level_metadata_peer_2eproto[24]);
 }
 
 // ===================================================================
@@ -10486,15 +10808,20 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditReturn::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[24]);
+      file_level_metadata_peer_2eproto[25]);
 }
 
 // ===================================================================
 
 class CreditAnswer::_Internal {
  public:
+  static const ::rattandyke::wire::RateNotice& notice(const CreditAnswer* msg);
 };
 
+const ::rattandyke::wire::RateNotice&
+CreditAnswer::_Internal::notice(const CreditAnswer* msg) {
+  return *msg->_impl_.notice_;
+}
 CreditAnswer::CreditAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -10507,6 +10834,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.incarnation_){}
     , decltype(_impl_.request_){}
     , decltype(_impl_.state_){}
@@ -10531,6 +10859,9 @@
     _this->_impl_.upstream_.Set(from._internal_upstream(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_notice()) {
+    _this->_impl_.notice_ = new ::rattandyke::wire::RateNotice(*from._impl_.notice_);
+  }
   ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_us_) -
     reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.retry_after_us_));
@@ -10544,6 +10875,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.service_){}
     , decltype(_impl_.upstream_){}
+    , decltype(_impl_.notice_){nullptr}
     , decltype(_impl_.incarnation_){uint64_t{0u}}
     , decltype(_impl_.request_){uint64_t{0u}}
     , decltype(_impl_.state_){0}
@@ -10574,6 +10906,7 @@
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.service_.Destroy();
   _impl_.upstream_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.notice_;
 }
 
 void CreditAnswer::SetCachedSize(int size) const {
@@ -10588,6 +10921,10 @@
 
   _impl_.service_.ClearToEmpty();
   _impl_.upstream_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
   ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.retry_after_us_) -
       reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.retry_after_us_));
@@ -10661,6 +10998,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.RateNotice notice = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
+          ptr = ctx->ParseMessage(_internal_mutable_notice(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -10741,6 +11086,13 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(7, this->_internal_retry_after_us(), target);
   }
 
+  // .rattandyke.wire.RateNotice notice = 8;
+  if (this->_internal_has_notice()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(8, _Internal::notice(this),
+        _Internal::notice(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -10771,6 +11123,13 @@
         this->_internal_upstream());
   }
 
+  // .rattandyke.wire.RateNotice notice = 8;
+  if (this->_internal_has_notice()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.notice_);
+  }
+
   // uint64 incarnation = 3;
   if (this->_internal_incarnation() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
@@ -10821,6 +11180,10 @@
   if (!from._internal_upstream().empty()) {
     _this->_internal_set_upstream(from._internal_upstream());
   }
+  if (from._internal_has_notice()) {
+    _this->_internal_mutable_notice()->::rattandyke::wire::RateNotice::MergeFrom(
+        from._internal_notice());
+  }
   if (from._internal_incarnation() != 0) {
     _this->_internal_set_incarnation(from._internal_incarnation());
   }
@@ -10866,15 +11229,15 @@
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(CreditAnswer, _impl_.retry_after_us_)
       + sizeof(CreditAnswer::_impl_.retry_after_us_)
-      - PROTOBUF_FIELD_OFFSET(CreditAnswer, _impl_.incarnation_)>(
-          reinterpret_cast<char*>(&_impl_.incarnation_),
-          reinterpret_cast<char*>(&other->_impl_.incarnation_));
+      - PROTOBUF_FIELD_OFFSET(CreditAnswer, _impl_.notice_)>(
+          reinterpret_cast<char*>(&_impl_.notice_),
+          reinterpret_cast<char*>(&other->_impl_.notice_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[25]);
+      file_level_metadata_peer_2eproto[26]);
 }
 
 // ===================================================================
@@ -11187,7 +11550,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata MembershipCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[26]);
+      file_level_metadata_peer_2eproto[27]);
 }
 
 // ===================================================================
@@ -11837,7 +12200,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata Envelope::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[27]);
+      file_level_metadata_peer_2eproto[28]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -11936,6 +12299,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::CreditRequest >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CreditRequest >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RateNotice*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RateNotice >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RateNotice >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditAsk*
 Arena::CreateMaybeMessage< ::rattandyke::wire::CreditAsk >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CreditAsk >(arena);
--- a/src/upstream/modes.cpp
+++ b/src/upstream/modes.cpp
@@ -27,6 +27,8 @@
     aModes.dieMidAnswer = aValue.to_number<double>();
   } else if (aName == "crash_marker") {
     aModes.crashMarker = boost::json::value_to<std::string>(aValue);
+  } else if (aName == "rate_limit") {
+    aModes.rateLimit = aValue.to_number<double>();
   } else if (aName == "drain") {
     aModes.drain = aValue.as_bool();
   } else {
@@ -68,6 +70,7 @@
                          { "drip_ms", aModes.drip.count() },
                          { "die_mid_answer", aModes.dieMidAnswer },
                          { "crash_marker", aModes.crashMarker },
+                         { "rate_limit", aModes.rateLimit },
                          { "drain", aModes.drain } });
 }
 
--- a/src/upstream/modes.h
+++ b/src/upstream/modes.h
@@ -30,6 +30,9 @@
   /// A request whose target or body holds this text ends the process as soon
   /// as it runs; empty: none does.
   std::string crashMarker;
+  /// Requests per second that it names as its limit in every answer; below 0:
+  /// it names none.
+  double rateLimit = -1;
   /// Asks to be given no new work, as before a planned stop.
   bool drain = false;
 };
--- a/src/upstream/server.cpp
+++ b/src/upstream/server.cpp
@@ -149,6 +149,15 @@
       MakeAnswerBody(identity, std::min(bytes, kAnswerLimit)));
   }
 
+  /// Adds the headers by which the upstream signals back pressure.
+  Response WithBackPressure(Response aResponse) const
+  {
+    if (modes.rateLimit >= 0) {
+      aResponse.set("Rattandyke-Rate-Limit", std::to_string(modes.rateLimit));
+    }
+    return aResponse;
+  }
+
   asio::awaitable<bool> Answer(beast::tcp_stream& aStream,
                                const Request& aRequest)
   {
@@ -162,11 +171,14 @@
     }
     const auto result = co_await runner.Run(aRequest, aStream.socket());
     if (const auto* refused = std::get_if<Refused>(&result)) {
-      co_return co_await Write(aStream, RefusalResponse(*refused), keepAlive);
+      co_return co_await Write(
+        aStream, WithBackPressure(RefusalResponse(*refused)), keepAlive);
     }
     if (const auto* finished = std::get_if<Finished>(&result)) {
       co_return co_await WriteAsModesSay(
-        aStream, AnswerResponse(aRequest, *finished), keepAlive);
+        aStream,
+        WithBackPressure(AnswerResponse(aRequest, *finished)),
+        keepAlive);
     }
     co_return false;
   }
