Read and tell the rests that upstreams ask for

Cause: an upstream that turns a request away with 503 may say in Retry-After for how long it wants nothing from this host. Change: an entry reads the header of each 503, writes a line and counts rests asked for and those that can't be read. Nothing is decided by it yet.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -518,12 +518,18 @@
   }
 }
 
-/// Only a response that is the upstream's own counts. A limit that can't be
-/// read changes nothing.
+/// What can't be read changes nothing. A limit counts only in a response that
+/// is the upstream's own.
 void
 RequestHandler::RecordBackPressure(const Slot& aSlot,
                                    const AttemptResult& aResult)
 {
+  if (!aResult.rest) {
+    mMetrics.Increment("rests_not_read");
+  } else if (*aResult.rest) {
+    mMetrics.Increment("rests_asked");
+    mSlots.RecordRest(aSlot, **aResult.rest);
+  }
   if (aResult.kind != AttemptResult::Kind::Response &&
       aResult.kind != AttemptResult::Kind::NotExecuted) {
     return;
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -501,6 +501,15 @@
     "response");
 }
 
+void
+SlotCoordinator::RecordRest(const Slot& aSlot, Duration aRest)
+{
+  log::Line(log::Part::Entry, log::Severity::Info)
+    << "upstream " << aSlot.instance
+    << " wants no requests from this host rest_ms=" << Ms(aRest).count()
+    << " home=" << (aSlot.home.empty() ? mSelf : aSlot.home);
+}
+
 void
 SlotCoordinator::ApplyNotice(const wire::UpstreamNotice& aNotice)
 {
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -109,6 +109,10 @@
   void RecordRateLimit(const Slot& aSlot,
                        std::optional<double> aRequestsPerSecond);
 
+  /// Records that an upstream, which refused a request in a slot, wants no
+  /// further one from this host for some time.
+  void RecordRest(const Slot& aSlot, Duration aRest);
+
   /// Ends expired waits and slots. Must be called every SlotBroker::kTick.
   void Tick();
 
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "base/endpoint.h"
+#include "http/back_pressure.h"
 #include "http/headers.h"
 #include "http/signal.h"
 #include "net/frame_connection.h"
@@ -53,6 +54,7 @@
 /// them.
 constexpr size_t kMaxInlineBodyBytes = size_t{ 32 } * 1024;
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 
@@ -361,7 +363,13 @@
     if (keepAlive && skipped == 0) {
       aConnection->usableUntil = mClock.Now() + IdleLifetime(response);
     }
-    co_return Classify(std::move(response));
+    Result<std::optional<Duration>> rest;
+    if (response.status == kUnavailable) {
+      rest = http::ReadRetryAfter(response.fields);
+    }
+    AttemptResult result = Classify(std::move(response));
+    result.rest = std::move(rest);
+    co_return result;
   }
   co_return MakeResult(AttemptResult::Kind::OutcomeUnknown,
                        "too many answers to other requests");
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include <rattandyke/result.h>
 #include <rattandyke/types.h>
 
 #include "base/clock.h"
@@ -143,6 +144,9 @@
   /// Time from sending the request to the end of the attempt; 0 if the request
   /// could not be written.
   Duration elapsed{};
+  /// Time for which the upstream, which refused the request with 503, wants no
+  /// further one from this host; an error if it can't be read.
+  Result<std::optional<Duration>> rest;
 };
 
 /// Cancels an attempt from outside. The attempt's connection is closed, which
--- a/src/librattandyke/http/back_pressure.h
+++ b/src/librattandyke/http/back_pressure.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/fields.hpp>
 
 #include <rattandyke/result.h>
+#include <rattandyke/types.h>
 
 namespace rattandyke::http {
 
@@ -19,4 +20,12 @@
   const boost::beast::http::fields& aFields,
   std::string_view aName);
 
+/// Reads for how long an upstream that refused a request wants no further one
+/// from this host.
+/// @return the time in the Retry-After header, std::nullopt if there is none,
+/// or Code::InvalidRecord if the value is not one finite decimal number of
+/// seconds, 0 or more. Dates are not read, since clocks differ.
+Result<std::optional<Duration>> ReadRetryAfter(
+  const boost::beast::http::fields& aFields);
+
 } // namespace rattandyke::http
--- a/src/librattandyke/http/back_pressure_test.cpp
+++ b/src/librattandyke/http/back_pressure_test.cpp
@@ -42,5 +42,38 @@
   EXPECT_FALSE(ReadRateLimit(twice, "Limit"));
 }
 
+fields
+WithRetryAfter(const std::string& aText)
+{
+  fields response;
+  response.insert("Retry-After", aText);
+  return response;
+}
+
+TEST(ReadRetryAfter, AcceptsSeconds)
+{
+  using std::chrono::milliseconds;
+  EXPECT_EQ(ReadRetryAfter(WithRetryAfter("3")),
+            Duration(milliseconds{ 3000 }));
+  EXPECT_EQ(ReadRetryAfter(WithRetryAfter("0.25")),
+            Duration(milliseconds{ 250 }));
+  EXPECT_EQ(ReadRetryAfter(WithRetryAfter("0")), Duration::zero());
+  const auto none = ReadRetryAfter(fields{});
+  ASSERT_TRUE(none);
+  EXPECT_FALSE(*none);
+}
+
+// An upstream that asks for a day, or in a way that can't be read, must not be
+// left alone for good.
+TEST(ReadRetryAfter, BoundsAndRejectsValues)
+{
+  EXPECT_EQ(ReadRetryAfter(WithRetryAfter("86400")),
+            Duration(std::chrono::seconds{ 60 }));
+  for (const char* text :
+       { "", "-3", "3s", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "nan" }) {
+    EXPECT_FALSE(ReadRetryAfter(WithRetryAfter(text))) << text;
+  }
+}
+
 } // namespace
 } // namespace rattandyke::http
