--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -71,6 +71,8 @@
   uint64_t session = 0;
   Slot slot;
   Duration elapsed{};
+  /// The upstream refused the request.
+  std::optional<Duration> rest;
 };
 
 EntryGroup::EntryGroup(size_t aEntries, size_t aUpstreams, bool aOwnsKeys)
@@ -79,6 +81,7 @@
   , mUpstreams(aUpstreams)
   , mIncarnations(aUpstreams, 1)
   , mArrivals(aUpstreams)
+  , mRests(aUpstreams)
 {
   wire::GatewayCommand service;
   wire::ServiceItem* item = service.mutable_change_items()->add_services();
@@ -273,9 +276,10 @@
                                   told == entry.toldLimitAt.end()
                                     ? std::optional<Instant>()
                                     : told->second });
-  const Duration elapsed = mUpstreams[upstream].serviceTime;
+  const UpstreamModel& model = mUpstreams[upstream];
+  const Duration elapsed = model.rest ? Duration(kStep) : model.serviceTime;
   mResponses.emplace(mNow + elapsed,
-                     Response{ aEntry, aSession, *slot, elapsed });
+                     Response{ aEntry, aSession, *slot, elapsed, model.rest });
 }
 
 void
@@ -325,9 +329,15 @@
                                     { 0, 0, upstream.slots, 1 });
     }
     entry.slots->RecordRateLimit(response.slot, upstream.rateLimit);
-    entry.slots->Release(
-      response.slot, AttemptOutcome::Answered, response.elapsed);
-    ++mServed;
+    if (response.rest) {
+      mRests[number].push_back({ response.entry, mNow, mNow + *response.rest });
+      entry.slots->RecordRest(response.slot, *response.rest);
+    }
+    entry.slots->Release(response.slot,
+                         response.rest ? AttemptOutcome::Refused
+                                       : AttemptOutcome::Answered,
+                         response.elapsed);
+    mServed += response.rest ? 0 : 1;
     RunHandlers();
   }
 }
@@ -370,4 +380,23 @@
   return most;
 }
 
+size_t
+EntryGroup::MostWithinRest(size_t aUpstream) const
+{
+  constexpr milliseconds kTellingTime{ 500 };
+  size_t most = 0;
+  for (const Rest& rest : mRests[aUpstream]) {
+    const auto within =
+      std::count_if(mArrivals[aUpstream].begin(),
+                    mArrivals[aUpstream].end(),
+                    [&](const Arrival& aArrival) {
+                      return aArrival.entry == rest.entry &&
+                             aArrival.at >= rest.from + kTellingTime &&
+                             aArrival.at < rest.until;
+                    });
+    most = std::max(most, static_cast<size_t>(within));
+  }
+  return most;
+}
+
 } // namespace rattandyke::gateway::testing
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -23,6 +23,9 @@
 {
   /// Requests per second that it names in its responses.
   std::optional<double> rateLimit;
+  /// It refuses requests and wants no further ones from the same entry for this
+  /// time.
+  std::optional<Duration> rest;
   uint32_t slots = 2;
   Duration serviceTime = std::chrono::milliseconds{ 40 };
   /// It reports its load in its responses.
@@ -39,6 +42,14 @@
   std::optional<Instant> toldLimitAt;
 };
 
+/// A rest that an upstream asked an entry for.
+struct Rest
+{
+  size_t entry = 0;
+  Instant from{};
+  Instant until{};
+};
+
 /// Several entry hosts, each with a SlotCoordinator, and the upstreams of one
 /// service. Messages between entries take a fixed time; timers follow the
 /// simulated clock.
@@ -93,6 +104,11 @@
 
   static constexpr std::chrono::milliseconds kDetectionTime{ 1500 };
 
+  /// @return the most requests that an entry sent an upstream within a rest
+  /// that the upstream had asked it for, from half a second after the refusal
+  /// on.
+  size_t MostWithinRest(size_t aUpstream) const;
+
 private:
   class SimulatedClock;
   struct Entry;
@@ -126,6 +142,8 @@
   std::vector<UpstreamModel> mUpstreams;
   std::vector<uint64_t> mIncarnations;
   std::vector<std::vector<Arrival>> mArrivals;
+  /// Refusals with a rest, by upstream.
+  std::vector<std::vector<Rest>> mRests;
   std::multimap<Instant, Message> mMessages;
   std::multimap<Instant, Response> mResponses;
   std::multimap<Instant, size_t> mDrops;
