Entries leave upstreams alone for the rest that they ask for

Cause: the entry dropped Retry-After. The upstream's home took the 503 for a failure and let a probe pass each 100 ms, whichever entry asked. Class: what an upstream asks of one host, held nowhere. Change: SlotCoordinator keeps the rests that upstreams asked this host for, by incarnation. Resting upstreams are excluded from what it asks for, and a slot of one is given back, whoever allocated it and whatever waited. A keyed request is refused at once, with the rest as Retry-After, at most 1 s since another entry may send it; no retry is spent on it. Evidence: Groups/RestTest.EntriesSendNothingWithinARest failed before (25 and 6 of 2) and passes; RestTest.EveryWayToTheUpstreamKeepsIt covers silent and restarted homes, waits and choices without home.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -116,6 +116,12 @@
   return {};
 }
 
+bool
+HasAskedForRest(const AttemptResult& aResult)
+{
+  return aResult.rest && *aResult.rest && **aResult.rest > Duration::zero();
+}
+
 AttemptOutcome
 ToAttemptOutcome(const AttemptResult& aResult, bool aAbandoned)
 {
@@ -554,6 +560,9 @@
       mClock.Now() + Duration(kMinAttemptTime) >= aProgress.deadline) {
     return false;
   }
+  if (aProgress.key && HasAskedForRest(aResult)) {
+    return false; // Only the owner of the key could run it.
+  }
   const bool safe = aResult.kind == AttemptResult::Kind::NotExecuted ||
                     (aProgress.route->idempotent &&
                      aResult.kind == AttemptResult::Kind::OutcomeUnknown);
@@ -655,7 +664,13 @@
     return response;
   }
   if (!aProgress.mayHaveRun) {
-    return NotExecutedResponse(aProgress, kRetryAfterFull, aResult.reason);
+    const bool rests = aProgress.key && HasAskedForRest(aResult);
+    return NotExecutedResponse(
+      aProgress,
+      rests
+        ? std::min<Duration>(**aResult.rest, RestingUpstreams::kMaxRetryAfter)
+        : kRetryAfterFull,
+      aResult.reason);
   }
   const bool timeout = aProgress.context->HasExpired();
   LogLine(id) << "request outcome unknown route=" << aProgress.route->name
--- a/src/librattandyke/gateway/rest_test.cpp
+++ b/src/librattandyke/gateway/rest_test.cpp
@@ -38,6 +38,66 @@
   EXPECT_LE(group.MostWithinRest(0), kAllowed);
 }
 
+// Requests that wait at a home entry when the rest begins, homes that restart
+// or are silent, and choices without them are ways to the upstream, too.
+TEST_P(RestTest, EveryWayToTheUpstreamKeepsIt)
+{
+  const auto [entries, keyed] = GetParam();
+  EntryGroup group(entries, keyed ? 1 : 3, keyed);
+  group.Upstream(0).reportsLoad = true;
+  group.Upstream(0).serviceTime = milliseconds{ 100 };
+  group.RunFor(seconds{ 2 }, kTraffic);
+  group.Upstream(0).rest = kRest;
+  for (size_t round = 0; round < 8; ++round) {
+    const size_t home = group.LastHome();
+    group.SetMessageDelay(milliseconds{ round % 2 == 0 ? 5 : 30 });
+    group.SetSilent(home, true);
+    group.RunFor(seconds{ 1 }, kTraffic);
+    group.SetSilent(home, false);
+    if (entries > 1) {
+      group.StopEntry(home, round % 2 == 0);
+      group.RunFor(milliseconds{ 500 }, kTraffic);
+      group.StartEntry(home);
+    }
+    group.RunFor(milliseconds{ 500 }, kTraffic);
+  }
+  EXPECT_LE(group.MostWithinRest(0), kAllowed);
+}
+
+// A rest must not cost callers whose requests another upstream can run.
+TEST(Rest, OtherUpstreamsServeMeanwhile)
+{
+  EntryGroup group(10, 3, false);
+  group.Upstream(0).rest = kRest;
+  group.RunFor(seconds{ 10 }, kTraffic);
+  EXPECT_EQ(group.Refused(), 0U);
+  EXPECT_GE(group.Served(), 540U);
+}
+
+TEST(Rest, EndsWithItsTime)
+{
+  EntryGroup group(10, 1, true);
+  group.Upstream(0).rest = seconds{ 1 };
+  group.RunFor(seconds{ 3 }, kTraffic);
+  group.Upstream(0).rest.reset();
+  group.RunFor(seconds{ 3 }, kTraffic);
+  group.ResetCounts();
+  group.RunFor(seconds{ 3 }, kTraffic / 4);
+  EXPECT_EQ(group.Refused(), 0U);
+  EXPECT_GE(group.Served(), 40U);
+}
+
+// A caller must know at once that its request can't be sent, and when to
+// return.
+TEST(Rest, RefusesAtOnce)
+{
+  EntryGroup group(1, 1, true);
+  group.Upstream(0).rest = kRest;
+  group.RunFor(seconds{ 6 }, kTraffic);
+  EXPECT_LE(group.LongestRefusalTime(), Duration(milliseconds{ 20 }));
+  EXPECT_GE(group.RetryAfterTimes().size(), 50U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Groups,
                          RestTest,
                          ::testing::Values(GroupCase{ 1, true },
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -379,15 +379,39 @@
   }
 }
 
+/// An upstream that rests gets nothing from this host, whoever allocates its
+/// slots and whatever waited for them when the rest began: the home entry does
+/// not know of the rest, since the upstream may serve other hosts.
 asio::awaitable<SlotOutcome>
 SlotCoordinator::Acquire(std::shared_ptr<RequestContext> aContext,
                          SlotRequest aRequest)
+{
+  const Duration restBefore = RestLeft(aRequest.instance);
+  if (restBefore > Duration::zero()) {
+    co_return Resting(restBefore);
+  }
+  SlotOutcome outcome =
+    co_await AcquireIgnoringRests(std::move(aContext), std::move(aRequest));
+  if (const auto* slot = std::get_if<Slot>(&outcome)) {
+    const Duration rest = RestLeft(slot->instance);
+    if (rest > Duration::zero()) {
+      Release(*slot, AttemptOutcome::Abandoned, {});
+      co_return Resting(rest);
+    }
+  }
+  co_return outcome;
+}
+
+asio::awaitable<SlotOutcome>
+SlotCoordinator::AcquireIgnoringRests(std::shared_ptr<RequestContext> aContext,
+                                      SlotRequest aRequest)
 {
   const UpstreamSet& upstreams = mBroker.Upstreams();
   aRequest.group = aRequest.instance.empty()
                      ? upstreams.PickGroup(aRequest.service, mRandom())
                      : upstreams.GroupOf(aRequest.instance);
   aRequest.direct = ShouldChooseDirect(aRequest);
+  ExcludeResting(aRequest);
   aRequest.mayBypassHome =
     aRequest.instance.empty() || RecordRequest(aRequest.instance);
   const std::string home =
@@ -504,6 +528,7 @@
 void
 SlotCoordinator::RecordRest(const Slot& aSlot, Duration aRest)
 {
+  mResting.Record(aSlot.instance, aSlot.incarnation, mClock.Now() + aRest);
   log::Line(log::Part::Entry, log::Severity::Info)
     << "upstream " << aSlot.instance
     << " wants no requests from this host rest_ms=" << Ms(aRest).count()
@@ -701,6 +726,7 @@
 {
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
+  mResting.RemoveEnded(mClock.Now());
   std::erase_if(mLastRequestAt, [&](const auto& aItem) {
     return mClock.Now() - aItem.second >= Duration(kBypassInterval);
   });
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "gateway/request_context.h"
+#include "gateway/resting_upstreams.h"
 #include "gateway/slot_broker.h"
 #include "gateway/slot_request_limiter.h"
 #include "wire/gateway.pb.h"
@@ -155,6 +156,16 @@
     std::optional<SlotOutcome> outcome;
   };
 
+  /// Acquires a slot, which may be of an upstream that rests.
+  boost::asio::awaitable<SlotOutcome> AcquireIgnoringRests(
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest);
+  /// @return the time for which this host must send an upstream nothing.
+  Duration RestLeft(const std::string& aInstance) const;
+  /// Excludes the upstreams that rest from a request.
+  void ExcludeResting(SlotRequest& aRequest) const;
+  /// @return that no slot is available because of a rest.
+  SlotUnavailable Resting(Duration aLeft);
   /// Acquires a slot from one host.
   /// @param aHome home entry; empty: this host.
   /// @return the outcome; nothing if the home entry did not answer.
@@ -236,6 +247,7 @@
   std::map<uint64_t, std::string> mReplyAddresses;
   /// Home entries that get no slot requests for now, by address.
   std::map<std::string, Instant> mUnresponsiveUntil;
+  RestingUpstreams mResting;
   SlotRequestLimiter mLimiter;
   /// Moving average of the time until a home entry's first reply.
   Duration mHomeLatency{};
