Entries keep rests in serve deployments

The home of an upstream paused for the Retry-After of a shed request, in whole seconds and 5 s at most, but an entry did not: it sent again by itself while the home was silent, and by a new home's grants. Change: CreditClient holds the rest that the upstream asked this entry for, refuses offers within it and gives back slots that are granted in it. Retry-After is read by ReadRetryAfter in both modes. The stand-in upstream has a mode retry_after.

--- a/src/librattandyke/entry/credit_client.cpp
+++ b/src/librattandyke/entry/credit_client.cpp
@@ -24,6 +24,9 @@
 void
 CreditClient::On(const admission::Offer& aEvent)
 {
+  if (Rests()) {
+    return RefuseForRest(aEvent.ticket);
+  }
   const bool tries = mSettings.hasHome && !mUsesHome && mNow >= mTryAt;
   if (mUsesHome || tries) {
     // One request finds out whether a silent home is back.
@@ -41,6 +44,9 @@
 void
 CreditClient::AdmitLocally(const admission::Offer& aOffer)
 {
+  if (Rests()) {
+    return RefuseForRest(aOffer.ticket);
+  }
   if (!mSettings.hasHome || !mRateLimited) {
     return FeedLocal(aOffer);
   }
@@ -49,6 +55,16 @@
     admission::Refuse{ aOffer.ticket, Code::Overloaded, mSettings.tryAgain });
 }
 
+/// The home may grant slots of an upstream that rests: it may not have met the
+/// rest, and the upstream may serve other entries.
+void
+CreditClient::RefuseForRest(admission::Ticket aTicket)
+{
+  mRequests.erase(aTicket);
+  mEffects.emplace_back(
+    admission::Refuse{ aTicket, Code::Overloaded, mRestUntil - mNow });
+}
+
 void
 CreditClient::Ask(Request& aRequest)
 {
@@ -80,6 +96,9 @@
   }
   const bool local = request->second.place == Place::Local;
   mRequests.erase(request);
+  if (aEvent.ending == admission::Ending::Shed) {
+    mRestUntil = std::max<Instant>(mRestUntil, mNow + aEvent.retryAfter);
+  }
   if (local) {
     return FeedLocal(aEvent);
   }
@@ -104,6 +123,10 @@
     return;
   }
   found->second.asked = mNow;
+  if (aEvent.state == CreditState::Granted && Rests()) {
+    mEffects.emplace_back(ReturnCredit{ aEvent.ticket, std::nullopt });
+    return RefuseForRest(aEvent.ticket);
+  }
   if (aEvent.state == CreditState::Granted) {
     found->second.place = Place::OnCredit;
     mEffects.emplace_back(admission::Admit{ aEvent.ticket });
@@ -194,13 +217,23 @@
 void
 CreditClient::FeedLocal(const admission::Event& aEvent)
 {
+  std::vector<admission::Ticket> resting;
   for (const admission::Effect& effect : mLocal->Step(aEvent, mNow)) {
+    const auto* admit = std::get_if<admission::Admit>(&effect);
+    if (admit != nullptr && Rests()) {
+      resting.push_back(admit->ticket);
+      continue;
+    }
     if (const auto* refuse = std::get_if<admission::Refuse>(&effect)) {
       mRequests.erase(refuse->ticket);
     }
     std::visit([this](const auto& aOne) { mEffects.emplace_back(aOne); },
                effect);
   }
+  for (const admission::Ticket ticket : resting) {
+    RefuseForRest(ticket);
+    FeedLocal(admission::Left{ ticket });
+  }
 }
 
 std::optional<Instant>
--- a/src/librattandyke/entry/credit_client.h
+++ b/src/librattandyke/entry/credit_client.h
@@ -112,6 +112,8 @@
   void FeedLocal(const admission::Event& aEvent);
   void GoLocal();
   void AdmitLocally(const admission::Offer& aOffer);
+  bool Rests() const { return mNow < mRestUntil; }
+  void RefuseForRest(admission::Ticket aTicket);
   void RefuseLate();
   bool HomeIsSilent() const;
 
@@ -121,6 +123,8 @@
   std::vector<CreditClientEffect> mEffects;
   std::map<admission::Ticket, Request> mRequests;
   bool mUsesHome;
+  /// The upstream wants no requests from this entry before this time.
+  Instant mRestUntil{};
   /// The upstream limits its request rate.
   bool mRateLimited = false;
   /// Last word from the home.
--- a/src/librattandyke/entry/credit_test.cpp
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -148,5 +148,39 @@
   EXPECT_EQ(CountOf<Admit>(client.Step(OfferOf(3, later), later)), 1u);
 }
 
+// The home of an upstream has not met the rest that the upstream asked this
+// entry for, or the home is silent: the entry must send nothing in either case.
+TEST(CreditClient, SendsNothingWithinARest)
+{
+  CreditClient client({ .hasHome = true }, Fair(1));
+  client.Step(OfferOf(1), kStart);
+  client.Step(OfferOf(2), kStart);
+  client.Step(CreditAnswered{ { 1 }, CreditState::Granted }, kStart);
+  client.Step(admission::Finished{ { 1 }, admission::Ending::Shed, 1ms, 3s },
+              kStart);
+  const auto granted =
+    client.Step(CreditAnswered{ { 2 }, CreditState::Granted }, kStart + 1ms);
+  EXPECT_EQ(CountOf<Admit>(granted), 0u);
+  EXPECT_EQ(CountOf<Refuse>(granted), 1u);
+  EXPECT_EQ(CountOf<ReturnCredit>(granted), 1u);
+  const auto offered = client.Step(OfferOf(3), kStart + 1s);
+  ASSERT_EQ(CountOf<Refuse>(offered), 1u);
+  EXPECT_EQ(std::get<Refuse>(offered.front()).retryAfter, Duration(2s));
+  const auto after = client.Step(OfferOf(4, kStart + 3s), kStart + 3s);
+  EXPECT_EQ(CountOf<AskCredit>(after), 1u);
+}
+
+TEST(CreditClient, SendsNothingByItselfWithinARest)
+{
+  CreditClient client({ .hasHome = false }, Fair(1));
+  EXPECT_EQ(CountOf<Admit>(client.Step(OfferOf(1), kStart)), 1u);
+  EXPECT_EQ(CountOf<Admit>(client.Step(OfferOf(2), kStart)), 0u);
+  const auto shed = client.Step(
+    admission::Finished{ { 1 }, admission::Ending::Shed, 1ms, 20s }, kStart);
+  EXPECT_EQ(CountOf<Admit>(shed), 0u);
+  const auto later = kStart + 10s;
+  EXPECT_EQ(CountOf<Refuse>(client.Step(OfferOf(3, later), later)), 1u);
+}
+
 } // namespace
 } // namespace rattandyke::entry
--- a/src/librattandyke/http/request_run_exchange.cpp
+++ b/src/librattandyke/http/request_run_exchange.cpp
@@ -1,5 +1,3 @@
-#include <charconv>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -66,16 +64,6 @@
   std::array<asio::const_buffer, 5> mBuffers;
 };
 
-std::chrono::milliseconds
-RetryAfterOf(const AnswerHead& aHead)
-{
-  constexpr uint32_t kLongestSeconds = 60;
-  const std::string_view text = FieldOf(aHead, "Retry-After");
-  uint32_t seconds = 0;
-  std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return std::chrono::seconds(std::min(seconds, kLongestSeconds));
-}
-
 bool
 SaysNotRun(const AnswerHead& aHead)
 {
@@ -231,7 +219,8 @@
     co_await ReceiveRefusal(aAttempt, aExchange);
     co_return;
   }
-  mRetryAfter = RetryAfterOf(head);
+  mRetryAfter =
+    ReadRetryAfter(head).value_or(std::nullopt).value_or(Duration::zero());
   Deliver(
     flow_event::AnswerHead{ aAttempt, head.result_int(), SaysNotRun(head) });
   if (aExchange.Aborted()) {
--- a/src/upstream/modes.cpp
+++ b/src/upstream/modes.cpp
@@ -29,6 +29,8 @@
     aModes.crashMarker = boost::json::value_to<std::string>(aValue);
   } else if (aName == "rate_limit") {
     aModes.rateLimit = aValue.to_number<double>();
+  } else if (aName == "retry_after") {
+    aModes.retryAfter = aValue.to_number<double>();
   } else if (aName == "drain") {
     aModes.drain = aValue.as_bool();
   } else {
@@ -71,6 +73,7 @@
                          { "die_mid_answer", aModes.dieMidAnswer },
                          { "crash_marker", aModes.crashMarker },
                          { "rate_limit", aModes.rateLimit },
+                         { "retry_after", aModes.retryAfter },
                          { "drain", aModes.drain } });
 }
 
--- a/src/upstream/modes.h
+++ b/src/upstream/modes.h
@@ -33,6 +33,8 @@
   /// Requests per second that it names as its limit in every answer; below 0:
   /// it names none.
   double rateLimit = -1;
+  /// Retry-After of the requests that it sheds, in seconds; 0: none.
+  double retryAfter = 0;
   /// Asks to be given no new work, as before a planned stop.
   bool drain = false;
 };
--- a/src/upstream/server.cpp
+++ b/src/upstream/server.cpp
@@ -155,6 +155,10 @@
     if (modes.rateLimit >= 0) {
       aResponse.set("Rattandyke-Rate-Limit", std::to_string(modes.rateLimit));
     }
+    if (modes.retryAfter > 0 &&
+        aResponse.result() == http::status::service_unavailable) {
+      aResponse.set("Retry-After", std::to_string(modes.retryAfter));
+    }
     return aResponse;
   }
 
