Entries stop sending to upstreams that say that they leave

Cause: an upstream that leaves says so in its answers (Server-Leaving). No entry read it: while control did not know of the leaving, or this host was cut off from it, the upstream got new requests until it ended, and took them with it. Change: an entry that is told takes the upstream out of its choices at once; an owner of keys gets requests for nine tenths of the drain timeout, until its keys may have another owner. The home is told when the slot is returned, others with grants. A slot whose upstream may no longer be used is given back at the one place that every request passes, instead of failing as a connection to an empty address.

--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -66,6 +66,8 @@
   /// Response: requests per second that the upstream accepts from all entry
   /// hosts together.
   std::string rateLimit;
+  /// Response: 1 if the upstream leaves.
+  std::string leaving;
 };
 
 /// Translates between the messages of a platform and the types of the gateway.
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -51,6 +51,8 @@
 /// Maximum number of attempts of a request in which nothing was sent, including
 /// changes of its key's owner while it waited for a slot.
 constexpr int kMaxUnsentAttempts = 6;
+/// Value of the header by which an upstream says that it leaves.
+constexpr std::string_view kIsLeaving = "1";
 /// Limits for callers where the configuration sets none.
 constexpr milliseconds kDefaultIdleTimeout{ 15000 };
 constexpr uint32_t kDefaultHeaderBytes = 16384;
@@ -540,6 +542,10 @@
       aResult.kind != AttemptResult::Kind::NotExecuted) {
     return;
   }
+  if (http::FieldOf(aResult.response.fields, mHeaders.leaving) == kIsLeaving) {
+    mMetrics.Increment("leaving_responses");
+    mSlots.RecordLeaving(aSlot);
+  }
   const auto limit =
     http::ReadRateLimit(aResult.response.fields, mHeaders.rateLimit);
   if (!limit) {
@@ -641,7 +647,8 @@
 RequestHandler::IsForThisHost(std::string_view aName) const
 {
   return boost::beast::iequals(aName, mHeaders.load) ||
-         boost::beast::iequals(aName, mHeaders.rateLimit);
+         boost::beast::iequals(aName, mHeaders.rateLimit) ||
+         boost::beast::iequals(aName, mHeaders.leaving);
 }
 
 CallerResponse
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -134,6 +134,14 @@
     return mUpstreams.RecordRateLimit(aNotice, aNow);
   }
 
+  /// See UpstreamSet::RecordLeaving.
+  bool RecordLeaving(const std::string& aInstance,
+                     uint64_t aIncarnation,
+                     Instant aNow)
+  {
+    return mUpstreams.RecordLeaving(aInstance, aIncarnation, aNow);
+  }
+
   /// See UpstreamSet::SetEntryCount.
   void SetEntryCount(size_t aCount) { mUpstreams.SetEntryCount(aCount); }
 
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -379,9 +379,10 @@
   }
 }
 
-/// An upstream that rests gets nothing from this host, whoever allocates its
-/// slots and whatever waited for them when the rest began: the home entry does
-/// not know of the rest, since the upstream may serve other hosts.
+/// An upstream that rests or has left gets nothing from this host, whoever
+/// allocates its slots and whatever waited for them: the home entry does not
+/// know of a rest, since the upstream may serve other hosts, and may learn
+/// later that an upstream leaves.
 asio::awaitable<SlotOutcome>
 SlotCoordinator::Acquire(std::shared_ptr<RequestContext> aContext,
                          SlotRequest aRequest)
@@ -391,8 +392,13 @@
     co_return Resting(restBefore);
   }
   SlotOutcome outcome =
-    co_await AcquireIgnoringRests(std::move(aContext), std::move(aRequest));
+    co_await AcquireOfAny(std::move(aContext), std::move(aRequest));
   if (const auto* slot = std::get_if<Slot>(&outcome)) {
+    if (slot->address.empty()) {
+      Release(*slot, AttemptOutcome::Abandoned, {});
+      co_return SlotUnavailable{ UpstreamSet::UnavailableReason::NoInstance,
+                                 Duration(kUnresponsiveBackoff) };
+    }
     const Duration rest = RestLeft(slot->instance);
     if (rest > Duration::zero()) {
       Release(*slot, AttemptOutcome::Abandoned, {});
@@ -403,8 +409,8 @@
 }
 
 asio::awaitable<SlotOutcome>
-SlotCoordinator::AcquireIgnoringRests(std::shared_ptr<RequestContext> aContext,
-                                      SlotRequest aRequest)
+SlotCoordinator::AcquireOfAny(std::shared_ptr<RequestContext> aContext,
+                              SlotRequest aRequest)
 {
   const UpstreamSet& upstreams = mBroker.Upstreams();
   aRequest.group = aRequest.instance.empty()
@@ -510,8 +516,8 @@
   done->set_end(static_cast<uint32_t>(aOutcome));
   done->set_took_us(
     std::chrono::duration_cast<std::chrono::microseconds>(aElapsed).count());
-  if (const auto limit = mBroker.Upstreams().RateLimitOf(aSlot.instance)) {
-    *done->mutable_notice() = ToWire(*limit);
+  if (const auto notice = NoticeOf(aSlot.instance)) {
+    *done->mutable_notice() = *notice;
   }
   mSend(HostName{ aSlot.home }, frame);
 }
@@ -545,6 +551,9 @@
                              : std::nullopt,
            now - milliseconds{ aNotice.age_ms() } },
          "entry");
+  if (aNotice.leaving()) {
+    RecordLeaving(aNotice.instance(), aNotice.life(), "entry");
+  }
 }
 
 wire::UpstreamNotice
@@ -559,6 +568,38 @@
   return notice;
 }
 
+std::optional<wire::UpstreamNotice>
+SlotCoordinator::NoticeOf(const std::string& aInstance) const
+{
+  const UpstreamSet& upstreams = mBroker.Upstreams();
+  const auto limit = upstreams.RateLimitOf(aInstance);
+  const bool leaving = upstreams.IsLeaving(aInstance);
+  if (!limit && !leaving) {
+    return std::nullopt;
+  }
+  wire::UpstreamNotice notice = ToWire(limit.value_or(RateLimitNotice{
+    aInstance, upstreams.IncarnationOf(aInstance), {}, mClock.Now() }));
+  notice.set_leaving(leaving);
+  return notice;
+}
+
+void
+SlotCoordinator::RecordLeaving(const Slot& aSlot)
+{
+  RecordLeaving(aSlot.instance, aSlot.incarnation, "response");
+}
+
+void
+SlotCoordinator::RecordLeaving(const std::string& aInstance,
+                               uint64_t aIncarnation,
+                               std::string_view aSource)
+{
+  if (mBroker.RecordLeaving(aInstance, aIncarnation, mClock.Now())) {
+    log::Line(log::Part::Entry, log::Severity::Info)
+      << "upstream " << aInstance << " leaves source=" << aSource;
+  }
+}
+
 void
 SlotCoordinator::Record(const RateLimitNotice& aNotice,
                         std::string_view aSource)
@@ -712,9 +753,8 @@
     wire::GatewayFrame frame;
     *frame.mutable_slot_answer() = EncodeAnswer(aAnswer);
     if (const auto* granted = std::get_if<SlotGranted>(&aAnswer)) {
-      const auto limit = mBroker.Upstreams().RateLimitOf(granted->instance);
-      if (limit) {
-        *frame.mutable_slot_answer()->mutable_notice() = ToWire(*limit);
+      if (const auto notice = NoticeOf(granted->instance)) {
+        *frame.mutable_slot_answer()->mutable_notice() = *notice;
       }
     }
     mSend(HostName{ replyTo->second }, frame);
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -114,6 +114,10 @@
   /// further one from this host for some time.
   void RecordRest(const Slot& aSlot, Duration aRest);
 
+  /// Records that an upstream said, in the response to a request in a slot,
+  /// that it leaves.
+  void RecordLeaving(const Slot& aSlot);
+
   /// Ends expired waits and slots. Must be called every SlotBroker::kTick.
   void Tick();
 
@@ -156,8 +160,8 @@
     std::optional<SlotOutcome> outcome;
   };
 
-  /// Acquires a slot, which may be of an upstream that rests.
-  boost::asio::awaitable<SlotOutcome> AcquireIgnoringRests(
+  /// Acquires a slot, which may be of an upstream that rests or has left.
+  boost::asio::awaitable<SlotOutcome> AcquireOfAny(
     std::shared_ptr<RequestContext> aContext,
     SlotRequest aRequest);
   /// @return the time for which this host must send an upstream nothing.
@@ -192,9 +196,16 @@
   double RateShareOf(const std::string& aService, uint32_t aGroup) const;
   /// Records a notice that another host sent.
   void ApplyNotice(const wire::UpstreamNotice& aNotice);
+  void RecordLeaving(const std::string& aInstance,
+                     uint64_t aIncarnation,
+                     std::string_view aSource);
   /// @param aSource sender of the notice, for the log.
   void Record(const RateLimitNotice& aNotice, std::string_view aSource);
   wire::UpstreamNotice ToWire(const RateLimitNotice& aNotice) const;
+  /// @return what this host knows from an upstream's responses, std::nullopt if
+  /// that is nothing.
+  std::optional<wire::UpstreamNotice> NoticeOf(
+    const std::string& aInstance) const;
   bool IsUnresponsive(const std::string& aHome) const;
   boost::asio::awaitable<void> AwaitFirstReply(
     std::shared_ptr<Pending> aPending,
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -32,7 +32,11 @@
 /// reach it after the timeout. The rest allows for this host learning late of
 /// the draining, and for the wait of the request itself.
 constexpr double kDrainingOwnerFraction = 0.45;
-/// The same for an owner in an evacuated data centre.
+/// The same for an owner that says in its responses that it leaves. The host
+/// that is told knows at once, so the rest allows only for the way of a
+/// request.
+constexpr double kLeavingOwnerFraction = 0.9;
+/// The same as kDrainingOwnerFraction for an owner in an evacuated data centre.
 constexpr double kEvacuatedOwnerFraction = 0.45;
 /// Cost of an upstream in another data centre relative to an equal one in the
 /// same data centre.
@@ -80,7 +84,7 @@
 UpstreamSet::IsMember(const Upstream& aUpstream)
 {
   return aUpstream.inService && !aUpstream.drainingSince &&
-         !aUpstream.evacuatedSince;
+         !aUpstream.leavingSince && !aUpstream.evacuatedSince;
 }
 
 const std::vector<const UpstreamSet::Item*>&
@@ -350,6 +354,32 @@
   return found == mUpstreams.end() ? std::string() : found->second.service;
 }
 
+bool
+UpstreamSet::RecordLeaving(const std::string& aInstance,
+                           uint64_t aIncarnation,
+                           Instant aNow)
+{
+  const auto found = mUpstreams.find(aInstance);
+  if (found == mUpstreams.end() || found->second.incarnation != aIncarnation ||
+      found->second.leavingSince) {
+    return false;
+  }
+  const bool inService = found->second.inService;
+  RemoveFromService(*found);
+  found->second.leavingSince = aNow;
+  if (inService) {
+    AddToService(*found);
+  }
+  return true;
+}
+
+bool
+UpstreamSet::IsLeaving(const std::string& aInstance) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found != mUpstreams.end() && found->second.leavingSince.has_value();
+}
+
 bool
 UpstreamSet::IsUsable(const Upstream& aUpstream, Instant aNow) const
 {
@@ -358,13 +388,16 @@
   const bool drained = aUpstream.drainingSince &&
                        aNow - *aUpstream.drainingSince >=
                          Scaled(mOptions.drainTimeout, kDrainingOwnerFraction);
+  const bool left = aUpstream.leavingSince &&
+                    aNow - *aUpstream.leavingSince >=
+                      Scaled(mOptions.drainTimeout, kLeavingOwnerFraction);
   // An owner of keys continues to serve them until they have another owner; any
   // other upstream can be replaced at once.
   const bool evacuated = aUpstream.evacuatedSince &&
                          (!ownsKeys || aNow - *aUpstream.evacuatedSince >=
                                          Scaled(mOptions.evacuationTimeout,
                                                 kEvacuatedOwnerFraction));
-  return !aUpstream.removed && !drained && !evacuated;
+  return !aUpstream.removed && !drained && !left && !evacuated;
 }
 
 std::string
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -160,6 +160,16 @@
   /// @return whether the limit changed.
   bool RecordRateLimit(const RateLimitNotice& aNotice, Instant aNow);
 
+  /// Records that an instance said that it leaves. What another incarnation
+  /// said is ignored.
+  /// @return whether that was not known.
+  bool RecordLeaving(const std::string& aInstance,
+                     uint64_t aIncarnation,
+                     Instant aNow);
+
+  /// @return whether the instance said that it leaves.
+  bool IsLeaving(const std::string& aInstance) const;
+
   /// @return the newest notice of an instance, std::nullopt if its incarnation
   /// has never named a limit.
   std::optional<RateLimitNotice> RateLimitOf(
@@ -304,6 +314,8 @@
     /// Incarnation of the process; the fields below belong to it.
     uint64_t incarnation = 0;
     std::optional<Instant> drainingSince;
+    /// Time since which this host knows that it leaves, by its responses.
+    std::optional<Instant> leavingSince;
     /// Start of the evacuation of its data centre.
     std::optional<Instant> evacuatedSince;
     /// Log index of the command that last set the cold period.
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -693,6 +693,7 @@
   , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_.requests_per_second_)*/0
   , /*decltype(_impl_.limited_)*/false
+  , /*decltype(_impl_.leaving_)*/false
   , /*decltype(_impl_.age_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamNoticeDefaultTypeInternal {
@@ -1233,6 +1234,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.limited_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.requests_per_second_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.age_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.leaving_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1352,11 +1354,11 @@
   { 405, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
   { 412, -1, -1, sizeof(::rattandyke::wire::HostReport)},
   { 422, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 433, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 452, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 464, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 476, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 484, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 434, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 453, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 465, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 477, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 485, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1543,55 +1545,55 @@
   "tandyke.wire.InstanceTime\022-\n\007entries\030\003 \003"
   "(\0132\034.rattandyke.wire.EntryMember\022.\n\006send"
   "er\030\004 \001(\0132\036.rattandyke.wire.ControlMember"
-  "\"n\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022\014\n\004"
+  "\"\177\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022\014\n\004"
   "life\030\002 \001(\004\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_"
-  "per_second\030\004 \001(\001\022\016\n\006age_ms\030\005 \001(\r\"\216\002\n\007Slo"
-  "tAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022"
-  "\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010inst"
-  "ance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priority"
-  "\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t"
-  " \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r"
-  "\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.ratta"
-  "ndyke.wire.UpstreamNotice\"\263\001\n\nSlotAnswer"
-  "\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005sta"
-  "te\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010"
-  "instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/"
-  "\n\006notice\030\006 \001(\0132\037.rattandyke.wire.Upstrea"
-  "mNotice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007se"
-  "ssion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r"
-  "\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.ratt"
-  "andyke.wire.UpstreamNotice\"*\n\013PackedFram"
-  "e\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\354\006\n\014Gatew"
-  "ayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_ope"
-  "n\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\r"
-  "feed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Fe"
-  "edSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rat"
-  "tandyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030"
-  "\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013fe"
-  "ed_report\030\006 \001(\0132\033.rattandyke.wire.FeedRe"
-  "portH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattand"
-  "yke.wire.ForwardedCallH\000\022<\n\020forwarded_an"
-  "swer\030\010 \001(\0132 .rattandyke.wire.ForwardedAn"
-  "swerH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke"
-  ".wire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.r"
-  "attandyke.wire.SlotAskH\000\0222\n\013slot_answer\030"
-  "\013 \001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\t"
-  "slot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDo"
-  "neH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.P"
-  "ackedFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001"
-  "(\0132$.rattandyke.wire.ForwardedHeartbeats"
-  "H\000\022Q\n\033forwarded_heartbeat_answers\030\017 \001(\0132"
-  "*.rattandyke.wire.ForwardedHeartbeatAnsw"
-  "ersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyk"
-  "e.wire.FeedCommandsH\000B\006\n\004body*\206\001\n\tSlotSt"
-  "ate\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_"
-  "STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026"
-  "\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNK"
-  "NOWN\020\004b\006proto3"
+  "per_second\030\004 \001(\001\022\016\n\006age_ms\030\005 \001(\r\022\017\n\007leav"
+  "ing\030\006 \001(\010\"\216\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022"
+  "\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007serv"
+  "ice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030"
+  "\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010"
+  " \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001"
+  "(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006lim"
+  "its\030\r \003(\0132\037.rattandyke.wire.UpstreamNoti"
+  "ce\"\263\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ti"
+  "cket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.w"
+  "ire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry"
+  "_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
+  "dyke.wire.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n"
+  "\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
+  " \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006no"
+  "tice\030\006 \001(\0132\037.rattandyke.wire.UpstreamNot"
+  "ice\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005byte"
+  "s\030\002 \001(\014\"\354\006\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
+  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
+  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
+  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
+  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
+  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
+  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
+  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
+  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
+  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
+  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
+  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
+  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
+  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
+  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
+  "ndyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034."
+  "rattandyke.wire.PackedFrameH\000\022D\n\024forward"
+  "ed_heartbeats\030\016 \001(\0132$.rattandyke.wire.Fo"
+  "rwardedHeartbeatsH\000\022Q\n\033forwarded_heartbe"
+  "at_answers\030\017 \001(\0132*.rattandyke.wire.Forwa"
+  "rdedHeartbeatAnswersH\000\0226\n\rfeed_commands\030"
+  "\020 \001(\0132\035.rattandyke.wire.FeedCommandsH\000B\006"
+  "\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPE"
+  "CIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_"
+  "STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022"
+  "\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 7054, descriptor_table_protodef_gateway_2eproto,
+    false, false, 7071, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, nullptr, 0, 48,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -14626,6 +14628,7 @@
     , decltype(_impl_.life_){}
     , decltype(_impl_.requests_per_second_){}
     , decltype(_impl_.limited_){}
+    , decltype(_impl_.leaving_){}
     , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -14653,6 +14656,7 @@
     , decltype(_impl_.life_){uint64_t{0u}}
     , decltype(_impl_.requests_per_second_){0}
     , decltype(_impl_.limited_){false}
+    , decltype(_impl_.leaving_){false}
     , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -14741,6 +14745,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool leaving = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.leaving_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -14808,6 +14820,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_age_ms(), target);
   }
 
+  // bool leaving = 6;
+  if (this->_internal_leaving() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_leaving(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -14850,6 +14868,11 @@
     total_size += 1 + 1;
   }
 
+  // bool leaving = 6;
+  if (this->_internal_leaving() != 0) {
+    total_size += 1 + 1;
+  }
+
   // uint32 age_ms = 5;
   if (this->_internal_age_ms() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
@@ -14889,6 +14912,9 @@
   if (from._internal_limited() != 0) {
     _this->_internal_set_limited(from._internal_limited());
   }
+  if (from._internal_leaving() != 0) {
+    _this->_internal_set_leaving(from._internal_leaving());
+  }
   if (from._internal_age_ms() != 0) {
     _this->_internal_set_age_ms(from._internal_age_ms());
   }
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds kMaxHold{ 1000 };
 constexpr milliseconds kTimeToObjective{ 500 };
 constexpr UpstreamSet::Options kOptions{
-  std::chrono::seconds{ 2 }, std::chrono::seconds{ 5 }, 1, 0, {}, {}
+  EntryGroup::kDrainTimeout, std::chrono::seconds{ 5 }, 1, 0, {}, {}
 };
 
 std::string
@@ -54,8 +54,9 @@
   bool listed = true;
   bool silent = false;
   std::unique_ptr<SlotCoordinator> slots;
-  /// First responses with a rate limit, by upstream.
+  /// First responses with a rate limit, and that told of leaving, by upstream.
   std::map<size_t, Instant> toldLimitAt;
+  std::map<size_t, Instant> toldLeavingAt;
 };
 
 struct EntryGroup::Message
@@ -144,6 +145,7 @@
   Entry& entry = *mEntries[aEntry];
   entry.session = ++mLastSession;
   entry.toldLimitAt.clear();
+  entry.toldLeavingAt.clear();
   entry.slots = std::make_unique<SlotCoordinator>(
     mContext.get_executor(),
     AddressOf(aEntry),
@@ -270,12 +272,15 @@
   }
   const size_t upstream = UpstreamNumber(slot->instance);
   const Entry& entry = *mEntries[aEntry];
-  const auto told = entry.toldLimitAt.find(upstream);
+  const auto timeOf = [upstream](const std::map<size_t, Instant>& aTimes) {
+    const auto found = aTimes.find(upstream);
+    return found == aTimes.end() ? std::optional<Instant>() : found->second;
+  };
   mArrivals[upstream].push_back({ mNow,
                                   aEntry,
-                                  told == entry.toldLimitAt.end()
-                                    ? std::optional<Instant>()
-                                    : told->second });
+                                  aSentAt,
+                                  timeOf(entry.toldLeavingAt),
+                                  timeOf(entry.toldLimitAt) });
   const UpstreamModel& model = mUpstreams[upstream];
   const Duration elapsed = model.rest ? Duration(kStep) : model.serviceTime;
   mResponses.emplace(mNow + elapsed,
@@ -324,11 +329,17 @@
     if (upstream.rateLimit) {
       entry.toldLimitAt.try_emplace(number, mNow);
     }
+    if (upstream.leaving) {
+      entry.toldLeavingAt.try_emplace(number, mNow);
+    }
     if (upstream.reportsLoad) {
       entry.slots->RecordLoadReport(response.slot.instance,
                                     { 0, 0, upstream.slots, 1 });
     }
     entry.slots->RecordRateLimit(response.slot, upstream.rateLimit);
+    if (upstream.leaving) {
+      entry.slots->RecordLeaving(response.slot);
+    }
     if (response.rest) {
       mRests[number].push_back({ response.entry, mNow, mNow + *response.rest });
       entry.slots->RecordRest(response.slot, *response.rest);
@@ -399,4 +410,16 @@
   return most;
 }
 
+Duration
+EntryGroup::LatestAfterLeaving(size_t aUpstream) const
+{
+  Duration latest{};
+  for (const Arrival& arrival : mArrivals[aUpstream]) {
+    if (arrival.toldLeavingAt) {
+      latest = std::max(latest, arrival.sentAt - *arrival.toldLeavingAt);
+    }
+  }
+  return latest;
+}
+
 } // namespace rattandyke::gateway::testing
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -26,6 +26,8 @@
   /// It refuses requests and wants no further ones from the same entry for this
   /// time.
   std::optional<Duration> rest;
+  /// It says in its responses that it leaves.
+  bool leaving = false;
   uint32_t slots = 2;
   Duration serviceTime = std::chrono::milliseconds{ 40 };
   /// It reports its load in its responses.
@@ -37,6 +39,11 @@
 {
   Instant at{};
   size_t entry = 0;
+  /// Time at which its caller sent it.
+  Instant sentAt{};
+  /// Time of the first response in which the upstream told the entry that it
+  /// leaves, if it has.
+  std::optional<Instant> toldLeavingAt;
   /// Time of the first response with a rate limit that the entry got from the
   /// upstream, if it has got one.
   std::optional<Instant> toldLimitAt;
@@ -109,6 +116,13 @@
   /// on.
   size_t MostWithinRest(size_t aUpstream) const;
 
+  /// @return the longest time between a response that told an entry that the
+  /// upstream leaves, and the sending of a request which that entry passed on
+  /// to it.
+  Duration LatestAfterLeaving(size_t aUpstream) const;
+
+  static constexpr std::chrono::seconds kDrainTimeout{ 2 };
+
 private:
   class SimulatedClock;
   struct Entry;
