Soak: upstreams that name limits, ask for rests and say that they leave

The soak's upstreams take what the product's fakes lacked: limits of 0 to 10 requests a second, rests of 0.6 to 2.5 s, leaving that only answers tell, in series beside the faults of hosts. soak_pressure.py judges it, with tests of its own.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -9,6 +9,7 @@
 import zlib
 
 import soak_http
+import soak_pressure
 
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
@@ -48,6 +49,10 @@
         if not same_id:
             self.id = f"i-{self.number}-{self.life}"
         self.alive, self.draining = True, False
+        # Requests that it refuses with a rest until then; seconds of the rest.
+        self.sheds_until, self.rest = 0.0, 0.0
+        self.says_leaving = False
+        self.pressure = soak_pressure.Pressure()
         self.sequence = 0
         self.rows, self.released, self.ends = [], [], 0.0
         self.running = 0
@@ -59,7 +64,7 @@
 
     async def leave(self):
         """As one that says so in time: it serves on for a while."""
-        self.draining = True
+        self.draining = self.says_leaving = True
         await asyncio.sleep(LEAVING_SECONDS)
         self.task.cancel()
         answer = await soak_http.call(
@@ -136,11 +141,38 @@
         request = fields.get(words.REQUEST_ID.lower(), "")
         arrival = self.world.arrived(request, self, body)
         self.arrivals.append(arrival)
+        pressure = self.pressure
+        entry, sent = self.world.senders[request]
+        if not entry.disturbed:
+            for text in pressure.arrives(entry, arrival.at, sent):
+                self.world.broke(f"{self.id} {text}, at last {request} from "
+                                 f"{entry.name}")
         await self.reply(first, fields, request, writer)
         arrival.answered = time.monotonic()
 
+    def say(self, request):
+        """@return the fields by which it tells what it accepts."""
+        entry = self.world.senders[request][0]
+        if not entry.disturbed:
+            self.pressure.answers(entry, time.monotonic(), self.says_leaving)
+        said = {}
+        if self.pressure.rate is not None:
+            said[words.RATE_LIMIT] = str(self.pressure.rate)
+        if self.says_leaving:
+            said[words.LEAVING] = "1"
+        return said
+
+    def shed(self, request, writer, base):
+        entry, now = self.world.senders[request][0], time.monotonic()
+        if not entry.disturbed:
+            self.pressure.asks_for_rest(entry, now, self.rest)
+        writer.write(soak_http.message(
+            "HTTP/1.1 503 Service Unavailable",
+            {**base, words.NOT_RUN: "1", "Retry-After": str(self.rest)}))
+
     async def reply(self, first, fields, request, writer):
-        base = {words.REQUEST_ID: request, words.INSTANCE: self.id}
+        base = {words.REQUEST_ID: request, words.INSTANCE: self.id,
+                **self.say(request)}
         if fields.get(words.EXPECTED.lower()) != self.id:
             writer.write(soak_http.message(
                 "HTTP/1.1 421 Misdirected Request", base))
@@ -150,6 +182,9 @@
                 "HTTP/1.1 421 Misdirected Request",
                 {**base, words.NOT_RUN: "1"}))
             return
+        if time.monotonic() < self.sheds_until:
+            self.shed(request, writer, base)
+            return
         kind = first.split()[0]
         self.world.ran(request, kind, self)
         await asyncio.sleep(self.world.random.uniform(0.002, 0.03))
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -198,6 +198,7 @@
                 if shape.startswith("chunked")
                 else soak_http.message(first, fields, body))
         self.world.bodies[request] = body
+        self.world.senders[request] = connection.entry, time.monotonic()
         return soak_judge.Sent(
             request, shape, connection.opened, connection.carried > 0,
             connection.asked, connection.idle(), time.monotonic(),
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -113,6 +113,8 @@
         self.process = None
         self.life = soak_judge.Life()
         self.told_to_end = False
+        # Faults of it that are not over.
+        self.disturbed = 0
         self.moment = asyncio.Event()
 
     def settings(self, first):
@@ -200,6 +202,8 @@
         self.runs = collections.Counter()
         self.not_run = set()
         self.bodies = {}
+        # The entry that a request was sent to, and when.
+        self.senders = {}
         self.arrivals = collections.defaultdict(list)
         self.held_up = []
         # The disk was found to stand still, at last then; it was asked then.
@@ -276,7 +280,18 @@
 
 
 async def host_fault(world, host):
-    """One fault of a host, over when this returns."""
+    """One fault of a host, over when this returns. What upstreams told the host
+    before it is over does not bind it."""
+    host.disturbed += 1
+    try:
+        await one_host_fault(world, host)
+    finally:
+        host.disturbed -= 1
+        for upstream in world.upstreams:
+            upstream.pressure.disturbed(host)
+
+
+async def one_host_fault(world, host):
     rand = world.random
     kind = rand.choice(["kill", "pause", "term", "reset", "delay", "refuse",
                         "silent", "silent in", "silent out"])
@@ -324,6 +339,35 @@
     await upstream.start(same_id=kind == "restart")
 
 
+async def pressure_fault(world, upstream):
+    """For a while an upstream names a limit or asks for rests, or it says that
+    it leaves while nobody else says so."""
+    rand, life = world.random, upstream.life
+    kind = rand.choice(["limit", "limit", "rest", "says it leaves"])
+    if not upstream.alive:
+        return
+    if kind == "limit":
+        rate = rand.choice([0, 0.5, 1, 2.5, 10])
+        world.fault(f"{kind} {upstream.id} {rate}")
+        upstream.pressure.limit(time.monotonic(), rate)
+        await asyncio.sleep(rand.uniform(4.0, 9.0))
+        if upstream.life == life:
+            upstream.pressure.limit(time.monotonic(), None)
+    elif kind == "rest":
+        upstream.rest = rand.choice([0.6, 1, 2.5])
+        lasts = rand.uniform(1.0, 4.0)
+        world.fault(f"{kind} {upstream.id} {upstream.rest} {lasts:.1f}")
+        upstream.sheds_until = time.monotonic() + lasts
+        await asyncio.sleep(lasts)
+    else:
+        world.fault(f"{kind} {upstream.id}")
+        upstream.says_leaving = True
+        await asyncio.sleep(rand.uniform(2.5, 4.0))
+        if upstream.life == life and upstream.alive:
+            await upstream.crash()
+            await upstream.start()
+
+
 async def faults(world, hosts, make, pause):
     """Faults one after another; several of these run beside each other."""
     end = time.monotonic() + world.seconds
@@ -412,7 +456,9 @@
         faults(world, world.hosts[half:half + 1], host_fault, (0.5, 4.0)),
         faults(world, world.entries[:1], host_fault, (0.3, 3.0)),
         faults(world, world.entries[1:], host_fault, (0.5, 3.0)),
-        faults(world, world.upstreams, upstream_fault, (0.5, 3.0)))
+        faults(world, world.upstreams, upstream_fault, (0.5, 3.0)),
+        faults(world, world.upstreams[:UPSTREAMS], pressure_fault, (0.1, 1.0)),
+        faults(world, world.upstreams[UPSTREAMS:], pressure_fault, (0.1, 1.0)))
     if world.random.random() < 0.5:
         await kill_all(world)
     await recovery(world)
