--- a/src/librattandyke/gateway/leaving_test.cpp
+++ b/src/librattandyke/gateway/leaving_test.cpp
@@ -104,5 +104,25 @@
   EXPECT_EQ(group.Refused(), 0U);
 }
 
+// An entry that knows of the leaving and not of the limit tells another one that
+// knows both. What it does not know must not lift the limit.
+TEST(Leaving, DoesNotLiftARateLimit)
+{
+  constexpr size_t kAllowed = 11;
+  EntryGroup group(10, 1, true);
+  group.Upstream(0).rateLimit = 1;
+  group.RunFor(seconds{ 4 }, kTraffic);
+  group.Upstream(0).leaving = true;
+  const Instant told = group.Now();
+  for (size_t entry = 0; entry < 10; ++entry) {
+    if (entry != group.LastHome()) {
+      group.StopEntry(entry, true);
+      group.StartEntry(entry);
+    }
+  }
+  group.RunFor(seconds{ 4 }, kTraffic);
+  EXPECT_LE(group.ArrivalsSince(0, told), kAllowed);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -224,7 +224,7 @@
     return upstreams.RateLimitsOf(aRequest.service, aRequest.group);
   }
   const auto limit = upstreams.RateLimitOf(aRequest.instance);
-  return limit && limit->requestsPerSecond
+  return limit && limit->rate.requestsPerSecond
            ? std::vector<RateLimitNotice>{ *limit }
            : std::vector<RateLimitNotice>{};
 }
@@ -526,9 +526,10 @@
 SlotCoordinator::RecordRateLimit(const Slot& aSlot,
                                  std::optional<double> aRequestsPerSecond)
 {
-  Record(
-    { aSlot.instance, aSlot.incarnation, aRequestsPerSecond, mClock.Now() },
-    "response");
+  Record({ aSlot.instance,
+           aSlot.incarnation,
+           { aRequestsPerSecond, mClock.Now() } },
+         "response");
 }
 
 void
@@ -544,13 +545,12 @@
 void
 SlotCoordinator::ApplyNotice(const wire::UpstreamNotice& aNotice)
 {
-  const Instant now = mClock.Now();
-  Record({ aNotice.instance(),
-           aNotice.life(),
-           aNotice.limited() ? std::optional(aNotice.requests_per_second())
-                             : std::nullopt,
-           now - milliseconds{ aNotice.age_ms() } },
-         "entry");
+  if (aNotice.has_rate()) {
+    Record({ aNotice.instance(),
+             aNotice.life(),
+             entry::FromWire(aNotice.rate(), mClock.Now()) },
+           "entry");
+  }
   if (aNotice.leaving()) {
     RecordLeaving(aNotice.instance(), aNotice.life(), "entry");
   }
@@ -562,9 +562,7 @@
   wire::UpstreamNotice notice;
   notice.set_instance(aNotice.instance);
   notice.set_life(aNotice.incarnation);
-  notice.set_limited(aNotice.requestsPerSecond.has_value());
-  notice.set_requests_per_second(aNotice.requestsPerSecond.value_or(0));
-  notice.set_age_ms(Ms(mClock.Now() - aNotice.toldAt).count());
+  *notice.mutable_rate() = entry::ToWire(aNotice.rate, mClock.Now());
   return notice;
 }
 
@@ -577,8 +575,12 @@
   if (!limit && !leaving) {
     return std::nullopt;
   }
-  wire::UpstreamNotice notice = ToWire(limit.value_or(RateLimitNotice{
-    aInstance, upstreams.IncarnationOf(aInstance), {}, mClock.Now() }));
+  wire::UpstreamNotice notice;
+  if (limit) {
+    notice = ToWire(*limit);
+  }
+  notice.set_instance(aInstance);
+  notice.set_life(upstreams.IncarnationOf(aInstance));
   notice.set_leaving(leaving);
   return notice;
 }
@@ -612,9 +614,9 @@
                                   upstreams.GroupOf(aNotice.instance));
   log::Line line(log::Part::Entry, log::Severity::Info);
   line << "upstream " << aNotice.instance;
-  if (aNotice.requestsPerSecond) {
+  if (aNotice.rate.requestsPerSecond) {
     line << " limits its requests per second limit="
-         << *aNotice.requestsPerSecond;
+         << *aNotice.rate.requestsPerSecond;
   } else {
     line << " lifts its limit of requests per second";
   }
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "base/named_rate.h"
 #include "base/token_bucket.h"
+#include "entry/rate_notice.h"
 #include "gateway/load_report.h"
 #include "gateway/state.h"
 
@@ -36,15 +37,12 @@
   Abandoned,
 };
 
-/// What an upstream said about the request rate that it accepts.
+/// What an instance said about the request rate that it accepts.
 struct RateLimitNotice
 {
   std::string instance;
   uint64_t incarnation = 0;
-  /// Requests per second from all entry hosts together; none: unlimited.
-  std::optional<double> requestsPerSecond;
-  /// Time of the response that said so.
-  Instant toldAt{};
+  entry::RateNotice rate;
 };
 
 /// The upstream instances known to an entry host, with their load, response
--- a/src/librattandyke/gateway/upstream_set_rate.cpp
+++ b/src/librattandyke/gateway/upstream_set_rate.cpp
@@ -201,7 +201,7 @@
     return false;
   }
   std::unique_ptr<RateLimit>& limit = found->second.rateLimit;
-  if (!limit && !aNotice.requestsPerSecond) {
+  if (!limit && !aNotice.rate.requestsPerSecond) {
     return false;
   }
   if (!limit) {
@@ -209,12 +209,12 @@
   }
   const Instant before = limit->named.ToldAt();
   const bool changed =
-    limit->named.Update(aNotice.requestsPerSecond, aNotice.toldAt);
+    limit->named.Update(aNotice.rate.requestsPerSecond, aNotice.rate.toldAt);
   if (limit->named.ToldAt() != before) {
     limit->uncoordinatedFrom = NextUncoordinated(aNotice.instance, aNow);
   }
-  if (changed && aNotice.requestsPerSecond) {
-    NamedRate::Apply(*aNotice.requestsPerSecond, limit->bucket, aNow);
+  if (changed && aNotice.rate.requestsPerSecond) {
+    NamedRate::Apply(*aNotice.rate.requestsPerSecond, limit->bucket, aNow);
     mRateLimitCandidates.insert(aNotice.instance);
   }
   return changed;
@@ -228,10 +228,10 @@
     return std::nullopt;
   }
   const Upstream& upstream = found->second;
+  const NamedRate& named = upstream.rateLimit->named;
   return RateLimitNotice{ aInstance,
                           upstream.incarnation,
-                          upstream.rateLimit->named.RequestsPerSecond(),
-                          upstream.rateLimit->named.ToldAt() };
+                          { named.RequestsPerSecond(), named.ToldAt() } };
 }
 
 std::vector<RateLimitNotice>
--- a/src/librattandyke/http/credit_messages.cpp
+++ b/src/librattandyke/http/credit_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "entry/rate_notice.h"
+
 namespace rattandyke::http {
 
 namespace {
@@ -166,20 +168,14 @@
 wire::RateNotice
 NoticeMessage(const NamedRate& aRate, Instant aNow)
 {
-  wire::RateNotice message;
-  message.set_limited(aRate.RequestsPerSecond().has_value());
-  message.set_requests_per_second(aRate.RequestsPerSecond().value_or(0));
-  message.set_age_us(InMicroseconds(aNow - aRate.ToldAt()));
-  return message;
+  return entry::ToWire({ aRate.RequestsPerSecond(), aRate.ToldAt() }, aNow);
 }
 
 bool
 ApplyNotice(const wire::RateNotice& aMessage, NamedRate& aRate, Instant aNow)
 {
-  const auto limit = aMessage.limited()
-                       ? std::optional(aMessage.requests_per_second())
-                       : std::nullopt;
-  return aRate.Update(limit, aNow - FromMicroseconds(aMessage.age_us()));
+  const entry::RateNotice notice = entry::FromWire(aMessage, aNow);
+  return aRate.Update(notice.requestsPerSecond, notice.toldAt);
 }
 
 std::optional<entry::CreditAnswered>
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -690,11 +690,9 @@
 PROTOBUF_CONSTEXPR UpstreamNotice::UpstreamNotice(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.rate_)*/nullptr
   , /*decltype(_impl_.life_)*/uint64_t{0u}
-  , /*decltype(_impl_.requests_per_second_)*/0
-  , /*decltype(_impl_.limited_)*/false
   , /*decltype(_impl_.leaving_)*/false
-  , /*decltype(_impl_.age_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct UpstreamNoticeDefaultTypeInternal {
   PROTOBUF_CONSTEXPR UpstreamNoticeDefaultTypeInternal()
@@ -1231,9 +1229,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.instance_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.life_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.limited_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.requests_per_second_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.age_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.rate_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _impl_.leaving_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _internal_metadata_),
@@ -1354,11 +1350,11 @@
   { 405, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
   { 412, -1, -1, sizeof(::rattandyke::wire::HostReport)},
   { 422, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 434, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 453, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 465, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 477, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 485, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 432, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 451, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 463, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 475, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 483, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1413,189 +1409,192 @@
 };
 
 const char descriptor_table_protodef_gateway_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
-  "\n\rgateway.proto\022\017rattandyke.wire\",\n\tRout"
-  "ePart\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"\351"
-  "\001\n\tRouteItem\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t"
-  "\022\016\n\006prefix\030\003 \001(\t\022\022\n\nidempotent\030\004 \001(\010\022\022\n\n"
-  "timeout_ms\030\005 \001(\r\022\024\n\014objective_ms\030\006 \001(\r\022\020"
-  "\n\010priority\030\007 \001(\r\022)\n\005parts\030\010 \003(\0132\032.rattan"
-  "dyke.wire.RoutePart\022\024\n\014max_attempts\030\t \001("
-  "\r\022\017\n\007version\030\n \001(\004\022\016\n\006source\030\013 \001(\t\"\262\001\n\013S"
-  "erviceItem\022\014\n\004name\030\001 \001(\t\022\023\n\013health_path\030"
-  "\002 \001(\t\022\027\n\017max_connections\030\003 \001(\r\022\021\n\towns_k"
-  "eys\030\004 \001(\010\022\017\n\007warm_ms\030\005 \001(\r\022\017\n\007version\030\006 "
-  "\001(\004\022\016\n\006source\030\007 \001(\t\022\017\n\007cold_ms\030\010 \001(\r\022\021\n\t"
-  "cold_rate\030\t \001(\001\"\223\001\n\nLimitsItem\022\030\n\020max_he"
-  "ader_bytes\030\001 \001(\r\022\026\n\016max_body_bytes\030\002 \001(\004"
-  "\022\031\n\021header_timeout_ms\030\003 \001(\r\022\027\n\017idle_time"
-  "out_ms\030\004 \001(\r\022\017\n\007version\030\005 \001(\004\022\016\n\006source\030"
-  "\006 \001(\t\",\n\013DroppedItem\022\014\n\004name\030\001 \001(\t\022\017\n\007ve"
-  "rsion\030\002 \001(\004\"\204\002\n\013ChangeItems\022*\n\006routes\030\001 "
-  "\003(\0132\032.rattandyke.wire.RouteItem\022.\n\010servi"
-  "ces\030\002 \003(\0132\034.rattandyke.wire.ServiceItem\022"
-  "+\n\006limits\030\003 \001(\0132\033.rattandyke.wire.Limits"
-  "Item\0224\n\016dropped_routes\030\004 \003(\0132\034.rattandyk"
-  "e.wire.DroppedItem\0226\n\020dropped_services\030\005"
-  " \003(\0132\034.rattandyke.wire.DroppedItem\"\315\001\n\020U"
-  "pstreamInstance\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002"
-  " \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001"
-  "(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\020\n\010dr"
-  "aining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\022\017\n\007cold_ms\030\t "
-  "\001(\r\022\022\n\ncold_index\030\n \001(\004\022\021\n\twithdrawn\030\013 \001"
-  "(\010\"S\n\013PutInstance\0223\n\010instance\030\001 \001(\0132!.ra"
-  "ttandyke.wire.UpstreamInstance\022\017\n\007return"
-  "s\030\002 \001(\010\"\036\n\020WithdrawInstance\022\n\n\002id\030\001 \001(\t\""
-  ":\n\013EndInstance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004"
-  "\022\021\n\tforgotten\030\003 \001(\010\")\n\rEndedInstance\022\n\n\002"
-  "id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\"6\n\010KeyRange\022\014\n\004fr"
-  "om\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010handover\030\003 \001(\t\"y"
-  "\n\013GrantRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder"
-  "\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006ranges\030\004 \003(\013"
-  "2\031.rattandyke.wire.KeyRange\022\014\n\004life\030\005 \001("
-  "\004\"X\n\nFreeRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006hold"
-  "er\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wi"
-  "re.KeyRange\"3\n\013EntryMember\022\017\n\007address\030\001 "
-  "\001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010PutEntry\022+\n\005"
-  "entry\030\001 \001(\0132\034.rattandyke.wire.EntryMembe"
-  "r\"\034\n\tDropEntry\022\017\n\007address\030\001 \001(\t\"5\n\rContr"
-  "olMember\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre"
-  "\030\002 \001(\t\"=\n\nPutControl\022/\n\007control\030\001 \001(\0132\036."
-  "rattandyke.wire.ControlMember\"\036\n\013DropCon"
-  "trol\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldBackRanges\022"
-  "\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006rang"
-  "es\030\003 \003(\0132\031.rattandyke.wire.KeyRange\"7\n\022E"
-  "vacuateDataCentre\022\023\n\013data_centre\030\001 \001(\t\022\014"
-  "\n\004ends\030\002 \001(\010\"\262\005\n\016GatewayCommand\0224\n\014chang"
-  "e_items\030\001 \001(\0132\034.rattandyke.wire.ChangeIt"
-  "emsH\000\0224\n\014put_instance\030\002 \001(\0132\034.rattandyke"
-  ".wire.PutInstanceH\000\0224\n\014end_instance\030\003 \001("
-  "\0132\034.rattandyke.wire.EndInstanceH\000\0224\n\014gra"
-  "nt_ranges\030\004 \001(\0132\034.rattandyke.wire.GrantR"
-  "angesH\000\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyk"
-  "e.wire.FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031"
-  ".rattandyke.wire.PutEntryH\000\0220\n\ndrop_entr"
-  "y\030\007 \001(\0132\032.rattandyke.wire.DropEntryH\000\022;\n"
-  "\020hold_back_ranges\030\010 \001(\0132\037.rattandyke.wir"
-  "e.HoldBackRangesH\000\022C\n\024evacuate_data_cent"
-  "re\030\t \001(\0132#.rattandyke.wire.EvacuateDataC"
-  "entreH\000\022>\n\021withdraw_instance\030\n \001(\0132!.rat"
-  "tandyke.wire.WithdrawInstanceH\000\0222\n\013put_c"
-  "ontrol\030\013 \001(\0132\033.rattandyke.wire.PutContro"
-  "lH\000\0224\n\014drop_control\030\014 \001(\0132\034.rattandyke.w"
-  "ire.DropControlH\000B\006\n\004body\"~\n\014RangeSegmen"
-  "t\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 "
-  "\001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010"
-  "handover\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rSer"
-  "viceRanges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030"
-  "\002 \003(\0132\035.rattandyke.wire.RangeSegment\"\245\004\n"
-  "\014GatewayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes"
-  "\030\002 \003(\0132\032.rattandyke.wire.RouteItem\022.\n\010se"
-  "rvices\030\003 \003(\0132\034.rattandyke.wire.ServiceIt"
-  "em\022+\n\006limits\030\004 \001(\0132\033.rattandyke.wire.Lim"
-  "itsItem\0224\n\016dropped_routes\030\005 \003(\0132\034.rattan"
-  "dyke.wire.DroppedItem\0226\n\020dropped_service"
-  "s\030\006 \003(\0132\034.rattandyke.wire.DroppedItem\0224\n"
-  "\tinstances\030\007 \003(\0132!.rattandyke.wire.Upstr"
-  "eamInstance\022.\n\006ranges\030\t \003(\0132\036.rattandyke"
-  ".wire.ServiceRanges\022-\n\007entries\030\n \003(\0132\034.r"
-  "attandyke.wire.EntryMember\022-\n\005ended\030\013 \003("
-  "\0132\036.rattandyke.wire.EndedInstance\022\021\n\teva"
-  "cuated\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattand"
-  "yke.wire.ControlMemberJ\004\010\010\020\t\"^\n\010FeedOpen"
-  "\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryM"
-  "ember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003"
-  " \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.ra"
-  "ttandyke.wire.GatewayState\"N\n\013FeedComman"
-  "d\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ratt"
-  "andyke.wire.GatewayCommand\">\n\014FeedComman"
-  "ds\022.\n\010commands\030\001 \003(\0132\034.rattandyke.wire.F"
-  "eedCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022"
-  "\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?"
-  "\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030"
-  "\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022"
-  "\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"\245\001\n\nF"
-  "eedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wi"
-  "re.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke"
-  ".wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007e"
-  "ntries\030\004 \003(\0132\034.rattandyke.wire.EntryMemb"
-  "er\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply"
-  "_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006target\030\004 \001("
-  "\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Fo"
-  "rwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001("
-  "\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRange\022\014\n\004from\030\001"
-  " \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010hando"
-  "ver\030\004 \001(\t\"\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001"
-  " \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022"
-  "\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\017\n"
-  "\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\020\n\010drainin"
-  "g\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022"
-  "\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattan"
-  "dyke.wire.FencedRange\022+\n\010released\030\r \003(\0132"
-  "\031.rattandyke.wire.KeyRange\"`\n\023ForwardedH"
-  "eartbeats\022\020\n\010reply_to\030\001 \001(\t\0227\n\nheartbeat"
-  "s\030\002 \003(\0132#.rattandyke.wire.ForwardedHeart"
-  "beat\"\221\001\n\030ForwardedHeartbeatAnswer\022\n\n\002id\030"
-  "\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001(\t\022\016\n\006ren"
-  "ews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rattandyke.w"
-  "ire.FencedRange\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031Forw"
-  "ardedHeartbeatAnswers\022:\n\007answers\030\001 \003(\0132)"
-  ".rattandyke.wire.ForwardedHeartbeatAnswe"
-  "r\"\304\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.rattan"
-  "dyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rat"
-  "tandyke.wire.InstanceTime\022-\n\007entries\030\003 \003"
-  "(\0132\034.rattandyke.wire.EntryMember\022.\n\006send"
-  "er\030\004 \001(\0132\036.rattandyke.wire.ControlMember"
-  "\"\177\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022\014\n\004"
-  "life\030\002 \001(\004\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_"
-  "per_second\030\004 \001(\001\022\016\n\006age_ms\030\005 \001(\r\022\017\n\007leav"
-  "ing\030\006 \001(\010\"\216\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022"
-  "\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007serv"
-  "ice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030"
-  "\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010"
-  " \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001"
-  "(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006lim"
-  "its\030\r \003(\0132\037.rattandyke.wire.UpstreamNoti"
-  "ce\"\263\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ti"
-  "cket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.w"
-  "ire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry"
-  "_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
-  "dyke.wire.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n"
-  "\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
-  " \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006no"
-  "tice\030\006 \001(\0132\037.rattandyke.wire.UpstreamNot"
-  "ice\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005byte"
-  "s\030\002 \001(\014\"\354\006\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
-  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
-  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
-  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
-  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
-  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
-  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
-  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
-  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
-  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
-  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
-  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
-  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
-  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
-  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
-  "ndyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034."
-  "rattandyke.wire.PackedFrameH\000\022D\n\024forward"
-  "ed_heartbeats\030\016 \001(\0132$.rattandyke.wire.Fo"
-  "rwardedHeartbeatsH\000\022Q\n\033forwarded_heartbe"
-  "at_answers\030\017 \001(\0132*.rattandyke.wire.Forwa"
-  "rdedHeartbeatAnswersH\000\0226\n\rfeed_commands\030"
-  "\020 \001(\0132\035.rattandyke.wire.FeedCommandsH\000B\006"
-  "\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPE"
-  "CIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_"
-  "STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022"
-  "\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "\n\rgateway.proto\022\017rattandyke.wire\032\nrate.p"
+  "roto\",\n\tRoutePart\022\017\n\007service\030\001 \001(\t\022\016\n\006we"
+  "ight\030\002 \001(\001\"\351\001\n\tRouteItem\022\014\n\004name\030\001 \001(\t\022\014"
+  "\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\022\n\nidempote"
+  "nt\030\004 \001(\010\022\022\n\ntimeout_ms\030\005 \001(\r\022\024\n\014objectiv"
+  "e_ms\030\006 \001(\r\022\020\n\010priority\030\007 \001(\r\022)\n\005parts\030\010 "
+  "\003(\0132\032.rattandyke.wire.RoutePart\022\024\n\014max_a"
+  "ttempts\030\t \001(\r\022\017\n\007version\030\n \001(\004\022\016\n\006source"
+  "\030\013 \001(\t\"\262\001\n\013ServiceItem\022\014\n\004name\030\001 \001(\t\022\023\n\013"
+  "health_path\030\002 \001(\t\022\027\n\017max_connections\030\003 \001"
+  "(\r\022\021\n\towns_keys\030\004 \001(\010\022\017\n\007warm_ms\030\005 \001(\r\022\017"
+  "\n\007version\030\006 \001(\004\022\016\n\006source\030\007 \001(\t\022\017\n\007cold_"
+  "ms\030\010 \001(\r\022\021\n\tcold_rate\030\t \001(\001\"\223\001\n\nLimitsIt"
+  "em\022\030\n\020max_header_bytes\030\001 \001(\r\022\026\n\016max_body"
+  "_bytes\030\002 \001(\004\022\031\n\021header_timeout_ms\030\003 \001(\r\022"
+  "\027\n\017idle_timeout_ms\030\004 \001(\r\022\017\n\007version\030\005 \001("
+  "\004\022\016\n\006source\030\006 \001(\t\",\n\013DroppedItem\022\014\n\004name"
+  "\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\204\002\n\013ChangeItems\022"
+  "*\n\006routes\030\001 \003(\0132\032.rattandyke.wire.RouteI"
+  "tem\022.\n\010services\030\002 \003(\0132\034.rattandyke.wire."
+  "ServiceItem\022+\n\006limits\030\003 \001(\0132\033.rattandyke"
+  ".wire.LimitsItem\0224\n\016dropped_routes\030\004 \003(\013"
+  "2\034.rattandyke.wire.DroppedItem\0226\n\020droppe"
+  "d_services\030\005 \003(\0132\034.rattandyke.wire.Dropp"
+  "edItem\"\315\001\n\020UpstreamInstance\022\n\n\002id\030\001 \001(\t\022"
+  "\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013dat"
+  "a_centre\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\r\n\005slots"
+  "\030\006 \001(\r\022\020\n\010draining\030\007 \001(\010\022\014\n\004life\030\010 \001(\004\022\017"
+  "\n\007cold_ms\030\t \001(\r\022\022\n\ncold_index\030\n \001(\004\022\021\n\tw"
+  "ithdrawn\030\013 \001(\010\"S\n\013PutInstance\0223\n\010instanc"
+  "e\030\001 \001(\0132!.rattandyke.wire.UpstreamInstan"
+  "ce\022\017\n\007returns\030\002 \001(\010\"\036\n\020WithdrawInstance\022"
+  "\n\n\002id\030\001 \001(\t\":\n\013EndInstance\022\n\n\002id\030\001 \001(\t\022\014"
+  "\n\004life\030\002 \001(\004\022\021\n\tforgotten\030\003 \001(\010\")\n\rEnded"
+  "Instance\022\n\n\002id\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\"6\n\010Ke"
+  "yRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\020\n\010hand"
+  "over\030\003 \001(\t\"y\n\013GrantRanges\022\017\n\007service\030\001 \001"
+  "(\t\022\016\n\006holder\030\002 \001(\t\022\020\n\010sequence\030\003 \001(\004\022)\n\006"
+  "ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\022"
+  "\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007service\030\001"
+  " \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.r"
+  "attandyke.wire.KeyRange\"3\n\013EntryMember\022\017"
+  "\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010"
+  "PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wir"
+  "e.EntryMember\"\034\n\tDropEntry\022\017\n\007address\030\001 "
+  "\001(\t\"5\n\rControlMember\022\017\n\007address\030\001 \001(\t\022\023\n"
+  "\013data_centre\030\002 \001(\t\"=\n\nPutControl\022/\n\007cont"
+  "rol\030\001 \001(\0132\036.rattandyke.wire.ControlMembe"
+  "r\"\036\n\013DropControl\022\017\n\007address\030\001 \001(\t\"\\\n\016Hol"
+  "dBackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002"
+  " \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.K"
+  "eyRange\"7\n\022EvacuateDataCentre\022\023\n\013data_ce"
+  "ntre\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\262\005\n\016GatewayComm"
+  "and\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.w"
+  "ire.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132"
+  "\034.rattandyke.wire.PutInstanceH\000\0224\n\014end_i"
+  "nstance\030\003 \001(\0132\034.rattandyke.wire.EndInsta"
+  "nceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke"
+  ".wire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\013"
+  "2\033.rattandyke.wire.FreeRangesH\000\022.\n\tput_e"
+  "ntry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\022"
+  "0\n\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Dr"
+  "opEntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ra"
+  "ttandyke.wire.HoldBackRangesH\000\022C\n\024evacua"
+  "te_data_centre\030\t \001(\0132#.rattandyke.wire.E"
+  "vacuateDataCentreH\000\022>\n\021withdraw_instance"
+  "\030\n \001(\0132!.rattandyke.wire.WithdrawInstanc"
+  "eH\000\0222\n\013put_control\030\013 \001(\0132\033.rattandyke.wi"
+  "re.PutControlH\000\0224\n\014drop_control\030\014 \001(\0132\034."
+  "rattandyke.wire.DropControlH\000B\006\n\004body\"~\n"
+  "\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
+  "\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequen"
+  "ce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back\030"
+  "\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t\022"
+  "/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Rang"
+  "eSegment\"\245\004\n\014GatewayState\022\017\n\007applied\030\001 \001"
+  "(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Rou"
+  "teItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.wi"
+  "re.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattand"
+  "yke.wire.LimitsItem\0224\n\016dropped_routes\030\005 "
+  "\003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dro"
+  "pped_services\030\006 \003(\0132\034.rattandyke.wire.Dr"
+  "oppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandyk"
+  "e.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\0132"
+  "\036.rattandyke.wire.ServiceRanges\022-\n\007entri"
+  "es\030\n \003(\0132\034.rattandyke.wire.EntryMember\022-"
+  "\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIns"
+  "tance\022\021\n\tevacuated\030\014 \003(\t\0220\n\010controls\030\r \003"
+  "(\0132\036.rattandyke.wire.ControlMemberJ\004\010\010\020\t"
+  "\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke"
+  ".wire.EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014re"
+  "ads_packed\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005stat"
+  "e\030\001 \001(\0132\035.rattandyke.wire.GatewayState\"N"
+  "\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n\007command\030"
+  "\002 \001(\0132\037.rattandyke.wire.GatewayCommand\">"
+  "\n\014FeedCommands\022.\n\010commands\030\001 \003(\0132\034.ratta"
+  "ndyke.wire.FeedCommand\"B\n\010FeedPing\022\017\n\007ap"
+  "plied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006ag"
+  "e_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t"
+  "\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014I"
+  "nstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds"
+  "\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.r"
+  "attandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132"
+  "\035.rattandyke.wire.InstanceTime\022\017\n\007leavin"
+  "g\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wi"
+  "re.EntryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 "
+  "\001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n"
+  "\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms"
+  "\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n"
+  "\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRan"
+  "ge\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 "
+  "\001(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeart"
+  "beat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007se"
+  "rvice\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_cen"
+  "tre\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001("
+  "\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010seq"
+  "uence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 "
+  "\003(\0132\034.rattandyke.wire.FencedRange\022+\n\010rel"
+  "eased\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`"
+  "\n\023ForwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\022"
+  "7\n\nheartbeats\030\002 \003(\0132#.rattandyke.wire.Fo"
+  "rwardedHeartbeat\"\221\001\n\030ForwardedHeartbeatA"
+  "nswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030"
+  "\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034."
+  "rattandyke.wire.FencedRange\022\017\n\007hold_ms\030\006"
+  " \001(\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007ans"
+  "wers\030\001 \003(\0132).rattandyke.wire.ForwardedHe"
+  "artbeatAnswer\"\304\001\n\nHostReport\022)\n\005loads\030\001 "
+  "\003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times"
+  "\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022-\n"
+  "\007entries\030\003 \003(\0132\034.rattandyke.wire.EntryMe"
+  "mber\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.C"
+  "ontrolMember\"l\n\016UpstreamNotice\022\020\n\010instan"
+  "ce\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.r"
+  "attandyke.wire.RateNotice\022\017\n\007leaving\030\004 \001"
+  "(\010\"\216\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007sess"
+  "ion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001"
+  "(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020"
+  "\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n"
+  "\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005g"
+  "roup\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003"
+  "(\0132\037.rattandyke.wire.UpstreamNotice\"\263\001\n\n"
+  "SlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 "
+  "\001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Slo"
+  "tState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_"
+  "ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wi"
+  "re.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n\004from\030\001"
+  " \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n"
+  "\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 "
+  "\001(\0132\037.rattandyke.wire.UpstreamNotice\"*\n\013"
+  "PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014"
+  "\"\354\006\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022."
+  "\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wire.Feed"
+  "OpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandy"
+  "ke.wire.FeedSnapshotH\000\0224\n\014feed_command\030\004"
+  " \001(\0132\034.rattandyke.wire.FeedCommandH\000\022.\n\t"
+  "feed_ping\030\005 \001(\0132\031.rattandyke.wire.FeedPi"
+  "ngH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattandyke.w"
+  "ire.FeedReportH\000\0228\n\016forwarded_call\030\007 \001(\013"
+  "2\036.rattandyke.wire.ForwardedCallH\000\022<\n\020fo"
+  "rwarded_answer\030\010 \001(\0132 .rattandyke.wire.F"
+  "orwardedAnswerH\000\0222\n\013host_report\030\t \001(\0132\033."
+  "rattandyke.wire.HostReportH\000\022,\n\010slot_ask"
+  "\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013sl"
+  "ot_answer\030\013 \001(\0132\033.rattandyke.wire.SlotAn"
+  "swerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.w"
+  "ire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattand"
+  "yke.wire.PackedFrameH\000\022D\n\024forwarded_hear"
+  "tbeats\030\016 \001(\0132$.rattandyke.wire.Forwarded"
+  "HeartbeatsH\000\022Q\n\033forwarded_heartbeat_answ"
+  "ers\030\017 \001(\0132*.rattandyke.wire.ForwardedHea"
+  "rtbeatAnswersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035"
+  ".rattandyke.wire.FeedCommandsH\000B\006\n\004body*"
+  "\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020"
+  "\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_G"
+  "RANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT"
+  "_STATE_UNKNOWN\020\004b\006proto3"
   ;
+static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
+  &::descriptor_table_rate_2eproto,
+};
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 7071, descriptor_table_protodef_gateway_2eproto,
+    false, false, 7064, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, nullptr, 0, 48,
+    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 48,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -14612,8 +14611,19 @@
 
 class UpstreamNotice::_Internal {
  public:
+  static const ::rattandyke::wire::RateNotice& rate(const UpstreamNotice* msg);
 };
 
+const ::rattandyke::wire::RateNotice&
+UpstreamNotice::_Internal::rate(const UpstreamNotice* msg) {
+  return *msg->_impl_.rate_;
+}
+void UpstreamNotice::clear_rate() {
+  if (GetArenaForAllocation() == nullptr && _impl_.rate_ != nullptr) {
+    delete _impl_.rate_;
+  }
+  _impl_.rate_ = nullptr;
+}
 UpstreamNotice::UpstreamNotice(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -14625,11 +14635,9 @@
   UpstreamNotice* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){}
+    , decltype(_impl_.rate_){nullptr}
     , decltype(_impl_.life_){}
-    , decltype(_impl_.requests_per_second_){}
-    , decltype(_impl_.limited_){}
     , decltype(_impl_.leaving_){}
-    , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -14641,9 +14649,12 @@
     _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_rate()) {
+    _this->_impl_.rate_ = new ::rattandyke::wire::RateNotice(*from._impl_.rate_);
+  }
   ::memcpy(&_impl_.life_, &from._impl_.life_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
-    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.age_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.leaving_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.leaving_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamNotice)
 }
 
@@ -14653,11 +14664,9 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.instance_){}
+    , decltype(_impl_.rate_){nullptr}
     , decltype(_impl_.life_){uint64_t{0u}}
-    , decltype(_impl_.requests_per_second_){0}
-    , decltype(_impl_.limited_){false}
     , decltype(_impl_.leaving_){false}
-    , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.instance_.InitDefault();
@@ -14678,6 +14687,7 @@
 inline void UpstreamNotice::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.instance_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.rate_;
 }
 
 void UpstreamNotice::SetCachedSize(int size) const {
@@ -14691,9 +14701,13 @@
   (void) cached_has_bits;
 
   _impl_.instance_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.rate_ != nullptr) {
+    delete _impl_.rate_;
+  }
+  _impl_.rate_ = nullptr;
   ::memset(&_impl_.life_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.age_ms_) -
-      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.age_ms_));
+      reinterpret_cast<char*>(&_impl_.leaving_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.leaving_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -14721,33 +14735,17 @@
         } else
           goto handle_unusual;
         continue;
-      // bool limited = 3;
+      // .rattandyke.wire.RateNotice rate = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.limited_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr = ctx->ParseMessage(_internal_mutable_rate(), ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // double requests_per_second = 4;
+      // bool leaving = 4;
       case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 33)) {
-          _impl_.requests_per_second_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
-          ptr += sizeof(double);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 age_ms = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
-          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // bool leaving = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
           _impl_.leaving_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
@@ -14798,32 +14796,17 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
   }
 
-  // bool limited = 3;
-  if (this->_internal_limited() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_limited(), target);
-  }
-
-  // double requests_per_second = 4;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = this->_internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteDoubleToArray(4, this->_internal_requests_per_second(), target);
-  }
-
-  // uint32 age_ms = 5;
-  if (this->_internal_age_ms() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_age_ms(), target);
+  // .rattandyke.wire.RateNotice rate = 3;
+  if (this->_internal_has_rate()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(3, _Internal::rate(this),
+        _Internal::rate(this).GetCachedSize(), target, stream);
   }
 
-  // bool leaving = 6;
+  // bool leaving = 4;
   if (this->_internal_leaving() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_leaving(), target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_leaving(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
@@ -14849,35 +14832,23 @@
         this->_internal_instance());
   }
 
+  // .rattandyke.wire.RateNotice rate = 3;
+  if (this->_internal_has_rate()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.rate_);
+  }
+
   // uint64 life = 2;
   if (this->_internal_life() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
   }
 
-  // double requests_per_second = 4;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = this->_internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    total_size += 1 + 8;
-  }
-
-  // bool limited = 3;
-  if (this->_internal_limited() != 0) {
-    total_size += 1 + 1;
-  }
-
-  // bool leaving = 6;
+  // bool leaving = 4;
   if (this->_internal_leaving() != 0) {
     total_size += 1 + 1;
   }
 
-  // uint32 age_ms = 5;
-  if (this->_internal_age_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
-  }
-
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -14899,25 +14870,16 @@
   if (!from._internal_instance().empty()) {
     _this->_internal_set_instance(from._internal_instance());
   }
+  if (from._internal_has_rate()) {
+    _this->_internal_mutable_rate()->::rattandyke::wire::RateNotice::MergeFrom(
+        from._internal_rate());
+  }
   if (from._internal_life() != 0) {
     _this->_internal_set_life(from._internal_life());
   }
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = from._internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    _this->_internal_set_requests_per_second(from._internal_requests_per_second());
-  }
-  if (from._internal_limited() != 0) {
-    _this->_internal_set_limited(from._internal_limited());
-  }
   if (from._internal_leaving() != 0) {
     _this->_internal_set_leaving(from._internal_leaving());
   }
-  if (from._internal_age_ms() != 0) {
-    _this->_internal_set_age_ms(from._internal_age_ms());
-  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -14942,11 +14904,11 @@
       &other->_impl_.instance_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.age_ms_)
-      + sizeof(UpstreamNotice::_impl_.age_ms_)
-      - PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.life_)>(
-          reinterpret_cast<char*>(&_impl_.life_),
-          reinterpret_cast<char*>(&other->_impl_.life_));
+      PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.leaving_)
+      + sizeof(UpstreamNotice::_impl_.leaving_)
+      - PROTOBUF_FIELD_OFFSET(UpstreamNotice, _impl_.rate_)>(
+          reinterpret_cast<char*>(&_impl_.rate_),
+          reinterpret_cast<char*>(&other->_impl_.rate_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamNotice::GetMetadata() const {
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -416,21 +416,6 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CreditRequestDefaultTypeInternal _CreditRequest_default_instance_;
-PROTOBUF_CONSTEXPR RateNotice::RateNotice(
-    ::_pbi::ConstantInitialized): _impl_{
-    /*decltype(_impl_.requests_per_second_)*/0
-  , /*decltype(_impl_.age_us_)*/uint64_t{0u}
-  , /*decltype(_impl_.limited_)*/false
-  , /*decltype(_impl_._cached_size_)*/{}} {}
-struct RateNoticeDefaultTypeInternal {
-  PROTOBUF_CONSTEXPR RateNoticeDefaultTypeInternal()
-      : _instance(::_pbi::ConstantInitialized{}) {}
-  ~RateNoticeDefaultTypeInternal() {}
-  union {
-    RateNotice _instance;
-  };
-};
-PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RateNoticeDefaultTypeInternal _RateNotice_default_instance_;
 PROTOBUF_CONSTEXPR CreditAsk::CreditAsk(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.customer_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -520,7 +505,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EnvelopeDefaultTypeInternal _Envelope_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_peer_2eproto[29];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[28];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_peer_2eproto[4];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
@@ -795,15 +780,6 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.notice_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditRequest, _impl_.body_),
   ~0u,  // no _has_bits_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _internal_metadata_),
-  ~0u,  // no _extensions_
-  ~0u,  // no _oneof_case_
-  ~0u,  // no _weak_field_map_
-  ~0u,  // no _inlined_string_donated_
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.limited_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.requests_per_second_),
-  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RateNotice, _impl_.age_us_),
-  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CreditAsk, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -891,12 +867,11 @@
   { 237, -1, -1, sizeof(::rattandyke::wire::DrainUpstreamCall)},
   { 246, -1, -1, sizeof(::rattandyke::wire::QueryCall)},
   { 255, -1, -1, sizeof(::rattandyke::wire::CreditRequest)},
-  { 269, -1, -1, sizeof(::rattandyke::wire::RateNotice)},
-  { 278, -1, -1, sizeof(::rattandyke::wire::CreditAsk)},
-  { 292, -1, -1, sizeof(::rattandyke::wire::CreditReturn)},
-  { 301, -1, -1, sizeof(::rattandyke::wire::CreditAnswer)},
-  { 315, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
-  { 325, -1, -1, sizeof(::rattandyke::wire::Envelope)},
+  { 269, -1, -1, sizeof(::rattandyke::wire::CreditAsk)},
+  { 283, -1, -1, sizeof(::rattandyke::wire::CreditReturn)},
+  { 292, -1, -1, sizeof(::rattandyke::wire::CreditAnswer)},
+  { 306, -1, -1, sizeof(::rattandyke::wire::MembershipCall)},
+  { 316, -1, -1, sizeof(::rattandyke::wire::Envelope)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -923,7 +898,6 @@
   &::rattandyke::wire::_DrainUpstreamCall_default_instance_._instance,
   &::rattandyke::wire::_QueryCall_default_instance_._instance,
   &::rattandyke::wire::_CreditRequest_default_instance_._instance,
-  &::rattandyke::wire::_RateNotice_default_instance_._instance,
   &::rattandyke::wire::_CreditAsk_default_instance_._instance,
   &::rattandyke::wire::_CreditReturn_default_instance_._instance,
   &::rattandyke::wire::_CreditAnswer_default_instance_._instance,
@@ -932,151 +906,151 @@
 };
 
 const char descriptor_table_protodef_peer_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
-  "\n\npeer.proto\022\017rattandyke.wire\032\013table.pro"
-  "to\"\331\003\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\017\n\007sessio"
-  "n\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n\013data_centre"
-  "\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t\022\025\n\radmin_ad"
-  "dress\030\006 \001(\t\022\025\n\rtable_version\030\007 \001(\004\022\030\n\020qu"
-  "iesced_version\030\010 \001(\004\0222\n\tupstreams\030\t \003(\0132"
-  "\037.rattandyke.wire.UpstreamReport\0223\n\010evid"
-  "ence\030\n \003(\0132!.rattandyke.wire.UpstreamEvi"
-  "dence\022*\n\010hot_keys\030\013 \003(\0132\030.rattandyke.wir"
-  "e.KeyLoad\022-\n\nslot_loads\030\014 \003(\0132\031.rattandy"
-  "ke.wire.SlotLoad\022\017\n\007leaving\030\r \001(\010\022\r\n\005ent"
-  "ry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001(\004\022\030\n\020upstre"
-  "am_address\030\020 \001(\t\022\024\n\014hosts_digest\030\021 \001(\004\"\222"
-  "\001\n\016UpstreamReport\022,\n\tannounced\030\001 \001(\0132\031.r"
-  "attandyke.wire.Upstream\022\026\n\016grants_versio"
-  "n\030\002 \001(\004\022\016\n\006lapsed\030\003 \001(\010\022\020\n\010draining\030\004 \001("
-  "\010\022\030\n\020announced_ms_ago\030\005 \001(\r\"\224\001\n\020Upstream"
-  "Evidence\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 "
-  "\001(\t\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006failed\030\004 \001(\r\022\023"
-  "\n\013unreachable\030\005 \001(\r\022\014\n\004shed\030\006 \001(\r\022\027\n\017mea"
-  "n_latency_us\030\007 \001(\r\"N\n\007KeyLoad\022\017\n\007service"
-  "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n\010requests\030\003 \001(\r\022\023\n"
-  "\013interval_ms\030\004 \001(\r\"P\n\010SlotLoad\022\017\n\007servic"
-  "e\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\022"
-  "\023\n\013interval_ms\030\004 \001(\r\"\362\001\n\016HeartbeatReply\022"
-  "\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\020\n\010sequen"
-  "ce\030\003 \001(\004\022\014\n\004term\030\004 \001(\004\022\016\n\006leader\030\005 \001(\t\022\017"
-  "\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030\007 \001(\r\022,\n\006upd"
-  "ate\030\010 \001(\0132\034.rattandyke.wire.TableUpdate\022"
-  "(\n\005hosts\030\t \001(\0132\031.rattandyke.wire.HostLis"
-  "t\022\026\n\016keeper_version\030\n \001(\004\"G\n\010HostList\022\016\n"
-  "\006digest\030\001 \001(\004\022\017\n\007entries\030\002 \003(\t\022\032\n\022upstre"
-  "am_addresses\030\003 \003(\t\"\333\004\n\013CallRequest\022\n\n\002id"
-  "\030\001 \001(\004\022\014\n\004host\030\002 \001(\t\022\017\n\007session\030\003 \001(\004\022:\n"
-  "\rsubmit_record\030\n \001(\0132!.rattandyke.wire.S"
-  "ubmitRecordCallH\000\022+\n\005claim\030\013 \001(\0132\032.ratta"
-  "ndyke.wire.ClaimCallH\000\022<\n\016complete_claim"
-  "\030\014 \001(\0132\".rattandyke.wire.CompleteClaimCa"
-  "llH\000\022:\n\rrelease_claim\030\r \001(\0132!.rattandyke"
-  ".wire.ReleaseClaimCallH\000\022\'\n\003ban\030\016 \001(\0132\030."
-  "rattandyke.wire.BanCallH\000\022<\n\016drain_upstr"
-  "eam\030\017 \001(\0132\".rattandyke.wire.DrainUpstrea"
-  "mCallH\000\022+\n\005query\030\020 \001(\0132\032.rattandyke.wire"
-  ".QueryCallH\000\0228\n\014crash_report\030\022 \001(\0132 .rat"
-  "tandyke.wire.CrashReportCallH\000\0225\n\nmember"
-  "ship\030\023 \001(\0132\037.rattandyke.wire.MembershipC"
-  "allH\000\022+\n\005trial\030\024 \001(\0132\032.rattandyke.wire.T"
-  "rialCallH\000B\006\n\004bodyJ\004\010\021\020\022\"\353\001\n\tCallReply\022\n"
-  "\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007message\030\003 \001("
-  "\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030\n \001(\0132\027.ratt"
-  "andyke.wire.RecordH\000\022,\n\005claim\030\013 \001(\0132\033.ra"
-  "ttandyke.wire.ClaimReplyH\000\022\016\n\004json\030\014 \001(\t"
-  "H\000\022,\n\005trial\030\016 \001(\0132\033.rattandyke.wire.Tria"
-  "lReplyH\000B\006\n\004bodyJ\004\010\r\020\016\"}\n\020SubmitRecordCa"
-  "ll\022\'\n\006record\030\001 \001(\0132\027.rattandyke.wire.Rec"
-  "ord\022\031\n\021expected_revision\030\002 \001(\004\022\024\n\014any_re"
-  "vision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001(\010\"\206\001\n\tClaimC"
-  "all\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027"
-  "\n\017idempotency_key\030\003 \001(\t\022\026\n\016request_diges"
-  "t\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001(\004\022\017\n\007attempt"
-  "\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006status\030\001 \001(\r\022."
-  "\n\007headers\030\002 \003(\0132\035.rattandyke.wire.Stored"
-  "Header\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001"
-  "(\010\"+\n\014StoredHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005valu"
-  "e\030\002 \001(\t\"z\n\nClaimReply\022.\n\007outcome\030\001 \001(\0162\035"
-  ".rattandyke.wire.ClaimOutcome\022\r\n\005claim\030\002"
-  " \001(\004\022-\n\006answer\030\003 \001(\0132\035.rattandyke.wire.S"
-  "toredAnswer\"\236\001\n\021CompleteClaimCall\022\017\n\007ser"
-  "vice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempote"
-  "ncy_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022-\n\006answer\030\005"
-  " \001(\0132\035.rattandyke.wire.StoredAnswer\022\017\n\007u"
-  "nknown\030\006 \001(\010\"n\n\020ReleaseClaimCall\022\017\n\007serv"
-  "ice\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017idempoten"
-  "cy_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022\017\n\007attempt\030\005"
-  " \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\0132\024.rattandyk"
-  "e.wire.Ban\"q\n\017CrashReportCall\022\017\n\007service"
-  "\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030"
-  "\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022\020\n\010on_trial\030"
-  "\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007service\030\001 \001(\t\022\023\n\013"
-  "fingerprint\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\023\n\013i"
-  "ncarnation\030\004 \001(\004\022(\n\004step\030\005 \001(\0162\032.rattand"
-  "yke.wire.TrialStep\022\017\n\007attempt\030\006 \001(\004\"5\n\nT"
-  "rialReply\022\017\n\007granted\030\001 \001(\010\022\026\n\016retry_afte"
-  "r_ms\030\002 \001(\r\"E\n\021DrainUpstreamCall\022\017\n\007servi"
-  "ce\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r\n\005drain\030\003 \001("
-  "\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t\022\017\n\007service\030"
-  "\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\354\001\n\rCreditRequest\022\017\n\007"
-  "service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incar"
-  "nation\030\003 \001(\004\022\017\n\007request\030\004 \001(\004\022)\n\003ask\030\n \001"
-  "(\0132\032.rattandyke.wire.CreditAskH\000\0222\n\tgive"
-  "_back\030\013 \001(\0132\035.rattandyke.wire.CreditRetu"
-  "rnH\000\022+\n\006notice\030\014 \001(\0132\033.rattandyke.wire.R"
-  "ateNoticeB\006\n\004body\"J\n\nRateNotice\022\017\n\007limit"
-  "ed\030\001 \001(\010\022\033\n\023requests_per_second\030\002 \001(\001\022\016\n"
-  "\006age_us\030\003 \001(\004\"\273\001\n\tCreditAsk\022\020\n\010customer\030"
-  "\001 \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n\016max_concurrent\030"
-  "\003 \001(\r\022\027\n\017rate_per_second\030\004 \001(\001\022\027\n\017admit_"
-  "within_us\030\005 \001(\004\022\030\n\020finish_within_us\030\006 \001("
-  "\004\022\022\n\nidempotent\030\007 \001(\010\022\024\n\014usable_slots\030\010 "
-  "\001(\r\"n\n\014CreditReturn\022-\n\006ending\030\001 \001(\0162\035.ra"
-  "ttandyke.wire.CreditEnding\022\027\n\017service_ti"
-  "me_us\030\002 \001(\004\022\026\n\016retry_after_us\030\003 \001(\004\"\327\001\n\014"
-  "CreditAnswer\022\017\n\007service\030\001 \001(\t\022\020\n\010upstrea"
-  "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030"
-  "\004 \001(\004\022+\n\005state\030\005 \001(\0162\034.rattandyke.wire.C"
-  "reditState\022\014\n\004code\030\006 \001(\r\022\026\n\016retry_after_"
-  "us\030\007 \001(\004\022+\n\006notice\030\010 \001(\0132\033.rattandyke.wi"
-  "re.RateNotice\"f\n\016MembershipCall\022\024\n\014add_i"
-  "dentity\030\001 \001(\004\022\020\n\010add_host\030\002 \001(\t\022\023\n\013add_a"
-  "ddress\030\003 \001(\t\022\027\n\017remove_identity\030\004 \001(\004\"\222\003"
-  "\n\010Envelope\022\014\n\004from\030\001 \001(\t\022\024\n\014from_session"
-  "\030\002 \001(\004\022/\n\theartbeat\030\n \001(\0132\032.rattandyke.w"
-  "ire.HeartbeatH\000\022:\n\017heartbeat_reply\030\013 \001(\013"
-  "2\037.rattandyke.wire.HeartbeatReplyH\000\0224\n\014c"
-  "all_request\030\014 \001(\0132\034.rattandyke.wire.Call"
-  "RequestH\000\0220\n\ncall_reply\030\r \001(\0132\032.rattandy"
-  "ke.wire.CallReplyH\000\022\023\n\tconsensus\030\016 \001(\014H\000"
-  "\0228\n\016credit_request\030\017 \001(\0132\036.rattandyke.wi"
-  "re.CreditRequestH\000\0226\n\rcredit_answer\030\020 \001("
-  "\0132\035.rattandyke.wire.CreditAnswerH\000B\006\n\004bo"
-  "dy*\262\001\n\014ClaimOutcome\022\035\n\031CLAIM_OUTCOME_UNS"
-  "PECIFIED\020\000\022\031\n\025CLAIM_OUTCOME_GRANTED\020\001\022\031\n"
-  "\025CLAIM_OUTCOME_RUNNING\020\002\022\026\n\022CLAIM_OUTCOM"
-  "E_DONE\020\003\022\031\n\025CLAIM_OUTCOME_UNKNOWN\020\004\022\032\n\026C"
-  "LAIM_OUTCOME_MISMATCH\020\005*\202\001\n\tTrialStep\022\032\n"
-  "\026TRIAL_STEP_UNSPECIFIED\020\000\022\022\n\016TRIAL_STEP_"
-  "ASK\020\001\022\026\n\022TRIAL_STEP_CLEARED\020\002\022\026\n\022TRIAL_S"
-  "TEP_CRASHED\020\003\022\025\n\021TRIAL_STEP_UNUSED\020\004*\224\001\n"
-  "\014CreditEnding\022\030\n\024CREDIT_ENDING_UNUSED\020\000\022"
-  "\033\n\027CREDIT_ENDING_SUCCEEDED\020\001\022\030\n\024CREDIT_E"
-  "NDING_FAILED\020\002\022\026\n\022CREDIT_ENDING_SHED\020\003\022\033"
-  "\n\027CREDIT_ENDING_CANCELLED\020\004*\223\001\n\013CreditSt"
-  "ate\022\034\n\030CREDIT_STATE_UNSPECIFIED\020\000\022\027\n\023CRE"
-  "DIT_STATE_QUEUED\020\001\022\030\n\024CREDIT_STATE_GRANT"
-  "ED\020\002\022\030\n\024CREDIT_STATE_REFUSED\020\003\022\031\n\025CREDIT"
-  "_STATE_RETURNED\020\004b\006proto3"
+  "\n\npeer.proto\022\017rattandyke.wire\032\nrate.prot"
+  "o\032\013table.proto\"\331\003\n\tHeartbeat\022\014\n\004host\030\001 \001"
+  "(\t\022\017\n\007session\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n"
+  "\013data_centre\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t"
+  "\022\025\n\radmin_address\030\006 \001(\t\022\025\n\rtable_version"
+  "\030\007 \001(\004\022\030\n\020quiesced_version\030\010 \001(\004\0222\n\tupst"
+  "reams\030\t \003(\0132\037.rattandyke.wire.UpstreamRe"
+  "port\0223\n\010evidence\030\n \003(\0132!.rattandyke.wire"
+  ".UpstreamEvidence\022*\n\010hot_keys\030\013 \003(\0132\030.ra"
+  "ttandyke.wire.KeyLoad\022-\n\nslot_loads\030\014 \003("
+  "\0132\031.rattandyke.wire.SlotLoad\022\017\n\007leaving\030"
+  "\r \001(\010\022\r\n\005entry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001"
+  "(\004\022\030\n\020upstream_address\030\020 \001(\t\022\024\n\014hosts_di"
+  "gest\030\021 \001(\004\"\222\001\n\016UpstreamReport\022,\n\tannounc"
+  "ed\030\001 \001(\0132\031.rattandyke.wire.Upstream\022\026\n\016g"
+  "rants_version\030\002 \001(\004\022\016\n\006lapsed\030\003 \001(\010\022\020\n\010d"
+  "raining\030\004 \001(\010\022\030\n\020announced_ms_ago\030\005 \001(\r\""
+  "\224\001\n\020UpstreamEvidence\022\017\n\007service\030\001 \001(\t\022\020\n"
+  "\010upstream\030\002 \001(\t\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006fa"
+  "iled\030\004 \001(\r\022\023\n\013unreachable\030\005 \001(\r\022\014\n\004shed\030"
+  "\006 \001(\r\022\027\n\017mean_latency_us\030\007 \001(\r\"N\n\007KeyLoa"
+  "d\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n\010reque"
+  "sts\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"P\n\010SlotLo"
+  "ad\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\020\n\010req"
+  "uests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"\362\001\n\016Hea"
+  "rtbeatReply\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001"
+  "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004term\030\004 \001(\004\022\016\n\006le"
+  "ader\030\005 \001(\t\022\017\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030"
+  "\007 \001(\r\022,\n\006update\030\010 \001(\0132\034.rattandyke.wire."
+  "TableUpdate\022(\n\005hosts\030\t \001(\0132\031.rattandyke."
+  "wire.HostList\022\026\n\016keeper_version\030\n \001(\004\"G\n"
+  "\010HostList\022\016\n\006digest\030\001 \001(\004\022\017\n\007entries\030\002 \003"
+  "(\t\022\032\n\022upstream_addresses\030\003 \003(\t\"\333\004\n\013CallR"
+  "equest\022\n\n\002id\030\001 \001(\004\022\014\n\004host\030\002 \001(\t\022\017\n\007sess"
+  "ion\030\003 \001(\004\022:\n\rsubmit_record\030\n \001(\0132!.ratta"
+  "ndyke.wire.SubmitRecordCallH\000\022+\n\005claim\030\013"
+  " \001(\0132\032.rattandyke.wire.ClaimCallH\000\022<\n\016co"
+  "mplete_claim\030\014 \001(\0132\".rattandyke.wire.Com"
+  "pleteClaimCallH\000\022:\n\rrelease_claim\030\r \001(\0132"
+  "!.rattandyke.wire.ReleaseClaimCallH\000\022\'\n\003"
+  "ban\030\016 \001(\0132\030.rattandyke.wire.BanCallH\000\022<\n"
+  "\016drain_upstream\030\017 \001(\0132\".rattandyke.wire."
+  "DrainUpstreamCallH\000\022+\n\005query\030\020 \001(\0132\032.rat"
+  "tandyke.wire.QueryCallH\000\0228\n\014crash_report"
+  "\030\022 \001(\0132 .rattandyke.wire.CrashReportCall"
+  "H\000\0225\n\nmembership\030\023 \001(\0132\037.rattandyke.wire"
+  ".MembershipCallH\000\022+\n\005trial\030\024 \001(\0132\032.ratta"
+  "ndyke.wire.TrialCallH\000B\006\n\004bodyJ\004\010\021\020\022\"\353\001\n"
+  "\tCallReply\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007"
+  "message\030\003 \001(\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030"
+  "\n \001(\0132\027.rattandyke.wire.RecordH\000\022,\n\005clai"
+  "m\030\013 \001(\0132\033.rattandyke.wire.ClaimReplyH\000\022\016"
+  "\n\004json\030\014 \001(\tH\000\022,\n\005trial\030\016 \001(\0132\033.rattandy"
+  "ke.wire.TrialReplyH\000B\006\n\004bodyJ\004\010\r\020\016\"}\n\020Su"
+  "bmitRecordCall\022\'\n\006record\030\001 \001(\0132\027.rattand"
+  "yke.wire.Record\022\031\n\021expected_revision\030\002 \001"
+  "(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001("
+  "\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
+  "omer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016r"
+  "equest_digest\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001("
+  "\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006st"
+  "atus\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035.rattandyke"
+  ".wire.StoredHeader\022\014\n\004body\030\003 \001(\014\022\024\n\014body"
+  "_dropped\030\004 \001(\010\"+\n\014StoredHeader\022\014\n\004name\030\001"
+  " \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimReply\022.\n\007out"
+  "come\030\001 \001(\0162\035.rattandyke.wire.ClaimOutcom"
+  "e\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 \001(\0132\035.ratta"
+  "ndyke.wire.StoredAnswer\"\236\001\n\021CompleteClai"
+  "mCall\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t"
+  "\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004"
+  "\022-\n\006answer\030\005 \001(\0132\035.rattandyke.wire.Store"
+  "dAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020ReleaseClaim"
+  "Call\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022"
+  "\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022"
+  "\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\013"
+  "2\024.rattandyke.wire.Ban\"q\n\017CrashReportCal"
+  "l\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013"
+  "incarnation\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022"
+  "\020\n\010on_trial\030\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007servi"
+  "ce\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022\020\n\010upstrea"
+  "m\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004\022(\n\004step\030\005 \001"
+  "(\0162\032.rattandyke.wire.TrialStep\022\017\n\007attemp"
+  "t\030\006 \001(\004\"5\n\nTrialReply\022\017\n\007granted\030\001 \001(\010\022\026"
+  "\n\016retry_after_ms\030\002 \001(\r\"E\n\021DrainUpstreamC"
+  "all\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r"
+  "\n\005drain\030\003 \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t"
+  "\022\017\n\007service\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\354\001\n\rCredi"
+  "tRequest\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 "
+  "\001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030\004 \001("
+  "\004\022)\n\003ask\030\n \001(\0132\032.rattandyke.wire.CreditA"
+  "skH\000\0222\n\tgive_back\030\013 \001(\0132\035.rattandyke.wir"
+  "e.CreditReturnH\000\022+\n\006notice\030\014 \001(\0132\033.ratta"
+  "ndyke.wire.RateNoticeB\006\n\004body\"\273\001\n\tCredit"
+  "Ask\022\020\n\010customer\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n"
+  "\016max_concurrent\030\003 \001(\r\022\027\n\017rate_per_second"
+  "\030\004 \001(\001\022\027\n\017admit_within_us\030\005 \001(\004\022\030\n\020finis"
+  "h_within_us\030\006 \001(\004\022\022\n\nidempotent\030\007 \001(\010\022\024\n"
+  "\014usable_slots\030\010 \001(\r\"n\n\014CreditReturn\022-\n\006e"
+  "nding\030\001 \001(\0162\035.rattandyke.wire.CreditEndi"
+  "ng\022\027\n\017service_time_us\030\002 \001(\004\022\026\n\016retry_aft"
+  "er_us\030\003 \001(\004\"\327\001\n\014CreditAnswer\022\017\n\007service\030"
+  "\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003"
+  " \001(\004\022\017\n\007request\030\004 \001(\004\022+\n\005state\030\005 \001(\0162\034.r"
+  "attandyke.wire.CreditState\022\014\n\004code\030\006 \001(\r"
+  "\022\026\n\016retry_after_us\030\007 \001(\004\022+\n\006notice\030\010 \001(\013"
+  "2\033.rattandyke.wire.RateNotice\"f\n\016Members"
+  "hipCall\022\024\n\014add_identity\030\001 \001(\004\022\020\n\010add_hos"
+  "t\030\002 \001(\t\022\023\n\013add_address\030\003 \001(\t\022\027\n\017remove_i"
+  "dentity\030\004 \001(\004\"\222\003\n\010Envelope\022\014\n\004from\030\001 \001(\t"
+  "\022\024\n\014from_session\030\002 \001(\004\022/\n\theartbeat\030\n \001("
+  "\0132\032.rattandyke.wire.HeartbeatH\000\022:\n\017heart"
+  "beat_reply\030\013 \001(\0132\037.rattandyke.wire.Heart"
+  "beatReplyH\000\0224\n\014call_request\030\014 \001(\0132\034.ratt"
+  "andyke.wire.CallRequestH\000\0220\n\ncall_reply\030"
+  "\r \001(\0132\032.rattandyke.wire.CallReplyH\000\022\023\n\tc"
+  "onsensus\030\016 \001(\014H\000\0228\n\016credit_request\030\017 \001(\013"
+  "2\036.rattandyke.wire.CreditRequestH\000\0226\n\rcr"
+  "edit_answer\030\020 \001(\0132\035.rattandyke.wire.Cred"
+  "itAnswerH\000B\006\n\004body*\262\001\n\014ClaimOutcome\022\035\n\031C"
+  "LAIM_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CLAIM_OUTC"
+  "OME_GRANTED\020\001\022\031\n\025CLAIM_OUTCOME_RUNNING\020\002"
+  "\022\026\n\022CLAIM_OUTCOME_DONE\020\003\022\031\n\025CLAIM_OUTCOM"
+  "E_UNKNOWN\020\004\022\032\n\026CLAIM_OUTCOME_MISMATCH\020\005*"
+  "\202\001\n\tTrialStep\022\032\n\026TRIAL_STEP_UNSPECIFIED\020"
+  "\000\022\022\n\016TRIAL_STEP_ASK\020\001\022\026\n\022TRIAL_STEP_CLEA"
+  "RED\020\002\022\026\n\022TRIAL_STEP_CRASHED\020\003\022\025\n\021TRIAL_S"
+  "TEP_UNUSED\020\004*\224\001\n\014CreditEnding\022\030\n\024CREDIT_"
+  "ENDING_UNUSED\020\000\022\033\n\027CREDIT_ENDING_SUCCEED"
+  "ED\020\001\022\030\n\024CREDIT_ENDING_FAILED\020\002\022\026\n\022CREDIT"
+  "_ENDING_SHED\020\003\022\033\n\027CREDIT_ENDING_CANCELLE"
+  "D\020\004*\223\001\n\013CreditState\022\034\n\030CREDIT_STATE_UNSP"
+  "ECIFIED\020\000\022\027\n\023CREDIT_STATE_QUEUED\020\001\022\030\n\024CR"
+  "EDIT_STATE_GRANTED\020\002\022\030\n\024CREDIT_STATE_REF"
+  "USED\020\003\022\031\n\025CREDIT_STATE_RETURNED\020\004b\006proto"
+  "3"
   ;
-static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[1] = {
+static const ::_pbi::DescriptorTable* const descriptor_table_peer_2eproto_deps[2] = {
+  &::descriptor_table_rate_2eproto,
   &::descriptor_table_table_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 5425, descriptor_table_protodef_peer_2eproto,
+    false, false, 5361, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 1, 29,
+    &descriptor_table_peer_2eproto_once, descriptor_table_peer_2eproto_deps, 2, 28,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -9462,6 +9436,12 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.CreditRequest.give_back)
 }
+void CreditRequest::clear_notice() {
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
+}
 CreditRequest::CreditRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -9921,253 +9901,6 @@
 
 // ===================================================================
 
-class RateNotice::_Internal {
- public:
-};
-
-RateNotice::RateNotice(::PROTOBUF_NAMESPACE_ID::Arena* arena,
-                         bool is_message_owned)
-  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
-  SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RateNotice)
-}
-RateNotice::RateNotice(const RateNotice& from)
-  : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RateNotice* const _this = this; (void)_this;
-  new (&_impl_) Impl_{
-      decltype(_impl_.requests_per_second_){}
-    , decltype(_impl_.age_us_){}
-    , decltype(_impl_.limited_){}
-    , /*decltype(_impl_._cached_size_)*/{}};
-
-  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  ::memcpy(&_impl_.requests_per_second_, &from._impl_.requests_per_second_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.limited_) -
-    reinterpret_cast<char*>(&_impl_.requests_per_second_)) + sizeof(_impl_.limited_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RateNotice)
-}
-
-inline void RateNotice::SharedCtor(
-    ::_pb::Arena* arena, bool is_message_owned) {
-  (void)arena;
-  (void)is_message_owned;
-  new (&_impl_) Impl_{
-      decltype(_impl_.requests_per_second_){0}
-    , decltype(_impl_.age_us_){uint64_t{0u}}
-    , decltype(_impl_.limited_){false}
-    , /*decltype(_impl_._cached_size_)*/{}
-  };
-}
-
-RateNotice::~RateNotice() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.RateNotice)
-  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
-  (void)arena;
-    return;
-  }
-  SharedDtor();
-}
-
-inline void RateNotice::SharedDtor() {
-  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-}
-
-void RateNotice::SetCachedSize(int size) const {
-  _impl_._cached_size_.Set(size);
-}
-
-void RateNotice::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RateNotice)
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  ::memset(&_impl_.requests_per_second_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.limited_) -
-      reinterpret_cast<char*>(&_impl_.requests_per_second_)) + sizeof(_impl_.limited_));
-  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
-}
-
-const char* RateNotice::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
-#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
-  while (!ctx->Done(&ptr)) {
-    uint32_t tag;
-    ptr = ::_pbi::ReadTag(ptr, &tag);
-    switch (tag >> 3) {
-      // bool limited = 1;
-      case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.limited_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // double requests_per_second = 2;
-      case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
-          _impl_.requests_per_second_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
-          ptr += sizeof(double);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 age_us = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.age_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      default:
-        goto handle_unusual;
-    }  // switch
-  handle_unusual:
-    if ((tag == 0) || ((tag & 7) == 4)) {
-      CHK_(ptr);
-      ctx->SetLastTag(tag);
-      goto message_done;
-    }
-    ptr = UnknownFieldParse(
-        tag,
-        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
-        ptr, ctx);
-    CHK_(ptr != nullptr);
-  }  // while
-message_done:
-  return ptr;
-failure:
-  ptr = nullptr;
-  goto message_done;
-#undef CHK_
-}
-
-uint8_t* RateNotice::_InternalSerialize(
-    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RateNotice)
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  // bool limited = 1;
-  if (this->_internal_limited() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(1, this->_internal_limited(), target);
-  }
-
-  // double requests_per_second = 2;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = this->_internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_requests_per_second(), target);
-  }
-
-  // uint64 age_us = 3;
-  if (this->_internal_age_us() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_age_us(), target);
-  }
-
-  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
-    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
-        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
-  }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RateNotice)
-  return target;
-}
-
-size_t RateNotice::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RateNotice)
-  size_t total_size = 0;
-
-  uint32_t cached_has_bits = 0;
-  // Prevent compiler warnings about cached_has_bits being unused
-  (void) cached_has_bits;
-
-  // double requests_per_second = 2;
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = this->_internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    total_size += 1 + 8;
-  }
-
-  // uint64 age_us = 3;
-  if (this->_internal_age_us() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_age_us());
-  }
-
-  // bool limited = 1;
-  if (this->_internal_limited() != 0) {
-    total_size += 1 + 1;
-  }
-
-  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
-}
-
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RateNotice::_class_data_ = {
-    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RateNotice::MergeImpl
-};
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RateNotice::GetClassData() const { return &_class_data_; }
-
-
-void RateNotice::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RateNotice*>(&to_msg);
-  auto& from = static_cast<const RateNotice&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RateNotice)
-  GOOGLE_DCHECK_NE(&from, _this);
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
-  double tmp_requests_per_second = from._internal_requests_per_second();
-  uint64_t raw_requests_per_second;
-  memcpy(&raw_requests_per_second, &tmp_requests_per_second, sizeof(tmp_requests_per_second));
-  if (raw_requests_per_second != 0) {
-    _this->_internal_set_requests_per_second(from._internal_requests_per_second());
-  }
-  if (from._internal_age_us() != 0) {
-    _this->_internal_set_age_us(from._internal_age_us());
-  }
-  if (from._internal_limited() != 0) {
-    _this->_internal_set_limited(from._internal_limited());
-  }
-  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-}
-
-void RateNotice::CopyFrom(const RateNotice& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RateNotice)
-  if (&from == this) return;
-  Clear();
-  MergeFrom(from);
-}
-
-bool RateNotice::IsInitialized() const {
-  return true;
-}
-
-void RateNotice::InternalSwap(RateNotice* other) {
-  using std::swap;
-  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(RateNotice, _impl_.limited_)
-      + sizeof(RateNotice::_impl_.limited_)
-      - PROTOBUF_FIELD_OFFSET(RateNotice, _impl_.requests_per_second_)>(
-          reinterpret_cast<char*>(&_impl_.requests_per_second_),
-          reinterpret_cast<char*>(&other->_impl_.requests_per_second_));
-}
-
-::PROTOBUF_NAMESPACE_ID::Metadata RateNotice::GetMetadata() const {
-  return ::_pbi::AssignDescriptors(
-      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[23]);
-}
-
-// ===================================================================
-
 class CreditAsk::_Internal {
  public:
 };
@@ -10570,7 +10303,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[24]);
+      file_level_metadata_peer_2eproto[23]);
 }
 
 // ===================================================================
@@ -10808,7 +10541,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditReturn::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[25]);
+      file_level_metadata_peer_2eproto[24]);
 }
 
 // ===================================================================
@@ -10822,6 +10555,12 @@
 CreditAnswer::_Internal::notice(const CreditAnswer* msg) {
   return *msg->_impl_.notice_;
 }
+void CreditAnswer::clear_notice() {
+  if (GetArenaForAllocation() == nullptr && _impl_.notice_ != nullptr) {
+    delete _impl_.notice_;
+  }
+  _impl_.notice_ = nullptr;
+}
 CreditAnswer::CreditAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -11237,7 +10976,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata CreditAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[26]);
+      file_level_metadata_peer_2eproto[25]);
 }
 
 // ===================================================================
@@ -11550,7 +11289,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata MembershipCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[27]);
+      file_level_metadata_peer_2eproto[26]);
 }
 
 // ===================================================================
@@ -12200,7 +11939,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata Envelope::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[28]);
+      file_level_metadata_peer_2eproto[27]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -12299,10 +12038,6 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::CreditRequest >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CreditRequest >(arena);
 }
-template<> PROTOBUF_NOINLINE ::rattandyke::wire::RateNotice*
-Arena::CreateMaybeMessage< ::rattandyke::wire::RateNotice >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::rattandyke::wire::RateNotice >(arena);
-}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::CreditAsk*
 Arena::CreateMaybeMessage< ::rattandyke::wire::CreditAsk >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::CreditAsk >(arena);
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -422,4 +422,13 @@
   return latest;
 }
 
+size_t
+EntryGroup::ArrivalsSince(size_t aUpstream, Instant aSince) const
+{
+  return static_cast<size_t>(
+    std::count_if(mArrivals[aUpstream].begin(),
+                  mArrivals[aUpstream].end(),
+                  [&](const Arrival& aOne) { return aOne.at >= aSince; }));
+}
+
 } // namespace rattandyke::gateway::testing
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -94,6 +94,9 @@
     return mArrivals[aUpstream];
   }
 
+  /// @return the number of requests that arrived since then.
+  size_t ArrivalsSince(size_t aUpstream, Instant aSince) const;
+
   Instant Now() const { return mNow; }
   /// Requests that got a response, and that were refused by their entry.
   size_t Served() const { return mServed; }
