--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -142,8 +142,8 @@
         arrival = self.world.arrived(request, self, body)
         self.arrivals.append(arrival)
         pressure = self.pressure
-        entry, sent = self.world.senders[request]
-        if not entry.disturbed:
+        entry, sent = self.world.calm_sender(request)
+        if entry:
             for text in pressure.arrives(entry, arrival.at, sent):
                 self.world.broke(f"{self.id} {text}, at last {request} from "
                                  f"{entry.name}")
@@ -152,8 +152,8 @@
 
     def say(self, request):
         """@return the fields by which it tells what it accepts."""
-        entry = self.world.senders[request][0]
-        if not entry.disturbed:
+        entry, _ = self.world.calm_sender(request)
+        if entry:
             self.pressure.answers(entry, time.monotonic(), self.says_leaving)
         said = {}
         if self.pressure.rate is not None:
@@ -163,9 +163,9 @@
         return said
 
     def shed(self, request, writer, base):
-        entry, now = self.world.senders[request][0], time.monotonic()
-        if not entry.disturbed:
-            self.pressure.asks_for_rest(entry, now, self.rest)
+        entry, _ = self.world.calm_sender(request)
+        if entry:
+            self.pressure.asks_for_rest(entry, time.monotonic(), self.rest)
         writer.write(soak_http.message(
             "HTTP/1.1 503 Service Unavailable",
             {**base, words.NOT_RUN: "1", "Retry-After": str(self.rest)}))
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -246,6 +246,12 @@
             self.broke(f"{request} reached {upstream.id} with another body")
         return arrival
 
+    def calm_sender(self, request):
+        """@return the entry that a request was sent to and when; None for the
+        entry if it is not known or there is a fault of it."""
+        entry, sent = self.senders.get(request, (None, 0.0))
+        return (None if entry is None or entry.disturbed else entry), sent
+
     def count(self, what):
         self.counts[what] += 1
 
