--- a/src/librattandyke/gateway/leaving_test.cpp
+++ b/src/librattandyke/gateway/leaving_test.cpp
@@ -104,8 +104,8 @@
   EXPECT_EQ(group.Refused(), 0U);
 }
 
-// An entry that knows of the leaving and not of the limit tells another one that
-// knows both. What it does not know must not lift the limit.
+// An entry that knows of the leaving and not of the limit tells another one
+// that knows both. What it does not know must not lift the limit.
 TEST(Leaving, DoesNotLiftARateLimit)
 {
   constexpr size_t kAllowed = 11;
--- /dev/null
+++ b/src/librattandyke/gateway/request_handler_pressure.cpp
@@ -0,0 +1,74 @@
+// Load reports and back pressure in the responses of upstreams.
+#include "gateway/request_handler.h"
+
+#include "http/back_pressure.h"
+#include "http/headers.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+/// Value of the header by which an upstream says that it leaves.
+constexpr std::string_view kIsLeaving = "1";
+} // namespace
+
+/// A load report that can't be decoded is only counted: the response is valid
+/// without it.
+void
+RequestHandler::RecordLoadReport(const std::string& aInstance,
+                                 const UpstreamResponse& aResponse)
+{
+  const std::string_view text = http::FieldOf(aResponse.fields, mHeaders.load);
+  if (text.empty()) {
+    return;
+  }
+  if (const auto load = mDialect.DecodeLoadReport(text)) {
+    mSlots.RecordLoadReport(aInstance, *load);
+  } else {
+    mMetrics.Increment("loads_not_read", "");
+  }
+}
+
+/// What can't be read changes nothing. A limit counts only in a response that
+/// is the upstream's own.
+void
+RequestHandler::RecordBackPressure(const Slot& aSlot,
+                                   const AttemptResult& aResult)
+{
+  if (!aResult.rest) {
+    mMetrics.Increment("rests_not_read");
+  } else if (*aResult.rest) {
+    mMetrics.Increment("rests_asked");
+    mSlots.RecordRest(aSlot, **aResult.rest);
+  }
+  if (aResult.kind != AttemptResult::Kind::Response &&
+      aResult.kind != AttemptResult::Kind::NotExecuted) {
+    return;
+  }
+  if (http::FieldOf(aResult.response.fields, mHeaders.leaving) == kIsLeaving) {
+    mMetrics.Increment("leaving_responses");
+    mSlots.RecordLeaving(aSlot);
+  }
+  const auto limit =
+    http::ReadRateLimit(aResult.response.fields, mHeaders.rateLimit);
+  if (!limit) {
+    mMetrics.Increment("rate_limits_not_read");
+    return;
+  }
+  if (*limit) {
+    mMetrics.Increment("rate_limited_responses");
+  }
+  mSlots.RecordRateLimit(aSlot, *limit);
+}
+
+/// A caller can't use what an upstream tells of its load: it is outdated there,
+/// and the caller does not choose the upstream.
+bool
+RequestHandler::IsForThisHost(std::string_view aName) const
+{
+  return boost::beast::iequals(aName, mHeaders.load) ||
+         boost::beast::iequals(aName, mHeaders.rateLimit) ||
+         boost::beast::iequals(aName, mHeaders.leaving);
+}
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -18,8 +18,6 @@
 /// list. Together with a whole share of another host it stays below one and a
 /// half times the rate.
 constexpr double kOutdatedListShare = 0.45;
-/// Fraction by which the retry-after is lengthened at most.
-constexpr double kRestSpread = 0.25;
 /// Mean latency of slot requests above which they are slow: an upstream chosen
 /// from load reports then answers earlier, even if it is not the best one.
 constexpr milliseconds kSlowHomeLatency{ 20 };
@@ -138,39 +136,6 @@
   return found != mUnresponsiveUntil.end() && mClock.Now() < found->second;
 }
 
-Duration
-SlotCoordinator::RestLeft(const std::string& aInstance) const
-{
-  return mResting.Left(
-    aInstance, mBroker.Upstreams().IncarnationOf(aInstance), mClock.Now());
-}
-
-void
-SlotCoordinator::ExcludeResting(SlotRequest& aRequest) const
-{
-  const UpstreamSet& upstreams = mBroker.Upstreams();
-  for (const std::string& instance : mResting.Instances(mClock.Now())) {
-    const bool suitable =
-      upstreams.ServiceOf(instance) == aRequest.service &&
-      (aRequest.direct || upstreams.GroupOf(instance) == aRequest.group);
-    if (suitable && RestLeft(instance) > Duration::zero()) {
-      aRequest.excluded.insert(instance);
-    }
-  }
-}
-
-/// Callers come back spread over some time after the rest, so that they don't
-/// meet the upstream all at once.
-SlotUnavailable
-SlotCoordinator::Resting(Duration aLeft)
-{
-  const double spread =
-    1 + kRestSpread * static_cast<double>(mRandom() % 1024) / 1024;
-  return { UpstreamSet::UnavailableReason::Full,
-           Scaled(std::min<Duration>(aLeft, RestingUpstreams::kMaxRetryAfter),
-                  spread) };
-}
-
 void
 SlotCoordinator::RecordHomeLatency(Duration aTime)
 {
