--- a/src/librattandyke/entry/credit_test.cpp
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -170,6 +170,7 @@
   EXPECT_EQ(CountOf<AskCredit>(after), 1u);
 }
 
+// Requests that wait at the entry itself when the rest begins must not be sent.
 TEST(CreditClient, SendsNothingByItselfWithinARest)
 {
   CreditClient client({ .hasHome = false }, Fair(1));
--- a/src/librattandyke/gateway/leaving_test.cpp
+++ b/src/librattandyke/gateway/leaving_test.cpp
@@ -92,6 +92,7 @@
   EXPECT_EQ(group.Refused(), 0U);
 }
 
+// A process that has started again under its id must be used.
 TEST(Leaving, EndsWithTheIncarnationThatSaidSo)
 {
   EntryGroup group(10, 1, true);
--- a/src/librattandyke/gateway/rate_limit_test.cpp
+++ b/src/librattandyke/gateway/rate_limit_test.cpp
@@ -136,6 +136,8 @@
   EXPECT_GE(sent, 0.9 * kLimit * kTime.count());
 }
 
+// Entries and homes that pass an old limit on among themselves must not keep it
+// in force.
 TEST(RateLimit, EndsWithTheFirstResponseThatNamesNone)
 {
   EntryGroup group(10, 1, true);
@@ -149,6 +151,8 @@
   EXPECT_GE(group.Served(), 140U);
 }
 
+// A process that has started again must not be kept at the limit of the
+// previous one.
 TEST(RateLimit, EndsWithTheIncarnationThatNamedIt)
 {
   EntryGroup group(10, 1, true);
@@ -162,6 +166,8 @@
   EXPECT_EQ(group.Refused(), 0U);
 }
 
+// A lower limit must not be exceeded by what the higher one had admitted, and a
+// higher one must be used.
 TEST(RateLimit, FollowsTheNewestValue)
 {
   EntryGroup group(10, 1, true);
@@ -190,6 +196,20 @@
   EXPECT_GE(group.RetryAfterTimes().size(), 50U);
 }
 
+// A notice goes with each slot message of a limited upstream, so it must be
+// small against the messages of a host.
+TEST(RateLimit, NoticeIsSmall)
+{
+  constexpr size_t kMaxBytes = 64;
+  wire::UpstreamNotice notice;
+  notice.set_instance("i-0123456789abcdef");
+  notice.set_life(uint64_t{ 1 } << 40U);
+  const Instant now{ std::chrono::hours{ 1 } };
+  *notice.mutable_rate() = entry::ToWire({ 1.5, now - seconds{ 60 } }, now);
+  notice.set_leaving(true);
+  EXPECT_LE(notice.ByteSizeLong(), kMaxBytes);
+}
+
 INSTANTIATE_TEST_SUITE_P(Groups,
                          RateLimitTest,
                          ::testing::Values(GroupCase{ 10, true, 0 },
--- a/src/librattandyke/gateway/request_handler_pressure.cpp
+++ b/src/librattandyke/gateway/request_handler_pressure.cpp
@@ -10,6 +10,7 @@
 
 /// Value of the header by which an upstream says that it leaves.
 constexpr std::string_view kIsLeaving = "1";
+
 } // namespace
 
 /// A load report that can't be decoded is only counted: the response is valid
--- a/src/librattandyke/gateway/rest_test.cpp
+++ b/src/librattandyke/gateway/rest_test.cpp
@@ -74,6 +74,7 @@
   EXPECT_GE(group.Served(), 540U);
 }
 
+// After its rest, the upstream must be used again as before.
 TEST(Rest, EndsWithItsTime)
 {
   EntryGroup group(10, 1, true);
--- a/src/librattandyke/gateway/slot_coordinator_notices.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_notices.cpp
@@ -13,6 +13,7 @@
 
 /// Fraction by which the retry-after is lengthened at most.
 constexpr double kRestSpread = 0.25;
+
 } // namespace
 
 std::vector<RateLimitNotice>
