RequestHandler: take the executor as the linter wants it

clang-tidy also found it on: a parameter by value that is only read, and a move that moves nothing. EntryGroup's options are no constant expression for clang.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -143,7 +143,7 @@
 
 } // namespace
 
-RequestHandler::RequestHandler(asio::any_io_executor aExecutor,
+RequestHandler::RequestHandler(const asio::any_io_executor& aExecutor,
                                Options aOptions,
                                const FeedClient& aFeed,
                                SlotCoordinator& aSlots,
@@ -159,7 +159,7 @@
   , mUpstreamClient(aExecutor, mHeaders, aClock)
   , mLinkBudget(mOptions.linkBytesPerSecond)
   , mEgressQueue(mOptions.linkBytesPerSecond)
-  , mEgressTimer(std::move(aExecutor))
+  , mEgressTimer(aExecutor)
 {
 }
 
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -45,7 +45,7 @@
   };
 
   /// @param aFeed, aSlots, aDialect and aClock outlive this object.
-  RequestHandler(boost::asio::any_io_executor aExecutor,
+  RequestHandler(const boost::asio::any_io_executor& aExecutor,
                  Options aOptions,
                  const FeedClient& aFeed,
                  SlotCoordinator& aSlots,
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds kMaxWait{ 300 };
 constexpr milliseconds kMaxHold{ 1000 };
 constexpr milliseconds kTimeToObjective{ 500 };
-constexpr UpstreamSet::Options kOptions{
+const UpstreamSet::Options kOptions{
   EntryGroup::kDrainTimeout, std::chrono::seconds{ 5 }, 1, 0, {}, {}
 };
 
