--- a/src/librattandyke/gateway/leaving_test.cpp
+++ b/src/librattandyke/gateway/leaving_test.cpp
@@ -12,6 +12,7 @@
 using testing::EntryGroup;
 
 constexpr double kTraffic = 60;
+constexpr size_t kRounds = 8;
 
 struct GroupCase
 {
@@ -45,19 +46,7 @@
   }
   group.RunFor(seconds{ 2 }, kTraffic);
   group.Upstream(0).leaving = true;
-  for (size_t round = 0; round < 6; ++round) {
-    const size_t home = group.LastHome();
-    group.SetMessageDelay(milliseconds{ round % 2 == 0 ? 5 : 30 });
-    group.SetSilent(home, true);
-    group.RunFor(seconds{ 1 }, kTraffic);
-    group.SetSilent(home, false);
-    if (entries > 1) {
-      group.StopEntry(home, round % 2 == 0);
-      group.RunFor(milliseconds{ 500 }, kTraffic);
-      group.StartEntry(home);
-    }
-    group.RunFor(milliseconds{ 500 }, kTraffic);
-  }
+  group.DisturbHomes(kRounds, kTraffic);
   EXPECT_LE(group.LatestAfterLeaving(0), Duration(EntryGroup::kDrainTimeout));
 }
 
--- a/src/librattandyke/gateway/rest_test.cpp
+++ b/src/librattandyke/gateway/rest_test.cpp
@@ -16,6 +16,7 @@
 /// Requests of one entry that may reach an upstream within its rest.
 constexpr size_t kAllowed = 2;
 constexpr double kTraffic = 60;
+constexpr size_t kRounds = 8;
 
 struct GroupCase
 {
@@ -48,19 +49,7 @@
   group.Upstream(0).serviceTime = milliseconds{ 100 };
   group.RunFor(seconds{ 2 }, kTraffic);
   group.Upstream(0).rest = kRest;
-  for (size_t round = 0; round < 8; ++round) {
-    const size_t home = group.LastHome();
-    group.SetMessageDelay(milliseconds{ round % 2 == 0 ? 5 : 30 });
-    group.SetSilent(home, true);
-    group.RunFor(seconds{ 1 }, kTraffic);
-    group.SetSilent(home, false);
-    if (entries > 1) {
-      group.StopEntry(home, round % 2 == 0);
-      group.RunFor(milliseconds{ 500 }, kTraffic);
-      group.StartEntry(home);
-    }
-    group.RunFor(milliseconds{ 500 }, kTraffic);
-  }
+  group.DisturbHomes(kRounds, kTraffic);
   EXPECT_LE(group.MostWithinRest(0), kAllowed);
 }
 
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -366,10 +366,10 @@
   }
 }
 
-/// An upstream that rests or has left gets nothing from this host, whoever
-/// allocates its slots and whatever waited for them: the home entry does not
-/// know of a rest, since the upstream may serve other hosts, and may learn
-/// later that an upstream leaves.
+/// An upstream that rests or has left gets nothing from this host, also not a
+/// request that waited for its slot: the home entry, which allocates the slot,
+/// does not know of a rest, since the upstream may serve other hosts, and may
+/// learn later that an upstream leaves.
 asio::awaitable<SlotOutcome>
 SlotCoordinator::Acquire(std::shared_ptr<RequestContext> aContext,
                          SlotRequest aRequest)
--- a/src/librattandyke/http/back_pressure_test.cpp
+++ b/src/librattandyke/http/back_pressure_test.cpp
@@ -63,8 +63,8 @@
   EXPECT_FALSE(*none);
 }
 
-// An upstream that asks for a day, or in a way that can't be read, must not be
-// left alone for good.
+// An upstream that asks for a day, or in a way that can't be read, must get
+// requests again after it has recovered.
 TEST(ReadRetryAfter, BoundsAndRejectsValues)
 {
   EXPECT_EQ(ReadRetryAfter(WithRetryAfter("86400")),
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -229,6 +229,26 @@
   }
 }
 
+void
+EntryGroup::DisturbHomes(size_t aRounds, double aRequestsPerSecond)
+{
+  constexpr milliseconds kSlowMessages{ 30 };
+  for (size_t round = 0; round < aRounds; ++round) {
+    const size_t home = mLastHome;
+    const bool slow = round % 2 == 1;
+    SetMessageDelay(slow ? kSlowMessages : kStep);
+    SetSilent(home, true);
+    RunFor(std::chrono::seconds{ 1 }, aRequestsPerSecond);
+    SetSilent(home, false);
+    if (mEntries.size() > 1) {
+      StopEntry(home, !slow);
+      RunFor(milliseconds{ 500 }, aRequestsPerSecond);
+      StartEntry(home);
+    }
+    RunFor(milliseconds{ 500 }, aRequestsPerSecond);
+  }
+}
+
 void
 EntryGroup::SendRequest()
 {
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -85,6 +85,9 @@
   void SetMessageDelay(Duration aDelay) { mMessageDelay = aDelay; }
   /// Sets the time since the entries' state was known to be up to date.
   void SetStateAge(Duration aAge) { mStateAge = aAge; }
+  /// Lets time pass while home entries are silent and are restarted, in series,
+  /// and messages are slow in every other round.
+  void DisturbHomes(size_t aRounds, double aRequestsPerSecond);
   /// Starts an upstream again under its id.
   void RestartUpstream(size_t aUpstream);
 
