--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -42,6 +42,7 @@
         self.alive = False
         self.draining = False
         self.life = 0
+        self.server = None
 
     async def start(self, same_id=False):
         """@param same_id as a process that starts again under its id."""
@@ -86,6 +87,11 @@
             writer.transport.abort()
         self.task.cancel()
 
+    def stop(self):
+        """Frees its port: the block of ports is another soak's afterwards."""
+        if self.server:
+            self.server.close()
+
     def holds(self, key):
         now = time.monotonic()
         return self.alive and now < self.ends and any(
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -59,10 +59,15 @@
         self.mode = "pass"
         self.delay = 0.0
         self.writers = set()
+        self.server = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, *self.listen)
 
+    def stop(self):
+        if self.server:
+            self.server.close()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -496,6 +501,9 @@
     finally:
         for host in world.hosts + world.entries:
             host.end()
+            host.proxy.stop()
+        for upstream in world.upstreams:
+            upstream.stop()
         await end_tasks()
 
 
