Entries count the bytes on their link by use

Cause: on links of 1.7 and 2.3 Mbit/s requests are refused for the link at usual load, and nothing tells what else is on it.

Change: scheduling/link_meter counts callers', upstreams', slot and feed messages in both directions with the packet headers that they need; metrics link_bytes and link_messages, and a log line a second while the link is more than half busy.

--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -37,6 +37,11 @@
 /// fraction of a core. After the grace the process is killed.
 constexpr milliseconds kExitMargin{ 300 };
 
+/// Interval of the log line about the link's traffic.
+constexpr std::chrono::seconds kLinkReportInterval{ 1 };
+/// Share of the link's bandwidth from which on its traffic is logged.
+constexpr double kLoggedLinkShare = 0.5;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
@@ -55,9 +60,10 @@
     , dialect(aDialect)
     , clock(aClock)
     , sweepTimer(executor)
+    , linkMeter(aClock.Now())
     , feed(
         executor,
-        { MemberOf(aSettings), aSettings.seeds },
+        { MemberOf(aSettings), aSettings.seeds, &linkMeter },
         [this](const wire::GatewayCommand* aCommand) {
           OnStateChanged(aCommand);
         },
@@ -71,6 +77,8 @@
         [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
           const std::string bytes = aFrame.SerializeAsString();
           handler.RecordSent(bytes.size());
+          RecordSlotTraffic(
+            aFrame, scheduling::LinkDirection::Out, bytes.size());
           mesh->Send(aTo, bytes);
         },
         aClock,
@@ -90,6 +98,7 @@
               feed,
               slots,
               aDialect,
+              linkMeter,
               aClock)
     , callers(executor, handler, aClock)
     , slotTimer(executor)
@@ -130,7 +139,10 @@
       log::Line(log::Part::Net, log::Severity::Warning)
         << "a message between hosts can't be read; the connection ends";
       aConnection->Close();
-    } else if (frame.has_slot_ask()) {
+      return;
+    }
+    RecordSlotTraffic(frame, scheduling::LinkDirection::In, aMessage.size());
+    if (frame.has_slot_ask()) {
       slots.OnSlotRequest(frame.slot_ask());
     } else if (frame.has_slot_answer()) {
       slots.OnSlotAnswer(frame.slot_answer());
@@ -143,6 +155,39 @@
     }
   }
 
+  /// Counts a message about slots. A SlotAnswer leaves the host that allocates
+  /// slots; the other two messages arrive there.
+  void RecordSlotTraffic(const wire::GatewayFrame& aFrame,
+                         scheduling::LinkDirection aDirection,
+                         size_t aBytes)
+  {
+    const bool answer = aFrame.has_slot_answer();
+    if (!answer && !aFrame.has_slot_ask() && !aFrame.has_slot_done()) {
+      return;
+    }
+    const bool allocates =
+      answer == (aDirection == scheduling::LinkDirection::Out);
+    linkMeter.Record(allocates ? scheduling::LinkUse::SlotsAllocated
+                               : scheduling::LinkUse::SlotsRequested,
+                     aDirection,
+                     aBytes);
+  }
+
+  /// Logs the traffic of the last second if the link was busy.
+  void ReportTraffic(Instant aNow)
+  {
+    if (aNow - linkReportedAt < kLinkReportInterval) {
+      return;
+    }
+    linkReportedAt = aNow;
+    const auto report = linkMeter.TakeReport(aNow);
+    const double share = report.BusyShare(settings.linkMbits * kBytesPerMbit);
+    if (share >= kLoggedLinkShare) {
+      log::Line(log::Part::Net, log::Severity::Info)
+        << "link traffic busy=" << share << ' ' << report.Text();
+    }
+  }
+
   /// Serves a subscriber of the relay, or closes its connection if this host is
   /// stopping or its state is too old.
   void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
@@ -273,6 +318,7 @@
     const Instant now = clock.Now();
     callers.Sweep(now);
     handler.Sweep();
+    ReportTraffic(now);
     if (!stopping && feed.StateAge() < kMaxRelayedAge) {
       relay.Ping(feed.ControlHosts(), feed.StateAge());
     } else {
@@ -334,6 +380,8 @@
   const Dialect& dialect;
   const Clock& clock;
   asio::steady_timer sweepTimer;
+  scheduling::LinkMeter linkMeter;
+  Instant linkReportedAt{};
   std::unique_ptr<net::FrameMesh> mesh;
   FeedClient feed;
   /// Relays the feed to entry hosts that can't reach a control host.
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -302,10 +302,18 @@
     ScheduleRetry();
   }
 
+  void RecordTraffic(scheduling::LinkDirection aDirection, size_t aBytes)
+  {
+    if (options.linkMeter != nullptr) {
+      options.linkMeter->Record(scheduling::LinkUse::Feed, aDirection, aBytes);
+    }
+  }
+
   /// Processes a message. Logs the times to receive and to process it if one of
   /// them is long.
   void OnMessage(std::string_view aMessage)
   {
+    RecordTraffic(scheduling::LinkDirection::In, aMessage.size());
     const Instant receivedAt = clock.Now();
     const Duration receiveTime =
       receivedAt -
@@ -517,7 +525,9 @@
   if (mImpl->connection) {
     wire::GatewayFrame frame;
     *frame.mutable_feed_report() = aReport;
-    mImpl->connection->Send(frame.SerializeAsString());
+    const std::string bytes = frame.SerializeAsString();
+    mImpl->RecordTraffic(scheduling::LinkDirection::Out, bytes.size());
+    mImpl->connection->Send(bytes);
   }
 }
 
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "gateway/state.h"
+#include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway {
 
@@ -33,6 +34,8 @@
     wire::EntryMember self;
     /// Peer addresses of the control hosts to try first.
     std::vector<Endpoint> seeds;
+    /// Counts the feed's traffic unless it is null; outlives this object.
+    scheduling::LinkMeter* linkMeter = nullptr;
   };
 
   /// @param aOnStateChanged called after each change of the state, with the
--- a/src/librattandyke/gateway/metrics.cpp
+++ b/src/librattandyke/gateway/metrics.cpp
@@ -43,6 +43,14 @@
   ++mCounters[std::string(aName)][std::string(aLabel)];
 }
 
+void
+Metrics::SetTotal(std::string_view aName,
+                  std::string_view aLabel,
+                  uint64_t aValue)
+{
+  mCounters[std::string(aName)][std::string(aLabel)] = aValue;
+}
+
 void
 Metrics::Observe(std::string_view aName, Duration aTime)
 {
--- a/src/librattandyke/gateway/metrics.h
+++ b/src/librattandyke/gateway/metrics.h
@@ -20,6 +20,13 @@
   /// @param aLabel "key=\"value\"", or empty.
   void Increment(std::string_view aName, std::string_view aLabel = {});
 
+  /// Sets a counter that is kept elsewhere; the page shows it as aName +
+  /// "_total".
+  /// @param aLabel "key=\"value\"" pairs separated by commas, or empty.
+  void SetTotal(std::string_view aName,
+                std::string_view aLabel,
+                uint64_t aValue);
+
   /// Adds a duration to a histogram, which the page shows as aName +
   /// "_seconds".
   void Observe(std::string_view aName, Duration aTime);
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -16,6 +16,8 @@
 
 namespace asio = boost::asio;
 using http::kAwait;
+using scheduling::LinkDirection;
+using scheduling::LinkUse;
 using std::chrono::milliseconds;
 
 constexpr unsigned kBadRequest = 400;
@@ -148,12 +150,14 @@
                                const FeedClient& aFeed,
                                SlotCoordinator& aSlots,
                                const Dialect& aDialect,
+                               scheduling::LinkMeter& aLinkMeter,
                                const Clock& aClock)
   : mExecutor(aExecutor)
   , mOptions(std::move(aOptions))
   , mFeed(aFeed)
   , mDialect(aDialect)
   , mHeaders(aDialect.Headers())
+  , mLinkMeter(aLinkMeter)
   , mClock(aClock)
   , mSlots(aSlots)
   , mUpstreamClient(aExecutor, mHeaders, aClock)
@@ -299,9 +303,13 @@
 {
   const Instant arrived = aRequest.arrived;
   mLinkBudget.RecordReceived(aRequest.body.size() + kRequestLineBytes, arrived);
+  RecordTraffic(LinkUse::Callers,
+                LinkDirection::In,
+                aRequest.body.size() + kRequestLineBytes);
   CallerResponse response =
     co_await RouteRequest(aContext, std::move(aRequest));
-  const size_t bytes = response.fields.size() + response.body.size();
+  const size_t bytes = ApproximateBytes(response);
+  RecordTraffic(LinkUse::Callers, LinkDirection::Out, bytes);
   if (response.sendBy > Instant{}) {
     co_await AwaitSendTurn(std::move(aContext), bytes, response.sendBy);
   } else {
@@ -324,6 +332,7 @@
   mMetrics.Set("upstreams", static_cast<double>(state.Instances().size()));
   mMetrics.Set("upstream_connects",
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
+  SetLinkMetrics();
   return mMetrics.PrometheusText();
 }
 
@@ -485,6 +494,9 @@
   const Duration left =
     aProgress.deadline - mClock.Now() - Duration(kReturnMargin);
   RecordSent(ApproximateBytes(*aProgress.request));
+  RecordTraffic(LinkUse::Upstreams,
+                LinkDirection::Out,
+                ApproximateBytes(*aProgress.request));
   // A named variable, as Debian 12's compiler destroys a braced temporary in a
   // co_await expression twice.
   const UpstreamProcess process{ slot.instance,
@@ -493,6 +505,11 @@
   AttemptResult result = co_await mUpstreamClient.RoundTrip(
     process, aProgress.request, left, handle);
   aProgress.context->DetachAttempt();
+  if (result.response.status != 0) {
+    RecordTraffic(LinkUse::Upstreams,
+                  LinkDirection::In,
+                  result.response.body.size() + kRequestLineBytes);
+  }
   RecordLoadReport(slot.instance, result.response);
   RecordBackPressure(slot, result);
   mSlots.Release(
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -24,6 +24,7 @@
 #include "gateway/route_table.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/upstream_client.h"
+#include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway {
 
@@ -44,12 +45,13 @@
     double linkBytesPerSecond = 0;
   };
 
-  /// @param aFeed, aSlots, aDialect and aClock outlive this object.
+  /// @param aFeed, aSlots, aDialect, aLinkMeter and aClock outlive this object.
   RequestHandler(const boost::asio::any_io_executor& aExecutor,
                  Options aOptions,
                  const FeedClient& aFeed,
                  SlotCoordinator& aSlots,
                  const Dialect& aDialect,
+                 scheduling::LinkMeter& aLinkMeter,
                  const Clock& aClock);
 
   /// Updates the routes and wakes waiting requests after a change of the
@@ -153,6 +155,14 @@
   boost::asio::awaitable<CallerResponse> RunIfLinkAdmits(
     RequestProgress& aProgress);
   static size_t ApproximateBytes(const UpstreamRequest& aRequest);
+  static size_t ApproximateBytes(const CallerResponse& aResponse);
+  void SetLinkMetrics();
+  void RecordTraffic(scheduling::LinkUse aUse,
+                     scheduling::LinkDirection aDirection,
+                     size_t aBytes)
+  {
+    mLinkMeter.Record(aUse, aDirection, aBytes);
+  }
   /// Acquires slots and makes attempts until one succeeds or the request may
   /// not be retried.
   boost::asio::awaitable<CallerResponse> RunAttempts(
@@ -202,6 +212,7 @@
   const FeedClient& mFeed;
   const Dialect& mDialect;
   const HeaderNames& mHeaders;
+  scheduling::LinkMeter& mLinkMeter;
   const Clock& mClock;
   RouteTable mRoutes;
   SlotCoordinator& mSlots;
--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -11,6 +11,8 @@
 
 namespace asio = boost::asio;
 using http::kAwait;
+using scheduling::LinkDirection;
+using scheduling::LinkUse;
 
 /// Interval at which a response that waits for the link checks whether it may
 /// be written. Waits are shorter unless the link is slower than configured.
@@ -70,6 +72,28 @@
   return aRequest.fields.size() + aRequest.body.size() + kRequestLineBytes;
 }
 
+size_t
+RequestHandler::ApproximateBytes(const CallerResponse& aResponse)
+{
+  return aResponse.fields.size() + aResponse.body.size() + kRequestLineBytes;
+}
+
+void
+RequestHandler::SetLinkMetrics()
+{
+  for (const LinkUse use : scheduling::kAllLinkUses) {
+    for (const LinkDirection direction :
+         { LinkDirection::In, LinkDirection::Out }) {
+      const auto& total = mLinkMeter.Total(use, direction);
+      const std::string label =
+        "use=\"" + std::string(scheduling::NameOf(use)) + "\",direction=\"" +
+        std::string(scheduling::NameOf(direction)) + "\"";
+      mMetrics.SetTotal("link_bytes", label, total.bytes);
+      mMetrics.SetTotal("link_messages", label, total.messages);
+    }
+  }
+}
+
 asio::awaitable<CallerResponse>
 RequestHandler::RunIfLinkAdmits(RequestProgress& aProgress)
 {
