Bytes of a request count as sent when they are written

Change: UpstreamClient reports a request's size when it writes it. A response that waits for the link is sent at its route's timeout at the latest.

--- a/src/librattandyke/gateway/caller_request_handler.h
+++ b/src/librattandyke/gateway/caller_request_handler.h
@@ -36,6 +36,9 @@
   /// Time by which the response must leave this host to meet its route's
   /// latency objective; Instant{}: sent without waiting for the link.
   Instant sendBy{};
+  /// Time at which the response is sent even if the link is busy. The route's
+  /// timeout bounds the time for which its callers are kept waiting.
+  Instant sendAtLatest{};
 };
 
 /// Limits on a caller's requests and on the idle time of its connection.
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -160,7 +160,14 @@
   , mLinkMeter(aLinkMeter)
   , mClock(aClock)
   , mSlots(aSlots)
-  , mUpstreamClient(aExecutor, mHeaders, aClock)
+  , mUpstreamClient(aExecutor,
+                    mHeaders,
+                    aClock,
+                    [this](size_t aBytes) {
+                      RecordSent(aBytes);
+                      RecordTraffic(
+                        LinkUse::Upstreams, LinkDirection::Out, aBytes);
+                    })
   , mLinkBudget(mOptions.linkBytesPerSecond)
   , mEgressQueue(mOptions.linkBytesPerSecond)
   , mEgressTimer(aExecutor)
@@ -311,7 +318,8 @@
   const size_t bytes = ApproximateBytes(response);
   RecordTraffic(LinkUse::Callers, LinkDirection::Out, bytes);
   if (response.sendBy > Instant{}) {
-    co_await AwaitSendTurn(std::move(aContext), bytes, response.sendBy);
+    co_await AwaitSendTurn(
+      std::move(aContext), bytes, response.sendBy, response.sendAtLatest);
   } else {
     RecordSent(bytes);
   }
@@ -493,10 +501,6 @@
   aProgress.context->AttachAttempt(handle);
   const Duration left =
     aProgress.deadline - mClock.Now() - Duration(kReturnMargin);
-  RecordSent(ApproximateBytes(*aProgress.request));
-  RecordTraffic(LinkUse::Upstreams,
-                LinkDirection::Out,
-                ApproximateBytes(*aProgress.request));
   // A named variable, as Debian 12's compiler destroys a braced temporary in a
   // co_await expression twice.
   const UpstreamProcess process{ slot.instance,
@@ -623,6 +627,7 @@
     response.body = std::move(aResult.response.body);
     response.sendBy = aProgress.arrived + Duration(aProgress.route->objective) -
                       Duration(kCallerDeliveryTime);
+    response.sendAtLatest = aProgress.deadline - Duration(kCallerDeliveryTime);
     return response;
   }
   if (!aProgress.mayHaveRun) {
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -167,12 +167,13 @@
   /// not be retried.
   boost::asio::awaitable<CallerResponse> RunAttempts(
     RequestProgress& aProgress);
-  /// Waits until the egress queue lets a response be written, or until the
-  /// request is cancelled.
+  /// Waits until the egress queue lets a response be written, until
+  /// aSendAtLatest, or until the request is cancelled.
   boost::asio::awaitable<void> AwaitSendTurn(
     std::shared_ptr<RequestContext> aContext,
     size_t aBytes,
-    Instant aSendBy);
+    Instant aSendBy,
+    Instant aSendAtLatest);
   /// Starts the timer that wakes the responses at the head of the egress queue.
   void ArmEgressTimer();
   /// Sends the request to the upstream of a slot and releases the slot.
--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -23,7 +23,8 @@
 asio::awaitable<void>
 RequestHandler::AwaitSendTurn(std::shared_ptr<RequestContext> aContext,
                               size_t aBytes,
-                              Instant aSendBy)
+                              Instant aSendBy,
+                              Instant aSendAtLatest)
 {
   const Instant entered = mClock.Now();
   const EgressQueue::Ticket ticket = ++mLastEgressTicket;
@@ -32,9 +33,14 @@
   }
   mEgressWaiters[ticket] = aContext;
   ArmEgressTimer();
-  while (mEgressWaiters.contains(ticket) && !aContext->IsCancelled()) {
-    aContext->WakeTimer().expires_after(kEgressCheckInterval);
+  for (Instant now = entered; now < aSendAtLatest;) {
+    aContext->WakeTimer().expires_after(
+      std::min<Duration>(kEgressCheckInterval, aSendAtLatest - now));
     co_await aContext->WakeTimer().async_wait(kAwait);
+    if (!mEgressWaiters.contains(ticket) || aContext->IsCancelled()) {
+      break;
+    }
+    now = mClock.Now();
   }
   if (mEgressWaiters.erase(ticket) > 0) {
     mEgressQueue.Remove(ticket);
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -181,10 +181,12 @@
 
 UpstreamClient::UpstreamClient(asio::any_io_executor aExecutor,
                                const HeaderNames& aHeaders,
-                               const Clock& aClock)
+                               const Clock& aClock,
+                               OnWrite aOnWrite)
   : mExecutor(std::move(aExecutor))
   , mHeaders(aHeaders)
   , mClock(aClock)
+  , mOnWrite(std::move(aOnWrite))
 {
 }
 
@@ -277,6 +279,7 @@
   if (bodyInline) {
     head += aRequest->body;
   }
+  mOnWrite(head.size() + (bodyInline ? 0 : aRequest->body.size()));
   auto [writeError, written] =
     co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
   if (writeError) {
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -175,10 +176,14 @@
 class UpstreamClient
 {
 public:
+  using OnWrite = std::function<void(size_t aBytes)>;
+
   /// @param aClock and @param aHeaders outlive this object.
+  /// @param aOnWrite called when a request begins to be written, with its size.
   UpstreamClient(boost::asio::any_io_executor aExecutor,
                  const HeaderNames& aHeaders,
-                 const Clock& aClock);
+                 const Clock& aClock,
+                 OnWrite aOnWrite);
 
   /// Sends a request and reads the response: one attempt.
   /// @param aTimeLeft time for the response, sent as the deadline header.
@@ -216,6 +221,7 @@
   const boost::asio::any_io_executor mExecutor;
   const HeaderNames& mHeaders;
   const Clock& mClock;
+  const OnWrite mOnWrite;
   ConnectionPool mPool;
   uint64_t mConnectionsOpened = 0;
 };
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -123,7 +123,11 @@
 
   SystemClock clock;
   asio::io_context context;
-  UpstreamClient client{ context.get_executor(), kNames, clock };
+  size_t bytesWritten = 0;
+  UpstreamClient client{ context.get_executor(),
+                         kNames,
+                         clock,
+                         [this](size_t aBytes) { bytesWritten += aBytes; } };
   Duration left = std::chrono::seconds{ 1 };
   std::unique_ptr<ScriptedUpstream> upstream;
   std::vector<AttemptResult> results;
@@ -306,6 +310,8 @@
     ClassifiedResponse{ "502 Bad Gateway", "", Kind::OutcomeUnknown },
     ClassifiedResponse{ "200 OK", kSignedNotExecuted, Kind::Response }));
 
+// Guards against responses that wait for a link that is idle: the egress queue
+// counts the bytes of requests whose upstream could not be reached.
 TEST_F(UpstreamClientTest, UnreachableUpstreamIsNotSent)
 {
   tcp::acceptor closed(context, { asio::ip::make_address("127.0.0.1"), 0 });
@@ -328,6 +334,13 @@
     });
   context.run();
   EXPECT_EQ(result.kind, Kind::NotSent);
+  EXPECT_EQ(bytesWritten, 0U);
+}
+
+TEST_F(UpstreamClientTest, CountsTheBytesOfAWrittenRequest)
+{
+  Send({ ResponseTo("r-1", "a") });
+  EXPECT_EQ(bytesWritten, upstream->Heads().front().size());
 }
 
 // Guards against a request that its connect timer ends: the host pauses, and
