--- a/src/librattandyke/gateway/settings.cpp
+++ b/src/librattandyke/gateway/settings.cpp
@@ -145,6 +145,18 @@
   return aSettings.entry || aSettings.control;
 }
 
+/// Parses one of two names.
+template<typename Choice>
+bool
+ParseChoice(const std::string& aText,
+            const std::pair<std::string_view, Choice>& aFirst,
+            const std::pair<std::string_view, Choice>& aSecond,
+            Choice& aChoice)
+{
+  aChoice = aText == aSecond.first ? aSecond.second : aFirst.second;
+  return aText == aFirst.first || aText == aSecond.first;
+}
+
 /// @return the SettingSpec::assign of a duration.
 template<typename Field>
 auto
@@ -417,6 +429,58 @@
       "a duration in ms or s",
       "Time from SIGTERM until the host is killed.",
       AssignDuration(&Settings::shutdownGrace) },
+    { "link",
+      "admission",
+      "queue",
+      "queue or transfer",
+      "How an entry host decides whether its link can carry a request. queue: "
+      "by the queue of expected responses, with a fixed share of the bandwidth "
+      "for everything else. transfer: by the time of transfer in both "
+      "directions, including the bytes that a refusal costs.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseChoice<LinkAdmission>(
+          aText,
+          { "queue", LinkAdmission::Queue },
+          { "transfer", LinkAdmission::Transfer },
+          aSettings.linkAdmission);
+      } },
+    { "slots",
+      "allocators",
+      "entries",
+      "entries or capacity",
+      "Hosts that allocate the slots of upstreams. entries: all entry hosts "
+      "alike. capacity: control hosts, or entry hosts by their link_mbits if "
+      "there are many. All hosts need the same value.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseChoice<SlotAllocators>(
+          aText,
+          { "entries", SlotAllocators::Entries },
+          { "capacity", SlotAllocators::Capacity },
+          aSettings.slotAllocators);
+      } },
+    { "admission",
+      "shared_demand",
+      "false",
+      "true or false",
+      "Whether control hosts tell entry hosts the demand that all of them have "
+      "for upstreams.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseBool(aText, aSettings.sharedDemand);
+      } },
+    { "admission",
+      "dispatch",
+      "coordinated",
+      "coordinated or demand",
+      "How an entry host sends requests to upstreams. coordinated: with a slot "
+      "from the upstream's allocator. demand: without one while the shared "
+      "demand is below capacity; what exceeds the capacity of an owner of keys "
+      "is refused at the entry host. Needs shared_demand.",
+      [](Settings& aSettings, const std::string& aText) {
+        return ParseChoice<Dispatch>(aText,
+                                     { "coordinated", Dispatch::Coordinated },
+                                     { "demand", Dispatch::Demand },
+                                     aSettings.dispatch);
+      } },
   };
   return sSpecs;
 }
@@ -476,6 +540,9 @@
   if (aSettings.heartbeatInterval <= Millis::zero()) {
     aProblems += "[leases] heartbeat_interval must be above 0.\n";
   }
+  if (aSettings.dispatch == Dispatch::Demand && !aSettings.sharedDemand) {
+    aProblems += "[admission] dispatch = demand needs shared_demand = true.\n";
+  }
 }
 
 } // namespace
--- a/src/librattandyke/gateway/settings.h
+++ b/src/librattandyke/gateway/settings.h
@@ -15,6 +15,33 @@
 
 using Millis = std::chrono::milliseconds;
 
+/// How an entry host decides whether its link can carry a request.
+enum class LinkAdmission : uint8_t
+{
+  /// By the queue of expected responses, with a fixed share of the bandwidth.
+  Queue,
+  /// By the time of transfer in both directions of the link.
+  Transfer,
+};
+
+/// Hosts that allocate the slots of upstreams.
+enum class SlotAllocators : uint8_t
+{
+  /// All entry hosts alike.
+  Entries,
+  /// Control hosts, or entry hosts by the bandwidth of their links.
+  Capacity,
+};
+
+/// How an entry host sends requests to upstreams.
+enum class Dispatch : uint8_t
+{
+  /// With a slot that the upstream's allocator grants.
+  Coordinated,
+  /// Without one while the demand of all entry hosts is below capacity.
+  Demand,
+};
+
 /// Parsed settings of one host. A field has the name of its key unless noted
 /// otherwise.
 struct Settings
@@ -96,6 +123,19 @@
   double coldSlack = 0;
   /// Time from SIGTERM until the process is killed.
   Millis shutdownGrace{};
+
+  // [link]
+  /// Key `admission`.
+  LinkAdmission linkAdmission = LinkAdmission::Queue;
+
+  // [slots]
+  /// Key `allocators`.
+  SlotAllocators slotAllocators = SlotAllocators::Entries;
+
+  // [admission]
+  /// Whether control hosts tell entry hosts the demand of all of them.
+  bool sharedDemand = false;
+  Dispatch dispatch = Dispatch::Coordinated;
 };
 
 /// Parses the text of a settings file.
--- a/src/librattandyke/gateway/settings_test.cpp
+++ b/src/librattandyke/gateway/settings_test.cpp
@@ -79,6 +79,40 @@
   EXPECT_EQ(holdWith("heartbeat_interval = 3s\nhold = 5s\n"), Millis{ 5000 });
 }
 
+TEST(GatewaySettings, SchedulingIsAsBeforeByDefault)
+{
+  const auto settings = ParseSettings(kEntryHost, "file");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->linkAdmission, LinkAdmission::Queue);
+  EXPECT_EQ(settings->slotAllocators, SlotAllocators::Entries);
+  EXPECT_FALSE(settings->sharedDemand);
+  EXPECT_EQ(settings->dispatch, Dispatch::Coordinated);
+}
+
+TEST(GatewaySettings, SchedulingCanBeChosen)
+{
+  const auto settings = ParseSettings(
+    std::string(kEntryHost) +
+      "[link]\nadmission = transfer\n[slots]\nallocators = capacity\n"
+      "[admission]\nshared_demand = true\ndispatch = demand\n",
+    "file");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->linkAdmission, LinkAdmission::Transfer);
+  EXPECT_EQ(settings->slotAllocators, SlotAllocators::Capacity);
+  EXPECT_TRUE(settings->sharedDemand);
+  EXPECT_EQ(settings->dispatch, Dispatch::Demand);
+}
+
+// Guards against entry hosts that dispatch by a demand that nobody tells them.
+TEST(GatewaySettings, DispatchByDemandNeedsSharedDemand)
+{
+  const auto settings = ParseSettings(
+    std::string(kEntryHost) + "[admission]\ndispatch = demand\n", "file");
+  ASSERT_FALSE(settings);
+  EXPECT_NE(settings.error().message.find("needs shared_demand"),
+            std::string::npos);
+}
+
 TEST(GatewaySettings, EachRoleRequiresItsAddresses)
 {
   EXPECT_FALSE(ParseSettings("[control]\nseeds = 10.0.0.1:1\n", "file"));
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -259,6 +259,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.link_mbits_)*/0
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct EntryMemberDefaultTypeInternal {
   PROTOBUF_CONSTEXPR EntryMemberDefaultTypeInternal()
@@ -299,6 +300,8 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.link_mbits_)*/0
+  , /*decltype(_impl_.allocates_slots_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct ControlMemberDefaultTypeInternal {
   PROTOBUF_CONSTEXPR ControlMemberDefaultTypeInternal()
@@ -536,11 +539,28 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 InstanceTimeDefaultTypeInternal _InstanceTime_default_instance_;
+PROTOBUF_CONSTEXPR ServiceLoad::ServiceLoad(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.busy_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_.requests_)*/0u
+  , /*decltype(_impl_.refused_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ServiceLoadDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ServiceLoadDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ServiceLoadDefaultTypeInternal() {}
+  union {
+    ServiceLoad _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ServiceLoadDefaultTypeInternal _ServiceLoad_default_instance_;
 PROTOBUF_CONSTEXPR FeedReport::FeedReport(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.loads_)*/{}
   , /*decltype(_impl_.times_)*/{}
   , /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_.services_)*/{}
   , /*decltype(_impl_.leaving_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct FeedReportDefaultTypeInternal {
@@ -676,6 +696,7 @@
     /*decltype(_impl_.loads_)*/{}
   , /*decltype(_impl_.times_)*/{}
   , /*decltype(_impl_.entries_)*/{}
+  , /*decltype(_impl_.services_)*/{}
   , /*decltype(_impl_.sender_)*/nullptr
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct HostReportDefaultTypeInternal {
@@ -687,6 +708,67 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 HostReportDefaultTypeInternal _HostReport_default_instance_;
+PROTOBUF_CONSTEXPR OwnerDemand::OwnerDemand(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.demand_)*/0
+  , /*decltype(_impl_.capacity_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct OwnerDemandDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR OwnerDemandDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~OwnerDemandDefaultTypeInternal() {}
+  union {
+    OwnerDemand _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 OwnerDemandDefaultTypeInternal _OwnerDemand_default_instance_;
+PROTOBUF_CONSTEXPR ServiceDemand::ServiceDemand(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.utilization_)*/0
+  , /*decltype(_impl_.refused_share_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ServiceDemandDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ServiceDemandDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ServiceDemandDefaultTypeInternal() {}
+  union {
+    ServiceDemand _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ServiceDemandDefaultTypeInternal _ServiceDemand_default_instance_;
+PROTOBUF_CONSTEXPR DemandDigest::DemandDigest(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.owners_)*/{}
+  , /*decltype(_impl_.services_)*/{}
+  , /*decltype(_impl_.term_)*/uint64_t{0u}
+  , /*decltype(_impl_.sequence_)*/uint64_t{0u}
+  , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct DemandDigestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR DemandDigestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~DemandDigestDefaultTypeInternal() {}
+  union {
+    DemandDigest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DemandDigestDefaultTypeInternal _DemandDigest_default_instance_;
+PROTOBUF_CONSTEXPR LinkProbe::LinkProbe(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.reply_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct LinkProbeDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR LinkProbeDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~LinkProbeDefaultTypeInternal() {}
+  union {
+    LinkProbe _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 LinkProbeDefaultTypeInternal _LinkProbe_default_instance_;
 PROTOBUF_CONSTEXPR UpstreamNotice::UpstreamNotice(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -718,6 +800,7 @@
   , /*decltype(_impl_.held_ms_)*/0u
   , /*decltype(_impl_.group_)*/0u
   , /*decltype(_impl_.aim_ms_)*/0u
+  , /*decltype(_impl_.second_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct SlotAskDefaultTypeInternal {
   PROTOBUF_CONSTEXPR SlotAskDefaultTypeInternal()
@@ -794,7 +877,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[48];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[53];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -956,6 +1039,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _impl_.address_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _impl_.data_centre_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EntryMember, _impl_.link_mbits_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutEntry, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -978,6 +1062,8 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.address_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.data_centre_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.link_mbits_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ControlMember, _impl_.allocates_slots_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PutControl, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1125,6 +1211,16 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InstanceTime, _impl_.instance_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InstanceTime, _impl_.seconds_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceLoad, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceLoad, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceLoad, _impl_.requests_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceLoad, _impl_.busy_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceLoad, _impl_.refused_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1134,6 +1230,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.times_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.leaving_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.entries_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedReport, _impl_.services_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ForwardedCall, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1221,6 +1318,44 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.times_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.entries_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.sender_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::HostReport, _impl_.services_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::OwnerDemand, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::OwnerDemand, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::OwnerDemand, _impl_.demand_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::OwnerDemand, _impl_.capacity_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceDemand, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceDemand, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceDemand, _impl_.utilization_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceDemand, _impl_.refused_share_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.term_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.sequence_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.age_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.owners_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.services_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LinkProbe, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LinkProbe, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LinkProbe, _impl_.reply_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamNotice, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1250,6 +1385,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.group_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.aim_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.limits_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAsk, _impl_.second_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1304,6 +1440,8 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1322,39 +1460,44 @@
   { 129, -1, -1, sizeof(::rattandyke::wire::GrantRanges)},
   { 140, -1, -1, sizeof(::rattandyke::wire::FreeRanges)},
   { 149, -1, -1, sizeof(::rattandyke::wire::EntryMember)},
-  { 157, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
-  { 164, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
-  { 171, -1, -1, sizeof(::rattandyke::wire::ControlMember)},
-  { 179, -1, -1, sizeof(::rattandyke::wire::PutControl)},
-  { 186, -1, -1, sizeof(::rattandyke::wire::DropControl)},
-  { 193, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
-  { 202, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
-  { 210, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 229, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 242, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 250, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 268, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 277, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 284, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 292, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
-  { 299, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 308, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 317, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 325, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 335, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 347, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 356, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 366, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 385, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 393, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 405, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 412, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 422, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 432, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 451, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 463, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 475, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 483, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 158, -1, -1, sizeof(::rattandyke::wire::PutEntry)},
+  { 165, -1, -1, sizeof(::rattandyke::wire::DropEntry)},
+  { 172, -1, -1, sizeof(::rattandyke::wire::ControlMember)},
+  { 182, -1, -1, sizeof(::rattandyke::wire::PutControl)},
+  { 189, -1, -1, sizeof(::rattandyke::wire::DropControl)},
+  { 196, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
+  { 205, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
+  { 213, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 232, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 245, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 253, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 271, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 280, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 287, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 295, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 302, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 311, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 320, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 328, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
+  { 338, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 349, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 361, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 370, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 380, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 399, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 407, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 419, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 426, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 437, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
+  { 446, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
+  { 455, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
+  { 466, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 474, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 484, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 504, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 516, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 528, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 536, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1391,6 +1534,7 @@
   &::rattandyke::wire::_FeedPing_default_instance_._instance,
   &::rattandyke::wire::_RangeLoad_default_instance_._instance,
   &::rattandyke::wire::_InstanceTime_default_instance_._instance,
+  &::rattandyke::wire::_ServiceLoad_default_instance_._instance,
   &::rattandyke::wire::_FeedReport_default_instance_._instance,
   &::rattandyke::wire::_ForwardedCall_default_instance_._instance,
   &::rattandyke::wire::_ForwardedAnswer_default_instance_._instance,
@@ -1400,6 +1544,10 @@
   &::rattandyke::wire::_ForwardedHeartbeatAnswer_default_instance_._instance,
   &::rattandyke::wire::_ForwardedHeartbeatAnswers_default_instance_._instance,
   &::rattandyke::wire::_HostReport_default_instance_._instance,
+  &::rattandyke::wire::_OwnerDemand_default_instance_._instance,
+  &::rattandyke::wire::_ServiceDemand_default_instance_._instance,
+  &::rattandyke::wire::_DemandDigest_default_instance_._instance,
+  &::rattandyke::wire::_LinkProbe_default_instance_._instance,
   &::rattandyke::wire::_UpstreamNotice_default_instance_._instance,
   &::rattandyke::wire::_SlotAsk_default_instance_._instance,
   &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
@@ -1450,151 +1598,169 @@
   "ranges\030\004 \003(\0132\031.rattandyke.wire.KeyRange\022"
   "\014\n\004life\030\005 \001(\004\"X\n\nFreeRanges\022\017\n\007service\030\001"
   " \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030\003 \003(\0132\031.r"
-  "attandyke.wire.KeyRange\"3\n\013EntryMember\022\017"
-  "\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\"7\n\010"
-  "PutEntry\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wir"
-  "e.EntryMember\"\034\n\tDropEntry\022\017\n\007address\030\001 "
-  "\001(\t\"5\n\rControlMember\022\017\n\007address\030\001 \001(\t\022\023\n"
-  "\013data_centre\030\002 \001(\t\"=\n\nPutControl\022/\n\007cont"
-  "rol\030\001 \001(\0132\036.rattandyke.wire.ControlMembe"
-  "r\"\036\n\013DropControl\022\017\n\007address\030\001 \001(\t\"\\\n\016Hol"
-  "dBackRanges\022\017\n\007service\030\001 \001(\t\022\016\n\006holder\030\002"
-  " \001(\t\022)\n\006ranges\030\003 \003(\0132\031.rattandyke.wire.K"
-  "eyRange\"7\n\022EvacuateDataCentre\022\023\n\013data_ce"
-  "ntre\030\001 \001(\t\022\014\n\004ends\030\002 \001(\010\"\262\005\n\016GatewayComm"
-  "and\0224\n\014change_items\030\001 \001(\0132\034.rattandyke.w"
-  "ire.ChangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132"
-  "\034.rattandyke.wire.PutInstanceH\000\0224\n\014end_i"
-  "nstance\030\003 \001(\0132\034.rattandyke.wire.EndInsta"
-  "nceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke"
-  ".wire.GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\013"
-  "2\033.rattandyke.wire.FreeRangesH\000\022.\n\tput_e"
-  "ntry\030\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\022"
-  "0\n\ndrop_entry\030\007 \001(\0132\032.rattandyke.wire.Dr"
-  "opEntryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.ra"
-  "ttandyke.wire.HoldBackRangesH\000\022C\n\024evacua"
-  "te_data_centre\030\t \001(\0132#.rattandyke.wire.E"
-  "vacuateDataCentreH\000\022>\n\021withdraw_instance"
-  "\030\n \001(\0132!.rattandyke.wire.WithdrawInstanc"
-  "eH\000\0222\n\013put_control\030\013 \001(\0132\033.rattandyke.wi"
-  "re.PutControlH\000\0224\n\014drop_control\030\014 \001(\0132\034."
-  "rattandyke.wire.DropControlH\000B\006\n\004body\"~\n"
-  "\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022"
-  "\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequen"
-  "ce\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_back\030"
-  "\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\t\022"
-  "/\n\010segments\030\002 \003(\0132\035.rattandyke.wire.Rang"
-  "eSegment\"\245\004\n\014GatewayState\022\017\n\007applied\030\001 \001"
-  "(\004\022*\n\006routes\030\002 \003(\0132\032.rattandyke.wire.Rou"
-  "teItem\022.\n\010services\030\003 \003(\0132\034.rattandyke.wi"
-  "re.ServiceItem\022+\n\006limits\030\004 \001(\0132\033.rattand"
-  "yke.wire.LimitsItem\0224\n\016dropped_routes\030\005 "
-  "\003(\0132\034.rattandyke.wire.DroppedItem\0226\n\020dro"
-  "pped_services\030\006 \003(\0132\034.rattandyke.wire.Dr"
-  "oppedItem\0224\n\tinstances\030\007 \003(\0132!.rattandyk"
-  "e.wire.UpstreamInstance\022.\n\006ranges\030\t \003(\0132"
-  "\036.rattandyke.wire.ServiceRanges\022-\n\007entri"
-  "es\030\n \003(\0132\034.rattandyke.wire.EntryMember\022-"
-  "\n\005ended\030\013 \003(\0132\036.rattandyke.wire.EndedIns"
-  "tance\022\021\n\tevacuated\030\014 \003(\t\0220\n\010controls\030\r \003"
-  "(\0132\036.rattandyke.wire.ControlMemberJ\004\010\010\020\t"
-  "\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke"
-  ".wire.EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014re"
-  "ads_packed\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005stat"
-  "e\030\001 \001(\0132\035.rattandyke.wire.GatewayState\"N"
-  "\n\013FeedCommand\022\r\n\005index\030\001 \001(\004\0220\n\007command\030"
-  "\002 \001(\0132\037.rattandyke.wire.GatewayCommand\">"
-  "\n\014FeedCommands\022.\n\010commands\030\001 \003(\0132\034.ratta"
-  "ndyke.wire.FeedCommand\"B\n\010FeedPing\022\017\n\007ap"
-  "plied\030\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006ag"
-  "e_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t"
-  "\022\017\n\007buckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014I"
-  "nstanceTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds"
-  "\030\002 \001(\001\"\245\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.r"
-  "attandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132"
-  "\035.rattandyke.wire.InstanceTime\022\017\n\007leavin"
-  "g\030\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wi"
-  "re.EntryMember\"n\n\rForwardedCall\022\n\n\002id\030\001 "
-  "\001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n"
-  "\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms"
-  "\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n"
-  "\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRan"
-  "ge\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 "
-  "\001(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeart"
-  "beat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007se"
-  "rvice\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_cen"
-  "tre\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001("
-  "\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010seq"
-  "uence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 "
-  "\003(\0132\034.rattandyke.wire.FencedRange\022+\n\010rel"
-  "eased\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`"
-  "\n\023ForwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\022"
-  "7\n\nheartbeats\030\002 \003(\0132#.rattandyke.wire.Fo"
-  "rwardedHeartbeat\"\221\001\n\030ForwardedHeartbeatA"
-  "nswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030"
-  "\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034."
-  "rattandyke.wire.FencedRange\022\017\n\007hold_ms\030\006"
-  " \001(\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007ans"
-  "wers\030\001 \003(\0132).rattandyke.wire.ForwardedHe"
-  "artbeatAnswer\"\304\001\n\nHostReport\022)\n\005loads\030\001 "
-  "\003(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times"
-  "\030\002 \003(\0132\035.rattandyke.wire.InstanceTime\022-\n"
-  "\007entries\030\003 \003(\0132\034.rattandyke.wire.EntryMe"
-  "mber\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.C"
-  "ontrolMember\"l\n\016UpstreamNotice\022\020\n\010instan"
-  "ce\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.r"
-  "attandyke.wire.RateNotice\022\017\n\007leaving\030\004 \001"
-  "(\010\"\216\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007sess"
-  "ion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001"
-  "(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020"
-  "\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n"
-  "\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005g"
-  "roup\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003"
-  "(\0132\037.rattandyke.wire.UpstreamNotice\"\263\001\n\n"
-  "SlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 "
-  "\001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.wire.Slo"
-  "tState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_"
-  "ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wi"
-  "re.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n\004from\030\001"
-  " \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n"
-  "\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 "
-  "\001(\0132\037.rattandyke.wire.UpstreamNotice\"*\n\013"
-  "PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014"
-  "\"\354\006\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022."
-  "\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wire.Feed"
-  "OpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandy"
-  "ke.wire.FeedSnapshotH\000\0224\n\014feed_command\030\004"
-  " \001(\0132\034.rattandyke.wire.FeedCommandH\000\022.\n\t"
-  "feed_ping\030\005 \001(\0132\031.rattandyke.wire.FeedPi"
-  "ngH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattandyke.w"
-  "ire.FeedReportH\000\0228\n\016forwarded_call\030\007 \001(\013"
-  "2\036.rattandyke.wire.ForwardedCallH\000\022<\n\020fo"
-  "rwarded_answer\030\010 \001(\0132 .rattandyke.wire.F"
-  "orwardedAnswerH\000\0222\n\013host_report\030\t \001(\0132\033."
-  "rattandyke.wire.HostReportH\000\022,\n\010slot_ask"
-  "\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013sl"
-  "ot_answer\030\013 \001(\0132\033.rattandyke.wire.SlotAn"
-  "swerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.w"
-  "ire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattand"
-  "yke.wire.PackedFrameH\000\022D\n\024forwarded_hear"
-  "tbeats\030\016 \001(\0132$.rattandyke.wire.Forwarded"
-  "HeartbeatsH\000\022Q\n\033forwarded_heartbeat_answ"
-  "ers\030\017 \001(\0132*.rattandyke.wire.ForwardedHea"
-  "rtbeatAnswersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035"
-  ".rattandyke.wire.FeedCommandsH\000B\006\n\004body*"
-  "\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020"
-  "\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_G"
-  "RANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT"
-  "_STATE_UNKNOWN\020\004b\006proto3"
+  "attandyke.wire.KeyRange\"G\n\013EntryMember\022\017"
+  "\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\022\n\n"
+  "link_mbits\030\003 \001(\001\"7\n\010PutEntry\022+\n\005entry\030\001 "
+  "\001(\0132\034.rattandyke.wire.EntryMember\"\034\n\tDro"
+  "pEntry\022\017\n\007address\030\001 \001(\t\"b\n\rControlMember"
+  "\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\022"
+  "\n\nlink_mbits\030\003 \001(\001\022\027\n\017allocates_slots\030\004 "
+  "\001(\010\"=\n\nPutControl\022/\n\007control\030\001 \001(\0132\036.rat"
+  "tandyke.wire.ControlMember\"\036\n\013DropContro"
+  "l\022\017\n\007address\030\001 \001(\t\"\\\n\016HoldBackRanges\022\017\n\007"
+  "service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030"
+  "\003 \003(\0132\031.rattandyke.wire.KeyRange\"7\n\022Evac"
+  "uateDataCentre\022\023\n\013data_centre\030\001 \001(\t\022\014\n\004e"
+  "nds\030\002 \001(\010\"\262\005\n\016GatewayCommand\0224\n\014change_i"
+  "tems\030\001 \001(\0132\034.rattandyke.wire.ChangeItems"
+  "H\000\0224\n\014put_instance\030\002 \001(\0132\034.rattandyke.wi"
+  "re.PutInstanceH\000\0224\n\014end_instance\030\003 \001(\0132\034"
+  ".rattandyke.wire.EndInstanceH\000\0224\n\014grant_"
+  "ranges\030\004 \001(\0132\034.rattandyke.wire.GrantRang"
+  "esH\000\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyke.w"
+  "ire.FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031.ra"
+  "ttandyke.wire.PutEntryH\000\0220\n\ndrop_entry\030\007"
+  " \001(\0132\032.rattandyke.wire.DropEntryH\000\022;\n\020ho"
+  "ld_back_ranges\030\010 \001(\0132\037.rattandyke.wire.H"
+  "oldBackRangesH\000\022C\n\024evacuate_data_centre\030"
+  "\t \001(\0132#.rattandyke.wire.EvacuateDataCent"
+  "reH\000\022>\n\021withdraw_instance\030\n \001(\0132!.rattan"
+  "dyke.wire.WithdrawInstanceH\000\0222\n\013put_cont"
+  "rol\030\013 \001(\0132\033.rattandyke.wire.PutControlH\000"
+  "\0224\n\014drop_control\030\014 \001(\0132\034.rattandyke.wire"
+  ".DropControlH\000B\006\n\004body\"~\n\014RangeSegment\022\014"
+  "\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t"
+  "\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010han"
+  "dover\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServic"
+  "eRanges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003"
+  "(\0132\035.rattandyke.wire.RangeSegment\"\245\004\n\014Ga"
+  "tewayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 "
+  "\003(\0132\032.rattandyke.wire.RouteItem\022.\n\010servi"
+  "ces\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022"
+  "+\n\006limits\030\004 \001(\0132\033.rattandyke.wire.Limits"
+  "Item\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyk"
+  "e.wire.DroppedItem\0226\n\020dropped_services\030\006"
+  " \003(\0132\034.rattandyke.wire.DroppedItem\0224\n\tin"
+  "stances\030\007 \003(\0132!.rattandyke.wire.Upstream"
+  "Instance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wi"
+  "re.ServiceRanges\022-\n\007entries\030\n \003(\0132\034.ratt"
+  "andyke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036"
+  ".rattandyke.wire.EndedInstance\022\021\n\tevacua"
+  "ted\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattandyke"
+  ".wire.ControlMemberJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n"
+  "\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryMemb"
+  "er\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001("
+  "\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.ratta"
+  "ndyke.wire.GatewayState\"N\n\013FeedCommand\022\r"
+  "\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattand"
+  "yke.wire.GatewayCommand\">\n\014FeedCommands\022"
+  ".\n\010commands\030\001 \003(\0132\034.rattandyke.wire.Feed"
+  "Command\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\r"
+  "control_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tR"
+  "angeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003"
+  "(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010"
+  "instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"R\n\013Servi"
+  "ceLoad\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001("
+  "\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001\n\n"
+  "FeedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.w"
+  "ire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyk"
+  "e.wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007"
+  "entries\030\004 \003(\0132\034.rattandyke.wire.EntryMem"
+  "ber\022.\n\010services\030\005 \003(\0132\034.rattandyke.wire."
+  "ServiceLoad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004"
+  "\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006ta"
+  "rget\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 "
+  "\001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006st"
+  "atus\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRange\022"
+  "\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004"
+  "\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeartbea"
+  "t\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007servi"
+  "ce\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre"
+  "\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\020"
+  "\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequen"
+  "ce\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\013"
+  "2\034.rattandyke.wire.FencedRange\022+\n\010releas"
+  "ed\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`\n\023F"
+  "orwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\0227\n\n"
+  "heartbeats\030\002 \003(\0132#.rattandyke.wire.Forwa"
+  "rdedHeartbeat\"\221\001\n\030ForwardedHeartbeatAnsw"
+  "er\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001"
+  "(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rat"
+  "tandyke.wire.FencedRange\022\017\n\007hold_ms\030\006 \001("
+  "\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007answer"
+  "s\030\001 \003(\0132).rattandyke.wire.ForwardedHeart"
+  "beatAnswer\"\364\001\n\nHostReport\022)\n\005loads\030\001 \003(\013"
+  "2\032.rattandyke.wire.RangeLoad\022,\n\005times\030\002 "
+  "\003(\0132\035.rattandyke.wire.InstanceTime\022-\n\007en"
+  "tries\030\003 \003(\0132\034.rattandyke.wire.EntryMembe"
+  "r\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.Cont"
+  "rolMember\022.\n\010services\030\005 \003(\0132\034.rattandyke"
+  ".wire.ServiceLoad\"A\n\013OwnerDemand\022\020\n\010inst"
+  "ance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003"
+  " \001(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\023"
+  "\n\013utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001"
+  "(\001\"\236\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010seq"
+  "uence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 "
+  "\003(\0132\034.rattandyke.wire.OwnerDemand\0220\n\010ser"
+  "vices\030\005 \003(\0132\036.rattandyke.wire.ServiceDem"
+  "and\"&\n\tLinkProbe\022\n\n\002id\030\001 \001(\004\022\r\n\005reply\030\002 "
+  "\001(\010\"l\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022"
+  "\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.rattandyke"
+  ".wire.RateNotice\022\017\n\007leaving\030\004 \001(\010\"\236\002\n\007Sl"
+  "otAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
+  "\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010ins"
+  "tance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priorit"
+  "y\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030"
+  "\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001("
+  "\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.ratt"
+  "andyke.wire.UpstreamNotice\022\016\n\006second\030\016 \001"
+  "(\010\"\263\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ti"
+  "cket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.w"
+  "ire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry"
+  "_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
+  "dyke.wire.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n"
+  "\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
+  " \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006no"
+  "tice\030\006 \001(\0132\037.rattandyke.wire.UpstreamNot"
+  "ice\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005byte"
+  "s\030\002 \001(\014\"\326\007\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
+  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
+  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
+  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
+  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
+  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
+  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
+  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
+  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
+  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
+  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
+  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
+  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
+  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
+  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
+  "ndyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034."
+  "rattandyke.wire.PackedFrameH\000\022D\n\024forward"
+  "ed_heartbeats\030\016 \001(\0132$.rattandyke.wire.Fo"
+  "rwardedHeartbeatsH\000\022Q\n\033forwarded_heartbe"
+  "at_answers\030\017 \001(\0132*.rattandyke.wire.Forwa"
+  "rdedHeartbeatAnswersH\000\0226\n\rfeed_commands\030"
+  "\020 \001(\0132\035.rattandyke.wire.FeedCommandsH\000\0226"
+  "\n\rdemand_digest\030\021 \001(\0132\035.rattandyke.wire."
+  "DemandDigestH\000\0220\n\nlink_probe\030\022 \001(\0132\032.rat"
+  "tandyke.wire.LinkProbeH\000B\006\n\004body*\206\001\n\tSlo"
+  "tState\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SL"
+  "OT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020"
+  "\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_"
+  "UNKNOWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 7064, descriptor_table_protodef_gateway_2eproto,
+    false, false, 7777, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 48,
+    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 53,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -6169,6 +6335,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.link_mbits_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -6188,6 +6355,7 @@
     _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
       _this->GetArenaForAllocation());
   }
+  _this->_impl_.link_mbits_ = from._impl_.link_mbits_;
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EntryMember)
 }
 
@@ -6198,6 +6366,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.link_mbits_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.address_.InitDefault();
@@ -6237,6 +6406,7 @@
 
   _impl_.address_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
+  _impl_.link_mbits_ = 0;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -6266,6 +6436,14 @@
         } else
           goto handle_unusual;
         continue;
+      // double link_mbits = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 25)) {
+          _impl_.link_mbits_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6315,6 +6493,16 @@
         2, this->_internal_data_centre(), target);
   }
 
+  // double link_mbits = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = this->_internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(3, this->_internal_link_mbits(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6345,6 +6533,15 @@
         this->_internal_data_centre());
   }
 
+  // double link_mbits = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = this->_internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    total_size += 1 + 8;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -6369,6 +6566,13 @@
   if (!from._internal_data_centre().empty()) {
     _this->_internal_set_data_centre(from._internal_data_centre());
   }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = from._internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    _this->_internal_set_link_mbits(from._internal_link_mbits());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -6396,6 +6600,7 @@
       &_impl_.data_centre_, lhs_arena,
       &other->_impl_.data_centre_, rhs_arena
   );
+  swap(_impl_.link_mbits_, other->_impl_.link_mbits_);
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata EntryMember::GetMetadata() const {
@@ -6818,6 +7023,8 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.link_mbits_){}
+    , decltype(_impl_.allocates_slots_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -6837,6 +7044,9 @@
     _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
       _this->GetArenaForAllocation());
   }
+  ::memcpy(&_impl_.link_mbits_, &from._impl_.link_mbits_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.allocates_slots_) -
+    reinterpret_cast<char*>(&_impl_.link_mbits_)) + sizeof(_impl_.allocates_slots_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ControlMember)
 }
 
@@ -6847,6 +7057,8 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.link_mbits_){0}
+    , decltype(_impl_.allocates_slots_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.address_.InitDefault();
@@ -6886,6 +7098,9 @@
 
   _impl_.address_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
+  ::memset(&_impl_.link_mbits_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.allocates_slots_) -
+      reinterpret_cast<char*>(&_impl_.link_mbits_)) + sizeof(_impl_.allocates_slots_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -6915,6 +7130,22 @@
         } else
           goto handle_unusual;
         continue;
+      // double link_mbits = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 25)) {
+          _impl_.link_mbits_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool allocates_slots = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.allocates_slots_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -6964,6 +7195,22 @@
         2, this->_internal_data_centre(), target);
   }
 
+  // double link_mbits = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = this->_internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(3, this->_internal_link_mbits(), target);
+  }
+
+  // bool allocates_slots = 4;
+  if (this->_internal_allocates_slots() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_allocates_slots(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -6994,6 +7241,20 @@
         this->_internal_data_centre());
   }
 
+  // double link_mbits = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = this->_internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    total_size += 1 + 8;
+  }
+
+  // bool allocates_slots = 4;
+  if (this->_internal_allocates_slots() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -7018,6 +7279,16 @@
   if (!from._internal_data_centre().empty()) {
     _this->_internal_set_data_centre(from._internal_data_centre());
   }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_link_mbits = from._internal_link_mbits();
+  uint64_t raw_link_mbits;
+  memcpy(&raw_link_mbits, &tmp_link_mbits, sizeof(tmp_link_mbits));
+  if (raw_link_mbits != 0) {
+    _this->_internal_set_link_mbits(from._internal_link_mbits());
+  }
+  if (from._internal_allocates_slots() != 0) {
+    _this->_internal_set_allocates_slots(from._internal_allocates_slots());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -7045,6 +7316,12 @@
       &_impl_.data_centre_, lhs_arena,
       &other->_impl_.data_centre_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ControlMember, _impl_.allocates_slots_)
+      + sizeof(ControlMember::_impl_.allocates_slots_)
+      - PROTOBUF_FIELD_OFFSET(ControlMember, _impl_.link_mbits_)>(
+          reinterpret_cast<char*>(&_impl_.link_mbits_),
+          reinterpret_cast<char*>(&other->_impl_.link_mbits_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata ControlMember::GetMetadata() const {
@@ -11677,46 +11954,60 @@
 
 // ===================================================================
 
-class FeedReport::_Internal {
+class ServiceLoad::_Internal {
  public:
 };
 
-FeedReport::FeedReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ServiceLoad::ServiceLoad(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceLoad)
 }
-FeedReport::FeedReport(const FeedReport& from)
+ServiceLoad::ServiceLoad(const ServiceLoad& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FeedReport* const _this = this; (void)_this;
+  ServiceLoad* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){from._impl_.loads_}
-    , decltype(_impl_.times_){from._impl_.times_}
-    , decltype(_impl_.entries_){from._impl_.entries_}
-    , decltype(_impl_.leaving_){}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.busy_ms_){}
+    , decltype(_impl_.requests_){}
+    , decltype(_impl_.refused_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _this->_impl_.leaving_ = from._impl_.leaving_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedReport)
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.busy_ms_, &from._impl_.busy_ms_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.refused_) -
+    reinterpret_cast<char*>(&_impl_.busy_ms_)) + sizeof(_impl_.refused_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceLoad)
 }
 
-inline void FeedReport::SharedCtor(
+inline void ServiceLoad::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){arena}
-    , decltype(_impl_.times_){arena}
-    , decltype(_impl_.entries_){arena}
-    , decltype(_impl_.leaving_){false}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.busy_ms_){uint64_t{0u}}
+    , decltype(_impl_.requests_){0u}
+    , decltype(_impl_.refused_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-FeedReport::~FeedReport() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedReport)
+ServiceLoad::~ServiceLoad() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceLoad)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -11724,80 +12015,65 @@
   SharedDtor();
 }
 
-inline void FeedReport::SharedDtor() {
+inline void ServiceLoad::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.loads_.~RepeatedPtrField();
-  _impl_.times_.~RepeatedPtrField();
-  _impl_.entries_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
 }
 
-void FeedReport::SetCachedSize(int size) const {
+void ServiceLoad::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FeedReport::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedReport)
+void ServiceLoad::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceLoad)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.loads_.Clear();
-  _impl_.times_.Clear();
-  _impl_.entries_.Clear();
-  _impl_.leaving_ = false;
+  _impl_.service_.ClearToEmpty();
+  ::memset(&_impl_.busy_ms_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.refused_) -
+      reinterpret_cast<char*>(&_impl_.busy_ms_)) + sizeof(_impl_.refused_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FeedReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ServiceLoad::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      // string service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceLoad.service"));
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.InstanceTime times = 2;
+      // uint32 requests = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.requests_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // bool leaving = 3;
+      // uint64 busy_ms = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.leaving_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.busy_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.EntryMember entries = 4;
+      // uint32 refused = 4;
       case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.refused_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -11824,132 +12100,140 @@
 #undef CHK_
 }
 
-uint8_t* FeedReport::_InternalSerialize(
+uint8_t* ServiceLoad::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceLoad)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
-    const auto& repfield = this->_internal_loads(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ServiceLoad.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
   }
 
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
-    const auto& repfield = this->_internal_times(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  // uint32 requests = 2;
+  if (this->_internal_requests() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_requests(), target);
   }
 
-  // bool leaving = 3;
-  if (this->_internal_leaving() != 0) {
+  // uint64 busy_ms = 3;
+  if (this->_internal_busy_ms() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_leaving(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_busy_ms(), target);
   }
 
-  // repeated .rattandyke.wire.EntryMember entries = 4;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
-    const auto& repfield = this->_internal_entries(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
+  // uint32 refused = 4;
+  if (this->_internal_refused() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(4, this->_internal_refused(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedReport)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceLoad)
   return target;
 }
 
-size_t FeedReport::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedReport)
+size_t ServiceLoad::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceLoad)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  total_size += 1UL * this->_internal_loads_size();
-  for (const auto& msg : this->_impl_.loads_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
   }
 
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  total_size += 1UL * this->_internal_times_size();
-  for (const auto& msg : this->_impl_.times_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // uint64 busy_ms = 3;
+  if (this->_internal_busy_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_busy_ms());
   }
 
-  // repeated .rattandyke.wire.EntryMember entries = 4;
-  total_size += 1UL * this->_internal_entries_size();
-  for (const auto& msg : this->_impl_.entries_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // uint32 requests = 2;
+  if (this->_internal_requests() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_requests());
   }
 
-  // bool leaving = 3;
-  if (this->_internal_leaving() != 0) {
-    total_size += 1 + 1;
+  // uint32 refused = 4;
+  if (this->_internal_refused() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_refused());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedReport::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceLoad::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FeedReport::MergeImpl
+    ServiceLoad::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedReport::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceLoad::GetClassData() const { return &_class_data_; }
 
 
-void FeedReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FeedReport*>(&to_msg);
-  auto& from = static_cast<const FeedReport&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedReport)
+void ServiceLoad::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ServiceLoad*>(&to_msg);
+  auto& from = static_cast<const ServiceLoad&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceLoad)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
-  _this->_impl_.times_.MergeFrom(from._impl_.times_);
-  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
-  if (from._internal_leaving() != 0) {
-    _this->_internal_set_leaving(from._internal_leaving());
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (from._internal_busy_ms() != 0) {
+    _this->_internal_set_busy_ms(from._internal_busy_ms());
+  }
+  if (from._internal_requests() != 0) {
+    _this->_internal_set_requests(from._internal_requests());
+  }
+  if (from._internal_refused() != 0) {
+    _this->_internal_set_refused(from._internal_refused());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FeedReport::CopyFrom(const FeedReport& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedReport)
+void ServiceLoad::CopyFrom(const ServiceLoad& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceLoad)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FeedReport::IsInitialized() const {
+bool ServiceLoad::IsInitialized() const {
   return true;
 }
 
-void FeedReport::InternalSwap(FeedReport* other) {
+void ServiceLoad::InternalSwap(ServiceLoad* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
-  _impl_.times_.InternalSwap(&other->_impl_.times_);
-  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
-  swap(_impl_.leaving_, other->_impl_.leaving_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ServiceLoad, _impl_.refused_)
+      + sizeof(ServiceLoad::_impl_.refused_)
+      - PROTOBUF_FIELD_OFFSET(ServiceLoad, _impl_.busy_ms_)>(
+          reinterpret_cast<char*>(&_impl_.busy_ms_),
+          reinterpret_cast<char*>(&other->_impl_.busy_ms_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ServiceLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[33]);
@@ -11957,100 +12241,48 @@
 
 // ===================================================================
 
-class ForwardedCall::_Internal {
+class FeedReport::_Internal {
  public:
 };
 
-ForwardedCall::ForwardedCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+FeedReport::FeedReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FeedReport)
 }
-ForwardedCall::ForwardedCall(const ForwardedCall& from)
+FeedReport::FeedReport(const FeedReport& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedCall* const _this = this; (void)_this;
+  FeedReport* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.reply_to_){}
-    , decltype(_impl_.method_){}
-    , decltype(_impl_.target_){}
-    , decltype(_impl_.body_){}
-    , decltype(_impl_.id_){}
-    , decltype(_impl_.waited_ms_){}
+      decltype(_impl_.loads_){from._impl_.loads_}
+    , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.services_){from._impl_.services_}
+    , decltype(_impl_.leaving_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.reply_to_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.reply_to_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_reply_to().empty()) {
-    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.method_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.method_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_method().empty()) {
-    _this->_impl_.method_.Set(from._internal_method(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.target_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.target_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_target().empty()) {
-    _this->_impl_.target_.Set(from._internal_target(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.body_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_body().empty()) {
-    _this->_impl_.body_.Set(from._internal_body(), 
-      _this->GetArenaForAllocation());
-  }
-  ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.waited_ms_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedCall)
+  _this->_impl_.leaving_ = from._impl_.leaving_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FeedReport)
 }
 
-inline void ForwardedCall::SharedCtor(
+inline void FeedReport::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.reply_to_){}
-    , decltype(_impl_.method_){}
-    , decltype(_impl_.target_){}
-    , decltype(_impl_.body_){}
-    , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.waited_ms_){0u}
+      decltype(_impl_.loads_){arena}
+    , decltype(_impl_.times_){arena}
+    , decltype(_impl_.entries_){arena}
+    , decltype(_impl_.services_){arena}
+    , decltype(_impl_.leaving_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.reply_to_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.reply_to_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.method_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.method_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.target_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.target_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.body_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.body_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedCall::~ForwardedCall() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedCall)
+FeedReport::~FeedReport() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FeedReport)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -12058,93 +12290,95 @@
   SharedDtor();
 }
 
-inline void ForwardedCall::SharedDtor() {
+inline void FeedReport::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.reply_to_.Destroy();
-  _impl_.method_.Destroy();
-  _impl_.target_.Destroy();
-  _impl_.body_.Destroy();
+  _impl_.loads_.~RepeatedPtrField();
+  _impl_.times_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
+  _impl_.services_.~RepeatedPtrField();
 }
 
-void ForwardedCall::SetCachedSize(int size) const {
+void FeedReport::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedCall::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedCall)
+void FeedReport::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FeedReport)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.reply_to_.ClearToEmpty();
-  _impl_.method_.ClearToEmpty();
-  _impl_.target_.ClearToEmpty();
-  _impl_.body_.ClearToEmpty();
-  ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.waited_ms_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
+  _impl_.loads_.Clear();
+  _impl_.times_.Clear();
+  _impl_.entries_.Clear();
+  _impl_.services_.Clear();
+  _impl_.leaving_ = false;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* FeedReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 id = 1;
+      // repeated .rattandyke.wire.RangeLoad loads = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // string reply_to = 2;
+      // repeated .rattandyke.wire.InstanceTime times = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_reply_to();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.reply_to"));
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // string method = 3;
+      // bool leaving = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_method();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.leaving_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.method"));
         } else
           goto handle_unusual;
         continue;
-      // string target = 4;
+      // repeated .rattandyke.wire.EntryMember entries = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          auto str = _internal_mutable_target();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.target"));
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // string body = 5;
+      // repeated .rattandyke.wire.ServiceLoad services = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          auto str = _internal_mutable_body();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.body"));
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 waited_ms = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
-          _impl_.waited_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_services(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
         } else
           goto handle_unusual;
         continue;
@@ -12171,198 +12405,149 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedCall::_InternalSerialize(
+uint8_t* FeedReport::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FeedReport)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
+    const auto& repfield = this->_internal_loads(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // string reply_to = 2;
-  if (!this->_internal_reply_to().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.reply_to");
-    target = stream->WriteStringMaybeAliased(
-        2, this->_internal_reply_to(), target);
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
+    const auto& repfield = this->_internal_times(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // string method = 3;
-  if (!this->_internal_method().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.method");
-    target = stream->WriteStringMaybeAliased(
-        3, this->_internal_method(), target);
+  // bool leaving = 3;
+  if (this->_internal_leaving() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(3, this->_internal_leaving(), target);
   }
 
-  // string target = 4;
-  if (!this->_internal_target().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_target().data(), static_cast<int>(this->_internal_target().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.target");
-    target = stream->WriteStringMaybeAliased(
-        4, this->_internal_target(), target);
-  }
-
-  // string body = 5;
-  if (!this->_internal_body().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedCall.body");
-    target = stream->WriteStringMaybeAliased(
-        5, this->_internal_body(), target);
+  // repeated .rattandyke.wire.EntryMember entries = 4;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // uint32 waited_ms = 6;
-  if (this->_internal_waited_ms() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_waited_ms(), target);
+  // repeated .rattandyke.wire.ServiceLoad services = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_services_size()); i < n; i++) {
+    const auto& repfield = this->_internal_services(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedCall)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FeedReport)
   return target;
 }
 
-size_t ForwardedCall::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedCall)
+size_t FeedReport::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FeedReport)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string reply_to = 2;
-  if (!this->_internal_reply_to().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_reply_to());
-  }
-
-  // string method = 3;
-  if (!this->_internal_method().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_method());
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  total_size += 1UL * this->_internal_loads_size();
+  for (const auto& msg : this->_impl_.loads_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // string target = 4;
-  if (!this->_internal_target().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_target());
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  total_size += 1UL * this->_internal_times_size();
+  for (const auto& msg : this->_impl_.times_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // string body = 5;
-  if (!this->_internal_body().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_body());
+  // repeated .rattandyke.wire.EntryMember entries = 4;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  // repeated .rattandyke.wire.ServiceLoad services = 5;
+  total_size += 1UL * this->_internal_services_size();
+  for (const auto& msg : this->_impl_.services_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint32 waited_ms = 6;
-  if (this->_internal_waited_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_waited_ms());
+  // bool leaving = 3;
+  if (this->_internal_leaving() != 0) {
+    total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedCall::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FeedReport::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedCall::MergeImpl
+    FeedReport::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedCall::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FeedReport::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedCall*>(&to_msg);
-  auto& from = static_cast<const ForwardedCall&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedCall)
+void FeedReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FeedReport*>(&to_msg);
+  auto& from = static_cast<const FeedReport&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FeedReport)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_reply_to().empty()) {
-    _this->_internal_set_reply_to(from._internal_reply_to());
-  }
-  if (!from._internal_method().empty()) {
-    _this->_internal_set_method(from._internal_method());
-  }
-  if (!from._internal_target().empty()) {
-    _this->_internal_set_target(from._internal_target());
-  }
-  if (!from._internal_body().empty()) {
-    _this->_internal_set_body(from._internal_body());
-  }
-  if (from._internal_id() != 0) {
-    _this->_internal_set_id(from._internal_id());
-  }
-  if (from._internal_waited_ms() != 0) {
-    _this->_internal_set_waited_ms(from._internal_waited_ms());
+  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
+  _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  _this->_impl_.services_.MergeFrom(from._impl_.services_);
+  if (from._internal_leaving() != 0) {
+    _this->_internal_set_leaving(from._internal_leaving());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedCall::CopyFrom(const ForwardedCall& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedCall)
+void FeedReport::CopyFrom(const FeedReport& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FeedReport)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedCall::IsInitialized() const {
+bool FeedReport::IsInitialized() const {
   return true;
 }
 
-void ForwardedCall::InternalSwap(ForwardedCall* other) {
+void FeedReport::InternalSwap(FeedReport* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.reply_to_, lhs_arena,
-      &other->_impl_.reply_to_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.method_, lhs_arena,
-      &other->_impl_.method_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.target_, lhs_arena,
-      &other->_impl_.target_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.body_, lhs_arena,
-      &other->_impl_.body_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.waited_ms_)
-      + sizeof(ForwardedCall::_impl_.waited_ms_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.id_)>(
-          reinterpret_cast<char*>(&_impl_.id_),
-          reinterpret_cast<char*>(&other->_impl_.id_));
+  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
+  _impl_.times_.InternalSwap(&other->_impl_.times_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  _impl_.services_.InternalSwap(&other->_impl_.services_);
+  swap(_impl_.leaving_, other->_impl_.leaving_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[34]);
@@ -12370,26 +12555,53 @@
 
 // ===================================================================
 
-class ForwardedAnswer::_Internal {
+class ForwardedCall::_Internal {
  public:
 };
 
-ForwardedAnswer::ForwardedAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ForwardedCall::ForwardedCall(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedCall)
 }
-ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& from)
+ForwardedCall::ForwardedCall(const ForwardedCall& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedAnswer* const _this = this; (void)_this;
+  ForwardedCall* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
+      decltype(_impl_.reply_to_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.body_){}
     , decltype(_impl_.id_){}
-    , decltype(_impl_.status_){}
+    , decltype(_impl_.waited_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_reply_to().empty()) {
+    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_method().empty()) {
+    _this->_impl_.method_.Set(from._internal_method(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_target().empty()) {
+    _this->_impl_.target_.Set(from._internal_target(), 
+      _this->GetArenaForAllocation());
+  }
   _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.body_.Set("", GetArenaForAllocation());
@@ -12399,29 +12611,44 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.status_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedAnswer)
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.waited_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedCall)
 }
 
-inline void ForwardedAnswer::SharedCtor(
+inline void ForwardedCall::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
+      decltype(_impl_.reply_to_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.body_){}
     , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.status_){0u}
+    , decltype(_impl_.waited_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
   _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.body_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedAnswer::~ForwardedAnswer() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedAnswer)
+ForwardedCall::~ForwardedCall() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedCall)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -12429,29 +12656,35 @@
   SharedDtor();
 }
 
-inline void ForwardedAnswer::SharedDtor() {
+inline void ForwardedCall::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.reply_to_.Destroy();
+  _impl_.method_.Destroy();
+  _impl_.target_.Destroy();
   _impl_.body_.Destroy();
 }
 
-void ForwardedAnswer::SetCachedSize(int size) const {
+void ForwardedCall::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedAnswer::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedAnswer)
+void ForwardedCall::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedCall)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
+  _impl_.reply_to_.ClearToEmpty();
+  _impl_.method_.ClearToEmpty();
+  _impl_.target_.ClearToEmpty();
   _impl_.body_.ClearToEmpty();
   ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.status_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
+      reinterpret_cast<char*>(&_impl_.waited_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.waited_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ForwardedCall::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -12465,21 +12698,51 @@
         } else
           goto handle_unusual;
         continue;
-      // uint32 status = 2;
+      // string reply_to = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.status_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_reply_to();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.reply_to"));
         } else
           goto handle_unusual;
         continue;
-      // string body = 3;
+      // string method = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_method();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.method"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string target = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_target();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.target"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string body = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_body();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedAnswer.body"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedCall.body"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 waited_ms = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.waited_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -12506,9 +12769,9 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedAnswer::_InternalSerialize(
+uint8_t* ForwardedCall::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedCall)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -12518,39 +12781,90 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // uint32 status = 2;
-  if (this->_internal_status() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_status(), target);
+  // string reply_to = 2;
+  if (!this->_internal_reply_to().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.reply_to");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_reply_to(), target);
   }
 
-  // string body = 3;
+  // string method = 3;
+  if (!this->_internal_method().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.method");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_method(), target);
+  }
+
+  // string target = 4;
+  if (!this->_internal_target().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_target().data(), static_cast<int>(this->_internal_target().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedCall.target");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_target(), target);
+  }
+
+  // string body = 5;
   if (!this->_internal_body().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedAnswer.body");
+      "rattandyke.wire.ForwardedCall.body");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_body(), target);
+        5, this->_internal_body(), target);
+  }
+
+  // uint32 waited_ms = 6;
+  if (this->_internal_waited_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_waited_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedAnswer)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedCall)
   return target;
 }
 
-size_t ForwardedAnswer::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedAnswer)
+size_t ForwardedCall::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedCall)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string body = 3;
+  // string reply_to = 2;
+  if (!this->_internal_reply_to().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_reply_to());
+  }
+
+  // string method = 3;
+  if (!this->_internal_method().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_method());
+  }
+
+  // string target = 4;
+  if (!this->_internal_target().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_target());
+  }
+
+  // string body = 5;
   if (!this->_internal_body().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
@@ -12562,70 +12876,91 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
   }
 
-  // uint32 status = 2;
-  if (this->_internal_status() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_status());
+  // uint32 waited_ms = 6;
+  if (this->_internal_waited_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_waited_ms());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedAnswer::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedCall::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedAnswer::MergeImpl
+    ForwardedCall::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedAnswer::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedCall::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedAnswer*>(&to_msg);
-  auto& from = static_cast<const ForwardedAnswer&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedAnswer)
+void ForwardedCall::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedCall*>(&to_msg);
+  auto& from = static_cast<const ForwardedCall&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedCall)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
+  if (!from._internal_reply_to().empty()) {
+    _this->_internal_set_reply_to(from._internal_reply_to());
+  }
+  if (!from._internal_method().empty()) {
+    _this->_internal_set_method(from._internal_method());
+  }
+  if (!from._internal_target().empty()) {
+    _this->_internal_set_target(from._internal_target());
+  }
   if (!from._internal_body().empty()) {
     _this->_internal_set_body(from._internal_body());
   }
   if (from._internal_id() != 0) {
     _this->_internal_set_id(from._internal_id());
   }
-  if (from._internal_status() != 0) {
-    _this->_internal_set_status(from._internal_status());
+  if (from._internal_waited_ms() != 0) {
+    _this->_internal_set_waited_ms(from._internal_waited_ms());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedAnswer::CopyFrom(const ForwardedAnswer& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedAnswer)
+void ForwardedCall::CopyFrom(const ForwardedCall& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedCall)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedAnswer::IsInitialized() const {
+bool ForwardedCall::IsInitialized() const {
   return true;
 }
 
-void ForwardedAnswer::InternalSwap(ForwardedAnswer* other) {
+void ForwardedCall::InternalSwap(ForwardedCall* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.reply_to_, lhs_arena,
+      &other->_impl_.reply_to_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.method_, lhs_arena,
+      &other->_impl_.method_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.target_, lhs_arena,
+      &other->_impl_.target_, rhs_arena
+  );
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.body_, lhs_arena,
       &other->_impl_.body_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.status_)
-      + sizeof(ForwardedAnswer::_impl_.status_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.id_)>(
+      PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.waited_ms_)
+      + sizeof(ForwardedCall::_impl_.waited_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedCall, _impl_.id_)>(
           reinterpret_cast<char*>(&_impl_.id_),
           reinterpret_cast<char*>(&other->_impl_.id_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[35]);
@@ -12633,60 +12968,58 @@
 
 // ===================================================================
 
-class FencedRange::_Internal {
+class ForwardedAnswer::_Internal {
  public:
 };
 
-FencedRange::FencedRange(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ForwardedAnswer::ForwardedAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FencedRange)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedAnswer)
 }
-FencedRange::FencedRange(const FencedRange& from)
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  FencedRange* const _this = this; (void)_this;
+  ForwardedAnswer* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){}
-    , decltype(_impl_.to_){}
-    , decltype(_impl_.fence_){}
+      decltype(_impl_.body_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.status_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.handover_.InitDefault();
+  _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
+    _impl_.body_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_handover().empty()) {
-    _this->_impl_.handover_.Set(from._internal_handover(), 
+  if (!from._internal_body().empty()) {
+    _this->_impl_.body_.Set(from._internal_body(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.from_, &from._impl_.from_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.fence_) -
-    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FencedRange)
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.status_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedAnswer)
 }
 
-inline void FencedRange::SharedCtor(
+inline void ForwardedAnswer::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){0u}
-    , decltype(_impl_.to_){0u}
-    , decltype(_impl_.fence_){uint64_t{0u}}
+      decltype(_impl_.body_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.status_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.handover_.InitDefault();
+  _impl_.body_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
+    _impl_.body_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-FencedRange::~FencedRange() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.FencedRange)
+ForwardedAnswer::~ForwardedAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedAnswer)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -12694,65 +13027,57 @@
   SharedDtor();
 }
 
-inline void FencedRange::SharedDtor() {
+inline void ForwardedAnswer::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.handover_.Destroy();
+  _impl_.body_.Destroy();
 }
 
-void FencedRange::SetCachedSize(int size) const {
+void ForwardedAnswer::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void FencedRange::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FencedRange)
+void ForwardedAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedAnswer)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.handover_.ClearToEmpty();
-  ::memset(&_impl_.from_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.fence_) -
-      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
+  _impl_.body_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.status_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.status_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* FencedRange::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ForwardedAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint32 from = 1;
+      // uint64 id = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // uint32 to = 2;
+      // uint32 status = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.status_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // uint64 fence = 3;
+      // string body = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
-          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // string handover = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          auto str = _internal_mutable_handover();
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_body();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FencedRange.handover"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedAnswer.body"));
         } else
           goto handle_unusual;
         continue;
@@ -12779,140 +13104,126 @@
 #undef CHK_
 }
 
-uint8_t* FencedRange::_InternalSerialize(
+uint8_t* ForwardedAnswer::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FencedRange)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedAnswer)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
-  }
-
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // uint64 fence = 3;
-  if (this->_internal_fence() != 0) {
+  // uint32 status = 2;
+  if (this->_internal_status() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_fence(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_status(), target);
   }
 
-  // string handover = 4;
-  if (!this->_internal_handover().empty()) {
+  // string body = 3;
+  if (!this->_internal_body().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
+      this->_internal_body().data(), static_cast<int>(this->_internal_body().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.FencedRange.handover");
+      "rattandyke.wire.ForwardedAnswer.body");
     target = stream->WriteStringMaybeAliased(
-        4, this->_internal_handover(), target);
+        3, this->_internal_body(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FencedRange)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedAnswer)
   return target;
 }
 
-size_t FencedRange::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FencedRange)
+size_t ForwardedAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedAnswer)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string handover = 4;
-  if (!this->_internal_handover().empty()) {
+  // string body = 3;
+  if (!this->_internal_body().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_handover());
-  }
-
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
+        this->_internal_body());
   }
 
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
   }
 
-  // uint64 fence = 3;
-  if (this->_internal_fence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
+  // uint32 status = 2;
+  if (this->_internal_status() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_status());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FencedRange::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedAnswer::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    FencedRange::MergeImpl
+    ForwardedAnswer::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FencedRange::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedAnswer::GetClassData() const { return &_class_data_; }
 
 
-void FencedRange::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<FencedRange*>(&to_msg);
-  auto& from = static_cast<const FencedRange&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FencedRange)
+void ForwardedAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedAnswer*>(&to_msg);
+  auto& from = static_cast<const ForwardedAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedAnswer)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_handover().empty()) {
-    _this->_internal_set_handover(from._internal_handover());
-  }
-  if (from._internal_from() != 0) {
-    _this->_internal_set_from(from._internal_from());
+  if (!from._internal_body().empty()) {
+    _this->_internal_set_body(from._internal_body());
   }
-  if (from._internal_to() != 0) {
-    _this->_internal_set_to(from._internal_to());
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
   }
-  if (from._internal_fence() != 0) {
-    _this->_internal_set_fence(from._internal_fence());
+  if (from._internal_status() != 0) {
+    _this->_internal_set_status(from._internal_status());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void FencedRange::CopyFrom(const FencedRange& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FencedRange)
+void ForwardedAnswer::CopyFrom(const ForwardedAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedAnswer)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool FencedRange::IsInitialized() const {
+bool ForwardedAnswer::IsInitialized() const {
   return true;
 }
 
-void FencedRange::InternalSwap(FencedRange* other) {
+void ForwardedAnswer::InternalSwap(ForwardedAnswer* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.handover_, lhs_arena,
-      &other->_impl_.handover_, rhs_arena
+      &_impl_.body_, lhs_arena,
+      &other->_impl_.body_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.fence_)
-      + sizeof(FencedRange::_impl_.fence_)
-      - PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.from_)>(
-          reinterpret_cast<char*>(&_impl_.from_),
-          reinterpret_cast<char*>(&other->_impl_.from_));
+      PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.status_)
+      + sizeof(ForwardedAnswer::_impl_.status_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedAnswer, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
       file_level_metadata_gateway_2eproto[36]);
@@ -12920,126 +13231,60 @@
 
 // ===================================================================
 
-class ForwardedHeartbeat::_Internal {
+class FencedRange::_Internal {
  public:
 };
 
-ForwardedHeartbeat::ForwardedHeartbeat(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+FencedRange::FencedRange(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeat)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.FencedRange)
 }
-ForwardedHeartbeat::ForwardedHeartbeat(const ForwardedHeartbeat& from)
+FencedRange::FencedRange(const FencedRange& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedHeartbeat* const _this = this; (void)_this;
+  FencedRange* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.holds_){from._impl_.holds_}
-    , decltype(_impl_.released_){from._impl_.released_}
-    , decltype(_impl_.instance_){}
-    , decltype(_impl_.service_){}
-    , decltype(_impl_.address_){}
-    , decltype(_impl_.data_centre_){}
-    , decltype(_impl_.version_){}
-    , decltype(_impl_.id_){}
-    , decltype(_impl_.slots_){}
-    , decltype(_impl_.draining_){}
-    , decltype(_impl_.life_){}
-    , decltype(_impl_.sequence_){}
-    , decltype(_impl_.cold_ms_){}
+      decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){}
+    , decltype(_impl_.to_){}
+    , decltype(_impl_.fence_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.instance_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.instance_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_instance().empty()) {
-    _this->_impl_.instance_.Set(from._internal_instance(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.service_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_service().empty()) {
-    _this->_impl_.service_.Set(from._internal_service(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.address_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.address_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_address().empty()) {
-    _this->_impl_.address_.Set(from._internal_address(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_data_centre().empty()) {
-    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.version_.InitDefault();
+  _impl_.handover_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.version_.Set("", GetArenaForAllocation());
+    _impl_.handover_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_version().empty()) {
-    _this->_impl_.version_.Set(from._internal_version(), 
+  if (!from._internal_handover().empty()) {
+    _this->_impl_.handover_.Set(from._internal_handover(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_ms_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeat)
+  ::memcpy(&_impl_.from_, &from._impl_.from_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.fence_) -
+    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.FencedRange)
 }
 
-inline void ForwardedHeartbeat::SharedCtor(
+inline void FencedRange::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.holds_){arena}
-    , decltype(_impl_.released_){arena}
-    , decltype(_impl_.instance_){}
-    , decltype(_impl_.service_){}
-    , decltype(_impl_.address_){}
-    , decltype(_impl_.data_centre_){}
-    , decltype(_impl_.version_){}
-    , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.slots_){0u}
-    , decltype(_impl_.draining_){false}
-    , decltype(_impl_.life_){uint64_t{0u}}
-    , decltype(_impl_.sequence_){uint64_t{0u}}
-    , decltype(_impl_.cold_ms_){0u}
+      decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){0u}
+    , decltype(_impl_.to_){0u}
+    , decltype(_impl_.fence_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.instance_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.instance_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.service_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.service_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.address_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.address_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.version_.InitDefault();
+  _impl_.handover_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.version_.Set("", GetArenaForAllocation());
+    _impl_.handover_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedHeartbeat::~ForwardedHeartbeat() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeat)
+FencedRange::~FencedRange() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.FencedRange)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -13047,167 +13292,65 @@
   SharedDtor();
 }
 
-inline void ForwardedHeartbeat::SharedDtor() {
+inline void FencedRange::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.holds_.~RepeatedPtrField();
-  _impl_.released_.~RepeatedPtrField();
-  _impl_.instance_.Destroy();
-  _impl_.service_.Destroy();
-  _impl_.address_.Destroy();
-  _impl_.data_centre_.Destroy();
-  _impl_.version_.Destroy();
+  _impl_.handover_.Destroy();
 }
 
-void ForwardedHeartbeat::SetCachedSize(int size) const {
+void FencedRange::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedHeartbeat::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeat)
+void FencedRange::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.FencedRange)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.holds_.Clear();
-  _impl_.released_.Clear();
-  _impl_.instance_.ClearToEmpty();
-  _impl_.service_.ClearToEmpty();
-  _impl_.address_.ClearToEmpty();
-  _impl_.data_centre_.ClearToEmpty();
-  _impl_.version_.ClearToEmpty();
-  ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.cold_ms_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
+  _impl_.handover_.ClearToEmpty();
+  ::memset(&_impl_.from_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.fence_) -
+      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.fence_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedHeartbeat::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* FencedRange::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 id = 1;
+      // uint32 from = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // string instance = 2;
+      // uint32 to = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_instance();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.instance"));
         } else
           goto handle_unusual;
         continue;
-      // string service = 3;
+      // uint64 fence = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_service();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.service"));
         } else
           goto handle_unusual;
         continue;
-      // string address = 4;
+      // string handover = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          auto str = _internal_mutable_address();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.address"));
-        } else
-          goto handle_unusual;
-        continue;
-      // string data_centre = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          auto str = _internal_mutable_data_centre();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.data_centre"));
-        } else
-          goto handle_unusual;
-        continue;
-      // string version = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
-          auto str = _internal_mutable_version();
+          auto str = _internal_mutable_handover();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.version"));
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 slots = 7;
-      case 7:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
-          _impl_.slots_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // bool draining = 8;
-      case 8:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
-          _impl_.draining_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 life = 9;
-      case 9:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
-          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 sequence = 10;
-      case 10:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
-          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 cold_ms = 11;
-      case 11:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
-          _impl_.cold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.FencedRange holds = 12;
-      case 12:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_holds(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.KeyRange released = 13;
-      case 13:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_released(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.FencedRange.handover"));
         } else
           goto handle_unusual;
         continue;
