@@ -13234,366 +13377,1922 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedHeartbeat::_InternalSerialize(
+uint8_t* FencedRange::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeat)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.FencedRange)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
-  }
-
-  // string instance = 2;
-  if (!this->_internal_instance().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeat.instance");
-    target = stream->WriteStringMaybeAliased(
-        2, this->_internal_instance(), target);
-  }
-
-  // string service = 3;
-  if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeat.service");
-    target = stream->WriteStringMaybeAliased(
-        3, this->_internal_service(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
   }
 
-  // string address = 4;
-  if (!this->_internal_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeat.address");
-    target = stream->WriteStringMaybeAliased(
-        4, this->_internal_address(), target);
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
   }
 
-  // string data_centre = 5;
-  if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeat.data_centre");
-    target = stream->WriteStringMaybeAliased(
-        5, this->_internal_data_centre(), target);
+  // uint64 fence = 3;
+  if (this->_internal_fence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_fence(), target);
   }
 
-  // string version = 6;
-  if (!this->_internal_version().empty()) {
+  // string handover = 4;
+  if (!this->_internal_handover().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_version().data(), static_cast<int>(this->_internal_version().length()),
+      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeat.version");
+      "rattandyke.wire.FencedRange.handover");
     target = stream->WriteStringMaybeAliased(
-        6, this->_internal_version(), target);
-  }
-
-  // uint32 slots = 7;
-  if (this->_internal_slots() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(7, this->_internal_slots(), target);
-  }
-
-  // bool draining = 8;
-  if (this->_internal_draining() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(8, this->_internal_draining(), target);
-  }
-
-  // uint64 life = 9;
-  if (this->_internal_life() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(9, this->_internal_life(), target);
-  }
-
-  // uint64 sequence = 10;
-  if (this->_internal_sequence() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_sequence(), target);
-  }
-
-  // uint32 cold_ms = 11;
-  if (this->_internal_cold_ms() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_cold_ms(), target);
-  }
-
-  // repeated .rattandyke.wire.FencedRange holds = 12;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_holds_size()); i < n; i++) {
-    const auto& repfield = this->_internal_holds(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(12, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.KeyRange released = 13;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_released_size()); i < n; i++) {
-    const auto& repfield = this->_internal_released(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+        4, this->_internal_handover(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeat)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.FencedRange)
   return target;
 }
 
-size_t ForwardedHeartbeat::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeat)
+size_t FencedRange::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.FencedRange)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.FencedRange holds = 12;
-  total_size += 1UL * this->_internal_holds_size();
-  for (const auto& msg : this->_impl_.holds_) {
-    total_size +=
+  // string handover = 4;
+  if (!this->_internal_handover().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_handover());
+  }
+
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
+  }
+
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+  }
+
+  // uint64 fence = 3;
+  if (this->_internal_fence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData FencedRange::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    FencedRange::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*FencedRange::GetClassData() const { return &_class_data_; }
+
+
+void FencedRange::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<FencedRange*>(&to_msg);
+  auto& from = static_cast<const FencedRange&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.FencedRange)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_handover().empty()) {
+    _this->_internal_set_handover(from._internal_handover());
+  }
+  if (from._internal_from() != 0) {
+    _this->_internal_set_from(from._internal_from());
+  }
+  if (from._internal_to() != 0) {
+    _this->_internal_set_to(from._internal_to());
+  }
+  if (from._internal_fence() != 0) {
+    _this->_internal_set_fence(from._internal_fence());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void FencedRange::CopyFrom(const FencedRange& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.FencedRange)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool FencedRange::IsInitialized() const {
+  return true;
+}
+
+void FencedRange::InternalSwap(FencedRange* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.handover_, lhs_arena,
+      &other->_impl_.handover_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.fence_)
+      + sizeof(FencedRange::_impl_.fence_)
+      - PROTOBUF_FIELD_OFFSET(FencedRange, _impl_.from_)>(
+          reinterpret_cast<char*>(&_impl_.from_),
+          reinterpret_cast<char*>(&other->_impl_.from_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[37]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeat::_Internal {
+ public:
+};
+
+ForwardedHeartbeat::ForwardedHeartbeat(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeat)
+}
+ForwardedHeartbeat::ForwardedHeartbeat(const ForwardedHeartbeat& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeat* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holds_){from._impl_.holds_}
+    , decltype(_impl_.released_){from._impl_.released_}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.slots_){}
+    , decltype(_impl_.draining_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.sequence_){}
+    , decltype(_impl_.cold_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.version_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.version_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_version().empty()) {
+    _this->_impl_.version_.Set(from._internal_version(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.cold_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeat)
+}
+
+inline void ForwardedHeartbeat::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holds_){arena}
+    , decltype(_impl_.released_){arena}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.slots_){0u}
+    , decltype(_impl_.draining_){false}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.cold_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.version_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.version_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeat::~ForwardedHeartbeat() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeat)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeat::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.holds_.~RepeatedPtrField();
+  _impl_.released_.~RepeatedPtrField();
+  _impl_.instance_.Destroy();
+  _impl_.service_.Destroy();
+  _impl_.address_.Destroy();
+  _impl_.data_centre_.Destroy();
+  _impl_.version_.Destroy();
+}
+
+void ForwardedHeartbeat::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeat::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeat)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.holds_.Clear();
+  _impl_.released_.Clear();
+  _impl_.instance_.ClearToEmpty();
+  _impl_.service_.ClearToEmpty();
+  _impl_.address_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
+  _impl_.version_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.cold_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.cold_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeat::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string service = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string address = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.address"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string data_centre = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string version = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_version();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeat.version"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 slots = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.slots_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool draining = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.draining_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 sequence = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
+          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 cold_ms = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.cold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.FencedRange holds = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_holds(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.KeyRange released = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_released(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<106>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeat::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeat)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.instance");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_instance(), target);
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.service");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_service(), target);
+  }
+
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.address");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_address(), target);
+  }
+
+  // string data_centre = 5;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_data_centre(), target);
+  }
+
+  // string version = 6;
+  if (!this->_internal_version().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_version().data(), static_cast<int>(this->_internal_version().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeat.version");
+    target = stream->WriteStringMaybeAliased(
+        6, this->_internal_version(), target);
+  }
+
+  // uint32 slots = 7;
+  if (this->_internal_slots() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(7, this->_internal_slots(), target);
+  }
+
+  // bool draining = 8;
+  if (this->_internal_draining() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(8, this->_internal_draining(), target);
+  }
+
+  // uint64 life = 9;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(9, this->_internal_life(), target);
+  }
+
+  // uint64 sequence = 10;
+  if (this->_internal_sequence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_sequence(), target);
+  }
+
+  // uint32 cold_ms = 11;
+  if (this->_internal_cold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_cold_ms(), target);
+  }
+
+  // repeated .rattandyke.wire.FencedRange holds = 12;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_holds_size()); i < n; i++) {
+    const auto& repfield = this->_internal_holds(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(12, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.KeyRange released = 13;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_released_size()); i < n; i++) {
+    const auto& repfield = this->_internal_released(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeat)
+  return target;
+}
+
+size_t ForwardedHeartbeat::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeat)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FencedRange holds = 12;
+  total_size += 1UL * this->_internal_holds_size();
+  for (const auto& msg : this->_impl_.holds_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.KeyRange released = 13;
+  total_size += 1UL * this->_internal_released_size();
+  for (const auto& msg : this->_impl_.released_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string address = 4;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
+  // string data_centre = 5;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
+  }
+
+  // string version = 6;
+  if (!this->_internal_version().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_version());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint32 slots = 7;
+  if (this->_internal_slots() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_slots());
+  }
+
+  // bool draining = 8;
+  if (this->_internal_draining() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint64 life = 9;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // uint64 sequence = 10;
+  if (this->_internal_sequence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  }
+
+  // uint32 cold_ms = 11;
+  if (this->_internal_cold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeat::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeat::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeat::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeat::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeat*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeat&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeat)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.holds_.MergeFrom(from._impl_.holds_);
+  _this->_impl_.released_.MergeFrom(from._impl_.released_);
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
+  }
+  if (!from._internal_version().empty()) {
+    _this->_internal_set_version(from._internal_version());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_slots() != 0) {
+    _this->_internal_set_slots(from._internal_slots());
+  }
+  if (from._internal_draining() != 0) {
+    _this->_internal_set_draining(from._internal_draining());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_sequence() != 0) {
+    _this->_internal_set_sequence(from._internal_sequence());
+  }
+  if (from._internal_cold_ms() != 0) {
+    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeat::CopyFrom(const ForwardedHeartbeat& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeat)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeat::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeat::InternalSwap(ForwardedHeartbeat* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.holds_.InternalSwap(&other->_impl_.holds_);
+  _impl_.released_.InternalSwap(&other->_impl_.released_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.version_, lhs_arena,
+      &other->_impl_.version_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.cold_ms_)
+      + sizeof(ForwardedHeartbeat::_impl_.cold_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[38]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeats::_Internal {
+ public:
+};
+
+ForwardedHeartbeats::ForwardedHeartbeats(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeats)
+}
+ForwardedHeartbeats::ForwardedHeartbeats(const ForwardedHeartbeats& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeats* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.heartbeats_){from._impl_.heartbeats_}
+    , decltype(_impl_.reply_to_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_reply_to().empty()) {
+    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeats)
+}
+
+inline void ForwardedHeartbeats::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.heartbeats_){arena}
+    , decltype(_impl_.reply_to_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.reply_to_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reply_to_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeats::~ForwardedHeartbeats() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeats)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeats::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.heartbeats_.~RepeatedPtrField();
+  _impl_.reply_to_.Destroy();
+}
+
+void ForwardedHeartbeats::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeats::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeats)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.heartbeats_.Clear();
+  _impl_.reply_to_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeats::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string reply_to = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_reply_to();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeats.reply_to"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_heartbeats(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeats::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeats)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string reply_to = 1;
+  if (!this->_internal_reply_to().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeats.reply_to");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_reply_to(), target);
+  }
+
+  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_heartbeats_size()); i < n; i++) {
+    const auto& repfield = this->_internal_heartbeats(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeats)
+  return target;
+}
+
+size_t ForwardedHeartbeats::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeats)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+  total_size += 1UL * this->_internal_heartbeats_size();
+  for (const auto& msg : this->_impl_.heartbeats_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string reply_to = 1;
+  if (!this->_internal_reply_to().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_reply_to());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeats::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeats::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeats::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeats::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeats*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeats&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeats)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.heartbeats_.MergeFrom(from._impl_.heartbeats_);
+  if (!from._internal_reply_to().empty()) {
+    _this->_internal_set_reply_to(from._internal_reply_to());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeats::CopyFrom(const ForwardedHeartbeats& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeats)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeats::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeats::InternalSwap(ForwardedHeartbeats* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.heartbeats_.InternalSwap(&other->_impl_.heartbeats_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.reply_to_, lhs_arena,
+      &other->_impl_.reply_to_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[39]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeatAnswer::_Internal {
+ public:
+};
+
+ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+}
+ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(const ForwardedHeartbeatAnswer& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeatAnswer* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){from._impl_.ranges_}
+    , decltype(_impl_.text_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.code_){}
+    , decltype(_impl_.renews_){}
+    , decltype(_impl_.hold_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.text_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.text_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_text().empty()) {
+    _this->_impl_.text_.Set(from._internal_text(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.hold_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+}
+
+inline void ForwardedHeartbeatAnswer::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.ranges_){arena}
+    , decltype(_impl_.text_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.code_){0u}
+    , decltype(_impl_.renews_){false}
+    , decltype(_impl_.hold_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.text_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.text_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+ForwardedHeartbeatAnswer::~ForwardedHeartbeatAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeatAnswer::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.ranges_.~RepeatedPtrField();
+  _impl_.text_.Destroy();
+}
+
+void ForwardedHeartbeatAnswer::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeatAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.ranges_.Clear();
+  _impl_.text_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.hold_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeatAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 code = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.code_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string text = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_text();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeatAnswer.text"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool renews = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.renews_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.FencedRange ranges = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 hold_ms = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.hold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeatAnswer::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // uint32 code = 2;
+  if (this->_internal_code() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_code(), target);
+  }
+
+  // string text = 3;
+  if (!this->_internal_text().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_text().data(), static_cast<int>(this->_internal_text().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ForwardedHeartbeatAnswer.text");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_text(), target);
+  }
+
+  // bool renews = 4;
+  if (this->_internal_renews() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_renews(), target);
+  }
+
+  // repeated .rattandyke.wire.FencedRange ranges = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ranges(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // uint32 hold_ms = 6;
+  if (this->_internal_hold_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_hold_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswer)
+  return target;
+}
+
+size_t ForwardedHeartbeatAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.FencedRange ranges = 5;
+  total_size += 1UL * this->_internal_ranges_size();
+  for (const auto& msg : this->_impl_.ranges_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string text = 3;
+  if (!this->_internal_text().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_text());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint32 code = 2;
+  if (this->_internal_code() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_code());
+  }
+
+  // bool renews = 4;
+  if (this->_internal_renews() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint32 hold_ms = 6;
+  if (this->_internal_hold_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_hold_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswer::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeatAnswer::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswer::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeatAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeatAnswer*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeatAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
+  if (!from._internal_text().empty()) {
+    _this->_internal_set_text(from._internal_text());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_code() != 0) {
+    _this->_internal_set_code(from._internal_code());
+  }
+  if (from._internal_renews() != 0) {
+    _this->_internal_set_renews(from._internal_renews());
+  }
+  if (from._internal_hold_ms() != 0) {
+    _this->_internal_set_hold_ms(from._internal_hold_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeatAnswer::CopyFrom(const ForwardedHeartbeatAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeatAnswer::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeatAnswer::InternalSwap(ForwardedHeartbeatAnswer* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.text_, lhs_arena,
+      &other->_impl_.text_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.hold_ms_)
+      + sizeof(ForwardedHeartbeatAnswer::_impl_.hold_ms_)
+      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[40]);
+}
+
+// ===================================================================
+
+class ForwardedHeartbeatAnswers::_Internal {
+ public:
+};
+
+ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+}
+ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(const ForwardedHeartbeatAnswers& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ForwardedHeartbeatAnswers* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.answers_){from._impl_.answers_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+}
+
+inline void ForwardedHeartbeatAnswers::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.answers_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+ForwardedHeartbeatAnswers::~ForwardedHeartbeatAnswers() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ForwardedHeartbeatAnswers::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.answers_.~RepeatedPtrField();
+}
+
+void ForwardedHeartbeatAnswers::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ForwardedHeartbeatAnswers::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.answers_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* ForwardedHeartbeatAnswers::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_answers(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* ForwardedHeartbeatAnswers::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_answers_size()); i < n; i++) {
+    const auto& repfield = this->_internal_answers(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswers)
+  return target;
+}
+
+size_t ForwardedHeartbeatAnswers::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+  total_size += 1UL * this->_internal_answers_size();
+  for (const auto& msg : this->_impl_.answers_) {
+    total_size +=
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // repeated .rattandyke.wire.KeyRange released = 13;
-  total_size += 1UL * this->_internal_released_size();
-  for (const auto& msg : this->_impl_.released_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswers::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    ForwardedHeartbeatAnswers::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswers::GetClassData() const { return &_class_data_; }
+
+
+void ForwardedHeartbeatAnswers::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ForwardedHeartbeatAnswers*>(&to_msg);
+  auto& from = static_cast<const ForwardedHeartbeatAnswers&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.answers_.MergeFrom(from._impl_.answers_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void ForwardedHeartbeatAnswers::CopyFrom(const ForwardedHeartbeatAnswers& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool ForwardedHeartbeatAnswers::IsInitialized() const {
+  return true;
+}
+
+void ForwardedHeartbeatAnswers::InternalSwap(ForwardedHeartbeatAnswers* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.answers_.InternalSwap(&other->_impl_.answers_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[41]);
+}
+
+// ===================================================================
+
+class HostReport::_Internal {
+ public:
+  static const ::rattandyke::wire::ControlMember& sender(const HostReport* msg);
+};
+
+const ::rattandyke::wire::ControlMember&
+HostReport::_Internal::sender(const HostReport* msg) {
+  return *msg->_impl_.sender_;
+}
+HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostReport)
+}
+HostReport::HostReport(const HostReport& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  HostReport* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.loads_){from._impl_.loads_}
+    , decltype(_impl_.times_){from._impl_.times_}
+    , decltype(_impl_.entries_){from._impl_.entries_}
+    , decltype(_impl_.services_){from._impl_.services_}
+    , decltype(_impl_.sender_){nullptr}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  if (from._internal_has_sender()) {
+    _this->_impl_.sender_ = new ::rattandyke::wire::ControlMember(*from._impl_.sender_);
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
+}
+
+inline void HostReport::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.loads_){arena}
+    , decltype(_impl_.times_){arena}
+    , decltype(_impl_.entries_){arena}
+    , decltype(_impl_.services_){arena}
+    , decltype(_impl_.sender_){nullptr}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+HostReport::~HostReport() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.HostReport)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void HostReport::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.loads_.~RepeatedPtrField();
+  _impl_.times_.~RepeatedPtrField();
+  _impl_.entries_.~RepeatedPtrField();
+  _impl_.services_.~RepeatedPtrField();
+  if (this != internal_default_instance()) delete _impl_.sender_;
+}
+
+void HostReport::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void HostReport::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostReport)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.loads_.Clear();
+  _impl_.times_.Clear();
+  _impl_.entries_.Clear();
+  _impl_.services_.Clear();
+  if (GetArenaForAllocation() == nullptr && _impl_.sender_ != nullptr) {
+    delete _impl_.sender_;
+  }
+  _impl_.sender_ = nullptr;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* HostReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.InstanceTime times = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.EntryMember entries = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.ControlMember sender = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr = ctx->ParseMessage(_internal_mutable_sender(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ServiceLoad services = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_services(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* HostReport::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostReport)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
 
-  // string instance = 2;
-  if (!this->_internal_instance().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_instance());
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
+    const auto& repfield = this->_internal_loads(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // string service = 3;
-  if (!this->_internal_service().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_service());
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
+    const auto& repfield = this->_internal_times(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // string address = 4;
-  if (!this->_internal_address().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_address());
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
+    const auto& repfield = this->_internal_entries(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // string data_centre = 5;
-  if (!this->_internal_data_centre().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_data_centre());
+  // .rattandyke.wire.ControlMember sender = 4;
+  if (this->_internal_has_sender()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(4, _Internal::sender(this),
+        _Internal::sender(this).GetCachedSize(), target, stream);
   }
 
-  // string version = 6;
-  if (!this->_internal_version().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_version());
+  // repeated .rattandyke.wire.ServiceLoad services = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_services_size()); i < n; i++) {
+    const auto& repfield = this->_internal_services(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostReport)
+  return target;
+}
 
-  // uint32 slots = 7;
-  if (this->_internal_slots() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_slots());
+size_t HostReport::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostReport)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RangeLoad loads = 1;
+  total_size += 1UL * this->_internal_loads_size();
+  for (const auto& msg : this->_impl_.loads_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // bool draining = 8;
-  if (this->_internal_draining() != 0) {
-    total_size += 1 + 1;
+  // repeated .rattandyke.wire.InstanceTime times = 2;
+  total_size += 1UL * this->_internal_times_size();
+  for (const auto& msg : this->_impl_.times_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint64 life = 9;
-  if (this->_internal_life() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  // repeated .rattandyke.wire.EntryMember entries = 3;
+  total_size += 1UL * this->_internal_entries_size();
+  for (const auto& msg : this->_impl_.entries_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint64 sequence = 10;
-  if (this->_internal_sequence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  // repeated .rattandyke.wire.ServiceLoad services = 5;
+  total_size += 1UL * this->_internal_services_size();
+  for (const auto& msg : this->_impl_.services_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // uint32 cold_ms = 11;
-  if (this->_internal_cold_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_cold_ms());
+  // .rattandyke.wire.ControlMember sender = 4;
+  if (this->_internal_has_sender()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.sender_);
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeat::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostReport::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedHeartbeat::MergeImpl
+    HostReport::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeat::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostReport::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedHeartbeat::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedHeartbeat*>(&to_msg);
-  auto& from = static_cast<const ForwardedHeartbeat&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeat)
+void HostReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<HostReport*>(&to_msg);
+  auto& from = static_cast<const HostReport&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostReport)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.holds_.MergeFrom(from._impl_.holds_);
-  _this->_impl_.released_.MergeFrom(from._impl_.released_);
-  if (!from._internal_instance().empty()) {
-    _this->_internal_set_instance(from._internal_instance());
-  }
-  if (!from._internal_service().empty()) {
-    _this->_internal_set_service(from._internal_service());
-  }
-  if (!from._internal_address().empty()) {
-    _this->_internal_set_address(from._internal_address());
-  }
-  if (!from._internal_data_centre().empty()) {
-    _this->_internal_set_data_centre(from._internal_data_centre());
-  }
-  if (!from._internal_version().empty()) {
-    _this->_internal_set_version(from._internal_version());
-  }
-  if (from._internal_id() != 0) {
-    _this->_internal_set_id(from._internal_id());
-  }
-  if (from._internal_slots() != 0) {
-    _this->_internal_set_slots(from._internal_slots());
-  }
-  if (from._internal_draining() != 0) {
-    _this->_internal_set_draining(from._internal_draining());
-  }
-  if (from._internal_life() != 0) {
-    _this->_internal_set_life(from._internal_life());
-  }
-  if (from._internal_sequence() != 0) {
-    _this->_internal_set_sequence(from._internal_sequence());
-  }
-  if (from._internal_cold_ms() != 0) {
-    _this->_internal_set_cold_ms(from._internal_cold_ms());
+  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
+  _this->_impl_.times_.MergeFrom(from._impl_.times_);
+  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
+  _this->_impl_.services_.MergeFrom(from._impl_.services_);
+  if (from._internal_has_sender()) {
+    _this->_internal_mutable_sender()->::rattandyke::wire::ControlMember::MergeFrom(
+        from._internal_sender());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedHeartbeat::CopyFrom(const ForwardedHeartbeat& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeat)
+void HostReport::CopyFrom(const HostReport& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostReport)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedHeartbeat::IsInitialized() const {
+bool HostReport::IsInitialized() const {
   return true;
 }
 
-void ForwardedHeartbeat::InternalSwap(ForwardedHeartbeat* other) {
+void HostReport::InternalSwap(HostReport* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.holds_.InternalSwap(&other->_impl_.holds_);
-  _impl_.released_.InternalSwap(&other->_impl_.released_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.instance_, lhs_arena,
-      &other->_impl_.instance_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.service_, lhs_arena,
-      &other->_impl_.service_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.address_, lhs_arena,
-      &other->_impl_.address_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.data_centre_, lhs_arena,
-      &other->_impl_.data_centre_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.version_, lhs_arena,
-      &other->_impl_.version_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.cold_ms_)
-      + sizeof(ForwardedHeartbeat::_impl_.cold_ms_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeat, _impl_.id_)>(
-          reinterpret_cast<char*>(&_impl_.id_),
-          reinterpret_cast<char*>(&other->_impl_.id_));
+  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
+  _impl_.times_.InternalSwap(&other->_impl_.times_);
+  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
+  _impl_.services_.InternalSwap(&other->_impl_.services_);
+  swap(_impl_.sender_, other->_impl_.sender_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[37]);
+      file_level_metadata_gateway_2eproto[42]);
 }
 
 // ===================================================================
 
-class ForwardedHeartbeats::_Internal {
+class OwnerDemand::_Internal {
  public:
 };
 
-ForwardedHeartbeats::ForwardedHeartbeats(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+OwnerDemand::OwnerDemand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeats)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.OwnerDemand)
 }
-ForwardedHeartbeats::ForwardedHeartbeats(const ForwardedHeartbeats& from)
+OwnerDemand::OwnerDemand(const OwnerDemand& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedHeartbeats* const _this = this; (void)_this;
+  OwnerDemand* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.heartbeats_){from._impl_.heartbeats_}
-    , decltype(_impl_.reply_to_){}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.demand_){}
+    , decltype(_impl_.capacity_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.reply_to_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.reply_to_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_reply_to().empty()) {
-    _this->_impl_.reply_to_.Set(from._internal_reply_to(), 
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeats)
+  ::memcpy(&_impl_.demand_, &from._impl_.demand_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.capacity_) -
+    reinterpret_cast<char*>(&_impl_.demand_)) + sizeof(_impl_.capacity_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.OwnerDemand)
 }
 
-inline void ForwardedHeartbeats::SharedCtor(
+inline void OwnerDemand::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.heartbeats_){arena}
-    , decltype(_impl_.reply_to_){}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.demand_){0}
+    , decltype(_impl_.capacity_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.reply_to_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.reply_to_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedHeartbeats::~ForwardedHeartbeats() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeats)
+OwnerDemand::~OwnerDemand() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.OwnerDemand)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -13601,53 +15300,57 @@
   SharedDtor();
 }
 
-inline void ForwardedHeartbeats::SharedDtor() {
+inline void OwnerDemand::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.heartbeats_.~RepeatedPtrField();
-  _impl_.reply_to_.Destroy();
+  _impl_.instance_.Destroy();
 }
 
-void ForwardedHeartbeats::SetCachedSize(int size) const {
+void OwnerDemand::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedHeartbeats::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeats)
+void OwnerDemand::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.OwnerDemand)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.heartbeats_.Clear();
-  _impl_.reply_to_.ClearToEmpty();
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.demand_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.capacity_) -
+      reinterpret_cast<char*>(&_impl_.demand_)) + sizeof(_impl_.capacity_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedHeartbeats::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* OwnerDemand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string reply_to = 1;
+      // string instance = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_reply_to();
+          auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeats.reply_to"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.OwnerDemand.instance"));
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
+      // double demand = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_heartbeats(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.demand_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
+        } else
+          goto handle_unusual;
+        continue;
+      // double capacity = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 25)) {
+          _impl_.capacity_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
         } else
           goto handle_unusual;
         continue;
@@ -13674,174 +15377,209 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedHeartbeats::_InternalSerialize(
+uint8_t* OwnerDemand::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeats)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.OwnerDemand)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string reply_to = 1;
-  if (!this->_internal_reply_to().empty()) {
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeats.reply_to");
+      "rattandyke.wire.OwnerDemand.instance");
     target = stream->WriteStringMaybeAliased(
-        1, this->_internal_reply_to(), target);
+        1, this->_internal_instance(), target);
   }
 
-  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_heartbeats_size()); i < n; i++) {
-    const auto& repfield = this->_internal_heartbeats(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+  // double demand = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_demand = this->_internal_demand();
+  uint64_t raw_demand;
+  memcpy(&raw_demand, &tmp_demand, sizeof(tmp_demand));
+  if (raw_demand != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_demand(), target);
+  }
+
+  // double capacity = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_capacity = this->_internal_capacity();
+  uint64_t raw_capacity;
+  memcpy(&raw_capacity, &tmp_capacity, sizeof(tmp_capacity));
+  if (raw_capacity != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(3, this->_internal_capacity(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeats)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.OwnerDemand)
   return target;
 }
 
-size_t ForwardedHeartbeats::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeats)
+size_t OwnerDemand::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.OwnerDemand)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.ForwardedHeartbeat heartbeats = 2;
-  total_size += 1UL * this->_internal_heartbeats_size();
-  for (const auto& msg : this->_impl_.heartbeats_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // string reply_to = 1;
-  if (!this->_internal_reply_to().empty()) {
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_reply_to());
+        this->_internal_instance());
+  }
+
+  // double demand = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_demand = this->_internal_demand();
+  uint64_t raw_demand;
+  memcpy(&raw_demand, &tmp_demand, sizeof(tmp_demand));
+  if (raw_demand != 0) {
+    total_size += 1 + 8;
+  }
+
+  // double capacity = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_capacity = this->_internal_capacity();
+  uint64_t raw_capacity;
+  memcpy(&raw_capacity, &tmp_capacity, sizeof(tmp_capacity));
+  if (raw_capacity != 0) {
+    total_size += 1 + 8;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeats::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData OwnerDemand::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedHeartbeats::MergeImpl
+    OwnerDemand::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeats::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*OwnerDemand::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedHeartbeats::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedHeartbeats*>(&to_msg);
-  auto& from = static_cast<const ForwardedHeartbeats&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeats)
+void OwnerDemand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<OwnerDemand*>(&to_msg);
+  auto& from = static_cast<const OwnerDemand&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.OwnerDemand)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.heartbeats_.MergeFrom(from._impl_.heartbeats_);
-  if (!from._internal_reply_to().empty()) {
-    _this->_internal_set_reply_to(from._internal_reply_to());
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_demand = from._internal_demand();
+  uint64_t raw_demand;
+  memcpy(&raw_demand, &tmp_demand, sizeof(tmp_demand));
+  if (raw_demand != 0) {
+    _this->_internal_set_demand(from._internal_demand());
+  }
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_capacity = from._internal_capacity();
+  uint64_t raw_capacity;
+  memcpy(&raw_capacity, &tmp_capacity, sizeof(tmp_capacity));
+  if (raw_capacity != 0) {
+    _this->_internal_set_capacity(from._internal_capacity());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedHeartbeats::CopyFrom(const ForwardedHeartbeats& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeats)
+void OwnerDemand::CopyFrom(const OwnerDemand& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.OwnerDemand)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedHeartbeats::IsInitialized() const {
+bool OwnerDemand::IsInitialized() const {
   return true;
 }
 
-void ForwardedHeartbeats::InternalSwap(ForwardedHeartbeats* other) {
+void OwnerDemand::InternalSwap(OwnerDemand* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.heartbeats_.InternalSwap(&other->_impl_.heartbeats_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.reply_to_, lhs_arena,
-      &other->_impl_.reply_to_, rhs_arena
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(OwnerDemand, _impl_.capacity_)
+      + sizeof(OwnerDemand::_impl_.capacity_)
+      - PROTOBUF_FIELD_OFFSET(OwnerDemand, _impl_.demand_)>(
+          reinterpret_cast<char*>(&_impl_.demand_),
+          reinterpret_cast<char*>(&other->_impl_.demand_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata OwnerDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[38]);
+      file_level_metadata_gateway_2eproto[43]);
 }
 
 // ===================================================================
 
-class ForwardedHeartbeatAnswer::_Internal {
+class ServiceDemand::_Internal {
  public:
 };
 
-ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+ServiceDemand::ServiceDemand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceDemand)
 }
-ForwardedHeartbeatAnswer::ForwardedHeartbeatAnswer(const ForwardedHeartbeatAnswer& from)
+ServiceDemand::ServiceDemand(const ServiceDemand& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedHeartbeatAnswer* const _this = this; (void)_this;
+  ServiceDemand* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.ranges_){from._impl_.ranges_}
-    , decltype(_impl_.text_){}
-    , decltype(_impl_.id_){}
-    , decltype(_impl_.code_){}
-    , decltype(_impl_.renews_){}
-    , decltype(_impl_.hold_ms_){}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.utilization_){}
+    , decltype(_impl_.refused_share_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.text_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.text_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_text().empty()) {
-    _this->_impl_.text_.Set(from._internal_text(), 
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.id_, &from._impl_.id_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.hold_ms_) -
-    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+  ::memcpy(&_impl_.utilization_, &from._impl_.utilization_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.refused_share_) -
+    reinterpret_cast<char*>(&_impl_.utilization_)) + sizeof(_impl_.refused_share_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceDemand)
 }
 
-inline void ForwardedHeartbeatAnswer::SharedCtor(
+inline void ServiceDemand::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.ranges_){arena}
-    , decltype(_impl_.text_){}
-    , decltype(_impl_.id_){uint64_t{0u}}
-    , decltype(_impl_.code_){0u}
-    , decltype(_impl_.renews_){false}
-    , decltype(_impl_.hold_ms_){0u}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.utilization_){0}
+    , decltype(_impl_.refused_share_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.text_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.text_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ForwardedHeartbeatAnswer::~ForwardedHeartbeatAnswer() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswer)
+ServiceDemand::~ServiceDemand() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceDemand)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -13849,88 +15587,57 @@
   SharedDtor();
 }
 
-inline void ForwardedHeartbeatAnswer::SharedDtor() {
+inline void ServiceDemand::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.ranges_.~RepeatedPtrField();
-  _impl_.text_.Destroy();
+  _impl_.service_.Destroy();
 }
 
-void ForwardedHeartbeatAnswer::SetCachedSize(int size) const {
+void ServiceDemand::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedHeartbeatAnswer::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+void ServiceDemand::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceDemand)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.ranges_.Clear();
-  _impl_.text_.ClearToEmpty();
-  ::memset(&_impl_.id_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.hold_ms_) -
-      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.hold_ms_));
+  _impl_.service_.ClearToEmpty();
+  ::memset(&_impl_.utilization_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.refused_share_) -
+      reinterpret_cast<char*>(&_impl_.utilization_)) + sizeof(_impl_.refused_share_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedHeartbeatAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ServiceDemand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint64 id = 1;
+      // string service = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceDemand.service"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 code = 2;
+      // double utilization = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.code_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 17)) {
+          _impl_.utilization_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
         } else
           goto handle_unusual;
         continue;
-      // string text = 3;
+      // double refused_share = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_text();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ForwardedHeartbeatAnswer.text"));
-        } else
-          goto handle_unusual;
-        continue;
-      // bool renews = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
-          _impl_.renews_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.FencedRange ranges = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_ranges(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // uint32 hold_ms = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
-          _impl_.hold_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
-          CHK_(ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 25)) {
+          _impl_.refused_share_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<double>(ptr);
+          ptr += sizeof(double);
         } else
           goto handle_unusual;
         continue;
@@ -13957,211 +15664,201 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedHeartbeatAnswer::_InternalSerialize(
+uint8_t* ServiceDemand::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceDemand)
   uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
-  }
-
-  // uint32 code = 2;
-  if (this->_internal_code() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_code(), target);
-  }
+  (void) cached_has_bits;
 
-  // string text = 3;
-  if (!this->_internal_text().empty()) {
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_text().data(), static_cast<int>(this->_internal_text().length()),
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ForwardedHeartbeatAnswer.text");
+      "rattandyke.wire.ServiceDemand.service");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_text(), target);
+        1, this->_internal_service(), target);
   }
 
-  // bool renews = 4;
-  if (this->_internal_renews() != 0) {
+  // double utilization = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_utilization = this->_internal_utilization();
+  uint64_t raw_utilization;
+  memcpy(&raw_utilization, &tmp_utilization, sizeof(tmp_utilization));
+  if (raw_utilization != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_renews(), target);
-  }
-
-  // repeated .rattandyke.wire.FencedRange ranges = 5;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_ranges_size()); i < n; i++) {
-    const auto& repfield = this->_internal_ranges(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(2, this->_internal_utilization(), target);
   }
 
-  // uint32 hold_ms = 6;
-  if (this->_internal_hold_ms() != 0) {
+  // double refused_share = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_refused_share = this->_internal_refused_share();
+  uint64_t raw_refused_share;
+  memcpy(&raw_refused_share, &tmp_refused_share, sizeof(tmp_refused_share));
+  if (raw_refused_share != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_hold_ms(), target);
+    target = ::_pbi::WireFormatLite::WriteDoubleToArray(3, this->_internal_refused_share(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswer)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceDemand)
   return target;
 }
 
-size_t ForwardedHeartbeatAnswer::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+size_t ServiceDemand::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceDemand)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.FencedRange ranges = 5;
-  total_size += 1UL * this->_internal_ranges_size();
-  for (const auto& msg : this->_impl_.ranges_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // string text = 3;
-  if (!this->_internal_text().empty()) {
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_text());
-  }
-
-  // uint64 id = 1;
-  if (this->_internal_id() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
-  }
-
-  // uint32 code = 2;
-  if (this->_internal_code() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_code());
+        this->_internal_service());
   }
 
-  // bool renews = 4;
-  if (this->_internal_renews() != 0) {
-    total_size += 1 + 1;
+  // double utilization = 2;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_utilization = this->_internal_utilization();
+  uint64_t raw_utilization;
+  memcpy(&raw_utilization, &tmp_utilization, sizeof(tmp_utilization));
+  if (raw_utilization != 0) {
+    total_size += 1 + 8;
   }
 
-  // uint32 hold_ms = 6;
-  if (this->_internal_hold_ms() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_hold_ms());
+  // double refused_share = 3;
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_refused_share = this->_internal_refused_share();
+  uint64_t raw_refused_share;
+  memcpy(&raw_refused_share, &tmp_refused_share, sizeof(tmp_refused_share));
+  if (raw_refused_share != 0) {
+    total_size += 1 + 8;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswer::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceDemand::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedHeartbeatAnswer::MergeImpl
+    ServiceDemand::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswer::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceDemand::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedHeartbeatAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedHeartbeatAnswer*>(&to_msg);
-  auto& from = static_cast<const ForwardedHeartbeatAnswer&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+void ServiceDemand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ServiceDemand*>(&to_msg);
+  auto& from = static_cast<const ServiceDemand&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceDemand)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.ranges_.MergeFrom(from._impl_.ranges_);
-  if (!from._internal_text().empty()) {
-    _this->_internal_set_text(from._internal_text());
-  }
-  if (from._internal_id() != 0) {
-    _this->_internal_set_id(from._internal_id());
-  }
-  if (from._internal_code() != 0) {
-    _this->_internal_set_code(from._internal_code());
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
   }
-  if (from._internal_renews() != 0) {
-    _this->_internal_set_renews(from._internal_renews());
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_utilization = from._internal_utilization();
+  uint64_t raw_utilization;
+  memcpy(&raw_utilization, &tmp_utilization, sizeof(tmp_utilization));
+  if (raw_utilization != 0) {
+    _this->_internal_set_utilization(from._internal_utilization());
   }
-  if (from._internal_hold_ms() != 0) {
-    _this->_internal_set_hold_ms(from._internal_hold_ms());
+  static_assert(sizeof(uint64_t) == sizeof(double), "Code assumes uint64_t and double are the same size.");
+  double tmp_refused_share = from._internal_refused_share();
+  uint64_t raw_refused_share;
+  memcpy(&raw_refused_share, &tmp_refused_share, sizeof(tmp_refused_share));
+  if (raw_refused_share != 0) {
+    _this->_internal_set_refused_share(from._internal_refused_share());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedHeartbeatAnswer::CopyFrom(const ForwardedHeartbeatAnswer& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswer)
+void ServiceDemand::CopyFrom(const ServiceDemand& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceDemand)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedHeartbeatAnswer::IsInitialized() const {
+bool ServiceDemand::IsInitialized() const {
   return true;
 }
 
-void ForwardedHeartbeatAnswer::InternalSwap(ForwardedHeartbeatAnswer* other) {
+void ServiceDemand::InternalSwap(ServiceDemand* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.text_, lhs_arena,
-      &other->_impl_.text_, rhs_arena
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.hold_ms_)
-      + sizeof(ForwardedHeartbeatAnswer::_impl_.hold_ms_)
-      - PROTOBUF_FIELD_OFFSET(ForwardedHeartbeatAnswer, _impl_.id_)>(
-          reinterpret_cast<char*>(&_impl_.id_),
-          reinterpret_cast<char*>(&other->_impl_.id_));
+      PROTOBUF_FIELD_OFFSET(ServiceDemand, _impl_.refused_share_)
+      + sizeof(ServiceDemand::_impl_.refused_share_)
+      - PROTOBUF_FIELD_OFFSET(ServiceDemand, _impl_.utilization_)>(
+          reinterpret_cast<char*>(&_impl_.utilization_),
+          reinterpret_cast<char*>(&other->_impl_.utilization_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ServiceDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[39]);
+      file_level_metadata_gateway_2eproto[44]);
 }
 
 // ===================================================================
 
-class ForwardedHeartbeatAnswers::_Internal {
+class DemandDigest::_Internal {
  public:
 };
 
-ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+DemandDigest::DemandDigest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.DemandDigest)
 }
-ForwardedHeartbeatAnswers::ForwardedHeartbeatAnswers(const ForwardedHeartbeatAnswers& from)
+DemandDigest::DemandDigest(const DemandDigest& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ForwardedHeartbeatAnswers* const _this = this; (void)_this;
+  DemandDigest* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.answers_){from._impl_.answers_}
+      decltype(_impl_.owners_){from._impl_.owners_}
+    , decltype(_impl_.services_){from._impl_.services_}
+    , decltype(_impl_.term_){}
+    , decltype(_impl_.sequence_){}
+    , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+  ::memcpy(&_impl_.term_, &from._impl_.term_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
+    reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.age_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DemandDigest)
 }
 
-inline void ForwardedHeartbeatAnswers::SharedCtor(
+inline void DemandDigest::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.answers_){arena}
+      decltype(_impl_.owners_){arena}
+    , decltype(_impl_.services_){arena}
+    , decltype(_impl_.term_){uint64_t{0u}}
+    , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
 
-ForwardedHeartbeatAnswers::~ForwardedHeartbeatAnswers() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ForwardedHeartbeatAnswers)
+DemandDigest::~DemandDigest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.DemandDigest)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -14169,41 +15866,83 @@
   SharedDtor();
 }
 
-inline void ForwardedHeartbeatAnswers::SharedDtor() {
+inline void DemandDigest::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.answers_.~RepeatedPtrField();
+  _impl_.owners_.~RepeatedPtrField();
+  _impl_.services_.~RepeatedPtrField();
 }
 
-void ForwardedHeartbeatAnswers::SetCachedSize(int size) const {
+void DemandDigest::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ForwardedHeartbeatAnswers::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+void DemandDigest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.DemandDigest)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.answers_.Clear();
+  _impl_.owners_.Clear();
+  _impl_.services_.Clear();
+  ::memset(&_impl_.term_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.age_ms_) -
+      reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.age_ms_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ForwardedHeartbeatAnswers::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* DemandDigest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+      // uint64 term = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.term_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 sequence = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 age_ms = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.OwnerDemand owners = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           ptr -= 1;
           do {
             ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_answers(), ptr);
+            ptr = ctx->ParseMessage(_internal_add_owners(), ptr);
             CHK_(ptr);
             if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.ServiceDemand services = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_services(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
         } else
           goto handle_unusual;
         continue;
@@ -14230,137 +15969,193 @@
 #undef CHK_
 }
 
-uint8_t* ForwardedHeartbeatAnswers::_InternalSerialize(
+uint8_t* DemandDigest::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.DemandDigest)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
+  // uint64 term = 1;
+  if (this->_internal_term() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_term(), target);
+  }
+
+  // uint64 sequence = 2;
+  if (this->_internal_sequence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_sequence(), target);
+  }
+
+  // uint32 age_ms = 3;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(3, this->_internal_age_ms(), target);
+  }
+
+  // repeated .rattandyke.wire.OwnerDemand owners = 4;
   for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_answers_size()); i < n; i++) {
-    const auto& repfield = this->_internal_answers(i);
+      n = static_cast<unsigned>(this->_internal_owners_size()); i < n; i++) {
+    const auto& repfield = this->_internal_owners(i);
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+        InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.ServiceDemand services = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_services_size()); i < n; i++) {
+    const auto& repfield = this->_internal_services(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ForwardedHeartbeatAnswers)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.DemandDigest)
   return target;
 }
 
-size_t ForwardedHeartbeatAnswers::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+size_t DemandDigest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.DemandDigest)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.ForwardedHeartbeatAnswer answers = 1;
-  total_size += 1UL * this->_internal_answers_size();
-  for (const auto& msg : this->_impl_.answers_) {
+  // repeated .rattandyke.wire.OwnerDemand owners = 4;
+  total_size += 1UL * this->_internal_owners_size();
+  for (const auto& msg : this->_impl_.owners_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.ServiceDemand services = 5;
+  total_size += 1UL * this->_internal_services_size();
+  for (const auto& msg : this->_impl_.services_) {
     total_size +=
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // uint64 term = 1;
+  if (this->_internal_term() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_term());
+  }
+
+  // uint64 sequence = 2;
+  if (this->_internal_sequence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  }
+
+  // uint32 age_ms = 3;
+  if (this->_internal_age_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ForwardedHeartbeatAnswers::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData DemandDigest::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ForwardedHeartbeatAnswers::MergeImpl
+    DemandDigest::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ForwardedHeartbeatAnswers::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*DemandDigest::GetClassData() const { return &_class_data_; }
 
 
-void ForwardedHeartbeatAnswers::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ForwardedHeartbeatAnswers*>(&to_msg);
-  auto& from = static_cast<const ForwardedHeartbeatAnswers&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+void DemandDigest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<DemandDigest*>(&to_msg);
+  auto& from = static_cast<const DemandDigest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.DemandDigest)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.answers_.MergeFrom(from._impl_.answers_);
+  _this->_impl_.owners_.MergeFrom(from._impl_.owners_);
+  _this->_impl_.services_.MergeFrom(from._impl_.services_);
+  if (from._internal_term() != 0) {
+    _this->_internal_set_term(from._internal_term());
+  }
+  if (from._internal_sequence() != 0) {
+    _this->_internal_set_sequence(from._internal_sequence());
+  }
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ForwardedHeartbeatAnswers::CopyFrom(const ForwardedHeartbeatAnswers& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ForwardedHeartbeatAnswers)
+void DemandDigest::CopyFrom(const DemandDigest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.DemandDigest)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ForwardedHeartbeatAnswers::IsInitialized() const {
+bool DemandDigest::IsInitialized() const {
   return true;
 }
 
-void ForwardedHeartbeatAnswers::InternalSwap(ForwardedHeartbeatAnswers* other) {
+void DemandDigest::InternalSwap(DemandDigest* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.answers_.InternalSwap(&other->_impl_.answers_);
+  _impl_.owners_.InternalSwap(&other->_impl_.owners_);
+  _impl_.services_.InternalSwap(&other->_impl_.services_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(DemandDigest, _impl_.age_ms_)
+      + sizeof(DemandDigest::_impl_.age_ms_)
+      - PROTOBUF_FIELD_OFFSET(DemandDigest, _impl_.term_)>(
+          reinterpret_cast<char*>(&_impl_.term_),
+          reinterpret_cast<char*>(&other->_impl_.term_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata DemandDigest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[40]);
+      file_level_metadata_gateway_2eproto[45]);
 }
 
 // ===================================================================
 
-class HostReport::_Internal {
- public:
-  static const ::rattandyke::wire::ControlMember& sender(const HostReport* msg);
-};
-
-const ::rattandyke::wire::ControlMember&
-HostReport::_Internal::sender(const HostReport* msg) {
-  return *msg->_impl_.sender_;
-}
-HostReport::HostReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+class LinkProbe::_Internal {
+ public:
+};
+
+LinkProbe::LinkProbe(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.LinkProbe)
 }
-HostReport::HostReport(const HostReport& from)
+LinkProbe::LinkProbe(const LinkProbe& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  HostReport* const _this = this; (void)_this;
+  LinkProbe* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){from._impl_.loads_}
-    , decltype(_impl_.times_){from._impl_.times_}
-    , decltype(_impl_.entries_){from._impl_.entries_}
-    , decltype(_impl_.sender_){nullptr}
+      decltype(_impl_.id_){}
+    , decltype(_impl_.reply_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  if (from._internal_has_sender()) {
-    _this->_impl_.sender_ = new ::rattandyke::wire::ControlMember(*from._impl_.sender_);
-  }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.HostReport)
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.reply_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.reply_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.LinkProbe)
 }
 
-inline void HostReport::SharedCtor(
+inline void LinkProbe::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.loads_){arena}
-    , decltype(_impl_.times_){arena}
-    , decltype(_impl_.entries_){arena}
-    , decltype(_impl_.sender_){nullptr}
+      decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.reply_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
 
-HostReport::~HostReport() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.HostReport)
+LinkProbe::~LinkProbe() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.LinkProbe)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -14368,83 +16163,44 @@
   SharedDtor();
 }
 
-inline void HostReport::SharedDtor() {
+inline void LinkProbe::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.loads_.~RepeatedPtrField();
-  _impl_.times_.~RepeatedPtrField();
-  _impl_.entries_.~RepeatedPtrField();
-  if (this != internal_default_instance()) delete _impl_.sender_;
 }
 
-void HostReport::SetCachedSize(int size) const {
+void LinkProbe::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void HostReport::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.HostReport)
+void LinkProbe::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.LinkProbe)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.loads_.Clear();
-  _impl_.times_.Clear();
-  _impl_.entries_.Clear();
-  if (GetArenaForAllocation() == nullptr && _impl_.sender_ != nullptr) {
-    delete _impl_.sender_;
-  }
-  _impl_.sender_ = nullptr;
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.reply_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.reply_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* HostReport::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* LinkProbe::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // repeated .rattandyke.wire.RangeLoad loads = 1;
+      // uint64 id = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_loads(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.InstanceTime times = 2;
+      // bool reply = 2;
       case 2:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_times(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // repeated .rattandyke.wire.EntryMember entries = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr -= 1;
-          do {
-            ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_entries(), ptr);
-            CHK_(ptr);
-            if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.ControlMember sender = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          ptr = ctx->ParseMessage(_internal_mutable_sender(), ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.reply_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -14472,139 +16228,103 @@
 #undef CHK_
 }
 
-uint8_t* HostReport::_InternalSerialize(
+uint8_t* LinkProbe::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.LinkProbe)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_loads_size()); i < n; i++) {
-    const auto& repfield = this->_internal_loads(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_times_size()); i < n; i++) {
-    const auto& repfield = this->_internal_times(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
-  }
-
-  // repeated .rattandyke.wire.EntryMember entries = 3;
-  for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_entries_size()); i < n; i++) {
-    const auto& repfield = this->_internal_entries(i);
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // .rattandyke.wire.ControlMember sender = 4;
-  if (this->_internal_has_sender()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(4, _Internal::sender(this),
-        _Internal::sender(this).GetCachedSize(), target, stream);
+  // bool reply = 2;
+  if (this->_internal_reply() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_reply(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.HostReport)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.LinkProbe)
   return target;
 }
 
-size_t HostReport::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.HostReport)
+size_t LinkProbe::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.LinkProbe)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeLoad loads = 1;
-  total_size += 1UL * this->_internal_loads_size();
-  for (const auto& msg : this->_impl_.loads_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // repeated .rattandyke.wire.InstanceTime times = 2;
-  total_size += 1UL * this->_internal_times_size();
-  for (const auto& msg : this->_impl_.times_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
-  }
-
-  // repeated .rattandyke.wire.EntryMember entries = 3;
-  total_size += 1UL * this->_internal_entries_size();
-  for (const auto& msg : this->_impl_.entries_) {
-    total_size +=
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
   }
 
-  // .rattandyke.wire.ControlMember sender = 4;
-  if (this->_internal_has_sender()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-        *_impl_.sender_);
+  // bool reply = 2;
+  if (this->_internal_reply() != 0) {
+    total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData HostReport::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData LinkProbe::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    HostReport::MergeImpl
+    LinkProbe::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*HostReport::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*LinkProbe::GetClassData() const { return &_class_data_; }
 
 
-void HostReport::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<HostReport*>(&to_msg);
-  auto& from = static_cast<const HostReport&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.HostReport)
+void LinkProbe::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<LinkProbe*>(&to_msg);
+  auto& from = static_cast<const LinkProbe&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.LinkProbe)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.loads_.MergeFrom(from._impl_.loads_);
-  _this->_impl_.times_.MergeFrom(from._impl_.times_);
-  _this->_impl_.entries_.MergeFrom(from._impl_.entries_);
-  if (from._internal_has_sender()) {
-    _this->_internal_mutable_sender()->::rattandyke::wire::ControlMember::MergeFrom(
-        from._internal_sender());
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_reply() != 0) {
+    _this->_internal_set_reply(from._internal_reply());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void HostReport::CopyFrom(const HostReport& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HostReport)
+void LinkProbe::CopyFrom(const LinkProbe& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.LinkProbe)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool HostReport::IsInitialized() const {
+bool LinkProbe::IsInitialized() const {
   return true;
 }
 
-void HostReport::InternalSwap(HostReport* other) {
+void LinkProbe::InternalSwap(LinkProbe* other) {
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.loads_.InternalSwap(&other->_impl_.loads_);
-  _impl_.times_.InternalSwap(&other->_impl_.times_);
-  _impl_.entries_.InternalSwap(&other->_impl_.entries_);
-  swap(_impl_.sender_, other->_impl_.sender_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(LinkProbe, _impl_.reply_)
+      + sizeof(LinkProbe::_impl_.reply_)
+      - PROTOBUF_FIELD_OFFSET(LinkProbe, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata LinkProbe::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[41]);
+      file_level_metadata_gateway_2eproto[46]);
 }
 
 // ===================================================================
@@ -14914,7 +16634,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamNotice::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[42]);
+      file_level_metadata_gateway_2eproto[47]);
 }
 
 // ===================================================================
@@ -14946,6 +16666,7 @@
     , decltype(_impl_.held_ms_){}
     , decltype(_impl_.group_){}
     , decltype(_impl_.aim_ms_){}
+    , decltype(_impl_.second_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -14982,8 +16703,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.aim_ms_) -
-    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.aim_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.second_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.second_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotAsk)
 }
 
@@ -15005,6 +16726,7 @@
     , decltype(_impl_.held_ms_){0u}
     , decltype(_impl_.group_){0u}
     , decltype(_impl_.aim_ms_){0u}
+    , decltype(_impl_.second_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.reply_to_.InitDefault();
@@ -15061,8 +16783,8 @@
   _impl_.instance_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.aim_ms_) -
-      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.aim_ms_));
+      reinterpret_cast<char*>(&_impl_.second_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.second_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -15196,6 +16918,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool second = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 112)) {
+          _impl_.second_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -15325,6 +17055,12 @@
         InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // bool second = 14;
+  if (this->_internal_second() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(14, this->_internal_second(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -15419,6 +17155,11 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_aim_ms());
   }
 
+  // bool second = 14;
+  if (this->_internal_second() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -15472,6 +17213,9 @@
   if (from._internal_aim_ms() != 0) {
     _this->_internal_set_aim_ms(from._internal_aim_ms());
   }
+  if (from._internal_second() != 0) {
+    _this->_internal_set_second(from._internal_second());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -15510,8 +17254,8 @@
       &other->_impl_.data_centre_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.aim_ms_)
-      + sizeof(SlotAsk::_impl_.aim_ms_)
+      PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.second_)
+      + sizeof(SlotAsk::_impl_.second_)
       - PROTOBUF_FIELD_OFFSET(SlotAsk, _impl_.session_)>(
           reinterpret_cast<char*>(&_impl_.session_),
           reinterpret_cast<char*>(&other->_impl_.session_));
@@ -15520,7 +17264,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[43]);
+      file_level_metadata_gateway_2eproto[48]);
 }
 
 // ===================================================================
@@ -15875,7 +17619,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[44]);
+      file_level_metadata_gateway_2eproto[49]);
 }
 
 // ===================================================================
@@ -16227,7 +17971,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[45]);
+      file_level_metadata_gateway_2eproto[50]);
 }
 
 // ===================================================================
@@ -16452,7 +18196,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[46]);
+      file_level_metadata_gateway_2eproto[51]);
 }
 
 // ===================================================================
@@ -16474,6 +18218,8 @@
   static const ::rattandyke::wire::ForwardedHeartbeats& forwarded_heartbeats(const GatewayFrame* msg);
   static const ::rattandyke::wire::ForwardedHeartbeatAnswers& forwarded_heartbeat_answers(const GatewayFrame* msg);
   static const ::rattandyke::wire::FeedCommands& feed_commands(const GatewayFrame* msg);
+  static const ::rattandyke::wire::DemandDigest& demand_digest(const GatewayFrame* msg);
+  static const ::rattandyke::wire::LinkProbe& link_probe(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -16536,6 +18282,14 @@
 GatewayFrame::_Internal::feed_commands(const GatewayFrame* msg) {
   return *msg->_impl_.body_.feed_commands_;
 }
+const ::rattandyke::wire::DemandDigest&
+GatewayFrame::_Internal::demand_digest(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.demand_digest_;
+}
+const ::rattandyke::wire::LinkProbe&
+GatewayFrame::_Internal::link_probe(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.link_probe_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -16761,6 +18515,36 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.feed_commands)
 }
+void GatewayFrame::set_allocated_demand_digest(::rattandyke::wire::DemandDigest* demand_digest) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (demand_digest) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(demand_digest);
+    if (message_arena != submessage_arena) {
+      demand_digest = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, demand_digest, submessage_arena);
+    }
+    set_has_demand_digest();
+    _impl_.body_.demand_digest_ = demand_digest;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.demand_digest)
+}
+void GatewayFrame::set_allocated_link_probe(::rattandyke::wire::LinkProbe* link_probe) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (link_probe) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(link_probe);
+    if (message_arena != submessage_arena) {
+      link_probe = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, link_probe, submessage_arena);
+    }
+    set_has_link_probe();
+    _impl_.body_.link_probe_ = link_probe;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.link_probe)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -16857,6 +18641,16 @@
           from._internal_feed_commands());
       break;
     }
+    case kDemandDigest: {
+      _this->_internal_mutable_demand_digest()->::rattandyke::wire::DemandDigest::MergeFrom(
+          from._internal_demand_digest());
+      break;
+    }
+    case kLinkProbe: {
+      _this->_internal_mutable_link_probe()->::rattandyke::wire::LinkProbe::MergeFrom(
+          from._internal_link_probe());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -16993,6 +18787,18 @@
       }
       break;
     }
+    case kDemandDigest: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.demand_digest_;
+      }
+      break;
+    }
+    case kLinkProbe: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.link_probe_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -17146,6 +18952,22 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.DemandDigest demand_digest = 17;
+      case 17:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 138)) {
+          ptr = ctx->ParseMessage(_internal_mutable_demand_digest(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.LinkProbe link_probe = 18;
+      case 18:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 146)) {
+          ptr = ctx->ParseMessage(_internal_mutable_link_probe(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -17286,6 +19108,20 @@
         _Internal::feed_commands(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.DemandDigest demand_digest = 17;
+  if (_internal_has_demand_digest()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(17, _Internal::demand_digest(this),
+        _Internal::demand_digest(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.LinkProbe link_probe = 18;
+  if (_internal_has_link_probe()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(18, _Internal::link_probe(this),
+        _Internal::link_probe(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -17415,6 +19251,20 @@
           *_impl_.body_.feed_commands_);
       break;
     }
+    // .rattandyke.wire.DemandDigest demand_digest = 17;
+    case kDemandDigest: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.demand_digest_);
+      break;
+    }
+    // .rattandyke.wire.LinkProbe link_probe = 18;
+    case kLinkProbe: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.link_probe_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -17517,6 +19367,16 @@
           from._internal_feed_commands());
       break;
     }
+    case kDemandDigest: {
+      _this->_internal_mutable_demand_digest()->::rattandyke::wire::DemandDigest::MergeFrom(
+          from._internal_demand_digest());
+      break;
+    }
+    case kLinkProbe: {
+      _this->_internal_mutable_link_probe()->::rattandyke::wire::LinkProbe::MergeFrom(
+          from._internal_link_probe());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -17545,7 +19405,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[47]);
+      file_level_metadata_gateway_2eproto[52]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -17684,6 +19544,10 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::InstanceTime >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::InstanceTime >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ServiceLoad*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ServiceLoad >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ServiceLoad >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::FeedReport*
 Arena::CreateMaybeMessage< ::rattandyke::wire::FeedReport >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::FeedReport >(arena);
@@ -17720,6 +19584,22 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::HostReport >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::HostReport >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::OwnerDemand*
+Arena::CreateMaybeMessage< ::rattandyke::wire::OwnerDemand >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::OwnerDemand >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::ServiceDemand*
+Arena::CreateMaybeMessage< ::rattandyke::wire::ServiceDemand >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::ServiceDemand >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::DemandDigest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::DemandDigest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::DemandDigest >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::LinkProbe*
+Arena::CreateMaybeMessage< ::rattandyke::wire::LinkProbe >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::LinkProbe >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamNotice*
 Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamNotice >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamNotice >(arena);
