Entries leave a control host whose state is outdated, and try others first

Cause: entries that follow a control host which is cut off from the leader left it only 700 ms after the last ping with a state younger than 700 ms.

Change: an entry leaves once its state is 1 s old.

--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
+#include "gateway/control_host_selector.h"
 #include "gateway/outgoing_frame.h"
 #include "log/log.h"
 #include "net/frame_connection.h"
@@ -29,6 +29,10 @@
 /// it stays below one second, so that a change reaches every entry host within
 /// two.
 constexpr milliseconds kPingTimeout{ 700 };
+/// Age of the state at which the client leaves a host although it still sends
+/// pings: one that is partitioned from the leader does so until its own state
+/// has the age kPingTimeout, and would keep its clients for twice that time.
+constexpr milliseconds kMaxStateAge{ 1000 };
 constexpr milliseconds kConnectTimeout{ 250 };
 /// Delay before the next host is tried after a host closed the connection. It
 /// is short, since an entry host without a state can't serve callers: five
@@ -37,12 +41,6 @@
 /// A message that takes this long to receive or to process is logged, since it
 /// delays requests so much that callers notice.
 constexpr milliseconds kSlowMessage{ 50 };
-/// Minimum delay of a move to a control host in the own data centre, and
-/// minimum interval between two moves. A random part of up to the same duration
-/// is added, so that entry hosts don't all move at once.
-constexpr milliseconds kMinMoveDelay{ 1000 };
-constexpr milliseconds kMinMoveInterval{ 10000 };
-
 log::Line
 Info()
 {
@@ -68,10 +66,11 @@
     , options(std::move(aOptions))
     , onStateChanged(std::move(aOnStateChanged))
     , clock(aClock)
-    , random(aSeed)
+    , selector(state, options.self, aSeed)
     , checkTimer(executor)
     , retryTimer(executor)
   {
+    selector.SetSeeds(options.seeds);
   }
 
   void Start()
@@ -102,13 +101,18 @@
     const Duration silence = clock.Now() - lastHeardAt;
     const Duration timeout =
       connectingSocket ? Duration(kConnectTimeout) : Duration(kPingTimeout);
-    if (silence < timeout) {
+    const Duration age = clock.Now() - confirmedAt;
+    const bool isOutdated =
+      connection && confirmed && age >= Duration(kMaxStateAge);
+    if (silence < timeout && !isOutdated) {
       return;
     }
     if (connection) {
       Info() << "this entry host leaves control host " << currentHost
-             << ", which is silent for " << Ms(silence) << " ms";
+             << ", which is silent for " << Ms(silence)
+             << " ms; the state is confirmed as of " << Ms(age) << " ms ago";
     }
+    selector.OnFailed(currentHost, clock.Now());
     Disconnect();
     ConnectToNextHost();
   }
@@ -141,101 +145,10 @@
     }
   }
 
-  /// @return whether a host is a control host known to be in this data centre.
-  bool IsInOwnDataCentre(const std::string& aHost) const
-  {
-    const auto known = state.ControlHosts().find(aHost);
-    return known != state.ControlHosts().end() &&
-           known->second.data_centre() == options.self.data_centre();
-  }
-
-  /// Schedules a move to a control host in this data centre, or makes the move
-  /// once it is due, if the current host is in another one. Otherwise every
-  /// change would cross the links between data centres once for each entry
-  /// host.
-  void MaybeMoveToOwnDataCentre()
-  {
-    const Instant now = clock.Now();
-    const bool nearerExists =
-      !IsInOwnDataCentre(currentHost) &&
-      std::any_of(controlHosts.begin(),
-                  controlHosts.end(),
-                  [&](const auto& aHost) { return IsInOwnDataCentre(aHost); });
-    if (!nearerExists) {
-      moveAt.reset();
-      return;
-    }
-    const auto randomised = [&](milliseconds aPause) {
-      return aPause + milliseconds(random() % aPause.count());
-    };
-    if (!moveAt) {
-      moveAt = std::max(now + randomised(kMinMoveDelay),
-                        lastMoveAt + randomised(kMinMoveInterval));
-    } else if (now >= *moveAt) {
-      moveAt.reset();
-      lastMoveAt = now;
-      Disconnect();
-      ConnectToNextHost();
-    }
-  }
-
-  /// @return a random control host that has not been tried since the last
-  /// confirmation, preferably in this data centre. Once all have been tried, an
-  /// entry host, or any control host if no entry host is known. Empty if no
-  /// host is known.
-  std::string PickNextHost()
-  {
-    std::set<std::string> hosts(controlHosts.begin(), controlHosts.end());
-    for (const Endpoint& seed : options.seeds) {
-      hosts.insert(ToString(seed));
-    }
-    std::vector<std::string> candidates;
-    for (const std::string& host : hosts) {
-      if (!triedHosts.contains(host)) {
-        candidates.push_back(host);
-      }
-    }
-    const auto firstRemote = std::stable_partition(
-      candidates.begin(), candidates.end(), [&](const auto& aHost) {
-        return IsInOwnDataCentre(aHost);
-      });
-    if (firstRemote != candidates.begin()) {
-      candidates.erase(firstRemote, candidates.end());
-    }
-    if (candidates.empty()) {
-      triedHosts.clear();
-      candidates = PickEntryHost();
-    }
-    if (candidates.empty()) {
-      candidates.assign(hosts.begin(), hosts.end());
-    }
-    if (candidates.empty()) {
-      return {};
-    }
-    std::string host = candidates[random() % candidates.size()];
-    triedHosts.insert(host);
-    return host;
-  }
-
-  /// @return a random other entry host; empty if none is known.
-  std::vector<std::string> PickEntryHost()
-  {
-    std::vector<std::string> entries;
-    for (const auto& [address, member] : state.Entries()) {
-      if (address != options.self.address()) {
-        entries.push_back(address);
-      }
-    }
-    if (entries.empty()) {
-      return {};
-    }
-    return { entries[random() % entries.size()] };
-  }
-
   void ConnectToNextHost()
   {
     lastHeardAt = clock.Now();
-    currentHost = PickNextHost();
+    currentHost = selector.Next(clock.Now());
     const Result<Endpoint> address = ParseEndpoint(currentHost);
     if (!address) {
       return;
@@ -296,6 +209,7 @@
   void OnClosed()
   {
     connection.reset();
+    selector.OnFailed(currentHost, clock.Now());
     if (confirmed) {
       Info() << "this entry host is sent away by " << currentHost;
     }
@@ -418,24 +332,27 @@
     }
     // The age includes that of the sender's state. Otherwise two entry hosts
     // that are partitioned together could confirm each other's state forever.
-    confirmedAt = std::max(confirmedAt, lastHeardAt - age);
+    confirmedAt = std::max(confirmedAt, clock.Now() - age);
     confirmed = true;
-    triedHosts.clear();
+    selector.OnConfirmed(currentHost);
     if (aPing.control_hosts_size() > 0) {
-      controlHosts.assign(aPing.control_hosts().begin(),
-                          aPing.control_hosts().end());
+      selector.SetControlHosts(
+        { aPing.control_hosts().begin(), aPing.control_hosts().end() });
+    }
+    if (selector.ShouldMove(currentHost, clock.Now())) {
+      Disconnect();
+      ConnectToNextHost();
     }
-    MaybeMoveToOwnDataCentre();
   }
 
   const asio::any_io_executor executor;
   Options options;
   const std::function<void(const wire::GatewayCommand*)> onStateChanged;
   const Clock& clock;
-  Random random;
+  State state;
+  ControlHostSelector selector;
   asio::steady_timer checkTimer;
   asio::steady_timer retryTimer;
-  State state;
   bool hasState = false;
   bool stopped = false;
   /// A ping on this connection has confirmed that the state is up to date.
@@ -445,12 +362,6 @@
   std::optional<Instant> messageStartedAt;
   Instant confirmedAt{};
   std::string currentHost;
-  std::vector<std::string> controlHosts;
-  std::set<std::string> triedHosts;
-  /// When the next move to the own data centre is due, and when the last one
-  /// was.
-  std::optional<Instant> moveAt;
-  Instant lastMoveAt{};
   std::shared_ptr<tcp::socket> connectingSocket;
   std::shared_ptr<net::FrameConnection> connection;
 };
@@ -492,7 +403,7 @@
 void
 FeedClient::SetSeeds(std::vector<Endpoint> aSeeds)
 {
-  mImpl->options.seeds = std::move(aSeeds);
+  mImpl->selector.SetSeeds(aSeeds);
 }
 
 const State&
@@ -510,7 +421,7 @@
 const std::vector<std::string>&
 FeedClient::ControlHosts() const
 {
-  return mImpl->controlHosts;
+  return mImpl->selector.ControlHosts();
 }
 
 Duration
