A follower that lacks committed entries is not up to date

Cause: if a follower's replies are lost, it hears the leader's heartbeats but gets no entries. It took itself for up to date and pinged its entries with age zero: with core-pl-central-c-1 cut one way from 1.6 s, edge c-21 was at index 633 with an age of 18 ms at 3.41 s, while the group was at 789.

Change: a follower remembers the commit index that its leader tells. Once that has been above its own for an election timeout it is not up to date, and a control host closes the connections of its subscribers.

--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -81,8 +81,10 @@
 bool
 Replica::FollowsUpToDate() const
 {
+  const bool isBehind =
+    mBehindSince && mNow - *mBehindSince >= mOptions.electionTimeoutMin;
   return mRole == Role::Follower && mLeaderName &&
-         mLog.TermAt(mCommit) == mTerm;
+         mLog.TermAt(mCommit) == mTerm && !isBehind;
 }
 
 std::optional<Instant>
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -60,13 +60,15 @@
   /// Whether this replica follows a leader that has told it a commit of its own
   /// term: all that was committed before that term is applied here. A host that
   /// has just restarted follows a leader while its state is that of its last
-  /// snapshot, maybe minutes old.
+  /// snapshot, maybe minutes old. False once the leader's commit index has been
+  /// above this replica's for electionTimeoutMin.
   bool FollowsUpToDate() const;
 
   GroupStatus Status(Instant aNow) const;
 
 private:
   std::optional<Instant> AnsweredByMajority(Instant aNow) const;
+  void RecordLeaderCommit(uint64_t aCommit);
 
   /// What the leader knows of another member.
   struct Progress
@@ -228,6 +230,11 @@
   Role mRole = Role::Follower;
   Instant mNow;
   uint64_t mCommit = 0;
+  /// Highest commit index that the leader of mLeaderCommitTerm has told.
+  uint64_t mLeaderCommit = 0;
+  uint64_t mLeaderCommitTerm = 0;
+  /// Time since which mLeaderCommit has been above mCommit.
+  std::optional<Instant> mBehindSince;
   uint64_t mApplied = 0;
   std::optional<HostName> mLeaderName;
   std::optional<Instant> mHeardLeaderAt;
--- a/src/librattandyke/consensus/replica_follower.cpp
+++ b/src/librattandyke/consensus/replica_follower.cpp
@@ -18,6 +18,7 @@
   const bool meets =
     previous < mLog.BaseIndex() || term == request.previous_term();
   if (!meets) {
+    RecordLeaderCommit(request.commit_index());
     RejectAppend(aMessage, ConflictHint(request));
     return;
   }
@@ -26,10 +27,29 @@
   AppendFromLeader(request);
   AdvanceCommit(
     std::min({ request.commit_index(), lastNew, mLog.LastIndex() }));
+  RecordLeaderCommit(request.commit_index());
   const bool appended = mPending.truncateFrom || mLog.LastIndex() > before;
   ReplyToAppend(aMessage, lastNew, appended);
 }
 
+/// A follower whose replies are lost still hears the leader, which sends it
+/// nothing new until it answers. Only the leader's commit index shows that it
+/// is behind.
+void
+Replica::RecordLeaderCommit(uint64_t aCommit)
+{
+  if (mLeaderCommitTerm != mTerm) {
+    mLeaderCommitTerm = mTerm;
+    mLeaderCommit = 0;
+  }
+  mLeaderCommit = std::max(mLeaderCommit, aCommit);
+  if (mLeaderCommit <= mCommit) {
+    mBehindSince.reset();
+  } else if (!mBehindSince) {
+    mBehindSince = mNow;
+  }
+}
+
 void
 Replica::AppendFromLeader(const wire::AppendRequest& aRequest)
 {
--- a/src/librattandyke/consensus/replica_restart_test.cpp
+++ b/src/librattandyke/consensus/replica_restart_test.cpp
@@ -140,6 +140,47 @@
   EXPECT_TRUE(replica.FollowsUpToDate());
 }
 
+// Guards against entries that serve by an old configuration: the replies of a
+// follower are lost, so the leader sends it heartbeats but no entries, and it
+// keeps telling its subscribers that they are up to date.
+TEST(ReplicaRestart, FollowerThatLacksCommittedEntriesIsNotUpToDate)
+{
+  Instant now{ std::chrono::hours(1) };
+  Replica replica = RestartedVoter(now);
+  wire::ConsensusMessage append;
+  append.set_from(3);
+  append.set_from_name("3");
+  append.set_to(2);
+  append.set_group(1);
+  append.set_term(4);
+  wire::AppendRequest* request = append.mutable_append_request();
+  const auto addEntry = [&](uint64_t aIndex) {
+    request->clear_entries();
+    wire::LogEntry* entry = request->add_entries();
+    entry->set_index(aIndex);
+    entry->set_term(4);
+    entry->set_kind(wire::ENTRY_KIND_NO_OP);
+  };
+  request->set_previous_index(1);
+  request->set_previous_term(3);
+  addEntry(2);
+  request->set_commit_index(2);
+  replica.Step(MessageReceived{ append }, now);
+  ASSERT_TRUE(replica.FollowsUpToDate());
+  request->clear_entries();
+  request->set_previous_index(2);
+  request->set_previous_term(4);
+  request->set_commit_index(3);
+  for (int heartbeat = 0; heartbeat < 7; ++heartbeat) {
+    now += std::chrono::milliseconds{ 50 };
+    replica.Step(MessageReceived{ append }, now);
+  }
+  EXPECT_FALSE(replica.FollowsUpToDate());
+  addEntry(3);
+  replica.Step(MessageReceived{ append }, now);
+  EXPECT_TRUE(replica.FollowsUpToDate());
+}
+
 /// @return the index at which a follower with a snapshot of so many bytes takes
 /// the next one.
 uint64_t
