--- a/src/librattandyke/scheduling/link_meter.cpp
+++ b/src/librattandyke/scheduling/link_meter.cpp
@@ -12,14 +12,6 @@
 /// Payload of a full packet.
 constexpr size_t kPacketPayloadBytes = 1448;
 
-size_t
-BytesOnLink(size_t aBytes)
-{
-  const size_t packets = std::max<size_t>(
-    (aBytes + kPacketPayloadBytes - 1) / kPacketPayloadBytes, 1);
-  return aBytes + packets * kPacketHeaderBytes;
-}
-
 size_t
 IndexOf(LinkUse aUse)
 {
@@ -39,6 +31,14 @@
 {
 }
 
+size_t
+LinkMeter::BytesOnLink(size_t aBytes)
+{
+  const size_t packets = std::max<size_t>(
+    (aBytes + kPacketPayloadBytes - 1) / kPacketPayloadBytes, 1);
+  return aBytes + packets * kPacketHeaderBytes;
+}
+
 void
 LinkMeter::Record(LinkUse aUse, LinkDirection aDirection, size_t aBytes)
 {
@@ -53,6 +53,16 @@
   return mTotal.Of(aUse, aDirection);
 }
 
+uint64_t
+LinkMeter::TotalBytes(LinkDirection aDirection) const
+{
+  uint64_t bytes = 0;
+  for (const LinkUse use : kAllLinkUses) {
+    bytes += Total(use, aDirection).bytes;
+  }
+  return bytes;
+}
+
 LinkMeter::Report
 LinkMeter::TakeReport(Instant aNow)
 {
--- a/src/librattandyke/scheduling/link_meter.h
+++ b/src/librattandyke/scheduling/link_meter.h
@@ -77,6 +77,10 @@
 
   explicit LinkMeter(Instant aNow);
 
+  /// @param aBytes size of a message without packet headers.
+  /// @return its size on the link, headers included.
+  static size_t BytesOnLink(size_t aBytes);
+
   /// Counts one message.
   /// @param aBytes its size without packet headers.
   void Record(LinkUse aUse, LinkDirection aDirection, size_t aBytes);
@@ -84,6 +88,9 @@
   /// @return the traffic since the start of the process.
   const Traffic& Total(LinkUse aUse, LinkDirection aDirection) const;
 
+  /// @return the bytes of all uses since the start of the process.
+  uint64_t TotalBytes(LinkDirection aDirection) const;
+
   /// @return the traffic since the last call, or since the construction.
   Report TakeReport(Instant aNow);
 
