An entry host can admit requests by transfer times

[link] admission was parsed and not used. With `transfer`, the request handler uses scheduling::LinkAdmission; with `queue`, the default, LinkBudget as before. Both are in a std::variant. The entry host sends LinkProbe messages on the feed connection, and control hosts return them at once; other hosts and older builds ignore them. Refusals are logged with the inputs of the decision and counted by reason.

Tests run: rattandyke-tests, all 686 tests passed.

Conclusion: `queue` keeps its code and its metric; `transfer` is not tried on a deployment yet.

--- a/src/librattandyke/gateway/egress_queue.h
+++ b/src/librattandyke/gateway/egress_queue.h
@@ -1,6 +1,7 @@
 /// Send queue that orders responses by deadline.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -36,6 +37,12 @@
   /// Accounts for bytes that were written without queueing.
   void RecordSent(size_t aBytes, Instant aNow);
 
+  /// @return the time until the link has sent everything that was written.
+  Duration SendDelay(Instant aNow) const
+  {
+    return std::max(mLinkFreeAt - aNow, Duration::zero());
+  }
+
   /// Adds a response, unless it may be written at once.
   /// @param aSendBy deadline for writing it.
   /// @return whether it may be written now. Otherwise PopReady() returns its
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -63,7 +63,10 @@
     , linkMeter(aClock.Now())
     , feed(
         executor,
-        { MemberOf(aSettings), aSettings.seeds, &linkMeter },
+        { MemberOf(aSettings),
+          aSettings.seeds,
+          &linkMeter,
+          [this](uint64_t aId) { handler.OnProbeReply(aId); } },
         [this](const wire::GatewayCommand* aCommand) {
           OnStateChanged(aCommand);
         },
@@ -94,7 +97,9 @@
               { aSettings.dataCentre,
                 aSettings.retryRatio,
                 aSettings.retrySlack,
-                aSettings.linkMbits * kBytesPerMbit },
+                aSettings.linkMbits * kBytesPerMbit,
+                aSettings.linkAdmission,
+                aSeed },
               feed,
               slots,
               aDialect,
@@ -219,11 +224,20 @@
       const auto host = self.lock();
       if (host && !aError) {
         host->slots.Tick();
+        host->ProbeLink();
         host->ScheduleSlotTick();
       }
     });
   }
 
+  /// Sends a probe of the link if one is due.
+  void ProbeLink()
+  {
+    if (const auto id = handler.Tick(feed.ConfirmedConnection())) {
+      feed.SendProbe(*id);
+    }
+  }
+
   Result<void> Start()
   {
     mesh = std::make_unique<net::FrameMesh>(
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -262,6 +262,7 @@
     }
     lastHeardAt = clock.Now();
     confirmed = false;
+    ++connectionNumber;
     messageStartedAt.reset();
     net::TuneSocket(*socket, net::kUnacknowledgedTimeout);
     auto newConnection =
@@ -309,6 +310,14 @@
     }
   }
 
+  /// Sends a message on the current connection, which must exist.
+  void Send(const wire::GatewayFrame& aFrame)
+  {
+    const std::string bytes = aFrame.SerializeAsString();
+    RecordTraffic(scheduling::LinkDirection::Out, bytes.size());
+    connection->Send(bytes);
+  }
+
   /// Processes a message. Logs the times to receive and to process it if one of
   /// them is long.
   void OnMessage(std::string_view aMessage)
@@ -366,6 +375,9 @@
       }
     } else if (aFrame.has_feed_ping()) {
       OnPing(aFrame.feed_ping());
+    } else if (aFrame.has_link_probe() && aFrame.link_probe().reply() &&
+               options.onProbeReply) {
+      options.onProbeReply(aFrame.link_probe().id());
     }
   }
 
@@ -440,6 +452,8 @@
   bool stopped = false;
   /// A ping on this connection has confirmed that the state is up to date.
   bool confirmed = false;
+  /// Number of connections established so far.
+  uint64_t connectionNumber = 0;
   Instant lastHeardAt{};
   /// When the first bytes of the incoming message arrived.
   std::optional<Instant> messageStartedAt;
@@ -525,9 +539,26 @@
   if (mImpl->connection) {
     wire::GatewayFrame frame;
     *frame.mutable_feed_report() = aReport;
-    const std::string bytes = frame.SerializeAsString();
-    mImpl->RecordTraffic(scheduling::LinkDirection::Out, bytes.size());
-    mImpl->connection->Send(bytes);
+    mImpl->Send(frame);
+  }
+}
+
+std::optional<uint64_t>
+FeedClient::ConfirmedConnection() const
+{
+  if (!mImpl->connection || !mImpl->confirmed) {
+    return std::nullopt;
+  }
+  return mImpl->connectionNumber;
+}
+
+void
+FeedClient::SendProbe(uint64_t aId)
+{
+  if (mImpl->connection) {
+    wire::GatewayFrame frame;
+    frame.mutable_link_probe()->set_id(aId);
+    mImpl->Send(frame);
   }
 }
 
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -36,6 +37,8 @@
     std::vector<Endpoint> seeds;
     /// Counts the feed's traffic unless it is null; outlives this object.
     scheduling::LinkMeter* linkMeter = nullptr;
+    /// Called with the id of each LinkProbe that is returned, unless empty.
+    std::function<void(uint64_t)> onProbeReply{};
   };
 
   /// @param aOnStateChanged called after each change of the state, with the
@@ -71,6 +74,14 @@
   /// Sends a load report to the connected host, if there is one.
   void Report(const wire::FeedReport& aReport);
 
+  /// @return the number of the connection to a host that has confirmed the
+  /// state, if there is one. Each connection has another number.
+  std::optional<uint64_t> ConfirmedConnection() const;
+
+  /// Sends a LinkProbe to the connected host, if there is one. Control hosts
+  /// return it at once; entry hosts and older builds ignore it.
+  void SendProbe(uint64_t aId);
+
 private:
   struct Impl;
   std::shared_ptr<Impl> mImpl;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -168,7 +168,7 @@
                       RecordTraffic(
                         LinkUse::Upstreams, LinkDirection::Out, aBytes);
                     })
-  , mLinkBudget(mOptions.linkBytesPerSecond)
+  , mLinkPolicy(MakeLinkPolicy(mOptions, aLinkMeter))
   , mEgressQueue(mOptions.linkBytesPerSecond)
   , mEgressTimer(aExecutor)
 {
@@ -309,7 +309,7 @@
                        CallerRequest aRequest)
 {
   const Instant arrived = aRequest.arrived;
-  mLinkBudget.RecordReceived(aRequest.body.size() + kRequestLineBytes, arrived);
+  RecordRequestBytes(aRequest.body.size() + kRequestLineBytes, arrived);
   RecordTraffic(LinkUse::Callers,
                 LinkDirection::In,
                 aRequest.body.size() + kRequestLineBytes);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -5,7 +5,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <variant>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,8 +24,10 @@
 #include "gateway/metrics.h"
 #include "gateway/request_context.h"
 #include "gateway/route_table.h"
+#include "gateway/settings.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/upstream_client.h"
+#include "scheduling/link_admission.h"
 #include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway {
@@ -43,6 +47,9 @@
     double retryBurst = 0;
     /// Bandwidth of the host's link; 0 if not configured.
     double linkBytesPerSecond = 0;
+    LinkAdmission linkAdmission = LinkAdmission::Queue;
+    /// For the spread of retry times.
+    uint64_t seed = 0;
   };
 
   /// @param aFeed, aSlots, aDialect, aLinkMeter and aClock outlive this object.
@@ -81,6 +88,14 @@
   /// at regular intervals.
   void Sweep();
 
+  /// Advances the measurement of the link. Call it every SlotBroker::kTick.
+  /// @param aConnection the feed's connection for probes, if there is one.
+  /// @return the id of a LinkProbe that must be sent now, if any.
+  std::optional<uint64_t> Tick(std::optional<uint64_t> aConnection);
+
+  /// Records the return of a LinkProbe.
+  void OnProbeReply(uint64_t aId);
+
   /// Accounts for bytes that were sent to another host.
   void RecordSent(size_t aBytes)
   {
@@ -151,12 +166,27 @@
   boost::asio::awaitable<CallerResponse> RouteRequest(
     std::shared_ptr<RequestContext> aContext,
     CallerRequest aRequest);
-  /// Runs a request if the link budget admits it.
+  /// Runs a request if the link admits it.
   boost::asio::awaitable<CallerResponse> RunIfLinkAdmits(
     RequestProgress& aProgress);
+  boost::asio::awaitable<CallerResponse> RunIfAdmitted(
+    LinkBudget& aBudget,
+    RequestProgress& aProgress);
+  boost::asio::awaitable<CallerResponse> RunIfAdmitted(
+    scheduling::LinkAdmission& aAdmission,
+    RequestProgress& aProgress);
+  CallerResponse LinkRefusedResponse(const RequestProgress& aProgress,
+                                     const scheduling::LinkRefusal& aRefusal);
+  /// Admission by the link, according to Options::linkAdmission.
+  using LinkPolicy = std::variant<LinkBudget, scheduling::LinkAdmission>;
+  static LinkPolicy MakeLinkPolicy(const Options& aOptions,
+                                   const scheduling::LinkMeter& aLinkMeter);
+  /// Accounts for a request that has arrived.
+  void RecordRequestBytes(size_t aBytes, Instant aArrived);
   static size_t ApproximateBytes(const UpstreamRequest& aRequest);
   static size_t ApproximateBytes(const CallerResponse& aResponse);
   void SetLinkMetrics();
+  void SetLinkAdmissionMetrics(const scheduling::LinkAdmission& aAdmission);
   void RecordTraffic(scheduling::LinkUse aUse,
                      scheduling::LinkDirection aDirection,
                      size_t aBytes)
@@ -221,7 +251,7 @@
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mRetryBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
-  LinkBudget mLinkBudget;
+  LinkPolicy mLinkPolicy;
   ResponseSizes mResponseSizes;
   EgressQueue mEgressQueue;
   EgressQueue::Ticket mLastEgressTicket = 0;
--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "http/signal.h"
+#include "log/log.h"
 
 namespace rattandyke::gateway {
 
@@ -18,6 +19,12 @@
 /// be written. Waits are shorter unless the link is slower than configured.
 constexpr std::chrono::seconds kEgressCheckInterval{ 2 };
 
+int64_t
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -98,18 +105,87 @@
       mMetrics.SetTotal("link_messages", label, total.messages);
     }
   }
+  if (const auto* admission =
+        std::get_if<scheduling::LinkAdmission>(&mLinkPolicy)) {
+    SetLinkAdmissionMetrics(*admission);
+  }
+}
+
+void
+RequestHandler::SetLinkAdmissionMetrics(
+  const scheduling::LinkAdmission& aAdmission)
+{
+  const Instant now = mClock.Now();
+  const auto set = [&](std::string_view aName, Duration aDelay) {
+    mMetrics.Set(aName, std::chrono::duration<double>(aDelay).count());
+  };
+  set("link_queue_in_seconds",
+      aAdmission.ModelledDelay(LinkDirection::In, now));
+  set("link_queue_out_seconds",
+      aAdmission.ModelledDelay(LinkDirection::Out, now));
+  set("link_measured_queue_seconds", aAdmission.Prober().ReceiveDelay(now));
+  const scheduling::LinkProber::Counts& ended = aAdmission.Prober().Ended();
+  mMetrics.SetTotal("link_probes", "end=\"answered\"", ended.answered);
+  mMetrics.SetTotal("link_probes", "end=\"invalidated\"", ended.invalidated);
+  mMetrics.SetTotal("link_probes", "end=\"unanswered\"", ended.unanswered);
+}
+
+RequestHandler::LinkPolicy
+RequestHandler::MakeLinkPolicy(const Options& aOptions,
+                               const scheduling::LinkMeter& aLinkMeter)
+{
+  if (aOptions.linkAdmission == LinkAdmission::Transfer) {
+    return scheduling::LinkAdmission(
+      aOptions.linkBytesPerSecond, aLinkMeter, aOptions.seed);
+  }
+  return LinkBudget(aOptions.linkBytesPerSecond);
+}
+
+void
+RequestHandler::RecordRequestBytes(size_t aBytes, Instant aArrived)
+{
+  // scheduling::LinkAdmission reads these bytes from the LinkMeter.
+  if (auto* budget = std::get_if<LinkBudget>(&mLinkPolicy)) {
+    budget->RecordReceived(aBytes, aArrived);
+  }
+}
+
+std::optional<uint64_t>
+RequestHandler::Tick(std::optional<uint64_t> aConnection)
+{
+  auto* admission = std::get_if<scheduling::LinkAdmission>(&mLinkPolicy);
+  if (admission == nullptr) {
+    return std::nullopt;
+  }
+  const Instant now = mClock.Now();
+  return admission->Tick(aConnection, mEgressQueue.SendDelay(now), now);
+}
+
+void
+RequestHandler::OnProbeReply(uint64_t aId)
+{
+  if (auto* admission = std::get_if<scheduling::LinkAdmission>(&mLinkPolicy)) {
+    admission->OnProbeReply(aId, mClock.Now());
+  }
 }
 
 asio::awaitable<CallerResponse>
 RequestHandler::RunIfLinkAdmits(RequestProgress& aProgress)
+{
+  return std::visit(
+    [&](auto& aPolicy) { return RunIfAdmitted(aPolicy, aProgress); },
+    mLinkPolicy);
+}
+
+asio::awaitable<CallerResponse>
+RequestHandler::RunIfAdmitted(LinkBudget& aBudget, RequestProgress& aProgress)
 {
   const size_t expected = mResponseSizes.Expected(aProgress.route->name);
-  const auto retryAfter =
-    mLinkBudget.Admit(aProgress.route->priority,
-                      ApproximateBytes(*aProgress.request),
-                      expected,
-                      Duration(aProgress.route->timeout),
-                      mClock.Now());
+  const auto retryAfter = aBudget.Admit(aProgress.route->priority,
+                                        ApproximateBytes(*aProgress.request),
+                                        expected,
+                                        Duration(aProgress.route->timeout),
+                                        mClock.Now());
   if (retryAfter) {
     mMetrics.Increment("link_refusals", "");
     co_return NotExecutedResponse(aProgress, *retryAfter, "the link is full");
@@ -121,9 +197,61 @@
     mResponseSizes.Record(aProgress.route->name,
                           response.fields.size() + response.body.size());
   } else {
-    mLinkBudget.Release(expected);
+    aBudget.Release(expected);
   }
   co_return response;
 }
 
+asio::awaitable<CallerResponse>
+RequestHandler::RunIfAdmitted(scheduling::LinkAdmission& aAdmission,
+                              RequestProgress& aProgress)
+{
+  const Instant now = mClock.Now();
+  scheduling::LinkRequest request;
+  request.route = aProgress.route->name;
+  request.priority = aProgress.route->priority;
+  request.requestBytes = ApproximateBytes(*aProgress.request);
+  request.responseBytes = mResponseSizes.Expected(aProgress.route->name);
+  request.objective = aProgress.route->objective;
+  request.age = now - aProgress.arrived;
+  request.timeLeft = aProgress.deadline - now;
+  const auto decision = aAdmission.Decide(request, now);
+  if (const auto* refusal = std::get_if<scheduling::LinkRefusal>(&decision)) {
+    co_return LinkRefusedResponse(aProgress, *refusal);
+  }
+  const auto reservation = std::get<scheduling::LinkReservation>(decision);
+  CallerResponse response = co_await RunAttempts(aProgress);
+  scheduling::LinkOutcome outcome;
+  outcome.attempts = aProgress.sentAttempts;
+  outcome.callerBytes = ApproximateBytes(response);
+  // Only an upstream's response has a sendBy.
+  if (response.sendBy > Instant{}) {
+    const size_t bytes = response.fields.size() + response.body.size();
+    mResponseSizes.Record(aProgress.route->name, bytes);
+    outcome.upstreamBytes = bytes;
+  }
+  aAdmission.Settle(request, reservation, outcome, mClock.Now());
+  co_return response;
+}
+
+CallerResponse
+RequestHandler::LinkRefusedResponse(const RequestProgress& aProgress,
+                                    const scheduling::LinkRefusal& aRefusal)
+{
+  const std::string_view reason = scheduling::NameOf(aRefusal.reason);
+  mMetrics.Increment("link_refusals", "reason=\"" + std::string(reason) + "\"");
+  log::Line(log::Part::Entry, log::Severity::Info, aProgress.request->requestId)
+    << "the link refuses the request reason=" << reason
+    << " route=" << aProgress.route->name
+    << " queue_in_ms=" << Milliseconds(aRefusal.queueIn)
+    << " queue_out_ms=" << Milliseconds(aRefusal.queueOut)
+    << " bytes_in=" << aRefusal.bytesIn << " bytes_out=" << aRefusal.bytesOut
+    << " delay_ms=" << Milliseconds(aRefusal.linkDelay)
+    << " limit_ms=" << Milliseconds(aRefusal.delayLimit)
+    << " left_ms=" << Milliseconds(aProgress.deadline - mClock.Now())
+    << " retry_after_ms=" << Milliseconds(aRefusal.retryAfter);
+  return NotExecutedResponse(
+    aProgress, aRefusal.retryAfter, "the link is full");
+}
+
 } // namespace rattandyke::gateway
