Select slot allocators by weighted rendezvous hashing

Cause: hosts with 1.7 Mbit/s and 0.075 of a core are home entries as often as hosts with 5.5 Mbit/s, and a silent home entry costs the asker 110 ms and 400 ms without coordination (SCHEDULING.md, measurements).

Change: scheduling::AllocatorDirectory derives the rule (entries alike, entries by link, control hosts) and the first and second allocator of a group from the replicated state alone. Nothing uses it yet.

Conclusion: hosts with the same state select the same allocators, so the rule can be put into the slot coordinator.

--- /dev/null
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -0,0 +1,108 @@
+/// Selection of the hosts that allocate the slots of upstreams.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattandyke::scheduling {
+
+/// Which hosts allocate slots.
+enum class AllocatorRule : uint8_t
+{
+  /// All entry hosts, with equal shares.
+  EntriesAlike,
+  /// All entry hosts, in proportion to the bandwidth of their links.
+  EntriesByLink,
+  /// The control hosts that allocate, with equal shares.
+  ControlHosts,
+};
+
+/// @return the value in log lines.
+std::string_view NameOf(AllocatorRule aRule);
+
+/// Role of a host in the allocation of the slots of a group of upstreams.
+enum class AllocatorRole : uint8_t
+{
+  First,
+  /// Allocates a part of the slots while the first allocator does not answer.
+  Second,
+  /// Another host.
+  None,
+};
+
+/// Selects the allocators of groups of upstreams by weighted rendezvous
+/// hashing. All inputs come from the replicated state, so all hosts with the
+/// same state select the same allocators. The settings of a host have no
+/// influence except through what it states there. Does no I/O. Not thread-safe.
+class AllocatorDirectory
+{
+public:
+  /// With more entry hosts than this, control hosts do not allocate: their
+  /// share of the slot messages would exceed a tenth of a core each.
+  static constexpr size_t kMaxEntriesForControlHosts = 400;
+
+  /// Allocators of one group. The views are valid until the directory changes.
+  struct Allocators
+  {
+    /// Empty if there is no allocator.
+    std::string_view first;
+    /// Empty if there is none, which is always so with EntriesAlike.
+    std::string_view second;
+
+    AllocatorRole RoleOf(std::string_view aAddress) const;
+  };
+
+  /// Removes all hosts.
+  void Clear();
+
+  /// Adds an entry host or changes its bandwidth.
+  /// @param aLinkMbits bandwidth of its link; 0: not stated.
+  void PutEntry(std::string_view aAddress, double aLinkMbits);
+  void RemoveEntry(std::string_view aAddress);
+
+  /// Adds a control host or changes whether it allocates slots.
+  void PutControlHost(std::string_view aAddress, bool aAllocates);
+  void RemoveControlHost(std::string_view aAddress);
+
+  AllocatorRule Rule() const { return mRule; }
+  size_t EntryCount() const { return mEntries.size(); }
+  /// @return the number of hosts that allocate.
+  size_t AllocatorCount() const { return Active().size(); }
+
+  /// @return a value that differs between different sets of allocators. With
+  /// EntriesAlike it does not depend on the set.
+  uint64_t Fingerprint() const;
+
+  /// @return the allocators of a group of a service's upstreams.
+  Allocators Select(std::string_view aService, uint32_t aGroup) const;
+
+private:
+  struct Host
+  {
+    std::string address;
+    uint64_t hash = 0;
+    double weight = 1;
+  };
+  /// Sorted by address.
+  using Hosts = std::vector<Host>;
+
+  static Hosts::iterator Find(Hosts& aHosts, std::string_view aAddress);
+  static void Put(Hosts& aHosts, std::string_view aAddress, double aWeight);
+  static void Remove(Hosts& aHosts, std::string_view aAddress);
+  void UpdateRule();
+  const Hosts& Active() const;
+  Allocators SelectAlike(uint64_t aGroup) const;
+  Allocators SelectWeighted(uint64_t aGroup) const;
+
+  Hosts mEntries;
+  /// Only those that allocate.
+  Hosts mControlHosts;
+  AllocatorRule mRule = AllocatorRule::EntriesAlike;
+  /// All active hosts have the same weight.
+  bool mAlike = true;
+};
+
+} // namespace rattandyke::scheduling
