A second allocator grants at most half of an upstream's slots

Cause: while the first allocator of an upstream does not answer, entries send without coordination for 400 ms. A second one can coordinate them, if both together stay within the slots and the queue of the upstream.

Change: SlotRequest::second limits a grant to half of the slots (at least one) of upstreams whose request rate is not limited. The broker counts its grants by role and can update queued requests when the allocators change.

Conclusion: no request is marked second yet, so nothing changes.

--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -38,6 +38,8 @@
 /// some tens of requests and is shorter than the time for which a key is hot.
 constexpr double kDemandTimeConstant = 0.7;
 constexpr std::chrono::seconds kDemandRetention{ 10 };
+/// Fraction of an upstream's capacity that a second allocator can grant.
+constexpr double kSecondCapacityFraction = 0.5;
 /// Upper bound of an expected wait, in seconds.
 constexpr double kMaxWaitSeconds = 3600;
 constexpr milliseconds kMinRetryAfter{ 60 };
@@ -109,6 +111,15 @@
                                         : aRequest.timeToObjective,
                                    aNow);
   }
+  if (aRequest.second) {
+    return aRequest.instance.empty()
+             ? mUpstreams.ChooseAsSecond(aRequest.service,
+                                         aRequest.group,
+                                         aRequest.excluded,
+                                         aRequest.dataCentre,
+                                         aNow)
+             : mUpstreams.ChooseOneAsSecond(aRequest.instance, aNow);
+  }
   if (!aRequest.instance.empty()) {
     return aRequest.uncoordinated
              ? mUpstreams.ChooseOneUncoordinated(aRequest.instance, aNow)
@@ -134,6 +145,11 @@
                              aNow + aRequest.maxHold +
                                Duration(kLostReleaseGrace),
                              start };
+  if (aRequest.second) {
+    ++mGrants.second;
+  } else if (!aRequest.uncoordinated && !aRequest.direct) {
+    ++mGrants.first;
+  }
   mPendingAnswers.emplace_back(
     SlotGranted{ aRequest.key, aChoice.instance, aChoice.address });
 }
@@ -202,9 +218,11 @@
 double
 SlotBroker::CapacityFor(const SlotRequest& aRequest) const
 {
-  return aRequest.instance.empty()
-           ? mUpstreams.CapacityOf(aRequest.service, aRequest.group)
-           : mUpstreams.CapacityOfInstance(aRequest.instance);
+  const double capacity =
+    aRequest.instance.empty()
+      ? mUpstreams.CapacityOf(aRequest.service, aRequest.group)
+      : mUpstreams.CapacityOfInstance(aRequest.instance);
+  return aRequest.second ? capacity * kSecondCapacityFraction : capacity;
 }
 
 size_t
@@ -389,6 +407,16 @@
   return TakePendingAnswers();
 }
 
+void
+SlotBroker::UpdateQueued(const std::function<void(SlotRequest&)>& aUpdate)
+{
+  for (auto& [service, queue] : mQueues) {
+    for (auto& [position, queued] : queue) {
+      aUpdate(queued.request);
+    }
+  }
+}
+
 bool
 SlotBroker::HasRequestsOf(uint64_t aSession) const
 {
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -1,6 +1,7 @@
 /// Allocation of upstream slots to requests.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,6 +58,9 @@
   double rateShare = 1;
   /// This host chooses an instance from load reports, without the home entry.
   bool direct = false;
+  /// This host is the second allocator of the upstreams: it may allocate a part
+  /// of their slots while the first one does not answer.
+  bool second = false;
 };
 
 struct SlotGranted
@@ -115,6 +119,10 @@
                                   Duration aElapsed,
                                   Instant aNow);
 
+  /// Changes the queued requests, after which this host may allocate for other
+  /// upstreams than when they were queued.
+  void UpdateQueued(const std::function<void(SlotRequest&)>& aUpdate);
+
   /// Ends waits and slots that have expired. Must be called every kTick.
   std::vector<SlotAnswer> Tick(Instant aNow);
 
@@ -158,6 +166,15 @@
   /// @return the number of requests that wait for a slot.
   size_t QueuedCount() const;
 
+  /// Slots granted since the start, without those that this host granted to its
+  /// own requests for upstreams of which it is not an allocator.
+  struct GrantCounts
+  {
+    uint64_t first = 0;
+    uint64_t second = 0;
+  };
+  const GrantCounts& Grants() const { return mGrants; }
+
   /// See UpstreamSet::TakeChangedResponseSeconds.
   std::map<std::string, double> TakeChangedResponseSeconds()
   {
@@ -247,6 +264,7 @@
   std::map<SlotKey, GrantedSlot> mGranted;
   std::map<Target, Demand> mDemand;
   uint64_t mArrivals = 0;
+  GrantCounts mGrants;
   std::vector<SlotAnswer> mPendingAnswers;
 };
 
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -437,6 +437,53 @@
                     const DataCentre& aDataCentre,
                     double aRateShare,
                     Instant aNow)
+{
+  return ChooseWithRoom(
+    aService,
+    aGroup,
+    aExcluded,
+    aDataCentre,
+    [&](const Upstream& aUpstream) {
+      return aUpstream.inFlight < MaxInFlight(aUpstream) &&
+             HasRateRoom(aUpstream, aRateShare, aNow);
+    },
+    aNow);
+}
+
+UpstreamSet::Outcome
+UpstreamSet::ChooseAsSecond(const std::string& aService,
+                            uint32_t aGroup,
+                            const std::set<std::string>& aExcluded,
+                            const DataCentre& aDataCentre,
+                            Instant aNow)
+{
+  return ChooseWithRoom(
+    aService,
+    aGroup,
+    aExcluded,
+    aDataCentre,
+    [&](const Upstream& aUpstream) {
+      return HasRoomForSecond(aUpstream, aNow);
+    },
+    aNow);
+}
+
+/// Only the first allocator counts the requests to a limited upstream.
+bool
+UpstreamSet::HasRoomForSecond(const Upstream& aUpstream, Instant aNow)
+{
+  return !IsRateLimited(aUpstream, aNow) &&
+         aUpstream.inFlight <
+           std::max(aUpstream.slots / kUncoordinatedDivisor, 1U);
+}
+
+UpstreamSet::Outcome
+UpstreamSet::ChooseWithRoom(const std::string& aService,
+                            uint32_t aGroup,
+                            const std::set<std::string>& aExcluded,
+                            const DataCentre& aDataCentre,
+                            const HasRoom& aHasRoom,
+                            Instant aNow)
 {
   bool known = false;
   std::vector<const Item*> room;
@@ -447,8 +494,7 @@
     }
     known = true;
     const Upstream& upstream = item->second;
-    if (upstream.inFlight >= MaxInFlight(upstream) ||
-        !HasRateRoom(upstream, aRateShare, aNow)) {
+    if (!aHasRoom(upstream)) {
       continue;
     }
     (aNow < upstream.avoidUntil ? avoided : room).push_back(item);
@@ -472,6 +518,31 @@
 UpstreamSet::ChooseOne(const std::string& aInstance,
                        double aRateShare,
                        Instant aNow)
+{
+  return ChooseOneWithRoom(
+    aInstance,
+    [&](const Upstream& aUpstream) {
+      return aUpstream.inFlight < MaxInFlight(aUpstream) &&
+             HasRateRoom(aUpstream, aRateShare, aNow);
+    },
+    aNow);
+}
+
+UpstreamSet::Outcome
+UpstreamSet::ChooseOneAsSecond(const std::string& aInstance, Instant aNow)
+{
+  return ChooseOneWithRoom(
+    aInstance,
+    [&](const Upstream& aUpstream) {
+      return HasRoomForSecond(aUpstream, aNow);
+    },
+    aNow);
+}
+
+UpstreamSet::Outcome
+UpstreamSet::ChooseOneWithRoom(const std::string& aInstance,
+                               const HasRoom& aHasRoom,
+                               Instant aNow)
 {
   const auto found = mUpstreams.find(aInstance);
   if (found == mUpstreams.end() || found->second.removed) {
@@ -490,8 +561,7 @@
     }
     upstream.nextProbeAt = aNow + Duration(kProbeInterval);
   }
-  if (upstream.inFlight >= MaxInFlight(upstream) ||
-      !HasRateRoom(upstream, aRateShare, aNow)) {
+  if (!aHasRoom(upstream)) {
     return UnavailableReason::Full;
   }
   return Choice{ found->first, found->second.address };
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -1,6 +1,7 @@
 /// Load balancing over upstream instances.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -206,6 +207,20 @@
   Outcome ChooseOneUncoordinated(const std::string& aInstance,
                                  Instant aNow) const;
 
+  /// Chooses an instance of a group for the second allocator: only instances
+  /// without a limited request rate, and at most half of the slots of each. The
+  /// first allocator may allocate the others meanwhile.
+  /// @param aExcluded instances that must not be chosen.
+  /// @param aDataCentre data centre that the request comes from.
+  Outcome ChooseAsSecond(const std::string& aService,
+                         uint32_t aGroup,
+                         const std::set<std::string>& aExcluded,
+                         const DataCentre& aDataCentre,
+                         Instant aNow);
+
+  /// The same for the given instance.
+  Outcome ChooseOneAsSecond(const std::string& aInstance, Instant aNow);
+
   /// @return the owner of a key if it may be sent requests, or an empty string.
   std::string OwnerOf(const State& aState,
                       const std::string& aService,
@@ -372,6 +387,20 @@
     std::optional<Instant> reportedAt;
   };
 
+  using HasRoom = std::function<bool(const Upstream&)>;
+
+  /// Chooses the cheapest instance of a group that has room.
+  Outcome ChooseWithRoom(const std::string& aService,
+                         uint32_t aGroup,
+                         const std::set<std::string>& aExcluded,
+                         const DataCentre& aDataCentre,
+                         const HasRoom& aHasRoom,
+                         Instant aNow);
+  /// Chooses the given instance if it has room and is not being probed.
+  Outcome ChooseOneWithRoom(const std::string& aInstance,
+                            const HasRoom& aHasRoom,
+                            Instant aNow);
+  static bool HasRoomForSecond(const Upstream& aUpstream, Instant aNow);
   static uint32_t GroupCountFor(const Service& aService);
   static bool IsMember(const Upstream& aUpstream);
   const std::vector<const Item*>& MembersOf(const std::string& aService,
