The slot coordinator follows the allocator directory

Cause: the coordinator selects among entry hosts alike, also if control hosts could allocate or the links of entries differ.

Change: the allocators come from AllocatorDirectory, which is filled from the replicated state only. An asker turns to the second allocator when the first one is silent or declines, and to the new one when the host that queued its request is replaced. A host declines requests for groups that it does not allocate, and a control host those that arrive while its state has not been confirmed for 500 ms. When allocators change, the new one sends nothing to limited upstreams for 1 s longer than before: the previous one may not know yet, for up to kMaxStateAge. Requests queued at the previous one lose their share of the limit. With entries alike nothing of this applies.

--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -79,6 +79,7 @@
   request.timeToObjective = milliseconds{ aRequest.aim_ms() };
   request.maxHold = milliseconds{ aRequest.held_ms() };
   request.dataCentre = DataCentre{ aRequest.data_centre() };
+  request.second = aRequest.second();
   return request;
 }
 
@@ -106,16 +107,13 @@
 void
 SlotCoordinator::StateChanged(const State& aState)
 {
-  mEntries.clear();
-  for (const auto& [address, member] : aState.Entries()) {
-    AddEntry(address);
-  }
-  OnEntryCountChanged();
+  const auto ruleBefore = mAllocators.Rule();
+  ReplaceMembers(aState);
   RemoveStaleRequesters(aState);
   Deliver(mBroker.Update(aState, mClock.Now()));
   // This host may have just started, and a snapshot does not show when it
   // became the home entry of an upstream.
-  PauseNewlyHomed({});
+  OnAllocatorsChanged(ruleBefore, {});
 }
 
 void
@@ -134,21 +132,12 @@
     case wire::GatewayCommand::kEndInstance:
       Deliver(mBroker.Update(aState, aCommand.end_instance().id(), now));
       return;
-    case wire::GatewayCommand::kPutEntry: {
-      const std::vector<std::string> before = RateLimitedHomedHere();
-      AddEntry(aCommand.put_entry().entry().address());
-      OnEntryCountChanged();
-      PauseNewlyHomed(before);
-      return;
-    }
-    case wire::GatewayCommand::kDropEntry: {
-      const std::vector<std::string> before = RateLimitedHomedHere();
-      DropEntry(aCommand.drop_entry().address());
-      OnEntryCountChanged();
-      RemoveStaleRequesters(aState);
-      PauseNewlyHomed(before);
+    case wire::GatewayCommand::kPutEntry:
+    case wire::GatewayCommand::kDropEntry:
+    case wire::GatewayCommand::kPutControl:
+    case wire::GatewayCommand::kDropControl:
+      ApplyMembership(aState, aCommand);
       return;
-    }
     case wire::GatewayCommand::kEvacuateDataCentre:
       Deliver(mBroker.Update(aState, now));
       return;
@@ -167,8 +156,9 @@
 void
 SlotCoordinator::OnEntryCountChanged()
 {
-  mLimiter.SetEntryCount(mEntries.size());
-  mBroker.SetEntryCount(std::max<size_t>(mEntries.size(), 1));
+  const size_t entries = mAllocators.EntryCount();
+  mLimiter.SetEntryCount(entries);
+  mBroker.SetEntryCount(std::max<size_t>(entries, 1));
 }
 
 /// Removes the sessions of entries that have left the state, unless they have
@@ -238,11 +228,16 @@
     std::max<int64_t>(Ms(aRequest.timeToObjective).count(), int64_t{ 1 }));
   ask->set_held_ms(Ms(aRequest.maxHold).count());
   ask->set_data_centre(aRequest.dataCentre.value);
+  ask->set_second(aRequest.second);
   for (const RateLimitNotice& limit : LimitsFor(aRequest)) {
     *ask->add_limits() = ToWire(limit);
   }
   const Instant sentAt = mClock.Now();
   aPending->sentToHome = true;
+  aPending->home = aHome;
+  aPending->second = aRequest.second;
+  aPending->service = aRequest.service;
+  aPending->group = aRequest.group;
   mSend(HostName{ aHome }, frame);
   const bool useShortTimeout = mHomesAreSlow && aPending->mayBypassHome;
   co_await AwaitFirstReply(
@@ -265,8 +260,8 @@
   // The home entry ends the wait, at the latest when no response can arrive
   // before the deadline.
   const Instant end = sentAt + aRequest.maxHold;
-  while (!aPending->outcome && !aPending->context->IsCancelled() &&
-         mClock.Now() < end) {
+  while (!aPending->outcome && !aPending->replaced &&
+         !aPending->context->IsCancelled() && mClock.Now() < end) {
     co_await WaitUntil(aPending, end);
   }
 }
@@ -411,9 +406,13 @@
     aRequest.direct ? std::string() : HomeOf(aRequest.service, aRequest.group);
   const bool askHome = !home.empty() && home != mSelf && !IsUnresponsive(home);
   std::optional<SlotOutcome> outcome;
+  const Instant askedAt = mClock.Now();
   if (askHome) {
     outcome = co_await AcquireFrom(home, aContext, aRequest);
   }
+  if (!outcome && !home.empty() && home != mSelf) {
+    outcome = co_await AcquireFromNext(home, aContext, aRequest, askedAt);
+  }
   const auto* slot = outcome ? std::get_if<Slot>(&*outcome) : nullptr;
   if (slot != nullptr && slot->address.empty()) {
     // A home entry that was partitioned may not know yet that an upstream is
@@ -463,7 +462,7 @@
     if (aHome.empty() || pending->sentToHome) {
       Release(Slot{ ticket, aHome, {}, {} }, AttemptOutcome::Abandoned, {});
     }
-    const bool unanswered = !pending->queued;
+    const bool unanswered = !pending->queued || pending->replaced;
     co_return unanswered ? std::nullopt
                          : std::optional<SlotOutcome>(SlotUnavailable{
                              UpstreamSet::UnavailableReason::Full,
@@ -517,15 +516,16 @@
   const bool known = aRequest.instance().empty()
                        ? upstreams.HasInstances(aRequest.service())
                        : !upstreams.ServiceOf(aRequest.instance()).empty();
-  if (!known) {
+  CheckStateAge();
+  SlotRequest request = FromWire(aRequest);
+  if (!known || !MayAllocate(request)) {
     Decline(aRequest);
     return;
   }
   for (const wire::UpstreamNotice& limit : aRequest.limits()) {
     ApplyNotice(limit);
   }
-  SlotRequest request = FromWire(aRequest);
-  request.rateShare = RateShareOf(request.service, request.group);
+  SetAllocation(request);
   Deliver(mBroker.Acquire(request, mClock.Now()));
 }
 
@@ -652,6 +652,7 @@
 void
 SlotCoordinator::Tick()
 {
+  CheckStateAge();
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
   mResting.RemoveEnded(mClock.Now());
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -1,4 +1,4 @@
-/// Acquisition of upstream slots from the entry hosts that allocate them.
+/// Acquisition of upstream slots from the hosts that allocate them.
 #pragma once
 
 #include <functional>
@@ -17,6 +17,7 @@
 #include "gateway/resting_upstreams.h"
 #include "gateway/slot_broker.h"
 #include "gateway/slot_request_limiter.h"
+#include "scheduling/allocator_directory.h"
 #include "wire/gateway.pb.h"
 
 namespace rattandyke::gateway {
@@ -25,7 +26,7 @@
 struct Slot
 {
   uint64_t ticket = 0;
-  /// Entry host that allocated the slot; empty: this host.
+  /// Host that allocated the slot; empty: this host.
   std::string home;
   std::string instance;
   std::string address;
@@ -46,8 +47,10 @@
 /// slots to other entry hosts for the upstreams of which this host is the home
 /// entry.
 ///
-/// The home entry of an upstream allocates all its slots. Every entry host
-/// derives it from the replicated list of entries. A request with a key gets
+/// The home entry (first allocator) of an upstream allocates all its slots.
+/// Every host derives it from the replicated lists of hosts, see
+/// AllocatorDirectory. It is an entry host, or a control host, which also runs
+/// a coordinator then. A request with a key gets
 /// its slot from the home entry of the key's owner; another one from the home
 /// entry of a group of its service's upstreams. While a home entry does not
 /// answer, this host sends uncoordinated, by what it knows itself: without a
@@ -123,6 +126,9 @@
 
   const SlotBroker& Broker() const { return mBroker; }
 
+  /// @return the requests of this host that went to the second allocator.
+  uint64_t RequestsToSecond() const { return mRequestsToSecond; }
+
   /// See UpstreamSet::TakeChangedResponseSeconds.
   std::map<std::string, double> TakeChangedResponseSeconds()
   {
@@ -135,12 +141,6 @@
   /// can queue requests.
   static constexpr std::chrono::milliseconds kBypassInterval{ 1000 };
 
-  struct Entry
-  {
-    std::string address;
-    uint64_t hash = 0;
-  };
-
   /// A request of this host that waits for a slot.
   struct Pending
   {
@@ -153,6 +153,14 @@
     bool declined = false;
     /// The request was sent to the home entry.
     bool sentToHome = false;
+    /// The host that queued the request is no longer an allocator for it.
+    bool replaced = false;
+    /// Host that the request was sent to, whether as the second allocator, and
+    /// what it is for.
+    std::string home;
+    bool second = false;
+    std::string service;
+    uint32_t group = 0;
     /// See SlotRequest::mayBypassHome.
     bool mayBypassHome = false;
     /// The limiter's decision on the request after it was queued there.
@@ -177,10 +185,34 @@
     std::string aHome,
     std::shared_ptr<RequestContext> aContext,
     SlotRequest aRequest);
-  void AddEntry(const std::string& aAddress);
-  void DropEntry(const std::string& aAddress);
+  /// Acquires a slot from another allocator than one that has not answered.
+  /// @param aTried that allocator.
+  /// @param aSince time since which the request has waited.
+  /// @return the outcome; nothing if no allocator answered.
+  boost::asio::awaitable<std::optional<SlotOutcome>> AcquireFromNext(
+    std::string aTried,
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest,
+    Instant aSince);
+  void ReplaceMembers(const State& aState);
+  void ApplyMembership(const State& aState,
+                       const wire::GatewayCommand& aCommand);
+  void OnAllocatorsChanged(scheduling::AllocatorRule aRuleBefore,
+                           const std::vector<std::string>& aLimitedBefore);
+  void LogAllocators();
+  void WakeReplaced();
+  void UpdateQueuedRequests();
+  void CheckStateAge();
+  bool MayAllocate(const SlotRequest& aRequest) const;
+  void SetAllocation(SlotRequest& aRequest) const;
   void OnEntryCountChanged();
   void RemoveStaleRequesters(const State& aState);
+  scheduling::AllocatorDirectory::Allocators AllocatorsOf(
+    const std::string& aService,
+    uint32_t aGroup) const
+  {
+    return mAllocators.Select(aService, aGroup);
+  }
   std::string HomeOf(const std::string& aService, uint32_t aGroup) const;
   /// @return whether to choose an upstream from load reports, without its home
   /// entry.
@@ -191,7 +223,10 @@
   bool RecordRequest(const std::string& aInstance);
   bool IsHomeOf(const std::string& aInstance) const;
   std::vector<std::string> RateLimitedHomedHere() const;
-  void PauseNewlyHomed(const std::vector<std::string>& aBefore);
+  /// @param aExtra time for which the previous home entry may not know that it
+  /// has been replaced.
+  void PauseNewlyHomed(const std::vector<std::string>& aBefore,
+                       Duration aExtra = {});
   /// @return see SlotRequest::rateShare.
   double RateShareOf(const std::string& aService, uint32_t aGroup) const;
   /// Records a notice that another host sent.
@@ -250,8 +285,12 @@
   const StateAge mStateAge;
   Random mRandom;
   SlotBroker mBroker;
-  /// Sorted by address.
-  std::vector<Entry> mEntries;
+  scheduling::AllocatorDirectory mAllocators;
+  /// Fingerprint of the allocators that were logged last.
+  uint64_t mLoggedAllocators = 0;
+  /// The state was recent enough at the last check; see CheckStateAge.
+  bool mStateIsRecent = false;
+  uint64_t mRequestsToSecond = 0;
   /// By ticket.
   std::map<uint64_t, std::shared_ptr<Pending>> mPending;
   /// Addresses of the entries that request slots here, by session.
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -3,17 +3,24 @@
 
 #include <algorithm>
 
-#include "routing/service_table.h"
+#include "log/log.h"
 
 namespace rattandyke::gateway {
 
 namespace {
 
+namespace asio = boost::asio;
+using scheduling::AllocatorRole;
+using scheduling::AllocatorRule;
 using std::chrono::milliseconds;
 
 /// With a list of entries older than this, a host may no longer be the home
 /// entry.
 constexpr milliseconds kMaxStateAge{ 1000 };
+/// A control host with a state older than this does not allocate. Its state is
+/// not confirmed during an election, which takes up to 450 ms; if control hosts
+/// declined meanwhile, all entries would send without coordination.
+constexpr milliseconds kMaxControlStateAge{ 500 };
 /// Share of a limited upstream's request rate that a host allocates with such a
 /// list. Together with a whole share of another host it stays below one and a
 /// half times the rate.
@@ -37,47 +44,10 @@
 
 } // namespace
 
-void
-SlotCoordinator::AddEntry(const std::string& aAddress)
-{
-  const auto at =
-    std::lower_bound(mEntries.begin(),
-                     mEntries.end(),
-                     aAddress,
-                     [](const Entry& aEntry, const std::string& aOther) {
-                       return aEntry.address < aOther;
-                     });
-  if (at == mEntries.end() || at->address != aAddress) {
-    mEntries.insert(at, Entry{ aAddress, routing::HashKey(aAddress) });
-  }
-}
-
-void
-SlotCoordinator::DropEntry(const std::string& aAddress)
-{
-  std::erase_if(
-    mEntries, [&](const Entry& aEntry) { return aEntry.address == aAddress; });
-}
-
-/// Rendezvous hashing: the home entry is the entry whose hash, mixed with that
-/// of the group, is the highest. When an entry is added or removed, only the
-/// groups that it gains or loses change their home entry. Since every request
-/// calls this, the hashes of the entries are stored.
 std::string
 SlotCoordinator::HomeOf(const std::string& aService, uint32_t aGroup) const
 {
-  const uint64_t group =
-    routing::HashKey(aService + "/" + std::to_string(aGroup));
-  const Entry* home = nullptr;
-  uint64_t highest = 0;
-  for (const Entry& entry : mEntries) {
-    const uint64_t mixed = routing::MixBits(group ^ entry.hash);
-    if (home == nullptr || mixed > highest) {
-      highest = mixed;
-      home = &entry;
-    }
-  }
-  return home == nullptr ? std::string() : home->address;
+  return std::string(AllocatorsOf(aService, aGroup).first);
 }
 
 bool
@@ -104,13 +74,14 @@
 /// accepts, and as many again from this host would be too many.
 /// @param aBefore limited upstreams that were homed on this host before.
 void
-SlotCoordinator::PauseNewlyHomed(const std::vector<std::string>& aBefore)
+SlotCoordinator::PauseNewlyHomed(const std::vector<std::string>& aBefore,
+                                 Duration aExtra)
 {
   std::vector<std::string> limited = RateLimitedHomedHere();
   std::erase_if(limited, [&](const auto& aId) {
     return std::find(aBefore.begin(), aBefore.end(), aId) != aBefore.end();
   });
-  mBroker.PauseRateLimited(limited, mClock.Now());
+  mBroker.PauseRateLimited(limited, mClock.Now() + aExtra);
 }
 
 /// A partitioned home entry continues to allocate slots for the entries on its
@@ -125,6 +96,9 @@
   if (!home.empty() && home != mSelf) {
     return 0;
   }
+  if (mAllocators.Rule() == AllocatorRule::ControlHosts) {
+    return mStateAge() < Duration(kMaxControlStateAge) ? 1 : 0;
+  }
   const bool upToDate = home.empty() || mStateAge() < Duration(kMaxStateAge);
   return upToDate ? 1 : kOutdatedListShare;
 }
@@ -178,7 +152,194 @@
   Instant& lastRequestAt = mLastRequestAt[aInstance];
   const bool isFirst = now - lastRequestAt >= Duration(kBypassInterval);
   lastRequestAt = now;
-  return isFirst || mEntries.size() <= kFewEntries;
+  return isFirst || mAllocators.EntryCount() <= kFewEntries;
+}
+
+void
+SlotCoordinator::ReplaceMembers(const State& aState)
+{
+  mAllocators.Clear();
+  for (const auto& [address, member] : aState.Entries()) {
+    mAllocators.PutEntry(address, member.link_mbits());
+  }
+  for (const auto& [address, member] : aState.ControlHosts()) {
+    mAllocators.PutControlHost(address, member.allocates_slots());
+  }
+  OnEntryCountChanged();
+}
+
+/// Applies a command that adds, changes or removes a host.
+void
+SlotCoordinator::ApplyMembership(const State& aState,
+                                 const wire::GatewayCommand& aCommand)
+{
+  const AllocatorRule ruleBefore = mAllocators.Rule();
+  const std::vector<std::string> limitedBefore = RateLimitedHomedHere();
+  if (aCommand.has_put_entry()) {
+    const wire::EntryMember& entry = aCommand.put_entry().entry();
+    mAllocators.PutEntry(entry.address(), entry.link_mbits());
+  } else if (aCommand.has_drop_entry()) {
+    mAllocators.RemoveEntry(aCommand.drop_entry().address());
+  } else if (aCommand.has_put_control()) {
+    const wire::ControlMember& control = aCommand.put_control().control();
+    mAllocators.PutControlHost(control.address(), control.allocates_slots());
+  } else {
+    mAllocators.RemoveControlHost(aCommand.drop_control().address());
+  }
+  OnEntryCountChanged();
+  if (aCommand.has_drop_entry()) {
+    RemoveStaleRequesters(aState);
+  }
+  OnAllocatorsChanged(ruleBefore, limitedBefore);
+}
+
+/// Without EntriesAlike, many upstreams may change their allocator at once
+/// while the previous one is alive. It stops sending to limited upstreams as
+/// soon as it learns of the change, or once its state is older than
+/// kMaxStateAge, so the new allocator waits for that time as well.
+/// @param aLimitedBefore limited upstreams that were homed on this host before.
+void
+SlotCoordinator::OnAllocatorsChanged(
+  AllocatorRule aRuleBefore,
+  const std::vector<std::string>& aLimitedBefore)
+{
+  if (aRuleBefore == AllocatorRule::EntriesAlike &&
+      mAllocators.Rule() == AllocatorRule::EntriesAlike) {
+    PauseNewlyHomed(aLimitedBefore);
+    return;
+  }
+  PauseNewlyHomed(aLimitedBefore, Duration(kMaxStateAge));
+  if (mAllocators.Fingerprint() != mLoggedAllocators) {
+    mLoggedAllocators = mAllocators.Fingerprint();
+    LogAllocators();
+    UpdateQueuedRequests();
+    WakeReplaced();
+  }
+}
+
+void
+SlotCoordinator::LogAllocators()
+{
+  log::Line(log::Part::Entry, log::Severity::Info)
+    << "allocators of slots changed role=" << NameOf(mAllocators.Rule())
+    << " count=" << mAllocators.AllocatorCount();
+}
+
+/// Ends the wait of requests at hosts that no longer allocate for them: such a
+/// host may have left, or grants from a part of the slots only.
+void
+SlotCoordinator::WakeReplaced()
+{
+  for (const auto& [ticket, pending] : mPending) {
+    if (!pending->sentToHome || !pending->queued || pending->outcome) {
+      continue;
+    }
+    const auto allocators = AllocatorsOf(pending->service, pending->group);
+    const AllocatorRole role = allocators.RoleOf(pending->home);
+    if (role == AllocatorRole::None ||
+        (role == AllocatorRole::Second && !pending->second)) {
+      pending->replaced = true;
+      pending->context->WakeTimer().cancel();
+    }
+  }
+}
+
+/// Requests that are queued here when this host is replaced, or its state
+/// becomes outdated, must not get slots of limited upstreams any more.
+void
+SlotCoordinator::UpdateQueuedRequests()
+{
+  mBroker.UpdateQueued([this](SlotRequest& aRequest) {
+    if (!aRequest.direct && !aRequest.uncoordinated) {
+      SetAllocation(aRequest);
+    }
+  });
+}
+
+/// Determines which part of the upstreams' slots a request may get here.
+void
+SlotCoordinator::SetAllocation(SlotRequest& aRequest) const
+{
+  if (mAllocators.Rule() != AllocatorRule::EntriesAlike) {
+    const auto allocators = AllocatorsOf(aRequest.service, aRequest.group);
+    aRequest.second |= allocators.RoleOf(mSelf) != AllocatorRole::First;
+  }
+  aRequest.rateShare =
+    aRequest.second ? 0 : RateShareOf(aRequest.service, aRequest.group);
+}
+
+/// @return whether this host may answer a slot request of another one. With
+/// EntriesAlike it does so even if it is not the home entry. Otherwise the
+/// message may be one from an earlier set of allocators.
+bool
+SlotCoordinator::MayAllocate(const SlotRequest& aRequest) const
+{
+  if (mAllocators.Rule() == AllocatorRule::EntriesAlike) {
+    return true;
+  }
+  const AllocatorRole role =
+    AllocatorsOf(aRequest.service, aRequest.group).RoleOf(mSelf);
+  if (mAllocators.Rule() == AllocatorRule::ControlHosts &&
+      mStateAge() >= Duration(kMaxControlStateAge)) {
+    return false;
+  }
+  const bool second = aRequest.second || role == AllocatorRole::Second;
+  return role != AllocatorRole::None &&
+         (!second || mStateAge() < Duration(kMaxStateAge));
+}
+
+/// A control host whose state was outdated does not know who allocated
+/// meanwhile, and one that has replayed its log does not know what it sent
+/// before its restart.
+void
+SlotCoordinator::CheckStateAge()
+{
+  const bool recent = mStateAge() < Duration(kMaxControlStateAge);
+  if (recent == mStateIsRecent) {
+    return;
+  }
+  mStateIsRecent = recent;
+  if (mAllocators.Rule() != AllocatorRule::ControlHosts) {
+    return;
+  }
+  if (recent) {
+    PauseNewlyHomed({}, Duration(kMaxStateAge));
+  }
+  UpdateQueuedRequests();
+}
+
+asio::awaitable<std::optional<SlotOutcome>>
+SlotCoordinator::AcquireFromNext(std::string aTried,
+                                 std::shared_ptr<RequestContext> aContext,
+                                 SlotRequest aRequest,
+                                 Instant aSince)
+{
+  if (aRequest.direct || aContext->IsCancelled() ||
+      mAllocators.Rule() == AllocatorRule::EntriesAlike) {
+    co_return std::nullopt;
+  }
+  const auto allocators = AllocatorsOf(aRequest.service, aRequest.group);
+  // The set of allocators may have changed while the request waited.
+  aRequest.second = allocators.first == aTried;
+  const std::string next(aRequest.second ? allocators.second
+                                         : allocators.first);
+  if (next.empty() || IsUnresponsive(next)) {
+    co_return std::nullopt;
+  }
+  const Duration waited = mClock.Now() - aSince;
+  for (Duration* left :
+       { &aRequest.maxWait, &aRequest.timeToObjective, &aRequest.maxHold }) {
+    *left -= std::min(waited, *left);
+  }
+  mRequestsToSecond += aRequest.second ? 1 : 0;
+  if (next != mSelf) {
+    co_return co_await AcquireFrom(next, aContext, aRequest);
+  }
+  if (!MayAllocate(aRequest)) {
+    co_return std::nullopt;
+  }
+  SetAllocation(aRequest);
+  co_return co_await AcquireFrom({}, aContext, aRequest);
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/slot_coordinator.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 
 #include <gtest/gtest.h>
@@ -73,6 +74,61 @@
     }
   }
 
+  /// Lists two control hosts that allocate. Entries state their links.
+  void AddControlHosts()
+  {
+    ApplyAndTell([](wire::GatewayCommand& aCommand) {
+      auto* entry = aCommand.mutable_put_entry()->mutable_entry();
+      entry->set_address(kHome);
+      entry->set_link_mbits(2.3);
+    });
+    for (const char* address : kControlHosts) {
+      PutControlHost(address, true);
+    }
+  }
+
+  void PutControlHost(const char* aAddress, bool aAllocates)
+  {
+    ApplyAndTell([&](wire::GatewayCommand& aCommand) {
+      auto* control = aCommand.mutable_put_control()->mutable_control();
+      control->set_address(aAddress);
+      control->set_allocates_slots(aAllocates);
+    });
+  }
+
+  template<typename Fill>
+  void ApplyAndTell(Fill aFill)
+  {
+    wire::GatewayCommand command;
+    aFill(command);
+    Apply(command);
+    coordinator.StateChanged(state, command);
+  }
+
+  /// Receives a slot request of another entry.
+  void Receive(uint64_t aTicket, bool aSecond)
+  {
+    wire::SlotAsk ask;
+    ask.set_reply_to("10.0.0.2:1");
+    ask.set_session(5);
+    ask.set_ticket(aTicket);
+    ask.set_service("desk");
+    ask.set_instance("i-1");
+    ask.set_group(coordinator.Broker().Upstreams().GroupOf("i-1"));
+    ask.set_patience_ms(1000);
+    ask.set_held_ms(1000);
+    ask.set_second(aSecond);
+    coordinator.OnSlotRequest(ask);
+  }
+
+  size_t SentAnswers(wire::SlotState aState) const
+  {
+    return static_cast<size_t>(std::count_if(
+      sentAnswers.begin(), sentAnswers.end(), [&](const auto& aOne) {
+        return aOne.state() == aState;
+      }));
+  }
+
   /// Sends the home entry's answer to the oldest slot request.
   void Answer(wire::SlotState aState)
   {
@@ -110,6 +166,8 @@
   }
 
   static constexpr const char* kHome = "10.0.0.9:1";
+  static constexpr const char* kSelf = "10.0.0.1:1";
+  static constexpr std::array kControlHosts{ "10.8.0.1:1", "10.8.0.2:1" };
   static constexpr size_t kMaxInFlight = 64;
   ShiftedClock clock;
   asio::io_context context;
@@ -124,7 +182,7 @@
   std::vector<wire::SlotAnswer> sentAnswers;
   std::vector<SlotOutcome> outcomes;
   SlotCoordinator coordinator{ context.get_executor(),
-                               "10.0.0.1:1",
+                               kSelf,
                                77,
                                [this](const HostName&,
                                       const wire::GatewayFrame& aFrame) {
@@ -361,5 +419,66 @@
   EXPECT_EQ(requestCount, kMaxInFlight + 20);
 }
 
+// A slot request was sent when entries allocated, and arrives at one after
+// control hosts have taken over. Guards against two first allocators.
+TEST_F(SlotCoordinatorTest, LateRequestToFormerAllocatorIsDeclined)
+{
+  LoadState();
+  AddControlHosts();
+  Receive(1, false);
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_UNKNOWN), 1U);
+}
+
+// The only other control host is the first allocator or this one is: as the
+// second, this host grants half of the 4 slots.
+TEST_F(SlotCoordinatorTest, SecondAllocatorGrantsHalf)
+{
+  LoadState();
+  AddControlHosts();
+  PutControlHost(kSelf, true);
+  PutControlHost(kControlHosts[1], false);
+  for (uint64_t ticket = 1; ticket <= 6; ++ticket) {
+    Receive(ticket, true);
+  }
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 2U);
+  EXPECT_EQ(coordinator.Broker().Grants().second, 2U);
+}
+
+// Guards against requests to a limited upstream that its counter, the first
+// allocator, does not know of.
+TEST_F(SlotCoordinatorTest, SecondAllocatorGrantsNothingAtLimitedUpstream)
+{
+  LoadState();
+  AddControlHosts();
+  PutControlHost(kSelf, true);
+  PutControlHost(kControlHosts[1], false);
+  coordinator.RecordRateLimit(Slot{ 0, {}, "i-1", {}, 0 }, 100);
+  clock.Advance(std::chrono::seconds{ 10 });
+  Receive(1, true);
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_REFUSED), 1U);
+}
+
+// Guards against a request that waits to its end at an allocator which has
+// queued it and then leaves: it is sent to the next one.
+TEST_F(SlotCoordinatorTest, RequestQueuedAtRemovedAllocatorMoves)
+{
+  LoadState();
+  AddControlHosts();
+  autoAnswer = wire::SLOT_STATE_QUEUED;
+  Acquire();
+  context.poll();
+  ASSERT_EQ(requestCount, 1U);
+  autoAnswer = wire::SLOT_STATE_GRANTED;
+  for (const char* address : kControlHosts) {
+    PutControlHost(address, false);
+    context.poll();
+    PutControlHost(address, true);
+    context.poll();
+  }
+  EXPECT_EQ(requestCount, 2U);
+  EXPECT_EQ(SlotCount(), 1U);
+  EXPECT_EQ(releases.size(), 1U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -1,6 +1,7 @@
 #include "testing/entry_group.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -12,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kService = "desk";
+/// Cold period of upstreams that are cold at their start.
+constexpr milliseconds kColdTime{ 60000 };
 constexpr milliseconds kMaxWait{ 300 };
 constexpr milliseconds kMaxHold{ 1000 };
 constexpr milliseconds kTimeToObjective{ 500 };
@@ -52,7 +55,12 @@
 {
   uint64_t session = 0;
   bool listed = true;
-  bool silent = false;
+  bool cutIn = false;
+  bool cutOut = false;
+  /// What it states: an entry its bandwidth, a control host that it allocates.
+  double linkMbits = 0;
+  bool allocates = true;
+  std::optional<Instant> stateHeldSince;
   std::unique_ptr<SlotCoordinator> slots;
   /// First responses with a rate limit, and that told of leaving, by upstream.
   std::map<size_t, Instant> toldLimitAt;
@@ -76,8 +84,13 @@
   std::optional<Duration> rest;
 };
 
-EntryGroup::EntryGroup(size_t aEntries, size_t aUpstreams, bool aOwnsKeys)
+EntryGroup::EntryGroup(size_t aEntries,
+                       size_t aUpstreams,
+                       bool aOwnsKeys,
+                       const GroupOptions& aOptions)
   : mOwnsKeys(aOwnsKeys)
+  , mOptions(aOptions)
+  , mCallerEntries(aEntries)
   , mClock(std::make_unique<SimulatedClock>(mNow))
   , mUpstreams(aUpstreams)
   , mIncarnations(aUpstreams, 1)
@@ -90,17 +103,18 @@
   item->set_owns_keys(aOwnsKeys);
   item->set_version(1);
   item->set_source(kService);
+  item->set_cold_rate(aOptions.coldRate);
   Apply(service);
   for (size_t number = 0; number < aUpstreams; ++number) {
     Apply(PutUpstream(number));
   }
-  for (size_t number = 0; number < aEntries; ++number) {
-    wire::GatewayCommand put;
-    put.mutable_put_entry()->mutable_entry()->set_address(AddressOf(number));
-    Apply(put);
-  }
-  for (size_t number = 0; number < aEntries; ++number) {
+  const size_t hosts = aEntries + aOptions.controlHosts;
+  for (size_t number = 0; number < hosts; ++number) {
     mEntries.push_back(std::make_unique<Entry>());
+    mEntries.back()->linkMbits = aOptions.linkMbits;
+    Apply(PutHost(number));
+  }
+  for (size_t number = 0; number < hosts; ++number) {
     StartEntry(number);
   }
 }
@@ -110,16 +124,53 @@
 std::string
 EntryGroup::AddressOf(size_t aEntry) const
 {
-  return "10.0." + std::to_string(aEntry / 250) + "." +
+  const char* network = aEntry < mCallerEntries ? "10.0." : "10.8.";
+  return network + std::to_string(aEntry / 250) + "." +
          std::to_string(aEntry % 250) + ":1";
 }
 
+wire::GatewayCommand
+EntryGroup::PutHost(size_t aEntry) const
+{
+  wire::GatewayCommand put;
+  const Entry& entry = *mEntries[aEntry];
+  if (aEntry < mCallerEntries) {
+    wire::EntryMember* member = put.mutable_put_entry()->mutable_entry();
+    member->set_address(AddressOf(aEntry));
+    member->set_link_mbits(entry.linkMbits);
+  } else {
+    wire::ControlMember* member = put.mutable_put_control()->mutable_control();
+    member->set_address(AddressOf(aEntry));
+    member->set_allocates_slots(entry.allocates);
+  }
+  return put;
+}
+
+wire::GatewayCommand
+EntryGroup::DropHost(size_t aEntry) const
+{
+  wire::GatewayCommand drop;
+  if (aEntry < mCallerEntries) {
+    drop.mutable_drop_entry()->set_address(AddressOf(aEntry));
+  } else {
+    drop.mutable_drop_control()->set_address(AddressOf(aEntry));
+  }
+  return drop;
+}
+
+Duration
+EntryGroup::StateAgeOf(size_t aEntry) const
+{
+  const auto& heldSince = mEntries[aEntry]->stateHeldSince;
+  return heldSince ? mNow - *heldSince : mStateAge;
+}
+
 void
 EntryGroup::Apply(const wire::GatewayCommand& aCommand)
 {
   static_cast<void>(mState.Apply(aCommand, LogIndex{ ++mIndex }));
   for (const auto& entry : mEntries) {
-    if (entry->slots) {
+    if (entry->slots && !entry->stateHeldSince) {
       entry->slots->StateChanged(mState, aCommand);
     }
   }
@@ -136,11 +187,34 @@
   instance->set_address("10.9.0.1:" + std::to_string(aUpstream + 1));
   instance->set_slots(mUpstreams[aUpstream].slots);
   instance->set_life(mIncarnations[aUpstream]);
+  if (mOptions.coldRate > 0) {
+    instance->set_cold_ms(kColdTime.count());
+  }
   return put;
 }
 
 void
 EntryGroup::StartEntry(size_t aEntry)
+{
+  Entry& entry = *mEntries[aEntry];
+  StartCoordinator(aEntry);
+  if (!entry.listed) {
+    entry.listed = true;
+    Apply(PutHost(aEntry));
+  }
+  entry.stateHeldSince.reset();
+  entry.slots->StateChanged(mState);
+}
+
+void
+EntryGroup::StartWithoutState(size_t aEntry)
+{
+  StartCoordinator(aEntry);
+  mEntries[aEntry]->stateHeldSince = mNow - kDetectionTime;
+}
+
+void
+EntryGroup::StartCoordinator(size_t aEntry)
 {
   Entry& entry = *mEntries[aEntry];
   entry.session = ++mLastSession;
@@ -158,14 +232,48 @@
     *mClock,
     entry.session,
     kOptions,
-    [this] { return mStateAge; });
-  if (!entry.listed) {
-    entry.listed = true;
-    wire::GatewayCommand put;
-    put.mutable_put_entry()->mutable_entry()->set_address(AddressOf(aEntry));
-    Apply(put);
+    [this, aEntry] { return StateAgeOf(aEntry); });
+}
+
+void
+EntryGroup::SetStateHeld(size_t aEntry, bool aHeld)
+{
+  Entry& entry = *mEntries[aEntry];
+  if (aHeld) {
+    entry.stateHeldSince = mNow;
+  } else if (std::exchange(entry.stateHeldSince, std::nullopt)) {
+    entry.slots->StateChanged(mState);
   }
-  entry.slots->StateChanged(mState);
+}
+
+void
+EntryGroup::SetAllocating(size_t aControlHost, bool aAllocates)
+{
+  mEntries[aControlHost]->allocates = aAllocates;
+  Apply(PutHost(aControlHost));
+}
+
+void
+EntryGroup::SetLink(size_t aEntry, double aLinkMbits)
+{
+  mEntries[aEntry]->linkMbits = aLinkMbits;
+  Apply(PutHost(aEntry));
+}
+
+const SlotCoordinator&
+EntryGroup::Slots(size_t aEntry) const
+{
+  return *mEntries[aEntry]->slots;
+}
+
+size_t
+EntryGroup::RequestsToSecond() const
+{
+  size_t requests = 0;
+  for (const auto& entry : mEntries) {
+    requests += entry->slots ? entry->slots->RequestsToSecond() : 0;
+  }
+  return requests;
 }
 
 void
@@ -185,7 +293,14 @@
 void
 EntryGroup::SetSilent(size_t aEntry, bool aSilent)
 {
-  mEntries[aEntry]->silent = aSilent;
+  SetCut(aEntry, aSilent, aSilent);
+}
+
+void
+EntryGroup::SetCut(size_t aEntry, bool aIn, bool aOut)
+{
+  mEntries[aEntry]->cutIn = aIn;
+  mEntries[aEntry]->cutOut = aOut;
 }
 
 void
@@ -203,10 +318,7 @@
       Entry& entry = *mEntries[mDrops.begin()->second];
       if (!entry.slots && entry.listed) {
         entry.listed = false;
-        wire::GatewayCommand drop;
-        drop.mutable_drop_entry()->set_address(
-          AddressOf(mDrops.begin()->second));
-        Apply(drop);
+        Apply(DropHost(mDrops.begin()->second));
       }
       mDrops.erase(mDrops.begin());
     }
@@ -252,7 +364,7 @@
 void
 EntryGroup::SendRequest()
 {
-  const size_t number = mRandom() % mEntries.size();
+  const size_t number = mRandom() % mCallerEntries;
   Entry& entry = *mEntries[number];
   if (!entry.slots) {
     return;
@@ -318,8 +430,8 @@
         const auto number = static_cast<size_t>(&aEntry - mEntries.data());
         return AddressOf(number) == message.to;
       });
-    if (to == mEntries.end() || !(*to)->slots || (*to)->silent ||
-        mEntries[message.from]->silent) {
+    if (to == mEntries.end() || !(*to)->slots || (*to)->cutIn ||
+        mEntries[message.from]->cutOut) {
       continue;
     }
     SlotCoordinator& slots = *(*to)->slots;
@@ -442,6 +554,26 @@
   return latest;
 }
 
+size_t
+EntryGroup::MostArrivals(size_t aUpstream,
+                         Instant aFrom,
+                         Duration aWindow) const
+{
+  std::deque<Instant> recent;
+  size_t most = 0;
+  for (const Arrival& arrival : mArrivals[aUpstream]) {
+    if (arrival.at < aFrom) {
+      continue;
+    }
+    recent.push_back(arrival.at);
+    while (arrival.at - recent.front() >= aWindow) {
+      recent.pop_front();
+    }
+    most = std::max(most, recent.size());
+  }
+  return most;
+}
+
 size_t
 EntryGroup::ArrivalsSince(size_t aUpstream, Instant aSince) const
 {
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -34,6 +34,17 @@
   bool reportsLoad = false;
 };
 
+/// The hosts of a group and what they state in the replicated state.
+struct GroupOptions
+{
+  /// Bandwidth that entries state; 0: they state none.
+  double linkMbits = 0;
+  /// Control hosts that allocate slots from the start.
+  size_t controlHosts = 0;
+  /// Requests per second that a cold upstream bears; 0: upstreams are not cold.
+  double coldRate = 0;
+};
+
 /// A request that arrived at an upstream.
 struct Arrival
 {
@@ -59,14 +70,17 @@
 
 /// Several entry hosts, each with a SlotCoordinator, and the upstreams of one
 /// service. Messages between entries take a fixed time; timers follow the
-/// simulated clock.
+/// simulated clock. Control hosts that allocate are numbered after the entries.
 class EntryGroup
 {
 public:
   static constexpr std::chrono::milliseconds kStep{ 5 };
 
   /// @param aOwnsKeys whether each request is for a certain upstream.
-  EntryGroup(size_t aEntries, size_t aUpstreams, bool aOwnsKeys);
+  EntryGroup(size_t aEntries,
+             size_t aUpstreams,
+             bool aOwnsKeys,
+             const GroupOptions& aOptions = {});
   ~EntryGroup();
 
   /// Lets time pass while callers send requests to random entries.
@@ -80,6 +94,20 @@
   /// Drops or delivers the messages to and from an entry, which stays in the
   /// list.
   void SetSilent(size_t aEntry, bool aSilent);
+  /// Drops the messages to a host, or those that it sends.
+  void SetCut(size_t aEntry, bool aIn, bool aOut);
+  /// Holds back the changes of the state from a host, whose state becomes
+  /// older, or gives it the present state.
+  void SetStateHeld(size_t aEntry, bool aHeld);
+  /// Starts a host again that has no state until SetStateHeld ends.
+  void StartWithoutState(size_t aEntry);
+  /// Changes what a control host states about itself.
+  void SetAllocating(size_t aControlHost, bool aAllocates);
+  /// Changes the bandwidth that an entry states.
+  void SetLink(size_t aEntry, double aLinkMbits);
+  const SlotCoordinator& Slots(size_t aEntry) const;
+  /// @return the requests of all entries that went to the second allocator.
+  size_t RequestsToSecond() const;
   /// @return the entry that last answered a slot request of another one.
   size_t LastHome() const { return mLastHome; }
   void SetMessageDelay(Duration aDelay) { mMessageDelay = aDelay; }
@@ -97,6 +125,10 @@
     return mArrivals[aUpstream];
   }
 
+  /// @return the most requests that arrived at an upstream in any window since
+  /// then.
+  size_t MostArrivals(size_t aUpstream, Instant aFrom, Duration aWindow) const;
+
   /// @return the number of requests that arrived since then.
   size_t ArrivalsSince(size_t aUpstream, Instant aSince) const;
 
@@ -136,6 +168,10 @@
   struct Message;
 
   std::string AddressOf(size_t aEntry) const;
+  wire::GatewayCommand PutHost(size_t aEntry) const;
+  wire::GatewayCommand DropHost(size_t aEntry) const;
+  Duration StateAgeOf(size_t aEntry) const;
+  void StartCoordinator(size_t aEntry);
   void Apply(const wire::GatewayCommand& aCommand);
   wire::GatewayCommand PutUpstream(size_t aUpstream) const;
   void SendRequest();
@@ -148,6 +184,9 @@
   void RunHandlers();
 
   const bool mOwnsKeys;
+  const GroupOptions mOptions;
+  /// The first hosts, which have callers.
+  const size_t mCallerEntries;
   Instant mNow{ std::chrono::hours{ 1 } };
   Instant mNextTick{};
   Duration mMessageDelay = kStep;
