Entry and control hosts state their links and allocate by capacity

Cause: the allocators depend on what hosts state when they register.

Change: with [slots] allocators = capacity an entry host states link_mbits, and a control host that it allocates; it then runs a SlotCoordinator with the replicated state. A changed bandwidth or role is proposed again. A control host that stops states that it allocates no longer. StateFreshness tells how long the state of a control host has been unconfirmed, without counting messages that it reads after a pause. Metrics slot_allocations{role} and slot_requests_second.

An entry host whose setting is entries states no bandwidth: all hosts decide by the state alone, so otherwise hosts with different settings would follow different rules, and two hosts would count the requests to a cold upstream.

No run with processes yet.

Conclusion: the part is wired; the default leaves the messages as they were, except that control hosts state their bandwidth.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -56,6 +56,9 @@
   , answerBatchTimer(executor)
   , deferredTimer(executor)
   , upToDateAt(aClock.Now())
+  , freshness(aClock.Now())
+  , slots(MakeSlots())
+  , slotTimer(executor)
 {
 }
 
@@ -106,6 +109,9 @@
     }
   }
   Tick();
+  if (slots) {
+    ScheduleSlotTick();
+  }
   return {};
 }
 
@@ -113,6 +119,9 @@
 ControlHost::Impl::Stop(std::function<void()> aDone)
 {
   stopping = true;
+  if (slots) {
+    SendHostReport(); // It states that this host allocates no longer.
+  }
   callServer->Stop();
   if (metricsServer) {
     metricsServer->Stop();
@@ -122,6 +131,7 @@
       self->driver->Stop();
       self->mesh->Stop();
       self->ticker.cancel();
+      self->slotTimer.cancel();
       done();
     });
 }
@@ -168,6 +178,9 @@
     loaded.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
     state.Load(loaded);
     feed.OnStateReplaced();
+    if (slots) {
+      slots->StateChanged(state);
+    }
   };
   callbacks.leadership = [this](std::optional<uint64_t> aTerm) {
     OnLeadership(aTerm);
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -7,6 +7,7 @@
 
 #include "base/endpoint.h"
 #include "gateway/control_host_impl.h"
+#include "gateway/slot_metrics.h"
 
 namespace rattandyke::gateway {
 
@@ -426,6 +427,9 @@
   metrics.Set("disk_failing", status.storageError.empty() ? 0 : 1);
   metrics.Set("entries", static_cast<double>(state.Entries().size()));
   metrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+  if (slots) {
+    SetSlotMetrics(metrics, *slots);
+  }
   return metrics.PrometheusText();
 }
 
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -38,6 +38,17 @@
   switch (frame.body_case()) {
     case wire::GatewayFrame::kConsensus:
       driver->Receive({}, frame.consensus());
+      ConfirmState();
+      return;
+    case wire::GatewayFrame::kSlotAsk:
+      if (slots) {
+        slots->OnSlotRequest(frame.slot_ask());
+      }
+      return;
+    case wire::GatewayFrame::kSlotDone:
+      if (slots) {
+        slots->OnSlotRelease(frame.slot_done());
+      }
       return;
     case wire::GatewayFrame::kFeedOpen:
       OnFeedOpen(aConnection, frame.feed_open());
@@ -184,15 +195,17 @@
   }
 }
 
-/// Proposes to store a control host's data centre in the state, unless it is
-/// stored already or the host is not a member of the group.
+/// Proposes to store a control host in the state, unless it is stored with the
+/// same data centre, bandwidth and role, or is not a member of the group.
 void
 ControlHost::Impl::ProposeControlHost(const wire::ControlMember& aControlHost)
 {
   const auto known = state.ControlHosts().find(aControlHost.address());
   const bool unchanged =
     known != state.ControlHosts().end() &&
-    known->second.data_centre() == aControlHost.data_centre();
+    known->second.data_centre() == aControlHost.data_centre() &&
+    known->second.link_mbits() == aControlHost.link_mbits() &&
+    known->second.allocates_slots() == aControlHost.allocates_slots();
   if (unchanged || !HoldsLeaderLease()) {
     return;
   }
@@ -252,6 +265,8 @@
   }
   pendingReport.mutable_sender()->set_address(self.value);
   pendingReport.mutable_sender()->set_data_centre(settings.dataCentre.value);
+  pendingReport.mutable_sender()->set_link_mbits(settings.linkMbits);
+  pendingReport.mutable_sender()->set_allocates_slots(slots && !stopping);
   const wire::HostReport report = std::exchange(pendingReport, {});
   if (driver->IsLeader()) {
     OnHostReport(report);
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -24,8 +24,10 @@
 #include "gateway/http_server.h"
 #include "gateway/metrics.h"
 #include "gateway/range_assigner.h"
+#include "gateway/slot_coordinator.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
+#include "scheduling/state_freshness.h"
 
 namespace rattandyke::gateway {
 
@@ -108,6 +110,13 @@
   void SendHostReport();
   void ScheduleFeedFlush();
 
+  // Allocation of slots: control_host_slots.cpp.
+
+  std::unique_ptr<SlotCoordinator> MakeSlots();
+  void ScheduleSlotTick();
+  void OnSlotTick();
+  void ConfirmState();
+
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
   boost::asio::awaitable<HttpResponse> ForwardHeartbeat(
@@ -211,6 +220,10 @@
   /// When this host was last known to be up to date; before that, its start.
   Instant upToDateAt{};
   bool stopping = false;
+  scheduling::StateFreshness freshness;
+  /// Null unless this host's setting is that it allocates slots.
+  std::unique_ptr<SlotCoordinator> slots;
+  boost::asio::steady_timer slotTimer;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -28,6 +28,9 @@
   if (outcome) {
     feed.Publish(command, aIndex);
     ScheduleFeedFlush();
+    if (slots) {
+      slots->StateChanged(state, command);
+    }
   }
   if (command.has_free_ranges()) {
     WakeRangeWaiters();
--- /dev/null
+++ b/src/librattandyke/gateway/control_host_slots.cpp
@@ -0,0 +1,61 @@
+// Allocation of the slots of upstreams by a control host.
+#include "gateway/control_host_impl.h"
+#include "gateway/upstream_options.h"
+
+namespace rattandyke::gateway {
+
+/// @return the coordinator, or null if this host's setting is not that it
+/// allocates slots.
+std::unique_ptr<SlotCoordinator>
+ControlHost::Impl::MakeSlots()
+{
+  if (settings.slotAllocators != SlotAllocators::Capacity) {
+    return nullptr;
+  }
+  return std::make_unique<SlotCoordinator>(
+    executor,
+    self.value,
+    seed,
+    [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
+      mesh->Send(aTo, aFrame.SerializeAsString());
+    },
+    clock,
+    seed,
+    UpstreamOptions(settings),
+    [this] { return freshness.AgeAt(clock.Now()); });
+}
+
+void
+ControlHost::Impl::ScheduleSlotTick()
+{
+  slotTimer.expires_after(SlotBroker::kTick);
+  slotTimer.async_wait([self = weak_from_this()](auto aError) {
+    const auto host = self.lock();
+    if (host && !aError) {
+      host->OnSlotTick();
+      host->ScheduleSlotTick();
+    }
+  });
+}
+
+void
+ControlHost::Impl::OnSlotTick()
+{
+  freshness.OnTick(clock.Now());
+  if (HoldsLeaderLease()) {
+    freshness.OnConfirmed(clock.Now());
+  }
+  slots->Tick();
+}
+
+/// Records, after a message of the replicated log, that this host's state is
+/// known to be up to date, if it is.
+void
+ControlHost::Impl::ConfirmState()
+{
+  if (slots && IsUpToDate()) {
+    freshness.OnConfirmed(clock.Now());
+  }
+}
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "gateway/feed_server.h"
 #include "gateway/http_server.h"
 #include "gateway/request_handler.h"
+#include "gateway/upstream_options.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
 
@@ -83,12 +84,7 @@
         },
         aClock,
         aSeed,
-        UpstreamSet::Options{ aSettings.drainTimeout,
-                              aSettings.evacuationTimeout,
-                              aSettings.coldFactor,
-                              aSettings.coldSlack,
-                              ToString(aSettings.AdvertisedAddress()),
-                              aSettings.dataCentre },
+        UpstreamOptions(aSettings),
         [this] { return feed.StateAge(); })
     , handler(executor,
               { aSettings.dataCentre,
@@ -105,11 +101,17 @@
   {
   }
 
+  /// The bandwidth is stated only by hosts whose setting is `capacity`. All
+  /// hosts derive the allocators from what the state contains, so while the
+  /// setting differs between hosts, none allocates by capacity.
   static wire::EntryMember MemberOf(const Settings& aSettings)
   {
     wire::EntryMember self;
     self.set_address(ToString(aSettings.AdvertisedAddress()));
     self.set_data_centre(aSettings.dataCentre.value);
+    if (aSettings.slotAllocators == SlotAllocators::Capacity) {
+      self.set_link_mbits(aSettings.linkMbits);
+    }
     return self;
   }
 
@@ -226,6 +228,12 @@
 
   Result<void> Start()
   {
+    if (settings.slotAllocators == SlotAllocators::Capacity &&
+        settings.linkMbits <= 0) {
+      log::Line(log::Part::Entry, log::Severity::Warning)
+        << "allocators = capacity has no effect in the deployment, since "
+           "link_mbits of this host is not set";
+    }
     mesh = std::make_unique<net::FrameMesh>(
       executor,
       settings.peers,
--- a/src/librattandyke/gateway/entry_registry.cpp
+++ b/src/librattandyke/gateway/entry_registry.cpp
@@ -44,8 +44,11 @@
   std::vector<wire::GatewayCommand> commands;
   for (auto at = mEntries.begin(); at != mEntries.end();) {
     const bool expired = aNow - at->second.reportedAt >= kRemoveAfter;
-    if (!expired && !aState.Entries().contains(at->first) &&
-        MayPropose(at->first, aNow)) {
+    const auto known = aState.Entries().find(at->first);
+    const bool stored =
+      known != aState.Entries().end() &&
+      known->second.link_mbits() == at->second.member.link_mbits();
+    if (!expired && !stored && MayPropose(at->first, aNow)) {
       *commands.emplace_back().mutable_put_entry()->mutable_entry() =
         at->second.member;
     }
--- a/src/librattandyke/gateway/entry_registry_test.cpp
+++ b/src/librattandyke/gateway/entry_registry_test.cpp
@@ -69,5 +69,27 @@
   EXPECT_EQ(state.Entries().size(), 1U);
 }
 
+// Guards against allocators that are selected by an old bandwidth: an entry
+// host restarts with another one before its removal is due.
+TEST(EntryRegistry, ChangedLinkIsProposedOnce)
+{
+  State state;
+  EntryRegistry registry;
+  Instant now{ std::chrono::hours{ 1 } };
+  registry.OnElected(state, now);
+  uint64_t index = 0;
+  for (const double link : { 0.0, 1.7, 5.5, 0.0 }) {
+    wire::EntryMember member = Member(1);
+    member.set_link_mbits(link);
+    now += std::chrono::seconds{ 1 };
+    registry.RecordReport(member, now);
+    const auto commands = registry.Tick(state, now);
+    ASSERT_EQ(commands.size(), 1U);
+    ASSERT_TRUE(state.Apply(commands.front(), LogIndex{ ++index }));
+    EXPECT_EQ(state.Entries().begin()->second.link_mbits(), link);
+    EXPECT_TRUE(registry.Tick(state, now + kTick).empty());
+  }
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/key_load_map.h"
 #include "gateway/retry_share.h"
+#include "gateway/slot_metrics.h"
 #include "http/headers.h"
 #include "http/signal.h"
 #include "log/log.h"
@@ -341,6 +342,7 @@
   mMetrics.Set("upstream_connects",
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   SetLinkMetrics();
+  SetSlotMetrics(mMetrics, mSlots);
   return mMetrics.PrometheusText();
 }
 
--- /dev/null
+++ b/src/librattandyke/gateway/slot_metrics.h
@@ -0,0 +1,18 @@
+/// Metrics of slot allocation, on entry hosts and control hosts.
+#pragma once
+
+#include "gateway/metrics.h"
+#include "gateway/slot_coordinator.h"
+
+namespace rattandyke::gateway {
+
+inline void
+SetSlotMetrics(Metrics& aMetrics, const SlotCoordinator& aSlots)
+{
+  const SlotBroker::GrantCounts& grants = aSlots.Broker().Grants();
+  aMetrics.SetTotal("slot_allocations", "role=\"first\"", grants.first);
+  aMetrics.SetTotal("slot_allocations", "role=\"second\"", grants.second);
+  aMetrics.SetTotal("slot_requests_second", {}, aSlots.RequestsToSecond());
+}
+
+} // namespace rattandyke::gateway
