--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -104,7 +104,8 @@
   if (aRequest.direct) {
     // A request that can no longer meet its latency objective is sent as long
     // as it can be answered.
-    const bool late = aRequest.timeToObjective <= Duration(kReturnTime);
+    const bool late = aRequest.timeToObjective <= Duration(kReturnTime) ||
+                      mUpstreams.ChoosesUntilDeadline();
     return mUpstreams.ChooseDirect(aRequest.service,
                                    aRequest.excluded,
                                    late ? aRequest.maxHold
--- a/src/librattandyke/gateway/upstream_options.h
+++ b/src/librattandyke/gateway/upstream_options.h
@@ -15,7 +15,8 @@
            aSettings.coldFactor,
            aSettings.coldSlack,
            ToString(aSettings.AdvertisedAddress()),
-           aSettings.dataCentre };
+           aSettings.dataCentre,
+           aSettings.linkAdmission == LinkAdmission::Transfer };
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -88,6 +88,10 @@
     std::string host;
     /// Data centre of this host.
     DataCentre dataCentre;
+    /// ChooseDirect may choose an instance whose response is expected after the
+    /// latency objective. Set if the link's admission has decided on that: then
+    /// a refusal makes the caller send its request over the busy link again.
+    bool chooseUntilDeadline = false;
   };
 
   UpstreamSet(uint64_t aSeed, const Options& aOptions);
@@ -145,6 +149,9 @@
                        Duration aMaxResponseTime,
                        Instant aNow);
 
+  /// @return Options::chooseUntilDeadline.
+  bool ChoosesUntilDeadline() const { return mOptions.chooseUntilDeadline; }
+
   /// @return the expected time until ChooseDirect finds an instance with room.
   Duration ExpectedDirectWait(const std::string& aService, Instant aNow);
 
