Tests of the way of a link probe

A probe must be returned once, on its own connection, and be ignored by older builds; only the measurement had tests. The return is now a function of FeedServer, which the tests' control host uses as well.

Conclusion: a client that follows an older control host keeps its connection and gets no answers.

--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -61,27 +61,13 @@
       OnForwardedHeartbeatAnswers(frame.forwarded_heartbeat_answers());
       return;
     case wire::GatewayFrame::kLinkProbe:
-      ReturnLinkProbe(aConnection, std::move(frame));
+      FeedServer::ReturnProbe(aConnection, std::move(frame));
       return;
     default:
       return;
   }
 }
 
-/// Returns a probe at once, whatever the state of this host, since its sender
-/// measures the delay of its own link.
-void
-ControlHost::Impl::ReturnLinkProbe(
-  const net::FrameMesh::Connection& aConnection,
-  wire::GatewayFrame aFrame)
-{
-  if (aFrame.link_probe().reply()) {
-    return; // Two hosts must not send a probe to each other forever.
-  }
-  aFrame.mutable_link_probe()->set_reply(true);
-  aConnection->Send(aFrame.SerializeAsString());
-}
-
 /// @return whether this host's state is known to be up to date, except for
 /// commands that are still in transit.
 bool
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -95,8 +95,6 @@
                std::string_view aMessage);
   bool IsUpToDate() const;
   std::vector<std::string> ControlHosts() const;
-  static void ReturnLinkProbe(const net::FrameMesh::Connection& aConnection,
-                              wire::GatewayFrame aFrame);
   void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
                   const wire::FeedOpen& aOpen);
   bool MayBeUpToDateSoon() const;
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -311,6 +311,17 @@
   aConnection->Send(frame.SerializeAsString());
 }
 
+void
+FeedServer::ReturnProbe(const Connection& aConnection,
+                        wire::GatewayFrame aFrame)
+{
+  if (aFrame.link_probe().reply()) {
+    return; // Two hosts must not send a probe to each other forever.
+  }
+  aFrame.mutable_link_probe()->set_reply(true);
+  aConnection->Send(aFrame.SerializeAsString());
+}
+
 /// @return a copy of the subscribers' connections. A send to a subscriber whose
 /// queue is full closes its connection, which removes it from mSubscribers, so
 /// loops that send must not iterate over the map.
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -95,6 +95,12 @@
   /// host at once. Called while this host is not known to be up to date.
   void CloseAll();
 
+  /// Returns a LinkProbe at once, whatever the state of this host: its sender
+  /// measures the delay of its own link. Ignores a probe that was returned.
+  /// @param aFrame contains the probe.
+  static void ReturnProbe(const Connection& aConnection,
+                          wire::GatewayFrame aFrame);
+
   /// Marks a subscriber as an entry host that is shutting down.
   void MarkLeaving(const Connection& aConnection);
 
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -435,6 +435,11 @@
     mServer.Ping(aHosts, Duration::zero());
   }
 
+  void CloseAll() { mServer.CloseAll(); }
+
+  /// Builds without LinkProbe ignore it.
+  bool returnsProbes = true;
+
 private:
   void Accept()
   {
@@ -449,7 +454,13 @@
            wire::GatewayFrame frame;
            frame.ParseFromArray(aMessage.data(),
                                 static_cast<int>(aMessage.size()));
-           mServer.Subscribe(raw->shared_from_this(), frame.feed_open());
+           if (!frame.has_link_probe()) {
+             mServer.Subscribe(raw->shared_from_this(), frame.feed_open());
+           } else if (returnsProbes) {
+             FeedServer::ReturnProbe(raw->shared_from_this(), frame);
+             frame.mutable_link_probe()->set_reply(true);
+             FeedServer::ReturnProbe(raw->shared_from_this(), frame);
+           }
          },
           [this, raw = connection.get()] {
             mServer.Unsubscribe(raw->shared_from_this());
@@ -505,6 +516,53 @@
   client.Stop();
 }
 
+// Guards against probes that are returned for another connection, or taken for
+// answers: a returned probe must not be returned again. An older control host
+// ignores probes and keeps the connection.
+TEST(FeedClientTest, ProbesAreReturnedOnTheirConnection)
+{
+  asio::io_context context;
+  State state;
+  ServingControlHost host(context, state);
+  SystemClock clock;
+  wire::EntryMember self;
+  self.set_address("127.0.0.1:1");
+  std::vector<uint64_t> replies;
+  FeedClient client(
+    context.get_executor(),
+    { self,
+      { ParseEndpoint(host.Address()).value() },
+      nullptr,
+      [&](uint64_t aId) { replies.push_back(aId); } },
+    [](const auto*) {},
+    clock,
+    3);
+  EXPECT_FALSE(client.ConfirmedConnection());
+  const auto follow = [&] {
+    for (int ping = 0; ping < 100 && !client.ConfirmedConnection(); ++ping) {
+      host.Ping({ host.Address() });
+      context.run_for(milliseconds{ 10 });
+    }
+    return client.ConfirmedConnection();
+  };
+  client.Start();
+  const auto first = follow();
+  ASSERT_TRUE(first);
+  client.SendProbe(7);
+  context.run_for(milliseconds{ 50 });
+  EXPECT_EQ(replies, std::vector<uint64_t>{ 7 });
+  host.returnsProbes = false;
+  client.SendProbe(8);
+  context.run_for(milliseconds{ 50 });
+  EXPECT_EQ(replies.size(), 1U);
+  EXPECT_EQ(client.ConfirmedConnection(), first);
+  host.CloseAll();
+  context.run_for(milliseconds{ 10 });
+  EXPECT_FALSE(client.ConfirmedConnection());
+  EXPECT_NE(follow(), first);
+  client.Stop();
+}
+
 // A control host that is not up to date closes the client's connection four
 // times in a row. The client reconnects each time until it is served.
 TEST(FeedClientTest, ClientReconnectsAfterItsConnectionIsClosed)
