Late answers of a control host fill no idle link

A control host that is slow to answer probes looked like a queue on the link of each entry host that follows it.

The measured delay now counts only while at least a quarter of the bandwidth was in use in the last second.

Conclusion: hosts with idle links don't refuse requests for a slow control host; links slower than a quarter of link_mbits are not found.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -39,6 +39,12 @@
 constexpr size_t kMaxRoutes = 1024;
 /// Share of the bandwidth from which on the link is probed often.
 constexpr double kBusyShare = 0.5;
+/// Share of the bandwidth below which a measured delay is not taken for a queue
+/// of this link. A control host that is slow to answer must not make hosts
+/// refuse requests while their links are nearly idle. A link with a queue uses
+/// less than this only if it has less than a quarter of the configured
+/// bandwidth.
+constexpr double kMinMeasuredShare = 0.25;
 
 /// Share of the slack that requests of a priority may use: 1 for the highest,
 /// falling towards 1/2.
@@ -173,7 +179,7 @@
       mMeter.TotalBytes(static_cast<LinkDirection>(direction));
     most = std::max(most, total - std::exchange(totals[direction], total));
   }
-  mBusy = static_cast<double>(most) > kBusyShare * mBytesPerSecond;
+  mBusyShare = static_cast<double>(most) / mBytesPerSecond;
 }
 
 std::optional<uint64_t>
@@ -186,7 +192,8 @@
   }
   CountTraffic(aNow);
   CountBusyShare(aNow);
-  return mProber.Tick({ aConnection, mBusy, aSendDelay }, aNow);
+  return mProber.Tick({ aConnection, mBusyShare > kBusyShare, aSendDelay },
+                      aNow);
 }
 
 void
@@ -204,12 +211,21 @@
   return (aDirection == LinkDirection::In ? mIn : mOut).Delay(aNow);
 }
 
+Duration
+LinkAdmission::ReceiveDelay(Instant aNow) const
+{
+  const Duration modelled = mIn.Delay(aNow);
+  return mBusyShare < kMinMeasuredShare
+           ? modelled
+           : std::max(modelled, mProber.ReceiveDelay(aNow));
+}
+
 LinkAdmission::Forecast
 LinkAdmission::ForecastOf(const LinkRequest& aRequest, Instant aNow) const
 {
   return { LinkMeter::BytesOnLink(aRequest.requestBytes),
            LinkMeter::BytesOnLink(aRequest.responseBytes),
-           std::max(mIn.Delay(aNow), mProber.ReceiveDelay(aNow)),
+           ReceiveDelay(aNow),
            mOut.Delay(aNow) };
 }
 
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -196,6 +196,9 @@
   /// Adds the traffic since the last call to the model.
   void CountTraffic(Instant aNow);
   void CountBusyShare(Instant aNow);
+  /// @return the larger of the modelled and the measured delay of incoming
+  /// bytes.
+  Duration ReceiveDelay(Instant aNow) const;
   Forecast ForecastOf(const LinkRequest& aRequest, Instant aNow) const;
   /// @return the time until the response has reached its caller.
   /// @param aUpstreamTime time until the upstream's response, without the link.
@@ -240,7 +243,8 @@
     mBusyTotals{};
   size_t mBusySlot = 0;
   Instant mBusySlotAt{};
-  bool mBusy = false;
+  /// Share of the bandwidth used in the last second, in the busier direction.
+  double mBusyShare = 0;
 };
 
 } // namespace rattandyke::scheduling
