Test what a replaced or outdated control host does with a limited upstream

Cause: with the update of queued requests, or the pause of a control host whose state has become recent, taken out of the code, all tests still passed.

Change: two tests of SlotCoordinator, one for each.

--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -96,6 +96,16 @@
     });
   }
 
+  /// Makes this host the only allocator.
+  void AllocateAlone()
+  {
+    AddControlHosts();
+    PutControlHost(kSelf, true);
+    for (const char* address : kControlHosts) {
+      PutControlHost(address, false);
+    }
+  }
+
   template<typename Fill>
   void ApplyAndTell(Fill aFill)
   {
@@ -181,6 +191,7 @@
   /// Answers that the coordinator sent as a home entry.
   std::vector<wire::SlotAnswer> sentAnswers;
   std::vector<SlotOutcome> outcomes;
+  Duration stateAge{};
   SlotCoordinator coordinator{ context.get_executor(),
                                kSelf,
                                77,
@@ -191,7 +202,7 @@
                                clock,
                                7,
                                { std::chrono::seconds{ 2 } },
-                               [] { return Duration::zero(); } };
+                               [this] { return stateAge; } };
 };
 
 /// @return the home entry to which a coordinator sends a slot request.
@@ -429,8 +440,8 @@
   EXPECT_EQ(SentAnswers(wire::SLOT_STATE_UNKNOWN), 1U);
 }
 
-// The only other control host is the first allocator or this one is: as the
-// second, this host grants half of the 4 slots.
+// Guards against two hosts that each grant all slots: of 4 slots, a host that
+// is asked as the second allocator grants 2.
 TEST_F(SlotCoordinatorTest, SecondAllocatorGrantsHalf)
 {
   LoadState();
@@ -458,6 +469,43 @@
   EXPECT_EQ(SentAnswers(wire::SLOT_STATE_REFUSED), 1U);
 }
 
+// Guards against an allocator that goes on sending to a limited upstream from
+// its queue after another has replaced it.
+TEST_F(SlotCoordinatorTest, ReplacedAllocatorGrantsNothingAtLimitedUpstream)
+{
+  LoadState();
+  AllocateAlone();
+  coordinator.Tick();
+  coordinator.RecordRateLimit(Slot{ 0, {}, "i-1", {}, 0 }, 5);
+  Receive(1, false);
+  ASSERT_EQ(SentAnswers(wire::SLOT_STATE_QUEUED), 1U);
+  PutControlHost(kControlHosts[0], true);
+  PutControlHost(kSelf, false);
+  clock.Advance(milliseconds{ 700 });
+  coordinator.Tick();
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 0U);
+}
+
+// Guards against a control host that was cut off, or has replayed its log, and
+// uses the whole rate of a limited upstream that another one may have used.
+TEST_F(SlotCoordinatorTest,
+       ControlHostPausesLimitedUpstreamOnceItsStateIsRecent)
+{
+  LoadState();
+  AllocateAlone();
+  coordinator.Tick();
+  coordinator.RecordRateLimit(Slot{ 0, {}, "i-1", {}, 0 }, 5);
+  clock.Advance(std::chrono::seconds{ 10 });
+  Receive(1, false);
+  ASSERT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 1U);
+  stateAge = std::chrono::seconds{ 1 };
+  coordinator.Tick();
+  clock.Advance(std::chrono::seconds{ 10 });
+  stateAge = {};
+  Receive(2, false);
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 1U);
+}
+
 // Guards against a request that waits to its end at an allocator which has
 // queued it and then leaves: it is sent to the next one.
 TEST_F(SlotCoordinatorTest, RequestQueuedAtRemovedAllocatorMoves)
