Demand and capacity of owners from RangeAssigner

The DemandTable needs the requests for each owner and the owners' capacities. RangeAssigner has both: the requests of each key since the last tick, as the difference between the present counts and the sums of the last decay, and the response times. No second table of keys is kept. A command that moves keys moves their share of the demand as well; else a former owner would look overloaded for a second more.

--- a/src/librattandyke/gateway/key_load_map.cpp
+++ b/src/librattandyke/gateway/key_load_map.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace rattandyke::gateway {
 
@@ -121,6 +122,15 @@
   return DecayedRequests(aKeys) / mEffectiveSeconds;
 }
 
+double
+KeyLoadMap::NewRequests(KeySpan aKeys) const
+{
+  const auto first = mBuckets.begin() + aKeys.from / kKeysPerBucket;
+  const auto end = mBuckets.begin() + aKeys.to / kKeysPerBucket + 1;
+  const double requests = std::accumulate(first, end, 0.0);
+  return std::max(requests - DecayedRequests(aKeys), 0.0);
+}
+
 std::vector<KeySpan>
 KeyLoadMap::FindHotKeys(KeySpan aKeys, double aMinRate) const
 {
--- a/src/librattandyke/gateway/key_load_map.h
+++ b/src/librattandyke/gateway/key_load_map.h
@@ -43,6 +43,10 @@
   /// @return the request rate of the keys, in requests per second.
   double Rate(KeySpan aKeys) const;
 
+  /// @return the requests added since the last Decay. Its cost grows with the
+  /// number of keys.
+  double NewRequests(KeySpan aKeys) const;
+
   /// @return the longest span that starts at the first key of aKeys and has a
   /// load of at most aMaxLoad; at least one bucket.
   KeySpan PrefixWithin(KeySpan aKeys, double aMaxLoad) const;
--- a/src/librattandyke/gateway/range_assigner.h
+++ b/src/librattandyke/gateway/range_assigner.h
@@ -17,6 +17,7 @@
 #include "gateway/key_load_map.h"
 #include "gateway/owner_index.h"
 #include "gateway/state.h"
+#include "scheduling/demand_table.h"
 #include "wire/gateway.pb.h"
 
 namespace rattandyke::gateway {
@@ -107,6 +108,22 @@
   /// Adds a sample of an instance's response time, in seconds, to its average.
   void RecordLatency(const std::string& aInstance, double aSeconds);
 
+  /// Adds the requests since the last Tick to the owners' demand. Call it
+  /// immediately before Tick.
+  void AddDemand(const State& aState, scheduling::DemandTable& aDemand) const;
+
+  /// Corrects the owners' demand for a command that moves keys.
+  /// @param aState the state before the command.
+  void MoveDemand(const wire::GatewayCommand& aCommand,
+                  const State& aState,
+                  scheduling::DemandTable& aDemand);
+
+  /// @return the capacities of all active owners of keys. The names are valid
+  /// until the next call of a method.
+  std::vector<scheduling::DemandTable::OwnerCapacity> OwnerCapacities(
+    const State& aState,
+    Instant aNow);
+
   /// Interval of calls of Tick.
   static constexpr Duration kTick = std::chrono::milliseconds{ 100 };
 
@@ -344,6 +361,17 @@
   OwnerLoads ComputeOwnerLoads(const std::string& aService,
                                const State& aState,
                                Instant aNow);
+  /// @return the request rate of those of the keys that a holder has and is not
+  /// about to release. An empty name stands for no holder.
+  static double RateOfHeldKeys(const std::string& aHolder,
+                               KeySpan aKeys,
+                               const RangeTable& aRanges,
+                               const KeyLoadMap& aLoad);
+  /// Removes the demand for keys from their holder.
+  template<typename Command>
+  void RemoveDemand(const Command& aCommand,
+                    const State& aState,
+                    scheduling::DemandTable& aDemand);
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
   /// @return consecutive keys of an owner, outside aExcluded, with a load of at
   /// most aTargetLoad and near it; nothing if no keys fit.
--- a/src/librattandyke/gateway/range_assigner_loads.cpp
+++ b/src/librattandyke/gateway/range_assigner_loads.cpp
@@ -29,6 +29,20 @@
 constexpr double kColdLatencyFactor = 2;
 /// Time for which computed loads stay valid, per instance in the state.
 constexpr std::chrono::microseconds kLoadsValidPerInstance{ 20 };
+/// Time for which capacities are taken from computed loads. Owners send
+/// heartbeats every second, so with a few hundred of them the loads are
+/// computed anyway.
+constexpr std::chrono::milliseconds kCapacitiesValid{ 400 };
+/// Smaller differences between sums of request counts are rounding errors.
+constexpr double kLeastNewRequests = 0.5;
+
+std::optional<KeySpan>
+ValidSpanOf(const wire::KeyRange& aRange)
+{
+  const bool valid = aRange.from() <= aRange.to() && aRange.to() <= kMaxKey;
+  return valid ? std::optional(KeySpan{ aRange.from(), aRange.to() })
+               : std::nullopt;
+}
 
 } // namespace
 
@@ -151,6 +165,119 @@
   return ownerLoads;
 }
 
+void
+RangeAssigner::AddDemand(const State& aState,
+                         scheduling::DemandTable& aDemand) const
+{
+  for (const auto& [service, plan] : mPlans) {
+    const RangeTable* ranges = aState.Ranges(service);
+    if (ranges == nullptr) {
+      continue;
+    }
+    for (const wire::RangeSegment& segment : ranges->Segments()) {
+      if (segment.holder().empty() || segment.held_back()) {
+        continue;
+      }
+      const double requests = plan.load.NewRequests(SpanOf(segment));
+      if (requests >= kLeastNewRequests) {
+        aDemand.AddOwnerRequests(segment.holder(), requests);
+      }
+    }
+  }
+}
+
+double
+RangeAssigner::RateOfHeldKeys(const std::string& aHolder,
+                              KeySpan aKeys,
+                              const RangeTable& aRanges,
+                              const KeyLoadMap& aLoad)
+{
+  double rate = 0;
+  for (uint32_t key = aKeys.from; key <= aKeys.to;) {
+    const wire::RangeSegment& segment = aRanges.Find(key);
+    const uint32_t last = std::min(segment.to(), aKeys.to);
+    if (segment.holder() == aHolder && !segment.held_back()) {
+      rate += aLoad.Rate({ key, last });
+    }
+    key = last + 1;
+  }
+  return rate;
+}
+
+template<typename Command>
+void
+RangeAssigner::RemoveDemand(const Command& aCommand,
+                            const State& aState,
+                            scheduling::DemandTable& aDemand)
+{
+  const RangeTable* ranges = aState.Ranges(aCommand.service());
+  const auto plan = mPlans.find(aCommand.service());
+  if (ranges == nullptr || plan == mPlans.end()) {
+    return;
+  }
+  const std::string& holder = aCommand.holder();
+  double lost = 0;
+  for (const wire::KeyRange& range : aCommand.ranges()) {
+    if (const auto keys = ValidSpanOf(range)) {
+      lost += RateOfHeldKeys(holder, *keys, *ranges, plan->second.load);
+    }
+  }
+  double all = 0;
+  for (const uint32_t key :
+       IndexOf(aCommand.service(), *ranges).OwnedBy(holder)) {
+    all += RateOfHeldKeys(
+      holder, SpanOf(ranges->Find(key)), *ranges, plan->second.load);
+  }
+  if (lost > 0 && all > 0) {
+    aDemand.RemoveMovedDemand(holder, lost / all);
+  }
+}
+
+/// Without the correction, an owner that has lost a hot key would look
+/// overloaded for another second, and requests for its other keys would be
+/// refused; the new owner would look idle.
+void
+RangeAssigner::MoveDemand(const wire::GatewayCommand& aCommand,
+                          const State& aState,
+                          scheduling::DemandTable& aDemand)
+{
+  if (aCommand.has_hold_back_ranges()) {
+    RemoveDemand(aCommand.hold_back_ranges(), aState, aDemand);
+  } else if (aCommand.has_free_ranges()) {
+    RemoveDemand(aCommand.free_ranges(), aState, aDemand);
+  } else if (aCommand.has_grant_ranges()) {
+    const wire::GrantRanges& grant = aCommand.grant_ranges();
+    const auto plan = mPlans.find(grant.service());
+    for (const wire::KeyRange& range : grant.ranges()) {
+      const auto keys = ValidSpanOf(range);
+      if (keys && plan != mPlans.end()) {
+        aDemand.AddMovedDemand(grant.holder(), plan->second.load.Rate(*keys));
+      }
+    }
+  }
+}
+
+/// Capacities change slowly, so loads that a heartbeat has computed recently
+/// are good enough, whatever the state's index.
+std::vector<scheduling::DemandTable::OwnerCapacity>
+RangeAssigner::OwnerCapacities(const State& aState, Instant aNow)
+{
+  std::vector<scheduling::DemandTable::OwnerCapacity> capacities;
+  for (auto& [service, plan] : mPlans) {
+    if (!OwnsKeys(aState, service)) {
+      continue;
+    }
+    const bool recent = aNow - plan.loadsComputedAt < kCapacitiesValid;
+    const OwnerLoads& owners =
+      recent ? plan.ownerLoads : OwnerLoadsOf(service, aState, aNow);
+    capacities.reserve(capacities.size() + owners.size());
+    for (const auto& [id, owner] : owners) {
+      capacities.push_back({ id, 1 / owner.utilizationPerRequest });
+    }
+  }
+  return capacities;
+}
+
 double
 RangeAssigner::BalancedLoad(const ServicePlan& aPlan)
 {
