Digests of the demand from the leader to entry hosts

Entry hosts could not know the demand of the others. With shared_demand they report the load of services without keys every 200 ms; control hosts add it up by service and forward it; the leader makes a digest every 200 ms while it holds its lease, and it goes over all control hosts and relays to entry hosts, each of which passes a digest on only once. Without the setting nothing of this is computed or sent. The numbers of a digest have 10 significant bits, so that it compresses; a digest of 256 owners would take a fifth of a 1.7 Mbit/s link otherwise (estimate: 256 entries of 30 to 40 bytes, five times a second).

An attempt counts as refused with proof or if its connection broke, since full upstreams of one customer reset it. An upstream that can't be reached is not busy and does not count.

The leader logs an owner's overload and its end, at most 20 at once and 4 a second after that.

--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -195,6 +195,7 @@
 ControlHost::Impl::OnTick()
 {
   if (HoldsLeaderLease()) {
+    RecordOwnerDemand();
     ProposeInBackground(rangeAssigner.Tick(state, clock.Now()));
     ProposeInBackground(entryRegistry.Tick(state, clock.Now()));
     ProposeControlHostRemovals();
@@ -217,6 +218,7 @@
     lastReportAt = now;
     SendHostReport();
   }
+  SendDemandDigest();
 }
 
 ControlHost::ControlHost(asio::io_context& aContext,
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -48,6 +48,9 @@
     case wire::GatewayFrame::kHostReport:
       OnHostReport(frame.host_report());
       return;
+    case wire::GatewayFrame::kDemandDigest:
+      OnDemandDigest(frame.demand_digest());
+      return;
     case wire::GatewayFrame::kForwardedCall:
       OnForwardedCall(frame.forwarded_call());
       return;
@@ -161,6 +164,7 @@
   pendingReport.mutable_loads()->MergeFrom(aReport.loads());
   pendingReport.mutable_times()->MergeFrom(aReport.times());
   pendingReport.mutable_entries()->MergeFrom(aReport.entries());
+  CollectServiceLoads(aReport);
 }
 
 /// Processes the report of a control host as the leader. Other hosts ignore it.
@@ -179,6 +183,7 @@
   for (const wire::EntryMember& entry : aReport.entries()) {
     entryRegistry.RecordReport(entry, clock.Now());
   }
+  RecordServiceLoads(aReport);
   if (aReport.has_sender()) {
     ProposeControlHost(aReport.sender());
   }
@@ -252,6 +257,7 @@
   }
   pendingReport.mutable_sender()->set_address(self.value);
   pendingReport.mutable_sender()->set_data_centre(settings.dataCentre.value);
+  TakeServiceLoads(pendingReport);
   const wire::HostReport report = std::exchange(pendingReport, {});
   if (driver->IsLeader()) {
     OnHostReport(report);
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -26,6 +26,8 @@
 #include "gateway/range_assigner.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
+#include "scheduling/demand_table.h"
+#include "scheduling/demand_view.h"
 
 namespace rattandyke::gateway {
 
@@ -108,6 +110,19 @@
   void SendHostReport();
   void ScheduleFeedFlush();
 
+  // Demand of all entry hosts: control_host_demand.cpp.
+
+  void CollectServiceLoads(const wire::FeedReport& aReport);
+  void TakeServiceLoads(wire::HostReport& aReport);
+  void RecordServiceLoads(const wire::HostReport& aReport);
+  void RecordOwnerDemand();
+  void RecordMovedDemand(const wire::GatewayCommand& aCommand);
+  std::vector<scheduling::DemandTable::ServiceSlots> SlotsOfServices() const;
+  void SendDemandDigest();
+  void SetDemandMetrics(size_t aListed, size_t aOverloaded);
+  void LogOverloads(const scheduling::DemandTable::Round& aRound);
+  void OnDemandDigest(const wire::DemandDigest& aMessage);
+
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
   boost::asio::awaitable<HttpResponse> ForwardHeartbeat(
@@ -202,6 +217,12 @@
   /// Collected for the next SendHostReport.
   wire::HostReport pendingReport;
   EntryRegistry entryRegistry;
+  /// Services' loads for the next SendHostReport.
+  std::map<std::string, scheduling::ServiceLoad> pendingServices;
+  /// Used while this host leads.
+  scheduling::DemandTable demandTable;
+  /// The newest digest that this host has sent to its subscribers.
+  scheduling::DemandView demandView;
   Instant lastPingAt{};
   Instant lastReportAt{};
   /// Subscriptions that wait until this host is up to date.
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -24,6 +24,7 @@
 {
   wire::GatewayCommand command;
   command.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+  RecordMovedDemand(command);
   Result<void> outcome = state.Apply(command, aIndex);
   if (outcome) {
     feed.Publish(command, aIndex);
@@ -60,6 +61,7 @@
            << state.AppliedIndex().value;
     rangeAssigner.OnElected(state, clock.Now());
     entryRegistry.OnElected(state, clock.Now());
+    demandTable.Start(*aTerm, clock.Now());
   } else {
     Info() << "this host leads no more";
   }
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -4,6 +4,7 @@
 
 #include "base/endpoint.h"
 #include "gateway/caller_server.h"
+#include "gateway/demand_wire.h"
 #include "gateway/feed_client.h"
 #include "gateway/feed_server.h"
 #include "gateway/http_server.h"
@@ -63,7 +64,12 @@
     , linkMeter(aClock.Now())
     , feed(
         executor,
-        { MemberOf(aSettings), aSettings.seeds, &linkMeter },
+        { MemberOf(aSettings),
+          aSettings.seeds,
+          &linkMeter,
+          [this](const wire::DemandDigest& aDigest) {
+            OnDemandDigest(aDigest);
+          } },
         [this](const wire::GatewayCommand* aCommand) {
           OnStateChanged(aCommand);
         },
@@ -94,7 +100,8 @@
               { aSettings.dataCentre,
                 aSettings.retryRatio,
                 aSettings.retrySlack,
-                aSettings.linkMbits * kBytesPerMbit },
+                aSettings.linkMbits * kBytesPerMbit,
+                aSettings.sharedDemand },
               feed,
               slots,
               aDialect,
@@ -188,6 +195,54 @@
     }
   }
 
+  /// Processes a digest and sends it to the relay's subscribers, unless it is
+  /// not newer than the last one.
+  void OnDemandDigest(const wire::DemandDigest& aMessage)
+  {
+    if (!settings.sharedDemand) {
+      return;
+    }
+    scheduling::DemandDigest digest = ToDemandDigest(aMessage);
+    if (!demand.IsNewer(digest)) {
+      demandMetrics.Increment("demand_digests", "event=\"ignored\"");
+      return;
+    }
+    demand.Apply(digest, clock.Now());
+    demandMetrics.Increment("demand_digests", "event=\"applied\"");
+    demandMetrics.Set("demand_owners_listed",
+                      static_cast<double>(digest.owners.size()));
+    digest.age = *demand.Age(clock.Now());
+    relay.SendDemandDigest(ToMessage(digest));
+  }
+
+  /// Logs when the demand becomes known or unknown.
+  void CheckDemand(Instant aNow)
+  {
+    const bool known = demand.IsFresh(aNow);
+    if (known == demandKnown) {
+      return;
+    }
+    demandKnown = known;
+    const Duration age = demand.Age(aNow).value_or(Duration::zero());
+    log::Line(log::Part::Entry, log::Severity::Info)
+      << "demand of all entry hosts is " << (known ? "known" : "unknown")
+      << " digest_age_ms="
+      << std::chrono::duration_cast<milliseconds>(age).count();
+  }
+
+  /// @return the metrics of this host as a text page.
+  std::string MetricsPage()
+  {
+    if (!settings.sharedDemand) {
+      return handler.MetricsPage();
+    }
+    if (const auto age = demand.Age(clock.Now())) {
+      demandMetrics.Set("demand_digest_age_seconds",
+                        std::chrono::duration<double>(*age).count());
+    }
+    return handler.MetricsPage() + demandMetrics.PrometheusText();
+  }
+
   /// Serves a subscriber of the relay, or closes its connection if this host is
   /// stopping or its state is too old.
   void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
@@ -297,7 +352,7 @@
   {
     const auto self = aSelf.lock();
     co_return HttpResponse{ self ? kOk : kUnavailable,
-                            self ? self->handler.MetricsPage() : std::string(),
+                            self ? self->MetricsPage() : std::string(),
                             "text/plain" };
   }
 
@@ -319,6 +374,7 @@
     callers.Sweep(now);
     handler.Sweep();
     ReportTraffic(now);
+    CheckDemand(now);
     if (!stopping && feed.StateAge() < kMaxRelayedAge) {
       relay.Ping(feed.ControlHosts(), feed.StateAge());
     } else {
@@ -381,6 +437,11 @@
   const Clock& clock;
   asio::steady_timer sweepTimer;
   scheduling::LinkMeter linkMeter;
+  /// Empty unless settings.sharedDemand.
+  scheduling::DemandView demand;
+  Metrics demandMetrics;
+  /// The demand was known at the last sweep.
+  bool demandKnown = false;
   Instant linkReportedAt{};
   std::unique_ptr<net::FrameMesh> mesh;
   FeedClient feed;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -366,6 +366,8 @@
       }
     } else if (aFrame.has_feed_ping()) {
       OnPing(aFrame.feed_ping());
+    } else if (aFrame.has_demand_digest() && options.onDemandDigest) {
+      options.onDemandDigest(aFrame.demand_digest());
     }
   }
 
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -36,6 +36,8 @@
     std::vector<Endpoint> seeds;
     /// Counts the feed's traffic unless it is null; outlives this object.
     scheduling::LinkMeter* linkMeter = nullptr;
+    /// Called with each digest of the demand that arrives, unless it is empty.
+    std::function<void(const wire::DemandDigest&)> onDemandDigest = {};
   };
 
   /// @param aOnStateChanged called after each change of the state, with the
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -311,6 +311,21 @@
   aConnection->Send(frame.SerializeAsString());
 }
 
+void
+FeedServer::SendDemandDigest(const wire::DemandDigest& aDigest)
+{
+  wire::GatewayFrame frame;
+  *frame.mutable_demand_digest() = aDigest;
+  OutgoingFrame outgoing(frame);
+  for (const Connection& connection : Connections()) {
+    const auto found = mSubscribers.find(connection);
+    if (found != mSubscribers.end()) {
+      connection->Send(found->second.acceptsCompressed ? outgoing.Compressed()
+                                                       : outgoing.Serialized());
+    }
+  }
+}
+
 /// @return a copy of the subscribers' connections. A send to a subscriber whose
 /// queue is full closes its connection, which removes it from mSubscribers, so
 /// loops that send must not iterate over the map.
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -91,6 +91,9 @@
             const std::vector<std::string>& aControlHosts,
             Duration aAge);
 
+  /// Sends a digest of the demand to all subscribers.
+  void SendDemandDigest(const wire::DemandDigest& aDigest);
+
   /// Closes the connections of all subscribers, so that they turn to another
   /// host at once. Called while this host is not known to be up to date.
   void CloseAll();
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -220,6 +220,7 @@
     time->set_instance(instance);
     time->set_seconds(seconds);
   }
+  TakeServiceLoads(report);
   return report;
 }
 
@@ -392,6 +393,8 @@
     }
     progress.key = static_cast<uint32_t>(*key);
     CountKeyRequest(progress.service, *progress.key);
+  } else {
+    CountServiceRequest(progress.service);
   }
   progress.request = MakeUpstreamRequest(aRequest, id);
   co_return co_await RunIfLinkAdmits(progress);
@@ -516,6 +519,7 @@
   }
   RecordLoadReport(slot.instance, result.response);
   RecordBackPressure(slot, result);
+  CountServiceAttempt(aProgress, result);
   mSlots.Release(
     slot,
     ToAttemptOutcome(result, aProgress.context->IsCancelledByCallerOrHost()),
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -24,6 +24,7 @@
 #include "gateway/route_table.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/upstream_client.h"
+#include "scheduling/demand_table.h"
 #include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway {
@@ -43,6 +44,8 @@
     double retryBurst = 0;
     /// Bandwidth of the host's link; 0 if not configured.
     double linkBytesPerSecond = 0;
+    /// TakeLoadReport includes the loads of services without keys.
+    bool reportServices = false;
   };
 
   /// @param aFeed, aSlots, aDialect, aLinkMeter and aClock outlive this object.
@@ -205,6 +208,13 @@
   /// @return the service's retry budget, adjusted to the number of entry hosts.
   entry::RetryBudget& RetryBudgetOf(const std::string& aService);
   void WakeWaiters();
+  /// Counts a request for a service without keys, for TakeLoadReport().
+  void CountServiceRequest(const std::string& aService);
+  /// Counts the end of an attempt for a service without keys.
+  void CountServiceAttempt(const RequestProgress& aProgress,
+                           const AttemptResult& aResult);
+  /// Moves the services' loads to a report.
+  void TakeServiceLoads(wire::FeedReport& aReport);
   /// Counts a request for a key, for TakeLoadReport().
   void CountKeyRequest(const std::string& aService, uint32_t aKey);
 
@@ -230,6 +240,8 @@
   boost::asio::steady_timer mEgressTimer;
   /// Requests per service and key bucket since the last TakeLoadReport().
   std::map<std::string, std::map<uint32_t, uint32_t>> mKeyRequests;
+  /// Loads of services without keys since the last TakeLoadReport().
+  std::map<std::string, scheduling::ServiceLoad> mServiceLoads;
 };
 
 } // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/shared_demand_test.cpp
@@ -0,0 +1,298 @@
+// The way of the demand: from entry hosts' reports to the leader, and in
+// digests from the leader over all control hosts and relays to entry hosts.
+#include "gateway/control_host.h"
+#include "gateway/entry_host.h"
+
+#include <array>
+#include <filesystem>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "base/endpoint.h"
+#include "gateway/demand_wire.h"
+#include "gateway/feed_server.h"
+#include "net/frame_connection.h"
+#include "testing/descriptors.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Service "desk" without keys, and a route to it.
+wire::ChangeItems
+DeskItems()
+{
+  wire::ChangeItems change;
+  wire::ServiceItem* service = change.add_services();
+  service->set_name("desk");
+  service->set_version(1);
+  wire::RouteItem* route = change.add_routes();
+  route->set_name("desk");
+  route->set_host("h");
+  route->set_prefix("/");
+  route->set_timeout_ms(300);
+  route->set_objective_ms(200);
+  route->set_max_attempts(1);
+  route->set_version(1);
+  route->add_parts()->set_service("desk");
+  route->mutable_parts(0)->set_weight(1);
+  return change;
+}
+
+/// A dialect in which every call configures DeskItems.
+class ChangeDialect final : public Dialect
+{
+public:
+  const HeaderNames& Headers() const override { return mNames; }
+  Result<ControlCall> DecodeCall(std::string_view,
+                                 std::string_view,
+                                 std::string_view) const override
+  {
+    return DeskItems();
+  }
+  std::optional<LoadReport> DecodeLoadReport(std::string_view) const override
+  {
+    return std::nullopt;
+  }
+  bool IsHeartbeat(std::string_view, std::string_view) const override
+  {
+    return false;
+  }
+  std::string Encode(const HeartbeatAnswer&) const override { return {}; }
+  std::string EncodeItems(const wire::GatewayState&) const override
+  {
+    return {};
+  }
+  std::string Encode(const Error&) const override { return {}; }
+  bool IsReadinessPath(std::string_view) const override { return false; }
+
+private:
+  const HeaderNames mNames{ "Id",      "Deadline", "Signature", "Expected",
+                            "Not-Run", "Instance", "Key",       "Load" };
+};
+
+/// A host that subscribes to the feed of another one and stores the digests.
+class Subscriber
+{
+public:
+  Subscriber(asio::io_context& aContext, const Endpoint& aHost)
+  {
+    tcp::socket socket(aContext);
+    socket.connect(testing::TcpOf(aHost));
+    mConnection = std::make_shared<net::FrameConnection>(std::move(socket));
+    mConnection->Start({ [this](std::string_view aMessage) {
+                          wire::GatewayFrame frame;
+                          frame.ParseFromArray(
+                            aMessage.data(), static_cast<int>(aMessage.size()));
+                          if (frame.has_demand_digest()) {
+                            digests.push_back(frame.demand_digest());
+                          }
+                        },
+                         [] {},
+                         {} });
+    wire::GatewayFrame frame;
+    frame.mutable_feed_open()->mutable_entry()->set_address("127.0.0.1:9");
+    Send(frame);
+  }
+  ~Subscriber() { mConnection->Close(); }
+  Subscriber(const Subscriber&) = delete;
+  Subscriber& operator=(const Subscriber&) = delete;
+
+  void Send(const wire::GatewayFrame& aFrame)
+  {
+    mConnection->Send(aFrame.SerializeAsString());
+  }
+
+  /// Reports requests for "desk", of which a tenth were refused.
+  void Report()
+  {
+    wire::GatewayFrame frame;
+    wire::ServiceLoad* load = frame.mutable_feed_report()->add_services();
+    load->set_service("desk");
+    load->set_requests(100);
+    load->set_refused(10);
+    Send(frame);
+  }
+
+  uint64_t NewestTerm() const
+  {
+    return digests.empty() ? 0 : digests.back().term();
+  }
+
+  std::vector<wire::DemandDigest> digests;
+
+private:
+  std::shared_ptr<net::FrameConnection> mConnection;
+};
+
+class SharedDemandTest : public ::testing::Test
+{
+protected:
+  SharedDemandTest()
+  {
+    std::string name = std::filesystem::temp_directory_path() / "demand-XXXXXX";
+    folder = mkdtemp(name.data());
+  }
+
+  ~SharedDemandTest() override
+  {
+    entry.reset();
+    hosts.clear();
+    std::filesystem::remove_all(folder);
+  }
+
+  void StartControlHosts(size_t aHosts, bool aSharedDemand)
+  {
+    for (size_t number = 0; number < aHosts; ++number) {
+      Settings host = HostSettings("c" + std::to_string(number));
+      host.calls = testing::FreeAddress(context);
+      host.metrics = testing::FreeAddress(context);
+      host.dataFolder = folder / host.name.value;
+      host.tolerated = (aHosts - 1) / 2;
+      host.firstStart = true;
+      host.sharedDemand = aSharedDemand;
+      settings.push_back(host);
+      seeds.push_back(host.peers);
+    }
+    for (size_t number = 0; number < aHosts; ++number) {
+      settings[number].seeds = seeds;
+      hosts.push_back(std::make_unique<ControlHost>(
+        context, settings[number], dialect, clock, number + 1));
+      ASSERT_TRUE(hosts.back()->Start());
+    }
+  }
+
+  Settings HostSettings(const std::string& aName)
+  {
+    Settings host;
+    host.name = HostName{ aName };
+    host.peers = testing::FreeAddress(context);
+    host.heartbeatInterval = milliseconds{ 1000 };
+    host.hold = milliseconds{ 4500 };
+    host.drainTimeout = milliseconds{ 500 };
+    host.shutdownGrace = milliseconds{ 1000 };
+    return host;
+  }
+
+  /// Runs until the condition holds, for at most aTime.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, milliseconds aTime = milliseconds{ 8000 })
+  {
+    const Instant end = clock.Now() + aTime;
+    while (!aCondition() && clock.Now() < end) {
+      context.restart();
+      context.run_for(milliseconds{ 20 });
+    }
+    return aCondition();
+  }
+
+  /// Sends a call with an HTTP server's address and reads the response.
+  std::string Call(const Endpoint& aServer, const std::string& aRequest)
+  {
+    tcp::socket socket(context);
+    socket.connect(testing::TcpOf(aServer));
+    asio::write(socket, asio::buffer(aRequest));
+    std::string received;
+    RunUntil(
+      [&] {
+        boost::system::error_code error;
+        std::array<char, 4096> bytes{};
+        socket.non_blocking(true);
+        received.append(bytes.data(),
+                        socket.read_some(asio::buffer(bytes), error));
+        return error && error != asio::error::would_block;
+      },
+      milliseconds{ 1500 });
+    return received;
+  }
+
+  /// Sends the configuration to the control hosts until it is accepted.
+  void Configure()
+  {
+    const std::string request =
+      "POST /items HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "Content-Length: 0\r\n\r\n";
+    ASSERT_TRUE(RunUntil([&] {
+      return Call(*settings[0].calls, request).starts_with("HTTP/1.1 200");
+    }));
+  }
+
+  /// @return the number of the control host that leads.
+  size_t FindLeader()
+  {
+    for (size_t number = 0; number < hosts.size(); ++number) {
+      const std::string page =
+        Call(*settings[number].metrics,
+             "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      if (page.find("rattandyke_gateway_leads 1") != std::string::npos) {
+        return number;
+      }
+    }
+    ADD_FAILURE() << "no host leads";
+    return 0;
+  }
+
+  const ChangeDialect dialect;
+  const SystemClock clock;
+  asio::io_context context{ 1 };
+  std::filesystem::path folder;
+  std::vector<Settings> settings;
+  std::vector<Endpoint> seeds;
+  std::vector<std::unique_ptr<ControlHost>> hosts;
+  std::unique_ptr<EntryHost> entry;
+};
+
+// Load reported to one control host is known at the subscribers of each.
+// Failure: the leader leaves. The next one's digests have a later term, and no
+// subscriber gets a digest twice.
+TEST_F(SharedDemandTest, DigestsReachTheSubscribersOfAllControlHosts)
+{
+  StartControlHosts(3, true);
+  Configure();
+  std::vector<std::unique_ptr<Subscriber>> subscribers;
+  for (const Endpoint& host : seeds) {
+    subscribers.push_back(std::make_unique<Subscriber>(context, host));
+  }
+  const auto isKnown = [](const auto& aSubscriber) {
+    return !aSubscriber->digests.empty() &&
+           aSubscriber->digests.back().services_size() == 1 &&
+           aSubscriber->digests.back().services(0).refused_share() > 0.09;
+  };
+  EXPECT_TRUE(RunUntil([&] {
+    subscribers[0]->Report();
+    return std::all_of(subscribers.begin(), subscribers.end(), isKnown);
+  }));
+  EXPECT_LT(subscribers[1]->digests.back().age_ms(), 100U);
+  const size_t leader = FindLeader();
+  const auto& follower = subscribers[(leader + 1) % subscribers.size()];
+  const uint64_t term = follower->NewestTerm();
+  hosts[leader]->Stop([] {});
+  EXPECT_TRUE(RunUntil([&] { return follower->NewestTerm() > term; }));
+  EXPECT_EQ(follower->digests.back().sequence(), 1U);
+  for (const auto& subscriber : subscribers) {
+    std::set<std::pair<uint64_t, uint64_t>> seen;
+    for (const wire::DemandDigest& digest : subscriber->digests) {
+      EXPECT_TRUE(seen.emplace(digest.term(), digest.sequence()).second);
+    }
+  }
+}
+
+// Without the setting nothing is sent that was not sent before.
+TEST_F(SharedDemandTest, NothingIsSentWithoutTheSetting)
+{
+  StartControlHosts(1, false);
+  Configure();
+  Subscriber subscriber(context, seeds[0]);
+  RunUntil([&] { return !subscriber.digests.empty(); }, milliseconds{ 1500 });
+  EXPECT_TRUE(subscriber.digests.empty());
+}
+
+} // namespace
+} // namespace rattandyke::gateway
