Tests of the digest's way, and its cost for the leader

The way of reports and digests had a test over control hosts only. New tests: an entry host reports requests and refusals, relays each digest once without making it younger, and does neither without the setting; numbers that are not amounts are left out of a digest; the largest digest fits a small link.

They are now computed for a digest at most once a second at that size, and only listed owners are copied.

Run: SharedDemand*, 7 tests; DemandTable*, DemandView*, RangeAssignerDemand*, 15 tests; all pass.

--- a/src/librattandyke/gateway/range_assigner_loads.cpp
+++ b/src/librattandyke/gateway/range_assigner_loads.cpp
@@ -29,10 +29,10 @@
 constexpr double kColdLatencyFactor = 2;
 /// Time for which computed loads stay valid, per instance in the state.
 constexpr std::chrono::microseconds kLoadsValidPerInstance{ 20 };
-/// Time for which capacities are taken from computed loads. Owners send
-/// heartbeats every second, so with a few hundred of them the loads are
-/// computed anyway.
-constexpr std::chrono::milliseconds kCapacitiesValid{ 400 };
+/// Time for which capacities are taken from computed loads, per instance in the
+/// state. With 10,000 instances a computation takes 7 ms; it is not repeated
+/// for a digest more than once a second.
+constexpr std::chrono::microseconds kCapacitiesValidPerInstance{ 100 };
 /// Smaller differences between sums of request counts are rounding errors.
 constexpr double kLeastNewRequests = 0.5;
 
@@ -262,12 +262,14 @@
 std::vector<scheduling::DemandTable::OwnerCapacity>
 RangeAssigner::OwnerCapacities(const State& aState, Instant aNow)
 {
+  const Duration valid = kCapacitiesValidPerInstance *
+                         static_cast<int64_t>(aState.Instances().size());
   std::vector<scheduling::DemandTable::OwnerCapacity> capacities;
   for (auto& [service, plan] : mPlans) {
     if (!OwnsKeys(aState, service)) {
       continue;
     }
-    const bool recent = aNow - plan.loadsComputedAt < kCapacitiesValid;
+    const bool recent = aNow - plan.loadsComputedAt < valid;
     const OwnerLoads& owners =
       recent ? plan.ownerLoads : OwnerLoadsOf(service, aState, aNow);
     capacities.reserve(capacities.size() + owners.size());
--- a/src/librattandyke/gateway/shared_demand_test.cpp
+++ b/src/librattandyke/gateway/shared_demand_test.cpp
@@ -4,17 +4,20 @@
 #include "gateway/entry_host.h"
 
 #include <array>
+#include <cmath>
 #include <filesystem>
 #include <set>
 
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "base/endpoint.h"
 #include "gateway/demand_wire.h"
 #include "gateway/feed_server.h"
+#include "gateway/outgoing_frame.h"
 #include "net/frame_connection.h"
 #include "testing/descriptors.h"
 
@@ -132,6 +135,131 @@
   std::shared_ptr<net::FrameConnection> mConnection;
 };
 
+/// A control host whose state and digests the test sets, and which stores the
+/// reports it receives. Its state has one upstream of "desk".
+class FakeControlHost
+{
+public:
+  FakeControlHost(asio::io_context& aContext,
+                  const wire::EntryMember& aEntry,
+                  const Endpoint& aUpstream)
+    : mAcceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    , mTimer(aContext)
+    , mServer(mState)
+  {
+    wire::GatewayCommand items;
+    *items.mutable_change_items() = DeskItems();
+    wire::GatewayCommand upstream;
+    auto* instance = upstream.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-1");
+    instance->set_service("desk");
+    instance->set_address(ToString(aUpstream));
+    instance->set_slots(2);
+    wire::GatewayCommand entry;
+    *entry.mutable_put_entry()->mutable_entry() = aEntry;
+    uint64_t index = 0;
+    for (const auto& command : { items, upstream, entry }) {
+      EXPECT_TRUE(mState.Apply(command, LogIndex{ ++index }));
+    }
+    Accept();
+    Ping();
+  }
+
+  Endpoint Address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+
+  void Send(uint64_t aTerm, uint64_t aSequence, milliseconds aAge)
+  {
+    mServer.SendDemandDigest(
+      ToMessage(scheduling::DemandDigest{ aTerm, aSequence, aAge, {}, {} }));
+  }
+
+  bool HasSubscriber() const { return mServer.SubscriberCount() > 0; }
+
+  std::vector<wire::FeedReport> reports;
+
+private:
+  void Ping()
+  {
+    mServer.Ping({ ToString(Address()) }, Duration::zero());
+    mTimer.expires_after(milliseconds{ 50 });
+    mTimer.async_wait([this](auto aError) {
+      if (!aError) {
+        Ping();
+      }
+    });
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aError, tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      mEntry = std::make_shared<net::FrameConnection>(std::move(aSocket));
+      mEntry->Start({ [this](std::string_view aMessage) {
+                       wire::GatewayFrame frame;
+                       frame.ParseFromArray(aMessage.data(),
+                                            static_cast<int>(aMessage.size()));
+                       if (frame.has_feed_open()) {
+                         mServer.Subscribe(mEntry, frame.feed_open());
+                       } else if (frame.has_feed_report()) {
+                         reports.push_back(frame.feed_report());
+                       }
+                     },
+                      [this] { mServer.Unsubscribe(mEntry); },
+                      {} });
+      Accept();
+    });
+  }
+
+  tcp::acceptor mAcceptor;
+  asio::steady_timer mTimer;
+  State mState;
+  FeedServer mServer;
+  std::shared_ptr<net::FrameConnection> mEntry;
+};
+
+/// An upstream that refuses every request with proof and closes the connection.
+class RefusingUpstream
+{
+public:
+  explicit RefusingUpstream(asio::io_context& aContext)
+    : mAcceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+  {
+    Accept();
+  }
+
+  Endpoint Address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+
+private:
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aError, tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      std::array<char, 4096> request{};
+      boost::system::error_code ignored; // The caller's response is checked.
+      auto socket = std::make_shared<tcp::socket>(std::move(aSocket));
+      socket->read_some(asio::buffer(request), ignored);
+      asio::write(*socket,
+                  asio::buffer(std::string(
+                    "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n")),
+                  ignored);
+      Accept();
+    });
+  }
+
+  tcp::acceptor mAcceptor;
+};
+
 class SharedDemandTest : public ::testing::Test
 {
 protected:
@@ -294,5 +422,135 @@
   EXPECT_TRUE(subscriber.digests.empty());
 }
 
+/// An entry host with the setting, which follows a FakeControlHost.
+class SharedDemandEntryTest : public SharedDemandTest
+{
+protected:
+  void StartEntry(bool aSharedDemand)
+  {
+    entrySettings = HostSettings("e");
+    entrySettings.entry = true;
+    entrySettings.callers = testing::FreeAddress(context);
+    entrySettings.metrics = testing::FreeAddress(context);
+    entrySettings.sharedDemand = aSharedDemand;
+    wire::EntryMember self;
+    self.set_address(ToString(entrySettings.peers));
+    control =
+      std::make_unique<FakeControlHost>(context, self, upstream.Address());
+    entrySettings.seeds = { control->Address() };
+    entry =
+      std::make_unique<EntryHost>(context, entrySettings, dialect, clock, 1);
+    ASSERT_TRUE(entry->Start());
+    ASSERT_TRUE(RunUntil([&] { return control->reports.size() > 1; }));
+  }
+
+  ~SharedDemandEntryTest() override { entry.reset(); }
+
+  /// @return the requests for "desk" and those refused, in all reports.
+  std::pair<uint32_t, uint32_t> Reported() const
+  {
+    std::pair<uint32_t, uint32_t> sum;
+    for (const wire::FeedReport& report : control->reports) {
+      for (const wire::ServiceLoad& load : report.services()) {
+        EXPECT_EQ(load.service(), "desk");
+        sum.first += load.requests();
+        sum.second += load.refused();
+      }
+    }
+    return sum;
+  }
+
+  static constexpr const char* kRequest =
+    "GET / HTTP/1.1\r\nHost: h\r\nId: r\r\nConnection: close\r\n\r\n";
+
+  RefusingUpstream upstream{ context };
+  Settings entrySettings;
+  std::unique_ptr<FakeControlHost> control;
+};
+
+TEST_F(SharedDemandEntryTest, RequestsAndRefusalsOfServicesAreReported)
+{
+  StartEntry(true);
+  EXPECT_TRUE(Call(*entrySettings.callers, kRequest).starts_with("HTTP/1.1 5"));
+  EXPECT_TRUE(RunUntil([&] { return Reported().second > 0; }));
+  EXPECT_EQ(Reported(), (std::pair<uint32_t, uint32_t>{ 1, 1 }));
+}
+
+// Without the setting an entry host reports what it reported before, and
+// ignores digests of a control host that has the setting.
+TEST_F(SharedDemandEntryTest, NothingIsReportedOrRelayedWithoutTheSetting)
+{
+  StartEntry(false);
+  Subscriber relayed(context, entrySettings.peers);
+  EXPECT_TRUE(Call(*entrySettings.callers, kRequest).starts_with("HTTP/1.1 5"));
+  control->Send(1, 1, milliseconds{ 0 });
+  RunUntil([&] { return !relayed.digests.empty(); }, milliseconds{ 600 });
+  EXPECT_EQ(Reported(), (std::pair<uint32_t, uint32_t>{ 0, 0 }));
+  EXPECT_TRUE(relayed.digests.empty());
+}
+
+// A relay passes each digest on once, and does not make it younger. Failure:
+// two relays that follow one another send the same digests round and round.
+TEST_F(SharedDemandEntryTest, RelayForwardsEachDigestOnce)
+{
+  StartEntry(true);
+  Subscriber relayed(context, entrySettings.peers);
+  const auto received = [&](size_t aDigests) {
+    return RunUntil([&] { return relayed.digests.size() >= aDigests; },
+                    milliseconds{ 500 });
+  };
+  RunUntil([] { return false; }, milliseconds{ 50 });
+  control->Send(5, 7, milliseconds{ 300 });
+  EXPECT_TRUE(received(1));
+  control->Send(5, 7, milliseconds{ 0 });
+  control->Send(4, 9, milliseconds{ 0 });
+  control->Send(5, 8, milliseconds{ 0 });
+  EXPECT_TRUE(received(2));
+  EXPECT_FALSE(received(3));
+  ASSERT_EQ(relayed.digests.size(), 2U);
+  EXPECT_GE(relayed.digests[0].age_ms(), 300U);
+  EXPECT_EQ(relayed.digests[1].sequence(), 8U);
+  const std::string page =
+    Call(*entrySettings.metrics,
+         "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(page.find("demand_digests_total{event=\"applied\"} 2"),
+            std::string::npos);
+  EXPECT_NE(page.find("demand_digests_total{event=\"ignored\"} 2"),
+            std::string::npos);
+}
+
+// Load: 256 listed owners. A digest every 200 ms must not take more than a
+// twentieth of a link with 1.7 Mbit/s, which is 2,125 bytes for each.
+TEST(SharedDemandSize, LargestDigestTakesLittleOfASmallLink)
+{
+  scheduling::DemandDigest digest{ 12, 3456, {}, {}, {} };
+  for (int number = 0; number < 256; ++number) {
+    digest.owners.push_back({ "board-" + std::to_string(100 + number * 7 % 256),
+                              13.37 * std::exp(0.01 * number),
+                              3 / (0.21 + 0.0007 * number) });
+  }
+  wire::GatewayFrame frame;
+  *frame.mutable_demand_digest() = ToMessage(digest);
+  EXPECT_LE(OutgoingFrame(frame).Compressed().size(), 2125U);
+}
+
+// Guards against numbers that would admit everything or nothing.
+TEST(SharedDemandMessages, InvalidNumbersAreLeftOut)
+{
+  const double nan = std::nan("");
+  wire::DemandDigest message =
+    ToMessage(scheduling::DemandDigest{ 1, 2, {}, { { "a", 3, 4 } }, {} });
+  for (const auto& [demand, capacity] : std::vector<std::pair<double, double>>{
+         { nan, 1 }, { -1, 1 }, { 1, 0 }, { 1, nan } }) {
+    wire::OwnerDemand* owner = message.add_owners();
+    owner->set_instance("b");
+    owner->set_demand(demand);
+    owner->set_capacity(capacity);
+  }
+  message.add_services()->set_utilization(nan);
+  EXPECT_EQ(ToDemandDigest(message),
+            (scheduling::DemandDigest{ 1, 2, {}, { { "a", 3, 4 } }, {} }));
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/scheduling/demand_table.cpp
+++ b/src/librattandyke/scheduling/demand_table.cpp
@@ -24,12 +24,6 @@
 constexpr double kChangeBurst = 20;
 constexpr double kChangesPerSecond = 4;
 
-double
-ShareOf(const OwnerDemand& aOwner)
-{
-  return aOwner.demand / aOwner.capacity;
-}
-
 } // namespace
 
 ServiceLoad&
@@ -145,10 +139,10 @@
   return demand;
 }
 
-std::vector<OwnerDemand>
+std::vector<DemandTable::BusyOwner>
 DemandTable::BusyOwners(const std::vector<OwnerCapacity>& aOwners) const
 {
-  std::vector<OwnerDemand> busy;
+  std::vector<BusyOwner> busy;
   for (const OwnerCapacity& owner : aOwners) {
     const auto found = mOwners.find(owner.instance);
     if (found == mOwners.end()) {
@@ -156,13 +150,16 @@
     }
     const double demand = PerSecond(found->second);
     if (owner.perSecond > 0 && demand >= kListedShare * owner.perSecond) {
-      busy.push_back({ std::string(owner.instance), demand, owner.perSecond });
+      busy.push_back({ owner.instance, demand, owner.perSecond });
     }
   }
-  std::sort(
-    busy.begin(), busy.end(), [](const auto& aLeft, const auto& aRight) {
-      return ShareOf(aLeft) > ShareOf(aRight);
-    });
+  const size_t listed = std::min(busy.size(), kMaxListedOwners);
+  std::partial_sort(busy.begin(),
+                    busy.begin() + static_cast<ptrdiff_t>(listed),
+                    busy.end(),
+                    [](const BusyOwner& aLeft, const BusyOwner& aRight) {
+                      return aLeft.Share() > aRight.Share();
+                    });
   return busy;
 }
 
@@ -181,7 +178,7 @@
 }
 
 void
-DemandTable::UpdateOverloads(const std::vector<OwnerDemand>& aBusyOwners,
+DemandTable::UpdateOverloads(const std::vector<BusyOwner>& aBusyOwners,
                              Round& aRound,
                              Instant aNow)
 {
@@ -190,11 +187,11 @@
   const auto report = [&](const OwnerDemand& aOwner, bool aOverloaded) {
     aRound.changes.push_back({ aOwner, aOverloaded });
   };
-  for (const OwnerDemand& owner : aBusyOwners) {
+  for (const BusyOwner& owner : aBusyOwners) {
     const auto known = before.find(owner.instance);
     const bool overloaded = known == before.end()
                               ? owner.demand > owner.capacity
-                              : ShareOf(owner) >= kOverloadEndShare;
+                              : owner.Share() >= kOverloadEndShare;
     if (overloaded && known != before.end()) {
       mOverloaded.insert(before.extract(known));
     } else if (overloaded) {
@@ -202,11 +199,11 @@
       mOverloaded.emplace(owner.instance, reported);
       aRound.omittedChanges += reported ? 0 : 1;
       if (reported) {
-        report(owner, true);
+        report(owner.ToOwnerDemand(), true);
       }
     } else if (known != before.end()) {
       if (known->second) {
-        report(owner, false);
+        report(owner.ToOwnerDemand(), false);
       }
       before.erase(known);
     }
@@ -235,10 +232,11 @@
   Round round;
   round.digest.term = mTerm;
   round.digest.sequence = ++mSequence;
-  round.digest.owners = BusyOwners(aOwners);
-  UpdateOverloads(round.digest.owners, round, aNow);
-  if (round.digest.owners.size() > kMaxListedOwners) {
-    round.digest.owners.resize(kMaxListedOwners);
+  const std::vector<BusyOwner> busy = BusyOwners(aOwners);
+  UpdateOverloads(busy, round, aNow);
+  const size_t listed = std::min(busy.size(), kMaxListedOwners);
+  for (size_t at = 0; at < listed; ++at) {
+    round.digest.owners.push_back(busy[at].ToOwnerDemand());
   }
   for (const ServiceSlots& service : aServices) {
     round.digest.services.push_back(DemandOf(service));
--- a/src/librattandyke/scheduling/demand_table.h
+++ b/src/librattandyke/scheduling/demand_table.h
@@ -131,14 +131,26 @@
     }
   };
 
+  struct BusyOwner
+  {
+    std::string_view instance;
+    double demand = 0;
+    double capacity = 0;
+    double Share() const { return demand / capacity; }
+    OwnerDemand ToOwnerDemand() const
+    {
+      return { std::string(instance), demand, capacity };
+    }
+  };
+
   void UpdateRates(Instant aNow);
   double PerSecond(const Rate& aRate) const;
   ServiceDemand DemandOf(const ServiceSlots& aService) const;
-  /// @return the demand for each owner with kListedShare or more, the highest
-  /// share first.
-  std::vector<OwnerDemand> BusyOwners(
+  /// @return each owner with a share of at least kListedShare. The first
+  /// kMaxListedOwners are those with the highest shares, in order.
+  std::vector<BusyOwner> BusyOwners(
     const std::vector<OwnerCapacity>& aOwners) const;
-  void UpdateOverloads(const std::vector<OwnerDemand>& aBusyOwners,
+  void UpdateOverloads(const std::vector<BusyOwner>& aBusyOwners,
                        Round& aRound,
                        Instant aNow);
   bool TakeChangeToken(Instant aNow);
