--- a/src/librattandyke/scheduling/demand_table_test.cpp
+++ b/src/librattandyke/scheduling/demand_table_test.cpp
@@ -217,11 +217,12 @@
 // that nobody uses.
 TEST_F(DemandTableTest, ServicesAreListedWithUtilizationAndRefusedShare)
 {
-  services = { { "desk", 82 * 3 }, { "idle", 10 }, { "none", 0 } };
+  constexpr uint64_t kSlots = 246;
+  services = { { "desk", kSlots }, { "idle", 10 }, { "none", 0 } };
   std::optional<DemandTable::Round> round;
   for (int interval = 0; interval < 20; ++interval) {
     now += kReportInterval;
-    const double busy = 0.6 * 82 * 3 * 0.2;
+    const double busy = 0.6 * kSlots * 0.2;
     const auto requests = static_cast<uint64_t>(busy / 0.27);
     table.AddServiceLoad("desk",
                          { requests,
