--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -292,6 +292,8 @@
     } else if (aFrame.has_link_probe() && aFrame.link_probe().reply() &&
                options.onProbeReply) {
       options.onProbeReply(aFrame.link_probe().id());
+    } else if (aFrame.has_demand_digest() && options.onDemandDigest) {
+      options.onDemandDigest(aFrame.demand_digest());
     }
   }
 
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -39,6 +39,8 @@
     scheduling::LinkMeter* linkMeter = nullptr;
     /// Called with the id of each LinkProbe that is returned, unless empty.
     std::function<void(uint64_t)> onProbeReply{};
+    /// Called with each digest of the demand that arrives, unless it is empty.
+    std::function<void(const wire::DemandDigest&)> onDemandDigest = {};
   };
 
   /// @param aOnStateChanged called after each change of the state, with the
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -27,6 +27,7 @@
 #include "gateway/settings.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/upstream_client.h"
+#include "scheduling/demand_table.h"
 #include "scheduling/link_admission.h"
 #include "scheduling/link_meter.h"
 
@@ -50,6 +51,8 @@
     LinkAdmission linkAdmission = LinkAdmission::Queue;
     /// For the spread of retry times.
     uint64_t seed = 0;
+    /// TakeLoadReport includes the loads of services without keys.
+    bool reportServices = false;
   };
 
   /// @param aFeed, aSlots, aDialect, aLinkMeter and aClock outlive this object.
@@ -235,6 +238,13 @@
   /// @return the service's retry budget, adjusted to the number of entry hosts.
   entry::RetryBudget& RetryBudgetOf(const std::string& aService);
   void WakeWaiters();
+  /// Counts a request for a service without keys, for TakeLoadReport().
+  void CountServiceRequest(const std::string& aService);
+  /// Counts the end of an attempt for a service without keys.
+  void CountServiceAttempt(const RequestProgress& aProgress,
+                           const AttemptResult& aResult);
+  /// Moves the services' loads to a report.
+  void TakeServiceLoads(wire::FeedReport& aReport);
   /// Counts a request for a key, for TakeLoadReport().
   void CountKeyRequest(const std::string& aService, uint32_t aKey);
 
@@ -260,6 +270,8 @@
   boost::asio::steady_timer mEgressTimer;
   /// Requests per service and key bucket since the last TakeLoadReport().
   std::map<std::string, std::map<uint32_t, uint32_t>> mKeyRequests;
+  /// Loads of services without keys since the last TakeLoadReport().
+  std::map<std::string, scheduling::ServiceLoad> mServiceLoads;
 };
 
 } // namespace rattandyke::gateway
