Choice by response time for upstreams that report no load

Cause: ChooseDirect needs load reports; without them, a host has no way to choose an upstream without its allocator.

Change: UpstreamSet::ChooseByResponseTime chooses from the host's subset by the least expected completion, and never an upstream that is cold, named a limit, leaves or has just failed. SlotRequest gets what the decision of a host needs.

--- a/src/librattandyke/gateway/direct_choice_test.cpp
+++ b/src/librattandyke/gateway/direct_choice_test.cpp
@@ -57,6 +57,8 @@
     Random,
     /// UpstreamSet::ChooseDirect.
     LoadAware,
+    /// UpstreamSet::ChooseByResponseTime, without load reports.
+    ResponseTime,
   };
 
   explicit Service(Policy aPolicy)
@@ -99,6 +101,10 @@
   }
 
   size_t DroppedCount() const { return mDropped; }
+  double NotChosenFraction() const
+  {
+    return static_cast<double>(mNotChosen) / mRequested;
+  }
 
 private:
   struct Request
@@ -138,6 +144,16 @@
       }
       id = choice->instance;
     }
+    if (mPolicy == Policy::ResponseTime) {
+      const auto outcome =
+        mEntries[entry].ChooseByResponseTime("desk", {}, kObjective, mNow);
+      const auto* choice = std::get_if<UpstreamSet::Choice>(&outcome);
+      if (choice == nullptr) {
+        ++mNotChosen;
+        return;
+      }
+      id = choice->instance;
+    }
     Upstream& upstream = mUpstreams.at(id);
     const auto start = mEntries[entry].BeginAttempt(id, 0, mNow);
     if (upstream.waiting.size() >= kQueueCapacity) {
@@ -159,12 +175,15 @@
       const Duration took = mNow - request.sent;
       mOnTime += took <= kObjective ? 1 : 0;
       UpstreamSet& entry = mEntries[request.entry];
-      entry.RecordLoadReport(aId,
-                             { static_cast<uint32_t>(aUpstream.running.size()),
-                               static_cast<uint32_t>(aUpstream.waiting.size()),
-                               kSlots,
-                               aUpstream.slowdown },
-                             mNow);
+      if (mPolicy != Policy::ResponseTime) {
+        entry.RecordLoadReport(
+          aId,
+          { static_cast<uint32_t>(aUpstream.running.size()),
+            static_cast<uint32_t>(aUpstream.waiting.size()),
+            kSlots,
+            aUpstream.slowdown },
+          mNow);
+      }
       entry.EndAttempt(
         aId, AttemptOutcome::Answered, took, request.start, mNow);
     }
@@ -188,6 +207,8 @@
   double mRequested = 0;
   double mOnTime = 0;
   size_t mDropped = 0;
+  /// Requests for which no upstream was chosen.
+  size_t mNotChosen = 0;
 };
 
 // Equal shares overload the slow upstreams long before the total capacity is
@@ -218,5 +239,22 @@
   EXPECT_LE(loadAware.DroppedCount(), random.DroppedCount() / 50);
 }
 
+// Guards against herds: without load reports, hosts that all know the same
+// upstream as the fastest could overload it in turn. The load is the highest at
+// which requests are sent without an allocator.
+TEST(DirectChoice, ByResponseTimeKeepsUpstreamsFromOverflowing)
+{
+  for (const double load : { 0.43, 0.6 }) {
+    Service random(Service::Policy::Random);
+    Service byTime(Service::Policy::ResponseTime);
+    const double onTimeRandom = random.OnTimeFraction(load);
+    const double onTime = byTime.OnTimeFraction(load);
+    EXPECT_GT(onTime, 0.94) << load;
+    EXPECT_GT(onTime, onTimeRandom) << load;
+    EXPECT_EQ(byTime.DroppedCount(), 0U) << load;
+    EXPECT_LT(byTime.NotChosenFraction(), 0.01) << load;
+  }
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -103,11 +103,12 @@
     // A request that can no longer meet its latency objective is sent as long
     // as it can be answered.
     const bool late = aRequest.timeToObjective <= Duration(kReturnTime);
-    return mUpstreams.ChooseDirect(aRequest.service,
-                                   aRequest.excluded,
-                                   late ? aRequest.maxHold
-                                        : aRequest.timeToObjective,
-                                   aNow);
+    const Duration maxTime = late ? aRequest.maxHold : aRequest.timeToObjective;
+    return aRequest.byResponseTime
+             ? mUpstreams.ChooseByResponseTime(
+                 aRequest.service, aRequest.excluded, maxTime, aNow)
+             : mUpstreams.ChooseDirect(
+                 aRequest.service, aRequest.excluded, maxTime, aNow);
   }
   if (!aRequest.instance.empty()) {
     return aRequest.uncoordinated
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -57,6 +57,15 @@
   double rateShare = 1;
   /// This host chooses an instance from load reports, without the home entry.
   bool direct = false;
+  /// With direct: the instances report no load and are chosen by response time.
+  bool byResponseTime = false;
+  /// The request may run twice. Only for the decision of this host.
+  bool idempotent = false;
+  /// Time that the caller stated for the response. Only for the decision of
+  /// this host.
+  Duration statedTime{};
+  /// What is left of it.
+  Duration statedTimeLeft{};
 };
 
 struct SlotGranted
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -144,6 +144,22 @@
                        Duration aMaxResponseTime,
                        Instant aNow);
 
+  /// Chooses an instance of a service whose instances report no load, without a
+  /// home entry, from the same subset as ChooseDirect. The choice is by the
+  /// expected completion: the average response time, times one plus the
+  /// requests in flight from this host by slot.
+  /// @param aMaxResponseTime instances that are expected to complete later are
+  /// not chosen.
+  Outcome ChooseByResponseTime(const std::string& aService,
+                               const std::set<std::string>& aExcluded,
+                               Duration aMaxResponseTime,
+                               Instant aNow);
+
+  /// @return whether an instance may get requests that its home entry does not
+  /// know of: it is not limited in its rate, is not leaving, draining or
+  /// evacuated, and has not just failed.
+  bool AcceptsDirect(const std::string& aInstance, Instant aNow) const;
+
   /// @return the expected time until ChooseDirect finds an instance with room.
   Duration ExpectedDirectWait(const std::string& aService, Instant aNow);
 
@@ -419,6 +435,9 @@
   double EstimatedResponseSeconds(const Upstream& aUpstream,
                                   double aDefaultSeconds,
                                   Instant aNow) const;
+  /// @return the average response time of the instances that have one.
+  static double MeanSecondsOf(const std::vector<const Item*>& aItems);
+  static bool AcceptsDirect(const Upstream& aUpstream, Instant aNow);
   static double ResponseSecondsOf(const Upstream& aUpstream);
   static double Capacity(const Upstream& aUpstream);
 
--- a/src/librattandyke/gateway/upstream_set_direct.cpp
+++ b/src/librattandyke/gateway/upstream_set_direct.cpp
@@ -130,6 +130,18 @@
          (isRemote ? kRemoteCostSeconds : 0);
 }
 
+double
+UpstreamSet::MeanSecondsOf(const std::vector<const Item*>& aItems)
+{
+  double known = 0;
+  double sum = 0;
+  for (const Item* item : aItems) {
+    known += item->second.meanSeconds > 0 ? 1 : 0;
+    sum += item->second.meanSeconds;
+  }
+  return known > 0 ? sum / known : kDefaultResponseSeconds;
+}
+
 UpstreamSet::Outcome
 UpstreamSet::ChooseDirect(const std::string& aService,
                           const std::set<std::string>& aExcluded,
@@ -139,14 +151,7 @@
   const double maxSeconds =
     std::chrono::duration<double>(aMaxResponseTime).count();
   const std::vector<const Item*>& subset = SubsetOf(aService);
-  double known = 0;
-  double sum = 0;
-  for (const Item* item : subset) {
-    known += item->second.meanSeconds > 0 ? 1 : 0;
-    sum += item->second.meanSeconds;
-  }
-  const double defaultSeconds =
-    known > 0 ? sum / known : kDefaultResponseSeconds;
+  const double defaultSeconds = MeanSecondsOf(subset);
   const Item* best = nullptr;
   std::pair<bool, double> bestIn;
   for (const Item* item : subset) {
@@ -180,6 +185,54 @@
   return Choice{ best->first, best->second.address };
 }
 
+bool
+UpstreamSet::AcceptsDirect(const Upstream& aUpstream, Instant aNow)
+{
+  return IsMember(aUpstream) && !IsRateLimited(aUpstream, aNow) &&
+         aNow >= aUpstream.avoidUntil;
+}
+
+bool
+UpstreamSet::AcceptsDirect(const std::string& aInstance, Instant aNow) const
+{
+  const auto found = mUpstreams.find(aInstance);
+  return found != mUpstreams.end() && AcceptsDirect(found->second, aNow);
+}
+
+UpstreamSet::Outcome
+UpstreamSet::ChooseByResponseTime(const std::string& aService,
+                                  const std::set<std::string>& aExcluded,
+                                  Duration aMaxResponseTime,
+                                  Instant aNow)
+{
+  const double maxSeconds =
+    std::chrono::duration<double>(aMaxResponseTime).count();
+  const std::vector<const Item*>& subset = SubsetOf(aService);
+  const double defaultSeconds = MeanSecondsOf(subset);
+  const Item* best = nullptr;
+  double bestSeconds = maxSeconds;
+  for (const Item* item : subset) {
+    const Upstream& upstream = item->second;
+    if (aExcluded.contains(item->first) || !AcceptsDirect(upstream, aNow) ||
+        upstream.inFlight >= upstream.slots) {
+      continue;
+    }
+    const double mean =
+      upstream.meanSeconds > 0 ? upstream.meanSeconds : defaultSeconds;
+    const double load = static_cast<double>(upstream.inFlight) / upstream.slots;
+    const double expected = mean * (1 + load);
+    if (expected <= bestSeconds) {
+      best = item;
+      bestSeconds = expected;
+    }
+  }
+  if (best == nullptr) {
+    return subset.empty() ? UnavailableReason::NoInstance
+                          : UnavailableReason::Full;
+  }
+  return Choice{ best->first, best->second.address };
+}
+
 Duration
 UpstreamSet::ExpectedDirectWait(const std::string& aService, Instant aNow)
 {
