Requests are dispatched by demand if the settings say so

Cause: the dispatch policy was not used.

Change: SlotCoordinator visits its policy in Acquire; direct slots come from this host's broker, so they are accounted for like others. Ends of attempts are reported to the policy. Refusals are logged with their inputs under the request's id, and decisions are counted in dispatch_decisions. With dispatch = coordinated, each request takes the present path, and no metric appears.

--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -89,7 +89,8 @@
                               aSettings.coldSlack,
                               ToString(aSettings.AdvertisedAddress()),
                               aSettings.dataCentre },
-        [this] { return feed.StateAge(); })
+        [this] { return feed.StateAge(); },
+        DispatchPolicyOf(aSettings, demand, aSeed))
     , handler(executor,
               { aSettings.dataCentre,
                 aSettings.retryRatio,
@@ -105,6 +106,17 @@
   {
   }
 
+  static scheduling::DispatchPolicy DispatchPolicyOf(
+    const Settings& aSettings,
+    const scheduling::DemandView& aDemand,
+    uint64_t aSeed)
+  {
+    if (aSettings.dispatch == Dispatch::Demand) {
+      return scheduling::DemandDispatch(aDemand, aSeed);
+    }
+    return scheduling::CoordinatedDispatch();
+  }
+
   static wire::EntryMember MemberOf(const Settings& aSettings)
   {
     wire::EntryMember self;
@@ -386,6 +398,7 @@
   FeedClient feed;
   /// Relays the feed to entry hosts that can't reach a control host.
   FeedServer relay;
+  scheduling::DemandView demand;
   SlotCoordinator slots;
   RequestHandler handler;
   CallerServer callers;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -341,6 +341,7 @@
   mMetrics.Set("upstream_connects",
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   SetLinkMetrics();
+  SetDispatchMetrics();
   return mMetrics.PrometheusText();
 }
 
@@ -385,6 +386,7 @@
   progress.arrived = aRequest.arrived;
   progress.deadline =
     progress.arrived + std::min(timeout, Duration(progress.route->timeout));
+  progress.statedTime = timeout;
   if (OwnsKeys(progress.service)) {
     const auto key = ParseNumber(http::FieldOf(aRequest.fields, mHeaders.key));
     if (!key || *key > kMaxKey) {
@@ -490,6 +492,10 @@
     milliseconds{ 1 });
   request.maxHold = std::max(aProgress.deadline - now, Duration::zero());
   request.dataCentre = mOptions.dataCentre;
+  request.idempotent = aProgress.route->idempotent;
+  request.statedTime = aProgress.statedTime;
+  request.statedTimeLeft =
+    std::max(aProgress.arrived + aProgress.statedTime - now, Duration::zero());
   co_return co_await mSlots.Acquire(aProgress.context, std::move(request));
 }
 
@@ -563,13 +569,8 @@
         ++unsent;
         continue;
       }
-      const SlotUnavailable& unavailable = std::get<SlotUnavailable>(outcome);
-      const bool full =
-        unavailable.reason == UpstreamSet::UnavailableReason::Full;
-      co_return NotExecutedResponse(aProgress,
-                                    unavailable.retryAfter,
-                                    full ? "all upstreams are full"
-                                         : "no upstream");
+      co_return UnavailableResponse(aProgress,
+                                    std::get<SlotUnavailable>(outcome));
     }
     const bool late =
       mClock.Now() + Duration(kReturnMargin) >= aProgress.deadline;
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -105,6 +105,8 @@
     std::optional<uint32_t> key;
     Instant arrived{};
     Instant deadline{};
+    /// Time that the caller stated for the response.
+    Duration statedTime{};
     /// Instances at which an attempt was made.
     std::set<std::string> attempted;
     /// Attempts in which the request was sent.
@@ -157,6 +159,10 @@
   static size_t ApproximateBytes(const UpstreamRequest& aRequest);
   static size_t ApproximateBytes(const CallerResponse& aResponse);
   void SetLinkMetrics();
+  void SetDispatchMetrics();
+  /// @return the response to a request that got no slot.
+  CallerResponse UnavailableResponse(const RequestProgress& aProgress,
+                                     const SlotUnavailable& aUnavailable) const;
   void RecordTraffic(scheduling::LinkUse aUse,
                      scheduling::LinkDirection aDirection,
                      size_t aBytes)
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -91,7 +91,8 @@
                                  const Clock& aClock,
                                  uint64_t aSeed,
                                  const UpstreamSet::Options& aOptions,
-                                 StateAge aStateAge)
+                                 StateAge aStateAge,
+                                 scheduling::DispatchPolicy aDispatch)
   : mExecutor(std::move(aExecutor))
   , mSelf(std::move(aSelf))
   , mSession(aSession)
@@ -100,6 +101,7 @@
   , mStateAge(std::move(aStateAge))
   , mRandom(aSeed)
   , mBroker(aSeed, aOptions)
+  , mDispatch(std::move(aDispatch))
 {
 }
 
@@ -379,7 +381,7 @@
     co_return Resting(restBefore);
   }
   SlotOutcome outcome =
-    co_await AcquireOfAny(std::move(aContext), std::move(aRequest));
+    co_await AcquireByPolicy(std::move(aContext), std::move(aRequest));
   if (const auto* slot = std::get_if<Slot>(&outcome)) {
     if (slot->address.empty()) {
       Release(*slot, AttemptOutcome::Abandoned, {});
@@ -483,6 +485,7 @@
                          AttemptOutcome aOutcome,
                          Duration aElapsed)
 {
+  RecordResult(aSlot.instance, aOutcome);
   if (aSlot.home.empty()) {
     Deliver(mBroker.Release(
       { mSession, aSlot.ticket }, aOutcome, aElapsed, mClock.Now()));
@@ -655,6 +658,8 @@
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
   mResting.RemoveEnded(mClock.Now());
+  std::visit([&](auto& aPolicy) { aPolicy.RemoveExpired(mClock.Now()); },
+             mDispatch);
   std::erase_if(mLastRequestAt, [&](const auto& aItem) {
     return mClock.Now() - aItem.second >= Duration(kBypassInterval);
   });
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -17,6 +17,7 @@
 #include "gateway/resting_upstreams.h"
 #include "gateway/slot_broker.h"
 #include "gateway/slot_request_limiter.h"
+#include "scheduling/dispatch_policy.h"
 #include "wire/gateway.pb.h"
 
 namespace rattandyke::gateway {
@@ -38,6 +39,8 @@
 {
   UpstreamSet::UnavailableReason reason = UpstreamSet::UnavailableReason::Full;
   Duration retryAfter{};
+  /// Set if the request was refused because of its owner's demand.
+  std::optional<scheduling::RefuseAtOnce> overCapacity = std::nullopt;
 };
 
 using SlotOutcome = std::variant<Slot, SlotUnavailable>;
@@ -63,6 +66,7 @@
   /// @param aSelf   this host's address for peers.
   /// @param aSession random per process start.
   /// @param aStateAge time since this host's state was known to be up to date.
+  /// @param aDispatch decides which requests need a slot of an allocator.
   SlotCoordinator(boost::asio::any_io_executor aExecutor,
                   std::string aSelf,
                   uint64_t aSession,
@@ -70,7 +74,8 @@
                   const Clock& aClock,
                   uint64_t aSeed,
                   const UpstreamSet::Options& aOptions,
-                  StateAge aStateAge);
+                  StateAge aStateAge,
+                  scheduling::DispatchPolicy aDispatch = {});
 
   /// The replicated state was replaced by a snapshot.
   void StateChanged(const State& aState);
@@ -118,6 +123,13 @@
   /// that it leaves.
   void RecordLeaving(const Slot& aSlot);
 
+  /// @return the number of requests by decision of the dispatch policy, by the
+  /// labels in metrics. Empty if the policy asks for all requests.
+  const std::map<std::string, uint64_t>& DispatchCounts() const
+  {
+    return mDispatchCounts;
+  }
+
   /// Ends expired waits and slots. Must be called every SlotBroker::kTick.
   void Tick();
 
@@ -160,6 +172,23 @@
     std::optional<SlotOutcome> outcome;
   };
 
+  /// Acquires a slot as the dispatch policy decides. It may be of an upstream
+  /// that rests or has left.
+  boost::asio::awaitable<SlotOutcome> AcquireByPolicy(
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest);
+  /// Acquires a slot by this host's own knowledge, without a message.
+  /// @return nothing if no upstream may be chosen in this way.
+  boost::asio::awaitable<std::optional<Slot>> AcquireDirect(
+    std::shared_ptr<RequestContext> aContext,
+    SlotRequest aRequest);
+  scheduling::DispatchDecision Decide(const SlotRequest& aRequest);
+  /// Excludes what a direct choice must not use: an upstream with a limited
+  /// request rate is sent requests by its allocator only.
+  void ExcludeFromDirect(SlotRequest& aRequest) const;
+  void CountDecision(std::string_view aDecision,
+                     scheduling::DispatchReason aReason);
+  void RecordResult(const std::string& aInstance, AttemptOutcome aOutcome);
   /// Acquires a slot, which may be of an upstream that rests or has left.
   boost::asio::awaitable<SlotOutcome> AcquireOfAny(
     std::shared_ptr<RequestContext> aContext,
@@ -267,6 +296,8 @@
   /// Time of the last request for a slot of an upstream, by instance.
   std::map<std::string, Instant> mLastRequestAt;
   uint64_t mLastTicket = 0;
+  scheduling::DispatchPolicy mDispatch;
+  std::map<std::string, uint64_t> mDispatchCounts;
 };
 
 } // namespace rattandyke::gateway
