No capacity is set aside for returns that are not needed

Cause: half of an owner's share was reserved for booked returns also when hardly any request is refused. With few requests per host, a new bucket then admitted half of the first requests instead of 95%.

Change: no more is reserved than is refused. The rate limits of all upstreams are looked up only for a choice from load reports; the other choice knows them.

Run: DispatchTest.AdmitsTheShareOfFirstRequests guards against it.

--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -183,8 +183,9 @@
     std::shared_ptr<RequestContext> aContext,
     SlotRequest aRequest);
   scheduling::DispatchDecision Decide(const SlotRequest& aRequest);
-  /// Excludes what a direct choice must not use: an upstream with a limited
-  /// request rate is sent requests by its allocator only.
+  /// Excludes upstreams that a direct choice must not use: those that rest or
+  /// have lately failed. An upstream with a limited request rate is sent
+  /// requests by its allocator only; a choice by response time knows that.
   void ExcludeFromDirect(SlotRequest& aRequest) const;
   void CountDecision(std::string_view aDecision,
                      scheduling::DispatchReason aReason);
--- a/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
@@ -76,8 +76,10 @@
 SlotCoordinator::ExcludeFromDirect(SlotRequest& aRequest) const
 {
   const Instant now = mClock.Now();
-  const auto limited = mBroker.Upstreams().RateLimitedInstances(now);
-  aRequest.excluded.insert(limited.begin(), limited.end());
+  if (!aRequest.byResponseTime) {
+    const auto limited = mBroker.Upstreams().RateLimitedInstances(now);
+    aRequest.excluded.insert(limited.begin(), limited.end());
+  }
   const auto failed =
     std::visit([&](const auto& aPolicy) { return aPolicy.RecentlyFailed(now); },
                mDispatch);
--- a/src/librattandyke/scheduling/dispatch_policy_test.cpp
+++ b/src/librattandyke/scheduling/dispatch_policy_test.cpp
@@ -408,6 +408,22 @@
   EXPECT_EQ(refusal.digestAge, Duration(milliseconds{ 40 }));
 }
 
+// Load: an owner at its capacity, with one request at each of 1,000 hosts.
+// Guards against refusals beyond the share: capacity that is set aside for
+// returns is of no use if hardly any request is refused.
+TEST_F(DispatchTest, AdmitsTheShareOfFirstRequests)
+{
+  Apply({ { "a", 10.001, 10 } });
+  size_t admitted = 0;
+  for (uint64_t host = 0; host < 1000; ++host) {
+    DemandDispatch other(demand, host);
+    const auto decision = other.Decide(ForOwner("a"), now);
+    admitted += std::holds_alternative<AskAllocator>(decision) ? 1 : 0;
+  }
+  EXPECT_GE(admitted, 850U);
+  EXPECT_LE(admitted, 980U);
+}
+
 // Load: 100 requests per second for one owner at one host, of which a fifth is
 // admitted; one in twenty is of the least urgent kind. Guards against a kind
 // that gets nothing for a second, and against an equal treatment of kinds.
--- a/src/librattandyke/scheduling/owner_admission.cpp
+++ b/src/librattandyke/scheduling/owner_admission.cpp
@@ -20,8 +20,9 @@
 /// They accrue faster than returns are booked: at the same rate, some hosts
 /// would have none after some time.
 constexpr double kReturnFactor = 1.25;
-/// Part of the tokens for which returns are booked. If all were, each caller
-/// would be served only after its return, later than most objectives.
+/// Part of the tokens for which returns are booked, at most: no more than are
+/// refused. If all were, each caller would be served only after its return,
+/// later than most objectives.
 constexpr double kBookedPart = 0.5;
 /// Time for which the longest stated time of a kind is used. A caller that
 /// states an unusually long one changes the treatment of others for so long.
@@ -63,7 +64,7 @@
 {
   mLastAt = aNow;
   mKinds.try_emplace(aPriority, Kind{ aNow, aNow }).first->second.lastAt = aNow;
-  const double booked = aShare * kBookedPart;
+  const double booked = std::min(aShare * kBookedPart, 1 - aShare);
   mReturnTokens =
     std::min(mReturnTokens + booked * kReturnFactor, kMaxReturnTokens);
   mTokens =
