--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -92,7 +92,8 @@
         aClock,
         aSeed,
         UpstreamOptions(aSettings),
-        [this] { return feed.StateAge(); })
+        [this] { return feed.StateAge(); },
+        DispatchPolicyOf(aSettings, demand, aSeed))
     , handler(executor,
               { aSettings.dataCentre,
                 aSettings.retryRatio,
@@ -111,6 +112,17 @@
   {
   }
 
+  static scheduling::DispatchPolicy DispatchPolicyOf(
+    const Settings& aSettings,
+    const scheduling::DemandView& aDemand,
+    uint64_t aSeed)
+  {
+    if (aSettings.dispatch == Dispatch::Demand) {
+      return scheduling::DemandDispatch(aDemand, aSeed);
+    }
+    return scheduling::CoordinatedDispatch();
+  }
+
   /// The bandwidth is stated only by hosts whose setting is `capacity`. All
   /// hosts derive the allocators from what the state contains, so while the
   /// setting differs between hosts, none allocates by capacity.
@@ -467,6 +479,7 @@
   FeedClient feed;
   /// Relays the feed to entry hosts that can't reach a control host.
   FeedServer relay;
+  scheduling::DemandView demand;
   SlotCoordinator slots;
   RequestHandler handler;
   CallerServer callers;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -344,6 +344,7 @@
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   SetLinkMetrics();
   SetSlotMetrics(mMetrics, mSlots);
+  SetDispatchMetrics();
   return mMetrics.PrometheusText();
 }
 
@@ -388,6 +389,7 @@
   progress.arrived = aRequest.arrived;
   progress.deadline =
     progress.arrived + std::min(timeout, Duration(progress.route->timeout));
+  progress.statedTime = timeout;
   if (OwnsKeys(progress.service)) {
     const auto key = ParseNumber(http::FieldOf(aRequest.fields, mHeaders.key));
     if (!key || *key > kMaxKey) {
@@ -495,6 +497,10 @@
     milliseconds{ 1 });
   request.maxHold = std::max(aProgress.deadline - now, Duration::zero());
   request.dataCentre = mOptions.dataCentre;
+  request.idempotent = aProgress.route->idempotent;
+  request.statedTime = aProgress.statedTime;
+  request.statedTimeLeft =
+    std::max(aProgress.arrived + aProgress.statedTime - now, Duration::zero());
   co_return co_await mSlots.Acquire(aProgress.context, std::move(request));
 }
 
@@ -569,13 +575,8 @@
         ++unsent;
         continue;
       }
-      const SlotUnavailable& unavailable = std::get<SlotUnavailable>(outcome);
-      const bool full =
-        unavailable.reason == UpstreamSet::UnavailableReason::Full;
-      co_return NotExecutedResponse(aProgress,
-                                    unavailable.retryAfter,
-                                    full ? "all upstreams are full"
-                                         : "no upstream");
+      co_return UnavailableResponse(aProgress,
+                                    std::get<SlotUnavailable>(outcome));
     }
     const bool late =
       mClock.Now() + Duration(kReturnMargin) >= aProgress.deadline;
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -106,11 +106,12 @@
     // as it can be answered.
     const bool late = aRequest.timeToObjective <= Duration(kReturnTime) ||
                       mUpstreams.ChoosesUntilDeadline();
-    return mUpstreams.ChooseDirect(aRequest.service,
-                                   aRequest.excluded,
-                                   late ? aRequest.maxHold
-                                        : aRequest.timeToObjective,
-                                   aNow);
+    const Duration maxTime = late ? aRequest.maxHold : aRequest.timeToObjective;
+    return aRequest.byResponseTime
+             ? mUpstreams.ChooseByResponseTime(
+                 aRequest.service, aRequest.excluded, maxTime, aNow)
+             : mUpstreams.ChooseDirect(
+                 aRequest.service, aRequest.excluded, maxTime, aNow);
   }
   if (aRequest.second) {
     return aRequest.instance.empty()
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -61,6 +61,15 @@
   /// This host is the second allocator of the upstreams: it may allocate a part
   /// of their slots while the first one does not answer.
   bool second = false;
+  /// With direct: the instances report no load and are chosen by response time.
+  bool byResponseTime = false;
+  /// The request may run twice. Only for the decision of this host.
+  bool idempotent = false;
+  /// Time that the caller stated for the response. Only for the decision of
+  /// this host.
+  Duration statedTime{};
+  /// What is left of it.
+  Duration statedTimeLeft{};
 };
 
 struct SlotGranted
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -92,7 +92,8 @@
                                  const Clock& aClock,
                                  uint64_t aSeed,
                                  const UpstreamSet::Options& aOptions,
-                                 StateAge aStateAge)
+                                 StateAge aStateAge,
+                                 scheduling::DispatchPolicy aDispatch)
   : mExecutor(std::move(aExecutor))
   , mSelf(std::move(aSelf))
   , mSession(aSession)
@@ -101,6 +102,7 @@
   , mStateAge(std::move(aStateAge))
   , mRandom(aSeed)
   , mBroker(aSeed, aOptions)
+  , mDispatch(std::move(aDispatch))
 {
 }
 
@@ -374,7 +376,7 @@
     co_return Resting(restBefore);
   }
   SlotOutcome outcome =
-    co_await AcquireOfAny(std::move(aContext), std::move(aRequest));
+    co_await AcquireByPolicy(std::move(aContext), std::move(aRequest));
   if (const auto* slot = std::get_if<Slot>(&outcome)) {
     if (slot->address.empty()) {
       Release(*slot, AttemptOutcome::Abandoned, {});
@@ -482,6 +484,7 @@
                          AttemptOutcome aOutcome,
                          Duration aElapsed)
 {
+  RecordResult(aSlot.instance, aOutcome);
   if (aSlot.home.empty()) {
     Deliver(mBroker.Release(
       { mSession, aSlot.ticket }, aOutcome, aElapsed, mClock.Now()));
@@ -656,6 +659,8 @@
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
   mResting.RemoveEnded(mClock.Now());
+  std::visit([&](auto& aPolicy) { aPolicy.RemoveExpired(mClock.Now()); },
+             mDispatch);
   std::erase_if(mLastRequestAt, [&](const auto& aItem) {
     return mClock.Now() - aItem.second >= Duration(kBypassInterval);
   });
