--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -479,7 +479,6 @@
   FeedClient feed;
   /// Relays the feed to entry hosts that can't reach a control host.
   FeedServer relay;
-  scheduling::DemandView demand;
   SlotCoordinator slots;
   RequestHandler handler;
   CallerServer callers;
