One log line for each request that the link refuses

A refusal wrote two lines. The line "request not run" now has the inputs of the decision.

Tests run: Link*, EntryHost* (35 tests, passed).

Conclusion: one line per refusal.

--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -19,6 +19,9 @@
 /// be written. Waits are shorter unless the link is slower than configured.
 constexpr std::chrono::seconds kEgressCheckInterval{ 2 };
 
+constexpr unsigned kUnavailable = 503;
+constexpr const char* kLinkFull = "the link is full";
+
 int64_t
 Milliseconds(Duration aTime)
 {
@@ -188,7 +191,7 @@
                                         mClock.Now());
   if (retryAfter) {
     mMetrics.Increment("link_refusals", "");
-    co_return NotExecutedResponse(aProgress, *retryAfter, "the link is full");
+    co_return NotExecutedResponse(aProgress, *retryAfter, kLinkFull);
   }
   CallerResponse response = co_await RunAttempts(aProgress);
   // Admit() has counted the expected bytes. An upstream's response has a
@@ -234,15 +237,20 @@
   co_return response;
 }
 
+/// Writes one log line with everything, instead of that of
+/// NotExecutedResponse(): in an overload, a host with a fraction of a core
+/// refuses hundreds of requests per second.
 CallerResponse
 RequestHandler::LinkRefusedResponse(const RequestProgress& aProgress,
                                     const scheduling::LinkRefusal& aRefusal)
 {
+  const std::string& id = aProgress.request->requestId;
   const std::string_view reason = scheduling::NameOf(aRefusal.reason);
   mMetrics.Increment("link_refusals", "reason=\"" + std::string(reason) + "\"");
-  log::Line(log::Part::Entry, log::Severity::Info, aProgress.request->requestId)
-    << "the link refuses the request reason=" << reason
-    << " route=" << aProgress.route->name
+  log::Line(log::Part::Entry, log::Severity::Info, id)
+    << "request not run route=" << aProgress.route->name
+    << " service=" << aProgress.service << " reason=" << kLinkFull
+    << " refusal=" << reason
     << " queue_in_ms=" << Milliseconds(aRefusal.queueIn)
     << " queue_out_ms=" << Milliseconds(aRefusal.queueOut)
     << " bytes_in=" << aRefusal.bytesIn << " bytes_out=" << aRefusal.bytesOut
@@ -250,8 +258,7 @@
     << " limit_ms=" << Milliseconds(aRefusal.delayLimit)
     << " left_ms=" << Milliseconds(aProgress.deadline - mClock.Now())
     << " retry_after_ms=" << Milliseconds(aRefusal.retryAfter);
-  return NotExecutedResponse(
-    aProgress, aRefusal.retryAfter, "the link is full");
+  return MakeResponse(kUnavailable, id, kLinkFull, aRefusal.retryAfter);
 }
 
 } // namespace rattandyke::gateway
