Long responses leave no queue behind in the link's model

Bytes of a response beyond the expected ones were added as if the link had carried them within the last 100 ms. A response of 350 KB left a modelled queue of 1 s after it had arrived. Now such bytes delay only what waited while they were transferred. The bytes of the response to the caller, which is yet to be sent, are added to the outgoing queue in full.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -113,16 +113,16 @@
 }
 
 void
-TransferQueue::Correct(size_t aAdded,
-                       Instant aAddedAt,
-                       size_t aActual,
-                       Instant aNow)
+TransferQueue::AddTransferredEarlier(size_t aBytes, Instant aNow)
 {
-  if (aActual > aAdded) {
-    AddTransferred(aActual - aAdded, aNow);
-  } else if (aAddedAt >= mBusySince) {
-    // Otherwise the model has transferred these bytes already.
-    mFreeAt -= TransferTime(aAdded - aActual);
+  mFreeAt += std::min(TransferTime(aBytes), aNow - mBusySince);
+}
+
+void
+TransferQueue::Remove(size_t aBytes, Instant aAddedAt)
+{
+  if (aAddedAt >= mBusySince) {
+    mFreeAt -= TransferTime(aBytes);
   }
 }
 
@@ -381,8 +381,17 @@
   const size_t out =
     aOutcome.attempts * LinkMeter::BytesOnLink(aRequest.requestBytes) +
     toCaller;
-  mIn.Correct(aReservation.bytesIn, aReservation.admittedAt, in, aNow);
-  mOut.Correct(aReservation.bytesOut, aReservation.admittedAt, out, aNow);
+  if (in > aReservation.bytesIn) {
+    mIn.AddTransferredEarlier(in - aReservation.bytesIn, aNow);
+  } else {
+    mIn.Remove(aReservation.bytesIn - in, aReservation.admittedAt);
+  }
+  // The response to the caller is yet to be sent.
+  if (out > aReservation.bytesOut) {
+    mOut.Add(out - aReservation.bytesOut, aNow);
+  } else {
+    mOut.Remove(aReservation.bytesOut - out, aReservation.admittedAt);
+  }
   mSettledCallersOut += toCaller;
   if (aOutcome.upstreamBytes) {
     const Duration elapsed = aNow - aReservation.admittedAt;
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -39,8 +39,13 @@
   /// to wait for them.
   void AddTransferred(size_t aBytes, Instant aNow);
 
-  /// Corrects bytes that were added, once their actual number is known.
-  void Correct(size_t aAdded, Instant aAddedAt, size_t aActual, Instant aNow);
+  /// Accounts for bytes that the link has transferred at some time since their
+  /// request was admitted. They have delayed only what was waiting meanwhile.
+  void AddTransferredEarlier(size_t aBytes, Instant aNow);
+
+  /// Removes bytes that were added at aAddedAt and will not be transferred. No
+  /// effect if the model has transferred them already.
+  void Remove(size_t aBytes, Instant aAddedAt);
 
 private:
   const double mBytesPerSecond;
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -204,6 +204,23 @@
   EXPECT_EQ(admission.ModelledDelay(LinkDirection::Out, now), later);
 }
 
+// Guards against a queue in the model that never existed: a response that is
+// much longer than expected has been transferred when its size is known.
+TEST_F(LinkAdmissionTest, LongResponseLeavesNoQueueBehind)
+{
+  const auto decision = admission.Decide(RequestOf(kLookup), now);
+  now += seconds{ 2 };
+  ASSERT_TRUE(IsAdmitted(kLookup));
+  const Duration before = admission.ModelledDelay(LinkDirection::In, now);
+  admission.Settle(RequestOf(kLookup),
+                   std::get<LinkReservation>(decision),
+                   { 1, 400'000, 400'000 },
+                   now);
+  EXPECT_EQ(admission.ModelledDelay(LinkDirection::In, now), before);
+  // It is yet to be sent to its caller.
+  EXPECT_GE(admission.ModelledDelay(LinkDirection::Out, now), seconds{ 1 });
+}
+
 // Guards against traffic of the feed and of slots that the model leaves out.
 TEST_F(LinkAdmissionTest, OtherTrafficCounts)
 {
