--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -211,6 +211,7 @@
     ProposeInBackground(rangeAssigner.Tick(state, clock.Now()));
     ProposeInBackground(entryRegistry.Tick(state, clock.Now()));
     ProposeControlHostRemovals();
+    WithdrawSilentAllocators();
   }
   const Instant now = clock.Now();
   if (now - lastPingAt < kPingInterval) {
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -191,6 +191,7 @@
     entryRegistry.RecordReport(entry, clock.Now());
   }
   if (aReport.has_sender()) {
+    allocatorWatch.RecordReport(aReport.sender().address(), clock.Now());
     ProposeControlHost(aReport.sender());
   }
 }
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -27,6 +27,7 @@
 #include "gateway/slot_coordinator.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
+#include "scheduling/allocator_watch.h"
 #include "scheduling/state_freshness.h"
 
 namespace rattandyke::gateway {
@@ -116,6 +117,7 @@
   void ScheduleSlotTick();
   void OnSlotTick();
   void ConfirmState();
+  void WithdrawSilentAllocators();
 
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
@@ -220,6 +222,7 @@
   /// When this host was last known to be up to date; before that, its start.
   Instant upToDateAt{};
   bool stopping = false;
+  scheduling::AllocatorWatch allocatorWatch;
   scheduling::StateFreshness freshness;
   /// Null unless this host's setting is that it allocates slots.
   std::unique_ptr<SlotCoordinator> slots;
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -63,6 +63,7 @@
            << state.AppliedIndex().value;
     rangeAssigner.OnElected(state, clock.Now());
     entryRegistry.OnElected(state, clock.Now());
+    allocatorWatch.OnElected(clock.Now());
   } else {
     Info() << "this host leads no more";
   }
--- a/src/librattandyke/gateway/control_host_slots.cpp
+++ b/src/librattandyke/gateway/control_host_slots.cpp
@@ -48,6 +48,24 @@
   slots->Tick();
 }
 
+/// Proposes, as the leader, that control hosts which no longer report do not
+/// allocate. They do again when they report.
+void
+ControlHost::Impl::WithdrawSilentAllocators()
+{
+  std::vector<wire::GatewayCommand> commands;
+  for (const auto& [address, control] : state.ControlHosts()) {
+    if (control.allocates_slots() &&
+        allocatorWatch.ShouldWithdraw(address, clock.Now())) {
+      wire::ControlMember* member =
+        commands.emplace_back().mutable_put_control()->mutable_control();
+      *member = control;
+      member->set_allocates_slots(false);
+    }
+  }
+  ProposeInBackground(commands);
+}
+
 /// Records, after a message of the replicated log, that this host's state is
 /// known to be up to date, if it is.
 void
