--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -199,6 +199,7 @@
   }
   RecordServiceLoads(aReport);
   if (aReport.has_sender()) {
+    allocatorWatch.RecordReport(aReport.sender().address(), clock.Now());
     ProposeControlHost(aReport.sender());
   }
 }
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -29,6 +29,7 @@
 #include "net/frame_mesh.h"
 #include "scheduling/demand_table.h"
 #include "scheduling/demand_view.h"
+#include "scheduling/allocator_watch.h"
 #include "scheduling/state_freshness.h"
 
 namespace rattandyke::gateway {
@@ -118,6 +119,7 @@
   void ScheduleSlotTick();
   void OnSlotTick();
   void ConfirmState();
+  void WithdrawSilentAllocators();
 
   // Demand of all entry hosts: control_host_demand.cpp.
 
@@ -241,6 +243,7 @@
   /// When this host was last known to be up to date; before that, its start.
   Instant upToDateAt{};
   bool stopping = false;
+  scheduling::AllocatorWatch allocatorWatch;
   scheduling::StateFreshness freshness;
   /// Null unless this host's setting is that it allocates slots.
   std::unique_ptr<SlotCoordinator> slots;
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -65,6 +65,7 @@
     rangeAssigner.OnElected(state, clock.Now());
     entryRegistry.OnElected(state, clock.Now());
     demandTable.Start(*aTerm, clock.Now());
+    allocatorWatch.OnElected(clock.Now());
   } else {
     Info() << "this host leads no more";
   }
