Soak: runs with the scheduling settings

Cause: Part 5 of docs/SCHEDULING.md asks for runs with [link] admission, [slots] allocators, [admission] shared_demand and dispatch, with hosts of different link_mbits, and with allocators killed or paused. The soak wrote none of these settings, disturbed three of five control hosts only, and never filled an upstream. In these runs all control hosts and one entry are killed, paused, restarted and cut off in series that overlap, upstreams are slow or all callers want one key for a while, and the desk's route has a drawn priority. Upstreams run as many requests at once as they have slots and queue the rest. New checks in all runs: no upstream has more requests at once than its slots and a queue of 8; a request refused with 503 has not run, also an idempotent one; no 502 or 504 while an upstream's answer lies ready; at most max_attempts arrivals of a request; the retry budget of all entries; no kind is starved after the faults. Nothing reads them yet, so these runs say nothing about the behaviour behind them. Cold upstreams and the order of urgent and less urgent requests are not checked.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -9,6 +9,7 @@
 import zlib
 
 import soak_http
+import soak_judge
 import soak_pressure
 
 sys.path.insert(
@@ -19,6 +20,8 @@
 KEYS = 65536
 LARGE_ANSWER_EACH = 8
 LEAVING_SECONDS = 1.5
+# Time that a request runs, and while an upstream is slow.
+RUN_SECONDS, SLOW_RUN_SECONDS = (0.002, 0.03), (0.1, 0.3)
 
 
 def body_for(request_id, kind):
@@ -52,11 +55,13 @@
         self.alive, self.draining = True, False
         # Requests that it refuses with a rest until then; seconds of the rest.
         self.sheds_until, self.rest = 0.0, 0.0
-        self.says_leaving = False
+        self.says_leaving, self.slow = False, False
         self.pressure = soak_pressure.Pressure()
         self.sequence = 0
         self.rows, self.released, self.ends = [], [], 0.0
-        self.running = 0
+        slots = self.world.scheduling.slots
+        self.free_slots = asyncio.Semaphore(slots)
+        self.watch = soak_judge.SlotWatch(slots)
         self.connections = set()
         self.arrivals = []
         self.server = await asyncio.start_server(
@@ -106,7 +111,8 @@
                 *self.world.control_address(), "POST",
                 words.heartbeat_path(self.id), {}, json.dumps(words.heartbeat(
                     self.service, f"{self.host}:{self.port}", self.draining,
-                    life, sequence, self.rows, released)).encode(),
+                    life, sequence, self.rows, released,
+                    self.watch.slots)).encode(),
                 timeout=1.0)
             again = False
             if answer and answer[0] == 200 and sequence == self.sequence:
@@ -153,7 +159,7 @@
             for text in pressure.arrives(entry, arrival.at, sent):
                 self.world.broke(f"{self.id} {text}, at last {request} from "
                                  f"{entry.name}")
-        await self.reply(first, fields, request, writer)
+        await self.reply(first, fields, request, writer, arrival)
         arrival.answered = time.monotonic()
 
     def say(self, request):
@@ -176,7 +182,7 @@
             "HTTP/1.1 503 Service Unavailable",
             {**base, words.NOT_RUN: "1", "Retry-After": str(self.rest)}))
 
-    async def reply(self, first, fields, request, writer):
+    async def reply(self, first, fields, request, writer, arrival):
         base = {words.REQUEST_ID: request, words.INSTANCE: self.id,
                 **self.say(request)}
         if fields.get(words.EXPECTED.lower()) != self.id:
@@ -192,14 +198,35 @@
             self.shed(request, writer, base)
             return
         kind = first.split()[0]
-        self.world.ran(request, kind, self)
-        await asyncio.sleep(self.world.random.uniform(0.002, 0.03))
+        if not await self.run(request, kind, arrival):
+            return
         writer.write(soak_http.message(
             "HTTP/1.1 200 OK", {**base, words.SIGNATURE: "s." + request},
             body_for(request, kind)))
         await writer.drain()
 
 
+    async def run(self, request, kind, arrival):
+        """Runs a request once a slot is free.
+        @return whether it has run, and the process has not crashed since."""
+        life, watch, free_slots = self.life, self.watch, self.free_slots
+        if watch.enter():
+            self.world.broke(f"{self.id} has {watch.inside} requests at once "
+                             f"with {watch.slots} slots, at last {request}")
+        self.world.most_at_once = max(self.world.most_at_once, watch.inside)
+        try:
+            async with free_slots:
+                if not self.alive or self.life != life:
+                    return False
+                self.world.ran(request, kind, self)
+                arrival.ran = True
+                await asyncio.sleep(self.world.random.uniform(
+                    *(SLOW_RUN_SECONDS if self.slow else RUN_SECONDS)))
+            return self.alive and self.life == life
+        finally:
+            watch.leave()
+
+
 class Stranger:
     """Sends heartbeats that are no upstream's, some under ids that are. None
     may be acknowledged, and none may cost an upstream its keys."""
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -188,9 +188,11 @@
         body = self.body(request, shape)
         read = not body and self.random.random() < 0.5
         kind = "GET" if read else "POST"
+        hot = self.world.hot_key
         fields = {"Host": "soak.example", words.REQUEST_ID: request,
                   words.DEADLINE: str(int(DEADLINE_SECONDS * 1000)),
-                  words.KEY: str(self.random.randrange(KEYS))}
+                  words.KEY: str(self.random.randrange(KEYS)
+                                   if hot is None else hot)}
         if self.new_share == 1.0 and self.random.random() < 0.5:
             fields["Connection"] = "close"
         first = f"{kind} {'/board/x' if read else '/desk/x'} HTTP/1.1"
@@ -227,7 +229,12 @@
         connection.used = time.monotonic()
         if self.is_late(connection, sent):
             self.broke(connection, sent, f"is late with {first}")
-        self.judge(sent.request, kind, int(first.split()[1]), fields, body)
+        status = int(first.split()[1])
+        if soak_judge.is_lost(status, connection.used,
+                              self.world.arrivals.get(sent.request, ()),
+                              connection.entry.life, self.world.held_up):
+            self.broke(connection, sent, f"got {status} for a ready answer")
+        self.judge(sent.request, kind, status, fields, body)
         return fields.get("connection", "").lower() != "close"
 
     async def wait(self, connection, sent):
@@ -272,6 +279,7 @@
     def judge(self, request, kind, status, fields, body):
         world = self.world
         world.count(str(status))
+        world.answers[kind, status] += 1
         if status == 200:
             if body != body_for(request, kind):
                 world.broke(f"{request} got another answer: {body[:40]!r}")
@@ -279,7 +287,7 @@
             if answered != request:
                 world.broke(f"{request} got the answer of {answered}")
         elif status == 503:
-            world.refused(request, kind)
+            world.refused(request)
         elif 400 <= status < 500:
             world.broke(f"{request} got {status}")
 
--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -1,6 +1,7 @@
 """Judges requests that end without an answer. Pure functions of what was seen:
 no clock, no socket. All times are seconds of one monotonic clock."""
 
+import collections
 import dataclasses
 
 # What a calm entry may take to end a connection that a request crosses. One
@@ -16,6 +17,19 @@
 # A caller that stands still for this long takes nothing of a large answer; the
 # entry may give it up (after 3 s in which it takes nothing).
 STOOD_STILL_SECONDS = 2.5
+# An answer that lay at a running entry for longer was there to be read.
+LOST_SECONDS = 0.2
+# Requests that an upstream queues beyond those that it runs, as the first
+# customer's do.
+QUEUE = 8
+# As the soak's routes and the defaults of the settings say: attempts of a
+# request, and retries for each request and beyond that of a service.
+MAX_ATTEMPTS, RETRY_RATIO, RETRY_SLACK, SERVICES = 2, 0.2, 10, 2
+# An entry that starts lends itself half of its share of the slack, which is
+# three quarters of the whole if it is the only one.
+RETRY_LENT = 0.75 * RETRY_SLACK / 2
+# Of the requests of a kind; less is served of a kind that is starved.
+LEAST_SHARE = 0.5
 # An upstream that crashes this soon after its answer may not have sent it.
 BROKE_OFF_SECONDS = 0.05
 
@@ -26,6 +40,7 @@
 
     at: float
     upstream: str
+    ran: bool = False
     answered: float | None = None
     broke_off: bool = False
 
@@ -169,3 +184,58 @@
     if was_idle and wait < CROSSED_IDLE_SECONDS:
         return False, "crossed the idle limit"
     return True, "closed on for no reason"
+
+
+def is_lost(status, ended, arrivals, life, held_up):
+    """An answer that is ready must be delivered.
+    @param arrivals of the request, at all upstreams.
+    @return whether its caller got 502 or 504 although an upstream had answered
+    before, and the entry had had the time to read it."""
+    spans = Spans(life.stopped(ended) + list(held_up))
+    return status in (502, 504) and any(
+        arrival.ran and arrival.answered is not None and not arrival.broke_off
+        and spans.counted(arrival.answered, ended) > LOST_SECONDS
+        for arrival in arrivals)
+
+
+class SlotWatch:
+    """Counts what one incarnation of an upstream runs and queues."""
+
+    def __init__(self, slots):
+        self.slots, self.inside = slots, 0
+
+    def enter(self):
+        """@return whether it has more than it can run and queue."""
+        self.inside += 1
+        return self.inside > self.slots + QUEUE
+
+    def leave(self):
+        self.inside -= 1
+
+
+def retries_broken(arrivals, entry_starts):
+    """@param arrivals of each request that came to an upstream.
+    @param entry_starts of entry processes in the run.
+    @return what was broken by all entries together."""
+    arrivals = {request: found for request, found in arrivals.items() if found}
+    broken = [f"{request} came to upstreams {len(found)} times"
+              for request, found in arrivals.items()
+              if len(found) > MAX_ATTEMPTS]
+    retries = sum(len(found) - 1 for found in arrivals.values())
+    allowed = RETRY_RATIO * len(arrivals) + SERVICES * (
+        RETRY_SLACK + RETRY_LENT * entry_starts)
+    if retries > allowed:
+        broken.append(f"{retries} retries of {len(arrivals)} requests, allowed "
+                      f"are {allowed:.0f}")
+    return broken
+
+
+def starved(answers):
+    """@param answers count of the answers by kind and status.
+    @return the kinds of which less than LEAST_SHARE is served."""
+    sent, served = collections.Counter(), collections.Counter()
+    for (kind, status), count in answers.items():
+        sent[kind] += count
+        served[kind] += count * (status == 200)
+    return sorted(kind for kind, count in sent.items()
+                  if served[kind] < LEAST_SHARE * count)
--- a/scripts/soak_judge_test.py
+++ b/scripts/soak_judge_test.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from soak_judge import Arrival, Life, Sent, Spans, is_late, unanswered
+from soak_judge import (Arrival, Life, QUEUE, Sent, SlotWatch, Spans, is_late,
+                        is_lost, retries_broken, starved, unanswered)
 
 
 def life(*events):
@@ -189,6 +190,67 @@
         self.assertTrue(is_late(sent(behind=11.0), 13.6, life(), []))
 
 
+class LostTest(unittest.TestCase):
+    def lost(self, ended, *events, status=504, held_up=(), **fields):
+        found = arrived(**{"ran": True, "answered": 10.05, **fields})
+        return is_lost(status, ended, found, life(*events), held_up)
+
+    def test_ready_answer(self):
+        self.assertTrue(self.lost(10.3))
+        self.assertTrue(self.lost(10.3, status=502))
+        self.assertFalse(self.lost(10.3, status=200))
+
+    def test_answer_on_its_way(self):
+        self.assertFalse(self.lost(10.2))
+        self.assertFalse(self.lost(12.0, answered=None))
+
+    def test_answer_that_is_none(self):
+        # The upstream refused it, or crashed in the midst of its answer.
+        self.assertFalse(self.lost(10.3, ran=False))
+        self.assertFalse(self.lost(10.3, broke_off=True))
+
+    def test_entry_or_soak_stood_still(self):
+        self.assertFalse(self.lost(13.1, (10.1, "stop"), (13.0, "cont")))
+        self.assertTrue(self.lost(13.3, (10.1, "stop"), (13.0, "cont")))
+        self.assertFalse(self.lost(13.1, held_up=[(10.1, 13.0)]))
+
+
+class SlotWatchTest(unittest.TestCase):
+    def test_slots_and_queue(self):
+        watch = SlotWatch(2)
+        self.assertFalse(any(watch.enter() for _ in range(2 + QUEUE)))
+        self.assertTrue(watch.enter())
+        watch.leave()
+        watch.leave()
+        self.assertFalse(watch.enter())
+
+
+class RetriesTest(unittest.TestCase):
+    def broken(self, once, twice, entry_starts=1):
+        attempts = [1] * once + [2] * twice + [0]
+        return retries_broken({str(number): arrived() * count for number, count
+                               in enumerate(attempts)}, entry_starts)
+
+    def test_budget_of_all_entries(self):
+        # A fifth of 1,000 requests, 10 of each service, and 7.5 at a start.
+        self.assertEqual(self.broken(773, 227), [])
+        self.assertIn("228 retries", self.broken(772, 228)[0])
+        self.assertEqual(self.broken(772, 228, entry_starts=2), [])
+
+    def test_attempts_of_a_request(self):
+        self.assertIn("came to upstreams 3 times",
+                      retries_broken({"1-1": arrived() * 3}, 1)[0])
+
+
+class StarvedTest(unittest.TestCase):
+    def test_starved(self):
+        answers = {("GET", 200): 50, ("GET", 503): 50,
+                   ("POST", 200): 49, ("POST", 503): 51}
+        self.assertEqual(starved(answers), ["POST"])
+        self.assertEqual(starved({("GET", 503): 1}), ["GET"])
+        self.assertEqual(starved({}), [])
+
+
 class SpansTest(unittest.TestCase):
     def test_overlapping_spans_count_once(self):
         spans = Spans([(3, 5), (1, 4), (4.5, 6), (9, 12)])
--- a/scripts/soak_operator.py
+++ b/scripts/soak_operator.py
@@ -31,7 +31,8 @@
     def served_routes(self):
         """@return the routes that callers use."""
         return {"r-board": words.route("/board/", "board", True, self.version),
-                "r-desk": words.route("/desk/", "desk", False, self.version)}
+                "r-desk": words.route("/desk/", "desk", False, self.version,
+                                      self.world.scheduling.desk_priority)}
 
     async def send(self, change):
         """@return whether it was acknowledged."""
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -16,6 +16,7 @@
 import soak_callers
 import soak_judge
 import soak_operator
+import soak_scheduling
 
 CONTROL_HOSTS = 5
 ENTRY_HOSTS = 3
@@ -33,6 +34,10 @@
 # A delay of the soak, or of its disk, that a reader of a failed run must know.
 NOTED_SECONDS, DISK_TICK_SECONDS = 0.2, 0.5
 DISK_STANDS_SECONDS, LONGEST_RECOVERY_SECONDS = 1.0, 60
+HOST_FAULTS = ["kill", "pause", "term", "reset", "delay", "refuse", "silent",
+               "silent in", "silent out"]
+ALLOCATOR_FAULTS = ["kill", "kill", "pause", "pause", "term", "silent in",
+                    "silent out"]
 EVENTS = {signal.SIGKILL: "kill", signal.SIGTERM: "term",
           signal.SIGSTOP: "stop", signal.SIGCONT: "cont"}
 
@@ -133,6 +138,7 @@
 role = {self.role}
 data_folder = {self.folder / 'data' if control else ''}
 first_start = {'true' if first else 'false'}
+link_mbits = {self.world.scheduling.link(self.name)}
 [listen]
 callers = {'' if control else f'{self.listen}:{self.world.port(2)}'}
 readiness = {'' if control else f'{self.listen}:{self.world.port(3)}'}
@@ -146,6 +152,7 @@
 heartbeat_interval = 400ms
 longest_hold = 10s
 hold = 2000ms
+{self.world.scheduling.sections(first)}
 """
 
     def start(self, first=False):
@@ -192,7 +199,8 @@
 class World:
     """What a run knows, and what it has seen broken."""
 
-    def __init__(self, binary, seed, seconds):
+    def __init__(self, binary, seed, seconds, scheduling="never"):
+        """@param scheduling runs with the scheduling settings: see draw."""
         self.binary = pathlib.Path(binary).resolve() / "rattandyke"
         self.seed, self.seconds = seed, seconds
         self.random = random.Random(seed)
@@ -202,6 +210,8 @@
         self.over = False
         self.broken = []
         self.counts = collections.Counter()
+        # By kind and status.
+        self.answers = collections.Counter()
         self.faults = 0
         self.notes = []
         self.runs = collections.Counter()
@@ -218,6 +228,13 @@
         self.last_idle_limit = soak_operator.FIRST_IDLE_SECONDS
         self.hosts = [Host(self, "control", n) for n in range(CONTROL_HOSTS)]
         self.entries = [Host(self, "entry", n) for n in range(ENTRY_HOSTS)]
+        self.scheduling = soak_scheduling.draw(
+            seed, scheduling, [host.name for host in self.hosts],
+            [entry.name for entry in self.entries])
+        # Requests that an upstream had at the same time.
+        self.most_at_once = 0
+        # The key of all requests, while there is one.
+        self.hot_key = None
         self.upstreams = [
             soak_actors.Upstream(self, n, "board" if n < UPSTREAMS else "desk",
                                  n < UPSTREAMS)
@@ -265,14 +282,13 @@
             self.runs[request] += 1
             if self.runs[request] > 1:
                 self.broke(f"{request} ran twice, at last at {upstream.id}")
-            if request in self.not_run:
-                self.broke(f"{request} ran after it was refused")
+        if request in self.not_run:
+            self.broke(f"{request} ran after it was refused")
 
-    def refused(self, request, kind):
-        if kind == "POST":
-            self.not_run.add(request)
-            if self.runs[request]:
-                self.broke(f"{request} was refused and has run")
+    def refused(self, request):
+        self.not_run.add(request)
+        if any(arrival.ran for arrival in self.arrivals.get(request, ())):
+            self.broke(f"{request} was refused and has run")
 
     def check_owners(self, upstream):
         for other in self.upstreams:
@@ -287,26 +303,35 @@
     def summary(self):
         seen = ", ".join(f"{name}: {count}"
                          for name, count in sorted(self.counts.items()))
-        return f"{self.faults} faults; {seen}"
+        return (f"{self.scheduling.describe()}; {self.faults} faults, at most "
+                f"{self.most_at_once} at once at an upstream; {seen}")
 
 
-async def host_fault(world, host):
+async def host_fault(world, host, kinds=HOST_FAULTS, lasts=(0.3, 3.0)):
     """One fault of a host, over when this returns. What upstreams told the host
-    before it is over does not bind it."""
+    before it is over does not bind it.
+    @param kinds of faults.
+    @param lasts shortest and longest time of it."""
     host.disturbed += 1
     try:
-        await one_host_fault(world, host)
+        await one_host_fault(world, host, kinds, lasts)
     finally:
         host.disturbed -= 1
         for upstream in world.upstreams:
             upstream.pressure.disturbed(host)
 
 
-async def one_host_fault(world, host):
+async def allocator_fault(world, host):
+    """A fault of a host that allocates slots. Short ones too: whoever asks it
+    for a slot notices its silence after 110 ms."""
+    if not host.disturbed:
+        await host_fault(world, host, ALLOCATOR_FAULTS, (0.05, 2.0))
+
+
+async def one_host_fault(world, host, kinds, lasts):
     rand = world.random
-    kind = rand.choice(["kill", "pause", "term", "reset", "delay", "refuse",
-                        "silent", "silent in", "silent out"])
-    lasts = rand.uniform(0.3, 3.0)
+    kind = rand.choice(kinds)
+    lasts = rand.uniform(*lasts)
     world.fault(f"{kind} {host.name} {lasts:.1f}")
     if kind == "kill":
         host.signal(signal.SIGKILL)
@@ -379,6 +404,23 @@
             await upstream.start()
 
 
+async def demand_fault(world, upstream):
+    """For a while an upstream is slow, or all callers want one key."""
+    rand, life = world.random, upstream.life
+    lasts = rand.uniform(0.5, 3.0)
+    if rand.random() < 0.5:
+        world.fault(f"slow {upstream.id} {lasts:.1f}")
+        upstream.slow = True
+        await asyncio.sleep(lasts)
+        if upstream.life == life:
+            upstream.slow = False
+    else:
+        world.hot_key = rand.randrange(soak_actors.KEYS)
+        world.fault(f"hot key {world.hot_key} {lasts:.1f}")
+        await asyncio.sleep(lasts)
+        world.hot_key = None
+
+
 async def faults(world, hosts, make, pause):
     """Faults one after another; several of these run beside each other."""
     end = time.monotonic() + world.seconds
@@ -443,6 +485,23 @@
     world.note("the disk never worked for long enough")
 
 
+def host_series(world):
+    """@return series of faults of hosts, of which at most two control hosts
+    and two entries are disturbed at the same time."""
+    if world.scheduling.is_on():
+        return [
+            faults(world, world.hosts, allocator_fault, (0.05, 0.8)),
+            faults(world, world.hosts, allocator_fault, (0.5, 2.0)),
+            faults(world, world.entries[:1], allocator_fault, (0.3, 2.0)),
+            faults(world, world.entries[1:], host_fault, (0.5, 3.0)),
+            faults(world, world.upstreams, demand_fault, (0.5, 2.0))]
+    half = CONTROL_HOSTS // 2
+    return [faults(world, world.hosts[:half], host_fault, (0.1, 1.5)),
+            faults(world, world.hosts[half:half + 1], host_fault, (0.5, 4.0)),
+            faults(world, world.entries[:1], host_fault, (0.3, 3.0)),
+            faults(world, world.entries[1:], host_fault, (0.5, 3.0))]
+
+
 async def play(world):
     world.began = time.monotonic()
     watches = [asyncio.ensure_future(note_delays(world)),
@@ -461,29 +520,36 @@
              for caller in soak_callers.callers(world)]
     tasks.append(asyncio.ensure_future(operator.run()))
     tasks.append(asyncio.ensure_future(soak_actors.Stranger(world).run()))
-    half = CONTROL_HOSTS // 2
     await asyncio.gather(
-        faults(world, world.hosts[:half], host_fault, (0.1, 1.5)),
-        faults(world, world.hosts[half:half + 1], host_fault, (0.5, 4.0)),
-        faults(world, world.entries[:1], host_fault, (0.3, 3.0)),
-        faults(world, world.entries[1:], host_fault, (0.5, 3.0)),
+        *host_series(world),
         faults(world, world.upstreams, upstream_fault, (0.5, 3.0)),
         faults(world, world.upstreams[:UPSTREAMS], pressure_fault, (0.1, 1.0)),
         faults(world, world.upstreams[UPSTREAMS:], pressure_fault, (0.1, 1.0)))
     if world.random.random() < 0.5:
         await kill_all(world)
     await recovery(world)
+    await judge_recovery(world)
+    world.over = True
+    await asyncio.gather(*tasks)
+    await operator.read_back()
+    starts = sum(event == "start" for entry in world.entries
+                 for _, event in entry.life.events)
+    for text in soak_judge.retries_broken(world.arrivals, starts):
+        world.broke(text)
+    for watch in watches:
+        watch.cancel()
+
+
+async def judge_recovery(world):
     before = collections.Counter(world.counts)
+    answers = collections.Counter(world.answers)
     await asyncio.sleep(3)
     after = world.counts - before
     served = after["200"] / max(sum(after.values()), 1)
     if served < SERVED_AFTER:
         world.broke(f"only {served:.2f} are served after the faults: {after}")
-    world.over = True
-    await asyncio.gather(*tasks)
-    await operator.read_back()
-    for watch in watches:
-        watch.cancel()
+    for kind in soak_judge.starved(world.answers - answers):
+        world.broke(f"{kind} is starved after the faults")
 
 
 async def end_tasks():
@@ -518,9 +584,9 @@
         host.start()
 
 
-def run(binary, seed, seconds):
+def run(binary, seed, seconds, scheduling):
     """@return the World of the run, with what was broken."""
-    world = World(binary, seed, seconds)
+    world = World(binary, seed, seconds, scheduling)
     asyncio.run(play_whole(world))
     world.ports.close()
     (world.folder / "faults").write_text("\n".join(world.notes) + "\n")
