--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -152,6 +152,9 @@
     entry.session,
     [this, aEntry](const HostName& aTo, const wire::GatewayFrame& aFrame) {
       mLastHome = aFrame.has_slot_answer() ? aEntry : mLastHome;
+      mSlotMessages.Record(scheduling::LinkUse::SlotsRequested,
+                           scheduling::LinkDirection::Out,
+                           aFrame.ByteSizeLong());
       mMessages.emplace(mNow + mMessageDelay,
                         Message{ aEntry, aTo.value, aFrame });
     },
@@ -229,6 +232,13 @@
   }
 }
 
+scheduling::LinkMeter::Traffic
+EntryGroup::TakeSlotMessages()
+{
+  return mSlotMessages.TakeReport(mNow).Of(scheduling::LinkUse::SlotsRequested,
+                                           scheduling::LinkDirection::Out);
+}
+
 void
 EntryGroup::DisturbHomes(size_t aRounds, double aRequestsPerSecond)
 {
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -15,6 +15,7 @@
 
 #include "gateway/slot_coordinator.h"
 #include "gateway/state.h"
+#include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway::testing {
 
@@ -107,6 +108,9 @@
   void ResetCounts() { mServed = mRefused = 0; }
   /// @return the longest time after which a request was refused.
   Duration LongestRefusalTime() const { return mLongestRefusalTime; }
+  /// Messages about slots that entries have sent since the last call. Each is
+  /// counted once, with the bytes that it needs on the sender's link.
+  scheduling::LinkMeter::Traffic TakeSlotMessages();
   /// @return the different times after which refused callers may come back.
   const std::set<Duration>& RetryAfterTimes() const { return mRetryAfterTimes; }
 
@@ -170,6 +174,7 @@
   /// Requests that may wait for a slot, and their entries.
   std::vector<std::pair<size_t, std::weak_ptr<RequestContext>>> mWaiting;
   size_t mLastHome = 0;
+  scheduling::LinkMeter mSlotMessages{ mNow };
   double mOwedRequests = 0;
   size_t mServed = 0;
   size_t mRefused = 0;
