Control hosts allocate only where their links are much faster than entries'

Cause: with [slots] allocators = capacity, control hosts would allocate in deployments whose entry hosts have links as fast as theirs. Nothing is gained there.

Change: control hosts allocate if their links are at least ten times as fast as the mean entry host's.

Result: AllocatorDirectory.ControlHostsNeedMuchFasterLinksThanEntries.

Conclusion: sites with links of 1,000 Mbit/s everywhere keep their allocators.

--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -163,7 +163,8 @@
     mAllocators.PutEntry(address, member.link_mbits());
   }
   for (const auto& [address, member] : aState.ControlHosts()) {
-    mAllocators.PutControlHost(address, member.allocates_slots());
+    mAllocators.PutControlHost(
+      address, member.allocates_slots(), member.link_mbits());
   }
   OnEntryCountChanged();
 }
@@ -182,7 +183,8 @@
     mAllocators.RemoveEntry(aCommand.drop_entry().address());
   } else if (aCommand.has_put_control()) {
     const wire::ControlMember& control = aCommand.put_control().control();
-    mAllocators.PutControlHost(control.address(), control.allocates_slots());
+    mAllocators.PutControlHost(
+      control.address(), control.allocates_slots(), control.link_mbits());
   } else {
     mAllocators.RemoveControlHost(aCommand.drop_control().address());
   }
--- a/src/librattandyke/scheduling/allocator_directory.cpp
+++ b/src/librattandyke/scheduling/allocator_directory.cpp
@@ -77,7 +77,7 @@
                           });
 }
 
-void
+AllocatorDirectory::Host&
 AllocatorDirectory::Put(Hosts& aHosts,
                         std::string_view aAddress,
                         double aWeight)
@@ -88,6 +88,7 @@
       at, Host{ std::string(aAddress), routing::HashKey(aAddress), 1 });
   }
   at->weight = aWeight;
+  return *at;
 }
 
 void
@@ -115,10 +116,12 @@
 }
 
 void
-AllocatorDirectory::PutControlHost(std::string_view aAddress, bool aAllocates)
+AllocatorDirectory::PutControlHost(std::string_view aAddress,
+                                   bool aAllocates,
+                                   double aLinkMbits)
 {
   if (aAllocates) {
-    Put(mControlHosts, aAddress, 1);
+    Put(mControlHosts, aAddress, 1).linkMbits = aLinkMbits;
   } else {
     Remove(mControlHosts, aAddress);
   }
@@ -132,6 +135,24 @@
   UpdateRule();
 }
 
+bool
+AllocatorDirectory::ControlHostsFit() const
+{
+  if (mControlHosts.empty() || mEntries.size() > kMaxEntriesForControlHosts) {
+    return false;
+  }
+  double entryMbits = 0;
+  for (const Host& entry : mEntries) {
+    entryMbits += entry.weight;
+  }
+  const double needed =
+    kMinControlLinkRatio * entryMbits / static_cast<double>(mEntries.size());
+  return std::all_of(
+    mControlHosts.begin(), mControlHosts.end(), [&](const Host& aHost) {
+      return aHost.linkMbits <= 0 || aHost.linkMbits >= needed;
+    });
+}
+
 /// An entry host that does not state its bandwidth is of an older build, or its
 /// setting is `entries`: it follows the rule of equal shares only.
 void
@@ -143,8 +164,7 @@
     });
   if (!allStated) {
     mRule = AllocatorRule::EntriesAlike;
-  } else if (!mControlHosts.empty() &&
-             mEntries.size() <= kMaxEntriesForControlHosts) {
+  } else if (ControlHostsFit()) {
     mRule = AllocatorRule::ControlHosts;
   } else {
     mRule = mEntries.empty() ? AllocatorRule::EntriesAlike
--- a/src/librattandyke/scheduling/allocator_directory.h
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -43,6 +43,10 @@
   /// With more entry hosts than this, control hosts do not allocate: their
   /// share of the slot messages would exceed a tenth of a core each.
   static constexpr size_t kMaxEntriesForControlHosts = 400;
+  /// Control hosts allocate only if their links are this many times as fast as
+  /// those of the entry hosts. With links alike, the messages would only take
+  /// other ways.
+  static constexpr double kMinControlLinkRatio = 10;
 
   /// Allocators of one group. The views are valid until the directory changes.
   struct Allocators
@@ -64,7 +68,10 @@
   void RemoveEntry(std::string_view aAddress);
 
   /// Adds a control host or changes whether it allocates slots.
-  void PutControlHost(std::string_view aAddress, bool aAllocates);
+  /// @param aLinkMbits bandwidth of its link; 0: unknown, taken as unlimited.
+  void PutControlHost(std::string_view aAddress,
+                      bool aAllocates,
+                      double aLinkMbits);
   void RemoveControlHost(std::string_view aAddress);
 
   AllocatorRule Rule() const { return mRule; }
@@ -85,14 +92,18 @@
     std::string address;
     uint64_t hash = 0;
     double weight = 1;
+    /// Bandwidth of a control host's link; 0: unlimited.
+    double linkMbits = 0;
   };
   /// Sorted by address.
   using Hosts = std::vector<Host>;
 
   static Hosts::iterator Find(Hosts& aHosts, std::string_view aAddress);
-  static void Put(Hosts& aHosts, std::string_view aAddress, double aWeight);
+  static Host& Put(Hosts& aHosts, std::string_view aAddress, double aWeight);
   static void Remove(Hosts& aHosts, std::string_view aAddress);
   void UpdateRule();
+  /// @return whether control hosts may allocate for the entry hosts.
+  bool ControlHostsFit() const;
   const Hosts& Active() const;
   Allocators SelectAlike(uint64_t aGroup) const;
   Allocators SelectWeighted(uint64_t aGroup) const;
--- a/src/librattandyke/scheduling/allocator_directory_test.cpp
+++ b/src/librattandyke/scheduling/allocator_directory_test.cpp
@@ -117,9 +117,9 @@
 {
   AllocatorDirectory directory =
     Entries(AllocatorDirectory::kMaxEntriesForControlHosts, 2.3);
-  directory.PutControlHost("10.9.0.1:1", true);
-  directory.PutControlHost("10.9.0.2:1", true);
-  directory.PutControlHost("10.9.0.3:1", false);
+  directory.PutControlHost("10.9.0.1:1", true, 1000);
+  directory.PutControlHost("10.9.0.2:1", true, 1000);
+  directory.PutControlHost("10.9.0.3:1", false, 1000);
   EXPECT_EQ(directory.Rule(), AllocatorRule::ControlHosts);
   EXPECT_EQ(directory.AllocatorCount(), 2U);
   const uint64_t two = directory.Fingerprint();
@@ -135,9 +135,21 @@
   directory.RemoveControlHost("10.9.0.1:1");
   EXPECT_EQ(directory.Select(kService, 7).first, "10.9.0.2:1");
   EXPECT_TRUE(directory.Select(kService, 7).second.empty());
-  directory.PutControlHost("10.9.0.2:1", false);
+  directory.PutControlHost("10.9.0.2:1", false, 1000);
   EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
 }
 
+// Guards against other allocators in deployments whose links are all alike.
+TEST(AllocatorDirectory, ControlHostsNeedMuchFasterLinksThanEntries)
+{
+  AllocatorDirectory directory = Entries(10, 1000);
+  directory.PutControlHost("10.9.0.1:1", true, 1000);
+  EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
+  for (uint32_t host = 0; host < 10; ++host) {
+    directory.PutEntry(Address(host), 2.3);
+  }
+  EXPECT_EQ(directory.Rule(), AllocatorRule::ControlHosts);
+}
+
 } // namespace
 } // namespace rattandyke::scheduling
