--- a/src/librattandyke/scheduling/dispatch_policy.cpp
+++ b/src/librattandyke/scheduling/dispatch_policy.cpp
@@ -1,7 +1,6 @@
 #include "scheduling/dispatch_policy.h"
 
 #include <algorithm>
-#include <cmath>
 #include <sstream>
 
 namespace rattandyke::scheduling {
@@ -15,13 +14,6 @@
 /// Part of an owner's capacity that is admitted. The rest allows for the error
 /// of the estimates.
 constexpr double kAdmittedCapacity = 0.95;
-/// Standard errors by which a demand must exceed the capacity before requests
-/// are refused for it. At some ten requests per second, the averages of owners
-/// with room are above their capacity now and then.
-constexpr double kStandardErrors = 2;
-/// Length of the window that the averages of the digest amount to: twice their
-/// time constant of 500 ms.
-constexpr double kAveragedSeconds = 1;
 /// Time after the last request for an owner for which its admission is kept.
 constexpr Duration kAdmissionRetention = std::chrono::seconds{ 10 };
 /// Number of different phases of an OwnerAdmission.
@@ -50,15 +42,6 @@
   }
 }
 
-/// @return whether the demand for an owner certainly exceeds its capacity. Up to
-/// there, the owner's allocator decides, as it knows what the owner runs.
-bool
-ExceedsCapacity(const OwnerDemand& aOwner)
-{
-  const double error = std::sqrt(aOwner.demand / kAveragedSeconds);
-  return aOwner.demand - kStandardErrors * error > aOwner.capacity;
-}
-
 } // namespace
 
 std::string_view
@@ -145,7 +128,7 @@
     return AskAllocator{ DispatchReason::NoDigest };
   }
   if (const auto owner = mDemand->OwnerOf(aRequest.owner)) {
-    return ExceedsCapacity(*owner)
+    return owner->demand > owner->capacity
              ? DecideOverCapacity(aRequest, *owner, history, aNow)
              : AskAllocator{ DispatchReason::HighDemand };
   }
