Long messages leave no queue behind in the link's model

Received bytes are counted when all of their message has arrived. At most 100 ms of idle time were credited for them, so a request of 400 KB on an idle link of 2.3 Mbit/s left a modelled queue of 1.3 s. The credit now covers the transfer time of the counted bytes.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -11,9 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Idle time of the link that bytes counted later may have used. Bytes are
-/// counted when the host gets the processor, up to one period of its processor
-/// limit (100 ms) after they have arrived.
+/// Idle time of the link that bytes counted later may have used, unless they
+/// need more. Bytes are counted when the host gets the processor, up to one
+/// period of its processor limit (100 ms) after they have arrived.
 constexpr milliseconds kMaxCountingDelay{ 100 };
 /// Size of a refusal with its headers, without packet headers.
 constexpr size_t kRefusalBytes = 250;
@@ -108,8 +108,9 @@
 void
 TransferQueue::AddTransferred(size_t aBytes, Instant aNow)
 {
-  mFreeAt = std::max(mFreeAt, aNow - Duration(kMaxCountingDelay)) +
-            TransferTime(aBytes);
+  const Duration transferTime = TransferTime(aBytes);
+  const Duration idleTime = std::max<Duration>(kMaxCountingDelay, transferTime);
+  mFreeAt = std::max(mFreeAt, aNow - idleTime) + transferTime;
 }
 
 void
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -70,12 +70,15 @@
   }
 
   /// Lets the control host answer probes for some seconds.
-  /// @param aBytesPerTick traffic meanwhile, at 50 ticks per second.
-  void Probe(Duration aAnswerTime, size_t aBytesPerTick)
+  /// @param aBytesPerTick traffic meanwhile.
+  /// @param aTickInterval time between two ticks.
+  void Probe(Duration aAnswerTime,
+             size_t aBytesPerTick,
+             Duration aTickInterval = milliseconds{ 20 })
   {
     std::deque<std::pair<uint64_t, Instant>> probes;
     for (const Instant end = now + seconds{ 3 }; now < end;
-         now += milliseconds{ 20 }) {
+         now += aTickInterval) {
       meter.Record(LinkUse::Upstreams, LinkDirection::In, aBytesPerTick);
       while (!probes.empty() && probes.front().second <= now) {
         admission.OnProbeReply(probes.front().first, probes.front().second);
@@ -221,6 +224,22 @@
   EXPECT_GE(admission.ModelledDelay(LinkDirection::Out, now), seconds{ 1 });
 }
 
+// Guards against the same for a message that is counted when all of it has
+// arrived, as the body of a request or a snapshot of the feed.
+TEST_F(LinkAdmissionTest, LongMessageLeavesNoQueueBehind)
+{
+  for (const LinkUse use : { LinkUse::Callers, LinkUse::Feed }) {
+    for (const Instant end = now + seconds{ 2 }; now < end;) {
+      now += milliseconds{ 20 };
+      admission.Tick(1, {}, now);
+    }
+    meter.Record(use, LinkDirection::In, 400'000);
+    admission.Tick(1, {}, now);
+    EXPECT_EQ(admission.ModelledDelay(LinkDirection::In, now),
+              Duration::zero());
+  }
+}
+
 // Guards against traffic of the feed and of slots that the model leaves out.
 TEST_F(LinkAdmissionTest, OtherTrafficCounts)
 {
