Counted bytes start a new busy period of the link's model

AddTransferred raised the time at which the link is free, at every tick and also for 0 bytes, but kept the start of the busy period. A later correction for a long response then counted as a queue, and Remove took away bytes that the model had transferred already.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -108,9 +108,17 @@
 void
 TransferQueue::AddTransferred(size_t aBytes, Instant aNow)
 {
+  if (aBytes == 0) {
+    return;
+  }
   const Duration transferTime = TransferTime(aBytes);
-  const Duration idleTime = std::max<Duration>(kMaxCountingDelay, transferTime);
-  mFreeAt = std::max(mFreeAt, aNow - idleTime) + transferTime;
+  const Instant startedAt =
+    aNow - std::max<Duration>(kMaxCountingDelay, transferTime);
+  if (mFreeAt <= startedAt) {
+    mFreeAt = startedAt;
+    mBusySince = startedAt;
+  }
+  mFreeAt += transferTime;
 }
 
 void
