--- a/src/librattandyke/gateway/request_handler_link.cpp
+++ b/src/librattandyke/gateway/request_handler_link.cpp
@@ -218,6 +218,7 @@
   request.objective = aProgress.route->objective;
   request.age = now - aProgress.arrived;
   request.timeLeft = aProgress.deadline - now;
+  request.timeout = aProgress.route->timeout;
   const auto decision = aAdmission.Decide(request, now);
   if (const auto* refusal = std::get_if<scheduling::LinkRefusal>(&decision)) {
     co_return LinkRefusedResponse(aProgress, *refusal);
--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -250,6 +250,13 @@
   return std::max(received, aForecast.queueOut) + response;
 }
 
+Duration
+LinkAdmission::ObjectiveOf(const LinkRequest& aRequest)
+{
+  return aRequest.objective > Duration::zero() ? aRequest.objective
+                                               : aRequest.timeout;
+}
+
 LinkAdmission::RouteTimes
 LinkAdmission::TimesOf(const LinkRequest& aRequest) const
 {
@@ -257,7 +264,7 @@
   if (found == mRouteTimes.end()) {
     return {};
   }
-  const Duration longest = Scaled(aRequest.objective, kMaxUpstreamShare);
+  const Duration longest = Scaled(ObjectiveOf(aRequest), kMaxUpstreamShare);
   return { std::min(found->second.mean, longest),
            std::min(found->second.shortest, longest) };
 }
@@ -289,8 +296,9 @@
                           Duration aUpstreamTime,
                           Instant aNow)
 {
-  const Duration least = Scaled(aRequest.objective, kMinSlackShare);
-  const Duration slack = std::max(aRequest.objective - aUpstreamTime, least);
+  const Duration objective = ObjectiveOf(aRequest);
+  const Duration least = Scaled(objective, kMinSlackShare);
+  const Duration slack = std::max(objective - aUpstreamTime, least);
   Level& own = LevelOf(aRequest.priority);
   if (slack <= own.slack || aNow - own.slackSeenAt > Duration(kSlackLifetime)) {
     own.slack = slack;
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -76,12 +76,15 @@
   size_t requestBytes = 0;
   /// Expected size of the response.
   size_t responseBytes = 0;
-  /// Latency objective of the route, counted from the arrival.
+  /// Latency objective of the route, counted from the arrival; 0 if it has
+  /// none.
   Duration objective{};
   /// Time since the arrival.
   Duration age{};
   /// Time left until the timeout.
   Duration timeLeft{};
+  /// Timeout of the route, which replaces an objective of 0.
+  Duration timeout{};
 };
 
 /// An admitted request. Its expected bytes are in the model.
@@ -209,6 +212,8 @@
   /// @param aUpstreamTime time until the upstream's response, without the link.
   Duration CompletionTime(const Forecast& aForecast,
                           Duration aUpstreamTime) const;
+  /// @return the objective of a request, or the timeout if it has none.
+  static Duration ObjectiveOf(const LinkRequest& aRequest);
   /// @return the estimates for a route. Limited to half of the objective, so
   /// that slow upstreams don't make the link refuse all requests of a route.
   RouteTimes TimesOf(const LinkRequest& aRequest) const;
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -44,7 +44,7 @@
 {
   return { aKind.route,         aKind.priority,  aKind.requestBytes,
            aKind.responseBytes, aKind.objective, {},
-           aKind.timeout };
+           aKind.timeout,       aKind.timeout };
 }
 
 class LinkAdmissionTest : public ::testing::Test
@@ -162,6 +162,20 @@
   }
 }
 
+// Guards against a route without an objective that is nearly shut out, and that
+// shuts out less urgent ones.
+TEST_F(LinkAdmissionTest, TimeoutReplacesMissingObjective)
+{
+  Kind withoutObjective = kLookup;
+  withoutObjective.route = "without objective";
+  withoutObjective.priority = 0;
+  withoutObjective.objective = {};
+  for (int request = 0; request < 10; ++request) {
+    ASSERT_TRUE(IsAdmitted(withoutObjective));
+    ASSERT_TRUE(IsAdmitted(kLookup));
+  }
+}
+
 // Guards against refused callers that return together, or before the queue is
 // short enough.
 TEST_F(LinkAdmissionTest, RetryTimesAreSpreadOverTheTimeAfterTheQueue)
