No route is shut out by another one of its priority

The time of the last admission was kept per priority, so a route whose requests are always admitted let another one of its priority be refused for good. It is kept per route now. NoPriorityIsShutOutForLong gives its urgent kind a route of its own: before, both of its kinds had one route name.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -32,7 +32,7 @@
 /// Time for which the objective of a more urgent kind of request limits less
 /// urgent ones after its last request.
 constexpr seconds kSlackLifetime{ 5 };
-/// Longest time for which all requests of one priority are refused for their
+/// Longest time for which all requests of one route are refused for their
 /// objective.
 constexpr seconds kMaxShutOut{ 1 };
 /// Bound of the memory for routes. A deployment has some dozen.
@@ -152,6 +152,19 @@
   return mLevels[std::min<size_t>(aPriority, kLevels - 1)];
 }
 
+LinkAdmission::Route&
+LinkAdmission::RouteOf(std::string_view aName)
+{
+  const auto found = mRoutes.find(aName);
+  if (found != mRoutes.end()) {
+    return found->second;
+  }
+  if (mRoutes.size() >= kMaxRoutes) {
+    mRoutes.clear();
+  }
+  return mRoutes[std::string(aName)];
+}
+
 void
 LinkAdmission::CountTraffic(Instant aNow)
 {
@@ -260,27 +273,24 @@
 LinkAdmission::RouteTimes
 LinkAdmission::TimesOf(const LinkRequest& aRequest) const
 {
-  const auto found = mRouteTimes.find(aRequest.route);
-  if (found == mRouteTimes.end()) {
+  const auto found = mRoutes.find(aRequest.route);
+  if (found == mRoutes.end() || !found->second.times) {
     return {};
   }
+  const RouteTimes& times = *found->second.times;
   const Duration longest = Scaled(ObjectiveOf(aRequest), kMaxUpstreamShare);
-  return { std::min(found->second.mean, longest),
-           std::min(found->second.shortest, longest) };
+  return { std::min(times.mean, longest), std::min(times.shortest, longest) };
 }
 
 void
 LinkAdmission::RecordTime(std::string_view aRoute, Duration aTime)
 {
-  const auto found = mRouteTimes.find(aRoute);
-  if (found == mRouteTimes.end()) {
-    if (mRouteTimes.size() >= kMaxRoutes) {
-      mRouteTimes.clear();
-    }
-    mRouteTimes.emplace(aRoute, RouteTimes{ aTime, aTime });
+  std::optional<RouteTimes>& known = RouteOf(aRoute).times;
+  if (!known) {
+    known = RouteTimes{ aTime, aTime };
     return;
   }
-  RouteTimes& times = found->second;
+  RouteTimes& times = *known;
   times.mean += Scaled(aTime - times.mean, kSmoothing);
   times.shortest =
     aTime < times.shortest
@@ -342,7 +352,7 @@
   const size_t out = aForecast.requestOnLink + aForecast.responseOnLink;
   mIn.Add(in, aNow);
   mOut.Add(out, aNow);
-  LevelOf(aRequest.priority).admittedAt = aNow;
+  RouteOf(aRequest.route).admittedAt = aNow;
   return { aNow, in, out, aLinkDelay };
 }
 
@@ -360,7 +370,7 @@
   const bool late =
     CompletionTime(forecast, times.shortest) > aRequest.timeLeft;
   const bool shutOut =
-    aNow - LevelOf(aRequest.priority).admittedAt >= Duration(kMaxShutOut);
+    aNow - RouteOf(aRequest.route).admittedAt >= Duration(kMaxShutOut);
   const bool missesObjective =
     linkDelay > limit && SavesBytes(forecast) && !shutOut;
   if (!late && !missesObjective) {
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -181,13 +181,19 @@
     Duration shortest{};
   };
 
+  struct Route
+  {
+    /// nullopt before the first response.
+    std::optional<RouteTimes> times;
+    Instant admittedAt{};
+  };
+
   /// Requests of one priority.
   struct Level
   {
     /// Shortest delay of the link that makes a request miss its objective.
     Duration slack{};
     Instant slackSeenAt{};
-    Instant admittedAt{};
   };
 
   /// The bytes of a request on the link, and the queues that it meets.
@@ -201,6 +207,8 @@
 
   bool IsUnlimited() const { return mBytesPerSecond <= 0; }
   Level& LevelOf(uint32_t aPriority);
+  /// @return the entry of a route, which is added if it is unknown.
+  Route& RouteOf(std::string_view aName);
   /// Adds the traffic since the last call to the model.
   void CountTraffic(Instant aNow);
   void CountBusyShare(Instant aNow);
@@ -240,7 +248,7 @@
   TransferQueue mOut;
   LinkProber mProber;
   std::array<Level, kLevels> mLevels{};
-  std::map<std::string, RouteTimes, std::less<>> mRouteTimes;
+  std::map<std::string, Route, std::less<>> mRoutes;
   /// Totals of the meter that the model contains.
   uint64_t mCountedIn = 0;
   uint64_t mCountedOut = 0;
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -152,6 +152,7 @@
 TEST_F(LinkAdmissionTest, NoPriorityIsShutOutForLong)
 {
   Kind urgent = kLookup;
+  urgent.route = "urgent";
   urgent.priority = 0;
   Instant lastAdmitted = now;
   for (const Instant end = now + seconds{ 20 }; now < end;
@@ -176,6 +177,27 @@
   }
 }
 
+// Guards against a route that is starved by another one of its priority, which
+// is always admitted.
+TEST_F(LinkAdmissionTest, NoRouteIsShutOutForLong)
+{
+  Kind other = kBooking;
+  other.route = "other";
+  other.priority = kLookup.priority;
+  other.timeout = seconds{ 10 };
+  // A queue of about 0.6 s, and then as many bytes as the link transfers.
+  for (int request = 0; request < 30; ++request) {
+    ASSERT_TRUE(IsAdmitted(other));
+  }
+  Instant lastAdmitted = now;
+  for (const Instant end = now + seconds{ 4 }; now < end;
+       now += milliseconds{ 22 }) {
+    ASSERT_TRUE(IsAdmitted(other));
+    lastAdmitted = IsAdmitted(kLookup) ? now : lastAdmitted;
+    ASSERT_LE(now - lastAdmitted, milliseconds{ 1100 });
+  }
+}
+
 // Guards against refused callers that return together, or before the queue is
 // short enough.
 TEST_F(LinkAdmissionTest, RetryTimesAreSpreadOverTheTimeAfterTheQueue)
@@ -282,7 +304,7 @@
   Probe(milliseconds{ 454 }, kThirdOfLink);
   EXPECT_EQ(admission.ModelledDelay(LinkDirection::In, now), Duration::zero());
   const auto decision = admission.Decide(RequestOf(kLookup), now);
-  // The first request of a priority after 1 s is admitted anyway.
+  // The first request of a route after 1 s is admitted anyway.
   EXPECT_TRUE(std::holds_alternative<LinkReservation>(decision));
   EXPECT_EQ(FillUntilRefused(kLookup).queueIn, milliseconds{ 450 });
 }
