Requests that arrived during a pause of the host are not a queue

After a pause, the host counts the requests that have arrived meanwhile one after another. The first admitted one set the link's model to the present, so the bytes of the others counted as a queue. They now use the time for which the link was idle during the pause, if they are counted within 100 ms after it.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -111,7 +111,12 @@
   if (aBytes == 0) {
     return;
   }
-  const Duration transferTime = TransferTime(aBytes);
+  Duration transferTime = TransferTime(aBytes);
+  if (aNow < mIdleTimeUntil) {
+    const Duration inPause = std::min(transferTime, mIdleTime);
+    mIdleTime -= inPause;
+    transferTime -= inPause;
+  }
   const Instant startedAt =
     aNow - std::max<Duration>(kMaxCountingDelay, transferTime);
   if (mFreeAt <= startedAt) {
@@ -121,6 +126,13 @@
   mFreeAt += transferTime;
 }
 
+void
+TransferQueue::CreditIdleTime(Instant aSince, Instant aNow)
+{
+  mIdleTime = std::max(aNow - std::max(mFreeAt, aSince), Duration::zero());
+  mIdleTimeUntil = aNow + Duration(kMaxCountingDelay);
+}
+
 void
 TransferQueue::AddTransferredEarlier(size_t aBytes, Instant aNow)
 {
@@ -168,6 +180,10 @@
 void
 LinkAdmission::CountTraffic(Instant aNow)
 {
+  const Instant countedAt = std::exchange(mCountedAt, aNow);
+  if (countedAt > Instant{} && aNow - countedAt > LinkProber::kMaxTickGap) {
+    mIn.CreditIdleTime(countedAt, aNow);
+  }
   const uint64_t in = OtherBytes(mMeter, LinkDirection::In) +
                       mMeter.Total(LinkUse::Callers, LinkDirection::In).bytes;
   mIn.AddTransferred(in - std::exchange(mCountedIn, in), aNow);
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -39,6 +39,11 @@
   /// to wait for them.
   void AddTransferred(size_t aBytes, Instant aNow);
 
+  /// No bytes have been counted since aSince, as this host was paused. The link
+  /// may have transferred bytes that are counted soon in the idle part of that
+  /// time, also if others have been added before them.
+  void CreditIdleTime(Instant aSince, Instant aNow);
+
   /// Accounts for bytes that the link has transferred at some time since their
   /// request was admitted. They have delayed only what was waiting meanwhile.
   void AddTransferredEarlier(size_t aBytes, Instant aNow);
@@ -52,6 +57,10 @@
   Instant mFreeAt{};
   /// Start of the current period in which bytes were always waiting.
   Instant mBusySince{};
+  /// Idle time during a pause of this host that no counted bytes have used, and
+  /// when it expires.
+  Duration mIdleTime{};
+  Instant mIdleTimeUntil{};
 };
 
 /// Reason for which the link refuses a request.
@@ -249,6 +258,8 @@
   LinkProber mProber;
   std::array<Level, kLevels> mLevels{};
   std::map<std::string, Route, std::less<>> mRoutes;
+  /// When the traffic was counted last; zero before the first time.
+  Instant mCountedAt{};
   /// Totals of the meter that the model contains.
   uint64_t mCountedIn = 0;
   uint64_t mCountedOut = 0;
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -280,6 +280,23 @@
   }
 }
 
+// Guards against requests that arrived while this host was paused and are taken
+// for a queue, since they are counted one after another.
+TEST_F(LinkAdmissionTest, BacklogOfPauseIsNoQueue)
+{
+  LinkMeter unusedMeter{ kStart };
+  LinkAdmission other(kRate, unusedMeter, 1);
+  admission.Tick(1, {}, now);
+  now += seconds{ 1 };
+  for (int request = 0; request < 30; ++request) {
+    meter.Record(LinkUse::Callers, LinkDirection::In, kBooking.requestBytes);
+    ASSERT_TRUE(IsAdmitted(kBooking));
+    other.Decide(RequestOf(kBooking), now);
+  }
+  EXPECT_EQ(admission.ModelledDelay(LinkDirection::In, now),
+            other.ModelledDelay(LinkDirection::In, now));
+}
+
 // Guards against traffic of the feed and of slots that the model leaves out.
 TEST_F(LinkAdmissionTest, OtherTrafficCounts)
 {
