The busy share of a link is measured over the real time

The totals of the meter are kept at intervals of at least 100 ms, so ten of them can span up to two seconds, but their bytes counted as those of one.

--- a/src/librattandyke/scheduling/link_admission.cpp
+++ b/src/librattandyke/scheduling/link_admission.cpp
@@ -205,19 +205,32 @@
 void
 LinkAdmission::CountBusyShare(Instant aNow)
 {
+  const auto slot = [&] {
+    BusySlot current{ aNow, {} };
+    for (size_t direction = 0; direction < current.bytes.size(); ++direction) {
+      current.bytes[direction] =
+        mMeter.TotalBytes(static_cast<LinkDirection>(direction));
+    }
+    return current;
+  };
+  if (mBusySlotAt == Instant{}) {
+    mBusySlots.fill(slot());
+    mBusySlotAt = aNow;
+    return;
+  }
   if (aNow - mBusySlotAt < Duration(seconds{ 1 }) / kBusySlots) {
     return;
   }
   mBusySlotAt = aNow;
-  auto& totals = mBusyTotals[mBusySlot];
-  mBusySlot = (mBusySlot + 1) % kBusySlots;
+  const BusySlot newest = slot();
+  const BusySlot oldest = std::exchange(mBusySlots[mNextBusySlot], newest);
+  mNextBusySlot = (mNextBusySlot + 1) % kBusySlots;
   uint64_t most = 0;
-  for (size_t direction = 0; direction < totals.size(); ++direction) {
-    const uint64_t total =
-      mMeter.TotalBytes(static_cast<LinkDirection>(direction));
-    most = std::max(most, total - std::exchange(totals[direction], total));
+  for (size_t direction = 0; direction < newest.bytes.size(); ++direction) {
+    most = std::max(most, newest.bytes[direction] - oldest.bytes[direction]);
   }
-  mBusyShare = static_cast<double>(most) / mBytesPerSecond;
+  const std::chrono::duration<double> span = aNow - oldest.at;
+  mBusyShare = static_cast<double>(most) / (mBytesPerSecond * span.count());
 }
 
 std::optional<uint64_t>
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -214,6 +214,13 @@
     Duration queueOut{};
   };
 
+  /// Totals of the meter at a time.
+  struct BusySlot
+  {
+    Instant at{};
+    std::array<uint64_t, LinkMeter::kDirections> bytes{};
+  };
+
   bool IsUnlimited() const { return mBytesPerSecond <= 0; }
   Level& LevelOf(uint32_t aPriority);
   /// @return the entry of a route, which is added if it is unknown.
@@ -266,13 +273,13 @@
   uint64_t mCountedCallersOut = 0;
   /// Bytes that Settle() has counted and the meter is yet to count.
   uint64_t mSettledCallersOut = 0;
-  /// Totals of the meter at the end of each tenth of the last second, used as a
+  /// Totals of the meter at about every tenth of the last second, used as a
   /// ring.
-  std::array<std::array<uint64_t, LinkMeter::kDirections>, kBusySlots>
-    mBusyTotals{};
-  size_t mBusySlot = 0;
+  std::array<BusySlot, kBusySlots> mBusySlots{};
+  size_t mNextBusySlot = 0;
   Instant mBusySlotAt{};
-  /// Share of the bandwidth used in the last second, in the busier direction.
+  /// Share of the bandwidth used since the oldest slot, in the busier
+  /// direction.
   double mBusyShare = 0;
 };
 
--- a/src/librattandyke/scheduling/link_admission_test.cpp
+++ b/src/librattandyke/scheduling/link_admission_test.cpp
@@ -336,6 +336,19 @@
   EXPECT_TRUE(IsAdmitted(kLookup));
 }
 
+// Guards against the same if ticks are rare: the traffic of more than a second
+// must not count as that of one.
+TEST_F(LinkAdmissionTest, BusyShareHoldsForRareTicks)
+{
+  constexpr Duration kInterval = milliseconds{ 49 };
+  // 0.2 of the link. Ten slots of three ticks each span 1.47 s.
+  constexpr size_t kBytesPerTick = kRate * 0.2 * 0.049;
+  Probe(milliseconds{ 4 }, kBytesPerTick, kInterval);
+  Probe(milliseconds{ 454 }, kBytesPerTick, kInterval);
+  IsAdmitted(kLookup);
+  EXPECT_TRUE(IsAdmitted(kLookup));
+}
+
 /// Simulated entry host with a link of kRate in each direction: callers, an
 /// upstream, and probes, in virtual time.
 class Load
