Late upstreams are chosen only if the link's bandwidth is known

With link_admission = transfer and link_mbits = 0, the link admits every request, so nothing had decided on its objective when an upstream was chosen whose response is expected after it.

--- a/src/librattandyke/gateway/slot_broker_test.cpp
+++ b/src/librattandyke/gateway/slot_broker_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "gateway/upstream_options.h"
+
 namespace rattandyke::gateway {
 namespace {
 
@@ -308,6 +310,30 @@
   EXPECT_EQ(Count<SlotRefused>(acquire(103)), 1U);
 }
 
+// The only upstream takes 600 ms for each response, and the latency objective
+// is 500 ms. A request may be late only if the link's admission has decided on
+// its objective, which it does only if the bandwidth of the link is known.
+TEST_F(SlotBrokerTest, ChoosesLateUpstreamOnlyIfLinkIsAdmitted)
+{
+  for (const double linkMbits : { 0.0, 10.0 }) {
+    Settings settings;
+    settings.linkAdmission = LinkAdmission::Transfer;
+    settings.linkMbits = linkMbits;
+    SlotBroker direct(7, UpstreamOptions(settings));
+    direct.Update(StateWith({ "a" }, 4), now);
+    SlotRequest request = Request(1);
+    request.direct = true;
+    for (; request.key.ticket <= 30; ++request.key.ticket) {
+      ASSERT_EQ(Count<SlotGranted>(direct.Acquire(request, now)), 1U);
+      direct.Release(
+        request.key, AttemptOutcome::Answered, milliseconds{ 600 }, now);
+    }
+    request.timeToObjective = milliseconds{ 500 };
+    EXPECT_EQ(Count<SlotGranted>(direct.Acquire(request, now)),
+              linkMbits > 0 ? 1U : 0U);
+  }
+}
+
 TEST_F(SlotBrokerTest, TakesOnlyChangedResponseTimes)
 {
   LoadState({ "a", "b" }, 1);
--- a/src/librattandyke/gateway/upstream_options.h
+++ b/src/librattandyke/gateway/upstream_options.h
@@ -16,7 +16,8 @@
            aSettings.coldSlack,
            ToString(aSettings.AdvertisedAddress()),
            aSettings.dataCentre,
-           aSettings.linkAdmission == LinkAdmission::Transfer };
+           aSettings.linkAdmission == LinkAdmission::Transfer &&
+             aSettings.linkMbits > 0 };
 }
 
 } // namespace rattandyke::gateway
