A pause of an entry host is no failure of its control host

After a pause of more than 700 ms, the check of the connection ran before the control host's pings were read, so the entry host left a working control host and tried it last for 3 s. A check that runs late is skipped once.

--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -24,6 +24,9 @@
 
 /// Interval at which the connection is checked.
 constexpr milliseconds kCheckInterval{ 150 };
+/// A longer time between two checks means that this host was paused. Messages
+/// that arrived meanwhile are yet to be read.
+constexpr milliseconds kMaxCheckGap{ 300 };
 /// A host that sends no ping for this long may be partitioned from the leader.
 /// The timeout covers three pings. Together with the time to find another host
 /// it stays below one second, so that a change reaches every entry host within
@@ -76,6 +79,7 @@
   void Start()
   {
     ConnectToNextHost();
+    checkedAt = clock.Now();
     ScheduleCheck();
   }
 
@@ -92,12 +96,27 @@
     });
   }
 
+  /// @return whether the check that runs now is late because this host was
+  /// paused. False after a check that was late, too, so that a host with too
+  /// little of the processor still finds a silent control host.
+  bool IsCheckAfterPause()
+  {
+    const Instant now = clock.Now();
+    const bool late =
+      now - std::exchange(checkedAt, now) > Duration(kMaxCheckGap);
+    return !std::exchange(lastCheckLate, late) && late;
+  }
+
   void CheckConnection()
   {
+    const bool afterPause = IsCheckAfterPause();
     if (!connection && !connectingSocket) {
       ConnectToNextHost();
       return;
     }
+    if (afterPause) {
+      return;
+    }
     const Duration silence = clock.Now() - lastHeardAt;
     const Duration timeout =
       connectingSocket ? Duration(kConnectTimeout) : Duration(kPingTimeout);
@@ -374,6 +393,9 @@
   /// Number of connections established so far.
   uint64_t connectionNumber = 0;
   Instant lastHeardAt{};
+  /// Time of the last check of the connection, and whether it was late.
+  Instant checkedAt{};
+  bool lastCheckLate = false;
   /// When the first bytes of the incoming message arrived.
   std::optional<Instant> messageStartedAt;
   Instant confirmedAt{};
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -1,6 +1,9 @@
 #include "gateway/feed_client.h"
 #include "gateway/feed_server.h"
 
+#include <optional>
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
@@ -563,6 +566,72 @@
   client.Stop();
 }
 
+/// A client that follows a control host.
+class FollowingClientTest : public ::testing::Test
+{
+protected:
+  FollowingClientTest()
+  {
+    wire::EntryMember self;
+    self.set_address("127.0.0.1:1");
+    client.emplace(
+      context.get_executor(),
+      FeedClient::Options{ self, { ParseEndpoint(host.Address()).value() } },
+      [](const auto*) {},
+      clock,
+      3);
+    client->Start();
+  }
+
+  ~FollowingClientTest() override { client->Stop(); }
+
+  void Run(milliseconds aTime)
+  {
+    for (milliseconds run{ 0 }; run < aTime; run += milliseconds{ 10 }) {
+      host.Ping({ host.Address() });
+      context.run_for(milliseconds{ 10 });
+    }
+  }
+
+  /// Pauses both hosts until the client's check of its connection is late, and
+  /// lets the check run before a ping arrives.
+  void Pause()
+  {
+    std::this_thread::sleep_for(milliseconds{ 900 });
+    context.run_for(milliseconds{ 20 });
+  }
+
+  asio::io_context context;
+  State state;
+  ServingControlHost host{ context, state };
+  SystemClock clock;
+  std::optional<FeedClient> client;
+};
+
+// Failure: the entry host is paused for longer than the ping timeout. The
+// control host must not count as failed: its pings are yet to be read.
+TEST_F(FollowingClientTest, PauseIsNoFailureOfTheControlHost)
+{
+  Run(milliseconds{ 400 });
+  const auto first = client->ConfirmedConnection();
+  ASSERT_TRUE(first);
+  Pause();
+  EXPECT_EQ(client->ConfirmedConnection(), first);
+  Run(milliseconds{ 400 });
+  EXPECT_EQ(client->ConfirmedConnection(), first);
+}
+
+// Failure: the control host is silent, and the entry host gets so little of the
+// processor that all its checks are late. It must leave the control host.
+TEST_F(FollowingClientTest, LateChecksFindASilentControlHost)
+{
+  Run(milliseconds{ 400 });
+  ASSERT_TRUE(client->ConfirmedConnection());
+  Pause();
+  Pause();
+  EXPECT_FALSE(client->ConfirmedConnection());
+}
+
 // A control host that is not up to date closes the client's connection four
 // times in a row. The client reconnects each time until it is served.
 TEST(FeedClientTest, ClientReconnectsAfterItsConnectionIsClosed)
