--- a/src/librattandyke/gateway/control_host_selector.h
+++ b/src/librattandyke/gateway/control_host_selector.h
@@ -32,7 +32,7 @@
                       wire::EntryMember aSelf,
                       uint64_t aSeed);
 
-  /// Sets the hosts to choose from until SetControlHosts() names others.
+  /// Sets hosts to choose from in addition to those of SetControlHosts().
   void SetSeeds(const std::vector<Endpoint>& aSeeds);
 
   /// Sets the members of the control group.
