--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -77,7 +77,7 @@
         },
         aClock,
         aSeed)
-    , relay(feed.CurrentState(), FeedServer::IdleHistory::Discard)
+    , relay(feed.CurrentState(), FeedServer::IdleHistory::Discard, &linkMeter)
     , slots(
         executor,
         ToString(aSettings.AdvertisedAddress()),
@@ -166,6 +166,11 @@
       return;
     }
     RecordSlotTraffic(frame, scheduling::LinkDirection::In, aMessage.size());
+    if (frame.has_feed_open() || frame.has_feed_report()) {
+      linkMeter.Record(scheduling::LinkUse::Feed,
+                       scheduling::LinkDirection::In,
+                       aMessage.size());
+    }
     if (frame.has_slot_ask()) {
       slots.OnSlotRequest(frame.slot_ask());
     } else if (frame.has_slot_answer()) {
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -223,7 +223,7 @@
     *frame.mutable_feed_open()->mutable_entry() = options.self;
     frame.mutable_feed_open()->set_applied(state.AppliedIndex().value);
     frame.mutable_feed_open()->set_reads_packed(true);
-    newConnection->Send(frame.SerializeAsString());
+    Send(frame);
   }
 
   void OnClosed()
--- a/src/librattandyke/gateway/feed_server.cpp
+++ b/src/librattandyke/gateway/feed_server.cpp
@@ -75,20 +75,35 @@
 
 } // namespace
 
-FeedServer::FeedServer(const State& aState, IdleHistory aIdleHistory)
+FeedServer::FeedServer(const State& aState,
+                       IdleHistory aIdleHistory,
+                       scheduling::LinkMeter* aLinkMeter)
   : mState(aState)
   , mIdleHistory(aIdleHistory)
+  , mLinkMeter(aLinkMeter)
 {
 }
 
+void
+FeedServer::Send(const Connection& aConnection, std::string_view aMessage)
+{
+  if (mLinkMeter != nullptr) {
+    mLinkMeter->Record(scheduling::LinkUse::Feed,
+                       scheduling::LinkDirection::Out,
+                       aMessage.size());
+  }
+  aConnection->Send(aMessage);
+}
+
 void
 FeedServer::SendTo(const Connection& aConnection,
                    const Subscriber& aSubscriber,
                    OutgoingFrame& aFrame)
 {
   ++mMessagesSent;
-  aConnection->Send(aSubscriber.acceptsCompressed ? aFrame.Compressed()
-                                                  : aFrame.Serialized());
+  Send(aConnection,
+       aSubscriber.acceptsCompressed ? aFrame.Compressed()
+                                     : aFrame.Serialized());
 }
 
 size_t
@@ -308,7 +323,7 @@
       ping->add_control_hosts(host);
     }
   }
-  aConnection->Send(frame.SerializeAsString());
+  Send(aConnection, frame.SerializeAsString());
 }
 
 void
@@ -331,8 +346,9 @@
   for (const Connection& connection : Connections()) {
     const auto found = mSubscribers.find(connection);
     if (found != mSubscribers.end()) {
-      connection->Send(found->second.acceptsCompressed ? outgoing.Compressed()
-                                                       : outgoing.Serialized());
+      Send(connection,
+           found->second.acceptsCompressed ? outgoing.Compressed()
+                                           : outgoing.Serialized());
     }
   }
 }
--- a/src/librattandyke/gateway/feed_server.h
+++ b/src/librattandyke/gateway/feed_server.h
@@ -7,11 +7,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/outgoing_frame.h"
 #include "gateway/state.h"
 #include "net/frame_mesh.h"
+#include "scheduling/link_meter.h"
 
 namespace rattandyke::gateway {
 
@@ -44,8 +46,11 @@
   };
 
   /// @param aState outlives this object.
+  /// @param aLinkMeter counts the sent messages unless it is null; outlives
+  /// this object.
   explicit FeedServer(const State& aState,
-                      IdleHistory aIdleHistory = IdleHistory::Keep);
+                      IdleHistory aIdleHistory = IdleHistory::Keep,
+                      scheduling::LinkMeter* aLinkMeter = nullptr);
 
   /// Adds a subscriber, and sends it the commands after its index, or a
   /// snapshot and the commands after that.
@@ -133,6 +138,8 @@
   };
 
   std::vector<Connection> Connections() const;
+  /// Sends and counts a message.
+  void Send(const Connection& aConnection, std::string_view aMessage);
   void SendTo(const Connection& aConnection,
               const Subscriber& aSubscriber,
               OutgoingFrame& aFrame);
@@ -145,6 +152,7 @@
 
   const State& mState;
   const IdleHistory mIdleHistory;
+  scheduling::LinkMeter* const mLinkMeter;
   std::map<Connection, Subscriber> mSubscribers;
   /// Commands queued for the next Flush.
   wire::FeedCommands mPending;
--- a/src/librattandyke/gateway/feed_test.cpp
+++ b/src/librattandyke/gateway/feed_test.cpp
@@ -121,7 +121,8 @@
   asio::io_context context;
   State state;
   uint64_t index = 0;
-  FeedServer server{ state };
+  scheduling::LinkMeter meter{ Instant{} };
+  FeedServer server{ state, FeedServer::IdleHistory::Keep, &meter };
 };
 
 // All hosts were restarted, and every entry host requests a snapshot while new
@@ -147,6 +148,20 @@
   }
 }
 
+// Guards against messages of an entry host's relay that its meter leaves out.
+TEST_F(FeedServerTest, SentMessagesCount)
+{
+  const auto subscriber = Subscribe();
+  Apply(PutInstance(1));
+  server.Ping({}, Duration::zero());
+  Run();
+  ASSERT_GE(subscriber->frames.size(), 2U);
+  EXPECT_EQ(
+    meter.Total(scheduling::LinkUse::Feed, scheduling::LinkDirection::Out)
+      .messages,
+    subscriber->frames.size());
+}
+
 // More commands than the history keeps have been applied since a snapshot was
 // encoded. A new subscriber that got the old snapshot would never receive some
 // of them.
@@ -576,7 +591,8 @@
     self.set_address("127.0.0.1:1");
     client.emplace(
       context.get_executor(),
-      FeedClient::Options{ self, { ParseEndpoint(host.Address()).value() } },
+      FeedClient::Options{
+        self, { ParseEndpoint(host.Address()).value() }, &meter },
       [](const auto*) {},
       clock,
       3);
@@ -605,6 +621,7 @@
   State state;
   ServingControlHost host{ context, state };
   SystemClock clock;
+  scheduling::LinkMeter meter{ clock.Now() };
   std::optional<FeedClient> client;
 };
 
@@ -632,6 +649,16 @@
   EXPECT_FALSE(client->ConfirmedConnection());
 }
 
+// Guards against messages of the feed that the meter of the link leaves out.
+TEST_F(FollowingClientTest, FeedOpenCounts)
+{
+  Run(milliseconds{ 100 });
+  EXPECT_EQ(
+    meter.Total(scheduling::LinkUse::Feed, scheduling::LinkDirection::Out)
+      .messages,
+    1U);
+}
+
 // A control host that is not up to date closes the client's connection four
 // times in a row. The client reconnects each time until it is served.
 TEST(FeedClientTest, ClientReconnectsAfterItsConnectionIsClosed)
