Control hosts must state their link to allocate slots

A control host without link_mbits, which is the default, counted as having an unlimited link, so control hosts took over from entry hosts with equal links.

--- a/src/librattandyke/gateway/settings_table.cpp
+++ b/src/librattandyke/gateway/settings_table.cpp
@@ -240,7 +240,8 @@
       "requests are refused if the link can't carry their responses in time. "
       "0: "
       "unknown; responses are not queued, and no request is refused for the "
-      "link.",
+      "link. Control hosts must state it if they are to allocate slots; see "
+      "allocators in [slots].",
       [](Settings& aSettings, const std::string& aText) {
         return EmptyOr(aText,
                        [&] { return ParseNumber(aText, aSettings.linkMbits); });
@@ -434,8 +435,10 @@
       "entries",
       "entries or capacity",
       "Hosts that allocate the slots of upstreams. entries: all entry hosts "
-      "alike. capacity: control hosts, or entry hosts by their link_mbits if "
-      "there are many. All hosts need the same value.",
+      "alike. capacity: control hosts, if there are at most 400 entry hosts "
+      "and each control host states a link_mbits of at least ten times the "
+      "mean of the entry hosts'; otherwise entry hosts by their link_mbits. "
+      "All hosts need the same value.",
       [](Settings& aSettings, const std::string& aText) {
         return ParseChoice<SlotAllocators>(
           aText,
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -93,6 +93,7 @@
       auto* control = aCommand.mutable_put_control()->mutable_control();
       control->set_address(aAddress);
       control->set_allocates_slots(aAllocates);
+      control->set_link_mbits(1000);
     });
   }
 
--- a/src/librattandyke/scheduling/allocator_directory.cpp
+++ b/src/librattandyke/scheduling/allocator_directory.cpp
@@ -138,7 +138,8 @@
 bool
 AllocatorDirectory::ControlHostsFit() const
 {
-  if (mControlHosts.empty() || mEntries.size() > kMaxEntriesForControlHosts) {
+  if (mControlHosts.empty() || mEntries.empty() ||
+      mEntries.size() > kMaxEntriesForControlHosts) {
     return false;
   }
   double entryMbits = 0;
@@ -149,7 +150,7 @@
     kMinControlLinkRatio * entryMbits / static_cast<double>(mEntries.size());
   return std::all_of(
     mControlHosts.begin(), mControlHosts.end(), [&](const Host& aHost) {
-      return aHost.linkMbits <= 0 || aHost.linkMbits >= needed;
+      return aHost.linkMbits >= needed;
     });
 }
 
--- a/src/librattandyke/scheduling/allocator_directory.h
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -43,9 +43,9 @@
   /// With more entry hosts than this, control hosts do not allocate: their
   /// share of the slot messages would exceed a tenth of a core each.
   static constexpr size_t kMaxEntriesForControlHosts = 400;
-  /// Control hosts allocate only if their links are this many times as fast as
-  /// those of the entry hosts. With links alike, the messages would only take
-  /// other ways.
+  /// Control hosts allocate only if each of their links is this many times as
+  /// fast as the mean link of the entry hosts. With links alike, the messages
+  /// would only take other ways.
   static constexpr double kMinControlLinkRatio = 10;
 
   /// Allocators of one group. The views are valid until the directory changes.
@@ -68,7 +68,8 @@
   void RemoveEntry(std::string_view aAddress);
 
   /// Adds a control host or changes whether it allocates slots.
-  /// @param aLinkMbits bandwidth of its link; 0: unknown, taken as unlimited.
+  /// @param aLinkMbits bandwidth of its link; 0: not stated. While a control
+  /// host that allocates does not state it, none of them allocates.
   void PutControlHost(std::string_view aAddress,
                       bool aAllocates,
                       double aLinkMbits);
@@ -92,7 +93,7 @@
     std::string address;
     uint64_t hash = 0;
     double weight = 1;
-    /// Bandwidth of a control host's link; 0: unlimited.
+    /// Bandwidth of a control host's link; 0: not stated.
     double linkMbits = 0;
   };
   /// Sorted by address.
--- a/src/librattandyke/scheduling/allocator_directory_test.cpp
+++ b/src/librattandyke/scheduling/allocator_directory_test.cpp
@@ -146,9 +146,24 @@
   directory.PutControlHost("10.9.0.1:1", true, 1000);
   EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
   for (uint32_t host = 0; host < 10; ++host) {
-    directory.PutEntry(Address(host), 2.3);
+    directory.PutEntry(Address(host), 100);
   }
   EXPECT_EQ(directory.Rule(), AllocatorRule::ControlHosts);
+  directory.PutControlHost("10.9.0.1:1", true, 990);
+  EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
+}
+
+// Guards against control hosts that take over because their bandwidth is not
+// configured, which is the default.
+TEST(AllocatorDirectory, ControlHostsMustStateTheirLinks)
+{
+  AllocatorDirectory directory = Entries(10, 2.3);
+  directory.PutControlHost("10.9.0.1:1", true, 0);
+  EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
+  directory.PutControlHost("10.9.0.1:1", true, 1000);
+  EXPECT_EQ(directory.Rule(), AllocatorRule::ControlHosts);
+  directory.PutControlHost("10.9.0.2:1", true, 0);
+  EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
 }
 
 } // namespace
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -13,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kService = "desk";
+/// Bandwidth that control hosts state.
+constexpr double kControlLinkMbits = 1000;
 /// Cold period of upstreams that are cold at their start.
 constexpr milliseconds kColdTime{ 60000 };
 constexpr milliseconds kMaxWait{ 300 };
@@ -142,6 +144,7 @@
     wire::ControlMember* member = put.mutable_put_control()->mutable_control();
     member->set_address(AddressOf(aEntry));
     member->set_allocates_slots(entry.allocates);
+    member->set_link_mbits(kControlLinkMbits);
   }
   return put;
 }
