Requests queued at this host move to a new allocator

They were not woken when another host took over the allocation, waited for their whole time, and got nothing at an upstream with a limited rate.

--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -236,10 +236,7 @@
   }
   const Instant sentAt = mClock.Now();
   aPending->sentToHome = true;
-  aPending->home = aHome;
-  aPending->second = aRequest.second;
-  aPending->service = aRequest.service;
-  aPending->group = aRequest.group;
+  SetHome(*aPending, aHome, aRequest);
   mSend(HostName{ aHome }, frame);
   const bool useShortTimeout = mHomesAreSlow && aPending->mayBypassHome;
   co_await AwaitFirstReply(
@@ -356,9 +353,12 @@
                                 const SlotRequest& aRequest)
 {
   const Instant end = mClock.Now() + aRequest.maxHold;
+  if (!aRequest.direct && !aRequest.uncoordinated) {
+    SetHome(*aPending, mSelf, aRequest);
+  }
   Deliver(mBroker.Acquire(aRequest, mClock.Now()));
-  while (!aPending->outcome && !aPending->context->IsCancelled() &&
-         mClock.Now() < end) {
+  while (!aPending->outcome && !aPending->replaced &&
+         !aPending->context->IsCancelled() && mClock.Now() < end) {
     co_await WaitUntil(aPending, end);
   }
 }
@@ -406,17 +406,20 @@
     aRequest.instance.empty() || RecordRequest(aRequest.instance);
   const std::string home =
     aRequest.direct ? std::string() : HomeOf(aRequest.service, aRequest.group);
-  const bool askHome = !home.empty() && home != mSelf && !IsUnresponsive(home);
   std::optional<SlotOutcome> outcome;
   const Instant askedAt = mClock.Now();
-  if (askHome) {
+  if (home == mSelf && !aContext->IsCancelled()) {
+    aRequest.rateShare = RateShareOf(aRequest.service, aRequest.group);
+    outcome = co_await AcquireFrom({}, aContext, aRequest);
+  } else if (!home.empty() && home != mSelf && !IsUnresponsive(home)) {
     outcome = co_await AcquireFrom(home, aContext, aRequest);
   }
-  if (!outcome && !home.empty() && home != mSelf) {
+  if (!outcome && !home.empty()) {
     outcome = co_await AcquireFromNext(home, aContext, aRequest, askedAt);
   }
   const auto* slot = outcome ? std::get_if<Slot>(&*outcome) : nullptr;
-  if (slot != nullptr && slot->address.empty()) {
+  if (slot != nullptr && slot->address.empty() &&
+      (home != mSelf || !slot->home.empty())) {
     // A home entry that was partitioned may not know yet that an upstream is
     // draining. This host knows it, and its knowledge takes precedence: a
     // draining upstream that gets new work may end while it runs it.
@@ -425,7 +428,7 @@
     outcome.reset();
   }
   if (!outcome && !aContext->IsCancelled()) {
-    aRequest.uncoordinated = !home.empty() && home != mSelf;
+    aRequest.uncoordinated = !home.empty();
     if (aRequest.uncoordinated && !aRequest.mayBypassHome) {
       co_return SlotUnavailable{ UpstreamSet::UnavailableReason::Full,
                                  Duration(kBusyRetryAfter) };
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -167,10 +167,13 @@
     bool sentToHome = false;
     /// The host that queued the request is no longer an allocator for it.
     bool replaced = false;
-    /// Host that the request was sent to, whether as the second allocator, and
-    /// what it is for.
+    /// Host that the request was sent to, which may be this host; empty: none,
+    /// or this host without coordination.
     std::string home;
+    /// Whether that host was asked as the second allocator, and by which rule.
     bool second = false;
+    scheduling::AllocatorRule rule = scheduling::AllocatorRule::EntriesAlike;
+    /// What the request is for.
     std::string service;
     uint32_t group = 0;
     /// See SlotRequest::mayBypassHome.
@@ -230,6 +233,13 @@
   void OnAllocatorsChanged(scheduling::AllocatorRule aRuleBefore,
                            const std::vector<std::string>& aLimitedBefore);
   void LogAllocators();
+  /// Records to which host a request goes.
+  void SetHome(Pending& aPending,
+               const std::string& aHome,
+               const SlotRequest& aRequest) const;
+  /// @return whether the host that a request was sent to no longer allocates
+  /// for it: it may have left, or grants from a part of the slots only.
+  bool IsReplaced(const Pending& aPending) const;
   void WakeReplaced();
   void UpdateQueuedRequests();
   void CheckStateAge();
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -227,19 +227,40 @@
     << " count=" << mAllocators.AllocatorCount();
 }
 
-/// Ends the wait of requests at hosts that no longer allocate for them: such a
-/// host may have left, or grants from a part of the slots only.
+void
+SlotCoordinator::SetHome(Pending& aPending,
+                         const std::string& aHome,
+                         const SlotRequest& aRequest) const
+{
+  aPending.home = aHome;
+  aPending.second = aRequest.second;
+  aPending.rule = mAllocators.Rule();
+  aPending.service = aRequest.service;
+  aPending.group = aRequest.group;
+}
+
+/// With EntriesAlike any entry grants what it is asked for, so a request stays
+/// where it is queued.
+bool
+SlotCoordinator::IsReplaced(const Pending& aPending) const
+{
+  if (aPending.home.empty() ||
+      (aPending.rule == AllocatorRule::EntriesAlike &&
+       mAllocators.Rule() == AllocatorRule::EntriesAlike)) {
+    return false;
+  }
+  const AllocatorRole role =
+    AllocatorsOf(aPending.service, aPending.group).RoleOf(aPending.home);
+  return role == AllocatorRole::None ||
+         (role == AllocatorRole::Second && !aPending.second);
+}
+
+/// Ends the wait of requests at hosts that no longer allocate for them.
 void
 SlotCoordinator::WakeReplaced()
 {
   for (const auto& [ticket, pending] : mPending) {
-    if (!pending->sentToHome || !pending->queued || pending->outcome) {
-      continue;
-    }
-    const auto allocators = AllocatorsOf(pending->service, pending->group);
-    const AllocatorRole role = allocators.RoleOf(pending->home);
-    if (role == AllocatorRole::None ||
-        (role == AllocatorRole::Second && !pending->second)) {
+    if (pending->queued && !pending->outcome && IsReplaced(*pending)) {
       pending->replaced = true;
       pending->context->WakeTimer().cancel();
     }
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -529,5 +529,24 @@
   EXPECT_EQ(releases.size(), 1U);
 }
 
+// Guards against requests of this host that wait to their end in its own queue
+// after another host has replaced it as the allocator.
+TEST_F(SlotCoordinatorTest, RequestQueuedLocallyMovesToNewAllocator)
+{
+  // The slots of the upstream and one request that it queues.
+  constexpr size_t kGranted = 5;
+  LoadState();
+  AllocateAlone();
+  Acquire(kGranted + 1);
+  context.poll();
+  ASSERT_EQ(SlotCount(), kGranted);
+  autoAnswer = wire::SLOT_STATE_GRANTED;
+  PutControlHost(kControlHosts[0], true);
+  PutControlHost(kSelf, false);
+  context.poll();
+  EXPECT_EQ(requestCount, 1U);
+  EXPECT_EQ(SlotCount(), kGranted + 1);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
