A request queued after its allocator was replaced moves on

The answer that a replaced host has queued a request may arrive after the change of allocators, which wakes only requests that are queued already.

--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -256,6 +256,9 @@
       << kUnresponsiveBackoff.count() << " ms";
     co_return;
   }
+  // The allocators may have changed before the home entry's answer arrived.
+  aPending->replaced =
+    aPending->replaced || (!aPending->outcome && IsReplaced(*aPending));
   // The home entry ends the wait, at the latest when no response can arrive
   // before the deadline.
   const Instant end = sentAt + aRequest.maxHold;
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -548,5 +548,26 @@
   EXPECT_EQ(SlotCount(), kGranted + 1);
 }
 
+// Guards against a request that waits to its end at a replaced allocator whose
+// answer, that it has queued the request, arrives after the change.
+TEST_F(SlotCoordinatorTest, RequestQueuedAfterTheChangeMoves)
+{
+  LoadState();
+  AddControlHosts();
+  PutControlHost(kControlHosts[1], false);
+  Acquire();
+  context.poll();
+  ASSERT_EQ(requestCount, 1U);
+  PutControlHost(kControlHosts[1], true);
+  PutControlHost(kControlHosts[0], false);
+  context.poll();
+  Answer(wire::SLOT_STATE_QUEUED);
+  autoAnswer = wire::SLOT_STATE_GRANTED;
+  context.poll();
+  EXPECT_EQ(requestCount, 2U);
+  EXPECT_EQ(SlotCount(), 1U);
+  EXPECT_EQ(releases.size(), 1U);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
