--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -62,6 +62,18 @@
 
 } // namespace
 
+void
+DeductTime(SlotRequest& aRequest, Duration aTime)
+{
+  constexpr Duration kLeastTimeToObjective{ milliseconds{ 1 } };
+  aRequest.maxWait -= std::min(aTime, aRequest.maxWait);
+  aRequest.maxHold -= std::min(aTime, aRequest.maxHold);
+  if (aRequest.timeToObjective > Duration::zero()) {
+    aRequest.timeToObjective =
+      std::max(aRequest.timeToObjective - aTime, kLeastTimeToObjective);
+  }
+}
+
 SlotBroker::SlotBroker(uint64_t aSeed, const UpstreamSet::Options& aOptions)
   : mUpstreams(aSeed, aOptions)
 {
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -72,6 +72,11 @@
   Duration statedTimeLeft{};
 };
 
+/// Deducts time that a request has waited from its times. A stated objective
+/// stays stated after it has been missed.
+/// @param aTime time that has passed since the request's times were set.
+void DeductTime(SlotRequest& aRequest, Duration aTime);
+
 struct SlotGranted
 {
   SlotKey key;
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -304,17 +304,13 @@
                                         std::string aHome,
                                         SlotRequest aRequest)
 {
-  const Instant end = mClock.Now() + aRequest.maxWait;
+  const Instant enteredAt = mClock.Now();
   if (!co_await AwaitAdmission(aPending, aRequest)) {
     co_return;
   }
   // The home entry may have become unresponsive during the wait.
   if (!aPending->context->IsCancelled() && !IsUnresponsive(aHome)) {
-    const Duration left = std::max(end - mClock.Now(), Duration::zero());
-    aRequest.timeToObjective -=
-      std::min(aRequest.maxWait - left, aRequest.timeToObjective);
-    aRequest.maxHold -= std::min(aRequest.maxWait - left, aRequest.maxHold);
-    aRequest.maxWait = left;
+    DeductTime(aRequest, mClock.Now() - enteredAt);
     co_await RequestFromHome(aPending, aHome, aRequest);
   }
   ReportToLimiter(*aPending, aRequest);
@@ -431,6 +427,7 @@
     outcome.reset();
   }
   if (!outcome && !aContext->IsCancelled()) {
+    DeductTime(aRequest, mClock.Now() - askedAt);
     aRequest.uncoordinated = !home.empty();
     if (aRequest.uncoordinated && !aRequest.mayBypassHome) {
       co_return SlotUnavailable{ UpstreamSet::UnavailableReason::Full,
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -349,11 +349,7 @@
   if (next.empty() || IsUnresponsive(next)) {
     co_return std::nullopt;
   }
-  const Duration waited = mClock.Now() - aSince;
-  for (Duration* left :
-       { &aRequest.maxWait, &aRequest.timeToObjective, &aRequest.maxHold }) {
-    *left -= std::min(waited, *left);
-  }
+  DeductTime(aRequest, mClock.Now() - aSince);
   mRequestsToSecond += aRequest.second ? 1 : 0;
   if (next != mSelf) {
     co_return co_await AcquireFrom(next, aContext, aRequest);
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -548,6 +548,34 @@
   EXPECT_EQ(SlotCount(), kGranted + 1);
 }
 
+// Guards against a request that waits longer than its caller does: after a wait
+// at an allocator, it has only the rest of its time for a wait at this host.
+TEST_F(SlotCoordinatorTest, LocalWaitIsShortenedByTheWaitAtTheAllocator)
+{
+  LoadState();
+  AddControlHosts();
+  autoAnswer = wire::SLOT_STATE_QUEUED;
+  Acquire();
+  context.poll();
+  ASSERT_EQ(requestCount, 1U);
+  clock.Advance(milliseconds{ 1500 });
+  // With the rule of equal entries, a request that has waited is sent without
+  // coordination. Its upstream is full.
+  ApplyAndTell([](wire::GatewayCommand& aCommand) {
+    aCommand.mutable_put_entry()->mutable_entry()->set_address(kHome);
+  });
+  for (uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    Receive(ticket, false);
+  }
+  context.poll();
+  ASSERT_TRUE(outcomes.empty());
+  clock.Advance(milliseconds{ 600 });
+  coordinator.Tick();
+  context.poll();
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(SlotCount(), 0U);
+}
+
 // Guards against a request that waits to its end at a replaced allocator whose
 // answer, that it has queued the request, arrives after the change.
 TEST_F(SlotCoordinatorTest, RequestQueuedAfterTheChangeMoves)
