New allocators pause limits that they learn later, and at their start

A coordinator that starts while hosts state bandwidths or roles does not know by which rule others allocated, so it pauses limited upstreams for the extra second as well. A named limit that it learns within that second counts from its end.

--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -167,6 +167,9 @@
   /// See UpstreamSet::SetEntryCount.
   void SetEntryCount(size_t aCount) { mUpstreams.SetEntryCount(aCount); }
 
+  /// See UpstreamSet::PauseNewLimits.
+  void PauseNewLimits(Instant aUntil) { mUpstreams.PauseNewLimits(aUntil); }
+
   /// See UpstreamSet::PauseRateLimited.
   void PauseRateLimited(const std::vector<std::string>& aInstances,
                         Instant aNow)
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -109,13 +109,18 @@
 void
 SlotCoordinator::StateChanged(const State& aState)
 {
-  const auto ruleBefore = mAllocators.Rule();
+  const bool byCapacityBefore = mAllocators.IsAnyByCapacity();
   ReplaceMembers(aState);
   RemoveStaleRequesters(aState);
   Deliver(mBroker.Update(aState, mClock.Now()));
   // This host may have just started, and a snapshot does not show when it
-  // became the home entry of an upstream.
-  OnAllocatorsChanged(ruleBefore, {});
+  // became the home entry of an upstream, nor by which rule others allocated
+  // shortly before.
+  const bool byCapacity = byCapacityBefore || mAllocators.IsAnyByCapacity();
+  OnAllocatorsChanged(byCapacity, {});
+  if (byCapacity) {
+    PauseNewLimits();
+  }
 }
 
 void
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -230,8 +230,9 @@
   void ReplaceMembers(const State& aState);
   void ApplyMembership(const State& aState,
                        const wire::GatewayCommand& aCommand);
-  void OnAllocatorsChanged(scheduling::AllocatorRule aRuleBefore,
+  void OnAllocatorsChanged(bool aByCapacity,
                            const std::vector<std::string>& aLimitedBefore);
+  void PauseNewLimits();
   void LogAllocators();
   /// Records to which host a request goes.
   void SetHome(Pending& aPending,
@@ -326,7 +327,8 @@
   Random mRandom;
   SlotBroker mBroker;
   scheduling::AllocatorDirectory mAllocators;
-  /// Fingerprint of the allocators that were logged last.
+  /// Fingerprint of the allocators, and of those that were logged last.
+  uint64_t mAllocatorsFingerprint = 0;
   uint64_t mLoggedAllocators = 0;
   /// The state was recent enough at the last check; see CheckStateAge.
   bool mStateIsRecent = false;
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -2,6 +2,7 @@
 #include "gateway/slot_coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "log/log.h"
 
@@ -192,36 +193,52 @@
   if (aCommand.has_drop_entry()) {
     RemoveStaleRequesters(aState);
   }
-  OnAllocatorsChanged(ruleBefore, limitedBefore);
+  OnAllocatorsChanged(ruleBefore != AllocatorRule::EntriesAlike ||
+                        mAllocators.Rule() != AllocatorRule::EntriesAlike,
+                      limitedBefore);
 }
 
 /// Without EntriesAlike, many upstreams may change their allocator at once
 /// while the previous one is alive. It stops sending to limited upstreams as
 /// soon as it learns of the change, or once its state is older than
 /// kMaxStateAge, so the new allocator waits for that time as well.
+/// @param aByCapacity whether another rule than EntriesAlike is, or may have
+/// been, in force.
 /// @param aLimitedBefore limited upstreams that were homed on this host before.
 void
 SlotCoordinator::OnAllocatorsChanged(
-  AllocatorRule aRuleBefore,
+  bool aByCapacity,
   const std::vector<std::string>& aLimitedBefore)
 {
-  if (aRuleBefore == AllocatorRule::EntriesAlike &&
-      mAllocators.Rule() == AllocatorRule::EntriesAlike) {
+  if (!aByCapacity) {
     PauseNewlyHomed(aLimitedBefore);
     return;
   }
   PauseNewlyHomed(aLimitedBefore, Duration(kMaxStateAge));
-  if (mAllocators.Fingerprint() != mLoggedAllocators) {
-    mLoggedAllocators = mAllocators.Fingerprint();
+  const uint64_t fingerprint = mAllocators.Fingerprint();
+  if (std::exchange(mAllocatorsFingerprint, fingerprint) != fingerprint) {
+    PauseNewLimits();
     LogAllocators();
     UpdateQueuedRequests();
     WakeReplaced();
   }
 }
 
+/// This host may learn of a limit only after it took over, while the previous
+/// allocator, which knows it, still sends.
+void
+SlotCoordinator::PauseNewLimits()
+{
+  mBroker.PauseNewLimits(mClock.Now() + Duration(kMaxStateAge));
+}
+
 void
 SlotCoordinator::LogAllocators()
 {
+  if (mLoggedAllocators == mAllocatorsFingerprint) {
+    return;
+  }
+  mLoggedAllocators = mAllocatorsFingerprint;
   log::Line(log::Part::Entry, log::Severity::Info)
     << "allocators of slots changed role=" << NameOf(mAllocators.Rule())
     << " count=" << mAllocators.AllocatorCount();
@@ -327,6 +344,7 @@
   }
   if (recent) {
     PauseNewlyHomed({}, Duration(kMaxStateAge));
+    PauseNewLimits();
   }
   UpdateQueuedRequests();
 }
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -507,6 +507,61 @@
   EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 1U);
 }
 
+// Guards against twice the rate of an upstream whose limit a new allocator
+// learns after it took over, while the previous one still sends.
+TEST_F(SlotCoordinatorTest, NewAllocatorPausesLimitThatItLearnsLater)
+{
+  LoadState();
+  AllocateAlone();
+  coordinator.Tick();
+  coordinator.RecordRateLimit(Slot{ 0, {}, "i-1", {}, 0 }, 20);
+  clock.Advance(milliseconds{ 700 });
+  Receive(1, false);
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 0U);
+  clock.Advance(milliseconds{ 500 });
+  coordinator.Tick();
+  EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 1U);
+}
+
+// Guards against twice the rate of a cold upstream when a host starts while
+// other hosts change the rule: an allocator of the earlier rule may still send.
+TEST_F(SlotCoordinatorTest, StartInMixedStatePausesColdUpstreamLonger)
+{
+  for (const bool mixed : { false, true }) {
+    wire::GatewayCommand service;
+    wire::ServiceItem* item = service.mutable_change_items()->add_services();
+    item->set_name("desk");
+    item->set_owns_keys(true);
+    item->set_version(1);
+    item->set_source("desk");
+    item->set_cold_rate(20);
+    Apply(service);
+    wire::GatewayCommand put;
+    wire::UpstreamInstance* instance =
+      put.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-1");
+    instance->set_service("desk");
+    instance->set_address("10.0.0.1:80");
+    instance->set_slots(4);
+    instance->set_cold_ms(60000);
+    Apply(put);
+    wire::GatewayCommand entry;
+    entry.mutable_put_entry()->mutable_entry()->set_address(kSelf);
+    Apply(entry);
+    wire::GatewayCommand control;
+    control.mutable_put_control()->mutable_control()->set_address(
+      kControlHosts[0]);
+    control.mutable_put_control()->mutable_control()->set_allocates_slots(
+      mixed);
+    Apply(control);
+    coordinator.StateChanged(state);
+    clock.Advance(milliseconds{ 1300 });
+    sentAnswers.clear();
+    Receive(mixed ? 1 : 2, false);
+    EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), mixed ? 0U : 1U);
+  }
+}
+
 // Guards against a request that waits to its end at an allocator which has
 // queued it and then leaves: it is sent to the next one.
 TEST_F(SlotCoordinatorTest, RequestQueuedAtRemovedAllocatorMoves)
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -110,6 +110,10 @@
   void PauseRateLimited(const std::vector<std::string>& aInstances,
                         Instant aNow);
 
+  /// An instance whose limit becomes known, or changes, before that time gets
+  /// its request rate only from then on.
+  void PauseNewLimits(Instant aUntil) { mNewLimitsPausedUntil = aUntil; }
+
   /// Removes instances that are no longer limited from the candidates for
   /// RateLimitedInstances. Must be called from time to time.
   void RemoveUnlimited(Instant aNow);
@@ -484,6 +488,7 @@
   /// Instances that got a cold period or named a limit and were not removed by
   /// RemoveUnlimited.
   std::set<std::string> mRateLimitCandidates;
+  Instant mNewLimitsPausedUntil{};
   size_t mEntryCount = 1;
   /// Instances whose averages changed since TakeChangedResponseSeconds.
   std::set<std::string> mChangedResponseSeconds;
--- a/src/librattandyke/gateway/upstream_set_rate.cpp
+++ b/src/librattandyke/gateway/upstream_set_rate.cpp
@@ -215,6 +215,9 @@
   }
   if (changed && aNotice.rate.requestsPerSecond) {
     NamedRate::Apply(*aNotice.rate.requestsPerSecond, limit->bucket, aNow);
+    if (aNow < mNewLimitsPausedUntil) {
+      limit->bucket.Empty(mNewLimitsPausedUntil);
+    }
     mRateLimitCandidates.insert(aNotice.instance);
   }
   return changed;
--- a/src/librattandyke/scheduling/allocator_directory.cpp
+++ b/src/librattandyke/scheduling/allocator_directory.cpp
@@ -178,6 +178,15 @@
     });
 }
 
+bool
+AllocatorDirectory::IsAnyByCapacity() const
+{
+  return !mControlHosts.empty() ||
+         std::any_of(mEntries.begin(), mEntries.end(), [](const Host& aHost) {
+           return aHost.weight > 0;
+         });
+}
+
 const AllocatorDirectory::Hosts&
 AllocatorDirectory::Active() const
 {
--- a/src/librattandyke/scheduling/allocator_directory.h
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -76,6 +76,9 @@
   void RemoveControlHost(std::string_view aAddress);
 
   AllocatorRule Rule() const { return mRule; }
+  /// @return whether any host follows another rule than EntriesAlike if all do.
+  /// If so, the rule may have been another one shortly before.
+  bool IsAnyByCapacity() const;
   size_t EntryCount() const { return mEntries.size(); }
   /// @return the number of hosts that allocate.
   size_t AllocatorCount() const { return Active().size(); }
