--- a/src/librattandyke/consensus/driver.cpp
+++ b/src/librattandyke/consensus/driver.cpp
@@ -368,6 +368,12 @@
   return mImpl->mRunning && mImpl->mParticipant->Log().FollowsUpToDate();
 }
 
+uint64_t
+Driver::AppendsHeard() const
+{
+  return mImpl->mRunning ? mImpl->mParticipant->Log().AppendsHeard() : 0;
+}
+
 HostIdentity
 Driver::Identity() const
 {
--- a/src/librattandyke/consensus/driver.h
+++ b/src/librattandyke/consensus/driver.h
@@ -107,6 +107,9 @@
   /// before that leader's term (Replica::FollowsUpToDate).
   bool FollowsUpToDate() const;
 
+  /// @return see Replica::AppendsHeard; 0 while this host does not run.
+  uint64_t AppendsHeard() const;
+
   /// @return the identity in the data folder; set once Start succeeded.
   HostIdentity Identity() const;
 
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -64,6 +64,10 @@
   /// above this replica's for electionTimeoutMin.
   bool FollowsUpToDate() const;
 
+  /// @return the number of append requests that this replica has taken from a
+  /// leader that it followed then.
+  uint64_t AppendsHeard() const { return mAppendsHeard; }
+
   GroupStatus Status(Instant aNow) const;
 
 private:
@@ -238,6 +242,7 @@
   uint64_t mApplied = 0;
   std::optional<HostName> mLeaderName;
   std::optional<Instant> mHeardLeaderAt;
+  uint64_t mAppendsHeard = 0;
   std::optional<Instant> mVotedAt;
   Instant mElectionDue{};
   /// Since it heard a leader it has waited once because it was held up.
--- a/src/librattandyke/consensus/replica_follower.cpp
+++ b/src/librattandyke/consensus/replica_follower.cpp
@@ -11,6 +11,7 @@
     return;
   }
   FollowLeader(aMessage);
+  ++mAppendsHeard;
   const wire::AppendRequest& request = aMessage.append_request();
   const uint64_t previous = request.previous_index();
   const auto term = mLog.TermAt(previous);
--- a/src/librattandyke/consensus/replica_restart_test.cpp
+++ b/src/librattandyke/consensus/replica_restart_test.cpp
@@ -140,6 +140,33 @@
   EXPECT_TRUE(replica.FollowsUpToDate());
 }
 
+// Guards against a control host that takes its state for confirmed by a vote
+// request of a peer, or by an append request of an earlier leader.
+TEST(ReplicaRestart, OnlyAppendsOfTheLeaderAreHeard)
+{
+  const Instant start{ std::chrono::hours(1) };
+  Replica replica = RestartedVoter(start);
+  wire::ConsensusMessage message;
+  message.set_from(3);
+  message.set_from_name("3");
+  message.set_to(2);
+  message.set_group(1);
+  message.set_term(4);
+  wire::AppendRequest* append = message.mutable_append_request();
+  append->set_previous_index(1);
+  append->set_previous_term(3);
+  append->set_commit_index(1);
+  replica.Step(MessageReceived{ message }, start);
+  EXPECT_EQ(replica.AppendsHeard(), 1U);
+  message.set_term(3);
+  replica.Step(MessageReceived{ message }, start);
+  EXPECT_EQ(replica.AppendsHeard(), 1U);
+  message.set_term(5);
+  message.mutable_vote_request()->set_pre_vote(true);
+  replica.Step(MessageReceived{ message }, start);
+  EXPECT_EQ(replica.AppendsHeard(), 1U);
+}
+
 // Guards against entries that serve by an old configuration: the replies of a
 // follower are lost, so the leader sends it heartbeats but no entries, and it
 // keeps telling its subscribers that they are up to date.
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -37,8 +37,7 @@
   }
   switch (frame.body_case()) {
     case wire::GatewayFrame::kConsensus:
-      driver->Receive({}, frame.consensus());
-      ConfirmState();
+      OnConsensusMessage(frame.consensus());
       return;
     case wire::GatewayFrame::kSlotAsk:
       if (slots) {
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -27,9 +27,9 @@
 #include "gateway/slot_coordinator.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
+#include "scheduling/allocator_watch.h"
 #include "scheduling/demand_table.h"
 #include "scheduling/demand_view.h"
-#include "scheduling/allocator_watch.h"
 #include "scheduling/state_freshness.h"
 
 namespace rattandyke::gateway {
@@ -118,7 +118,7 @@
   std::unique_ptr<SlotCoordinator> MakeSlots();
   void ScheduleSlotTick();
   void OnSlotTick();
-  void ConfirmState();
+  void OnConsensusMessage(const std::string& aMessage);
   void WithdrawSilentAllocators();
 
   // Demand of all entry hosts: control_host_demand.cpp.
--- a/src/librattandyke/gateway/control_host_slots.cpp
+++ b/src/librattandyke/gateway/control_host_slots.cpp
@@ -66,12 +66,15 @@
   ProposeInBackground(commands);
 }
 
-/// Records, after a message of the replicated log, that this host's state is
-/// known to be up to date, if it is.
+/// Passes a message on to the replicated log. An append request of the leader
+/// that this host follows confirms its state. Other messages do not: a peer may
+/// ask for votes because the leader is gone.
 void
-ControlHost::Impl::ConfirmState()
+ControlHost::Impl::OnConsensusMessage(const std::string& aMessage)
 {
-  if (slots && IsUpToDate()) {
+  const uint64_t appendsBefore = driver->AppendsHeard();
+  driver->Receive({}, aMessage);
+  if (slots && driver->AppendsHeard() != appendsBefore && IsUpToDate()) {
     freshness.OnConfirmed(clock.Now());
   }
 }
