--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -244,6 +244,9 @@
   void WakeReplaced();
   void UpdateQueuedRequests();
   void CheckStateAge();
+  /// @return whether this host would allocate as a control host by a state that
+  /// is too old.
+  bool IsOutdatedControlHost() const;
   bool MayAllocate(const SlotRequest& aRequest) const;
   void SetAllocation(SlotRequest& aRequest) const;
   void OnEntryCountChanged();
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -285,7 +285,8 @@
 }
 
 /// Requests that are queued here when this host is replaced, or its state
-/// becomes outdated, must not get slots of limited upstreams any more.
+/// becomes outdated, get what a second allocator grants: another host may grant
+/// all slots.
 void
 SlotCoordinator::UpdateQueuedRequests()
 {
@@ -302,7 +303,8 @@
 {
   if (mAllocators.Rule() != AllocatorRule::EntriesAlike) {
     const auto allocators = AllocatorsOf(aRequest.service, aRequest.group);
-    aRequest.second |= allocators.RoleOf(mSelf) != AllocatorRole::First;
+    aRequest.second |= allocators.RoleOf(mSelf) != AllocatorRole::First ||
+                       IsOutdatedControlHost();
   }
   aRequest.rateShare =
     aRequest.second ? 0 : RateShareOf(aRequest.service, aRequest.group);
@@ -319,8 +321,7 @@
   }
   const AllocatorRole role =
     AllocatorsOf(aRequest.service, aRequest.group).RoleOf(mSelf);
-  if (mAllocators.Rule() == AllocatorRule::ControlHosts &&
-      mStateAge() >= Duration(kMaxControlStateAge)) {
+  if (IsOutdatedControlHost()) {
     return false;
   }
   const bool second = aRequest.second || role == AllocatorRole::Second;
@@ -328,6 +329,13 @@
          (!second || mStateAge() < Duration(kMaxStateAge));
 }
 
+bool
+SlotCoordinator::IsOutdatedControlHost() const
+{
+  return mAllocators.Rule() == AllocatorRule::ControlHosts &&
+         mStateAge() >= Duration(kMaxControlStateAge);
+}
+
 /// A control host whose state was outdated does not know who allocated
 /// meanwhile, and one that has replayed its log does not know what it sent
 /// before its restart.
--- a/src/librattandyke/gateway/slot_coordinator_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_test.cpp
@@ -562,6 +562,30 @@
   }
 }
 
+// Guards against a control host that is cut off and grants all slots to what it
+// has queued, while another one grants all slots as well.
+TEST_F(SlotCoordinatorTest, OutdatedControlHostGrantsHalfToQueuedRequests)
+{
+  LoadState();
+  AllocateAlone();
+  coordinator.Tick();
+  for (uint64_t ticket = 1; ticket <= 7; ++ticket) {
+    Receive(ticket, false);
+  }
+  ASSERT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), 5U);
+  stateAge = std::chrono::seconds{ 1 };
+  coordinator.Tick();
+  // A second allocator grants 2 of the 4 slots.
+  for (uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    wire::SlotDone done;
+    done.set_session(5);
+    done.set_ticket(ticket);
+    coordinator.OnSlotRelease(done);
+    const size_t expected = ticket < 4 ? 5U : 6U;
+    EXPECT_EQ(SentAnswers(wire::SLOT_STATE_GRANTED), expected);
+  }
+}
+
 // Guards against a request that waits to its end at an allocator which has
 // queued it and then leaves: it is sent to the next one.
 TEST_F(SlotCoordinatorTest, RequestQueuedAtRemovedAllocatorMoves)
