--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -664,6 +664,7 @@
 SlotCoordinator::Tick()
 {
   CheckStateAge();
+  LogAllocators();
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
   mResting.RemoveEnded(mClock.Now());
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -333,6 +333,7 @@
   /// Fingerprint of the allocators, and of those that were logged last.
   uint64_t mAllocatorsFingerprint = 0;
   uint64_t mLoggedAllocators = 0;
+  Instant mLoggedAllocatorsAt{};
   /// The state was recent enough at the last check; see CheckStateAge.
   bool mStateIsRecent = false;
   uint64_t mRequestsToSecond = 0;
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -40,6 +40,8 @@
 /// upstreams are limited in their request rate; proportionally less if fewer
 /// are. Only home entries know how many requests such an upstream may get.
 constexpr double kLimitedHomeFraction = 0.6;
+/// Shortest time between two log lines about changed allocators.
+constexpr milliseconds kAllocatorsLogInterval{ 1000 };
 /// This few hosts can't overload an upstream with one request each.
 constexpr size_t kFewEntries = 16;
 
@@ -159,14 +161,16 @@
 void
 SlotCoordinator::ReplaceMembers(const State& aState)
 {
-  mAllocators.Clear();
+  std::vector<scheduling::AllocatorDirectory::Statement> entries;
   for (const auto& [address, member] : aState.Entries()) {
-    mAllocators.PutEntry(address, member.link_mbits());
+    entries.push_back({ address, member.link_mbits() });
   }
+  std::vector<scheduling::AllocatorDirectory::Statement> controlHosts;
   for (const auto& [address, member] : aState.ControlHosts()) {
-    mAllocators.PutControlHost(
-      address, member.allocates_slots(), member.link_mbits());
+    controlHosts.push_back(
+      { address, member.link_mbits(), member.allocates_slots() });
   }
+  mAllocators.Replace(entries, controlHosts);
   OnEntryCountChanged();
 }
 
@@ -232,13 +236,18 @@
   mBroker.PauseNewLimits(mClock.Now() + Duration(kMaxStateAge));
 }
 
+/// Logs the allocators if they have changed. While many hosts join, they change
+/// with each of them, so the line is written at intervals.
 void
 SlotCoordinator::LogAllocators()
 {
-  if (mLoggedAllocators == mAllocatorsFingerprint) {
+  const Instant now = mClock.Now();
+  if (mLoggedAllocators == mAllocatorsFingerprint ||
+      now - mLoggedAllocatorsAt < Duration(kAllocatorsLogInterval)) {
     return;
   }
   mLoggedAllocators = mAllocatorsFingerprint;
+  mLoggedAllocatorsAt = now;
   log::Line(log::Part::Entry, log::Severity::Info)
     << "allocators of slots changed role=" << NameOf(mAllocators.Rule())
     << " count=" << mAllocators.AllocatorCount();
--- a/src/librattandyke/scheduling/allocator_directory.cpp
+++ b/src/librattandyke/scheduling/allocator_directory.cpp
@@ -59,10 +59,17 @@
 }
 
 void
-AllocatorDirectory::Clear()
+AllocatorDirectory::Replace(const std::vector<Statement>& aEntries,
+                            const std::vector<Statement>& aControlHosts)
 {
   mEntries.clear();
   mControlHosts.clear();
+  for (const Statement& entry : aEntries) {
+    PutEntryHost(entry.address, entry.linkMbits);
+  }
+  for (const Statement& host : aControlHosts) {
+    PutOrRemoveControlHost(host.address, host.allocates, host.linkMbits);
+  }
   UpdateRule();
 }
 
@@ -101,10 +108,16 @@
 }
 
 void
-AllocatorDirectory::PutEntry(std::string_view aAddress, double aLinkMbits)
+AllocatorDirectory::PutEntryHost(std::string_view aAddress, double aLinkMbits)
 {
   const bool stated = std::isfinite(aLinkMbits) && aLinkMbits > 0;
   Put(mEntries, aAddress, stated ? aLinkMbits : 0);
+}
+
+void
+AllocatorDirectory::PutEntry(std::string_view aAddress, double aLinkMbits)
+{
+  PutEntryHost(aAddress, aLinkMbits);
   UpdateRule();
 }
 
@@ -116,15 +129,23 @@
 }
 
 void
-AllocatorDirectory::PutControlHost(std::string_view aAddress,
-                                   bool aAllocates,
-                                   double aLinkMbits)
+AllocatorDirectory::PutOrRemoveControlHost(std::string_view aAddress,
+                                           bool aAllocates,
+                                           double aLinkMbits)
 {
   if (aAllocates) {
     Put(mControlHosts, aAddress, 1).linkMbits = aLinkMbits;
   } else {
     Remove(mControlHosts, aAddress);
   }
+}
+
+void
+AllocatorDirectory::PutControlHost(std::string_view aAddress,
+                                   bool aAllocates,
+                                   double aLinkMbits)
+{
+  PutOrRemoveControlHost(aAddress, aAllocates, aLinkMbits);
   UpdateRule();
 }
 
--- a/src/librattandyke/scheduling/allocator_directory.h
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -59,8 +59,20 @@
     AllocatorRole RoleOf(std::string_view aAddress) const;
   };
 
-  /// Removes all hosts.
-  void Clear();
+  /// What a host states about itself.
+  struct Statement
+  {
+    std::string_view address;
+    /// Bandwidth of its link; 0: not stated.
+    double linkMbits = 0;
+    /// Of a control host only.
+    bool allocates = false;
+  };
+
+  /// Replaces all hosts. The cost per host grows only with the logarithm of
+  /// their number if they are sorted by address.
+  void Replace(const std::vector<Statement>& aEntries,
+               const std::vector<Statement>& aControlHosts);
 
   /// Adds an entry host or changes its bandwidth.
   /// @param aLinkMbits bandwidth of its link; 0: not stated.
@@ -105,6 +117,11 @@
   static Hosts::iterator Find(Hosts& aHosts, std::string_view aAddress);
   static Host& Put(Hosts& aHosts, std::string_view aAddress, double aWeight);
   static void Remove(Hosts& aHosts, std::string_view aAddress);
+  void PutEntryHost(std::string_view aAddress, double aLinkMbits);
+  void PutOrRemoveControlHost(std::string_view aAddress,
+                              bool aAllocates,
+                              double aLinkMbits);
+  /// Must be called after each change of the hosts. Examines all of them.
   void UpdateRule();
   /// @return whether control hosts may allocate for the entry hosts.
   bool ControlHostsFit() const;
--- a/src/librattandyke/scheduling/allocator_directory_test.cpp
+++ b/src/librattandyke/scheduling/allocator_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/allocator_directory.h"
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 
 #include <gtest/gtest.h>
@@ -153,6 +155,37 @@
   EXPECT_EQ(directory.Rule(), AllocatorRule::EntriesByLink);
 }
 
+// Guards against a load time that grows with the square of the hosts: 100,000
+// of them would take minutes, and hosts of an earlier state must not stay.
+TEST(AllocatorDirectory, ReplacingManyHostsGivesTheSameAsPuttingEach)
+{
+  constexpr size_t kEntries = 100000;
+  std::vector<std::string> addresses;
+  for (size_t number = 0; number < kEntries; ++number) {
+    addresses.push_back(Address(number));
+  }
+  std::sort(addresses.begin(), addresses.end());
+  std::vector<AllocatorDirectory::Statement> entries;
+  for (const std::string& address : addresses) {
+    entries.push_back({ address, 2.3 });
+  }
+  AllocatorDirectory replaced = Entries(3, 0);
+  const auto start = std::chrono::steady_clock::now();
+  replaced.Replace(entries, {});
+  EXPECT_LT(std::chrono::steady_clock::now() - start,
+            std::chrono::seconds{ 5 });
+  EXPECT_EQ(replaced.EntryCount(), kEntries);
+  entries.resize(50);
+  replaced.Replace(entries, { { "10.9.0.1:1", 1000, true } });
+  AllocatorDirectory put;
+  put.PutControlHost("10.9.0.1:1", true, 1000);
+  for (const auto& entry : entries) {
+    put.PutEntry(entry.address, entry.linkMbits);
+  }
+  EXPECT_EQ(replaced.Rule(), AllocatorRule::ControlHosts);
+  EXPECT_EQ(replaced.Fingerprint(), put.Fingerprint());
+}
+
 // Guards against control hosts that take over because their bandwidth is not
 // configured, which is the default.
 TEST(AllocatorDirectory, ControlHostsMustStateTheirLinks)
