--- a/src/librattandyke/gateway/range_assigner_demand_test.cpp
+++ b/src/librattandyke/gateway/range_assigner_demand_test.cpp
@@ -113,6 +113,8 @@
 // Failure: an instance is silent. It gets no requests and has no capacity.
 TEST_F(RangeAssignerDemandTest, SilentInstanceHasNoCapacity)
 {
+  ASSERT_EQ(
+    leader.rangeAssigner->OwnerCapacities(leader.state, leader.now).size(), 2U);
   leader.AdvanceTime(kHeartbeatInterval * 3);
   EXPECT_TRUE(
     leader.rangeAssigner->OwnerCapacities(leader.state, leader.now).empty());
