Entry hosts with an old state ask allocators also with a fresh digest

A digest does not confirm the state, so a host whose state is older than 500 ms may not know of a drain, a cold start or a new owner of a key. Its requests are decided as without a fresh digest. Control hosts that are not up to date forward no digests.

--- a/src/librattandyke/gateway/control_host_demand.cpp
+++ b/src/librattandyke/gateway/control_host_demand.cpp
@@ -147,7 +147,8 @@
 }
 
 /// Sends the leader's digest to this host's subscribers, unless a newer one has
-/// been sent.
+/// been sent, or this host's state is not up to date. Subscribers combine the
+/// digest with the state that they have from this host.
 void
 ControlHost::Impl::OnDemandDigest(const wire::DemandDigest& aMessage)
 {
@@ -159,6 +160,10 @@
     metrics.Increment("demand_digests", "event=\"ignored\"");
     return;
   }
+  if (!IsUpToDate()) {
+    metrics.Increment("demand_digests", "event=\"not_up_to_date\"");
+    return;
+  }
   demandView.Apply(digest, clock.Now());
   digest.age = *demandView.Age(clock.Now());
   metrics.Increment("demand_digests", "event=\"forwarded\"");
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -247,6 +247,7 @@
   /// @return whether this host would allocate as a control host by a state that
   /// is too old.
   bool IsOutdatedControlHost() const;
+  bool HasRecentState() const;
   bool MayAllocate(const SlotRequest& aRequest) const;
   void SetAllocation(SlotRequest& aRequest) const;
   void OnEntryCountChanged();
--- a/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
@@ -43,7 +43,8 @@
                                                aRequest.instance, now),
                                              aRequest.priority,
                                              aRequest.statedTime,
-                                             aRequest.statedTimeLeft };
+                                             aRequest.statedTimeLeft,
+                                             HasRecentState() };
   return std::visit([&](auto& aPolicy) { return aPolicy.Decide(request, now); },
                     mDispatch);
 }
--- a/src/librattandyke/gateway/slot_coordinator_dispatch_test.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_dispatch_test.cpp
@@ -106,6 +106,7 @@
   }
 
   SetClock clock;
+  Duration stateAge{};
   asio::io_context context;
   State state;
   uint64_t index = 0;
@@ -122,7 +123,7 @@
     clock,
     7,
     { seconds{ 4 }, seconds{ 4 }, 1, 0, "e", DataCentre{ "dc" } },
-    [] { return Duration::zero(); },
+    [this] { return stateAge; },
     scheduling::DemandDispatch(demand, 7)
   };
 };
@@ -225,6 +226,26 @@
   EXPECT_EQ(sent.size(), 2U);
 }
 
+// Failure: the connection to the control host confirms no state any more, but
+// digests arrive. The upstream may have been drained or lost its keys.
+TEST_F(SlotDispatchTest, AsksWithAFreshDigestAndAnOldState)
+{
+  stateAge = milliseconds{ 499 };
+  EXPECT_TRUE(AcquireDirect("owner"));
+  EXPECT_TRUE(sent.empty());
+  stateAge = milliseconds{ 500 };
+  for (const std::string& owner : { "owner", "" }) {
+    ApplyDigest({});
+    EXPECT_FALSE(AcquireDirect(owner)) << owner;
+  }
+  // The key may have a new owner with room, so it is not refused either.
+  ApplyDigest({ { "owner", 1000, 0.001 } });
+  EXPECT_FALSE(Acquire("owner"));
+  EXPECT_EQ(sent.size(), 3U);
+  const auto& counts = coordinator.DispatchCounts();
+  EXPECT_EQ(counts.at("decision=\"ask\",reason=\"no_digest\""), 3U);
+}
+
 TEST_F(SlotDispatchTest, RefusesWithoutAMessageOverCapacity)
 {
   size_t refused = 0;
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -18,9 +18,10 @@
 /// With a list of entries older than this, a host may no longer be the home
 /// entry.
 constexpr milliseconds kMaxStateAge{ 1000 };
-/// A control host with a state older than this does not allocate. Its state is
-/// not confirmed during an election, which takes up to 450 ms; if control hosts
-/// declined meanwhile, all entries would send without coordination.
+/// A control host with a state older than this does not allocate, and an entry
+/// host sends nothing without asking an allocator. The state is not confirmed
+/// during an election, which takes up to 450 ms; if control hosts declined
+/// meanwhile, all entries would send without coordination.
 constexpr milliseconds kMaxControlStateAge{ 500 };
 /// Share of a limited upstream's request rate that a host allocates with such a
 /// list. Together with a whole share of another host it stays below one and a
@@ -100,7 +101,7 @@
     return 0;
   }
   if (mAllocators.Rule() == AllocatorRule::ControlHosts) {
-    return mStateAge() < Duration(kMaxControlStateAge) ? 1 : 0;
+    return HasRecentState() ? 1 : 0;
   }
   const bool upToDate = home.empty() || mStateAge() < Duration(kMaxStateAge);
   return upToDate ? 1 : kOutdatedListShare;
@@ -342,7 +343,14 @@
 SlotCoordinator::IsOutdatedControlHost() const
 {
   return mAllocators.Rule() == AllocatorRule::ControlHosts &&
-         mStateAge() >= Duration(kMaxControlStateAge);
+         !HasRecentState();
+}
+
+/// @return whether this host may act on its state without asking another one.
+bool
+SlotCoordinator::HasRecentState() const
+{
+  return mStateAge() < Duration(kMaxControlStateAge);
 }
 
 /// A control host whose state was outdated does not know who allocated
@@ -351,7 +359,7 @@
 void
 SlotCoordinator::CheckStateAge()
 {
-  const bool recent = mStateAge() < Duration(kMaxControlStateAge);
+  const bool recent = HasRecentState();
   if (recent == mStateIsRecent) {
     return;
   }
--- a/src/librattandyke/scheduling/dispatch_policy.cpp
+++ b/src/librattandyke/scheduling/dispatch_policy.cpp
@@ -95,7 +95,7 @@
 DemandDispatch::Decide(const DispatchRequest& aRequest, Instant aNow)
 {
   if (aRequest.owner.empty()) {
-    return mDemand->IsFresh(aNow)
+    return mDemand->IsFresh(aNow) && aRequest.recentState
              ? DecideForService(aRequest)
              : DispatchDecision(AskAllocator{ DispatchReason::NoDigest });
   }
@@ -124,7 +124,7 @@
 DemandDispatch::DecideForOwner(const DispatchRequest& aRequest, Instant aNow)
 {
   const CallerHistory history = RecordStated(aRequest, aNow);
-  if (!mDemand->IsFresh(aNow)) {
+  if (!mDemand->IsFresh(aNow) || !aRequest.recentState) {
     return AskAllocator{ DispatchReason::NoDigest };
   }
   if (const auto owner = mDemand->OwnerOf(aRequest.owner)) {
--- a/src/librattandyke/scheduling/dispatch_policy.h
+++ b/src/librattandyke/scheduling/dispatch_policy.h
@@ -23,7 +23,8 @@
   Coordinated,
   /// The demand is low.
   LowDemand,
-  /// There is no digest of the demand that is valid.
+  /// There is no digest of the demand that is valid, or this host's state is
+  /// old.
   NoDigest,
   /// The demand for the owner or service is high, but below its capacity.
   HighDemand,
@@ -64,6 +65,9 @@
   Duration stated{};
   /// What is left of it.
   Duration left{};
+  /// This host's state is up to date. Otherwise it may not know of a drain, a
+  /// cold start or a new owner of the key, also with a fresh digest.
+  bool recentState = true;
 };
 
 /// The request is sent without asking an allocator.
