Commands that the state rejects move no demand

A grant to an owner that had restarted meanwhile was rejected, but its keys' demand was added to the owner, which looked overloaded for a second.

--- a/src/librattandyke/gateway/control_host_demand.cpp
+++ b/src/librattandyke/gateway/control_host_demand.cpp
@@ -55,13 +55,17 @@
   }
 }
 
-/// Corrects the demand for a command that is about to be applied.
-void
-ControlHost::Impl::RecordMovedDemand(const wire::GatewayCommand& aCommand)
+/// Applies a command, and corrects the demand that it moves.
+/// @return the result of State::Apply.
+Result<void>
+ControlHost::Impl::ApplyToState(const wire::GatewayCommand& aCommand,
+                                LogIndex aIndex)
 {
   if (settings.sharedDemand && driver->IsLeader()) {
-    rangeAssigner.MoveDemand(aCommand, state, demandTable);
+    return rangeAssigner.ApplyAndMoveDemand(
+      aCommand, aIndex, state, demandTable);
   }
+  return state.Apply(aCommand, aIndex);
 }
 
 /// @return the services without keys, with the slots of their upstreams that
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -127,7 +127,8 @@
   void TakeServiceLoads(wire::HostReport& aReport);
   void RecordServiceLoads(const wire::HostReport& aReport);
   void RecordOwnerDemand();
-  void RecordMovedDemand(const wire::GatewayCommand& aCommand);
+  Result<void> ApplyToState(const wire::GatewayCommand& aCommand,
+                            LogIndex aIndex);
   std::vector<scheduling::DemandTable::ServiceSlots> SlotsOfServices() const;
   void SendDemandDigest();
   void SetDemandMetrics(size_t aListed, size_t aOverloaded);
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -24,8 +24,7 @@
 {
   wire::GatewayCommand command;
   command.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
-  RecordMovedDemand(command);
-  Result<void> outcome = state.Apply(command, aIndex);
+  Result<void> outcome = ApplyToState(command, aIndex);
   if (outcome) {
     feed.Publish(command, aIndex);
     ScheduleFeedFlush();
--- a/src/librattandyke/gateway/range_assigner.h
+++ b/src/librattandyke/gateway/range_assigner.h
@@ -112,11 +112,13 @@
   /// immediately before Tick.
   void AddDemand(const State& aState, scheduling::DemandTable& aDemand) const;
 
-  /// Corrects the owners' demand for a command that moves keys.
-  /// @param aState the state before the command.
-  void MoveDemand(const wire::GatewayCommand& aCommand,
-                  const State& aState,
-                  scheduling::DemandTable& aDemand);
+  /// Applies a command to the state. If the state accepts it and it moves keys,
+  /// corrects the owners' demand.
+  /// @return the result of State::Apply.
+  Result<void> ApplyAndMoveDemand(const wire::GatewayCommand& aCommand,
+                                  LogIndex aIndex,
+                                  State& aState,
+                                  scheduling::DemandTable& aDemand);
 
   /// @return the capacities of all active owners of keys. The names are valid
   /// until the next call of a method.
@@ -367,11 +369,21 @@
                                KeySpan aKeys,
                                const RangeTable& aRanges,
                                const KeyLoadMap& aLoad);
-  /// Removes the demand for keys from their holder.
+  /// Change of an owner's demand by a command that moves keys.
+  struct DemandChange
+  {
+    /// Part of the owner's requests that it loses.
+    double lostShare = 0;
+    /// Requests per second that it gains.
+    double gained = 0;
+  };
+
+  /// @return the part of a holder's requests that a command takes from it.
   template<typename Command>
-  void RemoveDemand(const Command& aCommand,
-                    const State& aState,
-                    scheduling::DemandTable& aDemand);
+  double LostShare(const Command& aCommand, const State& aState);
+  /// @param aState the state before the command.
+  DemandChange DemandChangeOf(const wire::GatewayCommand& aCommand,
+                              const State& aState);
   void PlanMove(const std::string& aService, const State& aState, Instant aNow);
   /// @return consecutive keys of an owner, outside aExcluded, with a load of at
   /// most aTargetLoad and near it; nothing if no keys fit.
--- a/src/librattandyke/gateway/range_assigner_demand_test.cpp
+++ b/src/librattandyke/gateway/range_assigner_demand_test.cpp
@@ -56,10 +56,10 @@
     leader.HandleHeartbeat(HeartbeatFrom("b", sequence));
   }
 
-  void Commit(const wire::GatewayCommand& aCommand)
+  Result<void> Commit(const wire::GatewayCommand& aCommand)
   {
-    leader.rangeAssigner->MoveDemand(aCommand, leader.state, table);
-    leader.Commit({ aCommand });
+    return leader.rangeAssigner->ApplyAndMoveDemand(
+      aCommand, LogIndex{ ++leader.index }, leader.state, table);
   }
 
   SimulatedLeader leader;
@@ -92,17 +92,17 @@
   wire::KeyRange* range = revoke.mutable_hold_back_ranges()->add_ranges();
   range->set_from(keys.at("b"));
   range->set_to(keys.at("b"));
-  Commit(revoke);
+  ASSERT_TRUE(Commit(revoke));
   wire::GatewayCommand free;
   free.mutable_free_ranges()->set_service("board");
   free.mutable_free_ranges()->set_holder("b");
   *free.mutable_free_ranges()->add_ranges() = *range;
-  Commit(free);
+  ASSERT_TRUE(Commit(free));
   wire::GatewayCommand grant;
   grant.mutable_grant_ranges()->set_service("board");
   grant.mutable_grant_ranges()->set_holder("a");
   *grant.mutable_grant_ranges()->add_ranges() = *range;
-  Commit(grant);
+  ASSERT_TRUE(Commit(grant));
   ASSERT_EQ(leader.OwnerOf(keys.at("b")), "a");
   const DemandTable::Round round = Run(milliseconds{ 200 }, 10, 490);
   ASSERT_EQ(round.digest.owners.size(), 1U);
@@ -110,6 +110,27 @@
   EXPECT_NEAR(round.digest.owners[0].demand, 500, 20);
 }
 
+// Failure: keys are granted to an instance that has restarted meanwhile, so the
+// state rejects the command. The instance would look overloaded for a second.
+TEST_F(RangeAssignerDemandTest, RejectedCommandMovesNoDemand)
+{
+  Run(milliseconds{ 8000 }, 10, 490);
+  wire::GatewayCommand grant;
+  grant.mutable_grant_ranges()->set_service("board");
+  grant.mutable_grant_ranges()->set_holder("a");
+  grant.mutable_grant_ranges()->set_life(
+    leader.state.FindInstance("a")->life() + 1);
+  wire::KeyRange* range = grant.mutable_grant_ranges()->add_ranges();
+  range->set_from(keys.at("b"));
+  range->set_to(keys.at("b"));
+  ASSERT_FALSE(Commit(grant));
+  const DemandTable::Round round = Run(milliseconds{ 200 }, 10, 490);
+  for (const auto& owner : round.digest.owners) {
+    EXPECT_NEAR(owner.demand, owner.instance == "a" ? 10 : 490, 20)
+      << owner.instance;
+  }
+}
+
 // Failure: an instance is silent. It gets no requests and has no capacity.
 TEST_F(RangeAssignerDemandTest, SilentInstanceHasNoCapacity)
 {
--- a/src/librattandyke/gateway/range_assigner_loads.cpp
+++ b/src/librattandyke/gateway/range_assigner_loads.cpp
@@ -205,15 +205,13 @@
 }
 
 template<typename Command>
-void
-RangeAssigner::RemoveDemand(const Command& aCommand,
-                            const State& aState,
-                            scheduling::DemandTable& aDemand)
+double
+RangeAssigner::LostShare(const Command& aCommand, const State& aState)
 {
   const RangeTable* ranges = aState.Ranges(aCommand.service());
   const auto plan = mPlans.find(aCommand.service());
   if (ranges == nullptr || plan == mPlans.end()) {
-    return;
+    return 0;
   }
   const std::string& holder = aCommand.holder();
   double lost = 0;
@@ -228,33 +226,55 @@
     all += RateOfHeldKeys(
       holder, SpanOf(ranges->Find(key)), *ranges, plan->second.load);
   }
-  if (lost > 0 && all > 0) {
-    aDemand.RemoveMovedDemand(holder, lost / all);
-  }
+  return all > 0 ? lost / all : 0;
 }
 
-/// Without the correction, an owner that has lost a hot key would look
-/// overloaded for another second, and requests for its other keys would be
-/// refused; the new owner would look idle.
-void
-RangeAssigner::MoveDemand(const wire::GatewayCommand& aCommand,
-                          const State& aState,
-                          scheduling::DemandTable& aDemand)
+RangeAssigner::DemandChange
+RangeAssigner::DemandChangeOf(const wire::GatewayCommand& aCommand,
+                              const State& aState)
 {
+  DemandChange change;
   if (aCommand.has_hold_back_ranges()) {
-    RemoveDemand(aCommand.hold_back_ranges(), aState, aDemand);
+    change.lostShare = LostShare(aCommand.hold_back_ranges(), aState);
   } else if (aCommand.has_free_ranges()) {
-    RemoveDemand(aCommand.free_ranges(), aState, aDemand);
+    change.lostShare = LostShare(aCommand.free_ranges(), aState);
   } else if (aCommand.has_grant_ranges()) {
     const wire::GrantRanges& grant = aCommand.grant_ranges();
     const auto plan = mPlans.find(grant.service());
     for (const wire::KeyRange& range : grant.ranges()) {
       const auto keys = ValidSpanOf(range);
       if (keys && plan != mPlans.end()) {
-        aDemand.AddMovedDemand(grant.holder(), plan->second.load.Rate(*keys));
+        change.gained += plan->second.load.Rate(*keys);
       }
     }
   }
+  return change;
+}
+
+/// Without the correction, an owner that has lost a hot key would look
+/// overloaded for another second, and requests for its other keys would be
+/// refused; the new owner would look idle.
+Result<void>
+RangeAssigner::ApplyAndMoveDemand(const wire::GatewayCommand& aCommand,
+                                  LogIndex aIndex,
+                                  State& aState,
+                                  scheduling::DemandTable& aDemand)
+{
+  const DemandChange change = DemandChangeOf(aCommand, aState);
+  Result<void> outcome = aState.Apply(aCommand, aIndex);
+  if (!outcome) {
+    return outcome;
+  }
+  if (change.lostShare > 0) {
+    aDemand.RemoveMovedDemand(aCommand.has_free_ranges()
+                                ? aCommand.free_ranges().holder()
+                                : aCommand.hold_back_ranges().holder(),
+                              change.lostShare);
+  }
+  if (change.gained > 0) {
+    aDemand.AddMovedDemand(aCommand.grant_ranges().holder(), change.gained);
+  }
+  return outcome;
 }
 
 /// Capacities change slowly, so loads that a heartbeat has computed recently
