Requests for unlisted owners ask if the digest is truncated

The digest lists at most 256 owners. Those left out counted as idle, and requests for them were sent directly. DemandDigest.truncated says that there are more.

--- a/src/librattandyke/gateway/demand_wire.cpp
+++ b/src/librattandyke/gateway/demand_wire.cpp
@@ -54,6 +54,7 @@
   digest.term = aMessage.term();
   digest.sequence = aMessage.sequence();
   digest.age = milliseconds{ aMessage.age_ms() };
+  digest.truncated = aMessage.truncated();
   for (const wire::OwnerDemand& owner : aMessage.owners()) {
     const bool valid = IsAmount(owner.demand()) && IsAmount(owner.capacity()) &&
                        owner.capacity() > 0;
@@ -80,6 +81,7 @@
   // Rounded up, so that a digest never looks younger than it is.
   message.set_age_ms(
     ToUint32(ToMs(std::chrono::ceil<milliseconds>(aDigest.age))));
+  message.set_truncated(aDigest.truncated);
   for (const scheduling::OwnerDemand& owner : aDigest.owners) {
     wire::OwnerDemand* added = message.add_owners();
     added->set_instance(owner.instance);
--- a/src/librattandyke/gateway/shared_demand_test.cpp
+++ b/src/librattandyke/gateway/shared_demand_test.cpp
@@ -644,6 +644,16 @@
   EXPECT_LE(OutgoingFrame(frame).Compressed().size(), 2125U);
 }
 
+// Guards against entry hosts that take owners left out for idle ones.
+TEST(SharedDemandMessages, TruncationIsSent)
+{
+  for (const bool truncated : { false, true }) {
+    const scheduling::DemandDigest digest{ 1,  2,        {}, { { "a", 3, 4 } },
+                                           {}, truncated };
+    EXPECT_EQ(ToDemandDigest(ToMessage(digest)), digest);
+  }
+}
+
 // Guards against numbers that would admit everything or nothing.
 TEST(SharedDemandMessages, InvalidNumbersAreLeftOut)
 {
--- a/src/librattandyke/scheduling/demand_table.cpp
+++ b/src/librattandyke/scheduling/demand_table.cpp
@@ -235,6 +235,7 @@
   const std::vector<BusyOwner> busy = BusyOwners(aOwners);
   UpdateOverloads(busy, round, aNow);
   const size_t listed = std::min(busy.size(), kMaxListedOwners);
+  round.digest.truncated = busy.size() > listed;
   for (size_t at = 0; at < listed; ++at) {
     round.digest.owners.push_back(busy[at].ToOwnerDemand());
   }
--- a/src/librattandyke/scheduling/demand_table.h
+++ b/src/librattandyke/scheduling/demand_table.h
@@ -43,7 +43,7 @@
   /// 200 ms.
   static constexpr Duration kSettleTime = std::chrono::milliseconds{ 600 };
   /// Owners are listed from this share of their capacity upwards, up to this
-  /// number.
+  /// number. If more are busy, the digest says that it is truncated.
   static constexpr double kListedShare = 0.5;
   static constexpr size_t kMaxListedOwners = 256;
 
--- a/src/librattandyke/scheduling/demand_table_test.cpp
+++ b/src/librattandyke/scheduling/demand_table_test.cpp
@@ -192,6 +192,7 @@
     omitted += round->omittedChanges;
   }
   ASSERT_EQ(round->digest.owners.size(), 256U);
+  EXPECT_TRUE(round->digest.truncated);
   EXPECT_EQ(round->digest.owners.front().instance, OwnerName(299));
   EXPECT_EQ(round->digest.owners.back().instance, OwnerName(44));
   EXPECT_EQ(round->overloadedOwners, 300U);
--- a/src/librattandyke/scheduling/demand_view.cpp
+++ b/src/librattandyke/scheduling/demand_view.cpp
@@ -46,6 +46,7 @@
   mTerm = aDigest.term;
   mSequence = aDigest.sequence;
   mCreatedAt = aNow - aDigest.age;
+  mTruncated = aDigest.truncated;
   mOwners.clear();
   for (const OwnerDemand& owner : aDigest.owners) {
     mOwners.emplace(owner.instance, owner);
--- a/src/librattandyke/scheduling/demand_view.h
+++ b/src/librattandyke/scheduling/demand_view.h
@@ -49,6 +49,8 @@
   std::vector<OwnerDemand> owners;
   /// All services without keys.
   std::vector<ServiceDemand> services;
+  /// More owners are at half of their capacity or above than are listed.
+  bool truncated = false;
 
   bool operator==(const DemandDigest&) const = default;
 };
@@ -66,10 +68,14 @@
   bool IsFresh(Instant aNow) const;
 
   /// @return the demand for an owner of keys; std::nullopt if the newest digest
-  /// does not list it, since its demand is below half of its capacity. Use it
-  /// only while IsFresh.
+  /// does not list it. Unless IsTruncated, its demand is then below half of its
+  /// capacity. Use it only while IsFresh.
   std::optional<OwnerDemand> OwnerOf(std::string_view aInstance) const;
 
+  /// @return whether the newest digest leaves out busy owners. Use it only
+  /// while IsFresh.
+  bool IsTruncated() const { return mTruncated; }
+
   /// @return the demand for a service without keys; std::nullopt if the newest
   /// digest does not list it. Use it only while IsFresh.
   std::optional<ServiceDemand> ServiceOf(std::string_view aService) const;
@@ -91,6 +97,7 @@
   uint64_t mTerm = 0;
   uint64_t mSequence = 0;
   Instant mCreatedAt{};
+  bool mTruncated = false;
   std::map<std::string, OwnerDemand, std::less<>> mOwners;
   std::map<std::string, ServiceDemand, std::less<>> mServices;
 };
--- a/src/librattandyke/scheduling/dispatch_policy.cpp
+++ b/src/librattandyke/scheduling/dispatch_policy.cpp
@@ -60,6 +60,8 @@
       return "admitted";
     case DispatchReason::UnknownService:
       return "unknown_service";
+    case DispatchReason::UnknownOwner:
+      return "unknown_owner";
     case DispatchReason::SentRecently:
       return "sent_recently";
     case DispatchReason::RecentFailure:
@@ -132,6 +134,9 @@
              ? DecideOverCapacity(aRequest, *owner, history, aNow)
              : AskAllocator{ DispatchReason::HighDemand };
   }
+  if (mDemand->IsTruncated()) {
+    return AskAllocator{ DispatchReason::UnknownOwner };
+  }
   if (!aRequest.ownerUnrestricted) {
     return AskAllocator{ DispatchReason::Restricted };
   }
--- a/src/librattandyke/scheduling/dispatch_policy.h
+++ b/src/librattandyke/scheduling/dispatch_policy.h
@@ -32,6 +32,8 @@
   Admitted,
   /// The digest does not list the service.
   UnknownService,
+  /// The digest does not list the owner, and leaves out busy owners.
+  UnknownOwner,
   /// This host has lately had a request for the owner.
   SentRecently,
   /// The owner has lately failed or refused a request.
--- a/src/librattandyke/scheduling/dispatch_policy_test.cpp
+++ b/src/librattandyke/scheduling/dispatch_policy_test.cpp
@@ -345,6 +345,22 @@
   EXPECT_EQ(Text(Decide(ForOwner("new"))), "direct");
 }
 
+// Load: more owners are busy than a digest lists. Guards against direct
+// requests to those left out.
+TEST_F(DispatchTest, AsksForUnlistedOwnersIfTheDigestIsTruncated)
+{
+  DemandDigest digest{ 1, 1, {}, { { "busy", 6, 10 } }, {}, true };
+  digest.services.push_back({ "search", 0.1, 0 });
+  demand.Apply(digest, now);
+  EXPECT_EQ(Text(Decide(ForOwner("a"))), "unknown_owner");
+  EXPECT_EQ(Text(Decide(ForOwner("busy"))), "high_demand");
+  EXPECT_EQ(Text(Decide(ForService())), "direct");
+  digest.sequence = 2;
+  digest.truncated = false;
+  demand.Apply(digest, now);
+  EXPECT_EQ(Text(Decide(ForOwner("b"))), "direct");
+}
+
 // Failure: a direct request is refused, or fails.
 TEST_F(DispatchTest, AsksForTwoSecondsAfterAFailure)
 {
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -745,6 +745,7 @@
   , /*decltype(_impl_.term_)*/uint64_t{0u}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
   , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_.truncated_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct DemandDigestDefaultTypeInternal {
   PROTOBUF_CONSTEXPR DemandDigestDefaultTypeInternal()
@@ -1348,6 +1349,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.age_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.owners_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.services_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::DemandDigest, _impl_.truncated_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::LinkProbe, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1491,13 +1493,13 @@
   { 437, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
   { 446, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
   { 455, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
-  { 466, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
-  { 474, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 484, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 504, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 516, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 528, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 536, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 467, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 475, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 485, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 505, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 517, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 529, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 537, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1699,66 +1701,66 @@
   "ance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003"
   " \001(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\023"
   "\n\013utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001"
-  "(\001\"\236\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010seq"
+  "(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010seq"
   "uence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 "
   "\003(\0132\034.rattandyke.wire.OwnerDemand\0220\n\010ser"
   "vices\030\005 \003(\0132\036.rattandyke.wire.ServiceDem"
-  "and\"&\n\tLinkProbe\022\n\n\002id\030\001 \001(\004\022\r\n\005reply\030\002 "
-  "\001(\010\"l\n\016UpstreamNotice\022\020\n\010instance\030\001 \001(\t\022"
-  "\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.rattandyke"
-  ".wire.RateNotice\022\017\n\007leaving\030\004 \001(\010\"\236\002\n\007Sl"
-  "otAsk\022\020\n\010reply_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006"
-  "\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010ins"
-  "tance\030\005 \001(\t\022\020\n\010excluded\030\006 \003(\t\022\020\n\010priorit"
-  "y\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007held_ms\030"
-  "\t \001(\r\022\023\n\013data_centre\030\n \001(\t\022\r\n\005group\030\013 \001("
-  "\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.ratt"
-  "andyke.wire.UpstreamNotice\022\016\n\006second\030\016 \001"
-  "(\010\"\263\001\n\nSlotAnswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ti"
-  "cket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.rattandyke.w"
-  "ire.SlotState\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry"
-  "_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
-  "dyke.wire.UpstreamNotice\"\210\001\n\010SlotDone\022\014\n"
-  "\004from\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
-  " \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006no"
+  "and\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n\002i"
+  "d\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016UpstreamNotice"
+  "\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004rate"
+  "\030\003 \001(\0132\033.rattandyke.wire.RateNotice\022\017\n\007l"
+  "eaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
+  "(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007s"
+  "ervice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010exclud"
+  "ed\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_m"
+  "s\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030"
+  "\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006"
+  "limits\030\r \003(\0132\037.rattandyke.wire.UpstreamN"
+  "otice\022\016\n\006second\030\016 \001(\010\"\263\001\n\nSlotAnswer\022\017\n\007"
+  "session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003"
+  " \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010inst"
+  "ance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006no"
   "tice\030\006 \001(\0132\037.rattandyke.wire.UpstreamNot"
-  "ice\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005byte"
-  "s\030\002 \001(\014\"\326\007\n\014GatewayFrame\022\023\n\tconsensus\030\001 "
-  "\001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wi"
-  "re.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.r"
-  "attandyke.wire.FeedSnapshotH\000\0224\n\014feed_co"
-  "mmand\030\004 \001(\0132\034.rattandyke.wire.FeedComman"
-  "dH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire"
-  ".FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.ratta"
-  "ndyke.wire.FeedReportH\000\0228\n\016forwarded_cal"
-  "l\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH"
-  "\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke"
-  ".wire.ForwardedAnswerH\000\0222\n\013host_report\030\t"
-  " \001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010s"
-  "lot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH"
-  "\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire"
-  ".SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.ratta"
-  "ndyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034."
-  "rattandyke.wire.PackedFrameH\000\022D\n\024forward"
-  "ed_heartbeats\030\016 \001(\0132$.rattandyke.wire.Fo"
-  "rwardedHeartbeatsH\000\022Q\n\033forwarded_heartbe"
-  "at_answers\030\017 \001(\0132*.rattandyke.wire.Forwa"
-  "rdedHeartbeatAnswersH\000\0226\n\rfeed_commands\030"
-  "\020 \001(\0132\035.rattandyke.wire.FeedCommandsH\000\0226"
-  "\n\rdemand_digest\030\021 \001(\0132\035.rattandyke.wire."
-  "DemandDigestH\000\0220\n\nlink_probe\030\022 \001(\0132\032.rat"
-  "tandyke.wire.LinkProbeH\000B\006\n\004body*\206\001\n\tSlo"
-  "tState\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SL"
-  "OT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020"
-  "\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_"
-  "UNKNOWN\020\004b\006proto3"
+  "ice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007sessio"
+  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007"
+  "took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandy"
+  "ke.wire.UpstreamNotice\"*\n\013PackedFrame\022\014\n"
+  "\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\326\007\n\014GatewayFr"
+  "ame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 "
+  "\001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed"
+  "_snapshot\030\003 \001(\0132\035.rattandyke.wire.FeedSn"
+  "apshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattand"
+  "yke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001("
+  "\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013feed_r"
+  "eport\030\006 \001(\0132\033.rattandyke.wire.FeedReport"
+  "H\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyke."
+  "wire.ForwardedCallH\000\022<\n\020forwarded_answer"
+  "\030\010 \001(\0132 .rattandyke.wire.ForwardedAnswer"
+  "H\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.wir"
+  "e.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.ratta"
+  "ndyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001("
+  "\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\tslot"
+  "_done\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000"
+  "\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.Packe"
+  "dFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$"
+  ".rattandyke.wire.ForwardedHeartbeatsH\000\022Q"
+  "\n\033forwarded_heartbeat_answers\030\017 \001(\0132*.ra"
+  "ttandyke.wire.ForwardedHeartbeatAnswersH"
+  "\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke.wi"
+  "re.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001(\013"
+  "2\035.rattandyke.wire.DemandDigestH\000\0220\n\nlin"
+  "k_probe\030\022 \001(\0132\032.rattandyke.wire.LinkProb"
+  "eH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_"
+  "UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022"
+  "SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUS"
+  "ED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 7777, descriptor_table_protodef_gateway_2eproto,
+    false, false, 7796, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 53,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -15834,12 +15836,13 @@
     , decltype(_impl_.term_){}
     , decltype(_impl_.sequence_){}
     , decltype(_impl_.age_ms_){}
+    , decltype(_impl_.truncated_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
   ::memcpy(&_impl_.term_, &from._impl_.term_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
-    reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.age_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.truncated_) -
+    reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.truncated_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.DemandDigest)
 }
 
@@ -15853,6 +15856,7 @@
     , decltype(_impl_.term_){uint64_t{0u}}
     , decltype(_impl_.sequence_){uint64_t{0u}}
     , decltype(_impl_.age_ms_){0u}
+    , decltype(_impl_.truncated_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -15885,8 +15889,8 @@
   _impl_.owners_.Clear();
   _impl_.services_.Clear();
   ::memset(&_impl_.term_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.age_ms_) -
-      reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.age_ms_));
+      reinterpret_cast<char*>(&_impl_.truncated_) -
+      reinterpret_cast<char*>(&_impl_.term_)) + sizeof(_impl_.truncated_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -15946,6 +15950,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool truncated = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.truncated_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -16009,6 +16021,12 @@
         InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // bool truncated = 6;
+  if (this->_internal_truncated() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_truncated(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -16054,6 +16072,11 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
   }
 
+  // bool truncated = 6;
+  if (this->_internal_truncated() != 0) {
+    total_size += 1 + 1;
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -16083,6 +16106,9 @@
   if (from._internal_age_ms() != 0) {
     _this->_internal_set_age_ms(from._internal_age_ms());
   }
+  if (from._internal_truncated() != 0) {
+    _this->_internal_set_truncated(from._internal_truncated());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -16103,8 +16129,8 @@
   _impl_.owners_.InternalSwap(&other->_impl_.owners_);
   _impl_.services_.InternalSwap(&other->_impl_.services_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(DemandDigest, _impl_.age_ms_)
-      + sizeof(DemandDigest::_impl_.age_ms_)
+      PROTOBUF_FIELD_OFFSET(DemandDigest, _impl_.truncated_)
+      + sizeof(DemandDigest::_impl_.truncated_)
       - PROTOBUF_FIELD_OFFSET(DemandDigest, _impl_.term_)>(
           reinterpret_cast<char*>(&_impl_.term_),
           reinterpret_cast<char*>(&other->_impl_.term_));
