--- a/src/librattandyke/scheduling/return_schedule.cpp
+++ b/src/librattandyke/scheduling/return_schedule.cpp
@@ -16,7 +16,7 @@
 ReturnSchedule::Return
 ReturnSchedule::Unbooked(Duration aTimeLeft)
 {
-  return { std::max<Duration>(aTimeLeft / kHonouredDivisor, kInterval), false };
+  return { std::max(aTimeLeft / kHonouredDivisor, Duration{}), false };
 }
 
 ReturnSchedule::Return
--- a/src/librattandyke/scheduling/return_schedule_test.cpp
+++ b/src/librattandyke/scheduling/return_schedule_test.cpp
@@ -51,5 +51,17 @@
   EXPECT_TRUE(schedule.Book(milliseconds{ 600 }, kStart).booked);
 }
 
+// Guards against a return time that a caller with little time would not honour.
+TEST(ReturnSchedule, UnbookedReturnIsWithinAThirdOfTheRemainingTime)
+{
+  for (const int left : { -1, 0, 1, 90, 299, 300, 6000 }) {
+    const Duration timeLeft = milliseconds{ left };
+    const auto entry = ReturnSchedule::Unbooked(timeLeft);
+    EXPECT_FALSE(entry.booked);
+    EXPECT_EQ(entry.after, std::max(timeLeft / 3, Duration{})) << left;
+    EXPECT_EQ(ReturnSchedule(1).Book(timeLeft, kStart).booked, left == 6000);
+  }
+}
+
 } // namespace
 } // namespace rattandyke::scheduling
