The limits of dispatching by demand are stated

Limits that an upstream names in the response to a direct request stay with the entry host that got it, so dispatch = demand must not be used with such upstreams.

--- a/src/librattandyke/gateway/settings_table.cpp
+++ b/src/librattandyke/gateway/settings_table.cpp
@@ -462,7 +462,10 @@
       "How an entry host sends requests to upstreams. coordinated: with a slot "
       "from the upstream's allocator. demand: without one while the shared "
       "demand is below capacity; what exceeds the capacity of an owner of keys "
-      "is refused at the entry host. Needs shared_demand.",
+      "is refused at the entry host. Needs shared_demand. demand must "
+      "not be used with upstreams that name limits of their request rate: a "
+      "limit that an entry host learns from the response to a direct request "
+      "does not reach the other entry hosts until they ask an allocator.",
       [](Settings& aSettings, const std::string& aText) {
         return ParseChoice<Dispatch>(aText,
                                      { "coordinated", Dispatch::Coordinated },
