--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -342,8 +342,7 @@
 bool
 SlotCoordinator::IsOutdatedControlHost() const
 {
-  return mAllocators.Rule() == AllocatorRule::ControlHosts &&
-         !HasRecentState();
+  return mAllocators.Rule() == AllocatorRule::ControlHosts && !HasRecentState();
 }
 
 /// @return whether this host may act on its state without asking another one.
