--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 
 #include "gateway/key_load_map.h"
 #include "gateway/retry_share.h"
@@ -23,9 +22,7 @@
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
 
 /// Share of a route's latency objective for which a request waits for a slot or
 /// for an owner of its key. A request that waits longer is seldom in time; if
@@ -37,7 +34,6 @@
 /// is early enough.
 constexpr double kMaxStateWaitShare = 0.3;
 /// Retry-After values, by the reason for which a request has not run.
-constexpr milliseconds kRetryAfterFull{ 150 };
 constexpr milliseconds kRetryAfterNoOwner{ 400 };
 constexpr milliseconds kRetryAfterNoState{ 300 };
 /// Remaining time below which a request is not retried and waits for no slot.
@@ -45,9 +41,6 @@
 /// Time reserved for the response on its way to the caller, not available to
 /// the upstream.
 constexpr milliseconds kReturnMargin{ 4 };
-/// Transfer time of a response from this host to its caller, subtracted from
-/// the deadline for writing it.
-constexpr milliseconds kCallerDeliveryTime{ 15 };
 /// Timeout of a request without a deadline header.
 constexpr milliseconds kDefaultTimeout{ 10000 };
 /// Maximum number of attempts of a request in which nothing was sent, including
@@ -86,16 +79,6 @@
                                                       : aHost.substr(0, colon);
 }
 
-/// @return seconds with three decimals.
-std::string
-FormatSeconds(Duration aTime)
-{
-  char text[32];
-  const double seconds = std::chrono::duration<double>(aTime).count();
-  std::snprintf(text, sizeof(text), "%.3f", seconds);
-  return text;
-}
-
 int64_t
 Milliseconds(Duration aTime)
 {
@@ -118,12 +101,6 @@
   return {};
 }
 
-bool
-HasAskedForRest(const AttemptResult& aResult)
-{
-  return aResult.rest && *aResult.rest && **aResult.rest > Duration::zero();
-}
-
 AttemptOutcome
 ToAttemptOutcome(const AttemptResult& aResult, bool aAbandoned)
 {
@@ -617,92 +594,4 @@
     aProgress, kRetryAfterFull, aProgress.lastFailure);
 }
 
-CallerResponse
-RequestHandler::FinalResponse(const RequestProgress& aProgress,
-                              AttemptResult aResult) const
-{
-  const std::string& id = aProgress.request->requestId;
-  if (aResult.kind == AttemptResult::Kind::Response) {
-    CallerResponse response;
-    response.status = aResult.response.status;
-    http::ForEachEndToEnd(aResult.response.fields,
-                          [&](std::string_view aName, std::string_view aValue) {
-                            if (!IsForThisHost(aName)) {
-                              http::AppendField(response.fields, aName, aValue);
-                            }
-                          });
-    response.body = std::move(aResult.response.body);
-    response.sendBy = aProgress.arrived + Duration(aProgress.route->objective) -
-                      Duration(kCallerDeliveryTime);
-    response.sendAtLatest = aProgress.deadline - Duration(kCallerDeliveryTime);
-    return response;
-  }
-  if (!aProgress.mayHaveRun) {
-    const bool rests = aProgress.key && HasAskedForRest(aResult);
-    return NotExecutedResponse(
-      aProgress,
-      rests
-        ? std::min<Duration>(**aResult.rest, RestingUpstreams::kMaxRetryAfter)
-        : kRetryAfterFull,
-      aResult.reason);
-  }
-  const bool timeout = aProgress.context->HasExpired();
-  LogLine(id) << "request outcome unknown route=" << aProgress.route->name
-              << " service=" << aProgress.service
-              << " upstream=" << aProgress.lastUpstream
-              << " sent=" << aProgress.sentAttempts
-              << " reason=" << aResult.reason
-              << " after_ms=" << Milliseconds(mClock.Now() - aProgress.arrived);
-  return MakeResponse(
-    timeout ? kGatewayTimeout : kBadGateway, id, aResult.reason);
-}
-
-CallerResponse
-RequestHandler::NotExecutedResponse(const RequestProgress& aProgress,
-                                    Duration aRetryAfter,
-                                    const std::string& aReason) const
-{
-  const std::string& id = aProgress.request->requestId;
-  if (aProgress.mayHaveRun) {
-    return MakeResponse(kBadGateway, id, aReason);
-  }
-  LogLine(id) << "request not run route=" << aProgress.route->name
-              << " service=" << aProgress.service << " key="
-              << (aProgress.key ? std::to_string(*aProgress.key) : "-")
-              << " reason=" << aReason << " last=" << aProgress.lastFailure
-              << " owner=" << (aProgress.owner.empty() ? "-" : aProgress.owner)
-              << " upstream=" << aProgress.lastUpstream
-              << " index=" << mFeed.CurrentState().AppliedIndex().value
-              << " age_ms=" << Milliseconds(mFeed.StateAge())
-              << " after_ms=" << Milliseconds(mClock.Now() - aProgress.arrived);
-  return MakeResponse(kUnavailable, id, aReason, aRetryAfter);
-}
-
-CallerResponse
-RequestHandler::MakeResponse(unsigned aStatus,
-                             const std::string& aId,
-                             const std::string& aText,
-                             std::optional<Duration> aRetryAfter) const
-{
-  CallerResponse response;
-  response.status = aStatus;
-  if (!aId.empty()) {
-    http::AppendField(response.fields, mHeaders.requestId, aId);
-  }
-  if (aRetryAfter) {
-    http::AppendField(
-      response.fields, "Retry-After", FormatSeconds(*aRetryAfter));
-  }
-  http::AppendField(response.fields, "Content-Type", "text/plain");
-  response.body = aText + "\n";
-  return response;
-}
-
-CallerResponse
-RequestHandler::MakeErrorResponse(unsigned aStatus,
-                                  const std::string& aText) const
-{
-  return MakeResponse(aStatus, {}, aText);
-}
-
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -109,6 +109,8 @@
   std::string MetricsPage();
 
 private:
+  /// Retry-After of a request that no upstream could take.
+  static constexpr std::chrono::milliseconds kRetryAfterFull{ 150 };
   /// Approximate size of a request line and of the headers that this host adds.
   static constexpr size_t kRequestLineBytes = 160;
 
@@ -223,6 +225,9 @@
                         const UpstreamResponse& aResponse);
   /// Records the back pressure that an upstream's response signals.
   void RecordBackPressure(const Slot& aSlot, const AttemptResult& aResult);
+  /// @return whether the upstream refused the request and wants no further one
+  /// for some time.
+  static bool HasAskedForRest(const AttemptResult& aResult);
   /// @return whether the request may be sent again. If so, a retry is taken
   /// from the retry budget.
   bool TryTakeRetry(RequestProgress& aProgress, const AttemptResult& aResult);
