Control hosts offer to allocate slots only if entry hosts are uneven

Change: a control host states that it allocates if the fastest link of an entry host is at least one and a half times as fast as the slowest.

--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -274,7 +274,7 @@
   pendingReport.mutable_sender()->set_address(self.value);
   pendingReport.mutable_sender()->set_data_centre(settings.dataCentre.value);
   pendingReport.mutable_sender()->set_link_mbits(settings.linkMbits);
-  pendingReport.mutable_sender()->set_allocates_slots(slots && !stopping);
+  pendingReport.mutable_sender()->set_allocates_slots(OffersToAllocate());
   TakeServiceLoads(pendingReport);
   const wire::HostReport report = std::exchange(pendingReport, {});
   if (driver->IsLeader()) {
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -116,6 +116,7 @@
   // Allocation of slots: control_host_slots.cpp.
 
   std::unique_ptr<SlotCoordinator> MakeSlots();
+  bool OffersToAllocate() const;
   void ScheduleSlotTick();
   void OnSlotTick();
   void OnConsensusMessage(const std::string& aMessage);
--- a/src/librattandyke/gateway/control_host_slots.cpp
+++ b/src/librattandyke/gateway/control_host_slots.cpp
@@ -25,6 +25,20 @@
     [this] { return freshness.AgeAt(clock.Now()); });
 }
 
+/// @return whether this host states that it allocates slots.
+bool
+ControlHost::Impl::OffersToAllocate() const
+{
+  if (!slots || stopping) {
+    return false;
+  }
+  std::vector<double> links;
+  for (const auto& [address, entry] : state.Entries()) {
+    links.push_back(entry.link_mbits());
+  }
+  return scheduling::AllocatorDirectory::HasUnevenLinks(links);
+}
+
 void
 ControlHost::Impl::ScheduleSlotTick()
 {
--- a/src/librattandyke/gateway/settings_table.cpp
+++ b/src/librattandyke/gateway/settings_table.cpp
@@ -435,9 +435,10 @@
       "entries",
       "entries or capacity",
       "Hosts that allocate the slots of upstreams. entries: all entry hosts "
-      "alike. capacity: control hosts, if there are at most 400 entry hosts "
-      "and each control host states a link_mbits of at least ten times the "
-      "mean of the entry hosts'; otherwise entry hosts by their link_mbits. "
+      "alike. capacity: control hosts, if there are at most 400 entry hosts, "
+      "the fastest of them has at least one and a half times the link_mbits of "
+      "the slowest, and each control host states at least ten times their "
+      "mean; otherwise entry hosts by their link_mbits. "
       "All hosts need the same value.",
       [](Settings& aSettings, const std::string& aText) {
         return ParseChoice<SlotAllocators>(
--- a/src/librattandyke/scheduling/allocator_directory.cpp
+++ b/src/librattandyke/scheduling/allocator_directory.cpp
@@ -58,6 +58,17 @@
   return aAddress == second ? AllocatorRole::Second : AllocatorRole::None;
 }
 
+bool
+AllocatorDirectory::HasUnevenLinks(const std::vector<double>& aLinkMbits)
+{
+  if (aLinkMbits.empty()) {
+    return false;
+  }
+  const auto [slowest, fastest] =
+    std::minmax_element(aLinkMbits.begin(), aLinkMbits.end());
+  return *slowest > 0 && *fastest >= kMinLinkSpread * *slowest;
+}
+
 void
 AllocatorDirectory::Replace(const std::vector<Statement>& aEntries,
                             const std::vector<Statement>& aControlHosts)
--- a/src/librattandyke/scheduling/allocator_directory.h
+++ b/src/librattandyke/scheduling/allocator_directory.h
@@ -47,6 +47,15 @@
   /// fast as the mean link of the entry hosts. With links alike, the messages
   /// would only take other ways.
   static constexpr double kMinControlLinkRatio = 10;
+  /// A control host offers to allocate if the fastest link of an entry host is
+  /// this many times as fast as the slowest. Entry hosts that are alike share
+  /// the work evenly, near to the requests.
+  static constexpr double kMinLinkSpread = 1.5;
+
+  /// @param aLinkMbits bandwidths of the entry hosts; 0: not stated.
+  /// @return whether the entry hosts are so uneven that control hosts should
+  /// offer to allocate; false if one does not state its bandwidth.
+  static bool HasUnevenLinks(const std::vector<double>& aLinkMbits);
 
   /// Allocators of one group. The views are valid until the directory changes.
   struct Allocators
--- a/src/librattandyke/scheduling/allocator_directory_test.cpp
+++ b/src/librattandyke/scheduling/allocator_directory_test.cpp
@@ -113,6 +113,17 @@
   EXPECT_GT(gained, 0U);
 }
 
+// Guards against other allocators in deployments whose entry hosts are alike:
+// there, messages to control hosts cost more than they save.
+TEST(AllocatorDirectory, LinksAreUnevenFromTheStatedSpreadOn)
+{
+  EXPECT_FALSE(AllocatorDirectory::HasUnevenLinks({}));
+  EXPECT_FALSE(AllocatorDirectory::HasUnevenLinks({ 2.3, 2.3, 2.3 }));
+  EXPECT_FALSE(AllocatorDirectory::HasUnevenLinks({ 2, 2.9 }));
+  EXPECT_TRUE(AllocatorDirectory::HasUnevenLinks({ 1.7, 5.5, 1.7 }));
+  EXPECT_FALSE(AllocatorDirectory::HasUnevenLinks({ 1.7, 5.5, 0 }));
+}
+
 // Guards against two rules in force at once: control hosts allocate only if
 // there are few entry hosts and each of them follows the rule.
 TEST(AllocatorDirectory, ControlHostsAllocateForFewEntriesThatStateTheirLinks)
