--- a/src/librattandyke/scheduling/allocator_watch.h
+++ b/src/librattandyke/scheduling/allocator_watch.h
@@ -9,7 +9,7 @@
 
 namespace rattandyke::scheduling {
 
-/// Tells which control hosts have not reported to the leader for so long that
+/// Finds control hosts that have not reported to the leader for so long that
 /// others must allocate in their place. A lost control host stays a member of
 /// the control group if there is no spare for it. Does no I/O. Not thread-safe.
 class AllocatorWatch
--- a/src/librattandyke/scheduling/dispatch_policy.h
+++ b/src/librattandyke/scheduling/dispatch_policy.h
@@ -34,9 +34,9 @@
   UnknownService,
   /// The digest does not list the owner, and leaves out busy owners.
   UnknownOwner,
-  /// This host has lately had a request for the owner.
+  /// This host has recently had a request for the owner.
   SentRecently,
-  /// The owner has lately failed or refused a request.
+  /// The owner has recently failed or refused a request.
   RecentFailure,
   /// The owner is cold, limited in its rate, resting or leaving.
   Restricted,
--- a/src/librattandyke/scheduling/link_admission.h
+++ b/src/librattandyke/scheduling/link_admission.h
@@ -253,7 +253,7 @@
                         Duration aLinkDelay,
                         Instant aNow);
 
-  /// Priorities that are told apart; lower ones share the last level.
+  /// Number of distinct priorities; lower ones share the last level.
   static constexpr size_t kLevels = 8;
   static constexpr size_t kBusySlots = 10;
 
--- a/src/librattandyke/scheduling/owner_admission.h
+++ b/src/librattandyke/scheduling/owner_admission.h
@@ -11,7 +11,7 @@
 
 namespace rattandyke::scheduling {
 
-/// What the time that a caller states for its response tells of it.
+/// History of a caller, derived from the deadline that its request states.
 enum class CallerHistory : uint8_t
 {
   /// It has not been refused before.
@@ -22,7 +22,7 @@
   Returned,
 };
 
-/// Tells callers that return from new ones, whose stated time is longer. A
+/// Distinguishes returning callers from new ones, which state a longer time. A
 /// returning caller usually reaches another host than before, and its request
 /// has a new id. Not thread-safe.
 class StatedTimes
@@ -40,8 +40,8 @@
 /// apply the same share, so that together they send the owner what it can run
 /// without exchanging a message. Does no I/O. Not thread-safe.
 ///
-/// Kinds of requests are told apart by priority. A token that is available goes
-/// to the most urgent kind that has arrived lately, unless another one has got
+/// Kinds of requests are distinguished by priority. An available token goes to
+/// the most urgent kind that has arrived recently, unless another one has got
 /// none for kStarvedAfter.
 class OwnerAdmission
 {
--- a/src/librattandyke/scheduling/state_freshness.h
+++ b/src/librattandyke/scheduling/state_freshness.h
@@ -7,7 +7,7 @@
 
 namespace rattandyke::scheduling {
 
-/// Tells for how long a host's state has not been confirmed to be up to date. A
+/// Measures for how long a host's state has not been confirmed up to date. A
 /// host that was paused first reads the messages that arrived meanwhile. They
 /// confirm a state of that time, so they do not count. Does no I/O. Not
 /// thread-safe.
