Revoked keys that their owner never reports as released are freed

Callers of such keys were refused ("no upstream", owner=-) for as long as the owner ran, although it and all other upstreams were well.

The leader's log has hold_back_ranges for all keys of i-0-1 around a hot key at 11.9 and 12.0 s, and nothing for them afterwards; 18 s later every refused request is for one of these keys.

Cause: the leader freed revoked keys only when the owner reported their release or when the lease of the whole instance ended.

Change: once the lease with which the keys may last have been renewed is over, counted from when this leader knows the revocation as committed, they are freed. No answer since then has renewed them, so they have no second owner.

RangeAssigner.RevokedKeysThatAreNeverReportedGetAnOwner fails without the change (still revoked after twice the lease) and passes with it.

--- a/src/librattandyke/gateway/range_assigner.cpp
+++ b/src/librattandyke/gateway/range_assigner.cpp
@@ -12,13 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// The leader lets a lease end after this multiple of its duration, plus a
-/// constant. An instance's clock may run 2% slow, so that its lease lasts
-/// 1/0.98 of the duration; the rest of the margin covers the granularity of
-/// timers.
-constexpr double kLeaseMargin = 1.03;
-constexpr Duration kTimerSlack = milliseconds{ 50 };
-
 /// Maximum number of recomputations of a service's owner loads in one tick
 /// that returning instances may force.
 constexpr uint32_t kMaxForcedUpdates = 4;
@@ -50,8 +43,7 @@
   mInstancesByAddress.clear();
   mPlans.clear();
   mIncarnationsReported = false;
-  const Instant leaseEnd =
-    aNow + Scaled(mOptions.leaseDuration, kLeaseMargin) + kTimerSlack;
+  const Instant leaseEnd = aNow + MaxLeaseTime();
   for (const auto& [service, ranges] : aState.AllRanges()) {
     for (const wire::RangeSegment& segment : ranges.Segments()) {
       if (!segment.holder().empty()) {
@@ -341,9 +333,7 @@
   }
   // The leader counts from the arrival of the heartbeat, and the instance from
   // the earlier sending, so the instance's lease ends no later than this.
-  status.leaseEnd = std::max(
-    status.leaseEnd,
-    aArrived + Scaled(mOptions.leaseDuration, kLeaseMargin) + kTimerSlack);
+  status.leaseEnd = std::max(status.leaseEnd, aArrived + MaxLeaseTime());
   if (!status.leaseCheckAt) {
     ScheduleLeaseCheck(id, status, status.leaseEnd);
   }
@@ -355,6 +345,7 @@
 {
   std::vector<wire::GatewayCommand> commands;
   FreeExpiredLeases(aState, aNow, commands);
+  FreeUnreportedKeys(aState, aNow, commands);
   RemoveSilentInstances(aState, aNow, commands);
   for (auto& [service, plan] : mPlans) {
     plan.load.Decay(aNow, plan.ownerLoads.size());
--- a/src/librattandyke/gateway/range_assigner.h
+++ b/src/librattandyke/gateway/range_assigner.h
@@ -140,6 +140,15 @@
   uint64_t Visits() const { return mVisits; }
 
 private:
+  /// Keys that their owner is to release, and the time since which this leader
+  /// knows that.
+  struct Revocation
+  {
+    KeySpan keys;
+    std::string owner;
+    Instant since{};
+  };
+
   /// Unreplicated data on one instance.
   struct InstanceStatus
   {
@@ -214,6 +223,8 @@
     std::deque<std::pair<Instant, uint32_t>> pendingGrantOrder;
     /// Time at which each hot key was last moved.
     std::map<uint32_t, Instant> hotKeyMoves;
+    /// By first key.
+    std::map<uint32_t, Revocation> revocations;
     /// Cached result of ComputeOwnerLoads for the state at loadsIndex, the sum
     /// of its speeds, and whether it must be computed again; see OwnerLoadsOf.
     OwnerLoads ownerLoads;
@@ -249,6 +260,9 @@
   /// heartbeat.
   /// @param aReturning the instance is registered and was silent.
   static void InvalidateLoads(ServicePlan& aPlan, bool aReturning);
+  /// @return the longest time for which an instance holds keys after the
+  /// arrival of the heartbeat that renewed its lease.
+  Duration MaxLeaseTime() const;
   /// Sets the time of an instance's next check for an expired lease.
   void ScheduleLeaseCheck(const std::string& aId,
                           InstanceStatus& aStatus,
@@ -277,6 +291,11 @@
   void FreeExpiredLeases(const State& aState,
                          Instant aNow,
                          std::vector<wire::GatewayCommand>& aCommands);
+  /// Appends commands that free revoked keys which their owner does not report
+  /// as released, once its lease on them has ended.
+  void FreeUnreportedKeys(const State& aState,
+                          Instant aNow,
+                          std::vector<wire::GatewayCommand>& aCommands);
   /// Appends commands that remove silent instances from the state, and erases
   /// statuses that are no longer needed. Each call visits a part of the
   /// statuses.
--- a/src/librattandyke/gateway/range_assigner_leases.cpp
+++ b/src/librattandyke/gateway/range_assigner_leases.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+/// The leader lets a lease end after this multiple of its duration, plus a
+/// constant. An instance's clock may run 2% slow, so that its lease lasts
+/// 1/0.98 of the duration; the rest of the margin covers the granularity of
+/// timers.
+constexpr double kLeaseMargin = 1.03;
+constexpr Duration kTimerSlack = std::chrono::milliseconds{ 50 };
 /// A new process at an address replaces a silent one only after it has sent
 /// heartbeats for this many intervals. A single heartbeat is more likely a
 /// delayed one of an earlier process.
@@ -34,6 +40,12 @@
 
 } // namespace
 
+Duration
+RangeAssigner::MaxLeaseTime() const
+{
+  return Scaled(mOptions.leaseDuration, kLeaseMargin) + kTimerSlack;
+}
+
 void
 RangeAssigner::ScheduleLeaseCheck(const std::string& aId,
                                   InstanceStatus& aStatus,
@@ -242,6 +254,40 @@
   }
 }
 
+/// An owner whose lease on revoked keys expires, since the answers to its
+/// heartbeats are lost, does not report them as released: to it, they have
+/// expired. It sends heartbeats and its other keys are renewed, so without this
+/// the revoked keys would have no owner for as long as it runs. No answer since
+/// the revocation was committed has renewed them.
+void
+RangeAssigner::FreeUnreportedKeys(const State& aState,
+                                  Instant aNow,
+                                  std::vector<wire::GatewayCommand>& aCommands)
+{
+  for (const auto& [service, ranges] : aState.AllRanges()) {
+    const OwnerIndex::FirstKeys& revoked = IndexOf(service, ranges).Revoked();
+    auto& revocations = mPlans[service].revocations;
+    std::erase_if(revocations, [&](const auto& aItem) {
+      return !revoked.contains(aItem.first);
+    });
+    for (const uint32_t key : revoked) {
+      const wire::RangeSegment& segment = ranges.Find(key);
+      Revocation& revocation = revocations[key];
+      if (revocation.keys != SpanOf(segment) ||
+          revocation.owner != segment.holder()) {
+        revocation = { SpanOf(segment), segment.holder(), aNow };
+      } else if (aNow - revocation.since >= MaxLeaseTime()) {
+        revocation.since = aNow;
+        wire::FreeRanges& free =
+          *aCommands.emplace_back().mutable_free_ranges();
+        free.set_service(service);
+        free.set_holder(segment.holder());
+        AddRange(free, SpanOf(segment), "");
+      }
+    }
+  }
+}
+
 void
 RangeAssigner::RemoveSilentInstances(
   const State& aState,
--- a/src/librattandyke/gateway/range_assigner_moves_test.cpp
+++ b/src/librattandyke/gateway/range_assigner_moves_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/range_assigner.h"
 
+#include <algorithm>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -561,6 +562,36 @@
   }
 }
 
+// An owner's lease on revoked keys expires, as answers to it are lost, so it
+// never reports them as released while it serves its other keys. They must get
+// another owner, but not before the lease has ended.
+TEST(RangeAssigner, RevokedKeysThatAreNeverReportedGetAnOwner)
+{
+  SimulatedLeader leader;
+  AssignKeysToTwo(leader);
+  OverloadFirstKeys(leader, 20);
+  leader.HandleHeartbeat(HeartbeatFrom("b", 8));
+  leader.HandleHeartbeat(HeartbeatFrom("a", 8));
+  const RangeTable& ranges = *leader.state.Ranges("board");
+  const auto segment =
+    std::find_if(ranges.Segments().begin(),
+                 ranges.Segments().end(),
+                 [](const auto& aOne) { return aOne.held_back(); });
+  ASSERT_NE(segment, ranges.Segments().end());
+  const uint32_t key = segment->from();
+  const Instant revokedAt = leader.now;
+  uint64_t sequence = 8;
+  while (leader.state.Ranges("board")->Find(key).held_back()) {
+    leader.AdvanceTime(milliseconds{ 500 });
+    ++sequence;
+    leader.HandleHeartbeat(HeartbeatFrom("b", sequence));
+    leader.HandleHeartbeat(HeartbeatFrom("a", sequence));
+    ASSERT_LT(leader.now - revokedAt, 2 * kLeaseDuration);
+  }
+  EXPECT_GE(leader.now - revokedAt, kLeaseDuration);
+  EXPECT_EQ(leader.OwnerOf(key), "b");
+}
+
 // A heartbeat reports the release of revoked keys. Moves that were planned by
 // the state before the release would revoke the same keys again, of an instance
 // that no longer owns them, and they would never have an owner again.
