A readiness event without bytes is no request on an idle connection

Shutdown.NothingInFlightIsCutOff failed now and then: an idle connection did not end at a shutdown, and 10 s later its caller got a 408 that it had never asked for, which a caller that keeps connections may take for the next response.

In a trial that prints, AwaitReadable returned while nothing could be read: an event that belongs to bytes read before ends the next wait. CallerStream took the event for bytes, left the idle state, and read a head that nobody sent.

Change: CallerStream looks at the socket after each event and waits again if nothing can be read. If it is to end meanwhile, it ends: the wait whose handler is queued can't be cancelled. A watch for the caller's departure goes on after such an event, too; it used to stop.

The other waits for a socket, net/frame_connection and gateway/caller_connection, read or peek already. All other waits in http/, admin/ and server/ are for timers or signals and check their condition or their error; admin/ and the pool of upstream connections read with Beast or peek.

CallerStream.SpuriousReadinessIsNoRequest fails without the change.

--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -19,14 +19,26 @@
 /// An idle connection keeps no more than this of what a request needed.
 constexpr size_t kMaxIdleBufferBytes = 8192;
 
-/// @return whether the other side has closed, or the connection is broken.
-bool
-HasEnded(asio::ip::tcp::socket& aSocket)
+/// What a read of a connection would give.
+enum class Input
+{
+  Bytes,
+  Nothing,
+  /// The other side has closed, or the connection is broken.
+  End,
+};
+
+Input
+Peek(asio::ip::tcp::socket& aSocket)
 {
   char byte = 0;
   const auto got =
     recv(aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (got > 0) {
+    return Input::Bytes;
+  }
+  const bool isEmpty = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return isEmpty ? Input::Nothing : Input::End;
 }
 
 } // namespace
@@ -85,12 +97,21 @@
                      });
 }
 
+/// A readiness event does not prove that the socket is readable: one of bytes
+/// that have been read since may end the next wait. The connection would count
+/// as one on which a request arrives, so that a shutdown did not end it, and
+/// its caller would get a response to a request that it never sent.
 void
 CallerStream::OnReadable(const error_code& aError)
 {
   mWaiting = false;
+  const Input input = Peek(mSocket);
+  if (!aError && input == Input::Nothing && !mEndsIdle) {
+    StartWait();
+    return;
+  }
   mReadable.Notify();
-  if (aError || HasEnded(mSocket)) {
+  if (aError || input != Input::Bytes) {
     mGone = true;
   }
   if (mGone && mOnGone) {
@@ -212,10 +233,19 @@
 {
   mLeaving = true;
   if (IsIdle()) {
-    Cancel();
+    EndIdle();
   }
 }
 
+/// A wait whose readiness event is being handled can't be cancelled any more;
+/// OnReadable must not begin another.
+void
+CallerStream::EndIdle()
+{
+  mEndsIdle = true;
+  Cancel();
+}
+
 /// @return whether it waits for a request and none has begun to arrive.
 bool
 CallerStream::IsIdle()
@@ -249,7 +279,7 @@
     return;
   }
   mTimedOut = true;
-  Cancel();
+  EndIdle();
 }
 
 } // namespace rattandyke::http
--- a/src/librattandyke/http/caller_stream.h
+++ b/src/librattandyke/http/caller_stream.h
@@ -94,6 +94,7 @@
   void Expire();
   void LeaveNow();
   bool IsIdle();
+  void EndIdle();
   void ExpireIn(Duration aTime) { mExpiry.Set(mClock.Now() + aTime); }
   error_code Finish(error_code aError);
 
@@ -114,6 +115,8 @@
   bool mGone = false;
   bool mIdle = false;
   bool mLeaving = false;
+  /// The connection ends unless bytes have arrived on it.
+  bool mEndsIdle = false;
   bool mTimedOut = false;
 };
 
--- a/src/librattandyke/http/caller_stream_test.cpp
+++ b/src/librattandyke/http/caller_stream_test.cpp
@@ -1,7 +1,10 @@
 #include "http/caller_stream.h"
 
+#include <array>
 #include <optional>
 
+#include <sys/socket.h>
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -48,5 +51,47 @@
   EXPECT_EQ(readable, std::optional(true));
 }
 
+// Guards against an idle connection that counts as one on which a request
+// arrives, and outlives a shutdown, after a readiness event without bytes.
+TEST(CallerStream, SpuriousReadinessIsNoRequest)
+{
+  asio::io_context context;
+  testing::SteppedClock clock;
+  const Limits limits;
+  tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  tcp::socket caller(context);
+  caller.connect(acceptor.local_endpoint());
+  tcp::socket accepted = acceptor.accept();
+  const int descriptor = accepted.native_handle();
+  const auto stream =
+    std::make_shared<CallerStream>(std::move(accepted), limits, clock);
+  tcp::socket signal(context);
+  signal.connect(acceptor.local_endpoint());
+  tcp::socket trigger = acceptor.accept();
+  std::array<char, 9> consumed;
+  ssize_t received = 0;
+  trigger.async_wait(tcp::socket::wait_read, [&](const error_code&) {
+    received = recv(descriptor, consumed.data(), consumed.size(), MSG_DONTWAIT);
+  });
+  std::optional<bool> readable;
+  asio::co_spawn(
+    context,
+    [&]() -> asio::awaitable<void> {
+      readable = co_await stream->AwaitRequest();
+    },
+    asio::detached);
+  context.poll();
+  asio::write(signal, asio::buffer("1", 1)); // This event is handled first.
+  asio::write(caller, asio::buffer("2", 1));
+  context.restart();
+  context.poll();
+  ASSERT_EQ(received, 1);
+  EXPECT_FALSE(readable.has_value());
+  stream->Leave();
+  context.restart();
+  context.poll();
+  EXPECT_EQ(readable, std::optional(false));
+}
+
 } // namespace
 } // namespace rattandyke::http
