The home of an upstream in serve keeps the rests of hosts that restart

An upstream's rest (Retry-After of a 503) was kept by the entry's process only. The home paused for 5 s at most for all, so an entry that restarted within a longer rest sent the upstream requests again. The broker now keeps until when an upstream wants nothing from a host and refuses the next process on it.

CreditBroker.RestartedEntryKeepsItsRest fails without the change.

--- a/src/librattandyke/entry/credit_broker.cpp
+++ b/src/librattandyke/entry/credit_broker.cpp
@@ -36,6 +36,12 @@
     mAnswers.push_back({ aEvent.key, state });
     return;
   }
+  const Duration rest = RestLeft(aEvent.key.host);
+  if (rest > Duration::zero()) {
+    mAnswers.push_back(
+      { aEvent.key, CreditState::Refused, Code::Overloaded, rest });
+    return;
+  }
   const admission::Ticket ticket{ ++mTickets };
   const Instant deadline = mNow + aEvent.finishWithin;
   mRequests.emplace(aEvent.key, Request{ ticket, false, deadline + kGrace });
@@ -64,11 +70,33 @@
     return Drop(aEvent.key);
   }
   admission::Finished finished = *aEvent.finished;
+  if (finished.ending == admission::Ending::Shed) {
+    RecordRest(aEvent.key.host, finished.retryAfter);
+  }
   finished.ticket = request->second.ticket;
   Erase(aEvent.key);
   Feed(finished);
 }
 
+/// @return the time for which an entry must send the upstream nothing. The
+/// entry knows it, unless it has been restarted since.
+Duration
+CreditBroker::RestLeft(const HostName& aHost) const
+{
+  const auto rest = mRests.find(aHost);
+  return rest == mRests.end()
+           ? Duration::zero()
+           : std::max<Duration>(rest->second - mNow, Duration::zero());
+}
+
+void
+CreditBroker::RecordRest(const HostName& aHost, Duration aRest)
+{
+  std::erase_if(mRests, [&](const auto& aOne) { return aOne.second <= mNow; });
+  Instant& until = mRests[aHost];
+  until = std::max<Instant>(until, mNow + aRest);
+}
+
 void
 CreditBroker::Drop(const CreditKey& aKey)
 {
--- a/src/librattandyke/entry/credit_broker.h
+++ b/src/librattandyke/entry/credit_broker.h
@@ -133,6 +133,8 @@
   void Drop(const CreditKey& aKey);
   void Erase(const CreditKey& aKey);
   void ReclaimOverdue();
+  Duration RestLeft(const HostName& aHost) const;
+  void RecordRest(const HostName& aHost, Duration aRest);
 
   const std::unique_ptr<admission::Admission> mAdmission;
   Instant mNow{};
@@ -141,6 +143,9 @@
   std::map<admission::Ticket, CreditKey> mKeys;
   /// When requests can no longer be running.
   std::set<std::pair<Instant, CreditKey>> mEnds;
+  /// Until when the upstream wants no requests from an entry, for the next
+  /// process on the entry's host.
+  std::map<HostName, Instant> mRests;
   uint64_t mTickets = 0;
 };
 
--- a/src/librattandyke/entry/credit_test.cpp
+++ b/src/librattandyke/entry/credit_test.cpp
@@ -82,6 +82,27 @@
   EXPECT_EQ(broker.Granted(), 0u);
 }
 
+// An entry is killed within a rest that the upstream asked it for. The process
+// that starts in its place must not send the upstream requests.
+TEST(CreditBroker, RestartedEntryKeepsItsRest)
+{
+  CreditBroker broker(Fair(2));
+  broker.Step(AskedBy("a", 1), kStart);
+  admission::Finished shed;
+  shed.ending = admission::Ending::Shed;
+  shed.retryAfter = 20s;
+  broker.Step(credit_event::Returned{ { { "a" }, 1, 1 }, shed }, kStart);
+  broker.Step(credit_event::SessionGone{ { "a" }, 1 }, kStart + 1s);
+  credit_event::Asked successor = AskedBy("a", 1);
+  successor.key.session = 2;
+  const auto refused = broker.Step(successor, kStart + 8s);
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].state, CreditState::Refused);
+  EXPECT_EQ(refused[0].retryAfter, Duration(12s));
+  EXPECT_EQ(GrantedIn(broker.Step(AskedBy("b", 1), kStart + 8s)), 1U);
+  EXPECT_EQ(GrantedIn(broker.Step(successor, kStart + 20s)), 1U);
+}
+
 /// The home of an upstream stands still. Callers of this entry wait for the
 /// home's timeout once, then go by the entry's own small limit, and by the home
 /// again once it answers; what it granted meanwhile is given back.
