Upstreams with outdated response times are tried again

An upstream that responded slowly once, as at its start or an entry's, got no request any more while others of its service had room: the choice compares average response times, which change only with responses.

Change: an upstream that had room in 32 choices and got no request for 2 s is tried if it would be as good as the best one with that one's response time; its response replaces the average. One that is really slow gets at most one in 32 requests, whatever their rate and the number of upstreams. The same in the choice by load reports and by response times. The latter preferred the last of equals; it now spreads as the former does.

--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -54,6 +54,11 @@
 /// An upstream that reports this many waiting requests or more gets no
 /// uncoordinated ones.
 constexpr uint32_t kOverloadedWaiting = 3;
+/// An upstream that had room in this many choices, and got no request for this
+/// time, is tried again. Those that are slow get at most one in so many
+/// requests each; one that was slow only once gets its share again soon.
+constexpr uint32_t kMaxTimesPassedOver = 32;
+constexpr milliseconds kOutdatedAfter{ 2000 };
 /// Requests per second.
 constexpr double kMinCapacity = 0.01;
 /// Number of groups of a service whose keys have owners. A request for a key
@@ -258,14 +263,67 @@
 }
 
 double
-UpstreamSet::Cost(const Upstream& aUpstream, const DataCentre& aDataCentre)
+UpstreamSet::Cost(const Upstream& aUpstream,
+                  double aResponseSeconds,
+                  const DataCentre& aDataCentre)
 {
   const double load =
     (aUpstream.inFlight + 1.0) / static_cast<double>(aUpstream.slots);
   const double waits = aUpstream.inFlight >= aUpstream.slots ? kQueuedCost : 0;
   const double distanceFactor =
     aUpstream.dataCentre == aDataCentre.value ? 1.0 : kRemoteCostFactor;
-  return ResponseSecondsOf(aUpstream) * (0.5 + load + waits) * distanceFactor;
+  return aResponseSeconds * (0.5 + load + waits) * distanceFactor;
+}
+
+bool
+UpstreamSet::IsOutdated(const Upstream& aUpstream, Instant aNow)
+{
+  return aUpstream.timesPassedOver >= kMaxTimesPassedOver &&
+         aNow - aUpstream.lastStartAt >= Duration(kOutdatedAfter);
+}
+
+/// The average response time of an instance changes only with its responses.
+/// Without this, one that was slow once would get no further request, however
+/// fast it has become, as long as the others have room.
+const UpstreamSet::Item*
+UpstreamSet::PreferOutdated(const std::vector<const Item*>& aItems,
+                            const Item* aBest,
+                            const CostAt& aCost,
+                            Instant aNow)
+{
+  const Item* chosen = aBest;
+  uint32_t most = 0;
+  for (const Item* item : aItems) {
+    const Upstream& upstream = item->second;
+    if (item == aBest || !IsOutdated(upstream, aNow) ||
+        upstream.timesPassedOver <= most) {
+      continue;
+    }
+    if (aBest != nullptr) {
+      const double seconds = ResponseSecondsOf(aBest->second);
+      if (aCost(upstream, seconds) > aCost(aBest->second, seconds)) {
+        continue;
+      }
+    }
+    chosen = item;
+    most = upstream.timesPassedOver;
+  }
+  for (const Item* item : aItems) {
+    item->second.timesPassedOver += item == chosen ? 0 : 1;
+  }
+  return chosen;
+}
+
+std::vector<std::string>
+UpstreamSet::UnusedInstances(Instant aNow) const
+{
+  std::vector<std::string> unused;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (IsMember(upstream) && IsOutdated(upstream, aNow)) {
+      unused.push_back(id);
+    }
+  }
+  return unused;
 }
 
 uint32_t
@@ -505,13 +563,20 @@
   if (room.empty()) {
     return known ? UnavailableReason::Full : UnavailableReason::NoInstance;
   }
+  const CostAt cost = [&](const Upstream& aUpstream, double aSeconds) {
+    return Cost(aUpstream, aSeconds, aDataCentre);
+  };
+  const auto presentCost = [&](const Item* aItem) {
+    return cost(aItem->second, ResponseSecondsOf(aItem->second));
+  };
   const Item* best = room[mRandom() % room.size()];
   for (const Item* other : room) {
-    if (Cost(other->second, aDataCentre) < Cost(best->second, aDataCentre)) {
+    if (presentCost(other) < presentCost(best)) {
       best = other;
     }
   }
-  return Choice{ best->first, best->second.address };
+  const Item* chosen = PreferOutdated(room, best, cost, aNow);
+  return Choice{ chosen->first, chosen->second.address };
 }
 
 UpstreamSet::Outcome
@@ -610,6 +675,8 @@
 {
   Upstream& upstream = mUpstreams[aInstance];
   const bool full = EstimatedLoad(upstream, aNow) >= upstream.slots;
+  const bool outdated = IsOutdated(upstream, aNow);
+  upstream.timesPassedOver = 0;
   ++upstream.inFlight;
   ++upstream.startsSinceReport;
   upstream.lastStartAt = aNow;
@@ -627,7 +694,8 @@
   }
   const bool hasReport = HasFreshReport(upstream, aNow);
   return { upstream.inFlight > upstream.slots || (hasReport && full),
-           upstream.incarnation };
+           upstream.incarnation,
+           outdated };
 }
 
 void
@@ -654,7 +722,9 @@
     // count for ten.
     ++upstream.timedResponses;
     const double weight =
-      std::max(kResponseTimeWeight, 1.0 / upstream.timedResponses);
+      aStart.outdated
+        ? 1.0
+        : std::max(kResponseTimeWeight, 1.0 / upstream.timedResponses);
     upstream.meanSeconds += weight * (seconds - upstream.meanSeconds);
     mChangedResponseSeconds.insert(aInstance);
   }
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -301,6 +301,10 @@
   /// of the hosts that send it requests now.
   std::map<std::string, double> TakeChangedResponseSeconds();
 
+  /// @return the instances that get no requests although they could be sent
+  /// some: they lost the last choices, over some seconds.
+  std::vector<std::string> UnusedInstances(Instant aNow) const;
+
   /// State of an instance when an attempt starts.
   struct AttemptStart
   {
@@ -308,6 +312,8 @@
     bool queued = false;
     /// Incarnation of the instance.
     uint64_t incarnation = 0;
+    /// What is known of the response time is old.
+    bool outdated = false;
   };
 
   /// Records the start of an attempt at an instance.
@@ -377,6 +383,8 @@
     uint32_t startsSinceReport = 0;
     Instant lastStartAt{};
     uint32_t inFlight = 0;
+    /// Choices since lastStartAt in which it had room and another was chosen.
+    mutable uint32_t timesPassedOver = 0;
     /// Moving average of response times, in seconds; 0: none yet.
     double meanSeconds = 0;
     /// Number of response times in the average so far.
@@ -416,6 +424,28 @@
 
   using HasRoom = std::function<bool(const Upstream&)>;
 
+  /// @return whether an instance had room in many choices and has got no
+  /// request for some time, so that its average response time is outdated.
+  static bool IsOutdated(const Upstream& aUpstream, Instant aNow);
+
+  /// @return a random factor near 1. Hosts that know the same of instances must
+  /// not all choose the same one.
+  double Spread();
+
+  /// Cost of an instance if its average response time is the given one, in
+  /// seconds.
+  using CostAt = std::function<double(const Upstream&, double)>;
+
+  /// Chooses an outdated instance in place of the best one if it would cost no
+  /// more with the best one's response time. Counts those that are passed over.
+  /// @param aItems the instances that have room.
+  /// @param aBest the best of them; null if none is good enough.
+  /// @return aBest, or another one.
+  static const Item* PreferOutdated(const std::vector<const Item*>& aItems,
+                                    const Item* aBest,
+                                    const CostAt& aCost,
+                                    Instant aNow);
+
   /// Chooses the cheapest instance of a group that has room.
   Outcome ChooseWithRoom(const std::string& aService,
                          uint32_t aGroup,
@@ -460,7 +490,9 @@
   void Regroup(const std::string& aName);
   bool IsUsable(const Upstream& aUpstream, Instant aNow) const;
   static uint32_t MaxInFlight(const Upstream& aUpstream);
-  static double Cost(const Upstream& aUpstream, const DataCentre& aDataCentre);
+  static double Cost(const Upstream& aUpstream,
+                     double aResponseSeconds,
+                     const DataCentre& aDataCentre);
   const std::vector<const Item*>& SubsetOf(const std::string& aService);
   /// @return whether an instance has a load report that is recent enough to be
   /// used.
@@ -473,7 +505,7 @@
   /// @return the estimated response time of one more request.
   /// @param aDefaultSeconds response time of an instance without an average.
   double EstimatedResponseSeconds(const Upstream& aUpstream,
-                                  double aDefaultSeconds,
+                                  double aMeanSeconds,
                                   Instant aNow) const;
   /// @return the average response time of the instances that have one.
   static double MeanSecondsOf(const std::vector<const Item*>& aItems);
--- a/src/librattandyke/gateway/upstream_set_direct.cpp
+++ b/src/librattandyke/gateway/upstream_set_direct.cpp
@@ -112,7 +112,7 @@
 
 double
 UpstreamSet::EstimatedResponseSeconds(const Upstream& aUpstream,
-                                      double aDefaultSeconds,
+                                      double aMeanSeconds,
                                       Instant aNow) const
 {
   const bool isFresh =
@@ -120,9 +120,7 @@
   const double slowdown =
     isFresh ? std::clamp(aUpstream.report->slowdown, kMinSlowdown, kMaxSlowdown)
             : 1.0;
-  const double seconds =
-    (aUpstream.meanSeconds > 0 ? aUpstream.meanSeconds : aDefaultSeconds) *
-    slowdown;
+  const double seconds = aMeanSeconds * slowdown;
   const double waits =
     std::max(EstimatedLoad(aUpstream, aNow) + 1 - aUpstream.slots, 0.0);
   const bool isRemote = aUpstream.dataCentre != mOptions.dataCentre.value;
@@ -142,6 +140,12 @@
   return known > 0 ? sum / known : kDefaultResponseSeconds;
 }
 
+double
+UpstreamSet::Spread()
+{
+  return 0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
+}
+
 UpstreamSet::Outcome
 UpstreamSet::ChooseDirect(const std::string& aService,
                           const std::set<std::string>& aExcluded,
@@ -152,6 +156,7 @@
     std::chrono::duration<double>(aMaxResponseTime).count();
   const std::vector<const Item*>& subset = SubsetOf(aService);
   const double defaultSeconds = MeanSecondsOf(subset);
+  std::vector<const Item*> room;
   const Item* best = nullptr;
   std::pair<bool, double> bestIn;
   for (const Item* item : subset) {
@@ -162,22 +167,30 @@
         EstimatedLoad(upstream, aNow) >= upstream.slots + kMaxDirectQueue) {
       continue;
     }
-    // Hosts that have the same load reports must not all choose the same
-    // instance.
-    const double spread =
-      0.9 + 0.2 * static_cast<double>(mRandom() % 1024) / 1024;
-    const double answer =
-      EstimatedResponseSeconds(upstream, defaultSeconds, aNow);
+    const bool isAvoided = aNow < upstream.avoidUntil;
+    if (!isAvoided) {
+      room.push_back(item);
+    }
+    const double answer = EstimatedResponseSeconds(
+      upstream,
+      upstream.meanSeconds > 0 ? upstream.meanSeconds : defaultSeconds,
+      aNow);
     if (answer > maxSeconds) {
       continue;
     }
-    const std::pair<bool, double> in{ aNow < upstream.avoidUntil,
-                                      answer * spread };
+    const std::pair<bool, double> in{ isAvoided, answer * Spread() };
     if (best == nullptr || in < bestIn) {
       best = item;
       bestIn = in;
     }
   }
+  best = PreferOutdated(
+    room,
+    best,
+    [&](const Upstream& aUpstream, double aSeconds) {
+      return EstimatedResponseSeconds(aUpstream, aSeconds, aNow);
+    },
+    aNow);
   if (best == nullptr) {
     return subset.empty() ? UnavailableReason::NoInstance
                           : UnavailableReason::Full;
@@ -209,23 +222,33 @@
     std::chrono::duration<double>(aMaxResponseTime).count();
   const std::vector<const Item*>& subset = SubsetOf(aService);
   const double defaultSeconds = MeanSecondsOf(subset);
+  const CostAt expectedAt = [](const Upstream& aUpstream, double aSeconds) {
+    return aSeconds *
+           (1 + static_cast<double>(aUpstream.inFlight) / aUpstream.slots);
+  };
+  std::vector<const Item*> room;
   const Item* best = nullptr;
-  double bestSeconds = maxSeconds;
+  double bestIn = 0;
   for (const Item* item : subset) {
     const Upstream& upstream = item->second;
     if (aExcluded.contains(item->first) || !AcceptsDirect(upstream, aNow) ||
         upstream.inFlight >= upstream.slots) {
       continue;
     }
-    const double mean =
-      upstream.meanSeconds > 0 ? upstream.meanSeconds : defaultSeconds;
-    const double load = static_cast<double>(upstream.inFlight) / upstream.slots;
-    const double expected = mean * (1 + load);
-    if (expected <= bestSeconds) {
+    room.push_back(item);
+    const double expected = expectedAt(
+      upstream,
+      upstream.meanSeconds > 0 ? upstream.meanSeconds : defaultSeconds);
+    if (expected > maxSeconds) {
+      continue;
+    }
+    const double in = expected * Spread();
+    if (best == nullptr || in < bestIn) {
       best = item;
-      bestSeconds = expected;
+      bestIn = in;
     }
   }
+  best = PreferOutdated(room, best, expectedAt, aNow);
   if (best == nullptr) {
     return subset.empty() ? UnavailableReason::NoInstance
                           : UnavailableReason::Full;
