--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -172,11 +172,16 @@
   callbacks.apply = [this](LogIndex aIndex, std::string_view aBytes) {
     Apply(aIndex, aBytes);
   };
-  callbacks.makeSnapshot = [this] { return state.Save().SerializeAsString(); };
+  callbacks.makeSnapshot = [this] {
+    wire::GatewayState saved = state.Save();
+    *saved.mutable_rests() = rests.Save(clock.Now(), clock.Wall());
+    return saved.SerializeAsString();
+  };
   callbacks.loadSnapshot = [this](std::string_view aBytes) {
     wire::GatewayState loaded;
     loaded.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
     state.Load(loaded);
+    RecordRests(loaded.rests());
     feed.OnStateReplaced();
     if (slots) {
       slots->StateChanged(state);
@@ -214,12 +219,15 @@
     ProposeControlHostRemovals();
     WithdrawSilentAllocators();
   }
+  ForwardRests();
   const Instant now = clock.Now();
   if (now - lastPingAt < kPingInterval) {
     return;
   }
   lastPingAt = now;
-  if (IsUpToDate()) {
+  rests.RemoveEnded(now);
+  isCaughtUp = IsUpToDate();
+  if (isCaughtUp) {
     upToDateAt = now;
     feed.Ping(ControlHosts(), Duration::zero());
   } else {
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -427,6 +427,7 @@
   metrics.Set("disk_failing", status.storageError.empty() ? 0 : 1);
   metrics.Set("entries", static_cast<double>(state.Entries().size()));
   metrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+  metrics.Set("rests_recorded", static_cast<double>(rests.Size()));
   if (slots) {
     SetSlotMetrics(metrics, *slots);
   }
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -73,6 +73,9 @@
     case wire::GatewayFrame::kForwardedHeartbeatAnswers:
       OnForwardedHeartbeatAnswers(frame.forwarded_heartbeat_answers());
       return;
+    case wire::GatewayFrame::kUpstreamRests:
+      OnUpstreamRests(frame.upstream_rests());
+      return;
     case wire::GatewayFrame::kLinkProbe:
       FeedServer::ReturnProbe(aConnection, std::move(frame));
       return;
@@ -108,7 +111,7 @@
                               const wire::FeedOpen& aOpen)
 {
   if (IsUpToDate()) {
-    feed.Subscribe(aConnection, aOpen);
+    Subscribe(aConnection, aOpen);
     feed.Ping(aConnection, ControlHosts(), Duration::zero());
   } else if (MayBeUpToDateSoon()) {
     deferredOpens.emplace_back(aConnection, aOpen);
@@ -118,6 +121,16 @@
   }
 }
 
+/// Sends the rests before the state: without a state, an entry host sends
+/// upstreams nothing.
+void
+ControlHost::Impl::Subscribe(const net::FrameMesh::Connection& aConnection,
+                             const wire::FeedOpen& aOpen)
+{
+  SendRestsTo(aConnection, aOpen.entry().address());
+  feed.Subscribe(aConnection, aOpen);
+}
+
 /// @return whether this host is expected to be up to date soon. A host that
 /// lost its disk is not: it must first become a member again.
 bool
@@ -156,7 +169,7 @@
   }
   for (const auto& [connection, open] : std::exchange(deferredOpens, {})) {
     if (upToDate) {
-      feed.Subscribe(connection, open);
+      Subscribe(connection, open);
     } else {
       connection->Close();
     }
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -23,7 +23,9 @@
 #include "gateway/heartbeat_wire.h"
 #include "gateway/http_server.h"
 #include "gateway/metrics.h"
+#include "gateway/pending_rests.h"
 #include "gateway/range_assigner.h"
+#include "gateway/rest_register.h"
 #include "gateway/slot_coordinator.h"
 #include "log/log.h"
 #include "net/frame_mesh.h"
@@ -102,6 +104,8 @@
   std::vector<std::string> ControlHosts() const;
   void OnFeedOpen(const net::FrameMesh::Connection& aConnection,
                   const wire::FeedOpen& aOpen);
+  void Subscribe(const net::FrameMesh::Connection& aConnection,
+                 const wire::FeedOpen& aOpen);
   bool MayBeUpToDateSoon() const;
   void ScheduleDeferredCheck();
   void CheckDeferredOpens();
@@ -136,6 +140,14 @@
   void LogOverloads(const scheduling::DemandTable::Round& aRound);
   void OnDemandDigest(const wire::DemandDigest& aMessage);
 
+  // Rests that upstreams asked entry hosts for: control_host_rests.cpp.
+
+  void OnUpstreamRests(const wire::UpstreamRests& aRests);
+  void ForwardRests();
+  void RecordRests(const wire::RecordRests& aRests);
+  void SendRestsTo(const net::FrameMesh::Connection& aConnection,
+                   const std::string& aHost);
+
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
   boost::asio::awaitable<HttpResponse> ForwardHeartbeat(
@@ -245,6 +257,10 @@
   /// When this host was last known to be up to date; before that, its start.
   Instant upToDateAt{};
   bool stopping = false;
+  /// This host was up to date at the last ping interval.
+  bool isCaughtUp = false;
+  RestRegister rests;
+  PendingRests pendingRests{ rests };
   scheduling::AllocatorWatch allocatorWatch;
   scheduling::StateFreshness freshness;
   /// Null unless this host's setting is that it allocates slots.
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -25,7 +25,9 @@
   wire::GatewayCommand command;
   command.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
   Result<void> outcome = ApplyToState(command, aIndex);
-  if (outcome) {
+  if (command.has_record_rests()) {
+    RecordRests(command.record_rests());
+  } else if (outcome) {
     feed.Publish(command, aIndex);
     ScheduleFeedFlush();
     if (slots) {
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -29,6 +29,8 @@
 /// heartbeats, 1 s: hot keys change within seconds, and an overloaded owner
 /// refuses half of its requests until they are moved to another instance.
 constexpr milliseconds kReportInterval{ 200 };
+/// Shortest time between two reports of rests.
+constexpr milliseconds kRestReportInterval{ 100 };
 /// Above this age of its own state, an entry host sends no pings and closes the
 /// connections of its subscribers.
 constexpr milliseconds kMaxRelayedAge{ 600 };
@@ -71,7 +73,8 @@
           [this](uint64_t aId) { handler.OnProbeReply(aId); },
           [this](const wire::DemandDigest& aDigest) {
             OnDemandDigest(aDigest);
-          } },
+          },
+          [this](const wire::UpstreamRests& aRests) { RestoreRests(aRests); } },
         [this](const wire::GatewayCommand* aCommand) {
           OnStateChanged(aCommand);
         },
@@ -166,7 +169,8 @@
       return;
     }
     RecordSlotTraffic(frame, scheduling::LinkDirection::In, aMessage.size());
-    if (frame.has_feed_open() || frame.has_feed_report()) {
+    if (frame.has_feed_open() || frame.has_feed_report() ||
+        frame.has_upstream_rests()) {
       linkMeter.Record(scheduling::LinkUse::Feed,
                        scheduling::LinkDirection::In,
                        aMessage.size());
@@ -181,6 +185,8 @@
       OnFeedOpen(aConnection, frame.feed_open());
     } else if (frame.has_feed_report()) {
       OnFeedReport(aConnection, frame.feed_report());
+    } else if (frame.has_upstream_rests()) {
+      feed.ReportRests(frame.upstream_rests());
     }
   }
 
@@ -289,6 +295,34 @@
     feed.Report(aReport);
   }
 
+  void RestoreRests(const wire::UpstreamRests& aRests)
+  {
+    slots.RestoreRests(aRests);
+    log::Line(log::Part::Entry, log::Severity::Info)
+      << "upstreams want no requests from this host, as control hosts have "
+         "recorded rests="
+      << aRests.rests_size();
+  }
+
+  /// Tells the control hosts the rests that upstreams have asked this host for.
+  /// A control host that this host was not connected to before may not have
+  /// got the last ones, and gets all.
+  void ReportRests()
+  {
+    const auto connection = feed.ConfirmedConnection();
+    const Instant now = clock.Now();
+    if (!connection || now - restsReportedAt < kRestReportInterval) {
+      return;
+    }
+    const bool isNew = restsConnection != connection;
+    const wire::UpstreamRests rests = slots.TakeRests(isNew);
+    restsConnection = connection;
+    if (rests.rests_size() > 0) {
+      restsReportedAt = now;
+      feed.ReportRests(rests);
+    }
+  }
+
   void ScheduleSlotTick()
   {
     slotTimer.expires_after(SlotBroker::kTick);
@@ -297,6 +331,7 @@
       if (host && !aError) {
         host->slots.Tick();
         host->ProbeLink();
+        host->ReportRests();
         host->ScheduleSlotTick();
       }
     });
@@ -491,6 +526,9 @@
   std::unique_ptr<HttpServer> readinessServer;
   std::unique_ptr<HttpServer> metricsServer;
   Instant lastReportAt{};
+  /// Connection of the last report of rests, and its time.
+  std::optional<uint64_t> restsConnection;
+  Instant restsReportedAt{};
   bool stopping = false;
   /// ExpireRequests has been called.
   bool requestsExpired = false;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -313,6 +313,8 @@
       options.onProbeReply(aFrame.link_probe().id());
     } else if (aFrame.has_demand_digest() && options.onDemandDigest) {
       options.onDemandDigest(aFrame.demand_digest());
+    } else if (aFrame.has_upstream_rests() && options.onRests) {
+      options.onRests(aFrame.upstream_rests());
     }
   }
 
@@ -478,6 +480,16 @@
   }
 }
 
+void
+FeedClient::ReportRests(const wire::UpstreamRests& aRests)
+{
+  if (mImpl->connection) {
+    wire::GatewayFrame frame;
+    *frame.mutable_upstream_rests() = aRests;
+    mImpl->Send(frame);
+  }
+}
+
 std::optional<uint64_t>
 FeedClient::ConfirmedConnection() const
 {
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -41,6 +41,9 @@
     std::function<void(uint64_t)> onProbeReply{};
     /// Called with each digest of the demand that arrives, unless it is empty.
     std::function<void(const wire::DemandDigest&)> onDemandDigest = {};
+    /// Called with the rests of upstreams that a control host knows of this
+    /// host, unless it is empty. A control host sends them before the state.
+    std::function<void(const wire::UpstreamRests&)> onRests = {};
   };
 
   /// @param aOnStateChanged called after each change of the state, with the
@@ -76,6 +79,9 @@
   /// Sends a load report to the connected host, if there is one.
   void Report(const wire::FeedReport& aReport);
 
+  /// Sends rests of upstreams to the connected host, if there is one.
+  void ReportRests(const wire::UpstreamRests& aRests);
+
   /// @return the number of the connection to a host that has confirmed the
   /// state, if there is one. Each connection has another number.
   std::optional<uint64_t> ConfirmedConnection() const;
--- a/src/librattandyke/gateway/rest_test.cpp
+++ b/src/librattandyke/gateway/rest_test.cpp
@@ -1,6 +1,8 @@
 // An upstream that refuses a request may want no further one from the same
 // entry host for some time. These tests run groups of entries in simulated time
 // and count what each entry sends it within that time.
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "testing/entry_group.h"
@@ -17,6 +19,7 @@
 constexpr size_t kAllowed = 2;
 constexpr double kTraffic = 60;
 constexpr size_t kRounds = 8;
+constexpr size_t kMostRestarted = 10;
 
 struct GroupCase
 {
@@ -53,6 +56,25 @@
   EXPECT_LE(group.MostWithinRest(0), kAllowed);
 }
 
+// An entry is killed within a rest. The process that starts in its place must
+// not send the upstream what it asked the entry not to send.
+TEST_P(RestTest, RestartedEntriesKeepIt)
+{
+  const auto [entries, keyed] = GetParam();
+  EntryGroup group(entries, keyed ? 1 : 3, keyed);
+  group.RunFor(seconds{ 2 }, kTraffic);
+  group.Upstream(0).rest = kRest;
+  group.RunFor(milliseconds{ 500 }, kTraffic);
+  group.Upstream(0).rest.reset();
+  for (size_t entry = 0; entry < std::min(entries, kMostRestarted); ++entry) {
+    group.StopEntry(entry, true);
+    group.RunFor(milliseconds{ 50 }, kTraffic);
+    group.StartEntry(entry);
+  }
+  group.RunFor(seconds{ 4 }, kTraffic);
+  EXPECT_LE(group.MostWithinRest(0), kAllowed);
+}
+
 // A rest must not cost callers whose requests another upstream can run.
 TEST(Rest, OtherUpstreamsServeMeanwhile)
 {
--- a/src/librattandyke/gateway/resting_upstreams.h
+++ b/src/librattandyke/gateway/resting_upstreams.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,14 @@
 class RestingUpstreams
 {
 public:
+  /// A rest of one incarnation of an instance.
+  struct Rest
+  {
+    std::string instance;
+    uint64_t incarnation = 0;
+    Instant until{};
+  };
+
   /// Longest time that a caller is told to wait because of a rest: another
   /// entry host may be able to send its request earlier.
   static constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
@@ -33,17 +42,24 @@
   /// @return the instances that rest.
   std::vector<std::string> Instances(Instant aNow) const;
 
+  /// @return all rests that are not over.
+  std::vector<Rest> Rests(Instant aNow) const;
+
+  /// @return the rests that were recorded or lengthened since the last call and
+  /// are not over.
+  std::vector<Rest> TakeRecorded(Instant aNow);
+
   /// Removes rests that are over. Must be called from time to time.
   void RemoveEnded(Instant aNow);
 
-private:
-  struct Rest
-  {
-    uint64_t incarnation = 0;
-    Instant until{};
-  };
+  /// @return the number of rests that have not been removed.
+  size_t Size() const { return mRests.size(); }
 
+private:
+  /// By instance; an instance rests in its newest incarnation only.
   std::map<std::string, Rest> mRests;
+  /// Instances recorded since the last TakeRecorded.
+  std::set<std::string> mRecorded;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -122,6 +122,18 @@
   /// further one from this host for some time.
   void RecordRest(const Slot& aSlot, Duration aRest);
 
+  /// @return the rests of upstreams that were recorded since the last call, or
+  /// all; as messages for the control hosts.
+  /// @param aAll whether all are returned.
+  wire::UpstreamRests TakeRests(bool aAll);
+
+  /// Records the rests that upstreams asked an earlier process of this host
+  /// for.
+  void RestoreRests(const wire::UpstreamRests& aRests);
+
+  /// @return the number of rests that RestoreRests has recorded.
+  uint64_t RestsRestored() const { return mRestsRestored; }
+
   /// Records that an upstream said, in the response to a request in a slot,
   /// that it leaves.
   void RecordLeaving(const Slot& aSlot);
@@ -345,6 +357,7 @@
   /// Home entries that get no slot requests for now, by address.
   std::map<std::string, Instant> mUnresponsiveUntil;
   RestingUpstreams mResting;
+  uint64_t mRestsRestored = 0;
   SlotRequestLimiter mLimiter;
   /// Moving average of the time until a home entry's first reply.
   Duration mHomeLatency{};
--- a/src/librattandyke/gateway/slot_coordinator_notices.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_notices.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "gateway/rest_register.h"
 #include "log/log.h"
 
 namespace rattandyke::gateway {
@@ -49,6 +50,31 @@
     << " home=" << (aSlot.home.empty() ? mSelf : aSlot.home);
 }
 
+wire::UpstreamRests
+SlotCoordinator::TakeRests(bool aAll)
+{
+  const Instant now = mClock.Now();
+  const auto recorded = mResting.TakeRecorded(now);
+  wire::UpstreamRests rests;
+  for (const auto& rest : aAll ? mResting.Rests(now) : recorded) {
+    *rests.add_rests() = ToMessage(mSelf, rest, now);
+  }
+  return rests;
+}
+
+void
+SlotCoordinator::RestoreRests(const wire::UpstreamRests& aRests)
+{
+  const Instant now = mClock.Now();
+  for (const wire::UpstreamRest& rest : aRests.rests()) {
+    if (rest.host() == mSelf) {
+      mResting.Record(
+        rest.instance(), rest.life(), now + milliseconds{ rest.left_ms() });
+      ++mRestsRestored;
+    }
+  }
+}
+
 void
 SlotCoordinator::ApplyNotice(const wire::UpstreamNotice& aNotice)
 {
--- a/src/librattandyke/gateway/slot_metrics.h
+++ b/src/librattandyke/gateway/slot_metrics.h
@@ -13,6 +13,7 @@
   aMetrics.SetTotal("slot_allocations", "role=\"first\"", grants.first);
   aMetrics.SetTotal("slot_allocations", "role=\"second\"", grants.second);
   aMetrics.SetTotal("slot_requests_second", {}, aSlots.RequestsToSecond());
+  aMetrics.SetTotal("rests_restored", {}, aSlots.RestsRestored());
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -41,6 +41,8 @@
       return Apply(aCommand.put_control());
     case wire::GatewayCommand::kDropControl:
       return Apply(aCommand.drop_control());
+    case wire::GatewayCommand::kRecordRests:
+      return {}; // Control hosts keep them in a RestRegister.
     case wire::GatewayCommand::BODY_NOT_SET:
       break;
   }
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -367,6 +367,49 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 EvacuateDataCentreDefaultTypeInternal _EvacuateDataCentre_default_instance_;
+PROTOBUF_CONSTEXPR UpstreamRest::UpstreamRest(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.left_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct UpstreamRestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR UpstreamRestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~UpstreamRestDefaultTypeInternal() {}
+  union {
+    UpstreamRest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 UpstreamRestDefaultTypeInternal _UpstreamRest_default_instance_;
+PROTOBUF_CONSTEXPR UpstreamRests::UpstreamRests(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.rests_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct UpstreamRestsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR UpstreamRestsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~UpstreamRestsDefaultTypeInternal() {}
+  union {
+    UpstreamRests _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 UpstreamRestsDefaultTypeInternal _UpstreamRests_default_instance_;
+PROTOBUF_CONSTEXPR RecordRests::RecordRests(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.rests_)*/{}
+  , /*decltype(_impl_.told_at_ms_)*/int64_t{0}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RecordRestsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RecordRestsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RecordRestsDefaultTypeInternal() {}
+  union {
+    RecordRests _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RecordRestsDefaultTypeInternal _RecordRests_default_instance_;
 PROTOBUF_CONSTEXPR GatewayCommand::GatewayCommand(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -427,6 +470,7 @@
   , /*decltype(_impl_.evacuated_)*/{}
   , /*decltype(_impl_.controls_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
+  , /*decltype(_impl_.rests_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct GatewayStateDefaultTypeInternal {
@@ -878,7 +922,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[53];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[56];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -1097,6 +1141,31 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EvacuateDataCentre, _impl_.data_centre_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::EvacuateDataCentre, _impl_.ends_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRest, _impl_.host_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRest, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRest, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRest, _impl_.left_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRests, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamRests, _impl_.rests_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordRests, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordRests, _impl_.rests_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordRests, _impl_.told_at_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_._oneof_case_[0]),
@@ -1114,6 +1183,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -1154,6 +1224,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.ended_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.evacuated_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.controls_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.rests_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1444,6 +1515,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1469,37 +1541,40 @@
   { 189, -1, -1, sizeof(::rattandyke::wire::DropControl)},
   { 196, -1, -1, sizeof(::rattandyke::wire::HoldBackRanges)},
   { 205, -1, -1, sizeof(::rattandyke::wire::EvacuateDataCentre)},
-  { 213, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 232, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 245, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 253, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 271, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 280, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 287, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 295, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
-  { 302, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 311, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 320, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 328, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
-  { 338, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 349, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 361, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 370, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 380, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 399, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 407, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 419, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 426, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 437, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
-  { 446, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
-  { 455, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
-  { 467, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
-  { 475, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 485, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 505, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 517, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 529, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 537, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 213, -1, -1, sizeof(::rattandyke::wire::UpstreamRest)},
+  { 223, -1, -1, sizeof(::rattandyke::wire::UpstreamRests)},
+  { 230, -1, -1, sizeof(::rattandyke::wire::RecordRests)},
+  { 238, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 258, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 271, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 279, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 298, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 307, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 314, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 322, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 329, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 338, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 347, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 355, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
+  { 365, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 376, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 388, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 397, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 407, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 426, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 434, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 446, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 453, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 464, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
+  { 473, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
+  { 482, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
+  { 494, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 502, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 512, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 532, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 544, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 556, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 564, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1525,6 +1600,9 @@
   &::rattandyke::wire::_DropControl_default_instance_._instance,
   &::rattandyke::wire::_HoldBackRanges_default_instance_._instance,
   &::rattandyke::wire::_EvacuateDataCentre_default_instance_._instance,
+  &::rattandyke::wire::_UpstreamRest_default_instance_._instance,
+  &::rattandyke::wire::_UpstreamRests_default_instance_._instance,
+  &::rattandyke::wire::_RecordRests_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
   &::rattandyke::wire::_RangeSegment_default_instance_._instance,
   &::rattandyke::wire::_ServiceRanges_default_instance_._instance,
@@ -1613,156 +1691,166 @@
   "service\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022)\n\006ranges\030"
   "\003 \003(\0132\031.rattandyke.wire.KeyRange\"7\n\022Evac"
   "uateDataCentre\022\023\n\013data_centre\030\001 \001(\t\022\014\n\004e"
-  "nds\030\002 \001(\010\"\262\005\n\016GatewayCommand\0224\n\014change_i"
-  "tems\030\001 \001(\0132\034.rattandyke.wire.ChangeItems"
-  "H\000\0224\n\014put_instance\030\002 \001(\0132\034.rattandyke.wi"
-  "re.PutInstanceH\000\0224\n\014end_instance\030\003 \001(\0132\034"
-  ".rattandyke.wire.EndInstanceH\000\0224\n\014grant_"
-  "ranges\030\004 \001(\0132\034.rattandyke.wire.GrantRang"
-  "esH\000\0222\n\013free_ranges\030\005 \001(\0132\033.rattandyke.w"
-  "ire.FreeRangesH\000\022.\n\tput_entry\030\006 \001(\0132\031.ra"
-  "ttandyke.wire.PutEntryH\000\0220\n\ndrop_entry\030\007"
-  " \001(\0132\032.rattandyke.wire.DropEntryH\000\022;\n\020ho"
-  "ld_back_ranges\030\010 \001(\0132\037.rattandyke.wire.H"
-  "oldBackRangesH\000\022C\n\024evacuate_data_centre\030"
-  "\t \001(\0132#.rattandyke.wire.EvacuateDataCent"
-  "reH\000\022>\n\021withdraw_instance\030\n \001(\0132!.rattan"
-  "dyke.wire.WithdrawInstanceH\000\0222\n\013put_cont"
-  "rol\030\013 \001(\0132\033.rattandyke.wire.PutControlH\000"
-  "\0224\n\014drop_control\030\014 \001(\0132\034.rattandyke.wire"
-  ".DropControlH\000B\006\n\004body\"~\n\014RangeSegment\022\014"
-  "\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t"
-  "\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010han"
-  "dover\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServic"
-  "eRanges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003"
-  "(\0132\035.rattandyke.wire.RangeSegment\"\245\004\n\014Ga"
-  "tewayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 "
-  "\003(\0132\032.rattandyke.wire.RouteItem\022.\n\010servi"
-  "ces\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022"
-  "+\n\006limits\030\004 \001(\0132\033.rattandyke.wire.Limits"
-  "Item\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyk"
-  "e.wire.DroppedItem\0226\n\020dropped_services\030\006"
-  " \003(\0132\034.rattandyke.wire.DroppedItem\0224\n\tin"
-  "stances\030\007 \003(\0132!.rattandyke.wire.Upstream"
-  "Instance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wi"
-  "re.ServiceRanges\022-\n\007entries\030\n \003(\0132\034.ratt"
-  "andyke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036"
-  ".rattandyke.wire.EndedInstance\022\021\n\tevacua"
-  "ted\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattandyke"
-  ".wire.ControlMemberJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n"
-  "\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryMemb"
-  "er\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001("
-  "\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.ratta"
-  "ndyke.wire.GatewayState\"N\n\013FeedCommand\022\r"
-  "\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattand"
-  "yke.wire.GatewayCommand\">\n\014FeedCommands\022"
-  ".\n\010commands\030\001 \003(\0132\034.rattandyke.wire.Feed"
-  "Command\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\r"
-  "control_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tR"
-  "angeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002 \003"
-  "(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010"
-  "instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"R\n\013Servi"
-  "ceLoad\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001("
-  "\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001\n\n"
-  "FeedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.w"
-  "ire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyk"
-  "e.wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007"
-  "entries\030\004 \003(\0132\034.rattandyke.wire.EntryMem"
-  "ber\022.\n\010services\030\005 \003(\0132\034.rattandyke.wire."
-  "ServiceLoad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004"
-  "\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006ta"
-  "rget\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030\006 "
-  "\001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006st"
-  "atus\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRange\022"
-  "\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004"
-  "\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeartbea"
-  "t\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007servi"
-  "ce\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre"
-  "\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\020"
-  "\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequen"
-  "ce\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\013"
-  "2\034.rattandyke.wire.FencedRange\022+\n\010releas"
-  "ed\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`\n\023F"
-  "orwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\0227\n\n"
-  "heartbeats\030\002 \003(\0132#.rattandyke.wire.Forwa"
-  "rdedHeartbeat\"\221\001\n\030ForwardedHeartbeatAnsw"
-  "er\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001"
-  "(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rat"
-  "tandyke.wire.FencedRange\022\017\n\007hold_ms\030\006 \001("
-  "\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007answer"
-  "s\030\001 \003(\0132).rattandyke.wire.ForwardedHeart"
-  "beatAnswer\"\364\001\n\nHostReport\022)\n\005loads\030\001 \003(\013"
-  "2\032.rattandyke.wire.RangeLoad\022,\n\005times\030\002 "
-  "\003(\0132\035.rattandyke.wire.InstanceTime\022-\n\007en"
-  "tries\030\003 \003(\0132\034.rattandyke.wire.EntryMembe"
-  "r\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.Cont"
-  "rolMember\022.\n\010services\030\005 \003(\0132\034.rattandyke"
-  ".wire.ServiceLoad\"A\n\013OwnerDemand\022\020\n\010inst"
-  "ance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003"
-  " \001(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\023"
-  "\n\013utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001"
-  "(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010seq"
-  "uence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 "
-  "\003(\0132\034.rattandyke.wire.OwnerDemand\0220\n\010ser"
-  "vices\030\005 \003(\0132\036.rattandyke.wire.ServiceDem"
-  "and\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n\002i"
-  "d\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016UpstreamNotice"
-  "\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004rate"
-  "\030\003 \001(\0132\033.rattandyke.wire.RateNotice\022\017\n\007l"
-  "eaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001"
-  "(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007s"
-  "ervice\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010exclud"
-  "ed\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_m"
-  "s\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030"
-  "\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006"
-  "limits\030\r \003(\0132\037.rattandyke.wire.UpstreamN"
-  "otice\022\016\n\006second\030\016 \001(\010\"\263\001\n\nSlotAnswer\022\017\n\007"
-  "session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003"
-  " \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010inst"
-  "ance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006no"
-  "tice\030\006 \001(\0132\037.rattandyke.wire.UpstreamNot"
-  "ice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007sessio"
-  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007"
-  "took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandy"
-  "ke.wire.UpstreamNotice\"*\n\013PackedFrame\022\014\n"
-  "\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\326\007\n\014GatewayFr"
-  "ame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 "
-  "\001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed"
-  "_snapshot\030\003 \001(\0132\035.rattandyke.wire.FeedSn"
-  "apshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattand"
-  "yke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001("
-  "\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013feed_r"
-  "eport\030\006 \001(\0132\033.rattandyke.wire.FeedReport"
-  "H\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyke."
-  "wire.ForwardedCallH\000\022<\n\020forwarded_answer"
-  "\030\010 \001(\0132 .rattandyke.wire.ForwardedAnswer"
-  "H\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.wir"
-  "e.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.ratta"
-  "ndyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001("
-  "\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\tslot"
-  "_done\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000"
-  "\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.Packe"
-  "dFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$"
-  ".rattandyke.wire.ForwardedHeartbeatsH\000\022Q"
-  "\n\033forwarded_heartbeat_answers\030\017 \001(\0132*.ra"
-  "ttandyke.wire.ForwardedHeartbeatAnswersH"
-  "\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke.wi"
-  "re.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001(\013"
-  "2\035.rattandyke.wire.DemandDigestH\000\0220\n\nlin"
-  "k_probe\030\022 \001(\0132\032.rattandyke.wire.LinkProb"
-  "eH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_"
-  "UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022"
-  "SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUS"
-  "ED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004b\006proto3"
+  "nds\030\002 \001(\010\"M\n\014UpstreamRest\022\014\n\004host\030\001 \001(\t\022"
+  "\020\n\010instance\030\002 \001(\t\022\014\n\004life\030\003 \001(\004\022\017\n\007left_"
+  "ms\030\004 \001(\r\"=\n\rUpstreamRests\022,\n\005rests\030\001 \003(\013"
+  "2\035.rattandyke.wire.UpstreamRest\"O\n\013Recor"
+  "dRests\022,\n\005rests\030\001 \003(\0132\035.rattandyke.wire."
+  "UpstreamRest\022\022\n\ntold_at_ms\030\002 \001(\003\"\350\005\n\016Gat"
+  "ewayCommand\0224\n\014change_items\030\001 \001(\0132\034.ratt"
+  "andyke.wire.ChangeItemsH\000\0224\n\014put_instanc"
+  "e\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH\000\022"
+  "4\n\014end_instance\030\003 \001(\0132\034.rattandyke.wire."
+  "EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.ra"
+  "ttandyke.wire.GrantRangesH\000\0222\n\013free_rang"
+  "es\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH\000\022"
+  ".\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.Put"
+  "EntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandyke"
+  ".wire.DropEntryH\000\022;\n\020hold_back_ranges\030\010 "
+  "\001(\0132\037.rattandyke.wire.HoldBackRangesH\000\022C"
+  "\n\024evacuate_data_centre\030\t \001(\0132#.rattandyk"
+  "e.wire.EvacuateDataCentreH\000\022>\n\021withdraw_"
+  "instance\030\n \001(\0132!.rattandyke.wire.Withdra"
+  "wInstanceH\000\0222\n\013put_control\030\013 \001(\0132\033.ratta"
+  "ndyke.wire.PutControlH\000\0224\n\014drop_control\030"
+  "\014 \001(\0132\034.rattandyke.wire.DropControlH\000\0224\n"
+  "\014record_rests\030\r \001(\0132\034.rattandyke.wire.Re"
+  "cordRestsH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004f"
+  "rom\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n"
+  "\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handov"
+  "er\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRa"
+  "nges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132"
+  "\035.rattandyke.wire.RangeSegment\"\322\004\n\014Gatew"
+  "ayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\013"
+  "2\032.rattandyke.wire.RouteItem\022.\n\010services"
+  "\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006"
+  "limits\030\004 \001(\0132\033.rattandyke.wire.LimitsIte"
+  "m\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.w"
+  "ire.DroppedItem\0226\n\020dropped_services\030\006 \003("
+  "\0132\034.rattandyke.wire.DroppedItem\0224\n\tinsta"
+  "nces\030\007 \003(\0132!.rattandyke.wire.UpstreamIns"
+  "tance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire."
+  "ServiceRanges\022-\n\007entries\030\n \003(\0132\034.rattand"
+  "yke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.ra"
+  "ttandyke.wire.EndedInstance\022\021\n\tevacuated"
+  "\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattandyke.wi"
+  "re.ControlMember\022+\n\005rests\030\016 \001(\0132\034.rattan"
+  "dyke.wire.RecordRestsJ\004\010\010\020\t\"^\n\010FeedOpen\022"
+  "+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryMe"
+  "mber\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003 "
+  "\001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rat"
+  "tandyke.wire.GatewayState\"N\n\013FeedCommand"
+  "\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ratta"
+  "ndyke.wire.GatewayCommand\">\n\014FeedCommand"
+  "s\022.\n\010commands\030\001 \003(\0132\034.rattandyke.wire.Fe"
+  "edCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025"
+  "\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n"
+  "\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002"
+  " \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020"
+  "\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"R\n\013Ser"
+  "viceLoad\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 "
+  "\001(\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001"
+  "\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke"
+  ".wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattand"
+  "yke.wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-"
+  "\n\007entries\030\004 \003(\0132\034.rattandyke.wire.EntryM"
+  "ember\022.\n\010services\030\005 \003(\0132\034.rattandyke.wir"
+  "e.ServiceLoad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001"
+  "(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006"
+  "target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030"
+  "\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006"
+  "status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRang"
+  "e\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001"
+  "(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeartb"
+  "eat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007ser"
+  "vice\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_cent"
+  "re\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r"
+  "\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequ"
+  "ence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003"
+  "(\0132\034.rattandyke.wire.FencedRange\022+\n\010rele"
+  "ased\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`\n"
+  "\023ForwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\0227"
+  "\n\nheartbeats\030\002 \003(\0132#.rattandyke.wire.For"
+  "wardedHeartbeat\"\221\001\n\030ForwardedHeartbeatAn"
+  "swer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003"
+  " \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.r"
+  "attandyke.wire.FencedRange\022\017\n\007hold_ms\030\006 "
+  "\001(\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007answ"
+  "ers\030\001 \003(\0132).rattandyke.wire.ForwardedHea"
+  "rtbeatAnswer\"\364\001\n\nHostReport\022)\n\005loads\030\001 \003"
+  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
+  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022-\n\007"
+  "entries\030\003 \003(\0132\034.rattandyke.wire.EntryMem"
+  "ber\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.Co"
+  "ntrolMember\022.\n\010services\030\005 \003(\0132\034.rattandy"
+  "ke.wire.ServiceLoad\"A\n\013OwnerDemand\022\020\n\010in"
+  "stance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity"
+  "\030\003 \001(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t"
+  "\022\023\n\013utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003"
+  " \001(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010s"
+  "equence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030"
+  "\004 \003(\0132\034.rattandyke.wire.OwnerDemand\0220\n\010s"
+  "ervices\030\005 \003(\0132\036.rattandyke.wire.ServiceD"
+  "emand\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n"
+  "\002id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016UpstreamNoti"
+  "ce\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004ra"
+  "te\030\003 \001(\0132\033.rattandyke.wire.RateNotice\022\017\n"
+  "\007leaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001"
+  " \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n"
+  "\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excl"
+  "uded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience"
+  "_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centr"
+  "e\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/"
+  "\n\006limits\030\r \003(\0132\037.rattandyke.wire.Upstrea"
+  "mNotice\022\016\n\006second\030\016 \001(\010\"\263\001\n\nSlotAnswer\022\017"
+  "\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state"
+  "\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010in"
+  "stance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006"
+  "notice\030\006 \001(\0132\037.rattandyke.wire.UpstreamN"
+  "otice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007sess"
+  "ion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017"
+  "\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
+  "dyke.wire.UpstreamNotice\"*\n\013PackedFrame\022"
+  "\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\220\010\n\014Gateway"
+  "Frame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030"
+  "\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfe"
+  "ed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Feed"
+  "SnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.ratta"
+  "ndyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 "
+  "\001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013feed"
+  "_report\030\006 \001(\0132\033.rattandyke.wire.FeedRepo"
+  "rtH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyk"
+  "e.wire.ForwardedCallH\000\022<\n\020forwarded_answ"
+  "er\030\010 \001(\0132 .rattandyke.wire.ForwardedAnsw"
+  "erH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.w"
+  "ire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rat"
+  "tandyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 "
+  "\001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\tsl"
+  "ot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDone"
+  "H\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.Pac"
+  "kedFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\013"
+  "2$.rattandyke.wire.ForwardedHeartbeatsH\000"
+  "\022Q\n\033forwarded_heartbeat_answers\030\017 \001(\0132*."
+  "rattandyke.wire.ForwardedHeartbeatAnswer"
+  "sH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke."
+  "wire.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001"
+  "(\0132\035.rattandyke.wire.DemandDigestH\000\0220\n\nl"
+  "ink_probe\030\022 \001(\0132\032.rattandyke.wire.LinkPr"
+  "obeH\000\0228\n\016upstream_rests\030\023 \001(\0132\036.rattandy"
+  "ke.wire.UpstreamRestsH\000B\006\n\004body*\206\001\n\tSlot"
+  "State\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLO"
+  "T_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002"
+  "\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_U"
+  "NKNOWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 7796, descriptor_table_protodef_gateway_2eproto,
+    false, false, 8176, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 53,
+    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 56,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -7982,89 +8070,805 @@
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void HoldBackRanges::CopyFrom(const HoldBackRanges& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HoldBackRanges)
+void HoldBackRanges::CopyFrom(const HoldBackRanges& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.HoldBackRanges)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool HoldBackRanges::IsInitialized() const {
+  return true;
+}
+
+void HoldBackRanges::InternalSwap(HoldBackRanges* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.holder_, lhs_arena,
+      &other->_impl_.holder_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[20]);
+}
+
+// ===================================================================
+
+class EvacuateDataCentre::_Internal {
+ public:
+};
+
+EvacuateDataCentre::EvacuateDataCentre(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+EvacuateDataCentre::EvacuateDataCentre(const EvacuateDataCentre& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  EvacuateDataCentre* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.ends_ = from._impl_.ends_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EvacuateDataCentre)
+}
+
+inline void EvacuateDataCentre::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.data_centre_){}
+    , decltype(_impl_.ends_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+EvacuateDataCentre::~EvacuateDataCentre() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.EvacuateDataCentre)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void EvacuateDataCentre::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.data_centre_.Destroy();
+}
+
+void EvacuateDataCentre::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void EvacuateDataCentre::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EvacuateDataCentre)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.data_centre_.ClearToEmpty();
+  _impl_.ends_ = false;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* EvacuateDataCentre::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string data_centre = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EvacuateDataCentre.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool ends = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.ends_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* EvacuateDataCentre::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.EvacuateDataCentre)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string data_centre = 1;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.EvacuateDataCentre.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_data_centre(), target);
+  }
+
+  // bool ends = 2;
+  if (this->_internal_ends() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_ends(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.EvacuateDataCentre)
+  return target;
+}
+
+size_t EvacuateDataCentre::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.EvacuateDataCentre)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string data_centre = 1;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
+  }
+
+  // bool ends = 2;
+  if (this->_internal_ends() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData EvacuateDataCentre::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    EvacuateDataCentre::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*EvacuateDataCentre::GetClassData() const { return &_class_data_; }
+
+
+void EvacuateDataCentre::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<EvacuateDataCentre*>(&to_msg);
+  auto& from = static_cast<const EvacuateDataCentre&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.EvacuateDataCentre)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
+  }
+  if (from._internal_ends() != 0) {
+    _this->_internal_set_ends(from._internal_ends());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void EvacuateDataCentre::CopyFrom(const EvacuateDataCentre& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.EvacuateDataCentre)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool EvacuateDataCentre::IsInitialized() const {
+  return true;
+}
+
+void EvacuateDataCentre::InternalSwap(EvacuateDataCentre* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
+  swap(_impl_.ends_, other->_impl_.ends_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata EvacuateDataCentre::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[21]);
+}
+
+// ===================================================================
+
+class UpstreamRest::_Internal {
+ public:
+};
+
+UpstreamRest::UpstreamRest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.UpstreamRest)
+}
+UpstreamRest::UpstreamRest(const UpstreamRest& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  UpstreamRest* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.host_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.left_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_host().empty()) {
+    _this->_impl_.host_.Set(from._internal_host(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.life_, &from._impl_.life_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.left_ms_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.left_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamRest)
+}
+
+inline void UpstreamRest::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.host_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.left_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.host_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.host_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+UpstreamRest::~UpstreamRest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.UpstreamRest)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void UpstreamRest::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.host_.Destroy();
+  _impl_.instance_.Destroy();
+}
+
+void UpstreamRest::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void UpstreamRest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.UpstreamRest)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.host_.ClearToEmpty();
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.life_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.left_ms_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.left_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* UpstreamRest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string host = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_host();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamRest.host"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamRest.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 left_ms = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.left_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* UpstreamRest::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.UpstreamRest)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.UpstreamRest.host");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_host(), target);
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.UpstreamRest.instance");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_instance(), target);
+  }
+
+  // uint64 life = 3;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_life(), target);
+  }
+
+  // uint32 left_ms = 4;
+  if (this->_internal_left_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(4, this->_internal_left_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.UpstreamRest)
+  return target;
+}
+
+size_t UpstreamRest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.UpstreamRest)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string host = 1;
+  if (!this->_internal_host().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_host());
+  }
+
+  // string instance = 2;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // uint64 life = 3;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // uint32 left_ms = 4;
+  if (this->_internal_left_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_left_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData UpstreamRest::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    UpstreamRest::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*UpstreamRest::GetClassData() const { return &_class_data_; }
+
+
+void UpstreamRest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<UpstreamRest*>(&to_msg);
+  auto& from = static_cast<const UpstreamRest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.UpstreamRest)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_host().empty()) {
+    _this->_internal_set_host(from._internal_host());
+  }
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_left_ms() != 0) {
+    _this->_internal_set_left_ms(from._internal_left_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void UpstreamRest::CopyFrom(const UpstreamRest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.UpstreamRest)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool UpstreamRest::IsInitialized() const {
+  return true;
+}
+
+void UpstreamRest::InternalSwap(UpstreamRest* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.host_, lhs_arena,
+      &other->_impl_.host_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(UpstreamRest, _impl_.left_ms_)
+      + sizeof(UpstreamRest::_impl_.left_ms_)
+      - PROTOBUF_FIELD_OFFSET(UpstreamRest, _impl_.life_)>(
+          reinterpret_cast<char*>(&_impl_.life_),
+          reinterpret_cast<char*>(&other->_impl_.life_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata UpstreamRest::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[22]);
+}
+
+// ===================================================================
+
+class UpstreamRests::_Internal {
+ public:
+};
+
+UpstreamRests::UpstreamRests(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.UpstreamRests)
+}
+UpstreamRests::UpstreamRests(const UpstreamRests& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  UpstreamRests* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.rests_){from._impl_.rests_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamRests)
+}
+
+inline void UpstreamRests::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.rests_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+UpstreamRests::~UpstreamRests() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.UpstreamRests)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void UpstreamRests::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.rests_.~RepeatedPtrField();
+}
+
+void UpstreamRests::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void UpstreamRests::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.UpstreamRests)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.rests_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* UpstreamRests::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.UpstreamRest rests = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_rests(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* UpstreamRests::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.UpstreamRests)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.UpstreamRest rests = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_rests_size()); i < n; i++) {
+    const auto& repfield = this->_internal_rests(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.UpstreamRests)
+  return target;
+}
+
+size_t UpstreamRests::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.UpstreamRests)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.UpstreamRest rests = 1;
+  total_size += 1UL * this->_internal_rests_size();
+  for (const auto& msg : this->_impl_.rests_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData UpstreamRests::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    UpstreamRests::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*UpstreamRests::GetClassData() const { return &_class_data_; }
+
+
+void UpstreamRests::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<UpstreamRests*>(&to_msg);
+  auto& from = static_cast<const UpstreamRests&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.UpstreamRests)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.rests_.MergeFrom(from._impl_.rests_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void UpstreamRests::CopyFrom(const UpstreamRests& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.UpstreamRests)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool HoldBackRanges::IsInitialized() const {
+bool UpstreamRests::IsInitialized() const {
   return true;
 }
 
-void HoldBackRanges::InternalSwap(HoldBackRanges* other) {
+void UpstreamRests::InternalSwap(UpstreamRests* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.ranges_.InternalSwap(&other->_impl_.ranges_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.service_, lhs_arena,
-      &other->_impl_.service_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.holder_, lhs_arena,
-      &other->_impl_.holder_, rhs_arena
-  );
+  _impl_.rests_.InternalSwap(&other->_impl_.rests_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata HoldBackRanges::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata UpstreamRests::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[20]);
+      file_level_metadata_gateway_2eproto[23]);
 }
 
 // ===================================================================
 
-class EvacuateDataCentre::_Internal {
+class RecordRests::_Internal {
  public:
 };
 
-EvacuateDataCentre::EvacuateDataCentre(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+RecordRests::RecordRests(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.EvacuateDataCentre)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RecordRests)
 }
-EvacuateDataCentre::EvacuateDataCentre(const EvacuateDataCentre& from)
+RecordRests::RecordRests(const RecordRests& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  EvacuateDataCentre* const _this = this; (void)_this;
+  RecordRests* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.data_centre_){}
-    , decltype(_impl_.ends_){}
+      decltype(_impl_.rests_){from._impl_.rests_}
+    , decltype(_impl_.told_at_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_data_centre().empty()) {
-    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
-      _this->GetArenaForAllocation());
-  }
-  _this->_impl_.ends_ = from._impl_.ends_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.EvacuateDataCentre)
+  _this->_impl_.told_at_ms_ = from._impl_.told_at_ms_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RecordRests)
 }
 
-inline void EvacuateDataCentre::SharedCtor(
+inline void RecordRests::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.data_centre_){}
-    , decltype(_impl_.ends_){false}
+      decltype(_impl_.rests_){arena}
+    , decltype(_impl_.told_at_ms_){int64_t{0}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-EvacuateDataCentre::~EvacuateDataCentre() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.EvacuateDataCentre)
+RecordRests::~RecordRests() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RecordRests)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -8072,46 +8876,49 @@
   SharedDtor();
 }
 
-inline void EvacuateDataCentre::SharedDtor() {
+inline void RecordRests::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.data_centre_.Destroy();
+  _impl_.rests_.~RepeatedPtrField();
 }
 
-void EvacuateDataCentre::SetCachedSize(int size) const {
+void RecordRests::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void EvacuateDataCentre::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.EvacuateDataCentre)
+void RecordRests::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RecordRests)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.data_centre_.ClearToEmpty();
-  _impl_.ends_ = false;
+  _impl_.rests_.Clear();
+  _impl_.told_at_ms_ = int64_t{0};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* EvacuateDataCentre::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* RecordRests::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string data_centre = 1;
+      // repeated .rattandyke.wire.UpstreamRest rests = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_data_centre();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.EvacuateDataCentre.data_centre"));
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_rests(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // bool ends = 2;
+      // int64 told_at_ms = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.ends_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.told_at_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -8139,110 +8946,101 @@
 #undef CHK_
 }
 
-uint8_t* EvacuateDataCentre::_InternalSerialize(
+uint8_t* RecordRests::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.EvacuateDataCentre)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RecordRests)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string data_centre = 1;
-  if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.EvacuateDataCentre.data_centre");
-    target = stream->WriteStringMaybeAliased(
-        1, this->_internal_data_centre(), target);
+  // repeated .rattandyke.wire.UpstreamRest rests = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_rests_size()); i < n; i++) {
+    const auto& repfield = this->_internal_rests(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
   }
 
-  // bool ends = 2;
-  if (this->_internal_ends() != 0) {
+  // int64 told_at_ms = 2;
+  if (this->_internal_told_at_ms() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_ends(), target);
+    target = ::_pbi::WireFormatLite::WriteInt64ToArray(2, this->_internal_told_at_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.EvacuateDataCentre)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RecordRests)
   return target;
 }
 
-size_t EvacuateDataCentre::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.EvacuateDataCentre)
+size_t RecordRests::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RecordRests)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string data_centre = 1;
-  if (!this->_internal_data_centre().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_data_centre());
+  // repeated .rattandyke.wire.UpstreamRest rests = 1;
+  total_size += 1UL * this->_internal_rests_size();
+  for (const auto& msg : this->_impl_.rests_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // bool ends = 2;
-  if (this->_internal_ends() != 0) {
-    total_size += 1 + 1;
+  // int64 told_at_ms = 2;
+  if (this->_internal_told_at_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_told_at_ms());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData EvacuateDataCentre::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RecordRests::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    EvacuateDataCentre::MergeImpl
+    RecordRests::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*EvacuateDataCentre::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RecordRests::GetClassData() const { return &_class_data_; }
 
 
-void EvacuateDataCentre::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<EvacuateDataCentre*>(&to_msg);
-  auto& from = static_cast<const EvacuateDataCentre&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.EvacuateDataCentre)
+void RecordRests::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RecordRests*>(&to_msg);
+  auto& from = static_cast<const RecordRests&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RecordRests)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_data_centre().empty()) {
-    _this->_internal_set_data_centre(from._internal_data_centre());
-  }
-  if (from._internal_ends() != 0) {
-    _this->_internal_set_ends(from._internal_ends());
+  _this->_impl_.rests_.MergeFrom(from._impl_.rests_);
+  if (from._internal_told_at_ms() != 0) {
+    _this->_internal_set_told_at_ms(from._internal_told_at_ms());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void EvacuateDataCentre::CopyFrom(const EvacuateDataCentre& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.EvacuateDataCentre)
+void RecordRests::CopyFrom(const RecordRests& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RecordRests)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool EvacuateDataCentre::IsInitialized() const {
+bool RecordRests::IsInitialized() const {
   return true;
 }
 
-void EvacuateDataCentre::InternalSwap(EvacuateDataCentre* other) {
+void RecordRests::InternalSwap(RecordRests* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.data_centre_, lhs_arena,
-      &other->_impl_.data_centre_, rhs_arena
-  );
-  swap(_impl_.ends_, other->_impl_.ends_);
+  _impl_.rests_.InternalSwap(&other->_impl_.rests_);
+  swap(_impl_.told_at_ms_, other->_impl_.told_at_ms_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata EvacuateDataCentre::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata RecordRests::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[21]);
+      file_level_metadata_gateway_2eproto[24]);
 }
 
 // ===================================================================
@@ -8261,6 +9059,7 @@
   static const ::rattandyke::wire::WithdrawInstance& withdraw_instance(const GatewayCommand* msg);
   static const ::rattandyke::wire::PutControl& put_control(const GatewayCommand* msg);
   static const ::rattandyke::wire::DropControl& drop_control(const GatewayCommand* msg);
+  static const ::rattandyke::wire::RecordRests& record_rests(const GatewayCommand* msg);
 };
 
 const ::rattandyke::wire::ChangeItems&
@@ -8311,6 +9110,10 @@
 GatewayCommand::_Internal::drop_control(const GatewayCommand* msg) {
   return *msg->_impl_.body_.drop_control_;
 }
+const ::rattandyke::wire::RecordRests&
+GatewayCommand::_Internal::record_rests(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.record_rests_;
+}
 void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -8491,6 +9294,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_control)
 }
+void GatewayCommand::set_allocated_record_rests(::rattandyke::wire::RecordRests* record_rests) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (record_rests) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(record_rests);
+    if (message_arena != submessage_arena) {
+      record_rests = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, record_rests, submessage_arena);
+    }
+    set_has_record_rests();
+    _impl_.body_.record_rests_ = record_rests;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.record_rests)
+}
 GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -8568,6 +9386,11 @@
           from._internal_drop_control());
       break;
     }
+    case kRecordRests: {
+      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
+          from._internal_record_rests());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -8682,6 +9505,12 @@
       }
       break;
     }
+    case kRecordRests: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.record_rests_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -8802,6 +9631,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.RecordRests record_rests = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr = ctx->ParseMessage(_internal_mutable_record_rests(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -8915,6 +9752,13 @@
         _Internal::drop_control(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.RecordRests record_rests = 13;
+  if (_internal_has_record_rests()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(13, _Internal::record_rests(this),
+        _Internal::record_rests(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -9016,6 +9860,13 @@
           *_impl_.body_.drop_control_);
       break;
     }
+    // .rattandyke.wire.RecordRests record_rests = 13;
+    case kRecordRests: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.record_rests_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -9099,6 +9950,11 @@
           from._internal_drop_control());
       break;
     }
+    case kRecordRests: {
+      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
+          from._internal_record_rests());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -9127,7 +9983,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[22]);
+      file_level_metadata_gateway_2eproto[25]);
 }
 
 // ===================================================================
@@ -9512,7 +10368,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[23]);
+      file_level_metadata_gateway_2eproto[26]);
 }
 
 // ===================================================================
@@ -9749,7 +10605,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[24]);
+      file_level_metadata_gateway_2eproto[27]);
 }
 
 // ===================================================================
@@ -9757,12 +10613,17 @@
 class GatewayState::_Internal {
  public:
   static const ::rattandyke::wire::LimitsItem& limits(const GatewayState* msg);
+  static const ::rattandyke::wire::RecordRests& rests(const GatewayState* msg);
 };
 
 const ::rattandyke::wire::LimitsItem&
 GatewayState::_Internal::limits(const GatewayState* msg) {
   return *msg->_impl_.limits_;
 }
+const ::rattandyke::wire::RecordRests&
+GatewayState::_Internal::rests(const GatewayState* msg) {
+  return *msg->_impl_.rests_;
+}
 GatewayState::GatewayState(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -9784,6 +10645,7 @@
     , decltype(_impl_.evacuated_){from._impl_.evacuated_}
     , decltype(_impl_.controls_){from._impl_.controls_}
     , decltype(_impl_.limits_){nullptr}
+    , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -9791,6 +10653,9 @@
   if (from._internal_has_limits()) {
     _this->_impl_.limits_ = new ::rattandyke::wire::LimitsItem(*from._impl_.limits_);
   }
+  if (from._internal_has_rests()) {
+    _this->_impl_.rests_ = new ::rattandyke::wire::RecordRests(*from._impl_.rests_);
+  }
   _this->_impl_.applied_ = from._impl_.applied_;
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayState)
 }
@@ -9811,6 +10676,7 @@
     , decltype(_impl_.evacuated_){arena}
     , decltype(_impl_.controls_){arena}
     , decltype(_impl_.limits_){nullptr}
+    , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -9838,6 +10704,7 @@
   _impl_.evacuated_.~RepeatedPtrField();
   _impl_.controls_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
+  if (this != internal_default_instance()) delete _impl_.rests_;
 }
 
 void GatewayState::SetCachedSize(int size) const {
@@ -9864,6 +10731,10 @@
     delete _impl_.limits_;
   }
   _impl_.limits_ = nullptr;
+  if (GetArenaForAllocation() == nullptr && _impl_.rests_ != nullptr) {
+    delete _impl_.rests_;
+  }
+  _impl_.rests_ = nullptr;
   _impl_.applied_ = uint64_t{0u};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
@@ -10022,6 +10893,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.RecordRests rests = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 114)) {
+          ptr = ctx->ParseMessage(_internal_mutable_rests(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -10146,6 +11025,13 @@
         InternalWriteMessage(13, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.RecordRests rests = 14;
+  if (this->_internal_has_rests()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(14, _Internal::rests(this),
+        _Internal::rests(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -10240,6 +11126,13 @@
         *_impl_.limits_);
   }
 
+  // .rattandyke.wire.RecordRests rests = 14;
+  if (this->_internal_has_rests()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.rests_);
+  }
+
   // uint64 applied = 1;
   if (this->_internal_applied() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_applied());
@@ -10277,6 +11170,10 @@
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
   }
+  if (from._internal_has_rests()) {
+    _this->_internal_mutable_rests()->::rattandyke::wire::RecordRests::MergeFrom(
+        from._internal_rests());
+  }
   if (from._internal_applied() != 0) {
     _this->_internal_set_applied(from._internal_applied());
   }
@@ -10318,7 +11215,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[28]);
 }
 
 // ===================================================================
@@ -10570,7 +11467,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[29]);
 }
 
 // ===================================================================
@@ -10763,7 +11660,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[30]);
 }
 
 // ===================================================================
@@ -10987,7 +11884,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
@@ -11172,7 +12069,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommands::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
@@ -11422,7 +12319,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -11709,7 +12606,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // ===================================================================
@@ -11951,7 +12848,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // ===================================================================
@@ -12238,7 +13135,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // ===================================================================
@@ -12552,7 +13449,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[37]);
 }
 
 // ===================================================================
@@ -12965,7 +13862,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[38]);
 }
 
 // ===================================================================
@@ -13228,7 +14125,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[36]);
+      file_level_metadata_gateway_2eproto[39]);
 }
 
 // ===================================================================
@@ -13515,7 +14412,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[37]);
+      file_level_metadata_gateway_2eproto[40]);
 }
 
 // ===================================================================
@@ -14142,7 +15039,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[38]);
+      file_level_metadata_gateway_2eproto[41]);
 }
 
 // ===================================================================
@@ -14379,7 +15276,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[39]);
+      file_level_metadata_gateway_2eproto[42]);
 }
 
 // ===================================================================
@@ -14724,7 +15621,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[40]);
+      file_level_metadata_gateway_2eproto[43]);
 }
 
 // ===================================================================
@@ -14909,7 +15806,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[41]);
+      file_level_metadata_gateway_2eproto[44]);
 }
 
 // ===================================================================
@@ -15238,7 +16135,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[42]);
+      file_level_metadata_gateway_2eproto[45]);
 }
 
 // ===================================================================
@@ -15525,7 +16422,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata OwnerDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[43]);
+      file_level_metadata_gateway_2eproto[46]);
 }
 
 // ===================================================================
@@ -15812,7 +16709,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[44]);
+      file_level_metadata_gateway_2eproto[47]);
 }
 
 // ===================================================================
@@ -16139,7 +17036,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DemandDigest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[45]);
+      file_level_metadata_gateway_2eproto[48]);
 }
 
 // ===================================================================
@@ -16350,7 +17247,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata LinkProbe::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[46]);
+      file_level_metadata_gateway_2eproto[49]);
 }
 
 // ===================================================================
@@ -16660,7 +17557,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamNotice::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[47]);
+      file_level_metadata_gateway_2eproto[50]);
 }
 
 // ===================================================================
@@ -17290,7 +18187,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[48]);
+      file_level_metadata_gateway_2eproto[51]);
 }
 
 // ===================================================================
@@ -17645,7 +18542,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[49]);
+      file_level_metadata_gateway_2eproto[52]);
 }
 
 // ===================================================================
@@ -17997,7 +18894,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[50]);
+      file_level_metadata_gateway_2eproto[53]);
 }
 
 // ===================================================================
@@ -18222,7 +19119,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[51]);
+      file_level_metadata_gateway_2eproto[54]);
 }
 
 // ===================================================================
@@ -18246,6 +19143,7 @@
   static const ::rattandyke::wire::FeedCommands& feed_commands(const GatewayFrame* msg);
   static const ::rattandyke::wire::DemandDigest& demand_digest(const GatewayFrame* msg);
   static const ::rattandyke::wire::LinkProbe& link_probe(const GatewayFrame* msg);
+  static const ::rattandyke::wire::UpstreamRests& upstream_rests(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -18316,6 +19214,10 @@
 GatewayFrame::_Internal::link_probe(const GatewayFrame* msg) {
   return *msg->_impl_.body_.link_probe_;
 }
+const ::rattandyke::wire::UpstreamRests&
+GatewayFrame::_Internal::upstream_rests(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.upstream_rests_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -18571,6 +19473,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.link_probe)
 }
+void GatewayFrame::set_allocated_upstream_rests(::rattandyke::wire::UpstreamRests* upstream_rests) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (upstream_rests) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(upstream_rests);
+    if (message_arena != submessage_arena) {
+      upstream_rests = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, upstream_rests, submessage_arena);
+    }
+    set_has_upstream_rests();
+    _impl_.body_.upstream_rests_ = upstream_rests;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.upstream_rests)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -18677,6 +19594,11 @@
           from._internal_link_probe());
       break;
     }
+    case kUpstreamRests: {
+      _this->_internal_mutable_upstream_rests()->::rattandyke::wire::UpstreamRests::MergeFrom(
+          from._internal_upstream_rests());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -18825,6 +19747,12 @@
       }
       break;
     }
+    case kUpstreamRests: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.upstream_rests_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -18994,6 +19922,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.UpstreamRests upstream_rests = 19;
+      case 19:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 154)) {
+          ptr = ctx->ParseMessage(_internal_mutable_upstream_rests(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -19148,6 +20084,13 @@
         _Internal::link_probe(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.UpstreamRests upstream_rests = 19;
+  if (_internal_has_upstream_rests()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(19, _Internal::upstream_rests(this),
+        _Internal::upstream_rests(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -19291,6 +20234,13 @@
           *_impl_.body_.link_probe_);
       break;
     }
+    // .rattandyke.wire.UpstreamRests upstream_rests = 19;
+    case kUpstreamRests: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.upstream_rests_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -19403,6 +20353,11 @@
           from._internal_link_probe());
       break;
     }
+    case kUpstreamRests: {
+      _this->_internal_mutable_upstream_rests()->::rattandyke::wire::UpstreamRests::MergeFrom(
+          from._internal_upstream_rests());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -19431,7 +20386,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[52]);
+      file_level_metadata_gateway_2eproto[55]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -19526,6 +20481,18 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::EvacuateDataCentre >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::EvacuateDataCentre >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamRest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamRest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamRest >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamRests*
+Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamRests >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamRests >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RecordRests*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RecordRests >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RecordRests >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayCommand*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayCommand >(arena);
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -239,6 +239,7 @@
     entry.session,
     kOptions,
     [this, aEntry] { return StateAgeOf(aEntry); });
+  entry.slots->RestoreRests(mRestRegister.RestsOf(AddressOf(aEntry), mNow));
 }
 
 void
@@ -337,16 +338,25 @@
     DeliverResponses();
     if (mNow >= mNextTick) {
       mNextTick = mNow + Duration(SlotBroker::kTick);
-      for (const auto& entry : mEntries) {
-        if (entry->slots) {
-          entry->slots->Tick();
-        }
-      }
+      TickEntries();
     }
     RunHandlers();
   }
 }
 
+void
+EntryGroup::TickEntries()
+{
+  for (const auto& entry : mEntries) {
+    if (entry->slots) {
+      entry->slots->Tick();
+      wire::RecordRests record;
+      *record.mutable_rests() = entry->slots->TakeRests(false).rests();
+      mRestRegister.Record(record, {}, mNow);
+    }
+  }
+}
+
 scheduling::LinkMeter::Traffic
 EntryGroup::TakeSlotMessages()
 {
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "gateway/rest_register.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/state.h"
 #include "scheduling/link_meter.h"
@@ -90,7 +91,8 @@
   /// Ends an entry. It leaves the list of entries at the same time if it says
   /// so, otherwise kDetectionTime later.
   void StopEntry(size_t aEntry, bool aPlanned);
-  /// Starts an entry again, without what it knew.
+  /// Starts an entry again, without what it knew but for what control hosts
+  /// have recorded.
   void StartEntry(size_t aEntry);
   /// Drops or delivers the messages to and from an entry, which stays in the
   /// list.
@@ -183,6 +185,7 @@
               uint64_t aSession,
               Instant aSentAt,
               SlotOutcome aOutcome);
+  void TickEntries();
   void DeliverMessages();
   void DeliverResponses();
   void RunHandlers();
@@ -213,6 +216,8 @@
   /// Requests that may wait for a slot, and their entries.
   std::vector<std::pair<size_t, std::weak_ptr<RequestContext>>> mWaiting;
   size_t mLastHome = 0;
+  /// What control hosts have recorded.
+  RestRegister mRestRegister;
   scheduling::LinkMeter mSlotMessages{ mNow };
   double mOwedRequests = 0;
   size_t mServed = 0;
