A log line and a metric show upstreams that get no requests

upstreams_unused counts, and a line each 10 s names, upstreams that a home entry could choose and that got none of the last requests. What was traced as outdated response times could not be seen before but from the upstreams' side.

--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -665,6 +665,7 @@
 {
   CheckStateAge();
   LogAllocators();
+  LogUnusedUpstreams();
   Deliver(mBroker.Tick(mClock.Now()));
   mLimiter.RemoveIdle(mClock.Now());
   mResting.RemoveEnded(mClock.Now());
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -150,6 +150,9 @@
 
   const SlotBroker& Broker() const { return mBroker; }
 
+  /// @return the time of this object's clock.
+  Instant Now() const { return mClock.Now(); }
+
   /// @return the requests of this host that went to the second allocator.
   uint64_t RequestsToSecond() const { return mRequestsToSecond; }
 
@@ -246,6 +249,7 @@
                            const std::vector<std::string>& aLimitedBefore);
   void PauseNewLimits();
   void LogAllocators();
+  void LogUnusedUpstreams();
   /// Records to which host a request goes.
   void SetHome(Pending& aPending,
                const std::string& aHome,
@@ -347,6 +351,7 @@
   uint64_t mAllocatorsFingerprint = 0;
   uint64_t mLoggedAllocators = 0;
   Instant mLoggedAllocatorsAt{};
+  Instant mUnusedCheckedAt{};
   /// The state was recent enough at the last check; see CheckStateAge.
   bool mStateIsRecent = false;
   uint64_t mRequestsToSecond = 0;
--- a/src/librattandyke/gateway/slot_coordinator_homes.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_homes.cpp
@@ -43,6 +43,8 @@
 constexpr double kLimitedHomeFraction = 0.6;
 /// Shortest time between two log lines about changed allocators.
 constexpr milliseconds kAllocatorsLogInterval{ 1000 };
+/// Interval of the log line about upstreams that get no requests.
+constexpr std::chrono::seconds kUnusedCheckInterval{ 10 };
 /// This few hosts can't overload an upstream with one request each.
 constexpr size_t kFewEntries = 16;
 
@@ -254,6 +256,25 @@
     << " count=" << mAllocators.AllocatorCount();
 }
 
+/// Logs that upstreams of which this host is the home entry get no requests. An
+/// operator sees from it why their load differs from that of others.
+void
+SlotCoordinator::LogUnusedUpstreams()
+{
+  const Instant now = mClock.Now();
+  if (now - mUnusedCheckedAt < Duration(kUnusedCheckInterval)) {
+    return;
+  }
+  mUnusedCheckedAt = now;
+  const std::vector<std::string> unused =
+    mBroker.Upstreams().UnusedInstances(now);
+  if (!unused.empty()) {
+    log::Line(log::Part::Entry, log::Severity::Info)
+      << "upstreams with room got none of the last requests count="
+      << unused.size() << " first=" << unused.front();
+  }
+}
+
 void
 SlotCoordinator::SetHome(Pending& aPending,
                          const std::string& aHome,
--- a/src/librattandyke/gateway/slot_metrics.h
+++ b/src/librattandyke/gateway/slot_metrics.h
@@ -13,6 +13,8 @@
   aMetrics.SetTotal("slot_allocations", "role=\"first\"", grants.first);
   aMetrics.SetTotal("slot_allocations", "role=\"second\"", grants.second);
   aMetrics.SetTotal("slot_requests_second", {}, aSlots.RequestsToSecond());
+  const auto unused = aSlots.Broker().Upstreams().UnusedInstances(aSlots.Now());
+  aMetrics.Set("upstreams_unused", static_cast<double>(unused.size()));
   aMetrics.SetTotal("rests_restored", {}, aSlots.RestsRestored());
 }
 
