--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -383,7 +383,7 @@
     uint32_t startsSinceReport = 0;
     Instant lastStartAt{};
     uint32_t inFlight = 0;
-    /// Choices since lastStartAt in which it had room and another was chosen.
+    /// Choices since lastStartAt in which it had room and lost to another.
     mutable uint32_t timesPassedOver = 0;
     /// Moving average of response times, in seconds; 0: none yet.
     double meanSeconds = 0;
