Revoked keys that are granted anew are kept for their new lease

If keys are released, granted to the same owner and revoked again between two ticks of the leader, the time of the first revocation counted, and they could be freed while the owner holds them by its new lease: a second owner. A revocation is now known by the fence of the grant, too, which each grant raises.

RangeAssigner.KeysThatAreRevokedAgainAreKeptForTheirNewLease fails without the fence and passes with it; all 51 tests of RangeAssigner pass.

--- a/src/librattandyke/gateway/range_assigner.h
+++ b/src/librattandyke/gateway/range_assigner.h
@@ -146,6 +146,8 @@
   {
     KeySpan keys;
     std::string owner;
+    /// Of the grant by which the owner holds them.
+    uint64_t fence = 0;
     Instant since{};
   };
 
--- a/src/librattandyke/gateway/range_assigner_leases.cpp
+++ b/src/librattandyke/gateway/range_assigner_leases.cpp
@@ -274,8 +274,11 @@
       const wire::RangeSegment& segment = ranges.Find(key);
       Revocation& revocation = revocations[key];
       if (revocation.keys != SpanOf(segment) ||
-          revocation.owner != segment.holder()) {
-        revocation = { SpanOf(segment), segment.holder(), aNow };
+          revocation.owner != segment.holder() ||
+          revocation.fence != segment.fence()) {
+        revocation = {
+          SpanOf(segment), segment.holder(), segment.fence(), aNow
+        };
       } else if (aNow - revocation.since >= MaxLeaseTime()) {
         revocation.since = aNow;
         wire::FreeRanges& free =
--- a/src/librattandyke/gateway/range_assigner_moves_test.cpp
+++ b/src/librattandyke/gateway/range_assigner_moves_test.cpp
@@ -592,6 +592,46 @@
   EXPECT_EQ(leader.OwnerOf(key), "b");
 }
 
+// Between two ticks, revoked keys are released, granted to the same owner again
+// and revoked again. The time of the first revocation must not count: the lease
+// of the second grant has just begun.
+TEST(RangeAssigner, KeysThatAreRevokedAgainAreKeptForTheirNewLease)
+{
+  SimulatedLeader leader;
+  AssignKeysToTwo(leader);
+  const uint32_t first = FirstKeyOf(leader, "a");
+  wire::GatewayCommand revoke;
+  wire::HoldBackRanges& held = *revoke.mutable_hold_back_ranges();
+  held.set_service("board");
+  held.set_holder("a");
+  held.add_ranges()->set_from(first);
+  held.mutable_ranges(0)->set_to(first + 9);
+  leader.Commit({ revoke });
+  uint64_t sequence = 8;
+  const auto heartbeats = [&] {
+    ++sequence;
+    leader.HandleHeartbeat(HeartbeatFrom("b", sequence));
+    leader.HandleHeartbeat(HeartbeatFrom("a", sequence));
+  };
+  for (int second = 0; second < 4; ++second) {
+    leader.AdvanceTime(milliseconds{ 1000 });
+    heartbeats();
+  }
+  ASSERT_TRUE(HasRevokedKeys(leader));
+  wire::GatewayCommand free;
+  free.mutable_free_ranges()->set_service("board");
+  free.mutable_free_ranges()->set_holder("a");
+  *free.mutable_free_ranges()->add_ranges() = held.ranges(0);
+  wire::GatewayCommand grant;
+  grant.mutable_grant_ranges()->set_service("board");
+  grant.mutable_grant_ranges()->set_holder("a");
+  grant.mutable_grant_ranges()->set_sequence(sequence);
+  *grant.mutable_grant_ranges()->add_ranges() = held.ranges(0);
+  leader.Commit({ free, grant, revoke });
+  leader.AdvanceTime(milliseconds{ 1500 });
+  EXPECT_TRUE(HasRevokedKeys(leader));
+}
+
 // A heartbeat reports the release of revoked keys. Moves that were planned by
 // the state before the release would revoke the same keys again, of an instance
 // that no longer owns them, and they would never have an owner again.
