Refused slots and failed attempts say why

Cause: a home's refusal had no reason on the wire, so an owner that seems to be down was logged as a full one, and a failed attempt left no line.

Change: SlotAnswer.refusal, counts of refusals by reason at the allocator, a log line for each attempt without a response, and a count of connections that could not be established. Older builds send no reason, which reads as full, as before.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -319,6 +319,8 @@
   mMetrics.Set("upstreams", static_cast<double>(state.Instances().size()));
   mMetrics.Set("upstream_connects",
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
+  mMetrics.SetTotal(
+    "upstream_connects_failed", {}, mUpstreamClient.ConnectionsFailed());
   SetLinkMetrics();
   SetSlotMetrics(mMetrics, mSlots);
   SetDispatchMetrics();
@@ -513,9 +515,28 @@
   mMetrics.Observe("try", result.elapsed);
   aProgress.lastUpstream = slot.instance;
   aProgress.lastFailure = result.reason;
+  LogFailedAttempt(aProgress, result);
   co_return result;
 }
 
+void
+RequestHandler::LogFailedAttempt(const RequestProgress& aProgress,
+                                 const AttemptResult& aResult) const
+{
+  const bool failed = aResult.kind == AttemptResult::Kind::NotSent ||
+                      aResult.kind == AttemptResult::Kind::OutcomeUnknown;
+  if (!failed || aProgress.context->HasCallerDisconnected()) {
+    return;
+  }
+  LogLine(aProgress.request->requestId)
+    << "attempt failed service=" << aProgress.service
+    << " upstream=" << aProgress.lastUpstream
+    << " connection=" << (aResult.newConnection ? "new" : "kept")
+    << " sent=" << (aResult.kind != AttemptResult::Kind::NotSent)
+    << " reason=" << aResult.reason
+    << " after_ms=" << Milliseconds(mClock.Now() - aProgress.arrived);
+}
+
 bool
 RequestHandler::TryTakeRetry(RequestProgress& aProgress,
                              const AttemptResult& aResult)
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -220,6 +220,8 @@
   /// Sends the request to the upstream of a slot and releases the slot.
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestProgress& aProgress,
                                                    const Slot& aSlot);
+  void LogFailedAttempt(const RequestProgress& aProgress,
+                        const AttemptResult& aResult) const;
   /// Records the load report in an upstream's response, if it has one.
   void RecordLoadReport(const std::string& aInstance,
                         const UpstreamResponse& aResponse);
--- a/src/librattandyke/gateway/request_handler_dispatch.cpp
+++ b/src/librattandyke/gateway/request_handler_dispatch.cpp
@@ -1,10 +1,30 @@
-// Part of RequestHandler that reports what the dispatch policy decided.
+// Part of RequestHandler that reports why a request got no slot.
 #include "gateway/request_handler.h"
 
 #include "log/log.h"
 
 namespace rattandyke::gateway {
 
+namespace {
+
+const char*
+TextOf(UpstreamSet::UnavailableReason aReason)
+{
+  switch (aReason) {
+    case UpstreamSet::UnavailableReason::NoInstance:
+      return "no upstream";
+    case UpstreamSet::UnavailableReason::NoOwner:
+      return "the key has no owner";
+    case UpstreamSet::UnavailableReason::Full:
+      return "all upstreams are full";
+    case UpstreamSet::UnavailableReason::Failing:
+      return "the owner of the key seems to be down";
+  }
+  return "no upstream";
+}
+
+} // namespace
+
 CallerResponse
 RequestHandler::UnavailableResponse(const RequestProgress& aProgress,
                                     const SlotUnavailable& aUnavailable) const
@@ -17,10 +37,8 @@
                                aUnavailable.retryAfter,
                                "the demand exceeds the owner's capacity");
   }
-  const bool full = aUnavailable.reason == UpstreamSet::UnavailableReason::Full;
-  return NotExecutedResponse(aProgress,
-                             aUnavailable.retryAfter,
-                             full ? "all upstreams are full" : "no upstream");
+  return NotExecutedResponse(
+    aProgress, aUnavailable.retryAfter, TextOf(aUnavailable.reason));
 }
 
 void
--- a/src/librattandyke/gateway/slot_broker.cpp
+++ b/src/librattandyke/gateway/slot_broker.cpp
@@ -173,6 +173,7 @@
                    UpstreamSet::UnavailableReason aReason,
                    Duration aRetryAfter)
 {
+  ++mRefusals[aReason];
   mPendingAnswers.emplace_back(
     SlotRefused{ aRequest.key, aReason, aRetryAfter });
 }
--- a/src/librattandyke/gateway/slot_broker.h
+++ b/src/librattandyke/gateway/slot_broker.h
@@ -192,6 +192,13 @@
   };
   const GrantCounts& Grants() const { return mGrants; }
 
+  /// @return the requests that were refused for a reason since the start.
+  uint64_t Refusals(UpstreamSet::UnavailableReason aReason) const
+  {
+    const auto found = mRefusals.find(aReason);
+    return found == mRefusals.end() ? 0 : found->second;
+  }
+
   /// See UpstreamSet::TakeChangedResponseSeconds.
   std::map<std::string, double> TakeChangedResponseSeconds()
   {
@@ -282,6 +289,7 @@
   std::map<Target, Demand> mDemand;
   uint64_t mArrivals = 0;
   GrantCounts mGrants;
+  std::map<UpstreamSet::UnavailableReason, uint64_t> mRefusals;
   std::vector<SlotAnswer> mPendingAnswers;
 };
 
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -45,6 +45,38 @@
   return std::visit([](const auto& aItem) { return aItem.key; }, aAnswer);
 }
 
+wire::SlotRefusal
+EncodeReason(UpstreamSet::UnavailableReason aReason)
+{
+  switch (aReason) {
+    case UpstreamSet::UnavailableReason::NoInstance:
+      return wire::SLOT_REFUSAL_NO_INSTANCE;
+    case UpstreamSet::UnavailableReason::NoOwner:
+      return wire::SLOT_REFUSAL_NO_OWNER;
+    case UpstreamSet::UnavailableReason::Full:
+      return wire::SLOT_REFUSAL_FULL;
+    case UpstreamSet::UnavailableReason::Failing:
+      return wire::SLOT_REFUSAL_FAILING;
+  }
+  return wire::SLOT_REFUSAL_UNSPECIFIED;
+}
+
+/// @return the reason; Full if an older build has not stated it.
+UpstreamSet::UnavailableReason
+DecodeReason(wire::SlotRefusal aReason)
+{
+  switch (aReason) {
+    case wire::SLOT_REFUSAL_NO_INSTANCE:
+      return UpstreamSet::UnavailableReason::NoInstance;
+    case wire::SLOT_REFUSAL_NO_OWNER:
+      return UpstreamSet::UnavailableReason::NoOwner;
+    case wire::SLOT_REFUSAL_FAILING:
+      return UpstreamSet::UnavailableReason::Failing;
+    default:
+      return UpstreamSet::UnavailableReason::Full;
+  }
+}
+
 wire::SlotAnswer
 EncodeAnswer(const SlotAnswer& aAnswer)
 {
@@ -57,6 +89,7 @@
     answer.set_instance(granted->instance);
   } else if (const auto* refused = std::get_if<SlotRefused>(&aAnswer)) {
     answer.set_state(wire::SLOT_STATE_REFUSED);
+    answer.set_refusal(EncodeReason(refused->reason));
     answer.set_retry_after_ms(Ms(refused->retryAfter).count());
   } else {
     answer.set_state(wire::SLOT_STATE_QUEUED);
@@ -588,7 +621,7 @@
     case wire::SLOT_STATE_REFUSED:
       ApplyAnswer(key.ticket,
                   SlotRefused{ key,
-                               UpstreamSet::UnavailableReason::Full,
+                               DecodeReason(aAnswer.refusal()),
                                milliseconds{ aAnswer.retry_after_ms() } });
       return;
     case wire::SLOT_STATE_QUEUED:
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -192,10 +192,12 @@
 
 asio::awaitable<std::shared_ptr<UpstreamConnection>>
 UpstreamClient::Connect(std::string aAddress,
-                        std::shared_ptr<AttemptHandle> aHandle)
+                        std::shared_ptr<AttemptHandle> aHandle,
+                        std::string& aFailure)
 {
   const Result<Endpoint> address = ParseEndpoint(aAddress);
   if (!address) {
+    aFailure = "can't be reached: the address is invalid";
     co_return nullptr;
   }
   auto connection = std::make_shared<UpstreamConnection>(mExecutor);
@@ -218,6 +220,11 @@
   *connecting = false;
   timer.cancel();
   if (error || !connection->socket.is_open()) {
+    ++mConnectionsFailed;
+    const bool timedOut = !error || error == asio::error::operation_aborted;
+    aFailure =
+      "can't be reached: " +
+      (timedOut ? std::string("no connection in time") : error.message());
     co_return nullptr;
   }
   net::TuneSocket(connection->socket, kUnacknowledgedTimeout);
@@ -256,15 +263,19 @@
   const Instant started = mClock.Now();
   std::shared_ptr<UpstreamConnection> connection =
     mPool.Take(aProcess, started);
+  const bool newConnection = !connection;
   if (connection) {
     aHandle->AttachConnection(connection);
   } else {
-    connection = co_await Connect(aProcess.address, aHandle);
+    std::string failure;
+    connection = co_await Connect(aProcess.address, aHandle, failure);
     if (!connection || aHandle->IsCancelled()) {
       aHandle->DetachConnection();
-      co_return MakeResult(AttemptResult::Kind::NotSent,
-                           aHandle->IsCancelled() ? aHandle->CancelReason()
-                                                  : "can't be reached");
+      AttemptResult result =
+        MakeResult(AttemptResult::Kind::NotSent,
+                   aHandle->IsCancelled() ? aHandle->CancelReason() : failure);
+      result.newConnection = true;
+      co_return result;
     }
   }
   const Instant sentAt = mClock.Now();
@@ -296,6 +307,7 @@
   AttemptResult result =
     co_await ReadResponse(connection, aRequest, aProcess.instance, bodyInline);
   aHandle->DetachConnection();
+  result.newConnection = newConnection;
   result.elapsed = mClock.Now() - sentAt;
   if (aHandle->IsCancelled() &&
       result.kind == AttemptResult::Kind::OutcomeUnknown) {
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -142,6 +142,8 @@
   std::string reason;
   /// The attempt was cancelled while it waited for the response.
   bool cancelled = false;
+  /// The connection was opened for the attempt.
+  bool newConnection = false;
   /// Time from sending the request to the end of the attempt; 0 if the request
   /// could not be written.
   Duration elapsed{};
@@ -199,10 +201,16 @@
   /// @return the number of connections opened since the start.
   uint64_t ConnectionsOpened() const { return mConnectionsOpened; }
 
+  /// @return how many of them could not be established.
+  uint64_t ConnectionsFailed() const { return mConnectionsFailed; }
+
 private:
+  /// @param aFailure set to the reason of a failure.
+  /// @return the connection, or nullptr.
   boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> Connect(
     std::string aAddress,
-    std::shared_ptr<AttemptHandle> aHandle);
+    std::shared_ptr<AttemptHandle> aHandle,
+    std::string& aFailure);
   std::string FormatHead(const std::string& aInstance,
                          const UpstreamRequest& aRequest,
                          Duration aTimeLeft) const;
@@ -224,6 +232,7 @@
   const OnWrite mOnWrite;
   ConnectionPool mPool;
   uint64_t mConnectionsOpened = 0;
+  uint64_t mConnectionsFailed = 0;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -864,6 +864,7 @@
   , /*decltype(_impl_.ticket_)*/uint64_t{0u}
   , /*decltype(_impl_.state_)*/0
   , /*decltype(_impl_.retry_after_ms_)*/0u
+  , /*decltype(_impl_.refusal_)*/0
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct SlotAnswerDefaultTypeInternal {
   PROTOBUF_CONSTEXPR SlotAnswerDefaultTypeInternal()
@@ -923,7 +924,7 @@
 }  // namespace wire
 }  // namespace rattandyke
 static ::_pb::Metadata file_level_metadata_gateway_2eproto[56];
-static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[1];
+static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[2];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
 const uint32_t TableStruct_gateway_2eproto::offsets[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1471,6 +1472,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.instance_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.retry_after_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.notice_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotAnswer, _impl_.refusal_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1572,9 +1574,9 @@
   { 502, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
   { 512, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
   { 532, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 544, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 556, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 564, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 545, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 557, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 565, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1802,53 +1804,58 @@
   "_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centr"
   "e\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/"
   "\n\006limits\030\r \003(\0132\037.rattandyke.wire.Upstrea"
-  "mNotice\022\016\n\006second\030\016 \001(\010\"\263\001\n\nSlotAnswer\022\017"
+  "mNotice\022\016\n\006second\030\016 \001(\010\"\342\001\n\nSlotAnswer\022\017"
   "\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state"
   "\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010in"
   "stance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006"
   "notice\030\006 \001(\0132\037.rattandyke.wire.UpstreamN"
-  "otice\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022\017\n\007sess"
-  "ion\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017"
-  "\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattan"
-  "dyke.wire.UpstreamNotice\"*\n\013PackedFrame\022"
-  "\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\220\010\n\014Gateway"
-  "Frame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030"
-  "\002 \001(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfe"
-  "ed_snapshot\030\003 \001(\0132\035.rattandyke.wire.Feed"
-  "SnapshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.ratta"
-  "ndyke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 "
-  "\001(\0132\031.rattandyke.wire.FeedPingH\000\0222\n\013feed"
-  "_report\030\006 \001(\0132\033.rattandyke.wire.FeedRepo"
-  "rtH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyk"
-  "e.wire.ForwardedCallH\000\022<\n\020forwarded_answ"
-  "er\030\010 \001(\0132 .rattandyke.wire.ForwardedAnsw"
-  "erH\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.w"
-  "ire.HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rat"
-  "tandyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 "
-  "\001(\0132\033.rattandyke.wire.SlotAnswerH\000\022.\n\tsl"
-  "ot_done\030\014 \001(\0132\031.rattandyke.wire.SlotDone"
-  "H\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.wire.Pac"
-  "kedFrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\013"
-  "2$.rattandyke.wire.ForwardedHeartbeatsH\000"
-  "\022Q\n\033forwarded_heartbeat_answers\030\017 \001(\0132*."
-  "rattandyke.wire.ForwardedHeartbeatAnswer"
-  "sH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke."
-  "wire.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001"
-  "(\0132\035.rattandyke.wire.DemandDigestH\000\0220\n\nl"
-  "ink_probe\030\022 \001(\0132\032.rattandyke.wire.LinkPr"
-  "obeH\000\0228\n\016upstream_rests\030\023 \001(\0132\036.rattandy"
-  "ke.wire.UpstreamRestsH\000B\006\n\004body*\206\001\n\tSlot"
-  "State\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLO"
-  "T_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002"
-  "\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_U"
-  "NKNOWN\020\004b\006proto3"
+  "otice\022-\n\007refusal\030\007 \001(\0162\034.rattandyke.wire"
+  ".SlotRefusal\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022"
+  "\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030"
+  "\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037"
+  ".rattandyke.wire.UpstreamNotice\"*\n\013Packe"
+  "dFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\220\010\n\014"
+  "GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfee"
+  "d_open\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH"
+  "\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wi"
+  "re.FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132"
+  "\034.rattandyke.wire.FeedCommandH\000\022.\n\tfeed_"
+  "ping\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\022"
+  "2\n\013feed_report\030\006 \001(\0132\033.rattandyke.wire.F"
+  "eedReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.ra"
+  "ttandyke.wire.ForwardedCallH\000\022<\n\020forward"
+  "ed_answer\030\010 \001(\0132 .rattandyke.wire.Forwar"
+  "dedAnswerH\000\0222\n\013host_report\030\t \001(\0132\033.ratta"
+  "ndyke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001("
+  "\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013slot_an"
+  "swer\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH"
+  "\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.S"
+  "lotDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.w"
+  "ire.PackedFrameH\000\022D\n\024forwarded_heartbeat"
+  "s\030\016 \001(\0132$.rattandyke.wire.ForwardedHeart"
+  "beatsH\000\022Q\n\033forwarded_heartbeat_answers\030\017"
+  " \001(\0132*.rattandyke.wire.ForwardedHeartbea"
+  "tAnswersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.ratt"
+  "andyke.wire.FeedCommandsH\000\0226\n\rdemand_dig"
+  "est\030\021 \001(\0132\035.rattandyke.wire.DemandDigest"
+  "H\000\0220\n\nlink_probe\030\022 \001(\0132\032.rattandyke.wire"
+  ".LinkProbeH\000\0228\n\016upstream_rests\030\023 \001(\0132\036.r"
+  "attandyke.wire.UpstreamRestsH\000B\006\n\004body*\206"
+  "\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000"
+  "\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GR"
+  "ANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_"
+  "STATE_UNKNOWN\020\004*\225\001\n\013SlotRefusal\022\034\n\030SLOT_"
+  "REFUSAL_UNSPECIFIED\020\000\022\025\n\021SLOT_REFUSAL_FU"
+  "LL\020\001\022\034\n\030SLOT_REFUSAL_NO_INSTANCE\020\002\022\031\n\025SL"
+  "OT_REFUSAL_NO_OWNER\020\003\022\030\n\024SLOT_REFUSAL_FA"
+  "ILING\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 8176, descriptor_table_protodef_gateway_2eproto,
+    false, false, 8375, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 56,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -1880,6 +1887,23 @@
   }
 }
 
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* SlotRefusal_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_gateway_2eproto);
+  return file_level_enum_descriptors_gateway_2eproto[1];
+}
+bool SlotRefusal_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return true;
+    default:
+      return false;
+  }
+}
+
 
 // ===================================================================
 
@@ -18217,6 +18241,7 @@
     , decltype(_impl_.ticket_){}
     , decltype(_impl_.state_){}
     , decltype(_impl_.retry_after_ms_){}
+    , decltype(_impl_.refusal_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -18232,8 +18257,8 @@
     _this->_impl_.notice_ = new ::rattandyke::wire::UpstreamNotice(*from._impl_.notice_);
   }
   ::memcpy(&_impl_.session_, &from._impl_.session_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
-    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.refusal_) -
+    reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.refusal_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SlotAnswer)
 }
 
@@ -18248,6 +18273,7 @@
     , decltype(_impl_.ticket_){uint64_t{0u}}
     , decltype(_impl_.state_){0}
     , decltype(_impl_.retry_after_ms_){0u}
+    , decltype(_impl_.refusal_){0}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.instance_.InitDefault();
@@ -18287,8 +18313,8 @@
   }
   _impl_.notice_ = nullptr;
   ::memset(&_impl_.session_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.retry_after_ms_) -
-      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.retry_after_ms_));
+      reinterpret_cast<char*>(&_impl_.refusal_) -
+      reinterpret_cast<char*>(&_impl_.session_)) + sizeof(_impl_.refusal_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -18349,6 +18375,15 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.SlotRefusal refusal = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_refusal(static_cast<::rattandyke::wire::SlotRefusal>(val));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -18420,6 +18455,13 @@
         _Internal::notice(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.SlotRefusal refusal = 7;
+  if (this->_internal_refusal() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      7, this->_internal_refusal(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -18471,6 +18513,12 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_retry_after_ms());
   }
 
+  // .rattandyke.wire.SlotRefusal refusal = 7;
+  if (this->_internal_refusal() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_refusal());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -18508,6 +18556,9 @@
   if (from._internal_retry_after_ms() != 0) {
     _this->_internal_set_retry_after_ms(from._internal_retry_after_ms());
   }
+  if (from._internal_refusal() != 0) {
+    _this->_internal_set_refusal(from._internal_refusal());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -18532,8 +18583,8 @@
       &other->_impl_.instance_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.retry_after_ms_)
-      + sizeof(SlotAnswer::_impl_.retry_after_ms_)
+      PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.refusal_)
+      + sizeof(SlotAnswer::_impl_.refusal_)
       - PROTOBUF_FIELD_OFFSET(SlotAnswer, _impl_.notice_)>(
           reinterpret_cast<char*>(&_impl_.notice_),
           reinterpret_cast<char*>(&other->_impl_.notice_));
