Failing test: entries that lose all upstreams serve nobody

Two of three entry hosts lose their path to all upstreams, while callers, the third entry and control hosts reach them. The stand-in upstreams cut the connections of a process, which they find in the kernel's table of sockets: they hang, are reset, or live on while new ones are reset.

Listed as known red until the fix.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -10,6 +10,7 @@
 
 import soak_http
 import soak_judge
+import soak_paths
 import soak_pressure
 
 sys.path.insert(
@@ -63,6 +64,8 @@
         self.free_slots = asyncio.Semaphore(slots)
         self.watch = soak_judge.SlotWatch(slots)
         self.connections = set()
+        # Connections on which nothing passes any more, and their entries.
+        self.cut_off = {}
         self.arrivals = []
         self.server = await asyncio.start_server(
             self.serve, self.host, self.port, reuse_address=True)
@@ -138,18 +141,34 @@
         return bool(self.released)
 
     async def serve(self, reader, writer):
+        paths = self.world.paths
+        entry = paths.cut_entry_of(writer)
+        if entry and paths.cuts[entry] != soak_paths.HANG:
+            writer.transport.abort()
+            return
         self.connections.add(writer)
+        if entry:
+            self.cut_off[writer] = entry
         try:
             while self.alive:
                 first, fields, body = await soak_http.read_message(reader)
+                if writer in self.cut_off:
+                    await paths.swallow(self.cut_off[writer])
+                    writer.transport.abort()
+                    return
                 await self.answer(first, fields, body, writer)
         except (soak_http.Broken, OSError, asyncio.CancelledError):
             pass  # The caller is gone, or the run is over.
         finally:
             self.connections.discard(writer)
+            self.cut_off.pop(writer, None)
             writer.close()
 
     async def answer(self, first, fields, body, writer):
+        if first.split()[1] == words.HEALTH_PATH:
+            writer.write(soak_http.message("HTTP/1.1 200 OK",
+                                           {words.INSTANCE: self.id}))
+            return
         request = fields.get(words.REQUEST_ID.lower(), "")
         arrival = self.world.arrived(request, self, body)
         self.arrivals.append(arrival)
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -16,6 +16,7 @@
 import soak_callers
 import soak_judge
 import soak_operator
+import soak_paths
 import soak_scheduling
 
 CONTROL_HOSTS = 5
@@ -231,6 +232,7 @@
         self.scheduling = soak_scheduling.draw(
             seed, scheduling, [host.name for host in self.hosts],
             [entry.name for entry in self.entries])
+        self.paths = soak_paths.Paths()
         # Requests that an upstream had at the same time.
         self.most_at_once = 0
         # The key of all requests, while there is one.
