--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -97,19 +97,24 @@
         UpstreamOptions(aSettings),
         [this] { return feed.StateAge(); },
         DispatchPolicyOf(aSettings, demand, aSeed))
-    , handler(executor,
-              { aSettings.dataCentre,
-                aSettings.retryRatio,
-                aSettings.retrySlack,
-                aSettings.linkMbits * kBytesPerMbit,
-                aSettings.linkAdmission,
-                aSeed,
-                aSettings.sharedDemand },
-              feed,
-              slots,
-              aDialect,
-              linkMeter,
-              aClock)
+    , handler(
+        executor,
+        { ToString(aSettings.AdvertisedAddress()),
+          aSettings.dataCentre,
+          aSettings.retryRatio,
+          aSettings.retrySlack,
+          aSettings.linkMbits * kBytesPerMbit,
+          aSettings.linkAdmission,
+          aSeed,
+          aSettings.sharedDemand },
+        feed,
+        slots,
+        aDialect,
+        linkMeter,
+        [this](const HostName& aTo, const wire::GatewayFrame& aFrame) {
+          return SendToRelay(aTo, aFrame);
+        },
+        aClock)
     , callers(executor, handler, aClock)
     , slotTimer(executor)
   {
@@ -187,9 +192,68 @@
       OnFeedReport(aConnection, frame.feed_report());
     } else if (frame.has_upstream_rests()) {
       feed.ReportRests(frame.upstream_rests());
+    } else {
+      OnRelayFrame(aConnection, std::move(frame), aMessage.size());
+    }
+  }
+
+  /// Sends a message to a host that relays requests for this one.
+  bool SendToRelay(const HostName& aTo, const wire::GatewayFrame& aFrame)
+  {
+    const std::string bytes = aFrame.SerializeAsString();
+    handler.RecordSent(bytes.size());
+    handler.RecordRelayMessage(scheduling::LinkUse::Upstreams,
+                               scheduling::LinkDirection::Out,
+                               bytes.size());
+    return mesh->Send(aTo, bytes);
+  }
+
+  /// Handles a message of a host that this one relays requests for, or of a
+  /// host that relays requests for this one.
+  void OnRelayFrame(const net::FrameMesh::Connection& aConnection,
+                    wire::GatewayFrame aFrame,
+                    size_t aBytes)
+  {
+    const bool isReply =
+      aFrame.has_relay_answer() || aFrame.has_relayed_response();
+    handler.RecordRelayMessage(isReply ? scheduling::LinkUse::Upstreams
+                                       : scheduling::LinkUse::Callers,
+                               scheduling::LinkDirection::In,
+                               aBytes);
+    RelayServer& relays = handler.Relays();
+    if (aFrame.has_relay_ask()) {
+      relays.OnAsk(aFrame.relay_ask(), ReplyOn(aConnection));
+    } else if (aFrame.has_relayed_request()) {
+      relays.OnRequest(aConnection.get(),
+                       std::move(*aFrame.mutable_relayed_request()),
+                       ReplyOn(aConnection));
+    } else if (aFrame.has_relay_cancel()) {
+      relays.OnCancel(aConnection.get(), aFrame.relay_cancel());
+    } else if (aFrame.has_relay_answer()) {
+      handler.Relayed().OnAnswer(aFrame.relay_answer());
+    } else if (aFrame.has_relayed_response()) {
+      handler.Relayed().OnResponse(aFrame.relayed_response());
     }
   }
 
+  /// @return what sends a message back on a connection, unless it has ended.
+  RelayServer::Reply ReplyOn(const net::FrameMesh::Connection& aConnection)
+  {
+    return [this, weak = std::weak_ptr(aConnection)](
+             const wire::GatewayFrame& aFrame) {
+      const auto connection = weak.lock();
+      if (!connection) {
+        return;
+      }
+      const std::string bytes = aFrame.SerializeAsString();
+      handler.RecordSent(bytes.size());
+      handler.RecordRelayMessage(scheduling::LinkUse::Callers,
+                                 scheduling::LinkDirection::Out,
+                                 bytes.size());
+      connection->Send(bytes);
+    };
+  }
+
   /// Counts a message about slots. A SlotAnswer leaves the host that allocates
   /// slots; the other two messages arrive there.
   void RecordSlotTraffic(const wire::GatewayFrame& aFrame,
@@ -330,6 +394,7 @@
       const auto host = self.lock();
       if (host && !aError) {
         host->slots.Tick();
+        host->handler.ProbeUpstreams();
         host->ProbeLink();
         host->ReportRests();
         host->ScheduleSlotTick();
@@ -360,7 +425,13 @@
         [this](const auto& aConnection, std::string_view aMessage) {
           OnFrame(aConnection, aMessage);
         },
-        [this](const auto& aConnection) { relay.Unsubscribe(aConnection); } });
+        [this](const auto& aConnection) {
+          relay.Unsubscribe(aConnection);
+          handler.Relays().OnClosed(aConnection.get());
+        },
+        [this](const HostName& aPeer, bool aWasConnected) {
+          handler.Relayed().OnPeerLost(aPeer, aWasConnected);
+        } });
     if (Result<void> started = mesh->Start(); !started) {
       return started;
     }
@@ -480,9 +551,10 @@
     const bool graceOver = graceLeft <= kExitMargin && requestsExpired;
     if (graceLeft <= kExitMargin + kSweepInterval) {
       callers.ExpireRequests();
+      handler.Relays().CancelAll();
       requestsExpired = true;
     }
-    const bool idle = callers.IsClosed();
+    const bool idle = callers.IsClosed() && handler.Relays().InProgress() == 0;
     if ((graceOver || idle) && done) {
       feed.Stop();
       sweepTimer.cancel();
@@ -496,6 +568,7 @@
   {
     stopping = true;
     callers.Stop();
+    handler.Relays().Stop();
     stopRequestedAt = clock.Now();
     done = std::move(aDone);
     wire::FeedReport report;
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -36,11 +36,10 @@
 /// Retry-After values, by the reason for which a request has not run.
 constexpr milliseconds kRetryAfterNoOwner{ 400 };
 constexpr milliseconds kRetryAfterNoState{ 300 };
+/// The caller's next request is likely to reach another host.
+constexpr milliseconds kRetryAfterNoPath{ 100 };
 /// Remaining time below which a request is not retried and waits for no slot.
 constexpr milliseconds kMinAttemptTime{ 15 };
-/// Time reserved for the response on its way to the caller, not available to
-/// the upstream.
-constexpr milliseconds kReturnMargin{ 4 };
 /// Timeout of a request without a deadline header.
 constexpr milliseconds kDefaultTimeout{ 10000 };
 /// Maximum number of attempts of a request in which nothing was sent, including
@@ -101,26 +100,6 @@
   return {};
 }
 
-AttemptOutcome
-ToAttemptOutcome(const AttemptResult& aResult, bool aAbandoned)
-{
-  if (aAbandoned) {
-    return AttemptOutcome::Abandoned;
-  }
-  switch (aResult.kind) {
-    case AttemptResult::Kind::Response:
-      return AttemptOutcome::Answered;
-    case AttemptResult::Kind::NotExecuted:
-      return AttemptOutcome::Refused;
-    case AttemptResult::Kind::NotSent:
-      return AttemptOutcome::Unreachable;
-    case AttemptResult::Kind::OutcomeUnknown:
-      return aResult.cancelled ? AttemptOutcome::TimedOut
-                               : AttemptOutcome::Broken;
-  }
-  return AttemptOutcome::Abandoned;
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(const asio::any_io_executor& aExecutor,
@@ -129,6 +108,7 @@
                                SlotCoordinator& aSlots,
                                const Dialect& aDialect,
                                scheduling::LinkMeter& aLinkMeter,
+                               RequestRelay::Send aSendToHost,
                                const Clock& aClock)
   : mExecutor(aExecutor)
   , mOptions(std::move(aOptions))
@@ -146,6 +126,12 @@
                       RecordTraffic(
                         LinkUse::Upstreams, LinkDirection::Out, aBytes);
                     })
+  , mReach(mOptions.seed)
+  , mRelay(aExecutor,
+           RelayPeers(mOptions.address, mOptions.dataCentre, mOptions.seed),
+           std::move(aSendToHost),
+           aClock)
+  , mRelayServer(aExecutor, *this)
   , mLinkPolicy(MakeLinkPolicy(mOptions, aLinkMeter))
   , mEgressQueue(mOptions.linkBytesPerSecond)
   , mEgressTimer(aExecutor)
@@ -160,6 +146,10 @@
     mRoutes.Update(items);
   } else if (aCommand->has_change_items()) {
     mRoutes.Update(items, aCommand->change_items());
+  } else if (aCommand->has_put_instance()) {
+    const wire::UpstreamInstance& instance =
+      aCommand->put_instance().instance();
+    mReach.OnInstance(instance.id(), instance.life());
   }
   WakeWaiters();
 }
@@ -209,6 +199,10 @@
   mUpstreamClient.Pool().Sweep(mClock.Now(), [&](const std::string& aInstance) {
     return state.FindInstance(aInstance) != nullptr;
   });
+  mReach.RemoveUnregistered([&](const std::string& aInstance) {
+    return state.FindInstance(aInstance) != nullptr;
+  });
+  mRelay.RemoveExpired();
 }
 
 bool
@@ -321,6 +315,10 @@
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   mMetrics.SetTotal(
     "upstream_connects_failed", {}, mUpstreamClient.ConnectionsFailed());
+  mMetrics.Set("services_lost", static_cast<double>(mReach.LostServices()));
+  mMetrics.Set("upstreams_unreachable",
+               static_cast<double>(mReach.UnreachableInstances()));
+  mMetrics.Set("relaying", static_cast<double>(mRelayServer.InProgress()));
   SetLinkMetrics();
   SetSlotMetrics(mMetrics, mSlots);
   SetDispatchMetrics();
@@ -489,16 +487,14 @@
   const Slot slot = aSlot;
   auto handle = std::make_shared<AttemptHandle>();
   aProgress.context->AttachAttempt(handle);
-  const Duration left =
-    aProgress.deadline - mClock.Now() - Duration(kReturnMargin);
   // A named variable, as Debian 12's compiler destroys a braced temporary in a
   // co_await expression twice.
   const UpstreamProcess process{ slot.instance,
                                  slot.address,
                                  slot.incarnation };
-  AttemptResult result = co_await mUpstreamClient.RoundTrip(
-    process, aProgress.request, left, handle);
+  RelayResult sent = co_await SendByAnyPath(aProgress, process, handle);
   aProgress.context->DetachAttempt();
+  AttemptResult& result = sent.attempt;
   if (result.response.status != 0) {
     RecordTraffic(LinkUse::Upstreams,
                   LinkDirection::In,
@@ -507,33 +503,32 @@
   RecordLoadReport(slot.instance, result.response);
   RecordBackPressure(slot, result);
   CountServiceAttempt(aProgress, result);
-  mSlots.Release(
-    slot,
-    ToAttemptOutcome(result, aProgress.context->IsCancelledByCallerOrHost()),
-    result.elapsed);
+  mSlots.Release(slot, OutcomeOf(aProgress, sent), result.elapsed);
   mMetrics.Increment("tries", AttemptLabel(result.kind));
   mMetrics.Observe("try", result.elapsed);
   aProgress.lastUpstream = slot.instance;
   aProgress.lastFailure = result.reason;
-  LogFailedAttempt(aProgress, result);
-  co_return result;
+  LogFailedAttempt(aProgress, sent);
+  co_return std::move(result);
 }
 
 void
 RequestHandler::LogFailedAttempt(const RequestProgress& aProgress,
-                                 const AttemptResult& aResult) const
+                                 const RelayResult& aResult) const
 {
-  const bool failed = aResult.kind == AttemptResult::Kind::NotSent ||
-                      aResult.kind == AttemptResult::Kind::OutcomeUnknown;
+  const AttemptResult& attempt = aResult.attempt;
+  const bool failed = attempt.kind == AttemptResult::Kind::NotSent ||
+                      attempt.kind == AttemptResult::Kind::OutcomeUnknown;
   if (!failed || aProgress.context->HasCallerDisconnected()) {
     return;
   }
   LogLine(aProgress.request->requestId)
     << "attempt failed service=" << aProgress.service
     << " upstream=" << aProgress.lastUpstream
-    << " connection=" << (aResult.newConnection ? "new" : "kept")
-    << " sent=" << (aResult.kind != AttemptResult::Kind::NotSent)
-    << " reason=" << aResult.reason
+    << " relay=" << (aResult.relay.empty() ? "-" : aResult.relay)
+    << " connection=" << (attempt.newConnection ? "new" : "kept")
+    << " sent=" << (attempt.kind != AttemptResult::Kind::NotSent)
+    << " reason=" << attempt.reason
     << " after_ms=" << Milliseconds(mClock.Now() - aProgress.arrived);
 }
 
@@ -586,6 +581,12 @@
       RetryBudgetOf(aProgress.service).OnFirstSend();
     }
     AttemptResult result = co_await RunAttempt(aProgress, *slot);
+    if (aProgress.noPath) {
+      co_return NotExecutedResponse(
+        aProgress,
+        kRetryAfterNoPath,
+        "no host was found that reaches the upstreams");
+    }
     if (result.kind == AttemptResult::Kind::NotSent) {
       ++unsent;
       aProgress.attempted.insert(aProgress.lastUpstream);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -22,11 +22,14 @@
 #include "gateway/feed_client.h"
 #include "gateway/link_budget.h"
 #include "gateway/metrics.h"
+#include "gateway/relay_server.h"
 #include "gateway/request_context.h"
+#include "gateway/request_relay.h"
 #include "gateway/route_table.h"
 #include "gateway/settings.h"
 #include "gateway/slot_coordinator.h"
 #include "gateway/upstream_client.h"
+#include "gateway/upstream_reach.h"
 #include "scheduling/demand_table.h"
 #include "scheduling/link_admission.h"
 #include "scheduling/link_meter.h"
@@ -36,11 +39,15 @@
 /// Handles callers' requests on an entry host: finds the route, acquires a slot
 /// of an upstream, sends the request, retries within the retry budget, and
 /// builds the response. Runs on one executor that runs one handler at a time.
-class RequestHandler : public CallerRequestHandler
+class RequestHandler
+  : public CallerRequestHandler
+  , private RelayServer::Attempts
 {
 public:
   struct Options
   {
+    /// Address of this host, as other hosts know it.
+    std::string address;
     DataCentre dataCentre;
     /// Retries per first attempt, for all entry hosts together.
     double retryRatio = 0;
@@ -56,12 +63,14 @@
   };
 
   /// @param aFeed, aSlots, aDialect, aLinkMeter and aClock outlive this object.
+  /// @param aSendToHost sends a message to another entry host.
   RequestHandler(const boost::asio::any_io_executor& aExecutor,
                  Options aOptions,
                  const FeedClient& aFeed,
                  SlotCoordinator& aSlots,
                  const Dialect& aDialect,
                  scheduling::LinkMeter& aLinkMeter,
+                 RequestRelay::Send aSendToHost,
                  const Clock& aClock);
 
   /// Updates the routes and wakes waiting requests after a change of the
@@ -87,10 +96,19 @@
   /// upstreams that have changed.
   wire::FeedReport TakeLoadReport();
 
-  /// Closes connections to upstreams that have been idle for too long. Call it
-  /// at regular intervals.
+  /// Closes connections to upstreams that have been idle for too long, and
+  /// removes what is outdated. Call it at regular intervals.
   void Sweep();
 
+  /// Probes upstreams that this host could not reach. Call it at regular
+  /// intervals.
+  void ProbeUpstreams();
+
+  /// The requests that other hosts send through this one, and those that this
+  /// host sends through others.
+  RelayServer& Relays() { return mRelayServer; }
+  RequestRelay& Relayed() { return mRelay; }
+
   /// Advances the measurement of the link. Call it every SlotBroker::kTick.
   /// @param aConnection the feed's connection for probes, if there is one.
   /// @return the id of a LinkProbe that must be sent now, if any.
@@ -105,12 +123,26 @@
     mEgressQueue.RecordSent(aBytes, mClock.Now());
   }
 
+  /// Counts a message of the relaying of requests.
+  /// @param aUse Callers for a host that uses this one as a relay, Upstreams
+  /// for a relay that this host uses: they take the places of these on the
+  /// link.
+  void RecordRelayMessage(scheduling::LinkUse aUse,
+                          scheduling::LinkDirection aDirection,
+                          size_t aBytes)
+  {
+    RecordTraffic(aUse, aDirection, aBytes);
+  }
+
   /// @return the metrics of this host as a text page.
   std::string MetricsPage();
 
 private:
   /// Retry-After of a request that no upstream could take.
   static constexpr std::chrono::milliseconds kRetryAfterFull{ 150 };
+  /// Time reserved for the response on its way to the caller, not available to
+  /// the upstream.
+  static constexpr std::chrono::milliseconds kReturnMargin{ 4 };
   /// Approximate size of a request line and of the headers that this host adds.
   static constexpr size_t kRequestLineBytes = 160;
 
@@ -139,6 +171,8 @@
     std::string owner;
     /// Instance of the last attempt.
     std::string lastUpstream;
+    /// This host has lost the service, and no other host relays the request.
+    bool noPath = false;
   };
 
   /// Requests that wait for a change of the replicated state.
@@ -217,11 +251,58 @@
     Instant aSendAtLatest);
   /// Starts the timer that wakes the responses at the head of the egress queue.
   void ArmEgressTimer();
+  /// Sends the request to the upstream, or through another host if this one
+  /// can't reach it.
+  /// @return the result; its relay is empty if the request was sent directly.
+  boost::asio::awaitable<RelayResult> SendByAnyPath(
+    RequestProgress& aProgress,
+    UpstreamProcess aProcess,
+    std::shared_ptr<AttemptHandle> aHandle);
+  boost::asio::awaitable<AttemptResult> SendDirectly(
+    RequestProgress& aProgress,
+    const UpstreamProcess& aProcess,
+    std::shared_ptr<AttemptHandle> aHandle);
+  RelayAttempt MakeRelayAttempt(const RequestProgress& aProgress,
+                                const UpstreamProcess& aProcess) const;
+  /// @return the time left for an upstream's response.
+  Duration TimeLeft(const RequestProgress& aProgress) const;
+  bool CanReach(const std::string& aService,
+                const UpstreamProcess& aProcess) const;
+  /// Records what an attempt of this host shows of its path to the upstream.
+  /// @param aGivenUp the attempt ended for reasons unrelated to the path.
+  void RecordReach(const std::string& aService,
+                   const UpstreamProcess& aProcess,
+                   const AttemptResult& aResult,
+                   bool aGivenUp);
+  /// Logs services that were lost or regained, and gives up what hangs.
+  void ApplyReachChanges();
+  /// @return the outcome of an attempt for the slot's allocator.
+  AttemptOutcome OutcomeOf(const RequestProgress& aProgress,
+                           const RelayResult& aResult) const;
+  boost::asio::awaitable<void> ProbeUpstream(UpstreamReach::Probe aProbe);
+  wire::RelayState RelayStateFor(const std::string& aService,
+                                 const std::string& aInstance,
+                                 uint64_t aIncarnation) const override;
+  boost::asio::awaitable<RelayServer::Result> Relay(
+    std::shared_ptr<const wire::RelayedRequest> aRequest,
+    std::shared_ptr<AttemptHandle> aHandle) override;
+  /// Relays a request if the link admits it.
+  boost::asio::awaitable<RelayServer::Result> RelayIfAdmitted(
+    LinkBudget& aBudget,
+    std::shared_ptr<const wire::RelayedRequest> aRequest,
+    std::shared_ptr<AttemptHandle> aHandle);
+  boost::asio::awaitable<RelayServer::Result> RelayIfAdmitted(
+    scheduling::LinkAdmission& aAdmission,
+    std::shared_ptr<const wire::RelayedRequest> aRequest,
+    std::shared_ptr<AttemptHandle> aHandle);
+  boost::asio::awaitable<RelayServer::Result> RelayAdmitted(
+    std::shared_ptr<const wire::RelayedRequest> aRequest,
+    std::shared_ptr<AttemptHandle> aHandle);
   /// Sends the request to the upstream of a slot and releases the slot.
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestProgress& aProgress,
                                                    const Slot& aSlot);
   void LogFailedAttempt(const RequestProgress& aProgress,
-                        const AttemptResult& aResult) const;
+                        const RelayResult& aResult) const;
   /// Records the load report in an upstream's response, if it has one.
   void RecordLoadReport(const std::string& aInstance,
                         const UpstreamResponse& aResponse);
@@ -271,6 +352,12 @@
   RouteTable mRoutes;
   SlotCoordinator& mSlots;
   UpstreamClient mUpstreamClient;
+  UpstreamReach mReach;
+  RequestRelay mRelay;
+  RelayServer mRelayServer;
+  /// Direct attempts of idempotent requests that are in progress, by service.
+  std::map<std::string, std::set<std::shared_ptr<AttemptHandle>>>
+    mDirectAttempts;
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mRetryBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
--- a/src/librattandyke/gateway/slot_coordinator.h
+++ b/src/librattandyke/gateway/slot_coordinator.h
@@ -134,6 +134,9 @@
   /// @return the number of rests that RestoreRests has recorded.
   uint64_t RestsRestored() const { return mRestsRestored; }
 
+  /// @return the time for which this host must send an upstream nothing.
+  Duration RestLeft(const std::string& aInstance) const;
+
   /// Records that an upstream said, in the response to a request in a slot,
   /// that it leaves.
   void RecordLeaving(const Slot& aSlot);
@@ -220,8 +223,6 @@
   boost::asio::awaitable<SlotOutcome> AcquireOfAny(
     std::shared_ptr<RequestContext> aContext,
     SlotRequest aRequest);
-  /// @return the time for which this host must send an upstream nothing.
-  Duration RestLeft(const std::string& aInstance) const;
   /// Excludes the upstreams that rest from a request.
   void ExcludeResting(SlotRequest& aRequest) const;
   /// @return that no slot is available because of a rest.
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -43,6 +43,8 @@
 constexpr milliseconds kIdleLifetimeMargin{ 1000 };
 /// Time after which a connection with unacknowledged data is closed.
 constexpr milliseconds kUnacknowledgedTimeout{ 1000 };
+/// Time for the response to a probe. It may wait for a slot of the upstream.
+constexpr milliseconds kProbeTimeout{ 1000 };
 /// Shortest remaining time with which a request is sent. The deadline header is
 /// in whole milliseconds, and upstreams treat 0 as no limit: if a pause of this
 /// host used up the time, the upstream would work for a caller that is gone.
@@ -145,6 +147,15 @@
   return nullptr;
 }
 
+bool
+ConnectionPool::HasIdle(const UpstreamProcess& aProcess, Instant aNow) const
+{
+  const auto found = mIdle.find(aProcess.instance);
+  return found != mIdle.end() && found->second.process == aProcess &&
+         !found->second.idle.empty() &&
+         found->second.idle.back()->usableUntil > aNow;
+}
+
 void
 ConnectionPool::Put(const UpstreamProcess& aProcess,
                     std::shared_ptr<UpstreamConnection> aConnection)
@@ -168,6 +179,19 @@
   if (mConnection) {
     mConnection->Close();
   }
+  if (mOnCancel) {
+    std::exchange(mOnCancel, nullptr)();
+  }
+}
+
+void
+AttemptHandle::AttachWaiter(std::function<void()> aOnCancel)
+{
+  if (mCancelled) {
+    aOnCancel();
+  } else {
+    mOnCancel = std::move(aOnCancel);
+  }
 }
 
 void
@@ -341,6 +365,49 @@
   }
 }
 
+asio::awaitable<bool>
+UpstreamClient::Probe(UpstreamProcess aProcess, std::string aHealthPath)
+{
+  auto handle = std::make_shared<AttemptHandle>();
+  std::string failure;
+  const auto connection = co_await Connect(aProcess.address, handle, failure);
+  if (!connection) {
+    co_return false;
+  }
+  connection->usableUntil = mClock.Now() + Duration(kDefaultIdleLifetime);
+  if (aHealthPath.empty()) {
+    PoolOrClose(aProcess, connection);
+    co_return true;
+  }
+  auto waiting = std::make_shared<bool>(true);
+  asio::steady_timer timer(mExecutor, kProbeTimeout);
+  timer.async_wait([connection, waiting](ErrorCode aError) {
+    if (!aError && *waiting) {
+      connection->Close();
+    }
+  });
+  std::string head = "GET " + aHealthPath + " HTTP/1.1\r\n";
+  http::AppendField(head, "Host", aProcess.address);
+  http::AppendField(head, mHeaders.expectedInstance, aProcess.instance);
+  head += "\r\n";
+  auto [writeError, written] =
+    co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
+  Parser parser;
+  auto [readError, read] = co_await beast::http::async_read(
+    connection->socket, connection->buffer, parser, kAwait);
+  *waiting = false;
+  timer.cancel();
+  if (writeError || readError) {
+    connection->Close();
+    co_return false;
+  }
+  if (!parser.get().keep_alive() || parser.need_eof()) {
+    connection->usableUntil = {};
+  }
+  PoolOrClose(aProcess, connection);
+  co_return true;
+}
+
 asio::awaitable<AttemptResult>
 UpstreamClient::ReadResponse(std::shared_ptr<UpstreamConnection> aConnection,
                              std::shared_ptr<const UpstreamRequest> aRequest,
@@ -370,8 +437,11 @@
       // An upstream may send a late duplicate of an earlier response. It must
       // not reach the caller of this request.
       if (!keepAlive) {
-        co_return MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                             "the answer belongs to another request");
+        AttemptResult result =
+          MakeResult(AttemptResult::Kind::OutcomeUnknown,
+                     "the answer belongs to another request");
+        result.responded = true;
+        co_return result;
       }
       continue;
     }
@@ -384,10 +454,13 @@
     }
     AttemptResult result = Classify(std::move(response));
     result.rest = std::move(rest);
+    result.responded = true;
     co_return result;
   }
-  co_return MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                       "too many answers to other requests");
+  AttemptResult result = MakeResult(AttemptResult::Kind::OutcomeUnknown,
+                                    "too many answers to other requests");
+  result.responded = true;
+  co_return result;
 }
 
 AttemptResult
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -65,6 +65,10 @@
   std::shared_ptr<UpstreamConnection> Take(const UpstreamProcess& aProcess,
                                            Instant aNow);
 
+  /// @return whether there is an idle connection to the process that is usable
+  /// by its age.
+  bool HasIdle(const UpstreamProcess& aProcess, Instant aNow) const;
+
   /// Adds a connection, or closes it if the pool holds connections to another
   /// process of the instance.
   void Put(const UpstreamProcess& aProcess,
@@ -144,6 +148,8 @@
   bool cancelled = false;
   /// The connection was opened for the attempt.
   bool newConnection = false;
+  /// The upstream sent a response, whether or not it is one to the request.
+  bool responded = false;
   /// Time from sending the request to the end of the attempt; 0 if the request
   /// could not be written.
   Duration elapsed{};
@@ -167,8 +173,13 @@
   void AttachConnection(std::shared_ptr<UpstreamConnection> aConnection);
   void DetachConnection() { mConnection.reset(); }
 
+  /// For RequestRelay: what Cancel() calls, at once if it was called before.
+  void AttachWaiter(std::function<void()> aOnCancel);
+  void DetachWaiter() { mOnCancel = nullptr; }
+
 private:
   std::shared_ptr<UpstreamConnection> mConnection;
+  std::function<void()> mOnCancel;
   bool mCancelled = false;
   std::string mReason;
 };
@@ -196,7 +207,15 @@
     Duration aTimeLeft,
     std::shared_ptr<AttemptHandle> aHandle);
 
+  /// Finds out whether an upstream can be reached, by a request for its health
+  /// path. Any response shows that it can, whatever it says of its health.
+  /// @param aHealthPath empty: a connection is enough.
+  /// @return whether it can be reached.
+  boost::asio::awaitable<bool> Probe(UpstreamProcess aProcess,
+                                     std::string aHealthPath);
+
   ConnectionPool& Pool() { return mPool; }
+  const ConnectionPool& Pool() const { return mPool; }
 
   /// @return the number of connections opened since the start.
   uint64_t ConnectionsOpened() const { return mConnectionsOpened; }
--- a/src/librattandyke/net/frame_mesh.cpp
+++ b/src/librattandyke/net/frame_mesh.cpp
@@ -88,32 +88,39 @@
         } });
   }
 
-  void Send(const HostName& aTo, std::string_view aMessage)
+  bool Send(const HostName& aTo, std::string_view aMessage)
   {
     Peer& peer = peers[aTo];
     if (peer.connection) {
       peer.connection->Send(aMessage);
-      return;
+      return true;
     }
     if (peer.failedAt &&
         std::chrono::steady_clock::now() - *peer.failedAt < kRetryPause) {
-      return;
+      return false;
     }
-    if (peer.waitingBytes + aMessage.size() <= kMaxWaitingBytes) {
+    const bool fits = peer.waitingBytes + aMessage.size() <= kMaxWaitingBytes;
+    if (fits) {
       peer.waiting.emplace_back(aMessage);
       peer.waitingBytes += aMessage.size();
     }
-    if (!peer.connecting) {
-      Connect(aTo);
+    return (peer.connecting || Connect(aTo)) && fits;
+  }
+
+  void ReportLost(const HostName& aPeer, bool aWasConnected)
+  {
+    if (handlers.lost) {
+      handlers.lost(aPeer, aWasConnected);
     }
   }
 
-  void Connect(const HostName& aTo)
+  /// @return whether a connection is being made.
+  bool Connect(const HostName& aTo)
   {
     const Result<Endpoint> address = ParseEndpoint(aTo.value);
     if (!address) {
       peers.erase(aTo);
-      return;
+      return false;
     }
     auto socket = std::make_shared<tcp::socket>(executor);
     peers[aTo].connecting = socket;
@@ -133,6 +140,7 @@
           mesh->OnConnected(aTo, socket, aError);
         }
       });
+    return true;
   }
 
   void OnConnected(const HostName& aTo,
@@ -145,6 +153,7 @@
     peer.waitingBytes = 0;
     if (aError || !aSocket->is_open()) {
       peer.failedAt = std::chrono::steady_clock::now();
+      ReportLost(aTo, false);
       return;
     }
     peer.failedAt.reset();
@@ -163,6 +172,7 @@
         [self = weak_from_this(), aTo] {
           if (const auto mesh = self.lock(); mesh && !mesh->stopped) {
             mesh->peers[aTo].connection.reset();
+            mesh->ReportLost(aTo, true);
           }
         } });
     for (const std::string& message : waiting) {
@@ -229,12 +239,10 @@
   }
 }
 
-void
+bool
 FrameMesh::Send(const HostName& aTo, std::string_view aMessage)
 {
-  if (!mImpl->stopped) {
-    mImpl->Send(aTo, aMessage);
-  }
+  return !mImpl->stopped && mImpl->Send(aTo, aMessage);
 }
 
 } // namespace rattandyke::net
--- a/src/librattandyke/net/frame_mesh.h
+++ b/src/librattandyke/net/frame_mesh.h
@@ -30,6 +30,10 @@
     /// same way.
     std::function<void(const Connection&, std::string_view)> received;
     std::function<void(const Connection&)> closed;
+    /// A connection that this host made ended, or could not be established:
+    /// what was sent to the peer may be lost. Not called if it is empty.
+    /// @param aWasConnected whether a part of it may have been delivered.
+    std::function<void(const HostName& aPeer, bool aWasConnected)> lost = {};
   };
 
   FrameMesh(boost::asio::any_io_executor aExecutor,
@@ -42,7 +46,8 @@
   void Stop();
 
   /// @param aTo a host's address, "IP:PORT".
-  void Send(const HostName& aTo, std::string_view aMessage);
+  /// @return whether the message is on its way; if not, nothing of it is sent.
+  bool Send(const HostName& aTo, std::string_view aMessage);
 
 private:
   struct Impl;
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -893,6 +893,113 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SlotDoneDefaultTypeInternal _SlotDone_default_instance_;
+PROTOBUF_CONSTEXPR RelayAsk::RelayAsk(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayAskDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayAskDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayAskDefaultTypeInternal() {}
+  union {
+    RelayAsk _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayAskDefaultTypeInternal _RelayAsk_default_instance_;
+PROTOBUF_CONSTEXPR RelayAnswer::RelayAnswer(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.state_)*/0
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayAnswerDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayAnswerDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayAnswerDefaultTypeInternal() {}
+  union {
+    RelayAnswer _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayAnswerDefaultTypeInternal _RelayAnswer_default_instance_;
+PROTOBUF_CONSTEXPR RelayedRequest::RelayedRequest(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.method_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.target_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.fields_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.body_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.request_id_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.route_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.has_body_)*/false
+  , /*decltype(_impl_.left_ms_)*/0u
+  , /*decltype(_impl_.priority_)*/0u
+  , /*decltype(_impl_.objective_ms_)*/0u
+  , /*decltype(_impl_.timeout_ms_)*/0u
+  , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayedRequestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayedRequestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayedRequestDefaultTypeInternal() {}
+  union {
+    RelayedRequest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayedRequestDefaultTypeInternal _RelayedRequest_default_instance_;
+PROTOBUF_CONSTEXPR RelayedField::RelayedField(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.name_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.value_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayedFieldDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayedFieldDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayedFieldDefaultTypeInternal() {}
+  union {
+    RelayedField _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayedFieldDefaultTypeInternal _RelayedField_default_instance_;
+PROTOBUF_CONSTEXPR RelayedResponse::RelayedResponse(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.fields_)*/{}
+  , /*decltype(_impl_.body_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.reason_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_.outcome_)*/0
+  , /*decltype(_impl_.state_)*/0
+  , /*decltype(_impl_.status_)*/0u
+  , /*decltype(_impl_.cancelled_)*/false
+  , /*decltype(_impl_.elapsed_us_)*/uint64_t{0u}
+  , /*decltype(_impl_.rest_ms_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayedResponseDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayedResponseDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayedResponseDefaultTypeInternal() {}
+  union {
+    RelayedResponse _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayedResponseDefaultTypeInternal _RelayedResponse_default_instance_;
+PROTOBUF_CONSTEXPR RelayCancel::RelayCancel(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.id_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RelayCancelDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RelayCancelDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RelayCancelDefaultTypeInternal() {}
+  union {
+    RelayCancel _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RelayCancelDefaultTypeInternal _RelayCancel_default_instance_;
 PROTOBUF_CONSTEXPR PackedFrame::PackedFrame(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.bytes_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -923,8 +1030,8 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[56];
-static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[2];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[62];
+static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[4];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
 const uint32_t TableStruct_gateway_2eproto::offsets[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1486,6 +1593,77 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.took_us_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SlotDone, _impl_.notice_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAsk, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAsk, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAsk, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAsk, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAsk, _impl_.life_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAnswer, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAnswer, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayAnswer, _impl_.state_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.method_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.target_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.fields_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.body_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.has_body_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.request_id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.left_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.route_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.priority_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.objective_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.timeout_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedRequest, _impl_.age_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedField, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedField, _impl_.name_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedField, _impl_.value_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.id_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.outcome_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.state_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.status_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.fields_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.body_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.reason_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.cancelled_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.elapsed_us_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.rest_ms_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayCancel, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayCancel, _impl_.id_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::PackedFrame, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1518,6 +1696,11 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1575,8 +1758,14 @@
   { 512, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
   { 532, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
   { 545, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 557, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 565, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 557, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
+  { 567, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
+  { 575, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
+  { 597, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
+  { 605, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
+  { 621, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
+  { 628, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 636, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1634,6 +1823,12 @@
   &::rattandyke::wire::_SlotAsk_default_instance_._instance,
   &::rattandyke::wire::_SlotAnswer_default_instance_._instance,
   &::rattandyke::wire::_SlotDone_default_instance_._instance,
+  &::rattandyke::wire::_RelayAsk_default_instance_._instance,
+  &::rattandyke::wire::_RelayAnswer_default_instance_._instance,
+  &::rattandyke::wire::_RelayedRequest_default_instance_._instance,
+  &::rattandyke::wire::_RelayedField_default_instance_._instance,
+  &::rattandyke::wire::_RelayedResponse_default_instance_._instance,
+  &::rattandyke::wire::_RelayCancel_default_instance_._instance,
   &::rattandyke::wire::_PackedFrame_default_instance_._instance,
   &::rattandyke::wire::_GatewayFrame_default_instance_._instance,
 };
@@ -1813,51 +2008,87 @@
   ".SlotRefusal\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022"
   "\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030"
   "\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037"
-  ".rattandyke.wire.UpstreamNotice\"*\n\013Packe"
-  "dFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\220\010\n\014"
-  "GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfee"
-  "d_open\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH"
-  "\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wi"
-  "re.FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132"
-  "\034.rattandyke.wire.FeedCommandH\000\022.\n\tfeed_"
-  "ping\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\022"
-  "2\n\013feed_report\030\006 \001(\0132\033.rattandyke.wire.F"
-  "eedReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.ra"
-  "ttandyke.wire.ForwardedCallH\000\022<\n\020forward"
-  "ed_answer\030\010 \001(\0132 .rattandyke.wire.Forwar"
-  "dedAnswerH\000\0222\n\013host_report\030\t \001(\0132\033.ratta"
-  "ndyke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001("
-  "\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013slot_an"
-  "swer\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH"
-  "\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.S"
-  "lotDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.w"
-  "ire.PackedFrameH\000\022D\n\024forwarded_heartbeat"
-  "s\030\016 \001(\0132$.rattandyke.wire.ForwardedHeart"
-  "beatsH\000\022Q\n\033forwarded_heartbeat_answers\030\017"
-  " \001(\0132*.rattandyke.wire.ForwardedHeartbea"
-  "tAnswersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.ratt"
-  "andyke.wire.FeedCommandsH\000\0226\n\rdemand_dig"
-  "est\030\021 \001(\0132\035.rattandyke.wire.DemandDigest"
-  "H\000\0220\n\nlink_probe\030\022 \001(\0132\032.rattandyke.wire"
-  ".LinkProbeH\000\0228\n\016upstream_rests\030\023 \001(\0132\036.r"
-  "attandyke.wire.UpstreamRestsH\000B\006\n\004body*\206"
-  "\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFIED\020\000"
-  "\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STATE_GR"
-  "ANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022SLOT_"
-  "STATE_UNKNOWN\020\004*\225\001\n\013SlotRefusal\022\034\n\030SLOT_"
-  "REFUSAL_UNSPECIFIED\020\000\022\025\n\021SLOT_REFUSAL_FU"
-  "LL\020\001\022\034\n\030SLOT_REFUSAL_NO_INSTANCE\020\002\022\031\n\025SL"
-  "OT_REFUSAL_NO_OWNER\020\003\022\030\n\024SLOT_REFUSAL_FA"
-  "ILING\020\004b\006proto3"
+  ".rattandyke.wire.UpstreamNotice\"G\n\010Relay"
+  "Ask\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\020\n\010inst"
+  "ance\030\003 \001(\t\022\014\n\004life\030\004 \001(\004\"E\n\013RelayAnswer\022"
+  "\n\n\002id\030\001 \001(\004\022*\n\005state\030\002 \001(\0162\033.rattandyke."
+  "wire.RelayState\"\235\002\n\016RelayedRequest\022\n\n\002id"
+  "\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\020\n\010instance\030\003 \001("
+  "\t\022\014\n\004life\030\004 \001(\004\022\016\n\006method\030\005 \001(\t\022\016\n\006targe"
+  "t\030\006 \001(\014\022\016\n\006fields\030\007 \001(\014\022\014\n\004body\030\010 \001(\014\022\020\n"
+  "\010has_body\030\t \001(\010\022\022\n\nrequest_id\030\n \001(\014\022\017\n\007l"
+  "eft_ms\030\013 \001(\r\022\r\n\005route\030\014 \001(\t\022\020\n\010priority\030"
+  "\r \001(\r\022\024\n\014objective_ms\030\016 \001(\r\022\022\n\ntimeout_m"
+  "s\030\017 \001(\r\022\016\n\006age_ms\030\020 \001(\r\"+\n\014RelayedField\022"
+  "\014\n\004name\030\001 \001(\014\022\r\n\005value\030\002 \001(\014\"\220\002\n\017Relayed"
+  "Response\022\n\n\002id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037."
+  "rattandyke.wire.RelayedOutcome\022*\n\005state\030"
+  "\003 \001(\0162\033.rattandyke.wire.RelayState\022\016\n\006st"
+  "atus\030\004 \001(\r\022-\n\006fields\030\005 \003(\0132\035.rattandyke."
+  "wire.RelayedField\022\014\n\004body\030\006 \001(\014\022\016\n\006reaso"
+  "n\030\007 \001(\t\022\021\n\tcancelled\030\010 \001(\010\022\022\n\nelapsed_us"
+  "\030\t \001(\004\022\017\n\007rest_ms\030\n \001(\004\"\031\n\013RelayCancel\022\n"
+  "\n\002id\030\001 \001(\004\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022"
+  "\r\n\005bytes\030\002 \001(\014\"\246\n\n\014GatewayFrame\022\023\n\tconse"
+  "nsus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattan"
+  "dyke.wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 "
+  "\001(\0132\035.rattandyke.wire.FeedSnapshotH\000\0224\n\014"
+  "feed_command\030\004 \001(\0132\034.rattandyke.wire.Fee"
+  "dCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandy"
+  "ke.wire.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132"
+  "\033.rattandyke.wire.FeedReportH\000\0228\n\016forwar"
+  "ded_call\030\007 \001(\0132\036.rattandyke.wire.Forward"
+  "edCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rat"
+  "tandyke.wire.ForwardedAnswerH\000\0222\n\013host_r"
+  "eport\030\t \001(\0132\033.rattandyke.wire.HostReport"
+  "H\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire.S"
+  "lotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandy"
+  "ke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132"
+  "\031.rattandyke.wire.SlotDoneH\000\022.\n\006packed\030\r"
+  " \001(\0132\034.rattandyke.wire.PackedFrameH\000\022D\n\024"
+  "forwarded_heartbeats\030\016 \001(\0132$.rattandyke."
+  "wire.ForwardedHeartbeatsH\000\022Q\n\033forwarded_"
+  "heartbeat_answers\030\017 \001(\0132*.rattandyke.wir"
+  "e.ForwardedHeartbeatAnswersH\000\0226\n\rfeed_co"
+  "mmands\030\020 \001(\0132\035.rattandyke.wire.FeedComma"
+  "ndsH\000\0226\n\rdemand_digest\030\021 \001(\0132\035.rattandyk"
+  "e.wire.DemandDigestH\000\0220\n\nlink_probe\030\022 \001("
+  "\0132\032.rattandyke.wire.LinkProbeH\000\0228\n\016upstr"
+  "eam_rests\030\023 \001(\0132\036.rattandyke.wire.Upstre"
+  "amRestsH\000\022.\n\trelay_ask\030\024 \001(\0132\031.rattandyk"
+  "e.wire.RelayAskH\000\0224\n\014relay_answer\030\025 \001(\0132"
+  "\034.rattandyke.wire.RelayAnswerH\000\022:\n\017relay"
+  "ed_request\030\026 \001(\0132\037.rattandyke.wire.Relay"
+  "edRequestH\000\022<\n\020relayed_response\030\027 \001(\0132 ."
+  "rattandyke.wire.RelayedResponseH\000\0224\n\014rel"
+  "ay_cancel\030\030 \001(\0132\034.rattandyke.wire.RelayC"
+  "ancelH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_ST"
+  "ATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001"
+  "\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_R"
+  "EFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004*\225\001\n\013Slo"
+  "tRefusal\022\034\n\030SLOT_REFUSAL_UNSPECIFIED\020\000\022\025"
+  "\n\021SLOT_REFUSAL_FULL\020\001\022\034\n\030SLOT_REFUSAL_NO"
+  "_INSTANCE\020\002\022\031\n\025SLOT_REFUSAL_NO_OWNER\020\003\022\030"
+  "\n\024SLOT_REFUSAL_FAILING\020\004*\313\001\n\nRelayState\022"
+  "\033\n\027RELAY_STATE_UNSPECIFIED\020\000\022\026\n\022RELAY_ST"
+  "ATE_AGREED\020\001\022\027\n\023RELAY_STATE_NO_PATH\020\002\022\033\n"
+  "\027RELAY_STATE_UNREACHABLE\020\003\022\032\n\026RELAY_STAT"
+  "E_NOT_USABLE\020\004\022\024\n\020RELAY_STATE_BUSY\020\005\022 \n\034"
+  "RELAY_STATE_UNKNOWN_INSTANCE\020\006*\254\001\n\016Relay"
+  "edOutcome\022\037\n\033RELAYED_OUTCOME_UNSPECIFIED"
+  "\020\000\022\034\n\030RELAYED_OUTCOME_RESPONSE\020\001\022 \n\034RELA"
+  "YED_OUTCOME_NOT_EXECUTED\020\002\022\034\n\030RELAYED_OU"
+  "TCOME_NOT_SENT\020\003\022\033\n\027RELAYED_OUTCOME_UNKN"
+  "OWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 8375, descriptor_table_protodef_gateway_2eproto,
+    false, false, 9813, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 56,
+    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 62,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -1904,6 +2135,42 @@
   }
 }
 
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* RelayState_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_gateway_2eproto);
+  return file_level_enum_descriptors_gateway_2eproto[2];
+}
+bool RelayState_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+    case 5:
+    case 6:
+      return true;
+    default:
+      return false;
+  }
+}
+
+const ::PROTOBUF_NAMESPACE_ID::EnumDescriptor* RelayedOutcome_descriptor() {
+  ::PROTOBUF_NAMESPACE_ID::internal::AssignDescriptors(&descriptor_table_gateway_2eproto);
+  return file_level_enum_descriptors_gateway_2eproto[3];
+}
+bool RelayedOutcome_IsValid(int value) {
+  switch (value) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return true;
+    default:
+      return false;
+  }
+}
+
 
 // ===================================================================
 
@@ -18950,54 +19217,72 @@
 
 // ===================================================================
 
-class PackedFrame::_Internal {
+class RelayAsk::_Internal {
  public:
 };
 
-PackedFrame::PackedFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+RelayAsk::RelayAsk(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.PackedFrame)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayAsk)
 }
-PackedFrame::PackedFrame(const PackedFrame& from)
+RelayAsk::RelayAsk(const RelayAsk& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  PackedFrame* const _this = this; (void)_this;
+  RelayAsk* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.bytes_){}
-    , decltype(_impl_.size_){}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.life_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.bytes_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.bytes_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_bytes().empty()) {
-    _this->_impl_.bytes_.Set(from._internal_bytes(), 
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.size_ = from._impl_.size_;
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PackedFrame)
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.life_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.life_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayAsk)
 }
 
-inline void PackedFrame::SharedCtor(
+inline void RelayAsk::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.bytes_){}
-    , decltype(_impl_.size_){0u}
+      decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.life_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.bytes_.InitDefault();
+  _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.bytes_.Set("", GetArenaForAllocation());
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-PackedFrame::~PackedFrame() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.PackedFrame)
+RelayAsk::~RelayAsk() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayAsk)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -19005,46 +19290,69 @@
   SharedDtor();
 }
 
-inline void PackedFrame::SharedDtor() {
+inline void RelayAsk::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.bytes_.Destroy();
+  _impl_.service_.Destroy();
+  _impl_.instance_.Destroy();
 }
 
-void PackedFrame::SetCachedSize(int size) const {
+void RelayAsk::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void PackedFrame::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.PackedFrame)
+void RelayAsk::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayAsk)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.bytes_.ClearToEmpty();
-  _impl_.size_ = 0u;
+  _impl_.service_.ClearToEmpty();
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.life_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.life_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* PackedFrame::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* RelayAsk::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint32 size = 1;
+      // uint64 id = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.size_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // bytes bytes = 2;
+      // string service = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_bytes();
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayAsk.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayAsk.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -19071,50 +19379,2164 @@
 #undef CHK_
 }
 
-uint8_t* PackedFrame::_InternalSerialize(
+uint8_t* RelayAsk::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.PackedFrame)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayAsk)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint32 size = 1;
-  if (this->_internal_size() != 0) {
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_size(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // bytes bytes = 2;
-  if (!this->_internal_bytes().empty()) {
-    target = stream->WriteBytesMaybeAliased(
-        2, this->_internal_bytes(), target);
+  // string service = 2;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayAsk.service");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_service(), target);
+  }
+
+  // string instance = 3;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayAsk.instance");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_instance(), target);
+  }
+
+  // uint64 life = 4;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_life(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.PackedFrame)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayAsk)
   return target;
 }
 
-size_t PackedFrame::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.PackedFrame)
+size_t RelayAsk::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayAsk)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // bytes bytes = 2;
-  if (!this->_internal_bytes().empty()) {
+  // string service = 2;
+  if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
-        this->_internal_bytes());
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
   }
 
-  // uint32 size = 1;
-  if (this->_internal_size() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_size());
+  // string instance = 3;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint64 life = 4;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayAsk::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayAsk::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayAsk::GetClassData() const { return &_class_data_; }
+
+
+void RelayAsk::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayAsk*>(&to_msg);
+  auto& from = static_cast<const RelayAsk&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayAsk)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayAsk::CopyFrom(const RelayAsk& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayAsk)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayAsk::IsInitialized() const {
+  return true;
+}
+
+void RelayAsk::InternalSwap(RelayAsk* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RelayAsk, _impl_.life_)
+      + sizeof(RelayAsk::_impl_.life_)
+      - PROTOBUF_FIELD_OFFSET(RelayAsk, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayAsk::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[54]);
+}
+
+// ===================================================================
+
+class RelayAnswer::_Internal {
+ public:
+};
+
+RelayAnswer::RelayAnswer(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayAnswer)
+}
+RelayAnswer::RelayAnswer(const RelayAnswer& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RelayAnswer* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , decltype(_impl_.state_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.state_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.state_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayAnswer)
+}
+
+inline void RelayAnswer::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.state_){0}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+RelayAnswer::~RelayAnswer() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayAnswer)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RelayAnswer::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void RelayAnswer::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RelayAnswer::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayAnswer)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.state_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.state_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RelayAnswer::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayState state = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_state(static_cast<::rattandyke::wire::RelayState>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RelayAnswer::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayAnswer)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // .rattandyke.wire.RelayState state = 2;
+  if (this->_internal_state() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      2, this->_internal_state(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayAnswer)
+  return target;
+}
+
+size_t RelayAnswer::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayAnswer)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // .rattandyke.wire.RelayState state = 2;
+  if (this->_internal_state() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_state());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayAnswer::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayAnswer::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayAnswer::GetClassData() const { return &_class_data_; }
+
+
+void RelayAnswer::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayAnswer*>(&to_msg);
+  auto& from = static_cast<const RelayAnswer&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayAnswer)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_state() != 0) {
+    _this->_internal_set_state(from._internal_state());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayAnswer::CopyFrom(const RelayAnswer& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayAnswer)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayAnswer::IsInitialized() const {
+  return true;
+}
+
+void RelayAnswer::InternalSwap(RelayAnswer* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RelayAnswer, _impl_.state_)
+      + sizeof(RelayAnswer::_impl_.state_)
+      - PROTOBUF_FIELD_OFFSET(RelayAnswer, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayAnswer::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[55]);
+}
+
+// ===================================================================
+
+class RelayedRequest::_Internal {
+ public:
+};
+
+RelayedRequest::RelayedRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayedRequest)
+}
+RelayedRequest::RelayedRequest(const RelayedRequest& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RelayedRequest* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.fields_){}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.request_id_){}
+    , decltype(_impl_.route_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.has_body_){}
+    , decltype(_impl_.left_ms_){}
+    , decltype(_impl_.priority_){}
+    , decltype(_impl_.objective_ms_){}
+    , decltype(_impl_.timeout_ms_){}
+    , decltype(_impl_.age_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_method().empty()) {
+    _this->_impl_.method_.Set(from._internal_method(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_target().empty()) {
+    _this->_impl_.target_.Set(from._internal_target(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.fields_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fields_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_fields().empty()) {
+    _this->_impl_.fields_.Set(from._internal_fields(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_body().empty()) {
+    _this->_impl_.body_.Set(from._internal_body(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.request_id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.request_id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_request_id().empty()) {
+    _this->_impl_.request_id_.Set(from._internal_request_id(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.route_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.route_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_route().empty()) {
+    _this->_impl_.route_.Set(from._internal_route(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.age_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayedRequest)
+}
+
+inline void RelayedRequest::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.service_){}
+    , decltype(_impl_.instance_){}
+    , decltype(_impl_.method_){}
+    , decltype(_impl_.target_){}
+    , decltype(_impl_.fields_){}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.request_id_){}
+    , decltype(_impl_.route_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.has_body_){false}
+    , decltype(_impl_.left_ms_){0u}
+    , decltype(_impl_.priority_){0u}
+    , decltype(_impl_.objective_ms_){0u}
+    , decltype(_impl_.timeout_ms_){0u}
+    , decltype(_impl_.age_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.method_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.method_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.target_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.target_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.fields_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fields_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.request_id_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.request_id_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.route_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.route_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RelayedRequest::~RelayedRequest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayedRequest)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RelayedRequest::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.service_.Destroy();
+  _impl_.instance_.Destroy();
+  _impl_.method_.Destroy();
+  _impl_.target_.Destroy();
+  _impl_.fields_.Destroy();
+  _impl_.body_.Destroy();
+  _impl_.request_id_.Destroy();
+  _impl_.route_.Destroy();
+}
+
+void RelayedRequest::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RelayedRequest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayedRequest)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.service_.ClearToEmpty();
+  _impl_.instance_.ClearToEmpty();
+  _impl_.method_.ClearToEmpty();
+  _impl_.target_.ClearToEmpty();
+  _impl_.fields_.ClearToEmpty();
+  _impl_.body_.ClearToEmpty();
+  _impl_.request_id_.ClearToEmpty();
+  _impl_.route_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.age_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.age_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RelayedRequest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string service = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string instance = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string method = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_method();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.method"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes target = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_target();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes fields = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
+          auto str = _internal_mutable_fields();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes body = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
+          auto str = _internal_mutable_body();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool has_body = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.has_body_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes request_id = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          auto str = _internal_mutable_request_id();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 left_ms = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.left_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string route = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          auto str = _internal_mutable_route();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.route"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 priority = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 104)) {
+          _impl_.priority_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 objective_ms = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 112)) {
+          _impl_.objective_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 timeout_ms = 15;
+      case 15:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 120)) {
+          _impl_.timeout_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 age_ms = 16;
+      case 16:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 128)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RelayedRequest::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayedRequest)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // string service = 2;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayedRequest.service");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_service(), target);
+  }
+
+  // string instance = 3;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayedRequest.instance");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_instance(), target);
+  }
+
+  // uint64 life = 4;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_life(), target);
+  }
+
+  // string method = 5;
+  if (!this->_internal_method().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayedRequest.method");
+    target = stream->WriteStringMaybeAliased(
+        5, this->_internal_method(), target);
+  }
+
+  // bytes target = 6;
+  if (!this->_internal_target().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        6, this->_internal_target(), target);
+  }
+
+  // bytes fields = 7;
+  if (!this->_internal_fields().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        7, this->_internal_fields(), target);
+  }
+
+  // bytes body = 8;
+  if (!this->_internal_body().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        8, this->_internal_body(), target);
+  }
+
+  // bool has_body = 9;
+  if (this->_internal_has_body() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(9, this->_internal_has_body(), target);
+  }
+
+  // bytes request_id = 10;
+  if (!this->_internal_request_id().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        10, this->_internal_request_id(), target);
+  }
+
+  // uint32 left_ms = 11;
+  if (this->_internal_left_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_left_ms(), target);
+  }
+
+  // string route = 12;
+  if (!this->_internal_route().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_route().data(), static_cast<int>(this->_internal_route().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayedRequest.route");
+    target = stream->WriteStringMaybeAliased(
+        12, this->_internal_route(), target);
+  }
+
+  // uint32 priority = 13;
+  if (this->_internal_priority() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(13, this->_internal_priority(), target);
+  }
+
+  // uint32 objective_ms = 14;
+  if (this->_internal_objective_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(14, this->_internal_objective_ms(), target);
+  }
+
+  // uint32 timeout_ms = 15;
+  if (this->_internal_timeout_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(15, this->_internal_timeout_ms(), target);
+  }
+
+  // uint32 age_ms = 16;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(16, this->_internal_age_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayedRequest)
+  return target;
+}
+
+size_t RelayedRequest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayedRequest)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string service = 2;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string instance = 3;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // string method = 5;
+  if (!this->_internal_method().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_method());
+  }
+
+  // bytes target = 6;
+  if (!this->_internal_target().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_target());
+  }
+
+  // bytes fields = 7;
+  if (!this->_internal_fields().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_fields());
+  }
+
+  // bytes body = 8;
+  if (!this->_internal_body().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_body());
+  }
+
+  // bytes request_id = 10;
+  if (!this->_internal_request_id().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_request_id());
+  }
+
+  // string route = 12;
+  if (!this->_internal_route().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_route());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // uint64 life = 4;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // bool has_body = 9;
+  if (this->_internal_has_body() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint32 left_ms = 11;
+  if (this->_internal_left_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_left_ms());
+  }
+
+  // uint32 priority = 13;
+  if (this->_internal_priority() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_priority());
+  }
+
+  // uint32 objective_ms = 14;
+  if (this->_internal_objective_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_objective_ms());
+  }
+
+  // uint32 timeout_ms = 15;
+  if (this->_internal_timeout_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_timeout_ms());
+  }
+
+  // uint32 age_ms = 16;
+  if (this->_internal_age_ms() != 0) {
+    total_size += 2 +
+      ::_pbi::WireFormatLite::UInt32Size(
+        this->_internal_age_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayedRequest::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayedRequest::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayedRequest::GetClassData() const { return &_class_data_; }
+
+
+void RelayedRequest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayedRequest*>(&to_msg);
+  auto& from = static_cast<const RelayedRequest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayedRequest)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (!from._internal_method().empty()) {
+    _this->_internal_set_method(from._internal_method());
+  }
+  if (!from._internal_target().empty()) {
+    _this->_internal_set_target(from._internal_target());
+  }
+  if (!from._internal_fields().empty()) {
+    _this->_internal_set_fields(from._internal_fields());
+  }
+  if (!from._internal_body().empty()) {
+    _this->_internal_set_body(from._internal_body());
+  }
+  if (!from._internal_request_id().empty()) {
+    _this->_internal_set_request_id(from._internal_request_id());
+  }
+  if (!from._internal_route().empty()) {
+    _this->_internal_set_route(from._internal_route());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_has_body() != 0) {
+    _this->_internal_set_has_body(from._internal_has_body());
+  }
+  if (from._internal_left_ms() != 0) {
+    _this->_internal_set_left_ms(from._internal_left_ms());
+  }
+  if (from._internal_priority() != 0) {
+    _this->_internal_set_priority(from._internal_priority());
+  }
+  if (from._internal_objective_ms() != 0) {
+    _this->_internal_set_objective_ms(from._internal_objective_ms());
+  }
+  if (from._internal_timeout_ms() != 0) {
+    _this->_internal_set_timeout_ms(from._internal_timeout_ms());
+  }
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayedRequest::CopyFrom(const RelayedRequest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayedRequest)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayedRequest::IsInitialized() const {
+  return true;
+}
+
+void RelayedRequest::InternalSwap(RelayedRequest* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.method_, lhs_arena,
+      &other->_impl_.method_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.target_, lhs_arena,
+      &other->_impl_.target_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.fields_, lhs_arena,
+      &other->_impl_.fields_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.body_, lhs_arena,
+      &other->_impl_.body_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.request_id_, lhs_arena,
+      &other->_impl_.request_id_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.route_, lhs_arena,
+      &other->_impl_.route_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RelayedRequest, _impl_.age_ms_)
+      + sizeof(RelayedRequest::_impl_.age_ms_)
+      - PROTOBUF_FIELD_OFFSET(RelayedRequest, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayedRequest::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[56]);
+}
+
+// ===================================================================
+
+class RelayedField::_Internal {
+ public:
+};
+
+RelayedField::RelayedField(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayedField)
+}
+RelayedField::RelayedField(const RelayedField& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RelayedField* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.name_){}
+    , decltype(_impl_.value_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.name_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.name_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_name().empty()) {
+    _this->_impl_.name_.Set(from._internal_name(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.value_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.value_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_value().empty()) {
+    _this->_impl_.value_.Set(from._internal_value(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayedField)
+}
+
+inline void RelayedField::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.name_){}
+    , decltype(_impl_.value_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.name_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.name_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.value_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.value_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RelayedField::~RelayedField() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayedField)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RelayedField::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.name_.Destroy();
+  _impl_.value_.Destroy();
+}
+
+void RelayedField::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RelayedField::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayedField)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.name_.ClearToEmpty();
+  _impl_.value_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RelayedField::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // bytes name = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_name();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes value = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_value();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RelayedField::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayedField)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // bytes name = 1;
+  if (!this->_internal_name().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        1, this->_internal_name(), target);
+  }
+
+  // bytes value = 2;
+  if (!this->_internal_value().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        2, this->_internal_value(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayedField)
+  return target;
+}
+
+size_t RelayedField::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayedField)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // bytes name = 1;
+  if (!this->_internal_name().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_name());
+  }
+
+  // bytes value = 2;
+  if (!this->_internal_value().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_value());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayedField::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayedField::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayedField::GetClassData() const { return &_class_data_; }
+
+
+void RelayedField::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayedField*>(&to_msg);
+  auto& from = static_cast<const RelayedField&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayedField)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_name().empty()) {
+    _this->_internal_set_name(from._internal_name());
+  }
+  if (!from._internal_value().empty()) {
+    _this->_internal_set_value(from._internal_value());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayedField::CopyFrom(const RelayedField& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayedField)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayedField::IsInitialized() const {
+  return true;
+}
+
+void RelayedField::InternalSwap(RelayedField* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.name_, lhs_arena,
+      &other->_impl_.name_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.value_, lhs_arena,
+      &other->_impl_.value_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayedField::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[57]);
+}
+
+// ===================================================================
+
+class RelayedResponse::_Internal {
+ public:
+};
+
+RelayedResponse::RelayedResponse(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayedResponse)
+}
+RelayedResponse::RelayedResponse(const RelayedResponse& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RelayedResponse* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.fields_){from._impl_.fields_}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.reason_){}
+    , decltype(_impl_.id_){}
+    , decltype(_impl_.outcome_){}
+    , decltype(_impl_.state_){}
+    , decltype(_impl_.status_){}
+    , decltype(_impl_.cancelled_){}
+    , decltype(_impl_.elapsed_us_){}
+    , decltype(_impl_.rest_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_body().empty()) {
+    _this->_impl_.body_.Set(from._internal_body(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.reason_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reason_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_reason().empty()) {
+    _this->_impl_.reason_.Set(from._internal_reason(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.id_, &from._impl_.id_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.rest_ms_) -
+    reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.rest_ms_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayedResponse)
+}
+
+inline void RelayedResponse::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.fields_){arena}
+    , decltype(_impl_.body_){}
+    , decltype(_impl_.reason_){}
+    , decltype(_impl_.id_){uint64_t{0u}}
+    , decltype(_impl_.outcome_){0}
+    , decltype(_impl_.state_){0}
+    , decltype(_impl_.status_){0u}
+    , decltype(_impl_.cancelled_){false}
+    , decltype(_impl_.elapsed_us_){uint64_t{0u}}
+    , decltype(_impl_.rest_ms_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.body_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.body_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.reason_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.reason_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RelayedResponse::~RelayedResponse() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayedResponse)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RelayedResponse::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.fields_.~RepeatedPtrField();
+  _impl_.body_.Destroy();
+  _impl_.reason_.Destroy();
+}
+
+void RelayedResponse::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RelayedResponse::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayedResponse)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.fields_.Clear();
+  _impl_.body_.ClearToEmpty();
+  _impl_.reason_.ClearToEmpty();
+  ::memset(&_impl_.id_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.rest_ms_) -
+      reinterpret_cast<char*>(&_impl_.id_)) + sizeof(_impl_.rest_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RelayedResponse::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayedOutcome outcome = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_outcome(static_cast<::rattandyke::wire::RelayedOutcome>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayState state = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          uint64_t val = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+          _internal_set_state(static_cast<::rattandyke::wire::RelayState>(val));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 status = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.status_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.RelayedField fields = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_fields(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes body = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_body();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string reason = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
+          auto str = _internal_mutable_reason();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedResponse.reason"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool cancelled = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.cancelled_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 elapsed_us = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 72)) {
+          _impl_.elapsed_us_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 rest_ms = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 80)) {
+          _impl_.rest_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RelayedResponse::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayedResponse)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  // .rattandyke.wire.RelayedOutcome outcome = 2;
+  if (this->_internal_outcome() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      2, this->_internal_outcome(), target);
+  }
+
+  // .rattandyke.wire.RelayState state = 3;
+  if (this->_internal_state() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteEnumToArray(
+      3, this->_internal_state(), target);
+  }
+
+  // uint32 status = 4;
+  if (this->_internal_status() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(4, this->_internal_status(), target);
+  }
+
+  // repeated .rattandyke.wire.RelayedField fields = 5;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_fields_size()); i < n; i++) {
+    const auto& repfield = this->_internal_fields(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(5, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // bytes body = 6;
+  if (!this->_internal_body().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        6, this->_internal_body(), target);
+  }
+
+  // string reason = 7;
+  if (!this->_internal_reason().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_reason().data(), static_cast<int>(this->_internal_reason().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RelayedResponse.reason");
+    target = stream->WriteStringMaybeAliased(
+        7, this->_internal_reason(), target);
+  }
+
+  // bool cancelled = 8;
+  if (this->_internal_cancelled() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(8, this->_internal_cancelled(), target);
+  }
+
+  // uint64 elapsed_us = 9;
+  if (this->_internal_elapsed_us() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(9, this->_internal_elapsed_us(), target);
+  }
+
+  // uint64 rest_ms = 10;
+  if (this->_internal_rest_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_rest_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayedResponse)
+  return target;
+}
+
+size_t RelayedResponse::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayedResponse)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.RelayedField fields = 5;
+  total_size += 1UL * this->_internal_fields_size();
+  for (const auto& msg : this->_impl_.fields_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // bytes body = 6;
+  if (!this->_internal_body().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_body());
+  }
+
+  // string reason = 7;
+  if (!this->_internal_reason().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_reason());
+  }
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  // .rattandyke.wire.RelayedOutcome outcome = 2;
+  if (this->_internal_outcome() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_outcome());
+  }
+
+  // .rattandyke.wire.RelayState state = 3;
+  if (this->_internal_state() != 0) {
+    total_size += 1 +
+      ::_pbi::WireFormatLite::EnumSize(this->_internal_state());
+  }
+
+  // uint32 status = 4;
+  if (this->_internal_status() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_status());
+  }
+
+  // bool cancelled = 8;
+  if (this->_internal_cancelled() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint64 elapsed_us = 9;
+  if (this->_internal_elapsed_us() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_elapsed_us());
+  }
+
+  // uint64 rest_ms = 10;
+  if (this->_internal_rest_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_rest_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayedResponse::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayedResponse::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayedResponse::GetClassData() const { return &_class_data_; }
+
+
+void RelayedResponse::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayedResponse*>(&to_msg);
+  auto& from = static_cast<const RelayedResponse&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayedResponse)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.fields_.MergeFrom(from._impl_.fields_);
+  if (!from._internal_body().empty()) {
+    _this->_internal_set_body(from._internal_body());
+  }
+  if (!from._internal_reason().empty()) {
+    _this->_internal_set_reason(from._internal_reason());
+  }
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  if (from._internal_outcome() != 0) {
+    _this->_internal_set_outcome(from._internal_outcome());
+  }
+  if (from._internal_state() != 0) {
+    _this->_internal_set_state(from._internal_state());
+  }
+  if (from._internal_status() != 0) {
+    _this->_internal_set_status(from._internal_status());
+  }
+  if (from._internal_cancelled() != 0) {
+    _this->_internal_set_cancelled(from._internal_cancelled());
+  }
+  if (from._internal_elapsed_us() != 0) {
+    _this->_internal_set_elapsed_us(from._internal_elapsed_us());
+  }
+  if (from._internal_rest_ms() != 0) {
+    _this->_internal_set_rest_ms(from._internal_rest_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayedResponse::CopyFrom(const RelayedResponse& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayedResponse)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayedResponse::IsInitialized() const {
+  return true;
+}
+
+void RelayedResponse::InternalSwap(RelayedResponse* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.fields_.InternalSwap(&other->_impl_.fields_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.body_, lhs_arena,
+      &other->_impl_.body_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.reason_, lhs_arena,
+      &other->_impl_.reason_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RelayedResponse, _impl_.rest_ms_)
+      + sizeof(RelayedResponse::_impl_.rest_ms_)
+      - PROTOBUF_FIELD_OFFSET(RelayedResponse, _impl_.id_)>(
+          reinterpret_cast<char*>(&_impl_.id_),
+          reinterpret_cast<char*>(&other->_impl_.id_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayedResponse::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[58]);
+}
+
+// ===================================================================
+
+class RelayCancel::_Internal {
+ public:
+};
+
+RelayCancel::RelayCancel(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RelayCancel)
+}
+RelayCancel::RelayCancel(const RelayCancel& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RelayCancel* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _this->_impl_.id_ = from._impl_.id_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RelayCancel)
+}
+
+inline void RelayCancel::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.id_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+RelayCancel::~RelayCancel() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RelayCancel)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RelayCancel::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void RelayCancel::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RelayCancel::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RelayCancel)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.id_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RelayCancel::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint64 id = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.id_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RelayCancel::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RelayCancel)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RelayCancel)
+  return target;
+}
+
+size_t RelayCancel::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RelayCancel)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // uint64 id = 1;
+  if (this->_internal_id() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_id());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RelayCancel::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RelayCancel::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RelayCancel::GetClassData() const { return &_class_data_; }
+
+
+void RelayCancel::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RelayCancel*>(&to_msg);
+  auto& from = static_cast<const RelayCancel&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RelayCancel)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_id() != 0) {
+    _this->_internal_set_id(from._internal_id());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RelayCancel::CopyFrom(const RelayCancel& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RelayCancel)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RelayCancel::IsInitialized() const {
+  return true;
+}
+
+void RelayCancel::InternalSwap(RelayCancel* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.id_, other->_impl_.id_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RelayCancel::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[59]);
+}
+
+// ===================================================================
+
+class PackedFrame::_Internal {
+ public:
+};
+
+PackedFrame::PackedFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.PackedFrame)
+}
+PackedFrame::PackedFrame(const PackedFrame& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  PackedFrame* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.bytes_){}
+    , decltype(_impl_.size_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.bytes_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.bytes_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_bytes().empty()) {
+    _this->_impl_.bytes_.Set(from._internal_bytes(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.size_ = from._impl_.size_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.PackedFrame)
+}
+
+inline void PackedFrame::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.bytes_){}
+    , decltype(_impl_.size_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.bytes_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.bytes_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+PackedFrame::~PackedFrame() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.PackedFrame)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void PackedFrame::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.bytes_.Destroy();
+}
+
+void PackedFrame::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void PackedFrame::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.PackedFrame)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.bytes_.ClearToEmpty();
+  _impl_.size_ = 0u;
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* PackedFrame::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint32 size = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.size_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes bytes = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_bytes();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* PackedFrame::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.PackedFrame)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint32 size = 1;
+  if (this->_internal_size() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_size(), target);
+  }
+
+  // bytes bytes = 2;
+  if (!this->_internal_bytes().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        2, this->_internal_bytes(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.PackedFrame)
+  return target;
+}
+
+size_t PackedFrame::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.PackedFrame)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // bytes bytes = 2;
+  if (!this->_internal_bytes().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_bytes());
+  }
+
+  // uint32 size = 1;
+  if (this->_internal_size() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_size());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
@@ -19170,7 +21592,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[54]);
+      file_level_metadata_gateway_2eproto[60]);
 }
 
 // ===================================================================
@@ -19195,6 +21617,11 @@
   static const ::rattandyke::wire::DemandDigest& demand_digest(const GatewayFrame* msg);
   static const ::rattandyke::wire::LinkProbe& link_probe(const GatewayFrame* msg);
   static const ::rattandyke::wire::UpstreamRests& upstream_rests(const GatewayFrame* msg);
+  static const ::rattandyke::wire::RelayAsk& relay_ask(const GatewayFrame* msg);
+  static const ::rattandyke::wire::RelayAnswer& relay_answer(const GatewayFrame* msg);
+  static const ::rattandyke::wire::RelayedRequest& relayed_request(const GatewayFrame* msg);
+  static const ::rattandyke::wire::RelayedResponse& relayed_response(const GatewayFrame* msg);
+  static const ::rattandyke::wire::RelayCancel& relay_cancel(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -19269,6 +21696,26 @@
 GatewayFrame::_Internal::upstream_rests(const GatewayFrame* msg) {
   return *msg->_impl_.body_.upstream_rests_;
 }
+const ::rattandyke::wire::RelayAsk&
+GatewayFrame::_Internal::relay_ask(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.relay_ask_;
+}
+const ::rattandyke::wire::RelayAnswer&
+GatewayFrame::_Internal::relay_answer(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.relay_answer_;
+}
+const ::rattandyke::wire::RelayedRequest&
+GatewayFrame::_Internal::relayed_request(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.relayed_request_;
+}
+const ::rattandyke::wire::RelayedResponse&
+GatewayFrame::_Internal::relayed_response(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.relayed_response_;
+}
+const ::rattandyke::wire::RelayCancel&
+GatewayFrame::_Internal::relay_cancel(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.relay_cancel_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -19539,6 +21986,81 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.upstream_rests)
 }
+void GatewayFrame::set_allocated_relay_ask(::rattandyke::wire::RelayAsk* relay_ask) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (relay_ask) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relay_ask);
+    if (message_arena != submessage_arena) {
+      relay_ask = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, relay_ask, submessage_arena);
+    }
+    set_has_relay_ask();
+    _impl_.body_.relay_ask_ = relay_ask;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relay_ask)
+}
+void GatewayFrame::set_allocated_relay_answer(::rattandyke::wire::RelayAnswer* relay_answer) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (relay_answer) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relay_answer);
+    if (message_arena != submessage_arena) {
+      relay_answer = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, relay_answer, submessage_arena);
+    }
+    set_has_relay_answer();
+    _impl_.body_.relay_answer_ = relay_answer;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relay_answer)
+}
+void GatewayFrame::set_allocated_relayed_request(::rattandyke::wire::RelayedRequest* relayed_request) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (relayed_request) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relayed_request);
+    if (message_arena != submessage_arena) {
+      relayed_request = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, relayed_request, submessage_arena);
+    }
+    set_has_relayed_request();
+    _impl_.body_.relayed_request_ = relayed_request;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relayed_request)
+}
+void GatewayFrame::set_allocated_relayed_response(::rattandyke::wire::RelayedResponse* relayed_response) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (relayed_response) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relayed_response);
+    if (message_arena != submessage_arena) {
+      relayed_response = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, relayed_response, submessage_arena);
+    }
+    set_has_relayed_response();
+    _impl_.body_.relayed_response_ = relayed_response;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relayed_response)
+}
+void GatewayFrame::set_allocated_relay_cancel(::rattandyke::wire::RelayCancel* relay_cancel) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (relay_cancel) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(relay_cancel);
+    if (message_arena != submessage_arena) {
+      relay_cancel = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, relay_cancel, submessage_arena);
+    }
+    set_has_relay_cancel();
+    _impl_.body_.relay_cancel_ = relay_cancel;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relay_cancel)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -19650,6 +22172,31 @@
           from._internal_upstream_rests());
       break;
     }
+    case kRelayAsk: {
+      _this->_internal_mutable_relay_ask()->::rattandyke::wire::RelayAsk::MergeFrom(
+          from._internal_relay_ask());
+      break;
+    }
+    case kRelayAnswer: {
+      _this->_internal_mutable_relay_answer()->::rattandyke::wire::RelayAnswer::MergeFrom(
+          from._internal_relay_answer());
+      break;
+    }
+    case kRelayedRequest: {
+      _this->_internal_mutable_relayed_request()->::rattandyke::wire::RelayedRequest::MergeFrom(
+          from._internal_relayed_request());
+      break;
+    }
+    case kRelayedResponse: {
+      _this->_internal_mutable_relayed_response()->::rattandyke::wire::RelayedResponse::MergeFrom(
+          from._internal_relayed_response());
+      break;
+    }
+    case kRelayCancel: {
+      _this->_internal_mutable_relay_cancel()->::rattandyke::wire::RelayCancel::MergeFrom(
+          from._internal_relay_cancel());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -19804,6 +22351,36 @@
       }
       break;
     }
+    case kRelayAsk: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.relay_ask_;
+      }
+      break;
+    }
+    case kRelayAnswer: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.relay_answer_;
+      }
+      break;
+    }
+    case kRelayedRequest: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.relayed_request_;
+      }
+      break;
+    }
+    case kRelayedResponse: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.relayed_response_;
+      }
+      break;
+    }
+    case kRelayCancel: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.relay_cancel_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -19981,6 +22558,46 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.RelayAsk relay_ask = 20;
+      case 20:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 162)) {
+          ptr = ctx->ParseMessage(_internal_mutable_relay_ask(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayAnswer relay_answer = 21;
+      case 21:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 170)) {
+          ptr = ctx->ParseMessage(_internal_mutable_relay_answer(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayedRequest relayed_request = 22;
+      case 22:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 178)) {
+          ptr = ctx->ParseMessage(_internal_mutable_relayed_request(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayedResponse relayed_response = 23;
+      case 23:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 186)) {
+          ptr = ctx->ParseMessage(_internal_mutable_relayed_response(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RelayCancel relay_cancel = 24;
+      case 24:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 194)) {
+          ptr = ctx->ParseMessage(_internal_mutable_relay_cancel(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -20142,6 +22759,41 @@
         _Internal::upstream_rests(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.RelayAsk relay_ask = 20;
+  if (_internal_has_relay_ask()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(20, _Internal::relay_ask(this),
+        _Internal::relay_ask(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RelayAnswer relay_answer = 21;
+  if (_internal_has_relay_answer()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(21, _Internal::relay_answer(this),
+        _Internal::relay_answer(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RelayedRequest relayed_request = 22;
+  if (_internal_has_relayed_request()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(22, _Internal::relayed_request(this),
+        _Internal::relayed_request(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RelayedResponse relayed_response = 23;
+  if (_internal_has_relayed_response()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(23, _Internal::relayed_response(this),
+        _Internal::relayed_response(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RelayCancel relay_cancel = 24;
+  if (_internal_has_relay_cancel()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(24, _Internal::relay_cancel(this),
+        _Internal::relay_cancel(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -20292,6 +22944,41 @@
           *_impl_.body_.upstream_rests_);
       break;
     }
+    // .rattandyke.wire.RelayAsk relay_ask = 20;
+    case kRelayAsk: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.relay_ask_);
+      break;
+    }
+    // .rattandyke.wire.RelayAnswer relay_answer = 21;
+    case kRelayAnswer: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.relay_answer_);
+      break;
+    }
+    // .rattandyke.wire.RelayedRequest relayed_request = 22;
+    case kRelayedRequest: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.relayed_request_);
+      break;
+    }
+    // .rattandyke.wire.RelayedResponse relayed_response = 23;
+    case kRelayedResponse: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.relayed_response_);
+      break;
+    }
+    // .rattandyke.wire.RelayCancel relay_cancel = 24;
+    case kRelayCancel: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.relay_cancel_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -20409,6 +23096,31 @@
           from._internal_upstream_rests());
       break;
     }
+    case kRelayAsk: {
+      _this->_internal_mutable_relay_ask()->::rattandyke::wire::RelayAsk::MergeFrom(
+          from._internal_relay_ask());
+      break;
+    }
+    case kRelayAnswer: {
+      _this->_internal_mutable_relay_answer()->::rattandyke::wire::RelayAnswer::MergeFrom(
+          from._internal_relay_answer());
+      break;
+    }
+    case kRelayedRequest: {
+      _this->_internal_mutable_relayed_request()->::rattandyke::wire::RelayedRequest::MergeFrom(
+          from._internal_relayed_request());
+      break;
+    }
+    case kRelayedResponse: {
+      _this->_internal_mutable_relayed_response()->::rattandyke::wire::RelayedResponse::MergeFrom(
+          from._internal_relayed_response());
+      break;
+    }
+    case kRelayCancel: {
+      _this->_internal_mutable_relay_cancel()->::rattandyke::wire::RelayCancel::MergeFrom(
+          from._internal_relay_cancel());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -20437,7 +23149,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[55]);
+      file_level_metadata_gateway_2eproto[61]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -20660,6 +23372,30 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::SlotDone >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::SlotDone >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayAsk*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayAsk >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayAsk >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayAnswer*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayAnswer >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayAnswer >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayedRequest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayedRequest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayedRequest >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayedField*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayedField >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayedField >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayedResponse*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayedResponse >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayedResponse >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RelayCancel*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RelayCancel >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RelayCancel >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::PackedFrame*
 Arena::CreateMaybeMessage< ::rattandyke::wire::PackedFrame >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::PackedFrame >(arena);
