Failures on a lost path don't count against upstreams

What callers saw: hosts that were not cut off refused requests for owners of keys that were well, "the owner of the key seems to be down".

Cause: a host that can't reach an upstream reported its failures to the upstream's allocator. After four in a row the allocator refuses the owner's requests from all hosts but one in 100 ms. Attempts that ended at their deadline also raised the response times by which the leader moves keys.

That the leader moves fewer keys for it is only suspected.

Why it is enough: before a service is known to be lost, a host reports one failure of one of its upstreams; the second one makes it lost.

--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -201,7 +201,9 @@
   }
 }
 
-/// The failure of a relay shows nothing about the upstream.
+/// A failure on a path that this host has lost, or of a relay, shows nothing
+/// about the upstream. If it counted, the allocator would take an upstream for
+/// down that all other hosts can use.
 AttemptOutcome
 RequestHandler::OutcomeOf(const RequestProgress& aProgress,
                           const RelayResult& aResult) const
@@ -212,16 +214,20 @@
   if (aProgress.context->IsCancelledByCallerOrHost() || relayFailed) {
     return AttemptOutcome::Abandoned;
   }
+  const bool lost = aResult.relay.empty() && mReach.IsLost(aProgress.service);
   switch (aResult.attempt.kind) {
     case AttemptResult::Kind::Response:
       return AttemptOutcome::Answered;
     case AttemptResult::Kind::NotExecuted:
       return AttemptOutcome::Refused;
     case AttemptResult::Kind::NotSent:
-      return AttemptOutcome::Unreachable;
+      return lost ? AttemptOutcome::Abandoned : AttemptOutcome::Unreachable;
     case AttemptResult::Kind::OutcomeUnknown:
       break;
   }
+  if (lost) {
+    return AttemptOutcome::Abandoned;
+  }
   return aResult.attempt.cancelled ? AttemptOutcome::TimedOut
                                    : AttemptOutcome::Broken;
 }
