The soak's entries lose their path to all upstreams

Single entries, and at times all but one, lose their path in two series that overlap with the other faults: connections hang, are reset, or live on while new ones are reset. The draws have a source of their own, so that a seed's other faults stay the same.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -171,6 +171,7 @@
             return
         request = fields.get(words.REQUEST_ID.lower(), "")
         arrival = self.world.arrived(request, self, body)
+        arrival.connection = writer
         self.arrivals.append(arrival)
         pressure = self.pressure
         entry, sent = self.world.calm_sender(request)
@@ -180,6 +181,13 @@
                                  f"{entry.name}")
         await self.reply(first, fields, request, writer, arrival)
         arrival.answered = time.monotonic()
+        if writer in self.cut_off or writer.transport.is_closing():
+            arrival.broke_off = True
+
+    def send(self, writer, data):
+        """Writes an answer, unless nothing passes on its connection."""
+        if writer not in self.cut_off:
+            writer.write(data)
 
     def say(self, request):
         """@return the fields by which it tells what it accepts."""
@@ -197,7 +205,7 @@
         entry, _ = self.world.calm_sender(request)
         if entry:
             self.pressure.asks_for_rest(entry, time.monotonic(), self.rest)
-        writer.write(soak_http.message(
+        self.send(writer, soak_http.message(
             "HTTP/1.1 503 Service Unavailable",
             {**base, words.NOT_RUN: "1", "Retry-After": str(self.rest)}))
 
@@ -205,11 +213,11 @@
         base = {words.REQUEST_ID: request, words.INSTANCE: self.id,
                 **self.say(request)}
         if fields.get(words.EXPECTED.lower()) != self.id:
-            writer.write(soak_http.message(
+            self.send(writer, soak_http.message(
                 "HTTP/1.1 421 Misdirected Request", base))
             return
         if self.sharded and not self.holds(int(fields[words.KEY.lower()])):
-            writer.write(soak_http.message(
+            self.send(writer, soak_http.message(
                 "HTTP/1.1 421 Misdirected Request",
                 {**base, words.NOT_RUN: "1"}))
             return
@@ -219,7 +227,7 @@
         kind = first.split()[0]
         if not await self.run(request, kind, arrival):
             return
-        writer.write(soak_http.message(
+        self.send(writer, soak_http.message(
             "HTTP/1.1 200 OK", {**base, words.SIGNATURE: "s." + request},
             body_for(request, kind)))
         await writer.drain()
--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -43,6 +43,8 @@
     ran: bool = False
     answered: float | None = None
     broke_off: bool = False
+    # That it came on, at the upstream.
+    connection: object = None
 
     def crash(self, now):
         if self.answered is None or now - self.answered < BROKE_OFF_SECONDS:
--- a/scripts/soak_paths.py
+++ b/scripts/soak_paths.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import pathlib
+import time
 
 # What becomes of an entry's connections to upstreams: nothing passes any more;
 # all are reset; or those that are open live on while new ones are reset.
@@ -61,7 +62,9 @@
         self.healed = {}
 
     def cut(self, entry, upstreams, kind):
-        """Cuts an entry off from all upstreams."""
+        """Cuts an entry off from all upstreams. What they have just answered, or
+        are about to, may be lost on its way."""
+        now = time.monotonic()
         self.cuts[entry] = kind
         self.healed[entry] = asyncio.Event()
         inodes, own = socket_inodes(), open_sockets(entry.process.pid)
@@ -73,6 +76,10 @@
                     writer.transport.abort()
                 elif kind == HANG:
                     upstream.cut_off[writer] = entry
+                if kind != REFUSE_NEW:
+                    for arrival in upstream.arrivals:
+                        if arrival.connection is writer:
+                            arrival.crash(now)
 
     def heal(self, entry):
         self.cuts.pop(entry, None)
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -200,8 +200,10 @@
 class World:
     """What a run knows, and what it has seen broken."""
 
-    def __init__(self, binary, seed, seconds, scheduling="never"):
-        """@param scheduling runs with the scheduling settings: see draw."""
+    def __init__(self, binary, seed, seconds, scheduling="never",
+                 entries=ENTRY_HOSTS):
+        """@param scheduling runs with the scheduling settings: see draw.
+        @param entries entry hosts."""
         self.binary = pathlib.Path(binary).resolve() / "rattandyke"
         self.seed, self.seconds = seed, seconds
         self.random = random.Random(seed)
@@ -228,7 +230,7 @@
         self.idle_limit = soak_operator.FIRST_IDLE_SECONDS
         self.last_idle_limit = soak_operator.FIRST_IDLE_SECONDS
         self.hosts = [Host(self, "control", n) for n in range(CONTROL_HOSTS)]
-        self.entries = [Host(self, "entry", n) for n in range(ENTRY_HOSTS)]
+        self.entries = [Host(self, "entry", n) for n in range(entries)]
         self.scheduling = soak_scheduling.draw(
             seed, scheduling, [host.name for host in self.hosts],
             [entry.name for entry in self.entries])
@@ -406,6 +408,33 @@
             await upstream.start()
 
 
+async def path_fault(world, rand):
+    """An entry loses its path to all upstreams, and at times all but one do."""
+    kind, lasts = rand.choice(soak_paths.KINDS), rand.uniform(0.3, 4.0)
+    lost = [rand.choice(world.entries)]
+    if rand.random() < 0.4:
+        lost = rand.sample(world.entries, len(world.entries) - 1)
+    lost = [one for one in lost if one not in world.paths.cuts
+            and one.process and one.process.poll() is None]
+    names = " ".join(one.name for one in lost)
+    world.fault(f"upstreams lost, {kind}: {names} {lasts:.1f}")
+    for one in lost:
+        world.paths.cut(one, world.upstreams, kind)
+    await asyncio.sleep(lasts)
+    for one in lost:
+        world.paths.heal(one)
+
+
+async def path_faults(world, number, pause):
+    """Path faults one after another, drawn from a source of their own, so that
+    a seed's other faults stay the same."""
+    rand = random.Random(f"{world.seed}/paths/{number}")
+    end = time.monotonic() + world.seconds
+    while time.monotonic() < end:
+        await path_fault(world, rand)
+        await asyncio.sleep(rand.uniform(*pause))
+
+
 async def demand_fault(world, upstream):
     """For a while an upstream is slow, or all callers want one key."""
     rand, life = world.random, upstream.life
@@ -524,6 +553,8 @@
     tasks.append(asyncio.ensure_future(soak_actors.Stranger(world).run()))
     await asyncio.gather(
         *host_series(world),
+        path_faults(world, 1, (0.2, 3.0)),
+        path_faults(world, 2, (2.0, 6.0)),
         faults(world, world.upstreams, upstream_fault, (0.5, 3.0)),
         faults(world, world.upstreams[:UPSTREAMS], pressure_fault, (0.1, 1.0)),
         faults(world, world.upstreams[UPSTREAMS:], pressure_fault, (0.1, 1.0)))
@@ -586,9 +617,9 @@
         host.start()
 
 
-def run(binary, seed, seconds, scheduling):
+def run(binary, seed, seconds, scheduling, entries=ENTRY_HOSTS):
     """@return the World of the run, with what was broken."""
-    world = World(binary, seed, seconds, scheduling)
+    world = World(binary, seed, seconds, scheduling, entries)
     asyncio.run(play_whole(world))
     world.ports.close()
     (world.folder / "faults").write_text("\n".join(world.notes) + "\n")
