Requests go directly where no host relays and the path may be well

Found by reading the change. In an overload two requests that time out at different upstreams make a host take their service for lost. If all hosts see the same, none relays, and all would refuse until a probe succeeds, although the upstreams only are slow. And where no host relays (one entry host, or the others of an older build), the failure of an upstream was not reported to its allocator.

Change: without a relay a request is refused only if connections could not be established either; otherwise it is sent directly, as before. Only failures on a lost path, and of relays, are kept from the allocator. An upstream that is unreachable alone is probed at least every 2 s (was 4 s).

UpstreamReachTest.OnlyFailedConnectionsShowThatThereIsNoPath is new.

--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -89,7 +89,8 @@
 {
   const std::string& service = aProgress.service;
   RelayResult result;
-  if (CanReach(service, aProcess)) {
+  const bool direct = CanReach(service, aProcess);
+  if (direct) {
     result.attempt = co_await SendDirectly(aProgress, aProcess, aHandle);
     const bool useRelay = result.attempt.kind == AttemptResult::Kind::NotSent &&
                           !aHandle->IsCancelled() &&
@@ -108,9 +109,14 @@
   if (result.refusal == RelayResult::Refusal::UnreachableForOthers) {
     mReach.RecordUnreachableForOthers(service, aProcess.instance, mClock.Now());
   }
-  aProgress.noPath = result.refusal == RelayResult::Refusal::NoRelay &&
-                     !aHandle->IsCancelled() && mReach.IsLost(service);
   mMetrics.Increment("relayed_attempts", LabelOf(result));
+  const bool noRelay =
+    result.refusal == RelayResult::Refusal::NoRelay && !aHandle->IsCancelled();
+  aProgress.noPath = noRelay && mReach.HasNoPath(service);
+  if (noRelay && !direct && !aProgress.noPath) {
+    result = {};
+    result.attempt = co_await SendDirectly(aProgress, aProcess, aHandle);
+  }
   co_return result;
 }
 
@@ -208,13 +214,16 @@
 RequestHandler::OutcomeOf(const RequestProgress& aProgress,
                           const RelayResult& aResult) const
 {
-  const bool relayFailed = aResult.relayLost ||
-                           aResult.refusal == RelayResult::Refusal::NoRelay ||
-                           aResult.refusal == RelayResult::Refusal::NotUsable;
-  if (aProgress.context->IsCancelledByCallerOrHost() || relayFailed) {
+  if (aProgress.context->IsCancelledByCallerOrHost() || aResult.relayLost ||
+      aResult.refusal == RelayResult::Refusal::NotUsable) {
     return AttemptOutcome::Abandoned;
   }
-  const bool lost = aResult.relay.empty() && mReach.IsLost(aProgress.service);
+  if (aResult.refusal == RelayResult::Refusal::UnreachableForOthers) {
+    return AttemptOutcome::Unreachable;
+  }
+  const bool relayed =
+    !aResult.relay.empty() && aResult.refusal == RelayResult::Refusal::None;
+  const bool lost = !relayed && mReach.IsLost(aProgress.service);
   switch (aResult.attempt.kind) {
     case AttemptResult::Kind::Response:
       return AttemptOutcome::Answered;
--- a/src/librattandyke/gateway/upstream_reach.cpp
+++ b/src/librattandyke/gateway/upstream_reach.cpp
@@ -141,6 +141,17 @@
   return service != mServices.end() && service->second.lost;
 }
 
+bool
+UpstreamReach::HasNoPath(const std::string& aService) const
+{
+  const auto service = mServices.find(aService);
+  return service != mServices.end() && service->second.lost &&
+         std::any_of(
+           service->second.failed.begin(),
+           service->second.failed.end(),
+           [](const auto& aItem) { return aItem.second.unreachable; });
+}
+
 size_t
 UpstreamReach::LostServices() const
 {
--- a/src/librattandyke/gateway/upstream_reach.h
+++ b/src/librattandyke/gateway/upstream_reach.h
@@ -91,6 +91,10 @@
   /// @return whether this host can reach no upstream of the service.
   bool IsLost(const std::string& aService) const;
 
+  /// @return whether the service is lost and connections to its upstreams could
+  /// not be established. Otherwise its upstreams may only be slow.
+  bool HasNoPath(const std::string& aService) const;
+
   /// @return the number of lost services, and of upstreams that are unreachable
   /// by themselves.
   size_t LostServices() const;
@@ -128,7 +132,7 @@
   /// Interval of probes: of a lost service, and of an unreachable upstream,
   /// which doubles up to the longest one.
   static constexpr std::chrono::milliseconds kProbeInterval{ 500 };
-  static constexpr std::chrono::milliseconds kMaxProbeInterval{ 4000 };
+  static constexpr std::chrono::milliseconds kMaxProbeInterval{ 2000 };
 
 private:
   /// An upstream that has failed.
--- a/src/librattandyke/gateway/upstream_reach_test.cpp
+++ b/src/librattandyke/gateway/upstream_reach_test.cpp
@@ -57,6 +57,18 @@
   EXPECT_FALSE(reach.CanReach("desk", "a", true));
 }
 
+// An overload in which requests time out must not make hosts refuse for want of
+// a path.
+TEST_F(UpstreamReachTest, OnlyFailedConnectionsShowThatThereIsNoPath)
+{
+  Fail("a", PathFailure::NoResponse);
+  Fail("b", PathFailure::NoResponse);
+  EXPECT_TRUE(reach.IsLost("desk"));
+  EXPECT_FALSE(reach.HasNoPath("desk"));
+  Fail("c");
+  EXPECT_TRUE(reach.HasNoPath("desk"));
+}
+
 // One upstream that is down or slow is no reason to leave the others alone.
 TEST_F(UpstreamReachTest, ResponseInBetweenKeepsTheService)
 {
