--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -232,7 +232,8 @@
     } else if (aFrame.has_relay_answer()) {
       handler.Relayed().OnAnswer(aFrame.relay_answer());
     } else if (aFrame.has_relayed_response()) {
-      handler.Relayed().OnResponse(aFrame.relayed_response());
+      handler.Relayed().OnResponse(
+        std::move(*aFrame.mutable_relayed_response()));
     }
   }
 
--- a/src/librattandyke/gateway/relay_server.cpp
+++ b/src/librattandyke/gateway/relay_server.cpp
@@ -18,15 +18,6 @@
 /// somewhat later if the cancellation does not arrive.
 constexpr milliseconds kLostCancelGrace{ 100 };
 
-AttemptResult
-NotSent(std::string aReason)
-{
-  AttemptResult result;
-  result.kind = AttemptResult::Kind::NotSent;
-  result.reason = std::move(aReason);
-  return result;
-}
-
 } // namespace
 
 RelayServer::RelayServer(asio::any_io_executor aExecutor, Attempts& aAttempts)
@@ -56,8 +47,8 @@
   if (mStopping || mInProgress.size() >= kMaxInProgress) {
     wire::GatewayFrame frame;
     wire::RelayedResponse* response = frame.mutable_relayed_response();
-    *response =
-      ToMessage(NotSent("the relay takes no more"), wire::RELAY_STATE_BUSY);
+    *response = ToMessage(AttemptResult::NotSent("the relay takes no more"),
+                          wire::RELAY_STATE_BUSY);
     response->set_id(aRequest.id());
     aReply(frame);
     return;
--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -49,15 +49,6 @@
   return {};
 }
 
-AttemptResult
-NotSent(std::string aReason)
-{
-  AttemptResult result;
-  result.kind = AttemptResult::Kind::NotSent;
-  result.reason = std::move(aReason);
-  return result;
-}
-
 int64_t
 Milliseconds(Duration aTime)
 {
@@ -100,7 +91,7 @@
     }
   }
   if (mReach.IsUnreachableForOthers(service, aProcess.instance, mClock.Now())) {
-    result.attempt = NotSent("no host reaches the upstream");
+    result.attempt = AttemptResult::NotSent("no host reaches the upstream");
     result.refusal = RelayResult::Refusal::UnreachableForOthers;
     co_return result;
   }
@@ -308,7 +299,8 @@
   result.state =
     RelayStateFor(aRequest->service(), aRequest->instance(), aRequest->life());
   if (result.state != wire::RELAY_STATE_AGREED) {
-    result.attempt = NotSent("the relay may not, or can't, send the request");
+    result.attempt =
+      AttemptResult::NotSent("the relay may not, or can't, send the request");
     co_return result;
   }
   result = co_await std::visit(
@@ -331,8 +323,9 @@
                     expected,
                     milliseconds{ aRequest->timeout_ms() },
                     mClock.Now())) {
-    co_return RelayServer::Result{ NotSent("the relay's link is full"),
-                                   wire::RELAY_STATE_BUSY };
+    co_return RelayServer::Result{
+      AttemptResult::NotSent("the relay's link is full"), wire::RELAY_STATE_BUSY
+    };
   }
   RelayServer::Result result = co_await RelayAdmitted(aRequest, aHandle);
   if (result.attempt.response.status == 0) {
@@ -361,7 +354,8 @@
   const auto decision = aAdmission.Decide(request, now);
   if (const auto* refusal = std::get_if<scheduling::LinkRefusal>(&decision)) {
     if (refusal->linkDelay >= Duration(kBusyLinkDelay)) {
-      co_return RelayServer::Result{ NotSent("the relay's link is full"),
+      co_return RelayServer::Result{ AttemptResult::NotSent(
+                                       "the relay's link is full"),
                                      wire::RELAY_STATE_BUSY };
     }
     co_return co_await RelayAdmitted(aRequest, aHandle);
--- a/src/librattandyke/gateway/request_relay.cpp
+++ b/src/librattandyke/gateway/request_relay.cpp
@@ -36,15 +36,6 @@
 constexpr milliseconds kMinTimeLeft{ 10 };
 constexpr uint32_t kMillisecond = 1;
 
-AttemptResult
-NotSent(std::string aReason)
-{
-  AttemptResult result;
-  result.kind = AttemptResult::Kind::NotSent;
-  result.reason = std::move(aReason);
-  return result;
-}
-
 uint32_t
 ToMs(Duration aTime)
 {
@@ -109,10 +100,11 @@
 {
   RelayResult result;
   result.refusal = RelayResult::Refusal::NoRelay;
-  result.attempt = NotSent("no host relays the request");
+  result.attempt = AttemptResult::NotSent("no host relays the request");
   const UpstreamRequest& request = *aAttempt.request;
   if (request.fields.size() + request.body.size() > kMaxBytes) {
-    result.attempt = NotSent("the request is too large to be relayed");
+    result.attempt =
+      AttemptResult::NotSent("the request is too large to be relayed");
     co_return result;
   }
   const Instant deadline = mClock.Now() + aAttempt.timeLeft;
@@ -141,7 +133,7 @@
                      ? RelayResult::Refusal::UnreachableForOthers
                      : RelayResult::Refusal::NoRelay;
   if (aHandle->IsCancelled()) {
-    result.attempt = NotSent(aHandle->CancelReason());
+    result.attempt = AttemptResult::NotSent(aHandle->CancelReason());
   }
   co_return result;
 }
@@ -369,7 +361,7 @@
     mSend(HostName{ aPeer }, cancel);
   }
   if (pending->neverSent) {
-    result.attempt = NotSent("the relay can't be reached");
+    result.attempt = AttemptResult::NotSent("the relay can't be reached");
     result.refusal = RelayResult::Refusal::NoRelay;
     co_return result;
   }
@@ -382,11 +374,11 @@
 }
 
 void
-RequestRelay::OnResponse(const wire::RelayedResponse& aResponse)
+RequestRelay::OnResponse(wire::RelayedResponse aResponse)
 {
   const auto found = mPending.find(aResponse.id());
   if (found != mPending.end()) {
-    found->second->response = aResponse;
+    found->second->response = std::move(aResponse);
     found->second->timer.cancel();
   }
 }
--- a/src/librattandyke/gateway/request_relay.h
+++ b/src/librattandyke/gateway/request_relay.h
@@ -93,7 +93,7 @@
     std::shared_ptr<AttemptHandle> aHandle);
 
   void OnAnswer(const wire::RelayAnswer& aAnswer);
-  void OnResponse(const wire::RelayedResponse& aResponse);
+  void OnResponse(wire::RelayedResponse aResponse);
 
   /// The connection to a host ended, or could not be established.
   /// @param aWasConnected whether anything may have been sent.
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -118,6 +118,12 @@
 
 } // namespace
 
+AttemptResult
+AttemptResult::NotSent(std::string aReason)
+{
+  return MakeResult(Kind::NotSent, std::move(aReason));
+}
+
 ConnectionPool::IdleConnections&
 ConnectionPool::ConnectionsTo(const UpstreamProcess& aProcess)
 {
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -140,6 +140,9 @@
     /// The request was sent, at least in part, and may have run.
     OutcomeUnknown,
   };
+  /// @return that nothing was sent, for a reason.
+  static AttemptResult NotSent(std::string aReason);
+
   Kind kind = Kind::NotSent;
   UpstreamResponse response;
   /// Description for the log; empty for Kind::Response.
