The soak's judge allows for answers that are lost between two entries

The check stays as it is unless the caller's entry had lost its path, so that another entry may have sent the request, and an entry was disturbed between the request's arrival and the end.

--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -230,8 +230,10 @@
         if self.is_late(connection, sent):
             self.broke(connection, sent, f"is late with {first}")
         status = int(first.split()[1])
-        if soak_judge.is_lost(status, connection.used,
-                              self.world.arrivals.get(sent.request, ()),
+        arrivals = [arrival for arrival in
+                    self.world.arrivals.get(sent.request, ())
+                    if not self.world.may_be_lost(arrival, connection.used)]
+        if soak_judge.is_lost(status, connection.used, arrivals,
                               connection.entry.life, self.world.held_up):
             self.broke(connection, sent, f"got {status} for a ready answer")
         self.judge(sent.request, kind, status, fields, body)
--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -45,6 +45,8 @@
     broke_off: bool = False
     # That it came on, at the upstream.
     connection: object = None
+    # The caller's entry had no path, so another entry may have sent it.
+    relayed: bool = False
 
     def crash(self, now):
         if self.answered is None or now - self.answered < BROKE_OFF_SECONDS:
--- a/scripts/soak_paths.py
+++ b/scripts/soak_paths.py
@@ -8,6 +8,8 @@
 import pathlib
 import time
 
+# After a cut, an entry finds its path again within this time.
+FOUND_AGAIN_SECONDS = 3.0
 # What becomes of an entry's connections to upstreams: nothing passes any more;
 # all are reset; or those that are open live on while new ones are reset.
 HANG, RESET, REFUSE_NEW = "hang", "reset", "refuse new"
@@ -60,6 +62,7 @@
         # The kind of the cut, by entry, and what ends it.
         self.cuts = {}
         self.healed = {}
+        self.healed_at = {}
 
     def cut(self, entry, upstreams, kind):
         """Cuts an entry off from all upstreams. What they have just answered, or
@@ -83,10 +86,18 @@
 
     def heal(self, entry):
         self.cuts.pop(entry, None)
+        self.healed_at[entry] = time.monotonic()
         healed = self.healed.pop(entry, None)
         if healed:
             healed.set()
 
+    def may_be_relayed(self, entry):
+        """@return whether another entry may send the requests of this one."""
+        healed = self.healed_at.get(entry)
+        return entry in self.cuts or (
+            healed is not None
+            and time.monotonic() - healed < FOUND_AGAIN_SECONDS)
+
     def cut_entry_of(self, writer):
         """@return the entry, if it is cut off, that made a new connection."""
         if not self.cuts:
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -124,8 +124,9 @@
         self.process = None
         self.life = soak_judge.Life()
         self.told_to_end = False
-        # Faults of it that are not over.
+        # Faults of it that are not over, and when faults of it began and ended.
         self.disturbed = 0
+        self.disturbances = []
         self.moment = asyncio.Event()
 
     def settings(self, first):
@@ -156,6 +157,10 @@
 {self.world.scheduling.sections(first)}
 """
 
+    def was_disturbed(self, begin, end):
+        return self.disturbed > 0 or any(
+            first <= end and begin <= last for first, last in self.disturbances)
+
     def start(self, first=False):
         self.folder.mkdir(parents=True, exist_ok=True)
         file = self.folder / "settings.ini"
@@ -267,11 +272,19 @@
     def arrived(self, request, upstream, body):
         """@return the Arrival, whose end the upstream notes."""
         arrival = soak_judge.Arrival(time.monotonic(), upstream.id)
+        sender, _ = self.senders.get(request, (None, 0.0))
+        arrival.relayed = self.paths.may_be_relayed(sender)
         self.arrivals[request].append(arrival)
         if body != self.bodies.get(request, b""):
             self.broke(f"{request} reached {upstream.id} with another body")
         return arrival
 
+    def may_be_lost(self, arrival, ended):
+        """@return whether an answer may have been lost, or be late, between two
+        entries of which one was disturbed: it passes a proxy of the soak."""
+        return arrival.relayed and any(
+            entry.was_disturbed(arrival.at, ended) for entry in self.entries)
+
     def calm_sender(self, request):
         """@return the entry that a request was sent to and when; None for the
         entry if it is not known or there is a fault of it."""
@@ -317,10 +330,12 @@
     @param kinds of faults.
     @param lasts shortest and longest time of it."""
     host.disturbed += 1
+    began = time.monotonic()
     try:
         await one_host_fault(world, host, kinds, lasts)
     finally:
         host.disturbed -= 1
+        host.disturbances.append((began, time.monotonic()))
         for upstream in world.upstreams:
             upstream.pressure.disturbed(host)
 
