--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -10,7 +10,6 @@
 
 import soak_http
 import soak_judge
-import soak_paths
 import soak_pressure
 
 sys.path.insert(
@@ -142,8 +141,8 @@
 
     async def serve(self, reader, writer):
         paths = self.world.paths
-        entry = paths.cut_entry_of(writer)
-        if entry and paths.cuts[entry] != soak_paths.HANG:
+        passes, entry = paths.passes(writer)
+        if not passes:
             writer.transport.abort()
             return
         self.connections.add(writer)
--- a/scripts/soak_paths.py
+++ b/scripts/soak_paths.py
@@ -98,15 +98,17 @@
             healed is not None
             and time.monotonic() - healed < FOUND_AGAIN_SECONDS)
 
-    def cut_entry_of(self, writer):
-        """@return the entry, if it is cut off, that made a new connection."""
+    def passes(self, writer):
+        """@return whether a new connection comes through, and the entry that
+        made it if it is cut off. One that has been given up by then would not
+        have come through a cut."""
         if not self.cuts:
-            return None
+            return True, None
         inode = inode_of_peer(socket_inodes(), writer)
         for entry in self.cuts:
             if inode in open_sockets(entry.process.pid):
-                return entry
-        return None
+                return self.cuts[entry] == HANG, entry
+        return inode is not None, None
 
     async def swallow(self, entry):
         """Returns once an entry that hangs is no longer cut off."""
