Requests in progress are not given up when a service seems lost

Cause: gave up idempotent requests in progress once their service seemed lost, so as to send them again through another host. In an overload two requests that time out at different upstreams look like a lost path, and the other upstreams were running theirs. The retry that would have hidden it is not always allowed.

Change: a suspicion ends no attempt. It is enough: nothing else but the caller, the deadline and the end of the host gives up an attempt.

No test of its own: the code that did it is gone.

--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -274,8 +274,8 @@
                    const UpstreamProcess& aProcess,
                    const AttemptResult& aResult,
                    bool aGivenUp);
-  /// Logs services that were lost or regained, and gives up what hangs.
-  void ApplyReachChanges();
+  /// Logs services that were lost or regained.
+  void LogReachChanges();
   /// @return the outcome of an attempt for the slot's allocator.
   AttemptOutcome OutcomeOf(const RequestProgress& aProgress,
                            const RelayResult& aResult) const;
@@ -355,9 +355,6 @@
   UpstreamReach mReach;
   RequestRelay mRelay;
   RelayServer mRelayServer;
-  /// Direct attempts of idempotent requests that are in progress, by service.
-  std::map<std::string, std::set<std::shared_ptr<AttemptHandle>>>
-    mDirectAttempts;
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mRetryBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -28,7 +28,6 @@
 /// makes late. Below it, the request is late for other reasons, which the
 /// asking host has judged.
 constexpr milliseconds kBusyLinkDelay{ 50 };
-constexpr const char* kPathLost = "the path to the service is lost";
 
 std::string_view
 LabelOf(const RelayResult& aResult)
@@ -145,12 +144,8 @@
 {
   const Instant started = mClock.Now();
   const std::string service = aProgress.service;
-  if (aProgress.route->idempotent) {
-    mDirectAttempts[service].insert(aHandle);
-  }
   AttemptResult result = co_await mUpstreamClient.RoundTrip(
     aProcess, aProgress.request, TimeLeft(aProgress), aHandle);
-  mDirectAttempts[service].erase(aHandle);
   const RequestContext& context = *aProgress.context;
   const bool connecting = result.kind == AttemptResult::Kind::NotSent;
   const bool shortOfTime = connecting && context.IsCancelled() &&
@@ -172,33 +167,29 @@
   if (aResult.responded) {
     mReach.RecordResponse(
       aService, aProcess.instance, aResult.newConnection, now);
-  } else if (aGivenUp || aResult.reason == kPathLost) {
+  } else if (aGivenUp) {
     return;
   } else if (aResult.kind == AttemptResult::Kind::OutcomeUnknown) {
     mReach.RecordFailure(aService, aProcess, PathFailure::NoResponse, now);
   } else if (aResult.newConnection) {
     mReach.RecordFailure(aService, aProcess, PathFailure::NoConnection, now);
   }
-  ApplyReachChanges();
+  LogReachChanges();
 }
 
-/// Idempotent requests that hang on a lost path are given up, so that they are
-/// sent again through another host while their callers still wait.
+/// A request that is in progress is not given up: a service may seem lost while
+/// its upstreams are only slow, and one may be running the request.
 void
-RequestHandler::ApplyReachChanges()
+RequestHandler::LogReachChanges()
 {
   for (const UpstreamReach::Change& change : mReach.TakeChanges()) {
     log::Line line(log::Part::Entry, log::Severity::Info);
     line << "path to upstreams " << (change.lost ? "lost" : "regained")
          << " service=" << change.service << " failed=" << change.failed;
-    if (!change.lost) {
+    if (change.lost) {
+      mMetrics.Increment("service_losses");
+    } else {
       line << " lost_ms=" << Milliseconds(change.lostFor);
-      continue;
-    }
-    mMetrics.Increment("service_losses");
-    const auto attempts = mDirectAttempts[change.service];
-    for (const auto& handle : attempts) {
-      handle->Cancel(kPathLost);
     }
   }
 }
@@ -243,7 +234,7 @@
   for (const UpstreamReach::Probe& probe : mReach.TakeProbes(mClock.Now())) {
     asio::co_spawn(mExecutor, ProbeUpstream(probe), asio::detached);
   }
-  ApplyReachChanges();
+  LogReachChanges();
 }
 
 asio::awaitable<void>
@@ -268,7 +259,7 @@
                        reached ? "end=\"reached\"" : "end=\"failed\"");
   }
   mReach.RecordProbe(aProbe, reached, mClock.Now());
-  ApplyReachChanges();
+  LogReachChanges();
 }
 
 wire::RelayState
