--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,8 +10,7 @@
 import time
 import traceback
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]
-                       / "standins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import deployment  # noqa: E402
 import http1  # noqa: E402
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -11,7 +11,7 @@
 import tempfile
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 ZONES = ["zone-a", "zone-b", "zone-c"]
 FIRST_PORT, PORT_BLOCK, PORT_BLOCKS = 21000, 16, 500
 LOCK_ADDRESS = "127.0.9.1"
