A repeated refusal is not taken for the response to the second sending

Cause: a response was identified by the request id alone. The host sends a refused request again to the new owner of its key on the same connection, under the same id, and takes a late duplicate of the first refusal for the response to the second sending.

Change: a connection remembers the requests that were refused on it, until their deadline, and the pool gives it to others only. A duplicate can arrive only on the connection of its sending, so the second sending can't meet it. A connection is not closed for a refusal: at a full upstream most answers are refusals.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -315,6 +315,8 @@
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   mMetrics.SetTotal(
     "upstream_connects_failed", {}, mUpstreamClient.ConnectionsFailed());
+  mMetrics.SetTotal(
+    "upstream_responses_skipped", {}, mUpstreamClient.SkippedResponses());
   mMetrics.Set("services_lost", static_cast<double>(mReach.LostServices()));
   mMetrics.Set("upstreams_unreachable",
                static_cast<double>(mReach.UnreachableInstances()));
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -106,6 +106,16 @@
   return result;
 }
 
+/// @return the result of an attempt whose response can't be used.
+AttemptResult
+UnusableResponse(std::string aReason)
+{
+  AttemptResult result =
+    MakeResult(AttemptResult::Kind::OutcomeUnknown, std::move(aReason));
+  result.responded = true;
+  return result;
+}
+
 asio::awaitable<void>
 WriteBody(std::shared_ptr<UpstreamConnection> aConnection,
           std::shared_ptr<const UpstreamRequest> aRequest,
@@ -124,6 +134,28 @@
   return MakeResult(Kind::NotSent, std::move(aReason));
 }
 
+void
+RefusedRequests::Add(std::string_view aRequestId,
+                     Instant aResendableUntil,
+                     Instant aNow)
+{
+  std::erase_if(mRequests, [&](const Request& aRequest) {
+    return aRequest.resendableUntil <= aNow;
+  });
+  mRequests.push_back(
+    { std::hash<std::string_view>{}(aRequestId), aResendableUntil });
+}
+
+bool
+RefusedRequests::Contains(std::string_view aRequestId, Instant aNow) const
+{
+  const size_t hash = std::hash<std::string_view>{}(aRequestId);
+  return std::any_of(
+    mRequests.begin(), mRequests.end(), [&](const Request& aRequest) {
+      return aRequest.idHash == hash && aRequest.resendableUntil > aNow;
+    });
+}
+
 ConnectionPool::IdleConnections&
 ConnectionPool::ConnectionsTo(const UpstreamProcess& aProcess)
 {
@@ -139,12 +171,18 @@
 }
 
 std::shared_ptr<UpstreamConnection>
-ConnectionPool::Take(const UpstreamProcess& aProcess, Instant aNow)
+ConnectionPool::Take(const UpstreamProcess& aProcess,
+                     std::string_view aRequestId,
+                     Instant aNow)
 {
   auto& idle = ConnectionsTo(aProcess).idle;
-  while (!idle.empty()) {
-    auto connection = idle.back();
-    idle.pop_back();
+  for (size_t at = idle.size(); at > 0; --at) {
+    const auto position = idle.begin() + static_cast<ptrdiff_t>(at - 1);
+    const std::shared_ptr<UpstreamConnection> connection = *position;
+    if (connection->refused.Contains(aRequestId, aNow)) {
+      continue;
+    }
+    idle.erase(position);
     if (connection->usableUntil > aNow && IsOpenAndIdle(connection->socket)) {
       return connection;
     }
@@ -292,7 +330,7 @@
 {
   const Instant started = mClock.Now();
   std::shared_ptr<UpstreamConnection> connection =
-    mPool.Take(aProcess, started);
+    mPool.Take(aProcess, aRequest->requestId, started);
   const bool newConnection = !connection;
   if (connection) {
     aHandle->AttachConnection(connection);
@@ -344,8 +382,13 @@
     result.reason = aHandle->CancelReason();
     result.cancelled = true;
   }
-  const bool reusable = result.kind == AttemptResult::Kind::Response ||
-                        result.kind == AttemptResult::Kind::NotExecuted;
+  if (result.kind == AttemptResult::Kind::NotExecuted) {
+    connection->refused.Add(
+      aRequest->requestId, started + aTimeLeft, mClock.Now());
+  }
+  const bool reusable = (result.kind == AttemptResult::Kind::Response ||
+                         result.kind == AttemptResult::Kind::NotExecuted) &&
+                        !connection->refused.IsFull();
   if (reusable && *bodyWritten && !aHandle->IsCancelled()) {
     PoolOrClose(aProcess, connection);
   } else {
@@ -442,12 +485,9 @@
     if (!id.empty() && id != aRequest->requestId) {
       // An upstream may send a late duplicate of an earlier response. It must
       // not reach the caller of this request.
+      ++mSkippedResponses;
       if (!keepAlive) {
-        AttemptResult result =
-          MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                     "the answer belongs to another request");
-        result.responded = true;
-        co_return result;
+        co_return UnusableResponse("the answer belongs to another request");
       }
       continue;
     }
@@ -463,10 +503,7 @@
     result.responded = true;
     co_return result;
   }
-  AttemptResult result = MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                                    "too many answers to other requests");
-  result.responded = true;
-  co_return result;
+  co_return UnusableResponse("too many answers to other requests");
 }
 
 AttemptResult
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -7,6 +7,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +23,38 @@
 
 namespace rattandyke::gateway {
 
+/// The requests that an upstream has refused on one connection. Not
+/// thread-safe.
+///
+/// An upstream may repeat a response on the connection. The request id tells
+/// whose response it is, but not which sending of the request it belongs to: a
+/// repeated refusal would pass for the response to the second sending, which
+/// may run. So a refused request must not be sent on the same connection again.
+class RefusedRequests
+{
+public:
+  /// Longest list. A connection on which more requests were refused that may
+  /// still be sent again is not reused.
+  static constexpr size_t kMaxRequests = 256;
+
+  /// @param aResendableUntil when the request's deadline is over.
+  void Add(std::string_view aRequestId, Instant aResendableUntil, Instant aNow);
+
+  /// @return whether the request was refused and may still be sent again.
+  bool Contains(std::string_view aRequestId, Instant aNow) const;
+
+  bool IsFull() const { return mRequests.size() >= kMaxRequests; }
+
+private:
+  struct Request
+  {
+    size_t idHash = 0;
+    Instant resendableUntil{};
+  };
+
+  std::vector<Request> mRequests;
+};
+
 /// A TCP connection to an upstream, with its read buffer.
 struct UpstreamConnection
 {
@@ -40,6 +74,7 @@
   /// Time until which the idle connection may be used for a request; the
   /// upstream may close it later. Instant{} if it must not be used again.
   Instant usableUntil{};
+  RefusedRequests refused;
 };
 
 /// Identifies one process of an upstream, the target of a request.
@@ -61,8 +96,11 @@
 {
 public:
   /// Removes a connection from the pool.
-  /// @return an idle connection that is still usable, or nullptr.
+  /// @param aRequestId the request to send.
+  /// @return an idle connection that is still usable and on which the request
+  /// has not been refused before, or nullptr.
   std::shared_ptr<UpstreamConnection> Take(const UpstreamProcess& aProcess,
+                                           std::string_view aRequestId,
                                            Instant aNow);
 
   /// @return whether there is an idle connection to the process that is usable
@@ -226,6 +264,10 @@
   /// @return how many of them could not be established.
   uint64_t ConnectionsFailed() const { return mConnectionsFailed; }
 
+  /// @return how many responses were skipped because they belong to another
+  /// request.
+  uint64_t SkippedResponses() const { return mSkippedResponses; }
+
 private:
   /// @param aFailure set to the reason of a failure.
   /// @return the connection, or nullptr.
@@ -255,6 +297,7 @@
   ConnectionPool mPool;
   uint64_t mConnectionsOpened = 0;
   uint64_t mConnectionsFailed = 0;
+  uint64_t mSkippedResponses = 0;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -57,7 +57,8 @@
         co_return;
       }
       ++mConnections;
-      co_await Serve(std::move(socket));
+      asio::co_spawn(
+        mAcceptor.get_executor(), Serve(std::move(socket)), asio::detached);
     }
   }
 
@@ -97,7 +98,8 @@
 class UpstreamClientTest : public ::testing::Test
 {
 protected:
-  /// Sends aCount requests with the ids "r-1", "r-2", ... in sequence.
+  /// Sends aCount requests in sequence, with the ids "r-1", "r-2", ... unless
+  /// sameRequest is set.
   std::vector<AttemptResult> Send(std::vector<std::string> aTexts,
                                   size_t aCount = 1)
   {
@@ -113,7 +115,8 @@
       auto request = std::make_shared<UpstreamRequest>();
       request->method = "GET";
       request->target = "/x";
-      request->requestId = "r-" + std::to_string(number);
+      request->requestId =
+        "r-" + std::to_string(sameRequest ? size_t{ 1 } : number);
       const UpstreamProcess process{ "i-1", upstream->Address() };
       results.push_back(co_await client.RoundTrip(
         process, request, left, std::make_shared<AttemptHandle>()));
@@ -124,6 +127,8 @@
   SystemClock clock;
   asio::io_context context;
   size_t bytesWritten = 0;
+  /// Every sending has the id "r-1".
+  bool sameRequest = false;
   UpstreamClient client{ context.get_executor(),
                          kNames,
                          clock,
@@ -187,6 +192,33 @@
   EXPECT_EQ(upstream->Connections(), 2U);
 }
 
+// Guards against a false promise that a request has not run: the upstream
+// repeats its refusal where the response to the second sending is due, and runs
+// the request.
+TEST_F(UpstreamClientTest, RepeatedRefusalIsNoResponseToTheSecondSending)
+{
+  sameRequest = true;
+  const std::string refusal =
+    ResponseTo("r-1", "", "", "421 Misdirected Request");
+  const auto attempts = Send({ refusal, ResponseTo("r-1", "ran") }, 2);
+  EXPECT_EQ(attempts[0].kind, Kind::NotExecuted);
+  EXPECT_EQ(attempts[1].kind, Kind::Response);
+  EXPECT_EQ(upstream->Connections(), 2U);
+}
+
+// Guards against a new connection for each refusal of a full upstream: other
+// requests still use the connection.
+TEST_F(UpstreamClientTest, RefusedRequestKeepsTheConnectionForOthers)
+{
+  const auto attempts =
+    Send({ ResponseTo("r-1", "", "Not-Run: 1\r\n", "503 Service Unavailable"),
+           ResponseTo("r-2", "b") },
+         2);
+  EXPECT_EQ(attempts[0].kind, Kind::NotExecuted);
+  EXPECT_EQ(attempts[1].kind, Kind::Response);
+  EXPECT_EQ(upstream->Connections(), 1U);
+}
+
 // An upstream sends a second response after the expected one. It must not be
 // taken for the response to the next request.
 TEST_F(UpstreamClientTest, ExtraResponseEndsReuse)
@@ -359,6 +391,25 @@
   EXPECT_EQ(results.at(0).kind, Kind::Response) << results.at(0).reason;
 }
 
+// Guards against a list of refused requests that grows with the load: only
+// those that may still be sent again are kept.
+TEST(RefusedRequestsTest, ForgetsRequestsAfterTheirDeadline)
+{
+  RefusedRequests refused;
+  Instant now{ std::chrono::hours{ 1 } };
+  for (size_t number = 0; number < 4 * RefusedRequests::kMaxRequests;
+       ++number) {
+    now += milliseconds{ 10 };
+    refused.Add(std::to_string(number), now + std::chrono::seconds{ 1 }, now);
+    EXPECT_FALSE(refused.IsFull());
+  }
+  const std::string last =
+    std::to_string(4 * RefusedRequests::kMaxRequests - 1);
+  EXPECT_TRUE(refused.Contains(last, now));
+  EXPECT_FALSE(refused.Contains(last, now + std::chrono::seconds{ 1 }));
+  EXPECT_FALSE(refused.Contains("0", now));
+}
+
 // Guards against requests of unknown outcome: an upstream restarts with the
 // same id and address. A connection to the earlier process still looks open and
 // must not be reused.
@@ -378,13 +429,13 @@
   const UpstreamProcess earlier{ "i-1", "10.0.0.1:80", 100 };
   const UpstreamProcess later{ "i-1", "10.0.0.1:80", 200 };
   pool.Put(earlier, connect());
-  EXPECT_NE(pool.Take(earlier, now), nullptr);
+  EXPECT_NE(pool.Take(earlier, "r-1", now), nullptr);
   pool.Put(earlier, connect());
-  EXPECT_EQ(pool.Take(later, now), nullptr);
+  EXPECT_EQ(pool.Take(later, "r-1", now), nullptr);
   pool.Put(earlier, connect());
-  EXPECT_EQ(pool.Take(later, now), nullptr);
+  EXPECT_EQ(pool.Take(later, "r-1", now), nullptr);
   pool.Put(later, connect());
-  EXPECT_NE(pool.Take(later, now), nullptr);
+  EXPECT_NE(pool.Take(later, "r-1", now), nullptr);
 }
 
 } // namespace
