A refusal without a request id proves nothing

What callers would see: 503 for a request that an upstream runs.

Cause: a response without an id was taken for the response to the current request, a refusal too. A health check has no id and its connection goes to the pool, so a repeated refusal of a health check stood where the response to the next request was due.

Change: every request that is sent for a caller has an id, and upstreams return it. A response without one is skipped on a connection that carried a health check, and ends the attempt with an unknown outcome on any other.

Measured: UpstreamClientTest.RefusalWithoutIdProvesNothing and RepeatedRefusalOfAHealthCheckIsSkipped fail without the change and pass with it.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -317,6 +317,9 @@
     "upstream_connects_failed", {}, mUpstreamClient.ConnectionsFailed());
   mMetrics.SetTotal(
     "upstream_responses_skipped", {}, mUpstreamClient.SkippedResponses());
+  mMetrics.SetTotal("upstream_responses_without_id",
+                    {},
+                    mUpstreamClient.UnidentifiedResponses());
   mMetrics.Set("services_lost", static_cast<double>(mReach.LostServices()));
   mMetrics.Set("upstreams_unreachable",
                static_cast<double>(mReach.UnreachableInstances()));
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -428,6 +428,7 @@
     PoolOrClose(aProcess, connection);
     co_return true;
   }
+  connection->carriedHealthCheck = true;
   auto waiting = std::make_shared<bool>(true);
   asio::steady_timer timer(mExecutor, kProbeTimeout);
   timer.async_wait([connection, waiting](ErrorCode aError) {
@@ -480,9 +481,13 @@
     response.body = std::move(message.body());
     response.fields = std::move(message.base());
     aConnection->usableUntil = {};
-    const std::string_view id =
-      http::FieldOf(response.fields, mHeaders.requestId);
-    if (!id.empty() && id != aRequest->requestId) {
+    const Identity identity = IdentityOf(response, *aRequest, *aConnection);
+    if (identity == Identity::Unknown) {
+      ++mUnidentifiedResponses;
+      co_return UnusableResponse(
+        "the answer " + std::to_string(response.status) + " names no request");
+    }
+    if (identity == Identity::OtherRequest) {
       // An upstream may send a late duplicate of an earlier response. It must
       // not reach the caller of this request.
       ++mSkippedResponses;
@@ -506,6 +511,24 @@
   co_return UnusableResponse("too many answers to other requests");
 }
 
+/// A response without an id proves nothing: every request has an id, and the
+/// upstream returns it. After a health check, which has none, the response may
+/// be a late duplicate of the response to that.
+UpstreamClient::Identity
+UpstreamClient::IdentityOf(const UpstreamResponse& aResponse,
+                           const UpstreamRequest& aRequest,
+                           const UpstreamConnection& aConnection) const
+{
+  const std::string_view id =
+    http::FieldOf(aResponse.fields, mHeaders.requestId);
+  if (id.empty()) {
+    return aConnection.carriedHealthCheck ? Identity::OtherRequest
+                                          : Identity::Unknown;
+  }
+  return id == aRequest.requestId ? Identity::ThisRequest
+                                  : Identity::OtherRequest;
+}
+
 AttemptResult
 UpstreamClient::Classify(UpstreamResponse aResponse) const
 {
@@ -531,10 +554,8 @@
                         " and without proof");
   }
   // A faulty upstream may send data that looks like a response. The signature
-  // and the request id show that it is genuine. This host requests no content
-  // encoding.
-  if (!has(mHeaders.signature) || !has(mHeaders.requestId) ||
-      has("Content-Encoding")) {
+  // shows that it is genuine. This host requests no content encoding.
+  if (!has(mHeaders.signature) || has("Content-Encoding")) {
     return MakeResult(AttemptResult::Kind::OutcomeUnknown,
                       "the answer " + std::to_string(aResponse.status) +
                         " is not the upstream's own");
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -75,6 +75,8 @@
   /// upstream may close it later. Instant{} if it must not be used again.
   Instant usableUntil{};
   RefusedRequests refused;
+  /// A request without an id, a health check, was sent on the connection.
+  bool carriedHealthCheck = false;
 };
 
 /// Identifies one process of an upstream, the target of a request.
@@ -268,6 +270,9 @@
   /// request.
   uint64_t SkippedResponses() const { return mSkippedResponses; }
 
+  /// @return how many responses without a request id ended an attempt.
+  uint64_t UnidentifiedResponses() const { return mUnidentifiedResponses; }
+
 private:
   /// @param aFailure set to the reason of a failure.
   /// @return the connection, or nullptr.
@@ -287,6 +292,16 @@
   /// reused.
   void PoolOrClose(const UpstreamProcess& aProcess,
                    const std::shared_ptr<UpstreamConnection>& aConnection);
+  /// What a response's request id tells about the request that it belongs to.
+  enum class Identity : uint8_t
+  {
+    ThisRequest,
+    OtherRequest,
+    Unknown
+  };
+  Identity IdentityOf(const UpstreamResponse& aResponse,
+                      const UpstreamRequest& aRequest,
+                      const UpstreamConnection& aConnection) const;
   /// @return what a response to this request says about its execution.
   AttemptResult Classify(UpstreamResponse aResponse) const;
 
@@ -298,6 +313,7 @@
   uint64_t mConnectionsOpened = 0;
   uint64_t mConnectionsFailed = 0;
   uint64_t mSkippedResponses = 0;
+  uint64_t mUnidentifiedResponses = 0;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -124,6 +124,13 @@
     context.stop();
   }
 
+  asio::awaitable<void> ProbeThenSend()
+  {
+    const UpstreamProcess process{ "i-1", upstream->Address() };
+    EXPECT_TRUE(co_await client.Probe(process, "/health"));
+    co_await SendAll(1);
+  }
+
   SystemClock clock;
   asio::io_context context;
   size_t bytesWritten = 0;
@@ -219,6 +226,34 @@
   EXPECT_EQ(upstream->Connections(), 1U);
 }
 
+// Guards against a false promise that a request has not run: a refusal without
+// an id, of a health check or of another request, arrives in its response's
+// place.
+TEST_F(UpstreamClientTest, RefusalWithoutIdProvesNothing)
+{
+  EXPECT_EQ(Send({ "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+                   "Content-Length: 0\r\n\r\n" })[0]
+              .kind,
+            Kind::OutcomeUnknown);
+}
+
+// Guards against a false promise that a request has not run: the upstream
+// repeats its refusal of a health check where the response to the next request
+// on the connection is due.
+TEST_F(UpstreamClientTest, RepeatedRefusalOfAHealthCheckIsSkipped)
+{
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  upstream = std::make_unique<ScriptedUpstream>(
+    context,
+    std::vector<std::string>{ refusal, refusal + ResponseTo("r-1", "ran") });
+  asio::co_spawn(context, ProbeThenSend(), asio::detached);
+  context.run();
+  EXPECT_EQ(results.at(0).kind, Kind::Response) << results.at(0).reason;
+  EXPECT_EQ(upstream->Connections(), 1U);
+  EXPECT_EQ(client.SkippedResponses(), 1U);
+}
+
 // An upstream sends a second response after the expected one. It must not be
 // taken for the response to the next request.
 TEST_F(UpstreamClientTest, ExtraResponseEndsReuse)
