Numbers of forwarded requests differ between processes of a host

What callers would see: an upstream's heartbeat answered with the keys of another one, an operator's call with the answer to another.

Cause: a control host numbered what it forwards to the leader from 1 in each process, and the leader answers the host. An answer to the process before could fit a request of the next one. The calls of `serve` between hosts had the same flaw: CallReply has no session.

Change: RequestIds starts at a random number of 40 bits in each process. Within the second that an answer may take, a process uses some thousand of 10^12 numbers.

--- a/src/librattandyke/agent/agent_service.cpp
+++ b/src/librattandyke/agent/agent_service.cpp
@@ -13,6 +13,7 @@
 #include "agent/lease_keeper.h"
 #include "agent/load_meter.h"
 #include "base/endpoint.h"
+#include "base/request_ids.h"
 #include "log/log.h"
 
 namespace rattandyke::agent {
@@ -123,7 +124,7 @@
   std::map<uint64_t, AnnounceCallback> announcements;
   uint64_t lastAnnouncement = 0;
   std::map<uint64_t, Callback> calls;
-  uint64_t lastCall = 0;
+  RequestIds callIds;
   std::vector<std::function<void()>> leaveCallbacks;
   std::optional<Instant> leaveBy;
   std::vector<Endpoint> otherUpstreamPorts;
@@ -152,6 +153,7 @@
   , leaseKeeper(LeaseKeeperOptions(options))
   , callTracker(NamesOf(options.controlHosts), kRepeatCall)
   , loadMeter(aClock.Now())
+  , callIds(options.session)
   , sharedTable(hostAgent.Table())
 {
 }
@@ -363,7 +365,7 @@
                          Duration aTimeout,
                          Callback aDone)
 {
-  const uint64_t id = ++lastCall;
+  const uint64_t id = callIds.Next();
   aRequest.set_id(id);
   aRequest.set_host(options.name.value);
   aRequest.set_session(options.session);
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -51,6 +51,7 @@
   , rangeAssigner({ aSettings.hold, aSettings.heartbeatInterval, kForgetAfter })
   , feed(state)
   , ticker(executor)
+  , requestIds(aSeed)
   , heartbeatBatchTimer(executor)
   , feedTimer(executor)
   , answerBatchTimer(executor)
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -113,7 +113,7 @@
     }
     co_return co_await ForwardHeartbeat(*leader, std::get<Heartbeat>(*call));
   }
-  const uint64_t id = ++lastRequestId;
+  const uint64_t id = requestIds.Next();
   auto pending = std::make_shared<PendingResult<HttpResponse>>(executor);
   pendingCalls[id] = pending;
   wire::GatewayFrame frame;
--- a/src/librattandyke/gateway/control_host_heartbeats.cpp
+++ b/src/librattandyke/gateway/control_host_heartbeats.cpp
@@ -43,7 +43,7 @@
     metrics.Increment("heartbeats_refused", "");
     co_return ToResponse(LeaderOverloaded());
   }
-  const uint64_t id = ++lastRequestId;
+  const uint64_t id = requestIds.Next();
   auto pending =
     std::make_shared<PendingResult<Result<HeartbeatAnswer>>>(executor);
   pendingHeartbeats[id] = pending;
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/request_ids.h"
 #include "consensus/driver.h"
 #include "gateway/control_host.h"
 #include "gateway/entry_registry.h"
@@ -225,7 +226,7 @@
   std::map<uint64_t, std::shared_ptr<PendingResult<HttpResponse>>> pendingCalls;
   std::map<uint64_t, std::shared_ptr<PendingResult<Result<HeartbeatAnswer>>>>
     pendingHeartbeats;
-  uint64_t lastRequestId = 0;
+  RequestIds requestIds;
   /// Receiver of heartbeatBatch.
   HostName heartbeatBatchLeader;
   /// Heartbeats that the next FlushHeartbeats sends.
