--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -57,6 +57,7 @@
   , answerBatchTimer(executor)
   , deferredTimer(executor)
   , upToDateAt(aClock.Now())
+  , crashWatch(aSettings.heartbeatInterval)
   , freshness(aClock.Now())
   , slots(MakeSlots())
   , slotTimer(executor)
@@ -219,6 +220,7 @@
     ProposeInBackground(entryRegistry.Tick(state, clock.Now()));
     ProposeControlHostRemovals();
     WithdrawSilentAllocators();
+    ProposeCrashes();
   }
   ForwardRests();
   const Instant now = clock.Now();
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -174,6 +174,9 @@
 asio::awaitable<HttpResponse>
 ControlHost::Impl::HandleAsLeader(const HttpRequest& aCall)
 {
+  if (auto response = OnBanCall(aCall)) {
+    co_return std::move(*response);
+  }
   Result<ControlCall> call =
     dialect.DecodeCall(aCall.method, aCall.target, aCall.body);
   if (!call) {
@@ -217,6 +220,7 @@
 ControlHost::Impl::ProcessHeartbeat(const Heartbeat& aHeartbeat)
 {
   const Instant arrivedAt = clock.Now();
+  crashWatch.OnSignOfLife({ aHeartbeat.instance, aHeartbeat.life }, arrivedAt);
   if (Result<void> checked = rangeAssigner.Check(aHeartbeat, state); !checked) {
     static_cast<void>(
       RejectMessage("heartbeat", aHeartbeat.instance, checked.error()));
@@ -262,6 +266,9 @@
 asio::awaitable<HttpResponse>
 ControlHost::Impl::OnCall(const Deregistration& aDeregistration)
 {
+  crashWatch.OnSignOfLife({ aDeregistration.instance, aDeregistration.life },
+                          clock.Now());
+  ProposeCrashes();
   const auto command = rangeAssigner.OnDeregistration(aDeregistration, state);
   if (!command) {
     co_return RejectMessage(
@@ -427,6 +434,8 @@
   metrics.Set("disk_failing", status.storageError.empty() ? 0 : 1);
   metrics.Set("entries", static_cast<double>(state.Entries().size()));
   metrics.Set("upstreams", static_cast<double>(state.Instances().size()));
+  metrics.Set("bans",
+              static_cast<double>(state.Crashes().Bans(clock.Wall()).size()));
   metrics.Set("rests_recorded", static_cast<double>(rests.Size()));
   if (slots) {
     SetSlotMetrics(metrics, *slots);
--- a/src/librattandyke/gateway/control_host_feed.cpp
+++ b/src/librattandyke/gateway/control_host_feed.cpp
@@ -76,6 +76,9 @@
     case wire::GatewayFrame::kUpstreamRests:
       OnUpstreamRests(frame.upstream_rests());
       return;
+    case wire::GatewayFrame::kCrashReports:
+      OnCrashReports(frame.crash_reports());
+      return;
     case wire::GatewayFrame::kLinkProbe:
       FeedServer::ReturnProbe(aConnection, std::move(frame));
       return;
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -18,6 +18,7 @@
 #include "base/request_ids.h"
 #include "consensus/driver.h"
 #include "gateway/control_host.h"
+#include "gateway/crash_watch.h"
 #include "gateway/entry_registry.h"
 #include "gateway/feed_server.h"
 #include "gateway/heartbeat_queue.h"
@@ -149,6 +150,15 @@
   void SendRestsTo(const net::FrameMesh::Connection& aConnection,
                    const std::string& aHost);
 
+  // Requests that crash upstreams: control_host_crashes.cpp.
+
+  void OnCrashReports(const wire::CrashReports& aReports);
+  void ProposeCrashes();
+  void LogBans(const wire::RecordCrashes& aCommand);
+  /// @return the response to an operator's call about bans; nullopt if the call
+  /// is another one.
+  std::optional<HttpResponse> OnBanCall(const HttpRequest& aCall);
+
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
   boost::asio::awaitable<HttpResponse> ForwardHeartbeat(
@@ -262,6 +272,9 @@
   bool isCaughtUp = false;
   RestRegister rests;
   PendingRests pendingRests{ rests };
+  CrashWatch crashWatch;
+  /// Bans that have been logged, with their ends.
+  std::map<std::string, WallTime> loggedBans;
   scheduling::AllocatorWatch allocatorWatch;
   scheduling::StateFreshness freshness;
   /// Null unless this host's setting is that it allocates slots.
--- a/src/librattandyke/gateway/control_host_log.cpp
+++ b/src/librattandyke/gateway/control_host_log.cpp
@@ -30,6 +30,9 @@
   } else if (outcome) {
     feed.Publish(command, aIndex);
     ScheduleFeedFlush();
+    if (command.has_record_crashes()) {
+      LogBans(command.record_crashes());
+    }
     if (slots) {
       slots->StateChanged(state, command);
     }
@@ -67,6 +70,7 @@
     entryRegistry.OnElected(state, clock.Now());
     demandTable.Start(*aTerm, clock.Now());
     allocatorWatch.OnElected(clock.Now());
+    crashWatch.OnElected();
   } else {
     Info() << "this host leads no more";
   }
--- /dev/null
+++ b/src/librattandyke/gateway/crash_watch.cpp
@@ -0,0 +1,111 @@
+#include "gateway/crash_watch.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Heartbeat intervals after which a silent upstream counts as crashed.
+constexpr int kSilentIntervals = 2;
+/// Time for which a heartbeat may be on its way. One that arrives sooner may
+/// have been sent before the crash.
+constexpr milliseconds kInTransit{ 500 };
+/// Time after which a result that is not in the state is proposed again.
+constexpr milliseconds kProposeAgain{ 1000 };
+/// Reports in one command; it has about 50 KB then.
+constexpr int kMaxReports = 400;
+
+} // namespace
+
+CrashWatch::CrashWatch(Duration aHeartbeatInterval)
+  : mSilence(aHeartbeatInterval * kSilentIntervals + Duration(kInTransit))
+{
+}
+
+void
+CrashWatch::Add(const wire::CrashReports& aReports)
+{
+  for (const wire::InterruptedRequest& request : aReports.interrupted()) {
+    if (mPending.interrupted_size() < kMaxReports) {
+      *mPending.add_interrupted() = request;
+    }
+  }
+  for (const std::string& fingerprint : aReports.answered()) {
+    if (mPending.answered_size() < kMaxReports) {
+      mPending.add_answered(fingerprint);
+    }
+  }
+}
+
+void
+CrashWatch::Lift(const std::string& aFingerprint)
+{
+  mPending.add_lifted(aFingerprint);
+}
+
+void
+CrashWatch::OnSignOfLife(const UpstreamProcessId& aProcess, Instant aNow)
+{
+  const auto found = mObserved.find(aProcess);
+  if (found != mObserved.end() &&
+      aNow - found->second.since >= Duration(kInTransit)) {
+    found->second.alive = true;
+  }
+}
+
+void
+CrashWatch::OnElected()
+{
+  mObserved.clear();
+  mPending.Clear();
+}
+
+void
+CrashWatch::Observe(const State& aState, Instant aNow)
+{
+  std::map<UpstreamProcessId, Observation> observed;
+  for (const UpstreamProcessId& process : aState.Crashes().Unconfirmed()) {
+    const auto known = mObserved.find(process);
+    observed[process] =
+      known == mObserved.end() ? Observation{ aNow } : known->second;
+  }
+  mObserved = std::move(observed);
+}
+
+std::optional<wire::RecordCrashes>
+CrashWatch::Take(const State& aState, Instant aNow, WallTime aTime)
+{
+  if (!mObserved.empty() || !aState.Crashes().IsEmpty()) {
+    Observe(aState, aNow);
+  }
+  wire::RecordCrashes record = std::exchange(mPending, {});
+  std::set<std::string> answered(record.answered().begin(),
+                                 record.answered().end());
+  record.clear_answered();
+  for (const std::string& fingerprint : answered) {
+    if (aState.Crashes().Contains(fingerprint)) {
+      record.add_answered(fingerprint);
+    }
+  }
+  for (auto& [process, observation] : mObserved) {
+    const bool silent = aNow - observation.since >= mSilence;
+    const bool due = !observation.proposedAt ||
+                     aNow - *observation.proposedAt >= Duration(kProposeAgain);
+    if (due && (observation.alive || silent)) {
+      observation.proposedAt = aNow;
+      wire::UpstreamProcess* result =
+        observation.alive ? record.add_alive() : record.add_ended();
+      result->set_instance(process.instance);
+      result->set_life(process.incarnation);
+    }
+  }
+  const bool isEmpty = record.ByteSizeLong() == 0;
+  if (isEmpty) {
+    return std::nullopt;
+  }
+  record.set_told_at_ms(aTime.time_since_epoch().count());
+  return record;
+}
+
+} // namespace rattandyke::gateway
--- /dev/null
+++ b/src/librattandyke/gateway/crash_watch_test.cpp
@@ -0,0 +1,156 @@
+#include "gateway/crash_watch.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway/crash_reporter.h"
+
+namespace rattandyke::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kInterval{ 1300 };
+
+class CrashWatchTest : public ::testing::Test
+{
+protected:
+  CrashWatchTest()
+  {
+    wire::GatewayCommand put;
+    wire::UpstreamInstance* instance =
+      put.mutable_put_instance()->mutable_instance();
+    instance->set_id("i-1");
+    instance->set_life(1);
+    EXPECT_TRUE(state.Apply(put, LogIndex{ ++index }));
+    wire::CrashReports reports;
+    wire::InterruptedRequest* interrupted = reports.add_interrupted();
+    interrupted->set_instance("i-1");
+    interrupted->set_life(1);
+    interrupted->set_fingerprint("poison");
+    watch.Add(reports);
+    EXPECT_EQ(Tick().interrupted_size(), 1);
+  }
+
+  /// Takes what is due and applies it to the state.
+  wire::RecordCrashes Tick()
+  {
+    const auto record = watch.Take(state, now, wall);
+    if (!record) {
+      return {};
+    }
+    wire::GatewayCommand command;
+    *command.mutable_record_crashes() = *record;
+    EXPECT_TRUE(state.Apply(command, LogIndex{ ++index }));
+    return *record;
+  }
+
+  void Wait(Duration aTime)
+  {
+    now += aTime;
+    wall += std::chrono::duration_cast<milliseconds>(aTime);
+  }
+
+  State state;
+  uint64_t index = 0;
+  CrashWatch watch{ kInterval };
+  Instant now{ std::chrono::hours{ 1 } };
+  WallTime wall{ seconds{ 1'700'000'000 } };
+};
+
+// Guards against a crash that is never confirmed: the upstream does not come
+// back.
+TEST_F(CrashWatchTest, SilentUpstreamHasCrashed)
+{
+  Tick();
+  Wait(kInterval);
+  EXPECT_EQ(Tick().ended_size(), 0);
+  Wait(2 * kInterval);
+  EXPECT_EQ(Tick().ended_size(), 1);
+  EXPECT_EQ(Tick().ended_size(), 0);
+}
+
+// Guards against innocents that are refused: only the connection had ended.
+TEST_F(CrashWatchTest, HeartbeatShowsThatOnlyTheConnectionEnded)
+{
+  Tick();
+  Wait(kInterval);
+  watch.OnSignOfLife({ "i-1", 1 }, now);
+  EXPECT_EQ(Tick().alive_size(), 1);
+  EXPECT_TRUE(state.Crashes().IsEmpty());
+}
+
+// Guards against a crash that a heartbeat from before it, or of the next
+// process, seems to disprove.
+TEST_F(CrashWatchTest, OtherHeartbeatsProveNothing)
+{
+  Tick();
+  watch.OnSignOfLife({ "i-1", 1 }, now);
+  Wait(kInterval);
+  watch.OnSignOfLife({ "i-1", 2 }, now);
+  EXPECT_EQ(Tick().alive_size(), 0);
+}
+
+// Guards against a result that is lost with the leader that proposed it.
+TEST_F(CrashWatchTest, NextLeaderObservesAgain)
+{
+  Tick();
+  Wait(3 * kInterval);
+  CrashWatch next(kInterval);
+  next.OnElected();
+  EXPECT_FALSE(next.Take(state, now, wall));
+  Wait(3 * kInterval);
+  EXPECT_EQ(next.Take(state, now, wall)->ended_size(), 1);
+}
+
+// Guards against commands without effect: answers to requests that nobody
+// suspects.
+TEST_F(CrashWatchTest, OnlyAnswersToSuspectsAreRecorded)
+{
+  Tick();
+  wire::CrashReports reports;
+  reports.add_answered("other");
+  watch.Add(reports);
+  EXPECT_FALSE(watch.Take(state, now, wall));
+  reports.add_answered("poison");
+  reports.add_answered("poison");
+  watch.Add(reports);
+  EXPECT_EQ(Tick().answered_size(), 1);
+  EXPECT_TRUE(state.Crashes().IsEmpty());
+}
+
+// Guards against reports of upstreams that are full and reset new connections:
+// other connections to them are open.
+TEST(CrashReporterTest, UpstreamWithAnOpenConnectionIsNotReported)
+{
+  CrashReporter reporter;
+  const Instant now{ std::chrono::hours{ 1 } };
+  const UpstreamProcess full{ "i-1", "10.0.0.1:80", 1 };
+  const UpstreamProcess crashed{ "i-2", "10.0.0.2:80", 1 };
+  reporter.OnInterrupted("desk", full, "a", now);
+  reporter.OnInterrupted("desk", crashed, "b", now);
+  const wire::CrashReports reports =
+    reporter.Take([&](const auto& aProcess) { return aProcess == full; },
+                  now + milliseconds{ 30 });
+  ASSERT_EQ(reports.interrupted_size(), 1);
+  EXPECT_EQ(reports.interrupted(0).instance(), "i-2");
+  EXPECT_EQ(reports.interrupted(0).sent_ms_ago(), 30U);
+}
+
+// Guards against a report for each answer to a request that many callers send.
+TEST(CrashReporterTest, AnswersAreReportedOnceASecond)
+{
+  CrashReporter reporter;
+  Instant now{ std::chrono::hours{ 1 } };
+  const auto isConnected = [](const UpstreamProcess&) { return false; };
+  int reported = 0;
+  for (int answer = 0; answer < 100; ++answer) {
+    reporter.OnAnswered("popular", now);
+    reported += reporter.Take(isConnected, now).answered_size();
+    now += milliseconds{ 20 };
+  }
+  EXPECT_EQ(reported, 2);
+}
+
+} // namespace
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/entry_host.cpp
+++ b/src/librattandyke/gateway/entry_host.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds kReportInterval{ 200 };
 /// Shortest time between two reports of rests.
 constexpr milliseconds kRestReportInterval{ 100 };
+/// Shortest time between two reports of requests that may crash upstreams.
+constexpr milliseconds kCrashReportInterval{ 50 };
 /// Above this age of its own state, an entry host sends no pings and closes the
 /// connections of its subscribers.
 constexpr milliseconds kMaxRelayedAge{ 600 };
@@ -182,7 +184,7 @@
     }
     RecordSlotTraffic(frame, scheduling::LinkDirection::In, aMessage.size());
     if (frame.has_feed_open() || frame.has_feed_report() ||
-        frame.has_upstream_rests()) {
+        frame.has_upstream_rests() || frame.has_crash_reports()) {
       linkMeter.Record(scheduling::LinkUse::Feed,
                        scheduling::LinkDirection::In,
                        aMessage.size());
@@ -199,6 +201,8 @@
       OnFeedReport(aConnection, frame.feed_report());
     } else if (frame.has_upstream_rests()) {
       feed.ReportRests(frame.upstream_rests());
+    } else if (frame.has_crash_reports()) {
+      feed.ReportCrashes(frame.crash_reports());
     } else {
       OnRelayFrame(aConnection, std::move(frame), aMessage.size());
     }
@@ -395,6 +399,21 @@
     }
   }
 
+  /// Tells the control hosts of requests that may crash upstreams.
+  void ReportCrashes()
+  {
+    const Instant now = clock.Now();
+    if (!feed.ConfirmedConnection() ||
+        now - crashesReportedAt < kCrashReportInterval) {
+      return;
+    }
+    crashesReportedAt = now;
+    const wire::CrashReports reports = handler.TakeCrashReports();
+    if (reports.interrupted_size() > 0 || reports.answered_size() > 0) {
+      feed.ReportCrashes(reports);
+    }
+  }
+
   void ScheduleSlotTick()
   {
     slotTimer.expires_after(SlotBroker::kTick);
@@ -405,6 +424,7 @@
         host->handler.ProbeUpstreams();
         host->ProbeLink();
         host->ReportRests();
+        host->ReportCrashes();
         host->ScheduleSlotTick();
       }
     });
@@ -611,6 +631,7 @@
   /// Connection of the last report of rests, and its time.
   std::optional<uint64_t> restsConnection;
   Instant restsReportedAt{};
+  Instant crashesReportedAt{};
   bool stopping = false;
   /// ExpireRequests has been called.
   bool requestsExpired = false;
--- a/src/librattandyke/gateway/feed_client.cpp
+++ b/src/librattandyke/gateway/feed_client.cpp
@@ -490,6 +490,16 @@
   }
 }
 
+void
+FeedClient::ReportCrashes(const wire::CrashReports& aReports)
+{
+  if (mImpl->connection) {
+    wire::GatewayFrame frame;
+    *frame.mutable_crash_reports() = aReports;
+    mImpl->Send(frame);
+  }
+}
+
 std::optional<uint64_t>
 FeedClient::ConfirmedConnection() const
 {
--- a/src/librattandyke/gateway/feed_client.h
+++ b/src/librattandyke/gateway/feed_client.h
@@ -82,6 +82,10 @@
   /// Sends rests of upstreams to the connected host, if there is one.
   void ReportRests(const wire::UpstreamRests& aRests);
 
+  /// Sends reports about requests that may crash upstreams to the connected
+  /// host, if there is one.
+  void ReportCrashes(const wire::CrashReports& aReports);
+
   /// @return the number of the connection to a host that has confirmed the
   /// state, if there is one. Each connection has another number.
   std::optional<uint64_t> ConfirmedConnection() const;
--- a/src/librattandyke/gateway/relay_wire.cpp
+++ b/src/librattandyke/gateway/relay_wire.cpp
@@ -100,6 +100,7 @@
   message.set_body(std::move(aResult.response.body));
   message.set_reason(aResult.reason);
   message.set_cancelled(aResult.cancelled);
+  message.set_connection_lost(aResult.connectionLost);
   message.set_elapsed_us(duration_cast<microseconds>(aResult.elapsed).count());
   if (aResult.rest && *aResult.rest) {
     message.set_rest_ms(duration_cast<milliseconds>(**aResult.rest).count());
@@ -125,6 +126,7 @@
   attempt.response.body = std::move(*aMessage.mutable_body());
   attempt.reason = aMessage.reason();
   attempt.cancelled = aMessage.cancelled();
+  attempt.connectionLost = aMessage.connection_lost();
   attempt.elapsed = microseconds{ aMessage.elapsed_us() };
   if (aMessage.rest_ms() > 0) {
     attempt.rest = std::optional<Duration>(milliseconds{ aMessage.rest_ms() });
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -433,6 +433,8 @@
   } else {
     CountServiceRequest(progress.service);
   }
+  progress.credentials =
+    std::string(http::FieldOf(aRequest.fields, "Authorization"));
   progress.request = MakeUpstreamRequest(aRequest, id);
   co_return co_await RunIfLinkAdmits(progress);
 }
@@ -558,6 +560,7 @@
   }
   RecordLoadReport(slot.instance, result.response);
   RecordBackPressure(slot, result);
+  RecordForQuarantine(aProgress, process, sent);
   CountServiceAttempt(aProgress, result);
   mSlots.Release(slot, OutcomeOf(aProgress, sent), result.elapsed);
   mMetrics.Increment("tries", AttemptLabel(result.kind));
@@ -617,6 +620,9 @@
     }
   });
   for (int unsent = 0; unsent < kMaxUnsentAttempts;) {
+    if (auto refusal = RefuseIfQuarantined(aProgress)) {
+      co_return std::move(*refusal);
+    }
     const SlotOutcome outcome = co_await AcquireSlot(aProgress);
     const auto* slot = std::get_if<Slot>(&outcome);
     if (slot == nullptr) {
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -17,6 +17,7 @@
 #include "base/clock.h"
 #include "entry/retry_budget.h"
 #include "gateway/caller_request_handler.h"
+#include "gateway/crash_reporter.h"
 #include "gateway/dialect.h"
 #include "gateway/egress_queue.h"
 #include "gateway/feed_client.h"
@@ -109,6 +110,10 @@
   /// removes what is outdated. Call it at regular intervals.
   void Sweep();
 
+  /// @return the reports about requests that may crash upstreams since the last
+  /// call.
+  wire::CrashReports TakeCrashReports();
+
   /// Probes upstreams that this host could not reach. Call it at regular
   /// intervals.
   void ProbeUpstreams();
@@ -180,6 +185,10 @@
     std::string owner;
     /// Instance of the last attempt.
     std::string lastUpstream;
+    /// Credentials of the caller, empty if it sent none.
+    std::string credentials;
+    /// See FingerprintOf().
+    std::string fingerprint;
     /// This host has lost the service, and no other host relays the request.
     bool noPath = false;
   };
@@ -315,6 +324,15 @@
   /// Sends the request to the upstream of a slot and releases the slot.
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestProgress& aProgress,
                                                    const Slot& aSlot);
+  /// @return identifies the request if its caller sends it again.
+  const std::string& FingerprintOf(RequestProgress& aProgress) const;
+  /// @return the response to a request that crashes upstreams, nullopt if it
+  /// may be sent.
+  std::optional<CallerResponse> RefuseIfQuarantined(RequestProgress& aProgress);
+  /// Records what an attempt shows of a request that may crash upstreams.
+  void RecordForQuarantine(RequestProgress& aProgress,
+                           const UpstreamProcess& aProcess,
+                           const RelayResult& aResult);
   void LogFailedAttempt(const RequestProgress& aProgress,
                         const RelayResult& aResult) const;
   /// Records the load report in an upstream's response, if it has one.
@@ -370,6 +388,7 @@
   UpstreamReach mReach;
   RequestRelay mRelay;
   RelayServer mRelayServer;
+  CrashReporter mCrashReporter;
   std::map<std::string, std::unique_ptr<entry::RetryBudget>> mRetryBudgets;
   Waiters mWaiters;
   Metrics mMetrics;
--- /dev/null
+++ b/src/librattandyke/gateway/request_handler_quarantine.cpp
@@ -0,0 +1,98 @@
+// Part of RequestHandler that keeps requests from upstreams that they crash.
+#include "gateway/request_handler.h"
+
+#include <algorithm>
+
+#include "entry/digest.h"
+#include "log/log.h"
+
+namespace rattandyke::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// By then it is usually known whether the upstreams have crashed.
+constexpr milliseconds kRetryAfterHeld{ 1000 };
+
+} // namespace
+
+const std::string&
+RequestHandler::FingerprintOf(RequestProgress& aProgress) const
+{
+  if (aProgress.fingerprint.empty()) {
+    const UpstreamRequest& request = *aProgress.request;
+    aProgress.fingerprint = entry::DigestOf(
+      { aProgress.service,
+        aProgress.credentials,
+        request.method,
+        request.target,
+        aProgress.key ? std::to_string(*aProgress.key) : std::string(),
+        request.body });
+  }
+  return aProgress.fingerprint;
+}
+
+std::optional<CallerResponse>
+RequestHandler::RefuseIfQuarantined(RequestProgress& aProgress)
+{
+  const CrashRegister& crashes = mFeed.CurrentState().Crashes();
+  if (crashes.IsEmpty()) {
+    return std::nullopt;
+  }
+  const std::string& fingerprint = FingerprintOf(aProgress);
+  const WallTime now = mClock.Wall();
+  const RequestVerdict verdict = crashes.Verdict(fingerprint, now);
+  if (verdict == RequestVerdict::Free || verdict == RequestVerdict::Watched) {
+    return std::nullopt;
+  }
+  const bool banned = verdict == RequestVerdict::Banned;
+  mMetrics.Increment("requests_quarantined",
+                     banned ? "verdict=\"banned\"" : "verdict=\"held\"");
+  log::Line(log::Part::Entry, log::Severity::Info, aProgress.request->requestId)
+    << "request is quarantined verdict=" << (banned ? "banned" : "held")
+    << " service=" << aProgress.service << " fingerprint=" << fingerprint;
+  return NotExecutedResponse(
+    aProgress,
+    banned ? Duration(crashes.BannedUntil(fingerprint) - now)
+           : Duration(kRetryAfterHeld),
+    banned ? "the request crashes upstreams"
+           : "the request may crash upstreams");
+}
+
+void
+RequestHandler::RecordForQuarantine(RequestProgress& aProgress,
+                                    const UpstreamProcess& aProcess,
+                                    const RelayResult& aResult)
+{
+  const Instant now = mClock.Now();
+  const AttemptResult& attempt = aResult.attempt;
+  if (attempt.kind == AttemptResult::Kind::Response) {
+    const CrashRegister& crashes = mFeed.CurrentState().Crashes();
+    if (!crashes.IsEmpty() &&
+        crashes.Verdict(FingerprintOf(aProgress), mClock.Wall()) !=
+          RequestVerdict::Free) {
+      mCrashReporter.OnAnswered(FingerprintOf(aProgress), now);
+    }
+    return;
+  }
+  if (attempt.connectionLost && !aResult.relayLost &&
+      !aProgress.context->IsCancelled()) {
+    mCrashReporter.OnInterrupted(aProgress.service,
+                                 aProcess,
+                                 FingerprintOf(aProgress),
+                                 now - attempt.elapsed);
+  }
+}
+
+wire::CrashReports
+RequestHandler::TakeCrashReports()
+{
+  return mCrashReporter.Take(
+    [this](const UpstreamProcess& aProcess) {
+      return mUpstreamClient.Pool().IsConnected(aProcess);
+    },
+    mClock.Now());
+}
+
+} // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.cpp
+++ b/src/librattandyke/gateway/state.cpp
@@ -43,6 +43,8 @@
       return Apply(aCommand.drop_control());
     case wire::GatewayCommand::kRecordRests:
       return {}; // Control hosts keep them in a RestRegister.
+    case wire::GatewayCommand::kRecordCrashes:
+      return Apply(aCommand.record_crashes());
     case wire::GatewayCommand::BODY_NOT_SET:
       break;
   }
@@ -106,6 +108,9 @@
   const bool withdrawn = sameIncarnation && known->withdrawn() && !returns;
   const bool draining =
     instance.draining() || (sameIncarnation && known->draining() && !returns);
+  if (known != nullptr && !sameIncarnation) {
+    mCrashes.OnEnded({ known->id(), known->life() });
+  }
   if (!sameIncarnation) {
     for (auto& [service, ranges] : mRanges) {
       ranges.FreeAllOf(instance.id());
@@ -130,12 +135,25 @@
   }
   mInstances.erase(aCommand.id());
   ++mInstancesVersion;
+  mCrashes.OnEnded({ aCommand.id(), aCommand.life() });
   if (!aCommand.forgotten()) {
     RecordEnded(aCommand.id(), aCommand.life());
   }
   return {};
 }
 
+/// An upstream that is leaving ends its connections by itself.
+Result<void>
+State::Apply(const wire::RecordCrashes& aCommand)
+{
+  mCrashes.Apply(aCommand, [this](const std::string& aInstance) {
+    const wire::UpstreamInstance* instance = FindInstance(aInstance);
+    return instance != nullptr && !instance->draining() &&
+           !instance->withdrawn();
+  });
+  return {};
+}
+
 Result<void>
 State::Apply(const wire::WithdrawInstance& aCommand)
 {
@@ -274,6 +292,7 @@
   for (const auto& [address, control] : mControls) {
     *state.add_controls() = control;
   }
+  mCrashes.Save(state);
   return state;
 }
 
@@ -302,6 +321,7 @@
   for (const wire::ControlMember& control : aState.controls()) {
     mControls[control.address()] = control;
   }
+  mCrashes.Load(aState);
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/state.h
+++ b/src/librattandyke/gateway/state.h
@@ -10,6 +10,7 @@
 #include <rattandyke/result.h>
 #include <rattandyke/types.h>
 
+#include "gateway/crash_register.h"
 #include "gateway/item_table.h"
 #include "gateway/range_table.h"
 #include "wire/gateway.pb.h"
@@ -84,6 +85,9 @@
     return mControls;
   }
 
+  /// @return requests that may crash upstreams.
+  const CrashRegister& Crashes() const { return mCrashes; }
+
   /// @return a snapshot of the state.
   wire::GatewayState Save() const;
   /// Replaces the state by a snapshot.
@@ -102,6 +106,7 @@
   Result<void> Apply(const wire::EvacuateDataCentre& aCommand);
   Result<void> Apply(const wire::PutControl& aCommand);
   Result<void> Apply(const wire::DropControl& aCommand);
+  Result<void> Apply(const wire::RecordCrashes& aCommand);
   void MarkCold(const std::string& aDataCentre);
   void RecordEnded(const std::string& aId, uint64_t aIncarnation);
 
@@ -118,6 +123,7 @@
   std::map<std::string, wire::EntryMember> mEntries;
   std::map<std::string, wire::ControlMember> mControls;
   std::set<std::string> mEvacuatedDataCentres;
+  CrashRegister mCrashes;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -200,6 +200,19 @@
          found->second.idle.back()->usableUntil > aNow;
 }
 
+bool
+ConnectionPool::IsConnected(const UpstreamProcess& aProcess) const
+{
+  const auto found = mIdle.find(aProcess.instance);
+  if (found == mIdle.end() || found->second.process != aProcess) {
+    return false;
+  }
+  const auto& idle = found->second.idle;
+  return std::any_of(idle.begin(), idle.end(), [](const auto& aConnection) {
+    return IsOpenAndIdle(aConnection->socket);
+  });
+}
+
 void
 ConnectionPool::Put(const UpstreamProcess& aProcess,
                     std::shared_ptr<UpstreamConnection> aConnection)
@@ -366,8 +379,11 @@
   if (writeError) {
     aHandle->DetachConnection();
     connection->Close();
-    co_return MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                         "writing failed: " + writeError.message());
+    AttemptResult result =
+      MakeResult(AttemptResult::Kind::OutcomeUnknown,
+                 "writing failed: " + writeError.message());
+    result.connectionLost = !aHandle->IsCancelled();
+    co_return result;
   }
   auto bodyWritten = std::make_shared<bool>(bodyInline);
   if (!bodyInline) {
@@ -472,8 +488,12 @@
     parser.skip(aRequest->method == "HEAD");
     auto room = co_await ReadWhole(*aConnection, parser, aTimeLeft, *aHandle);
     if (!room) {
-      co_return MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                           "no whole answer: " + room.error().message());
+      AttemptResult result =
+        MakeResult(AttemptResult::Kind::OutcomeUnknown,
+                   "no whole answer: " + room.error().message());
+      result.connectionLost =
+        room.error() != NoRoomError() && !aHandle->IsCancelled();
+      co_return result;
     }
     auto& message = parser.get();
     UpstreamResponse response;
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -112,6 +112,9 @@
   /// by its age.
   bool HasIdle(const UpstreamProcess& aProcess, Instant aNow) const;
 
+  /// @return whether an idle connection to the process is still open.
+  bool IsConnected(const UpstreamProcess& aProcess) const;
+
   /// Adds a connection, or closes it if the pool holds connections to another
   /// process of the instance.
   void Put(const UpstreamProcess& aProcess,
@@ -198,6 +201,8 @@
   bool cancelled = false;
   /// The connection was opened for the attempt.
   bool newConnection = false;
+  /// The connection ended while the request was in progress.
+  bool connectionLost = false;
   /// The upstream sent a response, whether or not it is one to the request.
   bool responded = false;
   /// Time from sending the request to the end of the attempt; 0 if the request
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -410,6 +410,69 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RecordRestsDefaultTypeInternal _RecordRests_default_instance_;
+PROTOBUF_CONSTEXPR UpstreamProcess::UpstreamProcess(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct UpstreamProcessDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR UpstreamProcessDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~UpstreamProcessDefaultTypeInternal() {}
+  union {
+    UpstreamProcess _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 UpstreamProcessDefaultTypeInternal _UpstreamProcess_default_instance_;
+PROTOBUF_CONSTEXPR InterruptedRequest::InterruptedRequest(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.fingerprint_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.sent_ms_ago_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct InterruptedRequestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR InterruptedRequestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~InterruptedRequestDefaultTypeInternal() {}
+  union {
+    InterruptedRequest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 InterruptedRequestDefaultTypeInternal _InterruptedRequest_default_instance_;
+PROTOBUF_CONSTEXPR CrashReports::CrashReports(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.interrupted_)*/{}
+  , /*decltype(_impl_.answered_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct CrashReportsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR CrashReportsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~CrashReportsDefaultTypeInternal() {}
+  union {
+    CrashReports _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 CrashReportsDefaultTypeInternal _CrashReports_default_instance_;
+PROTOBUF_CONSTEXPR RecordCrashes::RecordCrashes(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.interrupted_)*/{}
+  , /*decltype(_impl_.answered_)*/{}
+  , /*decltype(_impl_.ended_)*/{}
+  , /*decltype(_impl_.alive_)*/{}
+  , /*decltype(_impl_.lifted_)*/{}
+  , /*decltype(_impl_.told_at_ms_)*/int64_t{0}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RecordCrashesDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RecordCrashesDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RecordCrashesDefaultTypeInternal() {}
+  union {
+    RecordCrashes _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RecordCrashesDefaultTypeInternal _RecordCrashes_default_instance_;
 PROTOBUF_CONSTEXPR GatewayCommand::GatewayCommand(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.body_)*/{}
@@ -457,6 +520,38 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ServiceRangesDefaultTypeInternal _ServiceRanges_default_instance_;
+PROTOBUF_CONSTEXPR RecordedCrash::RecordedCrash(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.life_)*/uint64_t{0u}
+  , /*decltype(_impl_.at_ms_)*/int64_t{0}
+  , /*decltype(_impl_.confirmed_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct RecordedCrashDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR RecordedCrashDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~RecordedCrashDefaultTypeInternal() {}
+  union {
+    RecordedCrash _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RecordedCrashDefaultTypeInternal _RecordedCrash_default_instance_;
+PROTOBUF_CONSTEXPR SuspectRequest::SuspectRequest(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.crashes_)*/{}
+  , /*decltype(_impl_.service_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.fingerprint_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.banned_until_ms_)*/int64_t{0}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct SuspectRequestDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR SuspectRequestDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~SuspectRequestDefaultTypeInternal() {}
+  union {
+    SuspectRequest _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 SuspectRequestDefaultTypeInternal _SuspectRequest_default_instance_;
 PROTOBUF_CONSTEXPR GatewayState::GatewayState(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.routes_)*/{}
@@ -469,6 +564,7 @@
   , /*decltype(_impl_.ended_)*/{}
   , /*decltype(_impl_.evacuated_)*/{}
   , /*decltype(_impl_.controls_)*/{}
+  , /*decltype(_impl_.suspects_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.rests_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
@@ -975,6 +1071,7 @@
   , /*decltype(_impl_.state_)*/0
   , /*decltype(_impl_.status_)*/0u
   , /*decltype(_impl_.cancelled_)*/false
+  , /*decltype(_impl_.connection_lost_)*/false
   , /*decltype(_impl_.elapsed_us_)*/uint64_t{0u}
   , /*decltype(_impl_.rest_ms_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -1030,7 +1127,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 GatewayFrameDefaultTypeInternal _GatewayFrame_default_instance_;
 }  // namespace wire
 }  // namespace rattandyke
-static ::_pb::Metadata file_level_metadata_gateway_2eproto[62];
+static ::_pb::Metadata file_level_metadata_gateway_2eproto[68];
 static const ::_pb::EnumDescriptor* file_level_enum_descriptors_gateway_2eproto[4];
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_gateway_2eproto = nullptr;
 
@@ -1274,6 +1371,45 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordRests, _impl_.rests_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordRests, _impl_.told_at_ms_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamProcess, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamProcess, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::UpstreamProcess, _impl_.life_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.fingerprint_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.sent_ms_ago_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _impl_.interrupted_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _impl_.answered_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.interrupted_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.answered_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.ended_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.alive_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.lifted_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _impl_.told_at_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _internal_metadata_),
   ~0u,  // no _extensions_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_._oneof_case_[0]),
@@ -1292,6 +1428,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayCommand, _impl_.body_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RangeSegment, _internal_metadata_),
@@ -1315,6 +1452,26 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceRanges, _impl_.service_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::ServiceRanges, _impl_.segments_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.instance_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.life_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.at_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.confirmed_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _impl_.service_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _impl_.fingerprint_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _impl_.crashes_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _impl_.banned_until_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -1333,6 +1490,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.evacuated_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.controls_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.rests_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.suspects_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1656,6 +1814,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.cancelled_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.elapsed_us_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.rest_ms_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayedResponse, _impl_.connection_lost_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RelayCancel, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1701,6 +1860,7 @@
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
   ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayFrame, _impl_.body_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
@@ -1729,43 +1889,49 @@
   { 213, -1, -1, sizeof(::rattandyke::wire::UpstreamRest)},
   { 223, -1, -1, sizeof(::rattandyke::wire::UpstreamRests)},
   { 230, -1, -1, sizeof(::rattandyke::wire::RecordRests)},
-  { 238, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 258, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 271, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 279, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 298, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 307, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 314, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 322, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
-  { 329, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 338, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 347, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 355, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
-  { 365, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 376, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 388, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 397, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 407, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 426, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 434, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 446, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 453, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 464, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
-  { 473, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
-  { 482, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
-  { 494, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
-  { 502, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 512, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 532, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 545, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 557, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
-  { 567, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
-  { 575, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
-  { 597, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
-  { 605, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
-  { 621, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
-  { 628, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 636, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 238, -1, -1, sizeof(::rattandyke::wire::UpstreamProcess)},
+  { 246, -1, -1, sizeof(::rattandyke::wire::InterruptedRequest)},
+  { 257, -1, -1, sizeof(::rattandyke::wire::CrashReports)},
+  { 265, -1, -1, sizeof(::rattandyke::wire::RecordCrashes)},
+  { 277, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 298, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 311, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 319, -1, -1, sizeof(::rattandyke::wire::RecordedCrash)},
+  { 329, -1, -1, sizeof(::rattandyke::wire::SuspectRequest)},
+  { 339, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 359, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 368, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 375, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 383, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 390, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 399, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 408, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 416, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
+  { 426, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 437, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 449, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 458, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 468, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 487, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 495, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 507, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 514, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 525, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
+  { 534, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
+  { 543, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
+  { 555, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 563, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 573, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 593, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 606, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 618, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
+  { 628, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
+  { 636, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
+  { 658, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
+  { 666, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
+  { 683, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
+  { 690, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 698, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -1794,9 +1960,15 @@
   &::rattandyke::wire::_UpstreamRest_default_instance_._instance,
   &::rattandyke::wire::_UpstreamRests_default_instance_._instance,
   &::rattandyke::wire::_RecordRests_default_instance_._instance,
+  &::rattandyke::wire::_UpstreamProcess_default_instance_._instance,
+  &::rattandyke::wire::_InterruptedRequest_default_instance_._instance,
+  &::rattandyke::wire::_CrashReports_default_instance_._instance,
+  &::rattandyke::wire::_RecordCrashes_default_instance_._instance,
   &::rattandyke::wire::_GatewayCommand_default_instance_._instance,
   &::rattandyke::wire::_RangeSegment_default_instance_._instance,
   &::rattandyke::wire::_ServiceRanges_default_instance_._instance,
+  &::rattandyke::wire::_RecordedCrash_default_instance_._instance,
+  &::rattandyke::wire::_SuspectRequest_default_instance_._instance,
   &::rattandyke::wire::_GatewayState_default_instance_._instance,
   &::rattandyke::wire::_FeedOpen_default_instance_._instance,
   &::rattandyke::wire::_FeedSnapshot_default_instance_._instance,
@@ -1893,202 +2065,224 @@
   "ms\030\004 \001(\r\"=\n\rUpstreamRests\022,\n\005rests\030\001 \003(\013"
   "2\035.rattandyke.wire.UpstreamRest\"O\n\013Recor"
   "dRests\022,\n\005rests\030\001 \003(\0132\035.rattandyke.wire."
-  "UpstreamRest\022\022\n\ntold_at_ms\030\002 \001(\003\"\350\005\n\016Gat"
-  "ewayCommand\0224\n\014change_items\030\001 \001(\0132\034.ratt"
-  "andyke.wire.ChangeItemsH\000\0224\n\014put_instanc"
-  "e\030\002 \001(\0132\034.rattandyke.wire.PutInstanceH\000\022"
-  "4\n\014end_instance\030\003 \001(\0132\034.rattandyke.wire."
-  "EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.ra"
-  "ttandyke.wire.GrantRangesH\000\0222\n\013free_rang"
-  "es\030\005 \001(\0132\033.rattandyke.wire.FreeRangesH\000\022"
-  ".\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire.Put"
-  "EntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandyke"
-  ".wire.DropEntryH\000\022;\n\020hold_back_ranges\030\010 "
-  "\001(\0132\037.rattandyke.wire.HoldBackRangesH\000\022C"
-  "\n\024evacuate_data_centre\030\t \001(\0132#.rattandyk"
-  "e.wire.EvacuateDataCentreH\000\022>\n\021withdraw_"
-  "instance\030\n \001(\0132!.rattandyke.wire.Withdra"
-  "wInstanceH\000\0222\n\013put_control\030\013 \001(\0132\033.ratta"
-  "ndyke.wire.PutControlH\000\0224\n\014drop_control\030"
-  "\014 \001(\0132\034.rattandyke.wire.DropControlH\000\0224\n"
-  "\014record_rests\030\r \001(\0132\034.rattandyke.wire.Re"
-  "cordRestsH\000B\006\n\004body\"~\n\014RangeSegment\022\014\n\004f"
-  "rom\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n"
-  "\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010handov"
-  "er\030\006 \001(\t\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServiceRa"
-  "nges\022\017\n\007service\030\001 \001(\t\022/\n\010segments\030\002 \003(\0132"
-  "\035.rattandyke.wire.RangeSegment\"\322\004\n\014Gatew"
-  "ayState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\013"
-  "2\032.rattandyke.wire.RouteItem\022.\n\010services"
-  "\030\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006"
-  "limits\030\004 \001(\0132\033.rattandyke.wire.LimitsIte"
-  "m\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.w"
-  "ire.DroppedItem\0226\n\020dropped_services\030\006 \003("
-  "\0132\034.rattandyke.wire.DroppedItem\0224\n\tinsta"
-  "nces\030\007 \003(\0132!.rattandyke.wire.UpstreamIns"
-  "tance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire."
-  "ServiceRanges\022-\n\007entries\030\n \003(\0132\034.rattand"
-  "yke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.ra"
-  "ttandyke.wire.EndedInstance\022\021\n\tevacuated"
-  "\030\014 \003(\t\0220\n\010controls\030\r \003(\0132\036.rattandyke.wi"
-  "re.ControlMember\022+\n\005rests\030\016 \001(\0132\034.rattan"
-  "dyke.wire.RecordRestsJ\004\010\010\020\t\"^\n\010FeedOpen\022"
-  "+\n\005entry\030\001 \001(\0132\034.rattandyke.wire.EntryMe"
-  "mber\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003 "
-  "\001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rat"
-  "tandyke.wire.GatewayState\"N\n\013FeedCommand"
-  "\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.ratta"
-  "ndyke.wire.GatewayCommand\">\n\014FeedCommand"
-  "s\022.\n\010commands\030\001 \003(\0132\034.rattandyke.wire.Fe"
-  "edCommand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025"
-  "\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\r\"\?\n"
-  "\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007buckets\030\002"
-  " \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020"
-  "\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001\"R\n\013Ser"
-  "viceLoad\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 "
-  "\001(\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001"
-  "\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke"
-  ".wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattand"
-  "yke.wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-"
-  "\n\007entries\030\004 \003(\0132\034.rattandyke.wire.EntryM"
-  "ember\022.\n\010services\030\005 \003(\0132\034.rattandyke.wir"
-  "e.ServiceLoad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001"
-  "(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\016\n\006"
-  "target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twaited_ms\030"
-  "\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006"
-  "status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013FencedRang"
-  "e\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001"
-  "(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022ForwardedHeartb"
-  "eat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\017\n\007ser"
-  "vice\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_cent"
-  "re\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r"
-  "\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequ"
-  "ence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003"
-  "(\0132\034.rattandyke.wire.FencedRange\022+\n\010rele"
-  "ased\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`\n"
-  "\023ForwardedHeartbeats\022\020\n\010reply_to\030\001 \001(\t\0227"
-  "\n\nheartbeats\030\002 \003(\0132#.rattandyke.wire.For"
-  "wardedHeartbeat\"\221\001\n\030ForwardedHeartbeatAn"
-  "swer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003"
-  " \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.r"
-  "attandyke.wire.FencedRange\022\017\n\007hold_ms\030\006 "
-  "\001(\r\"W\n\031ForwardedHeartbeatAnswers\022:\n\007answ"
-  "ers\030\001 \003(\0132).rattandyke.wire.ForwardedHea"
-  "rtbeatAnswer\"\364\001\n\nHostReport\022)\n\005loads\030\001 \003"
-  "(\0132\032.rattandyke.wire.RangeLoad\022,\n\005times\030"
-  "\002 \003(\0132\035.rattandyke.wire.InstanceTime\022-\n\007"
-  "entries\030\003 \003(\0132\034.rattandyke.wire.EntryMem"
-  "ber\022.\n\006sender\030\004 \001(\0132\036.rattandyke.wire.Co"
-  "ntrolMember\022.\n\010services\030\005 \003(\0132\034.rattandy"
-  "ke.wire.ServiceLoad\"A\n\013OwnerDemand\022\020\n\010in"
-  "stance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity"
-  "\030\003 \001(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t"
-  "\022\023\n\013utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003"
-  " \001(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010s"
-  "equence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030"
-  "\004 \003(\0132\034.rattandyke.wire.OwnerDemand\0220\n\010s"
-  "ervices\030\005 \003(\0132\036.rattandyke.wire.ServiceD"
-  "emand\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n"
-  "\002id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016UpstreamNoti"
-  "ce\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022)\n\004ra"
-  "te\030\003 \001(\0132\033.rattandyke.wire.RateNotice\022\017\n"
-  "\007leaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001"
-  " \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n"
-  "\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022\020\n\010excl"
-  "uded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience"
-  "_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centr"
-  "e\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/"
-  "\n\006limits\030\r \003(\0132\037.rattandyke.wire.Upstrea"
-  "mNotice\022\016\n\006second\030\016 \001(\010\"\342\001\n\nSlotAnswer\022\017"
-  "\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state"
-  "\030\003 \001(\0162\032.rattandyke.wire.SlotState\022\020\n\010in"
-  "stance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006"
-  "notice\030\006 \001(\0132\037.rattandyke.wire.UpstreamN"
-  "otice\022-\n\007refusal\030\007 \001(\0162\034.rattandyke.wire"
-  ".SlotRefusal\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\t\022"
-  "\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030"
-  "\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037"
-  ".rattandyke.wire.UpstreamNotice\"G\n\010Relay"
-  "Ask\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\020\n\010inst"
-  "ance\030\003 \001(\t\022\014\n\004life\030\004 \001(\004\"E\n\013RelayAnswer\022"
-  "\n\n\002id\030\001 \001(\004\022*\n\005state\030\002 \001(\0162\033.rattandyke."
-  "wire.RelayState\"\235\002\n\016RelayedRequest\022\n\n\002id"
-  "\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\020\n\010instance\030\003 \001("
-  "\t\022\014\n\004life\030\004 \001(\004\022\016\n\006method\030\005 \001(\t\022\016\n\006targe"
-  "t\030\006 \001(\014\022\016\n\006fields\030\007 \001(\014\022\014\n\004body\030\010 \001(\014\022\020\n"
-  "\010has_body\030\t \001(\010\022\022\n\nrequest_id\030\n \001(\014\022\017\n\007l"
-  "eft_ms\030\013 \001(\r\022\r\n\005route\030\014 \001(\t\022\020\n\010priority\030"
-  "\r \001(\r\022\024\n\014objective_ms\030\016 \001(\r\022\022\n\ntimeout_m"
-  "s\030\017 \001(\r\022\016\n\006age_ms\030\020 \001(\r\"+\n\014RelayedField\022"
-  "\014\n\004name\030\001 \001(\014\022\r\n\005value\030\002 \001(\014\"\220\002\n\017Relayed"
-  "Response\022\n\n\002id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037."
-  "rattandyke.wire.RelayedOutcome\022*\n\005state\030"
-  "\003 \001(\0162\033.rattandyke.wire.RelayState\022\016\n\006st"
-  "atus\030\004 \001(\r\022-\n\006fields\030\005 \003(\0132\035.rattandyke."
-  "wire.RelayedField\022\014\n\004body\030\006 \001(\014\022\016\n\006reaso"
-  "n\030\007 \001(\t\022\021\n\tcancelled\030\010 \001(\010\022\022\n\nelapsed_us"
-  "\030\t \001(\004\022\017\n\007rest_ms\030\n \001(\004\"\031\n\013RelayCancel\022\n"
-  "\n\002id\030\001 \001(\004\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022"
-  "\r\n\005bytes\030\002 \001(\014\"\246\n\n\014GatewayFrame\022\023\n\tconse"
-  "nsus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattan"
-  "dyke.wire.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 "
-  "\001(\0132\035.rattandyke.wire.FeedSnapshotH\000\0224\n\014"
-  "feed_command\030\004 \001(\0132\034.rattandyke.wire.Fee"
-  "dCommandH\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandy"
-  "ke.wire.FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132"
-  "\033.rattandyke.wire.FeedReportH\000\0228\n\016forwar"
-  "ded_call\030\007 \001(\0132\036.rattandyke.wire.Forward"
-  "edCallH\000\022<\n\020forwarded_answer\030\010 \001(\0132 .rat"
-  "tandyke.wire.ForwardedAnswerH\000\0222\n\013host_r"
-  "eport\030\t \001(\0132\033.rattandyke.wire.HostReport"
-  "H\000\022,\n\010slot_ask\030\n \001(\0132\030.rattandyke.wire.S"
-  "lotAskH\000\0222\n\013slot_answer\030\013 \001(\0132\033.rattandy"
-  "ke.wire.SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132"
-  "\031.rattandyke.wire.SlotDoneH\000\022.\n\006packed\030\r"
-  " \001(\0132\034.rattandyke.wire.PackedFrameH\000\022D\n\024"
-  "forwarded_heartbeats\030\016 \001(\0132$.rattandyke."
-  "wire.ForwardedHeartbeatsH\000\022Q\n\033forwarded_"
-  "heartbeat_answers\030\017 \001(\0132*.rattandyke.wir"
-  "e.ForwardedHeartbeatAnswersH\000\0226\n\rfeed_co"
-  "mmands\030\020 \001(\0132\035.rattandyke.wire.FeedComma"
-  "ndsH\000\0226\n\rdemand_digest\030\021 \001(\0132\035.rattandyk"
-  "e.wire.DemandDigestH\000\0220\n\nlink_probe\030\022 \001("
-  "\0132\032.rattandyke.wire.LinkProbeH\000\0228\n\016upstr"
-  "eam_rests\030\023 \001(\0132\036.rattandyke.wire.Upstre"
-  "amRestsH\000\022.\n\trelay_ask\030\024 \001(\0132\031.rattandyk"
-  "e.wire.RelayAskH\000\0224\n\014relay_answer\030\025 \001(\0132"
-  "\034.rattandyke.wire.RelayAnswerH\000\022:\n\017relay"
-  "ed_request\030\026 \001(\0132\037.rattandyke.wire.Relay"
-  "edRequestH\000\022<\n\020relayed_response\030\027 \001(\0132 ."
-  "rattandyke.wire.RelayedResponseH\000\0224\n\014rel"
-  "ay_cancel\030\030 \001(\0132\034.rattandyke.wire.RelayC"
-  "ancelH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_ST"
-  "ATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001"
-  "\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_R"
-  "EFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004*\225\001\n\013Slo"
-  "tRefusal\022\034\n\030SLOT_REFUSAL_UNSPECIFIED\020\000\022\025"
-  "\n\021SLOT_REFUSAL_FULL\020\001\022\034\n\030SLOT_REFUSAL_NO"
-  "_INSTANCE\020\002\022\031\n\025SLOT_REFUSAL_NO_OWNER\020\003\022\030"
-  "\n\024SLOT_REFUSAL_FAILING\020\004*\313\001\n\nRelayState\022"
-  "\033\n\027RELAY_STATE_UNSPECIFIED\020\000\022\026\n\022RELAY_ST"
-  "ATE_AGREED\020\001\022\027\n\023RELAY_STATE_NO_PATH\020\002\022\033\n"
-  "\027RELAY_STATE_UNREACHABLE\020\003\022\032\n\026RELAY_STAT"
-  "E_NOT_USABLE\020\004\022\024\n\020RELAY_STATE_BUSY\020\005\022 \n\034"
-  "RELAY_STATE_UNKNOWN_INSTANCE\020\006*\254\001\n\016Relay"
-  "edOutcome\022\037\n\033RELAYED_OUTCOME_UNSPECIFIED"
-  "\020\000\022\034\n\030RELAYED_OUTCOME_RESPONSE\020\001\022 \n\034RELA"
-  "YED_OUTCOME_NOT_EXECUTED\020\002\022\034\n\030RELAYED_OU"
-  "TCOME_NOT_SENT\020\003\022\033\n\027RELAYED_OUTCOME_UNKN"
-  "OWN\020\004b\006proto3"
+  "UpstreamRest\022\022\n\ntold_at_ms\030\002 \001(\003\"1\n\017Upst"
+  "reamProcess\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 "
+  "\001(\004\"o\n\022InterruptedRequest\022\020\n\010instance\030\001 "
+  "\001(\t\022\014\n\004life\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\023\n\013fi"
+  "ngerprint\030\004 \001(\t\022\023\n\013sent_ms_ago\030\005 \001(\r\"Z\n\014"
+  "CrashReports\0228\n\013interrupted\030\001 \003(\0132#.ratt"
+  "andyke.wire.InterruptedRequest\022\020\n\010answer"
+  "ed\030\002 \003(\t\"\341\001\n\rRecordCrashes\0228\n\013interrupte"
+  "d\030\001 \003(\0132#.rattandyke.wire.InterruptedReq"
+  "uest\022\020\n\010answered\030\002 \003(\t\022/\n\005ended\030\003 \003(\0132 ."
+  "rattandyke.wire.UpstreamProcess\022/\n\005alive"
+  "\030\004 \003(\0132 .rattandyke.wire.UpstreamProcess"
+  "\022\016\n\006lifted\030\005 \003(\t\022\022\n\ntold_at_ms\030\006 \001(\003\"\242\006\n"
+  "\016GatewayCommand\0224\n\014change_items\030\001 \001(\0132\034."
+  "rattandyke.wire.ChangeItemsH\000\0224\n\014put_ins"
+  "tance\030\002 \001(\0132\034.rattandyke.wire.PutInstanc"
+  "eH\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandyke.w"
+  "ire.EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132"
+  "\034.rattandyke.wire.GrantRangesH\000\0222\n\013free_"
+  "ranges\030\005 \001(\0132\033.rattandyke.wire.FreeRange"
+  "sH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire"
+  ".PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattan"
+  "dyke.wire.DropEntryH\000\022;\n\020hold_back_range"
+  "s\030\010 \001(\0132\037.rattandyke.wire.HoldBackRanges"
+  "H\000\022C\n\024evacuate_data_centre\030\t \001(\0132#.ratta"
+  "ndyke.wire.EvacuateDataCentreH\000\022>\n\021withd"
+  "raw_instance\030\n \001(\0132!.rattandyke.wire.Wit"
+  "hdrawInstanceH\000\0222\n\013put_control\030\013 \001(\0132\033.r"
+  "attandyke.wire.PutControlH\000\0224\n\014drop_cont"
+  "rol\030\014 \001(\0132\034.rattandyke.wire.DropControlH"
+  "\000\0224\n\014record_rests\030\r \001(\0132\034.rattandyke.wir"
+  "e.RecordRestsH\000\0228\n\016record_crashes\030\016 \001(\0132"
+  "\036.rattandyke.wire.RecordCrashesH\000B\006\n\004bod"
+  "y\"~\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 "
+  "\001(\r\022\016\n\006holder\030\003 \001(\t\022\r\n\005fence\030\004 \001(\004\022\020\n\010se"
+  "quence\030\005 \001(\004\022\020\n\010handover\030\006 \001(\t\022\021\n\theld_b"
+  "ack\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 "
+  "\001(\t\022/\n\010segments\030\002 \003(\0132\035.rattandyke.wire."
+  "RangeSegment\"Q\n\rRecordedCrash\022\020\n\010instanc"
+  "e\030\001 \001(\t\022\014\n\004life\030\002 \001(\004\022\r\n\005at_ms\030\003 \001(\003\022\021\n\t"
+  "confirmed\030\004 \001(\010\"\200\001\n\016SuspectRequest\022\017\n\007se"
+  "rvice\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022/\n\007cras"
+  "hes\030\003 \003(\0132\036.rattandyke.wire.RecordedCras"
+  "h\022\027\n\017banned_until_ms\030\004 \001(\003\"\205\005\n\014GatewaySt"
+  "ate\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.r"
+  "attandyke.wire.RouteItem\022.\n\010services\030\003 \003"
+  "(\0132\034.rattandyke.wire.ServiceItem\022+\n\006limi"
+  "ts\030\004 \001(\0132\033.rattandyke.wire.LimitsItem\0224\n"
+  "\016dropped_routes\030\005 \003(\0132\034.rattandyke.wire."
+  "DroppedItem\0226\n\020dropped_services\030\006 \003(\0132\034."
+  "rattandyke.wire.DroppedItem\0224\n\tinstances"
+  "\030\007 \003(\0132!.rattandyke.wire.UpstreamInstanc"
+  "e\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire.Serv"
+  "iceRanges\022-\n\007entries\030\n \003(\0132\034.rattandyke."
+  "wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.rattan"
+  "dyke.wire.EndedInstance\022\021\n\tevacuated\030\014 \003"
+  "(\t\0220\n\010controls\030\r \003(\0132\036.rattandyke.wire.C"
+  "ontrolMember\022+\n\005rests\030\016 \001(\0132\034.rattandyke"
+  ".wire.RecordRests\0221\n\010suspects\030\017 \003(\0132\037.ra"
+  "ttandyke.wire.SuspectRequestJ\004\010\010\020\t\"^\n\010Fe"
+  "edOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire."
+  "EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_pa"
+  "cked\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001("
+  "\0132\035.rattandyke.wire.GatewayState\"N\n\013Feed"
+  "Command\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132"
+  "\037.rattandyke.wire.GatewayCommand\">\n\014Feed"
+  "Commands\022.\n\010commands\030\001 \003(\0132\034.rattandyke."
+  "wire.FeedCommand\"B\n\010FeedPing\022\017\n\007applied\030"
+  "\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\t\022\016\n\006age_ms\030\003"
+  " \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\t\022\017\n\007bu"
+  "ckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014Instanc"
+  "eTime\022\020\n\010instance\030\001 \001(\t\022\017\n\007seconds\030\002 \001(\001"
+  "\"R\n\013ServiceLoad\022\017\n\007service\030\001 \001(\t\022\020\n\010requ"
+  "ests\030\002 \001(\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004"
+  " \001(\r\"\325\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rat"
+  "tandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035."
+  "rattandyke.wire.InstanceTime\022\017\n\007leaving\030"
+  "\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wire"
+  ".EntryMember\022.\n\010services\030\005 \003(\0132\034.rattand"
+  "yke.wire.ServiceLoad\"n\n\rForwardedCall\022\n\n"
+  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\t\022\016\n\006method\030\003 "
+  "\001(\t\022\016\n\006target\030\004 \001(\t\022\014\n\004body\030\005 \001(\t\022\021\n\twai"
+  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
+  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\t\"H\n\013Fen"
+  "cedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fe"
+  "nce\030\003 \001(\004\022\020\n\010handover\030\004 \001(\t\"\246\002\n\022Forwarde"
+  "dHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t"
+  "\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013da"
+  "ta_centre\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\r\n\005slot"
+  "s\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022"
+  "\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005ho"
+  "lds\030\014 \003(\0132\034.rattandyke.wire.FencedRange\022"
+  "+\n\010released\030\r \003(\0132\031.rattandyke.wire.KeyR"
+  "ange\"`\n\023ForwardedHeartbeats\022\020\n\010reply_to\030"
+  "\001 \001(\t\0227\n\nheartbeats\030\002 \003(\0132#.rattandyke.w"
+  "ire.ForwardedHeartbeat\"\221\001\n\030ForwardedHear"
+  "tbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n"
+  "\004text\030\003 \001(\t\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 "
+  "\003(\0132\034.rattandyke.wire.FencedRange\022\017\n\007hol"
+  "d_ms\030\006 \001(\r\"W\n\031ForwardedHeartbeatAnswers\022"
+  ":\n\007answers\030\001 \003(\0132).rattandyke.wire.Forwa"
+  "rdedHeartbeatAnswer\"\364\001\n\nHostReport\022)\n\005lo"
+  "ads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n"
+  "\005times\030\002 \003(\0132\035.rattandyke.wire.InstanceT"
+  "ime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.E"
+  "ntryMember\022.\n\006sender\030\004 \001(\0132\036.rattandyke."
+  "wire.ControlMember\022.\n\010services\030\005 \003(\0132\034.r"
+  "attandyke.wire.ServiceLoad\"A\n\013OwnerDeman"
+  "d\022\020\n\010instance\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\022\020\n\010c"
+  "apacity\030\003 \001(\001\"L\n\rServiceDemand\022\017\n\007servic"
+  "e\030\001 \001(\t\022\023\n\013utilization\030\002 \001(\001\022\025\n\rrefused_"
+  "share\030\003 \001(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001"
+  "(\004\022\020\n\010sequence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006"
+  "owners\030\004 \003(\0132\034.rattandyke.wire.OwnerDema"
+  "nd\0220\n\010services\030\005 \003(\0132\036.rattandyke.wire.S"
+  "erviceDemand\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkP"
+  "robe\022\n\n\002id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016Upstr"
+  "eamNotice\022\020\n\010instance\030\001 \001(\t\022\014\n\004life\030\002 \001("
+  "\004\022)\n\004rate\030\003 \001(\0132\033.rattandyke.wire.RateNo"
+  "tice\022\017\n\007leaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010rep"
+  "ly_to\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
+  " \001(\004\022\017\n\007service\030\004 \001(\t\022\020\n\010instance\030\005 \001(\t\022"
+  "\020\n\010excluded\030\006 \003(\t\022\020\n\010priority\030\007 \001(\r\022\023\n\013p"
+  "atience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013dat"
+  "a_centre\030\n \001(\t\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030"
+  "\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.rattandyke.wire."
+  "UpstreamNotice\022\016\n\006second\030\016 \001(\010\"\342\001\n\nSlotA"
+  "nswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)"
+  "\n\005state\030\003 \001(\0162\032.rattandyke.wire.SlotStat"
+  "e\022\020\n\010instance\030\004 \001(\t\022\026\n\016retry_after_ms\030\005 "
+  "\001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wire.Up"
+  "streamNotice\022-\n\007refusal\030\007 \001(\0162\034.rattandy"
+  "ke.wire.SlotRefusal\"\210\001\n\010SlotDone\022\014\n\004from"
+  "\030\001 \001(\t\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022"
+  "\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030"
+  "\006 \001(\0132\037.rattandyke.wire.UpstreamNotice\"G"
+  "\n\010RelayAsk\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022"
+  "\020\n\010instance\030\003 \001(\t\022\014\n\004life\030\004 \001(\004\"E\n\013Relay"
+  "Answer\022\n\n\002id\030\001 \001(\004\022*\n\005state\030\002 \001(\0162\033.ratt"
+  "andyke.wire.RelayState\"\235\002\n\016RelayedReques"
+  "t\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\020\n\010instan"
+  "ce\030\003 \001(\t\022\014\n\004life\030\004 \001(\004\022\016\n\006method\030\005 \001(\t\022\016"
+  "\n\006target\030\006 \001(\014\022\016\n\006fields\030\007 \001(\014\022\014\n\004body\030\010"
+  " \001(\014\022\020\n\010has_body\030\t \001(\010\022\022\n\nrequest_id\030\n \001"
+  "(\014\022\017\n\007left_ms\030\013 \001(\r\022\r\n\005route\030\014 \001(\t\022\020\n\010pr"
+  "iority\030\r \001(\r\022\024\n\014objective_ms\030\016 \001(\r\022\022\n\nti"
+  "meout_ms\030\017 \001(\r\022\016\n\006age_ms\030\020 \001(\r\"+\n\014Relaye"
+  "dField\022\014\n\004name\030\001 \001(\014\022\r\n\005value\030\002 \001(\014\"\251\002\n\017"
+  "RelayedResponse\022\n\n\002id\030\001 \001(\004\0220\n\007outcome\030\002"
+  " \001(\0162\037.rattandyke.wire.RelayedOutcome\022*\n"
+  "\005state\030\003 \001(\0162\033.rattandyke.wire.RelayStat"
+  "e\022\016\n\006status\030\004 \001(\r\022-\n\006fields\030\005 \003(\0132\035.ratt"
+  "andyke.wire.RelayedField\022\014\n\004body\030\006 \001(\014\022\016"
+  "\n\006reason\030\007 \001(\t\022\021\n\tcancelled\030\010 \001(\010\022\022\n\nela"
+  "psed_us\030\t \001(\004\022\017\n\007rest_ms\030\n \001(\004\022\027\n\017connec"
+  "tion_lost\030\013 \001(\010\"\031\n\013RelayCancel\022\n\n\002id\030\001 \001"
+  "(\004\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes"
+  "\030\002 \001(\014\"\336\n\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001"
+  "(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wir"
+  "e.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.ra"
+  "ttandyke.wire.FeedSnapshotH\000\0224\n\014feed_com"
+  "mand\030\004 \001(\0132\034.rattandyke.wire.FeedCommand"
+  "H\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire."
+  "FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattan"
+  "dyke.wire.FeedReportH\000\0228\n\016forwarded_call"
+  "\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH\000"
+  "\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke."
+  "wire.ForwardedAnswerH\000\0222\n\013host_report\030\t "
+  "\001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010sl"
+  "ot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000"
+  "\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire."
+  "SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattan"
+  "dyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034.r"
+  "attandyke.wire.PackedFrameH\000\022D\n\024forwarde"
+  "d_heartbeats\030\016 \001(\0132$.rattandyke.wire.For"
+  "wardedHeartbeatsH\000\022Q\n\033forwarded_heartbea"
+  "t_answers\030\017 \001(\0132*.rattandyke.wire.Forwar"
+  "dedHeartbeatAnswersH\000\0226\n\rfeed_commands\030\020"
+  " \001(\0132\035.rattandyke.wire.FeedCommandsH\000\0226\n"
+  "\rdemand_digest\030\021 \001(\0132\035.rattandyke.wire.D"
+  "emandDigestH\000\0220\n\nlink_probe\030\022 \001(\0132\032.ratt"
+  "andyke.wire.LinkProbeH\000\0228\n\016upstream_rest"
+  "s\030\023 \001(\0132\036.rattandyke.wire.UpstreamRestsH"
+  "\000\022.\n\trelay_ask\030\024 \001(\0132\031.rattandyke.wire.R"
+  "elayAskH\000\0224\n\014relay_answer\030\025 \001(\0132\034.rattan"
+  "dyke.wire.RelayAnswerH\000\022:\n\017relayed_reque"
+  "st\030\026 \001(\0132\037.rattandyke.wire.RelayedReques"
+  "tH\000\022<\n\020relayed_response\030\027 \001(\0132 .rattandy"
+  "ke.wire.RelayedResponseH\000\0224\n\014relay_cance"
+  "l\030\030 \001(\0132\034.rattandyke.wire.RelayCancelH\000\022"
+  "6\n\rcrash_reports\030\031 \001(\0132\035.rattandyke.wire"
+  ".CrashReportsH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n"
+  "\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_"
+  "QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT"
+  "_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004"
+  "*\225\001\n\013SlotRefusal\022\034\n\030SLOT_REFUSAL_UNSPECI"
+  "FIED\020\000\022\025\n\021SLOT_REFUSAL_FULL\020\001\022\034\n\030SLOT_RE"
+  "FUSAL_NO_INSTANCE\020\002\022\031\n\025SLOT_REFUSAL_NO_O"
+  "WNER\020\003\022\030\n\024SLOT_REFUSAL_FAILING\020\004*\313\001\n\nRel"
+  "ayState\022\033\n\027RELAY_STATE_UNSPECIFIED\020\000\022\026\n\022"
+  "RELAY_STATE_AGREED\020\001\022\027\n\023RELAY_STATE_NO_P"
+  "ATH\020\002\022\033\n\027RELAY_STATE_UNREACHABLE\020\003\022\032\n\026RE"
+  "LAY_STATE_NOT_USABLE\020\004\022\024\n\020RELAY_STATE_BU"
+  "SY\020\005\022 \n\034RELAY_STATE_UNKNOWN_INSTANCE\020\006*\254"
+  "\001\n\016RelayedOutcome\022\037\n\033RELAYED_OUTCOME_UNS"
+  "PECIFIED\020\000\022\034\n\030RELAYED_OUTCOME_RESPONSE\020\001"
+  "\022 \n\034RELAYED_OUTCOME_NOT_EXECUTED\020\002\022\034\n\030RE"
+  "LAYED_OUTCOME_NOT_SENT\020\003\022\033\n\027RELAYED_OUTC"
+  "OME_UNKNOWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 9813, descriptor_table_protodef_gateway_2eproto,
+    false, false, 10701, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
-    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 62,
+    &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 68,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
     file_level_metadata_gateway_2eproto, file_level_enum_descriptors_gateway_2eproto,
     file_level_service_descriptors_gateway_2eproto,
@@ -9336,373 +9530,316 @@
 
 // ===================================================================
 
-class GatewayCommand::_Internal {
+class UpstreamProcess::_Internal {
  public:
-  static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
-  static const ::rattandyke::wire::PutInstance& put_instance(const GatewayCommand* msg);
-  static const ::rattandyke::wire::EndInstance& end_instance(const GatewayCommand* msg);
-  static const ::rattandyke::wire::GrantRanges& grant_ranges(const GatewayCommand* msg);
-  static const ::rattandyke::wire::FreeRanges& free_ranges(const GatewayCommand* msg);
-  static const ::rattandyke::wire::PutEntry& put_entry(const GatewayCommand* msg);
-  static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
-  static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
-  static const ::rattandyke::wire::EvacuateDataCentre& evacuate_data_centre(const GatewayCommand* msg);
-  static const ::rattandyke::wire::WithdrawInstance& withdraw_instance(const GatewayCommand* msg);
-  static const ::rattandyke::wire::PutControl& put_control(const GatewayCommand* msg);
-  static const ::rattandyke::wire::DropControl& drop_control(const GatewayCommand* msg);
-  static const ::rattandyke::wire::RecordRests& record_rests(const GatewayCommand* msg);
 };
 
-const ::rattandyke::wire::ChangeItems&
-GatewayCommand::_Internal::change_items(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.change_items_;
-}
-const ::rattandyke::wire::PutInstance&
-GatewayCommand::_Internal::put_instance(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.put_instance_;
-}
-const ::rattandyke::wire::EndInstance&
-GatewayCommand::_Internal::end_instance(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.end_instance_;
-}
-const ::rattandyke::wire::GrantRanges&
-GatewayCommand::_Internal::grant_ranges(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.grant_ranges_;
-}
-const ::rattandyke::wire::FreeRanges&
-GatewayCommand::_Internal::free_ranges(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.free_ranges_;
-}
-const ::rattandyke::wire::PutEntry&
-GatewayCommand::_Internal::put_entry(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.put_entry_;
-}
-const ::rattandyke::wire::DropEntry&
-GatewayCommand::_Internal::drop_entry(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.drop_entry_;
+UpstreamProcess::UpstreamProcess(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.UpstreamProcess)
 }
-const ::rattandyke::wire::HoldBackRanges&
-GatewayCommand::_Internal::hold_back_ranges(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.hold_back_ranges_;
+UpstreamProcess::UpstreamProcess(const UpstreamProcess& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  UpstreamProcess* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.life_ = from._impl_.life_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.UpstreamProcess)
 }
-const ::rattandyke::wire::EvacuateDataCentre&
-GatewayCommand::_Internal::evacuate_data_centre(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.evacuate_data_centre_;
+
+inline void UpstreamProcess::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
-const ::rattandyke::wire::WithdrawInstance&
-GatewayCommand::_Internal::withdraw_instance(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.withdraw_instance_;
+
+UpstreamProcess::~UpstreamProcess() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.UpstreamProcess)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
 }
-const ::rattandyke::wire::PutControl&
-GatewayCommand::_Internal::put_control(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.put_control_;
+
+inline void UpstreamProcess::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.instance_.Destroy();
 }
-const ::rattandyke::wire::DropControl&
-GatewayCommand::_Internal::drop_control(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.drop_control_;
+
+void UpstreamProcess::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
 }
-const ::rattandyke::wire::RecordRests&
-GatewayCommand::_Internal::record_rests(const GatewayCommand* msg) {
-  return *msg->_impl_.body_.record_rests_;
+
+void UpstreamProcess::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.UpstreamProcess)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.instance_.ClearToEmpty();
+  _impl_.life_ = uint64_t{0u};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
-void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (change_items) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(change_items);
-    if (message_arena != submessage_arena) {
-      change_items = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, change_items, submessage_arena);
+
+const char* UpstreamProcess::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string instance = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamProcess.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
     }
-    set_has_change_items();
-    _impl_.body_.change_items_ = change_items;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.change_items)
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
 }
-void GatewayCommand::set_allocated_put_instance(::rattandyke::wire::PutInstance* put_instance) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (put_instance) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_instance);
-    if (message_arena != submessage_arena) {
-      put_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, put_instance, submessage_arena);
-    }
-    set_has_put_instance();
-    _impl_.body_.put_instance_ = put_instance;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_instance)
-}
-void GatewayCommand::set_allocated_end_instance(::rattandyke::wire::EndInstance* end_instance) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (end_instance) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(end_instance);
-    if (message_arena != submessage_arena) {
-      end_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, end_instance, submessage_arena);
-    }
-    set_has_end_instance();
-    _impl_.body_.end_instance_ = end_instance;
+
+uint8_t* UpstreamProcess::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.UpstreamProcess)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.UpstreamProcess.instance");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_instance(), target);
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.end_instance)
-}
-void GatewayCommand::set_allocated_grant_ranges(::rattandyke::wire::GrantRanges* grant_ranges) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (grant_ranges) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(grant_ranges);
-    if (message_arena != submessage_arena) {
-      grant_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, grant_ranges, submessage_arena);
-    }
-    set_has_grant_ranges();
-    _impl_.body_.grant_ranges_ = grant_ranges;
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.grant_ranges)
-}
-void GatewayCommand::set_allocated_free_ranges(::rattandyke::wire::FreeRanges* free_ranges) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (free_ranges) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(free_ranges);
-    if (message_arena != submessage_arena) {
-      free_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, free_ranges, submessage_arena);
-    }
-    set_has_free_ranges();
-    _impl_.body_.free_ranges_ = free_ranges;
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.free_ranges)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.UpstreamProcess)
+  return target;
 }
-void GatewayCommand::set_allocated_put_entry(::rattandyke::wire::PutEntry* put_entry) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (put_entry) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_entry);
-    if (message_arena != submessage_arena) {
-      put_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, put_entry, submessage_arena);
-    }
-    set_has_put_entry();
-    _impl_.body_.put_entry_ = put_entry;
+
+size_t UpstreamProcess::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.UpstreamProcess)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_entry)
-}
-void GatewayCommand::set_allocated_drop_entry(::rattandyke::wire::DropEntry* drop_entry) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (drop_entry) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_entry);
-    if (message_arena != submessage_arena) {
-      drop_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, drop_entry, submessage_arena);
-    }
-    set_has_drop_entry();
-    _impl_.body_.drop_entry_ = drop_entry;
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_entry)
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
-void GatewayCommand::set_allocated_hold_back_ranges(::rattandyke::wire::HoldBackRanges* hold_back_ranges) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (hold_back_ranges) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(hold_back_ranges);
-    if (message_arena != submessage_arena) {
-      hold_back_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, hold_back_ranges, submessage_arena);
-    }
-    set_has_hold_back_ranges();
-    _impl_.body_.hold_back_ranges_ = hold_back_ranges;
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData UpstreamProcess::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    UpstreamProcess::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*UpstreamProcess::GetClassData() const { return &_class_data_; }
+
+
+void UpstreamProcess::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<UpstreamProcess*>(&to_msg);
+  auto& from = static_cast<const UpstreamProcess&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.UpstreamProcess)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.hold_back_ranges)
-}
-void GatewayCommand::set_allocated_evacuate_data_centre(::rattandyke::wire::EvacuateDataCentre* evacuate_data_centre) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (evacuate_data_centre) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(evacuate_data_centre);
-    if (message_arena != submessage_arena) {
-      evacuate_data_centre = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, evacuate_data_centre, submessage_arena);
-    }
-    set_has_evacuate_data_centre();
-    _impl_.body_.evacuate_data_centre_ = evacuate_data_centre;
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
   }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.evacuate_data_centre)
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
-void GatewayCommand::set_allocated_withdraw_instance(::rattandyke::wire::WithdrawInstance* withdraw_instance) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (withdraw_instance) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(withdraw_instance);
-    if (message_arena != submessage_arena) {
-      withdraw_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, withdraw_instance, submessage_arena);
-    }
-    set_has_withdraw_instance();
-    _impl_.body_.withdraw_instance_ = withdraw_instance;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.withdraw_instance)
+
+void UpstreamProcess::CopyFrom(const UpstreamProcess& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.UpstreamProcess)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
 }
-void GatewayCommand::set_allocated_put_control(::rattandyke::wire::PutControl* put_control) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (put_control) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_control);
-    if (message_arena != submessage_arena) {
-      put_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, put_control, submessage_arena);
-    }
-    set_has_put_control();
-    _impl_.body_.put_control_ = put_control;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_control)
+
+bool UpstreamProcess::IsInitialized() const {
+  return true;
 }
-void GatewayCommand::set_allocated_drop_control(::rattandyke::wire::DropControl* drop_control) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (drop_control) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_control);
-    if (message_arena != submessage_arena) {
-      drop_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, drop_control, submessage_arena);
-    }
-    set_has_drop_control();
-    _impl_.body_.drop_control_ = drop_control;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_control)
+
+void UpstreamProcess::InternalSwap(UpstreamProcess* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  swap(_impl_.life_, other->_impl_.life_);
 }
-void GatewayCommand::set_allocated_record_rests(::rattandyke::wire::RecordRests* record_rests) {
-  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
-  clear_body();
-  if (record_rests) {
-    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
-      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(record_rests);
-    if (message_arena != submessage_arena) {
-      record_rests = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
-          message_arena, record_rests, submessage_arena);
-    }
-    set_has_record_rests();
-    _impl_.body_.record_rests_ = record_rests;
-  }
-  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.record_rests)
+
+::PROTOBUF_NAMESPACE_ID::Metadata UpstreamProcess::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[25]);
 }
-GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+
+// ===================================================================
+
+class InterruptedRequest::_Internal {
+ public:
+};
+
+InterruptedRequest::InterruptedRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayCommand)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.InterruptedRequest)
 }
-GatewayCommand::GatewayCommand(const GatewayCommand& from)
+InterruptedRequest::InterruptedRequest(const InterruptedRequest& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  GatewayCommand* const _this = this; (void)_this;
+  InterruptedRequest* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
-    , /*decltype(_impl_._cached_size_)*/{}
-    , /*decltype(_impl_._oneof_case_)*/{}};
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.sent_ms_ago_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  clear_has_body();
-  switch (from.body_case()) {
-    case kChangeItems: {
-      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
-          from._internal_change_items());
-      break;
-    }
-    case kPutInstance: {
-      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
-          from._internal_put_instance());
-      break;
-    }
-    case kEndInstance: {
-      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
-          from._internal_end_instance());
-      break;
-    }
-    case kGrantRanges: {
-      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
-          from._internal_grant_ranges());
-      break;
-    }
-    case kFreeRanges: {
-      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
-          from._internal_free_ranges());
-      break;
-    }
-    case kPutEntry: {
-      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
-          from._internal_put_entry());
-      break;
-    }
-    case kDropEntry: {
-      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
-          from._internal_drop_entry());
-      break;
-    }
-    case kHoldBackRanges: {
-      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
-          from._internal_hold_back_ranges());
-      break;
-    }
-    case kEvacuateDataCentre: {
-      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
-          from._internal_evacuate_data_centre());
-      break;
-    }
-    case kWithdrawInstance: {
-      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
-          from._internal_withdraw_instance());
-      break;
-    }
-    case kPutControl: {
-      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
-          from._internal_put_control());
-      break;
-    }
-    case kDropControl: {
-      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
-          from._internal_drop_control());
-      break;
-    }
-    case kRecordRests: {
-      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
-          from._internal_record_rests());
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
+      _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayCommand)
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_fingerprint().empty()) {
+    _this->_impl_.fingerprint_.Set(from._internal_fingerprint(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.life_, &from._impl_.life_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sent_ms_ago_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.sent_ms_ago_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.InterruptedRequest)
 }
 
-inline void GatewayCommand::SharedCtor(
+inline void InterruptedRequest::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.body_){}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.sent_ms_ago_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
-    , /*decltype(_impl_._oneof_case_)*/{}
   };
-  clear_has_body();
+  _impl_.instance_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.instance_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-GatewayCommand::~GatewayCommand() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayCommand)
+InterruptedRequest::~InterruptedRequest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.InterruptedRequest)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
