@@ -9710,647 +9847,2541 @@
   SharedDtor();
 }
 
-inline void GatewayCommand::SharedDtor() {
+inline void InterruptedRequest::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  if (has_body()) {
-    clear_body();
-  }
+  _impl_.instance_.Destroy();
+  _impl_.service_.Destroy();
+  _impl_.fingerprint_.Destroy();
 }
 
-void GatewayCommand::SetCachedSize(int size) const {
+void InterruptedRequest::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void GatewayCommand::clear_body() {
-// @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.GatewayCommand)
-  switch (body_case()) {
-    case kChangeItems: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.change_items_;
-      }
-      break;
-    }
-    case kPutInstance: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.put_instance_;
-      }
-      break;
-    }
-    case kEndInstance: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.end_instance_;
-      }
-      break;
-    }
-    case kGrantRanges: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.grant_ranges_;
-      }
-      break;
-    }
-    case kFreeRanges: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.free_ranges_;
-      }
-      break;
-    }
-    case kPutEntry: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.put_entry_;
-      }
-      break;
-    }
-    case kDropEntry: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.drop_entry_;
-      }
-      break;
-    }
-    case kHoldBackRanges: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.hold_back_ranges_;
-      }
-      break;
-    }
-    case kEvacuateDataCentre: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.evacuate_data_centre_;
-      }
-      break;
-    }
-    case kWithdrawInstance: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.withdraw_instance_;
-      }
-      break;
-    }
-    case kPutControl: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.put_control_;
-      }
-      break;
-    }
-    case kDropControl: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.drop_control_;
-      }
-      break;
-    }
-    case kRecordRests: {
-      if (GetArenaForAllocation() == nullptr) {
-        delete _impl_.body_.record_rests_;
-      }
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
+void InterruptedRequest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.InterruptedRequest)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.instance_.ClearToEmpty();
+  _impl_.service_.ClearToEmpty();
+  _impl_.fingerprint_.ClearToEmpty();
+  ::memset(&_impl_.life_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.sent_ms_ago_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.sent_ms_ago_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* InterruptedRequest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string instance = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.InterruptedRequest.instance"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 life = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string service = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.InterruptedRequest.service"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string fingerprint = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          auto str = _internal_mutable_fingerprint();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.InterruptedRequest.fingerprint"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 sent_ms_ago = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.sent_ms_ago_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
     }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* InterruptedRequest::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.InterruptedRequest)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.InterruptedRequest.instance");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_instance(), target);
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.InterruptedRequest.service");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_service(), target);
+  }
+
+  // string fingerprint = 4;
+  if (!this->_internal_fingerprint().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.InterruptedRequest.fingerprint");
+    target = stream->WriteStringMaybeAliased(
+        4, this->_internal_fingerprint(), target);
+  }
+
+  // uint32 sent_ms_ago = 5;
+  if (this->_internal_sent_ms_ago() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_sent_ms_ago(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.InterruptedRequest)
+  return target;
+}
+
+size_t InterruptedRequest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.InterruptedRequest)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_instance());
+  }
+
+  // string service = 3;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
+  }
+
+  // string fingerprint = 4;
+  if (!this->_internal_fingerprint().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_fingerprint());
+  }
+
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
+  }
+
+  // uint32 sent_ms_ago = 5;
+  if (this->_internal_sent_ms_ago() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_sent_ms_ago());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData InterruptedRequest::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    InterruptedRequest::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*InterruptedRequest::GetClassData() const { return &_class_data_; }
+
+
+void InterruptedRequest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<InterruptedRequest*>(&to_msg);
+  auto& from = static_cast<const InterruptedRequest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.InterruptedRequest)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
+  }
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
+  }
+  if (!from._internal_fingerprint().empty()) {
+    _this->_internal_set_fingerprint(from._internal_fingerprint());
+  }
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
+  }
+  if (from._internal_sent_ms_ago() != 0) {
+    _this->_internal_set_sent_ms_ago(from._internal_sent_ms_ago());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void InterruptedRequest::CopyFrom(const InterruptedRequest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.InterruptedRequest)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool InterruptedRequest::IsInitialized() const {
+  return true;
+}
+
+void InterruptedRequest::InternalSwap(InterruptedRequest* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.fingerprint_, lhs_arena,
+      &other->_impl_.fingerprint_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(InterruptedRequest, _impl_.sent_ms_ago_)
+      + sizeof(InterruptedRequest::_impl_.sent_ms_ago_)
+      - PROTOBUF_FIELD_OFFSET(InterruptedRequest, _impl_.life_)>(
+          reinterpret_cast<char*>(&_impl_.life_),
+          reinterpret_cast<char*>(&other->_impl_.life_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata InterruptedRequest::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[26]);
+}
+
+// ===================================================================
+
+class CrashReports::_Internal {
+ public:
+};
+
+CrashReports::CrashReports(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.CrashReports)
+}
+CrashReports::CrashReports(const CrashReports& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  CrashReports* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.interrupted_){from._impl_.interrupted_}
+    , decltype(_impl_.answered_){from._impl_.answered_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.CrashReports)
+}
+
+inline void CrashReports::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.interrupted_){arena}
+    , decltype(_impl_.answered_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+CrashReports::~CrashReports() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.CrashReports)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void CrashReports::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.interrupted_.~RepeatedPtrField();
+  _impl_.answered_.~RepeatedPtrField();
+}
+
+void CrashReports::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void CrashReports::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.CrashReports)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.interrupted_.Clear();
+  _impl_.answered_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* CrashReports::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_interrupted(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string answered = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_answered();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReports.answered"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* CrashReports::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.CrashReports)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_interrupted_size()); i < n; i++) {
+    const auto& repfield = this->_internal_interrupted(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated string answered = 2;
+  for (int i = 0, n = this->_internal_answered_size(); i < n; i++) {
+    const auto& s = this->_internal_answered(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.CrashReports.answered");
+    target = stream->WriteString(2, s, target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.CrashReports)
+  return target;
+}
+
+size_t CrashReports::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.CrashReports)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+  total_size += 1UL * this->_internal_interrupted_size();
+  for (const auto& msg : this->_impl_.interrupted_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated string answered = 2;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.answered_.size());
+  for (int i = 0, n = _impl_.answered_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.answered_.Get(i));
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData CrashReports::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    CrashReports::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*CrashReports::GetClassData() const { return &_class_data_; }
+
+
+void CrashReports::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<CrashReports*>(&to_msg);
+  auto& from = static_cast<const CrashReports&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.CrashReports)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.interrupted_.MergeFrom(from._impl_.interrupted_);
+  _this->_impl_.answered_.MergeFrom(from._impl_.answered_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void CrashReports::CopyFrom(const CrashReports& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.CrashReports)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool CrashReports::IsInitialized() const {
+  return true;
+}
+
+void CrashReports::InternalSwap(CrashReports* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.interrupted_.InternalSwap(&other->_impl_.interrupted_);
+  _impl_.answered_.InternalSwap(&other->_impl_.answered_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata CrashReports::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[27]);
+}
+
+// ===================================================================
+
+class RecordCrashes::_Internal {
+ public:
+};
+
+RecordCrashes::RecordCrashes(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RecordCrashes)
+}
+RecordCrashes::RecordCrashes(const RecordCrashes& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RecordCrashes* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.interrupted_){from._impl_.interrupted_}
+    , decltype(_impl_.answered_){from._impl_.answered_}
+    , decltype(_impl_.ended_){from._impl_.ended_}
+    , decltype(_impl_.alive_){from._impl_.alive_}
+    , decltype(_impl_.lifted_){from._impl_.lifted_}
+    , decltype(_impl_.told_at_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _this->_impl_.told_at_ms_ = from._impl_.told_at_ms_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RecordCrashes)
+}
+
+inline void RecordCrashes::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.interrupted_){arena}
+    , decltype(_impl_.answered_){arena}
+    , decltype(_impl_.ended_){arena}
+    , decltype(_impl_.alive_){arena}
+    , decltype(_impl_.lifted_){arena}
+    , decltype(_impl_.told_at_ms_){int64_t{0}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+RecordCrashes::~RecordCrashes() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RecordCrashes)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RecordCrashes::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.interrupted_.~RepeatedPtrField();
+  _impl_.answered_.~RepeatedPtrField();
+  _impl_.ended_.~RepeatedPtrField();
+  _impl_.alive_.~RepeatedPtrField();
+  _impl_.lifted_.~RepeatedPtrField();
+}
+
+void RecordCrashes::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RecordCrashes::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RecordCrashes)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.interrupted_.Clear();
+  _impl_.answered_.Clear();
+  _impl_.ended_.Clear();
+  _impl_.alive_.Clear();
+  _impl_.lifted_.Clear();
+  _impl_.told_at_ms_ = int64_t{0};
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RecordCrashes::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_interrupted(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string answered = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_answered();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RecordCrashes.answered"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.UpstreamProcess ended = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_ended(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.UpstreamProcess alive = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_alive(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated string lifted = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_lifted();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RecordCrashes.lifted"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<42>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // int64 told_at_ms = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.told_at_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RecordCrashes::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RecordCrashes)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_interrupted_size()); i < n; i++) {
+    const auto& repfield = this->_internal_interrupted(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated string answered = 2;
+  for (int i = 0, n = this->_internal_answered_size(); i < n; i++) {
+    const auto& s = this->_internal_answered(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RecordCrashes.answered");
+    target = stream->WriteString(2, s, target);
+  }
+
+  // repeated .rattandyke.wire.UpstreamProcess ended = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_ended_size()); i < n; i++) {
+    const auto& repfield = this->_internal_ended(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated .rattandyke.wire.UpstreamProcess alive = 4;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_alive_size()); i < n; i++) {
+    const auto& repfield = this->_internal_alive(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(4, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // repeated string lifted = 5;
+  for (int i = 0, n = this->_internal_lifted_size(); i < n; i++) {
+    const auto& s = this->_internal_lifted(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RecordCrashes.lifted");
+    target = stream->WriteString(5, s, target);
+  }
+
+  // int64 told_at_ms = 6;
+  if (this->_internal_told_at_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteInt64ToArray(6, this->_internal_told_at_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RecordCrashes)
+  return target;
+}
+
+size_t RecordCrashes::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RecordCrashes)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .rattandyke.wire.InterruptedRequest interrupted = 1;
+  total_size += 1UL * this->_internal_interrupted_size();
+  for (const auto& msg : this->_impl_.interrupted_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated string answered = 2;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.answered_.size());
+  for (int i = 0, n = _impl_.answered_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.answered_.Get(i));
+  }
+
+  // repeated .rattandyke.wire.UpstreamProcess ended = 3;
+  total_size += 1UL * this->_internal_ended_size();
+  for (const auto& msg : this->_impl_.ended_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated .rattandyke.wire.UpstreamProcess alive = 4;
+  total_size += 1UL * this->_internal_alive_size();
+  for (const auto& msg : this->_impl_.alive_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // repeated string lifted = 5;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.lifted_.size());
+  for (int i = 0, n = _impl_.lifted_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.lifted_.Get(i));
+  }
+
+  // int64 told_at_ms = 6;
+  if (this->_internal_told_at_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_told_at_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RecordCrashes::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RecordCrashes::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RecordCrashes::GetClassData() const { return &_class_data_; }
+
+
+void RecordCrashes::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RecordCrashes*>(&to_msg);
+  auto& from = static_cast<const RecordCrashes&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RecordCrashes)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.interrupted_.MergeFrom(from._impl_.interrupted_);
+  _this->_impl_.answered_.MergeFrom(from._impl_.answered_);
+  _this->_impl_.ended_.MergeFrom(from._impl_.ended_);
+  _this->_impl_.alive_.MergeFrom(from._impl_.alive_);
+  _this->_impl_.lifted_.MergeFrom(from._impl_.lifted_);
+  if (from._internal_told_at_ms() != 0) {
+    _this->_internal_set_told_at_ms(from._internal_told_at_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RecordCrashes::CopyFrom(const RecordCrashes& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RecordCrashes)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RecordCrashes::IsInitialized() const {
+  return true;
+}
+
+void RecordCrashes::InternalSwap(RecordCrashes* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.interrupted_.InternalSwap(&other->_impl_.interrupted_);
+  _impl_.answered_.InternalSwap(&other->_impl_.answered_);
+  _impl_.ended_.InternalSwap(&other->_impl_.ended_);
+  _impl_.alive_.InternalSwap(&other->_impl_.alive_);
+  _impl_.lifted_.InternalSwap(&other->_impl_.lifted_);
+  swap(_impl_.told_at_ms_, other->_impl_.told_at_ms_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RecordCrashes::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[28]);
+}
+
+// ===================================================================
+
+class GatewayCommand::_Internal {
+ public:
+  static const ::rattandyke::wire::ChangeItems& change_items(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutInstance& put_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::EndInstance& end_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::GrantRanges& grant_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::FreeRanges& free_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutEntry& put_entry(const GatewayCommand* msg);
+  static const ::rattandyke::wire::DropEntry& drop_entry(const GatewayCommand* msg);
+  static const ::rattandyke::wire::HoldBackRanges& hold_back_ranges(const GatewayCommand* msg);
+  static const ::rattandyke::wire::EvacuateDataCentre& evacuate_data_centre(const GatewayCommand* msg);
+  static const ::rattandyke::wire::WithdrawInstance& withdraw_instance(const GatewayCommand* msg);
+  static const ::rattandyke::wire::PutControl& put_control(const GatewayCommand* msg);
+  static const ::rattandyke::wire::DropControl& drop_control(const GatewayCommand* msg);
+  static const ::rattandyke::wire::RecordRests& record_rests(const GatewayCommand* msg);
+  static const ::rattandyke::wire::RecordCrashes& record_crashes(const GatewayCommand* msg);
+};
+
+const ::rattandyke::wire::ChangeItems&
+GatewayCommand::_Internal::change_items(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.change_items_;
+}
+const ::rattandyke::wire::PutInstance&
+GatewayCommand::_Internal::put_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_instance_;
+}
+const ::rattandyke::wire::EndInstance&
+GatewayCommand::_Internal::end_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.end_instance_;
+}
+const ::rattandyke::wire::GrantRanges&
+GatewayCommand::_Internal::grant_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.grant_ranges_;
+}
+const ::rattandyke::wire::FreeRanges&
+GatewayCommand::_Internal::free_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.free_ranges_;
+}
+const ::rattandyke::wire::PutEntry&
+GatewayCommand::_Internal::put_entry(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_entry_;
+}
+const ::rattandyke::wire::DropEntry&
+GatewayCommand::_Internal::drop_entry(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.drop_entry_;
+}
+const ::rattandyke::wire::HoldBackRanges&
+GatewayCommand::_Internal::hold_back_ranges(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.hold_back_ranges_;
+}
+const ::rattandyke::wire::EvacuateDataCentre&
+GatewayCommand::_Internal::evacuate_data_centre(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.evacuate_data_centre_;
+}
+const ::rattandyke::wire::WithdrawInstance&
+GatewayCommand::_Internal::withdraw_instance(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.withdraw_instance_;
+}
+const ::rattandyke::wire::PutControl&
+GatewayCommand::_Internal::put_control(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.put_control_;
+}
+const ::rattandyke::wire::DropControl&
+GatewayCommand::_Internal::drop_control(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.drop_control_;
+}
+const ::rattandyke::wire::RecordRests&
+GatewayCommand::_Internal::record_rests(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.record_rests_;
+}
+const ::rattandyke::wire::RecordCrashes&
+GatewayCommand::_Internal::record_crashes(const GatewayCommand* msg) {
+  return *msg->_impl_.body_.record_crashes_;
+}
+void GatewayCommand::set_allocated_change_items(::rattandyke::wire::ChangeItems* change_items) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (change_items) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(change_items);
+    if (message_arena != submessage_arena) {
+      change_items = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, change_items, submessage_arena);
+    }
+    set_has_change_items();
+    _impl_.body_.change_items_ = change_items;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.change_items)
+}
+void GatewayCommand::set_allocated_put_instance(::rattandyke::wire::PutInstance* put_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_instance);
+    if (message_arena != submessage_arena) {
+      put_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_instance, submessage_arena);
+    }
+    set_has_put_instance();
+    _impl_.body_.put_instance_ = put_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_instance)
+}
+void GatewayCommand::set_allocated_end_instance(::rattandyke::wire::EndInstance* end_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (end_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(end_instance);
+    if (message_arena != submessage_arena) {
+      end_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, end_instance, submessage_arena);
+    }
+    set_has_end_instance();
+    _impl_.body_.end_instance_ = end_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.end_instance)
+}
+void GatewayCommand::set_allocated_grant_ranges(::rattandyke::wire::GrantRanges* grant_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (grant_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(grant_ranges);
+    if (message_arena != submessage_arena) {
+      grant_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, grant_ranges, submessage_arena);
+    }
+    set_has_grant_ranges();
+    _impl_.body_.grant_ranges_ = grant_ranges;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.grant_ranges)
+}
+void GatewayCommand::set_allocated_free_ranges(::rattandyke::wire::FreeRanges* free_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (free_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(free_ranges);
+    if (message_arena != submessage_arena) {
+      free_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, free_ranges, submessage_arena);
+    }
+    set_has_free_ranges();
+    _impl_.body_.free_ranges_ = free_ranges;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.free_ranges)
+}
+void GatewayCommand::set_allocated_put_entry(::rattandyke::wire::PutEntry* put_entry) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_entry) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_entry);
+    if (message_arena != submessage_arena) {
+      put_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_entry, submessage_arena);
+    }
+    set_has_put_entry();
+    _impl_.body_.put_entry_ = put_entry;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_entry)
+}
+void GatewayCommand::set_allocated_drop_entry(::rattandyke::wire::DropEntry* drop_entry) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (drop_entry) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_entry);
+    if (message_arena != submessage_arena) {
+      drop_entry = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, drop_entry, submessage_arena);
+    }
+    set_has_drop_entry();
+    _impl_.body_.drop_entry_ = drop_entry;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_entry)
+}
+void GatewayCommand::set_allocated_hold_back_ranges(::rattandyke::wire::HoldBackRanges* hold_back_ranges) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (hold_back_ranges) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(hold_back_ranges);
+    if (message_arena != submessage_arena) {
+      hold_back_ranges = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, hold_back_ranges, submessage_arena);
+    }
+    set_has_hold_back_ranges();
+    _impl_.body_.hold_back_ranges_ = hold_back_ranges;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.hold_back_ranges)
+}
+void GatewayCommand::set_allocated_evacuate_data_centre(::rattandyke::wire::EvacuateDataCentre* evacuate_data_centre) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (evacuate_data_centre) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(evacuate_data_centre);
+    if (message_arena != submessage_arena) {
+      evacuate_data_centre = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, evacuate_data_centre, submessage_arena);
+    }
+    set_has_evacuate_data_centre();
+    _impl_.body_.evacuate_data_centre_ = evacuate_data_centre;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.evacuate_data_centre)
+}
+void GatewayCommand::set_allocated_withdraw_instance(::rattandyke::wire::WithdrawInstance* withdraw_instance) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (withdraw_instance) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(withdraw_instance);
+    if (message_arena != submessage_arena) {
+      withdraw_instance = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, withdraw_instance, submessage_arena);
+    }
+    set_has_withdraw_instance();
+    _impl_.body_.withdraw_instance_ = withdraw_instance;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.withdraw_instance)
+}
+void GatewayCommand::set_allocated_put_control(::rattandyke::wire::PutControl* put_control) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (put_control) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(put_control);
+    if (message_arena != submessage_arena) {
+      put_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, put_control, submessage_arena);
+    }
+    set_has_put_control();
+    _impl_.body_.put_control_ = put_control;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.put_control)
+}
+void GatewayCommand::set_allocated_drop_control(::rattandyke::wire::DropControl* drop_control) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (drop_control) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(drop_control);
+    if (message_arena != submessage_arena) {
+      drop_control = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, drop_control, submessage_arena);
+    }
+    set_has_drop_control();
+    _impl_.body_.drop_control_ = drop_control;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.drop_control)
+}
+void GatewayCommand::set_allocated_record_rests(::rattandyke::wire::RecordRests* record_rests) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (record_rests) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(record_rests);
+    if (message_arena != submessage_arena) {
+      record_rests = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, record_rests, submessage_arena);
+    }
+    set_has_record_rests();
+    _impl_.body_.record_rests_ = record_rests;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.record_rests)
+}
+void GatewayCommand::set_allocated_record_crashes(::rattandyke::wire::RecordCrashes* record_crashes) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (record_crashes) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(record_crashes);
+    if (message_arena != submessage_arena) {
+      record_crashes = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, record_crashes, submessage_arena);
+    }
+    set_has_record_crashes();
+    _impl_.body_.record_crashes_ = record_crashes;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayCommand.record_crashes)
+}
+GatewayCommand::GatewayCommand(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.GatewayCommand)
+}
+GatewayCommand::GatewayCommand(const GatewayCommand& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  GatewayCommand* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.body_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  clear_has_body();
+  switch (from.body_case()) {
+    case kChangeItems: {
+      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
+          from._internal_change_items());
+      break;
+    }
+    case kPutInstance: {
+      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
+          from._internal_put_instance());
+      break;
+    }
+    case kEndInstance: {
+      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
+          from._internal_end_instance());
+      break;
+    }
+    case kGrantRanges: {
+      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
+          from._internal_grant_ranges());
+      break;
+    }
+    case kFreeRanges: {
+      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
+          from._internal_free_ranges());
+      break;
+    }
+    case kPutEntry: {
+      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
+          from._internal_put_entry());
+      break;
+    }
+    case kDropEntry: {
+      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
+          from._internal_drop_entry());
+      break;
+    }
+    case kHoldBackRanges: {
+      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
+          from._internal_hold_back_ranges());
+      break;
+    }
+    case kEvacuateDataCentre: {
+      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
+          from._internal_evacuate_data_centre());
+      break;
+    }
+    case kWithdrawInstance: {
+      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
+          from._internal_withdraw_instance());
+      break;
+    }
+    case kPutControl: {
+      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
+          from._internal_put_control());
+      break;
+    }
+    case kDropControl: {
+      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
+          from._internal_drop_control());
+      break;
+    }
+    case kRecordRests: {
+      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
+          from._internal_record_rests());
+      break;
+    }
+    case kRecordCrashes: {
+      _this->_internal_mutable_record_crashes()->::rattandyke::wire::RecordCrashes::MergeFrom(
+          from._internal_record_crashes());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.GatewayCommand)
+}
+
+inline void GatewayCommand::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.body_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}
+  };
+  clear_has_body();
+}
+
+GatewayCommand::~GatewayCommand() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.GatewayCommand)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void GatewayCommand::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (has_body()) {
+    clear_body();
+  }
+}
+
+void GatewayCommand::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void GatewayCommand::clear_body() {
+// @@protoc_insertion_point(one_of_clear_start:rattandyke.wire.GatewayCommand)
+  switch (body_case()) {
+    case kChangeItems: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.change_items_;
+      }
+      break;
+    }
+    case kPutInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_instance_;
+      }
+      break;
+    }
+    case kEndInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.end_instance_;
+      }
+      break;
+    }
+    case kGrantRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.grant_ranges_;
+      }
+      break;
+    }
+    case kFreeRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.free_ranges_;
+      }
+      break;
+    }
+    case kPutEntry: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_entry_;
+      }
+      break;
+    }
+    case kDropEntry: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.drop_entry_;
+      }
+      break;
+    }
+    case kHoldBackRanges: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.hold_back_ranges_;
+      }
+      break;
+    }
+    case kEvacuateDataCentre: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.evacuate_data_centre_;
+      }
+      break;
+    }
+    case kWithdrawInstance: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.withdraw_instance_;
+      }
+      break;
+    }
+    case kPutControl: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.put_control_;
+      }
+      break;
+    }
+    case kDropControl: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.drop_control_;
+      }
+      break;
+    }
+    case kRecordRests: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.record_rests_;
+      }
+      break;
+    }
+    case kRecordCrashes: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.record_crashes_;
+      }
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _impl_._oneof_case_[0] = BODY_NOT_SET;
+}
+
+
+void GatewayCommand::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayCommand)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  clear_body();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* GatewayCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .rattandyke.wire.ChangeItems change_items = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_change_items(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.PutInstance put_instance = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.EndInstance end_instance = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr = ctx->ParseMessage(_internal_mutable_end_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.GrantRanges grant_ranges = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
+          ptr = ctx->ParseMessage(_internal_mutable_grant_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.FreeRanges free_ranges = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          ptr = ctx->ParseMessage(_internal_mutable_free_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.PutEntry put_entry = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_entry(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.DropEntry drop_entry = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
+          ptr = ctx->ParseMessage(_internal_mutable_drop_entry(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
+          ptr = ctx->ParseMessage(_internal_mutable_hold_back_ranges(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+      case 9:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
+          ptr = ctx->ParseMessage(_internal_mutable_evacuate_data_centre(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr = ctx->ParseMessage(_internal_mutable_withdraw_instance(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.PutControl put_control = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr = ctx->ParseMessage(_internal_mutable_put_control(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.DropControl drop_control = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr = ctx->ParseMessage(_internal_mutable_drop_control(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RecordRests record_rests = 13;
+      case 13:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
+          ptr = ctx->ParseMessage(_internal_mutable_record_rests(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .rattandyke.wire.RecordCrashes record_crashes = 14;
+      case 14:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 114)) {
+          ptr = ctx->ParseMessage(_internal_mutable_record_crashes(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* GatewayCommand::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayCommand)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .rattandyke.wire.ChangeItems change_items = 1;
+  if (_internal_has_change_items()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::change_items(this),
+        _Internal::change_items(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.PutInstance put_instance = 2;
+  if (_internal_has_put_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(2, _Internal::put_instance(this),
+        _Internal::put_instance(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.EndInstance end_instance = 3;
+  if (_internal_has_end_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(3, _Internal::end_instance(this),
+        _Internal::end_instance(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.GrantRanges grant_ranges = 4;
+  if (_internal_has_grant_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(4, _Internal::grant_ranges(this),
+        _Internal::grant_ranges(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.FreeRanges free_ranges = 5;
+  if (_internal_has_free_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(5, _Internal::free_ranges(this),
+        _Internal::free_ranges(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.PutEntry put_entry = 6;
+  if (_internal_has_put_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(6, _Internal::put_entry(this),
+        _Internal::put_entry(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.DropEntry drop_entry = 7;
+  if (_internal_has_drop_entry()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(7, _Internal::drop_entry(this),
+        _Internal::drop_entry(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+  if (_internal_has_hold_back_ranges()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(8, _Internal::hold_back_ranges(this),
+        _Internal::hold_back_ranges(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+  if (_internal_has_evacuate_data_centre()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(9, _Internal::evacuate_data_centre(this),
+        _Internal::evacuate_data_centre(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+  if (_internal_has_withdraw_instance()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(10, _Internal::withdraw_instance(this),
+        _Internal::withdraw_instance(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.PutControl put_control = 11;
+  if (_internal_has_put_control()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(11, _Internal::put_control(this),
+        _Internal::put_control(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.DropControl drop_control = 12;
+  if (_internal_has_drop_control()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(12, _Internal::drop_control(this),
+        _Internal::drop_control(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RecordRests record_rests = 13;
+  if (_internal_has_record_rests()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(13, _Internal::record_rests(this),
+        _Internal::record_rests(this).GetCachedSize(), target, stream);
+  }
+
+  // .rattandyke.wire.RecordCrashes record_crashes = 14;
+  if (_internal_has_record_crashes()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(14, _Internal::record_crashes(this),
+        _Internal::record_crashes(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayCommand)
+  return target;
+}
+
+size_t GatewayCommand::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayCommand)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  switch (body_case()) {
+    // .rattandyke.wire.ChangeItems change_items = 1;
+    case kChangeItems: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.change_items_);
+      break;
+    }
+    // .rattandyke.wire.PutInstance put_instance = 2;
+    case kPutInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_instance_);
+      break;
+    }
+    // .rattandyke.wire.EndInstance end_instance = 3;
+    case kEndInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.end_instance_);
+      break;
+    }
+    // .rattandyke.wire.GrantRanges grant_ranges = 4;
+    case kGrantRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.grant_ranges_);
+      break;
+    }
+    // .rattandyke.wire.FreeRanges free_ranges = 5;
+    case kFreeRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.free_ranges_);
+      break;
+    }
+    // .rattandyke.wire.PutEntry put_entry = 6;
+    case kPutEntry: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_entry_);
+      break;
+    }
+    // .rattandyke.wire.DropEntry drop_entry = 7;
+    case kDropEntry: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.drop_entry_);
+      break;
+    }
+    // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
+    case kHoldBackRanges: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.hold_back_ranges_);
+      break;
+    }
+    // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
+    case kEvacuateDataCentre: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.evacuate_data_centre_);
+      break;
+    }
+    // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
+    case kWithdrawInstance: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.withdraw_instance_);
+      break;
+    }
+    // .rattandyke.wire.PutControl put_control = 11;
+    case kPutControl: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.put_control_);
+      break;
+    }
+    // .rattandyke.wire.DropControl drop_control = 12;
+    case kDropControl: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.drop_control_);
+      break;
+    }
+    // .rattandyke.wire.RecordRests record_rests = 13;
+    case kRecordRests: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.record_rests_);
+      break;
+    }
+    // .rattandyke.wire.RecordCrashes record_crashes = 14;
+    case kRecordCrashes: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.record_crashes_);
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayCommand::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    GatewayCommand::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayCommand::GetClassData() const { return &_class_data_; }
+
+
+void GatewayCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<GatewayCommand*>(&to_msg);
+  auto& from = static_cast<const GatewayCommand&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayCommand)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  switch (from.body_case()) {
+    case kChangeItems: {
+      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
+          from._internal_change_items());
+      break;
+    }
+    case kPutInstance: {
+      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
+          from._internal_put_instance());
+      break;
+    }
+    case kEndInstance: {
+      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
+          from._internal_end_instance());
+      break;
+    }
+    case kGrantRanges: {
+      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
+          from._internal_grant_ranges());
+      break;
+    }
+    case kFreeRanges: {
+      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
+          from._internal_free_ranges());
+      break;
+    }
+    case kPutEntry: {
+      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
+          from._internal_put_entry());
+      break;
+    }
+    case kDropEntry: {
+      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
+          from._internal_drop_entry());
+      break;
+    }
+    case kHoldBackRanges: {
+      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
+          from._internal_hold_back_ranges());
+      break;
+    }
+    case kEvacuateDataCentre: {
+      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
+          from._internal_evacuate_data_centre());
+      break;
+    }
+    case kWithdrawInstance: {
+      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
+          from._internal_withdraw_instance());
+      break;
+    }
+    case kPutControl: {
+      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
+          from._internal_put_control());
+      break;
+    }
+    case kDropControl: {
+      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
+          from._internal_drop_control());
+      break;
+    }
+    case kRecordRests: {
+      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
+          from._internal_record_rests());
+      break;
+    }
+    case kRecordCrashes: {
+      _this->_internal_mutable_record_crashes()->::rattandyke::wire::RecordCrashes::MergeFrom(
+          from._internal_record_crashes());
+      break;
+    }
+    case BODY_NOT_SET: {
+      break;
+    }
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void GatewayCommand::CopyFrom(const GatewayCommand& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayCommand)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool GatewayCommand::IsInitialized() const {
+  return true;
+}
+
+void GatewayCommand::InternalSwap(GatewayCommand* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.body_, other->_impl_.body_);
+  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[29]);
+}
+
+// ===================================================================
+
+class RangeSegment::_Internal {
+ public:
+};
+
+RangeSegment::RangeSegment(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeSegment)
+}
+RangeSegment::RangeSegment(const RangeSegment& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RangeSegment* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holder_){}
+    , decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){}
+    , decltype(_impl_.to_){}
+    , decltype(_impl_.fence_){}
+    , decltype(_impl_.sequence_){}
+    , decltype(_impl_.held_back_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_holder().empty()) {
+    _this->_impl_.holder_.Set(from._internal_holder(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_handover().empty()) {
+    _this->_impl_.handover_.Set(from._internal_handover(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.from_, &from._impl_.from_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.held_back_) -
+    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeSegment)
+}
+
+inline void RangeSegment::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.holder_){}
+    , decltype(_impl_.handover_){}
+    , decltype(_impl_.from_){0u}
+    , decltype(_impl_.to_){0u}
+    , decltype(_impl_.fence_){uint64_t{0u}}
+    , decltype(_impl_.sequence_){uint64_t{0u}}
+    , decltype(_impl_.held_back_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.holder_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.holder_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.handover_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.handover_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RangeSegment::~RangeSegment() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeSegment)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RangeSegment::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.holder_.Destroy();
+  _impl_.handover_.Destroy();
+}
+
+void RangeSegment::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RangeSegment::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeSegment)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.holder_.ClearToEmpty();
+  _impl_.handover_.ClearToEmpty();
+  ::memset(&_impl_.from_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.held_back_) -
+      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RangeSegment::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint32 from = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 to = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string holder = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          auto str = _internal_mutable_holder();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.holder"));
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 fence = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 sequence = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // string handover = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
+          auto str = _internal_mutable_handover();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.handover"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bool held_back = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.held_back_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RangeSegment::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeSegment)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
+  }
+
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
+  }
+
+  // string holder = 3;
+  if (!this->_internal_holder().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RangeSegment.holder");
+    target = stream->WriteStringMaybeAliased(
+        3, this->_internal_holder(), target);
+  }
+
+  // uint64 fence = 4;
+  if (this->_internal_fence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_fence(), target);
+  }
+
+  // uint64 sequence = 5;
+  if (this->_internal_sequence() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_sequence(), target);
+  }
+
+  // string handover = 6;
+  if (!this->_internal_handover().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.RangeSegment.handover");
+    target = stream->WriteStringMaybeAliased(
+        6, this->_internal_handover(), target);
+  }
+
+  // bool held_back = 7;
+  if (this->_internal_held_back() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_held_back(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeSegment)
+  return target;
+}
+
+size_t RangeSegment::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeSegment)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string holder = 3;
+  if (!this->_internal_holder().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_holder());
+  }
+
+  // string handover = 6;
+  if (!this->_internal_handover().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_handover());
+  }
+
+  // uint32 from = 1;
+  if (this->_internal_from() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
+  }
+
+  // uint32 to = 2;
+  if (this->_internal_to() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+  }
+
+  // uint64 fence = 4;
+  if (this->_internal_fence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
+  }
+
+  // uint64 sequence = 5;
+  if (this->_internal_sequence() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  }
+
+  // bool held_back = 7;
+  if (this->_internal_held_back() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeSegment::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RangeSegment::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeSegment::GetClassData() const { return &_class_data_; }
+
+
+void RangeSegment::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RangeSegment*>(&to_msg);
+  auto& from = static_cast<const RangeSegment&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeSegment)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_holder().empty()) {
+    _this->_internal_set_holder(from._internal_holder());
+  }
+  if (!from._internal_handover().empty()) {
+    _this->_internal_set_handover(from._internal_handover());
+  }
+  if (from._internal_from() != 0) {
+    _this->_internal_set_from(from._internal_from());
+  }
+  if (from._internal_to() != 0) {
+    _this->_internal_set_to(from._internal_to());
+  }
+  if (from._internal_fence() != 0) {
+    _this->_internal_set_fence(from._internal_fence());
+  }
+  if (from._internal_sequence() != 0) {
+    _this->_internal_set_sequence(from._internal_sequence());
+  }
+  if (from._internal_held_back() != 0) {
+    _this->_internal_set_held_back(from._internal_held_back());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RangeSegment::CopyFrom(const RangeSegment& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeSegment)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RangeSegment::IsInitialized() const {
+  return true;
+}
+
+void RangeSegment::InternalSwap(RangeSegment* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.holder_, lhs_arena,
+      &other->_impl_.holder_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.handover_, lhs_arena,
+      &other->_impl_.handover_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.held_back_)
+      + sizeof(RangeSegment::_impl_.held_back_)
+      - PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.from_)>(
+          reinterpret_cast<char*>(&_impl_.from_),
+          reinterpret_cast<char*>(&other->_impl_.from_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
+      file_level_metadata_gateway_2eproto[30]);
+}
+
+// ===================================================================
+
+class ServiceRanges::_Internal {
+ public:
+};
+
+ServiceRanges::ServiceRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceRanges)
+}
+ServiceRanges::ServiceRanges(const ServiceRanges& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  ServiceRanges* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.segments_){from._impl_.segments_}
+    , decltype(_impl_.service_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_service().empty()) {
+    _this->_impl_.service_.Set(from._internal_service(), 
+      _this->GetArenaForAllocation());
   }
-  _impl_._oneof_case_[0] = BODY_NOT_SET;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceRanges)
 }
 
+inline void ServiceRanges::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.segments_){arena}
+    , decltype(_impl_.service_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.service_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.service_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
 
-void GatewayCommand::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.GatewayCommand)
+ServiceRanges::~ServiceRanges() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceRanges)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void ServiceRanges::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.segments_.~RepeatedPtrField();
+  _impl_.service_.Destroy();
+}
+
+void ServiceRanges::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void ServiceRanges::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceRanges)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  clear_body();
+  _impl_.segments_.Clear();
+  _impl_.service_.ClearToEmpty();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* GatewayCommand::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* ServiceRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // .rattandyke.wire.ChangeItems change_items = 1;
+      // string service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          ptr = ctx->ParseMessage(_internal_mutable_change_items(), ptr);
+          auto str = _internal_mutable_service();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceRanges.service"));
         } else
           goto handle_unusual;
         continue;
-      // .rattandyke.wire.PutInstance put_instance = 2;
+      // repeated .rattandyke.wire.RangeSegment segments = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          ptr = ctx->ParseMessage(_internal_mutable_put_instance(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.EndInstance end_instance = 3;
-      case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          ptr = ctx->ParseMessage(_internal_mutable_end_instance(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.GrantRanges grant_ranges = 4;
-      case 4:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
-          ptr = ctx->ParseMessage(_internal_mutable_grant_ranges(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.FreeRanges free_ranges = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
-          ptr = ctx->ParseMessage(_internal_mutable_free_ranges(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.PutEntry put_entry = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
-          ptr = ctx->ParseMessage(_internal_mutable_put_entry(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.DropEntry drop_entry = 7;
-      case 7:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
-          ptr = ctx->ParseMessage(_internal_mutable_drop_entry(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
-      case 8:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 66)) {
-          ptr = ctx->ParseMessage(_internal_mutable_hold_back_ranges(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
-      case 9:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 74)) {
-          ptr = ctx->ParseMessage(_internal_mutable_evacuate_data_centre(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
-      case 10:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
-          ptr = ctx->ParseMessage(_internal_mutable_withdraw_instance(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.PutControl put_control = 11;
-      case 11:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
-          ptr = ctx->ParseMessage(_internal_mutable_put_control(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.DropControl drop_control = 12;
-      case 12:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
-          ptr = ctx->ParseMessage(_internal_mutable_drop_control(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // .rattandyke.wire.RecordRests record_rests = 13;
-      case 13:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 106)) {
-          ptr = ctx->ParseMessage(_internal_mutable_record_rests(), ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      default:
-        goto handle_unusual;
-    }  // switch
-  handle_unusual:
-    if ((tag == 0) || ((tag & 7) == 4)) {
-      CHK_(ptr);
-      ctx->SetLastTag(tag);
-      goto message_done;
-    }
-    ptr = UnknownFieldParse(
-        tag,
-        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
-        ptr, ctx);
-    CHK_(ptr != nullptr);
-  }  // while
-message_done:
-  return ptr;
-failure:
-  ptr = nullptr;
-  goto message_done;
-#undef CHK_
-}
-
-uint8_t* GatewayCommand::_InternalSerialize(
-    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.GatewayCommand)
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  // .rattandyke.wire.ChangeItems change_items = 1;
-  if (_internal_has_change_items()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(1, _Internal::change_items(this),
-        _Internal::change_items(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.PutInstance put_instance = 2;
-  if (_internal_has_put_instance()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(2, _Internal::put_instance(this),
-        _Internal::put_instance(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.EndInstance end_instance = 3;
-  if (_internal_has_end_instance()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(3, _Internal::end_instance(this),
-        _Internal::end_instance(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.GrantRanges grant_ranges = 4;
-  if (_internal_has_grant_ranges()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(4, _Internal::grant_ranges(this),
-        _Internal::grant_ranges(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.FreeRanges free_ranges = 5;
-  if (_internal_has_free_ranges()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(5, _Internal::free_ranges(this),
-        _Internal::free_ranges(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.PutEntry put_entry = 6;
-  if (_internal_has_put_entry()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(6, _Internal::put_entry(this),
-        _Internal::put_entry(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.DropEntry drop_entry = 7;
-  if (_internal_has_drop_entry()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(7, _Internal::drop_entry(this),
-        _Internal::drop_entry(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
-  if (_internal_has_hold_back_ranges()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(8, _Internal::hold_back_ranges(this),
-        _Internal::hold_back_ranges(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
-  if (_internal_has_evacuate_data_centre()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(9, _Internal::evacuate_data_centre(this),
-        _Internal::evacuate_data_centre(this).GetCachedSize(), target, stream);
-  }
-
-  // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
-  if (_internal_has_withdraw_instance()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(10, _Internal::withdraw_instance(this),
-        _Internal::withdraw_instance(this).GetCachedSize(), target, stream);
-  }
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_segments(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
 
-  // .rattandyke.wire.PutControl put_control = 11;
-  if (_internal_has_put_control()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(11, _Internal::put_control(this),
-        _Internal::put_control(this).GetCachedSize(), target, stream);
-  }
+uint8_t* ServiceRanges::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceRanges)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
 
-  // .rattandyke.wire.DropControl drop_control = 12;
-  if (_internal_has_drop_control()) {
-    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(12, _Internal::drop_control(this),
-        _Internal::drop_control(this).GetCachedSize(), target, stream);
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.ServiceRanges.service");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_service(), target);
   }
 
-  // .rattandyke.wire.RecordRests record_rests = 13;
-  if (_internal_has_record_rests()) {
+  // repeated .rattandyke.wire.RangeSegment segments = 2;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_segments_size()); i < n; i++) {
+    const auto& repfield = this->_internal_segments(i);
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-      InternalWriteMessage(13, _Internal::record_rests(this),
-        _Internal::record_rests(this).GetCachedSize(), target, stream);
+        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.GatewayCommand)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceRanges)
   return target;
 }
 
-size_t GatewayCommand::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.GatewayCommand)
+size_t ServiceRanges::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceRanges)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  switch (body_case()) {
-    // .rattandyke.wire.ChangeItems change_items = 1;
-    case kChangeItems: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.change_items_);
-      break;
-    }
-    // .rattandyke.wire.PutInstance put_instance = 2;
-    case kPutInstance: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.put_instance_);
-      break;
-    }
-    // .rattandyke.wire.EndInstance end_instance = 3;
-    case kEndInstance: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.end_instance_);
-      break;
-    }
-    // .rattandyke.wire.GrantRanges grant_ranges = 4;
-    case kGrantRanges: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.grant_ranges_);
-      break;
-    }
-    // .rattandyke.wire.FreeRanges free_ranges = 5;
-    case kFreeRanges: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.free_ranges_);
-      break;
-    }
-    // .rattandyke.wire.PutEntry put_entry = 6;
-    case kPutEntry: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.put_entry_);
-      break;
-    }
-    // .rattandyke.wire.DropEntry drop_entry = 7;
-    case kDropEntry: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.drop_entry_);
-      break;
-    }
-    // .rattandyke.wire.HoldBackRanges hold_back_ranges = 8;
-    case kHoldBackRanges: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.hold_back_ranges_);
-      break;
-    }
-    // .rattandyke.wire.EvacuateDataCentre evacuate_data_centre = 9;
-    case kEvacuateDataCentre: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.evacuate_data_centre_);
-      break;
-    }
-    // .rattandyke.wire.WithdrawInstance withdraw_instance = 10;
-    case kWithdrawInstance: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.withdraw_instance_);
-      break;
-    }
-    // .rattandyke.wire.PutControl put_control = 11;
-    case kPutControl: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.put_control_);
-      break;
-    }
-    // .rattandyke.wire.DropControl drop_control = 12;
-    case kDropControl: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.drop_control_);
-      break;
-    }
-    // .rattandyke.wire.RecordRests record_rests = 13;
-    case kRecordRests: {
-      total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
-          *_impl_.body_.record_rests_);
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+  // repeated .rattandyke.wire.RangeSegment segments = 2;
+  total_size += 1UL * this->_internal_segments_size();
+  for (const auto& msg : this->_impl_.segments_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  // string service = 1;
+  if (!this->_internal_service().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_service());
   }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData GatewayCommand::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceRanges::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    GatewayCommand::MergeImpl
+    ServiceRanges::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*GatewayCommand::GetClassData() const { return &_class_data_; }
-
-
-void GatewayCommand::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<GatewayCommand*>(&to_msg);
-  auto& from = static_cast<const GatewayCommand&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.GatewayCommand)
-  GOOGLE_DCHECK_NE(&from, _this);
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceRanges::GetClassData() const { return &_class_data_; }
 
-  switch (from.body_case()) {
-    case kChangeItems: {
-      _this->_internal_mutable_change_items()->::rattandyke::wire::ChangeItems::MergeFrom(
-          from._internal_change_items());
-      break;
-    }
-    case kPutInstance: {
-      _this->_internal_mutable_put_instance()->::rattandyke::wire::PutInstance::MergeFrom(
-          from._internal_put_instance());
-      break;
-    }
-    case kEndInstance: {
-      _this->_internal_mutable_end_instance()->::rattandyke::wire::EndInstance::MergeFrom(
-          from._internal_end_instance());
-      break;
-    }
-    case kGrantRanges: {
-      _this->_internal_mutable_grant_ranges()->::rattandyke::wire::GrantRanges::MergeFrom(
-          from._internal_grant_ranges());
-      break;
-    }
-    case kFreeRanges: {
-      _this->_internal_mutable_free_ranges()->::rattandyke::wire::FreeRanges::MergeFrom(
-          from._internal_free_ranges());
-      break;
-    }
-    case kPutEntry: {
-      _this->_internal_mutable_put_entry()->::rattandyke::wire::PutEntry::MergeFrom(
-          from._internal_put_entry());
-      break;
-    }
-    case kDropEntry: {
-      _this->_internal_mutable_drop_entry()->::rattandyke::wire::DropEntry::MergeFrom(
-          from._internal_drop_entry());
-      break;
-    }
-    case kHoldBackRanges: {
-      _this->_internal_mutable_hold_back_ranges()->::rattandyke::wire::HoldBackRanges::MergeFrom(
-          from._internal_hold_back_ranges());
-      break;
-    }
-    case kEvacuateDataCentre: {
-      _this->_internal_mutable_evacuate_data_centre()->::rattandyke::wire::EvacuateDataCentre::MergeFrom(
-          from._internal_evacuate_data_centre());
-      break;
-    }
-    case kWithdrawInstance: {
-      _this->_internal_mutable_withdraw_instance()->::rattandyke::wire::WithdrawInstance::MergeFrom(
-          from._internal_withdraw_instance());
-      break;
-    }
-    case kPutControl: {
-      _this->_internal_mutable_put_control()->::rattandyke::wire::PutControl::MergeFrom(
-          from._internal_put_control());
-      break;
-    }
-    case kDropControl: {
-      _this->_internal_mutable_drop_control()->::rattandyke::wire::DropControl::MergeFrom(
-          from._internal_drop_control());
-      break;
-    }
-    case kRecordRests: {
-      _this->_internal_mutable_record_rests()->::rattandyke::wire::RecordRests::MergeFrom(
-          from._internal_record_rests());
-      break;
-    }
-    case BODY_NOT_SET: {
-      break;
-    }
+
+void ServiceRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<ServiceRanges*>(&to_msg);
+  auto& from = static_cast<const ServiceRanges&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceRanges)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.segments_.MergeFrom(from._impl_.segments_);
+  if (!from._internal_service().empty()) {
+    _this->_internal_set_service(from._internal_service());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void GatewayCommand::CopyFrom(const GatewayCommand& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.GatewayCommand)
+void ServiceRanges::CopyFrom(const ServiceRanges& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceRanges)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool GatewayCommand::IsInitialized() const {
+bool ServiceRanges::IsInitialized() const {
   return true;
 }
 
-void GatewayCommand::InternalSwap(GatewayCommand* other) {
+void ServiceRanges::InternalSwap(ServiceRanges* other) {
   using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  swap(_impl_.body_, other->_impl_.body_);
-  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+  _impl_.segments_.InternalSwap(&other->_impl_.segments_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.service_, lhs_arena,
+      &other->_impl_.service_, rhs_arena
+  );
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata GatewayCommand::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[25]);
+      file_level_metadata_gateway_2eproto[31]);
 }
 
 // ===================================================================
 
-class RangeSegment::_Internal {
+class RecordedCrash::_Internal {
  public:
 };
 
-RangeSegment::RangeSegment(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+RecordedCrash::RecordedCrash(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.RecordedCrash)
 }
-RangeSegment::RangeSegment(const RangeSegment& from)
+RecordedCrash::RecordedCrash(const RecordedCrash& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RangeSegment* const _this = this; (void)_this;
+  RecordedCrash* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.holder_){}
-    , decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){}
-    , decltype(_impl_.to_){}
-    , decltype(_impl_.fence_){}
-    , decltype(_impl_.sequence_){}
-    , decltype(_impl_.held_back_){}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){}
+    , decltype(_impl_.at_ms_){}
+    , decltype(_impl_.confirmed_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.holder_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_holder().empty()) {
-    _this->_impl_.holder_.Set(from._internal_holder(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.handover_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_handover().empty()) {
-    _this->_impl_.handover_.Set(from._internal_handover(), 
+  if (!from._internal_instance().empty()) {
+    _this->_impl_.instance_.Set(from._internal_instance(), 
       _this->GetArenaForAllocation());
   }
-  ::memcpy(&_impl_.from_, &from._impl_.from_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.held_back_) -
-    reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RangeSegment)
+  ::memcpy(&_impl_.life_, &from._impl_.life_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.confirmed_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.confirmed_));
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.RecordedCrash)
 }
 
-inline void RangeSegment::SharedCtor(
+inline void RecordedCrash::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.holder_){}
-    , decltype(_impl_.handover_){}
-    , decltype(_impl_.from_){0u}
-    , decltype(_impl_.to_){0u}
-    , decltype(_impl_.fence_){uint64_t{0u}}
-    , decltype(_impl_.sequence_){uint64_t{0u}}
-    , decltype(_impl_.held_back_){false}
+      decltype(_impl_.instance_){}
+    , decltype(_impl_.life_){uint64_t{0u}}
+    , decltype(_impl_.at_ms_){int64_t{0}}
+    , decltype(_impl_.confirmed_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.holder_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.holder_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.handover_.InitDefault();
+  _impl_.instance_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.handover_.Set("", GetArenaForAllocation());
+    _impl_.instance_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-RangeSegment::~RangeSegment() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.RangeSegment)
+RecordedCrash::~RecordedCrash() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.RecordedCrash)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -10358,92 +12389,64 @@
   SharedDtor();
 }
 
-inline void RangeSegment::SharedDtor() {
+inline void RecordedCrash::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.holder_.Destroy();
-  _impl_.handover_.Destroy();
+  _impl_.instance_.Destroy();
 }
 
-void RangeSegment::SetCachedSize(int size) const {
+void RecordedCrash::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void RangeSegment::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RangeSegment)
+void RecordedCrash::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.RecordedCrash)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.holder_.ClearToEmpty();
-  _impl_.handover_.ClearToEmpty();
-  ::memset(&_impl_.from_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.held_back_) -
-      reinterpret_cast<char*>(&_impl_.from_)) + sizeof(_impl_.held_back_));
+  _impl_.instance_.ClearToEmpty();
+  ::memset(&_impl_.life_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.confirmed_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.confirmed_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* RangeSegment::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* RecordedCrash::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // uint32 from = 1;
+      // string instance = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
-          _impl_.from_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_instance();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RecordedCrash.instance"));
         } else
           goto handle_unusual;
         continue;
-      // uint32 to = 2;
+      // uint64 life = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.to_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          _impl_.life_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
-      // string holder = 3;
+      // int64 at_ms = 3;
       case 3:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
-          auto str = _internal_mutable_holder();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.at_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.holder"));
         } else
           goto handle_unusual;
         continue;
-      // uint64 fence = 4;
+      // bool confirmed = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
-          _impl_.fence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // uint64 sequence = 5;
-      case 5:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
-          _impl_.sequence_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
-          CHK_(ptr);
-        } else
-          goto handle_unusual;
-        continue;
-      // string handover = 6;
-      case 6:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
-          auto str = _internal_mutable_handover();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
-          CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RangeSegment.handover"));
-        } else
-          goto handle_unusual;
-        continue;
-      // bool held_back = 7;
-      case 7:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
-          _impl_.held_back_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.confirmed_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -10471,215 +12474,165 @@
 #undef CHK_
 }
 
-uint8_t* RangeSegment::_InternalSerialize(
+uint8_t* RecordedCrash::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.RecordedCrash)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_from(), target);
-  }
-
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
-    target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_to(), target);
-  }
-
-  // string holder = 3;
-  if (!this->_internal_holder().empty()) {
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_holder().data(), static_cast<int>(this->_internal_holder().length()),
+      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RangeSegment.holder");
+      "rattandyke.wire.RecordedCrash.instance");
     target = stream->WriteStringMaybeAliased(
-        3, this->_internal_holder(), target);
+        1, this->_internal_instance(), target);
   }
 
-  // uint64 fence = 4;
-  if (this->_internal_fence() != 0) {
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_fence(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_life(), target);
   }
 
-  // uint64 sequence = 5;
-  if (this->_internal_sequence() != 0) {
+  // int64 at_ms = 3;
+  if (this->_internal_at_ms() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_sequence(), target);
-  }
-
-  // string handover = 6;
-  if (!this->_internal_handover().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_handover().data(), static_cast<int>(this->_internal_handover().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RangeSegment.handover");
-    target = stream->WriteStringMaybeAliased(
-        6, this->_internal_handover(), target);
+    target = ::_pbi::WireFormatLite::WriteInt64ToArray(3, this->_internal_at_ms(), target);
   }
 
-  // bool held_back = 7;
-  if (this->_internal_held_back() != 0) {
+  // bool confirmed = 4;
+  if (this->_internal_confirmed() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_held_back(), target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_confirmed(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RangeSegment)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.RecordedCrash)
   return target;
 }
 
-size_t RangeSegment::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RangeSegment)
+size_t RecordedCrash::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.RecordedCrash)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string holder = 3;
-  if (!this->_internal_holder().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_holder());
-  }
-
-  // string handover = 6;
-  if (!this->_internal_handover().empty()) {
+  // string instance = 1;
+  if (!this->_internal_instance().empty()) {
     total_size += 1 +
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_handover());
-  }
-
-  // uint32 from = 1;
-  if (this->_internal_from() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_from());
-  }
-
-  // uint32 to = 2;
-  if (this->_internal_to() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_to());
+        this->_internal_instance());
   }
 
-  // uint64 fence = 4;
-  if (this->_internal_fence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_fence());
+  // uint64 life = 2;
+  if (this->_internal_life() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_life());
   }
 
-  // uint64 sequence = 5;
-  if (this->_internal_sequence() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_sequence());
+  // int64 at_ms = 3;
+  if (this->_internal_at_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_at_ms());
   }
 
-  // bool held_back = 7;
-  if (this->_internal_held_back() != 0) {
+  // bool confirmed = 4;
+  if (this->_internal_confirmed() != 0) {
     total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RangeSegment::_class_data_ = {
-    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RangeSegment::MergeImpl
-};
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RangeSegment::GetClassData() const { return &_class_data_; }
-
-
-void RangeSegment::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RangeSegment*>(&to_msg);
-  auto& from = static_cast<const RangeSegment&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RangeSegment)
-  GOOGLE_DCHECK_NE(&from, _this);
-  uint32_t cached_has_bits = 0;
-  (void) cached_has_bits;
-
-  if (!from._internal_holder().empty()) {
-    _this->_internal_set_holder(from._internal_holder());
-  }
-  if (!from._internal_handover().empty()) {
-    _this->_internal_set_handover(from._internal_handover());
-  }
-  if (from._internal_from() != 0) {
-    _this->_internal_set_from(from._internal_from());
-  }
-  if (from._internal_to() != 0) {
-    _this->_internal_set_to(from._internal_to());
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RecordedCrash::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RecordedCrash::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RecordedCrash::GetClassData() const { return &_class_data_; }
+
+
+void RecordedCrash::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RecordedCrash*>(&to_msg);
+  auto& from = static_cast<const RecordedCrash&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.RecordedCrash)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_instance().empty()) {
+    _this->_internal_set_instance(from._internal_instance());
   }
-  if (from._internal_fence() != 0) {
-    _this->_internal_set_fence(from._internal_fence());
+  if (from._internal_life() != 0) {
+    _this->_internal_set_life(from._internal_life());
   }
-  if (from._internal_sequence() != 0) {
-    _this->_internal_set_sequence(from._internal_sequence());
+  if (from._internal_at_ms() != 0) {
+    _this->_internal_set_at_ms(from._internal_at_ms());
   }
-  if (from._internal_held_back() != 0) {
-    _this->_internal_set_held_back(from._internal_held_back());
+  if (from._internal_confirmed() != 0) {
+    _this->_internal_set_confirmed(from._internal_confirmed());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void RangeSegment::CopyFrom(const RangeSegment& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RangeSegment)
+void RecordedCrash::CopyFrom(const RecordedCrash& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.RecordedCrash)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool RangeSegment::IsInitialized() const {
+bool RecordedCrash::IsInitialized() const {
   return true;
 }
 
-void RangeSegment::InternalSwap(RangeSegment* other) {
+void RecordedCrash::InternalSwap(RecordedCrash* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.holder_, lhs_arena,
-      &other->_impl_.holder_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.handover_, lhs_arena,
-      &other->_impl_.handover_, rhs_arena
+      &_impl_.instance_, lhs_arena,
+      &other->_impl_.instance_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.held_back_)
-      + sizeof(RangeSegment::_impl_.held_back_)
-      - PROTOBUF_FIELD_OFFSET(RangeSegment, _impl_.from_)>(
-          reinterpret_cast<char*>(&_impl_.from_),
-          reinterpret_cast<char*>(&other->_impl_.from_));
+      PROTOBUF_FIELD_OFFSET(RecordedCrash, _impl_.confirmed_)
+      + sizeof(RecordedCrash::_impl_.confirmed_)
+      - PROTOBUF_FIELD_OFFSET(RecordedCrash, _impl_.life_)>(
+          reinterpret_cast<char*>(&_impl_.life_),
+          reinterpret_cast<char*>(&other->_impl_.life_));
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata RangeSegment::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata RecordedCrash::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[26]);
+      file_level_metadata_gateway_2eproto[32]);
 }
 
 // ===================================================================
 
-class ServiceRanges::_Internal {
+class SuspectRequest::_Internal {
  public:
 };
 
-ServiceRanges::ServiceRanges(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+SuspectRequest::SuspectRequest(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(arena_constructor:rattandyke.wire.SuspectRequest)
 }
-ServiceRanges::ServiceRanges(const ServiceRanges& from)
+SuspectRequest::SuspectRequest(const SuspectRequest& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  ServiceRanges* const _this = this; (void)_this;
+  SuspectRequest* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.segments_){from._impl_.segments_}
+      decltype(_impl_.crashes_){from._impl_.crashes_}
     , decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
+    , decltype(_impl_.banned_until_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -10691,26 +12644,41 @@
     _this->_impl_.service_.Set(from._internal_service(), 
       _this->GetArenaForAllocation());
   }
-  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.ServiceRanges)
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_fingerprint().empty()) {
+    _this->_impl_.fingerprint_.Set(from._internal_fingerprint(), 
+      _this->GetArenaForAllocation());
+  }
+  _this->_impl_.banned_until_ms_ = from._impl_.banned_until_ms_;
+  // @@protoc_insertion_point(copy_constructor:rattandyke.wire.SuspectRequest)
 }
 
-inline void ServiceRanges::SharedCtor(
+inline void SuspectRequest::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.segments_){arena}
+      decltype(_impl_.crashes_){arena}
     , decltype(_impl_.service_){}
+    , decltype(_impl_.fingerprint_){}
+    , decltype(_impl_.banned_until_ms_){int64_t{0}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.service_.InitDefault();
   #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
     _impl_.service_.Set("", GetArenaForAllocation());
   #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.fingerprint_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.fingerprint_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-ServiceRanges::~ServiceRanges() {
-  // @@protoc_insertion_point(destructor:rattandyke.wire.ServiceRanges)
+SuspectRequest::~SuspectRequest() {
+  // @@protoc_insertion_point(destructor:rattandyke.wire.SuspectRequest)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -10718,28 +12686,31 @@
   SharedDtor();
 }
 
-inline void ServiceRanges::SharedDtor() {
+inline void SuspectRequest::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.segments_.~RepeatedPtrField();
+  _impl_.crashes_.~RepeatedPtrField();
   _impl_.service_.Destroy();
+  _impl_.fingerprint_.Destroy();
 }
 
-void ServiceRanges::SetCachedSize(int size) const {
+void SuspectRequest::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void ServiceRanges::Clear() {
-// @@protoc_insertion_point(message_clear_start:rattandyke.wire.ServiceRanges)
+void SuspectRequest::Clear() {
+// @@protoc_insertion_point(message_clear_start:rattandyke.wire.SuspectRequest)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.segments_.Clear();
+  _impl_.crashes_.Clear();
   _impl_.service_.ClearToEmpty();
+  _impl_.fingerprint_.ClearToEmpty();
+  _impl_.banned_until_ms_ = int64_t{0};
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* ServiceRanges::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* SuspectRequest::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
@@ -10751,20 +12722,38 @@
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ServiceRanges.service"));
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SuspectRequest.service"));
         } else
           goto handle_unusual;
         continue;
-      // repeated .rattandyke.wire.RangeSegment segments = 2;
+      // string fingerprint = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_fingerprint();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SuspectRequest.fingerprint"));
+        } else
+          goto handle_unusual;
+        continue;
+      // repeated .rattandyke.wire.RecordedCrash crashes = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           ptr -= 1;
           do {
             ptr += 1;
-            ptr = ctx->ParseMessage(_internal_add_segments(), ptr);
+            ptr = ctx->ParseMessage(_internal_add_crashes(), ptr);
             CHK_(ptr);
             if (!ctx->DataAvailable(ptr)) break;
-          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      // int64 banned_until_ms = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.banned_until_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
         } else
           goto handle_unusual;
         continue;
@@ -10791,9 +12780,9 @@
 #undef CHK_
 }
 
-uint8_t* ServiceRanges::_InternalSerialize(
+uint8_t* SuspectRequest::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(serialize_to_array_start:rattandyke.wire.SuspectRequest)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
@@ -10802,38 +12791,54 @@
     ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
       this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ServiceRanges.service");
+      "rattandyke.wire.SuspectRequest.service");
     target = stream->WriteStringMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // repeated .rattandyke.wire.RangeSegment segments = 2;
+  // string fingerprint = 2;
+  if (!this->_internal_fingerprint().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "rattandyke.wire.SuspectRequest.fingerprint");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_fingerprint(), target);
+  }
+
+  // repeated .rattandyke.wire.RecordedCrash crashes = 3;
   for (unsigned i = 0,
-      n = static_cast<unsigned>(this->_internal_segments_size()); i < n; i++) {
-    const auto& repfield = this->_internal_segments(i);
+      n = static_cast<unsigned>(this->_internal_crashes_size()); i < n; i++) {
+    const auto& repfield = this->_internal_crashes(i);
     target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
-        InternalWriteMessage(2, repfield, repfield.GetCachedSize(), target, stream);
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  // int64 banned_until_ms = 4;
+  if (this->_internal_banned_until_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteInt64ToArray(4, this->_internal_banned_until_ms(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.ServiceRanges)
+  // @@protoc_insertion_point(serialize_to_array_end:rattandyke.wire.SuspectRequest)
   return target;
 }
 
-size_t ServiceRanges::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.ServiceRanges)
+size_t SuspectRequest::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:rattandyke.wire.SuspectRequest)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated .rattandyke.wire.RangeSegment segments = 2;
-  total_size += 1UL * this->_internal_segments_size();
-  for (const auto& msg : this->_impl_.segments_) {
+  // repeated .rattandyke.wire.RecordedCrash crashes = 3;
+  total_size += 1UL * this->_internal_crashes_size();
+  for (const auto& msg : this->_impl_.crashes_) {
     total_size +=
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
@@ -10845,58 +12850,81 @@
         this->_internal_service());
   }
 
+  // string fingerprint = 2;
+  if (!this->_internal_fingerprint().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_fingerprint());
+  }
+
+  // int64 banned_until_ms = 4;
+  if (this->_internal_banned_until_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_banned_until_ms());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData ServiceRanges::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData SuspectRequest::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    ServiceRanges::MergeImpl
+    SuspectRequest::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*ServiceRanges::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*SuspectRequest::GetClassData() const { return &_class_data_; }
 
 
-void ServiceRanges::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<ServiceRanges*>(&to_msg);
-  auto& from = static_cast<const ServiceRanges&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.ServiceRanges)
+void SuspectRequest::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<SuspectRequest*>(&to_msg);
+  auto& from = static_cast<const SuspectRequest&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:rattandyke.wire.SuspectRequest)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  _this->_impl_.segments_.MergeFrom(from._impl_.segments_);
+  _this->_impl_.crashes_.MergeFrom(from._impl_.crashes_);
   if (!from._internal_service().empty()) {
     _this->_internal_set_service(from._internal_service());
   }
+  if (!from._internal_fingerprint().empty()) {
+    _this->_internal_set_fingerprint(from._internal_fingerprint());
+  }
+  if (from._internal_banned_until_ms() != 0) {
+    _this->_internal_set_banned_until_ms(from._internal_banned_until_ms());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void ServiceRanges::CopyFrom(const ServiceRanges& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.ServiceRanges)
+void SuspectRequest::CopyFrom(const SuspectRequest& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:rattandyke.wire.SuspectRequest)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool ServiceRanges::IsInitialized() const {
+bool SuspectRequest::IsInitialized() const {
   return true;
 }
 
-void ServiceRanges::InternalSwap(ServiceRanges* other) {
+void SuspectRequest::InternalSwap(SuspectRequest* other) {
   using std::swap;
   auto* lhs_arena = GetArenaForAllocation();
   auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  _impl_.segments_.InternalSwap(&other->_impl_.segments_);
+  _impl_.crashes_.InternalSwap(&other->_impl_.crashes_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.service_, lhs_arena,
       &other->_impl_.service_, rhs_arena
   );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.fingerprint_, lhs_arena,
+      &other->_impl_.fingerprint_, rhs_arena
+  );
+  swap(_impl_.banned_until_ms_, other->_impl_.banned_until_ms_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata ServiceRanges::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata SuspectRequest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[27]);
+      file_level_metadata_gateway_2eproto[33]);
 }
 
 // ===================================================================
@@ -10935,6 +12963,7 @@
     , decltype(_impl_.ended_){from._impl_.ended_}
     , decltype(_impl_.evacuated_){from._impl_.evacuated_}
     , decltype(_impl_.controls_){from._impl_.controls_}
+    , decltype(_impl_.suspects_){from._impl_.suspects_}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){}
@@ -10966,6 +12995,7 @@
     , decltype(_impl_.ended_){arena}
     , decltype(_impl_.evacuated_){arena}
     , decltype(_impl_.controls_){arena}
+    , decltype(_impl_.suspects_){arena}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
@@ -10994,6 +13024,7 @@
   _impl_.ended_.~RepeatedPtrField();
   _impl_.evacuated_.~RepeatedPtrField();
   _impl_.controls_.~RepeatedPtrField();
+  _impl_.suspects_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
   if (this != internal_default_instance()) delete _impl_.rests_;
 }
@@ -11018,6 +13049,7 @@
   _impl_.ended_.Clear();
   _impl_.evacuated_.Clear();
   _impl_.controls_.Clear();
+  _impl_.suspects_.Clear();
   if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
     delete _impl_.limits_;
   }
@@ -11192,6 +13224,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.SuspectRequest suspects = 15;
+      case 15:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 122)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_suspects(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<122>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -11323,6 +13368,14 @@
         _Internal::rests(this).GetCachedSize(), target, stream);
   }
 
+  // repeated .rattandyke.wire.SuspectRequest suspects = 15;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_suspects_size()); i < n; i++) {
+    const auto& repfield = this->_internal_suspects(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(15, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -11410,6 +13463,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.SuspectRequest suspects = 15;
+  total_size += 1UL * this->_internal_suspects_size();
+  for (const auto& msg : this->_impl_.suspects_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // .rattandyke.wire.LimitsItem limits = 4;
   if (this->_internal_has_limits()) {
     total_size += 1 +
@@ -11457,6 +13517,7 @@
   _this->_impl_.ended_.MergeFrom(from._impl_.ended_);
   _this->_impl_.evacuated_.MergeFrom(from._impl_.evacuated_);
   _this->_impl_.controls_.MergeFrom(from._impl_.controls_);
+  _this->_impl_.suspects_.MergeFrom(from._impl_.suspects_);
   if (from._internal_has_limits()) {
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
@@ -11495,6 +13556,7 @@
   _impl_.ended_.InternalSwap(&other->_impl_.ended_);
   _impl_.evacuated_.InternalSwap(&other->_impl_.evacuated_);
   _impl_.controls_.InternalSwap(&other->_impl_.controls_);
+  _impl_.suspects_.InternalSwap(&other->_impl_.suspects_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
       + sizeof(GatewayState::_impl_.applied_)
@@ -11506,7 +13568,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayState::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[28]);
+      file_level_metadata_gateway_2eproto[34]);
 }
 
 // ===================================================================
@@ -11758,7 +13820,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedOpen::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[29]);
+      file_level_metadata_gateway_2eproto[35]);
 }
 
 // ===================================================================
@@ -11951,7 +14013,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedSnapshot::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[30]);
+      file_level_metadata_gateway_2eproto[36]);
 }
 
 // ===================================================================
@@ -12175,7 +14237,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[31]);
+      file_level_metadata_gateway_2eproto[37]);
 }
 
 // ===================================================================
@@ -12360,7 +14422,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedCommands::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[32]);
+      file_level_metadata_gateway_2eproto[38]);
 }
 
 // ===================================================================
@@ -12610,7 +14672,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedPing::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[33]);
+      file_level_metadata_gateway_2eproto[39]);
 }
 
 // ===================================================================
@@ -12897,7 +14959,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RangeLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[34]);
+      file_level_metadata_gateway_2eproto[40]);
 }
 
 // ===================================================================
@@ -13139,7 +15201,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata InstanceTime::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[35]);
+      file_level_metadata_gateway_2eproto[41]);
 }
 
 // ===================================================================
@@ -13426,7 +15488,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceLoad::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[36]);
+      file_level_metadata_gateway_2eproto[42]);
 }
 
 // ===================================================================
@@ -13740,7 +15802,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FeedReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[37]);
+      file_level_metadata_gateway_2eproto[43]);
 }
 
 // ===================================================================
@@ -14153,7 +16215,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedCall::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[38]);
+      file_level_metadata_gateway_2eproto[44]);
 }
 
 // ===================================================================
@@ -14416,7 +16478,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[39]);
+      file_level_metadata_gateway_2eproto[45]);
 }
 
 // ===================================================================
@@ -14703,7 +16765,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata FencedRange::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[40]);
+      file_level_metadata_gateway_2eproto[46]);
 }
 
 // ===================================================================
@@ -15330,7 +17392,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeat::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[41]);
+      file_level_metadata_gateway_2eproto[47]);
 }
 
 // ===================================================================
@@ -15567,7 +17629,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeats::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[42]);
+      file_level_metadata_gateway_2eproto[48]);
 }
 
 // ===================================================================
@@ -15912,7 +17974,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[43]);
+      file_level_metadata_gateway_2eproto[49]);
 }
 
 // ===================================================================
@@ -16097,7 +18159,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ForwardedHeartbeatAnswers::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[44]);
+      file_level_metadata_gateway_2eproto[50]);
 }
 
 // ===================================================================
@@ -16426,7 +18488,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata HostReport::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[45]);
+      file_level_metadata_gateway_2eproto[51]);
 }
 
 // ===================================================================
@@ -16713,7 +18775,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata OwnerDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[46]);
+      file_level_metadata_gateway_2eproto[52]);
 }
 
 // ===================================================================
@@ -17000,7 +19062,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata ServiceDemand::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[47]);
+      file_level_metadata_gateway_2eproto[53]);
 }
 
 // ===================================================================
@@ -17327,7 +19389,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata DemandDigest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[48]);
+      file_level_metadata_gateway_2eproto[54]);
 }
 
 // ===================================================================
@@ -17538,7 +19600,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata LinkProbe::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[49]);
+      file_level_metadata_gateway_2eproto[55]);
 }
 
 // ===================================================================
@@ -17848,7 +19910,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata UpstreamNotice::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[50]);
+      file_level_metadata_gateway_2eproto[56]);
 }
 
 // ===================================================================
@@ -18478,7 +20540,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[51]);
+      file_level_metadata_gateway_2eproto[57]);
 }
 
 // ===================================================================
@@ -18860,7 +20922,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[52]);
+      file_level_metadata_gateway_2eproto[58]);
 }
 
 // ===================================================================
@@ -19212,7 +21274,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata SlotDone::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[53]);
+      file_level_metadata_gateway_2eproto[59]);
 }
 
 // ===================================================================
@@ -19525,7 +21587,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayAsk::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[54]);
+      file_level_metadata_gateway_2eproto[60]);
 }
 
 // ===================================================================
@@ -19739,7 +21801,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayAnswer::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[55]);
+      file_level_metadata_gateway_2eproto[61]);
 }
 
 // ===================================================================
@@ -20478,7 +22540,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayedRequest::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[56]);
+      file_level_metadata_gateway_2eproto[62]);
 }
 
 // ===================================================================
@@ -20721,7 +22783,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayedField::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[57]);
+      file_level_metadata_gateway_2eproto[63]);
 }
 
 // ===================================================================
@@ -20748,6 +22810,7 @@
     , decltype(_impl_.state_){}
     , decltype(_impl_.status_){}
     , decltype(_impl_.cancelled_){}
+    , decltype(_impl_.connection_lost_){}
     , decltype(_impl_.elapsed_us_){}
     , decltype(_impl_.rest_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -20788,6 +22851,7 @@
     , decltype(_impl_.state_){0}
     , decltype(_impl_.status_){0u}
     , decltype(_impl_.cancelled_){false}
+    , decltype(_impl_.connection_lost_){false}
     , decltype(_impl_.elapsed_us_){uint64_t{0u}}
     , decltype(_impl_.rest_ms_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -20933,6 +22997,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool connection_lost = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 88)) {
+          _impl_.connection_lost_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -21030,6 +23102,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(10, this->_internal_rest_ms(), target);
   }
 
+  // bool connection_lost = 11;
+  if (this->_internal_connection_lost() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(11, this->_internal_connection_lost(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -21094,6 +23172,11 @@
     total_size += 1 + 1;
   }
 
+  // bool connection_lost = 11;
+  if (this->_internal_connection_lost() != 0) {
+    total_size += 1 + 1;
+  }
+
   // uint64 elapsed_us = 9;
   if (this->_internal_elapsed_us() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_elapsed_us());
@@ -21144,6 +23227,9 @@
   if (from._internal_cancelled() != 0) {
     _this->_internal_set_cancelled(from._internal_cancelled());
   }
+  if (from._internal_connection_lost() != 0) {
+    _this->_internal_set_connection_lost(from._internal_connection_lost());
+  }
   if (from._internal_elapsed_us() != 0) {
     _this->_internal_set_elapsed_us(from._internal_elapsed_us());
   }
@@ -21189,7 +23275,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayedResponse::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[58]);
+      file_level_metadata_gateway_2eproto[64]);
 }
 
 // ===================================================================
@@ -21367,7 +23453,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata RelayCancel::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[59]);
+      file_level_metadata_gateway_2eproto[65]);
 }
 
 // ===================================================================
@@ -21592,7 +23678,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PackedFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[60]);
+      file_level_metadata_gateway_2eproto[66]);
 }
 
 // ===================================================================
@@ -21622,6 +23708,7 @@
   static const ::rattandyke::wire::RelayedRequest& relayed_request(const GatewayFrame* msg);
   static const ::rattandyke::wire::RelayedResponse& relayed_response(const GatewayFrame* msg);
   static const ::rattandyke::wire::RelayCancel& relay_cancel(const GatewayFrame* msg);
+  static const ::rattandyke::wire::CrashReports& crash_reports(const GatewayFrame* msg);
 };
 
 const ::rattandyke::wire::FeedOpen&
@@ -21716,6 +23803,10 @@
 GatewayFrame::_Internal::relay_cancel(const GatewayFrame* msg) {
   return *msg->_impl_.body_.relay_cancel_;
 }
+const ::rattandyke::wire::CrashReports&
+GatewayFrame::_Internal::crash_reports(const GatewayFrame* msg) {
+  return *msg->_impl_.body_.crash_reports_;
+}
 void GatewayFrame::set_allocated_feed_open(::rattandyke::wire::FeedOpen* feed_open) {
   ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
   clear_body();
@@ -22061,6 +24152,21 @@
   }
   // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.relay_cancel)
 }
+void GatewayFrame::set_allocated_crash_reports(::rattandyke::wire::CrashReports* crash_reports) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_body();
+  if (crash_reports) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(crash_reports);
+    if (message_arena != submessage_arena) {
+      crash_reports = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, crash_reports, submessage_arena);
+    }
+    set_has_crash_reports();
+    _impl_.body_.crash_reports_ = crash_reports;
+  }
+  // @@protoc_insertion_point(field_set_allocated:rattandyke.wire.GatewayFrame.crash_reports)
+}
 GatewayFrame::GatewayFrame(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -22197,6 +24303,11 @@
           from._internal_relay_cancel());
       break;
     }
+    case kCrashReports: {
+      _this->_internal_mutable_crash_reports()->::rattandyke::wire::CrashReports::MergeFrom(
+          from._internal_crash_reports());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -22381,6 +24492,12 @@
       }
       break;
     }
+    case kCrashReports: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.body_.crash_reports_;
+      }
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -22598,6 +24715,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .rattandyke.wire.CrashReports crash_reports = 25;
+      case 25:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 202)) {
+          ptr = ctx->ParseMessage(_internal_mutable_crash_reports(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -22794,6 +24919,13 @@
         _Internal::relay_cancel(this).GetCachedSize(), target, stream);
   }
 
+  // .rattandyke.wire.CrashReports crash_reports = 25;
+  if (_internal_has_crash_reports()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(25, _Internal::crash_reports(this),
+        _Internal::crash_reports(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -22979,6 +25111,13 @@
           *_impl_.body_.relay_cancel_);
       break;
     }
+    // .rattandyke.wire.CrashReports crash_reports = 25;
+    case kCrashReports: {
+      total_size += 2 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.body_.crash_reports_);
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -23121,6 +25260,11 @@
           from._internal_relay_cancel());
       break;
     }
+    case kCrashReports: {
+      _this->_internal_mutable_crash_reports()->::rattandyke::wire::CrashReports::MergeFrom(
+          from._internal_crash_reports());
+      break;
+    }
     case BODY_NOT_SET: {
       break;
     }
@@ -23149,7 +25293,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata GatewayFrame::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_gateway_2eproto_getter, &descriptor_table_gateway_2eproto_once,
-      file_level_metadata_gateway_2eproto[61]);
+      file_level_metadata_gateway_2eproto[67]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -23256,6 +25400,22 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::RecordRests >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::RecordRests >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::UpstreamProcess*
+Arena::CreateMaybeMessage< ::rattandyke::wire::UpstreamProcess >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::UpstreamProcess >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::InterruptedRequest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::InterruptedRequest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::InterruptedRequest >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::CrashReports*
+Arena::CreateMaybeMessage< ::rattandyke::wire::CrashReports >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::CrashReports >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RecordCrashes*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RecordCrashes >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RecordCrashes >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayCommand*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayCommand >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayCommand >(arena);
@@ -23268,6 +25428,14 @@
 Arena::CreateMaybeMessage< ::rattandyke::wire::ServiceRanges >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::ServiceRanges >(arena);
 }
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::RecordedCrash*
+Arena::CreateMaybeMessage< ::rattandyke::wire::RecordedCrash >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::RecordedCrash >(arena);
+}
+template<> PROTOBUF_NOINLINE ::rattandyke::wire::SuspectRequest*
+Arena::CreateMaybeMessage< ::rattandyke::wire::SuspectRequest >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::rattandyke::wire::SuspectRequest >(arena);
+}
 template<> PROTOBUF_NOINLINE ::rattandyke::wire::GatewayState*
 Arena::CreateMaybeMessage< ::rattandyke::wire::GatewayState >(Arena* arena) {
   return Arena::CreateMessageInternal< ::rattandyke::wire::GatewayState >(arena);
