The soak learns repeated answers, large uploads and crashing requests

Upstreams give short answers twice for a while, the second time where the next response is due. The troubles draw from sources of their own.

--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -20,6 +20,11 @@
 KEYS = 65536
 LARGE_ANSWER_EACH = 8
 LEAVING_SECONDS = 1.5
+# The body of a request that crashes each upstream that begins to run it.
+POISON = b"the same order each time"
+# Share of the short answers that come twice while an upstream does that.
+DOUBLED_SHARE, LONGEST_DOUBLED = 0.3, 2000
+BACK_SECONDS = 1.0
 # Time that a request runs, and while an upstream is slow.
 RUN_SECONDS, SLOW_RUN_SECONDS = (0.002, 0.03), (0.1, 0.3)
 
@@ -31,6 +36,24 @@
     return f"{kind}:{request_id}:".encode() * (30000 if large else 20)
 
 
+class LateCopies:
+    """Answers that an upstream gives a second time, once the next request has
+    arrived on the connection."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.on = False
+        self.waiting = {}
+
+    def answered(self, writer, data):
+        if (self.on and len(data) <= LONGEST_DOUBLED
+                and self.random.random() < DOUBLED_SHARE):
+            self.waiting[writer] = data
+
+    def take(self, writer):
+        return self.waiting.pop(writer, b"")
+
+
 class Upstream:
     """Serves requests for the keys that it holds, by a clock of its own."""
 
@@ -63,6 +86,7 @@
         self.free_slots = asyncio.Semaphore(slots)
         self.watch = soak_judge.SlotWatch(slots)
         self.connections = set()
+        self.copies = LateCopies(f"{self.world.seed}/{self.id}")
         # Connections on which nothing passes any more, and their entries.
         self.cut_off = {}
         self.arrivals = []
@@ -74,6 +98,8 @@
         """As one that says so in time: it serves on for a while."""
         self.draining = self.says_leaving = True
         await asyncio.sleep(LEAVING_SECONDS)
+        if not self.alive:
+            return  # It has crashed.
         self.task.cancel()
         answer = await soak_http.call(
             *self.world.control_address(), "POST",
@@ -94,6 +120,13 @@
             writer.transport.abort()
         self.task.cancel()
 
+    async def come_back(self):
+        """Starts again some time after a crash."""
+        life = self.life
+        await asyncio.sleep(BACK_SECONDS)
+        if not self.world.over and self.life == life:
+            await self.start()
+
     def stop(self):
         """Frees its port: the block of ports is another soak's afterwards."""
         if self.server:
@@ -155,6 +188,7 @@
                     await paths.swallow(self.cut_off[writer])
                     writer.transport.abort()
                     return
+                writer.write(self.copies.take(writer))
                 await self.answer(first, fields, body, writer)
         except (soak_http.Broken, OSError, asyncio.CancelledError):
             pass  # The caller is gone, or the run is over.
@@ -187,6 +221,7 @@
         """Writes an answer, unless nothing passes on its connection."""
         if writer not in self.cut_off:
             writer.write(data)
+            self.copies.answered(writer, data)
 
     def say(self, request):
         """@return the fields by which it tells what it accepts."""
@@ -246,6 +281,12 @@
                     return False
                 self.world.ran(request, kind, self)
                 arrival.ran = True
+                if self.world.bodies.get(request) == POISON:
+                    self.world.count("crash")
+                    await self.crash()
+                    if not self.draining:
+                        asyncio.ensure_future(self.come_back())
+                    return False
                 await asyncio.sleep(self.world.random.uniform(
                     *(SLOW_RUN_SECONDS if self.slow else RUN_SECONDS)))
             return self.alive and self.life == life
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -7,7 +7,7 @@
 
 import soak_http
 import soak_judge
-from soak_actors import KEYS, body_for, words
+from soak_actors import KEYS, POISON, body_for, words
 
 DEADLINE_SECONDS = 2.0
 LONGEST_BODY = 60000
@@ -281,6 +281,7 @@
     def judge(self, request, kind, status, fields, body):
         world = self.world
         world.count(str(status))
+        soak_judge.judge_refusal(world, request, status, body, POISON)
         world.answers[kind, status] += 1
         if status == 200:
             if body != body_for(request, kind):
--- a/scripts/soak_judge.py
+++ b/scripts/soak_judge.py
@@ -243,3 +243,10 @@
         served[kind] += count * (status == 200)
     return sorted(kind for kind, count in sent.items()
                   if served[kind] < LEAST_SHARE * count)
+
+
+def judge_refusal(world, request, status, body, poison):
+    """Only the request that crashes upstreams may be refused for that."""
+    if (status == 503 and b"crash" in body
+            and world.bodies.get(request) != poison):
+        world.broke(f"{request} is innocent and was refused: {body!r}")
--- a/scripts/soak_run.py
+++ b/scripts/soak_run.py
@@ -18,6 +18,7 @@
 import soak_operator
 import soak_paths
 import soak_scheduling
+import soak_troubles
 
 CONTROL_HOSTS = 5
 ENTRY_HOSTS = 3
@@ -141,6 +142,7 @@
 data_folder = {self.folder / 'data' if control else ''}
 first_start = {'true' if first else 'false'}
 link_mbits = {self.world.scheduling.link(self.name)}
+{'' if control else self.world.troubles.memory()}
 [listen]
 callers = {'' if control else f'{self.listen}:{self.world.port(2)}'}
 readiness = {'' if control else f'{self.listen}:{self.world.port(3)}'}
@@ -239,6 +241,7 @@
         self.scheduling = soak_scheduling.draw(
             seed, scheduling, [host.name for host in self.hosts],
             [entry.name for entry in self.entries])
+        self.troubles = soak_troubles.Troubles()
         self.paths = soak_paths.Paths()
         # Requests that an upstream had at the same time.
         self.most_at_once = 0
@@ -382,6 +385,8 @@
 
 async def upstream_fault(world, upstream):
     kind = world.random.choice(["crash", "drain", "leave", "restart"])
+    if not upstream.alive:
+        return  # A request has crashed it, and it comes back by itself.
     world.fault(f"{kind} {upstream.id}")
     if kind == "drain":
         upstream.draining = True
@@ -550,8 +555,10 @@
 
 async def play(world):
     world.began = time.monotonic()
+    world.troubles = soak_troubles.draw(world.seed)
     watches = [asyncio.ensure_future(note_delays(world)),
-               asyncio.ensure_future(note_disk(world))]
+               asyncio.ensure_future(note_disk(world)),
+               asyncio.ensure_future(soak_troubles.watch_memory(world))]
     for host in world.hosts + world.entries:
         await host.proxy.start()
         host.start(first=True)
@@ -562,8 +569,10 @@
     for upstream in world.upstreams:
         await upstream.start()
     await asyncio.sleep(SETTLE_SECONDS)
+    world.faults_end = time.monotonic() + world.seconds
     tasks = [asyncio.ensure_future(caller.run())
-             for caller in soak_callers.callers(world)]
+             for caller in (soak_callers.callers(world)
+                            + soak_troubles.callers(world))]
     tasks.append(asyncio.ensure_future(operator.run()))
     tasks.append(asyncio.ensure_future(soak_actors.Stranger(world).run()))
     await asyncio.gather(
@@ -571,6 +580,7 @@
         path_faults(world, 1, (0.2, 3.0)),
         path_faults(world, 2, (2.0, 6.0)),
         faults(world, world.upstreams, upstream_fault, (0.5, 3.0)),
+        soak_troubles.double_faults(world),
         faults(world, world.upstreams[:UPSTREAMS], pressure_fault, (0.1, 1.0)),
         faults(world, world.upstreams[UPSTREAMS:], pressure_fault, (0.1, 1.0)))
     if world.random.random() < 0.5:
