Fingerprints cost nothing without a suspect, and little for a large body

Cause: after any crash, entries computed the digest of every request for ten minutes, and of 60 MB at once for an upload, on a host with a fifth of a core whose other requests wait meanwhile.

Change: the register tells until when any verdict can differ from Free: 10 s after a single crash. Of a long body the length and 128 KiB from each end identify it.

Measured: CrashRegisterTest.SingleCrashHasVerdictsForAShortTime.

--- a/src/librattandyke/gateway/crash_register.cpp
+++ b/src/librattandyke/gateway/crash_register.cpp
@@ -55,6 +55,25 @@
   for (const std::string& fingerprint : aCommand.lifted()) {
     mRequests.erase(fingerprint);
   }
+  UpdateVerdictsEnd();
+}
+
+WallTime
+CrashRegister::VerdictEnd(const Request& aRequest)
+{
+  const WallTime last = aRequest.crashes.back().at;
+  return aRequest.crashes.size() > 1
+           ? std::max(aRequest.bannedUntil, last) + kMemory
+           : last + kWatchFirst;
+}
+
+void
+CrashRegister::UpdateVerdictsEnd()
+{
+  mVerdictsEnd = {};
+  for (const auto& [fingerprint, request] : mRequests) {
+    mVerdictsEnd = std::max(mVerdictsEnd, VerdictEnd(request));
+  }
 }
 
 void
@@ -92,6 +111,7 @@
     }
     Judge(request);
   }
+  UpdateVerdictsEnd();
 }
 
 void
@@ -176,9 +196,8 @@
       aNow < last + kMaxHold) {
     return RequestVerdict::Held;
   }
-  return request.crashes.size() > 1 || aNow < last + kWatchFirst
-           ? RequestVerdict::Watched
-           : RequestVerdict::Free;
+  return aNow < VerdictEnd(request) ? RequestVerdict::Watched
+                                    : RequestVerdict::Free;
 }
 
 WallTime
@@ -256,6 +275,7 @@
         { FromMessage(crash), FromUnixMs(crash.at_ms()), crash.confirmed() });
     }
   }
+  UpdateVerdictsEnd();
 }
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/crash_register.h
+++ b/src/librattandyke/gateway/crash_register.h
@@ -71,6 +71,8 @@
   WallTime BannedUntil(const std::string& aFingerprint) const;
 
   /// @return whether any request's verdict may be another one than Free.
+  bool HasVerdicts(WallTime aNow) const { return aNow < mVerdictsEnd; }
+
   bool IsEmpty() const { return mRequests.empty(); }
 
   /// @return the processes of which it is not known whether they have crashed.
@@ -101,6 +103,9 @@
     WallTime bannedUntil{};
   };
 
+  /// @return when the verdict becomes Free, unless there is another crash.
+  static WallTime VerdictEnd(const Request& aRequest);
+  void UpdateVerdictsEnd();
   static wire::SuspectRequest ToMessage(const std::string& aFingerprint,
                                         const Request& aRequest);
   void RecordInterruption(const wire::InterruptedRequest& aInterruption);
@@ -114,6 +119,8 @@
 
   /// Time of the last command.
   WallTime mNow{};
+  /// The latest VerdictEnd().
+  WallTime mVerdictsEnd{};
   /// By fingerprint.
   std::map<std::string, Request> mRequests;
 };
--- a/src/librattandyke/gateway/crash_register_test.cpp
+++ b/src/librattandyke/gateway/crash_register_test.cpp
@@ -216,6 +216,19 @@
   EXPECT_EQ(restored.Unconfirmed().size(), 1U);
 }
 
+// Guards against the cost of a fingerprint for each request long after a crash.
+TEST_F(CrashRegisterTest, SingleCrashHasVerdictsForAShortTime)
+{
+  EXPECT_FALSE(crashes.HasVerdicts(now));
+  Interrupt("i-1");
+  EXPECT_TRUE(crashes.HasVerdicts(now));
+  EXPECT_FALSE(crashes.HasVerdicts(now + CrashRegister::kWatchFirst));
+  now += seconds{ 1 };
+  Interrupt("i-2");
+  EXPECT_TRUE(crashes.HasVerdicts(now + CrashRegister::kWatchFirst));
+  EXPECT_FALSE(crashes.HasVerdicts(now + CrashRegister::kMemory));
+}
+
 // Guards against memory that grows with each crash.
 TEST_F(CrashRegisterTest, NumberOfRequestsIsBounded)
 {
--- a/src/librattandyke/gateway/request_handler_quarantine.cpp
+++ b/src/librattandyke/gateway/request_handler_quarantine.cpp
@@ -14,6 +14,9 @@
 
 /// By then it is usually known whether the upstreams have crashed.
 constexpr milliseconds kRetryAfterHeld{ 1000 };
+/// Bytes of a body's beginning and of its end that identify it, with its
+/// length. A digest of 60 MB takes longer than other requests can wait.
+constexpr size_t kDigestedBytes = size_t{ 128 } * 1024;
 
 } // namespace
 
@@ -22,13 +25,20 @@
 {
   if (aProgress.fingerprint.empty()) {
     const UpstreamRequest& request = *aProgress.request;
+    const std::string_view body(request.body);
+    const std::string_view first = body.substr(0, kDigestedBytes);
+    const std::string_view rest = body.substr(first.size());
+    const std::string_view last =
+      rest.substr(rest.size() - std::min(rest.size(), kDigestedBytes));
     aProgress.fingerprint = entry::DigestOf(
       { aProgress.service,
         aProgress.credentials,
         request.method,
         request.target,
         aProgress.key ? std::to_string(*aProgress.key) : std::string(),
-        request.body });
+        std::to_string(body.size()),
+        first,
+        last });
   }
   return aProgress.fingerprint;
 }
@@ -37,11 +47,11 @@
 RequestHandler::RefuseIfQuarantined(RequestProgress& aProgress)
 {
   const CrashRegister& crashes = mFeed.CurrentState().Crashes();
-  if (crashes.IsEmpty()) {
+  const WallTime now = mClock.Wall();
+  if (!crashes.HasVerdicts(now)) {
     return std::nullopt;
   }
   const std::string& fingerprint = FingerprintOf(aProgress);
-  const WallTime now = mClock.Wall();
   const RequestVerdict verdict = crashes.Verdict(fingerprint, now);
   if (verdict == RequestVerdict::Free || verdict == RequestVerdict::Watched) {
     return std::nullopt;
@@ -69,8 +79,9 @@
   const AttemptResult& attempt = aResult.attempt;
   if (attempt.kind == AttemptResult::Kind::Response) {
     const CrashRegister& crashes = mFeed.CurrentState().Crashes();
-    if (!crashes.IsEmpty() &&
-        crashes.Verdict(FingerprintOf(aProgress), mClock.Wall()) !=
+    const WallTime time = mClock.Wall();
+    if (crashes.HasVerdicts(time) &&
+        crashes.Verdict(FingerprintOf(aProgress), time) !=
           RequestVerdict::Free) {
       mCrashReporter.OnAnswered(FingerprintOf(aProgress), now);
     }
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -228,8 +228,8 @@
   void AttachConnection(std::shared_ptr<UpstreamConnection> aConnection);
   void DetachConnection() { mConnection.reset(); }
 
-  /// For whoever waits for something else: what Cancel() calls, at once if it
-  /// was called before.
+  /// For operations that wait without a connection: what Cancel() calls, at
+  /// once if it was called before.
   void AttachWaiter(std::function<void()> aOnCancel);
   void DetachWaiter() { mOnCancel = nullptr; }
 
