A response that this host has no room for is no failure of its upstream

Cause: with the memory budget an attempt may end because the host has no room for the response, or gives up waiting for it.

Change: such an attempt is told apart. Responses that a relay returned count toward the budget, too.

Measured: UpstreamClientTest.ResponseBeyondTheBudgetIsNotRead checks it.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -602,6 +602,9 @@
   if (aProgress.key && HasAskedForRest(aResult)) {
     return false; // Only the owner of the key could run it.
   }
+  if (aResult.noRoom) {
+    return false; // There would be none for the next response, either.
+  }
   const bool safe = aResult.kind == AttemptResult::Kind::NotExecuted ||
                     (aProgress.route->idempotent &&
                      aResult.kind == AttemptResult::Kind::OutcomeUnknown);
--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -105,6 +105,11 @@
     co_return result;
   }
   result = co_await mRelay.RoundTrip(mFeed.CurrentState(), attempt, aHandle);
+  UpstreamResponse& response = result.attempt.response;
+  if (auto bodyRoom =
+        mBodies.TryReserve(MemoryBudget::Use::Response, response.body.size())) {
+    response.bodyRoom = std::move(*bodyRoom);
+  }
   if (result.refusal == RelayResult::Refusal::UnreachableForOthers) {
     mReach.RecordUnreachableForOthers(service, aProcess.instance, mClock.Now());
   }
@@ -217,6 +222,9 @@
   if (aResult.refusal == RelayResult::Refusal::UnreachableForOthers) {
     return AttemptOutcome::Unreachable;
   }
+  if (aResult.attempt.noRoom) {
+    return AttemptOutcome::Answered;
+  }
   const bool relayed =
     !aResult.relay.empty() && aResult.refusal == RelayResult::Refusal::None;
   const bool lost = !relayed && mReach.IsLost(aProgress.service);
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -487,12 +487,17 @@
     parser.body_limit(boost::none);
     parser.skip(aRequest->method == "HEAD");
     auto room = co_await ReadWhole(*aConnection, parser, aTimeLeft, *aHandle);
+    if (!room && room.error() == NoRoomError()) {
+      AttemptResult result =
+        UnusableResponse("this host has no room for the answer");
+      result.noRoom = true;
+      co_return result;
+    }
     if (!room) {
       AttemptResult result =
         MakeResult(AttemptResult::Kind::OutcomeUnknown,
                    "no whole answer: " + room.error().message());
-      result.connectionLost =
-        room.error() != NoRoomError() && !aHandle->IsCancelled();
+      result.connectionLost = !aHandle->IsCancelled();
       co_return result;
     }
     auto& message = parser.get();
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -203,6 +203,8 @@
   bool newConnection = false;
   /// The connection ended while the request was in progress.
   bool connectionLost = false;
+  /// The upstream responded, but this host had no room for the response.
+  bool noRoom = false;
   /// The upstream sent a response, whether or not it is one to the request.
   bool responded = false;
   /// Time from sending the request to the end of the attempt; 0 if the request
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -438,6 +438,10 @@
   const auto attempts =
     Send({ ResponseTo("r-1", std::string(2 * kBodyBytes, 'x')) });
   EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
+  // The upstream and the path to it are well.
+  EXPECT_TRUE(attempts[0].responded);
+  EXPECT_TRUE(attempts[0].noRoom);
+  EXPECT_FALSE(attempts[0].connectionLost);
   EXPECT_EQ(bodies.BytesInUse(), 0U);
   EXPECT_LT(bodies.PeakBytes(), kBodyBytes);
 }
