--- a/src/librattandyke/gateway/crash_register_test.cpp
+++ b/src/librattandyke/gateway/crash_register_test.cpp
@@ -265,7 +265,8 @@
     const std::string instance = "i-" + std::to_string(crash);
     start(instance, 1);
     wire::GatewayCommand record;
-    record.mutable_record_crashes()->set_told_at_ms(1000 * (crash + 1));
+    record.mutable_record_crashes()->set_told_at_ms(int64_t{ 1000 } *
+                                                    (crash + 1));
     wire::InterruptedRequest* interrupted =
       record.mutable_record_crashes()->add_interrupted();
     interrupted->set_instance(instance);
