The soak notes its own delay before it calls an answer late

Trace: the entry's log has both answered after 1,900 and 1,893 ms of 2,000; the soak was held up for 2.82 s just then, and the disk took 17.5 s for a sync. The callers were resumed before the task that notes delays, so the delay was not taken off.

Change: an answer that seems late is judged again 50 ms later, with the time at which it was read. Nothing else is excused than before: the same delays, which are noted by then.

--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -19,6 +19,7 @@
 # have seen the end of the connection.
 ARRIVALS_SECONDS = 0.2
 CHECK_SECONDS = 0.25
+NOTED_AFTER_SECONDS = 0.05
 # Slow readers leave most of a large answer with the entry for this long.
 SLOW_BUFFER_BYTES, SLOW_SECONDS = 8192, 0.15
 
@@ -227,7 +228,7 @@
             return False
         connection.carried += 1
         connection.used = time.monotonic()
-        if self.is_late(connection, sent):
+        if await self.is_late(connection, sent, connection.used):
             self.broke(connection, sent, f"is late with {first}")
         status = int(first.split()[1])
         arrivals = [arrival for arrival in
@@ -244,15 +245,21 @@
         try:
             while not (await asyncio.wait([reading],
                                           timeout=CHECK_SECONDS))[0]:
-                if self.is_late(connection, sent):
+                if await self.is_late(connection, sent, time.monotonic()):
                     raise Late()
             return reading.result()
         finally:
             reading.cancel()
 
-    def is_late(self, connection, sent):
-        return soak_judge.is_late(sent, time.monotonic(),
-                                  connection.entry.life, self.world.held_up)
+    async def is_late(self, connection, sent, now):
+        """A delay of the soak itself is noted once its loop goes on, which may
+        be after the answer was read."""
+        for _ in range(2):
+            if not soak_judge.is_late(sent, now, connection.entry.life,
+                                      self.world.held_up):
+                return False
+            await asyncio.sleep(NOTED_AFTER_SECONDS)
+        return True
 
     async def judge_end(self, connection, sent, ended):
         await asyncio.sleep(ARRIVALS_SECONDS)
