--- a/src/librattandyke/base/request_ids.h
+++ b/src/librattandyke/base/request_ids.h
@@ -12,7 +12,7 @@
 class RequestIds
 {
 public:
-  /// @param aProcessId random, chosen at each start of the process.
+  /// @param aProcessId random, another one at each start of the process.
   explicit RequestIds(uint64_t aProcessId)
     : mLast(aProcessId & kStartMask)
   {
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -38,12 +38,6 @@
 constexpr milliseconds kRetryAfterNoState{ 300 };
 /// The caller's next request is likely to reach another host.
 constexpr milliseconds kRetryAfterNoPath{ 100 };
-/// Longest time, and share of the caller's time, for which a request waits
-/// until there is room for its body.
-constexpr milliseconds kMaxBodyWait{ 800 };
-constexpr double kMaxBodyWaitShare = 0.3;
-/// A large body is in memory for about a second.
-constexpr milliseconds kRetryAfterNoRoom{ 1000 };
 /// Remaining time below which a request is not retried and waits for no slot.
 constexpr milliseconds kMinAttemptTime{ 15 };
 /// Timeout of a request without a deadline header.
@@ -236,30 +230,6 @@
   return *budget;
 }
 
-std::shared_ptr<const UpstreamRequest>
-RequestHandler::MakeUpstreamRequest(CallerRequest& aRequest,
-                                    const std::string& aId) const
-{
-  auto upstreamRequest = std::make_shared<UpstreamRequest>();
-  upstreamRequest->method = aRequest.method;
-  upstreamRequest->target = aRequest.target;
-  upstreamRequest->body = std::move(aRequest.body);
-  upstreamRequest->bodyRoom = std::move(aRequest.bodyRoom);
-  upstreamRequest->hasBody = aRequest.hasBody;
-  upstreamRequest->requestId = aId;
-  http::ForEachEndToEnd(
-    aRequest.fields, [&](std::string_view aName, std::string_view aValue) {
-      const bool notForwarded =
-        boost::beast::iequals(aName, mHeaders.deadline) ||
-        boost::beast::iequals(aName, mHeaders.expectedInstance) ||
-        boost::beast::iequals(aName, "Expect");
-      if (!notForwarded) {
-        http::AppendField(upstreamRequest->fields, aName, aValue);
-      }
-    });
-  return upstreamRequest;
-}
-
 CallerLimits
 RequestHandler::Limits() const
 {
@@ -285,31 +255,6 @@
                                   : kDefaultTimeout.count());
 }
 
-/// A caller gives a request up that is not read within a second, or within a
-/// third of its time.
-Duration
-RequestHandler::MaxBodyWait(const boost::beast::http::fields& aFields) const
-{
-  return std::min<Duration>(
-    kMaxBodyWait, Scaled(StatedTime(aFields, mHeaders), kMaxBodyWaitShare));
-}
-
-CallerResponse
-RequestHandler::MakeNoRoomResponse(const boost::beast::http::fields& aFields)
-{
-  const std::string id(http::FieldOf(aFields, mHeaders.requestId));
-  LogLine(id) << "request not read: there is no room for its body length="
-              << http::FieldOf(aFields, "Content-Length")
-              << " bodies=" << mBodies.BytesInUse()
-              << " budget=" << mBodies.Bytes()
-              << " waiting=" << mBodies.WaitingBodies();
-  mMetrics.Increment("bodies_refused", "");
-  return MakeResponse(kUnavailable,
-                      id,
-                      "there is no room for the request's body",
-                      Duration(kRetryAfterNoRoom));
-}
-
 std::string
 RequestHandler::RequestIdOf(const CallerRequest& aRequest) const
 {
@@ -377,15 +322,6 @@
   return mMetrics.PrometheusText();
 }
 
-void
-RequestHandler::SetBodyMetrics()
-{
-  mMetrics.Set("bodies_bytes", static_cast<double>(mBodies.BytesInUse()));
-  mMetrics.Set("bodies_peak_bytes", static_cast<double>(mBodies.PeakBytes()));
-  mMetrics.Set("bodies_budget_bytes", static_cast<double>(mBodies.Bytes()));
-  mMetrics.Set("bodies_waiting", static_cast<double>(mBodies.WaitingBodies()));
-}
-
 asio::awaitable<CallerResponse>
 RequestHandler::RouteRequest(std::shared_ptr<RequestContext> aContext,
                              CallerRequest aRequest)
