@@ -20231,13 +19886,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string reply_to = 1;
+  // bytes reply_to = 1;
   if (!this->_internal_reply_to().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_reply_to().data(), static_cast<int>(this->_internal_reply_to().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAsk.reply_to");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_reply_to(), target);
   }
 
@@ -20253,34 +19904,22 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_ticket(), target);
   }
 
-  // string service = 4;
+  // bytes service = 4;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAsk.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_service(), target);
   }
 
-  // string instance = 5;
+  // bytes instance = 5;
   if (!this->_internal_instance().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAsk.instance");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_instance(), target);
   }
 
-  // repeated string excluded = 6;
+  // repeated bytes excluded = 6;
   for (int i = 0, n = this->_internal_excluded_size(); i < n; i++) {
     const auto& s = this->_internal_excluded(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAsk.excluded");
-    target = stream->WriteString(6, s, target);
+    target = stream->WriteBytes(6, s, target);
   }
 
   // uint32 priority = 7;
@@ -20301,13 +19940,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(9, this->_internal_held_ms(), target);
   }
 
-  // string data_centre = 10;
+  // bytes data_centre = 10;
   if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAsk.data_centre");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         10, this->_internal_data_centre(), target);
   }
 
@@ -20353,11 +19988,11 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string excluded = 6;
+  // repeated bytes excluded = 6;
   total_size += 1 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.excluded_.size());
   for (int i = 0, n = _impl_.excluded_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
       _impl_.excluded_.Get(i));
   }
 
@@ -20368,31 +20003,31 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // string reply_to = 1;
+  // bytes reply_to = 1;
   if (!this->_internal_reply_to().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_reply_to());
   }
 
-  // string service = 4;
+  // bytes service = 4;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string instance = 5;
+  // bytes instance = 5;
   if (!this->_internal_instance().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_instance());
   }
 
-  // string data_centre = 10;
+  // bytes data_centre = 10;
   if (!this->_internal_data_centre().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_data_centre());
   }
 
@@ -20678,13 +20313,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string instance = 4;
+      // bytes instance = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotAnswer.instance"));
         } else
           goto handle_unusual;
         continue;
@@ -20761,13 +20395,9 @@
       3, this->_internal_state(), target);
   }
 
-  // string instance = 4;
+  // bytes instance = 4;
   if (!this->_internal_instance().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotAnswer.instance");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_instance(), target);
   }
 
@@ -20807,10 +20437,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string instance = 4;
+  // bytes instance = 4;
   if (!this->_internal_instance().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_instance());
   }
 
@@ -21033,13 +20663,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string from = 1;
+      // bytes from = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_from();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotDone.from"));
         } else
           goto handle_unusual;
         continue;
@@ -21112,13 +20741,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string from = 1;
+  // bytes from = 1;
   if (!this->_internal_from().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_from().data(), static_cast<int>(this->_internal_from().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotDone.from");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_from(), target);
   }
 
@@ -21169,10 +20794,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string from = 1;
+  // bytes from = 1;
   if (!this->_internal_from().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_from());
   }
 
@@ -21390,23 +21015,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string service = 2;
+      // bytes service = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayAsk.service"));
         } else
           goto handle_unusual;
         continue;
-      // string instance = 3;
+      // bytes instance = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayAsk.instance"));
         } else
           goto handle_unusual;
         continue;
@@ -21453,23 +21076,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayAsk.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_service(), target);
   }
 
-  // string instance = 3;
+  // bytes instance = 3;
   if (!this->_internal_instance().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayAsk.instance");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_instance(), target);
   }
 
@@ -21495,17 +21110,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string instance = 3;
+  // bytes instance = 3;
   if (!this->_internal_instance().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_instance());
   }
 
@@ -22025,23 +21640,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string service = 2;
+      // bytes service = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.service"));
         } else
           goto handle_unusual;
         continue;
-      // string instance = 3;
+      // bytes instance = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_instance();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.instance"));
         } else
           goto handle_unusual;
         continue;
@@ -22053,13 +21666,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string method = 5;
+      // bytes method = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_method();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.method"));
         } else
           goto handle_unusual;
         continue;
@@ -22115,13 +21727,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string route = 12;
+      // bytes route = 12;
       case 12:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
           auto str = _internal_mutable_route();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedRequest.route"));
         } else
           goto handle_unusual;
         continue;
@@ -22192,23 +21803,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedRequest.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_service(), target);
   }
 
-  // string instance = 3;
+  // bytes instance = 3;
   if (!this->_internal_instance().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_instance().data(), static_cast<int>(this->_internal_instance().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedRequest.instance");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_instance(), target);
   }
 
@@ -22218,13 +21821,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_life(), target);
   }
 
-  // string method = 5;
+  // bytes method = 5;
   if (!this->_internal_method().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_method().data(), static_cast<int>(this->_internal_method().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedRequest.method");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_method(), target);
   }
 
@@ -22264,13 +21863,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(11, this->_internal_left_ms(), target);
   }
 
-  // string route = 12;
+  // bytes route = 12;
   if (!this->_internal_route().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_route().data(), static_cast<int>(this->_internal_route().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedRequest.route");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         12, this->_internal_route(), target);
   }
 
@@ -22314,24 +21909,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string instance = 3;
+  // bytes instance = 3;
   if (!this->_internal_instance().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_instance());
   }
 
-  // string method = 5;
+  // bytes method = 5;
   if (!this->_internal_method().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_method());
   }
 
@@ -22363,10 +21958,10 @@
         this->_internal_request_id());
   }
 
-  // string route = 12;
+  // bytes route = 12;
   if (!this->_internal_route().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_route());
   }
 
@@ -22963,13 +22558,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string reason = 7;
+      // bytes reason = 7;
       case 7:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
           auto str = _internal_mutable_reason();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.RelayedResponse.reason"));
         } else
           goto handle_unusual;
         continue;
@@ -23074,13 +22668,9 @@
         6, this->_internal_body(), target);
   }
 
-  // string reason = 7;
+  // bytes reason = 7;
   if (!this->_internal_reason().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_reason().data(), static_cast<int>(this->_internal_reason().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.RelayedResponse.reason");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         7, this->_internal_reason(), target);
   }
 
@@ -23138,10 +22728,10 @@
         this->_internal_body());
   }
 
-  // string reason = 7;
+  // bytes reason = 7;
   if (!this->_internal_reason().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_reason());
   }
 
--- a/src/librattandyke/wire/peer.pb.cpp
+++ b/src/librattandyke/wire/peer.pb.cpp
@@ -908,9 +908,9 @@
 const char descriptor_table_protodef_peer_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\npeer.proto\022\017rattandyke.wire\032\nrate.prot"
   "o\032\013table.proto\"\331\003\n\tHeartbeat\022\014\n\004host\030\001 \001"
-  "(\t\022\017\n\007session\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n"
-  "\013data_centre\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t"
-  "\022\025\n\radmin_address\030\006 \001(\t\022\025\n\rtable_version"
+  "(\014\022\017\n\007session\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n"
+  "\013data_centre\030\004 \001(\014\022\024\n\014peer_address\030\005 \001(\014"
+  "\022\025\n\radmin_address\030\006 \001(\014\022\025\n\rtable_version"
   "\030\007 \001(\004\022\030\n\020quiesced_version\030\010 \001(\004\0222\n\tupst"
   "reams\030\t \003(\0132\037.rattandyke.wire.UpstreamRe"
   "port\0223\n\010evidence\030\n \003(\0132!.rattandyke.wire"
@@ -918,28 +918,28 @@
   "ttandyke.wire.KeyLoad\022-\n\nslot_loads\030\014 \003("
   "\0132\031.rattandyke.wire.SlotLoad\022\017\n\007leaving\030"
   "\r \001(\010\022\r\n\005entry\030\016 \001(\010\022\024\n\014log_identity\030\017 \001"
-  "(\004\022\030\n\020upstream_address\030\020 \001(\t\022\024\n\014hosts_di"
+  "(\004\022\030\n\020upstream_address\030\020 \001(\014\022\024\n\014hosts_di"
   "gest\030\021 \001(\004\"\222\001\n\016UpstreamReport\022,\n\tannounc"
   "ed\030\001 \001(\0132\031.rattandyke.wire.Upstream\022\026\n\016g"
   "rants_version\030\002 \001(\004\022\016\n\006lapsed\030\003 \001(\010\022\020\n\010d"
   "raining\030\004 \001(\010\022\030\n\020announced_ms_ago\030\005 \001(\r\""
-  "\224\001\n\020UpstreamEvidence\022\017\n\007service\030\001 \001(\t\022\020\n"
-  "\010upstream\030\002 \001(\t\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006fa"
+  "\224\001\n\020UpstreamEvidence\022\017\n\007service\030\001 \001(\014\022\020\n"
+  "\010upstream\030\002 \001(\014\022\021\n\tsucceeded\030\003 \001(\r\022\016\n\006fa"
   "iled\030\004 \001(\r\022\023\n\013unreachable\030\005 \001(\r\022\014\n\004shed\030"
   "\006 \001(\r\022\027\n\017mean_latency_us\030\007 \001(\r\"N\n\007KeyLoa"
-  "d\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\020\n\010reque"
+  "d\022\017\n\007service\030\001 \001(\014\022\013\n\003key\030\002 \001(\014\022\020\n\010reque"
   "sts\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"P\n\010SlotLo"
-  "ad\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\020\n\010req"
+  "ad\022\017\n\007service\030\001 \001(\014\022\014\n\004slot\030\002 \001(\r\022\020\n\010req"
   "uests\030\003 \001(\r\022\023\n\013interval_ms\030\004 \001(\r\"\362\001\n\016Hea"
-  "rtbeatReply\022\014\n\004host\030\001 \001(\t\022\017\n\007session\030\002 \001"
+  "rtbeatReply\022\014\n\004host\030\001 \001(\014\022\017\n\007session\030\002 \001"
   "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004term\030\004 \001(\004\022\016\n\006le"
-  "ader\030\005 \001(\t\022\017\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030"
+  "ader\030\005 \001(\014\022\017\n\007granted\030\006 \001(\010\022\020\n\010lease_ms\030"
   "\007 \001(\r\022,\n\006update\030\010 \001(\0132\034.rattandyke.wire."
   "TableUpdate\022(\n\005hosts\030\t \001(\0132\031.rattandyke."
   "wire.HostList\022\026\n\016keeper_version\030\n \001(\004\"G\n"
   "\010HostList\022\016\n\006digest\030\001 \001(\004\022\017\n\007entries\030\002 \003"
-  "(\t\022\032\n\022upstream_addresses\030\003 \003(\t\"\333\004\n\013CallR"
-  "equest\022\n\n\002id\030\001 \001(\004\022\014\n\004host\030\002 \001(\t\022\017\n\007sess"
+  "(\014\022\032\n\022upstream_addresses\030\003 \003(\014\"\333\004\n\013CallR"
+  "equest\022\n\n\002id\030\001 \001(\004\022\014\n\004host\030\002 \001(\014\022\017\n\007sess"
   "ion\030\003 \001(\004\022:\n\rsubmit_record\030\n \001(\0132!.ratta"
   "ndyke.wire.SubmitRecordCallH\000\022+\n\005claim\030\013"
   " \001(\0132\032.rattandyke.wire.ClaimCallH\000\022<\n\016co"
@@ -955,51 +955,51 @@
   ".MembershipCallH\000\022+\n\005trial\030\024 \001(\0132\032.ratta"
   "ndyke.wire.TrialCallH\000B\006\n\004bodyJ\004\010\021\020\022\"\353\001\n"
   "\tCallReply\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\017\n\007"
-  "message\030\003 \001(\t\022\016\n\006leader\030\004 \001(\t\022)\n\006record\030"
+  "message\030\003 \001(\014\022\016\n\006leader\030\004 \001(\014\022)\n\006record\030"
   "\n \001(\0132\027.rattandyke.wire.RecordH\000\022,\n\005clai"
   "m\030\013 \001(\0132\033.rattandyke.wire.ClaimReplyH\000\022\016"
-  "\n\004json\030\014 \001(\tH\000\022,\n\005trial\030\016 \001(\0132\033.rattandy"
+  "\n\004json\030\014 \001(\014H\000\022,\n\005trial\030\016 \001(\0132\033.rattandy"
   "ke.wire.TrialReplyH\000B\006\n\004bodyJ\004\010\r\020\016\"}\n\020Su"
   "bmitRecordCall\022\'\n\006record\030\001 \001(\0132\027.rattand"
   "yke.wire.Record\022\031\n\021expected_revision\030\002 \001"
   "(\004\022\024\n\014any_revision\030\003 \001(\010\022\017\n\007dry_run\030\004 \001("
-  "\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 \001(\t\022\020\n\010cust"
-  "omer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016r"
+  "\010\"\206\001\n\tClaimCall\022\017\n\007service\030\001 \001(\014\022\020\n\010cust"
+  "omer\030\002 \001(\014\022\027\n\017idempotency_key\030\003 \001(\014\022\026\n\016r"
   "equest_digest\030\004 \001(\014\022\024\n\014retention_ms\030\005 \001("
   "\004\022\017\n\007attempt\030\006 \001(\004\"r\n\014StoredAnswer\022\016\n\006st"
   "atus\030\001 \001(\r\022.\n\007headers\030\002 \003(\0132\035.rattandyke"
   ".wire.StoredHeader\022\014\n\004body\030\003 \001(\014\022\024\n\014body"
   "_dropped\030\004 \001(\010\"+\n\014StoredHeader\022\014\n\004name\030\001"
-  " \001(\t\022\r\n\005value\030\002 \001(\t\"z\n\nClaimReply\022.\n\007out"
+  " \001(\014\022\r\n\005value\030\002 \001(\014\"z\n\nClaimReply\022.\n\007out"
   "come\030\001 \001(\0162\035.rattandyke.wire.ClaimOutcom"
   "e\022\r\n\005claim\030\002 \001(\004\022-\n\006answer\030\003 \001(\0132\035.ratta"
   "ndyke.wire.StoredAnswer\"\236\001\n\021CompleteClai"
-  "mCall\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t"
-  "\022\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004"
+  "mCall\022\017\n\007service\030\001 \001(\014\022\020\n\010customer\030\002 \001(\014"
+  "\022\027\n\017idempotency_key\030\003 \001(\014\022\r\n\005claim\030\004 \001(\004"
   "\022-\n\006answer\030\005 \001(\0132\035.rattandyke.wire.Store"
   "dAnswer\022\017\n\007unknown\030\006 \001(\010\"n\n\020ReleaseClaim"
-  "Call\022\017\n\007service\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022"
-  "\027\n\017idempotency_key\030\003 \001(\t\022\r\n\005claim\030\004 \001(\004\022"
+  "Call\022\017\n\007service\030\001 \001(\014\022\020\n\010customer\030\002 \001(\014\022"
+  "\027\n\017idempotency_key\030\003 \001(\014\022\r\n\005claim\030\004 \001(\004\022"
   "\017\n\007attempt\030\005 \001(\004\",\n\007BanCall\022!\n\003ban\030\001 \001(\013"
   "2\024.rattandyke.wire.Ban\"q\n\017CrashReportCal"
-  "l\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013"
-  "incarnation\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\t\022"
-  "\020\n\010on_trial\030\005 \001(\t\"\223\001\n\tTrialCall\022\017\n\007servi"
-  "ce\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\t\022\020\n\010upstrea"
-  "m\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004\022(\n\004step\030\005 \001"
+  "l\022\017\n\007service\030\001 \001(\014\022\020\n\010upstream\030\002 \001(\014\022\023\n\013"
+  "incarnation\030\003 \001(\004\022\024\n\014fingerprints\030\004 \003(\014\022"
+  "\020\n\010on_trial\030\005 \001(\014\"\223\001\n\tTrialCall\022\017\n\007servi"
+  "ce\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022\020\n\010upstrea"
+  "m\030\003 \001(\014\022\023\n\013incarnation\030\004 \001(\004\022(\n\004step\030\005 \001"
   "(\0162\032.rattandyke.wire.TrialStep\022\017\n\007attemp"
   "t\030\006 \001(\004\"5\n\nTrialReply\022\017\n\007granted\030\001 \001(\010\022\026"
   "\n\016retry_after_ms\030\002 \001(\r\"E\n\021DrainUpstreamC"
-  "all\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\r"
-  "\n\005drain\030\003 \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\t"
-  "\022\017\n\007service\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\"\354\001\n\rCredi"
-  "tRequest\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 "
-  "\001(\t\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030\004 \001("
+  "all\022\017\n\007service\030\001 \001(\014\022\020\n\010upstream\030\002 \001(\014\022\r"
+  "\n\005drain\030\003 \001(\010\"7\n\tQueryCall\022\014\n\004what\030\001 \001(\014"
+  "\022\017\n\007service\030\002 \001(\014\022\013\n\003key\030\003 \001(\014\"\354\001\n\rCredi"
+  "tRequest\022\017\n\007service\030\001 \001(\014\022\020\n\010upstream\030\002 "
+  "\001(\014\022\023\n\013incarnation\030\003 \001(\004\022\017\n\007request\030\004 \001("
   "\004\022)\n\003ask\030\n \001(\0132\032.rattandyke.wire.CreditA"
   "skH\000\0222\n\tgive_back\030\013 \001(\0132\035.rattandyke.wir"
   "e.CreditReturnH\000\022+\n\006notice\030\014 \001(\0132\033.ratta"
   "ndyke.wire.RateNoticeB\006\n\004body\"\273\001\n\tCredit"
-  "Ask\022\020\n\010customer\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\022\026\n"
+  "Ask\022\020\n\010customer\030\001 \001(\014\022\016\n\006weight\030\002 \001(\001\022\026\n"
   "\016max_concurrent\030\003 \001(\r\022\027\n\017rate_per_second"
   "\030\004 \001(\001\022\027\n\017admit_within_us\030\005 \001(\004\022\030\n\020finis"
   "h_within_us\030\006 \001(\004\022\022\n\nidempotent\030\007 \001(\010\022\024\n"
@@ -1007,14 +1007,14 @@
   "nding\030\001 \001(\0162\035.rattandyke.wire.CreditEndi"
   "ng\022\027\n\017service_time_us\030\002 \001(\004\022\026\n\016retry_aft"
   "er_us\030\003 \001(\004\"\327\001\n\014CreditAnswer\022\017\n\007service\030"
-  "\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\023\n\013incarnation\030\003"
+  "\001 \001(\014\022\020\n\010upstream\030\002 \001(\014\022\023\n\013incarnation\030\003"
   " \001(\004\022\017\n\007request\030\004 \001(\004\022+\n\005state\030\005 \001(\0162\034.r"
   "attandyke.wire.CreditState\022\014\n\004code\030\006 \001(\r"
   "\022\026\n\016retry_after_us\030\007 \001(\004\022+\n\006notice\030\010 \001(\013"
   "2\033.rattandyke.wire.RateNotice\"f\n\016Members"
   "hipCall\022\024\n\014add_identity\030\001 \001(\004\022\020\n\010add_hos"
-  "t\030\002 \001(\t\022\023\n\013add_address\030\003 \001(\t\022\027\n\017remove_i"
-  "dentity\030\004 \001(\004\"\222\003\n\010Envelope\022\014\n\004from\030\001 \001(\t"
+  "t\030\002 \001(\014\022\023\n\013add_address\030\003 \001(\014\022\027\n\017remove_i"
+  "dentity\030\004 \001(\004\"\222\003\n\010Envelope\022\014\n\004from\030\001 \001(\014"
   "\022\024\n\014from_session\030\002 \001(\004\022/\n\theartbeat\030\n \001("
   "\0132\032.rattandyke.wire.HeartbeatH\000\022:\n\017heart"
   "beat_reply\030\013 \001(\0132\037.rattandyke.wire.Heart"
@@ -1314,13 +1314,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string host = 1;
+      // bytes host = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_host();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.host"));
         } else
           goto handle_unusual;
         continue;
@@ -1340,33 +1339,30 @@
         } else
           goto handle_unusual;
         continue;
-      // string data_centre = 4;
+      // bytes data_centre = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_data_centre();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.data_centre"));
         } else
           goto handle_unusual;
         continue;
-      // string peer_address = 5;
+      // bytes peer_address = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_peer_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.peer_address"));
         } else
           goto handle_unusual;
         continue;
-      // string admin_address = 6;
+      // bytes admin_address = 6;
       case 6:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
           auto str = _internal_mutable_admin_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.admin_address"));
         } else
           goto handle_unusual;
         continue;
@@ -1462,13 +1458,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string upstream_address = 16;
+      // bytes upstream_address = 16;
       case 16:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 130)) {
           auto str = _internal_mutable_upstream_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Heartbeat.upstream_address"));
         } else
           goto handle_unusual;
         continue;
@@ -1509,13 +1504,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string host = 1;
+  // bytes host = 1;
   if (!this->_internal_host().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Heartbeat.host");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_host(), target);
   }
 
@@ -1531,33 +1522,21 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_sequence(), target);
   }
 
-  // string data_centre = 4;
+  // bytes data_centre = 4;
   if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Heartbeat.data_centre");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_data_centre(), target);
   }
 
-  // string peer_address = 5;
+  // bytes peer_address = 5;
   if (!this->_internal_peer_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_peer_address().data(), static_cast<int>(this->_internal_peer_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Heartbeat.peer_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_peer_address(), target);
   }
 
-  // string admin_address = 6;
+  // bytes admin_address = 6;
   if (!this->_internal_admin_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_admin_address().data(), static_cast<int>(this->_internal_admin_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Heartbeat.admin_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         6, this->_internal_admin_address(), target);
   }
 
@@ -1623,13 +1602,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(15, this->_internal_log_identity(), target);
   }
 
-  // string upstream_address = 16;
+  // bytes upstream_address = 16;
   if (!this->_internal_upstream_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream_address().data(), static_cast<int>(this->_internal_upstream_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Heartbeat.upstream_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         16, this->_internal_upstream_address(), target);
   }
 
@@ -1683,38 +1658,38 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
-  // string host = 1;
+  // bytes host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_host());
   }
 
-  // string data_centre = 4;
+  // bytes data_centre = 4;
   if (!this->_internal_data_centre().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_data_centre());
   }
 
-  // string peer_address = 5;
+  // bytes peer_address = 5;
   if (!this->_internal_peer_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_peer_address());
   }
 
-  // string admin_address = 6;
+  // bytes admin_address = 6;
   if (!this->_internal_admin_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_admin_address());
   }
 
-  // string upstream_address = 16;
+  // bytes upstream_address = 16;
   if (!this->_internal_upstream_address().empty()) {
     total_size += 2 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream_address());
   }
 
@@ -2295,23 +2270,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamEvidence.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // bytes upstream = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.UpstreamEvidence.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -2384,23 +2357,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.UpstreamEvidence.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.UpstreamEvidence.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
@@ -2450,17 +2415,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
@@ -2674,23 +2639,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.KeyLoad.service"));
         } else
           goto handle_unusual;
         continue;
-      // string key = 2;
+      // bytes key = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.KeyLoad.key"));
         } else
           goto handle_unusual;
         continue;
@@ -2739,23 +2702,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.KeyLoad.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string key = 2;
+  // bytes key = 2;
   if (!this->_internal_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_key().data(), static_cast<int>(this->_internal_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.KeyLoad.key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_key(), target);
   }
 
@@ -2787,17 +2742,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string key = 2;
+  // bytes key = 2;
   if (!this->_internal_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_key());
   }
 
@@ -2973,13 +2928,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotLoad.service"));
         } else
           goto handle_unusual;
         continue;
@@ -3036,13 +2990,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotLoad.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
@@ -3080,10 +3030,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
@@ -3318,13 +3268,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string host = 1;
+      // bytes host = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_host();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HeartbeatReply.host"));
         } else
           goto handle_unusual;
         continue;
@@ -3352,13 +3301,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string leader = 5;
+      // bytes leader = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_leader();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HeartbeatReply.leader"));
         } else
           goto handle_unusual;
         continue;
@@ -3431,13 +3379,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string host = 1;
+  // bytes host = 1;
   if (!this->_internal_host().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HeartbeatReply.host");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_host(), target);
   }
 
@@ -3459,13 +3403,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_term(), target);
   }
 
-  // string leader = 5;
+  // bytes leader = 5;
   if (!this->_internal_leader().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_leader().data(), static_cast<int>(this->_internal_leader().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HeartbeatReply.leader");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_leader(), target);
   }
 
@@ -3517,17 +3457,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string host = 1;
+  // bytes host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_host());
   }
 
-  // string leader = 5;
+  // bytes leader = 5;
   if (!this->_internal_leader().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_leader());
   }
 
@@ -3749,7 +3689,7 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated string entries = 2;
+      // repeated bytes entries = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           ptr -= 1;
@@ -3758,13 +3698,12 @@
             auto str = _internal_add_entries();
             ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
             CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HostList.entries"));
             if (!ctx->DataAvailable(ptr)) break;
           } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<18>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // repeated string upstream_addresses = 3;
+      // repeated bytes upstream_addresses = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           ptr -= 1;
@@ -3773,7 +3712,6 @@
             auto str = _internal_add_upstream_addresses();
             ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
             CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.HostList.upstream_addresses"));
             if (!ctx->DataAvailable(ptr)) break;
           } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
         } else
@@ -3814,24 +3752,16 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_digest(), target);
   }
 
-  // repeated string entries = 2;
+  // repeated bytes entries = 2;
   for (int i = 0, n = this->_internal_entries_size(); i < n; i++) {
     const auto& s = this->_internal_entries(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HostList.entries");
-    target = stream->WriteString(2, s, target);
+    target = stream->WriteBytes(2, s, target);
   }
 
-  // repeated string upstream_addresses = 3;
+  // repeated bytes upstream_addresses = 3;
   for (int i = 0, n = this->_internal_upstream_addresses_size(); i < n; i++) {
     const auto& s = this->_internal_upstream_addresses(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.HostList.upstream_addresses");
-    target = stream->WriteString(3, s, target);
+    target = stream->WriteBytes(3, s, target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
@@ -3850,19 +3780,19 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string entries = 2;
+  // repeated bytes entries = 2;
   total_size += 1 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.entries_.size());
   for (int i = 0, n = _impl_.entries_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
       _impl_.entries_.Get(i));
   }
 
-  // repeated string upstream_addresses = 3;
+  // repeated bytes upstream_addresses = 3;
   total_size += 1 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.upstream_addresses_.size());
   for (int i = 0, n = _impl_.upstream_addresses_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
       _impl_.upstream_addresses_.Get(i));
   }
 
@@ -4355,13 +4285,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string host = 2;
+      // bytes host = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_host();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CallRequest.host"));
         } else
           goto handle_unusual;
         continue;
@@ -4488,13 +4417,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_id(), target);
   }
 
-  // string host = 2;
+  // bytes host = 2;
   if (!this->_internal_host().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_host().data(), static_cast<int>(this->_internal_host().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CallRequest.host");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_host(), target);
   }
 
@@ -4590,10 +4515,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string host = 2;
+  // bytes host = 2;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_host());
   }
 
@@ -5060,23 +4985,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string message = 3;
+      // bytes message = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_message();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CallReply.message"));
         } else
           goto handle_unusual;
         continue;
-      // string leader = 4;
+      // bytes leader = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_leader();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CallReply.leader"));
         } else
           goto handle_unusual;
         continue;
@@ -5096,13 +5019,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string json = 12;
+      // bytes json = 12;
       case 12:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
           auto str = _internal_mutable_json();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CallReply.json"));
         } else
           goto handle_unusual;
         continue;
@@ -5155,23 +5077,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_code(), target);
   }
 
-  // string message = 3;
+  // bytes message = 3;
   if (!this->_internal_message().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_message().data(), static_cast<int>(this->_internal_message().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CallReply.message");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_message(), target);
   }
 
-  // string leader = 4;
+  // bytes leader = 4;
   if (!this->_internal_leader().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_leader().data(), static_cast<int>(this->_internal_leader().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CallReply.leader");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_leader(), target);
   }
 
@@ -5189,13 +5103,9 @@
         _Internal::claim(this).GetCachedSize(), target, stream);
   }
 
-  // string json = 12;
+  // bytes json = 12;
   if (_internal_has_json()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_json().data(), static_cast<int>(this->_internal_json().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CallReply.json");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         12, this->_internal_json(), target);
   }
 
@@ -5222,17 +5132,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string message = 3;
+  // bytes message = 3;
   if (!this->_internal_message().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_message());
   }
 
-  // string leader = 4;
+  // bytes leader = 4;
   if (!this->_internal_leader().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_leader());
   }
 
@@ -5261,10 +5171,10 @@
           *_impl_.body_.claim_);
       break;
     }
-    // string json = 12;
+    // bytes json = 12;
     case kJson: {
       total_size += 1 +
-        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
           this->_internal_json());
       break;
     }
@@ -5795,33 +5705,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ClaimCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string customer = 2;
+      // bytes customer = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_customer();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ClaimCall.customer"));
         } else
           goto handle_unusual;
         continue;
-      // string idempotency_key = 3;
+      // bytes idempotency_key = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_idempotency_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ClaimCall.idempotency_key"));
         } else
           goto handle_unusual;
         continue;
@@ -5879,33 +5786,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ClaimCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ClaimCall.customer");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_customer(), target);
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_idempotency_key().data(), static_cast<int>(this->_internal_idempotency_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ClaimCall.idempotency_key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_idempotency_key(), target);
   }
 
@@ -5943,24 +5838,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_customer());
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_idempotency_key());
   }
 
@@ -6453,23 +6348,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string name = 1;
+      // bytes name = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_name();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.StoredHeader.name"));
         } else
           goto handle_unusual;
         continue;
-      // string value = 2;
+      // bytes value = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_value();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.StoredHeader.value"));
         } else
           goto handle_unusual;
         continue;
@@ -6502,23 +6395,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_name().data(), static_cast<int>(this->_internal_name().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.StoredHeader.name");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_name(), target);
   }
 
-  // string value = 2;
+  // bytes value = 2;
   if (!this->_internal_value().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_value().data(), static_cast<int>(this->_internal_value().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.StoredHeader.value");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_value(), target);
   }
 
@@ -6538,17 +6423,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_name());
   }
 
-  // string value = 2;
+  // bytes value = 2;
   if (!this->_internal_value().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_value());
   }
 
@@ -7002,33 +6887,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CompleteClaimCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string customer = 2;
+      // bytes customer = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_customer();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CompleteClaimCall.customer"));
         } else
           goto handle_unusual;
         continue;
-      // string idempotency_key = 3;
+      // bytes idempotency_key = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_idempotency_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CompleteClaimCall.idempotency_key"));
         } else
           goto handle_unusual;
         continue;
@@ -7085,33 +6967,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CompleteClaimCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CompleteClaimCall.customer");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_customer(), target);
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_idempotency_key().data(), static_cast<int>(this->_internal_idempotency_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CompleteClaimCall.idempotency_key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_idempotency_key(), target);
   }
 
@@ -7150,24 +7020,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_customer());
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_idempotency_key());
   }
 
@@ -7391,33 +7261,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ReleaseClaimCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string customer = 2;
+      // bytes customer = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_customer();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ReleaseClaimCall.customer"));
         } else
           goto handle_unusual;
         continue;
-      // string idempotency_key = 3;
+      // bytes idempotency_key = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_idempotency_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.ReleaseClaimCall.idempotency_key"));
         } else
           goto handle_unusual;
         continue;
@@ -7466,33 +7333,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ReleaseClaimCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ReleaseClaimCall.customer");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_customer(), target);
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_idempotency_key().data(), static_cast<int>(this->_internal_idempotency_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.ReleaseClaimCall.idempotency_key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_idempotency_key(), target);
   }
 
@@ -7524,24 +7379,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string customer = 2;
+  // bytes customer = 2;
   if (!this->_internal_customer().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_customer());
   }
 
-  // string idempotency_key = 3;
+  // bytes idempotency_key = 3;
   if (!this->_internal_idempotency_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_idempotency_key());
   }
 
@@ -7951,23 +7806,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReportCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // bytes upstream = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReportCall.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -7979,7 +7832,7 @@
         } else
           goto handle_unusual;
         continue;
-      // repeated string fingerprints = 4;
+      // repeated bytes fingerprints = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           ptr -= 1;
@@ -7988,19 +7841,17 @@
             auto str = _internal_add_fingerprints();
             ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
             CHK_(ptr);
-            CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReportCall.fingerprints"));
             if (!ctx->DataAvailable(ptr)) break;
           } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<34>(ptr));
         } else
           goto handle_unusual;
         continue;
-      // string on_trial = 5;
+      // bytes on_trial = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_on_trial();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CrashReportCall.on_trial"));
         } else
           goto handle_unusual;
         continue;
@@ -8033,23 +7884,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashReportCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashReportCall.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
@@ -8059,23 +7902,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_incarnation(), target);
   }
 
-  // repeated string fingerprints = 4;
+  // repeated bytes fingerprints = 4;
   for (int i = 0, n = this->_internal_fingerprints_size(); i < n; i++) {
     const auto& s = this->_internal_fingerprints(i);
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      s.data(), static_cast<int>(s.length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashReportCall.fingerprints");
-    target = stream->WriteString(4, s, target);
+    target = stream->WriteBytes(4, s, target);
   }
 
-  // string on_trial = 5;
+  // bytes on_trial = 5;
   if (!this->_internal_on_trial().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_on_trial().data(), static_cast<int>(this->_internal_on_trial().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CrashReportCall.on_trial");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_on_trial(), target);
   }
 
@@ -8095,32 +7930,32 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // repeated string fingerprints = 4;
+  // repeated bytes fingerprints = 4;
   total_size += 1 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.fingerprints_.size());
   for (int i = 0, n = _impl_.fingerprints_.size(); i < n; i++) {
-    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
       _impl_.fingerprints_.Get(i));
   }
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
-  // string on_trial = 5;
+  // bytes on_trial = 5;
   if (!this->_internal_on_trial().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_on_trial());
   }
 
@@ -8324,33 +8159,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string fingerprint = 2;
+      // bytes fingerprint = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_fingerprint();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.fingerprint"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 3;
+      // bytes upstream = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.TrialCall.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -8408,33 +8240,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.TrialCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string fingerprint = 2;
+  // bytes fingerprint = 2;
   if (!this->_internal_fingerprint().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.TrialCall.fingerprint");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_fingerprint(), target);
   }
 
-  // string upstream = 3;
+  // bytes upstream = 3;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.TrialCall.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_upstream(), target);
   }
 
@@ -8473,24 +8293,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string fingerprint = 2;
+  // bytes fingerprint = 2;
   if (!this->_internal_fingerprint().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_fingerprint());
   }
 
-  // string upstream = 3;
+  // bytes upstream = 3;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
@@ -8901,23 +8721,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // bytes upstream = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.DrainUpstreamCall.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -8958,23 +8776,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.DrainUpstreamCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.DrainUpstreamCall.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
@@ -9000,17 +8810,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
@@ -9193,33 +9003,30 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string what = 1;
+      // bytes what = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_what();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.QueryCall.what"));
         } else
           goto handle_unusual;
         continue;
-      // string service = 2;
+      // bytes service = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.QueryCall.service"));
         } else
           goto handle_unusual;
         continue;
-      // string key = 3;
+      // bytes key = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.QueryCall.key"));
         } else
           goto handle_unusual;
         continue;
@@ -9252,33 +9059,21 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string what = 1;
+  // bytes what = 1;
   if (!this->_internal_what().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_what().data(), static_cast<int>(this->_internal_what().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.QueryCall.what");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_what(), target);
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.QueryCall.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_service(), target);
   }
 
-  // string key = 3;
+  // bytes key = 3;
   if (!this->_internal_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_key().data(), static_cast<int>(this->_internal_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.QueryCall.key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_key(), target);
   }
 
@@ -9298,24 +9093,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string what = 1;
+  // bytes what = 1;
   if (!this->_internal_what().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_what());
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string key = 3;
+  // bytes key = 3;
   if (!this->_internal_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_key());
   }
 
@@ -9599,23 +9394,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditRequest.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // bytes upstream = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditRequest.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -9688,23 +9481,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditRequest.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditRequest.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
@@ -9757,17 +9542,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
@@ -9998,13 +9783,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string customer = 1;
+      // bytes customer = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_customer();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAsk.customer"));
         } else
           goto handle_unusual;
         continue;
@@ -10093,13 +9877,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string customer = 1;
+  // bytes customer = 1;
   if (!this->_internal_customer().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_customer().data(), static_cast<int>(this->_internal_customer().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditAsk.customer");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_customer(), target);
   }
 
@@ -10169,10 +9949,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string customer = 1;
+  // bytes customer = 1;
   if (!this->_internal_customer().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_customer());
   }
 
@@ -10676,23 +10456,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAnswer.service"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 2;
+      // bytes upstream = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.CreditAnswer.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -10774,23 +10552,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditAnswer.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.CreditAnswer.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_upstream(), target);
   }
 
@@ -10848,17 +10618,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string upstream = 2;
+  // bytes upstream = 2;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
@@ -11092,23 +10862,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string add_host = 2;
+      // bytes add_host = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_add_host();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.MembershipCall.add_host"));
         } else
           goto handle_unusual;
         continue;
-      // string add_address = 3;
+      // bytes add_address = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_add_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.MembershipCall.add_address"));
         } else
           goto handle_unusual;
         continue;
@@ -11155,23 +10923,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(1, this->_internal_add_identity(), target);
   }
 
-  // string add_host = 2;
+  // bytes add_host = 2;
   if (!this->_internal_add_host().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_add_host().data(), static_cast<int>(this->_internal_add_host().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.MembershipCall.add_host");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_add_host(), target);
   }
 
-  // string add_address = 3;
+  // bytes add_address = 3;
   if (!this->_internal_add_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_add_address().data(), static_cast<int>(this->_internal_add_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.MembershipCall.add_address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_add_address(), target);
   }
 
@@ -11197,17 +10957,17 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string add_host = 2;
+  // bytes add_host = 2;
   if (!this->_internal_add_host().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_add_host());
   }
 
-  // string add_address = 3;
+  // bytes add_address = 3;
   if (!this->_internal_add_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_add_address());
   }
 
@@ -11595,13 +11355,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string from = 1;
+      // bytes from = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_from();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Envelope.from"));
         } else
           goto handle_unusual;
         continue;
@@ -11699,13 +11458,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string from = 1;
+  // bytes from = 1;
   if (!this->_internal_from().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_from().data(), static_cast<int>(this->_internal_from().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Envelope.from");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_from(), target);
   }
 
@@ -11779,10 +11534,10 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string from = 1;
+  // bytes from = 1;
   if (!this->_internal_from().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_from());
   }
 
--- a/src/librattandyke/wire/table.pb.cpp
+++ b/src/librattandyke/wire/table.pb.cpp
@@ -216,23 +216,23 @@
 
 const char descriptor_table_protodef_table_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\013table.proto\022\017rattandyke.wire\"\272\001\n\006Recor"
-  "d\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\026\n\016schema_"
+  "d\022\014\n\004kind\030\001 \001(\014\022\014\n\004name\030\002 \001(\014\022\026\n\016schema_"
   "version\030\003 \001(\r\022\020\n\010revision\030\004 \001(\004\022\021\n\tbody_"
-  "json\030\005 \001(\t\022\025\n\rsubmission_id\030\006 \001(\t\022\024\n\014sub"
-  "mitted_by\030\007 \001(\t\022\031\n\021submitted_unix_ms\030\010 \001"
+  "json\030\005 \001(\014\022\025\n\rsubmission_id\030\006 \001(\014\022\024\n\014sub"
+  "mitted_by\030\007 \001(\014\022\031\n\021submitted_unix_ms\030\010 \001"
   "(\004\022\017\n\007deleted\030\t \001(\010\"\372\001\n\010Upstream\022\014\n\004name"
-  "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\023\n\013incarnation\030\003"
-  " \001(\004\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 \001"
-  "(\t\022\r\n\005slots\030\006 \001(\r\022\025\n\rchecks_fences\030\007 \001(\010"
+  "\030\001 \001(\014\022\017\n\007service\030\002 \001(\014\022\023\n\013incarnation\030\003"
+  " \001(\004\022\017\n\007address\030\004 \001(\014\022\023\n\013data_centre\030\005 \001"
+  "(\014\022\r\n\005slots\030\006 \001(\r\022\025\n\rchecks_fences\030\007 \001(\010"
   "\022-\n\005state\030\010 \001(\0162\036.rattandyke.wire.Upstre"
   "amState\022\032\n\022registered_version\030\t \001(\004\022\014\n\004h"
-  "ome\030\n \001(\t\022\025\n\rstart_unix_ms\030\013 \001(\004\"{\n\tSlot"
-  "Owner\022\017\n\007service\030\001 \001(\t\022\014\n\004slot\030\002 \001(\r\022\013\n\003"
-  "key\030\003 \001(\t\022\020\n\010upstream\030\004 \001(\t\022\r\n\005fence\030\005 \001"
-  "(\004\022\020\n\010previous\030\006 \001(\t\022\017\n\007removed\030\007 \001(\010\"u\n"
-  "\003Ban\022\017\n\007service\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001"
-  "(\t\022\027\n\017expires_unix_ms\030\003 \001(\004\022\016\n\006reason\030\004 "
-  "\001(\t\022\016\n\006lifted\030\005 \001(\010\022\017\n\007suspect\030\006 \001(\010\"\337\001\n"
+  "ome\030\n \001(\014\022\025\n\rstart_unix_ms\030\013 \001(\004\"{\n\tSlot"
+  "Owner\022\017\n\007service\030\001 \001(\014\022\014\n\004slot\030\002 \001(\r\022\013\n\003"
+  "key\030\003 \001(\014\022\020\n\010upstream\030\004 \001(\014\022\r\n\005fence\030\005 \001"
+  "(\004\022\020\n\010previous\030\006 \001(\014\022\017\n\007removed\030\007 \001(\010\"u\n"
+  "\003Ban\022\017\n\007service\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001"
+  "(\014\022\027\n\017expires_unix_ms\030\003 \001(\004\022\016\n\006reason\030\004 "
+  "\001(\014\022\016\n\006lifted\030\005 \001(\010\022\017\n\007suspect\030\006 \001(\010\"\337\001\n"
   "\013TableUpdate\022\024\n\014from_version\030\001 \001(\004\022\022\n\nto"
   "_version\030\002 \001(\004\022(\n\007records\030\003 \003(\0132\027.rattan"
   "dyke.wire.Record\022,\n\tupstreams\030\004 \003(\0132\031.ra"
@@ -435,23 +435,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string kind = 1;
+      // bytes kind = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_kind();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Record.kind"));
         } else
           goto handle_unusual;
         continue;
-      // string name = 2;
+      // bytes name = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_name();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Record.name"));
         } else
           goto handle_unusual;
         continue;
@@ -471,33 +469,30 @@
         } else
           goto handle_unusual;
         continue;
-      // string body_json = 5;
+      // bytes body_json = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_body_json();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Record.body_json"));
         } else
           goto handle_unusual;
         continue;
-      // string submission_id = 6;
+      // bytes submission_id = 6;
       case 6:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
           auto str = _internal_mutable_submission_id();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Record.submission_id"));
         } else
           goto handle_unusual;
         continue;
-      // string submitted_by = 7;
+      // bytes submitted_by = 7;
       case 7:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 58)) {
           auto str = _internal_mutable_submitted_by();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Record.submitted_by"));
         } else
           goto handle_unusual;
         continue;
@@ -546,23 +541,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string kind = 1;
+  // bytes kind = 1;
   if (!this->_internal_kind().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_kind().data(), static_cast<int>(this->_internal_kind().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Record.kind");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_kind(), target);
   }
 
-  // string name = 2;
+  // bytes name = 2;
   if (!this->_internal_name().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_name().data(), static_cast<int>(this->_internal_name().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Record.name");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_name(), target);
   }
 
@@ -578,33 +565,21 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_revision(), target);
   }
 
-  // string body_json = 5;
+  // bytes body_json = 5;
   if (!this->_internal_body_json().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_body_json().data(), static_cast<int>(this->_internal_body_json().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Record.body_json");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_body_json(), target);
   }
 
-  // string submission_id = 6;
+  // bytes submission_id = 6;
   if (!this->_internal_submission_id().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_submission_id().data(), static_cast<int>(this->_internal_submission_id().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Record.submission_id");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         6, this->_internal_submission_id(), target);
   }
 
-  // string submitted_by = 7;
+  // bytes submitted_by = 7;
   if (!this->_internal_submitted_by().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_submitted_by().data(), static_cast<int>(this->_internal_submitted_by().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Record.submitted_by");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         7, this->_internal_submitted_by(), target);
   }
 
@@ -636,38 +611,38 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string kind = 1;
+  // bytes kind = 1;
   if (!this->_internal_kind().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_kind());
   }
 
-  // string name = 2;
+  // bytes name = 2;
   if (!this->_internal_name().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_name());
   }
 
-  // string body_json = 5;
+  // bytes body_json = 5;
   if (!this->_internal_body_json().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_body_json());
   }
 
-  // string submission_id = 6;
+  // bytes submission_id = 6;
   if (!this->_internal_submission_id().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_submission_id());
   }
 
-  // string submitted_by = 7;
+  // bytes submitted_by = 7;
   if (!this->_internal_submitted_by().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_submitted_by());
   }
 
@@ -950,23 +925,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string name = 1;
+      // bytes name = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_name();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Upstream.name"));
         } else
           goto handle_unusual;
         continue;
-      // string service = 2;
+      // bytes service = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Upstream.service"));
         } else
           goto handle_unusual;
         continue;
@@ -978,23 +951,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string address = 4;
+      // bytes address = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_address();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Upstream.address"));
         } else
           goto handle_unusual;
         continue;
-      // string data_centre = 5;
+      // bytes data_centre = 5;
       case 5:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
           auto str = _internal_mutable_data_centre();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Upstream.data_centre"));
         } else
           goto handle_unusual;
         continue;
@@ -1031,13 +1002,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string home = 10;
+      // bytes home = 10;
       case 10:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
           auto str = _internal_mutable_home();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Upstream.home"));
         } else
           goto handle_unusual;
         continue;
@@ -1078,23 +1048,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_name().data(), static_cast<int>(this->_internal_name().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Upstream.name");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_name(), target);
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Upstream.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_service(), target);
   }
 
@@ -1104,23 +1066,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_incarnation(), target);
   }
 
-  // string address = 4;
+  // bytes address = 4;
   if (!this->_internal_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Upstream.address");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_address(), target);
   }
 
-  // string data_centre = 5;
+  // bytes data_centre = 5;
   if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Upstream.data_centre");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         5, this->_internal_data_centre(), target);
   }
 
@@ -1149,13 +1103,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(9, this->_internal_registered_version(), target);
   }
 
-  // string home = 10;
+  // bytes home = 10;
   if (!this->_internal_home().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_home().data(), static_cast<int>(this->_internal_home().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Upstream.home");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         10, this->_internal_home(), target);
   }
 
@@ -1181,38 +1131,38 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string name = 1;
+  // bytes name = 1;
   if (!this->_internal_name().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_name());
   }
 
-  // string service = 2;
+  // bytes service = 2;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string address = 4;
+  // bytes address = 4;
   if (!this->_internal_address().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_address());
   }
 
-  // string data_centre = 5;
+  // bytes data_centre = 5;
   if (!this->_internal_data_centre().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_data_centre());
   }
 
-  // string home = 10;
+  // bytes home = 10;
   if (!this->_internal_home().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_home());
   }
 
@@ -1490,13 +1440,12 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotOwner.service"));
         } else
           goto handle_unusual;
         continue;
@@ -1508,23 +1457,21 @@
         } else
           goto handle_unusual;
         continue;
-      // string key = 3;
+      // bytes key = 3;
       case 3:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
           auto str = _internal_mutable_key();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotOwner.key"));
         } else
           goto handle_unusual;
         continue;
-      // string upstream = 4;
+      // bytes upstream = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_upstream();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotOwner.upstream"));
         } else
           goto handle_unusual;
         continue;
@@ -1536,13 +1483,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string previous = 6;
+      // bytes previous = 6;
       case 6:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 50)) {
           auto str = _internal_mutable_previous();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.SlotOwner.previous"));
         } else
           goto handle_unusual;
         continue;
@@ -1583,13 +1529,9 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotOwner.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
@@ -1599,23 +1541,15 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_slot(), target);
   }
 
-  // string key = 3;
+  // bytes key = 3;
   if (!this->_internal_key().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_key().data(), static_cast<int>(this->_internal_key().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotOwner.key");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         3, this->_internal_key(), target);
   }
 
-  // string upstream = 4;
+  // bytes upstream = 4;
   if (!this->_internal_upstream().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_upstream().data(), static_cast<int>(this->_internal_upstream().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotOwner.upstream");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_upstream(), target);
   }
 
@@ -1625,13 +1559,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(5, this->_internal_fence(), target);
   }
 
-  // string previous = 6;
+  // bytes previous = 6;
   if (!this->_internal_previous().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_previous().data(), static_cast<int>(this->_internal_previous().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.SlotOwner.previous");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         6, this->_internal_previous(), target);
   }
 
@@ -1657,31 +1587,31 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string key = 3;
+  // bytes key = 3;
   if (!this->_internal_key().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_key());
   }
 
-  // string upstream = 4;
+  // bytes upstream = 4;
   if (!this->_internal_upstream().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_upstream());
   }
 
-  // string previous = 6;
+  // bytes previous = 6;
   if (!this->_internal_previous().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_previous());
   }
 
@@ -1911,23 +1841,21 @@
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string service = 1;
+      // bytes service = 1;
       case 1:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
           auto str = _internal_mutable_service();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Ban.service"));
         } else
           goto handle_unusual;
         continue;
-      // string fingerprint = 2;
+      // bytes fingerprint = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
           auto str = _internal_mutable_fingerprint();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Ban.fingerprint"));
         } else
           goto handle_unusual;
         continue;
@@ -1939,13 +1867,12 @@
         } else
           goto handle_unusual;
         continue;
-      // string reason = 4;
+      // bytes reason = 4;
       case 4:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 34)) {
           auto str = _internal_mutable_reason();
           ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "rattandyke.wire.Ban.reason"));
         } else
           goto handle_unusual;
         continue;
@@ -1994,23 +1921,15 @@
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_service().data(), static_cast<int>(this->_internal_service().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Ban.service");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         1, this->_internal_service(), target);
   }
 
-  // string fingerprint = 2;
+  // bytes fingerprint = 2;
   if (!this->_internal_fingerprint().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_fingerprint().data(), static_cast<int>(this->_internal_fingerprint().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Ban.fingerprint");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         2, this->_internal_fingerprint(), target);
   }
 
@@ -2020,13 +1939,9 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_expires_unix_ms(), target);
   }
 
-  // string reason = 4;
+  // bytes reason = 4;
   if (!this->_internal_reason().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_reason().data(), static_cast<int>(this->_internal_reason().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "rattandyke.wire.Ban.reason");
-    target = stream->WriteStringMaybeAliased(
+    target = stream->WriteBytesMaybeAliased(
         4, this->_internal_reason(), target);
   }
 
@@ -2058,24 +1973,24 @@
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string service = 1;
+  // bytes service = 1;
   if (!this->_internal_service().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_service());
   }
 
-  // string fingerprint = 2;
+  // bytes fingerprint = 2;
   if (!this->_internal_fingerprint().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_fingerprint());
   }
 
-  // string reason = 4;
+  // bytes reason = 4;
   if (!this->_internal_reason().empty()) {
     total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
         this->_internal_reason());
   }
 
