Peers that read slowly are told from peers that are gone

An upstream that began to read a long body after 2 s was cut off: 502.

Cause: TCP_USER_TIMEOUT, 3 s towards callers and 1 s towards upstreams, meant to find peers that are gone. The kernel counts closed windows as well, and goes on after the host has written its last byte.

Change: acknowledgements tell the two apart (TCP_INFO). Each reason is a metric.

Why it works: until a request's time is over only a peer that answers none of the kernel's transmissions loses its connection, and it does so within the same seconds as before.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -1,10 +1,12 @@
 #include "gateway/caller_connection.h"
 
+#include <algorithm>
 #include <array>
 
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -12,6 +14,7 @@
 #include "http/headers.h"
 #include "http/signal.h"
 #include "net/frame_connection.h"
+#include "net/peer_acks.h"
 
 namespace rattandyke::gateway {
 
@@ -22,8 +25,12 @@
 
 namespace {
 
-/// Time after which a connection with unacknowledged data is closed.
+/// Time after which a caller that acknowledges nothing counts as gone, and
+/// after which one that reads nothing counts as stalled.
 constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 3000 };
+/// A user timeout is kept for later responses unless it is this many times as
+/// long as they need.
+constexpr int kMaxTimeoutRatio = 4;
 constexpr size_t kDiscardBufferBytes = 4096;
 /// Larger read buffers are not kept between requests: a host has thousands of
 /// connections.
@@ -41,6 +48,7 @@
   , mClock(aClock)
   , mAcceptedAt(aClock.Now())
   , mIdleDeadline(Instant::max()) // The first ReadRequest() sets it.
+  , mUserTimeout(kUnacknowledgedTimeout)
 {
   net::LimitUnacknowledged(mSocket, kUnacknowledgedTimeout);
 }
@@ -138,17 +146,74 @@
   return !started || now < mIdleDeadline;
 }
 
+/// TCP_USER_TIMEOUT counts the time for which the caller's window is closed,
+/// too, and applies until the kernel has sent all that it holds. So it has to
+/// outlast the caller's time; CheckWrite finds callers that are gone.
+void
+CallerConnection::AllowSlowReading(Duration aTime)
+{
+  if (!net::QueryPeerAcks(mSocket)) {
+    return; // Only the short timeout finds callers that are gone.
+  }
+  const auto needed = std::max(kUnacknowledgedTimeout,
+                               std::chrono::ceil<std::chrono::seconds>(aTime) +
+                                 kUnacknowledgedTimeout);
+  if (mUserTimeout < needed || mUserTimeout > kMaxTimeoutRatio * needed) {
+    mUserTimeout = needed;
+    net::SetUserTimeout(mSocket, mUserTimeout);
+  }
+}
+
 asio::awaitable<bool>
 CallerConnection::WriteResponse(const std::string& aHead,
-                                const std::string& aBody)
+                                const std::string& aBody,
+                                Instant aUntil)
 {
-  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(aHead),
-                                                   asio::buffer(aBody) };
-  auto [error, bytes] = co_await asio::async_write(mSocket, buffers, kAwait);
+  mWriteProgressAt = mClock.Now();
+  mWriteUntil = aUntil;
+  mBytesToWrite = aHead.size() + aBody.size();
+  AllowSlowReading(aUntil - mWriteProgressAt);
+  beast::buffers_suffix left(std::array<asio::const_buffer, 2>{
+    asio::buffer(aHead), asio::buffer(aBody) });
+  ErrorCode error;
+  while (!error && mBytesToWrite > 0) {
+    auto [writeError, bytes] = co_await mSocket.async_write_some(left, kAwait);
+    error = writeError;
+    left.consume(bytes);
+    mBytesToWrite -= bytes;
+    mWriteProgressAt = mClock.Now();
+  }
+  mBytesToWrite = 0;
   RecordError(error);
   co_return !error;
 }
 
+CallerConnection::WriteState
+CallerConnection::CheckWrite(Instant aNow)
+{
+  if (mBytesToWrite == 0) {
+    return WriteState::Progressing;
+  }
+  if (aNow >= mWriteUntil) {
+    return WriteState::Overdue;
+  }
+  if (WriteStall(aNow) < Duration(kUnacknowledgedTimeout)) {
+    return WriteState::Progressing;
+  }
+  const auto acks = net::QueryPeerAcks(mSocket);
+  return acks && net::IsSilent(*acks, kUnacknowledgedTimeout)
+           ? WriteState::Silent
+           : WriteState::Stalled;
+}
+
+void
+CallerConnection::AbortWrite()
+{
+  ErrorCode ignored; // The connection ends in any case.
+  mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  mSocket.close(ignored);
+}
+
 void
 CallerConnection::RecordError(ErrorCode aError)
 {
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -49,10 +49,37 @@
                                                     Duration aIdleTimeout,
                                                     BodyRoom& aRoom);
 
-  /// @param aHead the response up to its body.
+  /// Writes a response. The caller may read it as slowly as its time allows.
+  /// @param aHead  the response up to its body.
+  /// @param aUntil when the caller no longer waits for it.
   /// @return whether the whole response was written.
   boost::asio::awaitable<bool> WriteResponse(const std::string& aHead,
-                                             const std::string& aBody);
+                                             const std::string& aBody,
+                                             Instant aUntil);
+
+  /// How the writing of a response goes.
+  enum class WriteState : uint8_t
+  {
+    /// No response is being written, or the caller reads it.
+    Progressing,
+    /// The caller has read nothing for a while, and is there.
+    Stalled,
+    /// The caller acknowledges nothing.
+    Silent,
+    /// The caller's time is over.
+    Overdue,
+  };
+  WriteState CheckWrite(Instant aNow);
+
+  /// @return the time for which nothing of the response could be written.
+  Duration WriteStall(Instant aNow) const { return aNow - mWriteProgressAt; }
+
+  /// @return the bytes of the response that this host still holds.
+  size_t BytesToWrite() const { return mBytesToWrite; }
+
+  /// Ends the writing of a response: its connection is reset, so that it can't
+  /// look complete.
+  void AbortWrite();
 
   /// Cancels a request when the caller disconnects. Ends with StopWatching().
   void WatchForDisconnect(std::shared_ptr<RequestContext> aContext);
@@ -114,6 +141,7 @@
     Lingering
   };
 
+  void AllowSlowReading(Duration aTime);
   /// Ends a read, with an error or a whole request.
   ErrorCode FinishRead(ErrorCode aError);
   boost::asio::awaitable<void> WriteContinue();
@@ -134,6 +162,12 @@
   Phase mPhase = Phase::Reading;
   bool mDraining = false;
   Instant mIdleDeadline;
+  /// Bytes of the response that the kernel has not taken yet.
+  size_t mBytesToWrite = 0;
+  Instant mWriteUntil{};
+  Instant mWriteProgressAt{};
+  /// TCP_USER_TIMEOUT of the socket.
+  std::chrono::milliseconds mUserTimeout;
   /// The arriving request has already got its extra time because of Drain().
   bool mDeadlineExtended = false;
   /// Request to cancel when the caller disconnects; null if not watching.
--- a/src/librattandyke/gateway/caller_request_handler.h
+++ b/src/librattandyke/gateway/caller_request_handler.h
@@ -73,6 +73,13 @@
   CallerDisconnected,
   /// Writing the response failed.
   WriteFailed,
+  /// The caller had not read its response when its time was over.
+  ResponseNotRead,
+  /// The caller acknowledged nothing while its response was written.
+  CallerSilent,
+  /// The caller read nothing for long, and others needed the memory of its
+  /// response.
+  ResponseEvicted,
   /// An exception was thrown while the connection was served.
   InternalError
 };
@@ -91,6 +98,10 @@
   virtual Duration MaxBodyWait(
     const boost::beast::http::fields& aFields) const = 0;
 
+  /// @return the time for which the caller waits for its whole response.
+  virtual Duration ResponseTime(
+    const boost::beast::http::fields& aFields) const = 0;
+
   /// @return the response to a request whose body was not read, as there is no
   /// room for it.
   virtual CallerResponse MakeNoRoomResponse(
--- a/src/librattandyke/gateway/caller_server.cpp
+++ b/src/librattandyke/gateway/caller_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_server.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/error.hpp>
@@ -37,6 +39,9 @@
 /// compressed.
 constexpr milliseconds kIdleGracePeriod{ 2000 };
 
+/// Time for a response to reach its caller even if the caller's time is over.
+constexpr milliseconds kMinDeliveryTime{ 3000 };
+
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kTooLarge = 413;
@@ -63,6 +68,12 @@
       return "caller_left";
     case CloseReason::WriteFailed:
       return "write_failed";
+    case CloseReason::ResponseNotRead:
+      return "answer_not_read";
+    case CloseReason::CallerSilent:
+      return "caller_silent";
+    case CloseReason::ResponseEvicted:
+      return "answer_evicted";
     case CloseReason::InternalError:
       break;
   }
@@ -90,6 +101,9 @@
 {
   return aReason == CloseReason::CallerDisconnected ||
          aReason == CloseReason::WriteFailed ||
+         aReason == CloseReason::ResponseNotRead ||
+         aReason == CloseReason::CallerSilent ||
+         aReason == CloseReason::ResponseEvicted ||
          aReason == CloseReason::InternalError;
 }
 
@@ -213,6 +227,7 @@
   aSelf->RecordClose(*aConnection, *closed);
   co_await aSelf->LingerAfterResponse(aConnection, closed->reason);
   aConnection->Close();
+  aSelf->mAbortedWrites.erase(aConnection.get());
   aSelf->mConnections.erase(aConnection);
 }
 
@@ -249,7 +264,11 @@
 {
   const CallerResponse response =
     mRequestHandler.MakeNoRoomResponse(aParser.get().base());
-  co_await Write(aConnection, response, std::nullopt, false);
+  co_await Write(aConnection,
+                 response,
+                 std::nullopt,
+                 false,
+                 ResponseDeadline(aParser.get().base()));
   co_return CloseEvent{ CloseReason::RequestRejected };
 }
 
@@ -257,12 +276,27 @@
 CallerServer::Write(Connection aConnection,
                     const CallerResponse& aResponse,
                     const std::optional<KeepAlive>& aKeepAlive,
-                    bool aIsHead)
+                    bool aIsHead,
+                    Instant aUntil)
 {
   static const std::string sNoBody;
   const std::string head = SerializeHead(aResponse, aKeepAlive);
   co_return co_await aConnection->WriteResponse(
-    head, HasBody(aResponse, aIsHead) ? aResponse.body : sNoBody);
+    head, HasBody(aResponse, aIsHead) ? aResponse.body : sNoBody, aUntil);
+}
+
+Instant
+CallerServer::ResponseDeadline(const beast::http::fields& aFields) const
+{
+  return mClock.Now() +
+         std::max<Duration>(mRequestHandler.ResponseTime(aFields),
+                            kMinDeliveryTime);
+}
+
+Instant
+CallerServer::ErrorDeadline() const
+{
+  return mClock.Now() + Duration(kMinDeliveryTime);
 }
 
 asio::awaitable<CallerServer::CloseResult>
@@ -274,6 +308,7 @@
   CallerRequest request = ToCallerRequest(aParser, mClock.Now());
   request.bodyRoom = aRoom.Take(request.body.size());
   const Instant arrived = request.arrived;
+  const Instant deadline = ResponseDeadline(request.fields);
   const std::string id = mRequestHandler.RequestIdOf(request);
   const bool isHead = request.method == "HEAD";
   auto context = std::make_shared<RequestContext>(mExecutor);
@@ -298,10 +333,13 @@
     co_await Write(aConnection,
                    response,
                    keepOpen ? std::optional(keepAlive) : std::nullopt,
-                   isHead);
+                   isHead,
+                   std::max(deadline, ErrorDeadline()));
   closed.handlingTime = mClock.Now() - arrived;
   if (!written && closed.reason == CloseReason::ResponseSent) {
-    closed.reason = CloseReason::WriteFailed;
+    const auto aborted = mAbortedWrites.extract(aConnection.get());
+    closed.reason =
+      aborted.empty() ? CloseReason::WriteFailed : aborted.mapped();
   }
   if (written && keepOpen) {
     co_return std::nullopt;
@@ -341,7 +379,7 @@
   if (status != 0) {
     const CallerResponse response =
       mRequestHandler.MakeErrorResponse(status, aError.message());
-    co_await Write(aConnection, response, std::nullopt, false);
+    co_await Write(aConnection, response, std::nullopt, false, ErrorDeadline());
     co_return CloseEvent{ CloseReason::RequestRejected };
   }
   const bool aborted = aError == asio::error::operation_aborted;
@@ -350,7 +388,7 @@
     // would not.
     const CallerResponse response = mRequestHandler.MakeErrorResponse(
       kRequestTimeout, "the request was not read in time");
-    co_await Write(aConnection, response, std::nullopt, false);
+    co_await Write(aConnection, response, std::nullopt, false, ErrorDeadline());
   }
   if (aStarted) {
     co_return CloseEvent{ CloseReason::IncompleteRequest };
@@ -409,6 +447,40 @@
       connection->Drain();
     }
   }
+  CheckWrites(aNow);
+}
+
+/// Without pressure, a caller may read as slowly as its time allows. If bodies
+/// wait for room, the response that was not read for the longest time is given
+/// up, one a sweep.
+void
+CallerServer::CheckWrites(Instant aNow)
+{
+  using State = CallerConnection::WriteState;
+  Connection stalled;
+  for (const Connection& connection : mConnections) {
+    const State state = connection->CheckWrite(aNow);
+    if (state == State::Overdue) {
+      AbortWrite(connection, CloseReason::ResponseNotRead);
+    } else if (state == State::Silent) {
+      AbortWrite(connection, CloseReason::CallerSilent);
+    } else if (state == State::Stalled &&
+               connection->BytesToWrite() > MemoryBudget::kSmallBytes &&
+               (!stalled ||
+                connection->WriteStall(aNow) > stalled->WriteStall(aNow))) {
+      stalled = connection;
+    }
+  }
+  if (stalled && mBodies.WaitingBodies() > 0) {
+    AbortWrite(stalled, CloseReason::ResponseEvicted);
+  }
+}
+
+void
+CallerServer::AbortWrite(const Connection& aConnection, CloseReason aReason)
+{
+  mAbortedWrites[aConnection.get()] = aReason;
+  aConnection->AbortWrite();
 }
 
 void
--- a/src/librattandyke/gateway/caller_server.h
+++ b/src/librattandyke/gateway/caller_server.h
@@ -1,6 +1,7 @@
 /// HTTP server for callers' connections.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -94,11 +95,20 @@
   boost::asio::awaitable<CloseEvent> RefuseBody(
     Connection aConnection,
     const CallerConnection::Parser& aParser);
+  /// @param aUntil when the caller no longer waits for the response.
   static boost::asio::awaitable<bool> Write(
     Connection aConnection,
     const CallerResponse& aResponse,
     const std::optional<KeepAlive>& aKeepAlive,
-    bool aIsHead);
+    bool aIsHead,
+    Instant aUntil);
+  /// @return when the caller of a request that arrives now no longer waits.
+  Instant ResponseDeadline(const boost::beast::http::fields& aFields) const;
+  Instant ErrorDeadline() const;
+  /// Ends the writing of responses that can't be delivered in time, and of one
+  /// that is not read if others need its memory.
+  void CheckWrites(Instant aNow);
+  void AbortWrite(const Connection& aConnection, CloseReason aReason);
   boost::asio::awaitable<CallerResponse> HandleOrFail(
     std::shared_ptr<RequestContext> aContext,
     CallerRequest aRequest,
@@ -129,6 +139,8 @@
   size_t mLingeringCount = 0;
   bool mStopping = false;
   bool mRequestsExpired = false;
+  /// Why the writing of a response was ended.
+  std::map<const CallerConnection*, CloseReason> mAbortedWrites;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/caller_server_test.cpp
+++ b/src/librattandyke/gateway/caller_server_test.cpp
@@ -76,6 +76,11 @@
     return { aStatus, "", aText };
   }
 
+  Duration ResponseTime(const boost::beast::http::fields&) const override
+  {
+    return responseTime;
+  }
+
   Duration MaxBodyWait(const boost::beast::http::fields&) const override
   {
     return maxBodyWait;
@@ -99,6 +104,7 @@
   CallerLimits limits{ 4096, 4096, seconds{ 9 } };
   std::string body = "done";
   Duration maxBodyWait{};
+  Duration responseTime = seconds{ 6 };
   std::string requestBody;
   MemoryBudget::Reservation requestRoom;
   bool holdRequests = false;
@@ -234,6 +240,97 @@
   EXPECT_EQ(handler.closes["answered"], 1U);
 }
 
+/// Callers that do not read their response at once.
+class SlowReaderTest : public CallerServerTest
+{
+protected:
+  static constexpr size_t kLargeBytes = size_t{ 16 } * 1024 * 1024;
+
+  /// Connects with a window of a few segments of a common link.
+  tcp::socket ConnectWithSmallWindow()
+  {
+    tcp::socket caller(context, tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    const int segment = 1400;
+    setsockopt(caller.native_handle(),
+               IPPROTO_TCP,
+               TCP_MAXSEG,
+               &segment,
+               sizeof(segment));
+    caller.connect(address);
+    return caller;
+  }
+
+  /// Lets a caller request a response that does not fit into the kernel.
+  tcp::socket RequestLargeResponse()
+  {
+    handler.body = std::string(kLargeBytes, 'x');
+    tcp::socket caller = ConnectWithSmallWindow();
+    Send(caller, kLastRequest);
+    EXPECT_TRUE(RunUntil([&] { return handler.handled > 0; }));
+    Run(milliseconds{ 50 });
+    return caller;
+  }
+
+  void Run(milliseconds aTime)
+  {
+    context.restart();
+    context.run_for(aTime);
+  }
+};
+
+// Guards against a response that is reset while its caller, which acknowledges
+// everything, pauses for longer than an unreachable one may be silent.
+TEST_F(SlowReaderTest, PauseDoesNotEndTheResponse)
+{
+  handler.body = std::string(kBodyBytes / 8, 'x');
+  tcp::socket caller = ConnectWithSmallWindow();
+  Send(caller, kLastRequest);
+  ASSERT_TRUE(RunUntil([&] { return handler.handled == 1; }));
+  Run(milliseconds{ 3600 });
+  server.Sweep(clock.Now());
+  EXPECT_EQ(Count(ReadToEnd(caller), "x"), handler.body.size());
+}
+
+TEST_F(SlowReaderTest, CallerHasItsWholeTime)
+{
+  tcp::socket caller = RequestLargeResponse();
+  clock.Step(handler.responseTime - milliseconds{ 1 });
+  server.Sweep(clock.Now());
+  Run(milliseconds{ 10 });
+  EXPECT_EQ(Count(ReadToEnd(caller), "x"), kLargeBytes);
+}
+
+// Guards against memory that is held for callers that never read.
+TEST_F(SlowReaderTest, ResponseIsGivenUpWhenItsTimeIsOver)
+{
+  tcp::socket caller = RequestLargeResponse();
+  clock.Step(handler.responseTime);
+  server.Sweep(clock.Now());
+  EXPECT_TRUE(RunUntil([&] { return handler.closes["answer_not_read"] == 1; }));
+  EXPECT_NE(ReadToEnd(caller).find('!'), std::string::npos);
+}
+
+// Guards against requests without room for their bodies while others hold it
+// and don't read.
+TEST_F(SlowReaderTest, StalledResponseIsGivenUpIfBodiesWait)
+{
+  const tcp::socket first = RequestLargeResponse();
+  clock.Step(seconds{ 1 });
+  const tcp::socket second = RequestLargeResponse();
+  clock.Step(seconds{ 4 });
+  server.Sweep(clock.Now());
+  Run(milliseconds{ 10 });
+  EXPECT_EQ(handler.closes["answer_evicted"], 0U);
+  const auto held =
+    bodies.TryReserve(MemoryBudget::Use::Request, kBodyBytes / 2);
+  const auto waiting =
+    bodies.Wait(MemoryBudget::Use::Request, kBodyBytes / 2, [] {});
+  ASSERT_EQ(bodies.WaitingBodies(), 1U);
+  server.Sweep(clock.Now());
+  EXPECT_TRUE(RunUntil([&] { return handler.closes["answer_evicted"] == 1; }));
+}
+
 // A caller that disconnects during its request must be counted and logged with
 // the reason, so that operators can tell it from other lost connections.
 TEST_F(CallerServerTest, DisconnectDuringRequestIsLoggedAndCounted)
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -199,6 +199,7 @@
 RequestHandler::Sweep()
 {
   const State& state = mFeed.CurrentState();
+  mUpstreamClient.CloseSilent(mClock.Now());
   mUpstreamClient.Pool().Sweep(mClock.Now(), [&](const std::string& aInstance) {
     return state.FindInstance(aInstance) != nullptr;
   });
@@ -306,6 +307,8 @@
                static_cast<double>(mUpstreamClient.ConnectionsOpened()));
   mMetrics.SetTotal(
     "upstream_connects_failed", {}, mUpstreamClient.ConnectionsFailed());
+  mMetrics.SetTotal(
+    "upstream_connections_silent", {}, mUpstreamClient.SilentConnections());
   mMetrics.SetTotal(
     "upstream_responses_skipped", {}, mUpstreamClient.SkippedResponses());
   mMetrics.SetTotal("upstream_responses_without_id",
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -85,6 +85,8 @@
 
   CallerLimits Limits() const override;
 
+  Duration ResponseTime(
+    const boost::beast::http::fields& aFields) const override;
   Duration MaxBodyWait(
     const boost::beast::http::fields& aFields) const override;
 
--- a/src/librattandyke/gateway/request_handler_bodies.cpp
+++ b/src/librattandyke/gateway/request_handler_bodies.cpp
@@ -47,6 +47,12 @@
   return upstreamRequest;
 }
 
+Duration
+RequestHandler::ResponseTime(const boost::beast::http::fields& aFields) const
+{
+  return StatedTime(aFields, mHeaders);
+}
+
 /// A caller gives a request up that is not read within a second, or within a
 /// third of its time.
 Duration
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -21,6 +21,7 @@
 #include "http/headers.h"
 #include "http/signal.h"
 #include "net/frame_connection.h"
+#include "net/peer_acks.h"
 
 namespace rattandyke::gateway {
 
@@ -41,7 +42,7 @@
 /// Subtracted from the upstream's Keep-Alive timeout, so that the upstream does
 /// not close the connection while a request is in transit.
 constexpr milliseconds kIdleLifetimeMargin{ 1000 };
-/// Time after which a connection with unacknowledged data is closed.
+/// Time after which a connection is closed whose upstream acknowledges nothing.
 constexpr milliseconds kUnacknowledgedTimeout{ 1000 };
 /// Time for the response to a probe. It may wait for a slot of the upstream.
 constexpr milliseconds kProbeTimeout{ 1000 };
@@ -118,12 +119,11 @@
 
 asio::awaitable<void>
 WriteBody(std::shared_ptr<UpstreamConnection> aConnection,
-          std::shared_ptr<const UpstreamRequest> aRequest,
-          std::shared_ptr<bool> aWritten)
+          std::shared_ptr<const UpstreamRequest> aRequest)
 {
   auto [error, bytes] = co_await asio::async_write(
     aConnection->socket, asio::buffer(aRequest->body), kAwait);
-  *aWritten = !error;
+  aConnection->requestWritten = !error;
 }
 
 } // namespace
@@ -311,6 +311,10 @@
     co_return nullptr;
   }
   net::TuneSocket(connection->socket, kUnacknowledgedTimeout);
+  if (net::QueryPeerAcks(connection->socket)) {
+    // CloseSilent() ends the connection in place of the kernel.
+    net::SetUserTimeout(connection->socket, milliseconds::zero());
+  }
   co_return connection;
 }
 
@@ -368,37 +372,20 @@
     PoolOrClose(aProcess, connection);
     co_return MakeResult(AttemptResult::Kind::NotSent, "no time is left");
   }
-  std::string head = FormatHead(aProcess.instance, *aRequest, left);
-  const bool bodyInline = aRequest->body.size() <= kMaxInlineBodyBytes;
-  if (bodyInline) {
-    head += aRequest->body;
-  }
-  mOnWrite(head.size() + (bodyInline ? 0 : aRequest->body.size()));
-  auto [writeError, written] =
-    co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
-  if (writeError) {
-    aHandle->DetachConnection();
-    connection->Close();
-    AttemptResult result =
-      MakeResult(AttemptResult::Kind::OutcomeUnknown,
-                 "writing failed: " + writeError.message());
-    result.connectionLost = !aHandle->IsCancelled();
-    co_return result;
-  }
-  auto bodyWritten = std::make_shared<bool>(bodyInline);
-  if (!bodyInline) {
-    asio::co_spawn(
-      mExecutor, WriteBody(connection, aRequest, bodyWritten), asio::detached);
-  }
+  mInProgress[connection] = sentAt;
   AttemptResult result =
-    co_await ReadResponse(connection, aRequest, left, aHandle);
+    co_await Exchange(connection, aProcess.instance, aRequest, left, aHandle);
+  mInProgress.erase(connection);
   aHandle->DetachConnection();
   result.newConnection = newConnection;
   result.elapsed = mClock.Now() - sentAt;
-  if (aHandle->IsCancelled() &&
-      result.kind == AttemptResult::Kind::OutcomeUnknown) {
-    result.reason = aHandle->CancelReason();
-    result.cancelled = true;
+  if (result.kind == AttemptResult::Kind::OutcomeUnknown) {
+    if (aHandle->IsCancelled()) {
+      result.reason = aHandle->CancelReason();
+      result.cancelled = true;
+    } else if (connection->silent) {
+      result.reason = "the upstream acknowledges nothing";
+    }
   }
   if (result.kind == AttemptResult::Kind::NotExecuted) {
     connection->refused.Add(
@@ -407,7 +394,7 @@
   const bool reusable = (result.kind == AttemptResult::Kind::Response ||
                          result.kind == AttemptResult::Kind::NotExecuted) &&
                         !connection->refused.IsFull();
-  if (reusable && *bodyWritten && !aHandle->IsCancelled()) {
+  if (reusable && connection->requestWritten && !aHandle->IsCancelled()) {
     PoolOrClose(aProcess, connection);
   } else {
     connection->Close();
@@ -415,6 +402,55 @@
   co_return result;
 }
 
+asio::awaitable<AttemptResult>
+UpstreamClient::Exchange(std::shared_ptr<UpstreamConnection> aConnection,
+                         const std::string& aInstance,
+                         std::shared_ptr<const UpstreamRequest> aRequest,
+                         Duration aLeft,
+                         std::shared_ptr<AttemptHandle> aHandle)
+{
+  std::string head = FormatHead(aInstance, *aRequest, aLeft);
+  const bool bodyInline = aRequest->body.size() <= kMaxInlineBodyBytes;
+  if (bodyInline) {
+    head += aRequest->body;
+  }
+  mOnWrite(head.size() + (bodyInline ? 0 : aRequest->body.size()));
+  aConnection->requestWritten = false;
+  auto [writeError, written] =
+    co_await asio::async_write(aConnection->socket, asio::buffer(head), kAwait);
+  if (writeError) {
+    AttemptResult result =
+      MakeResult(AttemptResult::Kind::OutcomeUnknown,
+                 "writing failed: " + writeError.message());
+    result.connectionLost = !aHandle->IsCancelled();
+    co_return result;
+  }
+  if (bodyInline) {
+    aConnection->requestWritten = true;
+  } else {
+    asio::co_spawn(mExecutor, WriteBody(aConnection, aRequest), asio::detached);
+  }
+  co_return co_await ReadResponse(aConnection, aRequest, aLeft, aHandle);
+}
+
+/// An upstream may read a long body late, within the time of its request; its
+/// window is closed meanwhile, and it acknowledges the kernel's probes.
+void
+UpstreamClient::CloseSilent(Instant aNow)
+{
+  for (const auto& [connection, since] : mInProgress) {
+    if (aNow - since < Duration(kUnacknowledgedTimeout)) {
+      continue;
+    }
+    const auto acks = net::QueryPeerAcks(connection->socket);
+    if (acks && net::IsSilent(*acks, kUnacknowledgedTimeout)) {
+      connection->silent = true;
+      connection->Close();
+      ++mSilentConnections;
+    }
+  }
+}
+
 void
 UpstreamClient::PoolOrClose(
   const UpstreamProcess& aProcess,
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -80,6 +80,10 @@
   RefusedRequests refused;
   /// A request without an id, a health check, was sent on the connection.
   bool carriedHealthCheck = false;
+  /// UpstreamClient::CloseSilent closed the connection.
+  bool silent = false;
+  /// The last request was written whole.
+  bool requestWritten = true;
 };
 
 /// Identifies one process of an upstream, the target of a request.
@@ -274,6 +278,10 @@
   boost::asio::awaitable<bool> Probe(UpstreamProcess aProcess,
                                      std::string aHealthPath);
 
+  /// Closes connections on which an upstream has acknowledged nothing of a
+  /// request for a while. Call it at regular intervals.
+  void CloseSilent(Instant aNow);
+
   ConnectionPool& Pool() { return mPool; }
   const ConnectionPool& Pool() const { return mPool; }
 
@@ -283,6 +291,9 @@
   /// @return how many of them could not be established.
   uint64_t ConnectionsFailed() const { return mConnectionsFailed; }
 
+  /// @return how many of them CloseSilent() has closed.
+  uint64_t SilentConnections() const { return mSilentConnections; }
+
   /// @return how many responses were skipped because they belong to another
   /// request.
   uint64_t SkippedResponses() const { return mSkippedResponses; }
@@ -316,6 +327,14 @@
             Parser& aParser,
             Duration aTimeLeft,
             AttemptHandle& aHandle);
+  /// Writes a request and reads the response on a connection.
+  /// @param aLeft time for the response.
+  boost::asio::awaitable<AttemptResult> Exchange(
+    std::shared_ptr<UpstreamConnection> aConnection,
+    const std::string& aInstance,
+    std::shared_ptr<const UpstreamRequest> aRequest,
+    Duration aLeft,
+    std::shared_ptr<AttemptHandle> aHandle);
   /// Returns an idle connection to the pool, or closes it if it must not be
   /// reused.
   void PoolOrClose(const UpstreamProcess& aProcess,
@@ -339,8 +358,11 @@
   const Clock& mClock;
   const OnWrite mOnWrite;
   ConnectionPool mPool;
+  /// Connections on which a request is in progress, and since when.
+  std::map<std::shared_ptr<UpstreamConnection>, Instant> mInProgress;
   uint64_t mConnectionsOpened = 0;
   uint64_t mConnectionsFailed = 0;
+  uint64_t mSilentConnections = 0;
   uint64_t mSkippedResponses = 0;
   uint64_t mUnidentifiedResponses = 0;
 };
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -469,6 +469,72 @@
   EXPECT_EQ(bodies.BytesInUse(), body.size());
 }
 
+/// Upstream that accepts one connection and reads it late, with a small window.
+class LateReader
+{
+public:
+  explicit LateReader(asio::io_context& aContext)
+    : mAcceptor(aContext, tcp::v4())
+  {
+    mAcceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    mAcceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+    mAcceptor.listen();
+    asio::co_spawn(aContext, Serve(), asio::detached);
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+  static constexpr milliseconds kPause{ 2000 };
+
+private:
+  asio::awaitable<void> Serve()
+  {
+    auto [error, socket] = co_await mAcceptor.async_accept(kAwait);
+    asio::steady_timer pause(mAcceptor.get_executor(), kPause);
+    co_await pause.async_wait(kAwait);
+    std::string received;
+    co_await asio::async_read_until(
+      socket, asio::dynamic_buffer(received), "the end", kAwait);
+    const std::string response = ResponseTo("r-1", "done");
+    co_await asio::async_write(socket, asio::buffer(response), kAwait);
+  }
+
+  tcp::acceptor mAcceptor;
+};
+
+// Guards against a request that is cut off while its upstream, which
+// acknowledges everything, has not begun to read the body.
+TEST_F(UpstreamClientTest, UpstreamMayReadALongBodyLate)
+{
+  LateReader reader(context);
+  auto request = std::make_shared<UpstreamRequest>();
+  request->method = "PUT";
+  request->target = "/x";
+  request->requestId = "r-1";
+  request->hasBody = true;
+  request->body = std::string(kBodyBytes, 'x') + "the end";
+  AttemptResult result;
+  asio::co_spawn(context,
+                 client.RoundTrip(UpstreamProcess{ "i-1", reader.Address() },
+                                  request,
+                                  3 * LateReader::kPause,
+                                  std::make_shared<AttemptHandle>()),
+                 [&](const std::exception_ptr&, AttemptResult aResult) {
+                   result = std::move(aResult);
+                   context.stop();
+                 });
+  SystemClock now;
+  for (int sweep = 0; sweep < 40 && !context.stopped(); ++sweep) {
+    context.run_for(milliseconds{ 200 });
+    client.CloseSilent(now.Now());
+  }
+  EXPECT_EQ(result.kind, Kind::Response) << result.reason;
+  EXPECT_EQ(client.SilentConnections(), 0U);
+}
+
 // Guards against a list of refused requests that grows with the load: only
 // those that may still be sent again are kept.
 TEST(RefusedRequestsTest, ForgetsRequestsAfterTheirDeadline)
