Orders without a version are not carried out late

Cause: a control host that was paused read the first sending of an order, whose sender had repeated it elsewhere, seen it acknowledged and sent a newer one since. Such orders carry no version, and the host passed it on without its age.

Change: a host that was not scheduled for over half a second treats what it reads then as of unknown age (PauseDetector). It waits for a round trip and looks whether the sender is still there, since after a cut its close follows its bytes. An order that may be old gets 503 and the connection is closed, so that the sender repeats it. Forwarded orders carry their waiting time, and a leader that was paused refuses them, too. The same for orders to lift a ban; serve does not handle an operator's request whose sender has left.

Why it works: a sender waits for a second. An order is now carried out only if a host that ran throughout has read it within that time and its sender was still there afterwards.

--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -11,6 +11,7 @@
 #include "base/endpoint.h"
 #include "log/log.h"
 #include "net/listen.h"
+#include "net/peek.h"
 
 namespace rattandyke::admin {
 
@@ -216,6 +217,10 @@
         aStream, ToHttp(ErrorAnswer(ReadError(error)), 11, false));
     }
     const HttpRequest& request = parser.get();
+    if (request.method() != http::verb::get &&
+        net::HasPeerLeft(aStream.socket())) {
+      co_return false; // It may have sent the order to another host since.
+    }
     const bool keepAlive = request.keep_alive() && !stopping;
     const unsigned version = request.version();
     Result<ApiRequest> call = ToApi(request, aFromLoopback);
--- a/src/librattandyke/gateway/control_host.cpp
+++ b/src/librattandyke/gateway/control_host.cpp
@@ -24,6 +24,11 @@
 /// few seconds after which more hosts may be lost.
 constexpr milliseconds kReplaceAfter{ 900 };
 constexpr milliseconds kSpareAfter{ 1200 };
+/// Time without a tick after which calls that arrived meanwhile may be old:
+/// their senders turn to another host after a second.
+constexpr milliseconds kLongPause{ 500 };
+/// Time to read what arrived during a pause.
+constexpr milliseconds kDoubtAfterPause{ 500 };
 /// A host whose election timer fires late by this much was delayed itself. A
 /// host with a fraction of a core is delayed that long while many upstreams
 /// call.
@@ -57,6 +62,7 @@
   , answerBatchTimer(executor)
   , deferredTimer(executor)
   , upToDateAt(aClock.Now())
+  , pauses(kLongPause, kDoubtAfterPause)
   , crashWatch(aSettings.heartbeatInterval)
   , freshness(aClock.Now())
   , slots(MakeSlots())
@@ -221,6 +227,7 @@
 void
 ControlHost::Impl::OnTick()
 {
+  pauses.Tick(clock.Now());
   if (HoldsLeaderLease()) {
     RecordOwnerDemand();
     ProposeInBackground(rangeAssigner.Tick(state, clock.Now()));
--- a/src/librattandyke/gateway/control_host_calls.cpp
+++ b/src/librattandyke/gateway/control_host_calls.cpp
@@ -24,6 +24,12 @@
 /// Longest time for which an answer is delayed until keys are free. An upstream
 /// accepts answers within a second.
 constexpr milliseconds kMaxRangeWait{ 350 };
+/// Time for the close of a sender that no longer waits to arrive behind its
+/// order: a round trip between distant data centres.
+constexpr milliseconds kCloseInTransit{ 100 };
+/// Age at which an order is not carried out: its sender may have sent it to
+/// another host.
+constexpr milliseconds kMaxOrderAge{ 900 };
 /// Limits of untrusted text in log lines.
 constexpr size_t kMaxLoggedIdBytes = 64;
 constexpr size_t kMaxLoggedTargetBytes = 128;
@@ -88,16 +94,70 @@
     co_return HttpResponse{ kUnavailable, "", "application/json" };
   }
   const Instant arrivedAt = self->clock.Now();
-  HttpResponse response = co_await self->HandleOrForward(std::move(aCall));
+  HttpResponse response;
+  std::optional<HttpResponse> refused;
+  if (self->IsUnversionedOrder(aCall)) {
+    refused = co_await self->RefuseOldOrder(aCall, arrivedAt);
+  }
+  if (refused) {
+    response = std::move(*refused);
+  } else {
+    response = co_await self->HandleOrForward(std::move(aCall), arrivedAt);
+  }
   self->metrics.Increment("calls",
                           "status=\"" + std::to_string(response.status) + "\"");
   self->metrics.Observe("call", self->clock.Now() - arrivedAt);
   co_return response;
 }
 
+bool
+ControlHost::Impl::IsUnversionedOrder(const HttpRequest& aCall) const
+{
+  return IsLiftOfBan(aCall) ||
+         dialect.IsUnversionedOrder(aCall.method, aCall.target);
+}
+
+/// The sender of an order turns to another host after a second, and sends other
+/// orders once that one has carried it out. This host may read the first
+/// sending only then: if it was paused, or if the connection was cut off. It
+/// can't tell how old the order is after a pause; after a cut, the sender's
+/// close follows its bytes within a round trip.
+asio::awaitable<std::optional<HttpResponse>>
+ControlHost::Impl::RefuseOldOrder(const HttpRequest& aCall, Instant aArrivedAt)
+{
+  asio::steady_timer timer(executor, kCloseInTransit);
+  co_await timer.async_wait(kAwait);
+  const Instant now = clock.Now();
+  if (pauses.MayBeOld(now) || now - aArrivedAt >= Duration(kMaxOrderAge)) {
+    co_return RefuseOrder(
+      aCall, "paused", "This host was paused; the order may be an old one.");
+  }
+  if (aCall.hasClientLeft && aCall.hasClientLeft()) {
+    co_return RefuseOrder(
+      aCall, "client_left", "The sender no longer waits for the response.");
+  }
+  co_return std::nullopt;
+}
+
+/// @return a response after which the sender sends the order again.
+HttpResponse
+ControlHost::Impl::RefuseOrder(const HttpRequest& aCall,
+                               std::string_view aReason,
+                               std::string aText)
+{
+  Info() << "this host does not carry out the order " << aCall.method << " "
+         << Printable(aCall.target.substr(0, kMaxLoggedTargetBytes)) << ": "
+         << aText;
+  metrics.Increment("orders_refused",
+                    "reason=\"" + std::string(aReason) + "\"");
+  HttpResponse response = UnavailableResponse(std::move(aText));
+  response.closes = true;
+  return response;
+}
+
 /// Handles a call as the leader, or forwards it to the leader.
 asio::awaitable<HttpResponse>
-ControlHost::Impl::HandleOrForward(HttpRequest aCall)
+ControlHost::Impl::HandleOrForward(HttpRequest aCall, Instant aArrivedAt)
 {
   if (driver->IsLeader()) {
     co_return co_await HandleAsLeader(aCall);
@@ -114,6 +174,14 @@
     }
     co_return co_await ForwardHeartbeat(*leader, std::get<Heartbeat>(*call));
   }
+  co_return co_await ForwardCall(*leader, std::move(aCall), aArrivedAt);
+}
+
+asio::awaitable<HttpResponse>
+ControlHost::Impl::ForwardCall(HostName aLeader,
+                               HttpRequest aCall,
+                               Instant aArrivedAt)
+{
   const uint64_t id = requestIds.Next();
   auto pending = std::make_shared<PendingResult<HttpResponse>>(executor);
   pendingCalls[id] = pending;
@@ -124,7 +192,10 @@
   call->set_method(aCall.method);
   call->set_target(aCall.target);
   call->set_body(aCall.body);
-  mesh->Send(*leader, frame.SerializeAsString());
+  call->set_waited_ms(static_cast<uint32_t>(
+    std::chrono::duration_cast<milliseconds>(clock.Now() - aArrivedAt)
+      .count()));
+  mesh->Send(aLeader, frame.SerializeAsString());
   co_await pending->timer.async_wait(kAwait);
   pendingCalls.erase(id);
   co_return pending->value.value_or(
@@ -147,7 +218,16 @@
     aSelf->UnavailableResponse("This host is not the leader.");
   if (aSelf->driver->IsLeader()) {
     const HttpRequest request{ aCall.method(), aCall.target(), aCall.body() };
-    response = co_await aSelf->HandleAsLeader(request);
+    const bool mayBeOld = aSelf->pauses.MayBeOld(aSelf->clock.Now()) ||
+                          milliseconds{ aCall.waited_ms() } >= kMaxOrderAge;
+    if (mayBeOld && aSelf->IsUnversionedOrder(request)) {
+      response = aSelf->RefuseOrder(
+        request,
+        "paused",
+        "The leader was paused; the order may be an old one.");
+    } else {
+      response = co_await aSelf->HandleAsLeader(request);
+    }
   }
   wire::GatewayFrame frame;
   wire::ForwardedAnswer* reply = frame.mutable_forwarded_answer();
--- a/src/librattandyke/gateway/control_host_crashes.cpp
+++ b/src/librattandyke/gateway/control_host_crashes.cpp
@@ -114,6 +114,14 @@
   loggedBans = std::move(bans);
 }
 
+bool
+ControlHost::Impl::IsLiftOfBan(const HttpRequest& aCall)
+{
+  const std::string_view target(aCall.target);
+  return aCall.method == "POST" &&
+         target.substr(0, target.find('?')) == kLiftPath;
+}
+
 std::optional<HttpResponse>
 ControlHost::Impl::OnBanCall(const HttpRequest& aCall)
 {
@@ -122,7 +130,7 @@
   if (aCall.method == "GET" && path == kListPath) {
     return ListOf(state.Crashes().Bans(clock.Wall()));
   }
-  if (aCall.method != "POST" || path != kLiftPath) {
+  if (!IsLiftOfBan(aCall)) {
     return std::nullopt;
   }
   const std::string fingerprint = FingerprintIn(aCall.body);
--- a/src/librattandyke/gateway/control_host_impl.h
+++ b/src/librattandyke/gateway/control_host_impl.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/pause_detector.h"
 #include "base/request_ids.h"
 #include "consensus/driver.h"
 #include "gateway/control_host.h"
@@ -158,6 +159,7 @@
   /// @return the response to an operator's call about bans; nullopt if the call
   /// is another one.
   std::optional<HttpResponse> OnBanCall(const HttpRequest& aCall);
+  static bool IsLiftOfBan(const HttpRequest& aCall);
 
   // Forwarding of heartbeats to the leader: control_host_heartbeats.cpp.
 
@@ -184,7 +186,20 @@
   static boost::asio::awaitable<HttpResponse> ServeCall(
     std::weak_ptr<Impl> aSelf,
     HttpRequest aCall);
-  boost::asio::awaitable<HttpResponse> HandleOrForward(HttpRequest aCall);
+  boost::asio::awaitable<HttpResponse> HandleOrForward(HttpRequest aCall,
+                                                       Instant aArrivedAt);
+  boost::asio::awaitable<HttpResponse> ForwardCall(HostName aLeader,
+                                                   HttpRequest aCall,
+                                                   Instant aArrivedAt);
+  bool IsUnversionedOrder(const HttpRequest& aCall) const;
+  /// @return the response if an order is not to be carried out, since its
+  /// sender may have sent it again or given it up.
+  boost::asio::awaitable<std::optional<HttpResponse>> RefuseOldOrder(
+    const HttpRequest& aCall,
+    Instant aArrivedAt);
+  HttpResponse RefuseOrder(const HttpRequest& aCall,
+                           std::string_view aReason,
+                           std::string aText);
   void OnForwardedCall(const wire::ForwardedCall& aCall);
   static boost::asio::awaitable<void> AnswerForwardedCall(
     std::shared_ptr<Impl> aSelf,
@@ -269,6 +284,7 @@
   /// When this host was last known to be up to date; before that, its start.
   Instant upToDateAt{};
   bool stopping = false;
+  PauseDetector pauses;
   /// This host was up to date at the last ping interval.
   bool isCaughtUp = false;
   RestRegister rests;
--- a/src/librattandyke/gateway/dialect.h
+++ b/src/librattandyke/gateway/dialect.h
@@ -97,6 +97,11 @@
   virtual bool IsHeartbeat(std::string_view aMethod,
                            std::string_view aTarget) const = 0;
 
+  /// @return whether method and target are those of an order without a version:
+  /// one that arrives late can't be told from a new one.
+  virtual bool IsUnversionedOrder(std::string_view aMethod,
+                                  std::string_view aTarget) const = 0;
+
   /// @return the body of the response to a heartbeat.
   virtual std::string Encode(const HeartbeatAnswer& aAnswer) const = 0;
 
--- a/src/librattandyke/gateway/entry_host_test.cpp
+++ b/src/librattandyke/gateway/entry_host_test.cpp
@@ -37,6 +37,11 @@
   {
     return false;
   }
+  bool IsUnversionedOrder(std::string_view, std::string_view) const override
+  {
+    return false;
+  }
+
   std::string Encode(const HeartbeatAnswer&) const override { return {}; }
   std::string EncodeItems(const wire::GatewayState&) const override
   {
--- a/src/librattandyke/gateway/http_server.cpp
+++ b/src/librattandyke/gateway/http_server.cpp
@@ -18,6 +18,7 @@
 #include "gateway/read_body.h"
 #include "net/accept_loop.h"
 #include "net/frame_connection.h"
+#include "net/peek.h"
 
 namespace rattandyke::gateway {
 
@@ -115,14 +116,18 @@
       aSession->stream.expires_never();
       HttpRequest request{ std::string(parser.get().method_string()),
                            std::string(parser.get().target()),
-                           std::move(parser.get().body()) };
+                           std::move(parser.get().body()),
+                           [aSession] {
+                             return net::HasPeerLeft(aSession->stream.socket());
+                           } };
       HttpResponse result = co_await aSelf->handler(std::move(request));
       aSession->bodyRoom = {};
       http::response<http::string_body> response;
       response.result(result.status);
       response.set(http::field::content_type, result.contentType);
       response.body() = std::move(result.body);
-      response.keep_alive(parser.get().keep_alive() && !aSelf->stopped);
+      response.keep_alive(parser.get().keep_alive() && !aSelf->stopped &&
+                          !result.closes);
       response.prepare_payload();
       aSession->stream.expires_after(kIdleTimeout);
       auto [writeError, written] =
--- a/src/librattandyke/gateway/http_server.h
+++ b/src/librattandyke/gateway/http_server.h
@@ -19,6 +19,9 @@
   std::string method;
   std::string target;
   std::string body;
+  /// @return whether the client has closed the connection; it no longer waits
+  /// for the response. Empty if the request did not come on a connection.
+  std::function<bool()> hasClientLeft{};
 };
 
 /// The response to an HttpRequest.
@@ -27,6 +30,8 @@
   unsigned status = 200;
   std::string body;
   std::string contentType = "application/json";
+  /// The connection is closed after the response.
+  bool closes = false;
 };
 
 /// HTTP/1.1 server with keep-alive, which passes each complete request to a
--- a/src/librattandyke/gateway/http_server_test.cpp
+++ b/src/librattandyke/gateway/http_server_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "testing/descriptors.h"
@@ -85,6 +86,59 @@
   }
 }
 
+// Guards against an order that is carried out although its sender has left.
+TEST(HttpServer, HandlerSeesThatTheClientHasLeft)
+{
+  asio::io_context context;
+  const Endpoint address = FreeAddress(context);
+  std::vector<bool> left;
+  HttpServer server(context.get_executor(),
+                    address,
+                    kMaxConnections,
+                    [&](HttpRequest aRequest) -> asio::awaitable<HttpResponse> {
+                      left.push_back(aRequest.hasClientLeft());
+                      co_return HttpResponse{ 200, "", "text/plain" };
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket waiting(context);
+  tcp::socket leaving(context);
+  for (tcp::socket* client : { &waiting, &leaving }) {
+    client->connect(TcpOf(address));
+    asio::write(*client,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    if (client == &leaving) {
+      client->close();
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds{ 20 });
+  }
+  EXPECT_EQ(left, (std::vector<bool>{ false, true }));
+}
+
+// Guards against a sender that stays with a host that refuses its orders.
+TEST(HttpServer, ResponseMayEndTheConnection)
+{
+  asio::io_context context;
+  const Endpoint address = FreeAddress(context);
+  HttpServer server(context.get_executor(),
+                    address,
+                    kMaxConnections,
+                    [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+                      co_return HttpResponse{ 503, "", "text/plain", true };
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket client(context);
+  client.connect(TcpOf(address));
+  asio::write(client,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  context.run_for(std::chrono::milliseconds{ 20 });
+  std::string received;
+  boost::system::error_code error;
+  asio::read(client, asio::dynamic_buffer(received), error);
+  EXPECT_EQ(error, asio::error::eof);
+  EXPECT_NE(received.find("Connection: close"), std::string::npos) << received;
+}
+
 // A third of the upstreams stop without closing their connections, and
 // replacements start on other machines. The leader still has the old
 // connections open when the new ones arrive. It must answer the heartbeat of
