--- a/src/librattandyke/gateway/control_host_crashes.cpp
+++ b/src/librattandyke/gateway/control_host_crashes.cpp
@@ -65,7 +65,7 @@
 ControlHost::Impl::OnCrashReports(const wire::CrashReports& aReports)
 {
   if (driver->IsLeader()) {
-    crashWatch.Add(aReports);
+    crashWatch.Add(aReports, clock.Now());
     return;
   }
   const auto leader = driver->LeaderHint();
--- a/src/librattandyke/gateway/crash_register.cpp
+++ b/src/librattandyke/gateway/crash_register.cpp
@@ -9,6 +9,11 @@
 
 using std::chrono::milliseconds;
 
+/// Error of the times that different entry hosts tell.
+constexpr milliseconds kTimeError{ 20 };
+/// Time for which counts may change, as reports of other entry hosts arrive.
+constexpr std::chrono::seconds kSettled{ 2 };
+
 WallTime
 FromUnixMs(int64_t aTime)
 {
@@ -55,16 +60,108 @@
   for (const std::string& fingerprint : aCommand.lifted()) {
     mRequests.erase(fingerprint);
   }
+  UpdateBlame();
   UpdateVerdictsEnd();
 }
 
+CrashRegister::CrashIterator
+CrashRegister::MomentEnd(CrashIterator aFirst, CrashIterator aEnd)
+{
+  return std::find_if(std::next(aFirst), aEnd, [&](const Crash& aCrash) {
+    return aCrash.sentAt >= aFirst->at + kMoment;
+  });
+}
+
+bool
+CrashRegister::ExplainsMoment(const Request& aRequest,
+                              CrashIterator aFirst,
+                              CrashIterator aEnd) const
+{
+  const WallTime from = aFirst->at - kMoment;
+  const WallTime to = std::prev(aEnd)->at + kMoment;
+  return std::all_of(mRecent.begin(), mRecent.end(), [&](const Crash& aOther) {
+    return aOther.at < from || aOther.at > to ||
+           std::any_of(aRequest.crashes.begin(),
+                       aRequest.crashes.end(),
+                       [&](const Crash& aCrash) {
+                         return aCrash.process == aOther.process;
+                       });
+  });
+}
+
+CrashRegister::Crashes
+CrashRegister::BlamedCrashes(const Request& aRequest) const
+{
+  const Crashes& crashes = aRequest.crashes;
+  Crashes blamed;
+  for (auto first = crashes.begin(); first != crashes.end();) {
+    const auto end = MomentEnd(first, crashes.end());
+    const bool overlaps =
+      std::adjacent_find(
+        first, end, [](const Crash& aBefore, const Crash& aAfter) {
+          return aAfter.sentAt < aBefore.at - kTimeError;
+        }) != end;
+    const bool suspected = !blamed.empty();
+    const bool countsEach = std::next(first) != end &&
+                            (suspected || !overlaps) &&
+                            ExplainsMoment(aRequest, first, end);
+    blamed.insert(blamed.end(), first, countsEach ? end : std::next(first));
+    first = end;
+  }
+  return blamed;
+}
+
+/// Crashes that don't count are removed once all reports have arrived: what
+/// else was lost at their time is forgotten later.
+void
+CrashRegister::UpdateBlame()
+{
+  for (auto& [fingerprint, request] : mRequests) {
+    const bool settled = request.crashes.back().at + kSettled <= mNow;
+    if (settled && request.blamed == request.crashes.size()) {
+      continue;
+    }
+    Crashes blamed = BlamedCrashes(request);
+    request.blamed = blamed.size();
+    if (settled) {
+      request.crashes = std::move(blamed);
+    }
+    Judge(request);
+  }
+}
+
+void
+CrashRegister::RecordRecent(const Crash& aCrash)
+{
+  std::erase_if(mRecent, [&](const Crash& aOther) {
+    return aOther.at + kRecent < mNow || aOther.process == aCrash.process;
+  });
+  mRecent.push_back(aCrash);
+  if (mRecent.size() > kMaxRecent) {
+    mRecent.pop_front();
+  }
+}
+
+/// Keeps the order, and the latest crashes.
+void
+CrashRegister::Insert(Crashes& aCrashes, Crash aCrash)
+{
+  const auto later =
+    std::find_if(aCrashes.begin(), aCrashes.end(), [&](const Crash& aOther) {
+      return aOther.at > aCrash.at;
+    });
+  aCrashes.insert(later, std::move(aCrash));
+  if (aCrashes.size() > kMaxRemembered) {
+    aCrashes.erase(aCrashes.begin());
+  }
+}
+
 WallTime
 CrashRegister::VerdictEnd(const Request& aRequest)
 {
   const WallTime last = aRequest.crashes.back().at;
-  return aRequest.crashes.size() > 1
-           ? std::max(aRequest.bannedUntil, last) + kMemory
-           : last + kWatchFirst;
+  return aRequest.blamed > 1 ? std::max(aRequest.bannedUntil, last) + kMemory
+                             : last + kWatchFirst;
 }
 
 void
@@ -79,22 +176,22 @@
 void
 CrashRegister::RecordInterruption(const wire::InterruptedRequest& aInterruption)
 {
-  const UpstreamProcessId process = FromMessage(aInterruption);
+  Crash crash;
+  crash.process = FromMessage(aInterruption);
+  crash.at = mNow - milliseconds{ aInterruption.ended_ms_ago() };
+  crash.sentAt = mNow - milliseconds{ aInterruption.sent_ms_ago() };
+  RecordRecent(crash);
   Request& request = mRequests[aInterruption.fingerprint()];
   request.service = aInterruption.service();
-  std::vector<Crash>& crashes = request.crashes;
-  const bool known =
-    std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
-      return aCrash.process == process;
+  const bool known = std::any_of(
+    request.crashes.begin(), request.crashes.end(), [&](const Crash& aOther) {
+      return aOther.process == crash.process;
     });
-  const WallTime sentAt = mNow - milliseconds{ aInterruption.sent_ms_ago() };
-  if (known || (!crashes.empty() && sentAt < crashes.back().at + kMinSpacing)) {
+  if (known) {
     return;
   }
-  crashes.push_back({ process, mNow });
-  if (crashes.size() > kMaxCrashes) {
-    crashes.erase(crashes.begin());
-  }
+  Insert(request.crashes, std::move(crash));
+  request.blamed = BlamedCrashes(request).size();
   Judge(request);
   if (mRequests.size() > kMaxRequests) {
     RemoveOldest();
@@ -128,6 +225,8 @@
 void
 CrashRegister::Withdraw(const UpstreamProcessId& aProcess)
 {
+  std::erase_if(
+    mRecent, [&](const Crash& aCrash) { return aCrash.process == aProcess; });
   for (auto& [fingerprint, request] : mRequests) {
     const size_t withdrawn =
       std::erase_if(request.crashes, [&](const Crash& aCrash) {
@@ -135,6 +234,7 @@
       });
     if (withdrawn > 0) {
       request.bannedUntil = {};
+      request.blamed = BlamedCrashes(request).size();
     }
   }
   std::erase_if(mRequests,
@@ -148,7 +248,7 @@
     std::count_if(aRequest.crashes.begin(),
                   aRequest.crashes.end(),
                   [](const Crash& aCrash) { return aCrash.confirmed; });
-  const bool guilty = aRequest.crashes.size() >= kMaxCrashes &&
+  const bool guilty = aRequest.blamed >= kMaxCrashes &&
                       static_cast<size_t>(confirmed) >= kMinConfirmed;
   // After a ban, only one more crash leads to the next one.
   if (guilty && aRequest.bannedUntil < aRequest.crashes.back().at) {
@@ -192,7 +292,7 @@
   if (aNow < request.bannedUntil) {
     return RequestVerdict::Banned;
   }
-  if (request.crashes.size() >= kMaxCrashes && request.bannedUntil < last &&
+  if (request.blamed >= kMaxCrashes && request.bannedUntil < last &&
       aNow < last + kMaxHold) {
     return RequestVerdict::Held;
   }
@@ -242,27 +342,52 @@
   message.set_fingerprint(aFingerprint);
   message.set_banned_until_ms(ToUnixMs(aRequest.bannedUntil));
   for (const Crash& crash : aRequest.crashes) {
-    wire::RecordedCrash* recorded = message.add_crashes();
-    recorded->set_instance(crash.process.instance);
-    recorded->set_life(crash.process.incarnation);
-    recorded->set_at_ms(ToUnixMs(crash.at));
-    recorded->set_confirmed(crash.confirmed);
+    ToRecord(crash, *message.add_crashes());
   }
   return message;
 }
 
+void
+CrashRegister::ToRecord(const Crash& aCrash, wire::RecordedCrash& aRecord)
+{
+  aRecord.set_instance(aCrash.process.instance);
+  aRecord.set_life(aCrash.process.incarnation);
+  aRecord.set_at_ms(ToUnixMs(aCrash.at));
+  aRecord.set_confirmed(aCrash.confirmed);
+  aRecord.set_sent_at_ms(ToUnixMs(aCrash.sentAt));
+}
+
+/// Earlier builds recorded no sending, and only crashes that count.
+CrashRegister::Crash
+CrashRegister::FromRecord(const wire::RecordedCrash& aRecord)
+{
+  const int64_t sentAt =
+    aRecord.sent_at_ms() == 0 ? aRecord.at_ms() : aRecord.sent_at_ms();
+  return { FromMessage(aRecord),
+           FromUnixMs(aRecord.at_ms()),
+           aRecord.confirmed(),
+           FromUnixMs(sentAt) };
+}
+
 void
 CrashRegister::Save(wire::GatewayState& aState) const
 {
   for (const auto& [fingerprint, request] : mRequests) {
     *aState.add_suspects() = ToMessage(fingerprint, request);
   }
+  for (const Crash& crash : mRecent) {
+    ToRecord(crash, *aState.add_recent_crashes());
+  }
 }
 
 void
 CrashRegister::Load(const wire::GatewayState& aState)
 {
   mRequests.clear();
+  mRecent.clear();
+  for (const wire::RecordedCrash& crash : aState.recent_crashes()) {
+    mRecent.push_back(FromRecord(crash));
+  }
   for (const wire::SuspectRequest& saved : aState.suspects()) {
     if (saved.crashes().empty()) {
       continue;
@@ -271,9 +396,9 @@
     request.service = saved.service();
     request.bannedUntil = FromUnixMs(saved.banned_until_ms());
     for (const wire::RecordedCrash& crash : saved.crashes()) {
-      request.crashes.push_back(
-        { FromMessage(crash), FromUnixMs(crash.at_ms()), crash.confirmed() });
+      request.crashes.push_back(FromRecord(crash));
     }
+    request.blamed = BlamedCrashes(request).size();
   }
   UpdateVerdictsEnd();
 }
--- a/src/librattandyke/gateway/crash_register.h
+++ b/src/librattandyke/gateway/crash_register.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,11 +32,16 @@
 /// same commands have the same result on all hosts. Does no I/O. Not
 /// thread-safe.
 ///
-/// A request is blamed for several crashes one after the other, each in a
-/// sending that began after the crash before, with no answer to it in between.
-/// A request that many callers send is in progress at many upstreams when these
+/// A request is blamed for several crashes with no answer to it in between. A
+/// request that many callers send is in progress at many upstreams when these
 /// are lost, but others answer it at once. One that is rare is sent again so
 /// often only if it keeps failing.
+///
+/// Crashes within a moment count one by one only if the request was in progress
+/// at every upstream that was lost then, and if each sending began after the
+/// crash before or the request has been suspected already. Otherwise something
+/// else may have ended the upstreams together, such as the loss of a data
+/// centre, and they count once.
 class CrashRegister
 {
 public:
@@ -43,10 +49,15 @@
   static constexpr size_t kMaxCrashes = 3;
   /// Of these, crashes that must be confirmed for a ban.
   static constexpr size_t kMinConfirmed = 2;
-  /// Shortest time from a crash until a sending whose crash counts as another
-  /// one. Upstreams that are lost at the same moment count once, and answers of
-  /// others arrive in this time.
-  static constexpr std::chrono::milliseconds kMinSpacing{ 300 };
+  /// A sending that begins this soon after a crash belongs to the same moment.
+  /// Answers of other upstreams arrive in this time.
+  static constexpr std::chrono::milliseconds kMoment{ 300 };
+  /// Crashes of a request that are remembered.
+  static constexpr size_t kMaxRemembered = 8;
+  /// Crashes with any request in progress that are remembered, and for how
+  /// long.
+  static constexpr size_t kMaxRecent = 256;
+  static constexpr std::chrono::seconds kRecent{ 10 };
   /// Time for which a request is watched after its first crash.
   static constexpr std::chrono::seconds kWatchFirst{ 10 };
   static constexpr std::chrono::seconds kMaxHold{ 10 };
@@ -95,13 +106,34 @@
     UpstreamProcessId process;
     WallTime at{};
     bool confirmed = false;
+    /// When the request that was in progress had been sent.
+    WallTime sentAt{};
   };
   struct Request
   {
     std::string service;
+    /// In the order of their times, each of another process.
     std::vector<Crash> crashes;
     WallTime bannedUntil{};
+    /// Crashes that the request is blamed for.
+    size_t blamed = 0;
   };
+  using Crashes = std::vector<Crash>;
+  using CrashIterator = Crashes::const_iterator;
+
+  static Crash FromRecord(const wire::RecordedCrash& aRecord);
+  static void ToRecord(const Crash& aCrash, wire::RecordedCrash& aRecord);
+  /// @return the end of the moment that begins with a crash.
+  static CrashIterator MomentEnd(CrashIterator aFirst, CrashIterator aEnd);
+  /// @return whether the request was in progress at every upstream that was
+  /// lost about the time of a moment.
+  bool ExplainsMoment(const Request& aRequest,
+                      CrashIterator aFirst,
+                      CrashIterator aEnd) const;
+  /// @return the crashes that the request is blamed for.
+  Crashes BlamedCrashes(const Request& aRequest) const;
+  void UpdateBlame();
+  void RecordRecent(const Crash& aCrash);
 
   /// @return when the verdict becomes Free, unless there is another crash.
   static WallTime VerdictEnd(const Request& aRequest);
@@ -109,6 +141,7 @@
   static wire::SuspectRequest ToMessage(const std::string& aFingerprint,
                                         const Request& aRequest);
   void RecordInterruption(const wire::InterruptedRequest& aInterruption);
+  static void Insert(Crashes& aCrashes, Crash aCrash);
   void Confirm(const UpstreamProcessId& aProcess);
   /// The process lives: its crash was none.
   void Withdraw(const UpstreamProcessId& aProcess);
@@ -123,6 +156,8 @@
   WallTime mVerdictsEnd{};
   /// By fingerprint.
   std::map<std::string, Request> mRequests;
+  /// Latest crash of each process with any request in progress, oldest first.
+  std::deque<Crash> mRecent;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/crash_register_test.cpp
+++ b/src/librattandyke/gateway/crash_register_test.cpp
@@ -129,6 +129,65 @@
   EXPECT_EQ(Verdict(kPopular), RequestVerdict::Watched);
 }
 
+// Guards against a request that may be repeated and counts once a coming: each
+// attempt of its caller is sent on to a second upstream, and all crash.
+TEST_F(CrashRegisterTest, CrashesOneAfterTheOtherCountHoweverClose)
+{
+  for (const char* instance : { "i-1", "i-2", "i-3" }) {
+    Interrupt(instance, kPoison, milliseconds{ 3 });
+    now += milliseconds{ 5 };
+  }
+  EXPECT_EQ(Verdict(), RequestVerdict::Held);
+}
+
+// Guards against the same if several callers send it at once: suspected before,
+// it explains all that was lost in the next moment.
+TEST_F(CrashRegisterTest, SuspectThatExplainsAMomentIsBlamedForAllOfIt)
+{
+  for (const char* instance : { "i-1", "i-2" }) {
+    Interrupt(instance, kPoison, milliseconds{ 100 });
+    now += milliseconds{ 5 };
+  }
+  EXPECT_EQ(Verdict(), RequestVerdict::Watched);
+  now += seconds{ 5 };
+  for (const char* instance : { "i-3", "i-4" }) {
+    Interrupt(instance, kPoison, milliseconds{ 100 });
+    now += milliseconds{ 5 };
+  }
+  EXPECT_EQ(Verdict(), RequestVerdict::Held);
+}
+
+// Guards against innocents that are refused: a request is repeated while a data
+// centre is lost, and each of its upstreams ends, too. Others end without it.
+TEST_F(CrashRegisterTest, RequestThatDoesNotExplainAMomentIsBlamedOnce)
+{
+  for (int upstream = 0; upstream < 6; ++upstream) {
+    const std::string instance = "i-" + std::to_string(upstream);
+    Interrupt(
+      instance, upstream % 2 == 0 ? kPopular : kPoison, milliseconds{ 3 });
+    now += milliseconds{ 5 };
+  }
+  EXPECT_EQ(Verdict(kPopular), RequestVerdict::Watched);
+  EXPECT_EQ(Verdict(kPoison), RequestVerdict::Watched);
+  now += seconds{ 60 };
+  Interrupt("i-9", "other");
+  EXPECT_EQ(Verdict(kPopular), RequestVerdict::Free);
+}
+
+// Guards against innocents that are refused: reports of what else was lost
+// arrive later.
+TEST_F(CrashRegisterTest, LaterReportsOfOthersTakeBlameBack)
+{
+  for (const char* instance : { "i-1", "i-2", "i-3" }) {
+    Interrupt(instance, kPopular, milliseconds{ 3 });
+    now += milliseconds{ 5 };
+  }
+  EXPECT_EQ(Verdict(kPopular), RequestVerdict::Held);
+  now += milliseconds{ 100 };
+  Interrupt("i-4", kPoison, milliseconds{ 100 });
+  EXPECT_EQ(Verdict(kPopular), RequestVerdict::Watched);
+}
+
 // Guards against innocents that are refused: connections are reset, by a fault
 // of the network or by upstreams that are full, and the upstreams live.
 TEST_F(CrashRegisterTest, ResetConnectionsAreNoCrashes)
@@ -214,6 +273,9 @@
   restored.Load(saved);
   EXPECT_EQ(restored.Verdict(kPoison, now), RequestVerdict::Banned);
   EXPECT_EQ(restored.Unconfirmed().size(), 1U);
+  wire::GatewayState again;
+  restored.Save(again);
+  EXPECT_EQ(again.SerializeAsString(), saved.SerializeAsString());
 }
 
 // Guards against the cost of a fingerprint for each request long after a crash.
--- a/src/librattandyke/gateway/crash_reporter.cpp
+++ b/src/librattandyke/gateway/crash_reporter.cpp
@@ -26,10 +26,12 @@
 CrashReporter::OnInterrupted(const std::string& aService,
                              const UpstreamProcess& aProcess,
                              const std::string& aFingerprint,
-                             Instant aSentAt)
+                             Instant aSentAt,
+                             Instant aEndedAt)
 {
   if (mInterrupted.size() < kMaxReports) {
-    mInterrupted.push_back({ aService, aProcess, aFingerprint, aSentAt });
+    mInterrupted.push_back(
+      { aService, aProcess, aFingerprint, aSentAt, aEndedAt });
   }
 }
 
@@ -61,6 +63,7 @@
     message->set_service(interruption.service);
     message->set_fingerprint(interruption.fingerprint);
     message->set_sent_ms_ago(Milliseconds(aNow - interruption.sentAt));
+    message->set_ended_ms_ago(Milliseconds(aNow - interruption.endedAt));
   }
   for (std::string& fingerprint : std::exchange(mAnswered, {})) {
     reports.add_answered(std::move(fingerprint));
--- a/src/librattandyke/gateway/crash_reporter.h
+++ b/src/librattandyke/gateway/crash_reporter.h
@@ -28,7 +28,8 @@
   void OnInterrupted(const std::string& aService,
                      const UpstreamProcess& aProcess,
                      const std::string& aFingerprint,
-                     Instant aSentAt);
+                     Instant aSentAt,
+                     Instant aEndedAt);
 
   /// An upstream has answered a watched request.
   void OnAnswered(const std::string& aFingerprint, Instant aNow);
@@ -47,6 +48,7 @@
     UpstreamProcess process;
     std::string fingerprint;
     Instant sentAt{};
+    Instant endedAt{};
   };
 
   std::vector<Interruption> mInterrupted;
--- a/src/librattandyke/gateway/crash_watch.cpp
+++ b/src/librattandyke/gateway/crash_watch.cpp
@@ -24,11 +24,11 @@
 }
 
 void
-CrashWatch::Add(const wire::CrashReports& aReports)
+CrashWatch::Add(const wire::CrashReports& aReports, Instant aNow)
 {
   for (const wire::InterruptedRequest& request : aReports.interrupted()) {
-    if (mPending.interrupted_size() < kMaxReports) {
-      *mPending.add_interrupted() = request;
+    if (mInterrupted.size() < kMaxReports) {
+      mInterrupted.push_back({ request, aNow });
     }
   }
   for (const std::string& fingerprint : aReports.answered()) {
@@ -59,6 +59,7 @@
 {
   mObserved.clear();
   mPending.Clear();
+  mInterrupted.clear();
 }
 
 void
@@ -73,6 +74,22 @@
   mObserved = std::move(observed);
 }
 
+/// Adds the time for which reports have waited here to the times that they
+/// tell.
+void
+CrashWatch::TakeInterrupted(wire::RecordCrashes& aRecord, Instant aNow)
+{
+  for (Reported& reported : std::exchange(mInterrupted, {})) {
+    const auto waited = static_cast<uint32_t>(
+      std::chrono::duration_cast<milliseconds>(aNow - reported.arrivedAt)
+        .count());
+    wire::InterruptedRequest& request = *aRecord.add_interrupted();
+    request = std::move(reported.request);
+    request.set_sent_ms_ago(request.sent_ms_ago() + waited);
+    request.set_ended_ms_ago(request.ended_ms_ago() + waited);
+  }
+}
+
 std::optional<wire::RecordCrashes>
 CrashWatch::Take(const State& aState, Instant aNow, WallTime aTime)
 {
@@ -80,6 +97,7 @@
     Observe(aState, aNow);
   }
   wire::RecordCrashes record = std::exchange(mPending, {});
+  TakeInterrupted(record, aNow);
   std::set<std::string> answered(record.answered().begin(),
                                  record.answered().end());
   record.clear_answered();
--- a/src/librattandyke/gateway/crash_watch.h
+++ b/src/librattandyke/gateway/crash_watch.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <rattandyke/types.h>
 
@@ -25,7 +26,7 @@
   explicit CrashWatch(Duration aHeartbeatInterval);
 
   /// Adds reports of entry hosts.
-  void Add(const wire::CrashReports& aReports);
+  void Add(const wire::CrashReports& aReports, Instant aNow);
 
   /// Adds an operator's order to lift a ban.
   void Lift(const std::string& aFingerprint);
@@ -53,9 +54,17 @@
   };
 
   void Observe(const State& aState, Instant aNow);
+  void TakeInterrupted(wire::RecordCrashes& aRecord, Instant aNow);
+
+  struct Reported
+  {
+    wire::InterruptedRequest request;
+    Instant arrivedAt{};
+  };
 
   const Duration mSilence;
   wire::RecordCrashes mPending;
+  std::vector<Reported> mInterrupted;
   std::map<UpstreamProcessId, Observation> mObserved;
 };
 
--- a/src/librattandyke/gateway/crash_watch_test.cpp
+++ b/src/librattandyke/gateway/crash_watch_test.cpp
@@ -28,7 +28,7 @@
     interrupted->set_instance("i-1");
     interrupted->set_life(1);
     interrupted->set_fingerprint("poison");
-    watch.Add(reports);
+    watch.Add(reports, now);
     EXPECT_EQ(Tick().interrupted_size(), 1);
   }
 
@@ -91,6 +91,23 @@
   EXPECT_EQ(Tick().alive_size(), 0);
 }
 
+// Guards against crashes that seem later than they were, as their report waits
+// at the leader for the next tick.
+TEST_F(CrashWatchTest, TimesIncludeTheWaitOfAReport)
+{
+  wire::CrashReports reports;
+  wire::InterruptedRequest* interrupted = reports.add_interrupted();
+  interrupted->set_instance("i-1");
+  interrupted->set_sent_ms_ago(30);
+  interrupted->set_ended_ms_ago(10);
+  watch.Add(reports, now);
+  Wait(milliseconds{ 70 });
+  const wire::RecordCrashes record = Tick();
+  ASSERT_EQ(record.interrupted_size(), 1);
+  EXPECT_EQ(record.interrupted(0).sent_ms_ago(), 100U);
+  EXPECT_EQ(record.interrupted(0).ended_ms_ago(), 80U);
+}
+
 // Guards against a result that is lost with the leader that proposed it.
 TEST_F(CrashWatchTest, NextLeaderObservesAgain)
 {
@@ -110,11 +127,11 @@
   Tick();
   wire::CrashReports reports;
   reports.add_answered("other");
-  watch.Add(reports);
+  watch.Add(reports, now);
   EXPECT_FALSE(watch.Take(state, now, wall));
   reports.add_answered("poison");
   reports.add_answered("poison");
-  watch.Add(reports);
+  watch.Add(reports, now);
   EXPECT_EQ(Tick().answered_size(), 1);
   EXPECT_TRUE(state.Crashes().IsEmpty());
 }
@@ -127,14 +144,15 @@
   const Instant now{ std::chrono::hours{ 1 } };
   const UpstreamProcess full{ "i-1", "10.0.0.1:80", 1 };
   const UpstreamProcess crashed{ "i-2", "10.0.0.2:80", 1 };
-  reporter.OnInterrupted("desk", full, "a", now);
-  reporter.OnInterrupted("desk", crashed, "b", now);
+  reporter.OnInterrupted("desk", full, "a", now, now + milliseconds{ 10 });
+  reporter.OnInterrupted("desk", crashed, "b", now, now + milliseconds{ 10 });
   const wire::CrashReports reports =
     reporter.Take([&](const auto& aProcess) { return aProcess == full; },
                   now + milliseconds{ 30 });
   ASSERT_EQ(reports.interrupted_size(), 1);
   EXPECT_EQ(reports.interrupted(0).instance(), "i-2");
   EXPECT_EQ(reports.interrupted(0).sent_ms_ago(), 30U);
+  EXPECT_EQ(reports.interrupted(0).ended_ms_ago(), 20U);
 }
 
 // Guards against a report for each answer to a request that many callers send.
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -544,6 +544,9 @@
   if (aResult.noRoom) {
     return false; // There would be none for the next response, either.
   }
+  if (aResult.connectionLost && IsSuspected(aProgress)) {
+    return false; // The next upstream might be lost, too.
+  }
   const bool safe = aResult.kind == AttemptResult::Kind::NotExecuted ||
                     (aProgress.route->idempotent &&
                      aResult.kind == AttemptResult::Kind::OutcomeUnknown);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -330,6 +330,7 @@
   const std::string& FingerprintOf(RequestProgress& aProgress) const;
   /// @return the response to a request that crashes upstreams, nullopt if it
   /// may be sent.
+  bool IsSuspected(RequestProgress& aProgress) const;
   std::optional<CallerResponse> RefuseIfQuarantined(RequestProgress& aProgress);
   /// Records what an attempt shows of a request that may crash upstreams.
   void RecordForQuarantine(RequestProgress& aProgress,
--- a/src/librattandyke/gateway/request_handler_quarantine.cpp
+++ b/src/librattandyke/gateway/request_handler_quarantine.cpp
@@ -43,6 +43,17 @@
   return aProgress.fingerprint;
 }
 
+/// @return whether an upstream was lost with the request in progress before,
+/// and none has answered it since.
+bool
+RequestHandler::IsSuspected(RequestProgress& aProgress) const
+{
+  const CrashRegister& crashes = mFeed.CurrentState().Crashes();
+  const WallTime now = mClock.Wall();
+  return crashes.HasVerdicts(now) &&
+         crashes.Verdict(FingerprintOf(aProgress), now) != RequestVerdict::Free;
+}
+
 std::optional<CallerResponse>
 RequestHandler::RefuseIfQuarantined(RequestProgress& aProgress)
 {
@@ -78,11 +89,7 @@
   const Instant now = mClock.Now();
   const AttemptResult& attempt = aResult.attempt;
   if (attempt.kind == AttemptResult::Kind::Response) {
-    const CrashRegister& crashes = mFeed.CurrentState().Crashes();
-    const WallTime time = mClock.Wall();
-    if (crashes.HasVerdicts(time) &&
-        crashes.Verdict(FingerprintOf(aProgress), time) !=
-          RequestVerdict::Free) {
+    if (IsSuspected(aProgress)) {
       mCrashReporter.OnAnswered(FingerprintOf(aProgress), now);
     }
     return;
@@ -92,7 +99,8 @@
     mCrashReporter.OnInterrupted(aProgress.service,
                                  aProcess,
                                  FingerprintOf(aProgress),
-                                 now - attempt.elapsed);
+                                 now - attempt.elapsed,
+                                 now);
   }
 }
 
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -431,6 +431,7 @@
   , /*decltype(_impl_.fingerprint_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_.sent_ms_ago_)*/0u
+  , /*decltype(_impl_.ended_ms_ago_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct InterruptedRequestDefaultTypeInternal {
   PROTOBUF_CONSTEXPR InterruptedRequestDefaultTypeInternal()
@@ -525,6 +526,7 @@
     /*decltype(_impl_.instance_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.life_)*/uint64_t{0u}
   , /*decltype(_impl_.at_ms_)*/int64_t{0}
+  , /*decltype(_impl_.sent_at_ms_)*/int64_t{0}
   , /*decltype(_impl_.confirmed_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct RecordedCrashDefaultTypeInternal {
@@ -565,6 +567,7 @@
   , /*decltype(_impl_.evacuated_)*/{}
   , /*decltype(_impl_.controls_)*/{}
   , /*decltype(_impl_.suspects_)*/{}
+  , /*decltype(_impl_.recent_crashes_)*/{}
   , /*decltype(_impl_.limits_)*/nullptr
   , /*decltype(_impl_.rests_)*/nullptr
   , /*decltype(_impl_.applied_)*/uint64_t{0u}
@@ -1389,6 +1392,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.service_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.fingerprint_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.sent_ms_ago_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::InterruptedRequest, _impl_.ended_ms_ago_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1461,6 +1465,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.life_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.at_ms_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.confirmed_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordedCrash, _impl_.sent_at_ms_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::SuspectRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1491,6 +1496,7 @@
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.controls_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.rests_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.suspects_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::GatewayState, _impl_.recent_crashes_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::FeedOpen, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1891,47 +1897,47 @@
   { 230, -1, -1, sizeof(::rattandyke::wire::RecordRests)},
   { 238, -1, -1, sizeof(::rattandyke::wire::UpstreamProcess)},
   { 246, -1, -1, sizeof(::rattandyke::wire::InterruptedRequest)},
-  { 257, -1, -1, sizeof(::rattandyke::wire::CrashReports)},
-  { 265, -1, -1, sizeof(::rattandyke::wire::RecordCrashes)},
-  { 277, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 298, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 311, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 319, -1, -1, sizeof(::rattandyke::wire::RecordedCrash)},
-  { 329, -1, -1, sizeof(::rattandyke::wire::SuspectRequest)},
-  { 339, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 359, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 368, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 375, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 383, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
-  { 390, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 399, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 408, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 416, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
-  { 426, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 437, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 449, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 458, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 468, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 487, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 495, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 507, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 514, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 525, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
-  { 534, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
-  { 543, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
-  { 555, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
-  { 563, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 573, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 593, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 606, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 618, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
-  { 628, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
-  { 636, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
-  { 658, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
-  { 666, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
-  { 683, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
-  { 690, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 698, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 258, -1, -1, sizeof(::rattandyke::wire::CrashReports)},
+  { 266, -1, -1, sizeof(::rattandyke::wire::RecordCrashes)},
+  { 278, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 299, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 312, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 320, -1, -1, sizeof(::rattandyke::wire::RecordedCrash)},
+  { 331, -1, -1, sizeof(::rattandyke::wire::SuspectRequest)},
+  { 341, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 362, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 371, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 378, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 386, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 393, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 402, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 411, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 419, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
+  { 429, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 440, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 452, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 461, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 471, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 490, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 498, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 510, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 517, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 528, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
+  { 537, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
+  { 546, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
+  { 558, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 566, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 576, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 596, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 609, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 621, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
+  { 631, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
+  { 639, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
+  { 661, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
+  { 669, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
+  { 686, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
+  { 693, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 701, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -2067,220 +2073,222 @@
   "dRests\022,\n\005rests\030\001 \003(\0132\035.rattandyke.wire."
   "UpstreamRest\022\022\n\ntold_at_ms\030\002 \001(\003\"1\n\017Upst"
   "reamProcess\022\020\n\010instance\030\001 \001(\014\022\014\n\004life\030\002 "
-  "\001(\004\"o\n\022InterruptedRequest\022\020\n\010instance\030\001 "
-  "\001(\014\022\014\n\004life\030\002 \001(\004\022\017\n\007service\030\003 \001(\014\022\023\n\013fi"
-  "ngerprint\030\004 \001(\014\022\023\n\013sent_ms_ago\030\005 \001(\r\"Z\n\014"
-  "CrashReports\0228\n\013interrupted\030\001 \003(\0132#.ratt"
-  "andyke.wire.InterruptedRequest\022\020\n\010answer"
-  "ed\030\002 \003(\014\"\341\001\n\rRecordCrashes\0228\n\013interrupte"
-  "d\030\001 \003(\0132#.rattandyke.wire.InterruptedReq"
-  "uest\022\020\n\010answered\030\002 \003(\014\022/\n\005ended\030\003 \003(\0132 ."
-  "rattandyke.wire.UpstreamProcess\022/\n\005alive"
-  "\030\004 \003(\0132 .rattandyke.wire.UpstreamProcess"
-  "\022\016\n\006lifted\030\005 \003(\014\022\022\n\ntold_at_ms\030\006 \001(\003\"\242\006\n"
-  "\016GatewayCommand\0224\n\014change_items\030\001 \001(\0132\034."
-  "rattandyke.wire.ChangeItemsH\000\0224\n\014put_ins"
-  "tance\030\002 \001(\0132\034.rattandyke.wire.PutInstanc"
-  "eH\000\0224\n\014end_instance\030\003 \001(\0132\034.rattandyke.w"
-  "ire.EndInstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132"
-  "\034.rattandyke.wire.GrantRangesH\000\0222\n\013free_"
-  "ranges\030\005 \001(\0132\033.rattandyke.wire.FreeRange"
-  "sH\000\022.\n\tput_entry\030\006 \001(\0132\031.rattandyke.wire"
-  ".PutEntryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattan"
-  "dyke.wire.DropEntryH\000\022;\n\020hold_back_range"
-  "s\030\010 \001(\0132\037.rattandyke.wire.HoldBackRanges"
-  "H\000\022C\n\024evacuate_data_centre\030\t \001(\0132#.ratta"
-  "ndyke.wire.EvacuateDataCentreH\000\022>\n\021withd"
-  "raw_instance\030\n \001(\0132!.rattandyke.wire.Wit"
-  "hdrawInstanceH\000\0222\n\013put_control\030\013 \001(\0132\033.r"
-  "attandyke.wire.PutControlH\000\0224\n\014drop_cont"
-  "rol\030\014 \001(\0132\034.rattandyke.wire.DropControlH"
-  "\000\0224\n\014record_rests\030\r \001(\0132\034.rattandyke.wir"
-  "e.RecordRestsH\000\0228\n\016record_crashes\030\016 \001(\0132"
-  "\036.rattandyke.wire.RecordCrashesH\000B\006\n\004bod"
-  "y\"~\n\014RangeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 "
-  "\001(\r\022\016\n\006holder\030\003 \001(\014\022\r\n\005fence\030\004 \001(\004\022\020\n\010se"
-  "quence\030\005 \001(\004\022\020\n\010handover\030\006 \001(\014\022\021\n\theld_b"
-  "ack\030\007 \001(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 "
-  "\001(\014\022/\n\010segments\030\002 \003(\0132\035.rattandyke.wire."
-  "RangeSegment\"Q\n\rRecordedCrash\022\020\n\010instanc"
-  "e\030\001 \001(\014\022\014\n\004life\030\002 \001(\004\022\r\n\005at_ms\030\003 \001(\003\022\021\n\t"
-  "confirmed\030\004 \001(\010\"\200\001\n\016SuspectRequest\022\017\n\007se"
-  "rvice\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022/\n\007cras"
-  "hes\030\003 \003(\0132\036.rattandyke.wire.RecordedCras"
-  "h\022\027\n\017banned_until_ms\030\004 \001(\003\"\205\005\n\014GatewaySt"
-  "ate\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132\032.r"
-  "attandyke.wire.RouteItem\022.\n\010services\030\003 \003"
-  "(\0132\034.rattandyke.wire.ServiceItem\022+\n\006limi"
-  "ts\030\004 \001(\0132\033.rattandyke.wire.LimitsItem\0224\n"
-  "\016dropped_routes\030\005 \003(\0132\034.rattandyke.wire."
-  "DroppedItem\0226\n\020dropped_services\030\006 \003(\0132\034."
-  "rattandyke.wire.DroppedItem\0224\n\tinstances"
-  "\030\007 \003(\0132!.rattandyke.wire.UpstreamInstanc"
-  "e\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire.Serv"
-  "iceRanges\022-\n\007entries\030\n \003(\0132\034.rattandyke."
-  "wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.rattan"
-  "dyke.wire.EndedInstance\022\021\n\tevacuated\030\014 \003"
-  "(\014\0220\n\010controls\030\r \003(\0132\036.rattandyke.wire.C"
-  "ontrolMember\022+\n\005rests\030\016 \001(\0132\034.rattandyke"
-  ".wire.RecordRests\0221\n\010suspects\030\017 \003(\0132\037.ra"
-  "ttandyke.wire.SuspectRequestJ\004\010\010\020\t\"^\n\010Fe"
-  "edOpen\022+\n\005entry\030\001 \001(\0132\034.rattandyke.wire."
-  "EntryMember\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_pa"
-  "cked\030\003 \001(\010\"<\n\014FeedSnapshot\022,\n\005state\030\001 \001("
-  "\0132\035.rattandyke.wire.GatewayState\"N\n\013Feed"
-  "Command\022\r\n\005index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132"
-  "\037.rattandyke.wire.GatewayCommand\">\n\014Feed"
-  "Commands\022.\n\010commands\030\001 \003(\0132\034.rattandyke."
-  "wire.FeedCommand\"B\n\010FeedPing\022\017\n\007applied\030"
-  "\001 \001(\004\022\025\n\rcontrol_hosts\030\002 \003(\014\022\016\n\006age_ms\030\003"
-  " \001(\r\"\?\n\tRangeLoad\022\017\n\007service\030\001 \001(\014\022\017\n\007bu"
-  "ckets\030\002 \003(\r\022\020\n\010requests\030\003 \003(\r\"1\n\014Instanc"
-  "eTime\022\020\n\010instance\030\001 \001(\014\022\017\n\007seconds\030\002 \001(\001"
-  "\"R\n\013ServiceLoad\022\017\n\007service\030\001 \001(\014\022\020\n\010requ"
-  "ests\030\002 \001(\r\022\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004"
-  " \001(\r\"\325\001\n\nFeedReport\022)\n\005loads\030\001 \003(\0132\032.rat"
-  "tandyke.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035."
-  "rattandyke.wire.InstanceTime\022\017\n\007leaving\030"
-  "\003 \001(\010\022-\n\007entries\030\004 \003(\0132\034.rattandyke.wire"
-  ".EntryMember\022.\n\010services\030\005 \003(\0132\034.rattand"
-  "yke.wire.ServiceLoad\"n\n\rForwardedCall\022\n\n"
-  "\002id\030\001 \001(\004\022\020\n\010reply_to\030\002 \001(\014\022\016\n\006method\030\003 "
-  "\001(\014\022\016\n\006target\030\004 \001(\014\022\014\n\004body\030\005 \001(\014\022\021\n\twai"
-  "ted_ms\030\006 \001(\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 "
-  "\001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\"H\n\013Fen"
-  "cedRange\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fe"
-  "nce\030\003 \001(\004\022\020\n\010handover\030\004 \001(\014\"\246\002\n\022Forwarde"
-  "dHeartbeat\022\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\014"
-  "\022\017\n\007service\030\003 \001(\014\022\017\n\007address\030\004 \001(\014\022\023\n\013da"
-  "ta_centre\030\005 \001(\014\022\017\n\007version\030\006 \001(\014\022\r\n\005slot"
-  "s\030\007 \001(\r\022\020\n\010draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022"
-  "\020\n\010sequence\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005ho"
-  "lds\030\014 \003(\0132\034.rattandyke.wire.FencedRange\022"
-  "+\n\010released\030\r \003(\0132\031.rattandyke.wire.KeyR"
-  "ange\"`\n\023ForwardedHeartbeats\022\020\n\010reply_to\030"
-  "\001 \001(\014\0227\n\nheartbeats\030\002 \003(\0132#.rattandyke.w"
-  "ire.ForwardedHeartbeat\"\221\001\n\030ForwardedHear"
-  "tbeatAnswer\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n"
-  "\004text\030\003 \001(\014\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 "
-  "\003(\0132\034.rattandyke.wire.FencedRange\022\017\n\007hol"
-  "d_ms\030\006 \001(\r\"W\n\031ForwardedHeartbeatAnswers\022"
-  ":\n\007answers\030\001 \003(\0132).rattandyke.wire.Forwa"
-  "rdedHeartbeatAnswer\"\364\001\n\nHostReport\022)\n\005lo"
-  "ads\030\001 \003(\0132\032.rattandyke.wire.RangeLoad\022,\n"
-  "\005times\030\002 \003(\0132\035.rattandyke.wire.InstanceT"
-  "ime\022-\n\007entries\030\003 \003(\0132\034.rattandyke.wire.E"
-  "ntryMember\022.\n\006sender\030\004 \001(\0132\036.rattandyke."
-  "wire.ControlMember\022.\n\010services\030\005 \003(\0132\034.r"
-  "attandyke.wire.ServiceLoad\"A\n\013OwnerDeman"
-  "d\022\020\n\010instance\030\001 \001(\014\022\016\n\006demand\030\002 \001(\001\022\020\n\010c"
-  "apacity\030\003 \001(\001\"L\n\rServiceDemand\022\017\n\007servic"
-  "e\030\001 \001(\014\022\023\n\013utilization\030\002 \001(\001\022\025\n\rrefused_"
-  "share\030\003 \001(\001\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001"
-  "(\004\022\020\n\010sequence\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006"
-  "owners\030\004 \003(\0132\034.rattandyke.wire.OwnerDema"
-  "nd\0220\n\010services\030\005 \003(\0132\036.rattandyke.wire.S"
-  "erviceDemand\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkP"
-  "robe\022\n\n\002id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016Upstr"
-  "eamNotice\022\020\n\010instance\030\001 \001(\014\022\014\n\004life\030\002 \001("
-  "\004\022)\n\004rate\030\003 \001(\0132\033.rattandyke.wire.RateNo"
-  "tice\022\017\n\007leaving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010rep"
-  "ly_to\030\001 \001(\014\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003"
-  " \001(\004\022\017\n\007service\030\004 \001(\014\022\020\n\010instance\030\005 \001(\014\022"
-  "\020\n\010excluded\030\006 \003(\014\022\020\n\010priority\030\007 \001(\r\022\023\n\013p"
-  "atience_ms\030\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013dat"
-  "a_centre\030\n \001(\014\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030"
-  "\014 \001(\r\022/\n\006limits\030\r \003(\0132\037.rattandyke.wire."
-  "UpstreamNotice\022\016\n\006second\030\016 \001(\010\"\342\001\n\nSlotA"
-  "nswer\022\017\n\007session\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)"
-  "\n\005state\030\003 \001(\0162\032.rattandyke.wire.SlotStat"
-  "e\022\020\n\010instance\030\004 \001(\014\022\026\n\016retry_after_ms\030\005 "
-  "\001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wire.Up"
-  "streamNotice\022-\n\007refusal\030\007 \001(\0162\034.rattandy"
-  "ke.wire.SlotRefusal\"\210\001\n\010SlotDone\022\014\n\004from"
-  "\030\001 \001(\014\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022"
-  "\013\n\003end\030\004 \001(\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030"
-  "\006 \001(\0132\037.rattandyke.wire.UpstreamNotice\"G"
-  "\n\010RelayAsk\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\014\022"
-  "\020\n\010instance\030\003 \001(\014\022\014\n\004life\030\004 \001(\004\"E\n\013Relay"
-  "Answer\022\n\n\002id\030\001 \001(\004\022*\n\005state\030\002 \001(\0162\033.ratt"
-  "andyke.wire.RelayState\"\235\002\n\016RelayedReques"
-  "t\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\014\022\020\n\010instan"
-  "ce\030\003 \001(\014\022\014\n\004life\030\004 \001(\004\022\016\n\006method\030\005 \001(\014\022\016"
-  "\n\006target\030\006 \001(\014\022\016\n\006fields\030\007 \001(\014\022\014\n\004body\030\010"
-  " \001(\014\022\020\n\010has_body\030\t \001(\010\022\022\n\nrequest_id\030\n \001"
-  "(\014\022\017\n\007left_ms\030\013 \001(\r\022\r\n\005route\030\014 \001(\014\022\020\n\010pr"
-  "iority\030\r \001(\r\022\024\n\014objective_ms\030\016 \001(\r\022\022\n\nti"
-  "meout_ms\030\017 \001(\r\022\016\n\006age_ms\030\020 \001(\r\"+\n\014Relaye"
-  "dField\022\014\n\004name\030\001 \001(\014\022\r\n\005value\030\002 \001(\014\"\251\002\n\017"
-  "RelayedResponse\022\n\n\002id\030\001 \001(\004\0220\n\007outcome\030\002"
-  " \001(\0162\037.rattandyke.wire.RelayedOutcome\022*\n"
-  "\005state\030\003 \001(\0162\033.rattandyke.wire.RelayStat"
-  "e\022\016\n\006status\030\004 \001(\r\022-\n\006fields\030\005 \003(\0132\035.ratt"
-  "andyke.wire.RelayedField\022\014\n\004body\030\006 \001(\014\022\016"
-  "\n\006reason\030\007 \001(\014\022\021\n\tcancelled\030\010 \001(\010\022\022\n\nela"
-  "psed_us\030\t \001(\004\022\017\n\007rest_ms\030\n \001(\004\022\027\n\017connec"
-  "tion_lost\030\013 \001(\010\"\031\n\013RelayCancel\022\n\n\002id\030\001 \001"
-  "(\004\"*\n\013PackedFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes"
-  "\030\002 \001(\014\"\336\n\n\014GatewayFrame\022\023\n\tconsensus\030\001 \001"
-  "(\014H\000\022.\n\tfeed_open\030\002 \001(\0132\031.rattandyke.wir"
-  "e.FeedOpenH\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.ra"
-  "ttandyke.wire.FeedSnapshotH\000\0224\n\014feed_com"
-  "mand\030\004 \001(\0132\034.rattandyke.wire.FeedCommand"
-  "H\000\022.\n\tfeed_ping\030\005 \001(\0132\031.rattandyke.wire."
-  "FeedPingH\000\0222\n\013feed_report\030\006 \001(\0132\033.rattan"
-  "dyke.wire.FeedReportH\000\0228\n\016forwarded_call"
-  "\030\007 \001(\0132\036.rattandyke.wire.ForwardedCallH\000"
-  "\022<\n\020forwarded_answer\030\010 \001(\0132 .rattandyke."
-  "wire.ForwardedAnswerH\000\0222\n\013host_report\030\t "
-  "\001(\0132\033.rattandyke.wire.HostReportH\000\022,\n\010sl"
-  "ot_ask\030\n \001(\0132\030.rattandyke.wire.SlotAskH\000"
-  "\0222\n\013slot_answer\030\013 \001(\0132\033.rattandyke.wire."
-  "SlotAnswerH\000\022.\n\tslot_done\030\014 \001(\0132\031.rattan"
-  "dyke.wire.SlotDoneH\000\022.\n\006packed\030\r \001(\0132\034.r"
-  "attandyke.wire.PackedFrameH\000\022D\n\024forwarde"
-  "d_heartbeats\030\016 \001(\0132$.rattandyke.wire.For"
-  "wardedHeartbeatsH\000\022Q\n\033forwarded_heartbea"
-  "t_answers\030\017 \001(\0132*.rattandyke.wire.Forwar"
-  "dedHeartbeatAnswersH\000\0226\n\rfeed_commands\030\020"
-  " \001(\0132\035.rattandyke.wire.FeedCommandsH\000\0226\n"
-  "\rdemand_digest\030\021 \001(\0132\035.rattandyke.wire.D"
-  "emandDigestH\000\0220\n\nlink_probe\030\022 \001(\0132\032.ratt"
-  "andyke.wire.LinkProbeH\000\0228\n\016upstream_rest"
-  "s\030\023 \001(\0132\036.rattandyke.wire.UpstreamRestsH"
-  "\000\022.\n\trelay_ask\030\024 \001(\0132\031.rattandyke.wire.R"
-  "elayAskH\000\0224\n\014relay_answer\030\025 \001(\0132\034.rattan"
-  "dyke.wire.RelayAnswerH\000\022:\n\017relayed_reque"
-  "st\030\026 \001(\0132\037.rattandyke.wire.RelayedReques"
-  "tH\000\022<\n\020relayed_response\030\027 \001(\0132 .rattandy"
-  "ke.wire.RelayedResponseH\000\0224\n\014relay_cance"
-  "l\030\030 \001(\0132\034.rattandyke.wire.RelayCancelH\000\022"
-  "6\n\rcrash_reports\030\031 \001(\0132\035.rattandyke.wire"
-  ".CrashReportsH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n"
-  "\026SLOT_STATE_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_"
-  "QUEUED\020\001\022\026\n\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT"
-  "_STATE_REFUSED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004"
-  "*\225\001\n\013SlotRefusal\022\034\n\030SLOT_REFUSAL_UNSPECI"
-  "FIED\020\000\022\025\n\021SLOT_REFUSAL_FULL\020\001\022\034\n\030SLOT_RE"
-  "FUSAL_NO_INSTANCE\020\002\022\031\n\025SLOT_REFUSAL_NO_O"
-  "WNER\020\003\022\030\n\024SLOT_REFUSAL_FAILING\020\004*\313\001\n\nRel"
-  "ayState\022\033\n\027RELAY_STATE_UNSPECIFIED\020\000\022\026\n\022"
-  "RELAY_STATE_AGREED\020\001\022\027\n\023RELAY_STATE_NO_P"
-  "ATH\020\002\022\033\n\027RELAY_STATE_UNREACHABLE\020\003\022\032\n\026RE"
-  "LAY_STATE_NOT_USABLE\020\004\022\024\n\020RELAY_STATE_BU"
-  "SY\020\005\022 \n\034RELAY_STATE_UNKNOWN_INSTANCE\020\006*\254"
-  "\001\n\016RelayedOutcome\022\037\n\033RELAYED_OUTCOME_UNS"
-  "PECIFIED\020\000\022\034\n\030RELAYED_OUTCOME_RESPONSE\020\001"
-  "\022 \n\034RELAYED_OUTCOME_NOT_EXECUTED\020\002\022\034\n\030RE"
-  "LAYED_OUTCOME_NOT_SENT\020\003\022\033\n\027RELAYED_OUTC"
-  "OME_UNKNOWN\020\004b\006proto3"
+  "\001(\004\"\205\001\n\022InterruptedRequest\022\020\n\010instance\030\001"
+  " \001(\014\022\014\n\004life\030\002 \001(\004\022\017\n\007service\030\003 \001(\014\022\023\n\013f"
+  "ingerprint\030\004 \001(\014\022\023\n\013sent_ms_ago\030\005 \001(\r\022\024\n"
+  "\014ended_ms_ago\030\006 \001(\r\"Z\n\014CrashReports\0228\n\013i"
+  "nterrupted\030\001 \003(\0132#.rattandyke.wire.Inter"
+  "ruptedRequest\022\020\n\010answered\030\002 \003(\014\"\341\001\n\rReco"
+  "rdCrashes\0228\n\013interrupted\030\001 \003(\0132#.rattand"
+  "yke.wire.InterruptedRequest\022\020\n\010answered\030"
+  "\002 \003(\014\022/\n\005ended\030\003 \003(\0132 .rattandyke.wire.U"
+  "pstreamProcess\022/\n\005alive\030\004 \003(\0132 .rattandy"
+  "ke.wire.UpstreamProcess\022\016\n\006lifted\030\005 \003(\014\022"
+  "\022\n\ntold_at_ms\030\006 \001(\003\"\242\006\n\016GatewayCommand\0224"
+  "\n\014change_items\030\001 \001(\0132\034.rattandyke.wire.C"
+  "hangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132\034.rat"
+  "tandyke.wire.PutInstanceH\000\0224\n\014end_instan"
+  "ce\030\003 \001(\0132\034.rattandyke.wire.EndInstanceH\000"
+  "\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke.wire"
+  ".GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\0132\033.ra"
+  "ttandyke.wire.FreeRangesH\000\022.\n\tput_entry\030"
+  "\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\0220\n\ndr"
+  "op_entry\030\007 \001(\0132\032.rattandyke.wire.DropEnt"
+  "ryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.rattand"
+  "yke.wire.HoldBackRangesH\000\022C\n\024evacuate_da"
+  "ta_centre\030\t \001(\0132#.rattandyke.wire.Evacua"
+  "teDataCentreH\000\022>\n\021withdraw_instance\030\n \001("
+  "\0132!.rattandyke.wire.WithdrawInstanceH\000\0222"
+  "\n\013put_control\030\013 \001(\0132\033.rattandyke.wire.Pu"
+  "tControlH\000\0224\n\014drop_control\030\014 \001(\0132\034.ratta"
+  "ndyke.wire.DropControlH\000\0224\n\014record_rests"
+  "\030\r \001(\0132\034.rattandyke.wire.RecordRestsH\000\0228"
+  "\n\016record_crashes\030\016 \001(\0132\036.rattandyke.wire"
+  ".RecordCrashesH\000B\006\n\004body\"~\n\014RangeSegment"
+  "\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001"
+  "(\014\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010h"
+  "andover\030\006 \001(\014\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServ"
+  "iceRanges\022\017\n\007service\030\001 \001(\014\022/\n\010segments\030\002"
+  " \003(\0132\035.rattandyke.wire.RangeSegment\"e\n\rR"
+  "ecordedCrash\022\020\n\010instance\030\001 \001(\014\022\014\n\004life\030\002"
+  " \001(\004\022\r\n\005at_ms\030\003 \001(\003\022\021\n\tconfirmed\030\004 \001(\010\022\022"
+  "\n\nsent_at_ms\030\005 \001(\003\"\200\001\n\016SuspectRequest\022\017\n"
+  "\007service\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022/\n\007c"
+  "rashes\030\003 \003(\0132\036.rattandyke.wire.RecordedC"
+  "rash\022\027\n\017banned_until_ms\030\004 \001(\003\"\275\005\n\014Gatewa"
+  "yState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132"
+  "\032.rattandyke.wire.RouteItem\022.\n\010services\030"
+  "\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006l"
+  "imits\030\004 \001(\0132\033.rattandyke.wire.LimitsItem"
+  "\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.wi"
+  "re.DroppedItem\0226\n\020dropped_services\030\006 \003(\013"
+  "2\034.rattandyke.wire.DroppedItem\0224\n\tinstan"
+  "ces\030\007 \003(\0132!.rattandyke.wire.UpstreamInst"
+  "ance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire.S"
+  "erviceRanges\022-\n\007entries\030\n \003(\0132\034.rattandy"
+  "ke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.rat"
+  "tandyke.wire.EndedInstance\022\021\n\tevacuated\030"
+  "\014 \003(\014\0220\n\010controls\030\r \003(\0132\036.rattandyke.wir"
+  "e.ControlMember\022+\n\005rests\030\016 \001(\0132\034.rattand"
+  "yke.wire.RecordRests\0221\n\010suspects\030\017 \003(\0132\037"
+  ".rattandyke.wire.SuspectRequest\0226\n\016recen"
+  "t_crashes\030\020 \003(\0132\036.rattandyke.wire.Record"
+  "edCrashJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\013"
+  "2\034.rattandyke.wire.EntryMember\022\017\n\007applie"
+  "d\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001(\010\"<\n\014FeedSna"
+  "pshot\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.G"
+  "atewayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001("
+  "\004\0220\n\007command\030\002 \001(\0132\037.rattandyke.wire.Gat"
+  "ewayCommand\">\n\014FeedCommands\022.\n\010commands\030"
+  "\001 \003(\0132\034.rattandyke.wire.FeedCommand\"B\n\010F"
+  "eedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_host"
+  "s\030\002 \003(\014\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007"
+  "service\030\001 \001(\014\022\017\n\007buckets\030\002 \003(\r\022\020\n\010reques"
+  "ts\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001"
+  "(\014\022\017\n\007seconds\030\002 \001(\001\"R\n\013ServiceLoad\022\017\n\007se"
+  "rvice\030\001 \001(\014\022\020\n\010requests\030\002 \001(\r\022\017\n\007busy_ms"
+  "\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001\n\nFeedReport\022)"
+  "\n\005loads\030\001 \003(\0132\032.rattandyke.wire.RangeLoa"
+  "d\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.Insta"
+  "nceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007entries\030\004 \003("
+  "\0132\034.rattandyke.wire.EntryMember\022.\n\010servi"
+  "ces\030\005 \003(\0132\034.rattandyke.wire.ServiceLoad\""
+  "n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to"
+  "\030\002 \001(\014\022\016\n\006method\030\003 \001(\014\022\016\n\006target\030\004 \001(\014\022\014"
+  "\n\004body\030\005 \001(\014\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Forwa"
+  "rdedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014"
+  "\n\004body\030\003 \001(\014\"H\n\013FencedRange\022\014\n\004from\030\001 \001("
+  "\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010handover"
+  "\030\004 \001(\014\"\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001 \001("
+  "\004\022\020\n\010instance\030\002 \001(\014\022\017\n\007service\030\003 \001(\014\022\017\n\007"
+  "address\030\004 \001(\014\022\023\n\013data_centre\030\005 \001(\014\022\017\n\007ve"
+  "rsion\030\006 \001(\014\022\r\n\005slots\030\007 \001(\r\022\020\n\010draining\030\010"
+  " \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022\017\n\007"
+  "cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattandyk"
+  "e.wire.FencedRange\022+\n\010released\030\r \003(\0132\031.r"
+  "attandyke.wire.KeyRange\"`\n\023ForwardedHear"
+  "tbeats\022\020\n\010reply_to\030\001 \001(\014\0227\n\nheartbeats\030\002"
+  " \003(\0132#.rattandyke.wire.ForwardedHeartbea"
+  "t\"\221\001\n\030ForwardedHeartbeatAnswer\022\n\n\002id\030\001 \001"
+  "(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001(\014\022\016\n\006renews"
+  "\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rattandyke.wire"
+  ".FencedRange\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031Forward"
+  "edHeartbeatAnswers\022:\n\007answers\030\001 \003(\0132).ra"
+  "ttandyke.wire.ForwardedHeartbeatAnswer\"\364"
+  "\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.rattandyk"
+  "e.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattan"
+  "dyke.wire.InstanceTime\022-\n\007entries\030\003 \003(\0132"
+  "\034.rattandyke.wire.EntryMember\022.\n\006sender\030"
+  "\004 \001(\0132\036.rattandyke.wire.ControlMember\022.\n"
+  "\010services\030\005 \003(\0132\034.rattandyke.wire.Servic"
+  "eLoad\"A\n\013OwnerDemand\022\020\n\010instance\030\001 \001(\014\022\016"
+  "\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003 \001(\001\"L\n\rServ"
+  "iceDemand\022\017\n\007service\030\001 \001(\014\022\023\n\013utilizatio"
+  "n\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001(\001\"\261\001\n\014Deman"
+  "dDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\022"
+  "\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 \003(\0132\034.rattan"
+  "dyke.wire.OwnerDemand\0220\n\010services\030\005 \003(\0132"
+  "\036.rattandyke.wire.ServiceDemand\022\021\n\ttrunc"
+  "ated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n\002id\030\001 \001(\004\022\r\n\005r"
+  "eply\030\002 \001(\010\"l\n\016UpstreamNotice\022\020\n\010instance"
+  "\030\001 \001(\014\022\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.rat"
+  "tandyke.wire.RateNotice\022\017\n\007leaving\030\004 \001(\010"
+  "\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\014\022\017\n\007sessio"
+  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\014"
+  "\022\020\n\010instance\030\005 \001(\014\022\020\n\010excluded\030\006 \003(\014\022\020\n\010"
+  "priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007h"
+  "eld_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\014\022\r\n\005gro"
+  "up\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\013"
+  "2\037.rattandyke.wire.UpstreamNotice\022\016\n\006sec"
+  "ond\030\016 \001(\010\"\342\001\n\nSlotAnswer\022\017\n\007session\030\001 \001("
+  "\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.ratta"
+  "ndyke.wire.SlotState\022\020\n\010instance\030\004 \001(\014\022\026"
+  "\n\016retry_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037"
+  ".rattandyke.wire.UpstreamNotice\022-\n\007refus"
+  "al\030\007 \001(\0162\034.rattandyke.wire.SlotRefusal\"\210"
+  "\001\n\010SlotDone\022\014\n\004from\030\001 \001(\014\022\017\n\007session\030\002 \001"
+  "(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_"
+  "us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wi"
+  "re.UpstreamNotice\"G\n\010RelayAsk\022\n\n\002id\030\001 \001("
+  "\004\022\017\n\007service\030\002 \001(\014\022\020\n\010instance\030\003 \001(\014\022\014\n\004"
+  "life\030\004 \001(\004\"E\n\013RelayAnswer\022\n\n\002id\030\001 \001(\004\022*\n"
+  "\005state\030\002 \001(\0162\033.rattandyke.wire.RelayStat"
+  "e\"\235\002\n\016RelayedRequest\022\n\n\002id\030\001 \001(\004\022\017\n\007serv"
+  "ice\030\002 \001(\014\022\020\n\010instance\030\003 \001(\014\022\014\n\004life\030\004 \001("
+  "\004\022\016\n\006method\030\005 \001(\014\022\016\n\006target\030\006 \001(\014\022\016\n\006fie"
+  "lds\030\007 \001(\014\022\014\n\004body\030\010 \001(\014\022\020\n\010has_body\030\t \001("
+  "\010\022\022\n\nrequest_id\030\n \001(\014\022\017\n\007left_ms\030\013 \001(\r\022\r"
+  "\n\005route\030\014 \001(\014\022\020\n\010priority\030\r \001(\r\022\024\n\014objec"
+  "tive_ms\030\016 \001(\r\022\022\n\ntimeout_ms\030\017 \001(\r\022\016\n\006age"
+  "_ms\030\020 \001(\r\"+\n\014RelayedField\022\014\n\004name\030\001 \001(\014\022"
+  "\r\n\005value\030\002 \001(\014\"\251\002\n\017RelayedResponse\022\n\n\002id"
+  "\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.rattandyke.wir"
+  "e.RelayedOutcome\022*\n\005state\030\003 \001(\0162\033.rattan"
+  "dyke.wire.RelayState\022\016\n\006status\030\004 \001(\r\022-\n\006"
+  "fields\030\005 \003(\0132\035.rattandyke.wire.RelayedFi"
+  "eld\022\014\n\004body\030\006 \001(\014\022\016\n\006reason\030\007 \001(\014\022\021\n\tcan"
+  "celled\030\010 \001(\010\022\022\n\nelapsed_us\030\t \001(\004\022\017\n\007rest"
+  "_ms\030\n \001(\004\022\027\n\017connection_lost\030\013 \001(\010\"\031\n\013Re"
+  "layCancel\022\n\n\002id\030\001 \001(\004\"*\n\013PackedFrame\022\014\n\004"
+  "size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\336\n\n\014GatewayFra"
+  "me\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001"
+  "(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed_"
+  "snapshot\030\003 \001(\0132\035.rattandyke.wire.FeedSna"
+  "pshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandy"
+  "ke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\013"
+  "2\031.rattandyke.wire.FeedPingH\000\0222\n\013feed_re"
+  "port\030\006 \001(\0132\033.rattandyke.wire.FeedReportH"
+  "\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyke.w"
+  "ire.ForwardedCallH\000\022<\n\020forwarded_answer\030"
+  "\010 \001(\0132 .rattandyke.wire.ForwardedAnswerH"
+  "\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.wire"
+  ".HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattan"
+  "dyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\013"
+  "2\033.rattandyke.wire.SlotAnswerH\000\022.\n\tslot_"
+  "done\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000\022"
+  ".\n\006packed\030\r \001(\0132\034.rattandyke.wire.Packed"
+  "FrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$."
+  "rattandyke.wire.ForwardedHeartbeatsH\000\022Q\n"
+  "\033forwarded_heartbeat_answers\030\017 \001(\0132*.rat"
+  "tandyke.wire.ForwardedHeartbeatAnswersH\000"
+  "\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke.wir"
+  "e.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001(\0132"
+  "\035.rattandyke.wire.DemandDigestH\000\0220\n\nlink"
+  "_probe\030\022 \001(\0132\032.rattandyke.wire.LinkProbe"
+  "H\000\0228\n\016upstream_rests\030\023 \001(\0132\036.rattandyke."
+  "wire.UpstreamRestsH\000\022.\n\trelay_ask\030\024 \001(\0132"
+  "\031.rattandyke.wire.RelayAskH\000\0224\n\014relay_an"
+  "swer\030\025 \001(\0132\034.rattandyke.wire.RelayAnswer"
+  "H\000\022:\n\017relayed_request\030\026 \001(\0132\037.rattandyke"
+  ".wire.RelayedRequestH\000\022<\n\020relayed_respon"
+  "se\030\027 \001(\0132 .rattandyke.wire.RelayedRespon"
+  "seH\000\0224\n\014relay_cancel\030\030 \001(\0132\034.rattandyke."
+  "wire.RelayCancelH\000\0226\n\rcrash_reports\030\031 \001("
+  "\0132\035.rattandyke.wire.CrashReportsH\000B\006\n\004bo"
+  "dy*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFI"
+  "ED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STAT"
+  "E_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022S"
+  "LOT_STATE_UNKNOWN\020\004*\225\001\n\013SlotRefusal\022\034\n\030S"
+  "LOT_REFUSAL_UNSPECIFIED\020\000\022\025\n\021SLOT_REFUSA"
+  "L_FULL\020\001\022\034\n\030SLOT_REFUSAL_NO_INSTANCE\020\002\022\031"
+  "\n\025SLOT_REFUSAL_NO_OWNER\020\003\022\030\n\024SLOT_REFUSA"
+  "L_FAILING\020\004*\313\001\n\nRelayState\022\033\n\027RELAY_STAT"
+  "E_UNSPECIFIED\020\000\022\026\n\022RELAY_STATE_AGREED\020\001\022"
+  "\027\n\023RELAY_STATE_NO_PATH\020\002\022\033\n\027RELAY_STATE_"
+  "UNREACHABLE\020\003\022\032\n\026RELAY_STATE_NOT_USABLE\020"
+  "\004\022\024\n\020RELAY_STATE_BUSY\020\005\022 \n\034RELAY_STATE_U"
+  "NKNOWN_INSTANCE\020\006*\254\001\n\016RelayedOutcome\022\037\n\033"
+  "RELAYED_OUTCOME_UNSPECIFIED\020\000\022\034\n\030RELAYED"
+  "_OUTCOME_RESPONSE\020\001\022 \n\034RELAYED_OUTCOME_N"
+  "OT_EXECUTED\020\002\022\034\n\030RELAYED_OUTCOME_NOT_SEN"
+  "T\020\003\022\033\n\027RELAYED_OUTCOME_UNKNOWN\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 10701, descriptor_table_protodef_gateway_2eproto,
+    false, false, 10800, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 68,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -9604,6 +9612,7 @@
     , decltype(_impl_.fingerprint_){}
     , decltype(_impl_.life_){}
     , decltype(_impl_.sent_ms_ago_){}
+    , decltype(_impl_.ended_ms_ago_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -9632,8 +9641,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.life_, &from._impl_.life_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sent_ms_ago_) -
-    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.sent_ms_ago_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.ended_ms_ago_) -
+    reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.ended_ms_ago_));
   // @@protoc_insertion_point(copy_constructor:rattandyke.wire.InterruptedRequest)
 }
 
@@ -9647,6 +9656,7 @@
     , decltype(_impl_.fingerprint_){}
     , decltype(_impl_.life_){uint64_t{0u}}
     , decltype(_impl_.sent_ms_ago_){0u}
+    , decltype(_impl_.ended_ms_ago_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.instance_.InitDefault();
@@ -9693,8 +9703,8 @@
   _impl_.service_.ClearToEmpty();
   _impl_.fingerprint_.ClearToEmpty();
   ::memset(&_impl_.life_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.sent_ms_ago_) -
-      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.sent_ms_ago_));
+      reinterpret_cast<char*>(&_impl_.ended_ms_ago_) -
+      reinterpret_cast<char*>(&_impl_.life_)) + sizeof(_impl_.ended_ms_ago_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -9747,6 +9757,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint32 ended_ms_ago = 6;
+      case 6:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 48)) {
+          _impl_.ended_ms_ago_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -9806,6 +9824,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt32ToArray(5, this->_internal_sent_ms_ago(), target);
   }
 
+  // uint32 ended_ms_ago = 6;
+  if (this->_internal_ended_ms_ago() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(6, this->_internal_ended_ms_ago(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -9853,6 +9877,11 @@
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_sent_ms_ago());
   }
 
+  // uint32 ended_ms_ago = 6;
+  if (this->_internal_ended_ms_ago() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_ended_ms_ago());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -9886,6 +9915,9 @@
   if (from._internal_sent_ms_ago() != 0) {
     _this->_internal_set_sent_ms_ago(from._internal_sent_ms_ago());
   }
+  if (from._internal_ended_ms_ago() != 0) {
+    _this->_internal_set_ended_ms_ago(from._internal_ended_ms_ago());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -9918,8 +9950,8 @@
       &other->_impl_.fingerprint_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(InterruptedRequest, _impl_.sent_ms_ago_)
-      + sizeof(InterruptedRequest::_impl_.sent_ms_ago_)
+      PROTOBUF_FIELD_OFFSET(InterruptedRequest, _impl_.ended_ms_ago_)
+      + sizeof(InterruptedRequest::_impl_.ended_ms_ago_)
       - PROTOBUF_FIELD_OFFSET(InterruptedRequest, _impl_.life_)>(
           reinterpret_cast<char*>(&_impl_.life_),
           reinterpret_cast<char*>(&other->_impl_.life_));
@@ -12125,6 +12157,7 @@
       decltype(_impl_.instance_){}
     , decltype(_impl_.life_){}
     , decltype(_impl_.at_ms_){}
+    , decltype(_impl_.sent_at_ms_){}
     , decltype(_impl_.confirmed_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -12151,6 +12184,7 @@
       decltype(_impl_.instance_){}
     , decltype(_impl_.life_){uint64_t{0u}}
     , decltype(_impl_.at_ms_){int64_t{0}}
+    , decltype(_impl_.sent_at_ms_){int64_t{0}}
     , decltype(_impl_.confirmed_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -12230,6 +12264,14 @@
         } else
           goto handle_unusual;
         continue;
+      // int64 sent_at_ms = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 40)) {
+          _impl_.sent_at_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -12283,6 +12325,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_confirmed(), target);
   }
 
+  // int64 sent_at_ms = 5;
+  if (this->_internal_sent_at_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteInt64ToArray(5, this->_internal_sent_at_ms(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -12316,6 +12364,11 @@
     total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_at_ms());
   }
 
+  // int64 sent_at_ms = 5;
+  if (this->_internal_sent_at_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::Int64SizePlusOne(this->_internal_sent_at_ms());
+  }
+
   // bool confirmed = 4;
   if (this->_internal_confirmed() != 0) {
     total_size += 1 + 1;
@@ -12348,6 +12401,9 @@
   if (from._internal_at_ms() != 0) {
     _this->_internal_set_at_ms(from._internal_at_ms());
   }
+  if (from._internal_sent_at_ms() != 0) {
+    _this->_internal_set_sent_at_ms(from._internal_sent_at_ms());
+  }
   if (from._internal_confirmed() != 0) {
     _this->_internal_set_confirmed(from._internal_confirmed());
   }
@@ -12729,6 +12785,7 @@
     , decltype(_impl_.evacuated_){from._impl_.evacuated_}
     , decltype(_impl_.controls_){from._impl_.controls_}
     , decltype(_impl_.suspects_){from._impl_.suspects_}
+    , decltype(_impl_.recent_crashes_){from._impl_.recent_crashes_}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){}
@@ -12761,6 +12818,7 @@
     , decltype(_impl_.evacuated_){arena}
     , decltype(_impl_.controls_){arena}
     , decltype(_impl_.suspects_){arena}
+    , decltype(_impl_.recent_crashes_){arena}
     , decltype(_impl_.limits_){nullptr}
     , decltype(_impl_.rests_){nullptr}
     , decltype(_impl_.applied_){uint64_t{0u}}
@@ -12790,6 +12848,7 @@
   _impl_.evacuated_.~RepeatedPtrField();
   _impl_.controls_.~RepeatedPtrField();
   _impl_.suspects_.~RepeatedPtrField();
+  _impl_.recent_crashes_.~RepeatedPtrField();
   if (this != internal_default_instance()) delete _impl_.limits_;
   if (this != internal_default_instance()) delete _impl_.rests_;
 }
@@ -12815,6 +12874,7 @@
   _impl_.evacuated_.Clear();
   _impl_.controls_.Clear();
   _impl_.suspects_.Clear();
+  _impl_.recent_crashes_.Clear();
   if (GetArenaForAllocation() == nullptr && _impl_.limits_ != nullptr) {
     delete _impl_.limits_;
   }
@@ -13001,6 +13061,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.RecordedCrash recent_crashes = 16;
+      case 16:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 130)) {
+          ptr -= 2;
+          do {
+            ptr += 2;
+            ptr = ctx->ParseMessage(_internal_add_recent_crashes(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<130>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -13136,6 +13209,14 @@
         InternalWriteMessage(15, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated .rattandyke.wire.RecordedCrash recent_crashes = 16;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_recent_crashes_size()); i < n; i++) {
+    const auto& repfield = this->_internal_recent_crashes(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(16, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -13230,6 +13311,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .rattandyke.wire.RecordedCrash recent_crashes = 16;
+  total_size += 2UL * this->_internal_recent_crashes_size();
+  for (const auto& msg : this->_impl_.recent_crashes_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // .rattandyke.wire.LimitsItem limits = 4;
   if (this->_internal_has_limits()) {
     total_size += 1 +
@@ -13278,6 +13366,7 @@
   _this->_impl_.evacuated_.MergeFrom(from._impl_.evacuated_);
   _this->_impl_.controls_.MergeFrom(from._impl_.controls_);
   _this->_impl_.suspects_.MergeFrom(from._impl_.suspects_);
+  _this->_impl_.recent_crashes_.MergeFrom(from._impl_.recent_crashes_);
   if (from._internal_has_limits()) {
     _this->_internal_mutable_limits()->::rattandyke::wire::LimitsItem::MergeFrom(
         from._internal_limits());
@@ -13317,6 +13406,7 @@
   _impl_.evacuated_.InternalSwap(&other->_impl_.evacuated_);
   _impl_.controls_.InternalSwap(&other->_impl_.controls_);
   _impl_.suspects_.InternalSwap(&other->_impl_.suspects_);
+  _impl_.recent_crashes_.InternalSwap(&other->_impl_.recent_crashes_);
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(GatewayState, _impl_.applied_)
       + sizeof(GatewayState::_impl_.applied_)
