Read buffers are bounded; bytes without end are their sender's failure

What callers saw: one chunk's extension without end, from an upstream or from a few callers, took any host beyond its memory, where it is killed. Interim answers (1xx) were passed on as final ones, so the upstream in trouble drew the traffic.

Cause: a parser looks for the end of what it reads in all that has arrived, and the gateway's read buffers had no limit; limits of heads and bodies don't cover what stands between them. An answer without a length that found no room was taken for this host's trouble and not tried elsewhere.

Change: net::ReadBufferLimit bounds the buffer of every HTTP connection, those of serve and of the commands, too. Callers get 413 and a close, at control hosts as well, which closed without an answer. What is no response, has more framing than content, or has no end, is the upstream's failure: the connection is closed and a repeatable request goes to another upstream. Interim answers are skipped, eight at most.

Why it works: whatever a peer sends, a connection holds a head, 16 KiB and a body within the memory budget.

--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -12,6 +12,7 @@
 #include "log/log.h"
 #include "net/listen.h"
 #include "net/peek.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::admin {
 
@@ -241,7 +242,8 @@
     const auto shared = std::make_shared<beast::tcp_stream>(std::move(aSocket));
     beast::tcp_stream& stream = *shared;
     Remember(shared);
-    beast::flat_buffer buffer(options.headerBytes + options.bodyBytes);
+    beast::flat_buffer buffer(
+      net::ReadBufferLimit(static_cast<uint32_t>(options.headerBytes)));
     const bool fromLoopback = aPeer.is_loopback();
     while (co_await ServeOne(stream, buffer, fromLoopback)) {
     }
--- a/src/librattandyke/agent/announce_server.cpp
+++ b/src/librattandyke/agent/announce_server.cpp
@@ -8,6 +8,7 @@
 #include "agent/announcement_json.h"
 #include "base/endpoint.h"
 #include "log/log.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::agent {
 
@@ -46,7 +47,8 @@
 IsTooLarge(const beast::error_code& aError)
 {
   return aError == http::error::header_limit ||
-         aError == http::error::body_limit;
+         aError == http::error::body_limit ||
+         aError == http::error::buffer_overflow;
 }
 
 /// @return whether the peer sent something that is not HTTP, and so may get an
@@ -183,7 +185,7 @@
 
   beast::tcp_stream mStream;
   AgentService& mService;
-  beast::flat_buffer mBuffer{ kMostHeaderBytes + kMostBodyBytes };
+  beast::flat_buffer mBuffer{ net::ReadBufferLimit(kMostHeaderBytes) };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   bool mClosed = false;
--- a/src/librattandyke/gateway/body_room.cpp
+++ b/src/librattandyke/gateway/body_room.cpp
@@ -55,8 +55,8 @@
     mReservation.Merge(std::move(*reservation));
     co_return true;
   }
-  const bool hopeless = !mBudget.CanEverFit(mUse, Bytes() + aBytes);
-  if (hopeless || mGivenUp || mWaitLeft <= Duration::zero()) {
+  mCanNeverFit = !mBudget.CanEverFit(mUse, Bytes() + aBytes);
+  if (mCanNeverFit || mGivenUp || mWaitLeft <= Duration::zero()) {
     co_return false;
   }
   const Instant started = mClock.Now();
--- a/src/librattandyke/gateway/body_room.h
+++ b/src/librattandyke/gateway/body_room.h
@@ -44,6 +44,10 @@
   /// @return the bytes that there is room for.
   size_t Bytes() const { return mReservation.Bytes(); }
 
+  /// @return whether the last bytes could have no room, even if no other body
+  /// were held.
+  bool CanNeverFit() const { return mCanNeverFit; }
+
   /// Ends a wait for room: there is none.
   void GiveUp();
 
@@ -62,6 +66,7 @@
   MemoryBudget::Reservation mReservation;
   boost::asio::steady_timer mTimer;
   bool mGivenUp = false;
+  bool mCanNeverFit = false;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -15,6 +15,7 @@
 #include "http/signal.h"
 #include "net/frame_connection.h"
 #include "net/peer_acks.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::gateway {
 
@@ -54,9 +55,14 @@
 }
 
 asio::awaitable<CallerConnection::ErrorCode>
-CallerConnection::ReadHead(Parser& aParser, Duration aIdleTimeout)
+CallerConnection::ReadHead(Parser& aParser,
+                           uint32_t aMaxHeadBytes,
+                           Duration aIdleTimeout)
 {
   mPhase = Phase::Reading;
+  // What has been read for this request may exceed a limit that was lowered.
+  mBuffer.max_size(
+    std::max(net::ReadBufferLimit(aMaxHeadBytes), mBuffer.size()));
   mIdleDeadline = mClock.Now() + aIdleTimeout;
   mDeadlineExtended = false;
   // A Drain() between two reads had no read to cancel. Without this check the
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -34,11 +34,13 @@
   CallerConnection(boost::asio::ip::tcp::socket aSocket, const Clock& aClock);
 
   /// Reads the head of the next request.
-  /// @param aParser      its size limits must be set.
+  /// @param aParser       its size limits must be set.
+  /// @param aMaxHeadBytes the limit of the head that is set.
   /// @param aIdleTimeout time until IsIdleTooLong() returns true.
   /// @return operation_aborted if the connection was drained before the head
   /// was read.
   boost::asio::awaitable<ErrorCode> ReadHead(Parser& aParser,
+                                             uint32_t aMaxHeadBytes,
                                              Duration aIdleTimeout);
 
   /// Reads the body of the request whose head was read last, once there is room
--- a/src/librattandyke/gateway/caller_server.cpp
+++ b/src/librattandyke/gateway/caller_server.cpp
@@ -115,7 +115,8 @@
   if (aError == BeastError::header_limit) {
     return kHeadTooLarge;
   }
-  if (aError == BeastError::body_limit) {
+  if (aError == BeastError::body_limit ||
+      aError == BeastError::buffer_overflow || aError == EndlessBodyError()) {
     return kTooLarge;
   }
   const bool malformed =
@@ -239,7 +240,8 @@
   parser.header_limit(limits.maxHeaderBytes);
   parser.body_limit(limits.maxBodyBytes);
   const Duration idleTimeout = limits.idleTimeout + Duration(kIdleGracePeriod);
-  ErrorCode error = co_await aConnection->ReadHead(parser, idleTimeout);
+  ErrorCode error =
+    co_await aConnection->ReadHead(parser, limits.maxHeaderBytes, idleTimeout);
   BodyRoom room(mExecutor,
                 mBodies,
                 MemoryBudget::Use::Request,
--- a/src/librattandyke/gateway/http_server.cpp
+++ b/src/librattandyke/gateway/http_server.cpp
@@ -19,6 +19,7 @@
 #include "net/accept_loop.h"
 #include "net/frame_connection.h"
 #include "net/peek.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::gateway {
 
@@ -32,6 +33,8 @@
 using Parser = http::request_parser<http::string_body>;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/// Limit of a request's head.
+constexpr uint32_t kMaxHeadBytes = 8192;
 /// Limit of a request's body: 8 MiB, enough for a configuration of a few
 /// thousand routes.
 constexpr uint64_t kMaxBodyBytes = uint64_t{ 8 } * 1024 * 1024;
@@ -54,6 +57,7 @@
   {
     explicit Session(tcp::socket aSocket)
       : stream(std::move(aSocket))
+      , buffer(net::ReadBufferLimit(kMaxHeadBytes))
     {
     }
     beast::tcp_stream stream;
@@ -103,11 +107,13 @@
   {
     for (;;) {
       Parser& parser = aSession->parser.emplace();
+      parser.header_limit(kMaxHeadBytes);
       parser.body_limit(kMaxBodyBytes);
       aSession->stream.expires_after(kIdleTimeout);
       const ErrorCode readError = co_await ReadRequest(aSelf, *aSession);
-      if (readError == NoRoomError()) {
-        co_await RefuseBody(*aSession);
+      const http::status refusal = StatusForReadError(readError);
+      if (refusal != http::status::ok) {
+        co_await Refuse(*aSession, refusal);
       }
       if (readError) {
         break;
@@ -165,12 +171,37 @@
     co_return error;
   }
 
-  /// Refuses a request whose body is not read.
-  static asio::awaitable<void> RefuseBody(Session& aSession)
+  /// @return the status for a request that could not be read, ok if no response
+  /// is due.
+  static http::status StatusForReadError(const ErrorCode& aError)
+  {
+    if (aError == NoRoomError()) {
+      return http::status::service_unavailable;
+    }
+    if (aError == http::error::header_limit) {
+      return http::status::request_header_fields_too_large;
+    }
+    if (aError == http::error::body_limit ||
+        aError == http::error::buffer_overflow ||
+        aError == EndlessBodyError()) {
+      return http::status::payload_too_large;
+    }
+    const bool malformed =
+      aError.category() ==
+        make_error_code(http::error::bad_method).category() &&
+      aError != http::error::end_of_stream &&
+      aError != http::error::partial_message;
+    return malformed ? http::status::bad_request : http::status::ok;
+  }
+
+  /// Refuses a request that is not read to its end.
+  static asio::awaitable<void> Refuse(Session& aSession, http::status aStatus)
   {
     http::response<http::empty_body> response;
-    response.result(http::status::service_unavailable);
-    response.set(http::field::retry_after, kRetryAfterNoRoom);
+    response.result(aStatus);
+    if (aStatus == http::status::service_unavailable) {
+      response.set(http::field::retry_after, kRetryAfterNoRoom);
+    }
     response.keep_alive(false);
     response.prepare_payload();
     aSession.stream.expires_after(kMaxDiscardTime);
--- a/src/librattandyke/gateway/http_server_test.cpp
+++ b/src/librattandyke/gateway/http_server_test.cpp
@@ -115,6 +115,31 @@
   EXPECT_EQ(left, (std::vector<bool>{ false, true }));
 }
 
+// Guards against a host whose memory a client fills with a chunk's size line.
+TEST(HttpServer, ChunkWithAnEndlessExtensionIsRefused)
+{
+  asio::io_context context;
+  const Endpoint address = FreeAddress(context);
+  HttpServer server(context.get_executor(),
+                    address,
+                    kMaxConnections,
+                    [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+                      co_return HttpResponse{ 200, "", "text/plain" };
+                    });
+  ASSERT_TRUE(server.Start());
+  tcp::socket client(context);
+  client.connect(TcpOf(address));
+  asio::write(client,
+              asio::buffer("POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n4;x=" +
+                           std::string(64 * 1024, 'a')));
+  context.run_for(std::chrono::milliseconds{ 50 });
+  std::array<char, 64> answer{};
+  boost::system::error_code error;
+  const size_t read = client.read_some(asio::buffer(answer), error);
+  EXPECT_EQ(std::string(answer.data(), read).substr(0, 12), "HTTP/1.1 413");
+}
+
 // Guards against a sender that stays with a host that refuses its orders.
 TEST(HttpServer, ResponseMayEndTheConnection)
 {
--- a/src/librattandyke/gateway/read_body.h
+++ b/src/librattandyke/gateway/read_body.h
@@ -10,6 +10,7 @@
 
 #include "gateway/body_room.h"
 #include "http/signal.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::gateway {
 
@@ -20,6 +21,14 @@
   return make_error_code(boost::system::errc::not_enough_memory);
 }
 
+/// The error of a body without declared length that is longer than any that
+/// there could be room for.
+inline boost::system::error_code
+EndlessBodyError()
+{
+  return make_error_code(boost::system::errc::message_size);
+}
+
 /// @return the declared length of a message's body, if there is one.
 template<typename Parser>
 std::optional<uint64_t>
@@ -29,11 +38,37 @@
   return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
+/// Counts the bytes of a body's framing: size lines of chunks with their
+/// extensions.
+class FramingCounter
+{
+public:
+  /// @param aBodyBytes of the body that have been read before.
+  explicit FramingCounter(size_t aBodyBytes)
+    : mBodyBytesBefore(aBodyBytes)
+  {
+  }
+
+  void Add(size_t aParsedBytes) { mParsedBytes += aParsedBytes; }
+
+  /// @return whether there is more framing than body. A peer that sends such a
+  /// body keeps this host busy for a long time before the body is too long.
+  bool IsExcessive(size_t aBodyBytes) const
+  {
+    return mParsedBytes >
+           2 * (aBodyBytes - mBodyBytesBefore) + net::kReadAheadBytes;
+  }
+
+private:
+  const size_t mBodyBytesBefore;
+  size_t mParsedBytes = 0;
+};
+
 /// Reads the rest of a message whose head has been read, and whose body is a
 /// string. May be called again after an error that did not end the stream.
 /// @param aRoom BodyRoom::Open() has returned true.
-/// @return NoRoomError() if there is no room for a body without declared
-/// length.
+/// @return NoRoomError() or EndlessBodyError() if there is no room for a body
+/// without declared length, EndlessBodyError() if most of it is framing.
 template<typename Stream, typename Parser>
 boost::asio::awaitable<boost::system::error_code>
 ReadBody(Stream& aStream,
@@ -42,10 +77,11 @@
          BodyRoom& aRoom)
 {
   auto& body = aParser.get().body();
+  FramingCounter framing(body.size());
   while (!aParser.is_done()) {
     if (!aParser.content_length() && body.size() >= aRoom.Bytes()) {
       if (!co_await aRoom.Extend(body.size() + 1)) {
-        co_return NoRoomError();
+        co_return aRoom.CanNeverFit() ? EndlessBodyError() : NoRoomError();
       }
       body.reserve(aRoom.Bytes());
     }
@@ -54,6 +90,10 @@
     if (error) {
       co_return error;
     }
+    framing.Add(read);
+    if (framing.IsExcessive(body.size())) {
+      co_return EndlessBodyError();
+    }
   }
   co_return boost::system::error_code{};
 }
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -52,12 +52,17 @@
 constexpr milliseconds kMinDeadline{ 1 };
 /// Responses to other requests that are skipped before the attempt fails.
 constexpr int kMaxSkippedResponses = 3;
+/// Interim responses (1xx) that are skipped before the attempt fails.
+constexpr int kMaxInterimResponses = 8;
+/// Longest response to a health check.
+constexpr uint64_t kMaxHealthBytes = uint64_t{ 64 } * 1024;
 /// Bodies up to this size are written before the response is read. Longer ones
 /// are written concurrently, as an upstream may respond before it has read
 /// them.
 constexpr size_t kMaxInlineBodyBytes = size_t{ 32 } * 1024;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 
@@ -107,6 +112,19 @@
   return result;
 }
 
+/// @return whether the bytes that were read are not those of a response, or
+/// are more than this host reads. Otherwise the connection has ended.
+bool
+IsNoResponse(const boost::system::error_code& aError)
+{
+  namespace error = beast::http;
+  return aError == EndlessBodyError() ||
+         (aError.category() ==
+            make_error_code(error::error::bad_method).category() &&
+          aError != error::error::end_of_stream &&
+          aError != error::error::partial_message);
+}
+
 /// @return the result of an attempt whose response can't be used.
 AttemptResult
 UnusableResponse(std::string aReason)
@@ -497,6 +515,8 @@
   auto [writeError, written] =
     co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
   Parser parser;
+  parser.header_limit(UpstreamConnection::kMaxHeadBytes);
+  parser.body_limit(kMaxHealthBytes);
   auto [readError, read] = co_await beast::http::async_read(
     connection->socket, connection->buffer, parser, kAwait);
   *waiting = false;
@@ -518,8 +538,10 @@
                              Duration aTimeLeft,
                              std::shared_ptr<AttemptHandle> aHandle)
 {
-  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+  int interim = 0;
+  for (int skipped = 0; skipped <= kMaxSkippedResponses;) {
     Parser parser;
+    parser.header_limit(UpstreamConnection::kMaxHeadBytes);
     parser.body_limit(boost::none);
     parser.skip(aRequest->method == "HEAD");
     auto room = co_await ReadWhole(*aConnection, parser, aTimeLeft, *aHandle);
@@ -529,6 +551,10 @@
       result.noRoom = true;
       co_return result;
     }
+    if (!room && IsNoResponse(room.error())) {
+      co_return UnusableResponse("the answer can't be read: " +
+                                 room.error().message());
+    }
     if (!room) {
       AttemptResult result =
         MakeResult(AttemptResult::Kind::OutcomeUnknown,
@@ -537,6 +563,17 @@
       co_return result;
     }
     auto& message = parser.get();
+    if (message.result_int() < kFirstSuccess) {
+      // RFC 9110, section 15.2: the final response follows. No request of this
+      // host asks for another protocol.
+      if (message.result_int() == kSwitchingProtocols ||
+          ++interim > kMaxInterimResponses) {
+        co_return UnusableResponse("the answer " +
+                                   std::to_string(message.result_int()) +
+                                   " is not a final one");
+      }
+      continue;
+    }
     UpstreamResponse response;
     response.status = message.result_int();
     const bool keepAlive = message.keep_alive() && !parser.need_eof();
@@ -557,6 +594,7 @@
       if (!keepAlive) {
         co_return UnusableResponse("the answer belongs to another request");
       }
+      ++skipped;
       continue;
     }
     if (keepAlive && skipped == 0) {
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -23,6 +23,7 @@
 #include "base/clock.h"
 #include "base/memory_budget.h"
 #include "gateway/dialect.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::gateway {
 
@@ -61,8 +62,12 @@
 /// A TCP connection to an upstream, with its read buffer.
 struct UpstreamConnection
 {
+  /// Longest head of a response.
+  static constexpr uint32_t kMaxHeadBytes = 8192;
+
   explicit UpstreamConnection(const boost::asio::any_io_executor& aExecutor)
     : socket(aExecutor)
+    , buffer(net::ReadBufferLimit(kMaxHeadBytes))
   {
   }
 
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -453,6 +453,8 @@
                                std::string(2 * kBodyBytes, 'x') });
   EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
   EXPECT_LE(bodies.PeakBytes(), kBodyBytes);
+  // The upstream's fault: another one may have a response that ends.
+  EXPECT_FALSE(attempts[0].noRoom);
 }
 
 // Guards against memory that the responses to slow callers take beyond the
@@ -469,6 +471,76 @@
   EXPECT_EQ(bodies.BytesInUse(), body.size());
 }
 
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nId: r-1\r\nSignature: s\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a host whose memory an upstream fills: the end of a chunk's
+// size line was looked for in all that arrived.
+TEST_F(UpstreamClientTest, ExtensionOfAChunkIsBounded)
+{
+  const auto attempts =
+    Send({ kChunkedHead + "4;x=" + std::string(4 * kBodyBytes, 'a') });
+  EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
+  EXPECT_TRUE(attempts[0].responded);
+  EXPECT_FALSE(attempts[0].connectionLost);
+}
+
+TEST_F(UpstreamClientTest, TrailersAreBounded)
+{
+  std::string trailers;
+  while (trailers.size() < kBodyBytes) {
+    trailers += "More: more\r\n";
+  }
+  const auto attempts = Send({ kChunkedHead + "0\r\n" + trailers });
+  EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
+  EXPECT_TRUE(attempts[0].responded);
+}
+
+// Guards against a host that is busy with tiny chunks until the deadline.
+TEST_F(UpstreamClientTest, MoreFramingThanBodyIsRefused)
+{
+  std::string chunks;
+  while (chunks.size() < kBodyBytes / 2) {
+    chunks += "4\r\naaaa\r\n";
+  }
+  const auto attempts = Send({ kChunkedHead + chunks + "0\r\n\r\n" });
+  EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
+  EXPECT_TRUE(attempts[0].responded);
+  EXPECT_LT(bodies.PeakBytes(), kBodyBytes / 4);
+}
+
+TEST_F(UpstreamClientTest, ChunkWithAnExtensionIsRead)
+{
+  const auto attempts =
+    Send({ kChunkedHead + "4;x=y\r\nbody\r\n0\r\nMore: more\r\n\r\n" });
+  ASSERT_EQ(attempts[0].kind, Kind::Response) << attempts[0].reason;
+  EXPECT_EQ(attempts[0].response.body, "body");
+}
+
+// Guards against a caller that gets an interim response as its final one.
+TEST_F(UpstreamClientTest, InterimResponsesAreSkipped)
+{
+  const std::string interim =
+    "HTTP/1.1 103 Early Hints\r\nId: r-1\r\nSignature: s\r\n\r\n";
+  const auto attempts =
+    Send({ interim + interim + ResponseTo("r-1", "the final one") });
+  ASSERT_EQ(attempts[0].kind, Kind::Response) << attempts[0].reason;
+  EXPECT_EQ(attempts[0].response.status, 200U);
+  EXPECT_EQ(attempts[0].response.body, "the final one");
+}
+
+TEST_F(UpstreamClientTest, InterimResponsesWithoutEndAreAFailure)
+{
+  std::string interim;
+  for (int count = 0; count < 100; ++count) {
+    interim += "HTTP/1.1 100 Continue\r\nId: r-1\r\nSignature: s\r\n\r\n";
+  }
+  const auto attempts = Send({ interim });
+  EXPECT_EQ(attempts[0].kind, Kind::OutcomeUnknown);
+  EXPECT_TRUE(attempts[0].responded);
+}
+
 /// Upstream that accepts one connection and reads it late, with a small window.
 class LateReader
 {
--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "http/body_reader.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::http {
 
@@ -49,7 +50,7 @@
   : mSocket(std::move(aSocket))
   , mLimits(aLimits)
   , mClock(aClock)
-  , mBuffer(size_t{ aLimits.maxHeaderBytes } + aLimits.streamBufferBytes)
+  , mBuffer(net::ReadBufferLimit(aLimits.maxHeaderBytes))
   , mReadable(mSocket.get_executor())
 {
   error_code ignored;
--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr uint32_t kMaxAnswerHeadBytes = 64 * 1024;
+/// Interim answers (1xx) after which an exchange fails.
+constexpr int kMaxInterimAnswers = 8;
 constexpr size_t kReadBytes = 4096;
 /// From this length on, an answer's body is read in large pieces.
 constexpr uint64_t kLargeBodyBytes = uint64_t{ 64 } * 1024;
@@ -108,7 +109,7 @@
 UpstreamExchange::NewParser(bool aHeadRequest)
 {
   mParser.emplace();
-  mParser->header_limit(kMaxAnswerHeadBytes);
+  mParser->header_limit(UpstreamConnection::kMaxHeadBytes);
   mParser->body_limit(boost::none);
   mParser->skip(aHeadRequest);
 }
@@ -117,7 +118,7 @@
 UpstreamExchange::ReadHead(bool aHeadRequest)
 {
   mHeadRequest = aHeadRequest;
-  while (!mAborted) {
+  for (int interim = 0; !mAborted; ++interim) {
     NewParser(aHeadRequest);
     mConnection->buffer.reserve(kReadBytes);
     const auto [error, read] = co_await beast::http::async_read_header(
@@ -126,12 +127,12 @@
       co_return error;
     }
     const unsigned status = Head().result_int();
-    if (status == kSwitchingProtocols) {
-      co_return beast::http::error::bad_status;
-    }
     if (status >= kFirstFinalStatus) {
       co_return error_code{};
     }
+    if (status == kSwitchingProtocols || interim == kMaxInterimAnswers) {
+      co_return beast::http::error::bad_status;
+    }
   }
   co_return asio::error::operation_aborted;
 }
--- a/src/librattandyke/http/upstream_pool.h
+++ b/src/librattandyke/http/upstream_pool.h
@@ -9,6 +9,7 @@
 #include <rattandyke/types.h>
 
 #include "http/limits.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::http {
 
@@ -17,9 +18,13 @@
 {
   explicit UpstreamConnection(const boost::asio::any_io_executor& aExecutor)
     : socket(aExecutor)
+    , buffer(net::ReadBufferLimit(kMaxHeadBytes))
   {
   }
 
+  /// Longest head of an answer.
+  static constexpr uint32_t kMaxHeadBytes = 64 * 1024;
+
   /// Ends the connection with a reset: an upstream that is frozen with the
   /// request in its socket must find an error there, not a request to run.
   void Abort();
--- a/src/rattandyke/admin_client.cpp
+++ b/src/rattandyke/admin_client.cpp
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "config/ini.h"
+#include "net/read_buffer.h"
 
 namespace rattandyke::cli {
 
@@ -22,6 +23,7 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpAnswer = http::response<http::string_body>;
 
+constexpr uint32_t kMaxAnswerHead = 8192;
 constexpr uint64_t kMaxAnswer = 64ULL << 20;
 constexpr std::chrono::milliseconds kBetweenTries{ 100 };
 constexpr const char* kDefaultHost = "127.0.0.1:7002";
@@ -47,8 +49,9 @@
   if (writeError) {
     co_return writeError;
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(net::ReadBufferLimit(kMaxAnswerHead));
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kMaxAnswerHead);
   parser.body_limit(kMaxAnswer);
   const auto [readError, read] =
     co_await http::async_read(stream, buffer, parser, kAwait);
