A body in chunks grows to the limit of the budget, not to the last full step

What callers saw: uploads in chunks were refused with 503 each time although they would fit: the next step of their room, four times the one before, was beyond the budget.

Change: near the limit the room grows by as much as the old and the new room may have together. Callers whose body finds no room get 503 as before; only a response without a length that could never have room is its upstream's failure.

--- a/src/librattandyke/gateway/body_room.cpp
+++ b/src/librattandyke/gateway/body_room.cpp
@@ -10,8 +10,7 @@
 
 using http::kAwait;
 
-/// Growth of the room of a body without declared length. While its bytes are
-/// copied to the larger room, both are in use: half of the larger one.
+/// Growth of the room of a body without declared length.
 constexpr size_t kGrowth = 4;
 
 } // namespace
@@ -40,7 +39,16 @@
 BodyRoom::Extend(size_t aBytes)
 {
   while (Bytes() < aBytes) {
-    const size_t more = (kGrowth - 1) * std::max<size_t>(Bytes(), 1);
+    const size_t needed = aBytes - Bytes();
+    size_t more =
+      std::max(needed, (kGrowth - 1) * std::max<size_t>(Bytes(), 1));
+    while (more > needed && !CanGrowBy(more)) {
+      more = std::max(needed, more / 2);
+    }
+    if (!CanGrowBy(more)) {
+      mCanNeverFit = true;
+      co_return false;
+    }
     if (!co_await Reserve(more)) {
       co_return false;
     }
@@ -48,6 +56,16 @@
   co_return true;
 }
 
+/// While a body is copied to a larger room, both are in use.
+bool
+BodyRoom::CanGrowBy(size_t aBytes) const
+{
+  const size_t grown = Bytes() + aBytes;
+  return mBudget.CanEverFit(mUse, grown) &&
+         (grown <= MemoryBudget::kSmallBytes ||
+          Bytes() + grown <= mBudget.Bytes());
+}
+
 boost::asio::awaitable<bool>
 BodyRoom::Reserve(size_t aBytes)
 {
--- a/src/librattandyke/gateway/body_room.h
+++ b/src/librattandyke/gateway/body_room.h
@@ -18,8 +18,8 @@
 
 /// Reserves room for one body while it is read. A body of declared length gets
 /// room for all of it before its first byte is read. One without gets it in
-/// parts, each four times as large as all before. Runs on one executor that
-/// runs one handler at a time.
+/// parts, each of them three times as large as all before, or less near the
+/// limit of the budget. Runs on one executor that runs one handler at a time.
 class BodyRoom
 {
 public:
@@ -57,6 +57,7 @@
   MemoryBudget::Reservation Take(size_t aBytes);
 
 private:
+  bool CanGrowBy(size_t aBytes) const;
   boost::asio::awaitable<bool> Reserve(size_t aBytes);
 
   MemoryBudget& mBudget;
--- a/src/librattandyke/gateway/caller_server_test.cpp
+++ b/src/librattandyke/gateway/caller_server_test.cpp
@@ -573,6 +573,24 @@
 
 // Guards against uploads that are refused although there is room for them one
 // after the other.
+// Guards against uploads that are refused for good: their room grew in steps,
+// and the next step was larger than the budget.
+TEST_F(UploadTest, ChunkedUploadIsReadIfItFits)
+{
+  tcp::socket caller = Connect();
+  const std::string chunk(size_t{ 64 } * 1024, 'x');
+  std::string chunks;
+  for (size_t sent = 0; sent < kBodyBytes / 2; sent += chunk.size()) {
+    chunks += "10000\r\n" + chunk + "\r\n";
+  }
+  Send(caller,
+       "PUT /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n" +
+         chunks + "0\r\n\r\n");
+  EXPECT_EQ(Count(ReadToEnd(caller), "HTTP/1.1 200"), 1U);
+  EXPECT_EQ(handler.requestBody.size(), kBodyBytes / 2);
+}
+
 TEST_F(UploadTest, UploadWaitsForRoom)
 {
   HoldAllRoom();
--- a/src/librattandyke/gateway/read_body.h
+++ b/src/librattandyke/gateway/read_body.h
@@ -21,8 +21,8 @@
   return make_error_code(boost::system::errc::not_enough_memory);
 }
 
-/// The error of a body without declared length that is longer than any that
-/// there could be room for.
+/// The error of a body that is longer than any that there could be room for, or
+/// whose framing is.
 inline boost::system::error_code
 EndlessBodyError()
 {
@@ -67,8 +67,8 @@
 /// Reads the rest of a message whose head has been read, and whose body is a
 /// string. May be called again after an error that did not end the stream.
 /// @param aRoom BodyRoom::Open() has returned true.
-/// @return NoRoomError() or EndlessBodyError() if there is no room for a body
-/// without declared length, EndlessBodyError() if most of it is framing.
+/// @return NoRoomError() if there is no room for a body without declared
+/// length, EndlessBodyError() if most of it is framing.
 template<typename Stream, typename Parser>
 boost::asio::awaitable<boost::system::error_code>
 ReadBody(Stream& aStream,
@@ -81,7 +81,7 @@
   while (!aParser.is_done()) {
     if (!aParser.content_length() && body.size() >= aRoom.Bytes()) {
       if (!co_await aRoom.Extend(body.size() + 1)) {
-        co_return aRoom.CanNeverFit() ? EndlessBodyError() : NoRoomError();
+        co_return NoRoomError();
       }
       body.reserve(aRoom.Bytes());
     }
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -642,6 +642,10 @@
   co_return room.Take(aParser.get().body().size());
 }
 
+  if (error == NoRoomError() && !DeclaredLength(aParser) &&
+      room.CanNeverFit()) {
+    error = EndlessBodyError();
+  }
 /// A response without an id proves nothing: every request has an id, and the
 /// upstream returns it. After a health check, which has none, the response may
 /// be a late duplicate of the response to that.
