The user timeout is raised only for peers that are seen to acknowledge

The first form raised it for every connection on a system that answers TCP_INFO.

Three transmissions have to be unanswered, since peers limit the rate of their answers to probes.

PeerAcks.OnlyAPeerThatAcknowledgesReadsSlowly asks for what was missing. Peek() of callers' connections is net::Peek.

--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <sys/socket.h>
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/string.hpp>
@@ -14,7 +12,7 @@
 #include "http/headers.h"
 #include "http/signal.h"
 #include "net/frame_connection.h"
-#include "net/peer_acks.h"
+#include "net/peek.h"
 #include "net/read_buffer.h"
 
 namespace rattandyke::gateway {
@@ -29,9 +27,6 @@
 /// Time after which a caller that acknowledges nothing counts as gone, and
 /// after which one that reads nothing counts as stalled.
 constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 3000 };
-/// A user timeout is kept for later responses unless it is this many times as
-/// long as they need.
-constexpr int kMaxTimeoutRatio = 4;
 constexpr size_t kDiscardBufferBytes = 4096;
 /// Larger read buffers are not kept between requests: a host has thousands of
 /// connections.
@@ -49,7 +44,6 @@
   , mClock(aClock)
   , mAcceptedAt(aClock.Now())
   , mIdleDeadline(Instant::max()) // The first ReadRequest() sets it.
-  , mUserTimeout(kUnacknowledgedTimeout)
 {
   net::LimitUnacknowledged(mSocket, kUnacknowledgedTimeout);
 }
@@ -67,7 +61,8 @@
   mDeadlineExtended = false;
   // A Drain() between two reads had no read to cancel. Without this check the
   // next read would never end, and the host would wait for it at shutdown.
-  if (mDraining && mBuffer.size() == 0 && Peek() == asio::error::would_block) {
+  if (mDraining && mBuffer.size() == 0 &&
+      net::Peek(mSocket) == asio::error::would_block) {
     co_return FinishRead(asio::error::operation_aborted);
   }
   ErrorCode error;
@@ -141,7 +136,7 @@
     return false;
   }
   const bool started = aParser.got_some() || mBuffer.size() > 0;
-  if (!started && Peek()) {
+  if (!started && net::Peek(mSocket)) {
     return false;
   }
   const Instant now = mClock.Now();
@@ -153,20 +148,17 @@
 }
 
 /// TCP_USER_TIMEOUT counts the time for which the caller's window is closed,
-/// too, and applies until the kernel has sent all that it holds. So it has to
-/// outlast the caller's time; CheckWrite finds callers that are gone.
+/// too, and applies until the kernel has sent all that it holds. CheckWrite
+/// finds callers that are gone in its place.
 void
-CallerConnection::AllowSlowReading(Duration aTime)
+CallerConnection::AllowSlowReading(const net::PeerAcks& aAcks, Instant aNow)
 {
-  if (!net::QueryPeerAcks(mSocket)) {
-    return; // Only the short timeout finds callers that are gone.
-  }
-  const auto needed = std::max(kUnacknowledgedTimeout,
-                               std::chrono::ceil<std::chrono::seconds>(aTime) +
-                                 kUnacknowledgedTimeout);
-  if (mUserTimeout < needed || mUserTimeout > kMaxTimeoutRatio * needed) {
-    mUserTimeout = needed;
-    net::SetUserTimeout(mSocket, mUserTimeout);
+  if (!mReadsSlowly && net::IsReadingSlowly(aAcks, kUnacknowledgedTimeout)) {
+    mReadsSlowly = true;
+    net::SetUserTimeout(
+      mSocket,
+      std::chrono::ceil<std::chrono::milliseconds>(mWriteUntil - aNow) +
+        kUnacknowledgedTimeout);
   }
 }
 
@@ -178,7 +170,10 @@
   mWriteProgressAt = mClock.Now();
   mWriteUntil = aUntil;
   mBytesToWrite = aHead.size() + aBody.size();
-  AllowSlowReading(aUntil - mWriteProgressAt);
+  mAwaitsDelivery = true;
+  if (std::exchange(mReadsSlowly, false)) {
+    net::SetUserTimeout(mSocket, kUnacknowledgedTimeout);
+  }
   beast::buffers_suffix left(std::array<asio::const_buffer, 2>{
     asio::buffer(aHead), asio::buffer(aBody) });
   ErrorCode error;
@@ -197,7 +192,15 @@
 CallerConnection::WriteState
 CallerConnection::CheckWrite(Instant aNow)
 {
+  if (!mAwaitsDelivery) {
+    return WriteState::Progressing;
+  }
+  const auto acks = net::QueryPeerAcks(mSocket);
+  if (acks) {
+    AllowSlowReading(*acks, aNow);
+  }
   if (mBytesToWrite == 0) {
+    mAwaitsDelivery = acks && acks->unsentBytes > 0;
     return WriteState::Progressing;
   }
   if (aNow >= mWriteUntil) {
@@ -206,7 +209,6 @@
   if (WriteStall(aNow) < Duration(kUnacknowledgedTimeout)) {
     return WriteState::Progressing;
   }
-  const auto acks = net::QueryPeerAcks(mSocket);
   return acks && net::IsSilent(*acks, kUnacknowledgedTimeout)
            ? WriteState::Silent
            : WriteState::Stalled;
@@ -261,7 +263,7 @@
 void
 CallerConnection::OnReadable()
 {
-  const ErrorCode error = Peek();
+  const ErrorCode error = net::Peek(mSocket);
   if (error == asio::error::would_block) {
     AwaitReadable();
   } else if (error) { // Success: the next request has arrived.
@@ -270,20 +272,6 @@
   }
 }
 
-/// @return success if data can be read, eof if the caller has closed its
-/// sending side, would_block if nothing can be read, or the socket's error.
-CallerConnection::ErrorCode
-CallerConnection::Peek()
-{
-  char byte = 0;
-  const ssize_t received = ::recv(
-    mSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  if (received < 0) {
-    return { errno, boost::system::system_category() };
-  }
-  return received == 0 ? make_error_code(asio::error::eof) : ErrorCode{};
-}
-
 void
 CallerConnection::StopWatching()
 {
--- a/src/librattandyke/gateway/caller_connection.h
+++ b/src/librattandyke/gateway/caller_connection.h
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "gateway/body_room.h"
 #include "gateway/request_context.h"
+#include "net/peer_acks.h"
 
 namespace rattandyke::gateway {
 
@@ -71,6 +72,7 @@
     /// The caller's time is over.
     Overdue,
   };
+  /// Call it several times a second.
   WriteState CheckWrite(Instant aNow);
 
   /// @return the time for which nothing of the response could be written.
@@ -143,12 +145,12 @@
     Lingering
   };
 
-  void AllowSlowReading(Duration aTime);
+  /// Lets the kernel wait for a caller that reads slowly.
+  void AllowSlowReading(const net::PeerAcks& aAcks, Instant aNow);
   /// Ends a read, with an error or a whole request.
   ErrorCode FinishRead(ErrorCode aError);
   boost::asio::awaitable<void> WriteContinue();
   void RecordError(ErrorCode aError);
-  ErrorCode Peek();
   void AwaitReadable();
   void OnReadable();
   bool ShouldResumeRead(const Parser& aParser,
@@ -168,8 +170,10 @@
   size_t mBytesToWrite = 0;
   Instant mWriteUntil{};
   Instant mWriteProgressAt{};
-  /// TCP_USER_TIMEOUT of the socket.
-  std::chrono::milliseconds mUserTimeout;
+  /// The kernel may hold a part of the last response.
+  bool mAwaitsDelivery = false;
+  /// The user timeout lasts until mWriteUntil.
+  bool mReadsSlowly = false;
   /// The arriving request has already got its extra time because of Drain().
   bool mDeadlineExtended = false;
   /// Request to cancel when the caller disconnects; null if not watching.
--- a/src/librattandyke/gateway/caller_server_test.cpp
+++ b/src/librattandyke/gateway/caller_server_test.cpp
@@ -307,8 +307,10 @@
   tcp::socket caller = ConnectWithSmallWindow();
   Send(caller, kLastRequest);
   ASSERT_TRUE(RunUntil([&] { return handler.handled == 1; }));
-  Run(milliseconds{ 3600 });
-  server.Sweep(clock.Now());
+  for (int sweep = 0; sweep < 18; ++sweep) {
+    Run(milliseconds{ 200 });
+    server.Sweep(clock.Now());
+  }
   EXPECT_EQ(Count(ReadToEnd(caller), "x"), handler.body.size());
 }
 
@@ -571,8 +573,6 @@
   EXPECT_EQ(handler.handled, 0U);
 }
 
-// Guards against uploads that are refused although there is room for them one
-// after the other.
 // Guards against uploads that are refused for good: their room grew in steps,
 // and the next step was larger than the budget.
 TEST_F(UploadTest, ChunkedUploadIsReadIfItFits)
@@ -591,6 +591,8 @@
   EXPECT_EQ(handler.requestBody.size(), kBodyBytes / 2);
 }
 
+// Guards against uploads that are refused although there is room for them one
+// after the other.
 TEST_F(UploadTest, UploadWaitsForRoom)
 {
   HoldAllRoom();
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -199,7 +199,7 @@
 RequestHandler::Sweep()
 {
   const State& state = mFeed.CurrentState();
-  mUpstreamClient.CloseSilent(mClock.Now());
+  mUpstreamClient.CheckPeers(mClock.Now());
   mUpstreamClient.Pool().Sweep(mClock.Now(), [&](const std::string& aInstance) {
     return state.FindInstance(aInstance) != nullptr;
   });
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <charconv>
 
-#include <sys/socket.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +19,7 @@
 #include "http/headers.h"
 #include "http/signal.h"
 #include "net/frame_connection.h"
+#include "net/peek.h"
 #include "net/peer_acks.h"
 
 namespace rattandyke::gateway {
@@ -44,6 +43,8 @@
 constexpr milliseconds kIdleLifetimeMargin{ 1000 };
 /// Time after which a connection is closed whose upstream acknowledges nothing.
 constexpr milliseconds kUnacknowledgedTimeout{ 1000 };
+/// Age of a request from which on its upstream may be reading it slowly.
+constexpr milliseconds kMinStall{ 200 };
 /// Time for the response to a probe. It may wait for a slot of the upstream.
 constexpr milliseconds kProbeTimeout{ 1000 };
 /// Shortest remaining time with which a request is sent. The deadline header is
@@ -81,10 +82,7 @@
 bool
 IsOpenAndIdle(tcp::socket& aSocket)
 {
-  char byte = 0;
-  const ssize_t received = ::recv(
-    aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return net::Peek(aSocket) == asio::error::would_block;
 }
 
 /// @return time for which a connection may be idle after a response.
@@ -329,10 +327,6 @@
     co_return nullptr;
   }
   net::TuneSocket(connection->socket, kUnacknowledgedTimeout);
-  if (net::QueryPeerAcks(connection->socket)) {
-    // CloseSilent() ends the connection in place of the kernel.
-    net::SetUserTimeout(connection->socket, milliseconds::zero());
-  }
   co_return connection;
 }
 
@@ -451,17 +445,26 @@
   co_return co_await ReadResponse(aConnection, aRequest, aLeft, aHandle);
 }
 
-/// An upstream may read a long body late, within the time of its request; its
+/// An upstream may read a long body late, within the time of its request. Its
 /// window is closed meanwhile, and it acknowledges the kernel's probes.
 void
-UpstreamClient::CloseSilent(Instant aNow)
+UpstreamClient::CheckPeers(Instant aNow)
 {
   for (const auto& [connection, since] : mInProgress) {
-    if (aNow - since < Duration(kUnacknowledgedTimeout)) {
+    if (aNow - since < Duration(kMinStall)) {
       continue;
     }
     const auto acks = net::QueryPeerAcks(connection->socket);
-    if (acks && net::IsSilent(*acks, kUnacknowledgedTimeout)) {
+    if (!acks) {
+      continue;
+    }
+    if (!connection->readsSlowly &&
+        net::IsReadingSlowly(*acks, kUnacknowledgedTimeout)) {
+      connection->readsSlowly = true;
+      net::SetUserTimeout(connection->socket, milliseconds::zero());
+    }
+    if (connection->readsSlowly &&
+        net::IsSilent(*acks, kUnacknowledgedTimeout)) {
       connection->silent = true;
       connection->Close();
       ++mSilentConnections;
@@ -480,6 +483,9 @@
     // the last seconds; each buffer would keep the capacity of its longest
     // response.
     aConnection->buffer.shrink_to_fit();
+    if (std::exchange(aConnection->readsSlowly, false)) {
+      net::SetUserTimeout(aConnection->socket, kUnacknowledgedTimeout);
+    }
     mPool.Put(aProcess, aConnection);
   } else {
     aConnection->Close();
@@ -636,16 +642,16 @@
       co_await ReadBody(aConnection.socket, aConnection.buffer, aParser, room);
   }
   aHandle.DetachWaiter();
+  if (error == NoRoomError() && !DeclaredLength(aParser) &&
+      room.CanNeverFit()) {
+    error = EndlessBodyError();
+  }
   if (error) {
     co_return tl::unexpected(error);
   }
   co_return room.Take(aParser.get().body().size());
 }
 
-  if (error == NoRoomError() && !DeclaredLength(aParser) &&
-      room.CanNeverFit()) {
-    error = EndlessBodyError();
-  }
 /// A response without an id proves nothing: every request has an id, and the
 /// upstream returns it. After a health check, which has none, the response may
 /// be a late duplicate of the response to that.
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -85,8 +85,11 @@
   RefusedRequests refused;
   /// A request without an id, a health check, was sent on the connection.
   bool carriedHealthCheck = false;
-  /// UpstreamClient::CloseSilent closed the connection.
+  /// UpstreamClient::CheckPeers closed the connection.
   bool silent = false;
+  /// The upstream reads slowly: CheckPeers, not the kernel, ends the connection
+  /// if it is gone.
+  bool readsSlowly = false;
   /// The last request was written whole.
   bool requestWritten = true;
 };
@@ -283,9 +286,10 @@
   boost::asio::awaitable<bool> Probe(UpstreamProcess aProcess,
                                      std::string aHealthPath);
 
-  /// Closes connections on which an upstream has acknowledged nothing of a
-  /// request for a while. Call it at regular intervals.
-  void CloseSilent(Instant aNow);
+  /// Lets the kernel wait for upstreams that read a request slowly, and closes
+  /// their connections once they acknowledge nothing. Call it several times a
+  /// second.
+  void CheckPeers(Instant aNow);
 
   ConnectionPool& Pool() { return mPool; }
   const ConnectionPool& Pool() const { return mPool; }
@@ -296,7 +300,7 @@
   /// @return how many of them could not be established.
   uint64_t ConnectionsFailed() const { return mConnectionsFailed; }
 
-  /// @return how many of them CloseSilent() has closed.
+  /// @return how many of them CheckPeers() has closed.
   uint64_t SilentConnections() const { return mSilentConnections; }
 
   /// @return how many responses were skipped because they belong to another
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -601,7 +601,7 @@
   SystemClock now;
   for (int sweep = 0; sweep < 40 && !context.stopped(); ++sweep) {
     context.run_for(milliseconds{ 200 });
-    client.CloseSilent(now.Now());
+    client.CheckPeers(now.Now());
   }
   EXPECT_EQ(result.kind, Kind::Response) << result.reason;
   EXPECT_EQ(client.SilentConnections(), 0U);
--- a/src/librattandyke/net/peer_acks.cpp
+++ b/src/librattandyke/net/peer_acks.cpp
@@ -1,13 +1,15 @@
 #include "net/peer_acks.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace rattandyke::net {
 
 namespace {
 
-/// A single transmission may be on its way.
-constexpr unsigned kMinUnanswered = 2;
+/// Peers limit the rate at which they answer probes of a closed window.
+constexpr unsigned kMinUnanswered = 3;
 
 } // namespace
 
@@ -22,9 +24,14 @@
       info.tcpi_rto == 0) {
     return std::nullopt;
   }
+  int unsent = 0;
+  if (ioctl(aSocket.native_handle(), SIOCOUTQNSD, &unsent) != 0 || unsent < 0) {
+    return std::nullopt;
+  }
   return PeerAcks{ std::chrono::milliseconds{ info.tcpi_last_ack_recv },
                    static_cast<unsigned>(info.tcpi_retransmits) +
-                     static_cast<unsigned>(info.tcpi_probes) };
+                     static_cast<unsigned>(info.tcpi_probes),
+                   static_cast<size_t>(unsent) };
 }
 
 bool
@@ -33,6 +40,13 @@
   return aAcks.unanswered >= kMinUnanswered && aAcks.sinceLast >= aLimit;
 }
 
+bool
+IsReadingSlowly(const PeerAcks& aAcks, std::chrono::milliseconds aLimit)
+{
+  return aAcks.unsentBytes > 0 && aAcks.unanswered < kMinUnanswered &&
+         aAcks.sinceLast < aLimit;
+}
+
 void
 SetUserTimeout(boost::asio::ip::tcp::socket& aSocket,
                std::chrono::milliseconds aTimeout)
--- a/src/librattandyke/net/peer_acks.h
+++ b/src/librattandyke/net/peer_acks.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +16,8 @@
   std::chrono::milliseconds sinceLast{};
   /// Retransmissions and window probes since then.
   unsigned unanswered = 0;
+  /// Bytes that wait until the peer's window opens.
+  size_t unsentBytes = 0;
 };
 
 /// A peer that does not read acknowledges every window probe; one that is gone
@@ -28,6 +31,11 @@
 /// limit. False if nothing awaits an acknowledgement.
 bool IsSilent(const PeerAcks& aAcks, std::chrono::milliseconds aLimit);
 
+/// @param aLimit time without an acknowledgement.
+/// @return whether data waits for a peer that does not read, and the peer is
+/// there.
+bool IsReadingSlowly(const PeerAcks& aAcks, std::chrono::milliseconds aLimit);
+
 /// Sets the time after which the kernel ends a connection with unacknowledged
 /// data or a closed window.
 /// @param aTimeout zero: the kernel's own limit, some 15 minutes.
--- a/src/librattandyke/net/peer_acks_test.cpp
+++ b/src/librattandyke/net/peer_acks_test.cpp
@@ -15,15 +15,15 @@
 
 TEST(PeerAcks, PeerThatAnswersNothingIsSilent)
 {
-  EXPECT_TRUE(IsSilent({ milliseconds{ 1000 }, 2 }, milliseconds{ 1000 }));
-  EXPECT_FALSE(IsSilent({ milliseconds{ 999 }, 5 }, milliseconds{ 1000 }));
+  EXPECT_TRUE(IsSilent({ milliseconds{ 1000 }, 3, 0 }, milliseconds{ 1000 }));
+  EXPECT_FALSE(IsSilent({ milliseconds{ 999 }, 5, 0 }, milliseconds{ 1000 }));
 }
 
 // Guards against an idle connection that counts as silent.
 TEST(PeerAcks, PeerThatWasSentNothingIsNotSilent)
 {
-  EXPECT_FALSE(IsSilent({ milliseconds{ 60000 }, 0 }, milliseconds{ 1000 }));
-  EXPECT_FALSE(IsSilent({ milliseconds{ 60000 }, 1 }, milliseconds{ 1000 }));
+  EXPECT_FALSE(IsSilent({ milliseconds{ 60000 }, 0, 0 }, milliseconds{ 1000 }));
+  EXPECT_FALSE(IsSilent({ milliseconds{ 60000 }, 2, 0 }, milliseconds{ 1000 }));
 }
 
 // Guards against a peer that does not read and counts as gone: it acknowledges
@@ -46,6 +46,18 @@
   const auto acks = QueryPeerAcks(writer);
   ASSERT_TRUE(acks);
   EXPECT_FALSE(IsSilent(*acks, milliseconds{ 500 }));
+  EXPECT_TRUE(IsReadingSlowly(*acks, milliseconds{ 3000 }));
+}
+
+// Guards against a longer wait on systems that tell nothing of
+// acknowledgements, and for peers that are gone.
+TEST(PeerAcks, OnlyAPeerThatAcknowledgesReadsSlowly)
+{
+  EXPECT_FALSE(IsReadingSlowly({}, milliseconds{ 1000 }));
+  EXPECT_FALSE(
+    IsReadingSlowly({ milliseconds{ 10 }, 3, 99 }, milliseconds{ 1000 }));
+  EXPECT_FALSE(
+    IsReadingSlowly({ milliseconds{ 1000 }, 0, 99 }, milliseconds{ 1000 }));
 }
 
 TEST(PeerAcks, ClosedSocketTellsNothing)
