--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -1,12 +1,11 @@
 #include "http/caller_stream.h"
 
-#include <sys/socket.h>
-
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "http/body_reader.h"
+#include "net/peek.h"
 #include "net/read_buffer.h"
 
 namespace rattandyke::http {
@@ -20,28 +19,6 @@
 /// An idle connection keeps no more than this of what a request needed.
 constexpr size_t kMaxIdleBufferBytes = 8192;
 
-/// What a read of a connection would give.
-enum class Input
-{
-  Bytes,
-  Nothing,
-  /// The other side has closed, or the connection is broken.
-  End,
-};
-
-Input
-Peek(asio::ip::tcp::socket& aSocket)
-{
-  char byte = 0;
-  const auto got =
-    recv(aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) {
-    return Input::Bytes;
-  }
-  const bool isEmpty = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return isEmpty ? Input::Nothing : Input::End;
-}
-
 } // namespace
 
 CallerStream::CallerStream(asio::ip::tcp::socket aSocket,
@@ -106,13 +83,13 @@
 CallerStream::OnReadable(const error_code& aError)
 {
   mWaiting = false;
-  const Input input = Peek(mSocket);
-  if (!aError && input == Input::Nothing && !mEndsIdle) {
+  const error_code input = net::Peek(mSocket);
+  if (!aError && input == asio::error::would_block && !mEndsIdle) {
     StartWait();
     return;
   }
   mReadable.Notify();
-  if (aError || input != Input::Bytes) {
+  if (aError || input) {
     mGone = true;
   }
   if (mGone && mOnGone) {
--- a/src/librattandyke/http/upstream_pool.cpp
+++ b/src/librattandyke/http/upstream_pool.cpp
@@ -4,7 +4,7 @@
 #include <mutex>
 #include <vector>
 
-#include <sys/socket.h>
+#include "net/peek.h"
 
 namespace rattandyke::http {
 
@@ -18,12 +18,7 @@
   if (aConnection.buffer.size() > 0) {
     return false;
   }
-  char byte = 0;
-  const auto got = recv(aConnection.socket.native_handle(),
-                        &byte,
-                        sizeof byte,
-                        MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return net::Peek(aConnection.socket) == boost::asio::error::would_block;
 }
 
 } // namespace
