--- a/src/librattandyke/gateway/caller_server.h
+++ b/src/librattandyke/gateway/caller_server.h
@@ -104,6 +104,8 @@
     Instant aUntil);
   /// @return when the caller of a request that arrives now no longer waits.
   Instant ResponseDeadline(const boost::beast::http::fields& aFields) const;
+  /// @return when a caller no longer waits for a response that this host writes
+  /// now in place of an upstream's.
   Instant ErrorDeadline() const;
   /// Ends the writing of responses that can't be delivered in time, and of one
   /// that is not read if others need its memory.
--- a/src/librattandyke/gateway/crash_register.cpp
+++ b/src/librattandyke/gateway/crash_register.cpp
@@ -102,9 +102,7 @@
         first, end, [](const Crash& aBefore, const Crash& aAfter) {
           return aAfter.sentAt < aBefore.at - kTimeError;
         }) != end;
-    const bool suspected = !blamed.empty();
-    const bool countsEach = std::next(first) != end &&
-                            (suspected || !overlaps) &&
+    const bool countsEach = std::next(first) != end && !overlaps &&
                             ExplainsMoment(aRequest, first, end);
     blamed.insert(blamed.end(), first, countsEach ? end : std::next(first));
     first = end;
--- a/src/librattandyke/gateway/crash_register.h
+++ b/src/librattandyke/gateway/crash_register.h
@@ -39,9 +39,8 @@
 ///
 /// Crashes within a moment count one by one only if the request was in progress
 /// at every upstream that was lost then, and if each sending began after the
-/// crash before or the request has been suspected already. Otherwise something
-/// else may have ended the upstreams together, such as the loss of a data
-/// centre, and they count once.
+/// crash before. Otherwise something else may have ended the upstreams
+/// together, such as the loss of a data centre, and they count once.
 class CrashRegister
 {
 public:
