Tests: one server for two tests, plain words, the reason of a sleep

Cause: two new tests of HttpServer repeated the lines that make a server; a comment told a story; a sleep had no reason.

Change: RespondingServer, which both use; the comment says which failure is guarded against; the sleep says which timer of the kernel it waits for.

Conclusion: as before, with less to read.

--- a/src/librattandyke/gateway/caller_server_test.cpp
+++ b/src/librattandyke/gateway/caller_server_test.cpp
@@ -573,8 +573,8 @@
   EXPECT_EQ(handler.handled, 0U);
 }
 
-// Guards against uploads that are refused for good: their room grew in steps,
-// and the next step was larger than the budget.
+// Guards against chunked uploads that are refused although they fit into the
+// budget.
 TEST_F(UploadTest, ChunkedUploadIsReadIfItFits)
 {
   tcp::socket caller = Connect();
--- a/src/librattandyke/gateway/http_server_test.cpp
+++ b/src/librattandyke/gateway/http_server_test.cpp
@@ -21,6 +21,36 @@
 
 constexpr size_t kMaxConnections = 3000;
 
+/// A server that gives the same response to every request.
+class RespondingServer
+{
+public:
+  explicit RespondingServer(HttpResponse aResponse)
+    : mServer(mContext.get_executor(),
+              mAddress,
+              kMaxConnections,
+              [response = std::move(aResponse)](const HttpRequest&)
+                -> asio::awaitable<HttpResponse> { co_return response; })
+  {
+    EXPECT_TRUE(mServer.Start());
+  }
+
+  /// @return a connection on which bytes have been sent and handled.
+  tcp::socket Send(const std::string& aBytes)
+  {
+    tcp::socket client(mContext);
+    client.connect(TcpOf(mAddress));
+    asio::write(client, asio::buffer(aBytes));
+    mContext.run_for(std::chrono::milliseconds{ 50 });
+    return client;
+  }
+
+private:
+  asio::io_context mContext;
+  const Endpoint mAddress = FreeAddress(mContext);
+  HttpServer mServer;
+};
+
 // The process has no free file descriptor, so accept() fails. A server that
 // retried at once would use up its share of the core. The waiting connection is
 // accepted and its request handled once a descriptor is free.
@@ -118,22 +148,10 @@
 // Guards against a host whose memory a client fills with a chunk's size line.
 TEST(HttpServer, ChunkWithAnEndlessExtensionIsRefused)
 {
-  asio::io_context context;
-  const Endpoint address = FreeAddress(context);
-  HttpServer server(context.get_executor(),
-                    address,
-                    kMaxConnections,
-                    [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
-                      co_return HttpResponse{ 200, "", "text/plain" };
-                    });
-  ASSERT_TRUE(server.Start());
-  tcp::socket client(context);
-  client.connect(TcpOf(address));
-  asio::write(client,
-              asio::buffer("POST / HTTP/1.1\r\nHost: h\r\n"
-                           "Transfer-Encoding: chunked\r\n\r\n4;x=" +
-                           std::string(64 * 1024, 'a')));
-  context.run_for(std::chrono::milliseconds{ 50 });
+  RespondingServer server({ 200, "", "text/plain" });
+  tcp::socket client = server.Send("POST / HTTP/1.1\r\nHost: h\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n4;x=" +
+                                   std::string(64 * 1024, 'a'));
   std::array<char, 64> answer{};
   boost::system::error_code error;
   const size_t read = client.read_some(asio::buffer(answer), error);
@@ -143,20 +161,8 @@
 // Guards against a sender that stays with a host that refuses its orders.
 TEST(HttpServer, ResponseMayEndTheConnection)
 {
-  asio::io_context context;
-  const Endpoint address = FreeAddress(context);
-  HttpServer server(context.get_executor(),
-                    address,
-                    kMaxConnections,
-                    [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
-                      co_return HttpResponse{ 503, "", "text/plain", true };
-                    });
-  ASSERT_TRUE(server.Start());
-  tcp::socket client(context);
-  client.connect(TcpOf(address));
-  asio::write(client,
-              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
-  context.run_for(std::chrono::milliseconds{ 20 });
+  RespondingServer server({ 503, "", "text/plain", true });
+  tcp::socket client = server.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   std::string received;
   boost::system::error_code error;
   asio::read(client, asio::dynamic_buffer(received), error);
--- a/src/librattandyke/net/peer_acks_test.cpp
+++ b/src/librattandyke/net/peer_acks_test.cpp
@@ -42,6 +42,8 @@
     writer.write_some(asio::buffer(bytes), error);
   }
   ASSERT_EQ(error, asio::error::would_block);
+  // The kernel probes a closed window after its least retransmission timeout,
+  // 200 ms; before that nothing tells the peer from one that is gone.
   std::this_thread::sleep_for(milliseconds{ 1500 });
   const auto acks = QueryPeerAcks(writer);
   ASSERT_TRUE(acks);
