--- a/src/librattandyke/agent/announce_server.cpp
+++ b/src/librattandyke/agent/announce_server.cpp
@@ -9,6 +9,7 @@
 #include "base/endpoint.h"
 #include "log/log.h"
 #include "net/read_buffer.h"
+#include "net/read_error.h"
 
 namespace rattandyke::agent {
 
@@ -51,17 +52,6 @@
          aError == http::error::buffer_overflow;
 }
 
-/// @return whether the peer sent something that is not HTTP, and so may get an
-/// answer; otherwise the connection is gone.
-bool
-IsMalformed(const beast::error_code& aError)
-{
-  return aError.category() ==
-           make_error_code(http::error::bad_method).category() &&
-         aError != http::error::end_of_stream &&
-         aError != http::error::partial_message;
-}
-
 /// One connection of an upstream.
 class Session : public std::enable_shared_from_this<Session>
 {
@@ -109,7 +99,7 @@
                      "The header may have 8 KiB and the body 16 KiB."),
              http::status::payload_too_large,
              false);
-    } else if (IsMalformed(aError)) {
+    } else if (net::IsMalformed(aError)) {
       Answer(Refusal(Code::MalformedRequest, "This is not HTTP/1.1."),
              http::status::bad_request,
              false);
--- a/src/librattandyke/gateway/caller_server.cpp
+++ b/src/librattandyke/gateway/caller_server.cpp
@@ -9,6 +9,7 @@
 #include "gateway/read_body.h"
 #include "log/log.h"
 #include "net/listen.h"
+#include "net/read_error.h"
 
 namespace rattandyke::gateway {
 
@@ -119,11 +120,7 @@
       aError == BeastError::buffer_overflow || aError == EndlessBodyError()) {
     return kTooLarge;
   }
-  const bool malformed =
-    aError.category() == make_error_code(BeastError::bad_method).category() &&
-    aError != BeastError::end_of_stream &&
-    aError != BeastError::partial_message;
-  return malformed ? kBadRequest : 0;
+  return net::IsMalformed(aError) ? kBadRequest : 0;
 }
 
 } // namespace
--- a/src/librattandyke/gateway/http_server.cpp
+++ b/src/librattandyke/gateway/http_server.cpp
@@ -20,6 +20,7 @@
 #include "net/frame_connection.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
+#include "net/read_error.h"
 
 namespace rattandyke::gateway {
 
@@ -186,12 +187,8 @@
         aError == EndlessBodyError()) {
       return http::status::payload_too_large;
     }
-    const bool malformed =
-      aError.category() ==
-        make_error_code(http::error::bad_method).category() &&
-      aError != http::error::end_of_stream &&
-      aError != http::error::partial_message;
-    return malformed ? http::status::bad_request : http::status::ok;
+    return net::IsMalformed(aError) ? http::status::bad_request
+                                    : http::status::ok;
   }
 
   /// Refuses a request that is not read to its end.
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -328,9 +328,9 @@
                                                    const Slot& aSlot);
   /// @return identifies the request if its caller sends it again.
   const std::string& FingerprintOf(RequestProgress& aProgress) const;
+  bool IsSuspected(RequestProgress& aProgress) const;
   /// @return the response to a request that crashes upstreams, nullopt if it
   /// may be sent.
-  bool IsSuspected(RequestProgress& aProgress) const;
   std::optional<CallerResponse> RefuseIfQuarantined(RequestProgress& aProgress);
   /// Records what an attempt shows of a request that may crash upstreams.
   void RecordForQuarantine(RequestProgress& aProgress,
