Elections wait for the disks of candidates and voters

Cause: a candidate's own vote must be durable before it asks, and a voter's before it answers, so an election takes two syncs. Candidate and voters gave up after 250 to 450 ms and began another term; votes that came later were void.

Change: the election timer begins anew once a vote is on the disk, and is longer by twice the measured time of a sync (at most four election timeouts); who waits for the disk to take its vote doesn't stand again; a late vote counts if the candidate still is in its term and has not led in it. Nothing changes where syncs take milliseconds.

--- a/src/librattandyke/consensus/election_test.cpp
+++ b/src/librattandyke/consensus/election_test.cpp
@@ -103,6 +103,33 @@
   EXPECT_EQ(mGroup.Report().violation, "");
 }
 
+/// Guards against elections that are given up before slow disks have taken the
+/// votes: no leader was ever elected.
+TEST(SlowDisks, LeaderIsElected)
+{
+  for (const size_t hosts : { 3, 5 }) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      ReplicaGroup::Options options = testing::ScheduleOptions(hosts, seed);
+      options.syncMin = milliseconds{ 300 };
+      options.syncMax = milliseconds{ 700 };
+      ReplicaGroup group(options);
+      group.RunFor(seconds{ 10 });
+      const auto first = group.Leader();
+      ASSERT_TRUE(first) << hosts << " hosts, seed " << seed;
+      group.Execute({ FaultStep::Kind::Crash, static_cast<uint8_t>(*first) });
+      group.RunFor(seconds{ 10 });
+      const auto next = group.Leader();
+      ASSERT_TRUE(next) << hosts << " hosts, seed " << seed;
+      EXPECT_NE(first, next);
+      EXPECT_TRUE(group.Propose());
+      const uint64_t before = group.Report().acknowledged;
+      group.RunFor(seconds{ 3 });
+      EXPECT_GT(group.Report().acknowledged, before);
+      EXPECT_EQ(group.Report().violation, "");
+    }
+  }
+}
+
 TEST(Identity, MessageForTheOneThatWasLostIsIgnored)
 {
   // A host lost its disk after it had voted. A request for a vote that was
--- a/src/librattandyke/consensus/replica.cpp
+++ b/src/librattandyke/consensus/replica.cpp
@@ -180,12 +180,17 @@
 void
 Replica::On(const Synced& aEvent)
 {
+  const bool wasDurable = IsHardStateDurable();
   mSyncedTicket = std::max(mSyncedTicket, aEvent.ticket);
   while (!mPendingSyncs.empty() &&
          mPendingSyncs.front().ticket <= mSyncedTicket) {
     mSyncedIndex = std::max(mSyncedIndex, mPendingSyncs.front().lastIndex);
+    RecordSyncTime(mNow - mPendingSyncs.front().since);
     mPendingSyncs.pop_front();
   }
+  if (!wasDurable && IsHardStateDurable() && mVote != 0) {
+    OnVoteDurable();
+  }
   if (mRole == Role::Leader) {
     AdvanceLeaderCommit();
   }
@@ -418,6 +423,14 @@
   mHardStateTicket = Ticket{ mLastTicket.value + 1 };
 }
 
+/// Rises at once and falls slowly: a disk that was slow may be so again.
+void
+Replica::RecordSyncTime(Duration aTime)
+{
+  constexpr int kDecay = 8;
+  mSyncTime = std::max(aTime, mSyncTime - (mSyncTime - aTime) / kDecay);
+}
+
 void
 Replica::FlushPersist()
 {
@@ -425,7 +438,7 @@
     return;
   }
   mPending.ticket = mLastTicket = Ticket{ mLastTicket.value + 1 };
-  mPendingSyncs.push_back({ mLastTicket, mLog.LastIndex() });
+  mPendingSyncs.push_back({ mLastTicket, mLog.LastIndex(), mNow });
   mEffects.push_back(std::exchange(mPending, {}));
   mHasPending = false;
 }
--- a/src/librattandyke/consensus/replica.h
+++ b/src/librattandyke/consensus/replica.h
@@ -114,6 +114,7 @@
   {
     Ticket ticket;
     uint64_t lastIndex = 0;
+    Instant since{};
   };
 
   // Events (replica.cpp).
@@ -148,13 +149,20 @@
   void BecomeLeader();
   void FollowLeader(const wire::ConsensusMessage& aMessage);
   bool HeardLeaderRecently() const;
+  /// @return whether the candidate that this host has voted for may still be
+  /// elected.
   bool VotedRecently() const;
+  void OnVoteDurable();
+  /// @return the time that an election takes longer because of the disks:
+  /// first the candidate's, then the voters'.
+  Duration DiskTimeOfElection() const;
   bool IsUpToDate(const wire::VoteRequest& aRequest) const;
   void CheckQuorum();
   void ResetElectionTimer();
   void FailProposals();
   void EndTransfer();
-  size_t VotesCounted() const;
+  /// @return whether a majority of the voters is among them.
+  bool IsMajority(const std::set<uint64_t>& aVotes) const;
 
   // Leader (replica_leader.cpp).
   void BroadcastHeartbeats();
@@ -199,6 +207,8 @@
   void ApplyCommitted();
   void ApplyEntry(const wire::LogEntry& aEntry);
   void PersistHardState();
+  bool IsHardStateDurable() const { return mHardStateTicket <= mSyncedTicket; }
+  void RecordSyncTime(Duration aTime);
   void FlushPersist();
   void EmitAfterSync();
   void SendNow(Send aSend);
@@ -227,6 +237,8 @@
   Ticket mHardStateTicket;
   uint64_t mSyncedIndex = 0;
   std::deque<PendingSync> mPendingSyncs;
+  /// Recent time from a write to its sync.
+  Duration mSyncTime{};
   std::deque<Deferred> mDeferred;
   bool mWritable = true;
 
@@ -247,7 +259,9 @@
   Instant mElectionDue{};
   /// Since it heard a leader it has waited once because it was held up.
   bool mCaughtUp = false;
+  /// Votes for this host in mTerm.
   std::set<uint64_t> mVotes;
+  std::set<uint64_t> mPreVotes;
   std::optional<Snapshot> mIncoming;
   std::string mIncomingData;
   bool mSnapshotAsked = false;
--- a/src/librattandyke/consensus/replica_election.cpp
+++ b/src/librattandyke/consensus/replica_election.cpp
@@ -11,6 +11,8 @@
 /// a half of the least election timeout.
 constexpr int kLeastAskPart = 5;
 constexpr int kMostAskPart = 2;
+/// Longest time of a sync that elections wait for, in election timeouts.
+constexpr int kMaxSyncTimeouts = 4;
 
 } // namespace
 
@@ -57,7 +59,10 @@
 {
   ResetElectionTimer();
   mLeaderName.reset();
-  if (mWritable && IsVoter(Members(), mSelf)) {
+  // Another candidacy would have to wait for the same disk, and would make the
+  // votes void that are on their way.
+  const bool votes = mVote != 0 && !IsHardStateDurable();
+  if (mWritable && !votes && IsVoter(Members(), mSelf)) {
     StartPreVote();
   }
 }
@@ -70,8 +75,8 @@
   // no term.
   mRole = Role::PreCandidate;
   AskAgainSoon();
-  mVotes = { mSelf };
-  if (VotesCounted() >= Majority(Members())) {
+  mPreVotes = { mSelf };
+  if (IsMajority(mPreVotes)) {
     StartElection(false);
     return;
   }
@@ -150,28 +155,59 @@
 Replica::OnVoteReply(const wire::ConsensusMessage& aMessage)
 {
   const wire::VoteReply& reply = aMessage.vote_reply();
-  const Role expected = reply.pre_vote() ? Role::PreCandidate : Role::Candidate;
   const uint64_t term = reply.pre_vote() ? mTerm + 1 : mTerm;
-  if (mRole != expected || !reply.granted() || aMessage.term() != term) {
+  if (!reply.granted() || aMessage.term() != term) {
     return;
   }
-  mVotes.insert(aMessage.from());
-  if (VotesCounted() < Majority(Members())) {
+  if (reply.pre_vote()) {
+    mPreVotes.insert(aMessage.from());
+    if (mRole == Role::PreCandidate && IsMajority(mPreVotes)) {
+      StartElection(false);
+    }
     return;
   }
-  if (reply.pre_vote()) {
-    StartElection(false);
-  } else {
+  // A vote may arrive after the candidate's timer has run out, as the voter's
+  // disk is slow. Its own vote shows that it stood in this term and has not led
+  // since: a leader that stood down must not lead again in the same term.
+  const bool stands = mRole == Role::Candidate ||
+                      (mRole == Role::PreCandidate && mVotes.contains(mSelf));
+  if (!stands) {
+    return;
+  }
+  mVotes.insert(aMessage.from());
+  if (IsMajority(mVotes)) {
     BecomeLeader();
   }
 }
 
-size_t
-Replica::VotesCounted() const
+bool
+Replica::IsMajority(const std::set<uint64_t>& aVotes) const
+{
+  const auto votes =
+    std::count_if(aVotes.begin(), aVotes.end(), [&](uint64_t aIdentity) {
+      return IsVoter(Members(), aIdentity);
+    });
+  return static_cast<size_t>(votes) >= Majority(Members());
+}
+
+/// What was waited for is the disk so far. The votes of the others, or the
+/// leader that was voted for, are to be expected from now on.
+void
+Replica::OnVoteDurable()
+{
+  if (mLeaderName) {
+    return;
+  }
+  mVotedAt = mNow;
+  ResetElectionTimer();
+  mElectionDue += DiskTimeOfElection();
+}
+
+Duration
+Replica::DiskTimeOfElection() const
 {
-  return std::count_if(mVotes.begin(), mVotes.end(), [&](uint64_t aIdentity) {
-    return IsVoter(Members(), aIdentity);
-  });
+  return 2 *
+         std::min(mSyncTime, kMaxSyncTimeouts * mOptions.electionTimeoutMin);
 }
 
 void
@@ -236,7 +272,8 @@
 bool
 Replica::VotedRecently() const
 {
-  return mVotedAt && mNow - *mVotedAt < mOptions.electionTimeoutMin;
+  return mVotedAt &&
+         mNow - *mVotedAt < mOptions.electionTimeoutMin + DiskTimeOfElection();
 }
 
 bool
--- a/src/librattandyke/consensus/replica_follower.cpp
+++ b/src/librattandyke/consensus/replica_follower.cpp
@@ -86,7 +86,7 @@
   // would look like a lost host, and the leader would stand down. Only what
   // is synced already is acknowledged.
   body->set_match_index(std::min(aLastNew, mSyncedIndex));
-  if (mHardStateTicket > mSyncedTicket) {
+  if (!IsHardStateDurable()) {
     SendWhenDurable(ReplyTo(aMessage, std::move(reply)));
   } else {
     SendNow(ReplyTo(aMessage, std::move(reply)));
@@ -101,7 +101,7 @@
   body->set_rejected(true);
   body->set_match_index(aHint);
   body->set_sent_at(aMessage.append_request().sent_at());
-  if (mHardStateTicket > mSyncedTicket) {
+  if (!IsHardStateDurable()) {
     SendWhenDurable(ReplyTo(aMessage, std::move(reply)));
   } else {
     SendNow(ReplyTo(aMessage, std::move(reply)));
