A process that has taken over an upstream's address is told from it

What callers saw: after a crash, requests for an upstream went on to the process that had started at its address and were refused with 421, each at the cost of an attempt, until the registration ended.

Cause: the instance that a response names was not looked at, and a 421 counted as the refusal of an upstream that is full.

Change: a 421 of another process is an outcome of its own. Entry and home send the upstream nothing for 3 s, and then one request at a time until it answers; a new start or address ends that. Load and back pressure count for the instance that the response names. Hosts of an older build read the new outcome as one that tells nothing.

--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -497,15 +497,12 @@
                   LinkDirection::In,
                   result.response.body.size() + kRequestLineBytes);
   }
-  RecordLoadReport(slot.instance, result.response);
-  RecordBackPressure(slot, result);
+  RecordLoad(slot, result);
   RecordForQuarantine(aProgress, process, sent);
   CountServiceAttempt(aProgress, result);
   mSlots.Release(slot, OutcomeOf(aProgress, sent), result.elapsed);
   mMetrics.Increment("tries", AttemptLabel(result.kind));
   mMetrics.Observe("try", result.elapsed);
-  aProgress.lastUpstream = slot.instance;
-  aProgress.lastFailure = result.reason;
   LogFailedAttempt(aProgress, sent);
   co_return std::move(result);
 }
@@ -519,6 +516,8 @@
                       attempt.kind == AttemptResult::Kind::OutcomeUnknown;
   if (!failed || aProgress.context->HasCallerDisconnected()) {
     return;
+  aProgress.lastUpstream = slot.instance;
+  aProgress.lastFailure = result.reason;
   }
   LogLine(aProgress.request->requestId)
     << "attempt failed service=" << aProgress.service
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -353,6 +353,17 @@
   bool IsForThisHost(std::string_view aName) const;
   /// @return the response for the last attempt's result.
   CallerResponse FinalResponse(const RequestProgress& aProgress,
+  /// @return whether another process than the one of the slot refused the
+  /// request at its address.
+  bool IsMisdirected(const std::string& aService,
+                     const std::string& aInstance,
+                     const AttemptResult& aResult) const;
+  /// @return the process that has responded: that of the slot, or the one that
+  /// the response names; nullopt if that one is not known at the address.
+  std::optional<Slot> ResponderOf(const Slot& aSlot,
+                                  const UpstreamResponse& aResponse) const;
+  /// Records what a response tells of the load that its upstream accepts.
+  void RecordLoad(const Slot& aSlot, const AttemptResult& aResult);
                                AttemptResult aResult) const;
   /// @return a 503 that tells the caller that its request has not run, or a 502
   /// if it may have run.
--- a/src/librattandyke/gateway/request_handler_pressure.cpp
+++ b/src/librattandyke/gateway/request_handler_pressure.cpp
@@ -10,9 +10,55 @@
 
 /// Value of the header by which an upstream says that it leaves.
 constexpr std::string_view kIsLeaving = "1";
+constexpr unsigned kMisdirected = 421;
 
 } // namespace
 
+/// Only the process that an address belongs to can tell whether it holds a key;
+/// without keys, there is no other reason for the status.
+bool
+RequestHandler::IsMisdirected(const std::string& aService,
+                              const std::string& aInstance,
+                              const AttemptResult& aResult) const
+{
+  if (aResult.kind != AttemptResult::Kind::NotExecuted ||
+      aResult.response.status != kMisdirected) {
+    return false;
+  }
+  const std::string_view named =
+    http::FieldOf(aResult.response.fields, mHeaders.instance);
+  return named.empty() ? !OwnsKeys(aService) : named != aInstance;
+}
+
+/// What a process tells binds it and no other: one that has taken over the
+/// address of another has limits and a shutdown of its own.
+std::optional<Slot>
+RequestHandler::ResponderOf(const Slot& aSlot,
+                            const UpstreamResponse& aResponse) const
+{
+  const std::string named(http::FieldOf(aResponse.fields, mHeaders.instance));
+  if (named.empty() || named == aSlot.instance) {
+    return aSlot;
+  }
+  const UpstreamSet& upstreams = mSlots.Broker().Upstreams();
+  if (upstreams.UsableAddress(named, mClock.Now()) != aSlot.address) {
+    return std::nullopt;
+  }
+  return Slot{ 0, {}, named, aSlot.address, upstreams.IncarnationOf(named) };
+}
+
+void
+RequestHandler::RecordLoad(const Slot& aSlot, const AttemptResult& aResult)
+{
+  const auto responder = ResponderOf(aSlot, aResult.response);
+  if (!responder) {
+    mMetrics.Increment("responses_of_unknown_upstreams");
+    return;
+  }
+  RecordLoadReport(responder->instance, aResult.response);
+  RecordBackPressure(*responder, aResult);
+}
+
 /// A load report that can't be decoded is only counted: the response is valid
 /// without it.
 void
--- a/src/librattandyke/gateway/request_handler_relay.cpp
+++ b/src/librattandyke/gateway/request_handler_relay.cpp
@@ -232,7 +232,10 @@
     case AttemptResult::Kind::Response:
       return AttemptOutcome::Answered;
     case AttemptResult::Kind::NotExecuted:
-      return AttemptOutcome::Refused;
+      return IsMisdirected(
+               aProgress.service, aProgress.lastUpstream, aResult.attempt)
+               ? AttemptOutcome::Misdirected
+               : AttemptOutcome::Refused;
     case AttemptResult::Kind::NotSent:
       return lost ? AttemptOutcome::Abandoned : AttemptOutcome::Unreachable;
     case AttemptResult::Kind::OutcomeUnknown:
@@ -410,9 +413,8 @@
                   LinkDirection::In,
                   attempt.response.body.size() + kRequestLineBytes);
   }
-  RecordLoadReport(instance, attempt.response);
   const Slot slot{ 0, {}, instance, process.address, process.incarnation };
-  RecordBackPressure(slot, attempt);
+  RecordLoad(slot, attempt);
   RecordReach(aRequest->service(), process, attempt, aHandle->IsCancelled());
   if (attempt.kind == AttemptResult::Kind::NotSent) {
     result.state = mReach.IsLost(aRequest->service())
--- a/src/librattandyke/gateway/slot_coordinator.cpp
+++ b/src/librattandyke/gateway/slot_coordinator.cpp
@@ -592,7 +592,7 @@
 SlotCoordinator::OnSlotRelease(const wire::SlotDone& aDone)
 {
   const auto outcome =
-    aDone.end() <= static_cast<uint32_t>(AttemptOutcome::Abandoned)
+    aDone.end() <= static_cast<uint32_t>(AttemptOutcome::Misdirected)
       ? static_cast<AttemptOutcome>(aDone.end())
       : AttemptOutcome::Abandoned;
   if (aDone.has_notice()) {
--- a/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
+++ b/src/librattandyke/gateway/slot_coordinator_dispatch.cpp
@@ -23,6 +23,7 @@
     case AttemptOutcome::Unreachable:
     case AttemptOutcome::Broken:
     case AttemptOutcome::TimedOut:
+    case AttemptOutcome::Misdirected:
       return DispatchResult::Failed;
     case AttemptOutcome::Abandoned:
       return DispatchResult::Unknown;
--- a/src/librattandyke/gateway/upstream_set.cpp
+++ b/src/librattandyke/gateway/upstream_set.cpp
@@ -20,6 +20,9 @@
 /// within seconds.
 constexpr milliseconds kFirstAvoidTime{ 400 };
 constexpr milliseconds kMaxAvoidTime{ 5000 };
+/// Time after which an upstream at whose address another process has answered
+/// is tried again. Its registration usually ends earlier.
+constexpr milliseconds kReplacedTime{ 3000 };
 /// An owner of keys is assumed to be down after this many failures in a row:
 /// one that is only overloaded answers other requests in between.
 constexpr uint32_t kFailuresBeforeProbing = 4;
@@ -152,7 +155,10 @@
   }
   upstream.removed = false;
   upstream.service = aInstance.service();
-  upstream.address = aInstance.address();
+  if (upstream.address != aInstance.address()) {
+    upstream.address = aInstance.address();
+    upstream.replacedUntil.reset();
+  }
   upstream.dataCentre = aInstance.data_centre();
   upstream.slots = std::max(aInstance.slots(), 1U);
   if (aInstance.draining() && !upstream.drainingSince) {
@@ -399,7 +405,8 @@
                          (!ownsKeys || aNow - *aUpstream.evacuatedSince >=
                                          Scaled(mOptions.evacuationTimeout,
                                                 kEvacuatedOwnerFraction));
-  return !aUpstream.removed && !drained && !left && !evacuated;
+  return !aUpstream.removed && !drained && !left && !evacuated &&
+         !IsReplaced(aUpstream, aNow);
 }
 
 std::string
@@ -491,11 +498,11 @@
   std::vector<const Item*> room;
   std::vector<const Item*> avoided;
   for (const Item* item : MembersOf(aService, aGroup)) {
-    if (aExcluded.contains(item->first)) {
+    const Upstream& upstream = item->second;
+    if (aExcluded.contains(item->first) || IsReplaced(upstream, aNow)) {
       continue;
     }
     known = true;
-    const Upstream& upstream = item->second;
     if (!aHasRoom(upstream)) {
       continue;
     }
@@ -558,7 +565,8 @@
     return UnavailableReason::NoInstance;
   }
   Upstream& upstream = found->second;
-  if (upstream.evacuatedSince && !IsUsable(upstream, aNow)) {
+  const bool ended = upstream.evacuatedSince || upstream.replacedUntil;
+  if (ended && !IsUsable(upstream, aNow)) {
     return UnavailableReason::NoOwner;
   }
   // If the owner of a key has crashed or is partitioned, its keys have no other
@@ -585,6 +593,9 @@
     return UnavailableReason::NoInstance;
   }
   const Upstream& upstream = found->second;
+  if (IsReplaced(upstream, aNow)) {
+    return UnavailableReason::NoOwner;
+  }
   const uint32_t room = std::max(upstream.slots / kUncoordinatedDivisor, 1U);
   const bool overloaded = HasFreshReport(upstream, aNow) &&
                           upstream.report->waiting >= kOverloadedWaiting;
@@ -624,6 +635,9 @@
   ++upstream.inFlight;
   ++upstream.startsSinceReport;
   upstream.lastStartAt = aNow;
+  if (upstream.replacedUntil) {
+    upstream.replacedUntil = aNow + Duration(kReplacedTime);
+  }
   const auto service = mServices.find(upstream.service);
   if (service != mServices.end() && service->second.coldLimit) {
     upstream.recentStarts.push_back(aNow);
@@ -672,6 +686,12 @@
     upstream.meanSeconds += weight * (seconds - upstream.meanSeconds);
     mChangedResponseSeconds.insert(aInstance);
   }
+  if (aOutcome == AttemptOutcome::Misdirected) {
+    upstream.replacedUntil = aNow + Duration(kReplacedTime);
+  } else if (aOutcome == AttemptOutcome::Answered ||
+             aOutcome == AttemptOutcome::Refused) {
+    upstream.replacedUntil.reset();
+  }
   if (aOutcome == AttemptOutcome::Answered) {
     upstream.failures = 0;
     upstream.avoidUntil = {};
--- a/src/librattandyke/gateway/upstream_set.h
+++ b/src/librattandyke/gateway/upstream_set.h
@@ -36,6 +36,9 @@
   TimedOut,
   /// The attempt was cancelled for reasons unrelated to the upstream.
   Abandoned,
+  /// Another process refused the request at the upstream's address: it has not
+  /// run.
+  Misdirected,
 };
 
 /// What an instance said about the request rate that it accepts.
@@ -394,6 +397,9 @@
     Instant avoidUntil{};
     /// While the instance seems to be down: time of the next probe.
     Instant nextProbeAt{};
+    /// Another process has answered at the address. Until then the instance
+    /// gets no requests, and then one at a time until it answers itself.
+    std::optional<Instant> replacedUntil;
     /// The instance has left the state, but has attempts in flight.
     bool removed = false;
     uint32_t group = 0;
@@ -458,6 +464,10 @@
                             const HasRoom& aHasRoom,
                             Instant aNow);
   static bool HasRoomForSecond(const Upstream& aUpstream, Instant aNow);
+  static bool IsReplaced(const Upstream& aUpstream, Instant aNow)
+  {
+    return aUpstream.replacedUntil && aNow < *aUpstream.replacedUntil;
+  }
   static uint32_t GroupCountFor(const Service& aService);
   static bool IsMember(const Upstream& aUpstream);
   const std::vector<const Item*>& MembersOf(const std::string& aService,
--- a/src/librattandyke/gateway/upstream_set_direct.cpp
+++ b/src/librattandyke/gateway/upstream_set_direct.cpp
@@ -161,7 +161,7 @@
   std::pair<bool, double> bestIn;
   for (const Item* item : subset) {
     const Upstream& upstream = item->second;
-    if (aExcluded.contains(item->first) ||
+    if (aExcluded.contains(item->first) || IsReplaced(upstream, aNow) ||
         !HasUncoordinatedRateRoom(upstream, aNow) ||
         IsAwaitingProbe(upstream, aNow) ||
         EstimatedLoad(upstream, aNow) >= upstream.slots + kMaxDirectQueue) {
@@ -202,7 +202,7 @@
 UpstreamSet::AcceptsDirect(const Upstream& aUpstream, Instant aNow)
 {
   return IsMember(aUpstream) && !IsRateLimited(aUpstream, aNow) &&
-         aNow >= aUpstream.avoidUntil;
+         !IsReplaced(aUpstream, aNow) && aNow >= aUpstream.avoidUntil;
 }
 
 bool
--- a/src/testing/entry_group.cpp
+++ b/src/testing/entry_group.cpp
@@ -481,6 +481,12 @@
     }
     const size_t number = UpstreamNumber(response.slot.instance);
     const UpstreamModel& upstream = mUpstreams[number];
+    if (upstream.replaced) {
+      entry.slots->Release(
+        response.slot, AttemptOutcome::Misdirected, response.elapsed);
+      RunHandlers();
+      continue;
+    }
     if (upstream.rateLimit) {
       entry.toldLimitAt.try_emplace(number, mNow);
     }
--- a/src/testing/entry_group.h
+++ b/src/testing/entry_group.h
@@ -30,6 +30,8 @@
   std::optional<Duration> rest;
   /// It says in its responses that it leaves.
   bool leaving = false;
+  /// Another process has its address, and refuses requests for it.
+  bool replaced = false;
   uint32_t slots = 2;
   Duration serviceTime = std::chrono::milliseconds{ 40 };
   /// It reports its load in its responses.
