The limit of a head is one of the whole head

What callers saw: nothing yet. Any caller, sender of heartbeats, operator or upstream could send a head of any length, line by line, and the host kept all of its fields.

Cause: Beast's parser limits what is left to parse. Where a read ends with a field, it has consumed all, and the limit begins anew.

Change: net::ReadHead drives the parser, adds up what it consumes, and is what every listener and client reads heads with: callers, calls, health checks, upstreams' responses, and all of `serve`.

--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -13,6 +13,7 @@
 #include "net/listen.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
+#include "net/read_head.h"
 
 namespace rattandyke::admin {
 
@@ -100,6 +101,22 @@
 /// An answer that a connection waits for; used on its strand only.
 struct PendingAnswer
 {
+asio::awaitable<ErrorCode>
+ReadWhole(beast::tcp_stream& aStream,
+          beast::flat_buffer& aBuffer,
+          Parser& aParser,
+          size_t aMaxHeadBytes)
+{
+  const ErrorCode headError =
+    co_await net::ReadHead(aStream, aBuffer, aParser, aMaxHeadBytes);
+  if (headError) {
+    co_return headError;
+  }
+  const auto [error, size] =
+    co_await http::async_read(aStream, aBuffer, aParser, kAwait);
+  co_return error;
+}
+
   explicit PendingAnswer(const asio::any_io_executor& aStrand)
     : arrival(aStrand, asio::steady_timer::time_point::max())
   {
@@ -208,8 +225,8 @@
       aBuffer.commit(size);
     }
     aStream.expires_after(options.readTimeout);
-    const auto [error, size] =
-      co_await http::async_read(aStream, aBuffer, parser, kAwait);
+    const ErrorCode error =
+      co_await ReadWhole(aStream, aBuffer, parser, options.headerBytes);
     if (error == http::error::end_of_stream || error == beast::error::timeout) {
       co_return false;
     }
--- a/src/librattandyke/agent/announce_server.cpp
+++ b/src/librattandyke/agent/announce_server.cpp
@@ -10,6 +10,7 @@
 #include "log/log.h"
 #include "net/read_buffer.h"
 #include "net/read_error.h"
+#include "net/read_head.h"
 
 namespace rattandyke::agent {
 
@@ -84,12 +85,23 @@
     mParser->header_limit(kMostHeaderBytes);
     mParser->body_limit(kMostBodyBytes);
     mStream.expires_after(kIdleTime);
-    http::async_read(mStream,
-                     mBuffer,
-                     *mParser,
-                     [self = shared_from_this()](auto aError, size_t) {
-                       self->OnRead(aError);
-                     });
+    asio::co_spawn(
+      mStream.get_executor(), ReadWhole(shared_from_this()), asio::detached);
+  }
+
+  static asio::awaitable<void> ReadWhole(std::shared_ptr<Session> aSelf)
+  {
+    beast::error_code error = co_await net::ReadHead(
+      aSelf->mStream, aSelf->mBuffer, *aSelf->mParser, kMostHeaderBytes);
+    if (!error) {
+      const auto [bodyError, size] =
+        co_await http::async_read(aSelf->mStream,
+                                  aSelf->mBuffer,
+                                  *aSelf->mParser,
+                                  asio::as_tuple(asio::use_awaitable));
+      error = bodyError;
+    }
+    aSelf->OnRead(error);
   }
 
   void OnRead(const beast::error_code& aError)
--- a/src/librattandyke/gateway/caller_connection.cpp
+++ b/src/librattandyke/gateway/caller_connection.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "gateway/read_body.h"
 #include "http/headers.h"
@@ -14,6 +13,7 @@
 #include "net/frame_connection.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
+#include "net/read_head.h"
 
 namespace rattandyke::gateway {
 
@@ -67,9 +67,7 @@
   }
   ErrorCode error;
   do {
-    auto [headError, bytes] = co_await beast::http::async_read_header(
-      mSocket, mBuffer, aParser, kAwait);
-    error = headError;
+    error = co_await net::ReadHead(mSocket, mBuffer, aParser, aMaxHeadBytes);
   } while (ShouldResumeRead(aParser, error, aIdleTimeout));
   co_return error || aParser.is_done() ? FinishRead(error) : error;
 }
--- a/src/librattandyke/gateway/http_server.cpp
+++ b/src/librattandyke/gateway/http_server.cpp
@@ -21,6 +21,7 @@
 #include "net/peek.h"
 #include "net/read_buffer.h"
 #include "net/read_error.h"
+#include "net/read_head.h"
 
 namespace rattandyke::gateway {
 
@@ -153,8 +154,8 @@
                                                 Session& aSession)
   {
     Parser& parser = *aSession.parser;
-    auto [headError, read] = co_await http::async_read_header(
-      aSession.stream, aSession.buffer, parser, kAwait);
+    const ErrorCode headError = co_await net::ReadHead(
+      aSession.stream, aSession.buffer, parser, kMaxHeadBytes);
     if (headError || parser.is_done()) {
       co_return headError;
     }
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -21,6 +21,7 @@
 #include "net/frame_connection.h"
 #include "net/peer_acks.h"
 #include "net/read_error.h"
+#include "net/read_head.h"
 
 namespace rattandyke::gateway {
 
@@ -384,8 +385,16 @@
   Parser parser;
   parser.header_limit(UpstreamConnection::kMaxHeadBytes);
   parser.body_limit(kMaxHealthBytes);
-  auto [readError, read] = co_await beast::http::async_read(
-    connection->socket, connection->buffer, parser, kAwait);
+  ErrorCode readError =
+    co_await net::ReadHead(connection->socket,
+                           connection->buffer,
+                           parser,
+                           UpstreamConnection::kMaxHeadBytes);
+  if (!readError) {
+    const auto [bodyError, read] = co_await beast::http::async_read(
+      connection->socket, connection->buffer, parser, kAwait);
+    readError = bodyError;
+  }
   *waiting = false;
   timer.cancel();
   if (writeError || readError) {
@@ -486,8 +495,11 @@
                           Duration aTimeLeft,
                           AttemptHandle& aHandle)
 {
-  auto [headError, bytes] = co_await beast::http::async_read_header(
-    aConnection.socket, aConnection.buffer, aParser, kAwait);
+  const ErrorCode headError =
+    co_await net::ReadHead(aConnection.socket,
+                           aConnection.buffer,
+                           aParser,
+                           UpstreamConnection::kMaxHeadBytes);
   if (headError) {
     co_return tl::unexpected(headError);
   }
--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -2,11 +2,11 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "http/body_reader.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
+#include "net/read_head.h"
 
 namespace rattandyke::http {
 
@@ -114,9 +114,8 @@
   mParser->body_limit(mLimits.maxBodyBytes);
   mBuffer.reserve(kReadBytes);
   ExpireIn(mLimits.headTime);
-  const auto [error, read] =
-    co_await beast::http::async_read_header(mSocket, mBuffer, *mParser, kAwait);
-  co_return Finish(error);
+  co_return Finish(
+    co_await net::ReadHead(mSocket, mBuffer, *mParser, mLimits.maxHeaderBytes));
 }
 
 std::optional<uint64_t>
--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -2,9 +2,9 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "http/body_reader.h"
+#include "net/read_head.h"
 
 namespace rattandyke::http {
 
@@ -121,8 +121,11 @@
   for (int interim = 0; !mAborted; ++interim) {
     NewParser(aHeadRequest);
     mConnection->buffer.reserve(kReadBytes);
-    const auto [error, read] = co_await beast::http::async_read_header(
-      mConnection->socket, mConnection->buffer, *mParser, kAwait);
+    const error_code error =
+      co_await net::ReadHead(mConnection->socket,
+                             mConnection->buffer,
+                             *mParser,
+                             UpstreamConnection::kMaxHeadBytes);
     if (error) {
       co_return error;
     }
--- /dev/null
+++ b/src/librattandyke/net/read_head.h
@@ -0,0 +1,76 @@
+/// Reads the head of an HTTP message.
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace rattandyke::net {
+
+/// Parses what is in the buffer.
+/// @param aHeadBytes of the head that were parsed before; raised.
+/// @return http::error::need_more if the head is not whole.
+template<typename Parser>
+boost::system::error_code
+ParseHead(boost::beast::flat_buffer& aBuffer,
+          Parser& aParser,
+          size_t aMaxHeadBytes,
+          size_t& aHeadBytes)
+{
+  using boost::beast::http::error;
+  boost::system::error_code failure;
+  const size_t used = aParser.put(aBuffer.data(), failure);
+  aBuffer.consume(used);
+  aHeadBytes += used;
+  const size_t left = failure == error::need_more ? aBuffer.size() : 0;
+  return aHeadBytes + left > aMaxHeadBytes ? error::header_limit : failure;
+}
+
+/// Reads the head of a message. The parser's own limit is not one of the whole
+/// head: it begins anew where a read ends with a field.
+/// @param aMaxHeadBytes the limit of the parser, too.
+/// @return an error of the connection or of the parser, or success.
+template<typename Stream, typename Parser>
+boost::asio::awaitable<boost::system::error_code>
+ReadHead(Stream& aStream,
+         boost::beast::flat_buffer& aBuffer,
+         Parser& aParser,
+         size_t aMaxHeadBytes)
+{
+  using boost::beast::http::error;
+  constexpr size_t kMaxReadBytes = size_t{ 64 } * 1024;
+  size_t headBytes = 0;
+  aParser.eager(false);
+  for (;;) {
+    if (aBuffer.size() > 0) {
+      const boost::system::error_code failure =
+        ParseHead(aBuffer, aParser, aMaxHeadBytes, headBytes);
+      if (!failure) {
+        co_return failure;
+      }
+      if (failure != error::need_more) {
+        co_return failure;
+      }
+    }
+    const size_t room = boost::beast::read_size(aBuffer, kMaxReadBytes);
+    if (room == 0) {
+      co_return error::buffer_overflow;
+    }
+    const auto [readError, read] = co_await aStream.async_read_some(
+      aBuffer.prepare(room), boost::asio::as_tuple(boost::asio::use_awaitable));
+    aBuffer.commit(read);
+    if (readError == boost::asio::error::eof) {
+      co_return aParser.got_some() ? error::partial_message
+                                   : error::end_of_stream;
+    }
+    if (readError) {
+      co_return readError;
+    }
+  }
+}
+
+} // namespace rattandyke::net
--- a/src/rattandyke/admin_client.cpp
+++ b/src/rattandyke/admin_client.cpp
@@ -11,6 +11,7 @@
 #include "base/endpoint.h"
 #include "config/ini.h"
 #include "net/read_buffer.h"
+#include "net/read_head.h"
 
 namespace rattandyke::cli {
 
@@ -53,6 +54,11 @@
   http::response_parser<http::string_body> parser;
   parser.header_limit(kMaxAnswerHead);
   parser.body_limit(kMaxAnswer);
+  const ErrorCode headError =
+    co_await net::ReadHead(stream, buffer, parser, kMaxAnswerHead);
+  if (headError) {
+    co_return headError;
+  }
   const auto [readError, read] =
     co_await http::async_read(stream, buffer, parser, kAwait);
   aAnswer = parser.release();
