--- a/src/librattandyke/gateway/control_host_crashes.cpp
+++ b/src/librattandyke/gateway/control_host_crashes.cpp
@@ -65,6 +65,10 @@
 ControlHost::Impl::OnCrashReports(const wire::CrashReports& aReports)
 {
   if (driver->IsLeader()) {
+    for (const wire::UpstreamProcess& process : aReports.alive()) {
+      Info() << "an upstream that may have crashed answers instance="
+             << process.instance() << " life=" << process.life();
+    }
     crashWatch.Add(aReports, clock.Now());
     return;
   }
--- a/src/librattandyke/gateway/crash_reporter.cpp
+++ b/src/librattandyke/gateway/crash_reporter.cpp
@@ -11,7 +11,7 @@
 
 /// Time after which a further answer to a request is reported. The first report
 /// may have been lost.
-constexpr milliseconds kReportAnswerAgain{ 1000 };
+constexpr milliseconds kReportAgain{ 1000 };
 
 uint32_t
 Milliseconds(Duration aTime)
@@ -35,11 +35,46 @@
   }
 }
 
+void
+CrashReporter::SetUnconfirmed(const std::vector<UpstreamProcessId>& aProcesses,
+                              Instant aNow)
+{
+  std::map<UpstreamProcessId, Unconfirmed> unconfirmed;
+  for (const UpstreamProcessId& process : aProcesses) {
+    const auto known = mUnconfirmed.find(process);
+    unconfirmed[process] =
+      known == mUnconfirmed.end() ? Unconfirmed{ aNow, {} } : known->second;
+  }
+  mUnconfirmed = std::move(unconfirmed);
+}
+
+void
+CrashReporter::OnResponse(const UpstreamProcessId& aProcess,
+                          Instant aConnectionOpenedAt,
+                          Instant aSentAt,
+                          Instant aNow)
+{
+  const auto found = mUnconfirmed.find(aProcess);
+  if (found == mUnconfirmed.end()) {
+    return;
+  }
+  Unconfirmed& unconfirmed = found->second;
+  const bool isOlder =
+    aConnectionOpenedAt != Instant{} &&
+    aConnectionOpenedAt + Duration(kMinRestart) <= unconfirmed.knownSince;
+  const bool isDue = !unconfirmed.reportedAt ||
+                     aNow - *unconfirmed.reportedAt >= Duration(kReportAgain);
+  if (isOlder && isDue && aSentAt >= unconfirmed.knownSince) {
+    unconfirmed.reportedAt = aNow;
+    mAlive.push_back(aProcess);
+  }
+}
+
 void
 CrashReporter::OnAnswered(const std::string& aFingerprint, Instant aNow)
 {
   std::erase_if(mAnswerReportedAt, [&](const auto& aItem) {
-    return aNow - aItem.second >= Duration(kReportAnswerAgain);
+    return aNow - aItem.second >= Duration(kReportAgain);
   });
   if (mAnswerReportedAt.size() < kMaxReports &&
       mAnswerReportedAt.try_emplace(aFingerprint, aNow).second) {
@@ -68,6 +103,11 @@
   for (std::string& fingerprint : std::exchange(mAnswered, {})) {
     reports.add_answered(std::move(fingerprint));
   }
+  for (const UpstreamProcessId& process : std::exchange(mAlive, {})) {
+    wire::UpstreamProcess* message = reports.add_alive();
+    message->set_instance(process.instance);
+    message->set_life(process.incarnation);
+  }
   return reports;
 }
 
--- a/src/librattandyke/gateway/crash_reporter.h
+++ b/src/librattandyke/gateway/crash_reporter.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,12 +11,14 @@
 
 #include "base/clock.h"
 #include "gateway/upstream_client.h"
+#include "gateway/upstream_process.h"
 #include "wire/gateway.pb.h"
 
 namespace rattandyke::gateway {
 
-/// Collects the requests that were in progress when their connection ended, and
-/// the watched ones that an upstream has answered, until they are reported.
+/// Collects the requests that were in progress when their connection ended, the
+/// watched ones that an upstream has answered, and the upstreams that have not
+/// crashed as others suspect, until they are reported.
 /// Does no I/O. Not thread-safe.
 class CrashReporter
 {
@@ -31,6 +34,22 @@
                      Instant aSentAt,
                      Instant aEndedAt);
 
+  /// Time that a process takes at least to start again under its id, beside the
+  /// time until its crash is known here.
+  static constexpr std::chrono::milliseconds kMinRestart{ 3000 };
+
+  /// Processes of which it is not known whether they have crashed, or whether
+  /// only a connection of another host has ended.
+  void SetUnconfirmed(const std::vector<UpstreamProcessId>& aProcesses,
+                      Instant aNow);
+
+  /// A process has responded to a request. If the connection is older than the
+  /// crash, there was none.
+  void OnResponse(const UpstreamProcessId& aProcess,
+                  Instant aConnectionOpenedAt,
+                  Instant aSentAt,
+                  Instant aNow);
+
   /// An upstream has answered a watched request.
   void OnAnswered(const std::string& aFingerprint, Instant aNow);
 
@@ -51,7 +70,15 @@
     Instant endedAt{};
   };
 
+  struct Unconfirmed
+  {
+    Instant knownSince{};
+    std::optional<Instant> reportedAt;
+  };
+
   std::vector<Interruption> mInterrupted;
+  std::map<UpstreamProcessId, Unconfirmed> mUnconfirmed;
+  std::vector<UpstreamProcessId> mAlive;
   std::vector<std::string> mAnswered;
   /// When an answer to a request was reported last.
   std::map<std::string, Instant> mAnswerReportedAt;
--- a/src/librattandyke/gateway/crash_watch.cpp
+++ b/src/librattandyke/gateway/crash_watch.cpp
@@ -35,6 +35,24 @@
       mPending.add_answered(fingerprint);
     }
   }
+  for (const wire::UpstreamProcess& process : aReports.alive()) {
+    if (mAlive.size() < kMaxReports) {
+      mAlive.insert({ process.instance(), process.life() });
+    }
+  }
+}
+
+/// What entry hosts tell is of processes that they have from the state, so they
+/// are observed unless that has changed.
+void
+CrashWatch::TakeAlive()
+{
+  for (const UpstreamProcessId& process : std::exchange(mAlive, {})) {
+    const auto found = mObserved.find(process);
+    if (found != mObserved.end()) {
+      found->second.alive = true;
+    }
+  }
 }
 
 void
@@ -73,6 +91,7 @@
   mObserved.clear();
   mPending.Clear();
   mInterrupted.clear();
+  mAlive.clear();
 }
 
 void
@@ -109,6 +128,7 @@
   if (!mObserved.empty() || !aState.Crashes().IsEmpty()) {
     Observe(aState, aNow);
   }
+  TakeAlive();
   wire::RecordCrashes record = std::exchange(mPending, {});
   TakeInterrupted(record, aNow);
   std::set<std::string> answered(record.answered().begin(),
--- a/src/librattandyke/gateway/crash_watch.h
+++ b/src/librattandyke/gateway/crash_watch.h
@@ -78,10 +78,14 @@
     Instant arrivedAt{};
   };
 
+  void TakeAlive();
+
   const Duration mSilence;
   wire::RecordCrashes mPending;
   std::vector<Reported> mInterrupted;
   std::map<UpstreamProcessId, Observation> mObserved;
+  /// Processes that entry hosts have told to be alive since the last Take().
+  std::set<UpstreamProcessId> mAlive;
 };
 
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/crash_watch_test.cpp
+++ b/src/librattandyke/gateway/crash_watch_test.cpp
@@ -216,5 +216,79 @@
   EXPECT_EQ(reported, 2);
 }
 
+// Guards against innocent requests that are refused for seconds after
+// connections were reset: other hosts see that the upstream answers.
+TEST_F(CrashWatchTest, AnswerOnAnOlderConnectionShowsThatItLives)
+{
+  Tick();
+  wire::CrashReports reports;
+  wire::UpstreamProcess* alive = reports.add_alive();
+  alive->set_instance("i-1");
+  alive->set_life(1);
+  watch.Add(reports, now);
+  const wire::RecordCrashes record = Tick();
+  ASSERT_EQ(record.alive_size(), 1);
+  EXPECT_EQ(record.alive(0).instance(), "i-1");
+  EXPECT_TRUE(state.Crashes().IsEmpty());
+}
+
+// Guards against evidence that another process of the upstream withdraws.
+TEST_F(CrashWatchTest, AnswerOfALaterLifeProvesNothing)
+{
+  Tick();
+  wire::CrashReports reports;
+  wire::UpstreamProcess* alive = reports.add_alive();
+  alive->set_instance("i-1");
+  alive->set_life(2);
+  watch.Add(reports, now);
+  EXPECT_EQ(Tick().alive_size(), 0);
+  EXPECT_FALSE(state.Crashes().IsEmpty());
+}
+
+/// Responses of a process that may have crashed, and the report of them.
+class CrashDoubtTest : public ::testing::Test
+{
+protected:
+  CrashDoubtTest() { reporter.SetUnconfirmed({ process }, now); }
+
+  int Reported()
+  {
+    return reporter.Take([](const UpstreamProcess&) { return false; }, now)
+      .alive_size();
+  }
+
+  const UpstreamProcessId process{ "i-1", 1 };
+  const Instant now{ std::chrono::hours{ 1 } };
+  const Instant longAgo = now - Duration(CrashReporter::kMinRestart);
+  CrashReporter reporter;
+};
+
+TEST_F(CrashDoubtTest, ReportsOnceASecondWhoAnswersOnAnOlderConnection)
+{
+  reporter.OnResponse(process, longAgo, now, now);
+  reporter.OnResponse(process, longAgo, now, now + milliseconds{ 900 });
+  EXPECT_EQ(Reported(), 1);
+  reporter.OnResponse(process, longAgo, now, now + seconds{ 1 });
+  EXPECT_EQ(Reported(), 1);
+}
+
+// Guards against evidence that is withdrawn by what was sent before the crash,
+// or by a process that has started again.
+TEST_F(CrashDoubtTest, OtherResponsesProveNothing)
+{
+  reporter.OnResponse(process, longAgo, now - milliseconds{ 1 }, now);
+  reporter.OnResponse(process, longAgo + milliseconds{ 1 }, now, now);
+  reporter.OnResponse(process, Instant{}, now, now);
+  reporter.OnResponse({ "i-1", 2 }, longAgo, now, now);
+  EXPECT_EQ(Reported(), 0);
+}
+
+TEST_F(CrashDoubtTest, ForgetsWhoIsConfirmed)
+{
+  reporter.SetUnconfirmed({}, now);
+  reporter.OnResponse(process, longAgo, now, now);
+  EXPECT_EQ(Reported(), 0);
+}
+
 } // namespace
 } // namespace rattandyke::gateway
--- a/src/librattandyke/gateway/request_handler.cpp
+++ b/src/librattandyke/gateway/request_handler.cpp
@@ -154,6 +154,7 @@
       aCommand->put_instance().instance();
     mReach.OnInstance(instance.id(), instance.life());
   }
+  UpdateUnconfirmedCrashes(aCommand);
   WakeWaiters();
 }
 
@@ -378,7 +379,6 @@
   co_return co_await RunIfLinkAdmits(progress);
 }
 
-bool
 /// A field that Connection names ends here. The response to a request that went
 /// on without its id could not be told from another one's.
 std::optional<CallerResponse>
@@ -405,6 +405,7 @@
   return std::nullopt;
 }
 
+bool
 RequestHandler::HasState() const
 {
   return mFeed.HasState() && !mFeed.CurrentState().Items().IsEmpty();
@@ -518,9 +519,9 @@
   RelayResult sent = co_await SendByAnyPath(aProgress, process, handle);
   aProgress.context->DetachAttempt();
   AttemptResult& result = sent.attempt;
-  if (result.response.status != 0) {
   aProgress.lastUpstream = slot.instance;
   aProgress.lastFailure = result.reason;
+  if (result.response.status != 0) {
     RecordTraffic(LinkUse::Upstreams,
                   LinkDirection::In,
                   result.response.body.size() + kRequestLineBytes);
--- a/src/librattandyke/gateway/request_handler.h
+++ b/src/librattandyke/gateway/request_handler.h
@@ -340,6 +340,10 @@
   /// @return identifies the request if its caller sends it again.
   const std::string& FingerprintOf(RequestProgress& aProgress) const;
   bool IsSuspected(RequestProgress& aProgress) const;
+  /// Tells the crash reporter of which upstreams it is not known whether they
+  /// have crashed.
+  /// @param aCommand see StateChanged().
+  void UpdateUnconfirmedCrashes(const wire::GatewayCommand* aCommand);
   /// @return the response to a request that crashes upstreams, nullopt if it
   /// may be sent.
   std::optional<CallerResponse> RefuseIfQuarantined(RequestProgress& aProgress);
@@ -349,10 +353,6 @@
                            const RelayResult& aResult);
   void LogFailedAttempt(const RequestProgress& aProgress,
                         const RelayResult& aResult) const;
-  /// Records the load report in an upstream's response, if it has one.
-  void RecordLoadReport(const std::string& aInstance,
-                        const UpstreamResponse& aResponse);
-  /// Records the back pressure that an upstream's response signals.
   /// @return whether another process than the one of the slot refused the
   /// request at its address.
   bool IsMisdirected(const std::string& aService,
@@ -364,6 +364,10 @@
                                   const UpstreamResponse& aResponse) const;
   /// Records what a response tells of the load that its upstream accepts.
   void RecordLoad(const Slot& aSlot, const AttemptResult& aResult);
+  /// Records the load report in an upstream's response, if it has one.
+  void RecordLoadReport(const std::string& aInstance,
+                        const UpstreamResponse& aResponse);
+  /// Records the back pressure that an upstream's response signals.
   void RecordBackPressure(const Slot& aSlot, const AttemptResult& aResult);
   /// @return whether the upstream refused the request and wants no further one
   /// for some time.
--- a/src/librattandyke/gateway/request_handler_quarantine.cpp
+++ b/src/librattandyke/gateway/request_handler_quarantine.cpp
@@ -88,6 +88,15 @@
 {
   const Instant now = mClock.Now();
   const AttemptResult& attempt = aResult.attempt;
+  const bool refused =
+    attempt.kind == AttemptResult::Kind::NotExecuted &&
+    !IsMisdirected(aProgress.service, aProcess.instance, attempt);
+  if (attempt.kind == AttemptResult::Kind::Response || refused) {
+    mCrashReporter.OnResponse({ aProcess.instance, aProcess.incarnation },
+                              attempt.connectionOpenedAt,
+                              now - attempt.elapsed,
+                              now);
+  }
   if (attempt.kind == AttemptResult::Kind::Response) {
     if (IsSuspected(aProgress)) {
       mCrashReporter.OnAnswered(FingerprintOf(aProgress), now);
@@ -104,6 +113,18 @@
   }
 }
 
+void
+RequestHandler::UpdateUnconfirmedCrashes(const wire::GatewayCommand* aCommand)
+{
+  const bool mayChange =
+    aCommand == nullptr || aCommand->has_record_crashes() ||
+    aCommand->has_put_instance() || aCommand->has_end_instance();
+  if (mayChange) {
+    mCrashReporter.SetUnconfirmed(mFeed.CurrentState().Crashes().Unconfirmed(),
+                                  mClock.Now());
+  }
+}
+
 wire::CrashReports
 RequestHandler::TakeCrashReports()
 {
--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -189,6 +189,7 @@
     co_return nullptr;
   }
   net::TuneSocket(connection->socket, kUnacknowledgedTimeout);
+  connection->openedAt = mClock.Now();
   co_return connection;
 }
 
@@ -252,6 +253,7 @@
   mInProgress.erase(connection);
   aHandle->DetachConnection();
   result.newConnection = newConnection;
+  result.connectionOpenedAt = connection->openedAt;
   result.elapsed = mClock.Now() - sentAt;
   if (result.kind == AttemptResult::Kind::OutcomeUnknown) {
     if (aHandle->IsCancelled()) {
@@ -457,12 +459,12 @@
     response.bodyRoom = std::move(*room);
     response.fields = std::move(message.base());
     aConnection->usableUntil = {};
-    const Identity identity = IdentityOf(response, *aRequest, *aConnection);
-    if (identity == Identity::Unknown) {
     if (DropsRequiredField(response)) {
       co_return UnusableResponse(
         "Connection names a field of the answer that is for the whole way");
     }
+    const Identity identity = IdentityOf(response, *aRequest, *aConnection);
+    if (identity == Identity::Unknown) {
       ++mUnidentifiedResponses;
       co_return UnusableResponse(
         "the answer " + std::to_string(response.status) + " names no request");
@@ -529,8 +531,6 @@
   co_return room.Take(aParser.get().body().size());
 }
 
-/// A response without an id proves nothing: every request has an id, and the
-/// upstream returns it. After a health check, which has none, the response may
 bool
 UpstreamClient::DropsRequiredField(const UpstreamResponse& aResponse) const
 {
@@ -538,6 +538,8 @@
          http::IsNamedByConnection(aResponse.fields, mHeaders.signature);
 }
 
+/// A response without an id proves nothing: every request has an id, and the
+/// upstream returns it. After a health check, which has none, the response may
 /// be a late duplicate of the response to that.
 UpstreamClient::Identity
 UpstreamClient::IdentityOf(const UpstreamResponse& aResponse,
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -79,6 +79,7 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
+  Instant openedAt{};
   /// Time until which the idle connection may be used for a request; the
   /// upstream may close it later. Instant{} if it must not be used again.
   Instant usableUntil{};
@@ -219,6 +220,8 @@
   bool noRoom = false;
   /// The upstream sent a response, whether or not it is one to the request.
   bool responded = false;
+  /// When the connection was opened; Instant{} if that is not known.
+  Instant connectionOpenedAt{};
   /// Time from sending the request to the end of the attempt; 0 if the request
   /// could not be written.
   Duration elapsed{};
@@ -348,12 +351,12 @@
   /// reused.
   void PoolOrClose(const UpstreamProcess& aProcess,
                    const std::shared_ptr<UpstreamConnection>& aConnection);
-  /// What a response's request id tells about the request that it belongs to.
-  enum class Identity : uint8_t
-  {
   /// @return whether a field that the caller needs is said to concern the
   /// connection only.
   bool DropsRequiredField(const UpstreamResponse& aResponse) const;
+  /// What a response's request id tells about the request that it belongs to.
+  enum class Identity : uint8_t
+  {
     ThisRequest,
     OtherRequest,
     Unknown
--- a/src/librattandyke/wire/gateway.pb.cpp
+++ b/src/librattandyke/wire/gateway.pb.cpp
@@ -446,6 +446,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.interrupted_)*/{}
   , /*decltype(_impl_.answered_)*/{}
+  , /*decltype(_impl_.alive_)*/{}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct CrashReportsDefaultTypeInternal {
   PROTOBUF_CONSTEXPR CrashReportsDefaultTypeInternal()
@@ -1401,6 +1402,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _impl_.interrupted_),
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _impl_.answered_),
+  PROTOBUF_FIELD_OFFSET(::rattandyke::wire::CrashReports, _impl_.alive_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::rattandyke::wire::RecordCrashes, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -1898,46 +1900,46 @@
   { 238, -1, -1, sizeof(::rattandyke::wire::UpstreamProcess)},
   { 246, -1, -1, sizeof(::rattandyke::wire::InterruptedRequest)},
   { 258, -1, -1, sizeof(::rattandyke::wire::CrashReports)},
-  { 266, -1, -1, sizeof(::rattandyke::wire::RecordCrashes)},
-  { 278, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
-  { 299, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
-  { 312, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
-  { 320, -1, -1, sizeof(::rattandyke::wire::RecordedCrash)},
-  { 331, -1, -1, sizeof(::rattandyke::wire::SuspectRequest)},
-  { 341, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
-  { 362, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
-  { 371, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
-  { 378, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
-  { 386, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
-  { 393, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
-  { 402, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
-  { 411, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
-  { 419, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
-  { 429, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
-  { 440, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
-  { 452, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
-  { 461, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
-  { 471, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
-  { 490, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
-  { 498, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
-  { 510, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
-  { 517, -1, -1, sizeof(::rattandyke::wire::HostReport)},
-  { 528, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
-  { 537, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
-  { 546, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
-  { 558, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
-  { 566, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
-  { 576, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
-  { 596, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
-  { 609, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
-  { 621, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
-  { 631, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
-  { 639, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
-  { 661, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
-  { 669, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
-  { 686, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
-  { 693, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
-  { 701, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
+  { 267, -1, -1, sizeof(::rattandyke::wire::RecordCrashes)},
+  { 279, -1, -1, sizeof(::rattandyke::wire::GatewayCommand)},
+  { 300, -1, -1, sizeof(::rattandyke::wire::RangeSegment)},
+  { 313, -1, -1, sizeof(::rattandyke::wire::ServiceRanges)},
+  { 321, -1, -1, sizeof(::rattandyke::wire::RecordedCrash)},
+  { 332, -1, -1, sizeof(::rattandyke::wire::SuspectRequest)},
+  { 342, -1, -1, sizeof(::rattandyke::wire::GatewayState)},
+  { 363, -1, -1, sizeof(::rattandyke::wire::FeedOpen)},
+  { 372, -1, -1, sizeof(::rattandyke::wire::FeedSnapshot)},
+  { 379, -1, -1, sizeof(::rattandyke::wire::FeedCommand)},
+  { 387, -1, -1, sizeof(::rattandyke::wire::FeedCommands)},
+  { 394, -1, -1, sizeof(::rattandyke::wire::FeedPing)},
+  { 403, -1, -1, sizeof(::rattandyke::wire::RangeLoad)},
+  { 412, -1, -1, sizeof(::rattandyke::wire::InstanceTime)},
+  { 420, -1, -1, sizeof(::rattandyke::wire::ServiceLoad)},
+  { 430, -1, -1, sizeof(::rattandyke::wire::FeedReport)},
+  { 441, -1, -1, sizeof(::rattandyke::wire::ForwardedCall)},
+  { 453, -1, -1, sizeof(::rattandyke::wire::ForwardedAnswer)},
+  { 462, -1, -1, sizeof(::rattandyke::wire::FencedRange)},
+  { 472, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeat)},
+  { 491, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeats)},
+  { 499, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswer)},
+  { 511, -1, -1, sizeof(::rattandyke::wire::ForwardedHeartbeatAnswers)},
+  { 518, -1, -1, sizeof(::rattandyke::wire::HostReport)},
+  { 529, -1, -1, sizeof(::rattandyke::wire::OwnerDemand)},
+  { 538, -1, -1, sizeof(::rattandyke::wire::ServiceDemand)},
+  { 547, -1, -1, sizeof(::rattandyke::wire::DemandDigest)},
+  { 559, -1, -1, sizeof(::rattandyke::wire::LinkProbe)},
+  { 567, -1, -1, sizeof(::rattandyke::wire::UpstreamNotice)},
+  { 577, -1, -1, sizeof(::rattandyke::wire::SlotAsk)},
+  { 597, -1, -1, sizeof(::rattandyke::wire::SlotAnswer)},
+  { 610, -1, -1, sizeof(::rattandyke::wire::SlotDone)},
+  { 622, -1, -1, sizeof(::rattandyke::wire::RelayAsk)},
+  { 632, -1, -1, sizeof(::rattandyke::wire::RelayAnswer)},
+  { 640, -1, -1, sizeof(::rattandyke::wire::RelayedRequest)},
+  { 662, -1, -1, sizeof(::rattandyke::wire::RelayedField)},
+  { 670, -1, -1, sizeof(::rattandyke::wire::RelayedResponse)},
+  { 687, -1, -1, sizeof(::rattandyke::wire::RelayCancel)},
+  { 694, -1, -1, sizeof(::rattandyke::wire::PackedFrame)},
+  { 702, -1, -1, sizeof(::rattandyke::wire::GatewayFrame)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -2076,219 +2078,221 @@
   "\001(\004\"\205\001\n\022InterruptedRequest\022\020\n\010instance\030\001"
   " \001(\014\022\014\n\004life\030\002 \001(\004\022\017\n\007service\030\003 \001(\014\022\023\n\013f"
   "ingerprint\030\004 \001(\014\022\023\n\013sent_ms_ago\030\005 \001(\r\022\024\n"
-  "\014ended_ms_ago\030\006 \001(\r\"Z\n\014CrashReports\0228\n\013i"
-  "nterrupted\030\001 \003(\0132#.rattandyke.wire.Inter"
-  "ruptedRequest\022\020\n\010answered\030\002 \003(\014\"\341\001\n\rReco"
-  "rdCrashes\0228\n\013interrupted\030\001 \003(\0132#.rattand"
-  "yke.wire.InterruptedRequest\022\020\n\010answered\030"
-  "\002 \003(\014\022/\n\005ended\030\003 \003(\0132 .rattandyke.wire.U"
-  "pstreamProcess\022/\n\005alive\030\004 \003(\0132 .rattandy"
-  "ke.wire.UpstreamProcess\022\016\n\006lifted\030\005 \003(\014\022"
-  "\022\n\ntold_at_ms\030\006 \001(\003\"\242\006\n\016GatewayCommand\0224"
-  "\n\014change_items\030\001 \001(\0132\034.rattandyke.wire.C"
-  "hangeItemsH\000\0224\n\014put_instance\030\002 \001(\0132\034.rat"
-  "tandyke.wire.PutInstanceH\000\0224\n\014end_instan"
-  "ce\030\003 \001(\0132\034.rattandyke.wire.EndInstanceH\000"
-  "\0224\n\014grant_ranges\030\004 \001(\0132\034.rattandyke.wire"
-  ".GrantRangesH\000\0222\n\013free_ranges\030\005 \001(\0132\033.ra"
-  "ttandyke.wire.FreeRangesH\000\022.\n\tput_entry\030"
-  "\006 \001(\0132\031.rattandyke.wire.PutEntryH\000\0220\n\ndr"
-  "op_entry\030\007 \001(\0132\032.rattandyke.wire.DropEnt"
-  "ryH\000\022;\n\020hold_back_ranges\030\010 \001(\0132\037.rattand"
-  "yke.wire.HoldBackRangesH\000\022C\n\024evacuate_da"
-  "ta_centre\030\t \001(\0132#.rattandyke.wire.Evacua"
-  "teDataCentreH\000\022>\n\021withdraw_instance\030\n \001("
-  "\0132!.rattandyke.wire.WithdrawInstanceH\000\0222"
-  "\n\013put_control\030\013 \001(\0132\033.rattandyke.wire.Pu"
-  "tControlH\000\0224\n\014drop_control\030\014 \001(\0132\034.ratta"
-  "ndyke.wire.DropControlH\000\0224\n\014record_rests"
-  "\030\r \001(\0132\034.rattandyke.wire.RecordRestsH\000\0228"
-  "\n\016record_crashes\030\016 \001(\0132\036.rattandyke.wire"
-  ".RecordCrashesH\000B\006\n\004body\"~\n\014RangeSegment"
-  "\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006holder\030\003 \001"
-  "(\014\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\022\020\n\010h"
-  "andover\030\006 \001(\014\022\021\n\theld_back\030\007 \001(\010\"Q\n\rServ"
-  "iceRanges\022\017\n\007service\030\001 \001(\014\022/\n\010segments\030\002"
-  " \003(\0132\035.rattandyke.wire.RangeSegment\"e\n\rR"
-  "ecordedCrash\022\020\n\010instance\030\001 \001(\014\022\014\n\004life\030\002"
-  " \001(\004\022\r\n\005at_ms\030\003 \001(\003\022\021\n\tconfirmed\030\004 \001(\010\022\022"
-  "\n\nsent_at_ms\030\005 \001(\003\"\200\001\n\016SuspectRequest\022\017\n"
-  "\007service\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(\014\022/\n\007c"
-  "rashes\030\003 \003(\0132\036.rattandyke.wire.RecordedC"
-  "rash\022\027\n\017banned_until_ms\030\004 \001(\003\"\275\005\n\014Gatewa"
-  "yState\022\017\n\007applied\030\001 \001(\004\022*\n\006routes\030\002 \003(\0132"
-  "\032.rattandyke.wire.RouteItem\022.\n\010services\030"
-  "\003 \003(\0132\034.rattandyke.wire.ServiceItem\022+\n\006l"
-  "imits\030\004 \001(\0132\033.rattandyke.wire.LimitsItem"
-  "\0224\n\016dropped_routes\030\005 \003(\0132\034.rattandyke.wi"
-  "re.DroppedItem\0226\n\020dropped_services\030\006 \003(\013"
-  "2\034.rattandyke.wire.DroppedItem\0224\n\tinstan"
-  "ces\030\007 \003(\0132!.rattandyke.wire.UpstreamInst"
-  "ance\022.\n\006ranges\030\t \003(\0132\036.rattandyke.wire.S"
-  "erviceRanges\022-\n\007entries\030\n \003(\0132\034.rattandy"
-  "ke.wire.EntryMember\022-\n\005ended\030\013 \003(\0132\036.rat"
-  "tandyke.wire.EndedInstance\022\021\n\tevacuated\030"
-  "\014 \003(\014\0220\n\010controls\030\r \003(\0132\036.rattandyke.wir"
-  "e.ControlMember\022+\n\005rests\030\016 \001(\0132\034.rattand"
-  "yke.wire.RecordRests\0221\n\010suspects\030\017 \003(\0132\037"
-  ".rattandyke.wire.SuspectRequest\0226\n\016recen"
-  "t_crashes\030\020 \003(\0132\036.rattandyke.wire.Record"
-  "edCrashJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n\005entry\030\001 \001(\013"
-  "2\034.rattandyke.wire.EntryMember\022\017\n\007applie"
-  "d\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001(\010\"<\n\014FeedSna"
-  "pshot\022,\n\005state\030\001 \001(\0132\035.rattandyke.wire.G"
-  "atewayState\"N\n\013FeedCommand\022\r\n\005index\030\001 \001("
-  "\004\0220\n\007command\030\002 \001(\0132\037.rattandyke.wire.Gat"
-  "ewayCommand\">\n\014FeedCommands\022.\n\010commands\030"
-  "\001 \003(\0132\034.rattandyke.wire.FeedCommand\"B\n\010F"
-  "eedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\rcontrol_host"
-  "s\030\002 \003(\014\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRangeLoad\022\017\n\007"
-  "service\030\001 \001(\014\022\017\n\007buckets\030\002 \003(\r\022\020\n\010reques"
-  "ts\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010instance\030\001 \001"
-  "(\014\022\017\n\007seconds\030\002 \001(\001\"R\n\013ServiceLoad\022\017\n\007se"
-  "rvice\030\001 \001(\014\022\020\n\010requests\030\002 \001(\r\022\017\n\007busy_ms"
-  "\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001\n\nFeedReport\022)"
-  "\n\005loads\030\001 \003(\0132\032.rattandyke.wire.RangeLoa"
-  "d\022,\n\005times\030\002 \003(\0132\035.rattandyke.wire.Insta"
-  "nceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007entries\030\004 \003("
-  "\0132\034.rattandyke.wire.EntryMember\022.\n\010servi"
-  "ces\030\005 \003(\0132\034.rattandyke.wire.ServiceLoad\""
-  "n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020\n\010reply_to"
-  "\030\002 \001(\014\022\016\n\006method\030\003 \001(\014\022\016\n\006target\030\004 \001(\014\022\014"
-  "\n\004body\030\005 \001(\014\022\021\n\twaited_ms\030\006 \001(\r\";\n\017Forwa"
-  "rdedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014"
-  "\n\004body\030\003 \001(\014\"H\n\013FencedRange\022\014\n\004from\030\001 \001("
-  "\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020\n\010handover"
-  "\030\004 \001(\014\"\246\002\n\022ForwardedHeartbeat\022\n\n\002id\030\001 \001("
-  "\004\022\020\n\010instance\030\002 \001(\014\022\017\n\007service\030\003 \001(\014\022\017\n\007"
-  "address\030\004 \001(\014\022\023\n\013data_centre\030\005 \001(\014\022\017\n\007ve"
-  "rsion\030\006 \001(\014\022\r\n\005slots\030\007 \001(\r\022\020\n\010draining\030\010"
-  " \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequence\030\n \001(\004\022\017\n\007"
-  "cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034.rattandyk"
-  "e.wire.FencedRange\022+\n\010released\030\r \003(\0132\031.r"
-  "attandyke.wire.KeyRange\"`\n\023ForwardedHear"
-  "tbeats\022\020\n\010reply_to\030\001 \001(\014\0227\n\nheartbeats\030\002"
-  " \003(\0132#.rattandyke.wire.ForwardedHeartbea"
-  "t\"\221\001\n\030ForwardedHeartbeatAnswer\022\n\n\002id\030\001 \001"
-  "(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001(\014\022\016\n\006renews"
-  "\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.rattandyke.wire"
-  ".FencedRange\022\017\n\007hold_ms\030\006 \001(\r\"W\n\031Forward"
-  "edHeartbeatAnswers\022:\n\007answers\030\001 \003(\0132).ra"
-  "ttandyke.wire.ForwardedHeartbeatAnswer\"\364"
-  "\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032.rattandyk"
-  "e.wire.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattan"
-  "dyke.wire.InstanceTime\022-\n\007entries\030\003 \003(\0132"
-  "\034.rattandyke.wire.EntryMember\022.\n\006sender\030"
-  "\004 \001(\0132\036.rattandyke.wire.ControlMember\022.\n"
-  "\010services\030\005 \003(\0132\034.rattandyke.wire.Servic"
-  "eLoad\"A\n\013OwnerDemand\022\020\n\010instance\030\001 \001(\014\022\016"
-  "\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003 \001(\001\"L\n\rServ"
-  "iceDemand\022\017\n\007service\030\001 \001(\014\022\023\n\013utilizatio"
-  "n\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001(\001\"\261\001\n\014Deman"
-  "dDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\022"
-  "\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 \003(\0132\034.rattan"
-  "dyke.wire.OwnerDemand\0220\n\010services\030\005 \003(\0132"
-  "\036.rattandyke.wire.ServiceDemand\022\021\n\ttrunc"
-  "ated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n\002id\030\001 \001(\004\022\r\n\005r"
-  "eply\030\002 \001(\010\"l\n\016UpstreamNotice\022\020\n\010instance"
-  "\030\001 \001(\014\022\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003 \001(\0132\033.rat"
-  "tandyke.wire.RateNotice\022\017\n\007leaving\030\004 \001(\010"
-  "\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\014\022\017\n\007sessio"
-  "n\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007service\030\004 \001(\014"
-  "\022\020\n\010instance\030\005 \001(\014\022\020\n\010excluded\030\006 \003(\014\022\020\n\010"
-  "priority\030\007 \001(\r\022\023\n\013patience_ms\030\010 \001(\r\022\017\n\007h"
-  "eld_ms\030\t \001(\r\022\023\n\013data_centre\030\n \001(\014\022\r\n\005gro"
-  "up\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006limits\030\r \003(\013"
-  "2\037.rattandyke.wire.UpstreamNotice\022\016\n\006sec"
-  "ond\030\016 \001(\010\"\342\001\n\nSlotAnswer\022\017\n\007session\030\001 \001("
-  "\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001(\0162\032.ratta"
-  "ndyke.wire.SlotState\022\020\n\010instance\030\004 \001(\014\022\026"
-  "\n\016retry_after_ms\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037"
-  ".rattandyke.wire.UpstreamNotice\022-\n\007refus"
-  "al\030\007 \001(\0162\034.rattandyke.wire.SlotRefusal\"\210"
-  "\001\n\010SlotDone\022\014\n\004from\030\001 \001(\014\022\017\n\007session\030\002 \001"
-  "(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001(\r\022\017\n\007took_"
-  "us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rattandyke.wi"
-  "re.UpstreamNotice\"G\n\010RelayAsk\022\n\n\002id\030\001 \001("
-  "\004\022\017\n\007service\030\002 \001(\014\022\020\n\010instance\030\003 \001(\014\022\014\n\004"
-  "life\030\004 \001(\004\"E\n\013RelayAnswer\022\n\n\002id\030\001 \001(\004\022*\n"
-  "\005state\030\002 \001(\0162\033.rattandyke.wire.RelayStat"
-  "e\"\235\002\n\016RelayedRequest\022\n\n\002id\030\001 \001(\004\022\017\n\007serv"
-  "ice\030\002 \001(\014\022\020\n\010instance\030\003 \001(\014\022\014\n\004life\030\004 \001("
-  "\004\022\016\n\006method\030\005 \001(\014\022\016\n\006target\030\006 \001(\014\022\016\n\006fie"
-  "lds\030\007 \001(\014\022\014\n\004body\030\010 \001(\014\022\020\n\010has_body\030\t \001("
-  "\010\022\022\n\nrequest_id\030\n \001(\014\022\017\n\007left_ms\030\013 \001(\r\022\r"
-  "\n\005route\030\014 \001(\014\022\020\n\010priority\030\r \001(\r\022\024\n\014objec"
-  "tive_ms\030\016 \001(\r\022\022\n\ntimeout_ms\030\017 \001(\r\022\016\n\006age"
-  "_ms\030\020 \001(\r\"+\n\014RelayedField\022\014\n\004name\030\001 \001(\014\022"
-  "\r\n\005value\030\002 \001(\014\"\251\002\n\017RelayedResponse\022\n\n\002id"
-  "\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.rattandyke.wir"
-  "e.RelayedOutcome\022*\n\005state\030\003 \001(\0162\033.rattan"
-  "dyke.wire.RelayState\022\016\n\006status\030\004 \001(\r\022-\n\006"
-  "fields\030\005 \003(\0132\035.rattandyke.wire.RelayedFi"
-  "eld\022\014\n\004body\030\006 \001(\014\022\016\n\006reason\030\007 \001(\014\022\021\n\tcan"
-  "celled\030\010 \001(\010\022\022\n\nelapsed_us\030\t \001(\004\022\017\n\007rest"
-  "_ms\030\n \001(\004\022\027\n\017connection_lost\030\013 \001(\010\"\031\n\013Re"
-  "layCancel\022\n\n\002id\030\001 \001(\004\"*\n\013PackedFrame\022\014\n\004"
-  "size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\336\n\n\014GatewayFra"
-  "me\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfeed_open\030\002 \001"
-  "(\0132\031.rattandyke.wire.FeedOpenH\000\0226\n\rfeed_"
-  "snapshot\030\003 \001(\0132\035.rattandyke.wire.FeedSna"
-  "pshotH\000\0224\n\014feed_command\030\004 \001(\0132\034.rattandy"
-  "ke.wire.FeedCommandH\000\022.\n\tfeed_ping\030\005 \001(\013"
-  "2\031.rattandyke.wire.FeedPingH\000\0222\n\013feed_re"
-  "port\030\006 \001(\0132\033.rattandyke.wire.FeedReportH"
-  "\000\0228\n\016forwarded_call\030\007 \001(\0132\036.rattandyke.w"
-  "ire.ForwardedCallH\000\022<\n\020forwarded_answer\030"
-  "\010 \001(\0132 .rattandyke.wire.ForwardedAnswerH"
-  "\000\0222\n\013host_report\030\t \001(\0132\033.rattandyke.wire"
-  ".HostReportH\000\022,\n\010slot_ask\030\n \001(\0132\030.rattan"
-  "dyke.wire.SlotAskH\000\0222\n\013slot_answer\030\013 \001(\013"
-  "2\033.rattandyke.wire.SlotAnswerH\000\022.\n\tslot_"
-  "done\030\014 \001(\0132\031.rattandyke.wire.SlotDoneH\000\022"
-  ".\n\006packed\030\r \001(\0132\034.rattandyke.wire.Packed"
-  "FrameH\000\022D\n\024forwarded_heartbeats\030\016 \001(\0132$."
-  "rattandyke.wire.ForwardedHeartbeatsH\000\022Q\n"
-  "\033forwarded_heartbeat_answers\030\017 \001(\0132*.rat"
-  "tandyke.wire.ForwardedHeartbeatAnswersH\000"
-  "\0226\n\rfeed_commands\030\020 \001(\0132\035.rattandyke.wir"
-  "e.FeedCommandsH\000\0226\n\rdemand_digest\030\021 \001(\0132"
-  "\035.rattandyke.wire.DemandDigestH\000\0220\n\nlink"
-  "_probe\030\022 \001(\0132\032.rattandyke.wire.LinkProbe"
-  "H\000\0228\n\016upstream_rests\030\023 \001(\0132\036.rattandyke."
-  "wire.UpstreamRestsH\000\022.\n\trelay_ask\030\024 \001(\0132"
-  "\031.rattandyke.wire.RelayAskH\000\0224\n\014relay_an"
-  "swer\030\025 \001(\0132\034.rattandyke.wire.RelayAnswer"
-  "H\000\022:\n\017relayed_request\030\026 \001(\0132\037.rattandyke"
-  ".wire.RelayedRequestH\000\022<\n\020relayed_respon"
-  "se\030\027 \001(\0132 .rattandyke.wire.RelayedRespon"
-  "seH\000\0224\n\014relay_cancel\030\030 \001(\0132\034.rattandyke."
-  "wire.RelayCancelH\000\0226\n\rcrash_reports\030\031 \001("
-  "\0132\035.rattandyke.wire.CrashReportsH\000B\006\n\004bo"
-  "dy*\206\001\n\tSlotState\022\032\n\026SLOT_STATE_UNSPECIFI"
-  "ED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n\022SLOT_STAT"
-  "E_GRANTED\020\002\022\026\n\022SLOT_STATE_REFUSED\020\003\022\026\n\022S"
-  "LOT_STATE_UNKNOWN\020\004*\225\001\n\013SlotRefusal\022\034\n\030S"
-  "LOT_REFUSAL_UNSPECIFIED\020\000\022\025\n\021SLOT_REFUSA"
-  "L_FULL\020\001\022\034\n\030SLOT_REFUSAL_NO_INSTANCE\020\002\022\031"
-  "\n\025SLOT_REFUSAL_NO_OWNER\020\003\022\030\n\024SLOT_REFUSA"
-  "L_FAILING\020\004*\313\001\n\nRelayState\022\033\n\027RELAY_STAT"
-  "E_UNSPECIFIED\020\000\022\026\n\022RELAY_STATE_AGREED\020\001\022"
-  "\027\n\023RELAY_STATE_NO_PATH\020\002\022\033\n\027RELAY_STATE_"
-  "UNREACHABLE\020\003\022\032\n\026RELAY_STATE_NOT_USABLE\020"
-  "\004\022\024\n\020RELAY_STATE_BUSY\020\005\022 \n\034RELAY_STATE_U"
-  "NKNOWN_INSTANCE\020\006*\254\001\n\016RelayedOutcome\022\037\n\033"
-  "RELAYED_OUTCOME_UNSPECIFIED\020\000\022\034\n\030RELAYED"
-  "_OUTCOME_RESPONSE\020\001\022 \n\034RELAYED_OUTCOME_N"
-  "OT_EXECUTED\020\002\022\034\n\030RELAYED_OUTCOME_NOT_SEN"
-  "T\020\003\022\033\n\027RELAYED_OUTCOME_UNKNOWN\020\004b\006proto3"
+  "\014ended_ms_ago\030\006 \001(\r\"\213\001\n\014CrashReports\0228\n\013"
+  "interrupted\030\001 \003(\0132#.rattandyke.wire.Inte"
+  "rruptedRequest\022\020\n\010answered\030\002 \003(\014\022/\n\005aliv"
+  "e\030\003 \003(\0132 .rattandyke.wire.UpstreamProces"
+  "s\"\341\001\n\rRecordCrashes\0228\n\013interrupted\030\001 \003(\013"
+  "2#.rattandyke.wire.InterruptedRequest\022\020\n"
+  "\010answered\030\002 \003(\014\022/\n\005ended\030\003 \003(\0132 .rattand"
+  "yke.wire.UpstreamProcess\022/\n\005alive\030\004 \003(\0132"
+  " .rattandyke.wire.UpstreamProcess\022\016\n\006lif"
+  "ted\030\005 \003(\014\022\022\n\ntold_at_ms\030\006 \001(\003\"\242\006\n\016Gatewa"
+  "yCommand\0224\n\014change_items\030\001 \001(\0132\034.rattand"
+  "yke.wire.ChangeItemsH\000\0224\n\014put_instance\030\002"
+  " \001(\0132\034.rattandyke.wire.PutInstanceH\000\0224\n\014"
+  "end_instance\030\003 \001(\0132\034.rattandyke.wire.End"
+  "InstanceH\000\0224\n\014grant_ranges\030\004 \001(\0132\034.ratta"
+  "ndyke.wire.GrantRangesH\000\0222\n\013free_ranges\030"
+  "\005 \001(\0132\033.rattandyke.wire.FreeRangesH\000\022.\n\t"
+  "put_entry\030\006 \001(\0132\031.rattandyke.wire.PutEnt"
+  "ryH\000\0220\n\ndrop_entry\030\007 \001(\0132\032.rattandyke.wi"
+  "re.DropEntryH\000\022;\n\020hold_back_ranges\030\010 \001(\013"
+  "2\037.rattandyke.wire.HoldBackRangesH\000\022C\n\024e"
+  "vacuate_data_centre\030\t \001(\0132#.rattandyke.w"
+  "ire.EvacuateDataCentreH\000\022>\n\021withdraw_ins"
+  "tance\030\n \001(\0132!.rattandyke.wire.WithdrawIn"
+  "stanceH\000\0222\n\013put_control\030\013 \001(\0132\033.rattandy"
+  "ke.wire.PutControlH\000\0224\n\014drop_control\030\014 \001"
+  "(\0132\034.rattandyke.wire.DropControlH\000\0224\n\014re"
+  "cord_rests\030\r \001(\0132\034.rattandyke.wire.Recor"
+  "dRestsH\000\0228\n\016record_crashes\030\016 \001(\0132\036.ratta"
+  "ndyke.wire.RecordCrashesH\000B\006\n\004body\"~\n\014Ra"
+  "ngeSegment\022\014\n\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\016\n\006"
+  "holder\030\003 \001(\014\022\r\n\005fence\030\004 \001(\004\022\020\n\010sequence\030"
+  "\005 \001(\004\022\020\n\010handover\030\006 \001(\014\022\021\n\theld_back\030\007 \001"
+  "(\010\"Q\n\rServiceRanges\022\017\n\007service\030\001 \001(\014\022/\n\010"
+  "segments\030\002 \003(\0132\035.rattandyke.wire.RangeSe"
+  "gment\"e\n\rRecordedCrash\022\020\n\010instance\030\001 \001(\014"
+  "\022\014\n\004life\030\002 \001(\004\022\r\n\005at_ms\030\003 \001(\003\022\021\n\tconfirm"
+  "ed\030\004 \001(\010\022\022\n\nsent_at_ms\030\005 \001(\003\"\200\001\n\016Suspect"
+  "Request\022\017\n\007service\030\001 \001(\014\022\023\n\013fingerprint\030"
+  "\002 \001(\014\022/\n\007crashes\030\003 \003(\0132\036.rattandyke.wire"
+  ".RecordedCrash\022\027\n\017banned_until_ms\030\004 \001(\003\""
+  "\275\005\n\014GatewayState\022\017\n\007applied\030\001 \001(\004\022*\n\006rou"
+  "tes\030\002 \003(\0132\032.rattandyke.wire.RouteItem\022.\n"
+  "\010services\030\003 \003(\0132\034.rattandyke.wire.Servic"
+  "eItem\022+\n\006limits\030\004 \001(\0132\033.rattandyke.wire."
+  "LimitsItem\0224\n\016dropped_routes\030\005 \003(\0132\034.rat"
+  "tandyke.wire.DroppedItem\0226\n\020dropped_serv"
+  "ices\030\006 \003(\0132\034.rattandyke.wire.DroppedItem"
+  "\0224\n\tinstances\030\007 \003(\0132!.rattandyke.wire.Up"
+  "streamInstance\022.\n\006ranges\030\t \003(\0132\036.rattand"
+  "yke.wire.ServiceRanges\022-\n\007entries\030\n \003(\0132"
+  "\034.rattandyke.wire.EntryMember\022-\n\005ended\030\013"
+  " \003(\0132\036.rattandyke.wire.EndedInstance\022\021\n\t"
+  "evacuated\030\014 \003(\014\0220\n\010controls\030\r \003(\0132\036.ratt"
+  "andyke.wire.ControlMember\022+\n\005rests\030\016 \001(\013"
+  "2\034.rattandyke.wire.RecordRests\0221\n\010suspec"
+  "ts\030\017 \003(\0132\037.rattandyke.wire.SuspectReques"
+  "t\0226\n\016recent_crashes\030\020 \003(\0132\036.rattandyke.w"
+  "ire.RecordedCrashJ\004\010\010\020\t\"^\n\010FeedOpen\022+\n\005e"
+  "ntry\030\001 \001(\0132\034.rattandyke.wire.EntryMember"
+  "\022\017\n\007applied\030\002 \001(\004\022\024\n\014reads_packed\030\003 \001(\010\""
+  "<\n\014FeedSnapshot\022,\n\005state\030\001 \001(\0132\035.rattand"
+  "yke.wire.GatewayState\"N\n\013FeedCommand\022\r\n\005"
+  "index\030\001 \001(\004\0220\n\007command\030\002 \001(\0132\037.rattandyk"
+  "e.wire.GatewayCommand\">\n\014FeedCommands\022.\n"
+  "\010commands\030\001 \003(\0132\034.rattandyke.wire.FeedCo"
+  "mmand\"B\n\010FeedPing\022\017\n\007applied\030\001 \001(\004\022\025\n\rco"
+  "ntrol_hosts\030\002 \003(\014\022\016\n\006age_ms\030\003 \001(\r\"\?\n\tRan"
+  "geLoad\022\017\n\007service\030\001 \001(\014\022\017\n\007buckets\030\002 \003(\r"
+  "\022\020\n\010requests\030\003 \003(\r\"1\n\014InstanceTime\022\020\n\010in"
+  "stance\030\001 \001(\014\022\017\n\007seconds\030\002 \001(\001\"R\n\013Service"
+  "Load\022\017\n\007service\030\001 \001(\014\022\020\n\010requests\030\002 \001(\r\022"
+  "\017\n\007busy_ms\030\003 \001(\004\022\017\n\007refused\030\004 \001(\r\"\325\001\n\nFe"
+  "edReport\022)\n\005loads\030\001 \003(\0132\032.rattandyke.wir"
+  "e.RangeLoad\022,\n\005times\030\002 \003(\0132\035.rattandyke."
+  "wire.InstanceTime\022\017\n\007leaving\030\003 \001(\010\022-\n\007en"
+  "tries\030\004 \003(\0132\034.rattandyke.wire.EntryMembe"
+  "r\022.\n\010services\030\005 \003(\0132\034.rattandyke.wire.Se"
+  "rviceLoad\"n\n\rForwardedCall\022\n\n\002id\030\001 \001(\004\022\020"
+  "\n\010reply_to\030\002 \001(\014\022\016\n\006method\030\003 \001(\014\022\016\n\006targ"
+  "et\030\004 \001(\014\022\014\n\004body\030\005 \001(\014\022\021\n\twaited_ms\030\006 \001("
+  "\r\";\n\017ForwardedAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006stat"
+  "us\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\"H\n\013FencedRange\022\014\n"
+  "\004from\030\001 \001(\r\022\n\n\002to\030\002 \001(\r\022\r\n\005fence\030\003 \001(\004\022\020"
+  "\n\010handover\030\004 \001(\014\"\246\002\n\022ForwardedHeartbeat\022"
+  "\n\n\002id\030\001 \001(\004\022\020\n\010instance\030\002 \001(\014\022\017\n\007service"
+  "\030\003 \001(\014\022\017\n\007address\030\004 \001(\014\022\023\n\013data_centre\030\005"
+  " \001(\014\022\017\n\007version\030\006 \001(\014\022\r\n\005slots\030\007 \001(\r\022\020\n\010"
+  "draining\030\010 \001(\010\022\014\n\004life\030\t \001(\004\022\020\n\010sequence"
+  "\030\n \001(\004\022\017\n\007cold_ms\030\013 \001(\r\022+\n\005holds\030\014 \003(\0132\034"
+  ".rattandyke.wire.FencedRange\022+\n\010released"
+  "\030\r \003(\0132\031.rattandyke.wire.KeyRange\"`\n\023For"
+  "wardedHeartbeats\022\020\n\010reply_to\030\001 \001(\014\0227\n\nhe"
+  "artbeats\030\002 \003(\0132#.rattandyke.wire.Forward"
+  "edHeartbeat\"\221\001\n\030ForwardedHeartbeatAnswer"
+  "\022\n\n\002id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\014\n\004text\030\003 \001(\014"
+  "\022\016\n\006renews\030\004 \001(\010\022,\n\006ranges\030\005 \003(\0132\034.ratta"
+  "ndyke.wire.FencedRange\022\017\n\007hold_ms\030\006 \001(\r\""
+  "W\n\031ForwardedHeartbeatAnswers\022:\n\007answers\030"
+  "\001 \003(\0132).rattandyke.wire.ForwardedHeartbe"
+  "atAnswer\"\364\001\n\nHostReport\022)\n\005loads\030\001 \003(\0132\032"
+  ".rattandyke.wire.RangeLoad\022,\n\005times\030\002 \003("
+  "\0132\035.rattandyke.wire.InstanceTime\022-\n\007entr"
+  "ies\030\003 \003(\0132\034.rattandyke.wire.EntryMember\022"
+  ".\n\006sender\030\004 \001(\0132\036.rattandyke.wire.Contro"
+  "lMember\022.\n\010services\030\005 \003(\0132\034.rattandyke.w"
+  "ire.ServiceLoad\"A\n\013OwnerDemand\022\020\n\010instan"
+  "ce\030\001 \001(\014\022\016\n\006demand\030\002 \001(\001\022\020\n\010capacity\030\003 \001"
+  "(\001\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\014\022\023\n\013"
+  "utilization\030\002 \001(\001\022\025\n\rrefused_share\030\003 \001(\001"
+  "\"\261\001\n\014DemandDigest\022\014\n\004term\030\001 \001(\004\022\020\n\010seque"
+  "nce\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\r\022,\n\006owners\030\004 \003("
+  "\0132\034.rattandyke.wire.OwnerDemand\0220\n\010servi"
+  "ces\030\005 \003(\0132\036.rattandyke.wire.ServiceDeman"
+  "d\022\021\n\ttruncated\030\006 \001(\010\"&\n\tLinkProbe\022\n\n\002id\030"
+  "\001 \001(\004\022\r\n\005reply\030\002 \001(\010\"l\n\016UpstreamNotice\022\020"
+  "\n\010instance\030\001 \001(\014\022\014\n\004life\030\002 \001(\004\022)\n\004rate\030\003"
+  " \001(\0132\033.rattandyke.wire.RateNotice\022\017\n\007lea"
+  "ving\030\004 \001(\010\"\236\002\n\007SlotAsk\022\020\n\010reply_to\030\001 \001(\014"
+  "\022\017\n\007session\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\017\n\007ser"
+  "vice\030\004 \001(\014\022\020\n\010instance\030\005 \001(\014\022\020\n\010excluded"
+  "\030\006 \003(\014\022\020\n\010priority\030\007 \001(\r\022\023\n\013patience_ms\030"
+  "\010 \001(\r\022\017\n\007held_ms\030\t \001(\r\022\023\n\013data_centre\030\n "
+  "\001(\014\022\r\n\005group\030\013 \001(\r\022\016\n\006aim_ms\030\014 \001(\r\022/\n\006li"
+  "mits\030\r \003(\0132\037.rattandyke.wire.UpstreamNot"
+  "ice\022\016\n\006second\030\016 \001(\010\"\342\001\n\nSlotAnswer\022\017\n\007se"
+  "ssion\030\001 \001(\006\022\016\n\006ticket\030\002 \001(\004\022)\n\005state\030\003 \001"
+  "(\0162\032.rattandyke.wire.SlotState\022\020\n\010instan"
+  "ce\030\004 \001(\014\022\026\n\016retry_after_ms\030\005 \001(\r\022/\n\006noti"
+  "ce\030\006 \001(\0132\037.rattandyke.wire.UpstreamNotic"
+  "e\022-\n\007refusal\030\007 \001(\0162\034.rattandyke.wire.Slo"
+  "tRefusal\"\210\001\n\010SlotDone\022\014\n\004from\030\001 \001(\014\022\017\n\007s"
+  "ession\030\002 \001(\006\022\016\n\006ticket\030\003 \001(\004\022\013\n\003end\030\004 \001("
+  "\r\022\017\n\007took_us\030\005 \001(\r\022/\n\006notice\030\006 \001(\0132\037.rat"
+  "tandyke.wire.UpstreamNotice\"G\n\010RelayAsk\022"
+  "\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\014\022\020\n\010instance"
+  "\030\003 \001(\014\022\014\n\004life\030\004 \001(\004\"E\n\013RelayAnswer\022\n\n\002i"
+  "d\030\001 \001(\004\022*\n\005state\030\002 \001(\0162\033.rattandyke.wire"
+  ".RelayState\"\235\002\n\016RelayedRequest\022\n\n\002id\030\001 \001"
+  "(\004\022\017\n\007service\030\002 \001(\014\022\020\n\010instance\030\003 \001(\014\022\014\n"
+  "\004life\030\004 \001(\004\022\016\n\006method\030\005 \001(\014\022\016\n\006target\030\006 "
+  "\001(\014\022\016\n\006fields\030\007 \001(\014\022\014\n\004body\030\010 \001(\014\022\020\n\010has"
+  "_body\030\t \001(\010\022\022\n\nrequest_id\030\n \001(\014\022\017\n\007left_"
+  "ms\030\013 \001(\r\022\r\n\005route\030\014 \001(\014\022\020\n\010priority\030\r \001("
+  "\r\022\024\n\014objective_ms\030\016 \001(\r\022\022\n\ntimeout_ms\030\017 "
+  "\001(\r\022\016\n\006age_ms\030\020 \001(\r\"+\n\014RelayedField\022\014\n\004n"
+  "ame\030\001 \001(\014\022\r\n\005value\030\002 \001(\014\"\251\002\n\017RelayedResp"
+  "onse\022\n\n\002id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.ratt"
+  "andyke.wire.RelayedOutcome\022*\n\005state\030\003 \001("
+  "\0162\033.rattandyke.wire.RelayState\022\016\n\006status"
+  "\030\004 \001(\r\022-\n\006fields\030\005 \003(\0132\035.rattandyke.wire"
+  ".RelayedField\022\014\n\004body\030\006 \001(\014\022\016\n\006reason\030\007 "
+  "\001(\014\022\021\n\tcancelled\030\010 \001(\010\022\022\n\nelapsed_us\030\t \001"
+  "(\004\022\017\n\007rest_ms\030\n \001(\004\022\027\n\017connection_lost\030\013"
+  " \001(\010\"\031\n\013RelayCancel\022\n\n\002id\030\001 \001(\004\"*\n\013Packe"
+  "dFrame\022\014\n\004size\030\001 \001(\r\022\r\n\005bytes\030\002 \001(\014\"\336\n\n\014"
+  "GatewayFrame\022\023\n\tconsensus\030\001 \001(\014H\000\022.\n\tfee"
+  "d_open\030\002 \001(\0132\031.rattandyke.wire.FeedOpenH"
+  "\000\0226\n\rfeed_snapshot\030\003 \001(\0132\035.rattandyke.wi"
+  "re.FeedSnapshotH\000\0224\n\014feed_command\030\004 \001(\0132"
+  "\034.rattandyke.wire.FeedCommandH\000\022.\n\tfeed_"
+  "ping\030\005 \001(\0132\031.rattandyke.wire.FeedPingH\000\022"
+  "2\n\013feed_report\030\006 \001(\0132\033.rattandyke.wire.F"
+  "eedReportH\000\0228\n\016forwarded_call\030\007 \001(\0132\036.ra"
+  "ttandyke.wire.ForwardedCallH\000\022<\n\020forward"
+  "ed_answer\030\010 \001(\0132 .rattandyke.wire.Forwar"
+  "dedAnswerH\000\0222\n\013host_report\030\t \001(\0132\033.ratta"
+  "ndyke.wire.HostReportH\000\022,\n\010slot_ask\030\n \001("
+  "\0132\030.rattandyke.wire.SlotAskH\000\0222\n\013slot_an"
+  "swer\030\013 \001(\0132\033.rattandyke.wire.SlotAnswerH"
+  "\000\022.\n\tslot_done\030\014 \001(\0132\031.rattandyke.wire.S"
+  "lotDoneH\000\022.\n\006packed\030\r \001(\0132\034.rattandyke.w"
+  "ire.PackedFrameH\000\022D\n\024forwarded_heartbeat"
+  "s\030\016 \001(\0132$.rattandyke.wire.ForwardedHeart"
+  "beatsH\000\022Q\n\033forwarded_heartbeat_answers\030\017"
+  " \001(\0132*.rattandyke.wire.ForwardedHeartbea"
+  "tAnswersH\000\0226\n\rfeed_commands\030\020 \001(\0132\035.ratt"
+  "andyke.wire.FeedCommandsH\000\0226\n\rdemand_dig"
+  "est\030\021 \001(\0132\035.rattandyke.wire.DemandDigest"
+  "H\000\0220\n\nlink_probe\030\022 \001(\0132\032.rattandyke.wire"
+  ".LinkProbeH\000\0228\n\016upstream_rests\030\023 \001(\0132\036.r"
+  "attandyke.wire.UpstreamRestsH\000\022.\n\trelay_"
+  "ask\030\024 \001(\0132\031.rattandyke.wire.RelayAskH\000\0224"
+  "\n\014relay_answer\030\025 \001(\0132\034.rattandyke.wire.R"
+  "elayAnswerH\000\022:\n\017relayed_request\030\026 \001(\0132\037."
+  "rattandyke.wire.RelayedRequestH\000\022<\n\020rela"
+  "yed_response\030\027 \001(\0132 .rattandyke.wire.Rel"
+  "ayedResponseH\000\0224\n\014relay_cancel\030\030 \001(\0132\034.r"
+  "attandyke.wire.RelayCancelH\000\0226\n\rcrash_re"
+  "ports\030\031 \001(\0132\035.rattandyke.wire.CrashRepor"
+  "tsH\000B\006\n\004body*\206\001\n\tSlotState\022\032\n\026SLOT_STATE"
+  "_UNSPECIFIED\020\000\022\025\n\021SLOT_STATE_QUEUED\020\001\022\026\n"
+  "\022SLOT_STATE_GRANTED\020\002\022\026\n\022SLOT_STATE_REFU"
+  "SED\020\003\022\026\n\022SLOT_STATE_UNKNOWN\020\004*\225\001\n\013SlotRe"
+  "fusal\022\034\n\030SLOT_REFUSAL_UNSPECIFIED\020\000\022\025\n\021S"
+  "LOT_REFUSAL_FULL\020\001\022\034\n\030SLOT_REFUSAL_NO_IN"
+  "STANCE\020\002\022\031\n\025SLOT_REFUSAL_NO_OWNER\020\003\022\030\n\024S"
+  "LOT_REFUSAL_FAILING\020\004*\313\001\n\nRelayState\022\033\n\027"
+  "RELAY_STATE_UNSPECIFIED\020\000\022\026\n\022RELAY_STATE"
+  "_AGREED\020\001\022\027\n\023RELAY_STATE_NO_PATH\020\002\022\033\n\027RE"
+  "LAY_STATE_UNREACHABLE\020\003\022\032\n\026RELAY_STATE_N"
+  "OT_USABLE\020\004\022\024\n\020RELAY_STATE_BUSY\020\005\022 \n\034REL"
+  "AY_STATE_UNKNOWN_INSTANCE\020\006*\254\001\n\016RelayedO"
+  "utcome\022\037\n\033RELAYED_OUTCOME_UNSPECIFIED\020\000\022"
+  "\034\n\030RELAYED_OUTCOME_RESPONSE\020\001\022 \n\034RELAYED"
+  "_OUTCOME_NOT_EXECUTED\020\002\022\034\n\030RELAYED_OUTCO"
+  "ME_NOT_SENT\020\003\022\033\n\027RELAYED_OUTCOME_UNKNOWN"
+  "\020\004b\006proto3"
   ;
 static const ::_pbi::DescriptorTable* const descriptor_table_gateway_2eproto_deps[1] = {
   &::descriptor_table_rate_2eproto,
 };
 static ::_pbi::once_flag descriptor_table_gateway_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_gateway_2eproto = {
-    false, false, 10800, descriptor_table_protodef_gateway_2eproto,
+    false, false, 10850, descriptor_table_protodef_gateway_2eproto,
     "gateway.proto",
     &descriptor_table_gateway_2eproto_once, descriptor_table_gateway_2eproto_deps, 1, 68,
     schemas, file_default_instances, TableStruct_gateway_2eproto::offsets,
@@ -9981,6 +9985,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.interrupted_){from._impl_.interrupted_}
     , decltype(_impl_.answered_){from._impl_.answered_}
+    , decltype(_impl_.alive_){from._impl_.alive_}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -9994,6 +9999,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.interrupted_){arena}
     , decltype(_impl_.answered_){arena}
+    , decltype(_impl_.alive_){arena}
     , /*decltype(_impl_._cached_size_)*/{}
   };
 }
@@ -10011,6 +10017,7 @@
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.interrupted_.~RepeatedPtrField();
   _impl_.answered_.~RepeatedPtrField();
+  _impl_.alive_.~RepeatedPtrField();
 }
 
 void CrashReports::SetCachedSize(int size) const {
@@ -10025,6 +10032,7 @@
 
   _impl_.interrupted_.Clear();
   _impl_.answered_.Clear();
+  _impl_.alive_.Clear();
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -10061,6 +10069,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .rattandyke.wire.UpstreamProcess alive = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_alive(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<26>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -10104,6 +10125,14 @@
     target = stream->WriteBytes(2, s, target);
   }
 
+  // repeated .rattandyke.wire.UpstreamProcess alive = 3;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_alive_size()); i < n; i++) {
+    const auto& repfield = this->_internal_alive(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(3, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -10135,6 +10164,13 @@
       _impl_.answered_.Get(i));
   }
 
+  // repeated .rattandyke.wire.UpstreamProcess alive = 3;
+  total_size += 1UL * this->_internal_alive_size();
+  for (const auto& msg : this->_impl_.alive_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -10155,6 +10191,7 @@
 
   _this->_impl_.interrupted_.MergeFrom(from._impl_.interrupted_);
   _this->_impl_.answered_.MergeFrom(from._impl_.answered_);
+  _this->_impl_.alive_.MergeFrom(from._impl_.alive_);
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -10174,6 +10211,7 @@
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.interrupted_.InternalSwap(&other->_impl_.interrupted_);
   _impl_.answered_.InternalSwap(&other->_impl_.answered_);
+  _impl_.alive_.InternalSwap(&other->_impl_.alive_);
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata CrashReports::GetMetadata() const {
