Refusals by the administration API and to upstreams are not lost to a reset

What callers saw: an operator or an upstream of `serve` that sent something malformed in several pieces found its connection reset, and not the answer that says what is wrong.

Cause: both servers closed the connection with the rest of the request unread, and the kernel resets it then. The listeners of callers and of a gateway's calls discard what still arrives.

Change: net::CloseGently shuts the sending side down and discards input for a second at most; the three servers over tcp_stream share it.

--- a/src/librattandyke/admin/server.cpp
+++ b/src/librattandyke/admin/server.cpp
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "log/log.h"
+#include "net/close_gently.h"
 #include "net/listen.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
@@ -267,8 +268,7 @@
     const bool fromLoopback = aPeer.is_loopback();
     while (co_await ServeOne(stream, buffer, fromLoopback)) {
     }
-    ErrorCode ignored;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    co_await net::CloseGently(stream);
     count.Leave(aPeer);
   }
 
--- a/src/librattandyke/agent/announce_server.cpp
+++ b/src/librattandyke/agent/announce_server.cpp
@@ -8,6 +8,7 @@
 #include "agent/announcement_json.h"
 #include "base/endpoint.h"
 #include "log/log.h"
+#include "net/close_gently.h"
 #include "net/read_buffer.h"
 #include "net/read_error.h"
 #include "net/read_head.h"
@@ -183,8 +184,13 @@
       Read();
       return;
     }
-    beast::error_code ignored;
-    mStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    asio::co_spawn(
+      mStream.get_executor(), Finish(shared_from_this()), asio::detached);
+  }
+
+  static asio::awaitable<void> Finish(std::shared_ptr<Session> aSelf)
+  {
+    co_await net::CloseGently(aSelf->mStream);
   }
 
   beast::tcp_stream mStream;
--- a/src/librattandyke/gateway/http_server.cpp
+++ b/src/librattandyke/gateway/http_server.cpp
@@ -1,6 +1,5 @@
 #include "gateway/http_server.h"
 
-#include <array>
 #include <optional>
 #include <set>
 
@@ -17,6 +16,7 @@
 #include "gateway/body_room.h"
 #include "gateway/read_body.h"
 #include "net/accept_loop.h"
+#include "net/close_gently.h"
 #include "net/frame_connection.h"
 #include "net/peek.h"
 #include "net/read_buffer.h"
@@ -45,9 +45,8 @@
 /// Clients try another host after a second without a response.
 constexpr std::chrono::milliseconds kMaxBodyWait{ 700 };
 constexpr const char* kRetryAfterNoRoom = "1"; // seconds
-/// Time for which the body of a refused request is read and discarded.
-constexpr std::chrono::milliseconds kMaxDiscardTime{ 1000 };
-constexpr size_t kDiscardBufferBytes = 4096;
+/// Time for sending a refusal.
+constexpr std::chrono::milliseconds kMaxRefusalTime{ 1000 };
 /// Time limit for receiving a request, counted from the end of the previous
 /// one, and for sending a response. The connection is closed when it expires.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
@@ -197,18 +196,9 @@
     }
     response.keep_alive(false);
     response.prepare_payload();
-    aSession.stream.expires_after(kMaxDiscardTime);
+    aSession.stream.expires_after(kMaxRefusalTime);
     co_await http::async_write(aSession.stream, response, kAwait);
-    // A connection that is closed with unread input is reset, and the response
-    // may be lost.
-    ErrorCode error;
-    aSession.stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::array<char, kDiscardBufferBytes> discarded{};
-    while (!error) {
-      auto [readError, read] = co_await aSession.stream.async_read_some(
-        asio::buffer(discarded), kAwait);
-      error = readError;
-    }
+    co_await net::CloseGently(aSession.stream);
   }
 
   /// @return whether a request is being received or handled.
