Gateway: a response that only the end of its connection ends is none

What callers saw: nothing yet. An upstream's response without a length or chunks was passed on with a length of this host's making; cut off on its way, a part of it would have looked whole.

Cause: the end of such a body can't be told from a connection that breaks. `serve` refuses it already (WholeAnswers.AnAnswerEndedOnlyByCloseIsAFailure).

Change: it is no response: the outcome is unknown, and a request that may be repeated is sent to another upstream. A refusal still counts, as its head says all.

--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -454,7 +454,8 @@
     }
     UpstreamResponse response;
     response.status = message.result_int();
-    const bool keepAlive = message.keep_alive() && !parser.need_eof();
+    const bool endsByClose = parser.need_eof();
+    const bool keepAlive = message.keep_alive() && !endsByClose;
     response.body = std::move(message.body());
     response.bodyRoom = std::move(*room);
     response.fields = std::move(message.base());
@@ -487,6 +488,9 @@
       rest = http::ReadRetryAfter(response.fields);
     }
     AttemptResult result = Classify(std::move(response));
+    if (result.kind == AttemptResult::Kind::Response && endsByClose) {
+      co_return UnusableResponse("nothing tells whether the answer is whole");
+    }
     result.rest = std::move(rest);
     result.responded = true;
     co_return result;
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -302,6 +302,14 @@
   EXPECT_EQ(Send({ text })[0].kind, Kind::OutcomeUnknown);
 }
 
+// Guards against a response that was cut off and is passed on as a whole one.
+TEST_F(UpstreamClientTest, ResponseThatOnlyTheConnectionEndsIsNone)
+{
+  EXPECT_EQ(
+    Send({ "HTTP/1.1 200 OK\r\nId: r-1\r\nSignature: s\r\n\r\nhel" })[0].kind,
+    Kind::OutcomeUnknown);
+}
+
 class UnusableHeadTest
   : public UpstreamClientTest
   , public ::testing::WithParamInterface<const char*>
--- a/src/librattandyke/http/whole_answers_test.cpp
+++ b/src/librattandyke/http/whole_answers_test.cpp
@@ -110,6 +110,24 @@
   EXPECT_EQ(failed->result_int(), 502U);
 }
 
+// Guards against a part of a body that is taken for the whole answer.
+TEST(WholeAnswers, AnAnswerOfUnknownCodingIsAFailure)
+{
+  for (const std::string coding : { "gzip", "identity", "gzip, chunked", "" }) {
+    FakeUpstream upstream([&](UpstreamSide& aSide) {
+      aSide.Read();
+      aSide.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                  "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    });
+    EntryFixture entry;
+    entry.Host().SetOwner(upstream.Address());
+    TestCaller caller(entry.Address());
+    const auto failed = caller.Ask("POST", "/board/k1", "x");
+    ASSERT_TRUE(failed) << coding;
+    EXPECT_EQ(failed->result_int(), 502U) << coding;
+  }
+}
+
 // A request's deadline passes; the upstream answers it later all the same, on
 // the same connection. The next request must get its own answer and not the
 // late one.
