--- a/src/librattandyke/net/message_frame.cpp
+++ b/src/librattandyke/net/message_frame.cpp
@@ -41,7 +41,7 @@
 }
 
 boost::system::error_code
-make_error_code(FrameError aError)
+make_error_code(FrameError aError) // NOLINT(readability-identifier-naming)
 {
   return { static_cast<int>(aError), FrameCategory() };
 }
--- a/src/librattandyke/net/message_frame.h
+++ b/src/librattandyke/net/message_frame.h
@@ -27,6 +27,7 @@
 /// @return the category of FrameError in error codes.
 const boost::system::error_category& FrameCategory();
 
+// NOLINTNEXTLINE(readability-identifier-naming): Boost.System finds it by name.
 boost::system::error_code make_error_code(FrameError aError);
 
 /// Checks the head of a message. Parsers of Beast take a message with a
--- a/src/librattandyke/net/read_head_test.cpp
+++ b/src/librattandyke/net/read_head_test.cpp
@@ -34,7 +34,7 @@
 asio::awaitable<void>
 ReadInto(Stream& aStream, ErrorCode& aResult)
 {
-  boost::beast::flat_buffer buffer(2 * kMaxHeadBytes);
+  boost::beast::flat_buffer buffer(size_t{ 2 } * kMaxHeadBytes);
   http::request_parser<http::empty_body> parser;
   parser.header_limit(kMaxHeadBytes);
   aResult = co_await ReadHead(aStream, buffer, parser, kMaxHeadBytes);
