Input of a refused sender is discarded for a limited time, also if it never pauses

What callers saw: whoever was refused and went on sending was never cut off on a busy machine, and the host read its bytes for as long as they came.

Cause: the loop that discards input relied on the timeout of its stream, in `serve` on a cancel. Both end a read that waits; a read whose bytes are there ends before them.

Change: the loops look at the clock.

--- a/src/librattandyke/http/caller_stream.cpp
+++ b/src/librattandyke/http/caller_stream.cpp
@@ -175,7 +175,8 @@
   mSocket.shutdown(asio::socket_base::shutdown_send, error);
   ExpireIn(mLimits.lingerTime);
   std::array<char, kReadBytes> dropped;
-  while (!error) {
+  // Expire() cancels only a read that waits, and input may always be there.
+  while (!error && !mTimedOut) {
     const auto [failure, read] =
       co_await mSocket.async_read_some(asio::buffer(dropped), kAwait);
     error = failure;
--- a/src/librattandyke/net/close_gently.h
+++ b/src/librattandyke/net/close_gently.h
@@ -23,8 +23,11 @@
   boost::system::error_code error;
   aStream.socket().shutdown(boost::asio::socket_base::shutdown_send, error);
   aStream.expires_after(kMaxDiscardTime);
+  const auto until = std::chrono::steady_clock::now() + kMaxDiscardTime;
   std::array<char, kDiscardBufferBytes> discarded{};
-  while (!error) {
+  // The stream's timeout ends only a read that waits. Input that is always
+  // there would keep this host busy for as long as it comes.
+  while (!error && std::chrono::steady_clock::now() < until) {
     const auto [readError, read] = co_await aStream.async_read_some(
       boost::asio::buffer(discarded),
       boost::asio::as_tuple(boost::asio::use_awaitable));
