Tests of upstreams that answer with what is no answer: MIXED and broken names

What was seen elsewhere: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection, and the caller got that part as the whole answer (MIXED); on other systems, answers in whose head the name of a field held a blank or a control byte were passed on.

Already handled, nothing of the product is changed here.

Tests: testsuite/broken_answers, a stand-in that answers with the rows of the message corpus, to a small request that may run again, which must be answered by another upstream, and to an upload of 6 MB that may not, unread; the connection ended, reset or left open. The caller is told within 1 s of 2 s. New rows for names of fields, also where a proof of "not run" stands in the broken head; rows "none/open" check that the answer isn't waited for, and that it was sent once. Requests with a line that begins with a blank are passed on as one line (RFC 9112, section 5.2, allows it), also where that line holds a length or a coding: rows in requests.txt. For `serve`: answers that break after their first bytes went out, over both framings, and an early one to an upload. Stand-ins of the soak read strictly (names, status, length), so that their callers see what is no answer.

--- a/scripts/message_corpus.py
+++ b/scripts/message_corpus.py
@@ -14,6 +14,9 @@
 FOLDER = (pathlib.Path(__file__).resolve().parents[1] / "testsuite"
           / "message_corpus")
 ANSWER_SECONDS, AT_ONCE = 4.0, 12
+# The deadline of the requests, and the time in which a caller is told of an answer
+# that is none, whether its connection ends or not.
+DEADLINE_SECONDS, TOLD_SECONDS = 2.0, 1.0
 WAYS = ("at once", "byte by byte", "line by line")
 # Longer messages are sent in so many pieces, and not cut at each byte.
 LONG, PIECES = 1000, 64
@@ -47,7 +50,8 @@
 
 def request_macros(identity, target, identity_field=words.REQUEST_ID):
     fields = (f"Host: soak.example\\r\\n{identity_field}: {identity}\\r\\n"
-              f"{words.DEADLINE}: 2000\\r\\n{words.KEY}: 7\\r\\n")
+              f"{words.DEADLINE}: {int(DEADLINE_SECONDS * 1000)}\\r\\n"
+              f"{words.KEY}: 7\\r\\n")
     return {"get": f"GET {target} HTTP/1.1\\r\\n{fields}",
             "post": f"POST {target} HTTP/1.1\\r\\n{fields}",
             "fields": fields, "target": target}
@@ -56,7 +60,19 @@
 def response_macros(identity):
     fields = (f"{words.REQUEST_ID}: {identity}\\r\\n"
               f"{words.SIGNATURE}: s.{identity}\\r\\n")
-    return {"ok": f"HTTP/1.1 200 OK\\r\\n{fields}", "fields": fields}
+    return {"ok": f"HTTP/1.1 200 OK\\r\\n{fields}", "fields": fields,
+            "refused": f"{words.NOT_RUN}: 1\\r\\n"}
+
+
+def is_expected(row, got):
+    """@param row of responses.txt.
+    @param got status and length of the body that the caller of an unsafe request
+    got."""
+    if row[1] == "none":
+        return got[0] in (502, 504)
+    if row[1] == "none/open":
+        return got[0] == 502
+    return got == (200, int(row[1].removeprefix("200+")))
 
 
 class Exchange:
--- a/scripts/soak_http.py
+++ b/scripts/soak_http.py
@@ -1,6 +1,11 @@
 """Just enough HTTP/1.1 for the soak's callers and upstreams."""
 
 import asyncio
+import re
+
+# RFC 9110, section 5.6.2: what a field's name consists of.
+FIELD = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
+STATUS = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2}) ")
 
 
 class Broken(Exception):
@@ -8,18 +13,21 @@
 
 
 async def read_message(reader):
-    """@return first line, fields in lower case, body."""
+    """@return first line, fields in lower case, body.
+    @throws Broken if a strict recipient would take it for no message."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, ConnectionError,
             asyncio.LimitOverrunError) as error:
         raise Broken(str(error)) from error
-    lines = head.split("\r\n")
+    first, *lines = head.split("\r\n")[:-2]
     fields = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            fields[name.strip().lower()] = value.strip()
+    for line in lines:
+        if not FIELD.match(line):
+            raise Broken(f"no field: {line!r}")
+        name, value = line.split(":", 1)
+        fields[name.lower()] = value.strip()
+    check_status(first, fields)
     try:
         if fields.get("transfer-encoding", "").lower() == "chunked":
             body = await read_chunks(reader)
@@ -28,7 +36,21 @@
                 int(fields.get("content-length", 0)))
     except (asyncio.IncompleteReadError, ConnectionError) as error:
         raise Broken(str(error)) from error
-    return lines[0], fields, body
+    return first, fields, body
+
+
+def check_status(first, fields):
+    """@throws Broken if the status of an answer is none, or only the end of the
+    connection would end the answer."""
+    if not first.startswith("HTTP/"):
+        return  # A request.
+    match = STATUS.match(first)
+    if not match:
+        raise Broken(f"no status: {first!r}")
+    status = int(match[1])
+    has_body = status >= 200 and status not in (204, 304)
+    if has_body and not fields.keys() & {"content-length", "transfer-encoding"}:
+        raise Broken(f"no length: {first!r}")
 
 
 async def read_chunks(reader):
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_client.h"
 
+#include <optional>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -30,6 +31,8 @@
 
 /// Longer than UpstreamClient waits for a connection.
 constexpr milliseconds kLongerThanConnectTimeout{ 300 };
+/// Long enough for an exchange with a stand-in.
+constexpr milliseconds kLongerThanAResponse{ 1000 };
 
 /// Upstream that responds to each request with the next of the given texts, and
 /// closes the connection after the last.
@@ -127,6 +130,20 @@
     context.stop();
   }
 
+  /// @return the result of a request to an upstream that keeps its connection
+  /// open; nothing if the client still waits.
+  std::optional<AttemptResult> SendToOpen(const std::string& aText)
+  {
+    upstream = std::make_unique<ScriptedUpstream>(
+      context, std::vector<std::string>{ aText, {} });
+    asio::co_spawn(context, SendAll(1), asio::detached);
+    context.run_for(kLongerThanAResponse);
+    if (results.empty()) {
+      return std::nullopt;
+    }
+    return std::move(results.front());
+  }
+
   asio::awaitable<void> ProbeThenSend()
   {
     const UpstreamProcess process{ "i-1", upstream->Address() };
@@ -336,6 +353,29 @@
                     "Content-Length: 13\r\nConnection: Id\r\n",
                     "Content-Length: 13\r\nConnection: close, signature\r\n"));
 
+class BrokenHeadTest
+  : public UpstreamClientTest
+  , public ::testing::WithParamInterface<const char*>
+{};
+
+// Guards against a response that is none and reaches a caller, proves that a
+// request has not run, or is waited for until the deadline.
+TEST_P(BrokenHeadTest, IsNoResponseAtOnce)
+{
+  const auto attempt = SendToOpen(std::string("HTTP/1.1 ") + GetParam() +
+                                  "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE(attempt);
+  EXPECT_EQ(attempt->kind, Kind::OutcomeUnknown);
+  EXPECT_TRUE(attempt->responded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Heads,
+  BrokenHeadTest,
+  ::testing::Values("200 OK\r\nId: r-1\r\nSignature: s\r\nX A: 1\r\n",
+                    "200 OK\r\nId: r-1\r\nSignature: s\r\nX\x01: 1\r\n",
+                    "503 Busy\r\nId: r-1\r\nNot-Run: 1\r\nX-A : 1\r\n"));
+
 TEST_F(UpstreamClientTest, MisdirectedRequestIsNotExecuted)
 {
   EXPECT_EQ(
--- a/src/librattandyke/http/whole_answers_test.cpp
+++ b/src/librattandyke/http/whole_answers_test.cpp
@@ -128,6 +128,88 @@
   }
 }
 
+// Guards against an answer that is none and reaches the caller, or is waited
+// for until the deadline.
+TEST(WholeAnswers, AnAnswerWithABrokenHeadIsAFailureAtOnce)
+{
+  for (const std::string head : { "200 OK\r\nX A: 1\r\n",
+                                  "200 OK\r\nX\x01: 1\r\n",
+                                  "200 OK\r\nX-A : 1\r\n" }) {
+    FakeUpstream upstream([&](UpstreamSide& aSide) {
+      aSide.Read();
+      aSide.Write("HTTP/1.1 " + head + "Content-Length: 5\r\n\r\nhello");
+      aSide.AwaitClose();
+    });
+    EntryFixture entry;
+    entry.Host().SetOwner(upstream.Address());
+    TestCaller caller(entry.Address());
+    const auto failed =
+      caller.Ask("POST", "/board/k1", "x", "Rattandyke-Deadline-Ms: 2000\r\n");
+    ASSERT_TRUE(failed) << head;
+    EXPECT_EQ(failed->result_int(), 502U) << head;
+    EXPECT_EQ((*failed)["Rattandyke-Outcome"], "unknown") << head;
+  }
+}
+
+// Guards against a part of an answer that its caller takes for the whole: the
+// upstream's connection is reset after the first bytes went out.
+TEST(WholeAnswers, AnAnswerThatIsResetIsNeverAWholeOne)
+{
+  for (const std::string head : { "Content-Length: 10\r\n\r\n",
+                                  "Transfer-Encoding: chunked\r\n\r\n4\r\n" }) {
+    std::promise<void> begun;
+    FakeUpstream upstream([&](UpstreamSide& aSide) {
+      aSide.Read();
+      aSide.Write("HTTP/1.1 200 OK\r\n" + head + "half\r\n");
+      begun.get_future().wait();
+      aSide.Reset();
+    });
+    EntryFixture entry;
+    entry.Host().SetOwner(upstream.Address());
+    TestCaller caller(entry.Address());
+    caller.Write(rattandyke::testing::RequestText("POST", "/board/k1", "x"));
+    caller.AwaitReadable();
+    begun.set_value();
+    EXPECT_FALSE(caller.Read()) << head;
+  }
+}
+
+// Guards against a body whose end can't be read and that is passed on as whole.
+TEST(WholeAnswers, ABodyWithABrokenEndIsNeverAWholeOne)
+{
+  for (const std::string end :
+       { "zz\r\n", "0\r\nX A: 1\r\n\r\n", "0\r\nX\x01: 1\r\n\r\n" }) {
+    FakeUpstream upstream([&](UpstreamSide& aSide) {
+      aSide.Read();
+      aSide.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "4\r\nhalf\r\n" +
+                  end);
+      aSide.AwaitClose();
+    });
+    EntryFixture entry;
+    entry.Host().SetOwner(upstream.Address());
+    TestCaller caller(entry.Address());
+    const auto got = caller.Ask("POST", "/board/k1", "x");
+    EXPECT_TRUE(!got || got->result_int() == 502U) << end;
+  }
+}
+
+// Guards against a part of an answer that its caller takes for the whole: the
+// upstream responds to a long upload before it has read it, and is gone.
+TEST(WholeAnswers, AnEarlyAnswerEndedOnlyByResetIsAFailure)
+{
+  FakeUpstream upstream([](UpstreamSide& aSide) {
+    aSide.Write("HTTP/1.1 200 OK\r\n\r\nperhaps all of it");
+    aSide.Reset();
+  });
+  EntryFixture entry;
+  entry.Host().SetOwner(upstream.Address());
+  TestCaller caller(entry.Address());
+  const auto failed =
+    caller.Ask("POST", "/board/k1", std::string(6'000'000, 'u'));
+  EXPECT_TRUE(!failed || failed->result_int() == 502U);
+}
+
 // A request's deadline passes; the upstream answers it later all the same, on
 // the same connection. The next request must get its own answer and not the
 // late one.
