A response whose status is not within 100 to 599 is none

What callers saw: with a status of 000, the caller of a request that may run again waited for its deadline (2.0 s of 2) and got 504 after one sending, though other upstreams were sound; an upload waited as long. Statuses of 600 and more were passed on as they were. A proof of "not run" in such a head was believed: an upload of a request that may run once went to a second upstream.

Cause: Beast's parser takes any three digits for a status, and both clients took each one below 200 for an interim answer, which is dropped. Nothing looked for an upper end.

Change: net::CheckFrame, a part of reading every head, refuses such a response. It is then one that can't be read, which both clients end at once: 502, or another upstream where the request may run again. 1xx of any number stay interim answers.

BrokenHeadTest, 5 of 5 statuses, WholeAnswers.AnAnswerWithABrokenHeadIsAFailureAtOnce and MessageFrameTest.StatusIsOfAKnownClass failed.

--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -441,7 +441,7 @@
       co_return result;
     }
     auto& message = parser.get();
-    if (message.result_int() < kFirstSuccess) {
+    if (!net::IsFinalStatus(message.result_int())) {
       // RFC 9110, section 15.2: the final response follows. No request of this
       // host asks for another protocol.
       if (message.result_int() == kSwitchingProtocols ||
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -372,7 +372,12 @@
 INSTANTIATE_TEST_SUITE_P(
   Heads,
   BrokenHeadTest,
-  ::testing::Values("200 OK\r\nId: r-1\r\nSignature: s\r\nX A: 1\r\n",
+  ::testing::Values("000 \r\nId: r-1\r\nSignature: s\r\n",
+                    "000 \r\nId: r-1\r\nNot-Run: 1\r\n",
+                    "099 OK\r\nId: r-1\r\nSignature: s\r\n",
+                    "600 OK\r\nId: r-1\r\nSignature: s\r\n",
+                    "600 Busy\r\nId: r-1\r\nNot-Run: 1\r\n",
+                    "200 OK\r\nId: r-1\r\nSignature: s\r\nX A: 1\r\n",
                     "200 OK\r\nId: r-1\r\nSignature: s\r\nX\x01: 1\r\n",
                     "503 Busy\r\nId: r-1\r\nNot-Run: 1\r\nX-A : 1\r\n"));
 
--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -20,7 +20,6 @@
 constexpr uint64_t kLargeBodyBytes = uint64_t{ 64 } * 1024;
 constexpr size_t kLargeReadBytes = size_t{ 32 } * 1024;
 constexpr unsigned kSwitchingProtocols = 101;
-constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
@@ -130,7 +129,7 @@
       co_return error;
     }
     const unsigned status = Head().result_int();
-    if (status >= kFirstFinalStatus) {
+    if (net::IsFinalStatus(status)) {
       co_return error_code{};
     }
     if (status == kSwitchingProtocols || interim == kMaxInterimAnswers) {
--- a/src/librattandyke/http/whole_answers_test.cpp
+++ b/src/librattandyke/http/whole_answers_test.cpp
@@ -132,7 +132,10 @@
 // for until the deadline.
 TEST(WholeAnswers, AnAnswerWithABrokenHeadIsAFailureAtOnce)
 {
-  for (const std::string head : { "200 OK\r\nX A: 1\r\n",
+  for (const std::string head : { "000 \r\n",
+                                  "099 OK\r\n",
+                                  "600 OK\r\n",
+                                  "200 OK\r\nX A: 1\r\n",
                                   "200 OK\r\nX\x01: 1\r\n",
                                   "200 OK\r\nX-A : 1\r\n" }) {
     FakeUpstream upstream([&](UpstreamSide& aSide) {
--- a/src/librattandyke/net/message_frame.cpp
+++ b/src/librattandyke/net/message_frame.cpp
@@ -11,6 +11,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kFirstStatus = 100;
 
 class Category final : public boost::system::error_category
 {
@@ -26,6 +27,8 @@
         return "the transfer coding contradicts the rest of the head";
       case FrameError::SeveralHosts:
         return "there are several Host fields";
+      case FrameError::UnknownStatus:
+        return "the status is not within 100 to 599";
     }
     return "unknown error of a message's frame";
   }
@@ -68,4 +71,12 @@
            : FrameError::UnknownCoding;
 }
 
+boost::system::error_code
+CheckStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus
+           ? boost::system::error_code{}
+           : FrameError::UnknownStatus;
+}
+
 } // namespace rattandyke::net
--- a/src/librattandyke/net/message_frame.h
+++ b/src/librattandyke/net/message_frame.h
@@ -1,4 +1,5 @@
-/// Where the body of an HTTP message ends.
+/// Whether the head of an HTTP message can be relied on, and where its body
+/// ends.
 #pragma once
 
 #include <string_view>
@@ -10,9 +11,10 @@
 
 namespace rattandyke::net {
 
-/// Reasons for which it is not certain where the body of a message ends, or
-/// for whom the message is. What follows such a head must not be read: another
-/// reader may take it for a body where this one sees the next message.
+/// Reasons for which it is not certain where the body of a message ends, for
+/// whom the message is, or what it says. What follows such a head must not be
+/// read: another reader may take it for a body where this one sees the next
+/// message.
 enum class FrameError : uint8_t
 {
   /// The transfer coding is not chunked alone.
@@ -22,8 +24,20 @@
   Contradiction,
   /// A request has several Host fields.
   SeveralHosts,
+  /// The status of a response is in none of the classes 1xx to 5xx.
+  UnknownStatus,
 };
 
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+
+/// @return whether a status is that of a final response (2xx to 5xx).
+constexpr bool
+IsFinalStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstFinalStatus && aStatus <= kLastStatus;
+}
+
 /// @return the category of FrameError in error codes.
 const boost::system::error_category& FrameCategory();
 
@@ -38,11 +52,20 @@
                                      unsigned aVersion,
                                      bool aIsRequest);
 
+/// Checks the status of a response.
+/// @return a FrameError, or success.
+boost::system::error_code CheckStatus(unsigned aStatus);
+
 template<bool isRequest>
 boost::system::error_code
 CheckFrame(const boost::beast::http::header<isRequest,
                                             boost::beast::http::fields>& aHead)
 {
+  if constexpr (!isRequest) {
+    if (const auto failure = CheckStatus(aHead.result_int())) {
+      return failure;
+    }
+  }
   return CheckFrame(aHead, aHead.version(), isRequest);
 }
 
--- a/src/librattandyke/net/message_frame_test.cpp
+++ b/src/librattandyke/net/message_frame_test.cpp
@@ -68,6 +68,21 @@
   EXPECT_FALSE(CheckFrame(RequestWith({ { "Host", "a" } })));
 }
 
+// Guards against a response of a status that has no meaning, which is waited
+// for as an interim one or passed on.
+TEST(MessageFrameTest, StatusIsOfAKnownClass)
+{
+  http::response_header<> response;
+  for (const unsigned status : { 0U, 1U, 99U, 600U, 999U }) {
+    response.result(status);
+    EXPECT_TRUE(CheckFrame(response)) << status;
+  }
+  for (const unsigned status : { 100U, 199U, 200U, 418U, 599U }) {
+    response.result(status);
+    EXPECT_FALSE(CheckFrame(response)) << status;
+  }
+}
+
 TEST(MessageFrameTest, ErrorsHaveAStatus)
 {
   EXPECT_EQ(StatusForReadError(FrameError::UnknownCoding), 501U);
