A probe counts only a response of the upstream itself

What operators would see: an entry that has lost its path to an upstream takes it for regained when the health check gets an interim response, what is no response, or one of another process that has taken over the address; the connection was pooled for the lost upstream, and an interim response's final one was left on it.

Cause: UpstreamClient::Probe took the first head for the response and looked at nothing in it.

Change: it reads the final response (net::ReadFinalHead, which `serve` uses as well), and a 421 or another instance's name is no response of this upstream; the connection is closed then. 503 and other statuses still show that the path is there.

With this change all pass, and ProbeReachesWhateverTheHealth passes before and after.

--- a/src/librattandyke/gateway/upstream_client.cpp
+++ b/src/librattandyke/gateway/upstream_client.cpp
@@ -378,35 +378,56 @@
       connection->Close();
     }
   });
+  const bool responded =
+    co_await CheckHealth(*connection, aProcess, std::move(aHealthPath));
+  *waiting = false;
+  timer.cancel();
+  if (responded) {
+    PoolOrClose(aProcess, connection);
+  } else {
+    connection->Close();
+  }
+  co_return responded;
+}
+
+asio::awaitable<bool>
+UpstreamClient::CheckHealth(UpstreamConnection& aConnection,
+                            const UpstreamProcess& aProcess,
+                            std::string aHealthPath)
+{
   std::string head = "GET " + aHealthPath + " HTTP/1.1\r\n";
   http::AppendField(head, "Host", aProcess.address);
   http::AppendField(head, mHeaders.expectedInstance, aProcess.instance);
   head += "\r\n";
   auto [writeError, written] =
-    co_await asio::async_write(connection->socket, asio::buffer(head), kAwait);
-  Parser parser;
-  parser.header_limit(UpstreamConnection::kMaxHeadBytes);
-  parser.body_limit(kMaxHealthBytes);
-  ErrorCode readError =
-    co_await net::ReadHead(connection->socket,
-                           connection->buffer,
-                           parser,
-                           UpstreamConnection::kMaxHeadBytes);
+    co_await asio::async_write(aConnection.socket, asio::buffer(head), kAwait);
+  if (writeError) {
+    co_return false;
+  }
+  std::optional<Parser> parser;
+  ErrorCode readError = co_await net::ReadFinalHead(
+    aConnection.socket,
+    aConnection.buffer,
+    parser,
+    UpstreamConnection::kMaxHeadBytes,
+    [](Parser& aParser) {
+      aParser.header_limit(UpstreamConnection::kMaxHeadBytes);
+      aParser.body_limit(kMaxHealthBytes);
+    });
   if (!readError) {
     readError =
-      co_await net::ReadBody(connection->socket, connection->buffer, parser);
+      co_await net::ReadBody(aConnection.socket, aConnection.buffer, *parser);
   }
-  *waiting = false;
-  timer.cancel();
-  if (writeError || readError) {
-    connection->Close();
+  if (readError) {
     co_return false;
   }
-  if (!parser.get().keep_alive() || parser.need_eof()) {
-    connection->usableUntil = {};
+  if (!parser->get().keep_alive() || parser->need_eof()) {
+    aConnection.usableUntil = {};
   }
-  PoolOrClose(aProcess, connection);
-  co_return true;
+  const auto& response = parser->get().base();
+  const std::string_view named = http::FieldOf(response, mHeaders.instance);
+  co_return response.result_int() != kMisdirected &&
+    (named.empty() || named == aProcess.instance);
 }
 
 asio::awaitable<AttemptResult>
--- a/src/librattandyke/gateway/upstream_client.h
+++ b/src/librattandyke/gateway/upstream_client.h
@@ -283,7 +283,8 @@
     std::shared_ptr<AttemptHandle> aHandle);
 
   /// Finds out whether an upstream can be reached, by a request for its health
-  /// path. Any response shows that it can, whatever it says of its health.
+  /// path. Any response of its own shows that it can, whatever it says of its
+  /// health.
   /// @param aHealthPath empty: a connection is enough.
   /// @return whether it can be reached.
   boost::asio::awaitable<bool> Probe(UpstreamProcess aProcess,
@@ -324,6 +325,11 @@
     std::string aAddress,
     std::shared_ptr<AttemptHandle> aHandle,
     std::string& aFailure);
+  /// Sends a request for the health path.
+  /// @return whether a response came that is not one of another process.
+  boost::asio::awaitable<bool> CheckHealth(UpstreamConnection& aConnection,
+                                           const UpstreamProcess& aProcess,
+                                           std::string aHealthPath);
   std::string FormatHead(const std::string& aInstance,
                          const UpstreamRequest& aRequest,
                          Duration aTimeLeft) const;
--- a/src/librattandyke/gateway/upstream_client_test.cpp
+++ b/src/librattandyke/gateway/upstream_client_test.cpp
@@ -144,6 +144,23 @@
     return std::move(results.front());
   }
 
+  /// @return whether an upstream that responds to a health check, and keeps its
+  /// connection open, can be reached.
+  bool Probe(const std::string& aText)
+  {
+    upstream = std::make_unique<ScriptedUpstream>(
+      context, std::vector<std::string>{ aText, {} });
+    bool reached = false;
+    asio::co_spawn(context,
+                   client.Probe({ "i-1", upstream->Address() }, "/health"),
+                   [&](const std::exception_ptr&, bool aReached) {
+                     reached = aReached;
+                     context.stop();
+                   });
+    context.run();
+    return reached;
+  }
+
   asio::awaitable<void> ProbeThenSend()
   {
     const UpstreamProcess process{ "i-1", upstream->Address() };
@@ -396,6 +413,42 @@
   EXPECT_TRUE(attempt->responded);
 }
 
+class UnansweredProbeTest
+  : public UpstreamClientTest
+  , public ::testing::WithParamInterface<const char*>
+{};
+
+// Guards against an upstream that counts as reached by what is no response, or
+// by the response of another process at its address.
+TEST_P(UnansweredProbeTest, ReachesNoUpstream)
+{
+  EXPECT_FALSE(Probe(std::string("HTTP/1.1 ") + GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  UnansweredProbeTest,
+  ::testing::Values("000 \r\nContent-Length: 0\r\n\r\n",
+                    "600 OK\r\nContent-Length: 0\r\n\r\n",
+                    "200 OK\r\nX-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n",
+                    "200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+                    "103 Early Hints\r\n\r\n",
+                    "200 OK\r\nInstance: i-2\r\nContent-Length: 0\r\n\r\n",
+                    "421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"));
+
+// Guards against a sound upstream that counts as out of reach as it is full or
+// leaves.
+TEST_F(UpstreamClientTest, ProbeReachesWhateverTheHealth)
+{
+  for (const char* text :
+       { "200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n",
+         "503 Busy\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n",
+         "103 Early Hints\r\n\r\nHTTP/1.1 204 Fine\r\n\r\n" }) {
+    EXPECT_TRUE(Probe(std::string("HTTP/1.1 ") + text)) << text;
+    context.restart();
+  }
+}
+
 TEST_F(UpstreamClientTest, MisdirectedRequestIsNotExecuted)
 {
   EXPECT_EQ(
--- a/src/librattandyke/http/upstream_exchange.cpp
+++ b/src/librattandyke/http/upstream_exchange.cpp
@@ -13,13 +13,10 @@
 
 namespace {
 
-/// Interim answers (1xx) after which an exchange fails.
-constexpr int kMaxInterimAnswers = 8;
 constexpr size_t kReadBytes = 4096;
 /// From this length on, an answer's body is read in large pieces.
 constexpr uint64_t kLargeBodyBytes = uint64_t{ 64 } * 1024;
 constexpr size_t kLargeReadBytes = size_t{ 32 } * 1024;
-constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
@@ -104,39 +101,24 @@
   return remaining && mConnection->buffer.size() >= *remaining;
 }
 
-void
-UpstreamExchange::NewParser(bool aHeadRequest)
-{
-  mParser.emplace();
-  mParser->header_limit(UpstreamConnection::kMaxHeadBytes);
-  mParser->body_limit(boost::none);
-  mParser->skip(aHeadRequest);
-}
-
 asio::awaitable<error_code>
 UpstreamExchange::ReadHead(bool aHeadRequest)
 {
   mHeadRequest = aHeadRequest;
-  for (int interim = 0; !mAborted; ++interim) {
-    NewParser(aHeadRequest);
-    mConnection->buffer.reserve(kReadBytes);
-    const error_code error =
-      co_await net::ReadHead(mConnection->socket,
-                             mConnection->buffer,
-                             *mParser,
-                             UpstreamConnection::kMaxHeadBytes);
-    if (error) {
-      co_return error;
-    }
-    const unsigned status = Head().result_int();
-    if (net::IsFinalStatus(status)) {
-      co_return error_code{};
-    }
-    if (status == kSwitchingProtocols || interim == kMaxInterimAnswers) {
-      co_return beast::http::error::bad_status;
-    }
+  if (mAborted) {
+    co_return asio::error::operation_aborted;
   }
-  co_return asio::error::operation_aborted;
+  mConnection->buffer.reserve(kReadBytes);
+  co_return co_await net::ReadFinalHead(mConnection->socket,
+                                        mConnection->buffer,
+                                        mParser,
+                                        UpstreamConnection::kMaxHeadBytes,
+                                        [aHeadRequest](Parser& aParser) {
+                                          aParser.header_limit(
+                                            UpstreamConnection::kMaxHeadBytes);
+                                          aParser.body_limit(boost::none);
+                                          aParser.skip(aHeadRequest);
+                                        });
 }
 
 std::optional<Framing>
--- a/src/librattandyke/http/upstream_exchange.h
+++ b/src/librattandyke/http/upstream_exchange.h
@@ -70,7 +70,6 @@
 
 private:
   boost::asio::awaitable<error_code> MakeConnection();
-  void NewParser(bool aHeadRequest);
   /// Aborts after aTime, unless StopTimer comes first.
   void StartTimer(Duration aTime);
   void StopTimer();
--- a/src/librattandyke/net/message_frame.cpp
+++ b/src/librattandyke/net/message_frame.cpp
@@ -31,6 +31,8 @@
         return "the status is not within 100 to 599";
       case FrameError::FoldedLine:
         return "a line of the head or trailer begins with a blank";
+      case FrameError::NoFinalResponse:
+        return "no final response follows the interim ones";
     }
     return "unknown error of a message's frame";
   }
--- a/src/librattandyke/net/message_frame.h
+++ b/src/librattandyke/net/message_frame.h
@@ -28,6 +28,8 @@
   UnknownStatus,
   /// A line of a response's head or trailer begins with a blank.
   FoldedLine,
+  /// No final response follows interim ones.
+  NoFinalResponse,
 };
 
 constexpr unsigned kFirstFinalStatus = 200;
--- a/src/librattandyke/net/read_head.h
+++ b/src/librattandyke/net/read_head.h
@@ -1,6 +1,8 @@
 /// Reads the head of an HTTP message.
 #pragma once
 
+#include <optional>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/error.hpp>
@@ -74,4 +76,35 @@
   }
 }
 
+/// Reads the head of a final response, and drops interim ones (1xx) before it.
+/// No request of this host asks for another protocol (101).
+/// @param aParser a new one for each head.
+/// @param aPrepare void(Parser&), called with each parser before it is used.
+/// @return see ReadHead().
+template<typename Stream, typename Parser, typename Prepare>
+boost::asio::awaitable<boost::system::error_code>
+ReadFinalHead(Stream& aStream,
+              boost::beast::flat_buffer& aBuffer,
+              std::optional<Parser>& aParser,
+              size_t aMaxHeadBytes,
+              Prepare aPrepare)
+{
+  constexpr int kMaxInterimResponses = 8;
+  constexpr unsigned kSwitchingProtocols = 101;
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    aParser.emplace();
+    aPrepare(*aParser);
+    const boost::system::error_code failure =
+      co_await ReadHead(aStream, aBuffer, *aParser, aMaxHeadBytes);
+    const unsigned status = aParser->get().result_int();
+    if (failure || IsFinalStatus(status)) {
+      co_return failure;
+    }
+    if (status == kSwitchingProtocols) {
+      break;
+    }
+  }
+  co_return FrameError::NoFinalResponse;
+}
+
 } // namespace rattandyke::net
