Operators' commands take nothing but a whole answer for success

What operators saw: commands exited with 0 on an answer with a status of 000, or one that only the end of its connection ended and that may have been cut off.

Cause: AdminClient took each status below 300 for success, and read such answers as whole.

Change: it reads the final response (net::ReadFinalHead), and one without a length is an error.

--- a/src/librattandyke/net/message_frame.cpp
+++ b/src/librattandyke/net/message_frame.cpp
@@ -33,6 +33,8 @@
         return "a line of the head or trailer begins with a blank";
       case FrameError::NoFinalResponse:
         return "no final response follows the interim ones";
+      case FrameError::UnknownLength:
+        return "nothing tells whether the response is whole";
     }
     return "unknown error of a message's frame";
   }
--- a/src/librattandyke/net/message_frame.h
+++ b/src/librattandyke/net/message_frame.h
@@ -30,6 +30,9 @@
   FoldedLine,
   /// No final response follows interim ones.
   NoFinalResponse,
+  /// Only the end of the connection tells where a response ends, and whether
+  /// it was cut off.
+  UnknownLength,
 };
 
 constexpr unsigned kFirstFinalStatus = 200;
--- a/src/rattandyke/admin_client.cpp
+++ b/src/rattandyke/admin_client.cpp
@@ -52,16 +52,19 @@
     co_return writeError;
   }
   beast::flat_buffer buffer(net::ReadBufferLimit(kMaxAnswerHead));
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(kMaxAnswerHead);
-  parser.body_limit(kMaxAnswer);
-  const ErrorCode headError =
-    co_await net::ReadHead(stream, buffer, parser, kMaxAnswerHead);
-  if (headError) {
-    co_return headError;
-  }
-  const ErrorCode readError = co_await net::ReadBody(stream, buffer, parser);
-  aAnswer = parser.release();
+  std::optional<http::response_parser<http::string_body>> parser;
+  ErrorCode readError = co_await net::ReadFinalHead(
+    stream, buffer, parser, kMaxAnswerHead, [](auto& aParser) {
+      aParser.header_limit(kMaxAnswerHead);
+      aParser.body_limit(kMaxAnswer);
+    });
+  if (!readError && parser->need_eof()) {
+    readError = net::FrameError::UnknownLength;
+  }
+  if (!readError) {
+    readError = co_await net::ReadBody(stream, buffer, *parser);
+  }
+  aAnswer = parser->release();
   co_return readError;
 }
 
