Load driver: an answer that only the connection's end ends is no whole one

The driver judged it by its body, like others, so an entry that passed on such an answer whole was not found: nothing tells a caller that it is whole.

--- a/src/load/attempt.cpp
+++ b/src/load/attempt.cpp
@@ -84,11 +84,14 @@
   parser.body_limit(boost::none);
   auto [readError, read] = co_await http::async_read(
     aConnection.stream, aConnection.buffer, parser, kNoThrow);
-  // An answer without a length ends where the connection does; to HTTP it is
-  // whole, so it is judged like the others.
   if (readError) {
     co_return false;
   }
+  if (parser.need_eof()) {
+    aAttempt.status = parser.get().result_int();
+    aAttempt.result = AttemptResult::TruncatedAsWhole;
+    co_return false;
+  }
   Judge(parser.get(), aPlan, aDirect, aAttempt);
   co_return parser.get().keep_alive();
 }
--- a/src/load/attempt.h
+++ b/src/load/attempt.h
@@ -16,7 +16,8 @@
   Answered,
   /// An answer to another request.
   Crossed,
-  /// An answer that looked whole to HTTP and is not.
+  /// An answer that looked whole to HTTP and is not, or that only the end of
+  /// its connection ends, so that nothing tells whether it is.
   TruncatedAsWhole,
   /// It did not run, says the answer.
   NotRun,
--- a/src/load/attempt_test.cpp
+++ b/src/load/attempt_test.cpp
@@ -2,12 +2,16 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "testing/fake_upstream.h"
 #include "upstream/answer_body.h"
 
 namespace rattandyke::load {
 namespace {
 
-struct JudgeTest : testing::Test
+struct JudgeTest : ::testing::Test
 {
   ServiceLoad service{ ServiceName{ "board" }, "/board" };
   CustomerLoad customer{ CustomerName{ "desk" } };
@@ -62,5 +66,28 @@
   EXPECT_EQ(JudgeAnswer("run-0-1", 0, "not-run"), AttemptResult::NotRun);
 }
 
+// Guards against a part of an answer that is judged as a whole one: nothing but
+// the end of its connection tells where it ends.
+TEST_F(JudgeTest, AnswerThatOnlyTheConnectionEndsIsTruncatedAsWhole)
+{
+  testing::FakeUpstream entry([this](testing::UpstreamSide& aSide) {
+    aSide.Read();
+    aSide.Write("HTTP/1.1 200 OK\r\nRattandyke-Outcome: ran\r\n\r\n" +
+                upstream::MakeAnswerBody(
+                  { plan.id, "board", "key-3", "desk", 7, "board-1" }, 50));
+  });
+  asio::io_context context;
+  Connections connections(context.get_executor(), { entry.Address() });
+  Attempt attempt;
+  asio::co_spawn(
+    context,
+    SendOnce(connections, plan, 0, 0, std::chrono::seconds{ 5 }, false),
+    [&](const std::exception_ptr&, Attempt aAttempt) {
+      attempt = std::move(aAttempt);
+    });
+  context.run();
+  EXPECT_EQ(attempt.result, AttemptResult::TruncatedAsWhole);
+}
+
 } // namespace
 } // namespace rattandyke::load
