--- a/scripts/soak_actors.py
+++ b/scripts/soak_actors.py
@@ -262,11 +262,22 @@
         kind = first.split()[0]
         if not await self.run(request, kind, arrival):
             return
+        broken = self.world.troubles.broken_answer(self.world, request)
+        if broken:
+            self.send_broken(writer, arrival, *broken)
+            return
         self.send(writer, self.world.troubles.interim(base) + soak_http.message(
             "HTTP/1.1 200 OK", {**base, words.SIGNATURE: "s." + request},
             body_for(request, kind)))
         await writer.drain()
 
+    def send_broken(self, writer, arrival, data, ends):
+        """Writes what is no answer."""
+        arrival.broke_off = True
+        if writer not in self.cut_off:
+            writer.write(data)
+        if ends:
+            writer.close()
 
     async def run(self, request, kind, arrival):
         """Runs a request once a slot is free.
--- a/scripts/soak_troubles.py
+++ b/scripts/soak_troubles.py
@@ -1,7 +1,7 @@
 """Troubles that some seeds of the soak have: answers that come twice, uploads and
 slow readers near the memory of an entry, a request that crashes upstreams, heartbeats
-that arrive late, interim answers, and callers that send bytes without end or requests
-that can't be read."""
+that arrive late, interim answers, answers that are none, and callers that send bytes
+without end or requests that can't be read."""
 
 import asyncio
 import dataclasses
@@ -22,6 +22,11 @@
 INTERIM_SHARE, LONGEST_INTERIM = 0.2, 3
 ENDLESS_UNIT, ENDLESS_SECONDS = 65536, 3.0
 MALFORMED_PAUSE_SECONDS, MALFORMED_SECONDS = (0.02, 0.3), 5.0
+BROKEN_SHARE = 0.1
+# Rows of the corpus whose connection ends before the length that they announce are
+# left out: to an entry, the upstream has crashed.
+BROKEN_ROWS = [row for row in message_corpus.read_corpus("responses.txt")
+               if row[1] == "none/open" or row[0].startswith("neither length")]
 
 
 @dataclasses.dataclass
@@ -34,8 +39,11 @@
     interim_answers: bool = False
     endless: bool = False
     malformed: bool = False
-    # A source of its own, so that a seed's other faults stay the same.
+    broken_answers: bool = False
+    # Sources of their own, so that a seed's other faults stay the same.
     source: random.Random = dataclasses.field(default_factory=random.Random)
+    broken_source: random.Random = dataclasses.field(
+        default_factory=random.Random)
 
     async def send_heartbeat(self, world, path, body):
         """@return the answer; None if the heartbeat arrives late, when its sender
@@ -64,6 +72,17 @@
         one = f"HTTP/1.1 103 Early Hints\r\n{head}\r\n".encode()
         return one * self.source.randint(1, LONGEST_INTERIM)
 
+    def broken_answer(self, world, request):
+        """@return what is sent in place of an answer, and whether the connection
+        ends after it; None if the answer is sent."""
+        if (not self.broken_answers or time.monotonic() >= world.faults_end
+                or self.broken_source.random() > BROKEN_SHARE):
+            return None
+        row = self.broken_source.choice(BROKEN_ROWS)
+        world.count("broken answers")
+        return message_corpus.expand(
+            row[2], message_corpus.response_macros(request)), row[1] == "none"
+
     def memory(self):
         """@return the line of an entry's settings file."""
         return f"memory_mb = {MEMORY_MB}" if self.uploads else ""
@@ -73,8 +92,9 @@
     return Troubles(uploads=seed % 2 == 1, poison=seed % 3 == 1,
                     late_heartbeats=seed % 4 == 2,
                     interim_answers=seed % 5 in (0, 1), endless=seed % 3 == 2,
-                    malformed=seed % 2 == 0,
-                    source=random.Random(f"{seed}/troubles"))
+                    malformed=seed % 2 == 0, broken_answers=seed % 2 == 0,
+                    source=random.Random(f"{seed}/troubles"),
+                    broken_source=random.Random(f"{seed}/broken answers"))
 
 
 async def double_faults(world):
