--- a/src/librattandyke/gateway/relay_wire.cpp
+++ b/src/librattandyke/gateway/relay_wire.cpp
@@ -141,7 +141,7 @@
                          attempt.kind == AttemptResult::Kind::NotExecuted;
   if (responded && !HoldsResponse(aMessage)) {
     attempt.kind = AttemptResult::Kind::OutcomeUnknown;
-    attempt.reason = "the relayed answer is none";
+    attempt.reason = "the relay passed on what is no answer";
     return result;
   }
   attempt.response.status = aMessage.status();
